--- /dev/null
+++ b/chivecommand/node.go
@@ -0,0 +1,53 @@
+package chivecommand
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+	"runtime/debug"
+
+	"chivedrift/chivenode"
+	"chivedrift/chivesettings"
+	"chivedrift/chivewire"
+
+	"github.com/integrii/flaggy"
+)
+
+// collectAtPercent trades memory, of which a node has 64 MB for control, against collector time: a small heap is
+// collected rarely.
+const collectAtPercent = 200
+
+var nodeVerb = verb{
+	name: "node", usage: "Run one node until a signal; a planned stop finishes every request in flight.",
+	flags: func(s *flaggy.Subcommand) action {
+		var settings string
+		s.String(&settings, "s", "settings", "The node's settings file.")
+		return func(ctx context.Context, _ io.Writer) error {
+			if err := required("settings", settings); err != nil {
+				return err
+			}
+			return runNode(ctx, settings)
+		}
+	},
+}
+
+func runNode(ctx context.Context, file string) error {
+	settings, err := chivesettings.Load(file)
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(collectAtPercent)
+	logger := slog.New(slog.NewJSONHandler(os.Stderr, nil))
+	node, err := chivenode.New(settings, chivewire.TCP{}, logger)
+	if err != nil {
+		return err
+	}
+	if err := node.Start(context.WithoutCancel(ctx)); err != nil {
+		return err
+	}
+	// A signal may come before the configuration does; the stop below is the same.
+	_ = node.AwaitReady(ctx)
+	<-ctx.Done()
+	return node.Stop(context.WithoutCancel(ctx))
+}
--- /dev/null
+++ b/chiveevent/catalogue.go
@@ -0,0 +1,41 @@
+package chiveevent
+
+import (
+	"log/slog"
+)
+
+// The 100s are the node's life, the 200s configuration, the 300s membership, the 400s scheduling, the 500s requests,
+// the 600s claims, the 700s orders.
+var (
+	NodeStarting = define(100, slog.LevelInfo, "node starting", "None.")
+	NodeReady    = define(101, slog.LevelInfo, "node ready", "None; the balancer may send traffic.")
+	NodeStopping = define(102, slog.LevelInfo, "node stopping", "None; it finishes every request in flight.")
+	NodeStopped  = define(103, slog.LevelInfo, "node stopped", "None.")
+	NodeFailed   = define(104, slog.LevelError, "node failed", "Read the error: an address in use or a wrong setting.")
+
+	ConfigInForce     = define(200, slog.LevelInfo, "configuration in force", "Compare the hash with what you published.")
+	ConfigRejected    = define(201, slog.LevelWarn, "configuration record rejected", "Its author raced another one: make the change again on the version in force.")
+	ConfigUndecodable = define(202, slog.LevelError, "configuration record not usable by this node", "The node keeps the last good version: bring it to the release that wrote the record.")
+	ConfigLogDown     = define(203, slog.LevelWarn, "configuration log unavailable", "Serving goes on with the version in force; look at the platform's log.")
+	ConfigFromPeer    = define(204, slog.LevelInfo, "configuration taken from a peer", "None; the log was unavailable.")
+	ConfigCheckpoint  = define(205, slog.LevelInfo, "configuration checkpoint appended", "None; it keeps the version from expiring.")
+
+	MemberAlive   = define(300, slog.LevelInfo, "member alive", "None.")
+	MemberLeaving = define(301, slog.LevelInfo, "member leaving", "None.")
+	MemberDead    = define(302, slog.LevelWarn, "member dead", "Check the VM if the platform did not replace it.")
+	VMListDown    = define(303, slog.LevelWarn, "list of VMs unavailable", "New nodes cannot join until it is back; serving goes on.")
+
+	SchedulerLost  = define(400, slog.LevelWarn, "no word from a shard's scheduler", "None; the gateway asks the next one, then serves a small local share.")
+	SchedulerTaken = define(401, slog.LevelInfo, "shard taken over", "None; for a moment it grants half of the capacity.")
+	EndpointLeaves = define(402, slog.LevelInfo, "endpoint takes no new work", "None.")
+
+	RequestRefused = define(500, slog.LevelInfo, "request refused", "Read the reason; under overload, look at the class's tier and share.")
+	RequestBroken  = define(501, slog.LevelWarn, "attempt broke", "Look at the endpoint when it repeats.")
+	RequestUnknown = define(502, slog.LevelWarn, "outcome unknown", "The caller was told so; compare with the endpoint's own records.")
+
+	ClaimLogDown = define(600, slog.LevelWarn, "claim not written", "Requests with Idempotency-Key are answered not-run until the log is back.")
+
+	OrderRefused = define(700, slog.LevelWarn, "order not sent", "The lease had too little time left, or its holder changed; the next holder sends it.")
+	LeaseTaken   = define(701, slog.LevelInfo, "lease taken", "None.")
+	LeaseLost    = define(702, slog.LevelWarn, "lease lost", "None; another node holds it.")
+)
--- /dev/null
+++ b/chiveevent/doc.go
@@ -0,0 +1,2 @@
+// Package chiveevent is the catalogue of numbered log events and the way to log them.
+package chiveevent
--- /dev/null
+++ b/chivegate/gate.go
@@ -0,0 +1,290 @@
+package chivegate
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"chivedrift/chiveclaim"
+	"chivedrift/chiveconfig"
+	"chivedrift/chivedispatch"
+	"chivedrift/chiveevent"
+	"chivedrift/chivefollow"
+	"chivedrift/chivewire"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// ServiceName is the name under which the gate registers.
+const ServiceName = "gate"
+
+const (
+	headerTimeout  = 5 * time.Second
+	bodyTimeout    = 30 * time.Second
+	idleTimeout    = 2 * time.Minute
+	headerBytes    = 32 << 10
+	stopPoll       = 20 * time.Millisecond
+	idRandomBase   = 36
+	afterFullInSec = 1
+)
+
+// Models runs model requests.
+type Models interface {
+	// Run carries a model request through to its outcome.
+	Run(ctx context.Context, work *chivedispatch.Work, sink chivedispatch.Sink) (chivedispatch.Result, *chivedispatch.Answer)
+}
+
+// Services runs requests to plain services.
+type Services interface {
+	// Run carries a service request through to its outcome.
+	Run(ctx context.Context, work *chivedispatch.ServiceWork) (chivedispatch.Result, *chivedispatch.ServiceAnswer)
+}
+
+// Claims gives keyed requests at most one execution.
+type Claims interface {
+	// Begin claims a key for a request.
+	Begin(ctx context.Context, key, request string, window time.Duration) (*chiveclaim.Claim, *chiveclaim.Outcome, error)
+	// Finish records how a claimed request ended.
+	Finish(claim *chiveclaim.Claim, outcome chiveclaim.Outcome)
+	// Free records that a claimed request did not run.
+	Free(claim *chiveclaim.Claim)
+}
+
+// Quota holds teams to their limits over the whole fleet.
+type Quota interface {
+	// Take asks for tokens of a team's limit and returns when to come back if there are none.
+	Take(ctx context.Context, team string, limit, tokens int64) (ok bool, after time.Duration)
+	// Return gives back what a request did not use, or charges what it used beyond its estimate.
+	Return(team string, tokens int64)
+}
+
+// Options are the parts a gate is made of.
+type Options struct {
+	Node     string
+	Address  string
+	Network  chivewire.Network
+	Models   Models
+	Services Services
+	Claims   Claims
+	Quota    Quota
+	InForce  func() *chivefollow.InForce
+	Scope    tally.Scope
+	Logger   *slog.Logger
+}
+
+// Gate is the callers' side of a node.
+type Gate struct {
+	o        Options
+	server   *http.Server
+	listener net.Listener
+	explain  *explanations
+	metrics  *gateMetrics
+	keys     atomic.Pointer[keyring]
+	sequence atomic.Int64
+	inFlight atomic.Int64
+	start    string
+	done     sync.WaitGroup
+}
+
+// New returns a gate that does not listen yet.
+func New(o Options) *Gate {
+	g := &Gate{o: o, explain: newExplanations(), metrics: newGateMetrics(o.Scope)}
+	g.start = strconv.FormatInt(time.Now().UnixMilli(), idRandomBase) + strconv.FormatInt(rand.Int64N(1<<20), idRandomBase)
+	g.keys.Store(&keyring{})
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+pathChat, g.serveModel)
+	mux.HandleFunc("POST "+pathCompletions, g.serveModel)
+	mux.HandleFunc("GET "+pathModels, g.serveModels)
+	mux.HandleFunc(pathServices, g.serveService)
+	mux.HandleFunc("/", g.serveUnknown)
+	g.server = &http.Server{
+		Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		ErrorLog: slog.NewLogLogger(o.Logger.Handler(), slog.LevelError),
+	}
+	return g
+}
+
+// SetConfig takes a configuration that came into force.
+func (g *Gate) SetConfig(config *chiveconfig.Config) {
+	g.keys.Store(newKeyring(config))
+}
+
+// Start listens for callers.
+func (g *Gate) Start(context.Context) error {
+	listener, err := g.o.Network.Listen(g.o.Address)
+	if err != nil {
+		return fmt.Errorf("gate: listen for callers: %w", err)
+	}
+	g.listener = listener
+	g.done.Add(1)
+	go func() {
+		defer g.done.Done()
+		// Serve returns when Stop closes the listener.
+		_ = g.server.Serve(listener)
+	}()
+	return nil
+}
+
+// Stop takes no new connections and waits for every request in flight, whatever its length.
+func (g *Gate) Stop(context.Context) error {
+	_ = g.listener.Close()
+	g.server.SetKeepAlivesEnabled(false)
+	for g.inFlight.Load() > 0 {
+		time.Sleep(stopPoll)
+	}
+	err := g.server.Shutdown(context.Background())
+	g.done.Wait()
+	if err != nil {
+		return fmt.Errorf("gate: %w", err)
+	}
+	return nil
+}
+
+// InFlight returns how many requests are being served.
+func (g *Gate) InFlight() int64 { return g.inFlight.Load() }
+
+// Explain returns the explanation of a request that this node accepted lately.
+func (g *Gate) Explain(id string) (*Explanation, bool) { return g.explain.get(id) }
+
+// Dump returns how much is being served.
+func (g *Gate) Dump() any {
+	return struct {
+		InFlight int64 `json:"in_flight"`
+		Accepted int64 `json:"accepted"`
+	}{g.inFlight.Load(), g.sequence.Load()}
+}
+
+// NodeOf returns the name of the node that gave a request its identity.
+func NodeOf(id string) string {
+	node, _, _ := strings.Cut(id, ".")
+	return node
+}
+
+// newID names a request after its node, this start of the node and a number.
+func (g *Gate) newID() string {
+	return g.o.Node + "." + g.start + "." + strconv.FormatInt(g.sequence.Add(1), idRandomBase)
+}
+
+// admission is a request that passed the checks common to all.
+type admission struct {
+	id       string
+	team     string
+	inForce  *chivefollow.InForce
+	config   *chiveconfig.Config
+	body     []byte
+	arrival  time.Time
+	deadline time.Time
+	timeout  time.Duration
+	key      string
+}
+
+// enter counts a request in; it answers at once when the node has no configuration or enough to do.
+func (g *Gate) enter(w http.ResponseWriter, r *http.Request) (*admission, func(), bool) {
+	a := &admission{id: g.newID(), arrival: time.Now(), inForce: g.o.InForce()}
+	count := g.inFlight.Add(1)
+	leave := func() { g.inFlight.Add(-1) }
+	if err := g.admit(a, count, w, r); err != nil {
+		g.refuse(w, r, a, err)
+		leave()
+		return nil, nil, false
+	}
+	return a, leave, true
+}
+
+func (g *Gate) admit(a *admission, inFlight int64, w http.ResponseWriter, r *http.Request) error {
+	if a.inForce == nil {
+		return &failure{
+			status: http.StatusServiceUnavailable, kind: kindCapacity, code: "no_configuration", message: "this node has no configuration yet",
+			outcome: chivedispatch.NotRun, after: afterFullInSec * time.Second,
+		}
+	}
+	a.config = a.inForce.Config()
+	team, err := g.keys.Load().team(r)
+	if err != nil {
+		return err
+	}
+	a.team = team
+	if inFlight > a.config.Limits.InFlight {
+		return &failure{
+			status: http.StatusServiceUnavailable, kind: kindCapacity, code: "node_full", message: "this node serves as many requests as it may",
+			outcome: chivedispatch.NotRun, after: afterFullInSec * time.Second,
+		}
+	}
+	if a.timeout, err = parseTimeout(r.Header); err != nil {
+		return err
+	}
+	if a.key, err = parseKey(r.Header); err != nil {
+		return err
+	}
+	a.body, err = readBody(w, r, a.config.Limits.BodyBytes)
+	return err
+}
+
+// readBody bounds the size and the time of a body: a sender that dribbles would otherwise hold a place for ever.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	controller := http.NewResponseController(w)
+	// Not every writer has deadlines; the header timeout and the size limit hold all the same.
+	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = controller.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, &failure{
+			status: http.StatusRequestEntityTooLarge, kind: kindInvalid, code: "body_too_large",
+			message: fmt.Sprintf("the body is larger than %d bytes", limit), outcome: chivedispatch.NotRun,
+		}
+	case err != nil:
+		return nil, invalid("incomplete_body", "the body ended early or came too slowly")
+	}
+	return body, nil
+}
+
+// bound sets the deadline: the class's, or the caller's when that is earlier.
+func (a *admission) bound(class *chiveconfig.Class) {
+	limit := class.Deadline()
+	if a.timeout > 0 {
+		limit = min(limit, a.timeout)
+	}
+	a.deadline = a.arrival.Add(limit)
+}
+
+func (a *admission) pool(name, kind, code string) (*chiveconfig.Pool, error) {
+	pool, ok := a.config.Pool(name)
+	if !ok || pool.Kind != kind {
+		return nil, &failure{
+			status: http.StatusNotFound, kind: kindInvalid, code: code,
+			message: fmt.Sprintf("no %s %q; see GET %s", kind, name, pathModels), outcome: chivedispatch.NotRun,
+		}
+	}
+	return pool, nil
+}
+
+func (g *Gate) refuse(w http.ResponseWriter, r *http.Request, a *admission, err error) {
+	var f *failure
+	if !errors.As(err, &f) {
+		f = invalid("invalid_request", err.Error())
+	}
+	chiveevent.RequestRefused.Log(r.Context(), g.o.Logger, slog.String("request", a.id), slog.String("team", a.team),
+		slog.String("code", f.code), slog.String("reason", f.message))
+	g.metrics.outcome("", f.outcome)
+	f.write(w, a.id)
+}
+
+func (g *Gate) serveUnknown(w http.ResponseWriter, r *http.Request) {
+	a := &admission{id: g.newID()}
+	g.refuse(w, r, a, &failure{
+		status: http.StatusNotFound, kind: kindInvalid, code: "unknown_path", message: fmt.Sprintf("no %s %s here", r.Method, r.URL.Path),
+		outcome: chivedispatch.NotRun,
+	})
+}
--- /dev/null
+++ b/chivegate/service.go
@@ -0,0 +1,101 @@
+package chivegate
+
+import (
+	"io"
+	"net/http"
+
+	"chivedrift/chiveconfig"
+	"chivedrift/chivedispatch"
+)
+
+// hopHeaders belong to one connection and are never passed on; neither are the caller's key and the router's own headers.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Authorization", HeaderClass, HeaderTimeout, "Content-Length",
+}
+
+// serveService takes a request to a plain service from its checks to its outcome.
+func (g *Gate) serveService(w http.ResponseWriter, r *http.Request) {
+	a, leave, ok := g.enter(w, r)
+	if !ok {
+		return
+	}
+	defer leave()
+	work, err := g.serviceWork(a, r)
+	if err != nil {
+		g.refuse(w, r, a, err)
+		return
+	}
+	claimClass := *work.Class
+	claimClass.Repeatable = work.Repeatable
+	claim, settled := g.claim(w, r, a, work.Pool, &claimClass)
+	if settled {
+		return
+	}
+	result, answer := g.o.Services.Run(r.Context(), work)
+	x := g.explanation(a, work.Pool, work.Class, result)
+	x.FirstTokenMs = x.TookMs
+	contentType := ""
+	if answer != nil {
+		contentType = answer.Header.Get("Content-Type")
+		if answer.Rest == nil {
+			result.Body = answer.Body
+		} else {
+			contentType = ""
+		}
+	}
+	g.close(x, work.Class, claim, result, contentType)
+	g.respond(w, a, result, answer)
+}
+
+func (g *Gate) serviceWork(a *admission, r *http.Request) (*chivedispatch.ServiceWork, error) {
+	name, path := servicePath(r.URL.EscapedPath())
+	pool, err := a.pool(name, chiveconfig.KindService, "service_not_found")
+	if err != nil {
+		return nil, err
+	}
+	class, err := classOf(a.config, pool, r.Header)
+	if err != nil {
+		return nil, err
+	}
+	a.bound(class)
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	header := r.Header.Clone()
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+	reading := r.Method == http.MethodGet || r.Method == http.MethodHead || r.Method == http.MethodOptions
+	return &chivedispatch.ServiceWork{
+		ID: a.id, Pool: pool.Name, Class: class, Team: a.team, Method: r.Method, Path: path, Header: header, Body: a.body,
+		Arrival: a.arrival, Deadline: a.deadline, Repeatable: reading || class.Repeatable,
+	}, nil
+}
+
+func (g *Gate) respond(w http.ResponseWriter, a *admission, result chivedispatch.Result, answer *chivedispatch.ServiceAnswer) {
+	if answer == nil {
+		fromResult(result).write(w, a.id)
+		return
+	}
+	header := w.Header()
+	for name, values := range answer.Header {
+		header[name] = values
+	}
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+	header.Set(HeaderRequestID, a.id)
+	header.Set(HeaderOutcome, string(result.Outcome))
+	w.WriteHeader(answer.Status)
+	// When writing fails the caller is gone, and nobody is left to tell.
+	_, _ = w.Write(answer.Body)
+	if answer.Rest == nil {
+		return
+	}
+	defer answer.Rest.Close()
+	if _, err := io.Copy(w, answer.Rest); err != nil {
+		// The headers have said "completed", and a caller that got a short body must not believe them: the connection is broken off.
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/chivenode/cluster_test.go
@@ -0,0 +1,315 @@
+package chivenode_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chivedrift/chiveconfig"
+	"chivedrift/chivegate"
+	"chivedrift/chivekernel"
+	"chivedrift/chivelog"
+	"chivedrift/chivenode"
+	"chivedrift/chivesettings"
+	"chivedrift/chivestand"
+)
+
+const (
+	logAddress  = "10.0.0.1:80"
+	testKey     = "key"
+	testDigest  = "2c70e12b7a0646f92279f427c7b38e7334d8e5389cff167a1dc30e73f826b683" // SHA-256 of testKey
+	callerName  = "10.9.9.9:1"
+	engineStep  = 10 * time.Millisecond
+	settledTime = 3 * time.Second
+)
+
+// cluster is a whole system on an in-memory network and the bubble's clock.
+type cluster struct {
+	t        *testing.T
+	network  *chivestand.Network
+	log      *chivestand.Log
+	engines  []*chivestand.Engine
+	services []*chivestand.Service
+	nodes    []*chivenode.Node
+	servers  []*http.Server
+	vms      []chivelog.VM
+	caller   *http.Client
+	dial     *http.Transport
+}
+
+// shape is how large a cluster is.
+type shape struct {
+	nodes     int
+	engines   int
+	sequences int
+	policy    string
+}
+
+func inCluster(t *testing.T, s shape, test func(c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, s)
+		test(c)
+		c.close()
+	})
+}
+
+func newCluster(t *testing.T, s shape) *cluster {
+	t.Helper()
+	c := &cluster{t: t, network: chivestand.NewNetwork(), log: chivestand.NewLog()}
+	c.dial = &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+		return c.network.Dial(ctx, callerName, address)
+	}}
+	c.caller = &http.Client{Transport: c.dial}
+	c.serve(logAddress, c.log.Handler())
+	for i := range s.engines {
+		engine := chivestand.NewEngine("m", chivestand.EngineSpeed{Step: engineStep, Sequences: s.sequences, PrefixCacheBlocks: 64})
+		c.engines = append(c.engines, engine)
+		c.serve(engineAddress(i), engine.Handler())
+	}
+	for i := range 2 {
+		service := chivestand.NewService(fmt.Sprintf("s%d", i))
+		c.services = append(c.services, service)
+		c.serve(serviceAddress(i), service.Handler())
+	}
+	c.publish(0, bundleFor(s))
+	for i := range s.nodes {
+		c.vms = append(c.vms, chivelog.VM{
+			Name: nodeName(i), Address: peerAddress(i), AdminAddress: adminAddress(i), Region: "r", FailureDomain: domain(i),
+			Kind: chivelog.KindEntry, State: chivelog.StateLive,
+		})
+	}
+	c.log.SetVMs(c.vms)
+	for i := range s.nodes {
+		c.nodes = append(c.nodes, nil)
+		c.start(i)
+	}
+	time.Sleep(settledTime)
+	return c
+}
+
+func nodeName(i int) string       { return fmt.Sprintf("n%d", i) }
+func domain(i int) string         { return string(rune('a' + i%3)) }
+func callersAddress(i int) string { return fmt.Sprintf("10.1.%d.%d:80", i/200, i%200+1) }
+func adminAddress(i int) string   { return fmt.Sprintf("10.1.%d.%d:81", i/200, i%200+1) }
+func peerAddress(i int) string    { return fmt.Sprintf("10.1.%d.%d:82", i/200, i%200+1) }
+func engineAddress(i int) string  { return fmt.Sprintf("10.2.%d.%d:80", i/200, i%200+1) }
+func serviceAddress(i int) string { return fmt.Sprintf("10.3.0.%d:80", i+1) }
+
+func (c *cluster) serve(address string, handler http.Handler) *http.Server {
+	c.t.Helper()
+	listener, err := c.network.Listen(address)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, 0)}
+	c.servers = append(c.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return server
+}
+
+func (c *cluster) settings(i int) chivesettings.Settings {
+	return chivesettings.Settings{
+		Name: nodeName(i), Site: "here", Region: "r", FailureDomain: domain(i),
+		Listen:   chivesettings.Listen{Callers: callersAddress(i), Admin: adminAddress(i), Peers: peerAddress(i)},
+		Platform: chivesettings.Platform{Log: logAddress, VMList: logAddress, LogRetentionS: 3600},
+	}
+}
+
+func (c *cluster) start(i int) {
+	c.t.Helper()
+	node, err := chivenode.New(c.settings(i), c.network, slog.New(slog.DiscardHandler))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if err := node.Start(context.Background()); err != nil {
+		c.t.Fatal(err)
+	}
+	c.nodes[i] = node
+}
+
+func (c *cluster) close() {
+	c.network.Block(nil)
+	c.dial.CloseIdleConnections()
+	for _, node := range c.nodes {
+		if node != nil {
+			_ = node.Stop(context.Background())
+		}
+	}
+	for _, server := range c.servers {
+		_ = server.Close()
+	}
+	for _, engine := range c.engines {
+		engine.Close()
+	}
+}
+
+func (c *cluster) publish(parent int64, bundle chiveconfig.Bundle) {
+	c.t.Helper()
+	if err := bundle.Check(); err != nil {
+		c.t.Fatal(err)
+	}
+	record := chiveconfig.Record{ID: fmt.Sprint("r", parent, bundle.Hash()), Kind: chiveconfig.KindPublish, Parent: parent, Author: "test", Bundle: bundle}
+	data, err := record.Encode()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.log.Append(chiveconfig.Stream, data)
+}
+
+const testBase = `tiers: [{name: urgent}, {name: committed}, {name: standard}, {name: background}]
+classes:
+  - {name: nudge, tier: urgent, first_token_ms: 500, deadline_ms: 5000, stall_ms: 1000, expected_tokens: 20, retry_budget_percent: 50, idempotent: true}
+  - {name: dossier, tier: committed, first_token_ms: 5000, deadline_ms: 120000, stall_ms: 1000, expected_tokens: 100, retry_budget_percent: 50, protected: true, idempotent: true}
+  - {name: bulk, tier: background, first_token_ms: 60000, deadline_ms: 600000, stall_ms: 1000, expected_tokens: 100, retry_budget_percent: 50, idempotent: true}
+  - {name: lookup, tier: standard, first_token_ms: 500, deadline_ms: 5000, stall_ms: 1000, expected_tokens: 1, retry_budget_percent: 50, idempotent: true}
+  - {name: confirm, tier: urgent, first_token_ms: 500, deadline_ms: 8000, stall_ms: 1000, expected_tokens: 1, idempotent: false}
+teams:
+  - {name: t, key_sha256: [%s], weight: 1}
+routing: {policy: %q, claim_window_s: 600}
+pools:
+  - name: svc
+    kind: service
+    default_class: lookup
+    endpoints:
+      - {name: svc-0, address: "10.3.0.1:80", region: r, failure_domain: a}
+      - {name: svc-1, address: "10.3.0.2:80", region: r, failure_domain: b}
+  - name: m
+    kind: model
+    default_class: nudge
+    endpoints:
+`
+
+func bundleFor(s shape) chiveconfig.Bundle {
+	base := fmt.Sprintf(testBase, testDigest, s.policy)
+	for i := range s.engines {
+		base += fmt.Sprintf("      - {name: e%d, address: %q, region: r, failure_domain: %s, capacity_tokens: 20000, sequences: %d}\n", i, engineAddress(i), domain(i), s.sequences)
+	}
+	return chiveconfig.Bundle{Base: base, Overlays: []chiveconfig.Overlay{{Site: "here", Text: "{}\n"}}}
+}
+
+// ---------------------------------------------------------------- callers
+
+// reply is what a caller saw.
+type reply struct {
+	status  int
+	header  http.Header
+	outcome string
+	text    string
+	body    string
+	done    bool
+	err     error
+	first   time.Duration
+}
+
+type call struct {
+	node   int
+	method string
+	path   string
+	body   string
+	class  string
+	key    string
+}
+
+func chat(prompt string, stream bool) string {
+	return fmt.Sprintf(`{"model":"m","stream":%t,"messages":[{"role":"user","content":%q}]}`, stream, prompt)
+}
+
+func (c *cluster) do(ctx context.Context, k call) reply {
+	method := k.method
+	if method == "" {
+		method = http.MethodPost
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+callersAddress(k.node)+k.path, strings.NewReader(k.body))
+	if err != nil {
+		return reply{err: err}
+	}
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	if k.class != "" {
+		request.Header.Set(chivegate.HeaderClass, k.class)
+	}
+	if k.key != "" {
+		request.Header.Set(chivegate.HeaderKey, k.key)
+	}
+	started := time.Now()
+	response, err := c.caller.Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	r := reply{status: response.StatusCode, header: response.Header}
+	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		r.readStream(response.Body, started)
+		r.outcome = response.Trailer.Get(chivegate.HeaderOutcome)
+		return r
+	}
+	body, err := io.ReadAll(response.Body)
+	r.body, r.err, r.outcome = string(body), err, response.Header.Get(chivegate.HeaderOutcome)
+	return r
+}
+
+func (c *cluster) stream(node int, class, prompt string) reply {
+	return c.do(context.Background(), call{node: node, path: "/v1/chat/completions", body: chat(prompt, true), class: class})
+}
+
+func (r *reply) readStream(body io.Reader, started time.Time) {
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			r.done = true
+			continue
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
+		if json.Unmarshal([]byte(data), &chunk) == nil && len(chunk.Choices) == 1 {
+			if r.text == "" {
+				r.first = time.Since(started)
+			}
+			r.text += chunk.Choices[0].Delta.Content
+		}
+	}
+	r.err = lines.Err()
+}
+
+// expected returns the text that an undisturbed engine gives for a prompt sent by chat.
+func expected(prompt string, tokens int) string {
+	messages, err := json.Marshal([]struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	}{{"user", prompt}})
+	if err != nil {
+		panic(err)
+	}
+	text := strings.Builder{}
+	for i := range tokens {
+		text.WriteString(chivestand.Token(string(messages), i))
+	}
+	return text.String()
+}
+
+func (c *cluster) gate(i int) *chivegate.Gate {
+	c.t.Helper()
+	gate, err := chivekernel.Lookup[*chivegate.Gate](c.nodes[i].Kernel(), chivegate.ServiceName)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return gate
+}
--- /dev/null
+++ b/chivenode/node.go
@@ -0,0 +1,214 @@
+package chivenode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"chivedrift/chiveadmin"
+	"chivedrift/chiveclaim"
+	"chivedrift/chivedispatch"
+	"chivedrift/chiveevent"
+	"chivedrift/chivefollow"
+	"chivedrift/chivegate"
+	"chivedrift/chivekernel"
+	"chivedrift/chivelog"
+	"chivedrift/chivemember"
+	"chivedrift/chivemetric"
+	"chivedrift/chivequota"
+	"chivedrift/chiveschedule"
+	"chivedrift/chivesettings"
+	"chivedrift/chivewire"
+)
+
+const (
+	metricsName  = "metrics"
+	wireName     = "wire"
+	logName      = "log"
+	servicesName = "services"
+)
+
+// errNoConfig is why a node without configuration is not ready.
+var errNoConfig = errors.New("no configuration in force yet")
+
+// Node is one process between callers and endpoints.
+type Node struct {
+	settings chivesettings.Settings
+	logger   *slog.Logger
+	kernel   *chivekernel.Kernel
+	mesh     *chivewire.Mesh
+	members  *chivemember.Service
+	follower *chivefollow.Follower
+	gate     *chivegate.Gate
+	admin    *chiveadmin.Admin
+}
+
+// New puts a node together from its settings, on a network.
+func New(settings chivesettings.Settings, network chivewire.Network, logger *slog.Logger) (*Node, error) {
+	n := &Node{settings: settings, logger: logger, kernel: chivekernel.New()}
+	if err := n.assemble(network); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+// assemble registers the services in the order they start; each finds by name what it needs.
+func (n *Node) assemble(network chivewire.Network) error {
+	s := n.settings
+	incarnation := time.Now().UnixMilli()
+	metrics := chivemetric.New()
+	n.mesh = chivewire.NewMesh(s.Listen.Peers, network)
+	log := newLogService(s, network)
+	self := chivemember.Member{
+		Name: s.Name, Address: s.Listen.Peers, AdminAddress: s.Listen.Admin, Region: s.Region, FailureDomain: s.FailureDomain, Incarnation: incarnation,
+	}
+	n.members = chivemember.NewService(self, n.mesh, log, n.logger)
+	n.follower = chivefollow.New(chivefollow.Options{
+		Site: s.Site, Self: s.Name, Retention: time.Duration(s.Platform.LogRetentionS) * time.Second,
+		Log: log, Mesh: n.mesh, Members: n.members, Logger: n.logger,
+	})
+	keeper := chiveschedule.NewKeeper(n.mesh, n.logger)
+	slots := chiveschedule.NewClient(s.Region, n.mesh, n.logger)
+	claims := chiveclaim.NewClient(fmt.Sprintf("%s/%d", s.Name, incarnation), s.Region, n.mesh)
+	writer := chiveclaim.NewWriter(log, n.mesh, n.logger)
+	quota := chivequota.NewService(n.mesh)
+	dispatcher := chivedispatch.New(s.Listen.Callers, network, slots, n.members, n.logger)
+	services := chivedispatch.NewServices(dispatcher, s.Region)
+	n.gate = chivegate.New(chivegate.Options{
+		Node: s.Name, Address: s.Listen.Callers, Network: network, Models: dispatcher, Services: services, Claims: claims, Quota: quota,
+		InForce: n.follower.InForce, Scope: metrics.Scope(), Logger: n.logger,
+	})
+	n.admin = chiveadmin.New(chiveadmin.Options{
+		Address: s.Listen.Admin, Network: network, Metrics: metrics.Handler(), State: n.kernel.Dump, Ready: n.ready, Explain: n.gate.Explain,
+	})
+	n.follower.OnChange(func(f *chivefollow.InForce) {
+		keeper.SetConfig(f.Config())
+		slots.SetConfig(f.Config())
+		services.SetConfig(f.Config())
+		n.gate.SetConfig(f.Config())
+	})
+	n.members.OnChange(func(members []chivemember.Member) {
+		keeper.SetMembers(members)
+		slots.SetMembers(members)
+		claims.SetMembers(members)
+		quota.SetMembers(members)
+		leaving := n.members.LeavingEndpoints()
+		keeper.SetLeaving(leaving)
+		services.SetLeaving(leaving)
+	})
+	return n.register([]named{
+		{metricsName, metrics},
+		{logName, log},
+		{wireName, n.mesh},
+		{chivemember.ServiceName, n.members},
+		{chivefollow.ServiceName, n.follower},
+		{chiveschedule.KeeperName, keeper},
+		{chiveschedule.ClientName, slots},
+		{chiveclaim.WriterName, writer},
+		{chiveclaim.ClientName, claims},
+		{chivequota.ServiceName, quota},
+		{chivedispatch.ServiceName, dispatcher},
+		{servicesName, services},
+		{chiveadmin.ServiceName, n.admin},
+		{chivegate.ServiceName, n.gate},
+	})
+}
+
+type named struct {
+	name    string
+	service chivekernel.Service
+}
+
+func (n *Node) register(services []named) error {
+	for _, s := range services {
+		if err := n.kernel.Register(s.name, s.service); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Kernel returns the node's services by name.
+func (n *Node) Kernel() *chivekernel.Kernel { return n.kernel }
+
+// Start starts every service.
+func (n *Node) Start(ctx context.Context) error {
+	chiveevent.NodeStarting.Log(ctx, n.logger, slog.String("node", n.settings.Name), slog.String("callers", n.settings.Listen.Callers))
+	if err := n.kernel.Start(ctx); err != nil {
+		chiveevent.NodeFailed.Log(ctx, n.logger, slog.String("error", err.Error()))
+		return err
+	}
+	return nil
+}
+
+// Ready returns why the node should get no traffic yet, or nil.
+func (n *Node) ready() error {
+	if n.follower.InForce() == nil {
+		return errNoConfig
+	}
+	return nil
+}
+
+// AwaitReady waits until the node has a configuration.
+func (n *Node) AwaitReady(ctx context.Context) error {
+	for n.ready() != nil {
+		select {
+		case <-time.After(readyPoll):
+		case <-ctx.Done():
+			return fmt.Errorf("node %s: %w", n.settings.Name, n.ready())
+		}
+	}
+	chiveevent.NodeReady.Log(ctx, n.logger, slog.String("node", n.settings.Name))
+	return nil
+}
+
+const readyPoll = 20 * time.Millisecond
+
+// Stop is the planned stop: not ready first, serving on until the balancer has let go, shards handed over, then every
+// request in flight finished, whatever its length.
+func (n *Node) Stop(ctx context.Context) error {
+	chiveevent.NodeStopping.Log(ctx, n.logger, slog.Int64("in_flight", n.gate.InFlight()))
+	n.admin.Leave()
+	n.members.Leave(ctx)
+	time.Sleep(time.Duration(n.settings.Stop.BalancerReleaseMs) * time.Millisecond)
+	err := n.kernel.Stop(ctx)
+	chiveevent.NodeStopped.Log(ctx, n.logger, slog.String("node", n.settings.Name))
+	return err
+}
+
+// logService is the platform's log as a service of the kernel.
+type logService struct {
+	*chivelog.Client
+	transport *http.Transport
+}
+
+func newLogService(s chivesettings.Settings, network chivewire.Network) *logService {
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return network.Dial(ctx, s.Listen.Peers, address)
+		},
+		MaxIdleConnsPerHost: logConnections, IdleConnTimeout: logIdle,
+	}
+	return &logService{Client: chivelog.NewClient(s.Platform.Log, s.Platform.VMList, transport), transport: transport}
+}
+
+const (
+	logConnections = 4
+	logIdle        = 30 * time.Second
+)
+
+// Start does nothing: calls run on their callers' goroutines.
+func (l *logService) Start(context.Context) error { return nil }
+
+// Stop closes idle connections.
+func (l *logService) Stop(context.Context) error {
+	l.transport.CloseIdleConnections()
+	return nil
+}
+
+// Dump returns how many calls were made.
+func (l *logService) Dump() any { return l.Counts() }
--- /dev/null
+++ b/chiveschedule/plan.go
@@ -0,0 +1,92 @@
+package chiveschedule
+
+import (
+	"time"
+
+	"chivedrift/chiveconfig"
+)
+
+// Plan is what a shard needs of the configuration.
+type Plan struct {
+	policy    string
+	tiers     int
+	classes   map[string]*ClassPlan
+	teams     map[string]int64
+	endpoints []EndpointPlan
+}
+
+// ClassPlan is a class as the scheduler sees it.
+type ClassPlan struct {
+	name       string
+	tier       int
+	firstToken time.Duration
+	deadline   time.Duration
+	protected  bool
+	minShare   float64
+	expected   int64
+}
+
+// EndpointPlan is an endpoint as the scheduler sees it, its capacity in sequences and tokens in flight.
+type EndpointPlan struct {
+	Name          string
+	FailureDomain string
+	Sequences     int64
+	Tokens        int64
+}
+
+const (
+	defaultSequences = 16
+	leastShare       = 0.01
+	percent          = 100
+)
+
+// NewPlan derives the plan of a shard from the configuration in force and the endpoints in the shard.
+func NewPlan(config *chiveconfig.Config, endpoints []chiveconfig.Endpoint) *Plan {
+	p := &Plan{
+		policy: config.Routing.Policy, tiers: len(config.Tiers),
+		classes: make(map[string]*ClassPlan, len(config.Classes)), teams: make(map[string]int64, len(config.Teams)),
+	}
+	for i := range config.Classes {
+		c := &config.Classes[i]
+		p.classes[c.Name] = &ClassPlan{
+			name: c.Name, tier: config.TierRank(c.Tier), firstToken: c.FirstToken(), deadline: c.Deadline(),
+			protected: c.Protected, expected: c.ExpectedTokens, minShare: max(float64(c.MinSharePercent)/percent, leastShare),
+		}
+	}
+	for i := range config.Teams {
+		p.teams[config.Teams[i].Name] = config.Teams[i].Weight
+	}
+	for i := range endpoints {
+		e := &endpoints[i]
+		sequences := e.Sequences
+		if sequences == 0 {
+			sequences = defaultSequences
+		}
+		p.endpoints = append(p.endpoints, EndpointPlan{Name: e.Name, FailureDomain: e.FailureDomain, Sequences: sequences, Tokens: e.CapacityTokens})
+	}
+	return p
+}
+
+// WithPolicy returns a copy of the plan under another queue policy.
+func (p *Plan) WithPolicy(name string) *Plan {
+	copied := *p
+	copied.policy = name
+	return &copied
+}
+
+func (p *Plan) class(name string) *ClassPlan {
+	if c, ok := p.classes[name]; ok {
+		return c
+	}
+	// A gateway one configuration ahead may name a class that this node does not know yet; it waits behind all known ones.
+	return &ClassPlan{name: name, tier: max(p.tiers-1, 0), firstToken: time.Minute, deadline: time.Minute, expected: unknownClassTokens, minShare: leastShare}
+}
+
+const unknownClassTokens = 256
+
+func (p *Plan) weight(team string) int64 {
+	if w, ok := p.teams[team]; ok {
+		return max(w, 1)
+	}
+	return 1
+}
--- /dev/null
+++ b/chiveschedule/queue_tiers.go
@@ -0,0 +1,48 @@
+package chiveschedule
+
+import (
+	"time"
+)
+
+// tierQueue serves strictly by tier and in order of arrival within one; low tiers can starve, which is why it is only a baseline.
+type tierQueue[T Item] struct {
+	tiers []*fifoQueue[T]
+	count int
+}
+
+func newTierQueue[T Item](shares Shares) Queue[T] {
+	q := &tierQueue[T]{tiers: make([]*fifoQueue[T], max(shares.Tiers, 1))}
+	for i := range q.tiers {
+		q.tiers[i] = &fifoQueue[T]{}
+	}
+	return q
+}
+
+func (q *tierQueue[T]) Push(now time.Time, item T) {
+	q.of(item).Push(now, item)
+	q.count++
+}
+
+func (q *tierQueue[T]) Next(now time.Time, accept func(T) bool) (T, bool) {
+	for _, tier := range q.tiers {
+		if item, ok := tier.Next(now, accept); ok {
+			return item, true
+		}
+	}
+	var none T
+	return none, false
+}
+
+func (q *tierQueue[T]) Remove(now time.Time, item T, granted bool) {
+	tier := q.of(item)
+	before := tier.Len()
+	tier.Remove(now, item, granted)
+	q.count -= before - tier.Len()
+}
+
+func (q *tierQueue[T]) Len() int { return q.count }
+
+func (q *tierQueue[T]) of(item T) *fifoQueue[T] {
+	tier, _, _ := item.Place()
+	return q.tiers[min(max(tier, 0), len(q.tiers)-1)]
+}
--- /dev/null
+++ b/chiveschedule/slot.go
@@ -0,0 +1,107 @@
+package chiveschedule
+
+import (
+	"sync"
+	"time"
+
+	"chivedrift/chiveconfig"
+	"chivedrift/chivewire"
+)
+
+// Slot is the right to run one attempt of a request on one endpoint.
+type Slot struct {
+	client    *Client
+	key       requestKey
+	shard     string
+	endpoint  chiveconfig.Endpoint
+	class     string
+	team      string
+	cost      int64
+	local     bool
+	grant     SlotGrant
+	once      sync.Once
+	preempted chan struct{}
+}
+
+// Ending is how an attempt ended, its lengths in tokens and its times since the slot was granted.
+type Ending struct {
+	Result Result
+	Tokens int64
+	First  time.Duration
+	Stream time.Duration
+}
+
+// hold records a grant that a request took.
+func (c *Client) hold(p *pending, answer pendingAnswer) *Slot {
+	g := answer.grant
+	s := &Slot{
+		client: c, key: requestKey{g.ID, g.Attempt}, shard: p.shard.ID(), class: p.request.Class, team: p.request.Team,
+		cost: g.Cost, local: answer.local, grant: *g, preempted: make(chan struct{}),
+	}
+	for _, e := range p.shard.Endpoints() {
+		if e.Name == g.Endpoint {
+			s.endpoint = e
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held[s.key] = s
+	if !s.local {
+		c.placed[s.shard] = p.scheduler
+	}
+	return s
+}
+
+// Endpoint returns the endpoint to call; its address is empty when the configuration has dropped it meanwhile.
+func (s *Slot) Endpoint() chiveconfig.Endpoint { return s.endpoint }
+
+// Grant returns the scheduler's message, with the candidates it weighed.
+func (s *Slot) Grant() SlotGrant { return s.grant }
+
+// Preempted is closed when the scheduler wants the slot back for more urgent work.
+func (s *Slot) Preempted() <-chan struct{} { return s.preempted }
+
+func (s *Slot) preempt() {
+	s.once.Do(func() { close(s.preempted) })
+}
+
+// Progress tells the scheduler how the attempt goes on.
+func (s *Slot) Progress(e Ending) {
+	message := SlotProgress{
+		Shard: s.shard, ID: s.key.id, Attempt: s.key.attempt, Endpoint: s.endpoint.Name,
+		Tokens: e.Tokens, FirstMs: e.First.Milliseconds(), StreamMs: e.Stream.Milliseconds(),
+	}
+	s.send(chivewire.KindSlotProgress, message)
+}
+
+// Done gives the slot back; it is called exactly once.
+func (s *Slot) Done(e Ending) {
+	c := s.client
+	c.mu.Lock()
+	delete(c.held, s.key)
+	if s.local {
+		c.local[s.shard]--
+	}
+	c.mu.Unlock()
+	message := SlotDone{
+		Shard: s.shard, ID: s.key.id, Attempt: s.key.attempt, Endpoint: s.endpoint.Name, Class: s.class, Team: s.team,
+		Result: e.Result, Tokens: e.Tokens, FirstMs: e.First.Milliseconds(), StreamMs: e.Stream.Milliseconds(),
+	}
+	s.send(chivewire.KindSlotDone, message)
+}
+
+// send reaches the scheduler that keeps the shard's ledger now, which may be another than the one that granted.
+func (s *Slot) send(kind chivewire.Kind, message any) {
+	if s.local {
+		return
+	}
+	c := s.client
+	c.mu.Lock()
+	scheduler := c.placed[s.shard]
+	c.mu.Unlock()
+	if scheduler == "" {
+		return
+	}
+	// When this is lost with its connection, the statement that follows the loss frees the slot.
+	_ = c.mesh.Send(scheduler, kind, message)
+}
--- /dev/null
+++ b/chivesettings/settings.go
@@ -0,0 +1,64 @@
+package chivesettings
+
+import (
+	"fmt"
+	"os"
+
+	"chivedrift/chiveyaml"
+)
+
+// Settings tells a node its identity, its addresses by IP number, its place and the platform's addresses.
+type Settings struct {
+	Name          string   `yaml:"name" validate:"required,max=64"`
+	Site          string   `yaml:"site" validate:"required"`
+	Region        string   `yaml:"region" validate:"required"`
+	FailureDomain string   `yaml:"failure_domain" validate:"required"`
+	Listen        Listen   `yaml:"listen"`
+	Platform      Platform `yaml:"platform"`
+	Stop          Stop     `yaml:"stop"`
+}
+
+// Listen holds the three addresses a node serves on.
+type Listen struct {
+	Callers string `yaml:"callers" validate:"required,ipport"`
+	Admin   string `yaml:"admin" validate:"required,ipport"`
+	Peers   string `yaml:"peers" validate:"required,ipport"`
+}
+
+// Platform holds the addresses of the platform's services.
+type Platform struct {
+	Log    string `yaml:"log" validate:"required,ipport"`
+	VMList string `yaml:"vm_list" validate:"required,ipport"`
+
+	LogRetentionS int64 `yaml:"log_retention_s" validate:"min=0,max=31536000"`
+}
+
+// Stop tells how a planned stop proceeds.
+type Stop struct {
+	BalancerReleaseMs int64 `yaml:"balancer_release_ms" validate:"min=0,max=600000"`
+}
+
+// Load reads, checks and returns the settings in a file; the error lists every problem with its line.
+func Load(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(file, data)
+}
+
+// Parse checks and returns the settings in data, which came from the named file.
+func Parse(file string, data []byte) (Settings, error) {
+	document, settings, err := chiveyaml.Decode[Settings](file, data)
+	if err != nil {
+		return Settings{}, err
+	}
+	var problems chiveyaml.FieldErrors
+	for _, v := range chiveyaml.Validate(settings) {
+		problems = append(problems, document.Problem(v.Path, "%s", v.Message))
+	}
+	if len(problems) > 0 {
+		return Settings{}, problems
+	}
+	return settings, nil
+}
--- /dev/null
+++ b/chivestand/network.go
@@ -0,0 +1,193 @@
+package chivestand
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+// ErrRefused is returned where nobody listens.
+var ErrRefused = errors.New("connection refused")
+
+// Network stands in for the network between processes: in-memory connections that can be cut or made silent.
+type Network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	conns     []*memoryConn
+	blocked   func(from, to string) bool
+}
+
+// NewNetwork returns a network on which nobody listens yet.
+func NewNetwork() *Network {
+	return &Network{listeners: make(map[string]*listener)}
+}
+
+// Listen accepts connections at an address.
+func (n *Network) Listen(address string) (net.Listener, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &listener{network: n, address: address, incoming: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[address] = l
+	return l, nil
+}
+
+// Dial connects to an address; while the way is blocked it waits as a SYN without answer does.
+func (n *Network) Dial(ctx context.Context, from, address string) (net.Conn, error) {
+	n.mu.Lock()
+	l, ok := n.listeners[address]
+	blocked := n.blocked != nil && n.blocked(from, address)
+	n.mu.Unlock()
+	if blocked {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if !ok {
+		return nil, ErrRefused
+	}
+	near, far := net.Pipe()
+	local := n.track(near, from, address)
+	select {
+	case l.incoming <- n.track(far, address, from):
+		return local, nil
+	case <-l.closed:
+		return nil, ErrRefused
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Block makes the ways for which blocked is true silent: connections stay open and carry nothing; nil lifts it.
+func (n *Network) Block(blocked func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.blocked = blocked
+}
+
+// Silence makes the connections open now that match carry nothing for good, while new ones work.
+func (n *Network) Silence(match func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.conns {
+		if match(c.from, c.to) {
+			c.silence()
+		}
+	}
+}
+
+// Cut breaks the connections open now that match.
+func (n *Network) Cut(match func(from, to string) bool) {
+	n.mu.Lock()
+	conns := append([]*memoryConn(nil), n.conns...)
+	n.mu.Unlock()
+	for _, c := range conns {
+		if match(c.from, c.to) {
+			_ = c.Close()
+		}
+	}
+}
+
+func (n *Network) track(conn net.Conn, from, to string) *memoryConn {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := &memoryConn{Conn: conn, network: n, from: from, to: to}
+	n.conns = append(n.conns, c)
+	return c
+}
+
+func (n *Network) forget(gone *memoryConn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i, c := range n.conns {
+		if c == gone {
+			n.conns = append(n.conns[:i], n.conns[i+1:]...)
+			return
+		}
+	}
+}
+
+func (n *Network) swallows(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.blocked != nil && n.blocked(from, to)
+}
+
+// memoryConn drops what is written while its way is blocked or the connection was silenced.
+type memoryConn struct {
+	net.Conn
+	network *Network
+	from    string
+	to      string
+	mu      sync.Mutex
+	silent  bool
+}
+
+func (c *memoryConn) silence() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent = true
+}
+
+// Write sends bytes, or swallows them for good once any were swallowed: a stream never skips a part.
+func (c *memoryConn) Write(data []byte) (int, error) {
+	c.mu.Lock()
+	c.silent = c.silent || c.network.swallows(c.from, c.to)
+	silent := c.silent
+	c.mu.Unlock()
+	if silent {
+		return len(data), nil
+	}
+	return c.Conn.Write(data)
+}
+
+// Close closes one end; the other end of a silent connection hears nothing of it.
+func (c *memoryConn) Close() error {
+	c.network.forget(c)
+	c.mu.Lock()
+	silent := c.silent
+	c.mu.Unlock()
+	if silent {
+		return c.SetDeadline(time.Unix(1, 0))
+	}
+	return c.Conn.Close()
+}
+
+type listener struct {
+	network  *Network
+	address  string
+	incoming chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.incoming:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.network.mu.Lock()
+		defer l.network.mu.Unlock()
+		if l.network.listeners[l.address] == l {
+			delete(l.network.listeners, l.address)
+		}
+	})
+	return nil
+}
+
+func (l *listener) Addr() net.Addr {
+	return address(l.address)
+}
+
+type address string
+
+func (a address) Network() string { return "memory" }
+
+func (a address) String() string { return string(a) }
--- /dev/null
+++ b/chivewire/kind.go
@@ -0,0 +1,59 @@
+package chivewire
+
+// Kind names the type of a message on the wire.
+type Kind uint8
+
+// Kinds of messages; numbers never change meaning, so that nodes of two releases understand each other.
+const (
+	KindHello Kind = 1
+	KindBeat  Kind = 2
+	KindBye   Kind = 3
+
+	KindProbe   Kind = 16
+	KindAck     Kind = 17
+	KindNews    Kind = 18
+	KindConfirm Kind = 19
+	KindHeard   Kind = 20
+	KindSync    Kind = 21
+
+	KindSlotRequest  Kind = 32
+	KindSlotGrant    Kind = 33
+	KindSlotRefusal  Kind = 34
+	KindSlotProgress Kind = 35
+	KindSlotDone     Kind = 36
+	KindSlotWithdraw Kind = 37
+	KindSlotAdopt    Kind = 38
+	KindSlotPreempt  Kind = 39
+	KindSlotQueued   Kind = 40
+
+	KindQuotaRequest Kind = 48
+	KindQuotaGrant   Kind = 49
+
+	KindEndpointNews Kind = 56
+
+	KindClaimWrite  Kind = 64
+	KindClaimResult Kind = 65
+	KindClaimRecord Kind = 66
+
+	KindConfigAsk    Kind = 80
+	KindConfigAnswer Kind = 81
+)
+
+var kindNames = map[Kind]string{
+	KindHello: "hello", KindBeat: "beat", KindBye: "bye",
+	KindProbe: "probe", KindAck: "ack", KindNews: "news", KindConfirm: "confirm", KindHeard: "heard", KindSync: "sync",
+	KindSlotRequest: "slot_request", KindSlotGrant: "slot_grant", KindSlotRefusal: "slot_refusal",
+	KindSlotProgress: "slot_progress", KindSlotDone: "slot_done", KindSlotWithdraw: "slot_withdraw",
+	KindSlotAdopt: "slot_adopt", KindSlotPreempt: "slot_preempt", KindSlotQueued: "slot_queued",
+	KindQuotaRequest: "quota_request", KindQuotaGrant: "quota_grant", KindEndpointNews: "endpoint_news",
+	KindClaimWrite: "claim_write", KindClaimResult: "claim_result", KindClaimRecord: "claim_record",
+	KindConfigAsk: "config_ask", KindConfigAnswer: "config_answer",
+}
+
+// String returns the kind's name as metrics and dumps show it.
+func (k Kind) String() string {
+	if name, ok := kindNames[k]; ok {
+		return name
+	}
+	return "unknown"
+}
