--- a/chiveconfig/check.go
+++ b/chiveconfig/check.go
@@ -28,7 +28,7 @@
 // addf reports a problem at the overlay's line where the overlay has the field, else at the base's.
 func (c *checker) addf(path, format string, args ...any) {
 	document := c.base
-	if c.over.Line(path) > c.base.Line(path) || c.base.Line(path) == 0 {
+	if c.over.Has(path) || c.base.Line(path) == 0 {
 		document = c.over
 	}
 	c.problems = append(c.problems, document.Problem(path, format, args...))
--- a/chiveconfig/config.go
+++ b/chiveconfig/config.go
@@ -63,7 +63,7 @@
 
 // Routing tunes the routing decisions.
 type Routing struct {
-	Policy            string `yaml:"policy" validate:"omitempty,max=64"`
+	Policy            string `yaml:"policy" validate:"omitempty,oneof=slack tiers fifo"`
 	EndpointsPerShard int64  `yaml:"endpoints_per_shard" validate:"min=0,max=1000"`
 	GrantWaitMs       int64  `yaml:"grant_wait_ms" validate:"min=0,max=60000"`
 	ClaimWindowS      int64  `yaml:"claim_window_s" validate:"min=0,max=86400"`
--- a/chivefollow/follower.go
+++ b/chivefollow/follower.go
@@ -51,6 +51,11 @@
 	config  *chiveconfig.Config
 }
 
+// NewInForce returns a version as it runs on a node.
+func NewInForce(version int64, hash string, config *chiveconfig.Config) *InForce {
+	return &InForce{version: version, hash: hash, config: config}
+}
+
 // Version returns the version's number.
 func (f *InForce) Version() int64 { return f.version }
 
@@ -244,7 +249,7 @@
 		return
 	}
 	f.problem = ""
-	fresh := &InForce{version: r.Version, hash: r.Bundle.Hash(), config: config}
+	fresh := NewInForce(r.Version, r.Bundle.Hash(), config)
 	f.inForce.Store(fresh)
 	chiveevent.ConfigInForce.Log(ctx, f.logger, slog.Int64("version", fresh.version), slog.String("hash", fresh.hash), slog.String("author", r.Author))
 	for _, heard := range f.watchers {
--- a/chivegate/gate.go
+++ b/chivegate/gate.go
@@ -119,6 +119,9 @@
 	g.keys.Store(newKeyring(config))
 }
 
+// Handler returns what serves callers, for use without a listener.
+func (g *Gate) Handler() http.Handler { return g.server.Handler }
+
 // Start listens for callers.
 func (g *Gate) Start(context.Context) error {
 	listener, err := g.o.Network.Listen(g.o.Address)
--- /dev/null
+++ b/chivegate/gate_test.go
@@ -0,0 +1,198 @@
+package chivegate_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"chivedrift/chiveclaim"
+	"chivedrift/chiveconfig"
+	"chivedrift/chivedispatch"
+	"chivedrift/chivefollow"
+	"chivedrift/chivegate"
+
+	"github.com/uber-go/tally/v4"
+)
+
+const key = "a-team's-key"
+
+// fakeModels counts what gets past the gate.
+type fakeModels struct{ runs int }
+
+func (f *fakeModels) Run(context.Context, *chivedispatch.Work, chivedispatch.Sink) (chivedispatch.Result, *chivedispatch.Answer) {
+	f.runs++
+	return chivedispatch.Result{Outcome: chivedispatch.Completed, Status: http.StatusOK}, &chivedispatch.Answer{}
+}
+
+type fakeServices struct{}
+
+func (fakeServices) Run(context.Context, *chivedispatch.ServiceWork) (chivedispatch.Result, *chivedispatch.ServiceAnswer) {
+	return chivedispatch.Result{Outcome: chivedispatch.Completed}, &chivedispatch.ServiceAnswer{Status: http.StatusOK}
+}
+
+type fakeClaims struct{}
+
+func (fakeClaims) Begin(context.Context, string, string, time.Duration) (*chiveclaim.Claim, *chiveclaim.Outcome, error) {
+	return &chiveclaim.Claim{}, nil, nil
+}
+func (fakeClaims) Finish(*chiveclaim.Claim, chiveclaim.Outcome) {}
+func (fakeClaims) Free(*chiveclaim.Claim)                       {}
+
+type freeQuota struct{}
+
+func (freeQuota) Take(context.Context, string, int64, int64) (bool, time.Duration) { return true, 0 }
+func (freeQuota) Return(string, int64)                                             {}
+
+func newGate(tb testing.TB) (*chivegate.Gate, *fakeModels, *strings.Builder) {
+	tb.Helper()
+	digest := sha256.Sum256([]byte(key))
+	base := fmt.Sprintf(`tiers: [{name: urgent}]
+classes: [{name: chat, tier: urgent, first_token_ms: 100, deadline_ms: 1000, stall_ms: 100, expected_tokens: 5, idempotent: true}]
+teams: [{name: t, key_sha256: [%s], weight: 1}]
+limits: {body_bytes: 2000}
+pools:
+  - {name: m, kind: model, default_class: chat, endpoints: [{name: e, address: "127.0.0.1:1", region: r, failure_domain: a, capacity_tokens: 100}]}
+  - {name: s, kind: service, default_class: chat, endpoints: [{name: s, address: "127.0.0.1:2", region: r, failure_domain: a}]}
+`, hex.EncodeToString(digest[:]))
+	config, err := chiveconfig.Bundle{Base: base, Overlays: []chiveconfig.Overlay{{Site: "x", Text: "{}"}}}.Effective("x")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	inForce := chivefollow.NewInForce(1, "hash", config)
+	models, logs := &fakeModels{}, &strings.Builder{}
+	gate := chivegate.New(chivegate.Options{
+		Node: "n", Models: models, Services: fakeServices{}, Claims: fakeClaims{}, Quota: freeQuota{},
+		InForce: func() *chivefollow.InForce { return inForce }, Scope: tally.NoopScope, Logger: slog.New(slog.NewTextHandler(logs, nil)),
+	})
+	gate.SetConfig(config)
+	return gate, models, logs
+}
+
+// errorAnswer is what every refusal must carry.
+type errorAnswer struct {
+	Error struct {
+		Code      string `json:"code"`
+		Message   string `json:"message"`
+		Outcome   string `json:"outcome"`
+		RequestID string `json:"request_id"`
+	} `json:"error"`
+}
+
+func send(gate *chivegate.Gate, path, body string, header map[string]string) *httptest.ResponseRecorder {
+	return sendFrom(gate, path, strings.NewReader(body), header)
+}
+
+func sendFrom(gate *chivegate.Gate, path string, body io.Reader, header map[string]string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(http.MethodPost, "http://node"+path, body)
+	request.Header.Set("Authorization", "Bearer "+key)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	recorder := httptest.NewRecorder()
+	gate.Handler().ServeHTTP(recorder, request)
+	return recorder
+}
+
+// brokenBody ends before the caller has sent what it promised.
+type brokenBody struct{}
+
+func (brokenBody) Read([]byte) (int, error) { return 0, errors.New("connection reset") }
+
+func TestBadInputIsRefusedAsNotRunAndTheNodeGoesOn(t *testing.T) {
+	const chat = "/v1/chat/completions"
+	const good = `{"model":"m","messages":[{"role":"user","content":"x"}]}`
+	cases := []struct {
+		name, path, body string
+		header           map[string]string
+		status           int
+		code             string
+		says             string
+	}{
+		{"malformed JSON", chat, "{\n\"model\": }", nil, 400, "invalid_json", "line 2"},
+		{"not an object", chat, `[1]`, nil, 400, "invalid_json", "JSON object"},
+		{"null", chat, `null`, nil, 400, "invalid_json", "JSON object"},
+		{"half a request", chat, `{"model":"m","messages":[{"ro`, nil, 400, "invalid_json", "not valid JSON"},
+		{"broken UTF-8", chat, "{\"model\":\"\xff\"}", nil, 400, "invalid_utf8", "UTF-8"},
+		{"no model", chat, `{"messages":[]}`, nil, 400, "missing_field", `"model"`},
+		{"no messages", chat, `{"model":"m"}`, nil, 400, "missing_field", `"messages"`},
+		{"no prompt", "/v1/completions", `{"model":"m"}`, nil, 400, "missing_field", `"prompt"`},
+		{"wrong type", chat, `{"model":"m","messages":[1],"stream":"yes"}`, nil, 400, "invalid_field", "true or false"},
+		{"absurd length", chat, `{"model":"m","messages":[1],"max_tokens":99999999}`, nil, 400, "invalid_field", "max_tokens"},
+		{"router's own field", chat, `{"model":"m","messages":[1],"priority":0}`, nil, 400, "invalid_field", "set by the router"},
+		{"unknown model", chat, `{"model":"x","messages":[1]}`, nil, 404, "model_not_found", `"x"`},
+		{"a service as model", chat, `{"model":"s","messages":[1]}`, nil, 404, "model_not_found", `"s"`},
+		{"unknown service", "/services/none/x", "", nil, 404, "service_not_found", `"none"`},
+		{"unknown path", "/v2/chat", good, nil, 404, "unknown_path", "/v2/chat"},
+		{"unknown class", chat, good, map[string]string{"Chivedrift-Class": "vip"}, 400, "unknown_class", "chat"},
+		{"absurd timeout", chat, good, map[string]string{"Chivedrift-Timeout-Ms": "-5"}, 400, "invalid_timeout", "-5"},
+		{"long key", chat, good, map[string]string{"Idempotency-Key": strings.Repeat("k", 300)}, 400, "invalid_key", "300"},
+		{"oversized body", chat, strings.Repeat("x", 3000), nil, 413, "body_too_large", "2000"},
+		{"wrong bearer key", chat, good, map[string]string{"Authorization": "Bearer no"}, 401, "invalid_api_key", "no team"},
+		{"no bearer key", chat, good, map[string]string{"Authorization": "Basic x"}, 401, "invalid_api_key", "Bearer"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			gate, models, logs := newGate(t)
+			check(t, send(gate, c.path, c.body, c.header), c.status, c.code, c.says)
+			if models.runs != 0 {
+				t.Error("it was run all the same")
+			}
+			if strings.Contains(logs.String(), key) {
+				t.Error("the key stands in the log")
+			}
+			if after := send(gate, chat, good, nil); after.Code != http.StatusOK || models.runs != 1 {
+				t.Errorf("the next good request got %d", after.Code)
+			}
+		})
+	}
+	gate, _, _ := newGate(t)
+	check(t, sendFrom(gate, chat, brokenBody{}, nil), 400, "incomplete_body", "ended early")
+}
+
+func check(t *testing.T, r *httptest.ResponseRecorder, status int, code, says string) {
+	t.Helper()
+	var answer errorAnswer
+	if err := json.Unmarshal(r.Body.Bytes(), &answer); err != nil {
+		t.Fatalf("answer %q: %v", r.Body, err)
+	}
+	e := answer.Error
+	if r.Code != status || e.Code != code || !strings.Contains(e.Message, says) {
+		t.Errorf("got %d %s %q, expected %d %s with %q", r.Code, e.Code, e.Message, status, code, says)
+	}
+	if e.Outcome != "not-run" || r.Header().Get("Chivedrift-Outcome") != "not-run" || e.RequestID == "" || e.RequestID != r.Header().Get("Chivedrift-Request-Id") {
+		t.Errorf("outcome %q, header %v", e.Outcome, r.Header())
+	}
+}
+
+// FuzzModelRequest sends arbitrary bodies: each is run or refused as not-run with a JSON error, never both or neither.
+func FuzzModelRequest(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"x"}],"stream":true,"n":2}`))
+	f.Add([]byte(`{"model":"m","messages":null}`))
+	f.Add([]byte(`{"model":"m","model":1,"messages":{},"max_tokens":1e3}`))
+	f.Add([]byte("\x00\xff"))
+	gate, models, _ := newGate(f)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		before := models.runs
+		r := send(gate, "/v1/chat/completions", string(body), nil)
+		if r.Code == http.StatusOK {
+			if models.runs != before+1 {
+				t.Error("answered 200 without a run")
+			}
+			return
+		}
+		var answer errorAnswer
+		if err := json.Unmarshal(r.Body.Bytes(), &answer); err != nil || answer.Error.Outcome != "not-run" || models.runs != before {
+			t.Errorf("%d %s after %d runs", r.Code, r.Body, models.runs-before)
+		}
+	})
+}
--- a/chivenode/node.go
+++ b/chivenode/node.go
@@ -101,6 +101,7 @@
 		services.SetLeaving(leaving)
 	})
 	return n.register([]named{
+		{processName, newProcess()},
 		{metricsName, metrics},
 		{logName, log},
 		{wireName, n.mesh},
--- a/chiveyaml/document.go
+++ b/chiveyaml/document.go
@@ -69,6 +69,12 @@
 // File returns the name the document was read from.
 func (d *Document) File() string { return d.file }
 
+// Has tells whether the document itself gives a field.
+func (d *Document) Has(path string) bool {
+	_, ok := d.lines[path]
+	return ok
+}
+
 // Line returns the line of a field, or of its nearest enclosing field that the document has; 0 when it has none.
 func (d *Document) Line(path string) int {
 	for path != "" {
--- a/cmd/chivedrift/process_test.go
+++ b/cmd/chivedrift/process_test.go
@@ -40,7 +40,7 @@
 
 // system is a set of real processes on loopback.
 type system struct {
-	t       *testing.T
+	t       testing.TB
 	folder  string
 	log     string
 	engines []string
@@ -62,18 +62,18 @@
 	systemNodes = 3
 )
 
-func startSystem(t *testing.T) *system {
-	t.Helper()
-	s := &system{t: t, folder: t.TempDir(), log: free(t), service: free(t)}
+func startSystem(tb testing.TB) *system {
+	tb.Helper()
+	s := &system{t: tb, folder: tb.TempDir(), log: free(tb), service: free(tb)}
 	s.run("chivestand", "log", "--listen", s.log)
 	for range 2 {
-		address := free(t)
+		address := free(tb)
 		s.engines = append(s.engines, address)
 		s.run("chivestand", "engine", "--listen", address, "--model", "m")
 	}
 	s.run("chivestand", "service", "--listen", s.service)
 	for i := range systemNodes {
-		s.nodes = append(s.nodes, &nodeProcess{name: fmt.Sprintf("entry-%d", i), callers: free(t), admin: free(t), peers: free(t)})
+		s.nodes = append(s.nodes, &nodeProcess{name: fmt.Sprintf("entry-%d", i), callers: free(tb), admin: free(tb), peers: free(tb)})
 	}
 	s.awaitUp("http://" + s.log + "/vms")
 	s.listVMs()
@@ -88,11 +88,11 @@
 }
 
 // free asks the system for a loopback port that is free now.
-func free(t *testing.T) string {
-	t.Helper()
+func free(tb testing.TB) string {
+	tb.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	defer listener.Close()
 	return listener.Addr().String()
