In a burst a class's on-time requests go before its late ones

Cause: within a class the order was by arrival. Once a burst had made the oldest request late, every request of the class was served in turn and every one of them late; what could still be on time was never served in time.

Change: a line serves the earliest due request that can still meet its target, and falls back on late ones; late unprotected requests whose work ahead makes their deadline unreachable are refused at once with Retry-After. The backlog is kept as sums by tier, so that a decision costs no walk over the queue.

--- a/chiveroute/choice.go
+++ b/chiveroute/choice.go
@@ -1,7 +1,6 @@
 package chiveroute
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -10,6 +9,7 @@
 
 // Choice picks a shard for each request from prefix affinity and the loads that came back on earlier replies.
 type Choice struct {
+	pick  func(n int) int
 	mu    sync.Mutex
 	loads map[string]seenLoad
 }
@@ -25,9 +25,9 @@
 	worthMoving   = 20
 )
 
-// NewChoice returns a choice that has seen no load yet.
-func NewChoice() *Choice {
-	return &Choice{loads: make(map[string]seenLoad)}
+// NewChoice returns a choice that has seen no load yet; pick returns a random number below n, rand.IntN outside of tests.
+func NewChoice(pick func(n int) int) *Choice {
+	return &Choice{pick: pick, loads: make(map[string]seenLoad)}
 }
 
 // Observe notes a shard's load as its scheduler told it, in percent of the capacity.
@@ -52,7 +52,7 @@
 	if len(usable) == 1 {
 		return usable[0], true
 	}
-	other := usable[rand.IntN(len(usable))]
+	other := usable[c.pick(len(usable))]
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	here, there := c.load(now, preferred.id), c.load(now, other.id)
--- a/chiveschedule/assign.go
+++ b/chiveschedule/assign.go
@@ -47,8 +47,7 @@
 
 func (s *Shard) grant(now time.Time, w *waiting, e *endpoint, candidates []Candidate, reason string) Decision {
 	key := requestKey{w.request.ID, w.request.Attempt}
-	delete(s.waiting, key)
-	s.queue.Remove(now, w, true)
+	s.leave(now, w, true)
 	e.take(now, w.cost)
 	s.prefixes.put(w.request.Prefix, e.plan.Name)
 	s.counts.Granted++
--- a/chiveschedule/client.go
+++ b/chiveschedule/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,7 +93,7 @@
 // NewClient returns the gateway's side of a node in a region.
 func NewClient(region string, mesh *chivewire.Mesh, logger *slog.Logger) *Client {
 	c := &Client{
-		mesh: mesh, logger: logger, region: region, choice: chiveroute.NewChoice(),
+		mesh: mesh, logger: logger, region: region, choice: chiveroute.NewChoice(rand.IntN),
 		pending: make(map[requestKey]*pending), held: make(map[requestKey]*Slot), suspects: make(map[string]time.Time),
 		restate: make(map[string]time.Time), placed: make(map[string]string), local: make(map[string]int),
 	}
@@ -356,12 +357,14 @@
 		return
 	}
 	wait := table.config.Routing.GrantWait()
+	suspected := false
 	for key, p := range c.pending {
 		if p.heard || now.Sub(p.asked) < wait {
 			continue
 		}
 		if p.scheduler != "" {
 			c.suspects[p.scheduler] = now.Add(suspectFor)
+			suspected = true
 			chiveevent.SchedulerLost.Log(context.Background(), c.logger, slog.String("shard", p.shard.ID()), slog.String("peer", p.scheduler))
 		}
 		if p.tries >= localTries && c.serveLocally(key, p) {
@@ -369,6 +372,10 @@
 		}
 		c.send(now, p)
 	}
+	if suspected {
+		// What the silent scheduler had queued would otherwise wait until the membership declares it dead.
+		c.replace(now)
+	}
 	for id, due := range c.restate {
 		if now.After(due) {
 			delete(c.restate, id)
--- a/chiveschedule/queue_slack.go
+++ b/chiveschedule/queue_slack.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 )
 
@@ -10,8 +11,9 @@
 //  1. A class that waits and got less than its guaranteed minimum of the recent work goes first, so that none starves.
 //  2. Tiers, the most urgent first.
 //  3. Within a tier, the teams that are not ahead of the least-served team by more than a quantum of work.
-//  4. Among their oldest requests by class, those that can still meet their target, the earliest due first;
-//     those that already missed it come after, since serving them first would make the next ones miss too.
+//  4. Of each class and team the earliest due that can still meet its target, else the oldest; among these, those
+//     that can still meet it come first. Were the ones that already missed it served first, all behind them would
+//     miss it too: in a burst a whole class would be served, and every request of it late.
 type slackQueue[T Item] struct {
 	shares  Shares
 	tiers   []*tierState[T]
@@ -34,7 +36,7 @@
 	count  int
 }
 
-// A lane is a first-in first-out line of one class and team: within it, the earliest due is the oldest.
+// A lane is the line of one class and team in order of due time, which is the order of arrival.
 type lane[T Item] struct {
 	items []T
 }
@@ -107,6 +109,15 @@
 	l.items[i] = item
 }
 
+// next returns the earliest due item that is not late yet, or the oldest when all are; the lane is in order of due time.
+func (l *lane[T]) next(now time.Time) T {
+	i := sort.Search(len(l.items), func(i int) bool { return !l.items[i].Due().Before(now) })
+	if i == len(l.items) {
+		i = 0
+	}
+	return l.items[i]
+}
+
 func (q *slackQueue[T]) Next(now time.Time, accept func(T) bool) (T, bool) {
 	if class, ok := q.starving(now); ok {
 		if item, found := q.tier(q.classes[class].tier).next(now, class, accept); found {
@@ -156,11 +167,11 @@
 			continue
 		}
 		for name, lane := range member.lanes {
-			if len(lane.items) == 0 || (class != "" && name != class) || !accept(lane.items[0]) {
+			if len(lane.items) == 0 || (class != "" && name != class) {
 				continue
 			}
-			if !found || earlier(now, lane.items[0], best) {
-				best, found = lane.items[0], true
+			if item := lane.next(now); accept(item) && (!found || earlier(now, item, best)) {
+				best, found = item, true
 			}
 		}
 	}
--- a/chiveschedule/shard.go
+++ b/chiveschedule/shard.go
@@ -28,6 +28,7 @@
 	estimates   *Estimates
 	drained     rate
 	settleUntil time.Time
+	backlog     backlog
 	median      float64
 	counts      Counts
 }
@@ -58,6 +59,7 @@
 	cost    int64
 	mean    int64
 	queued  time.Time
+	late    bool
 }
 
 // Place returns tier, class and team.
@@ -157,13 +159,17 @@
 	for _, w := range s.waiting {
 		list = append(list, w)
 	}
+	sortByArrival(list)
+	return list
+}
+
+func sortByArrival(list []*waiting) {
 	sort.Slice(list, func(i, j int) bool {
 		if !list[i].arrival.Equal(list[j].arrival) {
 			return list[i].arrival.Before(list[j].arrival)
 		}
 		return list[i].request.ID < list[j].request.ID
 	})
-	return list
 }
 
 // ---------------------------------------------------------------- inputs
@@ -192,6 +198,7 @@
 	}
 	s.waiting[key] = w
 	s.queue.Push(now, w)
+	s.backlog.add(now, w)
 	out = append(out, s.assign(now)...)
 	if _, waits := s.waiting[key]; waits {
 		out = append(out, s.queued(gateway, r))
@@ -221,12 +228,18 @@
 func (s *Shard) Withdraw(now time.Time, id string, attempt int) []Decision {
 	key := requestKey{id, attempt}
 	if w, ok := s.waiting[key]; ok {
-		delete(s.waiting, key)
-		s.queue.Remove(now, w, false)
+		s.leave(now, w, false)
 	}
 	return nil
 }
 
+// leave takes a request out of the queue; granted tells whether it got a slot.
+func (s *Shard) leave(now time.Time, w *waiting, granted bool) {
+	delete(s.waiting, requestKey{w.request.ID, w.request.Attempt})
+	s.queue.Remove(now, w, granted)
+	s.backlog.remove(w)
+}
+
 // Progress notes how a granted request goes on.
 func (s *Shard) Progress(now time.Time, p SlotProgress) {
 	e, ok := s.byName[p.Endpoint]
@@ -318,10 +331,9 @@
 
 // Forget frees everything that a dead gateway had queued or running.
 func (s *Shard) Forget(now time.Time, gateway string) []Decision {
-	for key, w := range s.waiting {
+	for _, w := range s.waiting {
 		if w.gateway == gateway {
-			delete(s.waiting, key)
-			s.queue.Remove(now, w, false)
+			s.leave(now, w, false)
 		}
 	}
 	for key, g := range s.granted {
@@ -340,11 +352,10 @@
 	for _, e := range s.endpoints {
 		e.forgive(now, s.median)
 	}
+	s.backlog.count(now, s.plan.tiers, s.waiting)
 	var out []Decision
-	for _, w := range s.sortedWaiting() {
-		if s.hopeless(now, w) {
-			out = append(out, s.drop(now, w, ReasonDeadline, s.expectedWait(w)))
-		}
+	for _, w := range s.hopeless(now) {
+		out = append(out, s.drop(now, w, ReasonDeadline, s.expectedWait(w)))
 	}
 	out = append(out, s.assign(now)...)
 	return append(out, s.preempt(now)...)
@@ -364,7 +375,7 @@
 // WaitOf estimates how long a new request of a class would wait, from the work ahead of it and the measured drain rate.
 func (s *Shard) WaitOf(class string) time.Duration {
 	c := s.plan.class(class)
-	return s.waitBehind(c.tier, time.Time{})
+	return s.waitBehind(c.tier)
 }
 
 // EndpointState is the dump of one endpoint's ledger.
@@ -398,9 +409,7 @@
 		work += e.tokens
 		capacity += e.plan.Tokens
 	}
-	for _, w := range s.waiting {
-		work += w.cost
-	}
+	work += s.backlog.total
 	if capacity == 0 {
 		return percentOf
 	}
@@ -414,5 +423,6 @@
 		out = append(out, s.refuse(w, ReasonNoneUp, retryAfterLeast))
 	}
 	s.waiting = make(map[requestKey]*waiting)
+	s.backlog = backlog{}
 	return out
 }
--- a/chiveschedule/shed.go
+++ b/chiveschedule/shed.go
@@ -26,9 +26,21 @@
 	return "", 0
 }
 
-// hopeless tells whether a waiting request would miss its deadline even if it got a slot now.
-func (s *Shard) hopeless(now time.Time, w *waiting) bool {
-	return now.Add(s.serviceTime(w)).After(w.end)
+// hopeless returns the waiting requests to give up on, the oldest first: those that would miss their deadline even with
+// a slot now, and unprotected ones that missed their target and have too much work ahead to make the deadline.
+func (s *Shard) hopeless(now time.Time) []*waiting {
+	var list []*waiting
+	for _, w := range s.waiting {
+		least := now.Add(s.serviceTime(w))
+		if w.due.Before(now) && !w.class.protected {
+			least = least.Add(s.waitBehindLate(w.class.tier))
+		}
+		if least.After(w.end) {
+			list = append(list, w)
+		}
+	}
+	sortByArrival(list)
+	return list
 }
 
 func (s *Shard) fitsAnywhere(w *waiting) bool {
@@ -55,21 +67,24 @@
 }
 
 func (s *Shard) expectedWait(w *waiting) time.Duration {
-	return s.waitBehind(w.class.tier, w.due)
+	return s.waitBehind(w.class.tier)
+}
+
+// waitBehind divides the work ahead of a new request of a tier by the measured drain rate; zero while nothing was measured.
+func (s *Shard) waitBehind(tier int) time.Duration {
+	return s.drainTime(s.backlog.ahead(tier, false))
 }
 
-// waitBehind divides the work ahead by the measured drain rate; zero while nothing was measured or a slot is free.
-func (s *Shard) waitBehind(tier int, due time.Time) time.Duration {
-	if s.drained.value <= 0 || len(s.waiting) == 0 {
+// waitBehindLate is the same for a request that missed its target, which all others of its tier go before.
+func (s *Shard) waitBehindLate(tier int) time.Duration {
+	return s.drainTime(s.backlog.ahead(tier, true))
+}
+
+func (s *Shard) drainTime(work int64) time.Duration {
+	if s.drained.value <= 0 {
 		return 0
 	}
-	ahead := int64(0)
-	for _, w := range s.waiting {
-		if w.class.tier < tier || (w.class.tier == tier && (due.IsZero() || !w.due.After(due))) {
-			ahead += w.cost
-		}
-	}
-	return time.Duration(float64(ahead) / s.drained.value * float64(time.Second))
+	return time.Duration(float64(work) / s.drained.value * float64(time.Second))
 }
 
 // evict finds a waiting request to make room in a full queue: the newest of the lowest tier below, never a protected one.
@@ -88,8 +103,7 @@
 }
 
 func (s *Shard) drop(now time.Time, w *waiting, reason string, after time.Duration) Decision {
-	delete(s.waiting, requestKey{w.request.ID, w.request.Attempt})
-	s.queue.Remove(now, w, false)
+	s.leave(now, w, false)
 	return s.refuse(w, reason, after)
 }
 
