--- a/chiveclaim/client.go
+++ b/chiveclaim/client.go
@@ -47,7 +47,7 @@
 	self    string
 	region  string
 	mesh    *chivewire.Mesh
-	members atomic.Pointer[[]chivemember.Member]
+	places  atomic.Pointer[chiveroute.Placement]
 	mu      sync.Mutex
 	waiting map[string]chan Reply
 	finish  *chivering.Ring[Write]
@@ -58,14 +58,18 @@
 // NewClient returns the gateway's side; self names the node and its incarnation.
 func NewClient(self, region string, mesh *chivewire.Mesh) *Client {
 	c := &Client{self: self, region: region, mesh: mesh, waiting: make(map[string]chan Reply), finish: chivering.New[Write](finishRing)}
-	c.members.Store(&[]chivemember.Member{})
+	c.SetMembers(nil)
 	mesh.Handle(chivewire.KindClaimResult, c.onReply)
 	return c
 }
 
 // SetMembers takes a change of the fleet.
 func (c *Client) SetMembers(members []chivemember.Member) {
-	c.members.Store(&members)
+	keys := make([]chiveroute.Key, 0, Slots)
+	for slot := range Slots {
+		keys = append(keys, chiveroute.NewKey(StreamOf(slot), c.region))
+	}
+	c.places.Store(chiveroute.NewPlacement(keys, members))
 }
 
 // Start begins to write outcomes.
@@ -196,11 +200,11 @@
 }
 
 func (c *Client) writerOf(key string) (string, bool) {
-	ranked := chiveroute.Ranked(StreamOf(SlotOf(key)), c.region, *c.members.Load())
-	if len(ranked) == 0 {
+	keepers := c.places.Load().Keepers(StreamOf(SlotOf(key)))
+	if len(keepers) == 0 {
 		return "", false
 	}
-	return ranked[0].Address, true
+	return keepers[0].Address, true
 }
 
 // Finish records the outcome of a request that ran or may have run.
--- a/chiveclaim/entry.go
+++ b/chiveclaim/entry.go
@@ -9,7 +9,7 @@
 )
 
 // Slots is the number of streams that keys are spread over; it never changes, since a key would change its stream.
-const Slots = 8
+const Slots = 64
 
 // KeepBodyBytes is the largest answer that an outcome record repeats.
 const KeepBodyBytes = 16 << 10
--- a/chiveclaim/writer.go
+++ b/chiveclaim/writer.go
@@ -12,6 +12,8 @@
 	"chivedrift/chivelog"
 	"chivedrift/chivering"
 	"chivedrift/chivewire"
+
+	"golang.org/x/time/rate"
 )
 
 // WriterName is the name under which the writer registers.
@@ -20,9 +22,10 @@
 const (
 	slotRing     = 4096
 	batchMost    = 256
-	appendEvery  = 40 * time.Millisecond
+	fleetAppends = 200
+	appendBurst  = 10
 	readBackMost = 2 * time.Second
-	retryEvery   = time.Second
+	flushEvery   = 2 * time.Second
 )
 
 // Log is what claims need of the platform's log.
@@ -74,7 +77,7 @@
 	}
 	s, ok := w.slots[slot]
 	if !ok {
-		s = &slotWriter{w: w, slot: slot, inbox: chivering.New[job](slotRing), index: NewIndex()}
+		s = &slotWriter{w: w, slot: slot, inbox: chivering.New[job](slotRing), index: NewIndex(), pace: rate.NewLimiter(fleetAppends/Slots, appendBurst)}
 		w.slots[slot] = s
 		w.done.Add(1)
 		go s.run(w.ctx)
@@ -121,15 +124,21 @@
 	ask   *Ask
 }
 
+// claims tells whether the job is a claim, which somebody waits for.
+func (j job) claims() bool { return j.write != nil && j.write.Entry.Kind == KindClaim }
+
 // slotWriter owns the index of one slot.
+//
+// Claims are appended at once, within the slot's part of what the log takes; outcomes wait for the next claim, for
+// somebody who asks for them, or for two seconds, since nobody's execution hangs on them.
 type slotWriter struct {
 	w        *Writer
 	slot     int
 	inbox    *chivering.Ring[job]
 	index    *Index
 	offset   int64
-	unkept   []Entry
-	appended time.Time
+	outcomes []Entry
+	pace     *rate.Limiter
 	keys     atomic.Int64
 	appends  atomic.Int64
 	entries  atomic.Int64
@@ -137,16 +146,17 @@
 
 func (s *slotWriter) run(ctx context.Context) {
 	defer s.w.done.Done()
-	retry := time.NewTicker(retryEvery)
-	defer retry.Stop()
+	flush := time.NewTicker(flushEvery)
+	defer flush.Stop()
 	for {
 		select {
 		case <-ctx.Done():
+			s.flush()
 			return
 		case first := <-s.inbox.Ready():
 			s.serve(ctx, s.gather(ctx, first))
-		case <-retry.C:
-			if len(s.unkept) > 0 {
+		case <-flush.C:
+			if len(s.outcomes) > 0 {
 				s.serve(ctx, nil)
 			}
 		}
@@ -154,14 +164,22 @@
 	}
 }
 
-// gather takes what else waits, and spaces the appends: the log takes several hundred a second for everybody, so a
-// slot makes at most 25 whatever the number of nodes, and batches the rest.
+// flush writes the outcomes that still wait when the node stops; others would answer "unknown" for their keys.
+func (s *slotWriter) flush() {
+	if len(s.outcomes) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), readBackMost)
+	defer cancel()
+	s.append(ctx, s.outcomes)
+}
+
+// gather takes what else waits, and spaces the appends: the log takes several hundred a second for everybody, so all
+// slots together make at most two hundred in the long run whatever the number of nodes, and batch the rest.
 func (s *slotWriter) gather(ctx context.Context, first job) []job {
-	if pause := appendEvery - time.Since(s.appended); pause > 0 && first.write != nil {
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
-		}
+	if first.claims() {
+		// The wait ends early only when the node stops.
+		_ = s.pace.Wait(ctx)
 	}
 	jobs := []job{first}
 	for len(jobs) < batchMost {
@@ -176,13 +194,7 @@
 }
 
 func (s *slotWriter) serve(ctx context.Context, jobs []job) {
-	entries := s.unkept
-	s.unkept = nil
-	for _, j := range jobs {
-		if j.write != nil {
-			entries = append(entries, j.write.Entry)
-		}
-	}
+	entries := s.due(jobs)
 	target, failed := s.append(ctx, entries)
 	if failed || target == s.offset {
 		s.keep(entries)
@@ -195,12 +207,44 @@
 	}
 }
 
+// due returns what to append now, outcomes before claims: a claim of a key that was freed must come after the record
+// that frees it.
+func (s *slotWriter) due(jobs []job) []Entry {
+	var claims []Entry
+	urgent := len(jobs) == 0
+	for _, j := range jobs {
+		switch {
+		case j.claims():
+			claims = append(claims, j.write.Entry)
+		case j.write != nil:
+			s.outcomes = append(s.outcomes, j.write.Entry)
+		default:
+			urgent = urgent || s.holdsOutcomeOf(j.ask.Key)
+		}
+	}
+	if len(claims) == 0 && !urgent && len(s.outcomes) < batchMost {
+		return nil
+	}
+	entries := s.outcomes
+	s.outcomes = nil
+	return append(entries, claims...)
+}
+
+func (s *slotWriter) holdsOutcomeOf(key string) bool {
+	for _, e := range s.outcomes {
+		if e.Key == key {
+			return true
+		}
+	}
+	return false
+}
+
 // keep holds outcomes whose append failed or has an unknown result for the next append: a key whose request did not
 // run would otherwise stay claimed until the log forgets it. A second copy of an outcome changes nothing.
 func (s *slotWriter) keep(entries []Entry) {
 	for _, e := range entries {
-		if e.Kind == KindOutcome && len(s.unkept) < slotRing {
-			s.unkept = append(s.unkept, e)
+		if e.Kind == KindOutcome && len(s.outcomes) < slotRing {
+			s.outcomes = append(s.outcomes, e)
 		}
 	}
 }
@@ -217,7 +261,6 @@
 	if err != nil {
 		return 0, true
 	}
-	s.appended = time.Now()
 	s.appends.Add(1)
 	s.entries.Add(int64(len(entries)))
 	offset, err := s.w.log.Append(ctx, StreamOf(s.slot), data)
--- a/chivecommand/quickstart.go
+++ b/chivecommand/quickstart.go
@@ -144,10 +144,7 @@
 func (q *quickstart) startNodes(ctx context.Context) error {
 	var vms []chivelog.VM
 	for i := range quickstartNodes {
-		settings, err := q.settings(i)
-		if err != nil {
-			return err
-		}
+		settings := q.settings(i)
 		vms = append(vms, chivelog.VM{
 			Name: settings.Name, Address: settings.Listen.Peers, AdminAddress: settings.Listen.Admin, Region: settings.Region,
 			FailureDomain: settings.FailureDomain, Kind: chivelog.KindEntry, State: chivelog.StateLive,
@@ -181,33 +178,12 @@
 	return nil
 }
 
-func (q *quickstart) settings(i int) (chivesettings.Settings, error) {
-	var addresses [3]string
-	for k := range addresses {
-		address, err := freeAddress()
-		if err != nil {
-			return chivesettings.Settings{}, err
-		}
-		addresses[k] = address
-	}
+func (q *quickstart) settings(i int) chivesettings.Settings {
 	return chivesettings.Settings{
 		Name: fmt.Sprintf("entry-%d", i+1), Site: quickstartSite, Region: "here", FailureDomain: string(rune('a' + i)),
-		Listen:   chivesettings.Listen{Callers: addresses[0], Admin: addresses[1], Peers: addresses[2]},
+		Listen:   chivesettings.Listen{Callers: chivestand.FreeAddress(), Admin: chivestand.FreeAddress(), Peers: chivestand.FreeAddress()},
 		Platform: chivesettings.Platform{Log: q.logAt, VMList: q.logAt},
-	}, nil
-}
-
-// freeAddress asks the system for a loopback port that is free now.
-func freeAddress() (string, error) {
-	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("free port: %w", err)
-	}
-	address := listener.Addr().String()
-	if err := listener.Close(); err != nil {
-		return "", fmt.Errorf("free port: %w", err)
 	}
-	return address, nil
 }
 
 // serve runs a stand-in on a free loopback port and returns its address.
--- a/chiveconfig/history.go
+++ b/chiveconfig/history.go
@@ -1,7 +1,10 @@
 package chiveconfig
 
 import (
+	"bytes"
+	"compress/gzip"
 	"fmt"
+	"io"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -33,19 +36,34 @@
 	KindCheckpoint RecordKind = 2
 )
 
-// Encode lays a record out for the log.
+// maxRecordBytes bounds what a record unpacks to, since a few bytes on the log could otherwise fill a node's memory.
+const maxRecordBytes = 64 << 20
+
+// Encode lays a record out for the log, compressed: every node reads every record, and at 1,700 teams the text is a third of a megabyte.
 func (r Record) Encode() ([]byte, error) {
-	data, err := msgpack.Marshal(r)
-	if err != nil {
+	var packed bytes.Buffer
+	compressor := gzip.NewWriter(&packed)
+	if err := msgpack.NewEncoder(compressor).Encode(r); err != nil {
 		return nil, fmt.Errorf("configuration: encode record: %w", err)
 	}
-	return data, nil
+	if err := compressor.Close(); err != nil {
+		return nil, fmt.Errorf("configuration: encode record: %w", err)
+	}
+	return packed.Bytes(), nil
 }
 
 // DecodeRecord reads a record from the log.
 func DecodeRecord(data []byte) (Record, error) {
+	unpacked, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return Record{}, fmt.Errorf("configuration: record not decodable: %w", err)
+	}
+	plain, err := io.ReadAll(io.LimitReader(unpacked, maxRecordBytes))
+	if err != nil {
+		return Record{}, fmt.Errorf("configuration: record not decodable: %w", err)
+	}
 	var r Record
-	if err := msgpack.Unmarshal(data, &r); err != nil {
+	if err := msgpack.Unmarshal(plain, &r); err != nil {
 		return Record{}, fmt.Errorf("configuration: record not decodable: %w", err)
 	}
 	if r.Kind != KindPublish && r.Kind != KindCheckpoint {
--- a/chivemember/service.go
+++ b/chivemember/service.go
@@ -21,7 +21,7 @@
 	listEvery    = 2 * time.Second
 	listTimeout  = 2 * time.Second
 	listEntry    = 170
-	listBytesPer = 2048
+	listBytesPer = 1024
 	leavingFor   = time.Minute
 )
 
--- a/chiveschedule/client.go
+++ b/chiveschedule/client.go
@@ -53,6 +53,7 @@
 	choice  *chiveroute.Choice
 	members atomic.Pointer[[]chivemember.Member]
 	table   atomic.Pointer[shardTable]
+	places  atomic.Pointer[chiveroute.Placement]
 
 	mu       sync.Mutex
 	pending  map[requestKey]*pending
@@ -99,6 +100,7 @@
 	}
 	c.members.Store(&[]chivemember.Member{})
 	c.table.Store(&shardTable{})
+	c.place()
 	mesh.Handle(chivewire.KindSlotGrant, c.onGrant)
 	mesh.Handle(chivewire.KindSlotQueued, c.onQueued)
 	mesh.Handle(chivewire.KindSlotRefusal, c.onRefusal)
@@ -130,11 +132,23 @@
 		table.byID[s.ID()] = s
 	}
 	c.table.Store(table)
+	c.place()
+}
+
+// place works out which node schedules each shard; it runs when members or shards change and not for each request.
+func (c *Client) place() {
+	table := c.table.Load()
+	keys := make([]chiveroute.Key, 0, len(table.byID))
+	for id, s := range table.byID {
+		keys = append(keys, chiveroute.NewKey(id, s.Region()))
+	}
+	c.places.Store(chiveroute.NewPlacement(keys, *c.members.Load()))
 }
 
 // SetMembers takes a change of the fleet and moves what waits or runs to the schedulers that follow.
 func (c *Client) SetMembers(members []chivemember.Member) {
 	c.members.Store(&members)
+	c.place()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.replace(time.Now())
@@ -241,9 +255,9 @@
 	_ = c.mesh.Send(p.scheduler, chivewire.KindSlotRequest, p.request)
 }
 
-// schedulerOf returns the peer address of the first live member in rendezvous order that this gateway does not suspect.
+// schedulerOf returns the peer address of the shard's first keeper that this gateway does not suspect.
 func (c *Client) schedulerOf(now time.Time, shard chiveroute.Shard) string {
-	for _, m := range chiveroute.Ranked(shard.ID(), shard.Region(), *c.members.Load()) {
+	for _, m := range c.places.Load().Keepers(shard.ID()) {
 		if now.After(c.suspects[m.Address]) {
 			return m.Address
 		}
--- a/chivewire/link.go
+++ b/chivewire/link.go
@@ -37,6 +37,7 @@
 	lastUse  atomic.Int64
 	warmFrom atomic.Int64
 	lastRead atomic.Int64
+	lastSent atomic.Int64
 	parted   atomic.Bool
 }
 
@@ -161,6 +162,10 @@
 		if now-heard > int64(silentAfter) {
 			return false
 		}
+		if now-l.lastSent.Load() < int64(beatEvery) {
+			// A message of the last second tells the peer as much as a heartbeat.
+			return true
+		}
 		return l.send(KindBeat, nil)
 	}
 	if l.dialled && now-l.lastUse.Load() > int64(idleAfter) {
@@ -187,6 +192,7 @@
 	if _, err := l.conn.Write(frame); err != nil {
 		return false
 	}
+	l.lastSent.Store(time.Now().UnixNano())
 	l.mesh.sent[frame[4]].add(len(frame))
 	return true
 }
--- a/cmd/chivedrift/process_test.go
+++ b/cmd/chivedrift/process_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -14,6 +13,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"chivedrift/chivestand"
 )
 
 // bin is the folder with the programs under test, built once.
@@ -72,16 +73,16 @@
 
 func startSystem(tb testing.TB) *system {
 	tb.Helper()
-	s := &system{t: tb, folder: tb.TempDir(), log: free(tb), service: free(tb)}
+	s := &system{t: tb, folder: tb.TempDir(), log: chivestand.FreeAddress(), service: chivestand.FreeAddress()}
 	s.run("chivestand", "log", "--listen", s.log)
 	for range 2 {
-		address := free(tb)
+		address := chivestand.FreeAddress()
 		s.engines = append(s.engines, address)
 		s.run("chivestand", "engine", "--listen", address, "--model", "m")
 	}
 	s.run("chivestand", "service", "--listen", s.service)
 	for i := range systemNodes {
-		s.nodes = append(s.nodes, &nodeProcess{name: fmt.Sprintf("entry-%d", i), callers: free(tb), admin: free(tb), peers: free(tb)})
+		s.nodes = append(s.nodes, &nodeProcess{name: fmt.Sprintf("entry-%d", i), callers: chivestand.FreeAddress(), admin: chivestand.FreeAddress(), peers: chivestand.FreeAddress()})
 	}
 	s.awaitUp("http://" + s.log + "/vms")
 	s.listVMs()
@@ -95,17 +96,6 @@
 	return s
 }
 
-// free asks the system for a loopback port that is free now.
-func free(tb testing.TB) string {
-	tb.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		tb.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 func (s *system) run(name string, args ...string) *exec.Cmd {
 	s.t.Helper()
 	process := exec.Command(filepath.Join(bin, name), args...)
