--- a/cmd/chivedrift/process_test.go
+++ b/cmd/chivedrift/process_test.go
@@ -346,3 +346,31 @@
 		s.t.Fatal(err)
 	}
 }
+
+// Symptom: an operator is told "published" when it was not, or "failed" when it was. Sequence: the log's answer to the
+// append is lost; two operators publish from one version; the log is down. Cause: the answer was believed, not the log.
+func TestPublishTellsWhatTheLogSays(t *testing.T) {
+	s := startSystem(t)
+	publish := func(code int, parent, author string) string {
+		return s.command(code, "config", "publish", "--folder", filepath.Join(s.folder, "config"), "--log", s.log, "--author", author, "--parent", parent, "--wait", "3s")
+	}
+	s.put("http://"+s.log+"/faults", `{"lose_answer_every":1}`)
+	s.write("here.yaml", "limits: {in_flight: 100}\n")
+	if out := publish(0, "1", "lost-answer"); !strings.Contains(out, "accepted: version 2") {
+		t.Errorf("with the answer lost: %s", out)
+	}
+	s.put("http://"+s.log+"/faults", `{}`)
+	s.write("here.yaml", "limits: {in_flight: 200}\n")
+	if out := publish(3, "1", "late"); !strings.Contains(out, "rejected: version 2 by lost-answer") || !strings.Contains(out, "+limits: {in_flight: 200}") {
+		t.Errorf("from an old version: %s", out)
+	}
+	s.put("http://"+s.log+"/faults", `{"down":true}`)
+	if out := publish(1, "2", "down"); !strings.Contains(out, "nothing was published") {
+		t.Errorf("with the log down: %s", out)
+	}
+	s.put("http://"+s.log+"/faults", `{}`)
+	out := s.command(0, "config", "show", "--log", s.log)
+	if strings.Count(out, "version 2,") != systemNodes || !strings.Contains(out, "log: version 2 by lost-answer") {
+		t.Errorf("in force: %s", out)
+	}
+}
