A request must get its slot before its target, by the time to a first token

An exact earliest-due order serves, under overload, the request whose target is about to pass: granted in time, its first token came one prefill late.

Change: due is the target less one and a half times the class's measured time from grant to first token, at most half of the target.

--- a/chivenode/outcome_test.go
+++ b/chivenode/outcome_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"chivedrift/chivegate"
 	"chivedrift/chivestand"
 )
 
@@ -227,3 +228,44 @@
 		}
 	})
 }
+
+// Symptom: long answers are paid for twice. Sequence: answers break after 100 of their 200 tokens, once or more often.
+// Started over they would cost what had been computed again; resumed, only what was under way is lost.
+func TestResumeWastesFewTokens(t *testing.T) {
+	inCluster(t, shape{nodes: 2, engines: 3, sequences: 4}, func(c *cluster) {
+		const rounds, healthy, tokens, broken = 10, 6, 200, 60
+		needed, saved := 0, int64(0)
+		send := func(name string) {
+			r := c.stream(0, "dossier", fmt.Sprintf("%s tokens=%d", name, tokens))
+			if r.outcome != "completed" {
+				t.Errorf("%s ended as %q", name, r.outcome)
+			}
+			x, _ := c.gate(0).Explain(r.header.Get(chivegate.HeaderRequestID))
+			for _, a := range x.Attempts {
+				saved += a.Resumed
+			}
+			needed += tokens
+		}
+		for round := range rounds {
+			for _, e := range c.engines {
+				e.SetFaults(chivestand.EngineFaults{CrashAfterTokens: broken, Times: 1})
+			}
+			send(fmt.Sprint("broken", round))
+			for _, e := range c.engines {
+				e.SetFaults(chivestand.EngineFaults{})
+			}
+			for i := range healthy {
+				send(fmt.Sprint("healthy", round, i))
+			}
+		}
+		time.Sleep(time.Second)
+		computed := int64(0)
+		for _, e := range c.engines {
+			computed += e.Runs().Tokens
+		}
+		t.Logf("%d tokens needed, %d computed with resume, %d had every break started over", needed, computed, computed+saved)
+		if wasted := computed - int64(needed); wasted > int64(needed)/100 || saved == 0 {
+			t.Errorf("%d tokens wasted of %d, %d saved", wasted, needed, saved)
+		}
+	})
+}
--- a/chiveschedule/shard.go
+++ b/chiveschedule/shard.go
@@ -29,6 +29,7 @@
 	drained     rate
 	settleUntil time.Time
 	backlog     backlog
+	firsts      map[string]float64
 	median      float64
 	counts      Counts
 }
@@ -98,6 +99,7 @@
 	adoptProtectsFor = time.Second
 	preemptWithin    = 2
 	percentOf        = 100
+	leadFactor       = 1.5
 )
 
 // Refusal reasons, as callers and operators see them.
@@ -113,7 +115,7 @@
 	s := &Shard{
 		id: id, incarnation: incarnation, byName: make(map[string]*endpoint),
 		waiting: make(map[requestKey]*waiting), granted: make(map[requestKey]*grant),
-		prefixes: newPrefixes(maxPrefixes), estimates: NewEstimates(), settleUntil: now.Add(settleFor),
+		prefixes: newPrefixes(maxPrefixes), estimates: NewEstimates(), firsts: make(map[string]float64), settleUntil: now.Add(settleFor),
 	}
 	s.SetPlan(now, plan)
 	return s
@@ -219,7 +221,7 @@
 	arrival := time.UnixMilli(r.ArrivalMs)
 	return &waiting{
 		request: r, gateway: gateway, class: class, arrival: arrival, queued: now,
-		due: arrival.Add(class.firstToken), end: time.UnixMilli(r.DeadlineMs),
+		due: arrival.Add(class.firstToken - s.lead(class)), end: time.UnixMilli(r.DeadlineMs),
 		cost: r.PromptTokens + max(high, r.DoneTokens), mean: max(mean-r.DoneTokens, 1),
 	}
 }
@@ -250,9 +252,21 @@
 	e.succeed()
 	if g, ok := s.granted[requestKey{p.ID, p.Attempt}]; ok {
 		g.done = p.Tokens
+		if p.FirstMs > 0 {
+			s.firsts[g.class.name] = blend(s.firsts[g.class.name], float64(p.FirstMs))
+		}
 	}
 }
 
+// lead is how long before its target a request of a class must get its slot, from the times to the first token seen.
+//
+// Without it the queue serves the request that is due next until the very moment its target passes: under overload
+// nearly every grant went to a request that missed its target by the time of one prefill.
+func (s *Shard) lead(class *ClassPlan) time.Duration {
+	lead := time.Duration(leadFactor * s.firsts[class.name] * float64(time.Millisecond))
+	return min(lead, class.firstToken/2)
+}
+
 func pace(tokens, streamMs int64) float64 {
 	if tokens < 2 {
 		return 0
