Large files split by duty; test addresses fall back where only 127.0.0.1 is served

Client, View, Shard, Engine and Follower had grown to 400 to 500 lines with rulers between their duties; each duty is a file now, code unchanged. FreeAddress used the whole loopback range, which only Linux serves without further ado: the README's first command would have failed elsewhere; it now falls back to 127.0.0.1 (not run on another system).

--- /dev/null
+++ b/chivemember/view_messages.go
@@ -0,0 +1,162 @@
+package chivemember
+
+import (
+	"sort"
+	"time"
+)
+
+// Receive takes a message from a peer and returns what to send.
+func (v *View) Receive(now time.Time, from string, message any) []Envelope {
+	switch m := message.(type) {
+	case Probe:
+		return v.receiveProbe(now, from, m)
+	case Ack:
+		return v.receiveWord(now, from, m.Name, m.Incarnation, m.Digest)
+	case News:
+		return v.learn(now, from, m.Members)
+	case Confirm:
+		return v.receiveConfirm(now, from, m)
+	case Heard:
+		v.receiveHeard(now, m)
+	case EndpointNews:
+		return v.SpreadEndpoint(now, from, m)
+	case Sync:
+		out := v.learn(now, from, m.Members)
+		if m.Reply {
+			out = append(out, Envelope{To: from, Message: Sync{Members: v.everybody()}})
+		}
+		return out
+	}
+	return nil
+}
+
+func (v *View) receiveProbe(now time.Time, from string, p Probe) []Envelope {
+	out := []Envelope{{To: from, Message: Ack{Name: v.self.Name, Incarnation: v.self.Incarnation, Digest: v.digest}}}
+	return append(out, v.receiveWord(now, from, p.Name, p.Incarnation, p.Digest)...)
+}
+
+// receiveWord notes that a member spoke, contradicts what it should not be and mends views that differ.
+func (v *View) receiveWord(now time.Time, from, name string, incarnation int64, digest uint64) []Envelope {
+	e, known := v.entries[name]
+	if !known || incarnation > e.member.Incarnation {
+		return []Envelope{{To: from, Message: Sync{Members: v.everybody(), Reply: true}}}
+	}
+	if e.member.State == Dead || incarnation < e.member.Incarnation {
+		return []Envelope{{To: from, Message: News{Members: []Member{e.member}}}}
+	}
+	e.heard = now
+	return v.compare(now, from, e, digest)
+}
+
+// compare sends the whole view where digests have differed for longer than news takes to travel.
+func (v *View) compare(now time.Time, from string, e *entry, digest uint64) []Envelope {
+	if digest == v.digest {
+		e.differs = time.Time{}
+		return nil
+	}
+	if e.differs.IsZero() {
+		e.differs = now
+	}
+	settled := now.Sub(e.differs) > differAfter && now.Sub(v.changed) > differAfter
+	if !settled || now.Sub(e.synced) < syncEvery {
+		return nil
+	}
+	e.synced = now
+	return []Envelope{{To: from, Message: Sync{Members: v.everybody(), Reply: true}}}
+}
+
+// SpreadEndpoint passes on that an endpoint leaves, once, and remembers it until it is over.
+func (v *View) SpreadEndpoint(now time.Time, from string, news EndpointNews) []Envelope {
+	if news.UntilMs < v.leaving[news.Endpoint]+endpointNewsGap.Milliseconds() {
+		return nil
+	}
+	for name, until := range v.leaving {
+		if until < now.UnixMilli() {
+			delete(v.leaving, name)
+		}
+	}
+	v.leaving[news.Endpoint] = news.UntilMs
+	v.version++
+	return v.flood(news, from)
+}
+
+// LeavingEndpoints returns the endpoints that take no new work at present.
+func (v *View) LeavingEndpoints(now time.Time) []string {
+	var names []string
+	for name, until := range v.leaving {
+		if until > now.UnixMilli() {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (v *View) receiveConfirm(now time.Time, from string, c Confirm) []Envelope {
+	ago := int64(-1)
+	if e, ok := v.entries[c.Name]; ok && !e.heard.IsZero() {
+		ago = now.Sub(e.heard).Milliseconds()
+	}
+	return []Envelope{{To: from, Message: Heard{Name: c.Name, AgoMs: ago}}}
+}
+
+func (v *View) receiveHeard(now time.Time, h Heard) {
+	e, ok := v.entries[h.Name]
+	if ok && h.AgoMs >= 0 && h.AgoMs < suspectAfter.Milliseconds() {
+		e.vouched = now
+	}
+}
+
+// learn takes words about members and passes on those that are new.
+func (v *View) learn(now time.Time, from string, members []Member) []Envelope {
+	var fresh []Member
+	for _, m := range members {
+		if m.Name == v.self.Name {
+			fresh = append(fresh, v.refute(m)...)
+			continue
+		}
+		if v.take(now, m) {
+			fresh = append(fresh, m)
+		}
+	}
+	if len(fresh) == 0 {
+		return nil
+	}
+	v.touch(now)
+	return v.spread(fresh, from)
+}
+
+// refute answers a false word about this node with a higher incarnation, which beats it everywhere.
+func (v *View) refute(word Member) []Member {
+	if !word.supersedes(v.self) {
+		return nil
+	}
+	v.self.Incarnation = word.Incarnation + 1
+	return []Member{v.self}
+}
+
+func (v *View) take(now time.Time, m Member) bool {
+	e, known := v.entries[m.Name]
+	if known && !m.supersedes(e.member) {
+		return false
+	}
+	if !known && m.State == Dead {
+		return false
+	}
+	if !known {
+		e = &entry{}
+		v.entries[m.Name] = e
+	}
+	e.member = m
+	e.heard = now
+	e.died = now
+	return true
+}
+
+func (v *View) everybody() []Member {
+	all := []Member{v.self}
+	for _, e := range v.entries {
+		all = append(all, e.member)
+	}
+	return all
+}
--- /dev/null
+++ b/chivemember/view_ring.go
@@ -0,0 +1,127 @@
+package chivemember
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+func (v *View) touch(now time.Time) {
+	v.changed = now
+	v.version++
+	v.arrange(now)
+}
+
+// arrange places the members on a ring of name hashes and finds whom this node watches and who watches it.
+func (v *View) arrange(now time.Time) {
+	v.ring = v.ring[:0]
+	v.ring = append(v.ring, ringKey(v.self.Name))
+	v.digest = v.self.digest()
+	for name, e := range v.entries {
+		if e.member.State != Dead {
+			v.ring = append(v.ring, ringKey(name))
+			v.digest ^= e.member.digest()
+		}
+	}
+	sort.Strings(v.ring)
+	place := sort.SearchStrings(v.ring, ringKey(v.self.Name))
+	before := make(map[string]bool, len(v.watched))
+	for _, name := range v.watched {
+		before[name] = true
+	}
+	v.watched, v.watchers = nil, nil
+	for _, distance := range distances(len(v.ring)) {
+		v.watched = append(v.watched, ringName(v.ring[wrap(place+distance, len(v.ring))]))
+		v.watchers = append(v.watchers, ringName(v.ring[wrap(place-distance, len(v.ring))]))
+	}
+	v.watchExtra(now, place)
+	for _, name := range v.watched {
+		if !before[name] {
+			v.entries[name].heard = v.grace(now)
+		}
+	}
+}
+
+// watchExtra widens the watch while this node itself finds members dead.
+//
+// A node cut off together with few others, or none, has nobody to tell it who else is gone. With four at a time it
+// would take a fleet of 330 more than two minutes to see it; each death found adds to the next round.
+func (v *View) watchExtra(now time.Time, place int) {
+	for len(v.recent) > 0 && now.Sub(v.recent[0]) > massLossFor {
+		v.recent = v.recent[1:]
+	}
+	extra := min(len(v.recent)*extraPerDeath, extraMost)
+	known := make(map[string]bool, len(v.watched))
+	for _, name := range v.watched {
+		known[name] = true
+	}
+	for distance := 1; distance < len(v.ring) && extra > 0; distance++ {
+		name := ringName(v.ring[wrap(place+distance, len(v.ring))])
+		if !known[name] {
+			v.watched = append(v.watched, name)
+			extra--
+		}
+	}
+}
+
+// grace is when a newly watched member counts as last heard: now, or earlier in the middle of a mass loss.
+func (v *View) grace(now time.Time) time.Time {
+	if len(v.recent) >= massLossDeaths {
+		return now.Add(-suspectAfter)
+	}
+	return now
+}
+
+// distances spaces the watched members so that news crosses n members in few hops: 1, n^1/4, n^2/4, n^3/4.
+func distances(n int) []int {
+	var spaced []int
+	last := 0
+	for i := range watchedMembers {
+		distance := max(last+1, int(math.Round(math.Pow(float64(n), float64(i)/watchedMembers))))
+		if distance >= n {
+			break
+		}
+		spaced = append(spaced, distance)
+		last = distance
+	}
+	return spaced
+}
+
+func (v *View) spread(members []Member, except string) []Envelope {
+	return v.flood(News{Members: members}, except)
+}
+
+// flood sends a message to every member that this node watches or is watched by.
+func (v *View) flood(message any, except string) []Envelope {
+	var out []Envelope
+	sent := make(map[string]bool)
+	for _, name := range append(append([]string(nil), v.watched...), v.watchers...) {
+		e := v.entries[name]
+		if e == nil || sent[name] || e.member.Address == except {
+			continue
+		}
+		sent[name] = true
+		out = append(out, Envelope{To: e.member.Address, Message: message})
+	}
+	return out
+}
+
+const ringHashBytes = 8
+
+// ringKey prefixes a name with its hash, so that sorting keys sorts by hash.
+func ringKey(name string) string {
+	hash := xxhash.Sum64String(name)
+	key := make([]byte, ringHashBytes, ringHashBytes+len(name))
+	for i := range ringHashBytes {
+		key[i] = byte(hash >> (8 * (ringHashBytes - 1 - i)))
+	}
+	return string(append(key, name...))
+}
+
+func ringName(key string) string { return key[ringHashBytes:] }
+
+func wrap(place, n int) int {
+	return ((place % n) + n) % n
+}
--- /dev/null
+++ b/chiveschedule/shard_state.go
@@ -0,0 +1,69 @@
+package chiveschedule
+
+import (
+	"time"
+)
+
+// Waiting returns how many requests wait.
+func (s *Shard) Waiting() int { return len(s.waiting) }
+
+// Running returns how many slots are in use.
+func (s *Shard) Running() int { return len(s.granted) }
+
+// Counts returns the sums of the shard's decisions.
+func (s *Shard) Counts() Counts { return s.counts }
+
+// WaitOf estimates how long a new request of a class would wait, from the work ahead of it and the measured drain rate.
+func (s *Shard) WaitOf(class string) time.Duration {
+	c := s.plan.class(class)
+	return s.waitBehind(c.tier)
+}
+
+// EndpointState is the dump of one endpoint's ledger.
+type EndpointState struct {
+	Name      string  `json:"name"`
+	Sequences int64   `json:"sequences"`
+	Tokens    int64   `json:"tokens"`
+	Load      float64 `json:"load"`
+	PaceMs    float64 `json:"pace_ms"`
+	Failures  int     `json:"failures"`
+	Up        bool    `json:"up"`
+	Straggler bool    `json:"straggler"`
+}
+
+// Endpoints returns the state of each endpoint.
+func (s *Shard) Endpoints(now time.Time) []EndpointState {
+	states := make([]EndpointState, 0, len(s.endpoints))
+	for _, e := range s.endpoints {
+		states = append(states, EndpointState{
+			Name: e.plan.Name, Sequences: e.sequences, Tokens: e.tokens, Load: e.load(), PaceMs: e.pace,
+			Failures: e.failures, Up: e.up(now, true), Straggler: e.straggles(s.median),
+		})
+	}
+	return states
+}
+
+// LoadPercent sums up running and waiting work against the capacity, so that gateways can compare shards.
+func (s *Shard) LoadPercent() int {
+	work, capacity := int64(0), int64(0)
+	for _, e := range s.endpoints {
+		work += e.tokens
+		capacity += e.plan.Tokens
+	}
+	work += s.backlog.total
+	if capacity == 0 {
+		return percentOf
+	}
+	return int(work * percentOf / capacity)
+}
+
+// Close refuses everything that waits, because the configuration no longer has the shard.
+func (s *Shard) Close() []Decision {
+	var out []Decision
+	for _, w := range s.sortedWaiting() {
+		out = append(out, s.refuse(w, ReasonNoneUp, retryAfterLeast))
+	}
+	s.waiting = make(map[requestKey]*waiting)
+	s.backlog = backlog{}
+	return out
+}
--- a/chivestand/address.go
+++ b/chivestand/address.go
@@ -1,7 +1,9 @@
 package chivestand
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"os"
 	"sync/atomic"
 )
@@ -20,8 +22,19 @@
 //
 // Asking the system for a free port and closing it again is a race: in a run with many connections the port was
 // given to an outgoing connection before the node listened on it ("address already in use").
+//
+// Systems other than Linux serve only 127.0.0.1 without further ado; there the port alone tells the processes apart.
 func FreeAddress() string {
 	pid := os.Getpid()
-	port := firstPort + portsUsed.Add(1)%portsAPart
-	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid>>(2*pidBits)&pidMask, 1+pid>>pidBits&pidMask, 1+pid&pidMask, port)
+	own := fmt.Sprintf("127.%d.%d.%d", 1+pid>>(2*pidBits)&pidMask, 1+pid>>pidBits&pidMask, 1+pid&pidMask)
+	for {
+		port := firstPort + portsUsed.Add(1)%portsAPart
+		for _, ip := range []string{own, "127.0.0.1"} {
+			address := fmt.Sprintf("%s:%d", ip, port)
+			if listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address); err == nil {
+				_ = listener.Close()
+				return address
+			}
+		}
+	}
 }
