--- /dev/null
+++ b/chivenode/preempt_test.go
@@ -0,0 +1,67 @@
+package chivenode_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"chivedrift/chivegate"
+)
+
+// Symptom: an urgent request waits behind long background answers, or the answer that made room for it is damaged.
+// Sequence: every slot runs a long answer, a nudge comes. Cause: nobody gives a slot back, or what was produced is lost.
+func TestUrgentRequestTakesASlotAndTheVictimLosesNoToken(t *testing.T) {
+	inCluster(t, shape{nodes: 3, engines: 1, sequences: 2}, func(c *cluster) {
+		results := make(chan reply, 2)
+		for i := range 2 {
+			go func() { results <- c.stream(i, "bulk", fmt.Sprintf("b%d tokens=600", i)) }()
+		}
+		time.Sleep(time.Second)
+		nudge := c.stream(2, "nudge", "n tokens=10")
+		if nudge.outcome != "completed" || nudge.first > 500*time.Millisecond {
+			t.Errorf("the nudge got its first token after %s: %+v", nudge.first, nudge)
+		}
+		attempts := 0
+		for range 2 {
+			r := <-results
+			if r.outcome != "completed" || (r.text != expected("b0 tokens=600", 600) && r.text != expected("b1 tokens=600", 600)) {
+				t.Errorf("a preempted answer ended as %q", r.outcome)
+			}
+			for node := range c.nodes {
+				if x, ok := c.gate(node).Explain(r.header.Get(chivegate.HeaderRequestID)); ok {
+					attempts += len(x.Attempts)
+				}
+			}
+		}
+		if attempts != 3 {
+			t.Errorf("%d attempts for two answers; one preemption was due", attempts)
+		}
+		t.Logf("first token of the nudge %s", nudge.first)
+	})
+}
+
+// Symptom: a dossier is interrupted for a nudge's sake, although it is never to give way to lower work and need not to
+// higher. Sequence: every slot runs a dossier, a nudge comes. The nudge waits for a slot to be free, or is refused.
+func TestProtectedAnswerIsNeverPreempted(t *testing.T) {
+	inCluster(t, shape{nodes: 3, engines: 1, sequences: 2}, func(c *cluster) {
+		results := make(chan reply, 2)
+		for i := range 2 {
+			go func() { results <- c.stream(i, "dossier", fmt.Sprintf("d%d tokens=300", i)) }()
+		}
+		time.Sleep(time.Second)
+		nudge := c.stream(2, "nudge", "n tokens=10")
+		for range 2 {
+			r := <-results
+			x, ok := c.gate(0).Explain(r.header.Get(chivegate.HeaderRequestID))
+			if !ok {
+				x, ok = c.gate(1).Explain(r.header.Get(chivegate.HeaderRequestID))
+			}
+			if r.outcome != "completed" || !ok || len(x.Attempts) != 1 {
+				t.Errorf("a dossier ended as %q with %+v", r.outcome, x)
+			}
+		}
+		if nudge.outcome != "completed" && (nudge.outcome != "not-run" || nudge.header.Get(chivegate.HeaderRetryAfter) == "") {
+			t.Errorf("the nudge ended as %+v", nudge)
+		}
+	})
+}
