Three settings that had no effect now have theirs

Cause: a newcomer's read found limits.header_bytes, classes.between_tokens_ms and endpoints.checks_fencing accepted, checked and used nowhere: operators would have believed in limits that did not exist.

Change: a header above the configured size is answered 431 and not-run (the case "oversized header" answered 200 before); the target between tokens counts for target_met and stands in explain and /metrics; the wait for a predecessor's last order is left out only where every endpoint of the pool checks fencing numbers.

--- a/chivedispatch/answer.go
+++ b/chivedispatch/answer.go
@@ -37,6 +37,14 @@
 // First returns when the first token came.
 func (a *Answer) First() time.Time { return a.first }
 
+// Pace returns the mean time between tokens, zero for fewer than two.
+func (a *Answer) Pace() time.Duration {
+	if a.tokens < 2 {
+		return 0
+	}
+	return a.last.Sub(a.first) / time.Duration(a.tokens-1)
+}
+
 // complete tells whether nothing of the text is missing.
 func (a *Answer) complete() bool { return len(a.finish) > 0 }
 
--- a/chivegate/explain.go
+++ b/chivegate/explain.go
@@ -19,6 +19,7 @@
 	Deadline      time.Time               `json:"deadline"`
 	QueuedMs      int64                   `json:"queued_ms"`
 	FirstTokenMs  int64                   `json:"first_token_ms"`
+	BetweenMs     float64                 `json:"between_tokens_ms"`
 	TookMs        int64                   `json:"took_ms"`
 	Tokens        int64                   `json:"tokens"`
 	Claim         string                  `json:"claim,omitempty"`
--- a/chivegate/gate.go
+++ b/chivegate/gate.go
@@ -32,7 +32,8 @@
 	headerTimeout  = 5 * time.Second
 	bodyTimeout    = 30 * time.Second
 	idleTimeout    = 2 * time.Minute
-	headerBytes    = 32 << 10
+	headerBytes    = 1 << 20
+	headerExtra    = 4
 	stopPoll       = 20 * time.Millisecond
 	idRandomBase   = 36
 	afterFullInSec = 1
@@ -212,6 +213,9 @@
 		}
 	}
 	a.config = a.inForce.Config()
+	if err := checkHeader(r.Header, a.config.Limits.HeaderBytes); err != nil {
+		return err
+	}
 	team, err := g.keys.Load().team(r)
 	if err != nil {
 		return err
@@ -233,6 +237,23 @@
 	return err
 }
 
+// checkHeader holds a request's header to the configured size; the server's own bound comes before it.
+func checkHeader(header http.Header, limit int64) error {
+	size := int64(0)
+	for name, values := range header {
+		for _, value := range values {
+			size += int64(len(name) + len(value) + headerExtra)
+		}
+	}
+	if size <= limit {
+		return nil
+	}
+	return &failure{
+		status: http.StatusRequestHeaderFieldsTooLarge, kind: kindInvalid, code: "header_too_large",
+		message: fmt.Sprintf("the header has %d bytes, more than %d", size, limit), outcome: chivedispatch.NotRun,
+	}
+}
+
 // readBody bounds the size and the time of a body: a sender that dribbles would otherwise hold a place for ever.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	controller := http.NewResponseController(w)
--- a/chivegate/gate_test.go
+++ b/chivegate/gate_test.go
@@ -59,7 +59,7 @@
 	base := fmt.Sprintf(`tiers: [{name: urgent}]
 classes: [{name: chat, tier: urgent, first_token_ms: 100, deadline_ms: 1000, stall_ms: 100, expected_tokens: 5, idempotent: true}]
 teams: [{name: t, key_sha256: [%s], weight: 1}]
-limits: {body_bytes: 2000}
+limits: {body_bytes: 2000, header_bytes: 1000}
 pools:
   - {name: m, kind: model, default_class: chat, endpoints: [{name: e, address: "127.0.0.1:1", region: r, failure_domain: a, capacity_tokens: 100}]}
   - {name: s, kind: service, default_class: chat, endpoints: [{name: s, address: "127.0.0.1:2", region: r, failure_domain: a}]}
@@ -136,6 +136,7 @@
 		{"unknown class", chat, good, map[string]string{"Chivedrift-Class": "vip"}, 400, "unknown_class", "chat"},
 		{"absurd timeout", chat, good, map[string]string{"Chivedrift-Timeout-Ms": "-5"}, 400, "invalid_timeout", "-5"},
 		{"long key", chat, good, map[string]string{"Idempotency-Key": strings.Repeat("k", 300)}, 400, "invalid_key", "300"},
+		{"oversized header", chat, good, map[string]string{"X-Long": strings.Repeat("h", 1200)}, 431, "header_too_large", "1000"},
 		{"oversized body", chat, strings.Repeat("x", 3000), nil, 413, "body_too_large", "2000"},
 		{"wrong bearer key", chat, good, map[string]string{"Authorization": "Bearer no"}, 401, "invalid_api_key", "no team"},
 		{"no bearer key", chat, good, map[string]string{"Authorization": "Basic x"}, 401, "invalid_api_key", "Bearer"},
--- a/chivegate/metrics.go
+++ b/chivegate/metrics.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"chivedrift/chiveconfig"
 	"chivedrift/chivedispatch"
 
 	"github.com/uber-go/tally/v4"
@@ -19,6 +20,7 @@
 type classMetrics struct {
 	outcomes map[chivedispatch.Outcome]tally.Counter
 	first    tally.Histogram
+	between  tally.Histogram
 	queued   tally.Histogram
 	tokens   tally.Counter
 	met      tally.Counter
@@ -45,7 +47,8 @@
 	buckets := tally.MustMakeExponentialDurationBuckets(bucketFirst, bucketFactor, bucketCount)
 	c := &classMetrics{
 		outcomes: make(map[chivedispatch.Outcome]tally.Counter), first: scope.Histogram("first_token", buckets),
-		queued: scope.Histogram("queued", buckets), tokens: scope.Counter("tokens"), met: scope.Counter("target_met"),
+		between: scope.Histogram("between_tokens", buckets),
+		queued:  scope.Histogram("queued", buckets), tokens: scope.Counter("tokens"), met: scope.Counter("target_met"),
 	}
 	for _, o := range []chivedispatch.Outcome{chivedispatch.Completed, chivedispatch.NotRun, chivedispatch.Failed, chivedispatch.Unknown} {
 		c.outcomes[o] = scope.Tagged(map[string]string{"outcome": string(o)}).Counter("requests")
@@ -62,7 +65,7 @@
 }
 
 // finished counts a request that was admitted.
-func (m *gateMetrics) finished(x *Explanation, target time.Duration) {
+func (m *gateMetrics) finished(x *Explanation, class *chiveconfig.Class) {
 	c := m.class(x.Class)
 	c.outcomes[x.Outcome].Inc(1)
 	c.queued.RecordDuration(time.Duration(x.QueuedMs) * time.Millisecond)
@@ -72,7 +75,9 @@
 	}
 	first := time.Duration(x.FirstTokenMs) * time.Millisecond
 	c.first.RecordDuration(first)
-	if first <= target {
+	c.between.RecordDuration(time.Duration(x.BetweenMs * float64(time.Millisecond)))
+	steady := class.BetweenTokensMs == 0 || x.BetweenMs <= float64(class.BetweenTokensMs)
+	if first <= class.FirstToken() && steady {
 		c.met.Inc(1)
 	}
 }
--- a/chivegate/model.go
+++ b/chivegate/model.go
@@ -68,6 +68,7 @@
 	g.o.Quota.Return(a.team, estimate-work.PromptTokens-answer.Tokens())
 	x := g.explanation(a, work.Pool, work.Class, result)
 	x.Tokens = answer.Tokens()
+	x.BetweenMs = float64(answer.Pace().Microseconds()) / 1000
 	x.FirstTokenMs = x.TookMs
 	if !answer.First().IsZero() {
 		x.FirstTokenMs = answer.First().Sub(a.arrival).Milliseconds()
@@ -141,5 +142,5 @@
 		g.settle(claim, result, contentType)
 	}
 	g.explain.put(x)
-	g.metrics.finished(x, class.FirstToken())
+	g.metrics.finished(x, class)
 }
--- a/chiveorder/service.go
+++ b/chiveorder/service.go
@@ -136,7 +136,7 @@
 		if pool.Version == "" || !s.first(pool.Name) {
 			continue
 		}
-		if lease, ok := s.hold(ctx, pool.Name); ok {
+		if lease, ok := s.hold(ctx, pool); ok {
 			s.reconcile(ctx, pool, lease)
 		}
 	}
@@ -148,7 +148,8 @@
 }
 
 // hold acquires or renews a lease and reports whether this node may order under it.
-func (s *Service) hold(ctx context.Context, group string) (Lease, bool) {
+func (s *Service) hold(ctx context.Context, pool *chiveconfig.Pool) (Lease, bool) {
+	group, waits := pool.Name, !allCheckFencing(pool)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	until, owns := s.owned[group]
@@ -156,14 +157,24 @@
 		// The term counts from before the append left: the log's time of the record cannot be earlier.
 		asked := time.Now()
 		if err := s.append(ctx, Record{Group: group, Holder: s.self}); err != nil && errors.Is(err, chivelog.ErrNotAppended) {
-			return s.usable(group)
+			return s.usable(group, waits)
 		}
 		if s.read(ctx) != nil {
-			return s.usable(group)
+			return s.usable(group, waits)
 		}
 		s.note(ctx, group, asked)
 	}
-	return s.usable(group)
+	return s.usable(group, waits)
+}
+
+// allCheckFencing tells whether every endpoint of a pool refuses old fencing numbers by itself.
+func allCheckFencing(pool *chiveconfig.Pool) bool {
+	for i := range pool.Endpoints {
+		if !pool.Endpoints[i].ChecksFencing {
+			return false
+		}
+	}
+	return true
 }
 
 // note books the lease when the log says that it is this node's, and forgets it when it is another's.
@@ -182,14 +193,15 @@
 	}
 }
 
-// usable tells whether the lease has time left, and whether a predecessor's last order has had its time to end.
-func (s *Service) usable(group string) (Lease, bool) {
+// usable tells whether the lease has time left and, where endpoints ignore fencing numbers, whether a predecessor's last
+// order has had its time to end.
+func (s *Service) usable(group string, waits bool) (Lease, bool) {
 	until, owns := s.owned[group]
 	lease, ok := s.leases.Of(group)
 	if !owns || !ok || lease.Holder != s.self || time.Now().After(lastStart(until)) {
 		return Lease{}, false
 	}
-	return lease, time.Since(lease.Began) > OrderTimeout+margin
+	return lease, !waits || time.Since(lease.Began) > OrderTimeout+margin
 }
 
 // lastStart is the latest moment to start an order under a lease.
