A long answer that goes through whole is no stall

Cause: found in reading the dispatch path again. Answers with tools, logprobs or several choices go through unstreamed; the stall timer ran on while the engine, as it should, sent nothing. With a stall time of 1 s and an answer of 3 s every attempt was cut and tried elsewhere, each at the price of the whole answer.

Ruled out: the deadline, which is two minutes there.

Change: no stall timer for such answers; the deadline bounds them.

TestLongWholeAnswerIsNoStall failed before (outcome unknown after several runs), passes after (completed, one run).

--- a/chivedispatch/call.go
+++ b/chivedispatch/call.go
@@ -74,6 +74,10 @@
 	defer cancel(nil)
 	c.stall = time.AfterFunc(c.work.Class.Stall(), func() { cancel(errStalled) })
 	defer c.stall.Stop()
+	if c.work.Whole {
+		// The engine of an answer that is not streamed sends nothing until it is done; only the deadline bounds it.
+		c.stall.Stop()
+	}
 	go c.watchPreemption(ctx)
 	response, err := c.send(ctx)
 	if err != nil {
--- a/chivenode/outcome_test.go
+++ b/chivenode/outcome_test.go
@@ -269,3 +269,17 @@
 		}
 	})
 }
+
+// Symptom: answers with tools fail after a while, each time, and every try costs an engine the whole answer. Sequence: an
+// answer that goes through whole takes longer than the class's stall time. Cause: silence is no sign of a stall there,
+// since the engine sends nothing until it is done.
+func TestLongWholeAnswerIsNoStall(t *testing.T) {
+	inCluster(t, shape{nodes: 2, engines: 2, sequences: 4}, func(c *cluster) {
+		body := `{"model":"m","logprobs":true,"messages":[{"role":"user","content":"whole tokens=300"}]}`
+		r := c.do(context.Background(), call{path: "/v1/chat/completions", body: body, class: "dossier"})
+		runs := len(c.engines[0].Runs().Runs) + len(c.engines[1].Runs().Runs)
+		if r.outcome != "completed" || !strings.Contains(r.body, `"completion_tokens":300`) || runs != 1 {
+			t.Errorf("%d runs, outcome %q: %s", runs, r.outcome, r.body)
+		}
+	})
+}
