Tries that reach nobody cost no retry budget

Cause: found in reading the retry path. A try whose connection failed, or that the endpoint refused as not run, was paid for from the budget that bounds repeated work. A class without a budget (confirmations) started with three tries and never earned another: with one of two services unreachable, the seventh request was refused although a healthy replica stood beside it.

Ruled out: the quarantine (the replica was probed as it should).

Change: only a try that may have reached an endpoint costs budget.

--- a/chivedispatch/dispatcher.go
+++ b/chivedispatch/dispatcher.go
@@ -174,14 +174,15 @@
 	return true
 }
 
-// afterBreak tries another endpoint when that is safe: nothing reached the endpoint, or the request may run again.
+// afterBreak tries another endpoint when that is safe: nothing reached the endpoint, or the request may run again. The
+// budget bounds repeated work, so a try that reached nobody costs none of it.
 func (r *run) afterBreak(ctx context.Context, number int, slot *chiveschedule.Slot, c *call) bool {
 	chiveevent.RequestBroken.Log(ctx, r.d.logger, slog.String("request", r.work.ID), slog.String("endpoint", slot.Endpoint().Name),
 		slog.Any("error", c.err))
 	r.exclude = append(r.exclude, slot.Endpoint().Name)
-	safe := !c.touched.Load() || r.mayRepeat()
-	if safe && number < maxAttempts && r.d.budget.Spend(r.work.Class.Name) {
-		if c.touched.Load() {
+	touched := c.touched.Load()
+	if number < maxAttempts && (!touched || (r.mayRepeat() && r.d.budget.Spend(r.work.Class.Name))) {
+		if touched {
 			r.d.waste.addRepeat(r.work.PromptTokens)
 		}
 		return false
--- a/chivedispatch/service.go
+++ b/chivedispatch/service.go
@@ -198,7 +198,7 @@
 // next goes on elsewhere when that is safe: nothing reached the endpoint, or the request may run again.
 func (r *serviceRun) next(number int, endpoint chiveconfig.Endpoint, touched bool) bool {
 	r.exclude = append(r.exclude, endpoint.Name)
-	if (!touched || r.work.Repeatable) && number < maxTries && r.s.d.budget.Spend(r.work.Class.Name) {
+	if number < maxTries && (!touched || (r.work.Repeatable && r.s.d.budget.Spend(r.work.Class.Name))) {
 		return false
 	}
 	r.end(CodeBroken, "the endpoint broke off", time.Second)
--- a/chivenode/outcome_test.go
+++ b/chivenode/outcome_test.go
@@ -283,3 +283,18 @@
 		}
 	})
 }
+
+// Symptom: after a few failures a class without a retry budget is refused although a healthy replica stands beside the
+// dead one. Sequence: one of two services cannot be reached for a minute. Cause: tries that reached nobody were paid for
+// from the budget that bounds repeated work.
+func TestTriesThatReachNobodyCostNoBudget(t *testing.T) {
+	inCluster(t, shape{nodes: 1, engines: 1, sequences: 4}, func(c *cluster) {
+		c.lose(serviceAddress(0))
+		for i := range 60 {
+			if r := c.do(context.Background(), call{path: "/services/svc/book", class: "confirm", body: "x"}); r.outcome != "completed" {
+				t.Fatalf("request %d: %+v", i, r)
+			}
+			time.Sleep(time.Second)
+		}
+	})
+}
