One piece for goroutines of a service, one for faults that wear off, one Log

Six services began and ended their goroutines with the same lines, two stand-ins wore their faults off with the same lines, three packages named the same two calls of the log. chivekernel.Duties, chivestand's wearing and chivelog.Log serve them all now.

--- a/chiveclaim/client.go
+++ b/chiveclaim/client.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"chivedrift/chivekernel"
+
 	"chivedrift/chivemember"
 	"chivedrift/chivering"
 	"chivedrift/chiveroute"
@@ -51,8 +53,7 @@
 	mu      sync.Mutex
 	waiting map[string]chan Reply
 	finish  *chivering.Ring[Write]
-	stop    context.CancelFunc
-	done    sync.WaitGroup
+	duties  chivekernel.Duties
 }
 
 // NewClient returns the gateway's side; self names the node and its incarnation.
@@ -74,16 +75,13 @@
 
 // Start begins to write outcomes.
 func (c *Client) Start(ctx context.Context) error {
-	ctx, c.stop = context.WithCancel(ctx)
-	c.done.Add(1)
-	go c.writeOutcomes(ctx)
+	c.duties.Begin(ctx, c.writeOutcomes)
 	return nil
 }
 
 // Stop writes the outcomes that wait, as far as the log takes them, and ends.
 func (c *Client) Stop(context.Context) error {
-	c.stop()
-	c.done.Wait()
+	c.duties.End()
 	return nil
 }
 
@@ -229,7 +227,6 @@
 
 // writeOutcomes sends outcomes to the slots' writers and asks whether they arrived, a few times.
 func (c *Client) writeOutcomes(ctx context.Context) {
-	defer c.done.Done()
 	for {
 		w, ok := c.finish.Take(ctx)
 		if !ok {
--- a/chiveclaim/writer.go
+++ b/chiveclaim/writer.go
@@ -28,17 +28,9 @@
 	flushEvery   = 2 * time.Second
 )
 
-// Log is what claims need of the platform's log.
-type Log interface {
-	// Append writes one record.
-	Append(ctx context.Context, stream string, data []byte) (int64, error)
-	// Read returns records from an offset on, waiting for the first.
-	Read(ctx context.Context, stream string, from int64, wait time.Duration) (chivelog.Batch, error)
-}
-
 // Writer writes and reads the slots that gateways bring to this node, with one goroutine for each.
 type Writer struct {
-	log    Log
+	log    chivelog.Log
 	mesh   *chivewire.Mesh
 	logger *slog.Logger
 	mu     sync.Mutex
@@ -49,7 +41,7 @@
 }
 
 // NewWriter returns a writer that has no slot yet.
-func NewWriter(log Log, mesh *chivewire.Mesh, logger *slog.Logger) *Writer {
+func NewWriter(log chivelog.Log, mesh *chivewire.Mesh, logger *slog.Logger) *Writer {
 	w := &Writer{log: log, mesh: mesh, logger: logger, slots: make(map[int]*slotWriter)}
 	w.ctx, w.stop = context.WithCancel(context.Background())
 	mesh.Handle(chivewire.KindClaimWrite, func(from string, body []byte) {
--- a/chivefollow/follower.go
+++ b/chivefollow/follower.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"chivedrift/chivekernel"
+
 	"chivedrift/chiveconfig"
 	"chivedrift/chiveevent"
 	"chivedrift/chivelog"
@@ -28,14 +30,6 @@
 	unknownVersion  = -1
 )
 
-// Log is what the follower needs of the platform's log.
-type Log interface {
-	// Read returns records from an offset on, waiting for the first.
-	Read(ctx context.Context, stream string, from int64, wait time.Duration) (chivelog.Batch, error)
-	// Append writes one record.
-	Append(ctx context.Context, stream string, data []byte) (int64, error)
-}
-
 // Members is what the follower needs of the membership.
 type Members interface {
 	// Members returns every member that is not dead.
@@ -79,7 +73,7 @@
 	site      string
 	retention time.Duration
 	self      string
-	log       Log
+	log       chivelog.Log
 	mesh      *chivewire.Mesh
 	members   Members
 	logger    *slog.Logger
@@ -94,8 +88,7 @@
 	watchers []func(*InForce)
 
 	inForce atomic.Pointer[InForce]
-	stop    context.CancelFunc
-	done    sync.WaitGroup
+	duties  chivekernel.Duties
 }
 
 // Options are the parts a follower is made of.
@@ -103,7 +96,7 @@
 	Site      string
 	Self      string
 	Retention time.Duration
-	Log       Log
+	Log       chivelog.Log
 	Mesh      *chivewire.Mesh
 	Members   Members
 	Logger    *slog.Logger
@@ -136,17 +129,13 @@
 
 // Start begins to follow the log.
 func (f *Follower) Start(ctx context.Context) error {
-	ctx, f.stop = context.WithCancel(ctx)
-	f.done.Add(2)
-	go f.follow(ctx)
-	go f.tend(ctx)
+	f.duties.Begin(ctx, f.follow, f.tend)
 	return nil
 }
 
 // Stop ends both goroutines.
 func (f *Follower) Stop(context.Context) error {
-	f.stop()
-	f.done.Wait()
+	f.duties.End()
 	return nil
 }
 
@@ -174,7 +163,6 @@
 // ---------------------------------------------------------------- the log
 
 func (f *Follower) follow(ctx context.Context) {
-	defer f.done.Done()
 	for ctx.Err() == nil {
 		f.mu.Lock()
 		from := f.offset
--- a/chivefollow/peers.go
+++ b/chivefollow/peers.go
@@ -15,7 +15,6 @@
 
 // tend asks peers while the log does not answer, and keeps the record from expiring.
 func (f *Follower) tend(ctx context.Context) {
-	defer f.done.Done()
 	lastCheck := time.Now()
 	for ctx.Err() == nil {
 		sleep(ctx, askEvery)
--- /dev/null
+++ b/chivekernel/duties.go
@@ -0,0 +1,32 @@
+package chivekernel
+
+import (
+	"context"
+	"sync"
+)
+
+// Duties are the goroutines of one service, one for each duty; the zero value is ready.
+type Duties struct {
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// Begin starts a goroutine for each duty; their context ends with End or with the given one.
+func (d *Duties) Begin(ctx context.Context, duties ...func(ctx context.Context)) {
+	ctx, d.cancel = context.WithCancel(ctx)
+	for _, duty := range duties {
+		d.done.Add(1)
+		go func() {
+			defer d.done.Done()
+			duty(ctx)
+		}()
+	}
+}
+
+// End ends the duties and returns once their goroutines have; it does nothing before Begin.
+func (d *Duties) End() {
+	if d.cancel != nil {
+		d.cancel()
+	}
+	d.done.Wait()
+}
--- a/chivemember/service.go
+++ b/chivemember/service.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"chivedrift/chivekernel"
+
 	"chivedrift/chiveevent"
 	"chivedrift/chivelog"
 	"chivedrift/chivering"
@@ -44,8 +46,7 @@
 	deaths   atomic.Int64
 	watchMu  sync.Mutex
 	watchers []func([]Member)
-	stop     context.CancelFunc
-	done     sync.WaitGroup
+	duties   chivekernel.Duties
 }
 
 // An event is one input to the view: a message, a new list or the wish to leave.
@@ -139,17 +140,13 @@
 
 // Start begins probing and polling.
 func (s *Service) Start(ctx context.Context) error {
-	ctx, s.stop = context.WithCancel(ctx)
-	s.done.Add(2)
-	go s.run(ctx)
-	go s.poll(ctx)
+	s.duties.Begin(ctx, s.run, s.poll)
 	return nil
 }
 
 // Stop ends both goroutines.
 func (s *Service) Stop(context.Context) error {
-	s.stop()
-	s.done.Wait()
+	s.duties.End()
 	return nil
 }
 
@@ -164,7 +161,6 @@
 }
 
 func (s *Service) run(ctx context.Context) {
-	defer s.done.Done()
 	tick := time.NewTicker(TickEvery)
 	defer tick.Stop()
 	for {
@@ -245,7 +241,6 @@
 }
 
 func (s *Service) poll(ctx context.Context) {
-	defer s.done.Done()
 	failing := false
 	for {
 		pause, err := s.pollOnce(ctx)
--- a/chiveorder/service.go
+++ b/chiveorder/service.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"chivedrift/chivekernel"
+
 	"chivedrift/chiveconfig"
 	"chivedrift/chiveevent"
 	"chivedrift/chivelog"
@@ -27,20 +29,12 @@
 	verbLoad   = "load"
 )
 
-// Log is what leases need of the platform's log.
-type Log interface {
-	// Append writes one record.
-	Append(ctx context.Context, stream string, data []byte) (int64, error)
-	// Read returns records from an offset on, waiting for the first.
-	Read(ctx context.Context, stream string, from int64, wait time.Duration) (chivelog.Batch, error)
-}
-
 // Service holds the leases of the pools that rendezvous hashing gives this node, and orders what the configuration asks for.
 type Service struct {
 	self    string
 	address string
 	network chivewire.Network
-	log     Log
+	log     chivelog.Log
 	logger  *slog.Logger
 	config  atomic.Pointer[chiveconfig.Config]
 	members atomic.Pointer[[]chivemember.Member]
@@ -51,12 +45,11 @@
 	offset int64
 	owned  map[string]time.Time
 	sent   int64
-	stop   context.CancelFunc
-	done   sync.WaitGroup
+	duties chivekernel.Duties
 }
 
 // NewService returns the orders of a node; self names the node and its incarnation, address is its peer address.
-func NewService(self, address string, network chivewire.Network, log Log, logger *slog.Logger) *Service {
+func NewService(self, address string, network chivewire.Network, log chivelog.Log, logger *slog.Logger) *Service {
 	s := &Service{
 		self: self, address: address, network: network, log: log, logger: logger, leases: NewLeases(), owned: make(map[string]time.Time),
 		loads: rate.NewLimiter(rate.Every(loadEvery), 1),
@@ -73,16 +66,13 @@
 
 // Start begins to look after the leases.
 func (s *Service) Start(ctx context.Context) error {
-	ctx, s.stop = context.WithCancel(ctx)
-	s.done.Add(1)
-	go s.run(ctx)
+	s.duties.Begin(ctx, s.run)
 	return nil
 }
 
 // Stop gives the leases back.
 func (s *Service) Stop(ctx context.Context) error {
-	s.stop()
-	s.done.Wait()
+	s.duties.End()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for group := range s.owned {
@@ -112,7 +102,6 @@
 }
 
 func (s *Service) run(ctx context.Context) {
-	defer s.done.Done()
 	tick := time.NewTicker(roundEvery)
 	defer tick.Stop()
 	for {
--- a/chiveschedule/client.go
+++ b/chiveschedule/client.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"chivedrift/chivekernel"
+
 	"chivedrift/chiveconfig"
 	"chivedrift/chivemember"
 	"chivedrift/chiveroute"
@@ -62,8 +64,7 @@
 	placed   map[string]string
 	local    map[string]int
 
-	stop context.CancelFunc
-	done sync.WaitGroup
+	duties chivekernel.Duties
 }
 
 // shardTable is the configuration's shards, by pool and by name.
@@ -110,16 +111,13 @@
 
 // Start begins to look after requests without an answer.
 func (c *Client) Start(ctx context.Context) error {
-	ctx, c.stop = context.WithCancel(ctx)
-	c.done.Add(1)
-	go c.run(ctx)
+	c.duties.Begin(ctx, c.run)
 	return nil
 }
 
 // Stop ends the goroutine.
 func (c *Client) Stop(context.Context) error {
-	c.stop()
-	c.done.Wait()
+	c.duties.End()
 	return nil
 }
 
--- a/chiveschedule/client_care.go
+++ b/chiveschedule/client_care.go
@@ -10,7 +10,6 @@
 )
 
 func (c *Client) run(ctx context.Context) {
-	defer c.done.Done()
 	tick := time.NewTicker(tendEvery)
 	defer tick.Stop()
 	for {
--- a/chiveschedule/keeper.go
+++ b/chiveschedule/keeper.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"log/slog"
-	"sync"
 	"time"
 
+	"chivedrift/chivekernel"
+
 	"chivedrift/chiveconfig"
 	"chivedrift/chiveevent"
 	"chivedrift/chivemember"
@@ -34,8 +35,7 @@
 	plans       map[string]*Plan
 	addresses   map[string][]string
 	gateways    map[string]bool
-	stop        context.CancelFunc
-	done        sync.WaitGroup
+	duties      chivekernel.Duties
 }
 
 type kept struct {
@@ -93,16 +93,13 @@
 
 // Start begins to schedule.
 func (k *Keeper) Start(ctx context.Context) error {
-	ctx, k.stop = context.WithCancel(ctx)
-	k.done.Add(1)
-	go k.run(ctx)
+	k.duties.Begin(ctx, k.run)
 	return nil
 }
 
 // Stop ends the goroutine.
 func (k *Keeper) Stop(context.Context) error {
-	k.stop()
-	k.done.Wait()
+	k.duties.End()
 	return nil
 }
 
@@ -196,7 +193,6 @@
 }
 
 func (k *Keeper) run(ctx context.Context) {
-	defer k.done.Done()
 	tick := time.NewTicker(keeperTick)
 	defer tick.Stop()
 	for {
--- a/chivestand/engine.go
+++ b/chivestand/engine.go
@@ -41,7 +41,7 @@
 	mu       sync.Mutex
 	model    string
 	speed    EngineSpeed
-	faults   EngineFaults
+	faults   wearing[EngineFaults]
 	waiting  []*sequence
 	running  []*sequence
 	prefixes []uint64
@@ -91,9 +91,7 @@
 
 // SetFaults replaces the faults in force.
 func (e *Engine) SetFaults(faults EngineFaults) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.faults = faults
+	e.faults.set(faults, faults.Times)
 }
 
 // Refused returns how many requests the engine refused.
@@ -122,8 +120,8 @@
 		e.mu.Lock()
 		e.admit()
 		pause := e.speed.Step
-		if e.faults.SlowFactor > 1 {
-			pause = time.Duration(float64(pause) * e.faults.SlowFactor)
+		if slow := e.faults.now().SlowFactor; slow > 1 {
+			pause = time.Duration(float64(pause) * slow)
 		}
 		idle := len(e.running) == 0
 		e.mu.Unlock()
--- a/chivestand/engine_protocol.go
+++ b/chivestand/engine_protocol.go
@@ -46,7 +46,7 @@
 	if !readJSON(w, r, &request) {
 		return
 	}
-	faults := e.takeFaults()
+	faults := e.faults.take()
 	if faults.Refuse || faults.Leaving {
 		e.mu.Lock()
 		e.refused++
@@ -74,20 +74,6 @@
 // NotRunHeader is set by an endpoint that proves with its refusal that nothing ran.
 const NotRunHeader = "Endpoint-Not-Run"
 
-// takeFaults returns the faults for one request; faults with a number of times wear off.
-func (e *Engine) takeFaults() EngineFaults {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	faults := e.faults
-	if e.faults.Times > 0 {
-		e.faults.Times--
-		if e.faults.Times == 0 {
-			e.faults = EngineFaults{}
-		}
-	}
-	return faults
-}
-
 func newSequence(request engineRequest, gone <-chan struct{}) *sequence {
 	prompt := string(request.Messages) + string(request.Prompt)
 	length := outputLength(prompt)
@@ -195,8 +181,8 @@
 func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	now := time.Now()
-	e.reports = append(e.reports, EngineLoad{At: now, Running: len(e.running), Waiting: len(e.waiting), Leaving: e.faults.Leaving})
-	visible := now.Add(-time.Duration(e.faults.LoadLagMs) * time.Millisecond)
+	e.reports = append(e.reports, EngineLoad{At: now, Running: len(e.running), Waiting: len(e.waiting), Leaving: e.faults.now().Leaving})
+	visible := now.Add(-time.Duration(e.faults.now().LoadLagMs) * time.Millisecond)
 	report := e.reports[0]
 	for len(e.reports) > 1 && !e.reports[1].At.After(visible) {
 		e.reports = e.reports[1:]
--- a/chivestand/service.go
+++ b/chivestand/service.go
@@ -22,7 +22,7 @@
 type Service struct {
 	mu     sync.Mutex
 	name   string
-	faults ServiceFaults
+	faults wearing[ServiceFaults]
 	runs   map[string]int
 	keys   map[string]int
 	refuse int
@@ -41,9 +41,7 @@
 
 // SetFaults replaces the faults in force.
 func (s *Service) SetFaults(faults ServiceFaults) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = faults
+	s.faults.set(faults, faults.Times)
 }
 
 // Refused returns how many requests the service refused.
@@ -83,7 +81,7 @@
 }
 
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
-	faults := s.takeFaults()
+	faults := s.faults.take()
 	if faults.Refuse {
 		s.mu.Lock()
 		s.refuse++
@@ -111,19 +109,6 @@
 	fmt.Fprintf(w, "%s %s %s %d bytes", s.name, r.Method, r.URL.Path, len(body))
 }
 
-func (s *Service) takeFaults() ServiceFaults {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	faults := s.faults
-	if s.faults.Times > 0 {
-		s.faults.Times--
-		if s.faults.Times == 0 {
-			s.faults = ServiceFaults{}
-		}
-	}
-	return faults
-}
-
 func (s *Service) count(r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
