--- a/chivecapacity/capacity_test.go
+++ b/chivecapacity/capacity_test.go
@@ -293,7 +293,7 @@
 		keys = append(keys, chiveroute.NewKey(s.ID(), s.Region()))
 	}
 	for slot := range chiveclaim.Slots {
-		slots = append(slots, chiveroute.NewKey(chiveclaim.StreamOf(slot), member(0).Region))
+		slots = append(slots, chiveroute.NewKey(chiveclaim.StreamOf(slot), ""))
 	}
 	return placement{Shards: len(keys), Busiest: busiest(keys, members), Slots: busiest(slots, members)}
 }
--- a/chiveclaim/client.go
+++ b/chiveclaim/client.go
@@ -47,7 +47,6 @@
 // Client claims keys for this gateway's requests.
 type Client struct {
 	self    string
-	region  string
 	mesh    *chivewire.Mesh
 	places  atomic.Pointer[chiveroute.Placement]
 	mu      sync.Mutex
@@ -57,18 +56,21 @@
 }
 
 // NewClient returns the gateway's side; self names the node and its incarnation.
-func NewClient(self, region string, mesh *chivewire.Mesh) *Client {
-	c := &Client{self: self, region: region, mesh: mesh, waiting: make(map[string]chan Reply), finish: chivering.New[Write](finishRing)}
+func NewClient(self string, mesh *chivewire.Mesh) *Client {
+	c := &Client{self: self, mesh: mesh, waiting: make(map[string]chan Reply), finish: chivering.New[Write](finishRing)}
 	c.SetMembers(nil)
 	mesh.Handle(chivewire.KindClaimResult, c.onReply)
 	return c
 }
 
+// anyRegion places a slot's writer once in the fleet: with one in each region the fleet's appends would double.
+const anyRegion = ""
+
 // SetMembers takes a change of the fleet.
 func (c *Client) SetMembers(members []chivemember.Member) {
 	keys := make([]chiveroute.Key, 0, Slots)
 	for slot := range Slots {
-		keys = append(keys, chiveroute.NewKey(StreamOf(slot), c.region))
+		keys = append(keys, chiveroute.NewKey(StreamOf(slot), anyRegion))
 	}
 	c.places.Store(chiveroute.NewPlacement(keys, members))
 }
--- a/chivenode/node.go
+++ b/chivenode/node.go
@@ -73,7 +73,7 @@
 	})
 	keeper := chiveschedule.NewKeeper(n.mesh, n.logger)
 	slots := chiveschedule.NewClient(s.Region, n.mesh, n.logger)
-	claims := chiveclaim.NewClient(fmt.Sprintf("%s/%d", s.Name, incarnation), s.Region, n.mesh)
+	claims := chiveclaim.NewClient(fmt.Sprintf("%s/%d", s.Name, incarnation), n.mesh)
 	writer := chiveclaim.NewWriter(log, n.mesh, n.logger)
 	quota := chivequota.NewService(n.mesh)
 	dispatcher := chivedispatch.New(s.Listen.Callers, network, slots, n.members, n.logger)
