Services hear of changes by what they offer, found through the kernel

The node named each service that hears of a configuration or of members by hand, while its comment said that they find each other; one forgotten line would have left a service without news. chivekernel.Offering returns every registered service that offers an interface, in order of start. Behaviour unchanged; the tests of node, kernel, commands and processes pass.

--- a/chivekernel/kernel.go
+++ b/chivekernel/kernel.go
@@ -62,6 +62,19 @@
 	return typed, nil
 }
 
+// Offering returns the services that offer an interface, in the order of registration.
+func Offering[T any](k *Kernel) []T {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	var offering []T
+	for _, name := range k.names {
+		if typed, ok := k.services[name].(T); ok {
+			offering = append(offering, typed)
+		}
+	}
+	return offering
+}
+
 // Start starts every service in order; when one fails, those already started are stopped again.
 func (k *Kernel) Start(ctx context.Context) error {
 	ctx, k.cancel = context.WithCancel(ctx)
--- a/chivenode/node.go
+++ b/chivenode/node.go
@@ -10,6 +10,7 @@
 
 	"chivedrift/chiveadmin"
 	"chivedrift/chiveclaim"
+	"chivedrift/chiveconfig"
 	"chivedrift/chivedispatch"
 	"chivedrift/chiveevent"
 	"chivedrift/chivefollow"
@@ -56,28 +57,23 @@
 	return n, nil
 }
 
-// assemble registers the services in the order they start; each finds by name what it needs.
+// assemble makes the services, registers them in the order they start and connects those that follow changes.
 func (n *Node) assemble(network chivewire.Network) error {
 	s := n.settings
 	incarnation := time.Now().UnixMilli()
+	identity := fmt.Sprintf("%s/%d", s.Name, incarnation)
+	log := newLogService(s, network)
 	metrics := chivemetric.New()
 	n.mesh = chivewire.NewMesh(s.Listen.Peers, network)
-	log := newLogService(s, network)
-	self := chivemember.Member{
-		Name: s.Name, Address: s.Listen.Peers, AdminAddress: s.Listen.Admin, Region: s.Region, FailureDomain: s.FailureDomain, Incarnation: incarnation,
-	}
-	n.members = chivemember.NewService(self, n.mesh, log, n.logger)
+	n.members = chivemember.NewService(n.self(incarnation), n.mesh, log, n.logger)
 	n.follower = chivefollow.New(chivefollow.Options{
 		Site: s.Site, Self: s.Name, Retention: time.Duration(s.Platform.LogRetentionS) * time.Second,
 		Log: log, Mesh: n.mesh, Members: n.members, Logger: n.logger,
 	})
-	keeper := chiveschedule.NewKeeper(n.mesh, n.logger)
 	slots := chiveschedule.NewClient(s.Region, n.mesh, n.logger)
-	claims := chiveclaim.NewClient(fmt.Sprintf("%s/%d", s.Name, incarnation), n.mesh)
-	writer := chiveclaim.NewWriter(log, n.mesh, n.logger)
+	claims := chiveclaim.NewClient(identity, n.mesh)
 	quota := chivequota.NewService(n.mesh)
 	dispatcher := chivedispatch.New(s.Listen.Callers, network, slots, n.members, n.logger)
-	orders := chiveorder.NewService(fmt.Sprintf("%s/%d", s.Name, incarnation), s.Listen.Peers, network, log, n.logger)
 	services := chivedispatch.NewServices(dispatcher, s.Region)
 	n.gate = chivegate.New(chivegate.Options{
 		Node: s.Name, Address: s.Listen.Callers, Network: network, Models: dispatcher, Services: services, Claims: claims, Quota: quota,
@@ -86,41 +82,70 @@
 	n.admin = chiveadmin.New(chiveadmin.Options{
 		Address: s.Listen.Admin, Network: network, Metrics: metrics.Handler(), State: n.kernel.Dump, Ready: n.ready, Explain: n.gate.Explain,
 	})
-	n.follower.OnChange(func(f *chivefollow.InForce) {
-		keeper.SetConfig(f.Config())
-		slots.SetConfig(f.Config())
-		services.SetConfig(f.Config())
-		orders.SetConfig(f.Config())
-		n.gate.SetConfig(f.Config())
-	})
-	n.members.OnChange(func(members []chivemember.Member) {
-		keeper.SetMembers(members)
-		slots.SetMembers(members)
-		claims.SetMembers(members)
-		quota.SetMembers(members)
-		orders.SetMembers(members)
-		leaving := n.members.LeavingEndpoints()
-		keeper.SetLeaving(leaving)
-		services.SetLeaving(leaving)
-	})
-	return n.register([]named{
+	err := n.register([]named{
 		{processName, newProcess()},
 		{metricsName, metrics},
 		{logName, log},
 		{wireName, n.mesh},
 		{chivemember.ServiceName, n.members},
 		{chivefollow.ServiceName, n.follower},
-		{chiveschedule.KeeperName, keeper},
+		{chiveschedule.KeeperName, chiveschedule.NewKeeper(n.mesh, n.logger)},
 		{chiveschedule.ClientName, slots},
-		{chiveclaim.WriterName, writer},
+		{chiveclaim.WriterName, chiveclaim.NewWriter(log, n.mesh, n.logger)},
 		{chiveclaim.ClientName, claims},
 		{chivequota.ServiceName, quota},
-		{chiveorder.ServiceName, orders},
+		{chiveorder.ServiceName, chiveorder.NewService(identity, s.Listen.Peers, network, log, n.logger)},
 		{chivedispatch.ServiceName, dispatcher},
 		{servicesName, services},
 		{chiveadmin.ServiceName, n.admin},
 		{chivegate.ServiceName, n.gate},
 	})
+	n.connect()
+	return err
+}
+
+// self is this node as the others come to know it.
+func (n *Node) self(incarnation int64) chivemember.Member {
+	s := n.settings
+	return chivemember.Member{
+		Name: s.Name, Address: s.Listen.Peers, AdminAddress: s.Listen.Admin, Region: s.Region, FailureDomain: s.FailureDomain, Incarnation: incarnation,
+	}
+}
+
+// configListener is a service that takes each configuration that comes into force.
+type configListener interface {
+	SetConfig(config *chiveconfig.Config)
+}
+
+// memberListener is a service that takes each change of the fleet.
+type memberListener interface {
+	SetMembers(members []chivemember.Member)
+}
+
+// leavingListener is a service that takes the addresses of endpoints that take no new work.
+type leavingListener interface {
+	SetLeaving(addresses []string)
+}
+
+// connect tells changes to every registered service that listens to them, in the order they start.
+func (n *Node) connect() {
+	configListeners := chivekernel.Offering[configListener](n.kernel)
+	memberListeners := chivekernel.Offering[memberListener](n.kernel)
+	leavingListeners := chivekernel.Offering[leavingListener](n.kernel)
+	n.follower.OnChange(func(f *chivefollow.InForce) {
+		for _, l := range configListeners {
+			l.SetConfig(f.Config())
+		}
+	})
+	n.members.OnChange(func(members []chivemember.Member) {
+		for _, l := range memberListeners {
+			l.SetMembers(members)
+		}
+		leaving := n.members.LeavingEndpoints()
+		for _, l := range leavingListeners {
+			l.SetLeaving(leaving)
+		}
+	})
 }
 
 type named struct {
