Adapters and roles as orders, the cost of control in /metrics, domains in the mix

Change: a pool's version, adapters and role become orders in that sequence, adapters again after a new version; an account service writes the figures to /metrics; the mix loses a domain's nodes and engines together.

Measured: the node, order and configuration tests pass; the engine carried out load v1, two adapters, the role, load v2 and the adapters again, nothing twice.

--- a/chiveconfig/config.go
+++ b/chiveconfig/config.go
@@ -42,12 +42,15 @@
 	TokensPerSecond int64    `yaml:"tokens_per_second" validate:"min=0"`
 }
 
-// Pool is a set of endpoints that serve one model, or one plain service; a version makes the router order each to load it.
+// Pool is a set of endpoints that serve one model, or one plain service; version, adapters and role are what
+// the router orders each of them to load or to be.
 type Pool struct {
 	Name         string     `yaml:"name" validate:"required"`
 	Kind         string     `yaml:"kind" validate:"required,oneof=model service"`
 	DefaultClass string     `yaml:"default_class" validate:"required"`
 	Version      string     `yaml:"version" validate:"max=256"`
+	Adapters     []string   `yaml:"adapters" validate:"max=64,dive,min=1,max=256"`
+	Role         string     `yaml:"role" validate:"max=64"`
 	Endpoints    []Endpoint `yaml:"endpoints" validate:"required,min=1,dive"`
 }
 
--- /dev/null
+++ b/chivenode/account.go
@@ -0,0 +1,76 @@
+package chivenode
+
+import (
+	"context"
+	"time"
+
+	"chivedrift/chivekernel"
+	"chivedrift/chivewire"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// accountName is the name under which the node's own cost registers.
+const accountName = "account"
+
+const accountEvery = 5 * time.Second
+
+// account shows what the node spends on control in /metrics: messages and bytes by kind, processor time and memory.
+type account struct {
+	scope   tally.Scope
+	mesh    *chivewire.Mesh
+	process *process
+	duties  chivekernel.Duties
+}
+
+func newAccount(scope tally.Scope, mesh *chivewire.Mesh, process *process) *account {
+	return &account{scope: scope, mesh: mesh, process: process}
+}
+
+// Start begins to report.
+func (a *account) Start(ctx context.Context) error {
+	a.duties.Begin(ctx, a.run)
+	return nil
+}
+
+// Stop ends the reporting.
+func (a *account) Stop(context.Context) error {
+	a.duties.End()
+	return nil
+}
+
+// Dump returns nothing: the wire and the process dump the same figures.
+func (a *account) Dump() any { return nil }
+
+func (a *account) run(ctx context.Context) {
+	tick := time.NewTicker(accountEvery)
+	defer tick.Stop()
+	for {
+		a.report()
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (a *account) report() {
+	sent, received := a.mesh.Traffic()
+	a.reportTraffic("sent", sent)
+	a.reportTraffic("received", received)
+	state := a.process.state()
+	process := a.scope.SubScope("process")
+	process.Gauge("cpu_seconds").Update(float64(state.CPUUs) / float64(time.Second/time.Microsecond))
+	process.Gauge("heap_bytes").Update(float64(state.HeapBytes))
+	process.Gauge("total_bytes").Update(float64(state.TotalBytes))
+	process.Gauge("goroutines").Update(float64(state.Goroutines))
+}
+
+func (a *account) reportTraffic(direction string, traffic map[string]chivewire.Traffic) {
+	for kind, n := range traffic {
+		scope := a.scope.SubScope("wire").Tagged(map[string]string{"kind": kind, "direction": direction})
+		scope.Gauge("messages").Update(float64(n.Messages))
+		scope.Gauge("bytes").Update(float64(n.Bytes))
+	}
+}
--- a/chivenode/chaos_test.go
+++ b/chivenode/chaos_test.go
@@ -141,7 +141,7 @@
 	node := x.random.IntN(chaosNodes)
 	service := c.services[x.random.IntN(len(c.services))]
 	engine := c.engines[x.random.IntN(len(c.engines))]
-	switch x.random.IntN(12) {
+	switch x.random.IntN(13) {
 	case 0:
 		c.log.SetFaults(chivestand.LogFaults{Down: true})
 	case 1:
@@ -166,6 +166,8 @@
 	case 10:
 		c.lose(callersAddress(node))
 		return func() { c.find(callersAddress(node)) }
+	case 12:
+		return x.loseDomain(domain(x.random.IntN(3)))
 	case 11:
 		c.network.Silence(func(from, to string) bool {
 			return host(from) == host(callersAddress(node)) || host(to) == host(callersAddress(node))
@@ -178,6 +180,23 @@
 	}
 }
 
+// loseDomain takes a failure domain off the network: its nodes, schedulers and claim writers among them, and its engines.
+func (x *chaos) loseDomain(name string) (heal func()) {
+	var lost []string
+	for i := range chaosNodes {
+		if domain(i) == name {
+			lost = append(lost, peerAddress(i))
+		}
+	}
+	for i := range x.c.engines {
+		if domain(i) == name {
+			lost = append(lost, engineAddress(i))
+		}
+	}
+	x.c.lose(lost...)
+	return func() { x.c.find(lost...) }
+}
+
 // check compares every word with what the stand-ins counted.
 func (x *chaos) check(t *testing.T) map[string]int {
 	t.Helper()
--- a/chivenode/node.go
+++ b/chivenode/node.go
@@ -82,11 +82,13 @@
 	n.admin = chiveadmin.New(chiveadmin.Options{
 		Address: s.Listen.Admin, Network: network, Metrics: metrics.Handler(), State: n.kernel.Dump, Ready: n.ready, Explain: n.gate.Explain,
 	})
+	process := newProcess()
 	err := n.register([]named{
-		{processName, newProcess()},
+		{processName, process},
 		{metricsName, metrics},
 		{logName, log},
 		{wireName, n.mesh},
+		{accountName, newAccount(metrics.Scope(), n.mesh, process)},
 		{chivemember.ServiceName, n.members},
 		{chivefollow.ServiceName, n.follower},
 		{chiveschedule.KeeperName, chiveschedule.NewKeeper(n.mesh, n.logger)},
--- a/chivenode/node_test.go
+++ b/chivenode/node_test.go
@@ -3,12 +3,41 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"chivedrift/chivegate"
 )
 
+// TestMetricsTellTheCostOfControl holds that an operator can see what a node spends, by kind of message, without other tools.
+func TestMetricsTellTheCostOfControl(t *testing.T) {
+	inCluster(t, shape{nodes: 2, engines: 1, sequences: 4}, func(c *cluster) {
+		c.stream(0, "nudge", "x tokens=3")
+		c.stream(1, "nudge", "x tokens=3")
+		time.Sleep(10 * time.Second)
+		response, err := c.caller.Get("http://" + adminAddress(0) + "/metrics")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer response.Body.Close()
+		text, err := io.ReadAll(response.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, want := range []string{
+			`chivedrift_wire_bytes{direction="sent",kind="probe"}`, `chivedrift_wire_messages{direction="received",kind="ack"}`,
+			"chivedrift_process_cpu_seconds", "chivedrift_process_heap_bytes", `chivedrift_requests{class="nudge",outcome="completed"} 1`,
+		} {
+			if !strings.Contains(string(text), want) {
+				t.Errorf("no %s in /metrics:\n%s", want, text)
+			}
+		}
+	})
+}
+
 func TestEveryNodeServesEveryPath(t *testing.T) {
 	inCluster(t, shape{nodes: 3, engines: 2, sequences: 4}, func(c *cluster) {
 		for node := range c.nodes {
--- a/chivenode/order_test.go
+++ b/chivenode/order_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -65,6 +66,29 @@
 	})
 }
 
+// Symptom: adapters are missing after a new version, or a role is given before there is something to play it with.
+func TestAdaptersAndRoleFollowTheVersion(t *testing.T) {
+	inCluster(t, shape{nodes: 3, engines: 1, sequences: 4}, func(c *cluster) {
+		publish := func(parent int64, version string) {
+			bundle := bundleFor(shape{engines: 1, sequences: 4})
+			bundle.Base = replaceOnce(bundle.Base, "default_class: nudge\n", "default_class: nudge\n    version: "+version+"\n    adapters: [house, trips]\n    role: decode\n")
+			c.append(chiveconfig.Record{ID: version, Kind: chiveconfig.KindPublish, Parent: parent, Author: "test", Bundle: bundle})
+		}
+		publish(1, "v1")
+		time.Sleep(time.Minute)
+		publish(2, "v2")
+		time.Sleep(time.Minute)
+		var given []string
+		for _, o := range c.engines[0].Orders() {
+			given = append(given, o.Verb+" "+o.Target)
+		}
+		want := []string{"load v1", "adapter house", "adapter trips", "role decode", "load v2", "adapter house", "adapter trips"}
+		if !slices.Equal(given, want) {
+			t.Errorf("orders %v, expected %v", given, want)
+		}
+	})
+}
+
 func (c *cluster) leaseHolder() int {
 	for i := range c.nodes {
 		dump := lookup[*chiveorder.Service](c, i, chiveorder.ServiceName).Dump()
--- a/chivenode/process.go
+++ b/chivenode/process.go
@@ -37,7 +37,9 @@
 func (p *process) Stop(context.Context) error { return nil }
 
 // Dump returns the figures of now.
-func (p *process) Dump() any {
+func (p *process) Dump() any { return p.state() }
+
+func (p *process) state() ProcessState {
 	samples := []metrics.Sample{
 		{Name: "/memory/classes/heap/objects:bytes"},
 		{Name: "/memory/classes/total:bytes"},
--- a/chiveorder/service.go
+++ b/chiveorder/service.go
@@ -26,7 +26,6 @@
 const (
 	roundEvery = time.Second
 	loadEvery  = 5 * time.Second
-	verbLoad   = "load"
 )
 
 // Service holds the leases of the pools that rendezvous hashing gives this node, and orders what the configuration asks for.
@@ -122,7 +121,7 @@
 	}
 	for i := range config.Pools {
 		pool := &config.Pools[i]
-		if pool.Version == "" || !s.first(pool.Name) {
+		if len(wanted(pool)) == 0 || !s.first(pool.Name) {
 			continue
 		}
 		if lease, ok := s.hold(ctx, pool); ok {
@@ -224,21 +223,25 @@
 	}
 }
 
-// reconcile orders each endpoint that does not run the pool's version yet, spaced so that the weight store keeps up.
+// reconcile gives each endpoint the first order it lacks, those that fetch weights spaced so that the weight store keeps up.
 func (s *Service) reconcile(ctx context.Context, pool *chiveconfig.Pool, lease Lease) {
 	for i := range pool.Endpoints {
 		e := &pool.Endpoints[i]
 		done, err := readState(ctx, s.network, s.address, e.Address)
-		if err != nil || loaded(done) == pool.Version {
+		if err != nil {
+			continue
+		}
+		order, missing := firstMissing(wanted(pool), done)
+		if !missing {
 			continue
 		}
-		if !s.loads.Allow() {
+		if order.fetches() && !s.loads.Allow() {
 			return
 		}
 		s.mu.Lock()
 		latest := lastStart(s.owned[pool.Name])
 		s.mu.Unlock()
-		order := Order{Verb: verbLoad, Target: pool.Version, Fencing: lease.Fencing}
+		order.Fencing = lease.Fencing
 		if err := Send(ctx, s.network, s.address, e.Address, order, latest); err != nil {
 			chiveevent.OrderRefused.Log(ctx, s.logger, slog.String("endpoint", e.Name), slog.String("error", err.Error()))
 			continue
@@ -248,12 +251,3 @@
 		s.mu.Unlock()
 	}
 }
-
-func loaded(done []Order) string {
-	for i := len(done) - 1; i >= 0; i-- {
-		if done[i].Verb == verbLoad {
-			return done[i].Target
-		}
-	}
-	return ""
-}
