A sender that stops half-way no longer holds a request for ever

Cause: TestSlowAndLyingSendersAreCutOff hung. After the 30 s for a body the gate answered 400 and lifted the read deadline; net/http then reads what is left of a body before it sends the answer, without a deadline, from a sender that had stopped. The answer never left, the request stayed in flight, and a planned stop would have waited for it for ever.

Ruled out: the in-memory network (the goroutine waited in the server's read of the body), the header timeout (half a header is cut off after 5 s).

Change: after a body that failed the deadline stays and the connection closes.

--- a/chivegate/gate.go
+++ b/chivegate/gate.go
@@ -260,18 +260,21 @@
 	// Not every writer has deadlines; the header timeout and the size limit hold all the same.
 	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = controller.SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = controller.SetReadDeadline(time.Time{})
+		return body, nil
+	}
+	// The deadline stays: net/http reads what is left of a body before it sends the answer, and with the deadline lifted
+	// a sender that had stopped would hold the request, its place and a planned stop for ever.
+	w.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
+	if errors.As(err, &tooLarge) {
 		return nil, &failure{
 			status: http.StatusRequestEntityTooLarge, kind: kindInvalid, code: "body_too_large",
 			message: fmt.Sprintf("the body is larger than %d bytes", limit), outcome: chivedispatch.NotRun,
 		}
-	case err != nil:
-		return nil, invalid("incomplete_body", "the body ended early or came too slowly")
 	}
-	return body, nil
+	return nil, invalid("incomplete_body", "the body ended early or came too slowly")
 }
 
 // bound sets the deadline: the class's, or the caller's when that is earlier.
