--- a/chivenode/cluster_test.go
+++ b/chivenode/cluster_test.go
@@ -36,6 +36,7 @@
 // cluster is a whole system on an in-memory network and the bubble's clock.
 type cluster struct {
 	t        *testing.T
+	shape    shape
 	network  *chivestand.Network
 	log      *chivestand.Log
 	engines  []*chivestand.Engine
@@ -57,6 +58,15 @@
 	engines   int
 	sequences int
 	policy    string
+	regions   int
+}
+
+// region returns the region of a node or an engine; without a number of regions there is one.
+func (s shape) region(i int) string {
+	if s.regions < 2 {
+		return "r"
+	}
+	return fmt.Sprintf("r%d", i%s.regions)
 }
 
 func inCluster(t *testing.T, s shape, test func(c *cluster)) {
@@ -70,7 +80,7 @@
 
 func newCluster(t *testing.T, s shape) *cluster {
 	t.Helper()
-	c := &cluster{t: t, network: chivestand.NewNetwork(), log: chivestand.NewLog(), dead: make(map[string]bool)}
+	c := &cluster{t: t, shape: s, network: chivestand.NewNetwork(), log: chivestand.NewLog(), dead: make(map[string]bool)}
 	c.network.Block(c.blocks)
 	c.dial = &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 		return c.network.Dial(ctx, callerName, address)
@@ -90,7 +100,7 @@
 	c.publish(0, bundleFor(s))
 	for i := range s.nodes {
 		c.vms = append(c.vms, chivelog.VM{
-			Name: nodeName(i), Address: peerAddress(i), AdminAddress: adminAddress(i), Region: "r", FailureDomain: domain(i),
+			Name: nodeName(i), Address: peerAddress(i), AdminAddress: adminAddress(i), Region: s.region(i), FailureDomain: domain(i),
 			Kind: chivelog.KindEntry, State: chivelog.StateLive,
 		})
 	}
@@ -125,7 +135,7 @@
 
 func (c *cluster) settings(i int) chivesettings.Settings {
 	return chivesettings.Settings{
-		Name: nodeName(i), Site: "here", Region: "r", FailureDomain: domain(i),
+		Name: nodeName(i), Site: "here", Region: c.shape.region(i), FailureDomain: domain(i),
 		Listen:   chivesettings.Listen{Callers: callersAddress(i), Admin: adminAddress(i), Peers: peerAddress(i)},
 		Platform: chivesettings.Platform{Log: logAddress, VMList: logAddress, LogRetentionS: 3600},
 	}
@@ -241,7 +251,7 @@
 func bundleFor(s shape) chiveconfig.Bundle {
 	base := fmt.Sprintf(testBase, testDigest, s.policy)
 	for i := range s.engines {
-		base += fmt.Sprintf("      - {name: e%d, address: %q, region: r, failure_domain: %s, capacity_tokens: 20000, sequences: %d}\n", i, engineAddress(i), domain(i), s.sequences)
+		base += fmt.Sprintf("      - {name: e%d, address: %q, region: %s, failure_domain: %s, capacity_tokens: 20000, sequences: %d}\n", i, engineAddress(i), s.region(i), domain(i), s.sequences)
 	}
 	return chiveconfig.Bundle{Base: base, Overlays: []chiveconfig.Overlay{{Site: "here", Text: "{}\n"}}}
 }
--- a/chivenode/fleet_test.go
+++ b/chivenode/fleet_test.go
@@ -164,7 +164,7 @@
 // ---------------------------------------------------------------- configuration
 
 func (c *cluster) record(id string, parent int64, change string) chiveconfig.Record {
-	bundle := bundleFor(shape{engines: len(c.engines), sequences: 4})
+	bundle := bundleFor(shape{engines: len(c.engines), sequences: 4, regions: c.shape.regions})
 	bundle.Base += "# " + change + "\n"
 	return chiveconfig.Record{ID: id, Kind: chiveconfig.KindPublish, Parent: parent, Author: id, Bundle: bundle}
 }
@@ -312,6 +312,43 @@
 	})
 }
 
+// Symptom: a region that is cut off stops, or comes back with an old configuration. Sequence: two regions lose each other
+// for ten minutes, the log is on one side, a change is published there, the cut heals. Cause: a region needed the other
+// one's scheduler, or the side without the log judged by itself.
+func TestRegionsLoseEachOther(t *testing.T) {
+	inCluster(t, shape{nodes: 6, engines: 4, sequences: 4, regions: 2}, func(c *cluster) {
+		defer c.watchVersions(context.Background())()
+		apart := map[string]bool{}
+		for i := 1; i < 6; i += 2 {
+			apart[host(peerAddress(i))] = true
+		}
+		for i := 1; i < 4; i += 2 {
+			apart[host(engineAddress(i))] = true
+		}
+		c.partition(func(from, to string) bool {
+			return apart[host(from)] != apart[host(to)] && host(from) != host(callerName) && host(to) != host(callerName)
+		})
+		c.append(c.record("during", 1, "during"))
+		c.await(10*time.Second, "each side alone", func() bool { return c.members(0) == 3 && c.members(1) == 3 })
+		for minute := range 10 {
+			for node := range c.nodes {
+				prompt := fmt.Sprintf("m%d-%d tokens=5", minute, node)
+				if r := c.stream(node, "nudge", prompt); r.outcome != "completed" || r.first > 500*time.Millisecond {
+					t.Errorf("node %d in minute %d: first token after %s, %+v", node, minute, r.first, r)
+				}
+			}
+			time.Sleep(time.Minute)
+		}
+		if c.inForce(0).Version() != 2 || c.inForce(1).Version() != 1 {
+			t.Errorf("in force: %d with the log, %d without", c.inForce(0).Version(), c.inForce(1).Version())
+		}
+		c.partition(nil)
+		took := c.await(30*time.Second, "one version everywhere", func() bool { return c.allInForce(2) })
+		t.Logf("one version everywhere %s after the cut healed", took)
+		c.await(30*time.Second, "one fleet", func() bool { return c.members(0) == 6 && c.members(1) == 6 })
+	})
+}
+
 // Symptom: replacing nodes loses the configuration. Sequence: every node is replaced one by one, then all at once.
 // Cause: what lasts lived on a node.
 func TestEveryNodeIsReplaced(t *testing.T) {
