The log's retention time is a required setting

Cause: the landing's read. platform.log_retention_s had no default and meant "never re-append the configuration" when it was left out: after a quiet time the log would have forgotten the only copy, unseen until the next node started.

Change: it is required, at least 60 s. The expected output of node-settings-values gains one line, because its file lacks the field: a stricter check, none is eased.

--- a/chivesettings/settings.go
+++ b/chivesettings/settings.go
@@ -25,12 +25,13 @@
 	Peers   string `yaml:"peers" validate:"required,ipport"`
 }
 
-// Platform holds the addresses of the platform's services.
+// Platform holds the addresses of the platform's services and how long its log keeps records; without that time nothing would
+// re-append the configuration before the log forgets it, so it has no default.
 type Platform struct {
 	Log    string `yaml:"log" validate:"required,ipport"`
 	VMList string `yaml:"vm_list" validate:"required,ipport"`
 
-	LogRetentionS int64 `yaml:"log_retention_s" validate:"min=0,max=31536000"`
+	LogRetentionS int64 `yaml:"log_retention_s" validate:"required,min=60,max=31536000"`
 }
 
 // Stop tells how a planned stop proceeds.
