--- a/chiveclaim/client.go
+++ b/chiveclaim/client.go
@@ -59,7 +59,7 @@
 func NewClient(self string, mesh *chivewire.Mesh) *Client {
 	c := &Client{self: self, mesh: mesh, waiting: make(map[string]chan Reply), finish: chivering.New[Write](finishRing)}
 	c.SetMembers(nil)
-	mesh.Handle(chivewire.KindClaimResult, c.onReply)
+	chivewire.Receive(mesh, chivewire.KindClaimResult, c.onReply)
 	return c
 }
 
@@ -182,11 +182,7 @@
 	return Reply{}, false
 }
 
-func (c *Client) onReply(_ string, body []byte) {
-	reply, err := chivewire.Decode[Reply](body)
-	if err != nil {
-		return
-	}
+func (c *Client) onReply(_ string, reply Reply) {
 	c.mu.Lock()
 	answer, ok := c.waiting[reply.Request]
 	c.mu.Unlock()
--- a/chiveclaim/writer.go
+++ b/chiveclaim/writer.go
@@ -44,16 +44,8 @@
 func NewWriter(log chivelog.Log, mesh *chivewire.Mesh, logger *slog.Logger) *Writer {
 	w := &Writer{log: log, mesh: mesh, logger: logger, slots: make(map[int]*slotWriter)}
 	w.ctx, w.stop = context.WithCancel(context.Background())
-	mesh.Handle(chivewire.KindClaimWrite, func(from string, body []byte) {
-		if m, err := chivewire.Decode[Write](body); err == nil {
-			w.offer(m.Slot, job{from: from, write: &m})
-		}
-	})
-	mesh.Handle(chivewire.KindClaimRecord, func(from string, body []byte) {
-		if m, err := chivewire.Decode[Ask](body); err == nil {
-			w.offer(m.Slot, job{from: from, ask: &m})
-		}
-	})
+	chivewire.Receive(mesh, chivewire.KindClaimWrite, func(from string, m Write) { w.offer(m.Slot, job{from: from, write: &m}) })
+	chivewire.Receive(mesh, chivewire.KindClaimRecord, func(from string, m Ask) { w.offer(m.Slot, job{from: from, ask: &m}) })
 	return w
 }
 
--- a/chivedispatch/dispatcher.go
+++ b/chivedispatch/dispatcher.go
@@ -202,16 +202,9 @@
 	CodeRefused       = "capacity"
 )
 
-// end gives the outcome of a request that did not complete: "not-run" only when no byte of any attempt can have arrived.
+// end gives up the request and books what was delivered of it as thrown away.
 func (r *run) end(code, message string, after time.Duration) {
-	r.result.Outcome, r.result.Status = Unknown, http.StatusBadGateway
-	if !r.touched {
-		r.result.Outcome, r.result.Status = NotRun, http.StatusServiceUnavailable
-	}
-	if code == CodeDeadline {
-		r.result.Status = http.StatusGatewayTimeout
-	}
-	r.result.Code, r.result.Message, r.result.RetryAfter = code, message, after
+	r.result.giveUp(r.touched, code, message, after)
 	r.d.waste.addThrown(r.answer.tokens)
 }
 
--- a/chivedispatch/service.go
+++ b/chivedispatch/service.go
@@ -155,7 +155,7 @@
 		endpoint, taken = r.pool.Take(time.Now(), r.s.region, r.exclude)
 	}
 	if !taken {
-		r.end(CodeRefused, "no replica is up with room", time.Second)
+		r.result.giveUp(r.touched, CodeRefused, "no replica is up with room", time.Second)
 		return true
 	}
 	started := time.Now()
@@ -176,7 +176,7 @@
 	}
 	chiveevent.RequestBroken.Log(ctx, r.s.d.logger, slog.String("request", r.work.ID), slog.String("endpoint", endpoint.Name), slog.Any("error", err))
 	if ctx.Err() != nil {
-		r.end(CodeDeadline, "the request's time ran out", 0)
+		r.result.giveUp(r.touched, CodeDeadline, "the request's time ran out", 0)
 		return true
 	}
 	return r.next(number, endpoint, touched)
@@ -201,7 +201,7 @@
 	if number < maxTries && (!touched || (r.work.Repeatable && r.s.d.budget.Spend(r.work.Class.Name))) {
 		return false
 	}
-	r.end(CodeBroken, "the endpoint broke off", time.Second)
+	r.result.giveUp(r.touched, CodeBroken, "the endpoint broke off", time.Second)
 	return true
 }
 
@@ -214,12 +214,6 @@
 	}
 }
 
-func (r *serviceRun) end(code, message string, after time.Duration) {
-	ended := run{d: r.s.d, answer: &Answer{}, touched: r.touched, result: r.result}
-	ended.end(code, message, after)
-	r.result = ended.result
-}
-
 // call makes one attempt; it tells whether a byte of the request may have reached the endpoint.
 func (r *serviceRun) call(parent context.Context, address string) (answer *ServiceAnswer, touched bool, err error) {
 	ctx, cancel := context.WithCancelCause(parent)
--- a/chivefollow/follower.go
+++ b/chivefollow/follower.go
@@ -108,8 +108,8 @@
 		site: o.Site, self: o.Self, retention: o.Retention, log: o.Log, mesh: o.Mesh, members: o.Members, logger: o.Logger,
 		history: chiveconfig.NewHistory(),
 	}
-	f.mesh.Handle(chivewire.KindConfigAsk, f.onAsk)
-	f.mesh.Handle(chivewire.KindConfigAnswer, f.onAnswer)
+	chivewire.Receive(f.mesh, chivewire.KindConfigAsk, f.onAsk)
+	chivewire.Receive(f.mesh, chivewire.KindConfigAnswer, f.onAnswer)
 	return f
 }
 
--- a/chivefollow/peers.go
+++ b/chivefollow/peers.go
@@ -51,11 +51,7 @@
 	_ = f.mesh.Send(peer.Address, chivewire.KindConfigAsk, ask{Version: version})
 }
 
-func (f *Follower) onAsk(from string, body []byte) {
-	question, err := chivewire.Decode[ask](body)
-	if err != nil {
-		return
-	}
+func (f *Follower) onAsk(from string, question ask) {
 	f.mu.Lock()
 	current, rooted := f.newest, f.history.Rooted()
 	f.mu.Unlock()
@@ -66,11 +62,7 @@
 
 // onAnswer takes a peer's version: it was accepted by the same rule, so a higher one may run here before the log is back.
 // The history takes it only when it has no root of its own; otherwise the log will tell the same.
-func (f *Follower) onAnswer(_ string, body []byte) {
-	reply, err := chivewire.Decode[answer](body)
-	if err != nil {
-		return
-	}
+func (f *Follower) onAnswer(_ string, reply answer) {
 	ctx := context.Background()
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/chivemember/service.go
+++ b/chivemember/service.go
@@ -73,11 +73,7 @@
 }
 
 func receive[T any](s *Service, kind chivewire.Kind) {
-	s.mesh.Handle(kind, func(from string, body []byte) {
-		message, err := chivewire.Decode[T](body)
-		if err != nil {
-			return
-		}
+	chivewire.Receive(s.mesh, kind, func(from string, message T) {
 		// A full ring drops a membership message; probes repeat and digests mend what news was lost.
 		s.inbox.Offer(event{from: from, message: message})
 	})
--- a/chiveorder/service.go
+++ b/chiveorder/service.go
@@ -142,19 +142,24 @@
 	defer s.mu.Unlock()
 	until, owns := s.owned[group]
 	if !owns || time.Until(until) < Term-renewAfter {
-		// The term counts from before the append left: the log's time of the record cannot be earlier.
-		asked := time.Now()
-		if err := s.append(ctx, Record{Group: group, Holder: s.self}); err != nil && errors.Is(err, chivelog.ErrNotAppended) {
-			return s.usable(group, waits)
-		}
-		if s.read(ctx) != nil {
-			return s.usable(group, waits)
-		}
-		s.note(ctx, group, asked)
+		s.renew(ctx, group)
 	}
 	return s.usable(group, waits)
 }
 
+// renew asks for the lease and reads what the log says of it; what cannot be asked or read leaves the lease as it is.
+func (s *Service) renew(ctx context.Context, group string) {
+	// The term counts from before the append left: the log's time of the record cannot be earlier.
+	asked := time.Now()
+	if err := s.append(ctx, Record{Group: group, Holder: s.self}); errors.Is(err, chivelog.ErrNotAppended) {
+		return
+	}
+	if err := s.read(ctx); err != nil {
+		return
+	}
+	s.note(ctx, group, asked)
+}
+
 // allCheckFencing tells whether every endpoint of a pool refuses old fencing numbers by itself.
 func allCheckFencing(pool *chiveconfig.Pool) bool {
 	for i := range pool.Endpoints {
--- a/chivequota/service.go
+++ b/chivequota/service.go
@@ -54,8 +54,8 @@
 		waiting: make(map[int64]chan Grant),
 	}
 	s.members.Store(&[]chivemember.Member{})
-	mesh.Handle(chivewire.KindQuotaRequest, s.onRequest)
-	mesh.Handle(chivewire.KindQuotaGrant, s.onGrant)
+	chivewire.Receive(mesh, chivewire.KindQuotaRequest, s.onRequest)
+	chivewire.Receive(mesh, chivewire.KindQuotaGrant, s.onGrant)
 	return s
 }
 
@@ -143,11 +143,7 @@
 	return Grant{}, false
 }
 
-func (s *Service) onRequest(from string, body []byte) {
-	r, err := chivewire.Decode[Request](body)
-	if err != nil {
-		return
-	}
+func (s *Service) onRequest(from string, r Request) {
 	now := time.Now()
 	s.mu.Lock()
 	b := bucketOf(s.buckets, r.Team, r.Limit, now)
@@ -162,11 +158,7 @@
 	_ = s.mesh.Send(from, chivewire.KindQuotaGrant, Grant{ID: r.ID, OK: ok, AfterMs: after.Milliseconds()})
 }
 
-func (s *Service) onGrant(_ string, body []byte) {
-	g, err := chivewire.Decode[Grant](body)
-	if err != nil {
-		return
-	}
+func (s *Service) onGrant(_ string, g Grant) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if answer, ok := s.waiting[g.ID]; ok {
--- a/chiveroute/local.go
+++ b/chiveroute/local.go
@@ -1,7 +1,9 @@
 package chiveroute
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -78,9 +80,9 @@
 
 func (l *Local) usable(now time.Time, region string, exclude []string) []*replica {
 	var near, far []*replica
-	for _, name := range sortedKeys(l.replicas) {
+	for _, name := range slices.Sorted(maps.Keys(l.replicas)) {
 		r := l.replicas[name]
-		if excluded(exclude, name) || now.Before(r.downUntil) || now.Before(r.leaving) || float64(r.inFlight) >= r.limit {
+		if slices.Contains(exclude, name) || now.Before(r.downUntil) || now.Before(r.leaving) || float64(r.inFlight) >= r.limit {
 			continue
 		}
 		if r.endpoint.Region == region {
@@ -95,15 +97,6 @@
 	return far
 }
 
-func excluded(list []string, name string) bool {
-	for _, element := range list {
-		if element == name {
-			return true
-		}
-	}
-	return false
-}
-
 // Release gives a place back; a failure quarantines the replica, and slow answers lower its limit.
 func (l *Local) Release(now time.Time, name string, took time.Duration, ok bool) {
 	l.mu.Lock()
--- a/chiveroute/shard.go
+++ b/chiveroute/shard.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 
 	"chivedrift/chiveconfig"
@@ -45,7 +47,7 @@
 		for _, e := range pool.Endpoints {
 			byRegion[e.Region] = append(byRegion[e.Region], e)
 		}
-		for _, region := range sortedKeys(byRegion) {
+		for _, region := range slices.Sorted(maps.Keys(byRegion)) {
 			shards = append(shards, split(pool.Name, region, byRegion[region], int(config.Routing.EndpointsPerShard))...)
 		}
 	}
@@ -77,15 +79,6 @@
 	return ordered
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	return keys
-}
-
 // Ranked orders live members by rendezvous hashing on a key; those of the region come first, and leaving ones never.
 //
 // The first is the key's keeper. When it dies the second takes over, and no other key moves.
--- a/chiveschedule/assign.go
+++ b/chiveschedule/assign.go
@@ -1,6 +1,7 @@
 package chiveschedule
 
 import (
+	"slices"
 	"time"
 )
 
@@ -106,7 +107,7 @@
 	switch {
 	case !e.up(now, w.request.Repeatable):
 		return verdictDown
-	case contains(w.request.Exclude, e.plan.Name) && len(w.request.Exclude) < len(s.endpoints):
+	case slices.Contains(w.request.Exclude, e.plan.Name) && len(w.request.Exclude) < len(s.endpoints):
 		return verdictExcluded
 	case kept[e.plan.Name] || !e.fits(w.cost, fraction):
 		return verdictFull
@@ -126,15 +127,6 @@
 	return now.Add(first).After(w.due) || now.Add(whole).After(w.end)
 }
 
-func contains(list []string, name string) bool {
-	for _, element := range list {
-		if element == name {
-			return true
-		}
-	}
-	return false
-}
-
 // ---------------------------------------------------------------- preemption
 
 // preempt takes slots from lower unprotected work for urgent requests that would miss their target otherwise.
@@ -174,7 +166,7 @@
 	var best *grant
 	for _, g := range s.granted {
 		lower := g.class.tier > w.class.tier && !g.class.protected && !g.fixed && !g.preempted
-		if !lower || !g.endpoint.up(now, true) || contains(w.request.Exclude, g.endpoint.plan.Name) {
+		if !lower || !g.endpoint.up(now, true) || slices.Contains(w.request.Exclude, g.endpoint.plan.Name) {
 			continue
 		}
 		if best == nil || worseVictim(best, g) {
--- a/chiveschedule/client.go
+++ b/chiveschedule/client.go
@@ -101,10 +101,10 @@
 	c.members.Store(&[]chivemember.Member{})
 	c.table.Store(&shardTable{})
 	c.place()
-	mesh.Handle(chivewire.KindSlotGrant, c.onGrant)
-	mesh.Handle(chivewire.KindSlotQueued, c.onQueued)
-	mesh.Handle(chivewire.KindSlotRefusal, c.onRefusal)
-	mesh.Handle(chivewire.KindSlotPreempt, c.onPreempt)
+	chivewire.Receive(mesh, chivewire.KindSlotGrant, c.onGrant)
+	chivewire.Receive(mesh, chivewire.KindSlotQueued, c.onQueued)
+	chivewire.Receive(mesh, chivewire.KindSlotRefusal, c.onRefusal)
+	chivewire.Receive(mesh, chivewire.KindSlotPreempt, c.onPreempt)
 	mesh.OnLost(c.onLost)
 	return c
 }
--- a/chiveschedule/client_answers.go
+++ b/chiveschedule/client_answers.go
@@ -6,11 +6,7 @@
 	"chivedrift/chivewire"
 )
 
-func (c *Client) onGrant(from string, body []byte) {
-	g, err := chivewire.Decode[SlotGrant](body)
-	if err != nil {
-		return
-	}
+func (c *Client) onGrant(from string, g SlotGrant) {
 	c.choice.Observe(time.Now(), g.Shard, g.LoadPercent)
 	if c.resolve(from, requestKey{g.ID, g.Attempt}, pendingAnswer{grant: &g}) {
 		return
@@ -24,11 +20,7 @@
 	}
 }
 
-func (c *Client) onQueued(from string, body []byte) {
-	q, err := chivewire.Decode[SlotQueued](body)
-	if err != nil {
-		return
-	}
+func (c *Client) onQueued(from string, q SlotQueued) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if p, ok := c.pending[requestKey{q.ID, q.Attempt}]; ok && p.scheduler == from {
@@ -36,11 +28,7 @@
 	}
 }
 
-func (c *Client) onRefusal(from string, body []byte) {
-	r, err := chivewire.Decode[SlotRefusal](body)
-	if err != nil {
-		return
-	}
+func (c *Client) onRefusal(from string, r SlotRefusal) {
 	c.choice.Observe(time.Now(), r.Shard, r.LoadPercent)
 	c.resolve(from, requestKey{r.ID, r.Attempt}, pendingAnswer{refusal: &r})
 }
@@ -58,11 +46,7 @@
 	return true
 }
 
-func (c *Client) onPreempt(_ string, body []byte) {
-	message, err := chivewire.Decode[SlotPreempt](body)
-	if err != nil {
-		return
-	}
+func (c *Client) onPreempt(_ string, message SlotPreempt) {
 	c.mu.Lock()
 	slot, ok := c.held[requestKey{message.ID, message.Attempt}]
 	c.mu.Unlock()
--- a/chiveschedule/keeper.go
+++ b/chiveschedule/keeper.go
@@ -75,11 +75,7 @@
 
 // handle passes messages of one kind to the shard they name, on the keeper's goroutine.
 func handle[M shardMessage](k *Keeper, kind chivewire.Kind, decide func(now time.Time, s *Shard, from string, m M) []Decision) {
-	k.mesh.Handle(kind, func(from string, body []byte) {
-		message, err := chivewire.Decode[M](body)
-		if err != nil {
-			return
-		}
+	chivewire.Receive(k.mesh, kind, func(from string, message M) {
 		// A full ring loses the message. A request for a slot is asked again when no word comes, and a lost return
 		// of a slot is mended by the gateway's next statement of what it runs.
 		k.inbox.Offer(func(now time.Time) {
--- a/chivestand/service.go
+++ b/chivestand/service.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -55,15 +56,7 @@
 func (s *Service) Runs() ServiceRuns {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return ServiceRuns{Runs: copyCounts(s.runs), Keys: copyCounts(s.keys)}
-}
-
-func copyCounts(counts map[string]int) map[string]int {
-	copied := make(map[string]int, len(counts))
-	for key, count := range counts {
-		copied[key] = count
-	}
-	return copied
+	return ServiceRuns{Runs: maps.Clone(s.runs), Keys: maps.Clone(s.keys)}
 }
 
 // Handler serves the service and its faults.
--- a/chivewire/mesh.go
+++ b/chivewire/mesh.go
@@ -69,6 +69,15 @@
 	m.handlers[kind] = handler
 }
 
+// Receive sets the handler of a kind whose messages are of type T; a message that cannot be decoded is passed over.
+func Receive[T any](m *Mesh, kind Kind, handle func(from string, message T)) {
+	m.Handle(kind, func(from string, body []byte) {
+		if message, err := Decode[T](body); err == nil {
+			handle(from, message)
+		}
+	})
+}
+
 // OnLost adds a function that hears when a connection to a peer broke or went silent; it must not block.
 func (m *Mesh) OnLost(heard func(peer string)) {
 	m.onLost = append(m.onLost, heard)
--- a/chiveyaml/document.go
+++ b/chiveyaml/document.go
@@ -4,8 +4,9 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"maps"
 	"reflect"
-	"sort"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -130,7 +131,7 @@
 		kind, known := fields[name]
 		switch {
 		case !known:
-			d.addf(entry.Key, field, "unknown field; expected one of %s", strings.Join(sortedKeys(fields), ", "))
+			d.addf(entry.Key, field, "unknown field; expected one of %s", strings.Join(slices.Sorted(maps.Keys(fields)), ", "))
 		case seen[name]:
 			d.addf(entry.Key, field, "field given twice")
 		default:
@@ -219,15 +220,6 @@
 	return name
 }
 
-func sortedKeys(fields map[string]reflect.Type) []string {
-	keys := make([]string, 0, len(fields))
-	for key := range fields {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	return keys
-}
-
 func join(path, name string) string {
 	if path == "" {
 		return name
