--- a/chivecommand/verb.go
+++ b/chivecommand/verb.go
@@ -40,6 +40,7 @@
 func verbs() []verb {
 	return []verb{
 		nodeVerb,
+		entryVerb,
 		configCheckVerb,
 		configDiffVerb,
 		configPublishVerb,
--- /dev/null
+++ b/chivedirectory/directory.go
@@ -0,0 +1,207 @@
+package chivedirectory
+
+import (
+	"sort"
+	"time"
+)
+
+// State is what an endpoint says of itself.
+type State uint8
+
+const (
+	// Ready endpoints take new work.
+	Ready State = iota
+	// Leaving endpoints finish what they have and get no new work.
+	Leaving
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	if s == Leaving {
+		return "leaving"
+	}
+	return "ready"
+}
+
+// Endpoint is one start of a process that serves a pool; another start at the same address is another endpoint.
+type Endpoint struct {
+	// ID is the incarnation: a new one with each start.
+	ID            string
+	Pool          string
+	Address       string
+	FailureDomain string
+	// Slots is how many requests it serves at once.
+	Slots int
+	State State
+	// WarmUp is how much longer it stays slow after its start.
+	WarmUp time.Duration
+}
+
+// Word is what the store's log says of an endpoint at an offset.
+type Word struct {
+	Offset int64
+	// Gone tells that the entry was removed; of the endpoint only the id is known then.
+	Gone     bool
+	Endpoint Endpoint
+}
+
+const (
+	// goneKept is how long it is remembered that an endpoint is gone, so that an older word of a peer does not bring it back.
+	goneKept = time.Minute
+)
+
+// Directory is one node's knowledge of the endpoints; it decides, and does no I/O.
+//
+// While the store is away entries can lapse although their endpoints live: an endpoint cannot renew what it cannot reach.
+// Taking the first words after an outage as they are would drop every endpoint at once. So for a grace time after the
+// store's return a missing entry is kept, and only one that is still missing then counts as gone.
+//
+// Words come from the store and from peers, which may be ahead or behind; the offset in the store's log tells which is newer.
+type Directory struct {
+	grace    time.Duration
+	entries  map[string]*entry
+	gone     map[string]tombstone
+	newest   int64
+	storeUp  bool
+	returned time.Time
+}
+
+type entry struct {
+	endpoint Endpoint
+	offset   int64
+	// missing is when the entry was first found missing, zero while it is there.
+	missing time.Time
+}
+
+type tombstone struct {
+	offset int64
+	at     time.Time
+}
+
+// New returns an empty directory; grace is how long a lapsed entry is kept after the store's return.
+func New(grace time.Duration) *Directory {
+	return &Directory{grace: grace, entries: make(map[string]*entry), gone: make(map[string]tombstone), newest: -1, storeUp: true}
+}
+
+// StoreLost notes that the store does not answer.
+func (d *Directory) StoreLost() { d.storeUp = false }
+
+// StoreBack notes that the store answers again.
+func (d *Directory) StoreBack(now time.Time) {
+	if !d.storeUp {
+		d.returned = now
+	}
+	d.storeUp = true
+}
+
+// Newest returns the offset of the newest word that was taken; -1 before the first.
+func (d *Directory) Newest() int64 { return d.newest }
+
+// Apply takes one word, in any order, and reports whether anything that matters for routing changed.
+func (d *Directory) Apply(now time.Time, word Word) bool {
+	d.newest = max(d.newest, word.Offset)
+	id := word.Endpoint.ID
+	if known, ok := d.entries[id]; ok && known.offset >= word.Offset {
+		return false
+	}
+	if old, ok := d.gone[id]; ok && old.offset >= word.Offset {
+		return false
+	}
+	if word.Gone {
+		return d.remove(now, id, word.Offset)
+	}
+	delete(d.gone, id)
+	known, ok := d.entries[id]
+	if !ok {
+		d.entries[id] = &entry{endpoint: word.Endpoint, offset: word.Offset}
+		return true
+	}
+	changed := known.endpoint != word.Endpoint
+	known.endpoint, known.offset, known.missing = word.Endpoint, word.Offset, time.Time{}
+	return changed
+}
+
+// remove takes the word that an entry is gone. Shortly after an outage it may only mean that the entry lapsed meanwhile.
+func (d *Directory) remove(now time.Time, id string, offset int64) bool {
+	known, ok := d.entries[id]
+	if !ok {
+		d.gone[id] = tombstone{offset: offset, at: now}
+		return false
+	}
+	known.offset = offset
+	if d.inGrace(now) && known.endpoint.State == Ready {
+		if known.missing.IsZero() {
+			known.missing = now
+		}
+		return false
+	}
+	d.drop(now, id)
+	return true
+}
+
+func (d *Directory) drop(now time.Time, id string) {
+	d.gone[id] = tombstone{offset: d.entries[id].offset, at: now}
+	delete(d.entries, id)
+}
+
+func (d *Directory) inGrace(now time.Time) bool {
+	return !d.storeUp || (!d.returned.IsZero() && now.Sub(d.returned) < d.grace)
+}
+
+// Replace takes a whole snapshot of the store: entries that are not in it are removed, by the same rule as one by one.
+func (d *Directory) Replace(now time.Time, snapshot []Word) bool {
+	present := make(map[string]bool, len(snapshot))
+	changed := false
+	for _, w := range snapshot {
+		present[w.Endpoint.ID] = !w.Gone
+		changed = d.Apply(now, w) || changed
+	}
+	for id, known := range d.entries {
+		if !present[id] {
+			changed = d.remove(now, id, known.offset) || changed
+		}
+	}
+	return changed
+}
+
+// Expire drops the entries that are still missing after the grace time and reports whether there were any.
+func (d *Directory) Expire(now time.Time) bool {
+	for id, t := range d.gone {
+		if now.Sub(t.at) > goneKept {
+			delete(d.gone, id)
+		}
+	}
+	if d.inGrace(now) {
+		return false
+	}
+	changed := false
+	for id, e := range d.entries {
+		if !e.missing.IsZero() {
+			d.drop(now, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Endpoints returns every endpoint that is not gone, by id.
+func (d *Directory) Endpoints() []Endpoint {
+	all := make([]Endpoint, 0, len(d.entries))
+	for _, e := range d.entries {
+		all = append(all, e.endpoint)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+	return all
+}
+
+// Words returns what is known, for a peer that knows less.
+func (d *Directory) Words() []Word {
+	all := make([]Word, 0, len(d.entries)+len(d.gone))
+	for _, e := range d.entries {
+		all = append(all, Word{Offset: e.offset, Endpoint: e.endpoint, Gone: !e.missing.IsZero()})
+	}
+	for id, t := range d.gone {
+		all = append(all, Word{Offset: t.offset, Endpoint: Endpoint{ID: id}, Gone: true})
+	}
+	return all
+}
--- /dev/null
+++ b/chivedirectory/service.go
@@ -0,0 +1,197 @@
+package chivedirectory
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"chivedrift/chiveevent"
+	"chivedrift/chivekernel"
+	"chivedrift/chivelog"
+)
+
+// ServiceName is the name under which the directory registers.
+const ServiceName = "directory"
+
+const (
+	// DefaultGrace is how long a lapsed entry is kept after the store's return: the platform promises that the entries of
+	// living endpoints are back within about two seconds.
+	DefaultGrace = 2500 * time.Millisecond
+	// expireEvery is how often missing entries are looked at.
+	expireEvery = 250 * time.Millisecond
+)
+
+// Decoder turns an endpoint's registration into an endpoint; the error names the endpoint and the field.
+type Decoder func(id string, data []byte) (Endpoint, error)
+
+// Service keeps the directory up to date from the store's records and from peers.
+type Service struct {
+	mu        sync.Mutex
+	directory *Directory
+	decode    Decoder
+	logger    *slog.Logger
+	listeners []func([]Endpoint)
+	shown     map[string]Endpoint
+	rejected  int64
+	duties    chivekernel.Duties
+}
+
+// NewService returns a directory without endpoints.
+func NewService(decode Decoder, grace time.Duration, logger *slog.Logger) *Service {
+	return &Service{directory: New(grace), decode: decode, logger: logger, shown: make(map[string]Endpoint)}
+}
+
+// OnChange adds a function that hears every change; it must not block. All are added before Start.
+func (s *Service) OnChange(heard func([]Endpoint)) { s.listeners = append(s.listeners, heard) }
+
+// Start begins to look for entries that stay missing.
+func (s *Service) Start(ctx context.Context) error {
+	s.duties.Begin(ctx, s.run)
+	return nil
+}
+
+// Stop ends that.
+func (s *Service) Stop(context.Context) error {
+	s.duties.End()
+	return nil
+}
+
+// Dump returns the endpoints.
+func (s *Service) Dump() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return struct {
+		Offset    int64      `json:"offset"`
+		Rejected  int64      `json:"rejected"`
+		Endpoints []Endpoint `json:"endpoints"`
+	}{s.directory.Newest(), s.rejected, s.directory.Endpoints()}
+}
+
+func (s *Service) run(ctx context.Context) {
+	tick := time.NewTicker(expireEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			s.change(func() bool { return s.directory.Expire(now) }, "missing after the store's return")
+		}
+	}
+}
+
+// Replace takes a snapshot of the store.
+func (s *Service) Replace(records []chivelog.KeyedRecord) {
+	words := s.words(records)
+	s.change(func() bool { return s.directory.Replace(time.Now(), words) }, "snapshot")
+}
+
+// Apply takes later records of the store.
+func (s *Service) Apply(records []chivelog.KeyedRecord) {
+	s.Learn(s.words(records), "store")
+}
+
+// Learn takes words from anywhere; source is what the log names.
+func (s *Service) Learn(words []Word, source string) {
+	s.change(func() bool {
+		changed := false
+		for _, w := range words {
+			changed = s.directory.Apply(time.Now(), w) || changed
+		}
+		return changed
+	}, source)
+}
+
+// Lost hears that the store does not answer.
+func (s *Service) Lost(err error) {
+	s.mu.Lock()
+	s.directory.StoreLost()
+	s.mu.Unlock()
+	chiveevent.StoreLost.Log(context.Background(), s.logger, slog.String("for", "endpoints"), slog.String("error", err.Error()))
+}
+
+// Back hears that the store answers again.
+func (s *Service) Back() {
+	s.mu.Lock()
+	s.directory.StoreBack(time.Now())
+	s.mu.Unlock()
+	chiveevent.StoreBack.Log(context.Background(), s.logger, slog.String("for", "endpoints"))
+}
+
+// Words returns what is known and the offset of the newest word.
+func (s *Service) Words() ([]Word, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.directory.Words(), s.directory.Newest()
+}
+
+// Newest returns the offset of the newest word.
+func (s *Service) Newest() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.directory.Newest()
+}
+
+// words decodes records; one that is not usable is logged and passed over, so that what was known of it stays.
+func (s *Service) words(records []chivelog.KeyedRecord) []Word {
+	words := make([]Word, 0, len(records))
+	for _, r := range records {
+		if len(r.Value) == 0 {
+			words = append(words, Word{Offset: r.Offset, Gone: true, Endpoint: Endpoint{ID: r.Key}})
+			continue
+		}
+		e, err := s.decode(r.Key, r.Value)
+		if err != nil {
+			s.reject(r, err)
+			continue
+		}
+		words = append(words, Word{Offset: r.Offset, Endpoint: e})
+	}
+	return words
+}
+
+func (s *Service) reject(r chivelog.KeyedRecord, err error) {
+	s.mu.Lock()
+	s.rejected++
+	s.mu.Unlock()
+	chiveevent.EndpointRejected.Log(context.Background(), s.logger, slog.String("key", r.Key), slog.Int64("offset", r.Offset), slog.String("error", err.Error()))
+}
+
+// change makes a change and tells it. The listeners are called under the lock, so that they hear changes in their order.
+func (s *Service) change(make func() bool, source string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !make() {
+		return
+	}
+	endpoints := s.directory.Endpoints()
+	s.logChanges(endpoints, source)
+	for _, heard := range s.listeners {
+		heard(endpoints)
+	}
+}
+
+func (s *Service) logChanges(endpoints []Endpoint, source string) {
+	ctx := context.Background()
+	shown := make(map[string]Endpoint, len(endpoints))
+	for _, e := range endpoints {
+		shown[e.ID] = e
+		before, known := s.shown[e.ID]
+		event := chiveevent.EndpointReady
+		switch {
+		case e.State == Leaving && (!known || before.State != Leaving):
+			event = chiveevent.EndpointLeaves
+		case known:
+			continue
+		}
+		event.Log(ctx, s.logger, slog.String("endpoint", e.ID), slog.String("pool", e.Pool), slog.String("address", e.Address),
+			slog.String("source", source), slog.Int64("offset", s.directory.Newest()))
+	}
+	for id := range s.shown {
+		if _, still := shown[id]; !still {
+			chiveevent.EndpointGone.Log(ctx, s.logger, slog.String("endpoint", id), slog.String("source", source), slog.Int64("offset", s.directory.Newest()))
+		}
+	}
+	s.shown = shown
+}
--- /dev/null
+++ b/chiveentry/entry.go
@@ -0,0 +1,303 @@
+package chiveentry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"chivedrift/chiveevent"
+	"chivedrift/chiveforward"
+	"chivedrift/chivetable"
+	"chivedrift/chivewire"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// ServiceName is the name under which the entry registers.
+const ServiceName = "entry"
+
+const (
+	// headerTime bounds how long a header may take to arrive; operators allow their callers a few seconds.
+	headerTime = 10 * time.Second
+	// idleTime is how long an idle connection is kept: longer than any caller's pool keeps it, so that the caller closes first
+	// and no request crosses the closing.
+	idleTime = 2 * time.Minute
+	// headerMost bounds a header before the configuration's own limit is looked at.
+	headerMost = 1 << 20
+	// stopPoll is how often a stop looks whether all requests are done.
+	stopPoll = 20 * time.Millisecond
+	// comeBack is when a caller should come back to a node that has no configuration yet: another node has one.
+	comeBack = 200 * time.Millisecond
+)
+
+// Forwarder carries an accepted request through to its outcome.
+type Forwarder interface {
+	// Run carries a request through to its outcome.
+	Run(ctx context.Context, request *chiveforward.Request, sink chiveforward.Sink) chiveforward.Result
+}
+
+// Options are the parts an entry is made of.
+type Options struct {
+	Address   string
+	Network   chivewire.Network
+	Dialect   Dialect
+	Forwarder Forwarder
+	Scope     tally.Scope
+	Logger    *slog.Logger
+}
+
+// Entry is the callers' side of a node.
+type Entry struct {
+	o        Options
+	server   *http.Server
+	listener net.Listener
+	table    atomic.Pointer[chivetable.Table]
+	metrics  *metrics
+	leaving  atomic.Bool
+	inFlight atomic.Int64
+	accepted atomic.Int64
+	done     sync.WaitGroup
+}
+
+// New returns an entry that does not listen yet.
+func New(o Options) *Entry {
+	e := &Entry{o: o, metrics: newMetrics(o.Scope)}
+	e.server = &http.Server{
+		Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerMost,
+		ErrorLog: slog.NewLogLogger(o.Logger.Handler(), slog.LevelDebug),
+	}
+	return e
+}
+
+// SetTable takes a configuration that came into force.
+func (e *Entry) SetTable(table *chivetable.Table) { e.table.Store(table) }
+
+// Handler returns what serves callers, for use without a listener.
+func (e *Entry) Handler() http.Handler { return e.server.Handler }
+
+// Start listens for callers.
+func (e *Entry) Start(context.Context) error {
+	listener, err := e.o.Network.Listen(e.o.Address)
+	if err != nil {
+		return fmt.Errorf("entry: listen for callers: %w", err)
+	}
+	e.listener = listener
+	e.done.Add(1)
+	go func() {
+		defer e.done.Done()
+		// Serve returns when Stop closes the listener.
+		_ = e.server.Serve(listener)
+	}()
+	return nil
+}
+
+// Leave asks callers, with each answer, to take their connection elsewhere.
+func (e *Entry) Leave() { e.leaving.Store(true) }
+
+// Stop takes no new connections and waits for the requests in flight until the context ends, then breaks off what is left.
+func (e *Entry) Stop(ctx context.Context) error {
+	e.Leave()
+	_ = e.listener.Close()
+	for e.inFlight.Load() > 0 && ctx.Err() == nil {
+		select {
+		case <-time.After(stopPoll):
+		case <-ctx.Done():
+		}
+	}
+	err := e.server.Close()
+	e.done.Wait()
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		return fmt.Errorf("entry: %w", err)
+	}
+	return nil
+}
+
+// InFlight returns how many requests are being served.
+func (e *Entry) InFlight() int64 { return e.inFlight.Load() }
+
+// Dump returns how much is being served.
+func (e *Entry) Dump() any {
+	return struct {
+		InFlight int64 `json:"in_flight"`
+		Accepted int64 `json:"accepted"`
+		Leaving  bool  `json:"leaving"`
+	}{e.inFlight.Load(), e.accepted.Load(), e.leaving.Load()}
+}
+
+// serve takes one request from its checks to its outcome.
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	e.accepted.Add(1)
+	if e.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	asked, err := e.o.Dialect.Read(r.Header)
+	if err != nil {
+		e.refuse(w, r, asked, nil, refusal(http.StatusBadRequest, "invalid_header", err.Error()))
+		return
+	}
+	request, err := e.admit(w, r, asked)
+	if err != nil {
+		e.refuse(w, r, asked, request, err)
+		return
+	}
+	e.carry(w, r, request)
+}
+
+// admit checks a request against the configuration in force.
+func (e *Entry) admit(w http.ResponseWriter, r *http.Request, asked Asked) (*chiveforward.Request, error) {
+	table := e.table.Load()
+	if table == nil {
+		f := refusal(http.StatusServiceUnavailable, "no_configuration", "this node has no configuration yet")
+		f.RetryAfter = comeBack
+		return nil, f
+	}
+	now := time.Now()
+	target := requestTarget(r)
+	path, _, _ := strings.Cut(target, "?")
+	request := &chiveforward.Request{ID: asked.ID, TableVersion: table.Version(), Arrival: now}
+	route, ok := table.Match(r.Host, path)
+	if !ok {
+		return request, refusal(http.StatusNotFound, "no_route", "no route for this host and path")
+	}
+	request.Route = route
+	team, err := teamOf(table, route, asked.Key)
+	if err != nil {
+		return request, err
+	}
+	if err := CheckHeader(r.Header, table.Limits().HeaderBytes); err != nil {
+		return request, err
+	}
+	if request.Body, err = ReadBody(w, r, table.Limits().BodyBytes); err != nil {
+		return request, err
+	}
+	request.Pool = route.PoolFor(rand.Float64())
+	request.Tier = route.TierFor(team)
+	if team != nil {
+		request.Team = team.Name
+	}
+	request.Method, request.Target, request.Host = r.Method, target, r.Host
+	request.Header = r.Header.Clone()
+	dropConnectionFields(request.Header)
+	e.o.Dialect.Strip(request.Header)
+	request.Prompt, request.LastEvent = asked.Prompt, asked.LastEvent
+	request.Deadline = now.Add(waitOf(route, asked))
+	return request, nil
+}
+
+// defaultWait bounds a request for which neither the caller nor the route names a time.
+const defaultWait = time.Minute
+
+// waitOf is the shorter of what the caller and the operator allow.
+func waitOf(route *chivetable.Route, asked Asked) time.Duration {
+	wait := route.Timeout
+	if wait == 0 {
+		wait = defaultWait
+	}
+	if asked.Wait > 0 {
+		wait = min(wait, asked.Wait)
+	}
+	return wait
+}
+
+func teamOf(table *chivetable.Table, route *chivetable.Route, key string) (*chivetable.Team, error) {
+	if !table.NeedsKey(route) {
+		return nil, nil //nolint:nilnil // an anonymous request has no team
+	}
+	team, ok := table.Team(key)
+	if !ok {
+		return nil, refusal(http.StatusUnauthorized, "unknown_key", "the key is missing or not known")
+	}
+	return team, nil
+}
+
+// requestTarget returns the path and query as the caller wrote them.
+func requestTarget(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+func (e *Entry) refuse(w http.ResponseWriter, r *http.Request, asked Asked, request *chiveforward.Request, err error) {
+	var f *Failure
+	if !errors.As(err, &f) {
+		f = refusal(http.StatusBadRequest, "invalid_request", err.Error())
+	}
+	route, version := "", int64(0)
+	if request != nil {
+		version = request.TableVersion
+		if request.Route != nil {
+			route = request.Route.Name
+		}
+	}
+	chiveevent.RequestRefused.Log(r.Context(), e.o.Logger, slog.String("request", asked.ID), slog.String("route", route),
+		slog.Int64("table_version", version), slog.Int("status", f.Status), slog.String("code", f.Code), slog.String("reason", f.Message))
+	e.metrics.refused(route, f.Code)
+	f.write(w, e.o.Dialect, asked.ID)
+}
+
+// carry runs an admitted request and answers where the forwarder has not.
+func (e *Entry) carry(w http.ResponseWriter, r *http.Request, request *chiveforward.Request) {
+	sink := &sink{w: w, out: http.NewResponseController(w), leaving: e.leaving.Load}
+	result := e.o.Forwarder.Run(r.Context(), request, sink)
+	e.metrics.finished(request, result)
+	chiveevent.RequestEnded.Log(r.Context(), e.o.Logger, slog.String("request", request.ID), slog.String("route", request.Route.Name),
+		slog.String("team", request.Team), slog.Int("tier", request.Tier), slog.Int64("table_version", request.TableVersion),
+		slog.String("outcome", string(result.Outcome)), slog.String("code", result.Code), slog.Int("status", result.Status),
+		slog.Int("attempts", result.Attempts), slog.String("endpoint", result.Endpoint), slog.Int("events", result.Events),
+		slog.Int64("first_ms", result.First.Milliseconds()), slog.Int64("took_ms", time.Since(request.Arrival).Milliseconds()),
+		slog.Int64("left_ms", time.Until(request.Deadline).Milliseconds()))
+	switch {
+	case result.Outcome == chiveforward.Completed, result.Outcome == chiveforward.Failed:
+		return
+	case result.Started, result.Code == chiveforward.CodeCallerGone:
+		// What went out promised more: the connection is broken off, so that nobody takes a part for the whole.
+		panic(http.ErrAbortHandler)
+	}
+	f := &Failure{Status: result.Status, Code: result.Code, Message: result.Message, Outcome: result.Outcome, RetryAfter: result.RetryAfter}
+	f.write(w, e.o.Dialect, request.ID)
+}
+
+// sink writes an answer to the caller.
+type sink struct {
+	w       http.ResponseWriter
+	out     *http.ResponseController
+	leaving func() bool
+}
+
+// Start passes on the status and the header.
+func (s *sink) Start(status int, header http.Header) {
+	to := s.w.Header()
+	for name, values := range header {
+		to[name] = values
+	}
+	dropConnectionFields(to)
+	if s.leaving() {
+		to.Set("Connection", "close")
+	}
+	s.w.WriteHeader(status)
+}
+
+// Write passes on a piece of the body.
+func (s *sink) Write(data []byte, flush bool) error {
+	if _, err := s.w.Write(data); err != nil {
+		return fmt.Errorf("caller: %w", err)
+	}
+	if !flush {
+		return nil
+	}
+	if err := s.out.Flush(); err != nil {
+		return fmt.Errorf("caller: %w", err)
+	}
+	return nil
+}
--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -7,11 +7,13 @@
 // The 100s are the node's life, the 200s configuration, the 300s membership, the 400s scheduling, the 500s requests,
 // the 600s claims, the 700s orders.
 var (
-	NodeStarting = define(100, slog.LevelInfo, "node starting", "None.")
-	NodeReady    = define(101, slog.LevelInfo, "node ready", "None; the balancer may send traffic.")
-	NodeStopping = define(102, slog.LevelInfo, "node stopping", "None; it finishes every request in flight.")
-	NodeStopped  = define(103, slog.LevelInfo, "node stopped", "None.")
-	NodeFailed   = define(104, slog.LevelError, "node failed", "Read the error: an address in use or a wrong setting.")
+	NodeStarting     = define(100, slog.LevelInfo, "node starting", "None.")
+	NodeReady        = define(101, slog.LevelInfo, "node ready", "None; the balancer may send traffic.")
+	NodeStopping     = define(102, slog.LevelInfo, "node stopping", "None; it finishes every request in flight.")
+	NodeStopped      = define(103, slog.LevelInfo, "node stopped", "None.")
+	LinesDropped     = define(105, slog.LevelWarn, "log lines dropped", "The reader of the log is too slow; the lines are lost, no request was held up.")
+	SettingsReloaded = define(106, slog.LevelInfo, "settings looked at again", "Read whether they changed; a node takes new ones with its next start.")
+	NodeFailed       = define(104, slog.LevelError, "node failed", "Read the error: an address in use or a wrong setting.")
 
 	ConfigInForce     = define(200, slog.LevelInfo, "configuration in force", "Compare the hash with what you published.")
 	ConfigRejected    = define(201, slog.LevelWarn, "configuration record rejected", "Its author raced another one: make the change again on the version in force.")
@@ -20,10 +22,18 @@
 	ConfigFromPeer    = define(204, slog.LevelInfo, "configuration taken from a peer", "None; the log was unavailable.")
 	ConfigCheckpoint  = define(205, slog.LevelInfo, "configuration checkpoint appended", "None; it keeps the version from expiring.")
 
-	MemberAlive   = define(300, slog.LevelInfo, "member alive", "None.")
-	MemberLeaving = define(301, slog.LevelInfo, "member leaving", "None.")
-	MemberDead    = define(302, slog.LevelWarn, "member dead", "Check the VM if the platform did not replace it.")
-	VMListDown    = define(303, slog.LevelWarn, "list of VMs unavailable", "New nodes cannot join until it is back; serving goes on.")
+	TableInForce  = define(206, slog.LevelInfo, "routing table in force", "None; the version is the operator's.")
+	TableRejected = define(207, slog.LevelError, "routing table not usable", "The last good one stays in force: mend the field that the error names.")
+	StoreLost     = define(208, slog.LevelWarn, "platform's store does not answer", "Serving goes on with what is known; look at the store if it lasts.")
+	StoreBack     = define(209, slog.LevelInfo, "platform's store answers again", "None.")
+
+	EndpointReady    = define(310, slog.LevelInfo, "endpoint ready", "None.")
+	EndpointGone     = define(311, slog.LevelInfo, "endpoint gone", "None, unless nobody took it away.")
+	EndpointRejected = define(312, slog.LevelError, "endpoint's registration not usable", "Mend the field that the error names.")
+	MemberAlive      = define(300, slog.LevelInfo, "member alive", "None.")
+	MemberLeaving    = define(301, slog.LevelInfo, "member leaving", "None.")
+	MemberDead       = define(302, slog.LevelWarn, "member dead", "Check the VM if the platform did not replace it.")
+	VMListDown       = define(303, slog.LevelWarn, "list of VMs unavailable", "New nodes cannot join until it is back; serving goes on.")
 
 	SchedulerLost  = define(400, slog.LevelWarn, "no word from a shard's scheduler", "None; the gateway asks the next one, then serves a small local share.")
 	SchedulerTaken = define(401, slog.LevelInfo, "shard taken over", "None; for a moment it grants half of the capacity.")
@@ -31,6 +41,8 @@
 
 	RequestRefused = define(500, slog.LevelInfo, "request refused", "Read the reason; under overload, look at the class's tier and share.")
 	RequestBroken  = define(501, slog.LevelWarn, "attempt broke", "Look at the endpoint when it repeats.")
+	AttemptEnded   = define(503, slog.LevelInfo, "attempt ended", "Read how it ended; touched tells whether the endpoint may have run it.")
+	RequestEnded   = define(504, slog.LevelInfo, "request ended", "Read outcome and code; the attempts with the same id tell the rest.")
 	RequestUnknown = define(502, slog.LevelWarn, "outcome unknown", "The caller was told so; compare with the endpoint's own records.")
 
 	ClaimLogDown = define(600, slog.LevelWarn, "claim not written", "Requests with Idempotency-Key are answered not-run until the log is back.")
--- /dev/null
+++ b/chivefeed/follower.go
@@ -0,0 +1,177 @@
+package chivefeed
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"chivedrift/chivekernel"
+	"chivedrift/chivelog"
+)
+
+const (
+	// retryFirst and retryMost space the tries while the log does not answer. The most stays well under the two seconds in
+	// which a change has to be in force, and 330 nodes that try twice a second stay under the log's rate.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 500 * time.Millisecond
+	// snapshotTimeout bounds one snapshot of a few hundred entries.
+	snapshotTimeout = 2 * time.Second
+	// readSlack is how much longer than the wait a read may take before its connection counts as silent.
+	readSlack = time.Second
+)
+
+// Listener hears what a follower reads; calls come from one goroutine and must not block.
+type Listener interface {
+	// Replace takes the newest record of every key.
+	Replace(records []chivelog.KeyedRecord)
+	// Apply takes later records in order.
+	Apply(records []chivelog.KeyedRecord)
+	// Lost hears that the log does not answer, with the reason.
+	Lost(err error)
+	// Back hears that the log answers again.
+	Back()
+}
+
+// Options tell what to follow and how.
+type Options struct {
+	Topic chivelog.KeyedTopic
+	// Wait is how long a read waits for the first record.
+	Wait time.Duration
+	// Pace is the least time between the answer to one read and the next read: a busy topic is read in batches.
+	Pace     time.Duration
+	Listener Listener
+}
+
+// Follower is the service that follows one topic.
+type Follower struct {
+	o      Options
+	next   atomic.Int64
+	heard  atomic.Int64
+	lost   atomic.Bool
+	reads  atomic.Int64
+	duties chivekernel.Duties
+}
+
+// New returns a follower that has read nothing yet.
+func New(o Options) *Follower { return &Follower{o: o} }
+
+// Start begins to follow.
+func (f *Follower) Start(ctx context.Context) error {
+	f.duties.Begin(ctx, f.run)
+	return nil
+}
+
+// Stop ends the following.
+func (f *Follower) Stop(context.Context) error {
+	f.duties.End()
+	return nil
+}
+
+// Age returns how long ago the log last answered; negative means never.
+func (f *Follower) Age() time.Duration {
+	heard := f.heard.Load()
+	if heard == 0 {
+		return -1
+	}
+	return time.Since(time.UnixMilli(heard))
+}
+
+// Offset returns the offset up to which the topic was read.
+func (f *Follower) Offset() int64 { return f.next.Load() }
+
+// Dump returns how far the follower is.
+func (f *Follower) Dump() any {
+	return struct {
+		Offset int64 `json:"offset"`
+		AgeMs  int64 `json:"age_ms"`
+		Lost   bool  `json:"lost"`
+		Calls  int64 `json:"calls"`
+	}{f.next.Load(), f.Age().Milliseconds(), f.lost.Load(), f.reads.Load()}
+}
+
+func (f *Follower) run(ctx context.Context) {
+	pause := retryFirst
+	rooted := false
+	for ctx.Err() == nil {
+		err := f.step(ctx, &rooted)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			pause = retryFirst
+			sleep(ctx, f.o.Pace)
+			continue
+		}
+		if errors.Is(err, chivelog.ErrExpired) {
+			rooted = false
+			continue
+		}
+		f.markLost(err)
+		sleep(ctx, pause/2+rand.N(pause/2))
+		pause = min(2*pause, retryMost)
+	}
+}
+
+// step takes a snapshot, or the records after the last one.
+func (f *Follower) step(ctx context.Context, rooted *bool) error {
+	f.reads.Add(1)
+	if !*rooted {
+		return f.snapshot(ctx, rooted)
+	}
+	wait := f.o.Wait
+	if f.lost.Load() {
+		// After an outage the first read must not wait: its answer is what tells that the log is back.
+		wait = 0
+	}
+	limited, cancel := context.WithTimeout(ctx, wait+readSlack)
+	defer cancel()
+	batch, err := f.o.Topic.Read(limited, f.next.Load(), wait)
+	if err != nil {
+		return err
+	}
+	f.markHeard()
+	if len(batch.Records) > 0 {
+		f.o.Listener.Apply(batch.Records)
+	}
+	f.next.Store(batch.Next)
+	return nil
+}
+
+func (f *Follower) snapshot(ctx context.Context, rooted *bool) error {
+	limited, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	batch, err := f.o.Topic.Snapshot(limited)
+	if err != nil {
+		return err
+	}
+	f.markHeard()
+	f.o.Listener.Replace(batch.Records)
+	f.next.Store(batch.Next)
+	*rooted = true
+	return nil
+}
+
+func (f *Follower) markHeard() {
+	f.heard.Store(time.Now().UnixMilli())
+	if f.lost.Swap(false) {
+		f.o.Listener.Back()
+	}
+}
+
+func (f *Follower) markLost(err error) {
+	if !f.lost.Swap(true) {
+		f.o.Listener.Lost(err)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/chiveforward/budget.go
@@ -0,0 +1,101 @@
+package chiveforward
+
+import (
+	"sync"
+	"time"
+)
+
+// Budget bounds repeats to a share of a pool's requests plus this node's part of a fixed headroom, over a sliding window.
+//
+// The bound is the fleet's, but no node knows what the others do at this moment. Each spends only what is safe alone: the
+// share of its own requests, and the headroom divided by the largest fleet it has lately known of. So the sum stays under
+// the bound whatever the others do, also when some of them have died or cannot be heard.
+type Budget struct {
+	mu     sync.Mutex
+	limits BudgetLimits
+	origin time.Time
+	nodes  int
+	pools  map[string]*window
+}
+
+// BudgetLimits is the bound for the whole fleet: in any Window, repeats stay under Ratio times requests plus Headroom.
+type BudgetLimits struct {
+	Ratio    float64
+	Headroom float64
+	Window   time.Duration
+}
+
+const (
+	// requestSteps is the number of steps that a window is counted in.
+	requestSteps = 20
+	// repeatSteps reach further back than the window: its edges fall inside steps, and a repeat must not be forgotten early.
+	repeatSteps = requestSteps + 2
+	budgetSteps = repeatSteps
+	// budgetMargin keeps a part of the headroom for nodes that are not known yet and for the grain of the steps.
+	budgetMargin = 0.8
+)
+
+type window struct {
+	requests [budgetSteps]int
+	repeats  [budgetSteps]int
+	step     int64
+}
+
+// NewBudget returns a budget for a fleet of one node.
+func NewBudget(limits BudgetLimits) *Budget {
+	return &Budget{limits: limits, origin: time.Now(), nodes: 1, pools: make(map[string]*window)}
+}
+
+// SetNodes takes how many nodes share the headroom.
+func (b *Budget) SetNodes(nodes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.nodes = max(nodes, 1)
+}
+
+// Request counts a caller's request for a pool.
+func (b *Budget) Request(now time.Time, pool string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.at(now, pool)
+	w.requests[w.step%budgetSteps]++
+}
+
+// Spend takes one repeat and reports whether there was one left.
+func (b *Budget) Spend(now time.Time, pool string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.at(now, pool)
+	allowed := b.limits.Ratio*float64(w.sum(w.requests, requestSteps)) + b.limits.Headroom*budgetMargin/float64(b.nodes)
+	if float64(w.sum(w.repeats, repeatSteps)+1) > allowed {
+		return false
+	}
+	w.repeats[w.step%budgetSteps]++
+	return true
+}
+
+// at returns a pool's window moved on to now.
+func (b *Budget) at(now time.Time, pool string) *window {
+	step := int64(now.Sub(b.origin) / (b.limits.Window / requestSteps))
+	w, ok := b.pools[pool]
+	if !ok {
+		w = &window{step: step}
+		b.pools[pool] = w
+	}
+	for steps := 0; w.step < step && steps < budgetSteps; steps++ {
+		w.step++
+		w.requests[w.step%budgetSteps] = 0
+		w.repeats[w.step%budgetSteps] = 0
+	}
+	w.step = max(w.step, step)
+	return w
+}
+
+// sum adds up the newest steps.
+func (w *window) sum(counts [budgetSteps]int, steps int64) int {
+	total := 0
+	for back := int64(0); back < steps && back <= w.step; back++ {
+		total += counts[(w.step-back)%budgetSteps]
+	}
+	return total
+}
--- /dev/null
+++ b/chivegossip/service.go
@@ -0,0 +1,201 @@
+package chivegossip
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"chivedrift/chivedirectory"
+	"chivedrift/chivekernel"
+	"chivedrift/chivemember"
+	"chivedrift/chivering"
+	"chivedrift/chivewire"
+)
+
+// ServiceName is the name under which the service registers.
+const ServiceName = "gossip"
+
+const (
+	// askEvery is how often a node compares itself with one peer drawn at random: a change reaches a node that only peers
+	// can tell within about a second, against the two seconds in which a configuration has to be in force.
+	askEvery = 400 * time.Millisecond
+	// blindAfter is how long the store may be silent before a node asks its peers for the endpoints too.
+	blindAfter = 1500 * time.Millisecond
+	inboxSize  = 256
+)
+
+// Tables holds the routing table in force.
+type Tables interface {
+	// Version returns the version in force; -1 before the first.
+	Version() int64
+	// Document returns the document in force and its version.
+	Document() ([]byte, int64)
+	// Learn takes a document.
+	Learn(document []byte, source string)
+}
+
+// Endpoints holds what is known of the endpoints.
+type Endpoints interface {
+	// Newest returns the offset of the newest word.
+	Newest() int64
+	// Words returns what is known and the offset of the newest word.
+	Words() ([]chivedirectory.Word, int64)
+	// Learn takes words.
+	Learn(words []chivedirectory.Word, source string)
+}
+
+// Members tells which nodes there are.
+type Members interface {
+	// Members returns every member that is not dead, this node included.
+	Members() []chivemember.Member
+}
+
+// Options are the parts the service is made of.
+type Options struct {
+	Mesh      *chivewire.Mesh
+	Members   Members
+	Tables    Tables
+	Endpoints Endpoints
+	// StoreAge tells how long ago the store last told of endpoints; negative means never.
+	StoreAge func() time.Duration
+	Logger   *slog.Logger
+}
+
+// Knowledge tells a peer how much the sender knows.
+type Knowledge struct {
+	Table  int64
+	Offset int64
+	// Blind tells that the sender gets no word from the store and wants to hear of endpoints.
+	Blind bool
+	// Reply tells that the sender was asked, so that two nodes do not answer each other for ever.
+	Reply bool
+}
+
+// Document is an operator's document for a peer that has an older one.
+type Document struct {
+	Table int64
+	Data  []byte
+}
+
+// Words is what the sender knows of the endpoints.
+type Words struct {
+	Words []chivedirectory.Word
+}
+
+// message is one message with its sender.
+type message struct {
+	from string
+	body any
+}
+
+// Service compares this node's knowledge with its peers'.
+type Service struct {
+	o      Options
+	inbox  *chivering.Ring[message]
+	duties chivekernel.Duties
+}
+
+// New returns a service that asks nobody yet.
+func New(o Options) *Service {
+	s := &Service{o: o, inbox: chivering.New[message](inboxSize)}
+	receive[Knowledge](s, chivewire.KindKnowledge)
+	receive[Document](s, chivewire.KindDocument)
+	receive[Words](s, chivewire.KindWords)
+	return s
+}
+
+func receive[T any](s *Service, kind chivewire.Kind) {
+	chivewire.Receive(s.o.Mesh, kind, func(from string, body T) {
+		// A full ring loses a message; the next comparison brings it again.
+		s.inbox.Offer(message{from, body})
+	})
+}
+
+// Start begins to compare.
+func (s *Service) Start(ctx context.Context) error {
+	s.duties.Begin(ctx, s.run)
+	return nil
+}
+
+// Stop ends that.
+func (s *Service) Stop(context.Context) error {
+	s.duties.End()
+	return nil
+}
+
+// Dump returns what this node would tell a peer.
+func (s *Service) Dump() any {
+	return struct {
+		Knowledge Knowledge       `json:"knowledge"`
+		Ring      chivering.Depth `json:"ring"`
+	}{s.knowledge(false), s.inbox.Depth()}
+}
+
+func (s *Service) run(ctx context.Context) {
+	tick := time.NewTicker(askEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			s.ask()
+		case m := <-s.inbox.Ready():
+			s.handle(m)
+		}
+	}
+}
+
+func (s *Service) ask() {
+	var others []chivemember.Member
+	for _, m := range s.o.Members.Members() {
+		if m.Address != s.o.Mesh.Self() {
+			others = append(others, m)
+		}
+	}
+	if len(others) == 0 {
+		return
+	}
+	s.send(others[rand.IntN(len(others))].Address, chivewire.KindKnowledge, s.knowledge(false))
+}
+
+func (s *Service) knowledge(reply bool) Knowledge {
+	age := s.o.StoreAge()
+	return Knowledge{Table: s.o.Tables.Version(), Offset: s.o.Endpoints.Newest(), Blind: age < 0 || age > blindAfter, Reply: reply}
+}
+
+func (s *Service) handle(m message) {
+	switch body := m.body.(type) {
+	case Knowledge:
+		s.compare(m.from, body)
+	case Document:
+		if body.Table > s.o.Tables.Version() {
+			s.o.Tables.Learn(body.Data, "peer "+m.from)
+		}
+	case Words:
+		s.o.Endpoints.Learn(body.Words, "peer "+m.from)
+	}
+}
+
+// compare sends what the peer lacks, and asks back when it is this node that lacks something.
+func (s *Service) compare(from string, theirs Knowledge) {
+	own := s.knowledge(true)
+	if own.Table > theirs.Table {
+		data, version := s.o.Tables.Document()
+		s.send(from, chivewire.KindDocument, Document{Table: version, Data: data})
+	}
+	if theirs.Blind && own.Offset > theirs.Offset {
+		words, _ := s.o.Endpoints.Words()
+		s.send(from, chivewire.KindWords, Words{Words: words})
+	}
+	lacking := own.Table < theirs.Table || (own.Blind && own.Offset < theirs.Offset)
+	if lacking && !theirs.Reply {
+		s.send(from, chivewire.KindKnowledge, own)
+	}
+}
+
+// send passes a message to the mesh; one that is lost is made up for by the next comparison.
+func (s *Service) send(to string, kind chivewire.Kind, body any) {
+	_ = s.o.Mesh.Send(to, kind, body)
+}
--- /dev/null
+++ b/chivelog/keyed.go
@@ -0,0 +1,36 @@
+package chivelog
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// ErrExpired means that the records after an offset are no longer retained: start over from a snapshot.
+var ErrExpired = errors.New("log: records expired")
+
+// KeyedRecord is one record of a keyed topic, of which the log keeps the newest of each key for good.
+type KeyedRecord struct {
+	// Offset is the record's place in the topic.
+	Offset int64
+	// Key names what the record is about.
+	Key string
+	// Value is empty when the key was removed.
+	Value []byte
+}
+
+// KeyedBatch holds records in offset order and the offset from which to read on.
+type KeyedBatch struct {
+	Records []KeyedRecord
+	Next    int64
+}
+
+// KeyedTopic is a topic whose newest record of each key is retained; errors wrap ErrUnavailable or ErrExpired.
+type KeyedTopic interface {
+	// Snapshot returns the newest record of each key and the offset from which Read continues without a gap.
+	Snapshot(ctx context.Context) (KeyedBatch, error)
+	// Read returns the records from an offset on, waiting up to wait for the first.
+	Read(ctx context.Context, from int64, wait time.Duration) (KeyedBatch, error)
+	// Put writes the newest record of a key; the error wraps ErrNotAppended or ErrUnknown.
+	Put(ctx context.Context, key string, value []byte) error
+}
--- /dev/null
+++ b/chivenode/readiness.go
@@ -0,0 +1,87 @@
+package chivenode
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"chivedrift/chivewire"
+)
+
+// readinessName is the name under which the readiness server registers.
+const readinessName = "readiness"
+
+const readinessHeaderTime = 2 * time.Second
+
+// readiness answers the balancer's question whether the node should get new connections.
+type readiness struct {
+	address string
+	network chivewire.Network
+	server  *http.Server
+	ready   func() error
+	leaving atomic.Bool
+	done    sync.WaitGroup
+}
+
+func newReadiness(address, path string, network chivewire.Network, ready func() error) *readiness {
+	r := &readiness{address: address, network: network, ready: ready}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+path, r.serve)
+	r.server = &http.Server{Handler: mux, ReadHeaderTimeout: readinessHeaderTime}
+	return r
+}
+
+// Start listens for the balancer.
+func (r *readiness) Start(context.Context) error {
+	listener, err := r.network.Listen(r.address)
+	if err != nil {
+		return fmt.Errorf("readiness: listen for the balancer: %w", err)
+	}
+	r.done.Add(1)
+	go func() {
+		defer r.done.Done()
+		// Serve returns when Stop closes the listener.
+		_ = r.server.Serve(listener)
+	}()
+	return nil
+}
+
+// Leave makes the node not ready from now on.
+func (r *readiness) Leave() { r.leaving.Store(true) }
+
+// Stop closes the server.
+func (r *readiness) Stop(context.Context) error {
+	err := r.server.Close()
+	r.done.Wait()
+	if err != nil {
+		return fmt.Errorf("readiness: %w", err)
+	}
+	return nil
+}
+
+// Dump returns whether the node is ready and why not.
+func (r *readiness) Dump() any {
+	dump := struct {
+		Leaving bool   `json:"leaving"`
+		Because string `json:"not_ready_because,omitempty"`
+	}{Leaving: r.leaving.Load()}
+	if err := r.ready(); err != nil {
+		dump.Because = err.Error()
+	}
+	return dump
+}
+
+func (r *readiness) serve(w http.ResponseWriter, _ *http.Request) {
+	if r.leaving.Load() {
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+		return
+	}
+	if err := r.ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "ready")
+}
--- /dev/null
+++ b/chivenode/roster.go
@@ -0,0 +1,133 @@
+package chivenode
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"chivedrift/chiveevent"
+	"chivedrift/chivekernel"
+	"chivedrift/chivelog"
+)
+
+// rosterName is the name under which the roster registers.
+const rosterName = "roster"
+
+const (
+	// announceTimeout bounds one try to leave the node's address in the store.
+	announceTimeout = 2 * time.Second
+	// announceFirst and announceMost space the tries while the store is away.
+	announceFirst = 200 * time.Millisecond
+	announceMost  = 2 * time.Second
+)
+
+// roster knows the addresses of nodes that may exist: those left in the store, and the seeds of the settings. It takes the
+// place of a list of VMs, and leaves this node's own address for the others.
+type roster struct {
+	self   string
+	region string
+	domain string
+	topic  chivelog.KeyedTopic
+	logger *slog.Logger
+	mu     sync.Mutex
+	seeds  []string
+	listed map[string]string
+	duties chivekernel.Duties
+}
+
+func newRoster(self, region, domain string, seeds []string, topic chivelog.KeyedTopic, logger *slog.Logger) *roster {
+	return &roster{self: self, region: region, domain: domain, seeds: seeds, topic: topic, logger: logger, listed: make(map[string]string)}
+}
+
+// Start begins to leave the node's address in the store.
+func (r *roster) Start(ctx context.Context) error {
+	r.duties.Begin(ctx, r.run)
+	return nil
+}
+
+// Stop ends that.
+func (r *roster) Stop(context.Context) error {
+	r.duties.End()
+	return nil
+}
+
+// Dump returns the addresses.
+func (r *roster) Dump() any { return r.addresses() }
+
+func (r *roster) run(ctx context.Context) {
+	pause := announceFirst
+	for ctx.Err() == nil {
+		limited, cancel := context.WithTimeout(ctx, announceTimeout)
+		err := r.topic.Put(limited, r.self, []byte(r.domain))
+		cancel()
+		if err == nil {
+			return
+		}
+		if errors.Is(err, chivelog.ErrUnknown) {
+			// Written twice it says the same, so the try is just repeated.
+			pause = announceFirst
+		}
+		select {
+		case <-time.After(pause):
+			pause = min(2*pause, announceMost)
+		case <-ctx.Done():
+		}
+	}
+}
+
+// Replace takes a snapshot of the store.
+func (r *roster) Replace(records []chivelog.KeyedRecord) {
+	r.mu.Lock()
+	r.listed = make(map[string]string, len(records))
+	r.mu.Unlock()
+	r.Apply(records)
+}
+
+// Apply takes later records of the store.
+func (r *roster) Apply(records []chivelog.KeyedRecord) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, record := range records {
+		if len(record.Value) == 0 {
+			delete(r.listed, record.Key)
+			continue
+		}
+		r.listed[record.Key] = string(record.Value)
+	}
+}
+
+// Lost hears that the store does not answer.
+func (r *roster) Lost(err error) {
+	chiveevent.StoreLost.Log(context.Background(), r.logger, slog.String("for", "nodes"), slog.String("error", err.Error()))
+}
+
+// Back hears that the store answers again.
+func (r *roster) Back() {
+	chiveevent.StoreBack.Log(context.Background(), r.logger, slog.String("for", "nodes"))
+}
+
+func (r *roster) addresses() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	addresses := append([]string(nil), r.seeds...)
+	for address := range r.listed {
+		addresses = append(addresses, address)
+	}
+	return addresses
+}
+
+// VMs returns the nodes that may exist; each is named by its peer address, which is all that a seed tells.
+func (r *roster) VMs(context.Context) ([]chivelog.VM, error) {
+	seen := make(map[string]bool)
+	var vms []chivelog.VM
+	for _, address := range r.addresses() {
+		if seen[address] {
+			continue
+		}
+		seen[address] = true
+		vms = append(vms, chivelog.VM{Name: address, Address: address, Region: r.region, Kind: chivelog.KindEntry, State: chivelog.StateLive})
+	}
+	return vms, nil
+}
--- /dev/null
+++ b/chivenode/store_node.go
@@ -0,0 +1,186 @@
+package chivenode
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"chivedrift/chiveadmin"
+	"chivedrift/chivedirectory"
+	"chivedrift/chiveentry"
+	"chivedrift/chiveevent"
+	"chivedrift/chivefeed"
+	"chivedrift/chiveforward"
+	"chivedrift/chivegate"
+	"chivedrift/chivegossip"
+	"chivedrift/chivekernel"
+	"chivedrift/chivemember"
+	"chivedrift/chivemetric"
+	"chivedrift/chivesettings"
+	"chivedrift/chivetable"
+	"chivedrift/chivewire"
+	chiveplatform "chivedrift/platform"
+)
+
+const (
+	tableFeedName     = "table feed"
+	directoryFeedName = "directory feed"
+	rosterFeedName    = "roster feed"
+
+	// quietWait is how long a read of a topic that seldom changes waits: each call has a price, and keepalive probes notice a
+	// silent connection meanwhile.
+	quietWait = 10 * time.Second
+	// busyPace spaces the reads of the endpoints' topic, in which every endpoint writes about once a second: one read brings
+	// many records, and a leaving endpoint is still noticed well within two seconds.
+	busyPace = 600 * time.Millisecond
+	// busyWait is how long such a read waits for the first record.
+	busyWait = time.Second
+	// stopMargin is the part of the grace time kept for the last lines of the log and the exit itself.
+	stopMargin = 400 * time.Millisecond
+	// memoryShare is the part of a process's memory at which the collector works harder.
+	memoryShare = 0.6
+	megabyte    = 1 << 20
+)
+
+// StoreNode is one process between callers and endpoints on a platform that keeps configuration and endpoints in a store.
+type StoreNode struct {
+	settings  chivesettings.StoreNode
+	logger    *slog.Logger
+	kernel    *chivekernel.Kernel
+	mesh      *chivewire.Mesh
+	members   *chivemember.Service
+	tables    *chivetable.Service
+	directory *chivedirectory.Service
+	entry     *chiveentry.Entry
+	ready     *readiness
+	feed      *chivefeed.Follower
+	budget    *chiveforward.Budget
+}
+
+// NewStoreNode puts a node together from its settings, on a network.
+func NewStoreNode(settings chivesettings.StoreNode, network chivewire.Network, logger *slog.Logger) (*StoreNode, error) {
+	n := &StoreNode{settings: settings, logger: logger, kernel: chivekernel.New()}
+	if err := n.assemble(network); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+// assemble makes the services and registers them in the order they start.
+func (n *StoreNode) assemble(network chivewire.Network) error {
+	s := n.settings
+	store := chiveplatform.NewStore(s.Store, s.Listen.Peers, network)
+	metrics := chivemetric.New()
+	n.mesh = chivewire.NewMesh(s.Listen.Peers, network)
+	roster := newRoster(s.Listen.Peers, s.Region, s.FailureDomain, s.Seeds, store.Nodes(), n.logger)
+	n.members = chivemember.NewService(chivemember.Member{
+		Name: s.Listen.Peers, Address: s.Listen.Peers, AdminAddress: s.Listen.Admin, Region: s.Region, FailureDomain: s.FailureDomain,
+		Incarnation: time.Now().UnixMilli(),
+	}, n.mesh, roster, n.logger)
+	n.tables = chivetable.NewService(chiveplatform.DecodeTable, chiveplatform.IsConfiguration, n.logger)
+	n.directory = chivedirectory.NewService(chiveplatform.DecodeEndpoint, chivedirectory.DefaultGrace, n.logger)
+	n.feed = chivefeed.New(chivefeed.Options{Topic: store.Endpoints(), Wait: busyWait, Pace: busyPace, Listener: n.directory})
+	n.budget = chiveforward.NewBudget(chiveforward.BudgetLimits{
+		Ratio: s.Repeats.Ratio, Headroom: s.Repeats.Headroom, Window: time.Duration(s.Repeats.WindowS * float64(time.Second)),
+	})
+	forwarder := chiveforward.New(chiveforward.Options{
+		Self: s.Listen.Callers, FailureDomain: s.FailureDomain, Network: network, Dialect: chiveplatform.Endpoints{}, Budget: n.budget, Logger: n.logger,
+	})
+	n.entry = chiveentry.New(chiveentry.Options{
+		Address: s.Listen.Callers, Network: network, Dialect: chiveplatform.Callers{}, Forwarder: forwarder, Scope: metrics.Scope(), Logger: n.logger,
+	})
+	n.ready = newReadiness(s.Listen.Ready, chiveplatform.ReadyPath, network, n.notReady)
+	n.tables.OnChange(forwarder.SetTable)
+	n.tables.OnChange(n.entry.SetTable)
+	n.directory.OnChange(forwarder.SetEndpoints)
+	process := newProcess()
+	return n.register([]named{
+		{processName, process},
+		{metricsName, metrics},
+		{wireName, n.mesh},
+		{accountName, newAccount(metrics.Scope(), n.mesh, process)},
+		{rosterName, roster},
+		{chivemember.ServiceName, n.members},
+		{chivetable.ServiceName, n.tables},
+		{chivedirectory.ServiceName, n.directory},
+		{chivegossip.ServiceName, chivegossip.New(chivegossip.Options{
+			Mesh: n.mesh, Members: n.members, Tables: n.tables, Endpoints: n.directory, StoreAge: n.feed.Age, Logger: n.logger,
+		})},
+		{tableFeedName, chivefeed.New(chivefeed.Options{Topic: store.Configurations(), Wait: quietWait, Listener: n.tables})},
+		{directoryFeedName, n.feed},
+		{rosterFeedName, chivefeed.New(chivefeed.Options{Topic: store.Nodes(), Wait: quietWait, Listener: roster})},
+		{chiveforward.ServiceName, forwarder},
+		{chiveadmin.ServiceName, chiveadmin.New(chiveadmin.Options{
+			Address: s.Listen.Admin, Network: network, Metrics: metrics.Handler(), State: n.kernel.Dump, Ready: n.notReady,
+			Explain: func(string) (*chivegate.Explanation, bool) { return nil, false },
+		})},
+		{chiveentry.ServiceName, n.entry},
+		{readinessName, n.ready},
+	})
+}
+
+func (n *StoreNode) register(services []named) error {
+	for _, s := range services {
+		if err := n.kernel.Register(s.name, s.service); err != nil {
+			return err
+		}
+	}
+	n.members.OnChange(func(members []chivemember.Member) { n.budget.SetNodes(len(members)) })
+	return nil
+}
+
+// errNoEndpoints is why a node that knows no endpoint is not ready.
+var errNoEndpoints = fmt.Errorf("no endpoint known yet")
+
+// notReady returns why the node should get no new connections yet, or nil.
+func (n *StoreNode) notReady() error {
+	if n.tables.Version() < 0 {
+		return errNoConfig
+	}
+	if n.directory.Newest() < 0 {
+		return errNoEndpoints
+	}
+	return nil
+}
+
+// Handler returns what serves callers, for use without a listener.
+func (n *StoreNode) Handler() http.Handler { return n.entry.Handler() }
+
+// Kernel returns the node's services by name.
+func (n *StoreNode) Kernel() *chivekernel.Kernel { return n.kernel }
+
+// Start starts every service.
+func (n *StoreNode) Start(ctx context.Context) error {
+	chiveevent.NodeStarting.Log(ctx, n.logger, slog.String("node", n.settings.Name), slog.String("callers", n.settings.Listen.Callers),
+		slog.String("failure_domain", n.settings.FailureDomain), slog.String("store", n.settings.Store))
+	if err := n.kernel.Start(ctx); err != nil {
+		chiveevent.NodeFailed.Log(ctx, n.logger, slog.String("error", err.Error()))
+		return err
+	}
+	return nil
+}
+
+// Stop is the planned stop: not ready first, serving on until the balancer has let go, then finishing what is in flight for
+// as long as the grace time allows.
+func (n *StoreNode) Stop(ctx context.Context) error {
+	began := time.Now()
+	chiveevent.NodeStopping.Log(ctx, n.logger, slog.Int64("in_flight", n.entry.InFlight()))
+	n.ready.Leave()
+	n.entry.Leave()
+	n.members.Leave(ctx)
+	release := min(n.settings.Stop.BalancerRelease(), n.settings.Stop.Grace()/2)
+	time.Sleep(release)
+	limited, cancel := context.WithDeadline(ctx, began.Add(n.settings.Stop.Grace()-stopMargin))
+	defer cancel()
+	err := n.entry.Stop(limited)
+	chiveevent.NodeStopped.Log(ctx, n.logger, slog.String("node", n.settings.Name), slog.Int64("in_flight", n.entry.InFlight()),
+		slog.Int64("took_ms", time.Since(began).Milliseconds()))
+	return err
+}
+
+// MemoryLimit returns the number of bytes at which the collector should work harder.
+func MemoryLimit(settings chivesettings.StoreNode) int64 {
+	return int64(float64(settings.MemoryMB*megabyte) * memoryShare)
+}
--- /dev/null
+++ b/chiveplace/cache.go
@@ -0,0 +1,52 @@
+package chiveplace
+
+import (
+	"container/list"
+)
+
+// cacheShare is how much of an engine's memory is assumed to hold cached parts; the rest belongs to running requests.
+const cacheShare = 0.7
+
+// cache is this node's belief of which parts an engine holds, the least recently used falling out first.
+type cache struct {
+	room  int64
+	used  int64
+	order *list.List
+	parts map[uint64]*list.Element
+}
+
+func newCache(engineTokens int64) *cache {
+	return &cache{room: int64(float64(engineTokens) * cacheShare), order: list.New(), parts: make(map[uint64]*list.Element)}
+}
+
+// missing returns how many tokens of a prompt the engine has to read anew.
+func (c *cache) missing(p *Prompt) int64 {
+	missing := p.Input
+	for _, part := range p.Parts {
+		if _, held := c.parts[part.ID]; !held {
+			break
+		}
+		missing -= part.Tokens
+	}
+	return max(missing, 0)
+}
+
+func (c *cache) touch(p *Prompt) {
+	for _, part := range p.Parts {
+		if e, held := c.parts[part.ID]; held {
+			c.order.MoveToFront(e)
+			continue
+		}
+		c.parts[part.ID] = c.order.PushFront(part)
+		c.used += part.Tokens
+	}
+	for c.used > c.room && c.order.Len() > 0 {
+		last := c.order.Back()
+		part, ok := c.order.Remove(last).(Part)
+		if !ok {
+			return
+		}
+		delete(c.parts, part.ID)
+		c.used -= part.Tokens
+	}
+}
--- /dev/null
+++ b/chiveplace/place.go
@@ -0,0 +1,89 @@
+package chiveplace
+
+import (
+	"time"
+
+	"chivedrift/chivedirectory"
+)
+
+// Ending tells how the use of a place ended, as far as it speaks for or against the endpoint.
+type Ending uint8
+
+const (
+	// EndedWell is an answer that came through whole.
+	EndedWell Ending = iota
+	// EndedError is an answer by which the endpoint reports a failure of its own.
+	EndedError
+	// EndedBroken is a connection that failed or an answer that made no sense.
+	EndedBroken
+	// EndedFull is the endpoint's word that it has no room.
+	EndedFull
+	// EndedGone is the word of another endpoint at the same address.
+	EndedGone
+	// EndedCaller is a request that was given up for reasons that are not the endpoint's.
+	EndedCaller
+)
+
+// Place is one request's place on an endpoint.
+type Place struct {
+	pool       *Pool
+	seat       *seat
+	endpoint   chivedirectory.Endpoint
+	began      time.Time
+	reason     string
+	candidates int
+	prompt     *Prompt
+	reads      int64
+	started    bool
+	ended      bool
+}
+
+// Endpoint returns the endpoint that was chosen.
+func (p *Place) Endpoint() chivedirectory.Endpoint { return p.endpoint }
+
+// Reason tells by what the endpoint was chosen.
+func (p *Place) Reason() string { return p.reason }
+
+// Candidates returns among how many endpoints it was chosen.
+func (p *Place) Candidates() int { return p.candidates }
+
+// Reads returns how many prompt tokens the endpoint is believed to have to read anew.
+func (p *Place) Reads() int64 { return p.reads }
+
+// Started notes that the answer has begun: the prompt has been read.
+func (p *Place) Started() {
+	p.pool.mu.Lock()
+	defer p.pool.mu.Unlock()
+	p.begin()
+}
+
+func (p *Place) begin() {
+	if p.started {
+		return
+	}
+	p.started = true
+	p.seat.ownWaiting -= p.reads
+}
+
+// Done gives the place back; calls after the first do nothing.
+func (p *Place) Done(now time.Time, ending Ending) {
+	p.pool.mu.Lock()
+	defer p.pool.mu.Unlock()
+	if p.ended {
+		return
+	}
+	p.ended = true
+	p.begin()
+	p.seat.own--
+	switch ending {
+	case EndedWell, EndedError:
+		p.seat.answered(now, ending == EndedError, now.Sub(p.began))
+	case EndedBroken:
+		p.seat.failed(now)
+	case EndedFull:
+		p.seat.full(now)
+	case EndedGone:
+		p.seat.downUntil = now.Add(quarantineMost)
+	case EndedCaller:
+	}
+}
--- /dev/null
+++ b/chiveplace/pool.go
@@ -0,0 +1,227 @@
+package chiveplace
+
+import (
+	"math"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"chivedrift/chivedirectory"
+	"chivedrift/chivetable"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// tokensPerRunning is the cost, in prompt tokens, of one more request beside the others in an engine's batch: it lengthens
+	// each step by a fraction of a millisecond for the hundreds of steps of an answer.
+	tokensPerRunning = 400
+	// homeless is the cost, in prompt tokens, of an engine that is not the home of the prompt's shared part: a tie-breaker
+	// that keeps nodes which have not seen a part before from spreading it over all engines.
+	homeless = 600
+	// farAway is how much dearer a plain endpoint in another failure domain is.
+	farAway = 1.15
+	// errorWeight is how much dearer an endpoint becomes with its share of errors.
+	errorWeight = 12
+	// usualTook stands in for the time to an answer, in seconds, while nothing is known.
+	usualTook = 0.03
+	// retryWhenFull is when a caller should come back to a pool without a free place, in the order of an answer's length.
+	retryWhenFull = 300 * time.Millisecond
+	// retryWhenNone is when to come back to a pool without any endpoint: about the time in which a process restarts.
+	retryWhenNone = 800 * time.Millisecond
+)
+
+// Ask is one request for a place.
+type Ask struct {
+	Request string
+	Prompt  *Prompt
+	// Exclude names endpoints, by id, that were tried already.
+	Exclude []string
+}
+
+// RefusedError tells why a pool has no place and when to come back.
+type RefusedError struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Error returns the reason.
+func (e *RefusedError) Error() string { return e.Reason }
+
+// Pool chooses among the endpoints of one pool and keeps the ledger of this node's requests on them.
+type Pool struct {
+	mu     sync.Mutex
+	domain string
+	engine chivetable.Engine
+	seats  map[string]*seat
+	usual  float64
+}
+
+// NewPool returns a pool without endpoints, seen from a failure domain.
+func NewPool(domain string) *Pool {
+	return &Pool{domain: domain, seats: make(map[string]*seat), usual: usualTook}
+}
+
+// SetEngine takes what the engines of the pool can hold; zero for plain services.
+func (p *Pool) SetEngine(engine chivetable.Engine) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.engine = engine
+}
+
+// SetEndpoints takes the endpoints of the pool; what is known of those that stay is kept.
+func (p *Pool) SetEndpoints(endpoints []chivedirectory.Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.seats
+	p.seats = make(map[string]*seat, len(endpoints))
+	for _, e := range endpoints {
+		s, ok := known[e.ID]
+		if !ok {
+			s = newSeat(e, p.engine.CacheTokens)
+		}
+		s.endpoint = e
+		p.seats[e.ID] = s
+	}
+}
+
+// Take reserves a place for a request; the error is a *RefusedError.
+func (p *Pool) Take(now time.Time, ask Ask) (*Place, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	usable, present := p.usable(now, ask.Exclude)
+	if len(usable) == 0 {
+		if present == 0 {
+			return nil, &RefusedError{Reason: "no endpoint of the pool is known", RetryAfter: retryWhenNone}
+		}
+		return nil, &RefusedError{Reason: "no endpoint of the pool has a free place", RetryAfter: retryWhenFull}
+	}
+	best, reason := p.cheapest(now, usable, ask.Prompt)
+	place := &Place{pool: p, seat: best, endpoint: best.endpoint, began: now, reason: reason, candidates: len(usable), prompt: ask.Prompt}
+	if ask.Prompt != nil {
+		place.reads = best.cache.missing(ask.Prompt)
+		best.cache.touch(ask.Prompt)
+	}
+	best.own++
+	best.ownWaiting += place.reads
+	return place, nil
+}
+
+// usable returns the seats that can take a request, in order of id, and how many endpoints there are at all. When all of
+// those with room are passed over for earlier failures, they are better than none.
+func (p *Pool) usable(now time.Time, exclude []string) (usable []*seat, present int) {
+	var suspect []*seat
+	for id, s := range p.seats {
+		if s.endpoint.State != chivedirectory.Ready {
+			continue
+		}
+		present++
+		if slices.Contains(exclude, id) || p.isFull(s) {
+			continue
+		}
+		if s.usable(now) {
+			usable = append(usable, s)
+		} else {
+			suspect = append(suspect, s)
+		}
+	}
+	if len(usable) == 0 {
+		usable = suspect
+	}
+	sort.Slice(usable, func(i, j int) bool { return usable[i].endpoint.ID < usable[j].endpoint.ID })
+	return usable, present
+}
+
+func (p *Pool) isFull(s *seat) bool {
+	return p.engine.Slots > 0 && s.load() >= p.engine.Slots
+}
+
+func (p *Pool) cheapest(now time.Time, seats []*seat, prompt *Prompt) (*seat, string) {
+	cost := p.plainCost
+	reason := "least expected time"
+	if prompt != nil && p.engine.Slots > 0 {
+		home := homeOf(seats, prompt.sharedPart())
+		reason = "least tokens to read"
+		cost = func(_ time.Time, s *seat) float64 { return engineCost(s, prompt, s == home) }
+	}
+	var best *seat
+	least := math.Inf(1)
+	for _, s := range seats {
+		if c := cost(now, s); c < least {
+			best, least = s, c
+		}
+	}
+	return best, reason
+}
+
+// engineCost is the work, in prompt tokens, until an engine would have read this prompt, plus what running beside the
+// others costs.
+func engineCost(s *seat, prompt *Prompt, home bool) float64 {
+	cost := float64(s.waitingTokens() + s.cache.missing(prompt) + tokensPerRunning*int64(s.load()))
+	if !home {
+		cost += homeless
+	}
+	return cost * (1 + errorWeight*s.errors)
+}
+
+// plainCost is the expected time to an answer of a plain service.
+func (p *Pool) plainCost(now time.Time, s *seat) float64 {
+	cost := float64(s.load()+1) * s.slowness(now, p.usual) * (1 + errorWeight*s.errors)
+	if s.endpoint.FailureDomain != p.domain {
+		cost *= farAway
+	}
+	return cost
+}
+
+// homeOf returns the seat that all nodes agree on for a part without talking: the one with the highest hash of both.
+func homeOf(seats []*seat, part uint64) *seat {
+	var home *seat
+	var highest uint64
+	for _, s := range seats {
+		if weight := rendezvous(s.endpoint.ID, part); home == nil || weight > highest {
+			home, highest = s, weight
+		}
+	}
+	return home
+}
+
+func rendezvous(id string, part uint64) uint64 {
+	digest := xxhash.New()
+	// Writing to a hash cannot fail.
+	_, _ = digest.WriteString(id)
+	var number [8]byte
+	for i := range number {
+		number[i] = byte(part >> (8 * i))
+	}
+	_, _ = digest.Write(number[:])
+	return digest.Sum64()
+}
+
+// SeatState is the dump of one endpoint.
+type SeatState struct {
+	Endpoint string  `json:"endpoint"`
+	Address  string  `json:"address"`
+	Ready    bool    `json:"ready"`
+	Own      int     `json:"own_requests"`
+	Others   int     `json:"other_nodes_requests"`
+	Waiting  int64   `json:"tokens_waiting"`
+	Errors   float64 `json:"error_share"`
+	TookMs   float64 `json:"took_ms"`
+	Down     bool    `json:"passed_over"`
+}
+
+// States returns what is known of each endpoint, by id.
+func (p *Pool) States(now time.Time) []SeatState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	states := make([]SeatState, 0, len(p.seats))
+	for id, s := range p.seats {
+		states = append(states, SeatState{
+			Endpoint: id, Address: s.endpoint.Address, Ready: s.endpoint.State == chivedirectory.Ready, Own: s.own, Others: s.others,
+			Waiting: s.waitingTokens(), Errors: s.errors, TookMs: s.took * 1000, Down: now.Before(s.downUntil),
+		})
+	}
+	sort.Slice(states, func(i, j int) bool { return states[i].Endpoint < states[j].Endpoint })
+	return states
+}
--- /dev/null
+++ b/chiveplace/seat.go
@@ -0,0 +1,87 @@
+package chiveplace
+
+import (
+	"time"
+
+	"chivedrift/chivedirectory"
+)
+
+const (
+	// quarantineFirst is how long an endpoint is passed over after a broken connection; it doubles with each further
+	// one up to quarantineMost. A crashed process is back, or its entry gone, within a few seconds.
+	quarantineFirst = 300 * time.Millisecond
+	quarantineMost  = 4 * time.Second
+	// fullFor is how long an endpoint that refused for lack of room is passed over: a few of its steps.
+	fullFor = 100 * time.Millisecond
+	// errorMemory is the weight of the newest answer in the running share of errors.
+	errorMemory = 0.08
+	// tookMemory is the weight of the newest answer in the running time to an answer.
+	tookMemory = 0.2
+	// forgetTook is the half-life after which an endpoint's slowness is half forgotten, so that it is tried again.
+	forgetTook = 3 * time.Second
+)
+
+// seat is what one node knows of one endpoint.
+type seat struct {
+	endpoint chivedirectory.Endpoint
+	// own and ownWaiting are this node's requests there, and the prompt tokens of those that have not begun to answer.
+	own        int
+	ownWaiting int64
+	// others and othersWaiting are the same of all other nodes, as last heard.
+	others        int
+	othersWaiting int64
+
+	failures  int
+	downUntil time.Time
+	errors    float64
+	took      float64
+	tookAt    time.Time
+	cache     *cache
+}
+
+func newSeat(e chivedirectory.Endpoint, cacheTokens int64) *seat {
+	return &seat{endpoint: e, cache: newCache(cacheTokens)}
+}
+
+func (s *seat) load() int            { return s.own + s.others }
+func (s *seat) waitingTokens() int64 { return s.ownWaiting + s.othersWaiting }
+
+func (s *seat) usable(now time.Time) bool {
+	return s.endpoint.State == chivedirectory.Ready && !now.Before(s.downUntil)
+}
+
+func (s *seat) failed(now time.Time) {
+	s.downUntil = now.Add(min(quarantineFirst<<min(s.failures, 10), quarantineMost))
+	s.failures++
+	s.errors += errorMemory * (1 - s.errors)
+}
+
+func (s *seat) full(now time.Time) {
+	s.downUntil = now.Add(fullFor)
+}
+
+// answered notes an answer: whether it was an error of the endpoint's own, and how long it took.
+func (s *seat) answered(now time.Time, isError bool, took time.Duration) {
+	s.failures = 0
+	share := 0.0
+	if isError {
+		share = 1
+	}
+	s.errors += errorMemory * (share - s.errors)
+	if s.took == 0 {
+		s.took = took.Seconds()
+	} else {
+		s.took += tookMemory * (took.Seconds() - s.took)
+	}
+	s.tookAt = now
+}
+
+// slowness is the running time to an answer, which fades towards the pool's usual time.
+func (s *seat) slowness(now time.Time, usual float64) float64 {
+	if s.took == 0 {
+		return usual
+	}
+	age := now.Sub(s.tookAt).Seconds() / forgetTook.Seconds()
+	keep := 1 / (1 + age)
+	return usual + (s.took-usual)*keep
+}
--- a/chivesettings/settings.go
+++ b/chivesettings/settings.go
@@ -50,16 +50,21 @@
 
 // Parse checks and returns the settings in data, which came from the named file.
 func Parse(file string, data []byte) (Settings, error) {
-	document, settings, err := chiveyaml.Decode[Settings](file, data)
+	return parse[Settings](file, data)
+}
+
+func parse[T any](file string, data []byte) (T, error) {
+	var none T
+	document, settings, err := chiveyaml.Decode[T](file, data)
 	if err != nil {
-		return Settings{}, err
+		return none, err
 	}
 	var problems chiveyaml.FieldErrors
 	for _, v := range chiveyaml.Validate(settings) {
 		problems = append(problems, document.Problem(v.Path, "%s", v.Message))
 	}
 	if len(problems) > 0 {
-		return Settings{}, problems
+		return none, problems
 	}
 	return settings, nil
 }
--- /dev/null
+++ b/chivetable/table.go
@@ -0,0 +1,226 @@
+package chivetable
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Repetition tells what may be repeated of a request.
+type Repetition uint8
+
+const (
+	// RepeatNever is a request that may run at most once.
+	RepeatNever Repetition = iota
+	// RepeatAlways is an idempotent request.
+	RepeatAlways
+	// RepeatResume is a stream that may go on at another endpoint after the last event that was delivered.
+	RepeatResume
+)
+
+// String returns the word that logs show.
+func (r Repetition) String() string {
+	switch r {
+	case RepeatAlways:
+		return "idempotent"
+	case RepeatResume:
+		return "resumable"
+	case RepeatNever:
+	}
+	return "once"
+}
+
+// Share is one pool of a weighted split.
+type Share struct {
+	Pool   string
+	Weight int
+}
+
+// Route tells how requests for one host and path prefix are handled.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Shares []Share
+	// Timeout is the longest a caller is kept waiting, whatever it would wait itself.
+	Timeout time.Duration
+	// Target is the time to the answer (streams: to the first event) that the class promises.
+	Target time.Duration
+	// Pause is the longest pause between events of a stream that is still on time; zero for answers in one piece.
+	Pause time.Duration
+	// Tier is the rank among routes; 0 goes first.
+	Tier int
+	// Attempts is the most endpoints that one request may be sent to.
+	Attempts  int
+	Anonymous bool
+	// Prompted routes carry prompts in named parts, whose place in engine caches matters.
+	Prompted bool
+	Stream   bool
+	Repeat   Repetition
+}
+
+// Engine tells what a pool of model engines can hold; zero for plain services.
+type Engine struct {
+	// Slots is the number of requests that one engine runs at once.
+	Slots int
+	// CacheTokens is the memory of one engine for running requests and cached parts, in tokens.
+	CacheTokens int64
+}
+
+// Pool is a set of endpoints that serve the same thing.
+type Pool struct {
+	Name string
+	// Connections is the most connections that one endpoint takes from all callers together.
+	Connections int
+	Engine      Engine
+}
+
+// Team is a customer with its rank, which goes before the route's when it has one.
+type Team struct {
+	Name    string
+	HasTier bool
+	Tier    int
+}
+
+// Limits bound what a caller may send; sizes are in bytes, zero means no limit.
+type Limits struct {
+	HeaderBytes int64
+	BodyBytes   int64
+	HeaderTime  time.Duration
+	IdleTime    time.Duration
+}
+
+// Spec is what a table is made of.
+type Spec struct {
+	Version int64
+	Routes  []Route
+	Pools   []Pool
+	// Teams is nil when no request needs a key.
+	Teams []Team
+	// TeamKeys gives the index in Teams of each key's holder.
+	TeamKeys map[string]int
+	Limits   Limits
+}
+
+// Table is one version of the routing configuration; it never changes.
+type Table struct {
+	spec   Spec
+	byHost map[string][]*Route
+	pools  map[string]*Pool
+}
+
+// New checks a spec and returns its table; the error names the version and the route.
+func New(spec Spec) (*Table, error) {
+	t := &Table{spec: spec, byHost: make(map[string][]*Route), pools: make(map[string]*Pool)}
+	for i := range t.spec.Pools {
+		t.pools[t.spec.Pools[i].Name] = &t.spec.Pools[i]
+	}
+	for i := range t.spec.Routes {
+		r := &t.spec.Routes[i]
+		if err := t.check(r); err != nil {
+			return nil, fmt.Errorf("configuration version %d: route %q: %w", spec.Version, r.Name, err)
+		}
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, routes := range t.byHost {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	return t, nil
+}
+
+func (t *Table) check(r *Route) error {
+	if r.Host == "" {
+		return fmt.Errorf("no host")
+	}
+	if !strings.HasPrefix(r.Prefix, "/") {
+		return fmt.Errorf("path prefix %q does not begin with a slash", r.Prefix)
+	}
+	total := 0
+	for _, s := range r.Shares {
+		if _, ok := t.pools[s.Pool]; !ok {
+			return fmt.Errorf("unknown pool %q", s.Pool)
+		}
+		if s.Weight < 0 {
+			return fmt.Errorf("pool %q has the negative weight %d", s.Pool, s.Weight)
+		}
+		total += s.Weight
+	}
+	if total == 0 {
+		return fmt.Errorf("no pool with a weight above 0")
+	}
+	return nil
+}
+
+// Version returns the version of the configuration.
+func (t *Table) Version() int64 { return t.spec.Version }
+
+// Limits returns the bounds on what callers may send.
+func (t *Table) Limits() Limits { return t.spec.Limits }
+
+// Routes returns how many routes there are.
+func (t *Table) Routes() int { return len(t.spec.Routes) }
+
+// Pools returns every pool.
+func (t *Table) Pools() []Pool { return t.spec.Pools }
+
+// Pool returns a pool by name.
+func (t *Table) Pool(name string) (*Pool, bool) {
+	p, ok := t.pools[name]
+	return p, ok
+}
+
+// Match returns the route of a host whose prefix is the longest that begins the path.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	for _, r := range t.byHost[bareHost(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// bareHost drops the port and the case of a Host header.
+func bareHost(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i > 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
+// NeedsKey tells whether requests on a route must carry a team's key.
+func (t *Table) NeedsKey(r *Route) bool { return t.spec.Teams != nil && !r.Anonymous }
+
+// Team returns the team that holds a key.
+func (t *Table) Team(key string) (*Team, bool) {
+	i, ok := t.spec.TeamKeys[key]
+	if !ok || key == "" {
+		return nil, false
+	}
+	return &t.spec.Teams[i], true
+}
+
+// TierFor returns the rank of a request: the team's, where it has one, before the route's.
+func (r *Route) TierFor(team *Team) int {
+	if team != nil && team.HasTier {
+		return team.Tier
+	}
+	return r.Tier
+}
+
+// PoolFor returns the pool that a point between 0 and 1 falls to in the route's split.
+func (r *Route) PoolFor(point float64) string {
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	rest := point * float64(total)
+	for _, s := range r.Shares {
+		rest -= float64(s.Weight)
+		if rest < 0 {
+			return s.Pool
+		}
+	}
+	return r.Shares[len(r.Shares)-1].Pool
+}
--- a/chivewire/kind.go
+++ b/chivewire/kind.go
@@ -37,6 +37,11 @@
 
 	KindConfigAsk    Kind = 80
 	KindConfigAnswer Kind = 81
+
+	KindKnowledge Kind = 96
+	KindDocument  Kind = 97
+	KindWords     Kind = 98
+	KindLoads     Kind = 99
 )
 
 var kindNames = map[Kind]string{
@@ -48,6 +53,7 @@
 	KindQuotaRequest: "quota_request", KindQuotaGrant: "quota_grant", KindEndpointNews: "endpoint_news",
 	KindClaimWrite: "claim_write", KindClaimResult: "claim_result", KindClaimRecord: "claim_record",
 	KindConfigAsk: "config_ask", KindConfigAnswer: "config_answer",
+	KindKnowledge: "knowledge", KindDocument: "document", KindWords: "words", KindLoads: "loads",
 }
 
 // String returns the kind's name as metrics and dumps show it.
