A planned stop closes idle callers' connections

The stop closed the listener but left idle connections open, and only answers ask callers to leave. Ruled out: the balancer (no new connection came after two seconds), the grace time (kept).

--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -106,6 +106,9 @@
 func (e *Entry) Stop(ctx context.Context) error {
 	e.Leave()
 	_ = e.listener.Close()
+	// Idle connections are closed too: on those no answer asks the caller to leave, and a request that came on one near the
+	// end would be cut.
+	e.server.SetKeepAlivesEnabled(false)
 	for e.inFlight.Load() > 0 && ctx.Err() == nil {
 		select {
 		case <-time.After(stopPoll):
--- /dev/null
+++ b/chiveentry/stop_test.go
@@ -0,0 +1,155 @@
+package chiveentry_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"chivedrift/chiveentry"
+	"chivedrift/chiveforward"
+	"chivedrift/chivetable"
+	"chivedrift/chivewire"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// plainDialect is a callers' dialect with one header field.
+type plainDialect struct{}
+
+func (plainDialect) Read(header http.Header) (chiveentry.Asked, error) {
+	if header.Get("Bad") != "" {
+		return chiveentry.Asked{}, errors.New("header Bad: not a number")
+	}
+	wait, err := time.ParseDuration(header.Get("Wait"))
+	if err != nil {
+		wait = time.Second
+	}
+	return chiveentry.Asked{ID: header.Get("Id"), Key: header.Get("Key"), Wait: wait}, nil
+}
+
+func (plainDialect) Strip(header http.Header)           { header.Del("Key") }
+func (plainDialect) Mark(header http.Header, id string) { header.Set("Id", id) }
+
+// fakeForwarder answers as a test tells it and keeps what it was asked.
+type fakeForwarder struct {
+	run  func(ctx context.Context, request *chiveforward.Request, sink chiveforward.Sink) chiveforward.Result
+	seen []*chiveforward.Request
+}
+
+func (f *fakeForwarder) Run(ctx context.Context, request *chiveforward.Request, sink chiveforward.Sink) chiveforward.Result {
+	f.seen = append(f.seen, request)
+	if f.run != nil {
+		return f.run(ctx, request, sink)
+	}
+	sink.Start(http.StatusOK, http.Header{})
+	return chiveforward.Result{Outcome: chiveforward.Completed, Started: true, Status: http.StatusOK}
+}
+
+func testTable(t *testing.T) *chivetable.Table {
+	t.Helper()
+	table, err := chivetable.New(chivetable.Spec{
+		Version: 3,
+		Routes: []chivetable.Route{
+			{Name: "all", Host: "a.example", Prefix: "/", Shares: []chivetable.Share{{Pool: "p", Weight: 1}}, Timeout: 5 * time.Second, Anonymous: true, Attempts: 1},
+			{Name: "deep", Host: "a.example", Prefix: "/deep/", Shares: []chivetable.Share{{Pool: "p", Weight: 1}}, Timeout: 5 * time.Second, Tier: 2, Attempts: 1},
+		},
+		Pools:    []chivetable.Pool{{Name: "p"}},
+		Teams:    []chivetable.Team{{Name: "red", HasTier: true, Tier: 1}},
+		TeamKeys: map[string]int{"k-red": 0},
+		Limits:   chivetable.Limits{BodyBytes: 100, HeaderBytes: 500},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+func startEntry(t *testing.T, forwarder chiveentry.Forwarder) (*chiveentry.Entry, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	listener.Close()
+	e := chiveentry.New(chiveentry.Options{
+		Address: address, Network: chivewire.TCP{}, Dialect: plainDialect{}, Forwarder: forwarder, Scope: tally.NoopScope,
+		Logger: slog.New(slog.DiscardHandler),
+	})
+	e.SetTable(testTable(t))
+	if err := e.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		e.Stop(ended)
+	})
+	return e, address
+}
+
+func ask(t *testing.T, conn net.Conn, from *bufio.Reader, path string) (*http.Response, error) {
+	t.Helper()
+	if _, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: a.example\r\nId: 1\r\n\r\n"); err != nil {
+		return nil, err
+	}
+	conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+	return http.ReadResponse(from, nil)
+}
+
+// Symptom: a stream was cut when the process ended, though it had been taken more than six seconds after the signal.
+// Sequence: a caller's connection was idle when the stop began; no answer on it could ask the caller to leave; its next
+// request came just before the end of the grace time and did not fit into what was left.
+// Cause: the stop closed the listener but left idle connections open.
+func TestStopClosesIdleConnections(t *testing.T) {
+	forwarder := &fakeForwarder{}
+	e, address := startEntry(t, forwarder)
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	from := bufio.NewReader(conn)
+	if response, err := ask(t, conn, from, "/one"); err != nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("before the stop: %v, %v", response, err)
+	}
+	// A long stream on another connection keeps the stop waiting.
+	release := make(chan struct{})
+	running := make(chan struct{})
+	forwarder.run = func(_ context.Context, request *chiveforward.Request, _ chiveforward.Sink) chiveforward.Result {
+		if request.Target == "/late" {
+			return chiveforward.Result{Outcome: chiveforward.NotRun, Status: http.StatusServiceUnavailable}
+		}
+		close(running)
+		<-release
+		return chiveforward.Result{Outcome: chiveforward.NotRun, Status: http.StatusServiceUnavailable}
+	}
+	other, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	io.WriteString(other, "GET /long HTTP/1.1\r\nHost: a.example\r\nId: 2\r\n\r\n")
+	<-running
+	stopped := make(chan error, 1)
+	go func() { stopped <- e.Stop(context.Background()) }()
+	time.Sleep(100 * time.Millisecond)
+	if response, err := ask(t, conn, from, "/late"); err == nil {
+		t.Errorf("the idle connection took a request during the stop: %v", response.Status)
+	}
+	other.SetReadDeadline(time.Now().Add(2 * time.Second))
+	close(release)
+	response, err := http.ReadResponse(bufio.NewReader(other), nil)
+	if err != nil || !response.Close {
+		t.Errorf("the request in flight: %v, %v; want an answer that closes its connection", response, err)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("stop: %v", err)
+	}
+}
