Nodes tell each other their load and the prompts sent where

Ruled out: the engines' memory (the shared parts of all sessions fit into nine engines). Change: chiveledger sends what changed every 40 ms to every peer (further apart with more peers), and all every 2 s; chiveplace keeps other nodes' loads and touches the caches it heard of.

--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync"
 	"time"
 
 	"chivedrift/chivedirectory"
@@ -11,8 +12,6 @@
 	"chivedrift/chiveplace"
 	"chivedrift/chivetable"
 	"chivedrift/chivewire"
-
-	"sync"
 )
 
 // ServiceName is the name under which the forwarder registers.
@@ -92,6 +91,39 @@
 	return f.pools[name]
 }
 
+// Collect returns what the other nodes should know of this node's requests: what changed since the last call, or everything.
+func (f *Forwarder) Collect(all bool) chiveplace.News {
+	news := chiveplace.News{All: all}
+	for _, p := range f.everyPool() {
+		p.Collect(&news, all)
+	}
+	return news
+}
+
+// Hear takes what another node told of its requests.
+func (f *Forwarder) Hear(node string, news chiveplace.News) {
+	for _, p := range f.everyPool() {
+		p.Hear(node, &news)
+	}
+}
+
+// Forget drops what is known of the requests of nodes that are not alive.
+func (f *Forwarder) Forget(alive map[string]bool) {
+	for _, p := range f.everyPool() {
+		p.Forget(alive)
+	}
+}
+
+func (f *Forwarder) everyPool() []*chiveplace.Pool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	pools := make([]*chiveplace.Pool, 0, len(f.pools))
+	for _, p := range f.pools {
+		pools = append(pools, p)
+	}
+	return pools
+}
+
 // Start begins to close idle connections.
 func (f *Forwarder) Start(ctx context.Context) error {
 	f.duties.Begin(ctx, f.sweep)
--- /dev/null
+++ b/chiveledger/service.go
@@ -0,0 +1,146 @@
+package chiveledger
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"chivedrift/chivekernel"
+	"chivedrift/chivemember"
+	"chivedrift/chiveplace"
+	"chivedrift/chivering"
+	"chivedrift/chivewire"
+)
+
+// ServiceName is the name under which the service registers.
+const ServiceName = "ledger"
+
+const (
+	// tellEvery is the least time between two messages to a peer: requests come a few a second a node, and one that does not
+	// know of another's for this long seldom chooses worse for it.
+	tellEvery = 40 * time.Millisecond
+	// tellPeers is the number of peers up to which tellEvery holds; with more, messages are further apart in proportion, so
+	// that a node's cost stays the same as the fleet grows.
+	tellPeers = 12
+	// repeatEvery is how often everything is told again: it makes up for lost messages.
+	repeatEvery = 2 * time.Second
+	inboxSize   = 1024
+)
+
+// Pools are the pools whose ledger is told.
+type Pools interface {
+	// Collect returns what changed since the last call, or everything.
+	Collect(all bool) chiveplace.News
+	// Hear takes what another node told.
+	Hear(node string, news chiveplace.News)
+	// Forget drops what is known of the requests of all nodes that are not named.
+	Forget(alive map[string]bool)
+}
+
+// Options are the parts the service is made of.
+type Options struct {
+	Mesh  *chivewire.Mesh
+	Pools Pools
+}
+
+// message is one message with its sender.
+type message struct {
+	from string
+	news chiveplace.News
+}
+
+// Service tells peers of this node's requests and hears of theirs.
+type Service struct {
+	o       Options
+	inbox   *chivering.Ring[message]
+	mu      sync.Mutex
+	members []chivemember.Member
+	duties  chivekernel.Duties
+}
+
+// New returns a service that tells nobody yet.
+func New(o Options) *Service {
+	s := &Service{o: o, inbox: chivering.New[message](inboxSize)}
+	chivewire.Receive(o.Mesh, chivewire.KindLoads, func(from string, news chiveplace.News) {
+		// A full ring loses a message; the repetition makes up for it.
+		s.inbox.Offer(message{from, news})
+	})
+	return s
+}
+
+// SetMembers takes a change of the fleet.
+func (s *Service) SetMembers(members []chivemember.Member) {
+	s.mu.Lock()
+	s.members = members
+	s.mu.Unlock()
+	alive := make(map[string]bool, len(members))
+	for _, m := range members {
+		alive[m.Address] = true
+	}
+	s.o.Pools.Forget(alive)
+}
+
+// Start begins to tell.
+func (s *Service) Start(ctx context.Context) error {
+	s.duties.Begin(ctx, s.run)
+	return nil
+}
+
+// Stop ends that.
+func (s *Service) Stop(context.Context) error {
+	s.duties.End()
+	return nil
+}
+
+// Dump returns the depth of the inbox.
+func (s *Service) Dump() any { return s.inbox.Depth() }
+
+func (s *Service) run(ctx context.Context) {
+	var repeated time.Time
+	timer := time.NewTimer(tellEvery)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-s.inbox.Ready():
+			s.o.Pools.Hear(m.from, m.news)
+		case <-timer.C:
+			peers := s.peers()
+			all := time.Since(repeated) > repeatEvery
+			if all {
+				repeated = time.Now()
+			}
+			s.tell(peers, all)
+			timer.Reset(pauseFor(len(peers)))
+		}
+	}
+}
+
+// pauseFor spaces messages so that their number does not grow with the square of the fleet.
+func pauseFor(peers int) time.Duration {
+	return tellEvery * time.Duration(max(1, (peers+tellPeers-1)/tellPeers))
+}
+
+func (s *Service) peers() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var peers []string
+	for _, m := range s.members {
+		if m.Address != s.o.Mesh.Self() {
+			peers = append(peers, m.Address)
+		}
+	}
+	return peers
+}
+
+func (s *Service) tell(peers []string, all bool) {
+	news := s.o.Pools.Collect(all)
+	if news.Empty() {
+		return
+	}
+	for _, p := range peers {
+		// A full ring loses a message; the repetition makes up for it.
+		_ = s.o.Mesh.Send(p, chivewire.KindLoads, news)
+	}
+}
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -16,6 +16,7 @@
 	"chivedrift/chivegate"
 	"chivedrift/chivegossip"
 	"chivedrift/chivekernel"
+	"chivedrift/chiveledger"
 	"chivedrift/chivemember"
 	"chivedrift/chivemetric"
 	"chivedrift/chivesettings"
@@ -57,6 +58,7 @@
 	ready     *readiness
 	feed      *chivefeed.Follower
 	budget    *chiveforward.Budget
+	ledger    *chiveledger.Service
 }
 
 // NewStoreNode puts a node together from its settings, on a network.
@@ -92,6 +94,7 @@
 		Address: s.Listen.Callers, Network: network, Dialect: chiveplatform.Callers{}, Forwarder: forwarder, Scope: metrics.Scope(), Logger: n.logger,
 	})
 	n.ready = newReadiness(s.Listen.Ready, chiveplatform.ReadyPath, network, n.notReady)
+	n.ledger = chiveledger.New(chiveledger.Options{Mesh: n.mesh, Pools: forwarder})
 	n.tables.OnChange(forwarder.SetTable)
 	n.tables.OnChange(n.entry.SetTable)
 	n.directory.OnChange(forwarder.SetEndpoints)
@@ -112,6 +115,7 @@
 		{directoryFeedName, n.feed},
 		{rosterFeedName, chivefeed.New(chivefeed.Options{Topic: store.Nodes(), Wait: quietWait, Listener: roster})},
 		{chiveforward.ServiceName, forwarder},
+		{chiveledger.ServiceName, n.ledger},
 		{chiveadmin.ServiceName, chiveadmin.New(chiveadmin.Options{
 			Address: s.Listen.Admin, Network: network, Metrics: metrics.Handler(), State: n.kernel.Dump, Ready: n.notReady,
 			Explain: func(string) (*chivegate.Explanation, bool) { return nil, false },
@@ -127,7 +131,10 @@
 			return err
 		}
 	}
-	n.members.OnChange(func(members []chivemember.Member) { n.budget.SetNodes(len(members)) })
+	n.members.OnChange(func(members []chivemember.Member) {
+		n.budget.SetNodes(len(members))
+		n.ledger.SetMembers(members)
+	})
 	return nil
 }
 
--- a/chiveplace/cache.go
+++ b/chiveplace/cache.go
@@ -31,8 +31,8 @@
 	return max(missing, 0)
 }
 
-func (c *cache) touch(p *Prompt) {
-	for _, part := range p.Parts {
+func (c *cache) touch(parts []Part) {
+	for _, part := range parts {
 		if e, held := c.parts[part.ID]; held {
 			c.order.MoveToFront(e)
 			continue
--- /dev/null
+++ b/chiveplace/news.go
@@ -0,0 +1,96 @@
+package chiveplace
+
+import (
+	"sort"
+)
+
+// News is what one node tells the others of its requests.
+type News struct {
+	// All tells that endpoints which are not named have none of the node's requests.
+	All   bool
+	Loads []Load
+	Reads []Read
+}
+
+// Load is how much a node has on one endpoint.
+type Load struct {
+	Endpoint string
+	Requests int
+	// Waiting is the number of prompt tokens of the requests that have not begun to answer.
+	Waiting int64
+}
+
+// Read is a prompt that a node sent to an endpoint.
+type Read struct {
+	Endpoint string
+	Parts    []Part
+}
+
+// Empty tells whether there is nothing to tell.
+func (n *News) Empty() bool { return !n.All && len(n.Loads) == 0 && len(n.Reads) == 0 }
+
+// Collect appends what changed since the last call, or everything, to what is told to the other nodes.
+func (p *Pool) Collect(news *News, all bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ids := make([]string, 0, len(p.seats))
+	for id, s := range p.seats {
+		if s.dirty || (all && s.own > 0) {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		s := p.seats[id]
+		s.dirty = false
+		news.Loads = append(news.Loads, Load{Endpoint: id, Requests: s.own, Waiting: s.ownWaiting})
+	}
+	news.Reads = append(news.Reads, p.reads...)
+	p.reads = nil
+}
+
+// Hear takes what another node told, as far as it is about this pool's endpoints.
+func (p *Pool) Hear(node string, news *News) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if news.All {
+		for _, s := range p.seats {
+			s.setOther(node, Load{})
+		}
+	}
+	for _, l := range news.Loads {
+		if s, ok := p.seats[l.Endpoint]; ok {
+			s.setOther(node, l)
+		}
+	}
+	for _, r := range news.Reads {
+		if s, ok := p.seats[r.Endpoint]; ok {
+			s.cache.touch(r.Parts)
+		}
+	}
+}
+
+// Forget drops the requests of nodes that are not alive: nobody would ever tell that they ended.
+func (p *Pool) Forget(alive map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.seats {
+		for node := range s.byNode {
+			if !alive[node] {
+				s.setOther(node, Load{})
+			}
+		}
+	}
+}
+
+// setOther replaces what another node has on the endpoint.
+func (s *seat) setOther(node string, l Load) {
+	before := s.byNode[node]
+	s.others += l.Requests - before.Requests
+	s.othersWaiting += l.Waiting - before.Waiting
+	if l.Requests == 0 {
+		delete(s.byNode, node)
+		return
+	}
+	s.byNode[node] = l
+}
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -63,6 +63,7 @@
 	}
 	p.started = true
 	p.seat.ownWaiting -= p.reads
+	p.seat.dirty = true
 }
 
 // Done gives the place back; calls after the first do nothing.
@@ -75,6 +76,7 @@
 	p.ended = true
 	p.begin()
 	p.seat.own--
+	p.seat.dirty = true
 	switch ending {
 	case EndedWell, EndedError:
 		p.seat.answered(now, ending == EndedError, now.Sub(p.began))
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -56,6 +56,8 @@
 	engine chivetable.Engine
 	seats  map[string]*seat
 	usual  float64
+	// reads are the prompts that the other nodes have not been told of.
+	reads []Read
 }
 
 // NewPool returns a pool without endpoints, seen from a failure domain.
@@ -101,10 +103,12 @@
 	place := &Place{pool: p, seat: best, endpoint: best.endpoint, began: now, reason: reason, candidates: len(usable), prompt: ask.Prompt}
 	if ask.Prompt != nil {
 		place.reads = best.cache.missing(ask.Prompt)
-		best.cache.touch(ask.Prompt)
+		best.cache.touch(ask.Prompt.Parts)
+		p.reads = append(p.reads, Read{Endpoint: best.endpoint.ID, Parts: ask.Prompt.Parts})
 	}
 	best.own++
 	best.ownWaiting += place.reads
+	best.dirty = true
 	return place, nil
 }
 
--- a/chiveplace/seat.go
+++ b/chiveplace/seat.go
@@ -30,6 +30,9 @@
 	// others and othersWaiting are the same of all other nodes, as last heard.
 	others        int
 	othersWaiting int64
+	byNode        map[string]Load
+	// dirty tells that the other nodes have not been told of the last change.
+	dirty bool
 
 	failures  int
 	downUntil time.Time
@@ -40,7 +43,7 @@
 }
 
 func newSeat(e chivedirectory.Endpoint, cacheTokens int64) *seat {
-	return &seat{endpoint: e, cache: newCache(cacheTokens)}
+	return &seat{endpoint: e, cache: newCache(cacheTokens), byNode: make(map[string]Load)}
 }
 
 func (s *seat) load() int            { return s.own + s.others }
