Engines are chosen by expected loss: reading again, being late, pauses beside long reads

Change: chiveplace/engine.go adds up rough chances: late itself, late for tight streams beside, tokens read again although held elsewhere.

--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -193,6 +193,9 @@
 	dropConnectionFields(request.Header)
 	e.o.Dialect.Strip(request.Header)
 	request.Prompt, request.LastEvent = asked.Prompt, asked.LastEvent
+	if request.Prompt != nil {
+		request.Prompt.Pause, request.Prompt.Target = route.Pause, route.Target
+	}
 	request.Deadline = now.Add(waitOf(route, asked))
 	return request, nil
 }
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -103,7 +103,7 @@
 // Hear takes what another node told of its requests.
 func (f *Forwarder) Hear(node string, news chiveplace.News) {
 	for _, p := range f.everyPool() {
-		p.Hear(node, &news)
+		p.Hear(time.Now(), node, &news)
 	}
 }
 
--- a/chiveplace/cache.go
+++ b/chiveplace/cache.go
@@ -31,6 +31,17 @@
 	return max(missing, 0)
 }
 
+// missingOf returns how many tokens of a row of parts the engine has to read anew.
+func (c *cache) missingOf(parts []Part) int64 {
+	missing := int64(0)
+	for _, part := range parts {
+		if _, held := c.parts[part.ID]; !held || missing > 0 {
+			missing += part.Tokens
+		}
+	}
+	return missing
+}
+
 func (c *cache) touch(parts []Part) {
 	for _, part := range parts {
 		if e, held := c.parts[part.ID]; held {
--- a/chiveplace/news.go
+++ b/chiveplace/news.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 )
 
 // News is what one node tells the others of its requests.
@@ -18,6 +19,9 @@
 	Requests int
 	// Waiting is the number of prompt tokens of the requests that have not begun to answer.
 	Waiting int64
+	// Tight is how many of the requests are streams whose pauses a long read spoils, Long the waiting tokens of long reads.
+	Tight int
+	Long  int64
 }
 
 // Read is a prompt that a node sent to an endpoint.
@@ -43,14 +47,14 @@
 	for _, id := range ids {
 		s := p.seats[id]
 		s.dirty = false
-		news.Loads = append(news.Loads, Load{Endpoint: id, Requests: s.own, Waiting: s.ownWaiting})
+		news.Loads = append(news.Loads, Load{Endpoint: id, Requests: s.own, Waiting: s.ownWaiting, Tight: s.ownTight, Long: s.ownLong})
 	}
 	news.Reads = append(news.Reads, p.reads...)
 	p.reads = nil
 }
 
 // Hear takes what another node told, as far as it is about this pool's endpoints.
-func (p *Pool) Hear(node string, news *News) {
+func (p *Pool) Hear(now time.Time, node string, news *News) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if news.All {
@@ -65,6 +69,9 @@
 	}
 	for _, r := range news.Reads {
 		if s, ok := p.seats[r.Endpoint]; ok {
+			if missing := s.cache.missingOf(r.Parts); missing > chunkTokens {
+				s.noteLong(now, missing)
+			}
 			s.cache.touch(r.Parts)
 		}
 	}
@@ -88,6 +95,8 @@
 	before := s.byNode[node]
 	s.others += l.Requests - before.Requests
 	s.othersWaiting += l.Waiting - before.Waiting
+	s.othersTight += l.Tight - before.Tight
+	s.othersLong += l.Long - before.Long
 	if l.Requests == 0 {
 		delete(s.byNode, node)
 		return
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -34,6 +34,8 @@
 	candidates int
 	prompt     *Prompt
 	reads      int64
+	ahead      int64
+	tight      bool
 	started    bool
 	ended      bool
 }
@@ -54,6 +56,9 @@
 func (p *Place) Started() {
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
+	if !p.started {
+		p.pool.learnRate(p.reads+p.ahead, time.Since(p.began))
+	}
 	p.begin()
 }
 
@@ -62,8 +67,7 @@
 		return
 	}
 	p.started = true
-	p.seat.ownWaiting -= p.reads
-	p.seat.dirty = true
+	p.seat.read(p)
 }
 
 // Done gives the place back; calls after the first do nothing.
@@ -76,6 +80,9 @@
 	p.ended = true
 	p.begin()
 	p.seat.own--
+	if p.tight {
+		p.seat.ownTight--
+	}
 	p.seat.dirty = true
 	switch ending {
 	case EndedWell, EndedError:
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -14,12 +14,6 @@
 )
 
 const (
-	// tokensPerRunning is the cost, in prompt tokens, of one more request beside the others in an engine's batch: it lengthens
-	// each step by a fraction of a millisecond for the hundreds of steps of an answer.
-	tokensPerRunning = 400
-	// homeless is the cost, in prompt tokens, of an engine that is not the home of the prompt's shared part: a tie-breaker
-	// that keeps nodes which have not seen a part before from spreading it over all engines.
-	homeless = 600
 	// farAway is how much dearer a plain endpoint in another failure domain is.
 	farAway = 1.15
 	// errorWeight is how much dearer an endpoint becomes with its share of errors.
@@ -56,13 +50,15 @@
 	engine chivetable.Engine
 	seats  map[string]*seat
 	usual  float64
+	// rate is the learnt number of prompt tokens that an engine reads in a millisecond.
+	rate float64
 	// reads are the prompts that the other nodes have not been told of.
 	reads []Read
 }
 
 // NewPool returns a pool without endpoints, seen from a failure domain.
 func NewPool(domain string) *Pool {
-	return &Pool{domain: domain, seats: make(map[string]*seat), usual: usualTook}
+	return &Pool{domain: domain, seats: make(map[string]*seat), usual: usualTook, rate: firstRate}
 }
 
 // SetEngine takes what the engines of the pool can hold; zero for plain services.
@@ -103,11 +99,13 @@
 	place := &Place{pool: p, seat: best, endpoint: best.endpoint, began: now, reason: reason, candidates: len(usable), prompt: ask.Prompt}
 	if ask.Prompt != nil {
 		place.reads = best.cache.missing(ask.Prompt)
+		place.ahead = best.waitingTokens()
+		place.tight = p.isTight(ask.Prompt)
+		best.begin(now, place)
 		best.cache.touch(ask.Prompt.Parts)
 		p.reads = append(p.reads, Read{Endpoint: best.endpoint.ID, Parts: ask.Prompt.Parts})
 	}
 	best.own++
-	best.ownWaiting += place.reads
 	best.dirty = true
 	return place, nil
 }
@@ -145,9 +143,8 @@
 	cost := p.plainCost
 	reason := "least expected time"
 	if prompt != nil && p.engine.Slots > 0 {
-		home := homeOf(seats, prompt.sharedPart())
-		reason = "least tokens to read"
-		cost = func(_ time.Time, s *seat) float64 { return engineCost(s, prompt, s == home) }
+		reason = "least expected loss"
+		cost = p.newEngineChoice(seats, prompt).cost
 	}
 	var best *seat
 	least := math.Inf(1)
@@ -159,16 +156,6 @@
 	return best, reason
 }
 
-// engineCost is the work, in prompt tokens, until an engine would have read this prompt, plus what running beside the
-// others costs.
-func engineCost(s *seat, prompt *Prompt, home bool) float64 {
-	cost := float64(s.waitingTokens() + s.cache.missing(prompt) + tokensPerRunning*int64(s.load()))
-	if !home {
-		cost += homeless
-	}
-	return cost * (1 + errorWeight*s.errors)
-}
-
 // plainCost is the expected time to an answer of a plain service.
 func (p *Pool) plainCost(now time.Time, s *seat) float64 {
 	cost := float64(s.load()+1) * s.slowness(now, p.usual) * (1 + errorWeight*s.errors)
--- a/chiveplace/prompt.go
+++ b/chiveplace/prompt.go
@@ -1,6 +1,8 @@
 package chiveplace
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -23,6 +25,10 @@
 	Input        int64
 	MostOutput   int64
 	HintedOutput int64
+	// Pause is the longest pause between events that is still on time; zero where none is promised.
+	Pause time.Duration
+	// Target is the time to the first event that is still on time.
+	Target time.Duration
 }
 
 // sharedPart returns the last part that other requests may have too: the very last belongs to the request or its session.
--- a/chiveplace/seat.go
+++ b/chiveplace/seat.go
@@ -31,6 +31,13 @@
 	others        int
 	othersWaiting int64
 	byNode        map[string]Load
+	// Of these, tight are the streams whose pauses a long read beside them spoils, and long the prompt tokens of long reads.
+	ownTight    int
+	othersTight int
+	ownLong     int64
+	othersLong  int64
+	longRead    float64
+	longAt      time.Time
 	// dirty tells that the other nodes have not been told of the last change.
 	dirty bool
 
@@ -49,6 +56,30 @@
 func (s *seat) load() int            { return s.own + s.others }
 func (s *seat) waitingTokens() int64 { return s.ownWaiting + s.othersWaiting }
 
+func (s *seat) tight() int         { return s.ownTight + s.othersTight }
+func (s *seat) longWaiting() int64 { return s.ownLong + s.othersLong }
+
+// begin counts what a new request adds.
+func (s *seat) begin(now time.Time, place *Place) {
+	s.ownWaiting += place.reads
+	if place.tight {
+		s.ownTight++
+	}
+	if place.reads > chunkTokens {
+		s.ownLong += place.reads
+		s.noteLong(now, place.reads)
+	}
+}
+
+// read counts that a request's prompt has been read.
+func (s *seat) read(place *Place) {
+	s.ownWaiting -= place.reads
+	if place.reads > chunkTokens {
+		s.ownLong -= place.reads
+	}
+	s.dirty = true
+}
+
 func (s *seat) usable(now time.Time) bool {
 	return s.endpoint.State == chivedirectory.Ready && !now.Before(s.downUntil)
 }
--- a/chivetable/table.go
+++ b/chivetable/table.go
@@ -66,6 +66,8 @@
 	Slots int
 	// CacheTokens is the memory of one engine for running requests and cached parts, in tokens.
 	CacheTokens int64
+	// TokensPerEvent is how many tokens one event of a stream holds.
+	TokensPerEvent int
 }
 
 // Pool is a set of endpoints that serve the same thing.
