Traps of the pipeline held by tests; the budget of repeats survives kills and partitions

Change: no headroom in a process's first window; the largest fleet of the last minutes divides it. Tests of the pipeline's traps on endpoints that answer byte for byte.

--- a/chiveforward/budget.go
+++ b/chiveforward/budget.go
@@ -8,13 +8,15 @@
 // Budget bounds repeats to a share of a pool's requests plus this node's part of a fixed headroom, over a sliding window.
 //
 // The bound is the fleet's, but no node knows what the others do at this moment. Each spends only what is safe alone: the
-// share of its own requests, and the headroom divided by the largest fleet it has lately known of. So the sum stays under
-// the bound whatever the others do, also when some of them have died or cannot be heard.
+// share of its own requests, and the headroom divided by the largest fleet that it has lately known of, so that the sum stays
+// under the bound also when nodes cannot hear each other and each takes the rest for dead. A process that has just started
+// does not know what the one before it spent, so it has no part of the headroom until a whole window has passed.
 type Budget struct {
 	mu     sync.Mutex
 	limits BudgetLimits
 	origin time.Time
-	nodes  int
+	fleet  [2]int
+	turned time.Time
 	pools  map[string]*window
 }
 
@@ -33,6 +35,8 @@
 	budgetSteps = repeatSteps
 	// budgetMargin keeps a part of the headroom for nodes that are not known yet and for the grain of the steps.
 	budgetMargin = 0.8
+	// fleetMemory is the least time for which the largest fleet is remembered: longer than a partition usually lasts.
+	fleetMemory = 2 * time.Minute
 )
 
 type window struct {
@@ -41,16 +45,26 @@
 	step     int64
 }
 
-// NewBudget returns a budget for a fleet of one node.
-func NewBudget(limits BudgetLimits) *Budget {
-	return &Budget{limits: limits, origin: time.Now(), nodes: 1, pools: make(map[string]*window)}
+// NewBudget returns a budget of a process that starts now, in a fleet of one node.
+func NewBudget(now time.Time, limits BudgetLimits) *Budget {
+	return &Budget{limits: limits, origin: now, fleet: [2]int{1, 1}, turned: now, pools: make(map[string]*window)}
 }
 
-// SetNodes takes how many nodes share the headroom.
-func (b *Budget) SetNodes(nodes int) {
+// SetNodes takes how many nodes are known to share the headroom.
+func (b *Budget) SetNodes(now time.Time, nodes int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.nodes = max(nodes, 1)
+	b.turn(now, nodes)
+	b.fleet[0] = max(b.fleet[0], nodes)
+}
+
+// turn forgets what is older than two spans of memory; the count that is known now stays.
+func (b *Budget) turn(now time.Time, nodes int) {
+	if now.Sub(b.turned) < fleetMemory {
+		return
+	}
+	b.fleet = [2]int{max(nodes, 1), b.fleet[0]}
+	b.turned = now
 }
 
 // Request counts a caller's request for a pool.
@@ -66,7 +80,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.at(now, pool)
-	allowed := b.limits.Ratio*float64(w.sum(w.requests, requestSteps)) + b.limits.Headroom*budgetMargin/float64(b.nodes)
+	allowed := b.limits.Ratio*float64(w.sum(w.requests, requestSteps)) + b.headroom(now)
 	if float64(w.sum(w.repeats, repeatSteps)+1) > allowed {
 		return false
 	}
@@ -74,6 +88,14 @@
 	return true
 }
 
+// headroom is this node's part.
+func (b *Budget) headroom(now time.Time) float64 {
+	if now.Sub(b.origin) < b.limits.Window {
+		return 0
+	}
+	return b.limits.Headroom * budgetMargin / float64(max(b.fleet[0], b.fleet[1]))
+}
+
 // at returns a pool's window moved on to now.
 func (b *Budget) at(now time.Time, pool string) *window {
 	step := int64(now.Sub(b.origin) / (b.limits.Window / requestSteps))
--- /dev/null
+++ b/chiveforward/run_test.go
@@ -0,0 +1,273 @@
+package chiveforward_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"chivedrift/chivedirectory"
+	"chivedrift/chiveforward"
+	"chivedrift/chivetable"
+)
+
+func TestRequestGoesOutAsItCame(t *testing.T) {
+	e := newEndpoint(t, plain)
+	s := newSetup(t, chivetable.Route{Attempts: 1}, e.entry("one"))
+	result, c := s.run(s.request(http.MethodPost, "body"))
+	if result.Outcome != chiveforward.Completed || c.status != http.StatusOK || string(c.body) != "body" {
+		t.Fatalf("got %+v, %d %q", result, c.status, c.body)
+	}
+	got := e.request(0)
+	if got.RequestURI != "/x?y=%2F" || got.Host != "h" || got.Header.Get("A") != "b" || got.Header.Get("Meant") != "one" {
+		t.Errorf("the endpoint got %s %s %v", got.RequestURI, got.Host, got.Header)
+	}
+	if _, given := got.Header["User-Agent"]; given {
+		t.Errorf("a user agent was added: %v", got.Header)
+	}
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	e := newEndpoint(t, plain)
+	s := newSetup(t, chivetable.Route{Attempts: 1}, e.entry("one"))
+	for range 5 {
+		if result, _ := s.run(s.request(http.MethodPost, "body")); result.Outcome != chiveforward.Completed {
+			t.Fatalf("got %+v", result)
+		}
+	}
+	if e.connections() != 1 {
+		t.Errorf("%d connections for five requests in a row, want 1", e.connections())
+	}
+}
+
+// Symptom: a caller got the answer of another request.
+// Sequence: an endpoint sent a second, late answer on a kept connection; the next request on it took that for its own.
+// Cause: answers were matched by their order. They are matched by the identity that the endpoint echoes.
+func TestAnswerOfAnotherRequestIsNotPassedOn(t *testing.T) {
+	e := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) {
+		write(conn, "HTTP/1.1 200 OK\r\nId: 41\r\nContent-Length: 5\r\n\r\nwrong")
+	})
+	s := newSetup(t, chivetable.Route{Attempts: 1}, e.entry("one"))
+	result, c := s.run(s.request(http.MethodPost, "body"))
+	if result.Outcome != chiveforward.Unknown || result.Status != http.StatusBadGateway || c.status != 0 {
+		t.Errorf("got %+v, passed on %d %q", result, c.status, c.body)
+	}
+}
+
+// Symptom: a request that may run once ran twice.
+// Sequence: the endpoint ran it and reset the connection before its answer; the request was sent again.
+// Cause: a byte had been written, so nothing but the endpoint's own word proves that it did not run.
+func TestRequestThatMayRunOnceIsNotSentAgain(t *testing.T) {
+	for name, breakOff := range map[string]func(net.Conn, *http.Request, string){
+		"reset":   func(conn net.Conn, _ *http.Request, _ string) { reset(conn) },
+		"closed":  func(conn net.Conn, _ *http.Request, _ string) { conn.Close() },
+		"no http": func(conn net.Conn, _ *http.Request, _ string) { write(conn, "\x00\x01 nonsense\r\n\r\n"); conn.Close() },
+		"cut short": func(conn net.Conn, _ *http.Request, _ string) {
+			write(conn, "HTTP/1.1 200 OK\r\nId: 42\r\nContent-Length: 9\r\n\r\nshort")
+			conn.Close()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			one, two := newEndpoint(t, breakOff), newEndpoint(t, breakOff)
+			s := newSetup(t, chivetable.Route{Attempts: 3}, one.entry("one"), two.entry("two"))
+			request := s.request(http.MethodGet, "")
+			request.Header.Set("Idempotency-Key", "net/http repeats such a request by itself")
+			result, c := s.run(request)
+			if result.Outcome != chiveforward.Unknown || c.status != 0 {
+				t.Errorf("got %+v, passed on %d", result, c.status)
+			}
+			if n := one.requests() + two.requests(); n != 1 {
+				t.Errorf("sent %d times, want 1", n)
+			}
+		})
+	}
+}
+
+// Symptom: the budget of repeats was overrun though every repeat asked it first.
+// Sequence: kept connections had died; net/http sent each GET again on a new connection by itself.
+// Cause: net/http repeats what looks harmless. A connection's transport refuses a second dial, so that nothing repeats by itself.
+func TestIdempotentRequestOnADeadConnectionAsksTheBudget(t *testing.T) {
+	first := true
+	e := newEndpoint(t, func(conn net.Conn, request *http.Request, body string) {
+		if first {
+			first = false
+			plain(conn, request, body)
+			return
+		}
+		reset(conn)
+	})
+	s := newSetup(t, chivetable.Route{Attempts: 1, Repeat: chivetable.RepeatAlways}, e.entry("one"))
+	s.run(s.request(http.MethodGet, ""))
+	result, _ := s.run(s.request(http.MethodGet, ""))
+	if result.Outcome == chiveforward.Completed || e.requests() != 2 {
+		t.Errorf("got %+v after %d requests, want a failure after 2", result, e.requests())
+	}
+}
+
+func TestIdempotentRequestGoesElsewhere(t *testing.T) {
+	bad := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) { reset(conn) })
+	good := newEndpoint(t, plain)
+	s := newSetup(t, chivetable.Route{Attempts: 2, Repeat: chivetable.RepeatAlways}, bad.entry("bad"), good.entry("good"))
+	for range 20 {
+		result, _ := s.run(s.request(http.MethodGet, ""))
+		if result.Outcome != chiveforward.Completed {
+			t.Fatalf("got %+v", result)
+		}
+	}
+}
+
+func TestEndpointsOwnErrorIsPassedOnWhenNoOtherDoesBetter(t *testing.T) {
+	e := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) {
+		write(conn, "HTTP/1.1 500 Oops\r\nId: 42\r\nContent-Length: 4\r\n\r\noops")
+	})
+	s := newSetup(t, chivetable.Route{Attempts: 2, Repeat: chivetable.RepeatAlways}, e.entry("one"))
+	result, c := s.run(s.request(http.MethodGet, ""))
+	if result.Outcome != chiveforward.Failed || c.status != http.StatusInternalServerError || string(c.body) != "oops" {
+		t.Errorf("got %+v, passed on %d %q", result, c.status, c.body)
+	}
+}
+
+func TestRefusalIsNotRunAndTellsWhenToComeBack(t *testing.T) {
+	e := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) {
+		write(conn, "HTTP/1.1 503 Full\r\nId: 42\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	})
+	s := newSetup(t, chivetable.Route{Attempts: 1}, e.entry("one"))
+	began := time.Now()
+	result, _ := s.run(s.request(http.MethodPost, "body"))
+	if result.Outcome != chiveforward.NotRun || result.Status != http.StatusServiceUnavailable || result.RetryAfter <= 0 {
+		t.Errorf("got %+v", result)
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("the final answer took %v", took)
+	}
+}
+
+// Symptom: a request failed though another endpoint would have served it.
+// Sequence: an endpoint's address had passed to another process, which answered that it is not the one that was meant.
+// Cause: that answer proves that nothing ran, so the request goes on elsewhere, also when it may run only once.
+func TestAddressOfAnotherEndpoint(t *testing.T) {
+	moved := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) {
+		write(conn, "HTTP/1.1 421 Moved\r\nContent-Length: 0\r\n\r\n")
+	})
+	good := newEndpoint(t, plain)
+	s := newSetup(t, chivetable.Route{Attempts: 1}, moved.entry("moved"), good.entry("good"))
+	for range 10 {
+		if result, _ := s.run(s.request(http.MethodPost, "body")); result.Outcome != chiveforward.Completed {
+			t.Fatalf("got %+v", result)
+		}
+	}
+	if moved.requests() > 1 {
+		t.Errorf("asked the wrong endpoint %d times", moved.requests())
+	}
+}
+
+func TestUnreachedEndpointIsNotRun(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := closed.Addr().String()
+	closed.Close()
+	s := newSetup(t, chivetable.Route{Attempts: 1}, chivedirectory.Endpoint{ID: "one", Pool: "p", Address: address})
+	result, _ := s.run(s.request(http.MethodPost, "body"))
+	if result.Outcome != chiveforward.NotRun || result.RetryAfter <= 0 {
+		t.Errorf("got %+v", result)
+	}
+}
+
+func TestDeadlineAndCallerGone(t *testing.T) {
+	e := newEndpoint(t, func(net.Conn, *http.Request, string) { time.Sleep(2 * time.Second) })
+	s := newSetup(t, chivetable.Route{Attempts: 1}, e.entry("one"))
+	late := s.request(http.MethodPost, "body")
+	late.Deadline = late.Arrival.Add(100 * time.Millisecond)
+	if result, _ := s.run(late); result.Outcome != chiveforward.Unknown || result.Status != http.StatusGatewayTimeout {
+		t.Errorf("deadline: got %+v", result)
+	}
+	ctx, leave := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, leave)
+	if result := s.forwarder.Run(ctx, s.request(http.MethodPost, "body"), &caller{}); result.Code != chiveforward.CodeCallerGone {
+		t.Errorf("caller gone: got %+v", result)
+	}
+}
+
+const streamHead = "HTTP/1.1 200 OK\r\nId: 42\r\nContent-Type: text/event-stream\r\n"
+
+func chunk(text string) string {
+	const hex = "0123456789abcdef"
+	return string([]byte{hex[len(text)/16], hex[len(text)%16]}) + "\r\n" + text + "\r\n"
+}
+
+// Symptom: a resumed stream would repeat or miss an event.
+// Sequence: an endpoint crashed in the middle of its third event; another one went on after the second.
+// Cause: only complete events are passed on, and the last one that went out names the place to go on from.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	var order []string
+	answer := func(conn net.Conn, request *http.Request, _ string) {
+		order = append(order, request.Header.Get("After"))
+		write(conn, streamHead+"Transfer-Encoding: chunked\r\n\r\n")
+		if request.Header.Get("After") == "" {
+			write(conn, chunk("id: 1\ndata: a\n\n")+chunk("id: 2\ndata: b\n\nid: 3\nda"))
+			time.Sleep(20 * time.Millisecond)
+			reset(conn)
+			return
+		}
+		write(conn, chunk("id: 2\ndata: b\n\n")+chunk("id: 3\ndata: c\n\n")+"0\r\n\r\n")
+	}
+	one, two := newEndpoint(t, answer), newEndpoint(t, answer)
+	s := newSetup(t, chivetable.Route{Attempts: 2, Stream: true, Repeat: chivetable.RepeatResume}, one.entry("one"), two.entry("two"))
+	result, c := s.run(s.request(http.MethodPost, "body"))
+	want := "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+	if result.Outcome != chiveforward.Completed || string(c.body) != want {
+		t.Errorf("got %+v\n%q, want\n%q", result, c.body, want)
+	}
+	if strings.Join(order, ",") != ",2" {
+		t.Errorf("the attempts went on after %q", order)
+	}
+}
+
+func TestStreamThatMayNotGoOnIsBrokenOff(t *testing.T) {
+	e := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) {
+		write(conn, streamHead+"Transfer-Encoding: chunked\r\n\r\n"+chunk("id: 1\ndata: a\n\n"))
+		time.Sleep(20 * time.Millisecond)
+		reset(conn)
+	})
+	s := newSetup(t, chivetable.Route{Attempts: 2, Stream: true}, e.entry("one"))
+	result, _ := s.run(s.request(http.MethodPost, "body"))
+	if !result.Started || result.Outcome != chiveforward.Unknown || e.requests() != 1 {
+		t.Errorf("got %+v after %d requests", result, e.requests())
+	}
+}
+
+// Symptom: a caller took a part of a stream for the whole.
+// Sequence: an endpoint sent a stream without a length and crashed inside an event; its system closed the connection in
+// order, which is how such a stream ends.
+// Cause: the end of a connection only ends a stream between two events.
+func TestStreamWithoutLengthThatEndsInsideAnEvent(t *testing.T) {
+	e := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) {
+		write(conn, streamHead+"\r\nid: 1\ndata: a\n\nid: 2\nda")
+		conn.Close()
+	})
+	s := newSetup(t, chivetable.Route{Attempts: 1, Stream: true}, e.entry("one"))
+	result, c := s.run(s.request(http.MethodPost, "body"))
+	if result.Outcome == chiveforward.Completed || strings.Contains(string(c.body), "id: 2") {
+		t.Errorf("got %+v, %q", result, c.body)
+	}
+}
+
+// Symptom: requests hung until their deadline although a healthy endpoint was there.
+// Sequence: an endpoint took connections and requests and never answered.
+// Cause: an idempotent request without an answer is tried elsewhere while its time still allows it.
+func TestSilentEndpoint(t *testing.T) {
+	silent := newEndpoint(t, func(net.Conn, *http.Request, string) { time.Sleep(3 * time.Second) })
+	good := newEndpoint(t, plain)
+	s := newSetup(t, chivetable.Route{Attempts: 2, Repeat: chivetable.RepeatAlways}, silent.entry("silent"), good.entry("good"))
+	for range 3 {
+		request := s.request(http.MethodGet, "")
+		request.Deadline = request.Arrival.Add(time.Second)
+		if result, _ := s.run(request); result.Outcome != chiveforward.Completed {
+			t.Errorf("got %+v", result)
+		}
+	}
+}
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -84,7 +84,7 @@
 	n.tables = chivetable.NewService(chiveplatform.DecodeTable, chiveplatform.IsConfiguration, n.logger)
 	n.directory = chivedirectory.NewService(chiveplatform.DecodeEndpoint, chivedirectory.DefaultGrace, n.logger)
 	n.feed = chivefeed.New(chivefeed.Options{Topic: store.Endpoints(), Wait: busyWait, Pace: busyPace, Listener: n.directory})
-	n.budget = chiveforward.NewBudget(chiveforward.BudgetLimits{
+	n.budget = chiveforward.NewBudget(time.Now(), chiveforward.BudgetLimits{
 		Ratio: s.Repeats.Ratio, Headroom: s.Repeats.Headroom, Window: time.Duration(s.Repeats.WindowS * float64(time.Second)),
 	})
 	forwarder := chiveforward.New(chiveforward.Options{
@@ -132,7 +132,7 @@
 		}
 	}
 	n.members.OnChange(func(members []chivemember.Member) {
-		n.budget.SetNodes(len(members))
+		n.budget.SetNodes(time.Now(), len(members))
 		n.ledger.SetMembers(members)
 	})
 	return nil
