--- a/chivedirectory/service.go
+++ b/chivedirectory/service.go
@@ -158,11 +158,11 @@
 	chiveevent.EndpointRejected.Log(context.Background(), s.logger, slog.String("key", r.Key), slog.Int64("offset", r.Offset), slog.String("error", err.Error()))
 }
 
-// change makes a change and tells it. The listeners are called under the lock, so that they hear changes in their order.
-func (s *Service) change(make func() bool, source string) {
+// change carries a change out and tells it. The listeners are called under the lock, so that they hear changes in their order.
+func (s *Service) change(apply func() bool, source string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !make() {
+	if !apply() {
 		return
 	}
 	endpoints := s.directory.Endpoints()
--- a/chiveentry/conn.go
+++ b/chiveentry/conn.go
@@ -37,7 +37,7 @@
 func (c *callerConn) closeIdle() {
 	if c.state.CompareAndSwap(connIdle, connClosed) {
 		// The connection is given up; what its closing says does not matter any more.
-		_ = c.Conn.Close()
+		_ = c.Close()
 	}
 }
 
--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -15,6 +15,7 @@
 
 	"chivedrift/chiveevent"
 	"chivedrift/chiveforward"
+	"chivedrift/chiverequest"
 	"chivedrift/chivetable"
 	"chivedrift/chivewire"
 
@@ -41,14 +42,14 @@
 // Forwarder carries an accepted request through to its outcome.
 type Forwarder interface {
 	// Run carries a request through to its outcome.
-	Run(ctx context.Context, request *chiveforward.Request, sink chiveforward.Sink) chiveforward.Result
+	Run(ctx context.Context, request *chiverequest.Request, sink chiveforward.Sink) chiveforward.Result
 }
 
 // Options are the parts an entry is made of.
 type Options struct {
 	Address   string
 	Network   chivewire.Network
-	Dialect   Dialect
+	Dialect   chiverequest.CallerDialect
 	Forwarder Forwarder
 	Scope     tally.Scope
 	Logger    *slog.Logger
@@ -161,7 +162,7 @@
 }
 
 // admit checks a request against the configuration in force.
-func (e *Entry) admit(w http.ResponseWriter, r *http.Request, asked Asked) (*chiveforward.Request, error) {
+func (e *Entry) admit(w http.ResponseWriter, r *http.Request, asked chiverequest.Asked) (*chiverequest.Request, error) {
 	table := e.table.Load()
 	if table == nil {
 		f := refusal(http.StatusServiceUnavailable, "no_configuration", "this node has no configuration yet")
@@ -171,7 +172,7 @@
 	now := time.Now()
 	target := requestTarget(r)
 	path, _, _ := strings.Cut(target, "?")
-	request := &chiveforward.Request{ID: asked.ID, TableVersion: table.Version(), Arrival: now}
+	request := &chiverequest.Request{ID: asked.ID, TableVersion: table.Version(), Arrival: now}
 	route, ok := table.Match(r.Host, path)
 	if !ok {
 		return request, refusal(http.StatusNotFound, "no_route", "no route for this host and path")
@@ -208,7 +209,7 @@
 const defaultWait = time.Minute
 
 // waitOf is the shorter of what the caller and the operator allow.
-func waitOf(route *chivetable.Route, asked Asked) time.Duration {
+func waitOf(route *chivetable.Route, asked chiverequest.Asked) time.Duration {
 	wait := route.Timeout
 	if wait == 0 {
 		wait = defaultWait
@@ -238,8 +239,8 @@
 	return r.URL.RequestURI()
 }
 
-func (e *Entry) refuse(w http.ResponseWriter, r *http.Request, asked Asked, request *chiveforward.Request, err error) {
-	var f *Failure
+func (e *Entry) refuse(w http.ResponseWriter, r *http.Request, asked chiverequest.Asked, request *chiverequest.Request, err error) {
+	var f *FailureError
 	if !errors.As(err, &f) {
 		f = refusal(http.StatusBadRequest, "invalid_request", err.Error())
 	}
@@ -257,7 +258,7 @@
 }
 
 // carry runs an admitted request and answers where the forwarder has not.
-func (e *Entry) carry(w http.ResponseWriter, r *http.Request, request *chiveforward.Request) {
+func (e *Entry) carry(w http.ResponseWriter, r *http.Request, request *chiverequest.Request) {
 	sink := &sink{w: w, out: http.NewResponseController(w), leaving: e.leaving.Load}
 	result := e.o.Forwarder.Run(r.Context(), request, sink)
 	e.metrics.finished(request, result)
@@ -274,12 +275,12 @@
 		// What went out promised more: the connection is broken off, so that nobody takes a part for the whole.
 		panic(http.ErrAbortHandler)
 	}
-	f := &Failure{Status: result.Status, Code: result.Code, Message: result.Message, Outcome: result.Outcome, RetryAfter: result.RetryAfter}
+	f := &FailureError{Status: result.Status, Code: result.Code, Message: result.Message, Outcome: result.Outcome, RetryAfter: result.RetryAfter}
 	e.fail(w, f, request.ID)
 }
 
 // fail answers with a failure; while the node is leaving, the caller is asked to take its connection elsewhere.
-func (e *Entry) fail(w http.ResponseWriter, f *Failure, id string) {
+func (e *Entry) fail(w http.ResponseWriter, f *FailureError, id string) {
 	if e.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/chiveentry/failure.go
+++ b/chiveentry/failure.go
@@ -8,10 +8,11 @@
 	"time"
 
 	"chivedrift/chiveforward"
+	"chivedrift/chiverequest"
 )
 
-// Failure is an answer that is not an endpoint's.
-type Failure struct {
+// FailureError is an answer that is not an endpoint's.
+type FailureError struct {
 	Status  int
 	Code    string
 	Message string
@@ -21,10 +22,10 @@
 }
 
 // Error returns the message, so that a failure can travel as an error.
-func (f *Failure) Error() string { return f.Message }
+func (f *FailureError) Error() string { return f.Message }
 
-func refusal(status int, code, message string) *Failure {
-	return &Failure{Status: status, Code: code, Message: message, Outcome: chiveforward.NotRun}
+func refusal(status int, code, message string) *FailureError {
+	return &FailureError{Status: status, Code: code, Message: message, Outcome: chiveforward.NotRun}
 }
 
 type failureBody struct {
@@ -39,7 +40,7 @@
 }
 
 // write answers with the failure; the time to come back is in seconds with a fraction, since most waits are under one.
-func (f *Failure) write(w http.ResponseWriter, dialect Dialect, id string) {
+func (f *FailureError) write(w http.ResponseWriter, dialect chiverequest.CallerDialect, id string) {
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	dialect.Mark(header, id)
--- a/chiveentry/metrics.go
+++ b/chiveentry/metrics.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chivedrift/chiveforward"
+	"chivedrift/chiverequest"
 
 	"github.com/uber-go/tally/v4"
 )
@@ -45,7 +46,7 @@
 	m.route(route).scope.Tagged(map[string]string{"code": code}).Counter("refused").Inc(1)
 }
 
-func (m *metrics) finished(request *chiveforward.Request, result chiveforward.Result) {
+func (m *metrics) finished(request *chiverequest.Request, result chiveforward.Result) {
 	r := m.route(request.Route.Name)
 	r.scope.Tagged(map[string]string{"outcome": string(result.Outcome), "code": result.Code}).Counter("requests").Inc(1)
 	r.scope.Counter("attempts").Inc(int64(result.Attempts))
--- a/chiveentry/stop_test.go
+++ b/chiveentry/stop_test.go
@@ -15,6 +15,7 @@
 
 	"chivedrift/chiveentry"
 	"chivedrift/chiveforward"
+	"chivedrift/chiverequest"
 	"chivedrift/chivetable"
 	"chivedrift/chivewire"
 
@@ -24,15 +25,15 @@
 // plainDialect is a callers' dialect with one header field.
 type plainDialect struct{}
 
-func (plainDialect) Read(header http.Header) (chiveentry.Asked, error) {
+func (plainDialect) Read(header http.Header) (chiverequest.Asked, error) {
 	if header.Get("Bad") != "" {
-		return chiveentry.Asked{}, errors.New("header Bad: not a number")
+		return chiverequest.Asked{}, errors.New("header Bad: not a number")
 	}
 	wait, err := time.ParseDuration(header.Get("Wait"))
 	if err != nil {
 		wait = time.Second
 	}
-	return chiveentry.Asked{ID: header.Get("Id"), Key: header.Get("Key"), Wait: wait}, nil
+	return chiverequest.Asked{ID: header.Get("Id"), Key: header.Get("Key"), Wait: wait}, nil
 }
 
 func (plainDialect) Strip(header http.Header)           { header.Del("Key") }
@@ -41,11 +42,11 @@
 // fakeForwarder answers as a test tells it and keeps what it was asked.
 type fakeForwarder struct {
 	mu   sync.Mutex
-	run  func(ctx context.Context, request *chiveforward.Request, sink chiveforward.Sink) chiveforward.Result
-	seen []*chiveforward.Request
+	run  func(ctx context.Context, request *chiverequest.Request, sink chiveforward.Sink) chiveforward.Result
+	seen []*chiverequest.Request
 }
 
-func (f *fakeForwarder) Run(ctx context.Context, request *chiveforward.Request, sink chiveforward.Sink) chiveforward.Result {
+func (f *fakeForwarder) Run(ctx context.Context, request *chiverequest.Request, sink chiveforward.Sink) chiveforward.Result {
 	f.mu.Lock()
 	f.seen = append(f.seen, request)
 	f.mu.Unlock()
@@ -118,7 +119,7 @@
 	t.Helper()
 	release = make(chan struct{})
 	running := make(chan struct{})
-	forwarder.run = func(_ context.Context, request *chiveforward.Request, _ chiveforward.Sink) chiveforward.Result {
+	forwarder.run = func(_ context.Context, request *chiverequest.Request, _ chiveforward.Sink) chiveforward.Result {
 		if request.Target == "/long" {
 			close(running)
 			<-release
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"chivedrift/chiveplace"
+	"chivedrift/chiverequest"
 	"chivedrift/chivetable"
 )
 
@@ -82,15 +83,15 @@
 	defer response.Body.Close()
 	c.status = response.StatusCode
 	switch c.run.f.o.Dialect.Judge(c.run.request, response) {
-	case VerdictNotRun:
+	case chiverequest.VerdictNotRun:
 		c.finish(response)
 		return endedRefused
-	case VerdictElsewhere:
+	case chiverequest.VerdictElsewhere:
 		c.lane.close()
 		return endedElsewhere
-	case VerdictForeign:
+	case chiverequest.VerdictForeign:
 		return c.broken(ctx, parent, errForeign)
-	case VerdictAnswer:
+	case chiverequest.VerdictAnswer:
 	}
 	if isEventStream(response.Header) && response.StatusCode == http.StatusOK {
 		return c.relay(ctx, parent, response)
@@ -144,7 +145,7 @@
 	if _, given := request.Header["User-Agent"]; !given {
 		request.Header["User-Agent"] = nil
 	}
-	c.run.f.o.Dialect.Prepare(request.Header, Send{
+	c.run.f.o.Dialect.Prepare(request.Header, chiverequest.Send{
 		Request: r, Endpoint: c.place.Endpoint().ID, Left: time.Until(r.Deadline), After: c.run.last,
 	})
 	return request, nil
--- a/chiveforward/endpoint_test.go
+++ b/chiveforward/endpoint_test.go
@@ -14,6 +14,7 @@
 
 	"chivedrift/chivedirectory"
 	"chivedrift/chiveforward"
+	"chivedrift/chiverequest"
 	"chivedrift/chivetable"
 	"chivedrift/chivewire"
 )
@@ -21,7 +22,7 @@
 // wireDialect is an endpoints' dialect with four header fields.
 type wireDialect struct{}
 
-func (wireDialect) Prepare(header http.Header, send chiveforward.Send) {
+func (wireDialect) Prepare(header http.Header, send chiverequest.Send) {
 	header.Set("Id", send.Request.ID)
 	header.Set("Left-Ms", strconv.FormatInt(send.Left.Milliseconds(), 10))
 	header.Set("Meant", send.Endpoint)
@@ -30,16 +31,16 @@
 	}
 }
 
-func (wireDialect) Judge(request *chiveforward.Request, response *http.Response) chiveforward.Verdict {
+func (wireDialect) Judge(request *chiverequest.Request, response *http.Response) chiverequest.Verdict {
 	switch {
 	case response.StatusCode == http.StatusMisdirectedRequest:
-		return chiveforward.VerdictElsewhere
+		return chiverequest.VerdictElsewhere
 	case response.Header.Get("Not-Run") != "":
-		return chiveforward.VerdictNotRun
+		return chiverequest.VerdictNotRun
 	case response.Header.Get("Id") != request.ID:
-		return chiveforward.VerdictForeign
+		return chiverequest.VerdictForeign
 	}
-	return chiveforward.VerdictAnswer
+	return chiverequest.VerdictAnswer
 }
 
 // endpoint is a listener whose answers a test writes byte for byte.
@@ -170,16 +171,16 @@
 	return &setup{f, budget, table}
 }
 
-func (s *setup) request(method, body string) *chiveforward.Request {
+func (s *setup) request(method, body string) *chiverequest.Request {
 	route, _ := s.table.Match("h", "/")
 	now := time.Now()
-	return &chiveforward.Request{
+	return &chiverequest.Request{
 		ID: "42", Route: route, Pool: "p", Method: method, Target: "/x?y=%2F", Host: "h", Header: http.Header{"A": {"b"}}, Body: []byte(body),
 		Arrival: now, Deadline: now.Add(3 * time.Second),
 	}
 }
 
-func (s *setup) run(request *chiveforward.Request) (chiveforward.Result, *caller) {
+func (s *setup) run(request *chiverequest.Request) (chiveforward.Result, *caller) {
 	c := &caller{}
 	return s.forwarder.Run(context.Background(), request, c), c
 }
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -10,6 +10,7 @@
 	"chivedrift/chivedirectory"
 	"chivedrift/chivekernel"
 	"chivedrift/chiveplace"
+	"chivedrift/chiverequest"
 	"chivedrift/chivetable"
 	"chivedrift/chivewire"
 )
@@ -22,7 +23,7 @@
 	Self          string
 	FailureDomain string
 	Network       chivewire.Network
-	Dialect       Dialect
+	Dialect       chiverequest.EndpointDialect
 	Budget        *Budget
 	Logger        *slog.Logger
 }
@@ -180,7 +181,7 @@
 )
 
 // Run carries a request through to its outcome.
-func (f *Forwarder) Run(parent context.Context, request *Request, sink Sink) Result {
+func (f *Forwarder) Run(parent context.Context, request *chiverequest.Request, sink Sink) Result {
 	ctx, cancel := context.WithDeadlineCause(parent, request.Deadline, errDeadline)
 	defer cancel()
 	f.o.Budget.Request(time.Now(), request.Pool)
--- a/chiveforward/lane.go
+++ b/chiveforward/lane.go
@@ -81,7 +81,7 @@
 	conn, err := l.network.Dial(ctx, l.self, address)
 	if err != nil {
 		l.closed.Store(true)
-		return nil, err //nolint:wrapcheck // net's errors name the address
+		return nil, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -9,13 +9,14 @@
 
 	"chivedrift/chiveevent"
 	"chivedrift/chiveplace"
+	"chivedrift/chiverequest"
 	"chivedrift/chivetable"
 )
 
 // run is the state of one request over its attempts.
 type run struct {
 	f       *Forwarder
-	request *Request
+	request *chiverequest.Request
 	sink    Sink
 	result  Result
 
--- a/chiveplace/cache.go
+++ b/chiveplace/cache.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/list"
+
+	"chivedrift/chiverequest"
 )
 
 // cacheShare is how much of an engine's memory is assumed to hold cached parts; the rest belongs to running requests.
@@ -20,7 +22,7 @@
 }
 
 // missing returns how many tokens of a prompt the engine has to read anew.
-func (c *cache) missing(p *Prompt) int64 {
+func (c *cache) missing(p *chiverequest.Prompt) int64 {
 	missing := p.Input
 	for _, part := range p.Parts {
 		if _, held := c.parts[part.ID]; !held {
@@ -32,7 +34,7 @@
 }
 
 // missingOf returns how many tokens of a row of parts the engine has to read anew.
-func (c *cache) missingOf(parts []Part) int64 {
+func (c *cache) missingOf(parts []chiverequest.Part) int64 {
 	missing := int64(0)
 	for _, part := range parts {
 		if _, held := c.parts[part.ID]; !held || missing > 0 {
@@ -42,7 +44,7 @@
 	return missing
 }
 
-func (c *cache) touch(parts []Part) {
+func (c *cache) touch(parts []chiverequest.Part) {
 	for _, part := range parts {
 		if e, held := c.parts[part.ID]; held {
 			c.order.MoveToFront(e)
@@ -53,7 +55,7 @@
 	}
 	for c.used > c.room && c.order.Len() > 0 {
 		last := c.order.Back()
-		part, ok := c.order.Remove(last).(Part)
+		part, ok := c.order.Remove(last).(chiverequest.Part)
 		if !ok {
 			return
 		}
--- a/chiveplace/engine.go
+++ b/chiveplace/engine.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"chivedrift/chiverequest"
 )
 
 // The cost of an engine for a request is the loss that is expected there, in requests: being late itself, making others
@@ -40,7 +42,7 @@
 
 // isTight tells whether a long read beside a stream makes its pauses too long: an event takes several steps, and each step
 // then reads a whole chunk.
-func (p *Pool) isTight(prompt *Prompt) bool {
+func (p *Pool) isTight(prompt *chiverequest.Prompt) bool {
 	if prompt.Pause == 0 {
 		return false
 	}
@@ -51,15 +53,15 @@
 // engineChoice holds what is the same for all engines in one choice.
 type engineChoice struct {
 	pool   *Pool
-	prompt *Prompt
+	prompt *chiverequest.Prompt
 	tight  bool
 	home   *seat
 	// held is the number of leading tokens that the best engine holds.
 	held int64
 }
 
-func (p *Pool) newEngineChoice(seats []*seat, prompt *Prompt) *engineChoice {
-	c := &engineChoice{pool: p, prompt: prompt, tight: p.isTight(prompt), home: homeOf(seats, prompt.sharedPart())}
+func (p *Pool) newEngineChoice(seats []*seat, prompt *chiverequest.Prompt) *engineChoice {
+	c := &engineChoice{pool: p, prompt: prompt, tight: p.isTight(prompt), home: homeOf(seats, sharedPart(prompt))}
 	for _, s := range p.seats {
 		c.held = max(c.held, prompt.Input-s.cache.missing(prompt))
 	}
--- a/chiveplace/news.go
+++ b/chiveplace/news.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"chivedrift/chiverequest"
 )
 
 // News is what one node tells the others of its requests.
@@ -27,7 +29,7 @@
 // Read is a prompt that a node sent to an endpoint.
 type Read struct {
 	Endpoint string
-	Parts    []Part
+	Parts    []chiverequest.Part
 }
 
 // Empty tells whether there is nothing to tell.
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chivedrift/chivedirectory"
+	"chivedrift/chiverequest"
 )
 
 // Ending tells how the use of a place ended, as far as it speaks for or against the endpoint.
@@ -32,7 +33,7 @@
 	began      time.Time
 	reason     string
 	candidates int
-	prompt     *Prompt
+	prompt     *chiverequest.Prompt
 	reads      int64
 	ahead      int64
 	tight      bool
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chivedrift/chivedirectory"
+	"chivedrift/chiverequest"
 	"chivedrift/chivetable"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,7 +30,7 @@
 // Ask is one request for a place.
 type Ask struct {
 	Request string
-	Prompt  *Prompt
+	Prompt  *chiverequest.Prompt
 	// Exclude names endpoints, by id, that were tried already.
 	Exclude []string
 }
@@ -139,7 +140,7 @@
 	return p.engine.Slots > 0 && s.load() >= p.engine.Slots
 }
 
-func (p *Pool) cheapest(now time.Time, seats []*seat, prompt *Prompt) (*seat, string) {
+func (p *Pool) cheapest(now time.Time, seats []*seat, prompt *chiverequest.Prompt) (*seat, string) {
 	cost := p.plainCost
 	reason := "least expected time"
 	if prompt != nil && p.engine.Slots > 0 {
--- /dev/null
+++ b/chiverequest/request.go
@@ -0,0 +1,66 @@
+package chiverequest
+
+import (
+	"net/http"
+	"time"
+
+	"chivedrift/chivetable"
+)
+
+// Request is one request as it was accepted, in no caller's dialect.
+type Request struct {
+	// ID is the identity that the caller gave this try of its request; the endpoint echoes it.
+	ID    string
+	Route *chivetable.Route
+	Pool  string
+	Team  string
+	// Tier is the rank among requests; 0 goes first.
+	Tier   int
+	Method string
+	// Target is the path with its query, byte for byte as the caller sent it.
+	Target string
+	Host   string
+	// Header holds what is passed on; the router's own fields were taken out.
+	Header http.Header
+	Body   []byte
+	Prompt *Prompt
+	// LastEvent is the last event of a stream that the caller already has, empty for a stream from its start.
+	LastEvent string
+	Arrival   time.Time
+	Deadline  time.Time
+	// TableVersion is the version of the configuration that the route comes from.
+	TableVersion int64
+}
+
+// Send is one attempt of a request on one endpoint.
+type Send struct {
+	Request *Request
+	// Endpoint is the incarnation that is meant; another one at the same address must not run the request.
+	Endpoint string
+	// Left is how long the caller still waits.
+	Left time.Duration
+	// After is the last event that was delivered, when the stream goes on from there.
+	After string
+}
+
+// Verdict tells what the head of an answer means.
+type Verdict uint8
+
+const (
+	// VerdictAnswer is the endpoint's answer to the request.
+	VerdictAnswer Verdict = iota
+	// VerdictNotRun is the endpoint's word that it did not run the request and will not.
+	VerdictNotRun
+	// VerdictElsewhere is the word of another endpoint that has the address now; the request did not run.
+	VerdictElsewhere
+	// VerdictForeign is an answer that belongs to another request.
+	VerdictForeign
+)
+
+// EndpointDialect is how a kind of endpoints is spoken to.
+type EndpointDialect interface {
+	// Prepare adds what the endpoint needs to know to the header of one attempt.
+	Prepare(header http.Header, send Send)
+	// Judge tells what the head of an answer to a request means.
+	Judge(request *Request, response *http.Response) Verdict
+}
