--- /dev/null
+++ b/chivedirectory/directory_test.go
@@ -0,0 +1,101 @@
+package chivedirectory_test
+
+import (
+	"testing"
+	"time"
+
+	"chivedrift/chivedirectory"
+
+	"pgregory.net/rapid"
+)
+
+const grace = 2 * time.Second
+
+func word(offset int64, id string) chivedirectory.Word {
+	return chivedirectory.Word{Offset: offset, Endpoint: chivedirectory.Endpoint{ID: id, Pool: "p", Address: "127.0.0.1:1"}}
+}
+
+func gone(offset int64, id string) chivedirectory.Word {
+	return chivedirectory.Word{Offset: offset, Gone: true, Endpoint: chivedirectory.Endpoint{ID: id}}
+}
+
+// Symptom: after an outage of the store every request was refused for seconds.
+// Sequence: the entries of living endpoints lapsed while these could not renew them; with the store's return the removals
+// were read at once, the renewed entries a second later.
+// Cause: a removal was taken at its word. For a grace time after the store's return a missing entry is kept.
+func TestLapsedEntriesAreKeptForAGraceTime(t *testing.T) {
+	now := time.Now()
+	d := chivedirectory.New(grace)
+	d.Apply(now, word(1, "a"))
+	d.Apply(now, word(2, "b"))
+	d.StoreLost()
+	d.StoreBack(now)
+	d.Apply(now, gone(3, "a"))
+	d.Apply(now, gone(4, "b"))
+	if n := len(d.Endpoints()); n != 2 {
+		t.Fatalf("%d endpoints right after the store's return, want 2", n)
+	}
+	d.Apply(now.Add(time.Second), word(5, "a"))
+	d.Expire(now.Add(grace + time.Millisecond))
+	if left := d.Endpoints(); len(left) != 1 || left[0].ID != "a" {
+		t.Errorf("after the grace time: %+v, want a alone", left)
+	}
+}
+
+func TestRemovalCountsAtOnceWhileTheStoreIsFine(t *testing.T) {
+	now := time.Now()
+	d := chivedirectory.New(grace)
+	d.Apply(now, word(1, "a"))
+	if !d.Apply(now, gone(2, "a")) || len(d.Endpoints()) != 0 {
+		t.Errorf("still there: %+v", d.Endpoints())
+	}
+}
+
+// Symptom: a leaving endpoint got new work again.
+// Sequence: a peer that had fallen behind told what it knew.
+// Cause: words were taken in the order in which they came; the offset in the store's log tells which is newer.
+func TestOlderWordChangesNothing(t *testing.T) {
+	now := time.Now()
+	d := chivedirectory.New(grace)
+	leaving := word(5, "a")
+	leaving.Endpoint.State = chivedirectory.Leaving
+	d.Apply(now, leaving)
+	if d.Apply(now, word(4, "a")) || d.Endpoints()[0].State != chivedirectory.Leaving {
+		t.Error("an older word brought it back to ready")
+	}
+	d.Apply(now, gone(6, "a"))
+	if d.Apply(now, word(5, "a")) || len(d.Endpoints()) != 0 {
+		t.Error("an older word brought it back from gone")
+	}
+}
+
+// Whatever the order in which a row of words arrives, also twice, the end is the same while the store is fine.
+func TestWordsMayComeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		words := make([]chivedirectory.Word, rapid.IntRange(1, 20).Draw(t, "words"))
+		for i := range words {
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+			words[i] = word(int64(i), id)
+			if rapid.Bool().Draw(t, "gone") {
+				words[i] = gone(int64(i), id)
+			}
+		}
+		inOrder, mixed := chivedirectory.New(grace), chivedirectory.New(grace)
+		for _, w := range words {
+			inOrder.Apply(now, w)
+		}
+		for _, w := range rapid.Permutation(append(words, words...)).Draw(t, "order") {
+			mixed.Apply(now, w)
+		}
+		want, got := inOrder.Endpoints(), mixed.Endpoints()
+		if len(want) != len(got) {
+			t.Fatalf("in order %+v, mixed %+v", want, got)
+		}
+		for i := range want {
+			if want[i] != got[i] {
+				t.Fatalf("in order %+v, mixed %+v", want[i], got[i])
+			}
+		}
+	})
+}
--- a/chiveplace/engine.go
+++ b/chiveplace/engine.go
@@ -77,11 +77,13 @@
 	loss += besideRunning * float64(s.load())
 	again := missing - (c.prompt.Input - c.held)
 	loss += againPerToken * float64(max(again, 0))
+	disturbed := min(1, s.longShare(now, c.pool.rate)+float64(s.longWaiting())/c.pool.rate/aheadMs)
 	if c.tight {
-		loss += min(1, s.longShare(now, c.pool.rate)+float64(s.longWaiting())/c.pool.rate/aheadMs)
+		loss += disturbed
 	}
 	if missing > chunkTokens {
-		loss += float64(s.tight()) * min(1, float64(missing)/(4*chunkTokens))
+		// Streams that are late anyway have nothing left to lose.
+		loss += float64(s.tight()) * (1 - disturbed) * min(1, float64(missing)/(4*chunkTokens))
 	}
 	if c.held == 0 && s != c.home {
 		loss += offHome
--- /dev/null
+++ b/chiveplace/pool_test.go
@@ -0,0 +1,156 @@
+package chiveplace_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"chivedrift/chivedirectory"
+	"chivedrift/chiveplace"
+	"chivedrift/chiverequest"
+	"chivedrift/chivetable"
+)
+
+var engine = chivetable.Engine{Slots: 64, CacheTokens: 500_000, TokensPerEvent: 4}
+
+func newPool(engines int, of chivetable.Engine) *chiveplace.Pool {
+	p := chiveplace.NewPool("a")
+	p.SetEngine(of)
+	var endpoints []chivedirectory.Endpoint
+	for i := range engines {
+		endpoints = append(endpoints, chivedirectory.Endpoint{ID: fmt.Sprintf("e%d", i), Pool: "p", FailureDomain: string(rune('a' + i%3))})
+	}
+	p.SetEndpoints(endpoints)
+	return p
+}
+
+func longPrompt(shared, own int) *chiverequest.Prompt {
+	return &chiverequest.Prompt{
+		Parts: []chiverequest.Part{{ID: uint64(shared), Tokens: 13000}, {ID: uint64(own), Tokens: 3700}}, Input: 16700, Target: 2500 * time.Millisecond,
+		Pause: 1200 * time.Millisecond,
+	}
+}
+
+func shortPrompt(own int) *chiverequest.Prompt {
+	return &chiverequest.Prompt{
+		Parts: []chiverequest.Part{{ID: uint64(own), Tokens: 1100}}, Input: 1100, Target: 1500 * time.Millisecond, Pause: 300 * time.Millisecond,
+	}
+}
+
+func take(t *testing.T, p *chiveplace.Pool, now time.Time, prompt *chiverequest.Prompt) *chiveplace.Place {
+	t.Helper()
+	place, err := p.Take(now, chiveplace.Ask{Prompt: prompt})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return place
+}
+
+// Symptom: the same shared part was read on engine after engine.
+// Sequence: its engine had a little more to do than the others, so the next request with the part went elsewhere.
+// Cause: the tokens that wait and the tokens that are read again counted alike.
+func TestSharedPartStaysWhereItIsHeld(t *testing.T) {
+	p := newPool(9, engine)
+	now := time.Now()
+	first := take(t, p, now, longPrompt(1, 100))
+	for i := range 5 {
+		next := take(t, p, now, longPrompt(1, 200+i))
+		if next.Endpoint().ID != first.Endpoint().ID || next.Reads() != 3700 {
+			t.Fatalf("request %d went to %s and reads %d tokens; %s holds the part", i, next.Endpoint().ID, next.Reads(), first.Endpoint().ID)
+		}
+	}
+}
+
+func TestNodesMeetOnOneEngineForANewPart(t *testing.T) {
+	now := time.Now()
+	one, other := newPool(9, engine), newPool(9, engine)
+	for shared := range 20 {
+		a, b := take(t, one, now, longPrompt(shared, 100)), take(t, other, now, longPrompt(shared, 200))
+		if a.Endpoint().ID != b.Endpoint().ID {
+			t.Errorf("part %d: %s and %s", shared, a.Endpoint().ID, b.Endpoint().ID)
+		}
+		a.Started()
+		a.Done(now, chiveplace.EndedWell)
+		b.Started()
+		b.Done(now, chiveplace.EndedWell)
+	}
+}
+
+// Symptom: streams with tight pauses came late on engines that read long prompts.
+// Sequence: the engine read a chunk of a long prompt between two tokens of the stream, several times for one event.
+// Cause: the choice saw only how soon the first event would come, not what runs beside it.
+func TestTightStreamKeepsAwayFromLongReads(t *testing.T) {
+	p := newPool(4, engine)
+	now := time.Now()
+	busy := make(map[string]bool)
+	for i := range 3 {
+		busy[take(t, p, now, longPrompt(i, 100+i)).Endpoint().ID] = true
+	}
+	for i := range 5 {
+		place := take(t, p, now, shortPrompt(1000+i))
+		if busy[place.Endpoint().ID] && len(busy) < 4 {
+			t.Errorf("a tight stream went to %s, which reads a long prompt", place.Endpoint().ID)
+		}
+	}
+}
+
+func TestWhatAnotherNodeSentCounts(t *testing.T) {
+	now := time.Now()
+	one, other := newPool(3, engine), newPool(3, engine)
+	sent := take(t, one, now, longPrompt(7, 100))
+	var news chiveplace.News
+	one.Collect(&news, false)
+	other.Hear(now, "one", &news)
+	next := take(t, other, now, longPrompt(7, 200))
+	if next.Endpoint().ID != sent.Endpoint().ID || next.Reads() != 3700 {
+		t.Errorf("went to %s and reads %d; another node had sent the part to %s", next.Endpoint().ID, next.Reads(), sent.Endpoint().ID)
+	}
+	other.Forget(map[string]bool{})
+	for _, s := range other.States(now) {
+		if s.Others != 0 {
+			t.Errorf("%s still has %d requests of a node that is gone", s.Endpoint, s.Others)
+		}
+	}
+}
+
+func TestFullPoolRefusesWithATimeToComeBack(t *testing.T) {
+	p := newPool(2, chivetable.Engine{Slots: 1, CacheTokens: 1000, TokensPerEvent: 1})
+	now := time.Now()
+	take(t, p, now, shortPrompt(1))
+	take(t, p, now, shortPrompt(2))
+	_, err := p.Take(now, chiveplace.Ask{Prompt: shortPrompt(3)})
+	var refused *chiveplace.RefusedError
+	if !errors.As(err, &refused) || refused.RetryAfter <= 0 {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestFailedEndpointIsPassedOverAndComesBack(t *testing.T) {
+	p := newPool(2, chivetable.Engine{})
+	now := time.Now()
+	bad := take(t, p, now, nil)
+	bad.Done(now, chiveplace.EndedBroken)
+	for range 5 {
+		if next := take(t, p, now, nil); next.Endpoint().ID == bad.Endpoint().ID {
+			t.Fatal("chosen again at once")
+		}
+	}
+	later := now.Add(time.Minute)
+	seen := false
+	for range 20 {
+		seen = seen || take(t, p, later, nil).Endpoint().ID == bad.Endpoint().ID
+	}
+	if !seen {
+		t.Error("never chosen again")
+	}
+}
+
+func TestAllEndpointsFailedIsNoReasonToRefuse(t *testing.T) {
+	p := newPool(2, chivetable.Engine{})
+	now := time.Now()
+	for range 2 {
+		take(t, p, now, nil).Done(now, chiveplace.EndedBroken)
+	}
+	take(t, p, now, nil)
+}
