Reads of the store wait for the next record

Change: reads wait for a record as many seconds as there are nodes, at most 20; gossip tells peers of any newer word, so that one node whose connection lives informs the rest.

--- a/chivefeed/follower.go
+++ b/chivefeed/follower.go
@@ -37,8 +37,8 @@
 // Options tell what to follow and how.
 type Options struct {
 	Topic chivelog.KeyedTopic
-	// Wait is how long a read waits for the first record.
-	Wait time.Duration
+	// Wait tells how long a read waits for the first record.
+	Wait func() time.Duration
 	// Pace is the least time between the answer to one read and the next read: a busy topic is read in batches.
 	Pace     time.Duration
 	Listener Listener
@@ -120,7 +120,7 @@
 	if !*rooted {
 		return f.snapshot(ctx, rooted)
 	}
-	wait := f.o.Wait
+	wait := f.o.Wait()
 	if f.lost.Load() {
 		// After an outage the first read must not wait: its answer is what tells that the log is back.
 		wait = 0
--- a/chivegossip/service.go
+++ b/chivegossip/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"math/rand/v2"
 	"time"
 
@@ -19,10 +18,8 @@
 const (
 	// askEvery is how often a node compares itself with one peer drawn at random: a change reaches a node that only peers
 	// can tell within about a second, against the two seconds in which a configuration has to be in force.
-	askEvery = 400 * time.Millisecond
-	// blindAfter is how long the store may be silent before a node asks its peers for the endpoints too.
-	blindAfter = 1500 * time.Millisecond
-	inboxSize  = 256
+	askEvery  = 400 * time.Millisecond
+	inboxSize = 256
 )
 
 // Tables holds the routing table in force.
@@ -57,17 +54,12 @@
 	Members   Members
 	Tables    Tables
 	Endpoints Endpoints
-	// StoreAge tells how long ago the store last told of endpoints; negative means never.
-	StoreAge func() time.Duration
-	Logger   *slog.Logger
 }
 
 // Knowledge tells a peer how much the sender knows.
 type Knowledge struct {
 	Table  int64
 	Offset int64
-	// Blind tells that the sender gets no word from the store and wants to hear of endpoints.
-	Blind bool
 	// Reply tells that the sender was asked, so that two nodes do not answer each other for ever.
 	Reply bool
 }
@@ -161,8 +153,7 @@
 }
 
 func (s *Service) knowledge(reply bool) Knowledge {
-	age := s.o.StoreAge()
-	return Knowledge{Table: s.o.Tables.Version(), Offset: s.o.Endpoints.Newest(), Blind: age < 0 || age > blindAfter, Reply: reply}
+	return Knowledge{Table: s.o.Tables.Version(), Offset: s.o.Endpoints.Newest(), Reply: reply}
 }
 
 func (s *Service) handle(m message) {
@@ -185,11 +176,11 @@
 		data, version := s.o.Tables.Document()
 		s.send(from, chivewire.KindDocument, Document{Table: version, Data: data})
 	}
-	if theirs.Blind && own.Offset > theirs.Offset {
+	if own.Offset > theirs.Offset {
 		words, _ := s.o.Endpoints.Words()
 		s.send(from, chivewire.KindWords, Words{Words: words})
 	}
-	lacking := own.Table < theirs.Table || (own.Blind && own.Offset < theirs.Offset)
+	lacking := own.Table < theirs.Table || own.Offset < theirs.Offset
 	if lacking && !theirs.Reply {
 		s.send(from, chivewire.KindKnowledge, own)
 	}
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -30,14 +30,14 @@
 	directoryFeedName = "directory feed"
 	rosterFeedName    = "roster feed"
 
-	// quietWait is how long a read of a topic that seldom changes waits: each call has a price, and keepalive probes notice a
-	// silent connection meanwhile.
-	quietWait = 10 * time.Second
-	// busyPace spaces the reads of the endpoints' topic, in which every endpoint writes about once a second: one read brings
-	// many records, and a leaving endpoint is still noticed well within two seconds.
-	busyPace = 600 * time.Millisecond
-	// busyWait is how long such a read waits for the first record.
-	busyWait = time.Second
+	// readEvery is about how often some node of the fleet begins a new read of a topic. A read waits for the next record, so
+	// that a change is seen at once; but a wait on a connection that has gone silent sees nothing. As each node waits for
+	// this long times the number of nodes, one of them soon asks anew, and the others hear from it.
+	readEvery = time.Second
+	// waitMost is the longest wait of a read, which is also the longest time that a node alone may overlook a silent store.
+	waitMost = 20 * time.Second
+	// busyPace spaces the reads of a topic that many write to: one read then brings many records.
+	busyPace = 300 * time.Millisecond
 	// stopMargin is the part of the grace time kept for the last lines of the log and the exit itself.
 	stopMargin = 400 * time.Millisecond
 	// memoryShare is the part of a process's memory at which the collector works harder.
@@ -83,7 +83,7 @@
 	}, n.mesh, roster, n.logger)
 	n.tables = chivetable.NewService(chiveplatform.DecodeTable, chiveplatform.IsConfiguration, n.logger)
 	n.directory = chivedirectory.NewService(chiveplatform.DecodeEndpoint, chivedirectory.DefaultGrace, n.logger)
-	n.feed = chivefeed.New(chivefeed.Options{Topic: store.Endpoints(), Wait: busyWait, Pace: busyPace, Listener: n.directory})
+	n.feed = chivefeed.New(chivefeed.Options{Topic: store.Endpoints(), Wait: n.readWait, Pace: busyPace, Listener: n.directory})
 	n.budget = chiveforward.NewBudget(time.Now(), chiveforward.BudgetLimits{
 		Ratio: s.Repeats.Ratio, Headroom: s.Repeats.Headroom, Window: time.Duration(s.Repeats.WindowS * float64(time.Second)),
 	})
@@ -109,11 +109,11 @@
 		{chivetable.ServiceName, n.tables},
 		{chivedirectory.ServiceName, n.directory},
 		{chivegossip.ServiceName, chivegossip.New(chivegossip.Options{
-			Mesh: n.mesh, Members: n.members, Tables: n.tables, Endpoints: n.directory, StoreAge: n.feed.Age, Logger: n.logger,
+			Mesh: n.mesh, Members: n.members, Tables: n.tables, Endpoints: n.directory,
 		})},
-		{tableFeedName, chivefeed.New(chivefeed.Options{Topic: store.Configurations(), Wait: quietWait, Listener: n.tables})},
+		{tableFeedName, chivefeed.New(chivefeed.Options{Topic: store.Configurations(), Wait: n.readWait, Listener: n.tables})},
 		{directoryFeedName, n.feed},
-		{rosterFeedName, chivefeed.New(chivefeed.Options{Topic: store.Nodes(), Wait: quietWait, Listener: roster})},
+		{rosterFeedName, chivefeed.New(chivefeed.Options{Topic: store.Nodes(), Wait: func() time.Duration { return waitMost }, Listener: roster})},
 		{chiveforward.ServiceName, forwarder},
 		{chiveledger.ServiceName, n.ledger},
 		{chiveadmin.ServiceName, chiveadmin.New(chiveadmin.Options{
@@ -138,6 +138,11 @@
 	return nil
 }
 
+// readWait is how long a read of the store waits for a record.
+func (n *StoreNode) readWait() time.Duration {
+	return min(readEvery*time.Duration(len(n.members.Members())), waitMost)
+}
+
 // errNoEndpoints is why a node that knows no endpoint is not ready.
 var errNoEndpoints = fmt.Errorf("no endpoint known yet")
 
--- a/chivestand/log.go
+++ b/chivestand/log.go
@@ -214,5 +214,5 @@
 func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	// The caller has gone when this fails; a stand-in has nobody left to tell.
-	_ = json.NewEncoder(w).Encode(value) //nolint:errchkjson // made of plain values
+	_ = json.NewEncoder(w).Encode(value)
 }
