--- a/chiveledger/service.go
+++ b/chiveledger/service.go
@@ -18,7 +18,7 @@
 const (
 	// tellEvery is the least time between two messages to a peer: requests come a few a second a node, and one that does not
 	// know of another's for this long seldom chooses worse for it.
-	tellEvery = 40 * time.Millisecond
+	tellEvery = 120 * time.Millisecond
 	// tellPeers is the number of peers up to which tellEvery holds; with more, messages are further apart in proportion, so
 	// that a node's cost stays the same as the fleet grows.
 	tellPeers = 12
