--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -251,7 +251,7 @@
 			route = request.Route.Name
 		}
 	}
-	chiveevent.RequestRefused.Log(r.Context(), e.o.Logger, slog.String("request", asked.ID), slog.String("route", route),
+	chiveevent.RequestRefused.Log(r.Context(), e.o.Logger, chiveevent.Request(asked.ID), slog.String("route", route),
 		slog.Int64("table_version", version), slog.Int("status", f.Status), slog.String("code", f.Code), slog.String("reason", f.Message))
 	e.metrics.refused(route, f.Code)
 	e.fail(w, f, asked.ID)
@@ -259,15 +259,11 @@
 
 // carry runs an admitted request and answers where the forwarder has not.
 func (e *Entry) carry(w http.ResponseWriter, r *http.Request, request *chiverequest.Request) {
+	e.logAccepted(r.Context(), request)
 	sink := &sink{w: w, out: http.NewResponseController(w), leaving: e.leaving.Load}
 	result := e.o.Forwarder.Run(r.Context(), request, sink)
 	e.metrics.finished(request, result)
-	chiveevent.RequestEnded.Log(r.Context(), e.o.Logger, slog.String("request", request.ID), slog.String("route", request.Route.Name),
-		slog.String("team", request.Team), slog.Int("tier", request.Tier), slog.Int64("table_version", request.TableVersion),
-		slog.String("outcome", string(result.Outcome)), slog.String("code", result.Code), slog.Int("status", result.Status),
-		slog.Int("attempts", result.Attempts), slog.String("endpoint", result.Endpoint), slog.Int("events", result.Events),
-		slog.Int64("first_ms", result.First.Milliseconds()), slog.Int64("took_ms", time.Since(request.Arrival).Milliseconds()),
-		slog.Int64("left_ms", time.Until(request.Deadline).Milliseconds()))
+	e.logEnded(r.Context(), request, result)
 	switch {
 	case result.Outcome == chiveforward.Completed, result.Outcome == chiveforward.Failed:
 		return
@@ -279,6 +275,33 @@
 	e.fail(w, f, request.ID)
 }
 
+func (e *Entry) logAccepted(ctx context.Context, request *chiverequest.Request) {
+	attributes := []slog.Attr{
+		chiveevent.Request(request.ID), slog.String("route", request.Route.Name), slog.String("pool", request.Pool),
+		slog.String("team", request.Team), slog.Int("tier", request.Tier), slog.String("may_repeat", request.Route.Repeat.String()),
+		slog.Int64("table_version", request.TableVersion), slog.Int64("wait_ms", request.Deadline.Sub(request.Arrival).Milliseconds()),
+	}
+	if request.Prompt != nil {
+		attributes = append(attributes, slog.Int64("tokens_in", request.Prompt.Input), slog.Int64("tokens_out_most", request.Prompt.MostOutput))
+	}
+	chiveevent.RequestAccepted.Log(ctx, e.o.Logger, attributes...)
+}
+
+// logEnded writes one line for a request's outcome; those that were not completed are warnings, which are the last lines to
+// be dropped when the output stalls.
+func (e *Entry) logEnded(ctx context.Context, request *chiverequest.Request, result chiveforward.Result) {
+	event := chiveevent.RequestEnded
+	if result.Outcome != chiveforward.Completed {
+		event = chiveevent.RequestFailed
+	}
+	event.Log(ctx, e.o.Logger, chiveevent.Request(request.ID), slog.String("route", request.Route.Name),
+		slog.String("outcome", string(result.Outcome)), slog.String("code", result.Code), slog.String("message", result.Message),
+		slog.Int("status", result.Status), slog.Int64("retry_after_ms", result.RetryAfter.Milliseconds()),
+		slog.Int("attempts", result.Attempts), slog.String("endpoint", result.Endpoint), slog.Int("events", result.Events),
+		slog.Int64("first_ms", result.First.Milliseconds()), slog.Int64("took_ms", time.Since(request.Arrival).Milliseconds()),
+		slog.Int64("left_ms", time.Until(request.Deadline).Milliseconds()))
+}
+
 // fail answers with a failure; while the node is leaving, the caller is asked to take its connection elsewhere.
 func (e *Entry) fail(w http.ResponseWriter, f *FailureError, id string) {
 	if e.leaving.Load() {
--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -39,11 +39,15 @@
 	SchedulerTaken = define(401, slog.LevelInfo, "shard taken over", "None; for a moment it grants half of the capacity.")
 	EndpointLeaves = define(402, slog.LevelInfo, "endpoint takes no new work", "None.")
 
-	RequestRefused = define(500, slog.LevelInfo, "request refused", "Read the reason; under overload, look at the class's tier and share.")
-	RequestBroken  = define(501, slog.LevelWarn, "attempt broke", "Look at the endpoint when it repeats.")
-	AttemptEnded   = define(503, slog.LevelInfo, "attempt ended", "Read how it ended; touched tells whether the endpoint may have run it.")
-	RequestEnded   = define(504, slog.LevelInfo, "request ended", "Read outcome and code; the attempts with the same id tell the rest.")
-	RequestUnknown = define(502, slog.LevelWarn, "outcome unknown", "The caller was told so; compare with the endpoint's own records.")
+	RequestRefused  = define(500, slog.LevelWarn, "request refused", "Read the reason; under overload, look at the class's tier and share.")
+	RequestBroken   = define(501, slog.LevelWarn, "attempt broke", "Look at the endpoint when it repeats.")
+	AttemptEnded    = define(503, slog.LevelInfo, "attempt ended", "Read how it ended; touched tells whether the endpoint may have run it.")
+	RequestEnded    = define(504, slog.LevelInfo, "request ended", "Read outcome and code; the attempts with the same id tell the rest.")
+	RequestAccepted = define(505, slog.LevelInfo, "request accepted", "None; it shows the route, the team and the version that decided.")
+	AttemptSent     = define(506, slog.LevelInfo, "attempt sent", "None; it shows why the endpoint was chosen. Without a line that it ended, the process did.")
+	RepeatDenied    = define(507, slog.LevelWarn, "repeat denied by the budget", "Look for what makes requests fail; the budget keeps repeats from adding to it.")
+	RequestFailed   = define(508, slog.LevelWarn, "request not completed", "Follow the attempts with the same id; chivedrift explain --log puts them in order.")
+	RequestUnknown  = define(502, slog.LevelWarn, "outcome unknown", "The caller was told so; compare with the endpoint's own records.")
 
 	ClaimLogDown = define(600, slog.LevelWarn, "claim not written", "Requests with Idempotency-Key are answered not-run until the log is back.")
 
--- a/chiveevent/event.go
+++ b/chiveevent/event.go
@@ -41,6 +41,18 @@
 	logger.LogAttrs(ctx, e.level, e.text, append(all, attributes...)...)
 }
 
+// idShown bounds what a caller's own text takes in a log line, in bytes.
+const idShown = 64
+
+// Request returns the attribute for a request's identity; it comes from the caller, so its length is bounded here, and the
+// handler escapes it.
+func Request(id string) slog.Attr {
+	if len(id) > idShown {
+		id = id[:idShown] + "..."
+	}
+	return slog.String("request", id)
+}
+
 // Catalogue returns every event in order of number.
 func Catalogue() []Event {
 	sorted := append([]Event(nil), catalogue...)
--- a/chiveforward/budget.go
+++ b/chiveforward/budget.go
@@ -88,6 +88,26 @@
 	return true
 }
 
+// BudgetState is what a pool's budget has spent and allows, and the fleet that its headroom is divided by.
+type BudgetState struct {
+	Repeats  int     `json:"repeats"`
+	Requests int     `json:"requests"`
+	Allowed  float64 `json:"allowed"`
+	Nodes    int     `json:"nodes"`
+}
+
+// State returns a pool's budget.
+func (b *Budget) State(now time.Time, pool string) BudgetState {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.at(now, pool)
+	requests := w.sum(w.requests, requestSteps)
+	return BudgetState{
+		Repeats: w.sum(w.repeats, repeatSteps), Requests: requests, Nodes: max(b.fleet[0], b.fleet[1]),
+		Allowed: b.limits.Ratio*float64(requests) + b.headroom(now),
+	}
+}
+
 // headroom is this node's part.
 func (b *Budget) headroom(now time.Time) float64 {
 	if now.Sub(b.origin) < b.limits.Window {
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -112,7 +112,7 @@
 // send writes the request on a connection of its own for as long as the attempt takes.
 func (c *call) send(ctx context.Context) (*http.Response, error) {
 	endpoint := c.place.Endpoint()
-	c.lane = c.run.f.lanes.get(endpoint.ID, c.run.result.Attempts > 0)
+	c.lane = c.run.f.lanes.get(endpoint.ID, c.run.result.Attempts > 1)
 	request, err := c.build(ctx, endpoint.Address)
 	if err != nil {
 		return nil, err
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"net/http"
 	"time"
 
@@ -39,9 +40,10 @@
 		return r.refuse(ctx, err)
 	}
 	c := &call{run: r, place: place, began: time.Now()}
+	r.logSent(ctx, place)
 	ended := c.carry(ctx)
-	place.Done(time.Now(), endings[ended])
-	r.log(ctx, c, ended)
+	passedOver := place.Done(time.Now(), endings[ended])
+	r.logEnded(ctx, c, ended, passedOver)
 	return r.judge(ctx, c, ended)
 }
 
@@ -141,7 +143,7 @@
 // afterRefusal goes on elsewhere while that may still help: the endpoint has said that it did not run the request.
 func (r *run) afterRefusal(ctx context.Context) bool {
 	r.refusals++
-	if r.refusals < refusalsMost && ctx.Err() == nil && r.f.o.Budget.Spend(time.Now(), r.request.Pool) {
+	if r.refusals < refusalsMost && ctx.Err() == nil && r.spend(ctx) {
 		return false
 	}
 	if r.passSpare() {
@@ -157,7 +159,7 @@
 		r.spare = c.whole
 	}
 	again := r.request.Route.Repeat != chivetable.RepeatNever && r.sent < r.request.Route.Attempts && ctx.Err() == nil
-	if again && r.f.o.Budget.Spend(time.Now(), r.request.Pool) {
+	if again && r.spend(ctx) {
 		return false
 	}
 	if r.passSpare() {
@@ -201,19 +203,52 @@
 	}
 }
 
-// log writes one line for an attempt that was made.
-func (r *run) log(ctx context.Context, c *call, ended ending) {
-	endpoint := c.place.Endpoint()
+// spend asks the budget for a repeat.
+func (r *run) spend(ctx context.Context) bool {
+	if r.f.o.Budget.Spend(time.Now(), r.request.Pool) {
+		return true
+	}
+	state := r.f.o.Budget.State(time.Now(), r.request.Pool)
+	chiveevent.RepeatDenied.Log(ctx, r.f.o.Logger, chiveevent.Request(r.request.ID), slog.String("pool", r.request.Pool),
+		slog.Int("repeats", state.Repeats), slog.Int("requests", state.Requests), slog.Float64("allowed", state.Allowed), slog.Int("nodes", state.Nodes))
+	return false
+}
+
+// logSent writes one line for an attempt that is about to be made, with what decided for its endpoint.
+func (r *run) logSent(ctx context.Context, place *chiveplace.Place) {
+	endpoint := place.Endpoint()
+	loss, nextBest, nextLoss := place.Loss()
 	r.result.Attempts++
 	r.result.Endpoint = endpoint.ID
 	attributes := []slog.Attr{
-		slog.String("request", r.request.ID), slog.String("route", r.request.Route.Name), slog.String("pool", r.request.Pool),
-		slog.String("endpoint", endpoint.ID), slog.String("address", endpoint.Address), slog.String("because", c.place.Reason()),
-		slog.Int("candidates", c.place.Candidates()), slog.Int64("tokens_to_read", c.place.Reads()), slog.String("ended", endingNames[ended]),
-		slog.Bool("touched", c.touched), slog.Int("status", c.status), slog.Int64("took_ms", time.Since(c.began).Milliseconds()),
+		chiveevent.Request(r.request.ID), slog.Int("attempt", r.result.Attempts), slog.String("pool", r.request.Pool),
+		slog.String("endpoint", endpoint.ID), slog.String("address", endpoint.Address), slog.String("because", place.Reason()),
+		slog.Int("candidates", place.Candidates()), slog.Float64("cost", rounded(loss)), slog.Int64("tokens_to_read", place.Reads()),
+		slog.Int64("left_ms", time.Until(r.request.Deadline).Milliseconds()), slog.String("after_event", r.last),
+	}
+	if nextBest != "" {
+		attributes = append(attributes, slog.String("next_best", nextBest), slog.Float64("next_cost", rounded(nextLoss)))
+	}
+	chiveevent.AttemptSent.Log(ctx, r.f.o.Logger, attributes...)
+}
+
+// logEnded writes one line for an attempt that was made.
+func (r *run) logEnded(ctx context.Context, c *call, ended ending, passedOver time.Duration) {
+	attributes := []slog.Attr{
+		chiveevent.Request(r.request.ID), slog.Int("attempt", r.result.Attempts), slog.String("endpoint", c.place.Endpoint().ID),
+		slog.String("ended", endingNames[ended]), slog.Bool("touched", c.touched), slog.Int("status", c.status),
+		slog.Int("events", r.result.Events), slog.Int64("took_ms", time.Since(c.began).Milliseconds()),
+	}
+	if passedOver > 0 {
+		attributes = append(attributes, slog.Int64("endpoint_passed_over_ms", passedOver.Milliseconds()))
 	}
 	if c.err != nil {
 		attributes = append(attributes, slog.String("error", c.err.Error()))
 	}
 	chiveevent.AttemptEnded.Log(ctx, r.f.o.Logger, attributes...)
 }
+
+// rounded keeps log lines short.
+func rounded(cost float64) float64 { return math.Round(cost*roundTo) / roundTo }
+
+const roundTo = 1000
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -32,6 +32,9 @@
 	endpoint   chivedirectory.Endpoint
 	began      time.Time
 	reason     string
+	loss       float64
+	nextBest   string
+	nextLoss   float64
 	candidates int
 	prompt     *chiverequest.Prompt
 	reads      int64
@@ -41,6 +44,19 @@
 	ended      bool
 }
 
+// weigh takes a seat when it costs less than the best so far.
+func (p *Place) weigh(s *seat, cost float64) {
+	switch {
+	case cost < p.loss:
+		if p.seat != nil {
+			p.nextBest, p.nextLoss = p.endpoint.ID, p.loss
+		}
+		p.seat, p.endpoint, p.loss = s, s.endpoint, cost
+	case cost < p.nextLoss:
+		p.nextBest, p.nextLoss = s.endpoint.ID, cost
+	}
+}
+
 // Endpoint returns the endpoint that was chosen.
 func (p *Place) Endpoint() chivedirectory.Endpoint { return p.endpoint }
 
@@ -50,6 +66,11 @@
 // Candidates returns among how many endpoints it was chosen.
 func (p *Place) Candidates() int { return p.candidates }
 
+// Loss returns the expected cost by which the endpoint was chosen, and the next best endpoint with its cost.
+func (p *Place) Loss() (loss float64, nextBest string, nextLoss float64) {
+	return p.loss, p.nextBest, p.nextLoss
+}
+
 // Reads returns how many prompt tokens the endpoint is believed to have to read anew.
 func (p *Place) Reads() int64 { return p.reads }
 
@@ -71,12 +92,12 @@
 	p.seat.read(p)
 }
 
-// Done gives the place back; calls after the first do nothing.
-func (p *Place) Done(now time.Time, ending Ending) {
+// Done gives the place back and returns for how long the endpoint is passed over now; calls after the first do nothing.
+func (p *Place) Done(now time.Time, ending Ending) time.Duration {
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
 	if p.ended {
-		return
+		return 0
 	}
 	p.ended = true
 	p.begin()
@@ -96,4 +117,5 @@
 		p.seat.downUntil = now.Add(quarantineMost)
 	case EndedCaller:
 	}
+	return max(p.seat.downUntil.Sub(now), 0)
 }
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -96,8 +96,8 @@
 		}
 		return nil, &RefusedError{Reason: "no endpoint of the pool has a free place", RetryAfter: retryWhenFull}
 	}
-	best, reason := p.cheapest(now, usable, ask.Prompt)
-	place := &Place{pool: p, seat: best, endpoint: best.endpoint, began: now, reason: reason, candidates: len(usable), prompt: ask.Prompt}
+	place := p.cheapest(now, usable, ask.Prompt)
+	best := place.seat
 	if ask.Prompt != nil {
 		place.reads = best.cache.missing(ask.Prompt)
 		place.ahead = best.waitingTokens()
@@ -140,21 +140,18 @@
 	return p.engine.Slots > 0 && s.load() >= p.engine.Slots
 }
 
-func (p *Pool) cheapest(now time.Time, seats []*seat, prompt *chiverequest.Prompt) (*seat, string) {
+// cheapest makes a place on the seat with the least cost, and notes the next best.
+func (p *Pool) cheapest(now time.Time, seats []*seat, prompt *chiverequest.Prompt) *Place {
+	place := &Place{pool: p, began: now, candidates: len(seats), prompt: prompt, reason: "least expected time", loss: math.Inf(1), nextLoss: math.Inf(1)}
 	cost := p.plainCost
-	reason := "least expected time"
 	if prompt != nil && p.engine.Slots > 0 {
-		reason = "least expected loss"
+		place.reason = "least expected loss"
 		cost = p.newEngineChoice(seats, prompt).cost
 	}
-	var best *seat
-	least := math.Inf(1)
 	for _, s := range seats {
-		if c := cost(now, s); c < least {
-			best, least = s, c
-		}
+		place.weigh(s, cost(now, s))
 	}
-	return best, reason
+	return place
 }
 
 // plainCost is the expected time to an answer of a plain service.
