--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -23,8 +23,9 @@
 	usualTook = 0.03
 	// retryWhenFull is when a caller should come back to a pool without a free place, in the order of an answer's length.
 	retryWhenFull = 300 * time.Millisecond
-	// retryWhenNone is when to come back to a pool without any endpoint: about the time in which a process restarts.
-	retryWhenNone = 800 * time.Millisecond
+	// retryWhenNone is when to come back to a pool without any endpoint: a node that has just started learns of them within a
+	// few hundred milliseconds.
+	retryWhenNone = 300 * time.Millisecond
 )
 
 // Ask is one request for a place.
