--- a/chivedispatch/budget.go
+++ b/chivedispatch/budget.go
@@ -1,7 +1,12 @@
 package chivedispatch
 
 import (
+	"log/slog"
 	"sync"
+	"time"
+
+	"chivedrift/chiveconfig"
+	"chivedrift/chiverequest"
 )
 
 // Budget bounds retries to a share of the requests, so that they cannot amplify an overload.
@@ -21,15 +26,29 @@
 	return &Budget{credits: make(map[string]float64)}
 }
 
-// Earn adds a request's share, in percent, to its class's credit.
-func (b *Budget) Earn(class string, sharePercent int64) {
+// classed is what the requests of this package carry for their dialect: they belong to a class.
+type classed interface {
+	class() *chiveconfig.Class
+}
+
+func classOf(request *chiverequest.Request) *chiveconfig.Class {
+	if source, ok := request.Source.(classed); ok {
+		return source.class()
+	}
+	return &chiveconfig.Class{}
+}
+
+// Request adds a request's share to its class's credit.
+func (b *Budget) Request(_ time.Time, request *chiverequest.Request) {
+	class := classOf(request)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.credits[class] = min(b.credit(class)+float64(sharePercent)/percent, budgetMost)
+	b.credits[class.Name] = min(b.credit(class.Name)+float64(class.RetryBudgetPercent)/percent, budgetMost)
 }
 
 // Spend takes one retry from a class's credit and reports whether there was one.
-func (b *Budget) Spend(class string) bool {
+func (b *Budget) Spend(_ time.Time, request *chiverequest.Request) bool {
+	class := classOf(request).Name
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	credit := b.credit(class)
@@ -40,6 +59,14 @@
 	return true
 }
 
+// Explain returns the class's credit, in retries.
+func (b *Budget) Explain(_ time.Time, request *chiverequest.Request) []slog.Attr {
+	class := classOf(request).Name
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return []slog.Attr{slog.String("class", class), slog.Float64("credit", b.credit(class))}
+}
+
 func (b *Budget) credit(class string) float64 {
 	if credit, ok := b.credits[class]; ok {
 		return credit
--- a/chivedispatch/dispatcher.go
+++ b/chivedispatch/dispatcher.go
@@ -7,7 +7,9 @@
 	"net/http"
 	"time"
 
-	"chivedrift/chiveevent"
+	"chivedrift/chiveforward"
+	"chivedrift/chiveplace"
+	"chivedrift/chiverequest"
 	"chivedrift/chiveschedule"
 	"chivedrift/chivewire"
 )
@@ -27,198 +29,180 @@
 	EndpointLeaves(address string)
 }
 
-// Dispatcher runs requests on endpoints and is responsible for their outcome.
+const (
+	maxAttempts = 6
+	minuteRetry = time.Minute
+)
+
+// Error codes, as callers see them.
+const (
+	CodeEndpointError = "endpoint_error"
+	CodeDeadline      = chiveforward.CodeDeadline
+	CodeBroken        = chiveforward.CodeBroken
+	CodeRefused       = "capacity"
+)
+
+// Dispatcher runs model requests: the scheduler's slots are their places, the product's own engines their endpoints.
 type Dispatcher struct {
 	self    string
 	network chivewire.Network
 	slots   Slots
 	fleet   Fleet
 	logger  *slog.Logger
-	pooled  *http.Transport
+	forward *chiveforward.Forwarder
 	budget  *Budget
 	waste   *Waste
 }
 
 // New returns a dispatcher that calls endpoints over a network.
 func New(self string, network chivewire.Network, slots Slots, fleet Fleet, logger *slog.Logger) *Dispatcher {
-	return &Dispatcher{
-		self: self, network: network, slots: slots, fleet: fleet, logger: logger,
-		pooled: newPooledTransport(self, network), budget: NewBudget(), waste: &Waste{},
-	}
+	d := &Dispatcher{self: self, network: network, slots: slots, fleet: fleet, logger: logger, budget: NewBudget(), waste: &Waste{}}
+	d.forward = d.newForwarder(slotPlaces{d}, maxAttempts)
+	return d
 }
 
-// Start does nothing: requests run on their callers' goroutines.
-func (d *Dispatcher) Start(context.Context) error { return nil }
+// newForwarder returns a forwarder for endpoints of the product's own configuration.
+func (d *Dispatcher) newForwarder(places chiveforward.Places, refusals int) *chiveforward.Forwarder {
+	return chiveforward.New(chiveforward.Options{
+		Self: d.self, Network: d.network, Dialect: dialect{}, Places: places, Repeats: d.budget,
+		Rules: chiveforward.Rules{Refusals: refusals, FreshOnce: true}, Logger: d.logger,
+	})
+}
+
+// Start begins to look after idle connections.
+func (d *Dispatcher) Start(ctx context.Context) error { return d.forward.Start(ctx) }
 
 // Stop closes idle connections.
-func (d *Dispatcher) Stop(context.Context) error {
-	d.pooled.CloseIdleConnections()
-	return nil
-}
+func (d *Dispatcher) Stop(ctx context.Context) error { return d.forward.Stop(ctx) }
 
 // Dump returns the retry credits and the work that was thrown away.
 func (d *Dispatcher) Dump() any {
 	return struct {
 		Credits map[string]float64 `json:"retry_credits"`
 		Waste   WasteState         `json:"waste"`
-	}{d.budget.Credits(), d.waste.State()}
+		Forward any                `json:"forward"`
+	}{d.budget.Credits(), d.waste.State(), d.forward.Dump()}
 }
 
-// run is the state of one request over its attempts.
-type run struct {
-	d       *Dispatcher
-	work    *Work
-	sink    Sink
-	answer  *Answer
-	exclude []string
-	result  Result
-	touched bool
+// Run carries a model request through to its outcome; answer holds what was delivered.
+func (d *Dispatcher) Run(parent context.Context, work *Work, sink Sink) (Result, *Answer) {
+	m := &modelRun{d: d, work: work, sink: sink, answer: &Answer{}}
+	result := d.forward.Run(parent, m.request(), m)
+	return m.finish(&result), m.answer
 }
 
-const (
-	maxAttempts = 6
-	minuteRetry = time.Minute
-)
+// slotPlaces turns the scheduler's slots into places.
+type slotPlaces struct {
+	d *Dispatcher
+}
 
-// Run carries a model request through to its outcome; answer holds what was delivered.
-func (d *Dispatcher) Run(parent context.Context, work *Work, sink Sink) (Result, *Answer) {
-	ctx, cancel := context.WithDeadlineCause(parent, work.Deadline, errDeadline)
-	defer cancel()
-	d.budget.Earn(work.Class.Name, work.Class.RetryBudgetPercent)
-	r := &run{d: d, work: work, sink: sink, answer: &Answer{}}
-	for attempt := 1; ; attempt++ {
-		slot, err := d.slots.Acquire(ctx, chiveschedule.Ask{Pool: work.Pool, Request: work.slotRequest(attempt, r.answer.tokens, r.exclude)})
+// Take waits for a slot.
+func (p slotPlaces) Take(ctx context.Context, request *chiverequest.Request, exclude []string) (chiveforward.Place, error) {
+	m, ok := request.Source.(*modelRun)
+	if !ok {
+		return nil, errNotAModel
+	}
+	for {
+		m.number++
+		slot, err := p.d.slots.Acquire(ctx, chiveschedule.Ask{Pool: m.work.Pool, Request: m.work.slotRequest(m.number, m.answer.tokens, exclude)})
 		if err != nil {
-			r.giveUp(ctx, err)
-			return r.result, r.answer
+			return nil, refusedBy(err)
 		}
-		if r.attempt(ctx, attempt, slot) {
-			return r.result, r.answer
+		if slot.Endpoint().Address == "" {
+			// The configuration dropped the endpoint between the grant and here.
+			slot.Done(chiveschedule.Ending{Result: chiveschedule.ResultReturned})
+			continue
 		}
+		place := &slotPlace{m: m, slot: slot, started: time.Now(), before: m.answer.tokens}
+		m.places = append(m.places, place)
+		return place, nil
 	}
 }
 
-// attempt runs one attempt and reports whether the request has its outcome.
-func (r *run) attempt(ctx context.Context, number int, slot *chiveschedule.Slot) bool {
-	if slot.Endpoint().Address == "" {
-		slot.Done(chiveschedule.Ending{Result: chiveschedule.ResultReturned})
-		return false
-	}
-	c := &call{d: r.d, work: r.work, slot: slot, answer: r.answer, sink: r.sink, started: time.Now(), before: r.answer.tokens}
-	ended := c.run(ctx)
-	lengths := c.lengths(time.Now())
-	lengths.Result = slotResult(ended)
-	slot.Done(lengths)
-	r.note(number, slot, c, ended)
-	r.touched = r.touched || c.touched.Load()
-	if ended == endedRefused && c.status == http.StatusServiceUnavailable {
-		r.d.fleet.EndpointLeaves(slot.Endpoint().Address)
+var errNotAModel = errors.New("dispatch: a request without a model run asked for a slot")
+
+func refusedBy(err error) error {
+	var refused *chiveschedule.RefusedError
+	if errors.As(err, &refused) {
+		return &chiveplace.RefusedError{Reason: refused.Reason, RetryAfter: refused.RetryAfter}
 	}
-	return r.judge(ctx, number, slot, c, ended)
-}
-
-func slotResult(ended ending) chiveschedule.Result {
-	switch ended {
-	case endedComplete, endedError:
-		return chiveschedule.ResultOK
-	case endedBroken, endedStalled:
-		return chiveschedule.ResultFailed
-	case endedRefused:
-		return chiveschedule.ResultRefused
-	case endedPreempted, endedCaller, endedDeadline:
-		return chiveschedule.ResultCancelled
+	if errors.Is(err, chiveschedule.ErrNoPool) {
+		return &chiveplace.RefusedError{Reason: err.Error(), RetryAfter: minuteRetry}
 	}
-	return chiveschedule.ResultCancelled
+	return err
 }
 
-func (r *run) note(number int, slot *chiveschedule.Slot, c *call, ended ending) {
-	grant := slot.Grant()
-	a := Attempt{
-		Number: number, Endpoint: grant.Endpoint, Reason: grant.Reason, Candidates: grant.Candidates, QueuedMs: grant.QueuedMs,
-		Resumed: c.before, Tokens: r.answer.tokens - c.before, Ended: string(ended), Touched: c.touched.Load(),
-	}
-	if c.err != nil {
-		a.Error = c.err.Error()
-	}
-	r.result.Queued += time.Duration(grant.QueuedMs) * time.Millisecond
-	r.result.Attempts = append(r.result.Attempts, a)
-}
-
-// judge decides from an attempt's ending whether the request is over or goes on elsewhere.
-func (r *run) judge(ctx context.Context, number int, slot *chiveschedule.Slot, c *call, ended ending) bool {
-	switch ended {
-	case endedComplete:
-		r.result.Outcome, r.result.Status, r.result.Body = Completed, http.StatusOK, c.body
-		return true
-	case endedError:
-		r.result.Outcome, r.result.Status, r.result.Body = Failed, c.status, c.body
-		r.result.Code, r.result.Message = CodeEndpointError, "the endpoint answered with an error"
-		return true
-	case endedPreempted:
-		return r.afterPreemption()
-	case endedCaller, endedDeadline:
-		r.end(CodeDeadline, "the request's time ran out while it was running", 0)
-		return true
-	case endedBroken, endedStalled, endedRefused:
-		return r.afterBreak(ctx, number, slot, c)
-	}
-	return true
+// slotPlace is a slot as the forwarder sees it.
+type slotPlace struct {
+	m       *modelRun
+	slot    *chiveschedule.Slot
+	started time.Time
+	// before and after are the tokens that had been delivered when the attempt began and ended.
+	before int64
+	after  int64
 }
 
-// afterPreemption goes on with the rest of the answer; only what may run again is ever preempted half-way.
-func (r *run) afterPreemption() bool {
-	if r.mayRepeat() {
-		return false
-	}
-	r.end(CodeBroken, "the attempt was given up and may not be repeated", 0)
-	return true
-}
-
-// afterBreak tries another endpoint when that is safe: nothing reached the endpoint, or the request may run again. The
-// budget bounds repeated work, so a try that reached nobody costs none of it.
-func (r *run) afterBreak(ctx context.Context, number int, slot *chiveschedule.Slot, c *call) bool {
-	chiveevent.RequestBroken.Log(ctx, r.d.logger, slog.String("request", r.work.ID), slog.String("endpoint", slot.Endpoint().Name),
-		slog.Any("error", c.err))
-	r.exclude = append(r.exclude, slot.Endpoint().Name)
-	touched := c.touched.Load()
-	if number < maxAttempts && (!touched || (r.mayRepeat() && r.d.budget.Spend(r.work.Class.Name))) {
-		if touched {
-			r.d.waste.addRepeat(r.work.PromptTokens)
-		}
-		return false
+// Target returns the endpoint.
+func (p *slotPlace) Target() (id, address string) {
+	return p.slot.Endpoint().Name, p.slot.Endpoint().Address
+}
+
+// Why returns the scheduler's reason.
+func (p *slotPlace) Why() []slog.Attr {
+	grant := p.slot.Grant()
+	return []slog.Attr{slog.String("because", grant.Reason), slog.Int("candidates", len(grant.Candidates)), slog.Int64("queued_ms", grant.QueuedMs)}
+}
+
+// Preempted is closed when the scheduler wants the slot back.
+func (p *slotPlace) Preempted() <-chan struct{} { return p.slot.Preempted() }
+
+// Started does nothing: progress is told with the tokens.
+func (p *slotPlace) Started() {}
+
+// Done gives the slot back.
+func (p *slotPlace) Done(now time.Time, ending chiveplace.Ending) time.Duration {
+	p.after = p.m.answer.tokens
+	lengths := p.lengths(now)
+	lengths.Result = slotResults[ending]
+	p.slot.Done(lengths)
+	if ending == chiveplace.EndedFull {
+		p.m.d.fleet.EndpointLeaves(p.slot.Endpoint().Address)
 	}
-	r.end(CodeBroken, "the endpoint broke off", time.Second)
-	return true
+	return 0
 }
 
-// mayRepeat tells whether the rest of the request may run again: a whole answer that is not streamed starts over.
-func (r *run) mayRepeat() bool { return r.work.Repeatable }
+var slotResults = map[chiveplace.Ending]chiveschedule.Result{
+	chiveplace.EndedWell: chiveschedule.ResultOK, chiveplace.EndedError: chiveschedule.ResultOK, chiveplace.EndedBroken: chiveschedule.ResultFailed,
+	chiveplace.EndedFull: chiveschedule.ResultRefused, chiveplace.EndedGone: chiveschedule.ResultRefused, chiveplace.EndedCaller: chiveschedule.ResultCancelled,
+}
 
-// Error codes, as callers see them.
-const (
-	CodeEndpointError = "endpoint_error"
-	CodeDeadline      = "deadline_passed"
-	CodeBroken        = "endpoint_broken"
-	CodeRefused       = "capacity"
-)
+func (p *slotPlace) lengths(now time.Time) chiveschedule.Ending {
+	answer := p.m.answer
+	e := chiveschedule.Ending{Tokens: answer.tokens - p.before}
+	if p.before == 0 && answer.tokens > 0 {
+		e.First = answer.first.Sub(p.started)
+	}
+	e.Stream = now.Sub(p.started) - e.First
+	return e
+}
 
-// end gives up the request and books what was delivered of it as thrown away.
-func (r *run) end(code, message string, after time.Duration) {
-	r.result.giveUp(r.touched, code, message, after)
-	r.d.waste.addThrown(r.answer.tokens)
+// isGivenUp tells whether a result has no answer of an endpoint.
+func isGivenUp(result *chiveforward.Result) bool {
+	return result.Outcome == chiveforward.NotRun || result.Outcome == chiveforward.Unknown
 }
 
-// giveUp ends a request that got no slot.
-func (r *run) giveUp(ctx context.Context, err error) {
-	var refused *chiveschedule.RefusedError
-	switch {
-	case errors.As(err, &refused):
-		r.end(CodeRefused, refused.Reason, refused.RetryAfter)
-	case errors.Is(context.Cause(ctx), errDeadline):
-		r.end(CodeDeadline, "the request's time ran out before it got a slot", time.Second)
-	case ctx.Err() != nil:
-		r.end(CodeDeadline, "the caller went away", 0)
-	default:
-		r.end(CodeRefused, err.Error(), minuteRetry)
+// giveUp turns the forwarder's codes and times into those of the own callers' contract.
+func (r *Result) giveUp(from *chiveforward.Result) {
+	r.Code, r.Message, r.RetryAfter, r.Status = from.Code, from.Message, from.RetryAfter, from.Status
+	switch from.Code {
+	case chiveforward.CodeDeadline, chiveforward.CodeCallerGone:
+		r.Code, r.Status = CodeDeadline, http.StatusGatewayTimeout
+		if len(from.Tries) == 0 && from.Code == chiveforward.CodeDeadline {
+			r.RetryAfter = time.Second
+		}
+	case chiveforward.CodeNoPlace, chiveforward.CodeRefused:
+		r.Code = CodeRefused
+	case chiveforward.CodeBroken:
+		r.RetryAfter = time.Second
 	}
 }
--- a/chivedispatch/service.go
+++ b/chivedispatch/service.go
@@ -1,20 +1,18 @@
 package chivedispatch
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"chivedrift/chiveconfig"
-	"chivedrift/chiveevent"
+	"chivedrift/chiveforward"
+	"chivedrift/chiveplace"
+	"chivedrift/chiverequest"
 	"chivedrift/chiveroute"
 )
 
@@ -41,22 +39,22 @@
 	Rest   io.ReadCloser
 }
 
-const (
-	bufferedBytes = 1 << 20
-	maxTries      = 4
-)
+const maxTries = 4
 
 // Services chooses replicas of plain services and calls them.
 type Services struct {
-	d      *Dispatcher
-	region string
-	mu     sync.Mutex
-	pools  map[string]*chiveroute.Local
+	d       *Dispatcher
+	forward *chiveforward.Forwarder
+	region  string
+	mu      sync.Mutex
+	pools   map[string]*chiveroute.Local
 }
 
 // NewServices returns a chooser without pools that shares the dispatcher's retry budget.
 func NewServices(d *Dispatcher, region string) *Services {
-	return &Services{d: d, region: region, pools: make(map[string]*chiveroute.Local)}
+	s := &Services{d: d, region: region, pools: make(map[string]*chiveroute.Local)}
+	s.forward = d.newForwarder(s, maxTries)
+	return s
 }
 
 // SetConfig takes a configuration that came into force.
@@ -86,11 +84,11 @@
 	}
 }
 
-// Start does nothing: requests run on their callers' goroutines.
-func (s *Services) Start(context.Context) error { return nil }
+// Start begins to look after idle connections.
+func (s *Services) Start(ctx context.Context) error { return s.forward.Start(ctx) }
 
-// Stop does nothing.
-func (s *Services) Stop(context.Context) error { return nil }
+// Stop closes idle connections.
+func (s *Services) Stop(ctx context.Context) error { return s.forward.Stop(ctx) }
 
 // Dump returns the replicas of each pool.
 func (s *Services) Dump() any {
@@ -103,167 +101,151 @@
 	return dump
 }
 
-// serviceRun is the state of one service request over its attempts.
-type serviceRun struct {
-	s       *Services
-	work    *ServiceWork
-	pool    *chiveroute.Local
-	exclude []string
-	result  Result
-	answer  *ServiceAnswer
-	touched bool
-}
-
-// Run carries a service request through to its outcome; the answer is nil when no endpoint gave one.
-func (s *Services) Run(parent context.Context, work *ServiceWork) (Result, *ServiceAnswer) {
-	ctx, cancel := context.WithDeadlineCause(parent, work.Deadline, errDeadline)
-	s.d.budget.Earn(work.Class.Name, work.Class.RetryBudgetPercent)
+// Take reserves a place on a replica.
+func (s *Services) Take(_ context.Context, request *chiverequest.Request, exclude []string) (chiveforward.Place, error) {
 	s.mu.Lock()
-	pool := s.pools[work.Pool]
+	pool := s.pools[request.Pool]
 	s.mu.Unlock()
-	r := &serviceRun{s: s, work: work, pool: pool}
-	for number := 1; ; number++ {
-		if r.attempt(ctx, number) {
-			break
+	if pool != nil {
+		if endpoint, taken := pool.Take(time.Now(), s.region, exclude); taken {
+			return &replicaPlace{s: s, pool: pool, endpoint: endpoint, began: time.Now(), deadline: request.Deadline}, nil
 		}
 	}
-	if r.answer != nil && r.answer.Rest != nil {
-		r.answer.Rest = &cancelling{ReadCloser: r.answer.Rest, cancel: cancel}
-		return r.result, r.answer
-	}
-	cancel()
-	return r.result, r.answer
+	return nil, &chiveplace.RefusedError{Reason: "no replica is up with room", RetryAfter: time.Second}
 }
 
-// cancelling ends the request's context when the rest of a large body has been passed on.
-type cancelling struct {
-	io.ReadCloser
-	cancel context.CancelFunc
+// replicaPlace is a place on a replica as the forwarder sees it.
+type replicaPlace struct {
+	s        *Services
+	pool     *chiveroute.Local
+	endpoint chiveconfig.Endpoint
+	began    time.Time
+	deadline time.Time
 }
 
-// Close closes the body and ends the request.
-func (c *cancelling) Close() error {
-	defer c.cancel()
-	return c.ReadCloser.Close() //nolint:wrapcheck // nobody reads it
-}
+const reasonFewer = "fewer_in_flight_of_two"
 
-// attempt runs one attempt and reports whether the request has its outcome.
-func (r *serviceRun) attempt(ctx context.Context, number int) bool {
-	var endpoint chiveconfig.Endpoint
-	taken := false
-	if r.pool != nil {
-		endpoint, taken = r.pool.Take(time.Now(), r.s.region, r.exclude)
-	}
-	if !taken {
-		r.result.giveUp(r.touched, CodeRefused, "no replica is up with room", time.Second)
-		return true
-	}
-	started := time.Now()
-	answer, touched, err := r.call(ctx, endpoint.Address)
-	refused := answer != nil && answer.Status == http.StatusServiceUnavailable && answer.Header.Get(NotRunHeader) == "true"
-	callerGone := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline)
-	r.pool.Release(time.Now(), endpoint.Name, time.Since(started), (err == nil && !refused) || callerGone)
-	r.note(number, endpoint, touched && !refused, answer, err)
-	if refused {
-		r.pool.Leaving(time.Now(), endpoint.Address)
-		r.s.d.fleet.EndpointLeaves(endpoint.Address)
-		return r.next(number, endpoint, false)
-	}
-	r.touched = r.touched || touched
-	if err == nil {
-		r.finish(answer)
-		return true
-	}
-	chiveevent.RequestBroken.Log(ctx, r.s.d.logger, slog.String("request", r.work.ID), slog.String("endpoint", endpoint.Name), slog.Any("error", err))
-	if ctx.Err() != nil {
-		r.result.giveUp(r.touched, CodeDeadline, "the request's time ran out", 0)
-		return true
+// Target returns the replica.
+func (p *replicaPlace) Target() (id, address string) { return p.endpoint.Name, p.endpoint.Address }
+
+// Why returns the reason for the choice.
+func (p *replicaPlace) Why() []slog.Attr { return []slog.Attr{slog.String("because", reasonFewer)} }
+
+// Preempted never happens to plain services.
+func (p *replicaPlace) Preempted() <-chan struct{} { return nil }
+
+// Started does nothing.
+func (p *replicaPlace) Started() {}
+
+// Done gives the place back; a replica that refuses is leaving, which the fleet hears.
+func (p *replicaPlace) Done(now time.Time, ending chiveplace.Ending) time.Duration {
+	callerGone := ending == chiveplace.EndedCaller && now.Before(p.deadline)
+	well := ending == chiveplace.EndedWell || ending == chiveplace.EndedError || callerGone
+	p.pool.Release(now, p.endpoint.Name, now.Sub(p.began), well)
+	if ending == chiveplace.EndedFull {
+		p.pool.Leaving(now, p.endpoint.Address)
+		p.s.d.fleet.EndpointLeaves(p.endpoint.Address)
 	}
-	return r.next(number, endpoint, touched)
+	return 0
 }
 
-func (r *serviceRun) note(number int, endpoint chiveconfig.Endpoint, touched bool, answer *ServiceAnswer, err error) {
-	a := Attempt{Number: number, Endpoint: endpoint.Name, Reason: "fewer_in_flight_of_two", Touched: touched, Ended: string(endedComplete)}
-	switch {
-	case err != nil:
-		a.Ended, a.Error = string(endedBroken), err.Error()
-	case !touched:
-		a.Ended = string(endedRefused)
-	case answer.Status >= http.StatusBadRequest:
-		a.Ended = string(endedError)
-	}
-	r.result.Attempts = append(r.result.Attempts, a)
+// Run carries a service request through to its outcome; the answer is nil when no endpoint gave one. Of a large body the rest
+// comes while the forwarder still runs.
+func (s *Services) Run(parent context.Context, work *ServiceWork) (Result, *ServiceAnswer) {
+	ctx, cancel := context.WithCancel(parent)
+	r := &serviceRun{work: work, ready: make(chan struct{}), cancel: cancel}
+	go func() {
+		result := s.forward.Run(ctx, r.request(), r)
+		r.end(result)
+	}()
+	<-r.ready
+	return r.result, r.answer
+}
+
+// serviceRun is one service request over all of its attempts, and the sink of its answer.
+type serviceRun struct {
+	work   *ServiceWork
+	cancel context.CancelFunc
+	once   sync.Once
+	ready  chan struct{}
+	rest   *io.PipeWriter
+	result Result
+	answer *ServiceAnswer
 }
 
-// next goes on elsewhere when that is safe: nothing reached the endpoint, or the request may run again.
-func (r *serviceRun) next(number int, endpoint chiveconfig.Endpoint, touched bool) bool {
-	r.exclude = append(r.exclude, endpoint.Name)
-	if number < maxTries && (!touched || (r.work.Repeatable && r.s.d.budget.Spend(r.work.Class.Name))) {
-		return false
+func (r *serviceRun) class() *chiveconfig.Class { return r.work.Class }
+
+// request is the work as the forwarder sees it.
+func (r *serviceRun) request() *chiverequest.Request {
+	w := r.work
+	return &chiverequest.Request{
+		ID: w.ID, Route: routeOf(w.Class, w.Repeatable, maxTries), Pool: w.Pool, Team: w.Team, Method: w.Method, Target: w.Path, Header: w.Header,
+		Body: w.Body, Arrival: w.Arrival, Deadline: w.Deadline, Silence: w.Class.Stall(), Stream: nil, Source: r,
 	}
-	r.result.giveUp(r.touched, CodeBroken, "the endpoint broke off", time.Second)
-	return true
 }
 
-func (r *serviceRun) finish(answer *ServiceAnswer) {
-	r.answer = answer
-	r.result.Status = answer.Status
-	r.result.Outcome = Completed
-	if answer.Status >= http.StatusBadRequest {
+// Start takes the head of the answer.
+func (r *serviceRun) Start(status int, header http.Header) {
+	r.answer = &ServiceAnswer{Status: status, Header: header}
+	r.result.Status, r.result.Outcome = status, Completed
+	if status >= http.StatusBadRequest {
 		r.result.Outcome = Failed
 	}
 }
 
-// call makes one attempt; it tells whether a byte of the request may have reached the endpoint.
-func (r *serviceRun) call(parent context.Context, address string) (answer *ServiceAnswer, touched bool, err error) {
-	ctx, cancel := context.WithCancelCause(parent)
-	stall := time.AfterFunc(r.work.Class.Stall(), func() { cancel(errStalled) })
-	defer stall.Stop()
-	response, touched, err := r.send(ctx, address)
-	if err != nil {
-		cancel(nil)
-		return nil, touched, stalledOr(ctx, err)
-	}
-	head, err := io.ReadAll(io.LimitReader(response.Body, bufferedBytes))
-	if err != nil {
-		cancel(nil)
-		_ = response.Body.Close()
-		return nil, touched, stalledOr(ctx, err)
+// Write takes the body: the first piece with the head, further ones, of a large body, through a pipe.
+func (r *serviceRun) Write(data []byte, _ bool) error {
+	if r.answer.Body == nil {
+		r.answer.Body = append([]byte{}, data...)
+		return nil
 	}
-	answer = &ServiceAnswer{Status: response.StatusCode, Header: response.Header, Body: head}
-	if len(head) < bufferedBytes {
-		cancel(nil)
-		_ = response.Body.Close()
-		return answer, touched, nil
+	if r.rest == nil {
+		reader, writer := io.Pipe()
+		r.answer.Rest, r.rest = &cancelling{ReadCloser: reader, cancel: r.cancel}, writer
+		r.once.Do(func() { close(r.ready) })
 	}
-	answer.Rest = &cancelling{ReadCloser: response.Body, cancel: func() { cancel(nil) }}
-	return answer, touched, nil
+	_, err := r.rest.Write(data)
+	return err //nolint:wrapcheck // says that the caller is gone
 }
 
-func stalledOr(ctx context.Context, err error) error {
-	if errors.Is(context.Cause(ctx), errStalled) {
-		return errStalled
+// errCut is what the reader of a large body sees when its endpoint broke off.
+var errCut = errors.New("dispatch: the endpoint broke off inside the body")
+
+// end is the end of the forwarder's run.
+func (r *serviceRun) end(from chiveforward.Result) {
+	if r.rest != nil {
+		var err error
+		if isGivenUp(&from) {
+			err = errCut
+		}
+		// Closing a pipe never fails.
+		_ = r.rest.CloseWithError(err)
+		return
+	}
+	defer r.cancel()
+	if isGivenUp(&from) {
+		r.answer = nil
+		r.result = Result{Outcome: from.Outcome}
+		r.result.giveUp(&from)
+	}
+	for i, t := range from.Tries {
+		a := Attempt{Number: i + 1, Endpoint: t.Endpoint, Reason: reasonFewer, Touched: t.Touched, Ended: endedWord(t, &from)}
+		if t.Err != nil {
+			a.Error = t.Err.Error()
+		}
+		r.result.Attempts = append(r.result.Attempts, a)
 	}
-	return err
+	r.once.Do(func() { close(r.ready) })
 }
 
-func (r *serviceRun) send(ctx context.Context, address string) (*http.Response, bool, error) {
-	var connected atomic.Bool
-	if r.work.Repeatable {
-		trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-		ctx = httptrace.WithClientTrace(ctx, trace)
-	}
-	request, err := http.NewRequestWithContext(ctx, r.work.Method, "http://"+address+r.work.Path, bytes.NewReader(r.work.Body))
-	if err != nil {
-		return nil, false, fmt.Errorf("request: %w", err)
-	}
-	request.Header = r.work.Header.Clone()
-	request.Header.Set(requestIDHeader, r.work.ID)
-	if r.work.Repeatable {
-		response, err := r.s.d.pooled.RoundTrip(request)
-		return response, connected.Load(), err
-	}
-	transport := newOnce(r.s.d.self, r.s.d.network)
-	response, err := transport.transport.RoundTrip(request)
-	return response, transport.touched(), err
+// cancelling ends the request's context when the rest of a large body has been passed on.
+type cancelling struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close closes the body and ends the request.
+func (c *cancelling) Close() error {
+	defer c.cancel()
+	return c.ReadCloser.Close() //nolint:wrapcheck // nobody reads it
 }
--- a/chivedispatch/work.go
+++ b/chivedispatch/work.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net/http"
 	"time"
 
 	"chivedrift/chiveconfig"
@@ -39,18 +38,6 @@
 	Attempts   []Attempt
 }
 
-// giveUp gives the outcome of a request that did not complete: "not-run" only when no byte of any attempt can have arrived.
-func (r *Result) giveUp(touched bool, code, message string, after time.Duration) {
-	r.Outcome, r.Status = Unknown, http.StatusBadGateway
-	if !touched {
-		r.Outcome, r.Status = NotRun, http.StatusServiceUnavailable
-	}
-	if code == CodeDeadline {
-		r.Status = http.StatusGatewayTimeout
-	}
-	r.Code, r.Message, r.RetryAfter = code, message, after
-}
-
 // Attempt is one try on one endpoint, as explain shows it.
 type Attempt struct {
 	Number     int                       `json:"number"`
--- a/chiveentry/dialect.go
+++ b/chiveentry/dialect.go
@@ -10,8 +10,8 @@
 	"Upgrade", "Expect",
 }
 
-// dropConnectionFields removes what concerns one connection only, also the fields that it names itself.
-func dropConnectionFields(header http.Header) {
+// DropConnectionFields removes what concerns one connection only, also the fields that it names itself.
+func DropConnectionFields(header http.Header) {
 	for _, value := range header["Connection"] {
 		for _, name := range splitList(value) {
 			header.Del(name)
--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -195,7 +195,7 @@
 	}
 	request.Method, request.Target, request.Host = r.Method, target, r.Host
 	request.Header = r.Header.Clone()
-	dropConnectionFields(request.Header)
+	DropConnectionFields(request.Header)
 	e.o.Dialect.Strip(request.Header)
 	request.Prompt, request.LastEvent = asked.Prompt, asked.LastEvent
 	if request.Prompt != nil {
@@ -297,7 +297,7 @@
 	event.Log(ctx, e.o.Logger, chiveevent.Request(request.ID), slog.String("route", request.Route.Name),
 		slog.String("outcome", string(result.Outcome)), slog.String("code", result.Code), slog.String("message", result.Message),
 		slog.Int("status", result.Status), slog.Int64("retry_after_ms", result.RetryAfter.Milliseconds()),
-		slog.Int("attempts", result.Attempts), slog.String("endpoint", result.Endpoint), slog.Int("events", result.Events),
+		slog.Int("attempts", len(result.Tries)), slog.String("endpoint", result.Last()), slog.Int("events", result.Events),
 		slog.Int64("first_ms", result.First.Milliseconds()), slog.Int64("took_ms", time.Since(request.Arrival).Milliseconds()),
 		slog.Int64("left_ms", time.Until(request.Deadline).Milliseconds()))
 }
@@ -323,7 +323,7 @@
 	for name, values := range header {
 		to[name] = values
 	}
-	dropConnectionFields(to)
+	DropConnectionFields(to)
 	if s.leaving() {
 		to.Set("Connection", "close")
 	}
--- a/chiveentry/metrics.go
+++ b/chiveentry/metrics.go
@@ -49,7 +49,7 @@
 func (m *metrics) finished(request *chiverequest.Request, result chiveforward.Result) {
 	r := m.route(request.Route.Name)
 	r.scope.Tagged(map[string]string{"outcome": string(result.Outcome), "code": result.Code}).Counter("requests").Inc(1)
-	r.scope.Counter("attempts").Inc(int64(result.Attempts))
+	r.scope.Counter("attempts").Inc(int64(len(result.Tries)))
 	if result.Outcome == chiveforward.Completed {
 		r.first.RecordDuration(result.First)
 		r.took.RecordDuration(time.Since(request.Arrival))
--- a/chiveforward/budget.go
+++ b/chiveforward/budget.go
@@ -1,8 +1,11 @@
 package chiveforward
 
 import (
+	"log/slog"
 	"sync"
 	"time"
+
+	"chivedrift/chiverequest"
 )
 
 // Budget bounds repeats to a share of a pool's requests plus this node's part of a fixed headroom, over a sliding window.
@@ -68,18 +71,18 @@
 }
 
 // Request counts a caller's request for a pool.
-func (b *Budget) Request(now time.Time, pool string) {
+func (b *Budget) Request(now time.Time, request *chiverequest.Request) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.at(now, pool)
+	w := b.at(now, request.Pool)
 	w.requests[w.step%budgetSteps]++
 }
 
 // Spend takes one repeat and reports whether there was one left.
-func (b *Budget) Spend(now time.Time, pool string) bool {
+func (b *Budget) Spend(now time.Time, request *chiverequest.Request) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.at(now, pool)
+	w := b.at(now, request.Pool)
 	allowed := b.limits.Ratio*float64(w.sum(w.requests, requestSteps)) + b.headroom(now)
 	if float64(w.sum(w.repeats, repeatSteps)+1) > allowed {
 		return false
@@ -88,23 +91,15 @@
 	return true
 }
 
-// BudgetState is what a pool's budget has spent and allows, and the fleet that its headroom is divided by.
-type BudgetState struct {
-	Repeats  int     `json:"repeats"`
-	Requests int     `json:"requests"`
-	Allowed  float64 `json:"allowed"`
-	Nodes    int     `json:"nodes"`
-}
-
-// State returns a pool's budget.
-func (b *Budget) State(now time.Time, pool string) BudgetState {
+// Explain returns what a pool's budget has spent and allows, and the fleet that its headroom is divided by.
+func (b *Budget) Explain(now time.Time, request *chiverequest.Request) []slog.Attr {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.at(now, pool)
+	w := b.at(now, request.Pool)
 	requests := w.sum(w.requests, requestSteps)
-	return BudgetState{
-		Repeats: w.sum(w.repeats, repeatSteps), Requests: requests, Nodes: max(b.fleet[0], b.fleet[1]),
-		Allowed: b.limits.Ratio*float64(requests) + b.headroom(now),
+	return []slog.Attr{
+		slog.Int("repeats", w.sum(w.repeats, repeatSteps)), slog.Int("requests", requests),
+		slog.Float64("allowed", rounded(b.limits.Ratio*float64(requests)+b.headroom(now))), slog.Int("nodes", max(b.fleet[0], b.fleet[1])),
 	}
 }
 
--- a/chiveforward/budget_test.go
+++ b/chiveforward/budget_test.go
@@ -5,10 +5,13 @@
 	"time"
 
 	"chivedrift/chiveforward"
+	"chivedrift/chiverequest"
 
 	"pgregory.net/rapid"
 )
 
+var toPool = &chiverequest.Request{Pool: "p"}
+
 // The bound on repeats is the fleet's. This property plays arbitrary histories: nodes that are killed and start anew with an
 // empty budget, nodes that lose sight of the others and take them for dead, requests and wishes to repeat at any time on any
 // node. In no window may the repeats exceed the ratio of that window's or the one before's requests plus the headroom.
@@ -36,11 +39,11 @@
 			case 1:
 				budgets[node].SetNodes(start.Add(at), 1)
 			case 2, 3, 4, 5:
-				budgets[node].Request(start.Add(at), "p")
+				budgets[node].Request(start.Add(at), toPool)
 				requests = append(requests, at)
 			}
 			for range rapid.IntRange(0, 6).Draw(t, "wish") {
-				if budgets[node].Spend(start.Add(at), "p") {
+				if budgets[node].Spend(start.Add(at), toPool) {
 					repeats = append(repeats, at)
 				}
 			}
@@ -70,13 +73,13 @@
 	b := chiveforward.NewBudget(start, chiveforward.BudgetLimits{Ratio: 0, Headroom: 10, Window: time.Second})
 	now := start.Add(time.Second)
 	spent := 0
-	for b.Spend(now, "p") {
+	for b.Spend(now, toPool) {
 		spent++
 	}
-	if spent == 0 || b.Spend(now.Add(900*time.Millisecond), "p") {
+	if spent == 0 || b.Spend(now.Add(900*time.Millisecond), toPool) {
 		t.Errorf("spent %d at once, and another one within the window", spent)
 	}
-	if !b.Spend(now.Add(1200*time.Millisecond), "p") {
+	if !b.Spend(now.Add(1200*time.Millisecond), toPool) {
 		t.Error("nothing left a window later")
 	}
 }
@@ -87,10 +90,10 @@
 func TestSuccessorHasNoHeadroomAtFirst(t *testing.T) {
 	start := time.Now()
 	b := chiveforward.NewBudget(start, chiveforward.BudgetLimits{Ratio: 0, Headroom: 100, Window: 10 * time.Second})
-	if b.Spend(start.Add(9*time.Second), "p") {
+	if b.Spend(start.Add(9*time.Second), toPool) {
 		t.Error("spent headroom that its predecessor may have spent")
 	}
-	if !b.Spend(start.Add(10*time.Second), "p") {
+	if !b.Spend(start.Add(10*time.Second), toPool) {
 		t.Error("no headroom after a window")
 	}
 }
@@ -104,7 +107,7 @@
 	b.SetNodes(start, 10)
 	b.SetNodes(start.Add(time.Minute), 1)
 	spent := 0
-	for b.Spend(start.Add(time.Minute), "p") {
+	for b.Spend(start.Add(time.Minute), toPool) {
 		spent++
 	}
 	if spent > 10 {
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -11,7 +11,6 @@
 	"strings"
 	"time"
 
-	"chivedrift/chiveplace"
 	"chivedrift/chiverequest"
 	"chivedrift/chivetable"
 )
@@ -25,18 +24,24 @@
 	patienceTargets = 2
 )
 
+// ErrSilent is why an attempt was given up whose endpoint sent nothing for too long.
+var ErrSilent = errors.New("the endpoint sent nothing for too long")
+
 var (
-	errForeign  = errors.New("the answer belongs to another request")
-	errSilent   = errors.New("no answer in the time that leaves room for another attempt")
-	errCutEvent = errors.New("the stream ended inside an event")
+	errForeign   = errors.New("the answer belongs to another request")
+	errCutEvent  = errors.New("the stream ended inside an event")
+	errPreempted = errors.New("the place was wanted back")
 )
 
 // call is one attempt of a request on one endpoint.
 type call struct {
 	run     *run
-	place   *chiveplace.Place
+	place   Place
+	id      string
+	address string
 	lane    *lane
 	began   time.Time
+	silence *time.Timer
 	touched bool
 	status  int
 	err     error
@@ -57,24 +62,17 @@
 	_ = r.sink.Write(w.body, false)
 }
 
-// start passes on the head of an answer, once for all attempts.
-func (r *run) start(status int, header http.Header) {
-	if r.result.Started {
-		return
-	}
-	r.result.Started = true
-	r.result.Status = status
-	r.result.First = time.Since(r.request.Arrival)
-	r.sink.Start(status, header)
-}
-
 // carry makes the attempt and tells how it ended.
 func (c *call) carry(parent context.Context) ending {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
 	if patience, limited := c.patience(parent); limited {
-		timer := time.AfterFunc(patience, func() { cancel(errSilent) })
-		defer timer.Stop()
+		c.silence = time.AfterFunc(patience, func() { cancel(ErrSilent) })
+		defer c.silence.Stop()
+	}
+	if preempted := c.place.Preempted(); preempted != nil {
+		stop := watch(ctx, preempted, func() { cancel(errPreempted) })
+		defer stop()
 	}
 	response, err := c.send(ctx)
 	if err != nil {
@@ -84,6 +82,7 @@
 	c.status = response.StatusCode
 	switch c.run.f.o.Dialect.Judge(c.run.request, response) {
 	case chiverequest.VerdictNotRun:
+		c.touched = false
 		c.finish(response)
 		return endedRefused
 	case chiverequest.VerdictElsewhere:
@@ -99,8 +98,30 @@
 	return c.readWhole(ctx, parent, response)
 }
 
-// patience bounds the wait for an answer that another endpoint could still give in time.
+// watch calls heard when a channel closes before the context ends; stop waits until nothing is called any more.
+func watch(ctx context.Context, closed <-chan struct{}, heard func()) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		select {
+		case <-closed:
+			heard()
+		case <-ctx.Done():
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// patience bounds the wait for an answer that another endpoint could still give in time. Where the operator says how long an
+// endpoint may be silent, that holds; else an idempotent request is tried elsewhere while its time still allows it.
 func (c *call) patience(ctx context.Context) (time.Duration, bool) {
+	if silence := c.run.request.Silence; silence > 0 {
+		return silence, true
+	}
 	route := c.run.request.Route
 	if route.Repeat != chivetable.RepeatAlways || c.run.sent+1 >= route.Attempts {
 		return 0, false
@@ -109,11 +130,18 @@
 	return min(time.Duration(patienceShare*float64(time.Until(deadline))), patienceTargets*route.Target), true
 }
 
+// heard notes a sign of life.
+func (c *call) heard() {
+	if silence := c.run.request.Silence; silence > 0 {
+		c.silence.Reset(silence)
+	}
+}
+
 // send writes the request on a connection of its own for as long as the attempt takes.
 func (c *call) send(ctx context.Context) (*http.Response, error) {
-	endpoint := c.place.Endpoint()
-	c.lane = c.run.f.lanes.get(endpoint.ID, c.run.result.Attempts > 1)
-	request, err := c.build(ctx, endpoint.Address)
+	fresh := len(c.run.result.Tries) > 0 || (c.run.f.o.Rules.FreshOnce && c.run.request.Route.Repeat == chivetable.RepeatNever)
+	c.lane = c.run.f.lanes.get(c.id, fresh)
+	request, err := c.build(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -126,28 +154,33 @@
 	return response, nil
 }
 
-func (c *call) build(ctx context.Context, address string) (*http.Request, error) {
+func (c *call) build(ctx context.Context) (*http.Request, error) {
 	r := c.run.request
+	header := r.Header.Clone()
+	if header == nil {
+		header = make(http.Header)
+	}
+	content, err := c.run.f.o.Dialect.Prepare(header, chiverequest.Send{Request: r, Endpoint: c.id, Left: time.Until(r.Deadline), After: c.run.last})
+	if err != nil {
+		return nil, fmt.Errorf("request: %w", err)
+	}
 	var body io.Reader
-	if len(r.Body) > 0 {
-		body = bytes.NewReader(r.Body)
+	if len(content) > 0 {
+		body = bytes.NewReader(content)
 	}
-	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address, body)
+	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+c.address, body)
 	if err != nil {
 		return nil, fmt.Errorf("request: %w", err)
 	}
 	// Without this net/http would send the body again on its own where it takes the request for harmless.
 	request.GetBody = nil
 	// The target goes out as it came in: decoding and encoding it again may change what the endpoint sees.
-	request.URL = &url.URL{Scheme: "http", Host: address, Opaque: r.Target}
+	request.URL = &url.URL{Scheme: "http", Host: c.address, Opaque: r.Target}
 	request.Host = r.Host
-	request.Header = r.Header.Clone()
-	if _, given := request.Header["User-Agent"]; !given {
-		request.Header["User-Agent"] = nil
+	request.Header = header
+	if _, given := header["User-Agent"]; !given {
+		header["User-Agent"] = nil
 	}
-	c.run.f.o.Dialect.Prepare(request.Header, chiverequest.Send{
-		Request: r, Endpoint: c.place.Endpoint().ID, Left: time.Until(r.Deadline), After: c.run.last,
-	})
 	return request, nil
 }
 
@@ -157,11 +190,14 @@
 	if c.lane != nil {
 		c.lane.close()
 	}
-	if parent.Err() != nil {
+	cause := context.Cause(ctx)
+	switch {
+	case parent.Err() != nil:
 		return endedCaller
-	}
-	if errors.Is(context.Cause(ctx), errSilent) {
-		c.err = errSilent
+	case errors.Is(cause, errPreempted):
+		return endedPreempted
+	case errors.Is(cause, ErrSilent):
+		c.err = ErrSilent
 	}
 	if !c.touched {
 		return endedUnreached
@@ -184,7 +220,7 @@
 		c.lane.close()
 		return
 	}
-	c.run.f.lanes.put(c.place.Endpoint().ID, c.lane, response.Header)
+	c.run.f.lanes.put(c.id, c.lane, response.Header)
 }
 
 // readWhole passes on an answer that is not a stream once it is complete, so that one that breaks can still be had elsewhere.
@@ -208,14 +244,15 @@
 func (c *call) passLarge(ctx, parent context.Context, response *http.Response, head []byte) ending {
 	c.run.start(response.StatusCode, response.Header)
 	if err := c.run.sink.Write(head, false); err != nil {
-		return c.broken(ctx, parent, err)
+		return c.callerFailed(err)
 	}
 	buffer := make([]byte, laneBuffer)
 	for {
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
+			c.heard()
 			if writeErr := c.run.sink.Write(buffer[:n], false); writeErr != nil {
-				return c.broken(ctx, parent, writeErr)
+				return c.callerFailed(writeErr)
 			}
 		}
 		if errors.Is(err, io.EOF) {
@@ -231,31 +268,44 @@
 // relay passes on complete events only: of an event that was cut the caller sees nothing, so that a stream that goes on
 // elsewhere repeats no event and drops none.
 func (c *call) relay(ctx, parent context.Context, response *http.Response) ending {
+	stream := c.run.request.Stream
+	if stream == nil {
+		stream = &idStream{run: c.run, response: response}
+	}
 	events := newEventReader(response.Body)
 	for {
 		e, rest, err := events.next()
 		if err != nil {
-			return c.streamEnd(ctx, parent, response, rest, err)
+			return c.streamEnd(ctx, parent, response, stream, rest, err)
 		}
+		c.heard()
 		c.place.Started()
-		if !after(e.id, c.run.last) {
-			continue
-		}
-		c.run.start(response.StatusCode, response.Header)
-		if err := c.run.sink.Write(e.data, !events.more()); err != nil {
-			return c.broken(ctx, parent, err)
+		ended, err := stream.Event(e.data, e.id, events.more())
+		if err != nil {
+			return c.callerFailed(err)
 		}
-		c.run.result.Events++
-		if e.id != "" {
-			c.run.last = e.id
+		if ended {
+			c.finish(response)
+			return endedComplete
 		}
 	}
 }
 
+// callerFailed is the end of an attempt whose answer could not be passed on.
+func (c *call) callerFailed(err error) ending {
+	c.err = err
+	c.lane.close()
+	return endedCaller
+}
+
 // streamEnd tells a stream that is over from one that broke. A stream without a length whose connection just ends inside
 // an event was cut, though nothing on the connection says so.
-func (c *call) streamEnd(ctx, parent context.Context, response *http.Response, rest []byte, err error) ending {
-	if !errors.Is(err, io.EOF) {
+func (c *call) streamEnd(ctx, parent context.Context, response *http.Response, stream chiverequest.Stream, rest []byte, err error) ending {
+	if stream.Whole() {
+		c.lane.close()
+		return endedComplete
+	}
+	if !errors.Is(err, io.EOF) || c.run.request.Stream != nil {
 		return c.broken(ctx, parent, err)
 	}
 	if len(rest) > 0 {
@@ -264,7 +314,7 @@
 		}
 		c.run.start(response.StatusCode, response.Header)
 		if err := c.run.sink.Write(rest, true); err != nil {
-			return c.broken(ctx, parent, err)
+			return c.callerFailed(err)
 		}
 	}
 	c.run.start(response.StatusCode, response.Header)
--- a/chiveforward/endpoint_test.go
+++ b/chiveforward/endpoint_test.go
@@ -22,13 +22,14 @@
 // wireDialect is an endpoints' dialect with four header fields.
 type wireDialect struct{}
 
-func (wireDialect) Prepare(header http.Header, send chiverequest.Send) {
+func (wireDialect) Prepare(header http.Header, send chiverequest.Send) ([]byte, error) {
 	header.Set("Id", send.Request.ID)
 	header.Set("Left-Ms", strconv.FormatInt(send.Left.Milliseconds(), 10))
 	header.Set("Meant", send.Endpoint)
 	if send.After != "" {
 		header.Set("After", send.After)
 	}
+	return send.Request.Body, nil
 }
 
 func (wireDialect) Judge(request *chiverequest.Request, response *http.Response) chiverequest.Verdict {
@@ -159,11 +160,13 @@
 		t.Fatal(err)
 	}
 	budget := chiveforward.NewBudget(time.Now().Add(-time.Minute), chiveforward.BudgetLimits{Ratio: 0.2, Headroom: 50, Window: 10 * time.Second})
+	pools := chiveforward.NewPools("a")
+	pools.SetTable(table)
+	pools.SetEndpoints(endpoints)
 	f := chiveforward.New(chiveforward.Options{
-		Self: "test", FailureDomain: "a", Network: chivewire.TCP{}, Dialect: wireDialect{}, Budget: budget, Logger: slog.New(slog.DiscardHandler),
+		Self: "test", Network: chivewire.TCP{}, Dialect: wireDialect{}, Places: pools, Repeats: budget, Rules: chiveforward.StoreRules,
+		Logger: slog.New(slog.DiscardHandler),
 	})
-	f.SetTable(table)
-	f.SetEndpoints(endpoints)
 	if err := f.Start(context.Background()); err != nil {
 		t.Fatal(err)
 	}
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -4,14 +4,11 @@
 	"context"
 	"errors"
 	"log/slog"
-	"sync"
 	"time"
 
-	"chivedrift/chivedirectory"
 	"chivedrift/chivekernel"
 	"chivedrift/chiveplace"
 	"chivedrift/chiverequest"
-	"chivedrift/chivetable"
 	"chivedrift/chivewire"
 )
 
@@ -20,109 +17,71 @@
 
 // Options are the parts a forwarder is made of.
 type Options struct {
-	Self          string
-	FailureDomain string
-	Network       chivewire.Network
-	Dialect       chiverequest.EndpointDialect
-	Budget        *Budget
-	Logger        *slog.Logger
+	Self    string
+	Network chivewire.Network
+	Dialect chiverequest.EndpointDialect
+	Places  Places
+	Repeats Repeats
+	Rules   Rules
+	Logger  *slog.Logger
+}
+
+// Rules are what differs between kinds of endpoints in how often they may be tried.
+type Rules struct {
+	// Refusals is how many attempts may be refused, or reach nobody, before the request is given up.
+	Refusals int
+	// RefusalsCost tells that going on after an endpoint's refusal takes a repeat from the budget.
+	RefusalsCost bool
+	// RetryErrors tells that a request which may be repeated goes elsewhere after an endpoint's error of its own.
+	RetryErrors bool
+	// FreshOnce tells that a request which may run once gets a new connection: the endpoints' answers do not say to which
+	// request they belong, so a late one on a kept connection could be taken for its own.
+	FreshOnce bool
+}
+
+// StoreRules are the rules for endpoints that register in the platform's store.
+var StoreRules = Rules{Refusals: 3, RefusalsCost: true, RetryErrors: true}
+
+// Places hands out places on endpoints.
+type Places interface {
+	// Take waits for a place; the error is a *chiveplace.RefusedError, or the context's.
+	Take(ctx context.Context, request *chiverequest.Request, exclude []string) (Place, error)
+}
+
+// Place is one request's place on one endpoint.
+type Place interface {
+	// Target returns the endpoint's identity, under which connections to it are kept, and its address.
+	Target() (id, address string)
+	// Why returns what decided for the endpoint, for the log.
+	Why() []slog.Attr
+	// Preempted is closed when the place is wanted back for more urgent work; nil where that never happens.
+	Preempted() <-chan struct{}
+	// Started notes that the answer has begun.
+	Started()
+	// Done gives the place back and returns for how long the endpoint is passed over now.
+	Done(now time.Time, ending chiveplace.Ending) time.Duration
+}
+
+// Repeats bounds how often requests are sent again.
+type Repeats interface {
+	// Request counts a caller's request.
+	Request(now time.Time, request *chiverequest.Request)
+	// Spend takes one repeat and reports whether there was one left.
+	Spend(now time.Time, request *chiverequest.Request) bool
+	// Explain returns what the bound rests on, for the log.
+	Explain(now time.Time, request *chiverequest.Request) []slog.Attr
 }
 
 // Forwarder carries requests to endpoints and their answers back.
 type Forwarder struct {
 	o      Options
 	lanes  *lanes
-	mu     sync.Mutex
-	pools  map[string]*chiveplace.Pool
-	known  []chivedirectory.Endpoint
 	duties chivekernel.Duties
 }
 
-// New returns a forwarder that knows no endpoint yet.
+// New returns a forwarder without connections.
 func New(o Options) *Forwarder {
-	return &Forwarder{o: o, lanes: newLanes(o.Network, o.Self), pools: make(map[string]*chiveplace.Pool)}
-}
-
-// SetTable takes a configuration that came into force.
-func (f *Forwarder) SetTable(table *chivetable.Table) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, p := range table.Pools() {
-		f.pool(p.Name).SetEngine(p.Engine)
-	}
-	f.spread()
-}
-
-// SetEndpoints takes a change of the directory.
-func (f *Forwarder) SetEndpoints(endpoints []chivedirectory.Endpoint) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.known = endpoints
-	f.spread()
-}
-
-// spread hands each pool its endpoints; the caller holds the lock.
-func (f *Forwarder) spread() {
-	byPool := make(map[string][]chivedirectory.Endpoint)
-	for _, e := range f.known {
-		byPool[e.Pool] = append(byPool[e.Pool], e)
-	}
-	for name := range byPool {
-		f.pool(name)
-	}
-	for name, pool := range f.pools {
-		pool.SetEndpoints(byPool[name])
-	}
-}
-
-// pool returns a pool by name, made when it is new; the caller holds the lock.
-func (f *Forwarder) pool(name string) *chiveplace.Pool {
-	p, ok := f.pools[name]
-	if !ok {
-		p = chiveplace.NewPool(f.o.FailureDomain)
-		f.pools[name] = p
-	}
-	return p
-}
-
-// Pool returns the pool of a name, or nil.
-func (f *Forwarder) Pool(name string) *chiveplace.Pool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.pools[name]
-}
-
-// Collect returns what the other nodes should know of this node's requests: what changed since the last call, or everything.
-func (f *Forwarder) Collect(all bool) chiveplace.News {
-	news := chiveplace.News{All: all}
-	for _, p := range f.everyPool() {
-		p.Collect(&news, all)
-	}
-	return news
-}
-
-// Hear takes what another node told of its requests.
-func (f *Forwarder) Hear(node string, news chiveplace.News) {
-	for _, p := range f.everyPool() {
-		p.Hear(time.Now(), node, &news)
-	}
-}
-
-// Forget drops what is known of the requests of nodes that are not alive.
-func (f *Forwarder) Forget(alive map[string]bool) {
-	for _, p := range f.everyPool() {
-		p.Forget(alive)
-	}
-}
-
-func (f *Forwarder) everyPool() []*chiveplace.Pool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	pools := make([]*chiveplace.Pool, 0, len(f.pools))
-	for _, p := range f.pools {
-		pools = append(pools, p)
-	}
-	return pools
+	return &Forwarder{o: o, lanes: newLanes(o.Network, o.Self)}
 }
 
 // Start begins to close idle connections.
@@ -138,20 +97,13 @@
 	return nil
 }
 
-// Dump returns the pools and how many connections were opened and used again.
+// Dump returns how many connections were opened and used again.
 func (f *Forwarder) Dump() any {
 	opened, reused := f.lanes.counts()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	pools := make(map[string][]chiveplace.SeatState, len(f.pools))
-	for name, p := range f.pools {
-		pools[name] = p.States(time.Now())
-	}
 	return struct {
-		Pools  map[string][]chiveplace.SeatState `json:"pools"`
-		Opened int64                             `json:"connections_opened"`
-		Reused int64                             `json:"connections_reused"`
-	}{pools, opened, reused}
+		Opened int64 `json:"connections_opened"`
+		Reused int64 `json:"connections_reused"`
+	}{opened, reused}
 }
 
 func (f *Forwarder) sweep(ctx context.Context) {
@@ -170,21 +122,11 @@
 // errDeadline is the cause of a context whose request has run out of time.
 var errDeadline = errors.New("the request's time ran out")
 
-const (
-	// queueShare is the part of a route's target that a request may wait for a place before it is refused: a refusal must
-	// come while the caller can still get its answer elsewhere in time.
-	queueShare = 8
-	// queuePoll is how often a waiting request looks for a place.
-	queuePoll = 10 * time.Millisecond
-	// refusalsMost is how many refusals one request takes from endpoints before the caller is told to come back.
-	refusalsMost = 3
-)
-
 // Run carries a request through to its outcome.
 func (f *Forwarder) Run(parent context.Context, request *chiverequest.Request, sink Sink) Result {
 	ctx, cancel := context.WithDeadlineCause(parent, request.Deadline, errDeadline)
 	defer cancel()
-	f.o.Budget.Request(time.Now(), request.Pool)
+	f.o.Repeats.Request(time.Now(), request)
 	r := &run{f: f, request: request, sink: sink, last: request.LastEvent}
 	for !r.attempt(ctx) {
 	}
--- /dev/null
+++ b/chiveforward/pools.go
@@ -0,0 +1,190 @@
+package chiveforward
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"sync"
+	"time"
+
+	"chivedrift/chivedirectory"
+	"chivedrift/chiveplace"
+	"chivedrift/chiverequest"
+	"chivedrift/chivetable"
+)
+
+// PoolsName is the name under which the pools register.
+const PoolsName = "pools"
+
+// Pools are the pools of the table in force, each with the endpoints of the directory; they hand out places by chiveplace.
+type Pools struct {
+	domain string
+	mu     sync.Mutex
+	pools  map[string]*chiveplace.Pool
+	known  []chivedirectory.Endpoint
+}
+
+// NewPools returns no pools, seen from a failure domain.
+func NewPools(domain string) *Pools {
+	return &Pools{domain: domain, pools: make(map[string]*chiveplace.Pool)}
+}
+
+// SetTable takes a configuration that came into force.
+func (p *Pools) SetTable(table *chivetable.Table) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, t := range table.Pools() {
+		p.pool(t.Name).SetEngine(t.Engine)
+	}
+	p.spread()
+}
+
+// SetEndpoints takes a change of the directory.
+func (p *Pools) SetEndpoints(endpoints []chivedirectory.Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.known = endpoints
+	p.spread()
+}
+
+// spread hands each pool its endpoints; the caller holds the lock.
+func (p *Pools) spread() {
+	byPool := make(map[string][]chivedirectory.Endpoint)
+	for _, e := range p.known {
+		byPool[e.Pool] = append(byPool[e.Pool], e)
+	}
+	for name := range byPool {
+		p.pool(name)
+	}
+	for name, pool := range p.pools {
+		pool.SetEndpoints(byPool[name])
+	}
+}
+
+// pool returns a pool by name, made when it is new; the caller holds the lock.
+func (p *Pools) pool(name string) *chiveplace.Pool {
+	pool, ok := p.pools[name]
+	if !ok {
+		pool = chiveplace.NewPool(p.domain)
+		p.pools[name] = pool
+	}
+	return pool
+}
+
+// Pool returns the pool of a name, or nil.
+func (p *Pools) Pool(name string) *chiveplace.Pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pools[name]
+}
+
+// Collect returns what the other nodes should know of this node's requests: what changed since the last call, or everything.
+func (p *Pools) Collect(all bool) chiveplace.News {
+	news := chiveplace.News{All: all}
+	for _, each := range p.everyPool() {
+		each.Collect(&news, all)
+	}
+	return news
+}
+
+// Hear takes what another node told of its requests.
+func (p *Pools) Hear(node string, news chiveplace.News) {
+	for _, each := range p.everyPool() {
+		each.Hear(time.Now(), node, &news)
+	}
+}
+
+// Forget drops what is known of the requests of nodes that are not alive.
+func (p *Pools) Forget(alive map[string]bool) {
+	for _, each := range p.everyPool() {
+		each.Forget(alive)
+	}
+}
+
+func (p *Pools) everyPool() []*chiveplace.Pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pools := make([]*chiveplace.Pool, 0, len(p.pools))
+	for _, each := range p.pools {
+		pools = append(pools, each)
+	}
+	return pools
+}
+
+// Start does nothing: places are taken on the requests' goroutines.
+func (p *Pools) Start(context.Context) error { return nil }
+
+// Stop does nothing.
+func (p *Pools) Stop(context.Context) error { return nil }
+
+// Dump returns what is known of each endpoint, by pool.
+func (p *Pools) Dump() any {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	dump := make(map[string][]chiveplace.SeatState, len(p.pools))
+	for name, pool := range p.pools {
+		dump[name] = pool.States(time.Now())
+	}
+	return dump
+}
+
+const (
+	// queueShare is the part of a route's target that a request may wait for a place before it is refused: a refusal must
+	// come while the caller can still get its answer elsewhere in time.
+	queueShare = 8
+	// queuePoll is how often a waiting request looks for a place.
+	queuePoll = 10 * time.Millisecond
+)
+
+// Take waits a short while for a place.
+func (p *Pools) Take(ctx context.Context, request *chiverequest.Request, exclude []string) (Place, error) {
+	pool := p.Pool(request.Pool)
+	if pool == nil {
+		return nil, &chiveplace.RefusedError{Reason: "the pool has no endpoints", RetryAfter: time.Second}
+	}
+	ask := chiveplace.Ask{Request: request.ID, Prompt: request.Prompt, Exclude: exclude}
+	until := time.Now().Add(request.Route.Target / queueShare)
+	for {
+		place, err := pool.Take(time.Now(), ask)
+		if err == nil {
+			return pooled{place}, nil
+		}
+		if time.Now().After(until) {
+			return nil, err
+		}
+		select {
+		case <-time.After(queuePoll):
+		case <-ctx.Done():
+			return nil, err
+		}
+	}
+}
+
+// pooled is a place of a pool as the forwarder sees it.
+type pooled struct {
+	*chiveplace.Place
+}
+
+// Target returns the endpoint's incarnation and address.
+func (p pooled) Target() (id, address string) { return p.Endpoint().ID, p.Endpoint().Address }
+
+// Preempted never happens: engines preempt by rank themselves.
+func (p pooled) Preempted() <-chan struct{} { return nil }
+
+// Why returns the reason, the cost and the next best endpoint.
+func (p pooled) Why() []slog.Attr {
+	loss, nextBest, nextLoss := p.Loss()
+	attributes := []slog.Attr{
+		slog.String("because", p.Reason()), slog.Int("candidates", p.Candidates()), slog.Float64("cost", rounded(loss)),
+		slog.Int64("tokens_to_read", p.Reads()),
+	}
+	if nextBest != "" {
+		attributes = append(attributes, slog.String("next_best", nextBest), slog.Float64("next_cost", rounded(nextLoss)))
+	}
+	return attributes
+}
+
+// rounded keeps log lines short.
+func rounded(cost float64) float64 { return math.Round(cost*roundTo) / roundTo }
+
+const roundTo = 1000
--- a/chiveforward/request.go
+++ b/chiveforward/request.go
@@ -36,6 +36,18 @@
 	CodeRefused    = "endpoint_refused"
 )
 
+// Try is one attempt that was made.
+type Try struct {
+	Endpoint string
+	// Ended is the word for how it ended, as logs show it.
+	Ended string
+	// Touched tells that a byte of it may have reached the endpoint.
+	Touched bool
+	// Status is that of the endpoint's answer; zero without one.
+	Status int
+	Err    error
+}
+
 // Result is how a request ended.
 type Result struct {
 	Outcome Outcome
@@ -46,10 +58,17 @@
 	// Started tells that a part of the answer has gone to the caller: all that is left is to break it off.
 	Started bool
 	Status  int
-	// Attempts is how many times the request was sent to an endpoint.
-	Attempts int
-	Endpoint string
+	// Tries are the attempts that were made, in order.
+	Tries []Try
 	// First is the time from the arrival to the first piece of the answer.
 	First  time.Duration
 	Events int
 }
+
+// Last returns the endpoint of the last attempt; empty when there was none.
+func (r *Result) Last() string {
+	if len(r.Tries) == 0 {
+		return ""
+	}
+	return r.Tries[len(r.Tries)-1].Endpoint
+}
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"math"
 	"net/http"
 	"time"
 
@@ -35,14 +34,16 @@
 
 // attempt makes one attempt and reports whether the request has its outcome.
 func (r *run) attempt(ctx context.Context) bool {
-	place, err := r.take(ctx)
+	place, err := r.f.o.Places.Take(ctx, r.request, r.exclude)
 	if err != nil {
 		return r.refuse(ctx, err)
 	}
-	c := &call{run: r, place: place, began: time.Now()}
-	r.logSent(ctx, place)
+	id, address := place.Target()
+	c := &call{run: r, place: place, id: id, address: address, began: time.Now()}
+	r.logSent(ctx, c)
 	ended := c.carry(ctx)
 	passedOver := place.Done(time.Now(), endings[ended])
+	r.note(c, ended)
 	r.logEnded(ctx, c, ended, passedOver)
 	return r.judge(ctx, c, ended)
 }
@@ -61,37 +62,15 @@
 	endedElsewhere
 	// endedCaller is an attempt that was given up because the caller left or its time ran out.
 	endedCaller
+	// endedPreempted is an attempt whose place was wanted back.
+	endedPreempted
 )
 
-var endingNames = [...]string{"complete", "endpoint_error", "broken", "unreached", "refused_by_endpoint", "other_endpoint", "given_up"}
+var endingNames = [...]string{"complete", "endpoint_error", "broken", "unreached", "refused_by_endpoint", "other_endpoint", "given_up", "preempted"}
 
 var endings = [...]chiveplace.Ending{
 	chiveplace.EndedWell, chiveplace.EndedError, chiveplace.EndedBroken, chiveplace.EndedBroken, chiveplace.EndedFull, chiveplace.EndedGone,
-	chiveplace.EndedCaller,
-}
-
-// take waits a short while for a place.
-func (r *run) take(ctx context.Context) (*chiveplace.Place, error) {
-	pool := r.f.Pool(r.request.Pool)
-	if pool == nil {
-		return nil, &chiveplace.RefusedError{Reason: "the pool has no endpoints", RetryAfter: time.Second}
-	}
-	ask := chiveplace.Ask{Request: r.request.ID, Prompt: r.request.Prompt, Exclude: r.exclude}
-	until := time.Now().Add(r.request.Route.Target / queueShare)
-	for {
-		place, err := pool.Take(time.Now(), ask)
-		if err == nil {
-			return place, nil
-		}
-		if time.Now().After(until) || r.result.Started {
-			return nil, err
-		}
-		select {
-		case <-time.After(queuePoll):
-		case <-ctx.Done():
-			return nil, err
-		}
-	}
+	chiveplace.EndedCaller, chiveplace.EndedCaller,
 }
 
 // refuse ends a request that found no place.
@@ -114,7 +93,7 @@
 
 // judge decides from an attempt's ending whether the request is over or goes on elsewhere.
 func (r *run) judge(ctx context.Context, c *call, ended ending) bool {
-	r.exclude = append(r.exclude, c.place.Endpoint().ID)
+	r.exclude = append(r.exclude, c.id)
 	switch ended {
 	case endedComplete:
 		r.result.Outcome = Completed
@@ -123,9 +102,11 @@
 		r.touched = r.touched || c.touched
 		r.giveUp(ctx, CodeDeadline, "the request's time ran out at the endpoint", 0)
 		return true
+	case endedPreempted:
+		return r.afterPreemption(ctx, c)
 	case endedUnreached, endedElsewhere:
 		r.refusals++
-		if r.refusals <= refusalsMost && ctx.Err() == nil {
+		if r.refusals <= r.f.o.Rules.Refusals && ctx.Err() == nil {
 			return false
 		}
 		r.giveUp(ctx, CodeBroken, "no endpoint could be reached", retryAfterBreak)
@@ -140,10 +121,21 @@
 	return true
 }
 
+// afterPreemption goes on with the rest of the answer: the place was given up for others, so that costs no repeat.
+func (r *run) afterPreemption(ctx context.Context, c *call) bool {
+	r.touched = r.touched || c.touched
+	r.exclude = r.exclude[:len(r.exclude)-1]
+	if !c.touched || r.request.Route.Repeat != chivetable.RepeatNever {
+		return false
+	}
+	r.giveUp(ctx, CodeBroken, "the attempt was given up and may not be repeated", 0)
+	return true
+}
+
 // afterRefusal goes on elsewhere while that may still help: the endpoint has said that it did not run the request.
 func (r *run) afterRefusal(ctx context.Context) bool {
 	r.refusals++
-	if r.refusals < refusalsMost && ctx.Err() == nil && r.spend(ctx) {
+	if r.refusals < r.f.o.Rules.Refusals && ctx.Err() == nil && (!r.f.o.Rules.RefusalsCost || r.spend(ctx)) {
 		return false
 	}
 	if r.passSpare() {
@@ -157,6 +149,9 @@
 func (r *run) afterBreak(ctx context.Context, c *call, ended ending) bool {
 	if ended == endedError {
 		r.spare = c.whole
+		if !r.f.o.Rules.RetryErrors {
+			return r.passSpare()
+		}
 	}
 	again := r.request.Route.Repeat != chivetable.RepeatNever && r.sent < r.request.Route.Attempts && ctx.Err() == nil
 	if again && r.spend(ctx) {
@@ -203,39 +198,46 @@
 	}
 }
 
+// start passes on the head of an answer, once for all attempts.
+func (r *run) start(status int, header http.Header) {
+	if r.result.Started {
+		return
+	}
+	r.result.Started = true
+	r.result.Status = status
+	r.result.First = time.Since(r.request.Arrival)
+	r.sink.Start(status, header)
+}
+
 // spend asks the budget for a repeat.
 func (r *run) spend(ctx context.Context) bool {
-	if r.f.o.Budget.Spend(time.Now(), r.request.Pool) {
+	now := time.Now()
+	if r.f.o.Repeats.Spend(now, r.request) {
 		return true
 	}
-	state := r.f.o.Budget.State(time.Now(), r.request.Pool)
-	chiveevent.RepeatDenied.Log(ctx, r.f.o.Logger, chiveevent.Request(r.request.ID), slog.String("pool", r.request.Pool),
-		slog.Int("repeats", state.Repeats), slog.Int("requests", state.Requests), slog.Float64("allowed", state.Allowed), slog.Int("nodes", state.Nodes))
+	attributes := append([]slog.Attr{chiveevent.Request(r.request.ID), slog.String("pool", r.request.Pool)}, r.f.o.Repeats.Explain(now, r.request)...)
+	chiveevent.RepeatDenied.Log(ctx, r.f.o.Logger, attributes...)
 	return false
 }
 
+func (r *run) note(c *call, ended ending) {
+	r.result.Tries = append(r.result.Tries, Try{Endpoint: c.id, Ended: endingNames[ended], Touched: c.touched, Status: c.status, Err: c.err})
+}
+
 // logSent writes one line for an attempt that is about to be made, with what decided for its endpoint.
-func (r *run) logSent(ctx context.Context, place *chiveplace.Place) {
-	endpoint := place.Endpoint()
-	loss, nextBest, nextLoss := place.Loss()
-	r.result.Attempts++
-	r.result.Endpoint = endpoint.ID
+func (r *run) logSent(ctx context.Context, c *call) {
 	attributes := []slog.Attr{
-		chiveevent.Request(r.request.ID), slog.Int("attempt", r.result.Attempts), slog.String("pool", r.request.Pool),
-		slog.String("endpoint", endpoint.ID), slog.String("address", endpoint.Address), slog.String("because", place.Reason()),
-		slog.Int("candidates", place.Candidates()), slog.Float64("cost", rounded(loss)), slog.Int64("tokens_to_read", place.Reads()),
+		chiveevent.Request(r.request.ID), slog.Int("attempt", len(r.result.Tries)+1), slog.String("pool", r.request.Pool),
+		slog.String("endpoint", c.id), slog.String("address", c.address),
 		slog.Int64("left_ms", time.Until(r.request.Deadline).Milliseconds()), slog.String("after_event", r.last),
 	}
-	if nextBest != "" {
-		attributes = append(attributes, slog.String("next_best", nextBest), slog.Float64("next_cost", rounded(nextLoss)))
-	}
-	chiveevent.AttemptSent.Log(ctx, r.f.o.Logger, attributes...)
+	chiveevent.AttemptSent.Log(ctx, r.f.o.Logger, append(attributes, c.place.Why()...)...)
 }
 
 // logEnded writes one line for an attempt that was made.
 func (r *run) logEnded(ctx context.Context, c *call, ended ending, passedOver time.Duration) {
 	attributes := []slog.Attr{
-		chiveevent.Request(r.request.ID), slog.Int("attempt", r.result.Attempts), slog.String("endpoint", c.place.Endpoint().ID),
+		chiveevent.Request(r.request.ID), slog.Int("attempt", len(r.result.Tries)), slog.String("endpoint", c.id),
 		slog.String("ended", endingNames[ended]), slog.Bool("touched", c.touched), slog.Int("status", c.status),
 		slog.Int("events", r.result.Events), slog.Int64("took_ms", time.Since(c.began).Milliseconds()),
 	}
@@ -247,8 +249,3 @@
 	}
 	chiveevent.AttemptEnded.Log(ctx, r.f.o.Logger, attributes...)
 }
-
-// rounded keeps log lines short.
-func rounded(cost float64) float64 { return math.Round(cost*roundTo) / roundTo }
-
-const roundTo = 1000
--- a/chivegate/gate.go
+++ b/chivegate/gate.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -18,6 +17,7 @@
 	"chivedrift/chiveclaim"
 	"chivedrift/chiveconfig"
 	"chivedrift/chivedispatch"
+	"chivedrift/chiveentry"
 	"chivedrift/chiveevent"
 	"chivedrift/chivefollow"
 	"chivedrift/chivewire"
@@ -30,10 +30,8 @@
 
 const (
 	headerTimeout  = 5 * time.Second
-	bodyTimeout    = 30 * time.Second
 	idleTimeout    = 2 * time.Minute
 	headerBytes    = 1 << 20
-	headerExtra    = 4
 	stopPoll       = 20 * time.Millisecond
 	idRandomBase   = 36
 	afterFullInSec = 1
@@ -213,7 +211,7 @@
 		}
 	}
 	a.config = a.inForce.Config()
-	if err := checkHeader(r.Header, a.config.Limits.HeaderBytes); err != nil {
+	if err := chiveentry.CheckHeader(r.Header, a.config.Limits.HeaderBytes); err != nil {
 		return err
 	}
 	team, err := g.keys.Load().team(r)
@@ -233,50 +231,10 @@
 	if a.key, err = parseKey(r.Header); err != nil {
 		return err
 	}
-	a.body, err = readBody(w, r, a.config.Limits.BodyBytes)
+	a.body, err = chiveentry.ReadBody(w, r, a.config.Limits.BodyBytes)
 	return err
 }
 
-// checkHeader holds a request's header to the configured size; the server's own bound comes before it.
-func checkHeader(header http.Header, limit int64) error {
-	size := int64(0)
-	for name, values := range header {
-		for _, value := range values {
-			size += int64(len(name) + len(value) + headerExtra)
-		}
-	}
-	if size <= limit {
-		return nil
-	}
-	return &failure{
-		status: http.StatusRequestHeaderFieldsTooLarge, kind: kindInvalid, code: "header_too_large",
-		message: fmt.Sprintf("the header has %d bytes, more than %d", size, limit), outcome: chivedispatch.NotRun,
-	}
-}
-
-// readBody bounds the size and the time of a body: a sender that dribbles would otherwise hold a place for ever.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	controller := http.NewResponseController(w)
-	// Not every writer has deadlines; the header timeout and the size limit hold all the same.
-	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err == nil {
-		_ = controller.SetReadDeadline(time.Time{})
-		return body, nil
-	}
-	// The deadline stays: net/http reads what is left of a body before it sends the answer, and with the deadline lifted
-	// a sender that had stopped would hold the request, its place and a planned stop for ever.
-	w.Header().Set("Connection", "close")
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, &failure{
-			status: http.StatusRequestEntityTooLarge, kind: kindInvalid, code: "body_too_large",
-			message: fmt.Sprintf("the body is larger than %d bytes", limit), outcome: chivedispatch.NotRun,
-		}
-	}
-	return nil, invalid("incomplete_body", "the body ended early or came too slowly")
-}
-
 // bound sets the deadline: the class's, or the caller's when that is earlier.
 func (a *admission) bound(class *chiveconfig.Class) {
 	limit := class.Deadline()
@@ -299,7 +257,11 @@
 
 func (g *Gate) refuse(w http.ResponseWriter, r *http.Request, a *admission, err error) {
 	var f *failure
-	if !errors.As(err, &f) {
+	var common *chiveentry.FailureError
+	switch {
+	case errors.As(err, &common):
+		f = &failure{status: common.Status, kind: kindInvalid, code: common.Code, message: common.Message, outcome: common.Outcome}
+	case !errors.As(err, &f):
 		f = invalid("invalid_request", err.Error())
 	}
 	chiveevent.RequestRefused.Log(r.Context(), g.o.Logger, slog.String("request", a.id), slog.String("team", a.team),
--- a/chivegate/service.go
+++ b/chivegate/service.go
@@ -6,12 +6,18 @@
 
 	"chivedrift/chiveconfig"
 	"chivedrift/chivedispatch"
+	"chivedrift/chiveentry"
 )
 
-// hopHeaders belong to one connection and are never passed on; neither are the caller's key and the router's own headers.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-	"Authorization", HeaderClass, HeaderTimeout, "Content-Length",
+// ownHeaders end at the router: the caller's key and the router's own fields, and the length, which net/http sets anew.
+var ownHeaders = []string{"Authorization", HeaderClass, HeaderTimeout, "Content-Length"}
+
+// dropHeaders removes what is not passed on.
+func dropHeaders(header http.Header) {
+	chiveentry.DropConnectionFields(header)
+	for _, name := range ownHeaders {
+		header.Del(name)
+	}
 }
 
 // serveService takes a request to a plain service from its checks to its outcome.
@@ -63,9 +69,7 @@
 		path += "?" + r.URL.RawQuery
 	}
 	header := r.Header.Clone()
-	for _, name := range hopHeaders {
-		header.Del(name)
-	}
+	dropHeaders(header)
 	reading := r.Method == http.MethodGet || r.Method == http.MethodHead || r.Method == http.MethodOptions
 	return &chivedispatch.ServiceWork{
 		ID: a.id, Pool: pool.Name, Class: class, Team: a.team, Method: r.Method, Path: path, Header: header, Body: a.body,
@@ -82,9 +86,7 @@
 	for name, values := range answer.Header {
 		header[name] = values
 	}
-	for _, name := range hopHeaders {
-		header.Del(name)
-	}
+	dropHeaders(header)
 	header.Set(HeaderRequestID, a.id)
 	header.Set(HeaderOutcome, string(result.Outcome))
 	w.WriteHeader(answer.Status)
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -87,17 +87,19 @@
 	n.budget = chiveforward.NewBudget(time.Now(), chiveforward.BudgetLimits{
 		Ratio: s.Repeats.Ratio, Headroom: s.Repeats.Headroom, Window: time.Duration(s.Repeats.WindowS * float64(time.Second)),
 	})
+	pools := chiveforward.NewPools(s.FailureDomain)
 	forwarder := chiveforward.New(chiveforward.Options{
-		Self: s.Listen.Callers, FailureDomain: s.FailureDomain, Network: network, Dialect: chiveplatform.Endpoints{}, Budget: n.budget, Logger: n.logger,
+		Self: s.Listen.Callers, Network: network, Dialect: chiveplatform.Endpoints{}, Places: pools, Repeats: n.budget, Rules: chiveforward.StoreRules,
+		Logger: n.logger,
 	})
 	n.entry = chiveentry.New(chiveentry.Options{
 		Address: s.Listen.Callers, Network: network, Dialect: chiveplatform.Callers{}, Forwarder: forwarder, Scope: metrics.Scope(), Logger: n.logger,
 	})
 	n.ready = newReadiness(s.Listen.Ready, chiveplatform.ReadyPath, network, n.notReady)
-	n.ledger = chiveledger.New(chiveledger.Options{Mesh: n.mesh, Pools: forwarder})
-	n.tables.OnChange(forwarder.SetTable)
+	n.ledger = chiveledger.New(chiveledger.Options{Mesh: n.mesh, Pools: pools})
+	n.tables.OnChange(pools.SetTable)
 	n.tables.OnChange(n.entry.SetTable)
-	n.directory.OnChange(forwarder.SetEndpoints)
+	n.directory.OnChange(pools.SetEndpoints)
 	process := newProcess()
 	return n.register([]named{
 		{processName, process},
@@ -114,6 +116,7 @@
 		{tableFeedName, chivefeed.New(chivefeed.Options{Topic: store.Configurations(), Wait: n.readWait, Listener: n.tables})},
 		{directoryFeedName, n.feed},
 		{rosterFeedName, chivefeed.New(chivefeed.Options{Topic: store.Nodes(), Wait: func() time.Duration { return waitMost }, Listener: roster})},
+		{chiveforward.PoolsName, pools},
 		{chiveforward.ServiceName, forwarder},
 		{chiveledger.ServiceName, n.ledger},
 		{chiveadmin.ServiceName, chiveadmin.New(chiveadmin.Options{
--- a/chiverequest/request.go
+++ b/chiverequest/request.go
@@ -30,6 +30,20 @@
 	Deadline  time.Time
 	// TableVersion is the version of the configuration that the route comes from.
 	TableVersion int64
+	// Silence is how long an endpoint may send nothing before another one is tried; zero means that silence is no reason.
+	Silence time.Duration
+	// Stream takes the events of a streamed answer; nil passes them on by their ids.
+	Stream Stream
+	// Source is what the endpoints' dialect keeps of the request for itself.
+	Source any
+}
+
+// Stream takes the events of one streamed answer, over all attempts.
+type Stream interface {
+	// Event takes one event, byte for byte; more tells that others are already there. It reports whether the stream is over.
+	Event(data []byte, id string, more bool) (ended bool, err error)
+	// Whole tells whether nothing is missing if the stream ends here without having said so.
+	Whole() bool
 }
 
 // Send is one attempt of a request on one endpoint.
@@ -59,8 +73,8 @@
 
 // EndpointDialect is how a kind of endpoints is spoken to.
 type EndpointDialect interface {
-	// Prepare adds what the endpoint needs to know to the header of one attempt.
-	Prepare(header http.Header, send Send)
+	// Prepare adds what the endpoint needs to know to the header of one attempt, and returns the attempt's body.
+	Prepare(header http.Header, send Send) (body []byte, err error)
 	// Judge tells what the head of an answer to a request means.
 	Judge(request *Request, response *http.Response) Verdict
 }
