A few nodes read the store for all; peers wait for lapsed entries too

Found in reading: a node within the grace time told its peers that lapsed entries were gone, and peers that had never lost the store dropped living endpoints; the test chivedirectory PeersWaitForALapsedEntryToo fails without the new word 'missing'. Fleets up to eight all read, as before.

--- a/chivedirectory/directory.go
+++ b/chivedirectory/directory.go
@@ -41,13 +41,17 @@
 type Word struct {
 	Offset int64
 	// Gone tells that the entry was removed; of the endpoint only the id is known then.
-	Gone     bool
+	Gone bool
+	// Missing tells that the entry was removed around an outage of the store, and that the sender still waits for its return.
+	Missing  bool
 	Endpoint Endpoint
 }
 
 const (
 	// goneKept is how long it is remembered that an endpoint is gone, so that an older word of a peer does not bring it back.
-	goneKept = time.Minute
+	goneKept = 10 * time.Minute
+	// goneTold is how long each peer is told of it: the word has the offset of the removal, which peers may have passed by then.
+	goneTold = 10 * time.Second
 )
 
 // Directory is one node's knowledge of the endpoints; it decides, and does no I/O.
@@ -110,6 +114,10 @@
 	if word.Gone {
 		return d.remove(now, id, word.Offset)
 	}
+	if word.Missing {
+		d.miss(now, word)
+		return false
+	}
 	delete(d.gone, id)
 	known, ok := d.entries[id]
 	if !ok {
@@ -139,6 +147,19 @@
 	return true
 }
 
+// miss takes a peer's word that an entry lapsed around an outage which this node may not have seen.
+func (d *Directory) miss(now time.Time, word Word) {
+	known, ok := d.entries[word.Endpoint.ID]
+	if !ok {
+		known = &entry{endpoint: word.Endpoint}
+		d.entries[word.Endpoint.ID] = known
+	}
+	known.offset = word.Offset
+	if known.missing.IsZero() {
+		known.missing = now
+	}
+}
+
 func (d *Directory) drop(now time.Time, id string) {
 	d.gone[id] = tombstone{offset: d.entries[id].offset, at: now}
 	delete(d.entries, id)
@@ -176,7 +197,7 @@
 	}
 	changed := false
 	for id, e := range d.entries {
-		if !e.missing.IsZero() {
+		if !e.missing.IsZero() && now.Sub(e.missing) >= d.grace {
 			d.drop(now, id)
 			changed = true
 		}
@@ -194,14 +215,18 @@
 	return all
 }
 
-// Words returns what is known, for a peer that knows less.
-func (d *Directory) Words() []Word {
-	all := make([]Word, 0, len(d.entries)+len(d.gone))
+// Words returns what a peer lacks that has taken everything up to an offset.
+func (d *Directory) Words(now time.Time, after int64) []Word {
+	var lacking []Word
 	for _, e := range d.entries {
-		all = append(all, Word{Offset: e.offset, Endpoint: e.endpoint, Gone: !e.missing.IsZero()})
+		if e.offset > after {
+			lacking = append(lacking, Word{Offset: e.offset, Endpoint: e.endpoint, Missing: !e.missing.IsZero()})
+		}
 	}
 	for id, t := range d.gone {
-		all = append(all, Word{Offset: t.offset, Endpoint: Endpoint{ID: id}, Gone: true})
+		if t.offset > after || now.Sub(t.at) < goneTold {
+			lacking = append(lacking, Word{Offset: t.offset, Endpoint: Endpoint{ID: id}, Gone: true})
+		}
 	}
-	return all
+	return lacking
 }
--- a/chivedirectory/directory_test.go
+++ b/chivedirectory/directory_test.go
@@ -100,3 +100,44 @@
 		}
 	})
 }
+
+// Symptom: nodes that had never lost the store dropped endpoints that lived.
+// Sequence: the store turned one node away and entries lapsed meanwhile; with its return that node kept them for the grace time,
+// but told its peers that they were gone.
+// Cause: a word for "lapsed, may come back" was lacking. Peers wait for it as long as the node itself does.
+func TestPeersWaitForALapsedEntryToo(t *testing.T) {
+	now := time.Now()
+	blinded, peer := chivedirectory.New(grace), chivedirectory.New(grace)
+	for _, d := range []*chivedirectory.Directory{blinded, peer} {
+		d.Apply(now, word(1, "a"))
+	}
+	blinded.StoreLost()
+	blinded.StoreBack(now)
+	blinded.Apply(now, gone(2, "a"))
+	for _, w := range blinded.Words(now, peer.Newest()) {
+		peer.Apply(now, w)
+	}
+	if n := len(peer.Endpoints()); n != 1 {
+		t.Fatalf("the peer has %d endpoints, want 1", n)
+	}
+	peer.Expire(now.Add(grace / 2))
+	if n := len(peer.Endpoints()); n != 1 {
+		t.Errorf("dropped within the grace time")
+	}
+	peer.Expire(now.Add(grace + time.Millisecond))
+	if n := len(peer.Endpoints()); n != 0 {
+		t.Errorf("kept after the grace time")
+	}
+}
+
+func TestPeerGetsOnlyWhatItLacks(t *testing.T) {
+	now := time.Now()
+	d := chivedirectory.New(grace)
+	for i := range 10 {
+		d.Apply(now, word(int64(i), string(rune('a'+i))))
+	}
+	d.Apply(now, gone(10, "c"))
+	if words := d.Words(now, 7); len(words) != 3 {
+		t.Errorf("got %+v, want the two newest and the removal", words)
+	}
+}
--- a/chivedirectory/service.go
+++ b/chivedirectory/service.go
@@ -119,11 +119,11 @@
 	chiveevent.StoreBack.Log(context.Background(), s.logger, slog.String("for", "endpoints"))
 }
 
-// Words returns what is known and the offset of the newest word.
-func (s *Service) Words() ([]Word, int64) {
+// Words returns what a peer lacks that has taken everything up to an offset.
+func (s *Service) Words(after int64) []Word {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.directory.Words(), s.directory.Newest()
+	return s.directory.Words(time.Now(), after)
 }
 
 // Newest returns the offset of the newest word.
--- a/chivefeed/follower.go
+++ b/chivefeed/follower.go
@@ -20,6 +20,8 @@
 	snapshotTimeout = 2 * time.Second
 	// readSlack is how much longer than the wait a read may take before its connection counts as silent.
 	readSlack = time.Second
+	// heldPoll is how often a held follower looks whether it has to read itself.
+	heldPoll = 200 * time.Millisecond
 )
 
 // Listener hears what a follower reads; calls come from one goroutine and must not block.
@@ -42,6 +44,8 @@
 	// Pace is the least time between the answer to one read and the next read: a busy topic is read in batches.
 	Pace     time.Duration
 	Listener Listener
+	// Held tells that other nodes read the topic for this one; nil means never.
+	Held func() bool
 }
 
 // Follower is the service that follows one topic.
@@ -93,8 +97,16 @@
 
 func (f *Follower) run(ctx context.Context) {
 	pause := retryFirst
-	rooted := false
+	rooted, held := false, false
 	for ctx.Err() == nil {
+		if rooted && f.o.Held != nil && f.o.Held() {
+			// What others read meanwhile is not known by offset here; an own read starts from a snapshot again.
+			held = true
+			sleep(ctx, heldPoll)
+			continue
+		}
+		rooted = rooted && !held
+		held = false
 		err := f.step(ctx, &rooted)
 		if ctx.Err() != nil {
 			return
--- /dev/null
+++ b/chivegossip/readers.go
@@ -0,0 +1,93 @@
+package chivegossip
+
+import (
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"chivedrift/chivemember"
+	"chivedrift/chivewire"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// In a large fleet a few nodes read the store for all: with every node waiting on every topic, each record costs a call a node.
+// The readers are the first nodes by a hash of their address, so all agree without talking. When a reader has learnt
+// something it tells the nodes in its care, which ask for what they lack; each node is in the care of two readers. A node that
+// hears from no peer for a while reads the store itself.
+
+const (
+	// Readers is how many nodes read the store; fleets up to this size all do.
+	Readers = 8
+	// cares is how many readers care for one node, so that one that stands still holds up nobody.
+	cares = 2
+	// aloneAfter is the silence of all peers after which a node reads the store itself: each peer compares with one drawn at random every
+	// 0.4 s, so that four seconds without any happen to a connected node about once in a day.
+	aloneAfter = 4 * time.Second
+)
+
+// fleet is what a node knows of who reads.
+type fleet struct {
+	mu     sync.Mutex
+	reads  bool
+	inCare []string
+	heard  atomic.Int64
+	told   chan struct{}
+}
+
+// SetMembers takes a change of the fleet.
+func (s *Service) SetMembers(members []chivemember.Member) {
+	ranked := make([]string, 0, len(members))
+	for _, m := range members {
+		if m.State == chivemember.Alive {
+			ranked = append(ranked, m.Address)
+		}
+	}
+	sort.Slice(ranked, func(i, j int) bool { return xxhash.Sum64String(ranked[i]) < xxhash.Sum64String(ranked[j]) })
+	reading := ranked[:min(Readers, len(ranked))]
+	own := -1
+	for i, address := range reading {
+		if address == s.o.Mesh.Self() {
+			own = i
+		}
+	}
+	var inCare []string
+	for i, address := range ranked[len(reading):] {
+		for k := range cares {
+			if own >= 0 && (i+k)%len(reading) == own {
+				inCare = append(inCare, address)
+			}
+		}
+	}
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	s.fleet.reads, s.fleet.inCare = own >= 0, inCare
+}
+
+// Held tells whether others read the store for this node.
+func (s *Service) Held() bool {
+	s.fleet.mu.Lock()
+	reads := s.fleet.reads
+	s.fleet.mu.Unlock()
+	return !reads && time.Now().UnixNano()-s.fleet.heard.Load() < int64(aloneAfter)
+}
+
+// Learnt hears that this node has learnt something.
+func (s *Service) Learnt() {
+	select {
+	case s.fleet.told <- struct{}{}:
+	default:
+		// The nodes in care are about to be told anyway.
+	}
+}
+
+// tell shows the nodes in care what this node knows; they ask for what they lack.
+func (s *Service) tell() {
+	s.fleet.mu.Lock()
+	inCare := s.fleet.inCare
+	s.fleet.mu.Unlock()
+	for _, address := range inCare {
+		s.send(address, chivewire.KindKnowledge, s.knowledge(false))
+	}
+}
--- a/chivegossip/service.go
+++ b/chivegossip/service.go
@@ -36,8 +36,8 @@
 type Endpoints interface {
 	// Newest returns the offset of the newest word.
 	Newest() int64
-	// Words returns what is known and the offset of the newest word.
-	Words() ([]chivedirectory.Word, int64)
+	// Words returns what a peer lacks that has taken everything up to an offset.
+	Words(after int64) []chivedirectory.Word
 	// Learn takes words.
 	Learn(words []chivedirectory.Word, source string)
 }
@@ -85,12 +85,14 @@
 type Service struct {
 	o      Options
 	inbox  *chivering.Ring[message]
+	fleet  fleet
 	duties chivekernel.Duties
 }
 
 // New returns a service that asks nobody yet.
 func New(o Options) *Service {
 	s := &Service{o: o, inbox: chivering.New[message](inboxSize)}
+	s.fleet.told = make(chan struct{}, 1)
 	receive[Knowledge](s, chivewire.KindKnowledge)
 	receive[Document](s, chivewire.KindDocument)
 	receive[Words](s, chivewire.KindWords)
@@ -133,6 +135,8 @@
 			return
 		case <-tick.C:
 			s.ask()
+		case <-s.fleet.told:
+			s.tell()
 		case m := <-s.inbox.Ready():
 			s.handle(m)
 		}
@@ -157,6 +161,7 @@
 }
 
 func (s *Service) handle(m message) {
+	s.fleet.heard.Store(time.Now().UnixNano())
 	switch body := m.body.(type) {
 	case Knowledge:
 		s.compare(m.from, body)
@@ -177,8 +182,7 @@
 		s.send(from, chivewire.KindDocument, Document{Table: version, Data: data})
 	}
 	if own.Offset > theirs.Offset {
-		words, _ := s.o.Endpoints.Words()
-		s.send(from, chivewire.KindWords, Words{Words: words})
+		s.send(from, chivewire.KindWords, Words{Words: s.o.Endpoints.Words(theirs.Offset)})
 	}
 	lacking := own.Table < theirs.Table || own.Offset < theirs.Offset
 	if lacking && !theirs.Reply {
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -36,6 +36,8 @@
 	readEvery = time.Second
 	// waitMost is the longest wait of a read, which is also the longest time that a node alone may overlook a silent store.
 	waitMost = 20 * time.Second
+	// rosterPace spaces the looks at the nodes' topic: nodes that know each other pass new ones on themselves.
+	rosterPace = 20 * time.Second
 	// busyPace spaces the reads of a topic that many write to: one read then brings many records.
 	busyPace = 300 * time.Millisecond
 	// stopMargin is the part of the grace time kept for the last lines of the log and the exit itself.
@@ -56,7 +58,7 @@
 	directory *chivedirectory.Service
 	entry     *chiveentry.Entry
 	ready     *readiness
-	feed      *chivefeed.Follower
+	gossip    *chivegossip.Service
 	budget    *chiveforward.Budget
 	ledger    *chiveledger.Service
 }
@@ -83,7 +85,9 @@
 	}, n.mesh, roster, n.logger)
 	n.tables = chivetable.NewService(chiveplatform.DecodeTable, chiveplatform.IsConfiguration, n.logger)
 	n.directory = chivedirectory.NewService(chiveplatform.DecodeEndpoint, chivedirectory.DefaultGrace, n.logger)
-	n.feed = chivefeed.New(chivefeed.Options{Topic: store.Endpoints(), Wait: n.readWait, Pace: busyPace, Listener: n.directory})
+	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Members: n.members, Tables: n.tables, Endpoints: n.directory})
+	n.tables.OnChange(func(*chivetable.Table) { n.gossip.Learnt() })
+	n.directory.OnChange(func([]chivedirectory.Endpoint) { n.gossip.Learnt() })
 	n.budget = chiveforward.NewBudget(time.Now(), chiveforward.BudgetLimits{
 		Ratio: s.Repeats.Ratio, Headroom: s.Repeats.Headroom, Window: time.Duration(s.Repeats.WindowS * float64(time.Second)),
 	})
@@ -110,12 +114,12 @@
 		{chivemember.ServiceName, n.members},
 		{chivetable.ServiceName, n.tables},
 		{chivedirectory.ServiceName, n.directory},
-		{chivegossip.ServiceName, chivegossip.New(chivegossip.Options{
-			Mesh: n.mesh, Members: n.members, Tables: n.tables, Endpoints: n.directory,
+		{chivegossip.ServiceName, n.gossip},
+		{tableFeedName, chivefeed.New(chivefeed.Options{Topic: store.Configurations(), Wait: n.readWait, Listener: n.tables, Held: n.gossip.Held})},
+		{directoryFeedName, chivefeed.New(chivefeed.Options{
+			Topic: store.Endpoints(), Wait: n.readWait, Pace: busyPace, Listener: n.directory, Held: n.gossip.Held,
 		})},
-		{tableFeedName, chivefeed.New(chivefeed.Options{Topic: store.Configurations(), Wait: n.readWait, Listener: n.tables})},
-		{directoryFeedName, n.feed},
-		{rosterFeedName, chivefeed.New(chivefeed.Options{Topic: store.Nodes(), Wait: func() time.Duration { return waitMost }, Listener: roster})},
+		{rosterFeedName, chivefeed.New(chivefeed.Options{Topic: store.Nodes(), Wait: noWait, Pace: rosterPace, Listener: roster})},
 		{chiveforward.PoolsName, pools},
 		{chiveforward.ServiceName, forwarder},
 		{chiveledger.ServiceName, n.ledger},
@@ -137,13 +141,16 @@
 	n.members.OnChange(func(members []chivemember.Member) {
 		n.budget.SetNodes(time.Now(), len(members))
 		n.ledger.SetMembers(members)
+		n.gossip.SetMembers(members)
 	})
 	return nil
 }
 
+func noWait() time.Duration { return 0 }
+
 // readWait is how long a read of the store waits for a record.
 func (n *StoreNode) readWait() time.Duration {
-	return min(readEvery*time.Duration(len(n.members.Members())), waitMost)
+	return min(readEvery*time.Duration(min(len(n.members.Members()), chivegossip.Readers)), waitMost)
 }
 
 // errNoEndpoints is why a node that knows no endpoint is not ready.
