In large pools a dozen engines drawn at random are weighed, beside those that hold the prompt

Ruled out: the engines' load (a tenth of the sites' 9 engines' mix each), the ledger's loss. Change: chiveplace weighs twelve at random, the holders and the home in pools above twelve engines; smaller pools as before.

--- a/chiveplace/engine.go
+++ b/chiveplace/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"chivedrift/chiverequest"
@@ -68,6 +69,29 @@
 	return c
 }
 
+// sampled is how many engines are weighed in a large pool.
+const sampled = 12
+
+// sample returns the engines to weigh: in a large pool a dozen drawn at random, and those that hold the most of the prompt.
+//
+// What nodes know of each other is some tenths of a second old. If all of them weighed all engines, those that decide
+// meanwhile would all choose the same best one; one would see its queue jump while others stand idle.
+func (c *engineChoice) sample(seats []*seat) []*seat {
+	if len(seats) <= sampled {
+		return seats
+	}
+	chosen := make([]*seat, 0, sampled+1)
+	for _, s := range seats {
+		if s == c.home || (c.held > 0 && c.prompt.Input-s.cache.missing(c.prompt) == c.held) {
+			chosen = append(chosen, s)
+		}
+	}
+	for range sampled {
+		chosen = append(chosen, seats[rand.IntN(len(seats))])
+	}
+	return chosen
+}
+
 // cost is the expected loss on one engine.
 func (c *engineChoice) cost(now time.Time, s *seat) float64 {
 	missing := s.cache.missing(c.prompt)
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -147,7 +147,8 @@
 	cost := p.plainCost
 	if prompt != nil && p.engine.Slots > 0 {
 		place.reason = "least expected loss"
-		cost = p.newEngineChoice(seats, prompt).cost
+		choice := p.newEngineChoice(seats, prompt)
+		cost, seats = choice.cost, choice.sample(seats)
 	}
 	for _, s := range seats {
 		place.weigh(s, cost(now, s))
