--- /dev/null
+++ b/chivegossip/service_test.go
@@ -0,0 +1,163 @@
+package chivegossip_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"chivedrift/chivedirectory"
+	"chivedrift/chivegossip"
+	"chivedrift/chivemember"
+	"chivedrift/chivewire"
+)
+
+// fakeTables holds a version and its document.
+type fakeTables struct {
+	mu      sync.Mutex
+	version int64
+}
+
+func (f *fakeTables) Version() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version
+}
+
+func (f *fakeTables) Document() ([]byte, int64) {
+	return fmt.Appendf(nil, "%d", f.Version()), f.Version()
+}
+
+func (f *fakeTables) Learn(document []byte, _ string) {
+	var version int64
+	fmt.Sscanf(string(document), "%d", &version)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version = max(f.version, version)
+}
+
+// fakeEndpoints is a directory behind a lock.
+type fakeEndpoints struct {
+	mu sync.Mutex
+	d  *chivedirectory.Directory
+}
+
+func (f *fakeEndpoints) Newest() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.d.Newest()
+}
+
+func (f *fakeEndpoints) Words(after int64) []chivedirectory.Word {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.d.Words(time.Now(), after)
+}
+
+func (f *fakeEndpoints) Learn(words []chivedirectory.Word, _ string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, w := range words {
+		f.d.Apply(time.Now(), w)
+	}
+}
+
+type fakeMembers []chivemember.Member
+
+func (f fakeMembers) Members() []chivemember.Member { return f }
+
+type node struct {
+	service   *chivegossip.Service
+	tables    *fakeTables
+	endpoints *fakeEndpoints
+}
+
+func newNodes(t *testing.T, count int) []*node {
+	t.Helper()
+	var members fakeMembers
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		members = append(members, chivemember.Member{Name: listener.Addr().String(), Address: listener.Addr().String(), State: chivemember.Alive})
+		listener.Close()
+	}
+	nodes := make([]*node, count)
+	for i := range nodes {
+		mesh := chivewire.NewMesh(members[i].Address, chivewire.TCP{})
+		n := &node{tables: &fakeTables{version: 1}, endpoints: &fakeEndpoints{d: chivedirectory.New(time.Second)}}
+		n.service = chivegossip.New(chivegossip.Options{Mesh: mesh, Members: members, Tables: n.tables, Endpoints: n.endpoints})
+		n.service.SetMembers(members)
+		for _, s := range []interface {
+			Start(ctx context.Context) error
+			Stop(ctx context.Context) error
+		}{mesh, n.service} {
+			if err := s.Start(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { s.Stop(context.Background()) })
+		}
+		nodes[i] = n
+	}
+	return nodes
+}
+
+func TestNewsReachesEveryNode(t *testing.T) {
+	nodes := newNodes(t, 20)
+	nodes[3].tables.Learn([]byte("7"), "store")
+	nodes[5].endpoints.Learn([]chivedirectory.Word{{Offset: 4, Endpoint: chivedirectory.Endpoint{ID: "e", Pool: "p", Address: "127.0.0.1:1"}}}, "store")
+	deadline := time.Now().Add(6 * time.Second)
+	for _, n := range nodes {
+		for n.tables.Version() != 7 || n.endpoints.Newest() != 4 {
+			if time.Now().After(deadline) {
+				t.Fatalf("a node is still at version %d, offset %d", n.tables.Version(), n.endpoints.Newest())
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+// Symptom: nodes that do not read the store learnt of a change too late.
+// Sequence: a reader learnt it; the others would have met it in their comparisons with peers drawn at random.
+// Cause: what a reader learns is shown at once to the nodes in its care. With all readers knowing, every node does within
+// a round trip, long before the next comparison.
+func TestReadersTellTheNodesInTheirCareAtOnce(t *testing.T) {
+	nodes := newNodes(t, 20)
+	held := awaitHeld(t, nodes)
+	for _, n := range nodes {
+		if !n.service.Held() {
+			n.tables.Learn([]byte("7"), "store")
+			n.service.Learnt()
+		}
+	}
+	deadline := time.Now().Add(300 * time.Millisecond)
+	for _, n := range held {
+		for n.tables.Version() != 7 {
+			if time.Now().After(deadline) {
+				t.Fatal("a node in care does not know after 0.3 s")
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
+
+// awaitHeld waits until all nodes but the readers have heard of a peer.
+func awaitHeld(t *testing.T, nodes []*node) []*node {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		var held []*node
+		for _, n := range nodes {
+			if n.service.Held() {
+				held = append(held, n)
+			}
+		}
+		if len(held) == len(nodes)-chivegossip.Readers {
+			return held
+		}
+	}
+	t.Fatalf("not all of %d nodes but %d are held", len(nodes), chivegossip.Readers)
+	return nil
+}
