--- a/chivecommand/quickstart.go
+++ b/chivecommand/quickstart.go
@@ -39,13 +39,17 @@
 var quickstartVerb = verb{
 	name: "quickstart", usage: "Run a stand-in platform, three engines, a service and three nodes in this process, until a signal.",
 	flags: func(s *flaggy.Subcommand) action {
-		var verbose bool
+		var verbose, platform bool
 		s.Bool(&verbose, "b", "verbose", "Show the nodes' log on standard error.")
+		s.Bool(&platform, "p", "platform", "Show nodes on a platform with a metadata store instead.")
 		return func(ctx context.Context, out io.Writer) error {
 			level := slog.LevelError
 			if verbose {
 				level = slog.LevelInfo
 			}
+			if platform {
+				return runPlatformQuickstart(ctx, out, level)
+			}
 			q := &quickstart{logger: slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))}
 			return q.run(ctx, out)
 		}
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -99,7 +99,7 @@
 	n.entry = chiveentry.New(chiveentry.Options{
 		Address: s.Listen.Callers, Network: network, Dialect: chiveplatform.Callers{}, Forwarder: forwarder, Scope: metrics.Scope(), Logger: n.logger,
 	})
-	n.ready = newReadiness(s.Listen.Ready, chiveplatform.ReadyPath, network, n.notReady)
+	n.ready = newReadiness(s.Listen.Ready, chiveplatform.ReadyPath, network, n.NotReady)
 	n.ledger = chiveledger.New(chiveledger.Options{Mesh: n.mesh, Pools: pools})
 	n.tables.OnChange(pools.SetTable)
 	n.tables.OnChange(n.entry.SetTable)
@@ -124,7 +124,7 @@
 		{chiveforward.ServiceName, forwarder},
 		{chiveledger.ServiceName, n.ledger},
 		{chiveadmin.ServiceName, chiveadmin.New(chiveadmin.Options{
-			Address: s.Listen.Admin, Network: network, Metrics: metrics.Handler(), State: n.kernel.Dump, Ready: n.notReady,
+			Address: s.Listen.Admin, Network: network, Metrics: metrics.Handler(), State: n.kernel.Dump, Ready: n.NotReady,
 			Explain: func(string) (*chivegate.Explanation, bool) { return nil, false },
 		})},
 		{chiveentry.ServiceName, n.entry},
@@ -156,8 +156,8 @@
 // errNoEndpoints is why a node that knows no endpoint is not ready.
 var errNoEndpoints = fmt.Errorf("no endpoint known yet")
 
-// notReady returns why the node should get no new connections yet, or nil.
-func (n *StoreNode) notReady() error {
+// NotReady returns why the node should get no new connections yet, or nil.
+func (n *StoreNode) NotReady() error {
 	if n.tables.Version() < 0 {
 		return errNoConfig
 	}
