Admission by rank: a request that would wait too long is refused at once, the lower its rank the sooner

Change: chiveplace/admit.go: the wait at the chosen engine against the shortest target of as urgent routes, 1.3 times it for rank 0 and three quarters of that for each further rank; each rank leaves a tenth of the slots free for those above.

--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -200,6 +200,7 @@
 	request.Prompt, request.LastEvent = asked.Prompt, asked.LastEvent
 	if request.Prompt != nil {
 		request.Prompt.Pause, request.Prompt.Target = route.Pause, route.Target
+		request.Prompt.Tier, request.Prompt.Urgent = request.Tier, table.UrgentTarget(request.Pool, request.Tier)
 	}
 	request.Deadline = now.Add(waitOf(route, asked))
 	return request, nil
--- /dev/null
+++ b/chiveplace/admit.go
@@ -0,0 +1,47 @@
+package chiveplace
+
+import (
+	"math"
+	"time"
+
+	"chivedrift/chiverequest"
+)
+
+// An engine that has too much to read makes everybody late: the urgent, whose first events wait behind it, and those that run
+// out of time before their turn, for whom it then reads in vain. It does not recover by itself, since what it reads in
+// vain keeps it behind. So a request is refused at once, while its caller can come back, when the wait would be longer than
+// its rank may cause. The lower the rank, the sooner, which leaves room for the ranks above.
+
+const (
+	// waitMost is how long the most urgent may have to wait, in shortest targets: past it they are late anyway.
+	waitMost = 1.3
+	// waitStep is what each further rank may have of the one above.
+	waitStep = 0.75
+	// slotStep is the part of an engine's slots that each further rank leaves free for the ranks above.
+	slotStep = 0.1
+	// slotLeast is the part that the lowest ranks may use.
+	slotLeast = 0.5
+	// comeBackLeast keeps refused callers from coming back before anything can have changed.
+	comeBackLeast = 200 * time.Millisecond
+)
+
+// admit refuses a request whose expected wait is longer than its rank may cause; wait is in milliseconds.
+func admit(prompt *chiverequest.Prompt, wait float64) error {
+	if prompt.Urgent == 0 {
+		return nil
+	}
+	most := float64(prompt.Urgent.Milliseconds()) * waitMost * math.Pow(waitStep, float64(prompt.Tier))
+	if wait <= most {
+		return nil
+	}
+	after := max(time.Duration((wait-most)*float64(time.Millisecond)), comeBackLeast)
+	return &RefusedError{Reason: "the engines have too much to read", RetryAfter: after}
+}
+
+// slotsFor is how many of an engine's slots a rank may use.
+func slotsFor(slots int, prompt *chiverequest.Prompt) int {
+	if prompt == nil {
+		return slots
+	}
+	return int(float64(slots) * max(1-slotStep*float64(prompt.Tier), slotLeast))
+}
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -90,7 +90,7 @@
 func (p *Pool) Take(now time.Time, ask Ask) (*Place, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	usable, present := p.usable(now, ask.Exclude)
+	usable, present := p.usable(now, ask)
 	if len(usable) == 0 {
 		if present == 0 {
 			return nil, &RefusedError{Reason: "no endpoint of the pool is known", RetryAfter: retryWhenNone}
@@ -102,6 +102,9 @@
 	if ask.Prompt != nil {
 		place.reads = best.cache.missing(ask.Prompt)
 		place.ahead = best.waitingTokens()
+		if err := admit(ask.Prompt, float64(place.ahead)/p.rate); err != nil {
+			return nil, err
+		}
 		place.tight = p.isTight(ask.Prompt)
 		best.begin(now, place)
 		best.cache.touch(ask.Prompt.Parts)
@@ -114,14 +117,14 @@
 
 // usable returns the seats that can take a request, in order of id, and how many endpoints there are at all. When all of
 // those with room are passed over for earlier failures, they are better than none.
-func (p *Pool) usable(now time.Time, exclude []string) (usable []*seat, present int) {
+func (p *Pool) usable(now time.Time, ask Ask) (usable []*seat, present int) {
 	var suspect []*seat
 	for id, s := range p.seats {
 		if s.endpoint.State != chivedirectory.Ready {
 			continue
 		}
 		present++
-		if slices.Contains(exclude, id) || p.isFull(s) {
+		if slices.Contains(ask.Exclude, id) || p.isFull(s, ask.Prompt) {
 			continue
 		}
 		if s.usable(now) {
@@ -137,8 +140,8 @@
 	return usable, present
 }
 
-func (p *Pool) isFull(s *seat) bool {
-	return p.engine.Slots > 0 && s.load() >= p.engine.Slots
+func (p *Pool) isFull(s *seat, prompt *chiverequest.Prompt) bool {
+	return p.engine.Slots > 0 && s.load() >= slotsFor(p.engine.Slots, prompt)
 }
 
 // cheapest makes a place on the seat with the least cost, and notes the next best.
--- a/chiverequest/prompt.go
+++ b/chiverequest/prompt.go
@@ -29,4 +29,8 @@
 	Pause time.Duration
 	// Target is the time to the first event that is still on time.
 	Target time.Duration
+	// Tier is the request's rank, 0 the most urgent; Urgent is the shortest target of any request that goes to the same pool and is
+	// as urgent or more.
+	Tier   int
+	Urgent time.Duration
 }
--- a/chivetable/table.go
+++ b/chivetable/table.go
@@ -203,6 +203,31 @@
 	return &t.spec.Teams[i], true
 }
 
+// UrgentTarget returns the shortest target of the prompted routes to a pool whose rank is a given one or more urgent; zero
+// when there is none.
+func (t *Table) UrgentTarget(pool string, tier int) time.Duration {
+	shortest := time.Duration(0)
+	for i := range t.spec.Routes {
+		r := &t.spec.Routes[i]
+		if !r.Prompted || r.Tier > tier || !r.leadsTo(pool) {
+			continue
+		}
+		if shortest == 0 || r.Target < shortest {
+			shortest = r.Target
+		}
+	}
+	return shortest
+}
+
+func (r *Route) leadsTo(pool string) bool {
+	for _, s := range r.Shares {
+		if s.Pool == pool && s.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // TierFor returns the rank of a request: the team's, where it has one, before the route's.
 func (r *Route) TierFor(team *Team) int {
 	if team != nil && team.HasTier {
