--- a/chiveplace/admit.go
+++ b/chiveplace/admit.go
@@ -16,7 +16,7 @@
 	// waitMost is how long the most urgent may have to wait, in shortest targets: past it they are late anyway.
 	waitMost = 1.3
 	// waitStep is what each further rank may have of the one above.
-	waitStep = 0.75
+	waitStep = 0.45
 	// slotStep is the part of an engine's slots that each further rank leaves free for the ranks above.
 	slotStep = 0.1
 	// slotLeast is the part that the lowest ranks may use.
