--- a/chivecommand/entry.go
+++ b/chivecommand/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -15,8 +14,6 @@
 	"chivedrift/chivenode"
 	"chivedrift/chivesettings"
 	"chivedrift/chivewire"
-
-	"github.com/integrii/flaggy"
 )
 
 const (
@@ -26,19 +23,7 @@
 	lastLines = 200 * time.Millisecond
 )
 
-var entryVerb = verb{
-	name: "entry", usage: "Run one node on a platform with a metadata store, until a signal.",
-	flags: func(s *flaggy.Subcommand) action {
-		var settings string
-		s.String(&settings, "s", "settings", "The node's settings file.")
-		return func(ctx context.Context, _ io.Writer) error {
-			if err := required("settings", settings); err != nil {
-				return err
-			}
-			return runEntry(ctx, settings)
-		}
-	},
-}
+var entryVerb = settingsVerb("entry", "Run one node on a platform with a metadata store, until a signal.", runEntry)
 
 func runEntry(ctx context.Context, file string) error {
 	settings, err := chivesettings.LoadStoreNode(file)
--- a/chivecommand/node.go
+++ b/chivecommand/node.go
@@ -18,18 +18,23 @@
 // collected rarely.
 const collectAtPercent = 200
 
-var nodeVerb = verb{
-	name: "node", usage: "Run one node until a signal; a planned stop finishes every request in flight.",
-	flags: func(s *flaggy.Subcommand) action {
-		var settings string
-		s.String(&settings, "s", "settings", "The node's settings file.")
-		return func(ctx context.Context, _ io.Writer) error {
-			if err := required("settings", settings); err != nil {
-				return err
+var nodeVerb = settingsVerb("node", "Run one node until a signal; a planned stop finishes every request in flight.", runNode)
+
+// settingsVerb is a verb that runs a process from its settings file.
+func settingsVerb(name, usage string, run func(ctx context.Context, file string) error) verb {
+	return verb{
+		name: name, usage: usage,
+		flags: func(s *flaggy.Subcommand) action {
+			var settings string
+			s.String(&settings, "s", "settings", "The node's settings file.")
+			return func(ctx context.Context, _ io.Writer) error {
+				if err := required("settings", settings); err != nil {
+					return err
+				}
+				return run(ctx, settings)
 			}
-			return runNode(ctx, settings)
-		}
-	},
+		},
+	}
 }
 
 func runNode(ctx context.Context, file string) error {
--- a/chivenode/roster.go
+++ b/chivenode/roster.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"sync"
 	"time"
@@ -56,22 +55,23 @@
 // Dump returns the addresses.
 func (r *roster) Dump() any { return r.addresses() }
 
+// run leaves the address in the store; a try whose result is not known is repeated like one that failed, since written twice
+// it says the same.
 func (r *roster) run(ctx context.Context) {
-	pause := announceFirst
-	for ctx.Err() == nil {
+	told := false
+	for pause := announceFirst; ctx.Err() == nil; pause = min(2*pause, announceMost) {
 		limited, cancel := context.WithTimeout(ctx, announceTimeout)
 		err := r.topic.Put(limited, r.self, []byte(r.domain))
 		cancel()
-		if err == nil {
+		if err == nil || ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, chivelog.ErrUnknown) {
-			// Written twice it says the same, so the try is just repeated.
-			pause = announceFirst
+		if !told {
+			told = true
+			chiveevent.StoreLost.Log(ctx, r.logger, slog.String("for", "announcement"), slog.String("error", err.Error()))
 		}
 		select {
 		case <-time.After(pause):
-			pause = min(2*pause, announceMost)
 		case <-ctx.Done():
 		}
 	}
