Time left counts a suspension of the machine

Cause (found in reading): the runtime's clock stands still while a machine is suspended, so a request could be sent with time that its caller no longer had. Change: the forwarder of the platform's nodes reads the clock that goes on. The test fails without the check (sent twice, 10 s after the caller's time). The own interface keeps the runtime's clock, which its tests pause.

--- a/chiveforward/endpoint_test.go
+++ b/chiveforward/endpoint_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -143,6 +144,8 @@
 }
 
 type setup struct {
+	// asleep is how long the machine has been suspended since the test began, in nanoseconds.
+	asleep    *atomic.Int64
 	forwarder *chiveforward.Forwarder
 	budget    *chiveforward.Budget
 	table     *chivetable.Table
@@ -163,15 +166,17 @@
 	pools := chiveforward.NewPools("a")
 	pools.SetTable(table)
 	pools.SetEndpoints(endpoints)
+	asleep, began := &atomic.Int64{}, time.Now()
 	f := chiveforward.New(chiveforward.Options{
-		Self: "test", Network: chivewire.TCP{}, Dialect: wireDialect{}, Places: pools, Repeats: budget, Rules: chiveforward.StoreRules,
+		SinceBoot: func() time.Duration { return time.Since(began) + time.Duration(asleep.Load()) },
+		Self:      "test", Network: chivewire.TCP{}, Dialect: wireDialect{}, Places: pools, Repeats: budget, Rules: chiveforward.StoreRules,
 		Logger: slog.New(slog.DiscardHandler),
 	})
 	if err := f.Start(context.Background()); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { f.Stop(context.Background()) })
-	return &setup{f, budget, table}
+	return &setup{asleep, f, budget, table}
 }
 
 func (s *setup) request(method, body string) *chiverequest.Request {
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -24,6 +24,8 @@
 	Repeats Repeats
 	Rules   Rules
 	Logger  *slog.Logger
+	// SinceBoot reads a clock that goes on while the machine is suspended; nil takes the runtime's, which tests pause.
+	SinceBoot func() time.Duration
 }
 
 // Rules are what differs between kinds of endpoints in how often they may be tried.
@@ -81,6 +83,10 @@
 
 // New returns a forwarder without connections.
 func New(o Options) *Forwarder {
+	if o.SinceBoot == nil {
+		began := time.Now()
+		o.SinceBoot = func() time.Duration { return time.Since(began) }
+	}
 	return &Forwarder{o: o, lanes: newLanes(o.Network, o.Self)}
 }
 
@@ -127,7 +133,7 @@
 	ctx, cancel := context.WithDeadlineCause(parent, request.Deadline, errDeadline)
 	defer cancel()
 	f.o.Repeats.Request(time.Now(), request)
-	r := &run{f: f, request: request, sink: sink, last: request.LastEvent}
+	r := &run{f: f, request: request, sink: sink, last: request.LastEvent, watch: newStopwatch(f.o.SinceBoot)}
 	for !r.attempt(ctx) {
 	}
 	return r.result
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -20,6 +20,7 @@
 	sink    Sink
 	result  Result
 
+	watch stopwatch
 	// last is the last event that the caller has.
 	last string
 	// touched tells that a byte of some attempt may have reached an endpoint that did not prove that it ran nothing.
@@ -38,6 +39,11 @@
 	if err != nil {
 		return r.refuse(ctx, err)
 	}
+	if r.left() <= 0 {
+		place.Done(time.Now(), chiveplace.EndedCaller)
+		r.giveUp(ctx, CodeDeadline, "the request's time ran out while the machine was suspended", 0)
+		return true
+	}
 	id, address := place.Target()
 	c := &call{run: r, place: place, id: id, address: address, began: time.Now()}
 	r.logSent(ctx, c)
@@ -48,6 +54,9 @@
 	return r.judge(ctx, c, ended)
 }
 
+// left is how long the caller still waits, also when the machine was suspended meanwhile.
+func (r *run) left() time.Duration { return time.Until(r.request.Deadline) - r.watch.suspended() }
+
 // ending tells how one attempt ended.
 type ending uint8
 
@@ -229,7 +238,7 @@
 	attributes := []slog.Attr{
 		chiveevent.Request(r.request.ID), slog.Int("attempt", len(r.result.Tries)+1), slog.String("pool", r.request.Pool),
 		slog.String("endpoint", c.id), slog.String("address", c.address),
-		slog.Int64("left_ms", time.Until(r.request.Deadline).Milliseconds()), slog.String("after_event", r.last),
+		slog.Int64("left_ms", r.left().Milliseconds()), slog.String("after_event", r.last),
 	}
 	chiveevent.AttemptSent.Log(ctx, r.f.o.Logger, append(attributes, c.place.Why()...)...)
 }
--- a/chiveforward/run_test.go
+++ b/chiveforward/run_test.go
@@ -271,3 +271,19 @@
 		}
 	}
 }
+
+// Symptom: requests whose callers had long given up were sent to endpoints, with time left that was not there.
+// Sequence: the machine was suspended for seconds between two attempts of a request; the runtime's clock stood still meanwhile.
+// Cause: the time left was read from that clock alone. The clock that goes on during a suspension tells what it missed.
+func TestSuspendedMachineDropsWhatItsCallersGaveUp(t *testing.T) {
+	var s *setup
+	bad := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) {
+		s.asleep.Add(int64(10 * time.Second))
+		reset(conn)
+	})
+	s = newSetup(t, chivetable.Route{Attempts: 3, Repeat: chivetable.RepeatAlways}, bad.entry("one"), bad.entry("two"))
+	result, _ := s.run(s.request(http.MethodGet, ""))
+	if bad.requests() != 1 || result.Code != chiveforward.CodeDeadline {
+		t.Errorf("sent %d times, got %+v", bad.requests(), result)
+	}
+}
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -94,7 +94,7 @@
 	pools := chiveforward.NewPools(s.FailureDomain)
 	forwarder := chiveforward.New(chiveforward.Options{
 		Self: s.Listen.Callers, Network: network, Dialect: chiveplatform.Endpoints{}, Places: pools, Repeats: n.budget, Rules: chiveforward.StoreRules,
-		Logger: n.logger,
+		SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
 	})
 	n.entry = chiveentry.New(chiveentry.Options{
 		Address: s.Listen.Callers, Network: network, Dialect: chiveplatform.Callers{}, Forwarder: forwarder, Scope: metrics.Scope(), Logger: n.logger,
