--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -13,6 +13,7 @@
 	NodeStopped      = define(103, slog.LevelInfo, "node stopped", "None.")
 	LinesDropped     = define(105, slog.LevelWarn, "log lines dropped", "The reader of the log is too slow; the lines are lost, no request was held up.")
 	SettingsReloaded = define(106, slog.LevelInfo, "settings looked at again", "Read whether they changed; a node takes new ones with its next start.")
+	AdminFailed      = define(107, slog.LevelError, "operators' address not served", "The node serves callers without it: free the address, then restart the node.")
 	NodeFailed       = define(104, slog.LevelError, "node failed", "Read the error: an address in use or a wrong setting.")
 
 	ConfigInForce     = define(200, slog.LevelInfo, "configuration in force", "Compare the hash with what you published.")
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -123,10 +123,10 @@
 		{chiveforward.PoolsName, pools},
 		{chiveforward.ServiceName, forwarder},
 		{chiveledger.ServiceName, n.ledger},
-		{chiveadmin.ServiceName, chiveadmin.New(chiveadmin.Options{
+		{chiveadmin.ServiceName, &spare{logger: n.logger, Service: chiveadmin.New(chiveadmin.Options{
 			Address: s.Listen.Admin, Network: network, Metrics: metrics.Handler(), State: n.kernel.Dump, Ready: n.NotReady,
 			Explain: func(string) (*chivegate.Explanation, bool) { return nil, false },
-		})},
+		})}},
 		{chiveentry.ServiceName, n.entry},
 		{readinessName, n.ready},
 	})
