--- a/chivenode/spare.go
+++ b/chivenode/spare.go
@@ -31,5 +31,5 @@
 	if !s.started.Load() {
 		return nil
 	}
-	return s.Service.Stop(ctx) //nolint:wrapcheck // the service names itself
+	return s.Service.Stop(ctx)
 }
