Engines that were known before the table get their memory with it

Cause (found in reading the diff): an endpoint that came before the routing table was believed to hold nothing for as long as the node lived, since the engines' memory was not known yet. Change: the table sets the room of the engines that are there. Two unused fields gone.

--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -142,7 +142,7 @@
 	if pool == nil {
 		return nil, &chiveplace.RefusedError{Reason: "the pool has no endpoints", RetryAfter: time.Second}
 	}
-	ask := chiveplace.Ask{Request: request.ID, Prompt: request.Prompt, Exclude: exclude}
+	ask := chiveplace.Ask{Prompt: request.Prompt, Exclude: exclude}
 	until := time.Now().Add(request.Route.Target / queueShare)
 	for {
 		place, err := pool.Take(time.Now(), ask)
--- a/chiveplace/cache.go
+++ b/chiveplace/cache.go
@@ -18,9 +18,14 @@
 }
 
 func newCache(engineTokens int64) *cache {
-	return &cache{room: int64(float64(engineTokens) * cacheShare), order: list.New(), parts: make(map[uint64]*list.Element)}
+	c := &cache{order: list.New(), parts: make(map[uint64]*list.Element)}
+	c.setRoom(engineTokens)
+	return c
 }
 
+// setRoom takes the memory of the engine, which may become known after the engine itself.
+func (c *cache) setRoom(engineTokens int64) { c.room = int64(float64(engineTokens) * cacheShare) }
+
 // missing returns how many tokens of a prompt the engine has to read anew.
 func (c *cache) missing(p *chiverequest.Prompt) int64 {
 	missing := p.Input
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -30,8 +30,8 @@
 
 // Ask is one request for a place.
 type Ask struct {
-	Request string
-	Prompt  *chiverequest.Prompt
+	// Prompt is nil for requests to plain services.
+	Prompt *chiverequest.Prompt
 	// Exclude names endpoints, by id, that were tried already.
 	Exclude []string
 }
@@ -51,7 +51,6 @@
 	domain string
 	engine chivetable.Engine
 	seats  map[string]*seat
-	usual  float64
 	// rate is the learnt number of prompt tokens that an engine reads in a millisecond.
 	rate float64
 	// reads are the prompts that the other nodes have not been told of.
@@ -60,7 +59,7 @@
 
 // NewPool returns a pool without endpoints, seen from a failure domain.
 func NewPool(domain string) *Pool {
-	return &Pool{domain: domain, seats: make(map[string]*seat), usual: usualTook, rate: firstRate}
+	return &Pool{domain: domain, seats: make(map[string]*seat), rate: firstRate}
 }
 
 // SetEngine takes what the engines of the pool can hold; zero for plain services.
@@ -68,6 +67,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.engine = engine
+	for _, s := range p.seats {
+		s.cache.setRoom(engine.CacheTokens)
+	}
 }
 
 // SetEndpoints takes the endpoints of the pool; what is known of those that stay is kept.
@@ -161,7 +163,7 @@
 
 // plainCost is the expected time to an answer of a plain service.
 func (p *Pool) plainCost(now time.Time, s *seat) float64 {
-	cost := float64(s.load()+1) * s.slowness(now, p.usual) * (1 + errorWeight*s.errors)
+	cost := float64(s.load()+1) * s.slowness(now, usualTook) * (1 + errorWeight*s.errors)
 	if s.endpoint.FailureDomain != p.domain {
 		cost *= farAway
 	}
--- a/chiveplace/pool_test.go
+++ b/chiveplace/pool_test.go
@@ -154,3 +154,17 @@
 	}
 	take(t, p, now, nil)
 }
+
+// Symptom: a node sent prompts with one shared part to engine after engine, for as long as it lived.
+// Sequence: at its start the endpoints came a moment before the routing table, which tells how much memory an engine has.
+// Cause: what an engine is believed to hold was bounded by its memory as known when the endpoint came: none.
+func TestEnginesKnownBeforeTheirMemory(t *testing.T) {
+	p := newPool(5, chivetable.Engine{})
+	p.SetEngine(engine)
+	now := time.Now()
+	first := take(t, p, now, longPrompt(1, 100))
+	next := take(t, p, now, longPrompt(1, 200))
+	if next.Endpoint().ID != first.Endpoint().ID || next.Reads() != 3700 {
+		t.Errorf("went to %s and reads %d tokens; %s holds the part", next.Endpoint().ID, next.Reads(), first.Endpoint().ID)
+	}
+}
