--- a/chivenode/account.go
+++ b/chivenode/account.go
@@ -20,11 +20,18 @@
 	scope   tally.Scope
 	mesh    *chivewire.Mesh
 	process *process
+	figures []figure
 	duties  chivekernel.Duties
 }
 
-func newAccount(scope tally.Scope, mesh *chivewire.Mesh, process *process) *account {
-	return &account{scope: scope, mesh: mesh, process: process}
+// figure is one more gauge that a node reports.
+type figure struct {
+	name string
+	read func() float64
+}
+
+func newAccount(scope tally.Scope, mesh *chivewire.Mesh, process *process, figures ...figure) *account {
+	return &account{scope: scope, mesh: mesh, process: process, figures: figures}
 }
 
 // Start begins to report.
@@ -65,6 +72,9 @@
 	process.Gauge("heap_bytes").Update(float64(state.HeapBytes))
 	process.Gauge("total_bytes").Update(float64(state.TotalBytes))
 	process.Gauge("goroutines").Update(float64(state.Goroutines))
+	for _, f := range a.figures {
+		a.scope.Gauge(f.name).Update(f.read())
+	}
 }
 
 func (a *account) reportTraffic(direction string, traffic map[string]chivewire.Traffic) {
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -104,18 +104,19 @@
 	n.tables.OnChange(pools.SetTable)
 	n.tables.OnChange(n.entry.SetTable)
 	n.directory.OnChange(pools.SetEndpoints)
+	tableFeed := chivefeed.New(chivefeed.Options{Topic: store.Configurations(), Wait: n.readWait, Listener: n.tables, Held: n.gossip.Held})
 	process := newProcess()
 	return n.register([]named{
 		{processName, process},
 		{metricsName, metrics},
 		{wireName, n.mesh},
-		{accountName, newAccount(metrics.Scope(), n.mesh, process)},
+		{accountName, newAccount(metrics.Scope(), n.mesh, process, n.figures(store, tableFeed)...)},
 		{rosterName, roster},
 		{chivemember.ServiceName, n.members},
 		{chivetable.ServiceName, n.tables},
 		{chivedirectory.ServiceName, n.directory},
 		{chivegossip.ServiceName, n.gossip},
-		{tableFeedName, chivefeed.New(chivefeed.Options{Topic: store.Configurations(), Wait: n.readWait, Listener: n.tables, Held: n.gossip.Held})},
+		{tableFeedName, tableFeed},
 		{directoryFeedName, chivefeed.New(chivefeed.Options{
 			Topic: store.Endpoints(), Wait: n.readWait, Pace: busyPace, Listener: n.directory, Held: n.gossip.Held,
 		})},
@@ -146,6 +147,17 @@
 	return nil
 }
 
+// figures are what /metrics shows of the node's dependencies.
+func (n *StoreNode) figures(store *chiveplatform.Store, tableFeed *chivefeed.Follower) []figure {
+	return []figure{
+		{"store_calls", func() float64 { return float64(store.Calls()) }},
+		{"store_age_seconds", func() float64 { return tableFeed.Age().Seconds() }},
+		{"table_version", func() float64 { return float64(n.tables.Version()) }},
+		{"directory_offset", func() float64 { return float64(n.directory.Newest()) }},
+		{"members", func() float64 { return float64(len(n.members.Members())) }},
+	}
+}
+
 func noWait() time.Duration { return 0 }
 
 // readWait is how long a read of the store waits for a record.
