Readers of the store do not wait in step

Ruled out: the decoder and the versions' order (four versions applied in one batch), gossip (nobody knew more). Change: after a record a reader waits 0.7 s for its rank, after a wait without one a whole round; readers tell each other at once. Test failing before (equal waits).

--- a/chivefeed/follower.go
+++ b/chivefeed/follower.go
@@ -39,8 +39,8 @@
 // Options tell what to follow and how.
 type Options struct {
 	Topic chivelog.KeyedTopic
-	// Wait tells how long a read waits for the first record.
-	Wait func() time.Duration
+	// Wait tells how long a read waits for the first record; fresh tells that the read before has brought something.
+	Wait func(fresh bool) time.Duration
 	// Pace is the least time between the answer to one read and the next read: a busy topic is read in batches.
 	Pace     time.Duration
 	Listener Listener
@@ -50,7 +50,9 @@
 
 // Follower is the service that follows one topic.
 type Follower struct {
-	o      Options
+	o Options
+	// fresh tells that the last answer has brought something; only the following goroutine uses it.
+	fresh  bool
 	next   atomic.Int64
 	heard  atomic.Int64
 	lost   atomic.Bool
@@ -132,7 +134,7 @@
 	if !*rooted {
 		return f.snapshot(ctx, rooted)
 	}
-	wait := f.o.Wait()
+	wait := f.o.Wait(f.fresh)
 	if f.lost.Load() {
 		// After an outage the first read must not wait: its answer is what tells that the log is back.
 		wait = 0
@@ -147,6 +149,7 @@
 	if len(batch.Records) > 0 {
 		f.o.Listener.Apply(batch.Records)
 	}
+	f.fresh = len(batch.Records) > 0
 	f.next.Store(batch.Next)
 	return nil
 }
@@ -161,6 +164,7 @@
 	f.markHeard()
 	f.o.Listener.Replace(batch.Records)
 	f.next.Store(batch.Next)
+	f.fresh = true
 	*rooted = true
 	return nil
 }
--- a/chivefeed/follower_test.go
+++ b/chivefeed/follower_test.go
@@ -118,7 +118,7 @@
 func follow(t *testing.T, topic *fakeTopic, held func() bool) *heard {
 	t.Helper()
 	h := &heard{}
-	f := chivefeed.New(chivefeed.Options{Topic: topic, Wait: func() time.Duration { return 5 * time.Second }, Listener: h, Held: held})
+	f := chivefeed.New(chivefeed.Options{Topic: topic, Wait: func(bool) time.Duration { return 5 * time.Second }, Listener: h, Held: held})
 	if err := f.Start(context.Background()); err != nil {
 		t.Fatal(err)
 	}
--- a/chivegossip/readers.go
+++ b/chivegossip/readers.go
@@ -1,6 +1,7 @@
 package chivegossip
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,9 @@
 const (
 	// Readers is how many nodes read the store; fleets up to this size all do.
 	Readers = 8
+	// readEvery is about how often one of the readers begins a new read of a topic. A read waits for the next record, so that a
+	// change is seen at once; but a wait can be deaf: its connection has gone silent, or the store has lost the wait itself.
+	readEvery = 700 * time.Millisecond
 	// cares is how many readers care for one node, so that one that stands still holds up nobody.
 	cares = 2
 	// aloneAfter is the silence of all peers after which a node reads the store itself: each peer compares with one drawn at random every
@@ -29,11 +33,13 @@
 
 // fleet is what a node knows of who reads.
 type fleet struct {
-	mu     sync.Mutex
-	reads  bool
-	inCare []string
-	heard  atomic.Int64
-	told   chan struct{}
+	mu sync.Mutex
+	// rank is this node's place among the readers, and -1 when it is none of them.
+	rank    int
+	readers int
+	inCare  []string
+	heard   atomic.Int64
+	told    chan struct{}
 }
 
 // SetMembers takes a change of the fleet.
@@ -46,29 +52,48 @@
 	}
 	sort.Slice(ranked, func(i, j int) bool { return xxhash.Sum64String(ranked[i]) < xxhash.Sum64String(ranked[j]) })
 	reading := ranked[:min(Readers, len(ranked))]
-	own := -1
-	for i, address := range reading {
-		if address == s.o.Mesh.Self() {
-			own = i
-		}
-	}
+	own := slices.Index(reading, s.o.Mesh.Self())
 	var inCare []string
-	for i, address := range ranked[len(reading):] {
+	if own >= 0 {
+		inCare = careOf(own, reading, ranked[len(reading):])
+	}
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	s.fleet.rank, s.fleet.readers, s.fleet.inCare = own, len(reading), inCare
+}
+
+// careOf returns whom a reader tells at once: the other readers, and its part of the nodes that do not read.
+func careOf(own int, reading, others []string) []string {
+	inCare := slices.Concat(reading[:own], reading[own+1:])
+	for i, address := range others {
 		for k := range cares {
-			if own >= 0 && (i+k)%len(reading) == own {
+			if (i+k)%len(reading) == own {
 				inCare = append(inCare, address)
 			}
 		}
 	}
+	return inCare
+}
+
+// ReadWait is how long this node's next read of the store waits for a record; fresh tells that the read before has brought
+// something.
+//
+// A record ends the waits of all readers in the same moment. If all began the next wait with the same length, they would also
+// end together, and a change that the waits did not hear of would be seen by nobody until then. So after a record each reader
+// waits for its rank, and only after a wait without one for a whole round: one of them always asks soon, and tells the others.
+func (s *Service) ReadWait(fresh bool) time.Duration {
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
-	s.fleet.reads, s.fleet.inCare = own >= 0, inCare
+	if fresh && s.fleet.rank >= 0 {
+		return readEvery * time.Duration(s.fleet.rank+1)
+	}
+	return readEvery * time.Duration(max(s.fleet.readers, 1))
 }
 
 // Held tells whether others read the store for this node.
 func (s *Service) Held() bool {
 	s.fleet.mu.Lock()
-	reads := s.fleet.reads
+	reads := s.fleet.rank >= 0
 	s.fleet.mu.Unlock()
 	return !reads && time.Now().UnixNano()-s.fleet.heard.Load() < int64(aloneAfter)
 }
--- a/chivegossip/service_test.go
+++ b/chivegossip/service_test.go
@@ -161,3 +161,24 @@
 	t.Fatalf("not all of %d nodes but %d are held", len(nodes), chivegossip.Readers)
 	return nil
 }
+
+// Symptom: a configuration was in force only eight seconds after the store had it (kumihan-drift, mix seed 493898805675).
+// Sequence: the store answered the waiting reads of all nodes at once, and did not wake the next ones when more changes came.
+// Cause: all nodes waited for the same time from the same moment. Now one asks every 0.7 s, whatever ended the waits before.
+func TestReadersDoNotWaitInStep(t *testing.T) {
+	nodes := newNodes(t, 6)
+	seen := make(map[time.Duration]bool)
+	for _, n := range nodes {
+		wait := n.service.ReadWait(true)
+		if seen[wait] || wait > 6*700*time.Millisecond {
+			t.Errorf("a wait of %v after a record, seen before: %v", wait, seen[wait])
+		}
+		seen[wait] = true
+		if round := n.service.ReadWait(false); round != 6*700*time.Millisecond {
+			t.Errorf("a round of %v, want six steps", round)
+		}
+	}
+	if !seen[700*time.Millisecond] {
+		t.Error("nobody asks again after one step")
+	}
+}
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -30,12 +30,6 @@
 	directoryFeedName = "directory feed"
 	rosterFeedName    = "roster feed"
 
-	// readEvery is about how often some node of the fleet begins a new read of a topic. A read waits for the next record, so
-	// that a change is seen at once; but a wait on a connection that has gone silent sees nothing. As each node waits for
-	// this long times the number of nodes, one of them soon asks anew, and the others hear from it.
-	readEvery = time.Second
-	// waitMost is the longest wait of a read, which is also the longest time that a node alone may overlook a silent store.
-	waitMost = 20 * time.Second
 	// rosterPace spaces the looks at the nodes' topic: nodes that know each other pass new ones on themselves.
 	rosterPace = 20 * time.Second
 	// busyPace spaces the reads of a topic that many write to: one read then brings many records.
@@ -104,7 +98,7 @@
 	n.tables.OnChange(pools.SetTable)
 	n.tables.OnChange(n.entry.SetTable)
 	n.directory.OnChange(pools.SetEndpoints)
-	tableFeed := chivefeed.New(chivefeed.Options{Topic: store.Configurations(), Wait: n.readWait, Listener: n.tables, Held: n.gossip.Held})
+	tableFeed := chivefeed.New(chivefeed.Options{Topic: store.Configurations(), Wait: n.gossip.ReadWait, Listener: n.tables, Held: n.gossip.Held})
 	process := newProcess()
 	return n.register([]named{
 		{processName, process},
@@ -118,7 +112,7 @@
 		{chivegossip.ServiceName, n.gossip},
 		{tableFeedName, tableFeed},
 		{directoryFeedName, chivefeed.New(chivefeed.Options{
-			Topic: store.Endpoints(), Wait: n.readWait, Pace: busyPace, Listener: n.directory, Held: n.gossip.Held,
+			Topic: store.Endpoints(), Wait: n.gossip.ReadWait, Pace: busyPace, Listener: n.directory, Held: n.gossip.Held,
 		})},
 		{rosterFeedName, chivefeed.New(chivefeed.Options{Topic: store.Nodes(), Wait: noWait, Pace: rosterPace, Listener: roster})},
 		{chiveforward.PoolsName, pools},
@@ -158,12 +152,7 @@
 	}
 }
 
-func noWait() time.Duration { return 0 }
-
-// readWait is how long a read of the store waits for a record.
-func (n *StoreNode) readWait() time.Duration {
-	return min(readEvery*time.Duration(min(len(n.members.Members()), chivegossip.Readers)), waitMost)
-}
+func noWait(bool) time.Duration { return 0 }
 
 // errNoEndpoints is why a node that knows no endpoint is not ready.
 var errNoEndpoints = fmt.Errorf("no endpoint known yet")
