--- a/chiveentry/stop_test.go
+++ b/chiveentry/stop_test.go
@@ -16,6 +16,7 @@
 	"chivedrift/chiveentry"
 	"chivedrift/chiveforward"
 	"chivedrift/chiverequest"
+	"chivedrift/chivestand"
 	"chivedrift/chivetable"
 	"chivedrift/chivewire"
 
@@ -83,12 +84,7 @@
 
 func startEntryOn(t *testing.T, network chivewire.Network, forwarder chiveentry.Forwarder) (*chiveentry.Entry, string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := listener.Addr().String()
-	listener.Close()
+	address := chivestand.FreeAddress()
 	e := chiveentry.New(chiveentry.Options{
 		Address: address, Network: network, Dialect: plainDialect{}, Forwarder: forwarder, Scope: tally.NoopScope,
 		Logger: slog.New(slog.DiscardHandler),
--- a/chivegossip/service_test.go
+++ b/chivegossip/service_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +10,7 @@
 	"chivedrift/chivedirectory"
 	"chivedrift/chivegossip"
 	"chivedrift/chivemember"
+	"chivedrift/chivestand"
 	"chivedrift/chivewire"
 )
 
@@ -78,12 +78,8 @@
 	t.Helper()
 	var members fakeMembers
 	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		members = append(members, chivemember.Member{Name: listener.Addr().String(), Address: listener.Addr().String(), State: chivemember.Alive})
-		listener.Close()
+		address := chivestand.FreeAddress()
+		members = append(members, chivemember.Member{Name: address, Address: address, State: chivemember.Alive})
 	}
 	nodes := make([]*node, count)
 	for i := range nodes {
