--- a/chivefeed/follower.go
+++ b/chivefeed/follower.go
@@ -84,9 +84,6 @@
 	return time.Since(time.UnixMilli(heard))
 }
 
-// Offset returns the offset up to which the topic was read.
-func (f *Follower) Offset() int64 { return f.next.Load() }
-
 // Dump returns how far the follower is.
 func (f *Follower) Dump() any {
 	return struct {
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"chivedrift/chivedirectory"
-	"chivedrift/chiverequest"
 )
 
 // Ending tells how the use of a place ended, as far as it speaks for or against the endpoint.
@@ -36,7 +35,6 @@
 	nextBest   string
 	nextLoss   float64
 	candidates int
-	prompt     *chiverequest.Prompt
 	reads      int64
 	ahead      int64
 	tight      bool
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -148,7 +148,7 @@
 
 // cheapest makes a place on the seat with the least cost, and notes the next best.
 func (p *Pool) cheapest(now time.Time, seats []*seat, prompt *chiverequest.Prompt) *Place {
-	place := &Place{pool: p, began: now, candidates: len(seats), prompt: prompt, reason: "least expected time", loss: math.Inf(1), nextLoss: math.Inf(1)}
+	place := &Place{pool: p, began: now, candidates: len(seats), reason: "least expected time", loss: math.Inf(1), nextLoss: math.Inf(1)}
 	cost := p.plainCost
 	if prompt != nil && p.engine.Slots > 0 {
 		place.reason = "least expected loss"
