Routes keep their rank within a team's

Cause: the operator gives all teams of a deployment the same priority. TierFor let the team's rank take the place of the route's, so every request had rank 1: admission left no room for the urgent, and engines were told one priority for all. Ruled out: the wait that admission looks at (median first event 33 to 100 ms where it refused nothing); slots (never full). Change: a request's rank is its place among all that its pool's routes and teams allow, the team's tier before the route's. Admission and slots go by the place between the first and the last rank, so any number of ranks fits.

--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -189,7 +189,7 @@
 		return request, err
 	}
 	request.Pool = route.PoolFor(rand.Float64())
-	request.Tier = route.TierFor(team)
+	request.Rank = table.RankOf(request.Pool, route, team)
 	if team != nil {
 		request.Team = team.Name
 	}
@@ -200,7 +200,7 @@
 	request.Prompt, request.LastEvent = asked.Prompt, asked.LastEvent
 	if request.Prompt != nil {
 		request.Prompt.Pause, request.Prompt.Target = route.Pause, route.Target
-		request.Prompt.Tier, request.Prompt.Urgent = request.Tier, table.UrgentTarget(request.Pool, request.Tier)
+		request.Prompt.Rank, request.Prompt.Urgent = request.Rank, table.UrgentTarget(request.Pool, route)
 	}
 	request.Deadline = now.Add(waitOf(route, asked))
 	return request, nil
@@ -279,7 +279,7 @@
 func (e *Entry) logAccepted(ctx context.Context, request *chiverequest.Request) {
 	attributes := []slog.Attr{
 		chiveevent.Request(request.ID), slog.String("route", request.Route.Name), slog.String("pool", request.Pool),
-		slog.String("team", request.Team), slog.Int("tier", request.Tier), slog.String("may_repeat", request.Route.Repeat.String()),
+		slog.String("team", request.Team), slog.Int("rank", request.Rank.Place), slog.Int("ranks", request.Rank.Of), slog.String("may_repeat", request.Route.Repeat.String()),
 		slog.Int64("table_version", request.TableVersion), slog.Int64("wait_ms", request.Deadline.Sub(request.Arrival).Milliseconds()),
 	}
 	if request.Prompt != nil {
--- a/chiveplace/admit.go
+++ b/chiveplace/admit.go
@@ -15,12 +15,10 @@
 const (
 	// waitMost is how long the most urgent may have to wait, in shortest targets: past it they are late anyway.
 	waitMost = 1.3
-	// waitStep is what each further rank may have of the one above.
-	waitStep = 0.45
-	// slotStep is the part of an engine's slots that each further rank leaves free for the ranks above.
-	slotStep = 0.1
-	// slotLeast is the part that the lowest ranks may use.
-	slotLeast = 0.5
+	// waitLast is what the least urgent may have of that; the ranks between them have parts in equal ratios.
+	waitLast = 0.2
+	// slotLast is the part of an engine's slots that the least urgent leave free for the ranks above.
+	slotLast = 0.2
 	// comeBackLeast keeps refused callers from coming back before anything can have changed.
 	comeBackLeast = 200 * time.Millisecond
 )
@@ -30,7 +28,7 @@
 	if prompt.Urgent == 0 {
 		return nil
 	}
-	most := float64(prompt.Urgent.Milliseconds()) * waitMost * math.Pow(waitStep, float64(prompt.Tier))
+	most := float64(prompt.Urgent.Milliseconds()) * waitMost * math.Pow(waitLast, prompt.Rank.Depth())
 	if wait <= most {
 		return nil
 	}
@@ -43,5 +41,5 @@
 	if prompt == nil {
 		return slots
 	}
-	return int(float64(slots) * max(1-slotStep*float64(prompt.Tier), slotLeast))
+	return int(float64(slots) * (1 - slotLast*prompt.Rank.Depth()))
 }
--- a/chiveplace/admit_test.go
+++ b/chiveplace/admit_test.go
@@ -7,12 +7,13 @@
 
 	"chivedrift/chiveplace"
 	"chivedrift/chiverequest"
+	"chivedrift/chivetable"
 )
 
 // ranked is a prompt of a rank to a pool whose most urgent target is a second and a half.
 func ranked(own, tier int) *chiverequest.Prompt {
 	p := longPrompt(own, own+1000)
-	p.Tier, p.Urgent = tier, 1500*time.Millisecond
+	p.Rank, p.Urgent = chivetable.Rank{Place: tier, Of: 3}, 1500*time.Millisecond
 	return p
 }
 
--- a/chiverequest/prompt.go
+++ b/chiverequest/prompt.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"chivedrift/chivetable"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -29,8 +31,8 @@
 	Pause time.Duration
 	// Target is the time to the first event that is still on time.
 	Target time.Duration
-	// Tier is the request's rank, 0 the most urgent; Urgent is the shortest target of any request that goes to the same pool and is
-	// as urgent or more.
-	Tier   int
+	// Rank is the request's rank among those that go to the same pool; Urgent is the shortest target of the routes there that are as
+	// urgent or more.
+	Rank   chivetable.Rank
 	Urgent time.Duration
 }
--- a/chiverequest/request.go
+++ b/chiverequest/request.go
@@ -14,8 +14,8 @@
 	Route *chivetable.Route
 	Pool  string
 	Team  string
-	// Tier is the rank among requests; 0 goes first.
-	Tier   int
+	// Rank is the request's rank among those that go to the same pool.
+	Rank   chivetable.Rank
 	Method string
 	// Target is the path with its query, byte for byte as the caller sent it.
 	Target string
--- /dev/null
+++ b/chivetable/rank_test.go
@@ -0,0 +1,55 @@
+package chivetable_test
+
+import (
+	"testing"
+
+	"chivedrift/chivetable"
+)
+
+// rankTable has three prompted routes to one pool, teams of two tiers and one without.
+func rankTable(t *testing.T) *chivetable.Table {
+	t.Helper()
+	shares := []chivetable.Share{{Pool: "p", Weight: 1}}
+	table, err := chivetable.New(chivetable.Spec{
+		Routes: []chivetable.Route{
+			{Name: "urgent", Host: "h", Prefix: "/u/", Shares: shares, Prompted: true, Tier: 0},
+			{Name: "usual", Host: "h", Prefix: "/n/", Shares: shares, Prompted: true, Tier: 4},
+			{Name: "plain", Host: "h", Prefix: "/p/", Shares: shares, Tier: 3},
+		},
+		Pools: []chivetable.Pool{{Name: "p"}},
+		Teams: []chivetable.Team{
+			{Name: "gold", HasTier: true, Tier: 1}, {Name: "iron", HasTier: true, Tier: 2}, {Name: "none"},
+		},
+		TeamKeys: map[string]int{"gold": 0, "iron": 1, "none": 2},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+func TestTeamsGoBeforeRoutes(t *testing.T) {
+	table := rankTable(t)
+	order := []struct{ key, path string }{
+		{"none", "/u/"}, {"gold", "/u/"}, {"gold", "/n/"}, {"iron", "/u/"}, {"iron", "/n/"}, {"none", "/n/"},
+	}
+	for place, o := range order {
+		route, _ := table.Match("h", o.path)
+		team, _ := table.Team(o.key)
+		if got := table.RankOf("p", route, team); got != (chivetable.Rank{Place: place, Of: len(order)}) {
+			t.Errorf("team %s on %s: got %+v, want place %d of %d", o.key, o.path, got, place, len(order))
+		}
+	}
+}
+
+func TestRankOnAScale(t *testing.T) {
+	if got := (chivetable.Rank{Place: 2, Of: 3}).Scaled(10); got != 2 {
+		t.Errorf("few ranks keep their number, got %d", got)
+	}
+	if got := (chivetable.Rank{Place: 19, Of: 20}).Scaled(10); got != 9 {
+		t.Errorf("many ranks share the scale, got %d", got)
+	}
+	if first, last := (chivetable.Rank{Of: 4}).Depth(), (chivetable.Rank{Place: 3, Of: 4}).Depth(); first != 0 || last != 1 {
+		t.Errorf("got depths %v and %v", first, last)
+	}
+}
--- a/chivetable/table.go
+++ b/chivetable/table.go
@@ -78,7 +78,7 @@
 	Engine      Engine
 }
 
-// Team is a customer with its rank, which goes before the route's when it has one.
+// Team is a customer. Its tier, where it has one, goes before the route's: routes only decide among teams of one tier.
 type Team struct {
 	Name    string
 	HasTier bool
@@ -110,6 +110,7 @@
 	spec   Spec
 	byHost map[string][]*Route
 	pools  map[string]*Pool
+	ranks  map[queue][]tiers
 }
 
 // New checks a spec and returns its table; the error names the version and the route.
@@ -129,6 +130,7 @@
 	for _, routes := range t.byHost {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	}
+	t.ranks = t.ranksOf()
 	return t, nil
 }
 
@@ -203,22 +205,6 @@
 	return &t.spec.Teams[i], true
 }
 
-// UrgentTarget returns the shortest target of the prompted routes to a pool whose rank is a given one or more urgent; zero
-// when there is none.
-func (t *Table) UrgentTarget(pool string, tier int) time.Duration {
-	shortest := time.Duration(0)
-	for i := range t.spec.Routes {
-		r := &t.spec.Routes[i]
-		if !r.Prompted || r.Tier > tier || !r.leadsTo(pool) {
-			continue
-		}
-		if shortest == 0 || r.Target < shortest {
-			shortest = r.Target
-		}
-	}
-	return shortest
-}
-
 func (r *Route) leadsTo(pool string) bool {
 	for _, s := range r.Shares {
 		if s.Pool == pool && s.Weight > 0 {
@@ -228,14 +214,6 @@
 	return false
 }
 
-// TierFor returns the rank of a request: the team's, where it has one, before the route's.
-func (r *Route) TierFor(team *Team) int {
-	if team != nil && team.HasTier {
-		return team.Tier
-	}
-	return r.Tier
-}
-
 // PoolFor returns the pool that a point between 0 and 1 falls to in the route's split.
 func (r *Route) PoolFor(point float64) string {
 	total := 0
