Waiting tokens are told apart by rank

Cause: of two requests on one engine the urgent is read first, but the expected wait counted all that waits there. Upper ranks were refused for what stood behind them. Ruled out: that the engines read in order of arrival (the least urgent with as much before them read at 25 a millisecond). Change: seats and the ledger keep waiting tokens by rank; the wait of a request is that of its rank and those above.

--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -176,7 +176,7 @@
 	loss, nextBest, nextLoss := p.Loss()
 	attributes := []slog.Attr{
 		slog.String("because", p.Reason()), slog.Int("candidates", p.Candidates()), slog.Float64("cost", rounded(loss)),
-		slog.Int64("tokens_to_read", p.Reads()),
+		slog.Int64("tokens_to_read", p.Reads()), slog.Int64("tokens_ahead", p.Ahead()),
 	}
 	if nextBest != "" {
 		attributes = append(attributes, slog.String("next_best", nextBest), slog.Float64("next_cost", rounded(nextLoss)))
--- a/chiveplace/news.go
+++ b/chiveplace/news.go
@@ -19,8 +19,8 @@
 type Load struct {
 	Endpoint string
 	Requests int
-	// Waiting is the number of prompt tokens of the requests that have not begun to answer.
-	Waiting int64
+	// Waiting is the number of prompt tokens of the requests that have not begun to answer, by rank.
+	Waiting []int64
 	// Tight is how many of the requests are streams whose pauses a long read spoils, Long the waiting tokens of long reads.
 	Tight int
 	Long  int64
@@ -49,7 +49,7 @@
 	for _, id := range ids {
 		s := p.seats[id]
 		s.dirty = false
-		news.Loads = append(news.Loads, Load{Endpoint: id, Requests: s.own, Waiting: s.ownWaiting, Tight: s.ownTight, Long: s.ownLong})
+		news.Loads = append(news.Loads, Load{Endpoint: id, Requests: s.own, Waiting: s.ownWaiting.trimmed(), Tight: s.ownTight, Long: s.ownLong})
 	}
 	news.Reads = append(news.Reads, p.reads...)
 	p.reads = nil
@@ -96,7 +96,7 @@
 func (s *seat) setOther(node string, l Load) {
 	before := s.byNode[node]
 	s.others += l.Requests - before.Requests
-	s.othersWaiting += l.Waiting - before.Waiting
+	s.othersWaiting = s.othersWaiting.replace(before.Waiting, l.Waiting)
 	s.othersTight += l.Tight - before.Tight
 	s.othersLong += l.Long - before.Long
 	if l.Requests == 0 {
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chivedrift/chivedirectory"
+	"chivedrift/chivetable"
 )
 
 // Ending tells how the use of a place ended, as far as it speaks for or against the endpoint.
@@ -37,6 +38,7 @@
 	candidates int
 	reads      int64
 	ahead      int64
+	rank       chivetable.Rank
 	tight      bool
 	started    bool
 	ended      bool
@@ -72,6 +74,9 @@
 // Reads returns how many prompt tokens the endpoint is believed to have to read anew.
 func (p *Place) Reads() int64 { return p.reads }
 
+// Ahead returns how many prompt tokens of requests as urgent or more were believed to wait there before it.
+func (p *Place) Ahead() int64 { return p.ahead }
+
 // Started notes that the answer has begun: the prompt has been read.
 func (p *Place) Started() {
 	p.pool.mu.Lock()
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -103,7 +103,8 @@
 	best := place.seat
 	if ask.Prompt != nil {
 		place.reads = best.cache.missing(ask.Prompt)
-		place.ahead = best.waitingTokens()
+		place.rank = ask.Prompt.Rank
+		place.ahead = best.waitingFor(place.rank)
 		if err := admit(ask.Prompt, float64(place.ahead)/p.rate); err != nil {
 			return nil, err
 		}
--- a/chiveplace/seat.go
+++ b/chiveplace/seat.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chivedrift/chivedirectory"
+	"chivedrift/chivetable"
 )
 
 const (
@@ -26,10 +27,10 @@
 	endpoint chivedirectory.Endpoint
 	// own and ownWaiting are this node's requests there, and the prompt tokens of those that have not begun to answer.
 	own        int
-	ownWaiting int64
+	ownWaiting byRank
 	// others and othersWaiting are the same of all other nodes, as last heard.
 	others        int
-	othersWaiting int64
+	othersWaiting byRank
 	byNode        map[string]Load
 	// Of these, tight are the streams whose pauses a long read beside them spoils, and long the prompt tokens of long reads.
 	ownTight    int
@@ -53,15 +54,22 @@
 	return &seat{endpoint: e, cache: newCache(cacheTokens), byNode: make(map[string]Load)}
 }
 
-func (s *seat) load() int            { return s.own + s.others }
-func (s *seat) waitingTokens() int64 { return s.ownWaiting + s.othersWaiting }
+func (s *seat) load() int { return s.own + s.others }
+
+// waitingTokens returns the prompt tokens that wait there in all.
+func (s *seat) waitingTokens() int64 { return s.ownWaiting.total() + s.othersWaiting.total() }
+
+// waitingFor returns the prompt tokens that the engine reads before those of a new request of a rank.
+func (s *seat) waitingFor(rank chivetable.Rank) int64 {
+	return s.ownWaiting.upTo(rank) + s.othersWaiting.upTo(rank)
+}
 
 func (s *seat) tight() int         { return s.ownTight + s.othersTight }
 func (s *seat) longWaiting() int64 { return s.ownLong + s.othersLong }
 
 // begin counts what a new request adds.
 func (s *seat) begin(now time.Time, place *Place) {
-	s.ownWaiting += place.reads
+	s.ownWaiting = s.ownWaiting.add(place.rank, place.reads)
 	if place.tight {
 		s.ownTight++
 	}
@@ -73,7 +81,7 @@
 
 // read counts that a request's prompt has been read.
 func (s *seat) read(place *Place) {
-	s.ownWaiting -= place.reads
+	s.ownWaiting = s.ownWaiting.add(place.rank, -place.reads)
 	if place.reads > chunkTokens {
 		s.ownLong -= place.reads
 	}
