A stop closes a connection as its answer ends

Node edge-lj-a-1 got SIGTERM at 9.000 s. Stream had begun at 5.89 s, so its head did not ask the caller to leave; it ended at 15.9862 s. Request came on its connection at 15.9999 s, 14 ms later, between two looks of the stop at idle connections (20 ms apart), and was cut at 16.603 s. Ruled out: a new connection (the listener had been closed since 11.6 s), a connection that was idle at the closing (closed then). Change: from the closing of the listener on a connection is closed in net/http's hook for idle ones, by the same compare-and-swap.

--- a/chiveentry/conn.go
+++ b/chiveentry/conn.go
@@ -45,6 +45,8 @@
 type callerConns struct {
 	mu   sync.Mutex
 	open map[net.Conn]*callerConn
+	// closing tells that a connection goes as soon as it is idle.
+	closing bool
 }
 
 func newCallerConns() *callerConns { return &callerConns{open: make(map[net.Conn]*callerConn)} }
@@ -67,14 +69,21 @@
 	case entered == nil:
 	case state == http.StateIdle:
 		entered.state.CompareAndSwap(connServing, connIdle)
+		// An answer that began before the stop could not ask its caller to leave. Were its connection left open until the next
+		// look, the caller's next request would be taken too late to be finished.
+		if c.closing {
+			entered.closeIdle()
+		}
 	case state == http.StateClosed, state == http.StateHijacked:
 		delete(c.open, conn)
 	}
 }
 
+// closeIdle closes the connections that are idle, and from now on each as soon as it is.
 func (c *callerConns) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closing = true
 	for _, conn := range c.open {
 		conn.closeIdle()
 	}
--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -117,7 +117,6 @@
 		case <-time.After(stopPoll):
 		case <-ctx.Done():
 		}
-		e.conns.closeIdle()
 	}
 	err := e.server.Close()
 	e.done.Wait()
--- a/chiveentry/stop_test.go
+++ b/chiveentry/stop_test.go
@@ -245,3 +245,62 @@
 		t.Errorf("the request was passed on, and its caller got no answer: %v", err)
 	}
 }
+
+// Symptom: a stream was cut when the process ended, though it had been taken seven seconds after the signal.
+// Sequence: an answer had begun before the signal, so its head could not ask the caller to leave; it ended long after the listener
+// was closed; the caller's next request came on its connection 14 ms later and did not fit into what was left.
+// Cause: the stop looked for idle connections every 20 ms only; one that becomes idle meanwhile has to go at that moment.
+func TestStopClosesAConnectionAsItsAnswerEnds(t *testing.T) {
+	forwarder := &fakeForwarder{}
+	e, address := startEntry(t, forwarder)
+	begun, goOn := make(chan struct{}), make(chan struct{})
+	forwarder.run = func(_ context.Context, request *chiverequest.Request, sink chiveforward.Sink) chiveforward.Result {
+		sink.Start(http.StatusOK, http.Header{})
+		if request.Target == "/long" {
+			_ = sink.Write([]byte("first"), true)
+			close(begun)
+			<-goOn
+		}
+		return chiveforward.Result{Outcome: chiveforward.Completed, Started: true, Status: http.StatusOK}
+	}
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	from := bufio.NewReader(conn)
+	io.WriteString(conn, "GET /long HTTP/1.1\r\nHost: a.example\r\nId: 2\r\n\r\n")
+	<-begun
+	response, err := http.ReadResponse(from, nil)
+	if err != nil || response.Close {
+		t.Fatalf("the answer that begins before the stop: %v, %v", response, err)
+	}
+	_, release := keepBusyBeside(t, e, address)
+	stopped := make(chan error, 1)
+	go func() { stopped <- e.Stop(context.Background()) }()
+	time.Sleep(100 * time.Millisecond)
+	close(goOn)
+	if _, err := io.ReadAll(response.Body); err != nil {
+		t.Errorf("the rest of the answer: %v", err)
+	}
+	if response, err := ask(t, conn, from, "/late"); err == nil {
+		t.Errorf("the connection took another request during the stop: %v", response.Status)
+	}
+	release()
+	<-stopped
+}
+
+// keepBusyBeside keeps a stop waiting with a request whose body is not there yet, until release is called.
+func keepBusyBeside(t *testing.T, e *chiveentry.Entry, address string) (conn net.Conn, release func()) {
+	t.Helper()
+	before := e.InFlight()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(conn, "POST /body HTTP/1.1\r\nHost: a.example\r\nId: 3\r\nContent-Length: 5\r\n\r\n")
+	for e.InFlight() == before {
+		time.Sleep(time.Millisecond)
+	}
+	return conn, func() { conn.Close() }
+}
