Callers' connections keep to the operator's bounds on headers and idle time

Change: a look every half second closes connections that wait for longer than the configuration in force allows; serving and closing compete for a connection as in a stop, so that no request is cut that was just read. The constants stay as outer bounds. Test: ConnectionsThatWaitTooLongAreClosed (failed before: half a header was still held after 4 s).

--- a/chiveentry/conn.go
+++ b/chiveentry/conn.go
@@ -6,6 +6,9 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"chivedrift/chivetable"
 )
 
 // callerConn is one caller's connection and whether a request is being served on it.
@@ -16,6 +19,9 @@
 type callerConn struct {
 	net.Conn
 	state atomic.Int32
+	// since is when the connection began to wait: for a request, or for the rest of its header once reading is set.
+	since   time.Time
+	reading bool
 }
 
 const (
@@ -41,6 +47,16 @@
 	}
 }
 
+// closeWaiting closes the connection if no request is being served on it, also when none has been before.
+func (c *callerConn) closeWaiting() {
+	if c.state.CompareAndSwap(connNew, connClosed) {
+		// As in closeIdle.
+		_ = c.Close()
+		return
+	}
+	c.closeIdle()
+}
+
 // callerConns are the open connections of callers.
 type callerConns struct {
 	mu   sync.Mutex
@@ -53,7 +69,7 @@
 
 // enter is net/http's hook for a new connection.
 func (c *callerConns) enter(ctx context.Context, conn net.Conn) context.Context {
-	entered := &callerConn{Conn: conn}
+	entered := &callerConn{Conn: conn, since: time.Now()}
 	c.mu.Lock()
 	c.open[conn] = entered
 	c.mu.Unlock()
@@ -67,7 +83,10 @@
 	entered := c.open[conn]
 	switch {
 	case entered == nil:
+	case state == http.StateActive:
+		entered.since, entered.reading = time.Now(), true
 	case state == http.StateIdle:
+		entered.since, entered.reading = time.Now(), false
 		entered.state.CompareAndSwap(connServing, connIdle)
 		// An answer that began before the stop could not ask its caller to leave. Were its connection left open until the next
 		// look, the caller's next request would be taken too late to be finished.
@@ -89,6 +108,22 @@
 	}
 }
 
+// closeLate closes the connections that have waited for longer than the operator allows; zero means no bound. Serving and closing
+// compete here too, so that no request is cut that was read in the last moment.
+func (c *callerConns) closeLate(now time.Time, limits chivetable.Limits) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.open {
+		most := limits.IdleTime
+		if conn.reading {
+			most = limits.HeaderTime
+		}
+		if most > 0 && now.Sub(conn.since) > most {
+			conn.closeWaiting()
+		}
+	}
+}
+
 // connOf returns the connection of a request, nil where it came without one.
 func connOf(r *http.Request) *callerConn {
 	conn, ok := r.Context().Value(connKey{}).(*callerConn)
--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -15,6 +15,7 @@
 
 	"chivedrift/chiveevent"
 	"chivedrift/chiveforward"
+	"chivedrift/chivekernel"
 	"chivedrift/chiverequest"
 	"chivedrift/chivetable"
 	"chivedrift/chivewire"
@@ -26,11 +27,13 @@
 const ServiceName = "entry"
 
 const (
-	// headerTime bounds how long a header may take to arrive; operators allow their callers a few seconds.
+	// headerTime bounds how long a header may take to arrive where the operator sets no bound or a longer one.
 	headerTime = 10 * time.Second
-	// idleTime is how long an idle connection is kept: longer than any caller's pool keeps it, so that the caller closes first
-	// and no request crosses the closing.
+	// idleTime is how long an idle connection is kept where the operator sets no bound or a longer one: longer than any caller's
+	// pool keeps it, so that the caller closes first and no request crosses the closing.
 	idleTime = 2 * time.Minute
+	// lateEvery is how often the operator's bounds on waiting connections, of some seconds, are looked at.
+	lateEvery = 500 * time.Millisecond
 	// headerMost bounds a header before the configuration's own limit is looked at.
 	headerMost = 1 << 20
 	// stopPoll is how often a stop looks whether all requests are done.
@@ -67,6 +70,7 @@
 	inFlight atomic.Int64
 	accepted atomic.Int64
 	done     sync.WaitGroup
+	duties   chivekernel.Duties
 }
 
 // New returns an entry that does not listen yet.
@@ -87,7 +91,7 @@
 func (e *Entry) Handler() http.Handler { return e.server.Handler }
 
 // Start listens for callers.
-func (e *Entry) Start(context.Context) error {
+func (e *Entry) Start(ctx context.Context) error {
 	listener, err := e.o.Network.Listen(e.o.Address)
 	if err != nil {
 		return fmt.Errorf("entry: listen for callers: %w", err)
@@ -99,9 +103,26 @@
 		// Serve returns when Stop closes the listener.
 		_ = e.server.Serve(listener)
 	}()
+	e.duties.Begin(ctx, e.boundWaiting)
 	return nil
 }
 
+// boundWaiting holds callers' connections to the bounds of the configuration in force.
+func (e *Entry) boundWaiting(ctx context.Context) {
+	tick := time.NewTicker(lateEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			if table := e.table.Load(); table != nil {
+				e.conns.closeLate(now, table.Limits())
+			}
+		}
+	}
+}
+
 // Leave asks callers, with each answer, to take their connection elsewhere.
 func (e *Entry) Leave() { e.leaving.Store(true) }
 
@@ -119,6 +140,7 @@
 		}
 	}
 	err := e.server.Close()
+	e.duties.End()
 	e.done.Wait()
 	if err != nil && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("entry: %w", err)
