Keepers in the logs and metrics; repeats spent and age of the endpoints' list in the metrics

State of nodes that were replaced is dropped. Tests: the catalogue's, chivegrant under the race detector.

--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -39,6 +39,9 @@
 	SchedulerLost  = define(400, slog.LevelWarn, "no word from a shard's scheduler", "None; the gateway asks the next one, then serves a small local share.")
 	SchedulerTaken = define(401, slog.LevelInfo, "shard taken over", "None; for a moment it grants half of the capacity.")
 	EndpointLeaves = define(402, slog.LevelInfo, "endpoint takes no new work", "None.")
+	KeeperSilent   = define(403, slog.LevelWarn, "keeper of engines does not answer", "None; the node places prompts alone for two seconds. Look at the keeper's VM when it repeats.")
+	KeeperBack     = define(404, slog.LevelInfo, "keeper of engines answers again", "None.")
+	EnginesDivided = define(405, slog.LevelInfo, "engines divided among keepers", "None; asking tells whether the fleet is large enough for keepers.")
 
 	RequestRefused  = define(500, slog.LevelWarn, "request refused", "Read the reason; under overload, look at the class's tier and share.")
 	RequestBroken   = define(501, slog.LevelWarn, "attempt broke", "Look at the endpoint when it repeats.")
--- a/chiveforward/budget.go
+++ b/chiveforward/budget.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chivedrift/chiverequest"
@@ -21,6 +22,8 @@
 	fleet  [2]int
 	turned time.Time
 	pools  map[string]*window
+	spent  atomic.Int64
+	denied atomic.Int64
 }
 
 // BudgetLimits is the bound for the whole fleet: in any Window, repeats stay under Ratio times requests plus Headroom.
@@ -85,12 +88,20 @@
 	w := b.at(now, request.Pool)
 	allowed := b.limits.Ratio*float64(w.sum(w.requests, requestSteps)) + b.headroom(now)
 	if float64(w.sum(w.repeats, repeatSteps)+1) > allowed {
+		b.denied.Add(1)
 		return false
 	}
+	b.spent.Add(1)
 	w.repeats[w.step%budgetSteps]++
 	return true
 }
 
+// Spent returns how many repeats were taken since the start.
+func (b *Budget) Spent() int64 { return b.spent.Load() }
+
+// Denied returns how many repeats there was no budget for since the start.
+func (b *Budget) Denied() int64 { return b.denied.Load() }
+
 // Explain returns what a pool's budget has spent and allows, and the fleet that its headroom is divided by.
 func (b *Budget) Explain(now time.Time, request *chiverequest.Request) []slog.Attr {
 	b.mu.Lock()
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -158,7 +158,9 @@
 )
 
 // choose asks for a place where others know more of the engines than this node, and decides alone where nobody answers.
-func (p *Pools) choose(ctx context.Context, pool *chiveplace.Pool, request *chiverequest.Request, ask chiveplace.Ask) (place *chiveplace.Place, asked bool, err error) {
+func (p *Pools) choose(
+	ctx context.Context, pool *chiveplace.Pool, request *chiverequest.Request, ask chiveplace.Ask,
+) (place *chiveplace.Place, asked bool, err error) {
 	if p.asker != nil && request.Prompt != nil {
 		place, err = p.asker.Place(ctx, pool, request, ask.Exclude)
 		if !errors.Is(err, chivegrant.ErrAlone) {
@@ -215,6 +217,9 @@
 		slog.String("because", p.Reason()), slog.Int("candidates", p.Candidates()), slog.Float64("cost", rounded(loss)),
 		slog.Int64("tokens_to_read", p.Reads()), slog.Int64("tokens_ahead", p.Ahead()),
 	}
+	if keeper := p.Keeper(); keeper != "" {
+		attributes = append(attributes, slog.String("keeper", keeper))
+	}
 	if nextBest != "" {
 		attributes = append(attributes, slog.String("next_best", nextBest), slog.Float64("next_cost", rounded(nextLoss)))
 	}
--- a/chivegrant/groups.go
+++ b/chivegrant/groups.go
@@ -110,5 +110,17 @@
 	return first, second
 }
 
+// keptBy returns the groups that a node keeps, by name.
+func (g *groups) keptBy(address string) []string {
+	var names []string
+	for name, keeper := range g.keepers {
+		if keeper == address {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // keeperOf returns the address of the node that keeps an engine; empty for one that nobody keeps.
 func (g *groups) keeperOf(engine string) string { return g.keepers[g.groupOf[engine]] }
--- a/chivegrant/service.go
+++ b/chivegrant/service.go
@@ -4,11 +4,15 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"chivedrift/chivedirectory"
+	"chivedrift/chiveevent"
 	"chivedrift/chivekernel"
 	"chivedrift/chivemember"
 	"chivedrift/chiveplace"
@@ -44,8 +48,17 @@
 
 // Options are the parts the service is made of.
 type Options struct {
-	Mesh  *chivewire.Mesh
-	Pools Pools
+	Mesh   *chivewire.Mesh
+	Pools  Pools
+	Logger *slog.Logger
+}
+
+// Counts are how this node's questions went, since its start.
+type Counts struct {
+	Asked   int64
+	Granted int64
+	Refused int64
+	Silent  int64
 }
 
 // question is one question with its sender.
@@ -61,6 +74,10 @@
 	divided atomic.Pointer[groups]
 	numbers atomic.Uint64
 	given   atomic.Uint64
+	asked   atomic.Int64
+	granted atomic.Int64
+	refused atomic.Int64
+	unheard atomic.Int64
 
 	mu        sync.Mutex
 	endpoints []chivedirectory.Endpoint
@@ -132,6 +149,12 @@
 func (s *Service) SetMembers(members []chivemember.Member) {
 	s.mu.Lock()
 	s.members = members
+	there := func(address string) bool {
+		return slices.ContainsFunc(members, func(m chivemember.Member) bool { return m.Address == address })
+	}
+	// What is remembered of nodes that were replaced would otherwise grow for ever.
+	maps.DeleteFunc(s.silent, func(address string, _ time.Time) bool { return !there(address) })
+	maps.DeleteFunc(s.seen, func(address string, _ uint64) bool { return !there(address) })
 	s.mu.Unlock()
 	s.divide()
 }
@@ -139,13 +162,23 @@
 func (s *Service) divide() {
 	s.mu.Lock()
 	g := newGroups(s.endpoints, func(pool string) bool { return s.engines[pool] }, s.members)
-	s.divided.Store(g)
+	before := s.divided.Swap(g)
+	nodes := len(s.members)
 	s.mu.Unlock()
+	if own, was := g.keptBy(s.o.Mesh.Self()), before.keptBy(s.o.Mesh.Self()); g.asking != before.asking || !slices.Equal(own, was) {
+		chiveevent.EnginesDivided.Log(context.Background(), s.o.Logger, slog.Bool("asking", g.asking), slog.Int("nodes", nodes),
+			slog.Int("groups", len(g.engines)), slog.Any("kept_here", own))
+	}
 	if g.asking {
 		s.o.Pools.Release(func(endpoint string) bool { return g.keeperOf(endpoint) == s.o.Mesh.Self() })
 	}
 }
 
+// Counts returns how this node's questions went.
+func (s *Service) Counts() Counts {
+	return Counts{Asked: s.asked.Load(), Granted: s.granted.Load(), Refused: s.refused.Load(), Silent: s.unheard.Load()}
+}
+
 // Asking tells whether the fleet is so large that keepers are asked.
 func (s *Service) Asking() bool { return s.divided.Load().asking }
 
@@ -209,8 +242,11 @@
 		return nil, err
 	}
 	if answer.Refused != "" {
+		s.refused.Add(1)
 		return nil, &chiveplace.RefusedError{Reason: answer.Refused, RetryAfter: answer.RetryAfter, Loss: answer.Loss}
 	}
+	s.granted.Add(1)
+	answer.Grant.Keeper = keeper
 	place, ok := w.pool.Adopt(time.Now(), answer.Grant, w.request.Prompt)
 	s.note(keeper, answer.Given)
 	if !ok {
@@ -240,6 +276,7 @@
 		return PlaceAnswer{}, ErrAlone
 	}
 	defer s.forget(ask.Number)
+	s.asked.Add(1)
 	if err := s.o.Mesh.Send(keeper, chivewire.KindPlaceAsk, ask); err != nil {
 		return PlaceAnswer{}, fmt.Errorf("%w: %w", ErrAlone, err)
 	}
@@ -247,16 +284,38 @@
 	defer timer.Stop()
 	select {
 	case answer := <-answered:
+		s.noteAnswer(ctx, keeper)
 		return answer, nil
 	case <-ctx.Done():
 	case <-timer.C:
-		s.mu.Lock()
-		s.silent[keeper] = time.Now().Add(silentFor)
-		s.mu.Unlock()
+		s.noteSilence(ctx, keeper, ask.Group)
 	}
 	return PlaceAnswer{}, ErrAlone
 }
 
+// noteSilence keeps the node from asking a keeper for a while; one line tells of a silence, however long it lasts.
+func (s *Service) noteSilence(ctx context.Context, keeper, group string) {
+	s.unheard.Add(1)
+	s.mu.Lock()
+	_, known := s.silent[keeper]
+	s.silent[keeper] = time.Now().Add(silentFor)
+	s.mu.Unlock()
+	if !known {
+		chiveevent.KeeperSilent.Log(ctx, s.o.Logger, slog.String("keeper", keeper), slog.String("group", group),
+			slog.Int64("waited_ms", askWithin.Milliseconds()))
+	}
+}
+
+func (s *Service) noteAnswer(ctx context.Context, keeper string) {
+	s.mu.Lock()
+	_, known := s.silent[keeper]
+	delete(s.silent, keeper)
+	s.mu.Unlock()
+	if known {
+		chiveevent.KeeperBack.Log(ctx, s.o.Logger, slog.String("keeper", keeper))
+	}
+}
+
 func (s *Service) forget(number uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/chivegrant/service_test.go
+++ b/chivegrant/service_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"slices"
 	"sync"
@@ -38,7 +39,7 @@
 	t.Helper()
 	n := &node{mesh: chivewire.NewMesh(address, chivewire.TCP{}), pool: chiveplace.NewPool("a")}
 	n.pool.SetEngine(engine)
-	n.grant = chivegrant.New(chivegrant.Options{Mesh: n.mesh, Pools: onePool{n.pool}})
+	n.grant = chivegrant.New(chivegrant.Options{Mesh: n.mesh, Pools: onePool{n.pool}, Logger: slog.New(slog.DiscardHandler)})
 	for _, start := range []func(context.Context) error{n.mesh.Start, n.grant.Start} {
 		if err := start(context.Background()); err != nil {
 			t.Fatal(err)
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -96,7 +96,7 @@
 		Address: s.Listen.Callers, Network: network, Dialect: chiveplatform.Callers{}, Forwarder: forwarder, Scope: metrics.Scope(), Logger: n.logger,
 	})
 	n.ready = newReadiness(s.Listen.Ready, chiveplatform.ReadyPath, network, n.NotReady)
-	n.grants = chivegrant.New(chivegrant.Options{Mesh: n.mesh, Pools: pools})
+	n.grants = chivegrant.New(chivegrant.Options{Mesh: n.mesh, Pools: pools, Logger: n.logger})
 	pools.SetAsker(n.grants)
 	n.ledger = chiveledger.New(chiveledger.Options{Mesh: n.mesh, Pools: pools, Keepers: n.grants})
 	n.tables.OnChange(pools.SetTable)
@@ -105,21 +105,22 @@
 	n.directory.OnChange(pools.SetEndpoints)
 	n.directory.OnChange(n.grants.SetEndpoints)
 	tableFeed := chivefeed.New(chivefeed.Options{Topic: store.Configurations(), Wait: n.gossip.ReadWait, Listener: n.tables, Held: n.gossip.Held})
+	directoryFeed := chivefeed.New(chivefeed.Options{
+		Topic: store.Endpoints(), Wait: n.gossip.ReadWait, Pace: busyPace, Listener: n.directory, Held: n.gossip.Held,
+	})
 	process := newProcess()
 	return n.register([]named{
 		{processName, process},
 		{metricsName, metrics},
 		{wireName, n.mesh},
-		{accountName, newAccount(metrics.Scope(), n.mesh, process, n.figures(store, tableFeed)...)},
+		{accountName, newAccount(metrics.Scope(), n.mesh, process, n.figures(store, tableFeed, directoryFeed)...)},
 		{rosterName, roster},
 		{chivemember.ServiceName, n.members},
 		{chivetable.ServiceName, n.tables},
 		{chivedirectory.ServiceName, n.directory},
 		{chivegossip.ServiceName, n.gossip},
 		{tableFeedName, tableFeed},
-		{directoryFeedName, chivefeed.New(chivefeed.Options{
-			Topic: store.Endpoints(), Wait: n.gossip.ReadWait, Pace: busyPace, Listener: n.directory, Held: n.gossip.Held,
-		})},
+		{directoryFeedName, directoryFeed},
 		{rosterFeedName, chivefeed.New(chivefeed.Options{Topic: store.Nodes(), Wait: noWait, Pace: rosterPace, Listener: roster})},
 		{chiveforward.PoolsName, pools},
 		{chiveforward.ServiceName, forwarder},
@@ -150,10 +151,17 @@
 }
 
 // figures are what /metrics shows of the node's dependencies.
-func (n *StoreNode) figures(store *chiveplatform.Store, tableFeed *chivefeed.Follower) []figure {
+func (n *StoreNode) figures(store *chiveplatform.Store, tableFeed, directoryFeed *chivefeed.Follower) []figure {
 	return []figure{
 		{"store_calls", func() float64 { return float64(store.Calls()) }},
 		{"store_age_seconds", func() float64 { return tableFeed.Age().Seconds() }},
+		{"directory_age_seconds", func() float64 { return directoryFeed.Age().Seconds() }},
+		{"repeats_spent", func() float64 { return float64(n.budget.Spent()) }},
+		{"repeats_denied", func() float64 { return float64(n.budget.Denied()) }},
+		{"places_asked", func() float64 { return float64(n.grants.Counts().Asked) }},
+		{"places_granted", func() float64 { return float64(n.grants.Counts().Granted) }},
+		{"places_refused", func() float64 { return float64(n.grants.Counts().Refused) }},
+		{"keepers_silent", func() float64 { return float64(n.grants.Counts().Silent) }},
 		{"table_version", func() float64 { return float64(n.tables.Version()) }},
 		{"directory_offset", func() float64 { return float64(n.directory.Newest()) }},
 		{"members", func() float64 { return float64(len(n.members.Members())) }},
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -32,6 +32,7 @@
 	endpoint   chivedirectory.Endpoint
 	began      time.Time
 	reason     string
+	keeper     string
 	loss       float64
 	nextBest   string
 	nextLoss   float64
@@ -63,6 +64,9 @@
 // Reason tells by what the endpoint was chosen.
 func (p *Place) Reason() string { return p.reason }
 
+// Keeper returns the address of the node that granted the place; empty when this node chose.
+func (p *Place) Keeper() string { return p.keeper }
+
 // Candidates returns among how many endpoints it was chosen.
 func (p *Place) Candidates() int { return p.candidates }
 
