Pauses of streams are seen and told: slow engines are passed over

Cause: open finding; engines that turn slow answer health checks and first events in time, and what showed it, the pauses between the events of the streams that run there, was not looked at.

--- a/chivedispatch/dispatcher.go
+++ b/chivedispatch/dispatcher.go
@@ -156,8 +156,8 @@
 // Preempted is closed when the scheduler wants the slot back.
 func (p *slotPlace) Preempted() <-chan struct{} { return p.slot.Preempted() }
 
-// Started does nothing: progress is told with the tokens.
-func (p *slotPlace) Started() {}
+// Event does nothing: progress is told with the tokens.
+func (p *slotPlace) Event() {}
 
 // Done gives the slot back.
 func (p *slotPlace) Done(now time.Time, ending chiveplace.Ending) time.Duration {
--- a/chivedispatch/service.go
+++ b/chivedispatch/service.go
@@ -134,8 +134,8 @@
 // Preempted never happens to plain services.
 func (p *replicaPlace) Preempted() <-chan struct{} { return nil }
 
-// Started does nothing.
-func (p *replicaPlace) Started() {}
+// Event does nothing.
+func (p *replicaPlace) Event() {}
 
 // Done gives the place back; a replica that refuses is leaving, which the fleet hears.
 func (p *replicaPlace) Done(now time.Time, ending chiveplace.Ending) time.Duration {
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -279,7 +279,7 @@
 			return c.streamEnd(ctx, parent, response, stream, rest, err)
 		}
 		c.heard()
-		c.place.Started()
+		c.place.Event()
 		ended, err := stream.Event(e.data, e.id, events.more())
 		if err != nil {
 			return c.callerFailed(err)
--- a/chiveplace/engine.go
+++ b/chiveplace/engine.go
@@ -106,9 +106,11 @@
 	again := missing - (c.prompt.Input - c.held)
 	loss += againPerToken * float64(max(again, 0))
 	disturbed := min(1, s.longShare(now, c.pool.rate)+float64(s.longWaiting())/c.pool.rate/aheadMs)
+	late := s.pauseLoss(now, c.prompt.Pause)
 	if c.tight {
-		loss += disturbed
+		late = max(late, disturbed)
 	}
+	loss += late
 	if missing > chunkTokens {
 		// Streams that are late anyway have nothing left to lose.
 		loss += float64(s.tight()) * (1 - disturbed) * min(1, float64(missing)/(4*chunkTokens))
--- a/chiveplace/news.go
+++ b/chiveplace/news.go
@@ -27,6 +27,8 @@
 	// Tight is how many of the requests are streams whose pauses a long read spoils, Long the waiting tokens of long reads.
 	Tight int
 	Long  int64
+	// Pause is the running pause between the events of the streams there.
+	Pause time.Duration
 }
 
 // Read is a prompt that a node sent to an endpoint.
@@ -52,7 +54,8 @@
 	for _, id := range ids {
 		s := p.seats[id]
 		s.dirty = false
-		news.Loads = append(news.Loads, Load{Endpoint: id, Requests: s.own, Waiting: s.ownWaiting.trimmed(), Tight: s.ownTight, Long: s.ownLong})
+		s.told = s.pause.value
+		news.Loads = append(news.Loads, Load{Pause: s.told.Round(time.Millisecond), Endpoint: id, Requests: s.own, Waiting: s.ownWaiting.trimmed(), Tight: s.ownTight, Long: s.ownLong})
 	}
 	news.Reads = append(news.Reads, p.reads...)
 	p.reads = nil
@@ -71,6 +74,7 @@
 	for _, l := range news.Loads {
 		if s, ok := p.seats[l.Endpoint]; ok {
 			s.setOther(node, l)
+			s.hearPause(now, l.Pause)
 		}
 	}
 	for _, r := range news.Reads {
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -42,6 +42,7 @@
 	rank       chivetable.Rank
 	tight      bool
 	started    bool
+	lastEvent  time.Time
 	ended      bool
 }
 
@@ -81,13 +82,17 @@
 // Ahead returns how many prompt tokens of requests as urgent or more were believed to wait there before it.
 func (p *Place) Ahead() int64 { return p.ahead }
 
-// Started notes that the answer has begun: the prompt has been read.
-func (p *Place) Started() {
+// Event notes an event of the answer; with the first the prompt has been read.
+func (p *Place) Event() {
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
-	if !p.started {
-		p.pool.learnRate(p.reads+p.ahead, time.Since(p.began))
+	now := time.Now()
+	if p.started {
+		p.seat.notePause(now, now.Sub(p.lastEvent))
+	} else {
+		p.pool.learnRate(p.reads+p.ahead, now.Sub(p.began))
 	}
+	p.lastEvent = now
 	p.begin()
 }
 
--- a/chiveplace/pool_test.go
+++ b/chiveplace/pool_test.go
@@ -70,9 +70,9 @@
 		if a.Endpoint().ID != b.Endpoint().ID {
 			t.Errorf("part %d: %s and %s", shared, a.Endpoint().ID, b.Endpoint().ID)
 		}
-		a.Started()
+		a.Event()
 		a.Done(now, chiveplace.EndedWell)
-		b.Started()
+		b.Event()
 		b.Done(now, chiveplace.EndedWell)
 	}
 }
--- a/chiveplace/seat.go
+++ b/chiveplace/seat.go
@@ -48,6 +48,11 @@
 	took      float64
 	tookAt    time.Time
 	cache     *cache
+	// pause is the running pause between events of this node's streams there, with the time of its last change; told is what the
+	// other nodes were told of it, and othersPause what they tell.
+	pause fading
+	told  time.Duration
+	heard fading
 }
 
 func newSeat(e chivedirectory.Endpoint, cacheTokens int64) *seat {
