Requests without a team rank as the usual teams; engines divided cheaply

Change: a request without a team's tier stands with the tier that most teams have. Every word on one of 3,000 engines divided them anew, with a string hash for each engine and group, and a grant looked at every engine of the pool. Change: divided at most every 300 ms on a goroutine, weights from one hash an engine, a keeper looks up its own engines only.

--- a/chivegrant/groups.go
+++ b/chivegrant/groups.go
@@ -22,36 +22,47 @@
 // groups is one division of the engines into groups and of the groups onto nodes. It never changes.
 type groups struct {
 	asking  bool
-	pools   map[string][]string
+	pools   map[string]*division
 	groupOf map[string]string
 	engines map[string]map[string]bool
 	keepers map[string]string
 }
 
+// division is one pool's engines, in order of their hashes, with the number of each one's group.
+type division struct {
+	hashes []uint64
+	group  []int
+	names  []string
+}
+
+// engineID is an engine with the hash of its id.
+type engineID struct {
+	id   string
+	hash uint64
+}
+
 // newGroups divides the engines of each pool. An engine's group depends on its id and the number of groups alone, so that nodes
 // agree without talking, and a change of the number moves few engines.
 func newGroups(endpoints []chivedirectory.Endpoint, isEngine func(pool string) bool, members []chivemember.Member) *groups {
 	g := &groups{
-		asking: len(members) > aloneUpTo, pools: make(map[string][]string), groupOf: make(map[string]string),
+		asking: len(members) > aloneUpTo, pools: make(map[string]*division), groupOf: make(map[string]string),
 		engines: make(map[string]map[string]bool), keepers: make(map[string]string),
 	}
 	if !g.asking {
 		return g
 	}
+	ids := make(map[string][]engineID)
 	for _, e := range endpoints {
 		if isEngine(e.Pool) {
-			g.pools[e.Pool] = append(g.pools[e.Pool], e.ID)
+			ids[e.Pool] = append(ids[e.Pool], engineID{e.ID, chiveplace.HashID(e.ID)})
 		}
 	}
 	var keys []chiveroute.Key
-	for pool, ids := range g.pools {
-		count := max(1, len(ids)/groupEngines)
-		for i := range count {
-			name := groupName(pool, i)
-			g.engines[name] = make(map[string]bool)
+	for pool, engines := range ids {
+		g.pools[pool] = g.divide(pool, engines)
+		for _, name := range g.pools[pool].names {
 			keys = append(keys, chiveroute.NewKey(name, ""))
 		}
-		g.fill(pool, ids, count)
 	}
 	placement := chiveroute.NewPlacement(keys, members)
 	for name := range g.engines {
@@ -62,30 +73,37 @@
 	return g
 }
 
-// fill puts each engine into the group with the highest rendezvous weight that is not full yet. Without a bound some groups of
+// divide puts each engine into the group with the highest rendezvous weight that is not full yet. Without a bound some groups of
 // nine would have two engines and others twenty.
-func (g *groups) fill(pool string, ids []string, count int) {
-	most := (len(ids)+count-1)/count + 1
-	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(chiveplace.Rendezvous(a, 0), chiveplace.Rendezvous(b, 0)) })
-	for _, id := range ids {
-		name := g.nearestWithRoom(pool, id, count, most)
-		g.groupOf[id] = name
-		g.engines[name][id] = true
+func (g *groups) divide(pool string, engines []engineID) *division {
+	count := max(1, len(engines)/groupEngines)
+	most := (len(engines)+count-1)/count + 1
+	slices.SortFunc(engines, func(a, b engineID) int { return cmp.Compare(a.hash, b.hash) })
+	d := &division{names: make([]string, count)}
+	for i := range d.names {
+		d.names[i] = pool + "/" + strconv.Itoa(i)
+		g.engines[d.names[i]] = make(map[string]bool)
+	}
+	sizes := make([]int, count)
+	for _, e := range engines {
+		group := nearestWithRoom(e.hash, sizes, most)
+		sizes[group]++
+		d.hashes, d.group = append(d.hashes, e.hash), append(d.group, group)
+		g.groupOf[e.id] = d.names[group]
+		g.engines[d.names[group]][e.id] = true
 	}
+	return d
 }
 
-func groupName(pool string, number int) string { return pool + "/" + strconv.Itoa(number) }
-
 // nearestWithRoom returns the group with the highest rendezvous weight for an engine among those with room.
-func (g *groups) nearestWithRoom(pool, id string, count, most int) string {
-	best, highest := "", uint64(0)
-	for i := range count {
-		name := groupName(pool, i)
-		if len(g.engines[name]) >= most {
+func nearestWithRoom(hash uint64, sizes []int, most int) int {
+	best, highest := -1, uint64(0)
+	for i, size := range sizes {
+		if size >= most {
 			continue
 		}
-		if weight := chiveplace.Rendezvous(id, uint64(i+1)); best == "" || weight > highest {
-			best, highest = name, weight
+		if weight := chiveplace.Weigh(hash, uint64(i+1)); best < 0 || weight > highest {
+			best, highest = i, weight
 		}
 	}
 	return best
@@ -94,20 +112,31 @@
 // homes returns the group of a part's home engine, and the group of the best engine outside it; each empty when there is none.
 // Going by engines gives large groups as many more parts.
 func (g *groups) homes(pool string, part uint64) (first, second string) {
-	best := make(map[string]uint64)
-	for _, id := range g.pools[pool] {
-		group := g.groupOf[id]
-		best[group] = max(best[group], chiveplace.Rendezvous(id, part))
+	d, ok := g.pools[pool]
+	if !ok {
+		return "", ""
+	}
+	best := make([]uint64, len(d.names))
+	for i, hash := range d.hashes {
+		best[d.group[i]] = max(best[d.group[i]], chiveplace.Weigh(hash, part))
 	}
-	for group, weight := range best {
+	home, next := -1, -1
+	for i, weight := range best {
 		switch {
-		case first == "" || weight > best[first]:
-			first, second = group, first
-		case second == "" || weight > best[second]:
-			second = group
+		case home < 0 || weight > best[home]:
+			home, next = i, home
+		case next < 0 || weight > best[next]:
+			next = i
 		}
 	}
-	return first, second
+	return d.name(home), d.name(next)
+}
+
+func (d *division) name(group int) string {
+	if group < 0 {
+		return ""
+	}
+	return d.names[group]
 }
 
 // keptBy returns the groups that a node keeps, by name.
--- a/chivegrant/service.go
+++ b/chivegrant/service.go
@@ -31,6 +31,8 @@
 	// silentFor is how long a keeper that did not answer is not asked: about the time until it is noticed as dead.
 	silentFor = 2 * time.Second
 	inboxSize = 1024
+	// divideEvery is the least time between two divisions: when a deployment starts, thousands of engines come one by one.
+	divideEvery = 300 * time.Millisecond
 	// spillLoss is how much more the home group of a part may cost than reading the prompt anew in another group.
 	spillLoss = 0.3
 )
@@ -87,13 +89,14 @@
 	silent    map[string]time.Time
 	seen      map[string]uint64
 	duties    chivekernel.Duties
+	changed   chan struct{}
 }
 
 // New returns a service that knows no engines yet.
 func New(o Options) *Service {
 	s := &Service{
 		o: o, inbox: chivering.New[question](inboxSize), engines: make(map[string]bool), waiting: make(map[uint64]chan PlaceAnswer),
-		silent: make(map[string]time.Time), seen: make(map[string]uint64),
+		silent: make(map[string]time.Time), seen: make(map[string]uint64), changed: make(chan struct{}, 1),
 	}
 	s.divided.Store(newGroups(nil, nil, nil))
 	chivewire.Receive(o.Mesh, chivewire.KindPlaceAsk, func(from string, ask PlaceAsk) {
@@ -106,7 +109,7 @@
 
 // Start begins to answer.
 func (s *Service) Start(ctx context.Context) error {
-	s.duties.Begin(ctx, s.run)
+	s.duties.Begin(ctx, s.run, s.divideWhenChanged)
 	return nil
 }
 
@@ -134,7 +137,7 @@
 		s.engines[p.Name] = p.Engine.Slots > 0
 	}
 	s.mu.Unlock()
-	s.divide()
+	s.change()
 }
 
 // SetEndpoints takes a change of the directory.
@@ -142,7 +145,7 @@
 	s.mu.Lock()
 	s.endpoints = endpoints
 	s.mu.Unlock()
-	s.divide()
+	s.change()
 }
 
 // SetMembers takes a change of the fleet.
@@ -156,7 +159,31 @@
 	maps.DeleteFunc(s.silent, func(address string, _ time.Time) bool { return !there(address) })
 	maps.DeleteFunc(s.seen, func(address string, _ uint64) bool { return !there(address) })
 	s.mu.Unlock()
-	s.divide()
+	s.change()
+}
+
+// change wakes the goroutine that divides.
+func (s *Service) change() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Service) divideWhenChanged(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.changed:
+			s.divide()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(divideEvery):
+		}
+	}
 }
 
 func (s *Service) divide() {
--- a/chivegrant/service_test.go
+++ b/chivegrant/service_test.go
@@ -80,6 +80,8 @@
 	n.grant.SetTable(table)
 	n.grant.SetEndpoints(endpoints)
 	n.grant.SetMembers(members)
+	// Engines are divided on a goroutine of their own, the last change within 300 ms.
+	time.Sleep(400 * time.Millisecond)
 }
 
 func request(own uint64) *chiverequest.Request {
--- a/chiveplace/engine.go
+++ b/chiveplace/engine.go
@@ -64,10 +64,7 @@
 func (p *Pool) newEngineChoice(seats []*seat, ask Ask) *engineChoice {
 	prompt := ask.Prompt
 	c := &engineChoice{pool: p, prompt: prompt, tight: p.isTight(prompt), home: homeOf(seats, SharedPart(prompt))}
-	for id, s := range p.seats {
-		if ask.Among != nil && !ask.Among[id] {
-			continue
-		}
+	for _, s := range p.among(ask) {
 		c.held = max(c.held, prompt.Input-s.cache.missing(prompt))
 	}
 	return c
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -1,6 +1,8 @@
 package chiveplace
 
 import (
+	"iter"
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -152,8 +154,8 @@
 // those with room are passed over for earlier failures, they are better than none.
 func (p *Pool) usable(now time.Time, ask Ask) (usable []*seat, present int) {
 	var suspect []*seat
-	for id, s := range p.seats {
-		if s.endpoint.State != chivedirectory.Ready || (ask.Among != nil && !ask.Among[id]) {
+	for id, s := range p.among(ask) {
+		if s.endpoint.State != chivedirectory.Ready {
 			continue
 		}
 		present++
@@ -173,6 +175,20 @@
 	return usable, present
 }
 
+// among returns the seats that a request may be placed on; a keeper's part of a pool of thousands is looked up, not searched.
+func (p *Pool) among(ask Ask) iter.Seq2[string, *seat] {
+	if ask.Among == nil {
+		return maps.All(p.seats)
+	}
+	return func(yield func(string, *seat) bool) {
+		for id := range ask.Among {
+			if s, ok := p.seats[id]; ok && !yield(id, s) {
+				return
+			}
+		}
+	}
+}
+
 func (p *Pool) isFull(s *seat, prompt *chiverequest.Prompt) bool {
 	return p.engine.Slots > 0 && s.load() >= slotsFor(p.engine.Slots, prompt)
 }
@@ -214,16 +230,18 @@
 }
 
 // Rendezvous returns the weight of an endpoint for a part: the endpoint with the highest is the part's home.
-func Rendezvous(id string, part uint64) uint64 {
-	digest := xxhash.New()
-	// Writing to a hash cannot fail.
-	_, _ = digest.WriteString(id)
-	var number [8]byte
-	for i := range number {
-		number[i] = byte(part >> (8 * i))
-	}
-	_, _ = digest.Write(number[:])
-	return digest.Sum64()
+func Rendezvous(id string, part uint64) uint64 { return Weigh(HashID(id), part) }
+
+// HashID returns what Weigh takes in place of an id.
+func HashID(id string) uint64 { return xxhash.Sum64String(id) }
+
+// Weigh returns the weight of an endpoint, by the hash of its id, for a part. A pool of thousands is weighed for each request, so
+// this is a few operations (the finish of splitmix64).
+func Weigh(hash, part uint64) uint64 {
+	x := hash ^ part*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
 
 // SeatState is the dump of one endpoint.
--- a/chivetable/rank.go
+++ b/chivetable/rank.go
@@ -42,12 +42,29 @@
 	return t.route - other.route
 }
 
-// tiersOf returns what a request is compared by; the route's tier alone decides where the team has none.
-func tiersOf(r *Route, team *Team) tiers {
+// tiersOf returns what a request is compared by. Requests without a team's tier stand with the usual teams: were they put by
+// their route's tier alone, a few anonymous routes would push all teams down.
+func (t *Table) tiersOf(r *Route, team *Team) tiers {
 	if team != nil && team.HasTier {
 		return tiers{team.Tier, r.Tier}
 	}
-	return tiers{r.Tier, r.Tier}
+	return tiers{t.usualTier, r.Tier}
+}
+
+// usualTierOf returns the tier that most teams have, of several the most urgent; 0 when no team has one.
+func usualTierOf(teams []Team) int {
+	count := make(map[int]int)
+	usual := 0
+	for _, team := range teams {
+		if !team.HasTier {
+			continue
+		}
+		count[team.Tier]++
+		if more := count[team.Tier] - count[usual]; more > 0 || (more == 0 && team.Tier < usual) {
+			usual = team.Tier
+		}
+	}
+	return usual
 }
 
 // ranksOf lists all that requests to each pool can be compared by, in order. Routes with prompts stand apart from those without:
@@ -69,11 +86,11 @@
 // possible lists what requests on a route can be compared by.
 func (t *Table) possible(r *Route) []tiers {
 	if !t.NeedsKey(r) {
-		return []tiers{tiersOf(r, nil)}
+		return []tiers{t.tiersOf(r, nil)}
 	}
 	all := make([]tiers, 0, len(t.spec.Teams))
 	for i := range t.spec.Teams {
-		all = append(all, tiersOf(r, &t.spec.Teams[i]))
+		all = append(all, t.tiersOf(r, &t.spec.Teams[i]))
 	}
 	return all
 }
@@ -87,7 +104,7 @@
 // RankOf returns the rank of a request to a pool.
 func (t *Table) RankOf(pool string, r *Route, team *Team) Rank {
 	ranks := t.ranks[queue{pool, r.Prompted}]
-	place, _ := slices.BinarySearchFunc(ranks, tiersOf(r, team), tiers.compare)
+	place, _ := slices.BinarySearchFunc(ranks, t.tiersOf(r, team), tiers.compare)
 	return Rank{Place: place, Of: len(ranks)}
 }
 
--- a/chivetable/table.go
+++ b/chivetable/table.go
@@ -111,6 +111,8 @@
 	byHost map[string][]*Route
 	pools  map[string]*Pool
 	ranks  map[queue][]tiers
+	// usualTier is the tier that most teams have.
+	usualTier int
 }
 
 // New checks a spec and returns its table; the error names the version and the route.
@@ -130,6 +132,7 @@
 	for _, routes := range t.byHost {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	}
+	t.usualTier = usualTierOf(spec.Teams)
 	t.ranks = t.ranksOf()
 	return t, nil
 }
