--- a/chivetable/rank.go
+++ b/chivetable/rank.go
@@ -29,26 +29,29 @@
 	return r.Place * steps / r.Of
 }
 
-// tiers is what two requests are compared by: the team's tier goes before the route's.
+// tiers is what two requests are compared by: the route's tier, and between requests of one tier the team's.
+//
+// Were the team's compared first, large requests of the least urgent route would go before the most urgent ones of most teams:
+// under overload those got nothing while the large ones began.
 type tiers struct {
-	first int
 	route int
+	team  int
 }
 
 func (t tiers) compare(other tiers) int {
-	if t.first != other.first {
-		return t.first - other.first
+	if t.route != other.route {
+		return t.route - other.route
 	}
-	return t.route - other.route
+	return t.team - other.team
 }
 
-// tiersOf returns what a request is compared by. Requests without a team's tier stand with the usual teams: were they put by
-// their route's tier alone, a few anonymous routes would push all teams down.
+// tiersOf returns what a request is compared by. Requests without a team's tier stand with the usual teams, so that a few
+// anonymous routes do not push all teams down.
 func (t *Table) tiersOf(r *Route, team *Team) tiers {
 	if team != nil && team.HasTier {
-		return tiers{team.Tier, r.Tier}
+		return tiers{r.Tier, team.Tier}
 	}
-	return tiers{t.usualTier, r.Tier}
+	return tiers{r.Tier, t.usualTier}
 }
 
 // usualTierOf returns the tier that most teams have, of several the most urgent; 0 when no team has one.
--- a/chivetable/table.go
+++ b/chivetable/table.go
@@ -78,7 +78,7 @@
 	Engine      Engine
 }
 
-// Team is a customer. Its tier, where it has one, goes before the route's: routes only decide among teams of one tier.
+// Team is a customer. Its tier, where it has one, decides between requests on routes of one tier.
 type Team struct {
 	Name    string
 	HasTier bool
