Endpoints' bytes fuzzed; an event is left out only if an earlier attempt delivered it

Events whose ids did not rise were dropped also within one attempt, so what looked whole was not the endpoint's answer. Change: what is compared is the last event that the caller had when the attempt began. Test: FuzzEndpointBytes (any bytes, then the connection closes): completed only with the endpoint's whole answer, not run only by its own word, sent once. Its first form used TCP and ran out of ports (TIME_WAIT of its own connections, 'address already in use' in other tests until those had gone); it uses pipes in memory now.

--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -270,7 +270,7 @@
 func (c *call) relay(ctx, parent context.Context, response *http.Response) ending {
 	stream := c.run.request.Stream
 	if stream == nil {
-		stream = &idStream{run: c.run, response: response}
+		stream = &idStream{run: c.run, response: response, from: c.run.last}
 	}
 	events := newEventReader(response.Body)
 	for {
--- a/chiveforward/endpoint_test.go
+++ b/chiveforward/endpoint_test.go
@@ -152,6 +152,11 @@
 }
 
 func newSetup(t *testing.T, route chivetable.Route, endpoints ...chivedirectory.Endpoint) *setup {
+	t.Helper()
+	return newSetupOn(t, chivewire.TCP{}, route, endpoints...)
+}
+
+func newSetupOn(t *testing.T, network chivewire.Network, route chivetable.Route, endpoints ...chivedirectory.Endpoint) *setup {
 	t.Helper()
 	route.Name, route.Host, route.Prefix = "r", "h", "/"
 	route.Shares = []chivetable.Share{{Pool: "p", Weight: 1}}
@@ -169,7 +174,7 @@
 	asleep, began := &atomic.Int64{}, time.Now()
 	f := chiveforward.New(chiveforward.Options{
 		SinceBoot: func() time.Duration { return time.Since(began) + time.Duration(asleep.Load()) },
-		Self:      "test", Network: chivewire.TCP{}, Dialect: wireDialect{}, Places: pools, Repeats: budget, Rules: chiveforward.StoreRules,
+		Self:      "test", Network: network, Dialect: wireDialect{}, Places: pools, Repeats: budget, Rules: chiveforward.StoreRules,
 		Logger: slog.New(slog.DiscardHandler),
 	})
 	if err := f.Start(context.Background()); err != nil {
--- a/chiveforward/stream.go
+++ b/chiveforward/stream.go
@@ -8,12 +8,15 @@
 type idStream struct {
 	run      *run
 	response *http.Response
+	// from is the last event that the caller had when the attempt began.
+	from string
 }
 
-// Event passes an event on unless the caller has it already.
+// Event passes an event on unless the caller has it from an earlier attempt. Within one attempt nothing is left out, whatever its
+// ids: the answer would look whole and not be the endpoint's.
 func (s *idStream) Event(data []byte, id string, more bool) (ended bool, err error) {
 	r := s.run
-	if !after(id, r.last) {
+	if !after(id, s.from) {
 		return false, nil
 	}
 	r.start(s.response.StatusCode, s.response.Header)
