--- a/chiveplace/admit.go
+++ b/chiveplace/admit.go
@@ -1,6 +1,7 @@
 package chiveplace
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -33,7 +34,8 @@
 		return nil
 	}
 	after := max(time.Duration((wait-most)*float64(time.Millisecond)), comeBackLeast)
-	return &RefusedError{Reason: "the engines have too much to read", RetryAfter: after}
+	reason := fmt.Sprintf("the engines have too much to read: %.0f ms of wait, %.0f allowed for rank %d", wait, most, prompt.Rank.Place)
+	return &RefusedError{Reason: reason, RetryAfter: after}
 }
 
 // slotsFor is how many of an engine's slots a rank may use.
