--- a/chivedirectory/service.go
+++ b/chivedirectory/service.go
@@ -70,16 +70,9 @@
 }
 
 func (s *Service) run(ctx context.Context) {
-	tick := time.NewTicker(expireEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			s.change(func() bool { return s.directory.Expire(now) }, "missing after the store's return")
-		}
-	}
+	chivekernel.Every(ctx, expireEvery, func(now time.Time) {
+		s.change(func() bool { return s.directory.Expire(now) }, "missing after the store's return")
+	})
 }
 
 // Replace takes a snapshot of the store.
--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -109,18 +109,11 @@
 
 // boundWaiting holds callers' connections to the bounds of the configuration in force.
 func (e *Entry) boundWaiting(ctx context.Context) {
-	tick := time.NewTicker(lateEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			if table := e.table.Load(); table != nil {
-				e.conns.closeLate(now, table.Limits())
-			}
+	chivekernel.Every(ctx, lateEvery, func(now time.Time) {
+		if table := e.table.Load(); table != nil {
+			e.conns.closeLate(now, table.Limits())
 		}
-	}
+	})
 }
 
 // Leave asks callers, with each answer, to take their connection elsewhere.
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -113,16 +113,9 @@
 }
 
 func (f *Forwarder) sweep(ctx context.Context) {
-	tick := time.NewTicker(sweepEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			f.lanes.sweep(time.Now())
-		}
-	}
+	chivekernel.Every(ctx, sweepEvery, func(now time.Time) {
+		f.lanes.sweep(now)
+	})
 }
 
 // errDeadline is the cause of a context whose request has run out of time.
--- /dev/null
+++ b/chivegrant/ask.go
@@ -0,0 +1,155 @@
+package chivegrant
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"chivedrift/chiveevent"
+	"chivedrift/chiveplace"
+	"chivedrift/chiverequest"
+	"chivedrift/chivewire"
+)
+
+// Place gets a place for a prompt. The error is ErrAlone when the node has to decide alone, a *chiveplace.RefusedError when
+// the engines have no room.
+func (s *Service) Place(ctx context.Context, pool *chiveplace.Pool, request *chiverequest.Request, exclude []string) (*chiveplace.Place, error) {
+	g := s.divided.Load()
+	if !g.asking {
+		return nil, ErrAlone
+	}
+	first, second := g.homes(request.Pool, chiveplace.SharedPart(request.Prompt))
+	if first == "" {
+		return nil, ErrAlone
+	}
+	w := &wish{service: s, groups: g, pool: pool, request: request, exclude: append(pool.PassedOver(time.Now()), exclude...)}
+	if second == "" {
+		return w.from(ctx, first, 0)
+	}
+	place, err := w.from(ctx, first, spillLoss+chiveplace.ReadingLoss(request.Prompt.Input))
+	var refused *chiveplace.RefusedError
+	if !errors.As(err, &refused) {
+		return place, err
+	}
+	place, elsewhere := w.from(ctx, second, refused.Loss)
+	if elsewhere == nil || refused.Loss == 0 {
+		return place, elsewhere
+	}
+	return w.from(ctx, first, 0)
+}
+
+// wish is one request on its way to a place.
+type wish struct {
+	service *Service
+	groups  *groups
+	pool    *chiveplace.Pool
+	request *chiverequest.Request
+	exclude []string
+}
+
+// from asks the keeper of a group, which may be this node.
+func (w *wish) from(ctx context.Context, group string, most float64) (*chiveplace.Place, error) {
+	s := w.service
+	keeper := w.groups.keepers[group]
+	if keeper == s.o.Mesh.Self() {
+		return w.pool.Take(time.Now(), chiveplace.Ask{Prompt: w.request.Prompt, Exclude: w.exclude, Among: w.groups.engines[group], Most: most})
+	}
+	ask := newPlaceAsk(w.request.Pool, group, w.request.Prompt)
+	ask.Exclude, ask.Most = w.exclude, most
+	answer, err := s.ask(ctx, keeper, ask)
+	if err != nil {
+		return nil, err
+	}
+	if answer.Refused != "" {
+		s.refused.Add(1)
+		return nil, &chiveplace.RefusedError{Reason: answer.Refused, RetryAfter: answer.RetryAfter, Loss: answer.Loss}
+	}
+	s.granted.Add(1)
+	answer.Grant.Keeper = keeper
+	place, ok := w.pool.Adopt(time.Now(), answer.Grant, w.request.Prompt)
+	s.note(keeper, answer.Given)
+	if !ok {
+		return nil, ErrAlone
+	}
+	return place, nil
+}
+
+// note remembers a grant, so that the next word to its keeper tells that it is counted there.
+func (s *Service) note(keeper string, given uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seen[keeper] = given
+}
+
+// ask sends a question and waits a short while for its answer.
+func (s *Service) ask(ctx context.Context, keeper string, ask PlaceAsk) (PlaceAnswer, error) {
+	ask.Number = s.numbers.Add(1)
+	answered := make(chan PlaceAnswer, 1)
+	s.mu.Lock()
+	silent := keeper == "" || time.Now().Before(s.silent[keeper])
+	if !silent {
+		s.waiting[ask.Number] = answered
+	}
+	s.mu.Unlock()
+	if silent {
+		return PlaceAnswer{}, ErrAlone
+	}
+	defer s.forget(ask.Number)
+	s.asked.Add(1)
+	if err := s.o.Mesh.Send(keeper, chivewire.KindPlaceAsk, ask); err != nil {
+		return PlaceAnswer{}, fmt.Errorf("%w: %w", ErrAlone, err)
+	}
+	timer := time.NewTimer(askWithin)
+	defer timer.Stop()
+	select {
+	case answer := <-answered:
+		s.noteAnswer(ctx, keeper)
+		return answer, nil
+	case <-ctx.Done():
+	case <-timer.C:
+		s.noteSilence(ctx, keeper, ask.Group)
+	}
+	return PlaceAnswer{}, ErrAlone
+}
+
+// noteSilence keeps the node from asking a keeper for a while; one line tells of a silence, however long it lasts.
+func (s *Service) noteSilence(ctx context.Context, keeper, group string) {
+	s.unheard.Add(1)
+	s.mu.Lock()
+	_, known := s.silent[keeper]
+	s.silent[keeper] = time.Now().Add(silentFor)
+	s.mu.Unlock()
+	if !known {
+		chiveevent.KeeperSilent.Log(ctx, s.o.Logger, slog.String("keeper", keeper), slog.String("group", group),
+			slog.Int64("waited_ms", askWithin.Milliseconds()))
+	}
+}
+
+func (s *Service) noteAnswer(ctx context.Context, keeper string) {
+	s.mu.Lock()
+	_, known := s.silent[keeper]
+	delete(s.silent, keeper)
+	s.mu.Unlock()
+	if known {
+		chiveevent.KeeperBack.Log(ctx, s.o.Logger, slog.String("keeper", keeper))
+	}
+}
+
+func (s *Service) forget(number uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiting, number)
+}
+
+// hear hands an answer to the request that waits for it; one that comes too late is dropped, and its place with it after a
+// while, since this node never tells of it.
+func (s *Service) hear(answer PlaceAnswer) {
+	s.mu.Lock()
+	answered := s.waiting[answer.Number]
+	s.mu.Unlock()
+	if answered != nil {
+		answered <- answer
+	}
+}
--- a/chivekernel/duties.go
+++ b/chivekernel/duties.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // Duties are the goroutines of one service, one for each duty; the zero value is ready.
@@ -30,3 +31,17 @@
 	}
 	d.done.Wait()
 }
+
+// Every calls a function at the end of each period, until the context ends.
+func Every(ctx context.Context, period time.Duration, do func(now time.Time)) {
+	tick := time.NewTicker(period)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			do(now)
+		}
+	}
+}
--- a/chiveorder/service.go
+++ b/chiveorder/service.go
@@ -101,16 +101,9 @@
 }
 
 func (s *Service) run(ctx context.Context) {
-	tick := time.NewTicker(roundEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			s.round(ctx)
-		}
-	}
+	chivekernel.Every(ctx, roundEvery, func(time.Time) {
+		s.round(ctx)
+	})
 }
 
 // round looks after every pool that asks for a version and has this node first in rendezvous order.
--- a/chiveschedule/client_care.go
+++ b/chiveschedule/client_care.go
@@ -6,22 +6,16 @@
 	"time"
 
 	"chivedrift/chiveevent"
+	"chivedrift/chivekernel"
 	"chivedrift/chivewire"
 )
 
 func (c *Client) run(ctx context.Context) {
-	tick := time.NewTicker(tendEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			c.mu.Lock()
-			c.tend(now)
-			c.mu.Unlock()
-		}
-	}
+	chivekernel.Every(ctx, tendEvery, func(now time.Time) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.tend(now)
+	})
 }
 
 // tend asks the next scheduler where no word came, and the gateway's own small share when nobody answers.
