--- a/chivegrant/service_test.go
+++ b/chivegrant/service_test.go
@@ -79,11 +79,11 @@
 }
 
 // learnEngines tells a node of so many engines.
-func (n *node) learnEngines(t testing.TB, engines int) {
-	t.Helper()
+func (n *node) learnEngines(tb testing.TB, engines int) {
+	tb.Helper()
 	table, err := chivetable.New(chivetable.Spec{Pools: []chivetable.Pool{{Name: "p", Engine: engine}}})
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	endpoints := make([]chivedirectory.Endpoint, 0, engines)
 	for i := range engines {
