A node that passes over all engines of a group decides alone

A node that was cut off from the engines names all of them as excluded for up to 4 s; keepers then have no place for it and it refuses every prompt, while a node that decides alone tries one of those it passes over. Change: groups of which the node passes over every engine are not asked. Test: NodeThatPassesOverAllEnginesDecidesAlone (before: 'no endpoint of the pool has a free place').

--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"time"
 
 	"chivedrift/chiveevent"
@@ -20,12 +21,15 @@
 	if !g.asking {
 		return nil, ErrAlone
 	}
+	w := &wish{service: s, groups: g, pool: pool, request: request, exclude: append(pool.PassedOver(time.Now()), exclude...)}
 	first, second := g.homes(request.Pool, chiveplace.SharedPart(request.Prompt))
-	if first == "" {
+	if w.isOut(first) {
+		first, second = second, ""
+	}
+	if w.isOut(first) {
 		return nil, ErrAlone
 	}
-	w := &wish{service: s, groups: g, pool: pool, request: request, exclude: append(pool.PassedOver(time.Now()), exclude...)}
-	if second == "" {
+	if w.isOut(second) {
 		return w.from(ctx, first, 0)
 	}
 	place, err := w.from(ctx, first, spillLoss+chiveplace.ReadingLoss(request.Prompt.Input))
@@ -49,6 +53,17 @@
 	exclude []string
 }
 
+// isOut tells whether this node would send to no engine of a group. A node that was cut off from the engines for a moment passes
+// over all of them; were it to ask, all would be excluded and the request refused, while alone it tries one of them.
+func (w *wish) isOut(group string) bool {
+	for engine := range w.groups.engines[group] {
+		if !slices.Contains(w.exclude, engine) {
+			return false
+		}
+	}
+	return true
+}
+
 // from asks the keeper of a group, which may be this node.
 func (w *wish) from(ctx context.Context, group string, most float64) (*chiveplace.Place, error) {
 	s := w.service
--- a/chivegrant/service_test.go
+++ b/chivegrant/service_test.go
@@ -162,6 +162,24 @@
 	}
 }
 
+// Symptom: a node refused all prompts for some seconds although the engines were there.
+// Sequence: it was cut off from the engines for a moment, and passed over all of them for up to four seconds.
+// Cause: it named all of them to the keeper as engines that it would not send to. It decides alone then, and tries one.
+func TestNodeThatPassesOverAllEnginesDecidesAlone(t *testing.T) {
+	n := startNode(t, chivestand.FreeAddress())
+	n.know(t, 4, []string{n.mesh.Self()}, 20)
+	for i := range 4 {
+		place, err := n.place(uint64(i + 1))
+		if err != nil {
+			t.Fatalf("engine %d: %v", i, err)
+		}
+		place.Done(time.Now(), chiveplace.EndedBroken)
+	}
+	if _, err := n.place(9); !errors.Is(err, chivegrant.ErrAlone) {
+		t.Errorf("got %v", err)
+	}
+}
+
 func TestSmallFleetsDecideAlone(t *testing.T) {
 	n := startNode(t, chivestand.FreeAddress())
 	n.know(t, 8, []string{n.mesh.Self()}, 8)
