A slow caller does not make an engine look slow

Change: only the wait for the endpoint's next event counts. Test: SlowCallerDoesNotMakeTheEngineLookSlow (failed with the time between events: 200 ms a piece).

--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -274,12 +274,14 @@
 	}
 	events := newEventReader(response.Body)
 	for {
+		// Only the wait for the endpoint counts: a caller that reads slowly holds up the loop, and must not make the engine look slow.
+		asked := time.Now()
 		e, rest, err := events.next()
 		if err != nil {
 			return c.streamEnd(ctx, parent, response, stream, rest, err)
 		}
 		c.heard()
-		c.place.Event()
+		c.place.Event(time.Since(asked))
 		ended, err := stream.Event(e.data, e.id, events.more())
 		if err != nil {
 			return c.callerFailed(err)
--- a/chiveforward/endpoint_test.go
+++ b/chiveforward/endpoint_test.go
@@ -157,6 +157,12 @@
 }
 
 func newSetupOn(t *testing.T, network chivewire.Network, route chivetable.Route, endpoints ...chivedirectory.Endpoint) *setup {
+	t.Helper()
+	return newSetupWith(t, func(o *chiveforward.Options) { o.Network = network }, route, endpoints...)
+}
+
+// newSetupWith makes a forwarder whose options a test may change.
+func newSetupWith(t *testing.T, change func(o *chiveforward.Options), route chivetable.Route, endpoints ...chivedirectory.Endpoint) *setup {
 	t.Helper()
 	route.Name, route.Host, route.Prefix = "r", "h", "/"
 	route.Shares = []chivetable.Share{{Pool: "p", Weight: 1}}
@@ -172,11 +178,13 @@
 	pools.SetTable(table)
 	pools.SetEndpoints(endpoints)
 	asleep, began := &atomic.Int64{}, time.Now()
-	f := chiveforward.New(chiveforward.Options{
+	options := chiveforward.Options{
 		SinceBoot: func() time.Duration { return time.Since(began) + time.Duration(asleep.Load()) },
-		Self:      "test", Network: network, Dialect: wireDialect{}, Places: pools, Repeats: budget, Rules: chiveforward.StoreRules,
+		Self:      "test", Network: chivewire.TCP{}, Dialect: wireDialect{}, Places: pools, Repeats: budget, Rules: chiveforward.StoreRules,
 		Logger: slog.New(slog.DiscardHandler),
-	})
+	}
+	change(&options)
+	f := chiveforward.New(options)
 	if err := f.Start(context.Background()); err != nil {
 		t.Fatal(err)
 	}
--- a/chiveforward/run_test.go
+++ b/chiveforward/run_test.go
@@ -10,6 +10,7 @@
 
 	"chivedrift/chivedirectory"
 	"chivedrift/chiveforward"
+	"chivedrift/chiverequest"
 	"chivedrift/chivetable"
 )
 
@@ -287,3 +288,58 @@
 		t.Errorf("sent %d times, got %+v", bad.requests(), result)
 	}
 }
+
+// watchedPlaces notes how long the events of an answer were waited for.
+type watchedPlaces struct {
+	chiveforward.Places
+	waits []time.Duration
+}
+
+func (p *watchedPlaces) Take(ctx context.Context, request *chiverequest.Request, exclude []string) (chiveforward.Place, error) {
+	place, err := p.Places.Take(ctx, request, exclude)
+	if err != nil {
+		return nil, err
+	}
+	return &watchedPlace{place, p}, nil
+}
+
+type watchedPlace struct {
+	chiveforward.Place
+	of *watchedPlaces
+}
+
+func (p *watchedPlace) Event(waited time.Duration) {
+	p.of.waits = append(p.of.waits, waited)
+	p.Place.Event(waited)
+}
+
+// slowCaller takes a fifth of a second for each piece.
+type slowCaller struct{ caller }
+
+func (c *slowCaller) Write(data []byte, flush bool) error {
+	time.Sleep(200 * time.Millisecond)
+	return c.caller.Write(data, flush)
+}
+
+// Symptom: all nodes passed over an engine that was as fast as the others.
+// Sequence: a caller read its stream slowly; the next event was looked at only after the caller had taken the one before.
+// Cause: the time between two events held the caller's part too. Only the wait for the endpoint counts.
+func TestSlowCallerDoesNotMakeTheEngineLookSlow(t *testing.T) {
+	e := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) {
+		write(conn, streamHead+"Transfer-Encoding: chunked\r\n\r\n"+chunk("id: 1\ndata: a\n\n")+chunk("id: 2\ndata: b\n\n")+chunk("id: 3\ndata: c\n\n")+"0\r\n\r\n")
+	})
+	var watched *watchedPlaces
+	s := newSetupWith(t, func(o *chiveforward.Options) {
+		watched = &watchedPlaces{Places: o.Places}
+		o.Places = watched
+	}, chivetable.Route{Attempts: 1, Stream: true}, e.entry("e"))
+	result := s.forwarder.Run(context.Background(), s.request(http.MethodPost, "body"), &slowCaller{})
+	if result.Outcome != chiveforward.Completed || len(watched.waits) != 3 {
+		t.Fatalf("got %+v, waits %v", result, watched.waits)
+	}
+	for _, waited := range watched.waits[1:] {
+		if waited > 100*time.Millisecond {
+			t.Errorf("the engine's events were waited for %v", watched.waits)
+		}
+	}
+}
--- a/chiveplace/pause_test.go
+++ b/chiveplace/pause_test.go
@@ -13,8 +13,8 @@
 	t.Helper()
 	place := take(t, p, time.Now(), shortPrompt(1))
 	for range 5 {
-		place.Event()
 		time.Sleep(time.Second)
+		place.Event(time.Second)
 	}
 	return place.Endpoint().ID
 }
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -42,7 +42,6 @@
 	rank       chivetable.Rank
 	tight      bool
 	started    bool
-	lastEvent  time.Time
 	ended      bool
 }
 
@@ -82,17 +81,16 @@
 // Ahead returns how many prompt tokens of requests as urgent or more were believed to wait there before it.
 func (p *Place) Ahead() int64 { return p.ahead }
 
-// Event notes an event of the answer; with the first the prompt has been read.
-func (p *Place) Event() {
+// Event notes an event of the answer that was waited for so long; with the first the prompt has been read.
+func (p *Place) Event(waited time.Duration) {
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
 	now := time.Now()
 	if p.started {
-		p.seat.notePause(now, now.Sub(p.lastEvent))
+		p.seat.notePause(now, waited)
 	} else {
 		p.pool.learnRate(p.reads+p.ahead, now.Sub(p.began))
 	}
-	p.lastEvent = now
 	p.begin()
 }
 
--- a/chiveplace/seat.go
+++ b/chiveplace/seat.go
@@ -48,8 +48,8 @@
 	took      float64
 	tookAt    time.Time
 	cache     *cache
-	// pause is the running pause between events of this node's streams there, with the time of its last change; told is what the
-	// other nodes were told of it, and othersPause what they tell.
+	// pause is the running pause between events of this node's streams there; told is what the other nodes were told of it, and
+	// heard what they tell.
 	pause fading
 	told  time.Duration
 	heard fading
