A keeper that does not know the engines yet refuses nobody

The keeper had not divided the engines it had just heard of (up to 0.3 s); the node that asked took its answer for a refusal, although it knew the engines itself. Ruled out: the test (it waits until engines are known; the node refused what it could have placed). Change: such an answer is no answer; the node decides alone.

--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -77,6 +77,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if answer.Unknown {
+		return nil, ErrAlone
+	}
 	if answer.Refused != "" {
 		s.refused.Add(1)
 		return nil, &chiveplace.RefusedError{Reason: answer.Refused, RetryAfter: answer.RetryAfter, Loss: answer.Loss}
--- a/chivegrant/keep.go
+++ b/chivegrant/keep.go
@@ -25,7 +25,7 @@
 	answer := PlaceAnswer{Number: q.ask.Number}
 	pool, among := s.o.Pools.Pool(q.ask.Pool), s.divided.Load().engines[q.ask.Group]
 	if pool == nil || len(among) == 0 {
-		answer.Refused, answer.RetryAfter = "the keeper does not know the engines yet", chiveplace.RetryWhenNone
+		answer.Unknown = true
 		return answer
 	}
 	given := s.given.Add(1)
--- a/chivegrant/message.go
+++ b/chivegrant/message.go
@@ -44,6 +44,8 @@
 	Number uint64
 	Given  uint64
 	Grant  chiveplace.Grant
+	// Unknown tells that the keeper does not know the engines of the group yet.
+	Unknown bool
 	// Refused tells why there is no grant; RetryAfter and Loss go with it.
 	Refused    string
 	RetryAfter time.Duration
--- a/chivegrant/service_test.go
+++ b/chivegrant/service_test.go
@@ -180,6 +180,18 @@
 	}
 }
 
+// Symptom: requests were refused for some tenths of a second after engines had come, by nodes that knew them.
+// Sequence: the keeper of the engines had not divided them yet when it was asked.
+// Cause: its answer counted as a refusal. It says nothing of the engines' room, so the node decides alone.
+func TestKeeperThatDoesNotKnowTheEnginesYetRefusesNobody(t *testing.T) {
+	keeper, n := startNode(t, chivestand.FreeAddress()), startNode(t, chivestand.FreeAddress())
+	keeper.know(t, 0, []string{keeper.mesh.Self()}, 20)
+	n.know(t, 8, []string{keeper.mesh.Self()}, 20)
+	if _, err := n.place(1); !errors.Is(err, chivegrant.ErrAlone) {
+		t.Errorf("got %v", err)
+	}
+}
+
 func TestSmallFleetsDecideAlone(t *testing.T) {
 	n := startNode(t, chivestand.FreeAddress())
 	n.know(t, 8, []string{n.mesh.Self()}, 8)
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -25,9 +25,9 @@
 	usualTook = 0.03
 	// retryWhenFull is when a caller should come back to a pool without a free place, in the order of an answer's length.
 	retryWhenFull = 300 * time.Millisecond
-	// RetryWhenNone is when to come back to a pool without any endpoint: a node that has just started learns of them within a
+	// retryWhenNone is when to come back to a pool without any endpoint: a node that has just started learns of them within a
 	// few hundred milliseconds.
-	RetryWhenNone = 300 * time.Millisecond
+	retryWhenNone = 300 * time.Millisecond
 )
 
 // Ask is one request for a place.
@@ -129,7 +129,7 @@
 	usable, present := p.usable(now, ask)
 	if len(usable) == 0 {
 		if present == 0 {
-			return nil, &RefusedError{Reason: "no endpoint of the pool is known", RetryAfter: RetryWhenNone}
+			return nil, &RefusedError{Reason: "no endpoint of the pool is known", RetryAfter: retryWhenNone}
 		}
 		return nil, &RefusedError{Reason: "no endpoint of the pool has a free place", RetryAfter: retryWhenFull}
 	}
