A node's own cut is told from an outage of the store

Cause: a node that had lost the store, by a cut of its own or by reads that were never answered, kept what was missing afterwards for a grace time from its own return on, as if entries had lapsed. Ruled out: the peers' word (it came within 6 ms and was taken for a lapse), the readers' waits. Change: nodes remember when the store answered them; one in doubt asks the readers, and takes only answers that came within 300 ms. Answers without a gap of 2 s back to before the loss show a cut of its own: no grace. Else the grace time begins with the first of the answers that reach to now. A node that has lost the store reads it once itself before others read for it again. A node's own reading of a removal ends a peer's doubt.

--- a/chivedirectory/directory.go
+++ b/chivedirectory/directory.go
@@ -1,6 +1,7 @@
 package chivedirectory
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -46,6 +47,8 @@
 	Missing  bool
 	Keep     time.Duration
 	Endpoint Endpoint
+	// Read tells that this node has read the word from the store itself; it is never told to peers.
+	Read bool
 }
 
 const (
@@ -59,16 +62,18 @@
 //
 // While the store is away entries can lapse although their endpoints live: an endpoint cannot renew what it cannot reach.
 // Taking the first words after an outage as they are would drop every endpoint at once. So for a grace time after the
-// store's return a missing entry is kept, and only one that is still missing then counts as gone.
+// store's return a missing entry is kept, and only one that is still missing then counts as gone. After a cut of this node
+// alone there is no such time: what is missing then has left.
 //
 // Words come from the store and from peers, which may be ahead or behind; the offset in the store's log tells which is newer.
 type Directory struct {
-	grace    time.Duration
-	entries  map[string]*entry
-	gone     map[string]tombstone
-	newest   int64
-	storeUp  bool
-	returned time.Time
+	grace   time.Duration
+	entries map[string]*entry
+	gone    map[string]tombstone
+	newest  int64
+	answers answers
+	// outages are those whose grace time is not over, the newest last; the newest may last still.
+	outages []*outage
 }
 
 type entry struct {
@@ -87,18 +92,60 @@
 
 // New returns an empty directory; grace is how long a lapsed entry is kept after the store's return.
 func New(grace time.Duration) *Directory {
-	return &Directory{grace: grace, entries: make(map[string]*entry), gone: make(map[string]tombstone), newest: -1, storeUp: true}
+	return &Directory{grace: grace, entries: make(map[string]*entry), gone: make(map[string]tombstone), newest: -1}
 }
 
-// StoreLost notes that the store does not answer.
-func (d *Directory) StoreLost() { d.storeUp = false }
+// StoreAnswered notes that the store answered this node about endpoints.
+func (d *Directory) StoreAnswered(now time.Time) {
+	if lasting := d.lasting(); lasting != nil {
+		lasting.until = now
+	}
+	d.answers.note(now)
+}
+
+// StoreHeard notes that the store answered this node about something else: it is up, whether or not it answers about endpoints.
+func (d *Directory) StoreHeard(now time.Time) {
+	if lasting := d.lasting(); lasting != nil {
+		lasting.hear([]time.Time{now})
+	}
+	d.answers.note(now)
+}
+
+// StoreLost notes that the store does not answer this node any more.
+func (d *Directory) StoreLost() {
+	if d.lasting() == nil {
+		d.outages = append(d.outages, &outage{since: d.answers.last()})
+	}
+}
+
+// lasting returns the outage that lasts still, or nil.
+func (d *Directory) lasting() *outage {
+	if n := len(d.outages); n > 0 && d.outages[n-1].until.IsZero() {
+		return d.outages[n-1]
+	}
+	return nil
+}
+
+// Doubt returns how far back it matters whether the store answered other nodes; 0 where this node knows enough.
+func (d *Directory) Doubt(now time.Time) time.Duration {
+	for _, o := range d.outages {
+		if o.inGrace(now, d.grace) && !o.since.IsZero() {
+			return now.Sub(o.since)
+		}
+	}
+	return 0
+}
+
+// Answers returns how long ago the store answered this node, as far as that is within a time.
+func (d *Directory) Answers(now time.Time, within time.Duration) []time.Duration {
+	return d.answers.ages(now, within)
+}
 
-// StoreBack notes that the store answers again.
-func (d *Directory) StoreBack(now time.Time) {
-	if !d.storeUp {
-		d.returned = now
+// HearAnswers takes moments at which the store answered another node.
+func (d *Directory) HearAnswers(moments []time.Time) {
+	for _, o := range d.outages {
+		o.hear(moments)
 	}
-	d.storeUp = true
 }
 
 // Newest returns the offset of the newest word that was taken; -1 before the first.
@@ -109,7 +156,7 @@
 	d.newest = max(d.newest, word.Offset)
 	id := word.Endpoint.ID
 	if known, ok := d.entries[id]; ok && known.offset >= word.Offset {
-		return false
+		return known.offset == word.Offset && word.Read && word.Gone && d.confirm(now, id)
 	}
 	if old, ok := d.gone[id]; ok && old.offset >= word.Offset {
 		return false
@@ -150,6 +197,16 @@
 	return true
 }
 
+// confirm drops an entry that is kept for a peer's sake when this node reads the same removal itself and has no reason to doubt
+// it, so that it does not matter which of the two comes first.
+func (d *Directory) confirm(now time.Time, id string) bool {
+	if d.entries[id].missing.IsZero() || d.inGrace(now) {
+		return false
+	}
+	d.drop(now, id)
+	return true
+}
+
 // miss takes a peer's word that an entry lapsed around an outage which this node may not have seen.
 func (d *Directory) miss(now time.Time, word Word) {
 	known, ok := d.entries[word.Endpoint.ID]
@@ -168,8 +225,19 @@
 	delete(d.entries, id)
 }
 
+// inGrace tells whether an entry that is found missing now may only have lapsed.
 func (d *Directory) inGrace(now time.Time) bool {
-	return !d.storeUp || (!d.returned.IsZero() && now.Sub(d.returned) < d.grace)
+	return slices.ContainsFunc(d.outages, func(o *outage) bool { return o.inGrace(now, d.grace) })
+}
+
+// graceLeft is how much longer a missing entry is kept after the newest outage of the store.
+func (d *Directory) graceLeft(now time.Time) (left time.Duration) {
+	for _, o := range d.outages {
+		if since, own := o.contact(now); !own && !o.until.IsZero() {
+			left = max(left, since.Add(d.grace).Sub(now))
+		}
+	}
+	return left
 }
 
 // Replace takes a whole snapshot of the store: entries that are not in it are removed, by the same rule as one by one.
@@ -198,6 +266,8 @@
 	if d.inGrace(now) {
 		return false
 	}
+	// An outage of which nothing follows any more is forgotten; one that lasts is still to be told from a cut of this node alone.
+	d.outages = slices.DeleteFunc(d.outages, func(o *outage) bool { return !o.until.IsZero() && now.Sub(o.until) >= d.grace })
 	changed := false
 	for id, e := range d.entries {
 		if !e.missing.IsZero() && !now.Before(e.keep) {
@@ -238,7 +308,7 @@
 func (d *Directory) word(now time.Time, e *entry) Word {
 	w := Word{Offset: e.offset, Endpoint: e.endpoint, Missing: !e.missing.IsZero()}
 	if w.Missing {
-		w.Keep = max(d.returned.Add(d.grace).Sub(now), e.keep.Sub(now), 0)
+		w.Keep = max(d.graceLeft(now), e.keep.Sub(now), 0)
 	}
 	return w
 }
--- a/chivedirectory/directory_test.go
+++ b/chivedirectory/directory_test.go
@@ -30,7 +30,7 @@
 	d.Apply(now, word(1, "a"))
 	d.Apply(now, word(2, "b"))
 	d.StoreLost()
-	d.StoreBack(now)
+	d.StoreAnswered(now)
 	d.Apply(now, gone(3, "a"))
 	d.Apply(now, gone(4, "b"))
 	if n := len(d.Endpoints()); n != 2 {
@@ -112,7 +112,7 @@
 		d.Apply(now, word(1, "a"))
 	}
 	blinded.StoreLost()
-	blinded.StoreBack(now)
+	blinded.StoreAnswered(now)
 	blinded.Apply(now, gone(2, "a"))
 	for _, w := range blinded.Words(now, peer.Newest()) {
 		peer.Apply(now, w)
@@ -151,7 +151,7 @@
 	d := chivedirectory.New(grace)
 	d.Apply(now, word(1, "a"))
 	d.StoreLost()
-	d.StoreBack(now)
+	d.StoreAnswered(now)
 	d.Apply(now.Add(grace/2), gone(2, "a"))
 	d.Expire(now.Add(grace))
 	if n := len(d.Endpoints()); n != 0 {
--- a/chivedirectory/service.go
+++ b/chivedirectory/service.go
@@ -35,14 +35,18 @@
 	listeners []func([]Endpoint)
 	shown     map[string]Endpoint
 	rejected  int64
+	doubted   func()
 	duties    chivekernel.Duties
 }
 
 // NewService returns a directory without endpoints.
 func NewService(decode Decoder, grace time.Duration, logger *slog.Logger) *Service {
-	return &Service{directory: New(grace), decode: decode, logger: logger, shown: make(map[string]Endpoint)}
+	return &Service{directory: New(grace), decode: decode, logger: logger, shown: make(map[string]Endpoint), doubted: func() {}}
 }
 
+// OnDoubt takes what is called when it begins to matter whether the store answered other nodes; it must not block.
+func (s *Service) OnDoubt(doubted func()) { s.doubted = doubted }
+
 // OnChange adds a function that hears every change; it must not block. All are added before Start.
 func (s *Service) OnChange(heard func([]Endpoint)) { s.listeners = append(s.listeners, heard) }
 
@@ -97,20 +101,60 @@
 	}, source)
 }
 
+// Answered hears that the store answered about endpoints.
+func (s *Service) Answered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.directory.StoreAnswered(time.Now())
+}
+
+// AnsweredElse hears that the store answered about something else.
+func (s *Service) AnsweredElse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.directory.StoreHeard(time.Now())
+}
+
 // Lost hears that the store does not answer.
 func (s *Service) Lost(err error) {
 	s.mu.Lock()
 	s.directory.StoreLost()
 	s.mu.Unlock()
 	chiveevent.StoreLost.Log(context.Background(), s.logger, slog.String("for", "endpoints"), slog.String("error", err.Error()))
+	s.doubted()
 }
 
 // Back hears that the store answers again.
 func (s *Service) Back() {
-	s.mu.Lock()
-	s.directory.StoreBack(time.Now())
-	s.mu.Unlock()
 	chiveevent.StoreBack.Log(context.Background(), s.logger, slog.String("for", "endpoints"))
+	s.doubted()
+}
+
+// Doubt returns how far back it matters whether the store answered other nodes; 0 where this node knows enough.
+func (s *Service) Doubt() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.directory.Doubt(time.Now())
+}
+
+// Answers returns how long ago the store answered this node, as far as that is within a time.
+func (s *Service) Answers(within time.Duration) []time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.directory.Answers(time.Now(), within)
+}
+
+// HearAnswers takes how long ago, seen from a moment, the store answered another node. When that shows that only this node was
+// cut off, the entries that went missing meanwhile are dropped at once.
+func (s *Service) HearAnswers(from time.Time, ages []time.Duration) {
+	moments := make([]time.Time, 0, len(ages))
+	for _, age := range ages {
+		moments = append(moments, from.Add(-age))
+	}
+	s.change(func() bool {
+		s.directory.HearAnswers(moments)
+		return s.directory.Expire(time.Now())
+	}, "the store answered other nodes all the while")
 }
 
 // Words returns what a peer lacks that has taken everything up to an offset.
@@ -132,7 +176,7 @@
 	words := make([]Word, 0, len(records))
 	for _, r := range records {
 		if len(r.Value) == 0 {
-			words = append(words, Word{Offset: r.Offset, Gone: true, Endpoint: Endpoint{ID: r.Key}})
+			words = append(words, Word{Offset: r.Offset, Gone: true, Read: true, Endpoint: Endpoint{ID: r.Key}})
 			continue
 		}
 		e, err := s.decode(r.Key, r.Value)
@@ -140,7 +184,7 @@
 			s.reject(r, err)
 			continue
 		}
-		words = append(words, Word{Offset: r.Offset, Endpoint: e})
+		words = append(words, Word{Offset: r.Offset, Read: true, Endpoint: e})
 	}
 	return words
 }
--- a/chivefeed/follower.go
+++ b/chivefeed/follower.go
@@ -44,6 +44,9 @@
 	// Pace is the least time between the answer to one read and the next read: a busy topic is read in batches.
 	Pace     time.Duration
 	Listener Listener
+	// Answered is called with each answer of the log, before what the answer brings goes to the listener; nil means that nobody
+	// wants to know.
+	Answered func()
 	// Held tells that other nodes read the topic for this one; nil means never.
 	Held func() bool
 }
@@ -98,7 +101,9 @@
 	pause := retryFirst
 	rooted, held := false, false
 	for ctx.Err() == nil {
-		if rooted && f.o.Held != nil && f.o.Held() {
+		// A node that has lost the log reads it once itself before others read for it again: else it would wait for ever for the
+		// log's return, and keep for as long whatever is removed.
+		if rooted && !f.lost.Load() && f.o.Held != nil && f.o.Held() {
 			// What others read meanwhile is not known by offset here; an own read starts from a snapshot again.
 			held = true
 			sleep(ctx, heldPoll)
@@ -168,6 +173,9 @@
 
 func (f *Follower) markHeard() {
 	f.heard.Store(time.Now().UnixMilli())
+	if f.o.Answered != nil {
+		f.o.Answered()
+	}
 	if f.lost.Swap(false) {
 		f.o.Listener.Back()
 	}
--- a/chivegossip/readers.go
+++ b/chivegossip/readers.go
@@ -36,7 +36,7 @@
 	mu sync.Mutex
 	// rank is this node's place among the readers, and -1 when it is none of them.
 	rank    int
-	readers int
+	reading []string
 	inCare  []string
 	heard   atomic.Int64
 	told    chan struct{}
@@ -59,7 +59,7 @@
 	}
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
-	s.fleet.rank, s.fleet.readers, s.fleet.inCare = own, len(reading), inCare
+	s.fleet.rank, s.fleet.reading, s.fleet.inCare = own, reading, inCare
 }
 
 // careOf returns whom a reader tells at once: the other readers, and its part of the nodes that do not read.
@@ -87,7 +87,7 @@
 	if fresh && s.fleet.rank >= 0 {
 		return readEvery * time.Duration(s.fleet.rank+1)
 	}
-	return readEvery * time.Duration(max(s.fleet.readers, 1))
+	return readEvery * time.Duration(max(len(s.fleet.reading), 1))
 }
 
 // Held tells whether others read the store for this node.
--- a/chivegossip/service.go
+++ b/chivegossip/service.go
@@ -40,6 +40,12 @@
 	Words(after int64) []chivedirectory.Word
 	// Learn takes words.
 	Learn(words []chivedirectory.Word, source string)
+	// Doubt returns how far back it matters whether the store answered other nodes; 0 where it does not.
+	Doubt() time.Duration
+	// Answers returns how long ago the store answered this node, as far as that is within a time.
+	Answers(within time.Duration) []time.Duration
+	// HearAnswers takes how long ago, seen from a moment, the store answered another node.
+	HearAnswers(from time.Time, ages []time.Duration)
 }
 
 // Members tells which nodes there are.
@@ -84,18 +90,22 @@
 // Service compares this node's knowledge with its peers'.
 type Service struct {
 	o      Options
+	began  time.Time
 	inbox  *chivering.Ring[message]
 	fleet  fleet
+	doubt  chan struct{}
 	duties chivekernel.Duties
 }
 
 // New returns a service that asks nobody yet.
 func New(o Options) *Service {
-	s := &Service{o: o, inbox: chivering.New[message](inboxSize)}
+	s := &Service{o: o, began: time.Now(), inbox: chivering.New[message](inboxSize), doubt: make(chan struct{}, 1)}
 	s.fleet.told = make(chan struct{}, 1)
 	receive[Knowledge](s, chivewire.KindKnowledge)
 	receive[Document](s, chivewire.KindDocument)
 	receive[Words](s, chivewire.KindWords)
+	receive[AnswersAsk](s, chivewire.KindAnswersAsk)
+	receive[Answers](s, chivewire.KindAnswers)
 	return s
 }
 
@@ -135,6 +145,9 @@
 			return
 		case <-tick.C:
 			s.ask()
+			s.askAnswers()
+		case <-s.doubt:
+			s.askAnswers()
 		case <-s.fleet.told:
 			s.tell()
 		case m := <-s.inbox.Ready():
@@ -171,6 +184,10 @@
 		}
 	case Words:
 		s.o.Endpoints.Learn(body.Words, "peer "+m.from)
+	case AnswersAsk:
+		s.send(m.from, chivewire.KindAnswers, Answers{Asked: body.Asked, Ages: s.o.Endpoints.Answers(body.Within)})
+	case Answers:
+		s.hearAnswers(body)
 	}
 }
 
--- a/chivegossip/service_test.go
+++ b/chivegossip/service_test.go
@@ -64,6 +64,28 @@
 	}
 }
 
+func (f *fakeEndpoints) Doubt() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.d.Doubt(time.Now())
+}
+
+func (f *fakeEndpoints) Answers(within time.Duration) []time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.d.Answers(time.Now(), within)
+}
+
+func (f *fakeEndpoints) HearAnswers(from time.Time, ages []time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	moments := make([]time.Time, 0, len(ages))
+	for _, age := range ages {
+		moments = append(moments, from.Add(-age))
+	}
+	f.d.HearAnswers(moments)
+}
+
 type fakeMembers []chivemember.Member
 
 func (f fakeMembers) Members() []chivemember.Member { return f }
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -84,6 +84,7 @@
 	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Members: n.members, Tables: n.tables, Endpoints: n.directory})
 	n.tables.OnChange(func(*chivetable.Table) { n.gossip.Learnt() })
 	n.directory.OnChange(func([]chivedirectory.Endpoint) { n.gossip.Learnt() })
+	n.directory.OnDoubt(n.gossip.Doubt)
 	n.budget = chiveforward.NewBudget(time.Now(), chiveforward.BudgetLimits{
 		Ratio: s.Repeats.Ratio, Headroom: s.Repeats.Headroom, Window: time.Duration(s.Repeats.WindowS * float64(time.Second)),
 	})
@@ -104,9 +105,14 @@
 	n.tables.OnChange(n.entry.SetTable)
 	n.directory.OnChange(pools.SetEndpoints)
 	n.directory.OnChange(n.grants.SetEndpoints)
-	tableFeed := chivefeed.New(chivefeed.Options{Topic: store.Configurations(), Wait: n.gossip.ReadWait, Listener: n.tables, Held: n.gossip.Held})
+	tableFeed := chivefeed.New(chivefeed.Options{
+		Topic: store.Configurations(), Wait: n.gossip.ReadWait, Listener: n.tables, Answered: n.directory.AnsweredElse, Held: n.gossip.Held,
+	})
 	directoryFeed := chivefeed.New(chivefeed.Options{
-		Topic: store.Endpoints(), Wait: n.gossip.ReadWait, Pace: busyPace, Listener: n.directory, Held: n.gossip.Held,
+		Topic: store.Endpoints(), Wait: n.gossip.ReadWait, Pace: busyPace, Listener: n.directory, Answered: n.directory.Answered, Held: n.gossip.Held,
+	})
+	rosterFeed := chivefeed.New(chivefeed.Options{
+		Topic: store.Nodes(), Wait: noWait, Pace: rosterPace, Listener: roster, Answered: n.directory.AnsweredElse,
 	})
 	process := newProcess()
 	return n.register([]named{
@@ -121,7 +127,7 @@
 		{chivegossip.ServiceName, n.gossip},
 		{tableFeedName, tableFeed},
 		{directoryFeedName, directoryFeed},
-		{rosterFeedName, chivefeed.New(chivefeed.Options{Topic: store.Nodes(), Wait: noWait, Pace: rosterPace, Listener: roster})},
+		{rosterFeedName, rosterFeed},
 		{chiveforward.PoolsName, pools},
 		{chiveforward.ServiceName, forwarder},
 		{chivegrant.ServiceName, n.grants},
--- a/chivewire/kind.go
+++ b/chivewire/kind.go
@@ -43,6 +43,9 @@
 	KindWords     Kind = 98
 	KindLoads     Kind = 99
 
+	KindAnswersAsk Kind = 100
+	KindAnswers    Kind = 101
+
 	KindPlaceAsk    Kind = 104
 	KindPlaceAnswer Kind = 105
 )
@@ -57,6 +60,7 @@
 	KindClaimWrite: "claim_write", KindClaimResult: "claim_result", KindClaimRecord: "claim_record",
 	KindConfigAsk: "config_ask", KindConfigAnswer: "config_answer",
 	KindKnowledge: "knowledge", KindDocument: "document", KindWords: "words", KindLoads: "loads",
+	KindAnswersAsk: "answers_ask", KindAnswers: "answers",
 	KindPlaceAsk: "place_ask", KindPlaceAnswer: "place_answer",
 }
 
