Engines and callers on virtual time, and a command that plays the product's decisions against them

The pool takes the time of an event and the seed of its draws from outside, so that plays repeat to the byte. Logs tell a stream's longest pause, its promise and the hinted length.

--- a/chivecommand/verb.go
+++ b/chivecommand/verb.go
@@ -49,6 +49,7 @@
 		explainVerb,
 		quickstartVerb,
 		loadVerb,
+		experimentVerb,
 	}
 }
 
--- a/chivedispatch/dispatcher.go
+++ b/chivedispatch/dispatcher.go
@@ -157,7 +157,7 @@
 func (p *slotPlace) Preempted() <-chan struct{} { return p.slot.Preempted() }
 
 // Event does nothing: progress is told with the tokens.
-func (p *slotPlace) Event(time.Duration) {}
+func (p *slotPlace) Event(time.Time, time.Duration) {}
 
 // Done gives the slot back.
 func (p *slotPlace) Done(now time.Time, ending chiveplace.Ending) time.Duration {
--- a/chivedispatch/service.go
+++ b/chivedispatch/service.go
@@ -135,7 +135,7 @@
 func (p *replicaPlace) Preempted() <-chan struct{} { return nil }
 
 // Event does nothing.
-func (p *replicaPlace) Event(time.Duration) {}
+func (p *replicaPlace) Event(time.Time, time.Duration) {}
 
 // Done gives the place back; a replica that refuses is leaving, which the fleet hears.
 func (p *replicaPlace) Done(now time.Time, ending chiveplace.Ending) time.Duration {
--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -295,9 +295,11 @@
 		chiveevent.Request(request.ID), slog.String("route", request.Route.Name), slog.String("pool", request.Pool),
 		slog.String("team", request.Team), slog.Int("rank", request.Rank.Place), slog.Int("ranks", request.Rank.Of), slog.String("may_repeat", request.Route.Repeat.String()),
 		slog.Int64("table_version", request.TableVersion), slog.Int64("wait_ms", request.Deadline.Sub(request.Arrival).Milliseconds()),
+		slog.Int64("target_ms", request.Route.Target.Milliseconds()),
 	}
 	if request.Prompt != nil {
-		attributes = append(attributes, slog.Int64("tokens_in", request.Prompt.Input), slog.Int64("tokens_out_most", request.Prompt.MostOutput))
+		attributes = append(attributes, slog.Int64("tokens_in", request.Prompt.Input), slog.Int64("tokens_out_most", request.Prompt.MostOutput),
+			slog.Int64("tokens_out_hinted", request.Prompt.HintedOutput), slog.Int64("pause_ms", request.Prompt.Pause.Milliseconds()))
 	}
 	chiveevent.RequestAccepted.Log(ctx, e.o.Logger, attributes...)
 }
@@ -313,7 +315,7 @@
 		slog.String("outcome", string(result.Outcome)), slog.String("code", result.Code), slog.String("message", result.Message),
 		slog.Int("status", result.Status), slog.Int64("retry_after_ms", result.RetryAfter.Milliseconds()),
 		slog.Int("attempts", len(result.Tries)), slog.String("endpoint", result.Last()), slog.Int("events", result.Events),
-		slog.Int64("first_ms", result.First.Milliseconds()), slog.Int64("took_ms", time.Since(request.Arrival).Milliseconds()),
+		slog.Int64("first_ms", result.First.Milliseconds()), slog.Int64("pause_ms", result.Pause.Milliseconds()), slog.Int64("took_ms", time.Since(request.Arrival).Milliseconds()),
 		slog.Int64("left_ms", time.Until(request.Deadline).Milliseconds()))
 }
 
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -281,7 +281,9 @@
 			return c.streamEnd(ctx, parent, response, stream, rest, err)
 		}
 		c.heard()
-		c.place.Event(time.Since(asked))
+		now := time.Now()
+		c.place.Event(now, now.Sub(asked))
+		c.run.noteEvent(now.Sub(asked))
 		ended, err := stream.Event(e.data, e.id, events.more())
 		if err != nil {
 			return c.callerFailed(err)
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -59,7 +59,7 @@
 	// Preempted is closed when the place is wanted back for more urgent work; nil where that never happens.
 	Preempted() <-chan struct{}
 	// Event notes an event of the answer and how long it was waited for; the first tells that the answer has begun.
-	Event(waited time.Duration)
+	Event(now time.Time, waited time.Duration)
 	// Done gives the place back and returns for how long the endpoint is passed over now.
 	Done(now time.Time, ending chiveplace.Ending) time.Duration
 }
--- a/chiveforward/request.go
+++ b/chiveforward/request.go
@@ -63,6 +63,8 @@
 	// First is the time from the arrival to the first piece of the answer.
 	First  time.Duration
 	Events int
+	// Pause is the longest wait for an event after the first one.
+	Pause time.Duration
 }
 
 // Last returns the endpoint of the last attempt; empty when there was none.
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -29,6 +29,8 @@
 	sent     int
 	refusals int
 	exclude  []string
+	// events counts the events of all attempts.
+	events int
 	// spare is an endpoint's error that is passed on when no other endpoint does better.
 	spare *whole
 }
@@ -207,6 +209,14 @@
 	}
 }
 
+// noteEvent notes how long an event was waited for; the first one's wait is no pause.
+func (r *run) noteEvent(waited time.Duration) {
+	r.events++
+	if r.events > 1 {
+		r.result.Pause = max(r.result.Pause, waited)
+	}
+}
+
 // start passes on the head of an answer, once for all attempts.
 func (r *run) start(status int, header http.Header) {
 	if r.result.Started {
--- a/chiveforward/run_test.go
+++ b/chiveforward/run_test.go
@@ -308,9 +308,9 @@
 	of *watchedPlaces
 }
 
-func (p *watchedPlace) Event(waited time.Duration) {
+func (p *watchedPlace) Event(now time.Time, waited time.Duration) {
 	p.of.waits = append(p.of.waits, waited)
-	p.Place.Event(waited)
+	p.Place.Event(now, waited)
 }
 
 // slowCaller takes a fifth of a second for each piece.
--- a/chiveplace/admit.go
+++ b/chiveplace/admit.go
@@ -38,6 +38,13 @@
 	return &RefusedError{Reason: reason, RetryAfter: after}
 }
 
+// waitShare is the part of a request's target for which it may wait for a place before it is refused: a refusal must come while the
+// caller can still get its answer elsewhere in time.
+const waitShare = 8
+
+// Patience returns how long a request may wait for a place.
+func Patience(prompt *chiverequest.Prompt) time.Duration { return prompt.Target / waitShare }
+
 // slotsFor is how many of an engine's slots a rank may use.
 func slotsFor(slots int, prompt *chiverequest.Prompt) int {
 	if prompt == nil {
--- a/chiveplace/engine.go
+++ b/chiveplace/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"time"
 
 	"chivedrift/chiverequest"
@@ -88,7 +87,7 @@
 		}
 	}
 	for range sampled {
-		chosen = append(chosen, seats[rand.IntN(len(seats))])
+		chosen = append(chosen, seats[c.pool.random.IntN(len(seats))])
 	}
 	return chosen
 }
--- a/chiveplace/pause_test.go
+++ b/chiveplace/pause_test.go
@@ -14,7 +14,7 @@
 	place := take(t, p, time.Now(), shortPrompt(1))
 	for range 5 {
 		time.Sleep(time.Second)
-		place.Event(time.Second)
+		place.Event(time.Now(), time.Second)
 	}
 	return place.Endpoint().ID
 }
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -82,10 +82,9 @@
 func (p *Place) Ahead() int64 { return p.ahead }
 
 // Event notes an event of the answer that was waited for so long; with the first the prompt has been read.
-func (p *Place) Event(waited time.Duration) {
+func (p *Place) Event(now time.Time, waited time.Duration) {
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
-	now := time.Now()
 	if p.started {
 		p.seat.notePause(now, waited)
 	} else {
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -4,6 +4,7 @@
 	"iter"
 	"maps"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"sync"
@@ -36,6 +37,8 @@
 	Prompt *chiverequest.Prompt
 	// Exclude names endpoints, by id, that were tried already.
 	Exclude []string
+	// Left is how long the caller still waits; 0 where that is not known.
+	Left time.Duration
 	// Among limits the choice to some endpoints, by id; nil means all.
 	Among map[string]bool
 	// Most is the loss above which other endpoints are to be asked first; 0 means that there are none.
@@ -61,6 +64,8 @@
 	seats  map[string]*seat
 	// rate is the learnt number of prompt tokens that an engine reads in a millisecond.
 	rate float64
+	// random draws the engines to weigh in a large pool.
+	random *rand.Rand
 	// promises are the places that this node took for others and that those have not told of yet.
 	promises []promise
 	// reads are the prompts that the other nodes have not been told of.
@@ -69,7 +74,12 @@
 
 // NewPool returns a pool without endpoints, seen from a failure domain.
 func NewPool(domain string) *Pool {
-	return &Pool{domain: domain, seats: make(map[string]*seat), rate: firstRate}
+	return NewSeededPool(domain, rand.Uint64())
+}
+
+// NewSeededPool returns a pool whose draws follow from a seed, so that an experiment can be repeated.
+func NewSeededPool(domain string, seed uint64) *Pool {
+	return &Pool{domain: domain, seats: make(map[string]*seat), rate: firstRate, random: rand.New(rand.NewPCG(seed, 0))}
 }
 
 // SetEngine takes what the engines of the pool can hold; zero for plain services.
--- a/chiveplace/pool_test.go
+++ b/chiveplace/pool_test.go
@@ -70,9 +70,9 @@
 		if a.Endpoint().ID != b.Endpoint().ID {
 			t.Errorf("part %d: %s and %s", shared, a.Endpoint().ID, b.Endpoint().ID)
 		}
-		a.Event(0)
+		a.Event(now, 0)
 		a.Done(now, chiveplace.EndedWell)
-		b.Event(0)
+		b.Event(now, 0)
 		b.Done(now, chiveplace.EndedWell)
 	}
 }
