--- a/chiveplace/engine.go
+++ b/chiveplace/engine.go
@@ -95,7 +95,7 @@
 // cost is the expected loss on one engine.
 func (c *engineChoice) cost(now time.Time, s *seat) float64 {
 	missing := s.cache.missing(c.prompt)
-	expected := float64(s.waitingFor(c.prompt.Rank)+missing) / c.pool.rate
+	expected := c.pool.forecast.first(float64(missing), float64(s.waitingFor(c.prompt.Rank))) * s.speed()
 	target := max(float64(c.prompt.Target.Milliseconds()), 1)
 	loss := ramp(expected/target, lateFrom, lateTo) + sooner*expected/target
 	loss += besideRunning * float64(s.load())
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -41,8 +41,9 @@
 	ahead      int64
 	rank       chivetable.Rank
 	tight      bool
-	started    bool
-	ended      bool
+	// longest is the longest pause between events so far.
+	started bool
+	ended   bool
 }
 
 // weigh takes a seat when it costs less than the best so far.
@@ -89,6 +90,8 @@
 		p.seat.notePause(now, waited)
 	} else {
 		p.pool.learnRate(p.reads+p.ahead, now.Sub(p.began))
+		p.seat.learnSpeed(p.pool.forecast.first(float64(p.reads), float64(p.ahead)), now.Sub(p.began))
+		p.pool.forecast.learn(float64(p.reads), float64(p.ahead), now.Sub(p.began))
 	}
 	p.begin()
 }
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -62,6 +62,8 @@
 	domain string
 	engine chivetable.Engine
 	seats  map[string]*seat
+	// forecast predicts times to first events.
+	forecast forecast
 	// rate is the learnt number of prompt tokens that an engine reads in a millisecond.
 	rate float64
 	// random draws the engines to weigh in a large pool.
@@ -79,7 +81,7 @@
 
 // NewSeededPool returns a pool whose draws follow from a seed, so that an experiment can be repeated.
 func NewSeededPool(domain string, seed uint64) *Pool {
-	return &Pool{domain: domain, seats: make(map[string]*seat), rate: firstRate, random: rand.New(rand.NewPCG(seed, 0))}
+	return &Pool{domain: domain, seats: make(map[string]*seat), rate: firstRate, forecast: newForecast(), random: rand.New(rand.NewPCG(seed, 0))}
 }
 
 // SetEngine takes what the engines of the pool can hold; zero for plain services.
@@ -149,7 +151,7 @@
 		place.reads = best.cache.missing(ask.Prompt)
 		place.rank = ask.Prompt.Rank
 		place.ahead = best.waitingFor(place.rank)
-		if err := admit(ask.Prompt, float64(place.ahead)/p.rate); err != nil {
+		if err := admit(ask.Prompt, p.forecast.waiting(place.ahead)*best.speed()); err != nil {
 			return nil, err
 		}
 		place.tight = p.isTight(ask.Prompt)
--- a/chiveplace/seat.go
+++ b/chiveplace/seat.go
@@ -48,6 +48,8 @@
 	took      float64
 	tookAt    time.Time
 	cache     *cache
+	// slower is the running share of the predicted time to a first event that this engine takes; 0 until one is known.
+	slower float64
 	// pause is the running pause between events of this node's streams there; told is what the other nodes were told of it, and
 	// heard what they tell.
 	pause fading
@@ -93,6 +95,23 @@
 	s.dirty = true
 }
 
+// speed returns the factor on predicted times at this engine.
+func (s *seat) speed() float64 {
+	if s.slower == 0 {
+		return 1
+	}
+	return s.slower
+}
+
+// speedMemory is the weight of the newest first event in an engine's speed.
+const speedMemory = 0.1
+
+// learnSpeed takes a predicted and an actual time to a first event.
+func (s *seat) learnSpeed(predicted float64, took time.Duration) {
+	seen := min(max(float64(took)/float64(time.Millisecond)/predicted, 0.3), 3)
+	s.slower = s.speed() + speedMemory*(seen-s.speed())
+}
+
 func (s *seat) usable(now time.Time) bool {
 	return s.endpoint.State == chivedirectory.Ready && !now.Before(s.downUntil)
 }
