A report of lost and late requests from the nodes' logs

Bad lines are counted and named. A caller's retry has another identity, so the logs cannot join the tries of one caller; that is not told.

--- a/chivecommand/verb.go
+++ b/chivecommand/verb.go
@@ -47,6 +47,7 @@
 		configShowVerb,
 		stateVerb,
 		explainVerb,
+		reportVerb,
 		quickstartVerb,
 		loadVerb,
 		experimentVerb,
