--- a/chivegrant/groups.go
+++ b/chivegrant/groups.go
@@ -15,7 +15,7 @@
 	// groupEngines is the usual number of engines in a group: as many as a whole pool of today's sites, and few enough that a keeper
 	// grants some 15 places a second at the target (990 requests a second, 600 engines).
 	groupEngines = 9
-	// aloneUpTo is the largest fleet in which each node tells all others, a dozen peers every 120 ms. Measured were 7 and 8 nodes, where
+	// aloneUpTo is the largest fleet in which each node tells all others, a dozen peers every 60 ms. Measured were 7 and 8 nodes, where
 	// that is worth more than asking, and 71 and 78, where asking is.
 	aloneUpTo = 13
 )
--- a/chiveledger/service.go
+++ b/chiveledger/service.go
@@ -16,9 +16,10 @@
 const ServiceName = "ledger"
 
 const (
-	// tellEvery is the least time between two messages to a peer: requests come a few a second a node, and one that does not
-	// know of another's for this long seldom chooses worse for it.
-	tellEvery = 120 * time.Millisecond
+	// tellEvery is the least time between two messages to a peer. What nodes send in the meantime they choose without each other: on virtual
+	// time drafts beside questions attain 0.886, 0.880, 0.871, 0.864 and 0.843 of their worth at 30, 60, 120, 240 and 400 ms; at 60 a node
+	// takes a tenth more processor time than at 120.
+	tellEvery = 60 * time.Millisecond
 	// repeatEvery is how often everything is told again: it makes up for lost messages.
 	repeatEvery = 2 * time.Second
 	inboxSize   = 1024
