--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -43,6 +43,9 @@
 	KeeperBack     = define(404, slog.LevelInfo, "keeper of engines answers again", "None.")
 	EnginesDivided = define(405, slog.LevelInfo, "engines divided among keepers", "None; asking tells whether the fleet is large enough for keepers.")
 
+	CacheLearnt  = define(406, slog.LevelInfo, "engine's cache learnt", "None; the node decides for the engine from now on and knows what it holds.")
+	CacheUnknown = define(407, slog.LevelWarn, "engine's cache not learnt", "None; the node learns it from what it sends. Look at the engine when it repeats.")
+
 	RequestRefused  = define(500, slog.LevelWarn, "request refused", "Read the reason; under overload, look at the class's tier and share.")
 	RequestBroken   = define(501, slog.LevelWarn, "attempt broke", "Look at the endpoint when it repeats.")
 	AttemptEnded    = define(503, slog.LevelInfo, "attempt ended", "Read how it ended; touched tells whether the endpoint may have run it.")
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -20,6 +20,7 @@
 	"chivedrift/chiveledger"
 	"chivedrift/chivemember"
 	"chivedrift/chivemetric"
+	"chivedrift/chiverecall"
 	"chivedrift/chivesettings"
 	"chivedrift/chivetable"
 	"chivedrift/chivewire"
@@ -99,12 +100,17 @@
 	n.ready = newReadiness(s.Listen.Ready, chiveplatform.ReadyPath, network, n.NotReady)
 	n.grants = chivegrant.New(chivegrant.Options{Mesh: n.mesh, Pools: pools, Logger: n.logger})
 	pools.SetAsker(n.grants)
+	recall := chiverecall.New(chiverecall.Options{
+		Self: s.Listen.Peers, Caches: chiveplatform.NewCaches(s.Listen.Peers, network), Pools: pools, Keepers: n.grants, Logger: n.logger,
+	})
 	n.ledger = chiveledger.New(chiveledger.Options{Mesh: n.mesh, Pools: pools, Keepers: n.grants})
 	n.tables.OnChange(pools.SetTable)
 	n.tables.OnChange(n.grants.SetTable)
+	n.tables.OnChange(recall.SetTable)
 	n.tables.OnChange(n.entry.SetTable)
 	n.directory.OnChange(pools.SetEndpoints)
 	n.directory.OnChange(n.grants.SetEndpoints)
+	n.directory.OnChange(recall.SetEndpoints)
 	tableFeed := chivefeed.New(chivefeed.Options{
 		Topic: store.Configurations(), Wait: n.gossip.ReadWait, Listener: n.tables, Answered: n.directory.AnsweredElse, Held: n.gossip.Held,
 	})
@@ -132,6 +138,7 @@
 		{chiveforward.ServiceName, forwarder},
 		{chivegrant.ServiceName, n.grants},
 		{chiveledger.ServiceName, n.ledger},
+		{chiverecall.ServiceName, recall},
 		{chiveadmin.ServiceName, &spare{logger: n.logger, Service: chiveadmin.New(chiveadmin.Options{
 			Address: s.Listen.Admin, Network: network, Metrics: metrics.Handler(), State: n.kernel.Dump, Ready: n.NotReady,
 			Explain: func(string) (*chivegate.Explanation, bool) { return nil, false },
--- a/chiveplace/cache.go
+++ b/chiveplace/cache.go
@@ -49,6 +49,19 @@
 	return missing
 }
 
+// recall takes parts that an engine says it holds; those that were seen since are used more recently.
+func (c *cache) recall(parts []chiverequest.Part) (tokens int64) {
+	for _, part := range parts {
+		tokens += part.Tokens
+		if _, held := c.parts[part.ID]; held || c.used+part.Tokens > c.room {
+			continue
+		}
+		c.parts[part.ID] = c.order.PushBack(part)
+		c.used += part.Tokens
+	}
+	return tokens
+}
+
 // isFull tells whether so many more tokens take the place of others.
 func (c *cache) isFull(tokens int64) bool { return c.used+tokens > c.room }
 
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -119,6 +119,16 @@
 	p.ordered = slices.SortedFunc(maps.Values(p.seats), func(a, b *seat) int { return strings.Compare(a.endpoint.ID, b.endpoint.ID) })
 }
 
+// Recall takes the parts that an engine says it holds, and returns their tokens; parts of engines that are not known are dropped.
+func (p *Pool) Recall(endpoint string, parts []chiverequest.Part) (tokens int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s, ok := p.seats[endpoint]; ok {
+		return s.cache.recall(parts)
+	}
+	return 0
+}
+
 // Take reserves a place for a request; the error is a *RefusedError.
 func (p *Pool) Take(now time.Time, ask Ask) (*Place, error) {
 	p.mu.Lock()
--- /dev/null
+++ b/chiverecall/service.go
@@ -0,0 +1,184 @@
+package chiverecall
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"chivedrift/chivedirectory"
+	"chivedrift/chiveevent"
+	"chivedrift/chivekernel"
+	"chivedrift/chiveplace"
+	"chivedrift/chiverequest"
+	"chivedrift/chivetable"
+)
+
+// ServiceName is the name under which the service registers.
+const ServiceName = "recall"
+
+const (
+	// startsFor is how long after its start a node takes the engines that it hears of for ones that have run before: it learns of them in
+	// some hundred milliseconds. One that comes later has just started and holds nothing.
+	startsFor = 3 * time.Second
+	// askWithin bounds one question; an engine answers between two steps.
+	askWithin = time.Second
+	// lookEvery is how often the service looks which engines to ask.
+	lookEvery = 100 * time.Millisecond
+	// askedMost is how many engines are asked at a time.
+	askedMost = 4
+)
+
+// Caches asks an endpoint for its cache.
+type Caches interface {
+	// Held returns the prompt parts that an endpoint holds.
+	Held(ctx context.Context, endpoint chivedirectory.Endpoint) ([]chiverequest.Part, error)
+}
+
+// Pools are the pools that learn of caches.
+type Pools interface {
+	// Pool returns the pool of a name, or nil.
+	Pool(name string) *chiveplace.Pool
+}
+
+// Keepers tell which engines this node decides for in a fleet too large for each to decide for all.
+type Keepers interface {
+	// Asking tells whether the fleet is that large.
+	Asking() bool
+	// KeeperOf returns the address of the node that keeps an engine.
+	KeeperOf(endpoint string) string
+}
+
+// Options are the parts the service is made of.
+type Options struct {
+	Self    string
+	Caches  Caches
+	Pools   Pools
+	Keepers Keepers
+	Logger  *slog.Logger
+}
+
+// Service asks each engine once for which this node decides.
+type Service struct {
+	o       Options
+	mu      sync.Mutex
+	began   time.Time
+	engines map[string]bool
+	known   map[string]*engine
+	learnt  atomic.Int64
+	failed  atomic.Int64
+	duties  chivekernel.Duties
+}
+
+// engine is an endpoint of a pool of engines.
+type engine struct {
+	endpoint chivedirectory.Endpoint
+	// cold tells that it started while this node knew the others, asked that it has been asked.
+	cold  bool
+	asked bool
+}
+
+// New returns a service that knows no engines yet.
+func New(o Options) *Service {
+	return &Service{o: o, engines: make(map[string]bool), known: make(map[string]*engine)}
+}
+
+// SetTable takes which pools have engines.
+func (s *Service) SetTable(table *chivetable.Table) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.engines = make(map[string]bool)
+	for _, p := range table.Pools() {
+		s.engines[p.Name] = p.Engine.Slots > 0
+	}
+}
+
+// SetEndpoints takes a change of the directory.
+func (s *Service) SetEndpoints(endpoints []chivedirectory.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.known
+	s.known = make(map[string]*engine, len(endpoints))
+	for _, e := range endpoints {
+		if old, ok := known[e.ID]; ok {
+			s.known[e.ID] = old
+			continue
+		}
+		s.known[e.ID] = &engine{endpoint: e, cold: !s.began.IsZero() && time.Since(s.began) > startsFor}
+	}
+}
+
+// Start begins to ask.
+func (s *Service) Start(ctx context.Context) error {
+	s.mu.Lock()
+	s.began = time.Now()
+	s.mu.Unlock()
+	s.duties.Begin(ctx, s.run)
+	return nil
+}
+
+// Stop ends that.
+func (s *Service) Stop(context.Context) error {
+	s.duties.End()
+	return nil
+}
+
+// Dump returns how many engines were asked.
+func (s *Service) Dump() any {
+	return struct {
+		Learnt int64 `json:"learnt"`
+		Failed int64 `json:"failed"`
+	}{s.learnt.Load(), s.failed.Load()}
+}
+
+func (s *Service) run(ctx context.Context) {
+	chivekernel.Every(ctx, lookEvery, func(time.Time) {
+		var wait sync.WaitGroup
+		for _, e := range s.next() {
+			wait.Go(func() { s.ask(ctx, e) })
+		}
+		wait.Wait()
+	})
+}
+
+// next returns the engines to ask now.
+func (s *Service) next() (next []chivedirectory.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, e := range s.known {
+		if len(next) == askedMost {
+			return next
+		}
+		if e.asked || e.cold || !s.engines[e.endpoint.Pool] || e.endpoint.State != chivedirectory.Ready {
+			continue
+		}
+		if s.o.Keepers.Asking() && s.o.Keepers.KeeperOf(id) != s.o.Self {
+			continue
+		}
+		e.asked = true
+		next = append(next, e.endpoint)
+	}
+	return next
+}
+
+// ask asks one engine. When it does not answer the node goes on without: what it sends there teaches it the same, more slowly.
+func (s *Service) ask(ctx context.Context, e chivedirectory.Endpoint) {
+	limited, cancel := context.WithTimeout(ctx, askWithin)
+	defer cancel()
+	began := time.Now()
+	parts, err := s.o.Caches.Held(limited, e)
+	if err != nil {
+		s.failed.Add(1)
+		chiveevent.CacheUnknown.Log(ctx, s.o.Logger, slog.String("endpoint", e.ID), slog.String("error", err.Error()))
+		return
+	}
+	pool := s.o.Pools.Pool(e.Pool)
+	if pool == nil {
+		return
+	}
+	tokens := pool.Recall(e.ID, parts)
+	s.learnt.Add(1)
+	chiveevent.CacheLearnt.Log(ctx, s.o.Logger, slog.String("endpoint", e.ID), slog.Int("parts", len(parts)), slog.Int64("tokens", tokens),
+		slog.Int64("took_ms", time.Since(began).Milliseconds()))
+}
