--- a/chivedispatch/dispatcher.go
+++ b/chivedispatch/dispatcher.go
@@ -159,6 +159,9 @@
 // Event does nothing: progress is told with the tokens.
 func (p *slotPlace) Event(time.Time, time.Duration) {}
 
+// FetchFrom names nobody: these engines move no parts.
+func (p *slotPlace) FetchFrom() string { return "" }
+
 // Done gives the slot back.
 func (p *slotPlace) Done(now time.Time, ending chiveplace.Ending) time.Duration {
 	p.after = p.m.answer.tokens
--- a/chivedispatch/service.go
+++ b/chivedispatch/service.go
@@ -137,6 +137,9 @@
 // Event does nothing.
 func (p *replicaPlace) Event(time.Time, time.Duration) {}
 
+// FetchFrom names nobody: plain services hold no prompts.
+func (p *replicaPlace) FetchFrom() string { return "" }
+
 // Done gives the place back; a replica that refuses is leaving, which the fleet hears.
 func (p *replicaPlace) Done(now time.Time, ending chiveplace.Ending) time.Duration {
 	callerGone := ending == chiveplace.EndedCaller && now.Before(p.deadline)
--- a/chiveengine/engine.go
+++ b/chiveengine/engine.go
@@ -85,6 +85,9 @@
 // Held returns how many leading tokens of a row of parts need not be read.
 func (e *Engine) Held(parts []chiverequest.Part) int64 { return e.memory.held(parts) }
 
+// Adopt takes the first tokens of a row of parts from another engine, as far as there is room.
+func (e *Engine) Adopt(parts []chiverequest.Part, tokens int64) { e.memory.adopt(parts, tokens) }
+
 // Unread returns the prompt tokens of jobs up to a rank that are not read yet.
 func (e *Engine) Unread(rank int) (tokens int64) {
 	for _, j := range e.running {
--- a/chiveengine/memory.go
+++ b/chiveengine/memory.go
@@ -54,6 +54,24 @@
 	return e.Value.(*heldPart) //nolint:forcetypeassert // the list holds nothing else
 }
 
+// adopt takes the first tokens of a row of parts from another engine, as far as there is room.
+func (m *memory) adopt(parts []chiverequest.Part, tokens int64) {
+	for _, p := range parts {
+		if tokens -= p.Tokens; tokens < 0 {
+			return
+		}
+		if e := m.parts[p.ID]; e != nil {
+			partOf(e).ready = true
+			continue
+		}
+		m.parts[p.ID] = m.order.PushFront(&heldPart{id: p.ID, tokens: p.Tokens, ready: true})
+		m.used += p.Tokens
+		if m.used > m.room && !m.yield() {
+			return
+		}
+	}
+}
+
 // lock makes sure that parts stay, and returns how many leading tokens of them were there already. The others take their room at
 // once; ok is false, and nothing changed, where there is none.
 func (m *memory) lock(parts []chiverequest.Part) (held int64, ok bool) {
--- a/chiveexperiment/callers.go
+++ b/chiveexperiment/callers.go
@@ -173,7 +173,7 @@
 		c.send(chosen)
 		return
 	}
-	if w.clock+placePoll <= since+chiveplace.Patience(c.prompt) {
+	if w.clock+placePoll <= since+chiveplace.Patience(c.prompt.Target) {
 		w.after(placePoll, func() { c.place(since) })
 		return
 	}
@@ -191,8 +191,8 @@
 		if c.over || r.ended {
 			return
 		}
-		w.tally.sent(c, e)
-		e.submit(r)
+		w.tally.sent(c, e, r.place.fetchFrom() != "" && e.of.FetchTokensPerMs > 0)
+		e.fetch(r)
 	})
 }
 
--- a/chiveexperiment/engines.go
+++ b/chiveexperiment/engines.go
@@ -63,7 +63,7 @@
 func (w *world) endpoints() (list []chivedirectory.Endpoint) {
 	for _, e := range w.engines {
 		if e.listed {
-			list = append(list, chivedirectory.Endpoint{ID: e.id(), Pool: poolName, FailureDomain: string(rune('a' + e.number%3)), Slots: e.of.Slots})
+			list = append(list, chivedirectory.Endpoint{ID: e.id(), Address: e.id(), Pool: poolName, FailureDomain: string(rune('a' + e.number%3)), Slots: e.of.Slots})
 		}
 	}
 	return list
@@ -78,6 +78,30 @@
 	ended bool
 }
 
+// fetch brings the parts that another engine holds, and then hands the run to the engine.
+func (e *engine) fetch(r *run) {
+	from := e.w.engine(r.place.fetchFrom())
+	if from == nil || !from.up || !e.up || e.of.FetchTokensPerMs == 0 {
+		e.submit(r)
+		return
+	}
+	held := from.model.Held(r.job.Parts)
+	more := held - e.model.Held(r.job.Parts)
+	if more <= 0 {
+		e.submit(r)
+		return
+	}
+	start := e.start
+	e.w.after(milliseconds(e.of.FetchSetupMs+float64(more)/e.of.FetchTokensPerMs), func() {
+		if e.up && e.start == start {
+			e.model.Adopt(r.job.Parts, held)
+		}
+		if !r.ended {
+			e.submit(r)
+		}
+	})
+}
+
 // submit hands a run to the engine; it is refused there when the engine is full, and breaks when the engine is gone.
 func (e *engine) submit(r *run) {
 	if !e.up {
--- a/chiveexperiment/router.go
+++ b/chiveexperiment/router.go
@@ -13,6 +13,8 @@
 // place is a call's place on an engine.
 type place interface {
 	endpoint() string
+	// fetchFrom is the engine from which the chosen one should fetch what it lacks; empty for none.
+	fetchFrom() string
 	event(now time.Time, waited time.Duration)
 	done(now time.Time, ending chiveplace.Ending)
 }
@@ -135,6 +137,7 @@
 type pooled struct{ *chiveplace.Place }
 
 func (p pooled) endpoint() string                          { return p.Endpoint().ID }
+func (p pooled) fetchFrom() string                         { return p.FetchFrom() }
 func (p pooled) event(now time.Time, waited time.Duration) { p.Event(now, waited) }
 func (p pooled) done(now time.Time, ending chiveplace.Ending) {
 	p.Done(now, ending)
@@ -144,6 +147,7 @@
 type simple string
 
 func (s simple) endpoint() string                { return string(s) }
+func (simple) fetchFrom() string                 { return "" }
 func (simple) event(time.Time, time.Duration)    {}
 func (simple) done(time.Time, chiveplace.Ending) {}
 
--- a/chiveexperiment/scenario.go
+++ b/chiveexperiment/scenario.go
@@ -46,6 +46,9 @@
 	PairsMsPerMillion float64 `yaml:"pairs_ms_per_million" validate:"min=0"`
 	FirstMs           float64 `yaml:"first_ms" validate:"min=0"`
 	TokensPerEvent    int64   `yaml:"tokens_per_event" validate:"required,min=1"`
+	// An engine fetches parts from another one in FetchSetupMs and at FetchTokensPerMs; 0 stands for engines that cannot.
+	FetchSetupMs     float64 `yaml:"fetch_setup_ms" validate:"min=0"`
+	FetchTokensPerMs float64 `yaml:"fetch_tokens_per_ms" validate:"min=0"`
 	// Slowness multiplies every time: 1 is usual.
 	Slowness float64 `yaml:"slowness" validate:"required,gt=0"`
 }
--- a/chiveexperiment/tally.go
+++ b/chiveexperiment/tally.go
@@ -80,8 +80,12 @@
 	t.prompts += c.prompt.Input
 }
 
-func (t *tally) sent(c *call, e *engine) {
+// sent counts what an engine reads of a call, apart from what it fetches.
+func (t *tally) sent(c *call, e *engine, fetches bool) {
 	reads, again := e.reads(c.prompt)
+	if fetches {
+		reads, again = reads-again, 0
+	}
 	t.reads += reads
 	t.again += again
 }
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -160,7 +160,7 @@
 	if header == nil {
 		header = make(http.Header)
 	}
-	content, err := c.run.f.o.Dialect.Prepare(header, chiverequest.Send{Request: r, Endpoint: c.id, Left: c.run.left(), After: c.run.last})
+	content, err := c.run.f.o.Dialect.Prepare(header, chiverequest.Send{Request: r, Endpoint: c.id, Left: c.run.left(), After: c.run.last, FetchFrom: c.place.FetchFrom()})
 	if err != nil {
 		return nil, fmt.Errorf("request: %w", err)
 	}
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -56,6 +56,8 @@
 	Target() (id, address string)
 	// Why returns what decided for the endpoint, for the log.
 	Why() []slog.Attr
+	// FetchFrom returns the address from which the endpoint should fetch the parts of the prompt that it lacks; empty for none.
+	FetchFrom() string
 	// Preempted is closed when the place is wanted back for more urgent work; nil where that never happens.
 	Preempted() <-chan struct{}
 	// Event notes an event of the answer and how long it was waited for; the first tells that the answer has begun.
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -148,9 +148,6 @@
 }
 
 const (
-	// queueShare is the part of a route's target that a request may wait for a place before it is refused: a refusal must
-	// come while the caller can still get its answer elsewhere in time.
-	queueShare = 8
 	// queuePoll is how often a waiting request looks for a place.
 	queuePoll = 10 * time.Millisecond
 	// askPoll is how often it asks other nodes anew.
@@ -178,7 +175,7 @@
 		return nil, &chiveplace.RefusedError{Reason: "the pool has no endpoints", RetryAfter: time.Second}
 	}
 	ask := chiveplace.Ask{Prompt: request.Prompt, Exclude: exclude}
-	until := time.Now().Add(request.Route.Target / queueShare)
+	until := time.Now().Add(chiveplace.Patience(request.Route.Target))
 	for {
 		place, asked, err := p.choose(ctx, pool, request, ask)
 		if err == nil {
@@ -215,7 +212,7 @@
 	loss, nextBest, nextLoss := p.Loss()
 	attributes := []slog.Attr{
 		slog.String("because", p.Reason()), slog.Int("candidates", p.Candidates()), slog.Float64("cost", rounded(loss)),
-		slog.Int64("tokens_to_read", p.Reads()), slog.Int64("tokens_again", p.Again()), slog.Int64("tokens_ahead", p.Ahead()),
+		slog.Int64("tokens_to_read", p.Reads()), slog.Int64("tokens_to_fetch", p.Fetches()), slog.Int64("tokens_again", p.Again()), slog.Int64("tokens_ahead", p.Ahead()),
 		slog.Int64("expected_ms", p.Expected().Milliseconds()),
 	}
 	if keeper := p.Keeper(); keeper != "" {
--- a/chiveplace/admit.go
+++ b/chiveplace/admit.go
@@ -45,8 +45,8 @@
 // caller can still get its answer elsewhere in time.
 const waitShare = 8
 
-// Patience returns how long a request may wait for a place.
-func Patience(prompt *chiverequest.Prompt) time.Duration { return prompt.Target / waitShare }
+// Patience returns how long a request with a target may wait for a place.
+func Patience(target time.Duration) time.Duration { return target / waitShare }
 
 // slotsFor is how many of an engine's slots a rank may use.
 func slotsFor(slots int, prompt *chiverequest.Prompt) int {
--- a/chiveplace/cache.go
+++ b/chiveplace/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"time"
 
 	"chivedrift/chiverequest"
 )
@@ -17,6 +18,13 @@
 	parts map[uint64]*list.Element
 }
 
+// cachedPart is a part that an engine holds, or will hold once it has read it.
+type cachedPart struct {
+	chiverequest.Part
+	// read is when the engine is believed to have read it.
+	read time.Time
+}
+
 func newCache(engineTokens int64) *cache {
 	c := &cache{order: list.New(), parts: make(map[uint64]*list.Element)}
 	c.setRoom(engineTokens)
@@ -38,6 +46,21 @@
 	return max(missing, 0)
 }
 
+// readBy returns how many leading tokens of a prompt the engine has read by a time, so that another one could fetch them.
+func (c *cache) readBy(now time.Time, p *chiverequest.Prompt) (tokens int64) {
+	for _, part := range p.Parts {
+		e, held := c.parts[part.ID]
+		if !held {
+			return tokens
+		}
+		if known, ok := e.Value.(cachedPart); !ok || known.read.After(now) {
+			return tokens
+		}
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
 // missingOf returns how many tokens of a row of parts the engine has to read anew.
 func (c *cache) missingOf(parts []chiverequest.Part) int64 {
 	missing := int64(0)
@@ -56,7 +79,7 @@
 		if _, held := c.parts[part.ID]; held || c.used+part.Tokens > c.room {
 			continue
 		}
-		c.parts[part.ID] = c.order.PushBack(part)
+		c.parts[part.ID] = c.order.PushBack(cachedPart{Part: part})
 		c.used += part.Tokens
 	}
 	return tokens
@@ -65,18 +88,19 @@
 // isFull tells whether so many more tokens take the place of others.
 func (c *cache) isFull(tokens int64) bool { return c.used+tokens > c.room }
 
-func (c *cache) touch(parts []chiverequest.Part) {
+// touch notes that the engine uses parts, and will have read those that it lacks at a time.
+func (c *cache) touch(parts []chiverequest.Part, read time.Time) {
 	for _, part := range parts {
 		if e, held := c.parts[part.ID]; held {
 			c.order.MoveToFront(e)
 			continue
 		}
-		c.parts[part.ID] = c.order.PushFront(part)
+		c.parts[part.ID] = c.order.PushFront(cachedPart{part, read})
 		c.used += part.Tokens
 	}
 	for c.used > c.room && c.order.Len() > 0 {
 		last := c.order.Back()
-		part, ok := c.order.Remove(last).(chiverequest.Part)
+		part, ok := c.order.Remove(last).(cachedPart)
 		if !ok {
 			return
 		}
--- a/chiveplace/engine.go
+++ b/chiveplace/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"chivedrift/chiverequest"
@@ -34,8 +35,11 @@
 	target float64
 	tight  bool
 	home   *seat
-	// held is the number of leading tokens that the best engine holds.
+	// held is the number of leading tokens that the best engine holds, or will hold when it has read them.
 	held int64
+	// holder is the engine that has read the most, and read how many leading tokens that are: others may fetch them.
+	holder *seat
+	read   int64
 	// perMs is the loss of later requests for each millisecond that an engine spends.
 	perMs float64
 }
@@ -47,13 +51,47 @@
 	}
 	var others crowd
 	for _, s := range p.among(ask) {
-		c.held = max(c.held, prompt.Input-s.cache.missing(prompt))
+		c.noteHeld(now, s, ask)
 		others.add(now, &s.demand, p.forecast.waiting(s.waitingTokens())*s.speed())
 	}
 	c.perMs = others.lossPerMs(c.target)
 	return c
 }
 
+// noteHeld notes what an engine holds of the prompt.
+func (c *engineChoice) noteHeld(now time.Time, s *seat, ask Ask) {
+	c.held = max(c.held, c.prompt.Input-s.cache.missing(c.prompt))
+	if now.Before(s.downUntil) || slices.Contains(ask.Exclude, s.endpoint.ID) {
+		return
+	}
+	if read := s.cache.readBy(now, c.prompt); read > c.read {
+		c.read, c.holder = read, s
+	}
+}
+
+const (
+	// fetchLeast is the least number of tokens that are fetched: setting up a transfer takes a few milliseconds, as does reading some
+	// hundred tokens.
+	fetchLeast = 512
+	// fetchShare is the part of the time of reading tokens that fetching them may take. Where engines cannot fetch it is learnt to take
+	// about as long as reading, and is not tried any more.
+	fetchShare = 0.4
+	// movedPart is the part of the loss by reading tokens that counts for fetching them: they take room at a second engine and time on
+	// the links of both.
+	movedPart = 0.5
+)
+
+// split tells what an engine would read and fetch of the prompt, and how much of what it reads another one holds.
+func (c *engineChoice) split(s *seat) (reads, fetches, again int64) {
+	missing := s.cache.missing(c.prompt)
+	fetches = c.read - (c.prompt.Input - missing)
+	if c.holder == s || fetches < fetchLeast || c.pool.forecast.fetched(fetches) > fetchShare*c.pool.forecast.own(float64(fetches)) {
+		fetches = 0
+	}
+	reads = missing - fetches
+	return reads, fetches, max(reads-(c.prompt.Input-c.held), 0)
+}
+
 // targetOf returns a request's target in milliseconds.
 func targetOf(prompt *chiverequest.Prompt) float64 {
 	return max(float64(prompt.Target.Milliseconds()), 1)
@@ -84,27 +122,22 @@
 
 // cost is the expected loss on one engine.
 func (c *engineChoice) cost(now time.Time, s *seat) float64 {
-	missing := s.cache.missing(c.prompt)
-	first := c.pool.forecast.first(float64(missing), float64(s.waitingFor(c.prompt.Rank))) * s.speed()
+	reads, fetches, again := c.split(s)
+	first := c.pool.forecast.first(work{reads: reads, fetches: fetches, ahead: s.waitingFor(c.prompt.Rank)}) * s.speed()
 	loss := ramp(first/c.target, lateFrom, lateTo) + sooner*first/c.target
 	loss += c.pauseLoss(now, s)
-	loss += c.pool.spoiled(now, s, missing)
-	loss += c.againLoss(s, missing)
+	loss += c.pool.spoiled(now, s, reads)
+	loss += c.againLoss(s, fetches, again)
 	if c.held == 0 && s != c.home {
 		loss += offHome
 	}
 	return loss + errorLoss*s.errors
 }
 
-// again returns how many tokens an engine would read that another one holds.
-func (c *engineChoice) again(s *seat) int64 {
-	return max(s.cache.missing(c.prompt)-(c.prompt.Input-c.held), 0)
-}
-
 // againLoss is the loss of later requests by the time that an engine spends on what another one holds.
-func (c *engineChoice) againLoss(s *seat, missing int64) float64 {
-	loss := c.perMs * c.pool.forecast.own(float64(c.again(s))) * s.speed()
-	if s.cache.isFull(missing) {
+func (c *engineChoice) againLoss(s *seat, fetches, again int64) float64 {
+	loss := c.perMs * c.pool.forecast.own(float64(again)+movedPart*float64(fetches)) * s.speed()
+	if s.cache.isFull(again + fetches) {
 		// What is read takes the place of as much that others would have found, and that is read again in its turn.
 		loss *= 2
 	}
--- a/chiveplace/forecast.go
+++ b/chiveplace/forecast.go
@@ -2,37 +2,46 @@
 
 import "time"
 
-// forecast predicts how long a first event takes: a fixed time, a time for each token that the engine reads of the request itself,
-// and a time for each token that waits there before it. The two differ: what waits has partly been read when the request
+// work is what an engine does until a request's first event, in tokens: those of the request that it reads, those that it fetches from
+// another engine, and those that wait there before it.
+type work struct {
+	reads   int64
+	fetches int64
+	ahead   int64
+}
+
+// forecast predicts how long a first event takes: a fixed time, and a time for each token that the engine reads of the request itself,
+// fetches, or has waiting before it. The first and the last differ: what waits has partly been read when the request
 // arrives, and nodes hear of it late, so that a waiting token costs between a half and all of the time of an own one.
-// The three are learnt from every first event by recursive least squares, the older ones fading.
+// The four are learnt from every first event by recursive least squares, the older ones fading.
 type forecast struct {
-	// weights are milliseconds: fixed, for a thousand own tokens, for a thousand waiting tokens.
+	// weights are milliseconds: fixed, for a thousand own tokens, for a thousand fetched and for a thousand waiting ones.
 	weights [terms]float64
 	// spread is the inverse of the weighted sum of products of inputs.
 	spread [terms][terms]float64
 }
 
-const terms = 3
+const terms = 4
 
 const (
 	// The first guesses are those of a usual engine that reads some 30 tokens a millisecond; a few dozen answers replace them.
 	firstFixed   = 30.0
 	firstOwn     = 35.0
+	firstFetched = 5.0
 	firstWaiting = 25.0
 	// forecastFades is what is left of an answer's weight with each later one: the last two hundred count, half a minute of a node.
 	forecastFades = 0.995
 	// firstSpread is how far the first guesses are trusted: an answer of a few thousand tokens moves them by a tenth.
 	firstSpread = 0.05
 	thousand    = 1000.0
-	// forecastLeast and forecastMost bound what is learnt for a thousand tokens, in milliseconds: the fastest engines read 200 tokens a
-	// millisecond, the slowest 2.
-	forecastLeast = 5.0
+	// forecastLeast and forecastMost bound what is learnt for a thousand tokens, in milliseconds: the fastest links carry 2,500 tokens a
+	// millisecond, the slowest engines read 2.
+	forecastLeast = 0.4
 	forecastMost  = 500.0
 )
 
 func newForecast() forecast {
-	f := forecast{weights: [terms]float64{firstFixed, firstOwn, firstWaiting}}
+	f := forecast{weights: [terms]float64{firstFixed, firstOwn, firstFetched, firstWaiting}}
 	for i := range terms {
 		f.spread[i][i] = firstSpread
 	}
@@ -40,14 +49,14 @@
 	return f
 }
 
-func inputs(own, waiting float64) [terms]float64 {
-	return [terms]float64{1, own / thousand, waiting / thousand}
+func (w work) inputs() [terms]float64 {
+	return [terms]float64{1, float64(w.reads) / thousand, float64(w.fetches) / thousand, float64(w.ahead) / thousand}
 }
 
 // first predicts the time to a first event, in milliseconds.
-func (f *forecast) first(own, waiting float64) float64 {
+func (f *forecast) first(w work) float64 {
 	sum := 0.0
-	for i, x := range inputs(own, waiting) {
+	for i, x := range w.inputs() {
 		sum += f.weights[i] * x
 	}
 	return sum
@@ -57,13 +66,16 @@
 func (f *forecast) own(tokens float64) float64 { return f.weights[1] * tokens / thousand }
 
 // waiting predicts what tokens that wait add to it, in milliseconds.
-func (f *forecast) waiting(tokens int64) float64 { return f.weights[2] * float64(tokens) / thousand }
+func (f *forecast) waiting(tokens int64) float64 { return f.weights[3] * float64(tokens) / thousand }
+
+// fetched predicts what fetching tokens adds to it, in milliseconds.
+func (f *forecast) fetched(tokens int64) float64 { return f.weights[2] * float64(tokens) / thousand }
 
 // learn takes the time to a first event.
-func (f *forecast) learn(own, waiting float64, took time.Duration) {
-	x := inputs(own, waiting)
+func (f *forecast) learn(w work, took time.Duration) {
+	x := w.inputs()
 	// Long reads vary more, so an answer counts by the inverse of its expected time.
-	weight := firstFixed / max(f.first(own, waiting), firstFixed)
+	weight := firstFixed / max(f.first(w), firstFixed)
 	var gain [terms]float64
 	scale := forecastFades / weight
 	for i := range terms {
@@ -72,7 +84,7 @@
 		}
 		scale += x[i] * gain[i]
 	}
-	missed := float64(took)/float64(time.Millisecond) - f.first(own, waiting)
+	missed := float64(took)/float64(time.Millisecond) - f.first(w)
 	for i := range terms {
 		f.weights[i] += gain[i] / scale * missed
 	}
--- a/chiveplace/grant.go
+++ b/chiveplace/grant.go
@@ -18,7 +18,10 @@
 type Grant struct {
 	Endpoint string
 	// Reads is the number of prompt tokens to read anew, Ahead those that wait before them.
-	Reads      int64
+	Reads int64
+	// Fetches is the number of tokens that the endpoint fetches from the one at an address.
+	Fetches    int64
+	FetchFrom  string
 	Ahead      int64
 	Loss       float64
 	Candidates int
@@ -63,12 +66,12 @@
 		s.noteLong(now, place.reads)
 	}
 	if ask.Prompt != nil {
-		s.cache.touch(ask.Prompt.Parts)
+		s.cache.touch(ask.Prompt.Parts, now.Add(place.expected))
 	}
 	m := promise{node: node, number: number, seat: s, until: now.Add(promiseFor)}
 	s.setOther(m.key(), load)
 	p.promises = append(p.promises, m)
-	return Grant{Endpoint: s.endpoint.ID, Reads: place.reads, Ahead: place.ahead, Loss: place.loss, Candidates: place.candidates}, nil
+	return Grant{Endpoint: s.endpoint.ID, Reads: place.reads, Fetches: place.fetches, FetchFrom: place.fetchFrom, Ahead: place.ahead, Loss: place.loss, Candidates: place.candidates}, nil
 }
 
 // expire drops the promises whose nodes have not told of them in time.
@@ -103,7 +106,7 @@
 	}
 	place := &Place{
 		pool: p, seat: s, endpoint: s.endpoint, began: now, reason: "granted by its keeper", keeper: grant.Keeper, loss: grant.Loss, candidates: grant.Candidates,
-		reads: grant.Reads, ahead: grant.Ahead, rank: prompt.Rank, tight: p.isTight(prompt),
+		reads: grant.Reads, fetches: grant.Fetches, fetchFrom: grant.FetchFrom, ahead: grant.Ahead, rank: prompt.Rank, tight: p.isTight(prompt),
 	}
 	p.hold(now, place, prompt)
 	return place, true
--- a/chiveplace/news.go
+++ b/chiveplace/news.go
@@ -35,6 +35,8 @@
 type Read struct {
 	Endpoint string
 	Parts    []chiverequest.Part
+	// Fetched is how many of their tokens the endpoint fetched from another one.
+	Fetched int64
 }
 
 // Empty tells whether there is nothing to tell.
@@ -79,12 +81,12 @@
 	}
 	for _, r := range news.Reads {
 		if s, ok := p.seats[r.Endpoint]; ok {
-			missing := s.cache.missingOf(r.Parts)
+			missing := max(s.cache.missingOf(r.Parts)-r.Fetched, 0)
 			s.demand.note(now, p.forecast.own(float64(missing))*s.speed())
 			if missing > chunkTokens {
 				s.noteLong(now, missing)
 			}
-			s.cache.touch(r.Parts)
+			s.cache.touch(r.Parts, now.Add(milliseconds(p.forecast.first(work{reads: missing})*s.speed())))
 		}
 	}
 }
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -40,6 +40,9 @@
 	// perMs is the loss of later requests for each millisecond that the engine spends.
 	perMs float64
 	reads int64
+	// fetches are the tokens that it fetches from the endpoint at an address.
+	fetches   int64
+	fetchFrom string
 	// again are those of them that another engine holds, expected is the predicted time to the first event.
 	again    int64
 	expected time.Duration
@@ -85,6 +88,15 @@
 // Reads returns how many prompt tokens the endpoint is believed to have to read anew.
 func (p *Place) Reads() int64 { return p.reads }
 
+// work is what the engine does until the first event.
+func (p *Place) work() work { return work{reads: p.reads, fetches: p.fetches, ahead: p.ahead} }
+
+// FetchFrom returns the address of the endpoint from which the chosen one should fetch the parts that it lacks; empty for none.
+func (p *Place) FetchFrom() string { return p.fetchFrom }
+
+// Fetches returns how many tokens that other endpoint is believed to hold beyond the chosen one.
+func (p *Place) Fetches() int64 { return p.fetches }
+
 // Again returns how many of the tokens to read another endpoint is believed to hold.
 func (p *Place) Again() int64 { return p.again }
 
@@ -102,8 +114,8 @@
 		p.seat.notePause(now, waited)
 		p.longest = max(p.longest, waited)
 	} else {
-		p.seat.learnSpeed(p.pool.forecast.first(float64(p.reads), float64(p.ahead)), now.Sub(p.began))
-		p.pool.forecast.learn(float64(p.reads), float64(p.ahead), now.Sub(p.began))
+		p.seat.learnSpeed(p.pool.forecast.first(p.work()), now.Sub(p.began))
+		p.pool.forecast.learn(p.work(), now.Sub(p.began))
 	}
 	p.begin()
 }
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -139,7 +139,7 @@
 	}
 	p.hold(now, place, ask.Prompt)
 	if ask.Prompt != nil {
-		p.reads = append(p.reads, Read{Endpoint: place.endpoint.ID, Parts: ask.Prompt.Parts})
+		p.reads = append(p.reads, Read{Endpoint: place.endpoint.ID, Parts: ask.Prompt.Parts, Fetched: place.fetches})
 	}
 	return place, nil
 }
@@ -149,7 +149,7 @@
 	s := place.seat
 	if prompt != nil {
 		s.begin(now, place)
-		s.cache.touch(prompt.Parts)
+		s.cache.touch(prompt.Parts, now.Add(place.expected))
 	}
 	s.own++
 	s.dirty = true
@@ -167,10 +167,9 @@
 	place := p.cheapest(now, usable, ask)
 	best := place.seat
 	if ask.Prompt != nil {
-		place.reads = best.cache.missing(ask.Prompt)
 		place.rank = ask.Prompt.Rank
 		place.ahead = best.waitingFor(place.rank)
-		place.expected = milliseconds(p.forecast.first(float64(place.reads), float64(place.ahead)) * best.speed())
+		place.expected = milliseconds(p.forecast.first(place.work()) * best.speed())
 		if err := admit(ask.Prompt, p.forecast.waiting(place.ahead)*best.speed(), place.expected); err != nil {
 			return nil, err
 		}
@@ -246,7 +245,10 @@
 	}
 	place.reason = "least expected loss"
 	place.perMs = choice.perMs
-	place.again = choice.again(place.seat)
+	place.reads, place.fetches, place.again = choice.split(place.seat)
+	if place.fetches > 0 {
+		place.fetchFrom = choice.holder.endpoint.Address
+	}
 }
 
 // plainCost is the expected time to an answer of a plain service.
--- a/chiveplace/tight.go
+++ b/chiveplace/tight.go
@@ -30,7 +30,7 @@
 	tightChance = 0.1
 	// harmTokens is the length of a read that spoils the streams beside it for sure; a shorter one meets fewer of their events. Eight
 	// chunks are about one and a half seconds for three such events.
-	harmTokens = 16 * chunkTokens
+	harmTokens = 8 * chunkTokens
 	// openLoss is the loss for the first tight stream on an engine: from then on long reads keep away from it, so the next ones should join
 	// it. It is worth 0.01 of all worth on virtual time; between 0.1 and 0.8 it makes no difference.
 	openLoss = 0.3
--- a/chiverequest/request.go
+++ b/chiverequest/request.go
@@ -55,6 +55,8 @@
 	Left time.Duration
 	// After is the last event that was delivered, when the stream goes on from there.
 	After string
+	// FetchFrom is the address of the endpoint from which this one should fetch the parts of the prompt that it lacks; empty for none.
+	FetchFrom string
 }
 
 // Verdict tells what the head of an answer means.
