--- a/chivecommand/experiment.go
+++ b/chivecommand/experiment.go
@@ -89,7 +89,7 @@
 	if err := os.WriteFile(filepath.Join(r.out, "results.json"), data, fileMode); err != nil {
 		return fmt.Errorf("--out: %w", err)
 	}
-	return nil
+	return writeFile("--out", filepath.Join(r.out, "page.html"), x.WritePage)
 }
 
 const (
--- a/chivecommand/report.go
+++ b/chivecommand/report.go
@@ -51,7 +51,7 @@
 	}
 	report.Finish()
 	if r.page != "" {
-		if err := writePage(report, r.page); err != nil {
+		if err := writeFile("--page", r.page, report.WritePage); err != nil {
 			return err
 		}
 	}
@@ -74,17 +74,18 @@
 	return report.Read(from, filepath.Base(file))
 }
 
-func writePage(report *chivereport.Report, file string) error {
+// writeFile writes a file that a flag asked for.
+func writeFile(flag, file string, write func(out io.Writer) error) error {
 	to, err := os.OpenFile(file, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
 	if err != nil {
-		return fmt.Errorf("--page: %w", err)
+		return fmt.Errorf("%s: %w", flag, err)
 	}
-	if err := report.WritePage(to); err != nil {
+	if err := write(to); err != nil {
 		_ = to.Close()
-		return fmt.Errorf("--page: %w", err)
+		return fmt.Errorf("%s: %w", flag, err)
 	}
 	if err := to.Close(); err != nil {
-		return fmt.Errorf("--page: %w", err)
+		return fmt.Errorf("%s: %w", flag, err)
 	}
 	return nil
 }
--- /dev/null
+++ b/chiveplot/doc.go
@@ -0,0 +1,2 @@
+// Package chiveplot draws plots as pieces of HTML pages that need nothing beside themselves.
+package chiveplot
--- a/chivereport/page.go
+++ b/chivereport/page.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"html/template"
 	"io"
@@ -9,17 +10,17 @@
 	"slices"
 	"strconv"
 
+	"chivedrift/chiveplot"
+
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
-	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
 )
 
 const (
-	plotWidth  = 9 * vg.Inch
-	plotHeight = 3.2 * vg.Inch
+	// legendRoom is how much higher than its highest value a plot is, so that the legend hides nothing.
+	legendRoom = 1.9
 	barWidth   = 10 * vg.Length(1)
 	// routesShown is how many routes a plot shows, those with the most requests.
 	routesShown = 6
@@ -56,18 +57,11 @@
 		{"Time to the first event", r.plotFirsts},
 		{"Prompt tokens read again, by endpoint", r.plotAgain},
 	} {
-		p := plot.New()
-		if err := d.make(p); err != nil {
-			return fmt.Errorf("plot %q: %w", d.title, err)
-		}
-		var svg bytes.Buffer
-		canvas := vgsvg.New(plotWidth, plotHeight)
-		p.Draw(draw.New(canvas))
-		if _, err := canvas.WriteTo(&svg); err != nil {
+		svg, err := chiveplot.Draw(legendRoom, d.make)
+		if err != nil {
 			return fmt.Errorf("plot %q: %w", d.title, err)
 		}
-		// The drawing is made of numbers and of names that the plotting library escapes.
-		page.Plots = append(page.Plots, drawing{d.title, template.HTML(svg.String())}) //nolint:gosec // see above
+		page.Plots = append(page.Plots, drawing{d.title, svg})
 	}
 	if err := pageTemplate.Execute(out, page); err != nil {
 		return fmt.Errorf("page: %w", err)
@@ -75,17 +69,25 @@
 	return nil
 }
 
-// shown are the groups with the most requests.
-func (r *Report) shownGroups() []group {
-	names, _ := r.groups()
-	return names[:min(len(names), routesShown)]
+// shownRoutes are the routes with the most requests that the configuration allows.
+func (r *Report) shownRoutes() []string {
+	requests := make(map[string]int64)
+	for row, n := range r.rows {
+		if row.Reason != ReasonNotAllowed {
+			requests[row.Route] += n
+		}
+	}
+	routes := slices.SortedFunc(maps.Keys(requests), func(a, b string) int {
+		return cmp.Or(cmp.Compare(requests[b], requests[a]), cmp.Compare(a, b))
+	})
+	return routes[:min(len(routes), routesShown)]
 }
 
-// byMoment returns, for a group, the share of its requests at each moment that a test picks.
-func (r *Report) byMoment(g group, picks func(Reason) bool) plotter.XYs {
+// byMoment returns, for a route, the share of its requests at each moment that a test picks.
+func (r *Report) byMoment(route string, picks func(Reason) bool) plotter.XYs {
 	all, picked := make(map[int]int64), make(map[int]int64)
 	for row, n := range r.rows {
-		if row.Route != g.route || row.Rank != g.rank {
+		if row.Route != route || row.Reason == ReasonNotAllowed {
 			continue
 		}
 		all[row.Moment] += n
@@ -103,14 +105,14 @@
 func (r *Report) plotOnTime(p *plot.Plot) error {
 	p.X.Label.Text, p.Y.Label.Text = "seconds", "% of the requests"
 	p.Y.Min, p.Y.Max = 0, percent
-	for i, g := range r.shownGroups() {
-		line, err := plotter.NewLine(r.byMoment(g, func(reason Reason) bool { return reason == ReasonNone }))
+	for i, route := range r.shownRoutes() {
+		line, err := plotter.NewLine(r.byMoment(route, func(reason Reason) bool { return reason == ReasonNone }))
 		if err != nil {
 			return err //nolint:wrapcheck // the caller names the plot
 		}
 		line.Color = plotutil.Color(i)
 		p.Add(line)
-		p.Legend.Add(orNone(g.route), line)
+		p.Legend.Add(orNone(route), line)
 	}
 	return nil
 }
@@ -141,7 +143,6 @@
 		p.Add(line)
 		p.Legend.Add(reason.String(), line)
 	}
-	p.Legend.Top = true
 	return nil
 }
 
@@ -152,9 +153,9 @@
 		labels = append(labels, strconv.Itoa(1<<step))
 	}
 	p.NominalX(labels...)
-	for i, g := range r.shownGroups() {
+	for i, route := range r.shownRoutes() {
 		values := make(plotter.Values, histogramSteps)
-		if h := r.firsts[g.route]; h != nil {
+		if h := r.firsts[route]; h != nil {
 			for step, n := range h.counts {
 				values[step] = float64(n)
 			}
@@ -165,9 +166,8 @@
 		}
 		bars.Color, bars.Offset = plotutil.Color(i), barWidth/2*vg.Length(i-routesShown/2)
 		p.Add(bars)
-		p.Legend.Add(orNone(g.route), bars)
+		p.Legend.Add(orNone(route), bars)
 	}
-	p.Legend.Top = true
 	return nil
 }
 
