--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -140,7 +140,7 @@
 func (p *Pools) Dump() any {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	dump := make(map[string][]chiveplace.SeatState, len(p.pools))
+	dump := make(map[string][]chiveplace.EndpointState, len(p.pools))
 	for name, pool := range p.pools {
 		dump[name] = pool.States(time.Now())
 	}
--- a/chiveplace/seat.go
+++ b/chiveplace/candidate.go
@@ -22,8 +22,8 @@
 	forgetTook = 3 * time.Second
 )
 
-// seat is what one node knows of one endpoint.
-type seat struct {
+// candidate is what one node knows of one endpoint.
+type candidate struct {
 	endpoint chivedirectory.Endpoint
 	// hash is that of the endpoint's id.
 	hash uint64
@@ -60,25 +60,25 @@
 	heard fading
 }
 
-func newSeat(e chivedirectory.Endpoint, cacheTokens int64) *seat {
-	return &seat{endpoint: e, hash: HashID(e.ID), cache: newCache(cacheTokens), byNode: make(map[string]Load)}
+func newCandidate(e chivedirectory.Endpoint, cacheTokens int64) *candidate {
+	return &candidate{endpoint: e, hash: HashID(e.ID), cache: newCache(cacheTokens), byNode: make(map[string]Load)}
 }
 
-func (s *seat) load() int { return s.own + s.others }
+func (s *candidate) load() int { return s.own + s.others }
 
 // waitingTokens returns the prompt tokens that wait there in all.
-func (s *seat) waitingTokens() int64 { return s.ownWaiting.total() + s.othersWaiting.total() }
+func (s *candidate) waitingTokens() int64 { return s.ownWaiting.total() + s.othersWaiting.total() }
 
 // waitingFor returns the prompt tokens that the engine reads before those of a new request of a rank.
-func (s *seat) waitingFor(rank chivetable.Rank) int64 {
+func (s *candidate) waitingFor(rank chivetable.Rank) int64 {
 	return s.ownWaiting.upTo(rank) + s.othersWaiting.upTo(rank)
 }
 
-func (s *seat) tight() int         { return s.ownTight + s.othersTight }
-func (s *seat) longWaiting() int64 { return s.ownLong + s.othersLong }
+func (s *candidate) tight() int         { return s.ownTight + s.othersTight }
+func (s *candidate) longWaiting() int64 { return s.ownLong + s.othersLong }
 
 // begin counts what a new request adds.
-func (s *seat) begin(now time.Time, place *Place) {
+func (s *candidate) begin(now time.Time, place *Place) {
 	s.demand.note(now, place.pool.forecast.own(float64(place.reads))*s.speed())
 	s.ownWaiting = s.ownWaiting.add(place.rank, place.reads)
 	if place.tight {
@@ -91,7 +91,7 @@
 }
 
 // read counts that a request's prompt has been read.
-func (s *seat) read(place *Place) {
+func (s *candidate) read(place *Place) {
 	s.ownWaiting = s.ownWaiting.add(place.rank, -place.reads)
 	if place.reads > chunkTokens {
 		s.ownLong -= place.reads
@@ -100,7 +100,7 @@
 }
 
 // speed returns the factor on predicted times at this engine.
-func (s *seat) speed() float64 {
+func (s *candidate) speed() float64 {
 	if s.slower == 0 {
 		return 1
 	}
@@ -111,27 +111,27 @@
 const speedMemory = 0.1
 
 // learnSpeed takes a predicted and an actual time to a first event.
-func (s *seat) learnSpeed(predicted float64, took time.Duration) {
+func (s *candidate) learnSpeed(predicted float64, took time.Duration) {
 	seen := min(max(float64(took)/float64(time.Millisecond)/predicted, 0.3), 3)
 	s.slower = s.speed() + speedMemory*(seen-s.speed())
 }
 
-func (s *seat) usable(now time.Time) bool {
+func (s *candidate) usable(now time.Time) bool {
 	return s.endpoint.State == chivedirectory.Ready && !now.Before(s.downUntil)
 }
 
-func (s *seat) failed(now time.Time) {
+func (s *candidate) failed(now time.Time) {
 	s.downUntil = now.Add(min(quarantineFirst<<min(s.failures, 10), quarantineMost))
 	s.failures++
 	s.errors += errorMemory * (1 - s.errors)
 }
 
-func (s *seat) full(now time.Time) {
+func (s *candidate) full(now time.Time) {
 	s.downUntil = now.Add(fullFor)
 }
 
 // answered notes an answer: whether it was an error of the endpoint's own, and how long it took.
-func (s *seat) answered(now time.Time, isError bool, took time.Duration) {
+func (s *candidate) answered(now time.Time, isError bool, took time.Duration) {
 	s.failures = 0
 	share := 0.0
 	if isError {
@@ -147,7 +147,7 @@
 }
 
 // slowness is the running time to an answer, which fades towards the pool's usual time.
-func (s *seat) slowness(now time.Time, usual float64) float64 {
+func (s *candidate) slowness(now time.Time, usual float64) float64 {
 	if s.took == 0 {
 		return usual
 	}
--- a/chiveplace/engine.go
+++ b/chiveplace/engine.go
@@ -34,20 +34,20 @@
 	// target is the request's in milliseconds.
 	target float64
 	tight  bool
-	home   *seat
+	home   *candidate
 	// held is the number of leading tokens that the best engine holds, or will hold when it has read them.
 	held int64
 	// holder is the engine that has read the most, and read how many leading tokens that are: others may fetch them.
-	holder *seat
+	holder *candidate
 	read   int64
 	// perMs is the loss of later requests for each millisecond that an engine spends.
 	perMs float64
 }
 
-func (p *Pool) newEngineChoice(now time.Time, seats []*seat, ask Ask) *engineChoice {
+func (p *Pool) newEngineChoice(now time.Time, candidates []*candidate, ask Ask) *engineChoice {
 	prompt := ask.Prompt
 	c := &engineChoice{
-		pool: p, prompt: prompt, target: targetOf(prompt), tight: p.isTight(prompt), home: homeOf(seats, SharedPart(prompt)),
+		pool: p, prompt: prompt, target: targetOf(prompt), tight: p.isTight(prompt), home: homeOf(candidates, SharedPart(prompt)),
 	}
 	var others crowd
 	for _, s := range p.among(ask) {
@@ -59,7 +59,7 @@
 }
 
 // noteHeld notes what an engine holds of the prompt.
-func (c *engineChoice) noteHeld(now time.Time, s *seat, ask Ask) {
+func (c *engineChoice) noteHeld(now time.Time, s *candidate, ask Ask) {
 	c.held = max(c.held, c.prompt.Input-s.cache.missing(c.prompt))
 	if now.Before(s.downUntil) || slices.Contains(ask.Exclude, s.endpoint.ID) {
 		return
@@ -82,7 +82,7 @@
 )
 
 // split tells what an engine would read and fetch of the prompt, and how much of what it reads another one holds.
-func (c *engineChoice) split(s *seat) (reads, fetches, again int64) {
+func (c *engineChoice) split(s *candidate) (reads, fetches, again int64) {
 	missing := s.cache.missing(c.prompt)
 	fetches = c.read - (c.prompt.Input - missing)
 	if c.holder == s || fetches < fetchLeast || c.pool.forecast.fetched(fetches) > fetchShare*c.pool.forecast.own(float64(fetches)) {
@@ -104,24 +104,24 @@
 //
 // What nodes know of each other is some tenths of a second old. If all of them weighed all engines, those that decide
 // meanwhile would all choose the same best one; one would see its queue jump while others stand idle.
-func (c *engineChoice) sample(seats []*seat) []*seat {
-	if len(seats) <= sampled {
-		return seats
+func (c *engineChoice) sample(candidates []*candidate) []*candidate {
+	if len(candidates) <= sampled {
+		return candidates
 	}
-	chosen := make([]*seat, 0, sampled+1)
-	for _, s := range seats {
+	chosen := make([]*candidate, 0, sampled+1)
+	for _, s := range candidates {
 		if s == c.home || (c.held > 0 && c.prompt.Input-s.cache.missing(c.prompt) == c.held) {
 			chosen = append(chosen, s)
 		}
 	}
 	for range sampled {
-		chosen = append(chosen, seats[c.pool.random.IntN(len(seats))])
+		chosen = append(chosen, candidates[c.pool.random.IntN(len(candidates))])
 	}
 	return chosen
 }
 
 // cost is the expected loss on one engine.
-func (c *engineChoice) cost(now time.Time, s *seat) float64 {
+func (c *engineChoice) cost(now time.Time, s *candidate) float64 {
 	reads, fetches, again := c.split(s)
 	first := c.pool.forecast.first(work{reads: reads, fetches: fetches, ahead: s.waitingFor(c.prompt.Rank)}) * s.speed()
 	loss := ramp(first/c.target, lateFrom, lateTo) + sooner*first/c.target
@@ -135,7 +135,7 @@
 }
 
 // againLoss is the loss of later requests by the time that an engine spends on what another one holds.
-func (c *engineChoice) againLoss(s *seat, fetches, again int64) float64 {
+func (c *engineChoice) againLoss(s *candidate, fetches, again int64) float64 {
 	loss := c.perMs * c.pool.forecast.own(float64(again)+movedPart*float64(fetches)) * s.speed()
 	if s.cache.isFull(again + fetches) {
 		// What is read takes the place of as much that others would have found, and that is read again in its turn.
@@ -149,11 +149,11 @@
 }
 
 // noteLong counts a long read that begins.
-func (s *seat) noteLong(now time.Time, tokens int64) {
+func (s *candidate) noteLong(now time.Time, tokens int64) {
 	s.longRead = s.fadedLong(now) + float64(tokens)
 	s.longAt = now
 }
 
-func (s *seat) fadedLong(now time.Time) float64 {
+func (s *candidate) fadedLong(now time.Time) float64 {
 	return s.longRead * math.Exp(-now.Sub(s.longAt).Seconds()/longMemory.Seconds())
 }
--- a/chiveplace/grant.go
+++ b/chiveplace/grant.go
@@ -31,10 +31,10 @@
 
 // promise is a granted place that its node has not told of yet. It counts as if that node had told of it.
 type promise struct {
-	node   string
-	number uint64
-	seat   *seat
-	until  time.Time
+	node      string
+	number    uint64
+	candidate *candidate
+	until     time.Time
 }
 
 func (m promise) key() string { return m.node + promiseMark + strconv.FormatUint(m.number, 10) }
@@ -44,7 +44,7 @@
 
 func isPromise(key string) bool { return strings.Contains(key, promiseMark) }
 
-func (m promise) drop() { m.seat.setOther(m.key(), Load{}) }
+func (m promise) drop() { m.candidate.setOther(m.key(), Load{}) }
 
 // Grant takes a place for a request of another node, under a number that rises; the error is a *RefusedError.
 func (p *Pool) Grant(now time.Time, node string, number uint64, ask Ask) (Grant, error) {
@@ -55,7 +55,7 @@
 	if err != nil {
 		return Grant{}, err
 	}
-	s := place.seat
+	s := place.candidate
 	load := Load{Requests: 1, Waiting: byRank(nil).add(place.rank, place.reads)}
 	if place.tight {
 		load.Tight = 1
@@ -68,7 +68,7 @@
 	if ask.Prompt != nil {
 		s.cache.touch(ask.Prompt.Parts, now.Add(place.expected))
 	}
-	m := promise{node: node, number: number, seat: s, until: now.Add(promiseFor)}
+	m := promise{node: node, number: number, candidate: s, until: now.Add(promiseFor)}
 	s.setOther(m.key(), load)
 	p.promises = append(p.promises, m)
 	return Grant{Endpoint: s.endpoint.ID, Reads: place.reads, Fetches: place.fetches, FetchFrom: place.fetchFrom, Ahead: place.ahead, Loss: place.loss, Candidates: place.candidates}, nil
@@ -100,12 +100,12 @@
 func (p *Pool) Adopt(now time.Time, grant Grant, prompt *chiverequest.Prompt) (*Place, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s, ok := p.seats[grant.Endpoint]
+	s, ok := p.candidates[grant.Endpoint]
 	if !ok || s.endpoint.State != chivedirectory.Ready {
 		return nil, false
 	}
 	place := &Place{
-		pool: p, seat: s, endpoint: s.endpoint, began: now, reason: "granted by its keeper", keeper: grant.Keeper, loss: grant.Loss, candidates: grant.Candidates,
+		pool: p, candidate: s, endpoint: s.endpoint, began: now, reason: "granted by its keeper", keeper: grant.Keeper, loss: grant.Loss, candidates: grant.Candidates,
 		reads: grant.Reads, fetches: grant.Fetches, fetchFrom: grant.FetchFrom, ahead: grant.Ahead, rank: prompt.Rank, tight: p.isTight(prompt),
 	}
 	p.hold(now, place, prompt)
@@ -117,7 +117,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var ids []string
-	for id, s := range p.seats {
+	for id, s := range p.candidates {
 		if now.Before(s.downUntil) {
 			ids = append(ids, id)
 		}
--- a/chiveplace/news.go
+++ b/chiveplace/news.go
@@ -46,15 +46,15 @@
 func (p *Pool) Collect(news *News, all bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	ids := make([]string, 0, len(p.seats))
-	for id, s := range p.seats {
+	ids := make([]string, 0, len(p.candidates))
+	for id, s := range p.candidates {
 		if s.dirty || (all && s.own > 0) {
 			ids = append(ids, id)
 		}
 	}
 	sort.Strings(ids)
 	for _, id := range ids {
-		s := p.seats[id]
+		s := p.candidates[id]
 		s.dirty = false
 		s.told = s.pause.value
 		news.Loads = append(news.Loads, Load{Pause: s.told.Round(time.Millisecond), Endpoint: id, Requests: s.own, Waiting: s.ownWaiting.trimmed(), Tight: s.ownTight, Long: s.ownLong})
@@ -69,18 +69,18 @@
 	defer p.mu.Unlock()
 	p.fulfil(node, news.Granted)
 	if news.All {
-		for _, s := range p.seats {
+		for _, s := range p.candidates {
 			s.setOther(node, Load{})
 		}
 	}
 	for _, l := range news.Loads {
-		if s, ok := p.seats[l.Endpoint]; ok {
+		if s, ok := p.candidates[l.Endpoint]; ok {
 			s.setOther(node, l)
 			s.hearPause(now, l.Pause)
 		}
 	}
 	for _, r := range news.Reads {
-		if s, ok := p.seats[r.Endpoint]; ok {
+		if s, ok := p.candidates[r.Endpoint]; ok {
 			missing := max(s.cache.missingOf(r.Parts)-r.Fetched, 0)
 			s.demand.note(now, p.forecast.own(float64(missing))*s.speed())
 			if missing > chunkTokens {
@@ -101,7 +101,7 @@
 		}
 		return !alive[m.node]
 	})
-	for _, s := range p.seats {
+	for _, s := range p.candidates {
 		for node := range s.byNode {
 			if !alive[node] && !isPromise(node) {
 				s.setOther(node, Load{})
@@ -114,7 +114,7 @@
 func (p *Pool) Release(kept func(endpoint string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, s := range p.seats {
+	for id, s := range p.candidates {
 		if kept(id) {
 			continue
 		}
@@ -125,7 +125,7 @@
 }
 
 // setOther replaces what another node has on the endpoint.
-func (s *seat) setOther(node string, l Load) {
+func (s *candidate) setOther(node string, l Load) {
 	before := s.byNode[node]
 	s.others += l.Requests - before.Requests
 	s.othersWaiting = s.othersWaiting.replace(before.Waiting, l.Waiting)
--- a/chiveplace/pause.go
+++ b/chiveplace/pause.go
@@ -36,7 +36,7 @@
 }
 
 // notePause takes a pause between two events of one stream.
-func (s *seat) notePause(now time.Time, pause time.Duration) {
+func (s *candidate) notePause(now time.Time, pause time.Duration) {
 	before := s.pause.now(now)
 	s.pause = fading{before + time.Duration(pauseMemory*float64(pause-before)), now}
 	if pauseOutdated(s.pause.value, s.told) {
@@ -52,14 +52,14 @@
 }
 
 // hearPause takes what another node tells of the pauses there; the longest that is not forgotten counts.
-func (s *seat) hearPause(now time.Time, pause time.Duration) {
+func (s *candidate) hearPause(now time.Time, pause time.Duration) {
 	if pause > s.heard.now(now) {
 		s.heard = fading{pause, now}
 	}
 }
 
 // pauseLoss is the chance that a stream is late by its pauses alone.
-func (s *seat) pauseLoss(now time.Time, promised time.Duration) float64 {
+func (s *candidate) pauseLoss(now time.Time, promised time.Duration) float64 {
 	if promised == 0 {
 		return 0
 	}
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -28,7 +28,7 @@
 // Place is one request's place on an endpoint.
 type Place struct {
 	pool       *Pool
-	seat       *seat
+	candidate  *candidate
 	endpoint   chivedirectory.Endpoint
 	began      time.Time
 	reason     string
@@ -55,14 +55,14 @@
 	ended   bool
 }
 
-// weigh takes a seat when it costs less than the best so far.
-func (p *Place) weigh(s *seat, cost float64) {
+// weigh takes a candidate when it costs less than the best so far.
+func (p *Place) weigh(s *candidate, cost float64) {
 	switch {
 	case cost < p.loss:
-		if p.seat != nil {
+		if p.candidate != nil {
 			p.nextBest, p.nextLoss = p.endpoint.ID, p.loss
 		}
-		p.seat, p.endpoint, p.loss = s, s.endpoint, cost
+		p.candidate, p.endpoint, p.loss = s, s.endpoint, cost
 	case cost < p.nextLoss:
 		p.nextBest, p.nextLoss = s.endpoint.ID, cost
 	}
@@ -111,10 +111,10 @@
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
 	if p.started {
-		p.seat.notePause(now, waited)
+		p.candidate.notePause(now, waited)
 		p.longest = max(p.longest, waited)
 	} else {
-		p.seat.learnSpeed(p.pool.forecast.first(p.work()), now.Sub(p.began))
+		p.candidate.learnSpeed(p.pool.forecast.first(p.work()), now.Sub(p.began))
 		p.pool.forecast.learn(p.work(), now.Sub(p.began))
 	}
 	p.begin()
@@ -125,7 +125,7 @@
 		return
 	}
 	p.started = true
-	p.seat.read(p)
+	p.candidate.read(p)
 }
 
 // Done gives the place back and returns for how long the endpoint is passed over now; calls after the first do nothing.
@@ -137,24 +137,24 @@
 	}
 	p.ended = true
 	p.begin()
-	p.seat.own--
+	p.candidate.own--
 	if p.tight {
-		p.seat.ownTight--
+		p.candidate.ownTight--
 	}
-	if p.longest > 0 && p.seat.longAt.After(p.began) {
-		p.pool.learnBeside(float64(p.longest) / float64(time.Millisecond) / p.seat.speed())
+	if p.longest > 0 && p.candidate.longAt.After(p.began) {
+		p.pool.learnBeside(float64(p.longest) / float64(time.Millisecond) / p.candidate.speed())
 	}
-	p.seat.dirty = true
+	p.candidate.dirty = true
 	switch ending {
 	case EndedWell, EndedError:
-		p.seat.answered(now, ending == EndedError, now.Sub(p.began))
+		p.candidate.answered(now, ending == EndedError, now.Sub(p.began))
 	case EndedBroken:
-		p.seat.failed(now)
+		p.candidate.failed(now)
 	case EndedFull:
-		p.seat.full(now)
+		p.candidate.full(now)
 	case EndedGone:
-		p.seat.downUntil = now.Add(quarantineMost)
+		p.candidate.downUntil = now.Add(quarantineMost)
 	case EndedCaller:
 	}
-	return max(p.seat.downUntil.Sub(now), 0)
+	return max(p.candidate.downUntil.Sub(now), 0)
 }
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -62,12 +62,12 @@
 
 // Pool chooses among the endpoints of one pool and keeps the ledger of this node's requests on them.
 type Pool struct {
-	mu     sync.Mutex
-	domain string
-	engine chivetable.Engine
-	seats  map[string]*seat
-	// ordered are the seats by id, so that a choice among hundreds sorts nothing.
-	ordered []*seat
+	mu         sync.Mutex
+	domain     string
+	engine     chivetable.Engine
+	candidates map[string]*candidate
+	// ordered are the candidates by id, so that a choice among hundreds sorts nothing.
+	ordered []*candidate
 	// forecast predicts times to first events.
 	forecast forecast
 	// beside is the learnt longest pause of streams beside long reads on an engine of usual speed, in milliseconds; 0 before the first.
@@ -89,7 +89,7 @@
 
 // NewSeededPool returns a pool whose draws follow from a seed, so that an experiment can be repeated.
 func NewSeededPool(domain string, seed uint64) *Pool {
-	return &Pool{domain: domain, seats: make(map[string]*seat), forecast: newForecast(), random: rand.New(rand.NewPCG(seed, 0))}
+	return &Pool{domain: domain, candidates: make(map[string]*candidate), forecast: newForecast(), random: rand.New(rand.NewPCG(seed, 0))}
 }
 
 // SetEngine takes what the engines of the pool can hold; zero for plain services.
@@ -97,7 +97,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.engine = engine
-	for _, s := range p.seats {
+	for _, s := range p.candidates {
 		s.cache.setRoom(engine.CacheTokens)
 	}
 }
@@ -106,24 +106,24 @@
 func (p *Pool) SetEndpoints(endpoints []chivedirectory.Endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known := p.seats
-	p.seats = make(map[string]*seat, len(endpoints))
+	known := p.candidates
+	p.candidates = make(map[string]*candidate, len(endpoints))
 	for _, e := range endpoints {
 		s, ok := known[e.ID]
 		if !ok {
-			s = newSeat(e, p.engine.CacheTokens)
+			s = newCandidate(e, p.engine.CacheTokens)
 		}
 		s.endpoint = e
-		p.seats[e.ID] = s
+		p.candidates[e.ID] = s
 	}
-	p.ordered = slices.SortedFunc(maps.Values(p.seats), func(a, b *seat) int { return strings.Compare(a.endpoint.ID, b.endpoint.ID) })
+	p.ordered = slices.SortedFunc(maps.Values(p.candidates), func(a, b *candidate) int { return strings.Compare(a.endpoint.ID, b.endpoint.ID) })
 }
 
 // Recall takes the parts that an engine says it holds, and returns their tokens; parts of engines that are not known are dropped.
 func (p *Pool) Recall(endpoint string, parts []chiverequest.Part) (tokens int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s, ok := p.seats[endpoint]; ok {
+	if s, ok := p.candidates[endpoint]; ok {
 		return s.cache.recall(parts)
 	}
 	return 0
@@ -146,7 +146,7 @@
 
 // hold counts a place among this node's own.
 func (p *Pool) hold(now time.Time, place *Place, prompt *chiverequest.Prompt) {
-	s := place.seat
+	s := place.candidate
 	if prompt != nil {
 		s.begin(now, place)
 		s.cache.touch(prompt.Parts, now.Add(place.expected))
@@ -165,7 +165,7 @@
 		return nil, &RefusedError{Reason: "no endpoint of the pool has a free place", RetryAfter: retryWhenFull}
 	}
 	place := p.cheapest(now, usable, ask)
-	best := place.seat
+	best := place.candidate
 	if ask.Prompt != nil {
 		place.rank = ask.Prompt.Rank
 		place.ahead = best.waitingFor(place.rank)
@@ -183,13 +183,13 @@
 	return place, nil
 }
 
-// usable returns the seats that can take a request, in order of id, and how many endpoints there are at all. When all of
+// usable returns the candidates that can take a request, in order of id, and how many endpoints there are at all. When all of
 // those with room are passed over for earlier failures, they are better than none.
-func (p *Pool) usable(now time.Time, ask Ask) (usable []*seat, present int) {
+func (p *Pool) usable(now time.Time, ask Ask) (usable []*candidate, present int) {
 	among := p.among(ask)
-	usable = make([]*seat, 0, len(among))
+	usable = make([]*candidate, 0, len(among))
 	slots := slotsFor(p.engine.Slots, ask.Prompt)
-	var suspect []*seat
+	var suspect []*candidate
 	for _, s := range among {
 		if s.endpoint.State != chivedirectory.Ready {
 			continue
@@ -210,49 +210,49 @@
 	return usable, present
 }
 
-// among returns the seats that a request may be placed on, by id; a keeper's part of a pool of thousands is looked up, not searched.
-func (p *Pool) among(ask Ask) []*seat {
+// among returns the candidates that a request may be placed on, by id; a keeper's part of a pool of thousands is looked up, not searched.
+func (p *Pool) among(ask Ask) []*candidate {
 	if ask.Among == nil {
 		return p.ordered
 	}
-	seats := make([]*seat, 0, len(ask.Among))
+	candidates := make([]*candidate, 0, len(ask.Among))
 	for _, id := range slices.Sorted(maps.Keys(ask.Among)) {
-		if s, ok := p.seats[id]; ok {
-			seats = append(seats, s)
+		if s, ok := p.candidates[id]; ok {
+			candidates = append(candidates, s)
 		}
 	}
-	return seats
+	return candidates
 }
 
-// cheapest makes a place on the seat with the least cost, and notes the next best.
-func (p *Pool) cheapest(now time.Time, seats []*seat, ask Ask) *Place {
-	place := &Place{pool: p, began: now, candidates: len(seats), reason: "least expected time", loss: math.Inf(1), nextLoss: math.Inf(1)}
+// cheapest makes a place on the candidate with the least cost, and notes the next best.
+func (p *Pool) cheapest(now time.Time, candidates []*candidate, ask Ask) *Place {
+	place := &Place{pool: p, began: now, candidates: len(candidates), reason: "least expected time", loss: math.Inf(1), nextLoss: math.Inf(1)}
 	if ask.Prompt != nil && p.engine.Slots > 0 {
-		p.cheapestEngine(now, place, seats, ask)
+		p.cheapestEngine(now, place, candidates, ask)
 		return place
 	}
-	for _, s := range seats {
+	for _, s := range candidates {
 		place.weigh(s, p.plainCost(now, s))
 	}
 	return place
 }
 
 // cheapestEngine puts a place on the engine with the least expected loss.
-func (p *Pool) cheapestEngine(now time.Time, place *Place, seats []*seat, ask Ask) {
-	choice := p.newEngineChoice(now, seats, ask)
-	for _, s := range choice.sample(seats) {
+func (p *Pool) cheapestEngine(now time.Time, place *Place, candidates []*candidate, ask Ask) {
+	choice := p.newEngineChoice(now, candidates, ask)
+	for _, s := range choice.sample(candidates) {
 		place.weigh(s, choice.cost(now, s))
 	}
 	place.reason = "least expected loss"
 	place.perMs = choice.perMs
-	place.reads, place.fetches, place.again = choice.split(place.seat)
+	place.reads, place.fetches, place.again = choice.split(place.candidate)
 	if place.fetches > 0 {
 		place.fetchFrom = choice.holder.endpoint.Address
 	}
 }
 
 // plainCost is the expected time to an answer of a plain service.
-func (p *Pool) plainCost(now time.Time, s *seat) float64 {
+func (p *Pool) plainCost(now time.Time, s *candidate) float64 {
 	cost := float64(s.load()+1) * s.slowness(now, usualTook) * (1 + errorWeight*s.errors)
 	if s.endpoint.FailureDomain != p.domain {
 		cost *= farAway
@@ -260,11 +260,11 @@
 	return cost
 }
 
-// homeOf returns the seat that all nodes agree on for a part without talking: the one with the highest hash of both.
-func homeOf(seats []*seat, part uint64) *seat {
-	var home *seat
+// homeOf returns the candidate that all nodes agree on for a part without talking: the one with the highest hash of both.
+func homeOf(candidates []*candidate, part uint64) *candidate {
+	var home *candidate
 	var highest uint64
-	for _, s := range seats {
+	for _, s := range candidates {
 		if weight := Weigh(s.hash, part); home == nil || weight > highest {
 			home, highest = s, weight
 		}
@@ -284,8 +284,8 @@
 	return x ^ x>>31
 }
 
-// SeatState is the dump of one endpoint.
-type SeatState struct {
+// EndpointState is the dump of one endpoint.
+type EndpointState struct {
 	Endpoint string  `json:"endpoint"`
 	Address  string  `json:"address"`
 	Ready    bool    `json:"ready"`
@@ -298,12 +298,12 @@
 }
 
 // States returns what is known of each endpoint, by id.
-func (p *Pool) States(now time.Time) []SeatState {
+func (p *Pool) States(now time.Time) []EndpointState {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	states := make([]SeatState, 0, len(p.seats))
-	for id, s := range p.seats {
-		states = append(states, SeatState{
+	states := make([]EndpointState, 0, len(p.candidates))
+	for id, s := range p.candidates {
+		states = append(states, EndpointState{
 			Endpoint: id, Address: s.endpoint.Address, Ready: s.endpoint.State == chivedirectory.Ready, Own: s.own, Others: s.others,
 			Waiting: s.waitingTokens(), Errors: s.errors, TookMs: s.took * 1000, Down: now.Before(s.downUntil),
 		})
--- a/chiveplace/tight.go
+++ b/chiveplace/tight.go
@@ -74,14 +74,14 @@
 }
 
 // disturbed is about the chance that an engine reads something long while a stream runs there: it has lately, or something waits.
-func (p *Pool) disturbed(now time.Time, s *seat) float64 {
+func (p *Pool) disturbed(now time.Time, s *candidate) float64 {
 	perToken := readPart * p.forecast.own(1) * s.speed()
 	lately := s.fadedLong(now) * perToken / float64(longMemory.Milliseconds())
 	return min(1, lately+float64(s.longWaiting())*perToken/aheadMs)
 }
 
 // pauseLoss is the chance that the request is late by its pauses alone, and what its stream keeps away.
-func (c *engineChoice) pauseLoss(now time.Time, s *seat) float64 {
+func (c *engineChoice) pauseLoss(now time.Time, s *candidate) float64 {
 	loss := s.pauseLoss(now, c.prompt.Pause)
 	if !c.tight {
 		return loss
@@ -94,7 +94,7 @@
 }
 
 // spoiled is how many of the streams that run on an engine a read makes late; those that are late anyway have nothing left to lose.
-func (p *Pool) spoiled(now time.Time, s *seat, tokens int64) float64 {
+func (p *Pool) spoiled(now time.Time, s *candidate, tokens int64) float64 {
 	if tokens <= chunkTokens || s.tight() == 0 {
 		return 0
 	}
