--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -35,17 +35,17 @@
 
 // call is one attempt of a request on one endpoint.
 type call struct {
-	run     *run
-	place   Place
-	id      string
-	address string
-	lane    *lane
-	began   time.Time
-	silence *time.Timer
-	touched bool
-	status  int
-	err     error
-	whole   *whole
+	run        *run
+	place      Place
+	id         string
+	address    string
+	connection *connection
+	began      time.Time
+	silence    *time.Timer
+	touched    bool
+	status     int
+	err        error
+	whole      *whole
 }
 
 // whole is an answer that was read to its end.
@@ -86,7 +86,7 @@
 		c.finish(response)
 		return endedRefused
 	case chiverequest.VerdictElsewhere:
-		c.lane.close()
+		c.connection.close()
 		return endedElsewhere
 	case chiverequest.VerdictForeign:
 		return c.broken(ctx, parent, errForeign)
@@ -140,15 +140,15 @@
 // send writes the request on a connection of its own for as long as the attempt takes.
 func (c *call) send(ctx context.Context) (*http.Response, error) {
 	fresh := len(c.run.result.Tries) > 0 || (c.run.f.o.Rules.FreshOnce && c.run.request.Route.Repeat == chivetable.RepeatNever)
-	c.lane = c.run.f.lanes.get(c.id, fresh)
+	c.connection = c.run.f.connections.get(c.id, fresh)
 	request, err := c.build(ctx)
 	if err != nil {
 		return nil, err
 	}
-	response, err := c.lane.transport.RoundTrip(request)
-	c.touched = c.lane.touched()
+	response, err := c.connection.transport.RoundTrip(request)
+	c.touched = c.connection.touched()
 	if err != nil {
-		c.lane.close()
+		c.connection.close()
 		return nil, err //nolint:wrapcheck // logged as it is
 	}
 	return response, nil
@@ -187,8 +187,8 @@
 // broken tells the reasons for a broken attempt apart.
 func (c *call) broken(ctx, parent context.Context, err error) ending {
 	c.err = err
-	if c.lane != nil {
-		c.lane.close()
+	if c.connection != nil {
+		c.connection.close()
 	}
 	cause := context.Cause(ctx)
 	switch {
@@ -208,7 +208,7 @@
 // finish reads the rest of a short answer, so that its connection can be used again.
 func (c *call) finish(response *http.Response) {
 	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, wholeBytes)); err != nil {
-		c.lane.close()
+		c.connection.close()
 		return
 	}
 	c.keep(response)
@@ -217,10 +217,10 @@
 // keep keeps the connection for another request, unless the endpoint is about to close it.
 func (c *call) keep(response *http.Response) {
 	if response.Close {
-		c.lane.close()
+		c.connection.close()
 		return
 	}
-	c.run.f.lanes.put(c.id, c.lane, response.Header)
+	c.run.f.connections.put(c.id, c.connection, response.Header)
 }
 
 // readWhole passes on an answer that is not a stream once it is complete, so that one that breaks can still be had elsewhere.
@@ -246,7 +246,7 @@
 	if err := c.run.sink.Write(head, false); err != nil {
 		return c.callerFailed(err)
 	}
-	buffer := make([]byte, laneBuffer)
+	buffer := make([]byte, connectionBuffer)
 	for {
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
@@ -298,7 +298,7 @@
 // callerFailed is the end of an attempt whose answer could not be passed on.
 func (c *call) callerFailed(err error) ending {
 	c.err = err
-	c.lane.close()
+	c.connection.close()
 	return endedCaller
 }
 
@@ -306,7 +306,7 @@
 // an event was cut, though nothing on the connection says so.
 func (c *call) streamEnd(ctx, parent context.Context, response *http.Response, stream chiverequest.Stream, rest []byte, err error) ending {
 	if stream.Whole() {
-		c.lane.close()
+		c.connection.close()
 		return endedComplete
 	}
 	if !errors.Is(err, io.EOF) || c.run.request.Stream != nil {
--- a/chiveforward/event.go
+++ b/chiveforward/event.go
@@ -30,7 +30,7 @@
 }
 
 func newEventReader(body io.Reader) *eventReader {
-	return &eventReader{from: bufio.NewReaderSize(body, laneBuffer)}
+	return &eventReader{from: bufio.NewReaderSize(body, connectionBuffer)}
 }
 
 // next returns the next complete event; its bytes are valid until the next call. At the end of the stream rest holds the
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -78,9 +78,9 @@
 
 // Forwarder carries requests to endpoints and their answers back.
 type Forwarder struct {
-	o      Options
-	lanes  *lanes
-	duties chivekernel.Duties
+	o           Options
+	connections *connections
+	duties      chivekernel.Duties
 }
 
 // New returns a forwarder without connections.
@@ -89,7 +89,7 @@
 		began := time.Now()
 		o.SinceBoot = func() time.Duration { return time.Since(began) }
 	}
-	return &Forwarder{o: o, lanes: newLanes(o.Network, o.Self)}
+	return &Forwarder{o: o, connections: newConnections(o.Network, o.Self)}
 }
 
 // Start begins to close idle connections.
@@ -101,13 +101,13 @@
 // Stop closes every idle connection.
 func (f *Forwarder) Stop(context.Context) error {
 	f.duties.End()
-	f.lanes.closeAll()
+	f.connections.closeAll()
 	return nil
 }
 
 // Dump returns how many connections were opened and used again.
 func (f *Forwarder) Dump() any {
-	opened, reused := f.lanes.counts()
+	opened, reused := f.connections.counts()
 	return struct {
 		Opened int64 `json:"connections_opened"`
 		Reused int64 `json:"connections_reused"`
@@ -116,7 +116,7 @@
 
 func (f *Forwarder) sweep(ctx context.Context) {
 	chivekernel.Every(ctx, sweepEvery, func(now time.Time) {
-		f.lanes.sweep(now)
+		f.connections.sweep(now)
 	})
 }
 
