--- a/chiveplace/admit.go
+++ b/chiveplace/admit.go
@@ -24,11 +24,14 @@
 	slotLast = 0.2
 	// comeBackLeast keeps refused callers from coming back before anything can have changed.
 	comeBackLeast = 200 * time.Millisecond
+	// comeBackSpread is how much later than the earliest sensible moment callers may be told to come back, as a part of the wait, so that
+	// those who were refused in one moment do not return in one.
+	comeBackSpread = 0.5
 )
 
 // admit refuses a request whose expected wait, in milliseconds, is longer than its rank may cause; expected is the predicted time to
 // its first event, for the log.
-func admit(prompt *chiverequest.Prompt, wait float64, expected time.Duration) error {
+func (p *Pool) admit(prompt *chiverequest.Prompt, wait float64, expected time.Duration) error {
 	if prompt.Urgent == 0 {
 		return nil
 	}
@@ -36,7 +39,8 @@
 	if wait <= most {
 		return nil
 	}
-	after := max(time.Duration((wait-most)*float64(time.Millisecond)), comeBackLeast)
+	after := max(milliseconds(wait-most), comeBackLeast)
+	after += time.Duration(comeBackSpread * p.random.Float64() * float64(after))
 	reason := fmt.Sprintf("the engines have too much to read: %.0f ms of wait, %.0f allowed for rank %d", wait, most, prompt.Rank.Place)
 	return &RefusedError{Reason: reason, RetryAfter: after, Expected: expected}
 }
--- a/chiveplace/admit_test.go
+++ b/chiveplace/admit_test.go
@@ -47,3 +47,23 @@
 		t.Errorf("admitted %d of rank 2, then %d of rank 1, then %d of rank 0; each rank must find room that those below left", low, middle, high)
 	}
 }
+
+// Symptom: callers that were refused in one moment came back in one, and were refused again.
+// Sequence: a burst met a queue; all were told the same time to come back, at which the queue had just gone.
+// Cause: the time to come back was the queue's alone. It is spread over half of itself.
+func TestRefusedCallersDoNotReturnAsOne(t *testing.T) {
+	p := newPool(2, engine)
+	admitted(t, p, 0, 2)
+	told := make(map[time.Duration]bool)
+	for i := range 10 {
+		_, err := p.Take(time.Now(), chiveplace.Ask{Prompt: ranked(10_000+i, 2)})
+		var refused *chiveplace.RefusedError
+		if !errors.As(err, &refused) {
+			t.Fatalf("got %v", err)
+		}
+		told[refused.RetryAfter] = true
+	}
+	if len(told) < 8 {
+		t.Errorf("ten callers were told %d different times", len(told))
+	}
+}
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -170,7 +170,7 @@
 		place.rank = ask.Prompt.Rank
 		place.ahead = best.waitingFor(place.rank)
 		place.expected = milliseconds(p.forecast.first(place.work()) * best.speed())
-		if err := admit(ask.Prompt, p.forecast.waiting(place.ahead)*best.speed(), place.expected); err != nil {
+		if err := p.admit(ask.Prompt, p.forecast.waiting(place.ahead)*best.speed(), place.expected); err != nil {
 			return nil, err
 		}
 		if place.tight = p.isTight(ask.Prompt); place.tight {
