--- a/chivedirectory/outage_test.go
+++ b/chivedirectory/outage_test.go
@@ -18,18 +18,24 @@
 	return moments
 }
 
+// afterTwelveSeconds is a directory with endpoint a whose node lost the store for twelve seconds and has it back.
+func afterTwelveSeconds() (d *chivedirectory.Directory, start, back time.Time) {
+	start = time.Now()
+	back = start.Add(12 * time.Second)
+	d = chivedirectory.New(grace)
+	d.StoreAnswered(start)
+	d.Apply(start, word(1, "a"))
+	d.StoreLost()
+	d.StoreAnswered(back)
+	return d, start, back
+}
+
 // Symptom: an endpoint that had left got a request 2.03 s later (bound 2 s; kaya-oyma scale-2 seed 694213083099).
 // Sequence: three nodes were cut off for twelve seconds. 1.2 s after they were back an endpoint left; the other nodes stopped at
 // once, those three sent there for up to two more seconds.
 // Cause: their own cut counted as an outage of the store, after which a missing entry is kept for a grace time.
 func TestOwnCutGivesNoGrace(t *testing.T) {
-	start := time.Now()
-	d := chivedirectory.New(grace)
-	d.StoreAnswered(start)
-	d.Apply(start, word(1, "a"))
-	d.StoreLost()
-	back := start.Add(12 * time.Second)
-	d.StoreAnswered(back)
+	d, start, back := afterTwelveSeconds()
 	d.HearAnswers(everySecond(start, back))
 	if !d.Apply(back.Add(1200*time.Millisecond), gone(2, "a")) || len(d.Endpoints()) != 0 {
 		t.Error("an endpoint that left was kept, although the store had answered other nodes all the while")
@@ -38,13 +44,7 @@
 
 // The peers' answers may come after the removal: then the entry goes as soon as they show that the cut was this node's own.
 func TestOwnCutShownAfterTheRemoval(t *testing.T) {
-	start := time.Now()
-	d := chivedirectory.New(grace)
-	d.StoreAnswered(start)
-	d.Apply(start, word(1, "a"))
-	d.StoreLost()
-	back := start.Add(12 * time.Second)
-	d.StoreAnswered(back)
+	d, start, back := afterTwelveSeconds()
 	d.Apply(back, gone(2, "a"))
 	if len(d.Endpoints()) != 1 {
 		t.Fatal("dropped before anybody told that the store had been there")
@@ -62,13 +62,7 @@
 // Sequence: another node had the store for a part of the time in which this one had not.
 // Cause: answers from before and after an outage do not show that there was none.
 func TestAnswersAroundAnOutageGiveGrace(t *testing.T) {
-	start := time.Now()
-	d := chivedirectory.New(grace)
-	d.StoreAnswered(start)
-	d.Apply(start, word(1, "a"))
-	d.StoreLost()
-	back := start.Add(12 * time.Second)
-	d.StoreAnswered(back)
+	d, start, back := afterTwelveSeconds()
 	d.HearAnswers(everySecond(start, start.Add(4*time.Second)))
 	d.HearAnswers(everySecond(start.Add(11*time.Second), back))
 	d.Apply(back, gone(2, "a"))
@@ -81,13 +75,7 @@
 // Sequence: other nodes had the store again for seconds before the cut was over; then an endpoint left.
 // Cause: the grace time began with this node's own return, not with the store's.
 func TestGraceBeginsWithTheStoresReturn(t *testing.T) {
-	start := time.Now()
-	d := chivedirectory.New(grace)
-	d.StoreAnswered(start)
-	d.Apply(start, word(1, "a"))
-	d.StoreLost()
-	back := start.Add(12 * time.Second)
-	d.StoreAnswered(back)
+	d, start, back := afterTwelveSeconds()
 	d.HearAnswers(everySecond(start.Add(8*time.Second), back))
 	if !d.Apply(back.Add(100*time.Millisecond), gone(2, "a")) {
 		t.Error("kept, although the store was back four seconds before the removal")
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -71,9 +71,42 @@
 
 // assemble makes the services and registers them in the order they start.
 func (n *StoreNode) assemble(network chivewire.Network) error {
-	s := n.settings
-	store := chiveplatform.NewStore(s.Store, s.Listen.Peers, network)
+	store := chiveplatform.NewStore(n.settings.Store, n.settings.Listen.Peers, network)
 	metrics := chivemetric.New()
+	roster := n.assembleFleet(network, store)
+	feeds := n.newFeeds(store, roster)
+	serving := n.assembleServing(network, metrics)
+	process := newProcess()
+	return n.register([]named{
+		{processName, process},
+		{metricsName, metrics},
+		{wireName, n.mesh},
+		{accountName, newAccount(metrics.Scope(), n.mesh, process, n.figures(store, feeds.table, feeds.directory)...)},
+		{rosterName, roster},
+		{chivemember.ServiceName, n.members},
+		{chivetable.ServiceName, n.tables},
+		{chivedirectory.ServiceName, n.directory},
+		{chivegossip.ServiceName, n.gossip},
+		{tableFeedName, feeds.table},
+		{directoryFeedName, feeds.directory},
+		{rosterFeedName, feeds.roster},
+		{chiveforward.PoolsName, serving.pools},
+		{chiveforward.ServiceName, serving.forwarder},
+		{chivegrant.ServiceName, n.grants},
+		{chiveledger.ServiceName, n.ledger},
+		{chiverecall.ServiceName, serving.recall},
+		{chiveadmin.ServiceName, &spare{logger: n.logger, Service: chiveadmin.New(chiveadmin.Options{
+			Address: n.settings.Listen.Admin, Network: network, Metrics: metrics.Handler(), State: n.kernel.Dump, Ready: n.NotReady,
+			Explain: func(string) (*chivegate.Explanation, bool) { return nil, false },
+		})}},
+		{chiveentry.ServiceName, n.entry},
+		{readinessName, n.ready},
+	})
+}
+
+// assembleFleet makes what the node knows of the fleet, the configuration and the endpoints, and what nodes tell each other of it.
+func (n *StoreNode) assembleFleet(network chivewire.Network, store *chiveplatform.Store) *roster {
+	s := n.settings
 	n.mesh = chivewire.NewMesh(s.Listen.Peers, network)
 	roster := newRoster(s.Listen.Peers, s.Region, s.FailureDomain, s.Seeds, store.Nodes(), n.logger)
 	n.members = chivemember.NewService(chivemember.Member{
@@ -86,6 +119,40 @@
 	n.tables.OnChange(func(*chivetable.Table) { n.gossip.Learnt() })
 	n.directory.OnChange(func([]chivedirectory.Endpoint) { n.gossip.Learnt() })
 	n.directory.OnDoubt(n.gossip.Doubt)
+	return roster
+}
+
+// feeds follow the store's topics.
+type feeds struct {
+	table     *chivefeed.Follower
+	directory *chivefeed.Follower
+	roster    *chivefeed.Follower
+}
+
+func (n *StoreNode) newFeeds(store *chiveplatform.Store, roster *roster) feeds {
+	return feeds{
+		table: chivefeed.New(chivefeed.Options{
+			Topic: store.Configurations(), Wait: n.gossip.ReadWait, Listener: n.tables, Answered: n.directory.AnsweredElse, Held: n.gossip.Held,
+		}),
+		directory: chivefeed.New(chivefeed.Options{
+			Topic: store.Endpoints(), Wait: n.gossip.ReadWait, Pace: busyPace, Listener: n.directory, Answered: n.directory.Answered, Held: n.gossip.Held,
+		}),
+		roster: chivefeed.New(chivefeed.Options{
+			Topic: store.Nodes(), Wait: noWait, Pace: rosterPace, Listener: roster, Answered: n.directory.AnsweredElse,
+		}),
+	}
+}
+
+// serving carries requests from callers to endpoints.
+type serving struct {
+	pools     *chiveforward.Pools
+	forwarder *chiveforward.Forwarder
+	recall    *chiverecall.Service
+}
+
+// assembleServing makes what places requests and carries them, and lets it hear of configurations and endpoints.
+func (n *StoreNode) assembleServing(network chivewire.Network, metrics *chivemetric.Metrics) serving {
+	s := n.settings
 	n.budget = chiveforward.NewBudget(time.Now(), chiveforward.BudgetLimits{
 		Ratio: s.Repeats.Ratio, Headroom: s.Repeats.Headroom, Window: time.Duration(s.Repeats.WindowS * float64(time.Second)),
 	})
@@ -111,41 +178,7 @@
 	n.directory.OnChange(pools.SetEndpoints)
 	n.directory.OnChange(n.grants.SetEndpoints)
 	n.directory.OnChange(recall.SetEndpoints)
-	tableFeed := chivefeed.New(chivefeed.Options{
-		Topic: store.Configurations(), Wait: n.gossip.ReadWait, Listener: n.tables, Answered: n.directory.AnsweredElse, Held: n.gossip.Held,
-	})
-	directoryFeed := chivefeed.New(chivefeed.Options{
-		Topic: store.Endpoints(), Wait: n.gossip.ReadWait, Pace: busyPace, Listener: n.directory, Answered: n.directory.Answered, Held: n.gossip.Held,
-	})
-	rosterFeed := chivefeed.New(chivefeed.Options{
-		Topic: store.Nodes(), Wait: noWait, Pace: rosterPace, Listener: roster, Answered: n.directory.AnsweredElse,
-	})
-	process := newProcess()
-	return n.register([]named{
-		{processName, process},
-		{metricsName, metrics},
-		{wireName, n.mesh},
-		{accountName, newAccount(metrics.Scope(), n.mesh, process, n.figures(store, tableFeed, directoryFeed)...)},
-		{rosterName, roster},
-		{chivemember.ServiceName, n.members},
-		{chivetable.ServiceName, n.tables},
-		{chivedirectory.ServiceName, n.directory},
-		{chivegossip.ServiceName, n.gossip},
-		{tableFeedName, tableFeed},
-		{directoryFeedName, directoryFeed},
-		{rosterFeedName, rosterFeed},
-		{chiveforward.PoolsName, pools},
-		{chiveforward.ServiceName, forwarder},
-		{chivegrant.ServiceName, n.grants},
-		{chiveledger.ServiceName, n.ledger},
-		{chiverecall.ServiceName, recall},
-		{chiveadmin.ServiceName, &spare{logger: n.logger, Service: chiveadmin.New(chiveadmin.Options{
-			Address: s.Listen.Admin, Network: network, Metrics: metrics.Handler(), State: n.kernel.Dump, Ready: n.NotReady,
-			Explain: func(string) (*chivegate.Explanation, bool) { return nil, false },
-		})}},
-		{chiveentry.ServiceName, n.entry},
-		{readinessName, n.ready},
-	})
+	return serving{pools, forwarder, recall}
 }
 
 func (n *StoreNode) register(services []named) error {
--- a/chiveplace/engine.go
+++ b/chiveplace/engine.go
@@ -1,7 +1,6 @@
 package chiveplace
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -147,13 +146,3 @@
 func ramp(x, from, to float64) float64 {
 	return min(max((x-from)/(to-from), 0), 1)
 }
-
-// noteLong counts a long read that begins.
-func (s *candidate) noteLong(now time.Time, tokens int64) {
-	s.longRead = s.fadedLong(now) + float64(tokens)
-	s.longAt = now
-}
-
-func (s *candidate) fadedLong(now time.Time) float64 {
-	return s.longRead * math.Exp(-now.Sub(s.longAt).Seconds()/longMemory.Seconds())
-}
--- a/chiveplace/tight.go
+++ b/chiveplace/tight.go
@@ -1,6 +1,7 @@
 package chiveplace
 
 import (
+	"math"
 	"time"
 
 	"chivedrift/chiverequest"
@@ -100,3 +101,13 @@
 	}
 	return float64(s.tight()) * (1 - p.disturbed(now, s)) * min(1, float64(tokens)/harmTokens) * p.besideChance(p.promise, s.speed())
 }
+
+// noteLong counts a long read that begins.
+func (s *candidate) noteLong(now time.Time, tokens int64) {
+	s.longRead = s.fadedLong(now) + float64(tokens)
+	s.longAt = now
+}
+
+func (s *candidate) fadedLong(now time.Time) float64 {
+	return s.longRead * math.Exp(-now.Sub(s.longAt).Seconds()/longMemory.Seconds())
+}
