Sight for the incident: copies of documents, writes that broke, and how long a newer version has been known

The record could not tell the hypotheses apart: nothing counted how often a document came, whether it was used, which writes between nodes were cut half-way, or when a node first heard of a version. Event 210, five gauges, broken writes by kind, and in 206 the bytes, the copies and the time since the version was heard of. No decision changes.

--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -27,6 +27,7 @@
 	TableRejected = define(207, slog.LevelError, "routing table not usable", "The last good one stays in force: mend the field that the error names.")
 	StoreLost     = define(208, slog.LevelWarn, "platform's store does not answer", "Serving goes on with what is known; look at the store if it lasts.")
 	StoreBack     = define(209, slog.LevelInfo, "platform's store answers again", "None.")
+	TableHeard    = define(210, slog.LevelInfo, "newer routing table known", "None, when 206 with this version or a newer one follows within two seconds. Else look at the metric of broken writes and at the VM's link.")
 
 	EndpointReady    = define(310, slog.LevelInfo, "endpoint ready", "None.")
 	EndpointGone     = define(311, slog.LevelInfo, "endpoint gone", "None, unless nobody took it away.")
--- a/chivegossip/service.go
+++ b/chivegossip/service.go
@@ -30,6 +30,8 @@
 	Document() ([]byte, int64)
 	// Learn takes a document.
 	Learn(document []byte, source string)
+	// Hear takes word that a version exists.
+	Hear(version int64, source string)
 }
 
 // Endpoints holds what is known of the endpoints.
@@ -194,6 +196,7 @@
 // compare sends what the peer lacks, and asks back when it is this node that lacks something.
 func (s *Service) compare(from string, theirs Knowledge) {
 	own := s.knowledge(true)
+	s.o.Tables.Hear(theirs.Table, "peer "+from)
 	if own.Table > theirs.Table {
 		data, version := s.o.Tables.Document()
 		s.send(from, chivewire.KindDocument, Document{Table: version, Data: data})
--- a/chivegossip/service_test.go
+++ b/chivegossip/service_test.go
@@ -38,6 +38,8 @@
 	f.version = max(f.version, version)
 }
 
+func (f *fakeTables) Hear(int64, string) {}
+
 // fakeEndpoints is a directory behind a lock.
 type fakeEndpoints struct {
 	mu sync.Mutex
--- a/chivenode/account.go
+++ b/chivenode/account.go
@@ -66,6 +66,7 @@
 	sent, received := a.mesh.Traffic()
 	a.reportTraffic("sent", sent)
 	a.reportTraffic("received", received)
+	a.reportTraffic("broken", a.mesh.Broken())
 	state := a.process.state()
 	process := a.scope.SubScope("process")
 	process.Gauge("cpu_seconds").Update(float64(state.CPUUs) / float64(time.Second/time.Microsecond))
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -209,6 +209,11 @@
 		{"places_refused", func() float64 { return float64(n.grants.Counts().Refused) }},
 		{"keepers_silent", func() float64 { return float64(n.grants.Counts().Silent) }},
 		{"table_version", func() float64 { return float64(n.tables.Version()) }},
+		{"table_newest_known", func() float64 { return float64(n.tables.Newest()) }},
+		{"table_since_seconds", func() float64 { return n.tables.Since().Seconds() }},
+		{"table_behind_seconds", func() float64 { return n.tables.Behind().Seconds() }},
+		{"table_copies", func() float64 { return float64(n.tables.Counts().Copies) }},
+		{"table_copies_unneeded", func() float64 { return float64(n.tables.Counts().Unneeded) }},
 		{"directory_offset", func() float64 { return float64(n.directory.Newest()) }},
 		{"members", func() float64 { return float64(len(n.members.Members())) }},
 	}
--- a/chivetable/service.go
+++ b/chivetable/service.go
@@ -13,25 +13,41 @@
 // ServiceName is the name under which the table registers.
 const ServiceName = "table"
 
+// noVersion stands for the version before the first table.
+const noVersion = -1
+
 // Decoder turns the operator's document into a table; the error names the field or the route.
 type Decoder func(data []byte) (*Table, error)
 
 // Service keeps the newest table in force: a version never goes back while the process lives, whatever the store or a peer says.
 type Service struct {
-	mu        sync.Mutex
-	decode    Decoder
-	isTable   func(chivelog.KeyedRecord) bool
-	logger    *slog.Logger
-	table     *Table
-	document  []byte
-	since     time.Time
-	rejected  int64
+	mu       sync.Mutex
+	decode   Decoder
+	isTable  func(chivelog.KeyedRecord) bool
+	logger   *slog.Logger
+	table    *Table
+	document []byte
+	since    time.Time
+	// newest is the newest version that this node has heard of, and newestAt when it heard of it first.
+	newest    int64
+	newestAt  time.Time
+	counts    Counts
 	listeners []func(*Table)
 }
 
+// Counts tells what became of the documents that came, since the start of the process.
+type Counts struct {
+	// Copies is the number of documents that came, from the store or from peers.
+	Copies int64 `json:"copies"`
+	// Unneeded is the number of those that were not newer than the table in force.
+	Unneeded int64 `json:"unneeded"`
+	// Rejected is the number of those that were not usable.
+	Rejected int64 `json:"rejected"`
+}
+
 // NewService returns a service without a table; isTable tells the records that hold one from the topic's others.
 func NewService(decode Decoder, isTable func(chivelog.KeyedRecord) bool, logger *slog.Logger) *Service {
-	return &Service{decode: decode, isTable: isTable, logger: logger}
+	return &Service{decode: decode, isTable: isTable, logger: logger, newest: noVersion}
 }
 
 // OnChange adds a function that hears each table that comes into force; it must not block. All are added before Start.
@@ -51,8 +67,10 @@
 		Version  int64     `json:"version"`
 		Routes   int       `json:"routes"`
 		Since    time.Time `json:"since"`
-		Rejected int64     `json:"rejected"`
-	}{Since: s.since, Rejected: s.rejected}
+		Newest   int64     `json:"newest_known"`
+		BehindMs int64     `json:"behind_ms"`
+		Counts   Counts    `json:"documents"`
+	}{Since: s.since, Newest: s.newest, BehindMs: s.behind(time.Now()).Milliseconds(), Counts: s.counts}
 	if s.table != nil {
 		dump.Version, dump.Routes = s.table.Version(), s.table.Routes()
 	}
@@ -63,20 +81,74 @@
 func (s *Service) Version() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.version()
+}
+
+func (s *Service) version() int64 {
 	if s.table == nil {
-		return -1
+		return noVersion
 	}
 	return s.table.Version()
 }
 
-// Document returns the operator's document in force and its version; -1 before the first.
-func (s *Service) Document() ([]byte, int64) {
+// Newest returns the newest version that this node has heard of, in force or not; -1 before the first.
+func (s *Service) Newest() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newest
+}
+
+// Since returns how long the table in force has been so; zero before the first.
+func (s *Service) Since() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.table == nil {
-		return nil, -1
+		return 0
+	}
+	return time.Since(s.since)
+}
+
+// Behind returns for how long this node has known that there is a newer version than the one in force; zero when there is none.
+func (s *Service) Behind() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.behind(time.Now())
+}
+
+func (s *Service) behind(now time.Time) time.Duration {
+	if s.newest <= s.version() {
+		return 0
+	}
+	return now.Sub(s.newestAt)
+}
+
+// Counts returns what became of the documents that came.
+func (s *Service) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// Hear takes word that a version exists; source is what the log names.
+func (s *Service) Hear(version int64, source string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hear(version, source)
+}
+
+func (s *Service) hear(version int64, source string) {
+	if version <= s.newest {
+		return
 	}
-	return s.document, s.table.Version()
+	s.newest, s.newestAt = version, time.Now()
+	chiveevent.TableHeard.Log(context.Background(), s.logger, slog.Int64("version", version), slog.Int64("in_force", s.version()), slog.String("source", source))
+}
+
+// Document returns the operator's document in force and its version; -1 before the first.
+func (s *Service) Document() ([]byte, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.document, s.version()
 }
 
 // Replace takes a snapshot of the store; a store that lost the record does not take the table out of force.
@@ -93,22 +165,29 @@
 
 // Learn takes a document from anywhere; source is what the log names.
 func (s *Service) Learn(document []byte, source string) {
-	ctx := context.Background()
 	table, err := s.decode(document)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Copies++
 	if err != nil {
-		s.mu.Lock()
-		s.rejected++
-		s.mu.Unlock()
-		chiveevent.TableRejected.Log(ctx, s.logger, slog.String("source", source), slog.String("error", err.Error()))
+		s.counts.Rejected++
+		chiveevent.TableRejected.Log(context.Background(), s.logger, slog.String("source", source), slog.String("error", err.Error()))
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.table != nil && table.Version() <= s.table.Version() {
+	if table.Version() <= s.version() {
+		s.counts.Unneeded++
 		return
 	}
+	s.hear(table.Version(), source)
+	s.putInForce(table, document, source)
+}
+
+// putInForce makes a table the one in force and tells it; the caller holds the lock.
+func (s *Service) putInForce(table *Table, document []byte, source string) {
 	s.table, s.document, s.since = table, append([]byte(nil), document...), time.Now()
-	chiveevent.TableInForce.Log(ctx, s.logger, slog.Int64("version", table.Version()), slog.Int("routes", table.Routes()), slog.String("source", source))
+	chiveevent.TableInForce.Log(context.Background(), s.logger, slog.Int64("version", table.Version()), slog.Int("routes", table.Routes()),
+		slog.String("source", source), slog.Int("bytes", len(document)), slog.Int64("heard_ms_ago", s.since.Sub(s.newestAt).Milliseconds()),
+		slog.Int64("copies", s.counts.Copies))
 	for _, heard := range s.listeners {
 		heard(table)
 	}
--- a/chivewire/link.go
+++ b/chivewire/link.go
@@ -190,6 +190,7 @@
 		return false
 	}
 	if _, err := l.conn.Write(frame); err != nil {
+		l.mesh.broken[frame[4]].add(len(frame))
 		return false
 	}
 	l.lastSent.Store(time.Now().UnixNano())
--- a/chivewire/mesh.go
+++ b/chivewire/mesh.go
@@ -30,6 +30,8 @@
 	onLost   []func(peer string)
 	sent     [256]count
 	received [256]count
+	// broken counts the messages of which a part may have been sent when the connection ended.
+	broken [256]count
 
 	mu      sync.Mutex
 	links   map[string]*link
@@ -139,6 +141,9 @@
 	return traffic(&m.sent), traffic(&m.received)
 }
 
+// Broken returns the messages whose writing did not end well, by kind: the receiver got a part of each at most.
+func (m *Mesh) Broken() map[string]Traffic { return traffic(&m.broken) }
+
 func traffic(counts *[256]count) map[string]Traffic {
 	kinds := make(map[string]Traffic)
 	for kind := range counts {
@@ -163,7 +168,8 @@
 		Rings    map[string]chivering.Depth `json:"rings"`
 		Sent     map[string]Traffic         `json:"sent"`
 		Received map[string]Traffic         `json:"received"`
-	}{m.self, rings, sent, received}
+		Broken   map[string]Traffic         `json:"broken"`
+	}{m.self, rings, sent, received, m.Broken()}
 }
 
 // ---------------------------------------------------------------- connections
