A failing test of the incident: a large configuration on slow links

78 nodes with their membership and gossip on links of 10 Mbit/s, on virtual time: a document of 1,449 routes reaches the readers, one route more follows after 1.25 s. The stand-in network gets links that a host's connections share.

--- /dev/null
+++ b/chivegossip/document_test.go
@@ -0,0 +1,213 @@
+package chivegossip_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chivedrift/chivedirectory"
+	"chivedrift/chivegossip"
+	"chivedrift/chivelog"
+	"chivedrift/chivemember"
+	"chivedrift/chivestand"
+	"chivedrift/chivetable"
+	"chivedrift/chivewire"
+)
+
+const (
+	// slowLink is the slowest link of the users' VMs, 10 Mbit/s, in bytes a second.
+	slowLink = 10_000_000 / 8
+	// largeFleet is the size of the users' fleets of today.
+	largeFleet = 78
+	// inForceWithin is what a change may take from its acknowledgement on such fleets, less a second for the store and the readers.
+	inForceWithin = 2 * time.Second
+)
+
+// routeDocument is a route as an operator's document spells it: names without a pattern between fields that repeat.
+type routeDocument struct {
+	Name      string  `json:"name"`
+	Host      string  `json:"hostname"`
+	Prefix    string  `json:"pathPrefix"`
+	Kind      string  `json:"routeType"`
+	TimeoutMs float64 `json:"timeoutMs"`
+	TargetMs  float64 `json:"targetLatencyMs"`
+	Priority  int     `json:"priority"`
+	Backend   string  `json:"backend"`
+	Attempts  int     `json:"maxAttempts"`
+	Affinity  bool    `json:"sessionAffinity"`
+	Resumable bool    `json:"streamResumption"`
+	PauseMs   float64 `json:"itlTargetMs"`
+}
+
+type document struct {
+	Version int64           `json:"version"`
+	Routes  []routeDocument `json:"routes"`
+}
+
+// newDocument returns a version with so many routes; two versions of one seed share their first routes.
+func newDocument(t *testing.T, version int64, routes int, seed uint64) []byte {
+	t.Helper()
+	draw := rand.New(rand.NewPCG(seed, 1))
+	word := func() string {
+		return fmt.Sprintf("%c%c%c%c%d", 97+draw.IntN(26), 97+draw.IntN(26), 97+draw.IntN(26), 97+draw.IntN(26), draw.IntN(1000))
+	}
+	d := document{Version: version}
+	for range routes {
+		d.Routes = append(d.Routes, routeDocument{
+			Name: "r-" + word(), Host: word() + ".example", Prefix: "/" + word() + "/", Kind: "idempotent", TimeoutMs: 1000, TargetMs: 120,
+			Priority: 2, Backend: "studio", Attempts: 2,
+		})
+	}
+	data, err := json.Marshal(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func decodeDocument(data []byte) (*chivetable.Table, error) {
+	var d document
+	if err := json.Unmarshal(data, &d); err != nil {
+		return nil, err
+	}
+	spec := chivetable.Spec{Version: d.Version, Pools: []chivetable.Pool{{Name: "studio"}}}
+	for _, r := range d.Routes {
+		spec.Routes = append(spec.Routes, chivetable.Route{Name: r.Name, Host: r.Host, Prefix: r.Prefix, Shares: []chivetable.Share{{Pool: "studio", Weight: 1}}})
+	}
+	return chivetable.New(spec)
+}
+
+// member is a node of a fleet on slow links: its connections, who it thinks is there, and what it tells its peers.
+type member struct {
+	mesh    *chivewire.Mesh
+	members *chivemember.Service
+	tables  *chivetable.Service
+	gossip  *chivegossip.Service
+}
+
+// everybody lists all nodes, as the store does.
+type everybody []chivelog.VM
+
+func (e everybody) VMs(context.Context) ([]chivelog.VM, error) { return e, nil }
+
+// newFleet starts a fleet in a bubble and waits until all know each other.
+func newFleet(t *testing.T, count, bytesPerSecond int) (*chivestand.Network, []*member) {
+	t.Helper()
+	network := chivestand.NewNetwork()
+	network.LimitLinks(bytesPerSecond)
+	var all everybody
+	for i := range count {
+		address := fmt.Sprintf("10.%d.0.%d:82", i%5, i)
+		all = append(all, chivelog.VM{Name: address, Address: address, Region: "r", Kind: chivelog.KindEntry, State: chivelog.StateLive})
+	}
+	fleet := make([]*member, count)
+	for i, vm := range all {
+		fleet[i] = startMember(t, network, vm, all)
+	}
+	time.Sleep(15 * time.Second)
+	for _, n := range fleet {
+		if len(n.members.Members()) != count {
+			t.Fatalf("a node knows %d of %d", len(n.members.Members()), count)
+		}
+	}
+	return network, fleet
+}
+
+func startMember(t *testing.T, network *chivestand.Network, vm chivelog.VM, all everybody) *member {
+	t.Helper()
+	logger := slog.New(slog.DiscardHandler)
+	n := &member{mesh: chivewire.NewMesh(vm.Address, network)}
+	self := chivemember.Member{Name: vm.Address, Address: vm.Address, Region: "r", Incarnation: 1}
+	n.members = chivemember.NewService(self, n.mesh, all, logger)
+	n.tables = chivetable.NewService(decodeDocument, func(chivelog.KeyedRecord) bool { return true }, logger)
+	endpoints := &fakeEndpoints{d: chivedirectory.New(time.Second)}
+	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Members: n.members, Tables: n.tables, Endpoints: endpoints})
+	n.tables.OnChange(func(*chivetable.Table) { n.gossip.Learnt() })
+	n.members.OnChange(n.gossip.SetMembers)
+	for _, s := range []interface {
+		Start(ctx context.Context) error
+		Stop(ctx context.Context) error
+	}{n.mesh, n.members, n.gossip} {
+		if err := s.Start(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { s.Stop(context.Background()) })
+	}
+	return n
+}
+
+// read gives a document to the nodes that read the store.
+func read(fleet []*member, document []byte) {
+	for _, n := range fleet {
+		if !n.gossip.Held() {
+			n.tables.Learn(document, "store")
+		}
+	}
+}
+
+// behind counts the nodes at which an older version is in force.
+func behind(fleet []*member, version int64) int {
+	count := 0
+	for _, n := range fleet {
+		if n.tables.Version() < version {
+			count++
+		}
+	}
+	return count
+}
+
+// checkMembers reports nodes that think a living node dead.
+func checkMembers(t *testing.T, fleet []*member, after time.Duration) {
+	t.Helper()
+	for _, n := range fleet {
+		if known := len(n.members.Members()); known != len(fleet) {
+			t.Fatalf("%v after the change %s knows %d of %d nodes", after, n.mesh.Self(), known, len(fleet))
+		}
+	}
+}
+
+// Symptom: a configuration that the store had acknowledged was in force on most nodes only four to eight seconds later; requests were
+// handled by the version before it. Nodes failed their readiness checks, and called each other dead, for ten seconds.
+// Sequence: the configuration grew from 49 to 1,449 routes, 380 KB, and a second later one more change came. The eight nodes that read the
+// store told the nodes in their care, and each sent the whole document to all of about 25 at once, over a link of 10 Mbit/s: 7.6 s.
+// Cause: a node that knew more sent all of it to whoever knew less, without regard to its size, to the link, or to the copies that were on
+// their way from others. Writes that took over 2.5 s were cut off and began anew, heartbeats waited behind documents, and nodes that took
+// the place of those called dead did the same.
+// Evidence: in the first second after the acknowledgement the eight sent 2.0 to 2.4 MB each and all other nodes together next to nothing;
+// from then on 0.8 to 1.4 MB a second, which is what the link carries; processors stood at 1 to 5%.
+func TestLargeConfigurationIsInForceInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, fleet := newFleet(t, largeFleet, slowLink)
+		read(fleet, newDocument(t, 3, 49, 1))
+		time.Sleep(10 * time.Second)
+		if n := behind(fleet, 3); n != 0 {
+			t.Fatalf("%d nodes without the first version", n)
+		}
+		read(fleet, newDocument(t, 5, 1449, 1))
+		began := time.Now()
+		for time.Since(began) < 1250*time.Millisecond {
+			time.Sleep(50 * time.Millisecond)
+			checkMembers(t, fleet, time.Since(began))
+		}
+		read(fleet, newDocument(t, 9, 1450, 1))
+		for time.Since(began) < inForceWithin {
+			time.Sleep(50 * time.Millisecond)
+			checkMembers(t, fleet, time.Since(began))
+		}
+		if n := behind(fleet, 5); n != 0 {
+			t.Errorf("%d of %d nodes handle requests by a version before 5 %v after the readers had it", n, len(fleet), inForceWithin)
+		}
+		for time.Since(began) < 1250*time.Millisecond+inForceWithin {
+			time.Sleep(50 * time.Millisecond)
+			checkMembers(t, fleet, time.Since(began))
+		}
+		if n := behind(fleet, 9); n != 0 {
+			t.Errorf("%d of %d nodes handle requests by a version before 9 %v after the readers had it", n, len(fleet), inForceWithin)
+		}
+	})
+}
--- a/chivestand/network.go
+++ b/chivestand/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -17,6 +18,9 @@
 	listeners map[string]*listener
 	conns     []*memoryConn
 	blocked   func(from, to string) bool
+	// rate is what a host's link carries in bytes a second; 0 stands for no limit.
+	rate  int
+	links map[linkEnd]*link
 }
 
 // NewNetwork returns a network on which nobody listens yet.
@@ -126,6 +130,8 @@
 	to      string
 	mu      sync.Mutex
 	silent  bool
+	// deadline bounds writes; zero stands for none.
+	deadline time.Time
 }
 
 func (c *memoryConn) silence() {
@@ -144,7 +150,18 @@
 	if silent {
 		return len(data), nil
 	}
-	return c.Conn.Write(data)
+	sent := 0
+	for chunk := range slices.Chunk(data, linkChunk) {
+		if err := c.pass(len(chunk)); err != nil {
+			return sent, err
+		}
+		n, err := c.Conn.Write(chunk)
+		sent += n
+		if err != nil {
+			return sent, err //nolint:wrapcheck // the pipe's error is the connection's
+		}
+	}
+	return sent, nil
 }
 
 // Close closes one end; the other end of a silent connection hears nothing of it.
