--- a/chivestand/links.go
+++ b/chivestand/links.go
@@ -92,5 +92,5 @@
 	c.mu.Lock()
 	c.deadline = deadline
 	c.mu.Unlock()
-	return c.Conn.SetWriteDeadline(deadline) //nolint:wrapcheck // the pipe's error is the connection's
+	return c.Conn.SetWriteDeadline(deadline)
 }
--- a/chivestand/network.go
+++ b/chivestand/network.go
@@ -158,7 +158,7 @@
 		n, err := c.Conn.Write(chunk)
 		sent += n
 		if err != nil {
-			return sent, err //nolint:wrapcheck // the pipe's error is the connection's
+			return sent, err
 		}
 	}
 	return sent, nil
