--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -23,11 +23,12 @@
 	ConfigFromPeer    = define(204, slog.LevelInfo, "configuration taken from a peer", "None; the log was unavailable.")
 	ConfigCheckpoint  = define(205, slog.LevelInfo, "configuration checkpoint appended", "None; it keeps the version from expiring.")
 
-	TableInForce  = define(206, slog.LevelInfo, "routing table in force", "None; the version is the operator's.")
-	TableRejected = define(207, slog.LevelError, "routing table not usable", "The last good one stays in force: mend the field that the error names.")
-	StoreLost     = define(208, slog.LevelWarn, "platform's store does not answer", "Serving goes on with what is known; look at the store if it lasts.")
-	StoreBack     = define(209, slog.LevelInfo, "platform's store answers again", "None.")
-	TableHeard    = define(210, slog.LevelInfo, "newer routing table known", "None, when 206 with this version or a newer one follows within two seconds. Else look at the metric of broken writes and at the VM's link.")
+	TableInForce   = define(206, slog.LevelInfo, "routing table in force", "None; the version is the operator's.")
+	TableRejected  = define(207, slog.LevelError, "routing table not usable", "The last good one stays in force: mend the field that the error names.")
+	StoreLost      = define(208, slog.LevelWarn, "platform's store does not answer", "Serving goes on with what is known; look at the store if it lasts.")
+	StoreBack      = define(209, slog.LevelInfo, "platform's store answers again", "None.")
+	TableHeard     = define(210, slog.LevelInfo, "newer routing table known", "None, when 206 with this version or a newer one follows within two seconds. Else look at the metric of broken writes and at the VM's link.")
+	TableNotPassed = define(211, slog.LevelError, "routing table not passed on", "The node serves by it; other nodes take it from each other or from the store. Report the error.")
 
 	EndpointReady    = define(310, slog.LevelInfo, "endpoint ready", "None.")
 	EndpointGone     = define(311, slog.LevelInfo, "endpoint gone", "None, unless nobody took it away.")
--- a/chivegossip/document_test.go
+++ b/chivegossip/document_test.go
@@ -28,20 +28,20 @@
 	inForceWithin = 2 * time.Second
 )
 
-// routeDocument is a route as an operator's document spells it: names without a pattern between fields that repeat.
+// routeDocument is a route in an operator's document: names without a pattern between fields that repeat.
 type routeDocument struct {
-	Name      string  `json:"name"`
-	Host      string  `json:"hostname"`
-	Prefix    string  `json:"pathPrefix"`
-	Kind      string  `json:"routeType"`
-	TimeoutMs float64 `json:"timeoutMs"`
-	TargetMs  float64 `json:"targetLatencyMs"`
-	Priority  int     `json:"priority"`
-	Backend   string  `json:"backend"`
-	Attempts  int     `json:"maxAttempts"`
-	Affinity  bool    `json:"sessionAffinity"`
-	Resumable bool    `json:"streamResumption"`
-	PauseMs   float64 `json:"itlTargetMs"`
+	Name      string
+	Host      string
+	Prefix    string
+	Kind      string
+	TimeoutMs float64
+	TargetMs  float64
+	Priority  int
+	Backend   string
+	Attempts  int
+	Affinity  bool
+	Resumable bool
+	PauseMs   float64
 }
 
 type document struct {
@@ -126,7 +126,7 @@
 	n.members = chivemember.NewService(self, n.mesh, all, logger)
 	n.tables = chivetable.NewService(decodeDocument, func(chivelog.KeyedRecord) bool { return true }, logger)
 	endpoints := &fakeEndpoints{d: chivedirectory.New(time.Second)}
-	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Members: n.members, Tables: n.tables, Endpoints: endpoints})
+	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Members: n.members, Tables: n.tables, Endpoints: endpoints, Logger: logger})
 	n.tables.OnChange(func(*chivetable.Table) { n.gossip.Learnt() })
 	n.members.OnChange(n.gossip.SetMembers)
 	for _, s := range []interface {
--- a/chivegossip/service.go
+++ b/chivegossip/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"time"
 
@@ -9,6 +10,7 @@
 	"chivedrift/chivekernel"
 	"chivedrift/chivemember"
 	"chivedrift/chivering"
+	"chivedrift/chivetransfer"
 	"chivedrift/chivewire"
 )
 
@@ -62,6 +64,7 @@
 	Members   Members
 	Tables    Tables
 	Endpoints Endpoints
+	Logger    *slog.Logger
 }
 
 // Knowledge tells a peer how much the sender knows.
@@ -70,9 +73,11 @@
 	Offset int64
 	// Reply tells that the sender was asked, so that two nodes do not answer each other for ever.
 	Reply bool
+	// Parts tells that the sender asks for documents in parts; nodes of a release before that are sent whole ones.
+	Parts bool
 }
 
-// Document is an operator's document for a peer that has an older one.
+// Document is an operator's whole document, for a peer of a release that cannot ask for parts.
 type Document struct {
 	Table int64
 	Data  []byte
@@ -91,23 +96,35 @@
 
 // Service compares this node's knowledge with its peers'.
 type Service struct {
-	o      Options
-	began  time.Time
-	inbox  *chivering.Ring[message]
-	fleet  fleet
-	doubt  chan struct{}
-	duties chivekernel.Duties
+	o     Options
+	began time.Time
+	inbox *chivering.Ring[message]
+	fleet fleet
+	doubt chan struct{}
+	// sender, receiver and wake, the time of the next look at what to ask, are the run goroutine's.
+	sender   *chivetransfer.Sender
+	receiver *chivetransfer.Receiver
+	wake     *time.Timer
+	duties   chivekernel.Duties
 }
 
 // New returns a service that asks nobody yet.
 func New(o Options) *Service {
-	s := &Service{o: o, began: time.Now(), inbox: chivering.New[message](inboxSize), doubt: make(chan struct{}, 1)}
+	s := &Service{
+		o: o, began: time.Now(), inbox: chivering.New[message](inboxSize), doubt: make(chan struct{}, 1),
+		sender: chivetransfer.NewSender(), receiver: chivetransfer.NewReceiver(),
+	}
 	s.fleet.told = make(chan struct{}, 1)
 	receive[Knowledge](s, chivewire.KindKnowledge)
 	receive[Document](s, chivewire.KindDocument)
 	receive[Words](s, chivewire.KindWords)
 	receive[AnswersAsk](s, chivewire.KindAnswersAsk)
 	receive[Answers](s, chivewire.KindAnswers)
+	receive[chivetransfer.Ask](s, chivewire.KindDocumentAsk)
+	receive[chivetransfer.Part](s, chivewire.KindDocumentPart)
+	receive[chivetransfer.Refusal](s, chivewire.KindDocumentRefusal)
+	// A lost word of a lost connection costs the wait for an answer.
+	s.o.Mesh.OnLost(func(peer string) { s.inbox.Offer(message{peer, lost{}}) })
 	return s
 }
 
@@ -141,6 +158,8 @@
 func (s *Service) run(ctx context.Context) {
 	tick := time.NewTicker(askEvery)
 	defer tick.Stop()
+	s.wake = time.NewTimer(askEvery)
+	defer s.wake.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -148,12 +167,15 @@
 		case <-tick.C:
 			s.ask()
 			s.askAnswers()
+		case <-s.wake.C:
+			s.fetch()
 		case <-s.doubt:
 			s.askAnswers()
 		case <-s.fleet.told:
 			s.tell()
 		case m := <-s.inbox.Ready():
 			s.handle(m)
+			s.fetch()
 		}
 	}
 }
@@ -172,10 +194,14 @@
 }
 
 func (s *Service) knowledge(reply bool) Knowledge {
-	return Knowledge{Table: s.o.Tables.Version(), Offset: s.o.Endpoints.Newest(), Reply: reply}
+	return Knowledge{Table: s.o.Tables.Version(), Offset: s.o.Endpoints.Newest(), Reply: reply, Parts: true}
 }
 
 func (s *Service) handle(m message) {
+	if _, gone := m.body.(lost); gone {
+		s.receiver.Forget(m.from)
+		return
+	}
 	s.fleet.heard.Store(time.Now().UnixNano())
 	switch body := m.body.(type) {
 	case Knowledge:
@@ -186,6 +212,12 @@
 		}
 	case Words:
 		s.o.Endpoints.Learn(body.Words, "peer "+m.from)
+	case chivetransfer.Ask:
+		s.hand(m.from, body)
+	case chivetransfer.Part:
+		s.take(m.from, body)
+	case chivetransfer.Refusal:
+		s.receiver.Refused(time.Now(), m.from, body)
 	case AnswersAsk:
 		s.send(m.from, chivewire.KindAnswers, Answers{Asked: body.Asked, Ages: s.o.Endpoints.Answers(body.Within)})
 	case Answers:
@@ -193,19 +225,20 @@
 	}
 }
 
-// compare sends what the peer lacks, and asks back when it is this node that lacks something.
+// compare sends the words that the peer lacks, and shows it this node's state when either of the two lacks something.
 func (s *Service) compare(from string, theirs Knowledge) {
+	s.hearVersion(from, theirs.Table)
 	own := s.knowledge(true)
-	s.o.Tables.Hear(theirs.Table, "peer "+from)
-	if own.Table > theirs.Table {
-		data, version := s.o.Tables.Document()
-		s.send(from, chivewire.KindDocument, Document{Table: version, Data: data})
-	}
 	if own.Offset > theirs.Offset {
 		s.send(from, chivewire.KindWords, Words{Words: s.o.Endpoints.Words(theirs.Offset)})
 	}
-	lacking := own.Table < theirs.Table || own.Offset < theirs.Offset
-	if lacking && !theirs.Reply {
+	if own.Table > theirs.Table && !theirs.Parts {
+		data, version := s.o.Tables.Document()
+		s.send(from, chivewire.KindDocument, Document{Table: version, Data: data})
+		return
+	}
+	differs := own.Table > theirs.Table || own.Offset < theirs.Offset
+	if differs && !theirs.Reply {
 		s.send(from, chivewire.KindKnowledge, own)
 	}
 }
--- a/chivegossip/service_test.go
+++ b/chivegossip/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"sync"
 	"testing"
 	"time"
@@ -109,7 +110,7 @@
 	for i := range nodes {
 		mesh := chivewire.NewMesh(members[i].Address, chivewire.TCP{})
 		n := &node{tables: &fakeTables{version: 1}, endpoints: &fakeEndpoints{d: chivedirectory.New(time.Second)}}
-		n.service = chivegossip.New(chivegossip.Options{Mesh: mesh, Members: members, Tables: n.tables, Endpoints: n.endpoints})
+		n.service = chivegossip.New(chivegossip.Options{Mesh: mesh, Members: members, Tables: n.tables, Endpoints: n.endpoints, Logger: slog.New(slog.DiscardHandler)})
 		n.service.SetMembers(members)
 		for _, s := range []interface {
 			Start(ctx context.Context) error
--- a/chivewire/kind.go
+++ b/chivewire/kind.go
@@ -46,6 +46,10 @@
 	KindAnswersAsk Kind = 100
 	KindAnswers    Kind = 101
 
+	KindDocumentAsk     Kind = 108
+	KindDocumentPart    Kind = 109
+	KindDocumentRefusal Kind = 110
+
 	KindPlaceAsk    Kind = 104
 	KindPlaceAnswer Kind = 105
 )
@@ -61,6 +65,7 @@
 	KindConfigAsk: "config_ask", KindConfigAnswer: "config_answer",
 	KindKnowledge: "knowledge", KindDocument: "document", KindWords: "words", KindLoads: "loads",
 	KindAnswersAsk: "answers_ask", KindAnswers: "answers",
+	KindDocumentAsk: "document_ask", KindDocumentPart: "document_part", KindDocumentRefusal: "document_refusal",
 	KindPlaceAsk: "place_ask", KindPlaceAnswer: "place_answer",
 }
 
