--- a/chivegossip/document_test.go
+++ b/chivegossip/document_test.go
@@ -84,10 +84,11 @@
 
 // member is a node of a fleet on slow links: its connections, who it thinks is there, and what it tells its peers.
 type member struct {
-	mesh    *chivewire.Mesh
-	members *chivemember.Service
-	tables  *chivetable.Service
-	gossip  *chivegossip.Service
+	mesh      *chivewire.Mesh
+	members   *chivemember.Service
+	tables    *chivetable.Service
+	endpoints *fakeEndpoints
+	gossip    *chivegossip.Service
 }
 
 // everybody lists all nodes, as the store does.
@@ -125,8 +126,8 @@
 	self := chivemember.Member{Name: vm.Address, Address: vm.Address, Region: "r", Incarnation: 1}
 	n.members = chivemember.NewService(self, n.mesh, all, logger)
 	n.tables = chivetable.NewService(decodeDocument, func(chivelog.KeyedRecord) bool { return true }, logger)
-	endpoints := &fakeEndpoints{d: chivedirectory.New(time.Second)}
-	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Members: n.members, Tables: n.tables, Endpoints: endpoints, Logger: logger})
+	n.endpoints = &fakeEndpoints{d: chivedirectory.New(time.Second)}
+	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Members: n.members, Tables: n.tables, Endpoints: n.endpoints, Logger: logger})
 	n.tables.OnChange(func(*chivetable.Table) { n.gossip.Learnt() })
 	n.members.OnChange(n.gossip.SetMembers)
 	for _, s := range []interface {
@@ -211,3 +212,47 @@
 		}
 	})
 }
+
+// Symptom: with many endpoints new at once, as after an outage of the store, links were full of words about them (found while looking for the
+// cause of a late configuration elsewhere in the code).
+// Sequence: two readers told each node that they knew more, and the node asked both.
+// Cause: a question took no regard to the one that was open. Of 600 endpoints, 57 KB, 78 nodes received 8.6 MB, the last one after 0.7 s; with
+// one question at a time 4.5 MB, after 0.49 s.
+func TestWordsOfManyEndpointsComeOnce(t *testing.T) {
+	const endpoints = 600
+	synctest.Test(t, func(t *testing.T) {
+		_, fleet := newFleet(t, largeFleet, slowLink)
+		var words []chivedirectory.Word
+		for i := range endpoints {
+			words = append(words, chivedirectory.Word{Offset: int64(i), Read: true, Endpoint: chivedirectory.Endpoint{
+				ID: fmt.Sprintf("i-%010x", i*7919), Pool: "studio", Address: fmt.Sprintf("10.2.64.%d:8262", i), FailureDomain: "north-a", Slots: 64,
+			}})
+		}
+		for _, n := range fleet {
+			if !n.gossip.Held() {
+				n.endpoints.Learn(words, "store")
+				n.gossip.Learnt()
+			}
+		}
+		time.Sleep(time.Second)
+		for _, n := range fleet {
+			if newest := n.endpoints.Newest(); newest != endpoints-1 {
+				t.Fatalf("%s knows up to %d after a second", n.mesh.Self(), newest)
+			}
+		}
+		time.Sleep(time.Second)
+		if sent := wireBytes(fleet, "words"); sent > 5_500_000 {
+			t.Errorf("%d bytes of words, want at most those of one copy a node and a fifth more", sent)
+		}
+	})
+}
+
+// wireBytes sums what the nodes sent of a kind.
+func wireBytes(fleet []*member, kind string) int64 {
+	var all int64
+	for _, n := range fleet {
+		sent, _ := n.mesh.Traffic()
+		all += sent[kind].Bytes
+	}
+	return all
+}
--- a/chivegossip/service.go
+++ b/chivegossip/service.go
@@ -105,6 +105,7 @@
 	sender   *chivetransfer.Sender
 	receiver *chivetransfer.Receiver
 	wake     *time.Timer
+	words    wordsAsk
 	duties   chivekernel.Duties
 }
 
@@ -237,12 +238,37 @@
 		s.send(from, chivewire.KindDocument, Document{Table: version, Data: data})
 		return
 	}
-	differs := own.Table > theirs.Table || own.Offset < theirs.Offset
-	if differs && !theirs.Reply {
+	if theirs.Reply {
+		return
+	}
+	lacks := own.Offset < theirs.Offset && s.words.mayAsk(time.Now(), theirs.Offset)
+	if lacks || own.Table > theirs.Table {
 		s.send(from, chivewire.KindKnowledge, own)
 	}
 }
 
+// wordsPatience is how long words that were asked for may take before another peer is asked: those of 600 endpoints, 57 KB, take 46 ms over
+// the slowest link of today's VMs.
+const wordsPatience = 200 * time.Millisecond
+
+// wordsAsk is the question for words that is open.
+type wordsAsk struct {
+	at     time.Time
+	offset int64
+}
+
+// mayAsk tells whether to ask a peer for the words up to an offset; not when another one that has them was asked just now.
+//
+// Two readers tell each node of the same change. Asking one, 78 nodes on links of 10 Mbit/s receive the words of 600 new endpoints in 4.5 MB,
+// the last node after 0.49 s; asking both, in 8.6 MB, after 0.7 s (on virtual time).
+func (a *wordsAsk) mayAsk(now time.Time, offset int64) bool {
+	if offset <= a.offset && now.Sub(a.at) < wordsPatience {
+		return false
+	}
+	a.at, a.offset = now, offset
+	return true
+}
+
 // send passes a message to the mesh; one that is lost is made up for by the next comparison.
 func (s *Service) send(to string, kind chivewire.Kind, body any) {
 	_ = s.o.Mesh.Send(to, kind, body)
