An endpoint's life is its id and its start; entries that cannot be read name no endpoint

Endpoints may start again under their ids now, and others may leave entries among theirs. Streams in flight break with their process, as before. Unreadable entries count as removed, 20 lines in 10 s tell of them, the rest is counted.

--- a/chivedirectory/directory.go
+++ b/chivedirectory/directory.go
@@ -24,9 +24,9 @@
 	return "ready"
 }
 
-// Endpoint is one start of a process that serves a pool; another start at the same address is another endpoint.
+// Endpoint is a process that serves a pool.
 type Endpoint struct {
-	// ID is the incarnation: a new one with each start.
+	// ID names the endpoint in the store; with Born it names the start of its process.
 	ID            string
 	Pool          string
 	Address       string
@@ -36,8 +36,13 @@
 	State State
 	// WarmUp is how much longer it stays slow after its start.
 	WarmUp time.Duration
+	// Born is when the process started, in Unix milliseconds of its own clock; 0 where it does not say.
+	Born int64
 }
 
+// Life returns which start of the endpoint's process this is.
+func (e Endpoint) Life() Life { return Life{ID: e.ID, Born: e.Born} }
+
 // Word is what the store's log says of an endpoint at an offset.
 type Word struct {
 	Offset int64
@@ -82,12 +87,16 @@
 	// missing is when the entry was first found missing, zero while it is there.
 	missing time.Time
 	// keep is until when a peer that told of it waits for it; zero where this node found out itself.
-	keep time.Time
+	keep    time.Time
+	contest contest
 }
 
 type tombstone struct {
 	offset int64
 	at     time.Time
+	// life is the last that was known of the endpoint.
+	life    Life
+	contest contest
 }
 
 // New returns an empty directory; grace is how long a lapsed entry is kept after the store's return.
@@ -155,10 +164,15 @@
 func (d *Directory) Apply(now time.Time, word Word) bool {
 	d.newest = max(d.newest, word.Offset)
 	id := word.Endpoint.ID
-	if known, ok := d.entries[id]; ok && known.offset >= word.Offset {
-		return known.offset == word.Offset && word.Read && word.Gone && d.confirm(now, id)
+	if known, ok := d.entries[id]; ok {
+		if !word.Gone && known.endpoint.Life().Follows(word.Endpoint.Life()) {
+			return d.hearEarlier(now, known, word)
+		}
+		if known.offset >= word.Offset && (word.Gone || !word.Endpoint.Life().Follows(known.endpoint.Life())) {
+			return known.offset == word.Offset && word.Read && word.Gone && d.confirm(now, id)
+		}
 	}
-	if old, ok := d.gone[id]; ok && old.offset >= word.Offset {
+	if old, ok := d.gone[id]; ok && !d.mayReturn(now, old, word) {
 		return false
 	}
 	if word.Gone {
@@ -174,16 +188,49 @@
 		d.entries[id] = &entry{endpoint: word.Endpoint, offset: word.Offset}
 		return true
 	}
-	changed := known.endpoint != word.Endpoint
-	known.endpoint, known.offset, known.missing, known.keep = word.Endpoint, word.Offset, time.Time{}, time.Time{}
+	return known.replace(word)
+}
+
+// replace takes a newer word of the endpoint and reports whether it says something else.
+func (e *entry) replace(word Word) bool {
+	changed := e.endpoint != word.Endpoint
+	e.endpoint, e.offset, e.missing, e.keep = word.Endpoint, max(e.offset, word.Offset), time.Time{}, time.Time{}
+	e.contest = contest{}
 	return changed
 }
 
+// hearEarlier takes the word of an earlier life of an endpoint, whose later life is known: a write that was carried out late, or a peer that
+// has not heard of the later life. Taken by its offset in the log it would send requests to a process that has ended, and bring back what
+// was believed of it.
+func (d *Directory) hearEarlier(now time.Time, known *entry, word Word) bool {
+	if word.Offset <= known.offset {
+		return false
+	}
+	known.offset = word.Offset
+	if word.Missing || !known.contest.settle(now, word.Endpoint.Life()) {
+		return false
+	}
+	return known.replace(word)
+}
+
+// mayReturn tells whether a word of an endpoint that is gone is of something newer than its end.
+func (d *Directory) mayReturn(now time.Time, old tombstone, word Word) bool {
+	if old.offset >= word.Offset {
+		return false
+	}
+	if word.Gone || !old.life.Follows(word.Endpoint.Life()) {
+		return true
+	}
+	settled := old.contest.settle(now, word.Endpoint.Life())
+	d.gone[word.Endpoint.ID] = old
+	return settled
+}
+
 // remove takes the word that an entry is gone. Shortly after an outage it may only mean that the entry lapsed meanwhile.
 func (d *Directory) remove(now time.Time, id string, offset int64) bool {
 	known, ok := d.entries[id]
 	if !ok {
-		d.gone[id] = tombstone{offset: offset, at: now}
+		d.gone[id] = tombstone{offset: offset, at: now, life: d.gone[id].life}
 		return false
 	}
 	known.offset = offset
@@ -214,14 +261,14 @@
 		known = &entry{endpoint: word.Endpoint}
 		d.entries[word.Endpoint.ID] = known
 	}
-	known.offset = word.Offset
+	known.offset = max(known.offset, word.Offset)
 	if known.missing.IsZero() {
 		known.missing, known.keep = now, now.Add(word.Keep)
 	}
 }
 
 func (d *Directory) drop(now time.Time, id string) {
-	d.gone[id] = tombstone{offset: d.entries[id].offset, at: now}
+	d.gone[id] = tombstone{offset: d.entries[id].offset, at: now, life: d.entries[id].endpoint.Life()}
 	delete(d.entries, id)
 }
 
--- /dev/null
+++ b/chivedirectory/life_test.go
@@ -0,0 +1,228 @@
+package chivedirectory_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"regexp"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chivedrift/chivedirectory"
+	"chivedrift/chivelog"
+
+	"pgregory.net/rapid"
+)
+
+// start is the word of an endpoint that says when its process started.
+func start(offset int64, id string, born int64) chivedirectory.Word {
+	w := word(offset, id)
+	w.Endpoint.Born = born
+	w.Endpoint.Address = fmt.Sprintf("127.0.0.1:%d", 1000+born)
+	return w
+}
+
+// Symptom: requests went to a process that had ended, at its former address, long after the same endpoint had started again elsewhere.
+// Sequence: the endpoint started again under its id; a write of the process before it was carried out seconds late, or a peer told that had
+// not heard of the new start.
+// Cause: what came last counted, and an id was taken for a life. The later start wins, whatever the order.
+func TestLaterStartWinsInAnyOrder(t *testing.T) {
+	now := time.Now()
+	d := chivedirectory.New(grace)
+	d.Apply(now, start(1, "a", 10))
+	d.Apply(now, start(5, "a", 20))
+	if d.Apply(now, start(6, "a", 10)) || d.Endpoints()[0].Born != 20 {
+		t.Error("a late write of the first start undid the second")
+	}
+	if d.Apply(now, start(3, "a", 10)) || d.Endpoints()[0].Born != 20 {
+		t.Error("a peer that knows only the first start undid the second")
+	}
+	behind := chivedirectory.New(grace)
+	behind.Apply(now, start(6, "a", 10))
+	if !behind.Apply(now, start(5, "a", 20)) || behind.Endpoints()[0].Born != 20 {
+		t.Error("the second start does not win where a late write of the first was read before")
+	}
+	if !d.Apply(now, start(7, "a", 30)) || d.Endpoints()[0].Born != 30 {
+		t.Error("a third start is not taken")
+	}
+}
+
+// Symptom: an endpoint that had crashed for good came back for some seconds.
+// Sequence: its entry was removed; then a write that it had sent before it crashed was carried out.
+// Cause: a word with a later offset than the removal's was taken for a new start.
+func TestLateWriteBringsNothingBack(t *testing.T) {
+	now := time.Now()
+	d := chivedirectory.New(grace)
+	d.Apply(now, start(1, "a", 10))
+	d.Apply(now, start(2, "a", 20))
+	d.Apply(now, gone(3, "a"))
+	if d.Apply(now, start(4, "a", 10)) || len(d.Endpoints()) != 0 {
+		t.Error("a late write of the start before the last brought the endpoint back")
+	}
+	if !d.Apply(now, start(5, "a", 30)) {
+		t.Error("a new start is not taken")
+	}
+}
+
+// Symptom (found by thinking it through): an endpoint is never used again after its VM's clock was set back.
+// Sequence: it started again, and the new start is earlier than the old one by its own clock.
+// Cause: the new process counts as its own past. Words that go on for longer than late writes can are the endpoint's present.
+func TestClockThatWentBack(t *testing.T) {
+	for _, removed := range []bool{false, true} {
+		now := time.Now()
+		d := chivedirectory.New(grace)
+		d.Apply(now, start(1, "a", 20))
+		if removed {
+			d.Apply(now, gone(2, "a"))
+		}
+		offset := int64(3)
+		for range 10 {
+			now = now.Add(1200 * time.Millisecond)
+			d.Apply(now, start(offset, "a", 10))
+			offset++
+		}
+		if all := d.Endpoints(); len(all) != 1 || all[0].Born != 10 {
+			t.Errorf("removed %v: %+v after twelve seconds of the new process's words", removed, all)
+		}
+	}
+}
+
+func TestEndpointsThatDoNotTellTheirStartAreTakenByOffset(t *testing.T) {
+	now := time.Now()
+	d := chivedirectory.New(grace)
+	d.Apply(now, start(2, "a", 0))
+	if d.Apply(now, start(1, "a", 0)) || !d.Apply(now, start(3, "a", 7)) || !d.Apply(now, start(4, "a", 0)) {
+		t.Errorf("got %+v", d.Endpoints())
+	}
+	if key := (chivedirectory.Life{ID: "a"}).Key(); key != "a" {
+		t.Errorf("the life of an endpoint that does not tell its start is called %q", key)
+	}
+}
+
+// TestStartsMovesAndLateWritesInAnyOrder plays histories of one endpoint that starts again, moves, lapses and is written late, to two nodes:
+// one reads the log in order, the other hears the same words in any order, some of them twice. Once the last start has written, neither
+// believes in another, and both agree.
+func TestStartsMovesAndLateWritesInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		born, offset := int64(1), int64(0)
+		var words []chivedirectory.Word
+		for range rapid.IntRange(1, 25).Draw(t, "words") {
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				born++
+			case 1:
+				words = append(words, gone(offset, "a"))
+			case 2:
+				words = append(words, start(offset, "a", rapid.Int64Range(1, born).Draw(t, "late")))
+			default:
+				words = append(words, start(offset, "a", born))
+			}
+			offset++
+		}
+		words = append(words, start(offset, "a", born))
+		reader, hearer := chivedirectory.New(grace), chivedirectory.New(grace)
+		for _, w := range words {
+			reader.Apply(now, w)
+			checkBelief(t, reader, born)
+		}
+		for _, w := range rapid.Permutation(append(words, words...)).Draw(t, "order") {
+			hearer.Apply(now, w)
+			checkBelief(t, hearer, born)
+		}
+		for _, d := range []*chivedirectory.Directory{reader, hearer} {
+			if all := d.Endpoints(); len(all) != 1 || all[0].Born != born {
+				t.Fatalf("%+v in the end, want the start at %d alone", all, born)
+			}
+		}
+	})
+}
+
+// checkBelief reports an endpoint that never was.
+func checkBelief(t *rapid.T, d *chivedirectory.Directory, born int64) {
+	t.Helper()
+	for _, e := range d.Endpoints() {
+		if e.Born > born || e.Address != fmt.Sprintf("127.0.0.1:%d", 1000+e.Born) {
+			t.Fatalf("believes in %+v", e)
+		}
+	}
+}
+
+// decodeWord takes "pool address" for an endpoint.
+func decodeWord(id string, data []byte) (chivedirectory.Endpoint, error) {
+	pool, address, ok := strings.Cut(string(data), " ")
+	if !ok {
+		return chivedirectory.Endpoint{}, fmt.Errorf("registration of endpoint %q: address: is missing", id)
+	}
+	return chivedirectory.Endpoint{ID: id, Pool: pool, Address: address}, nil
+}
+
+func record(offset int64, key, value string) chivelog.KeyedRecord {
+	return chivelog.KeyedRecord{Offset: offset, Key: key, Value: []byte(value)}
+}
+
+func ids(s *chivedirectory.Service) string {
+	data, err := json.Marshal(s.Dump())
+	if err != nil {
+		return err.Error()
+	}
+	var dump struct {
+		Endpoints []chivedirectory.Endpoint `json:"endpoints"`
+	}
+	if err := json.Unmarshal(data, &dump); err != nil {
+		return err.Error()
+	}
+	var all []string
+	for _, e := range dump.Endpoints {
+		all = append(all, e.ID)
+	}
+	return strings.Join(all, " ")
+}
+
+// Symptom: requests went to an address that another writer had left under an endpoint's id, or went on to an endpoint whose entry could not
+// be read any more.
+// Sequence: an entry turned unreadable, between good ones of the same batch and of the same snapshot.
+// Cause: such an entry was passed over, so that what it had said before stayed. It takes its endpoint out, as a removal would, and the next
+// one that can be read brings it back.
+func TestUnreadableEntryTakesItsEndpointOut(t *testing.T) {
+	s := chivedirectory.NewService(decodeWord, grace, slog.New(slog.DiscardHandler))
+	s.Replace([]chivelog.KeyedRecord{record(1, "a", "p 10.0.0.1:1"), record(2, "b", "?"), record(3, "c", "p 10.0.0.3:1"), record(4, "", "?")})
+	if got := ids(s); got != "a c" {
+		t.Errorf("after the snapshot: %q", got)
+	}
+	s.Apply([]chivelog.KeyedRecord{record(5, "a", "?"), record(6, "", "no key"), record(7, "b", "p 10.0.0.2:1")})
+	if got := ids(s); got != "b c" {
+		t.Errorf("after an unreadable entry of a: %q", got)
+	}
+	s.Apply([]chivelog.KeyedRecord{record(8, "a", "p 10.0.0.1:1"), record(9, "c", "?"), record(10, "c", "p 10.0.0.3:1")})
+	if got := ids(s); got != "a b c" {
+		t.Errorf("after they can be read again: %q", got)
+	}
+}
+
+// Symptom: a flood of unreadable entries pushed everything else out of the log.
+// Cause: each had its line. Twenty in ten seconds have, the rest is counted.
+func TestFloodOfUnreadableEntriesStaysWithinTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log bytes.Buffer
+		s := chivedirectory.NewService(decodeWord, grace, slog.New(slog.NewTextHandler(&log, nil)))
+		offset := int64(0)
+		for range 30 {
+			for key := range 100 {
+				offset++
+				s.Apply([]chivelog.KeyedRecord{record(offset, fmt.Sprintf("k%d", key), "?")})
+			}
+			time.Sleep(time.Second)
+		}
+		lines := strings.Count(log.String(), "\n")
+		if lines == 0 || lines > 60 {
+			t.Errorf("%d lines for %d unreadable entries in thirty seconds, want 1 to 60", lines, offset)
+		}
+		if !regexp.MustCompile(`count=[1-9][0-9]`).MatchString(log.String()) || !strings.Contains(log.String(), "address: is missing") {
+			t.Errorf("no line counts how often a key came, with the reason:\n%s", log.String())
+		}
+	})
+}
--- a/chivedirectory/service.go
+++ b/chivedirectory/service.go
@@ -34,14 +34,14 @@
 	logger    *slog.Logger
 	listeners []func([]Endpoint)
 	shown     map[string]Endpoint
-	rejected  int64
+	rejected  rejections
 	doubted   func()
 	duties    chivekernel.Duties
 }
 
 // NewService returns a directory without endpoints.
 func NewService(decode Decoder, grace time.Duration, logger *slog.Logger) *Service {
-	return &Service{directory: New(grace), decode: decode, logger: logger, shown: make(map[string]Endpoint), doubted: func() {}}
+	return &Service{directory: New(grace), decode: decode, logger: logger, shown: make(map[string]Endpoint), rejected: newRejections(), doubted: func() {}}
 }
 
 // OnDoubt takes what is called when it begins to matter whether the store answered other nodes; it must not block.
@@ -68,9 +68,9 @@
 	defer s.mu.Unlock()
 	return struct {
 		Offset    int64      `json:"offset"`
-		Rejected  int64      `json:"rejected"`
+		Rejected  rejected   `json:"rejected"`
 		Endpoints []Endpoint `json:"endpoints"`
-	}{s.directory.Newest(), s.rejected, s.directory.Endpoints()}
+	}{s.directory.Newest(), s.rejected.state(), s.directory.Endpoints()}
 }
 
 func (s *Service) run(ctx context.Context) {
@@ -171,29 +171,50 @@
 	return s.directory.Newest()
 }
 
-// words decodes records; one that is not usable is logged and passed over, so that what was known of it stays.
+// words decodes records. One that is not usable says that there is no endpoint, as a removal would: what it said before it is not true any
+// more, and another writer may have put it there.
 func (s *Service) words(records []chivelog.KeyedRecord) []Word {
 	words := make([]Word, 0, len(records))
 	for _, r := range records {
-		if len(r.Value) == 0 {
+		if r.Key != "" && len(r.Value) == 0 {
+			s.accept(r.Key)
 			words = append(words, Word{Offset: r.Offset, Gone: true, Read: true, Endpoint: Endpoint{ID: r.Key}})
 			continue
 		}
 		e, err := s.decode(r.Key, r.Value)
-		if err != nil {
+		if err != nil || r.Key == "" {
 			s.reject(r, err)
+			if r.Key != "" {
+				words = append(words, Word{Offset: r.Offset, Gone: true, Read: true, Endpoint: Endpoint{ID: r.Key}})
+			}
 			continue
 		}
+		s.accept(r.Key)
 		words = append(words, Word{Offset: r.Offset, Read: true, Endpoint: e})
 	}
 	return words
 }
 
+// accept notes that a key's record is usable, or gone.
+func (s *Service) accept(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejected.forget(key)
+}
+
+// reject notes a record that is not usable and tells of it, as far as that does not flood the log.
 func (s *Service) reject(r chivelog.KeyedRecord, err error) {
+	reason := "the record has no key"
+	if err != nil {
+		reason = err.Error()
+	}
 	s.mu.Lock()
-	s.rejected++
+	count, tell := s.rejected.note(time.Now(), r.Key, reason)
 	s.mu.Unlock()
-	chiveevent.EndpointRejected.Log(context.Background(), s.logger, slog.String("key", r.Key), slog.Int64("offset", r.Offset), slog.String("error", err.Error()))
+	if tell {
+		chiveevent.EndpointRejected.Log(context.Background(), s.logger, slog.String("key", r.Key), slog.Int64("offset", r.Offset),
+			slog.String("error", reason), slog.Int64("count", count))
+	}
 }
 
 // change carries a change out and tells it. The listeners are called under the lock, so that they hear changes in their order.
@@ -220,11 +241,11 @@
 		switch {
 		case e.State == Leaving && (!known || before.State != Leaving):
 			event = chiveevent.EndpointLeaves
-		case known:
+		case known && before.Born == e.Born:
 			continue
 		}
 		event.Log(ctx, s.logger, slog.String("endpoint", e.ID), slog.String("pool", e.Pool), slog.String("address", e.Address),
-			slog.String("source", source), slog.Int64("offset", s.directory.Newest()))
+			slog.Int64("born", e.Born), slog.String("source", source), slog.Int64("offset", s.directory.Newest()))
 	}
 	for id := range s.shown {
 		if _, still := shown[id]; !still {
--- a/chivedispatch/dispatcher.go
+++ b/chivedispatch/dispatcher.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"chivedrift/chiveconfig"
 	"chivedrift/chiveforward"
 	"chivedrift/chiveplace"
 	"chivedrift/chiverequest"
@@ -143,8 +144,14 @@
 }
 
 // Target returns the endpoint.
-func (p *slotPlace) Target() (id, address string) {
-	return p.slot.Endpoint().Name, p.slot.Endpoint().Address
+func (p *slotPlace) Target() chiveforward.Target {
+	return targetOf(p.slot.Endpoint())
+}
+
+// targetOf returns an endpoint of the own interface as the forwarder sees it: operators name it, and it does not tell one start of its process
+// from another.
+func targetOf(e chiveconfig.Endpoint) chiveforward.Target {
+	return chiveforward.Target{ID: e.Name, Life: e.Name, Address: e.Address}
 }
 
 // Why returns the scheduler's reason.
--- a/chivedispatch/service.go
+++ b/chivedispatch/service.go
@@ -126,7 +126,7 @@
 const reasonFewer = "fewer_in_flight_of_two"
 
 // Target returns the replica.
-func (p *replicaPlace) Target() (id, address string) { return p.endpoint.Name, p.endpoint.Address }
+func (p *replicaPlace) Target() chiveforward.Target { return targetOf(p.endpoint) }
 
 // Why returns the reason for the choice.
 func (p *replicaPlace) Why() []slog.Attr { return []slog.Attr{slog.String("because", reasonFewer)} }
--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -36,6 +36,7 @@
 	MemberAlive      = define(300, slog.LevelInfo, "member alive", "None.")
 	MemberLeaving    = define(301, slog.LevelInfo, "member leaving", "None.")
 	MemberDead       = define(302, slog.LevelWarn, "member dead", "Check the VM if the platform did not replace it.")
+	NodeUnreadable   = define(304, slog.LevelWarn, "node's entry in the store not usable", "Find out who wrote it: only nodes leave their addresses there.")
 	VMListDown       = define(303, slog.LevelWarn, "list of VMs unavailable", "New nodes cannot join until it is back; serving goes on.")
 
 	SchedulerLost  = define(400, slog.LevelWarn, "no word from a shard's scheduler", "None; the gateway asks the next one, then serves a small local share.")
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -37,8 +37,7 @@
 type call struct {
 	run        *run
 	place      Place
-	id         string
-	address    string
+	target     Target
 	connection *connection
 	began      time.Time
 	silence    *time.Timer
@@ -140,7 +139,7 @@
 // send writes the request on a connection of its own for as long as the attempt takes.
 func (c *call) send(ctx context.Context) (*http.Response, error) {
 	fresh := len(c.run.result.Tries) > 0 || (c.run.f.o.Rules.FreshOnce && c.run.request.Route.Repeat == chivetable.RepeatNever)
-	c.connection = c.run.f.connections.get(c.id, fresh)
+	c.connection = c.run.f.connections.get(c.target.Life, fresh)
 	request, err := c.build(ctx)
 	if err != nil {
 		return nil, err
@@ -160,7 +159,7 @@
 	if header == nil {
 		header = make(http.Header)
 	}
-	content, err := c.run.f.o.Dialect.Prepare(header, chiverequest.Send{Request: r, Endpoint: c.id, Left: c.run.left(), After: c.run.last, FetchFrom: c.place.FetchFrom()})
+	content, err := c.run.f.o.Dialect.Prepare(header, chiverequest.Send{Request: r, Endpoint: c.target.ID, Left: c.run.left(), After: c.run.last, FetchFrom: c.place.FetchFrom()})
 	if err != nil {
 		return nil, fmt.Errorf("request: %w", err)
 	}
@@ -168,14 +167,14 @@
 	if len(content) > 0 {
 		body = bytes.NewReader(content)
 	}
-	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+c.address, body)
+	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+c.target.Address, body)
 	if err != nil {
 		return nil, fmt.Errorf("request: %w", err)
 	}
 	// Without this net/http would send the body again on its own where it takes the request for harmless.
 	request.GetBody = nil
 	// The target goes out as it came in: decoding and encoding it again may change what the endpoint sees.
-	request.URL = &url.URL{Scheme: "http", Host: c.address, Opaque: r.Target}
+	request.URL = &url.URL{Scheme: "http", Host: c.target.Address, Opaque: r.Target}
 	request.Host = r.Host
 	request.Header = header
 	if _, given := header["User-Agent"]; !given {
@@ -220,7 +219,7 @@
 		c.connection.close()
 		return
 	}
-	c.run.f.connections.put(c.id, c.connection, response.Header)
+	c.run.f.connections.put(c.target.Life, c.connection, response.Header)
 }
 
 // readWhole passes on an answer that is not a stream once it is complete, so that one that breaks can still be had elsewhere.
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -50,10 +50,19 @@
 	Take(ctx context.Context, request *chiverequest.Request, exclude []string) (Place, error)
 }
 
+// Target is an endpoint that a request is sent to.
+type Target struct {
+	// ID is what the request names, so that no other endpoint at the address runs it.
+	ID string
+	// Life names the start of its process: connections are kept, and attempts are excluded, by it.
+	Life    string
+	Address string
+}
+
 // Place is one request's place on one endpoint.
 type Place interface {
-	// Target returns the endpoint's identity, under which connections to it are kept, and its address.
-	Target() (id, address string)
+	// Target returns where the place is.
+	Target() Target
 	// Why returns what decided for the endpoint, for the log.
 	Why() []slog.Attr
 	// FetchFrom returns the address from which the endpoint should fetch the parts of the prompt that it lacks; empty for none.
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -201,8 +201,11 @@
 	*chiveplace.Place
 }
 
-// Target returns the endpoint's incarnation and address.
-func (p pooled) Target() (id, address string) { return p.Endpoint().ID, p.Endpoint().Address }
+// Target returns the endpoint.
+func (p pooled) Target() Target {
+	e := p.Endpoint()
+	return Target{ID: e.ID, Life: e.Life().Key(), Address: e.Address}
+}
 
 // Preempted never happens: engines preempt by rank themselves.
 func (p pooled) Preempted() <-chan struct{} { return nil }
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -46,8 +46,7 @@
 		r.giveUp(ctx, CodeDeadline, "the request's time ran out while the machine was suspended", 0)
 		return true
 	}
-	id, address := place.Target()
-	c := &call{run: r, place: place, id: id, address: address, began: time.Now()}
+	c := &call{run: r, place: place, target: place.Target(), began: time.Now()}
 	r.logSent(ctx, c)
 	ended := c.carry(ctx)
 	passedOver := place.Done(time.Now(), endings[ended])
@@ -105,7 +104,7 @@
 
 // judge decides from an attempt's ending whether the request is over or goes on elsewhere.
 func (r *run) judge(ctx context.Context, c *call, ended ending) bool {
-	r.exclude = append(r.exclude, c.id)
+	r.exclude = append(r.exclude, c.target.Life)
 	switch ended {
 	case endedComplete:
 		r.result.Outcome = Completed
@@ -241,14 +240,14 @@
 }
 
 func (r *run) note(c *call, ended ending) {
-	r.result.Tries = append(r.result.Tries, Try{Endpoint: c.id, Ended: endingNames[ended], Touched: c.touched, Status: c.status, Err: c.err})
+	r.result.Tries = append(r.result.Tries, Try{Endpoint: c.target.ID, Ended: endingNames[ended], Touched: c.touched, Status: c.status, Err: c.err})
 }
 
 // logSent writes one line for an attempt that is about to be made, with what decided for its endpoint.
 func (r *run) logSent(ctx context.Context, c *call) {
 	attributes := []slog.Attr{
 		chiveevent.Request(r.request.ID), slog.Int("attempt", len(r.result.Tries)+1), slog.String("pool", r.request.Pool),
-		slog.String("endpoint", c.id), slog.String("address", c.address),
+		slog.String("endpoint", c.target.ID), slog.String("address", c.target.Address),
 		slog.Int64("left_ms", r.left().Milliseconds()), slog.String("after_event", r.last),
 	}
 	chiveevent.AttemptSent.Log(ctx, r.f.o.Logger, append(attributes, c.place.Why()...)...)
@@ -257,7 +256,7 @@
 // logEnded writes one line for an attempt that was made.
 func (r *run) logEnded(ctx context.Context, c *call, ended ending, passedOver time.Duration) {
 	attributes := []slog.Attr{
-		chiveevent.Request(r.request.ID), slog.Int("attempt", len(r.result.Tries)), slog.String("endpoint", c.id),
+		chiveevent.Request(r.request.ID), slog.Int("attempt", len(r.result.Tries)), slog.String("endpoint", c.target.ID),
 		slog.String("ended", endingNames[ended]), slog.Bool("touched", c.touched), slog.Int("status", c.status),
 		slog.Int("events", r.result.Events), slog.Int64("took_ms", time.Since(c.began).Milliseconds()),
 	}
--- a/chivegrant/groups.go
+++ b/chivegrant/groups.go
@@ -36,9 +36,9 @@
 	names  []string
 }
 
-// engineID is an engine with the hash of its id.
+// engineID is an engine's life with the hash of its id, so that an engine that starts again stays in its group.
 type engineID struct {
-	id   string
+	life string
 	hash uint64
 }
 
@@ -55,7 +55,7 @@
 	ids := make(map[string][]engineID)
 	for _, e := range endpoints {
 		if isEngine(e.Pool) {
-			ids[e.Pool] = append(ids[e.Pool], engineID{e.ID, chiveplace.HashID(e.ID)})
+			ids[e.Pool] = append(ids[e.Pool], engineID{e.Life().Key(), chiveplace.HashID(e.ID)})
 		}
 	}
 	var names []string
@@ -111,8 +111,8 @@
 		group := nearestWithRoom(e.hash, sizes, most)
 		sizes[group]++
 		d.hashes, d.group = append(d.hashes, e.hash), append(d.group, group)
-		g.groupOf[e.id] = d.names[group]
-		g.engines[d.names[group]][e.id] = true
+		g.groupOf[e.life] = d.names[group]
+		g.engines[d.names[group]][e.life] = true
 	}
 	return d
 }
--- a/chivenode/roster.go
+++ b/chivenode/roster.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -94,6 +95,11 @@
 			delete(r.listed, record.Key)
 			continue
 		}
+		// Anything else that somebody left there would be dialled for ever.
+		if _, err := netip.ParseAddrPort(record.Key); err != nil {
+			chiveevent.NodeUnreadable.Log(context.Background(), r.logger, slog.String("key", record.Key), slog.String("error", err.Error()))
+			continue
+		}
 		r.listed[record.Key] = string(record.Value)
 	}
 }
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -62,11 +62,13 @@
 
 // Pool chooses among the endpoints of one pool and keeps the ledger of this node's requests on them.
 type Pool struct {
-	mu         sync.Mutex
-	domain     string
-	engine     chivetable.Engine
+	mu     sync.Mutex
+	domain string
+	engine chivetable.Engine
+	// candidates are known by the endpoint's life: a process that started again under its id has nothing of what the one before it held, had
+	// waiting or had shown of its speed.
 	candidates map[string]*candidate
-	// ordered are the candidates by id, so that a choice among hundreds sorts nothing.
+	// ordered are the candidates by life, so that a choice among hundreds sorts nothing.
 	ordered []*candidate
 	// forecast predicts times to first events.
 	forecast forecast
@@ -109,17 +111,17 @@
 	known := p.candidates
 	p.candidates = make(map[string]*candidate, len(endpoints))
 	for _, e := range endpoints {
-		s, ok := known[e.ID]
+		s, ok := known[e.Life().Key()]
 		if !ok {
 			s = newCandidate(e, p.engine.CacheTokens)
 		}
 		s.endpoint = e
-		p.candidates[e.ID] = s
+		p.candidates[s.life] = s
 	}
-	p.ordered = slices.SortedFunc(maps.Values(p.candidates), func(a, b *candidate) int { return strings.Compare(a.endpoint.ID, b.endpoint.ID) })
+	p.ordered = slices.SortedFunc(maps.Values(p.candidates), func(a, b *candidate) int { return strings.Compare(a.life, b.life) })
 }
 
-// Recall takes the parts that an engine says it holds, and returns their tokens; parts of engines that are not known are dropped.
+// Recall takes the parts that an engine, by its life, says it holds, and returns their tokens; parts of lives that are not known are dropped.
 func (p *Pool) Recall(endpoint string, parts []chiverequest.Part) (tokens int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -139,7 +141,7 @@
 	}
 	p.hold(now, place, ask.Prompt)
 	if ask.Prompt != nil {
-		p.reads = append(p.reads, Read{Endpoint: place.endpoint.ID, Parts: ask.Prompt.Parts, Fetched: place.fetches})
+		p.reads = append(p.reads, Read{Endpoint: place.candidate.life, Parts: ask.Prompt.Parts, Fetched: place.fetches})
 	}
 	return place, nil
 }
@@ -195,7 +197,7 @@
 			continue
 		}
 		present++
-		if (slots > 0 && s.load() >= slots) || slices.Contains(ask.Exclude, s.endpoint.ID) {
+		if (slots > 0 && s.load() >= slots) || slices.Contains(ask.Exclude, s.life) {
 			continue
 		}
 		if s.usable(now) {
--- a/chiveplace/pool_test.go
+++ b/chiveplace/pool_test.go
@@ -175,3 +175,45 @@
 		t.Errorf("went to %s and reads %d tokens; %s holds the part", next.Endpoint().ID, next.Reads(), first.Endpoint().ID)
 	}
 }
+
+// Symptom: an engine that had crashed got the prompts that it had held before, and stayed passed over for the failures of its former process;
+// or it seemed full of requests that had ended with it.
+// Sequence: it started again under its id.
+// Cause: all that is believed of an engine hung on its id. It hangs on the start of its process, also what other nodes tell of it.
+func TestNothingIsBelievedOfAnEnginesFormerProcess(t *testing.T) {
+	now := time.Now()
+	p := chiveplace.NewPool("a")
+	p.SetEngine(engine)
+	former := chivedirectory.Endpoint{ID: "e0", Pool: "p", FailureDomain: "a", Born: 5}
+	p.SetEndpoints([]chivedirectory.Endpoint{former})
+	place := take(t, p, now, longPrompt(1, 100))
+	p.Hear(now, "n1", &chiveplace.News{Loads: []chiveplace.Load{{Endpoint: former.Life().Key(), Requests: 7}}})
+	g := grant(t, p, now, "n2", 1, 200)
+
+	again := former
+	again.Born = 9
+	p.SetEndpoints([]chivedirectory.Endpoint{again})
+	if got := load(p, again.Life().Key()); got != 0 {
+		t.Errorf("%d requests at the new process", got)
+	}
+	if second := take(t, p, now, longPrompt(1, 100)); second.Reads() != 16700 {
+		t.Errorf("%d tokens to read, want all of the prompt", second.Reads())
+	}
+	place.Done(now, chiveplace.EndedBroken)
+	p.Hear(now, "n1", &chiveplace.News{
+		Loads: []chiveplace.Load{{Endpoint: former.Life().Key(), Requests: 7}},
+		Reads: []chiveplace.Read{{Endpoint: former.Life().Key(), Parts: longPrompt(2, 100).Parts}},
+	})
+	if got := load(p, again.Life().Key()); got != 1 {
+		t.Errorf("%d requests at the new process after late news of the former one, want its own", got)
+	}
+	if third := take(t, p, now, longPrompt(2, 101)); third.Reads() != 16700 {
+		t.Errorf("%d tokens to read, want all of the prompt", third.Reads())
+	}
+	if _, ok := p.Adopt(now, g, longPrompt(1, 200)); ok {
+		t.Error("a place at the former process is adopted")
+	}
+	if out := p.PassedOver(now); len(out) != 0 {
+		t.Errorf("passed over: %v", out)
+	}
+}
--- a/chiverecall/service.go
+++ b/chiverecall/service.go
@@ -101,11 +101,12 @@
 	known := s.known
 	s.known = make(map[string]*engine, len(endpoints))
 	for _, e := range endpoints {
-		if old, ok := known[e.ID]; ok {
+		if old, ok := known[e.ID]; ok && e.Life() == old.endpoint.Life() {
 			s.known[e.ID] = old
 			continue
 		}
-		s.known[e.ID] = &engine{endpoint: e, cold: !s.began.IsZero() && time.Since(s.began) > startsFor}
+		_, startedAgain := known[e.ID]
+		s.known[e.ID] = &engine{endpoint: e, cold: startedAgain || (!s.began.IsZero() && time.Since(s.began) > startsFor)}
 	}
 }
 
@@ -146,14 +147,14 @@
 func (s *Service) next() (next []chivedirectory.Endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, e := range s.known {
+	for _, e := range s.known {
 		if len(next) == askedMost {
 			return next
 		}
 		if e.asked || e.cold || !s.engines[e.endpoint.Pool] || e.endpoint.State != chivedirectory.Ready {
 			continue
 		}
-		if s.o.Keepers.Asking() && s.o.Keepers.KeeperOf(id) != s.o.Self {
+		if s.o.Keepers.Asking() && s.o.Keepers.KeeperOf(e.endpoint.Life().Key()) != s.o.Self {
 			continue
 		}
 		e.asked = true
@@ -177,7 +178,7 @@
 	if pool == nil {
 		return
 	}
-	tokens := pool.Recall(e.ID, parts)
+	tokens := pool.Recall(e.Life().Key(), parts)
 	s.learnt.Add(1)
 	chiveevent.CacheLearnt.Log(ctx, s.o.Logger, slog.String("endpoint", e.ID), slog.Int("parts", len(parts)), slog.Int64("tokens", tokens),
 		slog.Int64("took_ms", time.Since(began).Milliseconds()))
