Nodes of two releases tell each other; who lacks words asks for them

Found by a test of the messages: a message that has one field more cannot be decoded by the release before and is passed over, so that nodes whose readers are upgraded first would keep their configuration, held by each other. Knowledge keeps its form and answers of the release before are answered in its forms (earlier.go); what is new has kinds of its own. The test fails on the commit before (nothing came).

--- a/chivegossip/document_test.go
+++ b/chivegossip/document_test.go
@@ -213,6 +213,33 @@
 	})
 }
 
+// A change comes into force in time also where most of the nodes that read it fall silent while they pass it on: their receivers turn to
+// others after 0.4 s.
+func TestLargeConfigurationReachesAllThoughReadersFallSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, fleet := newFleet(t, largeFleet, slowLink)
+		read(fleet, newDocument(t, 5, 1449, 1))
+		time.Sleep(30 * time.Millisecond)
+		silent := make(map[string]bool)
+		var living []*member
+		for _, n := range fleet {
+			if !n.gossip.Held() && len(silent) < chivegossip.Readers-2 {
+				silent[n.mesh.Self()] = true
+				continue
+			}
+			living = append(living, n)
+		}
+		network.Block(func(from, to string) bool { return silent[from] || silent[to] })
+		if early := behind(living, 5); early < len(living)/2 {
+			t.Fatalf("only %d of %d nodes still lack it when the readers fall silent", early, len(living))
+		}
+		time.Sleep(inForceWithin)
+		if n := behind(living, 5); n != 0 {
+			t.Errorf("%d of %d living nodes are behind %v after the readers fell silent", n, len(living), inForceWithin)
+		}
+	})
+}
+
 // Symptom: with many endpoints new at once, as after an outage of the store, links were full of words about them (found while looking for the
 // cause of a late configuration elsewhere in the code).
 // Sequence: two readers told each node that they knew more, and the node asked both.
@@ -241,7 +268,7 @@
 			}
 		}
 		time.Sleep(time.Second)
-		if sent := wireBytes(fleet, "words"); sent > 5_500_000 {
+		if sent := wireBytes(fleet, "words_answer"); sent > 5_500_000 {
 			t.Errorf("%d bytes of words, want at most those of one copy a node and a fifth more", sent)
 		}
 	})
--- /dev/null
+++ b/chivegossip/earlier_test.go
@@ -0,0 +1,83 @@
+package chivegossip_test
+
+import (
+	"bytes"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chivedrift/chivedirectory"
+	"chivedrift/chivewire"
+)
+
+// What a node of the release before sends and takes.
+type (
+	earlierKnowledge struct {
+		Table, Offset int64
+		Reply         bool
+	}
+	earlierDocument struct {
+		Table int64
+		Data  []byte
+	}
+	earlierWords struct {
+		Words []struct {
+			Offset        int64
+			Gone, Missing bool
+			Keep          time.Duration
+			Endpoint      earlierEndpoint
+			Read          bool
+		}
+	}
+	earlierEndpoint struct {
+		ID, Pool, Address, FailureDomain string
+		Slots                            int
+		State                            uint8
+		WarmUp                           time.Duration
+	}
+)
+
+// Symptom (found by a test of the messages): while nodes are upgraded one after the other, those of the release before keep their
+// configuration and their endpoints, and those of the new one do not hear of theirs.
+// Sequence: the nodes that read the store are upgraded first; a change comes.
+// Cause: a message with a field more cannot be decoded by the release before, and is passed over without a word. What both say to each
+// other keeps its form.
+func TestNodesOfTwoReleasesTellEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, fleet := newFleet(t, 3, slowLink)
+		newer, older := newDocument(t, 5, 100, 1), newDocument(t, 7, 100, 1)
+		now := fleet[0]
+		now.tables.Learn(newer, "store")
+		now.endpoints.Learn([]chivedirectory.Word{{Offset: 4, Endpoint: chivedirectory.Endpoint{ID: "e", Pool: "p", Address: "10.0.0.1:1", Born: 9}}}, "store")
+
+		earlier := chivewire.NewMesh("10.9.0.1:82", network)
+		documents, words := make(chan earlierDocument, 9), make(chan earlierWords, 9)
+		chivewire.Receive(earlier, chivewire.KindDocument, func(_ string, d earlierDocument) { documents <- d })
+		chivewire.Receive(earlier, chivewire.KindWords, func(_ string, w earlierWords) { words <- w })
+		if err := earlier.Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		defer earlier.Stop(t.Context())
+		say := func(kind chivewire.Kind, message any) {
+			if err := earlier.Send(now.mesh.Self(), kind, message); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+		}
+
+		say(chivewire.KindKnowledge, earlierKnowledge{Table: 3, Offset: 1, Reply: true})
+		if len(documents) != 1 || len(words) != 1 {
+			t.Fatalf("%d documents and %d rows of words came, want one each", len(documents), len(words))
+		}
+		if d := <-documents; d.Table != 5 || !bytes.Equal(d.Data, newer) {
+			t.Errorf("got version %d with %d bytes", d.Table, len(d.Data))
+		}
+		if w := <-words; len(w.Words) != 1 || w.Words[0].Offset != 4 || w.Words[0].Endpoint.ID != "e" {
+			t.Errorf("got %+v", w)
+		}
+		say(chivewire.KindDocument, earlierDocument{Table: 7, Data: older})
+		if got := now.tables.Version(); got != 7 {
+			t.Errorf("version %d in force, want the earlier node's 7", got)
+		}
+	})
+}
--- a/chivegossip/readers.go
+++ b/chivegossip/readers.go
@@ -112,7 +112,8 @@
 	s.fleet.mu.Lock()
 	inCare := s.fleet.inCare
 	s.fleet.mu.Unlock()
+	own := s.standing()
 	for _, address := range inCare {
-		s.send(address, chivewire.KindKnowledge, s.knowledge(false))
+		s.send(address, chivewire.KindKnowledge, Knowledge{Table: own.Table, Offset: own.Offset})
 	}
 }
--- a/chivegossip/service.go
+++ b/chivegossip/service.go
@@ -67,20 +67,24 @@
 	Logger    *slog.Logger
 }
 
-// Knowledge tells a peer how much the sender knows.
+// Knowledge asks a peer to compare what it knows with what the sender knows. Its form is that of all releases, so that nodes of two releases
+// can tell each other (earlier.go).
 type Knowledge struct {
 	Table  int64
 	Offset int64
-	// Reply tells that the sender was asked, so that two nodes do not answer each other for ever.
+	// Reply tells that the sender was asked; only nodes of earlier releases say so, and expect to be sent what they lack.
 	Reply bool
-	// Parts tells that the sender asks for documents in parts; nodes of a release before that are sent whole ones.
-	Parts bool
 }
 
-// Document is an operator's whole document, for a peer of a release that cannot ask for parts.
-type Document struct {
-	Table int64
-	Data  []byte
+// Standing answers a peer that knows less, or tells it of a change: it asks for what it lacks.
+type Standing struct {
+	Table  int64
+	Offset int64
+}
+
+// WordsAsk asks for the words on endpoints after an offset.
+type WordsAsk struct {
+	After int64
 }
 
 // Words is what the sender knows of the endpoints.
@@ -117,8 +121,11 @@
 	}
 	s.fleet.told = make(chan struct{}, 1)
 	receive[Knowledge](s, chivewire.KindKnowledge)
-	receive[Document](s, chivewire.KindDocument)
-	receive[Words](s, chivewire.KindWords)
+	receive[Standing](s, chivewire.KindStanding)
+	receive[WordsAsk](s, chivewire.KindWordsAsk)
+	receive[Words](s, chivewire.KindWordsAnswer)
+	receive[earlierDocument](s, chivewire.KindDocument)
+	receive[earlierWords](s, chivewire.KindWords)
 	receive[AnswersAsk](s, chivewire.KindAnswersAsk)
 	receive[Answers](s, chivewire.KindAnswers)
 	receive[chivetransfer.Ask](s, chivewire.KindDocumentAsk)
@@ -151,9 +158,9 @@
 // Dump returns what this node would tell a peer.
 func (s *Service) Dump() any {
 	return struct {
-		Knowledge Knowledge       `json:"knowledge"`
-		Ring      chivering.Depth `json:"ring"`
-	}{s.knowledge(false), s.inbox.Depth()}
+		Standing Standing        `json:"knowledge"`
+		Ring     chivering.Depth `json:"ring"`
+	}{s.standing(), s.inbox.Depth()}
 }
 
 func (s *Service) run(ctx context.Context) {
@@ -166,7 +173,7 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			s.ask()
+			s.compareWithOne()
 			s.askAnswers()
 		case <-s.wake.C:
 			s.fetch()
@@ -181,7 +188,8 @@
 	}
 }
 
-func (s *Service) ask() {
+// compareWithOne shows what this node knows to a peer drawn at random.
+func (s *Service) compareWithOne() {
 	var others []chivemember.Member
 	for _, m := range s.o.Members.Members() {
 		if m.Address != s.o.Mesh.Self() {
@@ -191,11 +199,13 @@
 	if len(others) == 0 {
 		return
 	}
-	s.send(others[rand.IntN(len(others))].Address, chivewire.KindKnowledge, s.knowledge(false))
+	own := s.standing()
+	s.send(others[rand.IntN(len(others))].Address, chivewire.KindKnowledge, Knowledge{Table: own.Table, Offset: own.Offset})
 }
 
-func (s *Service) knowledge(reply bool) Knowledge {
-	return Knowledge{Table: s.o.Tables.Version(), Offset: s.o.Endpoints.Newest(), Reply: reply, Parts: true}
+// standing returns what this node knows.
+func (s *Service) standing() Standing {
+	return Standing{Table: s.o.Tables.Version(), Offset: s.o.Endpoints.Newest()}
 }
 
 func (s *Service) handle(m message) {
@@ -207,12 +217,16 @@
 	switch body := m.body.(type) {
 	case Knowledge:
 		s.compare(m.from, body)
-	case Document:
-		if body.Table > s.o.Tables.Version() {
-			s.o.Tables.Learn(body.Data, "peer "+m.from)
-		}
+	case Standing:
+		s.ask(m.from, body)
+	case WordsAsk:
+		s.send(m.from, chivewire.KindWordsAnswer, Words{Words: s.o.Endpoints.Words(body.After)})
 	case Words:
 		s.o.Endpoints.Learn(body.Words, "peer "+m.from)
+	case earlierDocument:
+		s.takeEarlierDocument(m.from, body)
+	case earlierWords:
+		s.o.Endpoints.Learn(body.words(), "peer "+m.from)
 	case chivetransfer.Ask:
 		s.hand(m.from, body)
 	case chivetransfer.Part:
@@ -226,24 +240,25 @@
 	}
 }
 
-// compare sends the words that the peer lacks, and shows it this node's state when either of the two lacks something.
+// compare asks for what the peer has beyond this node, and tells it when this node has more.
 func (s *Service) compare(from string, theirs Knowledge) {
-	s.hearVersion(from, theirs.Table)
-	own := s.knowledge(true)
-	if own.Offset > theirs.Offset {
-		s.send(from, chivewire.KindWords, Words{Words: s.o.Endpoints.Words(theirs.Offset)})
-	}
-	if own.Table > theirs.Table && !theirs.Parts {
-		data, version := s.o.Tables.Document()
-		s.send(from, chivewire.KindDocument, Document{Table: version, Data: data})
-		return
-	}
 	if theirs.Reply {
+		s.sendEarlier(from, theirs)
 		return
 	}
-	lacks := own.Offset < theirs.Offset && s.words.mayAsk(time.Now(), theirs.Offset)
-	if lacks || own.Table > theirs.Table {
-		s.send(from, chivewire.KindKnowledge, own)
+	s.ask(from, Standing{Table: theirs.Table, Offset: theirs.Offset})
+	own := s.standing()
+	if own.Table > theirs.Table || own.Offset > theirs.Offset {
+		s.send(from, chivewire.KindStanding, own)
+	}
+}
+
+// ask asks a peer for the words that this node lacks, and notes what version it has.
+func (s *Service) ask(from string, theirs Standing) {
+	s.hearVersion(from, theirs.Table)
+	own := s.o.Endpoints.Newest()
+	if own < theirs.Offset && s.words.mayAsk(time.Now(), theirs.Offset) {
+		s.send(from, chivewire.KindWordsAsk, WordsAsk{After: own})
 	}
 }
 
--- a/chivewire/kind.go
+++ b/chivewire/kind.go
@@ -50,6 +50,10 @@
 	KindDocumentPart    Kind = 109
 	KindDocumentRefusal Kind = 110
 
+	KindStanding    Kind = 112
+	KindWordsAsk    Kind = 113
+	KindWordsAnswer Kind = 114
+
 	KindPlaceAsk    Kind = 104
 	KindPlaceAnswer Kind = 105
 )
@@ -66,6 +70,7 @@
 	KindKnowledge: "knowledge", KindDocument: "document", KindWords: "words", KindLoads: "loads",
 	KindAnswersAsk: "answers_ask", KindAnswers: "answers",
 	KindDocumentAsk: "document_ask", KindDocumentPart: "document_part", KindDocumentRefusal: "document_refusal",
+	KindStanding: "standing", KindWordsAsk: "words_ask", KindWordsAnswer: "words_answer",
 	KindPlaceAsk: "place_ask", KindPlaceAnswer: "place_answer",
 }
 
