--- a/chivecommand/experiment.go
+++ b/chivecommand/experiment.go
@@ -69,11 +69,14 @@
 	if err != nil {
 		return fmt.Errorf("stopped before all plays were done: %w", err)
 	}
-	x.WriteTable(out)
-	if r.out == "" {
-		return nil
+	// The files come first: a reader of the table that goes away must not cost them.
+	if r.out != "" {
+		if err := r.write(x); err != nil {
+			return err
+		}
 	}
-	return r.write(x)
+	x.WriteTable(out)
+	return nil
 }
 
 // write writes the results as JSON and as a page with plots.
--- a/chivedirectory/directory.go
+++ b/chivedirectory/directory.go
@@ -6,56 +6,6 @@
 	"time"
 )
 
-// State is what an endpoint says of itself.
-type State uint8
-
-const (
-	// Ready endpoints take new work.
-	Ready State = iota
-	// Leaving endpoints finish what they have and get no new work.
-	Leaving
-)
-
-// String returns the state's name.
-func (s State) String() string {
-	if s == Leaving {
-		return "leaving"
-	}
-	return "ready"
-}
-
-// Endpoint is a process that serves a pool.
-type Endpoint struct {
-	// ID names the endpoint in the store; with Born it names the start of its process.
-	ID            string
-	Pool          string
-	Address       string
-	FailureDomain string
-	// Slots is how many requests it serves at once.
-	Slots int
-	State State
-	// WarmUp is how much longer it stays slow after its start.
-	WarmUp time.Duration
-	// Born is when the process started, in Unix milliseconds of its own clock; 0 where it does not say.
-	Born int64
-}
-
-// Life returns which start of the endpoint's process this is.
-func (e Endpoint) Life() Life { return Life{ID: e.ID, Born: e.Born} }
-
-// Word is what the store's log says of an endpoint at an offset.
-type Word struct {
-	Offset int64
-	// Gone tells that the entry was removed; of the endpoint only the id is known then.
-	Gone bool
-	// Missing tells that the entry was removed around an outage of the store, and that the sender waits for it for Keep.
-	Missing  bool
-	Keep     time.Duration
-	Endpoint Endpoint
-	// Read tells that this node has read the word from the store itself; it is never told to peers.
-	Read bool
-}
-
 const (
 	// goneKept is how long it is remembered that an endpoint is gone, so that an older word of a peer does not bring it back.
 	goneKept = 10 * time.Minute
@@ -91,6 +41,14 @@
 	contest contest
 }
 
+// replace takes a newer word of the endpoint and reports whether it says something else.
+func (e *entry) replace(word Word) bool {
+	changed := e.endpoint != word.Endpoint
+	e.endpoint, e.offset, e.missing, e.keep = word.Endpoint, max(e.offset, word.Offset), time.Time{}, time.Time{}
+	e.contest = contest{}
+	return changed
+}
+
 type tombstone struct {
 	offset int64
 	at     time.Time
@@ -191,41 +149,6 @@
 	return known.replace(word)
 }
 
-// replace takes a newer word of the endpoint and reports whether it says something else.
-func (e *entry) replace(word Word) bool {
-	changed := e.endpoint != word.Endpoint
-	e.endpoint, e.offset, e.missing, e.keep = word.Endpoint, max(e.offset, word.Offset), time.Time{}, time.Time{}
-	e.contest = contest{}
-	return changed
-}
-
-// hearEarlier takes the word of an earlier life of an endpoint, whose later life is known: a write that was carried out late, or a peer that
-// has not heard of the later life. Taken by its offset in the log it would send requests to a process that has ended, and bring back what
-// was believed of it.
-func (d *Directory) hearEarlier(now time.Time, known *entry, word Word) bool {
-	if word.Offset <= known.offset {
-		return false
-	}
-	known.offset = word.Offset
-	if word.Missing || !known.contest.settle(now, word.Endpoint.Life()) {
-		return false
-	}
-	return known.replace(word)
-}
-
-// mayReturn tells whether a word of an endpoint that is gone is of something newer than its end.
-func (d *Directory) mayReturn(now time.Time, old tombstone, word Word) bool {
-	if old.offset >= word.Offset {
-		return false
-	}
-	if word.Gone || !old.life.Follows(word.Endpoint.Life()) {
-		return true
-	}
-	settled := old.contest.settle(now, word.Endpoint.Life())
-	d.gone[word.Endpoint.ID] = old
-	return settled
-}
-
 // remove takes the word that an entry is gone. Shortly after an outage it may only mean that the entry lapsed meanwhile.
 func (d *Directory) remove(now time.Time, id string, offset int64) bool {
 	known, ok := d.entries[id]
@@ -334,28 +257,3 @@
 	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
 	return all
 }
-
-// Words returns what a peer lacks that has taken everything up to an offset.
-func (d *Directory) Words(now time.Time, after int64) []Word {
-	var lacking []Word
-	for _, e := range d.entries {
-		if e.offset > after {
-			lacking = append(lacking, d.word(now, e))
-		}
-	}
-	for id, t := range d.gone {
-		if t.offset > after || now.Sub(t.at) < goneTold {
-			lacking = append(lacking, Word{Offset: t.offset, Endpoint: Endpoint{ID: id}, Gone: true})
-		}
-	}
-	return lacking
-}
-
-// word is what is told of one entry.
-func (d *Directory) word(now time.Time, e *entry) Word {
-	w := Word{Offset: e.offset, Endpoint: e.endpoint, Missing: !e.missing.IsZero()}
-	if w.Missing {
-		w.Keep = max(d.graceLeft(now), e.keep.Sub(now), 0)
-	}
-	return w
-}
--- a/chivedirectory/life.go
+++ b/chivedirectory/life.go
@@ -52,3 +52,30 @@
 	}
 	return now.Sub(c.since) > lateWriteMost
 }
+
+// hearEarlier takes the word of an earlier life of an endpoint, whose later life is known: a write that was carried out late, or a peer that
+// has not heard of the later life. Taken by its offset in the log it would send requests to a process that has ended, and bring back what
+// was believed of it.
+func (d *Directory) hearEarlier(now time.Time, known *entry, word Word) bool {
+	if word.Offset <= known.offset {
+		return false
+	}
+	known.offset = word.Offset
+	if word.Missing || !known.contest.settle(now, word.Endpoint.Life()) {
+		return false
+	}
+	return known.replace(word)
+}
+
+// mayReturn tells whether a word of an endpoint that is gone is of something newer than its end.
+func (d *Directory) mayReturn(now time.Time, old tombstone, word Word) bool {
+	if old.offset >= word.Offset {
+		return false
+	}
+	if word.Gone || !old.life.Follows(word.Endpoint.Life()) {
+		return true
+	}
+	settled := old.contest.settle(now, word.Endpoint.Life())
+	d.gone[word.Endpoint.ID] = old
+	return settled
+}
--- a/chiveengine/engine.go
+++ b/chiveengine/engine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chivedrift/chiverequest"
+	"chivedrift/chivetime"
 )
 
 // Job is one request for an engine.
@@ -188,7 +189,7 @@
 		}
 		r := Report{At: now, Job: j.ID, First: j.produced <= e.traits.TokensPerEvent}
 		if r.First {
-			r.At = now.Add(milliseconds(e.traits.First * e.traits.Speed))
+			r.At = now.Add(chivetime.Milliseconds(e.traits.First * e.traits.Speed))
 		}
 		if done {
 			r.Sign = SignDone
@@ -231,7 +232,7 @@
 	}
 	s := e.compose()
 	e.stepping = true
-	e.ends = now.Add(milliseconds(e.traits.stepTime(s)))
+	e.ends = now.Add(chivetime.Milliseconds(e.traits.stepTime(s)))
 }
 
 // admit lets jobs run while there are slots and memory.
@@ -271,5 +272,3 @@
 	e.counts.Read += s.reads
 	return s
 }
-
-func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/chiveexperiment/callers.go
+++ b/chiveexperiment/callers.go
@@ -11,6 +11,7 @@
 	"chivedrift/chiveplace"
 	"chivedrift/chiverequest"
 	"chivedrift/chivetable"
+	"chivedrift/chivetime"
 )
 
 // caller draws the calls of one kind.
@@ -53,10 +54,10 @@
 
 // urgentTarget returns the shortest target of the kinds that are as urgent or more.
 func (w *world) urgentTarget(k *Kind) time.Duration {
-	shortest := milliseconds(k.TargetMs)
+	shortest := chivetime.Milliseconds(k.TargetMs)
 	for _, other := range w.scenario.Kinds {
 		if other.Rank <= k.Rank {
-			shortest = min(shortest, milliseconds(other.TargetMs))
+			shortest = min(shortest, chivetime.Milliseconds(other.TargetMs))
 		}
 	}
 	return shortest
@@ -92,7 +93,7 @@
 	w := c.w
 	c.made++
 	prompt := &chiverequest.Prompt{
-		Target: milliseconds(c.kind.TargetMs), Pause: milliseconds(c.kind.PauseMs), Rank: c.rank, Urgent: c.urgent,
+		Target: chivetime.Milliseconds(c.kind.TargetMs), Pause: chivetime.Milliseconds(c.kind.PauseMs), Rank: c.rank, Urgent: c.urgent,
 	}
 	var numbers []int
 	for i, s := range c.kind.Shared {
@@ -144,7 +145,9 @@
 	over      bool
 }
 
-func (c *call) deadline() time.Duration { return c.began + milliseconds(c.caller.kind.WaitMs) }
+func (c *call) deadline() time.Duration {
+	return c.began + chivetime.Milliseconds(c.caller.kind.WaitMs)
+}
 
 // try sends the call to a node drawn at random.
 func (c *call) try() {
@@ -152,7 +155,7 @@
 	c.node = w.random.IntN(w.scenario.Nodes)
 	c.tries++
 	c.exclude = nil
-	w.after(milliseconds(w.scenario.CallerMs), func() { c.place(w.clock) })
+	w.after(chivetime.Milliseconds(w.scenario.CallerMs), func() { c.place(w.clock) })
 }
 
 const (
@@ -187,7 +190,7 @@
 	job := &chiveengine.Job{ID: w.jobID(), Rank: c.prompt.Rank.Place, Parts: c.prompt.Parts, Input: c.prompt.Input + c.delivered, Output: c.output - c.delivered}
 	c.run = &run{call: c, place: p, job: job, last: w.clock}
 	r := c.run
-	w.after(milliseconds(w.scenario.NetworkMs), func() {
+	w.after(chivetime.Milliseconds(w.scenario.NetworkMs), func() {
 		if c.over || r.ended {
 			return
 		}
@@ -213,7 +216,7 @@
 	if done {
 		r.end(chiveplace.EndedWell)
 	}
-	w.after(milliseconds(w.scenario.CallerMs), func() { c.got(done) })
+	w.after(chivetime.Milliseconds(w.scenario.CallerMs), func() { c.got(done) })
 }
 
 // got takes an event at the caller.
@@ -287,7 +290,7 @@
 	if c.impatient {
 		wait = impatientAfter
 	}
-	w.after(wait+milliseconds(w.scenario.CallerMs), func() {
+	w.after(wait+chivetime.Milliseconds(w.scenario.CallerMs), func() {
 		if !c.over {
 			c.try()
 		}
@@ -322,7 +325,7 @@
 	w.tally.ended(c, e)
 	if r := c.run; r != nil && !r.ended {
 		r.end(chiveplace.EndedCaller)
-		w.after(milliseconds(w.scenario.CallerMs+w.scenario.NetworkMs), func() {
+		w.after(chivetime.Milliseconds(w.scenario.CallerMs+w.scenario.NetworkMs), func() {
 			if on := w.engine(r.place.endpoint()); on != nil {
 				on.cancel(r)
 			}
--- a/chiveexperiment/engines.go
+++ b/chiveexperiment/engines.go
@@ -8,6 +8,7 @@
 	"chivedrift/chiveengine"
 	"chivedrift/chiveplace"
 	"chivedrift/chiverequest"
+	"chivedrift/chivetime"
 )
 
 // engine is an engine of the play with the runs that it has.
@@ -92,7 +93,7 @@
 		return
 	}
 	start := e.start
-	e.w.after(milliseconds(e.of.FetchSetupMs+float64(more)/e.of.FetchTokensPerMs), func() {
+	e.w.after(chivetime.Milliseconds(e.of.FetchSetupMs+float64(more)/e.of.FetchTokensPerMs), func() {
 		if e.up && e.start == start {
 			e.model.Adopt(r.job.Parts, held)
 		}
@@ -146,7 +147,7 @@
 		if done {
 			delete(e.runs, report.Job)
 		}
-		e.w.after(report.At.Sub(e.w.now())+milliseconds(e.w.scenario.NetworkMs), func() { r.call.heard(r, done) })
+		e.w.after(report.At.Sub(e.w.now())+chivetime.Milliseconds(e.w.scenario.NetworkMs), func() { r.call.heard(r, done) })
 	}
 	e.wake()
 }
@@ -162,7 +163,7 @@
 	e.up = false
 	for _, id := range sortedKeys(e.runs) {
 		r := e.runs[id]
-		e.w.after(milliseconds(e.w.scenario.NetworkMs), func() { r.call.broke(r, chiveplace.EndedBroken) })
+		e.w.after(chivetime.Milliseconds(e.w.scenario.NetworkMs), func() { r.call.broke(r, chiveplace.EndedBroken) })
 	}
 	e.reset()
 	start := e.start
--- a/chiveexperiment/router.go
+++ b/chiveexperiment/router.go
@@ -8,6 +8,7 @@
 	"chivedrift/chivedirectory"
 	"chivedrift/chiveplace"
 	"chivedrift/chivetable"
+	"chivedrift/chivetime"
 )
 
 // place is a call's place on an engine.
@@ -74,7 +75,7 @@
 	if nodes > 1 && w.scenario.News.EveryMs > 0 {
 		for i := range nodes {
 			// Nodes do not tell in step.
-			w.after(time.Duration(w.random.Float64()*float64(milliseconds(w.scenario.News.EveryMs))), func() { p.tell(i, -repeatEvery) })
+			w.after(time.Duration(w.random.Float64()*float64(chivetime.Milliseconds(w.scenario.News.EveryMs))), func() { p.tell(i, -repeatEvery) })
 		}
 	}
 	return p
@@ -92,7 +93,7 @@
 	if !news.Empty() && w.clock >= p.deaf[node] {
 		p.spread(node, news)
 	}
-	w.after(milliseconds(w.scenario.News.EveryMs), func() { p.tell(node, repeated) })
+	w.after(chivetime.Milliseconds(w.scenario.News.EveryMs), func() { p.tell(node, repeated) })
 }
 
 func (p *pools) spread(from int, news chiveplace.News) {
@@ -101,7 +102,7 @@
 		if to == from || w.random.Float64() < w.scenario.News.Lost {
 			continue
 		}
-		w.after(milliseconds(w.scenario.News.LateMs), func() {
+		w.after(chivetime.Milliseconds(w.scenario.News.LateMs), func() {
 			if w.clock >= p.deaf[to] {
 				p.nodes[to].Hear(w.now(), nodeName(from), &news)
 			}
--- a/chiveexperiment/scenario.go
+++ b/chiveexperiment/scenario.go
@@ -214,5 +214,3 @@
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
-func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/chiveplace/admit.go
+++ b/chiveplace/admit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chivedrift/chiverequest"
+	"chivedrift/chivetime"
 )
 
 // An engine that has too much to read makes everybody late: the urgent, whose first events wait behind it, and those that run
@@ -39,7 +40,7 @@
 	if wait <= most {
 		return nil
 	}
-	after := max(milliseconds(wait-most), comeBackLeast)
+	after := max(chivetime.Milliseconds(wait-most), comeBackLeast)
 	after += time.Duration(comeBackSpread * p.random.Float64() * float64(after))
 	reason := fmt.Sprintf("the engines have too much to read: %.0f ms of wait, %.0f allowed for rank %d", wait, most, prompt.Rank.Place)
 	return &RefusedError{Reason: reason, RetryAfter: after, Expected: expected}
--- a/chiveplace/engine.go
+++ b/chiveplace/engine.go
@@ -124,8 +124,9 @@
 	reads, fetches, again := c.split(s)
 	first := c.pool.forecast.first(work{reads: reads, fetches: fetches, ahead: s.waitingFor(c.prompt.Rank)}) * s.speed()
 	loss := ramp(first/c.target, lateFrom, lateTo) + sooner*first/c.target
-	loss += c.pauseLoss(now, s)
-	loss += c.pool.spoiled(now, s, reads)
+	disturbed := c.pool.disturbed(now, s)
+	loss += c.pauseLoss(now, s, disturbed)
+	loss += c.pool.spoiled(s, reads, disturbed)
 	loss += c.againLoss(s, fetches, again)
 	if c.held == 0 && s != c.home {
 		loss += offHome
--- a/chiveplace/forecast.go
+++ b/chiveplace/forecast.go
@@ -100,8 +100,6 @@
 	f.bound()
 }
 
-func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
-
 // bound keeps a few odd answers from turning the forecast upside down, and its trust from growing without end in a quiet time.
 func (f *forecast) bound() {
 	f.weights[0] = min(max(f.weights[0], 0), forecastMost)
--- a/chiveplace/news.go
+++ b/chiveplace/news.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chivedrift/chiverequest"
+	"chivedrift/chivetime"
 )
 
 // News is what one node tells the others of its requests.
@@ -87,7 +88,7 @@
 			if missing > chunkTokens {
 				s.noteLong(now, missing)
 			}
-			s.cache.touch(r.Parts, now.Add(milliseconds(p.forecast.first(work{reads: missing})*s.speed())))
+			s.cache.touch(r.Parts, now.Add(chivetime.Milliseconds(p.forecast.first(work{reads: missing})*s.speed())))
 		}
 	}
 }
--- a/chiveplace/pause.go
+++ b/chiveplace/pause.go
@@ -58,8 +58,8 @@
 	}
 }
 
-// pauseLoss is the chance that a stream is late by its pauses alone.
-func (s *candidate) pauseLoss(now time.Time, promised time.Duration) float64 {
+// latePauses is the chance that a stream is late by its pauses alone.
+func (s *candidate) latePauses(now time.Time, promised time.Duration) float64 {
 	if promised == 0 {
 		return 0
 	}
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -13,6 +13,7 @@
 	"chivedrift/chivedirectory"
 	"chivedrift/chiverequest"
 	"chivedrift/chivetable"
+	"chivedrift/chivetime"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -171,7 +172,7 @@
 	if ask.Prompt != nil {
 		place.rank = ask.Prompt.Rank
 		place.ahead = best.waitingFor(place.rank)
-		place.expected = milliseconds(p.forecast.first(place.work()) * best.speed())
+		place.expected = chivetime.Milliseconds(p.forecast.first(place.work()) * best.speed())
 		if err := p.admit(ask.Prompt, p.forecast.waiting(place.ahead)*best.speed(), place.expected); err != nil {
 			return nil, err
 		}
--- a/chiveplace/tight.go
+++ b/chiveplace/tight.go
@@ -81,13 +81,14 @@
 	return min(1, lately+float64(s.longWaiting())*perToken/aheadMs)
 }
 
-// pauseLoss is the loss by the pauses of the request's own stream, seen or expected, and by the long reads that it keeps away.
-func (c *engineChoice) pauseLoss(now time.Time, s *candidate) float64 {
-	loss := s.pauseLoss(now, c.prompt.Pause)
+// pauseLoss is the loss by the pauses of the request's own stream, seen or expected, and by the long reads that it keeps away; disturbed is
+// the engine's.
+func (c *engineChoice) pauseLoss(now time.Time, s *candidate, disturbed float64) float64 {
+	loss := s.latePauses(now, c.prompt.Pause)
 	if !c.tight {
 		return loss
 	}
-	loss = max(loss, c.pool.disturbed(now, s)*c.pool.besideChance(c.prompt.Pause, s.speed()))
+	loss = max(loss, disturbed*c.pool.besideChance(c.prompt.Pause, s.speed()))
 	if s.tight() == 0 {
 		loss += openLoss
 	}
@@ -95,11 +96,11 @@
 }
 
 // spoiled is how many of the streams that run on an engine a read makes late; those that are late anyway have nothing left to lose.
-func (p *Pool) spoiled(now time.Time, s *candidate, tokens int64) float64 {
+func (p *Pool) spoiled(s *candidate, tokens int64, disturbed float64) float64 {
 	if tokens <= chunkTokens || s.tight() == 0 {
 		return 0
 	}
-	return float64(s.tight()) * (1 - p.disturbed(now, s)) * min(1, float64(tokens)/harmTokens) * p.besideChance(p.promise, s.speed())
+	return float64(s.tight()) * (1 - disturbed) * min(1, float64(tokens)/harmTokens) * p.besideChance(p.promise, s.speed())
 }
 
 // noteLong counts a long read that begins.
--- /dev/null
+++ b/chivetime/doc.go
@@ -0,0 +1,2 @@
+// Package chivetime converts times between the forms in which documents, forecasts and the runtime hold them.
+package chivetime
