--- a/chivegossip/document_test.go
+++ b/chivegossip/document_test.go
@@ -240,6 +240,29 @@
 	})
 }
 
+// A node that starts while a change is under way comes to know it as soon as the others know of the node.
+func TestNodeThatStartsDuringAChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, fleet := newFleet(t, largeFleet, slowLink)
+		all := everybody{}
+		for _, n := range fleet {
+			address := n.mesh.Self()
+			all = append(all, chivelog.VM{Name: address, Address: address, Region: "r", Kind: chivelog.KindEntry, State: chivelog.StateLive})
+		}
+		fresh := chivelog.VM{Name: "10.9.0.9:82", Address: "10.9.0.9:82", Region: "r", Kind: chivelog.KindEntry, State: chivelog.StateLive}
+		read(fleet, newDocument(t, 5, 1449, 1))
+		started := startMember(t, network, fresh, append(all, fresh))
+		began := time.Now()
+		for started.tables.Version() < 5 {
+			if time.Since(began) > inForceWithin {
+				t.Fatalf("still without a configuration %v after its start", inForceWithin)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Logf("in force %v after its start", time.Since(began))
+	})
+}
+
 // Symptom: with many endpoints new at once, as after an outage of the store, links were full of words about them (found while looking for the
 // cause of a late configuration elsewhere in the code).
 // Sequence: two readers told each node that they knew more, and the node asked both.
