--- a/chivegossip/document_test.go
+++ b/chivegossip/document_test.go
@@ -240,6 +240,46 @@
 	})
 }
 
+// Changes of a large configuration that follow each other faster than each reaches everybody are in force in time, each or a newer one, and cost
+// no more copies than there are changes.
+func TestStormOfChangesOfALargeConfiguration(t *testing.T) {
+	const (
+		changes = 8
+		apart   = 100 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		_, fleet := newFleet(t, largeFleet, slowLink)
+		documents := make([][]byte, changes)
+		for i := range documents {
+			documents[i] = newDocument(t, int64(i+1), 1449+i, 1)
+		}
+		began := time.Now()
+		late := make([]time.Duration, changes)
+		for step := 0; time.Since(began) < 5*time.Second; step++ {
+			if change := int(time.Since(began) / apart); change < changes && time.Since(began)%apart == 0 {
+				read(fleet, documents[change])
+			}
+			time.Sleep(10 * time.Millisecond)
+			for i := range late {
+				if since := time.Since(began) - time.Duration(i)*apart; since > 0 && behind(fleet, int64(i+1)) > 0 {
+					late[i] = since
+				}
+			}
+		}
+		t.Logf("behind each change for %v", late)
+		for i, l := range late {
+			if l > inForceWithin {
+				t.Errorf("version %d was not in force everywhere for %v", i+1, l)
+			}
+		}
+		for _, n := range fleet {
+			if copies := n.tables.Counts().Copies; copies > changes+1 {
+				t.Errorf("%s took %d copies of %d changes", n.mesh.Self(), copies, changes)
+			}
+		}
+	})
+}
+
 // A node that starts while a change is under way comes to know it as soon as the others know of the node.
 func TestNodeThatStartsDuringAChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
