--- a/chivegossip/readers.go
+++ b/chivegossip/readers.go
@@ -63,7 +63,8 @@
 	s.fleet.rank, s.fleet.reading, s.fleet.inCare = own, reading, inCare
 }
 
-// careOf returns whom the node at a place among all tells at once: a reader the other readers, and each its part of the nodes further on.
+// careOf returns whom the node at a place among all tells at once: a reader the other readers, and each its part of the nodes further on, at most
+// twelve.
 func careOf(own int, ranked []string) []string {
 	if own < 0 {
 		return nil
--- a/chivegossip/service.go
+++ b/chivegossip/service.go
@@ -274,7 +274,7 @@
 
 // mayAsk tells whether to ask a peer for the words up to an offset; not when another one that has them was asked just now.
 //
-// Two readers tell each node of the same change. Asking one, 78 nodes on links of 10 Mbit/s receive the words of 600 new endpoints in 4.5 MB,
+// Two peers tell each node of the same change. Asking one, 78 nodes on links of 10 Mbit/s receive the words of 600 new endpoints in 4.5 MB,
 // the last node after 0.49 s; asking both, in 8.6 MB, after 0.7 s (on virtual time).
 func (a *wordsAsk) mayAsk(now time.Time, offset int64) bool {
 	if offset <= a.offset && now.Sub(a.at) < wordsPatience {
