--- a/chivegossip/document_test.go
+++ b/chivegossip/document_test.go
@@ -1,3 +1,5 @@
+//go:build !race
+
 package chivegossip_test
 
 import (
