--- a/chivedirectory/rejections.go
+++ b/chivedirectory/rejections.go
@@ -33,6 +33,7 @@
 	windowFrom time.Time
 }
 
+// rejection is a key whose record is not usable: why, how many of them came in a row, and at which count it is told of next.
 type rejection struct {
 	reason string
 	count  int64
--- a/chivetransfer/receiver.go
+++ b/chivetransfer/receiver.go
@@ -6,6 +6,7 @@
 )
 
 const (
+	// noVersion stands for the version before the first.
 	noVersion = -1
 
 	// patience is how long a part may take before another source is asked: it takes 26 ms on the slowest link of today's VMs, and some
@@ -175,6 +176,7 @@
 // Useless takes word that a version came whole and is not usable; it is not asked for again, a newer one is.
 func (r *Receiver) Useless(version int64) { r.useless = max(r.useless, version) }
 
+// drop forgets the parts of an edition that is not wanted any more, or whole.
 func (r *Receiver) drop() {
 	r.sum, r.version, r.size, r.data = 0, 0, 0, nil
 }
--- a/chivetransfer/sender.go
+++ b/chivetransfer/sender.go
@@ -24,14 +24,14 @@
 type Sender struct {
 	// editions has the newest first.
 	editions []*Edition
-	// turns has the peers that are being served.
+	// turns has the peers that are being served, by address.
 	turns map[string]turn
 	// served has the peers that got the newest edition whole, the latest last; named counts how often they were named.
 	served []string
 	named  int
 }
 
-// turn is a peer's that is being served: when it asked last, and for what.
+// turn is what is known of a peer that is being served: when it asked last, and for what.
 type turn struct {
 	asked   time.Time
 	version int64
@@ -76,8 +76,8 @@
 	return part, nil
 }
 
-// Hear takes word that a peer has a version: if it was being served with it, the next one gets its turn. The word of the last part handed
-// out is no end, since that part is still on the link.
+// Hear takes word that a peer has a version: if it was being served with it, the next one gets its turn. That the last part was handed out
+// does not end a turn: it is still on the link.
 func (s *Sender) Hear(peer string, version int64) {
 	t, has := s.turns[peer]
 	if !has || version < t.version {
