--- a/cmd/chivedrift/process_test.go
+++ b/cmd/chivedrift/process_test.go
@@ -289,7 +289,7 @@
 	}
 	rest, err := io.ReadAll(response.Body)
 	if err != nil || bytes.Count(rest, []byte(`"content":"w`)) != 400 || response.Trailer.Get("Chivedrift-Outcome") != "completed" {
-		t.Errorf("status %d header %v body %.300s", response.StatusCode, response.Header, append(first, rest...))
+		t.Errorf("status %d, header %v, body after its first byte %.300s", response.StatusCode, response.Header, rest)
 		t.Errorf("stream ended with %v after %d tokens, outcome %q", err, bytes.Count(rest, []byte(`"content":"w`)), response.Trailer.Get("Chivedrift-Outcome"))
 	}
 	if err := n.process.Wait(); err != nil {
