--- a/chivedirectory/directory.go
+++ b/chivedirectory/directory.go
@@ -217,22 +217,12 @@
 }
 
 // Replace takes a whole snapshot of the store, from whose end on the log is read: entries that are not in it are removed, by the same rule as
-// one by one.
+// one by one. What a peer told of from after its end stays: its record, which is read next, would count as older than the removal.
 func (d *Directory) Replace(now time.Time, snapshot []Word, end int64) bool {
 	before := d.newest
-	present := make(map[string]bool, len(snapshot))
-	changed := false
-	for _, w := range snapshot {
-		present[w.Endpoint.ID] = !w.Gone
-		changed = d.Apply(now, w) || changed
-	}
-	for id, known := range d.entries {
-		if !present[id] {
-			changed = d.remove(now, id, known.offset) || changed
-		}
-	}
+	changed := d.Learn(now, Update{Words: snapshot, Whole: true, End: end - 1})
 	// Later pages of a snapshot may have records from behind its end, but not all of them.
-	d.newest, d.rooted = max(before, end-1), max(d.rooted, end-1)
+	d.newest = max(before, end-1)
 	return changed
 }
 
--- a/chivedirectory/service.go
+++ b/chivedirectory/service.go
@@ -179,25 +179,32 @@
 func (s *Service) words(records []chivelog.KeyedRecord) []Word {
 	words := make([]Word, 0, len(records))
 	for _, r := range records {
-		if r.Key != "" && len(r.Value) == 0 {
-			s.accept(r.Key)
-			words = append(words, Word{Offset: r.Offset, Gone: true, Read: true, Endpoint: Endpoint{ID: r.Key}})
+		if endpoint, ok := s.read(r); ok {
+			words = append(words, Word{Offset: r.Offset, Read: true, Endpoint: endpoint})
 			continue
 		}
-		e, err := s.decode(r.Key, r.Value)
-		if err != nil || r.Key == "" {
-			s.reject(r, err)
-			if r.Key != "" {
-				words = append(words, Word{Offset: r.Offset, Gone: true, Read: true, Endpoint: Endpoint{ID: r.Key}})
-			}
-			continue
+		if r.Key != "" {
+			words = append(words, Word{Offset: r.Offset, Gone: true, Read: true, Endpoint: Endpoint{ID: r.Key}})
 		}
-		s.accept(r.Key)
-		words = append(words, Word{Offset: r.Offset, Read: true, Endpoint: e})
 	}
 	return words
 }
 
+// read decodes a record; false for one that says, by being empty or not usable, that there is no endpoint.
+func (s *Service) read(r chivelog.KeyedRecord) (Endpoint, bool) {
+	if r.Key != "" && len(r.Value) == 0 {
+		s.accept(r.Key)
+		return Endpoint{}, false
+	}
+	endpoint, err := s.decode(r.Key, r.Value)
+	if err != nil || r.Key == "" {
+		s.reject(r, err)
+		return Endpoint{}, false
+	}
+	s.accept(r.Key)
+	return endpoint, true
+}
+
 // accept notes that a key's record is usable, or gone.
 func (s *Service) accept(key string) {
 	s.mu.Lock()
--- a/chivedirectory/words_test.go
+++ b/chivedirectory/words_test.go
@@ -44,6 +44,24 @@
 	}
 }
 
+// Symptom (found by reading the code): an endpoint that had just started stayed unknown to a node that had just started too, until it wrote
+// again.
+// Sequence: the node asked the store for a snapshot; the endpoint registered, and a peer told the node of it; then the snapshot came.
+// Cause: the snapshot took away whatever it did not name, also what is newer, and the endpoint's record, read after it, counted as older than
+// that removal.
+func TestSnapshotTakesAwayNothingNewer(t *testing.T) {
+	now := time.Now()
+	d := chivedirectory.New(grace)
+	d.Apply(now, word(8, "b"))
+	d.Replace(now, []chivedirectory.Word{word(5, "a")}, 6)
+	read := word(8, "b")
+	read.Read = true
+	d.Apply(now, read)
+	if known := d.Endpoints(); len(known) != 2 {
+		t.Errorf("knows %+v, want a and b", known)
+	}
+}
+
 // Two histories in which a drawn play found a node that counted as up to date and was not: a snapshot without any endpoint, and a removal of
 // an earlier entry that stood for the endpoint's presence.
 func TestSnapshotsThatOnceMisled(t *testing.T) {
