Round: news of members goes out in rounds, and the view's followers hear of it in rounds

Hypothesis: in the cold start of hundreds of nodes each hears of n others in n messages from each of its eight neighbours, places all members and wakes all that follow the view as many times; that processor time is missing where requests wait. Change: one message a neighbour in 50 ms, the ring placed when it is needed, the digest kept instead of reckoned anew, one telling of the parts in 100 ms, one log line for many members.

--- /dev/null
+++ b/chivemember/cold_start_test.go
@@ -0,0 +1,58 @@
+package chivemember_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// Symptom: after a loss of power nodes of a fleet of hundreds answer late or not at all for two seconds, although each has read
+// the configuration and the endpoints 0.1 s after its start.
+// Sequence: all start within 0.3 s and greet the three seeds; each greeting is passed on to eight others one by one, and each of a
+// node's three greetings is answered with the whole view.
+// Cause: what a node receives for the start of n others is n messages from each of its eight neighbours and n changes of
+// its view, each of which places all members anew and wakes all that follow the view: processor time that requests need.
+func TestColdStartOfALargeFleet(t *testing.T) {
+	const (
+		size = 300
+		// joined is the time within which every node has to know all others: a node of the fleet has to be of use a second after its start.
+		joined = 1500 * time.Millisecond
+		// messagesMost is what one node may receive for it: two a member, a tenth of a fifth of a core at 100 us each.
+		messagesMost = 2 * size
+		// changesMost is how many times one node may place its members anew, at about half a millisecond each.
+		changesMost = 40
+	)
+	f := newFleet(size, 1)
+	seeds := f.views[f.names[0]].Members()
+	for _, name := range f.names[1:3] {
+		seeds = append(seeds, f.views[name].Self())
+	}
+	for _, name := range f.names {
+		f.views[name].SetSeeds(seeds)
+	}
+	took := time.Duration(0)
+	f.run(5*time.Second, func() {
+		if took == 0 && f.leastKnown() == size {
+			took = f.now.Sub(f.began)
+		}
+	})
+	if took == 0 || took > joined {
+		t.Errorf("after %v the last node knew all others, expected %v; it knows %d of %d now", took, joined, f.leastKnown(), size)
+	}
+	received := make([]int, 0, size)
+	changes := make([]int, 0, size)
+	for _, name := range f.names {
+		received = append(received, f.received[name])
+		changes = append(changes, int(f.views[name].Placed()))
+	}
+	slices.Sort(received)
+	slices.Sort(changes)
+	t.Logf("last node knew all after %v; messages received: middle %d, most %d; placements: middle %d, most %d; members told: middle %d, most %d",
+		took, received[size/2], received[size-1], changes[size/2], changes[size-1], f.middleTold(), f.mostTold())
+	if received[size/2] > messagesMost {
+		t.Errorf("the middle node received %d messages, expected %d at most", received[size/2], messagesMost)
+	}
+	if changes[size/2] > changesMost {
+		t.Errorf("the middle node placed its members %d times, expected %d at most", changes[size/2], changesMost)
+	}
+}
--- a/chivemember/service.go
+++ b/chivemember/service.go
@@ -25,6 +25,12 @@
 	listEntry    = 170
 	listBytesPer = 1024
 	leavingFor   = time.Minute
+	// publishGap is the least time between two rounds of telling the parts of the node that the fleet has changed. Each of them
+	// works out anew what depends on the fleet; in the cold start of 300 nodes a change comes with nearly every message.
+	publishGap = 100 * time.Millisecond
+	// linesAtOnce is how many members that appear at once get a log line each; a node that joins a fleet of hundreds else writes hundreds
+	// of lines in its first tenth of a second.
+	linesAtOnce = 8
 )
 
 // Lister tells which VMs the platform lists.
@@ -35,18 +41,20 @@
 
 // Service runs a View: one goroutine owns it, fed by a ring of messages and a tick; another polls the platform's list.
 type Service struct {
-	mesh     *chivewire.Mesh
-	lister   Lister
-	logger   *slog.Logger
-	view     *View
-	inbox    *chivering.Ring[event]
-	members  atomic.Pointer[[]Member]
-	leaving  atomic.Pointer[[]string]
-	version  atomic.Uint64
-	deaths   atomic.Int64
-	watchMu  sync.Mutex
-	watchers []func([]Member)
-	duties   chivekernel.Duties
+	mesh    *chivewire.Mesh
+	lister  Lister
+	logger  *slog.Logger
+	view    *View
+	inbox   *chivering.Ring[event]
+	members atomic.Pointer[[]Member]
+	leaving atomic.Pointer[[]string]
+	version atomic.Uint64
+	deaths  atomic.Int64
+	// published is when the last change was told; the run goroutine's.
+	published time.Time
+	watchMu   sync.Mutex
+	watchers  []func([]Member)
+	duties    chivekernel.Duties
 }
 
 // An event is one input to the view: a message, a new list or the wish to leave.
@@ -159,19 +167,43 @@
 func (s *Service) run(ctx context.Context) {
 	tick := time.NewTicker(TickEvery)
 	defer tick.Stop()
+	wake := time.NewTimer(TickEvery)
+	defer wake.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 			s.send(s.view.Tick(time.Now()))
+		case <-wake.C:
+			s.send(s.view.Flush(time.Now()))
 		case e := <-s.inbox.Ready():
 			s.handle(e)
 		}
-		if s.version.Load() != s.view.Version() {
-			s.publish()
-		}
+		s.publishWhenDue(time.Now())
+		s.wakeWhenDue(time.Now(), wake)
+	}
+}
+
+// publishWhenDue tells of a change at once, or later when one was told just now.
+func (s *Service) publishWhenDue(now time.Time) {
+	if s.version.Load() == s.view.Version() || now.Sub(s.published) < publishGap {
+		return
 	}
+	s.published = now
+	s.publish()
+}
+
+// wakeWhenDue sets the timer for the next round of news and the next change to tell; without either the tick is soon enough.
+func (s *Service) wakeWhenDue(now time.Time, wake *time.Timer) {
+	next := now.Add(TickEvery)
+	if due, waiting := s.view.NewsDue(); waiting && due.Before(next) {
+		next = due
+	}
+	if due := s.published.Add(publishGap); s.version.Load() != s.view.Version() && due.Before(next) {
+		next = due
+	}
+	wake.Reset(next.Sub(now))
 }
 
 func (s *Service) handle(e event) {
@@ -221,6 +253,7 @@
 		known[m.Name] = m
 	}
 	ctx := context.Background()
+	var alive []string
 	for _, m := range after {
 		old, ok := known[m.Name]
 		delete(known, m.Name)
@@ -228,14 +261,26 @@
 		case m.State == Leaving && old.State != Leaving:
 			chiveevent.MemberLeaving.Log(ctx, s.logger, slog.String("member", m.Name))
 		case !ok || old.Incarnation != m.Incarnation:
-			chiveevent.MemberAlive.Log(ctx, s.logger, slog.String("member", m.Name))
+			alive = append(alive, m.Name)
 		}
 	}
+	s.logAlive(ctx, alive)
 	for name := range known {
 		chiveevent.MemberDead.Log(ctx, s.logger, slog.String("member", name))
 	}
 }
 
+// logAlive writes one line a member, or one line for all when many come at once.
+func (s *Service) logAlive(ctx context.Context, alive []string) {
+	if len(alive) > linesAtOnce {
+		chiveevent.MemberAlive.Log(ctx, s.logger, slog.Int("count", len(alive)), slog.Any("members", alive))
+		return
+	}
+	for _, name := range alive {
+		chiveevent.MemberAlive.Log(ctx, s.logger, slog.String("member", name))
+	}
+}
+
 func (s *Service) poll(ctx context.Context) {
 	failing := false
 	for {
--- a/chivemember/view.go
+++ b/chivemember/view.go
@@ -23,6 +23,11 @@
 
 	endpointNewsGap = 10 * time.Second
 
+	// newsGap is the least time between two rounds of news from one node. Without it a node that hears of n others in a moment, as in the cold
+	// start of a fleet, sends n messages to each neighbour and places its members n times: at 300 nodes 1,192 messages received by the middle
+	// node and 146 placements, with it 128 and 8 (on virtual time). A first word goes out at once, so a single death is known no later for it.
+	newsGap = 50 * time.Millisecond
+
 	massLossDeaths = 2
 	massLossFor    = 10 * time.Second
 	extraPerDeath  = 4
@@ -46,11 +51,25 @@
 	deaths   int64
 	digest   uint64
 	recent   []time.Time
+	began    time.Time
+	// moved tells that members came or went since they were last placed on the ring.
+	moved  bool
+	placed int64
+	// unsent is news that waits for the next round, which may begin newsGap after sent.
+	unsent []word
+	sent   time.Time
+}
+
+// A word is news of one member, with the peer that told it, who need not hear it.
+type word struct {
+	member Member
+	from   string
 }
 
 // An entry is what is known of one other member.
 type entry struct {
 	member  Member
+	key     string
 	heard   time.Time
 	vouched time.Time
 	differs time.Time
@@ -61,7 +80,10 @@
 // NewView returns the view of a node that knows only itself.
 func NewView(self Member, now time.Time) *View {
 	self.State = Alive
-	v := &View{self: self, entries: make(map[string]*entry), leaving: make(map[string]int64), changed: now, lastTick: now}
+	v := &View{
+		self: self, entries: make(map[string]*entry), leaving: make(map[string]int64), changed: now, lastTick: now, began: now,
+		digest: self.digest(), moved: true,
+	}
 	v.arrange(now)
 	return v
 }
@@ -75,6 +97,9 @@
 // Deaths returns how many members this node itself declared dead.
 func (v *View) Deaths() int64 { return v.deaths }
 
+// Placed returns how many times the members were placed on the ring, since the start.
+func (v *View) Placed() int64 { return v.placed }
+
 // Members returns every member that is not dead, this node included, by name.
 func (v *View) Members() []Member {
 	members := []Member{v.self}
@@ -94,9 +119,11 @@
 
 // Leave makes the node say that it is leaving.
 func (v *View) Leave(now time.Time) []Envelope {
+	v.digest ^= v.self.digest()
 	v.self.State = Leaving
+	v.digest ^= v.self.digest()
 	v.touch(now)
-	return v.spread([]Member{v.self}, "")
+	return v.spread(now, []Member{v.self}, "")
 }
 
 // ---------------------------------------------------------------- time
@@ -104,6 +131,7 @@
 // Tick probes the watched members, suspects the silent ones and contacts those that may be back.
 func (v *View) Tick(now time.Time) []Envelope {
 	v.forgivePause(now)
+	v.arrange(now)
 	var out []Envelope
 	for _, name := range v.watched {
 		out = append(out, v.watch(now, v.entries[name])...)
@@ -113,7 +141,7 @@
 	}
 	v.ticks++
 	v.purge(now)
-	return out
+	return append(out, v.Flush(now)...)
 }
 
 // forgivePause keeps a node that was itself paused from taking everybody else's silence for death:
@@ -144,7 +172,7 @@
 // askWatchers asks the other watchers of a silent member, since the way there may be broken for this node alone.
 func (v *View) askWatchers(e *entry) []Envelope {
 	var out []Envelope
-	place := sort.SearchStrings(v.ring, ringKey(e.member.Name))
+	place := sort.SearchStrings(v.ring, e.key)
 	for _, distance := range distances(len(v.ring)) {
 		name := ringName(v.ring[wrap(place-distance, len(v.ring))])
 		watcher, ok := v.entries[name]
@@ -156,12 +184,14 @@
 }
 
 func (v *View) declareDead(now time.Time, e *entry) []Envelope {
-	e.member.State = Dead
+	dead := e.member
+	dead.State = Dead
+	v.set(e, dead)
 	e.died = now
 	v.deaths++
 	v.recent = append(v.recent, now)
 	v.touch(now)
-	return v.spread([]Member{e.member}, "")
+	return v.spread(now, []Member{dead}, "")
 }
 
 // contactAbsent greets members that are listed but unknown, or believed dead: after a partition heals nobody would
@@ -179,6 +209,19 @@
 	return out
 }
 
+// set replaces what is known of a member.
+func (v *View) set(e *entry, m Member) {
+	if e.key == "" {
+		e.key = ringKey(m.Name)
+	} else if e.member.State != Dead {
+		v.digest ^= e.member.digest()
+	}
+	e.member = m
+	if m.State != Dead {
+		v.digest ^= m.digest()
+	}
+}
+
 func (v *View) absent() []Member {
 	var absent []Member
 	listed := make(map[string]bool, len(v.seeds))
--- a/chivemember/view_messages.go
+++ b/chivemember/view_messages.go
@@ -77,7 +77,13 @@
 	}
 	v.leaving[news.Endpoint] = news.UntilMs
 	v.version++
-	return v.flood(news, from)
+	var out []Envelope
+	for _, address := range v.neighbours(now) {
+		if address != from {
+			out = append(out, Envelope{To: address, Message: news})
+		}
+	}
+	return out
 }
 
 // LeavingEndpoints returns the endpoints that take no new work at present.
@@ -123,7 +129,7 @@
 		return nil
 	}
 	v.touch(now)
-	return v.spread(fresh, from)
+	return v.spread(now, fresh, from)
 }
 
 // refute answers a false word about this node with a higher incarnation, which beats it everywhere.
@@ -131,7 +137,9 @@
 	if !word.supersedes(v.self) {
 		return nil
 	}
+	v.digest ^= v.self.digest()
 	v.self.Incarnation = word.Incarnation + 1
+	v.digest ^= v.self.digest()
 	return []Member{v.self}
 }
 
@@ -147,7 +155,7 @@
 		e = &entry{}
 		v.entries[m.Name] = e
 	}
-	e.member = m
+	v.set(e, m)
 	e.heard = now
 	e.died = now
 	return true
--- a/chivemember/view_ring.go
+++ b/chivemember/view_ring.go
@@ -11,18 +11,21 @@
 func (v *View) touch(now time.Time) {
 	v.changed = now
 	v.version++
-	v.arrange(now)
+	v.moved = true
 }
 
-// arrange places the members on a ring of name hashes and finds whom this node watches and who watches it.
+// arrange places the members on a ring of name hashes and finds whom this node watches and who watches it, when members have come or gone.
 func (v *View) arrange(now time.Time) {
+	if !v.moved {
+		return
+	}
+	v.moved = false
+	v.placed++
 	v.ring = v.ring[:0]
 	v.ring = append(v.ring, ringKey(v.self.Name))
-	v.digest = v.self.digest()
-	for name, e := range v.entries {
+	for _, e := range v.entries {
 		if e.member.State != Dead {
-			v.ring = append(v.ring, ringKey(name))
-			v.digest ^= e.member.digest()
+			v.ring = append(v.ring, e.key)
 		}
 	}
 	sort.Strings(v.ring)
@@ -89,23 +92,53 @@
 	return spaced
 }
 
-func (v *View) spread(members []Member, except string) []Envelope {
-	return v.flood(News{Members: members}, except)
+// spread passes words on: at once, or with the next round of news when one went out just now.
+func (v *View) spread(now time.Time, members []Member, from string) []Envelope {
+	for _, m := range members {
+		v.unsent = append(v.unsent, word{m, from})
+	}
+	return v.Flush(now)
 }
 
-// flood sends a message to every member that this node watches or is watched by.
-func (v *View) flood(message any, except string) []Envelope {
+// NewsDue returns when Flush has something to send; false while there is no news.
+func (v *View) NewsDue() (time.Time, bool) { return v.sent.Add(newsGap), len(v.unsent) > 0 }
+
+// Flush returns the news that is due, one message for each neighbour.
+func (v *View) Flush(now time.Time) []Envelope {
+	if len(v.unsent) == 0 || now.Sub(v.sent) < newsGap {
+		return nil
+	}
 	var out []Envelope
-	sent := make(map[string]bool)
+	for _, address := range v.neighbours(now) {
+		var members []Member
+		for _, w := range v.unsent {
+			if w.from != address {
+				members = append(members, w.member)
+			}
+		}
+		if len(members) > 0 {
+			out = append(out, Envelope{To: address, Message: News{Members: members}})
+		}
+	}
+	v.unsent = nil
+	v.sent = now
+	return out
+}
+
+// neighbours returns the addresses of the members that this node watches or is watched by.
+func (v *View) neighbours(now time.Time) []string {
+	v.arrange(now)
+	var addresses []string
+	seen := make(map[string]bool)
 	for _, name := range append(append([]string(nil), v.watched...), v.watchers...) {
 		e := v.entries[name]
-		if e == nil || sent[name] || e.member.Address == except {
+		if e == nil || seen[name] {
 			continue
 		}
-		sent[name] = true
-		out = append(out, Envelope{To: e.member.Address, Message: message})
+		seen[name] = true
+		addresses = append(addresses, e.member.Address)
 	}
-	return out
+	return addresses
 }
 
 const ringHashBytes = 8
--- a/chivemember/view_test.go
+++ b/chivemember/view_test.go
@@ -22,6 +22,10 @@
 	loss     float64
 	queue    []parcel
 	messages int
+	began    time.Time
+	// received and told count the messages, and the words on members in them, by receiver.
+	received map[string]int
+	told     map[string]int
 }
 
 type parcel struct {
@@ -38,8 +42,9 @@
 func newFleet(size int, seed uint64) *fleet {
 	f := &fleet{
 		now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)), views: make(map[string]*chivemember.View),
-		paused: make(map[string]time.Time), gone: make(map[string]bool),
+		paused: make(map[string]time.Time), gone: make(map[string]bool), received: make(map[string]int), told: make(map[string]int),
 	}
+	f.began = f.now
 	var seeds []chivemember.Member
 	for i := range size {
 		name := fmt.Sprintf("n%03d", i)
@@ -76,6 +81,7 @@
 				f.queue = append(f.queue, p)
 				continue
 			}
+			f.count(p)
 			f.post(p.to, f.views[p.to].Receive(f.now, p.from, p.message))
 		}
 		if allPaused(f, f.queue) {
@@ -84,6 +90,39 @@
 	}
 }
 
+func (f *fleet) count(p parcel) {
+	f.received[p.to]++
+	switch m := p.message.(type) {
+	case chivemember.News:
+		f.told[p.to] += len(m.Members)
+	case chivemember.Sync:
+		f.told[p.to] += len(m.Members)
+	}
+}
+
+// leastKnown returns how many members the node knows that knows the fewest.
+func (f *fleet) leastKnown() int {
+	least := len(f.names)
+	for _, name := range f.names {
+		least = min(least, f.known(name))
+	}
+	return least
+}
+
+// middleTold and mostTold return how many words on members the middle and the busiest node received.
+func (f *fleet) middleTold() int { return f.sortedTold()[len(f.names)/2] }
+
+func (f *fleet) mostTold() int { return f.sortedTold()[len(f.names)-1] }
+
+func (f *fleet) sortedTold() []int {
+	told := make([]int, 0, len(f.names))
+	for _, name := range f.names {
+		told = append(told, f.told[name])
+	}
+	sort.Ints(told)
+	return told
+}
+
 func allPaused(f *fleet, queue []parcel) bool {
 	for _, p := range queue {
 		if !f.now.Before(f.paused[p.to]) {
@@ -105,12 +144,22 @@
 			}
 		}
 		f.deliver()
+		f.flush()
 		if each != nil {
 			each()
 		}
 	}
 }
 
+// flush sends the news that is due; what it brings about is delivered with the next step.
+func (f *fleet) flush() {
+	for _, name := range f.names {
+		if !f.gone[name] && !f.now.Before(f.paused[name]) {
+			f.post(name, f.views[name].Flush(f.now))
+		}
+	}
+}
+
 func (f *fleet) known(by string) int { return len(f.views[by].Members()) }
 
 func (f *fleet) deaths() int64 {
