--- a/chivegossip/document_test.go
+++ b/chivegossip/document_test.go
@@ -129,7 +129,7 @@
 	n.members = chivemember.NewService(self, n.mesh, all, logger)
 	n.tables = chivetable.NewService(decodeDocument, func(chivelog.KeyedRecord) bool { return true }, logger)
 	n.endpoints = &fakeEndpoints{d: chivedirectory.New(time.Second)}
-	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Members: n.members, Tables: n.tables, Endpoints: n.endpoints, Logger: logger})
+	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Tables: n.tables, Endpoints: n.endpoints, Logger: logger})
 	n.tables.OnChange(func(*chivetable.Table) { n.gossip.Learnt() })
 	n.endpoints.changed = n.gossip.Learnt
 	n.members.OnChange(n.gossip.SetMembers)
--- /dev/null
+++ b/chivegossip/partners_test.go
@@ -0,0 +1,50 @@
+//go:build !race
+
+package chivegossip_test
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chivedrift/chivedirectory"
+	"chivedrift/chivestand"
+)
+
+// Symptom: memory and processor time of a node grow with the fleet, though it has the same work.
+// Sequence: every 0.4 s a node compares itself with a peer drawn from all; connections are kept for half a minute.
+// Cause: nothing bounds how many peers a node has to do with.
+func TestNodesCompareThemselvesWithFewPeers(t *testing.T) {
+	const (
+		size = 60
+		// mostLinks is what half a minute may leave open: a dozen peers that a node tells, as many that tell it, and those it compares itself with.
+		mostLinks = 30
+	)
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newNodesOn(t, size, chivestand.NewNetwork())
+		time.Sleep(30 * time.Second)
+		var links []int
+		for _, n := range nodes {
+			links = append(links, n.mesh.Links())
+		}
+		slices.Sort(links)
+		t.Logf("connections of the middle node %d, of the busiest %d", links[size/2], links[size-1])
+		if links[size/2] > mostLinks {
+			t.Errorf("the middle node has %d connections, expected %d at most", links[size/2], mostLinks)
+		}
+		nodes[7].endpoints.Learn(chivedirectory.Update{Words: []chivedirectory.Word{{
+			Offset: 4, Endpoint: chivedirectory.Endpoint{ID: "e", Pool: "p", Address: "127.0.0.1:1"},
+		}}}, "store")
+		began := time.Now()
+		for _, n := range nodes {
+			for n.endpoints.Newest() != 4 {
+				time.Sleep(10 * time.Millisecond)
+				if time.Since(began) > 5*time.Second {
+					t.Fatal("a word that only comparisons pass on has not reached every node after 5 s")
+				}
+			}
+		}
+		t.Logf("a word that only comparisons pass on reached all after %v", time.Since(began))
+	})
+}
--- a/chivegossip/readers.go
+++ b/chivegossip/readers.go
@@ -30,8 +30,10 @@
 	branches = 6
 	// cares is how many nodes care for one, so that one that stands still holds up nobody.
 	cares = 2
-	// aloneAfter is the silence of all peers after which a node reads the store itself: each peer compares with one drawn at random every
-	// 0.4 s, so that four seconds without any happen to a connected node about once in a day.
+	// allPartnersUpTo is the largest fleet in which each node compares itself with all others in turn.
+	allPartnersUpTo = 16
+	// aloneAfter is the silence of all peers after which a node reads the store itself: each peer compares with one of its partners drawn at random
+	// every 0.4 s, and each node is the partner of as many as it has, so that four seconds without any happen to a connected node about once in a day.
 	aloneAfter = 4 * time.Second
 	// SettleFor is how long a node that starts, or becomes one of the first by hash, waits before it takes itself for a reader: until it knows the
 	// fleet each node is the first of the few that it knows. 300 nodes that start at once know each other after 0.6 s (on virtual time); members
@@ -48,8 +50,10 @@
 	since   time.Time
 	reading []string
 	inCare  []string
-	heard   atomic.Int64
-	told    chan struct{}
+	// partners are the peers that this node compares itself with.
+	partners []string
+	heard    atomic.Int64
+	told     chan struct{}
 }
 
 // SetMembers takes a change of the fleet.
@@ -63,13 +67,14 @@
 	sort.Slice(ranked, func(i, j int) bool { return xxhash.Sum64String(ranked[i]) < xxhash.Sum64String(ranked[j]) })
 	reading := ranked[:min(Readers, len(ranked))]
 	own := slices.Index(reading, s.o.Mesh.Self())
-	inCare := careOf(slices.Index(ranked, s.o.Mesh.Self()), ranked)
+	place := slices.Index(ranked, s.o.Mesh.Self())
+	inCare, partners := careOf(place, ranked), partnersOf(place, ranked)
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
 	if own >= 0 && s.fleet.rank < 0 {
 		s.fleet.since = time.Now()
 	}
-	s.fleet.rank, s.fleet.reading, s.fleet.inCare = own, reading, inCare
+	s.fleet.rank, s.fleet.reading, s.fleet.inCare, s.fleet.partners = own, reading, inCare, partners
 }
 
 // careOf returns whom the node at a place among all tells at once: a reader the other readers, and each its part of the nodes further on, at most
@@ -91,6 +96,25 @@
 	return inCare
 }
 
+// partnersOf returns the peers that the node at a place among all compares itself with: all in a small fleet, else those 1, 2, 4 ... places further
+// on, so that what one node knows crosses the fleet in as many steps as its size has binary digits, and each is the partner of as many.
+//
+// A peer drawn from the whole fleet each time leaves every node connected to half of it, as connections are kept for half a minute: of 60
+// nodes the middle one held 55 after half a minute, with partners 12 (on virtual time), and a word reached all as soon.
+func partnersOf(own int, ranked []string) []string {
+	if own < 0 {
+		return nil
+	}
+	var partners []string
+	if len(ranked) <= allPartnersUpTo {
+		return slices.Concat(ranked[:own], ranked[own+1:])
+	}
+	for distance := 1; distance < len(ranked); distance *= 2 {
+		partners = append(partners, ranked[(own+distance)%len(ranked)])
+	}
+	return partners
+}
+
 // ReadWait is how long this node's next read of the store waits for a record; fresh tells that the read before has brought
 // something.
 //
--- a/chivegossip/service.go
+++ b/chivegossip/service.go
@@ -8,7 +8,6 @@
 
 	"chivedrift/chivedirectory"
 	"chivedrift/chivekernel"
-	"chivedrift/chivemember"
 	"chivedrift/chivering"
 	"chivedrift/chivetransfer"
 	"chivedrift/chivewire"
@@ -52,16 +51,9 @@
 	HearAnswers(from time.Time, ages []time.Duration)
 }
 
-// Members tells which nodes there are.
-type Members interface {
-	// Members returns every member that is not dead, this node included.
-	Members() []chivemember.Member
-}
-
 // Options are the parts the service is made of.
 type Options struct {
 	Mesh      *chivewire.Mesh
-	Members   Members
 	Tables    Tables
 	Endpoints Endpoints
 	Logger    *slog.Logger
@@ -184,19 +176,16 @@
 	}
 }
 
-// compareWithOne shows what this node knows to a peer drawn at random.
+// compareWithOne shows what this node knows to one of its partners, drawn at random.
 func (s *Service) compareWithOne() {
-	var others []chivemember.Member
-	for _, m := range s.o.Members.Members() {
-		if m.Address != s.o.Mesh.Self() {
-			others = append(others, m)
-		}
-	}
-	if len(others) == 0 {
+	s.fleet.mu.Lock()
+	partners := s.fleet.partners
+	s.fleet.mu.Unlock()
+	if len(partners) == 0 {
 		return
 	}
 	own := s.standing()
-	s.send(others[rand.IntN(len(others))].Address, chivewire.KindKnowledge, Knowledge{Table: own.Table, Offset: own.Offset})
+	s.send(partners[rand.IntN(len(partners))], chivewire.KindKnowledge, Knowledge{Table: own.Table, Offset: own.Offset})
 }
 
 // standing returns what this node knows.
--- a/chivegossip/service_test.go
+++ b/chivegossip/service_test.go
@@ -96,23 +96,42 @@
 func (f fakeMembers) Members() []chivemember.Member { return f }
 
 type node struct {
+	mesh      *chivewire.Mesh
 	service   *chivegossip.Service
 	tables    *fakeTables
 	endpoints *fakeEndpoints
 }
 
 func newNodes(t *testing.T, count int) []*node {
+	t.Helper()
+	addresses := make([]string, count)
+	for i := range addresses {
+		addresses[i] = chivestand.FreeAddress()
+	}
+	return newNodesAt(t, addresses, chivewire.TCP{})
+}
+
+// newNodesOn starts nodes on a network of virtual time.
+func newNodesOn(t *testing.T, count int, network chivewire.Network) []*node {
+	t.Helper()
+	addresses := make([]string, count)
+	for i := range addresses {
+		addresses[i] = fmt.Sprintf("10.0.%d.%d:82", i/250, i%250)
+	}
+	return newNodesAt(t, addresses, network)
+}
+
+func newNodesAt(t *testing.T, addresses []string, network chivewire.Network) []*node {
 	t.Helper()
 	var members fakeMembers
-	for range count {
-		address := chivestand.FreeAddress()
+	for _, address := range addresses {
 		members = append(members, chivemember.Member{Name: address, Address: address, State: chivemember.Alive})
 	}
-	nodes := make([]*node, count)
+	nodes := make([]*node, len(addresses))
 	for i := range nodes {
-		mesh := chivewire.NewMesh(members[i].Address, chivewire.TCP{})
-		n := &node{tables: &fakeTables{version: 1}, endpoints: &fakeEndpoints{d: chivedirectory.New(time.Second)}}
-		n.service = chivegossip.New(chivegossip.Options{Mesh: mesh, Members: members, Tables: n.tables, Endpoints: n.endpoints, Logger: slog.New(slog.DiscardHandler)})
+		mesh := chivewire.NewMesh(members[i].Address, network)
+		n := &node{mesh: mesh, tables: &fakeTables{version: 1}, endpoints: &fakeEndpoints{d: chivedirectory.New(time.Second)}}
+		n.service = chivegossip.New(chivegossip.Options{Mesh: mesh, Tables: n.tables, Endpoints: n.endpoints, Logger: slog.New(slog.DiscardHandler)})
 		n.service.SetMembers(members)
 		for _, s := range []interface {
 			Start(ctx context.Context) error
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -116,7 +116,7 @@
 	}, n.mesh, roster, n.logger)
 	n.tables = chivetable.NewService(chiveplatform.DecodeTable, chiveplatform.IsConfiguration, n.logger)
 	n.directory = chivedirectory.NewService(chiveplatform.DecodeEndpoint, chivedirectory.DefaultGrace, n.logger)
-	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Members: n.members, Tables: n.tables, Endpoints: n.directory, Logger: n.logger})
+	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Tables: n.tables, Endpoints: n.directory, Logger: n.logger})
 	n.tables.OnChange(func(*chivetable.Table) { n.gossip.Learnt() })
 	n.directory.OnChange(func([]chivedirectory.Endpoint) { n.gossip.Learnt() })
 	n.directory.OnDoubt(n.gossip.Doubt)
--- a/chivewire/link.go
+++ b/chivewire/link.go
@@ -12,12 +12,17 @@
 )
 
 const (
-	ringFrames   = 1024
-	beatEvery    = time.Second
-	warmFor      = 2 * time.Second
-	silentAfter  = 2500 * time.Millisecond
-	idleAfter    = 30 * time.Second
-	readerBuffer = 4 << 10
+	// ringFrames is how many messages wait for one peer: 50 a second over the time after which a connection counts as silent, ten times what
+	// two nodes of a large fleet say to each other. A thousand laid out for each of 300 peers held 7 MB.
+	ringFrames = 128
+	beatEvery  = time.Second
+	// tendEvery is how often links are looked at; a heartbeat is that much late at most.
+	tendEvery   = 500 * time.Millisecond
+	warmFor     = 2 * time.Second
+	silentAfter = 2500 * time.Millisecond
+	idleAfter   = 30 * time.Second
+	// readerBuffer holds some twenty of the messages that nodes exchange most, of 60 to 90 bytes.
+	readerBuffer = 2 << 10
 )
 
 // A link is one connection to a peer: a writer goroutine fed by a ring and a reader goroutine that calls handlers.
@@ -30,7 +35,7 @@
 	mesh     *Mesh
 	peer     string
 	conn     net.Conn
-	dialled  bool
+	dialled  atomic.Bool
 	out      *chivering.Ring[[]byte]
 	ctx      context.Context //nolint:containedctx // the lifetime of the link's two goroutines
 	quit     context.CancelFunc
@@ -39,10 +44,12 @@
 	lastRead atomic.Int64
 	lastSent atomic.Int64
 	parted   atomic.Bool
+	// due wakes the writer for a heartbeat, or to end the link.
+	due chan struct{}
 }
 
 func newLink(m *Mesh, peer string) *link {
-	l := &link{mesh: m, peer: peer, out: chivering.New[[]byte](ringFrames)}
+	l := &link{mesh: m, peer: peer, out: chivering.New[[]byte](ringFrames), due: make(chan struct{}, 1)}
 	l.ctx, l.quit = context.WithCancel(context.Background())
 	l.touch()
 	return l
@@ -66,7 +73,7 @@
 		return
 	}
 	l.conn = conn
-	l.dialled = true
+	l.dialled.Store(true)
 	l.serve()
 }
 
@@ -125,7 +132,7 @@
 
 func (l *link) greet(body []byte) bool {
 	greeting, err := Decode[hello](body)
-	if err != nil || l.dialled {
+	if err != nil || l.dialled.Load() {
 		return false
 	}
 	l.mesh.name(l, greeting.Address)
@@ -133,11 +140,9 @@
 }
 
 func (l *link) write() {
-	if l.dialled && !l.send(KindHello, hello{Address: l.mesh.self}) {
+	if l.dialled.Load() && !l.send(KindHello, hello{Address: l.mesh.self}) {
 		return
 	}
-	beat := time.NewTicker(beatEvery)
-	defer beat.Stop()
 	for {
 		select {
 		case <-l.ctx.Done():
@@ -146,7 +151,7 @@
 			if !l.writeFrame(frame) {
 				return
 			}
-		case <-beat.C:
+		case <-l.due:
 			if !l.tend() {
 				return
 			}
@@ -154,26 +159,39 @@
 	}
 }
 
+// silent tells that a warm link has brought nothing for too long.
+func (l *link) silent(now time.Time) bool {
+	return now.UnixNano()-max(l.lastRead.Load(), l.warmFrom.Load()) > int64(silentAfter)
+}
+
+// needsTending tells whether the link needs a heartbeat, which a message of the last second is as good as, or is to be ended.
+func (l *link) needsTending(now time.Time) bool {
+	if l.warm() {
+		return l.silent(now) || now.UnixNano()-l.lastSent.Load() >= int64(beatEvery)
+	}
+	return l.dialled.Load() && now.UnixNano()-l.lastUse.Load() > int64(idleAfter)
+}
+
+// wake has the writer tend the link; a writer that has been woken already does it anyway.
+func (l *link) wake() {
+	select {
+	case l.due <- struct{}{}:
+	default:
+	}
+}
+
 // tend sends the heartbeat of a warm link, closes a silent one and parts from an idle one.
 func (l *link) tend() bool {
-	now := time.Now().UnixNano()
-	if l.warm() {
-		heard := max(l.lastRead.Load(), l.warmFrom.Load())
-		if now-heard > int64(silentAfter) {
-			return false
-		}
-		if now-l.lastSent.Load() < int64(beatEvery) {
-			// A message of the last second tells the peer as much as a heartbeat.
-			return true
-		}
-		return l.send(KindBeat, nil)
+	now := time.Now()
+	if !l.needsTending(now) {
+		return true
 	}
-	if l.dialled && now-l.lastUse.Load() > int64(idleAfter) {
+	if !l.warm() {
 		l.parted.Store(true)
 		l.send(KindBye, nil)
 		return false
 	}
-	return true
+	return !l.silent(now) && l.send(KindBeat, nil)
 }
 
 func (l *link) send(kind Kind, message any) bool {
--- a/chivewire/mesh.go
+++ b/chivewire/mesh.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"chivedrift/chivekernel"
 	"chivedrift/chivering"
 )
 
@@ -38,6 +39,7 @@
 	all     map[*link]struct{}
 	stopped bool
 	done    sync.WaitGroup
+	duties  chivekernel.Duties
 }
 
 type count struct {
@@ -89,7 +91,7 @@
 func (m *Mesh) Self() string { return m.self }
 
 // Start listens for peers.
-func (m *Mesh) Start(context.Context) error {
+func (m *Mesh) Start(ctx context.Context) error {
 	listener, err := m.network.Listen(m.self)
 	if err != nil {
 		return fmt.Errorf("wire: listen for peers: %w", err)
@@ -97,6 +99,7 @@
 	m.listener = listener
 	m.done.Add(1)
 	go m.accept()
+	m.duties.Begin(ctx, m.tend)
 	return nil
 }
 
@@ -111,10 +114,27 @@
 	if m.listener != nil {
 		_ = m.listener.Close()
 	}
+	m.duties.End()
 	m.done.Wait()
 	return nil
 }
 
+// tend wakes the links that need a heartbeat or have been idle for long.
+//
+// One clock for all: a node of a fleet of 300 holds a connection to most others, nearly all of them quiet, and a ticker in each would wake
+// the process 300 times a second for nothing.
+func (m *Mesh) tend(ctx context.Context) {
+	chivekernel.Every(ctx, tendEvery, func(now time.Time) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		for l := range m.all {
+			if l.needsTending(now) {
+				l.wake()
+			}
+		}
+	})
+}
+
 // Send puts a message on the ring towards a peer, connecting when needed; a message on a connection that breaks is lost, which OnLost tells.
 func (m *Mesh) Send(peer string, kind Kind, message any) error {
 	frame, err := encode(kind, message)
@@ -141,6 +161,13 @@
 	return traffic(&m.sent), traffic(&m.received)
 }
 
+// Links returns how many connections there are, those that are being made included.
+func (m *Mesh) Links() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.all)
+}
+
 // Broken returns the messages whose writing did not end well, by kind: the receiver got a part of each at most.
 func (m *Mesh) Broken() map[string]Traffic { return traffic(&m.broken) }
 
