A node tells the steps of its start: configuration, endpoints, ready, fleet known

What each node waits for after a kill of all could not be seen. Events 101 and 108 of a store node carry the milliseconds since the start; the state dump has them under startup. NodeTellsTheStepsOfItsStart failed before for want of the lines.

--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -14,6 +14,7 @@
 	LinesDropped     = define(105, slog.LevelWarn, "log lines dropped", "The reader of the log is too slow; the lines are lost, no request was held up.")
 	SettingsReloaded = define(106, slog.LevelInfo, "settings looked at again", "Read whether they changed; a node takes new ones with its next start.")
 	AdminFailed      = define(107, slog.LevelError, "operators' address not served", "The node serves callers without it: free the address, then restart the node.")
+	FleetKnown       = define(108, slog.LevelInfo, "fleet known", "None; from now on the node shares duties with the nodes that it knows.")
 	NodeFailed       = define(104, slog.LevelError, "node failed", "Read the error: an address in use or a wrong setting.")
 
 	ConfigInForce     = define(200, slog.LevelInfo, "configuration in force", "Compare the hash with what you published.")
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -58,6 +58,7 @@
 	budget    *chiveforward.Budget
 	ledger    *chiveledger.Service
 	grants    *chivegrant.Service
+	startup   *startup
 }
 
 // NewStoreNode puts a node together from its settings, on a network.
@@ -101,6 +102,7 @@
 		})}},
 		{chiveentry.ServiceName, n.entry},
 		{readinessName, n.ready},
+		{startupName, n.startup},
 	})
 }
 
@@ -175,6 +177,9 @@
 		Self: s.Listen.Peers, Caches: chiveplatform.NewCaches(s.Listen.Peers, network), Pools: pools, Keepers: n.grants, Logger: n.logger,
 	})
 	n.ledger = chiveledger.New(chiveledger.Options{Mesh: n.mesh, Pools: pools, Keepers: n.grants})
+	n.startup = newStartup(n.logger, n.NotReady, n.grants.Settled, func() int { return len(n.members.Members()) })
+	n.tables.OnChange(func(*chivetable.Table) { n.startup.noteTable() })
+	n.directory.OnChange(func([]chivedirectory.Endpoint) { n.startup.noteEndpoints() })
 	n.tables.OnChange(pools.SetTable)
 	n.tables.OnChange(n.grants.SetTable)
 	n.tables.OnChange(recall.SetTable)
