A node refuses new requests before its memory is used up

What went wrong: the collector's soft limit was all that stood between a node of 184 MB and the kernel, which ends the process with every request in flight. NodeRefusesWhileItsMemoryIsNearlyUsedUp and NodeWithoutMemoryRefusesBeforeItReadsTheBody failed before: the requests were passed on.

--- a/chivecommand/entry.go
+++ b/chivecommand/entry.go
@@ -41,6 +41,7 @@
 	if err != nil {
 		return err
 	}
+	node.WatchMemory(chivenode.HeldMemory)
 	if err := node.Start(context.WithoutCancel(ctx)); err != nil {
 		return err
 	}
--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -40,6 +40,8 @@
 	stopPoll = 20 * time.Millisecond
 	// comeBack is when a caller should come back to a node that has no configuration yet: another node has one.
 	comeBack = 200 * time.Millisecond
+	// comeBackWhenFull is when a caller should come back to a node whose memory is used up: some requests have ended by then.
+	comeBackWhenFull = time.Second
 )
 
 // Forwarder carries an accepted request through to its outcome.
@@ -54,8 +56,10 @@
 	Network   chivewire.Network
 	Dialect   chiverequest.CallerDialect
 	Forwarder Forwarder
-	Scope     tally.Scope
-	Logger    *slog.Logger
+	// Full tells that the node has no memory for another request; nil means never.
+	Full   func() bool
+	Scope  tally.Scope
+	Logger *slog.Logger
 }
 
 // Entry is the callers' side of a node.
@@ -177,6 +181,11 @@
 
 // admit checks a request against the configuration in force.
 func (e *Entry) admit(w http.ResponseWriter, r *http.Request, asked chiverequest.Asked) (*chiverequest.Request, error) {
+	if e.o.Full != nil && e.o.Full() {
+		f := refusal(http.StatusServiceUnavailable, "no_memory", "this node has no memory for another request")
+		f.RetryAfter = comeBackWhenFull
+		return nil, f
+	}
 	table := e.table.Load()
 	if table == nil {
 		f := refusal(http.StatusServiceUnavailable, "no_configuration", "this node has no configuration yet")
--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -15,6 +15,8 @@
 	SettingsReloaded = define(106, slog.LevelInfo, "settings looked at again", "Read whether they changed; a node takes new ones with its next start.")
 	AdminFailed      = define(107, slog.LevelError, "operators' address not served", "The node serves callers without it: free the address, then restart the node.")
 	FleetKnown       = define(108, slog.LevelInfo, "fleet known", "None; from now on the node shares duties with the nodes that it knows.")
+	MemoryFull       = define(109, slog.LevelError, "memory nearly used up", "New requests are refused until 110. Look at how many are in flight and how large their bodies are; give the VM more memory.")
+	MemoryFree       = define(110, slog.LevelInfo, "memory free again", "None.")
 	NodeFailed       = define(104, slog.LevelError, "node failed", "Read the error: an address in use or a wrong setting.")
 
 	ConfigInForce     = define(200, slog.LevelInfo, "configuration in force", "Compare the hash with what you published.")
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -59,6 +59,7 @@
 	ledger    *chiveledger.Service
 	grants    *chivegrant.Service
 	startup   *startup
+	memory    *memoryGuard
 }
 
 // NewStoreNode puts a node together from its settings, on a network.
@@ -80,6 +81,7 @@
 	process := newProcess()
 	return n.register([]named{
 		{processName, process},
+		{memoryName, n.memory},
 		{metricsName, metrics},
 		{wireName, n.mesh},
 		{accountName, newAccount(metrics.Scope(), n.mesh, process, n.figures(store, feeds.table, feeds.directory)...)},
@@ -162,13 +164,15 @@
 	n.budget = chiveforward.NewBudget(time.Now(), chiveforward.BudgetLimits{
 		Ratio: s.Repeats.Ratio, Headroom: s.Repeats.Headroom, Window: time.Duration(s.Repeats.WindowS * float64(time.Second)),
 	})
+	n.memory = newMemoryGuard(s.MemoryMB*megabyte, n.logger)
 	pools := chiveforward.NewPools(s.FailureDomain)
 	forwarder := chiveforward.New(chiveforward.Options{
 		Self: s.Listen.Callers, Network: network, Dialect: chiveplatform.Endpoints{}, Places: pools, Repeats: n.budget, Rules: chiveforward.StoreRules,
 		SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
 	})
 	n.entry = chiveentry.New(chiveentry.Options{
-		Address: s.Listen.Callers, Network: network, Dialect: chiveplatform.Callers{}, Forwarder: forwarder, Scope: metrics.Scope(), Logger: n.logger,
+		Address: s.Listen.Callers, Network: network, Dialect: chiveplatform.Callers{}, Forwarder: forwarder, Full: n.memory.Full,
+		Scope: metrics.Scope(), Logger: n.logger,
 	})
 	n.ready = newReadiness(s.Listen.Ready, chiveplatform.ReadyPath, network, n.NotReady)
 	n.grants = chivegrant.New(chivegrant.Options{Mesh: n.mesh, Pools: pools, Logger: n.logger})
@@ -244,6 +248,10 @@
 	return nil
 }
 
+// WatchMemory has the node refuse new requests while the bytes told come near the settings' limit; it is called before Start, for a node that has
+// its process to itself.
+func (n *StoreNode) WatchMemory(used func() uint64) { n.memory.watch(used) }
+
 // Handler returns what serves callers, for use without a listener.
 func (n *StoreNode) Handler() http.Handler { return n.entry.Handler() }
 
