--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -228,6 +228,7 @@
 		{"table_copies", func() float64 { return float64(n.tables.Counts().Copies) }},
 		{"table_copies_unneeded", func() float64 { return float64(n.tables.Counts().Unneeded) }},
 		{"directory_offset", func() float64 { return float64(n.directory.Newest()) }},
+		{"wire_links", func() float64 { return float64(n.mesh.Links()) }},
 		{"members", func() float64 { return float64(len(n.members.Members())) }},
 	}
 }
