--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -38,6 +38,9 @@
 		return place, err
 	}
 	place, elsewhere := w.from(ctx, second, refused.Loss, 0)
+	if elsewhere == nil {
+		place.FetchInstead(refused.Holder, refused.Held)
+	}
 	if elsewhere == nil || refused.Loss == 0 {
 		return place, elsewhere
 	}
@@ -82,7 +85,8 @@
 	}
 	if answer.Refused != "" {
 		s.refused.Add(1)
-		return nil, &chiveplace.RefusedError{Reason: answer.Refused, RetryAfter: answer.RetryAfter, Loss: answer.Loss}
+		return nil, &chiveplace.RefusedError{Reason: answer.Refused, RetryAfter: answer.RetryAfter, Loss: answer.Loss,
+			Holder: answer.Grant.FetchFrom, Held: answer.Grant.Fetches}
 	}
 	s.granted.Add(1)
 	answer.Grant.Keeper = keeper
--- a/chivegrant/keep.go
+++ b/chivegrant/keep.go
@@ -35,6 +35,7 @@
 	var refused *chiveplace.RefusedError
 	if errors.As(err, &refused) {
 		answer.Refused, answer.RetryAfter, answer.Loss = refused.Reason, refused.RetryAfter, refused.Loss
+		answer.Grant.FetchFrom, answer.Grant.Fetches = refused.Holder, refused.Held
 		return answer
 	}
 	answer.Given, answer.Grant = given, grant
--- a/chivegrant/message.go
+++ b/chivegrant/message.go
@@ -47,7 +47,8 @@
 	Grant  chiveplace.Grant
 	// Unknown tells that the keeper does not know the engines of the group yet.
 	Unknown bool
-	// Refused tells why there is no grant; RetryAfter and Loss go with it.
+	// Refused tells why there is no grant; RetryAfter and Loss go with it. FetchFrom and Fetches of the empty grant then name the engine that has read
+	// the most of the prompt, and how much that is.
 	Refused    string
 	RetryAfter time.Duration
 	Loss       float64
--- a/chiveplace/admit.go
+++ b/chiveplace/admit.go
@@ -32,7 +32,7 @@
 
 // admit refuses a request whose expected wait, in milliseconds, is longer than its rank may cause; expected is the predicted time to
 // its first event, for the log.
-func (p *Pool) admit(prompt *chiverequest.Prompt, wait float64, expected time.Duration) error {
+func (p *Pool) admit(prompt *chiverequest.Prompt, wait float64, expected time.Duration) *RefusedError {
 	if prompt.Urgent == 0 {
 		return nil
 	}
--- a/chiveplace/candidate.go
+++ b/chiveplace/candidate.go
@@ -82,16 +82,24 @@
 // begin counts what a new request adds.
 func (s *candidate) begin(now time.Time, place *Place) {
 	s.demand.note(now, place.pool.forecast.own(float64(place.reads))*s.speed())
-	s.ownWaiting = s.ownWaiting.add(place.rank, place.reads)
 	if place.tight {
 		s.ownTight++
 	}
+	s.wait(place)
 	if place.reads > chunkTokens {
-		s.ownLong += place.reads
 		s.noteLong(now, place.reads)
 	}
 }
 
+// wait counts that a request's prompt waits to be read.
+func (s *candidate) wait(place *Place) {
+	s.ownWaiting = s.ownWaiting.add(place.rank, place.reads)
+	if place.reads > chunkTokens {
+		s.ownLong += place.reads
+	}
+	s.dirty = true
+}
+
 // read counts that a request's prompt has been read.
 func (s *candidate) read(place *Place) {
 	s.ownWaiting = s.ownWaiting.add(place.rank, -place.reads)
--- a/chiveplace/engine.go
+++ b/chiveplace/engine.go
@@ -84,13 +84,18 @@
 func (c *engineChoice) split(s *candidate) (reads, fetches, again int64) {
 	missing := s.cache.missing(c.prompt)
 	fetches = c.read - (c.prompt.Input - missing)
-	if c.holder == s || fetches < fetchLeast || c.pool.forecast.fetched(fetches) > fetchShare*c.pool.forecast.own(float64(fetches)) {
+	if c.holder == s || !c.pool.worthFetching(fetches) {
 		fetches = 0
 	}
 	reads = missing - fetches
 	return reads, fetches, max(reads-(c.prompt.Input-c.held), 0)
 }
 
+// worthFetching tells whether tokens should be fetched from another engine that has read them.
+func (p *Pool) worthFetching(tokens int64) bool {
+	return tokens >= fetchLeast && p.forecast.fetched(tokens) <= fetchShare*p.forecast.own(float64(tokens))
+}
+
 // targetOf returns a request's target in milliseconds.
 func targetOf(prompt *chiverequest.Prompt) float64 {
 	return max(float64(prompt.Target.Milliseconds()), 1)
--- a/chiveplace/grant.go
+++ b/chiveplace/grant.go
@@ -108,6 +108,7 @@
 	place := &Place{
 		pool: p, candidate: s, endpoint: s.endpoint, began: now, reason: "granted by its keeper", keeper: grant.Keeper, loss: grant.Loss, candidates: grant.Candidates,
 		reads: grant.Reads, fetches: grant.Fetches, fetchFrom: grant.FetchFrom, ahead: grant.Ahead, rank: prompt.Rank, tight: p.isTight(prompt),
+		input: prompt.Input,
 	}
 	p.hold(now, place, prompt)
 	return place, true
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -43,6 +43,10 @@
 	// fetches are the tokens that it fetches from the endpoint at an address.
 	fetches   int64
 	fetchFrom string
+	// input is the length of the prompt; holder is the address of the engine that has read the most of it, held how many leading tokens.
+	input  int64
+	holder string
+	held   int64
 	// again are those of them that another engine holds, expected is the predicted time to the first event.
 	again    int64
 	expected time.Duration
@@ -97,6 +101,24 @@
 // Fetches returns how many tokens that other endpoint is believed to hold beyond the chosen one.
 func (p *Place) Fetches() int64 { return p.fetches }
 
+// FetchInstead has the endpoint fetch what another one, at an address, is known to have read of the prompt, where that is worth it and nothing else
+// is to be fetched.
+//
+// A node that grants places knows what its own engines hold. When a request goes elsewhere because they have too much to do, the engine there
+// would read again what one of them could hand over.
+func (p *Place) FetchInstead(address string, held int64) {
+	p.pool.mu.Lock()
+	defer p.pool.mu.Unlock()
+	fetches := held - (p.input - p.reads)
+	if p.started || p.fetchFrom != "" || address == p.endpoint.Address || !p.pool.worthFetching(fetches) {
+		return
+	}
+	p.candidate.read(p)
+	p.fetches, p.fetchFrom = fetches, address
+	p.reads -= fetches
+	p.candidate.wait(p)
+}
+
 // Again returns how many of the tokens to read another endpoint is believed to hold.
 func (p *Place) Again() int64 { return p.again }
 
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -56,6 +56,9 @@
 	Expected time.Duration
 	// Loss is the expected loss where there is a place that costs more than the ask allows; 0 where there is none.
 	Loss float64
+	// Holder is the address of the engine that has read the most of the prompt, Held how many leading tokens that are.
+	Holder string
+	Held   int64
 }
 
 // Error returns the reason.
@@ -173,15 +176,18 @@
 		place.rank = ask.Prompt.Rank
 		place.ahead = best.waitingFor(place.rank)
 		place.expected = chivetime.Milliseconds(p.forecast.first(place.work()) * best.speed())
-		if err := p.admit(ask.Prompt, p.forecast.waiting(place.ahead)*best.speed(), place.expected); err != nil {
-			return nil, err
+		if refused := p.admit(ask.Prompt, p.forecast.waiting(place.ahead)*best.speed(), place.expected); refused != nil {
+			refused.Holder, refused.Held = place.holder, place.held
+			return nil, refused
 		}
 		if place.tight = p.isTight(ask.Prompt); place.tight {
 			p.promise = ask.Prompt.Pause
 		}
 	}
 	if ask.Most > 0 && place.loss > ask.Most+place.perMs*p.forecast.own(float64(ask.MostReads)) {
-		return nil, &RefusedError{Reason: "other engines may cost less", RetryAfter: comeBackLeast, Loss: place.loss}
+		return nil, &RefusedError{
+			Reason: "other engines may cost less", RetryAfter: comeBackLeast, Loss: place.loss, Holder: place.holder, Held: place.held,
+		}
 	}
 	return place, nil
 }
@@ -249,8 +255,12 @@
 	place.reason = "least expected loss"
 	place.perMs = choice.perMs
 	place.reads, place.fetches, place.again = choice.split(place.candidate)
+	place.input = ask.Prompt.Input
+	if choice.holder != nil {
+		place.holder, place.held = choice.holder.endpoint.Address, choice.read
+	}
 	if place.fetches > 0 {
-		place.fetchFrom = choice.holder.endpoint.Address
+		place.fetchFrom = place.holder
 	}
 }
 
