--- a/chivecommand/explain.go
+++ b/chivecommand/explain.go
@@ -11,7 +11,7 @@
 	"chivedrift/chiveadmin"
 	"chivedrift/chivegate"
 	"chivedrift/chivelog"
-	"chivedrift/chivestory"
+	"chivedrift/chivetrace"
 
 	"github.com/integrii/flaggy"
 )
@@ -45,9 +45,9 @@
 	},
 }
 
-// explainFromLogs tells a request's story from log lines alone, also when its process is gone.
+// explainFromLogs tells a request's trace from log lines alone, also when its process is gone.
 func explainFromLogs(out io.Writer, files []string, id string) error {
-	var lines []chivestory.Line
+	var lines []chivetrace.Line
 	for _, file := range files {
 		more, err := readLog(file)
 		if err != nil {
@@ -55,24 +55,24 @@
 		}
 		lines = append(lines, more...)
 	}
-	story, ok := chivestory.Tell(lines, id)
+	trace, ok := chivetrace.Collect(lines, id)
 	if !ok {
 		return fmt.Errorf("none of the %d log lines names request %q", len(lines), id)
 	}
-	story.Write(out)
+	trace.Write(out)
 	return nil
 }
 
-func readLog(file string) ([]chivestory.Line, error) {
+func readLog(file string) ([]chivetrace.Line, error) {
 	if file == "-" {
-		return chivestory.Read(os.Stdin, "stdin")
+		return chivetrace.Read(os.Stdin, "stdin")
 	}
 	from, err := os.Open(file)
 	if err != nil {
 		return nil, fmt.Errorf("log: %w", err)
 	}
 	defer from.Close()
-	return chivestory.Read(from, filepath.Base(file))
+	return chivetrace.Read(from, filepath.Base(file))
 }
 
 // nodeAdmin finds the admin address of the node that gave a request its identity.
--- a/chivestory/line.go
+++ b/chivetrace/line.go
@@ -1,4 +1,4 @@
-package chivestory
+package chivetrace
 
 import (
 	"bufio"
--- a/chivestory/story.go
+++ b/chivetrace/trace.go
@@ -1,4 +1,4 @@
-package chivestory
+package chivetrace
 
 import (
 	"fmt"
@@ -16,38 +16,38 @@
 	lookBack = 30 * time.Second
 )
 
-// Story is one request's lines in time order, with the beliefs that its decisions rested on.
-type Story struct {
+// Trace is one request's lines in time order, with the beliefs that its decisions rested on.
+type Trace struct {
 	Request string
 	Lines   []Line
 	Beliefs []Line
 }
 
-// Tell picks the story of a request from the lines of all processes; ok is false when no line names it.
-func Tell(lines []Line, request string) (story Story, ok bool) {
-	story.Request = request
+// Collect picks the trace of a request from the lines of all processes; ok is false when no line names it.
+func Collect(lines []Line, request string) (trace Trace, ok bool) {
+	trace.Request = request
 	endpoints := make(map[string]bool)
 	processes := make(map[string]bool)
 	for i := range lines {
 		if lines[i].field("request") != request {
 			continue
 		}
-		story.Lines = append(story.Lines, lines[i])
+		trace.Lines = append(trace.Lines, lines[i])
 		processes[lines[i].Process] = true
 		endpoints[lines[i].field("endpoint")] = true
 	}
-	if len(story.Lines) == 0 {
-		return story, false
+	if len(trace.Lines) == 0 {
+		return trace, false
 	}
 	delete(endpoints, "")
-	sortLines(story.Lines)
-	story.Beliefs = beliefs(lines, story, processes, endpoints)
-	return story, true
+	sortLines(trace.Lines)
+	trace.Beliefs = beliefs(lines, trace, processes, endpoints)
+	return trace, true
 }
 
 // beliefs returns what the processes that touched the request last said before its end: the newest line of each thing.
-func beliefs(lines []Line, story Story, processes, endpoints map[string]bool) []Line {
-	begin, end := story.Lines[0].At, story.Lines[len(story.Lines)-1].At
+func beliefs(lines []Line, trace Trace, processes, endpoints map[string]bool) []Line {
+	begin, end := trace.Lines[0].At, trace.Lines[len(trace.Lines)-1].At
 	newest := make(map[string]Line)
 	for _, l := range lines {
 		if l.Event < firstBelief || l.Event > lastBelief || !processes[l.Process] || l.At.After(end) {
@@ -81,19 +81,19 @@
 	sort.SliceStable(lines, func(i, j int) bool { return lines[i].At.Before(lines[j].At) })
 }
 
-// Write prints the story: times in milliseconds from the request's first line, beliefs first.
-func (s *Story) Write(out io.Writer) {
-	begin := s.Lines[0].At
-	fmt.Fprintf(out, "request %s\n", s.Request)
-	if len(s.Beliefs) > 0 {
+// Write prints the trace: times in milliseconds from the request's first line, beliefs first.
+func (t *Trace) Write(out io.Writer) {
+	begin := t.Lines[0].At
+	fmt.Fprintf(out, "request %s\n", t.Request)
+	if len(t.Beliefs) > 0 {
 		fmt.Fprintln(out, "what the process believed:")
 	}
-	for i := range s.Beliefs {
-		s.Beliefs[i].write(out, begin)
+	for i := range t.Beliefs {
+		t.Beliefs[i].write(out, begin)
 	}
 	fmt.Fprintln(out, "what happened:")
-	for i := range s.Lines {
-		s.Lines[i].write(out, begin)
+	for i := range t.Lines {
+		t.Lines[i].write(out, begin)
 	}
 }
 
--- a/chivestory/story_test.go
+++ b/chivetrace/trace_test.go
@@ -1,11 +1,11 @@
-package chivestory_test
+package chivetrace_test
 
 import (
 	"bytes"
 	"strings"
 	"testing"
 
-	"chivedrift/chivestory"
+	"chivedrift/chivetrace"
 )
 
 const log = `   1.1 n1 {"time":"2026-01-01T00:00:00Z","level":"INFO","msg":"routing table in force","event":206,"version":3}
@@ -20,16 +20,16 @@
 `
 
 func TestStory(t *testing.T) {
-	lines, err := chivestory.Read(strings.NewReader(log), "file")
+	lines, err := chivetrace.Read(strings.NewReader(log), "file")
 	if err != nil || len(lines) != 8 {
 		t.Fatalf("%d lines, %v", len(lines), err)
 	}
-	story, ok := chivestory.Tell(lines, "a")
+	trace, ok := chivetrace.Collect(lines, "a")
 	if !ok {
-		t.Fatal("no story")
+		t.Fatal("no trace")
 	}
 	var out bytes.Buffer
-	story.Write(&out)
+	trace.Write(&out)
 	want := `request a
 what the process believed:
      -60000.0 ms  n1             206 routing table in force: version=3
@@ -41,7 +41,7 @@
 	if out.String() != want {
 		t.Errorf("got\n%s\nwant\n%s", out.String(), want)
 	}
-	if _, ok := chivestory.Tell(lines, "c"); ok {
-		t.Error("a story of a request that no line names")
+	if _, ok := chivetrace.Collect(lines, "c"); ok {
+		t.Error("a trace of a request that no line names")
 	}
 }
