--- a/chiveledger/service.go
+++ b/chiveload/service.go
@@ -1,4 +1,4 @@
-package chiveledger
+package chiveload
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 )
 
 // ServiceName is the name under which the service registers.
-const ServiceName = "ledger"
+const ServiceName = "load reports"
 
 const (
 	// tellEvery is the least time between two messages to a peer. What nodes send in the meantime they choose without each other: on virtual
@@ -25,7 +25,7 @@
 	inboxSize   = 1024
 )
 
-// Pools are the pools whose ledger is told.
+// Pools are the pools whose load is reported.
 type Pools interface {
 	// Collect returns what changed since the last call, or everything.
 	Collect(all bool) chiveplace.News
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -17,7 +17,7 @@
 	"chivedrift/chivegossip"
 	"chivedrift/chivegrant"
 	"chivedrift/chivekernel"
-	"chivedrift/chiveledger"
+	"chivedrift/chiveload"
 	"chivedrift/chivemember"
 	"chivedrift/chivemetric"
 	"chivedrift/chiverecall"
@@ -56,7 +56,7 @@
 	ready     *readiness
 	gossip    *chivegossip.Service
 	budget    *chiveforward.Budget
-	ledger    *chiveledger.Service
+	loads     *chiveload.Service
 	grants    *chivegrant.Service
 	startup   *startup
 	memory    *memoryGuard
@@ -96,7 +96,7 @@
 		{chiveforward.PoolsName, serving.pools},
 		{chiveforward.ServiceName, serving.forwarder},
 		{chivegrant.ServiceName, n.grants},
-		{chiveledger.ServiceName, n.ledger},
+		{chiveload.ServiceName, n.loads},
 		{chiverecall.ServiceName, serving.recall},
 		{chiveadmin.ServiceName, &spare{logger: n.logger, Service: chiveadmin.New(chiveadmin.Options{
 			Address: n.settings.Listen.Admin, Network: network, Metrics: metrics.Handler(), State: n.kernel.Dump, Ready: n.NotReady,
@@ -180,7 +180,7 @@
 	recall := chiverecall.New(chiverecall.Options{
 		Self: s.Listen.Peers, Caches: chiveplatform.NewCaches(s.Listen.Peers, network), Pools: pools, Keepers: n.grants, Logger: n.logger,
 	})
-	n.ledger = chiveledger.New(chiveledger.Options{Mesh: n.mesh, Pools: pools, Keepers: n.grants})
+	n.loads = chiveload.New(chiveload.Options{Mesh: n.mesh, Pools: pools, Keepers: n.grants})
 	n.startup = newStartup(n.logger, n.NotReady, n.grants.Settled, func() int { return len(n.members.Members()) })
 	n.tables.OnChange(func(*chivetable.Table) { n.startup.noteTable() })
 	n.directory.OnChange(func([]chivedirectory.Endpoint) { n.startup.noteEndpoints() })
@@ -203,7 +203,7 @@
 	n.members.OnChange(func(members []chivemember.Member) {
 		n.budget.SetNodes(time.Now(), len(members))
 		n.grants.SetMembers(members)
-		n.ledger.SetMembers(members)
+		n.loads.SetMembers(members)
 		n.gossip.SetMembers(members)
 	})
 	return nil
