Words: what the store and peers say of an endpoint is a change

Word becomes Change in chivedirectory, and the messages between nodes changes_ask and changes_answer in metrics and dumps; their numbers and forms on the wire stay.

--- a/chivedirectory/words_test.go
+++ b/chivedirectory/changes_test.go
@@ -13,18 +13,18 @@
 // Symptom: a node sent requests to an endpoint 3.4 s after it had been removed, when all others had stopped within 0.6 s.
 // Sequence: an endpoint was removed, another one said that it leaves; a node that just started took a snapshot of the store after both, and
 // was the first to tell the node of it, which asked nobody else for what it had been told.
-// Cause: a snapshot names what there is and not what was removed. The node took the words after its own offset, among them no removal, counted
+// Cause: a snapshot names what there is and not what was removed. The node took the changes after its own offset, among them no removal, counted
 // as up to date, and was told nothing more. A peer from before the snapshot is told all that there is now.
 // Evidence: on the day in question nodes were restarted one after the other; in ten plays of it all nodes had the removal within 0.54 s.
 func TestPeerFromBeforeASnapshotHearsOfRemovals(t *testing.T) {
 	now := time.Now()
 	behind := chivedirectory.New(grace)
 	for i, id := range []string{"a", "b", "c"} {
-		behind.Apply(now, word(int64(i), id))
+		behind.Apply(now, change(int64(i), id))
 	}
 	// At 3 the store removes a; at 4 b changes.
 	fresh := chivedirectory.New(grace)
-	fresh.Replace(now, []chivedirectory.Word{word(4, "b"), word(2, "c")}, 5)
+	fresh.Replace(now, []chivedirectory.Change{change(4, "b"), change(2, "c")}, 5)
 	if !behind.Learn(now, fresh.Update(now, behind.Newest())) {
 		t.Error("nothing changed")
 	}
@@ -37,7 +37,7 @@
 		t.Errorf("%+v up to %d", behind.Endpoints(), behind.Newest())
 	}
 	further := chivedirectory.New(grace)
-	further.Apply(now, word(0, "a"))
+	further.Apply(now, change(0, "a"))
 	further.Learn(now, behind.Update(now, further.Newest()))
 	if len(further.Endpoints()) != 2 {
 		t.Errorf("a third node, told by the second, believes in %+v", further.Endpoints())
@@ -52,9 +52,9 @@
 func TestSnapshotTakesAwayNothingNewer(t *testing.T) {
 	now := time.Now()
 	d := chivedirectory.New(grace)
-	d.Apply(now, word(8, "b"))
-	d.Replace(now, []chivedirectory.Word{word(5, "a")}, 6)
-	read := word(8, "b")
+	d.Apply(now, change(8, "b"))
+	d.Replace(now, []chivedirectory.Change{change(5, "a")}, 6)
+	read := change(8, "b")
 	read.Read = true
 	d.Apply(now, read)
 	if known := d.Endpoints(); len(known) != 2 {
@@ -67,19 +67,19 @@
 func TestSnapshotsThatOnceMisled(t *testing.T) {
 	now := time.Now()
 	old, started := chivedirectory.New(grace), chivedirectory.New(grace)
-	old.Apply(now, word(0, "a"))
+	old.Apply(now, change(0, "a"))
 	started.Replace(now, nil, 2)
 	if own := started.Newest(); own < old.Newest() {
 		t.Errorf("a node that read an empty store counts as behind one that knows a removed endpoint: at %d", own)
 	}
 
 	told, behind, fresh := chivedirectory.New(grace), chivedirectory.New(grace), chivedirectory.New(grace)
-	for _, w := range []chivedirectory.Word{word(0, "a"), word(1, "b"), gone(2, "b")} {
+	for _, w := range []chivedirectory.Change{change(0, "a"), change(1, "b"), gone(2, "b")} {
 		told.Apply(now, w)
 	}
-	behind.Apply(now, word(0, "a"))
-	behind.Apply(now, word(3, "b"))
-	fresh.Replace(now, []chivedirectory.Word{word(5, "a")}, 6)
+	behind.Apply(now, change(0, "a"))
+	behind.Apply(now, change(3, "b"))
+	fresh.Replace(now, []chivedirectory.Change{change(5, "a")}, 6)
 	told.Learn(now, fresh.Update(now, told.Newest()))
 	behind.Learn(now, told.Update(now, behind.Newest()))
 	if len(behind.Endpoints()) != 1 {
@@ -92,8 +92,8 @@
 func TestNodesThatStartAndTellEachOtherAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Now()
-		var log []chivedirectory.Word
-		present := make(map[string]chivedirectory.Word)
+		var log []chivedirectory.Change
+		present := make(map[string]chivedirectory.Change)
 		nodes := make([]*chivedirectory.Directory, 4)
 		for i := range nodes {
 			nodes[i] = chivedirectory.New(grace)
@@ -111,17 +111,17 @@
 					delete(present, id)
 					continue
 				}
-				present[id] = word(int64(len(log)), id)
+				present[id] = change(int64(len(log)), id)
 				log = append(log, present[id])
 			case 1:
 				for ; read[n] < len(log); read[n]++ {
 					w := log[read[n]]
 					w.Read = true
-					nodes[n].Learn(now, chivedirectory.Update{Words: []chivedirectory.Word{w}})
+					nodes[n].Learn(now, chivedirectory.Update{Changes: []chivedirectory.Change{w}})
 				}
 			case 2:
 				nodes[n] = chivedirectory.New(grace)
-				var snapshot []chivedirectory.Word
+				var snapshot []chivedirectory.Change
 				for _, w := range present {
 					snapshot = append(snapshot, w)
 				}
@@ -143,7 +143,7 @@
 }
 
 // agrees tells whether a directory knows exactly what there is.
-func agrees(d *chivedirectory.Directory, present map[string]chivedirectory.Word) bool {
+func agrees(d *chivedirectory.Directory, present map[string]chivedirectory.Change) bool {
 	known := d.Endpoints()
 	for _, e := range known {
 		if _, there := present[e.ID]; !there {
--- a/chivedirectory/directory.go
+++ b/chivedirectory/directory.go
@@ -6,24 +6,24 @@
 	"time"
 )
 
-// noOffset stands for the offset before the first word.
+// noOffset stands for the offset before the first change.
 const noOffset = -1
 
 const (
-	// goneKept is how long it is remembered that an endpoint is gone, so that an older word of a peer does not bring it back.
+	// goneKept is how long it is remembered that an endpoint is gone, so that an older change of a peer does not bring it back.
 	goneKept = 10 * time.Minute
-	// goneTold is how long each peer is told of it: the word has the offset of the removal, which peers may have passed by then.
+	// goneTold is how long each peer is told of it: the change has the offset of the removal, which peers may have passed by then.
 	goneTold = 10 * time.Second
 )
 
 // Directory is one node's knowledge of the endpoints; it decides, and does no I/O.
 //
 // While the store is away entries can lapse although their endpoints live: an endpoint cannot renew what it cannot reach.
-// Taking the first words after an outage as they are would drop every endpoint at once. So for a grace time after the
+// Taking the first changes after an outage as they are would drop every endpoint at once. So for a grace time after the
 // store's return a missing entry is kept, and only one that is still missing then counts as gone. After a cut of this node
 // alone there is no such time: what is missing then has left.
 //
-// Words come from the store and from peers, which may be ahead or behind; the offset in the store's log tells which is newer.
+// Changes come from the store and from peers, which may be ahead or behind; the offset in the store's log tells which is newer.
 type Directory struct {
 	grace   time.Duration
 	entries map[string]*entry
@@ -46,10 +46,10 @@
 	contest contest
 }
 
-// replace takes a newer word of the endpoint and reports whether it says something else.
-func (e *entry) replace(word Word) bool {
-	changed := e.endpoint != word.Endpoint
-	e.endpoint, e.offset, e.missing, e.keep = word.Endpoint, max(e.offset, word.Offset), time.Time{}, time.Time{}
+// replace takes a newer change of the endpoint and reports whether it says something else.
+func (e *entry) replace(change Change) bool {
+	changed := e.endpoint != change.Endpoint
+	e.endpoint, e.offset, e.missing, e.keep = change.Endpoint, max(e.offset, change.Offset), time.Time{}, time.Time{}
 	e.contest = contest{}
 	return changed
 }
@@ -120,42 +120,42 @@
 	}
 }
 
-// Newest returns the offset of the newest word that was taken; -1 before the first.
+// Newest returns the offset of the newest change that was taken; -1 before the first.
 func (d *Directory) Newest() int64 { return d.newest }
 
-// Apply takes one word, in any order, and reports whether anything that matters for routing changed.
-func (d *Directory) Apply(now time.Time, word Word) bool {
-	d.newest = max(d.newest, word.Offset)
-	id := word.Endpoint.ID
+// Apply takes one change, in any order, and reports whether anything that matters for routing changed.
+func (d *Directory) Apply(now time.Time, change Change) bool {
+	d.newest = max(d.newest, change.Offset)
+	id := change.Endpoint.ID
 	if known, ok := d.entries[id]; ok {
-		if !word.Gone && known.endpoint.Incarnation().Follows(word.Endpoint.Incarnation()) {
-			d.hearEarlier(now, known, word)
+		if !change.Gone && known.endpoint.Incarnation().Follows(change.Endpoint.Incarnation()) {
+			d.hearEarlier(now, known, change)
 			return false
 		}
-		if known.offset >= word.Offset && (word.Gone || !word.Endpoint.Incarnation().Follows(known.endpoint.Incarnation())) {
-			return known.offset == word.Offset && word.Read && word.Gone && d.confirm(now, id)
+		if known.offset >= change.Offset && (change.Gone || !change.Endpoint.Incarnation().Follows(known.endpoint.Incarnation())) {
+			return known.offset == change.Offset && change.Read && change.Gone && d.confirm(now, id)
 		}
 	}
-	if old, ok := d.gone[id]; ok && !d.mayReturn(now, old, word) {
+	if old, ok := d.gone[id]; ok && !d.mayReturn(now, old, change) {
 		return false
 	}
-	if word.Gone {
-		return d.remove(now, id, word.Offset)
+	if change.Gone {
+		return d.remove(now, id, change.Offset)
 	}
-	if word.Missing {
-		d.miss(now, word)
+	if change.Missing {
+		d.miss(now, change)
 		return false
 	}
 	delete(d.gone, id)
 	known, ok := d.entries[id]
 	if !ok {
-		d.entries[id] = &entry{endpoint: word.Endpoint, offset: word.Offset}
+		d.entries[id] = &entry{endpoint: change.Endpoint, offset: change.Offset}
 		return true
 	}
-	return known.replace(word)
+	return known.replace(change)
 }
 
-// remove takes the word that an entry is gone. Shortly after an outage it may only mean that the entry lapsed meanwhile.
+// remove takes the change that an entry is gone. Shortly after an outage it may only mean that the entry lapsed meanwhile.
 func (d *Directory) remove(now time.Time, id string, offset int64) bool {
 	known, ok := d.entries[id]
 	if !ok {
@@ -183,16 +183,16 @@
 	return true
 }
 
-// miss takes a peer's word that an entry lapsed around an outage which this node may not have seen.
-func (d *Directory) miss(now time.Time, word Word) {
-	known, ok := d.entries[word.Endpoint.ID]
+// miss takes a peer's change that an entry lapsed around an outage which this node may not have seen.
+func (d *Directory) miss(now time.Time, change Change) {
+	known, ok := d.entries[change.Endpoint.ID]
 	if !ok {
-		known = &entry{endpoint: word.Endpoint}
-		d.entries[word.Endpoint.ID] = known
+		known = &entry{endpoint: change.Endpoint}
+		d.entries[change.Endpoint.ID] = known
 	}
-	known.offset = max(known.offset, word.Offset)
+	known.offset = max(known.offset, change.Offset)
 	if known.missing.IsZero() {
-		known.missing, known.keep = now, now.Add(word.Keep)
+		known.missing, known.keep = now, now.Add(change.Keep)
 	}
 }
 
@@ -218,9 +218,9 @@
 
 // Replace takes a whole snapshot of the store, from whose end on the log is read: entries that are not in it are removed, by the same rule as
 // one by one. What a peer told of from after its end stays: its record, which is read next, would count as older than the removal.
-func (d *Directory) Replace(now time.Time, snapshot []Word, end int64) bool {
+func (d *Directory) Replace(now time.Time, snapshot []Change, end int64) bool {
 	before := d.newest
-	changed := d.Learn(now, Update{Words: snapshot, Whole: true, End: end - 1})
+	changed := d.Learn(now, Update{Changes: snapshot, Whole: true, End: end - 1})
 	// Later pages of a snapshot may have records from behind its end, but not all of them.
 	d.newest = max(before, end-1)
 	return changed
--- a/chivedirectory/directory_test.go
+++ b/chivedirectory/directory_test.go
@@ -12,23 +12,23 @@
 
 const grace = 2 * time.Second
 
-func word(offset int64, id string) chivedirectory.Word {
-	return chivedirectory.Word{Offset: offset, Endpoint: chivedirectory.Endpoint{ID: id, Pool: "p", Address: "127.0.0.1:1"}}
+func change(offset int64, id string) chivedirectory.Change {
+	return chivedirectory.Change{Offset: offset, Endpoint: chivedirectory.Endpoint{ID: id, Pool: "p", Address: "127.0.0.1:1"}}
 }
 
-func gone(offset int64, id string) chivedirectory.Word {
-	return chivedirectory.Word{Offset: offset, Gone: true, Endpoint: chivedirectory.Endpoint{ID: id}}
+func gone(offset int64, id string) chivedirectory.Change {
+	return chivedirectory.Change{Offset: offset, Gone: true, Endpoint: chivedirectory.Endpoint{ID: id}}
 }
 
 // Symptom: after an outage of the store every request was refused for seconds.
 // Sequence: the entries of living endpoints lapsed while these could not renew them; with the store's return the removals
 // were read at once, the renewed entries a second later.
-// Cause: a removal was taken at its word. For a grace time after the store's return a missing entry is kept.
+// Cause: a removal was taken at its change. For a grace time after the store's return a missing entry is kept.
 func TestLapsedEntriesAreKeptForAGraceTime(t *testing.T) {
 	now := time.Now()
 	d := chivedirectory.New(grace)
-	d.Apply(now, word(1, "a"))
-	d.Apply(now, word(2, "b"))
+	d.Apply(now, change(1, "a"))
+	d.Apply(now, change(2, "b"))
 	d.StoreLost()
 	d.StoreAnswered(now)
 	d.Apply(now, gone(3, "a"))
@@ -36,7 +36,7 @@
 	if n := len(d.Endpoints()); n != 2 {
 		t.Fatalf("%d endpoints right after the store's return, want 2", n)
 	}
-	d.Apply(now.Add(time.Second), word(5, "a"))
+	d.Apply(now.Add(time.Second), change(5, "a"))
 	d.Expire(now.Add(grace + time.Millisecond))
 	if left := d.Endpoints(); len(left) != 1 || left[0].ID != "a" {
 		t.Errorf("after the grace time: %+v, want a alone", left)
@@ -46,7 +46,7 @@
 func TestRemovalCountsAtOnceWhileTheStoreIsFine(t *testing.T) {
 	now := time.Now()
 	d := chivedirectory.New(grace)
-	d.Apply(now, word(1, "a"))
+	d.Apply(now, change(1, "a"))
 	if !d.Apply(now, gone(2, "a")) || len(d.Endpoints()) != 0 {
 		t.Errorf("still there: %+v", d.Endpoints())
 	}
@@ -54,39 +54,39 @@
 
 // Symptom: a leaving endpoint got new work again.
 // Sequence: a peer that had fallen behind told what it knew.
-// Cause: words were taken in the order in which they came; the offset in the store's log tells which is newer.
+// Cause: changes were taken in the order in which they came; the offset in the store's log tells which is newer.
 func TestOlderWordChangesNothing(t *testing.T) {
 	now := time.Now()
 	d := chivedirectory.New(grace)
-	leaving := word(5, "a")
+	leaving := change(5, "a")
 	leaving.Endpoint.State = chivedirectory.Leaving
 	d.Apply(now, leaving)
-	if d.Apply(now, word(4, "a")) || d.Endpoints()[0].State != chivedirectory.Leaving {
-		t.Error("an older word brought it back to ready")
+	if d.Apply(now, change(4, "a")) || d.Endpoints()[0].State != chivedirectory.Leaving {
+		t.Error("an older change brought it back to ready")
 	}
 	d.Apply(now, gone(6, "a"))
-	if d.Apply(now, word(5, "a")) || len(d.Endpoints()) != 0 {
-		t.Error("an older word brought it back from gone")
+	if d.Apply(now, change(5, "a")) || len(d.Endpoints()) != 0 {
+		t.Error("an older change brought it back from gone")
 	}
 }
 
-// Whatever the order in which a row of words arrives, also twice, the end is the same while the store is fine.
+// Whatever the order in which a row of changes arrives, also twice, the end is the same while the store is fine.
 func TestWordsMayComeInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Now()
-		words := make([]chivedirectory.Word, rapid.IntRange(1, 20).Draw(t, "words"))
-		for i := range words {
+		changes := make([]chivedirectory.Change, rapid.IntRange(1, 20).Draw(t, "changes"))
+		for i := range changes {
 			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
-			words[i] = word(int64(i), id)
+			changes[i] = change(int64(i), id)
 			if rapid.Bool().Draw(t, "gone") {
-				words[i] = gone(int64(i), id)
+				changes[i] = gone(int64(i), id)
 			}
 		}
 		inOrder, mixed := chivedirectory.New(grace), chivedirectory.New(grace)
-		for _, w := range words {
+		for _, w := range changes {
 			inOrder.Apply(now, w)
 		}
-		for _, w := range rapid.Permutation(slices.Concat(words, words)).Draw(t, "order") {
+		for _, w := range rapid.Permutation(slices.Concat(changes, changes)).Draw(t, "order") {
 			mixed.Apply(now, w)
 		}
 		want, got := inOrder.Endpoints(), mixed.Endpoints()
@@ -104,17 +104,17 @@
 // Symptom: nodes that had never lost the store dropped endpoints that lived.
 // Sequence: the store turned one node away and entries lapsed meanwhile; with its return that node kept them for the grace time,
 // but told its peers that they were gone.
-// Cause: a word for "lapsed, may come back" was lacking. Peers wait for it as long as the node itself does.
+// Cause: a change for "lapsed, may come back" was lacking. Peers wait for it as long as the node itself does.
 func TestPeersWaitForALapsedEntryToo(t *testing.T) {
 	now := time.Now()
 	blinded, peer := chivedirectory.New(grace), chivedirectory.New(grace)
 	for _, d := range []*chivedirectory.Directory{blinded, peer} {
-		d.Apply(now, word(1, "a"))
+		d.Apply(now, change(1, "a"))
 	}
 	blinded.StoreLost()
 	blinded.StoreAnswered(now)
 	blinded.Apply(now, gone(2, "a"))
-	for _, w := range blinded.Update(now, peer.Newest()).Words {
+	for _, w := range blinded.Update(now, peer.Newest()).Changes {
 		peer.Apply(now, w)
 	}
 	if n := len(peer.Endpoints()); n != 1 {
@@ -134,11 +134,11 @@
 	now := time.Now()
 	d := chivedirectory.New(grace)
 	for i := range 10 {
-		d.Apply(now, word(int64(i), string(rune('a'+i))))
+		d.Apply(now, change(int64(i), string(rune('a'+i))))
 	}
 	d.Apply(now, gone(10, "c"))
-	if words := d.Update(now, 7).Words; len(words) != 3 {
-		t.Errorf("got %+v, want the two newest and the removal", words)
+	if changes := d.Update(now, 7).Changes; len(changes) != 3 {
+		t.Errorf("got %+v, want the two newest and the removal", changes)
 	}
 }
 
@@ -149,7 +149,7 @@
 func TestMissingEntryGoesWithTheGraceTimeOfTheReturn(t *testing.T) {
 	now := time.Now()
 	d := chivedirectory.New(grace)
-	d.Apply(now, word(1, "a"))
+	d.Apply(now, change(1, "a"))
 	d.StoreLost()
 	d.StoreAnswered(now)
 	d.Apply(now.Add(grace/2), gone(2, "a"))
--- a/chivedirectory/endpoint.go
+++ b/chivedirectory/endpoint.go
@@ -41,8 +41,8 @@
 // Incarnation returns which start of the endpoint's process this is.
 func (e Endpoint) Incarnation() Incarnation { return Incarnation{ID: e.ID, Born: e.Born} }
 
-// Word is what the store's log says of an endpoint at an offset.
-type Word struct {
+// Change is what the store's log says of an endpoint at an offset.
+type Change struct {
 	Offset int64
 	// Gone tells that the entry was removed; of the endpoint only the id is known then.
 	Gone bool
@@ -50,6 +50,6 @@
 	Missing  bool
 	Keep     time.Duration
 	Endpoint Endpoint
-	// Read tells that this node has read the word from the store itself; it is never told to peers.
+	// Read tells that this node has read the change from the store itself; it is never told to peers.
 	Read bool
 }
--- a/chivedirectory/incarnation.go
+++ b/chivedirectory/incarnation.go
@@ -36,66 +36,66 @@
 // the platform carries out unanswered writes up to 6 s late.
 const lateWriteMost = 8 * time.Second
 
-// contest is the word of an earlier incarnation of an endpoint that came after that of a later one, and since when none of the later one has come.
+// contest is the change of an earlier incarnation of an endpoint that came after that of a later one, and since when none of the later one has come.
 //
 // It is the late write of a process that has ended, as a rule. Then the process that lives finds another's entry under its id and writes its own
 // again with its next heartbeat, or, where none lives, the entry lapses. When neither has happened for longer than writes can be late, the
-// clock of the VM went back between two starts: the word is of the process that lives, and would count as its own past for as long as it runs.
+// clock of the VM went back between two starts: the change is of the process that lives, and would count as its own past for as long as it runs.
 type contest struct {
-	word  Word
-	since time.Time
+	change Change
+	since  time.Time
 }
 
-// note takes such a word.
-func (c *contest) note(now time.Time, word Word) {
-	if c.since.IsZero() || c.word.Endpoint.Incarnation() != word.Endpoint.Incarnation() {
+// note takes such a change.
+func (c *contest) note(now time.Time, change Change) {
+	if c.since.IsZero() || c.change.Endpoint.Incarnation() != change.Endpoint.Incarnation() {
 		c.since = now
 	}
-	c.word = word
+	c.change = change
 }
 
-// isOver tells whether the word has stood for longer than writes can be late.
+// isOver tells whether the change has stood for longer than writes can be late.
 func (c *contest) isOver(now time.Time) bool {
 	return !c.since.IsZero() && now.Sub(c.since) > lateWriteMost
 }
 
-// hearEarlier takes the word of an earlier incarnation of an endpoint, whose later incarnation is known. Taken by its offset in the log it would send
+// hearEarlier takes the change of an earlier incarnation of an endpoint, whose later incarnation is known. Taken by its offset in the log it would send
 // requests to a process that has ended, and bring back what was believed of it.
-func (d *Directory) hearEarlier(now time.Time, known *entry, word Word) {
-	if word.Offset <= known.offset {
+func (d *Directory) hearEarlier(now time.Time, known *entry, change Change) {
+	if change.Offset <= known.offset {
 		return
 	}
-	known.offset = word.Offset
-	if !word.Missing {
-		known.contest.note(now, word)
+	known.offset = change.Offset
+	if !change.Missing {
+		known.contest.note(now, change)
 	}
 }
 
-// mayReturn tells whether a word of an endpoint that is gone is of something newer than its end.
-func (d *Directory) mayReturn(now time.Time, old tombstone, word Word) bool {
-	if old.offset >= word.Offset {
+// mayReturn tells whether a change of an endpoint that is gone is of something newer than its end.
+func (d *Directory) mayReturn(now time.Time, old tombstone, change Change) bool {
+	if old.offset >= change.Offset {
 		return false
 	}
-	if word.Gone || !old.incarnation.Follows(word.Endpoint.Incarnation()) {
+	if change.Gone || !old.incarnation.Follows(change.Endpoint.Incarnation()) {
 		return true
 	}
-	old.contest.note(now, word)
-	d.gone[word.Endpoint.ID] = old
+	old.contest.note(now, change)
+	d.gone[change.Endpoint.ID] = old
 	return false
 }
 
-// settle takes the words of earlier incarnations that have stood for longer than writes can be late, and reports whether there were any.
+// settle takes the changes of earlier incarnations that have stood for longer than writes can be late, and reports whether there were any.
 func (d *Directory) settle(now time.Time) bool {
 	changed := false
 	for _, e := range d.entries {
 		if e.contest.isOver(now) {
-			changed = e.replace(e.contest.word) || changed
+			changed = e.replace(e.contest.change) || changed
 		}
 	}
 	for id, t := range d.gone {
 		if t.contest.isOver(now) {
 			delete(d.gone, id)
-			d.entries[id] = &entry{endpoint: t.contest.word.Endpoint, offset: t.contest.word.Offset}
+			d.entries[id] = &entry{endpoint: t.contest.change.Endpoint, offset: t.contest.change.Offset}
 			changed = true
 		}
 	}
--- a/chivedirectory/incarnation_test.go
+++ b/chivedirectory/incarnation_test.go
@@ -14,9 +14,9 @@
 	"pgregory.net/rapid"
 )
 
-// start is the word of an endpoint that says when its process started.
-func start(offset int64, id string, born int64) chivedirectory.Word {
-	w := word(offset, id)
+// start is the change of an endpoint that says when its process started.
+func start(offset int64, id string, born int64) chivedirectory.Change {
+	w := change(offset, id)
 	w.Endpoint.Born = born
 	w.Endpoint.Address = fmt.Sprintf("127.0.0.1:%d", 1000+born)
 	return w
@@ -49,7 +49,7 @@
 
 // Symptom: an endpoint that had crashed for good came back for some seconds.
 // Sequence: its entry was removed; then a write that it had sent before it crashed was carried out.
-// Cause: a word with a later offset than the removal's was taken for a new start.
+// Cause: a change with a later offset than the removal's was taken for a new start.
 func TestLateWriteBringsNothingBack(t *testing.T) {
 	now := time.Now()
 	d := chivedirectory.New(grace)
@@ -66,7 +66,7 @@
 
 // Symptom (found by thinking it through): an endpoint is never used again after its VM's clock was set back.
 // Sequence: it started again, and the new start is earlier than the old one by its own clock; its entry is written once and then stands still.
-// Cause: the new process counts as its own past. A word that stands for longer than writes can be late is of the present.
+// Cause: the new process counts as its own past. A change that stands for longer than writes can be late is of the present.
 func TestClockThatWentBack(t *testing.T) {
 	for _, removed := range []bool{false, true} {
 		now := time.Now()
@@ -78,7 +78,7 @@
 		d.Apply(now, start(3, "a", 10))
 		d.Expire(now.Add(7 * time.Second))
 		if all := d.Endpoints(); len(all) == 1 && all[0].Born == 10 {
-			t.Errorf("removed %v: the word is believed while it may be a late write", removed)
+			t.Errorf("removed %v: the change is believed while it may be a late write", removed)
 		}
 		if !d.Expire(now.Add(9 * time.Second)) {
 			t.Errorf("removed %v: nothing changed after nine seconds", removed)
@@ -89,7 +89,7 @@
 	}
 }
 
-// A late write is over with the next word of the process that lives, however long it takes until somebody looks.
+// A late write is over with the next change of the process that lives, however long it takes until somebody looks.
 func TestLateWriteIsOverWithTheNextWord(t *testing.T) {
 	now := time.Now()
 	d := chivedirectory.New(grace)
@@ -114,33 +114,33 @@
 }
 
 // TestStartsMovesAndLateWritesInAnyOrder plays histories of one endpoint that starts again, moves, lapses and is written late, to two nodes:
-// one reads the log in order, the other hears the same words in any order, some of them twice. Once the last start has written, neither
+// one reads the log in order, the other hears the same changes in any order, some of them twice. Once the last start has written, neither
 // believes in another, and both agree.
 func TestStartsMovesAndLateWritesInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Now()
 		born, offset := int64(1), int64(0)
-		var words []chivedirectory.Word
-		for range rapid.IntRange(1, 25).Draw(t, "words") {
+		var changes []chivedirectory.Change
+		for range rapid.IntRange(1, 25).Draw(t, "changes") {
 			switch rapid.IntRange(0, 4).Draw(t, "what") {
 			case 0:
 				born++
 			case 1:
-				words = append(words, gone(offset, "a"))
+				changes = append(changes, gone(offset, "a"))
 			case 2:
-				words = append(words, start(offset, "a", rapid.Int64Range(1, born).Draw(t, "late")))
+				changes = append(changes, start(offset, "a", rapid.Int64Range(1, born).Draw(t, "late")))
 			default:
-				words = append(words, start(offset, "a", born))
+				changes = append(changes, start(offset, "a", born))
 			}
 			offset++
 		}
-		words = append(words, start(offset, "a", born))
+		changes = append(changes, start(offset, "a", born))
 		reader, hearer := chivedirectory.New(grace), chivedirectory.New(grace)
-		for _, w := range words {
+		for _, w := range changes {
 			reader.Apply(now, w)
 			checkBelief(t, reader, born)
 		}
-		for _, w := range rapid.Permutation(append(words, words...)).Draw(t, "order") {
+		for _, w := range rapid.Permutation(append(changes, changes...)).Draw(t, "order") {
 			hearer.Apply(now, w)
 			checkBelief(t, hearer, born)
 		}
--- a/chivedirectory/outage_test.go
+++ b/chivedirectory/outage_test.go
@@ -24,7 +24,7 @@
 	back = start.Add(12 * time.Second)
 	d = chivedirectory.New(grace)
 	d.StoreAnswered(start)
-	d.Apply(start, word(1, "a"))
+	d.Apply(start, change(1, "a"))
 	d.StoreLost()
 	d.StoreAnswered(back)
 	return d, start, back
@@ -87,7 +87,7 @@
 	start := time.Now()
 	d := chivedirectory.New(grace)
 	d.StoreAnswered(start)
-	d.Apply(start, word(1, "a"))
+	d.Apply(start, change(1, "a"))
 	d.StoreLost()
 	back := start.Add(4 * time.Second)
 	for _, m := range everySecond(start, back) {
@@ -99,28 +99,28 @@
 	}
 }
 
-// While the store turns this node away and serves others, their word that an endpoint is gone counts at once.
+// While the store turns this node away and serves others, their change that an endpoint is gone counts at once.
 func TestTurnedAwayNodeBelievesItsPeers(t *testing.T) {
 	start := time.Now()
 	d := chivedirectory.New(grace)
 	d.StoreAnswered(start)
-	d.Apply(start, word(1, "a"))
+	d.Apply(start, change(1, "a"))
 	d.StoreLost()
 	now := start.Add(6 * time.Second)
 	d.HearAnswers(everySecond(start, now))
 	if !d.Apply(now, gone(2, "a")) {
-		t.Error("a peer's word of a removal was not believed")
+		t.Error("a peer's change of a removal was not believed")
 	}
 }
 
 // Symptom: a node that had never lost the store sent to an endpoint that had left (found by reading).
 // Sequence: a node that had been cut off told it that the entry was missing, a moment before it read the removal itself.
-// Cause: the node's own reading was passed over as no newer than the peer's word.
+// Cause: the node's own reading was passed over as no newer than the peer's change.
 func TestOwnReadingEndsAPeersDoubt(t *testing.T) {
 	now := time.Now()
 	d := chivedirectory.New(grace)
-	d.Apply(now, word(1, "a"))
-	missing := word(2, "a")
+	d.Apply(now, change(1, "a"))
+	missing := change(2, "a")
 	missing.Missing, missing.Keep = true, grace
 	d.Apply(now, missing)
 	read := gone(2, "a")
@@ -184,7 +184,7 @@
 // lapsed entry is back two seconds after the store's return.
 func (h *history) play(lapses bool) (droppedAt, reachable int) {
 	c := &course{h: h, d: chivedirectory.New(grace), up: true, reachable: -1}
-	c.d.Apply(h.start, word(1, "a"))
+	c.d.Apply(h.start, change(1, "a"))
 	for step := range historySteps {
 		reads := c.contact(step)
 		if reads {
@@ -227,7 +227,7 @@
 	}
 	if lapses && c.told && !c.renewed && c.h.sinceOutage(step) >= 20 {
 		c.renewed = true
-		c.d.Apply(c.h.at(step), word(3, "a"))
+		c.d.Apply(c.h.at(step), change(3, "a"))
 	}
 }
 
--- a/chivedirectory/service.go
+++ b/chivedirectory/service.go
@@ -83,13 +83,13 @@
 
 // Replace takes a snapshot of the store.
 func (s *Service) Replace(snapshot chivelog.KeyedBatch) {
-	words := s.words(snapshot.Records)
-	s.change(func() bool { return s.directory.Replace(time.Now(), words, snapshot.Next) }, "snapshot")
+	changes := s.changes(snapshot.Records)
+	s.change(func() bool { return s.directory.Replace(time.Now(), changes, snapshot.Next) }, "snapshot")
 }
 
 // Apply takes later records of the store.
 func (s *Service) Apply(records []chivelog.KeyedRecord) {
-	s.Learn(Update{Words: s.words(records)}, "store")
+	s.Learn(Update{Changes: s.changes(records)}, "store")
 }
 
 // Learn takes an update from anywhere; source is what the log names.
@@ -167,27 +167,27 @@
 	return s.knew
 }
 
-// Newest returns the offset of the newest word.
+// Newest returns the offset of the newest change.
 func (s *Service) Newest() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.directory.Newest()
 }
 
-// words decodes records. One that is not usable says that there is no endpoint, as a removal would: what it said before it is not true any
+// changes decodes records. One that is not usable says that there is no endpoint, as a removal would: what it said before it is not true any
 // more, and another writer may have put it there.
-func (s *Service) words(records []chivelog.KeyedRecord) []Word {
-	words := make([]Word, 0, len(records))
+func (s *Service) changes(records []chivelog.KeyedRecord) []Change {
+	changes := make([]Change, 0, len(records))
 	for _, r := range records {
 		if endpoint, ok := s.read(r); ok {
-			words = append(words, Word{Offset: r.Offset, Read: true, Endpoint: endpoint})
+			changes = append(changes, Change{Offset: r.Offset, Read: true, Endpoint: endpoint})
 			continue
 		}
 		if r.Key != "" {
-			words = append(words, Word{Offset: r.Offset, Gone: true, Read: true, Endpoint: Endpoint{ID: r.Key}})
+			changes = append(changes, Change{Offset: r.Offset, Gone: true, Read: true, Endpoint: Endpoint{ID: r.Key}})
 		}
 	}
-	return words
+	return changes
 }
 
 // read decodes a record; false for one that says, by being empty or not usable, that there is no endpoint.
--- a/chivegossip/curve_test.go
+++ b/chivegossip/curve_test.go
@@ -118,7 +118,7 @@
 				var most int64
 				for _, n := range fleet {
 					sent, _ := n.mesh.Traffic()
-					most = max(most, sent["words_answer"].Bytes)
+					most = max(most, sent["changes_answer"].Bytes)
 				}
 				t.Logf("last node after %v, busiest sends %d KB", took, most>>10)
 				if took > 1500*time.Millisecond || most > 900<<10 {
@@ -132,11 +132,11 @@
 // learnWords lets the readers learn of so many endpoints, and returns how long it takes until all nodes know them.
 func learnWords(t *testing.T, fleet []*member, count int) time.Duration {
 	t.Helper()
-	words := newWords(count)
+	changes := newChanges(count)
 	began := time.Now()
 	for _, n := range fleet {
 		if !n.gossip.Held() {
-			n.endpoints.Learn(words, "store")
+			n.endpoints.Learn(changes, "store")
 		}
 	}
 	for time.Since(began) < time.Minute {
@@ -150,13 +150,13 @@
 	return 0
 }
 
-// newWords are words on so many endpoints.
-func newWords(count int) chivedirectory.Update {
-	words := make([]chivedirectory.Word, 0, count)
+// newChanges are changes of so many endpoints.
+func newChanges(count int) chivedirectory.Update {
+	changes := make([]chivedirectory.Change, 0, count)
 	for i := range count {
-		words = append(words, chivedirectory.Word{Offset: int64(i), Read: true, Endpoint: chivedirectory.Endpoint{
+		changes = append(changes, chivedirectory.Change{Offset: int64(i), Read: true, Endpoint: chivedirectory.Endpoint{
 			ID: fmt.Sprintf("i-%010x", i*7919), Pool: "studio", Address: fmt.Sprintf("10.2.64.%d:8262", i), FailureDomain: "north-a", Slots: 64,
 		}})
 	}
-	return chivedirectory.Update{Words: words}
+	return chivedirectory.Update{Changes: changes}
 }
--- a/chivegossip/document_test.go
+++ b/chivegossip/document_test.go
@@ -55,13 +55,13 @@
 func newDocument(t *testing.T, version int64, routes int, seed uint64) []byte {
 	t.Helper()
 	draw := rand.New(rand.NewPCG(seed, 1))
-	word := func() string {
+	change := func() string {
 		return fmt.Sprintf("%c%c%c%c%d", 97+draw.IntN(26), 97+draw.IntN(26), 97+draw.IntN(26), 97+draw.IntN(26), draw.IntN(1000))
 	}
 	d := document{Version: version}
 	for range routes {
 		d.Routes = append(d.Routes, routeDocument{
-			Name: "r-" + word(), Host: word() + ".example", Prefix: "/" + word() + "/", Kind: "idempotent", TimeoutMs: 1000, TargetMs: 120,
+			Name: "r-" + change(), Host: change() + ".example", Prefix: "/" + change() + "/", Kind: "idempotent", TimeoutMs: 1000, TargetMs: 120,
 			Priority: 2, Backend: "studio", Attempts: 2,
 		})
 	}
@@ -306,7 +306,7 @@
 	})
 }
 
-// Symptom: with many endpoints new at once, as after an outage of the store, links were full of words about them (found while looking for the
+// Symptom: with many endpoints new at once, as after an outage of the store, links were full of changes of them (found while looking for the
 // cause of a late configuration elsewhere in the code).
 // Sequence: two readers told each node that they knew more, and the node asked both.
 // Cause: a question took no regard to the one that was open. Of 600 endpoints, 57 KB, 78 nodes received 8.6 MB, the last one after 0.7 s; with
@@ -317,7 +317,7 @@
 		_, fleet := newFleet(t, largeFleet, slowLink)
 		for _, n := range fleet {
 			if !n.gossip.Held() {
-				n.endpoints.Learn(newWords(endpoints), "store")
+				n.endpoints.Learn(newChanges(endpoints), "store")
 			}
 		}
 		time.Sleep(time.Second)
@@ -327,8 +327,8 @@
 			}
 		}
 		time.Sleep(time.Second)
-		if sent := wireBytes(fleet, "words_answer"); sent > 5_500_000 {
-			t.Errorf("%d bytes of words, want at most those of one copy a node and a fifth more", sent)
+		if sent := wireBytes(fleet, "changes_answer"); sent > 5_500_000 {
+			t.Errorf("%d bytes of changes, want at most those of one copy a node and a fifth more", sent)
 		}
 	})
 }
--- a/chivegossip/earlier.go
+++ b/chivegossip/earlier.go
@@ -18,9 +18,9 @@
 	Data  []byte
 }
 
-// earlierWords are words on endpoints that do not tell when these started.
-type earlierWords struct {
-	Words []earlierWord
+// earlierChanges are changes of endpoints that do not tell when these started.
+type earlierChanges struct {
+	Changes []earlierWord
 }
 
 type earlierWord struct {
@@ -48,7 +48,7 @@
 		s.send(to, chivewire.KindDocument, earlierDocument{Table: version, Data: data})
 	}
 	if s.o.Endpoints.Newest() > theirs.Offset {
-		s.send(to, chivewire.KindWords, newEarlierWords(s.o.Endpoints.Update(theirs.Offset).Words))
+		s.send(to, chivewire.KindEarlierChanges, newEarlierWords(s.o.Endpoints.Update(theirs.Offset).Changes))
 	}
 }
 
@@ -59,22 +59,22 @@
 	}
 }
 
-func newEarlierWords(words []chivedirectory.Word) earlierWords {
-	earlier := make([]earlierWord, 0, len(words))
-	for _, w := range words {
+func newEarlierWords(changes []chivedirectory.Change) earlierChanges {
+	earlier := make([]earlierWord, 0, len(changes))
+	for _, w := range changes {
 		e := w.Endpoint
 		earlier = append(earlier, earlierWord{
 			Offset: w.Offset, Gone: w.Gone, Missing: w.Missing, Keep: w.Keep,
 			Endpoint: earlierEndpoint{e.ID, e.Pool, e.Address, e.FailureDomain, e.Slots, e.State, e.WarmUp},
 		})
 	}
-	return earlierWords{earlier}
+	return earlierChanges{earlier}
 }
 
-func (e earlierWords) update() chivedirectory.Update {
-	words := make([]chivedirectory.Word, 0, len(e.Words))
-	for _, w := range e.Words {
-		words = append(words, chivedirectory.Word{
+func (e earlierChanges) update() chivedirectory.Update {
+	changes := make([]chivedirectory.Change, 0, len(e.Changes))
+	for _, w := range e.Changes {
+		changes = append(changes, chivedirectory.Change{
 			Offset: w.Offset, Gone: w.Gone, Missing: w.Missing, Keep: w.Keep,
 			Endpoint: chivedirectory.Endpoint{
 				ID: w.Endpoint.ID, Pool: w.Endpoint.Pool, Address: w.Endpoint.Address, FailureDomain: w.Endpoint.FailureDomain,
@@ -82,5 +82,5 @@
 			},
 		})
 	}
-	return chivedirectory.Update{Words: words}
+	return chivedirectory.Update{Changes: changes}
 }
--- a/chivegossip/earlier_test.go
+++ b/chivegossip/earlier_test.go
@@ -22,8 +22,8 @@
 		Table int64
 		Data  []byte
 	}
-	earlierWords struct {
-		Words []struct {
+	earlierChanges struct {
+		Changes []struct {
 			Offset        int64
 			Gone, Missing bool
 			Keep          time.Duration
@@ -42,7 +42,7 @@
 // Symptom (found by a test of the messages): while nodes are upgraded one after the other, those of the release before keep their
 // configuration and their endpoints, and those of the new one do not hear of theirs.
 // Sequence: the nodes that read the store are upgraded first; a change comes.
-// Cause: a message with a field more cannot be decoded by the release before, and is passed over without a word. What both say to each
+// Cause: a message with a field more cannot be decoded by the release before, and is passed over without notice. What both say to each
 // other keeps its form.
 func TestNodesOfTwoReleasesTellEachOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -50,12 +50,12 @@
 		newer, older := newDocument(t, 5, 100, 1), newDocument(t, 7, 100, 1)
 		now := fleet[0]
 		now.tables.Learn(newer, "store")
-		now.endpoints.Learn(chivedirectory.Update{Words: []chivedirectory.Word{{Offset: 4, Endpoint: chivedirectory.Endpoint{ID: "e", Pool: "p", Address: "10.0.0.1:1", Born: 9}}}}, "store")
+		now.endpoints.Learn(chivedirectory.Update{Changes: []chivedirectory.Change{{Offset: 4, Endpoint: chivedirectory.Endpoint{ID: "e", Pool: "p", Address: "10.0.0.1:1", Born: 9}}}}, "store")
 
 		earlier := chivewire.NewMesh("10.9.0.1:82", network)
-		documents, words := make(chan earlierDocument, 9), make(chan earlierWords, 9)
+		documents, changes := make(chan earlierDocument, 9), make(chan earlierChanges, 9)
 		chivewire.Receive(earlier, chivewire.KindDocument, func(_ string, d earlierDocument) { documents <- d })
-		chivewire.Receive(earlier, chivewire.KindWords, func(_ string, w earlierWords) { words <- w })
+		chivewire.Receive(earlier, chivewire.KindEarlierChanges, func(_ string, w earlierChanges) { changes <- w })
 		if err := earlier.Start(t.Context()); err != nil {
 			t.Fatal(err)
 		}
@@ -68,13 +68,13 @@
 		}
 
 		say(chivewire.KindKnowledge, earlierKnowledge{Table: 3, Offset: 1, Reply: true})
-		if len(documents) != 1 || len(words) != 1 {
-			t.Fatalf("%d documents and %d rows of words came, want one each", len(documents), len(words))
+		if len(documents) != 1 || len(changes) != 1 {
+			t.Fatalf("%d documents and %d rows of changes came, want one each", len(documents), len(changes))
 		}
 		if d := <-documents; d.Table != 5 || !bytes.Equal(d.Data, newer) {
 			t.Errorf("got version %d with %d bytes", d.Table, len(d.Data))
 		}
-		if w := <-words; len(w.Words) != 1 || w.Words[0].Offset != 4 || w.Words[0].Endpoint.ID != "e" {
+		if w := <-changes; len(w.Changes) != 1 || w.Changes[0].Offset != 4 || w.Changes[0].Endpoint.ID != "e" {
 			t.Errorf("got %+v", w)
 		}
 		say(chivewire.KindDocument, earlierDocument{Table: 7, Data: older})
--- a/chivegossip/partners_test.go
+++ b/chivegossip/partners_test.go
@@ -33,7 +33,7 @@
 		if links[size/2] > mostLinks {
 			t.Errorf("the middle node has %d connections, expected %d at most", links[size/2], mostLinks)
 		}
-		nodes[7].endpoints.Learn(chivedirectory.Update{Words: []chivedirectory.Word{{
+		nodes[7].endpoints.Learn(chivedirectory.Update{Changes: []chivedirectory.Change{{
 			Offset: 4, Endpoint: chivedirectory.Endpoint{ID: "e", Pool: "p", Address: "127.0.0.1:1"},
 		}}}, "store")
 		began := time.Now()
@@ -41,10 +41,10 @@
 			for n.endpoints.Newest() != 4 {
 				time.Sleep(10 * time.Millisecond)
 				if time.Since(began) > 5*time.Second {
-					t.Fatal("a word that only comparisons pass on has not reached every node after 5 s")
+					t.Fatal("a change that only comparisons pass on has not reached every node after 5 s")
 				}
 			}
 		}
-		t.Logf("a word that only comparisons pass on reached all after %v", time.Since(began))
+		t.Logf("a change that only comparisons pass on reached all after %v", time.Since(began))
 	})
 }
--- a/chivegossip/readers.go
+++ b/chivegossip/readers.go
@@ -100,7 +100,7 @@
 // on, so that what one node knows crosses the fleet in as many steps as its size has binary digits, and each is the partner of as many.
 //
 // A peer drawn from the whole fleet each time leaves every node connected to half of it, as connections are kept for half a minute: of 60
-// nodes the middle one held 55 after half a minute, with partners 12 (on virtual time), and a word reached all as soon.
+// nodes the middle one held 55 after half a minute, with partners 12 (on virtual time), and a change reached all as soon.
 func partnersOf(own int, ranked []string) []string {
 	if own < 0 {
 		return nil
--- a/chivegossip/service.go
+++ b/chivegossip/service.go
@@ -31,13 +31,13 @@
 	Document() ([]byte, int64)
 	// Learn takes a document.
 	Learn(document []byte, source string)
-	// Hear takes word that a version exists.
+	// Hear takes note that a version exists.
 	Hear(version int64, source string)
 }
 
 // Endpoints holds what is known of the endpoints.
 type Endpoints interface {
-	// Newest returns the offset of the newest word.
+	// Newest returns the offset of the newest change.
 	Newest() int64
 	// Update returns what a peer lacks that has taken everything up to an offset.
 	Update(after int64) chivedirectory.Update
@@ -74,8 +74,8 @@
 	Offset int64
 }
 
-// WordsAsk asks for the words on endpoints after an offset.
-type WordsAsk struct {
+// ChangesAsk asks for the changes of endpoints after an offset.
+type ChangesAsk struct {
 	After int64
 }
 
@@ -96,7 +96,7 @@
 	sender   *chivetransfer.Sender
 	receiver *chivetransfer.Receiver
 	wake     *time.Timer
-	words    wordsAsk
+	changes  changesAsk
 	duties   chivekernel.Duties
 }
 
@@ -110,16 +110,16 @@
 	s.fleet.since = s.began
 	receive[Knowledge](s, chivewire.KindKnowledge)
 	receive[Standing](s, chivewire.KindStanding)
-	receive[WordsAsk](s, chivewire.KindWordsAsk)
-	receive[chivedirectory.Update](s, chivewire.KindWordsAnswer)
+	receive[ChangesAsk](s, chivewire.KindChangesAsk)
+	receive[chivedirectory.Update](s, chivewire.KindChangesAnswer)
 	receive[earlierDocument](s, chivewire.KindDocument)
-	receive[earlierWords](s, chivewire.KindWords)
+	receive[earlierChanges](s, chivewire.KindEarlierChanges)
 	receive[AnswersAsk](s, chivewire.KindAnswersAsk)
 	receive[Answers](s, chivewire.KindAnswers)
 	receive[chivetransfer.Ask](s, chivewire.KindDocumentAsk)
 	receive[chivetransfer.Part](s, chivewire.KindDocumentPart)
 	receive[chivetransfer.Refusal](s, chivewire.KindDocumentRefusal)
-	// A lost word of a lost connection costs the wait for an answer.
+	// A question on a connection that was lost is not answered any more.
 	s.o.Mesh.OnLost(func(peer string) { s.inbox.Offer(message{peer, lost{}}) })
 	return s
 }
@@ -204,13 +204,13 @@
 		s.compare(m.from, body)
 	case Standing:
 		s.ask(m.from, body)
-	case WordsAsk:
-		s.send(m.from, chivewire.KindWordsAnswer, s.o.Endpoints.Update(body.After))
+	case ChangesAsk:
+		s.send(m.from, chivewire.KindChangesAnswer, s.o.Endpoints.Update(body.After))
 	case chivedirectory.Update:
 		s.o.Endpoints.Learn(body, "peer "+m.from)
 	case earlierDocument:
 		s.takeEarlierDocument(m.from, body)
-	case earlierWords:
+	case earlierChanges:
 		s.o.Endpoints.Learn(body.update(), "peer "+m.from)
 	case chivetransfer.Ask:
 		s.hand(m.from, body)
@@ -238,31 +238,31 @@
 	}
 }
 
-// ask asks a peer for the words that this node lacks, and notes what version it has.
+// ask asks a peer for the changes that this node lacks, and notes what version it has.
 func (s *Service) ask(from string, theirs Standing) {
 	s.hearVersion(from, theirs.Table)
 	own := s.o.Endpoints.Newest()
-	if own < theirs.Offset && s.words.mayAsk(time.Now(), theirs.Offset) {
-		s.send(from, chivewire.KindWordsAsk, WordsAsk{After: own})
+	if own < theirs.Offset && s.changes.mayAsk(time.Now(), theirs.Offset) {
+		s.send(from, chivewire.KindChangesAsk, ChangesAsk{After: own})
 	}
 }
 
-// wordsPatience is how long words that were asked for may take before another peer is asked: those of 600 endpoints, 57 KB, take 46 ms over
+// changesPatience is how long changes that were asked for may take before another peer is asked: those of 600 endpoints, 57 KB, take 46 ms over
 // the slowest link of today's VMs.
-const wordsPatience = 200 * time.Millisecond
+const changesPatience = 200 * time.Millisecond
 
-// wordsAsk is the question for words that is open.
-type wordsAsk struct {
+// changesAsk is the question for changes that is open.
+type changesAsk struct {
 	at     time.Time
 	offset int64
 }
 
-// mayAsk tells whether to ask a peer for the words up to an offset; not when another one that has them was asked just now.
+// mayAsk tells whether to ask a peer for the changes up to an offset; not when another one that has them was asked just now.
 //
-// Two peers tell each node of the same change. Asking one, 78 nodes on links of 10 Mbit/s receive the words of 600 new endpoints in 4.5 MB,
+// Two peers tell each node of the same change. Asking one, 78 nodes on links of 10 Mbit/s receive the changes of 600 new endpoints in 4.5 MB,
 // the last node after 0.49 s; asking both, in 8.6 MB, after 0.7 s (on virtual time).
-func (a *wordsAsk) mayAsk(now time.Time, offset int64) bool {
-	if offset <= a.offset && now.Sub(a.at) < wordsPatience {
+func (a *changesAsk) mayAsk(now time.Time, offset int64) bool {
+	if offset <= a.offset && now.Sub(a.at) < changesPatience {
 		return false
 	}
 	a.at, a.offset = now, offset
--- a/chivegossip/service_test.go
+++ b/chivegossip/service_test.go
@@ -150,7 +150,7 @@
 func TestNewsReachesEveryNode(t *testing.T) {
 	nodes := newNodes(t, 20)
 	nodes[3].tables.Learn([]byte("7"), "store")
-	nodes[5].endpoints.Learn(chivedirectory.Update{Words: []chivedirectory.Word{{Offset: 4, Endpoint: chivedirectory.Endpoint{ID: "e", Pool: "p", Address: "127.0.0.1:1"}}}}, "store")
+	nodes[5].endpoints.Learn(chivedirectory.Update{Changes: []chivedirectory.Change{{Offset: 4, Endpoint: chivedirectory.Endpoint{ID: "e", Pool: "p", Address: "127.0.0.1:1"}}}}, "store")
 	deadline := time.Now().Add(6 * time.Second)
 	for _, n := range nodes {
 		for n.tables.Version() != 7 || n.endpoints.Newest() != 4 {
--- a/chivetable/service.go
+++ b/chivetable/service.go
@@ -129,7 +129,7 @@
 	return s.counts
 }
 
-// Hear takes word that a version exists; source is what the log names.
+// Hear takes note that a version exists; source is what the log names.
 func (s *Service) Hear(version int64, source string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/chivetable/table.go
+++ b/chivetable/table.go
@@ -19,7 +19,7 @@
 	RepeatResume
 )
 
-// String returns the word that logs show.
+// String returns the name that logs show.
 func (r Repetition) String() string {
 	switch r {
 	case RepeatAlways:
