Words: digests, children that publish further, staleness, cache reconciliation

Knowledge and Standing become Digest and DigestAnswer, the nodes in care children, doubt staleness, chiverecall chivecache; numbers and forms on the wire stay.

--- a/chiverecall/service.go
+++ b/chivecache/service.go
@@ -1,4 +1,4 @@
-package chiverecall
+package chivecache
 
 import (
 	"context"
@@ -16,7 +16,7 @@
 )
 
 // ServiceName is the name under which the service registers.
-const ServiceName = "recall"
+const ServiceName = "cache reconciliation"
 
 const (
 	// startsFor is how long after its start a node takes the engines that it hears of for ones that have run before: it learns of them in
@@ -186,7 +186,7 @@
 	if pool == nil {
 		return
 	}
-	tokens := pool.Recall(e.Incarnation().Key(), parts)
+	tokens := pool.Reconcile(e.Incarnation().Key(), parts)
 	s.learnt.Add(1)
 	chiveevent.CacheLearnt.Log(ctx, s.o.Logger, slog.String("endpoint", e.ID), slog.Int("parts", len(parts)), slog.Int64("tokens", tokens),
 		slog.Int64("took_ms", time.Since(began).Milliseconds()))
--- a/chiverecall/service_test.go
+++ b/chivecache/service_test.go
@@ -1,6 +1,6 @@
 //go:build !race
 
-package chiverecall_test
+package chivecache_test
 
 import (
 	"context"
@@ -11,9 +11,9 @@
 	"testing/synctest"
 	"time"
 
+	"chivedrift/chivecache"
 	"chivedrift/chivedirectory"
 	"chivedrift/chiveplace"
-	"chivedrift/chiverecall"
 	"chivedrift/chiverequest"
 	"chivedrift/chivetable"
 )
@@ -63,7 +63,7 @@
 func TestNodeThatJoinsALargeFleetAsksItsOwnEnginesOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		asked := &engines{}
-		s := chiverecall.New(chiverecall.Options{
+		s := chivecache.New(chivecache.Options{
 			Self: "self", Caches: asked, Pools: asked, Keepers: joining{time.Now(), 600 * time.Millisecond, 9}, Logger: slog.New(slog.DiscardHandler),
 		})
 		table, err := chivetable.New(chivetable.Spec{Version: 1, Pools: []chivetable.Pool{{Name: "pool", Engine: chivetable.Engine{Slots: 32}}}})
--- a/chivedirectory/directory.go
+++ b/chivedirectory/directory.go
@@ -98,8 +98,8 @@
 	return nil
 }
 
-// Doubt returns how far back it matters whether the store answered other nodes; 0 where this node knows enough.
-func (d *Directory) Doubt(now time.Time) time.Duration {
+// Staleness returns how far back it matters whether the store answered other nodes; 0 where this node knows enough.
+func (d *Directory) Staleness(now time.Time) time.Duration {
 	for _, o := range d.outages {
 		if o.inGrace(now, d.grace) && !o.since.IsZero() {
 			return now.Sub(o.since)
--- a/chivedirectory/outage_test.go
+++ b/chivedirectory/outage_test.go
@@ -49,11 +49,11 @@
 	if len(d.Endpoints()) != 1 {
 		t.Fatal("dropped before anybody told that the store had been there")
 	}
-	if d.Doubt(back) != 12*time.Second {
-		t.Errorf("in doubt for %v, want since the last answer", d.Doubt(back))
+	if d.Staleness(back) != 12*time.Second {
+		t.Errorf("stale for %v, want since the last answer", d.Staleness(back))
 	}
 	d.HearAnswers(everySecond(start, back))
-	if !d.Expire(back.Add(50*time.Millisecond)) || len(d.Endpoints()) != 0 || d.Doubt(back) != 0 {
+	if !d.Expire(back.Add(50*time.Millisecond)) || len(d.Endpoints()) != 0 || d.Staleness(back) != 0 {
 		t.Error("kept, although the store had answered other nodes all the while")
 	}
 }
@@ -116,7 +116,7 @@
 // Symptom: a node that had never lost the store sent to an endpoint that had left (found by reading).
 // Sequence: a node that had been cut off told it that the entry was missing, a moment before it read the removal itself.
 // Cause: the node's own reading was passed over as no newer than the peer's change.
-func TestOwnReadingEndsAPeersDoubt(t *testing.T) {
+func TestOwnReadingEndsAPeersStaleness(t *testing.T) {
 	now := time.Now()
 	d := chivedirectory.New(grace)
 	d.Apply(now, change(1, "a"))
@@ -211,7 +211,7 @@
 		c.d.StoreLost()
 	}
 	c.up = reads
-	if c.d.Doubt(now) > 0 && !isCut {
+	if c.d.Staleness(now) > 0 && !isCut {
 		c.d.HearAnswers(c.others)
 	}
 	return reads
--- a/chivedirectory/service.go
+++ b/chivedirectory/service.go
@@ -36,18 +36,18 @@
 	shown     map[string]Endpoint
 	rejected  rejections
 	// knew tells whether an endpoint has ever been known.
-	knew    bool
-	doubted func()
-	duties  chivekernel.Duties
+	knew   bool
+	stale  func()
+	duties chivekernel.Duties
 }
 
 // NewService returns a directory without endpoints.
 func NewService(decode Decoder, grace time.Duration, logger *slog.Logger) *Service {
-	return &Service{directory: New(grace), decode: decode, logger: logger, shown: make(map[string]Endpoint), rejected: newRejections(), doubted: func() {}}
+	return &Service{directory: New(grace), decode: decode, logger: logger, shown: make(map[string]Endpoint), rejected: newRejections(), stale: func() {}}
 }
 
-// OnDoubt takes what is called when it begins to matter whether the store answered other nodes; it must not block.
-func (s *Service) OnDoubt(doubted func()) { s.doubted = doubted }
+// OnStale takes what is called when it begins to matter whether the store answered other nodes; it must not block.
+func (s *Service) OnStale(stale func()) { s.stale = stale }
 
 // OnChange adds a function that hears every change; it must not block. All are added before Start.
 func (s *Service) OnChange(heard func([]Endpoint)) { s.listeners = append(s.listeners, heard) }
@@ -117,20 +117,20 @@
 	s.directory.StoreLost()
 	s.mu.Unlock()
 	chiveevent.StoreLost.Log(context.Background(), s.logger, slog.String("for", "endpoints"), slog.String("error", err.Error()))
-	s.doubted()
+	s.stale()
 }
 
 // Back hears that the store answers again.
 func (s *Service) Back() {
 	chiveevent.StoreBack.Log(context.Background(), s.logger, slog.String("for", "endpoints"))
-	s.doubted()
+	s.stale()
 }
 
-// Doubt returns how far back it matters whether the store answered other nodes; 0 where this node knows enough.
-func (s *Service) Doubt() time.Duration {
+// Staleness returns how far back it matters whether the store answered other nodes; 0 where this node knows enough.
+func (s *Service) Staleness() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.directory.Doubt(time.Now())
+	return s.directory.Staleness(time.Now())
 }
 
 // Answers returns how long ago the store answered this node, as far as that is within a time.
--- a/chivegossip/answers.go
+++ b/chivegossip/answers.go
@@ -26,18 +26,18 @@
 	Ages  []time.Duration
 }
 
-// Doubt hears that it matters from now on whether the store answered the peers.
-func (s *Service) Doubt() {
+// WentStale hears that it matters from now on whether the store answered the peers.
+func (s *Service) WentStale() {
 	select {
-	case s.doubt <- struct{}{}:
+	case s.stale <- struct{}{}:
 	default:
 		// The peers are about to be asked anyway.
 	}
 }
 
-// askAnswers asks the readers where this node is in doubt.
+// askAnswers asks the readers while this node may be stale.
 func (s *Service) askAnswers() {
-	within := s.o.Endpoints.Doubt()
+	within := s.o.Endpoints.Staleness()
 	if within == 0 {
 		return
 	}
--- a/chivegossip/document_test.go
+++ b/chivegossip/document_test.go
@@ -178,7 +178,7 @@
 // Symptom: a configuration that the store had acknowledged was in force on most nodes only four to eight seconds later; requests were
 // handled by the version before it. Nodes failed their readiness checks, and called each other dead, for ten seconds.
 // Sequence: the configuration grew from 49 to 1,449 routes, 380 KB, and a second later one more change came. The eight nodes that read the
-// store told the nodes in their care, and each sent the whole document to all of about 25 at once, over a link of 10 Mbit/s: 7.6 s.
+// store told their children, and each sent the whole document to all of about 25 at once, over a link of 10 Mbit/s: 7.6 s.
 // Cause: a node that knew more sent all of it to whoever knew less, without regard to its size, to the link, or to the copies that were on
 // their way from others. Writes that took over 2.5 s were cut off and began anew, heartbeats waited behind documents, and nodes that took
 // the place of those called dead did the same.
--- a/chivegossip/documents.go
+++ b/chivegossip/documents.go
@@ -82,5 +82,5 @@
 	}
 	s.sender.Add(e)
 	// The sender may serve the next one, and send others here.
-	s.send(from, chivewire.KindStanding, s.standing())
+	s.send(from, chivewire.KindDigestAnswer, s.digest())
 }
--- a/chivegossip/earlier.go
+++ b/chivegossip/earlier.go
@@ -8,7 +8,7 @@
 )
 
 // Nodes are upgraded one after the other, and a change may come meanwhile. Nodes of the release before know neither parts of documents nor
-// when an endpoint started, and cannot decode a message that has a field more: they answer Knowledge with their own, and expect to be sent
+// when an endpoint started, and cannot decode a message that has a field more: they answer Digest with their own, and expect to be sent
 // whole what they lack. Without this, those whose readers were upgraded first would keep their configuration until they are upgraded too, as
 // they hear from each other and so leave the reading to others.
 
@@ -43,7 +43,7 @@
 }
 
 // sendEarlier sends a node of an earlier release what it lacks.
-func (s *Service) sendEarlier(to string, theirs Knowledge) {
+func (s *Service) sendEarlier(to string, theirs Digest) {
 	if data, version := s.o.Tables.Document(); version > theirs.Table {
 		s.send(to, chivewire.KindDocument, earlierDocument{Table: version, Data: data})
 	}
--- a/chivegossip/earlier_test.go
+++ b/chivegossip/earlier_test.go
@@ -67,7 +67,7 @@
 			time.Sleep(time.Second)
 		}
 
-		say(chivewire.KindKnowledge, earlierKnowledge{Table: 3, Offset: 1, Reply: true})
+		say(chivewire.KindDigest, earlierKnowledge{Table: 3, Offset: 1, Reply: true})
 		if len(documents) != 1 || len(changes) != 1 {
 			t.Fatalf("%d documents and %d rows of changes came, want one each", len(documents), len(changes))
 		}
--- a/chivegossip/readers.go
+++ b/chivegossip/readers.go
@@ -15,7 +15,7 @@
 
 // In a large fleet a few nodes read the store for all: with every node waiting on every topic, each record costs a call a node.
 // The readers are the first nodes by a hash of their address, so all agree without talking. When a node has learnt
-// something it tells the nodes in its care, which ask for what they lack and tell those in theirs; each node is in the care of two. A node that
+// something it publishes its digest to its children in a tree, which ask for what they lack and publish in their turn; each node has two parents. A node that
 // hears from no peer for a while reads the store itself.
 
 const (
@@ -28,8 +28,8 @@
 	// 300 nodes on links of 10 Mbit/s the busiest node then sends 0.73 MB, and the last one knows them after 0.94 s; with readers that tell all
 	// others it is 2.5 MB, and grows with the fleet, and 1.8 s (virtual time).
 	branches = 6
-	// cares is how many nodes care for one, so that one that stands still holds up nobody.
-	cares = 2
+	// parents is how many nodes publish to one, so that one that stands still holds up nobody.
+	parents = 2
 	// allPartnersUpTo is the largest fleet in which each node compares itself with all others in turn.
 	allPartnersUpTo = 16
 	// aloneAfter is the silence of all peers after which a node reads the store itself: each peer compares with one of its partners drawn at random
@@ -47,9 +47,9 @@
 	// rank is this node's place among the readers, and -1 when it is none of them.
 	rank int
 	// since is when this node became one of them, or started.
-	since   time.Time
-	reading []string
-	inCare  []string
+	since    time.Time
+	reading  []string
+	children []string
 	// partners are the peers that this node compares itself with.
 	partners []string
 	heard    atomic.Int64
@@ -68,32 +68,32 @@
 	reading := ranked[:min(Readers, len(ranked))]
 	own := slices.Index(reading, s.o.Mesh.Self())
 	place := slices.Index(ranked, s.o.Mesh.Self())
-	inCare, partners := careOf(place, ranked), partnersOf(place, ranked)
+	children, partners := childrenOf(place, ranked), partnersOf(place, ranked)
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
 	if own >= 0 && s.fleet.rank < 0 {
 		s.fleet.since = time.Now()
 	}
-	s.fleet.rank, s.fleet.reading, s.fleet.inCare, s.fleet.partners = own, reading, inCare, partners
+	s.fleet.rank, s.fleet.reading, s.fleet.children, s.fleet.partners = own, reading, children, partners
 }
 
-// careOf returns whom the node at a place among all tells at once: a reader the other readers, and each its part of the nodes further on, at most
+// childrenOf returns whom the node at a place among all tells at once: a reader the other readers, and each its part of the nodes further on, at most
 // twelve.
-func careOf(own int, ranked []string) []string {
+func childrenOf(own int, ranked []string) []string {
 	if own < 0 {
 		return nil
 	}
-	var inCare []string
+	var children []string
 	if own < Readers {
-		inCare = slices.Concat(ranked[:own], ranked[own+1:min(Readers, len(ranked))])
+		children = slices.Concat(ranked[:own], ranked[own+1:min(Readers, len(ranked))])
 	}
 	for place := Readers; place < len(ranked); place++ {
 		first := (place - Readers) / branches
-		if own >= first && own < first+cares && own < place {
-			inCare = append(inCare, ranked[place])
+		if own >= first && own < first+parents && own < place {
+			children = append(children, ranked[place])
 		}
 	}
-	return inCare
+	return children
 }
 
 // partnersOf returns the peers that the node at a place among all compares itself with: all in a small fleet, else those 1, 2, 4 ... places further
@@ -150,17 +150,17 @@
 	select {
 	case s.fleet.told <- struct{}{}:
 	default:
-		// The nodes in care are about to be told anyway.
+		// The children are about to be told anyway.
 	}
 }
 
-// tell shows the nodes in care what this node knows; they ask for what they lack.
-func (s *Service) tell() {
+// publish shows the children what this node knows; they ask for what they lack.
+func (s *Service) publish() {
 	s.fleet.mu.Lock()
-	inCare := s.fleet.inCare
+	children := s.fleet.children
 	s.fleet.mu.Unlock()
-	own := s.standing()
-	for _, address := range inCare {
-		s.send(address, chivewire.KindKnowledge, Knowledge{Table: own.Table, Offset: own.Offset})
+	own := s.digest()
+	for _, address := range children {
+		s.send(address, chivewire.KindDigest, Digest{Table: own.Table, Offset: own.Offset})
 	}
 }
--- a/chivegossip/service.go
+++ b/chivegossip/service.go
@@ -43,8 +43,8 @@
 	Update(after int64) chivedirectory.Update
 	// Learn takes an update.
 	Learn(update chivedirectory.Update, source string)
-	// Doubt returns how far back it matters whether the store answered other nodes; 0 where it does not.
-	Doubt() time.Duration
+	// Staleness returns how far back it matters whether the store answered other nodes; 0 where it does not.
+	Staleness() time.Duration
 	// Answers returns how long ago the store answered this node, as far as that is within a time.
 	Answers(within time.Duration) []time.Duration
 	// HearAnswers takes how long ago, seen from a moment, the store answered another node.
@@ -59,17 +59,17 @@
 	Logger    *slog.Logger
 }
 
-// Knowledge asks a peer to compare what it knows with what the sender knows. Its form is that of all releases, so that nodes of two releases
+// Digest asks a peer to compare what it knows with what the sender knows. Its form is that of all releases, so that nodes of two releases
 // can tell each other (earlier.go).
-type Knowledge struct {
+type Digest struct {
 	Table  int64
 	Offset int64
 	// Reply tells that the sender was asked; only nodes of earlier releases say so, and expect to be sent what they lack.
 	Reply bool
 }
 
-// Standing answers a peer that knows less, or tells it of a change: it asks for what it lacks.
-type Standing struct {
+// DigestAnswer answers a peer that knows less, or tells it of a change: it asks for what it lacks.
+type DigestAnswer struct {
 	Table  int64
 	Offset int64
 }
@@ -85,13 +85,13 @@
 	body any
 }
 
-// Service compares this node's knowledge with its peers'.
+// Service compares this node's digest with its peers'.
 type Service struct {
 	o     Options
 	began time.Time
 	inbox *chivering.Ring[message]
 	fleet fleet
-	doubt chan struct{}
+	stale chan struct{}
 	// sender, receiver and wake, the time of the next look at what to ask, are the run goroutine's.
 	sender   *chivetransfer.Sender
 	receiver *chivetransfer.Receiver
@@ -103,13 +103,13 @@
 // New returns a service that asks nobody yet.
 func New(o Options) *Service {
 	s := &Service{
-		o: o, began: time.Now(), inbox: chivering.New[message](inboxSize), doubt: make(chan struct{}, 1),
+		o: o, began: time.Now(), inbox: chivering.New[message](inboxSize), stale: make(chan struct{}, 1),
 		sender: chivetransfer.NewSender(), receiver: chivetransfer.NewReceiver(),
 	}
 	s.fleet.told = make(chan struct{}, 1)
 	s.fleet.since = s.began
-	receive[Knowledge](s, chivewire.KindKnowledge)
-	receive[Standing](s, chivewire.KindStanding)
+	receive[Digest](s, chivewire.KindDigest)
+	receive[DigestAnswer](s, chivewire.KindDigestAnswer)
 	receive[ChangesAsk](s, chivewire.KindChangesAsk)
 	receive[chivedirectory.Update](s, chivewire.KindChangesAnswer)
 	receive[earlierDocument](s, chivewire.KindDocument)
@@ -146,9 +146,9 @@
 // Dump returns what this node would tell a peer.
 func (s *Service) Dump() any {
 	return struct {
-		Standing Standing        `json:"knowledge"`
-		Ring     chivering.Depth `json:"ring"`
-	}{s.standing(), s.inbox.Depth()}
+		Digest DigestAnswer    `json:"digest"`
+		Ring   chivering.Depth `json:"ring"`
+	}{s.digest(), s.inbox.Depth()}
 }
 
 func (s *Service) run(ctx context.Context) {
@@ -165,10 +165,10 @@
 			s.askAnswers()
 		case <-s.wake.C:
 			s.fetch()
-		case <-s.doubt:
+		case <-s.stale:
 			s.askAnswers()
 		case <-s.fleet.told:
-			s.tell()
+			s.publish()
 		case m := <-s.inbox.Ready():
 			s.handle(m)
 			s.fetch()
@@ -184,13 +184,13 @@
 	if len(partners) == 0 {
 		return
 	}
-	own := s.standing()
-	s.send(partners[rand.IntN(len(partners))], chivewire.KindKnowledge, Knowledge{Table: own.Table, Offset: own.Offset})
+	own := s.digest()
+	s.send(partners[rand.IntN(len(partners))], chivewire.KindDigest, Digest{Table: own.Table, Offset: own.Offset})
 }
 
-// standing returns what this node knows.
-func (s *Service) standing() Standing {
-	return Standing{Table: s.o.Tables.Version(), Offset: s.o.Endpoints.Newest()}
+// digest returns what this node knows.
+func (s *Service) digest() DigestAnswer {
+	return DigestAnswer{Table: s.o.Tables.Version(), Offset: s.o.Endpoints.Newest()}
 }
 
 func (s *Service) handle(m message) {
@@ -200,9 +200,9 @@
 	}
 	s.fleet.heard.Store(time.Now().UnixNano())
 	switch body := m.body.(type) {
-	case Knowledge:
+	case Digest:
 		s.compare(m.from, body)
-	case Standing:
+	case DigestAnswer:
 		s.ask(m.from, body)
 	case ChangesAsk:
 		s.send(m.from, chivewire.KindChangesAnswer, s.o.Endpoints.Update(body.After))
@@ -226,20 +226,20 @@
 }
 
 // compare asks for what the peer has beyond this node, and tells it when this node has more.
-func (s *Service) compare(from string, theirs Knowledge) {
+func (s *Service) compare(from string, theirs Digest) {
 	if theirs.Reply {
 		s.sendEarlier(from, theirs)
 		return
 	}
-	s.ask(from, Standing{Table: theirs.Table, Offset: theirs.Offset})
-	own := s.standing()
+	s.ask(from, DigestAnswer{Table: theirs.Table, Offset: theirs.Offset})
+	own := s.digest()
 	if own.Table > theirs.Table || own.Offset > theirs.Offset {
-		s.send(from, chivewire.KindStanding, own)
+		s.send(from, chivewire.KindDigestAnswer, own)
 	}
 }
 
 // ask asks a peer for the changes that this node lacks, and notes what version it has.
-func (s *Service) ask(from string, theirs Standing) {
+func (s *Service) ask(from string, theirs DigestAnswer) {
 	s.hearVersion(from, theirs.Table)
 	own := s.o.Endpoints.Newest()
 	if own < theirs.Offset && s.changes.mayAsk(time.Now(), theirs.Offset) {
--- a/chivegossip/service_test.go
+++ b/chivegossip/service_test.go
@@ -69,10 +69,10 @@
 	}
 }
 
-func (f *fakeEndpoints) Doubt() time.Duration {
+func (f *fakeEndpoints) Staleness() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.d.Doubt(time.Now())
+	return f.d.Staleness(time.Now())
 }
 
 func (f *fakeEndpoints) Answers(within time.Duration) []time.Duration {
@@ -164,9 +164,9 @@
 
 // Symptom: nodes that do not read the store learnt of a change too late.
 // Sequence: a reader learnt it; the others would have met it in their comparisons with peers drawn at random.
-// Cause: what a reader learns is shown at once to the nodes in its care. With all readers knowing, every node does within
+// Cause: what a reader learns is published at once to its children. With all readers knowing, every node does within
 // a round trip, long before the next comparison.
-func TestReadersTellTheNodesInTheirCareAtOnce(t *testing.T) {
+func TestReadersPublishToTheirChildrenAtOnce(t *testing.T) {
 	nodes := newNodes(t, 20)
 	held := awaitHeld(t, nodes)
 	for _, n := range nodes {
@@ -179,7 +179,7 @@
 	for _, n := range held {
 		for n.tables.Version() != 7 {
 			if time.Now().After(deadline) {
-				t.Fatal("a node in care does not know after 0.3 s")
+				t.Fatal("a child does not know after 0.3 s")
 			}
 			time.Sleep(5 * time.Millisecond)
 		}
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chivedrift/chiveadmin"
+	"chivedrift/chivecache"
 	"chivedrift/chivedirectory"
 	"chivedrift/chiveentry"
 	"chivedrift/chiveevent"
@@ -20,7 +21,6 @@
 	"chivedrift/chiveload"
 	"chivedrift/chivemember"
 	"chivedrift/chivemetric"
-	"chivedrift/chiverecall"
 	"chivedrift/chivesettings"
 	"chivedrift/chivetable"
 	"chivedrift/chivewire"
@@ -97,7 +97,7 @@
 		{chiveforward.ServiceName, serving.forwarder},
 		{chivegrant.ServiceName, n.grants},
 		{chiveload.ServiceName, n.loads},
-		{chiverecall.ServiceName, serving.recall},
+		{chivecache.ServiceName, serving.caches},
 		{chiveadmin.ServiceName, &spare{logger: n.logger, Service: chiveadmin.New(chiveadmin.Options{
 			Address: n.settings.Listen.Admin, Network: network, Metrics: metrics.Handler(), State: n.kernel.Dump, Ready: n.NotReady,
 			Explain: func(string) (*chivegate.Explanation, bool) { return nil, false },
@@ -123,7 +123,7 @@
 	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Tables: n.tables, Endpoints: n.directory, Logger: n.logger})
 	n.tables.OnChange(func(*chivetable.Table) { n.gossip.Learnt() })
 	n.directory.OnChange(func([]chivedirectory.Endpoint) { n.gossip.Learnt() })
-	n.directory.OnDoubt(n.gossip.Doubt)
+	n.directory.OnStale(n.gossip.WentStale)
 	return roster
 }
 
@@ -155,7 +155,7 @@
 type serving struct {
 	pools     *chiveforward.Pools
 	forwarder *chiveforward.Forwarder
-	recall    *chiverecall.Service
+	caches    *chivecache.Service
 }
 
 // assembleServing makes what places requests and carries them, and lets it hear of configurations and endpoints.
@@ -177,7 +177,7 @@
 	n.ready = newReadiness(s.Listen.Ready, chiveplatform.ReadyPath, network, n.NotReady)
 	n.grants = chivegrant.New(chivegrant.Options{Mesh: n.mesh, Pools: pools, Logger: n.logger})
 	pools.SetAsker(n.grants)
-	recall := chiverecall.New(chiverecall.Options{
+	caches := chivecache.New(chivecache.Options{
 		Self: s.Listen.Peers, Caches: chiveplatform.NewCaches(s.Listen.Peers, network), Pools: pools, Keepers: n.grants, Logger: n.logger,
 	})
 	n.loads = chiveload.New(chiveload.Options{Mesh: n.mesh, Pools: pools, Keepers: n.grants})
@@ -186,12 +186,12 @@
 	n.directory.OnChange(func([]chivedirectory.Endpoint) { n.startup.noteEndpoints() })
 	n.tables.OnChange(pools.SetTable)
 	n.tables.OnChange(n.grants.SetTable)
-	n.tables.OnChange(recall.SetTable)
+	n.tables.OnChange(caches.SetTable)
 	n.tables.OnChange(n.entry.SetTable)
 	n.directory.OnChange(pools.SetEndpoints)
 	n.directory.OnChange(n.grants.SetEndpoints)
-	n.directory.OnChange(recall.SetEndpoints)
-	return serving{pools, forwarder, recall}
+	n.directory.OnChange(caches.SetEndpoints)
+	return serving{pools, forwarder, caches}
 }
 
 func (n *StoreNode) register(services []named) error {
--- a/chiveplace/cache.go
+++ b/chiveplace/cache.go
@@ -72,8 +72,8 @@
 	return missing
 }
 
-// recall takes parts that an engine says it holds; those that were seen since are used more recently.
-func (c *cache) recall(parts []chiverequest.Part) (tokens int64) {
+// reconcile takes parts that an engine says it holds; those that were seen since are used more recently.
+func (c *cache) reconcile(parts []chiverequest.Part) (tokens int64) {
 	for _, part := range parts {
 		tokens += part.Tokens
 		if _, held := c.parts[part.ID]; held || c.used+part.Tokens > c.room {
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -125,12 +125,12 @@
 	p.ordered = slices.SortedFunc(maps.Values(p.candidates), func(a, b *candidate) int { return strings.Compare(a.incarnation, b.incarnation) })
 }
 
-// Recall takes the parts that an engine, by its incarnation, says it holds, and returns their tokens; parts of incarnations that are not known are dropped.
-func (p *Pool) Recall(endpoint string, parts []chiverequest.Part) (tokens int64) {
+// Reconcile takes the parts that an engine, by its incarnation, says it holds, and returns their tokens; parts of incarnations that are not known are dropped.
+func (p *Pool) Reconcile(endpoint string, parts []chiverequest.Part) (tokens int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s, ok := p.candidates[endpoint]; ok {
-		return s.cache.recall(parts)
+		return s.cache.reconcile(parts)
 	}
 	return 0
 }
--- a/chivewire/kind.go
+++ b/chivewire/kind.go
@@ -38,7 +38,7 @@
 	KindConfigAsk    Kind = 80
 	KindConfigAnswer Kind = 81
 
-	KindKnowledge      Kind = 96
+	KindDigest         Kind = 96
 	KindDocument       Kind = 97
 	KindEarlierChanges Kind = 98
 	KindLoads          Kind = 99
@@ -50,7 +50,7 @@
 	KindDocumentPart    Kind = 109
 	KindDocumentRefusal Kind = 110
 
-	KindStanding      Kind = 112
+	KindDigestAnswer  Kind = 112
 	KindChangesAsk    Kind = 113
 	KindChangesAnswer Kind = 114
 
@@ -67,10 +67,10 @@
 	KindQuotaRequest: "quota_request", KindQuotaGrant: "quota_grant", KindEndpointNews: "endpoint_news",
 	KindClaimWrite: "claim_write", KindClaimResult: "claim_result", KindClaimRecord: "claim_record",
 	KindConfigAsk: "config_ask", KindConfigAnswer: "config_answer",
-	KindKnowledge: "knowledge", KindDocument: "document", KindEarlierChanges: "changes", KindLoads: "loads",
+	KindDigest: "digest", KindDocument: "document", KindEarlierChanges: "changes", KindLoads: "loads",
 	KindAnswersAsk: "answers_ask", KindAnswers: "answers",
 	KindDocumentAsk: "document_ask", KindDocumentPart: "document_part", KindDocumentRefusal: "document_refusal",
-	KindStanding: "standing", KindChangesAsk: "changes_ask", KindChangesAnswer: "changes_answer",
+	KindDigestAnswer: "digest", KindChangesAsk: "changes_ask", KindChangesAnswer: "changes_answer",
 	KindPlaceAsk: "place_ask", KindPlaceAnswer: "place_answer",
 }
 
