--- a/chivecache/service.go
+++ b/chivecache/service.go
@@ -42,23 +42,23 @@
 	Pool(name string) *chiveplace.Pool
 }
 
-// Keepers tell which engines this node decides for in a fleet too large for each to decide for all.
-type Keepers interface {
+// Owners tell which engines this node decides for in a fleet too large for each to decide for all.
+type Owners interface {
 	// Settled tells whether the node knows the fleet by now.
 	Settled() bool
 	// Asking tells whether the fleet is that large.
 	Asking() bool
-	// KeeperOf returns the address of the node that keeps an engine.
-	KeeperOf(endpoint string) string
+	// OwnerOf returns the address of the node that owns an engine.
+	OwnerOf(endpoint string) string
 }
 
 // Options are the parts the service is made of.
 type Options struct {
-	Self    string
-	Caches  Caches
-	Pools   Pools
-	Keepers Keepers
-	Logger  *slog.Logger
+	Self   string
+	Caches Caches
+	Pools  Pools
+	Owners Owners
+	Logger *slog.Logger
 }
 
 // Service asks each engine once for which this node decides.
@@ -150,7 +150,7 @@
 // Before it knows the fleet a node takes itself for the one that decides for all engines: of 295 nodes that start at once each
 // would ask 320 engines, forty in a second, for what another one decides by.
 func (s *Service) next() (next []chivedirectory.Endpoint) {
-	if !s.o.Keepers.Settled() {
+	if !s.o.Owners.Settled() {
 		return nil
 	}
 	s.mu.Lock()
@@ -162,7 +162,7 @@
 		if e.asked || e.cold || !s.engines[e.endpoint.Pool] || e.endpoint.State != chivedirectory.Ready {
 			continue
 		}
-		if s.o.Keepers.Asking() && s.o.Keepers.KeeperOf(e.endpoint.Incarnation().Key()) != s.o.Self {
+		if s.o.Owners.Asking() && s.o.Owners.OwnerOf(e.endpoint.Incarnation().Key()) != s.o.Self {
 			continue
 		}
 		e.asked = true
--- a/chivecache/service_test.go
+++ b/chivecache/service_test.go
@@ -50,7 +50,7 @@
 
 func (j joining) Asking() bool { return j.Settled() }
 
-func (j joining) KeeperOf(endpoint string) string {
+func (j joining) OwnerOf(endpoint string) string {
 	if endpoint < fmt.Sprintf("i-%03d", j.share) {
 		return "self"
 	}
@@ -64,7 +64,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		asked := &engines{}
 		s := chivecache.New(chivecache.Options{
-			Self: "self", Caches: asked, Pools: asked, Keepers: joining{time.Now(), 600 * time.Millisecond, 9}, Logger: slog.New(slog.DiscardHandler),
+			Self: "self", Caches: asked, Pools: asked, Owners: joining{time.Now(), 600 * time.Millisecond, 9}, Logger: slog.New(slog.DiscardHandler),
 		})
 		table, err := chivetable.New(chivetable.Spec{Version: 1, Pools: []chivetable.Pool{{Name: "pool", Engine: chivetable.Engine{Slots: 32}}}})
 		if err != nil {
--- a/chiveclaim/client.go
+++ b/chiveclaim/client.go
@@ -196,11 +196,11 @@
 }
 
 func (c *Client) writerOf(key string) (string, bool) {
-	keepers := c.places.Load().Keepers(StreamOf(SlotOf(key)))
-	if len(keepers) == 0 {
+	owners := c.places.Load().Owners(StreamOf(SlotOf(key)))
+	if len(owners) == 0 {
 		return "", false
 	}
-	return keepers[0].Address, true
+	return owners[0].Address, true
 }
 
 // Finish records the outcome of a request that ran or may have run.
--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -45,9 +45,9 @@
 	SchedulerLost  = define(400, slog.LevelWarn, "no word from a shard's scheduler", "None; the gateway asks the next one, then serves a small local share.")
 	SchedulerTaken = define(401, slog.LevelInfo, "shard taken over", "None; for a moment it grants half of the capacity.")
 	EndpointLeaves = define(402, slog.LevelInfo, "endpoint takes no new work", "None.")
-	KeeperSilent   = define(403, slog.LevelWarn, "keeper of engines does not answer", "None; the node places prompts alone for two seconds. Look at the keeper's VM when it repeats.")
-	KeeperBack     = define(404, slog.LevelInfo, "keeper of engines answers again", "None.")
-	EnginesDivided = define(405, slog.LevelInfo, "engines divided among keepers", "None; asking tells whether the fleet is large enough for keepers.")
+	OwnerSilent    = define(403, slog.LevelWarn, "owner of engines does not answer", "None; the node places prompts alone for two seconds. Look at the owner's VM when it repeats.")
+	OwnerBack      = define(404, slog.LevelInfo, "owner of engines answers again", "None.")
+	EnginesDivided = define(405, slog.LevelInfo, "engines divided among owners", "None; asking tells whether the fleet is large enough for owners.")
 
 	CacheLearnt  = define(406, slog.LevelInfo, "engine's cache learnt", "None; the node decides for the engine from now on and knows what it holds.")
 	CacheUnknown = define(407, slog.LevelWarn, "engine's cache not learnt", "None; the node learns it from what it sends. Look at the engine when it repeats.")
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -218,8 +218,8 @@
 		slog.Int64("tokens_to_read", p.Reads()), slog.Int64("tokens_to_fetch", p.Fetches()), slog.Int64("tokens_again", p.Again()), slog.Int64("tokens_ahead", p.Ahead()),
 		slog.Int64("expected_ms", p.Expected().Milliseconds()),
 	}
-	if keeper := p.Keeper(); keeper != "" {
-		attributes = append(attributes, slog.String("keeper", keeper))
+	if owner := p.Owner(); owner != "" {
+		attributes = append(attributes, slog.String("owner", owner))
 	}
 	if nextBest != "" {
 		attributes = append(attributes, slog.String("next_best", nextBest), slog.Float64("next_cost", rounded(nextLoss)))
--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -67,16 +67,16 @@
 	return true
 }
 
-// from asks the keeper of a group, which may be this node.
+// from asks the owner of a group, which may be this node.
 func (w *wish) from(ctx context.Context, group string, most float64, mostReads int64) (*chiveplace.Place, error) {
 	s := w.service
-	keeper := w.groups.keepers[group]
-	if keeper == s.o.Mesh.Self() {
+	owner := w.groups.owners[group]
+	if owner == s.o.Mesh.Self() {
 		return w.pool.Take(time.Now(), chiveplace.Ask{Prompt: w.request.Prompt, Exclude: w.exclude, Among: w.groups.engines[group], Most: most, MostReads: mostReads})
 	}
 	ask := newPlaceAsk(w.request.Pool, group, w.request.Prompt)
 	ask.Exclude, ask.Most, ask.MostReads = w.exclude, most, mostReads
-	answer, err := s.ask(ctx, keeper, ask)
+	answer, err := s.ask(ctx, owner, ask)
 	if err != nil {
 		return nil, err
 	}
@@ -89,28 +89,28 @@
 			Holder: answer.Grant.FetchFrom, Held: answer.Grant.Fetches}
 	}
 	s.granted.Add(1)
-	answer.Grant.Keeper = keeper
+	answer.Grant.Owner = owner
 	place, ok := w.pool.Adopt(time.Now(), answer.Grant, w.request.Prompt)
-	s.note(keeper, answer.Given)
+	s.note(owner, answer.Given)
 	if !ok {
 		return nil, ErrAlone
 	}
 	return place, nil
 }
 
-// note remembers a grant, so that the next word to its keeper tells that it is counted there.
-func (s *Service) note(keeper string, given uint64) {
+// note remembers a grant, so that the next word to its owner tells that it is counted there.
+func (s *Service) note(owner string, given uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.seen[keeper] = given
+	s.seen[owner] = given
 }
 
 // ask sends a question and waits a short while for its answer.
-func (s *Service) ask(ctx context.Context, keeper string, ask PlaceAsk) (PlaceAnswer, error) {
+func (s *Service) ask(ctx context.Context, owner string, ask PlaceAsk) (PlaceAnswer, error) {
 	ask.Number = s.numbers.Add(1)
 	answered := make(chan PlaceAnswer, 1)
 	s.mu.Lock()
-	silent := keeper == "" || time.Now().Before(s.silent[keeper])
+	silent := owner == "" || time.Now().Before(s.silent[owner])
 	if !silent {
 		s.waiting[ask.Number] = answered
 	}
@@ -120,42 +120,42 @@
 	}
 	defer s.forget(ask.Number)
 	s.asked.Add(1)
-	if err := s.o.Mesh.Send(keeper, chivewire.KindPlaceAsk, ask); err != nil {
+	if err := s.o.Mesh.Send(owner, chivewire.KindPlaceAsk, ask); err != nil {
 		return PlaceAnswer{}, fmt.Errorf("%w: %w", ErrAlone, err)
 	}
 	timer := time.NewTimer(askWithin)
 	defer timer.Stop()
 	select {
 	case answer := <-answered:
-		s.noteAnswer(ctx, keeper)
+		s.noteAnswer(ctx, owner)
 		return answer, nil
 	case <-ctx.Done():
 	case <-timer.C:
-		s.noteSilence(ctx, keeper, ask.Group)
+		s.noteSilence(ctx, owner, ask.Group)
 	}
 	return PlaceAnswer{}, ErrAlone
 }
 
-// noteSilence keeps the node from asking a keeper for a while; one line tells of a silence, however long it lasts.
-func (s *Service) noteSilence(ctx context.Context, keeper, group string) {
+// noteSilence keeps the node from asking an owner for a while; one line tells of a silence, however long it lasts.
+func (s *Service) noteSilence(ctx context.Context, owner, group string) {
 	s.unheard.Add(1)
 	s.mu.Lock()
-	_, known := s.silent[keeper]
-	s.silent[keeper] = time.Now().Add(silentFor)
+	_, known := s.silent[owner]
+	s.silent[owner] = time.Now().Add(silentFor)
 	s.mu.Unlock()
 	if !known {
-		chiveevent.KeeperSilent.Log(ctx, s.o.Logger, slog.String("keeper", keeper), slog.String("group", group),
+		chiveevent.OwnerSilent.Log(ctx, s.o.Logger, slog.String("owner", owner), slog.String("group", group),
 			slog.Int64("waited_ms", askWithin.Milliseconds()))
 	}
 }
 
-func (s *Service) noteAnswer(ctx context.Context, keeper string) {
+func (s *Service) noteAnswer(ctx context.Context, owner string) {
 	s.mu.Lock()
-	_, known := s.silent[keeper]
-	delete(s.silent, keeper)
+	_, known := s.silent[owner]
+	delete(s.silent, owner)
 	s.mu.Unlock()
 	if known {
-		chiveevent.KeeperBack.Log(ctx, s.o.Logger, slog.String("keeper", keeper))
+		chiveevent.OwnerBack.Log(ctx, s.o.Logger, slog.String("owner", owner))
 	}
 }
 
--- a/chivegrant/doc.go
+++ b/chivegrant/doc.go
@@ -3,6 +3,6 @@
 //
 // In a small fleet each node tells all others what it runs and decides alone. The cost of that grows with the square of the
 // fleet; spaced out until it is affordable, it is too old to be of use: with 78 nodes a node's word came every 0.84 s,
-// and the grown kumihan-drift served as much with no word at all. Asking costs the same a request at any size. The keeper
+// and the grown kumihan-drift served as much with no word at all. Asking costs the same a request at any size. The owner
 // is never waited for long: when it does not answer, the node decides alone, and for a while does not ask it again.
 package chivegrant
--- a/chivegrant/fetch_test.go
+++ b/chivegrant/fetch_test.go
@@ -22,12 +22,12 @@
 
 // Symptom: in bursts an eighth of all prompt tokens that engines read had been read by another one within ten seconds.
 // Sequence: the group in which a shared part is at home has too much to do; the request goes to the part's second group.
-// Cause: the keeper there knows what its own engines hold, and not what the first group's do; its engine read the part anew instead of fetching it.
+// Cause: the owner there knows what its own engines hold, and not what the first group's do; its engine read the part anew instead of fetching it.
 func TestSecondGroupFetchesWhatTheFirstHolds(t *testing.T) {
 	const engines = 18
-	keepers := []*node{startNode(t, chivestand.FreeAddress()), startNode(t, chivestand.FreeAddress())}
+	owners := []*node{startNode(t, chivestand.FreeAddress()), startNode(t, chivestand.FreeAddress())}
 	asker := startNode(t, chivestand.FreeAddress())
-	addresses := []string{keepers[0].mesh.Self(), keepers[1].mesh.Self()}
+	addresses := []string{owners[0].mesh.Self(), owners[1].mesh.Self()}
 	table, err := chivetable.New(chivetable.Spec{Pools: []chivetable.Pool{{Name: "p", Engine: engine}}})
 	if err != nil {
 		t.Fatal(err)
@@ -36,7 +36,7 @@
 	for i := range engines {
 		endpoints = append(endpoints, chivedirectory.Endpoint{ID: fmt.Sprintf("e%d", i), Pool: "p", Address: fmt.Sprintf("127.0.0.1:%d", 1000+i)})
 	}
-	for _, n := range append(keepers, asker) {
+	for _, n := range append(owners, asker) {
 		n.know(t, engines, addresses, 20)
 		n.pool.SetEndpoints(endpoints)
 		n.grant.SetTable(table)
@@ -48,19 +48,19 @@
 		t.Fatal(err)
 	}
 	time.Sleep(time.Second)
-	home := asker.grant.KeeperOf(first.Endpoint().Incarnation().Key())
-	for _, k := range keepers {
+	home := asker.grant.OwnerOf(first.Endpoint().Incarnation().Key())
+	for _, k := range owners {
 		if k.mesh.Self() != home {
 			continue
 		}
 		busy := chiveplace.News{}
 		for _, e := range endpoints {
-			if asker.grant.KeeperOf(e.Incarnation().Key()) == home {
+			if asker.grant.OwnerOf(e.Incarnation().Key()) == home {
 				busy.Loads = append(busy.Loads, chiveplace.Load{Endpoint: e.Incarnation().Key(), Requests: 9, Waiting: []int64{90_000}})
 			}
 		}
 		if len(busy.Loads) == engines {
-			t.Fatal("both groups have one keeper")
+			t.Fatal("both groups have one owner")
 		}
 		k.pool.Hear(time.Now(), "other", &busy)
 	}
@@ -68,7 +68,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if asker.grant.KeeperOf(next.Endpoint().Incarnation().Key()) == home {
+	if asker.grant.OwnerOf(next.Endpoint().Incarnation().Key()) == home {
 		t.Fatal("the request waits in the group that has too much to do")
 	}
 	if next.FetchFrom() != first.Endpoint().Address || next.Fetches() != 13_000 || next.Reads() != 3700 {
--- a/chivegrant/groups.go
+++ b/chivegrant/groups.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// groupEngines is the usual number of engines in a group: as many as a whole pool of today's sites, and few enough that a keeper
+	// groupEngines is the usual number of engines in a group: as many as a whole pool of today's sites, and few enough that an owner
 	// grants some 15 places a second at the target (990 requests a second, 600 engines).
 	groupEngines = 9
 	// aloneUpTo is the largest fleet in which each node tells all others, a dozen peers every 60 ms. Measured were 7 and 8 nodes, where
@@ -26,7 +26,7 @@
 	pools   map[string]*division
 	groupOf map[string]string
 	engines map[string]map[string]bool
-	keepers map[string]string
+	owners  map[string]string
 }
 
 // division is one pool's engines, in order of their hashes, with the number of each one's group.
@@ -47,7 +47,7 @@
 func newGroups(endpoints []chivedirectory.Endpoint, isEngine func(pool string) bool, members []chivemember.Member, place *placer) *groups {
 	g := &groups{
 		asking: len(members) > aloneUpTo, pools: make(map[string]*division), groupOf: make(map[string]string),
-		engines: make(map[string]map[string]bool), keepers: make(map[string]string),
+		engines: make(map[string]map[string]bool), owners: make(map[string]string),
 	}
 	if !g.asking {
 		return g
@@ -63,7 +63,7 @@
 		g.pools[pool] = g.divide(pool, engines)
 		names = append(names, g.pools[pool].names...)
 	}
-	g.keepers = place.keepers(names, members)
+	g.owners = place.owners(names, members)
 	return g
 }
 
@@ -75,8 +75,8 @@
 	placed  map[string]string
 }
 
-// keepers returns the address of the node that keeps each group.
-func (p *placer) keepers(names []string, members []chivemember.Member) map[string]string {
+// owners returns the address of the node that keeps each group.
+func (p *placer) owners(names []string, members []chivemember.Member) map[string]string {
 	slices.Sort(names)
 	if p.placed != nil && slices.Equal(names, p.names) && slices.Equal(members, p.members) {
 		return p.placed
@@ -88,8 +88,8 @@
 	placement := chiveroute.NewPlacement(keys, members)
 	p.names, p.members, p.placed = names, members, make(map[string]string, len(names))
 	for _, name := range names {
-		if keepers := placement.Keepers(name); len(keepers) > 0 {
-			p.placed[name] = keepers[0].Address
+		if owners := placement.Owners(name); len(owners) > 0 {
+			p.placed[name] = owners[0].Address
 		}
 	}
 	return p.placed
@@ -164,8 +164,8 @@
 // keptBy returns the groups that a node keeps, by name.
 func (g *groups) keptBy(address string) []string {
 	var names []string
-	for name, keeper := range g.keepers {
-		if keeper == address {
+	for name, owner := range g.owners {
+		if owner == address {
 			names = append(names, name)
 		}
 	}
@@ -173,5 +173,5 @@
 	return names
 }
 
-// keeperOf returns the address of the node that keeps an engine; empty for one that nobody keeps.
-func (g *groups) keeperOf(engine string) string { return g.keepers[g.groupOf[engine]] }
+// ownerOf returns the address of the node that owns an engine; empty for one that nobody owns.
+func (g *groups) ownerOf(engine string) string { return g.owners[g.groupOf[engine]] }
--- a/chivegrant/message.go
+++ b/chivegrant/message.go
@@ -8,7 +8,7 @@
 	"chivedrift/chivetable"
 )
 
-// PlaceAsk asks the keeper of a group for a place.
+// PlaceAsk asks the owner of a group for a place.
 type PlaceAsk struct {
 	// Number names the question among those of its node.
 	Number uint64
@@ -39,13 +39,13 @@
 	return &chiverequest.Prompt{Parts: a.Parts, Input: a.Input, Target: a.Target, Pause: a.Pause, Urgent: a.Urgent, Rank: a.Rank}
 }
 
-// PlaceAnswer is the keeper's answer.
+// PlaceAnswer is the owner's answer.
 type PlaceAnswer struct {
 	// Number is the question's, Given the grant's own, by which its node tells that it has it; 0 without a grant.
 	Number uint64
 	Given  uint64
 	Grant  chiveplace.Grant
-	// Unknown tells that the keeper does not know the engines of the group yet.
+	// Unknown tells that the owner does not know the engines of the group yet.
 	Unknown bool
 	// Refused tells why there is no grant; RetryAfter and Loss go with it. FetchFrom and Fetches of the empty grant then name the engine that has read
 	// the most of the prompt, and how much that is.
--- a/chivegrant/service.go
+++ b/chivegrant/service.go
@@ -24,9 +24,9 @@
 const ServiceName = "grants"
 
 const (
-	// askWithin is how long a keeper may take: several times the way there and back, and far less than any target.
+	// askWithin is how long an owner may take: several times the way there and back, and far less than any target.
 	askWithin = 40 * time.Millisecond
-	// silentFor is how long a keeper that did not answer is not asked: about the time until it is noticed as dead.
+	// silentFor is how long an owner that did not answer is not asked: about the time until it is noticed as dead.
 	silentFor = 2 * time.Second
 	inboxSize = 1024
 	// divideEvery is the least time between two divisions: when a deployment starts, thousands of engines come one by one.
@@ -41,7 +41,7 @@
 )
 
 // ErrAlone tells that the node has to decide alone.
-var ErrAlone = errors.New("no keeper answers")
+var ErrAlone = errors.New("no owner answers")
 
 // Pools are the pools that places are granted in.
 type Pools interface {
@@ -72,7 +72,7 @@
 	ask  PlaceAsk
 }
 
-// Service asks keepers for places, and answers for the groups that this node keeps.
+// Service asks owners for places, and answers for the groups that this node keeps.
 type Service struct {
 	o       Options
 	inbox   *chivering.Ring[question]
@@ -128,14 +128,14 @@
 	return nil
 }
 
-// Dump returns the groups with their keepers.
+// Dump returns the groups with their owners.
 func (s *Service) Dump() any {
 	g := s.divided.Load()
 	return struct {
-		Asking  bool              `json:"asking"`
-		Keepers map[string]string `json:"keepers"`
-		Ring    chivering.Depth   `json:"ring"`
-	}{g.asking, g.keepers, s.inbox.Depth()}
+		Asking bool              `json:"asking"`
+		Owners map[string]string `json:"owners"`
+		Ring   chivering.Depth   `json:"ring"`
+	}{g.asking, g.owners, s.inbox.Depth()}
 }
 
 // SetTable takes a configuration that came into force.
@@ -196,7 +196,7 @@
 	}
 }
 
-// Divide works out the groups and their keepers from what is known now; changes do it by themselves, a moment later.
+// Divide works out the groups and their owners from what is known now; changes do it by themselves, a moment later.
 func (s *Service) Divide() {
 	s.mu.Lock()
 	g := newGroups(s.endpoints, func(pool string) bool { return s.engines[pool] }, s.members, &s.placer)
@@ -205,10 +205,10 @@
 	s.mu.Unlock()
 	if own, was := g.keptBy(s.o.Mesh.Self()), before.keptBy(s.o.Mesh.Self()); g.asking != before.asking || !slices.Equal(own, was) {
 		chiveevent.EnginesDivided.Log(context.Background(), s.o.Logger, slog.Bool("asking", g.asking), slog.Int("nodes", nodes),
-			slog.Int("groups", len(g.engines)), slog.Any("kept_here", own))
+			slog.Int("groups", len(g.engines)), slog.Any("owned_here", own))
 	}
 	if g.asking {
-		s.o.Pools.Release(func(endpoint string) bool { return g.keeperOf(endpoint) == s.o.Mesh.Self() })
+		s.o.Pools.Release(func(endpoint string) bool { return g.ownerOf(endpoint) == s.o.Mesh.Self() })
 	}
 }
 
@@ -225,15 +225,15 @@
 	return stays || !s.began.IsZero() && time.Since(s.began) >= settledAtLast
 }
 
-// Asking tells whether the fleet is so large that keepers are asked.
+// Asking tells whether the fleet is so large that owners are asked.
 func (s *Service) Asking() bool { return s.divided.Load().asking }
 
-// KeeperOf returns the address of the node that keeps an engine; empty for an endpoint that nobody keeps.
-func (s *Service) KeeperOf(endpoint string) string { return s.divided.Load().keeperOf(endpoint) }
+// OwnerOf returns the address of the node that owns an engine; empty for an endpoint that nobody owns.
+func (s *Service) OwnerOf(endpoint string) string { return s.divided.Load().ownerOf(endpoint) }
 
-// Seen returns the newest grant of a keeper that this node has taken.
-func (s *Service) Seen(keeper string) uint64 {
+// Seen returns the newest grant of an owner that this node has taken.
+func (s *Service) Seen(owner string) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.seen[keeper]
+	return s.seen[owner]
 }
--- a/chivegrant/service_test.go
+++ b/chivegrant/service_test.go
@@ -106,8 +106,8 @@
 
 // Symptom: requests of many nodes went to the same engine while others stood idle.
 // Sequence: two nodes, neither of which knew of the other's requests of the last moment, chose at once.
-// Cause: each decided by itself. The keeper of the engines decides for both, and knows of each place before the next.
-func TestKeeperKnowsOfEachPlaceAtOnce(t *testing.T) {
+// Cause: each decided by itself. The owner of the engines decides for both, and knows of each place before the next.
+func TestOwnerKnowsOfEachPlaceAtOnce(t *testing.T) {
 	addresses := []string{chivestand.FreeAddress(), chivestand.FreeAddress()}
 	nodes := []*node{startNode(t, addresses[0]), startNode(t, addresses[1])}
 	const engines = 8
@@ -124,24 +124,24 @@
 		})
 	}
 	done.Wait()
-	keeper := nodes[0]
-	if keeper.grant.KeeperOf("e0") != keeper.mesh.Self() {
-		keeper = nodes[1]
+	owner := nodes[0]
+	if owner.grant.OwnerOf("e0") != owner.mesh.Self() {
+		owner = nodes[1]
 	}
 	known := 0
-	for _, s := range keeper.pool.States(time.Now()) {
+	for _, s := range owner.pool.States(time.Now()) {
 		known += s.Own + s.Others
 	}
 	if known != requests {
-		t.Errorf("the keeper knows of %d requests of %d", known, requests)
+		t.Errorf("the owner knows of %d requests of %d", known, requests)
 	}
 }
 
 // Symptom: requests waited for a node that did not answer.
-// Sequence: the keeper's machine stood still; its connections stayed open.
+// Sequence: the owner's machine stood still; its connections stayed open.
 // Cause: nothing on a connection shows that. A question waits 40 ms, then the node decides alone and does not ask that
-// keeper for two seconds.
-func TestSilentKeeperIsNotWaitedFor(t *testing.T) {
+// owner for two seconds.
+func TestSilentOwnerIsNotWaitedFor(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -164,7 +164,7 @@
 
 // Symptom: a node refused all prompts for some seconds although the engines were there.
 // Sequence: it was cut off from the engines for a moment, and passed over all of them for up to four seconds.
-// Cause: it named all of them to the keeper as engines that it would not send to. It decides alone then, and tries one.
+// Cause: it named all of them to the owner as engines that it would not send to. It decides alone then, and tries one.
 func TestNodeThatPassesOverAllEnginesDecidesAlone(t *testing.T) {
 	n := startNode(t, chivestand.FreeAddress())
 	n.know(t, 4, []string{n.mesh.Self()}, 20)
@@ -181,12 +181,12 @@
 }
 
 // Symptom: requests were refused for some tenths of a second after engines had come, by nodes that knew them.
-// Sequence: the keeper of the engines had not divided them yet when it was asked.
+// Sequence: the owner of the engines had not divided them yet when it was asked.
 // Cause: its answer counted as a refusal. It says nothing of the engines' room, so the node decides alone.
-func TestKeeperThatDoesNotKnowTheEnginesYetRefusesNobody(t *testing.T) {
-	keeper, n := startNode(t, chivestand.FreeAddress()), startNode(t, chivestand.FreeAddress())
-	keeper.know(t, 0, []string{keeper.mesh.Self()}, 20)
-	n.know(t, 8, []string{keeper.mesh.Self()}, 20)
+func TestOwnerThatDoesNotKnowTheEnginesYetRefusesNobody(t *testing.T) {
+	owner, n := startNode(t, chivestand.FreeAddress()), startNode(t, chivestand.FreeAddress())
+	owner.know(t, 0, []string{owner.mesh.Self()}, 20)
+	n.know(t, 8, []string{owner.mesh.Self()}, 20)
 	if _, err := n.place(1); !errors.Is(err, chivegrant.ErrAlone) {
 		t.Errorf("got %v", err)
 	}
@@ -203,23 +203,23 @@
 // Nodes agree on the groups without talking, groups are not far from even, and one more engine moves few others.
 func TestGroups(t *testing.T) {
 	address := chivestand.FreeAddress()
-	keepers := make([]string, 20)
-	for i := range keepers {
-		keepers[i] = fmt.Sprintf("127.0.0.8:%d", i+1)
+	owners := make([]string, 20)
+	for i := range owners {
+		owners[i] = fmt.Sprintf("127.0.0.8:%d", i+1)
 	}
 	a, b := startNode(t, address), startNode(t, chivestand.FreeAddress())
-	a.know(t, 600, keepers, 330)
-	b.know(t, 600, keepers, 330)
+	a.know(t, 600, owners, 330)
+	b.know(t, 600, owners, 330)
 	kept := make(map[string]int)
 	before := make(map[string]string)
 	for i := range 600 {
 		id := fmt.Sprintf("e%d", i)
-		keeper := a.grant.KeeperOf(id)
-		if keeper == "" || keeper != b.grant.KeeperOf(id) {
-			t.Fatalf("engine %s is kept by %q here and by %q there", id, keeper, b.grant.KeeperOf(id))
+		owner := a.grant.OwnerOf(id)
+		if owner == "" || owner != b.grant.OwnerOf(id) {
+			t.Fatalf("engine %s is kept by %q here and by %q there", id, owner, b.grant.OwnerOf(id))
 		}
-		kept[keeper]++
-		before[id] = keeper
+		kept[owner]++
+		before[id] = owner
 	}
 	var sizes []int
 	for _, size := range kept {
@@ -229,10 +229,10 @@
 	if len(sizes) != 20 || sizes[0] < 10 || sizes[19] > 60 {
 		t.Errorf("the nodes keep %v engines", sizes)
 	}
-	a.know(t, 601, keepers, 330)
+	a.know(t, 601, owners, 330)
 	moved := 0
-	for id, keeper := range before {
-		if a.grant.KeeperOf(id) != keeper {
+	for id, owner := range before {
+		if a.grant.OwnerOf(id) != owner {
 			moved++
 		}
 	}
--- a/chiveload/service.go
+++ b/chiveload/service.go
@@ -35,21 +35,21 @@
 	Forget(alive map[string]bool)
 }
 
-// Keepers tell who has to know of an engine in a fleet too large for all to know of all.
-type Keepers interface {
+// Owners tell who has to know of an engine in a fleet too large for all to know of all.
+type Owners interface {
 	// Asking tells whether the fleet is that large.
 	Asking() bool
-	// KeeperOf returns the address of the node that keeps an engine; empty for an endpoint that nobody keeps.
-	KeeperOf(endpoint string) string
-	// Seen returns the newest grant of a keeper that this node has taken.
-	Seen(keeper string) uint64
+	// OwnerOf returns the address of the node that owns an engine; empty for an endpoint that nobody owns.
+	OwnerOf(endpoint string) string
+	// Seen returns the newest grant of an owner that this node has taken.
+	Seen(owner string) uint64
 }
 
 // Options are the parts the service is made of.
 type Options struct {
-	Mesh    *chivewire.Mesh
-	Pools   Pools
-	Keepers Keepers
+	Mesh   *chivewire.Mesh
+	Pools  Pools
+	Owners Owners
 }
 
 // message is one message with its sender.
@@ -65,7 +65,7 @@
 	mu      sync.Mutex
 	members []chivemember.Member
 	duties  chivekernel.Duties
-	// told are the keepers that have heard of requests since everything was last told.
+	// told are the owners that have heard of requests since everything was last told.
 	told map[string]bool
 }
 
@@ -142,8 +142,8 @@
 
 func (s *Service) tell(peers []string, all bool) {
 	news := s.o.Pools.Collect(all)
-	if s.o.Keepers.Asking() {
-		s.tellKeepers(news, all)
+	if s.o.Owners.Asking() {
+		s.tellOwners(news, all)
 		return
 	}
 	if news.Empty() {
@@ -155,38 +155,38 @@
 	}
 }
 
-// tellKeepers tells each keeper of the requests on its engines.
-func (s *Service) tellKeepers(news chiveplace.News, all bool) {
+// tellOwners tells each owner of the requests on its engines.
+func (s *Service) tellOwners(news chiveplace.News, all bool) {
 	parts := make(map[string]*chiveplace.News)
-	to := func(keeper string) *chiveplace.News {
-		if parts[keeper] == nil {
-			parts[keeper] = &chiveplace.News{All: all}
+	to := func(owner string) *chiveplace.News {
+		if parts[owner] == nil {
+			parts[owner] = &chiveplace.News{All: all}
 		}
-		return parts[keeper]
+		return parts[owner]
 	}
 	if all {
-		for keeper := range s.told {
-			to(keeper)
+		for owner := range s.told {
+			to(owner)
 		}
 		clear(s.told)
 	}
 	for _, l := range news.Loads {
-		part := to(s.o.Keepers.KeeperOf(l.Endpoint))
+		part := to(s.o.Owners.OwnerOf(l.Endpoint))
 		part.Loads = append(part.Loads, l)
 	}
 	for _, r := range news.Reads {
-		part := to(s.o.Keepers.KeeperOf(r.Endpoint))
+		part := to(s.o.Owners.OwnerOf(r.Endpoint))
 		part.Reads = append(part.Reads, r)
 	}
-	for keeper, part := range parts {
-		if keeper == "" || keeper == s.o.Mesh.Self() {
+	for owner, part := range parts {
+		if owner == "" || owner == s.o.Mesh.Self() {
 			continue
 		}
 		if len(part.Loads) > 0 {
-			s.told[keeper] = true
+			s.told[owner] = true
 		}
-		part.Granted = s.o.Keepers.Seen(keeper)
+		part.Granted = s.o.Owners.Seen(owner)
 		// A full ring loses a message; the repetition makes up for it.
-		_ = s.o.Mesh.Send(keeper, chivewire.KindLoads, *part)
+		_ = s.o.Mesh.Send(owner, chivewire.KindLoads, *part)
 	}
 }
--- a/chivenode/fleet_test.go
+++ b/chivenode/fleet_test.go
@@ -63,7 +63,7 @@
 // schedulerOf returns the node that schedules the only shard.
 func (c *cluster) schedulerOf() int {
 	members := lookup[*chivemember.Service](c, 0, chivemember.ServiceName).Members()
-	first := chiveroute.NewPlacement([]chiveroute.Key{chiveroute.NewKey("m/r/0", "r")}, members).Keepers("m/r/0")[0]
+	first := chiveroute.NewPlacement([]chiveroute.Key{chiveroute.NewKey("m/r/0", "r")}, members).Owners("m/r/0")[0]
 	for i := range c.nodes {
 		if nodeName(i) == first.Name {
 			return i
--- a/chivenode/limit_test.go
+++ b/chivenode/limit_test.go
@@ -11,7 +11,7 @@
 )
 
 // Symptom: a team gets its limit once a node. Sequence: a team with a limit sends through every node at once, and its
-// limit's keeper is lost half-way. Cause: each node counted for itself.
+// limit's owner is lost half-way. Cause: each node counted for itself.
 func TestTeamLimitHoldsOverTheFleet(t *testing.T) {
 	inCluster(t, shape{nodes: 6, engines: 4, sequences: 16}, func(c *cluster) {
 		const limit, perRequest = 200, 20
--- a/chivenode/node.go
+++ b/chivenode/node.go
@@ -91,7 +91,7 @@
 		{accountName, newAccount(metrics.Scope(), n.mesh, process)},
 		{chivemember.ServiceName, n.members},
 		{chivefollow.ServiceName, n.follower},
-		{chiveschedule.KeeperName, chiveschedule.NewKeeper(n.mesh, n.logger)},
+		{chiveschedule.OwnerName, chiveschedule.NewOwner(n.mesh, n.logger)},
 		{chiveschedule.ClientName, slots},
 		{chiveclaim.WriterName, chiveclaim.NewWriter(log, n.mesh, n.logger)},
 		{chiveclaim.ClientName, claims},
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -178,9 +178,9 @@
 	n.grants = chivegrant.New(chivegrant.Options{Mesh: n.mesh, Pools: pools, Logger: n.logger})
 	pools.SetAsker(n.grants)
 	caches := chivecache.New(chivecache.Options{
-		Self: s.Listen.Peers, Caches: chiveplatform.NewCaches(s.Listen.Peers, network), Pools: pools, Keepers: n.grants, Logger: n.logger,
+		Self: s.Listen.Peers, Caches: chiveplatform.NewCaches(s.Listen.Peers, network), Pools: pools, Owners: n.grants, Logger: n.logger,
 	})
-	n.loads = chiveload.New(chiveload.Options{Mesh: n.mesh, Pools: pools, Keepers: n.grants})
+	n.loads = chiveload.New(chiveload.Options{Mesh: n.mesh, Pools: pools, Owners: n.grants})
 	n.startup = newStartup(n.logger, n.NotReady, n.grants.Settled, func() int { return len(n.members.Members()) })
 	n.tables.OnChange(func(*chivetable.Table) { n.startup.noteTable() })
 	n.directory.OnChange(func([]chivedirectory.Endpoint) { n.startup.noteEndpoints() })
@@ -220,7 +220,7 @@
 		{"places_asked", func() float64 { return float64(n.grants.Counts().Asked) }},
 		{"places_granted", func() float64 { return float64(n.grants.Counts().Granted) }},
 		{"places_refused", func() float64 { return float64(n.grants.Counts().Refused) }},
-		{"keepers_silent", func() float64 { return float64(n.grants.Counts().Silent) }},
+		{"owners_silent", func() float64 { return float64(n.grants.Counts().Silent) }},
 		{"table_version", func() float64 { return float64(n.tables.Version()) }},
 		{"table_newest_known", func() float64 { return float64(n.tables.Newest()) }},
 		{"table_since_seconds", func() float64 { return n.tables.Since().Seconds() }},
--- a/chiveplace/grant.go
+++ b/chiveplace/grant.go
@@ -26,8 +26,8 @@
 	Ahead      int64
 	Loss       float64
 	Candidates int
-	// Keeper is the address of the node that granted it, as the node that asked notes it.
-	Keeper string
+	// Owner is the address of the node that granted it, as the node that asked notes it.
+	Owner string
 }
 
 // promise is a granted place that its node has not told of yet. It counts as if that node had told of it.
@@ -106,7 +106,7 @@
 		return nil, false
 	}
 	place := &Place{
-		pool: p, candidate: s, endpoint: s.endpoint, began: now, reason: "granted by its keeper", keeper: grant.Keeper, loss: grant.Loss, candidates: grant.Candidates,
+		pool: p, candidate: s, endpoint: s.endpoint, began: now, reason: "granted by its owner", owner: grant.Owner, loss: grant.Loss, candidates: grant.Candidates,
 		reads: grant.Reads, fetches: grant.Fetches, fetchFrom: grant.FetchFrom, ahead: grant.Ahead, rank: prompt.Rank, tight: p.isTight(prompt),
 		input: prompt.Input,
 	}
--- a/chiveplace/grant_test.go
+++ b/chiveplace/grant_test.go
@@ -29,7 +29,7 @@
 
 // Symptom: requests that arrived at many nodes in the same tenth of a second went to one engine.
 // Sequence: each node chose by what it had last heard of the others.
-// Cause: nobody knew of the choices that were just being made. A keeper counts a place at once, before its node tells of it, and
+// Cause: nobody knew of the choices that were just being made. An owner counts a place at once, before its node tells of it, and
 // not twice when it does.
 func TestGrantCountsAtOnceAndOnce(t *testing.T) {
 	p := newPool(2, engine)
@@ -47,7 +47,7 @@
 	}
 }
 
-// Symptom: an engine stood idle because a keeper thought it full.
+// Symptom: an engine stood idle because an owner thought it full.
 // Sequence: nodes asked for places, and died or decided alone before the answer arrived.
 // Cause: nobody ever tells that such places are not used. They count for a second, or until their node is known to be dead.
 func TestGrantsThatAreNotUsedRunOut(t *testing.T) {
@@ -66,8 +66,8 @@
 }
 
 func TestAdoptedPlaceIsTheNodesOwn(t *testing.T) {
-	keeper, node := newPool(2, engine), newPool(2, engine)
-	g := grant(t, keeper, time.Now(), "n1", 1, 100)
+	owner, node := newPool(2, engine), newPool(2, engine)
+	g := grant(t, owner, time.Now(), "n1", 1, 100)
 	place, ok := node.Adopt(time.Now(), g, shortPrompt(100))
 	if !ok || place.Endpoint().ID != g.Endpoint || load(node, g.Endpoint) != 1 {
 		t.Fatalf("adopted %v, %v", place, ok)
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -32,7 +32,7 @@
 	endpoint   chivedirectory.Endpoint
 	began      time.Time
 	reason     string
-	keeper     string
+	owner      string
 	loss       float64
 	nextBest   string
 	nextLoss   float64
@@ -78,8 +78,8 @@
 // Reason tells by what the endpoint was chosen.
 func (p *Place) Reason() string { return p.reason }
 
-// Keeper returns the address of the node that granted the place; empty when this node chose.
-func (p *Place) Keeper() string { return p.keeper }
+// Owner returns the address of the node that granted the place; empty when this node chose.
+func (p *Place) Owner() string { return p.owner }
 
 // Candidates returns among how many endpoints it was chosen.
 func (p *Place) Candidates() int { return p.candidates }
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -219,7 +219,7 @@
 	return usable, present
 }
 
-// among returns the candidates that a request may be placed on, by id; a keeper's part of a pool of thousands is looked up, not searched.
+// among returns the candidates that a request may be placed on, by id; an owner's part of a pool of thousands is looked up, not searched.
 func (p *Pool) among(ask Ask) []*candidate {
 	if ask.Among == nil {
 		return p.ordered
--- a/chivequota/service.go
+++ b/chivequota/service.go
@@ -35,7 +35,7 @@
 	AfterMs int64
 }
 
-// Service is both sides: the keeper of the teams that hash to this node, and the gateway that asks.
+// Service is both sides: the owner of the teams that hash to this node, and the gateway that asks.
 type Service struct {
 	mesh    *chivewire.Mesh
 	members atomic.Pointer[[]chivemember.Member]
@@ -79,7 +79,7 @@
 	return balances
 }
 
-// Take asks the team's keeper for tokens; without its word in time, this node's own share of the limit decides.
+// Take asks the team's owner for tokens; without its word in time, this node's own share of the limit decides.
 func (s *Service) Take(ctx context.Context, team string, limit, tokens int64) (ok bool, after time.Duration) {
 	s.mu.Lock()
 	s.limits[team] = limit
@@ -103,13 +103,13 @@
 	if !limited || tokens == 0 {
 		return
 	}
-	if keeper, ok := s.keeperOf(team); ok {
+	if owner, ok := s.ownerOf(team); ok {
 		// When this is lost the team's limit is off by one request's estimate.
-		_ = s.mesh.Send(keeper, chivewire.KindQuotaRequest, Request{Team: team, Limit: limit, Tokens: tokens})
+		_ = s.mesh.Send(owner, chivewire.KindQuotaRequest, Request{Team: team, Limit: limit, Tokens: tokens})
 	}
 }
 
-func (s *Service) keeperOf(team string) (string, bool) {
+func (s *Service) ownerOf(team string) (string, bool) {
 	ranked := chiveroute.Ranked("quota/"+team, "", *s.members.Load())
 	if len(ranked) == 0 {
 		return "", false
@@ -118,7 +118,7 @@
 }
 
 func (s *Service) ask(ctx context.Context, r Request) (Grant, bool) {
-	keeper, ok := s.keeperOf(r.Team)
+	owner, ok := s.ownerOf(r.Team)
 	if !ok {
 		return Grant{}, false
 	}
@@ -131,7 +131,7 @@
 		delete(s.waiting, r.ID)
 		s.mu.Unlock()
 	}()
-	if err := s.mesh.Send(keeper, chivewire.KindQuotaRequest, r); err != nil {
+	if err := s.mesh.Send(owner, chivewire.KindQuotaRequest, r); err != nil {
 		return Grant{}, false
 	}
 	select {
--- a/chiveroute/placement.go
+++ b/chiveroute/placement.go
@@ -27,9 +27,9 @@
 	order map[string][]chivemember.Member
 }
 
-// keepersKept is how many keepers a key's order goes down to: with all of 330 members for each of 144 keys a placement
+// ownersKept is how many owners a key's order goes down to: with all of 330 members for each of 144 keys a placement
 // would take megabytes, and after eight that do not answer the gateway's own small share serves.
-const keepersKept = 8
+const ownersKept = 8
 
 // NewPlacement places keys on the live members.
 func NewPlacement(keys []Key, members []chivemember.Member) *Placement {
@@ -49,14 +49,14 @@
 		}
 		if len(ranked) > 0 {
 			kept[ranked[chosen].Name]++
-			p.order[k.id] = append([]chivemember.Member(nil), moveToFront(ranked, chosen)[:min(len(ranked), keepersKept)]...)
+			p.order[k.id] = append([]chivemember.Member(nil), moveToFront(ranked, chosen)[:min(len(ranked), ownersKept)]...)
 		}
 	}
 	return p
 }
 
-// Keepers returns the members that keep a key, the present one first.
-func (p *Placement) Keepers(id string) []chivemember.Member { return p.order[id] }
+// Owners returns the members that keep a key, the present one first.
+func (p *Placement) Owners(id string) []chivemember.Member { return p.order[id] }
 
 // evenShares returns, by region, how many keys a node keeps when they are spread evenly.
 func evenShares(keys []Key, members []chivemember.Member) map[string]int {
--- a/chiveroute/placement_test.go
+++ b/chiveroute/placement_test.go
@@ -37,8 +37,8 @@
 		mixed := chiveroute.NewPlacement(rapid.Permutation(list).Draw(t, "order of keys"), rapid.Permutation(fleet).Draw(t, "order of nodes"))
 		kept := make(map[string]int)
 		for i, k := range list {
-			first := placed.Keepers(k.ID())[0]
-			if other := mixed.Keepers(k.ID())[0]; other.Name != first.Name {
+			first := placed.Owners(k.ID())[0]
+			if other := mixed.Owners(k.ID())[0]; other.Name != first.Name {
 				t.Fatalf("%s is kept by %s and by %s", k.ID(), first.Name, other.Name)
 			}
 			if first.Region != fmt.Sprintf("r%d", i%2) {
@@ -65,7 +65,7 @@
 		after := chiveroute.NewPlacement(list, rest)
 		moved := 0
 		for _, k := range list {
-			if before.Keepers(k.ID())[0].Name != after.Keepers(k.ID())[0].Name {
+			if before.Owners(k.ID())[0].Name != after.Owners(k.ID())[0].Name {
 				moved++
 			}
 		}
--- a/chiveroute/shard.go
+++ b/chiveroute/shard.go
@@ -81,7 +81,7 @@
 
 // Ranked orders live members by rendezvous hashing on a key; those of the region come first, and leaving ones never.
 //
-// The first is the key's keeper. When it dies the second takes over, and no other key moves.
+// The first is the key's owner. When it dies the second takes over, and no other key moves.
 func Ranked(key, region string, members []chivemember.Member) []chivemember.Member {
 	ranked := make([]chivemember.Member, 0, len(members))
 	for _, m := range members {
--- a/chiveschedule/client.go
+++ b/chiveschedule/client.go
@@ -252,9 +252,9 @@
 	_ = c.mesh.Send(p.scheduler, chivewire.KindSlotRequest, p.request)
 }
 
-// schedulerOf returns the peer address of the shard's first keeper that this gateway does not suspect.
+// schedulerOf returns the peer address of the shard's first owner that this gateway does not suspect.
 func (c *Client) schedulerOf(now time.Time, shard chiveroute.Shard) string {
-	for _, m := range c.places.Load().Keepers(shard.ID()) {
+	for _, m := range c.places.Load().Owners(shard.ID()) {
 		if now.After(c.suspects[m.Address]) {
 			return m.Address
 		}
--- a/chiveschedule/keeper.go
+++ b/chiveschedule/owner.go
@@ -15,18 +15,18 @@
 	"chivedrift/chivewire"
 )
 
-// KeeperName is the name under which the scheduler side registers.
-const KeeperName = "scheduler"
+// OwnerName is the name under which the scheduler side registers.
+const OwnerName = "scheduler"
 
 const (
-	keeperRing   = 8192
-	keeperTick   = 100 * time.Millisecond
+	ownerRing    = 8192
+	ownerTick    = 100 * time.Millisecond
 	shardKeptFor = time.Minute
 	dumpWait     = time.Second
 )
 
-// Keeper schedules the shards that gateways bring to this node: one goroutine owns them all, fed by a ring.
-type Keeper struct {
+// Owner schedules the shards that gateways bring to this node: one goroutine owns them all, fed by a ring.
+type Owner struct {
 	mesh        *chivewire.Mesh
 	logger      *slog.Logger
 	incarnation int64
@@ -43,10 +43,10 @@
 	used  time.Time
 }
 
-// NewKeeper returns the scheduler side of a node.
-func NewKeeper(mesh *chivewire.Mesh, logger *slog.Logger) *Keeper {
-	k := &Keeper{
-		mesh: mesh, logger: logger, incarnation: time.Now().UnixNano(), inbox: chivering.New[func(time.Time)](keeperRing),
+// NewOwner returns the scheduler side of a node.
+func NewOwner(mesh *chivewire.Mesh, logger *slog.Logger) *Owner {
+	k := &Owner{
+		mesh: mesh, logger: logger, incarnation: time.Now().UnixNano(), inbox: chivering.New[func(time.Time)](ownerRing),
 		shards: make(map[string]*kept), plans: make(map[string]*Plan), addresses: make(map[string][]string), gateways: make(map[string]bool),
 	}
 	handle(k, chivewire.KindSlotRequest, func(now time.Time, s *Shard, from string, m SlotRequest) []Decision { return s.Submit(now, from, m) })
@@ -73,8 +73,8 @@
 func (m SlotWithdraw) shardID() string { return m.Shard }
 func (m SlotAdopt) shardID() string    { return m.Shard }
 
-// handle passes messages of one kind to the shard they name, on the keeper's goroutine.
-func handle[M shardMessage](k *Keeper, kind chivewire.Kind, decide func(now time.Time, s *Shard, from string, m M) []Decision) {
+// handle passes messages of one kind to the shard they name, on the owner's goroutine.
+func handle[M shardMessage](k *Owner, kind chivewire.Kind, decide func(now time.Time, s *Shard, from string, m M) []Decision) {
 	chivewire.Receive(k.mesh, kind, func(from string, message M) {
 		// A full ring loses the message. A request for a slot is asked again when no word comes, and a lost return
 		// of a slot is mended by the gateway's next statement of what it runs.
@@ -88,19 +88,19 @@
 }
 
 // Start begins to schedule.
-func (k *Keeper) Start(ctx context.Context) error {
+func (k *Owner) Start(ctx context.Context) error {
 	k.duties.Begin(ctx, k.run)
 	return nil
 }
 
 // Stop ends the goroutine.
-func (k *Keeper) Stop(context.Context) error {
+func (k *Owner) Stop(context.Context) error {
 	k.duties.End()
 	return nil
 }
 
 // SetConfig takes a configuration that came into force.
-func (k *Keeper) SetConfig(config *chiveconfig.Config) {
+func (k *Owner) SetConfig(config *chiveconfig.Config) {
 	shards := chiveroute.Shards(config)
 	k.inbox.Offer(func(now time.Time) {
 		k.plans = make(map[string]*Plan, len(shards))
@@ -123,7 +123,7 @@
 }
 
 // SetMembers takes a change of the fleet: what dead gateways held is freed.
-func (k *Keeper) SetMembers(members []chivemember.Member) {
+func (k *Owner) SetMembers(members []chivemember.Member) {
 	live := make(map[string]bool, len(members))
 	for _, m := range members {
 		live[m.Address] = true
@@ -142,7 +142,7 @@
 }
 
 // SetLeaving takes the addresses of endpoints that take no new work.
-func (k *Keeper) SetLeaving(addresses []string) {
+func (k *Owner) SetLeaving(addresses []string) {
 	k.inbox.Offer(func(now time.Time) {
 		for _, address := range addresses {
 			place, ok := k.addresses[address]
@@ -167,7 +167,7 @@
 }
 
 // Dump returns the state of every shard that this node schedules.
-func (k *Keeper) Dump() any {
+func (k *Owner) Dump() any {
 	states := make(chan []ShardState, 1)
 	k.inbox.Offer(func(now time.Time) {
 		list := make([]ShardState, 0, len(k.shards))
@@ -188,8 +188,8 @@
 	return dump
 }
 
-func (k *Keeper) run(ctx context.Context) {
-	tick := time.NewTicker(keeperTick)
+func (k *Owner) run(ctx context.Context) {
+	tick := time.NewTicker(ownerTick)
 	defer tick.Stop()
 	for {
 		select {
@@ -203,7 +203,7 @@
 	}
 }
 
-func (k *Keeper) tick(now time.Time) {
+func (k *Owner) tick(now time.Time) {
 	for id, held := range k.shards {
 		k.send(held.shard.Tick(now))
 		if held.shard.Waiting()+held.shard.Running() == 0 && now.Sub(held.used) > shardKeptFor {
@@ -213,7 +213,7 @@
 }
 
 // shard returns the shard, taking it over when this node did not have it; nil for one that the configuration does not know.
-func (k *Keeper) shard(now time.Time, id string) *Shard {
+func (k *Owner) shard(now time.Time, id string) *Shard {
 	held, ok := k.shards[id]
 	if !ok {
 		plan, known := k.plans[id]
@@ -228,7 +228,7 @@
 	return held.shard
 }
 
-func (k *Keeper) send(decisions []Decision) {
+func (k *Owner) send(decisions []Decision) {
 	for _, d := range decisions {
 		// A message that a full ring does not take is lost; the gateway asks again when no word comes.
 		switch {
