An account of control by kind, and profiles on request

chivedrift account sums up the state dumps of a set of nodes: rates of each kind of message and each topic of the store at the middle and the busiest node, processor time, memory. profile: true in a store node's settings serves net/http/pprof on the admin address; off by default.

--- a/chiveadmin/admin.go
+++ b/chiveadmin/admin.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/pprof"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,7 @@
 	PathMetrics = "/metrics"
 	PathState   = "/state"
 	PathExplain = "/explain/"
+	PathProfile = "/debug/pprof/"
 )
 
 // Options are the parts an admin server is made of.
@@ -35,6 +37,8 @@
 	State   func() map[string]any
 	Ready   func() error
 	Explain func(id string) (*chivegate.Explanation, bool)
+	// Profile serves profiles of the process, which cost processor time while they are taken.
+	Profile bool
 }
 
 // Admin is the operators' server of a node.
@@ -54,6 +58,10 @@
 	mux.Handle("GET "+PathMetrics, o.Metrics)
 	mux.HandleFunc("GET "+PathState, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, o.State()) })
 	mux.HandleFunc("GET "+PathExplain+"{id}", a.serveExplain)
+	if o.Profile {
+		mux.HandleFunc("GET "+PathProfile, pprof.Index)
+		mux.HandleFunc("GET "+PathProfile+"profile", pprof.Profile)
+	}
 	a.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	return a
 }
--- a/chivecommand/verb.go
+++ b/chivecommand/verb.go
@@ -46,6 +46,7 @@
 		configPublishVerb,
 		configShowVerb,
 		stateVerb,
+		accountVerb,
 		explainVerb,
 		reportVerb,
 		quickstartVerb,
--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -85,8 +85,10 @@
 	}
 	if answer.Refused != "" {
 		s.refused.Add(1)
-		return nil, &chiveplace.RefusedError{Reason: answer.Refused, RetryAfter: answer.RetryAfter, Loss: answer.Loss,
-			Holder: answer.Grant.FetchFrom, Held: answer.Grant.Fetches}
+		return nil, &chiveplace.RefusedError{
+			Reason: answer.Refused, RetryAfter: answer.RetryAfter, Loss: answer.Loss,
+			Holder: answer.Grant.FetchFrom, Held: answer.Grant.Fetches,
+		}
 	}
 	s.granted.Add(1)
 	answer.Grant.Owner = owner
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -100,7 +100,7 @@
 		{chivecache.ServiceName, serving.caches},
 		{chiveadmin.ServiceName, &spare{logger: n.logger, Service: chiveadmin.New(chiveadmin.Options{
 			Address: n.settings.Listen.Admin, Network: network, Metrics: metrics.Handler(), State: n.kernel.Dump, Ready: n.NotReady,
-			Explain: func(string) (*chivegate.Explanation, bool) { return nil, false },
+			Explain: func(string) (*chivegate.Explanation, bool) { return nil, false }, Profile: n.settings.Profile,
 		})}},
 		{chiveentry.ServiceName, n.entry},
 		{readinessName, n.ready},
--- a/chivesettings/store.go
+++ b/chivesettings/store.go
@@ -21,6 +21,8 @@
 	MemoryMB int64       `yaml:"memory_mb" validate:"min=32,max=1048576"`
 	Stop     StoreStop   `yaml:"stop"`
 	Repeats  StoreRepeat `yaml:"repeats"`
+	// Profile serves profiles of the process to operators; off unless it is asked for.
+	Profile bool `yaml:"profile"`
 }
 
 // StoreListen holds the addresses of a node, by IP number and port.
