--- a/chivemember/member.go
+++ b/chivemember/member.go
@@ -31,7 +31,7 @@
 	return "unknown"
 }
 
-// Member is one node as others know it; a higher incarnation replaces every word about a lower one.
+// Member is one node as others know it; a higher incarnation replaces every update on a lower one.
 type Member struct {
 	Name          string `json:"name"`
 	Address       string `json:"address"`
@@ -42,7 +42,7 @@
 	State         State  `json:"state"`
 }
 
-// supersedes tells whether this word about a member beats an earlier one.
+// supersedes tells whether this update on a member beats an earlier one.
 func (m Member) supersedes(known Member) bool {
 	if m.Incarnation != known.Incarnation {
 		return m.Incarnation > known.Incarnation
@@ -70,7 +70,7 @@
 	Digest      uint64
 }
 
-// News passes on words about members.
+// News passes on updates on members.
 type News struct {
 	Members []Member
 }
--- a/chivemember/view.go
+++ b/chivemember/view.go
@@ -9,25 +9,38 @@
 	// TickEvery is how often the view expects Tick.
 	TickEvery = 500 * time.Millisecond
 
+	// watchedMembers is how many others each node probes: a number that does not grow with the fleet, in which news still crosses it in few steps.
 	watchedMembers = 4
-	suspectAfter   = 1100 * time.Millisecond
-	deadAfter      = 2200 * time.Millisecond
-	vouchFor       = 1500 * time.Millisecond
-	pauseNoticed   = 1200 * time.Millisecond
-	confirmations  = 3
+	// suspectAfter is two probes without an answer, after which the other watchers are asked; deadAfter leaves them a second to vouch, and
+	// keeps a dead node out of use within three seconds. vouchFor is how long a watcher's answer counts.
+	suspectAfter = 1100 * time.Millisecond
+	deadAfter    = 2200 * time.Millisecond
+	vouchFor     = 1500 * time.Millisecond
+	// pauseNoticed is the gap between two ticks from which this node was itself paused: more than two ticks that were due.
+	pauseNoticed = 1200 * time.Millisecond
+	// confirmations is how many other watchers of a silent member are asked: all that there are beside this one.
+	confirmations = 3
+	// seedsContacted members that are listed and not known are greeted every contactEvery ticks, two seconds: a partition that healed is noticed
+	// within seconds, for three messages.
 	seedsContacted = 3
 	contactEvery   = 4
-	differAfter    = 1500 * time.Millisecond
-	syncEvery      = 2 * time.Second
-	tombstoneFor   = 10 * time.Minute
+	// differAfter is how long digests may differ before a whole view is sent: news crosses a fleet of hundreds in a third of that. syncEvery spaces
+	// the whole views to one member.
+	differAfter = 1500 * time.Millisecond
+	syncEvery   = 2 * time.Second
+	// tombstoneFor is how long a dead member is remembered, so that an old update does not bring it back.
+	tombstoneFor = 10 * time.Minute
 
+	// endpointNewsGap is by how much an endpoint's leaving has to be extended to be passed on again.
 	endpointNewsGap = 10 * time.Second
 
 	// newsGap is the least time between two rounds of news from one node. Without it a node that hears of n others in a moment, as in the cold
 	// start of a fleet, sends n messages to each neighbour and places its members n times: at 300 nodes 1,192 messages received by the middle
-	// node and 146 placements, with it 128 and 8 (on virtual time). A first word goes out at once, so a single death is known no later for it.
+	// node and 146 placements, with it 128 and 8 (on virtual time). A first update goes out at once, so a single death is known no later for it.
 	newsGap = 50 * time.Millisecond
 
+	// massLossDeaths found by this node within massLossFor are the loss of many at once; each death then adds extraPerDeath members to those
+	// that it watches, at most extraMost.
 	massLossDeaths = 2
 	massLossFor    = 10 * time.Second
 	extraPerDeath  = 4
@@ -51,17 +64,16 @@
 	deaths   int64
 	digest   uint64
 	recent   []time.Time
-	began    time.Time
 	// moved tells that members came or went since they were last placed on the ring.
 	moved  bool
 	placed int64
 	// unsent is news that waits for the next round, which may begin newsGap after sent.
-	unsent []word
+	unsent []update
 	sent   time.Time
 }
 
-// A word is news of one member, with the peer that told it, who need not hear it.
-type word struct {
+// An update is what one member says of another, with the peer that sent it, which need not be sent it back.
+type update struct {
 	member Member
 	from   string
 }
@@ -81,14 +93,14 @@
 func NewView(self Member, now time.Time) *View {
 	self.State = Alive
 	v := &View{
-		self: self, entries: make(map[string]*entry), leaving: make(map[string]int64), changed: now, lastTick: now, began: now,
+		self: self, entries: make(map[string]*entry), leaving: make(map[string]int64), changed: now, lastTick: now,
 		digest: self.digest(), moved: true,
 	}
 	v.arrange(now)
 	return v
 }
 
-// Self returns the node's own word about itself.
+// Self returns what the node says of itself.
 func (v *View) Self() Member { return v.self }
 
 // Version rises with every change of the view.
@@ -119,9 +131,9 @@
 
 // Leave makes the node say that it is leaving.
 func (v *View) Leave(now time.Time) []Envelope {
-	v.digest ^= v.self.digest()
-	v.self.State = Leaving
-	v.digest ^= v.self.digest()
+	leaving := v.self
+	leaving.State = Leaving
+	v.setSelf(leaving)
 	v.touch(now)
 	return v.spread(now, []Member{v.self}, "")
 }
@@ -209,6 +221,12 @@
 	return out
 }
 
+// setSelf replaces what this node says of itself.
+func (v *View) setSelf(m Member) {
+	v.digest ^= v.self.digest() ^ m.digest()
+	v.self = m
+}
+
 // set replaces what is known of a member.
 func (v *View) set(e *entry, m Member) {
 	if e.key == "" {
--- a/chivemember/view_messages.go
+++ b/chivemember/view_messages.go
@@ -113,7 +113,7 @@
 	}
 }
 
-// learn takes words about members and passes on those that are new.
+// learn takes updates on members and passes on those that are new.
 func (v *View) learn(now time.Time, from string, members []Member) []Envelope {
 	var fresh []Member
 	for _, m := range members {
@@ -132,14 +132,14 @@
 	return v.spread(now, fresh, from)
 }
 
-// refute answers a false word about this node with a higher incarnation, which beats it everywhere.
-func (v *View) refute(word Member) []Member {
-	if !word.supersedes(v.self) {
+// refute answers a false update on this node with a higher incarnation, which beats it everywhere.
+func (v *View) refute(claim Member) []Member {
+	if !claim.supersedes(v.self) {
 		return nil
 	}
-	v.digest ^= v.self.digest()
-	v.self.Incarnation = word.Incarnation + 1
-	v.digest ^= v.self.digest()
+	newer := v.self
+	newer.Incarnation = claim.Incarnation + 1
+	v.setSelf(newer)
 	return []Member{v.self}
 }
 
--- a/chivemember/view_ring.go
+++ b/chivemember/view_ring.go
@@ -92,10 +92,10 @@
 	return spaced
 }
 
-// spread passes words on: at once, or with the next round of news when one went out just now.
+// spread passes updates on: at once, or with the next round of news when one went out just now.
 func (v *View) spread(now time.Time, members []Member, from string) []Envelope {
 	for _, m := range members {
-		v.unsent = append(v.unsent, word{m, from})
+		v.unsent = append(v.unsent, update{m, from})
 	}
 	return v.Flush(now)
 }
--- a/chivemember/view_test.go
+++ b/chivemember/view_test.go
@@ -23,7 +23,7 @@
 	queue    []parcel
 	messages int
 	began    time.Time
-	// received and told count the messages, and the words on members in them, by receiver.
+	// received and told count the messages, and the updates on members in them, by receiver.
 	received map[string]int
 	told     map[string]int
 }
@@ -109,7 +109,7 @@
 	return least
 }
 
-// middleTold and mostTold return how many words on members the middle and the busiest node received.
+// middleTold and mostTold return how many updates on members the middle and the busiest node received.
 func (f *fleet) middleTold() int { return f.sortedTold()[len(f.names)/2] }
 
 func (f *fleet) mostTold() int { return f.sortedTold()[len(f.names)-1] }
