--- a/chivecache/service_test.go
+++ b/chivecache/service_test.go
@@ -39,7 +39,7 @@
 
 func (e *engines) Pool(string) *chiveplace.Pool { return nil }
 
-// joining is a node that comes to know a large fleet a while after its start, and keeps a share of its engines then.
+// joining is a node that comes to know a large fleet a while after its start, and owns a share of its engines then.
 type joining struct {
 	began time.Time
 	knows time.Duration
--- a/chiveexperiment/router.go
+++ b/chiveexperiment/router.go
@@ -88,7 +88,7 @@
 	if all {
 		repeated = w.clock
 	}
-	news := chiveplace.News{All: all}
+	news := chiveplace.Report{All: all}
 	p.nodes[node].Collect(&news, all)
 	if !news.Empty() && w.clock >= p.deaf[node] {
 		p.spread(node, news)
@@ -96,7 +96,7 @@
 	w.after(chivetime.Milliseconds(w.scenario.News.EveryMs), func() { p.tell(node, repeated) })
 }
 
-func (p *pools) spread(from int, news chiveplace.News) {
+func (p *pools) spread(from int, news chiveplace.Report) {
 	w := p.w
 	for to := range p.nodes {
 		if to == from || w.random.Float64() < w.scenario.News.Lost {
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -91,8 +91,8 @@
 }
 
 // Collect returns what the other nodes should know of this node's requests: what changed since the last call, or everything.
-func (p *Pools) Collect(all bool) chiveplace.News {
-	news := chiveplace.News{All: all}
+func (p *Pools) Collect(all bool) chiveplace.Report {
+	news := chiveplace.Report{All: all}
 	for _, each := range p.everyPool() {
 		each.Collect(&news, all)
 	}
@@ -100,7 +100,7 @@
 }
 
 // Hear takes what another node told of its requests.
-func (p *Pools) Hear(node string, news chiveplace.News) {
+func (p *Pools) Hear(node string, news chiveplace.Report) {
 	for _, each := range p.everyPool() {
 		each.Hear(time.Now(), node, &news)
 	}
--- a/chivegossip/readers.go
+++ b/chivegossip/readers.go
@@ -36,8 +36,8 @@
 	// every 0.4 s, and each node is the partner of as many as it has, so that four seconds without any happen to a connected node about once in a day.
 	aloneAfter = 4 * time.Second
 	// SettleFor is how long a node that starts, or becomes one of the first by hash, waits before it takes itself for a reader: until it knows the
-	// fleet each node is the first of the few that it knows. 300 nodes that start at once know each other after 0.6 s (on virtual time); members
-	// that the store is not asked for meanwhile bring changes of the configuration, which have two seconds.
+	// fleet each node is the first of the few that it knows. 300 nodes that start at once know each other after 0.6 s (on virtual time). A change
+	// of the configuration has two seconds to be in force; in the meantime it comes from the nodes that do read.
 	SettleFor = 1500 * time.Millisecond
 )
 
--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -100,7 +100,7 @@
 	return place, nil
 }
 
-// note remembers a grant, so that the next word to its owner tells that it is counted there.
+// note remembers a grant, so that the next load report to its owner tells that it is counted there.
 func (s *Service) note(owner string, given uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/chivegrant/fetch_test.go
+++ b/chivegrant/fetch_test.go
@@ -53,7 +53,7 @@
 		if k.mesh.Self() != home {
 			continue
 		}
-		busy := chiveplace.News{}
+		busy := chiveplace.Report{}
 		for _, e := range endpoints {
 			if asker.grant.OwnerOf(e.Incarnation().Key()) == home {
 				busy.Loads = append(busy.Loads, chiveplace.Load{Endpoint: e.Incarnation().Key(), Requests: 9, Waiting: []int64{90_000}})
--- a/chivegrant/groups.go
+++ b/chivegrant/groups.go
@@ -75,7 +75,7 @@
 	placed  map[string]string
 }
 
-// owners returns the address of the node that keeps each group.
+// owners returns the address of the node that owns each group.
 func (p *placer) owners(names []string, members []chivemember.Member) map[string]string {
 	slices.Sort(names)
 	if p.placed != nil && slices.Equal(names, p.names) && slices.Equal(members, p.members) {
@@ -161,8 +161,8 @@
 	return d.names[group]
 }
 
-// keptBy returns the groups that a node keeps, by name.
-func (g *groups) keptBy(address string) []string {
+// ownedBy returns the groups that a node owns, by name.
+func (g *groups) ownedBy(address string) []string {
 	var names []string
 	for name, owner := range g.owners {
 		if owner == address {
--- a/chivegrant/own.go
+++ b/chivegrant/own.go
@@ -20,7 +20,7 @@
 	}
 }
 
-// decide answers a question for a group that this node keeps.
+// decide answers a question for a group that this node owns.
 func (s *Service) decide(q question) PlaceAnswer {
 	answer := PlaceAnswer{Number: q.ask.Number}
 	pool, among := s.o.Pools.Pool(q.ask.Pool), s.divided.Load().engines[q.ask.Group]
--- a/chivegrant/service.go
+++ b/chivegrant/service.go
@@ -72,7 +72,7 @@
 	ask  PlaceAsk
 }
 
-// Service asks owners for places, and answers for the groups that this node keeps.
+// Service asks owners for places, and answers for the groups that this node owns.
 type Service struct {
 	o       Options
 	inbox   *chivering.Ring[question]
@@ -203,7 +203,7 @@
 	before := s.divided.Swap(g)
 	nodes := len(s.members)
 	s.mu.Unlock()
-	if own, was := g.keptBy(s.o.Mesh.Self()), before.keptBy(s.o.Mesh.Self()); g.asking != before.asking || !slices.Equal(own, was) {
+	if own, was := g.ownedBy(s.o.Mesh.Self()), before.ownedBy(s.o.Mesh.Self()); g.asking != before.asking || !slices.Equal(own, was) {
 		chiveevent.EnginesDivided.Log(context.Background(), s.o.Logger, slog.Bool("asking", g.asking), slog.Int("nodes", nodes),
 			slog.Int("groups", len(g.engines)), slog.Any("owned_here", own))
 	}
--- a/chiveload/service.go
+++ b/chiveload/service.go
@@ -28,9 +28,9 @@
 // Pools are the pools whose load is reported.
 type Pools interface {
 	// Collect returns what changed since the last call, or everything.
-	Collect(all bool) chiveplace.News
+	Collect(all bool) chiveplace.Report
 	// Hear takes what another node told.
-	Hear(node string, news chiveplace.News)
+	Hear(node string, report chiveplace.Report)
 	// Forget drops what is known of the requests of all nodes that are not named.
 	Forget(alive map[string]bool)
 }
@@ -54,8 +54,8 @@
 
 // message is one message with its sender.
 type message struct {
-	from string
-	news chiveplace.News
+	from   string
+	report chiveplace.Report
 }
 
 // Service tells peers of this node's requests and hears of theirs.
@@ -72,9 +72,9 @@
 // New returns a service that tells nobody yet.
 func New(o Options) *Service {
 	s := &Service{o: o, inbox: chivering.New[message](inboxSize), told: make(map[string]bool)}
-	chivewire.Receive(o.Mesh, chivewire.KindLoads, func(from string, news chiveplace.News) {
+	chivewire.Receive(o.Mesh, chivewire.KindLoads, func(from string, report chiveplace.Report) {
 		// A full ring loses a message; the repetition makes up for it.
-		s.inbox.Offer(message{from, news})
+		s.inbox.Offer(message{from, report})
 	})
 	return s
 }
@@ -115,7 +115,7 @@
 		case <-ctx.Done():
 			return
 		case m := <-s.inbox.Ready():
-			s.o.Pools.Hear(m.from, m.news)
+			s.o.Pools.Hear(m.from, m.report)
 		case <-timer.C:
 			peers := s.peers()
 			all := time.Since(repeated) > repeatEvery
@@ -141,26 +141,26 @@
 }
 
 func (s *Service) tell(peers []string, all bool) {
-	news := s.o.Pools.Collect(all)
+	report := s.o.Pools.Collect(all)
 	if s.o.Owners.Asking() {
-		s.tellOwners(news, all)
+		s.tellOwners(report, all)
 		return
 	}
-	if news.Empty() {
+	if report.Empty() {
 		return
 	}
 	for _, p := range peers {
 		// A full ring loses a message; the repetition makes up for it.
-		_ = s.o.Mesh.Send(p, chivewire.KindLoads, news)
+		_ = s.o.Mesh.Send(p, chivewire.KindLoads, report)
 	}
 }
 
 // tellOwners tells each owner of the requests on its engines.
-func (s *Service) tellOwners(news chiveplace.News, all bool) {
-	parts := make(map[string]*chiveplace.News)
-	to := func(owner string) *chiveplace.News {
+func (s *Service) tellOwners(report chiveplace.Report, all bool) {
+	parts := make(map[string]*chiveplace.Report)
+	to := func(owner string) *chiveplace.Report {
 		if parts[owner] == nil {
-			parts[owner] = &chiveplace.News{All: all}
+			parts[owner] = &chiveplace.Report{All: all}
 		}
 		return parts[owner]
 	}
@@ -170,11 +170,11 @@
 		}
 		clear(s.told)
 	}
-	for _, l := range news.Loads {
+	for _, l := range report.Loads {
 		part := to(s.o.Owners.OwnerOf(l.Endpoint))
 		part.Loads = append(part.Loads, l)
 	}
-	for _, r := range news.Reads {
+	for _, r := range report.Reads {
 		part := to(s.o.Owners.OwnerOf(r.Endpoint))
 		part.Reads = append(part.Reads, r)
 	}
--- a/chivenode/roster.go
+++ b/chivenode/roster.go
@@ -29,8 +29,9 @@
 // place of a list of VMs.
 //
 // Few nodes leave their address: those that read the store for all, or know no other node. A node that starts finds the fleet through the seeds,
-// and through those few when no seed answers. Were each to write its address and to read all of them, 295 nodes that start twice would need
-// 590 writes and 1,500 reads of the store's calls (counted in a day of 62 s), to learn what the seeds tell.
+// and through those few when no seed answers. Were each to write its address and to read all of them, and again
+// every 20 s, 18 nodes that start twice in a minute would take 36 writes and 197 reads of the store, a fifth of all their calls, to learn what
+// the seeds tell (counted).
 type roster struct {
 	self   string
 	region string
--- a/chiveplace/demand_test.go
+++ b/chiveplace/demand_test.go
@@ -12,10 +12,10 @@
 func crowd(p *chiveplace.Pool, now time.Time, engines []string, aSecond int) time.Time {
 	for i := range 2 * aSecond {
 		now = now.Add(time.Second / time.Duration(aSecond))
-		news := chiveplace.News{Reads: []chiveplace.Read{{
+		report := chiveplace.Report{Reads: []chiveplace.Read{{
 			Endpoint: engines[i%len(engines)], Parts: []chiverequest.Part{{ID: uint64(50_000 + i), Tokens: 4000}},
 		}}}
-		p.Hear(now, "other", &news)
+		p.Hear(now, "other", &report)
 	}
 	return now
 }
@@ -30,7 +30,7 @@
 	}
 	prompt := longPrompt(1, 100)
 	prompt.Target, prompt.Pause = time.Second, 0
-	p.Hear(now, "other", &chiveplace.News{
+	p.Hear(now, "other", &chiveplace.Report{
 		Loads: []chiveplace.Load{{Endpoint: "e0", Requests: 6, Waiting: []int64{28_000}}},
 		Reads: []chiveplace.Read{{Endpoint: "e0", Parts: prompt.Parts[:1]}},
 	})
--- a/chiveplace/fetch_test.go
+++ b/chiveplace/fetch_test.go
@@ -19,7 +19,7 @@
 
 // otherQueue tells of a long queue on an engine.
 func otherQueue(p *chiveplace.Pool, now time.Time, endpoint string) {
-	p.Hear(now, "other", &chiveplace.News{Loads: []chiveplace.Load{{Endpoint: endpoint, Requests: 9, Waiting: []int64{90_000}}}})
+	p.Hear(now, "other", &chiveplace.Report{Loads: []chiveplace.Load{{Endpoint: endpoint, Requests: 9, Waiting: []int64{90_000}}}})
 }
 
 // Symptom: in bursts engines read again what another one held, and all that came meanwhile waited for it.
@@ -88,7 +88,7 @@
 			place.Done(now, chiveplace.EndedWell)
 			otherQueue(p, now, place.Endpoint().ID)
 		}
-		p.Hear(now, "other", &chiveplace.News{All: true})
+		p.Hear(now, "other", &chiveplace.Report{All: true})
 		now = now.Add(time.Second)
 	}
 	t.Logf("last fetched with pair %d", fetched)
--- a/chiveplace/grant.go
+++ b/chiveplace/grant.go
@@ -86,7 +86,7 @@
 	})
 }
 
-// fulfil drops the promises that a node's own word covers now.
+// fulfil drops the promises that a node's own load report covers now.
 func (p *Pool) fulfil(node string, upTo uint64) {
 	p.promises = slices.DeleteFunc(p.promises, func(m promise) bool {
 		if m.node == node && m.number <= upTo {
--- a/chiveplace/grant_test.go
+++ b/chiveplace/grant_test.go
@@ -41,7 +41,7 @@
 	if second := grant(t, p, now, "n2", 2, 200); second.Endpoint == first.Endpoint {
 		t.Errorf("two nodes that asked at once were sent to the same engine %s", first.Endpoint)
 	}
-	p.Hear(now, "n1", &chiveplace.News{Granted: 1, Loads: []chiveplace.Load{{Endpoint: first.Endpoint, Requests: 1}}})
+	p.Hear(now, "n1", &chiveplace.Report{Granted: 1, Loads: []chiveplace.Load{{Endpoint: first.Endpoint, Requests: 1}}})
 	if got := load(p, first.Endpoint); got != 1 {
 		t.Errorf("after its node has told of it the engine has %d requests", got)
 	}
@@ -92,7 +92,7 @@
 	g := grant(t, p, now, "n1", 2, 100)
 	p.Release(func(string) bool { return false })
 	if got := load(p, g.Endpoint); got != 0 {
-		t.Errorf("%d requests on an engine that another node keeps now", got)
+		t.Errorf("%d requests on an engine that another node owns now", got)
 	}
 	only := map[string]bool{"e1": true}
 	if g, err := p.Grant(now, "n1", 3, chiveplace.Ask{Prompt: shortPrompt(5), Among: only}); err != nil || g.Endpoint != "e1" {
--- a/chiveplace/pause_test.go
+++ b/chiveplace/pause_test.go
@@ -37,9 +37,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		seeing, hearing := newPool(3, engine), newPool(3, engine)
 		slow := slowStream(t, seeing)
-		var news chiveplace.News
-		seeing.Collect(&news, false)
-		hearing.Hear(time.Now(), "n1", &news)
+		var report chiveplace.Report
+		seeing.Collect(&report, false)
+		hearing.Hear(time.Now(), "n1", &report)
 		if got := chosen(t, seeing, slow, 1000); got != 0 {
 			t.Errorf("the node that saw the pauses sent %d of 10 requests there", got)
 		}
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -17,9 +17,9 @@
 	EndedError
 	// EndedBroken is a connection that failed or an answer that made no sense.
 	EndedBroken
-	// EndedFull is the endpoint's word that it has no room.
+	// EndedFull is the endpoint's answer that it has no room.
 	EndedFull
-	// EndedGone is the word of another endpoint at the same address.
+	// EndedGone is the answer of another endpoint at the same address.
 	EndedGone
 	// EndedCaller is a request that was given up for reasons that are not the endpoint's.
 	EndedCaller
--- a/chiveplace/pool_test.go
+++ b/chiveplace/pool_test.go
@@ -106,9 +106,9 @@
 	now := time.Now()
 	one, other := newPool(3, engine), newPool(3, engine)
 	sent := take(t, one, now, longPrompt(7, 100))
-	var news chiveplace.News
-	one.Collect(&news, false)
-	other.Hear(now, "one", &news)
+	var report chiveplace.Report
+	one.Collect(&report, false)
+	other.Hear(now, "one", &report)
 	next := take(t, other, now, longPrompt(7, 200))
 	if next.Endpoint().ID != sent.Endpoint().ID || next.Reads() != 3700 {
 		t.Errorf("went to %s and reads %d; another node had sent the part to %s", next.Endpoint().ID, next.Reads(), sent.Endpoint().ID)
@@ -187,7 +187,7 @@
 	former := chivedirectory.Endpoint{ID: "e0", Pool: "p", FailureDomain: "a", Born: 5}
 	p.SetEndpoints([]chivedirectory.Endpoint{former})
 	place := take(t, p, now, longPrompt(1, 100))
-	p.Hear(now, "n1", &chiveplace.News{Loads: []chiveplace.Load{{Endpoint: former.Incarnation().Key(), Requests: 7}}})
+	p.Hear(now, "n1", &chiveplace.Report{Loads: []chiveplace.Load{{Endpoint: former.Incarnation().Key(), Requests: 7}}})
 	g := grant(t, p, now, "n2", 1, 200)
 
 	again := former
@@ -200,12 +200,12 @@
 		t.Errorf("%d tokens to read, want all of the prompt", second.Reads())
 	}
 	place.Done(now, chiveplace.EndedBroken)
-	p.Hear(now, "n1", &chiveplace.News{
+	p.Hear(now, "n1", &chiveplace.Report{
 		Loads: []chiveplace.Load{{Endpoint: former.Incarnation().Key(), Requests: 7}},
 		Reads: []chiveplace.Read{{Endpoint: former.Incarnation().Key(), Parts: longPrompt(2, 100).Parts}},
 	})
 	if got := load(p, again.Incarnation().Key()); got != 1 {
-		t.Errorf("%d requests at the new process after late news of the former one, want its own", got)
+		t.Errorf("%d requests at the new process after late report of the former one, want its own", got)
 	}
 	if third := take(t, p, now, longPrompt(2, 101)); third.Reads() != 16700 {
 		t.Errorf("%d tokens to read, want all of the prompt", third.Reads())
--- a/chiveplace/news.go
+++ b/chiveplace/report.go
@@ -9,8 +9,8 @@
 	"chivedrift/chivetime"
 )
 
-// News is what one node tells the others of its requests.
-type News struct {
+// Report is what one node tells the others of its requests.
+type Report struct {
 	// All tells that endpoints which are not named have none of the node's requests.
 	All bool
 	// Granted is the newest grant of the one who is told that the node has taken.
@@ -21,7 +21,7 @@
 
 // Load is how much a node has on one endpoint.
 type Load struct {
-	// Endpoint names the incarnation of the endpoint, so that word of a process that has ended does not count for the one that follows.
+	// Endpoint names the incarnation of the endpoint, so that a report on a process that has ended does not count for the one that follows.
 	Endpoint string
 	Requests int
 	// Waiting is the number of prompt tokens of the requests that have not begun to answer, by rank.
@@ -42,10 +42,10 @@
 }
 
 // Empty tells whether there is nothing to tell.
-func (n *News) Empty() bool { return !n.All && len(n.Loads) == 0 && len(n.Reads) == 0 }
+func (r *Report) Empty() bool { return !r.All && len(r.Loads) == 0 && len(r.Reads) == 0 }
 
 // Collect appends what changed since the last call, or everything, to what is told to the other nodes.
-func (p *Pool) Collect(news *News, all bool) {
+func (p *Pool) Collect(report *Report, all bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	ids := make([]string, 0, len(p.candidates))
@@ -59,29 +59,29 @@
 		s := p.candidates[id]
 		s.dirty = false
 		s.told = s.pause.value
-		news.Loads = append(news.Loads, Load{Pause: s.told.Round(time.Millisecond), Endpoint: id, Requests: s.own, Waiting: s.ownWaiting.trimmed(), Tight: s.ownTight, Long: s.ownLong})
+		report.Loads = append(report.Loads, Load{Pause: s.told.Round(time.Millisecond), Endpoint: id, Requests: s.own, Waiting: s.ownWaiting.trimmed(), Tight: s.ownTight, Long: s.ownLong})
 	}
-	news.Reads = append(news.Reads, p.reads...)
+	report.Reads = append(report.Reads, p.reads...)
 	p.reads = nil
 }
 
 // Hear takes what another node told, as far as it is about this pool's endpoints.
-func (p *Pool) Hear(now time.Time, node string, news *News) {
+func (p *Pool) Hear(now time.Time, node string, report *Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.fulfil(node, news.Granted)
-	if news.All {
+	p.fulfil(node, report.Granted)
+	if report.All {
 		for _, s := range p.candidates {
 			s.setOther(node, Load{})
 		}
 	}
-	for _, l := range news.Loads {
+	for _, l := range report.Loads {
 		if s, ok := p.candidates[l.Endpoint]; ok {
 			s.setOther(node, l)
 			s.hearPause(now, l.Pause)
 		}
 	}
-	for _, r := range news.Reads {
+	for _, r := range report.Reads {
 		if s, ok := p.candidates[r.Endpoint]; ok {
 			missing := max(s.cache.missingOf(r.Parts)-r.Fetched, 0)
 			s.demand.note(now, p.forecast.own(float64(missing))*s.speed())
