--- a/chiveplace/candidate.go
+++ b/chiveplace/candidate.go
@@ -76,15 +76,6 @@
 	return s.ownWaiting.upTo(rank) + s.othersWaiting.upTo(rank)
 }
 
-// running is about how many of an engine's requests have begun to answer: all but those that its waiting tokens make at the usual length.
-func (p *Pool) running(s *candidate) float64 {
-	if s.demand.arrivals == 0 {
-		return float64(s.load())
-	}
-	usual := s.demand.work / s.demand.arrivals
-	return max(float64(s.load())-p.forecast.own(float64(s.waitingTokens()))*s.speed()/max(usual, 1), 0)
-}
-
 func (s *candidate) tight() int         { return s.ownTight + s.othersTight }
 func (s *candidate) longWaiting() int64 { return s.ownLong + s.othersLong }
 
--- a/chiveplace/engine.go
+++ b/chiveplace/engine.go
@@ -22,11 +22,6 @@
 	// offHome is the loss for an engine that is not the home of a part that nobody holds yet, so that nodes which choose at the same
 	// moment meet on one engine.
 	offHome = 0.1
-	// delayLoss is the loss for each stream that runs on an engine, when a read holds it up for a whole target. An engine that reads all the time
-	// brings its streams on by an event of eight tokens in 450 ms, a tenth of the pace of one that reads half of it, so they pile up there
-	// and run out of time while others have little to do; with this term new reads go where fewer streams run. Of 3,533 largest requests of a
-	// burst before 105 engines 171 failed without it and 83 with it, of another 3,545 170 and 64.
-	delayLoss = 0.4
 	// errorLoss is the loss for an engine that fails every request.
 	errorLoss = 2
 )
@@ -138,18 +133,12 @@
 	loss += c.pauseLoss(now, s, disturbed)
 	loss += c.pool.spoiled(s, reads, disturbed)
 	loss += c.againLoss(s, fetches, again)
-	loss += c.delayed(s, reads)
 	if c.held == 0 && s != c.home {
 		loss += offHome
 	}
 	return loss + errorLoss*s.errors
 }
 
-// delayed is the loss of the streams that run on an engine, which a read holds up; requests that wait are read before it.
-func (c *engineChoice) delayed(s *candidate, reads int64) float64 {
-	return delayLoss * c.pool.running(s) * c.pool.forecast.own(float64(reads)) * s.speed() / c.target
-}
-
 // againLoss is the loss of later requests by the time that an engine spends on what another one holds.
 func (c *engineChoice) againLoss(s *candidate, fetches, again int64) float64 {
 	loss := c.perMs * c.pool.forecast.own(float64(again)+movedPart*float64(fetches)) * s.speed()
