Sight: the lines of a request's tries share its content, and a line tells when an engine ended under it

The record of the incident could not tell whether two tries are the same request, nor whether a broken attempt's engine had ended or only its connection. 505 now has the fingerprint of team, method, host, target and body; when an attempt breaks, one connection for all that broke there asks whether the endpoint's process is gone (refused), and 509 names content, endpoint and how long the request was there. Nothing is decided by either yet. Checked: chiveforward, chiveentry, chivegate, platform tests, linter.

--- a/chivedispatch/model_run.go
+++ b/chivedispatch/model_run.go
@@ -36,7 +36,7 @@
 func (m *modelRun) request() *chiverequest.Request {
 	w := m.work
 	r := &chiverequest.Request{
-		ID: w.ID, Route: routeOf(w.Class, w.Repeatable, maxAttempts), Pool: w.Pool, Team: w.Team, Method: http.MethodPost, Target: w.Path,
+		ID: w.ID, Route: routeOf(w.Class, w.Repeatable, maxAttempts), Pool: w.Pool, Team: w.Team, Method: http.MethodPost, Target: w.Path, Content: w.Content,
 		Header: http.Header{"Content-Type": {"application/json"}}, Arrival: w.Arrival, Deadline: w.Deadline, Silence: w.Class.Stall(),
 		Stream: m, Source: m,
 	}
--- a/chivedispatch/service.go
+++ b/chivedispatch/service.go
@@ -26,6 +26,7 @@
 	Path       string
 	Header     http.Header
 	Body       []byte
+	Content    chiverequest.Fingerprint
 	Arrival    time.Time
 	Deadline   time.Time
 	Repeatable bool
@@ -183,7 +184,7 @@
 	w := r.work
 	return &chiverequest.Request{
 		ID: w.ID, Route: routeOf(w.Class, w.Repeatable, maxTries), Pool: w.Pool, Team: w.Team, Method: w.Method, Target: w.Path, Header: w.Header,
-		Body: w.Body, Arrival: w.Arrival, Deadline: w.Deadline, Silence: w.Class.Stall(), Stream: nil, Source: r,
+		Body: w.Body, Content: w.Content, Arrival: w.Arrival, Deadline: w.Deadline, Silence: w.Class.Stall(), Stream: nil, Source: r,
 	}
 }
 
--- a/chivedispatch/work.go
+++ b/chivedispatch/work.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chivedrift/chiveconfig"
+	"chivedrift/chiverequest"
 	"chivedrift/chiveschedule"
 )
 
@@ -15,6 +16,7 @@
 	Path         string
 	Class        *chiveconfig.Class
 	Team         string
+	Content      chiverequest.Fingerprint
 	Fields       map[string]json.RawMessage
 	Arrival      time.Time
 	Deadline     time.Time
--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -217,6 +217,7 @@
 		request.Team = team.Name
 	}
 	request.Method, request.Target, request.Host = r.Method, target, r.Host
+	request.Content = chiverequest.NewFingerprint(request.Team, r.Method, r.Host, target, request.Body)
 	request.Header = r.Header.Clone()
 	DropConnectionFields(request.Header)
 	e.o.Dialect.Strip(request.Header)
@@ -304,7 +305,7 @@
 		chiveevent.Request(request.ID), slog.String("route", request.Route.Name), slog.String("pool", request.Pool),
 		slog.String("team", request.Team), slog.Int("rank", request.Rank.Place), slog.Int("ranks", request.Rank.Of), slog.String("may_repeat", request.Route.Repeat.String()),
 		slog.Int64("table_version", request.TableVersion), slog.Int64("wait_ms", request.Deadline.Sub(request.Arrival).Milliseconds()),
-		slog.Int64("target_ms", request.Route.Target.Milliseconds()),
+		slog.Int64("target_ms", request.Route.Target.Milliseconds()), chiveevent.Content(request.Content),
 	}
 	if request.Prompt != nil {
 		attributes = append(attributes, slog.Int64("tokens_in", request.Prompt.Input), slog.Int64("tokens_out_most", request.Prompt.MostOutput),
--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -60,6 +60,7 @@
 	AttemptSent     = define(506, slog.LevelInfo, "attempt sent", "None; it shows why the endpoint was chosen. Without a line that it ended, the process did.")
 	RepeatDenied    = define(507, slog.LevelWarn, "repeat denied by the budget", "Look for what makes requests fail; the budget keeps repeats from adding to it.")
 	RequestFailed   = define(508, slog.LevelWarn, "request not completed", "Follow the attempts with the same id; chivedrift explain --log puts them in order.")
+	EndpointEnded   = define(509, slog.LevelWarn, "endpoint ended under a request", "Compare content: a request that is there each time may be what ends the engines. Read the engine's own log.")
 	RequestUnknown  = define(502, slog.LevelWarn, "outcome unknown", "The caller was told so; compare with the endpoint's own records.")
 
 	ClaimLogDown = define(600, slog.LevelWarn, "claim not written", "Requests with Idempotency-Key are answered not-run until the log is back.")
--- a/chiveevent/event.go
+++ b/chiveevent/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sort"
 )
@@ -53,6 +54,9 @@
 	return slog.String("request", id)
 }
 
+// Content returns the attribute by which the lines of several tries of the same request are found, at all nodes.
+func Content(content fmt.Stringer) slog.Attr { return slog.String("content", content.String()) }
+
 // Catalogue returns every event in order of number.
 func Catalogue() []Event {
 	sorted := append([]Event(nil), catalogue...)
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -89,6 +89,7 @@
 type Forwarder struct {
 	o           Options
 	connections *connections
+	ended       *endedChecks
 	duties      chivekernel.Duties
 }
 
@@ -98,7 +99,7 @@
 		began := time.Now()
 		o.SinceBoot = func() time.Duration { return time.Since(began) }
 	}
-	return &Forwarder{o: o, connections: newConnections(o.Network, o.Self)}
+	return &Forwarder{o: o, connections: newConnections(o.Network, o.Self), ended: newEndedChecks()}
 }
 
 // Start begins to close idle connections.
@@ -126,6 +127,7 @@
 func (f *Forwarder) sweep(ctx context.Context) {
 	chivekernel.Every(ctx, sweepEvery, func(now time.Time) {
 		f.connections.sweep(now)
+		f.ended.sweep(now)
 	})
 }
 
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -52,6 +52,9 @@
 	passedOver := place.Done(time.Now(), endings[ended])
 	r.note(c, ended)
 	r.logEnded(ctx, c, ended, passedOver)
+	if ended == endedBroken && r.f.hasEnded(ctx, c.target) {
+		r.noteEnd(ctx, c)
+	}
 	return r.judge(ctx, c, ended)
 }
 
@@ -253,6 +256,13 @@
 	chiveevent.AttemptSent.Log(ctx, r.f.o.Logger, append(attributes, c.place.Why()...)...)
 }
 
+// noteEnd tells that an endpoint ended while it had the request.
+func (r *run) noteEnd(ctx context.Context, c *call) {
+	chiveevent.EndpointEnded.Log(ctx, r.f.o.Logger, chiveevent.Request(r.request.ID), chiveevent.Content(r.request.Content),
+		slog.String("route", r.request.Route.Name), slog.String("team", r.request.Team), slog.String("endpoint", c.target.ID),
+		slog.Int64("took_ms", time.Since(c.began).Milliseconds()), slog.Int("events", r.result.Events))
+}
+
 // logEnded writes one line for an attempt that was made.
 func (r *run) logEnded(ctx context.Context, c *call, ended ending, passedOver time.Duration) {
 	attributes := []slog.Attr{
--- a/chivegate/gate.go
+++ b/chivegate/gate.go
@@ -20,6 +20,7 @@
 	"chivedrift/chiveentry"
 	"chivedrift/chiveevent"
 	"chivedrift/chivefollow"
+	"chivedrift/chiverequest"
 	"chivedrift/chivewire"
 
 	"github.com/uber-go/tally/v4"
@@ -184,6 +185,7 @@
 	inForce  *chivefollow.InForce
 	config   *chiveconfig.Config
 	body     []byte
+	content  chiverequest.Fingerprint
 	arrival  time.Time
 	deadline time.Time
 	timeout  time.Duration
@@ -231,8 +233,12 @@
 	if a.key, err = parseKey(r.Header); err != nil {
 		return err
 	}
-	a.body, err = chiveentry.ReadBody(w, r, a.config.Limits.BodyBytes)
-	return err
+	if a.body, err = chiveentry.ReadBody(w, r, a.config.Limits.BodyBytes); err != nil {
+		return err
+	}
+	// The nodes' own addresses do not matter: a caller's next try goes to another node.
+	a.content = chiverequest.NewFingerprint(a.team, r.Method, "", r.URL.RequestURI(), a.body)
+	return nil
 }
 
 // bound sets the deadline: the class's, or the caller's when that is earlier.
--- a/chivegate/model.go
+++ b/chivegate/model.go
@@ -106,7 +106,7 @@
 	}
 	a.bound(class)
 	return m, &chivedispatch.Work{
-		ID: a.id, Pool: pool.Name, Path: r.URL.Path, Class: class, Team: a.team, Fields: m.fields, Arrival: a.arrival, Deadline: a.deadline,
+		ID: a.id, Pool: pool.Name, Path: r.URL.Path, Class: class, Team: a.team, Content: a.content, Fields: m.fields, Arrival: a.arrival, Deadline: a.deadline,
 		Prefix: m.prefix, PromptTokens: m.prompt, MaxTokens: m.maxTokens, Repeatable: class.Repeatable, Whole: m.whole,
 	}, nil
 }
--- a/chivegate/service.go
+++ b/chivegate/service.go
@@ -72,7 +72,7 @@
 	dropHeaders(header)
 	reading := r.Method == http.MethodGet || r.Method == http.MethodHead || r.Method == http.MethodOptions
 	return &chivedispatch.ServiceWork{
-		ID: a.id, Pool: pool.Name, Class: class, Team: a.team, Method: r.Method, Path: path, Header: header, Body: a.body,
+		ID: a.id, Pool: pool.Name, Class: class, Team: a.team, Method: r.Method, Path: path, Header: header, Body: a.body, Content: a.content,
 		Arrival: a.arrival, Deadline: a.deadline, Repeatable: reading || class.Repeatable,
 	}, nil
 }
--- a/chiverequest/request.go
+++ b/chiverequest/request.go
@@ -23,7 +23,9 @@
 	// Header holds what is passed on; the router's own fields were taken out.
 	Header http.Header
 	Body   []byte
-	Prompt *Prompt
+	// Content is the same for all tries of the same request, at any node.
+	Content Fingerprint
+	Prompt  *Prompt
 	// LastEvent is the last event of a stream that the caller already has, empty for a stream from its start.
 	LastEvent string
 	Arrival   time.Time
--- a/chivestand/network.go
+++ b/chivestand/network.go
@@ -2,15 +2,16 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
 // ErrRefused is returned where nobody listens.
-var ErrRefused = errors.New("connection refused")
+var ErrRefused = fmt.Errorf("stand-in network: %w", syscall.ECONNREFUSED)
 
 // Network stands in for the network between processes: in-memory connections that can be cut or made silent.
 type Network struct {
