A request under which engines end is kept from them, by all nodes

What callers saw: while one caller sent a request that ends each engine that begins it, two thirds of all model requests failed (three spans of 20 s, 30 to 36 engines each; docs/incidents/requests-that-end-engines.md). Cause: what a node knew of a request ended with its try. Attempts were bounded for a try, repeats for a pool; nothing knew that the same request had been on each engine that ended, and each try carried it to one or two more. Class: state about a request that its next try, at any node, does not find. Ruled out: spreading by the second attempt alone (a first attempt was on half of the ends), load (all other requests completed between the spans). Change: package chivequarantine. Nodes tell each other which request (fingerprint of team, method, host, target, body) was on which engine when its process was found gone. Three ends hold it back everywhere: new tries get 503 with Retry-After, waiting copies are broken off, a try under way gets no further attempt. Who is not accused: the request that was on the most engines explains their ends, and those beside it are free with that (in the record 17 had lost three or four engines); ends of a failure domain in one moment are one; an endpoint that leaves, or refuses no connection, has not ended; the word of one node holds nothing back elsewhere; an answer frees. A hold of 15 s, then 45, 135 ... 600 ends with one try, spaced over the fleet by one node. Dropped on the way: reports told apart by their times.

--- a/chivedispatch/dispatcher.go
+++ b/chivedispatch/dispatcher.go
@@ -45,19 +45,22 @@
 
 // Dispatcher runs model requests: the scheduler's slots are their places, the product's own engines their endpoints.
 type Dispatcher struct {
-	self    string
-	network chivewire.Network
-	slots   Slots
-	fleet   Fleet
-	logger  *slog.Logger
-	forward *chiveforward.Forwarder
-	budget  *Budget
-	waste   *Waste
+	self       string
+	network    chivewire.Network
+	slots      Slots
+	fleet      Fleet
+	quarantine chiveforward.Quarantine
+	logger     *slog.Logger
+	forward    *chiveforward.Forwarder
+	budget     *Budget
+	waste      *Waste
 }
 
 // New returns a dispatcher that calls endpoints over a network.
-func New(self string, network chivewire.Network, slots Slots, fleet Fleet, logger *slog.Logger) *Dispatcher {
-	d := &Dispatcher{self: self, network: network, slots: slots, fleet: fleet, logger: logger, budget: NewBudget(), waste: &Waste{}}
+func New(
+	self string, network chivewire.Network, slots Slots, fleet Fleet, quarantine chiveforward.Quarantine, logger *slog.Logger,
+) *Dispatcher {
+	d := &Dispatcher{self: self, network: network, slots: slots, fleet: fleet, quarantine: quarantine, logger: logger, budget: NewBudget(), waste: &Waste{}}
 	d.forward = d.newForwarder(slotPlaces{d}, maxAttempts)
 	return d
 }
@@ -66,7 +69,7 @@
 func (d *Dispatcher) newForwarder(places chiveforward.Places, refusals int) *chiveforward.Forwarder {
 	return chiveforward.New(chiveforward.Options{
 		Self: d.self, Network: d.network, Dialect: dialect{}, Places: places, Repeats: d.budget,
-		Rules: chiveforward.Rules{Refusals: refusals, FreshOnce: true}, Logger: d.logger,
+		Rules: chiveforward.Rules{Refusals: refusals, FreshOnce: true}, Quarantine: d.quarantine, Logger: d.logger,
 	})
 }
 
@@ -151,7 +154,7 @@
 // targetOf returns an endpoint of the own interface as the forwarder sees it: operators name it, and it does not tell one start of its process
 // from another.
 func targetOf(e chiveconfig.Endpoint) chiveforward.Target {
-	return chiveforward.Target{ID: e.Name, Incarnation: e.Name, Address: e.Address}
+	return chiveforward.Target{ID: e.Name, Incarnation: e.Name, Address: e.Address, FailureDomain: e.FailureDomain}
 }
 
 // Why returns the scheduler's reason.
@@ -166,6 +169,9 @@
 // Event does nothing: progress is told with the tokens.
 func (p *slotPlace) Event(time.Time, time.Duration) {}
 
+// Leaving tells nothing here: these engines refuse new work while they leave, and finish what they have.
+func (p *slotPlace) Leaving() bool { return false }
+
 // FetchFrom names nobody: these engines move no parts.
 func (p *slotPlace) FetchFrom() string { return "" }
 
--- a/chivedispatch/service.go
+++ b/chivedispatch/service.go
@@ -138,6 +138,9 @@
 // Event does nothing.
 func (p *replicaPlace) Event(time.Time, time.Duration) {}
 
+// Leaving tells nothing here: replicas refuse new work while they leave, and finish what they have.
+func (p *replicaPlace) Leaving() bool { return false }
+
 // FetchFrom names nobody: plain services hold no prompts.
 func (p *replicaPlace) FetchFrom() string { return "" }
 
--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -61,6 +61,9 @@
 	RepeatDenied    = define(507, slog.LevelWarn, "repeat denied by the budget", "Look for what makes requests fail; the budget keeps repeats from adding to it.")
 	RequestFailed   = define(508, slog.LevelWarn, "request not completed", "Follow the attempts with the same id; chivedrift explain --log puts them in order.")
 	EndpointEnded   = define(509, slog.LevelWarn, "endpoint ended under a request", "Compare content: a request that is there each time may be what ends the engines. Read the engine's own log.")
+	HoldBegan       = define(510, slog.LevelError, "request held back", "Engines end under it. Tell its team; look at the engines' logs. Its tries are answered 503 with Retry-After until one of them, now and then, comes through.")
+	HoldEnded       = define(511, slog.LevelWarn, "request not held back any more", "None: an engine answered it, another request explains the ends, or its caller has stopped.")
+	HoldTrial       = define(512, slog.LevelWarn, "held request tried once", "None; the engine's end or answer decides whether it stays held back.")
 	RequestUnknown  = define(502, slog.LevelWarn, "outcome unknown", "The caller was told so; compare with the endpoint's own records.")
 
 	ClaimLogDown = define(600, slog.LevelWarn, "claim not written", "Requests with Idempotency-Key are answered not-run until the log is back.")
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"chivedrift/chiverequest"
@@ -42,9 +43,11 @@
 	began      time.Time
 	silence    *time.Timer
 	touched    bool
-	status     int
-	err        error
-	whole      *whole
+	// answering tells that an event of the answer has come.
+	answering atomic.Bool
+	status    int
+	err       error
+	whole     *whole
 }
 
 // whole is an answer that was read to its end.
@@ -73,6 +76,10 @@
 		stop := watch(ctx, preempted, func() { cancel(errPreempted) })
 		defer stop()
 	}
+	// Copies of a request that ends engines may wait at several when that is known; those that have sent nothing yet are taken back.
+	if !c.run.trial {
+		defer c.run.f.o.Quarantine.Watch(c.run.request, func() { c.hold(cancel) })()
+	}
 	response, err := c.send(ctx)
 	if err != nil {
 		return c.broken(ctx, parent, err)
@@ -97,6 +104,13 @@
 	return c.readWhole(ctx, parent, response)
 }
 
+// hold breaks the attempt off, unless its engine has begun to answer.
+func (c *call) hold(cancel context.CancelCauseFunc) {
+	if !c.answering.Load() {
+		cancel(errHeld)
+	}
+}
+
 // watch calls heard when a channel closes before the context ends; stop waits until nothing is called any more.
 func watch(ctx context.Context, closed <-chan struct{}, heard func()) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -195,6 +209,8 @@
 		return endedCaller
 	case errors.Is(cause, errPreempted):
 		return endedPreempted
+	case errors.Is(cause, errHeld):
+		return endedHeld
 	case errors.Is(cause, ErrSilent):
 		c.err = ErrSilent
 	}
@@ -280,6 +296,7 @@
 			return c.streamEnd(ctx, parent, response, stream, rest, err)
 		}
 		c.heard()
+		c.answering.Store(true)
 		now := time.Now()
 		c.place.Event(now, now.Sub(asked))
 		c.run.noteEvent(now.Sub(asked))
--- a/chiveforward/endpoint_test.go
+++ b/chiveforward/endpoint_test.go
@@ -148,6 +148,7 @@
 	asleep    *atomic.Int64
 	forwarder *chiveforward.Forwarder
 	budget    *chiveforward.Budget
+	pools     *chiveforward.Pools
 	table     *chivetable.Table
 }
 
@@ -189,7 +190,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { f.Stop(context.Background()) })
-	return &setup{asleep, f, budget, table}
+	return &setup{asleep, f, budget, pools, table}
 }
 
 func (s *setup) request(method, body string) *chiverequest.Request {
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -23,7 +23,9 @@
 	Places  Places
 	Repeats Repeats
 	Rules   Rules
-	Logger  *slog.Logger
+	// Quarantine keeps requests from endpoints that end under them; nil keeps none.
+	Quarantine Quarantine
+	Logger     *slog.Logger
 	// SinceBoot reads a clock that goes on while the machine is suspended; nil takes the runtime's, which tests pause.
 	SinceBoot func() time.Duration
 }
@@ -55,8 +57,9 @@
 	// ID is what the request names, so that no other endpoint at the address runs it.
 	ID string
 	// Incarnation names the start of its process: connections are kept, and attempts are excluded, by it.
-	Incarnation string
-	Address     string
+	Incarnation   string
+	Address       string
+	FailureDomain string
 }
 
 // Place is one request's place on one endpoint.
@@ -65,6 +68,8 @@
 	Target() Target
 	// Why returns what decided for the endpoint, for the log.
 	Why() []slog.Attr
+	// Leaving tells whether the endpoint has said that it leaves, or has left: its end then was planned.
+	Leaving() bool
 	// FetchFrom returns the address from which the endpoint should fetch the parts of the prompt that it lacks; empty for none.
 	FetchFrom() string
 	// Preempted is closed when the place is wanted back for more urgent work; nil where that never happens.
@@ -95,6 +100,9 @@
 
 // New returns a forwarder without connections.
 func New(o Options) *Forwarder {
+	if o.Quarantine == nil {
+		o.Quarantine = noQuarantine{}
+	}
 	if o.SinceBoot == nil {
 		began := time.Now()
 		o.SinceBoot = func() time.Duration { return time.Since(began) }
@@ -140,6 +148,9 @@
 	defer cancel()
 	f.o.Repeats.Request(time.Now(), request)
 	r := &run{f: f, request: request, sink: sink, last: request.LastEvent, watch: newStopwatch(f.o.SinceBoot)}
+	if r.isHeld(ctx) {
+		return r.result
+	}
 	for !r.attempt(ctx) {
 	}
 	return r.result
--- a/chiveforward/request.go
+++ b/chiveforward/request.go
@@ -34,6 +34,7 @@
 	CodeCallerGone = "caller_gone"
 	CodeBroken     = "endpoint_broken"
 	CodeRefused    = "endpoint_refused"
+	CodeHeld       = "endpoints_ended"
 )
 
 // Try is one attempt that was made.
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -31,6 +31,8 @@
 	exclude  []string
 	// events counts the events of all attempts.
 	events int
+	// trial tells that the request is tried although engines ended under it: it gets one attempt.
+	trial bool
 	// spare is an endpoint's error that is passed on when no other endpoint does better.
 	spare *whole
 }
@@ -46,6 +48,10 @@
 		r.giveUp(ctx, CodeDeadline, "the request's time ran out while the machine was suspended", 0)
 		return true
 	}
+	if r.heldMeanwhile(ctx) {
+		place.Done(time.Now(), chiveplace.EndedCaller)
+		return true
+	}
 	c := &call{run: r, place: place, target: place.Target(), began: time.Now()}
 	r.logSent(ctx, c)
 	ended := c.carry(ctx)
@@ -77,13 +83,15 @@
 	endedCaller
 	// endedPreempted is an attempt whose place was wanted back.
 	endedPreempted
+	// endedHeld is an attempt that was broken off since engines end under its request.
+	endedHeld
 )
 
-var endingNames = [...]string{"complete", "endpoint_error", "broken", "unreached", "refused_by_endpoint", "other_endpoint", "given_up", "preempted"}
+var endingNames = [...]string{"complete", "endpoint_error", "broken", "unreached", "refused_by_endpoint", "other_endpoint", "given_up", "preempted", "held"}
 
 var endings = [...]chiveplace.Ending{
 	chiveplace.EndedWell, chiveplace.EndedError, chiveplace.EndedBroken, chiveplace.EndedBroken, chiveplace.EndedFull, chiveplace.EndedGone,
-	chiveplace.EndedCaller, chiveplace.EndedCaller,
+	chiveplace.EndedCaller, chiveplace.EndedCaller, chiveplace.EndedCaller,
 }
 
 // refuse ends a request that found no place.
@@ -110,8 +118,12 @@
 	r.exclude = append(r.exclude, c.target.Incarnation)
 	switch ended {
 	case endedComplete:
+		r.f.o.Quarantine.Answered(time.Now(), r.request)
 		r.result.Outcome = Completed
 		return true
+	case endedHeld:
+		r.touched = r.touched || c.touched
+		return r.heldMeanwhile(ctx) || r.afterBreak(ctx, c, ended)
 	case endedCaller:
 		r.touched = r.touched || c.touched
 		r.giveUp(ctx, CodeDeadline, "the request's time ran out at the endpoint", 0)
@@ -167,7 +179,10 @@
 			return r.passSpare()
 		}
 	}
-	again := r.request.Route.Repeat != chivetable.RepeatNever && r.sent < r.request.Route.Attempts && ctx.Err() == nil
+	if r.heldMeanwhile(ctx) {
+		return true
+	}
+	again := !r.trial && r.request.Route.Repeat != chivetable.RepeatNever && r.sent < r.request.Route.Attempts && ctx.Err() == nil
 	if again && r.spend(ctx) {
 		return false
 	}
@@ -256,13 +271,6 @@
 	chiveevent.AttemptSent.Log(ctx, r.f.o.Logger, append(attributes, c.place.Why()...)...)
 }
 
-// noteEnd tells that an endpoint ended while it had the request.
-func (r *run) noteEnd(ctx context.Context, c *call) {
-	chiveevent.EndpointEnded.Log(ctx, r.f.o.Logger, chiveevent.Request(r.request.ID), chiveevent.Content(r.request.Content),
-		slog.String("route", r.request.Route.Name), slog.String("team", r.request.Team), slog.String("endpoint", c.target.ID),
-		slog.Int64("took_ms", time.Since(c.began).Milliseconds()), slog.Int("events", r.result.Events))
-}
-
 // logEnded writes one line for an attempt that was made.
 func (r *run) logEnded(ctx context.Context, c *call, ended ending, passedOver time.Duration) {
 	attributes := []slog.Attr{
--- a/chivegossip/readers.go
+++ b/chivegossip/readers.go
@@ -2,15 +2,12 @@
 
 import (
 	"slices"
-	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"chivedrift/chivemember"
 	"chivedrift/chivewire"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // In a large fleet a few nodes read the store for all: with every node waiting on every topic, each record costs a call a node.
@@ -30,8 +27,6 @@
 	branches = 6
 	// parents is how many nodes publish to one, so that one that stands still holds up nobody.
 	parents = 2
-	// allPartnersUpTo is the largest fleet in which each node compares itself with all others in turn.
-	allPartnersUpTo = 16
 	// aloneAfter is the silence of all peers after which a node reads the store itself: each peer compares with one of its partners drawn at random
 	// every 0.4 s, and each node is the partner of as many as it has, so that four seconds without any happen to a connected node about once in a day.
 	aloneAfter = 4 * time.Second
@@ -58,17 +53,11 @@
 
 // SetMembers takes a change of the fleet.
 func (s *Service) SetMembers(members []chivemember.Member) {
-	ranked := make([]string, 0, len(members))
-	for _, m := range members {
-		if m.State == chivemember.Alive {
-			ranked = append(ranked, m.Address)
-		}
-	}
-	sort.Slice(ranked, func(i, j int) bool { return xxhash.Sum64String(ranked[i]) < xxhash.Sum64String(ranked[j]) })
+	ranked := chivemember.AddressesByHash(members)
 	reading := ranked[:min(Readers, len(ranked))]
 	own := slices.Index(reading, s.o.Mesh.Self())
 	place := slices.Index(ranked, s.o.Mesh.Self())
-	children, partners := childrenOf(place, ranked), partnersOf(place, ranked)
+	children, partners := childrenOf(place, ranked), chivemember.Partners(s.o.Mesh.Self(), ranked)
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
 	if own >= 0 && s.fleet.rank < 0 {
@@ -96,25 +85,6 @@
 	return children
 }
 
-// partnersOf returns the peers that the node at a place among all compares itself with: all in a small fleet, else those 1, 2, 4 ... places further
-// on, so that what one node knows crosses the fleet in as many steps as its size has binary digits, and each is the partner of as many.
-//
-// A peer drawn from the whole fleet each time leaves every node connected to half of it, as connections are kept for half a minute: of 60
-// nodes the middle one held 55 after half a minute, with partners 12 (on virtual time), and a change reached all as soon.
-func partnersOf(own int, ranked []string) []string {
-	if own < 0 {
-		return nil
-	}
-	var partners []string
-	if len(ranked) <= allPartnersUpTo {
-		return slices.Concat(ranked[:own], ranked[own+1:])
-	}
-	for distance := 1; distance < len(ranked); distance *= 2 {
-		partners = append(partners, ranked[(own+distance)%len(ranked)])
-	}
-	return partners
-}
-
 // ReadWait is how long this node's next read of the store waits for a record; fresh tells that the read before has brought
 // something.
 //
--- /dev/null
+++ b/chivemember/partners.go
@@ -0,0 +1,42 @@
+package chivemember
+
+import (
+	"slices"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// allPartnersUpTo is the largest fleet in which each node compares itself with all others in turn.
+const allPartnersUpTo = 16
+
+// AddressesByHash returns the peer addresses of the members that are alive, in an order on which all nodes agree without talking.
+func AddressesByHash(members []Member) []string {
+	ranked := make([]string, 0, len(members))
+	for _, m := range members {
+		if m.State == Alive {
+			ranked = append(ranked, m.Address)
+		}
+	}
+	sort.Slice(ranked, func(i, j int) bool { return xxhash.Sum64String(ranked[i]) < xxhash.Sum64String(ranked[j]) })
+	return ranked
+}
+
+// Partners returns the peers with which a node compares what both know: all in a small fleet, else those 1, 2, 4 ... places further on in the order by
+// hash, so that what one node knows crosses the fleet in as many steps as its size has binary digits, and each is the partner of as many.
+//
+// A peer drawn from the whole fleet each time would leave every node connected to half of it, as connections are kept for half a minute.
+func Partners(self string, ranked []string) []string {
+	own := slices.Index(ranked, self)
+	if own < 0 {
+		return nil
+	}
+	if len(ranked) <= allPartnersUpTo {
+		return slices.Concat(ranked[:own], ranked[own+1:])
+	}
+	var partners []string
+	for distance := 1; distance < len(ranked); distance *= 2 {
+		partners = append(partners, ranked[(own+distance)%len(ranked)])
+	}
+	return partners
+}
--- a/chivenode/node.go
+++ b/chivenode/node.go
@@ -20,6 +20,7 @@
 	"chivedrift/chivemember"
 	"chivedrift/chivemetric"
 	"chivedrift/chiveorder"
+	"chivedrift/chivequarantine"
 	"chivedrift/chivequota"
 	"chivedrift/chiveschedule"
 	"chivedrift/chivesettings"
@@ -73,7 +74,8 @@
 	slots := chiveschedule.NewClient(s.Region, n.mesh, n.logger)
 	claims := chiveclaim.NewClient(identity, n.mesh)
 	quota := chivequota.NewService(n.mesh)
-	dispatcher := chivedispatch.New(s.Listen.Callers, network, slots, n.members, n.logger)
+	quarantine := chivequarantine.New(chivequarantine.Options{Mesh: n.mesh, Logger: n.logger})
+	dispatcher := chivedispatch.New(s.Listen.Callers, network, slots, n.members, quarantine, n.logger)
 	services := chivedispatch.NewServices(dispatcher, s.Region)
 	n.gate = chivegate.New(chivegate.Options{
 		Node: s.Name, Address: s.Listen.Callers, Network: network, Models: dispatcher, Services: services, Claims: claims, Quota: quota,
@@ -96,6 +98,7 @@
 		{chiveclaim.WriterName, chiveclaim.NewWriter(log, n.mesh, n.logger)},
 		{chiveclaim.ClientName, claims},
 		{chivequota.ServiceName, quota},
+		{chivequarantine.ServiceName, quarantine},
 		{chiveorder.ServiceName, chiveorder.NewService(identity, s.Listen.Peers, network, log, n.logger)},
 		{chivedispatch.ServiceName, dispatcher},
 		{servicesName, services},
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -21,6 +21,7 @@
 	"chivedrift/chiveload"
 	"chivedrift/chivemember"
 	"chivedrift/chivemetric"
+	"chivedrift/chivequarantine"
 	"chivedrift/chivesettings"
 	"chivedrift/chivetable"
 	"chivedrift/chivewire"
@@ -45,21 +46,22 @@
 
 // StoreNode is one process between callers and endpoints on a platform that keeps configuration and endpoints in a store.
 type StoreNode struct {
-	settings  chivesettings.StoreNode
-	logger    *slog.Logger
-	kernel    *chivekernel.Kernel
-	mesh      *chivewire.Mesh
-	members   *chivemember.Service
-	tables    *chivetable.Service
-	directory *chivedirectory.Service
-	entry     *chiveentry.Entry
-	ready     *readiness
-	gossip    *chivegossip.Service
-	budget    *chiveforward.Budget
-	loads     *chiveload.Service
-	grants    *chivegrant.Service
-	startup   *startup
-	memory    *memoryGuard
+	settings   chivesettings.StoreNode
+	logger     *slog.Logger
+	kernel     *chivekernel.Kernel
+	mesh       *chivewire.Mesh
+	members    *chivemember.Service
+	tables     *chivetable.Service
+	directory  *chivedirectory.Service
+	entry      *chiveentry.Entry
+	ready      *readiness
+	gossip     *chivegossip.Service
+	budget     *chiveforward.Budget
+	loads      *chiveload.Service
+	grants     *chivegrant.Service
+	startup    *startup
+	memory     *memoryGuard
+	quarantine *chivequarantine.Service
 }
 
 // NewStoreNode puts a node together from its settings, on a network.
@@ -94,6 +96,7 @@
 		{directoryFeedName, feeds.directory},
 		{rosterFeedName, feeds.roster},
 		{chiveforward.PoolsName, serving.pools},
+		{chivequarantine.ServiceName, n.quarantine},
 		{chiveforward.ServiceName, serving.forwarder},
 		{chivegrant.ServiceName, n.grants},
 		{chiveload.ServiceName, n.loads},
@@ -165,10 +168,11 @@
 		Ratio: s.Repeats.Ratio, Headroom: s.Repeats.Headroom, Window: time.Duration(s.Repeats.WindowS * float64(time.Second)),
 	})
 	n.memory = newMemoryGuard(s.MemoryMB*megabyte, n.logger)
+	n.quarantine = chivequarantine.New(chivequarantine.Options{Mesh: n.mesh, Logger: n.logger})
 	pools := chiveforward.NewPools(s.FailureDomain)
 	forwarder := chiveforward.New(chiveforward.Options{
 		Self: s.Listen.Callers, Network: network, Dialect: chiveplatform.Endpoints{}, Places: pools, Repeats: n.budget, Rules: chiveforward.StoreRules,
-		SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
+		Quarantine: n.quarantine, SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
 	})
 	n.entry = chiveentry.New(chiveentry.Options{
 		Address: s.Listen.Callers, Network: network, Dialect: chiveplatform.Callers{}, Forwarder: forwarder, Full: n.memory.Full,
@@ -205,6 +209,7 @@
 		n.grants.SetMembers(members)
 		n.loads.SetMembers(members)
 		n.gossip.SetMembers(members)
+		n.quarantine.SetMembers(members)
 	})
 	return nil
 }
@@ -221,6 +226,9 @@
 		{"places_granted", func() float64 { return float64(n.grants.Counts().Granted) }},
 		{"places_refused", func() float64 { return float64(n.grants.Counts().Refused) }},
 		{"owners_silent", func() float64 { return float64(n.grants.Counts().Silent) }},
+		{"requests_held", func() float64 { return float64(n.quarantine.Counts().Held) }},
+		{"requests_held_refused", func() float64 { return float64(n.quarantine.Counts().Refused) }},
+		{"ends_under_requests", func() float64 { return float64(n.quarantine.Counts().Ends) }},
 		{"table_version", func() float64 { return float64(n.tables.Version()) }},
 		{"table_newest_known", func() float64 { return float64(n.tables.Newest()) }},
 		{"table_since_seconds", func() float64 { return n.tables.Since().Seconds() }},
--- a/chiveplace/candidate.go
+++ b/chiveplace/candidate.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// quarantineFirst is how long an endpoint is passed over after a broken connection; it doubles with each further
-	// one up to quarantineMost. A crashed process is back, or its entry gone, within a few seconds.
-	quarantineFirst = 300 * time.Millisecond
-	quarantineMost  = 4 * time.Second
+	// passOverFirst is how long an endpoint is passed over after a broken connection; it doubles with each further
+	// one up to passOverMost. A crashed process is back, or its entry gone, within a few seconds.
+	passOverFirst = 300 * time.Millisecond
+	passOverMost  = 4 * time.Second
 	// fullFor is how long an endpoint that refused for lack of room is passed over: a few of its steps.
 	fullFor = 100 * time.Millisecond
 	// errorMemory is the weight of the newest answer in the running share of errors.
@@ -131,7 +131,7 @@
 }
 
 func (s *candidate) failed(now time.Time) {
-	s.downUntil = now.Add(min(quarantineFirst<<min(s.failures, 10), quarantineMost))
+	s.downUntil = now.Add(min(passOverFirst<<min(s.failures, 10), passOverMost))
 	s.failures++
 	s.errors += errorMemory * (1 - s.errors)
 }
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -75,6 +75,13 @@
 // Endpoint returns the endpoint that was chosen.
 func (p *Place) Endpoint() chivedirectory.Endpoint { return p.endpoint }
 
+// Leaving tells whether the endpoint has said that it leaves, or has left.
+func (p *Place) Leaving() bool {
+	p.pool.mu.Lock()
+	defer p.pool.mu.Unlock()
+	return p.candidate.endpoint.State == chivedirectory.Leaving || p.pool.candidates[p.candidate.incarnation] != p.candidate
+}
+
 // Reason tells by what the endpoint was chosen.
 func (p *Place) Reason() string { return p.reason }
 
@@ -175,7 +182,7 @@
 	case EndedFull:
 		p.candidate.full(now)
 	case EndedGone:
-		p.candidate.downUntil = now.Add(quarantineMost)
+		p.candidate.downUntil = now.Add(passOverMost)
 	case EndedCaller:
 	}
 	return max(p.candidate.downUntil.Sub(now), 0)
--- a/chivewire/kind.go
+++ b/chivewire/kind.go
@@ -54,6 +54,11 @@
 	KindChangesAsk    Kind = 113
 	KindChangesAnswer Kind = 114
 
+	KindEndNews    Kind = 120
+	KindEndDigest  Kind = 121
+	KindTrialAsk   Kind = 122
+	KindTrialGrant Kind = 123
+
 	KindPlaceAsk    Kind = 104
 	KindPlaceAnswer Kind = 105
 )
@@ -71,6 +76,7 @@
 	KindAnswersAsk: "answers_ask", KindAnswers: "answers",
 	KindDocumentAsk: "document_ask", KindDocumentPart: "document_part", KindDocumentRefusal: "document_refusal",
 	KindDigestAnswer: "digest", KindChangesAsk: "changes_ask", KindChangesAnswer: "changes_answer",
+	KindEndNews: "end_news", KindEndDigest: "end_digest", KindTrialAsk: "trial_ask", KindTrialGrant: "trial_grant",
 	KindPlaceAsk: "place_ask", KindPlaceAnswer: "place_answer",
 }
 
