A node that is told all that there is has taken everything up to there

What callers saw: tries at an endpoint that is gone, at nodes that read nothing themselves, until the next change of any endpoint. Cause: the newest change that came counted, not the place up to which the teller named everything; a removal just before it has no change of its own, so the node seemed to know no more than those it should have told.

--- a/chivedirectory/changes.go
+++ b/chivedirectory/changes.go
@@ -67,5 +67,7 @@
 		}
 	}
 	d.rooted = max(d.rooted, update.End)
+	// The last record up to there may be a removal, which no change tells of: the node has taken it all the same, and tells it on.
+	d.newest = max(d.newest, update.End)
 	return changed
 }
