Places in the store's log have an era: a store that comes back from an older copy is followed

What callers would have seen: endpoints that live get nothing until as much has been written to the store as was lost, ones that left get requests, and a node that starts with no seed's answer finds nobody. Cause: an offset was the version of an entry everywhere; offsets go back and are given out again. A reader whose offset existed again took other records for what followed. In the first era a position is the offset itself, so that nodes of two releases understand each other. chivedirectory/restore.go: entries that the copy lacks are kept for the grace time, also by nodes that never found the store away; what the copy says of an endpoint that had left counts only after eight seconds, longer than a dead process's entry lasts; nodes that know only the copy hear from peers what had left, and each settles by itself. The nodes' addresses are left again. Event 212, metric store_era, era in the state dumps.

--- a/chivedirectory/changes_test.go
+++ b/chivedirectory/changes_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chivedrift/chivedirectory"
+	"chivedrift/chivelog"
 
 	"pgregory.net/rapid"
 )
@@ -125,7 +126,7 @@
 				for _, w := range present {
 					snapshot = append(snapshot, w)
 				}
-				nodes[n].Replace(now, snapshot, int64(len(log)))
+				nodes[n].Replace(now, snapshot, chivelog.Position(len(log)))
 				read[n] = len(log)
 			default:
 				other := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "other")]
@@ -134,7 +135,7 @@
 				}
 			}
 			for i, d := range nodes {
-				if len(present) > 0 && d.Newest() == int64(len(log))-1 && !agrees(d, present) {
+				if len(present) > 0 && d.Newest() == chivelog.Position(len(log))-1 && !agrees(d, present) {
 					t.Fatalf("node %d counts as up to date and knows %+v, where there is %v", i, d.Endpoints(), present)
 				}
 			}
--- a/chivedirectory/directory.go
+++ b/chivedirectory/directory.go
@@ -4,15 +4,17 @@
 	"slices"
 	"sort"
 	"time"
+
+	"chivedrift/chivelog"
 )
 
-// noOffset stands for the offset before the first change.
-const noOffset = -1
+// noPosition stands for the position before the first change.
+const noPosition chivelog.Position = -1
 
 const (
 	// goneKept is how long it is remembered that an endpoint is gone, so that an older change of a peer does not bring it back.
 	goneKept = 10 * time.Minute
-	// goneTold is how long each peer is told of it: the change has the offset of the removal, which peers may have passed by then.
+	// goneTold is how long each peer is told of it: the change has the position of the removal, which peers may have passed by then.
 	goneTold = 10 * time.Second
 )
 
@@ -23,22 +25,26 @@
 // store's return a missing entry is kept, and only one that is still missing then counts as gone. After a cut of this node
 // alone there is no such time: what is missing then has left.
 //
-// Changes come from the store and from peers, which may be ahead or behind; the offset in the store's log tells which is newer.
+// Changes come from the store and from peers, which may be ahead or behind; the position in the store's log tells which is newer.
 type Directory struct {
 	grace   time.Duration
 	entries map[string]*entry
 	gone    map[string]tombstone
-	newest  int64
-	// rooted is the offset up to which this node knows what there is and not all that was removed.
-	rooted  int64
-	answers answers
+	newest  chivelog.Position
+	// rooted is the position up to which this node knows what there is and not all that was removed.
+	rooted chivelog.Position
+	// era is the newest era of the store that is known.
+	era int64
+	// restored is when the store was first seen to have come back from an older copy, the last time.
+	restored time.Time
+	answers  answers
 	// outages are those whose grace time is not over, the newest last; the newest may last still.
 	outages []*outage
 }
 
 type entry struct {
 	endpoint Endpoint
-	offset   int64
+	position chivelog.Position
 	// missing is when the entry was first found missing, zero while it is there.
 	missing time.Time
 	// keep is until when a peer that told of it waits for it; zero where this node found out itself.
@@ -49,14 +55,14 @@
 // replace takes a newer change of the endpoint and reports whether it says something else.
 func (e *entry) replace(change Change) bool {
 	changed := e.endpoint != change.Endpoint
-	e.endpoint, e.offset, e.missing, e.keep = change.Endpoint, max(e.offset, change.Offset), time.Time{}, time.Time{}
+	e.endpoint, e.position, e.missing, e.keep = change.Endpoint, max(e.position, change.Position), time.Time{}, time.Time{}
 	e.contest = contest{}
 	return changed
 }
 
 type tombstone struct {
-	offset int64
-	at     time.Time
+	position chivelog.Position
+	at       time.Time
 	// incarnation is the last that was known of the endpoint.
 	incarnation Incarnation
 	contest     contest
@@ -64,7 +70,7 @@
 
 // New returns an empty directory; grace is how long a lapsed entry is kept after the store's return.
 func New(grace time.Duration) *Directory {
-	return &Directory{grace: grace, entries: make(map[string]*entry), gone: make(map[string]tombstone), newest: noOffset, rooted: noOffset}
+	return &Directory{grace: grace, entries: make(map[string]*entry), gone: make(map[string]tombstone), newest: noPosition, rooted: noPosition}
 }
 
 // StoreAnswered notes that the store answered this node about endpoints.
@@ -120,49 +126,65 @@
 	}
 }
 
-// Newest returns the offset of the newest change that was taken; -1 before the first.
-func (d *Directory) Newest() int64 { return d.newest }
+// Newest returns the position of the newest change that was taken; -1 before the first.
+func (d *Directory) Newest() chivelog.Position { return d.newest }
 
 // Apply takes one change, in any order, and reports whether anything that matters for routing changed.
 func (d *Directory) Apply(now time.Time, change Change) bool {
-	d.newest = max(d.newest, change.Offset)
+	d.noteEra(now, change.Position)
+	d.newest = max(d.newest, change.Position)
 	id := change.Endpoint.ID
-	if known, ok := d.entries[id]; ok {
-		if !change.Gone && known.endpoint.Incarnation().Follows(change.Endpoint.Incarnation()) {
-			d.hearEarlier(now, known, change)
-			return false
-		}
-		if known.offset >= change.Offset && (change.Gone || !change.Endpoint.Incarnation().Follows(known.endpoint.Incarnation())) {
-			return known.offset == change.Offset && change.Read && change.Gone && d.confirm(now, id)
+	known, ok := d.entries[id]
+	if ok {
+		if settled, changed := d.weigh(now, known, change); settled {
+			return changed
 		}
 	}
 	if old, ok := d.gone[id]; ok && !d.mayReturn(now, old, change) {
 		return false
 	}
 	if change.Gone {
-		return d.remove(now, id, change.Offset)
+		return d.remove(now, id, change.Position)
 	}
 	if change.Missing {
 		d.miss(now, change)
 		return false
 	}
 	delete(d.gone, id)
-	known, ok := d.entries[id]
 	if !ok {
-		d.entries[id] = &entry{endpoint: change.Endpoint, offset: change.Offset}
+		d.entries[id] = &entry{endpoint: change.Endpoint, position: change.Position}
 		return true
 	}
 	return known.replace(change)
 }
 
+// weigh holds a change against what is known of the endpoint; settled tells that it is not to be taken as it stands.
+func (d *Directory) weigh(now time.Time, known *entry, change Change) (settled, changed bool) {
+	switch {
+	case !change.Gone && known.endpoint.Incarnation().Follows(change.Endpoint.Incarnation()):
+		d.hearEarlier(now, known, change)
+		return true, false
+	case d.outlasts(known, change):
+		d.restrict(now, known, change)
+		return true, true
+	case known.position >= change.Position && (change.Gone || !change.Endpoint.Incarnation().Follows(known.endpoint.Incarnation())):
+		return true, known.position == change.Position && change.Read && change.Gone && d.confirm(now, change.Endpoint.ID)
+	case known.mayBeOld(change):
+		known.position = change.Position
+		known.contest.note(now, change)
+		return true, false
+	}
+	return false, false
+}
+
 // remove takes the change that an entry is gone. Shortly after an outage it may only mean that the entry lapsed meanwhile.
-func (d *Directory) remove(now time.Time, id string, offset int64) bool {
+func (d *Directory) remove(now time.Time, id string, position chivelog.Position) bool {
 	known, ok := d.entries[id]
 	if !ok {
-		d.gone[id] = tombstone{offset: offset, at: now, incarnation: d.gone[id].incarnation}
+		d.gone[id] = tombstone{position: position, at: now, incarnation: d.gone[id].incarnation}
 		return false
 	}
-	known.offset = offset
+	known.position = position
 	if d.inGrace(now) && known.endpoint.State == Ready {
 		if known.missing.IsZero() {
 			known.missing = now
@@ -190,24 +212,25 @@
 		known = &entry{endpoint: change.Endpoint}
 		d.entries[change.Endpoint.ID] = known
 	}
-	known.offset = max(known.offset, change.Offset)
+	known.position = max(known.position, change.Position)
 	if known.missing.IsZero() {
 		known.missing, known.keep = now, now.Add(change.Keep)
 	}
 }
 
 func (d *Directory) drop(now time.Time, id string) {
-	d.gone[id] = tombstone{offset: d.entries[id].offset, at: now, incarnation: d.entries[id].endpoint.Incarnation()}
+	d.gone[id] = tombstone{position: d.entries[id].position, at: now, incarnation: d.entries[id].endpoint.Incarnation()}
 	delete(d.entries, id)
 }
 
 // inGrace tells whether an entry that is found missing now may only have lapsed.
 func (d *Directory) inGrace(now time.Time) bool {
-	return slices.ContainsFunc(d.outages, func(o *outage) bool { return o.inGrace(now, d.grace) })
+	return d.restoreGrace(now) > 0 || slices.ContainsFunc(d.outages, func(o *outage) bool { return o.inGrace(now, d.grace) })
 }
 
 // graceLeft is how much longer a missing entry is kept after the newest outage of the store.
 func (d *Directory) graceLeft(now time.Time) (left time.Duration) {
+	left = d.restoreGrace(now)
 	for _, o := range d.outages {
 		if since, own := o.contact(now); !own && !o.until.IsZero() {
 			left = max(left, since.Add(d.grace).Sub(now))
@@ -218,7 +241,7 @@
 
 // Replace takes a whole snapshot of the store, from whose end on the log is read: entries that are not in it are removed, by the same rule as
 // one by one. What a peer told of from after its end stays: its record, which is read next, would count as older than the removal.
-func (d *Directory) Replace(now time.Time, snapshot []Change, end int64) bool {
+func (d *Directory) Replace(now time.Time, snapshot []Change, end chivelog.Position) bool {
 	before := d.newest
 	changed := d.Learn(now, Update{Changes: snapshot, Whole: true, End: end - 1})
 	// Later pages of a snapshot may have records from behind its end, but not all of them.
@@ -232,7 +255,7 @@
 	for id, t := range d.gone {
 		if now.Sub(t.at) > goneKept {
 			delete(d.gone, id)
-			d.rooted = max(d.rooted, t.offset)
+			d.rooted = max(d.rooted, t.position)
 		}
 	}
 	if d.inGrace(now) {
--- a/chivedirectory/directory_test.go
+++ b/chivedirectory/directory_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chivedrift/chivedirectory"
+	"chivedrift/chivelog"
 
 	"pgregory.net/rapid"
 )
@@ -13,11 +14,11 @@
 const grace = 2 * time.Second
 
 func change(offset int64, id string) chivedirectory.Change {
-	return chivedirectory.Change{Offset: offset, Endpoint: chivedirectory.Endpoint{ID: id, Pool: "p", Address: "127.0.0.1:1"}}
+	return chivedirectory.Change{Position: chivelog.Position(offset), Endpoint: chivedirectory.Endpoint{ID: id, Pool: "p", Address: "127.0.0.1:1"}}
 }
 
 func gone(offset int64, id string) chivedirectory.Change {
-	return chivedirectory.Change{Offset: offset, Gone: true, Endpoint: chivedirectory.Endpoint{ID: id}}
+	return chivedirectory.Change{Position: chivelog.Position(offset), Gone: true, Endpoint: chivedirectory.Endpoint{ID: id}}
 }
 
 // Symptom: after an outage of the store every request was refused for seconds.
--- a/chivedirectory/endpoint.go
+++ b/chivedirectory/endpoint.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"chivedrift/chivelog"
 )
 
 // State is what an endpoint says of itself.
@@ -41,9 +43,9 @@
 // Incarnation returns which start of the endpoint's process this is.
 func (e Endpoint) Incarnation() Incarnation { return Incarnation{ID: e.ID, Born: e.Born} }
 
-// Change is what the store's log says of an endpoint at an offset.
+// Change is what the store's log says of an endpoint at a position.
 type Change struct {
-	Offset int64
+	Position chivelog.Position
 	// Gone tells that the entry was removed; of the endpoint only the id is known then.
 	Gone bool
 	// Missing tells that the entry was removed around an outage of the store, and that the sender waits for it for Keep.
--- a/chivedirectory/incarnation.go
+++ b/chivedirectory/incarnation.go
@@ -54,18 +54,21 @@
 	c.change = change
 }
 
+// isOpen tells whether there is such a change.
+func (c *contest) isOpen() bool { return !c.since.IsZero() }
+
 // isOver tells whether the change has stood for longer than writes can be late.
 func (c *contest) isOver(now time.Time) bool {
-	return !c.since.IsZero() && now.Sub(c.since) > lateWriteMost
+	return c.isOpen() && now.Sub(c.since) > lateWriteMost
 }
 
-// hearEarlier takes the change of an earlier incarnation of an endpoint, whose later incarnation is known. Taken by its offset in the log it would send
+// hearEarlier takes the change of an earlier incarnation of an endpoint, whose later incarnation is known. Taken by its position in the log it would send
 // requests to a process that has ended, and bring back what was believed of it.
 func (d *Directory) hearEarlier(now time.Time, known *entry, change Change) {
-	if change.Offset <= known.offset {
+	if change.Position <= known.position {
 		return
 	}
-	known.offset = change.Offset
+	known.position = change.Position
 	if !change.Missing {
 		known.contest.note(now, change)
 	}
@@ -73,10 +76,17 @@
 
 // mayReturn tells whether a change of an endpoint that is gone is of something newer than its end.
 func (d *Directory) mayReturn(now time.Time, old tombstone, change Change) bool {
-	if old.offset >= change.Offset {
+	if old.position >= change.Position {
+		return false
+	}
+	if change.Missing {
+		// A peer that waits for an entry to come back knows no more of it than that it is not there: what was said of it before counts no more.
+		old.position, old.contest = change.Position, contest{}
+		d.gone[change.Endpoint.ID] = old
 		return false
 	}
-	if change.Gone || !old.incarnation.Follows(change.Endpoint.Incarnation()) {
+	isEarlier := old.incarnation.Follows(change.Endpoint.Incarnation())
+	if change.Gone || !isEarlier && !change.Position.MayPrecede(old.position) {
 		return true
 	}
 	old.contest.note(now, change)
@@ -95,7 +105,7 @@
 	for id, t := range d.gone {
 		if t.contest.isOver(now) {
 			delete(d.gone, id)
-			d.entries[id] = &entry{endpoint: t.contest.change.Endpoint, offset: t.contest.change.Offset}
+			d.entries[id] = &entry{endpoint: t.contest.change.Endpoint, position: t.contest.change.Position}
 			changed = true
 		}
 	}
--- a/chivedirectory/incarnation_test.go
+++ b/chivedirectory/incarnation_test.go
@@ -101,7 +101,7 @@
 	}
 }
 
-func TestEndpointsThatDoNotTellTheirStartAreTakenByOffset(t *testing.T) {
+func TestEndpointsThatDoNotTellTheirStartAreTakenByPosition(t *testing.T) {
 	now := time.Now()
 	d := chivedirectory.New(grace)
 	d.Apply(now, start(2, "a", 0))
@@ -172,7 +172,7 @@
 }
 
 func record(offset int64, key, value string) chivelog.KeyedRecord {
-	return chivelog.KeyedRecord{Offset: offset, Key: key, Value: []byte(value)}
+	return chivelog.KeyedRecord{Position: chivelog.Position(offset), Key: key, Value: []byte(value)}
 }
 
 func ids(s *chivedirectory.Service) string {
--- a/chivedirectory/service.go
+++ b/chivedirectory/service.go
@@ -36,19 +36,24 @@
 	shown     map[string]Endpoint
 	rejected  rejections
 	// knew tells whether an endpoint has ever been known.
-	knew   bool
-	stale  func()
-	duties chivekernel.Duties
+	knew  bool
+	stale func()
+	// restored is called when the store is seen to have come back from an older copy.
+	restored func()
+	duties   chivekernel.Duties
 }
 
 // NewService returns a directory without endpoints.
 func NewService(decode Decoder, grace time.Duration, logger *slog.Logger) *Service {
-	return &Service{directory: New(grace), decode: decode, logger: logger, shown: make(map[string]Endpoint), rejected: newRejections(), stale: func() {}}
+	return &Service{directory: New(grace), decode: decode, logger: logger, shown: make(map[string]Endpoint), rejected: newRejections(), stale: func() {}, restored: func() {}}
 }
 
 // OnStale takes what is called when it begins to matter whether the store answered other nodes; it must not block.
 func (s *Service) OnStale(stale func()) { s.stale = stale }
 
+// OnRestored takes what is called when the store is seen to have come back from an older copy; it must not block.
+func (s *Service) OnRestored(restored func()) { s.restored = restored }
+
 // OnChange adds a function that hears every change; it must not block. All are added before Start.
 func (s *Service) OnChange(heard func([]Endpoint)) { s.listeners = append(s.listeners, heard) }
 
@@ -69,10 +74,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return struct {
+		Era       int64      `json:"era"`
 		Offset    int64      `json:"offset"`
 		Rejected  rejected   `json:"rejected"`
 		Endpoints []Endpoint `json:"endpoints"`
-	}{s.directory.Newest(), s.rejected.state(), s.directory.Endpoints()}
+	}{s.directory.Newest().Era(), s.directory.Newest().Offset(), s.rejected.state(), s.directory.Endpoints()}
 }
 
 func (s *Service) run(ctx context.Context) {
@@ -153,8 +159,8 @@
 	}, "the store answered other nodes all the while")
 }
 
-// Update returns what a peer lacks that has taken everything up to an offset.
-func (s *Service) Update(after int64) Update {
+// Update returns what a peer lacks that has taken everything up to a position.
+func (s *Service) Update(after chivelog.Position) Update {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.directory.Update(time.Now(), after)
@@ -167,8 +173,8 @@
 	return s.knew
 }
 
-// Newest returns the offset of the newest change.
-func (s *Service) Newest() int64 {
+// Newest returns the position of the newest change.
+func (s *Service) Newest() chivelog.Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.directory.Newest()
@@ -180,11 +186,11 @@
 	changes := make([]Change, 0, len(records))
 	for _, r := range records {
 		if endpoint, ok := s.read(r); ok {
-			changes = append(changes, Change{Offset: r.Offset, Read: true, Endpoint: endpoint})
+			changes = append(changes, Change{Position: r.Position, Read: true, Endpoint: endpoint})
 			continue
 		}
 		if r.Key != "" {
-			changes = append(changes, Change{Offset: r.Offset, Gone: true, Read: true, Endpoint: Endpoint{ID: r.Key}})
+			changes = append(changes, Change{Position: r.Position, Gone: true, Read: true, Endpoint: Endpoint{ID: r.Key}})
 		}
 	}
 	return changes
@@ -222,7 +228,7 @@
 	count, tell := s.rejected.note(time.Now(), r.Key, reason)
 	s.mu.Unlock()
 	if tell {
-		chiveevent.EndpointRejected.Log(context.Background(), s.logger, slog.String("key", r.Key), slog.Int64("offset", r.Offset),
+		chiveevent.EndpointRejected.Log(context.Background(), s.logger, slog.String("key", r.Key), slog.Int64("offset", r.Position.Offset()),
 			slog.String("error", reason), slog.Int64("count", count))
 	}
 }
@@ -231,7 +237,12 @@
 func (s *Service) change(apply func() bool, source string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !apply() {
+	before, known := s.directory.Era(), s.directory.Newest() >= 0
+	changed := apply()
+	if known && s.directory.Era() > before {
+		s.tellRestored(before, source)
+	}
+	if !changed {
 		return
 	}
 	endpoints := s.directory.Endpoints()
@@ -242,6 +253,15 @@
 	}
 }
 
+// tellRestored tells operators, and who keeps something in the store, that the store has come back from an older copy; the caller holds the lock.
+func (s *Service) tellRestored(before int64, source string) {
+	missing, doubted := s.directory.Uncertain()
+	chiveevent.StoreRestored.Log(context.Background(), s.logger, slog.Int64("era", s.directory.Era()), slog.Int64("era_before", before),
+		slog.Int64("offset", s.directory.Newest().Offset()), slog.Int("endpoints_missing", missing), slog.Int("endpoints_doubted", doubted),
+		slog.String("source", source))
+	s.restored()
+}
+
 func (s *Service) logChanges(endpoints []Endpoint, source string) {
 	ctx := context.Background()
 	shown := make(map[string]Endpoint, len(endpoints))
@@ -256,11 +276,11 @@
 			continue
 		}
 		event.Log(ctx, s.logger, slog.String("endpoint", e.ID), slog.String("pool", e.Pool), slog.String("address", e.Address),
-			slog.Int64("born", e.Born), slog.String("source", source), slog.Int64("offset", s.directory.Newest()))
+			slog.Int64("born", e.Born), slog.String("source", source), slog.Int64("offset", s.directory.Newest().Offset()))
 	}
 	for id := range s.shown {
 		if _, still := shown[id]; !still {
-			chiveevent.EndpointGone.Log(ctx, s.logger, slog.String("endpoint", id), slog.String("source", source), slog.Int64("offset", s.directory.Newest()))
+			chiveevent.EndpointGone.Log(ctx, s.logger, slog.String("endpoint", id), slog.String("source", source), slog.Int64("offset", s.directory.Newest().Offset()))
 		}
 	}
 	s.shown = shown
--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -33,6 +33,8 @@
 	TableHeard     = define(210, slog.LevelInfo, "newer routing table known", "None, when 206 with this version or a newer one follows within two seconds. Else look at the metric of broken writes and at the VM's link.")
 	TableNotPassed = define(211, slog.LevelError, "routing table not passed on", "The node serves by it; other nodes take it from each other or from the store. Report the error.")
 
+	StoreRestored = define(212, slog.LevelError, "platform's store came back from an older copy", "What was written since the copy is gone until its writers write it again; look whether the configuration (206) is the one that you published last. Endpoints that the copy lacks are kept for two seconds, those that had left stay out until the store has said otherwise for eight.")
+
 	EndpointReady    = define(310, slog.LevelInfo, "endpoint ready", "None.")
 	EndpointGone     = define(311, slog.LevelInfo, "endpoint gone", "None, unless nobody took it away.")
 	EndpointRejected = define(312, slog.LevelError, "endpoint's registration not usable", "Mend the field that the error names.")
--- a/chivefeed/follower.go
+++ b/chivefeed/follower.go
@@ -97,12 +97,14 @@
 
 // Dump returns how far the follower is.
 func (f *Follower) Dump() any {
+	next := chivelog.Position(f.next.Load())
 	return struct {
+		Era    int64 `json:"era"`
 		Offset int64 `json:"offset"`
 		AgeMs  int64 `json:"age_ms"`
 		Lost   bool  `json:"lost"`
 		Calls  int64 `json:"calls"`
-	}{f.next.Load(), f.Age().Milliseconds(), f.lost.Load(), f.reads.Load()}
+	}{next.Era(), next.Offset(), f.Age().Milliseconds(), f.lost.Load(), f.reads.Load()}
 }
 
 func (f *Follower) run(ctx context.Context) {
@@ -130,7 +132,7 @@
 			sleep(ctx, f.o.Pace)
 			continue
 		}
-		if errors.Is(err, chivelog.ErrExpired) {
+		if errors.Is(err, chivelog.ErrExpired) || errors.Is(err, chivelog.ErrRestored) {
 			rooted = false
 			continue
 		}
@@ -164,7 +166,7 @@
 	}
 	limited, cancel := patient(ctx, wait+readSilence, readSilence)
 	defer cancel()
-	batch, err := f.o.Topic.Read(limited, f.next.Load(), wait)
+	batch, err := f.o.Topic.Read(limited, chivelog.Position(f.next.Load()), wait)
 	if err != nil {
 		return err
 	}
@@ -173,7 +175,7 @@
 		f.o.Listener.Apply(batch.Records)
 	}
 	f.fresh = len(batch.Records) > 0
-	f.next.Store(batch.Next)
+	f.next.Store(int64(batch.Next))
 	return nil
 }
 
@@ -186,7 +188,7 @@
 	}
 	f.markHeard()
 	f.o.Listener.Replace(batch)
-	f.next.Store(batch.Next)
+	f.next.Store(int64(batch.Next))
 	f.fresh = true
 	*rooted = true
 	return nil
--- a/chivefeed/follower_test.go
+++ b/chivefeed/follower_test.go
@@ -17,7 +17,7 @@
 type fakeTopic struct {
 	mu       sync.Mutex
 	records  []chivelog.KeyedRecord
-	first    int64
+	first    chivelog.Position
 	down     bool
 	silent   bool
 	reads    int
@@ -27,7 +27,7 @@
 func (f *fakeTopic) add(key string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.records = append(f.records, chivelog.KeyedRecord{Offset: int64(len(f.records)), Key: key, Value: []byte("v")})
+	f.records = append(f.records, chivelog.KeyedRecord{Position: chivelog.Position(len(f.records)), Key: key, Value: []byte("v")})
 }
 
 func (f *fakeTopic) set(down, silent bool) {
@@ -63,10 +63,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.snapshot++
-	return chivelog.KeyedBatch{Records: append([]chivelog.KeyedRecord(nil), f.records...), Next: int64(len(f.records))}, nil
+	return chivelog.KeyedBatch{Records: append([]chivelog.KeyedRecord(nil), f.records...), Next: chivelog.Position(len(f.records))}, nil
 }
 
-func (f *fakeTopic) Read(ctx context.Context, from int64, wait time.Duration) (chivelog.KeyedBatch, error) {
+func (f *fakeTopic) Read(ctx context.Context, from chivelog.Position, wait time.Duration) (chivelog.KeyedBatch, error) {
 	for until := time.Now().Add(wait); ; {
 		if err := f.answer(ctx); err != nil {
 			return chivelog.KeyedBatch{}, err
@@ -77,9 +77,9 @@
 			f.mu.Unlock()
 			return chivelog.KeyedBatch{}, chivelog.ErrExpired
 		}
-		if from < int64(len(f.records)) || !time.Now().Before(until) {
+		if from < chivelog.Position(len(f.records)) || !time.Now().Before(until) {
 			defer f.mu.Unlock()
-			return chivelog.KeyedBatch{Records: append([]chivelog.KeyedRecord(nil), f.records[from:]...), Next: int64(len(f.records))}, nil
+			return chivelog.KeyedBatch{Records: append([]chivelog.KeyedRecord(nil), f.records[from:]...), Next: chivelog.Position(len(f.records))}, nil
 		}
 		f.mu.Unlock()
 		time.Sleep(10 * time.Millisecond)
--- a/chivegossip/curve_test.go
+++ b/chivegossip/curve_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"chivedrift/chivedirectory"
+	"chivedrift/chivelog"
 )
 
 // whole plays the sizes that take minutes as well: go test ./chivegossip -run ConfigurationCurve -whole -v.
@@ -140,7 +141,7 @@
 		}
 	}
 	for time.Since(began) < time.Minute {
-		late := slices.ContainsFunc(fleet, func(n *member) bool { return n.endpoints.Newest() < int64(count-1) })
+		late := slices.ContainsFunc(fleet, func(n *member) bool { return n.endpoints.Newest() < chivelog.Position(count-1) })
 		if !late {
 			return time.Since(began)
 		}
@@ -154,7 +155,7 @@
 func newChanges(count int) chivedirectory.Update {
 	changes := make([]chivedirectory.Change, 0, count)
 	for i := range count {
-		changes = append(changes, chivedirectory.Change{Offset: int64(i), Read: true, Endpoint: chivedirectory.Endpoint{
+		changes = append(changes, chivedirectory.Change{Position: chivelog.Position(i), Read: true, Endpoint: chivedirectory.Endpoint{
 			ID: fmt.Sprintf("i-%010x", i*7919), Pool: "studio", Address: fmt.Sprintf("10.2.64.%d:8262", i), FailureDomain: "north-a", Slots: 64,
 		}})
 	}
--- a/chivegossip/earlier.go
+++ b/chivegossip/earlier.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chivedrift/chivedirectory"
+	"chivedrift/chivelog"
 	"chivedrift/chivewire"
 )
 
@@ -24,7 +25,7 @@
 }
 
 type earlierWord struct {
-	Offset   int64
+	Offset   chivelog.Position
 	Gone     bool
 	Missing  bool
 	Keep     time.Duration
@@ -64,7 +65,7 @@
 	for _, w := range changes {
 		e := w.Endpoint
 		earlier = append(earlier, earlierWord{
-			Offset: w.Offset, Gone: w.Gone, Missing: w.Missing, Keep: w.Keep,
+			Offset: w.Position, Gone: w.Gone, Missing: w.Missing, Keep: w.Keep,
 			Endpoint: earlierEndpoint{e.ID, e.Pool, e.Address, e.FailureDomain, e.Slots, e.State, e.WarmUp},
 		})
 	}
@@ -75,7 +76,7 @@
 	changes := make([]chivedirectory.Change, 0, len(e.Changes))
 	for _, w := range e.Changes {
 		changes = append(changes, chivedirectory.Change{
-			Offset: w.Offset, Gone: w.Gone, Missing: w.Missing, Keep: w.Keep,
+			Position: w.Offset, Gone: w.Gone, Missing: w.Missing, Keep: w.Keep,
 			Endpoint: chivedirectory.Endpoint{
 				ID: w.Endpoint.ID, Pool: w.Endpoint.Pool, Address: w.Endpoint.Address, FailureDomain: w.Endpoint.FailureDomain,
 				Slots: w.Endpoint.Slots, State: w.Endpoint.State, WarmUp: w.Endpoint.WarmUp,
--- a/chivegossip/earlier_test.go
+++ b/chivegossip/earlier_test.go
@@ -50,7 +50,7 @@
 		newer, older := newDocument(t, 5, 100, 1), newDocument(t, 7, 100, 1)
 		now := fleet[0]
 		now.tables.Learn(newer, "store")
-		now.endpoints.Learn(chivedirectory.Update{Changes: []chivedirectory.Change{{Offset: 4, Endpoint: chivedirectory.Endpoint{ID: "e", Pool: "p", Address: "10.0.0.1:1", Born: 9}}}}, "store")
+		now.endpoints.Learn(chivedirectory.Update{Changes: []chivedirectory.Change{{Position: 4, Endpoint: chivedirectory.Endpoint{ID: "e", Pool: "p", Address: "10.0.0.1:1", Born: 9}}}}, "store")
 
 		earlier := chivewire.NewMesh("10.9.0.1:82", network)
 		documents, changes := make(chan earlierDocument, 9), make(chan earlierChanges, 9)
--- a/chivegossip/partners_test.go
+++ b/chivegossip/partners_test.go
@@ -34,7 +34,7 @@
 			t.Errorf("the middle node has %d connections, expected %d at most", links[size/2], mostLinks)
 		}
 		nodes[7].endpoints.Learn(chivedirectory.Update{Changes: []chivedirectory.Change{{
-			Offset: 4, Endpoint: chivedirectory.Endpoint{ID: "e", Pool: "p", Address: "127.0.0.1:1"},
+			Position: 4, Endpoint: chivedirectory.Endpoint{ID: "e", Pool: "p", Address: "127.0.0.1:1"},
 		}}}, "store")
 		began := time.Now()
 		for _, n := range nodes {
--- a/chivegossip/service.go
+++ b/chivegossip/service.go
@@ -8,6 +8,7 @@
 
 	"chivedrift/chivedirectory"
 	"chivedrift/chivekernel"
+	"chivedrift/chivelog"
 	"chivedrift/chivering"
 	"chivedrift/chivetransfer"
 	"chivedrift/chivewire"
@@ -38,9 +39,9 @@
 // Endpoints holds what is known of the endpoints.
 type Endpoints interface {
 	// Newest returns the offset of the newest change.
-	Newest() int64
+	Newest() chivelog.Position
 	// Update returns what a peer lacks that has taken everything up to an offset.
-	Update(after int64) chivedirectory.Update
+	Update(after chivelog.Position) chivedirectory.Update
 	// Learn takes an update.
 	Learn(update chivedirectory.Update, source string)
 	// Staleness returns how far back it matters whether the store answered other nodes; 0 where it does not.
@@ -63,7 +64,7 @@
 // can tell each other (earlier.go).
 type Digest struct {
 	Table  int64
-	Offset int64
+	Offset chivelog.Position
 	// Reply tells that the sender was asked; only nodes of earlier releases say so, and expect to be sent what they lack.
 	Reply bool
 }
@@ -71,12 +72,12 @@
 // DigestAnswer answers a peer that knows less, or tells it of a change: it asks for what it lacks.
 type DigestAnswer struct {
 	Table  int64
-	Offset int64
+	Offset chivelog.Position
 }
 
 // ChangesAsk asks for the changes of endpoints after an offset.
 type ChangesAsk struct {
-	After int64
+	After chivelog.Position
 }
 
 // message is one message with its sender.
@@ -254,14 +255,14 @@
 // changesAsk is the question for changes that is open.
 type changesAsk struct {
 	at     time.Time
-	offset int64
+	offset chivelog.Position
 }
 
 // mayAsk tells whether to ask a peer for the changes up to an offset; not when another one that has them was asked just now.
 //
 // Two peers tell each node of the same change. Asking one, 78 nodes on links of 10 Mbit/s receive the changes of 600 new endpoints in 4.5 MB,
 // the last node after 0.49 s; asking both, in 8.6 MB, after 0.7 s (on virtual time).
-func (a *changesAsk) mayAsk(now time.Time, offset int64) bool {
+func (a *changesAsk) mayAsk(now time.Time, offset chivelog.Position) bool {
 	if offset <= a.offset && now.Sub(a.at) < changesPatience {
 		return false
 	}
--- a/chivegossip/service_test.go
+++ b/chivegossip/service_test.go
@@ -10,6 +10,7 @@
 
 	"chivedrift/chivedirectory"
 	"chivedrift/chivegossip"
+	"chivedrift/chivelog"
 	"chivedrift/chivemember"
 	"chivedrift/chivestand"
 	"chivedrift/chivewire"
@@ -49,13 +50,13 @@
 	changed func()
 }
 
-func (f *fakeEndpoints) Newest() int64 {
+func (f *fakeEndpoints) Newest() chivelog.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.d.Newest()
 }
 
-func (f *fakeEndpoints) Update(after int64) chivedirectory.Update {
+func (f *fakeEndpoints) Update(after chivelog.Position) chivedirectory.Update {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.d.Update(time.Now(), after)
@@ -150,7 +151,7 @@
 func TestNewsReachesEveryNode(t *testing.T) {
 	nodes := newNodes(t, 20)
 	nodes[3].tables.Learn([]byte("7"), "store")
-	nodes[5].endpoints.Learn(chivedirectory.Update{Changes: []chivedirectory.Change{{Offset: 4, Endpoint: chivedirectory.Endpoint{ID: "e", Pool: "p", Address: "127.0.0.1:1"}}}}, "store")
+	nodes[5].endpoints.Learn(chivedirectory.Update{Changes: []chivedirectory.Change{{Position: 4, Endpoint: chivedirectory.Endpoint{ID: "e", Pool: "p", Address: "127.0.0.1:1"}}}}, "store")
 	deadline := time.Now().Add(6 * time.Second)
 	for _, n := range nodes {
 		for n.tables.Version() != 7 || n.endpoints.Newest() != 4 {
--- a/chivelog/keyed.go
+++ b/chivelog/keyed.go
@@ -9,29 +9,32 @@
 // ErrExpired means that the records after an offset are no longer retained: start over from a snapshot.
 var ErrExpired = errors.New("log: records expired")
 
+// ErrRestored means that the store has come back from an older copy since the position that was read from: start over from a snapshot.
+var ErrRestored = errors.New("log: restored from an older copy")
+
 // KeyedRecord is one record of a keyed topic, of which the log keeps the newest of each key for good.
 type KeyedRecord struct {
-	// Offset is the record's place in the topic.
-	Offset int64
+	// Position is the record's place in the topic.
+	Position Position
 	// Key names what the record is about.
 	Key string
 	// Value is empty when the key was removed.
 	Value []byte
 }
 
-// KeyedBatch holds records in offset order and the offset from which to read on.
+// KeyedBatch holds records in their order and the position from which to read on.
 type KeyedBatch struct {
 	Records []KeyedRecord
-	Next    int64
+	Next    Position
 }
 
-// KeyedTopic is a topic whose newest record of each key is retained; errors wrap ErrUnavailable or ErrExpired. Snapshot and Read call
+// KeyedTopic is a topic whose newest record of each key is retained; errors wrap ErrUnavailable, ErrExpired or ErrRestored. Snapshot and Read call
 // Progressed as their answers come.
 type KeyedTopic interface {
-	// Snapshot returns the newest record of each key and the offset from which Read continues without a gap.
+	// Snapshot returns the newest record of each key and the position from which Read continues without a gap.
 	Snapshot(ctx context.Context) (KeyedBatch, error)
-	// Read returns the records from an offset on, waiting up to wait for the first.
-	Read(ctx context.Context, from int64, wait time.Duration) (KeyedBatch, error)
+	// Read returns the records from a position on, waiting up to wait for the first.
+	Read(ctx context.Context, from Position, wait time.Duration) (KeyedBatch, error)
 	// Put writes the newest record of a key; the error wraps ErrNotAppended or ErrUnknown.
 	Put(ctx context.Context, key string, value []byte) error
 }
--- a/chivenode/roster.go
+++ b/chivenode/roster.go
@@ -43,6 +43,8 @@
 	mu     sync.Mutex
 	seeds  []string
 	listed map[string]string
+	// left tells that the node's address is in the store, as far as is known.
+	left   bool
 	duties chivekernel.Duties
 }
 
@@ -67,37 +69,64 @@
 // Dump returns the addresses.
 func (r *roster) Dump() any { return r.addresses() }
 
-// run leaves the address in the store once it is needed there; a try whose result is not known is repeated like one that failed, since written twice
-// it says the same.
+// run leaves the address in the store once it is needed there, and again when the store may have lost it; a try whose result is not known is repeated
+// like one that failed, since written twice it says the same.
 func (r *roster) run(ctx context.Context) {
 	told := false
 	pause := announceFirst
 	for ctx.Err() == nil {
-		if !r.needed() {
-			select {
-			case <-time.After(announceLook):
-			case <-ctx.Done():
-			}
+		if r.isLeft() || !r.needed() {
+			pause = announceFirst
+			wait(ctx, announceLook)
 			continue
 		}
-		limited, cancel := context.WithTimeout(ctx, announceTimeout)
-		err := r.topic.Put(limited, r.self, []byte(r.domain))
-		cancel()
-		if err == nil || ctx.Err() != nil {
-			return
+		err := r.leave(ctx)
+		if err == nil {
+			continue
 		}
-		if !told {
+		if !told && ctx.Err() == nil {
 			told = true
 			chiveevent.StoreLost.Log(ctx, r.logger, slog.String("for", "announcement"), slog.String("error", err.Error()))
 		}
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
-		}
+		wait(ctx, pause)
 		pause = min(2*pause, announceMost)
 	}
 }
 
+// leave writes the address.
+func (r *roster) leave(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	r.mu.Lock()
+	r.left = true
+	r.mu.Unlock()
+	err := r.topic.Put(ctx, r.self, []byte(r.domain))
+	if err != nil {
+		r.Restored()
+	}
+	return err
+}
+
+func (r *roster) isLeft() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.left
+}
+
+// Restored hears that the store has come back from an older copy, which may lack the address.
+func (r *roster) Restored() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.left = false
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 // Replace takes a snapshot of the store.
 func (r *roster) Replace(snapshot chivelog.KeyedBatch) {
 	r.mu.Lock()
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -127,6 +127,7 @@
 	n.tables.OnChange(func(*chivetable.Table) { n.gossip.Learnt() })
 	n.directory.OnChange(func([]chivedirectory.Endpoint) { n.gossip.Learnt() })
 	n.directory.OnStale(n.gossip.WentStale)
+	n.directory.OnRestored(roster.Restored)
 	return roster
 }
 
@@ -235,7 +236,8 @@
 		{"table_behind_seconds", func() float64 { return n.tables.Behind().Seconds() }},
 		{"table_copies", func() float64 { return float64(n.tables.Counts().Copies) }},
 		{"table_copies_unneeded", func() float64 { return float64(n.tables.Counts().Unneeded) }},
-		{"directory_offset", func() float64 { return float64(n.directory.Newest()) }},
+		{"directory_offset", func() float64 { return float64(n.directory.Newest().Offset()) }},
+		{"store_era", func() float64 { return float64(n.directory.Newest().Era()) }},
 		{"wire_links", func() float64 { return float64(n.mesh.Links()) }},
 		{"members", func() float64 { return float64(len(n.members.Members())) }},
 	}
