An answer speaks for a request also against the ends that come after it

Cause: copies of it ran on each engine that ended, and the node that had sent the other request died before it could tell; an answer took back only ends of before, and a held request gets no answer. Why it holds: a request that ends each engine that begins it is never answered. The test of a freed request expected that three ends 0.2 s after an answer hold it back, which is the fault; it now expects that they do not, and that three ends a minute later do.

--- a/chivequarantine/admission.go
+++ b/chivequarantine/admission.go
@@ -79,26 +79,21 @@
 	s.number = e.Number
 	if s.register.AddEnd(now, e) {
 		s.say([]EndNews{newEndNews(now, e)}, nil)
+		s.vouch(now, e.Content)
 		s.decide()
 	}
 }
 
 // Answered takes that an endpoint has answered a request whole, which frees it.
 func (s *Service) Answered(now time.Time, request *chiverequest.Request) {
+	s.answers.note(now, request.Content)
 	if s.idle.Load() {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.register.Suspects(request.Content) {
-		return
-	}
-	s.number++
-	a := Answered{Content: request.Content, Reporter: s.o.Mesh.Self(), Number: s.number, At: now}
-	if s.register.AddAnswer(now, a) {
-		s.say(nil, []AnswerNews{newAnswerNews(now, a)})
-		s.decide()
-	}
+	s.answer(now, request.Content, now)
+	s.decide()
 }
 
 // Watch has a function called, once or more, when a request is held back while an attempt of it is under way; stop ends that.
--- a/chivequarantine/register_test.go
+++ b/chivequarantine/register_test.go
@@ -140,6 +140,13 @@
 		h.pass(200 * time.Millisecond)
 		h.end(fmt.Sprintf("z%d", i), two, "poll")
 	}
+	h.expect(false, "poll")
+	// What ends long after the last answer speaks against it again.
+	h.pass(time.Minute)
+	for i := range 3 {
+		h.pass(200 * time.Millisecond)
+		h.end(fmt.Sprintf("z%d", i), two, "poll")
+	}
 	h.expect(true, "poll")
 	h.register.AddAnswer(h.now, h.answer("poll"))
 	h.pass(0)
--- a/chivequarantine/service.go
+++ b/chivequarantine/service.go
@@ -46,6 +46,7 @@
 	wake   chan struct{}
 	// idle tells, without the lock, that nothing is known of any request.
 	idle    atomic.Bool
+	answers *answeredLately
 	refused atomic.Int64
 
 	mu       sync.Mutex
@@ -70,7 +71,7 @@
 // New returns a service that knows of no request.
 func New(o Options) *Service {
 	s := &Service{
-		o: o, number: time.Now().UnixNano(), inbox: chivering.New[message](inboxSize), wake: make(chan struct{}, 1), register: NewRegister(o.Mesh.Self()),
+		o: o, number: time.Now().UnixNano(), inbox: chivering.New[message](inboxSize), answers: newAnsweredLately(), wake: make(chan struct{}, 1), register: NewRegister(o.Mesh.Self()),
 		allowed: make(map[chiverequest.Fingerprint]time.Time), given: make(map[chiverequest.Fingerprint]time.Time),
 		watches: make(map[chiverequest.Fingerprint]map[*watch]struct{}),
 	}
--- a/chivequarantine/spread.go
+++ b/chivequarantine/spread.go
@@ -60,6 +60,9 @@
 		}
 	}
 	s.say(ends, answers)
+	for _, n := range ends {
+		s.vouch(now, n.Content)
+	}
 	s.decide()
 	if news.Whole {
 		s.tellMissing(now, from, news)
--- a/chivequarantine/suspect.go
+++ b/chivequarantine/suspect.go
@@ -81,11 +81,11 @@
 	return min(causes(speaking), endsOfOneReporter)
 }
 
-// speaking returns the reports of ends since an endpoint last answered the request, without those that another request explains.
+// speaking returns the reports of ends that no answer speaks against, without those that another request explains.
 func (s *suspect) speaking(explained map[string]bool) []End {
 	speaking := make([]End, 0, len(s.ends))
 	for _, e := range s.ends {
-		if e.At.After(s.answered) && !explained[e.Endpoint] {
+		if (s.answered.IsZero() || e.At.After(s.answered.Add(answerVouches))) && !explained[e.Endpoint] {
 			speaking = append(speaking, e)
 		}
 	}
