Failing test: reports of many crashes fill the links of a large fleet

60 nodes, 40 engines that end under a dozen requests each, every request once: each report goes to all partners of all nodes.

--- a/chivequarantine/service_test.go
+++ b/chivequarantine/service_test.go
@@ -270,6 +270,35 @@
 	})
 }
 
+// Symptom: links of a large fleet are full of reports just when a part of its engines has crashed.
+// Sequence: many engines crash for a reason of their own; each had a dozen requests, of which each is reported, by each node to all its partners.
+// Cause: a single end under a request says nothing yet, and was told to all. It goes to the two nodes that collect the request's ends; all hear of a
+// request once there are two.
+func TestManyCrashesCostLittle(t *testing.T) {
+	const engines, requests, mostBytes = 40, 12, 32 << 10
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 60)
+		for e := range engines {
+			for r := range requests {
+				n := f.nodes[(e*requests+r)%len(f.nodes)]
+				n.Ended(time.Now(), requestOf(fmt.Sprintf("only once %d %d", e, r)), fmt.Sprintf("e%d", e), "z")
+			}
+		}
+		time.Sleep(10 * time.Second)
+		var most int64
+		for _, n := range f.nodes {
+			sent, _ := n.mesh.Traffic()
+			most = max(most, sent["end_news"].Bytes+sent["end_digest"].Bytes)
+		}
+		t.Logf("the busiest node sent %d KB", most>>10)
+		if most > mostBytes {
+			t.Errorf("the busiest node sent %d bytes, want %d at most", most, mostBytes)
+		}
+		f.end("deadly", 7, 8)
+		f.awaitHeld("deadly", f.nodes)
+	})
+}
+
 func (f *fleet) newsSent() (messages int64) {
 	for _, n := range f.nodes {
 		sent, _ := n.mesh.Traffic()
