A single end under a request goes to its collectors alone in a large fleet

What callers would have seen: slow links, late load reports and configurations in the seconds after a part of a large fleet's engines has crashed. Cause: each report of each request that was on them went to all partners of all nodes; a single end says nothing yet. Why it holds: up to 16 nodes nothing changes; above, all hear of a request once two endpoints have ended under it, from whoever knows of two: a node of its own, or one of the two that rendezvous hashing names for its content. Comparisons cover what all are to know.

--- a/chivequarantine/admission.go
+++ b/chivequarantine/admission.go
@@ -78,7 +78,7 @@
 	}
 	s.number = e.Number
 	if s.register.AddEnd(now, e) {
-		s.say([]EndNews{newEndNews(now, e)}, nil)
+		s.report(now, e)
 		s.vouch(now, e.Content)
 		s.decide()
 	}
--- a/chivequarantine/answered.go
+++ b/chivequarantine/answered.go
@@ -61,7 +61,7 @@
 	}
 	s.number++
 	a := Answered{Content: content, Reporter: s.o.Mesh.Self(), Number: s.number, At: at}
-	if s.register.AddAnswer(now, a) {
+	if s.register.AddAnswer(now, a) && s.isShared(content) {
 		s.say(nil, []AnswerNews{newAnswerNews(now, a)})
 	}
 }
--- a/chivequarantine/register.go
+++ b/chivequarantine/register.go
@@ -182,6 +182,27 @@
 	return content, ok
 }
 
+// Endpoints is how many endpoints have ended under a request.
+func (r *Register) Endpoints(content chiverequest.Fingerprint) int {
+	s, ok := r.suspects[content]
+	if !ok {
+		return 0
+	}
+	ended := make(map[string]bool)
+	for _, e := range s.ends {
+		ended[e.Endpoint] = true
+	}
+	return len(ended)
+}
+
+// EndsOf returns the ends under a request.
+func (r *Register) EndsOf(content chiverequest.Fingerprint) []End {
+	if s, ok := r.suspects[content]; ok {
+		return s.ends
+	}
+	return nil
+}
+
 // HeldUntil tells whether a request is held back, and until when it is not to be tried at all.
 func (r *Register) HeldUntil(content chiverequest.Fingerprint) (until time.Time, held bool) {
 	s, ok := r.suspects[content]
