--- a/chivereport/reason.go
+++ b/chivereport/reason.go
@@ -27,6 +27,8 @@
 	ReasonPaused
 	// ReasonEndpointLost lost its endpoint in the answer.
 	ReasonEndpointLost
+	// ReasonHeld was kept from endpoints since endpoints had ended under it.
+	ReasonHeld
 	// ReasonEndpointError got an error of the endpoint's own.
 	ReasonEndpointError
 	// ReasonNodeLost was under way when its node stopped or died.
@@ -49,6 +51,7 @@
 var reasonNames = [reasons]string{
 	"served on time", "refused, though expected in time", "refused, expected too late", "refused, no place free", "endpoints full",
 	"late: own prompt", "late: read again", "late: others' prompts", "late: slower than predicted", "late: paused", "endpoint lost",
+	"held back, endpoints ended under it",
 	"endpoint's error", "node lost", "caller left before the first event", "caller left in the answer", "out of time", "not allowed",
 	"no end in the logs", "not told by the logs",
 }
--- a/chivereport/report.go
+++ b/chivereport/report.go
@@ -150,6 +150,8 @@
 		return ReasonDeadline
 	case "endpoint_broken":
 		return ReasonEndpointLost
+	case "endpoints_ended":
+		return ReasonHeld
 	}
 	return ReasonUnknown
 }
@@ -162,6 +164,8 @@
 		return ReasonEndpointFull
 	case end.Code == "endpoint_broken":
 		return ReasonEndpointLost
+	case end.Code == "endpoints_ended":
+		return ReasonHeld
 	case end.Code == "caller_gone":
 		return ReasonCallerLeftEarly
 	case end.Code != "no_place":
--- a/chivereport/report_test.go
+++ b/chivereport/report_test.go
@@ -48,6 +48,8 @@
 		{"", `"event":508,"outcome":"not-run","code":"no_place","expected_ms":601`, chivereport.ReasonRefusedLate},
 		{sent, `"event":508,"outcome":"not-run","code":"endpoint_refused"`, chivereport.ReasonEndpointFull},
 		{sent, `"event":508,"outcome":"unknown","code":"endpoint_broken","events":3`, chivereport.ReasonEndpointLost},
+		{sent, `"event":508,"outcome":"unknown","code":"endpoints_ended"`, chivereport.ReasonHeld},
+		{"", `"event":508,"outcome":"not-run","code":"endpoints_ended"`, chivereport.ReasonHeld},
 		{sent, `"event":508,"outcome":"failed","status":500`, chivereport.ReasonEndpointError},
 		{sent, `"event":508,"outcome":"unknown","code":"caller_gone"`, chivereport.ReasonCallerLeftEarly},
 		{sent, `"event":508,"outcome":"unknown","code":"caller_gone","events":2`, chivereport.ReasonCallerLeft},
