--- a/chivequarantine/suspect.go
+++ b/chivequarantine/suspect.go
@@ -28,8 +28,8 @@
 type suspect struct {
 	// ends are in the order of their times.
 	ends []End
-	// answers are the newest report of each node that an endpoint answered the request, answered the time of the newest; what ended until
-	// then ended by something else.
+	// answers are the newest report of each node that an endpoint answered the request, answered the time of the newest: what ended
+	// before that, or answerVouches after it at most, ended by something else.
 	answers  map[string]Answered
 	answered time.Time
 	// until is the end of the hold; zero for a request that is not held back.
