--- a/chivedirectory/restore_test.go
+++ b/chivedirectory/restore_test.go
@@ -185,33 +185,52 @@
 
 func (w *restoreWorld) step() {
 	switch w.random.IntN(9) {
-	case 5:
-		w.start(w.random.IntN(len(w.nodes)))
 	case 0:
-		id := fmt.Sprint("e", w.born)
-		w.born++
-		w.alive[id] = true
-		w.register(id)
+		w.come()
 	case 1:
-		if id, ok := w.any(w.alive); ok {
-			w.leaving[id] = true
-			w.register(id)
-		}
+		w.drain()
 	case 2:
-		if id, ok := w.any(w.leaving); ok && w.alive[id] {
-			delete(w.alive, id)
-			w.write(chivedirectory.Change{Gone: true, Endpoint: chivedirectory.Endpoint{ID: id}})
-		}
+		w.end()
 	case 3:
 		w.copied = slices.Clone(w.log)
 	case 4:
 		w.read(w.random.IntN(len(w.nodes)))
+	case 5:
+		w.start(w.random.IntN(len(w.nodes)))
 	default:
 		w.tell(w.random.IntN(len(w.nodes)), w.random.IntN(len(w.nodes)))
 	}
-	w.now = w.now.Add(time.Duration(w.random.IntN(200)) * time.Millisecond)
-	for _, d := range w.nodes {
-		d.Expire(w.now)
+	w.pass(time.Duration(w.random.IntN(200)) * time.Millisecond)
+}
+
+// come starts a new endpoint.
+func (w *restoreWorld) come() {
+	id := fmt.Sprint("e", w.born)
+	w.born++
+	w.alive[id] = true
+	w.register(id)
+}
+
+// drain has an endpoint say that it leaves.
+func (w *restoreWorld) drain() {
+	if id, ok := w.any(w.alive); ok {
+		w.leaving[id] = true
+		w.register(id)
+	}
+}
+
+// end ends an endpoint that has said that it leaves.
+func (w *restoreWorld) end() {
+	if id, ok := w.any(w.leaving); ok && w.alive[id] {
+		delete(w.alive, id)
+		w.write(chivedirectory.Change{Gone: true, Endpoint: chivedirectory.Endpoint{ID: id}})
+	}
+}
+
+func (w *restoreWorld) pass(d time.Duration) {
+	w.now = w.now.Add(d)
+	for _, each := range w.nodes {
+		each.Expire(w.now)
 	}
 }
 
@@ -241,36 +260,80 @@
 			}
 			w.renew(0.3)
 		}
-		// The rest of the store's promise: what lives is written again within two seconds, what does not lapses; then time for the nodes.
-		for range 80 {
-			w.now = w.now.Add(200 * time.Millisecond)
-			w.renew(0.5)
-			// With every other seed one node alone reads the store, as a few do for all in a large fleet.
-			w.read(0)
-			for n := 1; n < len(w.nodes); n++ {
-				if seed%2 == 0 {
-					w.read(n)
-				}
-				w.tell(n-1, n)
-			}
-			for _, d := range w.nodes {
-				d.Expire(w.now)
-			}
+		w.settle(seed%2 == 0)
+		w.checkKnown()
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
 		}
-		present := w.present()
-		for n, d := range w.nodes {
-			known := d.Endpoints()
-			if len(known) != len(present) {
-				t.Errorf("seed %d: node %d knows %v, the store has %v", seed, n, known, slices.Sorted(maps.Keys(present)))
+	}
+}
+
+// settle plays the rest of the store's promise: what lives is written again within two seconds, what does not lapses; then time for the nodes. All read
+// the store, or one alone and the others hear of it, as in a large fleet.
+func (w *restoreWorld) settle(allRead bool) {
+	for range 80 {
+		w.now = w.now.Add(200 * time.Millisecond)
+		w.renew(0.5)
+		w.read(0)
+		for n := 1; n < len(w.nodes); n++ {
+			if allRead {
+				w.read(n)
 			}
-			for _, e := range known {
-				if present[e.ID].Endpoint.State != e.State {
-					t.Errorf("seed %d: node %d: %s is %v, the store says %v", seed, n, e.ID, e.State, present[e.ID].Endpoint.State)
-				}
+			w.tell(n-1, n)
+		}
+		w.pass(0)
+	}
+}
+
+// checkKnown holds what each node knows against the store.
+func (w *restoreWorld) checkKnown() {
+	present := w.present()
+	for n, d := range w.nodes {
+		known := d.Endpoints()
+		if len(known) != len(present) {
+			w.t.Errorf("node %d knows %v, the store has %v", n, known, slices.Sorted(maps.Keys(present)))
+		}
+		for _, e := range known {
+			if present[e.ID].Endpoint.State != e.State {
+				w.t.Errorf("node %d: %s is %v, the store says %v", n, e.ID, e.State, present[e.ID].Endpoint.State)
 			}
 		}
+	}
+}
+
+// restoreDepth is how many events the exploration puts in a row.
+var restoreDepth = flag.Int("restore.depth", 4, "how many events are put in a row in every order")
+
+// TestEveryOrderOfEventsAroundARestore puts so many events in a row in every order: an endpoint comes, drains or ends, the store is copied or comes back
+// from the copy, a node reads it, hears of it from another, or starts anew.
+func TestEveryOrderOfEventsAroundARestore(t *testing.T) {
+	events := []func(w *restoreWorld){
+		(*restoreWorld).come, (*restoreWorld).drain, (*restoreWorld).end, func(w *restoreWorld) { w.copied = slices.Clone(w.log) },
+		(*restoreWorld).restore, func(w *restoreWorld) { w.read(0) }, func(w *restoreWorld) { w.read(1) }, func(w *restoreWorld) { w.tell(0, 2) },
+		func(w *restoreWorld) { w.tell(2, 0) }, func(w *restoreWorld) { w.start(1) },
+	}
+	orders := 1
+	for range *restoreDepth {
+		orders *= len(events)
+	}
+	for order := range orders {
+		w := newRestoreWorld(t, 1)
+		// One endpoint that all know, and the copy before anything happens.
+		w.come()
+		for n := range w.nodes {
+			w.read(n)
+		}
+		w.copied = slices.Clone(w.log)
+		rest := order
+		for range *restoreDepth {
+			events[rest%len(events)](w)
+			w.pass(100 * time.Millisecond)
+			rest /= len(events)
+		}
+		w.settle(order%2 == 0)
+		w.checkKnown()
 		if t.Failed() {
-			t.Fatalf("seed %d", seed)
+			t.Fatalf("order %d of depth %d", order, *restoreDepth)
 		}
 	}
 }
