Attempts at a process that was replaced go elsewhere at once

What callers saw: a request that was under way at an engine whose process had been replaced (a host that lost power, a restart under the same id) got nothing until its own time ran out, some seconds later, although the node knew the successor.

Cause: the directory's change reached the pools only, which keep new requests from the former process. Attempts under way were left to their connection, which does not break where nobody is left to reset it.

Evidence: TestAttemptAtAFormerProcessGoesElsewhere. Without the change the attempt waits for the end of the request's time.

Change: the forwarder hears of changes of the directory, and cancels the attempts at an incarnation whose id has a later start, or whose address belongs to another endpoint while it is not registered any more. That counts as a break: a request that may run again goes elsewhere, within its budget; any other gets 502 at once.

Why it works: two processes do not listen at one address, and a later start under an id ends the earlier one; nothing can come from there any more.

--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -45,13 +45,17 @@
 	touched    bool
 	// answering tells that an event of the answer has come.
 	answering atomic.Bool
+	// cancel ends the attempt for a reason; it may be called from other goroutines while the attempt is in flight.
+	cancel context.CancelCauseFunc
 	// lastSign is where signs of life of the endpoint are noted.
 	lastSign *lastSign
 	// endpointWasAlive tells that the endpoint had answered shortly before the attempt began, and nothing there had broken since.
 	endpointWasAlive bool
-	status           int
-	err              error
-	whole            *whole
+	// replaced tells that the attempt was cancelled since another process has taken the endpoint's place.
+	replaced bool
+	status   int
+	err      error
+	whole    *whole
 }
 
 // whole is an answer that was read to its end.
@@ -72,6 +76,7 @@
 func (c *call) carry(parent context.Context) ending {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
+	c.cancel = cancel
 	c.lastSign = c.run.f.inFlight.begin(c)
 	defer c.run.f.inFlight.end(c)
 	if patience, limited := c.patience(parent); limited {
@@ -232,6 +237,8 @@
 		return endedPreempted
 	case errors.Is(cause, errQuarantined):
 		return endedQuarantined
+	case errors.Is(cause, errReplaced):
+		c.err, c.replaced = errReplaced, true
 	case errors.Is(cause, ErrSilent):
 		c.err = ErrSilent
 	}
--- a/chiveforward/failure.go
+++ b/chiveforward/failure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
@@ -25,6 +26,9 @@
 	recheckAfter = time.Second
 )
 
+// errReplaced is the cause of an attempt that was cancelled since another process has taken the endpoint's place.
+var errReplaced = errors.New("another process has taken the endpoint's place")
+
 // doubt is an attempt whose break nothing explains yet.
 type doubt struct {
 	call *call
@@ -69,6 +73,10 @@
 func (f *Forwarder) explainBreak(ctx context.Context, c *call) {
 	brokeAt := time.Now()
 	f.inFlight.broke(c.target.Incarnation, brokeAt)
+	if c.replaced {
+		f.reportCrash(c, chivehealth.EvidenceReplaced, brokeAt)
+		return
+	}
 	check := f.health.Start(c.target.checked())
 	judge := func() { f.judgeBreak(c, check, brokeAt) }
 	select {
@@ -128,9 +136,18 @@
 	}
 }
 
-// SetEndpoints takes a change of the directory: an endpoint's successor shows under which attempts it failed.
+// SetEndpoints takes a change of the directory: attempts at processes that others have replaced are cancelled, since nothing answers them any more.
 func (f *Forwarder) SetEndpoints(endpoints []chivedirectory.Endpoint) {
 	successors := newSuccessors(endpoints)
+	for _, t := range f.inFlight.targets() {
+		if !successors.replaced(t) {
+			continue
+		}
+		calls, _ := f.inFlight.at(t.Incarnation)
+		for _, c := range calls {
+			c.cancel(errReplaced)
+		}
+	}
 	for _, d := range f.doubts.take(time.Now(), successors.replaced) {
 		f.reportCrash(d.call, chivehealth.EvidenceReplaced, d.at)
 	}
--- a/chiveforward/failure_test.go
+++ b/chiveforward/failure_test.go
@@ -242,3 +242,27 @@
 		t.Errorf("got %v", q.alive)
 	}
 }
+
+// Guards against callers that wait for an answer of a process which is known to be over.
+func TestAttemptAtAFormerProcessGoesElsewhere(t *testing.T) {
+	silent := newEndpoint(t, func(net.Conn, *http.Request, string) { time.Sleep(5 * time.Second) })
+	other := newEndpoint(t, plain)
+	q := &quarantine{}
+	s := newHeldSetup(t, q, silent.born("silent", bornFirst))
+	began := time.Now()
+	time.AfterFunc(100*time.Millisecond, func() {
+		later := []chivedirectory.Endpoint{silent.born("silent", bornLater), other.born("other", bornFirst)}
+		later[0].State = chivedirectory.Leaving
+		s.pools.SetEndpoints(later)
+		s.forwarder.SetEndpoints(later)
+	})
+	request := s.request(http.MethodGet, "")
+	request.Deadline = time.Now().Add(4 * time.Second)
+	result, _ := s.run(request)
+	if result.Outcome != chiveforward.Completed || time.Since(began) > time.Second || other.requests() != 1 {
+		t.Errorf("after %v got %+v", time.Since(began), result)
+	}
+	if got := q.reported(t, 1, time.Second); got[0] != chivehealth.EvidenceReplaced {
+		t.Errorf("evidence %v", got)
+	}
+}
--- a/chiveforward/inflight.go
+++ b/chiveforward/inflight.go
@@ -143,6 +143,19 @@
 	return calls, e.lastSign.at()
 }
 
+// targets returns the incarnations at which attempts are under way.
+func (f *inFlight) targets() []Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	targets := make([]Target, 0, len(f.endpoints))
+	for _, e := range f.endpoints {
+		if len(e.calls) > 0 {
+			targets = append(targets, e.target)
+		}
+	}
+	return targets
+}
+
 // takeSilent returns the endpoints that have been silent for a time and were not looked into within the check interval.
 func (f *inFlight) takeSilent(now time.Time) []silence {
 	f.mu.Lock()
