Digests of crash reports go to the peers in turn

What callers saw: nothing so far. After a cut a node of 30 still sent a quarantined request to engines after 3 s, the bound.

Cause: each node sent its digest, every 0.4 s, to a peer drawn at random. A node of which few peers know may be drawn by none of them for 3 s.

Change: the peers are taken in turn.

--- a/chivequarantine/gossip.go
+++ b/chivequarantine/gossip.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"slices"
 	"strconv"
 	"time"
@@ -244,7 +243,7 @@
 	}
 }
 
-// tend forgets what is old, and sends a digest to one peer when something is known.
+// tend forgets what is old, and sends a digest to the next peer when something is known: in turn, so that each peer gets one within a bounded time.
 func (s *Service) tend(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -256,7 +255,8 @@
 	if sum == 0 || len(s.peers) == 0 {
 		return
 	}
-	s.send(s.peers[rand.IntN(len(s.peers))], chivewire.KindCrashDigest, Digest{Sum: sum})
+	s.turn++
+	s.send(s.peers[s.turn%len(s.peers)], chivewire.KindCrashDigest, Digest{Sum: sum})
 }
 
 // send passes a message to the mesh; a lost one is repaired by the next digest.
--- a/chivequarantine/service.go
+++ b/chivequarantine/service.go
@@ -56,6 +56,7 @@
 	members  []chivemember.Member
 	// peers receive what this node learns, and a digest in turn.
 	peers []string
+	turn  int
 	// number is that of the newest report; it begins with the time of the start, so that no earlier report has it.
 	number   int64
 	pending  outgoing
