--- a/chiveforward/failure_test.go
+++ b/chiveforward/failure_test.go
@@ -248,7 +248,9 @@
 	silent := newEndpoint(t, func(net.Conn, *http.Request, string) { time.Sleep(5 * time.Second) })
 	other := newEndpoint(t, plain)
 	q := &quarantine{}
-	s := newHeldSetup(t, q, silent.born("silent", bornFirst))
+	// A stream that may be resumed waits as long as its caller does.
+	route := chivetable.Route{Attempts: 3, Repeat: chivetable.RepeatResume}
+	s := newSetupWith(t, func(o *chiveforward.Options) { o.Quarantine = q }, route, silent.born("silent", bornFirst))
 	began := time.Now()
 	time.AfterFunc(100*time.Millisecond, func() {
 		later := []chivedirectory.Endpoint{silent.born("silent", bornLater), other.born("other", bornFirst)}
