A node of the own interface is ready once all of its services have started

Cause: the operators' address, which answers the readiness check, is served before the callers' address, and readiness looked at the configuration alone.

Change: readiness also waits for the end of the start.

Why it works: the start returns only after each service has, and the gate listens in its own.

--- a/chivenode/node.go
+++ b/chivenode/node.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"chivedrift/chiveadmin"
@@ -35,8 +36,12 @@
 	servicesName = "services"
 )
 
-// errNoConfig is why a node without configuration is not ready.
-var errNoConfig = errors.New("no configuration in force yet")
+var (
+	// errNoConfig is why a node without configuration is not ready.
+	errNoConfig = errors.New("no configuration in force yet")
+	// errStarting is why a node is not ready of which not all services have started.
+	errStarting = errors.New("not all services have started yet")
+)
 
 // Node is one process between callers and endpoints.
 type Node struct {
@@ -48,6 +53,7 @@
 	follower *chivefollow.Follower
 	gate     *chivegate.Gate
 	admin    *chiveadmin.Admin
+	started  atomic.Bool
 }
 
 // New puts a node together from its settings, on a network.
@@ -184,11 +190,15 @@
 		chiveevent.NodeFailed.Log(ctx, n.logger, slog.String("error", err.Error()))
 		return err
 	}
+	n.started.Store(true)
 	return nil
 }
 
-// Ready returns why the node should get no traffic yet, or nil.
+// ready returns why the node should get no traffic yet, or nil. The operators' address is served before the callers'.
 func (n *Node) ready() error {
+	if !n.started.Load() {
+		return errStarting
+	}
 	if n.follower.InForce() == nil {
 		return errNoConfig
 	}
