Directory changes cost the forwarder a look at its attempts' endpoints alone, and doubts do not keep requests

Read, not measured: each change of the directory made two maps of all endpoints, and an attempt whose break nothing explained was kept with its request's body until the next change.

--- a/chiveforward/failure.go
+++ b/chiveforward/failure.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,29 +46,45 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.all) >= doubtsMost {
-		d.all = d.all[1:]
+		d.all = slices.Delete(d.all, 0, 1)
 	}
 	d.all = append(d.all, one)
 }
 
-// take removes and returns the recent doubts of some endpoints, and drops those that are too old.
-func (d *doubts) take(now time.Time, isMeant func(Target) bool) []doubt {
+// targets returns the endpoints of all doubts.
+func (d *doubts) targets() []Target {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var taken, kept []doubt
+	targets := make([]Target, 0, len(d.all))
 	for _, one := range d.all {
-		switch {
-		case now.Sub(one.at) >= doubtFor:
-		case isMeant(one.call.target):
+		targets = append(targets, one.call.target)
+	}
+	return targets
+}
+
+// take removes and returns the recent doubts of some endpoints.
+func (d *doubts) take(now time.Time, isMeant func(Target) bool) []doubt {
+	d.sweep(now)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var taken []doubt
+	d.all = slices.DeleteFunc(d.all, func(one doubt) bool {
+		if isMeant(one.call.target) {
 			taken = append(taken, one)
-		default:
-			kept = append(kept, one)
+			return true
 		}
-	}
-	d.all = kept
+		return false
+	})
 	return taken
 }
 
+// sweep drops the doubts that are too old: each keeps a request with its body.
+func (d *doubts) sweep(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.all = slices.DeleteFunc(d.all, func(one doubt) bool { return now.Sub(one.at) >= doubtFor })
+}
+
 // explainBreak looks for evidence that the endpoint failed under an attempt that broke, and reports it. The next attempt waits for that a short while
 // at most.
 func (f *Forwarder) explainBreak(ctx context.Context, c *call) {
@@ -138,40 +155,45 @@
 
 // SetEndpoints takes a change of the directory: attempts at processes that others have replaced are cancelled, since nothing answers them any more.
 func (f *Forwarder) SetEndpoints(endpoints []chivedirectory.Endpoint) {
-	successors := newSuccessors(endpoints)
-	for _, t := range f.inFlight.targets() {
-		if !successors.replaced(t) {
-			continue
-		}
-		calls, _ := f.inFlight.at(t.Incarnation)
+	replaced := replacedAmong(append(f.inFlight.targets(), f.doubts.targets()...), endpoints)
+	if len(replaced) == 0 {
+		return
+	}
+	for incarnation := range replaced {
+		calls, _ := f.inFlight.at(incarnation)
 		for _, c := range calls {
 			c.cancel(errReplaced)
 		}
 	}
-	for _, d := range f.doubts.take(time.Now(), successors.replaced) {
+	for _, d := range f.doubts.take(time.Now(), func(t Target) bool { return replaced[t.Incarnation] }) {
 		f.reportCrash(d.call, chivehealth.EvidenceReplaced, d.at)
 	}
 }
 
-// successors finds the endpoint that has the id or the address of another one now.
-type successors struct {
-	byID      map[string]chivedirectory.Endpoint
-	byAddress map[string]chivedirectory.Endpoint
-}
-
-func newSuccessors(endpoints []chivedirectory.Endpoint) successors {
-	s := successors{make(map[string]chivedirectory.Endpoint, len(endpoints)), make(map[string]chivedirectory.Endpoint, len(endpoints))}
+// replacedAmong returns the incarnations, of those of some targets, that were replaced: a later process has the endpoint's id, or another endpoint its
+// address while it is not registered any more. Of thousands of endpoints only those of the targets are looked at closely.
+func replacedAmong(targets []Target, endpoints []chivedirectory.Endpoint) map[string]bool {
+	if len(targets) == 0 {
+		return nil
+	}
+	present := make(map[string]string, len(targets))
+	taken := make(map[string]bool, len(targets))
+	for _, t := range targets {
+		present[t.ID], taken[t.Address] = "", false
+	}
 	for _, e := range endpoints {
-		s.byID[e.ID], s.byAddress[e.Address] = e, e
+		if _, meant := present[e.ID]; meant {
+			present[e.ID] = e.Incarnation().Key()
+		}
+		if _, meant := taken[e.Address]; meant {
+			taken[e.Address] = true
+		}
 	}
-	return s
-}
-
-// replaced tells whether a later process has the id of an endpoint, or another endpoint its address while it is not registered any more.
-func (s successors) replaced(t Target) bool {
-	if e, ok := s.byID[t.ID]; ok {
-		return e.Incarnation().Key() != t.Incarnation
+	replaced := make(map[string]bool)
+	for _, t := range targets {
+		if now := present[t.ID]; (now == "" && taken[t.Address]) || (now != "" && now != t.Incarnation) {
+			replaced[t.Incarnation] = true
+		}
 	}
-	_, taken := s.byAddress[t.Address]
-	return taken
+	return replaced
 }
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -154,6 +154,7 @@
 		f.connections.sweep(now)
 		f.health.Sweep(now)
 		f.inFlight.sweep(now)
+		f.doubts.sweep(now)
 	})
 }
 
