Listeners of the directory take what changed, not all endpoints anew

Change: the directory notes which endpoints a change touched; listeners get a chivedirectory.Diff. Pools update the candidate concerned, groups are divided anew only where a process comes or goes, not where one drains.

Not yet measured on whole fleets.

--- a/chivecache/service.go
+++ b/chivecache/service.go
@@ -96,19 +96,19 @@
 	}
 }
 
-// SetEndpoints takes a change of the directory.
-func (s *Service) SetEndpoints(endpoints []chivedirectory.Endpoint) {
+// ApplyEndpoints takes a change of the directory.
+func (s *Service) ApplyEndpoints(diff chivedirectory.Diff) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	known := s.known
-	s.known = make(map[string]*engine, len(endpoints))
-	for _, e := range endpoints {
-		if old, ok := known[e.ID]; ok && e.Incarnation() == old.endpoint.Incarnation() {
-			s.known[e.ID] = old
+	for _, e := range diff.Gone {
+		delete(s.known, e.ID)
+	}
+	for _, e := range diff.Changed {
+		old, ok := s.known[e.ID]
+		if ok && e.Incarnation() == old.endpoint.Incarnation() {
 			continue
 		}
-		_, startedAgain := known[e.ID]
-		s.known[e.ID] = &engine{endpoint: e, cold: startedAgain || (!s.began.IsZero() && time.Since(s.began) > startsFor)}
+		s.known[e.ID] = &engine{endpoint: e, cold: ok || (!s.began.IsZero() && time.Since(s.began) > startsFor)}
 	}
 }
 
--- a/chivecache/service_test.go
+++ b/chivecache/service_test.go
@@ -75,7 +75,7 @@
 		for i := range 320 {
 			endpoints = append(endpoints, chivedirectory.Endpoint{ID: fmt.Sprintf("i-%03d", i), Pool: "pool", Address: "10.0.0.1:1", State: chivedirectory.Ready})
 		}
-		s.SetEndpoints(endpoints)
+		s.ApplyEndpoints(chivedirectory.Diff{Changed: endpoints})
 		if err := s.Start(t.Context()); err != nil {
 			t.Fatal(err)
 		}
--- a/chivedirectory/directory.go
+++ b/chivedirectory/directory.go
@@ -38,6 +38,8 @@
 	// restored is when the store was first seen to have come back from an older copy, the last time.
 	restored time.Time
 	answers  answers
+	// touched are the endpoints of which something may have changed since the service last looked.
+	touched map[string]struct{}
 	// outages are those whose grace time is not over, the newest last; the newest may last still.
 	outages []*outage
 }
@@ -70,7 +72,9 @@
 
 // New returns an empty directory; grace is how long a lapsed entry is kept after the store's return.
 func New(grace time.Duration) *Directory {
-	return &Directory{grace: grace, entries: make(map[string]*entry), gone: make(map[string]tombstone), newest: noPosition, rooted: noPosition}
+	return &Directory{
+		grace: grace, entries: make(map[string]*entry), gone: make(map[string]tombstone), touched: make(map[string]struct{}), newest: noPosition, rooted: noPosition,
+	}
 }
 
 // StoreAnswered notes that the store answered this node about endpoints.
@@ -134,6 +138,7 @@
 	d.noteEra(now, change.Position)
 	d.newest = max(d.newest, change.Position)
 	id := change.Endpoint.ID
+	d.touch(id)
 	known, ok := d.entries[id]
 	if ok {
 		if settled, changed := d.weigh(now, known, change); settled {
@@ -219,6 +224,7 @@
 }
 
 func (d *Directory) drop(now time.Time, id string) {
+	d.touch(id)
 	d.gone[id] = tombstone{position: d.entries[id].position, at: now, incarnation: d.entries[id].endpoint.Incarnation()}
 	delete(d.entries, id)
 }
--- a/chivedirectory/incarnation.go
+++ b/chivedirectory/incarnation.go
@@ -97,13 +97,15 @@
 // settle takes the changes of earlier incarnations that have stood for longer than writes can be late, and reports whether there were any.
 func (d *Directory) settle(now time.Time) bool {
 	changed := false
-	for _, e := range d.entries {
+	for id, e := range d.entries {
 		if e.contest.isOver(now) {
+			d.touch(id)
 			changed = e.replace(e.contest.change) || changed
 		}
 	}
 	for id, t := range d.gone {
 		if t.contest.isOver(now) {
+			d.touch(id)
 			delete(d.gone, id)
 			d.entries[id] = &entry{endpoint: t.contest.change.Endpoint, position: t.contest.change.Position}
 			changed = true
--- a/chivedirectory/service.go
+++ b/chivedirectory/service.go
@@ -32,7 +32,7 @@
 	directory *Directory
 	decode    Decoder
 	logger    *slog.Logger
-	listeners []func([]Endpoint)
+	listeners []func(Diff)
 	shown     map[string]Endpoint
 	rejected  rejections
 	// knew tells whether an endpoint has ever been known.
@@ -54,8 +54,8 @@
 // OnRestored takes what is called when the store is seen to have come back from an older copy; it must not block.
 func (s *Service) OnRestored(restored func()) { s.restored = restored }
 
-// OnChange adds a function that hears every change; it must not block. All are added before Start.
-func (s *Service) OnChange(heard func([]Endpoint)) { s.listeners = append(s.listeners, heard) }
+// OnChange adds a function that is called with every change, in their order; it must not block. All are added before Start.
+func (s *Service) OnChange(handle func(Diff)) { s.listeners = append(s.listeners, handle) }
 
 // Start begins to look for entries that stay missing.
 func (s *Service) Start(ctx context.Context) error {
@@ -245,11 +245,10 @@
 	if !changed {
 		return
 	}
-	endpoints := s.directory.Endpoints()
-	s.knew = s.knew || len(endpoints) > 0
-	s.logChanges(endpoints, source)
-	for _, heard := range s.listeners {
-		heard(endpoints)
+	diff := s.diff(source)
+	s.knew = s.knew || len(s.shown) > 0
+	for _, handle := range s.listeners {
+		handle(diff)
 	}
 }
 
@@ -262,26 +261,21 @@
 	s.restored()
 }
 
-func (s *Service) logChanges(endpoints []Endpoint, source string) {
-	ctx := context.Background()
-	shown := make(map[string]Endpoint, len(endpoints))
-	for _, e := range endpoints {
-		shown[e.ID] = e
-		before, known := s.shown[e.ID]
-		event := chiveevent.EndpointReady
-		switch {
-		case e.State == Leaving && (!known || before.State != Leaving):
-			event = chiveevent.EndpointLeaves
-		case known && before.Born == e.Born:
-			continue
-		}
-		event.Log(ctx, s.logger, slog.String("endpoint", e.ID), slog.String("pool", e.Pool), slog.String("address", e.Address),
-			slog.Int64("born", e.Born), slog.String("source", source), slog.Int64("offset", s.directory.Newest().Offset()))
-	}
-	for id := range s.shown {
-		if _, still := shown[id]; !still {
-			chiveevent.EndpointGone.Log(ctx, s.logger, slog.String("endpoint", id), slog.String("source", source), slog.Int64("offset", s.directory.Newest().Offset()))
-		}
+// logEndpoint writes a line for an endpoint that is new, has started again or leaves.
+func (s *Service) logEndpoint(now, before Endpoint, known bool, source string) {
+	event := chiveevent.EndpointReady
+	switch {
+	case now.State == Leaving && (!known || before.State != Leaving):
+		event = chiveevent.EndpointLeaves
+	case known && before.Born == now.Born:
+		return
 	}
-	s.shown = shown
+	event.Log(context.Background(), s.logger, slog.String("endpoint", now.ID), slog.String("pool", now.Pool), slog.String("address", now.Address),
+		slog.Int64("born", now.Born), slog.String("source", source), slog.Int64("offset", s.directory.Newest().Offset()))
+}
+
+// logGone writes a line for an endpoint that is not there any more.
+func (s *Service) logGone(id, source string) {
+	chiveevent.EndpointGone.Log(context.Background(), s.logger, slog.String("endpoint", id), slog.String("source", source),
+		slog.Int64("offset", s.directory.Newest().Offset()))
 }
--- a/chiveforward/endpoint_test.go
+++ b/chiveforward/endpoint_test.go
@@ -217,7 +217,7 @@
 	budget := chiveforward.NewBudget(time.Now().Add(-time.Minute), chiveforward.BudgetLimits{Ratio: 0.2, Headroom: 50, Window: 10 * time.Second})
 	pools := chiveforward.NewPools("a")
 	pools.SetTable(table)
-	pools.SetEndpoints(endpoints)
+	pools.ApplyEndpoints(chivedirectory.Diff{Changed: endpoints})
 	asleep, began := &atomic.Int64{}, time.Now()
 	options := chiveforward.Options{
 		SinceBoot: func() time.Duration { return time.Since(began) + time.Duration(asleep.Load()) },
--- a/chiveforward/failure.go
+++ b/chiveforward/failure.go
@@ -51,17 +51,6 @@
 	d.all = append(d.all, one)
 }
 
-// targets returns the endpoints of all doubts.
-func (d *doubts) targets() []Target {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	targets := make([]Target, 0, len(d.all))
-	for _, one := range d.all {
-		targets = append(targets, one.call.target)
-	}
-	return targets
-}
-
 // take removes and returns the recent doubts of some endpoints.
 func (d *doubts) take(now time.Time, isMeant func(Target) bool) []doubt {
 	d.sweep(now)
@@ -153,47 +142,58 @@
 	}
 }
 
-// SetEndpoints takes a change of the directory: attempts at processes that others have replaced are cancelled, since nothing answers them any more.
-func (f *Forwarder) SetEndpoints(endpoints []chivedirectory.Endpoint) {
-	replaced := replacedAmong(append(f.inFlight.targets(), f.doubts.targets()...), endpoints)
-	if len(replaced) == 0 {
-		return
-	}
-	for incarnation := range replaced {
-		calls, _ := f.inFlight.at(incarnation)
-		for _, c := range calls {
-			c.cancel(errReplaced)
+// registered holds which endpoint has which address, as the directory has it.
+type registered struct {
+	mu        sync.Mutex
+	addressOf map[string]string
+	idAt      map[string]string
+}
+
+func newRegistered() *registered {
+	return &registered{addressOf: make(map[string]string), idAt: make(map[string]string)}
+}
+
+// apply takes a change of the directory, and returns whether it replaced the process of a target: by a later one under its id, or by another endpoint
+// at its address while it is not registered any more.
+func (r *registered) apply(diff chivedirectory.Diff) (replaced func(Target) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	incarnations := make(map[string]string, len(diff.Changed))
+	for _, e := range diff.Gone {
+		if r.idAt[r.addressOf[e.ID]] == e.ID {
+			delete(r.idAt, r.addressOf[e.ID])
 		}
+		delete(r.addressOf, e.ID)
 	}
-	for _, d := range f.doubts.take(time.Now(), func(t Target) bool { return replaced[t.Incarnation] }) {
-		f.reportCrash(d.call, chivehealth.EvidenceReplaced, d.at)
+	for _, e := range diff.Changed {
+		r.addressOf[e.ID], r.idAt[e.Address] = e.Address, e.ID
+		incarnations[e.ID] = e.Incarnation().Key()
+	}
+	return func(t Target) bool {
+		if now, changed := incarnations[t.ID]; changed {
+			return now != t.Incarnation
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		_, present := r.addressOf[t.ID]
+		_, taken := r.idAt[t.Address]
+		return !present && taken
 	}
 }
 
-// replacedAmong returns the incarnations, of those of some targets, that were replaced: a later process has the endpoint's id, or another endpoint its
-// address while it is not registered any more. Of thousands of endpoints only those of the targets are looked at closely.
-func replacedAmong(targets []Target, endpoints []chivedirectory.Endpoint) map[string]bool {
-	if len(targets) == 0 {
-		return nil
-	}
-	present := make(map[string]string, len(targets))
-	taken := make(map[string]bool, len(targets))
-	for _, t := range targets {
-		present[t.ID], taken[t.Address] = "", false
-	}
-	for _, e := range endpoints {
-		if _, meant := present[e.ID]; meant {
-			present[e.ID] = e.Incarnation().Key()
+// ApplyEndpoints takes a change of the directory: attempts at processes that others have replaced are cancelled, since nothing answers them any more.
+func (f *Forwarder) ApplyEndpoints(diff chivedirectory.Diff) {
+	replaced := f.registered.apply(diff)
+	for _, t := range f.inFlight.targets() {
+		if !replaced(t) {
+			continue
 		}
-		if _, meant := taken[e.Address]; meant {
-			taken[e.Address] = true
+		calls, _ := f.inFlight.at(t.Incarnation)
+		for _, c := range calls {
+			c.cancel(errReplaced)
 		}
 	}
-	replaced := make(map[string]bool)
-	for _, t := range targets {
-		if now := present[t.ID]; (now == "" && taken[t.Address]) || (now != "" && now != t.Incarnation) {
-			replaced[t.Incarnation] = true
-		}
+	for _, d := range f.doubts.take(time.Now(), replaced) {
+		f.reportCrash(d.call, chivehealth.EvidenceReplaced, d.at)
 	}
-	return replaced
 }
--- a/chiveforward/failure_test.go
+++ b/chiveforward/failure_test.go
@@ -130,7 +130,7 @@
 	s.run(s.request(http.MethodGet, ""))
 	s.run(s.request(http.MethodGet, ""))
 	time.Sleep(50 * time.Millisecond)
-	s.forwarder.SetEndpoints([]chivedirectory.Endpoint{e.born("e", bornLater)})
+	s.forwarder.ApplyEndpoints(chivedirectory.Diff{Changed: []chivedirectory.Endpoint{e.born("e", bornLater)}})
 	if got := q.reported(t, 1, time.Second); got[0] != chivehealth.EvidenceReplaced {
 		t.Errorf("evidence %v", got)
 	}
@@ -255,8 +255,8 @@
 	time.AfterFunc(100*time.Millisecond, func() {
 		later := []chivedirectory.Endpoint{silent.born("silent", bornLater), other.born("other", bornFirst)}
 		later[0].State = chivedirectory.Leaving
-		s.pools.SetEndpoints(later)
-		s.forwarder.SetEndpoints(later)
+		s.pools.ApplyEndpoints(chivedirectory.Diff{Changed: later})
+		s.forwarder.ApplyEndpoints(chivedirectory.Diff{Changed: later})
 	})
 	request := s.request(http.MethodGet, "")
 	request.Deadline = time.Now().Add(4 * time.Second)
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -109,6 +109,7 @@
 	connections *connections
 	health      *chivehealth.Checker
 	inFlight    *inFlight
+	registered  *registered
 	doubts      doubts
 	duties      chivekernel.Duties
 }
@@ -123,7 +124,7 @@
 		o.SinceBoot = func() time.Duration { return time.Since(began) }
 	}
 	return &Forwarder{
-		o: o, connections: newConnections(o.Network, o.Self), health: chivehealth.NewChecker(o.Self, o.Network, o.Dialect), inFlight: newInFlight(),
+		o: o, connections: newConnections(o.Network, o.Self), health: chivehealth.NewChecker(o.Self, o.Network, o.Dialect), inFlight: newInFlight(), registered: newRegistered(),
 	}
 }
 
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -24,12 +24,13 @@
 	asker  Asker
 	mu     sync.Mutex
 	pools  map[string]*chiveplace.Pool
-	known  []chivedirectory.Endpoint
+	// poolOf is the pool of each endpoint, by id.
+	poolOf map[string]string
 }
 
 // NewPools returns no pools, seen from a failure domain.
 func NewPools(domain string) *Pools {
-	return &Pools{domain: domain, pools: make(map[string]*chiveplace.Pool)}
+	return &Pools{domain: domain, pools: make(map[string]*chiveplace.Pool), poolOf: make(map[string]string)}
 }
 
 // Asker places prompts with the help of other nodes.
@@ -48,28 +49,32 @@
 	for _, t := range table.Pools() {
 		p.pool(t.Name).SetEngine(t.Engine)
 	}
-	p.spread()
 }
 
-// SetEndpoints takes a change of the directory.
-func (p *Pools) SetEndpoints(endpoints []chivedirectory.Endpoint) {
+// ApplyEndpoints takes a change of the directory: only the pools that it concerns do something.
+func (p *Pools) ApplyEndpoints(diff chivedirectory.Diff) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.known = endpoints
-	p.spread()
-}
-
-// spread hands each pool its endpoints; the caller holds the lock.
-func (p *Pools) spread() {
-	byPool := make(map[string][]chivedirectory.Endpoint)
-	for _, e := range p.known {
-		byPool[e.Pool] = append(byPool[e.Pool], e)
-	}
-	for name := range byPool {
-		p.pool(name)
-	}
-	for name, pool := range p.pools {
-		pool.SetEndpoints(byPool[name])
+	byPool := make(map[string]chivedirectory.Diff)
+	for _, e := range diff.Changed {
+		if before, ok := p.poolOf[e.ID]; ok && before != e.Pool {
+			concerned := byPool[before]
+			concerned.Gone = append(concerned.Gone, e)
+			byPool[before] = concerned
+		}
+		p.poolOf[e.ID] = e.Pool
+		concerned := byPool[e.Pool]
+		concerned.Changed = append(concerned.Changed, e)
+		byPool[e.Pool] = concerned
+	}
+	for _, e := range diff.Gone {
+		delete(p.poolOf, e.ID)
+		concerned := byPool[e.Pool]
+		concerned.Gone = append(concerned.Gone, e)
+		byPool[e.Pool] = concerned
+	}
+	for name, concerned := range byPool {
+		p.pool(name).ApplyEndpoints(concerned)
 	}
 }
 
--- a/chiveforward/quarantine_test.go
+++ b/chiveforward/quarantine_test.go
@@ -130,7 +130,7 @@
 	ends = newEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) {
 		leaving := ends.entry("ends")
 		leaving.State = chivedirectory.Leaving
-		s.pools.SetEndpoints([]chivedirectory.Endpoint{leaving})
+		s.pools.ApplyEndpoints(chivedirectory.Diff{Changed: []chivedirectory.Endpoint{leaving}})
 		ends.listener.Close()
 		reset(conn)
 	})
--- a/chivegrant/fetch_test.go
+++ b/chivegrant/fetch_test.go
@@ -40,7 +40,7 @@
 		n.know(t, engines, addresses, 20)
 		n.pool.SetEndpoints(endpoints)
 		n.grant.SetTable(table)
-		n.grant.SetEndpoints(endpoints)
+		n.grant.ApplyEndpoints(chivedirectory.Diff{Changed: endpoints})
 		n.grant.Divide()
 	}
 	first, err := asker.grant.Place(context.Background(), asker.pool, longRequest(100), nil)
--- a/chivegrant/groups.go
+++ b/chivegrant/groups.go
@@ -44,7 +44,7 @@
 
 // newGroups divides the engines of each pool. An engine's group depends on its id and the number of groups alone, so that nodes
 // agree without talking, and a change of the number moves few engines.
-func newGroups(endpoints []chivedirectory.Endpoint, isEngine func(pool string) bool, members []chivemember.Member, place *placer) *groups {
+func newGroups(endpoints map[string]chivedirectory.Endpoint, isEngine func(pool string) bool, members []chivemember.Member, place *placer) *groups {
 	g := &groups{
 		asking: len(members) > aloneUpTo, pools: make(map[string]*division), groupOf: make(map[string]string),
 		engines: make(map[string]map[string]bool), owners: make(map[string]string),
--- a/chivegrant/service.go
+++ b/chivegrant/service.go
@@ -85,7 +85,7 @@
 	unheard atomic.Int64
 
 	mu        sync.Mutex
-	endpoints []chivedirectory.Endpoint
+	endpoints map[string]chivedirectory.Endpoint
 	members   []chivemember.Member
 	changedAt time.Time
 	began     time.Time
@@ -101,7 +101,7 @@
 // New returns a service that knows no engines yet.
 func New(o Options) *Service {
 	s := &Service{
-		o: o, inbox: chivering.New[question](inboxSize), engines: make(map[string]bool), waiting: make(map[uint64]chan PlaceAnswer),
+		o: o, inbox: chivering.New[question](inboxSize), engines: make(map[string]bool), endpoints: make(map[string]chivedirectory.Endpoint), waiting: make(map[uint64]chan PlaceAnswer),
 		silent: make(map[string]time.Time), seen: make(map[string]uint64), changed: make(chan struct{}, 1),
 	}
 	s.divided.Store(newGroups(nil, nil, nil, nil))
@@ -149,12 +149,22 @@
 	s.change()
 }
 
-// SetEndpoints takes a change of the directory.
-func (s *Service) SetEndpoints(endpoints []chivedirectory.Endpoint) {
+// ApplyEndpoints takes a change of the directory. The groups change only where an endpoint's process comes or goes.
+func (s *Service) ApplyEndpoints(diff chivedirectory.Diff) {
+	divides := len(diff.Gone) > 0
 	s.mu.Lock()
-	s.endpoints = endpoints
+	for _, e := range diff.Gone {
+		delete(s.endpoints, e.ID)
+	}
+	for _, e := range diff.Changed {
+		known, ok := s.endpoints[e.ID]
+		divides = divides || !ok || known.Incarnation() != e.Incarnation() || known.Pool != e.Pool
+		s.endpoints[e.ID] = e
+	}
 	s.mu.Unlock()
-	s.change()
+	if divides {
+		s.change()
+	}
 }
 
 // SetMembers takes a change of the fleet.
--- a/chivegrant/service_test.go
+++ b/chivegrant/service_test.go
@@ -91,7 +91,7 @@
 	}
 	n.pool.SetEndpoints(endpoints)
 	n.grant.SetTable(table)
-	n.grant.SetEndpoints(endpoints)
+	n.grant.ApplyEndpoints(chivedirectory.Diff{Changed: endpoints})
 }
 
 func request(own uint64) *chiverequest.Request {
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -125,7 +125,7 @@
 	n.directory = chivedirectory.NewService(chiveplatform.DecodeEndpoint, chivedirectory.DefaultGrace, n.logger)
 	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Tables: n.tables, Endpoints: n.directory, Logger: n.logger})
 	n.tables.OnChange(func(*chivetable.Table) { n.gossip.Learnt() })
-	n.directory.OnChange(func([]chivedirectory.Endpoint) { n.gossip.Learnt() })
+	n.directory.OnChange(func(chivedirectory.Diff) { n.gossip.Learnt() })
 	n.directory.OnStale(n.gossip.WentStale)
 	n.directory.OnRestored(roster.Restored)
 	return roster
@@ -189,15 +189,15 @@
 	n.loads = chiveload.New(chiveload.Options{Mesh: n.mesh, Pools: pools, Owners: n.grants})
 	n.startup = newStartup(n.logger, n.NotReady, n.grants.Settled, func() int { return len(n.members.Members()) })
 	n.tables.OnChange(func(*chivetable.Table) { n.startup.noteTable() })
-	n.directory.OnChange(func([]chivedirectory.Endpoint) { n.startup.noteEndpoints() })
+	n.directory.OnChange(func(chivedirectory.Diff) { n.startup.noteEndpoints() })
 	n.tables.OnChange(pools.SetTable)
 	n.tables.OnChange(n.grants.SetTable)
 	n.tables.OnChange(caches.SetTable)
 	n.tables.OnChange(n.entry.SetTable)
-	n.directory.OnChange(pools.SetEndpoints)
-	n.directory.OnChange(forwarder.SetEndpoints)
-	n.directory.OnChange(n.grants.SetEndpoints)
-	n.directory.OnChange(caches.SetEndpoints)
+	n.directory.OnChange(pools.ApplyEndpoints)
+	n.directory.OnChange(forwarder.ApplyEndpoints)
+	n.directory.OnChange(n.grants.ApplyEndpoints)
+	n.directory.OnChange(caches.ApplyEndpoints)
 	return serving{pools, forwarder, caches}
 }
 
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -72,6 +72,8 @@
 	// candidates are known by the endpoint's incarnation: a process that started again under its id has nothing of what the one before it held, had
 	// waiting or had shown of its speed.
 	candidates map[string]*candidate
+	// present holds the incarnation of each endpoint, by id.
+	present map[string]string
 	// ordered are the candidates by incarnation, so that a choice among hundreds sorts nothing.
 	ordered []*candidate
 	// forecast predicts times to first events.
@@ -95,7 +97,7 @@
 
 // NewSeededPool returns a pool whose draws follow from a seed, so that an experiment can be repeated.
 func NewSeededPool(domain string, seed uint64) *Pool {
-	return &Pool{domain: domain, candidates: make(map[string]*candidate), forecast: newForecast(), random: rand.New(rand.NewPCG(seed, 0))}
+	return &Pool{domain: domain, candidates: make(map[string]*candidate), present: make(map[string]string), forecast: newForecast(), random: rand.New(rand.NewPCG(seed, 0))}
 }
 
 // SetEngine takes what the engines of the pool can hold; zero for plain services.
@@ -108,25 +110,61 @@
 	}
 }
 
-// SetEndpoints takes the endpoints of the pool; what is known of those that stay is kept.
+// SetEndpoints takes all endpoints of the pool; what is known of those that stay is kept.
 func (p *Pool) SetEndpoints(endpoints []chivedirectory.Endpoint) {
+	p.mu.Lock()
+	before := make([]chivedirectory.Endpoint, 0, len(p.candidates))
+	for _, s := range p.ordered {
+		before = append(before, s.endpoint)
+	}
+	p.mu.Unlock()
+	p.ApplyEndpoints(chivedirectory.DiffOf(before, endpoints))
+}
+
+// ApplyEndpoints takes a change of the endpoints of the pool.
+func (p *Pool) ApplyEndpoints(diff chivedirectory.Diff) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known := p.candidates
-	p.candidates = make(map[string]*candidate, len(endpoints))
-	for _, e := range endpoints {
-		s, ok := known[e.Incarnation().Key()]
-		if !ok {
-			s = newCandidate(e, p.engine.CacheTokens)
+	for _, e := range diff.Gone {
+		p.remove(e.ID)
+	}
+	for _, e := range diff.Changed {
+		if s, ok := p.candidates[e.Incarnation().Key()]; ok {
+			s.endpoint = e
+			continue
 		}
-		s.endpoint, s.removed = e, time.Time{}
-		p.candidates[s.incarnation] = s
-		delete(known, s.incarnation)
+		// The process before it is over.
+		p.remove(e.ID)
+		p.add(newCandidate(e, p.engine.CacheTokens))
 	}
-	for _, s := range known {
-		s.removed = time.Now()
+}
+
+// add adds a candidate; the caller holds the lock.
+func (p *Pool) add(s *candidate) {
+	at, _ := p.find(s.incarnation)
+	p.ordered = slices.Insert(p.ordered, at, s)
+	p.candidates[s.incarnation] = s
+	p.present[s.endpoint.ID] = s.incarnation
+}
+
+// remove removes the candidate of an endpoint, by id; the caller holds the lock.
+func (p *Pool) remove(id string) {
+	incarnation, ok := p.present[id]
+	if !ok {
+		return
 	}
-	p.ordered = slices.SortedFunc(maps.Values(p.candidates), func(a, b *candidate) int { return strings.Compare(a.incarnation, b.incarnation) })
+	s := p.candidates[incarnation]
+	s.removed = time.Now()
+	if at, found := p.find(incarnation); found {
+		p.ordered = slices.Delete(p.ordered, at, at+1)
+	}
+	delete(p.candidates, incarnation)
+	delete(p.present, id)
+}
+
+// find returns where a candidate is, or would be, in the order.
+func (p *Pool) find(incarnation string) (at int, found bool) {
+	return slices.BinarySearchFunc(p.ordered, incarnation, func(s *candidate, incarnation string) int { return strings.Compare(s.incarnation, incarnation) })
 }
 
 // Reconcile takes the parts that an engine, by its incarnation, says it holds, and returns their tokens; parts of incarnations that are not known are dropped.
