A report of nothing makes no garbage

Cause: each collection, every 60 ms, made room for the names of all endpoints, and sorted what it had. Change: the candidates are gone through in the order that the pool keeps anyway. Measured: BenchmarkCollect at 3,000 endpoints 92 us and 48 KB before, 5 to 6 us and nothing after, on a machine with other work.

--- a/chiveplace/report.go
+++ b/chiveplace/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 	"time"
 
 	"chivedrift/chiverequest"
@@ -48,18 +47,15 @@
 func (p *Pool) Collect(report *Report, all bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	ids := make([]string, 0, len(p.candidates))
-	for id, s := range p.candidates {
-		if s.dirty || (all && s.own > 0) {
-			ids = append(ids, id)
+	for _, s := range p.ordered {
+		if !s.dirty && (!all || s.own == 0) {
+			continue
 		}
-	}
-	sort.Strings(ids)
-	for _, id := range ids {
-		s := p.candidates[id]
 		s.dirty = false
 		s.told = s.pause.value
-		report.Loads = append(report.Loads, Load{Pause: s.told.Round(time.Millisecond), Endpoint: id, Requests: s.own, Waiting: s.ownWaiting.trimmed(), Tight: s.ownTight, Long: s.ownLong})
+		report.Loads = append(report.Loads, Load{
+			Pause: s.told.Round(time.Millisecond), Endpoint: s.incarnation, Requests: s.own, Waiting: s.ownWaiting.trimmed(), Tight: s.ownTight, Long: s.ownLong,
+		})
 	}
 	report.Reads = append(report.Reads, p.reads...)
 	p.reads = nil
