An endpoint that is silent on all attempts gets no new requests of that node

What callers saw: an engine that hangs, or a host that lost power while its port is still answered for, went on getting a share of the requests; each waited for as long as its caller, and ended as the caller's time limit, which speaks against no endpoint.

Change: a node that has found evidence of the failure (nothing for 1 s and no answer to a health check, or running streams that stand still for 2 s) ejects the endpoint for 4 s, then lets a request try, and checks again. Attempts under way go on: an answer that comes late is delivered. Other nodes do not eject on its word, since a node that is cut off takes all endpoints for silent.

--- a/chivedispatch/dispatcher.go
+++ b/chivedispatch/dispatcher.go
@@ -178,6 +178,9 @@
 // Leaving tells nothing here: these engines refuse new work while they leave, and finish what they have.
 func (p *slotPlace) Leaving(time.Time) bool { return false }
 
+// Eject does nothing here: the scheduler judges its engines by how their slots end.
+func (p *slotPlace) Eject(time.Time) {}
+
 // FetchFrom names nobody: these engines move no parts.
 func (p *slotPlace) FetchFrom() string { return "" }
 
--- a/chivedispatch/service.go
+++ b/chivedispatch/service.go
@@ -147,6 +147,9 @@
 // Leaving tells nothing here: replicas refuse new work while they leave, and finish what they have.
 func (p *replicaPlace) Leaving(time.Time) bool { return false }
 
+// Eject does nothing here: the chooser judges its replicas by how their requests end.
+func (p *replicaPlace) Eject(time.Time) {}
+
 // FetchFrom names nobody: plain services hold no prompts.
 func (p *replicaPlace) FetchFrom() string { return "" }
 
--- a/chiveforward/failure_test.go
+++ b/chiveforward/failure_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -197,6 +198,36 @@
 	}
 }
 
+// Guards against an engine that hangs and goes on getting requests, each of which waits for as long as its caller.
+func TestSilentEndpointGetsNoNewRequests(t *testing.T) {
+	hung := newEndpoint(t, streamsThenStops(func() {}))
+	q := &quarantine{}
+	route := chivetable.Route{Attempts: 1, Repeat: chivetable.RepeatResume}
+	s := newSetupWith(t, func(o *chiveforward.Options) { o.Quarantine = q }, route, hung.born("hung", bornFirst))
+	request := s.request(http.MethodGet, "")
+	request.Deadline = time.Now().Add(6 * time.Second)
+	go s.run(request)
+	time.Sleep(100 * time.Millisecond)
+	sound := newEndpoint(t, func(conn net.Conn, request *http.Request, body string) {
+		time.Sleep(100 * time.Millisecond)
+		plain(conn, request, body)
+	})
+	s.pools.ApplyEndpoints(chivedirectory.Diff{Changed: []chivedirectory.Endpoint{sound.born("sound", bornFirst)}})
+	q.reported(t, 1, 4*time.Second)
+	var running sync.WaitGroup
+	for range 12 {
+		running.Go(func() {
+			if result, _ := s.run(s.request(http.MethodGet, "")); result.Outcome != chiveforward.Completed {
+				t.Errorf("got %+v", result)
+			}
+		})
+	}
+	running.Wait()
+	if n := hung.requests(); n != 1 {
+		t.Errorf("the endpoint that hangs got %d requests, want the first alone", n)
+	}
+}
+
 // Guards against a failure of which only another node can know: the requests that this node has there are implicated too.
 func TestFailureThatAPeerFoundIsReported(t *testing.T) {
 	q := &quarantine{}
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -89,7 +89,9 @@
 	Preempted() <-chan struct{}
 	// Event notes an event of the answer and how long it was waited for; the first tells that the answer has begun.
 	Event(now time.Time, waited time.Duration)
-	// Done gives the place back and returns for how long the endpoint is passed over now.
+	// Eject keeps new requests from the endpoint until a time.
+	Eject(until time.Time)
+	// Done gives the place back and returns for how long the endpoint is ejected now.
 	Done(now time.Time, ending chiveplace.Ending) time.Duration
 }
 
--- a/chiveforward/inflight.go
+++ b/chiveforward/inflight.go
@@ -23,9 +23,14 @@
 	// brokeAt is when an attempt there last broke, idleSince when the last one ended.
 	brokeAt   time.Time
 	idleSince time.Time
-	// checked is when its silence was last looked into, failed that it was found to have failed.
-	checked time.Time
-	failed  bool
+	// checked is when its silence was last looked into, failedAt when it was last found to have failed.
+	checked  time.Time
+	failedAt time.Time
+}
+
+// hasFailed tells whether the endpoint was found to have failed a short while ago.
+func (e *endpointCalls) hasFailed(now time.Time) bool {
+	return !e.failedAt.IsZero() && now.Sub(e.failedAt) < failedFor
 }
 
 const (
@@ -163,7 +168,7 @@
 	var silent []silence
 	for _, e := range f.endpoints {
 		since := e.silentSince()
-		if len(e.calls) == 0 || e.failed || now.Sub(since) < silentAfter || now.Sub(e.checked) < silenceCheckEvery {
+		if len(e.calls) == 0 || e.hasFailed(now) || now.Sub(since) < silentAfter || now.Sub(e.checked) < silenceCheckEvery {
 			continue
 		}
 		e.checked = now
@@ -193,11 +198,12 @@
 func (f *inFlight) markFailed(incarnation string, since time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := time.Now()
 	e, ok := f.endpoints[incarnation]
-	if !ok || e.failed || e.silentSince().After(since) {
+	if !ok || e.hasFailed(now) || e.silentSince().After(since) {
 		return false
 	}
-	e.failed = true
+	e.failedAt = now
 	return true
 }
 
--- a/chiveforward/silence.go
+++ b/chiveforward/silence.go
@@ -22,6 +22,9 @@
 	// implicatedWithin is how long after an endpoint's last sign of life an attempt may have begun to count as one under which it failed: one that
 	// began later found it failed already.
 	implicatedWithin = time.Second
+	// failedFor is how long a silent endpoint counts as failed before it is checked again, and how long it is ejected: a request that is sent then
+	// tells whether it answers.
+	failedFor = 4 * time.Second
 	// readDelay is how long what an endpoint sent may have waited to be read here.
 	readDelay = 500 * time.Millisecond
 )
@@ -60,10 +63,20 @@
 	failure := s.target.failure(evidence, s.since)
 	chiveevent.EndpointFailed.Log(context.Background(), f.o.Logger, slog.String("endpoint", failure.Endpoint), slog.String("evidence", evidence.String()),
 		slog.Int64("silent_ms", time.Since(failure.At).Milliseconds()))
+	f.eject(failure.Endpoint)
 	f.reportFailure(failure)
 	f.o.Quarantine.Failed(time.Now(), failure)
 }
 
+// eject keeps new requests of this node from an endpoint that it found silent. Its attempts under way go on, so that an answer which comes late is
+// delivered; other nodes eject it when they find the same.
+func (f *Forwarder) eject(incarnation string) {
+	calls, _ := f.inFlight.at(incarnation)
+	for _, c := range calls {
+		c.place.Eject(time.Now().Add(failedFor))
+	}
+}
+
 // PeerFailure takes a failure that another node found. Attempts that are under way here may be what the endpoint failed under; nothing else may
 // show that to this node. Where the endpoint has answered here since, it returns when that was; else the zero time.
 func (f *Forwarder) PeerFailure(failure chivehealth.Failure) (alive time.Time) {
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -162,6 +162,13 @@
 	p.candidate.read(p)
 }
 
+// Eject keeps new requests from the endpoint until a time.
+func (p *Place) Eject(until time.Time) {
+	p.pool.mu.Lock()
+	defer p.pool.mu.Unlock()
+	p.candidate.downUntil = until
+}
+
 // Done gives the place back and returns for how long the endpoint is passed over now; calls after the first do nothing.
 func (p *Place) Done(now time.Time, ending Ending) time.Duration {
 	p.pool.mu.Lock()
