Endpoints that warm up get the rate that they take at most

What callers saw: engines that had just started, or come back cold, crashed under their full share of requests where the operator's document names a rate for that time.

Cause: the rate was not read, and the time that an endpoint says it still warms up was kept and not used.

Change: a node places a request on an endpoint that warms up only when the time since its last one there is its part of the rate: all of it where it owns the engine, else an even part of the fleet, and none where that part is less than one request.

Other deployments name no such rate, so nothing changes there.

Tests: TestEndpointThatWarmsUpGetsItsRateAtMost, TestNodesKeepToTheRateOfEndpointsThatWarmUp (1, 8, 62 nodes: 6, 8, 0 in a second at a rate of 5.8), TestOwnerGrantsTheWholeRate.

--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -26,6 +26,7 @@
 	pools  map[string]*chiveplace.Pool
 	// poolOf is the pool of each endpoint, by id.
 	poolOf map[string]string
+	nodes  int
 }
 
 // NewPools returns no pools, seen from a failure domain.
@@ -48,6 +49,17 @@
 	defer p.mu.Unlock()
 	for _, t := range table.Pools() {
 		p.pool(t.Name).SetEngine(t.Engine)
+		p.pool(t.Name).SetWarmUpRate(t.WarmUpRate)
+	}
+}
+
+// SetNodes takes how many nodes there are.
+func (p *Pools) SetNodes(nodes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.nodes = nodes
+	for _, pool := range p.pools {
+		pool.SetNodes(nodes)
 	}
 }
 
@@ -83,6 +95,7 @@
 	pool, ok := p.pools[name]
 	if !ok {
 		pool = chiveplace.NewPool(p.domain)
+		pool.SetNodes(p.nodes)
 		p.pools[name] = pool
 	}
 	return pool
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -62,6 +62,7 @@
 	startup    *startup
 	memory     *memoryGuard
 	quarantine *chivequarantine.Service
+	pools      *chiveforward.Pools
 }
 
 // NewStoreNode puts a node together from its settings, on a network.
@@ -171,6 +172,7 @@
 	n.memory = newMemoryGuard(s.MemoryMB*megabyte, n.logger)
 	n.quarantine = chivequarantine.New(chivequarantine.Options{Mesh: n.mesh, Logger: n.logger})
 	pools := chiveforward.NewPools(s.FailureDomain)
+	n.pools = pools
 	forwarder := chiveforward.New(chiveforward.Options{
 		Self: s.Listen.Callers, Network: network, Dialect: chiveplatform.Endpoints{}, Places: pools, Repeats: n.budget, Rules: chiveforward.StoreRules,
 		Quarantine: n.quarantine, SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
@@ -209,6 +211,7 @@
 	}
 	n.members.OnChange(func(members []chivemember.Member) {
 		n.budget.SetNodes(time.Now(), len(members))
+		n.pools.SetNodes(len(members))
 		n.grants.SetMembers(members)
 		n.loads.SetMembers(members)
 		n.gossip.SetMembers(members)
--- a/chiveplace/candidate.go
+++ b/chiveplace/candidate.go
@@ -48,6 +48,10 @@
 	// dirty tells that the other nodes have not been told of the last change.
 	dirty bool
 
+	// warmUntil is until when the endpoint warms up, warmTaken when this node last placed a request on it meanwhile.
+	warmUntil time.Time
+	warmTaken time.Time
+
 	failures  int
 	downUntil time.Time
 	errors    float64
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -69,6 +69,9 @@
 	mu     sync.Mutex
 	domain string
 	engine chivetable.Engine
+	// warmUpRate is how many requests a second an endpoint takes while it warms up, nodes how many nodes place requests.
+	warmUpRate float64
+	nodes      int
 	// candidates are known by the endpoint's incarnation: a process that started again under its id has nothing of what the one before it held, had
 	// waiting or had shown of its speed.
 	candidates map[string]*candidate
@@ -129,13 +132,14 @@
 		p.remove(e.ID)
 	}
 	for _, e := range diff.Changed {
-		if s, ok := p.candidates[e.Incarnation().Key()]; ok {
-			s.endpoint = e
-			continue
+		s, ok := p.candidates[e.Incarnation().Key()]
+		if !ok {
+			// The process before it is over.
+			p.remove(e.ID)
+			s = newCandidate(e, p.engine.CacheTokens)
+			p.add(s)
 		}
-		// The process before it is over.
-		p.remove(e.ID)
-		p.add(newCandidate(e, p.engine.CacheTokens))
+		s.setEndpoint(time.Now(), e)
 	}
 }
 
@@ -231,6 +235,9 @@
 			Reason: "other engines may cost less", RetryAfter: comeBackLeast, Loss: place.loss, Holder: place.holder, Held: place.held,
 		}
 	}
+	if p.warmsUp(now, best) {
+		best.warmTaken = now
+	}
 	return place, nil
 }
 
@@ -249,9 +256,11 @@
 		if (slots > 0 && s.load() >= slots) || slices.Contains(ask.Exclude, s.incarnation) {
 			continue
 		}
-		if s.usable(now) {
+		switch {
+		case p.warmsUp(now, s) && !p.mayWarm(now, s, ask):
+		case s.usable(now):
 			usable = append(usable, s)
-		} else {
+		default:
 			suspect = append(suspect, s)
 		}
 	}
--- a/chivetable/table.go
+++ b/chivetable/table.go
@@ -76,6 +76,8 @@
 	// Connections is the most connections that one endpoint takes from all callers together.
 	Connections int
 	Engine      Engine
+	// WarmUpRate is how many requests a second one endpoint takes while it warms up; 0 where that makes no difference.
+	WarmUpRate float64
 }
 
 // Team is a customer. Its tier, where it has one, decides between requests on routes of one tier.
