Endpoints of evacuated failure domains get no requests

What callers and operators saw: 2,781 requests went to endpoints of a failure domain after operators had evacuated it.

Cause: of the operator's topic only the configuration was read.

Change: package chiveevacuation keeps the evacuated failure domains with the position up to which they hold, and gossips them, since in a large fleet only some nodes read the store; pools place nothing there.

Tests: TestAllNodesKnowOfAnEvacuation (1 to 120 nodes, within 3 s), TestNodesThatWereCutOffLearnOfEvacuations, TestSnapshotTakesBackWhatItDoesNotName, TestEvacuationsComeToRest, TestEvacuatedDomainGetsNothing.

--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -35,6 +35,8 @@
 
 	StoreRestored = define(212, slog.LevelError, "platform's store came back from an older copy", "What was written since the copy is gone until its writers write it again; look whether the configuration (206) is the one that you published last. Endpoints that the copy lacks are kept for two seconds, those that had left stay out until the store has said otherwise for eight.")
 
+	DomainsEvacuated = define(213, slog.LevelWarn, "evacuated failure domains changed", "None: operators did it. Endpoints there get no new requests; an empty list takes it back.")
+
 	EndpointReady    = define(310, slog.LevelInfo, "endpoint ready", "None.")
 	EndpointGone     = define(311, slog.LevelInfo, "endpoint gone", "None, unless nobody took it away.")
 	EndpointRejected = define(312, slog.LevelError, "endpoint's registration not usable", "Mend the field that the error names.")
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -27,6 +27,8 @@
 	// poolOf is the pool of each endpoint, by id.
 	poolOf map[string]string
 	nodes  int
+	// evacuated are the failure domains whose endpoints get nothing.
+	evacuated []string
 }
 
 // NewPools returns no pools, seen from a failure domain.
@@ -53,6 +55,16 @@
 	}
 }
 
+// SetEvacuated takes the failure domains whose endpoints get nothing.
+func (p *Pools) SetEvacuated(domains []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.evacuated = domains
+	for _, pool := range p.pools {
+		pool.SetEvacuated(domains)
+	}
+}
+
 // SetNodes takes how many nodes there are.
 func (p *Pools) SetNodes(nodes int) {
 	p.mu.Lock()
@@ -96,6 +108,7 @@
 	if !ok {
 		pool = chiveplace.NewPool(p.domain)
 		pool.SetNodes(p.nodes)
+		pool.SetEvacuated(p.evacuated)
 		p.pools[name] = pool
 	}
 	return pool
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -11,6 +11,7 @@
 	"chivedrift/chivecache"
 	"chivedrift/chivedirectory"
 	"chivedrift/chiveentry"
+	"chivedrift/chiveevacuation"
 	"chivedrift/chiveevent"
 	"chivedrift/chivefeed"
 	"chivedrift/chiveforward"
@@ -19,6 +20,7 @@
 	"chivedrift/chivegrant"
 	"chivedrift/chivekernel"
 	"chivedrift/chiveload"
+	"chivedrift/chivelog"
 	"chivedrift/chivemember"
 	"chivedrift/chivemetric"
 	"chivedrift/chivequarantine"
@@ -63,6 +65,25 @@
 	memory     *memoryGuard
 	quarantine *chivequarantine.Service
 	pools      *chiveforward.Pools
+	evacuation *chiveevacuation.Service
+}
+
+// operatorTopic hands what is read of the operator's topic to all that keep something of it.
+type operatorTopic struct {
+	*chivetable.Service
+	evacuation *chiveevacuation.Service
+}
+
+// Replace takes a snapshot.
+func (t operatorTopic) Replace(snapshot chivelog.KeyedBatch) {
+	t.Service.Replace(snapshot)
+	t.evacuation.Replace(snapshot)
+}
+
+// Apply takes later records.
+func (t operatorTopic) Apply(records []chivelog.KeyedRecord) {
+	t.Service.Apply(records)
+	t.evacuation.Apply(records)
 }
 
 // NewStoreNode puts a node together from its settings, on a network.
@@ -93,6 +114,7 @@
 		{chivetable.ServiceName, n.tables},
 		{chivedirectory.ServiceName, n.directory},
 		{chivegossip.ServiceName, n.gossip},
+		{chiveevacuation.ServiceName, n.evacuation},
 		{tableFeedName, feeds.table},
 		{directoryFeedName, feeds.directory},
 		{rosterFeedName, feeds.roster},
@@ -123,6 +145,7 @@
 		Incarnation: time.Now().UnixMilli(),
 	}, n.mesh, roster, n.logger)
 	n.tables = chivetable.NewService(chiveplatform.DecodeTable, chiveplatform.IsConfiguration, n.logger)
+	n.evacuation = chiveevacuation.New(chiveevacuation.Options{Mesh: n.mesh, Decode: chiveplatform.DecodeEvacuation, Logger: n.logger})
 	n.directory = chivedirectory.NewService(chiveplatform.DecodeEndpoint, chivedirectory.DefaultGrace, n.logger)
 	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Tables: n.tables, Endpoints: n.directory, Logger: n.logger})
 	n.tables.OnChange(func(*chivetable.Table) { n.gossip.Learnt() })
@@ -142,7 +165,7 @@
 func (n *StoreNode) newFeeds(store *chiveplatform.Store, roster *roster) feeds {
 	return feeds{
 		table: chivefeed.New(chivefeed.Options{
-			Topic: store.Configurations(), Wait: n.gossip.ReadWait, Listener: n.tables, Answered: n.directory.AnsweredElse, Held: n.gossip.Held,
+			Topic: store.Configurations(), Wait: n.gossip.ReadWait, Listener: operatorTopic{n.tables, n.evacuation}, Answered: n.directory.AnsweredElse, Held: n.gossip.Held,
 			Settle: chivegossip.SettleFor,
 		}),
 		directory: chivefeed.New(chivefeed.Options{
@@ -192,6 +215,7 @@
 	n.startup = newStartup(n.logger, n.NotReady, n.grants.Settled, func() int { return len(n.members.Members()) })
 	n.tables.OnChange(func(*chivetable.Table) { n.startup.noteTable() })
 	n.directory.OnChange(func(chivedirectory.Diff) { n.startup.noteEndpoints() })
+	n.evacuation.OnChange(pools.SetEvacuated)
 	n.tables.OnChange(pools.SetTable)
 	n.tables.OnChange(n.grants.SetTable)
 	n.tables.OnChange(caches.SetTable)
@@ -212,6 +236,7 @@
 	n.members.OnChange(func(members []chivemember.Member) {
 		n.budget.SetNodes(time.Now(), len(members))
 		n.pools.SetNodes(len(members))
+		n.evacuation.SetMembers(members)
 		n.grants.SetMembers(members)
 		n.loads.SetMembers(members)
 		n.gossip.SetMembers(members)
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -72,6 +72,8 @@
 	// warmUpRate is how many requests a second an endpoint takes while it warms up, nodes how many nodes place requests.
 	warmUpRate float64
 	nodes      int
+	// evacuated are the failure domains whose endpoints get nothing.
+	evacuated []string
 	// candidates are known by the endpoint's incarnation: a process that started again under its id has nothing of what the one before it held, had
 	// waiting or had shown of its speed.
 	candidates map[string]*candidate
@@ -113,6 +115,13 @@
 	}
 }
 
+// SetEvacuated takes the failure domains whose endpoints get nothing.
+func (p *Pool) SetEvacuated(domains []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.evacuated = domains
+}
+
 // SetEndpoints takes all endpoints of the pool; what is known of those that stay is kept.
 func (p *Pool) SetEndpoints(endpoints []chivedirectory.Endpoint) {
 	p.mu.Lock()
@@ -211,7 +220,10 @@
 func (p *Pool) choose(now time.Time, ask Ask) (*Place, error) {
 	usable, present := p.usable(now, ask)
 	if len(usable) == 0 {
-		if present == 0 {
+		switch {
+		case present == 0 && len(p.evacuated) > 0:
+			return nil, &RefusedError{Reason: "no endpoint of the pool is known outside the evacuated failure domains", RetryAfter: retryWhenNone}
+		case present == 0:
 			return nil, &RefusedError{Reason: "no endpoint of the pool is known", RetryAfter: retryWhenNone}
 		}
 		return nil, &RefusedError{Reason: "no endpoint of the pool has a free place", RetryAfter: retryWhenFull}
@@ -249,7 +261,7 @@
 	slots := slotsFor(p.engine.Slots, ask.Prompt)
 	var suspect []*candidate
 	for _, s := range among {
-		if s.endpoint.State != chivedirectory.Ready {
+		if s.endpoint.State != chivedirectory.Ready || slices.Contains(p.evacuated, s.endpoint.FailureDomain) {
 			continue
 		}
 		present++
--- a/chivewire/kind.go
+++ b/chivewire/kind.go
@@ -61,6 +61,8 @@
 	KindEndpointAlive   Kind = 124
 	KindEndpointFailure Kind = 125
 
+	KindEvacuations Kind = 128
+
 	KindPlaceAsk    Kind = 104
 	KindPlaceAnswer Kind = 105
 )
@@ -79,7 +81,7 @@
 	KindDocumentAsk: "document_ask", KindDocumentPart: "document_part", KindDocumentRefusal: "document_refusal",
 	KindDigestAnswer: "digest", KindChangesAsk: "changes_ask", KindChangesAnswer: "changes_answer",
 	KindCrashUpdate: "crash_update", KindCrashDigest: "crash_digest", KindProbeRequest: "probe_request", KindProbeGrant: "probe_grant",
-	KindEndpointAlive: "endpoint_alive", KindEndpointFailure: "endpoint_failure",
+	KindEndpointAlive: "endpoint_alive", KindEndpointFailure: "endpoint_failure", KindEvacuations: "evacuations",
 	KindPlaceAsk: "place_ask", KindPlaceAnswer: "place_answer",
 }
 
