One inbox for services that handle messages in turn; reports whether, in place of tells

chivegossip, chivequarantine and chiveevacuation each had the same ring, message and receive function: chivewire.Inbox. Two constants that had to agree are one (chivemember.AllPartnersUpTo). Doc comments say 'reports whether' and 'means that' where they said 'tells'. No behaviour changes.

--- a/chivecache/service.go
+++ b/chivecache/service.go
@@ -44,9 +44,9 @@
 
 // Owners tell which engines this node decides for in a fleet too large for each to decide for all.
 type Owners interface {
-	// Settled tells whether the node knows the fleet by now.
+	// Settled reports whether the node knows the fleet by now.
 	Settled() bool
-	// Asking tells whether the fleet is that large.
+	// Asking reports whether the fleet is that large.
 	Asking() bool
 	// OwnerOf returns the address of the node that owns an engine.
 	OwnerOf(endpoint string) string
--- a/chiveclaim/client.go
+++ b/chiveclaim/client.go
@@ -253,7 +253,7 @@
 	}
 }
 
-// tooOld tells whether a key that carries its own time of making, a version 7 UUID, is older than the window.
+// tooOld reports whether a key that carries its own time of making, a version 7 UUID, is older than the window.
 //
 // The log forgets a claim after its retention time. A key that old would look new and could run a second time.
 func tooOld(now time.Time, scoped string, window time.Duration) bool {
--- a/chiveclaim/writer.go
+++ b/chiveclaim/writer.go
@@ -108,7 +108,7 @@
 	ask   *Ask
 }
 
-// claims tells whether the job is a claim, which somebody waits for.
+// claims reports whether the job is a claim, which somebody waits for.
 func (j job) claims() bool { return j.write != nil && j.write.Entry.Kind == KindClaim }
 
 // slotWriter owns the index of one slot.
--- a/chiveconfig/history.go
+++ b/chiveconfig/history.go
@@ -124,7 +124,7 @@
 	return o, ok
 }
 
-// Rooted tells whether the history can judge a publish.
+// Rooted reports whether the history can judge a publish.
 func (h *History) Rooted() bool { return h.rooted }
 
 // Gap notes that records were missed.
--- a/chivedirectory/changes_test.go
+++ b/chivedirectory/changes_test.go
@@ -143,7 +143,7 @@
 	})
 }
 
-// agrees tells whether a directory knows exactly what there is.
+// agrees reports whether a directory knows exactly what there is.
 func agrees(d *chivedirectory.Directory, present map[string]chivedirectory.Change) bool {
 	known := d.Endpoints()
 	for _, e := range known {
--- a/chivedirectory/diff_test.go
+++ b/chivedirectory/diff_test.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// checkKnown holds what a listener knows against what the directory tells a peer that knows nothing.
+// checkKnown holds what a listener knows against what the directory sends a peer that knows nothing.
 func checkKnown(t *testing.T, seed uint64, s *chivedirectory.Service, known map[string]chivedirectory.Endpoint) {
 	t.Helper()
 	var want, got []string
--- a/chivedirectory/directory.go
+++ b/chivedirectory/directory.go
@@ -229,7 +229,7 @@
 	delete(d.entries, id)
 }
 
-// inGrace tells whether an entry that is found missing now may only have lapsed.
+// inGrace reports whether an entry that is found missing now may only have lapsed.
 func (d *Directory) inGrace(now time.Time) bool {
 	return d.restoreGrace(now) > 0 || slices.ContainsFunc(d.outages, func(o *outage) bool { return o.inGrace(now, d.grace) })
 }
--- a/chivedirectory/incarnation.go
+++ b/chivedirectory/incarnation.go
@@ -26,7 +26,7 @@
 	return l.ID + bornMark + strconv.FormatInt(l.Born, 10)
 }
 
-// Follows tells whether an incarnation is known to have begun after another one of the same endpoint. Clocks of VMs differ, so that starts of
+// Follows reports whether an incarnation is known to have begun after another one of the same endpoint. Clocks of VMs differ, so that starts of
 // different endpoints say nothing about each other.
 func (l Incarnation) Follows(other Incarnation) bool {
 	return l.ID == other.ID && l.Born != 0 && other.Born != 0 && l.Born > other.Born
@@ -54,10 +54,10 @@
 	c.change = change
 }
 
-// isOpen tells whether there is such a change.
+// isOpen reports whether there is such a change.
 func (c *contest) isOpen() bool { return !c.since.IsZero() }
 
-// isOver tells whether the change has stood for longer than writes can be late.
+// isOver reports whether the change has stood for longer than writes can be late.
 func (c *contest) isOver(now time.Time) bool {
 	return c.isOpen() && now.Sub(c.since) > lateWriteMost
 }
@@ -74,7 +74,7 @@
 	}
 }
 
-// mayReturn tells whether a change of an endpoint that is gone is of something newer than its end.
+// mayReturn reports whether a change of an endpoint that is gone is of something newer than its end.
 func (d *Directory) mayReturn(now time.Time, old tombstone, change Change) bool {
 	if old.position >= change.Position {
 		return false
--- a/chivedirectory/outage.go
+++ b/chivedirectory/outage.go
@@ -89,7 +89,7 @@
 	return since, !o.since.IsZero() && since.Sub(o.since) <= contactGap
 }
 
-// inGrace tells whether an entry that is found missing now may have lapsed in the outage.
+// inGrace reports whether an entry that is found missing now may have lapsed in the outage.
 func (o *outage) inGrace(now time.Time, grace time.Duration) bool {
 	since, own := o.contact(now)
 	return !own && now.Sub(since) < grace
--- a/chivedirectory/rejections.go
+++ b/chivedirectory/rejections.go
@@ -42,7 +42,7 @@
 
 func newRejections() rejections { return rejections{byKey: make(map[string]*rejection)} }
 
-// note counts a record and tells whether to log it, with the number of such records of the key in a row.
+// note counts a record and reports whether to log it, with the number of such records of the key in a row.
 func (r *rejections) note(now time.Time, key, reason string) (count int64, tell bool) {
 	r.records++
 	known, ok := r.byKey[key]
--- a/chivedirectory/restore.go
+++ b/chivedirectory/restore.go
@@ -36,19 +36,19 @@
 // Era returns the newest era of the store that is known; 0 before the first change.
 func (d *Directory) Era() int64 { return d.era }
 
-// isSettling tells whether endpoints may still stand in the store as they were when the copy was made.
+// isSettling reports whether endpoints may still stand in the store as they were when the copy was made.
 func (d *Directory) isSettling(now time.Time) bool {
 	return !d.restored.IsZero() && now.Sub(d.restored) <= lateWriteMost
 }
 
-// mayBeOld tells whether a change that an endpoint which leaves is ready may be from before it said that it leaves.
+// mayBeOld reports whether a change that an endpoint which leaves is ready may be from before it said that it leaves.
 func (e *entry) mayBeOld(change Change) bool {
 	isReady := !change.Gone && !change.Missing && change.Endpoint.State == Ready
 	return isReady && e.endpoint.State == Leaving && change.Endpoint.Incarnation() == e.endpoint.Incarnation() &&
 		change.Position.MayPrecede(e.position)
 }
 
-// outlasts tells whether a change that an endpoint leaves, or is gone, may be newer than what the copy says of it, though its position is of an
+// outlasts reports whether a change that an endpoint leaves, or is gone, may be newer than what the copy says of it, though its position is of an
 // earlier era. A node that started after the restore knows only the copy, and hears from its peers what had left.
 func (d *Directory) outlasts(known *entry, change Change) bool {
 	if !known.missing.IsZero() {
--- a/chivedirectory/service.go
+++ b/chivedirectory/service.go
@@ -35,7 +35,7 @@
 	listeners []func(Diff)
 	shown     map[string]Endpoint
 	rejected  rejections
-	// knew tells whether an endpoint has ever been known.
+	// knew reports whether an endpoint has ever been known.
 	knew  bool
 	stale func()
 	// restored is called when the store is seen to have come back from an older copy.
@@ -166,7 +166,7 @@
 	return s.directory.Update(time.Now(), after)
 }
 
-// Knew tells whether an endpoint has been known since the start, be it gone or not.
+// Knew reports whether an endpoint has been known since the start, be it gone or not.
 func (s *Service) Knew() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/chivedispatch/answer.go
+++ b/chivedispatch/answer.go
@@ -45,7 +45,7 @@
 	return a.last.Sub(a.first) / time.Duration(a.tokens-1)
 }
 
-// complete tells whether nothing of the text is missing.
+// complete reports whether nothing of the text is missing.
 func (a *Answer) complete() bool { return len(a.finish) > 0 }
 
 // add notes a chunk that is about to be delivered.
--- a/chivedispatch/dispatcher.go
+++ b/chivedispatch/dispatcher.go
@@ -211,7 +211,7 @@
 	return e
 }
 
-// isGivenUp tells whether a result has no answer of an endpoint.
+// isGivenUp reports whether a result has no answer of an endpoint.
 func isGivenUp(result *chiveforward.Result) bool {
 	return result.Outcome == chiveforward.NotRun || result.Outcome == chiveforward.Unknown
 }
--- a/chiveevacuation/service.go
+++ b/chiveevacuation/service.go
@@ -11,7 +11,6 @@
 	"chivedrift/chivekernel"
 	"chivedrift/chivelog"
 	"chivedrift/chivemember"
-	"chivedrift/chivering"
 	"chivedrift/chivewire"
 )
 
@@ -36,16 +35,10 @@
 	Logger *slog.Logger
 }
 
-// message is one message with its sender.
-type message struct {
-	from  string
-	state State
-}
-
 // Service keeps the state from the store's records and from peers.
 type Service struct {
 	o         Options
-	inbox     *chivering.Ring[message]
+	inbox     *chivewire.Inbox
 	duties    chivekernel.Duties
 	listeners []func(domains []string)
 
@@ -59,11 +52,8 @@
 
 // New returns a service that knows of no evacuation.
 func New(o Options) *Service {
-	s := &Service{o: o, inbox: chivering.New[message](inboxSize), state: newState()}
-	chivewire.Receive(o.Mesh, chivewire.KindEvacuations, func(from string, state State) {
-		// A full ring loses a message; the peer repeats it.
-		s.inbox.Offer(message{from, state})
-	})
+	s := &Service{o: o, inbox: chivewire.NewInbox(o.Mesh, inboxSize), state: newState()}
+	chivewire.Queue[State](s.inbox, chivewire.KindEvacuations)
 	return s
 }
 
@@ -148,7 +138,9 @@
 		case now := <-tick.C:
 			s.repeat(now)
 		case m := <-s.inbox.Ready():
-			s.receive(m)
+			if state, ok := m.Body.(State); ok {
+				s.receive(m.From, state)
+			}
 		}
 	}
 }
@@ -166,12 +158,12 @@
 }
 
 // receive takes a peer's state, or sends it this node's where that is newer.
-func (s *Service) receive(m message) {
-	s.adopt(m.state, m.from)
+func (s *Service) receive(from string, state State) {
+	s.adopt(state, from)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if m.state.isOlderThan(s.state) && !slices.Equal(m.state.Domains, s.state.Domains) {
-		s.send(m.from)
+	if state.isOlderThan(s.state) && !slices.Equal(state.Domains, s.state.Domains) {
+		s.send(from)
 	}
 }
 
--- a/chiveevacuation/state.go
+++ b/chiveevacuation/state.go
@@ -27,7 +27,7 @@
 // newState returns the state before anything is known.
 func newState() State { return State{Position: noPosition} }
 
-// isOlderThan tells whether another state holds up to a later position.
+// isOlderThan reports whether another state holds up to a later position.
 func (s State) isOlderThan(other State) bool { return s.Position < other.Position }
 
 // apply returns the state after later records; what the state covers already changes nothing.
--- a/chiveevent/output.go
+++ b/chiveevent/output.go
@@ -137,7 +137,7 @@
 	plain  slog.Handler
 }
 
-// Enabled tells whether a level is logged.
+// Enabled reports whether a level is logged.
 func (h *levelHandler) Enabled(ctx context.Context, level slog.Level) bool {
 	return h.plain.Enabled(ctx, level)
 }
--- a/chivefeed/follower.go
+++ b/chivefeed/follower.go
@@ -142,7 +142,7 @@
 	}
 }
 
-// isHeld tells whether others read for this node now.
+// isHeld reports whether others read for this node now.
 //
 // A node that has lost the log reads it once itself before others read for it again: else it would wait for ever for the log's return, and
 // keep for as long whatever is removed.
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -43,15 +43,15 @@
 	began      time.Time
 	silence    *time.Timer
 	touched    bool
-	// answering tells that an event of the answer has come.
+	// answering means that an event of the answer has come.
 	answering atomic.Bool
 	// cancel ends the attempt for a reason; it may be called from other goroutines while the attempt is in flight.
 	cancel context.CancelCauseFunc
 	// lastSign is where signs of life of the endpoint are noted.
 	lastSign *lastSign
-	// endpointWasAlive tells that the endpoint had answered shortly before the attempt began, and nothing there had broken since.
+	// endpointWasAlive means that the endpoint had answered shortly before the attempt began, and nothing there had broken since.
 	endpointWasAlive bool
-	// replaced tells that the attempt was cancelled since another process has taken the endpoint's place.
+	// replaced means that the attempt was cancelled since another process has taken the endpoint's place.
 	replaced bool
 	status   int
 	err      error
@@ -131,7 +131,7 @@
 	}
 }
 
-// wasAccepted tells whether the endpoint had taken the request when the attempt broke.
+// wasAccepted reports whether the endpoint had taken the request when the attempt broke.
 func (c *call) wasAccepted(brokeAt time.Time) bool {
 	return c.answering.Load() || brokeAt.Sub(c.began) >= acceptedAfter
 }
--- a/chiveforward/connection.go
+++ b/chiveforward/connection.go
@@ -96,7 +96,7 @@
 // arm makes the connection ready to count the bytes of the next request.
 func (c *connection) arm() { c.state.Store(connectionUntouched) }
 
-// touched tells whether a byte of the request may have left, and makes sure that none does from then on if none has:
+// touched reports whether a byte of the request may have left, and makes sure that none does from then on if none has:
 // net/http answers a cancelled request while its writer may be just about to write.
 func (c *connection) touched() bool {
 	c.state.CompareAndSwap(connectionUntouched, connectionSealed)
@@ -116,7 +116,7 @@
 	c.transport.CloseIdleConnections()
 }
 
-// fresh tells whether the connection may carry another request.
+// fresh reports whether the connection may carry another request.
 func (c *connection) fresh(now time.Time) bool {
 	return !c.closed.Load() && now.Sub(c.idleSince) < c.keep
 }
--- a/chiveforward/event.go
+++ b/chiveforward/event.go
@@ -70,10 +70,10 @@
 	}
 }
 
-// more tells whether bytes of a further event are already there.
+// more reports whether bytes of a further event are already there.
 func (r *eventReader) more() bool { return r.from.Buffered() > 0 }
 
-// after tells whether an event comes after the last one that was delivered; ids that are not numbers are taken as they come.
+// after reports whether an event comes after the last one that was delivered; ids that are not numbers are taken as they come.
 func after(id, last string) bool {
 	if id == "" || last == "" {
 		return true
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -35,11 +35,11 @@
 type Rules struct {
 	// Refusals is how many attempts may be refused, or reach nobody, before the request is given up.
 	Refusals int
-	// RefusalsCost tells that going on after an endpoint's refusal takes a repeat from the budget.
+	// RefusalsCost means that going on after an endpoint's refusal takes a repeat from the budget.
 	RefusalsCost bool
-	// RetryErrors tells that a request which may be repeated goes elsewhere after an endpoint's error of its own.
+	// RetryErrors means that a request which may be repeated goes elsewhere after an endpoint's error of its own.
 	RetryErrors bool
-	// FreshOnce tells that a request which may run once gets a new connection: the endpoints' answers do not say to which
+	// FreshOnce means that a request which may run once gets a new connection: the endpoints' answers do not say to which
 	// request they belong, so a late one on a kept connection could be taken for its own.
 	FreshOnce bool
 }
@@ -59,7 +59,7 @@
 	ID string
 	// Incarnation names the start of its process: connections are kept, and attempts are excluded, by it.
 	Incarnation string
-	// Unique tells that Incarnation names a single process, and not an endpoint over all starts of its process.
+	// Unique means that Incarnation names a single process, and not an endpoint over all starts of its process.
 	Unique        bool
 	Address       string
 	FailureDomain string
@@ -81,13 +81,13 @@
 	Target() Target
 	// Why returns what decided for the endpoint, for the log.
 	Why() []slog.Attr
-	// Leaving tells whether the endpoint was about to leave at a time, or had left: its end then was planned.
+	// Leaving reports whether the endpoint was about to leave at a time, or had left: its end then was planned.
 	Leaving(at time.Time) bool
 	// FetchFrom returns the address from which the endpoint should fetch the parts of the prompt that it lacks; empty for none.
 	FetchFrom() string
 	// Preempted is closed when the place is wanted back for more urgent work; nil where that never happens.
 	Preempted() <-chan struct{}
-	// Event notes an event of the answer and how long it was waited for; the first tells that the answer has begun.
+	// Event notes an event of the answer and how long it was waited for; the first means that the answer has begun.
 	Event(now time.Time, waited time.Duration)
 	// Eject keeps new requests from the endpoint until a time.
 	Eject(until time.Time)
--- a/chiveforward/inflight.go
+++ b/chiveforward/inflight.go
@@ -28,7 +28,7 @@
 	failedAt time.Time
 }
 
-// hasFailed tells whether the endpoint was found to have failed a short while ago.
+// hasFailed reports whether the endpoint was found to have failed a short while ago.
 func (e *endpointCalls) hasFailed(now time.Time) bool {
 	return !e.failedAt.IsZero() && now.Sub(e.failedAt) < failedFor
 }
@@ -40,7 +40,7 @@
 	idleKept = aliveWithin + time.Second
 )
 
-// wasAlive tells whether the last that was known of an endpoint at a time is that it answered, not long ago.
+// wasAlive reports whether the last that was known of an endpoint at a time is that it answered, not long ago.
 func (e *endpointCalls) wasAlive(now time.Time) bool {
 	at := e.lastSign.at()
 	return now.Sub(at) < aliveWithin && !e.brokeAt.After(at)
@@ -79,7 +79,7 @@
 	target Target
 	// since is the last sign of life.
 	since time.Time
-	// streaming tells that an answer had begun.
+	// streaming means that an answer had begun.
 	streaming bool
 }
 
--- a/chiveforward/quarantine.go
+++ b/chiveforward/quarantine.go
@@ -13,9 +13,9 @@
 
 // Quarantine keeps requests away from endpoints that crash under them.
 type Quarantine interface {
-	// Admit tells what may be done with a request that was accepted.
+	// Admit returns what may be done with a request that was accepted.
 	Admit(now time.Time, request *chiverequest.Request) chivequarantine.Admission
-	// Quarantined tells whether a request that is under way is quarantined by now.
+	// Quarantined reports whether a request that is under way is quarantined by now.
 	Quarantined(now time.Time, request *chiverequest.Request) chivequarantine.Admission
 	// Crashed takes that an endpoint failed while it had the request.
 	Crashed(now time.Time, request *chiverequest.Request, failure chivehealth.Failure)
--- a/chiveforward/request.go
+++ b/chiveforward/request.go
@@ -42,7 +42,7 @@
 	Endpoint string
 	// Ended is the word for how it ended, as logs show it.
 	Ended string
-	// Touched tells that a byte of it may have reached the endpoint.
+	// Touched means that a byte of it may have reached the endpoint.
 	Touched bool
 	// Status is that of the endpoint's answer; zero without one.
 	Status int
@@ -56,7 +56,7 @@
 	Message string
 	// RetryAfter is when the caller should come back; zero where that makes no sense.
 	RetryAfter time.Duration
-	// Started tells that a part of the answer has gone to the caller: all that is left is to break it off.
+	// Started means that a part of the answer has gone to the caller: all that is left is to break it off.
 	Started bool
 	Status  int
 	// Tries are the attempts that were made, in order.
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -23,7 +23,7 @@
 	watch stopwatch
 	// last is the last event that the caller has.
 	last string
-	// touched tells that a byte of some attempt may have reached an endpoint that did not prove that it ran nothing.
+	// touched means that a byte of some attempt may have reached an endpoint that did not prove that it ran nothing.
 	touched bool
 	// sent counts the attempts that may have run, refusals those that certainly did not.
 	sent     int
@@ -31,7 +31,7 @@
 	exclude  []string
 	// events counts the events of all attempts.
 	events int
-	// probe tells that the request is sent although engines crashed under it: it gets one attempt.
+	// probe means that the request is sent although engines crashed under it: it gets one attempt.
 	probe bool
 	// spare is an endpoint's error that is passed on when no other endpoint does better.
 	spare *whole
--- a/chiveforward/silence.go
+++ b/chiveforward/silence.go
@@ -23,7 +23,7 @@
 	// began later found it failed already.
 	implicatedWithin = time.Second
 	// failedFor is how long a silent endpoint counts as failed before it is checked again, and how long it is ejected: a request that is sent then
-	// tells whether it answers.
+	// reports whether it answers.
 	failedFor = 4 * time.Second
 	// readDelay is how long what an endpoint sent may have waited to be read here.
 	readDelay = 500 * time.Millisecond
--- a/chivegate/request.go
+++ b/chivegate/request.go
@@ -125,7 +125,7 @@
 	return string(raw)
 }
 
-// canAssemble tells whether an answer that is not streamed can be put together from streamed text; requests that ask
+// canAssemble reports whether an answer that is not streamed can be put together from streamed text; requests that ask
 // for more than one plain text go through whole, without resume.
 func (r *modelRequest) canAssemble() bool {
 	for _, name := range []string{"tools", "functions", "logprobs", "top_logprobs", "response_format", "audio", "modalities"} {
--- a/chivegossip/readers.go
+++ b/chivegossip/readers.go
@@ -100,7 +100,7 @@
 	return readEvery * time.Duration(max(len(s.fleet.reading), 1))
 }
 
-// Held tells whether others read the store for this node.
+// Held reports whether others read the store for this node.
 func (s *Service) Held() bool {
 	s.fleet.mu.Lock()
 	reads := s.fleet.rank >= 0
@@ -108,7 +108,7 @@
 	return !reads && time.Now().UnixNano()-s.fleet.heard.Load() < int64(aloneAfter)
 }
 
-// Reads tells whether this node has been one of those that read the store for long enough to be sure of it. A node that knows no other is.
+// Reads reports whether this node has been one of those that read the store for long enough to be sure of it. A node that knows no other is.
 func (s *Service) Reads() bool {
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
--- a/chivegossip/service.go
+++ b/chivegossip/service.go
@@ -80,17 +80,11 @@
 	After chivelog.Position
 }
 
-// message is one message with its sender.
-type message struct {
-	from string
-	body any
-}
-
 // Service compares this node's digest with its peers'.
 type Service struct {
 	o     Options
 	began time.Time
-	inbox *chivering.Ring[message]
+	inbox *chivewire.Inbox
 	fleet fleet
 	stale chan struct{}
 	// sender, receiver and wake, the time of the next look at what to ask, are the run goroutine's.
@@ -104,34 +98,27 @@
 // New returns a service that asks nobody yet.
 func New(o Options) *Service {
 	s := &Service{
-		o: o, began: time.Now(), inbox: chivering.New[message](inboxSize), stale: make(chan struct{}, 1),
+		o: o, began: time.Now(), inbox: chivewire.NewInbox(o.Mesh, inboxSize), stale: make(chan struct{}, 1),
 		sender: chivetransfer.NewSender(), receiver: chivetransfer.NewReceiver(),
 	}
 	s.fleet.told = make(chan struct{}, 1)
 	s.fleet.since = s.began
-	receive[Digest](s, chivewire.KindDigest)
-	receive[DigestAnswer](s, chivewire.KindDigestAnswer)
-	receive[ChangesAsk](s, chivewire.KindChangesAsk)
-	receive[chivedirectory.Update](s, chivewire.KindChangesAnswer)
-	receive[earlierDocument](s, chivewire.KindDocument)
-	receive[earlierChanges](s, chivewire.KindEarlierChanges)
-	receive[AnswersAsk](s, chivewire.KindAnswersAsk)
-	receive[Answers](s, chivewire.KindAnswers)
-	receive[chivetransfer.Ask](s, chivewire.KindDocumentAsk)
-	receive[chivetransfer.Part](s, chivewire.KindDocumentPart)
-	receive[chivetransfer.Refusal](s, chivewire.KindDocumentRefusal)
+	chivewire.Queue[Digest](s.inbox, chivewire.KindDigest)
+	chivewire.Queue[DigestAnswer](s.inbox, chivewire.KindDigestAnswer)
+	chivewire.Queue[ChangesAsk](s.inbox, chivewire.KindChangesAsk)
+	chivewire.Queue[chivedirectory.Update](s.inbox, chivewire.KindChangesAnswer)
+	chivewire.Queue[earlierDocument](s.inbox, chivewire.KindDocument)
+	chivewire.Queue[earlierChanges](s.inbox, chivewire.KindEarlierChanges)
+	chivewire.Queue[AnswersAsk](s.inbox, chivewire.KindAnswersAsk)
+	chivewire.Queue[Answers](s.inbox, chivewire.KindAnswers)
+	chivewire.Queue[chivetransfer.Ask](s.inbox, chivewire.KindDocumentAsk)
+	chivewire.Queue[chivetransfer.Part](s.inbox, chivewire.KindDocumentPart)
+	chivewire.Queue[chivetransfer.Refusal](s.inbox, chivewire.KindDocumentRefusal)
 	// A question on a connection that was lost is not answered any more.
-	s.o.Mesh.OnLost(func(peer string) { s.inbox.Offer(message{peer, lost{}}) })
+	s.o.Mesh.OnLost(func(peer string) { s.inbox.Offer(chivewire.Message{From: peer, Body: lost{}}) })
 	return s
 }
 
-func receive[T any](s *Service, kind chivewire.Kind) {
-	chivewire.Receive(s.o.Mesh, kind, func(from string, body T) {
-		// A full ring loses a message; the next comparison brings it again.
-		s.inbox.Offer(message{from, body})
-	})
-}
-
 // Start begins to compare.
 func (s *Service) Start(ctx context.Context) error {
 	s.duties.Begin(ctx, s.run)
@@ -194,33 +181,33 @@
 	return DigestAnswer{Table: s.o.Tables.Version(), Offset: s.o.Endpoints.Newest()}
 }
 
-func (s *Service) handle(m message) {
-	if _, gone := m.body.(lost); gone {
-		s.receiver.Forget(m.from)
+func (s *Service) handle(m chivewire.Message) {
+	if _, gone := m.Body.(lost); gone {
+		s.receiver.Forget(m.From)
 		return
 	}
 	s.fleet.heard.Store(time.Now().UnixNano())
-	switch body := m.body.(type) {
+	switch body := m.Body.(type) {
 	case Digest:
-		s.compare(m.from, body)
+		s.compare(m.From, body)
 	case DigestAnswer:
-		s.ask(m.from, body)
+		s.ask(m.From, body)
 	case ChangesAsk:
-		s.send(m.from, chivewire.KindChangesAnswer, s.o.Endpoints.Update(body.After))
+		s.send(m.From, chivewire.KindChangesAnswer, s.o.Endpoints.Update(body.After))
 	case chivedirectory.Update:
-		s.o.Endpoints.Learn(body, "peer "+m.from)
+		s.o.Endpoints.Learn(body, "peer "+m.From)
 	case earlierDocument:
-		s.takeEarlierDocument(m.from, body)
+		s.takeEarlierDocument(m.From, body)
 	case earlierChanges:
-		s.o.Endpoints.Learn(body.update(), "peer "+m.from)
+		s.o.Endpoints.Learn(body.update(), "peer "+m.From)
 	case chivetransfer.Ask:
-		s.hand(m.from, body)
+		s.hand(m.From, body)
 	case chivetransfer.Part:
-		s.take(m.from, body)
+		s.take(m.From, body)
 	case chivetransfer.Refusal:
-		s.receiver.Refused(time.Now(), m.from, body)
+		s.receiver.Refused(time.Now(), m.From, body)
 	case AnswersAsk:
-		s.send(m.from, chivewire.KindAnswers, Answers{Asked: body.Asked, Ages: s.o.Endpoints.Answers(body.Within)})
+		s.send(m.From, chivewire.KindAnswers, Answers{Asked: body.Asked, Ages: s.o.Endpoints.Answers(body.Within)})
 	case Answers:
 		s.hearAnswers(body)
 	}
@@ -258,7 +245,7 @@
 	offset chivelog.Position
 }
 
-// mayAsk tells whether to ask a peer for the changes up to an offset; not when another one that has them was asked just now.
+// mayAsk reports whether to ask a peer for the changes up to an offset; not when another one that has them was asked just now.
 //
 // Two peers tell each node of the same change. Asking one, 78 nodes on links of 10 Mbit/s receive the changes of 600 new endpoints in 4.5 MB,
 // the last node after 0.49 s; asking both, in 8.6 MB, after 0.7 s (on virtual time).
--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -56,7 +56,7 @@
 	exclude []string
 }
 
-// isOut tells whether this node would send to no engine of a group. A node that was cut off from the engines for a moment passes
+// isOut reports whether this node would send to no engine of a group. A node that was cut off from the engines for a moment passes
 // over all of them; were it to ask, all would be excluded and the request refused, while alone it tries one of them.
 func (w *wish) isOut(group string) bool {
 	for engine := range w.groups.engines[group] {
--- a/chivegrant/service.go
+++ b/chivegrant/service.go
@@ -227,7 +227,7 @@
 	return Counts{Asked: s.asked.Load(), Granted: s.granted.Load(), Refused: s.refused.Load(), Silent: s.unheard.Load()}
 }
 
-// Settled tells whether this node knows the fleet: others have been heard of and none came or went just now, or it has run for a while.
+// Settled reports whether this node knows the fleet: others have been heard of and none came or went just now, or it has run for a while.
 func (s *Service) Settled() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -235,7 +235,7 @@
 	return stays || !s.began.IsZero() && time.Since(s.began) >= settledAtLast
 }
 
-// Asking tells whether the fleet is so large that owners are asked.
+// Asking reports whether the fleet is so large that owners are asked.
 func (s *Service) Asking() bool { return s.divided.Load().asking }
 
 // OwnerOf returns the address of the node that owns an engine; empty for an endpoint that nobody owns.
--- a/chivehealth/checker.go
+++ b/chivehealth/checker.go
@@ -37,7 +37,7 @@
 type Result struct {
 	// Evidence is EvidenceNone for a process that answered, and for a check that shows nothing.
 	Evidence Evidence
-	// Alive tells that the process answered, TimedOut that nobody did.
+	// Alive means that the process answered, TimedOut that nobody did.
 	Alive    bool
 	TimedOut bool
 }
@@ -61,7 +61,7 @@
 	return c.result
 }
 
-// holds tells whether the check serves requests that break now.
+// holds reports whether the check serves requests that break now.
 func (c *Check) holds(now time.Time) bool {
 	select {
 	case <-c.done:
@@ -149,12 +149,12 @@
 	method, target := c.dialect.HealthCheck(header, e.ID)
 	request := &http.Request{Method: method, URL: &url.URL{Scheme: "http", Host: e.Address, Opaque: target}, Host: e.Address, Header: header, Close: true}
 	if err := request.Write(conn); err != nil {
-		return nil, err //nolint:wrapcheck // told apart by resultOf
+		return nil, err //nolint:wrapcheck // classified by resultOf
 	}
-	return http.ReadResponse(bufio.NewReader(conn), request) //nolint:wrapcheck // told apart by resultOf
+	return http.ReadResponse(bufio.NewReader(conn), request) //nolint:wrapcheck // classified by resultOf
 }
 
-// resultOf tells a check's failures apart. Any other failure, such as a node without free descriptors, shows nothing of the endpoint.
+// resultOf classifies the failure of a check. Any other failure, such as a node without free descriptors, shows nothing of the endpoint.
 func resultOf(ctx context.Context, err error) Result {
 	switch {
 	case ctx.Err() != nil:
--- a/chivehealth/evidence.go
+++ b/chivehealth/evidence.go
@@ -32,14 +32,14 @@
 	return "unknown"
 }
 
-// IsSilent tells whether nothing breaks, so that other nodes may not notice the failure by themselves.
+// IsSilent reports whether nothing breaks, so that other nodes may not notice the failure by themselves.
 func (e Evidence) IsSilent() bool { return e == EvidenceUnreachable || e == EvidenceStalled }
 
 // Failure is a node's finding that the process of an endpoint failed.
 type Failure struct {
 	// Endpoint is the incarnation that failed.
 	Endpoint string
-	// Unique tells that Endpoint names a single process, which crashes once and never answers after that.
+	// Unique means that Endpoint names a single process, which crashes once and never answers after that.
 	Unique        bool
 	FailureDomain string
 	Evidence      Evidence
--- a/chiveload/service.go
+++ b/chiveload/service.go
@@ -37,7 +37,7 @@
 
 // Owners tell who has to know of an engine in a fleet too large for all to know of all.
 type Owners interface {
-	// Asking tells whether the fleet is that large.
+	// Asking reports whether the fleet is that large.
 	Asking() bool
 	// OwnerOf returns the address of the node that owns an engine; empty for an endpoint that nobody owns.
 	OwnerOf(endpoint string) string
--- a/chivelog/position.go
+++ b/chivelog/position.go
@@ -30,7 +30,7 @@
 	return int64(p) & (1<<offsetBits - 1)
 }
 
-// MayPrecede tells whether a record at this position may say something older than one at a position of an earlier era.
+// MayPrecede reports whether a record at this position may say something older than one at a position of an earlier era.
 //
 // The copy that a store comes back from has the records of before at the offsets that they had. One at an offset that the earlier era had reached may
 // be such a record, or a new one that was given the offset again; one beyond it is new.
--- a/chivemember/member.go
+++ b/chivemember/member.go
@@ -42,7 +42,7 @@
 	State         State  `json:"state"`
 }
 
-// supersedes tells whether this update on a member beats an earlier one.
+// supersedes reports whether this update on a member beats an earlier one.
 func (m Member) supersedes(known Member) bool {
 	if m.Incarnation != known.Incarnation {
 		return m.Incarnation > known.Incarnation
--- a/chivemember/partners.go
+++ b/chivemember/partners.go
@@ -7,8 +7,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// allPartnersUpTo is the largest fleet in which each node compares itself with all others in turn.
-const allPartnersUpTo = 16
+// AllPartnersUpTo is the largest fleet in which all others are partners of each node.
+const AllPartnersUpTo = 16
 
 // AddressesByHash returns the peer addresses of the members that are alive, in an order on which all nodes agree without talking.
 func AddressesByHash(members []Member) []string {
@@ -31,7 +31,7 @@
 	if own < 0 {
 		return nil
 	}
-	if len(ranked) <= allPartnersUpTo {
+	if len(ranked) <= AllPartnersUpTo {
 		return slices.Concat(ranked[:own], ranked[own+1:])
 	}
 	var partners []string
--- a/chivenode/cluster_test.go
+++ b/chivenode/cluster_test.go
@@ -153,7 +153,7 @@
 	c.nodes[i] = node
 }
 
-// blocks tells whether a way carries nothing: an end is dead, or the partition in force lies between.
+// blocks reports whether a way carries nothing: an end is dead, or the partition in force lies between.
 func (c *cluster) blocks(from, to string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/chivenode/memory.go
+++ b/chivenode/memory.go
@@ -45,7 +45,7 @@
 	return samples[0].Value.Uint64() - samples[1].Value.Uint64()
 }
 
-// Full tells whether new requests are to be refused.
+// Full reports whether new requests are to be refused.
 func (g *memoryGuard) Full() bool { return g.full.Load() }
 
 // watch takes what tells the bytes that the process holds; it is called before Start.
--- a/chivenode/roster.go
+++ b/chivenode/roster.go
@@ -37,7 +37,7 @@
 	region string
 	domain string
 	topic  chivelog.KeyedTopic
-	// needed tells whether the others may need this node's address.
+	// needed reports whether the others may need this node's address.
 	needed func() bool
 	logger *slog.Logger
 	mu     sync.Mutex
--- a/chiveorder/service.go
+++ b/chiveorder/service.go
@@ -153,7 +153,7 @@
 	s.note(ctx, group, asked)
 }
 
-// allCheckFencing tells whether every endpoint of a pool refuses old fencing numbers by itself.
+// allCheckFencing reports whether every endpoint of a pool refuses old fencing numbers by itself.
 func allCheckFencing(pool *chiveconfig.Pool) bool {
 	for i := range pool.Endpoints {
 		if !pool.Endpoints[i].ChecksFencing {
@@ -179,7 +179,7 @@
 	}
 }
 
-// usable tells whether the lease has time left and, where endpoints ignore fencing numbers, whether a predecessor's last
+// usable reports whether the lease has time left and, where endpoints ignore fencing numbers, whether a predecessor's last
 // order has had its time to end.
 func (s *Service) usable(group string, waits bool) (Lease, bool) {
 	until, owns := s.owned[group]
--- a/chiveorder/wanted.go
+++ b/chiveorder/wanted.go
@@ -51,5 +51,5 @@
 	return false
 }
 
-// fetches tells whether an order makes the endpoint fetch from the weight store.
+// fetches reports whether an order makes the endpoint fetch from the weight store.
 func (o Order) fetches() bool { return o.Verb != verbRole }
--- a/chiveplace/cache.go
+++ b/chiveplace/cache.go
@@ -85,7 +85,7 @@
 	return tokens
 }
 
-// isFull tells whether so many more tokens take the place of others.
+// isFull reports whether so many more tokens take the place of others.
 func (c *cache) isFull(tokens int64) bool { return c.used+tokens > c.room }
 
 // touch notes that the engine uses parts, and will have read those that it lacks at a time.
--- a/chiveplace/engine.go
+++ b/chiveplace/engine.go
@@ -91,7 +91,7 @@
 	return reads, fetches, max(reads-(c.prompt.Input-c.held), 0)
 }
 
-// worthFetching tells whether tokens should be fetched from another engine that has read them.
+// worthFetching reports whether tokens should be fetched from another engine that has read them.
 func (p *Pool) worthFetching(tokens int64) bool {
 	return tokens >= fetchLeast && p.forecast.fetched(tokens) <= fetchShare*p.forecast.own(float64(tokens))
 }
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -79,7 +79,7 @@
 // within moments, nodes learn from the directory just when its connections break.
 const leftBefore = time.Second
 
-// Leaving tells whether the endpoint was about to leave at a time, or had left.
+// Leaving reports whether the endpoint was about to leave at a time, or had left.
 func (p *Place) Leaving(at time.Time) bool {
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
--- a/chiveplace/report.go
+++ b/chiveplace/report.go
@@ -40,7 +40,7 @@
 	Fetched int64
 }
 
-// Empty tells whether there is nothing to tell.
+// Empty reports whether there is nothing to tell.
 func (r *Report) Empty() bool { return !r.All && len(r.Loads) == 0 && len(r.Reads) == 0 }
 
 // Collect appends what changed since the last call, or everything, to what is told to the other nodes.
--- a/chiveplace/tight.go
+++ b/chiveplace/tight.go
@@ -43,7 +43,7 @@
 	aheadMs = 300.0
 )
 
-// isTight tells whether a long read beside a stream makes its pauses too long.
+// isTight reports whether a long read beside a stream makes its pauses too long.
 func (p *Pool) isTight(prompt *chiverequest.Prompt) bool {
 	return p.besideChance(prompt.Pause, 1) > tightChance
 }
--- a/chiveplace/warmup.go
+++ b/chiveplace/warmup.go
@@ -18,12 +18,12 @@
 	}
 }
 
-// warmsUp tells whether the endpoint may get only a few requests.
+// warmsUp reports whether the endpoint may get only a few requests.
 func (p *Pool) warmsUp(now time.Time, s *candidate) bool {
 	return p.warmUpRate > 0 && now.Before(s.warmUntil)
 }
 
-// mayWarm tells whether a request fits into what this node may place on an endpoint that warms up.
+// mayWarm reports whether a request fits into what this node may place on an endpoint that warms up.
 func (p *Pool) mayWarm(now time.Time, s *candidate, ask Ask) bool {
 	nodes := float64(max(p.nodes, 1))
 	if ask.Among != nil {
--- a/chivequarantine/admission.go
+++ b/chivequarantine/admission.go
@@ -20,14 +20,14 @@
 
 // Admission tells what may be done with a request now.
 type Admission struct {
-	// Quarantined tells that the request must not be sent, and RetryAfter when its caller may come back.
+	// Quarantined means that the request must not be sent, and RetryAfter when its caller may come back.
 	Quarantined bool
 	RetryAfter  time.Duration
-	// Probe tells that it may be sent to one endpoint, to see whether that crashes.
+	// Probe means that it may be sent to one endpoint, to see whether that crashes.
 	Probe bool
 }
 
-// Admit tells what may be done with a request now; a probe is granted once.
+// Admit returns what may be done with a request now; a probe is granted once.
 func (s *Service) Admit(now time.Time, request *chiverequest.Request) Admission {
 	if s.idle.Load() {
 		return Admission{}
@@ -52,7 +52,7 @@
 	return Admission{Quarantined: true, RetryAfter: after}
 }
 
-// Quarantined tells, without asking for a probe, whether a request is quarantined now.
+// Quarantined reports, without asking for a probe, whether a request is quarantined now.
 func (s *Service) Quarantined(now time.Time, request *chiverequest.Request) Admission {
 	if s.idle.Load() {
 		return Admission{}
@@ -156,7 +156,7 @@
 	}
 }
 
-// mayProbe tells whether it is time for a probe, and takes it; the caller holds the lock.
+// mayProbe reports whether it is time for a probe, and takes it; the caller holds the lock.
 func (s *Service) mayProbe(now time.Time, content chiverequest.Fingerprint) bool {
 	if until, quarantined := s.register.QuarantinedUntil(content); quarantined && now.Before(until) {
 		return false
--- a/chivequarantine/crash.go
+++ b/chivequarantine/crash.go
@@ -16,14 +16,14 @@
 	Reporter string
 	// Number identifies the report among those of its reporter.
 	Number int64
-	// Route and Team tell operators whose request it is.
+	// Route and Team show operators whose request it is.
 	Route string
 	Team  string
 	// At is when the endpoint failed, on this node's clock.
 	At time.Time
 }
 
-// isSame tells whether two reports are the same one. Times do not tell: a message that was delayed makes its crash look more recent.
+// isSame reports whether two reports are the same one. Times do not show it: a message that was delayed makes its crash look more recent.
 func (c Crash) isSame(other Crash) bool {
 	return c.Reporter == other.Reporter && c.Number == other.Number && c.Content == other.Content
 }
--- a/chivequarantine/gossip.go
+++ b/chivequarantine/gossip.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chivedrift/chiveevent"
+	"chivedrift/chivemember"
 	"chivedrift/chiverequest"
 	"chivedrift/chiveroute"
 	"chivedrift/chivewire"
@@ -18,21 +19,19 @@
 // What a node learns goes to its peers by distance, and from each that did not know it to its own: at most as many hops as the size of the fleet has
 // binary digits. Digests repair what is lost, and cost nothing while nothing is known.
 //
-// In a large fleet that is so from the second endpoint on that crashed under a request. A single crash says little yet, and when a part of the
+// In a fleet in which not all nodes are peers of each other that is so from the second endpoint on that crashed under a request. A single crash says little yet, and when a part of the
 // engines crashes there are thousands of them; it goes to the request's collectors alone, which broadcast once they know of two.
 
 const (
-	// shareAllUpTo is the largest fleet in which single crashes go to all.
-	shareAllUpTo = 16
 	// shareFrom is how many endpoints have to have crashed under a request for all nodes to receive them in a larger fleet.
 	shareFrom = 2
 	// collectors is how many nodes collect the crashes under a request, so that one of them may be gone.
 	collectors = 2
 )
 
-// isShared tells whether all nodes receive the crashes under a request; the caller holds the lock.
+// isShared reports whether all nodes receive the crashes under a request; the caller holds the lock.
 func (s *Service) isShared(content chiverequest.Fingerprint) bool {
-	return len(s.members) <= shareAllUpTo || s.register.Endpoints(content) >= shareFrom
+	return len(s.members) <= chivemember.AllPartnersUpTo || s.register.Endpoints(content) >= shareFrom
 }
 
 // reportCrash sends a crash that this node found; the caller holds the lock.
@@ -82,7 +81,7 @@
 	report := AliveReport{Endpoint: endpoint, AgeMs: now.Sub(at).Milliseconds()}
 	s.pending.alive = append(s.pending.alive, report)
 	s.wakeSender()
-	if len(s.members) <= shareAllUpTo {
+	if len(s.members) <= chivemember.AllPartnersUpTo {
 		return
 	}
 	for _, content := range contents {
--- a/chivequarantine/liveness.go
+++ b/chivequarantine/liveness.go
@@ -22,7 +22,7 @@
 // crash shows that the report was wrong, such as when a proxy in front restarted.
 type liveness map[string]time.Time
 
-// refutes tells whether an endpoint was alive after a reported crash.
+// refutes reports whether an endpoint was alive after a reported crash.
 func (l liveness) refutes(c Crash) bool {
 	alive, ok := l[c.Endpoint]
 	return ok && alive.After(c.At.Add(aliveMargin))
@@ -71,7 +71,7 @@
 	return contents
 }
 
-// IsRefuted tells whether the endpoint of a crash was alive after it.
+// IsRefuted reports whether the endpoint of a crash was alive after it.
 func (r *Register) IsRefuted(c Crash) bool { return r.alive.refutes(c) }
 
 // AliveAt returns when a request was sent that an endpoint answered after a reported crash.
--- a/chivequarantine/message.go
+++ b/chivequarantine/message.go
@@ -13,7 +13,7 @@
 type Update struct {
 	Crashes []CrashReport
 	Answers []AnswerReport
-	// Full tells that this is all the sender knows, and that it asks for what it lacks.
+	// Full means that this is all the sender knows, and that it asks for what it lacks.
 	Full bool
 }
 
--- a/chivequarantine/register.go
+++ b/chivequarantine/register.go
@@ -16,7 +16,7 @@
 	crashesMost = 2048
 )
 
-// Change tells that a quarantine began or ended.
+// Change means that a quarantine began or ended.
 type Change struct {
 	Content     chiverequest.Fingerprint
 	Quarantined bool
@@ -39,10 +39,10 @@
 	return &Register{self: self, suspects: make(map[chiverequest.Fingerprint]*suspect), alive: make(liveness)}
 }
 
-// Empty tells whether nothing is known of any request.
+// Empty reports whether nothing is known of any request.
 func (r *Register) Empty() bool { return len(r.suspects) == 0 }
 
-// Suspects tells whether a crash implicates a request.
+// Suspects reports whether a crash implicates a request.
 func (r *Register) Suspects(content chiverequest.Fingerprint) bool {
 	s, ok := r.suspects[content]
 	return ok && len(s.implicating(nil)) > 0
@@ -51,7 +51,7 @@
 // copiesApart is the time within which copies of a request, sent by one node, break with one crash of an endpoint that restarts under its name.
 const copiesApart = time.Second
 
-// HasWithin tells whether the reporter has reported a crash of the endpoint within a time of this one, for another copy of the request.
+// HasWithin reports whether the reporter has reported a crash of the endpoint within a time of this one, for another copy of the request.
 func (r *Register) HasWithin(c Crash, within time.Duration) bool {
 	s, ok := r.suspects[c.Content]
 	return ok && slices.ContainsFunc(s.crashes, func(known Crash) bool {
@@ -203,7 +203,7 @@
 	return nil
 }
 
-// QuarantinedUntil tells whether a request is quarantined, and until when it is not to be probed.
+// QuarantinedUntil reports whether a request is quarantined, and until when it is not to be probed.
 func (r *Register) QuarantinedUntil(content chiverequest.Fingerprint) (until time.Time, quarantined bool) {
 	s, ok := r.suspects[content]
 	if !ok || !s.quarantined() {
--- a/chivequarantine/service.go
+++ b/chivequarantine/service.go
@@ -33,16 +33,10 @@
 	Logger *slog.Logger
 }
 
-// message is one message with its sender.
-type message struct {
-	from string
-	body any
-}
-
-// Service gossips crash reports, and tells the forwarder which requests are quarantined.
+// Service gossips crash reports, and lets the forwarder know which requests are quarantined.
 type Service struct {
 	o      Options
-	inbox  *chivering.Ring[message]
+	inbox  *chivewire.Inbox
 	duties chivekernel.Duties
 	wake   chan struct{}
 	// idle tells, without the lock, that nothing is known of any request.
@@ -75,28 +69,21 @@
 // New returns a service that knows of no request.
 func New(o Options) *Service {
 	s := &Service{
-		o: o, number: time.Now().UnixNano(), inbox: chivering.New[message](inboxSize), answers: newRecentAnswers(), wake: make(chan struct{}, 1), register: NewRegister(o.Mesh.Self()),
+		o: o, number: time.Now().UnixNano(), inbox: chivewire.NewInbox(o.Mesh, inboxSize), answers: newRecentAnswers(), wake: make(chan struct{}, 1), register: NewRegister(o.Mesh.Self()),
 		onFailure: func(chivehealth.Failure) time.Time { return time.Time{} }, failures: make(seenFailures),
 		granted: make(map[chiverequest.Fingerprint]time.Time), given: make(map[chiverequest.Fingerprint]time.Time),
 		watches: make(map[chiverequest.Fingerprint]map[*watch]struct{}),
 	}
 	s.idle.Store(true)
-	receive[Update](s, chivewire.KindCrashUpdate)
-	receive[Digest](s, chivewire.KindCrashDigest)
-	receive[ProbeRequest](s, chivewire.KindProbeRequest)
-	receive[ProbeGrant](s, chivewire.KindProbeGrant)
-	receive[AliveUpdate](s, chivewire.KindEndpointAlive)
-	receive[FailureReport](s, chivewire.KindEndpointFailure)
+	chivewire.Queue[Update](s.inbox, chivewire.KindCrashUpdate)
+	chivewire.Queue[Digest](s.inbox, chivewire.KindCrashDigest)
+	chivewire.Queue[ProbeRequest](s.inbox, chivewire.KindProbeRequest)
+	chivewire.Queue[ProbeGrant](s.inbox, chivewire.KindProbeGrant)
+	chivewire.Queue[AliveUpdate](s.inbox, chivewire.KindEndpointAlive)
+	chivewire.Queue[FailureReport](s.inbox, chivewire.KindEndpointFailure)
 	return s
 }
 
-func receive[T any](s *Service, kind chivewire.Kind) {
-	chivewire.Receive(s.o.Mesh, kind, func(from string, body T) {
-		// A full ring loses a message; the next digest brings it again.
-		s.inbox.Offer(message{from, body})
-	})
-}
-
 // SetMembers takes a change of the fleet.
 func (s *Service) SetMembers(members []chivemember.Member) {
 	peers := chivemember.Partners(s.o.Mesh.Self(), chivemember.AddressesByHash(members))
@@ -135,18 +122,18 @@
 	}
 }
 
-func (s *Service) handle(now time.Time, m message) {
-	switch body := m.body.(type) {
+func (s *Service) handle(now time.Time, m chivewire.Message) {
+	switch body := m.Body.(type) {
 	case Update:
-		s.receiveUpdate(now, m.from, body)
+		s.receiveUpdate(now, m.From, body)
 	case Digest:
-		s.receiveDigest(now, m.from, body)
+		s.receiveDigest(now, m.From, body)
 	case AliveUpdate:
-		s.receiveAlive(now, m.from, body)
+		s.receiveAlive(now, m.From, body)
 	case FailureReport:
-		s.receiveFailure(now, m.from, body)
+		s.receiveFailure(now, m.From, body)
 	case ProbeRequest:
-		s.grantProbe(now, m.from, body.Content)
+		s.grantProbe(now, m.From, body.Content)
 	case ProbeGrant:
 		s.mu.Lock()
 		s.granted[body.Content] = now.Add(probeWithin)
--- a/chivereport/report.go
+++ b/chivereport/report.go
@@ -181,7 +181,7 @@
 // slowerThan is how many times the predicted time a first event takes that is put down to a slow endpoint.
 const slowerThan = 2
 
-// lateness tells whether a request that was served was on time, and why not.
+// lateness reports whether a request that was served was on time, and why not.
 func (q *request) lateness(end *line) Reason {
 	first := end.First
 	if first == 0 {
--- a/chiverequest/health.go
+++ b/chiverequest/health.go
@@ -18,11 +18,11 @@
 type HealthDialect interface {
 	// HealthCheck adds what a health check of an endpoint, by its id, needs to the header, and returns its method and target.
 	HealthCheck(header http.Header, id string) (method, target string)
-	// JudgeHealth tells what the answer to a health check says of an incarnation of an endpoint.
+	// JudgeHealth returns what the answer to a health check means for an incarnation of an endpoint.
 	JudgeHealth(id, incarnation string, response *http.Response) Health
 }
 
-// IsGateway tells whether a status is one by which a proxy says that it does not reach the process behind it.
+// IsGateway reports whether a status is one by which a proxy says that it does not reach the process behind it.
 func IsGateway(status int) bool {
 	return status == http.StatusBadGateway || status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout
 }
--- a/chiverequest/request.go
+++ b/chiverequest/request.go
@@ -44,7 +44,7 @@
 type Stream interface {
 	// Event takes one event, byte for byte; more tells that others are already there. It reports whether the stream is over.
 	Event(data []byte, id string, more bool) (ended bool, err error)
-	// Whole tells whether nothing is missing if the stream ends here without having said so.
+	// Whole reports whether nothing is missing if the stream ends here without having said so.
 	Whole() bool
 }
 
--- a/chiveschedule/endpoint.go
+++ b/chiveschedule/endpoint.go
@@ -40,14 +40,14 @@
 	return max(float64(e.sequences)/float64(e.plan.Sequences), float64(e.tokens)/float64(e.plan.Tokens))
 }
 
-// fits tells whether the ledger has room, within a fraction of the capacity.
+// fits reports whether the ledger has room, within a fraction of the capacity.
 func (e *endpoint) fits(cost int64, fraction float64) bool {
 	sequences := max(int64(float64(e.plan.Sequences)*fraction), 1)
 	tokens := int64(float64(e.plan.Tokens) * fraction)
 	return e.sequences < sequences && (e.tokens+cost <= tokens || (e.sequences == 0 && cost <= e.plan.Tokens))
 }
 
-// up tells whether the endpoint may get work at all; after a quarantine one repeatable request at a time probes it.
+// up reports whether the endpoint may get work at all; after a quarantine one repeatable request at a time probes it.
 func (e *endpoint) up(now time.Time, repeatable bool) bool {
 	if now.Before(e.downUntil) || now.Before(e.leaving) {
 		return false
--- a/chiveschedule/queue.go
+++ b/chiveschedule/queue.go
@@ -22,7 +22,7 @@
 	Push(now time.Time, item T)
 	// Next returns the item that should get the next slot, without removing it; a line whose first item is not accepted is passed over.
 	Next(now time.Time, accept func(T) bool) (T, bool)
-	// Remove takes an item out; granted tells whether it got a slot, which charges its team and class.
+	// Remove takes an item out; granted reports whether it got a slot, which charges its team and class.
 	Remove(now time.Time, item T, granted bool)
 	// Len returns how many items wait.
 	Len() int
--- a/chiveschedule/shard.go
+++ b/chiveschedule/shard.go
@@ -235,7 +235,7 @@
 	return nil
 }
 
-// leave takes a request out of the queue; granted tells whether it got a slot.
+// leave takes a request out of the queue; granted reports whether it got a slot.
 func (s *Shard) leave(now time.Time, w *waiting, granted bool) {
 	delete(s.waiting, requestKey{w.request.ID, w.request.Attempt})
 	s.queue.Remove(now, w, granted)
--- a/chivetable/table.go
+++ b/chivetable/table.go
@@ -198,7 +198,7 @@
 	return strings.ToLower(host)
 }
 
-// NeedsKey tells whether requests on a route must carry a team's key.
+// NeedsKey reports whether requests on a route must carry a team's key.
 func (t *Table) NeedsKey(r *Route) bool { return t.spec.Teams != nil && !r.Anonymous }
 
 // Team returns the team that holds a key.
--- a/chivewire/link.go
+++ b/chivewire/link.go
@@ -164,7 +164,7 @@
 	return now.UnixNano()-max(l.lastRead.Load(), l.warmFrom.Load()) > int64(silentAfter)
 }
 
-// needsTending tells whether the link needs a heartbeat, which a message of the last second is as good as, or is to be ended.
+// needsTending reports whether the link needs a heartbeat, which a message of the last second is as good as, or is to be ended.
 func (l *link) needsTending(now time.Time) bool {
 	if l.warm() {
 		return l.silent(now) || now.UnixNano()-l.lastSent.Load() >= int64(beatEvery)
--- a/chiveyaml/document.go
+++ b/chiveyaml/document.go
@@ -70,7 +70,7 @@
 // File returns the name the document was read from.
 func (d *Document) File() string { return d.file }
 
-// Has tells whether the document itself gives a field.
+// Has reports whether the document itself gives a field.
 func (d *Document) Has(path string) bool {
 	_, ok := d.lines[path]
 	return ok
