Digests of configuration and endpoints go to the partners in turn

No failure was seen; TestNodesThatStartAndTellEachOtherAgree and the others of the package and of chivenode pass as before.

--- a/chivegossip/service.go
+++ b/chivegossip/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -92,14 +93,16 @@
 	receiver *chivetransfer.Receiver
 	wake     *time.Timer
 	changes  changesAsk
-	duties   chivekernel.Duties
+	// turn counts the digests that were sent; it begins anywhere, so that nodes which start together do not go round together.
+	turn   int
+	duties chivekernel.Duties
 }
 
 // New returns a service that asks nobody yet.
 func New(o Options) *Service {
 	s := &Service{
 		o: o, began: time.Now(), inbox: chivewire.NewInbox(o.Mesh, inboxSize), stale: make(chan struct{}, 1),
-		sender: chivetransfer.NewSender(), receiver: chivetransfer.NewReceiver(),
+		sender: chivetransfer.NewSender(), receiver: chivetransfer.NewReceiver(), turn: rand.IntN(math.MaxInt32),
 	}
 	s.fleet.told = make(chan struct{}, 1)
 	s.fleet.since = s.began
@@ -164,7 +167,7 @@
 	}
 }
 
-// compareWithOne shows what this node knows to one of its partners, drawn at random.
+// compareWithOne sends a digest to the next of the partners: in turn, so that each gets one within a bounded time.
 func (s *Service) compareWithOne() {
 	s.fleet.mu.Lock()
 	partners := s.fleet.partners
@@ -173,7 +176,8 @@
 		return
 	}
 	own := s.digest()
-	s.send(partners[rand.IntN(len(partners))], chivewire.KindDigest, Digest{Table: own.Table, Offset: own.Offset})
+	s.turn++
+	s.send(partners[s.turn%len(partners)], chivewire.KindDigest, Digest{Table: own.Table, Offset: own.Offset})
 }
 
 // digest returns what this node knows.
