An endpoint where all attempts wait for their first event is checked after 2 s of silence

Read, not measured: under load prompts wait for more than a second, and each node would have sent a health check a second to each engine where it has such a request. Where a stream is under way the check still comes after 1 s.

--- a/chiveforward/inflight.go
+++ b/chiveforward/inflight.go
@@ -167,15 +167,17 @@
 	defer f.mu.Unlock()
 	var silent []silence
 	for _, e := range f.endpoints {
-		since := e.silentSince()
-		if len(e.calls) == 0 || e.hasFailed(now) || now.Sub(since) < silentAfter || now.Sub(e.checked) < silenceCheckEvery {
+		s := silence{target: e.target, since: e.silentSince()}
+		if len(e.calls) == 0 || e.hasFailed(now) || now.Sub(s.since) < silentAfter || now.Sub(e.checked) < silenceCheckEvery {
 			continue
 		}
-		e.checked = now
-		s := silence{target: e.target, since: since}
 		for c := range e.calls {
 			s.streaming = s.streaming || c.answering.Load()
 		}
+		if !s.streaming && now.Sub(s.since) < unansweredAfter {
+			continue
+		}
+		e.checked = now
 		silent = append(silent, s)
 	}
 	return silent
--- a/chiveforward/silence.go
+++ b/chiveforward/silence.go
@@ -13,8 +13,10 @@
 const (
 	// silencePoll is how often endpoints are looked at for silence.
 	silencePoll = 250 * time.Millisecond
-	// silentAfter is how long an endpoint has to be silent on all attempts under way to be checked: several times the longest step of an engine.
+	// silentAfter is how long an endpoint with a stream under way has to be silent to be checked: several times the longest step of an engine.
 	silentAfter = time.Second
+	// unansweredAfter is the same where all attempts wait for their first event, which under load takes longer.
+	unansweredAfter = 2 * time.Second
 	// silenceCheckEvery is the time between two checks of a silent endpoint.
 	silenceCheckEvery = time.Second
 	// stalledAfter is how long the running streams of an endpoint that answers health checks have to stand still for it to count as stalled.
