--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -47,8 +47,8 @@
 	answering atomic.Bool
 	// cancel ends the attempt for a reason; it may be called from other goroutines while the attempt is in flight.
 	cancel context.CancelCauseFunc
-	// lastSign is where signs of life of the endpoint are noted.
-	lastSign *lastSign
+	// lastActivity is where the endpoint's activity is noted.
+	lastActivity *activity
 	// endpointWasAlive means that the endpoint had answered shortly before the attempt began, and nothing there had broken since.
 	endpointWasAlive bool
 	// replaced means that the attempt was cancelled since another process has taken the endpoint's place.
@@ -77,7 +77,7 @@
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
 	c.cancel = cancel
-	c.lastSign = c.run.f.inFlight.begin(c)
+	c.lastActivity = c.run.f.inFlight.begin(c)
 	defer c.run.f.inFlight.end(c)
 	if patience, limited := c.patience(parent); limited {
 		c.silence = time.AfterFunc(patience, func() { cancel(ErrSilent) })
@@ -125,7 +125,7 @@
 
 // noteAnswer notes the head of the endpoint's own answer. A process that crashed before the request was sent would not have answered.
 func (c *call) noteAnswer() {
-	c.lastSign.note(time.Now())
+	c.lastActivity.note(time.Now())
 	if c.target.Unique {
 		c.run.f.o.Quarantine.Alive(time.Now(), c.target.Incarnation, c.began)
 	}
@@ -168,9 +168,9 @@
 	return min(time.Duration(patienceShare*float64(time.Until(deadline))), patienceTargets*route.Target), true
 }
 
-// heard notes a sign of life.
+// heard notes that the endpoint sent something.
 func (c *call) heard() {
-	c.lastSign.note(time.Now())
+	c.lastActivity.note(time.Now())
 	if silence := c.run.request.Silence; silence > 0 {
 		c.silence.Reset(silence)
 	}
--- a/chiveforward/failure.go
+++ b/chiveforward/failure.go
@@ -19,10 +19,10 @@
 	// acceptedAfter is how long an attempt without an answer has to have run to count as accepted: an endpoint with too many connections
 	// resets a new one sooner, and the requests on its other connections run on.
 	acceptedAfter = 20 * time.Millisecond
-	// doubtFor is how long an attempt is remembered whose break nothing explains yet: the endpoint's successor registers within that.
-	doubtFor = 3 * time.Second
-	// doubtsMost bounds the memory; the oldest are dropped.
-	doubtsMost = 256
+	// inconclusiveFor is how long an attempt is remembered whose break has no conclusive evidence: the endpoint's successor registers within that.
+	inconclusiveFor = 3 * time.Second
+	// inconclusiveMost bounds the memory; the oldest are dropped.
+	inconclusiveMost = 256
 	// recheckAfter is when an endpoint that reset an attempt at once is checked again: an overloaded one has taken connections by then.
 	recheckAfter = time.Second
 )
@@ -30,34 +30,34 @@
 // errReplaced is the cause of an attempt that was cancelled since another process has taken the endpoint's place.
 var errReplaced = errors.New("another process has taken the endpoint's place")
 
-// doubt is an attempt whose break nothing explains yet.
-type doubt struct {
+// brokenAttempt is an attempt whose break has no conclusive evidence yet.
+type brokenAttempt struct {
 	call *call
 	at   time.Time
 }
 
-// doubts are the attempts whose break nothing explains yet, the oldest first.
-type doubts struct {
+// brokenAttempts are such attempts, the oldest first.
+type brokenAttempts struct {
 	mu  sync.Mutex
-	all []doubt
+	all []brokenAttempt
 }
 
-func (d *doubts) add(one doubt) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if len(d.all) >= doubtsMost {
-		d.all = slices.Delete(d.all, 0, 1)
+func (b *brokenAttempts) add(one brokenAttempt) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.all) >= inconclusiveMost {
+		b.all = slices.Delete(b.all, 0, 1)
 	}
-	d.all = append(d.all, one)
+	b.all = append(b.all, one)
 }
 
-// take removes and returns the recent doubts of some endpoints.
-func (d *doubts) take(now time.Time, isMeant func(Target) bool) []doubt {
-	d.sweep(now)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var taken []doubt
-	d.all = slices.DeleteFunc(d.all, func(one doubt) bool {
+// take removes and returns the recent attempts at some endpoints.
+func (b *brokenAttempts) take(now time.Time, isMeant func(Target) bool) []brokenAttempt {
+	b.sweep(now)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var taken []brokenAttempt
+	b.all = slices.DeleteFunc(b.all, func(one brokenAttempt) bool {
 		if isMeant(one.call.target) {
 			taken = append(taken, one)
 			return true
@@ -67,11 +67,11 @@
 	return taken
 }
 
-// sweep drops the doubts that are too old: each keeps a request with its body.
-func (d *doubts) sweep(now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.all = slices.DeleteFunc(d.all, func(one doubt) bool { return now.Sub(one.at) >= doubtFor })
+// sweep drops the attempts that are too old: each keeps a request with its body.
+func (b *brokenAttempts) sweep(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.all = slices.DeleteFunc(b.all, func(one brokenAttempt) bool { return now.Sub(one.at) >= inconclusiveFor })
 }
 
 // explainBreak looks for evidence that the endpoint failed under an attempt that broke, and reports it. The next attempt waits for that a short while
@@ -83,7 +83,7 @@
 		f.reportCrash(c, chivehealth.EvidenceReplaced, brokeAt)
 		return
 	}
-	check := f.health.Start(c.target.checked())
+	check := f.health.Start(c.target.healthTarget())
 	judge := func() { f.judgeBreak(c, check, brokeAt) }
 	select {
 	case <-check.Done():
@@ -107,7 +107,7 @@
 	case evidence == chivehealth.EvidenceReplaced, evidence != chivehealth.EvidenceNone && c.wasAccepted(brokeAt):
 		f.reportCrash(c, evidence, brokeAt)
 	default:
-		f.doubts.add(doubt{c, brokeAt})
+		f.inconclusive.add(brokenAttempt{c, brokeAt})
 		if evidence != chivehealth.EvidenceNone {
 			time.AfterFunc(recheckAfter, func() { f.recheck(c, brokeAt) })
 		}
@@ -116,15 +116,15 @@
 
 // recheck looks again at an endpoint that reset an attempt at once and a health check too.
 func (f *Forwarder) recheck(c *call, brokeAt time.Time) {
-	result := f.health.Start(c.target.checked()).Result()
+	result := f.health.Start(c.target.healthTarget()).Result()
 	isMeant := func(t Target) bool { return t.Incarnation == c.target.Incarnation }
 	if result.Alive || result.Evidence == chivehealth.EvidenceNone {
 		return
 	}
-	if _, lastSign := f.inFlight.at(c.target.Incarnation); lastSign.After(brokeAt) {
+	if _, lastActivity := f.inFlight.at(c.target.Incarnation); lastActivity.After(brokeAt) {
 		return
 	}
-	for _, d := range f.doubts.take(time.Now(), isMeant) {
+	for _, d := range f.inconclusive.take(time.Now(), isMeant) {
 		f.reportCrash(d.call, result.Evidence, d.at)
 	}
 }
@@ -193,7 +193,7 @@
 			c.cancel(errReplaced)
 		}
 	}
-	for _, d := range f.doubts.take(time.Now(), replaced) {
+	for _, d := range f.inconclusive.take(time.Now(), replaced) {
 		f.reportCrash(d.call, chivehealth.EvidenceReplaced, d.at)
 	}
 }
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -65,8 +65,8 @@
 	FailureDomain string
 }
 
-// checked returns what a health check needs to know of the endpoint.
-func (t Target) checked() chivehealth.Endpoint {
+// healthTarget returns what a health check needs to know of the endpoint.
+func (t Target) healthTarget() chivehealth.Endpoint {
 	return chivehealth.Endpoint{ID: t.ID, Incarnation: t.Incarnation, Address: t.Address}
 }
 
@@ -107,13 +107,13 @@
 
 // Forwarder carries requests to endpoints and their answers back.
 type Forwarder struct {
-	o           Options
-	connections *connections
-	health      *chivehealth.Checker
-	inFlight    *inFlight
-	registered  *registered
-	doubts      doubts
-	duties      chivekernel.Duties
+	o            Options
+	connections  *connections
+	health       *chivehealth.Checker
+	inFlight     *inFlight
+	registered   *registered
+	inconclusive brokenAttempts
+	duties       chivekernel.Duties
 }
 
 // New returns a forwarder without connections.
@@ -157,7 +157,7 @@
 		f.connections.sweep(now)
 		f.health.Sweep(now)
 		f.inFlight.sweep(now)
-		f.doubts.sweep(now)
+		f.inconclusive.sweep(now)
 	})
 }
 
--- a/chiveforward/inflight.go
+++ b/chiveforward/inflight.go
@@ -18,8 +18,8 @@
 	calls  map[*call]struct{}
 	// began is when the first of them began, or when the node was last known to have stood still.
 	began time.Time
-	// lastSign is when the endpoint last sent anything on one of them.
-	lastSign *lastSign
+	// lastActivity is when the endpoint last sent anything on one of them.
+	lastActivity *activity
 	// brokeAt is when an attempt there last broke, idleSince when the last one ended.
 	brokeAt   time.Time
 	idleSince time.Time
@@ -34,7 +34,7 @@
 }
 
 const (
-	// aliveWithin is how old an endpoint's last sign of life may be for it to count as alive.
+	// aliveWithin is how old an endpoint's last activity may be for it to count as alive.
 	aliveWithin = 2 * time.Second
 	// idleKept is how long an endpoint without attempts is remembered.
 	idleKept = aliveWithin + time.Second
@@ -42,32 +42,32 @@
 
 // wasAlive reports whether the last that was known of an endpoint at a time is that it answered, not long ago.
 func (e *endpointCalls) wasAlive(now time.Time) bool {
-	at := e.lastSign.at()
+	at := e.lastActivity.at()
 	return now.Sub(at) < aliveWithin && !e.brokeAt.After(at)
 }
 
 // silentSince returns since when nothing has come from the endpoint.
 func (e *endpointCalls) silentSince() time.Time {
-	if at := e.lastSign.at(); at.After(e.began) {
+	if at := e.lastActivity.at(); at.After(e.began) {
 		return at
 	}
 	return e.began
 }
 
-// lastSign is the time of an endpoint's last sign of life; the zero time before the first.
-type lastSign struct {
+// activity is when an endpoint last sent anything; the zero time before that.
+type activity struct {
 	nanoseconds atomic.Int64
 }
 
-// epoch is what the times of signs of life are counted from.
+// epoch is what the times of activity are counted from.
 var epoch = time.Now()
 
-// note takes a sign of life.
-func (l *lastSign) note(now time.Time) { l.nanoseconds.Store(int64(now.Sub(epoch))) }
+// note takes that the endpoint sent something.
+func (a *activity) note(now time.Time) { a.nanoseconds.Store(int64(now.Sub(epoch))) }
 
 // at returns the time of the last one.
-func (l *lastSign) at() time.Time {
-	nanoseconds := l.nanoseconds.Load()
+func (a *activity) at() time.Time {
+	nanoseconds := a.nanoseconds.Load()
 	if nanoseconds == 0 {
 		return time.Time{}
 	}
@@ -77,7 +77,7 @@
 // silence is an endpoint that has sent nothing for a while on any of the attempts that are under way there.
 type silence struct {
 	target Target
-	// since is the last sign of life.
+	// since is when the endpoint last sent anything.
 	since time.Time
 	// streaming means that an answer had begun.
 	streaming bool
@@ -85,13 +85,13 @@
 
 func newInFlight() *inFlight { return &inFlight{endpoints: make(map[string]*endpointCalls)} }
 
-// begin adds an attempt and returns where it notes signs of life.
-func (f *inFlight) begin(c *call) *lastSign {
+// begin adds an attempt and returns where it notes activity.
+func (f *inFlight) begin(c *call) *activity {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e, ok := f.endpoints[c.target.Incarnation]
 	if !ok {
-		e = &endpointCalls{target: c.target, calls: make(map[*call]struct{}), began: c.began, lastSign: &lastSign{}}
+		e = &endpointCalls{target: c.target, calls: make(map[*call]struct{}), began: c.began, lastActivity: &activity{}}
 		f.endpoints[c.target.Incarnation] = e
 	}
 	if len(e.calls) == 0 {
@@ -99,7 +99,7 @@
 	}
 	e.calls[c] = struct{}{}
 	c.endpointWasAlive = e.wasAlive(c.began)
-	return e.lastSign
+	return e.lastActivity
 }
 
 // end removes an attempt.
@@ -134,8 +134,8 @@
 	}
 }
 
-// at returns the attempts that are under way at an incarnation, and its last sign of life.
-func (f *inFlight) at(incarnation string) (calls []*call, lastSign time.Time) {
+// at returns the attempts that are under way at an incarnation, and its last activity.
+func (f *inFlight) at(incarnation string) (calls []*call, lastActivity time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e, ok := f.endpoints[incarnation]
@@ -145,7 +145,7 @@
 	for c := range e.calls {
 		calls = append(calls, c)
 	}
-	return calls, e.lastSign.at()
+	return calls, e.lastActivity.at()
 }
 
 // targets returns the incarnations at which attempts are under way.
@@ -183,13 +183,13 @@
 	return silent
 }
 
-// takeAlive returns when endpoints gave a sign of life, of those that did since a time.
+// takeAlive returns when endpoints were last active, of those that were since a time.
 func (f *inFlight) takeAlive(since time.Time) map[string]time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	alive := make(map[string]time.Time)
 	for incarnation, e := range f.endpoints {
-		if at := e.lastSign.at(); e.target.Unique && at.After(since) {
+		if at := e.lastActivity.at(); e.target.Unique && at.After(since) {
 			alive[incarnation] = at
 		}
 	}
@@ -209,8 +209,8 @@
 	return true
 }
 
-// excuse takes that the node itself stood still up to a time, so that nothing was read meanwhile.
-func (f *inFlight) excuse(now time.Time) {
+// resetSilence takes that the node itself stood still up to a time, so that nothing was read meanwhile.
+func (f *inFlight) resetSilence(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, e := range f.endpoints {
--- a/chiveforward/silence.go
+++ b/chiveforward/silence.go
@@ -21,7 +21,7 @@
 	silenceCheckEvery = time.Second
 	// stalledAfter is how long the running streams of an endpoint that answers health checks have to stand still for it to count as stalled.
 	stalledAfter = 2 * time.Second
-	// implicatedWithin is how long after an endpoint's last sign of life an attempt may have begun to count as one under which it failed: one that
+	// implicatedWithin is how long after an endpoint's last activity an attempt may have begun to count as one under which it failed: one that
 	// began later found it failed already.
 	implicatedWithin = time.Second
 	// failedFor is how long a silent endpoint counts as failed before it is checked again, and how long it is ejected: a request that is sent then
@@ -37,7 +37,7 @@
 	chivekernel.Every(ctx, silencePoll, func(now time.Time) {
 		// A node that stood still has read nothing meanwhile, which looks as if all endpoints had been silent.
 		if now.Sub(last) > 2*silencePoll {
-			f.inFlight.excuse(now)
+			f.inFlight.resetSilence(now)
 		}
 		for incarnation, at := range f.inFlight.takeAlive(last) {
 			f.o.Quarantine.Alive(now, incarnation, at.Add(-readDelay))
@@ -51,7 +51,7 @@
 
 // explainSilence looks for evidence that a silent endpoint failed, and reports it for the attempts that are under way there.
 func (f *Forwarder) explainSilence(s silence) {
-	result := f.health.Start(s.target.checked()).Result()
+	result := f.health.Start(s.target.healthTarget()).Result()
 	evidence := result.Evidence
 	switch {
 	case result.TimedOut:
@@ -82,8 +82,8 @@
 // PeerFailure takes a failure that another node found. Attempts that are under way here may be what the endpoint failed under; nothing else may
 // show that to this node. Where the endpoint has answered here since, it returns when that was; else the zero time.
 func (f *Forwarder) PeerFailure(failure chivehealth.Failure) (alive time.Time) {
-	if _, lastSign := f.inFlight.at(failure.Endpoint); lastSign.Add(-readDelay).After(failure.At) {
-		return lastSign.Add(-readDelay)
+	if _, lastActivity := f.inFlight.at(failure.Endpoint); lastActivity.Add(-readDelay).After(failure.At) {
+		return lastActivity.Add(-readDelay)
 	}
 	if f.inFlight.markFailed(failure.Endpoint, failure.At.Add(readDelay)) {
 		f.reportFailure(failure)
--- a/chivequarantine/answers.go
+++ b/chivequarantine/answers.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// exonerates is how long an answer exonerates a request of crashes that come after it. A request that crashes each engine that runs it
+	// exonerationFor is how long an answer exonerates a request of crashes that come after it. A request that crashes each engine that runs it
 	// has never been answered; one that many callers send alike is answered all the time, and runs on many engines when they crash.
-	exonerates = 30 * time.Second
+	exonerationFor = 30 * time.Second
 	// answersMost is how many requests with an answer are remembered, in two generations.
 	answersMost = 2048
 )
@@ -49,7 +49,7 @@
 // exonerate reports an answer to a request under which an endpoint crashed, where this node has a recent one; the caller holds the service's lock.
 func (s *Service) exonerate(now time.Time, content chiverequest.Fingerprint) {
 	at, ok := s.answers.at(content)
-	if ok && now.Sub(at) < exonerates {
+	if ok && now.Sub(at) < exonerationFor {
 		s.reportAnswer(now, content, at)
 	}
 }
--- a/chivequarantine/suspect.go
+++ b/chivequarantine/suspect.go
@@ -29,7 +29,7 @@
 	// crashes are in the order of their times.
 	crashes []Crash
 	// answers are the newest report of each node that an endpoint answered the request, answered the time of the newest: what crashed
-	// before that, or exonerates after it at most, has another cause.
+	// before that, or exonerationFor after it at most, has another cause.
 	answers  map[string]Answer
 	answered time.Time
 	// until is the end of the quarantine; zero for a request that is not quarantined.
@@ -85,7 +85,7 @@
 func (s *suspect) implicating(accounted map[string]bool) []Crash {
 	implicating := make([]Crash, 0, len(s.crashes))
 	for _, c := range s.crashes {
-		if (s.answered.IsZero() || c.At.After(s.answered.Add(exonerates))) && !accounted[c.Endpoint] {
+		if (s.answered.IsZero() || c.At.After(s.answered.Add(exonerationFor))) && !accounted[c.Endpoint] {
 			implicating = append(implicating, c)
 		}
 	}
