HTTP servers: one place that listens, serves and ends; admission in steps

The entry, the gate, the admin server and the readiness server each had the same goroutine around http.Server.Serve and dropped its error. chivewire.HTTPServer is now the one copy. It keeps the error that ended the service early and returns it from Close or Shutdown: a server that died of a listener's error had ended in silence before. Entry.admit is split into the pool and rank, the prompt and the copy of the call.

--- a/chiveadmin/admin.go
+++ b/chiveadmin/admin.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http"
 	"net/http/pprof"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,9 +43,8 @@
 // Admin is the operators' server of a node.
 type Admin struct {
 	o       Options
-	server  *http.Server
+	server  *chivewire.HTTPServer
 	leaving atomic.Bool
-	done    sync.WaitGroup
 }
 
 // New returns an admin server that does not listen yet.
@@ -62,22 +60,15 @@
 		mux.HandleFunc("GET "+PathProfile, pprof.Index)
 		mux.HandleFunc("GET "+PathProfile+"profile", pprof.Profile)
 	}
-	a.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	a.server = chivewire.NewHTTPServer(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout})
 	return a
 }
 
 // Start listens for operators.
 func (a *Admin) Start(context.Context) error {
-	listener, err := a.o.Network.Listen(a.o.Address)
-	if err != nil {
-		return fmt.Errorf("admin: listen for operators: %w", err)
+	if err := a.server.Start(a.o.Network, a.o.Address); err != nil {
+		return fmt.Errorf("admin: %w", err)
 	}
-	a.done.Add(1)
-	go func() {
-		defer a.done.Done()
-		// Serve returns when Stop closes the listener.
-		_ = a.server.Serve(listener)
-	}()
 	return nil
 }
 
@@ -86,9 +77,7 @@
 
 // Stop closes the server.
 func (a *Admin) Stop(context.Context) error {
-	err := a.server.Close()
-	a.done.Wait()
-	if err != nil {
+	if err := a.server.Close(); err != nil {
 		return fmt.Errorf("admin: %w", err)
 	}
 	return nil
--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -6,10 +6,8 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -65,26 +63,24 @@
 // Entry is the callers' side of a node.
 type Entry struct {
 	o        Options
-	server   *http.Server
-	listener net.Listener
+	server   *chivewire.HTTPServer
 	table    atomic.Pointer[chivetable.Table]
 	metrics  *metrics
 	conns    *callerConns
 	leaving  atomic.Bool
 	inFlight atomic.Int64
 	accepted atomic.Int64
-	done     sync.WaitGroup
 	duties   chivekernel.Duties
 }
 
 // New returns an entry that does not listen yet.
 func New(o Options) *Entry {
 	e := &Entry{o: o, metrics: newMetrics(o.Scope), conns: newCallerConns()}
-	e.server = &http.Server{
+	e.server = chivewire.NewHTTPServer(&http.Server{
 		Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerMost,
 		ErrorLog:    slog.NewLogLogger(o.Logger.Handler(), slog.LevelDebug),
 		ConnContext: e.conns.enter, ConnState: e.conns.changed,
-	}
+	})
 	return e
 }
 
@@ -92,21 +88,13 @@
 func (e *Entry) SetTable(table *chivetable.Table) { e.table.Store(table) }
 
 // Handler returns what serves callers, for use without a listener.
-func (e *Entry) Handler() http.Handler { return e.server.Handler }
+func (e *Entry) Handler() http.Handler { return e.server.Handler() }
 
 // Start listens for callers.
 func (e *Entry) Start(ctx context.Context) error {
-	listener, err := e.o.Network.Listen(e.o.Address)
-	if err != nil {
-		return fmt.Errorf("entry: listen for callers: %w", err)
+	if err := e.server.Start(e.o.Network, e.o.Address); err != nil {
+		return fmt.Errorf("entry: %w", err)
 	}
-	e.listener = listener
-	e.done.Add(1)
-	go func() {
-		defer e.done.Done()
-		// Serve returns when Stop closes the listener.
-		_ = e.server.Serve(listener)
-	}()
 	e.duties.Begin(ctx, e.boundWaiting)
 	return nil
 }
@@ -126,7 +114,7 @@
 // Stop takes no new connections and waits for the requests in flight until the context ends, then breaks off what is left.
 func (e *Entry) Stop(ctx context.Context) error {
 	e.Leave()
-	_ = e.listener.Close()
+	e.server.StopListening()
 	// Idle connections are closed too: on those no answer asks the caller to leave, and a request that came on one near the
 	// end would be cut.
 	e.conns.closeIdle()
@@ -138,8 +126,7 @@
 	}
 	err := e.server.Close()
 	e.duties.End()
-	e.done.Wait()
-	if err != nil && !errors.Is(err, net.ErrClosed) {
+	if err != nil {
 		return fmt.Errorf("entry: %w", err)
 	}
 	return nil
@@ -211,23 +198,40 @@
 	if request.Body, err = ReadBody(w, r, table.Limits().BodyBytes); err != nil {
 		return request, err
 	}
-	request.Pool = route.PoolFor(rand.Float64())
-	request.Rank = table.RankOf(request.Pool, route, team)
+	request.Deadline = now.Add(waitOf(route, asked))
+	rank(request, table, team)
+	describe(request, table, asked)
+	e.copyCall(request, r, target)
+	return request, nil
+}
+
+// rank chooses the pool of a request, and its rank there.
+func rank(request *chiverequest.Request, table *chivetable.Table, team *chivetable.Team) {
+	request.Pool = request.Route.PoolFor(rand.Float64())
+	request.Rank = table.RankOf(request.Pool, request.Route, team)
 	if team != nil {
 		request.Team = team.Name
 	}
+}
+
+// describe adds what the caller said of the prompt and what the route promises for it.
+func describe(request *chiverequest.Request, table *chivetable.Table, asked chiverequest.Asked) {
+	request.Prompt, request.LastEvent = asked.Prompt, asked.LastEvent
+	if request.Prompt == nil {
+		return
+	}
+	route := request.Route
+	request.Prompt.Pause, request.Prompt.Target = route.Pause, route.Target
+	request.Prompt.Rank, request.Prompt.Urgent = request.Rank, table.UrgentTarget(request.Pool, route)
+}
+
+// copyCall adds what is passed on to an endpoint: the call without the fields that concern only this connection or this node.
+func (e *Entry) copyCall(request *chiverequest.Request, r *http.Request, target string) {
 	request.Method, request.Target, request.Host = r.Method, target, r.Host
 	request.Content = chiverequest.NewFingerprint(request.Team, r.Method, r.Host, target, request.Body)
 	request.Header = r.Header.Clone()
 	DropConnectionFields(request.Header)
 	e.o.Dialect.Strip(request.Header)
-	request.Prompt, request.LastEvent = asked.Prompt, asked.LastEvent
-	if request.Prompt != nil {
-		request.Prompt.Pause, request.Prompt.Target = route.Pause, route.Target
-		request.Prompt.Rank, request.Prompt.Urgent = request.Rank, table.UrgentTarget(request.Pool, route)
-	}
-	request.Deadline = now.Add(waitOf(route, asked))
-	return request, nil
 }
 
 // defaultWait bounds a request for which neither the caller nor the route names a time.
--- a/chivegate/gate.go
+++ b/chivegate/gate.go
@@ -6,11 +6,9 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -85,15 +83,13 @@
 // Gate is the callers' side of a node.
 type Gate struct {
 	o        Options
-	server   *http.Server
-	listener net.Listener
+	server   *chivewire.HTTPServer
 	explain  *explanations
 	metrics  *gateMetrics
 	keys     atomic.Pointer[keyring]
 	sequence atomic.Int64
 	inFlight atomic.Int64
 	start    string
-	done     sync.WaitGroup
 }
 
 // New returns a gate that does not listen yet.
@@ -107,10 +103,10 @@
 	mux.HandleFunc("GET "+pathModels, g.serveModels)
 	mux.HandleFunc(pathServices, g.serveService)
 	mux.HandleFunc("/", g.serveUnknown)
-	g.server = &http.Server{
+	g.server = chivewire.NewHTTPServer(&http.Server{
 		Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
 		ErrorLog: slog.NewLogLogger(o.Logger.Handler(), slog.LevelError),
-	}
+	})
 	return g
 }
 
@@ -120,34 +116,24 @@
 }
 
 // Handler returns what serves callers, for use without a listener.
-func (g *Gate) Handler() http.Handler { return g.server.Handler }
+func (g *Gate) Handler() http.Handler { return g.server.Handler() }
 
 // Start listens for callers.
 func (g *Gate) Start(context.Context) error {
-	listener, err := g.o.Network.Listen(g.o.Address)
-	if err != nil {
-		return fmt.Errorf("gate: listen for callers: %w", err)
+	if err := g.server.Start(g.o.Network, g.o.Address); err != nil {
+		return fmt.Errorf("gate: %w", err)
 	}
-	g.listener = listener
-	g.done.Add(1)
-	go func() {
-		defer g.done.Done()
-		// Serve returns when Stop closes the listener.
-		_ = g.server.Serve(listener)
-	}()
 	return nil
 }
 
 // Stop takes no new connections and waits for every request in flight, whatever its length.
 func (g *Gate) Stop(context.Context) error {
-	_ = g.listener.Close()
-	g.server.SetKeepAlivesEnabled(false)
+	g.server.StopListening()
+	g.server.DisableKeepAlives()
 	for g.inFlight.Load() > 0 {
 		time.Sleep(stopPoll)
 	}
-	err := g.server.Shutdown(context.Background())
-	g.done.Wait()
-	if err != nil {
+	if err := g.server.Shutdown(); err != nil {
 		return fmt.Errorf("gate: %w", err)
 	}
 	return nil
--- a/chivenode/readiness.go
+++ b/chivenode/readiness.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,32 +19,24 @@
 type readiness struct {
 	address string
 	network chivewire.Network
-	server  *http.Server
+	server  *chivewire.HTTPServer
 	ready   func() error
 	leaving atomic.Bool
-	done    sync.WaitGroup
 }
 
 func newReadiness(address, path string, network chivewire.Network, ready func() error) *readiness {
 	r := &readiness{address: address, network: network, ready: ready}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+path, r.serve)
-	r.server = &http.Server{Handler: mux, ReadHeaderTimeout: readinessHeaderTime}
+	r.server = chivewire.NewHTTPServer(&http.Server{Handler: mux, ReadHeaderTimeout: readinessHeaderTime})
 	return r
 }
 
 // Start listens for the balancer.
 func (r *readiness) Start(context.Context) error {
-	listener, err := r.network.Listen(r.address)
-	if err != nil {
-		return fmt.Errorf("readiness: listen for the balancer: %w", err)
+	if err := r.server.Start(r.network, r.address); err != nil {
+		return fmt.Errorf("readiness: %w", err)
 	}
-	r.done.Add(1)
-	go func() {
-		defer r.done.Done()
-		// Serve returns when Stop closes the listener.
-		_ = r.server.Serve(listener)
-	}()
 	return nil
 }
 
@@ -54,9 +45,7 @@
 
 // Stop closes the server.
 func (r *readiness) Stop(context.Context) error {
-	err := r.server.Close()
-	r.done.Wait()
-	if err != nil {
+	if err := r.server.Close(); err != nil {
 		return fmt.Errorf("readiness: %w", err)
 	}
 	return nil
