--- a/chivecache/service_test.go
+++ b/chivecache/service_test.go
@@ -57,9 +57,7 @@
 	return "another"
 }
 
-// Symptom: in the cold start of hundreds of nodes engines and nodes are busy with questions for caches while callers wait.
-// Sequence: each node hears of 320 engines before it hears of the other nodes, and asks them one after the other.
-// Cause: a node that knows no other takes itself for the one that decides for all engines.
+// Guards against a cold start in which every node queries the cache of every engine.
 func TestNodeThatJoinsALargeFleetAsksItsOwnEnginesOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		asked := &engines{}
--- a/chiveclaim/index_test.go
+++ b/chiveclaim/index_test.go
@@ -12,9 +12,7 @@
 
 const window = 10 * time.Minute
 
-// Symptom: a key runs twice after an outage of the log. Sequence: the answer to a claim is lost, its holder gives the
-// claim up and frees it, the caller's retry claims the key and runs, then the first claim lands on the log after all.
-// Cause: a claim that was freed before it landed was taken for a new one.
+// Guards against a key that runs twice because a freed claim reached the log late.
 func TestClaimThatLandsAfterItWasFreedOwnsNothing(t *testing.T) {
 	x := chiveclaim.NewIndex()
 	x.Apply(0, chiveclaim.Entry{Kind: chiveclaim.KindOutcome, Key: "k", Request: "first", Outcome: chiveclaim.Outcome{Freed: true}})
--- a/chivedirectory/changes_test.go
+++ b/chivedirectory/changes_test.go
@@ -11,12 +11,7 @@
 	"pgregory.net/rapid"
 )
 
-// Symptom: a node sent requests to an endpoint 3.4 s after it had been removed, when all others had stopped within 0.6 s.
-// Sequence: an endpoint was removed, another one said that it leaves; a node that just started took a snapshot of the store after both, and
-// was the first to tell the node of it, which asked nobody else for what it had been told.
-// Cause: a snapshot names what there is and not what was removed. The node took the changes after its own offset, among them no removal, counted
-// as up to date, and was told nothing more. A peer from before the snapshot is told all that there is now.
-// Evidence: on the day in question nodes were restarted one after the other; in ten plays of it all nodes had the removal within 0.54 s.
+// Guards against a removed endpoint that stays in use at a peer updated from a snapshot, which names no removals.
 func TestPeerFromBeforeASnapshotHearsOfRemovals(t *testing.T) {
 	now := time.Now()
 	behind := chivedirectory.New(grace)
@@ -45,11 +40,7 @@
 	}
 }
 
-// Symptom (found by reading the code): an endpoint that had just started stayed unknown to a node that had just started too, until it wrote
-// again.
-// Sequence: the node asked the store for a snapshot; the endpoint registered, and a peer told the node of it; then the snapshot came.
-// Cause: the snapshot took away whatever it did not name, also what is newer, and the endpoint's record, read after it, counted as older than
-// that removal.
+// Guards against a snapshot that removes endpoints registered after it was taken.
 func TestSnapshotTakesAwayNothingNewer(t *testing.T) {
 	now := time.Now()
 	d := chivedirectory.New(grace)
--- a/chivedirectory/directory_test.go
+++ b/chivedirectory/directory_test.go
@@ -21,10 +21,7 @@
 	return chivedirectory.Change{Position: chivelog.Position(offset), Gone: true, Endpoint: chivedirectory.Endpoint{ID: id}}
 }
 
-// Symptom: after an outage of the store every request was refused for seconds.
-// Sequence: the entries of living endpoints lapsed while these could not renew them; with the store's return the removals
-// were read at once, the renewed entries a second later.
-// Cause: a removal was taken at its change. For a grace time after the store's return a missing entry is kept.
+// Guards against refusing every request after a store outage during which live endpoints could not renew their entries.
 func TestLapsedEntriesAreKeptForAGraceTime(t *testing.T) {
 	now := time.Now()
 	d := chivedirectory.New(grace)
@@ -53,9 +50,7 @@
 	}
 }
 
-// Symptom: a leaving endpoint got new work again.
-// Sequence: a peer that had fallen behind told what it knew.
-// Cause: changes were taken in the order in which they came; the offset in the store's log tells which is newer.
+// Guards against new work for a leaving endpoint after an outdated change from a peer.
 func TestOlderWordChangesNothing(t *testing.T) {
 	now := time.Now()
 	d := chivedirectory.New(grace)
@@ -102,10 +97,7 @@
 	})
 }
 
-// Symptom: nodes that had never lost the store dropped endpoints that lived.
-// Sequence: the store turned one node away and entries lapsed meanwhile; with its return that node kept them for the grace time,
-// but told its peers that they were gone.
-// Cause: a change for "lapsed, may come back" was lacking. Peers wait for it as long as the node itself does.
+// Guards against peers that drop a live endpoint whose entry lapsed at a node cut off from the store.
 func TestPeersWaitForALapsedEntryToo(t *testing.T) {
 	now := time.Now()
 	blinded, peer := chivedirectory.New(grace), chivedirectory.New(grace)
@@ -143,10 +135,7 @@
 	}
 }
 
-// Symptom: an endpoint that had left got a request 2.1 s later (bound 2 s; kumihan-drift, hunt-a58e-39).
-// Sequence: two nodes got the store back; 0.8 s later the entry of an endpoint was removed because it left.
-// Cause: a missing entry was kept for the whole grace time from its removal on, instead of to the end of the grace time that
-// began with the store's return.
+// Guards against a removed endpoint that stays in use for a grace period of its own after the store's return.
 func TestMissingEntryGoesWithTheGraceTimeOfTheReturn(t *testing.T) {
 	now := time.Now()
 	d := chivedirectory.New(grace)
--- a/chivedirectory/flood_test.go
+++ b/chivedirectory/flood_test.go
@@ -16,8 +16,7 @@
 	"chivedrift/chivelog"
 )
 
-// Symptom: a flood of unreadable entries pushed everything else out of the log.
-// Cause: each had its line. Twenty in ten seconds have, the rest is counted.
+// Guards against unreadable entries that push every other line out of the log.
 func TestFloodOfUnreadableEntriesStaysWithinTheLog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var log bytes.Buffer
--- a/chivedirectory/incarnation_test.go
+++ b/chivedirectory/incarnation_test.go
@@ -22,10 +22,7 @@
 	return w
 }
 
-// Symptom: requests went to a process that had ended, at its former address, long after the same endpoint had started again elsewhere.
-// Sequence: the endpoint started again under its id; a write of the process before it was carried out seconds late, or a peer told that had
-// not heard of the new start.
-// Cause: what came last counted, and an id was taken for an incarnation. The later start wins, whatever the order.
+// Guards against requests to the former address of an endpoint that has restarted elsewhere.
 func TestLaterStartWinsInAnyOrder(t *testing.T) {
 	now := time.Now()
 	d := chivedirectory.New(grace)
@@ -47,9 +44,7 @@
 	}
 }
 
-// Symptom: an endpoint that had crashed for good came back for some seconds.
-// Sequence: its entry was removed; then a write that it had sent before it crashed was carried out.
-// Cause: a change with a later offset than the removal's was taken for a new start.
+// Guards against a delayed write that brings a crashed endpoint back.
 func TestLateWriteBringsNothingBack(t *testing.T) {
 	now := time.Now()
 	d := chivedirectory.New(grace)
@@ -64,9 +59,7 @@
 	}
 }
 
-// Symptom (found by thinking it through): an endpoint is never used again after its VM's clock was set back.
-// Sequence: it started again, and the new start is earlier than the old one by its own clock; its entry is written once and then stands still.
-// Cause: the new process counts as its own past. A change that stands for longer than writes can be late is of the present.
+// Guards against ignoring an endpoint for good after its clock was set back.
 func TestClockThatWentBack(t *testing.T) {
 	for _, removed := range []bool{false, true} {
 		now := time.Now()
@@ -193,11 +186,7 @@
 	return strings.Join(all, " ")
 }
 
-// Symptom: requests went to an address that another writer had left under an endpoint's id, or went on to an endpoint whose entry could not
-// be read any more.
-// Sequence: an entry turned unreadable, between good ones of the same batch and of the same snapshot.
-// Cause: such an entry was passed over, so that what it had said before stayed. It takes its endpoint out, as a removal would, and the next
-// one that can be read brings it back.
+// Guards against requests to the previous address of an endpoint whose entry has become unreadable.
 func TestUnreadableEntryTakesItsEndpointOut(t *testing.T) {
 	s := chivedirectory.NewService(decodeWord, grace, slog.New(slog.DiscardHandler))
 	s.Replace(chivelog.KeyedBatch{Next: 5, Records: []chivelog.KeyedRecord{
--- a/chivedirectory/outage_test.go
+++ b/chivedirectory/outage_test.go
@@ -30,10 +30,7 @@
 	return d, start, back
 }
 
-// Symptom: an endpoint that had left got a request 2.03 s later (bound 2 s; kaya-oyma scale-2 seed 694213083099).
-// Sequence: three nodes were cut off for twelve seconds. 1.2 s after they were back an endpoint left; the other nodes stopped at
-// once, those three sent there for up to two more seconds.
-// Cause: their own cut counted as an outage of the store, after which a missing entry is kept for a grace time.
+// Guards against a removed endpoint that stays in use at a node whose own partition counted as a store outage.
 func TestOwnCutGivesNoGrace(t *testing.T) {
 	d, start, back := afterTwelveSeconds()
 	d.HearAnswers(everySecond(start, back))
@@ -58,9 +55,7 @@
 	}
 }
 
-// Symptom (of the rule, were it looser): after an outage of the store for all, endpoints that lived were dropped.
-// Sequence: another node had the store for a part of the time in which this one had not.
-// Cause: answers from before and after an outage do not show that there was none.
+// Guards against dropping live endpoints after a store outage that one node saw only in part.
 func TestAnswersAroundAnOutageGiveGrace(t *testing.T) {
 	d, start, back := afterTwelveSeconds()
 	d.HearAnswers(everySecond(start, start.Add(4*time.Second)))
@@ -71,9 +66,7 @@
 	}
 }
 
-// Symptom: as above, after the store had been down for all early in a node's cut.
-// Sequence: other nodes had the store again for seconds before the cut was over; then an endpoint left.
-// Cause: the grace time began with this node's own return, not with the store's.
+// Guards against a grace period that begins when a node reconnects instead of when the store is back.
 func TestGraceBeginsWithTheStoresReturn(t *testing.T) {
 	d, start, back := afterTwelveSeconds()
 	d.HearAnswers(everySecond(start.Add(8*time.Second), back))
@@ -113,9 +106,7 @@
 	}
 }
 
-// Symptom: a node that had never lost the store sent to an endpoint that had left (found by reading).
-// Sequence: a node that had been cut off told it that the entry was missing, a moment before it read the removal itself.
-// Cause: the node's own reading was passed over as no newer than the peer's change.
+// Guards against a peer's "missing" that outranks the removal this node has read itself.
 func TestOwnReadingEndsAPeersStaleness(t *testing.T) {
 	now := time.Now()
 	d := chivedirectory.New(grace)
--- a/chivedirectory/told_on_test.go
+++ b/chivedirectory/told_on_test.go
@@ -7,11 +7,7 @@
 	"chivedrift/chivedirectory"
 )
 
-// Symptom: a node that reads nothing itself kept an endpoint that was gone, until something else changed.
-// Sequence: the removal is the last record of the log. A node starts from a snapshot behind it and tells a second node all that there is; the
-// third one hears of everything from the second.
-// Cause: the second node went by the newest change that it was told, and a removal before the snapshot is none; so it seemed to know no
-// more than the third, and told it nothing. Found by the histories of a store that loses its tail (seed 45).
+// Guards against a removal that is lost between nodes when it is the last record before a snapshot.
 func TestRemovalThatASnapshotEndsWithIsToldOn(t *testing.T) {
 	now := time.Unix(1000, 0)
 	first, second, third := chivedirectory.New(time.Second), chivedirectory.New(time.Second), chivedirectory.New(time.Second)
--- a/chiveentry/bounds_test.go
+++ b/chiveentry/bounds_test.go
@@ -22,9 +22,7 @@
 	return time.Since(began)
 }
 
-// Symptom: callers that sent half a header, or nothing any more, held connections for as long as constants of the program said.
-// Sequence: the operator's configuration bounds both to some seconds; ten seconds and two minutes were in force.
-// Cause: the limits of the configuration were read and not used.
+// Guards against idle and half-sent connections that outlive the configured limits.
 func TestConnectionsThatWaitTooLongAreClosed(t *testing.T) {
 	forwarder := &fakeForwarder{}
 	e, address := startEntry(t, forwarder)
--- a/chiveentry/full_test.go
+++ b/chiveentry/full_test.go
@@ -16,9 +16,7 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// Symptom: a node is ended by the kernel, and hundreds of streams with it.
-// Sequence: bodies and answers of more requests than the VM has memory for are taken in.
-// Cause: nothing told the entry that the memory was used up; the collector alone cannot free what is in use.
+// Guards against a node killed by the kernel because it accepts bodies it has no memory for.
 func TestNodeWithoutMemoryRefusesBeforeItReadsTheBody(t *testing.T) {
 	var full atomic.Bool
 	forwarder := &fakeForwarder{}
--- a/chiveentry/stop_test.go
+++ b/chiveentry/stop_test.go
@@ -132,10 +132,7 @@
 	return conn, release
 }
 
-// Symptom: a stream was cut when the process ended, though it had been taken more than six seconds after the signal.
-// Sequence: a caller's connection was idle when the stop began; no answer on it could ask the caller to leave; its next
-// request came just before the end of the grace time and did not fit into what was left.
-// Cause: the stop closed the listener but left idle connections open.
+// Guards against a stream cut at the end of the grace period because it began on a connection that was idle at the signal.
 func TestStopClosesIdleConnections(t *testing.T) {
 	forwarder := &fakeForwarder{}
 	e, address := startEntry(t, forwarder)
@@ -203,10 +200,7 @@
 	return n, err
 }
 
-// Symptom: during a planned stop a request was passed on to an endpoint, and its caller's connection was closed without an answer.
-// Sequence: the request arrived on a kept connection just as the stop closed the idle ones; the process had no processor
-// time for a tenth of a second, so that the bytes were read, but net/http had not yet called the connection active.
-// Cause: net/http's own way of closing idle connections does not see a request that is being read.
+// Guards against closing a connection as idle while its next request is being read.
 func TestStopDoesNotCutARequestThatIsBeingRead(t *testing.T) {
 	forwarder := &fakeForwarder{}
 	network := &slowNetwork{reading: make(chan struct{}), goOn: make(chan struct{})}
@@ -246,10 +240,7 @@
 	}
 }
 
-// Symptom: a stream was cut when the process ended, though it had been taken seven seconds after the signal.
-// Sequence: an answer had begun before the signal, so its head could not ask the caller to leave; it ended long after the listener
-// was closed; the caller's next request came on its connection 14 ms later and did not fit into what was left.
-// Cause: the stop looked for idle connections every 20 ms only; one that becomes idle meanwhile has to go at that moment.
+// Guards against a new request on a connection whose answer ended after the listener was closed.
 func TestStopClosesAConnectionAsItsAnswerEnds(t *testing.T) {
 	forwarder := &fakeForwarder{}
 	e, address := startEntry(t, forwarder)
--- a/chiveevent/output_test.go
+++ b/chiveevent/output_test.go
@@ -31,9 +31,7 @@
 	return s.got.String()
 }
 
-// Symptom: requests hung because nobody read the process's standard output.
-// Sequence: the pipe was full, the write of a log line blocked, and with it the request that logged.
-// Cause: lines were written where they arose. They go through a bounded ring; what does not fit is counted and reported.
+// Guards against requests that block because nobody reads the standard output.
 func TestStalledOutputHoldsUpNobody(t *testing.T) {
 	out := &stalled{goOn: make(chan struct{})}
 	output := chiveevent.NewOutput(out)
--- a/chiveexperiment/regression_test.go
+++ b/chiveexperiment/regression_test.go
@@ -25,10 +25,7 @@
 
 const boundSeeds = 16
 
-// Symptom: in bursts a fifth of the large requests was refused or late, though the engines had time for them.
-// Sequence: long reads kept away from every engine with a stream that a pause spoils, and such streams ran on nearly all; what found no
-// engine queued, or was refused from a fixed wait on; queues sent shared parts to be read again elsewhere, which made more queues.
-// Cause: times were predicted from one reading rate, tight streams were not kept together, a token cost the same at any load.
+// Guards against bursts in which large requests are refused or late although engines have capacity.
 func TestLoadsAttainTheirBounds(t *testing.T) {
 	for _, b := range bounds {
 		t.Run(b.scenario, func(t *testing.T) {
--- a/chivefeed/follower_test.go
+++ b/chivefeed/follower_test.go
@@ -140,9 +140,7 @@
 	})
 }
 
-// Symptom: a change was in force only many seconds after an outage of the store.
-// Sequence: the store went silent while a read waited; nothing on the connection said so.
-// Cause: a read that lasts longer than its wait is given up, and after an outage the next one does not wait at all.
+// Guards against a change in force only many seconds after a store outage because a silent read was still waiting.
 func TestFollowerOverASilentStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		topic := &fakeTopic{}
--- a/chivefeed/start_test.go
+++ b/chivefeed/start_test.go
@@ -9,9 +9,7 @@
 	"chivedrift/chivefeed"
 )
 
-// Symptom: in the cold start of 295 nodes the store gets five reads a node beyond the first snapshots, though eight nodes read for all.
-// Sequence: after its snapshot each node begins to wait for records, and again after each record, until it has heard of eight nodes before it.
-// Cause: a node that has just started knows nobody, and so takes itself for a reader.
+// Guards against a cold start in which every node reads the store because it does not yet know the others.
 func TestFollowerLeavesReadingUntilItKnowsTheFleet(t *testing.T) {
 	const settle = 1500 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
@@ -37,9 +35,7 @@
 	})
 }
 
-// Symptom: nodes ask a store that turns them away for what they do not need, twice a second each.
-// Sequence: a topic that other nodes read for this one is read at its start, fails, and is tried again until it answers.
-// Cause: being held counted only after the first snapshot.
+// Guards against nodes that retry a store read they do not need.
 func TestTopicThatIsNotNeededIsNotRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		topic := &fakeTopic{}
--- a/chivefollow/listeners_test.go
+++ b/chivefollow/listeners_test.go
@@ -32,11 +32,7 @@
 
 func (nobody) Members() []chivemember.Member { return nil }
 
-// Symptom: a node that had just started answered a caller 401, for a key that its configuration holds; a caller does not come back after that.
-// Sequence: the node's readiness saw a version in force; a request came before the services that need the version, such as the one that knows the
-// keys, had been told of it.
-// Cause: a version was shown as in force first and told second. Evidence: with 0.3 s between the two, each of three starts of real processes
-// answered its first request so, without a token and an outcome, as the test of a planned stop had seen it once beside load.
+// Guards against a 401 for a valid key from a node that reports ready before its services have the configuration.
 func TestVersionIsInForceOnceAllAreTold(t *testing.T) {
 	base, err := os.ReadFile("testdata/base.yaml")
 	if err != nil {
--- a/chiveforward/budget_test.go
+++ b/chiveforward/budget_test.go
@@ -84,9 +84,7 @@
 	}
 }
 
-// Symptom: after all processes had been killed at once, the fleet's repeats in a window came to nearly twice the headroom.
-// Sequence: every node had spent its part, was killed, and its successor spent the part again.
-// Cause: a budget lives in memory. A process has no part of the headroom until it has lived for a window.
+// Guards against restarted nodes that spend their share of the retry budget a second time.
 func TestSuccessorHasNoHeadroomAtFirst(t *testing.T) {
 	start := time.Now()
 	b := chiveforward.NewBudget(start, chiveforward.BudgetLimits{Ratio: 0, Headroom: 100, Window: 10 * time.Second})
@@ -98,9 +96,7 @@
 	}
 }
 
-// Symptom: repeats overran the bound while the nodes could not hear each other.
-// Sequence: each node took the others for dead and the whole headroom for its own.
-// Cause: the headroom was divided by the nodes that answer; it is divided by the largest fleet known lately.
+// Guards against partitioned nodes that each take the whole retry budget.
 func TestBudgetRemembersTheFleet(t *testing.T) {
 	start := time.Now()
 	b := chiveforward.NewBudget(start, chiveforward.BudgetLimits{Ratio: 0, Headroom: 100, Window: 10 * time.Second})
--- a/chiveforward/quarantine_test.go
+++ b/chiveforward/quarantine_test.go
@@ -152,9 +152,7 @@
 	}
 }
 
-// Symptom: two engines ended under a request of which the third end was known.
-// Sequence: copies of it waited at engines that had not begun them when the third one ended.
-// Cause: only new tries were kept back. What waits is broken off, and its caller gets its answer at once.
+// Guards against engines ended by queued copies of a request that is quarantined by then.
 func TestCopyThatWaitsIsTakenBack(t *testing.T) {
 	slow := newEndpoint(t, func(net.Conn, *http.Request, string) { time.Sleep(time.Second) })
 	q := &quarantine{}
--- a/chiveforward/run_test.go
+++ b/chiveforward/run_test.go
@@ -43,9 +43,7 @@
 	}
 }
 
-// Symptom: a caller got the answer of another request.
-// Sequence: an endpoint sent a second, late answer on a kept connection; the next request on it took that for its own.
-// Cause: answers were matched by their order. They are matched by the identity that the endpoint echoes.
+// Guards against a late second answer on a reused connection that reaches another caller.
 func TestAnswerOfAnotherRequestIsNotPassedOn(t *testing.T) {
 	e := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) {
 		write(conn, "HTTP/1.1 200 OK\r\nId: 41\r\nContent-Length: 5\r\n\r\nwrong")
@@ -57,9 +55,7 @@
 	}
 }
 
-// Symptom: a request that may run once ran twice.
-// Sequence: the endpoint ran it and reset the connection before its answer; the request was sent again.
-// Cause: a byte had been written, so nothing but the endpoint's own word proves that it did not run.
+// Guards against resending a request that may run once after its endpoint has begun it.
 func TestRequestThatMayRunOnceIsNotSentAgain(t *testing.T) {
 	for name, breakOff := range map[string]func(net.Conn, *http.Request, string){
 		"reset":   func(conn net.Conn, _ *http.Request, _ string) { reset(conn) },
@@ -86,9 +82,7 @@
 	}
 }
 
-// Symptom: the budget of repeats was overrun though every repeat asked it first.
-// Sequence: kept connections had died; net/http sent each GET again on a new connection by itself.
-// Cause: net/http repeats what looks harmless. A connection's transport refuses a second dial, so that nothing repeats by itself.
+// Guards against retries by net/http that bypass the retry budget.
 func TestIdempotentRequestOnADeadConnectionAsksTheBudget(t *testing.T) {
 	first := true
 	e := newEndpoint(t, func(conn net.Conn, request *http.Request, body string) {
@@ -145,9 +139,7 @@
 	}
 }
 
-// Symptom: a request failed though another endpoint would have served it.
-// Sequence: an endpoint's address had passed to another process, which answered that it is not the one that was meant.
-// Cause: that answer proves that nothing ran, so the request goes on elsewhere, also when it may run only once.
+// Guards against failing a request because its endpoint's address now belongs to another process.
 func TestAddressOfAnotherEndpoint(t *testing.T) {
 	moved := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) {
 		write(conn, "HTTP/1.1 421 Moved\r\nContent-Length: 0\r\n\r\n")
@@ -200,9 +192,7 @@
 	return string([]byte{hex[len(text)/16], hex[len(text)%16]}) + "\r\n" + text + "\r\n"
 }
 
-// Symptom: a resumed stream would repeat or miss an event.
-// Sequence: an endpoint crashed in the middle of its third event; another one went on after the second.
-// Cause: only complete events are passed on, and the last one that went out names the place to go on from.
+// Guards against a resumed stream that repeats or misses an event.
 func TestStreamGoesOnElsewhere(t *testing.T) {
 	var order []string
 	answer := func(conn net.Conn, request *http.Request, _ string) {
@@ -241,10 +231,7 @@
 	}
 }
 
-// Symptom: a caller took a part of a stream for the whole.
-// Sequence: an endpoint sent a stream without a length and crashed inside an event; its system closed the connection in
-// order, which is how such a stream ends.
-// Cause: the end of a connection only ends a stream between two events.
+// Guards against a stream cut inside an event that passes for complete.
 func TestStreamWithoutLengthThatEndsInsideAnEvent(t *testing.T) {
 	e := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) {
 		write(conn, streamHead+"\r\nid: 1\ndata: a\n\nid: 2\nda")
@@ -257,9 +244,7 @@
 	}
 }
 
-// Symptom: requests hung until their deadline although a healthy endpoint was there.
-// Sequence: an endpoint took connections and requests and never answered.
-// Cause: an idempotent request without an answer is tried elsewhere while its time still allows it.
+// Guards against requests that hang at a silent endpoint while a healthy one is available.
 func TestSilentEndpoint(t *testing.T) {
 	silent := newEndpoint(t, func(net.Conn, *http.Request, string) { time.Sleep(3 * time.Second) })
 	good := newEndpoint(t, plain)
@@ -273,9 +258,7 @@
 	}
 }
 
-// Symptom: requests whose callers had long given up were sent to endpoints, with time left that was not there.
-// Sequence: the machine was suspended for seconds between two attempts of a request; the runtime's clock stood still meanwhile.
-// Cause: the time left was read from that clock alone. The clock that goes on during a suspension tells what it missed.
+// Guards against sending requests that expired while the machine was suspended.
 func TestSuspendedMachineDropsWhatItsCallersGaveUp(t *testing.T) {
 	var s *setup
 	bad := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) {
@@ -321,9 +304,7 @@
 	return c.caller.Write(data, flush)
 }
 
-// Symptom: all nodes passed over an engine that was as fast as the others.
-// Sequence: a caller read its stream slowly; the next event was looked at only after the caller had taken the one before.
-// Cause: the time between two events held the caller's part too. Only the wait for the endpoint counts.
+// Guards against ejecting an engine whose streams are slow only because of their callers.
 func TestSlowCallerDoesNotMakeTheEngineLookSlow(t *testing.T) {
 	e := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) {
 		write(conn, streamHead+"Transfer-Encoding: chunked\r\n\r\n"+chunk("id: 1\ndata: a\n\n")+chunk("id: 2\ndata: b\n\n")+chunk("id: 3\ndata: c\n\n")+"0\r\n\r\n")
--- a/chivegossip/curve_test.go
+++ b/chivegossip/curve_test.go
@@ -101,10 +101,7 @@
 	}
 }
 
-// Symptom (found while looking for the cause of a late configuration elsewhere in the code): what a reader of the store sends grows with
-// the fleet, until its link is full.
-// Sequence: many endpoints are new at once, as after an outage of the store; eight readers tell all other nodes.
-// Cause: only they told others. Now whoever has learnt something tells the next, so that each node serves a few.
+// Guards against readers of the store whose traffic grows with the fleet.
 func TestWordsOnEndpointsSpreadOverTheFleet(t *testing.T) {
 	sizes := []int{100}
 	if *whole {
--- a/chivegossip/document_test.go
+++ b/chivegossip/document_test.go
@@ -175,15 +175,7 @@
 	}
 }
 
-// Symptom: a configuration that the store had acknowledged was in force on most nodes only four to eight seconds later; requests were
-// handled by the version before it. Nodes failed their readiness checks, and called each other dead, for ten seconds.
-// Sequence: the configuration grew from 49 to 1,449 routes, 380 KB, and a second later one more change came. The eight nodes that read the
-// store told their children, and each sent the whole document to all of about 25 at once, over a link of 10 Mbit/s: 7.6 s.
-// Cause: a node that knew more sent all of it to whoever knew less, without regard to its size, to the link, or to the copies that were on
-// their way from others. Writes that took over 2.5 s were cut off and began anew, heartbeats waited behind documents, and nodes that took
-// the place of those called dead did the same.
-// Evidence: in the first second after the acknowledgement the eight sent 2.0 to 2.4 MB each and all other nodes together next to nothing;
-// from then on 0.8 to 1.4 MB a second, which is what the link carries; processors stood at 1 to 5%.
+// Guards against slow links saturated by many simultaneous copies of a large configuration.
 func TestLargeConfigurationIsInForceInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, fleet := newFleet(t, largeFleet, slowLink)
@@ -306,11 +298,7 @@
 	})
 }
 
-// Symptom: with many endpoints new at once, as after an outage of the store, links were full of changes of them (found while looking for the
-// cause of a late configuration elsewhere in the code).
-// Sequence: two readers told each node that they knew more, and the node asked both.
-// Cause: a question took no regard to the one that was open. Of 600 endpoints, 57 KB, 78 nodes received 8.6 MB, the last one after 0.7 s; with
-// one question at a time 4.5 MB, after 0.49 s.
+// Guards against receiving the same endpoint changes from two readers at once.
 func TestWordsOfManyEndpointsComeOnce(t *testing.T) {
 	const endpoints = 600
 	synctest.Test(t, func(t *testing.T) {
--- a/chivegossip/earlier_test.go
+++ b/chivegossip/earlier_test.go
@@ -39,11 +39,7 @@
 	}
 )
 
-// Symptom (found by a test of the messages): while nodes are upgraded one after the other, those of the release before keep their
-// configuration and their endpoints, and those of the new one do not hear of theirs.
-// Sequence: the nodes that read the store are upgraded first; a change comes.
-// Cause: a message with a field more cannot be decoded by the release before, and is passed over without notice. What both say to each
-// other keeps its form.
+// Guards against message fields that the previous release cannot decode during an upgrade.
 func TestNodesOfTwoReleasesTellEachOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		network, fleet := newFleet(t, 3, slowLink)
--- a/chivegossip/partners_test.go
+++ b/chivegossip/partners_test.go
@@ -12,9 +12,7 @@
 	"chivedrift/chivestand"
 )
 
-// Symptom: memory and processor time of a node grow with the fleet, though it has the same work.
-// Sequence: every 0.4 s a node compares itself with a peer drawn from all; connections are kept for half a minute.
-// Cause: nothing bounds how many peers a node has to do with.
+// Guards against a gossip load per node that grows with the fleet.
 func TestNodesCompareThemselvesWithFewPeers(t *testing.T) {
 	const (
 		size = 60
--- a/chivegossip/service_test.go
+++ b/chivegossip/service_test.go
@@ -163,10 +163,7 @@
 	}
 }
 
-// Symptom: nodes that do not read the store learnt of a change too late.
-// Sequence: a reader learnt it; the others would have met it in their comparisons with peers drawn at random.
-// Cause: what a reader learns is published at once to its children. With all readers knowing, every node does within
-// a round trip, long before the next comparison.
+// Guards against changes that reach nodes only with the next periodic comparison.
 func TestReadersPublishToTheirChildrenAtOnce(t *testing.T) {
 	nodes := newNodes(t, 20)
 	held := awaitHeld(t, nodes)
@@ -205,9 +202,7 @@
 	return nil
 }
 
-// Symptom: a configuration was in force only eight seconds after the store had it (kumihan-drift, mix seed 493898805675).
-// Sequence: the store answered the waiting reads of all nodes at once, and did not wake the next ones when more changes came.
-// Cause: all nodes waited for the same time from the same moment. Now one asks every 0.7 s, whatever ended the waits before.
+// Guards against changes missed for seconds because the store wakes all long polls at the same moment.
 func TestReadersDoNotWaitInStep(t *testing.T) {
 	nodes := newNodes(t, 6)
 	seen := make(map[time.Duration]bool)
--- a/chivegrant/fetch_test.go
+++ b/chivegrant/fetch_test.go
@@ -20,9 +20,7 @@
 	}}
 }
 
-// Symptom: in bursts an eighth of all prompt tokens that engines read had been read by another one within ten seconds.
-// Sequence: the group in which a shared part is at home has too much to do; the request goes to the part's second group.
-// Cause: the owner there knows what its own engines hold, and not what the first group's do; its engine read the part anew instead of fetching it.
+// Guards against computing a shared prefix again in a second group instead of fetching it from the first.
 func TestSecondGroupFetchesWhatTheFirstHolds(t *testing.T) {
 	const engines = 18
 	owners := []*node{startNode(t, chivestand.FreeAddress()), startNode(t, chivestand.FreeAddress())}
--- a/chivegrant/service_test.go
+++ b/chivegrant/service_test.go
@@ -104,9 +104,7 @@
 	return n.grant.Place(context.Background(), n.pool, request(own), nil)
 }
 
-// Symptom: requests of many nodes went to the same engine while others stood idle.
-// Sequence: two nodes, neither of which knew of the other's requests of the last moment, chose at once.
-// Cause: each decided by itself. The owner of the engines decides for both, and knows of each place before the next.
+// Guards against concurrent choices by several nodes that all pick the same engine.
 func TestOwnerKnowsOfEachPlaceAtOnce(t *testing.T) {
 	addresses := []string{chivestand.FreeAddress(), chivestand.FreeAddress()}
 	nodes := []*node{startNode(t, addresses[0]), startNode(t, addresses[1])}
@@ -137,10 +135,7 @@
 	}
 }
 
-// Symptom: requests waited for a node that did not answer.
-// Sequence: the owner's machine stood still; its connections stayed open.
-// Cause: nothing on a connection shows that. A question waits 40 ms, then the node decides alone and does not ask that
-// owner for two seconds.
+// Guards against requests delayed by an owner that does not answer.
 func TestSilentOwnerIsNotWaitedFor(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -162,9 +157,7 @@
 	}
 }
 
-// Symptom: a node refused all prompts for some seconds although the engines were there.
-// Sequence: it was cut off from the engines for a moment, and passed over all of them for up to four seconds.
-// Cause: it named all of them to the owner as engines that it would not send to. It decides alone then, and tries one.
+// Guards against refusing every prompt after a short partition from the engines.
 func TestNodeThatPassesOverAllEnginesDecidesAlone(t *testing.T) {
 	n := startNode(t, chivestand.FreeAddress())
 	n.know(t, 4, []string{n.mesh.Self()}, 20)
@@ -180,9 +173,7 @@
 	}
 }
 
-// Symptom: requests were refused for some tenths of a second after engines had come, by nodes that knew them.
-// Sequence: the owner of the engines had not divided them yet when it was asked.
-// Cause: its answer counted as a refusal. It says nothing of the engines' room, so the node decides alone.
+// Guards against refusals by an owner that has not received the engines yet.
 func TestOwnerThatDoesNotKnowTheEnginesYetRefusesNobody(t *testing.T) {
 	owner, n := startNode(t, chivestand.FreeAddress()), startNode(t, chivestand.FreeAddress())
 	owner.know(t, 0, []string{owner.mesh.Self()}, 20)
--- a/chivekernel/kernel_test.go
+++ b/chivekernel/kernel_test.go
@@ -59,7 +59,7 @@
 	}
 }
 
-// Symptom: a node that could not start leaves services running. Sequence: the second of three fails to start.
+// Guards against services left running by a node that failed to start.
 func TestFailedStartStopsWhatRuns(t *testing.T) {
 	var log []string
 	k := chivekernel.New()
--- a/chivemember/cold_start_test.go
+++ b/chivemember/cold_start_test.go
@@ -6,12 +6,7 @@
 	"time"
 )
 
-// Symptom: after a loss of power nodes of a fleet of hundreds answer late or not at all for two seconds, although each has read
-// the configuration and the endpoints 0.1 s after its start.
-// Sequence: all start within 0.3 s and greet the three seeds; each greeting is passed on to eight others one by one, and each of a
-// node's three greetings is answered with the whole view.
-// Cause: what a node receives for the start of n others is n messages from each of its eight neighbours and n changes of
-// its view, each of which places all members anew and wakes all that follow the view: processor time that requests need.
+// Guards against a cold start whose membership traffic grows with the square of the fleet.
 func TestColdStartOfALargeFleet(t *testing.T) {
 	const (
 		size = 300
--- a/chivemember/view_test.go
+++ b/chivemember/view_test.go
@@ -191,8 +191,7 @@
 	return limit
 }
 
-// Symptom: healthy members are declared dead. Sequence: an hour with 5% of the messages lost and every node paused for
-// 500 ms now and then. Cause: silence on one way, or one's own pause, was taken for death.
+// Guards against healthy members declared dead because of packet loss or pauses.
 func TestNoFalseDeathInAnHourOfLossAndPauses(t *testing.T) {
 	f := newFleet(24, 1)
 	f.run(10*time.Second, nil)
@@ -208,7 +207,7 @@
 	}
 }
 
-// Symptom: a dead node stays in use. Sequence: one node goes silent. Goal: out of every view within 3 s.
+// Guards against a dead node that stays in use for more than three seconds.
 func TestDeadNodeIsOutOfUseWithinThreeSeconds(t *testing.T) {
 	for _, size := range []int{8, 64} {
 		worst := time.Duration(0)
@@ -225,9 +224,7 @@
 	}
 }
 
-// Symptom: after a cut, nodes route to the lost side for minutes, or the sides never meet again. Sequence: a region of
-// half the fleet is cut off for a minute, or one node alone; then the cut heals. Cause: a node that watches four
-// members finds four deaths a round.
+// Guards against routing to a partitioned region for minutes, and partitions that never heal.
 func TestRegionCutIsSeenAndHealed(t *testing.T) {
 	const size = 64
 	for name, cut := range map[string]int{"half": size / 2, "one node": 1} {
--- a/chivenode/chaos_test.go
+++ b/chivenode/chaos_test.go
@@ -43,9 +43,7 @@
 	callerWaits  = 12 * time.Second
 )
 
-// Symptom: a request that was said not to have run had run, a key ran twice, or a text was wrong. Sequence: kills,
-// freezes, cuts, silent connections, crashes and outages of the log and lost answers, drawn at random, together and
-// one after the other, while callers retry through several nodes. Cause: any gap between what is done and what is said.
+// Guards against any gap between what is done and what callers are told, under randomly mixed faults.
 func TestNoFalseWordUnderMixedFaults(t *testing.T) {
 	sum := make(map[string]int)
 	for seed := range *chaosSeeds {
--- a/chivenode/fleet_test.go
+++ b/chivenode/fleet_test.go
@@ -81,8 +81,7 @@
 
 // ---------------------------------------------------------------- schedulers
 
-// Symptom: streams break or new requests wait when a scheduler dies. Sequence: the scheduler's VM is killed, or goes
-// silent, while streams run and new requests come. Cause: the scheduler stood in the data path, or nobody took over.
+// Guards against streams or new requests that depend on a scheduler that has died.
 func TestLossOfASchedulerTouchesNoStream(t *testing.T) {
 	for _, silent := range []bool{false, true} {
 		t.Run(fmt.Sprint("silent ", silent), func(t *testing.T) {
@@ -115,8 +114,7 @@
 	}
 }
 
-// Symptom: requests that waited in a lost scheduler's queue are lost. Sequence: the only slots are taken, requests
-// queue, the scheduler's VM goes silent. Cause: the queue lived in one place.
+// Guards against queued requests lost with their scheduler.
 func TestQueuedRequestsSurviveTheirScheduler(t *testing.T) {
 	inCluster(t, shape{nodes: 4, engines: 1, sequences: 1}, func(c *cluster) {
 		scheduler := c.schedulerOf()
@@ -136,8 +134,7 @@
 	})
 }
 
-// Symptom: a lost failure domain takes more than its share. Sequence: the nodes, engines and services of domain a go
-// silent at once in the middle of streams. Cause: streams were not resumed, or shards lay in one domain.
+// Guards against a lost failure domain that affects requests outside it.
 func TestLossOfAFailureDomain(t *testing.T) {
 	inCluster(t, shape{nodes: 6, engines: 6, sequences: 4}, func(c *cluster) {
 		results := make(chan reply, 8)
@@ -207,8 +204,7 @@
 	return func() { cancel(); watching.Wait() }
 }
 
-// Symptom: two operators both believe that their change runs. Sequence: two or ten publish from the same version at
-// once. Cause: the last writer won, or nodes decided each for itself.
+// Guards against concurrent publishes from the same version that both succeed.
 func TestRacingOperatorsHaveOneWinner(t *testing.T) {
 	for _, operators := range []int{2, 10} {
 		inCluster(t, shape{nodes: 8, engines: 1, sequences: 4}, func(c *cluster) {
@@ -229,9 +225,7 @@
 	}
 }
 
-// Symptom: a change is lost or reverts around an outage. Sequence: the log is down before, during and after a publish,
-// for longer than it keeps records, while a node starts and another is frozen for an hour. Cause: a node without the
-// log had nothing to start from, or an old record came back as news.
+// Guards against a change that is lost or reverted around an outage of the log.
 func TestConfigurationThroughAnOutageOfTheLog(t *testing.T) {
 	inCluster(t, shape{nodes: 5, engines: 1, sequences: 4}, func(c *cluster) {
 		defer c.watchVersions(context.Background())()
@@ -266,8 +260,7 @@
 	c.await(30*time.Second, "a configuration from a peer", func() bool { return c.inForce(i) != nil })
 }
 
-// Symptom: one release's record stops an older node. Sequence: a record that the node cannot read comes, then a good
-// one. Cause: the reader stopped, or dropped what it had.
+// Guards against an older node stopped by a record of a newer release.
 func TestRecordThatCannotBeRead(t *testing.T) {
 	inCluster(t, shape{nodes: 3, engines: 1, sequences: 4}, func(c *cluster) {
 		c.log.Append(chiveconfig.Stream, []byte("not a record"))
@@ -286,8 +279,7 @@
 	})
 }
 
-// Symptom: after a partition heals the sides disagree. Sequence: domain a is cut from the others and from the log, a
-// change is published, the cut heals. Cause: nobody speaks first, or an old version comes back.
+// Guards against sides that disagree after a partition has healed.
 func TestPartitionHeals(t *testing.T) {
 	inCluster(t, shape{nodes: 6, engines: 2, sequences: 4}, func(c *cluster) {
 		defer c.watchVersions(context.Background())()
@@ -312,9 +304,7 @@
 	})
 }
 
-// Symptom: a region that is cut off stops, or comes back with an old configuration. Sequence: two regions lose each other
-// for ten minutes, the log is on one side, a change is published there, the cut heals. Cause: a region needed the other
-// one's scheduler, or the side without the log judged by itself.
+// Guards against a partitioned region that stops serving or returns with an old configuration.
 func TestRegionsLoseEachOther(t *testing.T) {
 	inCluster(t, shape{nodes: 6, engines: 4, sequences: 4, regions: 2}, func(c *cluster) {
 		defer c.watchVersions(context.Background())()
@@ -349,8 +339,7 @@
 	})
 }
 
-// Symptom: replacing nodes loses the configuration. Sequence: every node is replaced one by one, then all at once.
-// Cause: what lasts lived on a node.
+// Guards against a configuration lost when every node is replaced.
 func TestEveryNodeIsReplaced(t *testing.T) {
 	inCluster(t, shape{nodes: 4, engines: 1, sequences: 4}, func(c *cluster) {
 		c.append(c.record("second", 1, "second"))
@@ -377,8 +366,7 @@
 
 // ---------------------------------------------------------------- leaving
 
-// Symptom: an endpoint that is leaving gets new work. Sequence: an engine and a service start to leave while the
-// platform's list lags 30 s. Cause: only the list was believed, or each node learnt for itself.
+// Guards against new work for a leaving endpoint while the platform's list lags.
 func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
 	inCluster(t, shape{nodes: 4, engines: 3, sequences: 4}, func(c *cluster) {
 		c.log.SetFaults(chivestand.LogFaults{VMListLagMs: 30_000})
@@ -405,8 +393,7 @@
 	})
 }
 
-// Symptom: a planned stop interrupts requests. Sequence: a node with streams of a minute, that schedules the shard,
-// stops while others send. Cause: it closed before it was done, or its shard had no scheduler meanwhile.
+// Guards against requests interrupted by a planned stop.
 func TestPlannedStopInterruptsNothing(t *testing.T) {
 	inCluster(t, shape{nodes: 4, engines: 2, sequences: 16}, func(c *cluster) {
 		stopping := c.schedulerOf()
--- a/chivenode/held_test.go
+++ b/chivenode/held_test.go
@@ -64,9 +64,7 @@
 	time.AfterFunc(2*time.Second, func() { d.start(i) })
 }
 
-// Symptom: a request of the own interface ended six engines with each try, and again with the next.
-// Sequence: each try has six attempts; its caller sends it every half second, at any node.
-// Cause: what a node knew of a request ended with its try.
+// Guards against engines that crash again with each retry of the same request.
 func TestRequestThatEndsEnginesIsKeptFromThem(t *testing.T) {
 	const (
 		knownWithin = 3 * time.Second
--- a/chivenode/limit_test.go
+++ b/chivenode/limit_test.go
@@ -10,8 +10,7 @@
 	"chivedrift/chivegate"
 )
 
-// Symptom: a team gets its limit once a node. Sequence: a team with a limit sends through every node at once, and its
-// limit's owner is lost half-way. Cause: each node counted for itself.
+// Guards against a team limit that applies per node instead of over the fleet.
 func TestTeamLimitHoldsOverTheFleet(t *testing.T) {
 	inCluster(t, shape{nodes: 6, engines: 4, sequences: 16}, func(c *cluster) {
 		const limit, perRequest = 200, 20
--- a/chivenode/order_test.go
+++ b/chivenode/order_test.go
@@ -39,8 +39,7 @@
 	return n
 }
 
-// Symptom: an engine is told to load a version twice, an old one after a new one, or all at once. Sequence: a version is
-// published, the lease's holder is lost half-way, another version follows. Cause: two orderers, or no spacing.
+// Guards against orders to load a version that are repeated, reordered or given to all engines at once.
 func TestOrdersAreGivenOnceInOrderAndSpaced(t *testing.T) {
 	inCluster(t, shape{nodes: 4, engines: 3, sequences: 4}, func(c *cluster) {
 		c.engines[0].CheckFencing()
@@ -66,7 +65,7 @@
 	})
 }
 
-// Symptom: adapters are missing after a new version, or a role is given before there is something to play it with.
+// Guards against a new version without its adapters, or a role that is assigned before them.
 func TestAdaptersAndRoleFollowTheVersion(t *testing.T) {
 	inCluster(t, shape{nodes: 3, engines: 1, sequences: 4}, func(c *cluster) {
 		publish := func(parent int64, version string) {
@@ -112,8 +111,7 @@
 	return conn, err
 }
 
-// Symptom: an engine that ignores fencing numbers carries out an order of a holder whose lease has lapsed. Sequence: the
-// holder checks its lease, is paused for longer than the lease, and goes on. Cause: the check was made too early.
+// Guards against an order sent by a holder whose lease lapsed during a pause.
 func TestPausedHolderSendsNoOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		network := chivestand.NewNetwork()
--- a/chivenode/outcome_test.go
+++ b/chivenode/outcome_test.go
@@ -13,8 +13,7 @@
 	"chivedrift/chivestand"
 )
 
-// Symptom: a caller's text misses a token, repeats one or ends early. Sequence: an engine dies while it answers, at
-// each point of the answer, one engine or two in turn. Cause: the broken stream was passed on, or began again.
+// Guards against a resumed stream that repeats or misses a token.
 func TestBrokenStreamIsResumedWithoutARepeatedOrMissingToken(t *testing.T) {
 	faults := map[string]chivestand.EngineFaults{
 		"before headers":     {CrashBefore: chivestand.CrashBeforeHeaders},
@@ -45,7 +44,7 @@
 	}
 }
 
-// Symptom: a whole answer is cut or doubled. Sequence: as above, for a caller that does not stream.
+// Guards against a resumed whole answer that is truncated or doubled.
 func TestBrokenWholeAnswerIsCompletedElsewhere(t *testing.T) {
 	inCluster(t, shape{nodes: 2, engines: 2, sequences: 4}, func(c *cluster) {
 		c.engines[0].SetFaults(chivestand.EngineFaults{CrashAfterTokens: 7, Times: 1})
@@ -57,8 +56,7 @@
 	})
 }
 
-// Symptom: a request hangs although new connections work. Sequence: every open connection of a hop goes silent, idle or
-// in mid-stream. Cause: something between the two ends has lost track of the connection, and TCP does not tell.
+// Guards against requests that hang on a connection that has gone silent.
 func TestSilentConnectionsAtEveryHop(t *testing.T) {
 	hops := map[string]func(from, to string) bool{
 		"node to engine": func(from, to string) bool { return strings.HasPrefix(from, "10.2.") || strings.HasPrefix(to, "10.2.") },
@@ -110,8 +108,7 @@
 	}
 }
 
-// Symptom: engines work for callers that have gone. Sequence: a caller closes its connection in mid-stream. Cause: the
-// call to the engine was not cancelled.
+// Guards against engines that go on generating for callers that have disconnected.
 func TestEngineStopsWhenTheCallerGoesAway(t *testing.T) {
 	inCluster(t, shape{nodes: 2, engines: 1, sequences: 4}, func(c *cluster) {
 		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
@@ -124,8 +121,7 @@
 	})
 }
 
-// Symptom: a confirmation books twice, or a booking is denied that took place. Sequence: the service dies before or after
-// it has run a request that may not be repeated, refuses it, or cannot be reached. Cause: a retry, or a guess.
+// Guards against a non-repeatable request that runs twice, or is reported as not run although it ran.
 func TestRequestThatMayNotBeRepeatedRunsAtMostOnce(t *testing.T) {
 	cases := []struct {
 		name    string
@@ -177,9 +173,7 @@
 	return total
 }
 
-// Symptom: one keyed request, two executions, without any retry of ours. Sequence: an idle connection to the service
-// has died; the next request goes out on it, the service runs it and the connection breaks before the answer. Cause:
-// net/http repeats a request with an Idempotency-Key header, or without a body, on a new connection by itself.
+// Guards against retries by net/http of requests that may run once.
 func TestNetHTTPRepeatsNothingByItself(t *testing.T) {
 	for _, body := range []string{"", "x"} {
 		for _, key := range []string{"", "k"} {
@@ -202,8 +196,7 @@
 	}
 }
 
-// Symptom: a keyed request through two nodes at once runs twice, or the loser is told a lie. Sequence: the first
-// gateway is lost or the answer takes long; the caller asks two other nodes at the same time. Cause: memory of one node.
+// Guards against a keyed request that runs twice when sent through several nodes.
 func TestKeyedRequestThroughManyNodesRunsOnce(t *testing.T) {
 	inCluster(t, shape{nodes: 5, engines: 1, sequences: 4}, func(c *cluster) {
 		for _, s := range c.services {
@@ -229,8 +222,7 @@
 	})
 }
 
-// Symptom: long answers are paid for twice. Sequence: answers break after 100 of their 200 tokens, once or more often.
-// Started over they would cost what had been computed again; resumed, only what was under way is lost.
+// Guards against resuming an answer from its beginning.
 func TestResumeWastesFewTokens(t *testing.T) {
 	inCluster(t, shape{nodes: 2, engines: 3, sequences: 4}, func(c *cluster) {
 		const rounds, healthy, tokens, broken = 10, 6, 200, 60
@@ -270,9 +262,7 @@
 	})
 }
 
-// Symptom: answers with tools fail after a while, each time, and every try costs an engine the whole answer. Sequence: an
-// answer that goes through whole takes longer than the class's stall time. Cause: silence is no sign of a stall there,
-// since the engine sends nothing until it is done.
+// Guards against treating a long answer without streaming as a stall.
 func TestLongWholeAnswerIsNoStall(t *testing.T) {
 	inCluster(t, shape{nodes: 2, engines: 2, sequences: 4}, func(c *cluster) {
 		body := `{"model":"m","logprobs":true,"messages":[{"role":"user","content":"whole tokens=300"}]}`
@@ -284,9 +274,7 @@
 	})
 }
 
-// Symptom: after a few failures a class without a retry budget is refused although a healthy replica stands beside the
-// dead one. Sequence: one of two services cannot be reached for a minute. Cause: tries that reached nobody were paid for
-// from the budget that bounds repeated work.
+// Guards against a retry budget spent on attempts that reached no endpoint.
 func TestTriesThatReachNobodyCostNoBudget(t *testing.T) {
 	inCluster(t, shape{nodes: 1, engines: 1, sequences: 4}, func(c *cluster) {
 		c.lose(serviceAddress(0))
--- a/chivenode/preempt_test.go
+++ b/chivenode/preempt_test.go
@@ -8,8 +8,7 @@
 	"chivedrift/chivegate"
 )
 
-// Symptom: an urgent request waits behind long background answers, or the answer that made room for it is damaged.
-// Sequence: every slot runs a long answer, a nudge comes. Cause: nobody gives a slot back, or what was produced is lost.
+// Guards against an urgent request that waits behind background answers, or damages the one it preempts.
 func TestUrgentRequestTakesASlotAndTheVictimLosesNoToken(t *testing.T) {
 	inCluster(t, shape{nodes: 3, engines: 1, sequences: 2}, func(c *cluster) {
 		results := make(chan reply, 2)
@@ -40,8 +39,7 @@
 	})
 }
 
-// Symptom: a dossier is interrupted for a nudge's sake, although it is never to give way to lower work and need not to
-// higher. Sequence: every slot runs a dossier, a nudge comes. The nudge waits for a slot to be free, or is refused.
+// Guards against preempting an answer that is protected from preemption.
 func TestProtectedAnswerIsNeverPreempted(t *testing.T) {
 	inCluster(t, shape{nodes: 3, engines: 1, sequences: 2}, func(c *cluster) {
 		results := make(chan reply, 2)
--- a/chivenode/sender_test.go
+++ b/chivenode/sender_test.go
@@ -23,8 +23,7 @@
 	return string(data), time.Since(started)
 }
 
-// Symptom: a caller that dribbles holds a place for ever, or sends more than it said and the rest runs as a request.
-// Sequence: half a header, half a body, a body longer than declared. Cause: sizes and times were not bounded.
+// Guards against slow or oversized senders that hold connections or smuggle a second request.
 func TestSlowAndLyingSendersAreCutOff(t *testing.T) {
 	const head = "POST /v1/chat/completions HTTP/1.1\r\nHost: n\r\nAuthorization: Bearer " + testKey + "\r\nContent-Length: %d\r\n\r\n%s"
 	inCluster(t, shape{nodes: 1, engines: 1, sequences: 4}, func(c *cluster) {
--- a/chiveorder/lease_test.go
+++ b/chiveorder/lease_test.go
@@ -7,8 +7,7 @@
 	"chivedrift/chiveorder"
 )
 
-// Symptom: two holders order one group. Sequence: a second node asks while the first still holds, then after its term.
-// Cause: a record took effect without a look at the term of the last one.
+// Guards against two holders of one lease.
 func TestLeaseIsTakenOnlyAfterTheLastTerm(t *testing.T) {
 	leases := chiveorder.NewLeases()
 	start := time.Unix(1000, 0)
--- a/chiveplace/admit_test.go
+++ b/chiveplace/admit_test.go
@@ -32,9 +32,7 @@
 	return 0, nil
 }
 
-// Symptom: under lasting overload the most urgent requests were hardly served, and engines read prompts whose callers had left.
-// Sequence: more came than the engines could read; everything waited behind everything; waits outgrew the callers' time.
-// Cause: nothing was refused before the slots were full. Each rank is refused from a wait on, the lower the sooner.
+// Guards against overload in which the most urgent requests wait behind all others.
 func TestLowerRanksAreRefusedSooner(t *testing.T) {
 	p := newPool(2, engine)
 	low, refused := admitted(t, p, 0, 2)
@@ -48,9 +46,7 @@
 	}
 }
 
-// Symptom: callers that were refused in one moment came back in one, and were refused again.
-// Sequence: a burst met a queue; all were told the same time to come back, at which the queue had just gone.
-// Cause: the time to come back was the queue's alone. It is spread over half of itself.
+// Guards against refused callers that all return at the same moment.
 func TestRefusedCallersDoNotReturnAsOne(t *testing.T) {
 	p := newPool(2, engine)
 	admitted(t, p, 0, 2)
--- a/chiveplace/demand_test.go
+++ b/chiveplace/demand_test.go
@@ -37,9 +37,7 @@
 	return take(t, p, now, prompt).Endpoint().ID
 }
 
-// Symptom: in bursts a sixth of all prompt tokens was read although another engine held them, and everything waited for it.
-// Sequence: the engine with a shared part had a queue; requests went to others, which read the part again, and so got queues too.
-// Cause: a token that is read again cost the same at any load. It costs the time that it takes from those who come meanwhile.
+// Guards against computing cached prompt tokens again on another engine under load.
 func TestReadingAgainCostsMoreUnderLoad(t *testing.T) {
 	if calm := chosenBeside(t, 0); calm == "e0" {
 		t.Error("in calm a request waited behind a queue, though an idle engine could have read its part in time")
--- a/chiveplace/fetch_test.go
+++ b/chiveplace/fetch_test.go
@@ -22,9 +22,7 @@
 	p.Hear(now, "other", &chiveplace.Report{Loads: []chiveplace.Load{{Endpoint: endpoint, Requests: 9, Waiting: []int64{90_000}}}})
 }
 
-// Symptom: in bursts engines read again what another one held, and all that came meanwhile waited for it.
-// Sequence: the engine with a shared part had a queue, so a request went to another one, which read the part anew.
-// Cause: engines can fetch parts from each other in a fraction of the time of reading them, and nobody told them to.
+// Guards against computing a shared prefix again instead of fetching it from the engine that has it.
 func TestPartsAreFetchedFromTheEngineThatReadThem(t *testing.T) {
 	p := addressed()
 	now := time.Now()
--- a/chiveplace/forecast_test.go
+++ b/chiveplace/forecast_test.go
@@ -27,9 +27,7 @@
 	return 50
 }
 
-// Symptom: engines that read slowly got more than they could read in time, and fast ones less.
-// Sequence: a request's wait was predicted from one rate, learnt from whole waits in which others' tokens had partly been read.
-// Cause: what a request reads itself and what waits before it take different times. Both are learnt from every first event.
+// Guards against predicting every engine's prefill time from one rate.
 func TestForecastFollowsTheEngines(t *testing.T) {
 	slow, fast := refusedAfter(t, 10), refusedAfter(t, 100)
 	if slow >= fast {
@@ -37,9 +35,7 @@
 	}
 }
 
-// Symptom (found by reading): after a node's machine had stood still for some seconds it refused what engines could have served.
-// Sequence: the first events of all requests under way were seen seconds late, in one moment.
-// Cause: least squares follow a few answers that are far off. One counts for no more than twice its prediction.
+// Guards against refusals after a pause whose delayed measurements distorted the forecast.
 func TestForecastBearsAMachineThatStoodStill(t *testing.T) {
 	p := newPool(1, engine)
 	now := time.Now()
--- a/chiveplace/grant_test.go
+++ b/chiveplace/grant_test.go
@@ -27,10 +27,7 @@
 	return g
 }
 
-// Symptom: requests that arrived at many nodes in the same tenth of a second went to one engine.
-// Sequence: each node chose by what it had last heard of the others.
-// Cause: nobody knew of the choices that were just being made. An owner counts a place at once, before its node tells of it, and
-// not twice when it does.
+// Guards against simultaneous requests of many nodes that all go to one engine.
 func TestGrantCountsAtOnceAndOnce(t *testing.T) {
 	p := newPool(2, engine)
 	now := time.Now()
@@ -47,9 +44,7 @@
 	}
 }
 
-// Symptom: an engine stood idle because an owner thought it full.
-// Sequence: nodes asked for places, and died or decided alone before the answer arrived.
-// Cause: nobody ever tells that such places are not used. They count for a second, or until their node is known to be dead.
+// Guards against an engine that stays idle because unused grants still count.
 func TestGrantsThatAreNotUsedRunOut(t *testing.T) {
 	p := newPool(1, engine)
 	now := time.Now()
--- a/chiveplace/pause_test.go
+++ b/chiveplace/pause_test.go
@@ -30,9 +30,7 @@
 	return count
 }
 
-// Symptom: engines that had turned slow went on getting streams, all of which were late by their pauses.
-// Sequence: an engine's steps took seven times as long; it answered every health check and every first event in time.
-// Cause: only times to first events were looked at. The pauses of the streams that run there show it, also to the other nodes.
+// Guards against new streams for an engine whose streams have become slow.
 func TestEngineWhoseStreamsPauseIsPassedOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		seeing, hearing := newPool(3, engine), newPool(3, engine)
--- a/chiveplace/pool_test.go
+++ b/chiveplace/pool_test.go
@@ -54,9 +54,7 @@
 	return place
 }
 
-// Symptom: the same shared part was read on engine after engine.
-// Sequence: its engine had a little more to do than the others, so the next request with the part went elsewhere.
-// Cause: the tokens that wait and the tokens that are read again counted alike.
+// Guards against spreading a shared prefix over engine after engine.
 func TestSharedPartStaysWhereItIsHeld(t *testing.T) {
 	p := newPool(9, engine)
 	now := time.Now()
@@ -84,9 +82,7 @@
 	}
 }
 
-// Symptom: streams with tight pauses came late on engines that read long prompts.
-// Sequence: the engine read a chunk of a long prompt between two tokens of the stream, several times for one event.
-// Cause: the choice saw only how soon the first event would come, not what runs beside it.
+// Guards against latency-sensitive streams on engines that process long prompts.
 func TestTightStreamKeepsAwayFromLongReads(t *testing.T) {
 	p := newPool(4, engine)
 	now := time.Now()
@@ -162,9 +158,7 @@
 	take(t, p, now, nil)
 }
 
-// Symptom: a node sent prompts with one shared part to engine after engine, for as long as it lived.
-// Sequence: at its start the endpoints came a moment before the routing table, which tells how much memory an engine has.
-// Cause: what an engine is believed to hold was bounded by its memory as known when the endpoint came: none.
+// Guards against a cache model that stays empty because the endpoint was known before its memory size.
 func TestEnginesKnownBeforeTheirMemory(t *testing.T) {
 	p := newPool(5, chivetable.Engine{})
 	p.SetEngine(engine)
@@ -176,10 +170,7 @@
 	}
 }
 
-// Symptom: an engine that had crashed got the prompts that it had held before, and stayed passed over for the failures of its former process;
-// or it seemed full of requests that had ended with it.
-// Sequence: it started again under its id.
-// Cause: all that is believed of an engine hung on its id. It hangs on the start of its process, also what other nodes tell of it.
+// Guards against cache contents, failures or load of a former process attributed to a restarted engine.
 func TestNothingIsBelievedOfAnEnginesFormerProcess(t *testing.T) {
 	now := time.Now()
 	p := chiveplace.NewPool("a")
--- a/chiveplace/tight_test.go
+++ b/chiveplace/tight_test.go
@@ -7,10 +7,7 @@
 	"chivedrift/chiveplace"
 )
 
-// Symptom: under bursts of long drafts a fifth of them was refused, although the engines were half idle.
-// Sequence: short streams with tight pauses ran on nearly all engines, a few on each; long reads kept away from every engine with
-// such a stream, and queued on the few without.
-// Cause: nothing kept the tight streams together. The first one on an engine costs something, those that join it nothing.
+// Guards against latency-sensitive streams spread so widely that no engine is left for long prompts.
 func TestTightStreamsKeepTogether(t *testing.T) {
 	p := newPool(6, engine)
 	now := time.Now()
--- a/chivequarantine/register_test.go
+++ b/chivequarantine/register_test.go
@@ -75,10 +75,7 @@
 	h.expect(true, "deadly")
 }
 
-// Symptom: seventeen sound requests had lost three or four engines each, as many as it takes to be held back.
-// Sequence: one request ended sixteen engines in a row; those beside it were sent to the next engine, where it came too.
-// Cause: the number of ends alone tells the request from those beside it only while few engines have ended. One request that explains all of
-// them leaves nothing against the others.
+// Guards against quarantining sound requests that ran beside the one that crashes engines.
 func TestRequestsBesideAreNotHeld(t *testing.T) {
 	h := newHistory(t)
 	random := rand.New(rand.NewPCG(1, 2))
@@ -116,9 +113,7 @@
 	}
 }
 
-// Symptom: a caller that polls one path gets nothing for the time of a hold.
-// Sequence: a failure domain loses power; its engines end in one moment, and copies of the caller's request are on three of them.
-// Cause: three ends by one cause are one end.
+// Guards against quarantining a request because one power loss took several of its engines.
 func TestLossOfADomainIsOneEnd(t *testing.T) {
 	h := newHistory(t)
 	for range 5 {
@@ -234,10 +229,7 @@
 	}
 }
 
-// Symptom: nodes sent each other megabytes of reports, and more with each minute.
-// Sequence: a node stood still for seconds and passed old reports on when it woke; to the others the ends in them looked younger, so that they
-// took them for new ones and passed them on in their turn.
-// Cause: reports were told apart by their times.
+// Guards against crash reports that circulate forever after a node has paused.
 func TestReportThatWasLongUnderWayIsNotNew(t *testing.T) {
 	h := newHistory(t)
 	e := chivequarantine.Crash{Content: "a", Endpoint: "e", FailureDomain: "z", Reporter: "10.0.0.2:1", Number: 5, At: h.now}
--- a/chivequarantine/service_test.go
+++ b/chivequarantine/service_test.go
@@ -135,9 +135,7 @@
 	}
 }
 
-// Symptom: engines go on ending at nodes that did not hear of the request.
-// Sequence: the nodes of a failure domain are cut off while the request ends engines elsewhere; later they are back.
-// Cause: what was sent while they were cut off is lost. Nodes compare what they know.
+// Guards against engines that crash at nodes partitioned while a request was quarantined.
 func TestNodesThatWereCutOffLearnInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 30)
@@ -177,9 +175,7 @@
 	})
 }
 
-// Symptom: once a hold is over, as many engines end as there are nodes.
-// Sequence: the caller comes back at every node; each sees that the hold is over and sends the request once.
-// Cause: each node decided alone when to try. One of them spaces the tries of all.
+// Guards against a trial by every node at once when a quarantine ends.
 func TestTrialsAreSpacedOverTheFleet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 8)
@@ -234,11 +230,7 @@
 	})
 }
 
-// Symptom: all callers of one request were refused for seconds; their request was sound.
-// Sequence: many callers send the same request, one that is answered all the time. Another one ends the engines on which copies of it run; the node that
-// had sent that one dies before it can tell. Three ends later nothing but the sound request was known to have been on all of them.
-// Cause: an answer spoke only against ends of before. While it is held back it gets none, so that it stays so.
-// Evidence: the soak's seed 102, twice in 24 plays; the last lines of all nodes there hold both requests back.
+// Guards against quarantining a request that is answered all the time.
 func TestRequestThatIsAnsweredAllTheTimeIsNotHeld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 5)
@@ -257,10 +249,7 @@
 	})
 }
 
-// Symptom: nodes told each other of one answer for ever, tens of messages a second each.
-// Sequence: a report is under way for some milliseconds, so that what it tells of looks younger to its receiver; that took it for new and passed it
-// on, also to its sender, which did the same.
-// Cause: reports were told apart by their times.
+// Guards against reports of an answer that circulate forever.
 func TestReportsComeToRest(t *testing.T) {
 	const bytesPerSecond = 50_000
 	synctest.Test(t, func(t *testing.T) {
@@ -278,10 +267,7 @@
 	})
 }
 
-// Symptom: links of a large fleet are full of reports just when a part of its engines has crashed.
-// Sequence: many engines crash for a reason of their own; each had a dozen requests, of which each is reported, by each node to all its partners.
-// Cause: a single end under a request says nothing yet, and was told to all. It goes to the two nodes that collect the request's ends; all hear of a
-// request once there are two.
+// Guards against links saturated by reports when many engines crash at once.
 func TestManyCrashesCostLittle(t *testing.T) {
 	const engines, requests, mostBytes = 40, 12, 32 << 10
 	synctest.Test(t, func(t *testing.T) {
--- a/chivereport/report_test.go
+++ b/chivereport/report_test.go
@@ -63,9 +63,7 @@
 	}
 }
 
-// Symptom: requests of a node that had died were missing from the losses.
-// Sequence: the node died with requests under way and began anew; its log goes on with the line of the start.
-// Cause: such requests have no line of their end. Those that are open when their process begins anew were lost with it.
+// Guards against losses that omit the open requests of a node that died.
 func TestRequestsOfADeadNodeAreCounted(t *testing.T) {
 	r := chivereport.New(time.Second)
 	log := `n1 {"time":"2026-01-01T00:00:00Z","event":505,"request":"a","route":"x"}
--- a/chiveroute/placement_test.go
+++ b/chiveroute/placement_test.go
@@ -55,7 +55,7 @@
 	})
 }
 
-// Symptom: the loss of one node moves the work of many. Cause: keys were placed by counting through a list.
+// Guards against the loss of one node that moves most keys.
 func TestLossOfANodeMovesFewKeys(t *testing.T) {
 	fleet, list := members(330), keys(80)
 	before := chiveroute.NewPlacement(list, fleet)
--- a/chiveschedule/invariant_test.go
+++ b/chiveschedule/invariant_test.go
@@ -210,9 +210,7 @@
 func (i *plainItem) Due() time.Time                        { return i.due }
 func (i *plainItem) Cost() int64                           { return 100 }
 
-// Symptom: background work waited for ever. Sequence: urgent work keeps arriving faster than it is served. Cause: a
-// strict order of tiers gives the lowest class nothing. The bound: a class with a guaranteed share waits no longer
-// than that share takes to serve what is before it in its class, here one item of a 100th: 100 grants.
+// Guards against starvation of a class with a guaranteed share: it waits for at most 100 grants per 1% of the share.
 func TestEveryClassIsServedWithinItsBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		share := rapid.Float64Range(0.01, 0.3).Draw(t, "share")
@@ -239,8 +237,7 @@
 	})
 }
 
-// Symptom: a full queue dropped a dossier so that a cheap request found room. Sequence: the queue fills with low work, a
-// dossier arrives, then more urgent work. Cause: the victim was chosen without a look at its class.
+// Guards against a full queue that sheds protected work before low work.
 func TestFullQueueShedsLowWorkAndNeverADossier(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
--- a/chivetable/rank_test.go
+++ b/chivetable/rank_test.go
@@ -28,10 +28,7 @@
 	return table
 }
 
-// Symptom: the middle route's requests got nothing while large ones of the least urgent route began.
-// Sequence: some teams had a better tier than the others, and overload; the large requests of the better teams went before the
-// urgent ones of all others.
-// Cause: teams were compared before routes. Routes go first; teams decide between requests of routes of one tier.
+// Guards against large requests of better-ranked teams served before urgent requests of all others.
 func TestRoutesGoBeforeTeams(t *testing.T) {
 	table := rankTable(t)
 	order := []struct {
@@ -47,9 +44,7 @@
 	}
 }
 
-// Symptom: with two of three engines gone the most urgent requests of all teams got nothing.
-// Sequence: a configuration brought routes without keys; what they may carry took the first three of six ranks.
-// Cause: requests without a team were ranked by their route's tier alone, before all teams of tier 1. They rank as the usual teams do.
+// Guards against routes without keys that outrank every team.
 func TestRoutesWithoutKeysDoNotPushTeamsDown(t *testing.T) {
 	shares := []chivetable.Share{{Pool: "p", Weight: 1}}
 	table, err := chivetable.New(chivetable.Spec{
--- a/chivetransfer/transfer_test.go
+++ b/chivetransfer/transfer_test.go
@@ -64,9 +64,7 @@
 	}
 }
 
-// Symptom: each of the nodes that had a change first sent it to about 25 others at once, and none of the copies ended in time.
-// Sequence: all asked at the same moment.
-// Cause: nothing bounded how many are served at once. Two are; the others are told to come back, and to whom else they can go.
+// Guards against a sender that slows all transfers down by serving every node at once.
 func TestSenderServesTwoAtOnce(t *testing.T) {
 	now := time.Now()
 	s := chivetransfer.NewSender()
@@ -97,10 +95,7 @@
 	}
 }
 
-// Symptom (found by thinking the storm of changes through): slow receivers never get a document whole.
-// Sequence: changes follow each other faster than a copy takes.
-// Cause: a sender that forgets the edition before the newest makes them begin again each time, and so does a receiver that leaves what it
-// has for something newer. The sender keeps one edition more, and the receiver brings to an end what it has begun.
+// Guards against slow receivers that never complete a document because newer editions keep replacing it.
 func TestChangesThatFollowFastKeepNobodyFromTheEnd(t *testing.T) {
 	now := time.Now()
 	s := chivetransfer.NewSender()
--- a/chivewire/links_test.go
+++ b/chivewire/links_test.go
@@ -11,9 +11,7 @@
 	"chivedrift/chivewire"
 )
 
-// Symptom: a node's memory grows with the fleet: 17 MB at 30 nodes, 37 MB at 100, 105 MB at its peak at 295.
-// Sequence: each node compares itself with peers drawn at random, and holds a connection to most of the fleet after half a minute.
-// Cause: each connection's queue of outgoing messages is laid out for a thousand of them, 24 KB that are never used.
+// Guards against memory per connection reserved for a queue that is never used.
 func TestConnectionsOfALargeFleetAreSmall(t *testing.T) {
 	const (
 		peers = 300
--- a/chivewire/mesh_test.go
+++ b/chivewire/mesh_test.go
@@ -52,8 +52,7 @@
 	time.Sleep(100 * time.Millisecond)
 }
 
-// Symptom: messages to a peer vanish although new connections to it work. Sequence: the open connection goes silent for
-// good. Cause: TCP does not tell, and nobody asked.
+// Guards against messages lost on a connection that has gone silent.
 func TestSilentConnectionIsNoticedAndReplaced(t *testing.T) {
 	pair(t, func(network *chivestand.Network, near *chivewire.Mesh, arrived, lost *atomic.Int64) {
 		send(t, near)
@@ -71,7 +70,7 @@
 	})
 }
 
-// Symptom: an idle fleet spends its budget on heartbeats, or an idle connection's end looks like a failure.
+// Guards against heartbeats on idle connections, and their end reported as a failure.
 func TestIdleConnectionIsQuietAndPartsInPeace(t *testing.T) {
 	pair(t, func(_ *chivestand.Network, near *chivewire.Mesh, arrived, lost *atomic.Int64) {
 		send(t, near)
@@ -90,7 +89,7 @@
 	})
 }
 
-// Symptom: a stranger's bytes make a node reserve gigabytes. Sequence: something that is not a node connects and sends text.
+// Guards against reserving gigabytes for a frame length sent by a stranger.
 func TestStrangersBytesEndTheConnection(t *testing.T) {
 	pair(t, func(network *chivestand.Network, near *chivewire.Mesh, arrived, _ *atomic.Int64) {
 		conn, err := network.Dial(context.Background(), "10.0.0.9:1", there)
--- a/cmd/chivedrift/process_test.go
+++ b/cmd/chivedrift/process_test.go
@@ -265,8 +265,7 @@
 	}
 }
 
-// Symptom: a planned stop cut a stream short. Sequence: SIGTERM while a long stream runs. Cause: the server was closed
-// before its requests had ended.
+// Guards against a planned stop that cuts a running stream.
 func TestPlannedStopFinishesTheStreamAndExitsWithZero(t *testing.T) {
 	s := startSystem(t)
 	n := s.nodes[0]
@@ -297,9 +296,7 @@
 	}
 }
 
-// Symptom: a keyed request runs twice. Sequence: its gateway is stopped (SIGSTOP) while the claim is on its way, for
-// longer than every timeout; the caller asks two other nodes at once; the gateway goes on. Cause: a claim that moved
-// to another node while its holder was paused and unaware.
+// Guards against a key that runs twice because its gateway was frozen while the claim was under way.
 func TestFrozenGatewayDoesNotRunAKeyTwice(t *testing.T) {
 	s := startSystem(t)
 	s.put("http://"+s.log+"/faults", `{"delay_ms":400}`)
@@ -348,8 +345,7 @@
 	}
 }
 
-// Symptom: an operator is told "published" when it was not, or "failed" when it was. Sequence: the log's answer to the
-// append is lost; two operators publish from one version; the log is down. Cause: the answer was believed, not the log.
+// Guards against reporting a publish as failed or successful against the state of the log.
 func TestPublishTellsWhatTheLogSays(t *testing.T) {
 	s := startSystem(t)
 	publish := func(code int, parent, author string) string {
