--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -77,5 +77,11 @@
 
 	OrderRefused = define(700, slog.LevelWarn, "order not sent", "The lease had too little time left, or its holder changed; the next holder sends it.")
 	LeaseTaken   = define(701, slog.LevelInfo, "lease taken", "None.")
-	LeaseLost    = define(702, slog.LevelWarn, "lease lost", "None; another node holds it.")
+	LeaseLost    = define(702, slog.LevelWarn, "lease lost", "None; another node holds it or will claim it when the term expires. Check the store if this repeats.")
+
+	LeaseNotReleased = define(703, slog.LevelWarn, "lease not released", "None; the next holder waits until the term expires.")
+	UsageReported    = define(710, slog.LevelInfo, "usage of a window reported", "None.")
+	UsageOmitted     = define(711, slog.LevelWarn, "usage of a window omitted", "See the reason: the platform or the store was unavailable for too long, or the store was restored from an older copy and may have lost the ledger.")
+	UsageRefused     = define(712, slog.LevelWarn, "usage report refused", "None; another node holds the lease. Check the lease events (701, 702) if this repeats.")
+	UsageUnreadable  = define(713, slog.LevelError, "usage ledger not decodable", "Windows that may have been reported are omitted. Find out what wrote it: only nodes write this key.")
 )
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -110,6 +110,9 @@
 	case chiverequest.VerdictAnswer:
 		c.noteAnswer()
 	}
+	if !isEventStream(response.Header) {
+		c.run.noteStarted()
+	}
 	if isEventStream(response.Header) && response.StatusCode == http.StatusOK {
 		return c.relay(ctx, parent, response)
 	}
@@ -325,6 +328,7 @@
 		}
 		c.heard()
 		c.answering.Store(true)
+		c.run.noteStarted()
 		now := time.Now()
 		c.place.Event(now, now.Sub(asked))
 		c.run.noteEvent(now.Sub(asked))
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -26,7 +26,9 @@
 	Rules   Rules
 	// Quarantine keeps requests away from endpoints that crash under them; nil quarantines nothing.
 	Quarantine Quarantine
-	Logger     *slog.Logger
+	// OnStart is called once per request, when an endpoint first answers any of its attempts; nil is a no-op.
+	OnStart func(request *chiverequest.Request)
+	Logger  *slog.Logger
 	// SinceBoot reads a clock that goes on while the machine is suspended; nil takes the runtime's, which tests pause.
 	SinceBoot func() time.Duration
 }
@@ -121,6 +123,9 @@
 	if o.Quarantine == nil {
 		o.Quarantine = noQuarantine{}
 	}
+	if o.OnStart == nil {
+		o.OnStart = func(*chiverequest.Request) {}
+	}
 	if o.SinceBoot == nil {
 		began := time.Now()
 		o.SinceBoot = func() time.Duration { return time.Since(began) }
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -31,6 +31,8 @@
 	exclude  []string
 	// events counts the events of all attempts.
 	events int
+	// started means that an endpoint has answered an attempt of the request and OnStart was called.
+	started bool
 	// probe means that the request is sent although engines crashed under it: it gets one attempt.
 	probe bool
 	// spare is an endpoint's error that is passed on when no other endpoint does better.
@@ -227,6 +229,14 @@
 	}
 }
 
+// noteStarted calls OnStart the first time an endpoint answers an attempt.
+func (r *run) noteStarted() {
+	if !r.started {
+		r.started = true
+		r.f.o.OnStart(r.request)
+	}
+}
+
 // noteEvent notes how long an event was waited for; the first one's wait is no pause.
 func (r *run) noteEvent(waited time.Duration) {
 	r.events++
--- /dev/null
+++ b/chivelease/service_test.go
@@ -0,0 +1,252 @@
+//go:build !race
+
+package chivelease_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chivedrift/chivelease"
+	"chivedrift/chivestand"
+)
+
+// histories is the number of random histories in TestAtMostOneNodeActs.
+var histories = flag.Int("histories", 150, "random histories of the lease")
+
+const term = 3 * time.Second
+
+// node is a cluster node, which keeps its name across process restarts.
+type node struct {
+	name        string
+	lease       *chivelease.Service
+	incarnation int64
+	rank        int
+}
+
+// fleet is a set of nodes that compete for one lease.
+type fleet struct {
+	t     *testing.T
+	topic *chivestand.Topic
+	nodes []*node
+	began time.Time
+	// holder maps each observed token to its process; newest is the highest token.
+	holder map[int64]string
+	newest int64
+}
+
+func newFleet(t *testing.T, size int, seed uint64) *fleet {
+	t.Helper()
+	f := &fleet{t: t, topic: chivestand.NewTopic(seed), began: time.Now(), holder: make(map[int64]string)}
+	for i := range size {
+		n := &node{name: fmt.Sprintf("10.0.0.%d:1", i), rank: i}
+		f.nodes = append(f.nodes, n)
+		f.start(n)
+	}
+	return f
+}
+
+func (f *fleet) start(n *node) {
+	f.t.Helper()
+	n.incarnation++
+	n.lease = chivelease.New(chivelease.Options{
+		Topic: f.topic.For(n.name), Self: n.name, Incarnation: n.incarnation, Term: term, Rank: func() (int, bool) { return n.rank, true },
+		SinceBoot: func() time.Duration { return time.Since(f.began) }, Logger: slog.New(slog.DiscardHandler),
+	})
+	if err := n.lease.Start(context.Background()); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// crash stops a node without a release.
+func (f *fleet) crash(n *node) {
+	f.topic.SetNodeFaults(func(name string) chivestand.TopicFaults { return chivestand.TopicFaults{Down: name == n.name} })
+	n.lease.Stop(context.Background())
+	f.topic.SetNodeFaults(nil)
+}
+
+func (f *fleet) stop() {
+	for _, n := range f.nodes {
+		n.lease.Stop(context.Background())
+	}
+}
+
+// check verifies that at most one node may act, under a token that no other process has used and that never decreases. It returns that node.
+func (f *fleet) check() *node {
+	f.t.Helper()
+	var acting *node
+	for _, n := range f.nodes {
+		tenure, ok := n.lease.Tenure()
+		if !ok {
+			continue
+		}
+		if acting != nil {
+			f.t.Errorf("%v after the start both %s and %s may act", time.Since(f.began), acting.name, n.name)
+		}
+		acting = n
+		process := fmt.Sprintf("%s/%d", n.name, n.incarnation)
+		if before := f.holder[tenure.Token]; before != "" && before != process {
+			f.t.Errorf("token %d belongs to %s and to %s", tenure.Token, before, process)
+		}
+		if tenure.Token < f.newest {
+			f.t.Errorf("%s acts under token %d after %d was used", process, tenure.Token, f.newest)
+		}
+		f.holder[tenure.Token], f.newest = process, tenure.Token
+	}
+	return acting
+}
+
+// run calls check repeatedly for a span of time.
+func (f *fleet) run(span time.Duration) {
+	f.t.Helper()
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(25 * time.Millisecond) {
+		f.check()
+	}
+}
+
+// awaitHolder waits until a node different from other may act.
+func (f *fleet) awaitHolder(within time.Duration, other *node) *node {
+	f.t.Helper()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(25 * time.Millisecond) {
+		if n := f.check(); n != nil && n != other {
+			return n
+		}
+	}
+	f.t.Fatalf("nobody else held the lease within %v", within)
+	return nil
+}
+
+// Guards against a lease that is never taken over from a crashed holder.
+func TestCrashedHolderIsFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 1)
+		defer f.stop()
+		holder := f.awaitHolder(term+time.Second, nil)
+		f.crash(holder)
+		f.awaitHolder(term+4*time.Second, holder)
+	})
+}
+
+// Guards against a planned stop after which the lease stays taken until its term expires.
+func TestPlannedStopHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 1)
+		defer f.stop()
+		holder := f.awaitHolder(term+time.Second, nil)
+		f.run(time.Second)
+		holder.lease.Release(context.Background())
+		f.awaitHolder(2500*time.Millisecond, holder)
+	})
+}
+
+// Guards against a holder that keeps acting after it has lost access to the store.
+func TestHolderStopsBeforeItsTermWhenItCannotRenew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 1)
+		defer f.stop()
+		holder := f.awaitHolder(term+time.Second, nil)
+		f.topic.SetNodeFaults(func(name string) chivestand.TopicFaults {
+			return chivestand.TopicFaults{Down: name == holder.name, Silent: true}
+		})
+		f.awaitHolder(2*term, holder)
+		f.run(2 * term)
+	})
+}
+
+// Guards against a former holder that reclaims the lease within a term, when its delayed calls could be executed after those of its successor.
+func TestFormerHolderWaitsATerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 1)
+		defer f.stop()
+		holder := f.awaitHolder(term+time.Second, nil)
+		tenure, _ := holder.lease.Tenure()
+		holder.lease.Fenced(tenure.Token)
+		lost := time.Now()
+		for time.Since(lost) < term {
+			if f.check() == holder {
+				t.Fatalf("held again %v after the refusal", time.Since(lost))
+			}
+			time.Sleep(25 * time.Millisecond)
+		}
+	})
+}
+
+// Guards against writes by a former holder after another node has taken over.
+func TestOnlyTheHolderWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 1)
+		defer f.stop()
+		holder := f.awaitHolder(term+time.Second, nil)
+		tenure, _ := holder.lease.Tenure()
+		if err := holder.lease.Write(context.Background(), tenure.Token, "k", []byte("first")); err != nil {
+			t.Fatal(err)
+		}
+		f.crash(holder)
+		next := f.awaitHolder(term+4*time.Second, holder)
+		if got := string(next.lease.Value("k")); got != "first" {
+			t.Errorf("the successor reads %q", got)
+		}
+		if err := holder.lease.Write(context.Background(), tenure.Token, "k", []byte("late")); !errors.Is(err, chivelease.ErrNotHeld) {
+			t.Errorf("the former holder's write ended with %v", err)
+		}
+	})
+}
+
+// Guards against two nodes that act at once and tokens that repeat or decrease, under random outages, lost and late calls, restores, crashes and stops.
+func TestAtMostOneNodeActs(t *testing.T) {
+	for seed := range uint64(*histories) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 3, seed)
+			defer f.stop()
+			random := rand.New(rand.NewPCG(seed, 2))
+			for range 25 {
+				f.injectFault(random)
+				f.run(time.Duration(random.Int64N(int64(2 * time.Second))))
+			}
+			f.topic.SetFaults(chivestand.TopicFaults{})
+			f.topic.SetNodeFaults(nil)
+			f.awaitHolder(5*term, nil)
+			if t.Failed() {
+				t.Logf("seed %d", seed)
+			}
+		})
+		if t.Failed() {
+			return
+		}
+	}
+}
+
+// injectFault applies a random fault, restart, write or refusal to the store or a node.
+func (f *fleet) injectFault(random *rand.Rand) {
+	n := f.nodes[random.IntN(len(f.nodes))]
+	switch random.IntN(9) {
+	case 0:
+		f.topic.SetFaults(chivestand.TopicFaults{Down: true, Silent: random.IntN(2) == 0})
+	case 1:
+		f.topic.SetFaults(chivestand.TopicFaults{LostShare: 0.5, LateShare: 0.5})
+	case 2, 3:
+		f.topic.SetFaults(chivestand.TopicFaults{})
+	case 4:
+		f.topic.Restore(random.IntN(6))
+	case 5:
+		n.lease.Stop(context.Background())
+		f.start(n)
+	case 6:
+		f.crash(n)
+		f.start(n)
+	case 7:
+		if tenure, ok := n.lease.Tenure(); ok {
+			_ = n.lease.Write(context.Background(), tenure.Token, "k", []byte{byte(random.IntN(256))})
+		}
+	case 8:
+		if tenure, ok := n.lease.Tenure(); ok {
+			n.lease.Fenced(tenure.Token)
+		}
+	}
+}
--- a/chivelog/keyed.go
+++ b/chivelog/keyed.go
@@ -38,3 +38,15 @@
 	// Put writes the newest record of a key; the error wraps ErrNotAppended or ErrUnknown.
 	Put(ctx context.Context, key string, value []byte) error
 }
+
+// ErrConflict means that a conditional append was rejected because the topic has changed.
+var ErrConflict = errors.New("log: not appended, the topic has changed")
+
+// ConditionalTopic is a keyed topic with conditional appends.
+type ConditionalTopic interface {
+	// Snapshot returns the newest record of each key and the end of the topic; errors wrap ErrUnavailable or ErrRestored.
+	Snapshot(ctx context.Context) (KeyedBatch, error)
+	// Append writes a record if the topic still ends at end, and returns the record's position. The error wraps ErrNotAppended, ErrConflict or
+	// ErrUnknown; after ErrUnknown the record may still be written later, as long as the topic ends there.
+	Append(ctx context.Context, end Position, key string, value []byte) (Position, error)
+}
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
 	"time"
 
 	"chivedrift/chiveadmin"
@@ -19,13 +20,16 @@
 	"chivedrift/chivegossip"
 	"chivedrift/chivegrant"
 	"chivedrift/chivekernel"
+	"chivedrift/chivelease"
 	"chivedrift/chiveload"
 	"chivedrift/chivelog"
 	"chivedrift/chivemember"
 	"chivedrift/chivemetric"
 	"chivedrift/chivequarantine"
+	"chivedrift/chiverequest"
 	"chivedrift/chivesettings"
 	"chivedrift/chivetable"
+	"chivedrift/chiveusage"
 	"chivedrift/chivewire"
 	chiveplatform "chivedrift/platform"
 )
@@ -66,6 +70,9 @@
 	quarantine *chivequarantine.Service
 	pools      *chiveforward.Pools
 	evacuation *chiveevacuation.Service
+	// lease and usage are nil unless the platform expects usage reports.
+	lease *chivelease.Service
+	usage *chiveusage.Service
 }
 
 // operatorTopic hands what is read of the operator's topic to all that keep something of it.
@@ -101,9 +108,10 @@
 	metrics := chivemetric.New()
 	roster := n.assembleFleet(network, store)
 	feeds := n.newFeeds(store, roster)
+	singletons := n.assembleSingletons(network, store)
 	serving := n.assembleServing(network, metrics)
 	process := newProcess()
-	return n.register([]named{
+	return n.register(slices.Concat([]named{
 		{processName, process},
 		{memoryName, n.memory},
 		{metricsName, metrics},
@@ -131,7 +139,7 @@
 		{chiveentry.ServiceName, n.entry},
 		{readinessName, n.ready},
 		{startupName, n.startup},
-	})
+	}, singletons))
 }
 
 // assembleFleet makes what the node knows of the fleet, the configuration and the endpoints, and what nodes tell each other of it.
@@ -155,6 +163,25 @@
 	return roster
 }
 
+// assembleSingletons creates the services for work that one node at a time does for the platform.
+func (n *StoreNode) assembleSingletons(network chivewire.Network, store *chiveplatform.Store) []named {
+	duties := n.settings.PlatformDuties
+	if !duties.Expects(chivesettings.DutyUsage) {
+		return nil
+	}
+	self, incarnation := n.settings.Listen.Peers, time.Now().UnixMilli()
+	cloud := chiveplatform.NewCloud(duties.Address, n.settings.Name, self, network)
+	n.lease = chivelease.New(chivelease.Options{
+		Topic: store.Lease(), Self: self, Incarnation: incarnation, Term: duties.Lease(), Rank: func() (int, bool) { return n.usage.Rank() },
+		SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
+	})
+	n.usage = chiveusage.New(chiveusage.Options{
+		Mesh: n.mesh, Incarnation: incarnation, Lease: n.lease, Platform: cloud, Window: duties.UsageWindow(), Delay: duties.UsageDelay(),
+		SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
+	})
+	return []named{{chiveusage.ServiceName, n.usage}, {chivelease.ServiceName, n.lease}}
+}
+
 // feeds follow the store's topics.
 type feeds struct {
 	table     *chivefeed.Follower
@@ -198,7 +225,7 @@
 	n.pools = pools
 	forwarder := chiveforward.New(chiveforward.Options{
 		Self: s.Listen.Callers, Network: network, Dialect: chiveplatform.Endpoints{}, Places: pools, Repeats: n.budget, Rules: chiveforward.StoreRules,
-		Quarantine: n.quarantine, SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
+		Quarantine: n.quarantine, OnStart: n.recordStart, SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
 	})
 	n.quarantine.OnFailure(forwarder.PeerFailure)
 	n.entry = chiveentry.New(chiveentry.Options{
@@ -227,6 +254,13 @@
 	return serving{pools, forwarder, caches}
 }
 
+// recordStart records a request for the usage reports when an endpoint first answers it.
+func (n *StoreNode) recordStart(request *chiverequest.Request) {
+	if n.usage != nil && request.Team != "" {
+		n.usage.RecordStart(request.Team)
+	}
+}
+
 func (n *StoreNode) register(services []named) error {
 	for _, s := range services {
 		if err := n.kernel.Register(s.name, s.service); err != nil {
@@ -241,6 +275,9 @@
 		n.loads.SetMembers(members)
 		n.gossip.SetMembers(members)
 		n.quarantine.SetMembers(members)
+		if n.usage != nil {
+			n.usage.SetMembers(members)
+		}
 	})
 	return nil
 }
@@ -268,11 +305,40 @@
 		{"table_copies_unneeded", func() float64 { return float64(n.tables.Counts().Unneeded) }},
 		{"directory_offset", func() float64 { return float64(n.directory.Newest().Offset()) }},
 		{"store_era", func() float64 { return float64(n.directory.Newest().Era()) }},
+		{"lease_held", n.leaseHeld},
+		{"lease_token", n.leaseToken},
+		{"usage_windows_reported", func() float64 { return float64(n.usageCounts().Reported) }},
+		{"usage_windows_omitted", func() float64 { return float64(n.usageCounts().Omitted) }},
+		{"usage_windows_refused", func() float64 { return float64(n.usageCounts().Refused) }},
 		{"wire_links", func() float64 { return float64(n.mesh.Links()) }},
 		{"members", func() float64 { return float64(len(n.members.Members())) }},
 	}
 }
 
+// leaseToken returns the fencing token of the current tenure, or 0 if this node does not hold the lease.
+func (n *StoreNode) leaseToken() float64 {
+	if n.lease == nil {
+		return 0
+	}
+	tenure, _ := n.lease.Tenure()
+	return float64(tenure.Token)
+}
+
+// leaseHeld returns 1 if this node holds the lease, and 0 otherwise.
+func (n *StoreNode) leaseHeld() float64 {
+	if n.leaseToken() > 0 {
+		return 1
+	}
+	return 0
+}
+
+func (n *StoreNode) usageCounts() chiveusage.Counts {
+	if n.usage == nil {
+		return chiveusage.Counts{}
+	}
+	return n.usage.Counts()
+}
+
 func noWait(bool) time.Duration { return 0 }
 
 // errNoEndpoints is why a node that knows no endpoint is not ready.
@@ -318,6 +384,9 @@
 	n.ready.Leave()
 	n.entry.Leave()
 	n.members.Leave(ctx)
+	if n.lease != nil {
+		n.lease.Release(ctx)
+	}
 	release := min(n.settings.Stop.BalancerRelease(), n.settings.Stop.Grace()/2)
 	time.Sleep(release)
 	limited, cancel := context.WithDeadline(ctx, began.Add(n.settings.Stop.Grace()-stopMargin))
--- a/chivesettings/store.go
+++ b/chivesettings/store.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"time"
 )
 
@@ -23,6 +24,43 @@
 	Repeats  StoreRepeat `yaml:"repeats"`
 	// Profile serves profiles of the process to operators; off unless it is asked for.
 	Profile bool `yaml:"profile"`
+	// PlatformDuties configures the work that one node at a time does for the platform; nil if there is none.
+	PlatformDuties *PlatformDuties `yaml:"platform_duties"`
+}
+
+// PlatformDuties configures the work that one node at a time does for the platform.
+type PlatformDuties struct {
+	// Address is the IP:port address of the platform's interface.
+	Address string `yaml:"address" validate:"required,ipport"`
+	// Kinds lists the expected duties; unknown kinds are ignored.
+	Kinds []string `yaml:"kinds"`
+	// LeaseMs is the term of the lease after its last renewal.
+	LeaseMs int64 `yaml:"lease_ms" validate:"min=1500,max=600000"`
+	// UsageWindowS is the length of a usage window, UsageDelayS the time after its end within which it must be reported.
+	UsageWindowS float64 `yaml:"usage_window_s" validate:"min=1,max=3600"`
+	UsageDelayS  float64 `yaml:"usage_delay_s" validate:"min=5,max=3600"`
+}
+
+// Known kinds of duties.
+const (
+	DutyUsage   = "usage"
+	DutyScaling = "scaling"
+)
+
+// Expects reports whether the platform expects a kind of duty; it is false for nil.
+func (d *PlatformDuties) Expects(kind string) bool { return d != nil && slices.Contains(d.Kinds, kind) }
+
+// Lease returns the term of the lease after its last renewal.
+func (d *PlatformDuties) Lease() time.Duration { return time.Duration(d.LeaseMs) * time.Millisecond }
+
+// UsageWindow returns the length of a usage window.
+func (d *PlatformDuties) UsageWindow() time.Duration {
+	return time.Duration(d.UsageWindowS * float64(time.Second))
+}
+
+// UsageDelay returns the time after a window's end within which it must be reported.
+func (d *PlatformDuties) UsageDelay() time.Duration {
+	return time.Duration(d.UsageDelayS * float64(time.Second))
 }
 
 // StoreListen holds the addresses of a node, by IP number and port.
--- /dev/null
+++ b/chiveusage/collector.go
@@ -0,0 +1,150 @@
+package chiveusage
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// contactTimeout is how long after its last message a process still contributes to the fleet's time and reports wait for its starts.
+const contactTimeout = 10 * time.Second
+
+// processKey identifies a process of a node.
+type processKey struct {
+	address     string
+	incarnation int64
+}
+
+// processStarts is what a collector has received from one process.
+type processStarts struct {
+	next   uint64
+	starts []start
+	// clockOffset is the sender's clock minus the collector's. Delayed messages underestimate it, so the maximum is kept.
+	clockOffset time.Duration
+	// bootWall is the sender's wall-clock time at the collector's boot, derived from its last message.
+	bootWall time.Duration
+	// completeUntil is the time up to which all starts have been received, lastHeard when the last message arrived.
+	completeUntil time.Duration
+	lastHeard     time.Duration
+}
+
+// collector keeps the starts of the fleet. All times are on its own clock since boot.
+type collector struct {
+	incarnation int64
+	retention   time.Duration
+
+	mu        sync.Mutex
+	processes map[processKey]*processStarts
+	// aliveAddresses are the addresses of the nodes that are up.
+	aliveAddresses []string
+}
+
+func newCollector(incarnation int64, retention time.Duration) *collector {
+	return &collector{incarnation: incarnation, retention: retention, processes: make(map[processKey]*processStarts)}
+}
+
+// setAlive sets the addresses of the nodes that are up.
+func (c *collector) setAlive(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.aliveAddresses = addresses
+}
+
+// receive adds the starts of a message and returns the acknowledgement.
+func (c *collector) receive(now time.Duration, from string, m Starts) StartsAck {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := processKey{from, m.Incarnation}
+	p, known := c.processes[key]
+	clock := time.Duration(m.ClockMs) * time.Millisecond
+	if !known {
+		p = &processStarts{next: m.Oldest, clockOffset: clock - now}
+		c.processes[key] = p
+	}
+	p.clockOffset = max(p.clockOffset, clock-now)
+	sent := clock - p.clockOffset
+	p.bootWall = time.Duration(m.WallMs)*time.Millisecond - sent
+	p.lastHeard = now
+	p.next = max(p.next, m.Oldest)
+	if m.First <= p.next {
+		p.add(m, sent)
+	}
+	return StartsAck{Incarnation: m.Incarnation, Collector: c.incarnation, Next: p.next}
+}
+
+// add appends the starts of a message sent at sent that have not been received yet.
+func (p *processStarts) add(m Starts, sent time.Duration) {
+	for i := int(p.next - m.First); i < len(m.AgesMs) && i < len(m.Teams); i++ {
+		if team := m.Teams[i]; team >= 0 && team < len(m.Names) {
+			p.starts = append(p.starts, start{sent - time.Duration(m.AgesMs[i])*time.Millisecond, m.Names[team]})
+		}
+	}
+	p.next = max(p.next, m.First+uint64(len(m.AgesMs)))
+	if !m.More {
+		p.completeUntil = max(p.completeUntil, sent)
+	}
+}
+
+// prune drops starts and processes older than the retention period.
+func (c *collector) prune(now time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, p := range c.processes {
+		p.starts = slices.DeleteFunc(p.starts, func(s start) bool { return now-s.at > c.retention })
+		if len(p.starts) == 0 && now-p.lastHeard > c.retention {
+			delete(c.processes, key)
+		}
+	}
+}
+
+// wallAtBoot returns the wall-clock time at the collector's boot, as the median over the nodes so that single clocks that step have no effect.
+func (c *collector) wallAtBoot(now time.Duration) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var walls []time.Duration
+	for _, p := range c.processes {
+		if now-p.lastHeard < contactTimeout {
+			walls = append(walls, p.bootWall)
+		}
+	}
+	if len(walls) == 0 {
+		return 0, false
+	}
+	slices.Sort(walls)
+	return walls[len(walls)/2], true
+}
+
+// isComplete reports whether all nodes that are up, or were heard within contactTimeout, have sent their starts up to a time.
+func (c *collector) isComplete(now, until time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	complete := make(map[string]bool)
+	for key, p := range c.processes {
+		isBehind := p.completeUntil < until
+		if isBehind && now-p.lastHeard < contactTimeout {
+			return false
+		}
+		complete[key.address] = complete[key.address] || !isBehind
+	}
+	for _, address := range c.aliveAddresses {
+		if !complete[address] {
+			return false
+		}
+	}
+	return true
+}
+
+// count returns the starts from from up to but excluding until, by team.
+func (c *collector) count(from, until time.Duration) map[string]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts := make(map[string]int64)
+	for _, p := range c.processes {
+		for _, s := range p.starts {
+			if s.at >= from && s.at < until {
+				counts[s.team]++
+			}
+		}
+	}
+	return counts
+}
--- a/chivewire/kind.go
+++ b/chivewire/kind.go
@@ -63,6 +63,9 @@
 
 	KindEvacuations Kind = 128
 
+	KindStarts    Kind = 132
+	KindStartsAck Kind = 133
+
 	KindPlaceAsk    Kind = 104
 	KindPlaceAnswer Kind = 105
 )
@@ -82,6 +85,7 @@
 	KindDigestAnswer: "digest", KindChangesAsk: "changes_ask", KindChangesAnswer: "changes_answer",
 	KindCrashUpdate: "crash_update", KindCrashDigest: "crash_digest", KindProbeRequest: "probe_request", KindProbeGrant: "probe_grant",
 	KindEndpointAlive: "endpoint_alive", KindEndpointFailure: "endpoint_failure", KindEvacuations: "evacuations",
+	KindStarts: "starts", KindStartsAck: "starts_ack",
 	KindPlaceAsk: "place_ask", KindPlaceAnswer: "place_answer",
 }
 
