--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -115,6 +115,7 @@
 	inFlight     *inFlight
 	registered   *registered
 	inconclusive brokenAttempts
+	running      runningRequests
 	duties       chivekernel.Duties
 }
 
@@ -166,6 +167,9 @@
 	})
 }
 
+// InProgress returns the number of requests in progress, by pool.
+func (f *Forwarder) InProgress() map[string]int64 { return f.running.counts() }
+
 // errDeadline is the cause of a context whose request has run out of time.
 var errDeadline = errors.New("the request's time ran out")
 
@@ -174,6 +178,7 @@
 	ctx, cancel := context.WithDeadlineCause(parent, request.Deadline, errDeadline)
 	defer cancel()
 	f.o.Repeats.Request(time.Now(), request)
+	defer f.running.begin(request.Pool)()
 	r := &run{f: f, request: request, sink: sink, last: request.LastEvent, watch: newStopwatch(f.o.SinceBoot)}
 	if r.isQuarantined(ctx) {
 		return r.result
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -27,6 +27,7 @@
 	"chivedrift/chivemetric"
 	"chivedrift/chivequarantine"
 	"chivedrift/chiverequest"
+	"chivedrift/chivescale"
 	"chivedrift/chivesettings"
 	"chivedrift/chivetable"
 	"chivedrift/chiveusage"
@@ -69,6 +70,7 @@
 	memory     *memoryGuard
 	quarantine *chivequarantine.Service
 	pools      *chiveforward.Pools
+	forwarder  *chiveforward.Forwarder
 	evacuation *chiveevacuation.Service
 	// lease and usage are nil unless the platform expects usage reports.
 	lease *chivelease.Service
@@ -170,16 +172,24 @@
 		return nil
 	}
 	self, incarnation := n.settings.Listen.Peers, time.Now().UnixMilli()
-	cloud := chiveplatform.NewCloud(duties.Address, n.settings.Name, self, network)
+	cloud := chiveplatform.NewCloud(duties.Address, n.settings.Name, self, network, store.Endpoints())
 	n.lease = chivelease.New(chivelease.Options{
 		Topic: store.Lease(), Self: self, Incarnation: incarnation, Term: duties.Lease(), Rank: func() (int, bool) { return n.usage.Rank() },
 		SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
 	})
 	n.usage = chiveusage.New(chiveusage.Options{
-		Mesh: n.mesh, Incarnation: incarnation, Lease: n.lease, Platform: cloud, Window: duties.UsageWindow(), Delay: duties.UsageDelay(),
+		Mesh: n.mesh, Incarnation: incarnation, Loads: func() map[string]int64 { return n.forwarder.InProgress() },
+		Lease: n.lease, Platform: cloud, Window: duties.UsageWindow(), Delay: duties.UsageDelay(),
 		SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
 	})
-	return []named{{chiveusage.ServiceName, n.usage}, {chivelease.ServiceName, n.lease}}
+	singletons := []named{{chiveusage.ServiceName, n.usage}, {chivelease.ServiceName, n.lease}}
+	if !duties.Expects(chivesettings.DutyScaling) {
+		return singletons
+	}
+	scaling := chivescale.New(chivescale.Options{Lease: n.lease, Platform: cloud, Load: n.usage.Load, SinceBoot: chiveforward.SinceBoot, Logger: n.logger})
+	n.tables.OnChange(scaling.SetTable)
+	n.directory.OnChange(scaling.ApplyEndpoints)
+	return append(singletons, named{chivescale.ServiceName, scaling})
 }
 
 // feeds follow the store's topics.
@@ -227,6 +237,7 @@
 		Self: s.Listen.Callers, Network: network, Dialect: chiveplatform.Endpoints{}, Places: pools, Repeats: n.budget, Rules: chiveforward.StoreRules,
 		Quarantine: n.quarantine, OnStart: n.recordStart, SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
 	})
+	n.forwarder = forwarder
 	n.quarantine.OnFailure(forwarder.PeerFailure)
 	n.entry = chiveentry.New(chiveentry.Options{
 		Address: s.Listen.Callers, Network: network, Dialect: chiveplatform.Callers{}, Forwarder: forwarder, Full: n.memory.Full,
--- a/chivetable/table.go
+++ b/chivetable/table.go
@@ -76,10 +76,41 @@
 	// Connections is the most connections that one endpoint takes from all callers together.
 	Connections int
 	Engine      Engine
+	// Scaling holds the settings for ordering replicas; nil if none can be ordered.
+	Scaling *Scaling
 	// WarmUpRate is how many requests a second one endpoint takes while it warms up; 0 where that makes no difference.
 	WarmUpRate float64
 }
 
+// Scaling holds the settings for ordering replicas of a pool.
+type Scaling struct {
+	// Min and Max limit the number of replicas of both kinds together in one failure domain.
+	Min int
+	Max int
+	// Boot is the time from an order until the replica accepts requests.
+	Boot time.Duration
+	// PreemptiblePrice is the price of a preemptible replica relative to an on-demand one; 0 if there are none.
+	PreemptiblePrice float64
+	// Prices holds the price of a replica by failure domain.
+	Prices map[string]float64
+}
+
+// validate returns an error if a value is negative or the minimum is above the maximum.
+func (s *Scaling) validate() error {
+	switch {
+	case s.Min < 0 || s.Max < 0 || s.Boot < 0 || s.PreemptiblePrice < 0:
+		return fmt.Errorf("scaling: limits, boot time and preemptible price must not be negative")
+	case s.Min > s.Max:
+		return fmt.Errorf("scaling: the minimum %d is above the maximum %d", s.Min, s.Max)
+	}
+	for domain, price := range s.Prices {
+		if price < 0 {
+			return fmt.Errorf("scaling: the price %v of failure domain %q is negative", price, domain)
+		}
+	}
+	return nil
+}
+
 // Team is a customer. Its tier, where it has one, decides between requests on routes of one tier.
 type Team struct {
 	Name    string
@@ -121,7 +152,14 @@
 func New(spec Spec) (*Table, error) {
 	t := &Table{spec: spec, byHost: make(map[string][]*Route), pools: make(map[string]*Pool)}
 	for i := range t.spec.Pools {
-		t.pools[t.spec.Pools[i].Name] = &t.spec.Pools[i]
+		p := &t.spec.Pools[i]
+		t.pools[p.Name] = p
+		if p.Scaling == nil {
+			continue
+		}
+		if err := p.Scaling.validate(); err != nil {
+			return nil, fmt.Errorf("configuration version %d: pool %q: %w", spec.Version, p.Name, err)
+		}
 	}
 	for i := range t.spec.Routes {
 		r := &t.spec.Routes[i]
--- a/chiveusage/collector.go
+++ b/chiveusage/collector.go
@@ -9,6 +9,9 @@
 // contactTimeout is how long after its last message a process still contributes to the fleet's time and reports wait for its starts.
 const contactTimeout = 10 * time.Second
 
+// loadTimeout is how long after its last message the load of a process is included.
+const loadTimeout = 3 * time.Second
+
 // processKey identifies a process of a node.
 type processKey struct {
 	address     string
@@ -26,6 +29,8 @@
 	// completeUntil is the time up to which all starts have been received, lastHeard when the last message arrived.
 	completeUntil time.Duration
 	lastHeard     time.Duration
+	// loads holds the numbers of requests in progress by pool, as of the last message.
+	loads map[string]int64
 }
 
 // collector keeps the starts of the fleet. All times are on its own clock since boot.
@@ -64,7 +69,7 @@
 	p.clockOffset = max(p.clockOffset, clock-now)
 	sent := clock - p.clockOffset
 	p.bootWall = time.Duration(m.WallMs)*time.Millisecond - sent
-	p.lastHeard = now
+	p.lastHeard, p.loads = now, m.Loads
 	p.next = max(p.next, m.Oldest)
 	if m.First <= p.next {
 		p.add(m, sent)
@@ -134,6 +139,18 @@
 	return true
 }
 
+// load returns the number of requests in progress in a pool, over the processes heard within loadTimeout; ok is false if there are none.
+func (c *collector) load(now time.Duration, pool string) (requests float64, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.processes {
+		if now-p.lastHeard < loadTimeout {
+			requests, ok = requests+float64(p.loads[pool]), true
+		}
+	}
+	return requests, ok
+}
+
 // count returns the starts from from up to but excluding until, by team.
 func (c *collector) count(from, until time.Duration) map[string]int64 {
 	c.mu.Lock()
--- a/chiveusage/message.go
+++ b/chiveusage/message.go
@@ -14,6 +14,8 @@
 	AgesMs []int64
 	Teams  []int
 	Names  []string
+	// Loads holds the numbers of requests in progress at the sender, by pool.
+	Loads map[string]int64
 	// More means that the sender has further starts for this collector.
 	More bool
 }
--- a/chiveusage/service.go
+++ b/chiveusage/service.go
@@ -31,8 +31,10 @@
 type Options struct {
 	Mesh        *chivewire.Mesh
 	Incarnation int64
-	Lease       Lease
-	Platform    Platform
+	// Loads returns the numbers of requests in progress at this node, by pool.
+	Loads    func() map[string]int64
+	Lease    Lease
+	Platform Platform
 	// Window is the length of a window, Delay the time after its end within which it must be reported.
 	Window time.Duration
 	Delay  time.Duration
@@ -128,6 +130,11 @@
 	}{collects, s.Counts()}
 }
 
+// Load returns the number of requests in progress in a pool on all nodes; ok is false if no node has been heard from recently.
+func (s *Service) Load(pool string) (requests float64, ok bool) {
+	return s.collector.load(s.o.SinceBoot(), pool)
+}
+
 // Counts returns the numbers of windows by outcome at this node.
 func (s *Service) Counts() Counts {
 	r := s.reporter
@@ -154,7 +161,9 @@
 // send sends the messages that are due. Send errors are ignored, since unacknowledged starts are resent.
 func (s *Service) send() {
 	now, wall := s.o.SinceBoot(), time.Duration(time.Now().UnixNano())
+	loads := s.o.Loads()
 	for address, m := range s.recorder.messages(now, wall) {
+		m.Loads = loads
 		_ = s.o.Mesh.Send(address, chivewire.KindStarts, m)
 	}
 }
--- a/chiveusage/service_test.go
+++ b/chiveusage/service_test.go
@@ -114,7 +114,8 @@
 		SinceBoot: sinceBoot, Logger: logger,
 	})
 	n.usage = chiveusage.New(chiveusage.Options{
-		Mesh: n.mesh, Incarnation: n.incarnation, Lease: n.lease, Platform: f.platform, Window: window, Delay: delay, SinceBoot: sinceBoot, Logger: logger,
+		Mesh: n.mesh, Incarnation: n.incarnation, Loads: func() map[string]int64 { return nil }, Lease: n.lease, Platform: f.platform,
+		Window: window, Delay: delay, SinceBoot: sinceBoot, Logger: logger,
 	})
 	for _, start := range []func(context.Context) error{n.mesh.Start, n.usage.Start, n.lease.Start} {
 		if err := start(context.Background()); err != nil {
