--- a/chivelease/call.go
+++ b/chivelease/call.go
@@ -90,7 +90,7 @@
 
 // loseTenure ends the current tenure locally. The caller holds the lock.
 func (s *Service) loseTenure(reason string) {
-	s.held = false
+	s.held, s.lostAt = false, s.o.SinceBoot()
 	s.counts.Losses++
 	s.nextCall = 0
 	chiveevent.LeaseLost.Log(context.Background(), s.o.Logger, slog.Int64("token", s.token), slog.String("reason", reason))
--- a/chivelease/service.go
+++ b/chivelease/service.go
@@ -82,6 +82,9 @@
 	// call numbers the claims and renewals; unconfirmedAt is when the last of them was made if its outcome is unknown, and 0 otherwise.
 	call          uint64
 	unconfirmedAt time.Duration
+	// lostAt is when this node's last tenure ended, and 0 before that. No claim is made within a term of it, unless the record at ownRecordAt is still
+	// the newest.
+	lostAt time.Duration
 	// ownRecordAt is the position of the last record by which this node held the lease.
 	ownRecordAt chivelog.Position
 	// noClaimBefore is the earliest time at which this node may claim.
@@ -281,6 +284,9 @@
 	if s.view.at >= 0 && s.view.at == s.ownRecordAt {
 		return true
 	}
+	if s.lostAt > 0 && now < s.lostAt+s.o.Term {
+		return false
+	}
 	wait := time.Duration(rank) * rankDelay
 	if !s.view.free {
 		wait += s.o.Term
--- a/chivelease/service_test.go
+++ b/chivelease/service_test.go
@@ -39,11 +39,14 @@
 	// holder maps each observed token to its process; newest is the highest token.
 	holder map[int64]string
 	newest int64
+	// lastActedAt maps each node's name to the last time at which it was seen able to act; lastHolder is the name of the last such node.
+	lastActedAt map[string]time.Time
+	lastHolder  string
 }
 
 func newFleet(t *testing.T, size int, seed uint64) *fleet {
 	t.Helper()
-	f := &fleet{t: t, topic: chivestand.NewTopic(seed), began: time.Now(), holder: make(map[int64]string)}
+	f := &fleet{t: t, topic: chivestand.NewTopic(seed), began: time.Now(), holder: make(map[int64]string), lastActedAt: make(map[string]time.Time)}
 	for i := range size {
 		n := &node{name: fmt.Sprintf("10.0.0.%d:1", i), rank: i}
 		f.nodes = append(f.nodes, n)
@@ -99,6 +102,13 @@
 		}
 		f.holder[tenure.Token], f.newest = process, tenure.Token
 	}
+	if acting == nil {
+		return nil
+	}
+	if before, ok := f.lastActedAt[acting.name]; ok && f.lastHolder != acting.name && time.Since(before) < term {
+		f.t.Errorf("%s acts again %v after its last tenure, with a tenure of %s in between", acting.name, time.Since(before), f.lastHolder)
+	}
+	f.lastActedAt[acting.name], f.lastHolder = time.Now(), acting.name
 	return acting
 }
 
@@ -177,6 +187,25 @@
 	})
 }
 
+// Guards against a former holder whose term expired and that reclaims the lease within a term, after a short tenure of another node.
+func TestFormerHolderWaitsATermAfterAShortTenure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 1)
+		defer f.stop()
+		holder := f.awaitHolder(term+time.Second, nil)
+		for _, n := range f.nodes {
+			n.rank = 0
+		}
+		// The former holder regains access to the store while its successor holds the lease, which is released soon after.
+		f.topic.SetNodeFaults(func(name string) chivestand.TopicFaults { return chivestand.TopicFaults{Down: name == holder.name} })
+		next := f.awaitHolder(term+4*time.Second, holder)
+		f.topic.SetNodeFaults(nil)
+		f.run(400 * time.Millisecond)
+		next.lease.Release(context.Background())
+		f.run(2 * term)
+	})
+}
+
 // Guards against writes by a former holder after another node has taken over.
 func TestOnlyTheHolderWrites(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
