--- a/chivelease/service.go
+++ b/chivelease/service.go
@@ -19,7 +19,7 @@
 const (
 	// roundEvery is how often a node checks whether the lease needs action.
 	roundEvery = 100 * time.Millisecond
-	// lookEvery is how often a candidate reads the lease.
+	// refreshEvery is how often a candidate reads the lease.
 	refreshEvery = time.Second
 	// The holder renews after 1/renewDivisor of the term and stops acting 1/marginDivisor before its end, so that its last calls finish before others
 	// may claim the lease.
