Residency: requests of a route or team are served in its regions only

A route and a team may list regions (platform: allowedRegions; own interface: `regions` of a class and a team).

- chiveresidency: the policy (intersection of both lists), the set of failure domains that it allows, no network.
- Each ask for a place carries the set: own choice, an owner's grant, the engine that parts of a prompt are fetched from.
Grants of owners of an earlier release are checked when they are adopted.
- The policy of the configuration in force is looked up for each attempt and while a request waits.
- A region that the deployment does not have: the document is refused with route or team, field and value; the one before stays.

--- a/chiveconfig/check.go
+++ b/chiveconfig/check.go
@@ -22,6 +22,7 @@
 	c.checkClasses()
 	c.checkKeys()
 	c.checkPools()
+	c.checkRegions()
 	return c.problems
 }
 
@@ -67,6 +68,32 @@
 	}
 }
 
+// checkRegions reports regions of classes and teams in which no endpoint is.
+func (c *checker) checkRegions() {
+	known := make(map[string]bool)
+	for i := range c.config.Pools {
+		for _, e := range c.config.Pools[i].Endpoints {
+			known[e.Region] = true
+		}
+	}
+	for i := range c.config.Classes {
+		class := &c.config.Classes[i]
+		c.checkRegionList("classes["+class.Name+"].regions", class.Regions, known)
+	}
+	for i := range c.config.Teams {
+		team := &c.config.Teams[i]
+		c.checkRegionList("teams["+team.Name+"].regions", team.Regions, known)
+	}
+}
+
+func (c *checker) checkRegionList(path string, regions []string, known map[string]bool) {
+	for _, region := range regions {
+		if !known[region] {
+			c.addf(path, "unknown region %q; expected the region of an endpoint", region)
+		}
+	}
+}
+
 func (c *checker) checkPools() {
 	addresses := make(map[string]string)
 	for i := range c.config.Pools {
--- a/chiveconfig/config.go
+++ b/chiveconfig/config.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"chivedrift/chiveresidency"
 )
 
 // Config is the effective configuration of one site, after its overlay was merged into the base.
@@ -32,6 +34,8 @@
 	RetryBudgetPercent int64  `yaml:"retry_budget_percent" validate:"min=0,max=100"`
 	Protected          bool   `yaml:"protected"`
 	Repeatable         bool   `yaml:"idempotent"`
+	// Regions lists where requests of the class may be served; nil allows every region, an empty list none.
+	Regions []string `yaml:"regions"`
 }
 
 // Team is a caller with its key digests, its weight and its limit over the whole fleet.
@@ -40,6 +44,8 @@
 	KeySHA256       []string `yaml:"key_sha256" validate:"required,min=1,dive,digest"`
 	Weight          int64    `yaml:"weight" validate:"min=1,max=1000"`
 	TokensPerSecond int64    `yaml:"tokens_per_second" validate:"min=0"`
+	// Regions lists where the team's requests may be served; nil allows every region, an empty list none.
+	Regions []string `yaml:"regions"`
 }
 
 // Pool is a set of endpoints that serve one model, or one plain service; version, adapters and role are what
@@ -125,6 +131,18 @@
 	return find(c.Teams, func(e *Team) bool { return e.Name == name })
 }
 
+// Residency returns where a request of a class and a team, by name, may be served; the lists of both hold.
+func (c *Config) Residency(class, team string) chiveresidency.Policy {
+	var policy chiveresidency.Policy
+	if found, ok := c.Class(class); ok {
+		policy = chiveresidency.Within(found.Regions)
+	}
+	if found, ok := c.Team(team); ok {
+		policy = policy.Intersect(chiveresidency.Within(found.Regions))
+	}
+	return policy
+}
+
 // Pool finds a pool by name.
 func (c *Config) Pool(name string) (*Pool, bool) {
 	return find(c.Pools, func(e *Pool) bool { return e.Name == name })
--- a/chivedispatch/service.go
+++ b/chivedispatch/service.go
@@ -14,6 +14,7 @@
 	"chivedrift/chivehealth"
 	"chivedrift/chiveplace"
 	"chivedrift/chiverequest"
+	"chivedrift/chiveresidency"
 	"chivedrift/chiveroute"
 )
 
@@ -50,6 +51,7 @@
 	region  string
 	mu      sync.Mutex
 	pools   map[string]*chiveroute.Local
+	config  *chiveconfig.Config
 }
 
 // NewServices returns a chooser without pools that shares the dispatcher's retry budget.
@@ -63,6 +65,7 @@
 func (s *Services) SetConfig(config *chiveconfig.Config) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.config = config
 	for i := range config.Pools {
 		pool := &config.Pools[i]
 		if pool.Kind != chiveconfig.KindService {
@@ -112,9 +115,16 @@
 func (s *Services) Take(_ context.Context, request *chiverequest.Request, exclude []string) (chiveforward.Place, error) {
 	s.mu.Lock()
 	pool := s.pools[request.Pool]
+	var residency chiveresidency.Policy
+	if run, ok := request.Source.(*serviceRun); ok && s.config != nil {
+		residency = s.config.Residency(run.class().Name, request.Team)
+	}
 	s.mu.Unlock()
+	if residency.AllowsNone() {
+		return nil, &chiveplace.RefusedError{Reason: "no region is allowed for the class and the team", RetryAfter: minuteRetry}
+	}
 	if pool != nil {
-		if endpoint, taken := pool.Take(time.Now(), s.region, exclude); taken {
+		if endpoint, taken := pool.Take(time.Now(), s.region, residency, exclude); taken {
 			return &replicaPlace{s: s, pool: pool, endpoint: endpoint, began: time.Now(), deadline: request.Deadline}, nil
 		}
 	}
--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -40,6 +40,8 @@
 	comeBack = 200 * time.Millisecond
 	// comeBackWhenFull is when a caller should come back to a node whose memory is used up: some requests have ended by then.
 	comeBackWhenFull = time.Second
+	// comeBackWhenReconfigured is when a caller should come back with a request that only another configuration would let run.
+	comeBackWhenReconfigured = 10 * time.Second
 )
 
 // Forwarder carries an accepted request through to its outcome.
@@ -192,6 +194,9 @@
 	if err != nil {
 		return request, err
 	}
+	if err := reside(request, team); err != nil {
+		return request, err
+	}
 	if err := CheckHeader(r.Header, table.Limits().HeaderBytes); err != nil {
 		return request, err
 	}
@@ -205,6 +210,20 @@
 	return request, nil
 }
 
+// reside notes in which regions a request may be served, and refuses one that may be served in none.
+func reside(request *chiverequest.Request, team *chivetable.Team) error {
+	request.Residency = request.Route.Residency
+	if team != nil {
+		request.Residency = request.Residency.Intersect(team.Residency)
+	}
+	if !request.Residency.AllowsNone() {
+		return nil
+	}
+	f := refusal(http.StatusServiceUnavailable, "no_allowed_region", "the regions of the route and of the team have none in common")
+	f.RetryAfter = comeBackWhenReconfigured
+	return f
+}
+
 // rank chooses the pool of a request, and its rank there.
 func rank(request *chiverequest.Request, table *chivetable.Table, team *chivetable.Team) {
 	request.Pool = request.Route.PoolFor(rand.Float64())
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -12,6 +12,7 @@
 	"chivedrift/chivegrant"
 	"chivedrift/chiveplace"
 	"chivedrift/chiverequest"
+	"chivedrift/chiveresidency"
 	"chivedrift/chivetable"
 )
 
@@ -29,6 +30,9 @@
 	nodes  int
 	// evacuated are the failure domains whose endpoints get nothing.
 	evacuated []string
+	// regions is the region of each failure domain.
+	regions chiveresidency.Map
+	table   *chivetable.Table
 }
 
 // NewPools returns no pools, seen from a failure domain.
@@ -39,16 +43,20 @@
 // Asker places prompts with the help of other nodes.
 type Asker interface {
 	// Place gets a place, or fails with chivegrant.ErrAlone when the node has to decide alone.
-	Place(ctx context.Context, pool *chiveplace.Pool, request *chiverequest.Request, exclude []string) (*chiveplace.Place, error)
+	Place(ctx context.Context, pool *chiveplace.Pool, request *chiverequest.Request, limits chiveplace.Ask) (*chiveplace.Place, error)
 }
 
 // SetAsker takes who is asked for places for prompts; it is called before the first request.
 func (p *Pools) SetAsker(asker Asker) { p.asker = asker }
 
+// SetRegions takes the region of each failure domain; it is called before the first request.
+func (p *Pools) SetRegions(regions chiveresidency.Map) { p.regions = regions }
+
 // SetTable takes a configuration that came into force.
 func (p *Pools) SetTable(table *chivetable.Table) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.table = table
 	for _, t := range table.Pools() {
 		p.pool(t.Name).SetEngine(t.Engine)
 		p.pool(t.Name).SetWarmUpRate(t.WarmUpRate)
@@ -183,6 +191,8 @@
 	queuePoll = 10 * time.Millisecond
 	// askPoll is how often it asks other nodes anew.
 	askPoll = 50 * time.Millisecond
+	// retryWhenReconfigured is when to come back with a request that only another configuration would let run.
+	retryWhenReconfigured = 10 * time.Second
 )
 
 // choose asks for a place where others know more of the engines than this node, and decides alone where nobody answers.
@@ -190,7 +200,7 @@
 	ctx context.Context, pool *chiveplace.Pool, request *chiverequest.Request, ask chiveplace.Ask,
 ) (place *chiveplace.Place, asked bool, err error) {
 	if p.asker != nil && request.Prompt != nil {
-		place, err = p.asker.Place(ctx, pool, request, ask.Exclude)
+		place, err = p.asker.Place(ctx, pool, request, ask)
 		if !errors.Is(err, chivegrant.ErrAlone) {
 			return place, true, err
 		}
@@ -199,6 +209,21 @@
 	return place, false, err
 }
 
+// residencyOf returns where a request may be served now: a configuration that takes a region away also holds for requests that wait or
+// are repeated.
+func (p *Pools) residencyOf(request *chiverequest.Request) chiveresidency.Policy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.table == nil {
+		return request.Residency
+	}
+	current, ok := p.table.Residency(request.Route.Name, request.Team)
+	if !ok {
+		return request.Residency
+	}
+	return request.Residency.Intersect(current)
+}
+
 // Take waits a short while for a place.
 func (p *Pools) Take(ctx context.Context, request *chiverequest.Request, exclude []string) (Place, error) {
 	pool := p.Pool(request.Pool)
@@ -208,6 +233,11 @@
 	ask := chiveplace.Ask{Prompt: request.Prompt, Exclude: exclude}
 	until := time.Now().Add(chiveplace.Patience(request.Route.Target))
 	for {
+		residency := p.residencyOf(request)
+		if residency.AllowsNone() {
+			return nil, &chiveplace.RefusedError{Reason: "the regions of the route and of the team have none in common", RetryAfter: retryWhenReconfigured}
+		}
+		ask.Domains = p.regions.Domains(residency)
 		place, asked, err := p.choose(ctx, pool, request, ask)
 		if err == nil {
 			return pooled{place}, nil
--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -11,18 +11,23 @@
 	"chivedrift/chiveevent"
 	"chivedrift/chiveplace"
 	"chivedrift/chiverequest"
+	"chivedrift/chiveresidency"
 	"chivedrift/chivewire"
 )
 
 // Place gets a place for a prompt. The error is ErrAlone when the node has to decide alone, a *chiveplace.RefusedError when
 // the engines have no room.
-func (s *Service) Place(ctx context.Context, pool *chiveplace.Pool, request *chiverequest.Request, exclude []string) (*chiveplace.Place, error) {
+//
+// The ask names the endpoints that were tried and the failure domains that the request is limited to.
+func (s *Service) Place(ctx context.Context, pool *chiveplace.Pool, request *chiverequest.Request, limits chiveplace.Ask) (*chiveplace.Place, error) {
 	g := s.divided.Load()
 	if !g.asking {
 		return nil, ErrAlone
 	}
-	w := &wish{service: s, groups: g, pool: pool, request: request, exclude: append(pool.PassedOver(time.Now()), exclude...)}
-	first, second := g.homes(request.Pool, chiveplace.SharedPart(request.Prompt))
+	w := &wish{
+		service: s, groups: g, pool: pool, request: request, exclude: append(pool.PassedOver(time.Now()), limits.Exclude...), domains: limits.Domains,
+	}
+	first, second := g.homes(request.Pool, chiveplace.SharedPart(request.Prompt), limits.Domains)
 	if w.isOut(first) {
 		first, second = second, ""
 	}
@@ -54,6 +59,7 @@
 	pool    *chiveplace.Pool
 	request *chiverequest.Request
 	exclude []string
+	domains chiveresidency.Domains
 }
 
 // isOut reports whether this node would send to no engine of a group. A node that was cut off from the engines for a moment passes
@@ -72,10 +78,12 @@
 	s := w.service
 	owner := w.groups.owners[group]
 	if owner == s.o.Mesh.Self() {
-		return w.pool.Take(time.Now(), chiveplace.Ask{Prompt: w.request.Prompt, Exclude: w.exclude, Among: w.groups.engines[group], Most: most, MostReads: mostReads})
+		return w.pool.Take(time.Now(), chiveplace.Ask{
+			Prompt: w.request.Prompt, Exclude: w.exclude, Among: w.groups.engines[group], Domains: w.domains, Most: most, MostReads: mostReads,
+		})
 	}
 	ask := newPlaceAsk(w.request.Pool, group, w.request.Prompt)
-	ask.Exclude, ask.Most, ask.MostReads = w.exclude, most, mostReads
+	ask.Exclude, ask.Domains, ask.Most, ask.MostReads = w.exclude, w.domains.Names(), most, mostReads
 	answer, err := s.ask(ctx, owner, ask)
 	if err != nil {
 		return nil, err
@@ -92,7 +100,7 @@
 	}
 	s.granted.Add(1)
 	answer.Grant.Owner = owner
-	place, ok := w.pool.Adopt(time.Now(), answer.Grant, w.request.Prompt)
+	place, ok := w.pool.Adopt(time.Now(), answer.Grant, chiveplace.Ask{Prompt: w.request.Prompt, Domains: w.domains})
 	s.note(owner, answer.Given)
 	if !ok {
 		return nil, ErrAlone
--- a/chivegrant/fetch_test.go
+++ b/chivegrant/fetch_test.go
@@ -41,7 +41,7 @@
 		n.grant.ApplyEndpoints(chivedirectory.Diff{Changed: endpoints})
 		n.grant.Divide()
 	}
-	first, err := asker.grant.Place(context.Background(), asker.pool, longRequest(100), nil)
+	first, err := asker.grant.Place(context.Background(), asker.pool, longRequest(100), chiveplace.Ask{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -62,7 +62,7 @@
 		}
 		k.pool.Hear(time.Now(), "other", &busy)
 	}
-	next, err := asker.grant.Place(context.Background(), asker.pool, longRequest(200), nil)
+	next, err := asker.grant.Place(context.Background(), asker.pool, longRequest(200), chiveplace.Ask{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/chivegrant/groups.go
+++ b/chivegrant/groups.go
@@ -8,6 +8,7 @@
 	"chivedrift/chivedirectory"
 	"chivedrift/chivemember"
 	"chivedrift/chiveplace"
+	"chivedrift/chiveresidency"
 	"chivedrift/chiveroute"
 )
 
@@ -31,15 +32,17 @@
 
 // division is one pool's engines, in order of their hashes, with the number of each one's group.
 type division struct {
-	hashes []uint64
-	group  []int
-	names  []string
+	hashes  []uint64
+	domains []string
+	group   []int
+	names   []string
 }
 
 // engineID is an engine's incarnation with the hash of its id, so that an engine that starts again stays in its group.
 type engineID struct {
 	incarnation string
 	hash        uint64
+	domain      string
 }
 
 // newGroups divides the engines of each pool. An engine's group depends on its id and the number of groups alone, so that nodes
@@ -55,7 +58,7 @@
 	ids := make(map[string][]engineID)
 	for _, e := range endpoints {
 		if isEngine(e.Pool) {
-			ids[e.Pool] = append(ids[e.Pool], engineID{e.Incarnation().Key(), chiveplace.HashID(e.ID)})
+			ids[e.Pool] = append(ids[e.Pool], engineID{e.Incarnation().Key(), chiveplace.HashID(e.ID), e.FailureDomain})
 		}
 	}
 	var names []string
@@ -110,7 +113,7 @@
 	for _, e := range engines {
 		group := nearestWithRoom(e.hash, sizes, most)
 		sizes[group]++
-		d.hashes, d.group = append(d.hashes, e.hash), append(d.group, group)
+		d.hashes, d.domains, d.group = append(d.hashes, e.hash), append(d.domains, e.domain), append(d.group, group)
 		g.groupOf[e.incarnation] = d.names[group]
 		g.engines[d.names[group]][e.incarnation] = true
 	}
@@ -131,20 +134,24 @@
 	return best
 }
 
-// homes returns the group of a part's home engine, and the group of the best engine outside it; each empty when there is none.
-// Going by engines gives large groups as many more parts.
-func (g *groups) homes(pool string, part uint64) (first, second string) {
+// homes returns the group of a part's home engine in some failure domains, and the group of the best engine there outside it; each empty
+// when there is none. Going by engines gives large groups as many more parts.
+func (g *groups) homes(pool string, part uint64, domains chiveresidency.Domains) (first, second string) {
 	d, ok := g.pools[pool]
 	if !ok {
 		return "", ""
 	}
 	best := make([]uint64, len(d.names))
 	for i, hash := range d.hashes {
+		if !domains.Contains(d.domains[i]) {
+			continue
+		}
 		best[d.group[i]] = max(best[d.group[i]], chiveplace.Weigh(hash, part))
 	}
 	home, next := -1, -1
 	for i, weight := range best {
 		switch {
+		case weight == 0:
 		case home < 0 || weight > best[home]:
 			home, next = i, home
 		case next < 0 || weight > best[next]:
--- a/chivegrant/message.go
+++ b/chivegrant/message.go
@@ -5,6 +5,7 @@
 
 	"chivedrift/chiveplace"
 	"chivedrift/chiverequest"
+	"chivedrift/chiveresidency"
 	"chivedrift/chivetable"
 )
 
@@ -23,6 +24,8 @@
 	Rank   chivetable.Rank
 	// Exclude names endpoints that the node would not send to.
 	Exclude []string
+	// Domains lists the failure domains that the request is limited to; none stands for every domain.
+	Domains []string
 	// Most is the loss above which the node would ask elsewhere first, beside that of reading so many tokens again.
 	Most      float64
 	MostReads int64
@@ -35,6 +38,14 @@
 	}
 }
 
+// domains returns the failure domains that the request is limited to. A request that is limited to none asks nobody.
+func (a PlaceAsk) domains() chiveresidency.Domains {
+	if len(a.Domains) == 0 {
+		return chiveresidency.Domains{}
+	}
+	return chiveresidency.DomainsOf(a.Domains)
+}
+
 func (a PlaceAsk) prompt() *chiverequest.Prompt {
 	return &chiverequest.Prompt{Parts: a.Parts, Input: a.Input, Target: a.Target, Pause: a.Pause, Urgent: a.Urgent, Rank: a.Rank}
 }
--- a/chivegrant/own.go
+++ b/chivegrant/own.go
@@ -30,7 +30,7 @@
 	}
 	given := s.given.Add(1)
 	grant, err := pool.Grant(time.Now(), q.from, given, chiveplace.Ask{
-		Prompt: q.ask.prompt(), Exclude: q.ask.Exclude, Among: among, Most: q.ask.Most, MostReads: q.ask.MostReads,
+		Prompt: q.ask.prompt(), Exclude: q.ask.Exclude, Among: among, Domains: q.ask.domains(), Most: q.ask.Most, MostReads: q.ask.MostReads,
 	})
 	var refused *chiveplace.RefusedError
 	if errors.As(err, &refused) {
--- a/chivegrant/service_test.go
+++ b/chivegrant/service_test.go
@@ -101,7 +101,7 @@
 }
 
 func (n *node) place(own uint64) (*chiveplace.Place, error) {
-	return n.grant.Place(context.Background(), n.pool, request(own), nil)
+	return n.grant.Place(context.Background(), n.pool, request(own), chiveplace.Ask{})
 }
 
 // Guards against concurrent choices by several nodes that all pick the same engine.
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -154,7 +154,7 @@
 		Name: s.Listen.Peers, Address: s.Listen.Peers, AdminAddress: s.Listen.Admin, Region: s.Region, FailureDomain: s.FailureDomain,
 		Incarnation: time.Now().UnixMilli(),
 	}, n.mesh, roster, n.logger)
-	n.tables = chivetable.NewService(chiveplatform.DecodeTable, chiveplatform.IsConfiguration, n.logger)
+	n.tables = chivetable.NewService(n.decodeTable, chiveplatform.IsConfiguration, n.logger)
 	n.evacuation = chiveevacuation.New(chiveevacuation.Options{Mesh: n.mesh, Decode: chiveplatform.DecodeEvacuation, Logger: n.logger})
 	n.directory = chivedirectory.NewService(chiveplatform.DecodeEndpoint, chivedirectory.DefaultGrace, n.logger)
 	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Tables: n.tables, Endpoints: n.directory, Logger: n.logger})
@@ -232,6 +232,7 @@
 	n.memory = newMemoryGuard(s.MemoryMB*megabyte, n.logger)
 	n.quarantine = chivequarantine.New(chivequarantine.Options{Mesh: n.mesh, Logger: n.logger})
 	pools := chiveforward.NewPools(s.FailureDomain)
+	pools.SetRegions(s.RegionOf())
 	n.pools = pools
 	forwarder := chiveforward.New(chiveforward.Options{
 		Self: s.Listen.Callers, Network: network, Dialect: chiveplatform.Endpoints{}, Places: pools, Repeats: n.budget, Rules: chiveforward.StoreRules,
@@ -265,6 +266,18 @@
 	return serving{pools, forwarder, caches}
 }
 
+// decodeTable decodes the operator's document and checks its regions where the settings list those of the deployment.
+func (n *StoreNode) decodeTable(document []byte) (*chivetable.Table, error) {
+	table, err := chiveplatform.DecodeTable(document)
+	if err != nil || len(n.settings.Regions) == 0 {
+		return table, err
+	}
+	if err := table.CheckRegions(n.settings.RegionOf().Regions()); err != nil {
+		return nil, err
+	}
+	return table, nil
+}
+
 // recordStart records a request for the usage reports when an endpoint first answers it.
 func (n *StoreNode) recordStart(request *chiverequest.Request) {
 	if n.usage != nil && request.Team != "" {
--- a/chiveplace/engine.go
+++ b/chiveplace/engine.go
@@ -60,7 +60,7 @@
 // noteHeld notes what an engine holds of the prompt.
 func (c *engineChoice) noteHeld(now time.Time, s *candidate, ask Ask) {
 	c.held = max(c.held, c.prompt.Input-s.cache.missing(c.prompt))
-	if now.Before(s.downUntil) || slices.Contains(ask.Exclude, s.incarnation) {
+	if now.Before(s.downUntil) || slices.Contains(ask.Exclude, s.incarnation) || !ask.Domains.Contains(s.endpoint.FailureDomain) {
 		return
 	}
 	if read := s.cache.readBy(now, c.prompt); read > c.read {
--- a/chiveplace/grant.go
+++ b/chiveplace/grant.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"chivedrift/chivedirectory"
-	"chivedrift/chiverequest"
+	"chivedrift/chiveresidency"
 )
 
 // promiseFor is how long a place counts that a node took for another one which does not tell of it: a request that was sent is
@@ -97,16 +97,21 @@
 	})
 }
 
-// Adopt makes a place of a grant; it fails when this node does not know the endpoint as ready.
-func (p *Pool) Adopt(now time.Time, grant Grant, prompt *chiverequest.Prompt) (*Place, bool) {
+// Adopt makes a place of a grant; it fails when this node does not know the endpoint as ready or the ask does not allow its failure
+// domain, as an owner of an earlier release may grant it.
+func (p *Pool) Adopt(now time.Time, grant Grant, ask Ask) (*Place, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s, ok := p.candidates[grant.Endpoint]
-	if !ok || s.endpoint.State != chivedirectory.Ready {
+	if !ok || s.endpoint.State != chivedirectory.Ready || !ask.Domains.Contains(s.endpoint.FailureDomain) {
 		return nil, false
 	}
+	prompt := ask.Prompt
+	if grant.FetchFrom != "" && !p.isWithin(grant.FetchFrom, ask.Domains) {
+		grant.Reads, grant.Fetches, grant.FetchFrom = grant.Reads+grant.Fetches, 0, ""
+	}
 	place := &Place{
-		pool: p, candidate: s, endpoint: s.endpoint, began: now, reason: "granted by its owner", owner: grant.Owner, loss: grant.Loss, candidates: grant.Candidates,
+		pool: p, candidate: s, endpoint: s.endpoint, domains: ask.Domains, began: now, reason: "granted by its owner", owner: grant.Owner, loss: grant.Loss, candidates: grant.Candidates,
 		reads: grant.Reads, fetches: grant.Fetches, fetchFrom: grant.FetchFrom, ahead: grant.Ahead, rank: prompt.Rank, tight: p.isTight(prompt),
 		input: prompt.Input,
 	}
@@ -114,6 +119,16 @@
 	return place, true
 }
 
+// isWithin reports whether the endpoint at an address is in one of the failure domains; the caller holds the lock.
+func (p *Pool) isWithin(address string, domains chiveresidency.Domains) bool {
+	if !domains.IsLimited() {
+		return true
+	}
+	return slices.ContainsFunc(p.ordered, func(s *candidate) bool {
+		return s.endpoint.Address == address && domains.Contains(s.endpoint.FailureDomain)
+	})
+}
+
 // PassedOver returns the endpoints that this node would not send to now, for what happened there.
 func (p *Pool) PassedOver(now time.Time) []string {
 	p.mu.Lock()
--- a/chiveplace/grant_test.go
+++ b/chiveplace/grant_test.go
@@ -5,7 +5,9 @@
 	"testing"
 	"time"
 
+	"chivedrift/chivedirectory"
 	"chivedrift/chiveplace"
+	"chivedrift/chiveresidency"
 )
 
 // load returns how many requests a pool believes an endpoint has.
@@ -63,7 +65,7 @@
 func TestAdoptedPlaceIsTheNodesOwn(t *testing.T) {
 	owner, node := newPool(2, engine), newPool(2, engine)
 	g := grant(t, owner, time.Now(), "n1", 1, 100)
-	place, ok := node.Adopt(time.Now(), g, shortPrompt(100))
+	place, ok := node.Adopt(time.Now(), g, chiveplace.Ask{Prompt: shortPrompt(100)})
 	if !ok || place.Endpoint().ID != g.Endpoint || load(node, g.Endpoint) != 1 {
 		t.Fatalf("adopted %v, %v", place, ok)
 	}
@@ -71,7 +73,7 @@
 	if got := load(node, g.Endpoint); got != 0 {
 		t.Errorf("%d requests after the end", got)
 	}
-	if _, ok := node.Adopt(time.Now(), chiveplace.Grant{Endpoint: "unknown"}, shortPrompt(1)); ok {
+	if _, ok := node.Adopt(time.Now(), chiveplace.Grant{Endpoint: "unknown"}, chiveplace.Ask{Prompt: shortPrompt(1)}); ok {
 		t.Error("an endpoint that the node does not know cannot be adopted")
 	}
 }
@@ -94,3 +96,20 @@
 		t.Errorf("got %v, %v; want the only engine of the group", g, err)
 	}
 }
+
+// Guards against a grant of an owner of an earlier release that knows no limits to regions.
+func TestGrantOutsideTheAllowedDomainsIsNotAdopted(t *testing.T) {
+	p := chiveplace.NewPool("a")
+	p.SetEngine(engine)
+	p.SetEndpoints([]chivedirectory.Endpoint{
+		{ID: "e0", Pool: "p", Address: "10.0.0.1:1", FailureDomain: "a"}, {ID: "e1", Pool: "p", Address: "10.0.0.2:1", FailureDomain: "b"},
+	})
+	ask := chiveplace.Ask{Prompt: longPrompt(1, 100), Domains: chiveresidency.DomainsOf([]string{"a"})}
+	if _, ok := p.Adopt(time.Now(), chiveplace.Grant{Endpoint: "e1"}, ask); ok {
+		t.Error("a place outside the allowed failure domains is adopted")
+	}
+	place, ok := p.Adopt(time.Now(), chiveplace.Grant{Endpoint: "e0", Reads: 100, Fetches: 5000, FetchFrom: "10.0.0.2:1"}, ask)
+	if !ok || place.FetchFrom() != "" || place.Reads() != 5100 {
+		t.Fatalf("adopted %v, fetches from %q, reads %d; want 5100 and no fetch", ok, place.FetchFrom(), place.Reads())
+	}
+}
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chivedrift/chivedirectory"
+	"chivedrift/chiveresidency"
 	"chivedrift/chivetable"
 )
 
@@ -27,9 +28,11 @@
 
 // Place is one request's place on an endpoint.
 type Place struct {
-	pool       *Pool
-	candidate  *candidate
-	endpoint   chivedirectory.Endpoint
+	pool      *Pool
+	candidate *candidate
+	endpoint  chivedirectory.Endpoint
+	// domains are the failure domains that the request is limited to.
+	domains    chiveresidency.Domains
 	began      time.Time
 	reason     string
 	owner      string
@@ -122,7 +125,7 @@
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
 	fetches := held - (p.input - p.reads)
-	if p.started || p.fetchFrom != "" || address == p.endpoint.Address || !p.pool.worthFetching(fetches) {
+	if p.started || p.fetchFrom != "" || address == p.endpoint.Address || !p.pool.worthFetching(fetches) || !p.pool.isWithin(address, p.domains) {
 		return
 	}
 	p.candidate.read(p)
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -12,6 +12,7 @@
 
 	"chivedrift/chivedirectory"
 	"chivedrift/chiverequest"
+	"chivedrift/chiveresidency"
 	"chivedrift/chivetable"
 	"chivedrift/chivetime"
 
@@ -42,6 +43,8 @@
 	Left time.Duration
 	// Among limits the choice to some endpoints, by id; nil means all.
 	Among map[string]bool
+	// Domains limits the choice, and what parts of the prompt are fetched from, to some failure domains.
+	Domains chiveresidency.Domains
 	// Most is the loss above which other endpoints are to be asked first, beside that of reading so many tokens again; 0 means that
 	// there are none.
 	Most      float64
@@ -221,6 +224,8 @@
 	usable, present := p.usable(now, ask)
 	if len(usable) == 0 {
 		switch {
+		case present == 0 && ask.Domains.IsLimited():
+			return nil, &RefusedError{Reason: "no endpoint of the pool is known in the allowed regions", RetryAfter: retryWhenNone}
 		case present == 0 && len(p.evacuated) > 0:
 			return nil, &RefusedError{Reason: "no endpoint of the pool is known outside the evacuated failure domains", RetryAfter: retryWhenNone}
 		case present == 0:
@@ -261,7 +266,7 @@
 	slots := slotsFor(p.engine.Slots, ask.Prompt)
 	var suspect []*candidate
 	for _, s := range among {
-		if s.endpoint.State != chivedirectory.Ready || slices.Contains(p.evacuated, s.endpoint.FailureDomain) {
+		if s.endpoint.State != chivedirectory.Ready || slices.Contains(p.evacuated, s.endpoint.FailureDomain) || !ask.Domains.Contains(s.endpoint.FailureDomain) {
 			continue
 		}
 		present++
@@ -298,7 +303,7 @@
 
 // cheapest makes a place on the candidate with the least cost, and notes the next best.
 func (p *Pool) cheapest(now time.Time, candidates []*candidate, ask Ask) *Place {
-	place := &Place{pool: p, began: now, candidates: len(candidates), reason: "least expected time", loss: math.Inf(1), nextLoss: math.Inf(1)}
+	place := &Place{pool: p, began: now, domains: ask.Domains, candidates: len(candidates), reason: "least expected time", loss: math.Inf(1), nextLoss: math.Inf(1)}
 	if ask.Prompt != nil && p.engine.Slots > 0 {
 		p.cheapestEngine(now, place, candidates, ask)
 		return place
@@ -362,15 +367,17 @@
 
 // EndpointState is the dump of one endpoint.
 type EndpointState struct {
-	Endpoint string  `json:"endpoint"`
-	Address  string  `json:"address"`
-	Ready    bool    `json:"ready"`
-	Own      int     `json:"own_requests"`
-	Others   int     `json:"other_nodes_requests"`
-	Waiting  int64   `json:"tokens_waiting"`
-	Errors   float64 `json:"error_share"`
-	TookMs   float64 `json:"took_ms"`
-	Down     bool    `json:"passed_over"`
+	Endpoint string `json:"endpoint"`
+	Address  string `json:"address"`
+	// FailureDomain is where the endpoint runs.
+	FailureDomain string  `json:"failure_domain"`
+	Ready         bool    `json:"ready"`
+	Own           int     `json:"own_requests"`
+	Others        int     `json:"other_nodes_requests"`
+	Waiting       int64   `json:"tokens_waiting"`
+	Errors        float64 `json:"error_share"`
+	TookMs        float64 `json:"took_ms"`
+	Down          bool    `json:"passed_over"`
 }
 
 // States returns what is known of each endpoint, by id.
@@ -380,7 +387,7 @@
 	states := make([]EndpointState, 0, len(p.candidates))
 	for id, s := range p.candidates {
 		states = append(states, EndpointState{
-			Endpoint: id, Address: s.endpoint.Address, Ready: s.endpoint.State == chivedirectory.Ready, Own: s.own, Others: s.others,
+			Endpoint: id, Address: s.endpoint.Address, FailureDomain: s.endpoint.FailureDomain, Ready: s.endpoint.State == chivedirectory.Ready, Own: s.own, Others: s.others,
 			Waiting: s.waitingTokens(), Errors: s.errors, TookMs: s.took * 1000, Down: now.Before(s.downUntil),
 		})
 	}
--- a/chiveplace/pool_test.go
+++ b/chiveplace/pool_test.go
@@ -201,7 +201,7 @@
 	if third := take(t, p, now, longPrompt(2, 101)); third.Reads() != 16700 {
 		t.Errorf("%d tokens to read, want all of the prompt", third.Reads())
 	}
-	if _, ok := p.Adopt(now, g, longPrompt(1, 200)); ok {
+	if _, ok := p.Adopt(now, g, chiveplace.Ask{Prompt: longPrompt(1, 200)}); ok {
 		t.Error("a place at the former process is adopted")
 	}
 	if out := p.PassedOver(now); len(out) != 0 {
--- a/chiverequest/request.go
+++ b/chiverequest/request.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"chivedrift/chiveresidency"
 	"chivedrift/chivetable"
 )
 
@@ -32,6 +33,8 @@
 	Deadline  time.Time
 	// TableVersion is the version of the configuration that the route comes from.
 	TableVersion int64
+	// Residency is where the request may be served by the configuration that it was accepted under.
+	Residency chiveresidency.Policy
 	// Silence is how long an endpoint may send nothing before another one is tried; zero means that silence is no reason.
 	Silence time.Duration
 	// Stream takes the events of a streamed answer; nil passes them on by their ids.
--- a/chiveroute/local.go
+++ b/chiveroute/local.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chivedrift/chiveconfig"
+	"chivedrift/chiveresidency"
 )
 
 // Local chooses a replica of a plain service by this node's own requests in flight, the better of two at random.
@@ -61,11 +62,11 @@
 	}
 }
 
-// Take reserves a place on a replica, preferring the region; it reports false when none is up with room.
-func (l *Local) Take(now time.Time, region string, exclude []string) (chiveconfig.Endpoint, bool) {
+// Take reserves a place on a replica that the residency policy allows, preferring the region; it reports false when none is up with room.
+func (l *Local) Take(now time.Time, region string, residency chiveresidency.Policy, exclude []string) (chiveconfig.Endpoint, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	usable := l.usable(now, region, exclude)
+	usable := l.usable(now, region, residency, exclude)
 	if len(usable) == 0 {
 		return chiveconfig.Endpoint{}, false
 	}
@@ -78,11 +79,11 @@
 	return best.endpoint, true
 }
 
-func (l *Local) usable(now time.Time, region string, exclude []string) []*replica {
+func (l *Local) usable(now time.Time, region string, residency chiveresidency.Policy, exclude []string) []*replica {
 	var near, far []*replica
 	for _, name := range slices.Sorted(maps.Keys(l.replicas)) {
 		r := l.replicas[name]
-		if slices.Contains(exclude, name) || now.Before(r.downUntil) || now.Before(r.leaving) || float64(r.inFlight) >= r.limit {
+		if slices.Contains(exclude, name) || now.Before(r.downUntil) || now.Before(r.leaving) || float64(r.inFlight) >= r.limit || !residency.Allows(r.endpoint.Region) {
 			continue
 		}
 		if r.endpoint.Region == region {
--- a/chiveschedule/client.go
+++ b/chiveschedule/client.go
@@ -14,6 +14,7 @@
 
 	"chivedrift/chiveconfig"
 	"chivedrift/chivemember"
+	"chivedrift/chiveresidency"
 	"chivedrift/chiveroute"
 	"chivedrift/chivewire"
 )
@@ -164,7 +165,13 @@
 			return nil, err
 		}
 		if answer.grant != nil {
-			return c.hold(p, answer), nil
+			slot := c.hold(p, answer)
+			if c.residency(ask).Allows(p.shard.Region()) {
+				return slot, nil
+			}
+			// The configuration took the region away while the request waited.
+			slot.Done(Ending{Result: ResultReturned})
+			continue
 		}
 		if answer.refusal.Reason != ReasonNoneUp && answer.refusal.Reason != ReasonFull {
 			return nil, refused(answer.refusal)
@@ -180,13 +187,25 @@
 	return &RefusedError{Reason: r.Reason, RetryAfter: time.Duration(r.RetryAfterMs) * time.Millisecond}
 }
 
-// pick chooses among the shards of this region first, then among the others.
+// residency returns where a request may be served by the configuration in force.
+func (c *Client) residency(ask Ask) chiveresidency.Policy {
+	config := c.table.Load().config
+	if config == nil {
+		return chiveresidency.Policy{}
+	}
+	return config.Residency(ask.Request.Class, ask.Request.Team)
+}
+
+// pick chooses among the shards of this region first, then among the others that the request may be served in.
 func (c *Client) pick(ask Ask, excluded map[string]bool) (chiveroute.Shard, bool) {
 	var near, far []chiveroute.Shard
+	residency := c.residency(ask)
 	for _, s := range c.table.Load().byPool[ask.Pool] {
-		if s.Region() == c.region {
+		switch {
+		case !residency.Allows(s.Region()):
+		case s.Region() == c.region:
 			near = append(near, s)
-		} else {
+		default:
 			far = append(far, s)
 		}
 	}
@@ -199,7 +218,7 @@
 func (c *Client) submit(ask Ask, excluded map[string]bool) (*pending, error) {
 	shard, ok := c.pick(ask, excluded)
 	if !ok {
-		return nil, fmt.Errorf("pool %s: %w", ask.Pool, ErrNoPool)
+		return nil, fmt.Errorf("pool %s, allowed regions %s: %w", ask.Pool, c.residency(ask), ErrNoPool)
 	}
 	request := ask.Request
 	request.Shard = shard.ID()
--- a/chivesettings/store.go
+++ b/chivesettings/store.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"time"
+
+	"chivedrift/chiveresidency"
 )
 
 // StoreNode holds the settings of a node whose configuration and endpoints come from the platform's metadata store.
@@ -12,6 +15,8 @@
 	Name          string `yaml:"name" validate:"required,max=64"`
 	Region        string `yaml:"region" validate:"required"`
 	FailureDomain string `yaml:"failure_domain" validate:"required"`
+	// Regions is the region of each failure domain of the deployment. Without it only the node's own is known.
+	Regions map[string]string `yaml:"regions" validate:"dive,keys,required,endkeys,required"`
 	// Listen holds the addresses that the node serves on.
 	Listen StoreListen `yaml:"listen"`
 	// Store is the address of the platform's metadata store.
@@ -63,6 +68,13 @@
 	return time.Duration(d.UsageDelayS * float64(time.Second))
 }
 
+// RegionOf returns the region of each known failure domain, the node's own included.
+func (s *StoreNode) RegionOf() chiveresidency.Map {
+	regions := chiveresidency.Map{s.FailureDomain: s.Region}
+	maps.Copy(regions, s.Regions)
+	return regions
+}
+
 // StoreListen holds the addresses of a node, by IP number and port.
 type StoreListen struct {
 	Callers string `yaml:"callers" validate:"required,ipport"`
--- a/chivetable/service.go
+++ b/chivetable/service.go
@@ -70,9 +70,11 @@
 		Newest   int64     `json:"newest_known"`
 		BehindMs int64     `json:"behind_ms"`
 		Counts   Counts    `json:"documents"`
+		// Limited holds the regions of routes and teams that may be served in some only.
+		Limited map[string]string `json:"limited_to_regions,omitempty"`
 	}{Since: s.since, Newest: s.newest, BehindMs: s.behind(time.Now()).Milliseconds(), Counts: s.counts}
 	if s.table != nil {
-		dump.Version, dump.Routes = s.table.Version(), s.table.Routes()
+		dump.Version, dump.Routes, dump.Limited = s.table.Version(), s.table.Routes(), s.table.limited()
 	}
 	return dump
 }
--- a/chivetable/table.go
+++ b/chivetable/table.go
@@ -5,6 +5,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"chivedrift/chiveresidency"
 )
 
 // Repetition tells what may be repeated of a request.
@@ -58,6 +60,8 @@
 	Prompted bool
 	Stream   bool
 	Repeat   Repetition
+	// Residency is where requests on the route may be served.
+	Residency chiveresidency.Policy
 }
 
 // Engine tells what a pool of model engines can hold; zero for plain services.
@@ -116,6 +120,8 @@
 	Name    string
 	HasTier bool
 	Tier    int
+	// Residency is where the team's requests may be served.
+	Residency chiveresidency.Policy
 }
 
 // Limits bound what a caller may send; sizes are in bytes, zero means no limit.
@@ -142,6 +148,8 @@
 type Table struct {
 	spec   Spec
 	byHost map[string][]*Route
+	routes map[string]*Route
+	teams  map[string]*Team
 	pools  map[string]*Pool
 	ranks  map[queue][]tiers
 	// usualTier is the tier that most teams have.
@@ -150,7 +158,13 @@
 
 // New checks a spec and returns its table; the error names the version and the route.
 func New(spec Spec) (*Table, error) {
-	t := &Table{spec: spec, byHost: make(map[string][]*Route), pools: make(map[string]*Pool)}
+	t := &Table{
+		spec: spec, byHost: make(map[string][]*Route), routes: make(map[string]*Route, len(spec.Routes)), teams: make(map[string]*Team, len(spec.Teams)),
+		pools: make(map[string]*Pool),
+	}
+	for i := range t.spec.Teams {
+		t.teams[t.spec.Teams[i].Name] = &t.spec.Teams[i]
+	}
 	for i := range t.spec.Pools {
 		p := &t.spec.Pools[i]
 		t.pools[p.Name] = p
@@ -166,6 +180,7 @@
 		if err := t.check(r); err != nil {
 			return nil, fmt.Errorf("configuration version %d: route %q: %w", spec.Version, r.Name, err)
 		}
+		t.routes[r.Name] = r
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
 	}
@@ -248,6 +263,56 @@
 	return &t.spec.Teams[i], true
 }
 
+// Residency returns where a request of a route and a team, by name, may be served; the policies of both hold. It reports false
+// when there is no such route or, where a team is named, no such team.
+func (t *Table) Residency(route, team string) (p chiveresidency.Policy, ok bool) {
+	r, ok := t.routes[route]
+	if !ok {
+		return chiveresidency.Policy{}, false
+	}
+	if team == "" {
+		return r.Residency, true
+	}
+	owner, ok := t.teams[team]
+	if !ok {
+		return chiveresidency.Policy{}, false
+	}
+	return r.Residency.Intersect(owner.Residency), true
+}
+
+// limited returns the regions of the routes and teams that may be served in some only, for state dumps.
+func (t *Table) limited() map[string]string {
+	limited := make(map[string]string)
+	for i := range t.spec.Routes {
+		if r := &t.spec.Routes[i]; r.Residency.IsLimited() {
+			limited["route "+r.Name] = r.Residency.String()
+		}
+	}
+	for i := range t.spec.Teams {
+		if team := &t.spec.Teams[i]; team.Residency.IsLimited() {
+			limited["team "+team.Name] = team.Residency.String()
+		}
+	}
+	return limited
+}
+
+// CheckRegions returns an error that names the first route or team with a region that is not among the known ones.
+func (t *Table) CheckRegions(known []string) error {
+	for i := range t.spec.Routes {
+		r := &t.spec.Routes[i]
+		if err := r.Residency.Check(known); err != nil {
+			return fmt.Errorf("configuration version %d: route %q: regions: %w", t.spec.Version, r.Name, err)
+		}
+	}
+	for i := range t.spec.Teams {
+		team := &t.spec.Teams[i]
+		if err := team.Residency.Check(known); err != nil {
+			return fmt.Errorf("configuration version %d: team %q: regions: %w", t.spec.Version, team.Name, err)
+		}
+	}
+	return nil
+}
+
 func (r *Route) leadsTo(pool string) bool {
 	for _, s := range r.Shares {
 		if s.Pool == pool && s.Weight > 0 {
