State of endpoints: one record where there is something to record, in place of seven full copies

Cause: each service of a node kept its own copy of each endpoint (directory, what its listeners know, pools, groups, engines whose cache is asked, addresses, pools by id), and a pool a full record of each engine (two maps, a list, three times, 0.45 KB and more) although a node of a fleet of 985 has to do with a few dozen of 9,845. Scans of all engines ran every 60 ms (load reports), every 100 ms (whose cache to ask) and for each request (engines passed over).

- Pools: an engine without requests or reports shares one empty record; scans go over the engines with a record; records that are idle for a minute are dropped where there are more than 512.
- Directory: an endpoint is kept once and shared with what listeners know; the rare state of a contested change is kept apart.
- Engines whose cache is asked: the pool knows, by the owned groups, in place of a list of all endpoints.
- Forwarder: no index by address.

The test of a node that joins a large fleet asks through the pool now; what it checks, nine engines asked, is the same.

--- a/chivecache/service.go
+++ b/chivecache/service.go
@@ -19,9 +19,6 @@
 const ServiceName = "cache reconciliation"
 
 const (
-	// startsFor is how long after its start a node takes the engines that it hears of for ones that have run before: it learns of them in
-	// some hundred milliseconds. One that comes later has just started and holds nothing.
-	startsFor = 3 * time.Second
 	// askWithin bounds one question; an engine answers between two steps.
 	askWithin = time.Second
 	// lookEvery is how often the service looks which engines to ask.
@@ -48,13 +45,12 @@
 	Settled() bool
 	// Asking reports whether the fleet is that large.
 	Asking() bool
-	// OwnerOf returns the address of the node that owns an engine.
-	OwnerOf(endpoint string) string
+	// Owned returns the ids of the engines of a pool that this node owns.
+	Owned(pool string) []string
 }
 
 // Options are the parts the service is made of.
 type Options struct {
-	Self   string
 	Caches Caches
 	Pools  Pools
 	Owners Owners
@@ -63,60 +59,34 @@
 
 // Service asks each engine once for which this node decides.
 type Service struct {
-	o       Options
-	mu      sync.Mutex
-	began   time.Time
-	engines map[string]bool
-	known   map[string]*engine
+	o  Options
+	mu sync.Mutex
+	// engines are the pools that have engines.
+	engines []string
 	learnt  atomic.Int64
 	failed  atomic.Int64
 	duties  chivekernel.Duties
 }
 
-// engine is an endpoint of a pool of engines.
-type engine struct {
-	endpoint chivedirectory.Endpoint
-	// cold tells that it started while this node knew the others, asked that it has been asked.
-	cold  bool
-	asked bool
-}
-
 // New returns a service that knows no engines yet.
 func New(o Options) *Service {
-	return &Service{o: o, engines: make(map[string]bool), known: make(map[string]*engine)}
+	return &Service{o: o}
 }
 
 // SetTable takes which pools have engines.
 func (s *Service) SetTable(table *chivetable.Table) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.engines = make(map[string]bool)
+	s.engines = nil
 	for _, p := range table.Pools() {
-		s.engines[p.Name] = p.Engine.Slots > 0
-	}
-}
-
-// ApplyEndpoints takes a change of the directory.
-func (s *Service) ApplyEndpoints(diff chivedirectory.Diff) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, e := range diff.Gone {
-		delete(s.known, e.ID)
-	}
-	for _, e := range diff.Changed {
-		old, ok := s.known[e.ID]
-		if ok && e.Incarnation() == old.endpoint.Incarnation() {
-			continue
+		if p.Engine.Slots > 0 {
+			s.engines = append(s.engines, p.Name)
 		}
-		s.known[e.ID] = &engine{endpoint: e, cold: ok || (!s.began.IsZero() && time.Since(s.began) > startsFor)}
 	}
 }
 
 // Start begins to ask.
 func (s *Service) Start(ctx context.Context) error {
-	s.mu.Lock()
-	s.began = time.Now()
-	s.mu.Unlock()
 	s.duties.Begin(ctx, s.run)
 	return nil
 }
@@ -154,19 +124,20 @@
 		return nil
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, e := range s.known {
-		if len(next) == askedMost {
-			return next
-		}
-		if e.asked || e.cold || !s.engines[e.endpoint.Pool] || e.endpoint.State != chivedirectory.Ready {
+	engines := s.engines
+	s.mu.Unlock()
+	for _, name := range engines {
+		pool := s.o.Pools.Pool(name)
+		if pool == nil {
 			continue
 		}
-		if s.o.Owners.Asking() && s.o.Owners.OwnerOf(e.endpoint.Incarnation().Key()) != s.o.Self {
-			continue
+		var owned []string
+		if s.o.Owners.Asking() {
+			if owned = s.o.Owners.Owned(name); len(owned) == 0 {
+				continue
+			}
 		}
-		e.asked = true
-		next = append(next, e.endpoint)
+		next = append(next, pool.TakeUnasked(owned, askedMost-len(next))...)
 	}
 	return next
 }
--- a/chivecache/service_test.go
+++ b/chivecache/service_test.go
@@ -22,6 +22,7 @@
 type engines struct {
 	mu    sync.Mutex
 	asked int
+	pool  *chiveplace.Pool
 }
 
 func (e *engines) Held(context.Context, chivedirectory.Endpoint) ([]chiverequest.Part, error) {
@@ -37,7 +38,7 @@
 	return e.asked
 }
 
-func (e *engines) Pool(string) *chiveplace.Pool { return nil }
+func (e *engines) Pool(string) *chiveplace.Pool { return e.pool }
 
 // joining is a node that comes to know a large fleet a while after its start, and owns a share of its engines then.
 type joining struct {
@@ -50,19 +51,19 @@
 
 func (j joining) Asking() bool { return j.Settled() }
 
-func (j joining) OwnerOf(endpoint string) string {
-	if endpoint < fmt.Sprintf("i-%03d", j.share) {
-		return "self"
+func (j joining) Owned(string) (owned []string) {
+	for i := range j.share {
+		owned = append(owned, fmt.Sprintf("i-%03d", i))
 	}
-	return "another"
+	return owned
 }
 
 // Guards against a cold start in which every node queries the cache of every engine.
 func TestNodeThatJoinsALargeFleetAsksItsOwnEnginesOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		asked := &engines{}
+		asked := &engines{pool: chiveplace.NewPool("a")}
 		s := chivecache.New(chivecache.Options{
-			Self: "self", Caches: asked, Pools: asked, Owners: joining{time.Now(), 600 * time.Millisecond, 9}, Logger: slog.New(slog.DiscardHandler),
+			Caches: asked, Pools: asked, Owners: joining{time.Now(), 600 * time.Millisecond, 9}, Logger: slog.New(slog.DiscardHandler),
 		})
 		table, err := chivetable.New(chivetable.Spec{Version: 1, Pools: []chivetable.Pool{{Name: "pool", Engine: chivetable.Engine{Slots: 32}}}})
 		if err != nil {
@@ -73,7 +74,7 @@
 		for i := range 320 {
 			endpoints = append(endpoints, chivedirectory.Endpoint{ID: fmt.Sprintf("i-%03d", i), Pool: "pool", Address: "10.0.0.1:1", State: chivedirectory.Ready})
 		}
-		s.ApplyEndpoints(chivedirectory.Diff{Changed: endpoints})
+		asked.pool.ApplyEndpoints(chivedirectory.Diff{Changed: endpoints})
 		if err := s.Start(t.Context()); err != nil {
 			t.Fatal(err)
 		}
--- a/chivedirectory/changes.go
+++ b/chivedirectory/changes.go
@@ -49,7 +49,7 @@
 
 // change is what is told of one entry.
 func (d *Directory) change(now time.Time, e *entry) Change {
-	w := Change{Position: e.position, Endpoint: e.endpoint, Missing: !e.missing.IsZero()}
+	w := Change{Position: e.position, Endpoint: *e.endpoint, Missing: !e.missing.IsZero()}
 	if w.Missing {
 		w.Keep = max(d.graceLeft(now), e.keep.Sub(now), 0)
 	}
@@ -87,8 +87,8 @@
 // would bring them back for good.
 func (d *Directory) withdrawContests(named map[string]bool, end chivelog.Position) {
 	for id, t := range d.gone {
-		if !named[id] && t.contest.change.Position <= end {
-			t.contest = contest{}
+		if !named[id] && t.contest.isOpen() && t.contest.change.Position <= end {
+			t.contest = nil
 			d.gone[id] = t
 		}
 	}
--- a/chivedirectory/diff.go
+++ b/chivedirectory/diff.go
@@ -1,6 +1,9 @@
 package chivedirectory
 
-import "slices"
+import (
+	"slices"
+	"strings"
+)
 
 // Diff is what changed in the directory since its listeners were last called.
 type Diff struct {
@@ -32,44 +35,53 @@
 }
 
 // touch notes that something may have changed of an endpoint.
-func (d *Directory) touch(id string) { d.touched[id] = struct{}{} }
-
-// takeTouched returns the endpoints of which something may have changed since the last call, by id.
-func (d *Directory) takeTouched() []string {
-	ids := make([]string, 0, len(d.touched))
-	for id := range d.touched {
-		ids = append(ids, id)
+func (d *Directory) touch(id string) {
+	if _, ok := d.touched[id]; ok {
+		return
+	}
+	var shown *Endpoint
+	if e, ok := d.entries[id]; ok {
+		shown = e.shown
 	}
-	slices.Sort(ids)
-	clear(d.touched)
-	return ids
+	d.touched[id] = shown
 }
 
-// endpoint returns an endpoint that is not gone.
-func (d *Directory) endpoint(id string) (Endpoint, bool) {
-	e, ok := d.entries[id]
-	if !ok {
-		return Endpoint{}, false
+// show is what listeners know of an endpoint and what they should know; each nil where there is none.
+type show struct {
+	id     string
+	before *Endpoint
+	now    *Endpoint
+}
+
+// takeTouched returns the endpoints of which something may have changed since the last call, by id, and takes them as shown.
+func (d *Directory) takeTouched() []show {
+	shows := make([]show, 0, len(d.touched))
+	for id, before := range d.touched {
+		s := show{id: id, before: before}
+		if e, ok := d.entries[id]; ok {
+			s.now = e.endpoint
+			e.shown = e.endpoint
+		}
+		shows = append(shows, s)
 	}
-	return e.endpoint, true
+	slices.SortFunc(shows, func(a, b show) int { return strings.Compare(a.id, b.id) })
+	d.touched = make(map[string]*Endpoint)
+	return shows
 }
 
 // diff returns what changed since the last call, logs it and takes it as shown; the caller holds the lock.
 func (s *Service) diff(source string) Diff {
 	var d Diff
-	for _, id := range s.directory.takeTouched() {
-		now, present := s.directory.endpoint(id)
-		before, known := s.shown[id]
+	for _, t := range s.directory.takeTouched() {
 		switch {
-		case present && (!known || before != now):
-			s.shown[id] = now
-			s.logEndpoint(now, before, known, source)
-			d.Changed = append(d.Changed, now)
-		case !present && known:
-			delete(s.shown, id)
-			s.logGone(id, source)
-			d.Gone = append(d.Gone, before)
+		case t.now != nil && (t.before == nil || *t.before != *t.now):
+			s.logEndpoint(t, source)
+			d.Changed = append(d.Changed, *t.now)
+		case t.now == nil && t.before != nil:
+			s.logGone(t.id, source)
+			d.Gone = append(d.Gone, *t.before)
 		}
 	}
+	s.knew = s.knew || len(d.Changed) > 0
 	return d
 }
--- a/chivedirectory/directory.go
+++ b/chivedirectory/directory.go
@@ -38,27 +38,37 @@
 	// restored is when the store was first seen to have come back from an older copy, the last time.
 	restored time.Time
 	answers  answers
-	// touched are the endpoints of which something may have changed since the service last looked.
-	touched map[string]struct{}
+	// touched are the endpoints of which something may have changed since the service last looked, as they were shown then; nil for one that
+	// was not.
+	touched map[string]*Endpoint
 	// outages are those whose grace time is not over, the newest last; the newest may last still.
 	outages []*outage
 }
 
 type entry struct {
-	endpoint Endpoint
+	// endpoint is not changed in place, so that it may be shown.
+	endpoint *Endpoint
+	// shown is what listeners know of the endpoint; nil before the first time.
+	shown    *Endpoint
 	position chivelog.Position
 	// missing is when the entry was first found missing, zero while it is there.
 	missing time.Time
 	// keep is until when a peer that told of it waits for it; zero where this node found out itself.
-	keep    time.Time
-	contest contest
+	keep time.Time
+	// contest is nil unless there is a change of an earlier incarnation.
+	contest *contest
 }
 
+// copyOf returns an endpoint of its own, so that what it came in is not kept with it.
+func copyOf(e Endpoint) *Endpoint { return &e }
+
 // replace takes a newer change of the endpoint and reports whether it says something else.
 func (e *entry) replace(change Change) bool {
-	changed := e.endpoint != change.Endpoint
-	e.endpoint, e.position, e.missing, e.keep = change.Endpoint, max(e.position, change.Position), time.Time{}, time.Time{}
-	e.contest = contest{}
+	changed := *e.endpoint != change.Endpoint
+	if changed {
+		e.endpoint = copyOf(change.Endpoint)
+	}
+	e.position, e.missing, e.keep, e.contest = max(e.position, change.Position), time.Time{}, time.Time{}, nil
 	return changed
 }
 
@@ -67,13 +77,13 @@
 	at       time.Time
 	// incarnation is the last that was known of the endpoint.
 	incarnation Incarnation
-	contest     contest
+	contest     *contest
 }
 
 // New returns an empty directory; grace is how long a lapsed entry is kept after the store's return.
 func New(grace time.Duration) *Directory {
 	return &Directory{
-		grace: grace, entries: make(map[string]*entry), gone: make(map[string]tombstone), touched: make(map[string]struct{}), newest: noPosition, rooted: noPosition,
+		grace: grace, entries: make(map[string]*entry), gone: make(map[string]tombstone), touched: make(map[string]*Endpoint), newest: noPosition, rooted: noPosition,
 	}
 }
 
@@ -157,7 +167,7 @@
 	}
 	delete(d.gone, id)
 	if !ok {
-		d.entries[id] = &entry{endpoint: change.Endpoint, position: change.Position}
+		d.entries[id] = &entry{endpoint: copyOf(change.Endpoint), position: change.Position}
 		return true
 	}
 	return known.replace(change)
@@ -176,7 +186,7 @@
 		return true, known.position == change.Position && change.Read && change.Gone && d.confirm(now, change.Endpoint.ID)
 	case known.mayBeOld(change):
 		known.position = change.Position
-		known.contest.note(now, change)
+		known.contest = known.contest.note(now, change)
 		return true, false
 	}
 	return false, false
@@ -214,7 +224,7 @@
 func (d *Directory) miss(now time.Time, change Change) {
 	known, ok := d.entries[change.Endpoint.ID]
 	if !ok {
-		known = &entry{endpoint: change.Endpoint}
+		known = &entry{endpoint: copyOf(change.Endpoint)}
 		d.entries[change.Endpoint.ID] = known
 	}
 	known.position = max(known.position, change.Position)
@@ -283,7 +293,7 @@
 func (d *Directory) Endpoints() []Endpoint {
 	all := make([]Endpoint, 0, len(d.entries))
 	for _, e := range d.entries {
-		all = append(all, e.endpoint)
+		all = append(all, *e.endpoint)
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
 	return all
--- a/chivedirectory/incarnation.go
+++ b/chivedirectory/incarnation.go
@@ -53,16 +53,20 @@
 	since  time.Time
 }
 
-// note takes such a change.
-func (c *contest) note(now time.Time, change Change) {
+// note takes such a change, the first where there is none yet.
+func (c *contest) note(now time.Time, change Change) *contest {
+	if c == nil {
+		return &contest{change: change, since: now}
+	}
 	if c.since.IsZero() || c.change.Endpoint.Incarnation() != change.Endpoint.Incarnation() {
 		c.since = now
 	}
 	c.change = change
+	return c
 }
 
 // isOpen reports whether there is such a change.
-func (c *contest) isOpen() bool { return !c.since.IsZero() }
+func (c *contest) isOpen() bool { return c != nil && !c.since.IsZero() }
 
 // isOver reports whether the change has stood for longer than writes can be late.
 func (c *contest) isOver(now time.Time) bool {
@@ -77,7 +81,7 @@
 	}
 	known.position = change.Position
 	if !change.Missing {
-		known.contest.note(now, change)
+		known.contest = known.contest.note(now, change)
 	}
 }
 
@@ -88,7 +92,7 @@
 	}
 	if change.Missing {
 		// A peer that waits for an entry to come back knows no more of it than that it is not there: what was said of it before counts no more.
-		old.position, old.contest = change.Position, contest{}
+		old.position, old.contest = change.Position, nil
 		d.gone[change.Endpoint.ID] = old
 		return false
 	}
@@ -96,7 +100,7 @@
 	if change.Gone || !isEarlier && !change.Position.MayPrecede(old.position) {
 		return true
 	}
-	old.contest.note(now, change)
+	old.contest = old.contest.note(now, change)
 	d.gone[change.Endpoint.ID] = old
 	return false
 }
@@ -114,7 +118,7 @@
 		if t.contest.isOver(now) {
 			d.touch(id)
 			delete(d.gone, id)
-			d.entries[id] = &entry{endpoint: t.contest.change.Endpoint, position: t.contest.change.Position}
+			d.entries[id] = &entry{endpoint: copyOf(t.contest.change.Endpoint), position: t.contest.change.Position}
 			changed = true
 		}
 	}
--- a/chivedirectory/restore.go
+++ b/chivedirectory/restore.go
@@ -62,14 +62,16 @@
 
 // restrict takes such a change; what the store says counts again once it has stood for long enough.
 func (d *Directory) restrict(now time.Time, known *entry, change Change) {
-	copied := Change{Position: known.position, Endpoint: known.endpoint}
+	copied := Change{Position: known.position, Endpoint: *known.endpoint}
 	if change.Gone {
-		d.gone[known.endpoint.ID] = tombstone{position: change.Position, at: now, incarnation: known.endpoint.Incarnation(), contest: contest{copied, now}}
+		d.gone[known.endpoint.ID] = tombstone{position: change.Position, at: now, incarnation: known.endpoint.Incarnation(), contest: &contest{copied, now}}
 		delete(d.entries, known.endpoint.ID)
 		return
 	}
-	known.endpoint.State = Leaving
-	known.contest.note(now, copied)
+	leaving := *known.endpoint
+	leaving.State = Leaving
+	known.endpoint = &leaving
+	known.contest = known.contest.note(now, copied)
 }
 
 // Uncertain returns how many endpoints are missing in the store and kept for a while, and of how many the store says what may be old.
--- a/chivedirectory/service.go
+++ b/chivedirectory/service.go
@@ -33,7 +33,6 @@
 	decode    Decoder
 	logger    *slog.Logger
 	listeners []func(Diff)
-	shown     map[string]Endpoint
 	rejected  rejections
 	// knew reports whether an endpoint has ever been known.
 	knew  bool
@@ -45,7 +44,7 @@
 
 // NewService returns a directory without endpoints.
 func NewService(decode Decoder, grace time.Duration, logger *slog.Logger) *Service {
-	return &Service{directory: New(grace), decode: decode, logger: logger, shown: make(map[string]Endpoint), rejected: newRejections(), stale: func() {}, restored: func() {}}
+	return &Service{directory: New(grace), decode: decode, logger: logger, rejected: newRejections(), stale: func() {}, restored: func() {}}
 }
 
 // OnStale takes what is called when it begins to matter whether the store answered other nodes; it must not block.
@@ -246,7 +245,6 @@
 		return
 	}
 	diff := s.diff(source)
-	s.knew = s.knew || len(s.shown) > 0
 	for _, handle := range s.listeners {
 		handle(diff)
 	}
@@ -262,12 +260,12 @@
 }
 
 // logEndpoint writes a line for an endpoint that is new, has started again or leaves.
-func (s *Service) logEndpoint(now, before Endpoint, known bool, source string) {
-	event := chiveevent.EndpointReady
+func (s *Service) logEndpoint(t show, source string) {
+	event, now, known := chiveevent.EndpointReady, t.now, t.before != nil
 	switch {
-	case now.State == Leaving && (!known || before.State != Leaving):
+	case now.State == Leaving && (!known || t.before.State != Leaving):
 		event = chiveevent.EndpointLeaves
-	case known && before.Born == now.Born:
+	case known && t.before.Born == now.Born:
 		return
 	}
 	event.Log(context.Background(), s.logger, slog.String("endpoint", now.ID), slog.String("pool", now.Pool), slog.String("address", now.Address),
--- a/chiveforward/failure.go
+++ b/chiveforward/failure.go
@@ -146,11 +146,10 @@
 type registered struct {
 	mu        sync.Mutex
 	addressOf map[string]string
-	idAt      map[string]string
 }
 
 func newRegistered() *registered {
-	return &registered{addressOf: make(map[string]string), idAt: make(map[string]string)}
+	return &registered{addressOf: make(map[string]string)}
 }
 
 // apply takes a change of the directory, and returns whether it replaced the process of a target: by a later one under its id, or by another endpoint
@@ -160,13 +159,10 @@
 	defer r.mu.Unlock()
 	incarnations := make(map[string]string, len(diff.Changed))
 	for _, e := range diff.Gone {
-		if r.idAt[r.addressOf[e.ID]] == e.ID {
-			delete(r.idAt, r.addressOf[e.ID])
-		}
 		delete(r.addressOf, e.ID)
 	}
 	for _, e := range diff.Changed {
-		r.addressOf[e.ID], r.idAt[e.Address] = e.Address, e.ID
+		r.addressOf[e.ID] = e.Address
 		incarnations[e.ID] = e.Incarnation().Key()
 	}
 	return func(t Target) bool {
@@ -175,10 +171,22 @@
 		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		_, present := r.addressOf[t.ID]
-		_, taken := r.idAt[t.Address]
-		return !present && taken
+		if _, present := r.addressOf[t.ID]; present {
+			return false
+		}
+		return r.isTaken(t.Address)
+	}
+}
+
+// isTaken reports whether an endpoint is registered at an address. That is asked for the few requests under way at an endpoint that left, so the
+// addresses have no index; the caller holds the lock.
+func (r *registered) isTaken(address string) bool {
+	for _, taken := range r.addressOf {
+		if taken == address {
+			return true
+		}
 	}
+	return false
 }
 
 // ApplyEndpoints takes a change of the directory: attempts at processes that others have replaced are cancelled, since nothing answers them any more.
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -25,8 +25,6 @@
 	asker  Asker
 	mu     sync.Mutex
 	pools  map[string]*chiveplace.Pool
-	// poolOf is the pool of each endpoint, by id.
-	poolOf map[string]string
 	nodes  int
 	// evacuated are the failure domains whose endpoints get nothing.
 	evacuated []string
@@ -37,7 +35,7 @@
 
 // NewPools returns no pools, seen from a failure domain.
 func NewPools(domain string) *Pools {
-	return &Pools{domain: domain, pools: make(map[string]*chiveplace.Pool), poolOf: make(map[string]string)}
+	return &Pools{domain: domain, pools: make(map[string]*chiveplace.Pool)}
 }
 
 // Asker places prompts with the help of other nodes.
@@ -89,18 +87,19 @@
 	defer p.mu.Unlock()
 	byPool := make(map[string]chivedirectory.Diff)
 	for _, e := range diff.Changed {
-		if before, ok := p.poolOf[e.ID]; ok && before != e.Pool {
-			concerned := byPool[before]
+		for name, other := range p.pools {
+			if name == e.Pool || !other.Has(e.ID) {
+				continue
+			}
+			concerned := byPool[name]
 			concerned.Gone = append(concerned.Gone, e)
-			byPool[before] = concerned
+			byPool[name] = concerned
 		}
-		p.poolOf[e.ID] = e.Pool
 		concerned := byPool[e.Pool]
 		concerned.Changed = append(concerned.Changed, e)
 		byPool[e.Pool] = concerned
 	}
 	for _, e := range diff.Gone {
-		delete(p.poolOf, e.ID)
 		concerned := byPool[e.Pool]
 		concerned.Gone = append(concerned.Gone, e)
 		byPool[e.Pool] = concerned
--- a/chivegrant/service.go
+++ b/chivegrant/service.go
@@ -300,6 +300,18 @@
 // OwnerOf returns the address of the node that owns an engine; empty for an endpoint that nobody owns.
 func (s *Service) OwnerOf(endpoint string) string { return s.divided.Load().ownerOf(endpoint) }
 
+// Owned returns the ids of the engines of a pool that this node owns.
+func (s *Service) Owned(pool string) []string {
+	g := s.divided.Load()
+	var owned []string
+	for _, of := range g.owned {
+		if of.pool == pool {
+			owned = append(owned, g.engines(of)...)
+		}
+	}
+	return owned
+}
+
 // Seen returns the newest grant of an owner that this node has taken.
 func (s *Service) Seen(owner string) uint64 {
 	s.mu.Lock()
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -248,7 +248,7 @@
 	n.grants = chivegrant.New(chivegrant.Options{Mesh: n.mesh, Pools: pools, Logger: n.logger})
 	pools.SetAsker(n.grants)
 	caches := chivecache.New(chivecache.Options{
-		Self: s.Listen.Peers, Caches: chiveplatform.NewCaches(s.Listen.Peers, network), Pools: pools, Owners: n.grants, Logger: n.logger,
+		Caches: chiveplatform.NewCaches(s.Listen.Peers, network), Pools: pools, Owners: n.grants, Logger: n.logger,
 	})
 	n.loads = chiveload.New(chiveload.Options{Mesh: n.mesh, Pools: pools, Owners: n.grants})
 	n.startup = newStartup(n.logger, n.NotReady, n.grants.Settled, func() int { return len(n.members.Members()) })
@@ -262,7 +262,6 @@
 	n.directory.OnChange(pools.ApplyEndpoints)
 	n.directory.OnChange(forwarder.ApplyEndpoints)
 	n.directory.OnChange(n.grants.ApplyEndpoints)
-	n.directory.OnChange(caches.ApplyEndpoints)
 	return serving{pools, forwarder, caches}
 }
 
--- a/chiveplace/candidate.go
+++ b/chiveplace/candidate.go
@@ -22,15 +22,30 @@
 	forgetTook = 3 * time.Second
 )
 
-// candidate is what one node knows of one incarnation of an endpoint.
+// candidate is one incarnation of an endpoint.
 type candidate struct {
 	endpoint chivedirectory.Endpoint
-	// removed is when the endpoint left the directory; zero while it is there.
-	removed time.Time
-	// incarnation names the start of the endpoint's process that all this is known of.
+	// incarnation names the start of the endpoint's process that the record is of.
 	incarnation string
 	// hash is that of the endpoint's id, which stays with the next start: what it is to hold is drawn by it.
 	hash uint64
+	// started means that the endpoint started while this node was running, so that its cache was empty then.
+	started bool
+	// asked means that the endpoint was asked what its cache holds.
+	asked bool
+	// warming is nil for an endpoint that does not warm up.
+	warming *warming
+	// The record is that of the pool for endpoints without requests until the first request or report: most nodes of a large fleet never have
+	// to do with most endpoints.
+	*record
+}
+
+// record is what one node knows of a candidate by its own requests and by the reports of other nodes.
+type record struct {
+	// removed is when the endpoint left the directory; zero while it is there.
+	removed time.Time
+	// lastUsed is when the record last came into use.
+	lastUsed time.Time
 	// own and ownWaiting are this node's requests there, and the prompt tokens of those that have not begun to answer.
 	own        int
 	ownWaiting byRank
@@ -48,10 +63,6 @@
 	// dirty tells that the other nodes have not been told of the last change.
 	dirty bool
 
-	// warmUntil is until when the endpoint warms up, warmTaken when this node last placed a request on it meanwhile.
-	warmUntil time.Time
-	warmTaken time.Time
-
 	failures  int
 	downUntil time.Time
 	errors    float64
@@ -68,8 +79,13 @@
 	heard fading
 }
 
-func newCandidate(e chivedirectory.Endpoint, cacheTokens int64) *candidate {
-	return &candidate{endpoint: e, incarnation: e.Incarnation().Key(), hash: HashID(e.ID), cache: newCache(cacheTokens), byNode: make(map[string]Load)}
+func newRecord(cacheTokens int64) *record {
+	return &record{cache: newCache(cacheTokens), byNode: make(map[string]Load)}
+}
+
+// isIdle reports whether nothing is under way at the endpoint and nothing keeps requests from it.
+func (r *record) isIdle(now time.Time) bool {
+	return r.own == 0 && r.others == 0 && len(r.byNode) == 0 && !r.dirty && now.After(r.downUntil)
 }
 
 func (s *candidate) load() int { return s.own + s.others }
--- a/chiveplace/grant.go
+++ b/chiveplace/grant.go
@@ -57,6 +57,7 @@
 		return Grant{}, err
 	}
 	s := place.candidate
+	p.use(now, s)
 	load := Load{Requests: 1, Waiting: byRank(nil).add(place.rank, place.reads)}
 	if place.tight {
 		load.Tight = 1
@@ -102,7 +103,7 @@
 func (p *Pool) Adopt(now time.Time, grant Grant, ask Ask) (*Place, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s, ok := p.candidates[grant.Endpoint]
+	s, ok := p.candidate(grant.Endpoint)
 	if !ok || s.endpoint.State != chivedirectory.Ready || !ask.Domains.Contains(s.endpoint.FailureDomain) {
 		return nil, false
 	}
@@ -134,7 +135,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var ids []string
-	for id, s := range p.candidates {
+	for id, s := range p.used {
 		if now.Before(s.downUntil) {
 			ids = append(ids, id)
 		}
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -147,6 +147,7 @@
 func (p *Place) Event(now time.Time, waited time.Duration) {
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
+	p.pool.use(now, p.candidate)
 	if p.started {
 		p.candidate.notePause(now, waited)
 		p.longest = max(p.longest, waited)
@@ -169,6 +170,7 @@
 func (p *Place) Eject(until time.Time) {
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
+	p.pool.use(time.Now(), p.candidate)
 	p.candidate.downUntil = until
 }
 
@@ -180,6 +182,7 @@
 		return 0
 	}
 	p.ended = true
+	p.pool.use(now, p.candidate)
 	p.begin()
 	p.candidate.own--
 	if p.tight {
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -4,7 +4,6 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"sort"
 	"strings"
 	"sync"
 	"time"
@@ -70,17 +69,23 @@
 type Pool struct {
 	mu     sync.Mutex
 	domain string
+	// began is when the node began to learn of the endpoints.
+	began  time.Time
 	engine chivetable.Engine
 	// warmUpRate is how many requests a second an endpoint takes while it warms up, nodes how many nodes place requests.
 	warmUpRate float64
 	nodes      int
 	// evacuated are the failure domains whose endpoints get nothing.
 	evacuated []string
-	// candidates are known by the endpoint's incarnation: a process that started again under its id has nothing of what the one before it held, had
-	// waiting or had shown of its speed.
-	candidates map[string]*candidate
-	// present holds the incarnation of each endpoint, by id.
-	present map[string]string
+	// present holds the candidate of each endpoint, by id.
+	present map[string]*candidate
+	// used are the candidates with a record of their own, by incarnation: a process that started again under its id has nothing of what the one
+	// before it held, had waiting or had shown of its speed.
+	used map[string]*candidate
+	// unused is the record of all others; nothing is written to it.
+	unused *record
+	// dropped is when records were last dropped.
+	dropped time.Time
 	// ordered are the candidates by incarnation, so that a choice among hundreds sorts nothing.
 	ordered []*candidate
 	// forecast predicts times to first events.
@@ -104,7 +109,7 @@
 
 // NewSeededPool returns a pool whose draws follow from a seed, so that an experiment can be repeated.
 func NewSeededPool(domain string, seed uint64) *Pool {
-	return &Pool{domain: domain, candidates: make(map[string]*candidate), present: make(map[string]string), forecast: newForecast(), random: rand.New(rand.NewPCG(seed, 0))}
+	return &Pool{domain: domain, began: time.Now(), present: make(map[string]*candidate), used: make(map[string]*candidate), unused: newRecord(0), forecast: newForecast(), random: rand.New(rand.NewPCG(seed, 0))}
 }
 
 // SetEngine takes what the engines of the pool can hold; zero for plain services.
@@ -112,7 +117,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.engine = engine
-	for _, s := range p.candidates {
+	p.unused.cache.setRoom(engine.CacheTokens)
+	for _, s := range p.used {
 		s.cache.setRoom(engine.CacheTokens)
 	}
 }
@@ -127,7 +133,7 @@
 // SetEndpoints takes all endpoints of the pool; what is known of those that stay is kept.
 func (p *Pool) SetEndpoints(endpoints []chivedirectory.Endpoint) {
 	p.mu.Lock()
-	before := make([]chivedirectory.Endpoint, 0, len(p.candidates))
+	before := make([]chivedirectory.Endpoint, 0, len(p.ordered))
 	for _, s := range p.ordered {
 		before = append(before, s.endpoint)
 	}
@@ -143,11 +149,12 @@
 		p.remove(e.ID)
 	}
 	for _, e := range diff.Changed {
-		s, ok := p.candidates[e.Incarnation().Key()]
-		if !ok {
+		s, ok := p.present[e.ID]
+		if !ok || s.endpoint.Born != e.Born {
+			started := ok || time.Since(p.began) > startsFor
 			// The process before it is over.
 			p.remove(e.ID)
-			s = newCandidate(e, p.engine.CacheTokens)
+			s = &candidate{endpoint: e, incarnation: e.Incarnation().Key(), hash: HashID(e.ID), started: started, record: p.unused}
 			p.add(s)
 		}
 		s.setEndpoint(time.Now(), e)
@@ -158,35 +165,112 @@
 func (p *Pool) add(s *candidate) {
 	at, _ := p.find(s.incarnation)
 	p.ordered = slices.Insert(p.ordered, at, s)
-	p.candidates[s.incarnation] = s
-	p.present[s.endpoint.ID] = s.incarnation
+	p.present[s.endpoint.ID] = s
 }
 
 // remove removes the candidate of an endpoint, by id; the caller holds the lock.
 func (p *Pool) remove(id string) {
-	incarnation, ok := p.present[id]
+	s, ok := p.present[id]
 	if !ok {
 		return
 	}
-	s := p.candidates[incarnation]
-	s.removed = time.Now()
-	if at, found := p.find(incarnation); found {
+	if s.record != p.unused {
+		s.removed = time.Now()
+	}
+	if at, found := p.find(s.incarnation); found {
 		p.ordered = slices.Delete(p.ordered, at, at+1)
 	}
-	delete(p.candidates, incarnation)
+	delete(p.used, s.incarnation)
 	delete(p.present, id)
 }
 
+// candidate returns the candidate of an incarnation; the caller holds the lock.
+func (p *Pool) candidate(incarnation string) (*candidate, bool) {
+	s, ok := p.present[chivedirectory.IDOf(incarnation)]
+	return s, ok && s.incarnation == incarnation
+}
+
+// use gives a candidate a record of its own, before anything is noted of it; the caller holds the lock.
+func (p *Pool) use(now time.Time, s *candidate) {
+	if s.record == p.unused {
+		s.record = newRecord(p.engine.CacheTokens)
+		if _, present := p.candidate(s.incarnation); present {
+			p.used[s.incarnation] = s
+		}
+	}
+	s.lastUsed = now
+}
+
+// Records returns the number of endpoints that the pool knows more of than their registration.
+func (p *Pool) Records() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.used)
+}
+
+const (
+	// recordsKept is how many records a pool keeps however long they are not in use.
+	recordsKept = 512
+	// recordIdle is how long a record has to be out of use to be dropped above that: an engine has read other parts meanwhile.
+	recordIdle = time.Minute
+)
+
+// dropIdle drops records that have long not been in use where there are many; the caller holds the lock.
+func (p *Pool) dropIdle(now time.Time) {
+	if len(p.used) <= recordsKept || now.Sub(p.dropped) < recordIdle {
+		return
+	}
+	p.dropped = now
+	for incarnation, s := range p.used {
+		if s.isIdle(now) && now.Sub(s.lastUsed) > recordIdle {
+			s.record = p.unused
+			delete(p.used, incarnation)
+		}
+	}
+}
+
 // find returns where a candidate is, or would be, in the order.
 func (p *Pool) find(incarnation string) (at int, found bool) {
 	return slices.BinarySearchFunc(p.ordered, incarnation, func(s *candidate, incarnation string) int { return strings.Compare(s.incarnation, incarnation) })
 }
 
+// Has reports whether an endpoint, by id, is in the pool.
+func (p *Pool) Has(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.present[id]
+	return ok
+}
+
+// startsFor is how long after its start a node takes the endpoints that it learns of for ones that have run before: it learns of them in some
+// hundred milliseconds. One that comes later has just started and holds nothing.
+const startsFor = 3 * time.Second
+
+// TakeUnasked returns ready endpoints, at most a number of them, whose cache may hold something and that were not returned before; among names
+// some by id, nil stands for all.
+func (p *Pool) TakeUnasked(among []string, most int) []chivedirectory.Endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var unasked []chivedirectory.Endpoint
+	for _, s := range p.among(Ask{Among: among}) {
+		if len(unasked) == most {
+			break
+		}
+		if s.asked || s.started || s.endpoint.State != chivedirectory.Ready {
+			continue
+		}
+		s.asked = true
+		unasked = append(unasked, s.endpoint)
+	}
+	return unasked
+}
+
 // Reconcile takes the parts that an engine, by its incarnation, says it holds, and returns their tokens; parts of incarnations that are not known are dropped.
 func (p *Pool) Reconcile(endpoint string, parts []chiverequest.Part) (tokens int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s, ok := p.candidates[endpoint]; ok {
+	if s, ok := p.candidate(endpoint); ok {
+		p.use(time.Now(), s)
 		return s.cache.reconcile(parts)
 	}
 	return 0
@@ -210,6 +294,7 @@
 // hold counts a place among this node's own.
 func (p *Pool) hold(now time.Time, place *Place, prompt *chiverequest.Prompt) {
 	s := place.candidate
+	p.use(now, s)
 	if prompt != nil {
 		s.begin(now, place)
 		s.cache.touch(prompt.Parts, now.Add(place.expected))
@@ -252,7 +337,7 @@
 		}
 	}
 	if p.warmsUp(now, best) {
-		best.warmTaken = now
+		best.warming.taken = now
 	}
 	return place, nil
 }
@@ -293,7 +378,7 @@
 	}
 	candidates := make([]*candidate, 0, len(ask.Among))
 	for _, id := range ask.Among {
-		if s, ok := p.candidates[p.present[id]]; ok {
+		if s, ok := p.present[id]; ok {
 			candidates = append(candidates, s)
 		}
 	}
@@ -383,13 +468,12 @@
 func (p *Pool) States(now time.Time) []EndpointState {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	states := make([]EndpointState, 0, len(p.candidates))
-	for id, s := range p.candidates {
+	states := make([]EndpointState, 0, len(p.ordered))
+	for _, s := range p.ordered {
 		states = append(states, EndpointState{
-			Endpoint: id, Address: s.endpoint.Address, FailureDomain: s.endpoint.FailureDomain, Ready: s.endpoint.State == chivedirectory.Ready, Own: s.own, Others: s.others,
+			Endpoint: s.incarnation, Address: s.endpoint.Address, FailureDomain: s.endpoint.FailureDomain, Ready: s.endpoint.State == chivedirectory.Ready, Own: s.own, Others: s.others,
 			Waiting: s.waitingTokens(), Errors: s.errors, TookMs: s.took * 1000, Down: now.Before(s.downUntil),
 		})
 	}
-	sort.Slice(states, func(i, j int) bool { return states[i].Endpoint < states[j].Endpoint })
 	return states
 }
--- a/chiveplace/report.go
+++ b/chiveplace/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"chivedrift/chiverequest"
@@ -47,10 +48,14 @@
 func (p *Pool) Collect(report *Report, all bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, s := range p.ordered {
-		if !s.dirty && (!all || s.own == 0) {
-			continue
+	var changed []*candidate
+	for _, s := range p.used {
+		if s.dirty || all && s.own > 0 {
+			changed = append(changed, s)
 		}
+	}
+	slices.SortFunc(changed, func(a, b *candidate) int { return strings.Compare(a.incarnation, b.incarnation) })
+	for _, s := range changed {
 		s.dirty = false
 		s.told = s.pause.value
 		report.Loads = append(report.Loads, Load{
@@ -59,6 +64,7 @@
 	}
 	report.Reads = append(report.Reads, p.reads...)
 	p.reads = nil
+	p.dropIdle(time.Now())
 }
 
 // Hear takes what another node told, as far as it is about this pool's endpoints.
@@ -67,18 +73,20 @@
 	defer p.mu.Unlock()
 	p.fulfil(node, report.Granted)
 	if report.All {
-		for _, s := range p.candidates {
+		for _, s := range p.used {
 			s.setOther(node, Load{})
 		}
 	}
 	for _, l := range report.Loads {
-		if s, ok := p.candidates[l.Endpoint]; ok {
+		if s, ok := p.candidate(l.Endpoint); ok {
+			p.use(now, s)
 			s.setOther(node, l)
 			s.hearPause(now, l.Pause)
 		}
 	}
 	for _, r := range report.Reads {
-		if s, ok := p.candidates[r.Endpoint]; ok {
+		if s, ok := p.candidate(r.Endpoint); ok {
+			p.use(now, s)
 			missing := max(s.cache.missingOf(r.Parts)-r.Fetched, 0)
 			s.demand.note(now, p.forecast.own(float64(missing))*s.speed())
 			if missing > chunkTokens {
@@ -99,7 +107,7 @@
 		}
 		return !alive[m.node]
 	})
-	for _, s := range p.candidates {
+	for _, s := range p.used {
 		for node := range s.byNode {
 			if !alive[node] && !isPromise(node) {
 				s.setOther(node, Load{})
@@ -112,8 +120,8 @@
 func (p *Pool) Release(kept func(endpoint string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, s := range p.candidates {
-		if kept(id) {
+	for id, s := range p.used {
+		if len(s.byNode) == 0 || kept(id) {
 			continue
 		}
 		for node := range s.byNode {
--- a/chiveplace/warmup.go
+++ b/chiveplace/warmup.go
@@ -9,18 +9,29 @@
 // An endpoint that has just started takes only a few requests a second for a while, and crashes at a rate well above that. So the nodes together keep
 // to that rate.
 
+// warming is the state of an endpoint that has just started.
+type warming struct {
+	// until is when it is over, taken when this node last placed a request on the endpoint meanwhile.
+	until time.Time
+	taken time.Time
+}
+
 // setEndpoint takes what the directory says of the endpoint now.
 func (s *candidate) setEndpoint(now time.Time, e chivedirectory.Endpoint) {
-	s.endpoint, s.warmUntil = e, time.Time{}
+	before := s.warming
+	s.endpoint, s.warming = e, nil
 	if e.WarmUp > 0 {
 		// The entry was written before it is known here, so that this is late rather than early.
-		s.warmUntil = now.Add(e.WarmUp)
+		s.warming = &warming{until: now.Add(e.WarmUp)}
+		if before != nil {
+			s.warming.taken = before.taken
+		}
 	}
 }
 
 // warmsUp reports whether the endpoint may get only a few requests.
 func (p *Pool) warmsUp(now time.Time, s *candidate) bool {
-	return p.warmUpRate > 0 && now.Before(s.warmUntil)
+	return p.warmUpRate > 0 && s.warming != nil && now.Before(s.warming.until)
 }
 
 // mayWarm reports whether a request fits into what this node may place on an endpoint that warms up.
@@ -35,7 +46,7 @@
 		// The part of one node in so large a fleet is less than one request.
 		return false
 	}
-	return now.Sub(s.warmTaken) >= pause
+	return now.Sub(s.warming.taken) >= pause
 }
 
 // SetWarmUpRate takes how many requests a second an endpoint takes while it warms up; 0 where that makes no difference.
