Collector: garbage of a node is bounded in bytes, not in proportion to what lives

Cause: collection at five times the live heap is cheap with nine endpoints; with 9,845 a process of 23 MB live could grow to 115 MB, and 985 processes ended the machine. With 8 MB live it would still be 40.

The percentage follows the live heap, so that at most 12 MB of garbage gather between collections (400 percent up to 3 MB live, 150 at 8 MB, 50 from 24 MB on). The bound is in bytes and does not change with the fleet: at twice the fleet's size (16 MB live) a process holds 28 MB of heap where a fixed percentage would allow 80.

--- a/chivecommand/entry.go
+++ b/chivecommand/entry.go
@@ -16,12 +16,8 @@
 	"chivedrift/chivewire"
 )
 
-const (
-	// entryCollectAtPercent trades memory against the collector's time, which counts as the node's own processor time.
-	entryCollectAtPercent = 400
-	// lastLines bounds how long the exit waits for the log to be written.
-	lastLines = 200 * time.Millisecond
-)
+// lastLines bounds how long the exit waits for the log to be written.
+const lastLines = 200 * time.Millisecond
 
 var entryVerb = settingsVerb("entry", "Run one node on a platform with a metadata store, until a signal.", runEntry)
 
@@ -30,7 +26,6 @@
 	if err != nil {
 		return err
 	}
-	debug.SetGCPercent(entryCollectAtPercent)
 	debug.SetMemoryLimit(chivenode.MemoryLimit(settings))
 	output := chiveevent.NewOutput(os.Stdout)
 	defer output.Close(lastLines)
--- a/chivenode/memory.go
+++ b/chivenode/memory.go
@@ -30,7 +30,9 @@
 	used   func() uint64
 	logger *slog.Logger
 	full   atomic.Bool
-	duties chivekernel.Duties
+	// collector is nil where the node shares its process with others.
+	collector *collector
+	duties    chivekernel.Duties
 }
 
 // newMemoryGuard returns a guard of so many bytes that watches nothing yet.
@@ -48,8 +50,8 @@
 // Full reports whether new requests are to be refused.
 func (g *memoryGuard) Full() bool { return g.full.Load() }
 
-// watch takes what tells the bytes that the process holds; it is called before Start.
-func (g *memoryGuard) watch(used func() uint64) { g.used = used }
+// watch takes what tells the bytes that the process holds, and has the collector's percentage follow the heap; it is called before Start.
+func (g *memoryGuard) watch(used func() uint64) { g.used, g.collector = used, newCollector() }
 
 // Start begins to look.
 func (g *memoryGuard) Start(ctx context.Context) error {
@@ -75,6 +77,9 @@
 }
 
 func (g *memoryGuard) look(ctx context.Context) {
+	if g.collector != nil {
+		g.collector.adjust()
+	}
 	used := float64(g.used())
 	switch {
 	case !g.Full() && used > refuseAt*g.limit:
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -378,8 +378,8 @@
 	return nil
 }
 
-// WatchMemory has the node refuse new requests while the bytes told come near the settings' limit; it is called before Start, for a node that has
-// its process to itself.
+// WatchMemory has the node refuse new requests while the bytes told come near the settings' limit, and bounds the garbage that the process holds; it is
+// called before Start, for a node that has its process to itself.
 func (n *StoreNode) WatchMemory(used func() uint64) { n.memory.watch(used) }
 
 // Handler returns what serves callers, for use without a listener.
