Settings: the regions of failure domains are a list, which the program can read

Cause: the settings' `regions` were a map, for which the strict decoder has no rule: it panicked, so no node of a platform started. The tests had set the field in code, and none read the example.

--- a/chivesettings/store.go
+++ b/chivesettings/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"os"
 	"slices"
 	"time"
@@ -15,8 +14,8 @@
 	Name          string `yaml:"name" validate:"required,max=64"`
 	Region        string `yaml:"region" validate:"required"`
 	FailureDomain string `yaml:"failure_domain" validate:"required"`
-	// Regions is the region of each failure domain of the deployment. Without it only the node's own is known.
-	Regions map[string]string `yaml:"regions" validate:"dive,keys,required,endkeys,required"`
+	// Regions lists the region of each failure domain of the deployment. Without it only the node's own is known.
+	Regions []DomainRegion `yaml:"regions" validate:"dive"`
 	// Listen holds the addresses that the node serves on.
 	Listen StoreListen `yaml:"listen"`
 	// Store is the address of the platform's metadata store.
@@ -33,6 +32,12 @@
 	PlatformDuties *PlatformDuties `yaml:"platform_duties"`
 }
 
+// DomainRegion is the region of one failure domain.
+type DomainRegion struct {
+	FailureDomain string `yaml:"failure_domain" validate:"required"`
+	Region        string `yaml:"region" validate:"required"`
+}
+
 // PlatformDuties configures the work that one node at a time does for the platform.
 type PlatformDuties struct {
 	// Address is the IP:port address of the platform's interface.
@@ -71,7 +76,9 @@
 // RegionOf returns the region of each known failure domain, the node's own included.
 func (s *StoreNode) RegionOf() chiveresidency.Map {
 	regions := chiveresidency.Map{s.FailureDomain: s.Region}
-	maps.Copy(regions, s.Regions)
+	for _, d := range s.Regions {
+		regions[d.FailureDomain] = d.Region
+	}
 	return regions
 }
 
