Partners: hash each address once, not in each comparison of the sort

Four services order the members by hash at each change of the fleet, 985 members with two hashes a comparison. One hash a member now; order and partners are the same (tests of chivemember, chivegossip and chivequarantine).

--- a/chivemember/partners.go
+++ b/chivemember/partners.go
@@ -1,8 +1,8 @@
 package chivemember
 
 import (
+	"cmp"
 	"slices"
-	"sort"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -12,14 +12,22 @@
 
 // AddressesByHash returns the peer addresses of the members that are alive, in an order on which all nodes agree without talking.
 func AddressesByHash(members []Member) []string {
-	ranked := make([]string, 0, len(members))
+	type hashed struct {
+		hash    uint64
+		address string
+	}
+	ranked := make([]hashed, 0, len(members))
 	for _, m := range members {
 		if m.State == Alive {
-			ranked = append(ranked, m.Address)
+			ranked = append(ranked, hashed{xxhash.Sum64String(m.Address), m.Address})
 		}
 	}
-	sort.Slice(ranked, func(i, j int) bool { return xxhash.Sum64String(ranked[i]) < xxhash.Sum64String(ranked[j]) })
-	return ranked
+	slices.SortFunc(ranked, func(a, b hashed) int { return cmp.Compare(a.hash, b.hash) })
+	addresses := make([]string, len(ranked))
+	for i, r := range ranked {
+		addresses[i] = r.address
+	}
+	return addresses
 }
 
 // Partners returns the peers with which a node compares what both know: all in a small fleet, else those 1, 2, 4 ... places further on in the order by
