Plain services: a node without requests of its own begins its choice anywhere

Cause: a node weighs replicas by its own requests and experience.

Test: TestNodesWithFewRequestsSpreadOverReplicas (before: all 400 requests of 400 nodes on one of 20 replicas).

--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -398,7 +398,10 @@
 		p.cheapestEngine(now, place, candidates, ask)
 		return place
 	}
-	for _, s := range candidates {
+	// Nodes with few requests see the same cost at most endpoints; from the same first one on they would all take the same.
+	first := p.random.IntN(len(candidates))
+	for i := range candidates {
+		s := candidates[(first+i)%len(candidates)]
 		place.weigh(s, p.plainCost(now, s))
 	}
 	return place
