--- a/chivebudget/service.go
+++ b/chivebudget/service.go
@@ -163,7 +163,7 @@
 
 // lend answers a peer's question.
 func (s *Service) lend(from string, ask Ask) {
-	granted := s.Share.Lend(time.Now(), ask.Pool)
+	granted := s.Lend(time.Now(), ask.Pool)
 	if granted {
 		s.lent.Add(1)
 	}
--- a/chivegrant/service.go
+++ b/chivegrant/service.go
@@ -161,10 +161,10 @@
 	s.mu.Lock()
 	divides := false
 	for _, e := range diff.Gone {
-		divides = s.drop(e, "") || divides
+		divides = s.removeExcept(e, "") || divides
 	}
 	for _, e := range diff.Changed {
-		divides = s.drop(e, e.Pool) || divides
+		divides = s.removeExcept(e, e.Pool) || divides
 		hash := chiveplace.HashID(e.ID)
 		added := engine{id: e.ID, domain: e.FailureDomain}
 		if known, ok := s.endpoints[e.Pool].find(hash); !ok || known != added {
@@ -178,19 +178,16 @@
 	}
 }
 
-// drop removes an endpoint from all pools but one and reports whether it was there; the caller holds the lock.
-func (s *Service) drop(e chivedirectory.Endpoint, but string) bool {
-	hash, dropped := chiveplace.HashID(e.ID), false
+// removeExcept removes an endpoint from all pools except one and reports whether it was in any; the caller holds the lock.
+func (s *Service) removeExcept(e chivedirectory.Endpoint, except string) (removed bool) {
+	hash := chiveplace.HashID(e.ID)
 	for pool, root := range s.endpoints {
-		if pool == but {
-			continue
-		}
-		if _, ok := root.find(hash); ok {
+		if _, ok := root.find(hash); ok && pool != except {
 			s.endpoints[pool] = root.remove(hash, 0)
-			dropped = true
+			removed = true
 		}
 	}
-	return dropped
+	return removed
 }
 
 // SetMembers takes a change of the fleet.
