Start: nodes of a large fleet leave the first read of the endpoints to the eight readers

Cause: each node that starts read all 10,000 registrations from the store, 20 pages. The store serves all readers from one bandwidth: 985 reads of 2.5 MB got 0.54 GB in 20 s, a fifth of what they needed, and none came to its end, so that there was nobody to learn from either. At 300 nodes the reads take 2.4 s, and one that ends helps the others.

A node that knows more than eight members and is not among the readers waits for endpoints from its peers, 4 to 12 s if none comes; it waits until it knows its fleet, 1.5 s at most. Small fleets read at once as soon as they know another member.

--- a/chivefeed/follower.go
+++ b/chivefeed/follower.go
@@ -25,6 +25,8 @@
 	answerMost = 20 * time.Second
 	// heldPoll is how often a held follower looks whether it has to read itself.
 	heldPoll = 200 * time.Millisecond
+	// firstPoll is the same before the first snapshot.
+	firstPoll = 50 * time.Millisecond
 )
 
 // Listener hears what a follower reads; calls come from one goroutine and must not block.
@@ -55,6 +57,9 @@
 	// HeldAtStart tells that being held also spares the first snapshot and the reads that look for the return of the log; for a topic that
 	// this node does not need while others read it.
 	HeldAtStart bool
+	// HoldFirst tells that the first snapshot is to wait, since other nodes may bring what it would; nil means never. It does not hold a follower that
+	// has lost the log.
+	HoldFirst func() bool
 	// Settle is how long after its first snapshot the follower leaves the next read: by then a node of a fleet knows whether others read for it.
 	Settle time.Duration
 }
@@ -115,6 +120,10 @@
 			settled = true
 			sleep(ctx, f.o.Settle)
 		}
+		if !rooted && !held && f.waitsForFirst() {
+			sleep(ctx, firstPoll)
+			continue
+		}
 		if f.isHeld(rooted) {
 			// What others read meanwhile is not known by offset here; an own read starts from a snapshot again.
 			held = true
@@ -142,6 +151,11 @@
 	}
 }
 
+// waitsForFirst reports whether the first snapshot is to wait.
+func (f *Follower) waitsForFirst() bool {
+	return f.o.HoldFirst != nil && !f.lost.Load() && f.o.HoldFirst()
+}
+
 // isHeld reports whether others read for this node now.
 //
 // A node that has lost the log reads it once itself before others read for it again: else it would wait for ever for the log's return, and
--- a/chivegossip/service.go
+++ b/chivegossip/service.go
@@ -107,6 +107,7 @@
 	}
 	s.fleet.told = make(chan struct{}, 1)
 	s.fleet.since = s.began
+	s.fleet.heard.Store(s.began.UnixNano())
 	chivewire.Queue[Digest](s.inbox, chivewire.KindDigest)
 	chivewire.Queue[DigestAnswer](s.inbox, chivewire.KindDigestAnswer)
 	chivewire.Queue[ChangesAsk](s.inbox, chivewire.KindChangesAsk)
--- a/chivenode/roster.go
+++ b/chivenode/roster.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -173,6 +174,11 @@
 	return addresses
 }
 
+// hasSeeds reports whether the settings name another node that may exist.
+func (r *roster) hasSeeds() bool {
+	return slices.ContainsFunc(r.seeds, func(seed string) bool { return seed != r.self })
+}
+
 // VMs returns the nodes that may exist; each is named by its peer address, which is all that a seed tells.
 func (r *roster) VMs(context.Context) ([]chivelog.VM, error) {
 	seen := make(map[string]bool)
--- /dev/null
+++ b/chivenode/start_hold.go
@@ -0,0 +1,56 @@
+package chivenode
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"chivedrift/chivegossip"
+)
+
+const (
+	// unknownLeast is how long a node of a large fleet waits at least for endpoints from its peers before it reads them from the store itself.
+	unknownLeast = 4 * time.Second
+	// unknownSpread is the range in which nodes draw what they wait beyond that, so that they do not all read at once where those that read for
+	// all cannot.
+	unknownSpread = 8 * time.Second
+)
+
+// startHold tells a node that starts whether to leave reading the endpoints to others. A store hands out so many bytes a second to all readers
+// together: when a whole fleet starts and each node reads all endpoints, none gets to the end.
+type startHold struct {
+	began time.Time
+	// until is when the node reads by itself if it still knows no endpoints.
+	until time.Time
+	// hasSeeds reports whether the settings name nodes that may exist.
+	hasSeeds func() bool
+	members  func() int
+	settled  func() bool
+	// readByOthers reports whether other nodes read the store for this one, knows whether it has known an endpoint.
+	readByOthers func() bool
+	knows        func() bool
+}
+
+func (n *StoreNode) newStartHold(roster *roster) *startHold {
+	began := time.Now()
+	return &startHold{
+		began: began, until: began.Add(unknownLeast + rand.N(unknownSpread)), hasSeeds: roster.hasSeeds,
+		members: func() int { return len(n.members.Members()) }, settled: func() bool { return n.grants.Settled() }, readByOthers: n.gossip.Held, knows: n.directory.Knew,
+	}
+}
+
+// holds reports whether the first read of the endpoints is to wait.
+func (h *startHold) holds() bool {
+	now := time.Now()
+	members := h.members()
+	switch {
+	case members == 1:
+		return h.hasSeeds() && now.Sub(h.began) < chivegossip.SettleFor
+	case members <= chivegossip.Readers:
+		return false
+	case !h.settled():
+		return true
+	case !h.readByOthers():
+		return false
+	}
+	return h.knows() || now.Before(h.until)
+}
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -210,7 +210,7 @@
 		}),
 		directory: chivefeed.New(chivefeed.Options{
 			Topic: store.Endpoints(), Wait: n.gossip.ReadWait, Pace: busyPace, Listener: n.directory, Answered: n.directory.Answered, Held: n.gossip.Held,
-			Settle: chivegossip.SettleFor,
+			Settle: chivegossip.SettleFor, HoldFirst: n.newStartHold(roster).holds,
 		}),
 		roster: chivefeed.New(chivefeed.Options{
 			Topic: store.Nodes(), Wait: noWait, Pace: rosterPace, Listener: roster, Answered: n.directory.AnsweredElse,
