Reading of the whole change: one step down a tree in place of three, plainer comments, a finding

Comments say "identifies", "reports whether", "read bandwidth" where they told and handed out. FINDINGS: repeats handed over across regions come after the node has stopped waiting; found by reading, not measured.

--- a/chivefeed/follower.go
+++ b/chivefeed/follower.go
@@ -57,7 +57,7 @@
 	// HeldAtStart tells that being held also spares the first snapshot and the reads that look for the return of the log; for a topic that
 	// this node does not need while others read it.
 	HeldAtStart bool
-	// HoldFirst tells that the first snapshot is to wait, since other nodes may bring what it would; nil means never. It does not hold a follower that
+	// HoldFirst reports whether the first snapshot is to wait, since other nodes may bring what it would; nil means never. It does not hold a follower that
 	// has lost the log.
 	HoldFirst func() bool
 	// Settle is how long after its first snapshot the follower leaves the next read: by then a node of a fleet knows whether others read for it.
--- a/chivegossip/service.go
+++ b/chivegossip/service.go
@@ -260,7 +260,7 @@
 type changesAsk struct {
 	at     time.Time
 	offset chivelog.Position
-	// after is what this node had taken when it asked; plain tells that the question is in the form of earlier releases.
+	// after is what this node had taken when it asked; plain means that the question is in the form of earlier releases.
 	after chivelog.Position
 	plain bool
 }
--- a/chivegrant/service.go
+++ b/chivegrant/service.go
@@ -85,7 +85,7 @@
 	unheard atomic.Int64
 
 	mu sync.Mutex
-	// endpoints holds the endpoints of each pool, by the hashes of their ids; engines tells which pools have engines.
+	// endpoints holds the endpoints of each pool, by the hashes of their ids; engines is the set of pools that have engines.
 	endpoints map[string]*branch[engine]
 	engines   map[string]bool
 	// nodes holds the addresses of the members that are alive, by their hashes; moved means that they changed since the last division.
--- a/chivegrant/tree.go
+++ b/chivegrant/tree.go
@@ -23,7 +23,7 @@
 	return p << 1
 }
 
-// item is an element of a tree with its hash, by which it is told from others.
+// item is an element of a tree with its hash, which identifies it.
 type item[E any] struct {
 	hash    uint64
 	element E
@@ -50,6 +50,14 @@
 
 func (b *branch[E]) isLeaf() bool { return b == nil || b.low == nil && b.high == nil }
 
+// child returns one of the two subtrees of a node that is not a leaf.
+func (b *branch[E]) child(high bool) *branch[E] {
+	if high {
+		return b.high
+	}
+	return b.low
+}
+
 // bitOf returns the bit of a hash that decides at a depth.
 func bitOf(hash uint64, depth int) bool { return hash>>(63-depth)&1 == 1 }
 
@@ -147,11 +155,7 @@
 	for depth := 0; !b.isLeaf(); depth++ {
 		high := bitOf(hash, depth)
 		at = at.child(high)
-		if high {
-			b = b.high
-		} else {
-			b = b.low
-		}
+		b = b.child(high)
 	}
 	return b, at
 }
@@ -160,11 +164,7 @@
 func (b *branch[E]) under(wanted prefix) *branch[E] {
 	depth := wanted.bits()
 	for i := depth - 1; i >= 0 && !b.isLeaf(); i-- {
-		if wanted>>i&1 == 1 {
-			b = b.high
-		} else {
-			b = b.low
-		}
+		b = b.child(wanted>>i&1 == 1)
 	}
 	return b
 }
@@ -186,11 +186,7 @@
 		point := float64(chiveplace.Weigh(key, uint64(at))>>11) / (1 << 53)
 		high := point*float64(b.count) >= float64(b.low.size())
 		at = at.child(high)
-		if high {
-			b = b.high
-		} else {
-			b = b.low
-		}
+		b = b.child(high)
 	}
 	return b, at
 }
--- a/chivenode/memory.go
+++ b/chivenode/memory.go
@@ -50,7 +50,7 @@
 // Full reports whether new requests are to be refused.
 func (g *memoryGuard) Full() bool { return g.full.Load() }
 
-// watch takes what tells the bytes that the process holds, and has the collector's percentage follow the heap; it is called before Start.
+// watch takes what returns the bytes that the process holds, and has the collector's percentage follow the heap; it is called before Start.
 func (g *memoryGuard) watch(used func() uint64) { g.used, g.collector = used, newCollector() }
 
 // Start begins to look.
--- a/chivenode/start_hold.go
+++ b/chivenode/start_hold.go
@@ -15,8 +15,8 @@
 	unknownSpread = 8 * time.Second
 )
 
-// startHold tells a node that starts whether to leave reading the endpoints to others. A store hands out so many bytes a second to all readers
-// together: when a whole fleet starts and each node reads all endpoints, none gets to the end.
+// startHold decides whether a node that starts leaves reading the endpoints to others. The store's read bandwidth is shared by all readers: when a
+// whole fleet starts and each node reads all endpoints, no read completes.
 type startHold struct {
 	began time.Time
 	// until is when the node reads by itself if it still knows no endpoints.
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -383,7 +383,7 @@
 	return nil
 }
 
-// WatchMemory has the node refuse new requests while the bytes told come near the settings' limit, and bounds the garbage that the process holds; it is
+// WatchMemory has the node refuse new requests while the bytes returned come near the settings' limit, and bounds the garbage that the process holds; it is
 // called before Start, for a node that has its process to itself.
 func (n *StoreNode) WatchMemory(used func() uint64) { n.memory.watch(used) }
 
