Placing: a node that decides alone chooses among the engines of the part's group

Cause: two rules for the same thing. A request's group was drawn on the way down the tree, but a node whose owner does not answer still took for the home of a part the engine with the highest weight of the whole pool, which mostly lies in another group. Each part so had two homes, and was read at both. With the division before, both rules gave the same engine.

Change: Ask.Home names the engines of the drawn group; the choice of a node alone has its home among them.

TestNodeThatDecidesAloneChoosesTheEngineOfTheOwner: 33 of 40 parts have two homes before, none now.

--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -44,6 +44,8 @@
 type Asker interface {
 	// Place gets a place, or fails with chivegrant.ErrAlone when the node has to decide alone.
 	Place(ctx context.Context, pool *chiveplace.Pool, request *chiverequest.Request, limits chiveplace.Ask) (*chiveplace.Place, error)
+	// Home returns the ids of the engines to which the others would send a request; none where each of them looks at all engines.
+	Home(request *chiverequest.Request, limits chiveplace.Ask) []string
 }
 
 // SetAsker takes who is asked for places for prompts; it is called before the first request.
@@ -216,6 +218,7 @@
 		if !errors.Is(err, chivegrant.ErrAlone) {
 			return place, true, err
 		}
+		ask.Home = p.asker.Home(request, ask)
 	}
 	place, err = pool.Take(time.Now(), ask)
 	return place, false, err
--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -53,6 +53,16 @@
 	return w.from(ctx, first, 0, 0)
 }
 
+// Home returns the ids of the engines in the group of a request's shared part, so that a node which decides alone meets the others there.
+func (s *Service) Home(request *chiverequest.Request, limits chiveplace.Ask) []string {
+	g := s.divided.Load()
+	if !g.asking {
+		return nil
+	}
+	first, _ := g.homes(request.Pool, chiveplace.SharedPart(request.Prompt), limits.Domains)
+	return g.engines(first)
+}
+
 // wish is one request on its way to a place.
 type wish struct {
 	service *Service
--- a/chivegrant/service_test.go
+++ b/chivegrant/service_test.go
@@ -135,6 +135,32 @@
 	}
 }
 
+// Guards against a shared part that is read again by another engine whenever a node has to decide alone.
+func TestNodeThatDecidesAloneChoosesTheEngineOfTheOwner(t *testing.T) {
+	const engines, parts = 60, 40
+	for part := range uint64(parts) {
+		owner, alone := newNode("127.0.0.7:1"), newNode("127.0.0.7:2")
+		for _, n := range []*node{owner, alone} {
+			n.know(t, engines, []string{owner.mesh.Self()}, 20)
+		}
+		// A prompt so short that its group has room for it.
+		wanted := &chiverequest.Request{Pool: "p", Prompt: &chiverequest.Prompt{
+			Parts: []chiverequest.Part{{ID: part + 1, Tokens: 10}}, Input: 10, Target: 10 * time.Second, Urgent: time.Second, Pause: time.Second,
+		}}
+		granted, err := owner.grant.Place(context.Background(), owner.pool, wanted, chiveplace.Ask{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		chosen, err := alone.pool.Take(time.Now(), chiveplace.Ask{Prompt: wanted.Prompt, Home: alone.grant.Home(wanted, chiveplace.Ask{})})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if granted.Endpoint().ID != chosen.Endpoint().ID {
+			t.Errorf("part %d: the owner chooses %s, a node alone %s", part+1, granted.Endpoint().ID, chosen.Endpoint().ID)
+		}
+	}
+}
+
 // Guards against requests delayed by an owner that does not answer.
 func TestSilentOwnerIsNotWaitedFor(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/chiveplace/engine.go
+++ b/chiveplace/engine.go
@@ -46,7 +46,7 @@
 func (p *Pool) newEngineChoice(now time.Time, candidates []*candidate, ask Ask) *engineChoice {
 	prompt := ask.Prompt
 	c := &engineChoice{
-		pool: p, prompt: prompt, target: targetOf(prompt), tight: p.isTight(prompt), home: homeOf(candidates, SharedPart(prompt)),
+		pool: p, prompt: prompt, target: targetOf(prompt), tight: p.isTight(prompt), home: homeOf(p.homes(candidates, ask), SharedPart(prompt)),
 	}
 	var others crowd
 	for _, s := range p.among(ask) {
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -41,6 +41,8 @@
 	Left time.Duration
 	// Among limits the choice to some endpoints, by id; nil means all.
 	Among []string
+	// Home names the endpoints, by id, among which a shared part that no engine holds has its home; with none of them to choose from, it is any.
+	Home []string
 	// Domains limits the choice, and what parts of the prompt are fetched from, to some failure domains.
 	Domains chiveresidency.Domains
 	// Most is the loss above which other endpoints are to be asked first, beside that of reading so many tokens again; 0 means that
@@ -434,6 +436,20 @@
 	return cost
 }
 
+// homes returns the candidates among which the home of a shared part is: those that the ask names, or all if none of these can be chosen.
+func (p *Pool) homes(candidates []*candidate, ask Ask) []*candidate {
+	var homes []*candidate
+	for _, id := range ask.Home {
+		if s, ok := p.present[id]; ok && slices.Contains(candidates, s) {
+			homes = append(homes, s)
+		}
+	}
+	if len(homes) == 0 {
+		return candidates
+	}
+	return homes
+}
+
 // homeOf returns the candidate that all nodes agree on for a part without talking: the one with the highest hash of both.
 func homeOf(candidates []*candidate, part uint64) *candidate {
 	var home *candidate
