Mesh: further connection attempts beside one that is not answered

What callers saw: after a loss of all power nodes of one site knew no other for 0.6 to 1.0 s (two nodes' logs: started at 35.20 s, first member at 36.20 s), and endpoints, which they take from each other, after 1.1 to 1.35 s; until then they answered 503.

Cause: a node that starts dials the seeds, which may start some tenths of a second later. A connection attempt to a VM that is not up yet is not answered, and ends only with the whole time to connect, one second; messages to the same peer wait behind it.

Change: dialPeer starts another attempt every 200 ms beside those that have no answer and takes the first answer; the whole time stays one second.

--- a/chivewire/link.go
+++ b/chivewire/link.go
@@ -64,9 +64,7 @@
 }
 
 func (l *link) dial() {
-	ctx, cancel := context.WithTimeout(l.ctx, dialTimeout)
-	conn, err := l.mesh.network.Dial(ctx, l.mesh.self, l.peer)
-	cancel()
+	conn, err := dialPeer(l.ctx, l.mesh.network, l.mesh.self, l.peer)
 	if err != nil {
 		l.quit()
 		l.mesh.remove(l, true)
--- a/chivewire/mesh.go
+++ b/chivewire/mesh.go
@@ -279,5 +279,3 @@
 		handler(from, body)
 	}
 }
-
-const dialTimeout = time.Second
