Membership: seeds introduce a few members in place of sending their whole view to every node

What callers saw: seconds without service after a whole fleet starts, longer the larger it is.

Cause: a node that starts asks three seeds, the same ones for all nodes, and each answered with its whole view. Of 600 nodes that start at once a seed sends 202,700 updates on members, 70 bytes each; it grows with the square of the fleet. A small VM's link of 20 Mbit/s carries 36,000 a second.

Change: a node that knows nobody is told 16 members near its place on the ring, and asks one of them for its whole view, another one after each seed's answer. Places on the ring differ, so the whole views come from all over the fleet. No new messages: a seed of the last release answers with its whole view as before; a node of the last release that asks a new seed gets the rest by digests, after 1.5 to 2 s.

Measured on virtual time without limits of links, updates sent by the busiest node in 1.5 s: 600 nodes 202,700 -> 15,881.

TestColdStartDoesNotFillTheLinksOfTheSeeds: 202,700 updates before, 30,000 allowed.

--- a/chivemember/cold_start_test.go
+++ b/chivemember/cold_start_test.go
@@ -4,8 +4,36 @@
 	"slices"
 	"testing"
 	"time"
+
+	"chivedrift/chivemember"
 )
 
+// Guards against a cold start in which the seeds send their whole view to each node, the square of the fleet in all.
+func TestColdStartDoesNotFillTheLinksOfTheSeeds(t *testing.T) {
+	const (
+		size = 600
+		// updatesMost is what one node may send for each member, 70 bytes an update: 2 MB, less than a second of a link of 20 Mbit/s.
+		updatesMost = 50
+		joined      = 1500 * time.Millisecond
+	)
+	f := newFleet(size, 1)
+	seeds := []chivemember.Member{f.views[f.names[0]].Self(), f.views[f.names[1]].Self(), f.views[f.names[2]].Self()}
+	for _, name := range f.names {
+		f.views[name].SetSeeds(seeds)
+	}
+	f.run(joined, nil)
+	busiest := ""
+	for _, name := range f.names {
+		if f.sent[name] > f.sent[busiest] {
+			busiest = name
+		}
+	}
+	if f.leastKnown() < size || f.sent[busiest] > updatesMost*size {
+		t.Errorf("after %v a node knows %d of %d, and %s has sent %d updates, at most %d expected", joined, f.leastKnown(), size, busiest, f.sent[busiest], updatesMost*size)
+	}
+	t.Logf("%s has sent %d updates", busiest, f.sent[busiest])
+}
+
 // Guards against a cold start whose membership traffic grows with the square of the fleet.
 func TestColdStartOfALargeFleet(t *testing.T) {
 	const (
--- a/chivemember/view.go
+++ b/chivemember/view.go
@@ -24,6 +24,8 @@
 	// within seconds, for three messages.
 	seedsContacted = 3
 	contactEvery   = 4
+	// introduced is how many members a node that knows nobody is told by a seed, of which it asks one for its whole view.
+	introduced = 16
 	// differAfter is how long digests may differ before a whole view is sent: news crosses a fleet of hundreds in a third of that. syncEvery spaces
 	// the whole views to one member.
 	differAfter = 1500 * time.Millisecond
@@ -60,10 +62,12 @@
 	lastTick time.Time
 	ticks    int
 	contact  int
-	version  uint64
-	deaths   int64
-	digest   uint64
-	recent   []time.Time
+	// introductions counts the members that were asked for a whole view since a seed introduced them.
+	introductions int
+	version       uint64
+	deaths        int64
+	digest        uint64
+	recent        []time.Time
 	// moved tells that members came or went since they were last placed on the ring.
 	moved  bool
 	placed int64
@@ -209,6 +213,9 @@
 // contactAbsent greets members that are listed but unknown, or believed dead: after a partition heals nobody would
 // otherwise speak first.
 func (v *View) contactAbsent() []Envelope {
+	if len(v.ring) == 1 {
+		v.introductions = 0
+	}
 	absent := v.absent()
 	var out []Envelope
 	for i := 0; i < min(seedsContacted, len(absent)); i++ {
--- a/chivemember/view_messages.go
+++ b/chivemember/view_messages.go
@@ -23,9 +23,9 @@
 	case Sync:
 		out := v.learn(now, from, m.Members)
 		if m.Reply {
-			out = append(out, Envelope{To: from, Message: Sync{Members: v.everybody()}})
+			return append(out, Envelope{To: from, Message: Sync{Members: v.answerTo(now, m)}})
 		}
-		return out
+		return append(out, v.askForRest(from, m)...)
 	}
 	return nil
 }
@@ -161,6 +161,30 @@
 	return true
 }
 
+// answerTo returns the members for one that asks for a view: all, or a few for one that knows nobody yet. All nodes of a fleet that starts ask the
+// same seeds, whose links cannot carry a whole view of a large fleet for each.
+func (v *View) answerTo(now time.Time, asked Sync) []Member {
+	v.arrange(now)
+	// The ring may hold the asking member beside this one and those introduced.
+	if len(asked.Members) != 1 || len(v.ring) < introduced+2 {
+		return v.everybody()
+	}
+	return append(v.around(asked.Members[0].Name), v.self)
+}
+
+// askForRest asks one of the few members that a seed introduced for its whole view; each seed's answer leads to another one.
+func (v *View) askForRest(from string, answer Sync) []Envelope {
+	if len(answer.Members) != introduced+1 || v.introductions >= seedsContacted {
+		return nil
+	}
+	of := answer.Members[v.introductions]
+	v.introductions++
+	if of.Address == from || of.Name == v.self.Name {
+		return nil
+	}
+	return []Envelope{{To: of.Address, Message: Sync{Members: v.everybody(), Reply: true}}}
+}
+
 func (v *View) everybody() []Member {
 	all := []Member{v.self}
 	for _, e := range v.entries {
--- a/chivemember/view_ring.go
+++ b/chivemember/view_ring.go
@@ -141,6 +141,19 @@
 	return addresses
 }
 
+// around returns the members that are nearest to a name on the ring, as many as are introduced to a node that knows nobody.
+func (v *View) around(name string) []Member {
+	place := sort.SearchStrings(v.ring, ringKey(name))
+	var near []Member
+	for distance := 1; len(near) < introduced && distance < len(v.ring); distance++ {
+		e, ok := v.entries[ringName(v.ring[wrap(place+distance, len(v.ring))])]
+		if ok && e.member.Name != name {
+			near = append(near, e.member)
+		}
+	}
+	return near
+}
+
 const ringHashBytes = 8
 
 // ringKey prefixes a name with its hash, so that sorting keys sorts by hash.
--- a/chivemember/view_test.go
+++ b/chivemember/view_test.go
@@ -23,9 +23,10 @@
 	queue    []parcel
 	messages int
 	began    time.Time
-	// received and told count the messages, and the updates on members in them, by receiver.
+	// received and told count the messages, and the updates on members in them, by receiver; sent counts the updates by sender.
 	received map[string]int
 	told     map[string]int
+	sent     map[string]int
 }
 
 type parcel struct {
@@ -42,7 +43,7 @@
 func newFleet(size int, seed uint64) *fleet {
 	f := &fleet{
 		now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)), views: make(map[string]*chivemember.View),
-		paused: make(map[string]time.Time), gone: make(map[string]bool), received: make(map[string]int), told: make(map[string]int),
+		paused: make(map[string]time.Time), gone: make(map[string]bool), received: make(map[string]int), told: make(map[string]int), sent: make(map[string]int),
 	}
 	f.began = f.now
 	var seeds []chivemember.Member
@@ -61,6 +62,7 @@
 func (f *fleet) post(from string, out []chivemember.Envelope) {
 	for _, e := range out {
 		f.messages++
+		f.sent[from] += updatesIn(e.Message)
 		crosses := f.side != nil && f.side[from] != f.side[e.To]
 		if !crosses && f.random.Float64() >= f.loss {
 			f.queue = append(f.queue, parcel{f.now.Add(delivery), from, e.To, e.Message})
@@ -92,12 +94,18 @@
 
 func (f *fleet) count(p parcel) {
 	f.received[p.to]++
-	switch m := p.message.(type) {
+	f.told[p.to] += updatesIn(p.message)
+}
+
+// updatesIn returns how many updates on members a message holds.
+func updatesIn(message any) int {
+	switch m := message.(type) {
 	case chivemember.News:
-		f.told[p.to] += len(m.Members)
+		return len(m.Members)
 	case chivemember.Sync:
-		f.told[p.to] += len(m.Members)
+		return len(m.Members)
 	}
+	return 0
 }
 
 // leastKnown returns how many members the node knows that knows the fewest.
