Membership: a node that starts greets its seeds at once

Cause: only the tick every 500 ms contacts seeds, and the first one comes 500 ms after the start. Since endpoints come from peers at a start, each node waits for it.

Change: a node contacts its seeds as soon as it has their list, and every 100 ms for as long as it knows no other member.

TestNodeThatStartsGreetsItsSeedsAtOnce.

--- a/chivemember/cold_start_test.go
+++ b/chivemember/cold_start_test.go
@@ -8,6 +8,19 @@
 	"chivedrift/chivemember"
 )
 
+// Guards against a node that starts and waits for its first tick before it contacts anybody.
+func TestNodeThatStartsGreetsItsSeedsAtOnce(t *testing.T) {
+	f := newFleet(20, 1)
+	f.post("n001", f.views["n001"].Greet())
+	f.deliver()
+	if known := f.known("n001"); known < 2 {
+		t.Errorf("the node knows %d members before its first tick, itself included", known)
+	}
+	if again := f.views["n001"].Greet(); len(again) > 0 {
+		t.Errorf("a node that knows others sends %d greetings", len(again))
+	}
+}
+
 // Guards against a cold start in which the seeds send their whole view to each node, the square of the fleet in all.
 func TestColdStartDoesNotFillTheLinksOfTheSeeds(t *testing.T) {
 	const (
--- a/chivemember/service.go
+++ b/chivemember/service.go
@@ -169,6 +169,8 @@
 	defer tick.Stop()
 	wake := time.NewTimer(TickEvery)
 	defer wake.Stop()
+	greet := time.NewTicker(GreetEvery)
+	defer greet.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -177,9 +179,14 @@
 			s.send(s.view.Tick(time.Now()))
 		case <-wake.C:
 			s.send(s.view.Flush(time.Now()))
+		case <-greet.C:
+			s.send(s.view.Greet())
 		case e := <-s.inbox.Ready():
 			s.handle(e)
 		}
+		if !s.view.IsAlone() {
+			greet.Stop()
+		}
 		s.publishWhenDue(time.Now())
 		s.wakeWhenDue(time.Now(), wake)
 	}
@@ -216,6 +223,7 @@
 		s.send(s.view.SpreadEndpoint(time.Now(), "", news))
 	case e.seeds != nil:
 		s.view.SetSeeds(e.seeds)
+		s.send(s.view.Greet())
 	default:
 		s.send(s.view.Receive(time.Now(), e.from, e.message))
 	}
--- a/chivemember/view.go
+++ b/chivemember/view.go
@@ -8,6 +8,9 @@
 const (
 	// TickEvery is how often the view expects Tick.
 	TickEvery = 500 * time.Millisecond
+	// GreetEvery is how often the view expects Greet while the node knows no other member: of VMs that start together, the seeds may answer
+	// a moment later than the others ask.
+	GreetEvery = 100 * time.Millisecond
 
 	// watchedMembers is how many others each node probes: a number that does not grow with the fleet, in which news still crosses it in few steps.
 	watchedMembers = 4
@@ -173,6 +176,24 @@
 	}
 }
 
+// Greet contacts the seeds if the node knows no other member.
+func (v *View) Greet() []Envelope {
+	if !v.IsAlone() {
+		return nil
+	}
+	return v.contactAbsent()
+}
+
+// IsAlone reports whether the node knows no other member that is not dead.
+func (v *View) IsAlone() bool {
+	for _, e := range v.entries {
+		if e.member.State != Dead {
+			return false
+		}
+	}
+	return true
+}
+
 func (v *View) watch(now time.Time, e *entry) []Envelope {
 	out := []Envelope{{To: e.member.Address, Message: Probe{Name: v.self.Name, Incarnation: v.self.Incarnation, Digest: v.digest}}}
 	silence := now.Sub(e.heard)
--- a/chivemember/view_test.go
+++ b/chivemember/view_test.go
@@ -140,6 +140,18 @@
 	return true
 }
 
+// greet has the nodes that know no other greet their seeds.
+func (f *fleet) greet() {
+	if f.now.Sub(f.began)%chivemember.GreetEvery != 0 {
+		return
+	}
+	for _, name := range f.names {
+		if !f.gone[name] && !f.now.Before(f.paused[name]) {
+			f.post(name, f.views[name].Greet())
+		}
+	}
+}
+
 // run advances the fleet; each node ticks at its own phase.
 func (f *fleet) run(d time.Duration, each func()) {
 	end := f.now.Add(d)
@@ -151,6 +163,7 @@
 				f.post(name, f.views[name].Tick(f.now))
 			}
 		}
+		f.greet()
 		f.deliver()
 		f.flush()
 		if each != nil {
