Directory: many endpoints that change at once get one log line

What was seen: a node of a copy with 300 VMs writes 3,000 lines in the moment in which it learns the endpoints, and drops 1,960 of them ("log lines dropped"); at 10,000 endpoints each node that starts formats 10,000 lines on a fifth of a core, before it serves.

Change: more than 32 endpoints that change together get one line, event 313, with the numbers of those that are ready, leave or are gone; fewer get a line each as before.

TestManyEndpointsAtOnceGetOneLine: 2,000 lines before, one now.

--- a/chivedirectory/diff.go
+++ b/chivedirectory/diff.go
@@ -53,6 +53,14 @@
 	now    *Endpoint
 }
 
+// isChange reports whether listeners should know something else than they do.
+func (s show) isChange() bool {
+	if s.before == nil || s.now == nil {
+		return s.before != s.now
+	}
+	return *s.before != *s.now
+}
+
 // takeTouched returns the endpoints of which something may have changed since the last call, by id, and takes them as shown.
 func (d *Directory) takeTouched() []show {
 	shows := make([]show, 0, len(d.touched))
@@ -72,16 +80,15 @@
 // diff returns what changed since the last call, logs it and takes it as shown; the caller holds the lock.
 func (s *Service) diff(source string) Diff {
 	var d Diff
-	for _, t := range s.directory.takeTouched() {
-		switch {
-		case t.now != nil && (t.before == nil || *t.before != *t.now):
-			s.logEndpoint(t, source)
-			d.Changed = append(d.Changed, *t.now)
-		case t.now == nil && t.before != nil:
-			s.logGone(t.id, source)
+	changed := slices.DeleteFunc(s.directory.takeTouched(), func(t show) bool { return !t.isChange() })
+	for _, t := range changed {
+		if t.now == nil {
 			d.Gone = append(d.Gone, *t.before)
+			continue
 		}
+		d.Changed = append(d.Changed, *t.now)
 	}
+	s.logShows(changed, source)
 	s.knew = s.knew || len(d.Changed) > 0
 	return d
 }
--- a/chivedirectory/flood_test.go
+++ b/chivedirectory/flood_test.go
@@ -38,3 +38,22 @@
 		}
 	})
 }
+
+// Guards against a node of a large fleet that writes thousands of lines in the moment in which it learns the endpoints.
+func TestManyEndpointsAtOnceGetOneLine(t *testing.T) {
+	const endpoints = 2000
+	var log bytes.Buffer
+	s := chivedirectory.NewService(decodeWord, grace, slog.New(slog.NewTextHandler(&log, nil)))
+	var records []chivelog.KeyedRecord
+	for i := range endpoints {
+		records = append(records, record(int64(i+1), fmt.Sprintf("k%d", i), "pool 10.0.0.1:80"))
+	}
+	s.Apply(records)
+	if lines := strings.Count(log.String(), "\n"); lines != 1 || !strings.Contains(log.String(), fmt.Sprintf("ready=%d", endpoints)) {
+		t.Errorf("%d lines for %d endpoints that came at once: %.300s", lines, endpoints, log.String())
+	}
+	s.Apply([]chivelog.KeyedRecord{record(endpoints+1, "later", "pool 10.0.0.2:80")})
+	if !strings.Contains(log.String(), "endpoint=later") {
+		t.Error("an endpoint that came alone got no line of its own")
+	}
+}
--- a/chivedirectory/service.go
+++ b/chivedirectory/service.go
@@ -258,22 +258,3 @@
 		slog.String("source", source))
 	s.restored()
 }
-
-// logEndpoint writes a line for an endpoint that is new, has started again or leaves.
-func (s *Service) logEndpoint(t show, source string) {
-	event, now, known := chiveevent.EndpointReady, t.now, t.before != nil
-	switch {
-	case now.State == Leaving && (!known || t.before.State != Leaving):
-		event = chiveevent.EndpointLeaves
-	case known && t.before.Born == now.Born:
-		return
-	}
-	event.Log(context.Background(), s.logger, slog.String("endpoint", now.ID), slog.String("pool", now.Pool), slog.String("address", now.Address),
-		slog.Int64("born", now.Born), slog.String("source", source), slog.Int64("offset", s.directory.Newest().Offset()))
-}
-
-// logGone writes a line for an endpoint that is not there any more.
-func (s *Service) logGone(id, source string) {
-	chiveevent.EndpointGone.Log(context.Background(), s.logger, slog.String("endpoint", id), slog.String("source", source),
-		slog.Int64("offset", s.directory.Newest().Offset()))
-}
--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -41,6 +41,7 @@
 	EndpointReady    = define(310, slog.LevelInfo, "endpoint ready", "None.")
 	EndpointGone     = define(311, slog.LevelInfo, "endpoint gone", "None, unless nobody took it away.")
 	EndpointRejected = define(312, slog.LevelError, "endpoint's registration not usable", "Mend the field that the error names.")
+	EndpointsChanged = define(313, slog.LevelInfo, "many endpoints changed", "None: stands for lines 310, 311 and 402 of more than 32 endpoints that change together.")
 	MemberAlive      = define(300, slog.LevelInfo, "member alive", "None.")
 	MemberLeaving    = define(301, slog.LevelInfo, "member leaving", "None.")
 	MemberDead       = define(302, slog.LevelWarn, "member dead", "Check the VM if the platform did not replace it.")
