Repeats: peers in other regions are not asked

What callers saw, by reading: where regions lie 30 ms apart, a request whose node had no repeat left waited 20 ms for each peer in another region, 60 ms in all, for nothing; the repeat that such a peer handed over was lost to the fleet.

Cause: a node waits 20 ms for a peer's answer, and the way there and back is 60 ms.

Change: partners are drawn from the node's own region.

TestPeersInOtherRegionsAreNotAsked.

--- a/chivebudget/service.go
+++ b/chivebudget/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,9 +83,14 @@
 	}{s.borrowed.Load(), s.lent.Load()}
 }
 
-// SetMembers takes a change of the fleet.
+// SetMembers takes a change of the fleet. Peers in other regions are not asked, since their answers would come after answerWithin and the repeats
+// that they hand over would be lost.
 func (s *Service) SetMembers(members []chivemember.Member) {
-	partners := chivemember.Partners(s.mesh.Self(), chivemember.AddressesByHash(members))
+	near := members
+	if own := slices.IndexFunc(members, func(m chivemember.Member) bool { return m.Address == s.mesh.Self() }); own >= 0 {
+		near = slices.DeleteFunc(slices.Clone(members), func(m chivemember.Member) bool { return m.Region != members[own].Region })
+	}
+	partners := chivemember.Partners(s.mesh.Self(), chivemember.AddressesByHash(near))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.partners = partners
--- a/chivebudget/service_test.go
+++ b/chivebudget/service_test.go
@@ -62,6 +62,23 @@
 	}
 }
 
+// Guards against repeats that a peer hands over and that come too late, so that nobody uses them.
+func TestPeersInOtherRegionsAreNotAsked(t *testing.T) {
+	near, far := startNode(t, 2), startNode(t, 2)
+	members := []chivemember.Member{
+		{Name: near.mesh.Self(), Address: near.mesh.Self(), Region: "r1", State: chivemember.Alive},
+		{Name: far.mesh.Self(), Address: far.mesh.Self(), Region: "r2", State: chivemember.Alive},
+	}
+	near.service.SetMembers(members)
+	far.service.SetMembers(members)
+	if spent := near.spend(); spent != 1 {
+		t.Errorf("a node got %d repeats, want its own one", spent)
+	}
+	if spent := far.spend(); spent != 1 {
+		t.Errorf("the node in the other region has %d repeats left, want its own one", spent)
+	}
+}
+
 // Guards against requests held up by a peer that accepts connections and does not answer.
 func TestSilentPeerIsNotWaitedFor(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
