Membership: the loss of many members is noticed by whatever node's word

What callers saw, by reckoning: after the loss of more than half of a large fleet nodes go on asking owners that are dead, 40 ms each, until their views are true.

(1) Only deaths that a node had found itself made it look further along the ring; with four members to watch, most of them dead, it found one or two and began each next one from the full 2.2 s of silence. What it was told of did not count. (2) Members that were watched beyond the usual four also got all news and compared whole views, so that a node that had missed something was sent the whole view by twenty others.

Change: more than 5 in 100 of the members dead within ten seconds, by whoever's word, is a mass loss: each node watches 16 more of those that follow it, and gives new ones the 1.1 s of a suspect. News and whole views go between the usual neighbours alone.

--- a/chivemember/view.go
+++ b/chivemember/view.go
@@ -50,6 +50,11 @@
 	massLossFor    = 10 * time.Second
 	extraPerDeath  = 4
 	extraMost      = 64
+	// massLossPercent of the members, and massLossLeast at least, that died within massLossFor by whatever node's word are a mass loss too; each
+	// node then watches extraInMassLoss more of the members that follow it on the ring, since few of its neighbours may be left to find them.
+	massLossPercent = 5
+	massLossLeast   = 8
+	extraInMassLoss = 16
 )
 
 // View is one node's knowledge of the fleet.
@@ -70,7 +75,9 @@
 	version       uint64
 	deaths        int64
 	digest        uint64
-	recent        []time.Time
+	// recent are the times of deaths that this node found, reported of those that it was told of, within massLossFor.
+	recent   []time.Time
+	reported []time.Time
 	// moved tells that members came or went since they were last placed on the ring.
 	moved  bool
 	placed int64
--- a/chivemember/view_messages.go
+++ b/chivemember/view_messages.go
@@ -1,6 +1,7 @@
 package chivemember
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -45,6 +46,9 @@
 		return []Envelope{{To: from, Message: News{Members: []Member{e.member}}}}
 	}
 	e.heard = now
+	if !slices.Contains(v.neighbourNames(), name) {
+		return nil
+	}
 	return v.compare(now, from, e, digest)
 }
 
@@ -121,8 +125,12 @@
 			fresh = append(fresh, v.refute(m)...)
 			continue
 		}
-		if v.take(now, m) {
-			fresh = append(fresh, m)
+		if !v.take(now, m) {
+			continue
+		}
+		fresh = append(fresh, m)
+		if m.State == Dead {
+			v.reported = append(v.reported, now)
 		}
 	}
 	if len(fresh) == 0 {
--- a/chivemember/view_ring.go
+++ b/chivemember/view_ring.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -52,10 +53,11 @@
 // A node cut off together with few others, or none, has nobody to tell it who else is gone. With four at a time it
 // would take a fleet of 330 more than two minutes to see it; each death found adds to the next round.
 func (v *View) watchExtra(now time.Time, place int) {
-	for len(v.recent) > 0 && now.Sub(v.recent[0]) > massLossFor {
-		v.recent = v.recent[1:]
-	}
+	v.recent, v.reported = since(v.recent, now.Add(-massLossFor)), since(v.reported, now.Add(-massLossFor))
 	extra := min(len(v.recent)*extraPerDeath, extraMost)
+	if v.isMassLoss() {
+		extra = max(extra, extraInMassLoss)
+	}
 	known := make(map[string]bool, len(v.watched))
 	for _, name := range v.watched {
 		known[name] = true
@@ -69,9 +71,22 @@
 	}
 }
 
+// since returns the times from a time on, of times that rise.
+func since(times []time.Time, from time.Time) []time.Time {
+	for len(times) > 0 && times[0].Before(from) {
+		times = times[1:]
+	}
+	return times
+}
+
+// isMassLoss reports whether many members died of late, whoever found it: the next ones on the ring are then likely to be dead too.
+func (v *View) isMassLoss() bool {
+	return len(v.recent)+len(v.reported) > max(massLossLeast, len(v.ring)*massLossPercent/100)
+}
+
 // grace is when a newly watched member counts as last heard: now, or earlier in the middle of a mass loss.
 func (v *View) grace(now time.Time) time.Time {
-	if len(v.recent) >= massLossDeaths {
+	if len(v.recent) >= massLossDeaths || v.isMassLoss() {
 		return now.Add(-suspectAfter)
 	}
 	return now
@@ -125,12 +140,17 @@
 	return out
 }
 
-// neighbours returns the addresses of the members that this node watches or is watched by.
+// neighbourNames returns the members that this node always watches, without those it watches beyond them for a while, and those that watch it.
+func (v *View) neighbourNames() []string {
+	return slices.Concat(v.watched[:min(len(v.watched), watchedMembers)], v.watchers)
+}
+
+// neighbours returns the addresses of the members with which this node exchanges news.
 func (v *View) neighbours(now time.Time) []string {
 	v.arrange(now)
 	var addresses []string
 	seen := make(map[string]bool)
-	for _, name := range append(append([]string(nil), v.watched...), v.watchers...) {
+	for _, name := range v.neighbourNames() {
 		e := v.entries[name]
 		if e == nil || seen[name] {
 			continue
