Caches of engines: a node that learns of the endpoints late asks for them too

What callers saw, by reading: after a loss of all power a large fleet takes all engines for new ones that hold nothing, and reads prompts again that they still hold.

Cause: an engine that a node learns of later than three seconds after the node's start counts as started meanwhile. A whole fleet of 985 nodes learns of its endpoints seconds after its start, so what held while a start took some hundred milliseconds holds no more.

Change: the three seconds begin with the first endpoint that the node learns of.

--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -71,9 +71,9 @@
 type Pool struct {
 	mu     sync.Mutex
 	domain string
-	// began is when the node began to learn of the endpoints.
-	began  time.Time
-	engine chivetable.Engine
+	// learned is when the node learned of the first endpoint; zero before.
+	learned time.Time
+	engine  chivetable.Engine
 	// warmUpRate is how many requests a second an endpoint takes while it warms up, nodes how many nodes place requests.
 	warmUpRate float64
 	nodes      int
@@ -113,7 +113,7 @@
 
 // NewSeededPool returns a pool whose draws follow from a seed, so that an experiment can be repeated.
 func NewSeededPool(domain string, seed uint64) *Pool {
-	return &Pool{domain: domain, began: time.Now(), onChange: func() {}, present: make(map[string]*candidate), used: make(map[string]*candidate), unused: newRecord(0), forecast: newForecast(), random: rand.New(rand.NewPCG(seed, 0))}
+	return &Pool{domain: domain, onChange: func() {}, present: make(map[string]*candidate), used: make(map[string]*candidate), unused: newRecord(0), forecast: newForecast(), random: rand.New(rand.NewPCG(seed, 0))}
 }
 
 // OnChange takes what is called when a request begins, gets its first event or ends; it must not block, and is set before the first request.
@@ -158,7 +158,10 @@
 	for _, e := range diff.Changed {
 		s, ok := p.present[e.ID]
 		if !ok || s.endpoint.Born != e.Born {
-			started := ok || time.Since(p.began) > startsFor
+			if p.learned.IsZero() {
+				p.learned = time.Now()
+			}
+			started := ok || time.Since(p.learned) > startsFor
 			// The process before it is over.
 			p.remove(e.ID)
 			s = &candidate{endpoint: e, incarnation: e.Incarnation().Key(), hash: HashID(e.ID), started: started, record: p.unused}
@@ -249,8 +252,8 @@
 	return ok
 }
 
-// startsFor is how long after its start a node takes the endpoints that it learns of for ones that have run before: it learns of them in some
-// hundred milliseconds. One that comes later has just started and holds nothing.
+// startsFor is how long after the first endpoint a node takes those that it learns of for ones that have run before: a node that starts learns of all
+// within some hundred milliseconds, which begin seconds after its start where a whole fleet starts. One that comes later has just started and holds nothing.
 const startsFor = 3 * time.Second
 
 // TakeUnasked returns ready endpoints, at most a number of them, whose cache may hold something and that were not returned before; among names
