Store: the later a reader's place, the less often it reads a busy topic

Cause: while endpoints register or change all the time, each of the eight readers reads them every 300 ms, 27 calls a second for records that one read would bring; calls are among what each deployment is charged for. 10,000 endpoints register for 31 s.

Change: the first reader waits 300 ms after an answer, the second 600, the eighth 2.4 s: 9 calls a second. What the first reads it publishes to the others at once; if it falls silent, the next one reads within 0.6 s.

TestReadersOfABusyTopicShareTheReads: 27 reads a second before, 10 allowed.

--- a/chivefeed/follower.go
+++ b/chivefeed/follower.go
@@ -46,8 +46,8 @@
 	Topic chivelog.KeyedTopic
 	// Wait tells how long a read waits for the first record; fresh tells that the read before has brought something.
 	Wait func(fresh bool) time.Duration
-	// Pace is the least time between the answer to one read and the next read: a busy topic is read in batches.
-	Pace     time.Duration
+	// Pace returns the least time between the answer to one read and the next read: a busy topic is read in batches. Nil means none.
+	Pace     func() time.Duration
 	Listener Listener
 	// Answered is called with each answer of the log, before what the answer brings goes to the listener; nil means that nobody
 	// wants to know.
@@ -138,7 +138,7 @@
 		}
 		if err == nil {
 			pause = retryFirst
-			sleep(ctx, f.o.Pace)
+			f.pause(ctx)
 			continue
 		}
 		if errors.Is(err, chivelog.ErrExpired) || errors.Is(err, chivelog.ErrRestored) {
@@ -151,6 +151,13 @@
 	}
 }
 
+// pause waits until the next read may begin.
+func (f *Follower) pause(ctx context.Context) {
+	if f.o.Pace != nil {
+		sleep(ctx, f.o.Pace())
+	}
+}
+
 // waitsForFirst reports whether the first snapshot is to wait.
 func (f *Follower) waitsForFirst() bool {
 	return f.o.HoldFirst != nil && !f.lost.Load() && f.o.HoldFirst()
--- a/chivefeed/start_test.go
+++ b/chivefeed/start_test.go
@@ -42,7 +42,7 @@
 		topic.set(true, false)
 		needed := false
 		f := chivefeed.New(chivefeed.Options{
-			Topic: topic, Wait: func(bool) time.Duration { return 0 }, Pace: time.Second, Listener: &heard{},
+			Topic: topic, Wait: func(bool) time.Duration { return 0 }, Pace: func() time.Duration { return time.Second }, Listener: &heard{},
 			Held: func() bool { return !needed }, HeldAtStart: true,
 		})
 		if err := f.Start(context.Background()); err != nil {
--- a/chivegossip/readers.go
+++ b/chivegossip/readers.go
@@ -21,6 +21,8 @@
 	// readEvery is about how often one of the readers begins a new read of a topic. A read waits for the next record, so that a
 	// change is seen at once; but a wait can be deaf: its connection has gone silent, or the store has lost the wait itself.
 	readEvery = 700 * time.Millisecond
+	// busyPace is the least time between two reads of a topic that many write to: one read then brings many records.
+	busyPace = 300 * time.Millisecond
 	// branches is how many nodes each node is the first to tell, in a tree whose roots are the readers. Of 600 endpoints that are new at once to
 	// 300 nodes on links of 10 Mbit/s the busiest node then sends 0.73 MB, and the last one knows them after 0.94 s; with readers that tell all
 	// others it is 2.5 MB, and grows with the fleet, and 1.8 s (virtual time).
@@ -100,6 +102,14 @@
 	return readEvery * time.Duration(max(len(s.fleet.reading), 1))
 }
 
+// ReadPace returns how long this node waits after an answer before it reads a topic again that many write to. The later a reader's place, the longer:
+// what it would read has mostly been passed on by those before it.
+func (s *Service) ReadPace() time.Duration {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	return busyPace * time.Duration(max(s.fleet.rank, 0)+1)
+}
+
 // Held reports whether others read the store for this node.
 func (s *Service) Held() bool {
 	s.fleet.mu.Lock()
--- a/chivegossip/service_test.go
+++ b/chivegossip/service_test.go
@@ -202,6 +202,20 @@
 	return nil
 }
 
+// Guards against readers that all read the same records of a busy topic: calls to the store grow with their number.
+func TestReadersOfABusyTopicShareTheReads(t *testing.T) {
+	nodes := newNodes(t, 8)
+	perSecond, first := 0.0, false
+	for _, n := range nodes {
+		pace := n.service.ReadPace()
+		perSecond += 1 / pace.Seconds()
+		first = first || pace == 300*time.Millisecond
+	}
+	if perSecond > 10 || !first {
+		t.Errorf("%.1f reads a second, at most 10 expected, one reader every 300 ms: %v", perSecond, first)
+	}
+}
+
 // Guards against changes missed for seconds because the store wakes all long polls at the same moment.
 func TestReadersDoNotWaitInStep(t *testing.T) {
 	nodes := newNodes(t, 6)
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -43,8 +43,6 @@
 
 	// rosterPace spaces the looks at the nodes' topic: nodes that know each other pass new ones on themselves.
 	rosterPace = 20 * time.Second
-	// busyPace spaces the reads of a topic that many write to: one read then brings many records.
-	busyPace = 300 * time.Millisecond
 	// stopMargin is the part of the grace time kept for the last lines of the log and the exit itself.
 	stopMargin = 400 * time.Millisecond
 	// memoryShare is the part of a process's memory at which the collector works harder.
@@ -209,11 +207,11 @@
 			Settle: chivegossip.SettleFor,
 		}),
 		directory: chivefeed.New(chivefeed.Options{
-			Topic: store.Endpoints(), Wait: n.gossip.ReadWait, Pace: busyPace, Listener: n.directory, Answered: n.directory.Answered, Held: n.gossip.Held,
+			Topic: store.Endpoints(), Wait: n.gossip.ReadWait, Pace: n.gossip.ReadPace, Listener: n.directory, Answered: n.directory.Answered, Held: n.gossip.Held,
 			Settle: chivegossip.SettleFor, HoldFirst: n.newStartHold(roster).holds,
 		}),
 		roster: chivefeed.New(chivefeed.Options{
-			Topic: store.Nodes(), Wait: noWait, Pace: rosterPace, Listener: roster, Answered: n.directory.AnsweredElse,
+			Topic: store.Nodes(), Wait: noWait, Pace: func() time.Duration { return rosterPace }, Listener: roster, Answered: n.directory.AnsweredElse,
 			Held: func() bool { return !n.gossip.Reads() }, HeldAtStart: true,
 		}),
 	}
