--- a/chivewire/dial.go
+++ b/chivewire/dial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"time"
 )
@@ -33,7 +34,7 @@
 		case a := <-answered:
 			return a.conn, a.err
 		case <-ctx.Done():
-			return nil, ctx.Err()
+			return nil, fmt.Errorf("dial %s: %w", peer, ctx.Err())
 		case <-again.C:
 		}
 	}
