Scheduling: a member that has just come is not suspected for what failed before

What callers saw, in a test: an urgent request got 502 no_endpoint_up, since two nodes scheduled one shard.

Cause: a node that starts a moment before another greets it in vain. The connection that could not be made suspects the other as a scheduler for some seconds; it is a member 0.1 s later, the owner of the shard for all others, and still passed over by this node, which takes the shard itself. It could happen before as well, to a node whose first tick met a node that was not up yet.

Evidence: the placements that the three nodes print are the same from 0.1 s on (n2 first); n0's connection to n2 fails at 0.0 s, n0 and n2 take the shard at 3.0 s.

Change: a member that was not one before is trusted again.

--- a/chiveschedule/client.go
+++ b/chiveschedule/client.go
@@ -145,13 +145,27 @@
 
 // SetMembers takes a change of the fleet and moves what waits or runs to the schedulers that follow.
 func (c *Client) SetMembers(members []chivemember.Member) {
-	c.members.Store(&members)
+	before := c.members.Swap(&members)
 	c.place()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.trustNew(*before, members)
 	c.replace(time.Now())
 }
 
+// trustNew drops the suspicion of members that have just come: it rests on a connection that failed while they were not up yet.
+func (c *Client) trustNew(before, members []chivemember.Member) {
+	known := make(map[string]bool, len(before))
+	for _, m := range before {
+		known[m.Address] = true
+	}
+	for _, m := range members {
+		if !known[m.Address] {
+			delete(c.suspects, m.Address)
+		}
+	}
+}
+
 // Acquire waits for a slot; the error is *RefusedError for a final no, or the context's.
 func (c *Client) Acquire(ctx context.Context, ask Ask) (*Slot, error) {
 	excluded := make(map[string]bool)
