--- a/chiveschedule/client.go
+++ b/chiveschedule/client.go
@@ -56,6 +56,7 @@
 	members atomic.Pointer[[]chivemember.Member]
 	table   atomic.Pointer[shardTable]
 	places  atomic.Pointer[chiveroute.Placement]
+	placing sync.Mutex
 
 	mu       sync.Mutex
 	pending  map[requestKey]*pending
@@ -133,8 +134,11 @@
 	c.place()
 }
 
-// place works out which node schedules each shard; it runs when members or shards change and not for each request.
+// place works out which node schedules each shard; it runs when members or shards change and not for each request. Both may change in the same
+// moment: the placement that is stored last has to rest on both changes.
 func (c *Client) place() {
+	c.placing.Lock()
+	defer c.placing.Unlock()
 	table := c.table.Load()
 	keys := make([]chiveroute.Key, 0, len(table.byID))
 	for id, s := range table.byID {
