Start: seeds read the endpoints at once, and nodes that know none ask a peer every 100 ms

Cause: each node waits until it knows its fleet, 0.2 s after the last member came, before the eight readers begin to read; the others compare what they know with a peer every 0.4 s.

Change: a node that is a seed does not wait, since all others meet the seeds first: three reads more in any fleet. A node that knows no endpoints compares itself with a partner every 100 ms for its first five seconds. Partners differ from node to node, so that those who know the endpoints hand them to a few others each, at any size.

--- a/chivegossip/service.go
+++ b/chivegossip/service.go
@@ -21,8 +21,11 @@
 const (
 	// askEvery is how often a node compares itself with one peer drawn at random: a change reaches a node that only peers
 	// can tell within about a second, against the two seconds in which a configuration has to be in force.
-	askEvery  = 400 * time.Millisecond
-	inboxSize = 256
+	askEvery = 400 * time.Millisecond
+	// firstAskEvery is the same for a node that knows no endpoints yet, within firstAsks after its start.
+	firstAskEvery = 100 * time.Millisecond
+	firstAsks     = 5 * time.Second
+	inboxSize     = 256
 )
 
 // Tables holds the routing table in force.
@@ -149,6 +152,8 @@
 func (s *Service) run(ctx context.Context) {
 	tick := time.NewTicker(askEvery)
 	defer tick.Stop()
+	first := time.NewTicker(firstAskEvery)
+	defer first.Stop()
 	s.wake = time.NewTimer(askEvery)
 	defer s.wake.Stop()
 	for {
@@ -158,6 +163,12 @@
 		case <-tick.C:
 			s.compareWithOne()
 			s.askAnswers()
+		case <-first.C:
+			if s.o.Endpoints.Newest() >= 0 || time.Since(s.began) > firstAsks {
+				first.Stop()
+				continue
+			}
+			s.compareWithOne()
 		case <-s.wake.C:
 			s.fetch()
 		case <-s.stale:
--- a/chivenode/roster.go
+++ b/chivenode/roster.go
@@ -179,6 +179,9 @@
 	return slices.ContainsFunc(r.seeds, func(seed string) bool { return seed != r.self })
 }
 
+// isSeed reports whether the settings name this node as a seed.
+func (r *roster) isSeed() bool { return slices.Contains(r.seeds, r.self) }
+
 // VMs returns the nodes that may exist; each is named by its peer address, which is all that a seed tells.
 func (r *roster) VMs(context.Context) ([]chivelog.VM, error) {
 	seen := make(map[string]bool)
--- a/chivenode/start_hold.go
+++ b/chivenode/start_hold.go
@@ -21,7 +21,8 @@
 	began time.Time
 	// until is when the node reads by itself if it still knows no endpoints.
 	until time.Time
-	// hasSeeds reports whether the settings name nodes that may exist.
+	// isSeed reports whether this node is a seed, hasSeeds whether the settings name other nodes that may exist.
+	isSeed   func() bool
 	hasSeeds func() bool
 	members  func() int
 	settled  func() bool
@@ -33,7 +34,7 @@
 func (n *StoreNode) newStartHold(roster *roster) *startHold {
 	began := time.Now()
 	return &startHold{
-		began: began, until: began.Add(unknownLeast + rand.N(unknownSpread)), hasSeeds: roster.hasSeeds,
+		began: began, until: began.Add(unknownLeast + rand.N(unknownSpread)), isSeed: roster.isSeed, hasSeeds: roster.hasSeeds,
 		members: func() int { return len(n.members.Members()) }, settled: func() bool { return n.grants.Settled() }, readByOthers: n.gossip.Held, knows: n.directory.Knew,
 	}
 }
@@ -43,6 +44,9 @@
 	now := time.Now()
 	members := h.members()
 	switch {
+	case h.isSeed():
+		// The other nodes meet the seeds first and take the endpoints from them.
+		return false
 	case members == 1:
 		return h.hasSeeds() && now.Sub(h.began) < chivegossip.SettleFor
 	case members <= chivegossip.Readers:
