Configuration between peers: a busy peer that is not reached is not asked again without a pause

In a node: connection attempts to a peer that is gone as fast as they are refused.

Cause: a peer that was busy is kept as the last resort. When it is not reached any more it is forgotten as a source, and a source that is not known has version 0 in the map, which is newer than what a node without a configuration has (-1). So the node asked it again, lost the connection, forgot it, and asked it again. By the trace: 200,000 dials of one peer in one moment of virtual time, all from fetch.

It could happen before: a node that has just started and knows one other node that is busy and then stops.

Change: only a known source is the last resort.

--- a/chivetransfer/receiver.go
+++ b/chivetransfer/receiver.go
@@ -126,7 +126,7 @@
 			chosen = peer
 		}
 	}
-	if chosen == "" && r.sources[r.refused] >= least {
+	if version, known := r.sources[r.refused]; chosen == "" && known && version >= least {
 		chosen = r.refused
 	}
 	return chosen, chosen != ""
