--- a/chivedirectory/diff.go
+++ b/chivedirectory/diff.go
@@ -53,7 +53,7 @@
 	now    *Endpoint
 }
 
-// isChange reports whether listeners should know something else than they do.
+// isChange reports whether the endpoint differs from what listeners know of it.
 func (s show) isChange() bool {
 	if s.before == nil || s.now == nil {
 		return s.before != s.now
--- a/chivefeed/follower.go
+++ b/chivefeed/follower.go
@@ -46,7 +46,7 @@
 	Topic chivelog.KeyedTopic
 	// Wait tells how long a read waits for the first record; fresh tells that the read before has brought something.
 	Wait func(fresh bool) time.Duration
-	// Pace returns the least time between the answer to one read and the next read: a busy topic is read in batches. Nil means none.
+	// Pace returns the minimum time between the answer to one read and the next read, so that a busy topic is read in batches. Nil means none.
 	Pace     func() time.Duration
 	Listener Listener
 	// Answered is called with each answer of the log, before what the answer brings goes to the listener; nil means that nobody
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -44,7 +44,7 @@
 type Asker interface {
 	// Place gets a place, or fails with chivegrant.ErrAlone when the node has to decide alone.
 	Place(ctx context.Context, pool *chiveplace.Pool, request *chiverequest.Request, limits chiveplace.Ask) (*chiveplace.Place, error)
-	// Home returns the ids of the engines to which the others would send a request; none where each of them looks at all engines.
+	// Home returns the ids of the engines to which other nodes would send a request; empty where they choose among all engines.
 	Home(request *chiverequest.Request, limits chiveplace.Ask) []string
 }
 
--- a/chivegossip/readers.go
+++ b/chivegossip/readers.go
@@ -21,7 +21,7 @@
 	// readEvery is about how often one of the readers begins a new read of a topic. A read waits for the next record, so that a
 	// change is seen at once; but a wait can be deaf: its connection has gone silent, or the store has lost the wait itself.
 	readEvery = 700 * time.Millisecond
-	// busyPace is the least time between two reads of a topic that many write to: one read then brings many records.
+	// busyPace is the minimum time between two reads of a topic that many write to, so that one read brings many records.
 	busyPace = 300 * time.Millisecond
 	// branches is how many nodes each node is the first to tell, in a tree whose roots are the readers. Of 600 endpoints that are new at once to
 	// 300 nodes on links of 10 Mbit/s the busiest node then sends 0.73 MB, and the last one knows them after 0.94 s; with readers that tell all
@@ -102,8 +102,8 @@
 	return readEvery * time.Duration(max(len(s.fleet.reading), 1))
 }
 
-// ReadPace returns how long this node waits after an answer before it reads a topic again that many write to. The later a reader's place, the longer:
-// what it would read has mostly been passed on by those before it.
+// ReadPace returns how long this node waits after an answer before it reads a busy topic again. The wait rises with its rank among the readers, since
+// most of what it would read has been passed on by the readers before it.
 func (s *Service) ReadPace() time.Duration {
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
--- a/chivegossip/service.go
+++ b/chivegossip/service.go
@@ -22,9 +22,9 @@
 	// askEvery is how often a node compares itself with one peer drawn at random: a change reaches a node that only peers
 	// can tell within about a second, against the two seconds in which a configuration has to be in force.
 	askEvery = 400 * time.Millisecond
-	// firstAskEvery is the same for a node that knows no endpoints yet, within firstAsks after its start.
+	// firstAskEvery replaces askEvery while a node knows no endpoints, for firstAsksFor after its start.
 	firstAskEvery = 100 * time.Millisecond
-	firstAsks     = 5 * time.Second
+	firstAsksFor  = 5 * time.Second
 	inboxSize     = 256
 )
 
@@ -164,7 +164,7 @@
 			s.compareWithOne()
 			s.askAnswers()
 		case <-first.C:
-			if s.o.Endpoints.Newest() >= 0 || time.Since(s.began) > firstAsks {
+			if s.o.Endpoints.Newest() >= 0 || time.Since(s.began) > firstAsksFor {
 				first.Stop()
 				continue
 			}
--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -53,7 +53,8 @@
 	return w.from(ctx, first, 0, 0)
 }
 
-// Home returns the ids of the engines in the group of a request's shared part, so that a node which decides alone meets the others there.
+// Home returns the ids of the engines in the group of a request's shared part, so that a node that decides alone chooses among the same engines as
+// the owner of the group would.
 func (s *Service) Home(request *chiverequest.Request, limits chiveplace.Ask) []string {
 	g := s.divided.Load()
 	if !g.asking {
--- a/chivemember/view.go
+++ b/chivemember/view.go
@@ -8,8 +8,8 @@
 const (
 	// TickEvery is how often the view expects Tick.
 	TickEvery = 500 * time.Millisecond
-	// GreetEvery is how often the view expects Greet while the node knows no other member: of VMs that start together, the seeds may answer
-	// a moment later than the others ask.
+	// GreetEvery is how often the view expects Greet while the node knows no other member. Of VMs that start together the seeds may be up a
+	// moment later than the others.
 	GreetEvery = 100 * time.Millisecond
 
 	// watchedMembers is how many others each node probes: a number that does not grow with the fleet, in which news still crosses it in few steps.
@@ -27,7 +27,7 @@
 	// within seconds, for three messages.
 	seedsContacted = 3
 	contactEvery   = 4
-	// introduced is how many members a node that knows nobody is told by a seed, of which it asks one for its whole view.
+	// introduced is how many members a seed sends to a node that knows nobody; that node then asks one of them for the whole view.
 	introduced = 16
 	// differAfter is how long digests may differ before a whole view is sent: news crosses a fleet of hundreds in a third of that. syncEvery spaces
 	// the whole views to one member.
@@ -50,8 +50,8 @@
 	massLossFor    = 10 * time.Second
 	extraPerDeath  = 4
 	extraMost      = 64
-	// massLossPercent of the members, and massLossLeast at least, that died within massLossFor by whatever node's word are a mass loss too; each
-	// node then watches extraInMassLoss more of the members that follow it on the ring, since few of its neighbours may be left to find them.
+	// The death of massLossPercent of the members, and of massLossLeast at least, within massLossFor is a mass loss too, whichever nodes found it.
+	// Each node then watches extraInMassLoss more of the members that follow it on the ring, since few of its neighbours may be alive.
 	massLossPercent = 5
 	massLossLeast   = 8
 	extraInMassLoss = 16
@@ -70,12 +70,12 @@
 	lastTick time.Time
 	ticks    int
 	contact  int
-	// introductions counts the members that were asked for a whole view since a seed introduced them.
+	// introductions counts the whole views that this node has asked for on the introduction of a seed.
 	introductions int
 	version       uint64
 	deaths        int64
 	digest        uint64
-	// recent are the times of deaths that this node found, reported of those that it was told of, within massLossFor.
+	// recent are the times of deaths that this node found, reported of those that others found, within massLossFor.
 	recent   []time.Time
 	reported []time.Time
 	// moved tells that members came or went since they were last placed on the ring.
--- a/chivemember/view_messages.go
+++ b/chivemember/view_messages.go
@@ -169,18 +169,18 @@
 	return true
 }
 
-// answerTo returns the members for one that asks for a view: all, or a few for one that knows nobody yet. All nodes of a fleet that starts ask the
-// same seeds, whose links cannot carry a whole view of a large fleet for each.
+// answerTo returns the members to send to one that asks for a view: all of them, or a few if it knows nobody yet. When a fleet starts, all of its
+// nodes ask the same seeds, whose links cannot carry the whole view of a large fleet for each node.
 func (v *View) answerTo(now time.Time, asked Sync) []Member {
 	v.arrange(now)
-	// The ring may hold the asking member beside this one and those introduced.
+	// Besides the members to introduce the ring holds this node, and possibly the asking one.
 	if len(asked.Members) != 1 || len(v.ring) < introduced+2 {
 		return v.everybody()
 	}
 	return append(v.around(asked.Members[0].Name), v.self)
 }
 
-// askForRest asks one of the few members that a seed introduced for its whole view; each seed's answer leads to another one.
+// askForRest asks one of the members that a seed introduced for the whole view, another one after each seed's answer.
 func (v *View) askForRest(from string, answer Sync) []Envelope {
 	if len(answer.Members) != introduced+1 || v.introductions >= seedsContacted {
 		return nil
--- a/chivemember/view_ring.go
+++ b/chivemember/view_ring.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// since returns the times from a time on, of times that rise.
+// since returns the times that are not before a given one; times is in ascending order.
 func since(times []time.Time, from time.Time) []time.Time {
 	for len(times) > 0 && times[0].Before(from) {
 		times = times[1:]
@@ -79,7 +79,7 @@
 	return times
 }
 
-// isMassLoss reports whether many members died of late, whoever found it: the next ones on the ring are then likely to be dead too.
+// isMassLoss reports whether many members died recently, whichever nodes found it. The next ones on the ring are then likely to be dead too.
 func (v *View) isMassLoss() bool {
 	return len(v.recent)+len(v.reported) > max(massLossLeast, len(v.ring)*massLossPercent/100)
 }
@@ -140,12 +140,12 @@
 	return out
 }
 
-// neighbourNames returns the members that this node always watches, without those it watches beyond them for a while, and those that watch it.
+// neighbourNames returns the members that this node watches and those that watch it, without the ones it watches only during a mass loss.
 func (v *View) neighbourNames() []string {
 	return slices.Concat(v.watched[:min(len(v.watched), watchedMembers)], v.watchers)
 }
 
-// neighbours returns the addresses of the members with which this node exchanges news.
+// neighbours returns the addresses of the members with which this node exchanges updates.
 func (v *View) neighbours(now time.Time) []string {
 	v.arrange(now)
 	var addresses []string
@@ -161,7 +161,7 @@
 	return addresses
 }
 
-// around returns the members that are nearest to a name on the ring, as many as are introduced to a node that knows nobody.
+// around returns the members that follow a name on the ring, at most introduced of them.
 func (v *View) around(name string) []Member {
 	place := sort.SearchStrings(v.ring, ringKey(name))
 	var near []Member
--- a/chivenode/start_hold.go
+++ b/chivenode/start_hold.go
@@ -45,7 +45,7 @@
 	members := h.members()
 	switch {
 	case h.isSeed():
-		// The other nodes meet the seeds first and take the endpoints from them.
+		// The other nodes connect to the seeds first and can take the endpoints from them.
 		return false
 	case members == 1:
 		return h.hasSeeds() && now.Sub(h.began) < chivegossip.SettleFor
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -41,7 +41,7 @@
 	Left time.Duration
 	// Among limits the choice to some endpoints, by id; nil means all.
 	Among []string
-	// Home names the endpoints, by id, among which a shared part that no engine holds has its home; with none of them to choose from, it is any.
+	// Home names the endpoints, by id, one of which is to hold the shared part of a prompt that no engine holds yet; empty means any endpoint.
 	Home []string
 	// Domains limits the choice, and what parts of the prompt are fetched from, to some failure domains.
 	Domains chiveresidency.Domains
@@ -252,8 +252,8 @@
 	return ok
 }
 
-// startsFor is how long after the first endpoint a node takes those that it learns of for ones that have run before: a node that starts learns of all
-// within some hundred milliseconds, which begin seconds after its start where a whole fleet starts. One that comes later has just started and holds nothing.
+// startsFor is how long after the first endpoint a node takes the endpoints that it learns of for ones that have run before. It learns of all of them
+// within some hundred milliseconds, which may begin seconds after its own start. One that comes later has just started and holds nothing.
 const startsFor = 3 * time.Second
 
 // TakeUnasked returns ready endpoints, at most a number of them, whose cache may hold something and that were not returned before; among names
@@ -439,7 +439,7 @@
 	return cost
 }
 
-// homes returns the candidates among which the home of a shared part is: those that the ask names, or all if none of these can be chosen.
+// homes returns the candidates of which one is the home of a shared part: those that the ask names, or all if none of these can be chosen.
 func (p *Pool) homes(candidates []*candidate, ask Ask) []*candidate {
 	var homes []*candidate
 	for _, id := range ask.Home {
--- a/chiveschedule/client.go
+++ b/chiveschedule/client.go
@@ -134,8 +134,8 @@
 	c.place()
 }
 
-// place works out which node schedules each shard; it runs when members or shards change and not for each request. Both may change in the same
-// moment: the placement that is stored last has to rest on both changes.
+// place works out which node schedules each shard; it runs when members or shards change and not for each request. The lock keeps a placement from
+// before a concurrent change from being stored last.
 func (c *Client) place() {
 	c.placing.Lock()
 	defer c.placing.Unlock()
@@ -157,7 +157,7 @@
 	c.replace(time.Now())
 }
 
-// trustNew drops the suspicion of members that have just come: it rests on a connection that failed while they were not up yet.
+// trustNew clears the suspicion of members that have just joined: it comes from a connection that failed before they were up.
 func (c *Client) trustNew(before, members []chivemember.Member) {
 	known := make(map[string]bool, len(before))
 	for _, m := range before {
--- a/chivewire/dial.go
+++ b/chivewire/dial.go
@@ -11,7 +11,7 @@
 	// dialTimeout bounds the time to connect to a peer, with all attempts.
 	dialTimeout = time.Second
 	// attemptEvery is how long a connection attempt may go unanswered before another one starts beside it. The peer may just be starting, or a
-	// packet was lost, and the system itself sends another one only after a second.
+	// packet may be lost, and TCP itself retransmits only after a second.
 	attemptEvery = 200 * time.Millisecond
 )
 
