--- a/chivemember/service.go
+++ b/chivemember/service.go
@@ -180,13 +180,13 @@
 		case <-wake.C:
 			s.send(s.view.Flush(time.Now()))
 		case <-greet.C:
+			if !s.view.IsAlone() {
+				greet.Stop()
+			}
 			s.send(s.view.Greet())
 		case e := <-s.inbox.Ready():
 			s.handle(e)
 		}
-		if !s.view.IsAlone() {
-			greet.Stop()
-		}
 		s.publishWhenDue(time.Now())
 		s.wakeWhenDue(time.Now(), wake)
 	}
