Usage: a start belongs to the window whose settlement moved the cut of its process past it

What callers saw: a bill on which requests were counted twice or were missing.

Cause: the lease holder estimated the fleet's wall-clock time anew for each window, and counted the starts between the estimated begin and end. The estimate moves by up to a millisecond from one settlement to the next (times in whole milliseconds, the least delay seen, the median's members), so the end of a window and the begin of the next one were two different moments, within one tenure as well as across tenures. Starts were also dated when they were received, with the estimate of that moment.

Fix: the ledger holds, for each process, the sequence number of its first start that no settled window contains. A settlement counts from there and moves it, in the same record as the counts, so the decision is taken once and each later holder reads it. The estimate of the clock only chooses how far a window reaches. Starts keep their sender's time and are converted with the best estimate.

Not covered: windows that are omitted because the store or the platform is away for longer than the delay; starts that a node has not sent when it crashes.

--- a/chiveusage/collector.go
+++ b/chiveusage/collector.go
@@ -19,24 +19,31 @@
 	incarnation int64
 }
 
+// numberedStart is a start with its sequence number at its sender; its time is on the sender's clock.
+type numberedStart struct {
+	requestStart
+	sequence uint64
+}
+
 // processStarts is what a collector has received from one process.
 type processStarts struct {
 	// next is the sequence number of the next expected start.
 	next   uint64
-	starts []requestStart
+	starts []numberedStart
 	// clockOffset is the sender's clock minus the collector's. A delayed message underestimates it, so the maximum over
 	// all messages is kept.
 	clockOffset time.Duration
-	// wallAtBoot is the sender's wall-clock time at the collector's boot, derived from its last message.
-	wallAtBoot time.Duration
-	// completeUntil is the time up to which all starts have been received; lastHeard is when the last message arrived.
+	// wallAtSenderBoot is the sender's wall-clock time at its boot, derived from its last message.
+	wallAtSenderBoot time.Duration
+	// completeUntil is the time on the sender's clock up to which all starts have been received; lastHeard is when the
+	// last message arrived.
 	completeUntil time.Duration
 	lastHeard     time.Duration
 	// loads holds the numbers of requests in progress by pool, as of the last message.
 	loads map[string]int64
 }
 
-// collector holds the starts of the fleet. All times are on its own clock since boot.
+// collector holds the starts of the fleet. The times that its methods take and return are on its own clock since boot.
 type collector struct {
 	incarnation int64
 	retention   time.Duration
@@ -70,21 +77,21 @@
 		c.processes[key] = p
 	}
 	p.clockOffset = max(p.clockOffset, clock-now)
-	sent := clock - p.clockOffset
-	p.wallAtBoot = time.Duration(m.WallMs)*time.Millisecond - sent
+	p.wallAtSenderBoot = time.Duration(m.WallMs)*time.Millisecond - clock
 	p.lastHeard, p.loads = now, m.Loads
 	p.next = max(p.next, m.Oldest)
 	if m.First <= p.next {
-		p.add(m, sent)
+		p.add(m, clock)
 	}
 	return StartsAck{Incarnation: m.Incarnation, Collector: c.incarnation, Next: p.next}
 }
 
-// add appends those starts of a message that have not been received before; sent is when the message was sent.
+// add appends those starts of a message that have not been received before; sent is the sender's clock at sending.
 func (p *processStarts) add(m Starts, sent time.Duration) {
 	for i := int(p.next - m.First); i < len(m.AgesMs) && i < len(m.Teams); i++ {
 		if team := m.Teams[i]; team >= 0 && team < len(m.Names) {
-			p.starts = append(p.starts, requestStart{sent - time.Duration(m.AgesMs[i])*time.Millisecond, m.Names[team]})
+			at := sent - time.Duration(m.AgesMs[i])*time.Millisecond
+			p.starts = append(p.starts, numberedStart{requestStart{at, m.Names[team]}, m.First + uint64(i)})
 		}
 	}
 	p.next = max(p.next, m.First+uint64(len(m.AgesMs)))
@@ -98,7 +105,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for key, p := range c.processes {
-		p.starts = slices.DeleteFunc(p.starts, func(s requestStart) bool { return now-s.at > c.retention })
+		p.starts = slices.DeleteFunc(p.starts, func(s numberedStart) bool { return now+p.clockOffset-s.at > c.retention })
 		if len(p.starts) == 0 && now-p.lastHeard > c.retention {
 			delete(c.processes, key)
 		}
@@ -113,7 +120,7 @@
 	var walls []time.Duration
 	for _, p := range c.processes {
 		if now-p.lastHeard < contactTimeout {
-			walls = append(walls, p.wallAtBoot)
+			walls = append(walls, p.wallAtSenderBoot+p.clockOffset)
 		}
 	}
 	if len(walls) == 0 {
@@ -130,7 +137,7 @@
 	defer c.mu.Unlock()
 	complete := make(map[string]bool)
 	for key, p := range c.processes {
-		isBehind := p.completeUntil < until
+		isBehind := p.completeUntil-p.clockOffset < until
 		if isBehind && now-p.lastHeard < contactTimeout {
 			return false
 		}
@@ -157,17 +164,29 @@
 	return requests, ok
 }
 
-// count returns the number of starts between from and until, by team; until is exclusive.
-func (c *collector) count(from, until time.Duration) map[string]int64 {
+// countUntil returns the number of starts by team that follow the given cuts and were made before until, and for each
+// process with such starts the sequence number that follows them. Starts made before from are not counted.
+//
+// A start that arrives after its window was settled follows the cut, so that a later window counts it.
+func (c *collector) countUntil(settled cuts, from, until time.Duration) (counts map[string]int64, next map[processKey]uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	counts := make(map[string]int64)
-	for _, p := range c.processes {
+	counts, next = make(map[string]int64), make(map[processKey]uint64)
+	for key, p := range c.processes {
+		first := settled[key].next
 		for _, s := range p.starts {
-			if s.at >= from && s.at < until {
+			at := s.at - p.clockOffset
+			if s.sequence < first {
+				continue
+			}
+			if at >= until {
+				break
+			}
+			if at >= from {
 				counts[s.team]++
 			}
+			next[key] = s.sequence + 1
 		}
 	}
-	return counts
+	return counts, next
 }
--- a/chiveusage/ledger.go
+++ b/chiveusage/ledger.go
@@ -1,11 +1,6 @@
 package chiveusage
 
-import (
-	"fmt"
-	"slices"
-
-	"github.com/vmihailenco/msgpack/v5"
-)
+import "slices"
 
 // ledgerKey is the lease key under which the ledger is stored.
 const ledgerKey = "usage"
@@ -36,42 +31,28 @@
 	Last int64
 	// Reports holds the reports that may have been sent; they are resent unchanged until the platform confirms them.
 	Reports []Report
+	// countedFrom is the first window after the last omitted one. Starts of earlier windows that are not before the cut
+	// of their process are not counted.
+	countedFrom int64
+	cuts        cuts
 }
 
-func (l ledger) encode() ([]byte, error) {
-	data, err := msgpack.Marshal(&l)
-	if err != nil {
-		return nil, fmt.Errorf("usage ledger: encode: %w", err)
-	}
-	return data, nil
-}
-
-func decodeLedger(data []byte) (ledger, error) {
-	var l ledger
-	if err := msgpack.Unmarshal(data, &l); err != nil {
-		return ledger{}, fmt.Errorf("usage ledger: decode: %w", err)
-	}
-	return l, nil
+// withSettled returns a copy of the ledger with one more window settled by a report and the cuts after it.
+func (l ledger) withSettled(report Report, after cuts) ledger {
+	l.Last, l.Reports, l.cuts = report.Window, append(slices.Clone(l.Reports), report), after
+	return l
 }
 
-// withSettled returns a copy of the ledger with one more window settled by a report, or omitted if the report is nil.
-func (l ledger) withSettled(window int64, report *Report) ledger {
-	next := ledger{Era: l.Era, Last: window, Reports: slices.Clone(l.Reports)}
-	if report != nil {
-		next.Reports = append(next.Reports, *report)
-	}
-	return next
+// withOmitted returns a copy of the ledger with one more window settled by omission.
+func (l ledger) withOmitted(window int64) ledger {
+	l.Last, l.countedFrom = window, window+1
+	return l
 }
 
 // withoutReport returns a copy of the ledger without the report of a window.
 func (l ledger) withoutReport(window int64) ledger {
-	next := ledger{Era: l.Era, Last: l.Last}
-	for _, r := range l.Reports {
-		if r.Window != window {
-			next.Reports = append(next.Reports, r)
-		}
-	}
-	return next
+	l.Reports = slices.DeleteFunc(slices.Clone(l.Reports), func(r Report) bool { return r.Window == window })
+	return l
 }
 
 // firstEra is the era of a store that has never been restored from an older copy.
@@ -80,9 +61,9 @@
 // ledgerForTenure derives the initial ledger of a tenure from the stored one. If the store may have lost a newer
 // ledger, all windows up to the current one are omitted, because they may already have been reported.
 func ledgerForTenure(data []byte, era, current int64) (ledger, error) {
-	omitted := ledger{Era: era, Last: current}
+	omitted := ledger{Era: era}.withOmitted(current)
 	if len(data) == 0 && era == firstEra {
-		return ledger{Era: era, Last: current - 1}, nil
+		return ledger{Era: era}.withOmitted(current - 1), nil
 	}
 	if len(data) == 0 {
 		return omitted, nil
@@ -92,8 +73,7 @@
 		return omitted, err
 	}
 	if l.Era != era {
-		omitted.Last = max(omitted.Last, l.Last)
-		return omitted, nil
+		return omitted.withOmitted(max(current, l.Last)), nil
 	}
 	return l, nil
 }
--- a/chiveusage/reporter.go
+++ b/chiveusage/reporter.go
@@ -24,6 +24,9 @@
 	// sendTimeout limits one call to the platform; no call is made with less than minRemaining of the tenure left.
 	sendTimeout  = time.Second
 	minRemaining = 100 * time.Millisecond
+	// cutRetention is how long the cut of a process without new starts is kept, in multiples of the time for which a
+	// collector retains starts. It covers starts that a collector dates late because it was suspended.
+	cutRetention = 4
 	// resendInterval is the minimum interval between attempts to send a report.
 	resendInterval = 400 * time.Millisecond
 )
@@ -106,13 +109,13 @@
 		if now >= deadline {
 			// The ledger need not be stored, because a later lease holder omits the window as well.
 			r.countOmitted(ctx, window, "deadline passed")
-			r.ledger = r.ledger.withSettled(window, nil)
+			r.ledger = r.ledger.withOmitted(window)
 			continue
 		}
 		if !r.collector.isComplete(now, clock.end(window)) && now < deadline-incompleteLead {
 			return
 		}
-		next := r.ledger.withSettled(window, &Report{Window: window, Counts: r.collector.count(clock.start(window), clock.end(window))})
+		next := r.settled(clock, now, window)
 		data, err := next.encode()
 		if err != nil || r.opts.Lease.Write(ctx, r.token, ledgerKey, data) != nil {
 			return
@@ -121,6 +124,15 @@
 	}
 }
 
+// settled returns the ledger with one more window settled by the starts that no earlier window contains.
+func (r *reporter) settled(clock windowClock, now time.Duration, window int64) ledger {
+	from := max(clock.start(r.ledger.countedFrom), now-r.collector.retention)
+	counts, next := r.collector.countUntil(r.ledger.cuts, from, clock.end(window))
+	after := r.ledger.cuts.moved(window, next)
+	after.dropBefore(window - int64(cutRetention*r.collector.retention/r.opts.Window))
+	return r.ledger.withSettled(Report{Window: window, Counts: counts}, after)
+}
+
 // sendReport makes an attempt to send a report, if one is due, and drops the report once it is confirmed or its
 // deadline has passed.
 func (r *reporter) sendReport(ctx context.Context, clock windowClock, report Report) {
--- a/chiveusage/service_test.go
+++ b/chiveusage/service_test.go
@@ -69,6 +69,7 @@
 
 type node struct {
 	address     string
+	clock       bootClock
 	incarnation int64
 	mesh        *chivewire.Mesh
 	lease       *chivelease.Service
@@ -79,7 +80,7 @@
 // fleet is a set of nodes with the requests that they have recorded.
 type fleet struct {
 	t         *testing.T
-	network   *chivestand.Network
+	network   *laggedNetwork
 	topic     *chivestand.Topic
 	platform  *fakePlatform
 	nodes     []*node
@@ -91,12 +92,9 @@
 
 func newFleet(t *testing.T, size int) *fleet {
 	t.Helper()
-	f := &fleet{
-		t: t, network: chivestand.NewNetwork(), topic: chivestand.NewTopic(1), startedAt: time.Now(), random: rand.New(rand.NewPCG(1, 1)),
-		platform: &fakePlatform{t: t, reports: make(map[int64]map[string]int64), reportedAt: make(map[int64]time.Time)}, expected: make(map[int64]map[string]int64),
-	}
+	f := newEmptyFleet(t, 1)
 	for i := range size {
-		n := &node{address: fmt.Sprintf("10.%d.0.%d:1", i%3, i)}
+		n := &node{address: nodeAddress(i)}
 		f.nodes = append(f.nodes, n)
 		f.start(n)
 	}
@@ -104,10 +102,20 @@
 	return f
 }
 
+func newEmptyFleet(t *testing.T, seed uint64) *fleet {
+	t.Helper()
+	return &fleet{
+		t: t, network: newLaggedNetwork(), topic: chivestand.NewTopic(seed), startedAt: time.Now(), random: rand.New(rand.NewPCG(seed, 1)),
+		platform: &fakePlatform{t: t, reports: make(map[int64]map[string]int64), reportedAt: make(map[int64]time.Time)}, expected: make(map[int64]map[string]int64),
+	}
+}
+
+func nodeAddress(i int) string { return fmt.Sprintf("10.%d.0.%d:1", i%3, i) }
+
 func (f *fleet) start(n *node) {
 	f.t.Helper()
 	n.incarnation, n.up = time.Now().UnixMilli(), true
-	sinceBoot := func() time.Duration { return time.Since(f.startedAt) + time.Hour }
+	sinceBoot := func() time.Duration { return n.clock.read(time.Since(f.startedAt)) }
 	n.mesh = chivewire.NewMesh(n.address, f.network)
 	logger := slog.New(slog.DiscardHandler)
 	n.lease = chivelease.New(chivelease.Options{
