Usage: settled windows are reported after their deadline too

What callers saw: no usage at all of windows whose report the platform had not confirmed within the delay.

Cause: a settled window whose deadline had passed was dropped, although its counts were final, stored, and safe to repeat.

Fix: such reports are sent until four delays after the end of their window. Reports that can still be in time go first, and a failed call ends the pass, so that calls that time out do not keep the reporter from settling the next window.

--- a/chiveusage/exact_test.go
+++ b/chiveusage/exact_test.go
@@ -187,3 +187,22 @@
 		})
 	}
 }
+
+// Guards against settled windows that are never reported because the platform was unavailable until after their deadline.
+func TestWindowsAreReportedAfterALongOutageOfThePlatform(t *testing.T) {
+	for _, outage := range []time.Duration{delay + 2*time.Second, 2*delay + window} {
+		t.Run(outage.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newClockFleet(t, 1, bootClock{}, bootClock{}, bootClock{}, bootClock{}, bootClock{})
+				defer f.stop()
+				end := f.awaitReport()
+				f.platform.down = true
+				recorded := f.recordRow(end)
+				sleepUntil(end.Add(outage))
+				f.platform.down = false
+				time.Sleep(drainTime)
+				f.checkRow(recorded)
+			})
+		})
+	}
+}
--- a/chiveusage/reporter.go
+++ b/chiveusage/reporter.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +30,9 @@
 	cutRetention = 4
 	// resendInterval is the minimum interval between attempts to send a report.
 	resendInterval = 400 * time.Millisecond
+	// lateDelays is until when a settled window is reported, in multiples of the delay after its end. A late report is of
+	// use for the bill, but the ledger must not grow without limit while the platform is unavailable.
+	lateDelays = 4
 )
 
 // Lease determines whether this node may report, and stores the ledger.
@@ -87,9 +91,7 @@
 		r.startTenure(ctx, tenure, clock.windowAt(now))
 	}
 	r.settleWindows(ctx, clock, now)
-	for _, report := range r.ledger.Reports {
-		r.sendReport(ctx, clock, report)
-	}
+	r.sendReports(ctx, clock)
 }
 
 // startTenure loads the ledger of the previous holder; current is the window that contains the present.
@@ -133,21 +135,39 @@
 	return r.ledger.withSettled(Report{Window: window, Counts: counts}, after)
 }
 
-// sendReport makes an attempt to send a report, if one is due, and drops the report once it is confirmed or its
-// deadline has passed.
-func (r *reporter) sendReport(ctx context.Context, clock windowClock, report Report) {
+// sendReports sends the reports that are due. Those that can still be confirmed before their deadline go first. After a
+// failure the rest waits, because an unavailable platform may take the whole timeout of each call.
+func (r *reporter) sendReports(ctx context.Context, clock windowClock) {
+	var inTime, late []Report
+	for _, report := range r.ledger.Reports {
+		if r.opts.SinceBoot() < clock.end(report.Window)+r.opts.Delay {
+			inTime = append(inTime, report)
+		} else {
+			late = append(late, report)
+		}
+	}
+	for _, report := range slices.Concat(inTime, late) {
+		if !r.sendReport(ctx, clock, report) {
+			return
+		}
+	}
+}
+
+// sendReport makes an attempt to send a report, if one is due, and drops the report once it is confirmed or too late. It
+// returns false if an attempt failed.
+func (r *reporter) sendReport(ctx context.Context, clock windowClock, report Report) bool {
 	now := r.opts.SinceBoot()
-	if now >= clock.end(report.Window)+r.opts.Delay {
+	if now >= clock.end(report.Window)+lateDelays*r.opts.Delay {
 		r.countOmitted(ctx, report.Window, "not confirmed in time")
 		r.ledger = r.ledger.withoutReport(report.Window)
-		return
+		return true
 	}
 	if at, ok := r.sentAt[report.Window]; ok && now-at < resendInterval {
-		return
+		return true
 	}
 	tenure, ok := r.opts.Lease.Tenure()
 	if !ok || tenure.Token != r.token || tenure.Remaining < minRemaining {
-		return
+		return true
 	}
 	r.sentAt[report.Window] = now
 	callCtx, cancel := context.WithTimeout(ctx, min(sendTimeout, tenure.Remaining))
@@ -164,6 +184,7 @@
 		chiveevent.UsageRefused.Log(ctx, r.opts.Logger, slog.Int64("window", report.Window), slog.Int64("token", r.token))
 		r.opts.Lease.Fenced(r.token)
 	}
+	return err == nil
 }
 
 func (r *reporter) countOmitted(ctx context.Context, window int64, reason string) {
