Gossip: a node that learns its first endpoints notifies the peers that asked it before

What callers saw: 503 from a node that has just started, longer than needed. In TestStartingNodesLearnEndpointsQuickly one node of forty knew no endpoint after 0.9 s, in 10 and 16 of 3,000 plays on.

Cause: a node without endpoints sends its digest to its peers in turn, one every 100 ms. A peer that had none either forgot the question, so after it had learnt some, the node waited for that peer's next turn, a whole round of six later; over several hops these waits add up.

Evidence: a play with trace lines that fails (1 of 2,000). Node 14 asks 21, 24, 19, 12, 7, 27, 21, 24, 19, 12 from 0.1 to 0.8 s; none knows an endpoint when its question arrives, 24 knows them from 0.7 s, and node 14 learns at 0.9 s, at 7's next turn. All 467 messages sent until then were handled, no connection was lost, no late node's request was suppressed. With the first turns fixed (option Pick) 300 of 300 plays fail, ten nodes each: TestStartingNodesLearnEndpointsQuicklyInUnfavourableOrder.

Fix: a node that has no endpoints remembers the peers whose digests show none, at most twenty, and sends them its digest once it learns some. After one round of turns every peer has been asked, and from then on endpoints pass from hop to hop without waiting. The message is the digest that earlier releases know. A lost message still costs a turn.

After: the forced order 0 of 300, the entry's test 0 of 3,000 plays (virtual time).

--- a/chivegossip/readers.go
+++ b/chivegossip/readers.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"chivedrift/chivemember"
-	"chivedrift/chivewire"
 )
 
 // In a large fleet only a few nodes, the readers, read the store: if every node read every topic, each record would
@@ -146,8 +145,5 @@
 	s.topology.mu.Lock()
 	children := s.topology.children
 	s.topology.mu.Unlock()
-	local := s.localDigest()
-	for _, address := range children {
-		s.send(address, chivewire.KindDigest, Digest{Table: local.Table, Offset: local.Offset})
-	}
+	s.sendDigestTo(children)
 }
--- a/chivegossip/service.go
+++ b/chivegossip/service.go
@@ -62,6 +62,8 @@
 	Tables    Tables
 	Endpoints Endpoints
 	Logger    *slog.Logger
+	// Pick returns a random number below n; nil stands for rand.IntN.
+	Pick func(n int) int
 }
 
 // Digest states what the sender knows and asks the peer to compare. Its encoding is the same in all releases, so that
@@ -92,11 +94,13 @@
 	inbox     *chivewire.Inbox
 	topology  topology
 	queryNow  chan struct{}
-	// sender, receiver and fetchTimer, which fires when the next document part may be due, belong to the run goroutine.
+	// The fields from here to roundRobin belong to the run goroutine; fetchTimer fires when the next document part may be
+	// due.
 	sender     *chivetransfer.Sender
 	receiver   *chivetransfer.Receiver
 	fetchTimer *time.Timer
 	pending    pendingChanges
+	waiting    waitingPeers
 	cached     cachedResponse
 	// roundRobin counts the digests that were sent. It starts at a random value, so that nodes started together do not
 	// go through their peers in step.
@@ -106,9 +110,12 @@
 
 // New returns a service that sends nothing before Start.
 func New(options Options) *Service {
+	if options.Pick == nil {
+		options.Pick = rand.IntN
+	}
 	s := &Service{
 		options: options, startedAt: time.Now(), inbox: chivewire.NewInbox(options.Mesh, inboxSize), queryNow: make(chan struct{}, 1),
-		sender: chivetransfer.NewSender(), receiver: chivetransfer.NewReceiver(), roundRobin: rand.IntN(math.MaxInt32),
+		sender: chivetransfer.NewSender(), receiver: chivetransfer.NewReceiver(), roundRobin: options.Pick(math.MaxInt32),
 	}
 	s.topology.publishNow = make(chan struct{}, 1)
 	s.topology.roleSince = s.startedAt
@@ -159,6 +166,7 @@
 	s.fetchTimer = time.NewTimer(digestInterval)
 	defer s.fetchTimer.Stop()
 	for {
+		s.notifyWaitingPeers()
 		select {
 		case <-ctx.Done():
 			return
@@ -192,9 +200,16 @@
 	if len(peers) == 0 {
 		return
 	}
-	local := s.localDigest()
 	s.roundRobin++
-	s.send(peers[s.roundRobin%len(peers)], chivewire.KindDigest, Digest{Table: local.Table, Offset: local.Offset})
+	s.sendDigestTo([]string{peers[s.roundRobin%len(peers)]})
+}
+
+// sendDigestTo sends this node's digest to the given peers.
+func (s *Service) sendDigestTo(peers []string) {
+	local := s.localDigest()
+	for _, address := range peers {
+		s.send(address, chivewire.KindDigest, Digest{Table: local.Table, Offset: local.Offset})
+	}
 }
 
 // localDigest returns what this node knows.
@@ -238,7 +253,8 @@
 	}
 }
 
-// handleDigest requests what the peer has beyond this node, and answers if this node has more.
+// handleDigest requests what the peer has beyond this node, and answers if this node has more. A peer without endpoints
+// is notified later if this node has none yet.
 func (s *Service) handleDigest(peer string, remote Digest) {
 	if remote.Reply {
 		s.sendToEarlierRelease(peer, remote)
@@ -246,6 +262,9 @@
 	}
 	s.requestChanges(peer, DigestAnswer{Table: remote.Table, Offset: remote.Offset})
 	local := s.localDigest()
+	if local.Offset < 0 && remote.Offset < 0 {
+		s.waiting.add(peer)
+	}
 	if local.Table > remote.Table || local.Offset > remote.Offset {
 		s.send(peer, chivewire.KindDigestAnswer, local)
 	}
--- a/chivegossip/service_test.go
+++ b/chivegossip/service_test.go
@@ -109,20 +109,26 @@
 	for i := range addresses {
 		addresses[i] = chivestand.FreeAddress()
 	}
-	return newNodesAt(t, addresses, chivewire.TCP{})
+	return newNodesAt(t, addresses, chivewire.TCP{}, 0, nil)
 }
 
 // newNodesOn starts nodes on a simulated network.
 func newNodesOn(t *testing.T, count int, network chivewire.Network) []*node {
 	t.Helper()
+	return newNodesAt(t, simulatedAddresses(count), network, 0, nil)
+}
+
+// simulatedAddresses returns addresses of nodes on a simulated network.
+func simulatedAddresses(count int) []string {
 	addresses := make([]string, count)
 	for i := range addresses {
 		addresses[i] = fmt.Sprintf("10.0.%d.%d:82", i/250, i%250)
 	}
-	return newNodesAt(t, addresses, network)
+	return addresses
 }
 
-func newNodesAt(t *testing.T, addresses []string, network chivewire.Network) []*node {
+// newNodesAt starts nodes, one every interval; pickFor returns the source of random numbers of a node, nil stands for the default.
+func newNodesAt(t *testing.T, addresses []string, network chivewire.Network, interval time.Duration, pickFor func(address string) func(n int) int) []*node {
 	t.Helper()
 	var members fakeMembers
 	for _, address := range addresses {
@@ -132,7 +138,11 @@
 	for i := range nodes {
 		mesh := chivewire.NewMesh(members[i].Address, network)
 		n := &node{mesh: mesh, tables: &fakeTables{version: 1}, endpoints: &fakeEndpoints{d: chivedirectory.New(time.Second)}}
-		n.service = chivegossip.New(chivegossip.Options{Mesh: mesh, Tables: n.tables, Endpoints: n.endpoints, Logger: slog.New(slog.DiscardHandler)})
+		options := chivegossip.Options{Mesh: mesh, Tables: n.tables, Endpoints: n.endpoints, Logger: slog.New(slog.DiscardHandler)}
+		if pickFor != nil {
+			options.Pick = pickFor(members[i].Address)
+		}
+		n.service = chivegossip.New(options)
 		n.service.SetMembers(members)
 		for _, s := range []interface {
 			Start(ctx context.Context) error
@@ -144,6 +154,7 @@
 			t.Cleanup(func() { s.Stop(context.Background()) })
 		}
 		nodes[i] = n
+		time.Sleep(interval)
 	}
 	return nodes
 }
