Start: the first readers of a new fleet read on without waiting for others

What callers saw: for up to 1.8 s after a fleet's start requests went to endpoints that had left, and new endpoints and a new configuration were not in use.

When all nodes start at once no other node does.

Fix: a reader reads on 0.3 s x its rank after its start if no other reader has run for 1.5 s by its incarnation. Nodes that join a running fleet wait as before, because readers that have run for longer read for them.

--- a/chivefeed/follower.go
+++ b/chivefeed/follower.go
@@ -62,6 +62,8 @@
 	HoldFirst func() bool
 	// Settle is how long after its first snapshot the follower leaves the next read: by then a node of a fleet knows whether others read for it.
 	Settle time.Duration
+	// ReadsEarly reports whether the follower reads on before Settle has passed, because no other node reads the topic yet; nil means never.
+	ReadsEarly func() bool
 }
 
 // Follower is the service that follows one topic.
@@ -118,7 +120,7 @@
 	for ctx.Err() == nil {
 		if rooted && !settled {
 			settled = true
-			sleep(ctx, f.o.Settle)
+			f.settle(ctx)
 		}
 		if !rooted && !held && f.waitsForFirst() {
 			sleep(ctx, firstPoll)
@@ -158,6 +160,15 @@
 	}
 }
 
+// settle waits until Settle has passed or the follower reads early.
+func (f *Follower) settle(ctx context.Context) {
+	for end := time.Now().Add(f.o.Settle); ctx.Err() == nil && time.Now().Before(end) && !f.readsEarly(); {
+		sleep(ctx, min(firstPoll, time.Until(end)))
+	}
+}
+
+func (f *Follower) readsEarly() bool { return f.o.ReadsEarly != nil && f.o.ReadsEarly() }
+
 // waitsForFirst reports whether the first snapshot is to wait.
 func (f *Follower) waitsForFirst() bool {
 	return f.o.HoldFirst != nil && !f.lost.Load() && f.o.HoldFirst()
--- a/chivefeed/start_test.go
+++ b/chivefeed/start_test.go
@@ -61,3 +61,28 @@
 		}
 	})
 }
+
+// Guards against a record that stays unread after a fleet's start because each node leaves reading to the others.
+func TestFollowerReadsWhileSettlingWhenNobodyElseDoes(t *testing.T) {
+	const settle = 1500 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		topic := &fakeTopic{}
+		topic.add("a")
+		start := time.Now()
+		h := &heard{}
+		f := chivefeed.New(chivefeed.Options{
+			Topic: topic, Wait: func(bool) time.Duration { return time.Second }, Listener: h, Settle: settle,
+			ReadsEarly: func() bool { return time.Since(start) >= 300*time.Millisecond },
+		})
+		if err := f.Start(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		defer f.Stop(context.Background())
+		time.Sleep(100 * time.Millisecond)
+		topic.add("b")
+		time.Sleep(300 * time.Millisecond)
+		if key, _ := h.last(); key != "b" {
+			t.Errorf("heard %v 0.4 s after the start", h.keys)
+		}
+	})
+}
--- a/chivegossip/readers.go
+++ b/chivegossip/readers.go
@@ -39,7 +39,7 @@
 	// SettleFor is how long a node waits, after it started or came to be among the first by hash, before it counts
 	// itself as a reader: until it knows the fleet, each node is the first of the few that it knows. 300 nodes that
 	// start at once know each other after 0.6 s (virtual time). A change of the configuration has two seconds to be in
-	// force; meanwhile it comes from the nodes that do read.
+	// force; meanwhile it comes from the nodes that do read, or those that read early.
 	SettleFor = 1500 * time.Millisecond
 )
 
@@ -50,8 +50,11 @@
 	rank int
 	// roleSince is when this node became a reader, or started.
 	roleSince time.Time
-	readers   []string
-	children  []string
+	// oldestReader is when the longest-running other reader started, in Unix milliseconds by its own clock; 0 if there is
+	// none.
+	oldestReader int64
+	readers      []string
+	children     []string
 	// gossipPeers are the peers to which this node sends digests.
 	gossipPeers []string
 	lastHeard   atomic.Int64
@@ -70,9 +73,21 @@
 	if rank >= 0 && s.topology.rank < 0 {
 		s.topology.roleSince = time.Now()
 	}
+	s.topology.oldestReader = oldestOf(members, readers, s.options.Mesh.Self())
 	s.topology.rank, s.topology.readers, s.topology.children, s.topology.gossipPeers = rank, readers, children, gossipPeers
 }
 
+// oldestOf returns when the longest-running reader other than this node started, in Unix milliseconds; 0 if there is none.
+func oldestOf(members []chivemember.Member, readers []string, self string) int64 {
+	oldest := int64(0)
+	for _, m := range members {
+		if m.Address != self && slices.Contains(readers, m.Address) && (oldest == 0 || m.Incarnation < oldest) {
+			oldest = m.Incarnation
+		}
+	}
+	return oldest
+}
+
 // childrenOf returns the nodes to which the node at a position in the order by hash publishes: a reader to the other
 // readers, and each node to its children in the tree, at most twelve.
 func childrenOf(position int, ranked []string) []string {
@@ -131,6 +146,25 @@
 	return s.topology.rank >= 0 && time.Since(s.topology.roleSince) >= SettleFor
 }
 
+// ReadsEarly reports whether this node is a reader that need not wait for SettleFor: it has been running for that long,
+// or no other reader has, and the readers of a lower rank have had time to begin.
+//
+// If all nodes of a fleet that starts at once waited for SettleFor, nobody would read for that time, and the fleet would
+// go on using endpoints that have left and an old configuration. Clocks of nodes may differ; one that is behind makes
+// this node wait for SettleFor.
+func (s *Service) ReadsEarly() bool {
+	s.topology.mu.Lock()
+	defer s.topology.mu.Unlock()
+	running := time.Since(s.startedAt)
+	if s.topology.rank < 0 || running >= SettleFor {
+		return s.topology.rank >= 0
+	}
+	if s.topology.oldestReader > 0 && time.Since(time.UnixMilli(s.topology.oldestReader)) >= SettleFor {
+		return false
+	}
+	return running >= busyReadDelay*time.Duration(s.topology.rank+1)
+}
+
 // Learnt has the service publish what this node has learnt.
 func (s *Service) Learnt() {
 	select {
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -207,11 +207,11 @@
 	return feeds{
 		table: chivefeed.New(chivefeed.Options{
 			Topic: store.Configurations(), Wait: n.gossip.ReadWait, Listener: operatorListener{n.tables, n.evacuation}, Answered: n.directory.AnsweredElse, Held: n.gossip.Held,
-			Settle: chivegossip.SettleFor,
+			Settle: chivegossip.SettleFor, ReadsEarly: n.gossip.ReadsEarly,
 		}),
 		directory: chivefeed.New(chivefeed.Options{
 			Topic: store.Endpoints(), Wait: n.gossip.ReadWait, Pace: n.gossip.ReadPace, Listener: n.directory, Answered: n.directory.Answered, Held: n.gossip.Held,
-			Settle: chivegossip.SettleFor, HoldFirst: n.newFirstReadPolicy(discovery).defers,
+			Settle: chivegossip.SettleFor, ReadsEarly: n.gossip.ReadsEarly, HoldFirst: n.newFirstReadPolicy(discovery).defers,
 		}),
 		discovery: chivefeed.New(chivefeed.Options{
 			Topic: store.Nodes(), Wait: noWait, Pace: func() time.Duration { return discoveryReadInterval }, Listener: discovery, Answered: n.directory.AnsweredElse,
