--- a/chivedirectory/changes.go
+++ b/chivedirectory/changes.go
@@ -49,9 +49,11 @@
 	return changes
 }
 
-// changeOf returns the change that peers receive for an entry.
+// changeOf returns the change that peers receive for an entry. An entry from a later page of a snapshot may be newer than
+// what this node knows completely; with its own position it would make the peer count as further than this node, and
+// the peer would not request the changes before it.
 func (d *Directory) changeOf(now time.Time, e *entry) Change {
-	c := Change{Position: e.position, Endpoint: *e.endpoint, Missing: !e.missingSince.IsZero()}
+	c := Change{Position: min(e.position, d.newest), Endpoint: *e.endpoint, Missing: !e.missingSince.IsZero()}
 	if c.Missing {
 		c.Keep = max(d.graceLeft(now), e.keepUntil.Sub(now), 0)
 	}
--- a/chivedirectory/changes_test.go
+++ b/chivedirectory/changes_test.go
@@ -145,3 +145,30 @@
 	}
 	return len(known) == len(present)
 }
+
+// Guards against a removal that a node never learns, because an update from a peer whose snapshot had later pages made the
+// node count as further than the peer was.
+func TestLaterPagesOfSnapshotDoNotHideChanges(t *testing.T) {
+	now := time.Now()
+	// The page that lists a ends at position 10. Before the page that lists b, a is removed at 12 and b changes at 14.
+	reader := chivedirectory.New(grace)
+	reader.Replace(now, []chivedirectory.Change{change(3, "a"), change(14, "b")}, 10)
+	node := chivedirectory.New(grace)
+	node.Learn(now, reader.Update(now, node.Newest()))
+	if known := node.Endpoints(); len(known) != 2 {
+		t.Errorf("got %+v, want a and b", known)
+	}
+	for position := range int64(5) {
+		reader.Apply(now, change(10+position, "c"))
+	}
+	reader.Apply(now, removal(12, "a"))
+	reader.Apply(now, change(14, "b"))
+	if node.Newest() < reader.Newest() {
+		node.Learn(now, reader.Update(now, node.Newest()))
+	}
+	for _, e := range node.Endpoints() {
+		if e.ID == "a" {
+			t.Error("the removed endpoint is still there")
+		}
+	}
+}
