Start: a follower reads on from what its peers have sent, and readers wait for them

What callers could meet: 503 for as long as a fleet that starts cannot get its endpoints out of the store, whose bandwidth all readers share. TestFewNodesReadEndpointsOnColdStart: 188 to 417 calls where 184 are allowed, in 11 of 24 to 16 of 30 plays beside load on.

Cause: a starting node ranks itself among the few members that it knows. One that knew up to eight read all endpoints at once, and one that was among the first eight by hash did so although peers had sent them.

Evidence: 62 plays with the decisions of each node logged (13 of 19 reading nodes of failing plays had two to eight known members), and two orders forced without load: 312 calls in 8 of 8 plays, 317 to 330 in 3 of 3.

The first digest is sent as soon as a node knows a peer.

After: 33 and 27 calls in the forced orders, the entry's test 0 of 54 plays under the race detector at a load of about 30.

--- a/chivefeed/follower.go
+++ b/chivefeed/follower.go
@@ -62,6 +62,9 @@
 	HoldFirst func() bool
 	// Settle is how long after its first snapshot the follower leaves the next read: by then a node of a fleet knows whether others read for it.
 	Settle time.Duration
+	// Known returns the position up to which other nodes have brought all records, negative if they have brought none; nil means never. A follower
+	// that has read nothing yet reads on from there, and gives up a snapshot that it has begun.
+	Known func() chivelog.Position
 	// ReadsEarly reports whether the follower reads on before Settle has passed, because no other node reads the topic yet; nil means never.
 	ReadsEarly func() bool
 }
@@ -69,7 +72,14 @@
 // Follower is the service that follows one topic.
 type Follower struct {
 	o Options
-	// fresh tells that the last answer has brought something; only the following goroutine uses it.
+	// The fields from here to fresh belong to the following goroutine. rooted means that the next read goes on from a position, held that other nodes
+	// have read since, settled that the wait after the first records is over.
+	rooted  bool
+	held    bool
+	settled bool
+	// needsSnapshot means that what other nodes have brought is not enough to read on from.
+	needsSnapshot bool
+	// fresh tells that the last answer has brought something.
 	fresh  bool
 	next   atomic.Int64
 	heard  atomic.Int64
@@ -116,43 +126,54 @@
 
 func (f *Follower) run(ctx context.Context) {
 	pause := retryFirst
-	rooted, held, settled := false, false, false
 	for ctx.Err() == nil {
-		if rooted && !settled {
-			settled = true
-			f.settle(ctx)
-		}
-		if !rooted && !held && f.waitsForFirst() {
-			sleep(ctx, firstPoll)
-			continue
-		}
-		if f.isHeld(rooted) {
-			// What others read meanwhile is not known by offset here; an own read starts from a snapshot again.
-			held = true
-			sleep(ctx, heldPoll)
+		if !f.prepare(ctx) {
 			continue
 		}
-		rooted = rooted && !held
-		held = false
-		err := f.step(ctx, &rooted)
-		if ctx.Err() != nil {
+		err := f.step(ctx)
+		switch {
+		case ctx.Err() != nil:
 			return
-		}
-		if err == nil {
+		case err == nil:
 			pause = retryFirst
 			f.pause(ctx)
-			continue
-		}
-		if errors.Is(err, chivelog.ErrExpired) || errors.Is(err, chivelog.ErrRestored) {
-			rooted = false
-			continue
+		case errors.Is(err, chivelog.ErrExpired) || errors.Is(err, chivelog.ErrRestored):
+			f.rooted, f.needsSnapshot = false, true
+		case !f.rooted && f.known() >= 0:
+			// Reading on from there shows as well whether the log answers.
+		default:
+			f.markLost(err)
+			sleep(ctx, pause/2+rand.N(pause/2))
+			pause = min(2*pause, retryMost)
 		}
-		f.markLost(err)
-		sleep(ctx, pause/2+rand.N(pause/2))
-		pause = min(2*pause, retryMost)
 	}
 }
 
+// prepare waits while the next step is left to other nodes, and reports whether it may begin.
+func (f *Follower) prepare(ctx context.Context) bool {
+	if f.rooted && !f.settled {
+		f.settled = true
+		f.settle(ctx)
+	}
+	if !f.rooted && !f.held && f.waitsForFirst() {
+		sleep(ctx, firstPoll)
+		return false
+	}
+	if f.isHeld() {
+		// What others read meanwhile has to be found out again.
+		f.held = true
+		sleep(ctx, heldPoll)
+		return false
+	}
+	f.rooted = f.rooted && !f.held
+	f.held = false
+	if !f.rooted && f.startsAtKnown() {
+		f.rooted = true
+		return false
+	}
+	return true
+}
+
 // pause waits until the next read may begin.
 func (f *Follower) pause(ctx context.Context) {
 	if f.o.Pace != nil {
@@ -169,6 +190,24 @@
 
 func (f *Follower) readsEarly() bool { return f.o.ReadsEarly != nil && f.o.ReadsEarly() }
 
+// known returns the position from which a follower that has read nothing can read on, negative if there is none.
+func (f *Follower) known() chivelog.Position {
+	if f.o.Known == nil || f.needsSnapshot {
+		return -1
+	}
+	return f.o.Known()
+}
+
+// startsAtKnown lets the follower read on from what other nodes have brought, and reports whether they have brought anything.
+func (f *Follower) startsAtKnown() bool {
+	known := f.known()
+	if known < 0 {
+		return false
+	}
+	f.next.Store(int64(known + 1))
+	return true
+}
+
 // waitsForFirst reports whether the first snapshot is to wait.
 func (f *Follower) waitsForFirst() bool {
 	return f.o.HoldFirst != nil && !f.lost.Load() && f.o.HoldFirst()
@@ -178,18 +217,18 @@
 //
 // A node that has lost the log reads it once itself before others read for it again: else it would wait for ever for the log's return, and
 // keep for as long whatever is removed.
-func (f *Follower) isHeld(rooted bool) bool {
-	if f.o.Held == nil || !f.o.HeldAtStart && (!rooted || f.lost.Load()) {
+func (f *Follower) isHeld() bool {
+	if f.o.Held == nil || !f.o.HeldAtStart && (!f.rooted || f.lost.Load()) {
 		return false
 	}
 	return f.o.Held()
 }
 
 // step takes a snapshot, or the records after the last one.
-func (f *Follower) step(ctx context.Context, rooted *bool) error {
+func (f *Follower) step(ctx context.Context) error {
 	f.reads.Add(1)
-	if !*rooted {
-		return f.snapshot(ctx, rooted)
+	if !f.rooted {
+		return f.snapshot(ctx)
 	}
 	wait := f.o.Wait(f.fresh)
 	if f.lost.Load() {
@@ -211,21 +250,35 @@
 	return nil
 }
 
-func (f *Follower) snapshot(ctx context.Context, rooted *bool) error {
+func (f *Follower) snapshot(ctx context.Context) error {
 	limited, cancel := patient(ctx, snapshotSilence, snapshotSilence)
 	defer cancel()
+	if f.o.Known != nil && !f.needsSnapshot {
+		go f.cancelOnceKnown(limited, cancel)
+	}
 	batch, err := f.o.Topic.Snapshot(limited)
 	if err != nil {
 		return err
 	}
+	f.rooted, f.needsSnapshot = true, true
 	f.markHeard()
 	f.o.Listener.Replace(batch)
 	f.next.Store(int64(batch.Next))
 	f.fresh = true
-	*rooted = true
 	return nil
 }
 
+// cancelOnceKnown ends a snapshot that other nodes have made needless.
+func (f *Follower) cancelOnceKnown(ctx context.Context, cancel context.CancelFunc) {
+	for ctx.Err() == nil {
+		if f.o.Known() >= 0 {
+			cancel()
+			return
+		}
+		sleep(ctx, firstPoll)
+	}
+}
+
 // patient returns a context that ends when nothing has come for a time at first, and later for a silence.
 //
 // A bound on the whole answer would end it by its size: a document that takes longer over the link than the bound is cut off each time while
--- a/chivefeed/start_test.go
+++ b/chivefeed/start_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chivedrift/chivefeed"
+	"chivedrift/chivelog"
 )
 
 // Guards against a cold start in which every node reads the store because it does not yet know the others.
@@ -86,3 +87,75 @@
 		}
 	})
 }
+
+// slowTopic is a topic whose snapshots take a time, and end with their context.
+type slowTopic struct {
+	*fakeTopic
+	delay time.Duration
+}
+
+func (s slowTopic) Snapshot(ctx context.Context) (chivelog.KeyedBatch, error) {
+	select {
+	case <-time.After(s.delay):
+		return s.fakeTopic.Snapshot(ctx)
+	case <-ctx.Done():
+		return chivelog.KeyedBatch{}, ctx.Err()
+	}
+}
+
+// Guards against starting nodes that each read all records, although other nodes bring them while the read is under way.
+func TestFollowerReadsOnFromWhatOtherNodesBring(t *testing.T) {
+	const broughtAfter = 300 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		topic := &fakeTopic{}
+		topic.add("a")
+		topic.add("b")
+		start := time.Now()
+		h := &heard{}
+		f := chivefeed.New(chivefeed.Options{
+			Topic: slowTopic{topic, time.Second}, Wait: func(bool) time.Duration { return time.Second }, Listener: h,
+			Known: func() chivelog.Position {
+				if time.Since(start) < broughtAfter {
+					return -1
+				}
+				return 1
+			},
+		})
+		if err := f.Start(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		defer f.Stop(context.Background())
+		time.Sleep(2 * broughtAfter)
+		topic.add("c")
+		time.Sleep(time.Second)
+		if _, snapshots := topic.counts(); snapshots != 0 {
+			t.Errorf("%d snapshots", snapshots)
+		}
+		if key, _ := h.last(); key != "c" || len(h.keys) != 1 {
+			t.Errorf("heard %v, want c alone", h.keys)
+		}
+	})
+}
+
+// Guards against a node that never reads the store again, because what other nodes brought is no longer in it.
+func TestFollowerTakesASnapshotIfItCannotReadOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		topic := &fakeTopic{}
+		for range 5 {
+			topic.add("a")
+		}
+		topic.first = 4
+		h := &heard{}
+		f := chivefeed.New(chivefeed.Options{
+			Topic: topic, Wait: func(bool) time.Duration { return time.Second }, Listener: h, Known: func() chivelog.Position { return 1 },
+		})
+		if err := f.Start(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		defer f.Stop(context.Background())
+		time.Sleep(time.Second)
+		if _, snapshots := topic.counts(); snapshots != 1 {
+			t.Errorf("%d snapshots, want 1", snapshots)
+		}
+	})
+}
--- a/chivegossip/readers.go
+++ b/chivegossip/readers.go
@@ -59,6 +59,8 @@
 	gossipPeers []string
 	lastHeard   atomic.Int64
 	publishNow  chan struct{}
+	// foundPeers signals that this node has its first peers.
+	foundPeers chan struct{}
 }
 
 // SetMembers recomputes the readers, the children and the gossip peers of this node.
@@ -74,7 +76,11 @@
 		s.topology.roleSince = time.Now()
 	}
 	s.topology.oldestReader = oldestOf(members, readers, s.options.Mesh.Self())
+	hadPeers := len(s.topology.gossipPeers) > 0
 	s.topology.rank, s.topology.readers, s.topology.children, s.topology.gossipPeers = rank, readers, children, gossipPeers
+	if !hadPeers && len(gossipPeers) > 0 {
+		s.sendFirstDigest()
+	}
 }
 
 // oldestOf returns when the longest-running reader other than this node started, in Unix milliseconds; 0 if there is none.
@@ -130,12 +136,16 @@
 	return busyReadDelay * time.Duration(max(s.topology.rank, 0)+1)
 }
 
+// IsReader reports whether this node is one of the readers among the nodes that it knows.
+func (s *Service) IsReader() bool {
+	s.topology.mu.Lock()
+	defer s.topology.mu.Unlock()
+	return s.topology.rank >= 0
+}
+
 // Held reports whether this node leaves reading the store to others: it is not a reader and hears from its peers.
 func (s *Service) Held() bool {
-	s.topology.mu.Lock()
-	isReader := s.topology.rank >= 0
-	s.topology.mu.Unlock()
-	return !isReader && time.Now().UnixNano()-s.topology.lastHeard.Load() < int64(peerSilenceTimeout)
+	return !s.IsReader() && time.Now().UnixNano()-s.topology.lastHeard.Load() < int64(peerSilenceTimeout)
 }
 
 // Reads reports whether this node has been a reader for at least SettleFor. A node that knows no other node counts as a
@@ -174,6 +184,15 @@
 	}
 }
 
+// sendFirstDigest has the service send a digest without waiting for the next tick. It does not block.
+func (s *Service) sendFirstDigest() {
+	select {
+	case s.topology.foundPeers <- struct{}{}:
+	default:
+		// A digest is pending already.
+	}
+}
+
 // publish sends this node's digest to its children, which request what they lack.
 func (s *Service) publish() {
 	s.topology.mu.Lock()
--- a/chivegossip/service.go
+++ b/chivegossip/service.go
@@ -117,7 +117,7 @@
 		options: options, startedAt: time.Now(), inbox: chivewire.NewInbox(options.Mesh, inboxSize), queryNow: make(chan struct{}, 1),
 		sender: chivetransfer.NewSender(), receiver: chivetransfer.NewReceiver(), roundRobin: options.Pick(math.MaxInt32),
 	}
-	s.topology.publishNow = make(chan struct{}, 1)
+	s.topology.publishNow, s.topology.foundPeers = make(chan struct{}, 1), make(chan struct{}, 1)
 	s.topology.roleSince = s.startedAt
 	s.topology.lastHeard.Store(s.startedAt.UnixNano())
 	chivewire.Queue[Digest](s.inbox, chivewire.KindDigest)
@@ -185,6 +185,8 @@
 			s.queryReaders()
 		case <-s.topology.publishNow:
 			s.publish()
+		case <-s.topology.foundPeers:
+			s.sendDigest()
 		case m := <-s.inbox.Ready():
 			s.handle(m)
 			s.requestDocumentPart()
--- a/chivenode/start_hold.go
+++ b/chivenode/start_hold.go
@@ -23,40 +23,45 @@
 	// readAt is when the node reads the store itself if it has received no endpoints.
 	readAt time.Time
 	// isSeed reports whether this node is a seed; hasSeeds reports whether the settings name other nodes as seeds.
-	isSeed       func() bool
-	hasSeeds     func() bool
-	memberCount  func() int
-	fleetSettled func() bool
-	// readByOthers reports whether other nodes read the store for this one; hasSeenEndpoint reports whether this node
-	// has known an endpoint since its start.
-	readByOthers    func() bool
+	isSeed      func() bool
+	hasSeeds    func() bool
+	memberCount func() int
+	// isReader reports whether this node is one of the readers among the nodes that it knows, readsEarly whether it need
+	// not wait for other readers, and readByOthers whether other nodes read the store for this one.
+	isReader     func() bool
+	readsEarly   func() bool
+	readByOthers func() bool
+	// hasSeenEndpoint reports whether this node has known an endpoint since its start, hasChanges whether peers have
+	// brought the changes up to some position, from which it can read on.
 	hasSeenEndpoint func() bool
+	hasChanges      func() bool
 }
 
 func (n *StoreNode) newFirstReadPolicy(discovery *peerDiscovery) *firstReadPolicy {
 	started := time.Now()
 	return &firstReadPolicy{
 		started: started, readAt: started.Add(minPeerWait + rand.N(peerWaitJitter)), isSeed: discovery.isSeed, hasSeeds: discovery.hasSeeds,
-		memberCount: func() int { return len(n.members.Members()) }, fleetSettled: func() bool { return n.grants.Settled() }, readByOthers: n.gossip.Held, hasSeenEndpoint: n.directory.Knew,
+		memberCount: func() int { return len(n.members.Members()) }, isReader: n.gossip.IsReader, readsEarly: n.gossip.ReadsEarly, readByOthers: n.gossip.Held,
+		hasSeenEndpoint: n.directory.Knew, hasChanges: func() bool { return n.directory.Newest() >= 0 },
 	}
 }
 
 // defers reports whether the first read of the endpoints has to wait.
+//
+// A starting node knows only a few others at first, among which it is one of the first by hash. So a reader waits for its
+// peers as well, as long as it would leave later reads to them.
 func (p *firstReadPolicy) defers() bool {
 	now := time.Now()
-	members := p.memberCount()
 	switch {
 	case p.isSeed():
 		// Other nodes connect to the seeds first and can get the endpoints from them.
 		return false
-	case members == 1:
+	case p.memberCount() == 1:
 		return p.hasSeeds() && now.Sub(p.started) < chivegossip.SettleFor
-	case members <= chivegossip.Readers:
-		return false
-	case !p.fleetSettled():
-		return true
-	case !p.readByOthers():
+	case p.readByOthers():
+		return p.hasSeenEndpoint() || now.Before(p.readAt)
+	case p.hasChanges():
 		return false
 	}
-	return p.hasSeenEndpoint() || now.Before(p.readAt)
+	return p.isReader() && !p.readsEarly()
 }
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -211,7 +211,7 @@
 		}),
 		directory: chivefeed.New(chivefeed.Options{
 			Topic: store.Endpoints(), Wait: n.gossip.ReadWait, Pace: n.gossip.ReadPace, Listener: n.directory, Answered: n.directory.Answered, Held: n.gossip.Held,
-			Settle: chivegossip.SettleFor, ReadsEarly: n.gossip.ReadsEarly, HoldFirst: n.newFirstReadPolicy(discovery).defers,
+			Settle: chivegossip.SettleFor, ReadsEarly: n.gossip.ReadsEarly, HoldFirst: n.newFirstReadPolicy(discovery).defers, Known: n.directory.Newest,
 		}),
 		discovery: chivefeed.New(chivefeed.Options{
 			Topic: store.Nodes(), Wait: noWait, Pace: func() time.Duration { return discoveryReadInterval }, Listener: discovery, Answered: n.directory.AnsweredElse,
