Usage: a node that was cut off for longer than starts are retained is counted again

What callers saw: no usage of a node any more, until its restart, after it was cut off from the collectors for longer than starts are retained (17 s at windows of 5 s).

Cause: a collector that lacks starts which the sender no longer retains moves on to the oldest retained one. The sender took each such acknowledgement for progress, so that it never resent, while the oldest start moved on with every message.

Fix: an acknowledgement up to the oldest retained start is no progress, so that the starts are resent after the timeout.

--- a/chiveusage/recorder.go
+++ b/chiveusage/recorder.go
@@ -135,7 +135,11 @@
 		c.firstUnacked, c.firstUnsent = ack.Next, ack.Next
 	}
 	if ack.Next > c.firstUnacked {
-		c.firstUnacked, c.progressAt = ack.Next, now
+		// A collector that lacks starts that are no longer retained acknowledges up to the oldest one, which is no progress.
+		if ack.Next > r.oldest {
+			c.progressAt = now
+		}
+		c.firstUnacked = ack.Next
 	}
 	c.firstUnsent = max(c.firstUnsent, c.firstUnacked)
 }
