Usage: starts of windows that were omitted at their deadline are counted in the next settled window

What callers saw: starts that arrived late, and those of windows that could not be settled in time because the store was away, were never counted.

Cause: an omitted window moved the time from which starts count past its end. That time is needed only where starts may have been reported without a cut that shows it (restored store, unreadable ledger, earlier release).

Fix: an omitted window no longer moves that time; the cuts tell the starts apart.

--- a/chiveusage/ledger.go
+++ b/chiveusage/ledger.go
@@ -31,8 +31,8 @@
 	Last int64
 	// Reports holds the reports that may have been sent; they are resent unchanged until the platform confirms them.
 	Reports []Report
-	// countedFrom is the first window after the last omitted one. Starts of earlier windows that are not before the cut
-	// of their process are not counted.
+	// countedFrom is the first window after those that may have been reported with starts that the cuts do not show. Starts
+	// of earlier windows are not counted.
 	countedFrom int64
 	cuts        cuts
 }
@@ -43,8 +43,9 @@
 	return l
 }
 
-// withOmitted returns a copy of the ledger with one more window settled by omission.
-func (l ledger) withOmitted(window int64) ledger {
+// withoutStartsUntil returns a copy of the ledger with all windows up to the given one settled, and their starts not to be
+// counted, because they may have been reported already.
+func (l ledger) withoutStartsUntil(window int64) ledger {
 	l.Last, l.countedFrom = window, window+1
 	return l
 }
@@ -61,9 +62,9 @@
 // ledgerForTenure derives the initial ledger of a tenure from the stored one. If the store may have lost a newer
 // ledger, all windows up to the current one are omitted, because they may already have been reported.
 func ledgerForTenure(data []byte, era, current int64) (ledger, error) {
-	omitted := ledger{Era: era}.withOmitted(current)
+	omitted := ledger{Era: era}.withoutStartsUntil(current)
 	if len(data) == 0 && era == firstEra {
-		return ledger{Era: era}.withOmitted(current - 1), nil
+		return ledger{Era: era}.withoutStartsUntil(current - 1), nil
 	}
 	if len(data) == 0 {
 		return omitted, nil
@@ -73,7 +74,7 @@
 		return omitted, err
 	}
 	if l.Era != era {
-		return omitted.withOmitted(max(current, l.Last)), nil
+		return omitted.withoutStartsUntil(max(current, l.Last)), nil
 	}
 	return l, nil
 }
--- a/chiveusage/reporter.go
+++ b/chiveusage/reporter.go
@@ -111,7 +111,7 @@
 		if now >= deadline {
 			// The ledger need not be stored, because a later lease holder omits the window as well.
 			r.countOmitted(ctx, window, "deadline passed")
-			r.ledger = r.ledger.withOmitted(window)
+			r.ledger.Last = window // its starts follow the cuts and are counted in the next settled window
 			continue
 		}
 		if !r.collector.isComplete(now, clock.end(window)) && now < deadline-incompleteLead {
