Usage: a planned stop waits until the collectors have acknowledged the last starts

What callers saw: up to a quarter of a second of a stopping node's requests missing on the bill.

Cause: a stop sent one message of at most 500 starts, and the connections were closed right after, without what was still queued.

Fix: a stop sends all starts and waits for the acknowledgements, at most 0.5 s.

--- a/chiveusage/exact_test.go
+++ b/chiveusage/exact_test.go
@@ -206,3 +206,20 @@
 		})
 	}
 }
+
+// Guards against starts that are lost in a planned stop because they take more than one message.
+func TestPlannedStopSendsAllStarts(t *testing.T) {
+	const starts = 1200
+	synctest.Test(t, func(t *testing.T) {
+		f := newClockFleet(t, 1, bootClock{}, bootClock{}, bootClock{}, bootClock{}, bootClock{})
+		defer f.stop()
+		f.awaitReport()
+		for range starts {
+			f.nodes[4].usage.RecordStart("row")
+		}
+		f.shutDown(f.nodes[4])
+		f.setMembers()
+		time.Sleep(drainTime)
+		f.checkRow(starts)
+	})
+}
--- a/chiveusage/recorder.go
+++ b/chiveusage/recorder.go
@@ -143,3 +143,16 @@
 	}
 	c.firstUnsent = max(c.firstUnsent, c.firstUnacked)
 }
+
+// isDelivered reports whether all collectors have acknowledged all starts.
+func (r *recorder) isDelivered() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	end := r.oldest + uint64(len(r.starts))
+	for _, c := range r.collectors {
+		if c.firstUnacked < end {
+			return false
+		}
+	}
+	return true
+}
--- a/chiveusage/service.go
+++ b/chiveusage/service.go
@@ -25,7 +25,11 @@
 	reportInterval = 200 * time.Millisecond
 	// extraRetention is the minimum time for which starts are retained after the deadline of their window.
 	extraRetention = 2 * time.Second
-	inboxSize      = 1024
+	// flushTimeout is how long a node that stops waits until the collectors have acknowledged its starts, and flushPoll how
+	// often it checks.
+	flushTimeout = 500 * time.Millisecond
+	flushPoll    = 5 * time.Millisecond
+	inboxSize    = 1024
 )
 
 // Options holds the dependencies and settings of a Service.
@@ -52,8 +56,10 @@
 	collector *collector
 	reporter  *reporter
 	// rank is this node's rank among the collectors, or -1 if it is not one.
-	rank  atomic.Int64
-	tasks chivekernel.Duties
+	rank atomic.Int64
+	// flushNow has the remaining starts sent at once.
+	flushNow chan struct{}
+	tasks    chivekernel.Duties
 }
 
 // New returns a service with no recorded starts.
@@ -61,7 +67,7 @@
 	retention := opts.Window + opts.Delay + extraRetention
 	s := &Service{
 		opts: opts, inbox: chivewire.NewInbox(opts.Mesh, inboxSize), recorder: newRecorder(opts.Incarnation, retention),
-		collector: newCollector(opts.Incarnation, retention),
+		collector: newCollector(opts.Incarnation, retention), flushNow: make(chan struct{}, 1),
 	}
 	s.rank.Store(-1)
 	s.reporter = &reporter{opts: opts, collector: s.collector}
@@ -117,9 +123,16 @@
 	return nil
 }
 
-// Stop sends the remaining starts and stops the background goroutines.
-func (s *Service) Stop(context.Context) error {
-	s.sendStarts()
+// Stop sends the remaining starts, waits for their acknowledgement and stops the background goroutines.
+func (s *Service) Stop(ctx context.Context) error {
+	select {
+	case s.flushNow <- struct{}{}:
+	default:
+		// A flush is pending already.
+	}
+	for deadline := time.Now().Add(flushTimeout); ctx.Err() == nil && time.Now().Before(deadline) && !s.recorder.isDelivered(); {
+		time.Sleep(flushPoll)
+	}
 	s.tasks.End()
 	return nil
 }
@@ -154,22 +167,29 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			s.sendStarts()
+			_ = s.sendStarts()
 			s.collector.prune(s.opts.SinceBoot())
+		case <-s.flushNow:
+			for s.sendStarts() {
+				// A message holds a limited number of starts.
+			}
 		case m := <-s.inbox.Ready():
 			s.handleMessage(m)
 		}
 	}
 }
 
-// sendStarts sends the messages that are due. Send errors are ignored, because unacknowledged starts are resent.
-func (s *Service) sendStarts() {
+// sendStarts sends the messages that are due and reports whether there were any. Send errors are ignored, because
+// unacknowledged starts are resent.
+func (s *Service) sendStarts() bool {
 	now, wall := s.opts.SinceBoot(), time.Duration(time.Now().UnixNano())
 	loads := s.opts.Loads()
-	for address, m := range s.recorder.dueMessages(now, wall) {
+	messages := s.recorder.dueMessages(now, wall)
+	for address, m := range messages {
 		m.Loads = loads
 		_ = s.opts.Mesh.Send(address, chivewire.KindStarts, m)
 	}
+	return len(messages) > 0
 }
 
 func (s *Service) handleMessage(m chivewire.Message) {
