Gossip: peers that asked for endpoints are remembered for ten seconds

What operators could see: connection attempts to nodes that left long ago, when a fleet without endpoints learns its first one.

A peer that still has no endpoints has sent another digest within ten seconds.

TestConnectionsPerNodeAreBounded had lost its second half: its nodes knew no endpoint, so the change that was to spread by digests alone came by the new notification (2.01 s before, 10 ms after). The nodes know an endpoint beforehand now, so it checks what it did.

--- a/chivegossip/connections_test.go
+++ b/chivegossip/connections_test.go
@@ -22,6 +22,11 @@
 	)
 	synctest.Test(t, func(t *testing.T) {
 		nodes := newNodesOn(t, size, chivestand.NewNetwork())
+		for _, n := range nodes {
+			n.endpoints.Learn(chivedirectory.Update{Changes: []chivedirectory.Change{{
+				Position: 1, Endpoint: chivedirectory.Endpoint{ID: "known", Pool: "p", Address: "127.0.0.1:2"},
+			}}}, "store")
+		}
 		time.Sleep(30 * time.Second)
 		var connections []int
 		for _, n := range nodes {
--- a/chivegossip/service.go
+++ b/chivegossip/service.go
@@ -62,7 +62,7 @@
 	Tables    Tables
 	Endpoints Endpoints
 	Logger    *slog.Logger
-	// Pick returns a random number below n; nil stands for rand.IntN.
+	// Pick returns a random number below n, for the peer that gets the first digest; nil stands for rand.IntN.
 	Pick func(n int) int
 }
 
@@ -166,6 +166,7 @@
 	s.fetchTimer = time.NewTimer(digestInterval)
 	defer s.fetchTimer.Stop()
 	for {
+		// The follower of the store brings endpoints on another goroutine, whose signal wakes this one.
 		s.notifyWaitingPeers()
 		select {
 		case <-ctx.Done():
@@ -265,7 +266,7 @@
 	s.requestChanges(peer, DigestAnswer{Table: remote.Table, Offset: remote.Offset})
 	local := s.localDigest()
 	if local.Offset < 0 && remote.Offset < 0 {
-		s.waiting.add(peer)
+		s.waiting.add(time.Now(), peer)
 	}
 	if local.Table > remote.Table || local.Offset > remote.Offset {
 		s.send(peer, chivewire.KindDigestAnswer, local)
