Evacuation, quarantine: a peer that joins gets the next turn

What callers could see: a node that starts sends requests into an evacuated failure domain for up to 6.5 s while the store is down, and runs quarantined requests for up to about 6 s.

Cause: nodes send their state to their peers in turn, and those that learnt it at the same moment go through them in step, so that a new node waits for up to a whole round of all of them.

Fix: when the peers change, the turn moves to the first new one.

--- a/chiveevacuation/service.go
+++ b/chiveevacuation/service.go
@@ -67,7 +67,7 @@
 	peers := chivemember.Partners(s.options.Mesh.Self(), chivemember.AddressesByHash(members))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.peers = peers
+	s.peers, s.peerIndex = peers, chivemember.TurnAfter(s.peerIndex, s.peers, peers)
 }
 
 // Replace applies a snapshot of the operators' topic: evacuations that are not in the snapshot are revoked.
--- a/chiveevacuation/service_test.go
+++ b/chiveevacuation/service_test.go
@@ -184,3 +184,34 @@
 	}
 	return messages
 }
+
+// Guards against a node that starts while the store is down and learns an evacuation only after a whole round of turns,
+// since its peers, which learnt it at the same moment, go through their peers in step.
+func TestNodeThatStartsLearnsEvacuationsInTime(t *testing.T) {
+	const (
+		size         = 16
+		turnInterval = 500 * time.Millisecond
+	)
+	for turn := range size {
+		t.Run(fmt.Sprint(turn), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, size)
+				starting := f.nodes[size-1]
+				f.setMembers(f.nodes[:size-1])
+				f.nodes[0].Apply([]chivelog.KeyedRecord{evacuated(5, "a")})
+				time.Sleep(30*time.Second + time.Duration(turn)*turnInterval)
+				if len(starting.domains) > 0 {
+					t.Fatal("the node knows the evacuation before its start")
+				}
+				f.setMembers(f.nodes)
+				start := time.Now()
+				for len(starting.domains) == 0 && time.Since(start) < time.Minute {
+					time.Sleep(10 * time.Millisecond)
+				}
+				if took := time.Since(start); took > propagationLimit {
+					t.Errorf("knows the evacuation after %v, want at most %v", took, propagationLimit)
+				}
+			})
+		})
+	}
+}
--- a/chivemember/partners.go
+++ b/chivemember/partners.go
@@ -50,3 +50,14 @@
 	}
 	return partners
 }
+
+// TurnAfter returns the turn, as an index of peers, after which a node that goes through its peers in turn comes to the
+// first one that is not among its previous peers, so that a new peer need not wait for a whole round.
+func TurnAfter(turn int, previous, peers []string) int {
+	for i, peer := range peers {
+		if !slices.Contains(previous, peer) {
+			return i - 1
+		}
+	}
+	return turn
+}
--- a/chivequarantine/service.go
+++ b/chivequarantine/service.go
@@ -93,7 +93,7 @@
 	peers := chivemember.Partners(s.options.Mesh.Self(), chivemember.AddressesByHash(members))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.members, s.peers = members, peers
+	s.members, s.peers, s.peerIndex = members, peers, chivemember.TurnAfter(s.peerIndex, s.peers, peers)
 }
 
 // Start starts the exchange of reports.
--- a/chivequarantine/service_test.go
+++ b/chivequarantine/service_test.go
@@ -177,6 +177,30 @@
 	})
 }
 
+// Guards against a node that starts and learns a quarantine only after a whole round of turns, since its peers, which
+// learnt it at the same moment, go through their peers in step.
+func TestQuarantineReachesNodeThatJoinsAtAnyTurn(t *testing.T) {
+	const (
+		size         = 16
+		turnInterval = 400 * time.Millisecond
+	)
+	for turn := range size {
+		t.Run(fmt.Sprint(turn), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, size)
+				late := f.nodes[size-1]
+				f.setMembers(f.nodes[:size-1])
+				f.network.Block(func(from, to string) bool { return from == late.address || to == late.address })
+				f.crashEngines("deadly", 0, 1)
+				time.Sleep(10*time.Second + time.Duration(turn)*turnInterval)
+				f.network.Block(nil)
+				f.setMembers(f.nodes)
+				f.awaitQuarantine("deadly", f.nodes)
+			})
+		})
+	}
+}
+
 // Guards against a probe by every node at once when a quarantine ends.
 func TestProbesAreCoordinatedAcrossNodes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
