Wire: digests and their answers have different names in metrics and state dumps

Kinds 96 and 112 were both named "digest", and the traffic by name held one of the two only, so `chivedrift account` and state dumps undercounted. Found by the review of the waiting peers; TestNamesOfKindsAreDistinct failed before.

--- a/chivewire/kind.go
+++ b/chivewire/kind.go
@@ -87,7 +87,7 @@
 	KindDigest: "digest", KindDocument: "document", KindEarlierChanges: "changes", KindLoads: "loads",
 	KindAnswersAsk: "answers_ask", KindAnswers: "answers",
 	KindDocumentAsk: "document_ask", KindDocumentPart: "document_part", KindDocumentRefusal: "document_refusal",
-	KindDigestAnswer: "digest", KindChangesAsk: "changes_ask", KindChangesAnswer: "changes_answer",
+	KindDigestAnswer: "digest_answer", KindChangesAsk: "changes_ask", KindChangesAnswer: "changes_answer",
 	KindPackedAsk: "packed_ask", KindPackedChanges: "packed_changes",
 	KindCrashUpdate: "crash_update", KindCrashDigest: "crash_digest", KindProbeRequest: "probe_request", KindProbeGrant: "probe_grant",
 	KindEndpointAlive: "endpoint_alive", KindEndpointFailure: "endpoint_failure", KindEvacuations: "evacuations",
