--- a/chivedirectory/changes.go
+++ b/chivedirectory/changes.go
@@ -40,7 +40,9 @@
 		if fromCopy {
 			// This change comes from the restored copy of the store. Each node decides by itself whether the endpoint
 			// is back, so each needs the change.
-			changes = append(changes, t.deferred.change)
+			copied := t.deferred.change
+			copied.Position = min(copied.Position, d.newest)
+			changes = append(changes, copied)
 		}
 		if t.position > after || now.Sub(t.removedAt) < removalResendPeriod || d.copyMayBeStale(now) || fromCopy {
 			changes = append(changes, Change{Position: t.position, Endpoint: Endpoint{ID: id}, Gone: true})
--- a/chivedirectory/directory.go
+++ b/chivedirectory/directory.go
@@ -164,6 +164,10 @@
 			return changed
 		}
 	}
+	if !ok && !change.Gone && !change.Missing && change.Position <= d.compactedUpTo {
+		// A full list up to a later position does not contain the endpoint, so it has been removed since.
+		return false
+	}
 	if old, ok := d.tombstones[id]; ok && !d.mayRevive(now, old, change) {
 		return false
 	}
