--- a/chivegossip/readers.go
+++ b/chivegossip/readers.go
@@ -139,8 +139,8 @@
 	return busyReadDelay * time.Duration(max(s.topology.rank, 0)+1)
 }
 
-// IsReader reports whether this node is one of the readers among the nodes that it knows.
-func (s *Service) IsReader() bool {
+// isReader reports whether this node is one of the readers among the nodes that it knows.
+func (s *Service) isReader() bool {
 	s.topology.mu.Lock()
 	defer s.topology.mu.Unlock()
 	return s.topology.rank >= 0
@@ -148,7 +148,7 @@
 
 // Held reports whether this node leaves reading the store to others: it is not a reader and hears from its peers.
 func (s *Service) Held() bool {
-	return !s.IsReader() && time.Now().UnixNano()-s.topology.lastHeard.Load() < int64(peerSilenceTimeout)
+	return !s.isReader() && time.Now().UnixNano()-s.topology.lastHeard.Load() < int64(peerSilenceTimeout)
 }
 
 // Reads reports whether this node has been a reader for at least SettleFor. A node that knows no other node counts as a
@@ -175,6 +175,18 @@
 	if s.topology.oldestReader > 0 && time.Since(time.UnixMilli(s.topology.oldestReader)) >= SettleFor {
 		return false
 	}
+	return s.hasTurn(running)
+}
+
+// HasTurn reports whether the readers of a lower rank than this node have had time to begin since it started.
+func (s *Service) HasTurn() bool {
+	s.topology.mu.Lock()
+	defer s.topology.mu.Unlock()
+	return s.hasTurn(time.Since(s.startedAt))
+}
+
+// hasTurn is HasTurn for a caller that holds the topology's lock; running is the time since the start.
+func (s *Service) hasTurn(running time.Duration) bool {
 	return running >= earlyReadStep*time.Duration(s.topology.rank+1)
 }
 
--- a/chivenode/start_hold.go
+++ b/chivenode/start_hold.go
@@ -26,11 +26,10 @@
 	isSeed      func() bool
 	hasSeeds    func() bool
 	memberCount func() int
-	// isReader reports whether this node is one of the readers among the nodes that it knows, readsEarly whether it need
-	// not wait for other readers, and readByOthers whether other nodes read the store for this one.
-	isReader     func() bool
-	readsEarly   func() bool
+	// readByOthers reports whether other nodes read the store for this one, hasTurn whether the readers of a lower rank
+	// have had time to begin.
 	readByOthers func() bool
+	hasTurn      func() bool
 	// hasSeenEndpoint reports whether this node has known an endpoint since its start, hasChanges whether peers have
 	// brought the changes up to some position, from which it can read on.
 	hasSeenEndpoint func() bool
@@ -41,7 +40,7 @@
 	started := time.Now()
 	return &firstReadPolicy{
 		started: started, readAt: started.Add(minPeerWait + rand.N(peerWaitJitter)), isSeed: discovery.isSeed, hasSeeds: discovery.hasSeeds,
-		memberCount: func() int { return len(n.members.Members()) }, isReader: n.gossip.IsReader, readsEarly: n.gossip.ReadsEarly, readByOthers: n.gossip.Held,
+		memberCount: func() int { return len(n.members.Members()) }, readByOthers: n.gossip.Held, hasTurn: n.gossip.HasTurn,
 		hasSeenEndpoint: n.directory.Knew, hasChanges: func() bool { return n.directory.Newest() >= 0 },
 	}
 }
@@ -49,7 +48,7 @@
 // defers reports whether the first read of the endpoints has to wait.
 //
 // A starting node knows only a few others at first, among which it is one of the first by hash. So a reader waits for its
-// peers as well, as long as it would leave later reads to them.
+// peers as well, for a time that depends on its rank.
 func (p *firstReadPolicy) defers() bool {
 	now := time.Now()
 	switch {
@@ -63,5 +62,5 @@
 	case p.hasChanges():
 		return false
 	}
-	return p.isReader() && !p.readsEarly()
+	return !p.hasTurn()
 }
