--- a/chivedirectory/read_on_test.go
+++ b/chivedirectory/read_on_test.go
@@ -137,66 +137,97 @@
 	}
 }
 
-// TestNodesThatReadOnAgree is TestUpToDateNodesAgree with nodes that start from what peers send and read on from there, and with
-// snapshots of which the second page is later than the first.
+// readOnHistory is a store's log and nodes that follow it, of which read is the offset that each reads next, -1 before its
+// first read.
+type readOnHistory struct {
+	t     *rapid.T
+	now   time.Time
+	log   []chivedirectory.Change
+	nodes []*chivedirectory.Directory
+	read  []int
+}
+
+// Guards against a node that starts from what peers send, reads on from there, and misses a change, with snapshots of which
+// the second page is later than the first.
 func TestNodesThatReadOnAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		now := time.Now()
-		var log []chivedirectory.Change
-		nodes, read := make([]*chivedirectory.Directory, 4), make([]int, 4)
-		for i := range nodes {
-			nodes[i], read[i] = chivedirectory.New(grace), -1
+		h := &readOnHistory{t: t, now: time.Now(), nodes: make([]*chivedirectory.Directory, 4), read: make([]int, 4)}
+		for i := range h.nodes {
+			h.restart(i)
 		}
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
-			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 100, 3000, 200_000}).Draw(t, "pause")) * time.Millisecond)
-			n := rapid.IntRange(0, len(nodes)-1).Draw(t, "node")
+			h.now = h.now.Add(time.Duration(rapid.SampledFrom([]int{0, 100, 3000, 200_000}).Draw(t, "pause")) * time.Millisecond)
+			n := rapid.IntRange(0, len(h.nodes)-1).Draw(t, "node")
 			switch rapid.IntRange(0, 6).Draw(t, "action") {
 			case 0, 1:
-				id := fmt.Sprintf("e%d", rapid.IntRange(0, 4).Draw(t, "id"))
-				if _, ok := presentAt(log, len(log))[id]; ok && rapid.Bool().Draw(t, "removed") {
-					log = append(log, removal(int64(len(log)), id))
-				} else {
-					log = append(log, change(int64(len(log)), id))
-				}
+				h.write()
 			case 2:
-				if read[n] < 0 && nodes[n].Newest() >= 0 {
-					read[n] = int(nodes[n].Newest()) + 1
-				}
-				if read[n] < 0 {
-					end := max(0, len(log)-rapid.IntRange(0, 4).Draw(t, "late"))
-					split := fmt.Sprintf("e%d", rapid.IntRange(0, 5).Draw(t, "split"))
-					nodes[n].Replace(now, pagedSnapshot(log, end, split), chivelog.Position(end))
-					read[n] = end
-					break
-				}
-				until := min(len(log), read[n]+rapid.IntRange(0, 10).Draw(t, "records"))
-				for ; read[n] < until; read[n]++ {
-					c := log[read[n]]
-					c.Read = true
-					nodes[n].Learn(now, chivedirectory.Update{Changes: []chivedirectory.Change{c}})
-				}
+				h.readStore(n)
 			case 3:
-				nodes[n], read[n] = chivedirectory.New(grace), -1
+				h.restart(n)
 			case 4:
-				nodes[n].Expire(now)
+				h.nodes[n].Expire(h.now)
 			default:
-				other := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "other")]
-				if own := nodes[n].Newest(); own < other.Newest() {
-					nodes[n].Learn(now, other.Update(now, own))
-				}
+				h.learn(n, rapid.IntRange(0, len(h.nodes)-1).Draw(t, "other"))
 			}
-			for i, d := range nodes {
-				// A node in the middle of its own reads may know more of the log from peers; it is complete once it has read to there.
-				hasRead := read[i] < 0 || read[i] > int(d.Newest())
-				isComplete := len(log) > 0 && (read[i] == len(log) || hasRead && d.Newest() == chivelog.Position(len(log))-1)
-				if present := presentAt(log, len(log)); isComplete && !matches(d, present) {
-					t.Fatalf("node %d read up to %d, at %d, knows %+v; the store has %v", i, read[i], d.Newest(), d.Endpoints(), present)
-				}
+			for i := range h.nodes {
+				h.check(i)
 			}
 		}
 	})
 }
 
+// write appends a record that registers or removes an endpoint.
+func (h *readOnHistory) write() {
+	id := fmt.Sprintf("e%d", rapid.IntRange(0, 4).Draw(h.t, "id"))
+	if _, ok := presentAt(h.log, len(h.log))[id]; ok && rapid.Bool().Draw(h.t, "removed") {
+		h.log = append(h.log, removal(int64(len(h.log)), id))
+		return
+	}
+	h.log = append(h.log, change(int64(len(h.log)), id))
+}
+
+// readStore has a node read some records; one without any takes a snapshot.
+func (h *readOnHistory) readStore(n int) {
+	node := h.nodes[n]
+	if h.read[n] < 0 && node.Newest() >= 0 {
+		h.read[n] = int(node.Newest()) + 1
+	}
+	if h.read[n] < 0 {
+		end := max(0, len(h.log)-rapid.IntRange(0, 4).Draw(h.t, "late"))
+		split := fmt.Sprintf("e%d", rapid.IntRange(0, 5).Draw(h.t, "split"))
+		node.Replace(h.now, pagedSnapshot(h.log, end, split), chivelog.Position(end))
+		h.read[n] = end
+		return
+	}
+	until := min(len(h.log), h.read[n]+rapid.IntRange(0, 10).Draw(h.t, "records"))
+	for ; h.read[n] < until; h.read[n]++ {
+		c := h.log[h.read[n]]
+		c.Read = true
+		node.Learn(h.now, chivedirectory.Update{Changes: []chivedirectory.Change{c}})
+	}
+}
+
+func (h *readOnHistory) restart(n int) { h.nodes[n], h.read[n] = chivedirectory.New(grace), -1 }
+
+// learn has a node request what another one has beyond it.
+func (h *readOnHistory) learn(n, other int) {
+	if own := h.nodes[n].Newest(); own < h.nodes[other].Newest() {
+		h.nodes[n].Learn(h.now, h.nodes[other].Update(h.now, own))
+	}
+}
+
+// check compares a node with the store if it is to know everything. In the middle of its own reads it may know more of the log
+// from peers.
+func (h *readOnHistory) check(n int) {
+	node, read := h.nodes[n], h.read[n]
+	hasRead := read < 0 || read > int(node.Newest())
+	isComplete := len(h.log) > 0 && (read == len(h.log) || hasRead && node.Newest() == chivelog.Position(len(h.log))-1)
+	if present := presentAt(h.log, len(h.log)); isComplete && !matches(node, present) {
+		h.t.Fatalf("node %d read up to %d, at %d, knows %+v; the store has %v", n, read, node.Newest(), node.Endpoints(), present)
+	}
+}
+
 func presentAt(log []chivedirectory.Change, end int) map[string]chivedirectory.Change {
 	present := make(map[string]chivedirectory.Change)
 	for _, c := range log[:end] {
