--- a/chivefeed/follower.go
+++ b/chivefeed/follower.go
@@ -25,7 +25,7 @@
 	answerMost = 20 * time.Second
 	// heldPoll is how often a held follower looks whether it has to read itself.
 	heldPoll = 200 * time.Millisecond
-	// firstPoll is the same before the first snapshot.
+	// firstPoll is the same before the first snapshot, and while a follower settles or takes that snapshot.
 	firstPoll = 50 * time.Millisecond
 )
 
@@ -79,7 +79,7 @@
 	settled bool
 	// needsSnapshot means that what other nodes have brought is not enough to read on from.
 	needsSnapshot bool
-	// fresh tells that the last answer has brought something.
+	// fresh means that the last answer has brought something.
 	fresh  bool
 	next   atomic.Int64
 	heard  atomic.Int64
--- a/chivegossip/readers.go
+++ b/chivegossip/readers.go
@@ -22,7 +22,7 @@
 	// with the next record, so a change is normally seen at once. But a long poll may miss records: its connection may
 	// have died unnoticed, or the store may have lost the poll.
 	readInterval = 700 * time.Millisecond
-	// busyReadDelay is the shortest delay before the next read of a topic with many writers, so that one read returns
+	// busyReadDelay is the shortest delay, per rank, before the next read of a topic with many writers, so that one read returns
 	// many records.
 	busyReadDelay = 300 * time.Millisecond
 	// earlyReadStep is the delay per rank after which a reader of a new fleet reads on. The last reader begins within a
@@ -53,11 +53,11 @@
 	rank int
 	// roleSince is when this node became a reader, or started.
 	roleSince time.Time
-	// oldestReader is when the longest-running other reader started, in Unix milliseconds by its own clock; 0 if there is
+	// oldestReaderStart is when the longest-running other reader started, in Unix milliseconds by its own clock; 0 if there is
 	// none.
-	oldestReader int64
-	readers      []string
-	children     []string
+	oldestReaderStart int64
+	readers           []string
+	children          []string
 	// gossipPeers are the peers to which this node sends digests.
 	gossipPeers []string
 	lastHeard   atomic.Int64
@@ -78,7 +78,7 @@
 	if rank >= 0 && s.topology.rank < 0 {
 		s.topology.roleSince = time.Now()
 	}
-	s.topology.oldestReader = oldestOf(members, readers, s.options.Mesh.Self())
+	s.topology.oldestReaderStart = oldestOf(members, readers, s.options.Mesh.Self())
 	hadPeers := len(s.topology.gossipPeers) > 0
 	s.topology.rank, s.topology.readers, s.topology.children, s.topology.gossipPeers = rank, readers, children, gossipPeers
 	if !hadPeers && len(gossipPeers) > 0 {
@@ -172,7 +172,7 @@
 	if s.topology.rank < 0 || running >= SettleFor {
 		return s.topology.rank >= 0
 	}
-	if s.topology.oldestReader > 0 && time.Since(time.UnixMilli(s.topology.oldestReader)) >= SettleFor {
+	if s.topology.oldestReaderStart > 0 && time.Since(time.UnixMilli(s.topology.oldestReaderStart)) >= SettleFor {
 		return false
 	}
 	return s.hasTurn(running)
--- a/chiveusage/cuts.go
+++ b/chiveusage/cuts.go
@@ -104,7 +104,7 @@
 }
 
 // decodeLedger decodes a stored ledger. In one that was stored by a release without cuts, the starts of the windows after
-// the last settled one are told apart by their times.
+// the last settled one are distinguished by their times.
 func decodeLedger(data []byte) (ledger, error) {
 	decoder := msgpack.NewDecoder(bytes.NewReader(data))
 	var l ledger
--- a/chiveusage/reporter.go
+++ b/chiveusage/reporter.go
@@ -111,7 +111,8 @@
 		if now >= deadline {
 			// The ledger need not be stored, because a later lease holder omits the window as well.
 			r.countOmitted(ctx, window, "deadline passed")
-			r.ledger.Last = window // its starts follow the cuts and are counted in the next settled window
+			// Its starts follow the cuts, so the next settled window counts them.
+			r.ledger.Last = window
 			continue
 		}
 		if !r.collector.isComplete(now, clock.end(window)) && now < deadline-incompleteLead {
@@ -154,7 +155,7 @@
 }
 
 // sendReport makes an attempt to send a report, if one is due, and drops the report once it is confirmed or too late. It
-// returns false if an attempt failed.
+// returns false if an attempt failed, and true if there was none.
 func (r *reporter) sendReport(ctx context.Context, clock windowClock, report Report) bool {
 	now := r.opts.SinceBoot()
 	if now >= clock.end(report.Window)+lateDelays*r.opts.Delay {
