Placement: a plain endpoint that was not used for a while gets its share again

Callers saw: an endpoint that got no requests for some seconds (ejected, limited or excluded) got none after it either, while the others answered faster than 30 ms; the pool was served by fewer endpoints than it has. Cause: without recent responses an endpoint's response time was taken to approach 30 ms, whatever the pool's endpoints take. Why it works: the time approaches nine tenths of the moving average of the pool's own responses, so an idle endpoint that was not used is tried before one that was, and the first response says what it takes.

--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -210,6 +210,7 @@
 	switch ending {
 	case EndedWell, EndedError:
 		p.candidate.recordResponse(now, ending == EndedError, now.Sub(p.startedAt))
+		p.pool.responseTime += poolResponseTimeWeight * (now.Sub(p.startedAt).Seconds() - p.pool.responseTime)
 	case EndedBroken:
 		p.candidate.recordFailure(now)
 	case EndedFull:
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -23,8 +23,13 @@
 	// errorCostFactor is the increase of a plain endpoint's cost, relative to its cost without errors, at an error rate
 	// of 1.
 	errorCostFactor = 12
-	// defaultResponseTime, in seconds, is assumed for endpoints without a known response time.
+	// defaultResponseTime, in seconds, is assumed before the first response.
 	defaultResponseTime = 0.03
+	// poolResponseTimeWeight is the weight of the newest response in the moving average over all endpoints of a pool.
+	poolResponseTimeWeight = 0.05
+	// unusedResponseTimeFactor multiplies that average for endpoints that were not used for a while. Below 1, so that
+	// they are tried even if another one is idle too.
+	unusedResponseTimeFactor = 0.9
 	// retryAfterFull is the time after which to retry on a pool at capacity, about as long as one answer takes.
 	retryAfterFull = 300 * time.Millisecond
 	// retryAfterNoEndpoint is the time after which to retry on a pool without endpoints: a node that has just started
@@ -100,6 +105,9 @@
 	sorted []*candidate
 	// ttft predicts the time to the first event.
 	ttft ttftPredictor
+	// responseTime, in seconds, is the moving average over the responses of all endpoints. It is assumed for those
+	// without a known response time.
+	responseTime float64
 	// prefillPauseMs is the learnt pause of streams that run beside a long prefill on an engine of average speed, in
 	// milliseconds; 0 before the first measurement.
 	prefillPauseMs float64
@@ -121,7 +129,7 @@
 
 // NewSeededPool returns a pool whose random choices follow from a seed, so that an experiment can be repeated.
 func NewSeededPool(domain string, seed uint64) *Pool {
-	return &Pool{localDomain: domain, onChange: func() {}, byID: make(map[string]*candidate), recorded: make(map[string]*candidate), emptyRecord: newRecord(0), ttft: newTTFTPredictor(), rng: rand.New(rand.NewPCG(seed, 0))}
+	return &Pool{localDomain: domain, onChange: func() {}, byID: make(map[string]*candidate), recorded: make(map[string]*candidate), emptyRecord: newRecord(0), responseTime: defaultResponseTime, ttft: newTTFTPredictor(), rng: rand.New(rand.NewPCG(seed, 0))}
 }
 
 // OnChange sets the function that is called when there is a change to report to the other nodes, such as the start, the
@@ -448,7 +456,7 @@
 // plainServiceCost returns the expected response time of a replica of a plain service, increased for errors and for a
 // remote failure domain.
 func (p *Pool) plainServiceCost(now time.Time, cand *candidate) float64 {
-	cost := float64(cand.load()+1) * cand.expectedResponseTime(now, defaultResponseTime) * (1 + errorCostFactor*cand.errorRate)
+	cost := float64(cand.load()+1) * cand.expectedResponseTime(now, unusedResponseTimeFactor*p.responseTime) * (1 + errorCostFactor*cand.errorRate)
 	if cand.endpoint.FailureDomain != p.localDomain {
 		cost *= remoteDomainFactor
 	}
