Rate limit of an endpoint: all nodes together keep to it

Cause: nothing read the limit. Class of fault: a rate that all nodes share, and that no node can keep by itself. Evidence: 29 requests in the four seconds before the limit was stated, 36 in the four after it, from the same nodes. Why it works: one node, by rendezvous hashing, owns the rate of an endpoint and holds its token bucket; every other node asks it for a permit before each attempt there, and selects another endpoint while there is none. The limit is read from every response, and changes are passed on with the load reports, ordered by a version. A limit ends with a response to a request that was sent after the limit was last stated. A new owner starts with an empty bucket; in a partition each side issues the share of the rate that corresponds to its share of the fleet; without the owner's reply there is no permit. What exceeds the limits of all endpoints waits as for a free place, then gets Retry-After from the rate.

--- a/chivedispatch/dispatcher.go
+++ b/chivedispatch/dispatcher.go
@@ -183,6 +183,11 @@
 // Eject does nothing: the scheduler rates its engines by the results of their slots.
 func (p *slotPlacement) Eject(time.Time) {}
 
+// StateLimit does nothing: these engines state no rate limits.
+func (p *slotPlacement) StateLimit(time.Time, float64) (before float64, changed bool) {
+	return 0, false
+}
+
 // FetchFrom returns no address: these engines do not fetch cached prompt parts from each other.
 func (p *slotPlacement) FetchFrom() string { return "" }
 
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -103,7 +103,11 @@
 	}
 	defer response.Body.Close()
 	a.status = response.StatusCode
-	switch a.state.forwarder.options.Dialect.Judge(a.state.request, response) {
+	verdict := a.state.forwarder.options.Dialect.Judge(a.state.request, response)
+	if verdict == chiverequest.VerdictNotRun || verdict == chiverequest.VerdictAnswer {
+		a.recordRateLimit(ctx, response.Header)
+	}
+	switch verdict {
 	case chiverequest.VerdictNotRun:
 		a.mayHaveRun = false
 		a.drain(response)
--- a/chiveforward/endpoint_test.go
+++ b/chiveforward/endpoint_test.go
@@ -45,6 +45,8 @@
 	return chiverequest.VerdictAnswer
 }
 
+func (headerDialect) RateLimit(http.Header) (perSecond float64, err error) { return 0, nil }
+
 const healthPath = "/health"
 
 func (headerDialect) HealthCheck(header http.Header, id string) (method, target string) {
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -24,6 +24,7 @@
 type Pools struct {
 	failureDomain string
 	remote        Asker
+	rates         Rates
 	mu            sync.Mutex
 	pools         map[string]*chiveplace.Pool
 	nodes         int
@@ -53,6 +54,16 @@
 // SetAsker sets the Asker for requests with prompts; it must be called before the first request.
 func (p *Pools) SetAsker(remote Asker) { p.remote = remote }
 
+// Rates issues permits of rates that all nodes share.
+type Rates interface {
+	// Take asks for a permit of a rate, in requests a second. If it is not granted, Take returns how long to wait before
+	// asking again.
+	Take(ctx context.Context, key string, perSecond float64) (granted bool, wait time.Duration)
+}
+
+// SetRates sets the Rates for endpoints that limit theirs; it must be called before the first request.
+func (p *Pools) SetRates(rates Rates) { p.rates = rates }
+
 // SetRegions sets the region of each failure domain; it must be called before the first request.
 func (p *Pools) SetRegions(regions chiveresidency.Map) { p.regions = regions }
 
@@ -151,9 +162,20 @@
 	for _, pool := range p.allPools() {
 		pool.Collect(&report, all)
 	}
+	report.Limits = p.limits(!all)
 	return report
 }
 
+// ChangedLimits returns the rate limits of endpoints that changed since the last call.
+func (p *Pools) ChangedLimits() []chiveplace.EndpointLimit { return p.limits(true) }
+
+func (p *Pools) limits(onlyChanged bool) (limits []chiveplace.EndpointLimit) {
+	for _, pool := range p.allPools() {
+		limits = append(limits, pool.Limits(onlyChanged)...)
+	}
+	return limits
+}
+
 // Hear applies another node's report of its load.
 func (p *Pools) Hear(node string, report chiveplace.Report) {
 	for _, pool := range p.allPools() {
@@ -227,6 +249,48 @@
 	return place, false, err
 }
 
+// chooseWithinLimits selects an endpoint as choose does, and gets a permit if it has a rate limit. While there is none,
+// other endpoints are selected.
+func (p *Pools) chooseWithinLimits(
+	ctx context.Context, pool *chiveplace.Pool, request *chiverequest.Request, ask chiveplace.Ask,
+) (place *chiveplace.Place, asked bool, err error) {
+	for {
+		place, asked, err = p.choose(ctx, pool, request, ask)
+		var limited *chiveplace.LimitedError
+		if !errors.As(err, &limited) {
+			return place, asked, err
+		}
+		if granted, wait := p.takePermit(ctx, limited); !granted {
+			pool.LimitUsedUp(limited.Endpoint, time.Now().Add(wait))
+			continue
+		}
+		permitted := ask
+		permitted.Permitted = limited.Endpoint
+		if place, err = pool.Take(time.Now(), permitted); err == nil {
+			return place, asked, nil
+		}
+		// The endpoint has just left or become full. The permit is not used, which keeps the fleet within the rate.
+		pool.LimitUsedUp(limited.Endpoint, time.Now().Add(localPollInterval))
+	}
+}
+
+// takePermit asks for a permit for an endpoint with a rate limit; see Rates.Take.
+func (p *Pools) takePermit(ctx context.Context, limited *chiveplace.LimitedError) (granted bool, wait time.Duration) {
+	if p.rates == nil {
+		return true, 0
+	}
+	return p.rates.Take(ctx, "endpoint/"+limited.Endpoint, limited.PerSecond)
+}
+
+// LimitedEndpoints returns the number of endpoints with a rate limit.
+func (p *Pools) LimitedEndpoints() int {
+	count := 0
+	for _, pool := range p.allPools() {
+		count += pool.LimitedEndpoints()
+	}
+	return count
+}
+
 // residencyOf returns the regions in which a request may be served now. A configuration change that removes a region
 // also applies to requests that are waiting or being retried.
 func (p *Pools) residencyOf(request *chiverequest.Request) chiveresidency.Policy {
@@ -256,7 +320,7 @@
 			return nil, &chiveplace.RefusedError{Reason: "the regions of the route and of the team have none in common", RetryAfter: noRegionRetryAfter}
 		}
 		ask.Domains = p.regions.Domains(residency)
-		place, asked, err := p.choose(ctx, pool, request, ask)
+		place, asked, err := p.chooseWithinLimits(ctx, pool, request, ask)
 		if err == nil {
 			return pooledPlace{place}, nil
 		}
--- /dev/null
+++ b/chiveforward/rate_limit.go
@@ -0,0 +1,47 @@
+package chiveforward
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"chivedrift/chiveevent"
+)
+
+// invalidLimitInterval is the minimum time between two log lines about rate limits that are not usable.
+const invalidLimitInterval = 10 * time.Second
+
+// invalidLimits counts the rate limits that were not usable, and limits how often they are logged.
+type invalidLimits struct {
+	count      atomic.Int64
+	lastLogged activityTime
+}
+
+// add counts an unusable limit and reports whether to log it.
+func (l *invalidLimits) add(now time.Time) bool {
+	l.count.Add(1)
+	if last := l.lastLogged.load(); !last.IsZero() && now.Sub(last) < invalidLimitInterval {
+		return false
+	}
+	l.lastLogged.record(now)
+	return true
+}
+
+// recordRateLimit records the rate limit that a response of the endpoint states. A value that is no rate changes nothing.
+func (a *attempt) recordRateLimit(ctx context.Context, header http.Header) {
+	f, now := a.state.forwarder, time.Now()
+	perSecond, err := f.options.Dialect.RateLimit(header)
+	if err != nil {
+		if f.invalidLimits.add(now) {
+			chiveevent.LimitUnusable.Log(ctx, f.options.Logger, slog.String("endpoint", a.target.ID), slog.String("error", err.Error()),
+				slog.Int64("count", f.invalidLimits.count.Load()))
+		}
+		return
+	}
+	if before, changed := a.place.StateLimit(now, perSecond); changed {
+		chiveevent.LimitChanged.Log(ctx, f.options.Logger, slog.String("endpoint", a.target.ID), slog.String("pool", a.state.request.Pool),
+			slog.Float64("per_second", perSecond), slog.Float64("before", before))
+	}
+}
--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -17,7 +17,8 @@
 )
 
 // Place gets a place for a request from the owner of its primary or secondary group. The error is ErrAlone when the
-// node has to place the request locally, and a *chiveplace.RefusedError when the engines have no room.
+// node has to place the request locally, a *chiveplace.RefusedError when the engines have no room, and a
+// *chiveplace.LimitedError when the engine has a rate limit.
 //
 // limits names the endpoints that were already tried and the failure domains that the request is limited to.
 func (s *Service) Place(ctx context.Context, pool *chiveplace.Pool, request *chiverequest.Request, limits chiveplace.Ask) (*chiveplace.Place, error) {
@@ -112,6 +113,9 @@
 		}
 	}
 	s.granted.Add(1)
+	if limited := p.pool.Limited(response.Grant.Endpoint); limited != nil {
+		return nil, limited
+	}
 	response.Grant.Owner = owner
 	place, ok := p.pool.Adopt(time.Now(), response.Grant, chiveplace.Ask{Prompt: p.request.Prompt, Domains: p.domains})
 	s.recordAdopted(owner, response.Given)
--- a/chiveload/service.go
+++ b/chiveload/service.go
@@ -31,6 +31,8 @@
 	Changed() <-chan struct{}
 	// Collect returns a report of the changes since the last call, or of everything if all is set.
 	Collect(all bool) chiveplace.Report
+	// ChangedLimits returns the rate limits of endpoints that changed since the last call.
+	ChangedLimits() []chiveplace.EndpointLimit
 	// Hear applies a report of another node.
 	Hear(node string, report chiveplace.Report)
 	// Forget drops the reported load of all nodes that are not in alive, which is keyed by address.
@@ -147,6 +149,9 @@
 }
 
 func (s *Service) sendReports(peers []string, all bool) {
+	if s.options.Owners.Asking() {
+		s.sendLimits(peers, s.options.Pools.ChangedLimits())
+	}
 	report := s.options.Pools.Collect(all)
 	if s.options.Owners.Asking() {
 		s.sendReportsToOwners(report, all)
@@ -161,6 +166,17 @@
 	}
 }
 
+// sendLimits sends changed rate limits of endpoints to all peers: each of them may send requests there.
+func (s *Service) sendLimits(peers []string, limits []chiveplace.EndpointLimit) {
+	if len(limits) == 0 {
+		return
+	}
+	for _, p := range peers {
+		// If the ring is full, the peer learns the limit from the owner or from the endpoint's next response.
+		_ = s.options.Mesh.Send(p, chivewire.KindLoads, chiveplace.Report{Limits: limits})
+	}
+}
+
 // sendReportsToOwners sends each owner a report on its engines.
 func (s *Service) sendReportsToOwners(report chiveplace.Report, all bool) {
 	parts := make(map[string]*chiveplace.Report)
@@ -180,6 +196,12 @@
 		part := partFor(s.options.Owners.OwnerOf(l.Endpoint))
 		part.Loads = append(part.Loads, l)
 	}
+	if all {
+		for _, l := range report.Limits {
+			part := partFor(s.options.Owners.OwnerOf(l.Endpoint))
+			part.Limits = append(part.Limits, l)
+		}
+	}
 	for _, r := range report.Reads {
 		part := partFor(s.options.Owners.OwnerOf(r.Endpoint))
 		part.Reads = append(part.Reads, r)
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -27,6 +27,7 @@
 	"chivedrift/chivemember"
 	"chivedrift/chivemetric"
 	"chivedrift/chivequarantine"
+	"chivedrift/chiverate"
 	"chivedrift/chiverequest"
 	"chivedrift/chivescale"
 	"chivedrift/chivesettings"
@@ -67,6 +68,7 @@
 	sharedRetryBudget *chivebudget.Service
 	loads             *chiveload.Service
 	grants            *chivegrant.Service
+	rates             *chiverate.Service
 	startup           *startupTracker
 	memory            *memoryGuard
 	quarantine        *chivequarantine.Service
@@ -134,6 +136,7 @@
 		{chivequarantine.ServiceName, n.quarantine},
 		{chivebudget.ServiceName, n.sharedRetryBudget},
 		{chiveforward.ServiceName, serving.forwarder},
+		{chiverate.ServiceName, n.rates},
 		{chivegrant.ServiceName, n.grants},
 		{chiveload.ServiceName, n.loads},
 		{chivecache.ServiceName, serving.caches},
@@ -253,6 +256,8 @@
 	n.ready = newReadiness(s.Listen.Ready, chiveplatform.ReadyPath, network, n.NotReady)
 	n.grants = chivegrant.New(chivegrant.Options{Mesh: n.mesh, Pools: pools, Logger: n.logger})
 	pools.SetAsker(n.grants)
+	n.rates = chiverate.New(n.mesh)
+	pools.SetRates(n.rates)
 	caches := chivecache.New(chivecache.Options{
 		Caches: chiveplatform.NewCaches(s.Listen.Peers, network), Pools: pools, Owners: n.grants, Logger: n.logger,
 	})
@@ -301,6 +306,7 @@
 		n.sharedRetryBudget.SetMembers(members)
 		n.pools.SetNodes(len(members))
 		n.evacuation.SetMembers(members)
+		n.rates.SetMembers(members)
 		n.grants.SetMembers(members)
 		n.loads.SetMembers(members)
 		n.gossip.SetMembers(members)
@@ -323,6 +329,10 @@
 		{"places_asked", func() float64 { return float64(n.grants.Counts().Asked) }},
 		{"places_granted", func() float64 { return float64(n.grants.Counts().Granted) }},
 		{"places_refused", func() float64 { return float64(n.grants.Counts().Refused) }},
+		{"endpoints_limited", func() float64 { return float64(n.pools.LimitedEndpoints()) }},
+		{"permits_granted", func() float64 { return float64(n.rates.Counts().Granted) }},
+		{"permits_denied", func() float64 { return float64(n.rates.Counts().Denied) }},
+		{"permits_unanswered", func() float64 { return float64(n.rates.Counts().Unanswered) }},
 		{"owners_silent", func() float64 { return float64(n.grants.Counts().Silent) }},
 		{"requests_quarantined", func() float64 { return float64(n.quarantine.Counts().Quarantined) }},
 		{"requests_quarantined_refused", func() float64 { return float64(n.quarantine.Counts().Refused) }},
--- a/chiveplace/grant.go
+++ b/chiveplace/grant.go
@@ -134,7 +134,8 @@
 	})
 }
 
-// PassedOver returns the incarnation keys of the endpoints that this node has ejected because of failures or refusals.
+// PassedOver returns the incarnation keys of the endpoints that this node has ejected because of failures or refusals, or
+// whose rate limits are used up.
 func (p *Pool) PassedOver(now time.Time) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -144,5 +145,10 @@
 			incarnations = append(incarnations, incarnation)
 		}
 	}
+	for incarnation, cand := range p.limited {
+		if now.Before(cand.limit.usedUpUntil) && !now.Before(cand.ejectedUntil) {
+			incarnations = append(incarnations, incarnation)
+		}
+	}
 	return incarnations
 }
--- /dev/null
+++ b/chiveplace/limit_test.go
@@ -0,0 +1,134 @@
+package chiveplace_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chivedrift/chivedirectory"
+	"chivedrift/chiveplace"
+
+	"pgregory.net/rapid"
+)
+
+// newLimitPool returns a pool with one endpoint, e0.
+func newLimitPool() (pool *chiveplace.Pool, incarnation string) {
+	pool = chiveplace.NewSeededPool("z0", 1)
+	endpoint := chivedirectory.Endpoint{ID: "e0", Pool: "p", Born: 1}
+	pool.SetEndpoints([]chivedirectory.Endpoint{endpoint})
+	return pool, endpoint.Incarnation().Key()
+}
+
+// takePermitted takes a place as a request with a permit does.
+func takePermitted(t *testing.T, pool *chiveplace.Pool, incarnation string) *chiveplace.Place {
+	t.Helper()
+	place, err := pool.Take(time.Now(), chiveplace.Ask{Permitted: incarnation})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return place
+}
+
+// Guards against a limit that a late response to an earlier request ends.
+func TestLimitEndsWithTheResponseToALaterRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool, incarnation := newLimitPool()
+		early := takePermitted(t, pool, incarnation)
+		time.Sleep(time.Second)
+		first := takePermitted(t, pool, incarnation)
+		time.Sleep(time.Second)
+		if before, changed := first.StateLimit(time.Now(), 2); before != 0 || !changed {
+			t.Errorf("the limit before was %v, changed %v", before, changed)
+		}
+		if _, changed := early.StateLimit(time.Now(), 0); changed {
+			t.Error("the response to an earlier request ended the limit")
+		}
+		var limited *chiveplace.LimitedError
+		if _, err := pool.Take(time.Now(), chiveplace.Ask{}); !errors.As(err, &limited) || limited.PerSecond != 2 || limited.Endpoint != incarnation {
+			t.Errorf("a request without a permit got %v", err)
+		}
+		time.Sleep(time.Second)
+		later := takePermitted(t, pool, incarnation)
+		if before, changed := later.StateLimit(time.Now(), 0); before != 2 || !changed {
+			t.Errorf("the limit before was %v, changed %v", before, changed)
+		}
+		if _, err := pool.Take(time.Now(), chiveplace.Ask{}); err != nil {
+			t.Errorf("after the limit ended: %v", err)
+		}
+	})
+}
+
+// Guards against callers that return before the limits of a pool allow another request, and against later ones.
+func TestRefusalStatesWhenALimitAllowsMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool, incarnation := newLimitPool()
+		takePermitted(t, pool, incarnation).StateLimit(time.Now(), 0.5)
+		pool.LimitUsedUp(incarnation, time.Now().Add(1700*time.Millisecond))
+		var refused *chiveplace.RefusedError
+		if _, err := pool.Take(time.Now(), chiveplace.Ask{}); !errors.As(err, &refused) || refused.RetryAfter != 1700*time.Millisecond {
+			t.Errorf("got %v, %+v", err, refused)
+		}
+		if got := pool.PassedOver(time.Now()); len(got) != 1 || got[0] != incarnation {
+			t.Errorf("passed over: %v", got)
+		}
+	})
+}
+
+// Guards against a restarted endpoint that is held to the limit of its earlier process.
+func TestLimitEndsWithTheProcess(t *testing.T) {
+	pool, incarnation := newLimitPool()
+	takePermitted(t, pool, incarnation).StateLimit(time.Now(), 0.5)
+	pool.SetEndpoints([]chivedirectory.Endpoint{{ID: "e0", Pool: "p", Born: 2}})
+	if _, err := pool.Take(time.Now(), chiveplace.Ask{}); err != nil {
+		t.Error(err)
+	}
+	if got := pool.Limits(false); len(got) != 0 {
+		t.Errorf("limits: %v", got)
+	}
+}
+
+// Guards against nodes that hold an endpoint to different limits because reports arrive in different orders or twice.
+func TestNodesAgreeOnLimitsInWhateverOrderReportsArrive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const nodes = 4
+		var pools []*chiveplace.Pool
+		var incarnation string
+		for range nodes {
+			pool, key := newLimitPool()
+			pools, incarnation = append(pools, pool), key
+		}
+		var reports []chiveplace.Report
+		deliver := func(to int, report chiveplace.Report) { pools[to].Hear(time.Now(), "n", &report) }
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			node := rapid.IntRange(0, nodes-1).Draw(t, "node")
+			place, err := pools[node].Take(time.Now(), chiveplace.Ask{Permitted: incarnation})
+			if err != nil {
+				t.Fatal(err)
+			}
+			place.StateLimit(time.Now(), rapid.SampledFrom([]float64{0, 0.5, 3, 20}).Draw(t, "limit"))
+			place.Done(time.Now(), chiveplace.EndedWell)
+			reports = append(reports, chiveplace.Report{Limits: pools[node].Limits(true)})
+			for _, report := range reports {
+				if to := rapid.IntRange(0, nodes).Draw(t, "to"); to < nodes {
+					deliver(to, report)
+				}
+			}
+		}
+		for range 2 {
+			for _, pool := range pools {
+				full := chiveplace.Report{Limits: pool.Limits(false)}
+				for to := range pools {
+					deliver(to, full)
+				}
+			}
+		}
+		want := fmt.Sprint(pools[0].Limits(false))
+		for i, pool := range pools {
+			if got := fmt.Sprint(pool.Limits(false)); got != want {
+				t.Fatalf("node %d has %s, node 0 %s", i, got, want)
+			}
+		}
+	})
+}
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -52,6 +52,9 @@
 	Home []string
 	// Domains limits the choice, and the endpoints to fetch prompt parts from, to some failure domains.
 	Domains chiveresidency.Domains
+	// Permitted is the incarnation key of an endpoint with a rate limit for which the caller has a permit; the choice is
+	// limited to it. Empty for none.
+	Permitted string
 	// Most limits the loss of the place. Above Most plus the loss of recomputing MostReads tokens the request is
 	// refused, so that other endpoints can be tried first. 0 means no limit.
 	Most      float64
@@ -94,6 +97,8 @@
 	// recorded holds the candidates with a record of their own by incarnation: a process that restarted under the same
 	// id has none of the cache contents, queue or measured speed of the former one.
 	recorded map[string]*candidate
+	// limited holds the candidates that have stated a rate limit, also if it has ended, by incarnation.
+	limited map[string]*candidate
 	// emptyRecord is shared by all other candidates and stays empty.
 	emptyRecord *record
 	// onChange is called when there is a change to report to the other nodes.
@@ -129,7 +134,7 @@
 
 // NewSeededPool returns a pool whose random choices follow from a seed, so that an experiment can be repeated.
 func NewSeededPool(domain string, seed uint64) *Pool {
-	return &Pool{localDomain: domain, onChange: func() {}, byID: make(map[string]*candidate), recorded: make(map[string]*candidate), emptyRecord: newRecord(0), responseTime: defaultResponseTime, ttft: newTTFTPredictor(), rng: rand.New(rand.NewPCG(seed, 0))}
+	return &Pool{localDomain: domain, onChange: func() {}, byID: make(map[string]*candidate), recorded: make(map[string]*candidate), limited: make(map[string]*candidate), emptyRecord: newRecord(0), responseTime: defaultResponseTime, ttft: newTTFTPredictor(), rng: rand.New(rand.NewPCG(seed, 0))}
 }
 
 // OnChange sets the function that is called when there is a change to report to the other nodes, such as the start, the
@@ -208,6 +213,7 @@
 		p.sorted = slices.Delete(p.sorted, at, at+1)
 	}
 	delete(p.recorded, cand.incarnation)
+	delete(p.limited, cand.incarnation)
 	delete(p.byID, id)
 }
 
@@ -306,7 +312,8 @@
 	return 0
 }
 
-// Take reserves a place for a request; the error is a *RefusedError.
+// Take reserves a place for a request. The error is a *RefusedError, or a *LimitedError if the chosen endpoint has a rate
+// limit and the ask has no permit for it.
 func (p *Pool) Take(now time.Time, ask Ask) (*Place, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -314,6 +321,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if limited := place.candidate.needsPermit(ask); limited != nil {
+		return nil, limited
+	}
 	p.countOwn(now, place, ask.Prompt)
 	if ask.Prompt != nil {
 		p.unreportedPrefills = append(p.unreportedPrefills, Read{Endpoint: place.candidate.incarnation, Parts: ask.Prompt.Parts, Fetched: place.fetchTokens})
@@ -346,6 +356,9 @@
 		case ready == 0:
 			return nil, &RefusedError{Reason: "no endpoint of the pool is known", RetryAfter: retryAfterNoEndpoint}
 		}
+		if wait, limited := p.limitWait(now, ask); limited {
+			return nil, &RefusedError{Reason: "the rate limits of the pool's endpoints are used up", RetryAfter: wait}
+		}
 		return nil, &RefusedError{Reason: "no endpoint of the pool has a free place", RetryAfter: retryAfterFull}
 	}
 	place := p.placeOnCheapest(now, usable, ask)
@@ -390,6 +403,7 @@
 			continue
 		}
 		switch {
+		case !cand.limitAllows(now, ask):
 		case p.isWarmingUp(now, cand) && !p.warmUpAllows(now, cand, ask):
 		case cand.isUsable(now):
 			usable = append(usable, cand)
@@ -488,6 +502,8 @@
 	Errors        float64 `json:"error_share"`
 	TookMs        float64 `json:"took_ms"`
 	Down          bool    `json:"passed_over"`
+	// LimitPerSecond is the rate limit that the endpoint states, in requests a second; 0 for none.
+	LimitPerSecond float64 `json:"limit_per_second,omitempty"`
 }
 
 // States returns what is known about each endpoint, in the order of their incarnations.
@@ -498,7 +514,7 @@
 	for _, cand := range p.sorted {
 		states = append(states, EndpointState{
 			Endpoint: cand.incarnation, Address: cand.endpoint.Address, FailureDomain: cand.endpoint.FailureDomain, Ready: cand.endpoint.State == chivedirectory.Ready, Own: cand.ownRequests, Others: cand.otherRequests,
-			Waiting: cand.queuedTokens(), Errors: cand.errorRate, TookMs: cand.responseTime * 1000, Down: now.Before(cand.ejectedUntil),
+			Waiting: cand.queuedTokens(), Errors: cand.errorRate, TookMs: cand.responseTime * 1000, Down: now.Before(cand.ejectedUntil), LimitPerSecond: cand.limitPerSecond(),
 		})
 	}
 	return states
--- a/chiveplace/report.go
+++ b/chiveplace/report.go
@@ -17,6 +17,7 @@
 	Granted uint64
 	Loads   []Load
 	Reads   []Read
+	Limits  []EndpointLimit
 }
 
 // Load is the load of one node on one endpoint.
@@ -43,7 +44,9 @@
 }
 
 // Empty reports whether the report says nothing.
-func (r *Report) Empty() bool { return !r.All && len(r.Loads) == 0 && len(r.Reads) == 0 }
+func (r *Report) Empty() bool {
+	return !r.All && len(r.Loads) == 0 && len(r.Reads) == 0 && len(r.Limits) == 0
+}
 
 // Collect appends to a report what changed since the last call, or all of the node's load.
 func (p *Pool) Collect(report *Report, all bool) {
@@ -85,6 +88,9 @@
 			cand.mergeReportedPause(now, load.Pause)
 		}
 	}
+	for _, limit := range report.Limits {
+		p.applyReportedLimit(now, limit)
+	}
 	for _, prefill := range report.Reads {
 		if cand, ok := p.lookup(prefill.Endpoint); ok {
 			p.ensureRecord(now, cand)
--- /dev/null
+++ b/chiverate/service_test.go
@@ -0,0 +1,175 @@
+//go:build !race
+
+package chiverate_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chivedrift/chivemember"
+	"chivedrift/chiverate"
+	"chivedrift/chivestand"
+	"chivedrift/chivewire"
+)
+
+const (
+	rateKey = "endpoint/e0"
+	// burst is how many permits more than the rate allows a fleet may get: one that a bucket holds and one at the start.
+	burst = 2
+)
+
+// fleet is a number of services on a simulated network.
+type fleet struct {
+	network  *chivestand.Network
+	meshes   []*chivewire.Mesh
+	services []*chiverate.Service
+}
+
+// withFleet runs a test with services that know each other.
+func withFleet(t *testing.T, nodes int, test func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{network: chivestand.NewNetwork()}
+		for i := range nodes {
+			mesh := chivewire.NewMesh(fmt.Sprintf("10.0.0.%d:82", i+1), f.network)
+			f.meshes, f.services = append(f.meshes, mesh), append(f.services, chiverate.New(mesh))
+			if err := mesh.Start(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		f.setMembers(f.services, 0, nodes)
+		test(f)
+		for _, mesh := range f.meshes {
+			if err := mesh.Stop(context.Background()); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+}
+
+// setMembers makes the services consider the nodes from first until before end the members of the fleet.
+func (f *fleet) setMembers(services []*chiverate.Service, first, end int) {
+	var members []chivemember.Member
+	for _, mesh := range f.meshes[first:end] {
+		members = append(members, chivemember.Member{Name: mesh.Self(), Address: mesh.Self(), State: chivemember.Alive})
+	}
+	for _, s := range services {
+		s.SetMembers(members)
+	}
+}
+
+// take has the services ask for permits for some time, as often as they may, and returns how many they got.
+func (f *fleet) take(services []*chiverate.Service, perSecond float64, duration time.Duration) (granted int) {
+	permits := make(chan int)
+	for _, s := range services {
+		go func() {
+			got := 0
+			for end := time.Now().Add(duration); time.Now().Before(end); {
+				permit, wait := s.Take(context.Background(), rateKey, perSecond)
+				if permit {
+					got++
+				}
+				time.Sleep(max(wait, time.Millisecond))
+			}
+			permits <- got
+		}()
+	}
+	for range services {
+		granted += <-permits
+	}
+	return granted
+}
+
+// Guards against nodes that together exceed a rate, or leave most of it unused.
+func TestNodesTogetherGetTheRate(t *testing.T) {
+	const duration = 20 * time.Second
+	for _, nodes := range []int{1, 3, 16} {
+		for _, perSecond := range []float64{0.5, 3.2, 20} {
+			t.Run(fmt.Sprintf("%d nodes %g a second", nodes, perSecond), func(t *testing.T) {
+				withFleet(t, nodes, func(f *fleet) {
+					granted := float64(f.take(f.services, perSecond, duration))
+					most := perSecond * duration.Seconds()
+					if granted > most+burst || granted < 0.9*most-burst {
+						t.Errorf("%.0f permits in %v, want about %.0f", granted, duration, most)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against the two sides of a partition that each issue permits for the whole rate.
+func TestPartitionedNodesStayWithinTheRate(t *testing.T) {
+	const (
+		nodes     = 8
+		perSecond = 10
+		duration  = 20 * time.Second
+	)
+	for _, cutOff := range []int{1, 3, 4} {
+		t.Run(fmt.Sprint(cutOff), func(t *testing.T) {
+			withFleet(t, nodes, func(f *fleet) {
+				f.setMembers(f.services[:cutOff], 0, cutOff)
+				f.setMembers(f.services[cutOff:], cutOff, nodes)
+				granted := float64(f.take(f.services, perSecond, duration))
+				if most := perSecond * duration.Seconds(); granted > most+2*burst || granted < 0.9*most-2*burst {
+					t.Errorf("%.0f permits in %v, want about %.0f", granted, duration, most)
+				}
+			})
+		})
+	}
+}
+
+// Guards against permits from a node that does not reach the owner of a rate, and against requests that wait for it.
+func TestNoPermitWithoutTheOwner(t *testing.T) {
+	withFleet(t, 3, func(f *fleet) {
+		f.network.Block(func(from, to string) bool { return from != to })
+		start, granted := time.Now(), 0
+		for _, s := range f.services {
+			if permit, _ := s.Take(context.Background(), rateKey, 1); permit {
+				granted++
+			}
+		}
+		if took := time.Since(start); took > 200*time.Millisecond {
+			t.Errorf("three requests waited %v for the owner", took)
+		}
+		time.Sleep(5 * time.Second)
+		if granted = f.take(f.services, 1, 5*time.Second); granted > 5+burst {
+			t.Errorf("%d permits in 5 s, want those of the owner alone", granted)
+		}
+	})
+}
+
+// Guards against a new owner of a rate that issues a burst beside the permits of the previous one.
+func TestNewOwnerStartsWithoutPermits(t *testing.T) {
+	withFleet(t, 5, func(f *fleet) {
+		for end := 4; end >= 1; end-- {
+			f.setMembers(f.services, 0, end)
+			if permit, _ := f.services[0].Take(context.Background(), fmt.Sprint(rateKey, end), 1); permit {
+				t.Errorf("the owner among %d nodes had a permit at once", end)
+			}
+		}
+	})
+}
+
+// Guards against messages of other releases or faulty peers that block a rate for good.
+func TestInvalidRatesAreIgnored(t *testing.T) {
+	withFleet(t, 2, func(f *fleet) {
+		nan := 0.0
+		nan /= nan
+		for _, perSecond := range []float64{0, -1, nan} {
+			for _, from := range f.meshes {
+				for _, to := range f.meshes {
+					if err := from.Send(to.Self(), chivewire.KindRateAsk, chiverate.Ask{Number: 1, Key: rateKey, PerSecond: perSecond}); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+		}
+		if granted := f.take(f.services, 10, 2*time.Second); granted < 15 {
+			t.Errorf("%d permits in 2 s, want about 20", granted)
+		}
+	})
+}
--- a/chivewire/kind.go
+++ b/chivewire/kind.go
@@ -71,6 +71,9 @@
 	KindRepeatAsk    Kind = 136
 	KindRepeatAnswer Kind = 137
 
+	KindRateAsk    Kind = 140
+	KindRateAnswer Kind = 141
+
 	KindPlaceAsk    Kind = 104
 	KindPlaceAnswer Kind = 105
 )
@@ -94,6 +97,7 @@
 	KindStarts: "starts", KindStartsAck: "starts_ack",
 	KindRepeatAsk: "repeat_ask", KindRepeatAnswer: "repeat_answer",
 	KindPlaceAsk: "place_ask", KindPlaceAnswer: "place_answer",
+	KindRateAsk: "rate_ask", KindRateAnswer: "rate_answer",
 }
 
 // String returns the name of the kind used in metrics and state dumps.
