Budget, quota, grants: share the matching of replies and the peak size of a fleet

Three copies of the table of waiting requests become chivewire.Calls, which the shared rates use already, and the retry budget's largest recent fleet size becomes chivemember.PeakSize.

--- a/chivebudget/service.go
+++ b/chivebudget/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -50,22 +51,21 @@
 // Service spends retries from this node's share and borrows from peers once that is used up.
 type Service struct {
 	Share
-	mesh        *chivewire.Mesh
-	lastRequest atomic.Uint64
-	borrowed    atomic.Int64
-	lent        atomic.Int64
+	mesh     *chivewire.Mesh
+	calls    *chivewire.Calls[Answer]
+	borrowed atomic.Int64
+	lent     atomic.Int64
 
 	mu           sync.Mutex
 	partners     []string
-	pending      map[uint64]chan bool
 	backoffUntil map[string]time.Time
 }
 
 // New returns a service without peers.
 func New(mesh *chivewire.Mesh, share Share) *Service {
-	s := &Service{Share: share, mesh: mesh, pending: make(map[uint64]chan bool), backoffUntil: make(map[string]time.Time)}
+	s := &Service{Share: share, mesh: mesh, calls: chivewire.NewCalls[Answer](), backoffUntil: make(map[string]time.Time)}
 	chivewire.Receive(mesh, chivewire.KindRepeatAsk, s.respond)
-	chivewire.Receive(mesh, chivewire.KindRepeatAnswer, func(_ string, response Answer) { s.deliver(response) })
+	chivewire.Receive(mesh, chivewire.KindRepeatAnswer, func(_ string, response Answer) { s.calls.Deliver(response.Number, response) })
 	return s
 }
 
@@ -139,32 +139,15 @@
 
 // borrow asks one peer for a retry and waits up to responseTimeout for its response.
 func (s *Service) borrow(peer, pool string) bool {
-	request := Ask{Number: s.lastRequest.Add(1), Pool: pool}
-	responses := make(chan bool, 1)
-	s.mu.Lock()
-	s.pending[request.Number] = responses
-	s.mu.Unlock()
-	defer s.removePending(request.Number)
-	if err := s.mesh.Send(peer, chivewire.KindRepeatAsk, request); err != nil {
-		return false
-	}
-	timer := time.NewTimer(responseTimeout)
-	defer timer.Stop()
-	select {
-	case granted := <-responses:
-		return granted
-	case now := <-timer.C:
+	response, err := s.calls.Call(context.Background(), responseTimeout, func(number uint64) error {
+		return s.mesh.Send(peer, chivewire.KindRepeatAsk, Ask{Number: number, Pool: pool})
+	})
+	if errors.Is(err, chivewire.ErrNoReply) {
 		s.mu.Lock()
-		s.backoffUntil[peer] = now.Add(peerBackoff)
-		s.mu.Unlock()
-		return false
+		defer s.mu.Unlock()
+		s.backoffUntil[peer] = time.Now().Add(peerBackoff)
 	}
-}
-
-func (s *Service) removePending(number uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.pending, number)
+	return err == nil && response.Granted
 }
 
 // respond handles a peer's request for a retry.
@@ -176,13 +159,3 @@
 	// If the response is lost, the retry is lost too, which keeps the fleet within the budget.
 	_ = s.mesh.Send(from, chivewire.KindRepeatAnswer, Answer{Number: request.Number, Granted: granted})
 }
-
-// deliver passes a response to the request that waits for it.
-func (s *Service) deliver(response Answer) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if responses := s.pending[response.Number]; responses != nil {
-		responses <- response.Granted
-		delete(s.pending, response.Number)
-	}
-}
--- a/chiveforward/budget.go
+++ b/chiveforward/budget.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"chivedrift/chivemember"
 	"chivedrift/chiverequest"
 )
 
@@ -18,14 +19,13 @@
 // process that has just started does not know how many retries its predecessor made, so it has no headroom until a full
 // window has passed.
 type Budget struct {
-	mu         sync.Mutex
-	limits     BudgetLimits
-	startedAt  time.Time
-	fleetSizes [2]int
-	rotatedAt  time.Time
-	pools      map[string]*window
-	spent      atomic.Int64
-	denied     atomic.Int64
+	mu        sync.Mutex
+	limits    BudgetLimits
+	startedAt time.Time
+	fleetSize chivemember.PeakSize
+	pools     map[string]*window
+	spent     atomic.Int64
+	denied    atomic.Int64
 }
 
 // BudgetLimits is the limit for the whole fleet: in any Window, retries stay below Ratio times the requests plus
@@ -46,9 +46,6 @@
 	// headroomShare leaves part of the headroom unused, to allow for nodes that are not known yet and for the
 	// granularity of the buckets.
 	headroomShare = 0.8
-	// fleetSizeRetention is the minimum time for which the largest fleet size is kept; it is longer than most
-	// partitions.
-	fleetSizeRetention = 2 * time.Minute
 )
 
 type window struct {
@@ -59,25 +56,14 @@
 
 // NewBudget returns the budget of a process that starts now, in a fleet of one node.
 func NewBudget(now time.Time, limits BudgetLimits) *Budget {
-	return &Budget{limits: limits, startedAt: now, fleetSizes: [2]int{1, 1}, rotatedAt: now, pools: make(map[string]*window)}
+	return &Budget{limits: limits, startedAt: now, fleetSize: chivemember.NewPeakSize(now), pools: make(map[string]*window)}
 }
 
 // SetNodes sets how many nodes are known to share the headroom.
 func (b *Budget) SetNodes(now time.Time, nodes int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.rotateFleetSizes(now, nodes)
-	b.fleetSizes[0] = max(b.fleetSizes[0], nodes)
-}
-
-// rotateFleetSizes discards the older of the two maxima once per fleetSizeRetention, and starts a new maximum from the
-// current number of nodes.
-func (b *Budget) rotateFleetSizes(now time.Time, nodes int) {
-	if now.Sub(b.rotatedAt) < fleetSizeRetention {
-		return
-	}
-	b.fleetSizes = [2]int{max(nodes, 1), b.fleetSizes[0]}
-	b.rotatedAt = now
+	b.fleetSize.Set(now, nodes)
 }
 
 // Request counts a caller's request to a pool.
@@ -126,7 +112,7 @@
 	requests := w.sum(w.requests, requestBuckets)
 	return []slog.Attr{
 		slog.Int("repeats", w.sum(w.retries, retryBuckets)), slog.Int("requests", requests),
-		slog.Float64("allowed", roundForLog(b.limits.Ratio*float64(requests)+b.headroom(now))), slog.Int("nodes", max(b.fleetSizes[0], b.fleetSizes[1])),
+		slog.Float64("allowed", roundForLog(b.limits.Ratio*float64(requests)+b.headroom(now))), slog.Int("nodes", b.fleetSize.Size()),
 	}
 }
 
@@ -135,7 +121,7 @@
 	if now.Sub(b.startedAt) < b.limits.Window {
 		return 0
 	}
-	return b.limits.Headroom * headroomShare / float64(max(b.fleetSizes[0], b.fleetSizes[1]))
+	return b.limits.Headroom * headroomShare / float64(b.fleetSize.Size())
 }
 
 // windowAt returns a pool's window, advanced to the current time.
--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -135,33 +135,28 @@
 
 // requestPlacement sends a placement request to an owner and waits up to requestTimeout for the response.
 func (s *Service) requestPlacement(ctx context.Context, owner string, request PlaceAsk) (PlaceAnswer, error) {
-	request.Number = s.lastRequest.Add(1)
-	responses := make(chan PlaceAnswer, 1)
 	s.mu.Lock()
 	unavailable := owner == "" || time.Now().Before(s.backoffUntil[owner])
-	if !unavailable {
-		s.pending[request.Number] = responses
-	}
 	s.mu.Unlock()
 	if unavailable {
 		return PlaceAnswer{}, ErrAlone
 	}
-	defer s.removePending(request.Number)
 	s.asked.Add(1)
-	if err := s.options.Mesh.Send(owner, chivewire.KindPlaceAsk, request); err != nil {
-		return PlaceAnswer{}, fmt.Errorf("%w: %w", ErrAlone, err)
-	}
-	timer := time.NewTimer(requestTimeout)
-	defer timer.Stop()
-	select {
-	case response := <-responses:
-		s.recordResponse(ctx, owner)
-		return response, nil
-	case <-ctx.Done():
-	case <-timer.C:
+	// A response after the timeout is dropped, and the owner drops its grant after a while, since this node never reports
+	// the request.
+	response, err := s.calls.Call(ctx, requestTimeout, func(number uint64) error {
+		request.Number = number
+		return s.options.Mesh.Send(owner, chivewire.KindPlaceAsk, request)
+	})
+	switch {
+	case errors.Is(err, chivewire.ErrNoReply):
 		s.recordTimeout(ctx, owner, request.Group)
+		return PlaceAnswer{}, ErrAlone
+	case err != nil:
+		return PlaceAnswer{}, fmt.Errorf("%w: %w", ErrAlone, err)
 	}
-	return PlaceAnswer{}, ErrAlone
+	s.recordResponse(ctx, owner)
+	return response, nil
 }
 
 // recordTimeout starts the backoff for an owner that did not respond. Only the first of consecutive timeouts is logged.
@@ -186,20 +181,3 @@
 		chiveevent.OwnerBack.Log(ctx, s.options.Logger, slog.String("owner", owner))
 	}
 }
-
-func (s *Service) removePending(number uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.pending, number)
-}
-
-// deliver passes a response to the request that waits for it. A response after the timeout is dropped, and the owner
-// drops its grant after a while, since this node never reports the request.
-func (s *Service) deliver(response PlaceAnswer) {
-	s.mu.Lock()
-	responses := s.pending[response.Number]
-	s.mu.Unlock()
-	if responses != nil {
-		responses <- response
-	}
-}
--- a/chivegrant/service.go
+++ b/chivegrant/service.go
@@ -78,15 +78,15 @@
 
 // Service asks the owners of groups for places and responds for the groups that this node owns.
 type Service struct {
-	options     Options
-	inbox       *chivering.Ring[incomingRequest]
-	assignment  atomic.Pointer[assignment]
-	lastRequest atomic.Uint64
-	lastGrant   atomic.Uint64
-	asked       atomic.Int64
-	granted     atomic.Int64
-	refused     atomic.Int64
-	timedOut    atomic.Int64
+	options    Options
+	inbox      *chivering.Ring[incomingRequest]
+	assignment atomic.Pointer[assignment]
+	calls      *chivewire.Calls[PlaceAnswer]
+	lastGrant  atomic.Uint64
+	asked      atomic.Int64
+	granted    atomic.Int64
+	refused    atomic.Int64
+	timedOut   atomic.Int64
 
 	mu sync.Mutex
 	// endpoints holds the endpoints of each pool by the hashes of their ids; enginePools marks the pools of engines.
@@ -99,7 +99,6 @@
 	memberCount      int
 	membersChangedAt time.Time
 	startedAt        time.Time
-	pending          map[uint64]chan PlaceAnswer
 	backoffUntil     map[string]time.Time
 	adopted          map[string]uint64
 	goroutines       chivekernel.Duties
@@ -109,7 +108,7 @@
 // New returns a service without engines and members.
 func New(options Options) *Service {
 	s := &Service{
-		options: options, inbox: chivering.New[incomingRequest](inboxCapacity), enginePools: make(map[string]bool), endpoints: make(map[string]*trieNode[engine]), pending: make(map[uint64]chan PlaceAnswer),
+		options: options, inbox: chivering.New[incomingRequest](inboxCapacity), enginePools: make(map[string]bool), endpoints: make(map[string]*trieNode[engine]), calls: chivewire.NewCalls[PlaceAnswer](),
 		backoffUntil: make(map[string]time.Time), adopted: make(map[string]uint64), rebalanceTrigger: make(chan struct{}, 1),
 	}
 	s.assignment.Store(&assignment{})
@@ -117,7 +116,7 @@
 		// A request that does not fit into the inbox is dropped; after its timeout the requesting node places locally.
 		s.inbox.Offer(incomingRequest{from, request})
 	})
-	chivewire.Receive(options.Mesh, chivewire.KindPlaceAnswer, func(_ string, response PlaceAnswer) { s.deliver(response) })
+	chivewire.Receive(options.Mesh, chivewire.KindPlaceAnswer, func(_ string, response PlaceAnswer) { s.calls.Deliver(response.Number, response) })
 	return s
 }
 
--- a/chivequota/service.go
+++ b/chivequota/service.go
@@ -39,23 +39,21 @@
 type Service struct {
 	mesh         *chivewire.Mesh
 	members      atomic.Pointer[[]chivemember.Member]
-	lastID       atomic.Int64
+	calls        *chivewire.Calls[Grant]
 	mu           sync.Mutex
 	buckets      map[string]*Bucket
 	localBuckets map[string]*Bucket
 	limits       map[string]int64
-	pending      map[int64]chan Grant
 }
 
 // NewService returns a service without buckets.
 func NewService(mesh *chivewire.Mesh) *Service {
 	s := &Service{
-		mesh: mesh, buckets: make(map[string]*Bucket), localBuckets: make(map[string]*Bucket), limits: make(map[string]int64),
-		pending: make(map[int64]chan Grant),
+		mesh: mesh, calls: chivewire.NewCalls[Grant](), buckets: make(map[string]*Bucket), localBuckets: make(map[string]*Bucket), limits: make(map[string]int64),
 	}
 	s.members.Store(&[]chivemember.Member{})
 	chivewire.Receive(mesh, chivewire.KindQuotaRequest, s.handleRequest)
-	chivewire.Receive(mesh, chivewire.KindQuotaGrant, s.handleGrant)
+	chivewire.Receive(mesh, chivewire.KindQuotaGrant, func(_ string, grant Grant) { s.calls.Deliver(uint64(grant.ID), grant) })
 	return s
 }
 
@@ -85,7 +83,7 @@
 	s.mu.Lock()
 	s.limits[team] = limit
 	s.mu.Unlock()
-	grant, answered := s.request(ctx, Request{ID: s.lastID.Add(1), Team: team, Limit: limit, Tokens: tokens})
+	grant, answered := s.request(ctx, Request{Team: team, Limit: limit, Tokens: tokens})
 	if answered {
 		return grant.OK, time.Duration(grant.AfterMs) * time.Millisecond
 	}
@@ -123,25 +121,11 @@
 	if !ok {
 		return Grant{}, false
 	}
-	replies := make(chan Grant, 1)
-	s.mu.Lock()
-	s.pending[r.ID] = replies
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		delete(s.pending, r.ID)
-		s.mu.Unlock()
-	}()
-	if err := s.mesh.Send(owner, chivewire.KindQuotaRequest, r); err != nil {
-		return Grant{}, false
-	}
-	select {
-	case g := <-replies:
-		return g, true
-	case <-time.After(replyTimeout):
-	case <-ctx.Done():
-	}
-	return Grant{}, false
+	grant, err := s.calls.Call(ctx, replyTimeout, func(number uint64) error {
+		r.ID = int64(number)
+		return s.mesh.Send(owner, chivewire.KindQuotaRequest, r)
+	})
+	return grant, err == nil
 }
 
 func (s *Service) handleRequest(from string, r Request) {
@@ -159,15 +143,6 @@
 	_ = s.mesh.Send(from, chivewire.KindQuotaGrant, Grant{ID: r.ID, OK: ok, AfterMs: retryAfter.Milliseconds()})
 }
 
-func (s *Service) handleGrant(_ string, g Grant) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if replies, ok := s.pending[g.ID]; ok {
-		replies <- g
-		delete(s.pending, g.ID)
-	}
-}
-
 // bucketOf returns the bucket of a team, creating it if needed. Idle buckets are evicted when there are maxBuckets. The
 // caller holds the lock.
 func bucketOf(buckets map[string]*Bucket, team string, limit int64, now time.Time) *Bucket {
