Brittle endpoints: all nodes together stay within the refusals that an endpoint can bear

Cause: nothing read the statement. A refusal made one node pass the endpoint over for 0.1 s, and the others went on. Class of fault: as the rate limit, a bound on the sum over all nodes that no node can keep by itself. Why it works: the owner of the endpoint's limits issues permits so that refused requests of the last second and requests that may still be refused stay within half of what the endpoint can bear, and it learns from refusals how many requests the endpoint holds. A process that has just started in such a pool is taken to be like the others.

--- a/chivedispatch/dialect.go
+++ b/chivedispatch/dialect.go
@@ -38,8 +38,8 @@
 	return chiverequest.VerdictAnswer
 }
 
-// RateLimit returns 0: these engines state no rate limits.
-func (dialect) RateLimit(http.Header) (perSecond float64, err error) { return 0, nil }
+// Limits returns none: these engines state no limits.
+func (dialect) Limits(http.Header) (chiverequest.Limits, error) { return chiverequest.Limits{}, nil }
 
 // HealthCheck returns OPTIONS *, which has no side effects and needs no dedicated path on the endpoint.
 func (dialect) HealthCheck(http.Header, string) (method, target string) {
--- a/chivedispatch/dispatcher.go
+++ b/chivedispatch/dispatcher.go
@@ -183,9 +183,9 @@
 // Eject does nothing: the scheduler rates its engines by the results of their slots.
 func (p *slotPlacement) Eject(time.Time) {}
 
-// StateLimit does nothing: these engines state no rate limits.
-func (p *slotPlacement) StateLimit(time.Time, float64) (before float64, changed bool) {
-	return 0, false
+// StateLimits does nothing: these engines state no limits.
+func (p *slotPlacement) StateLimits(time.Time, chiverequest.Limits) (before chiverequest.Limits, changed bool) {
+	return chiverequest.Limits{}, false
 }
 
 // FetchFrom returns no address: these engines do not fetch cached prompt parts from each other.
--- a/chivedispatch/service.go
+++ b/chivedispatch/service.go
@@ -164,9 +164,9 @@
 // Eject does nothing: the pool rates its replicas by the results of their requests.
 func (p *replicaPlacement) Eject(time.Time) {}
 
-// StateLimit does nothing: these replicas state no rate limits.
-func (p *replicaPlacement) StateLimit(time.Time, float64) (before float64, changed bool) {
-	return 0, false
+// StateLimits does nothing: these replicas state no limits.
+func (p *replicaPlacement) StateLimits(time.Time, chiverequest.Limits) (before chiverequest.Limits, changed bool) {
+	return chiverequest.Limits{}, false
 }
 
 // FetchFrom returns no address: plain services do not cache prompts.
--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -58,8 +58,8 @@
 	CacheLearnt  = define(406, slog.LevelInfo, "engine's cache learnt", "None; the node now decides for the engine and knows the contents of its cache.")
 	CacheUnknown = define(407, slog.LevelWarn, "engine's cache not learnt", "None; the node derives the contents of the cache from the requests that it sends. Check the engine if this repeats.")
 
-	LimitChanged  = define(408, slog.LevelWarn, "endpoint's rate limit changed", "None; per_second is the rate in requests a second that all nodes together send from now on, 0 without a limit. Find out why the endpoint needs a limit.")
-	LimitUnusable = define(409, slog.LevelWarn, "endpoint's rate limit not usable", "Correct the value in the endpoint's responses; until then the limit before holds.")
+	LimitChanged  = define(408, slog.LevelWarn, "endpoint's limits changed", "None; per_second is the rate in requests a second that all nodes together send from now on, refusals_per_second how many requests a second the endpoint can refuse without a crash, each 0 without a limit. Find out why the endpoint needs limits.")
+	LimitUnusable = define(409, slog.LevelWarn, "endpoint's limits not usable", "Correct the value in the endpoint's responses; until then the limits before hold.")
 
 	RequestRefused  = define(500, slog.LevelWarn, "request refused", "Read the reason; under overload, check the tier and the share of the class.")
 	RequestBroken   = define(501, slog.LevelWarn, "attempt broke", "Check the endpoint if this repeats.")
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -105,7 +105,7 @@
 	a.status = response.StatusCode
 	verdict := a.state.forwarder.options.Dialect.Judge(a.state.request, response)
 	if verdict == chiverequest.VerdictNotRun || verdict == chiverequest.VerdictAnswer {
-		a.recordRateLimit(ctx, response.Header)
+		a.recordLimits(ctx, response.Header)
 	}
 	switch verdict {
 	case chiverequest.VerdictNotRun:
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -102,9 +102,9 @@
 	Event(now time.Time, waited time.Duration)
 	// Eject keeps new requests from the endpoint until the given time.
 	Eject(until time.Time)
-	// StateLimit records the rate limit that a response of the endpoint states, in requests a second; 0 if it states
-	// none. It returns the limit before if it has changed.
-	StateLimit(now time.Time, perSecond float64) (before float64, changed bool)
+	// StateLimits records the limits that a response of the endpoint states, and returns those before if they have
+	// changed.
+	StateLimits(now time.Time, limits chiverequest.Limits) (before chiverequest.Limits, changed bool)
 	// Done releases the place and returns how long the endpoint is ejected from now on.
 	Done(now time.Time, ending chiveplace.Ending) time.Duration
 }
@@ -127,7 +127,7 @@
 	inFlight     *inFlightAttempts
 	registered   *registeredAddresses
 	inconclusive brokenAttempts
-	// invalidLimits are the rate limits of endpoints that are not usable.
+	// invalidLimits are the limits of endpoints that are not usable.
 	invalidLimits invalidLimits
 	inProgress    inProgressRequests
 	background    chivekernel.Duties
--- a/chiveforward/rate_limit.go
+++ b/chiveforward/limits.go
@@ -10,10 +10,10 @@
 	"chivedrift/chiveevent"
 )
 
-// invalidLimitInterval is the minimum time between two log lines about rate limits that are not usable.
+// invalidLimitInterval is the minimum time between two log lines about limits of endpoints that are not usable.
 const invalidLimitInterval = 10 * time.Second
 
-// invalidLimits counts the rate limits that were not usable, and limits how often they are logged.
+// invalidLimits counts the limits of endpoints that were not usable, and limits how often they are logged.
 type invalidLimits struct {
 	count      atomic.Int64
 	lastLogged activityTime
@@ -29,10 +29,10 @@
 	return true
 }
 
-// recordRateLimit records the rate limit that a response of the endpoint states. A value that is no rate changes nothing.
-func (a *attempt) recordRateLimit(ctx context.Context, header http.Header) {
+// recordLimits records the limits that a response of the endpoint states. A value that is no limit changes nothing.
+func (a *attempt) recordLimits(ctx context.Context, header http.Header) {
 	f, now := a.state.forwarder, time.Now()
-	perSecond, err := f.options.Dialect.RateLimit(header)
+	limits, err := f.options.Dialect.Limits(header)
 	if err != nil {
 		if f.invalidLimits.add(now) {
 			chiveevent.LimitUnusable.Log(ctx, f.options.Logger, slog.String("endpoint", a.target.ID), slog.String("error", err.Error()),
@@ -40,8 +40,9 @@
 		}
 		return
 	}
-	if before, changed := a.place.StateLimit(now, perSecond); changed {
+	if before, changed := a.place.StateLimits(now, limits); changed {
 		chiveevent.LimitChanged.Log(ctx, f.options.Logger, slog.String("endpoint", a.target.ID), slog.String("pool", a.state.request.Pool),
-			slog.Float64("per_second", perSecond), slog.Float64("before", before))
+			slog.Float64("per_second", limits.PerSecond), slog.Int("refusals_per_second", limits.Refusals),
+			slog.Float64("per_second_before", before.PerSecond), slog.Int("refusals_per_second_before", before.Refusals))
 	}
 }
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -54,14 +54,17 @@
 // SetAsker sets the Asker for requests with prompts; it must be called before the first request.
 func (p *Pools) SetAsker(remote Asker) { p.remote = remote }
 
-// Rates issues permits of rates that all nodes share.
+// Rates issues permits within limits that all nodes share.
 type Rates interface {
-	// Take asks for a permit of a rate, in requests a second. If it is not granted, Take returns how long to wait before
-	// asking again.
-	Take(ctx context.Context, key string, perSecond float64) (granted bool, wait time.Duration)
+	// Take asks for a permit within the limits of a key. If it is not granted, Take returns how long to wait before asking
+	// again.
+	Take(ctx context.Context, key string, limits chiverequest.Limits) (granted bool, wait time.Duration)
+	// Release returns a permit under a limit on refusals after its request has ended. If the request was refused for want
+	// of room, load is how many requests the endpoint had then.
+	Release(key string, refused bool, load int)
 }
 
-// SetRates sets the Rates for endpoints that limit theirs; it must be called before the first request.
+// SetRates sets the Rates for endpoints that state limits; it must be called before the first request.
 func (p *Pools) SetRates(rates Rates) { p.rates = rates }
 
 // SetRegions sets the region of each failure domain; it must be called before the first request.
@@ -166,10 +169,10 @@
 	return report
 }
 
-// ChangedLimits returns the rate limits of endpoints that changed since the last call.
-func (p *Pools) ChangedLimits() []chiveplace.EndpointLimit { return p.limits(true) }
+// ChangedLimits returns the limits of endpoints that changed since the last call.
+func (p *Pools) ChangedLimits() []chiveplace.EndpointLimits { return p.limits(true) }
 
-func (p *Pools) limits(onlyChanged bool) (limits []chiveplace.EndpointLimit) {
+func (p *Pools) limits(onlyChanged bool) (limits []chiveplace.EndpointLimits) {
 	for _, pool := range p.allPools() {
 		limits = append(limits, pool.Limits(onlyChanged)...)
 	}
@@ -249,7 +252,7 @@
 	return place, false, err
 }
 
-// chooseWithinLimits selects an endpoint as choose does, and gets a permit if it has a rate limit. While there is none,
+// chooseWithinLimits selects an endpoint as choose does, and gets a permit if it has limits. While there is none,
 // other endpoints are selected.
 func (p *Pools) chooseWithinLimits(
 	ctx context.Context, pool *chiveplace.Pool, request *chiverequest.Request, ask chiveplace.Ask,
@@ -274,15 +277,18 @@
 	}
 }
 
-// takePermit asks for a permit for an endpoint with a rate limit; see Rates.Take.
+// limitsKey is the key of an endpoint's limits.
+func limitsKey(incarnation string) string { return "endpoint/" + incarnation }
+
+// takePermit asks for a permit for an endpoint with limits; see Rates.Take.
 func (p *Pools) takePermit(ctx context.Context, limited *chiveplace.LimitedError) (granted bool, wait time.Duration) {
 	if p.rates == nil {
 		return true, 0
 	}
-	return p.rates.Take(ctx, "endpoint/"+limited.Endpoint, limited.PerSecond)
+	return p.rates.Take(ctx, limitsKey(limited.Endpoint), limited.Limits)
 }
 
-// LimitedEndpoints returns the number of endpoints with a rate limit.
+// LimitedEndpoints returns the number of endpoints with limits.
 func (p *Pools) LimitedEndpoints() int {
 	count := 0
 	for _, pool := range p.allPools() {
@@ -322,7 +328,7 @@
 		ask.Domains = p.regions.Domains(residency)
 		place, asked, err := p.chooseWithinLimits(ctx, pool, request, ask)
 		if err == nil {
-			return pooledPlace{place}, nil
+			return pooledPlace{place, p.rates}, nil
 		}
 		if time.Now().After(deadline) {
 			return nil, err
@@ -342,6 +348,16 @@
 // pooledPlace implements Place for an endpoint of a pool.
 type pooledPlace struct {
 	*chiveplace.Place
+	rates Rates
+}
+
+// Done releases the place, and its permit if the endpoint can refuse only a few requests.
+func (p pooledPlace) Done(now time.Time, ending chiveplace.Ending) time.Duration {
+	ejected := p.Place.Done(now, ending)
+	if p.rates != nil && p.Limits().Refusals > 0 {
+		p.rates.Release(limitsKey(p.Endpoint().Incarnation().Key()), ending == chiveplace.EndedFull, p.Load())
+	}
+	return ejected
 }
 
 // Target returns the endpoint.
--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -18,7 +18,7 @@
 
 // Place gets a place for a request from the owner of its primary or secondary group. The error is ErrAlone when the
 // node has to place the request locally, a *chiveplace.RefusedError when the engines have no room, and a
-// *chiveplace.LimitedError when the engine has a rate limit.
+// *chiveplace.LimitedError when the engine has limits.
 //
 // limits names the endpoints that were already tried and the failure domains that the request is limited to.
 func (s *Service) Place(ctx context.Context, pool *chiveplace.Pool, request *chiverequest.Request, limits chiveplace.Ask) (*chiveplace.Place, error) {
--- a/chiveload/service.go
+++ b/chiveload/service.go
@@ -31,8 +31,8 @@
 	Changed() <-chan struct{}
 	// Collect returns a report of the changes since the last call, or of everything if all is set.
 	Collect(all bool) chiveplace.Report
-	// ChangedLimits returns the rate limits of endpoints that changed since the last call.
-	ChangedLimits() []chiveplace.EndpointLimit
+	// ChangedLimits returns the limits of endpoints that changed since the last call.
+	ChangedLimits() []chiveplace.EndpointLimits
 	// Hear applies a report of another node.
 	Hear(node string, report chiveplace.Report)
 	// Forget drops the reported load of all nodes that are not in alive, which is keyed by address.
@@ -166,8 +166,8 @@
 	}
 }
 
-// sendLimits sends changed rate limits of endpoints to all peers: each of them may send requests there.
-func (s *Service) sendLimits(peers []string, limits []chiveplace.EndpointLimit) {
+// sendLimits sends changed limits of endpoints to all peers: each of them may send requests there.
+func (s *Service) sendLimits(peers []string, limits []chiveplace.EndpointLimits) {
 	if len(limits) == 0 {
 		return
 	}
--- a/chiveplace/candidate.go
+++ b/chiveplace/candidate.go
@@ -37,8 +37,8 @@
 	startedEmpty bool
 	// cacheQueried means that the endpoint was returned by TakeUnasked to be asked for its cache contents.
 	cacheQueried bool
-	// limit is nil for an endpoint that has never stated a rate limit.
-	limit *rateLimit
+	// limits is nil for an endpoint that has never stated limits.
+	limits *endpointLimits
 	// warmUp is nil for an endpoint that is not warming up.
 	warmUp *warmUpState
 	// record is the pool's emptyRecord until the first request or report for this endpoint: in a large fleet most nodes
--- a/chiveplace/grant.go
+++ b/chiveplace/grant.go
@@ -135,7 +135,7 @@
 }
 
 // PassedOver returns the incarnation keys of the endpoints that this node has ejected because of failures or refusals, or
-// whose rate limits are used up.
+// whose limits are used up.
 func (p *Pool) PassedOver(now time.Time) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -146,7 +146,7 @@
 		}
 	}
 	for incarnation, cand := range p.limited {
-		if now.Before(cand.limit.usedUpUntil) && !now.Before(cand.ejectedUntil) {
+		if now.Before(cand.limits.usedUpUntil) && !now.Before(cand.ejectedUntil) {
 			incarnations = append(incarnations, incarnation)
 		}
 	}
--- a/chiveplace/limit.go
+++ b/chiveplace/limit.go
@@ -6,80 +6,100 @@
 	"slices"
 	"strings"
 	"time"
+
+	"chivedrift/chiverequest"
 )
 
-// rateLimit is the rate limit of an endpoint as far as this node knows it.
-type rateLimit struct {
-	// perSecond is in requests a second from all nodes together; 0 for none.
-	perSecond float64
-	// version rises with each change. Of two nodes' views of a limit, the one with the higher version is newer.
+// endpointLimits are the limits of an endpoint as far as this node knows them.
+type endpointLimits struct {
+	chiverequest.Limits
+	// version rises with each change. Of two nodes' views of the limits, the one with the higher version is newer.
+	// Limits that are assumed from those of other endpoints have version 0.
 	version uint64
-	// statedAt is when a response last stated the limit.
+	// statedAt is when a response last stated limits.
 	statedAt time.Time
-	// usedUpUntil is when the next permit of the shared rate may be available.
+	// usedUpUntil is when the next permit may be available.
 	usedUpUntil time.Time
 	// unreported means that the latest change has not been reported to the other nodes.
 	unreported bool
 }
 
-// set changes the limit.
-func (l *rateLimit) set(now time.Time, perSecond float64, version uint64) {
-	l.perSecond, l.version, l.usedUpUntil = perSecond, version, time.Time{}
-	if perSecond > 0 {
+// set changes the limits.
+func (l *endpointLimits) set(now time.Time, limits chiverequest.Limits, version uint64) {
+	l.Limits, l.version, l.usedUpUntil = limits, version, time.Time{}
+	if !limits.IsZero() {
 		l.statedAt = now
 	}
 }
 
-// LimitedError means that the chosen endpoint has a rate limit, so that the request needs a permit.
+// LimitedError means that the chosen endpoint has limits, so that the request needs a permit.
 type LimitedError struct {
 	// Endpoint is the key of the endpoint's incarnation.
 	Endpoint string
-	// PerSecond is the limit in requests a second.
-	PerSecond float64
+	Limits   chiverequest.Limits
 }
 
-// Error names the endpoint and its limit.
+// Error names the endpoint and its limits.
 func (e *LimitedError) Error() string {
-	return fmt.Sprintf("endpoint %s limits its rate to %g requests a second", e.Endpoint, e.PerSecond)
+	return fmt.Sprintf("endpoint %s limits its requests to %g and its refusals to %d a second", e.Endpoint, e.Limits.PerSecond, e.Limits.Refusals)
 }
 
-// limitPerSecond returns the endpoint's rate limit; 0 for none.
-func (c *candidate) limitPerSecond() float64 {
-	if c.limit == nil {
-		return 0
+// currentLimits returns the endpoint's limits.
+func (c *candidate) currentLimits() chiverequest.Limits {
+	if c.limits == nil {
+		return chiverequest.Limits{}
 	}
-	return c.limit.perSecond
+	return c.limits.Limits
 }
 
-// limitAllows reports whether a request may be placed on the candidate as far as its rate limit is concerned. An ask with
-// a permit is limited to the endpoint of the permit.
-func (c *candidate) limitAllows(now time.Time, ask Ask) bool {
+// limitsAllow reports whether a request may be placed on the candidate as far as its limits are concerned. An ask with a
+// permit is limited to the endpoint of the permit.
+func (c *candidate) limitsAllow(now time.Time, ask Ask) bool {
 	if ask.Permitted != "" {
 		return c.incarnation == ask.Permitted
 	}
-	return c.limitPerSecond() == 0 || !now.Before(c.limit.usedUpUntil)
+	return c.currentLimits().IsZero() || !now.Before(c.limits.usedUpUntil)
 }
 
 // needsPermit returns an error unless a request may be sent to the candidate without a further permit.
 func (c *candidate) needsPermit(ask Ask) *LimitedError {
-	if c.limitPerSecond() == 0 || ask.Permitted == c.incarnation {
+	limits := c.currentLimits()
+	if limits.IsZero() || ask.Permitted == c.incarnation {
 		return nil
 	}
-	return &LimitedError{Endpoint: c.incarnation, PerSecond: c.limit.perSecond}
+	return &LimitedError{Endpoint: c.incarnation, Limits: limits}
 }
 
-// ensureLimit gives a candidate a rate limit to record, before the first one is stated; the caller holds the lock.
-func (p *Pool) ensureLimit(cand *candidate) *rateLimit {
-	if cand.limit == nil {
-		cand.limit = &rateLimit{}
+// ensureLimits gives a candidate limits to record, before the first ones are stated; the caller holds the lock.
+func (p *Pool) ensureLimits(cand *candidate) *endpointLimits {
+	if cand.limits == nil {
+		cand.limits = &endpointLimits{}
 	}
 	if _, present := p.lookup(cand.incarnation); present {
 		p.limited[cand.incarnation] = cand
 	}
-	return cand.limit
+	return cand.limits
+}
+
+// brittleRetention is how long after an endpoint stated that it cannot refuse many requests new endpoints of its pool
+// are assumed to be like it.
+const brittleRetention = 10 * time.Second
+
+// assumeLimits assumes that a new endpoint can refuse as few requests as the others of its pool, until it has responded
+// itself: a process that has just started gets many requests at once. The caller holds the lock.
+func (p *Pool) assumeLimits(now time.Time, cand *candidate) {
+	if p.brittle.refusals > 0 && now.Sub(p.brittle.statedAt) < brittleRetention {
+		p.ensureLimits(cand).Refusals = p.brittle.refusals
+	}
+}
+
+// poolBrittleness is the latest limit on refusals that an endpoint of a pool has stated.
+type poolBrittleness struct {
+	refusals int
+	statedAt time.Time
 }
 
-// Limited returns an error if an endpoint has a rate limit; nil otherwise.
+// Limited returns an error if an endpoint has limits; nil otherwise.
 func (p *Pool) Limited(incarnation string) *LimitedError {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -94,31 +114,31 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if cand, ok := p.limited[incarnation]; ok {
-		cand.limit.usedUpUntil = until
+		cand.limits.usedUpUntil = until
 	}
 }
 
-// LimitedEndpoints returns the number of endpoints with a rate limit.
+// LimitedEndpoints returns the number of endpoints with limits.
 func (p *Pool) LimitedEndpoints() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	count := 0
 	for _, cand := range p.limited {
-		if cand.limit.perSecond > 0 {
+		if !cand.currentLimits().IsZero() {
 			count++
 		}
 	}
 	return count
 }
 
-// limitWait returns the shortest time until an allowed endpoint whose limit is used up may have a permit; the caller
+// limitWait returns the shortest time until an allowed endpoint whose limits are used up may have a permit; the caller
 // holds the lock.
 func (p *Pool) limitWait(now time.Time, ask Ask) (wait time.Duration, limited bool) {
 	for _, cand := range p.allowedCandidates(ask) {
-		if cand.limitPerSecond() == 0 || slices.Contains(ask.Exclude, cand.incarnation) || !cand.isUsable(now) {
+		if cand.currentLimits().IsZero() || slices.Contains(ask.Exclude, cand.incarnation) || !cand.isUsable(now) {
 			continue
 		}
-		left := max(cand.limit.usedUpUntil.Sub(now), minRetryAfter)
+		left := max(cand.limits.usedUpUntil.Sub(now), minRetryAfter)
 		if !limited || left < wait {
 			wait, limited = left, true
 		}
@@ -126,71 +146,117 @@
 	return wait, limited
 }
 
-// StateLimit records the rate limit that a response of the endpoint states, in requests a second; 0 if it states none.
-// A response to a request that was sent before the limit was last stated does not end it. StateLimit returns the limit
-// before if it has changed.
-func (p *Place) StateLimit(now time.Time, perSecond float64) (before float64, changed bool) {
+// StateLimits records the limits that a response of the endpoint states. A response to a request that was sent before
+// limits were last stated does not end them. StateLimits returns the limits before if they have changed.
+func (p *Place) StateLimits(now time.Time, stated chiverequest.Limits) (before chiverequest.Limits, changed bool) {
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
-	if p.candidate.limit == nil && perSecond == 0 {
-		return 0, false
+	if p.candidate.limits == nil && stated.IsZero() {
+		return before, false
 	}
-	limit := p.pool.ensureLimit(p.candidate)
-	before = limit.perSecond
+	limits := p.pool.ensureLimits(p.candidate)
+	before = limits.Limits
+	p.pool.noteBrittleness(now, stated)
 	switch {
-	case perSecond == before:
-		limit.statedAt = now
+	case stated == before && limits.version > 0:
+		limits.statedAt = now
 		return before, false
-	case perSecond == 0 && !p.startedAt.After(limit.statedAt):
+	case stated.IsZero() && !p.startedAt.After(limits.statedAt):
 		return before, false
 	}
-	limit.set(now, perSecond, limit.version+1)
-	limit.unreported = true
+	limits.set(now, stated, limits.version+1)
+	limits.unreported = true
 	p.pool.onChange()
-	return before, true
+	return before, stated != before
+}
+
+// noteBrittleness keeps the latest limit on refusals for new endpoints of the pool; the caller holds the lock.
+func (p *Pool) noteBrittleness(now time.Time, stated chiverequest.Limits) {
+	if stated.Refusals > 0 {
+		p.brittle = poolBrittleness{refusals: stated.Refusals, statedAt: now}
+	}
+}
+
+// Limits returns the limits of the endpoint.
+func (p *Place) Limits() chiverequest.Limits {
+	p.pool.mu.Lock()
+	defer p.pool.mu.Unlock()
+	return p.candidate.currentLimits()
+}
+
+// Load returns the number of requests of all nodes on the endpoint.
+func (p *Place) Load() int {
+	p.pool.mu.Lock()
+	defer p.pool.mu.Unlock()
+	return p.candidate.load()
 }
 
-// EndpointLimit is the rate limit of an endpoint in a report.
-type EndpointLimit struct {
+// EndpointLimits are the limits of an endpoint in a report.
+type EndpointLimits struct {
 	// Endpoint is the key of the endpoint's incarnation.
 	Endpoint string
-	// PerSecond is in requests a second; 0 means that the limit has ended.
+	// PerSecond is in requests a second and Refusals in refused requests a second, 0 for no limit.
 	PerSecond float64
+	Refusals  int
 	Version   uint64
 }
 
-// Limits returns the rate limits that this node knows, or only those that changed since the last such call.
-func (p *Pool) Limits(onlyChanged bool) []EndpointLimit {
+func (l EndpointLimits) limits() chiverequest.Limits {
+	return chiverequest.Limits{PerSecond: l.PerSecond, Refusals: l.Refusals}
+}
+
+// isValid reports whether the limits could have been stated by an endpoint.
+func (l EndpointLimits) isValid() bool {
+	return l.Version > 0 && l.PerSecond >= 0 && !math.IsInf(l.PerSecond, 0) && l.Refusals >= 0
+}
+
+// Limits returns the limits of endpoints that this node knows, or only those that changed since the last such call.
+func (p *Pool) Limits(onlyChanged bool) []EndpointLimits {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var limits []EndpointLimit
+	var all []EndpointLimits
 	for incarnation, cand := range p.limited {
-		if onlyChanged && !cand.limit.unreported {
+		if onlyChanged && !cand.limits.unreported || cand.limits.version == 0 {
 			continue
 		}
 		if onlyChanged {
-			cand.limit.unreported = false
+			cand.limits.unreported = false
 		}
-		limits = append(limits, EndpointLimit{Endpoint: incarnation, PerSecond: cand.limit.perSecond, Version: cand.limit.version})
+		all = append(all, EndpointLimits{Endpoint: incarnation, PerSecond: cand.limits.PerSecond, Refusals: cand.limits.Refusals, Version: cand.limits.version})
 	}
-	slices.SortFunc(limits, func(a, b EndpointLimit) int { return strings.Compare(a.Endpoint, b.Endpoint) })
-	return limits
+	slices.SortFunc(all, func(a, b EndpointLimits) int { return strings.Compare(a.Endpoint, b.Endpoint) })
+	return all
 }
 
-// applyReportedLimit applies another node's view of a limit if it is newer; of two views with the same version the lower
-// limit holds. The caller holds the lock.
-func (p *Pool) applyReportedLimit(now time.Time, reported EndpointLimit) {
+// applyReportedLimits applies another node's view of an endpoint's limits if it is newer. Of two views with the same
+// version the lower limits hold. The caller holds the lock.
+func (p *Pool) applyReportedLimits(now time.Time, reported EndpointLimits) {
 	cand, ok := p.lookup(reported.Endpoint)
-	if !ok || reported.Version == 0 || math.IsNaN(reported.PerSecond) || reported.PerSecond < 0 {
+	if !ok || !reported.isValid() {
 		return
 	}
-	limit := p.ensureLimit(cand)
-	if reported.Version < limit.version {
+	limits, stated := p.ensureLimits(cand), reported.limits()
+	if reported.Version < limits.version {
 		return
 	}
-	isLower := reported.PerSecond > 0 && (limit.perSecond == 0 || reported.PerSecond < limit.perSecond)
-	if reported.Version == limit.version && !isLower {
-		return
+	if reported.Version == limits.version {
+		stated = lowerLimits(limits.Limits, stated)
+	}
+	if stated != limits.Limits || reported.Version > limits.version {
+		limits.set(now, stated, reported.Version)
+	}
+	p.noteBrittleness(now, stated)
+}
+
+// lowerLimits returns the lower ones of two endpoints' limits.
+func lowerLimits(a, b chiverequest.Limits) chiverequest.Limits {
+	return chiverequest.Limits{PerSecond: lowerLimit(a.PerSecond, b.PerSecond), Refusals: lowerLimit(a.Refusals, b.Refusals)}
+}
+
+// lowerLimit returns the lower one of two limits, of which 0 means none.
+func lowerLimit[T int | float64](a, b T) T {
+	if a == 0 || b == 0 {
+		return max(a, b)
 	}
-	limit.set(now, reported.PerSecond, reported.Version)
+	return min(a, b)
 }
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -52,7 +52,7 @@
 	Home []string
 	// Domains limits the choice, and the endpoints to fetch prompt parts from, to some failure domains.
 	Domains chiveresidency.Domains
-	// Permitted is the incarnation key of an endpoint with a rate limit for which the caller has a permit; the choice is
+	// Permitted is the incarnation key of an endpoint with limits for which the caller has a permit; the choice is
 	// limited to it. Empty for none.
 	Permitted string
 	// Most limits the loss of the place. Above Most plus the loss of recomputing MostReads tokens the request is
@@ -97,8 +97,9 @@
 	// recorded holds the candidates with a record of their own by incarnation: a process that restarted under the same
 	// id has none of the cache contents, queue or measured speed of the former one.
 	recorded map[string]*candidate
-	// limited holds the candidates that have stated a rate limit, also if it has ended, by incarnation.
+	// limited holds the candidates that have stated limits, also if they have ended, by incarnation.
 	limited map[string]*candidate
+	brittle poolBrittleness
 	// emptyRecord is shared by all other candidates and stays empty.
 	emptyRecord *record
 	// onChange is called when there is a change to report to the other nodes.
@@ -188,6 +189,7 @@
 			p.remove(e.ID)
 			cand = &candidate{endpoint: e, incarnation: e.Incarnation().Key(), idHash: HashID(e.ID), startedEmpty: started, record: p.emptyRecord}
 			p.add(cand)
+			p.assumeLimits(time.Now(), cand)
 		}
 		cand.setEndpoint(time.Now(), e)
 	}
@@ -312,8 +314,8 @@
 	return 0
 }
 
-// Take reserves a place for a request. The error is a *RefusedError, or a *LimitedError if the chosen endpoint has a rate
-// limit and the ask has no permit for it.
+// Take reserves a place for a request. The error is a *RefusedError, or a *LimitedError if the chosen endpoint has
+// limits and the ask has no permit for it.
 func (p *Pool) Take(now time.Time, ask Ask) (*Place, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -357,7 +359,7 @@
 			return nil, &RefusedError{Reason: "no endpoint of the pool is known", RetryAfter: retryAfterNoEndpoint}
 		}
 		if wait, limited := p.limitWait(now, ask); limited {
-			return nil, &RefusedError{Reason: "the rate limits of the pool's endpoints are used up", RetryAfter: wait}
+			return nil, &RefusedError{Reason: "the limits of the pool's endpoints are used up", RetryAfter: wait}
 		}
 		return nil, &RefusedError{Reason: "no endpoint of the pool has a free place", RetryAfter: retryAfterFull}
 	}
@@ -403,7 +405,7 @@
 			continue
 		}
 		switch {
-		case !cand.limitAllows(now, ask):
+		case !cand.limitsAllow(now, ask):
 		case p.isWarmingUp(now, cand) && !p.warmUpAllows(now, cand, ask):
 		case cand.isUsable(now):
 			usable = append(usable, cand)
@@ -502,8 +504,10 @@
 	Errors        float64 `json:"error_share"`
 	TookMs        float64 `json:"took_ms"`
 	Down          bool    `json:"passed_over"`
-	// LimitPerSecond is the rate limit that the endpoint states, in requests a second; 0 for none.
+	// LimitPerSecond and LimitRefusals are the limits that the endpoint states, in requests and in refused requests a
+	// second; 0 for none.
 	LimitPerSecond float64 `json:"limit_per_second,omitempty"`
+	LimitRefusals  int     `json:"limit_refusals,omitempty"`
 }
 
 // States returns what is known about each endpoint, in the order of their incarnations.
@@ -514,7 +518,7 @@
 	for _, cand := range p.sorted {
 		states = append(states, EndpointState{
 			Endpoint: cand.incarnation, Address: cand.endpoint.Address, FailureDomain: cand.endpoint.FailureDomain, Ready: cand.endpoint.State == chivedirectory.Ready, Own: cand.ownRequests, Others: cand.otherRequests,
-			Waiting: cand.queuedTokens(), Errors: cand.errorRate, TookMs: cand.responseTime * 1000, Down: now.Before(cand.ejectedUntil), LimitPerSecond: cand.limitPerSecond(),
+			Waiting: cand.queuedTokens(), Errors: cand.errorRate, TookMs: cand.responseTime * 1000, Down: now.Before(cand.ejectedUntil), LimitPerSecond: cand.currentLimits().PerSecond, LimitRefusals: cand.currentLimits().Refusals,
 		})
 	}
 	return states
--- a/chiveplace/report.go
+++ b/chiveplace/report.go
@@ -17,7 +17,7 @@
 	Granted uint64
 	Loads   []Load
 	Reads   []Read
-	Limits  []EndpointLimit
+	Limits  []EndpointLimits
 }
 
 // Load is the load of one node on one endpoint.
@@ -88,8 +88,8 @@
 			cand.mergeReportedPause(now, load.Pause)
 		}
 	}
-	for _, limit := range report.Limits {
-		p.applyReportedLimit(now, limit)
+	for _, limits := range report.Limits {
+		p.applyReportedLimits(now, limits)
 	}
 	for _, prefill := range report.Reads {
 		if cand, ok := p.lookup(prefill.Endpoint); ok {
--- a/chiverate/service.go
+++ b/chiverate/service.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chivedrift/chivemember"
+	"chivedrift/chiverequest"
 	"chivedrift/chiveroute"
 	"chivedrift/chivewire"
 )
@@ -30,13 +31,27 @@
 	maxBuckets = 4096
 )
 
-// Ask asks the owner of a rate for a permit.
+// Ask asks the owner of a key for a permit within its limits.
 type Ask struct {
 	// Number identifies the request among those of the sending node.
 	Number uint64
-	// Key identifies the rate.
+	// Key identifies what is limited.
 	Key       string
 	PerSecond float64
+	Refusals  int
+}
+
+func (a Ask) limits() chiverequest.Limits {
+	return chiverequest.Limits{PerSecond: a.PerSecond, Refusals: a.Refusals}
+}
+
+// Release tells the owner that a request with a permit under a limit on refusals has ended.
+type Release struct {
+	Key string
+	// Refused means that the request was refused for want of room, while the endpoint had Load requests as far as the
+	// sender knows.
+	Refused bool
+	Load    int
 }
 
 // Answer is the reply to an Ask. If the permit is not granted, WaitUs is the time until the next one in microseconds.
@@ -71,6 +86,7 @@
 	s := &Service{mesh: mesh, calls: chivewire.NewCalls[Answer](), buckets: make(map[string]*Bucket), peak: chivemember.NewPeakSize(time.Now())}
 	s.members.Store(&[]chivemember.Member{})
 	chivewire.Receive(mesh, chivewire.KindRateAsk, s.respond)
+	chivewire.Receive(mesh, chivewire.KindRateRelease, s.applyRelease)
 	chivewire.Receive(mesh, chivewire.KindRateAnswer, func(_ string, answer Answer) { s.calls.Deliver(answer.Number, answer) })
 	return s
 }
@@ -81,6 +97,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.peak.Set(time.Now(), len(members))
+	addresses := make(map[string]bool, len(members))
+	for _, m := range members {
+		addresses[m.Address] = true
+	}
+	for _, b := range s.buckets {
+		b.Forget(func(node string) bool { return addresses[node] })
+	}
 }
 
 // Start does nothing: permits are asked for on the goroutines of the requests.
@@ -89,19 +112,19 @@
 // Stop does nothing.
 func (s *Service) Stop(context.Context) error { return nil }
 
-// Dump returns the rates that this node owns, in requests a second, and the numbers of permits by outcome.
+// Dump returns the limits that this node owns and the numbers of permits by outcome.
 func (s *Service) Dump() any {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	owned := make(map[string]float64, len(s.buckets))
+	owned := make(map[string]chiverequest.Limits, len(s.buckets))
 	for key, b := range s.buckets {
-		owned[key] = b.perSecond
+		owned[key] = b.limits
 	}
 	return struct {
-		Owned      map[string]float64 `json:"owned_per_second"`
-		Granted    int64              `json:"granted"`
-		Denied     int64              `json:"denied"`
-		Unanswered int64              `json:"unanswered"`
+		Owned      map[string]chiverequest.Limits `json:"owned"`
+		Granted    int64                          `json:"granted"`
+		Denied     int64                          `json:"denied"`
+		Unanswered int64                          `json:"unanswered"`
 	}{owned, s.granted.Load(), s.denied.Load(), s.unanswered.Load()}
 }
 
@@ -110,20 +133,20 @@
 	return Counts{Granted: s.granted.Load(), Denied: s.denied.Load(), Unanswered: s.unanswered.Load()}
 }
 
-// Take asks for a permit of a rate, in requests a second. If it is not granted, Take returns how long to wait before
+// Take asks for a permit within the limits of a key. If it is not granted, Take returns how long to wait before
 // asking again. Without a reply of the owner there is no permit: a share of the rate for each node that is cut off from
 // it would exceed the rate together with the permits that the owner goes on to issue.
-func (s *Service) Take(ctx context.Context, key string, perSecond float64) (granted bool, wait time.Duration) {
+func (s *Service) Take(ctx context.Context, key string, limits chiverequest.Limits) (granted bool, wait time.Duration) {
 	owner, ok := s.ownerOf(key)
 	if !ok {
 		s.unanswered.Add(1)
 		return false, ownerBackoff
 	}
 	if owner == s.mesh.Self() {
-		return s.count(s.takeOwned(key, perSecond))
+		return s.count(s.takeOwned(owner, key, limits))
 	}
 	answer, err := s.calls.Call(ctx, replyTimeout, func(number uint64) error {
-		return s.mesh.Send(owner, chivewire.KindRateAsk, Ask{Number: number, Key: key, PerSecond: perSecond})
+		return s.mesh.Send(owner, chivewire.KindRateAsk, Ask{Number: number, Key: key, PerSecond: limits.PerSecond, Refusals: limits.Refusals})
 	})
 	if err != nil {
 		s.unanswered.Add(1)
@@ -152,28 +175,54 @@
 
 // respond handles a peer's request for a permit.
 func (s *Service) respond(from string, ask Ask) {
-	if math.IsNaN(ask.PerSecond) || ask.PerSecond <= 0 {
+	if math.IsNaN(ask.PerSecond) || ask.PerSecond < 0 || ask.Refusals < 0 {
 		return
 	}
-	granted, wait := s.takeOwned(ask.Key, ask.PerSecond)
+	granted, wait := s.takeOwned(from, ask.Key, ask.limits())
 	// If the answer is lost, so is the permit, which keeps the fleet within the rate.
 	_ = s.mesh.Send(from, chivewire.KindRateAnswer, Answer{Number: ask.Number, Granted: granted, WaitUs: wait.Microseconds()})
 }
 
-// takeOwned takes a permit from a bucket of this node. In a partition each side has an owner: each issues the share of
+// Release returns a permit under a limit on refusals after its request has ended. If the request was refused for want of
+// room, load is how many requests the endpoint had then, as far as this node knows.
+func (s *Service) Release(key string, refused bool, load int) {
+	if owner, ok := s.ownerOf(key); ok {
+		// If the message is lost, the permit counts as in use for a while.
+		_ = s.mesh.Send(owner, chivewire.KindRateRelease, Release{Key: key, Refused: refused, Load: load})
+	}
+}
+
+func (s *Service) applyRelease(from string, release Release) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if b := s.bucket(now, release.Key); release.Refused {
+		b.Refused(now, from, release.Load)
+	} else {
+		b.Release(now, from)
+	}
+}
+
+// takeOwned takes a permit for a node from a bucket of this node. In a partition each side has an owner: each issues the share of
 // the rate that corresponds to its share of the fleet.
-func (s *Service) takeOwned(key string, perSecond float64) (granted bool, wait time.Duration) {
+func (s *Service) takeOwned(node, key string, limits chiverequest.Limits) (granted bool, wait time.Duration) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	alive := max(len(*s.members.Load()), 1)
+	limits.PerSecond *= float64(alive) / float64(s.peak.Size())
+	return s.bucket(now, key).Take(now, node, limits)
+}
+
+// bucket returns the bucket of a key, creating it if needed. The caller holds the lock.
+func (s *Service) bucket(now time.Time, key string) *Bucket {
 	b, ok := s.buckets[key]
 	if !ok {
 		s.evictIdle(now)
 		b = NewBucket(now)
 		s.buckets[key] = b
 	}
-	alive := max(len(*s.members.Load()), 1)
-	return b.Take(now, perSecond*float64(alive)/float64(s.peak.Size()))
+	return b
 }
 
 // evictIdle drops unused buckets if there are many. The caller holds the lock.
--- a/chiverequest/request.go
+++ b/chiverequest/request.go
@@ -88,7 +88,6 @@
 	Prepare(header http.Header, attempt Send) (body []byte, err error)
 	// Judge classifies the response to a request by its status and header.
 	Judge(request *Request, response *http.Response) Verdict
-	// RateLimit returns the rate limit that a response states, in requests a second from all nodes together; 0 if it
-	// states none. The error describes a value that is no rate.
-	RateLimit(header http.Header) (perSecond float64, err error)
+	// Limits returns the limits that a response states. The error describes a value that is no limit.
+	Limits(header http.Header) (Limits, error)
 }
--- a/chivewire/kind.go
+++ b/chivewire/kind.go
@@ -71,8 +71,9 @@
 	KindRepeatAsk    Kind = 136
 	KindRepeatAnswer Kind = 137
 
-	KindRateAsk    Kind = 140
-	KindRateAnswer Kind = 141
+	KindRateAsk     Kind = 140
+	KindRateAnswer  Kind = 141
+	KindRateRelease Kind = 142
 
 	KindPlaceAsk    Kind = 104
 	KindPlaceAnswer Kind = 105
@@ -97,7 +98,7 @@
 	KindStarts: "starts", KindStartsAck: "starts_ack",
 	KindRepeatAsk: "repeat_ask", KindRepeatAnswer: "repeat_answer",
 	KindPlaceAsk: "place_ask", KindPlaceAnswer: "place_answer",
-	KindRateAsk: "rate_ask", KindRateAnswer: "rate_answer",
+	KindRateAsk: "rate_ask", KindRateAnswer: "rate_answer", KindRateRelease: "rate_release",
 }
 
 // String returns the name of the kind used in metrics and state dumps.
