--- a/chivestand/network.go
+++ b/chivestand/network.go
@@ -19,6 +19,7 @@
 	listeners map[string]*listener
 	conns     []*memoryConn
 	blocked   func(from, to string) bool
+	refused   func(from, to string) bool
 	// rate is what a host's link carries in bytes a second; 0 stands for no limit.
 	rate  int
 	links map[linkEnd]*link
@@ -43,7 +44,11 @@
 	n.mu.Lock()
 	l, ok := n.listeners[address]
 	blocked := n.blocked != nil && n.blocked(from, address)
+	refused := n.refused != nil && n.refused(from, address)
 	n.mu.Unlock()
+	if refused {
+		return nil, ErrRefused
+	}
 	if blocked {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -70,6 +75,13 @@
 	n.blocked = blocked
 }
 
+// Refuse refuses new connections on the ways for which refused is true and leaves the open ones; nil lifts it.
+func (n *Network) Refuse(refused func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refused = refused
+}
+
 // Silence makes the connections open now that match carry nothing for good, while new ones work.
 func (n *Network) Silence(match func(from, to string) bool) {
 	for _, c := range n.open(match) {
@@ -165,6 +177,12 @@
 	return sent, nil
 }
 
+// LocalAddr returns the address of this end.
+func (c *memoryConn) LocalAddr() net.Addr { return address(c.from) }
+
+// RemoteAddr returns the address of the other end.
+func (c *memoryConn) RemoteAddr() net.Addr { return address(c.to) }
+
 // Close closes one end; the other end of a silent connection hears nothing of it.
 func (c *memoryConn) Close() error {
 	c.network.forget(c)
