Partitioned nodes: endpoints are reached through a peer

Cause: a node's own link was its only way to an endpoint. Class of fault: one path without an alternative, though peers have others. Why it works: a node that cannot connect to an endpoint within 150 ms has a peer connect, which proves that the node's path is lost and not the endpoint down, and passes on bytes in the bodies of an HTTP request and its response. The request stays with its node: attempts, permits, retry budget, quarantine, usage and outcome are as over the node's own link, and a tunnel that breaks is an error, never the end of a response. Peers are in the endpoint's region, connect only to registered endpoints, only for hosts of members, directly, and at most 256 at a time; a planned stop waits for them. Lost paths are tried every half second.

--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -42,6 +42,8 @@
 	EndpointGone     = define(311, slog.LevelInfo, "endpoint gone", "None if the endpoint was removed on purpose; otherwise check it.")
 	EndpointRejected = define(312, slog.LevelError, "endpoint's registration not usable", "Correct the field named in the error.")
 	EndpointsChanged = define(313, slog.LevelInfo, "many endpoints changed", "None; the line replaces those of events 310, 311 and 402 when more than 32 endpoints change at once.")
+	PathsLost        = define(320, slog.LevelWarn, "endpoint reached through a peer", "Check the network between the node and the endpoints; requests go through peers meanwhile. The state dump lists the endpoints.")
+	PathsRestored    = define(321, slog.LevelInfo, "all endpoints reached directly again", "None.")
 	MemberAlive      = define(300, slog.LevelInfo, "member alive", "None.")
 	MemberLeaving    = define(301, slog.LevelInfo, "member leaving", "None.")
 	MemberDead       = define(302, slog.LevelWarn, "member dead", "Check the VM if the platform did not replace it.")
--- a/chiveforward/connection.go
+++ b/chiveforward/connection.go
@@ -117,9 +117,22 @@
 	c.transport.CloseIdleConnections()
 }
 
+// staleConn is a connection that may become worse than a new one.
+type staleConn interface {
+	// Stale reports whether new requests should not use the connection.
+	Stale() bool
+}
+
 // isReusable reports whether the connection may carry another request.
 func (c *connection) isReusable(now time.Time) bool {
-	return !c.closed.Load() && now.Sub(c.idleSince) < c.idleTimeout
+	if c.closed.Load() || now.Sub(c.idleSince) >= c.idleTimeout {
+		return false
+	}
+	c.mu.Lock()
+	conn := c.conn
+	c.mu.Unlock()
+	stale, ok := conn.(staleConn)
+	return !ok || !stale.Stale()
 }
 
 type writeTrackingConn struct {
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -26,6 +26,8 @@
 	Rules   Rules
 	// Quarantine blocks requests that crash endpoints; nil disables quarantining.
 	Quarantine Quarantine
+	// PathLost reports whether this node cannot connect to an endpoint's address itself; nil means never.
+	PathLost func(address string) bool
 	// OnStart is called once per request, when an endpoint first responds to one of its attempts; nil is a no-op.
 	OnStart func(request *chiverequest.Request)
 	Logger  *slog.Logger
@@ -141,6 +143,9 @@
 	if o.OnStart == nil {
 		o.OnStart = func(*chiverequest.Request) {}
 	}
+	if o.PathLost == nil {
+		o.PathLost = func(string) bool { return false }
+	}
 	if o.SinceBoot == nil {
 		start := time.Now()
 		o.SinceBoot = func() time.Duration { return time.Since(start) }
--- a/chiveforward/silence.go
+++ b/chiveforward/silence.go
@@ -57,6 +57,10 @@
 func (f *Forwarder) investigateSilence(s silentEndpoint) {
 	result := f.health.Start(s.target.healthEndpoint()).Result()
 	evidence := result.Evidence
+	if f.options.PathLost(s.target.Address) {
+		// The connections are silent since the node is cut off from the endpoint.
+		return
+	}
 	switch {
 	case result.TimedOut:
 		evidence = chivehealth.EvidenceUnreachable
--- a/chivemember/member.go
+++ b/chivemember/member.go
@@ -40,6 +40,8 @@
 	FailureDomain string `json:"failure_domain"`
 	Incarnation   int64  `json:"incarnation"`
 	State         State  `json:"state"`
+	// RelayAddress is where the node opens connections to endpoints for its peers; empty if it does not.
+	RelayAddress string `json:"relay_address,omitempty"`
 }
 
 // supersedes reports whether this update replaces another one on the same member.
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -28,6 +28,7 @@
 	"chivedrift/chivemetric"
 	"chivedrift/chivequarantine"
 	"chivedrift/chiverate"
+	"chivedrift/chiverelay"
 	"chivedrift/chiverequest"
 	"chivedrift/chivescale"
 	"chivedrift/chivesettings"
@@ -69,6 +70,7 @@
 	loads             *chiveload.Service
 	grants            *chivegrant.Service
 	rates             *chiverate.Service
+	relay             *chiverelay.Service
 	startup           *startupTracker
 	memory            *memoryGuard
 	quarantine        *chivequarantine.Service
@@ -137,6 +139,7 @@
 		{chivebudget.ServiceName, n.sharedRetryBudget},
 		{chiveforward.ServiceName, serving.forwarder},
 		{chiverate.ServiceName, n.rates},
+		{chiverelay.ServiceName, n.relay},
 		{chivegrant.ServiceName, n.grants},
 		{chiveload.ServiceName, n.loads},
 		{chivecache.ServiceName, serving.caches},
@@ -158,7 +161,7 @@
 	readsForAll := func() bool { return n.gossip.Reads() }
 	discovery := newPeerDiscovery(s.Listen.Peers, s.Region, s.FailureDomain, s.Seeds, store.Nodes(), readsForAll, n.logger)
 	n.members = chivemember.NewService(chivemember.Member{
-		Name: s.Listen.Peers, Address: s.Listen.Peers, AdminAddress: s.Listen.Admin, Region: s.Region, FailureDomain: s.FailureDomain,
+		Name: s.Listen.Peers, Address: s.Listen.Peers, AdminAddress: s.Listen.Admin, RelayAddress: s.Listen.Relay, Region: s.Region, FailureDomain: s.FailureDomain,
 		Incarnation: time.Now().UnixMilli(),
 	}, n.mesh, discovery, n.logger)
 	n.tables = chivetable.NewService(n.decodeTable, chiveplatform.IsConfiguration, n.logger)
@@ -243,8 +246,11 @@
 	pools := chiveforward.NewPools(s.FailureDomain)
 	pools.SetRegions(s.RegionOf())
 	n.pools = pools
+	n.relay = chiverelay.New(chiverelay.Options{
+		Self: s.Listen.Callers, Address: s.Listen.Relay, Network: network, Region: s.Region, Regions: s.RegionOf(), Full: n.memory.Full, Logger: n.logger,
+	})
 	forwarder := chiveforward.New(chiveforward.Options{
-		Self: s.Listen.Callers, Network: network, Dialect: chiveplatform.Endpoints{}, Places: pools, Repeats: n.sharedRetryBudget, Rules: chiveforward.StoreRules,
+		Self: s.Listen.Callers, Network: n.relay, PathLost: n.relay.IsLost, Dialect: chiveplatform.Endpoints{}, Places: pools, Repeats: n.sharedRetryBudget, Rules: chiveforward.StoreRules,
 		Quarantine: n.quarantine, OnStart: n.recordStart, SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
 	})
 	n.forwarder = forwarder
@@ -259,7 +265,7 @@
 	n.rates = chiverate.New(n.mesh)
 	pools.SetRates(n.rates)
 	caches := chivecache.New(chivecache.Options{
-		Caches: chiveplatform.NewCaches(s.Listen.Peers, network), Pools: pools, Owners: n.grants, Logger: n.logger,
+		Caches: chiveplatform.NewCaches(s.Listen.Peers, n.relay), Pools: pools, Owners: n.grants, Logger: n.logger,
 	})
 	n.loads = chiveload.New(chiveload.Options{Mesh: n.mesh, Pools: pools, Owners: n.grants})
 	n.startup = newStartupTracker(n.logger, n.NotReady, n.grants.Settled, func() int { return len(n.members.Members()) })
@@ -270,6 +276,7 @@
 	n.tables.OnChange(n.grants.SetTable)
 	n.tables.OnChange(caches.SetTable)
 	n.tables.OnChange(n.entry.SetTable)
+	n.directory.OnChange(n.relay.ApplyEndpoints)
 	n.directory.OnChange(pools.ApplyEndpoints)
 	n.directory.OnChange(forwarder.ApplyEndpoints)
 	n.directory.OnChange(n.grants.ApplyEndpoints)
@@ -307,6 +314,7 @@
 		n.pools.SetNodes(len(members))
 		n.evacuation.SetMembers(members)
 		n.rates.SetMembers(members)
+		n.relay.SetMembers(members)
 		n.grants.SetMembers(members)
 		n.loads.SetMembers(members)
 		n.gossip.SetMembers(members)
@@ -330,6 +338,10 @@
 		{"places_granted", func() float64 { return float64(n.grants.Counts().Granted) }},
 		{"places_refused", func() float64 { return float64(n.grants.Counts().Refused) }},
 		{"endpoints_limited", func() float64 { return float64(n.pools.LimitedEndpoints()) }},
+		{"lost_paths", func() float64 { return float64(n.relay.Counts().LostPaths) }},
+		{"tunnels", func() float64 { return float64(n.relay.Counts().Tunnels) }},
+		{"tunnels_opened", func() float64 { return float64(n.relay.Counts().Opened) }},
+		{"tunnel_bytes", func() float64 { return float64(n.relay.Counts().Bytes) }},
 		{"permits_granted", func() float64 { return float64(n.rates.Counts().Granted) }},
 		{"permits_denied", func() float64 { return float64(n.rates.Counts().Denied) }},
 		{"permits_unanswered", func() float64 { return float64(n.rates.Counts().Unanswered) }},
@@ -433,6 +445,7 @@
 	stopCtx, cancel := context.WithDeadline(ctx, started.Add(n.settings.Stop.Grace()-stopMargin))
 	defer cancel()
 	err := n.entry.Stop(stopCtx)
+	n.relay.Drain(stopCtx)
 	chiveevent.NodeStopped.Log(ctx, n.logger, slog.String("node", n.settings.Name), slog.Int64("in_flight", n.entry.InFlight()),
 		slog.Int64("took_ms", time.Since(started).Milliseconds()))
 	return err
--- a/chivesettings/store.go
+++ b/chivesettings/store.go
@@ -88,6 +88,8 @@
 	Ready   string `yaml:"ready" validate:"required,ipport"`
 	Admin   string `yaml:"admin" validate:"required,ipport"`
 	Peers   string `yaml:"peers" validate:"required,ipport"`
+	// Relay is where peers that cannot connect to an endpoint have this node connect; empty to offer no such connections.
+	Relay string `yaml:"relay" validate:"omitempty,ipport"`
 }
 
 // StoreStop tells how a planned stop proceeds.
