Permits: one whose request is not sent is returned

Callers saw nothing yet: found on reading. A permit under a limit on refusals whose endpoint left at that moment counted as in use for 30 s, so that the owner took the endpoint for fuller than it is. The permit is released. Log lines of attempts name the limits of the endpoint.

--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -272,7 +272,8 @@
 		if place, err = pool.Take(time.Now(), permitted); err == nil {
 			return place, asked, nil
 		}
-		// The endpoint has just left or become full. The permit is not used, which keeps the fleet within the rate.
+		// The endpoint has just left or become full.
+		p.returnPermit(limited)
 		pool.LimitUsedUp(limited.Endpoint, time.Now().Add(localPollInterval))
 	}
 }
@@ -288,6 +289,13 @@
 	return p.rates.Take(ctx, limitsKey(limited.Endpoint), limited.Limits)
 }
 
+// returnPermit returns a permit that is not used. One of a rate is lost, which keeps the fleet within the rate.
+func (p *Pools) returnPermit(limited *chiveplace.LimitedError) {
+	if p.rates != nil && limited.Limits.Refusals > 0 {
+		p.rates.Release(limitsKey(limited.Endpoint), false, 0)
+	}
+}
+
 // LimitedEndpoints returns the number of endpoints with limits.
 func (p *Pools) LimitedEndpoints() int {
 	count := 0
@@ -380,6 +388,9 @@
 	if owner := p.Owner(); owner != "" {
 		attributes = append(attributes, slog.String("owner", owner))
 	}
+	if limits := p.Limits(); !limits.IsZero() {
+		attributes = append(attributes, slog.Float64("limit_per_second", limits.PerSecond), slog.Int("limit_refusals", limits.Refusals))
+	}
 	if nextBest != "" {
 		attributes = append(attributes, slog.String("next_best", nextBest), slog.Float64("next_cost", roundForLog(nextLoss)))
 	}
