Relay: peers are asked rarely until one has connected

Cause: 84 of 143 endpoints were dark for 4.5 s, and each of 62 nodes asked up to three peers for every one of them; the small machines had no processor left for requests. TestPeersAreAskedRarelyWhileManyEndpointsAreDown failed before the change. Why it works: in a partition the first peer that connects proves that the node is cut off, and from then on peers are asked for every endpoint; where the endpoints are down nobody is proven, and a node asks once a second.

--- a/chiverelay/bench_test.go
+++ b/chiverelay/bench_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"chivedrift/chivedirectory"
@@ -56,7 +57,7 @@
 	var services []*chiverelay.Service
 	var members []chivemember.Member
 	for i := range 2 {
-		network := &cutNetwork{endpoint: endpoint}
+		network := &cutNetwork{endpoint: endpoint, accepted: &atomic.Int64{}}
 		network.cut.Store(cutOff && i == 0)
 		address := chivestand.FreeAddress()
 		s := chiverelay.New(chiverelay.Options{Self: address, Address: address, Network: network, Region: "r", Logger: slog.New(slog.DiscardHandler)})
--- a/chiverelay/service.go
+++ b/chiverelay/service.go
@@ -31,6 +31,9 @@
 	// unreachableBackoff is how long no peer is asked to connect to an endpoint after none could: a crashed endpoint must
 	// not get the connection attempts of every node several times over.
 	unreachableBackoff = time.Second
+	// trialInterval is the time between two endpoints for which peers are asked while none has connected lately: when many
+	// endpoints are down, asking for each of them would use up the processors of all nodes.
+	trialInterval = time.Second
 	// successRetention is how long a peer that has connected counts as proven, and minProven how many proven peers there
 	// are before only they are asked first.
 	successRetention = 10 * time.Second
@@ -81,6 +84,8 @@
 	backoffUntil map[backoffKey]time.Time
 	// provenAt is when a peer last connected to an endpoint.
 	provenAt map[string]time.Time
+	// nextTrialAt is when peers may be asked again while none is proven.
+	nextTrialAt time.Time
 }
 
 // New returns a service without peers and endpoints.
@@ -215,7 +220,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now.Before(s.backoffUntil[backoffKey{address: address}]) {
+	if now.Before(s.backoffUntil[backoffKey{address: address}]) || !s.mayTry(now) {
 		return nil
 	}
 	var peers []chivemember.Member
@@ -229,6 +234,20 @@
 	return peers[:min(len(peers), maxPeers)]
 }
 
+// mayTry reports whether peers may be asked for a connection; the caller holds the lock.
+func (s *Service) mayTry(now time.Time) bool {
+	for _, at := range s.provenAt {
+		if now.Sub(at) < successRetention {
+			return true
+		}
+	}
+	if now.Before(s.nextTrialAt) {
+		return false
+	}
+	s.nextTrialAt = now.Add(trialInterval)
+	return true
+}
+
 // isInBackoff reports whether a peer has just failed to connect to an endpoint; the caller holds the lock.
 func (s *Service) isInBackoff(now time.Time, peer, address string) bool {
 	return now.Before(s.backoffUntil[backoffKey{peer, address}]) || now.Before(s.backoffUntil[backoffKey{peer: peer}])
--- a/chiverelay/service_test.go
+++ b/chiverelay/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -27,10 +28,31 @@
 	chivewire.TCP
 	endpoint string
 	cut      atomic.Bool
+	// accepted counts the connections that peers have opened.
+	accepted *atomic.Int64
 	// dials counts the attempts to connect to the endpoint.
 	dials atomic.Int64
 }
 
+func (n *cutNetwork) Listen(address string) (net.Listener, error) {
+	listener, err := n.TCP.Listen(address)
+	return countingListener{listener, n.accepted}, err
+}
+
+// countingListener counts the connections that it accepts.
+type countingListener struct {
+	net.Listener
+	accepted *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted.Add(1)
+	}
+	return conn, err
+}
+
 func (n *cutNetwork) Dial(ctx context.Context, from, address string) (net.Conn, error) {
 	if address == n.endpoint {
 		n.dials.Add(1)
@@ -89,11 +111,14 @@
 	relay   *chiverelay.Service
 	network *cutNetwork
 	member  chivemember.Member
+	// asked counts the connections of peers.
+	asked *atomic.Int64
 }
 
 func startNode(t *testing.T, e *endpoint, cut bool) *node {
 	t.Helper()
-	n := &node{network: &cutNetwork{endpoint: e.address}}
+	n := &node{network: &cutNetwork{endpoint: e.address}, asked: &atomic.Int64{}}
+	n.network.accepted = n.asked
 	n.network.cut.Store(cut)
 	address := chivestand.FreeAddress()
 	n.relay = chiverelay.New(chiverelay.Options{
@@ -304,6 +329,33 @@
 	}
 }
 
+// Guards against nodes that use up their processors with connection attempts through peers while many endpoints are down.
+func TestPeersAreAskedRarelyWhileManyEndpointsAreDown(t *testing.T) {
+	e := startEndpoint(t)
+	nodes := startNodes(t, e, 2, 2)
+	const endpoints = 80
+	var diff chivedirectory.Diff
+	var addresses []string
+	for i := range endpoints {
+		address := chivestand.FreeAddress()
+		addresses = append(addresses, address)
+		diff.Changed = append(diff.Changed, chivedirectory.Endpoint{ID: fmt.Sprintf("down-%d", i), Pool: "p", Address: address, FailureDomain: "z"})
+	}
+	for _, n := range nodes {
+		n.relay.ApplyEndpoints(diff)
+	}
+	start := time.Now()
+	for _, address := range addresses {
+		if _, err := nodes[0].dial(t, address); err == nil {
+			t.Fatal("reached an endpoint that is down")
+		}
+	}
+	allowed := int64(time.Since(start)/time.Second) + 1
+	if asked := nodes[1].asked.Load(); asked > allowed {
+		t.Errorf("the peer was asked %d times in %v, allowed %d", asked, time.Since(start), allowed)
+	}
+}
+
 // Guards against processes that reach endpoints through a node without being one, and against connections to other
 // addresses.
 func TestOnlyNodesReachOnlyEndpoints(t *testing.T) {
