Directory: a deferred record is passed on beside the state that it may replace

What callers saw: requests to the former address of an endpoint whose VM restarted with its clock set back, or none to an endpoint that returned so, at most nodes that do not read the store, until its next record. TestNodeThatReadsOnLearnsOfDeferredRestart, TestNodeThatReadsOnLearnsOfDeferredReturn, TestDeferredRecordReachesEveryNode.

Cause: deferring a record moved the known entry to the record's position, and peers got that entry under this position; beside a removal the record was not sent at all. The position said that everything up to it had been passed on, so nobody asked for the record.

TestDeferralDoesNotBeginAnewAtEachNode, TestRecordThatPeersHaveDeferredIsAppliedAtOnce and TestRemovalInGracePeriodDropsDeferredRecord failed before too (the last also at the node that reads the store).

Fix: deferrals are kept beside entries and removals, and an update has the applied state under the position of its own record and the deferred record under its own. It travels in a message of its own with the time that is left, before the changes and with each digest while something is deferred. Messages of the release before are unchanged; there the record follows the known entry among the changes, and is left out beside a removal. The state dump lists deferred records.

--- a/chivedirectory/directory.go
+++ b/chivedirectory/directory.go
@@ -33,7 +33,9 @@
 	grace      time.Duration
 	entries    map[string]*entry
 	tombstones map[string]tombstone
-	newest     chivelog.Position
+	// deferrals holds the changes that are not applied yet, by the id of their endpoint.
+	deferrals map[string]*deferral
+	newest    chivelog.Position
 	// compactedUpTo is the position up to which this node knows the endpoints but not every removal.
 	compactedUpTo chivelog.Position
 	// era is the newest known era of the store. A restore from an older copy begins a new era.
@@ -55,14 +57,15 @@
 	endpoint *Endpoint
 	// published is the endpoint as last passed to the listeners; nil before the first time.
 	published *Endpoint
-	position  chivelog.Position
+	// position is that of the record that brought the known state.
+	position chivelog.Position
+	// settled means that the record was deferred and no change contradicted it in that time.
+	settled bool
 	// missingSince is when the entry was first found missing; zero while it is present.
 	missingSince time.Time
 	// keepUntil is when the peer that reported the entry as missing stops keeping it; zero if this node found it
 	// missing itself.
 	keepUntil time.Time
-	// deferred is a change that may be out of date and has not been applied; nil if there is none.
-	deferred *deferredChange
 }
 
 // copyEndpoint returns a copy, so that the message that held the endpoint can be freed.
@@ -74,7 +77,7 @@
 	if changed {
 		e.endpoint = copyEndpoint(change.Endpoint)
 	}
-	e.position, e.missingSince, e.keepUntil, e.deferred = max(e.position, change.Position), time.Time{}, time.Time{}, nil
+	e.position, e.settled, e.missingSince, e.keepUntil = max(e.position, change.Position), false, time.Time{}, time.Time{}
 	return changed
 }
 
@@ -83,13 +86,13 @@
 	removedAt time.Time
 	// incarnation is the last known incarnation of the endpoint.
 	incarnation Incarnation
-	deferred    *deferredChange
 }
 
 // New returns an empty directory; grace is how long a missing entry is kept after the store's return.
 func New(grace time.Duration) *Directory {
 	return &Directory{
-		grace: grace, entries: make(map[string]*entry), tombstones: make(map[string]tombstone), dirty: make(map[string]*Endpoint), newest: noPosition, compactedUpTo: noPosition,
+		grace: grace, entries: make(map[string]*entry), tombstones: make(map[string]tombstone), deferrals: make(map[string]*deferral),
+		dirty: make(map[string]*Endpoint), newest: noPosition, compactedUpTo: noPosition,
 	}
 }
 
@@ -158,6 +161,13 @@
 	d.newest = max(d.newest, change.Position)
 	id := change.Endpoint.ID
 	d.markDirty(id)
+	if d.repeatsDeferral(change) {
+		deferred := d.deferrals[id].change
+		if !isStateBefore(change.Endpoint, deferred.Endpoint) {
+			return false
+		}
+		change.Position = positionBefore(change.Endpoint, deferred)
+	}
 	known, ok := d.entries[id]
 	if ok {
 		if handled, changed := d.reconcile(now, known, change); handled {
@@ -179,15 +189,20 @@
 		return false
 	}
 	delete(d.tombstones, id)
+	d.supersede(id, change.Position)
 	if !ok {
 		d.entries[id] = &entry{endpoint: copyEndpoint(change.Endpoint), position: change.Position}
 		return true
 	}
+	if change.Position < known.position {
+		return d.replaceWithLater(now, known, change)
+	}
 	return known.update(change)
 }
 
 // reconcile compares a change with the known entry of its endpoint; handled means that Apply has nothing more to do.
 func (d *Directory) reconcile(now time.Time, known *entry, change Change) (handled, changed bool) {
+	isLater := !known.settled && change.Endpoint.Incarnation().Follows(known.endpoint.Incarnation())
 	switch {
 	case !change.Gone && known.endpoint.Incarnation().Follows(change.Endpoint.Incarnation()):
 		d.deferEarlier(now, known, change)
@@ -195,20 +210,33 @@
 	case d.overridesCopy(known, change):
 		d.overrideCopy(now, known, change)
 		return true, true
-	case known.position >= change.Position && (change.Gone || !change.Endpoint.Incarnation().Follows(known.endpoint.Incarnation())):
+	case known.position >= change.Position && (change.Gone || change.Missing || !isLater):
 		return true, known.position == change.Position && change.Read && change.Gone && d.confirmRemoval(now, change.Endpoint.ID)
 	case known.mayPredateLeaving(change):
-		known.position = change.Position
-		known.deferred = known.deferred.record(now, change)
+		d.deferChange(now, change)
 		return true, false
 	}
 	return false, false
 }
 
+// replaceWithLater replaces the known entry by a later incarnation whose record is older. The known one would have been
+// deferred if the two had arrived in the order of the store's log.
+func (d *Directory) replaceWithLater(now time.Time, known *entry, change Change) bool {
+	changed := *known.endpoint != change.Endpoint
+	replaced := Change{Position: known.position, Endpoint: *known.endpoint}
+	known.endpoint = copyEndpoint(change.Endpoint)
+	if known.missingSince.IsZero() {
+		known.position = change.Position
+		d.deferChange(now, replaced)
+	}
+	return changed
+}
+
 // remove processes the removal of an entry. Shortly after an outage it may only mean that the entry lapsed during the
 // outage.
 func (d *Directory) remove(now time.Time, id string, position chivelog.Position) bool {
 	d.expiryPending = true
+	d.supersede(id, position)
 	known, ok := d.entries[id]
 	if !ok {
 		d.tombstones[id] = tombstone{position: position, removedAt: now, incarnation: d.tombstones[id].incarnation}
@@ -243,6 +271,7 @@
 		d.entries[change.Endpoint.ID] = known
 	}
 	known.position = max(known.position, change.Position)
+	d.supersede(change.Endpoint.ID, change.Position)
 	if known.missingSince.IsZero() {
 		known.missingSince, known.keepUntil = now, now.Add(change.Keep)
 	}
@@ -289,7 +318,6 @@
 			delete(d.tombstones, id)
 			d.compactedUpTo = max(d.compactedUpTo, t.position)
 		}
-		d.expiryPending = d.expiryPending || t.deferred.isPending()
 	}
 	if d.inGrace(now) {
 		return false
@@ -300,13 +328,13 @@
 	if !d.expiryPending {
 		return false
 	}
-	d.expiryPending = false
-	changed := d.applyDeferred(now)
+	changed := d.applyDueDeferrals(now)
+	d.expiryPending = len(d.deferrals) > 0
 	for id, e := range d.entries {
 		if !e.missingSince.IsZero() && !now.Before(e.keepUntil) {
 			d.drop(now, id)
 			changed = true
-		} else if !e.missingSince.IsZero() || e.deferred.isPending() {
+		} else if !e.missingSince.IsZero() {
 			d.expiryPending = true
 		}
 	}
--- a/chivedirectory/restore.go
+++ b/chivedirectory/restore.go
@@ -68,14 +68,18 @@
 func (d *Directory) overrideCopy(now time.Time, known *entry, change Change) {
 	copied := Change{Position: known.position, Endpoint: *known.endpoint}
 	if change.Gone {
-		d.tombstones[known.endpoint.ID] = tombstone{position: change.Position, removedAt: now, incarnation: known.endpoint.Incarnation(), deferred: &deferredChange{copied, now}}
+		d.tombstones[known.endpoint.ID] = tombstone{position: change.Position, removedAt: now, incarnation: known.endpoint.Incarnation()}
 		delete(d.entries, known.endpoint.ID)
+		d.deferChange(now, copied)
 		return
 	}
 	leaving := *known.endpoint
 	leaving.State = Leaving
-	known.endpoint = &leaving
-	known.deferred = known.deferred.record(now, copied)
+	known.endpoint, known.position, known.settled = &leaving, change.Position, false
+	if change.Position >= copied.Position {
+		known.position = positionBefore(leaving, copied)
+	}
+	d.deferChange(now, copied)
 }
 
 // Uncertain returns how many endpoints are missing in the store and kept for now, and for how many there is a deferred
@@ -85,14 +89,6 @@
 		if !e.missingSince.IsZero() {
 			missing++
 		}
-		if e.deferred.isPending() {
-			doubtful++
-		}
-	}
-	for _, t := range d.tombstones {
-		if t.deferred.isPending() {
-			doubtful++
-		}
 	}
-	return missing, doubtful
+	return missing, len(d.deferrals)
 }
--- a/chivedirectory/service.go
+++ b/chivedirectory/service.go
@@ -70,7 +70,7 @@
 	return nil
 }
 
-// Dump returns the endpoints, the position and the counts of unusable records for state dumps.
+// Dump returns the endpoints, the position, the counts of unusable records and the deferred records for state dumps.
 func (s *Service) Dump() any {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -79,7 +79,8 @@
 		Offset    int64          `json:"offset"`
 		Rejected  rejectionStats `json:"rejected"`
 		Endpoints []Endpoint     `json:"endpoints"`
-	}{s.directory.Newest().Era(), s.directory.Newest().Offset(), s.rejections.stats(), s.directory.Endpoints()}
+		Deferred  []deferredDump `json:"deferred,omitempty"`
+	}{s.directory.Newest().Era(), s.directory.Newest().Offset(), s.rejections.stats(), s.directory.Endpoints(), s.directory.dumpDeferred(time.Now())}
 }
 
 func (s *Service) run(ctx context.Context) {
@@ -168,6 +169,13 @@
 	return s.directory.Update(time.Now(), after)
 }
 
+// Deferred returns at most limit records that this node does not apply yet.
+func (s *Service) Deferred(limit int) []Deferred {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.directory.Deferred(time.Now(), limit)
+}
+
 // Knew reports whether any endpoint has been known since the start, even if it has been removed.
 func (s *Service) Knew() bool {
 	s.mu.Lock()
--- a/chivegossip/earlier_release.go
+++ b/chivegossip/earlier_release.go
@@ -50,7 +50,7 @@
 		s.send(to, chivewire.KindDocument, earlierDocument{Table: version, Data: data})
 	}
 	if s.options.Endpoints.Newest() > remote.Offset {
-		s.send(to, chivewire.KindEarlierChanges, newEarlierChanges(s.options.Endpoints.Update(remote.Offset).Changes))
+		s.send(to, chivewire.KindEarlierChanges, newEarlierChanges(s.options.Endpoints.Update(remote.Offset).Plain().Changes))
 	}
 }
 
@@ -63,8 +63,14 @@
 
 func newEarlierChanges(changes []chivedirectory.Change) earlierChanges {
 	earlier := make([]earlierChange, 0, len(changes))
+	incarnations := make(map[string]chivedirectory.Incarnation)
 	for _, c := range changes {
 		e := c.Endpoint
+		if incarnations[e.ID].Follows(e.Incarnation()) {
+			// Without start times, the peer would apply the deferred record at once.
+			continue
+		}
+		incarnations[e.ID] = e.Incarnation()
 		earlier = append(earlier, earlierChange{
 			Offset: c.Position, Gone: c.Gone, Missing: c.Missing, Keep: c.Keep,
 			Endpoint: earlierEndpoint{e.ID, e.Pool, e.Address, e.FailureDomain, e.Slots, e.State, e.WarmUp},
--- a/chivegossip/packed.go
+++ b/chivegossip/packed.go
@@ -40,6 +40,7 @@
 	newest    chivelog.Position
 	createdAt time.Time
 	response  PackedChanges
+	deferred  []chivedirectory.Deferred
 }
 
 // isValid reports whether the cached answer is still the right one to a request.
@@ -51,20 +52,22 @@
 func (s *Service) sendChanges(from string, request PackedAsk) {
 	now, newest := time.Now(), s.options.Endpoints.Newest()
 	if s.cached.isValid(now, request.After, newest) {
+		s.sendDeferred(from, s.cached.deferred)
 		s.send(from, chivewire.KindPackedChanges, s.cached.response)
 		return
 	}
 	update := s.options.Endpoints.Update(request.After)
 	if len(update.Changes) < minCompressedChanges {
-		s.send(from, chivewire.KindChangesAnswer, update)
+		s.sendUpdate(from, update)
 		return
 	}
-	data, err := chivewire.Pack(update)
+	data, err := chivewire.Pack(update.Plain())
 	if err != nil {
 		chiveevent.ChangesNotPassed.Log(context.Background(), s.options.Logger, slog.Int("changes", len(update.Changes)), slog.String("error", err.Error()))
 		return
 	}
-	s.cached = cachedResponse{after: request.After, newest: newest, createdAt: now, response: PackedChanges{Data: data}}
+	s.cached = cachedResponse{after: request.After, newest: newest, createdAt: now, response: PackedChanges{Data: data}, deferred: update.Deferred}
+	s.sendDeferred(from, s.cached.deferred)
 	s.send(from, chivewire.KindPackedChanges, s.cached.response)
 }
 
--- a/chivegossip/service.go
+++ b/chivegossip/service.go
@@ -61,7 +61,10 @@
 	Mesh      *chivewire.Mesh
 	Tables    Tables
 	Endpoints Endpoints
-	Logger    *slog.Logger
+	// Deferred returns at most limit records of endpoints that this node does not apply yet; nil means that there are
+	// never any.
+	Deferred func(limit int) []chivedirectory.Deferred
+	Logger   *slog.Logger
 	// Pick returns a random number below n, for the peer that gets the first digest; nil stands for rand.IntN.
 	Pick func(n int) int
 }
@@ -113,6 +116,9 @@
 	if options.Pick == nil {
 		options.Pick = rand.IntN
 	}
+	if options.Deferred == nil {
+		options.Deferred = func(int) []chivedirectory.Deferred { return nil }
+	}
 	s := &Service{
 		options: options, startedAt: time.Now(), inbox: chivewire.NewInbox(options.Mesh, inboxSize), queryNow: make(chan struct{}, 1),
 		sender: chivetransfer.NewSender(), receiver: chivetransfer.NewReceiver(), roundRobin: options.Pick(math.MaxInt32),
@@ -126,6 +132,7 @@
 	chivewire.Queue[chivedirectory.Update](s.inbox, chivewire.KindChangesAnswer)
 	chivewire.Queue[PackedAsk](s.inbox, chivewire.KindPackedAsk)
 	chivewire.Queue[PackedChanges](s.inbox, chivewire.KindPackedChanges)
+	chivewire.Queue[DeferredChanges](s.inbox, chivewire.KindDeferredChanges)
 	chivewire.Queue[earlierDocument](s.inbox, chivewire.KindDocument)
 	chivewire.Queue[earlierChanges](s.inbox, chivewire.KindEarlierChanges)
 	chivewire.Queue[AnswersAsk](s.inbox, chivewire.KindAnswersAsk)
@@ -204,7 +211,9 @@
 		return
 	}
 	s.roundRobin++
-	s.sendDigestTo([]string{peers[s.roundRobin%len(peers)]})
+	peer := peers[s.roundRobin%len(peers)]
+	s.sendDigestTo([]string{peer})
+	s.sendDeferred(peer, s.options.Deferred(maxRepeatedDeferrals))
 }
 
 // sendDigestTo sends this node's digest to the given peers.
@@ -232,17 +241,11 @@
 	case DigestAnswer:
 		s.requestChanges(m.From, body)
 	case ChangesAsk:
-		s.send(m.From, chivewire.KindChangesAnswer, s.options.Endpoints.Update(body.After))
+		s.sendUpdate(m.From, s.options.Endpoints.Update(body.After))
 	case PackedAsk:
 		s.sendChanges(m.From, body)
-	case PackedChanges:
-		s.receiveCompressed(m.From, body)
-	case chivedirectory.Update:
-		s.options.Endpoints.Learn(body, "peer "+m.From)
 	case earlierDocument:
 		s.receiveEarlierDocument(m.From, body)
-	case earlierChanges:
-		s.options.Endpoints.Learn(body.update(), "peer "+m.From)
 	case chivetransfer.Ask:
 		s.serveDocumentPart(m.From, body)
 	case chivetransfer.Part:
@@ -253,6 +256,22 @@
 		s.send(m.From, chivewire.KindAnswers, Answers{Asked: body.Asked, Ages: s.options.Endpoints.Answers(body.Within)})
 	case Answers:
 		s.receiveAnswers(body)
+	default:
+		s.receiveChanges(m)
+	}
+}
+
+// receiveChanges applies changes of endpoints from a peer.
+func (s *Service) receiveChanges(m chivewire.Message) {
+	switch body := m.Body.(type) {
+	case PackedChanges:
+		s.receiveCompressed(m.From, body)
+	case chivedirectory.Update:
+		s.options.Endpoints.Learn(body, "peer "+m.From)
+	case DeferredChanges:
+		s.options.Endpoints.Learn(chivedirectory.Update{Deferred: body.Records}, "peer "+m.From)
+	case earlierChanges:
+		s.options.Endpoints.Learn(body.update(), "peer "+m.From)
 	}
 }
 
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -167,7 +167,7 @@
 	n.tables = chivetable.NewService(n.decodeTable, chiveplatform.IsConfiguration, n.logger)
 	n.evacuation = chiveevacuation.New(chiveevacuation.Options{Mesh: n.mesh, Decode: chiveplatform.DecodeEvacuation, Logger: n.logger})
 	n.directory = chivedirectory.NewService(chiveplatform.DecodeEndpoint, chivedirectory.DefaultGrace, n.logger)
-	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Tables: n.tables, Endpoints: n.directory, Logger: n.logger})
+	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Tables: n.tables, Endpoints: n.directory, Deferred: n.directory.Deferred, Logger: n.logger})
 	n.tables.OnChange(func(*chivetable.Table) { n.gossip.Learnt() })
 	n.directory.OnChange(func(chivedirectory.Diff) { n.gossip.Learnt() })
 	n.directory.OnStale(n.gossip.WentStale)
--- a/chivewire/kind.go
+++ b/chivewire/kind.go
@@ -56,6 +56,8 @@
 	KindPackedAsk     Kind = 115
 	KindPackedChanges Kind = 116
 
+	KindDeferredChanges Kind = 117
+
 	KindCrashUpdate     Kind = 120
 	KindCrashDigest     Kind = 121
 	KindProbeRequest    Kind = 122
@@ -92,7 +94,7 @@
 	KindAnswersAsk: "answers_ask", KindAnswers: "answers",
 	KindDocumentAsk: "document_ask", KindDocumentPart: "document_part", KindDocumentRefusal: "document_refusal",
 	KindDigestAnswer: "digest_answer", KindChangesAsk: "changes_ask", KindChangesAnswer: "changes_answer",
-	KindPackedAsk: "packed_ask", KindPackedChanges: "packed_changes",
+	KindPackedAsk: "packed_ask", KindPackedChanges: "packed_changes", KindDeferredChanges: "deferred_changes",
 	KindCrashUpdate: "crash_update", KindCrashDigest: "crash_digest", KindProbeRequest: "probe_request", KindProbeGrant: "probe_grant",
 	KindEndpointAlive: "endpoint_alive", KindEndpointFailure: "endpoint_failure", KindEvacuations: "evacuations",
 	KindStarts: "starts", KindStartsAck: "starts_ack",
