Usage: windows that may have been reported are known to other nodes before the report leaves

What callers saw: after the store is restored from a copy without the newest ledger, with most wall clocks behind (or ahead before it), a window of usage is reported with two counts.

Cause: which windows may have been reported was derived from the holder's estimate of the present. Only the process that sent the reports knew, since it told nobody but the store.

Fix: the holder states settled windows to all nodes in a message of its own, and sends a report once the other collectors have confirmed that they know its window. All processes keep the windows in memory, as ranges, and state them to new collectors; a holder without the ledger asks all nodes first and skips what may have been reported. Where nothing is known, the windows up to the present are omitted as before.

--- a/chiveusage/collector.go
+++ b/chiveusage/collector.go
@@ -130,6 +130,18 @@
 	return walls[len(walls)/2], true
 }
 
+// isHeard reports whether a message of a node arrived within loadTimeout.
+func (c *collector) isHeard(now time.Duration, address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, p := range c.processes {
+		if key.address == address && now-p.lastHeard < loadTimeout {
+			return true
+		}
+	}
+	return false
+}
+
 // isComplete reports whether all nodes that are up, and all processes heard within contactTimeout, have sent their
 // starts up to a time.
 func (c *collector) isComplete(now, until time.Duration) bool {
--- a/chiveusage/ledger.go
+++ b/chiveusage/ledger.go
@@ -61,20 +61,20 @@
 
 // ledgerForTenure derives the initial ledger of a tenure from the stored one. If the store may have lost a newer
 // ledger, all windows up to the current one are omitted, because they may already have been reported.
-func ledgerForTenure(data []byte, era, current int64) (ledger, error) {
+func ledgerForTenure(data []byte, era, current int64) (l ledger, isLost bool, err error) {
 	omitted := ledger{Era: era}.withoutStartsUntil(current)
 	if len(data) == 0 && era == firstEra {
-		return ledger{Era: era}.withoutStartsUntil(current - 1), nil
+		return ledger{Era: era}.withoutStartsUntil(current - 1), false, nil
 	}
 	if len(data) == 0 {
-		return omitted, nil
+		return omitted, true, nil
 	}
-	l, err := decodeLedger(data)
+	l, err = decodeLedger(data)
 	if err != nil {
-		return omitted, err
+		return omitted, true, err
 	}
 	if l.Era != era {
-		return omitted.withoutStartsUntil(max(current, l.Last)), nil
+		return omitted.withoutStartsUntil(max(current, l.Last)), true, nil
 	}
-	return l, nil
+	return l, false, nil
 }
--- a/chiveusage/reporter.go
+++ b/chiveusage/reporter.go
@@ -58,11 +58,17 @@
 type reporter struct {
 	opts      Options
 	collector *collector
+	settled   *settledWindows
+	// stateAll sends statements of settled windows, by the address of the receiver.
+	stateAll func(map[string]SettledWindows)
 	// token is the fencing token of the tenure that the ledger belongs to, or 0.
 	token  int64
 	ledger ledger
 	// sentAt holds the time of the last attempt to send a report, by window.
 	sentAt map[int64]time.Duration
+	// askedAt is when the other nodes were asked which windows are settled, because the ledger was lost; 0 if they need
+	// not answer.
+	askedAt time.Duration
 	// reported, omitted and refused are the values of Counts, which other goroutines read.
 	reported atomic.Int64
 	omitted  atomic.Int64
@@ -90,23 +96,51 @@
 	if r.token != tenure.Token {
 		r.startTenure(ctx, tenure, clock.windowAt(now))
 	}
+	if r.awaitsAnswers(now) {
+		return
+	}
 	r.settleWindows(ctx, clock, now)
 	r.sendReports(ctx, clock)
 }
 
 // startTenure loads the ledger of the previous holder; current is the window that contains the present.
 func (r *reporter) startTenure(ctx context.Context, tenure chivelease.Tenure, current int64) {
-	var err error
-	if r.ledger, err = ledgerForTenure(r.opts.Lease.Value(ledgerKey), tenure.Era, current); err != nil {
+	l, isLost, err := ledgerForTenure(r.opts.Lease.Value(ledgerKey), tenure.Era, current)
+	if err != nil {
 		chiveevent.UsageUnreadable.Log(ctx, r.opts.Logger, slog.String("error", err.Error()))
 	}
-	r.token, r.sentAt = tenure.Token, make(map[int64]time.Duration)
+	r.ledger, r.token, r.sentAt, r.askedAt = l, tenure.Token, make(map[int64]time.Duration), 0
+	if isLost {
+		r.askedAt = r.opts.SinceBoot()
+		return
+	}
+	r.settled.add(l.Last-int64(assumedReported/r.opts.Window), l.Last)
+	r.stateAll(r.settled.newsFor(r.opts.SinceBoot()))
+}
+
+// awaitsAnswers reports whether nodes that were asked for settled windows have not answered yet.
+func (r *reporter) awaitsAnswers(now time.Duration) bool {
+	if r.askedAt == 0 {
+		return false
+	}
+	isHeard := func(address string) bool { return r.collector.isHeard(now, address) }
+	if r.settled.hasAnswers(r.askedAt, now-r.askedAt >= answerTimeout, isHeard) {
+		r.askedAt = 0
+		return false
+	}
+	r.stateAll(r.settled.questions(now, r.askedAt))
+	return true
 }
 
 // settleWindows settles ended windows in order: it stores the ledger with their counts, or omits them after their
 // deadline. It stops at the first window that still lacks starts and is not close to its deadline.
 func (r *reporter) settleWindows(ctx context.Context, clock windowClock, now time.Duration) {
 	for window := r.ledger.Last + 1; now >= clock.end(window)+settleDelay; window++ {
+		if r.settled.contains(window) {
+			r.countOmitted(ctx, window, "may have been reported")
+			r.ledger = r.ledger.withoutStartsUntil(window)
+			continue
+		}
 		deadline := clock.end(window) + r.opts.Delay
 		if now >= deadline {
 			// The ledger need not be stored, because a later lease holder omits the window as well.
@@ -118,17 +152,19 @@
 		if !r.collector.isComplete(now, clock.end(window)) && now < deadline-incompleteLead {
 			return
 		}
-		next := r.settled(clock, now, window)
+		next := r.ledgerAfter(clock, now, window)
 		data, err := next.encode()
 		if err != nil || r.opts.Lease.Write(ctx, r.token, ledgerKey, data) != nil {
 			return
 		}
 		r.ledger = next
+		r.settled.add(window, window)
+		r.stateAll(r.settled.newsFor(now))
 	}
 }
 
-// settled returns the ledger with one more window settled by the starts that no earlier window contains.
-func (r *reporter) settled(clock windowClock, now time.Duration, window int64) ledger {
+// ledgerAfter returns the ledger with one more window settled by the starts that no earlier window contains.
+func (r *reporter) ledgerAfter(clock windowClock, now time.Duration, window int64) ledger {
 	from := max(clock.start(r.ledger.countedFrom), now-r.collector.retention)
 	counts, next := r.collector.countUntil(r.ledger.cuts, from, clock.end(window))
 	after := r.ledger.cuts.moved(window, next)
@@ -163,7 +199,7 @@
 		r.ledger = r.ledger.withoutReport(report.Window)
 		return true
 	}
-	if at, ok := r.sentAt[report.Window]; ok && now-at < resendInterval {
+	if at, ok := r.sentAt[report.Window]; ok && now-at < resendInterval || !r.isConfirmed(clock, now, report.Window) {
 		return true
 	}
 	tenure, ok := r.opts.Lease.Tenure()
@@ -188,6 +224,12 @@
 	return err == nil
 }
 
+// isConfirmed reports whether enough other nodes know that a window is settled for its report to be sent.
+func (r *reporter) isConfirmed(clock windowClock, now time.Duration, window int64) bool {
+	isUrgent := now >= clock.end(window)+r.opts.Delay-incompleteLead
+	return r.settled.isConfirmed(window, isUrgent, func(address string) bool { return r.collector.isHeard(now, address) })
+}
+
 func (r *reporter) countOmitted(ctx context.Context, window int64, reason string) {
 	r.omitted.Add(1)
 	chiveevent.UsageOmitted.Log(ctx, r.opts.Logger, slog.Int64("window", window), slog.String("reason", reason))
--- a/chiveusage/service.go
+++ b/chiveusage/service.go
@@ -54,6 +54,7 @@
 	inbox     *chivewire.Inbox
 	recorder  *recorder
 	collector *collector
+	settled   *settledWindows
 	reporter  *reporter
 	// rank is this node's rank among the collectors, or -1 if it is not one.
 	rank atomic.Int64
@@ -67,12 +68,13 @@
 	retention := opts.Window + opts.Delay + extraRetention
 	s := &Service{
 		opts: opts, inbox: chivewire.NewInbox(opts.Mesh, inboxSize), recorder: newRecorder(opts.Incarnation, retention),
-		collector: newCollector(opts.Incarnation, retention), flushNow: make(chan struct{}, 1),
+		collector: newCollector(opts.Incarnation, retention), settled: newSettledWindows(opts.Incarnation), flushNow: make(chan struct{}, 1),
 	}
 	s.rank.Store(-1)
-	s.reporter = &reporter{opts: opts, collector: s.collector}
+	s.reporter = &reporter{opts: opts, collector: s.collector, settled: s.settled, stateAll: s.sendStatements}
 	chivewire.Queue[Starts](s.inbox, chivewire.KindStarts)
 	chivewire.Queue[StartsAck](s.inbox, chivewire.KindStartsAck)
+	chivewire.Queue[SettledWindows](s.inbox, chivewire.KindSettledWindows)
 	return s
 }
 
@@ -92,7 +94,9 @@
 	collectors := longestRunning(members, collectorCount)
 	s.rank.Store(int64(slices.Index(collectors, s.opts.Mesh.Self())))
 	s.recorder.setCollectors(collectors)
-	s.collector.setAlive(chivemember.AddressesByHash(members))
+	alive := chivemember.AddressesByHash(members)
+	s.collector.setAlive(alive)
+	s.settled.setPeers(s.opts.Mesh.Self(), alive, collectors)
 }
 
 // longestRunning returns the addresses of the members that have been up longest. With this choice new nodes never
@@ -137,13 +141,15 @@
 	return nil
 }
 
-// Dump returns whether this node is a collector, and its numbers of windows by outcome.
+// Dump returns whether this node is a collector, its numbers of windows by outcome, and the first and last windows of the
+// ranges that may have been reported.
 func (s *Service) Dump() any {
 	_, isCollector := s.Rank()
 	return struct {
-		Collects bool   `json:"collects"`
-		Windows  Counts `json:"windows"`
-	}{isCollector, s.Counts()}
+		Collects bool    `json:"collects"`
+		Windows  Counts  `json:"windows"`
+		Settled  []int64 `json:"settled"`
+	}{isCollector, s.Counts(), s.settled.bounds()}
 }
 
 // Load returns the number of requests in progress in a pool over all nodes; ok is false if this node has not recently
@@ -168,6 +174,8 @@
 			return
 		case <-ticker.C:
 			_ = s.sendStarts()
+			_, isCollector := s.Rank()
+			s.sendStatements(s.settled.dueStatements(s.opts.SinceBoot(), isCollector))
 			s.collector.prune(s.opts.SinceBoot())
 		case <-s.flushNow:
 			for s.sendStarts() {
@@ -192,6 +200,13 @@
 	return len(messages) > 0
 }
 
+// sendStatements sends what this process knows of settled windows, by the address of the receiver.
+func (s *Service) sendStatements(statements map[string]SettledWindows) {
+	for address, m := range statements {
+		_ = s.opts.Mesh.Send(address, chivewire.KindSettledWindows, m)
+	}
+}
+
 func (s *Service) handleMessage(m chivewire.Message) {
 	switch body := m.Body.(type) {
 	case Starts:
@@ -201,6 +216,11 @@
 		}
 	case StartsAck:
 		s.recorder.acknowledge(s.opts.SinceBoot(), m.From, body)
+		s.settled.collectorSeen(m.From, body.Collector)
+	case SettledWindows:
+		if answer, ok := s.settled.receive(s.opts.SinceBoot(), m.From, body); ok {
+			_ = s.opts.Mesh.Send(m.From, chivewire.KindSettledWindows, answer)
+		}
 	}
 }
 
--- /dev/null
+++ b/chiveusage/settled.go
@@ -0,0 +1,221 @@
+package chiveusage
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// The store may be restored from a copy without the newest ledger. Which windows have been reported is then known only to
+// the processes that were told before the reports left. So the lease holder states each settled window to all nodes, and
+// sends its report once the other collectors have confirmed that they know it. All processes keep what they know in
+// memory and state it to new collectors. A holder without the ledger first asks all nodes. What nobody knows any more
+// after the store has lost it, because all these processes have ended too, is omitted only up to the present.
+
+const (
+	// announceInterval is how often a node states what it knows to a collector that has not stated anything. Collectors of
+	// earlier releases never do.
+	announceInterval = 5 * time.Second
+	// confirmInterval is how often a collector is asked again to confirm a settled window.
+	confirmInterval = 500 * time.Millisecond
+	// answerTimeout is how long a holder without the ledger waits for the answers of all nodes that it hears.
+	answerTimeout = 2 * time.Second
+	// assumedReported is how far back from the last window of a stored ledger windows are taken as reported: the ledger
+	// does not say which ones before were.
+	assumedReported = 5 * time.Minute
+)
+
+// SettledWindows states which windows may have been reported, as far as the sender knows.
+type SettledWindows struct {
+	// Incarnation identifies the process of the sender.
+	Incarnation int64
+	// Bounds holds the first and last windows of all ranges in turn.
+	Bounds []int64
+	// Ask means that the receiver is to state what it knows.
+	Ask bool
+}
+
+// settledPeer is what is known of a peer.
+type settledPeer struct {
+	incarnation int64
+	// isCollector means that the peer is one of the collectors.
+	isCollector bool
+	// stated is whether the process has stated anything, statedAt when it last did, and windows what it knows.
+	stated   bool
+	statedAt time.Duration
+	windows  windowSet
+	// sentAt is when a statement was last sent to it; 0 before the first.
+	sentAt time.Duration
+}
+
+// settledWindows holds the windows that may have been reported, as far as this process knows, and what its peers know.
+type settledWindows struct {
+	incarnation int64
+
+	mu    sync.Mutex
+	known windowSet
+	peers map[string]*settledPeer
+}
+
+func newSettledWindows(incarnation int64) *settledWindows {
+	return &settledWindows{incarnation: incarnation, peers: make(map[string]*settledPeer)}
+}
+
+// setPeers sets the addresses of the other nodes that are up, and which of them are collectors.
+func (s *settledWindows) setPeers(self string, alive, collectors []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	peers := make(map[string]*settledPeer, len(alive))
+	for _, address := range alive {
+		if address == self {
+			continue
+		}
+		peers[address] = s.peer(address)
+		peers[address].isCollector = slices.Contains(collectors, address)
+	}
+	s.peers = peers
+}
+
+// peer returns the state of a peer; the caller holds the lock.
+func (s *settledWindows) peer(address string) *settledPeer {
+	p, ok := s.peers[address]
+	if !ok {
+		p = &settledPeer{}
+		s.peers[address] = p
+	}
+	return p
+}
+
+// add adds windows that may have been reported.
+func (s *settledWindows) add(first, last int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.known.add(first, last)
+}
+
+func (s *settledWindows) contains(window int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known.contains(window)
+}
+
+// bounds returns the bounds of the windows that may have been reported.
+func (s *settledWindows) bounds() []int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known.bounds()
+}
+
+// statement returns the message with what this process knows; the caller holds the lock.
+func (s *settledWindows) statement(ask bool) SettledWindows {
+	return SettledWindows{Incarnation: s.incarnation, Bounds: s.known.bounds(), Ask: ask}
+}
+
+// receive takes over what a peer states and returns the answer, if one is due.
+func (s *settledWindows) receive(now time.Duration, from string, m SettledWindows) (answer SettledWindows, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.peer(from)
+	p.incarnation, p.stated, p.statedAt, p.windows = m.Incarnation, true, now, windowSetOf(m.Bounds)
+	s.known.addAll(p.windows)
+	if !m.Ask && p.windows.containsAll(s.known) {
+		return SettledWindows{}, false
+	}
+	p.sentAt = now
+	return s.statement(false), true
+}
+
+// collectorSeen records the process of a collector. A restarted one knows nothing.
+func (s *settledWindows) collectorSeen(address string, incarnation int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p, ok := s.peers[address]; ok && p.stated && p.incarnation != incarnation {
+		*p = settledPeer{isCollector: p.isCollector}
+	}
+}
+
+// dueStatements returns the statements that are due to collectors, by their address. isCollector means that this node is
+// a collector itself, which sees to it that the others know what it knows.
+func (s *settledWindows) dueStatements(now time.Duration, isCollector bool) map[string]SettledWindows {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	due := make(map[string]SettledWindows)
+	for address, p := range s.peers {
+		isBehind := p.stated && isCollector && !p.windows.containsAll(s.known)
+		interval := announceInterval
+		if isBehind {
+			interval = confirmInterval
+		}
+		if !p.isCollector || p.stated && !isBehind || p.sentAt > 0 && now-p.sentAt < interval {
+			continue
+		}
+		p.sentAt = now
+		due[address] = s.statement(true)
+	}
+	return due
+}
+
+// newsFor returns the statements that all nodes are sent after a window was settled. Collectors are asked to confirm it.
+func (s *settledWindows) newsFor(now time.Duration) map[string]SettledWindows {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	news := make(map[string]SettledWindows)
+	for address, p := range s.peers {
+		if p.stated && !p.windows.containsAll(s.known) {
+			p.sentAt = now
+			news[address] = s.statement(p.isCollector)
+		}
+	}
+	return news
+}
+
+// questions returns the statements that ask the nodes for what they know that have not stated it since a time.
+func (s *settledWindows) questions(now, since time.Duration) map[string]SettledWindows {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	questions := make(map[string]SettledWindows)
+	for address, p := range s.peers {
+		if p.stated && p.statedAt < since && (p.sentAt < since || now-p.sentAt >= confirmInterval) {
+			p.sentAt = now
+			questions[address] = s.statement(true)
+		}
+	}
+	return questions
+}
+
+// hasAnswers reports whether the nodes have stated what they know since a time: all that are heard, or at least one if
+// the others have had enough time. Nodes that never stated anything are of an earlier release, or have just started.
+func (s *settledWindows) hasAnswers(since time.Duration, isTimedOut bool, isHeard func(address string) bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return isEnough(s.peers, isTimedOut, isHeard, func(p *settledPeer) bool { return p.statedAt >= since })
+}
+
+// isConfirmed reports whether the other collectors know a window: all that are heard, or at least one if the window is
+// urgent.
+func (s *settledWindows) isConfirmed(window int64, isUrgent bool, isHeard func(address string) bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	collectors := maps.Clone(s.peers)
+	maps.DeleteFunc(collectors, func(_ string, p *settledPeer) bool { return !p.isCollector })
+	return isEnough(collectors, isUrgent, isHeard, func(p *settledPeer) bool { return p.windows.contains(window) })
+}
+
+// isEnough reports whether all peers that are heard meet a condition, or at least one if that is sufficient. It is true
+// without any peer that states anything.
+func isEnough(peers map[string]*settledPeer, oneSuffices bool, isHeard func(address string) bool, meets func(*settledPeer) bool) bool {
+	met, missing, silent := 0, 0, 0
+	for address, p := range peers {
+		switch {
+		case !p.stated:
+		case meets(p):
+			met++
+		case isHeard(address):
+			missing++
+		default:
+			silent++
+		}
+	}
+	return met+missing+silent == 0 || met > 0 && (missing == 0 || oneSuffices)
+}
--- a/chivewire/kind.go
+++ b/chivewire/kind.go
@@ -70,6 +70,8 @@
 	KindStarts    Kind = 132
 	KindStartsAck Kind = 133
 
+	KindSettledWindows Kind = 134
+
 	KindRepeatAsk    Kind = 136
 	KindRepeatAnswer Kind = 137
 
@@ -97,7 +99,7 @@
 	KindPackedAsk: "packed_ask", KindPackedChanges: "packed_changes", KindDeferredChanges: "deferred_changes",
 	KindCrashUpdate: "crash_update", KindCrashDigest: "crash_digest", KindProbeRequest: "probe_request", KindProbeGrant: "probe_grant",
 	KindEndpointAlive: "endpoint_alive", KindEndpointFailure: "endpoint_failure", KindEvacuations: "evacuations",
-	KindStarts: "starts", KindStartsAck: "starts_ack",
+	KindStarts: "starts", KindStartsAck: "starts_ack", KindSettledWindows: "settled_windows",
 	KindRepeatAsk: "repeat_ask", KindRepeatAnswer: "repeat_answer",
 	KindPlaceAsk: "place_ask", KindPlaceAnswer: "place_answer",
 	KindRateAsk: "rate_ask", KindRateAnswer: "rate_answer", KindRateRelease: "rate_release",
