Directory, gossip: a full list of endpoints is read together with the deferred records of its sender

What callers could see: an endpoint that a node loses for good, or requests to a process that has ended until a deferral is over.

Cause: a full list removes what it does not list. Deferred records come in a message before it, so the list alone cancelled a record that its sender defers after a removal, and removed the endpoint at a node that applies the record already. Read in one update, a deferred record counted as listing the endpoint, so the state before it stayed.

--- a/chivedirectory/changes.go
+++ b/chivedirectory/changes.go
@@ -155,8 +155,9 @@
 	if update.Whole {
 		d.observeEra(now, update.End)
 	}
+	deferredAt := make(map[string]chivelog.Position, len(update.Deferred))
 	for _, r := range update.Deferred {
-		listed[r.Change.Endpoint.ID] = true
+		deferredAt[r.Change.Endpoint.ID] = r.Change.Position
 		changed = d.learnDeferred(now, r) || changed
 	}
 	for _, c := range update.Changes {
@@ -167,11 +168,15 @@
 		return changed
 	}
 	for id, known := range d.entries {
-		if !listed[id] && known.position <= update.End {
-			changed = d.remove(now, id, update.End) || changed
+		removedAt := update.End
+		if at, ok := deferredAt[id]; ok {
+			removedAt = min(removedAt, at-1)
+		}
+		if !listed[id] && known.position <= removedAt {
+			changed = d.remove(now, id, removedAt) || changed
 		}
 	}
-	d.cancelDeferrals(listed, update.End)
+	d.cancelDeferrals(listed, deferredAt, update.End)
 	d.compactedUpTo = max(d.compactedUpTo, update.End)
 	// The record at End may be a removal, which a full list does not contain. This node still counts as having received
 	// it, and sends removals on to its peers.
@@ -219,9 +224,9 @@
 
 // cancelDeferrals drops deferred changes of endpoints that the store no longer has at the position end. Applied later,
 // they would bring these endpoints back for good.
-func (d *Directory) cancelDeferrals(listed map[string]bool, end chivelog.Position) {
+func (d *Directory) cancelDeferrals(listed map[string]bool, deferredAt map[string]chivelog.Position, end chivelog.Position) {
 	for id := range d.deferrals {
-		if !listed[id] {
+		if _, isDeferred := deferredAt[id]; !listed[id] && !isDeferred {
 			d.supersede(id, end)
 		}
 	}
--- a/chivedirectory/deferral_orders_test.go
+++ b/chivedirectory/deferral_orders_test.go
@@ -154,6 +154,33 @@
 	checkStarts(t, "after the deferral", node, 10)
 }
 
+// Guards against a node that goes on with a process that has ended: its peer knows nothing of the endpoint but a deferred record,
+// and lists all others.
+func TestFullListRemovesTheStateBeforeADeferredRecord(t *testing.T) {
+	now := time.Now()
+	peer, node := chivedirectory.New(grace), chivedirectory.New(grace)
+	peer.Replace(now, []chivedirectory.Change{change(4, "b")}, 7)
+	peer.Learn(now, chivedirectory.Update{Deferred: []chivedirectory.Deferred{{Change: changeWithStart(8, "a", 10), Left: time.Second}}})
+	node.Apply(now, changeWithStart(3, "a", 20))
+	node.Learn(now, peer.Update(now, node.Newest()))
+	checkStarts(t, "at once", node)
+	node.Expire(now.Add(2 * time.Second))
+	checkStarts(t, "after the deferral", node, 10)
+}
+
+// Guards against a node that loses an endpoint for good: it applies a record that its peer still defers after a removal, and
+// the peer lists all endpoints at a later position.
+func TestFullListKeepsRecordThatThePeerDefers(t *testing.T) {
+	now := time.Now()
+	peer, node := nodeWithDeferral(now, true), chivedirectory.New(grace)
+	node.Replace(now, []chivedirectory.Change{changeWithStart(7, "a", 10)}, 8)
+	peer.Replace(now, []chivedirectory.Change{changeWithStart(7, "a", 10), change(8, "b")}, 12)
+	node.Learn(now, peer.Update(now, node.Newest()))
+	checkStarts(t, "node", node, 10)
+	peer.Expire(now.Add(deferralEnd))
+	checkStarts(t, "peer", peer, 10)
+}
+
 // Guards against a node that forgets a deferred record, because a peer took an entry that an earlier release sent it with the
 // position of that record for the record itself.
 func TestStateWithPositionOfDeferredRecordDoesNotReplaceIt(t *testing.T) {
--- a/chivegossip/packed.go
+++ b/chivegossip/packed.go
@@ -78,5 +78,5 @@
 		chiveevent.ChangesNotPassed.Log(context.Background(), s.options.Logger, slog.String("source", "peer "+from), slog.String("error", err.Error()))
 		return
 	}
-	s.options.Endpoints.Learn(update, "peer "+from)
+	s.learnUpdate(from, update)
 }
--- a/chivegossip/service.go
+++ b/chivegossip/service.go
@@ -105,6 +105,7 @@
 	pending    pendingChanges
 	waiting    waitingPeers
 	cached     cachedResponse
+	joined     joinedRecords
 	// roundRobin counts the digests that were sent. It starts at a random value, so that nodes started together do not
 	// go through their peers in step.
 	roundRobin int
@@ -267,9 +268,9 @@
 	case PackedChanges:
 		s.receiveCompressed(m.From, body)
 	case chivedirectory.Update:
-		s.options.Endpoints.Learn(body, "peer "+m.From)
+		s.learnUpdate(m.From, body)
 	case DeferredChanges:
-		s.options.Endpoints.Learn(chivedirectory.Update{Deferred: body.Records}, "peer "+m.From)
+		s.learnDeferred(m.From, body.Records)
 	case earlierChanges:
 		s.options.Endpoints.Learn(body.update(), "peer "+m.From)
 	}
