Usage: a holder without the ledger also asks nodes that have stated nothing yet

A process that has just become a collector has heard from few, and a collector of a fleet without traffic did not learn of nodes that do not collect.

Change: collectors ask every node that has stated nothing, every five seconds, and a holder without the ledger waits up to two seconds for those too. Nodes of an earlier release do not answer, and cost these two seconds after a restore.

--- a/chiveusage/settled.go
+++ b/chiveusage/settled.go
@@ -14,8 +14,8 @@
 // after the store has lost it, because all these processes have ended too, is omitted only up to the present.
 
 const (
-	// announceInterval is how often a node states what it knows to a collector that has not stated anything. Collectors of
-	// earlier releases never do.
+	// announceInterval is how often a node asks a collector that has not stated anything, and a collector any such node.
+	// Nodes of earlier releases never do.
 	announceInterval = 5 * time.Second
 	// confirmInterval is how often a collector is asked again to confirm a settled window.
 	confirmInterval = 500 * time.Millisecond
@@ -135,23 +135,23 @@
 	}
 }
 
-// dueStatements returns the statements that are due to collectors, by their address. isCollector means that this node is
-// a collector itself, which sees to it that the others know what it knows.
+// dueStatements returns the statements that are due, by the address of the receiver. isCollector means that this node is
+// a collector itself, which sees to it that the other collectors know what it knows.
 func (s *settledWindows) dueStatements(now time.Duration, isCollector bool) map[string]SettledWindows {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	due := make(map[string]SettledWindows)
 	for address, p := range s.peers {
-		isBehind := p.stated && isCollector && !p.windows.containsAll(s.known)
-		interval := announceInterval
+		isUnknown := !p.stated && (isCollector || p.isCollector)
+		isBehind := p.stated && isCollector && p.isCollector && !p.windows.containsAll(s.known)
+		wait := p.sentAt + announceInterval - now
 		if isBehind {
-			interval = confirmInterval
+			wait = p.sentAt + confirmInterval - now
 		}
-		if !p.isCollector || p.stated && !isBehind || p.sentAt > 0 && now-p.sentAt < interval {
-			continue
+		if (isUnknown || isBehind) && (p.sentAt == 0 || wait <= 0) {
+			p.sentAt = now
+			due[address] = s.statement(true)
 		}
-		p.sentAt = now
-		due[address] = s.statement(true)
 	}
 	return due
 }
@@ -176,7 +176,7 @@
 	defer s.mu.Unlock()
 	questions := make(map[string]SettledWindows)
 	for address, p := range s.peers {
-		if p.stated && p.statedAt < since && (p.sentAt < since || now-p.sentAt >= confirmInterval) {
+		if p.statedAt < since && (p.sentAt < since || now-p.sentAt >= confirmInterval) {
 			p.sentAt = now
 			questions[address] = s.statement(true)
 		}
@@ -185,10 +185,15 @@
 }
 
 // hasAnswers reports whether the nodes have stated what they know since a time: all that are heard, or at least one if
-// the others have had enough time. Nodes that never stated anything are of an earlier release, or have just started.
+// the others have had enough time. Nodes that have not stated anything by then are of an earlier release.
 func (s *settledWindows) hasAnswers(since time.Duration, isTimedOut bool, isHeard func(address string) bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for address, p := range s.peers {
+		if !isTimedOut && !p.stated && isHeard(address) {
+			return false
+		}
+	}
 	return isEnough(s.peers, isTimedOut, isHeard, func(p *settledPeer) bool { return p.statedAt >= since })
 }
 
