Gossip: deferred records sent with a digest are not joined with a later full list

Cause, by reading: records of each digest were kept for the next changes of the peer, too. A full list that the peer sends after the record was contradicted did not cancel it, and during an outage the kept records grew without a bound. Messages before requested changes are numbered now, and only those are kept.

--- a/chivegossip/deferred.go
+++ b/chivegossip/deferred.go
@@ -22,13 +22,15 @@
 // it never received does not request it. Earlier releases do not know this message.
 type DeferredChanges struct {
 	Records []chivedirectory.Deferred
+	// Part is the number of the message, from 1 on, among those before requested changes; 0 for one with a digest.
+	Part int
 }
 
 // joinPeriod is the maximum time between deferred records and the changes that a peer sent after them.
 const joinPeriod = time.Second
 
-// joinedRecords are the deferred records that peers have sent, until the changes after them arrive. A full list of
-// endpoints alone would cancel records that the peer defers.
+// joinedRecords are the deferred records that peers have sent before requested changes, until those arrive. A full list
+// of endpoints alone would cancel records that the peer defers.
 type joinedRecords struct {
 	byPeer map[string]receivedRecords
 }
@@ -38,13 +40,17 @@
 	records []chivedirectory.Deferred
 }
 
-// add adds records from a peer and forgets old ones.
-func (j *joinedRecords) add(now time.Time, peer string, records []chivedirectory.Deferred) {
-	maps.DeleteFunc(j.byPeer, func(_ string, r receivedRecords) bool { return now.Sub(r.at) > joinPeriod })
+// add adds the records of a message from a peer and forgets old ones.
+func (j *joinedRecords) add(now time.Time, peer string, m DeferredChanges) {
+	maps.DeleteFunc(j.byPeer, func(from string, r receivedRecords) bool {
+		return now.Sub(r.at) > joinPeriod || from == peer && m.Part <= 1
+	})
 	if j.byPeer == nil {
 		j.byPeer = make(map[string]receivedRecords)
 	}
-	j.byPeer[peer] = receivedRecords{at: now, records: append(j.byPeer[peer].records, records...)}
+	if m.Part > 0 {
+		j.byPeer[peer] = receivedRecords{at: now, records: append(j.byPeer[peer].records, m.Records...)}
+	}
 }
 
 // take returns the records from a peer and forgets them.
@@ -58,9 +64,9 @@
 }
 
 // learnDeferred applies deferred records from a peer, and remembers them for the changes that follow.
-func (s *Service) learnDeferred(from string, records []chivedirectory.Deferred) {
-	s.joined.add(time.Now(), from, records)
-	s.options.Endpoints.Learn(chivedirectory.Update{Deferred: records}, "peer "+from)
+func (s *Service) learnDeferred(from string, m DeferredChanges) {
+	s.joined.add(time.Now(), from, m)
+	s.options.Endpoints.Learn(chivedirectory.Update{Deferred: m.Records}, "peer "+from)
 }
 
 // learnUpdate applies changes from a peer with the deferred records that it sent before them.
@@ -75,9 +81,18 @@
 	s.send(to, chivewire.KindChangesAnswer, update.Plain())
 }
 
-// sendDeferred sends a peer deferred records, if there are any.
+// sendDeferred sends a peer deferred records before the changes that it has requested.
 func (s *Service) sendDeferred(to string, records []chivedirectory.Deferred) {
-	for part := range slices.Chunk(records, maxDeferredPerMessage) {
-		s.send(to, chivewire.KindDeferredChanges, DeferredChanges{part})
+	part := 0
+	for chunk := range slices.Chunk(records, maxDeferredPerMessage) {
+		part++
+		s.send(to, chivewire.KindDeferredChanges, DeferredChanges{Records: chunk, Part: part})
+	}
+}
+
+// repeatDeferred sends a peer what this node defers, whatever the peer's position.
+func (s *Service) repeatDeferred(to string) {
+	if records := s.options.Deferred(maxRepeatedDeferrals); len(records) > 0 {
+		s.send(to, chivewire.KindDeferredChanges, DeferredChanges{Records: records})
 	}
 }
--- a/chivegossip/deferred_test.go
+++ b/chivegossip/deferred_test.go
@@ -66,33 +66,41 @@
 	eventually(t, "the node defers the record", node.endpoints.defers)
 }
 
-// Guards against a full list of endpoints that cancels a record that its sender defers, since the two are messages of their own.
+// Guards against a full list of endpoints that cancels a record that its sender defers, since the two are messages of their own,
+// and against a record of an earlier digest that a full list does not cancel.
 func TestFullListIsReadWithTheDeferredRecordsBeforeIt(t *testing.T) {
-	addresses := []string{chivestand.FreeAddress(), chivestand.FreeAddress()}
-	node := startNode(t, addresses[0], addresses[1])
-	node.endpoints.Learn(chivedirectory.Update{Changes: []chivedirectory.Change{deferredRecord()}}, "store")
-	peer := chivewire.NewMesh(addresses[1], chivewire.TCP{})
-	if err := peer.Start(t.Context()); err != nil {
-		t.Fatal(err)
-	}
-	defer peer.Stop(t.Context())
-	removed := chivedirectory.Change{Position: 5, Gone: true, Endpoint: chivedirectory.Endpoint{ID: "a"}}
-	for _, m := range []struct {
-		kind chivewire.Kind
-		body any
+	for _, c := range []struct {
+		name string
+		part int
+		want int
 	}{
-		{chivewire.KindDeferredChanges, chivegossip.DeferredChanges{Records: []chivedirectory.Deferred{{Change: deferredRecord(), Left: time.Second}}}},
-		{chivewire.KindChangesAnswer, chivedirectory.Update{Changes: []chivedirectory.Change{removed}, Whole: true, End: 11}},
+		{"sent before the list", 1, 1},
+		{"sent with a digest", 0, 0},
 	} {
-		if err := peer.Send(addresses[0], m.kind, m.body); err != nil {
-			t.Fatal(err)
-		}
-	}
-	eventually(t, "the node has the full list", func() bool { return node.endpoints.Newest() == 11 })
-	node.endpoints.mu.Lock()
-	defer node.endpoints.mu.Unlock()
-	if known := node.endpoints.d.Endpoints(); len(known) != 1 {
-		t.Errorf("the node knows %+v, want the endpoint whose record the peer defers", known)
+		t.Run(c.name, func(t *testing.T) {
+			addresses := []string{chivestand.FreeAddress(), chivestand.FreeAddress()}
+			node := startNode(t, addresses[0], addresses[1])
+			node.endpoints.Learn(chivedirectory.Update{Changes: []chivedirectory.Change{deferredRecord()}}, "store")
+			peer := chivewire.NewMesh(addresses[1], chivewire.TCP{})
+			if err := peer.Start(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			defer peer.Stop(t.Context())
+			removed := chivedirectory.Change{Position: 5, Gone: true, Endpoint: chivedirectory.Endpoint{ID: "a"}}
+			deferred := chivegossip.DeferredChanges{Records: []chivedirectory.Deferred{{Change: deferredRecord(), Left: time.Second}}, Part: c.part}
+			if err := peer.Send(addresses[0], chivewire.KindDeferredChanges, deferred); err != nil {
+				t.Fatal(err)
+			}
+			if err := peer.Send(addresses[0], chivewire.KindChangesAnswer, chivedirectory.Update{Changes: []chivedirectory.Change{removed}, Whole: true, End: 11}); err != nil {
+				t.Fatal(err)
+			}
+			eventually(t, "the node has the full list", func() bool { return node.endpoints.Newest() == 11 })
+			node.endpoints.mu.Lock()
+			defer node.endpoints.mu.Unlock()
+			if known := node.endpoints.d.Endpoints(); len(known) != c.want {
+				t.Errorf("the node knows %+v, want %d endpoints", known, c.want)
+			}
+		})
 	}
 }
 
--- a/chivegossip/service.go
+++ b/chivegossip/service.go
@@ -214,7 +214,7 @@
 	s.roundRobin++
 	peer := peers[s.roundRobin%len(peers)]
 	s.sendDigestTo([]string{peer})
-	s.sendDeferred(peer, s.options.Deferred(maxRepeatedDeferrals))
+	s.repeatDeferred(peer)
 }
 
 // sendDigestTo sends this node's digest to the given peers.
@@ -270,7 +270,7 @@
 	case chivedirectory.Update:
 		s.learnUpdate(m.From, body)
 	case DeferredChanges:
-		s.learnDeferred(m.From, body.Records)
+		s.learnDeferred(m.From, body)
 	case earlierChanges:
 		s.options.Endpoints.Learn(body.update(), "peer "+m.From)
 	}
