Usage: a holder without the ledger waits for members only

What callers could see: after a restore no usage is reported until the membership changes, at a node that once received settled windows from a node that is no member (any more): the holder waited for its answer. Found by reading; TestUsageGoesOnAfterAMessageOfANodeThatIsNoMember failed before.

Fix: only members are asked and waited for; what others state is still taken over. Windows before the last one of a stored ledger are assumed reported only by a process that does not know of the last one itself.

--- a/chiveusage/lost_ledger_test.go
+++ b/chiveusage/lost_ledger_test.go
@@ -282,6 +282,29 @@
 	}
 }
 
+// Guards against usage that is not reported after a restore, because the holder waits for the answer of a node that has left.
+func TestUsageGoesOnAfterAMessageOfANodeThatIsNoMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1)
+		defer f.stop()
+		f.awaitReport()
+		left := chivewire.NewMesh(nodeAddress(forgedFirst), f.network)
+		if err := left.Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if err := left.Send(f.nodes[0].address, chivewire.KindSettledWindows, chiveusage.SettledWindows{Incarnation: 1}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if err := left.Stop(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		f.topic.Restore(1)
+		f.recordRequests(6 * window)
+		f.checkReportsGoOn()
+	})
+}
+
 // Guards against control traffic for settled windows that takes more than a quarter of what the target allows a node.
 func TestSettledWindowsStayWithinControlBandwidth(t *testing.T) {
 	const (
--- a/chiveusage/reporter.go
+++ b/chiveusage/reporter.go
@@ -114,7 +114,7 @@
 		r.askedAt = r.opts.SinceBoot()
 		return
 	}
-	r.settled.add(l.Last-int64(assumedReported/r.opts.Window), l.Last)
+	r.settled.addUntil(l.Last, int64(assumedReported/r.opts.Window))
 	r.stateAll(r.settled.newsFor(r.opts.SinceBoot()))
 }
 
@@ -158,7 +158,7 @@
 			return
 		}
 		r.ledger = next
-		r.settled.add(window, window)
+		r.settled.add(window)
 		r.stateAll(r.settled.newsFor(now))
 	}
 }
--- a/chiveusage/settled.go
+++ b/chiveusage/settled.go
@@ -1,7 +1,6 @@
 package chiveusage
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -71,27 +70,29 @@
 		if address == self {
 			continue
 		}
-		peers[address] = s.peer(address)
+		if peers[address] = s.peers[address]; peers[address] == nil {
+			peers[address] = &settledPeer{}
+		}
 		peers[address].isCollector = slices.Contains(collectors, address)
 	}
 	s.peers = peers
 }
 
-// peer returns the state of a peer; the caller holds the lock.
-func (s *settledWindows) peer(address string) *settledPeer {
-	p, ok := s.peers[address]
-	if !ok {
-		p = &settledPeer{}
-		s.peers[address] = p
-	}
-	return p
+// add adds a window that may have been reported.
+func (s *settledWindows) add(window int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.known.add(window, window)
 }
 
-// add adds windows that may have been reported.
-func (s *settledWindows) add(first, last int64) {
+// addUntil adds the last window of a stored ledger and a number of windows before it, unless this process already knows
+// the last one and so which of the others may have been reported.
+func (s *settledWindows) addUntil(last, before int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.known.add(first, last)
+	if !s.known.contains(last) {
+		s.known.add(last-before, last)
+	}
 }
 
 func (s *settledWindows) contains(window int64) bool {
@@ -116,14 +117,16 @@
 func (s *settledWindows) receive(now time.Duration, from string, m SettledWindows) (answer SettledWindows, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.peer(from)
-	p.incarnation, p.stated, p.statedAt, p.windows = m.Incarnation, true, now, windowSetOf(m.Bounds)
-	s.known.addAll(p.windows)
-	if !m.Ask && p.windows.containsAll(s.known) {
-		return SettledWindows{}, false
+	stated := windowSetOf(m.Bounds)
+	s.known.addAll(stated)
+	isAnswered := m.Ask || !stated.containsAll(s.known)
+	if p, ok := s.peers[from]; ok {
+		p.incarnation, p.stated, p.statedAt, p.windows = m.Incarnation, true, now, stated
+		if isAnswered {
+			p.sentAt = now
+		}
 	}
-	p.sentAt = now
-	return s.statement(false), true
+	return s.statement(false), isAnswered
 }
 
 // collectorSeen records the process of a collector. A restarted one knows nothing.
@@ -194,7 +197,7 @@
 			return false
 		}
 	}
-	return isEnough(s.peers, isTimedOut, isHeard, func(p *settledPeer) bool { return p.statedAt >= since })
+	return s.isEnough(isTimedOut, isHeard, func(p *settledPeer) bool { return p.stated }, func(p *settledPeer) bool { return p.statedAt >= since })
 }
 
 // isConfirmed reports whether the other collectors know a window: all that are heard, or at least one if the window is
@@ -202,18 +205,17 @@
 func (s *settledWindows) isConfirmed(window int64, isUrgent bool, isHeard func(address string) bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	collectors := maps.Clone(s.peers)
-	maps.DeleteFunc(collectors, func(_ string, p *settledPeer) bool { return !p.isCollector })
-	return isEnough(collectors, isUrgent, isHeard, func(p *settledPeer) bool { return p.windows.contains(window) })
+	isAsked := func(p *settledPeer) bool { return p.stated && p.isCollector }
+	return s.isEnough(isUrgent, isHeard, isAsked, func(p *settledPeer) bool { return p.windows.contains(window) })
 }
 
-// isEnough reports whether all peers that are heard meet a condition, or at least one if that is sufficient. It is true
-// without any peer that states anything.
-func isEnough(peers map[string]*settledPeer, oneSuffices bool, isHeard func(address string) bool, meets func(*settledPeer) bool) bool {
+// isEnough reports whether all asked peers that are heard meet a condition, or at least one if that is sufficient. It is
+// true if no peer is asked. The caller holds the lock.
+func (s *settledWindows) isEnough(oneSuffices bool, isHeard func(address string) bool, isAsked, meets func(*settledPeer) bool) bool {
 	met, missing, silent := 0, 0, 0
-	for address, p := range peers {
+	for address, p := range s.peers {
 		switch {
-		case !p.stated:
+		case !isAsked(p):
 		case meets(p):
 			met++
 		case isHeard(address):
