Usage: a holder does not wait for a crashed node that is still a member

What callers could see: no usage reported, after a restore or not, for as long as the members hold a crashed collector and no other one confirms a window (a fleet of two). Found by thinking through; TestUsageGoesOnBesideACrashedMember failed in both forms before.

Fix: a node that has not been heard for contactTimeout (10 s) is not waited for, as for its starts.

--- a/chiveusage/collector.go
+++ b/chiveusage/collector.go
@@ -130,16 +130,16 @@
 	return walls[len(walls)/2], true
 }
 
-// isHeard reports whether a message of a node arrived within loadTimeout.
-func (c *collector) isHeard(now time.Duration, address string) bool {
+// silence returns for how long no message of a node has arrived; ok is false if none has in the retention period.
+func (c *collector) silence(now time.Duration, address string) (silence time.Duration, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for key, p := range c.processes {
-		if key.address == address && now-p.lastHeard < loadTimeout {
-			return true
+		if key.address == address && (!ok || now-p.lastHeard < silence) {
+			silence, ok = now-p.lastHeard, true
 		}
 	}
-	return false
+	return silence, ok
 }
 
 // isComplete reports whether all nodes that are up, and all processes heard within contactTimeout, have sent their
--- a/chiveusage/lost_ledger_test.go
+++ b/chiveusage/lost_ledger_test.go
@@ -282,6 +282,25 @@
 	}
 }
 
+// Guards against usage that is not reported, because the holder waits for a collector that has crashed and is still a member.
+func TestUsageGoesOnBesideACrashedMember(t *testing.T) {
+	for _, restored := range []bool{false, true} {
+		t.Run(fmt.Sprintf("restored %v", restored), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 2)
+				defer f.stop()
+				f.awaitReport()
+				f.crash(f.holder())
+				if restored {
+					f.topic.Restore(1)
+				}
+				f.recordRequests(8 * window)
+				f.checkReportsGoOn()
+			})
+		})
+	}
+}
+
 // Guards against usage that is not reported after a restore, because the holder waits for the answer of a node that has left.
 func TestUsageGoesOnAfterAMessageOfANodeThatIsNoMember(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/chiveusage/reporter.go
+++ b/chiveusage/reporter.go
@@ -123,8 +123,7 @@
 	if r.askedAt == 0 {
 		return false
 	}
-	isHeard := func(address string) bool { return r.collector.isHeard(now, address) }
-	if r.settled.hasAnswers(r.askedAt, now-r.askedAt >= answerTimeout, isHeard) {
+	if r.settled.hasAnswers(r.askedAt, now-r.askedAt >= answerTimeout, r.silenceAt(now)) {
 		r.askedAt = 0
 		return false
 	}
@@ -227,7 +226,12 @@
 // isConfirmed reports whether enough other nodes know that a window is settled for its report to be sent.
 func (r *reporter) isConfirmed(clock windowClock, now time.Duration, window int64) bool {
 	isUrgent := now >= clock.end(window)+r.opts.Delay-incompleteLead
-	return r.settled.isConfirmed(window, isUrgent, func(address string) bool { return r.collector.isHeard(now, address) })
+	return r.settled.isConfirmed(window, isUrgent, r.silenceAt(now))
+}
+
+// silenceAt returns the function that tells for how long nodes have been silent.
+func (r *reporter) silenceAt(now time.Duration) silenceOf {
+	return func(address string) (time.Duration, bool) { return r.collector.silence(now, address) }
 }
 
 func (r *reporter) countOmitted(ctx context.Context, window int64, reason string) {
--- a/chiveusage/settled.go
+++ b/chiveusage/settled.go
@@ -187,40 +187,38 @@
 	return questions
 }
 
+// silenceOf returns for how long no message of a node has arrived; ok is false if none ever has.
+type silenceOf func(address string) (silence time.Duration, ok bool)
+
 // hasAnswers reports whether the nodes have stated what they know since a time: all that are heard, or at least one if
 // the others have had enough time. Nodes that have not stated anything by then are of an earlier release.
-func (s *settledWindows) hasAnswers(since time.Duration, isTimedOut bool, isHeard func(address string) bool) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for address, p := range s.peers {
-		if !isTimedOut && !p.stated && isHeard(address) {
-			return false
-		}
-	}
-	return s.isEnough(isTimedOut, isHeard, func(p *settledPeer) bool { return p.stated }, func(p *settledPeer) bool { return p.statedAt >= since })
+func (s *settledWindows) hasAnswers(since time.Duration, isTimedOut bool, silenceOf silenceOf) bool {
+	isAsked := func(p *settledPeer) bool { return p.stated || !isTimedOut }
+	return s.isEnough(isTimedOut, silenceOf, isAsked, func(p *settledPeer) bool { return p.statedAt >= since })
 }
 
 // isConfirmed reports whether the other collectors know a window: all that are heard, or at least one if the window is
 // urgent.
-func (s *settledWindows) isConfirmed(window int64, isUrgent bool, isHeard func(address string) bool) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func (s *settledWindows) isConfirmed(window int64, isUrgent bool, silenceOf silenceOf) bool {
 	isAsked := func(p *settledPeer) bool { return p.stated && p.isCollector }
-	return s.isEnough(isUrgent, isHeard, isAsked, func(p *settledPeer) bool { return p.windows.contains(window) })
+	return s.isEnough(isUrgent, silenceOf, isAsked, func(p *settledPeer) bool { return p.windows.contains(window) })
 }
 
 // isEnough reports whether all asked peers that are heard meet a condition, or at least one if that is sufficient. It is
-// true if no peer is asked. The caller holds the lock.
-func (s *settledWindows) isEnough(oneSuffices bool, isHeard func(address string) bool, isAsked, meets func(*settledPeer) bool) bool {
+// true if no peer is asked, or none of them has been heard within contactTimeout.
+func (s *settledWindows) isEnough(oneSuffices bool, silenceOf silenceOf, isAsked, meets func(*settledPeer) bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	met, missing, silent := 0, 0, 0
 	for address, p := range s.peers {
+		silence, ok := silenceOf(address)
 		switch {
 		case !isAsked(p):
 		case meets(p):
 			met++
-		case isHeard(address):
+		case ok && silence < loadTimeout:
 			missing++
-		default:
+		case ok && silence < contactTimeout:
 			silent++
 		}
 	}
