--- a/chivedirectory/deferral_orders_test.go
+++ b/chivedirectory/deferral_orders_test.go
@@ -77,7 +77,7 @@
 	checkStarts(t, "third node", third, 10)
 }
 
-// Guards against requests to a process that has ended: a node that knows only the removal of the later process cannot tell that the
+// Guards against requests to a process that has ended: a node that knows only the removal of the later process cannot see that the
 // record is a late write.
 func TestNodeThatKnowsOnlyTheRemovalDefersTheRecord(t *testing.T) {
 	now := time.Now()
--- a/chiveusage/doc.go
+++ b/chiveusage/doc.go
@@ -9,6 +9,6 @@
 // stored ledger also holds up to which start of each process the windows have counted, because estimates of when a
 // window ends differ from holder to holder and from window to window.
 //
-// A store that is restored from an older copy may lose the newest ledger. So all nodes are told which windows are
-// settled before the reports leave, keep that in memory, and state it to later holders.
+// A store that is restored from an older copy may lose the newest ledger. So all nodes receive which windows
+// are settled before the reports leave, keep that in memory, and state it to later holders.
 package chiveusage
--- a/chiveusage/reporter.go
+++ b/chiveusage/reporter.go
@@ -115,7 +115,7 @@
 		return
 	}
 	r.settled.addUntil(l.Last, int64(assumedReported/r.opts.Window))
-	r.stateAll(r.settled.newsFor(r.opts.SinceBoot()))
+	r.stateAll(r.settled.broadcast(r.opts.SinceBoot()))
 }
 
 // awaitsAnswers reports whether nodes that were asked for settled windows have not answered yet.
@@ -158,7 +158,7 @@
 		}
 		r.ledger = next
 		r.settled.add(window)
-		r.stateAll(r.settled.newsFor(now))
+		r.stateAll(r.settled.broadcast(now))
 	}
 }
 
@@ -229,7 +229,7 @@
 	return r.settled.isConfirmed(window, isUrgent, r.silenceAt(now))
 }
 
-// silenceAt returns the function that tells for how long nodes have been silent.
+// silenceAt returns the function that returns for how long a node has been silent.
 func (r *reporter) silenceAt(now time.Duration) silenceOf {
 	return func(address string) (time.Duration, bool) { return r.collector.silence(now, address) }
 }
--- a/chiveusage/settled.go
+++ b/chiveusage/settled.go
@@ -6,11 +6,10 @@
 	"time"
 )
 
-// The store may be restored from a copy without the newest ledger. Which windows have been reported is then known only to
-// the processes that were told before the reports left. So the lease holder states each settled window to all nodes, and
-// sends its report once the other collectors have confirmed that they know it. All processes keep what they know in
-// memory and state it to new collectors. A holder without the ledger first asks all nodes. What nobody knows any more
-// after the store has lost it, because all these processes have ended too, is omitted only up to the present.
+// The store may be restored from a copy without the newest ledger. Only processes can then know which windows have been
+// reported. So the lease holder states each settled window to all nodes, and sends its report once the other collectors
+// have confirmed that they know the window. All processes keep what they know in memory and state it to new collectors. A
+// holder without the ledger first asks all nodes. If no process knows any more, windows are omitted up to the present.
 
 const (
 	// announceInterval is how often a node asks a collector that has not stated anything, and a collector any such node.
@@ -18,7 +17,7 @@
 	announceInterval = 5 * time.Second
 	// confirmInterval is how often a collector is asked again to confirm a settled window.
 	confirmInterval = 500 * time.Millisecond
-	// answerTimeout is how long a holder without the ledger waits for the answers of all nodes that it hears.
+	// answerTimeout is how long a holder without the ledger waits for the answers of all nodes in contact.
 	answerTimeout = 2 * time.Second
 	// assumedReported is how far back from the last window of a stored ledger windows are taken as reported: the ledger
 	// does not say which ones before were.
@@ -159,18 +158,18 @@
 	return due
 }
 
-// newsFor returns the statements that all nodes are sent after a window was settled. Collectors are asked to confirm it.
-func (s *settledWindows) newsFor(now time.Duration) map[string]SettledWindows {
+// broadcast returns the statements that all nodes are sent after a window was settled. Collectors are asked to confirm it.
+func (s *settledWindows) broadcast(now time.Duration) map[string]SettledWindows {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	news := make(map[string]SettledWindows)
+	statements := make(map[string]SettledWindows)
 	for address, p := range s.peers {
 		if p.stated && !p.windows.containsAll(s.known) {
 			p.sentAt = now
-			news[address] = s.statement(p.isCollector)
+			statements[address] = s.statement(p.isCollector)
 		}
 	}
-	return news
+	return statements
 }
 
 // questions returns the statements that ask the nodes for what they know that have not stated it since a time.
@@ -190,22 +189,22 @@
 // silenceOf returns for how long no message of a node has arrived; ok is false if none ever has.
 type silenceOf func(address string) (silence time.Duration, ok bool)
 
-// hasAnswers reports whether the nodes have stated what they know since a time: all that are heard, or at least one if
-// the others have had enough time. Nodes that have not stated anything by then are of an earlier release.
+// hasAnswers reports whether the nodes have stated what they know since a time: all that are in contact, or at least one
+// if the others have had enough time. Nodes that have not stated anything by then are of an earlier release.
 func (s *settledWindows) hasAnswers(since time.Duration, isTimedOut bool, silenceOf silenceOf) bool {
 	isAsked := func(p *settledPeer) bool { return p.stated || !isTimedOut }
 	return s.isEnough(isTimedOut, silenceOf, isAsked, func(p *settledPeer) bool { return p.statedAt >= since })
 }
 
-// isConfirmed reports whether the other collectors know a window: all that are heard, or at least one if the window is
-// urgent.
+// isConfirmed reports whether the other collectors know a window: all that are in contact, or at least one if the
+// window is urgent.
 func (s *settledWindows) isConfirmed(window int64, isUrgent bool, silenceOf silenceOf) bool {
 	isAsked := func(p *settledPeer) bool { return p.stated && p.isCollector }
 	return s.isEnough(isUrgent, silenceOf, isAsked, func(p *settledPeer) bool { return p.windows.contains(window) })
 }
 
-// isEnough reports whether all asked peers that are heard meet a condition, or at least one if that is sufficient. It is
-// true if no peer is asked, or none of them has been heard within contactTimeout.
+// isEnough reports whether all asked peers in contact meet a condition, or at least one if that is sufficient. It is true
+// if no peer is asked, or no message of them has arrived within contactTimeout.
 func (s *settledWindows) isEnough(oneSuffices bool, silenceOf silenceOf, isAsked, meets func(*settledPeer) bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
