Versions: every node knows and logs the software version of each endpoint

What the incident's record could not tell: which version an attempt went to, and which stream a caller takes up. The registration's version was checked and dropped. Nodes that read the store keep it now, the others ask a peer for the versions that they lack (kinds 144 and 145; no message of before has changed). No decision depends on it yet.

--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -238,7 +238,7 @@
 
 // setPrompt sets the prompt that the caller described and the latency targets of the route.
 func setPrompt(request *chiverequest.Request, table *chivetable.Table, metadata chiverequest.Asked) {
-	request.Prompt, request.LastEvent = metadata.Prompt, metadata.LastEvent
+	request.Prompt, request.LastEvent, request.Resumes = metadata.Prompt, metadata.LastEvent, metadata.Resumes
 	if request.Prompt == nil {
 		return
 	}
@@ -333,6 +333,7 @@
 		slog.String("team", request.Team), slog.Int("rank", request.Rank.Place), slog.Int("ranks", request.Rank.Of), slog.String("may_repeat", request.Route.Repeat.String()),
 		slog.Int64("table_version", request.TableVersion), slog.Int64("wait_ms", request.Deadline.Sub(request.Arrival).Milliseconds()),
 		slog.Int64("target_ms", request.Route.Target.Milliseconds()), chiveevent.Content(request.Content),
+		slog.String("after_event", request.LastEvent), slog.String("resumes", request.Resumes),
 	}
 	if request.Prompt != nil {
 		attributes = append(attributes, slog.Int64("tokens_in", request.Prompt.Input), slog.Int64("tokens_out_most", request.Prompt.MostOutput),
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -73,6 +73,8 @@
 	Unique        bool
 	Address       string
 	FailureDomain string
+	// Version is the version of the endpoint's software; empty if it is not known.
+	Version string
 }
 
 // healthEndpoint returns the endpoint in the form that a health check takes.
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -25,6 +25,7 @@
 	failureDomain string
 	remote        Asker
 	rates         Rates
+	versionOf     func(incarnation string) string
 	mu            sync.Mutex
 	pools         map[string]*chiveplace.Pool
 	nodes         int
@@ -39,7 +40,7 @@
 
 // NewPools returns an empty Pools for a node in a failure domain.
 func NewPools(failureDomain string) *Pools {
-	return &Pools{failureDomain: failureDomain, pools: make(map[string]*chiveplace.Pool), changed: make(chan struct{}, 1)}
+	return &Pools{failureDomain: failureDomain, pools: make(map[string]*chiveplace.Pool), changed: make(chan struct{}, 1), versionOf: func(string) string { return "" }}
 }
 
 // Asker selects endpoints for prompts with the help of other nodes.
@@ -67,6 +68,10 @@
 // SetRates sets the Rates for endpoints that state limits; it must be called before the first request.
 func (p *Pools) SetRates(rates Rates) { p.rates = rates }
 
+// SetVersions sets the function that returns the software version of an endpoint's incarnation, empty if it is not known;
+// it must be called before the first request.
+func (p *Pools) SetVersions(versionOf func(incarnation string) string) { p.versionOf = versionOf }
+
 // SetRegions sets the region of each failure domain; it must be called before the first request.
 func (p *Pools) SetRegions(regions chiveresidency.Map) { p.regions = regions }
 
@@ -336,7 +341,7 @@
 		ask.Domains = p.regions.Domains(residency)
 		place, asked, err := p.chooseWithinLimits(ctx, pool, request, ask)
 		if err == nil {
-			return pooledPlace{place, p.rates}, nil
+			return pooledPlace{place, p.rates, p.versionOf(place.Endpoint().Incarnation().Key())}, nil
 		}
 		if time.Now().After(deadline) {
 			return nil, err
@@ -356,7 +361,8 @@
 // pooledPlace implements Place for an endpoint of a pool.
 type pooledPlace struct {
 	*chiveplace.Place
-	rates Rates
+	rates   Rates
+	version string
 }
 
 // Done releases the place, and its permit if the endpoint can refuse only a few requests.
@@ -371,7 +377,7 @@
 // Target returns the endpoint.
 func (p pooledPlace) Target() Target {
 	e := p.Endpoint()
-	return Target{ID: e.ID, Incarnation: e.Incarnation().Key(), Unique: true, Address: e.Address, FailureDomain: e.FailureDomain}
+	return Target{ID: e.ID, Incarnation: e.Incarnation().Key(), Unique: true, Address: e.Address, FailureDomain: e.FailureDomain, Version: p.version}
 }
 
 // Preempted returns nil, because engines preempt requests by rank themselves.
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -284,7 +284,7 @@
 func (r *requestState) logAttemptSent(ctx context.Context, a *attempt) {
 	attributes := []slog.Attr{
 		chiveevent.Request(r.request.ID), slog.Int("attempt", len(r.result.Tries)+1), slog.String("pool", r.request.Pool),
-		slog.String("endpoint", a.target.ID), slog.String("address", a.target.Address),
+		slog.String("endpoint", a.target.ID), slog.String("address", a.target.Address), slog.String("version", a.target.Version),
 		slog.Int64("left_ms", r.remainingTime().Milliseconds()), slog.String("after_event", r.lastEventID),
 	}
 	chiveevent.AttemptSent.Log(ctx, r.forwarder.options.Logger, append(attributes, a.place.Why()...)...)
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -34,6 +34,7 @@
 	"chivedrift/chivesettings"
 	"chivedrift/chivetable"
 	"chivedrift/chiveusage"
+	"chivedrift/chiveversion"
 	"chivedrift/chivewire"
 	chiveplatform "chivedrift/platform"
 )
@@ -62,6 +63,7 @@
 	members           *chivemember.Service
 	tables            *chivetable.Service
 	directory         *chivedirectory.Service
+	versions          *chiveversion.Service
 	entry             *chiveentry.Entry
 	ready             *readiness
 	gossip            *chivegossip.Service
@@ -101,6 +103,25 @@
 	t.evacuation.Apply(records)
 }
 
+// endpointListener passes records of the endpoints' topic to the directory, and their software versions to versions
+// first, so that an endpoint that the directory lists has one.
+type endpointListener struct {
+	*chivedirectory.Service
+	versions *chiveversion.Service
+}
+
+// Replace passes on a snapshot.
+func (l endpointListener) Replace(snapshot chivelog.KeyedBatch) {
+	l.versions.Replace(snapshot)
+	l.Service.Replace(snapshot)
+}
+
+// Apply passes on later records.
+func (l endpointListener) Apply(records []chivelog.KeyedRecord) {
+	l.versions.Apply(records)
+	l.Service.Apply(records)
+}
+
 // NewStoreNode returns a node with the given settings that uses the given network.
 func NewStoreNode(settings chivesettings.StoreNode, network chivewire.Network, logger *slog.Logger) (*StoreNode, error) {
 	n := &StoreNode{settings: settings, logger: logger, kernel: chivekernel.New()}
@@ -129,6 +150,7 @@
 		{chivemember.ServiceName, n.members},
 		{chivetable.ServiceName, n.tables},
 		{chivedirectory.ServiceName, n.directory},
+		{chiveversion.ServiceName, n.versions},
 		{chivegossip.ServiceName, n.gossip},
 		{chiveevacuation.ServiceName, n.evacuation},
 		{tableFeedName, feeds.table},
@@ -167,6 +189,8 @@
 	n.tables = chivetable.NewService(n.decodeTable, chiveplatform.IsConfiguration, n.logger)
 	n.evacuation = chiveevacuation.New(chiveevacuation.Options{Mesh: n.mesh, Decode: chiveplatform.DecodeEvacuation, Logger: n.logger})
 	n.directory = chivedirectory.NewService(chiveplatform.DecodeEndpoint, chivedirectory.DefaultGrace, n.logger)
+	n.versions = chiveversion.New(n.mesh, chiveplatform.DecodeVersion)
+	n.directory.OnChange(n.versions.ApplyEndpoints)
 	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Tables: n.tables, Endpoints: n.directory, Deferred: n.directory.Deferred, Logger: n.logger})
 	n.tables.OnChange(func(*chivetable.Table) { n.gossip.Learnt() })
 	n.directory.OnChange(func(chivedirectory.Diff) { n.gossip.Learnt() })
@@ -216,7 +240,7 @@
 			Settle: chivegossip.SettleFor, ReadsEarly: n.gossip.ReadsEarly,
 		}),
 		directory: chivefeed.New(chivefeed.Options{
-			Topic: store.Endpoints(), Wait: n.gossip.ReadWait, Pace: n.gossip.ReadPace, Listener: n.directory, Answered: n.directory.Answered, Held: n.gossip.Held,
+			Topic: store.Endpoints(), Wait: n.gossip.ReadWait, Pace: n.gossip.ReadPace, Listener: endpointListener{n.directory, n.versions}, Answered: n.directory.Answered, Held: n.gossip.Held,
 			Settle: chivegossip.SettleFor, ReadsEarly: n.gossip.ReadsEarly, HoldFirst: n.newFirstReadPolicy(discovery).defers, Known: n.directory.Newest,
 		}),
 		discovery: chivefeed.New(chivefeed.Options{
@@ -245,6 +269,7 @@
 	n.quarantine = chivequarantine.New(chivequarantine.Options{Mesh: n.mesh, Logger: n.logger})
 	pools := chiveforward.NewPools(s.FailureDomain)
 	pools.SetRegions(s.RegionOf())
+	pools.SetVersions(n.versions.Of)
 	n.pools = pools
 	n.relay = chiverelay.New(chiverelay.Options{
 		Self: s.Listen.Callers, Address: s.Listen.Relay, Network: network, Region: s.Region, Regions: s.RegionOf(), Full: n.memory.Full, Logger: n.logger,
@@ -318,6 +343,7 @@
 		n.grants.SetMembers(members)
 		n.loads.SetMembers(members)
 		n.gossip.SetMembers(members)
+		n.versions.SetMembers(members)
 		n.quarantine.SetMembers(members)
 		if n.usage != nil {
 			n.usage.SetMembers(members)
--- a/chiverequest/caller.go
+++ b/chiverequest/caller.go
@@ -17,6 +17,8 @@
 	Prompt *Prompt
 	// LastEvent is the ID of the last event that the caller received of a stream that it wants to resume.
 	LastEvent string
+	// Resumes is the ID of the caller's attempt that brought the first event of that stream; empty if it names none.
+	Resumes string
 }
 
 // CallerDialect implements the header conventions of a kind of callers.
--- a/chiverequest/request.go
+++ b/chiverequest/request.go
@@ -29,8 +29,10 @@
 	Prompt  *Prompt
 	// LastEvent is the ID of the last event of a stream that the caller already has; empty to start at the beginning.
 	LastEvent string
-	Arrival   time.Time
-	Deadline  time.Time
+	// Resumes is the ID of the caller's attempt that brought the first event of that stream; empty if it names none.
+	Resumes  string
+	Arrival  time.Time
+	Deadline time.Time
 	// TableVersion is the version of the routing table that Route comes from.
 	TableVersion int64
 	// Residency limits the regions that may serve the request, by the configuration under which it was accepted.
--- /dev/null
+++ b/chiveversion/service.go
@@ -0,0 +1,168 @@
+package chiveversion
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"chivedrift/chivedirectory"
+	"chivedrift/chivekernel"
+	"chivedrift/chivelog"
+	"chivedrift/chivemember"
+	"chivedrift/chivewire"
+)
+
+// ServiceName is the name under which the service registers.
+const ServiceName = "versions"
+
+const (
+	// askInterval is how often a peer is asked while versions are unknown. Each round doubles the nodes that know them.
+	askInterval = 150 * time.Millisecond
+	// maxAsked bounds the endpoints in one message.
+	maxAsked = 1024
+)
+
+// Decoder returns the incarnation and the software version that a registration states; false if it states none.
+type Decoder func(id string, data []byte) (incarnation chivedirectory.Incarnation, version string, ok bool)
+
+// Ask asks a peer for the versions of endpoints, given by their incarnation keys.
+type Ask struct {
+	Incarnations []string
+}
+
+// Versions maps incarnation keys to the versions that the sender knows.
+type Versions struct {
+	Versions map[string]string
+}
+
+// Service keeps a Registry up to date with the store's records and the answers of peers.
+type Service struct {
+	registry *Registry
+	decode   Decoder
+	mesh     *chivewire.Mesh
+	askNow   chan struct{}
+	mu       sync.Mutex
+	peers    []string
+	duties   chivekernel.Duties
+}
+
+// New returns a service that knows no version.
+func New(mesh *chivewire.Mesh, decode Decoder) *Service {
+	s := &Service{registry: NewRegistry(), decode: decode, mesh: mesh, askNow: make(chan struct{}, 1)}
+	chivewire.Receive(mesh, chivewire.KindVersionsAsk, s.answer)
+	chivewire.Receive(mesh, chivewire.KindVersions, func(_ string, v Versions) {
+		for incarnation, version := range v.Versions {
+			s.registry.Learn(time.Now(), incarnation, version)
+		}
+	})
+	return s
+}
+
+// Of returns the software version of an incarnation; empty if it is not known.
+func (s *Service) Of(incarnation string) string { return s.registry.Of(incarnation) }
+
+// Replace learns the versions in a snapshot of the store.
+func (s *Service) Replace(snapshot chivelog.KeyedBatch) { s.Apply(snapshot.Records) }
+
+// Apply learns the versions in records of the store.
+func (s *Service) Apply(records []chivelog.KeyedRecord) {
+	for _, r := range records {
+		if incarnation, version, ok := s.decode(r.Key, r.Value); ok {
+			s.registry.Learn(time.Now(), incarnation.Key(), version)
+		}
+	}
+}
+
+// ApplyEndpoints applies a change of the directory.
+func (s *Service) ApplyEndpoints(diff chivedirectory.Diff) {
+	for _, e := range diff.Gone {
+		s.registry.Remove(time.Now(), e.Incarnation().Key())
+	}
+	for _, e := range diff.Changed {
+		if !s.registry.Add(e.Incarnation().Key(), e.Pool) {
+			s.signal()
+		}
+	}
+}
+
+// SetMembers applies a membership change.
+func (s *Service) SetMembers(members []chivemember.Member) {
+	peers := make([]string, 0, len(members))
+	for _, m := range members {
+		if m.State == chivemember.Alive && m.Address != s.mesh.Self() {
+			peers = append(peers, m.Address)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.peers = peers
+}
+
+// Start begins to ask peers for versions that are not known.
+func (s *Service) Start(ctx context.Context) error {
+	s.duties.Begin(ctx, s.askPeers, s.expire)
+	return nil
+}
+
+// Stop ends that.
+func (s *Service) Stop(context.Context) error {
+	s.duties.End()
+	return nil
+}
+
+// Dump returns the versions of the endpoints that the directory lists.
+func (s *Service) Dump() any { return s.registry.Live() }
+
+func (s *Service) signal() {
+	select {
+	case s.askNow <- struct{}{}:
+	default:
+		// The next round is pending already.
+	}
+}
+
+func (s *Service) askPeers(ctx context.Context) {
+	tick := time.NewTicker(askInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.askNow:
+		case <-tick.C:
+		}
+		s.askPeer()
+	}
+}
+
+// askPeer asks one peer for the versions that are not known. It may not know them either; the next round asks another.
+func (s *Service) askPeer() {
+	unknown := s.registry.Unknown(maxAsked)
+	if len(unknown) == 0 {
+		return
+	}
+	s.mu.Lock()
+	peers := s.peers
+	s.mu.Unlock()
+	if len(peers) > 0 {
+		_ = s.mesh.Send(peers[rand.IntN(len(peers))], chivewire.KindVersionsAsk, Ask{Incarnations: unknown})
+	}
+}
+
+func (s *Service) answer(from string, ask Ask) {
+	known := make(map[string]string)
+	for _, incarnation := range ask.Incarnations[:min(len(ask.Incarnations), maxAsked)] {
+		if version := s.registry.Of(incarnation); version != "" {
+			known[incarnation] = version
+		}
+	}
+	if len(known) > 0 {
+		// The peer asks again if the answer is lost.
+		_ = s.mesh.Send(from, chivewire.KindVersions, Versions{Versions: known})
+	}
+}
+
+func (s *Service) expire(ctx context.Context) {
+	chivekernel.Every(ctx, expiryInterval, s.registry.Expire)
+}
--- a/chivewire/kind.go
+++ b/chivewire/kind.go
@@ -79,6 +79,9 @@
 	KindRateAnswer  Kind = 141
 	KindRateRelease Kind = 142
 
+	KindVersionsAsk Kind = 144
+	KindVersions    Kind = 145
+
 	KindPlaceAsk    Kind = 104
 	KindPlaceAnswer Kind = 105
 )
@@ -103,6 +106,7 @@
 	KindRepeatAsk: "repeat_ask", KindRepeatAnswer: "repeat_answer",
 	KindPlaceAsk: "place_ask", KindPlaceAnswer: "place_answer",
 	KindRateAsk: "rate_ask", KindRateAnswer: "rate_answer", KindRateRelease: "rate_release",
+	KindVersionsAsk: "versions_ask", KindVersions: "versions",
 }
 
 // String returns the name of the kind used in metrics and state dumps.
