Placement: instant answers no longer make the choice of an engine panic

Cause: the learnt fixed time to a first event may reach 0, and a prompt that is cached whole is then predicted to take 0 ms. An answer that takes 0 ms as well, as on a paused clock, makes the engine's slowdown 0/0. NaN stays in the moving average, no engine costs less than another, and the choice dereferences the place's missing candidate for every request.

The comparison is with 1 ms at least, so the ratio is always a number.

--- a/chiveplace/candidate.go
+++ b/chiveplace/candidate.go
@@ -148,12 +148,15 @@
 	return c.slowdownRatio
 }
 
+// minPredictedMs is the least prediction that a TTFT is compared with: the learnt fixed time may reach 0.
+const minPredictedMs = 1.0
+
 // slowdownWeight is the weight of the newest TTFT in the moving average of the slowdown.
 const slowdownWeight = 0.1
 
 // updateSlowdown updates the slowdown from a predicted TTFT, in milliseconds, and the actual one.
 func (c *candidate) updateSlowdown(predicted float64, took time.Duration) {
-	ratio := min(max(float64(took)/float64(time.Millisecond)/predicted, 0.3), 3)
+	ratio := min(max(float64(took)/float64(time.Millisecond)/max(predicted, minPredictedMs), 0.3), 3)
 	c.slowdownRatio = c.slowdown() + slowdownWeight*(ratio-c.slowdown())
 }
 
