Streams go on only at the software version that began them

What two versions write does not fit together.

Cause: the version of an endpoint was checked and dropped when its registration was decoded, so neither the choice of an engine within a response nor a caller's next try at another node could keep to it. Class: a fact about a stream that ends with the try that began it, while the promise holds for all tries.

Change: a request whose stream has begun carries its origin, the version that wrote the first event, and only endpoints of that version are chosen for it: after a break, silence or preemption, by the node, an owner (as excluded endpoints, so that the messages of before stay as they are) or an adopted grant. Before the first event leaves, the node records the origin under the team and the caller's attempt, here and at three owners by rendezvous in different failure domains (chivestream, kinds 148 to 150). A node where a caller takes the stream up asks five nodes. If it cannot find out, it goes on only if all endpoints certainly have one version, and else answers 503 with Retry-After: unknown costs a stream, not the rule. A team cannot name another team's stream. A route that has moved to another pool begins with any version there; a split route stays with the stream's pool.

--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -57,6 +57,9 @@
 	Network   chivewire.Network
 	Dialect   chiverequest.CallerDialect
 	Forwarder Forwarder
+	// Streams looks up where streams began, and Versions tells the software versions of a pool; nil if endpoints have none.
+	Streams  Streams
+	Versions Versions
 	// Full reports whether the node has no memory for another request; nil means never.
 	Full   func() bool
 	Scope  tally.Scope
@@ -207,7 +210,12 @@
 		return request, err
 	}
 	request.Deadline = now.Add(requestTimeout(route, metadata))
-	setPool(request, table, team)
+	request.LastEvent, request.Resumes = metadata.LastEvent, metadata.Resumes
+	setPool(request, team)
+	if err := e.setOrigin(r.Context(), request); err != nil {
+		return request, err
+	}
+	request.Rank = table.RankOf(request.Pool, request.Route, team)
 	setPrompt(request, table, metadata)
 	e.setForwardedRequest(request, r, target)
 	return request, nil
@@ -227,10 +235,9 @@
 	return f
 }
 
-// setPool chooses the pool of a request by the route's traffic split, and sets the request's rank in that pool.
-func setPool(request *chiverequest.Request, table *chivetable.Table, team *chivetable.Team) {
+// setPool sets the team of a request and chooses its pool by the route's traffic split.
+func setPool(request *chiverequest.Request, team *chivetable.Team) {
 	request.Pool = request.Route.PoolFor(rand.Float64())
-	request.Rank = table.RankOf(request.Pool, request.Route, team)
 	if team != nil {
 		request.Team = team.Name
 	}
@@ -238,7 +245,7 @@
 
 // setPrompt sets the prompt that the caller described and the latency targets of the route.
 func setPrompt(request *chiverequest.Request, table *chivetable.Table, metadata chiverequest.Asked) {
-	request.Prompt, request.LastEvent, request.Resumes = metadata.Prompt, metadata.LastEvent, metadata.Resumes
+	request.Prompt = metadata.Prompt
 	if request.Prompt == nil {
 		return
 	}
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -348,6 +348,7 @@
 		now := time.Now()
 		a.place.Event(now, now.Sub(waitStart))
 		a.state.recordEvent(now.Sub(waitStart))
+		a.state.recordOrigin(now, a.target)
 		done, err := stream.Event(e.data, e.id, events.hasBuffered())
 		if err != nil {
 			return a.sinkFailed(err)
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -26,6 +26,8 @@
 	Rules   Rules
 	// Quarantine blocks requests that crash endpoints; nil disables quarantining.
 	Quarantine Quarantine
+	// Streams records where streams began; nil if endpoints have no software versions.
+	Streams Streams
 	// PathLost reports whether this node cannot connect to an endpoint's address itself; nil means never.
 	PathLost func(address string) bool
 	// OnStart is called once per request, when an endpoint first responds to one of its attempts; nil is a no-op.
@@ -123,6 +125,12 @@
 	Explain(now time.Time, request *chiverequest.Request) []slog.Attr
 }
 
+// Streams records where streams began, so that a caller can take them up at another node.
+type Streams interface {
+	// Begin records the origin of a stream of a team, named by the caller's attempt that got its first event.
+	Begin(team, attempt string, origin chiverequest.Origin)
+}
+
 // Forwarder sends requests to endpoints and returns their responses.
 type Forwarder struct {
 	options      Options
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -325,13 +325,21 @@
 	return request.Residency.Intersect(current)
 }
 
+// allowedBy returns the function that reports which endpoints may go on with a stream; nil for one that has not begun.
+func (p *Pools) allowedBy(origin *chiverequest.Origin) func(incarnation string) bool {
+	if origin == nil {
+		return nil
+	}
+	return func(incarnation string) bool { return origin.Allows(incarnation, p.versionOf) }
+}
+
 // Take waits a limited time for an endpoint that can take the request.
 func (p *Pools) Take(ctx context.Context, request *chiverequest.Request, exclude []string) (Place, error) {
 	pool := p.Pool(request.Pool)
 	if pool == nil {
 		return nil, &chiveplace.RefusedError{Reason: "the pool has no endpoints", RetryAfter: time.Second}
 	}
-	ask := chiveplace.Ask{Prompt: request.Prompt, Exclude: exclude}
+	ask := chiveplace.Ask{Prompt: request.Prompt, Exclude: exclude, Allows: p.allowedBy(request.Origin)}
 	deadline := time.Now().Add(chiveplace.Patience(request.Route.Target))
 	for {
 		residency := p.residencyOf(request)
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -32,6 +32,8 @@
 	exclude        []string
 	// events counts the events of all attempts.
 	events int
+	// originRecordedAt is when the stream's origin was last recorded; zero before the first event.
+	originRecordedAt time.Time
 	// startReported means that an endpoint has responded to an attempt and OnStart was called.
 	startReported bool
 	// probe means that the request is a quarantine probe: although engines crashed while running it, it gets one
--- a/chiveforward/stream.go
+++ b/chiveforward/stream.go
@@ -2,8 +2,35 @@
 
 import (
 	"net/http"
+	"time"
+
+	"chivedrift/chiverequest"
+	"chivedrift/chivetable"
 )
 
+// originRecordInterval is how often the origin of a long stream is recorded again, so that its records are kept.
+const originRecordInterval = 2 * time.Minute
+
+// recordOrigin records where the stream began, before its first event is passed on. From then on only endpoints of the
+// same software version may go on with it: another version's events would not fit.
+func (r *requestState) recordOrigin(now time.Time, target Target) {
+	if r.forwarder.options.Streams == nil || (!r.originRecordedAt.IsZero() && now.Sub(r.originRecordedAt) < originRecordInterval) {
+		return
+	}
+	r.originRecordedAt = now
+	if r.request.Origin == nil {
+		origin := chiverequest.NewOrigin(r.request.Pool, target.Version, target.Incarnation)
+		r.request.Origin = &origin
+	}
+	attempt := r.request.ID
+	if r.request.Resumes != "" {
+		attempt = r.request.Resumes
+	}
+	if attempt != "" && r.request.Route.Repeat == chivetable.RepeatResume {
+		r.forwarder.options.Streams.Begin(r.request.Team, attempt, *r.request.Origin)
+	}
+}
+
 // idStream forwards a stream whose events have increasing IDs. Each event is passed on once and in order, across all
 // attempts.
 type idStream struct {
--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -12,7 +12,6 @@
 	"chivedrift/chiveevent"
 	"chivedrift/chiveplace"
 	"chivedrift/chiverequest"
-	"chivedrift/chiveresidency"
 	"chivedrift/chivewire"
 )
 
@@ -27,7 +26,7 @@
 		return nil, ErrAlone
 	}
 	p := &placement{
-		service: s, assignment: a, pool: pool, request: request, exclude: append(pool.PassedOver(time.Now()), limits.Exclude...), domains: limits.Domains,
+		service: s, assignment: a, pool: pool, request: request, exclude: append(pool.PassedOver(time.Now()), limits.Exclude...), limits: limits,
 	}
 	primary, secondary := a.homeGroups(request.Pool, chiveplace.SharedPart(request.Prompt), limits.Domains)
 	if p.allExcluded(primary) {
@@ -72,32 +71,40 @@
 	pool       *chiveplace.Pool
 	request    *chiverequest.Request
 	exclude    []string
-	domains    chiveresidency.Domains
+	// limits holds the failure domains and the software version that the request is limited to.
+	limits chiveplace.Ask
 }
 
 // allExcluded reports whether this node excludes every engine of a group. After a short network partition a node
 // excludes all engines. Asking the owner would then get the request refused, whereas local placement still tries one of
 // the engines.
 func (p *placement) allExcluded(group groupID) bool {
+	exclude := p.excludedIn(group)
 	for _, id := range p.assignment.engines(group) {
-		if !slices.ContainsFunc(p.exclude, func(incarnation string) bool { return chivedirectory.IDOf(incarnation) == id }) {
+		if !slices.ContainsFunc(exclude, func(incarnation string) bool { return chivedirectory.IDOf(incarnation) == id }) {
 			return false
 		}
 	}
 	return true
 }
 
+// excludedIn returns the endpoints that this node excludes, with those of a group that the request is not allowed to use.
+// An owner gets them as excluded ones, since nodes of earlier releases know of no other limit by software version.
+func (p *placement) excludedIn(group groupID) []string {
+	return slices.Concat(p.exclude, p.pool.NotAllowed(p.limits, p.assignment.engines(group)))
+}
+
 // placeIn places the request in a group through its owner, which may be this node.
 func (p *placement) placeIn(ctx context.Context, group groupID, maxLoss float64, recomputeTokens int64) (*chiveplace.Place, error) {
 	s := p.service
 	owner := p.assignment.owners[group]
 	if owner == s.options.Mesh.Self() {
 		return p.pool.Take(time.Now(), chiveplace.Ask{
-			Prompt: p.request.Prompt, Exclude: p.exclude, Among: p.assignment.engines(group), Domains: p.domains, Most: maxLoss, MostReads: recomputeTokens,
+			Prompt: p.request.Prompt, Exclude: p.exclude, Among: p.assignment.engines(group), Domains: p.limits.Domains, Allows: p.limits.Allows, Most: maxLoss, MostReads: recomputeTokens,
 		})
 	}
 	request := newPlacementRequest(p.request.Pool, group.String(), p.request.Prompt)
-	request.Exclude, request.Domains, request.Most, request.MostReads = p.exclude, p.domains.Names(), maxLoss, recomputeTokens
+	request.Exclude, request.Domains, request.Most, request.MostReads = p.excludedIn(group), p.limits.Domains.Names(), maxLoss, recomputeTokens
 	response, err := s.requestPlacement(ctx, owner, request)
 	if err != nil {
 		return nil, err
@@ -117,7 +124,7 @@
 		return nil, limited
 	}
 	response.Grant.Owner = owner
-	place, ok := p.pool.Adopt(time.Now(), response.Grant, chiveplace.Ask{Prompt: p.request.Prompt, Domains: p.domains})
+	place, ok := p.pool.Adopt(time.Now(), response.Grant, chiveplace.Ask{Prompt: p.request.Prompt, Domains: p.limits.Domains, Allows: p.limits.Allows})
 	s.recordAdopted(owner, response.Given)
 	if !ok {
 		return nil, ErrAlone
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -32,6 +32,7 @@
 	"chivedrift/chiverequest"
 	"chivedrift/chivescale"
 	"chivedrift/chivesettings"
+	"chivedrift/chivestream"
 	"chivedrift/chivetable"
 	"chivedrift/chiveusage"
 	"chivedrift/chiveversion"
@@ -56,14 +57,17 @@
 
 // StoreNode is a router node on a platform that keeps configuration and endpoints in a metadata store.
 type StoreNode struct {
-	settings          chivesettings.StoreNode
-	logger            *slog.Logger
-	kernel            *chivekernel.Kernel
-	mesh              *chivewire.Mesh
-	members           *chivemember.Service
-	tables            *chivetable.Service
-	directory         *chivedirectory.Service
-	versions          *chiveversion.Service
+	settings  chivesettings.StoreNode
+	logger    *slog.Logger
+	kernel    *chivekernel.Kernel
+	mesh      *chivewire.Mesh
+	members   *chivemember.Service
+	tables    *chivetable.Service
+	directory *chivedirectory.Service
+	versions  *chiveversion.Service
+	streams   *chivestream.Service
+	// endpointReadAge returns how long ago the store answered this node for the endpoints; negative means never.
+	endpointReadAge   func() time.Duration
 	entry             *chiveentry.Entry
 	ready             *readiness
 	gossip            *chivegossip.Service
@@ -137,6 +141,7 @@
 	metrics := chivemetric.New()
 	discovery := n.assembleFleet(network, store)
 	feeds := n.newFeeds(store, discovery)
+	n.endpointReadAge = feeds.directory.Age
 	singletons := n.assembleSingletons(network, store)
 	serving := n.assembleServing(network, metrics)
 	process := newProcess()
@@ -151,6 +156,7 @@
 		{chivetable.ServiceName, n.tables},
 		{chivedirectory.ServiceName, n.directory},
 		{chiveversion.ServiceName, n.versions},
+		{chivestream.ServiceName, n.streams},
 		{chivegossip.ServiceName, n.gossip},
 		{chiveevacuation.ServiceName, n.evacuation},
 		{tableFeedName, feeds.table},
@@ -189,8 +195,9 @@
 	n.tables = chivetable.NewService(n.decodeTable, chiveplatform.IsConfiguration, n.logger)
 	n.evacuation = chiveevacuation.New(chiveevacuation.Options{Mesh: n.mesh, Decode: chiveplatform.DecodeEvacuation, Logger: n.logger})
 	n.directory = chivedirectory.NewService(chiveplatform.DecodeEndpoint, chivedirectory.DefaultGrace, n.logger)
-	n.versions = chiveversion.New(n.mesh, chiveplatform.DecodeVersion)
+	n.versions = chiveversion.New(n.mesh, chiveplatform.DecodeVersion, func() time.Duration { return n.endpointReadAge() })
 	n.directory.OnChange(n.versions.ApplyEndpoints)
+	n.streams = chivestream.New(n.mesh)
 	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Tables: n.tables, Endpoints: n.directory, Deferred: n.directory.Deferred, Logger: n.logger})
 	n.tables.OnChange(func(*chivetable.Table) { n.gossip.Learnt() })
 	n.directory.OnChange(func(chivedirectory.Diff) { n.gossip.Learnt() })
@@ -276,12 +283,13 @@
 	})
 	forwarder := chiveforward.New(chiveforward.Options{
 		Self: s.Listen.Callers, Network: n.relay, PathLost: n.relay.IsLost, Dialect: chiveplatform.Endpoints{}, Places: pools, Repeats: n.sharedRetryBudget, Rules: chiveforward.StoreRules,
-		Quarantine: n.quarantine, OnStart: n.recordStart, SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
+		Quarantine: n.quarantine, Streams: n.streams, OnStart: n.recordStart, SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
 	})
 	n.forwarder = forwarder
 	n.quarantine.OnFailure(forwarder.PeerFailure)
 	n.entry = chiveentry.New(chiveentry.Options{
 		Address: s.Listen.Callers, Network: network, Dialect: chiveplatform.Callers{}, Forwarder: forwarder, Full: n.memory.Full,
+		Streams: n.streams, Versions: n.versions,
 		Scope: metrics.Scope(), Logger: n.logger,
 	})
 	n.ready = newReadiness(s.Listen.Ready, chiveplatform.ReadyPath, network, n.NotReady)
@@ -344,6 +352,7 @@
 		n.loads.SetMembers(members)
 		n.gossip.SetMembers(members)
 		n.versions.SetMembers(members)
+		n.streams.SetMembers(members)
 		n.quarantine.SetMembers(members)
 		if n.usage != nil {
 			n.usage.SetMembers(members)
@@ -364,6 +373,10 @@
 		{"places_granted", func() float64 { return float64(n.grants.Counts().Granted) }},
 		{"places_refused", func() float64 { return float64(n.grants.Counts().Refused) }},
 		{"endpoints_limited", func() float64 { return float64(n.pools.LimitedEndpoints()) }},
+		{"streams_recorded", func() float64 { return float64(n.streams.Counts().Records) }},
+		{"streams_found", func() float64 { return float64(n.streams.Counts().Found) }},
+		{"streams_unknown", func() float64 { return float64(n.streams.Counts().Unknown) }},
+		{"streams_unanswered", func() float64 { return float64(n.streams.Counts().Unanswered) }},
 		{"lost_paths", func() float64 { return float64(n.relay.Counts().LostPaths) }},
 		{"tunnels", func() float64 { return float64(n.relay.Counts().Tunnels) }},
 		{"tunnels_opened", func() float64 { return float64(n.relay.Counts().Opened) }},
--- a/chiveplace/grant.go
+++ b/chiveplace/grant.go
@@ -103,12 +103,12 @@
 }
 
 // Adopt turns a grant into a place of this node. It fails if this node does not know the endpoint as ready, or if the
-// ask does not allow its failure domain: an owner of an earlier release may grant such a place.
+// ask does not allow it or its failure domain: an owner of an earlier release may grant such a place.
 func (p *Pool) Adopt(now time.Time, grant Grant, ask Ask) (*Place, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cand, ok := p.lookup(grant.Endpoint)
-	if !ok || cand.endpoint.State != chivedirectory.Ready || !ask.Domains.Contains(cand.endpoint.FailureDomain) {
+	if !ok || cand.endpoint.State != chivedirectory.Ready || !ask.Domains.Contains(cand.endpoint.FailureDomain) || !ask.allows(cand) {
 		return nil, false
 	}
 	prompt := ask.Prompt
--- a/chiveplace/limit.go
+++ b/chiveplace/limit.go
@@ -135,7 +135,7 @@
 // holds the lock.
 func (p *Pool) limitWait(now time.Time, ask Ask) (wait time.Duration, limited bool) {
 	for _, cand := range p.allowedCandidates(ask) {
-		if cand.currentLimits().IsZero() || slices.Contains(ask.Exclude, cand.incarnation) || !cand.isUsable(now) {
+		if cand.currentLimits().IsZero() || slices.Contains(ask.Exclude, cand.incarnation) || !ask.allows(cand) || !cand.isUsable(now) {
 			continue
 		}
 		left := max(cand.limits.usedUpUntil.Sub(now), minRetryAfter)
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -35,6 +35,9 @@
 	// retryAfterNoEndpoint is the time after which to retry on a pool without endpoints: a node that has just started
 	// discovers them within a few hundred milliseconds.
 	retryAfterNoEndpoint = 300 * time.Millisecond
+	// retryAfterNoVersion is the same for a stream whose software version no endpoint runs: one that crashed restarts
+	// within a few seconds.
+	retryAfterNoVersion = time.Second
 )
 
 // Ask is a request for a place.
@@ -52,6 +55,8 @@
 	Home []string
 	// Domains limits the choice, and the endpoints to fetch prompt parts from, to some failure domains.
 	Domains chiveresidency.Domains
+	// Allows reports whether an endpoint, by its incarnation key, may be chosen; nil allows all.
+	Allows func(incarnation string) bool
 	// Permitted is the incarnation key of an endpoint with limits for which the caller has a permit; the choice is
 	// limited to it. Empty for none.
 	Permitted string
@@ -61,6 +66,9 @@
 	MostReads int64
 }
 
+// allows reports whether the ask allows a candidate.
+func (a Ask) allows(cand *candidate) bool { return a.Allows == nil || a.Allows(cand.incarnation) }
+
 // RefusedError tells why a pool has no place for a request and when to retry.
 type RefusedError struct {
 	Reason     string
@@ -283,6 +291,22 @@
 // An endpoint that appears later has just started with an empty cache.
 const discoveryWindow = 3 * time.Second
 
+// NotAllowed returns the incarnation keys of those of the given endpoint ids that an ask does not allow.
+func (p *Pool) NotAllowed(ask Ask, ids []string) []string {
+	if ask.Allows == nil {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var incarnations []string
+	for _, id := range ids {
+		if cand, ok := p.byID[id]; ok && !ask.allows(cand) {
+			incarnations = append(incarnations, cand.incarnation)
+		}
+	}
+	return incarnations
+}
+
 // TakeUnasked returns up to limit ready endpoints whose caches may hold something and that it has not returned before,
 // for the caller to query their cache contents. The ids limit the search; nil allows all endpoints.
 func (p *Pool) TakeUnasked(ids []string, limit int) []chivedirectory.Endpoint {
@@ -350,13 +374,8 @@
 func (p *Pool) choose(now time.Time, ask Ask) (*Place, error) {
 	usable, ready := p.usableCandidates(now, ask)
 	if len(usable) == 0 {
-		switch {
-		case ready == 0 && ask.Domains.IsLimited():
-			return nil, &RefusedError{Reason: "no endpoint of the pool is known in the allowed regions", RetryAfter: retryAfterNoEndpoint}
-		case ready == 0 && len(p.evacuatedDomains) > 0:
-			return nil, &RefusedError{Reason: "no endpoint of the pool is known outside the evacuated failure domains", RetryAfter: retryAfterNoEndpoint}
-		case ready == 0:
-			return nil, &RefusedError{Reason: "no endpoint of the pool is known", RetryAfter: retryAfterNoEndpoint}
+		if ready == 0 {
+			return nil, p.noEndpoint(ask)
 		}
 		if wait, limited := p.limitWait(now, ask); limited {
 			return nil, &RefusedError{Reason: "the limits of the pool's endpoints are used up", RetryAfter: wait}
@@ -388,6 +407,19 @@
 	return place, nil
 }
 
+// noEndpoint returns the error of an ask that allows no ready endpoint.
+func (p *Pool) noEndpoint(ask Ask) *RefusedError {
+	switch {
+	case ask.Allows != nil:
+		return &RefusedError{Reason: "no endpoint of the pool runs the software version that began the stream", RetryAfter: retryAfterNoVersion}
+	case ask.Domains.IsLimited():
+		return &RefusedError{Reason: "no endpoint of the pool is known in the allowed regions", RetryAfter: retryAfterNoEndpoint}
+	case len(p.evacuatedDomains) > 0:
+		return &RefusedError{Reason: "no endpoint of the pool is known outside the evacuated failure domains", RetryAfter: retryAfterNoEndpoint}
+	}
+	return &RefusedError{Reason: "no endpoint of the pool is known", RetryAfter: retryAfterNoEndpoint}
+}
+
 // usableCandidates returns the candidates that can take a request, and the number of ready endpoints in failure domains
 // that are allowed and not evacuated. If all candidates with capacity are ejected, it returns these: trying them is
 // better than refusing.
@@ -397,7 +429,7 @@
 	slots := slotLimit(p.engine.Slots, ask.Prompt)
 	var ejected []*candidate
 	for _, cand := range allowed {
-		if cand.endpoint.State != chivedirectory.Ready || slices.Contains(p.evacuatedDomains, cand.endpoint.FailureDomain) || !ask.Domains.Contains(cand.endpoint.FailureDomain) {
+		if cand.endpoint.State != chivedirectory.Ready || slices.Contains(p.evacuatedDomains, cand.endpoint.FailureDomain) || !ask.Domains.Contains(cand.endpoint.FailureDomain) || !ask.allows(cand) {
 			continue
 		}
 		ready++
--- a/chiverequest/request.go
+++ b/chiverequest/request.go
@@ -29,6 +29,8 @@
 	Prompt  *Prompt
 	// LastEvent is the ID of the last event of a stream that the caller already has; empty to start at the beginning.
 	LastEvent string
+	// Origin is where the stream began, once it has; nil allows endpoints of any software version.
+	Origin *Origin
 	// Resumes is the ID of the caller's attempt that brought the first event of that stream; empty if it names none.
 	Resumes  string
 	Arrival  time.Time
--- a/chivetable/rank.go
+++ b/chivetable/rank.go
@@ -118,7 +118,7 @@
 	shortest := time.Duration(0)
 	for i := range t.spec.Routes {
 		r := &t.spec.Routes[i]
-		if !r.Prompted || r.Tier > route.Tier || !r.sendsTo(pool) {
+		if !r.Prompted || r.Tier > route.Tier || !r.SendsTo(pool) {
 			continue
 		}
 		if shortest == 0 || r.Target < shortest {
--- a/chivetable/table.go
+++ b/chivetable/table.go
@@ -317,7 +317,8 @@
 	return nil
 }
 
-func (r *Route) sendsTo(pool string) bool {
+// SendsTo reports whether the route sends requests to a pool.
+func (r *Route) SendsTo(pool string) bool {
 	for _, s := range r.Shares {
 		if s.Pool == pool && s.Weight > 0 {
 			return true
--- a/chiveversion/registry.go
+++ b/chiveversion/registry.go
@@ -1,6 +1,7 @@
 package chiveversion
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -23,11 +24,12 @@
 	usedAt map[string]time.Time
 	// unknown holds the live incarnations whose versions are not known.
 	unknown map[string]struct{}
+	pools   map[string]*poolVersions
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{versions: make(map[string]string), live: make(map[string]string), usedAt: make(map[string]time.Time), unknown: make(map[string]struct{})}
+	return &Registry{versions: make(map[string]string), live: make(map[string]string), usedAt: make(map[string]time.Time), unknown: make(map[string]struct{}), pools: make(map[string]*poolVersions)}
 }
 
 // Of returns the version of an incarnation; empty if it is not known.
@@ -49,9 +51,15 @@
 }
 
 // Add records that the directory lists an incarnation, and reports whether its version is known.
-func (r *Registry) Add(incarnation, pool string) (known bool) {
+func (r *Registry) Add(now time.Time, incarnation, pool string) (known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if _, ok := r.pools[pool]; !ok {
+		r.pools[pool] = &poolVersions{knownSince: now, leftAt: make(map[string]time.Time)}
+	}
+	if former, ok := r.live[incarnation]; ok && former != pool {
+		r.pools[former].leftAt[r.versions[incarnation]] = now
+	}
 	r.live[incarnation] = pool
 	delete(r.usedAt, incarnation)
 	if _, known = r.versions[incarnation]; !known {
@@ -64,6 +72,9 @@
 func (r *Registry) Remove(now time.Time, incarnation string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if pool, ok := r.live[incarnation]; ok {
+		r.pools[pool].leftAt[r.versions[incarnation]] = now
+	}
 	delete(r.live, incarnation)
 	delete(r.unknown, incarnation)
 	if _, ok := r.versions[incarnation]; ok {
@@ -95,6 +106,9 @@
 			delete(r.versions, incarnation)
 		}
 	}
+	for _, pool := range r.pools {
+		maps.DeleteFunc(pool.leftAt, func(_ string, at time.Time) bool { return now.Sub(at) >= soleMemory })
+	}
 }
 
 // Live returns the versions of the live incarnations.
--- a/chiveversion/service.go
+++ b/chiveversion/service.go
@@ -42,14 +42,21 @@
 	decode   Decoder
 	mesh     *chivewire.Mesh
 	askNow   chan struct{}
-	mu       sync.Mutex
-	peers    []string
-	duties   chivekernel.Duties
+	// readAge returns how long ago the store answered this node; negative means never.
+	readAge func() time.Duration
+	mu      sync.Mutex
+	peers   []string
+	size    int
+	peak    chivemember.PeakSize
+	duties  chivekernel.Duties
 }
 
-// New returns a service that knows no version.
-func New(mesh *chivewire.Mesh, decode Decoder) *Service {
-	s := &Service{registry: NewRegistry(), decode: decode, mesh: mesh, askNow: make(chan struct{}, 1)}
+// New returns a service that knows no version; readAge returns how long ago the store answered this node, negative for
+// never.
+func New(mesh *chivewire.Mesh, decode Decoder, readAge func() time.Duration) *Service {
+	s := &Service{
+		registry: NewRegistry(), decode: decode, mesh: mesh, askNow: make(chan struct{}, 1), readAge: readAge, size: 1, peak: chivemember.NewPeakSize(time.Now()),
+	}
 	chivewire.Receive(mesh, chivewire.KindVersionsAsk, s.answer)
 	chivewire.Receive(mesh, chivewire.KindVersions, func(_ string, v Versions) {
 		for incarnation, version := range v.Versions {
@@ -80,7 +87,7 @@
 		s.registry.Remove(time.Now(), e.Incarnation().Key())
 	}
 	for _, e := range diff.Changed {
-		if !s.registry.Add(e.Incarnation().Key(), e.Pool) {
+		if !s.registry.Add(time.Now(), e.Incarnation().Key(), e.Pool) {
 			s.signal()
 		}
 	}
@@ -96,7 +103,27 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.peers = peers
+	s.peers, s.size = peers, len(members)
+	s.peak.Set(time.Now(), len(members))
+}
+
+// Sole returns the version of all endpoints of a pool, including those that left lately; ok is false if there are
+// several, or if this node may not know of one: it reads no store, has started a moment ago or is cut off.
+func (s *Service) Sole(pool string) (version string, ok bool) {
+	if age := s.readAge(); age < 0 || age > maxReadAge || s.isMinority() {
+		return "", false
+	}
+	return s.registry.Sole(time.Now(), pool)
+}
+
+// Several reports whether endpoints of a pool are known to have several versions, including those that left lately.
+func (s *Service) Several(pool string) bool { return s.registry.Several(time.Now(), pool) }
+
+// isMinority reports whether this node has lost at least half of the fleet.
+func (s *Service) isMinority() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return 2*s.size <= s.peak.Size() && s.peak.Size() > 1
 }
 
 // Start begins to ask peers for versions that are not known.
--- a/chivewire/kind.go
+++ b/chivewire/kind.go
@@ -82,6 +82,10 @@
 	KindVersionsAsk Kind = 144
 	KindVersions    Kind = 145
 
+	KindStreamBegun  Kind = 148
+	KindStreamAsk    Kind = 149
+	KindStreamAnswer Kind = 150
+
 	KindPlaceAsk    Kind = 104
 	KindPlaceAnswer Kind = 105
 )
@@ -107,6 +111,7 @@
 	KindPlaceAsk: "place_ask", KindPlaceAnswer: "place_answer",
 	KindRateAsk: "rate_ask", KindRateAnswer: "rate_answer", KindRateRelease: "rate_release",
 	KindVersionsAsk: "versions_ask", KindVersions: "versions",
+	KindStreamBegun: "stream_begun", KindStreamAsk: "stream_ask", KindStreamAnswer: "stream_answer",
 }
 
 // String returns the name of the kind used in metrics and state dumps.
