Crashes: event 509 names the shared parts of the request's prompt

The names come from the caller and stay on the node; no message has changed and no decision depends on them.

--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -245,7 +245,7 @@
 
 // setPrompt sets the prompt that the caller described and the latency targets of the route.
 func setPrompt(request *chiverequest.Request, table *chivetable.Table, metadata chiverequest.Asked) {
-	request.Prompt = metadata.Prompt
+	request.Prompt, request.Shared = metadata.Prompt, chiverequest.SharedParts(metadata.Prompt)
 	if request.Prompt == nil {
 		return
 	}
--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -71,7 +71,7 @@
 	AttemptSent     = define(506, slog.LevelInfo, "attempt sent", "None; the line shows why the endpoint was chosen, and in version that of the endpoint's software. If no line reports the end of the attempt, the process itself ended.")
 	RepeatDenied    = define(507, slog.LevelWarn, "repeat denied by the budget", "Find out why requests fail; the budget keeps retries from adding to the failures.")
 	RequestFailed   = define(508, slog.LevelWarn, "request not completed", "Read the attempts with the same request ID; chivedrift explain --log lists them in order.")
-	EndpointCrashed = define(509, slog.LevelWarn, "endpoint failed under a request", "Compare the field content: a request that is present in each failure may be what crashes the engines. The field evidence shows how the failure was detected. Read the engine's own log.")
+	EndpointCrashed = define(509, slog.LevelWarn, "endpoint failed under a request", "Compare the fields content and parts: a request, or a part of prompts, that is present in each failure may be what crashes the engines. The field evidence shows how the failure was detected. Read the engine's own log.")
 	QuarantineBegan = define(510, slog.LevelError, "request quarantined", "The request crashes engines. Inform its team; read the engines' logs. Its callers get 503 with Retry-After until one of the occasional probes is answered.")
 	QuarantineEnded = define(511, slog.LevelWarn, "request released from quarantine", "None; an engine answered the request, another request accounts for the crashes, the crash reports were refuted, or its caller stopped sending it.")
 	QuarantineProbe = define(512, slog.LevelWarn, "quarantined request probed", "None; whether the engine crashes or answers decides if the request stays quarantined.")
--- a/chiveforward/failure.go
+++ b/chiveforward/failure.go
@@ -5,12 +5,14 @@
 	"errors"
 	"log/slog"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"chivedrift/chivedirectory"
 	"chivedrift/chiveevent"
 	"chivedrift/chivehealth"
+	"chivedrift/chiverequest"
 )
 
 const (
@@ -141,12 +143,21 @@
 	chiveevent.EndpointCrashed.Log(context.Background(), f.options.Logger, chiveevent.Request(r.request.ID), chiveevent.Content(r.request.Content),
 		slog.String("route", r.request.Route.Name), slog.String("team", r.request.Team), slog.String("endpoint", a.target.ID),
 		slog.String("evidence", evidence.String()), slog.Int64("took_ms", max(at.Sub(a.startedAt), 0).Milliseconds()),
-		slog.Bool("answering", a.streaming.Load()), slog.Bool("leaving", leaving))
+		slog.Bool("answering", a.streaming.Load()), slog.Bool("leaving", leaving), slog.String("parts", partNames(r.request)))
 	if !leaving {
 		f.options.Quarantine.Crashed(time.Now(), r.request, a.target.failure(evidence, at))
 	}
 }
 
+// partNames returns the names of the prompt parts that other requests may have, separated by commas.
+func partNames(request *chiverequest.Request) string {
+	names := make([]string, 0, len(request.Shared))
+	for _, p := range request.Shared {
+		names = append(names, p.Name)
+	}
+	return strings.Join(names, ",")
+}
+
 // registeredAddresses holds the addresses of the endpoints in the directory, by ID.
 type registeredAddresses struct {
 	mu   sync.Mutex
--- a/chiverequest/prompt.go
+++ b/chiverequest/prompt.go
@@ -24,6 +24,8 @@
 	// Parts are in the order of the prompt; an engine can reuse a cached part only if it also holds all parts before
 	// it.
 	Parts []Part
+	// Names are the callers' names of the parts; they are not sent to other nodes.
+	Names []string
 	// Input is the number of input tokens.
 	Input int64
 	// MostOutput is the maximum number of output tokens, HintedOutput the caller's estimate of their number.
--- a/chiverequest/request.go
+++ b/chiverequest/request.go
@@ -27,6 +27,8 @@
 	// Content is the same for all retries of a request by the caller, at any node.
 	Content Fingerprint
 	Prompt  *Prompt
+	// Shared holds the parts of the prompt that other requests may have.
+	Shared []SharedPart
 	// LastEvent is the ID of the last event of a stream that the caller already has; empty to start at the beginning.
 	LastEvent string
 	// Origin is where the stream began, once it has; nil allows endpoints of any software version.
