Parts of prompts under which engines crash are quarantined

Requests of which no two were alike shared one part of their prompts.

Cause: a suspect was a request's whole content, so crashes under requests that share only a part never came together: 206 contents on 21 crashes, none on more than 4. Class: a bound that is kept for one name of a thing, while the thing comes under many names.

Change: each shared part of a prompt (all but the last) is a suspect beside the request, in the same register and with one decision over both, in messages of its own (kinds 126 and 127), so that nodes of earlier releases exchange what they did. - A second event of an answer exonerates the parts; a crash accuses them only if the attempt had none. Nodes do not report parts that they had answers for within 30 s. - The suspect on the most crashed engines accounts for them; of a request and a part with as many the request. Parts that were on the same crashed engines are held together only: requests with one of them run on, and their answers or crashes tell the parts apart. - Of reports on one part and one endpoint two are kept, the same ones at all nodes. - Crashes of one domain that broke connections have one cause within 60 ms, silent ones within 300 ms as before. Quarantine, probes, cancelled copies, Retry-After and dump are those of requests; event 510 and the dump name the parts, parts_quarantined counts them.

--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -49,6 +49,8 @@
 	mayHaveRun bool
 	// streaming means that an event of the response has arrived.
 	streaming atomic.Bool
+	// begun means that a second event has arrived: the endpoint did not crash when it began to answer.
+	begun atomic.Bool
 	// cancel cancels the attempt with a cause. Other goroutines may call it while the attempt is in flight.
 	cancel context.CancelCauseFunc
 	// lastActivity is the endpoint's last activity, shared by all attempts there.
@@ -343,7 +345,9 @@
 			return a.finishStream(ctx, parent, response, stream, partial, err)
 		}
 		a.recordActivity()
-		a.streaming.Store(true)
+		if a.streaming.Swap(true) && !a.begun.Swap(true) {
+			a.state.forwarder.options.Quarantine.Begun(time.Now(), a.state.request)
+		}
 		a.state.reportStart()
 		now := time.Now()
 		a.place.Event(now, now.Sub(waitStart))
--- a/chiveforward/failure.go
+++ b/chiveforward/failure.go
@@ -145,7 +145,7 @@
 		slog.String("evidence", evidence.String()), slog.Int64("took_ms", max(at.Sub(a.startedAt), 0).Milliseconds()),
 		slog.Bool("answering", a.streaming.Load()), slog.Bool("leaving", leaving), slog.String("parts", partNames(r.request)))
 	if !leaving {
-		f.options.Quarantine.Crashed(time.Now(), r.request, a.target.failure(evidence, at))
+		f.options.Quarantine.Crashed(time.Now(), r.request, a.target.failure(evidence, at), a.begun.Load())
 	}
 }
 
--- a/chiveforward/quarantine.go
+++ b/chiveforward/quarantine.go
@@ -17,8 +17,10 @@
 	Admit(now time.Time, request *chiverequest.Request) chivequarantine.Admission
 	// Quarantined reports whether a request in progress has been quarantined.
 	Quarantined(now time.Time, request *chiverequest.Request) chivequarantine.Admission
-	// Crashed records that an endpoint failed while it processed the request.
-	Crashed(now time.Time, request *chiverequest.Request, failure chivehealth.Failure)
+	// Crashed records that an endpoint failed while it processed the request; begun means that it had begun to answer.
+	Crashed(now time.Time, request *chiverequest.Request, failure chivehealth.Failure, begun bool)
+	// Begun records that an endpoint has begun to answer the request.
+	Begun(now time.Time, request *chiverequest.Request)
 	// Answered records that an endpoint answered the request completely.
 	Answered(now time.Time, request *chiverequest.Request)
 	// Alive records that an endpoint, identified by its incarnation, responded to a request that was sent at the given
@@ -44,7 +46,10 @@
 }
 
 // Crashed does nothing.
-func (noQuarantine) Crashed(time.Time, *chiverequest.Request, chivehealth.Failure) {}
+func (noQuarantine) Crashed(time.Time, *chiverequest.Request, chivehealth.Failure, bool) {}
+
+// Begun does nothing.
+func (noQuarantine) Begun(time.Time, *chiverequest.Request) {}
 
 // Answered does nothing.
 func (noQuarantine) Answered(time.Time, *chiverequest.Request) {}
--- a/chiveforward/quarantine_test.go
+++ b/chiveforward/quarantine_test.go
@@ -41,13 +41,15 @@
 	return q.quarantined
 }
 
-func (q *fakeQuarantine) Crashed(_ time.Time, _ *chiverequest.Request, failure chivehealth.Failure) {
+func (q *fakeQuarantine) Crashed(_ time.Time, _ *chiverequest.Request, failure chivehealth.Failure, _ bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.crashed = append(q.crashed, failure.Endpoint+" in "+failure.FailureDomain)
 	q.evidence = append(q.evidence, failure.Evidence)
 }
 
+func (q *fakeQuarantine) Begun(time.Time, *chiverequest.Request) {}
+
 func (q *fakeQuarantine) Alive(_ time.Time, endpoint string, _ time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -386,6 +386,7 @@
 		{"permits_unanswered", func() float64 { return float64(n.rates.Counts().Unanswered) }},
 		{"owners_silent", func() float64 { return float64(n.grants.Counts().Silent) }},
 		{"requests_quarantined", func() float64 { return float64(n.quarantine.Counts().Quarantined) }},
+		{"parts_quarantined", func() float64 { return float64(n.quarantine.Counts().Parts) }},
 		{"requests_quarantined_refused", func() float64 { return float64(n.quarantine.Counts().Refused) }},
 		{"crashes_under_requests", func() float64 { return float64(n.quarantine.Counts().Crashes) }},
 		{"table_version", func() float64 { return float64(n.tables.Version()) }},
--- a/chivequarantine/admission.go
+++ b/chivequarantine/admission.go
@@ -34,14 +34,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	until, quarantined := s.registry.QuarantinedUntil(request.Content)
+	lead, until, held := s.registry.HeldUntil(fingerprintsOf(request))
 	switch {
-	case !quarantined:
+	case !held:
 		return Admission{}
 	case now.Before(until):
 		return s.refuse(until.Sub(now))
-	case s.acquireProbe(now, request.Content):
-		chiveevent.QuarantineProbe.Log(context.Background(), s.options.Logger, chiveevent.Request(request.ID), chiveevent.Content(request.Content))
+	case s.acquireProbe(now, lead):
+		chiveevent.QuarantineProbe.Log(context.Background(), s.options.Logger, chiveevent.Request(request.ID), chiveevent.Content(lead))
 		return Admission{Probe: true}
 	}
 	return s.refuse(probeRetryAfter)
@@ -59,39 +59,72 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	until, quarantined := s.registry.QuarantinedUntil(request.Content)
-	if !quarantined {
+	_, until, held := s.registry.HeldUntil(fingerprintsOf(request))
+	if !held {
 		return Admission{}
 	}
 	return Admission{Quarantined: true, RetryAfter: max(until.Sub(now), probeRetryAfter)}
 }
 
-// Crashed records and shares that an endpoint failed while it had a request of this node.
-func (s *Service) Crashed(now time.Time, request *chiverequest.Request, failure chivehealth.Failure) {
+// Crashed records and shares that an endpoint failed while it had a request of this node. If the endpoint had begun to
+// answer it, the parts of its prompt are not suspect: one that crashes engines does so before.
+func (s *Service) Crashed(now time.Time, request *chiverequest.Request, failure chivehealth.Failure, begun bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := Crash{
-		Content: request.Content, Endpoint: failure.Endpoint, FailureDomain: failure.FailureDomain, Reporter: s.options.Mesh.Self(), Number: s.lastNumber + 1,
+		Content: request.Content, Endpoint: failure.Endpoint, FailureDomain: failure.FailureDomain, Reporter: s.options.Mesh.Self(),
 		Route: request.Route.Name, Team: request.Team, At: failure.At,
 	}
+	s.addOwnCrash(now, c, failure)
+	if !begun {
+		c.Silent = failure.Evidence == chivehealth.EvidenceUnreachable || failure.Evidence == chivehealth.EvidenceStalled
+		for _, p := range request.Shared {
+			if at, ok := s.partAnswers.lastAnswer(p.Key); ok && now.Sub(at) < exonerationPeriod {
+				continue
+			}
+			c.Content, c.Name = p.Key, p.Name
+			s.addOwnCrash(now, c, failure)
+		}
+	}
+	s.decide()
+}
+
+// addOwnCrash records and shares a crash that this node detected, unless it did so already for another attempt. The caller
+// must hold s.mu.
+func (s *Service) addOwnCrash(now time.Time, c Crash, failure chivehealth.Failure) {
+	c.Number = s.lastNumber + 1
 	window := duplicateWindow
 	if failure.Unique {
 		window = crashRetention
 	}
-	if s.registry.HasWithin(c, window) {
+	if s.registry.HasWithin(c, window) || !s.registry.AddCrash(now, c) {
+		return
+	}
+	s.lastNumber = c.Number
+	s.sendCrash(now, c)
+	s.exonerate(now, c.Content)
+}
+
+// Begun records that an endpoint has begun to answer a request, which releases the parts of its prompt from quarantine.
+func (s *Service) Begun(now time.Time, request *chiverequest.Request) {
+	for _, p := range request.Shared {
+		s.partAnswers.add(now, p.Key)
+	}
+	if s.empty.Load() || len(request.Shared) == 0 {
 		return
 	}
-	if s.registry.AddCrash(now, c) {
-		s.lastNumber = c.Number
-		s.sendCrash(now, c)
-		s.exonerate(now, c.Content)
-		s.decide()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range request.Shared {
+		s.addAnswer(now, p.Key, now)
 	}
+	s.decide()
 }
 
 // Answered records that an endpoint answered a request completely, which releases the request from quarantine.
 func (s *Service) Answered(now time.Time, request *chiverequest.Request) {
 	s.answers.add(now, request.Content)
+	s.Begun(now, request)
 	if s.empty.Load() {
 		return
 	}
@@ -116,19 +149,23 @@
 // Watch registers a callback for a running attempt, which is called once or more if its request is quarantined, until
 // stop is called.
 func (s *Service) Watch(request *chiverequest.Request, onQuarantine func()) (stop func()) {
-	content, w := request.Content, &watch{onQuarantine}
+	w := &watch{fingerprintsOf(request), onQuarantine}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.watches[content] == nil {
-		s.watches[content] = make(map[*watch]struct{})
+	for _, f := range w.fingerprints {
+		if s.watches[f] == nil {
+			s.watches[f] = make(map[*watch]struct{})
+		}
+		s.watches[f][w] = struct{}{}
 	}
-	s.watches[content][w] = struct{}{}
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		delete(s.watches[content], w)
-		if len(s.watches[content]) == 0 {
-			delete(s.watches, content)
+		for _, f := range w.fingerprints {
+			delete(s.watches[f], w)
+			if len(s.watches[f]) == 0 {
+				delete(s.watches, f)
+			}
 		}
 	}
 }
--- a/chivequarantine/crash.go
+++ b/chivequarantine/crash.go
@@ -6,9 +6,15 @@
 	"chivedrift/chiverequest"
 )
 
-// Crash is a report that an endpoint failed while running a request.
+// Crash is a report that an endpoint failed while running a request, for the request itself or for a part of its prompt.
 type Crash struct {
+	// Content identifies the request or the part.
 	Content chiverequest.Fingerprint
+	// Name is the caller's name of the part; empty for a request.
+	Name string
+	// Silent means that nothing broke when the endpoint failed, so that At is known to some tenths of a second only. It is
+	// set for parts only.
+	Silent bool
 	// Endpoint is the incarnation that failed.
 	Endpoint      string
 	FailureDomain string
@@ -29,7 +35,7 @@
 	return c.Reporter == other.Reporter && c.Number == other.Number && c.Content == other.Content
 }
 
-// Answer is a report that an endpoint answered a request completely.
+// Answer is a report that an endpoint answered a request completely, or began to answer one with a part.
 type Answer struct {
 	Content chiverequest.Fingerprint
 	// Reporter and Number have the same meaning as in Crash.
--- a/chivequarantine/gossip.go
+++ b/chivequarantine/gossip.go
@@ -41,36 +41,23 @@
 // sendCrash sends a crash that this node detected to all peers or to the collectors. The caller must hold s.mu.
 func (s *Service) sendCrash(now time.Time, c Crash) {
 	if s.isBroadcast(c.Content) {
-		s.enqueue(Update{Crashes: s.crashReports(now, c.Content)})
+		s.enqueue(s.registry.CrashesOf(c.Content), nil)
 		return
 	}
-	s.sendToCollectors(c.Content, chivewire.KindCrashUpdate, Update{Crashes: []CrashReport{newCrashReport(now, c)}})
-}
-
-// crashReports returns all known crashes of a request. The caller must hold s.mu.
-func (s *Service) crashReports(now time.Time, content chiverequest.Fingerprint) []CrashReport {
-	var reports []CrashReport
-	for _, c := range s.registry.CrashesOf(content) {
-		reports = append(reports, newCrashReport(now, c))
-	}
-	return reports
-}
-
-// outgoing holds the reports that have not been sent to the peers yet.
-type outgoing struct {
-	update   Update
-	alive    []AliveReport
-	failures []FailureReport
-}
-
-func (o *outgoing) isEmpty() bool {
-	return len(o.update.Crashes)+len(o.update.Answers)+len(o.alive)+len(o.failures) == 0
+	kind, body := reports{class: classOf(c.Content), crashes: []Crash{c}}.message(now)
+	s.sendToCollectors(c.Content, kind, body)
 }
 
 // enqueue queues crashes and answers for the peers. The caller must hold s.mu.
-func (s *Service) enqueue(update Update) {
-	s.pending.update.Crashes = append(s.pending.update.Crashes, update.Crashes...)
-	s.pending.update.Answers = append(s.pending.update.Answers, update.Answers...)
+func (s *Service) enqueue(crashes []Crash, answers []Answer) {
+	for _, c := range crashes {
+		r := &s.pending.reports[classOf(c.Content)]
+		r.crashes = append(r.crashes, c)
+	}
+	for _, a := range answers {
+		r := &s.pending.reports[classOf(a.Content)]
+		r.answers = append(r.answers, a)
+	}
 	s.wakeSender()
 }
 
@@ -121,14 +108,17 @@
 }
 
 // flush sends all queued reports to the peers.
-func (s *Service) flush() {
+func (s *Service) flush(now time.Time) {
 	s.mu.Lock()
 	pending, peers := s.pending, s.peers
-	s.pending = outgoing{}
+	s.pending = newOutgoing()
 	s.mu.Unlock()
 	for _, p := range peers {
-		if len(pending.update.Crashes)+len(pending.update.Answers) > 0 {
-			s.send(p, chivewire.KindCrashUpdate, pending.update)
+		for _, r := range pending.reports {
+			if !r.isEmpty() {
+				kind, body := r.message(now)
+				s.send(p, kind, body)
+			}
 		}
 		if len(pending.alive) > 0 {
 			s.send(p, chivewire.KindEndpointAlive, AliveUpdate{Endpoints: pending.alive})
@@ -139,40 +129,37 @@
 	}
 }
 
-// receiveUpdate applies a peer's reports, and forwards those that are new.
-func (s *Service) receiveUpdate(now time.Time, from string, update Update) {
+// receiveReports applies a peer's reports, and forwards those that are new.
+func (s *Service) receiveReports(now time.Time, from string, received reports) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	added := make(map[chiverequest.Fingerprint]bool)
 	refuted := make(map[string]bool)
-	for _, r := range update.Crashes {
-		c := r.crash(now)
+	for _, c := range received.crashes {
 		if s.registry.IsRefuted(c) {
 			refuted[c.Endpoint] = true
 		}
 		if s.registry.AddCrash(now, c) {
-			added[r.Content] = true
+			added[c.Content] = true
 		}
 	}
-	var forward Update
 	for content := range added {
 		if s.isBroadcast(content) {
-			forward.Crashes = append(forward.Crashes, s.crashReports(now, content)...)
+			s.enqueue(s.registry.CrashesOf(content), nil)
 		}
 	}
-	for _, r := range update.Answers {
-		if s.registry.AddAnswer(now, r.answer(now)) {
-			forward.Answers = append(forward.Answers, r)
+	for _, a := range received.answers {
+		if s.registry.AddAnswer(now, a) {
+			s.enqueue(nil, []Answer{a})
 		}
 	}
-	s.enqueue(forward)
 	for content := range added {
 		s.exonerate(now, content)
 	}
 	s.decide()
 	s.sendRefutations(now, from, refuted)
-	if update.Full {
-		s.sendMissing(now, from, update)
+	if received.full {
+		s.sendMissing(now, from, received)
 	}
 }
 
@@ -198,51 +185,48 @@
 }
 
 // sendMissing replies to a peer's full state with the reports that the peer lacks. The caller must hold s.mu.
-func (s *Service) sendMissing(now time.Time, to string, remote Update) {
+func (s *Service) sendMissing(now time.Time, to string, remote reports) {
 	known := make(map[chiverequest.Fingerprint][]Crash)
-	for _, r := range remote.Crashes {
-		known[r.Content] = append(known[r.Content], r.crash(now))
+	for _, c := range remote.crashes {
+		known[c.Content] = append(known[c.Content], c)
 	}
-	own := s.fullState(now)
-	own.Crashes = slices.DeleteFunc(own.Crashes, func(r CrashReport) bool { return slices.ContainsFunc(known[r.Content], r.crash(now).isSame) })
-	own.Full = false
-	if len(own.Crashes) > 0 || len(own.Answers) > len(remote.Answers) {
-		s.send(to, chivewire.KindCrashUpdate, own)
+	own := s.fullState(remote.class)
+	own.crashes = slices.DeleteFunc(own.crashes, func(c Crash) bool { return slices.ContainsFunc(known[c.Content], c.isSame) })
+	own.full = false
+	if len(own.crashes) > 0 || len(own.answers) > len(remote.answers) {
+		kind, body := own.message(now)
+		s.send(to, kind, body)
 	}
 }
 
-// broadcastCrashes returns the crashes that are sent to all nodes. The caller must hold s.mu.
-func (s *Service) broadcastCrashes() []Crash {
-	return slices.DeleteFunc(s.registry.Crashes(), func(c Crash) bool { return !s.isBroadcast(c.Content) })
+// broadcastCrashes returns the crashes of a class that are sent to all nodes. The caller must hold s.mu.
+func (s *Service) broadcastCrashes(class class) []Crash {
+	return slices.DeleteFunc(s.registry.Crashes(), func(c Crash) bool { return classOf(c.Content) != class || !s.isBroadcast(c.Content) })
 }
 
-// fullState returns all reports of this node that are sent to all nodes. The caller must hold s.mu.
-func (s *Service) fullState(now time.Time) Update {
-	update := Update{Full: true}
-	for _, c := range s.broadcastCrashes() {
-		update.Crashes = append(update.Crashes, newCrashReport(now, c))
-	}
-	for _, a := range s.registry.Answers() {
-		update.Answers = append(update.Answers, newAnswerReport(now, a))
-	}
-	return update
+// fullState returns all reports of a class that are sent to all nodes. The caller must hold s.mu.
+func (s *Service) fullState(class class) reports {
+	answers := slices.DeleteFunc(s.registry.Answers(), func(a Answer) bool { return classOf(a.Content) != class })
+	return reports{class: class, crashes: s.broadcastCrashes(class), answers: answers, full: true}
 }
 
-// checksum is equal on nodes that know the same broadcast crashes, and 0 if there are none. The caller must hold s.mu.
-func (s *Service) checksum() uint64 {
+// checksum is equal on nodes that know the same broadcast crashes of a class, and 0 if there are none. The caller must
+// hold s.mu.
+func (s *Service) checksum(class class) uint64 {
 	sum := uint64(0)
-	for _, c := range s.broadcastCrashes() {
+	for _, c := range s.broadcastCrashes(class) {
 		sum ^= xxhash.Sum64String(string(c.Content) + c.Reporter + strconv.FormatInt(c.Number, 10))
 	}
 	return sum
 }
 
-// receiveDigest sends the full state to a peer whose digest differs.
-func (s *Service) receiveDigest(now time.Time, from string, remote Digest) {
+// receiveDigest sends the full state of a class to a peer whose digest differs.
+func (s *Service) receiveDigest(now time.Time, from string, class class, sum uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.checksum() != remote.Sum {
-		s.send(from, chivewire.KindCrashUpdate, s.fullState(now))
+	if s.checksum(class) != sum {
+		kind, body := s.fullState(class).message(now)
+		s.send(from, kind, body)
 	}
 }
 
@@ -255,12 +239,16 @@
 	s.decide()
 	s.expireProbes(now)
 	s.failures.expire(now)
-	sum := s.checksum()
-	if sum == 0 || len(s.peers) == 0 {
+	if len(s.peers) == 0 {
 		return
 	}
 	s.peerIndex++
-	s.send(s.peers[s.peerIndex%len(s.peers)], chivewire.KindCrashDigest, Digest{Sum: sum})
+	for class := range classCount {
+		if sum := s.checksum(class); sum != 0 {
+			kind, body := digestMessage(class, sum)
+			s.send(s.peers[s.peerIndex%len(s.peers)], kind, body)
+		}
+	}
 }
 
 // send passes a message to the mesh; the next digest makes up for a lost one.
--- a/chivequarantine/ground_truth_test.go
+++ b/chivequarantine/ground_truth_test.go
@@ -156,7 +156,7 @@
 		if evidence != chivehealth.EvidenceNone {
 			a.node.Crashed(time.Now(), requestOf(a.content), chivehealth.Failure{
 				Endpoint: e.incarnation(), Unique: true, FailureDomain: e.domain(), Evidence: evidence, At: time.Now(),
-			})
+			}, false)
 		}
 		s.send(a.content, a.attemptsLeft)
 	}
--- a/chivequarantine/liveness.go
+++ b/chivequarantine/liveness.go
@@ -60,11 +60,11 @@
 	refuted := func(c Crash) bool { return c.Endpoint == endpoint && at.After(c.At.Add(timestampTolerance)) }
 	var contents []chiverequest.Fingerprint
 	for content, s := range r.suspects {
-		dropped := s.removeCrashes(refuted)
-		if dropped == 0 {
+		before := len(s.crashes)
+		if s.removeCrashes(refuted) == 0 {
 			continue
 		}
-		r.crashes -= dropped
+		r.recount(content, before)
 		contents = append(contents, content)
 	}
 	if len(contents) > 0 {
--- a/chivequarantine/message.go
+++ b/chivequarantine/message.go
@@ -37,6 +37,25 @@
 	AgeMs    int64
 }
 
+// PartUpdate is an Update on parts of prompts. Nodes of earlier releases know of requests only and ignore it.
+type PartUpdate struct {
+	Crashes []PartCrashReport
+	Answers []AnswerReport
+	Full    bool
+}
+
+// PartCrashReport is the wire format of a Crash with a part.
+type PartCrashReport struct {
+	Report CrashReport
+	Name   string
+	Silent bool
+}
+
+// PartDigest is a Digest of the crashes with parts.
+type PartDigest struct {
+	Sum uint64
+}
+
 // Digest lets a peer detect that its set of crashes differs from the sender's.
 type Digest struct {
 	Sum uint64
@@ -80,6 +99,16 @@
 	}
 }
 
+func newPartCrashReport(now time.Time, c Crash) PartCrashReport {
+	return PartCrashReport{Report: newCrashReport(now, c), Name: c.Name, Silent: c.Silent}
+}
+
+func (r PartCrashReport) crash(now time.Time) Crash {
+	c := r.Report.crash(now)
+	c.Name, c.Silent = r.Name, r.Silent
+	return c
+}
+
 func (r CrashReport) crash(now time.Time) Crash {
 	return Crash{
 		Content: r.Content, Endpoint: r.Endpoint, FailureDomain: r.FailureDomain, Reporter: r.Reporter, Number: r.Number, Route: r.Route, Team: r.Team,
--- a/chivequarantine/register.go
+++ b/chivequarantine/register.go
@@ -1,7 +1,6 @@
 package chivequarantine
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -17,10 +16,12 @@
 	maxCrashes = 2048
 )
 
-// Change describes a quarantine that began or ended.
+// Change describes a quarantine that began, ended or covers other requests than before.
 type Change struct {
 	Content     chiverequest.Fingerprint
 	Quarantined bool
+	// Members are what a request must have to be quarantined, the content itself included.
+	Members []chiverequest.Fingerprint
 	// Crashes are the known crashes of endpoints that were running the request.
 	Crashes []Crash
 	// Until is when the request may be probed.
@@ -32,8 +33,11 @@
 type Register struct {
 	self     string
 	suspects map[chiverequest.Fingerprint]*suspect
-	crashes  int
-	alive    liveness
+	// crashes are the numbers of crashes by class.
+	crashes [classCount]int
+	alive   liveness
+	// holds are the quarantines in force.
+	holds []hold
 }
 
 // NewRegister returns an empty register for the node with the given peer address.
@@ -68,12 +72,14 @@
 	if now.Sub(c.At) >= crashRetention+maxQuarantine || r.IsRefuted(c) {
 		return false
 	}
-	if !r.suspectFor(c.Content).add(c) {
+	s := r.suspectFor(c.Content)
+	before := len(s.crashes)
+	if !s.add(c) {
 		return false
 	}
-	r.crashes++
-	for r.crashes > maxCrashes {
-		r.dropOldest()
+	r.recount(c.Content, before)
+	for class := classOf(c.Content); r.crashes[class] > maxCrashes; {
+		r.dropOldest(class)
 	}
 	return true
 }
@@ -95,11 +101,19 @@
 	return s
 }
 
-// dropOldest removes the request with the oldest reports, preferring requests that are not quarantined.
-func (r *Register) dropOldest() {
+// recount corrects the number of crashes after those of a suspect have changed.
+func (r *Register) recount(content chiverequest.Fingerprint, before int) {
+	r.crashes[classOf(content)] += len(r.suspects[content].crashes) - before
+}
+
+// dropOldest removes the suspect of a class with the oldest reports, preferring those that are not quarantined.
+func (r *Register) dropOldest(class class) {
 	var oldest *suspect
 	var content chiverequest.Fingerprint
 	for c, s := range r.suspects {
+		if classOf(c) != class || len(s.crashes) == 0 {
+			continue
+		}
 		older := oldest != nil && s.lastReport().Before(oldest.lastReport())
 		if oldest == nil || (oldest.quarantined() && !s.quarantined()) || (oldest.quarantined() == s.quarantined() && older) {
 			oldest, content = s, c
@@ -109,7 +123,7 @@
 }
 
 func (r *Register) remove(content chiverequest.Fingerprint) {
-	r.crashes -= len(r.suspects[content].crashes)
+	r.crashes[classOf(content)] -= len(r.suspects[content].crashes)
 	delete(r.suspects, content)
 }
 
@@ -119,7 +133,9 @@
 		if s.quarantined() && now.Before(s.until.Add(crashRetention)) {
 			continue
 		}
-		r.crashes -= s.removeCrashes(func(c Crash) bool { return now.Sub(c.At) >= crashRetention })
+		before := len(s.crashes)
+		s.removeCrashes(func(c Crash) bool { return now.Sub(c.At) >= crashRetention })
+		r.recount(content, before)
 		if len(s.crashes) == 0 && now.Sub(s.lastAnswer) >= crashRetention {
 			r.remove(content)
 		}
@@ -127,78 +143,12 @@
 	r.alive.expire(now)
 }
 
-// Decide determines which requests are quarantined, and returns what changed.
-//
-// It chooses greedily: the request that was on the most crashed engines is assumed to have crashed them all. Of the
-// remaining crashes, the request with the most is chosen next, as long as one has enough. Requests that ran beside a
-// chosen one may reach the threshold at times; they are released once the chosen one explains their crashes. If two
-// requests were on the same engines, one of them is quarantined; if it was the wrong one, the next crash shows it.
-func (r *Register) Decide() []Change {
-	candidates := r.candidates()
-	explained := make(map[string]bool)
-	chosen := make(map[chiverequest.Fingerprint]bool)
-	for {
-		content, ok := r.mostImplicated(candidates, explained)
-		if !ok {
-			break
-		}
-		chosen[content] = true
-		for _, c := range r.suspects[content].implicatingCrashes(nil) {
-			explained[c.Endpoint] = true
-		}
-	}
-	var changes []Change
-	for content, s := range r.suspects {
-		if s.quarantined() == chosen[content] {
-			continue
-		}
-		if chosen[content] {
-			s.updateQuarantine()
-		} else {
-			s.endQuarantine()
-		}
-		changes = append(changes, Change{Content: content, Quarantined: chosen[content], Crashes: slices.Clone(s.crashes), Until: s.until})
-	}
-	return changes
-}
-
-// candidates returns the requests with enough crashes to be quarantined, whether or not another request explains them,
-// in an order that is the same on all nodes.
-func (r *Register) candidates() []chiverequest.Fingerprint {
-	var candidates []chiverequest.Fingerprint
-	for content, s := range r.suspects {
-		if len(s.crashes) >= quarantineThreshold && s.score(r.self, nil) >= quarantineThreshold {
-			candidates = append(candidates, content)
-		}
-	}
-	slices.Sort(candidates)
-	return candidates
-}
-
-// mostImplicated returns the candidate with the most unexplained crashes, if any has enough for a quarantine.
-func (r *Register) mostImplicated(candidates []chiverequest.Fingerprint, explained map[string]bool) (content chiverequest.Fingerprint, ok bool) {
-	bestScore, bestCrashes := quarantineThreshold-1, 0
-	for _, c := range candidates {
-		s := r.suspects[c]
-		score := s.score(r.self, explained)
-		if cmp.Or(cmp.Compare(score, bestScore), cmp.Compare(len(s.crashes), bestCrashes)) > 0 && score >= quarantineThreshold {
-			content, bestScore, bestCrashes, ok = c, score, len(s.crashes), true
-		}
-	}
-	return content, ok
-}
-
 // Endpoints returns how many endpoints crashed while running a request.
 func (r *Register) Endpoints(content chiverequest.Fingerprint) int {
-	s, ok := r.suspects[content]
-	if !ok {
-		return 0
-	}
-	crashed := make(map[string]bool)
-	for _, c := range s.crashes {
-		crashed[c.Endpoint] = true
+	if s, ok := r.suspects[content]; ok {
+		return crashedEndpoints(s.crashes)
 	}
-	return len(crashed)
+	return 0
 }
 
 // CrashesOf returns the known crashes of a request.
@@ -228,7 +178,7 @@
 
 // Crashes returns all crashes.
 func (r *Register) Crashes() []Crash {
-	crashes := make([]Crash, 0, r.crashes)
+	crashes := make([]Crash, 0, r.crashes[classRequests]+r.crashes[classParts])
 	for _, s := range r.suspects {
 		crashes = append(crashes, s.crashes...)
 	}
@@ -245,12 +195,35 @@
 }
 
 // Quarantined returns how many requests are quarantined.
-func (r *Register) Quarantined() int {
-	quarantined := 0
-	for _, s := range r.suspects {
-		if s.quarantined() {
-			quarantined++
+func (r *Register) Quarantined() int { return len(r.holds) - r.QuarantinedParts() }
+
+// QuarantinedParts returns how many parts, or combinations of parts, are quarantined.
+func (r *Register) QuarantinedParts() int {
+	parts := 0
+	for _, h := range r.holds {
+		if h.lead.IsPart() {
+			parts++
+		}
+	}
+	return parts
+}
+
+// names returns the callers' names of parts.
+func (r *Register) names(members []chiverequest.Fingerprint) []string {
+	var names []string
+	for _, m := range members {
+		if s, ok := r.suspects[m]; ok && m.IsPart() && len(s.crashes) > 0 {
+			names = append(names, s.crashes[0].Name)
 		}
 	}
-	return quarantined
+	return names
+}
+
+// crashedEndpoints returns the number of endpoints in crash reports.
+func crashedEndpoints(crashes []Crash) int {
+	endpoints := make(map[string]bool)
+	for _, c := range crashes {
+		endpoints[c.Endpoint] = true
+	}
+	return len(endpoints)
 }
--- a/chivequarantine/service.go
+++ b/chivequarantine/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,10 +43,12 @@
 	goroutines chivekernel.Duties
 	wake       chan struct{}
 	// empty is registry.Empty(), readable without holding mu.
-	empty     atomic.Bool
-	answers   *recentAnswers
-	refused   atomic.Int64
-	onFailure func(chivehealth.Failure) time.Time
+	empty   atomic.Bool
+	answers *recentAnswers
+	// partAnswers are the answers to requests with a part.
+	partAnswers *recentAnswers
+	refused     atomic.Int64
+	onFailure   func(chivehealth.Failure) time.Time
 
 	mu       sync.Mutex
 	registry *Register
@@ -65,15 +68,16 @@
 	watches        map[chiverequest.Fingerprint]map[*watch]struct{}
 }
 
-// watch is the callback of a running attempt.
+// watch is the callback of a running attempt, with the fingerprints of its request.
 type watch struct {
-	notify func()
+	fingerprints []chiverequest.Fingerprint
+	notify       func()
 }
 
 // New returns a service without any reports.
 func New(o Options) *Service {
 	s := &Service{
-		options: o, lastNumber: time.Now().UnixNano(), inbox: chivewire.NewInbox(o.Mesh, inboxSize), answers: newRecentAnswers(), wake: make(chan struct{}, 1), registry: NewRegister(o.Mesh.Self()),
+		options: o, lastNumber: time.Now().UnixNano(), inbox: chivewire.NewInbox(o.Mesh, inboxSize), answers: newRecentAnswers(maxRecentAnswers), partAnswers: newRecentAnswers(maxRecentPartAnswers), pending: newOutgoing(), wake: make(chan struct{}, 1), registry: NewRegister(o.Mesh.Self()),
 		onFailure: func(chivehealth.Failure) time.Time { return time.Time{} }, failures: make(recentFailures),
 		receivedGrants: make(map[chiverequest.Fingerprint]time.Time), issuedGrants: make(map[chiverequest.Fingerprint]time.Time),
 		watches: make(map[chiverequest.Fingerprint]map[*watch]struct{}),
@@ -81,6 +85,8 @@
 	s.empty.Store(true)
 	chivewire.Queue[Update](s.inbox, chivewire.KindCrashUpdate)
 	chivewire.Queue[Digest](s.inbox, chivewire.KindCrashDigest)
+	chivewire.Queue[PartUpdate](s.inbox, chivewire.KindPartCrashUpdate)
+	chivewire.Queue[PartDigest](s.inbox, chivewire.KindPartCrashDigest)
 	chivewire.Queue[ProbeRequest](s.inbox, chivewire.KindProbeRequest)
 	chivewire.Queue[ProbeGrant](s.inbox, chivewire.KindProbeGrant)
 	chivewire.Queue[AliveUpdate](s.inbox, chivewire.KindEndpointAlive)
@@ -118,7 +124,7 @@
 		case <-tick.C:
 			s.maintain(time.Now())
 		case <-s.wake:
-			s.flush()
+			s.flush(time.Now())
 			time.Sleep(flushInterval)
 		case m := <-s.inbox.Ready():
 			s.handle(time.Now(), m)
@@ -129,9 +135,13 @@
 func (s *Service) handle(now time.Time, m chivewire.Message) {
 	switch body := m.Body.(type) {
 	case Update:
-		s.receiveUpdate(now, m.From, body)
+		s.receiveReports(now, m.From, body.reports(now))
+	case PartUpdate:
+		s.receiveReports(now, m.From, body.reports(now))
 	case Digest:
-		s.receiveDigest(now, m.From, body)
+		s.receiveDigest(now, m.From, classRequests, body.Sum)
+	case PartDigest:
+		s.receiveDigest(now, m.From, classParts, body.Sum)
 	case AliveUpdate:
 		s.receiveAlive(now, m.From, body)
 	case FailureReport:
@@ -160,7 +170,9 @@
 			continue
 		}
 		for w := range s.watches[c.Content] {
-			w.notify()
+			if (hold{c.Content, c.Members}).covers(w.fingerprints) {
+				w.notify()
+			}
 		}
 	}
 	s.empty.Store(s.registry.Empty())
@@ -168,7 +180,7 @@
 
 func (s *Service) logChange(c Change) {
 	event := chiveevent.QuarantineEnded
-	attributes := []slog.Attr{chiveevent.Content(c.Content), slog.Int("endpoints", len(c.Crashes))}
+	attributes := []slog.Attr{chiveevent.Content(c.Content), slog.String("parts", strings.Join(s.registry.names(c.Members), ",")), slog.Int("endpoints", crashedEndpoints(c.Crashes))}
 	if c.Quarantined {
 		event = chiveevent.QuarantineBegan
 		attributes = append(attributes, slog.Int64("for_ms", time.Until(c.Until).Milliseconds()))
@@ -181,8 +193,10 @@
 
 // Counts are the counters of the service.
 type Counts struct {
-	// Quarantined is the number of quarantined requests, Crashes that of the remembered crash reports.
+	// Quarantined is the number of quarantined requests, Parts that of quarantined combinations of prompt parts, Crashes that
+	// of the remembered crash reports on requests.
 	Quarantined int
+	Parts       int
 	Crashes     int
 	// Refused is the number of requests refused since the service was created.
 	Refused int64
@@ -192,12 +206,13 @@
 func (s *Service) Counts() Counts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Counts{Quarantined: s.registry.Quarantined(), Crashes: s.registry.crashes, Refused: s.refused.Load()}
+	return Counts{Quarantined: s.registry.Quarantined(), Parts: s.registry.QuarantinedParts(), Crashes: s.registry.crashes[classRequests], Refused: s.refused.Load()}
 }
 
-// QuarantineState is the dump of one quarantined request.
+// QuarantineState is the dump of one quarantine: of a request, or of all requests whose prompts have all the given parts.
 type QuarantineState struct {
 	Content   string   `json:"content"`
+	Parts     []string `json:"parts,omitempty"`
 	Route     string   `json:"route"`
 	Team      string   `json:"team"`
 	Endpoints []string `json:"crashed_endpoints"`
@@ -210,11 +225,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	states := []QuarantineState{}
-	for content, entry := range s.registry.suspects {
-		if !entry.quarantined() {
+	for _, h := range s.registry.holds {
+		entry, ok := s.registry.suspects[h.lead]
+		if !ok {
 			continue
 		}
-		q := QuarantineState{Content: content.String(), UntilMs: time.Until(entry.until).Milliseconds(), Probes: entry.failedProbes}
+		q := QuarantineState{Content: h.lead.String(), Parts: s.registry.names(h.members), UntilMs: time.Until(entry.until).Milliseconds(), Probes: entry.failedProbes}
 		for _, c := range entry.crashes {
 			q.Route, q.Team, q.Endpoints = c.Route, c.Team, append(q.Endpoints, c.Endpoint)
 		}
@@ -224,5 +240,5 @@
 		Quarantined []QuarantineState `json:"quarantined"`
 		Crashes     int               `json:"crashes"`
 		Ring        chivering.Depth   `json:"ring"`
-	}{states, s.registry.crashes, s.inbox.Depth()}
+	}{states, s.registry.crashes[classRequests], s.inbox.Depth()}
 }
--- a/chivequarantine/service_test.go
+++ b/chivequarantine/service_test.go
@@ -35,7 +35,7 @@
 func (n *node) reportCrash(content, endpoint, failureDomain string) {
 	n.Crashed(time.Now(), requestOf(content), chivehealth.Failure{
 		Endpoint: endpoint, Unique: true, FailureDomain: failureDomain, Evidence: chivehealth.EvidenceRefused, At: time.Now(),
-	})
+	}, false)
 }
 
 func (n *node) stop() {
--- a/chivequarantine/suspect.go
+++ b/chivequarantine/suspect.go
@@ -16,6 +16,12 @@
 	// as a power loss.
 	sameCauseWindow = 300 * time.Millisecond
 
+	// breakCauseWindow is sameCauseWindow for crashes with parts that broke connections: these are noticed at once.
+	breakCauseWindow = 60 * time.Millisecond
+	// maxPartReporters is how many reports on one endpoint are kept for a part. A part that many requests have is on an
+	// endpoint for many nodes.
+	maxPartReporters = 2
+
 	// initialQuarantine is the time until the first probe: several times what an engine needs to restart.
 	initialQuarantine = 15 * time.Second
 	// quarantineGrowth is the factor by which the quarantine grows when the probed engine crashes too.
@@ -27,7 +33,7 @@
 	maxQuarantine = 10 * time.Minute
 )
 
-// suspect holds the reports on a request that was running on crashed endpoints.
+// suspect holds the reports on a request, or on a part of prompts, that was running on crashed endpoints.
 type suspect struct {
 	// crashes are ordered by time.
 	crashes []Crash
@@ -45,7 +51,7 @@
 
 // add records a crash and reports whether it was new.
 func (s *suspect) add(c Crash) bool {
-	if slices.ContainsFunc(s.crashes, c.isSame) {
+	if slices.ContainsFunc(s.crashes, c.isSame) || (c.Content.IsPart() && !s.makeRoom(c)) {
 		return false
 	}
 	at, _ := slices.BinarySearchFunc(s.crashes, c, func(a, b Crash) int { return a.At.Compare(b.At) })
@@ -56,6 +62,29 @@
 	return true
 }
 
+// makeRoom reports whether a crash with a part is among the maxPartReporters to be kept for its endpoint, and removes the
+// one that it replaces. Those of the first reporters by name are kept, so that all nodes keep the same ones.
+func (s *suspect) makeRoom(c Crash) bool {
+	last, count := -1, 0
+	for i, known := range s.crashes {
+		if known.Endpoint != c.Endpoint {
+			continue
+		}
+		count++
+		if last < 0 || known.Reporter > s.crashes[last].Reporter {
+			last = i
+		}
+	}
+	if count < maxPartReporters {
+		return true
+	}
+	if c.Reporter >= s.crashes[last].Reporter {
+		return false
+	}
+	s.crashes = slices.Delete(s.crashes, last, last+1)
+	return true
+}
+
 // addAnswer records a reported answer and reports whether it was new.
 func (s *suspect) addAnswer(a Answer) bool {
 	if known, ok := s.answers[a.Reporter]; ok && known.Number >= a.Number {
@@ -111,7 +140,7 @@
 			continue
 		}
 		counted[c.Endpoint]++
-		if last, ok := latest[c.FailureDomain]; !ok || c.At.Sub(last) > sameCauseWindow {
+		if last, ok := latest[c.FailureDomain]; !ok || c.At.Sub(last) > c.causeWindow() {
 			count++
 		}
 		latest[c.FailureDomain] = c.At
@@ -119,6 +148,14 @@
 	return count
 }
 
+// causeWindow returns the time within which this crash and an earlier one in the same failure domain have one cause.
+func (c Crash) causeWindow() time.Duration {
+	if c.Content.IsPart() && !c.Silent {
+		return breakCauseWindow
+	}
+	return sameCauseWindow
+}
+
 // endpointReporter is an endpoint with a node that reports its crashes. An endpoint that keeps its name over restarts
 // may crash several times.
 type endpointReporter struct {
--- a/chivewire/kind.go
+++ b/chivewire/kind.go
@@ -65,6 +65,9 @@
 	KindEndpointAlive   Kind = 124
 	KindEndpointFailure Kind = 125
 
+	KindPartCrashUpdate Kind = 126
+	KindPartCrashDigest Kind = 127
+
 	KindEvacuations Kind = 128
 
 	KindStarts    Kind = 132
@@ -106,6 +109,7 @@
 	KindPackedAsk: "packed_ask", KindPackedChanges: "packed_changes", KindDeferredChanges: "deferred_changes",
 	KindCrashUpdate: "crash_update", KindCrashDigest: "crash_digest", KindProbeRequest: "probe_request", KindProbeGrant: "probe_grant",
 	KindEndpointAlive: "endpoint_alive", KindEndpointFailure: "endpoint_failure", KindEvacuations: "evacuations",
+	KindPartCrashUpdate: "part_crash_update", KindPartCrashDigest: "part_crash_digest",
 	KindStarts: "starts", KindStartsAck: "starts_ack", KindSettledWindows: "settled_windows",
 	KindRepeatAsk: "repeat_ask", KindRepeatAnswer: "repeat_answer",
 	KindPlaceAsk: "place_ask", KindPlaceAnswer: "place_answer",
