Requests with a suspicious part are sent one at a time

What callers saw: up to six engines crashed under a part of prompts (bound five) before the fleet held it, in three of 42 plays of a case.

Cause: requests that are under way when the second engine crashes, and those that come before the third crash is known, each crash an engine of their own.

Change: from the second crashed engine on, until the part is quarantined or exonerated, one node (rendezvous) permits one request with it at a time, the next one after a crash, an answer or a second (kinds 118 and 119). A request waits for its permit as long as for a place and then goes without: suspicion delays and refuses nothing; so does a permit node that does not reply.

--- a/chiveforward/quarantine.go
+++ b/chiveforward/quarantine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chivedrift/chivehealth"
+	"chivedrift/chiveplace"
 	"chivedrift/chivequarantine"
 	"chivedrift/chiverequest"
 )
@@ -17,6 +18,9 @@
 	Admit(now time.Time, request *chiverequest.Request) chivequarantine.Admission
 	// Quarantined reports whether a request in progress has been quarantined.
 	Quarantined(now time.Time, request *chiverequest.Request) chivequarantine.Admission
+	// Permit reports whether a request may be sent now whose parts are suspicious: of such requests, the fleet sends one at
+	// a time.
+	Permit(ctx context.Context, now time.Time, request *chiverequest.Request) bool
 	// Crashed records that an endpoint failed while it processed the request; begun means that it had begun to answer.
 	Crashed(now time.Time, request *chiverequest.Request, failure chivehealth.Failure, begun bool)
 	// Begun records that an endpoint has begun to answer the request.
@@ -45,6 +49,9 @@
 	return chivequarantine.Admission{}
 }
 
+// Permit permits every request.
+func (noQuarantine) Permit(context.Context, time.Time, *chiverequest.Request) bool { return true }
+
 // Crashed does nothing.
 func (noQuarantine) Crashed(time.Time, *chiverequest.Request, chivehealth.Failure, bool) {}
 
@@ -96,3 +103,21 @@
 	r.giveUpQuarantined(ctx, admission)
 	return true
 }
+
+// permitPollInterval is how often a request with a suspicious part asks for its permit.
+const permitPollInterval = 40 * time.Millisecond
+
+// awaitPermit waits until a request with a suspicious part may be sent, at most as long as a request waits for a place.
+func (r *requestState) awaitPermit(ctx context.Context) {
+	end := time.Now().Add(chiveplace.Patience(r.request.Route.Target))
+	for !r.probe && !r.forwarder.options.Quarantine.Permit(ctx, time.Now(), r.request) && time.Now().Before(end) {
+		select {
+		case <-time.After(permitPollInterval):
+		case <-ctx.Done():
+			return
+		}
+		if r.forwarder.options.Quarantine.Quarantined(time.Now(), r.request).Quarantined {
+			return
+		}
+	}
+}
--- a/chiveforward/quarantine_test.go
+++ b/chiveforward/quarantine_test.go
@@ -1,6 +1,7 @@
 package chiveforward_test
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"slices"
@@ -48,6 +49,8 @@
 	q.evidence = append(q.evidence, failure.Evidence)
 }
 
+func (q *fakeQuarantine) Permit(context.Context, time.Time, *chiverequest.Request) bool { return true }
+
 func (q *fakeQuarantine) Begun(time.Time, *chiverequest.Request) {}
 
 func (q *fakeQuarantine) Alive(_ time.Time, endpoint string, _ time.Time) {
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -45,6 +45,7 @@
 
 // runAttempt makes one attempt and reports whether the request has ended.
 func (r *requestState) runAttempt(ctx context.Context) bool {
+	r.awaitPermit(ctx)
 	place, err := r.forwarder.options.Places.Take(ctx, r.request, r.exclude)
 	if err != nil {
 		return r.giveUpWithoutPlace(ctx, err)
--- a/chivequarantine/admission.go
+++ b/chivequarantine/admission.go
@@ -97,11 +97,12 @@
 	if failure.Unique {
 		window = crashRetention
 	}
+	wasBroadcast := s.isBroadcast(c.Content)
 	if s.registry.HasWithin(c, window) || !s.registry.AddCrash(now, c) {
 		return
 	}
 	s.lastNumber = c.Number
-	s.sendCrash(now, c)
+	s.sendCrash(now, c, wasBroadcast)
 	s.exonerate(now, c.Content)
 }
 
--- a/chivequarantine/gossip.go
+++ b/chivequarantine/gossip.go
@@ -39,15 +39,24 @@
 }
 
 // sendCrash sends a crash that this node detected to all peers or to the collectors. The caller must hold s.mu.
-func (s *Service) sendCrash(now time.Time, c Crash) {
+func (s *Service) sendCrash(now time.Time, c Crash, wasBroadcast bool) {
 	if s.isBroadcast(c.Content) {
-		s.enqueue(s.registry.CrashesOf(c.Content), nil)
+		s.enqueue(s.unsentCrashes(c.Content, []Crash{c}, wasBroadcast), nil)
 		return
 	}
 	kind, body := reports{class: classOf(c.Content), crashes: []Crash{c}}.message(now)
 	s.sendToCollectors(c.Content, kind, body)
 }
 
+// unsentCrashes returns the crashes of a suspect that are to be broadcast after some were added. Of a part, on which there
+// may be many, these are the added ones alone if the others have been broadcast before. The caller must hold s.mu.
+func (s *Service) unsentCrashes(content chiverequest.Fingerprint, added []Crash, wasBroadcast bool) []Crash {
+	if content.IsPart() && wasBroadcast {
+		return added
+	}
+	return s.registry.CrashesOf(content)
+}
+
 // enqueue queues crashes and answers for the peers. The caller must hold s.mu.
 func (s *Service) enqueue(crashes []Crash, answers []Answer) {
 	for _, c := range crashes {
@@ -133,19 +142,23 @@
 func (s *Service) receiveReports(now time.Time, from string, received reports) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	added := make(map[chiverequest.Fingerprint]bool)
+	added := make(map[chiverequest.Fingerprint][]Crash)
+	wasBroadcast := make(map[chiverequest.Fingerprint]bool)
 	refuted := make(map[string]bool)
 	for _, c := range received.crashes {
 		if s.registry.IsRefuted(c) {
 			refuted[c.Endpoint] = true
 		}
+		if _, seen := added[c.Content]; !seen {
+			wasBroadcast[c.Content] = s.isBroadcast(c.Content)
+		}
 		if s.registry.AddCrash(now, c) {
-			added[c.Content] = true
+			added[c.Content] = append(added[c.Content], c)
 		}
 	}
-	for content := range added {
+	for content, crashes := range added {
 		if s.isBroadcast(content) {
-			s.enqueue(s.registry.CrashesOf(content), nil)
+			s.enqueue(s.unsentCrashes(content, crashes, wasBroadcast[content]), nil)
 		}
 	}
 	for _, a := range received.answers {
@@ -238,6 +251,7 @@
 	s.registry.Forget(now)
 	s.decide()
 	s.expireProbes(now)
+	s.expirePermits(now)
 	s.failures.expire(now)
 	if len(s.peers) == 0 {
 		return
--- a/chivequarantine/service.go
+++ b/chivequarantine/service.go
@@ -66,6 +66,9 @@
 	receivedGrants map[chiverequest.Fingerprint]time.Time
 	issuedGrants   map[chiverequest.Fingerprint]time.Time
 	watches        map[chiverequest.Fingerprint]map[*watch]struct{}
+	// permits are those that this node has issued for requests with suspicious parts.
+	permits     map[chiverequest.Fingerprint]permit
+	permitCalls *chivewire.Calls[PermitAnswer]
 }
 
 // watch is the callback of a running attempt, with the fingerprints of its request.
@@ -81,7 +84,10 @@
 		onFailure: func(chivehealth.Failure) time.Time { return time.Time{} }, failures: make(recentFailures),
 		receivedGrants: make(map[chiverequest.Fingerprint]time.Time), issuedGrants: make(map[chiverequest.Fingerprint]time.Time),
 		watches: make(map[chiverequest.Fingerprint]map[*watch]struct{}),
+		permits: make(map[chiverequest.Fingerprint]permit), permitCalls: chivewire.NewCalls[PermitAnswer](),
 	}
+	chivewire.Receive(o.Mesh, chivewire.KindPartPermitAsk, s.answerPermit)
+	chivewire.Receive(o.Mesh, chivewire.KindPartPermit, func(_ string, a PermitAnswer) { s.permitCalls.Deliver(a.Number, a) })
 	s.empty.Store(true)
 	chivewire.Queue[Update](s.inbox, chivewire.KindCrashUpdate)
 	chivewire.Queue[Digest](s.inbox, chivewire.KindCrashDigest)
--- a/chivewire/kind.go
+++ b/chivewire/kind.go
@@ -58,6 +58,9 @@
 
 	KindDeferredChanges Kind = 117
 
+	KindPartPermitAsk Kind = 118
+	KindPartPermit    Kind = 119
+
 	KindCrashUpdate     Kind = 120
 	KindCrashDigest     Kind = 121
 	KindProbeRequest    Kind = 122
@@ -110,6 +113,7 @@
 	KindCrashUpdate: "crash_update", KindCrashDigest: "crash_digest", KindProbeRequest: "probe_request", KindProbeGrant: "probe_grant",
 	KindEndpointAlive: "endpoint_alive", KindEndpointFailure: "endpoint_failure", KindEvacuations: "evacuations",
 	KindPartCrashUpdate: "part_crash_update", KindPartCrashDigest: "part_crash_digest",
+	KindPartPermitAsk: "part_permit_ask", KindPartPermit: "part_permit",
 	KindStarts: "starts", KindStartsAck: "starts_ack", KindSettledWindows: "settled_windows",
 	KindRepeatAsk: "repeat_ask", KindRepeatAnswer: "repeat_answer",
 	KindPlaceAsk: "place_ask", KindPlaceAnswer: "place_answer",
