Versions: peers that never answer are asked less often

What it would have cost: during an upgrade of a fleet in which only nodes of the release before read the store, a new node asked a peer every 150 ms without end, with all endpoints in each message.

--- a/chiveversion/service.go
+++ b/chiveversion/service.go
@@ -19,6 +19,10 @@
 const (
 	// askInterval is how often a peer is asked while versions are unknown. Each round doubles the nodes that know them.
 	askInterval = 150 * time.Millisecond
+	// eagerRounds is how many rounds in a row may bring nothing before peers are asked every patientInterval only: as many as
+	// versions need to reach all nodes of a large fleet. Nodes of earlier releases never answer.
+	eagerRounds     = 20
+	patientInterval = 5 * time.Second
 	// maxAsked bounds the endpoints in one message.
 	maxAsked = 1024
 )
@@ -58,11 +62,7 @@
 		registry: NewRegistry(), decode: decode, mesh: mesh, askNow: make(chan struct{}, 1), readAge: readAge, size: 1, peak: chivemember.NewPeakSize(time.Now()),
 	}
 	chivewire.Receive(mesh, chivewire.KindVersionsAsk, s.answer)
-	chivewire.Receive(mesh, chivewire.KindVersions, func(_ string, v Versions) {
-		for incarnation, version := range v.Versions {
-			s.registry.Learn(time.Now(), incarnation, version)
-		}
-	})
+	chivewire.Receive(mesh, chivewire.KindVersions, s.learn)
 	return s
 }
 
@@ -149,32 +149,38 @@
 	}
 }
 
+// askPeers asks peers while versions are unknown: eagerly after new endpoints were listed or a version was learnt.
 func (s *Service) askPeers(ctx context.Context) {
-	tick := time.NewTicker(askInterval)
-	defer tick.Stop()
-	for {
+	timer := time.NewTimer(askInterval)
+	defer timer.Stop()
+	for rounds := 0; ; {
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.askNow:
-		case <-tick.C:
+			rounds = 0
+		case <-timer.C:
+		}
+		rounds++
+		interval := askInterval
+		if !s.askPeer() || rounds > eagerRounds {
+			interval = patientInterval
 		}
-		s.askPeer()
+		timer.Reset(interval)
 	}
 }
 
-// askPeer asks one peer for the versions that are not known. It may not know them either; the next round asks another.
-func (s *Service) askPeer() {
+// askPeer asks one peer for the versions that are not known, and reports whether there are any. The peer may not know them
+// either; the next round asks another one.
+func (s *Service) askPeer() bool {
 	unknown := s.registry.Unknown(maxAsked)
-	if len(unknown) == 0 {
-		return
-	}
 	s.mu.Lock()
 	peers := s.peers
 	s.mu.Unlock()
-	if len(peers) > 0 {
+	if len(unknown) > 0 && len(peers) > 0 {
 		_ = s.mesh.Send(peers[rand.IntN(len(peers))], chivewire.KindVersionsAsk, Ask{Incarnations: unknown})
 	}
+	return len(unknown) > 0
 }
 
 func (s *Service) answer(from string, ask Ask) {
@@ -190,6 +196,14 @@
 	}
 }
 
+// learn records the versions that a peer knows. There may be more to ask for.
+func (s *Service) learn(_ string, v Versions) {
+	for incarnation, version := range v.Versions {
+		s.registry.Learn(time.Now(), incarnation, version)
+	}
+	s.signal()
+}
+
 func (s *Service) expire(ctx context.Context) {
 	chivekernel.Every(ctx, expiryInterval, s.registry.Expire)
 }
