--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -57,7 +57,7 @@
 	Network   chivewire.Network
 	Dialect   chiverequest.CallerDialect
 	Forwarder Forwarder
-	// Streams looks up where streams began, and Versions tells the software versions of a pool; nil if endpoints have none.
+	// Streams looks up where streams began, Versions the software versions of a pool; nil if endpoints have no versions.
 	Streams  Streams
 	Versions Versions
 	// Full reports whether the node has no memory for another request; nil means never.
--- a/chiveentry/resume.go
+++ b/chiveentry/resume.go
@@ -21,7 +21,7 @@
 	Find(ctx context.Context, team, attempt string) chivestream.Lookup
 }
 
-// Versions tells the software versions of the endpoints of a pool.
+// Versions looks up the software versions of the endpoints of a pool.
 type Versions interface {
 	// Sole returns the version of all endpoints of a pool; ok is false if there are several or this node may not know one.
 	Sole(pool string) (version string, ok bool)
--- a/chivequarantine/decide.go
+++ b/chivequarantine/decide.go
@@ -8,7 +8,7 @@
 	"chivedrift/chiverequest"
 )
 
-// class tells suspects apart that nodes exchange in messages of their own.
+// class is a kind of suspects whose reports have message kinds of their own.
 type class uint8
 
 const (
@@ -28,7 +28,7 @@
 }
 
 // hold is a quarantine of all requests that have all members. Parts that were on the same crashed endpoints are held
-// together only: requests that have one of them still run, and their answers or crashes tell the parts apart.
+// together only: requests that have one of them still run, and their answers or crashes show which part is the cause.
 type hold struct {
 	lead    chiverequest.Fingerprint
 	members []chiverequest.Fingerprint
@@ -45,36 +45,43 @@
 }
 
 // Decide determines what is quarantined, and returns what changed.
+func (r *Register) Decide() []Change {
+	before := r.holds
+	r.holds = r.chooseHolds()
+	return r.changesSince(before)
+}
+
+// chooseHolds determines the quarantines by the current reports.
 //
 // It chooses greedily: the suspect that was on the most crashed engines is assumed to have crashed them all. Of the
 // remaining crashes, the suspect with the most is chosen next, as long as one has enough. Suspects that ran beside a
 // chosen one may reach the threshold at times; they are released once the chosen one explains their crashes. If two
 // requests were on the same engines, one of them is quarantined; if it was the wrong one, the next crash shows it.
-func (r *Register) Decide() []Change {
+func (r *Register) chooseHolds() (holds []hold) {
 	candidates := r.candidates()
 	explained := make(map[string]bool)
-	var holds []hold
 	for {
 		lead, ok := r.mostImplicated(candidates, explained)
 		if !ok {
-			break
+			return holds
 		}
 		holds = append(holds, hold{lead, r.companions(lead, candidates, explained)})
 		for _, c := range r.suspects[lead].implicatingCrashes(nil) {
 			explained[c.Endpoint] = true
 		}
 	}
-	before := r.holds
-	r.holds = holds
-	var changes []Change
+}
+
+// changesSince begins and ends the quarantines that differ from those before, and returns the differences.
+func (r *Register) changesSince(before []hold) (changes []Change) {
 	for _, h := range before {
-		if s, ok := r.suspects[h.lead]; ok && !slices.ContainsFunc(holds, func(other hold) bool { return other.lead == h.lead }) {
+		if s, ok := r.suspects[h.lead]; ok && indexOfLead(r.holds, h.lead) < 0 {
 			s.endQuarantine()
 			changes = append(changes, r.change(h, false))
 		}
 	}
-	for _, h := range holds {
-		known := slices.IndexFunc(before, func(other hold) bool { return other.lead == h.lead })
+	for _, h := range r.holds {
+		known := indexOfLead(before, h.lead)
 		if known < 0 {
 			r.suspects[h.lead].updateQuarantine()
 		}
@@ -85,6 +92,11 @@
 	return changes
 }
 
+// indexOfLead returns the index of the hold with a lead, -1 if there is none.
+func indexOfLead(holds []hold, lead chiverequest.Fingerprint) int {
+	return slices.IndexFunc(holds, func(h hold) bool { return h.lead == lead })
+}
+
 func (r *Register) change(h hold, quarantined bool) Change {
 	s := r.suspects[h.lead]
 	return Change{Content: h.lead, Quarantined: quarantined, Members: h.members, Crashes: slices.Clone(s.crashes), Until: s.until}
--- a/chivequarantine/parts_test.go
+++ b/chivequarantine/parts_test.go
@@ -71,7 +71,7 @@
 	h.expectHeld(false, "beside", "third")
 }
 
-// Guards against a narrow suspect that is passed over for a wide one.
+// Guards against quarantining a part of prompts although a single request explains the crashes.
 func TestRequestExplainsCrashesBeforeItsParts(t *testing.T) {
 	h := newHarness(t)
 	for i := range 3 {
--- a/chivequarantine/permit.go
+++ b/chivequarantine/permit.go
@@ -97,7 +97,7 @@
 	return true
 }
 
-// isExonerated reports whether an answer speaks for a part. The caller must hold s.mu.
+// isExonerated reports whether an answer exonerates a part now. The caller must hold s.mu.
 func (s *Service) isExonerated(now time.Time, part chiverequest.Fingerprint) bool {
 	suspect, ok := s.registry.suspects[part]
 	return ok && !suspect.lastAnswer.IsZero() && now.Before(suspect.lastAnswer.Add(exonerationPeriod))
--- a/chivestream/service.go
+++ b/chivestream/service.go
@@ -26,7 +26,7 @@
 	lookupRounds = 2
 )
 
-// Begun tells an owner where a stream began.
+// Begun records at an owner where a stream began.
 type Begun struct {
 	Key    Key
 	Origin chiverequest.Origin
