Retries: attempts that arrive after an earlier one are counted and marked in the log

What callers and operators saw of the retry budget were its charges alone (repeats_spent). The users count arrivals at endpoints, and neither a metric nor a log line shows those. repeats_sent counts attempts that may have reached an endpoint after an earlier one of their request had; event 503 marks them with repeat=true. No change of logic.

--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -47,6 +47,8 @@
 	// mayHaveRun means that a byte of the request may have been sent and that the endpoint did not confirm that it was
 	// not run.
 	mayHaveRun bool
+	// mayHaveArrived means that a byte of the request may have been sent, whatever the endpoint did with it.
+	mayHaveArrived bool
 	// streaming means that an event of the response has arrived.
 	streaming atomic.Bool
 	// begun means that a second event has arrived: the endpoint did not crash when it began to answer.
@@ -203,7 +205,8 @@
 		return nil, err
 	}
 	response, err := a.connection.transport.RoundTrip(request)
-	a.mayHaveRun = a.connection.mayHaveSent()
+	a.mayHaveArrived = a.connection.mayHaveSent()
+	a.mayHaveRun = a.mayHaveArrived
 	if err != nil {
 		a.connection.close()
 		return nil, err //nolint:wrapcheck // logged without a prefix
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"chivedrift/chivehealth"
@@ -142,7 +143,9 @@
 	// invalidLimits are the limits of endpoints that are not usable.
 	invalidLimits invalidLimits
 	inProgress    inProgressRequests
-	background    chivekernel.Duties
+	// repeated counts the attempts that may have reached an endpoint after an earlier one of their request had.
+	repeated   atomic.Int64
+	background chivekernel.Duties
 }
 
 // New returns a forwarder without open connections.
@@ -199,6 +202,9 @@
 // InProgress returns the number of requests in progress, by pool.
 func (f *Forwarder) InProgress() map[string]int64 { return f.inProgress.counts() }
 
+// Repeated returns the number of attempts that may have reached an endpoint after an earlier one of their request had.
+func (f *Forwarder) Repeated() int64 { return f.repeated.Load() }
+
 // errDeadline is the cancellation cause of a request whose deadline has passed.
 var errDeadline = errors.New("request deadline exceeded")
 
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -25,6 +25,8 @@
 	lastEventID string
 	// mayHaveRun means that some attempt may have reached an endpoint that did not confirm that the request was not run.
 	mayHaveRun bool
+	// mayHaveArrived means that some attempt may have reached an endpoint, so that further ones are retries.
+	mayHaveArrived bool
 	// attemptsUsed counts the attempts that broke off or returned an endpoint's error, which Route.Attempts limits.
 	// attemptsNotRun counts the attempts that certainly did not run.
 	attemptsUsed   int
@@ -65,6 +67,7 @@
 	ejectedFor := place.Done(time.Now(), placeEndings[outcome])
 	r.recordAttempt(a, outcome)
 	r.logAttemptEnded(ctx, a, outcome, ejectedFor)
+	r.recordArrival(a)
 	if outcome == attemptBroken {
 		r.forwarder.investigateBreak(ctx, a)
 	}
@@ -283,6 +286,17 @@
 	r.result.Tries = append(r.result.Tries, Try{Endpoint: a.target.ID, Ended: attemptOutcomeNames[outcome], Touched: a.mayHaveRun, Status: a.status, Err: a.err})
 }
 
+// isRepeat reports whether an attempt may have reached an endpoint after an earlier one of the request had.
+func (r *requestState) isRepeat(a *attempt) bool { return r.mayHaveArrived && a.mayHaveArrived }
+
+// recordArrival counts an attempt that is a retry where it arrives.
+func (r *requestState) recordArrival(a *attempt) {
+	if r.isRepeat(a) {
+		r.forwarder.repeated.Add(1)
+	}
+	r.mayHaveArrived = r.mayHaveArrived || a.mayHaveArrived
+}
+
 // logAttemptSent logs an attempt before it is sent, with the reasons for the selection of its endpoint.
 func (r *requestState) logAttemptSent(ctx context.Context, a *attempt) {
 	attributes := []slog.Attr{
@@ -300,6 +314,9 @@
 		slog.String("ended", attemptOutcomeNames[outcome]), slog.Bool("touched", a.mayHaveRun), slog.Int("status", a.status),
 		slog.Int("events", r.result.Events), slog.Int64("took_ms", time.Since(a.startedAt).Milliseconds()),
 	}
+	if r.isRepeat(a) {
+		attributes = append(attributes, slog.Bool("repeat", true))
+	}
 	if ejectedFor > 0 {
 		attributes = append(attributes, slog.Int64("endpoint_passed_over_ms", ejectedFor.Milliseconds()))
 	}
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -368,6 +368,7 @@
 		{"store_age_seconds", func() float64 { return tableFeed.Age().Seconds() }},
 		{"directory_age_seconds", func() float64 { return directoryFeed.Age().Seconds() }},
 		{"repeats_spent", func() float64 { return float64(n.retryBudget.Spent()) }},
+		{"repeats_sent", func() float64 { return float64(n.forwarder.Repeated()) }},
 		{"repeats_denied", func() float64 { return float64(n.retryBudget.Denied()) }},
 		{"places_asked", func() float64 { return float64(n.grants.Counts().Asked) }},
 		{"places_granted", func() float64 { return float64(n.grants.Counts().Granted) }},
