Retries: every attempt after one that arrived is charged, when it is sent

Cause: the budget was charged by the outcome of the attempt before. After a 421 (another process has the address) nothing was charged, though that request had reached an endpoint; engines that return under a new id while a node's view is older answer so to each request. And a charge was made when the retry was decided, however long it then waited for a permit and a place, so charges kept to the limit in each window and arrivals need not.

Now an attempt is charged before it is sent if any attempt of the request may have arrived, whatever its outcome; a charge that is a quarter of a second old by then is made again, and one whose attempt did not arrive is kept for the next. The endpoints of the own configuration keep their rule: their budget counts failures, and a refused or preempted attempt costs nothing there.

--- a/chiveforward/budget_test.go
+++ b/chiveforward/budget_test.go
@@ -1,11 +1,15 @@
 package chiveforward_test
 
 import (
+	"context"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
 	"chivedrift/chiveforward"
 	"chivedrift/chiverequest"
+	"chivedrift/chivetable"
 
 	"pgregory.net/rapid"
 )
@@ -111,3 +115,32 @@
 		t.Errorf("one of ten nodes spent %d retries of a headroom of 100", spent)
 	}
 }
+
+// slowPlaces waits before it takes a place for a retry.
+type slowPlaces struct {
+	chiveforward.Places
+	wait time.Duration
+}
+
+func (p slowPlaces) Take(ctx context.Context, request *chiverequest.Request, exclude []string) (chiveforward.Place, error) {
+	if len(exclude) > 0 {
+		time.Sleep(p.wait)
+	}
+	return p.Places.Take(ctx, request, exclude)
+}
+
+// Guards against retries that are charged in one window and arrive in a later one, after a long wait for a place.
+func TestRetryThatWaitsForAPlaceIsChargedWhenItIsSent(t *testing.T) {
+	refuses := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) {
+		write(conn, "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	})
+	for wait, charges := range map[time.Duration]int64{0: 1, time.Second: 2} {
+		s := newFixtureWithOptions(t, func(o *chiveforward.Options) { o.Places = slowPlaces{o.Places, wait}; o.Rules.Refusals = 2 }, chivetable.Route{}, refuses.registration("a"), refuses.registration("b"))
+		if result, _ := s.run(s.request(http.MethodGet, "")); result.Outcome != chiveforward.NotRun || len(result.Tries) != 2 {
+			t.Fatalf("outcome %v after %d attempts, want not-run after 2", result.Outcome, len(result.Tries))
+		}
+		if spent := s.budget.Spent(); spent != charges {
+			t.Errorf("%d charges for a retry that waited %v, want %d", spent, wait, charges)
+		}
+	}
+}
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -43,8 +43,10 @@
 type Rules struct {
 	// Refusals is how many attempts may be refused, or fail to reach an endpoint, before the request is given up.
 	Refusals int
-	// RefusalsCost means that a retry after an endpoint refused the request is charged to the retry budget.
-	RefusalsCost bool
+	// ArrivalsCost means that every attempt after one that may have reached an endpoint is charged to the retry budget,
+	// however that one ended. Otherwise only an attempt after a failure is: one that was refused or preempted made room
+	// for other requests.
+	ArrivalsCost bool
 	// RetryErrors means that a repeatable request is retried on another endpoint after an endpoint returned an error of
 	// its own.
 	RetryErrors bool
@@ -55,7 +57,7 @@
 }
 
 // StoreRules are the rules for endpoints that register in the platform's store.
-var StoreRules = Rules{Refusals: 3, RefusalsCost: true, RetryErrors: true}
+var StoreRules = Rules{Refusals: 3, ArrivalsCost: true, RetryErrors: true}
 
 // Places selects endpoints for requests.
 type Places interface {
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -27,6 +27,11 @@
 	mayHaveRun bool
 	// mayHaveArrived means that some attempt may have reached an endpoint, so that further ones are retries.
 	mayHaveArrived bool
+	// lastOutcome is the outcome of the last attempt.
+	lastOutcome attemptOutcome
+	// chargedAt is when the retry budget was charged for an attempt that has not arrived since; zero if there is no such
+	// charge.
+	chargedAt time.Time
 	// attemptsUsed counts the attempts that broke off or returned an endpoint's error, which Route.Attempts limits.
 	// attemptsNotRun counts the attempts that certainly did not run.
 	attemptsUsed   int
@@ -47,6 +52,9 @@
 
 // runAttempt makes one attempt and reports whether the request has ended.
 func (r *requestState) runAttempt(ctx context.Context) bool {
+	if !r.chargeRepeat(ctx) {
+		return r.giveUpAfter(ctx, r.lastOutcome)
+	}
 	r.awaitPermit(ctx)
 	place, err := r.forwarder.options.Places.Take(ctx, r.request, r.exclude)
 	if err != nil {
@@ -61,6 +69,10 @@
 		place.Done(time.Now(), chiveplace.EndedCaller)
 		return true
 	}
+	if !r.chargeRepeat(ctx) {
+		place.Done(time.Now(), chiveplace.EndedCaller)
+		return r.giveUpAfter(ctx, r.lastOutcome)
+	}
 	a := &attempt{state: r, place: place, target: place.Target(), startedAt: time.Now()}
 	r.logAttemptSent(ctx, a)
 	outcome := a.execute(ctx)
@@ -68,6 +80,7 @@
 	r.recordAttempt(a, outcome)
 	r.logAttemptEnded(ctx, a, outcome, ejectedFor)
 	r.recordArrival(a)
+	r.lastOutcome = outcome
 	if outcome == attemptBroken {
 		r.forwarder.investigateBreak(ctx, a)
 	}
@@ -148,10 +161,14 @@
 		if r.attemptsNotRun <= r.forwarder.options.Rules.Refusals && ctx.Err() == nil {
 			return false
 		}
-		r.giveUp(ctx, CodeBroken, "no endpoint could be reached", retryAfterUnreachable)
-		return true
+		return r.giveUpAfter(ctx, outcome)
 	case attemptRefused:
-		return r.afterRefusal(ctx)
+		// The endpoint has stated that it did not run the request, so running it elsewhere is safe.
+		r.attemptsNotRun++
+		if r.attemptsNotRun < r.forwarder.options.Rules.Refusals && ctx.Err() == nil {
+			return false
+		}
+		return r.giveUpAfter(ctx, outcome)
 	case attemptEndpointError, attemptBroken:
 		r.mayHaveRun = true
 		r.attemptsUsed++
@@ -160,8 +177,7 @@
 	return true
 }
 
-// afterPreemption retries the request, or resumes its stream, unless it may have run and must not run twice. The retry
-// is not charged to the budget, because the attempt did not fail but made room for other requests.
+// afterPreemption retries the request, or resumes its stream, unless it may have run and must not run twice.
 func (r *requestState) afterPreemption(ctx context.Context, a *attempt) bool {
 	r.mayHaveRun = r.mayHaveRun || a.mayHaveRun
 	r.exclude = r.exclude[:len(r.exclude)-1]
@@ -172,21 +188,7 @@
 	return true
 }
 
-// afterRefusal retries the request within the limit on refusals. The endpoint has stated that it did not run the
-// request, so running it elsewhere is safe.
-func (r *requestState) afterRefusal(ctx context.Context) bool {
-	r.attemptsNotRun++
-	if r.attemptsNotRun < r.forwarder.options.Rules.Refusals && ctx.Err() == nil && (!r.forwarder.options.Rules.RefusalsCost || r.spendRetry(ctx)) {
-		return false
-	}
-	if r.forwardErrorResponse() {
-		return true
-	}
-	r.giveUp(ctx, CodeRefused, "the endpoints have no room", retryAfterRefusal)
-	return true
-}
-
-// retryOrGiveUp retries the request if it is repeatable, has attempts left and the budget allows it.
+// retryOrGiveUp retries the request if it is repeatable and has attempts left.
 func (r *requestState) retryOrGiveUp(ctx context.Context, a *attempt, outcome attemptOutcome) bool {
 	if outcome == attemptEndpointError {
 		r.errorResponse = a.buffered
@@ -197,14 +199,23 @@
 	if r.giveUpIfQuarantined(ctx) {
 		return true
 	}
-	mayRetry := !r.probe && r.request.Route.Repeat != chivetable.RepeatNever && r.attemptsUsed < r.request.Route.Attempts && ctx.Err() == nil
-	if mayRetry && r.spendRetry(ctx) {
+	if !r.probe && r.request.Route.Repeat != chivetable.RepeatNever && r.attemptsUsed < r.request.Route.Attempts && ctx.Err() == nil {
 		return false
 	}
-	if r.forwardErrorResponse() {
-		return true
+	return r.giveUpAfter(ctx, outcome)
+}
+
+// giveUpAfter ends a request that is not tried again after an attempt with the given outcome.
+func (r *requestState) giveUpAfter(ctx context.Context, outcome attemptOutcome) bool {
+	switch {
+	case outcome == attemptUnreached || outcome == attemptMisdirected:
+		r.giveUp(ctx, CodeBroken, "no endpoint could be reached", retryAfterUnreachable)
+	case r.forwardErrorResponse():
+	case outcome == attemptRefused:
+		r.giveUp(ctx, CodeRefused, "the endpoints have no room", retryAfterRefusal)
+	default:
+		r.giveUp(ctx, CodeBroken, "the endpoint broke off", 0)
 	}
-	r.giveUp(ctx, CodeBroken, "the endpoint broke off", 0)
 	return true
 }
 
@@ -224,6 +235,9 @@
 	retryAfterRefusal = 250 * time.Millisecond
 	// retryAfterUnreachable is about the time in which the entry of a lost endpoint expires or its successor registers.
 	retryAfterUnreachable = 500 * time.Millisecond
+	// maxChargeAge is how long before its attempt a retry may have been charged. The budget keeps a charge for a little
+	// longer than the window in which arrivals count; a charge that is older when its attempt is sent would expire first.
+	maxChargeAge = 250 * time.Millisecond
 )
 
 // giveUp sets the result of a request without a response. The outcome is NotRun only if it is certain for each attempt
@@ -271,6 +285,31 @@
 	r.sink.Start(status, header)
 }
 
+// chargeRepeat charges the next attempt to the retry budget if it costs something, and reports whether it may be sent.
+func (r *requestState) chargeRepeat(ctx context.Context) bool {
+	if !r.nextAttemptCosts() || r.isCharged() {
+		return true
+	}
+	if !r.spendRetry(ctx) {
+		return false
+	}
+	r.chargedAt = time.Now()
+	return true
+}
+
+// isCharged reports whether the next attempt has been charged. Only a budget of arrivals depends on when they arrive.
+func (r *requestState) isCharged() bool {
+	return !r.chargedAt.IsZero() && (!r.forwarder.options.Rules.ArrivalsCost || time.Since(r.chargedAt) < maxChargeAge)
+}
+
+// nextAttemptCosts reports whether the next attempt is charged to the retry budget.
+func (r *requestState) nextAttemptCosts() bool {
+	if r.forwarder.options.Rules.ArrivalsCost {
+		return r.mayHaveArrived
+	}
+	return r.lastOutcome == attemptEndpointError || r.lastOutcome == attemptBroken || r.lastOutcome == attemptQuarantined
+}
+
 // spendRetry charges a retry to the budget and logs when it is denied.
 func (r *requestState) spendRetry(ctx context.Context) bool {
 	now := time.Now()
@@ -289,12 +328,14 @@
 // isRepeat reports whether an attempt may have reached an endpoint after an earlier one of the request had.
 func (r *requestState) isRepeat(a *attempt) bool { return r.mayHaveArrived && a.mayHaveArrived }
 
-// recordArrival counts an attempt that is a retry where it arrives.
+// recordArrival counts an attempt that is a retry where it arrives, which uses up its charge.
 func (r *requestState) recordArrival(a *attempt) {
 	if r.isRepeat(a) {
 		r.forwarder.repeated.Add(1)
 	}
-	r.mayHaveArrived = r.mayHaveArrived || a.mayHaveArrived
+	if a.mayHaveArrived {
+		r.mayHaveArrived, r.chargedAt = true, time.Time{}
+	}
 }
 
 // logAttemptSent logs an attempt before it is sent, with the reasons for the selection of its endpoint.
