Placement: an endpoint whose address another process has taken gets no requests for a while

What callers saw: while a node's view of the endpoints is old, request after request is sent to addresses where another process answers 421, and each such answer uses up a retry of the fleet.

Cause: an endpoint that answered so was excluded for four seconds like one that is full, and excluded endpoints are tried again where all are excluded. That helps with failures, which may be over; an address that another process has taken does not come back for this endpoint.

Now such an endpoint is not ready for four seconds, or until its entry has another address, and the caller is told truthfully that no endpoint is known.

Evidence: TestEndpointWhoseAddressIsTakenGetsNoRequests failed before.

--- a/chiveplace/candidate.go
+++ b/chiveplace/candidate.go
@@ -39,6 +39,9 @@
 	cacheQueried bool
 	// limits is nil for an endpoint that has never stated limits.
 	limits *endpointLimits
+	// goneUntil is until when the endpoint gets no requests, even if all others are excluded too, since another process
+	// responded at its address.
+	goneUntil time.Time
 	// warmUp is nil for an endpoint that is not warming up.
 	warmUp *warmUpState
 	// record is the pool's emptyRecord until the first request or report for this endpoint: in a large fleet most nodes
@@ -160,8 +163,13 @@
 	c.slowdownRatio = c.slowdown() + slowdownWeight*(ratio-c.slowdown())
 }
 
+// isReady reports whether the endpoint may get requests at all.
+func (c *candidate) isReady(now time.Time) bool {
+	return c.endpoint.State == chivedirectory.Ready && !now.Before(c.goneUntil)
+}
+
 func (c *candidate) isUsable(now time.Time) bool {
-	return c.endpoint.State == chivedirectory.Ready && !now.Before(c.ejectedUntil)
+	return c.isReady(now) && !now.Before(c.ejectedUntil)
 }
 
 func (c *candidate) recordFailure(now time.Time) {
@@ -170,6 +178,12 @@
 	c.errorRate += errorRateWeight * (1 - c.errorRate)
 }
 
+// recordGone records that another process responded at the endpoint's address.
+func (c *candidate) recordGone(now time.Time) {
+	c.ejectedUntil = now.Add(maxEjection)
+	c.goneUntil = c.ejectedUntil
+}
+
 func (c *candidate) recordFull(now time.Time) {
 	c.ejectedUntil = now.Add(fullEjection)
 }
--- a/chiveplace/grant.go
+++ b/chiveplace/grant.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"chivedrift/chivedirectory"
 	"chivedrift/chiveresidency"
 )
 
@@ -108,7 +107,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cand, ok := p.lookup(grant.Endpoint)
-	if !ok || cand.endpoint.State != chivedirectory.Ready || !ask.Domains.Contains(cand.endpoint.FailureDomain) || !ask.allows(cand) {
+	if !ok || !cand.isReady(now) || !ask.Domains.Contains(cand.endpoint.FailureDomain) || !ask.allows(cand) {
 		return nil, false
 	}
 	prompt := ask.Prompt
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -216,7 +216,7 @@
 	case EndedFull:
 		p.candidate.recordFull(now)
 	case EndedGone:
-		p.candidate.ejectedUntil = now.Add(maxEjection)
+		p.candidate.recordGone(now)
 	case EndedCaller:
 	}
 	return max(p.candidate.ejectedUntil.Sub(now), 0)
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -317,7 +317,7 @@
 		if len(endpoints) == limit {
 			break
 		}
-		if cand.cacheQueried || cand.startedEmpty || cand.endpoint.State != chivedirectory.Ready {
+		if cand.cacheQueried || cand.startedEmpty || !cand.isReady(time.Now()) {
 			continue
 		}
 		cand.cacheQueried = true
@@ -429,7 +429,7 @@
 	slots := slotLimit(p.engine.Slots, ask.Prompt)
 	var ejected []*candidate
 	for _, cand := range allowed {
-		if cand.endpoint.State != chivedirectory.Ready || slices.Contains(p.evacuatedDomains, cand.endpoint.FailureDomain) || !ask.Domains.Contains(cand.endpoint.FailureDomain) || !ask.allows(cand) {
+		if !cand.isReady(now) || slices.Contains(p.evacuatedDomains, cand.endpoint.FailureDomain) || !ask.Domains.Contains(cand.endpoint.FailureDomain) || !ask.allows(cand) {
 			continue
 		}
 		ready++
--- a/chiveplace/warmup.go
+++ b/chiveplace/warmup.go
@@ -19,6 +19,9 @@
 // setEndpoint applies the current directory entry of the endpoint.
 func (c *candidate) setEndpoint(now time.Time, e chivedirectory.Endpoint) {
 	before := c.warmUp
+	if e.Address != c.endpoint.Address {
+		c.goneUntil = time.Time{}
+	}
 	c.endpoint, c.warmUp = e, nil
 	if e.WarmUp > 0 {
 		// The entry was written before this node learns of it, so this end is too late rather than too early.
