Retries: a node that has met no other one takes a small share of the headroom

What callers saw: nothing yet; found by tests. Nodes that start again while they are cut off from their peers, but not from the store and the engines, make more retries than the fleet may.

Cause: a node divides the fleet's headroom by the largest fleet that it has seen since its start. One that has met nobody took all of it, on top of what the others may.

Now such a node takes the share of one in a fleet of eight, or of as many nodes as the settings and the store list, if they list any other node. A node without other nodes in its settings and in the store keeps the whole headroom.

--- a/chiveforward/budget.go
+++ b/chiveforward/budget.go
@@ -17,15 +17,17 @@
 // only what is safe without coordination: the ratio of its own requests, and the headroom divided by the largest recent
 // fleet size. The sum stays within the limit even if nodes are partitioned and each considers the others dead. A
 // process that has just started does not know how many retries its predecessor made, so it has no headroom until a full
-// window has passed.
+// window has passed. While it has met no other node it may be partitioned from a fleet of unknown size.
 type Budget struct {
 	mu        sync.Mutex
 	limits    BudgetLimits
 	startedAt time.Time
 	fleetSize chivemember.PeakSize
-	pools     map[string]*window
-	spent     atomic.Int64
-	denied    atomic.Int64
+	// listedPeers returns how many other nodes may exist, whether this node has met them or not; nil if that is not known.
+	listedPeers func() int
+	pools       map[string]*window
+	spent       atomic.Int64
+	denied      atomic.Int64
 }
 
 // BudgetLimits is the limit for the whole fleet: in any Window, retries stay below Ratio times the requests plus
@@ -46,6 +48,8 @@
 	// headroomShare leaves part of the headroom unused, to allow for nodes that are not known yet and for the
 	// granularity of the buckets.
 	headroomShare = 0.8
+	// unknownFleetSize is the least size that is assumed for a fleet of which this node has met no other node.
+	unknownFleetSize = 8
 )
 
 type window struct {
@@ -54,11 +58,15 @@
 	bucket   int64
 }
 
-// NewBudget returns the budget of a process that starts now, in a fleet of one node.
+// NewBudget returns the budget of a process that starts now and has met no other node.
 func NewBudget(now time.Time, limits BudgetLimits) *Budget {
 	return &Budget{limits: limits, startedAt: now, fleetSize: chivemember.NewPeakSize(now), pools: make(map[string]*window)}
 }
 
+// SetListedPeers sets the function that returns how many other nodes may exist, whether this node has met them or not; it
+// must be called before the first request.
+func (b *Budget) SetListedPeers(listedPeers func() int) { b.listedPeers = listedPeers }
+
 // SetNodes sets how many nodes are known to share the headroom.
 func (b *Budget) SetNodes(now time.Time, nodes int) {
 	b.mu.Lock()
@@ -112,7 +120,7 @@
 	requests := w.sum(w.requests, requestBuckets)
 	return []slog.Attr{
 		slog.Int("repeats", w.sum(w.retries, retryBuckets)), slog.Int("requests", requests),
-		slog.Float64("allowed", roundForLog(b.limits.Ratio*float64(requests)+b.headroom(now))), slog.Int("nodes", b.fleetSize.Size()),
+		slog.Float64("allowed", roundForLog(b.limits.Ratio*float64(requests)+b.headroom(now))), slog.Int("nodes", b.sharers()),
 	}
 }
 
@@ -121,7 +129,22 @@
 	if now.Sub(b.startedAt) < b.limits.Window {
 		return 0
 	}
-	return b.limits.Headroom * headroomShare / float64(b.fleetSize.Size())
+	return b.limits.Headroom * headroomShare / float64(b.sharers())
+}
+
+// sharers returns the number of nodes that share the headroom.
+func (b *Budget) sharers() int {
+	size := b.fleetSize.Size()
+	switch {
+	case size > 1:
+		return size
+	case b.listedPeers == nil:
+		return unknownFleetSize
+	}
+	if peers := b.listedPeers(); peers > 0 {
+		return max(peers+1, unknownFleetSize)
+	}
+	return size
 }
 
 // windowAt returns a pool's window, advanced to the current time.
--- a/chivenode/roster.go
+++ b/chivenode/roster.go
@@ -181,6 +181,14 @@
 	return slices.ContainsFunc(d.seeds, func(seed string) bool { return seed != d.self })
 }
 
+// listedPeers returns how many other nodes may exist.
+func (d *peerDiscovery) listedPeers() int {
+	addresses := d.addresses()
+	slices.Sort(addresses)
+	addresses = slices.DeleteFunc(slices.Compact(addresses), func(address string) bool { return address == d.self })
+	return len(addresses)
+}
+
 // isSeed reports whether the settings name this node as a seed.
 func (d *peerDiscovery) isSeed() bool { return slices.Contains(d.seeds, d.self) }
 
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -144,6 +144,7 @@
 	n.endpointReadAge = feeds.directory.Age
 	singletons := n.assembleSingletons(network, store)
 	serving := n.assembleServing(network, metrics)
+	n.retryBudget.SetListedPeers(discovery.listedPeers)
 	process := newProcess()
 	return n.register(slices.Concat([]namedService{
 		{processName, process},
