Notices: what endpoints say of their processes is logged and shown

An operator could not tell an endpoint that is leaving, or that has asked for rest, from one that is full: neither field of a response was read. Events 410, 411 and 412, the metrics endpoints_leaving and endpoints_resting and the state dump show them now, by incarnation, also after its entry in the store was removed and written again. The choice of an endpoint does not use them yet.

--- a/chivedispatch/dialect.go
+++ b/chivedispatch/dialect.go
@@ -41,6 +41,9 @@
 // Limits returns none: these engines state no limits.
 func (dialect) Limits(http.Header) (chiverequest.Limits, error) { return chiverequest.Limits{}, nil }
 
+// Notice returns none: these engines refuse requests while they are draining.
+func (dialect) Notice(*http.Response) (chiverequest.Notice, error) { return chiverequest.Notice{}, nil }
+
 // HealthCheck returns OPTIONS *, which has no side effects and needs no dedicated path on the endpoint.
 func (dialect) HealthCheck(http.Header, string) (method, target string) {
 	return http.MethodOptions, "*"
--- a/chivedispatch/dispatcher.go
+++ b/chivedispatch/dispatcher.go
@@ -188,6 +188,11 @@
 	return chiverequest.Limits{}, false
 }
 
+// StateNotice does nothing: these engines say nothing of their processes.
+func (p *slotPlacement) StateNotice(time.Time, chiverequest.Notice) (leaves, rests bool) {
+	return false, false
+}
+
 // FetchFrom returns no address: these engines do not fetch cached prompt parts from each other.
 func (p *slotPlacement) FetchFrom() string { return "" }
 
--- a/chivedispatch/service.go
+++ b/chivedispatch/service.go
@@ -169,6 +169,11 @@
 	return chiverequest.Limits{}, false
 }
 
+// StateNotice does nothing: these replicas say nothing of their processes.
+func (p *replicaPlacement) StateNotice(time.Time, chiverequest.Notice) (leaves, rests bool) {
+	return false, false
+}
+
 // FetchFrom returns no address: plain services do not cache prompts.
 func (p *replicaPlacement) FetchFrom() string { return "" }
 
--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -63,6 +63,10 @@
 	LimitChanged  = define(408, slog.LevelWarn, "endpoint's limits changed", "None; per_second is the rate in requests a second that all nodes together send from now on, refusals_per_second how many requests a second the endpoint can refuse without a crash, each 0 without a limit. Find out why the endpoint needs limits.")
 	LimitUnusable = define(409, slog.LevelWarn, "endpoint's limits not usable", "Correct the value in the endpoint's responses; until then the limits before hold.")
 
+	LeavingStated  = define(410, slog.LevelInfo, "endpoint says that it is leaving", "None; the node sends its process no further requests. Look at the endpoint if it stays for long: only its next process gets requests again.")
+	RestAsked      = define(411, slog.LevelWarn, "endpoint asks for rest", "None; the node sends it no requests for rest_ms. Find out why the endpoint refuses requests if this repeats.")
+	NoticeUnusable = define(412, slog.LevelWarn, "endpoint's notice not usable", "Correct the value in the endpoint's responses; the response counts as one without it.")
+
 	RequestRefused  = define(500, slog.LevelWarn, "request refused", "Read the reason; under overload, check the tier and the share of the class.")
 	RequestBroken   = define(501, slog.LevelWarn, "attempt broke", "Check the endpoint if this repeats.")
 	AttemptEnded    = define(503, slog.LevelInfo, "attempt ended", "The field ended shows how the attempt ended; touched shows whether the endpoint may have run it, repeat that an earlier attempt of the request had reached an endpoint.")
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -110,6 +110,7 @@
 	verdict := a.state.forwarder.options.Dialect.Judge(a.state.request, response)
 	if verdict == chiverequest.VerdictNotRun || verdict == chiverequest.VerdictAnswer {
 		a.recordLimits(ctx, response.Header)
+		a.recordNotice(ctx, response)
 	}
 	switch verdict {
 	case chiverequest.VerdictNotRun:
--- a/chiveforward/endpoint_test.go
+++ b/chiveforward/endpoint_test.go
@@ -49,6 +49,10 @@
 	return chiverequest.Limits{}, nil
 }
 
+func (headerDialect) Notice(*http.Response) (chiverequest.Notice, error) {
+	return chiverequest.Notice{}, nil
+}
+
 const healthPath = "/health"
 
 func (headerDialect) HealthCheck(header http.Header, id string) (method, target string) {
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -114,6 +114,9 @@
 	// StateLimits records the limits that a response of the endpoint states, and returns those before if they have
 	// changed.
 	StateLimits(now time.Time, limits chiverequest.Limits) (before chiverequest.Limits, changed bool)
+	// StateNotice records what a response says of the endpoint's process. It reports whether the node did not know yet
+	// that the endpoint is leaving, or of a rest that ends as late.
+	StateNotice(now time.Time, notice chiverequest.Notice) (leaves, rests bool)
 	// Done releases the place and returns how long the endpoint is ejected from now on.
 	Done(now time.Time, ending chiveplace.Ending) time.Duration
 }
@@ -143,8 +146,10 @@
 	registered   *registeredAddresses
 	inconclusive brokenAttempts
 	// invalidLimits are the limits of endpoints that are not usable.
-	invalidLimits invalidLimits
-	inProgress    inProgressRequests
+	invalidLimits unusableStatements
+	// invalidNotices are what endpoints say of their processes in values that are not usable.
+	invalidNotices unusableStatements
+	inProgress     inProgressRequests
 	// repeated counts the attempts that may have reached an endpoint after an earlier one of their request had.
 	repeated   atomic.Int64
 	background chivekernel.Duties
--- a/chiveforward/limits.go
+++ b/chiveforward/limits.go
@@ -10,19 +10,19 @@
 	"chivedrift/chiveevent"
 )
 
-// invalidLimitInterval is the minimum time between two log lines about limits of endpoints that are not usable.
-const invalidLimitInterval = 10 * time.Second
+// unusableInterval is the minimum time between two log lines about statements of endpoints that are not usable.
+const unusableInterval = 10 * time.Second
 
-// invalidLimits counts the limits of endpoints that were not usable, and limits how often they are logged.
-type invalidLimits struct {
+// unusableStatements counts what endpoints state in values that are not usable, and limits how often it is logged.
+type unusableStatements struct {
 	count      atomic.Int64
 	lastLogged activityTime
 }
 
-// add counts an unusable limit and reports whether to log it.
-func (l *invalidLimits) add(now time.Time) bool {
+// add counts an unusable value and reports whether to log it.
+func (l *unusableStatements) add(now time.Time) bool {
 	l.count.Add(1)
-	if last := l.lastLogged.load(); !last.IsZero() && now.Sub(last) < invalidLimitInterval {
+	if last := l.lastLogged.load(); !last.IsZero() && now.Sub(last) < unusableInterval {
 		return false
 	}
 	l.lastLogged.record(now)
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -310,6 +310,18 @@
 	return count
 }
 
+// NoticeCounts returns how many listed endpoints have said that they are leaving, and how many want no requests from this
+// node now.
+func (p *Pools) NoticeCounts() (counts chiveplace.NoticeCounts) {
+	now := time.Now()
+	for _, pool := range p.allPools() {
+		inPool := pool.NoticeCounts(now)
+		counts.Leaving += inPool.Leaving
+		counts.Resting += inPool.Resting
+	}
+	return counts
+}
+
 // residencyOf returns the regions in which a request may be served now. A configuration change that removes a region
 // also applies to requests that are waiting or being retried.
 func (p *Pools) residencyOf(request *chiverequest.Request) chiveresidency.Policy {
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -375,6 +375,8 @@
 		{"places_granted", func() float64 { return float64(n.grants.Counts().Granted) }},
 		{"places_refused", func() float64 { return float64(n.grants.Counts().Refused) }},
 		{"endpoints_limited", func() float64 { return float64(n.pools.LimitedEndpoints()) }},
+		{"endpoints_leaving", func() float64 { return float64(n.pools.NoticeCounts().Leaving) }},
+		{"endpoints_resting", func() float64 { return float64(n.pools.NoticeCounts().Resting) }},
 		{"streams_recorded", func() float64 { return float64(n.streams.Counts().Records) }},
 		{"streams_found", func() float64 { return float64(n.streams.Counts().Found) }},
 		{"streams_unknown", func() float64 { return float64(n.streams.Counts().Unknown) }},
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -108,6 +108,8 @@
 	// limited holds the candidates that have stated limits, also if they have ended, by incarnation.
 	limited map[string]*candidate
 	brittle poolBrittleness
+	// notices holds what endpoints have said of their processes, by incarnation.
+	notices map[string]*notice
 	// emptyRecord is shared by all other candidates and stays empty.
 	emptyRecord *record
 	// onChange is called when there is a change to report to the other nodes.
@@ -143,7 +145,7 @@
 
 // NewSeededPool returns a pool whose random choices follow from a seed, so that an experiment can be repeated.
 func NewSeededPool(domain string, seed uint64) *Pool {
-	return &Pool{localDomain: domain, onChange: func() {}, byID: make(map[string]*candidate), recorded: make(map[string]*candidate), limited: make(map[string]*candidate), emptyRecord: newRecord(0), responseTime: defaultResponseTime, ttft: newTTFTPredictor(), rng: rand.New(rand.NewPCG(seed, 0))}
+	return &Pool{localDomain: domain, onChange: func() {}, byID: make(map[string]*candidate), recorded: make(map[string]*candidate), limited: make(map[string]*candidate), notices: make(map[string]*notice), emptyRecord: newRecord(0), responseTime: defaultResponseTime, ttft: newTTFTPredictor(), rng: rand.New(rand.NewPCG(seed, 0))}
 }
 
 // OnChange sets the function that is called when there is a change to report to the other nodes, such as the start, the
@@ -198,6 +200,7 @@
 			cand = &candidate{endpoint: e, incarnation: e.Incarnation().Key(), idHash: HashID(e.ID), startedEmpty: started, record: p.emptyRecord}
 			p.add(cand)
 			p.assumeLimits(time.Now(), cand)
+			p.attachNotice(cand)
 		}
 		cand.setEndpoint(time.Now(), e)
 	}
@@ -219,6 +222,7 @@
 	if cand.record != p.emptyRecord {
 		cand.removedAt = time.Now()
 	}
+	p.detachNotice(time.Now(), cand)
 	if at, found := p.position(cand.incarnation); found {
 		p.sorted = slices.Delete(p.sorted, at, at+1)
 	}
@@ -540,6 +544,10 @@
 	// second; 0 for none.
 	LimitPerSecond float64 `json:"limit_per_second,omitempty"`
 	LimitRefusals  int     `json:"limit_refusals,omitempty"`
+	// LeavingForMs is how long ago the endpoint first said that it is leaving, RestForMs how much longer it wants no
+	// requests from this node; 0 for neither.
+	LeavingForMs int64 `json:"leaving_for_ms,omitempty"`
+	RestForMs    int64 `json:"rest_for_ms,omitempty"`
 }
 
 // States returns what is known about each endpoint, in the order of their incarnations.
@@ -548,7 +556,9 @@
 	defer p.mu.Unlock()
 	states := make([]EndpointState, 0, len(p.sorted))
 	for _, cand := range p.sorted {
+		leavingFor, restFor := cand.notice.durations(now)
 		states = append(states, EndpointState{
+			LeavingForMs: leavingFor.Milliseconds(), RestForMs: restFor.Milliseconds(),
 			Endpoint: cand.incarnation, Address: cand.endpoint.Address, FailureDomain: cand.endpoint.FailureDomain, Ready: cand.endpoint.State == chivedirectory.Ready, Own: cand.ownRequests, Others: cand.otherRequests,
 			Waiting: cand.queuedTokens(), Errors: cand.errorRate, TookMs: cand.responseTime * 1000, Down: now.Before(cand.ejectedUntil), LimitPerSecond: cand.currentLimits().PerSecond, LimitRefusals: cand.currentLimits().Refusals,
 		})
