Placement: an endpoint that says in a response that it is leaving gets no further requests

What callers saw: nothing yet; the users saw requests reach an endpoint more than eight seconds after its response to the same node had said that it is leaving (DRAIN, bound 2 s). Such a request is lost if the process ends first.

Cause: the header field was read nowhere. A node knew of a leaving endpoint by its entry in the store alone, which is old while the store does not take writes.

Now the statement takes the process out of the choice for good, also where all others are excluded, for grants of owners, and before the first byte of a request that was placed before. It is kept by incarnation and outlasts the entry; the next process is not concerned. The end of such a process is planned, so no request is accused of it. A pool whose endpoints all say so answers truthfully, with a time to come back.

--- a/chivedispatch/service.go
+++ b/chivedispatch/service.go
@@ -161,6 +161,9 @@
 // Leaving always returns false: while draining, replicas refuse new requests and finish the running ones.
 func (p *replicaPlacement) Leaving(time.Time) bool { return false }
 
+// Accepts always returns true: while draining, replicas refuse new requests.
+func (p *replicaPlacement) Accepts(time.Time) bool { return true }
+
 // Eject does nothing: the pool rates its replicas by the results of their requests.
 func (p *replicaPlacement) Eject(time.Time) {}
 
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -201,6 +201,7 @@
 func (a *attempt) send(ctx context.Context) (*http.Response, error) {
 	forceNew := len(a.state.result.Tries) > 0 || (a.state.forwarder.options.Rules.FreshOnce && a.state.request.Route.Repeat == chivetable.RepeatNever)
 	a.connection = a.state.forwarder.connections.get(a.target.Incarnation, forceNew)
+	a.connection.stillWanted = func() bool { return a.place.Accepts(time.Now()) }
 	request, err := a.buildRequest(ctx)
 	if err != nil {
 		return nil, err
--- a/chiveforward/connection.go
+++ b/chiveforward/connection.go
@@ -18,7 +18,7 @@
 	// errSecondDial ends an attempt that net/http would otherwise retry on a second connection.
 	errSecondDial = errors.New("endpoint closed the idle connection; a second dial is not allowed")
 	// errWriteBlocked rejects a write after the request was declared unsent.
-	errWriteBlocked = errors.New("attempt was cancelled before its first byte was written")
+	errWriteBlocked = errors.New("attempt was cancelled, or its endpoint closed to requests, before its first byte was written")
 	errClosed       = errors.New("connection is closed")
 )
 
@@ -55,6 +55,9 @@
 	mu         sync.Mutex
 	conn       net.Conn
 
+	// stillWanted reports, before the first byte of the request is written, whether it may still be sent.
+	stillWanted func() bool
+
 	idleSince   time.Time
 	idleTimeout time.Duration
 }
@@ -142,6 +145,9 @@
 
 // Write marks the request as sent before it writes, so that a write that fails part-way still counts.
 func (c *writeTrackingConn) Write(data []byte) (int, error) {
+	if c.connection.writeState.Load() == requestUnsent && !c.connection.stillWanted() {
+		c.connection.writeState.CompareAndSwap(requestUnsent, requestBlocked)
+	}
 	c.connection.writeState.CompareAndSwap(requestUnsent, requestMayBeSent)
 	if c.connection.writeState.Load() == requestBlocked {
 		return 0, errWriteBlocked
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -101,6 +101,8 @@
 	// Leaving reports whether the endpoint was leaving at the given time or had already left, so that its end was
 	// planned.
 	Leaving(at time.Time) bool
+	// Accepts reports whether the endpoint still takes the request, which may have waited since it was placed.
+	Accepts(now time.Time) bool
 	// FetchFrom returns the address from which the endpoint should fetch the parts of the prompt that it does not hold;
 	// empty for none.
 	FetchFrom() string
--- a/chiveplace/candidate.go
+++ b/chiveplace/candidate.go
@@ -167,7 +167,7 @@
 
 // isReady reports whether the endpoint may get requests at all.
 func (c *candidate) isReady(now time.Time) bool {
-	return c.endpoint.State == chivedirectory.Ready && !now.Before(c.goneUntil)
+	return c.endpoint.State == chivedirectory.Ready && !now.Before(c.goneUntil) && !c.notice.isLeaving()
 }
 
 func (c *candidate) isUsable(now time.Time) bool {
--- a/chiveplace/grant.go
+++ b/chiveplace/grant.go
@@ -133,8 +133,8 @@
 	})
 }
 
-// PassedOver returns the incarnation keys of the endpoints that this node has ejected because of failures or refusals, or
-// whose limits are used up.
+// PassedOver returns the incarnation keys of the endpoints that this node has ejected because of failures or refusals,
+// whose limits are used up, or that have said that they are leaving.
 func (p *Pool) PassedOver(now time.Time) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -149,5 +149,10 @@
 			incarnations = append(incarnations, incarnation)
 		}
 	}
+	for incarnation, n := range p.notices {
+		if n.removedAt.IsZero() && n.isLeaving() && !slices.Contains(incarnations, incarnation) {
+			incarnations = append(incarnations, incarnation)
+		}
+	}
 	return incarnations
 }
--- a/chiveplace/notice.go
+++ b/chiveplace/notice.go
@@ -60,18 +60,19 @@
 	return leaves, rests
 }
 
-// ensureNotice returns the notice of a candidate, which may have left the directory; the caller holds the lock.
+// ensureNotice returns the notice of a candidate; the caller holds the lock. The directory entry of the candidate may have
+// been removed, and another candidate may have been created for the same incarnation.
 func (p *Pool) ensureNotice(now time.Time, cand *candidate) *notice {
-	if cand.notice != nil {
-		return cand.notice
+	if known, ok := p.notices[cand.incarnation]; ok {
+		return known
 	}
 	p.pruneNotices(now)
-	cand.notice = &notice{}
-	if _, listed := p.lookup(cand.incarnation); !listed {
-		cand.notice.removedAt = now
+	n := &notice{removedAt: now}
+	p.notices[cand.incarnation] = n
+	if listed, ok := p.lookup(cand.incarnation); ok {
+		p.attachNotice(listed)
 	}
-	p.notices[cand.incarnation] = cand.notice
-	return cand.notice
+	return n
 }
 
 // pruneNotices drops the notices of endpoints that left the directory long ago if there are many; the caller holds the lock.
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -90,7 +90,14 @@
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
 	cand := p.candidate
-	return cand.endpoint.State == chivedirectory.Leaving || (!cand.removedAt.IsZero() && at.Sub(cand.removedAt) >= minPlannedLeave)
+	return cand.endpoint.State == chivedirectory.Leaving || p.pool.notices[cand.incarnation].isLeaving() || (!cand.removedAt.IsZero() && at.Sub(cand.removedAt) >= minPlannedLeave)
+}
+
+// Accepts reports whether the endpoint has not said that it is leaving since it was chosen.
+func (p *Place) Accepts(time.Time) bool {
+	p.pool.mu.Lock()
+	defer p.pool.mu.Unlock()
+	return !p.pool.notices[p.candidate.incarnation].isLeaving()
 }
 
 // Reason returns the criterion by which the endpoint was chosen.
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -38,6 +38,8 @@
 	// retryAfterNoVersion is the same for a stream whose software version no endpoint runs: one that crashed restarts
 	// within a few seconds.
 	retryAfterNoVersion = time.Second
+	// retryAfterLeaving is the same for a pool whose endpoints are all leaving: the next ones start within seconds.
+	retryAfterLeaving = time.Second
 )
 
 // Ask is a request for a place.
@@ -414,6 +416,8 @@
 // noEndpoint returns the error of an ask that allows no ready endpoint.
 func (p *Pool) noEndpoint(ask Ask) *RefusedError {
 	switch {
+	case p.allLeaving(ask):
+		return &RefusedError{Reason: "all endpoints of the pool are leaving", RetryAfter: retryAfterLeaving}
 	case ask.Allows != nil:
 		return &RefusedError{Reason: "no endpoint of the pool runs the software version that began the stream", RetryAfter: retryAfterNoVersion}
 	case ask.Domains.IsLimited():
@@ -424,6 +428,14 @@
 	return &RefusedError{Reason: "no endpoint of the pool is known", RetryAfter: retryAfterNoEndpoint}
 }
 
+// allLeaving reports whether all endpoints that an ask allows are leaving; false if there are none.
+func (p *Pool) allLeaving(ask Ask) bool {
+	allowed := p.allowedCandidates(ask)
+	return len(allowed) > 0 && !slices.ContainsFunc(allowed, func(cand *candidate) bool {
+		return cand.endpoint.State != chivedirectory.Leaving && !cand.notice.isLeaving()
+	})
+}
+
 // usableCandidates returns the candidates that can take a request, and the number of ready endpoints in failure domains
 // that are allowed and not evacuated. If all candidates with capacity are ejected, it returns these: trying them is
 // better than refusing.
