Placement: an endpoint that asks for rest gets no requests of the node until it has rested

What callers saw: nothing, since others served them.

Cause: Retry-After in the response of an endpoint was read nowhere. A refusal excluded the endpoint for a fixed 100 ms, and where all are excluded they are tried all the same.

Now the endpoint gets no request of this node until the rest is over, whatever else would choose it, and after it one each 250 ms until it has answered. The latest end counts of rests that overlap. A place that was chosen before is given up before its first byte is written. The rest concerns the node that was asked: where it places the requests of others, the endpoint is the last choice. Where all endpoints rest, the caller is told when the first one is back.

--- a/chiveplace/grant.go
+++ b/chiveplace/grant.go
@@ -55,6 +55,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expireGrants(now)
+	ask.forPeer = true
 	place, err := p.choose(now, ask)
 	if err != nil {
 		return Grant{}, err
@@ -107,7 +108,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cand, ok := p.lookup(grant.Endpoint)
-	if !ok || !cand.isReady(now) || !ask.Domains.Contains(cand.endpoint.FailureDomain) || !ask.allows(cand) {
+	if !ok || !cand.isReady(now) || !cand.notice.allowsRequest(now) || !ask.Domains.Contains(cand.endpoint.FailureDomain) || !ask.allows(cand) {
 		return nil, false
 	}
 	prompt := ask.Prompt
@@ -119,6 +120,7 @@
 		prefillTokens: grant.Reads, fetchTokens: grant.Fetches, fetchFrom: grant.FetchFrom, queuedAhead: grant.Ahead, rank: prompt.Rank, latencySensitive: p.isLatencySensitive(prompt),
 		promptTokens: prompt.Input,
 	}
+	cand.notice.probe(now)
 	p.countOwn(now, place, prompt)
 	return place, true
 }
@@ -134,7 +136,7 @@
 }
 
 // PassedOver returns the incarnation keys of the endpoints that this node has ejected because of failures or refusals,
-// whose limits are used up, or that have said that they are leaving.
+// whose limits are used up, or that have said that they are leaving or want no requests now.
 func (p *Pool) PassedOver(now time.Time) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -150,7 +152,7 @@
 		}
 	}
 	for incarnation, n := range p.notices {
-		if n.removedAt.IsZero() && n.isLeaving() && !slices.Contains(incarnations, incarnation) {
+		if n.removedAt.IsZero() && (n.isLeaving() || !n.allowsRequest(now)) && !slices.Contains(incarnations, incarnation) {
 			incarnations = append(incarnations, incarnation)
 		}
 	}
--- a/chiveplace/notice.go
+++ b/chiveplace/notice.go
@@ -1,6 +1,7 @@
 package chiveplace
 
 import (
+	"slices"
 	"time"
 
 	"chivedrift/chiverequest"
@@ -13,6 +14,10 @@
 	leavingSince time.Time
 	// restUntil is the end of the latest rest that the endpoint has asked this node for.
 	restUntil time.Time
+	// resumed means that the endpoint has answered a request since its latest rest. Until then it gets one request in
+	// restProbeInterval, the last one at probedAt.
+	resumed  bool
+	probedAt time.Time
 	// removedAt is when the directory entry was removed; zero while it is listed.
 	removedAt time.Time
 }
@@ -35,7 +40,23 @@
 	return leaving, rest
 }
 
+// allowsRequest reports whether the endpoint is neither resting nor, after a rest, waiting for the answer to a probe.
+func (n *notice) allowsRequest(now time.Time) bool {
+	return n == nil || !n.isResting(now) && (n.resumed || now.Sub(n.probedAt) >= restProbeInterval)
+}
+
+// hasRested reports whether the candidate allows a request. A rest concerns only the node that was asked for it. Where that
+// node places the requests of others, the candidate is the last choice meanwhile.
+func (c *candidate) hasRested(now time.Time, ask Ask) bool {
+	return ask.forPeer || c.notice.allowsRequest(now)
+}
+
 const (
+	// restProbeInterval is the time between two requests to an endpoint that has not answered since its rest. If it is
+	// still overloaded, all requests that are sent at once are refused.
+	restProbeInterval = 250 * time.Millisecond
+	// maxRestJitter limits the random extension of the time to retry when endpoints are resting.
+	maxRestJitter = time.Second
 	// noticeRetention is how long the notice of an endpoint is kept whose directory entry was removed.
 	noticeRetention = 15 * time.Minute
 	// noticePruneThreshold is the number of notices up to which none is dropped.
@@ -48,6 +69,7 @@
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
 	if stated.IsZero() {
+		p.pool.notices[p.candidate.incarnation].resume(p.startedAt)
 		return false, false
 	}
 	n := p.pool.ensureNotice(now, p.candidate)
@@ -55,11 +77,43 @@
 		n.leavingSince = now
 	}
 	if until := now.Add(stated.Rest); stated.Rest > 0 && until.After(n.restUntil) {
-		n.restUntil, rests = until, true
+		n.restUntil, n.resumed, rests = until, false, true
 	}
 	return leaves, rests
 }
 
+// resume records that the endpoint has answered a request that was placed at the given time without asking for rest.
+func (n *notice) resume(placedAt time.Time) {
+	if n != nil && !placedAt.Before(n.restUntil) {
+		n.resumed = true
+	}
+}
+
+// probe records that a request is sent to the endpoint.
+func (n *notice) probe(now time.Time) {
+	if n != nil {
+		n.probedAt = now
+	}
+}
+
+// restWait returns the time until the first of the allowed endpoints has rested, with a random extension so that callers
+// return one after the other; false unless all of them are resting.
+func (p *Pool) restWait(now time.Time, ask Ask) (wait time.Duration, resting bool) {
+	for _, cand := range p.allowedCandidates(ask) {
+		if !p.isEligible(now, cand, ask) || slices.Contains(ask.Exclude, cand.incarnation) {
+			continue
+		}
+		if cand.hasRested(now, ask) {
+			return 0, false
+		}
+		left := max(cand.notice.restUntil.Sub(now), minRetryAfter)
+		if !resting || left < wait {
+			wait, resting = left, true
+		}
+	}
+	return wait + min(time.Duration(retryJitter*p.rng.Float64()*float64(wait)), maxRestJitter), resting
+}
+
 // ensureNotice returns the notice of a candidate; the caller holds the lock. The directory entry of the candidate may have
 // been removed, and another candidate may have been created for the same incarnation.
 func (p *Pool) ensureNotice(now time.Time, cand *candidate) *notice {
@@ -67,7 +121,7 @@
 		return known
 	}
 	p.pruneNotices(now)
-	n := &notice{removedAt: now}
+	n := &notice{removedAt: now, resumed: true}
 	p.notices[cand.incarnation] = n
 	if listed, ok := p.lookup(cand.incarnation); ok {
 		p.attachNotice(listed)
--- a/chiveplace/notice_test.go
+++ b/chiveplace/notice_test.go
@@ -97,3 +97,50 @@
 		t.Error("a grant on a leaving endpoint was adopted")
 	}
 }
+
+// Guards against rests that are cut short by a shorter one or by a response to an earlier request, and against a rush of
+// requests after a rest.
+func TestRestLastsToItsEndAndIsFollowedByProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool, _ := newNoticePool(1)
+		first, second, early := takePlain(t, pool), takePlain(t, pool), takePlain(t, pool)
+		if _, rests := first.StateNotice(time.Now(), chiverequest.Notice{Rest: 4 * time.Second}); !rests || early.Accepts(time.Now()) {
+			t.Error("the rest is no news, or a placed request is still accepted")
+		}
+		if _, rests := second.StateNotice(time.Now(), chiverequest.Notice{Rest: time.Second}); rests {
+			t.Error("a shorter rest is news")
+		}
+		time.Sleep(3 * time.Second)
+		early.StateNotice(time.Now(), chiverequest.Notice{})
+		if wait := checkRefused(t, pool, "before the end of the rest"); wait < time.Second || wait > 2*time.Second {
+			t.Errorf("a caller is told to return after %v, one second before the end of the rest", wait)
+		}
+		if counts := pool.NoticeCounts(time.Now()); counts.Resting != 1 {
+			t.Errorf("%+v endpoints with notices, want one that is resting", counts)
+		}
+		time.Sleep(time.Second)
+		probe := takePlain(t, pool)
+		checkRefused(t, pool, "beside a probe")
+		time.Sleep(300 * time.Millisecond)
+		takePlain(t, pool)
+		probe.StateNotice(time.Now(), chiverequest.Notice{})
+		takePlain(t, pool)
+		takePlain(t, pool)
+	})
+}
+
+// Guards against endpoints that lose the requests of all nodes since they asked one node, which places those of others, for rest.
+func TestRestConcernsTheNodeThatWasAsked(t *testing.T) {
+	pool, endpoints := newNoticePool(1)
+	takePlain(t, pool).StateNotice(time.Now(), chiverequest.Notice{Rest: time.Minute})
+	if _, err := pool.Grant(time.Now(), "peer", 1, chiveplace.Ask{Among: []string{"e0"}}); err != nil {
+		t.Errorf("a place for another node: %v", err)
+	}
+	incarnation := endpoints[0].Incarnation().Key()
+	if passedOver := pool.PassedOver(time.Now()); len(passedOver) != 1 || passedOver[0] != incarnation {
+		t.Errorf("passed over: %v", passedOver)
+	}
+	if _, ok := pool.Adopt(time.Now(), chiveplace.Grant{Endpoint: incarnation}, chiveplace.Ask{Prompt: &chiverequest.Prompt{}}); ok {
+		t.Error("a grant on a resting endpoint was adopted")
+	}
+}
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -93,11 +93,12 @@
 	return cand.endpoint.State == chivedirectory.Leaving || p.pool.notices[cand.incarnation].isLeaving() || (!cand.removedAt.IsZero() && at.Sub(cand.removedAt) >= minPlannedLeave)
 }
 
-// Accepts reports whether the endpoint has not said that it is leaving since it was chosen.
-func (p *Place) Accepts(time.Time) bool {
+// Accepts reports whether the endpoint has not said since it was chosen that it is leaving or wants no requests now.
+func (p *Place) Accepts(now time.Time) bool {
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
-	return !p.pool.notices[p.candidate.incarnation].isLeaving()
+	n := p.pool.notices[p.candidate.incarnation]
+	return !n.isLeaving() && !n.isResting(now)
 }
 
 // Reason returns the criterion by which the endpoint was chosen.
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -66,6 +66,8 @@
 	// refused, so that other endpoints can be tried first. 0 means no limit.
 	Most      float64
 	MostReads int64
+	// forPeer means that another node sends the request.
+	forPeer bool
 }
 
 // allows reports whether the ask allows a candidate.
@@ -323,7 +325,7 @@
 		if len(endpoints) == limit {
 			break
 		}
-		if cand.cacheQueried || cand.startedEmpty || !cand.isReady(time.Now()) {
+		if cand.cacheQueried || cand.startedEmpty || !cand.isReady(time.Now()) || cand.notice.isResting(time.Now()) {
 			continue
 		}
 		cand.cacheQueried = true
@@ -383,6 +385,9 @@
 		if ready == 0 {
 			return nil, p.noEndpoint(ask)
 		}
+		if wait, resting := p.restWait(now, ask); resting {
+			return nil, &RefusedError{Reason: "the pool's endpoints have asked for rest", RetryAfter: wait}
+		}
 		if wait, limited := p.limitWait(now, ask); limited {
 			return nil, &RefusedError{Reason: "the limits of the pool's endpoints are used up", RetryAfter: wait}
 		}
@@ -410,6 +415,9 @@
 	if p.isWarmingUp(now, best) {
 		best.warmUp.lastPlacedAt = now
 	}
+	if !ask.forPeer {
+		best.notice.probe(now)
+	}
 	return place, nil
 }
 
@@ -445,17 +453,17 @@
 	slots := slotLimit(p.engine.Slots, ask.Prompt)
 	var ejected []*candidate
 	for _, cand := range allowed {
-		if !cand.isReady(now) || slices.Contains(p.evacuatedDomains, cand.endpoint.FailureDomain) || !ask.Domains.Contains(cand.endpoint.FailureDomain) || !ask.allows(cand) {
+		if !p.isEligible(now, cand, ask) {
 			continue
 		}
 		ready++
-		if (slots > 0 && cand.load() >= slots) || slices.Contains(ask.Exclude, cand.incarnation) {
+		if (slots > 0 && cand.load() >= slots) || slices.Contains(ask.Exclude, cand.incarnation) || !cand.hasRested(now, ask) {
 			continue
 		}
 		switch {
 		case !cand.limitsAllow(now, ask):
 		case p.isWarmingUp(now, cand) && !p.warmUpAllows(now, cand, ask):
-		case cand.isUsable(now):
+		case cand.isUsable(now) && !cand.notice.isResting(now):
 			usable = append(usable, cand)
 		default:
 			ejected = append(ejected, cand)
@@ -467,6 +475,12 @@
 	return usable, ready
 }
 
+// isEligible reports whether the endpoint is ready and in a failure domain that is allowed and not evacuated, and the ask
+// allows it.
+func (p *Pool) isEligible(now time.Time, cand *candidate, ask Ask) bool {
+	return cand.isReady(now) && !slices.Contains(p.evacuatedDomains, cand.endpoint.FailureDomain) && ask.Domains.Contains(cand.endpoint.FailureDomain) && ask.allows(cand)
+}
+
 // allowedCandidates returns the candidates that an ask is limited to. An owner's share of a pool of thousands is looked
 // up by id, without a scan of the pool.
 func (p *Pool) allowedCandidates(ask Ask) []*candidate {
