Placement: nodes hear from each other which endpoints are leaving

An endpoint tells each node by itself that it is leaving, and the store may be away for long. Nodes that it has not told send it requests that break when its process ends.

Now the first node that is told passes the incarnation on with the news of leaving endpoints that the membership protocol has carried so far for the own configuration (a minute, no message changes). The others use such an endpoint only if no other has room: it has not told them, and it still serves.

Weighed: only what the node itself is told (every node pays once); a hard exclusion for all (a pool whose endpoints all leave serves nobody although the endpoints still would).

--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -31,6 +31,8 @@
 	Streams Streams
 	// PathLost reports whether this node cannot connect to an endpoint's address itself; nil means never.
 	PathLost func(address string) bool
+	// OnLeaving is called when an endpoint, identified by its incarnation, first says that it is leaving; nil is a no-op.
+	OnLeaving func(incarnation string)
 	// OnStart is called once per request, when an endpoint first responds to one of its attempts; nil is a no-op.
 	OnStart func(request *chiverequest.Request)
 	Logger  *slog.Logger
@@ -165,6 +167,9 @@
 	if o.OnStart == nil {
 		o.OnStart = func(*chiverequest.Request) {}
 	}
+	if o.OnLeaving == nil {
+		o.OnLeaving = func(string) {}
+	}
 	if o.PathLost == nil {
 		o.PathLost = func(string) bool { return false }
 	}
--- a/chiveforward/notice.go
+++ b/chiveforward/notice.go
@@ -19,6 +19,7 @@
 	}
 	leaves, rests := a.place.StateNotice(now, notice)
 	if leaves {
+		f.options.OnLeaving(a.target.Incarnation)
 		chiveevent.LeavingStated.Log(ctx, f.options.Logger, slog.String("endpoint", a.target.ID), slog.String("pool", a.state.request.Pool),
 			slog.Int("status", response.StatusCode))
 	}
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -31,6 +31,8 @@
 	nodes         int
 	// evacuated are the failure domains whose endpoints get no requests.
 	evacuated []string
+	// leavingElsewhere are the incarnations that have told other nodes that they are leaving.
+	leavingElsewhere map[string]bool
 	// regions is the region of each failure domain.
 	regions chiveresidency.Map
 	table   *chivetable.Table
@@ -106,6 +108,20 @@
 	}
 }
 
+// SetLeavingElsewhere sets the incarnations that have told other nodes that they are leaving.
+func (p *Pools) SetLeavingElsewhere(incarnations []string) {
+	leaving := make(map[string]bool, len(incarnations))
+	for _, incarnation := range incarnations {
+		leaving[incarnation] = true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leavingElsewhere = leaving
+	for _, pool := range p.pools {
+		pool.SetLeavingElsewhere(leaving)
+	}
+}
+
 // ApplyEndpoints applies a directory change to the pools that it affects.
 func (p *Pools) ApplyEndpoints(diff chivedirectory.Diff) {
 	p.mu.Lock()
@@ -142,6 +158,7 @@
 		pool.OnChange(p.signalChange)
 		pool.SetNodes(p.nodes)
 		pool.SetEvacuated(p.evacuated)
+		pool.SetLeavingElsewhere(p.leavingElsewhere)
 		p.pools[name] = pool
 	}
 	return pool
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -284,7 +284,7 @@
 	})
 	forwarder := chiveforward.New(chiveforward.Options{
 		Self: s.Listen.Callers, Network: n.relay, PathLost: n.relay.IsLost, Dialect: chiveplatform.Endpoints{}, Places: pools, Repeats: n.sharedRetryBudget, Rules: chiveforward.StoreRules,
-		Quarantine: n.quarantine, Streams: n.streams, OnStart: n.recordStart, SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
+		Quarantine: n.quarantine, Streams: n.streams, OnLeaving: n.members.EndpointLeaves, OnStart: n.recordStart, SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
 	})
 	n.forwarder = forwarder
 	n.quarantine.OnFailure(forwarder.PeerFailure)
@@ -346,6 +346,7 @@
 		n.retryBudget.SetNodes(time.Now(), len(members))
 		n.sharedRetryBudget.SetMembers(members)
 		n.pools.SetNodes(len(members))
+		n.pools.SetLeavingElsewhere(n.members.LeavingEndpoints())
 		n.evacuation.SetMembers(members)
 		n.rates.SetMembers(members)
 		n.relay.SetMembers(members)
--- a/chiveplace/notice.go
+++ b/chiveplace/notice.go
@@ -114,6 +114,13 @@
 	return wait + min(time.Duration(retryJitter*p.rng.Float64()*float64(wait)), maxRestJitter), resting
 }
 
+// SetLeavingElsewhere sets the incarnations that have told other nodes that they are leaving.
+func (p *Pool) SetLeavingElsewhere(incarnations map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leavingElsewhere = incarnations
+}
+
 // ensureNotice returns the notice of a candidate; the caller holds the lock. The directory entry of the candidate may have
 // been removed, and another candidate may have been created for the same incarnation.
 func (p *Pool) ensureNotice(now time.Time, cand *candidate) *notice {
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -114,6 +114,9 @@
 	brittle poolBrittleness
 	// notices holds what endpoints have said of their processes, by incarnation.
 	notices map[string]*notice
+	// leavingElsewhere are the incarnations that have told other nodes that they are leaving. They get requests only if no
+	// other endpoint can take them.
+	leavingElsewhere map[string]bool
 	// emptyRecord is shared by all other candidates and stays empty.
 	emptyRecord *record
 	// onChange is called when there is a change to report to the other nodes.
@@ -463,7 +466,7 @@
 		switch {
 		case !cand.limitsAllow(now, ask):
 		case p.isWarmingUp(now, cand) && !p.warmUpAllows(now, cand, ask):
-		case cand.isUsable(now) && !cand.notice.isResting(now):
+		case cand.isUsable(now) && !cand.notice.isResting(now) && !p.leavingElsewhere[cand.incarnation]:
 			usable = append(usable, cand)
 		default:
 			ejected = append(ejected, cand)
