Notices: nodes that share connections to an endpoint keep to what it says

What callers saw: nothing; the soak found it. Where a node is partitioned from endpoints, its requests go through connections of a peer. An endpoint that is leaving, or wants rest, says so to the machine whose connection it is, but only the node that reads the response knew: the peer, and other nodes that use the peer's connections, went on sending.

Now the node that reads a notice tells the peer that it came through, and each node tells the peers for which it has connections to that endpoint open (a new kind of message, 152; nodes of the release before ignore it). They keep to it like to one of their own, and no new connection to such an endpoint is opened for a peer.

TestNodesThatShareConnectionsAreToldOnce and TestRestOfAPeerIsBounded hold the messages.

--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -67,6 +67,8 @@
 	RestAsked      = define(411, slog.LevelWarn, "endpoint asks for rest", "None; the node sends it no requests for rest_ms. Find out why the endpoint refuses requests if this repeats.")
 	NoticeUnusable = define(412, slog.LevelWarn, "endpoint's notice not usable", "Correct the value in the endpoint's responses; the response counts as one without it.")
 
+	NoticeReceived = define(413, slog.LevelInfo, "endpoint's notice received from a peer", "None; the endpoint said it on a connection that one node has opened for another.")
+
 	RequestRefused  = define(500, slog.LevelWarn, "request refused", "Read the reason; under overload, check the tier and the share of the class.")
 	RequestBroken   = define(501, slog.LevelWarn, "attempt broke", "Check the endpoint if this repeats.")
 	AttemptEnded    = define(503, slog.LevelInfo, "attempt ended", "The field ended shows how the attempt ended; touched shows whether the endpoint may have run it, repeat that an earlier attempt of the request had reached an endpoint.")
--- a/chiveforward/connection.go
+++ b/chiveforward/connection.go
@@ -126,6 +126,22 @@
 	Stale() bool
 }
 
+// relayedConn is a connection through a peer.
+type relayedConn interface {
+	// Peer returns the address of the peer.
+	Peer() string
+}
+
+// through returns the address of the peer that the connection goes through; empty for none.
+func (c *connection) through() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if relayed, ok := c.conn.(relayedConn); ok {
+		return relayed.Peer()
+	}
+	return ""
+}
+
 // isReusable reports whether the connection may carry another request.
 func (c *connection) isReusable(now time.Time) bool {
 	if c.closed.Load() || now.Sub(c.idleSince) >= c.idleTimeout {
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -31,8 +31,9 @@
 	Streams Streams
 	// PathLost reports whether this node cannot connect to an endpoint's address itself; nil means never.
 	PathLost func(address string) bool
-	// OnLeaving is called when an endpoint, identified by its incarnation, first says that it is leaving; nil is a no-op.
-	OnLeaving func(incarnation string)
+	// OnNotice is called when an endpoint says something new of its process, with the address of the peer through which the
+	// response came, empty for none; nil is a no-op.
+	OnNotice func(through string, endpoint Target, notice chiverequest.Notice)
 	// OnStart is called once per request, when an endpoint first responds to one of its attempts; nil is a no-op.
 	OnStart func(request *chiverequest.Request)
 	Logger  *slog.Logger
@@ -167,8 +168,8 @@
 	if o.OnStart == nil {
 		o.OnStart = func(*chiverequest.Request) {}
 	}
-	if o.OnLeaving == nil {
-		o.OnLeaving = func(string) {}
+	if o.OnNotice == nil {
+		o.OnNotice = func(string, Target, chiverequest.Notice) {}
 	}
 	if o.PathLost == nil {
 		o.PathLost = func(string) bool { return false }
--- a/chiveforward/notice.go
+++ b/chiveforward/notice.go
@@ -18,8 +18,10 @@
 			slog.Int64("count", f.invalidNotices.count.Load()))
 	}
 	leaves, rests := a.place.StateNotice(now, notice)
+	if leaves || rests {
+		f.options.OnNotice(a.connection.through(), a.target, notice)
+	}
 	if leaves {
-		f.options.OnLeaving(a.target.Incarnation)
 		chiveevent.LeavingStated.Log(ctx, f.options.Logger, slog.String("endpoint", a.target.ID), slog.String("pool", a.state.request.Pool),
 			slog.Int("status", response.StatusCode))
 	}
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -327,6 +328,21 @@
 	return count
 }
 
+// StateNotice records what an endpoint, identified by its incarnation, has said of its process on a connection that
+// another node has opened or uses. It reports whether that is news.
+func (p *Pools) StateNotice(now time.Time, incarnation string, notice chiverequest.Notice) (news bool) {
+	for _, pool := range p.allPools() {
+		news = pool.StateNotice(now, incarnation, notice) || news
+	}
+	return news
+}
+
+// Accepts reports whether the endpoint at an address takes requests of this node.
+func (p *Pools) Accepts(address string) bool {
+	now := time.Now()
+	return !slices.ContainsFunc(p.allPools(), func(pool *chiveplace.Pool) bool { return pool.IsClosed(now, address) })
+}
+
 // NoticeCounts returns how many listed endpoints have said that they are leaving, and how many want no requests from this
 // node now.
 func (p *Pools) NoticeCounts() (counts chiveplace.NoticeCounts) {
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -26,6 +26,7 @@
 	"chivedrift/chivelog"
 	"chivedrift/chivemember"
 	"chivedrift/chivemetric"
+	"chivedrift/chivenotice"
 	"chivedrift/chivequarantine"
 	"chivedrift/chiverate"
 	"chivedrift/chiverelay"
@@ -77,6 +78,7 @@
 	grants            *chivegrant.Service
 	rates             *chiverate.Service
 	relay             *chiverelay.Service
+	notices           *chivenotice.Service
 	startup           *startupTracker
 	memory            *memoryGuard
 	quarantine        *chivequarantine.Service
@@ -169,6 +171,7 @@
 		{chiveforward.ServiceName, serving.forwarder},
 		{chiverate.ServiceName, n.rates},
 		{chiverelay.ServiceName, n.relay},
+		{chivenotice.ServiceName, n.notices},
 		{chivegrant.ServiceName, n.grants},
 		{chiveload.ServiceName, n.loads},
 		{chivecache.ServiceName, serving.caches},
@@ -281,10 +284,12 @@
 	n.pools = pools
 	n.relay = chiverelay.New(chiverelay.Options{
 		Self: s.Listen.Callers, Address: s.Listen.Relay, Network: network, Region: s.Region, Regions: s.RegionOf(), Full: n.memory.Full, Logger: n.logger,
+		Accepts: pools.Accepts,
 	})
+	n.notices = chivenotice.New(chivenotice.Options{Mesh: n.mesh, State: pools.StateNotice, ConnectedFor: n.relay.ConnectedFor, Logger: n.logger})
 	forwarder := chiveforward.New(chiveforward.Options{
 		Self: s.Listen.Callers, Network: n.relay, PathLost: n.relay.IsLost, Dialect: chiveplatform.Endpoints{}, Places: pools, Repeats: n.sharedRetryBudget, Rules: chiveforward.StoreRules,
-		Quarantine: n.quarantine, Streams: n.streams, OnLeaving: n.members.EndpointLeaves, OnStart: n.recordStart, SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
+		Quarantine: n.quarantine, Streams: n.streams, OnNotice: n.passNotice, OnStart: n.recordStart, SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
 	})
 	n.forwarder = forwarder
 	n.quarantine.OnFailure(forwarder.PeerFailure)
@@ -329,6 +334,15 @@
 	return table, nil
 }
 
+// passNotice passes on what an endpoint says of its process: to all nodes that it is leaving, and to the nodes that share
+// connections to it also that it wants rest.
+func (n *StoreNode) passNotice(through string, endpoint chiveforward.Target, notice chiverequest.Notice) {
+	if notice.Leaving {
+		n.members.EndpointLeaves(endpoint.Incarnation)
+	}
+	n.notices.Tell(through, endpoint.Incarnation, endpoint.Address, notice)
+}
+
 // recordStart records a request for the usage reports when an endpoint first answers it.
 func (n *StoreNode) recordStart(request *chiverequest.Request) {
 	if n.usage != nil && request.Team != "" {
--- /dev/null
+++ b/chivenotice/service_test.go
@@ -0,0 +1,101 @@
+//go:build !race
+
+package chivenotice_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chivedrift/chivenotice"
+	"chivedrift/chiverequest"
+	"chivedrift/chivestand"
+	"chivedrift/chivewire"
+)
+
+// node is a service with what it was told.
+type node struct {
+	mesh    *chivewire.Mesh
+	service *chivenotice.Service
+	mu      sync.Mutex
+	stated  []chiverequest.Notice
+	// users are the peers for which the node has connections open.
+	users []string
+}
+
+func (n *node) state(_ time.Time, incarnation string, notice chiverequest.Notice) (news bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stated = append(n.stated, notice)
+	return incarnation == "e0" && len(n.stated) == 1
+}
+
+func (n *node) told() []chiverequest.Notice {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stated
+}
+
+func address(i int) string { return fmt.Sprintf("10.0.0.%d:82", i+1) }
+
+// withNodes runs a test with services whose meshes reach each other.
+func withNodes(t *testing.T, count int, test func(nodes []*node)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		network := chivestand.NewNetwork()
+		var nodes []*node
+		for i := range count {
+			n := &node{mesh: chivewire.NewMesh(address(i), network)}
+			n.service = chivenotice.New(chivenotice.Options{
+				Mesh: n.mesh, State: n.state, ConnectedFor: func(string) []string { return n.users }, Logger: slog.New(slog.DiscardHandler),
+			})
+			if err := n.mesh.Start(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			nodes = append(nodes, n)
+		}
+		test(nodes)
+		for _, n := range nodes {
+			if err := n.mesh.Stop(context.Background()); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+}
+
+// Guards against nodes that share connections to an endpoint and go on sending requests, since it told another one of them.
+func TestNodesThatShareConnectionsAreToldOnce(t *testing.T) {
+	withNodes(t, 4, func(nodes []*node) {
+		// The first node reads the notice in a response through the second one, which the third one uses as well.
+		nodes[1].users = []string{address(0), address(2)}
+		nodes[0].service.Tell(address(1), "e0", "10.9.0.1:80", chiverequest.Notice{Leaving: true, Rest: 2 * time.Second})
+		time.Sleep(time.Second)
+		for i, count := range []int{0, 1, 1, 0} {
+			if told := nodes[i].told(); len(told) != count {
+				t.Errorf("node %d was told %v", i, told)
+			}
+		}
+		if told := nodes[2].told(); len(told) == 1 && told[0] != (chiverequest.Notice{Leaving: true, Rest: 2 * time.Second}) {
+			t.Errorf("told %+v", told[0])
+		}
+	})
+}
+
+// Guards against a rest that a peer states wrongly and that excludes an endpoint for good.
+func TestRestOfAPeerIsBounded(t *testing.T) {
+	withNodes(t, 2, func(nodes []*node) {
+		for _, m := range []chivenotice.Message{{Endpoint: "e0", RestMs: 1<<62 + 1}, {Endpoint: "e0", RestMs: -5}} {
+			if err := nodes[0].mesh.Send(address(1), chivewire.KindEndpointNotice, m); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Second)
+		if told := nodes[1].told(); len(told) != 2 || told[0].Rest != 10*time.Minute || told[1].Rest != 0 {
+			t.Errorf("told %+v", told)
+		}
+	})
+}
--- a/chiveplace/notice.go
+++ b/chiveplace/notice.go
@@ -72,7 +72,35 @@
 		p.pool.notices[p.candidate.incarnation].resume(p.startedAt)
 		return false, false
 	}
-	n := p.pool.ensureNotice(now, p.candidate)
+	return p.pool.ensureNotice(now, p.candidate.incarnation).state(now, stated)
+}
+
+// StateNotice records what an endpoint has said of its process on a connection that another node has opened or uses. It
+// reports whether that is news; notices of unknown incarnations are ignored.
+func (p *Pool) StateNotice(now time.Time, incarnation string, stated chiverequest.Notice) (news bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, listed := p.lookup(incarnation); !listed || stated.IsZero() {
+		return false
+	}
+	leaves, rests := p.ensureNotice(now, incarnation).state(now, stated)
+	return leaves || rests
+}
+
+// IsClosed reports whether an endpoint at an address has said that it is leaving, or wants no requests now.
+func (p *Pool) IsClosed(now time.Time, address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for incarnation, n := range p.notices {
+		if cand, listed := p.lookup(incarnation); listed && cand.endpoint.Address == address && (n.isLeaving() || n.isResting(now)) {
+			return true
+		}
+	}
+	return false
+}
+
+// state applies what the endpoint says to the notice, and reports what is news.
+func (n *notice) state(now time.Time, stated chiverequest.Notice) (leaves, rests bool) {
 	if leaves = stated.Leaving && n.leavingSince.IsZero(); leaves {
 		n.leavingSince = now
 	}
@@ -121,16 +149,15 @@
 	p.leavingElsewhere = incarnations
 }
 
-// ensureNotice returns the notice of a candidate; the caller holds the lock. The directory entry of the candidate may have
-// been removed, and another candidate may have been created for the same incarnation.
-func (p *Pool) ensureNotice(now time.Time, cand *candidate) *notice {
-	if known, ok := p.notices[cand.incarnation]; ok {
+// ensureNotice returns the notice of an incarnation, whose directory entry may have been removed; the caller holds the lock.
+func (p *Pool) ensureNotice(now time.Time, incarnation string) *notice {
+	if known, ok := p.notices[incarnation]; ok {
 		return known
 	}
 	p.pruneNotices(now)
 	n := &notice{removedAt: now, resumed: true}
-	p.notices[cand.incarnation] = n
-	if listed, ok := p.lookup(cand.incarnation); ok {
+	p.notices[incarnation] = n
+	if listed, ok := p.lookup(incarnation); ok {
 		p.attachNotice(listed)
 	}
 	return n
--- a/chiverelay/server.go
+++ b/chiverelay/server.go
@@ -33,7 +33,7 @@
 	case !known:
 		w.WriteHeader(http.StatusNotFound)
 		return
-	case lost:
+	case lost, s.options.Accepts != nil && !s.options.Accepts(address):
 		w.WriteHeader(http.StatusBadGateway)
 		return
 	}
@@ -51,6 +51,7 @@
 		return
 	}
 	s.opened.Add(1)
+	defer s.addUser(r.RemoteAddr, address)()
 	s.exchange(w, r, conn)
 }
 
--- a/chiverelay/service.go
+++ b/chiverelay/service.go
@@ -58,6 +58,9 @@
 	// Region is this node's region, Regions the region of each failure domain.
 	Region  string
 	Regions chiveresidency.Map
+	// Accepts reports whether the endpoint at an address takes requests of this node, and so of peers through it; nil means
+	// that all do.
+	Accepts func(address string) bool
 	// Full reports whether the node has no memory for another connection; nil means never.
 	Full   func() bool
 	Logger *slog.Logger
@@ -84,13 +87,15 @@
 	backoffUntil map[backoffKey]time.Time
 	// provenAt is when a peer last connected to an endpoint.
 	provenAt map[string]time.Time
+	// users counts the connections that are open for peers, by the endpoint's address and the peer's.
+	users map[string]map[string]int
 	// nextTrialAt is when peers may be asked again while none is proven.
 	nextTrialAt time.Time
 }
 
 // New returns a service without peers and endpoints.
 func New(o Options) *Service {
-	s := &Service{options: o, paths: newEndpointPaths(), backoffUntil: make(map[backoffKey]time.Time), provenAt: make(map[string]time.Time)}
+	s := &Service{options: o, paths: newEndpointPaths(), backoffUntil: make(map[backoffKey]time.Time), provenAt: make(map[string]time.Time), users: make(map[string]map[string]int)}
 	s.transport = &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return o.Network.Dial(ctx, o.Address, address)
@@ -192,6 +197,54 @@
 	s.members, s.memberHosts = members, hosts
 }
 
+// ConnectedFor returns the addresses of the peers for which connections to an endpoint's address are open.
+func (s *Service) ConnectedFor(address string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.users[address]))
+}
+
+// addUser counts a connection to an endpoint that is open for the peer at a remote address, until remove is called.
+func (s *Service) addUser(remote, address string) (remove func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	peer := s.memberAt(remote)
+	if peer == "" {
+		return func() {}
+	}
+	if s.users[address] == nil {
+		s.users[address] = make(map[string]int)
+	}
+	s.users[address][peer]++
+	return func() { s.removeUser(peer, address) }
+}
+
+func (s *Service) removeUser(peer, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.users[address][peer]--; s.users[address][peer] == 0 {
+		delete(s.users[address], peer)
+	}
+	if len(s.users[address]) == 0 {
+		delete(s.users, address)
+	}
+}
+
+// memberAt returns the address of the member whose VM has a remote address; empty if there is none. The caller holds the
+// lock.
+func (s *Service) memberAt(remote string) string {
+	host, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		return ""
+	}
+	for _, m := range s.members {
+		if memberHost, _, err := net.SplitHostPort(m.Address); err == nil && memberHost == host {
+			return m.Address
+		}
+	}
+	return ""
+}
+
 // isMemberHost reports whether an address is on the VM of a member. Loopback addresses are on this node's own VM.
 func (s *Service) isMemberHost(address string) bool {
 	host, _, err := net.SplitHostPort(address)
--- a/chiverelay/tunnel.go
+++ b/chiverelay/tunnel.go
@@ -120,6 +120,9 @@
 	return !ok || !lost || !t.service.isAlive(t.peer)
 }
 
+// Peer returns the address of the peer.
+func (t *tunnel) Peer() string { return t.peer }
+
 // LocalAddr returns the address of this node.
 func (t *tunnel) LocalAddr() net.Addr { return tunnelAddr(t.service.options.Self) }
 
--- a/chivewire/kind.go
+++ b/chivewire/kind.go
@@ -92,6 +92,8 @@
 	KindStreamAsk    Kind = 149
 	KindStreamAnswer Kind = 150
 
+	KindEndpointNotice Kind = 152
+
 	KindPlaceAsk    Kind = 104
 	KindPlaceAnswer Kind = 105
 )
@@ -120,6 +122,7 @@
 	KindRateAsk: "rate_ask", KindRateAnswer: "rate_answer", KindRateRelease: "rate_release",
 	KindVersionsAsk: "versions_ask", KindVersions: "versions",
 	KindStreamBegun: "stream_begun", KindStreamAsk: "stream_ask", KindStreamAnswer: "stream_answer",
+	KindEndpointNotice: "endpoint_notice",
 }
 
 // String returns the name of the kind used in metrics and state dumps.
