--- a/chivedispatch/dispatcher.go
+++ b/chivedispatch/dispatcher.go
@@ -191,7 +191,7 @@
 	return chiverequest.Limits{}, false
 }
 
-// StateNotice does nothing: these engines say nothing of their processes.
+// StateNotice does nothing: these engines state nothing about their processes.
 func (p *slotPlacement) StateNotice(time.Time, chiverequest.Notice) (leaves, rests bool) {
 	return false, false
 }
--- a/chivedispatch/service.go
+++ b/chivedispatch/service.go
@@ -172,7 +172,7 @@
 	return chiverequest.Limits{}, false
 }
 
-// StateNotice does nothing: these replicas say nothing of their processes.
+// StateNotice does nothing: these replicas state nothing about their processes.
 func (p *replicaPlacement) StateNotice(time.Time, chiverequest.Notice) (leaves, rests bool) {
 	return false, false
 }
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -31,7 +31,7 @@
 	Streams Streams
 	// PathLost reports whether this node cannot connect to an endpoint's address itself; nil means never.
 	PathLost func(address string) bool
-	// OnNotice is called when an endpoint says something new of its process, with the address of the peer through which the
+	// OnNotice is called when an endpoint states something new about its process, with the address of the peer through which the
 	// response came, empty for none; nil is a no-op.
 	OnNotice func(through string, endpoint Target, notice chiverequest.Notice)
 	// OnStart is called once per request, when an endpoint first responds to one of its attempts; nil is a no-op.
@@ -119,7 +119,7 @@
 	// StateLimits records the limits that a response of the endpoint states, and returns those before if they have
 	// changed.
 	StateLimits(now time.Time, limits chiverequest.Limits) (before chiverequest.Limits, changed bool)
-	// StateNotice records what a response says of the endpoint's process. It reports whether the node did not know yet
+	// StateNotice records what a response states about the endpoint's process. It reports whether the node did not know yet
 	// that the endpoint is leaving, or of a rest that ends as late.
 	StateNotice(now time.Time, notice chiverequest.Notice) (leaves, rests bool)
 	// Done releases the place and returns how long the endpoint is ejected from now on.
@@ -152,7 +152,7 @@
 	inconclusive brokenAttempts
 	// invalidLimits are the limits of endpoints that are not usable.
 	invalidLimits unusableStatements
-	// invalidNotices are what endpoints say of their processes in values that are not usable.
+	// invalidNotices are what endpoints state about their processes in values that are not usable.
 	invalidNotices unusableStatements
 	inProgress     inProgressRequests
 	// repeated counts the attempts that may have reached an endpoint after an earlier one of their request had.
--- a/chiveforward/notice.go
+++ b/chiveforward/notice.go
@@ -9,7 +9,7 @@
 	"chivedrift/chiveevent"
 )
 
-// recordNotice records what a response says of the endpoint's process.
+// recordNotice records what a response states about the endpoint's process.
 func (a *attempt) recordNotice(ctx context.Context, response *http.Response) {
 	f, now := a.state.forwarder, time.Now()
 	notice, err := f.options.Dialect.Notice(response)
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -32,8 +32,8 @@
 	nodes         int
 	// evacuated are the failure domains whose endpoints get no requests.
 	evacuated []string
-	// leavingElsewhere are the incarnations that have told other nodes that they are leaving.
-	leavingElsewhere map[string]bool
+	// reportedLeaving are the incarnations that other nodes have reported as leaving.
+	reportedLeaving map[string]bool
 	// regions is the region of each failure domain.
 	regions chiveresidency.Map
 	table   *chivetable.Table
@@ -109,17 +109,17 @@
 	}
 }
 
-// SetLeavingElsewhere sets the incarnations that have told other nodes that they are leaving.
-func (p *Pools) SetLeavingElsewhere(incarnations []string) {
+// SetReportedLeaving sets the incarnations that other nodes have reported as leaving.
+func (p *Pools) SetReportedLeaving(incarnations []string) {
 	leaving := make(map[string]bool, len(incarnations))
 	for _, incarnation := range incarnations {
 		leaving[incarnation] = true
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.leavingElsewhere = leaving
+	p.reportedLeaving = leaving
 	for _, pool := range p.pools {
-		pool.SetLeavingElsewhere(leaving)
+		pool.SetReportedLeaving(leaving)
 	}
 }
 
@@ -159,7 +159,7 @@
 		pool.OnChange(p.signalChange)
 		pool.SetNodes(p.nodes)
 		pool.SetEvacuated(p.evacuated)
-		pool.SetLeavingElsewhere(p.leavingElsewhere)
+		pool.SetReportedLeaving(p.reportedLeaving)
 		p.pools[name] = pool
 	}
 	return pool
@@ -328,13 +328,13 @@
 	return count
 }
 
-// StateNotice records what an endpoint, identified by its incarnation, has said of its process on a connection that
-// another node has opened or uses. It reports whether that is news.
-func (p *Pools) StateNotice(now time.Time, incarnation string, notice chiverequest.Notice) (news bool) {
+// StateNotice records what an endpoint, identified by its incarnation, has stated about its process on a connection
+// that this node shares with another one. It reports whether that was not known.
+func (p *Pools) StateNotice(now time.Time, incarnation string, notice chiverequest.Notice) (changed bool) {
 	for _, pool := range p.allPools() {
-		news = pool.StateNotice(now, incarnation, notice) || news
+		changed = pool.StateNotice(now, incarnation, notice) || changed
 	}
-	return news
+	return changed
 }
 
 // Accepts reports whether the endpoint at an address takes requests of this node.
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -289,7 +289,7 @@
 	n.notices = chivenotice.New(chivenotice.Options{Mesh: n.mesh, State: pools.StateNotice, ConnectedFor: n.relay.ConnectedFor, Logger: n.logger})
 	forwarder := chiveforward.New(chiveforward.Options{
 		Self: s.Listen.Callers, Network: n.relay, PathLost: n.relay.IsLost, Dialect: chiveplatform.Endpoints{}, Places: pools, Repeats: n.sharedRetryBudget, Rules: chiveforward.StoreRules,
-		Quarantine: n.quarantine, Streams: n.streams, OnNotice: n.passNotice, OnStart: n.recordStart, SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
+		Quarantine: n.quarantine, Streams: n.streams, OnNotice: n.forwardNotice, OnStart: n.recordStart, SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
 	})
 	n.forwarder = forwarder
 	n.quarantine.OnFailure(forwarder.PeerFailure)
@@ -334,13 +334,13 @@
 	return table, nil
 }
 
-// passNotice passes on what an endpoint says of its process: to all nodes that it is leaving, and to the nodes that share
-// connections to it also that it wants rest.
-func (n *StoreNode) passNotice(through string, endpoint chiveforward.Target, notice chiverequest.Notice) {
+// forwardNotice forwards what an endpoint states about its process: that it is leaving to all nodes, and that it wants rest
+// to the nodes that share connections to it.
+func (n *StoreNode) forwardNotice(through string, endpoint chiveforward.Target, notice chiverequest.Notice) {
 	if notice.Leaving {
 		n.members.EndpointLeaves(endpoint.Incarnation)
 	}
-	n.notices.Tell(through, endpoint.Incarnation, endpoint.Address, notice)
+	n.notices.Forward(through, endpoint.Incarnation, endpoint.Address, notice)
 }
 
 // recordStart records a request for the usage reports when an endpoint first answers it.
@@ -360,7 +360,7 @@
 		n.retryBudget.SetNodes(time.Now(), len(members))
 		n.sharedRetryBudget.SetMembers(members)
 		n.pools.SetNodes(len(members))
-		n.pools.SetLeavingElsewhere(n.members.LeavingEndpoints())
+		n.pools.SetReportedLeaving(n.members.LeavingEndpoints())
 		n.evacuation.SetMembers(members)
 		n.rates.SetMembers(members)
 		n.relay.SetMembers(members)
--- a/chivenotice/service.go
+++ b/chivenotice/service.go
@@ -13,10 +13,7 @@
 // ServiceName is the name under which the service registers.
 const ServiceName = "notices"
 
-// maxPeerRest bounds the rest that a peer may state.
-const maxPeerRest = 10 * time.Minute
-
-// Message is a notice that a peer passes on.
+// Message is a notice that a peer forwards.
 type Message struct {
 	// Endpoint is the key of the endpoint's incarnation, Address its address.
 	Endpoint string
@@ -29,14 +26,14 @@
 // Options are the dependencies of the service.
 type Options struct {
 	Mesh *chivewire.Mesh
-	// State records a notice of an incarnation as one to this node, and reports whether it is news.
+	// State records a notice of an incarnation as one to this node, and reports whether it was not known.
 	State func(now time.Time, incarnation string, notice chiverequest.Notice) bool
 	// ConnectedFor returns the peers for which this node has connections to an endpoint's address open.
 	ConnectedFor func(address string) []string
 	Logger       *slog.Logger
 }
 
-// Service passes notices on to the peers that they concern.
+// Service forwards notices to the peers that they concern.
 type Service struct{ options Options }
 
 // New returns a service that receives notices from peers.
@@ -46,7 +43,7 @@
 	return s
 }
 
-// Start does nothing: notices are passed on by the goroutines that read them.
+// Start does nothing: notices are forwarded by the goroutines that read them.
 func (s *Service) Start(context.Context) error { return nil }
 
 // Stop does nothing.
@@ -55,28 +52,29 @@
 // Dump returns nothing: the pools show the notices.
 func (s *Service) Dump() any { return struct{}{} }
 
-// Tell passes on a notice that this node has read in a response, which came through a peer unless through is empty.
-func (s *Service) Tell(through, incarnation, address string, notice chiverequest.Notice) {
+// Forward sends a notice from a response to the nodes that share connections to the endpoint. The response came through a
+// peer unless through is empty.
+func (s *Service) Forward(through, incarnation, address string, notice chiverequest.Notice) {
 	m := Message{Endpoint: incarnation, Address: address, Leaving: notice.Leaving, RestMs: notice.Rest.Milliseconds()}
 	if through != "" {
 		s.send(through, m)
 	}
-	s.pass(through, m)
+	s.notifyUsers(through, m)
 }
 
-// receive applies a notice that a peer passes on.
+// receive applies a notice that a peer forwards.
 func (s *Service) receive(from string, m Message) {
-	rest := time.Duration(min(max(m.RestMs, 0), maxPeerRest.Milliseconds())) * time.Millisecond
+	rest := time.Duration(min(max(m.RestMs, 0), chiverequest.MaxRest.Milliseconds())) * time.Millisecond
 	if !s.options.State(time.Now(), m.Endpoint, chiverequest.Notice{Leaving: m.Leaving, Rest: rest}) {
 		return
 	}
 	chiveevent.NoticeReceived.Log(context.Background(), s.options.Logger, slog.String("endpoint", m.Endpoint), slog.String("peer", from),
 		slog.Bool("leaving", m.Leaving), slog.Int64("rest_ms", rest.Milliseconds()))
-	s.pass(from, m)
+	s.notifyUsers(from, m)
 }
 
-// pass sends a notice to the peers that use connections of this node, except for one.
-func (s *Service) pass(except string, m Message) {
+// notifyUsers sends a notice to the peers that use connections of this node to the endpoint, except for one.
+func (s *Service) notifyUsers(except string, m Message) {
 	for _, peer := range s.options.ConnectedFor(m.Address) {
 		if peer != except {
 			s.send(peer, m)
--- a/chivenotice/service_test.go
+++ b/chivenotice/service_test.go
@@ -17,7 +17,7 @@
 	"chivedrift/chivewire"
 )
 
-// node is a service with what it was told.
+// node is a service with the notices that it has received.
 type node struct {
 	mesh    *chivewire.Mesh
 	service *chivenotice.Service
@@ -27,14 +27,14 @@
 	users []string
 }
 
-func (n *node) state(_ time.Time, incarnation string, notice chiverequest.Notice) (news bool) {
+func (n *node) state(_ time.Time, incarnation string, notice chiverequest.Notice) (changed bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.stated = append(n.stated, notice)
 	return incarnation == "e0" && len(n.stated) == 1
 }
 
-func (n *node) told() []chiverequest.Notice {
+func (n *node) received() []chiverequest.Notice {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.stated
@@ -67,20 +67,20 @@
 	})
 }
 
-// Guards against nodes that share connections to an endpoint and go on sending requests, since it told another one of them.
-func TestNodesThatShareConnectionsAreToldOnce(t *testing.T) {
+// Guards against nodes that share connections to an endpoint and go on sending requests, since it notified another one of them.
+func TestNodesThatShareConnectionsAreNotifiedOnce(t *testing.T) {
 	withNodes(t, 4, func(nodes []*node) {
 		// The first node reads the notice in a response through the second one, which the third one uses as well.
 		nodes[1].users = []string{address(0), address(2)}
-		nodes[0].service.Tell(address(1), "e0", "10.9.0.1:80", chiverequest.Notice{Leaving: true, Rest: 2 * time.Second})
+		nodes[0].service.Forward(address(1), "e0", "10.9.0.1:80", chiverequest.Notice{Leaving: true, Rest: 2 * time.Second})
 		time.Sleep(time.Second)
 		for i, count := range []int{0, 1, 1, 0} {
-			if told := nodes[i].told(); len(told) != count {
-				t.Errorf("node %d was told %v", i, told)
+			if received := nodes[i].received(); len(received) != count {
+				t.Errorf("node %d received %v", i, received)
 			}
 		}
-		if told := nodes[2].told(); len(told) == 1 && told[0] != (chiverequest.Notice{Leaving: true, Rest: 2 * time.Second}) {
-			t.Errorf("told %+v", told[0])
+		if received := nodes[2].received(); len(received) == 1 && received[0] != (chiverequest.Notice{Leaving: true, Rest: 2 * time.Second}) {
+			t.Errorf("received %+v", received[0])
 		}
 	})
 }
@@ -94,8 +94,8 @@
 			}
 		}
 		time.Sleep(time.Second)
-		if told := nodes[1].told(); len(told) != 2 || told[0].Rest != 10*time.Minute || told[1].Rest != 0 {
-			t.Errorf("told %+v", told)
+		if received := nodes[1].received(); len(received) != 2 || received[0].Rest != 10*time.Minute || received[1].Rest != 0 {
+			t.Errorf("received %+v", received)
 		}
 	})
 }
--- a/chiveplace/candidate.go
+++ b/chiveplace/candidate.go
@@ -42,7 +42,7 @@
 	// goneUntil is until when the endpoint gets no requests, even if all others are excluded too, since another process
 	// responded at its address.
 	goneUntil time.Time
-	// notice is nil for an endpoint that has said nothing of its process.
+	// notice is nil for an endpoint that has stated nothing about its process.
 	notice *notice
 	// warmUp is nil for an endpoint that is not warming up.
 	warmUp *warmUpState
--- a/chiveplace/notice.go
+++ b/chiveplace/notice.go
@@ -7,7 +7,7 @@
 	"chivedrift/chiverequest"
 )
 
-// notice is what an endpoint has said of its own process in its responses to this node. It concerns one incarnation, and
+// notice is what an endpoint has stated about its own process in its responses to this node. It concerns one incarnation, and
 // outlasts the removal of its directory entry: the entry of a running process may expire and come back.
 type notice struct {
 	// leavingSince is when the endpoint first said that it is leaving; zero if it has not.
@@ -45,9 +45,9 @@
 	return n == nil || !n.isResting(now) && (n.resumed || now.Sub(n.probedAt) >= restProbeInterval)
 }
 
-// hasRested reports whether the candidate allows a request. A rest concerns only the node that was asked for it. Where that
+// noticeAllows reports whether a request may be placed on the candidate as far as its notice is concerned. A rest concerns only the node that was asked for it. Where that
 // node places the requests of others, the candidate is the last choice meanwhile.
-func (c *candidate) hasRested(now time.Time, ask Ask) bool {
+func (c *candidate) noticeAllows(now time.Time, ask Ask) bool {
 	return ask.forPeer || c.notice.allowsRequest(now)
 }
 
@@ -63,7 +63,7 @@
 	noticePruneThreshold = 256
 )
 
-// StateNotice records what a response of the endpoint says of its process. It reports whether the node did not know yet
+// StateNotice records what a response of the endpoint states about its process. It reports whether the node did not know yet
 // that the endpoint is leaving, or of a rest that ends as late.
 func (p *Place) StateNotice(now time.Time, stated chiverequest.Notice) (leaves, rests bool) {
 	p.pool.mu.Lock()
@@ -75,9 +75,9 @@
 	return p.pool.ensureNotice(now, p.candidate.incarnation).state(now, stated)
 }
 
-// StateNotice records what an endpoint has said of its process on a connection that another node has opened or uses. It
-// reports whether that is news; notices of unknown incarnations are ignored.
-func (p *Pool) StateNotice(now time.Time, incarnation string, stated chiverequest.Notice) (news bool) {
+// StateNotice records what an endpoint has stated about its process on a connection that this node shares with another one. It
+// reports whether that was not known; notices of unknown incarnations are ignored.
+func (p *Pool) StateNotice(now time.Time, incarnation string, stated chiverequest.Notice) (changed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if _, listed := p.lookup(incarnation); !listed || stated.IsZero() {
@@ -99,7 +99,7 @@
 	return false
 }
 
-// state applies what the endpoint says to the notice, and reports what is news.
+// state applies what the endpoint states to the notice, and reports what was not known.
 func (n *notice) state(now time.Time, stated chiverequest.Notice) (leaves, rests bool) {
 	if leaves = stated.Leaving && n.leavingSince.IsZero(); leaves {
 		n.leavingSince = now
@@ -131,7 +131,7 @@
 		if !p.isEligible(now, cand, ask) || slices.Contains(ask.Exclude, cand.incarnation) {
 			continue
 		}
-		if cand.hasRested(now, ask) {
+		if cand.noticeAllows(now, ask) {
 			return 0, false
 		}
 		left := max(cand.notice.restUntil.Sub(now), minRetryAfter)
@@ -142,11 +142,11 @@
 	return wait + min(time.Duration(retryJitter*p.rng.Float64()*float64(wait)), maxRestJitter), resting
 }
 
-// SetLeavingElsewhere sets the incarnations that have told other nodes that they are leaving.
-func (p *Pool) SetLeavingElsewhere(incarnations map[string]bool) {
+// SetReportedLeaving sets the incarnations that other nodes have reported as leaving.
+func (p *Pool) SetReportedLeaving(incarnations map[string]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.leavingElsewhere = incarnations
+	p.reportedLeaving = incarnations
 }
 
 // ensureNotice returns the notice of an incarnation, whose directory entry may have been removed; the caller holds the lock.
@@ -175,7 +175,7 @@
 	}
 }
 
-// attachNotice gives a candidate that was just listed what its process has said before; the caller holds the lock.
+// attachNotice gives a candidate that was just listed what its process has stated before; the caller holds the lock.
 func (p *Pool) attachNotice(cand *candidate) {
 	if n, known := p.notices[cand.incarnation]; known {
 		cand.notice, n.removedAt = n, time.Time{}
@@ -189,7 +189,7 @@
 	}
 }
 
-// NoticeCounts are the numbers of listed endpoints that have said something of their process.
+// NoticeCounts are the numbers of listed endpoints that have stated something about their process.
 type NoticeCounts struct {
 	Leaving int
 	Resting int
--- a/chiveplace/notice_test.go
+++ b/chiveplace/notice_test.go
@@ -50,10 +50,10 @@
 		pool, endpoints := newNoticePool(1)
 		early, late := takePlain(t, pool), takePlain(t, pool)
 		if leaves, _ := early.StateNotice(time.Now(), chiverequest.Notice{Leaving: true}); !leaves {
-			t.Error("the first statement is not news")
+			t.Error("the first statement is not reported as new")
 		}
 		if leaves, _ := late.StateNotice(time.Now(), chiverequest.Notice{Leaving: true}); leaves || late.Accepts(time.Now()) || !late.Leaving(time.Now()) {
-			t.Error("the second statement is news, or a placed request is still accepted")
+			t.Error("the second statement is reported as new, or a placed request is still accepted")
 		}
 		checkRefused(t, pool, "after the statement")
 		pool.SetEndpoints(nil)
@@ -85,7 +85,7 @@
 	}
 }
 
-// Guards against an owner that grants places on endpoints that have told the asking node that they are leaving.
+// Guards against an owner that grants places on endpoints that have notified the asking node that they are leaving.
 func TestLeavingEndpointsAreNamedToOwnersAndTheirGrantsNotAdopted(t *testing.T) {
 	pool, endpoints := newNoticePool(1)
 	takePlain(t, pool).StateNotice(time.Now(), chiverequest.Notice{Leaving: true})
@@ -105,15 +105,15 @@
 		pool, _ := newNoticePool(1)
 		first, second, early := takePlain(t, pool), takePlain(t, pool), takePlain(t, pool)
 		if _, rests := first.StateNotice(time.Now(), chiverequest.Notice{Rest: 4 * time.Second}); !rests || early.Accepts(time.Now()) {
-			t.Error("the rest is no news, or a placed request is still accepted")
+			t.Error("the rest is not reported as new, or a placed request is still accepted")
 		}
 		if _, rests := second.StateNotice(time.Now(), chiverequest.Notice{Rest: time.Second}); rests {
-			t.Error("a shorter rest is news")
+			t.Error("a shorter rest is reported as new")
 		}
 		time.Sleep(3 * time.Second)
 		early.StateNotice(time.Now(), chiverequest.Notice{})
 		if wait := checkRefused(t, pool, "before the end of the rest"); wait < time.Second || wait > 2*time.Second {
-			t.Errorf("a caller is told to return after %v, one second before the end of the rest", wait)
+			t.Errorf("a caller is asked to return after %v, one second before the end of the rest", wait)
 		}
 		if counts := pool.NoticeCounts(time.Now()); counts.Resting != 1 {
 			t.Errorf("%+v endpoints with notices, want one that is resting", counts)
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -112,11 +112,11 @@
 	// limited holds the candidates that have stated limits, also if they have ended, by incarnation.
 	limited map[string]*candidate
 	brittle poolBrittleness
-	// notices holds what endpoints have said of their processes, by incarnation.
+	// notices holds what endpoints have stated about their processes, by incarnation.
 	notices map[string]*notice
-	// leavingElsewhere are the incarnations that have told other nodes that they are leaving. They get requests only if no
+	// reportedLeaving are the incarnations that other nodes have reported as leaving. They get requests only if no
 	// other endpoint can take them.
-	leavingElsewhere map[string]bool
+	reportedLeaving map[string]bool
 	// emptyRecord is shared by all other candidates and stays empty.
 	emptyRecord *record
 	// onChange is called when there is a change to report to the other nodes.
@@ -460,13 +460,13 @@
 			continue
 		}
 		ready++
-		if (slots > 0 && cand.load() >= slots) || slices.Contains(ask.Exclude, cand.incarnation) || !cand.hasRested(now, ask) {
+		if (slots > 0 && cand.load() >= slots) || slices.Contains(ask.Exclude, cand.incarnation) || !cand.noticeAllows(now, ask) {
 			continue
 		}
 		switch {
 		case !cand.limitsAllow(now, ask):
 		case p.isWarmingUp(now, cand) && !p.warmUpAllows(now, cand, ask):
-		case cand.isUsable(now) && !cand.notice.isResting(now) && !p.leavingElsewhere[cand.incarnation]:
+		case cand.isUsable(now) && !cand.notice.isResting(now) && !p.reportedLeaving[cand.incarnation]:
 			usable = append(usable, cand)
 		default:
 			ejected = append(ejected, cand)
--- a/chiverequest/notice.go
+++ b/chiverequest/notice.go
@@ -2,7 +2,10 @@
 
 import "time"
 
-// Notice is what an endpoint says of its own process in a response, besides its limits.
+// MaxRest bounds the time for which an endpoint gets no requests, so that a wrong value does not exclude it for good.
+const MaxRest = 10 * time.Minute
+
+// Notice is what an endpoint states about its own process in a response, besides its limits.
 type Notice struct {
 	// Leaving means that the process takes no new requests and will end.
 	Leaving bool
@@ -10,5 +13,5 @@
 	Rest time.Duration
 }
 
-// IsZero reports whether the endpoint says nothing.
+// IsZero reports whether the endpoint states nothing.
 func (n Notice) IsZero() bool { return n == Notice{} }
--- a/chiverequest/request.go
+++ b/chiverequest/request.go
@@ -96,7 +96,7 @@
 	Judge(request *Request, response *http.Response) Verdict
 	// Limits returns the limits that a response states. The error describes a value that is no limit.
 	Limits(header http.Header) (Limits, error)
-	// Notice returns what a response says of the endpoint's process. The error describes values that say nothing; the
-	// others count all the same.
+	// Notice returns what a response states about the endpoint's process. The error describes values that are not usable;
+	// the others count all the same.
 	Notice(response *http.Response) (Notice, error)
 }
