--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -12,6 +12,7 @@
 	"chivedrift/chivebudget"
 	"chivedrift/chivecache"
 	"chivedrift/chivedirectory"
+	"chivedrift/chivedistance"
 	"chivedrift/chiveentry"
 	"chivedrift/chiveevacuation"
 	"chivedrift/chiveevent"
@@ -63,6 +64,7 @@
 	kernel    *chivekernel.Kernel
 	mesh      *chivewire.Mesh
 	members   *chivemember.Service
+	distances *chivedistance.Table
 	tables    *chivetable.Service
 	directory *chivedirectory.Service
 	versions  *chiveversion.Service
@@ -190,6 +192,7 @@
 func (n *StoreNode) assembleFleet(network chivewire.Network, store *chiveplatform.Store) *peerDiscovery {
 	s := n.settings
 	n.mesh = chivewire.NewMesh(s.Listen.Peers, network)
+	n.distances = chivedistance.New(s.Region, s.RegionOf())
 	readsForAll := func() bool { return n.gossip.Reads() }
 	discovery := newPeerDiscovery(s.Listen.Peers, s.Region, s.FailureDomain, s.Seeds, store.Nodes(), readsForAll, n.logger)
 	n.members = chivemember.NewService(chivemember.Member{
@@ -357,6 +360,7 @@
 		}
 	}
 	n.members.OnChange(func(members []chivemember.Member) {
+		n.distances.SetMembers(members)
 		n.retryBudget.SetNodes(time.Now(), len(members))
 		n.sharedRetryBudget.SetMembers(members)
 		n.pools.SetNodes(len(members))
