Distance: estimates that follow the way, and calls that wait by it

The skeleton computed a median with a sort for each wait, never called its listeners, kept the round trips of a peer that had moved to another region and took a minute to follow a way that became longer.

Now a region has one cached value, read without a lock; listeners are called outside the lock, on a region's first reply and on changes of more than an eighth; a wait includes that eighth. A round trip counts for 5 to 10 s, replies of more than 400 ms are those of an overloaded process, and a region that is cut keeps its last value. Calls joins chivewire.Calls with a table: it waits by the distance of the peer, records the replies and counts them by region.

Without regions in the settings, or with one, every wait is the caller's own.

--- /dev/null
+++ b/chivedistance/calls.go
@@ -0,0 +1,42 @@
+package chivedistance
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"chivedrift/chivewire"
+)
+
+// Calls matches replies of peers to requests, waits for each peer as its distance requires, and records in a table how long
+// the replies took.
+type Calls[R any] struct {
+	calls *chivewire.Calls[R]
+	table *Table
+}
+
+// NewCalls returns a Calls without requests that uses a table; nil for a deployment in one region.
+func NewCalls[R any](table *Table) *Calls[R] {
+	return &Calls[R]{calls: chivewire.NewCalls[R](), table: table}
+}
+
+// SetTable sets the table; it must be called before the first request.
+func (c *Calls[R]) SetTable(table *Table) { c.table = table }
+
+// Call sends a request to a peer under a new number and waits for its reply: near, and as much longer as the peer is
+// farther than one in this node's region. The error is that of send, chivewire.ErrNoReply, or the context's.
+func (c *Calls[R]) Call(ctx context.Context, peer string, near time.Duration, send func(number uint64) error) (reply R, err error) {
+	sentAt := time.Now()
+	reply, err = c.calls.Call(ctx, c.table.Wait(peer, near), send)
+	switch {
+	case err == nil:
+		c.table.Observe(peer, time.Since(sentAt))
+		c.table.countCall(peer, true)
+	case errors.Is(err, chivewire.ErrNoReply):
+		c.table.countCall(peer, false)
+	}
+	return reply, err
+}
+
+// Deliver passes a reply to the request with its number. A reply that is late or repeated is dropped.
+func (c *Calls[R]) Deliver(number uint64, reply R) { c.calls.Deliver(number, reply) }
--- a/chivedistance/map.go
+++ b/chivedistance/map.go
@@ -13,16 +13,17 @@
 	regions  chiveresidency.Map
 	toRegion map[string]time.Duration
 	assumed  time.Duration
+	spans    bool
 }
 
 // NewMap returns a map for a node in the given region. A region without a round trip in toRegion has the given assumed
 // one.
 func NewMap(region string, regions chiveresidency.Map, toRegion map[string]time.Duration, assumed time.Duration) Map {
-	return Map{region: region, regions: regions, toRegion: toRegion, assumed: assumed}
+	return Map{region: region, regions: regions, toRegion: toRegion, assumed: assumed, spans: len(regions.Regions()) > 1}
 }
 
 // SpansRegions reports whether the deployment is known to lie in more than one region.
-func (m Map) SpansRegions() bool { return len(m.regions.Regions()) > 1 }
+func (m Map) SpansRegions() bool { return m.spans }
 
 // Region returns the region of this node.
 func (m Map) Region() string { return m.region }
@@ -36,7 +37,7 @@
 
 // ToRegion returns the round trip from this node to a region, beyond the one inside a region.
 func (m Map) ToRegion(region string) time.Duration {
-	if region == m.region || region == "" {
+	if !m.spans || region == m.region || region == "" {
 		return 0
 	}
 	if roundTrip, ok := m.toRegion[region]; ok {
--- a/chivedistance/table.go
+++ b/chivedistance/table.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chivedrift/chivemember"
@@ -15,17 +16,27 @@
 	// nearRoundTrip is the longest round trip that counts as none: the waits of a caller include it.
 	nearRoundTrip = 5 * time.Millisecond
 	// window is how long a round trip counts; the shortest one of the current and of the previous window holds.
-	window = 30 * time.Second
+	window = 5 * time.Second
+	// maxRoundTrip is the longest reply that counts as one to a distance, rather than that of an overloaded process.
+	maxRoundTrip = 400 * time.Millisecond
+	// tolerance is the divisor of a round trip that gives the change that is not worth passing on. Waits include it.
+	tolerance = 8
+	// waitDivisor is the ratio of a request's target to the longest wait for a peer in another region.
+	waitDivisor = 2
 )
 
-// estimate is the shortest round trip of the current and of the previous window.
+// estimate is the shortest round trip to a peer of the current and of the previous window.
 type estimate struct {
+	region            string
 	current, previous time.Duration
 	startedAt         time.Time
 }
 
 func (e *estimate) add(now time.Time, roundTrip time.Duration) {
-	if now.Sub(e.startedAt) >= window {
+	switch age := now.Sub(e.startedAt); {
+	case age >= 2*window:
+		e.previous, e.current, e.startedAt = 0, 0, now
+	case age >= window:
 		e.previous, e.current, e.startedAt = e.current, 0, now
 	}
 	if e.current == 0 || roundTrip < e.current {
@@ -33,107 +44,190 @@
 	}
 }
 
-// shortest returns the estimate; ok is false before the first round trip.
-func (e *estimate) shortest() (roundTrip time.Duration, ok bool) {
-	switch {
-	case e == nil || e.current == 0:
-		return 0, false
-	case e.previous == 0:
-		return e.current, true
+// shortest returns the estimate.
+func (e *estimate) shortest() time.Duration {
+	if e.previous == 0 {
+		return e.current
 	}
-	return min(e.current, e.previous), true
+	return min(e.current, e.previous)
 }
 
-// Table holds the measured round trips to the peers of one node. It is safe for concurrent use.
+// isOutdated reports whether there was no round trip in the current and in the previous window.
+func (e *estimate) isOutdated(now time.Time) bool { return now.Sub(e.startedAt) >= 2*window }
+
+// measurement is the published round trip to a region.
+type measurement struct {
+	roundTrip time.Duration
+	// at is when the last reply came from the region.
+	at time.Time
+}
+
+// published is what readers use without a lock; it is immutable.
+type published struct {
+	distances Map
+	regionOf  map[string]string
+}
+
+// Table holds the measured round trips to the peers of one node. It is safe for concurrent use. A nil table is that of a
+// deployment in one region.
 type Table struct {
-	region  string
-	regions chiveresidency.Map
+	region    string
+	regions   chiveresidency.Map
+	listeners []func(Map)
+	published atomic.Pointer[published]
 
 	mu        sync.Mutex
 	peers     map[string]*estimate
 	regionOf  map[string]string
-	listeners []func(Map)
+	toRegion  map[string]measurement
+	counts    map[string]Counts
+	notifying sync.Mutex
 }
 
 // New returns a table without measurements for a node in the given region; regions is the region of each failure domain.
 func New(region string, regions chiveresidency.Map) *Table {
-	return &Table{region: region, regions: regions, peers: make(map[string]*estimate), regionOf: make(map[string]string)}
+	t := &Table{
+		region: region, regions: regions,
+		peers: make(map[string]*estimate), regionOf: make(map[string]string), toRegion: make(map[string]measurement), counts: make(map[string]Counts),
+	}
+	t.publish()
+	return t
 }
 
-// OnChange adds a function that is called with the map whenever a region's round trip has changed noticeably. It must
-// not block, and must be added before the first measurement.
+// OnChange adds a function that is called with the map whenever a region's round trip has been measured for the first
+// time or has changed noticeably. It must not block, and must be added before the first measurement.
 func (t *Table) OnChange(notify func(Map)) { t.listeners = append(t.listeners, notify) }
 
 // SetMembers applies a membership change.
 func (t *Table) SetMembers(members []chivemember.Member) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	regionOf := make(map[string]string, len(members))
 	for _, m := range members {
 		regionOf[m.Address] = m.Region
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.regionOf = regionOf
-	for address := range t.peers {
-		if _, ok := regionOf[address]; !ok {
+	for address, e := range t.peers {
+		if region, ok := regionOf[address]; !ok || region != e.region {
 			delete(t.peers, address)
 		}
 	}
+	t.publish()
 }
 
 // Observe records how long a peer took to reply.
 func (t *Table) Observe(peer string, roundTrip time.Duration) {
+	if t == nil || !t.Map().SpansRegions() || roundTrip > maxRoundTrip {
+		return
+	}
+	if t.add(time.Now(), peer, max(roundTrip, 1)) {
+		t.notify()
+	}
+}
+
+// add records a round trip and reports whether the one to the peer's region has changed noticeably.
+func (t *Table) add(now time.Time, peer string, roundTrip time.Duration) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	region, known := t.regionOf[peer]
+	if !known || region == "" || region == t.region {
+		return false
+	}
 	e, ok := t.peers[peer]
 	if !ok {
-		e = &estimate{startedAt: time.Now()}
+		e = &estimate{region: region, startedAt: now}
 		t.peers[peer] = e
 	}
-	e.add(time.Now(), max(roundTrip, 1))
+	before := e.shortest()
+	e.add(now, roundTrip)
+	last, measured := t.toRegion[region]
+	if measured && e.shortest() == before {
+		t.toRegion[region] = measurement{last.roundTrip, now}
+		return false
+	}
+	median := t.median(now, region)
+	if measured && (median-last.roundTrip).Abs() <= last.roundTrip/tolerance {
+		median, changed = last.roundTrip, false
+	} else {
+		changed = true
+	}
+	t.toRegion[region] = measurement{median, now}
+	if changed {
+		t.publish()
+	}
+	return changed
+}
+
+// median returns the median of the shortest round trips to the peers of a region, 0 if they are near; the caller holds
+// the lock.
+func (t *Table) median(now time.Time, region string) time.Duration {
+	var measured []time.Duration
+	for _, e := range t.peers {
+		if e.region == region && !e.isOutdated(now) {
+			measured = append(measured, e.shortest())
+		}
+	}
+	slices.Sort(measured)
+	if median := measured[(len(measured)-1)/2]; median > nearRoundTrip {
+		return median
+	}
+	return 0
+}
+
+// publish makes the current state visible to readers; the caller holds the lock.
+func (t *Table) publish() {
+	toRegion := make(map[string]time.Duration, len(t.toRegion))
+	for region, m := range t.toRegion {
+		toRegion[region] = m.roundTrip
+	}
+	t.published.Store(&published{NewMap(t.region, t.regions, toRegion, assumedRoundTrip), t.regionOf})
+}
+
+// notify calls the listeners with the newest map, one call at a time, so that the last one has the newest.
+func (t *Table) notify() {
+	t.notifying.Lock()
+	defer t.notifying.Unlock()
+	for _, notify := range t.listeners {
+		notify(t.Map())
+	}
 }
 
 // RoundTrip returns the estimated round trip to a peer, beyond the one inside a region.
 func (t *Table) RoundTrip(peer string) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	region, known := t.regionOf[peer]
-	if !known || region == t.region {
+	if t == nil {
+		return 0
+	}
+	p := t.published.Load()
+	if !p.distances.SpansRegions() {
 		return 0
 	}
-	return t.toRegion(region)
+	return p.distances.ToRegion(p.regionOf[peer])
 }
 
 // Wait returns how long to wait for the reply of a peer. near is the wait for a peer in the same region.
 func (t *Table) Wait(peer string, near time.Duration) time.Duration {
-	return near + t.RoundTrip(peer)
+	return wait(t.RoundTrip(peer), near)
 }
 
-// Map returns the current estimates by region.
-func (t *Table) Map() Map {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	toRegion := make(map[string]time.Duration)
-	for _, region := range t.regions.Regions() {
-		toRegion[region] = t.toRegion(region)
-	}
-	return NewMap(t.region, t.regions, toRegion, assumedRoundTrip)
+// WaitForDomain returns how long to wait for the reply of an endpoint in a failure domain. near is the wait for an
+// endpoint in the same region.
+func (t *Table) WaitForDomain(domain string, near time.Duration) time.Duration {
+	return wait(t.Map().ToDomain(domain), near)
 }
 
-// toRegion returns the median of the shortest round trips to the peers of a region; the caller holds the lock.
-func (t *Table) toRegion(region string) time.Duration {
-	var measured []time.Duration
-	for address, e := range t.peers {
-		if roundTrip, ok := e.shortest(); ok && t.regionOf[address] == region {
-			measured = append(measured, roundTrip)
-		}
-	}
-	if len(measured) == 0 {
-		return assumedRoundTrip
-	}
-	slices.Sort(measured)
-	median := measured[len(measured)/2]
-	if median <= nearRoundTrip {
-		return 0
+func wait(roundTrip, near time.Duration) time.Duration { return near + roundTrip + roundTrip/tolerance }
+
+// CanWait reports whether a request with the given target may wait for the reply of a peer: always if the peer is near,
+// else if that takes at most a share of the target. A target of 0 stands for none.
+func (t *Table) CanWait(peer string, near, target time.Duration) bool {
+	roundTrip := t.RoundTrip(peer)
+	return roundTrip == 0 || target == 0 || wait(roundTrip, near) <= target/waitDivisor
+}
+
+// Map returns the current estimates by region.
+func (t *Table) Map() Map {
+	if t == nil {
+		return Map{}
 	}
-	return median
+	return t.published.Load().distances
 }
