Waits for peers follow their distance

Across regions 30 ms apart a question and its answer take 60 ms. Owners of engines had 40 ms to reply, owners of limits 50, of permits for suspicious requests 30, lent retries 20, origins of streams 60: none ever did.

These calls now go through chivedistance.Calls, which waits as long as before inside a region and longer by the measured round trip to another one. An owner of engines whose reply would take more than half of the target of a request is not asked; the request is placed locally.

--- a/chivebudget/service.go
+++ b/chivebudget/service.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"chivedrift/chivedistance"
 	"chivedrift/chiveforward"
 	"chivedrift/chivemember"
 	"chivedrift/chiverequest"
@@ -52,7 +53,7 @@
 type Service struct {
 	Share
 	mesh     *chivewire.Mesh
-	calls    *chivewire.Calls[Answer]
+	calls    *chivedistance.Calls[Answer]
 	borrowed atomic.Int64
 	lent     atomic.Int64
 
@@ -63,7 +64,7 @@
 
 // New returns a service without peers.
 func New(mesh *chivewire.Mesh, share Share) *Service {
-	s := &Service{Share: share, mesh: mesh, calls: chivewire.NewCalls[Answer](), backoffUntil: make(map[string]time.Time)}
+	s := &Service{Share: share, mesh: mesh, calls: chivedistance.NewCalls[Answer](nil), backoffUntil: make(map[string]time.Time)}
 	chivewire.Receive(mesh, chivewire.KindRepeatAsk, s.respond)
 	chivewire.Receive(mesh, chivewire.KindRepeatAnswer, func(_ string, response Answer) { s.calls.Deliver(response.Number, response) })
 	return s
@@ -83,6 +84,9 @@
 	}{s.borrowed.Load(), s.lent.Load()}
 }
 
+// SetDistances sets the distances to the peers; it must be called before the first request.
+func (s *Service) SetDistances(distances *chivedistance.Table) { s.calls.SetTable(distances) }
+
 // SetMembers applies a membership change. Peers in other regions are not asked: their responses would arrive after
 // responseTimeout, and the retries that they lend would be lost.
 func (s *Service) SetMembers(members []chivemember.Member) {
@@ -139,7 +143,7 @@
 
 // borrow asks one peer for a retry and waits up to responseTimeout for its response.
 func (s *Service) borrow(peer, pool string) bool {
-	response, err := s.calls.Call(context.Background(), responseTimeout, func(number uint64) error {
+	response, err := s.calls.Call(context.Background(), peer, responseTimeout, func(number uint64) error {
 		return s.mesh.Send(peer, chivewire.KindRepeatAsk, Ask{Number: number, Pool: pool})
 	})
 	if errors.Is(err, chivewire.ErrNoReply) {
--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -103,6 +103,9 @@
 			Prompt: p.request.Prompt, Exclude: p.exclude, Among: p.assignment.engines(group), Domains: p.limits.Domains, Allows: p.limits.Allows, Most: maxLoss, MostReads: recomputeTokens,
 		})
 	}
+	if !s.options.Distances.CanWait(owner, requestTimeout, p.request.Prompt.Target) {
+		return nil, ErrAlone
+	}
 	request := newPlacementRequest(p.request.Pool, group.String(), p.request.Prompt)
 	request.Exclude, request.Domains, request.Most, request.MostReads = p.excludedIn(group), p.limits.Domains.Names(), maxLoss, recomputeTokens
 	response, err := s.requestPlacement(ctx, owner, request)
@@ -140,7 +143,7 @@
 	s.adopted[owner] = grant
 }
 
-// requestPlacement sends a placement request to an owner and waits up to requestTimeout for the response.
+// requestPlacement sends a placement request to an owner and waits for the response.
 func (s *Service) requestPlacement(ctx context.Context, owner string, request PlaceAsk) (PlaceAnswer, error) {
 	s.mu.Lock()
 	unavailable := owner == "" || time.Now().Before(s.backoffUntil[owner])
@@ -151,7 +154,7 @@
 	s.asked.Add(1)
 	// A response after the timeout is dropped, and the owner drops its grant after a while, since this node never reports
 	// the request.
-	response, err := s.calls.Call(ctx, requestTimeout, func(number uint64) error {
+	response, err := s.calls.Call(ctx, owner, requestTimeout, func(number uint64) error {
 		request.Number = number
 		return s.options.Mesh.Send(owner, chivewire.KindPlaceAsk, request)
 	})
@@ -175,7 +178,7 @@
 	s.mu.Unlock()
 	if !backedOff {
 		chiveevent.OwnerSilent.Log(ctx, s.options.Logger, slog.String("owner", owner), slog.String("group", group),
-			slog.Int64("waited_ms", requestTimeout.Milliseconds()))
+			slog.Int64("waited_ms", s.options.Distances.Wait(owner, requestTimeout).Milliseconds()))
 	}
 }
 
--- a/chivegrant/service.go
+++ b/chivegrant/service.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"chivedrift/chivedirectory"
+	"chivedrift/chivedistance"
 	"chivedrift/chiveevent"
 	"chivedrift/chivekernel"
 	"chivedrift/chivemember"
@@ -24,8 +25,8 @@
 const ServiceName = "grants"
 
 const (
-	// requestTimeout is how long an owner may take to respond: several network round trips, and far less than any
-	// latency target.
+	// requestTimeout is how long an owner in the same region may take to respond: several network round trips, and far
+	// less than any latency target.
 	requestTimeout = 40 * time.Millisecond
 	// ownerBackoff is how long an owner that did not respond is not asked: about the time until it is detected as dead.
 	ownerBackoff  = 2 * time.Second
@@ -57,9 +58,11 @@
 
 // Options are the dependencies of the service.
 type Options struct {
-	Mesh   *chivewire.Mesh
-	Pools  Pools
-	Logger *slog.Logger
+	Mesh  *chivewire.Mesh
+	Pools Pools
+	// Distances are the distances to the peers; nil in a deployment in one region.
+	Distances *chivedistance.Table
+	Logger    *slog.Logger
 }
 
 // Counts are the numbers of placement requests sent by this node since its start, by outcome.
@@ -81,7 +84,7 @@
 	options    Options
 	inbox      *chivering.Ring[incomingRequest]
 	assignment atomic.Pointer[assignment]
-	calls      *chivewire.Calls[PlaceAnswer]
+	calls      *chivedistance.Calls[PlaceAnswer]
 	lastGrant  atomic.Uint64
 	asked      atomic.Int64
 	granted    atomic.Int64
@@ -108,7 +111,7 @@
 // New returns a service without engines and members.
 func New(options Options) *Service {
 	s := &Service{
-		options: options, inbox: chivering.New[incomingRequest](inboxCapacity), enginePools: make(map[string]bool), endpoints: make(map[string]*trieNode[engine]), calls: chivewire.NewCalls[PlaceAnswer](),
+		options: options, inbox: chivering.New[incomingRequest](inboxCapacity), enginePools: make(map[string]bool), endpoints: make(map[string]*trieNode[engine]), calls: chivedistance.NewCalls[PlaceAnswer](options.Distances),
 		backoffUntil: make(map[string]time.Time), adopted: make(map[string]uint64), rebalanceTrigger: make(chan struct{}, 1),
 	}
 	s.assignment.Store(&assignment{})
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -204,7 +204,9 @@
 	n.directory = chivedirectory.NewService(chiveplatform.DecodeEndpoint, chivedirectory.DefaultGrace, n.logger)
 	n.versions = chiveversion.New(n.mesh, chiveplatform.DecodeVersion, func() time.Duration { return n.endpointReadAge() })
 	n.directory.OnChange(n.versions.ApplyEndpoints)
+	n.members.OnReply(n.distances.Observe)
 	n.streams = chivestream.New(n.mesh)
+	n.streams.SetDistances(n.distances)
 	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Tables: n.tables, Endpoints: n.directory, Deferred: n.directory.Deferred, Logger: n.logger})
 	n.tables.OnChange(func(*chivetable.Table) { n.gossip.Learnt() })
 	n.directory.OnChange(func(chivedirectory.Diff) { n.gossip.Learnt() })
@@ -279,8 +281,9 @@
 		Ratio: s.Repeats.Ratio, Headroom: s.Repeats.Headroom, Window: time.Duration(s.Repeats.WindowS * float64(time.Second)),
 	})
 	n.sharedRetryBudget = chivebudget.New(n.mesh, n.retryBudget)
+	n.sharedRetryBudget.SetDistances(n.distances)
 	n.memory = newMemoryGuard(s.MemoryMB*megabyte, n.logger)
-	n.quarantine = chivequarantine.New(chivequarantine.Options{Mesh: n.mesh, Logger: n.logger})
+	n.quarantine = chivequarantine.New(chivequarantine.Options{Mesh: n.mesh, Distances: n.distances, Logger: n.logger})
 	pools := chiveforward.NewPools(s.FailureDomain)
 	pools.SetRegions(s.RegionOf())
 	pools.SetVersions(n.versions.Of)
@@ -302,9 +305,10 @@
 		Scope: metrics.Scope(), Logger: n.logger,
 	})
 	n.ready = newReadiness(s.Listen.Ready, chiveplatform.ReadyPath, network, n.NotReady)
-	n.grants = chivegrant.New(chivegrant.Options{Mesh: n.mesh, Pools: pools, Logger: n.logger})
+	n.grants = chivegrant.New(chivegrant.Options{Mesh: n.mesh, Pools: pools, Distances: n.distances, Logger: n.logger})
 	pools.SetAsker(n.grants)
 	n.rates = chiverate.New(n.mesh)
+	n.rates.SetDistances(n.distances)
 	pools.SetRates(n.rates)
 	caches := chivecache.New(chivecache.Options{
 		Caches: chiveplatform.NewCaches(s.Listen.Peers, n.relay), Pools: pools, Owners: n.grants, Logger: n.logger,
--- a/chivequarantine/permit.go
+++ b/chivequarantine/permit.go
@@ -18,7 +18,7 @@
 	suspicionPeriod = 3 * time.Second
 	// permitTTL is how long a permit counts if neither a crash nor an answer follows.
 	permitTTL = time.Second
-	// permitReplyTimeout is how long the node that issues the permits may take to reply: several network round trips.
+	// permitReplyTimeout is how long the node that issues the permits may take to reply in the same region: several network round trips.
 	permitReplyTimeout = 30 * time.Millisecond
 	// maxPermits bounds the memory use.
 	maxPermits = 1024
@@ -60,7 +60,7 @@
 	if len(ranked) == 0 || ranked[0].Address == s.options.Mesh.Self() {
 		return s.issuePermit(now, part)
 	}
-	answer, err := s.permitCalls.Call(ctx, permitReplyTimeout, func(number uint64) error {
+	answer, err := s.permitCalls.Call(ctx, ranked[0].Address, permitReplyTimeout, func(number uint64) error {
 		return s.options.Mesh.Send(ranked[0].Address, chivewire.KindPartPermitAsk, PermitAsk{Number: number, Part: part})
 	})
 	return answer.Granted || err != nil && !errors.Is(err, context.Canceled)
--- a/chivequarantine/service.go
+++ b/chivequarantine/service.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"chivedrift/chivedistance"
 	"chivedrift/chiveevent"
 	"chivedrift/chivehealth"
 	"chivedrift/chivekernel"
@@ -32,8 +33,10 @@
 
 // Options are the dependencies of the service.
 type Options struct {
-	Mesh   *chivewire.Mesh
-	Logger *slog.Logger
+	Mesh *chivewire.Mesh
+	// Distances are the distances to the peers; nil in a deployment in one region.
+	Distances *chivedistance.Table
+	Logger    *slog.Logger
 }
 
 // Service gossips crash reports, and tells the forwarder which requests are quarantined.
@@ -68,7 +71,7 @@
 	watches        map[chiverequest.Fingerprint]map[*watch]struct{}
 	// permits are those that this node has issued for requests with suspicious parts.
 	permits     map[chiverequest.Fingerprint]permit
-	permitCalls *chivewire.Calls[PermitAnswer]
+	permitCalls *chivedistance.Calls[PermitAnswer]
 }
 
 // watch is the callback of a running attempt, with the fingerprints of its request.
@@ -84,7 +87,7 @@
 		onFailure: func(chivehealth.Failure) time.Time { return time.Time{} }, failures: make(recentFailures),
 		receivedGrants: make(map[chiverequest.Fingerprint]time.Time), issuedGrants: make(map[chiverequest.Fingerprint]time.Time),
 		watches: make(map[chiverequest.Fingerprint]map[*watch]struct{}),
-		permits: make(map[chiverequest.Fingerprint]permit), permitCalls: chivewire.NewCalls[PermitAnswer](),
+		permits: make(map[chiverequest.Fingerprint]permit), permitCalls: chivedistance.NewCalls[PermitAnswer](o.Distances),
 	}
 	chivewire.Receive(o.Mesh, chivewire.KindPartPermitAsk, s.answerPermit)
 	chivewire.Receive(o.Mesh, chivewire.KindPartPermit, func(_ string, a PermitAnswer) { s.permitCalls.Deliver(a.Number, a) })
--- a/chivequota/service.go
+++ b/chivequota/service.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"chivedrift/chivedistance"
 	"chivedrift/chivemember"
 	"chivedrift/chiveroute"
 	"chivedrift/chivewire"
@@ -15,6 +16,7 @@
 const ServiceName = "quota"
 
 const (
+	// replyTimeout is how long an owner in the same region may take to reply.
 	replyTimeout      = 250 * time.Millisecond
 	maxBuckets        = 4096
 	bucketIdleTimeout = time.Minute
@@ -39,7 +41,7 @@
 type Service struct {
 	mesh         *chivewire.Mesh
 	members      atomic.Pointer[[]chivemember.Member]
-	calls        *chivewire.Calls[Grant]
+	calls        *chivedistance.Calls[Grant]
 	mu           sync.Mutex
 	buckets      map[string]*Bucket
 	localBuckets map[string]*Bucket
@@ -49,7 +51,7 @@
 // NewService returns a service without buckets.
 func NewService(mesh *chivewire.Mesh) *Service {
 	s := &Service{
-		mesh: mesh, calls: chivewire.NewCalls[Grant](), buckets: make(map[string]*Bucket), localBuckets: make(map[string]*Bucket), limits: make(map[string]int64),
+		mesh: mesh, calls: chivedistance.NewCalls[Grant](nil), buckets: make(map[string]*Bucket), localBuckets: make(map[string]*Bucket), limits: make(map[string]int64),
 	}
 	s.members.Store(&[]chivemember.Member{})
 	chivewire.Receive(mesh, chivewire.KindQuotaRequest, s.handleRequest)
@@ -121,7 +123,7 @@
 	if !ok {
 		return Grant{}, false
 	}
-	grant, err := s.calls.Call(ctx, replyTimeout, func(number uint64) error {
+	grant, err := s.calls.Call(ctx, owner, replyTimeout, func(number uint64) error {
 		r.ID = int64(number)
 		return s.mesh.Send(owner, chivewire.KindQuotaRequest, r)
 	})
--- a/chiverate/service.go
+++ b/chiverate/service.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"chivedrift/chivedistance"
 	"chivedrift/chivemember"
 	"chivedrift/chiverequest"
 	"chivedrift/chiveroute"
@@ -17,7 +18,7 @@
 const ServiceName = "shared rates"
 
 const (
-	// replyTimeout is how long an owner may take to reply: several network round trips, and far less than any latency
+	// replyTimeout is how long an owner in the same region may take to reply: several network round trips, and far less than any latency
 	// target.
 	replyTimeout = 50 * time.Millisecond
 	// ownerBackoff is how long no permit is asked for after the owner of a rate did not reply.
@@ -71,7 +72,7 @@
 // Service holds the buckets of the rates that this node owns, and asks the owners of others for permits.
 type Service struct {
 	mesh    *chivewire.Mesh
-	calls   *chivewire.Calls[Answer]
+	calls   *chivedistance.Calls[Answer]
 	members atomic.Pointer[[]chivemember.Member]
 
 	granted, denied, unanswered atomic.Int64
@@ -83,7 +84,7 @@
 
 // New returns a service without buckets, in a fleet of one node.
 func New(mesh *chivewire.Mesh) *Service {
-	s := &Service{mesh: mesh, calls: chivewire.NewCalls[Answer](), buckets: make(map[string]*Bucket), peak: chivemember.NewPeakSize(time.Now())}
+	s := &Service{mesh: mesh, calls: chivedistance.NewCalls[Answer](nil), buckets: make(map[string]*Bucket), peak: chivemember.NewPeakSize(time.Now())}
 	s.members.Store(&[]chivemember.Member{})
 	chivewire.Receive(mesh, chivewire.KindRateAsk, s.respond)
 	chivewire.Receive(mesh, chivewire.KindRateRelease, s.applyRelease)
@@ -91,6 +92,9 @@
 	return s
 }
 
+// SetDistances sets the distances to the peers; it must be called before the first request.
+func (s *Service) SetDistances(distances *chivedistance.Table) { s.calls.SetTable(distances) }
+
 // SetMembers applies a membership change.
 func (s *Service) SetMembers(members []chivemember.Member) {
 	s.members.Store(&members)
@@ -145,7 +149,7 @@
 	if owner == s.mesh.Self() {
 		return s.count(s.takeOwned(owner, key, limits))
 	}
-	answer, err := s.calls.Call(ctx, replyTimeout, func(number uint64) error {
+	answer, err := s.calls.Call(ctx, owner, replyTimeout, func(number uint64) error {
 		return s.mesh.Send(owner, chivewire.KindRateAsk, Ask{Number: number, Key: key, PerSecond: limits.PerSecond, Refusals: limits.Refusals})
 	})
 	if err != nil {
--- a/chivestream/service.go
+++ b/chivestream/service.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"chivedrift/chivedistance"
 	"chivedrift/chivemember"
 	"chivedrift/chiverequest"
 	"chivedrift/chiveroute"
@@ -20,7 +21,7 @@
 	ownerCount = 3
 	// askedCount is how many nodes are asked for a record: the owners, and nodes that were owners shortly before.
 	askedCount = 5
-	// replyTimeout is how long a node may take to reply: several network round trips.
+	// replyTimeout is how long a node in the same region may take to reply: several network round trips.
 	replyTimeout = 60 * time.Millisecond
 	// lookupRounds is how often nodes are asked if one of them did not reply.
 	lookupRounds = 2
@@ -64,7 +65,7 @@
 // Service records and looks up where streams began.
 type Service struct {
 	mesh    *chivewire.Mesh
-	calls   *chivewire.Calls[Answer]
+	calls   *chivedistance.Calls[Answer]
 	records *Records
 	members atomic.Pointer[[]chivemember.Member]
 
@@ -73,7 +74,7 @@
 
 // New returns a service without records, in a fleet of one node.
 func New(mesh *chivewire.Mesh) *Service {
-	s := &Service{mesh: mesh, calls: chivewire.NewCalls[Answer](), records: NewRecords(time.Now())}
+	s := &Service{mesh: mesh, calls: chivedistance.NewCalls[Answer](nil), records: NewRecords(time.Now())}
 	s.members.Store(&[]chivemember.Member{})
 	chivewire.Receive(mesh, chivewire.KindStreamBegun, func(_ string, b Begun) { s.records.Add(time.Now(), b.Key, b.Origin) })
 	chivewire.Receive(mesh, chivewire.KindStreamAsk, s.respond)
@@ -81,6 +82,9 @@
 	return s
 }
 
+// SetDistances sets the distances to the peers; it must be called before the first request.
+func (s *Service) SetDistances(distances *chivedistance.Table) { s.calls.SetTable(distances) }
+
 // SetMembers applies a membership change.
 func (s *Service) SetMembers(members []chivemember.Member) { s.members.Store(&members) }
 
@@ -149,7 +153,7 @@
 				replies <- reply{rank: rank}
 				return
 			}
-			answer, err := s.calls.Call(ctx, replyTimeout, func(number uint64) error {
+			answer, err := s.calls.Call(ctx, node, replyTimeout, func(number uint64) error {
 				return s.mesh.Send(node, chivewire.KindStreamAsk, Ask{Number: number, Key: key})
 			})
 			replies <- reply{rank: rank, err: err, origins: answer.Origins}
