Stand-in network: ways that take time

Nothing in the stand-in network of the tests lay apart, so no test could show what a distance does. Delay makes each write, and each connection that is established, take the time that a function returns for its way, in order; the function can vary it for jitter, for a packet that is sent again, or for one direction. Connections to a blocked address end after two minutes as those of an operating system do: a connection of the relay without a deadline outlived a test.

--- a/chivestand/network.go
+++ b/chivestand/network.go
@@ -13,6 +13,12 @@
 // ErrRefused is returned where nobody listens.
 var ErrRefused = fmt.Errorf("stand-in network: %w", syscall.ECONNREFUSED)
 
+// ErrTimedOut is returned where the way stays blocked for synTimeout.
+var ErrTimedOut = fmt.Errorf("stand-in network: %w", syscall.ETIMEDOUT)
+
+// synTimeout is how long an operating system tries to connect to an address that does not answer.
+const synTimeout = 2 * time.Minute
+
 // Network stands in for the network between processes: in-memory connections that can be cut or made silent.
 type Network struct {
 	mu        sync.Mutex
@@ -20,6 +26,7 @@
 	conns     []*memoryConn
 	blocked   func(from, to string) bool
 	refused   func(from, to string) bool
+	delay     func(from, to string) time.Duration
 	// rate is what a host's link carries in bytes a second; 0 stands for no limit.
 	rate  int
 	links map[linkEnd]*link
@@ -39,19 +46,29 @@
 	return l, nil
 }
 
-// Dial connects to an address; while the way is blocked it waits as a SYN without answer does.
+// Dial connects to an address; while the way is blocked it waits as a SYN without answer does, for synTimeout
+// at most.
 func (n *Network) Dial(ctx context.Context, from, address string) (net.Conn, error) {
 	n.mu.Lock()
 	l, ok := n.listeners[address]
 	blocked := n.blocked != nil && n.blocked(from, address)
 	refused := n.refused != nil && n.refused(from, address)
 	n.mu.Unlock()
+	if !blocked {
+		if err := n.handshake(ctx, from, address); err != nil {
+			return nil, err
+		}
+	}
 	if refused {
 		return nil, ErrRefused
 	}
 	if blocked {
-		<-ctx.Done()
-		return nil, ctx.Err()
+		select {
+		case <-time.After(synTimeout):
+			return nil, ErrTimedOut
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
 	}
 	if !ok {
 		return nil, ErrRefused
@@ -145,6 +162,7 @@
 	silent  bool
 	// deadline bounds writes; zero stands for none.
 	deadline time.Time
+	line     delayLine
 }
 
 func (c *memoryConn) silence() {
@@ -168,6 +186,10 @@
 		if err := c.pass(len(chunk)); err != nil {
 			return sent, err
 		}
+		if c.line.send(chunk, c.network.delayOf(c.from, c.to), c.deliver) {
+			sent += len(chunk)
+			continue
+		}
 		n, err := c.Conn.Write(chunk)
 		sent += n
 		if err != nil {
@@ -192,6 +214,9 @@
 	if silent {
 		return c.SetDeadline(time.Unix(1, 0))
 	}
+	if c.line.send(nil, c.network.delayOf(c.from, c.to), c.deliver) {
+		return c.SetReadDeadline(time.Unix(1, 0))
+	}
 	return c.Conn.Close()
 }
 
