--- a/chivedistance/table.go
+++ b/chivedistance/table.go
@@ -1,6 +1,7 @@
 package chivedistance
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,9 @@
 	"chivedrift/chiveresidency"
 )
 
+// ServiceName is the name under which a table registers.
+const ServiceName = "distances"
+
 const (
 	// assumedRoundTrip is the round trip to a region that has not been measured yet.
 	assumedRoundTrip = 160 * time.Millisecond
@@ -74,7 +78,9 @@
 	region    string
 	regions   chiveresidency.Map
 	listeners []func(Map)
-	published atomic.Pointer[published]
+	// isConnected reports whether messages to a peer are sent over an open connection; nil means always.
+	isConnected func(peer string) bool
+	published   atomic.Pointer[published]
 
 	mu        sync.Mutex
 	peers     map[string]*estimate
@@ -98,6 +104,10 @@
 // time or has changed noticeably. It must not block, and must be added before the first measurement.
 func (t *Table) OnChange(notify func(Map)) { t.listeners = append(t.listeners, notify) }
 
+// SetConnected sets the function that reports whether messages to a peer are sent over an open connection. It must be set
+// before the first request.
+func (t *Table) SetConnected(isConnected func(peer string) bool) { t.isConnected = isConnected }
+
 // SetMembers applies a membership change.
 func (t *Table) SetMembers(members []chivemember.Member) {
 	regionOf := make(map[string]string, len(members))
@@ -174,6 +184,15 @@
 	return 0
 }
 
+// Start does nothing: round trips are recorded on the goroutines that get the replies.
+func (t *Table) Start(context.Context) error { return nil }
+
+// Stop does nothing.
+func (t *Table) Stop(context.Context) error { return nil }
+
+// Dump returns the state of each region.
+func (t *Table) Dump() any { return t.Regions() }
+
 // publish makes the current state visible to readers; the caller holds the lock.
 func (t *Table) publish() {
 	toRegion := make(map[string]time.Duration, len(t.toRegion))
@@ -204,9 +223,14 @@
 	return p.distances.ToRegion(p.regionOf[peer])
 }
 
-// Wait returns how long to wait for the reply of a peer. near is the wait for a peer in the same region.
+// Wait returns how long to wait for the reply of a peer. near is the wait for a peer in the same region. A connection that
+// has to be established first takes another round trip.
 func (t *Table) Wait(peer string, near time.Duration) time.Duration {
-	return wait(t.RoundTrip(peer), near)
+	roundTrip := t.RoundTrip(peer)
+	if roundTrip > 0 && t.isConnected != nil && !t.isConnected(peer) {
+		return wait(2*roundTrip, near)
+	}
+	return wait(roundTrip, near)
 }
 
 // WaitForDomain returns how long to wait for the reply of an endpoint in a failure domain. near is the wait for an
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -157,6 +157,7 @@
 		{wireName, n.mesh},
 		{gaugeReporterName, newGaugeReporter(metrics.Scope(), n.mesh, process, n.gauges(store, feeds.table, feeds.directory)...)},
 		{discoveryName, discovery},
+		{chivedistance.ServiceName, n.distances},
 		{chivemember.ServiceName, n.members},
 		{chivetable.ServiceName, n.tables},
 		{chivedirectory.ServiceName, n.directory},
@@ -193,6 +194,7 @@
 	s := n.settings
 	n.mesh = chivewire.NewMesh(s.Listen.Peers, network)
 	n.distances = chivedistance.New(s.Region, s.RegionOf())
+	n.distances.SetConnected(n.mesh.IsConnected)
 	readsForAll := func() bool { return n.gossip.Reads() }
 	discovery := newPeerDiscovery(s.Listen.Peers, s.Region, s.FailureDomain, s.Seeds, store.Nodes(), readsForAll, n.logger)
 	n.members = chivemember.NewService(chivemember.Member{
--- a/chivewire/link.go
+++ b/chivewire/link.go
@@ -36,6 +36,7 @@
 	peer          string
 	conn          net.Conn
 	outbound      atomic.Bool
+	open          atomic.Bool
 	sendQueue     *chivering.Ring[[]byte]
 	ctx           context.Context //nolint:containedctx // the lifetime of the link's two goroutines
 	cancel        context.CancelFunc
@@ -77,6 +78,7 @@
 
 // serve runs the reader and the writer until one of them ends the link.
 func (l *link) serve() {
+	l.open.Store(true)
 	l.lastReceived.Store(time.Now().UnixNano())
 	reader := sync.WaitGroup{}
 	reader.Add(1)
--- a/chivewire/mesh.go
+++ b/chivewire/mesh.go
@@ -163,6 +163,14 @@
 	return trafficByKind(&m.sent), trafficByKind(&m.received)
 }
 
+// IsConnected reports whether messages to a peer are sent over an open connection, so that none has to be established.
+func (m *Mesh) IsConnected(peer string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l, ok := m.linkByPeer[peer]
+	return ok && l.open.Load()
+}
+
 // Links returns the number of connections, including those that are still being established.
 func (m *Mesh) Links() int {
 	m.mu.Lock()
