Endpoints in other regions: their way is part of health checks, crashes and connections through peers

An attempt at an endpoint 60 ms away and back counted as accepted before it had arrived, so the reset of an overloaded endpoint was a crash; a broken request went on before the health check (a connection and a request) could end; two engines that failed together looked apart by the difference of the ways of those who reported it; a connection of 160 ms was raced through a peer.

Such waits now take Table.WaitForDomain. A request waits for a far check at most a quarter of its target. A crash is dated earlier by the way of the connection's end, by the node that saw it: the window within which crashes have one cause is then the same at every node, as the reports have to be.

Tests with a far endpoint, failed without distances: an overloaded one was reported as crashed; no report when the request ended; the crash dated 241 ms after the request instead of 210; one connection to a peer.

--- a/chivedistance/table.go
+++ b/chivedistance/table.go
@@ -233,12 +233,15 @@
 	return wait(roundTrip, near)
 }
 
-// WaitForDomain returns how long to wait for the reply of an endpoint in a failure domain. near is the wait for an
-// endpoint in the same region.
-func (t *Table) WaitForDomain(domain string, near time.Duration) time.Duration {
-	return wait(t.Map().ToDomain(domain), near)
+// WaitForDomain returns how long to wait for something that takes a number of round trips to an endpoint in a failure
+// domain. near is the wait for an endpoint in the same region.
+func (t *Table) WaitForDomain(domain string, near time.Duration, roundTrips int) time.Duration {
+	return wait(t.Map().ToDomain(domain)*time.Duration(roundTrips), near)
 }
 
+// FromDomain returns how long bytes take from an endpoint in a failure domain to this node, beyond the time inside a region.
+func (t *Table) FromDomain(domain string) time.Duration { return t.Map().ToDomain(domain) / 2 }
+
 func wait(roundTrip, near time.Duration) time.Duration { return near + roundTrip + roundTrip/tolerance }
 
 // CanWait reports whether a request with the given target may wait for the reply of a peer: always if the peer is near,
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -152,7 +152,8 @@
 
 // wasAccepted reports whether the endpoint is taken to have accepted the request before the attempt broke off.
 func (a *attempt) wasAccepted(brokeAt time.Time) bool {
-	return a.streaming.Load() || brokeAt.Sub(a.startedAt) >= acceptedAfter
+	distances := a.state.forwarder.options.Distances
+	return a.streaming.Load() || brokeAt.Sub(a.startedAt) >= distances.WaitForDomain(a.target.FailureDomain, acceptedAfter, checkRoundTrips)
 }
 
 // callOnClose calls onClose when the channel is closed before the context ends. After stop returns, onClose is no
--- a/chiveforward/failure.go
+++ b/chiveforward/failure.go
@@ -16,11 +16,17 @@
 )
 
 const (
-	// healthCheckWait is how long a request waits for the health check after its attempt broke off, so that the next
-	// attempt takes a crash into account.
+	// healthCheckWait is how long a request waits for the health check of an endpoint in the same region after its attempt
+	// broke off, so that the next attempt takes a crash into account.
 	healthCheckWait = 25 * time.Millisecond
-	// acceptedAfter is how long an attempt without a response must have run for the endpoint to count as having
-	// accepted the request. An endpoint with too many connections resets a new one sooner than that, while the requests
+	// checkRoundTrips is the number of round trips of a health check, and of an attempt that is reset as soon as it has
+	// connected.
+	checkRoundTrips = 2
+	// checkWaitDivisor is the ratio of a request's target to the longest time that it waits for the health check of an
+	// endpoint in another region.
+	checkWaitDivisor = 4
+	// acceptedAfter is how long an attempt without a response must have run for an endpoint in the same region to count as
+	// having accepted the request. An endpoint with too many connections resets a new one sooner than that, while the requests
 	// on its other connections continue.
 	acceptedAfter = 20 * time.Millisecond
 	// inconclusiveRetention is how long a broken attempt without conclusive evidence is kept. The successor of a
@@ -81,38 +87,44 @@
 }
 
 // investigateBreak checks whether the endpoint of a broken attempt crashed, and reports it if so. It returns after
-// healthCheckWait at the latest; a check that takes longer continues in the background.
+// f.healthCheckWait at the latest; a check that takes longer continues in the background.
 func (f *Forwarder) investigateBreak(ctx context.Context, a *attempt) {
 	brokeAt := time.Now()
 	f.inFlight.recordBreak(a.target.Incarnation, brokeAt)
 	if a.endpointReplaced {
-		f.reportCrash(a, chivehealth.EvidenceReplaced, brokeAt)
+		f.reportBreak(a, chivehealth.EvidenceReplaced, brokeAt)
 		return
 	}
-	check := f.health.Start(a.target.healthEndpoint())
+	check := f.health.Start(a.target.healthEndpoint(f.options.Distances))
 	evaluate := func() { f.evaluateBreak(a, check, brokeAt) }
 	select {
 	case <-check.Done():
 		evaluate()
 	case <-ctx.Done():
 		go evaluate()
-	case <-time.After(healthCheckWait):
+	case <-time.After(f.healthCheckWait(a)):
 		go evaluate()
 	}
 }
 
+// healthCheckWait returns how long the request of a broken attempt waits for the health check.
+func (f *Forwarder) healthCheckWait(a *attempt) time.Duration {
+	wait := f.options.Distances.WaitForDomain(a.target.FailureDomain, healthCheckWait, checkRoundTrips)
+	return max(min(wait, a.state.request.Route.Target/checkWaitDivisor), healthCheckWait)
+}
+
 // evaluateBreak reports a crash of the endpoint during a broken attempt if the evidence is strong enough.
 func (f *Forwarder) evaluateBreak(a *attempt, check *chivehealth.Check, brokeAt time.Time) {
 	result := check.Result()
 	switch evidence := result.Evidence; {
 	case result.Alive && !check.Began().Before(brokeAt):
 	case evidence == chivehealth.EvidenceRefused:
-		f.reportCrash(a, evidence, brokeAt)
+		f.reportBreak(a, evidence, brokeAt)
 	case !a.endpointWasAlive && !a.wasAccepted(brokeAt):
 		// The endpoint may have failed before the attempt began. With EvidenceRefused this cannot be: an endpoint that
 		// had already been refusing connections would not have received the attempt.
 	case evidence == chivehealth.EvidenceReplaced, evidence != chivehealth.EvidenceNone && a.wasAccepted(brokeAt):
-		f.reportCrash(a, evidence, brokeAt)
+		f.reportBreak(a, evidence, brokeAt)
 	default:
 		f.inconclusive.add(brokenAttempt{a, brokeAt})
 		if evidence != chivehealth.EvidenceNone {
@@ -123,7 +135,7 @@
 
 // recheck repeats the health check of an endpoint that immediately reset both an attempt and a first health check.
 func (f *Forwarder) recheck(a *attempt, brokeAt time.Time) {
-	result := f.health.Start(a.target.healthEndpoint()).Result()
+	result := f.health.Start(a.target.healthEndpoint(f.options.Distances)).Result()
 	isSameProcess := func(t Target) bool { return t.Incarnation == a.target.Incarnation }
 	if result.Alive || result.Evidence == chivehealth.EvidenceNone {
 		return
@@ -132,10 +144,17 @@
 		return
 	}
 	for _, broken := range f.inconclusive.take(time.Now(), isSameProcess) {
-		f.reportCrash(broken.attempt, result.Evidence, broken.brokeAt)
+		f.reportBreak(broken.attempt, result.Evidence, broken.brokeAt)
 	}
 }
 
+// reportBreak reports that an endpoint crashed under an attempt that broke off here. It crashed earlier by the time that
+// the end of the connection took: nodes at different distances then report the same time, by which crashes that have one
+// cause are recognized.
+func (f *Forwarder) reportBreak(a *attempt, evidence chivehealth.Evidence, brokeAt time.Time) {
+	f.reportCrash(a, evidence, brokeAt.Add(-f.options.Distances.FromDomain(a.target.FailureDomain)))
+}
+
 // reportCrash reports that an endpoint failed during an attempt, unless its end was planned.
 func (f *Forwarder) reportCrash(a *attempt, evidence chivehealth.Evidence, at time.Time) {
 	r := a.state
@@ -220,6 +239,6 @@
 		}
 	}
 	for _, broken := range f.inconclusive.take(time.Now(), replaced) {
-		f.reportCrash(broken.attempt, chivehealth.EvidenceReplaced, broken.brokeAt)
+		f.reportBreak(broken.attempt, chivehealth.EvidenceReplaced, broken.brokeAt)
 	}
 }
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"chivedrift/chivedistance"
 	"chivedrift/chivehealth"
 	"chivedrift/chivekernel"
 	"chivedrift/chiveplace"
@@ -36,7 +37,9 @@
 	OnNotice func(through string, endpoint Target, notice chiverequest.Notice)
 	// OnStart is called once per request, when an endpoint first responds to one of its attempts; nil is a no-op.
 	OnStart func(request *chiverequest.Request)
-	Logger  *slog.Logger
+	// Distances are the distances to the endpoints; nil in a deployment in one region.
+	Distances *chivedistance.Table
+	Logger    *slog.Logger
 	// SinceBoot reads a clock that keeps running while the machine is suspended. If nil, the runtime's clock is used,
 	// which tests can pause.
 	SinceBoot func() time.Duration
@@ -86,8 +89,9 @@
 }
 
 // healthEndpoint returns the endpoint in the form that a health check takes.
-func (t Target) healthEndpoint() chivehealth.Endpoint {
-	return chivehealth.Endpoint{ID: t.ID, Incarnation: t.Incarnation, Address: t.Address}
+func (t Target) healthEndpoint(distances *chivedistance.Table) chivehealth.Endpoint {
+	timeout := distances.WaitForDomain(t.FailureDomain, chivehealth.CheckTimeout, checkRoundTrips)
+	return chivehealth.Endpoint{ID: t.ID, Incarnation: t.Incarnation, Address: t.Address, Timeout: timeout}
 }
 
 // failure returns a Failure of the endpoint with the given evidence and time.
--- a/chiveforward/quarantine_test.go
+++ b/chiveforward/quarantine_test.go
@@ -24,6 +24,7 @@
 	quarantined chivequarantine.Admission
 	crashed     []string
 	evidence    []chivehealth.Evidence
+	crashedAt   []time.Time
 	alive       []string
 	failed      []chivehealth.Failure
 	answered    int
@@ -47,6 +48,7 @@
 	defer q.mu.Unlock()
 	q.crashed = append(q.crashed, failure.Endpoint+" in "+failure.FailureDomain)
 	q.evidence = append(q.evidence, failure.Evidence)
+	q.crashedAt = append(q.crashedAt, failure.At)
 }
 
 func (q *fakeQuarantine) Permit(context.Context, time.Time, *chiverequest.Request) bool { return true }
--- a/chiveforward/silence.go
+++ b/chiveforward/silence.go
@@ -55,7 +55,7 @@
 
 // investigateSilence checks whether a silent endpoint failed, and reports it for the attempts in flight there if so.
 func (f *Forwarder) investigateSilence(s silentEndpoint) {
-	result := f.health.Start(s.target.healthEndpoint()).Result()
+	result := f.health.Start(s.target.healthEndpoint(f.options.Distances)).Result()
 	evidence := result.Evidence
 	if f.options.PathLost(s.target.Address) {
 		// The connections are silent since the node is cut off from the endpoint.
--- a/chivehealth/checker.go
+++ b/chivehealth/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -17,9 +18,9 @@
 )
 
 const (
-	// checkTimeout bounds a health check. A host that has not answered within this time does not answer new connections
-	// either.
-	checkTimeout = 400 * time.Millisecond
+	// CheckTimeout bounds the health check of an endpoint in the same region. A host that has not answered within this time
+	// does not answer new connections either.
+	CheckTimeout = 400 * time.Millisecond
 	// failureTTL is how long a failed check is reused for other requests that break at the same endpoint.
 	failureTTL = time.Second
 	// aliveTTL is how long any other result is reused. It is short since an endpoint may crash right after it answered,
@@ -33,6 +34,8 @@
 	// Incarnation identifies the process that is expected at the address.
 	Incarnation string
 	Address     string
+	// Timeout bounds the check; 0 stands for CheckTimeout.
+	Timeout time.Duration
 }
 
 // Result is the outcome of a health check.
@@ -120,7 +123,7 @@
 
 // run performs a check. It has a context of its own, since the result is shared by all requests at the endpoint.
 func (c *Checker) run(e Endpoint) Result {
-	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), cmp.Or(e.Timeout, CheckTimeout))
 	defer cancel()
 	conn, err := c.network.Dial(ctx, c.self, e.Address)
 	if err != nil {
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -292,11 +292,13 @@
 	n.pools = pools
 	n.relay = chiverelay.New(chiverelay.Options{
 		Self: s.Listen.Callers, Address: s.Listen.Relay, Network: network, Region: s.Region, Regions: s.RegionOf(), Full: n.memory.Full, Logger: n.logger,
-		Accepts: pools.Accepts,
+		Distances: n.distances,
+		Accepts:   pools.Accepts,
 	})
 	n.notices = chivenotice.New(chivenotice.Options{Mesh: n.mesh, State: pools.StateNotice, ConnectedFor: n.relay.ConnectedFor, Logger: n.logger})
 	forwarder := chiveforward.New(chiveforward.Options{
 		Self: s.Listen.Callers, Network: n.relay, PathLost: n.relay.IsLost, Dialect: chiveplatform.Endpoints{}, Places: pools, Repeats: n.sharedRetryBudget, Rules: chiveforward.StoreRules,
+		Distances:  n.distances,
 		Quarantine: n.quarantine, Streams: n.streams, OnNotice: n.forwardNotice, OnStart: n.recordStart, SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
 	})
 	n.forwarder = forwarder
--- a/chiverelay/dial.go
+++ b/chiverelay/dial.go
@@ -8,11 +8,14 @@
 )
 
 const (
-	// relayDelay is how long this node's own connection attempt may take before one through a peer starts beside it. It
-	// is several round trips within a region.
+	// relayDelay is how long this node's own connection attempt may take before one through a peer starts beside it, to an
+	// endpoint in the same region. It is several round trips.
 	relayDelay = 150 * time.Millisecond
-	// peerStagger is how long a peer may take to connect before the next one is asked beside it.
-	peerStagger = 60 * time.Millisecond
+	// peerStagger is how long a peer may take to connect before the next one is asked beside it, where both and the endpoint
+	// are in the same region. From another region, that takes relayRoundTrips: a connection to the peer, and the request.
+	// Peers are in the endpoint's region.
+	peerStagger     = 60 * time.Millisecond
+	relayRoundTrips = 2
 	// maxPeers is the number of peers that are asked for one connection.
 	maxPeers = 3
 )
@@ -40,7 +43,7 @@
 		conn, err := s.options.Network.Dial(ctx, from, address)
 		direct <- dialResult{conn, err}
 	}()
-	timer := time.NewTimer(relayDelay)
+	timer := time.NewTimer(s.options.Distances.WaitForDomain(failureDomain, relayDelay, 1))
 	defer timer.Stop()
 	select {
 	case result := <-direct:
@@ -131,7 +134,7 @@
 			results <- dialResult{conn, err}
 		}()
 	}
-	stagger := time.NewTicker(peerStagger)
+	stagger := time.NewTicker(s.options.Distances.WaitForDomain(failureDomain, peerStagger, relayRoundTrips))
 	defer stagger.Stop()
 	start()
 	for err := errNoPeer; ; {
--- a/chiverelay/server.go
+++ b/chiverelay/server.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// connectTimeout bounds this node's attempt to connect for a peer.
+	// connectTimeout bounds this node's attempt to connect for a peer within a region.
 	connectTimeout = 250 * time.Millisecond
 	// maxTunnels is the number of connections that a node opens for its peers at the same time. Each takes two
 	// descriptors and about 40 KB.
@@ -22,7 +22,7 @@
 // serve connects to an endpoint for a peer and passes on bytes until one of the two ends closes.
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
 	address := strings.TrimPrefix(r.URL.Path, tunnelPath)
-	_, lost, known := s.paths.find(address)
+	failureDomain, lost, known := s.paths.find(address)
 	switch {
 	case r.Method != http.MethodPost || !strings.HasPrefix(r.URL.Path, tunnelPath):
 		w.WriteHeader(http.StatusNotFound)
@@ -43,7 +43,7 @@
 		return
 	}
 	defer s.tunnels.Add(-1)
-	ctx, cancel := context.WithTimeout(r.Context(), connectTimeout)
+	ctx, cancel := context.WithTimeout(r.Context(), s.options.Distances.WaitForDomain(failureDomain, connectTimeout, 1))
 	defer cancel()
 	conn, err := s.options.Network.Dial(ctx, s.options.Self, address)
 	if err != nil {
--- a/chiverelay/service.go
+++ b/chiverelay/service.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"chivedrift/chivedirectory"
+	"chivedrift/chivedistance"
 	"chivedrift/chiveevent"
 	"chivedrift/chivekernel"
 	"chivedrift/chivemember"
@@ -40,7 +41,7 @@
 	minProven        = 3
 	// probeInterval is the time between two attempts to connect to endpoints whose paths are lost.
 	probeInterval = 500 * time.Millisecond
-	// probeTimeout bounds such an attempt, and probesPerInterval their number while none succeeds.
+	// probeTimeout bounds such an attempt within a region, and probesPerInterval their number while none succeeds.
 	probeTimeout      = 300 * time.Millisecond
 	probesPerInterval = 2
 	// drainPollInterval is how often Drain checks whether all tunnels have ended.
@@ -58,6 +59,8 @@
 	// Region is this node's region, Regions the region of each failure domain.
 	Region  string
 	Regions chiveresidency.Map
+	// Distances are the distances to the peers and endpoints; nil in a deployment in one region.
+	Distances *chivedistance.Table
 	// Accepts reports whether the endpoint at an address takes requests of this node, and so of peers through it; nil means
 	// that all do.
 	Accepts func(address string) bool
@@ -409,7 +412,8 @@
 
 // probePath reports whether this node can connect to an endpoint itself.
 func (s *Service) probePath(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	failureDomain, _, _ := s.paths.find(address)
+	ctx, cancel := context.WithTimeout(ctx, s.options.Distances.WaitForDomain(failureDomain, probeTimeout, 1))
 	defer cancel()
 	conn, err := s.options.Network.Dial(ctx, s.options.Self, address)
 	if err != nil {
