Distances: events, metrics by region, state dump, and the table of waits

An operator could not see that a region is far, or that its nodes do not answer. Events 810 (measured, changed by more than a quarter), 811 and 812 (a tenth and at least five of the questions of 10 s without an answer; answers again); metrics of answered and timed out questions and of the time to the answer by region, only where the settings name several; state dump distances.

--- a/chivedistance/calls.go
+++ b/chivedistance/calls.go
@@ -31,9 +31,9 @@
 	switch {
 	case err == nil:
 		c.table.Observe(peer, time.Since(sentAt))
-		c.table.countCall(peer, true)
+		c.table.countCall(peer, time.Since(sentAt), true)
 	case errors.Is(err, chivewire.ErrNoReply):
-		c.table.countCall(peer, false)
+		c.table.countCall(peer, 0, false)
 	}
 	return reply, err
 }
--- a/chivedistance/counts.go
+++ b/chivedistance/counts.go
@@ -1,8 +1,14 @@
 package chivedistance
 
 import (
+	"context"
+	"log/slog"
 	"maps"
 	"time"
+
+	"chivedrift/chiveevent"
+
+	"github.com/uber-go/tally/v4"
 )
 
 // Counts are the numbers of requests to the peers of one region since the start of this node.
@@ -27,32 +33,119 @@
 	LongestMs  float64 `json:"longest_ms"`
 }
 
-// countCall counts a request that a peer answered, or did not answer in time.
-func (t *Table) countCall(peer string, answered bool) {
-	if t == nil {
+// add counts a request.
+func (c *Counts) add(answered bool) {
+	c.Asked++
+	if answered {
+		c.Answered++
+	} else {
+		c.TimedOut++
+	}
+}
+
+// regionCalls are the requests to the peers of one region.
+type regionCalls struct {
+	total Counts
+	// recent are those since startedAt.
+	recent    Counts
+	startedAt time.Time
+	// silent means that too many of the requests before startedAt had no answer in time.
+	silent bool
+
+	answered, timedOut tally.Counter
+	took               tally.Histogram
+}
+
+const (
+	// silencePeriod is the time over which the requests without an answer are counted.
+	silencePeriod = 10 * time.Second
+	// minSilentCalls and silentDivisor are how many requests, and which part of them, have no answer from a silent region.
+	minSilentCalls = 5
+	silentDivisor  = 10
+)
+
+// endPeriod starts the next period if this one is over, and reports whether the region has turned silent or has answered
+// again.
+func (c *regionCalls) endPeriod(now time.Time) (period Counts, changed bool) {
+	if now.Sub(c.startedAt) < silencePeriod {
+		return Counts{}, false
+	}
+	period, c.recent, c.startedAt = c.recent, Counts{}, now
+	silent := period.TimedOut >= minSilentCalls && period.TimedOut*silentDivisor >= period.Asked
+	changed = silent != c.silent
+	c.silent = silent
+	return period, changed
+}
+
+// Instrument sets where the table logs and counts; it must be called before the first measurement.
+func (t *Table) Instrument(logger *slog.Logger, scope tally.Scope) { t.logger, t.scope = logger, scope }
+
+// countCall counts a request that a peer answered after some time, or did not answer in time.
+func (t *Table) countCall(peer string, took time.Duration, answered bool) {
+	if t == nil || !t.Map().SpansRegions() {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	region := t.regionOf[peer]
-	counts := t.counts[region]
-	counts.Asked++
+	now, region := time.Now(), t.regionOf[peer]
+	c := t.callsTo(now, region)
+	c.total.add(answered)
+	c.recent.add(answered)
 	if answered {
-		counts.Answered++
+		c.answered.Inc(1)
+		c.took.RecordDuration(took)
 	} else {
-		counts.TimedOut++
+		c.timedOut.Inc(1)
+	}
+	if period, changed := c.endPeriod(now); changed {
+		event := chiveevent.RegionAnswers
+		if c.silent {
+			event = chiveevent.RegionSilent
+		}
+		event.Log(context.Background(), t.logger, slog.String("region", region), slog.Int64("asked", period.Asked), slog.Int64("timed_out", period.TimedOut))
+	}
+}
+
+// callBuckets are the upper bounds of the histogram of the times to a reply.
+var callBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 10)
+
+// callsTo returns the requests to a region; the caller holds the lock.
+func (t *Table) callsTo(now time.Time, region string) *regionCalls {
+	c, ok := t.calls[region]
+	if !ok {
+		scope := t.scope.Tagged(map[string]string{"region": region})
+		c = &regionCalls{
+			startedAt: now, answered: scope.Counter("peer_calls_answered"), timedOut: scope.Counter("peer_calls_timed_out"),
+			took: scope.Histogram("peer_call_seconds", callBuckets),
+		}
+		t.calls[region] = c
 	}
-	t.counts[region] = counts
+	return c
 }
 
+// logChange logs the round trip to a region if it differs from the one that was logged last by more than logDivisor
+// allows; the caller holds the lock.
+func (t *Table) logChange(region string, roundTrip time.Duration) {
+	last, logged := t.logged[region]
+	if logged && (roundTrip-last).Abs() <= last/logDivisor {
+		return
+	}
+	t.logged[region] = roundTrip
+	chiveevent.DistanceMeasured.Log(context.Background(), t.logger, slog.String("region", region),
+		slog.Float64("round_trip_ms", milliseconds(roundTrip)), slog.Float64("before_ms", milliseconds(last)))
+}
+
+// logDivisor is the divisor of a round trip that gives the change that is not logged.
+const logDivisor = 4
+
 // Regions returns the state of each region that is in the settings or that a peer was asked in.
 func (t *Table) Regions() map[string]RegionState {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
 	states := make(map[string]RegionState)
-	for region, counts := range t.counts {
-		states[region] = RegionState{Counts: counts}
+	for region, c := range t.calls {
+		states[region] = RegionState{Counts: c.total}
 	}
 	for _, region := range t.regions.Regions() {
 		states[region] = t.stateOf(now, region)
@@ -62,7 +155,10 @@
 
 // stateOf returns the state of a region; the caller holds the lock.
 func (t *Table) stateOf(now time.Time, region string) RegionState {
-	state := RegionState{Counts: t.counts[region], RoundTripMs: milliseconds(t.Map().ToRegion(region))}
+	state := RegionState{RoundTripMs: milliseconds(t.Map().ToRegion(region))}
+	if c, ok := t.calls[region]; ok {
+		state.Counts = c.total
+	}
 	m, measured := t.toRegion[region]
 	if !measured {
 		return state
--- a/chivedistance/table.go
+++ b/chivedistance/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -9,6 +10,8 @@
 
 	"chivedrift/chivemember"
 	"chivedrift/chiveresidency"
+
+	"github.com/uber-go/tally/v4"
 )
 
 // ServiceName is the name under which a table registers.
@@ -80,13 +83,17 @@
 	listeners []func(Map)
 	// isConnected reports whether messages to a peer are sent over an open connection; nil means always.
 	isConnected func(peer string) bool
+	logger      *slog.Logger
+	scope       tally.Scope
 	published   atomic.Pointer[published]
 
-	mu        sync.Mutex
-	peers     map[string]*estimate
-	regionOf  map[string]string
-	toRegion  map[string]measurement
-	counts    map[string]Counts
+	mu       sync.Mutex
+	peers    map[string]*estimate
+	regionOf map[string]string
+	toRegion map[string]measurement
+	calls    map[string]*regionCalls
+	// logged holds the round trips as they were logged last, by region.
+	logged    map[string]time.Duration
 	notifying sync.Mutex
 }
 
@@ -94,7 +101,8 @@
 func New(region string, regions chiveresidency.Map) *Table {
 	t := &Table{
 		region: region, regions: regions,
-		peers: make(map[string]*estimate), regionOf: make(map[string]string), toRegion: make(map[string]measurement), counts: make(map[string]Counts),
+		peers: make(map[string]*estimate), regionOf: make(map[string]string), toRegion: make(map[string]measurement), calls: make(map[string]*regionCalls), logged: make(map[string]time.Duration),
+		logger: slog.New(slog.DiscardHandler), scope: tally.NoopScope,
 	}
 	t.publish()
 	return t
@@ -164,6 +172,7 @@
 	t.toRegion[region] = measurement{median, now}
 	if changed {
 		t.publish()
+		t.logChange(region, median)
 	}
 	return changed
 }
--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -5,7 +5,7 @@
 )
 
 // The events are numbered by subject: 100 to 199 the lifecycle of the node, 200 configuration, 300 membership, 400
-// scheduling, 500 requests, 600 claims of idempotency keys, 700 orders, leases and usage reports.
+// scheduling, 500 requests, 600 claims of idempotency keys, 700 orders, leases and usage reports, 810 distances.
 var (
 	NodeStarting     = define(100, slog.LevelInfo, "node starting", "None.")
 	NodeReady        = define(101, slog.LevelInfo, "node ready", "None; the load balancer may send traffic.")
@@ -69,6 +69,10 @@
 
 	NoticeReceived = define(413, slog.LevelInfo, "endpoint's notice received from a peer", "None; the endpoint said it on a connection that one node has opened for another.")
 
+	DistanceMeasured = define(810, slog.LevelInfo, "distance to a region measured", "None; round_trip_ms is the round trip to its nodes, by which this node waits for them. If it changes often, check the network between the regions.")
+	RegionSilent     = define(811, slog.LevelWarn, "peers of a region do not answer in time", "Look at the nodes of the region if other nodes log this too, else at the network between this node and the region. Requests go on without their answers.")
+	RegionAnswers    = define(812, slog.LevelInfo, "peers of a region answer in time again", "None.")
+
 	RequestRefused  = define(500, slog.LevelWarn, "request refused", "Read the reason; under overload, check the tier and the share of the class.")
 	RequestBroken   = define(501, slog.LevelWarn, "attempt broke", "Check the endpoint if this repeats.")
 	AttemptEnded    = define(503, slog.LevelInfo, "attempt ended", "The field ended shows how the attempt ended; touched shows whether the endpoint may have run it, repeat that an earlier attempt of the request had reached an endpoint.")
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -144,6 +144,7 @@
 	store := chiveplatform.NewStore(n.settings.Store, n.settings.Listen.Peers, network)
 	metrics := chivemetric.New()
 	discovery := n.assembleFleet(network, store)
+	n.distances.Instrument(n.logger, metrics.Scope())
 	feeds := n.newFeeds(store, discovery)
 	n.endpointReadAge = feeds.directory.Age
 	singletons := n.assembleSingletons(network, store)
