Relay: an attempt through a peer ends with its context after the peer has closed the connection

A peer that closed its connection without a response left the attempt of a node, and with it the dial and the request, waiting for ever: the HTTP client returns only after the body of the request has ended, which nobody ended, and cancelling the request does not help by then. Found by the soak of regions that lie apart (a region that is cut off and comes back), where it left goroutines at the end.

Now the end of the context ends the body. The test, a peer that closes after 20 ms, waited beyond 2 s with a context of 200 ms before; it ends in time now.

--- a/chiverelay/tunnel.go
+++ b/chiverelay/tunnel.go
@@ -41,8 +41,12 @@
 // openTunnel has a peer connect to an address.
 func (s *Service) openTunnel(ctx context.Context, peer chivemember.Member, address string) (net.Conn, error) {
 	tunnelCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	stop := context.AfterFunc(ctx, cancel)
 	reader, writer := io.Pipe()
+	stop := context.AfterFunc(ctx, func() {
+		cancel()
+		// After the peer has closed the connection, RoundTrip returns only once the request's body has ended.
+		_ = writer.CloseWithError(net.ErrClosed)
+	})
 	request, err := http.NewRequestWithContext(tunnelCtx, http.MethodPost, "http://"+peer.RelayAddress+tunnelPath+address, reader)
 	if err != nil {
 		cancel()
