--- a/chivequota/service.go
+++ b/chivequota/service.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"chivedrift/chivedistance"
 	"chivedrift/chivemember"
 	"chivedrift/chiveroute"
 	"chivedrift/chivewire"
@@ -16,7 +15,6 @@
 const ServiceName = "quota"
 
 const (
-	// replyTimeout is how long an owner in the same region may take to reply.
 	replyTimeout      = 250 * time.Millisecond
 	maxBuckets        = 4096
 	bucketIdleTimeout = time.Minute
@@ -41,7 +39,7 @@
 type Service struct {
 	mesh         *chivewire.Mesh
 	members      atomic.Pointer[[]chivemember.Member]
-	calls        *chivedistance.Calls[Grant]
+	calls        *chivewire.Calls[Grant]
 	mu           sync.Mutex
 	buckets      map[string]*Bucket
 	localBuckets map[string]*Bucket
@@ -51,7 +49,7 @@
 // NewService returns a service without buckets.
 func NewService(mesh *chivewire.Mesh) *Service {
 	s := &Service{
-		mesh: mesh, calls: chivedistance.NewCalls[Grant](nil), buckets: make(map[string]*Bucket), localBuckets: make(map[string]*Bucket), limits: make(map[string]int64),
+		mesh: mesh, calls: chivewire.NewCalls[Grant](), buckets: make(map[string]*Bucket), localBuckets: make(map[string]*Bucket), limits: make(map[string]int64),
 	}
 	s.members.Store(&[]chivemember.Member{})
 	chivewire.Receive(mesh, chivewire.KindQuotaRequest, s.handleRequest)
@@ -123,7 +121,7 @@
 	if !ok {
 		return Grant{}, false
 	}
-	grant, err := s.calls.Call(ctx, owner, replyTimeout, func(number uint64) error {
+	grant, err := s.calls.Call(ctx, replyTimeout, func(number uint64) error {
 		r.ID = int64(number)
 		return s.mesh.Send(owner, chivewire.KindQuotaRequest, r)
 	})
