Distance: connections that are being established are no distance

A node without a probe target in a region probed its members in turn: with 20 of them each probe came after the connection had been idle for 30 s and closed, and its answer took two round trips. So did the first question to an owner. Both counted as distances. And a region's median was kept while only replies came that changed nothing for their own peer, although those of other peers had gone out of date.

Now two members stay those that are probed, the first answer of a member and replies to questions over connections that were not open are not measured, and the median is taken anew at least with each window. Test: questions over new connections, 120 ms for 60, became the distance before.

--- a/chivedistance/calls.go
+++ b/chivedistance/calls.go
@@ -26,11 +26,13 @@
 // Call sends a request to a peer under a new number and waits for its reply: near, and as much longer as the peer is
 // farther than one in this node's region. The error is that of send, chivewire.ErrNoReply, or the context's.
 func (c *Calls[R]) Call(ctx context.Context, peer string, near time.Duration, send func(number uint64) error) (reply R, err error) {
-	sentAt := time.Now()
+	sentAt, connected := time.Now(), c.table.isReached(peer)
 	reply, err = c.calls.Call(ctx, c.table.Wait(peer, near), send)
 	switch {
 	case err == nil:
-		c.table.Observe(peer, time.Since(sentAt))
+		if connected {
+			c.table.Observe(peer, time.Since(sentAt))
+		}
 		c.table.countCall(peer, time.Since(sentAt), true)
 	case errors.Is(err, chivewire.ErrNoReply):
 		c.table.countCall(peer, 0, false)
--- a/chivedistance/calls_test.go
+++ b/chivedistance/calls_test.go
@@ -59,3 +59,26 @@
 		}
 	})
 }
+
+// Guards against the time to establish a connection that is not awaited, or that counts as distance.
+func TestCallsOverNewConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, connected := fleet(threeRegions), true
+		table.SetConnected(func(string) bool { return connected })
+		table.Observe("south0", farTrip)
+		connected = false
+		calls := chivedistance.NewCalls[string](table)
+		for range 20 {
+			if _, err := calls.Call(context.Background(), "south1", nearWait, func(number uint64) error {
+				time.AfterFunc(2*farTrip, func() { calls.Deliver(number, "") })
+				return nil
+			}); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+		}
+		if got := table.RoundTrip("south0"); got != farTrip {
+			t.Errorf("round trip %v, want %v", got, farTrip)
+		}
+	})
+}
--- a/chivedistance/table.go
+++ b/chivedistance/table.go
@@ -39,7 +39,9 @@
 	startedAt         time.Time
 }
 
-func (e *estimate) add(now time.Time, roundTrip time.Duration) {
+// add records a round trip and reports whether the estimate may have changed.
+func (e *estimate) add(now time.Time, roundTrip time.Duration) (changed bool) {
+	before, startedAt := e.shortest(), e.startedAt
 	switch age := now.Sub(e.startedAt); {
 	case age >= 2*window:
 		e.previous, e.current, e.startedAt = 0, 0, now
@@ -49,6 +51,7 @@
 	if e.current == 0 || roundTrip < e.current {
 		e.current = roundTrip
 	}
+	return e.shortest() != before || !e.startedAt.Equal(startedAt)
 }
 
 // shortest returns the estimate.
@@ -156,10 +159,9 @@
 		e = &estimate{region: region, startedAt: now}
 		t.peers[peer] = e
 	}
-	before := e.shortest()
-	e.add(now, roundTrip)
+	estimateChanged := e.add(now, roundTrip)
 	last, measured := t.toRegion[region]
-	if measured && e.shortest() == before {
+	if measured && !estimateChanged {
 		t.toRegion[region] = measurement{last.roundTrip, now}
 		return false
 	}
@@ -236,12 +238,18 @@
 // has to be established first takes another round trip.
 func (t *Table) Wait(peer string, near time.Duration) time.Duration {
 	roundTrip := t.RoundTrip(peer)
-	if roundTrip > 0 && t.isConnected != nil && !t.isConnected(peer) {
+	if !t.isReached(peer) {
 		return wait(2*roundTrip, near)
 	}
 	return wait(roundTrip, near)
 }
 
+// isReached reports whether a peer is near, or messages to it are sent over an open connection, so that its reply takes one
+// round trip.
+func (t *Table) isReached(peer string) bool {
+	return t.RoundTrip(peer) == 0 || t.isConnected == nil || t.isConnected(peer)
+}
+
 // WaitForDomain returns how long to wait for something that takes a number of round trips to an endpoint in a failure
 // domain. near is the wait for an endpoint in the same region.
 func (t *Table) WaitForDomain(domain string, near time.Duration, roundTrips int) time.Duration {
--- a/chivemember/round_trip.go
+++ b/chivemember/round_trip.go
@@ -1,13 +1,17 @@
 package chivemember
 
 import (
-	"cmp"
-	"slices"
+	"sort"
 	"time"
 )
 
-// ambiguousTime is how long after a probe without an answer no answer is measured.
-const ambiguousTime = deadAfter
+const (
+	// ambiguousTime is how long after a probe without an answer no answer is measured.
+	ambiguousTime = deadAfter
+	// regionProbes is how many members of a region without probe targets are probed for their distance: more than one, so
+	// that a slow one does not make the region far.
+	regionProbes = 2
+)
 
 // OnReply sets a function that is called with the time from a probe to its answer. It must be set before the first tick.
 func (v *View) OnReply(notify func(address string, roundTrip time.Duration)) { v.onReply = notify }
@@ -15,7 +19,11 @@
 // sendProbe returns a probe of a member, whose answer is measured unless the one before has none yet: answers do not name
 // the probe that they are for.
 func (v *View) sendProbe(now time.Time, e *entry) Envelope {
-	if !e.probedAt.IsZero() {
+	switch {
+	case !e.probed:
+		// The first answer comes over a connection that is being established, or is that to contactAbsent.
+		e.probed, e.ambiguousUntil = true, now.Add(TickEvery)
+	case !e.probedAt.IsZero():
 		e.ambiguousUntil = now.Add(ambiguousTime)
 	}
 	e.probedAt = now
@@ -35,27 +43,24 @@
 	}
 }
 
-// probeRegions probes one member of each other region in which this node has no probe target, so that the distance to it
-// is measured. The members take turns.
+// probeRegions probes members of each other region in which this node has no probe target, so that the distance to it is
+// measured. They are the same each time, the next ones on the ring, so that the connections to them stay open.
 func (v *View) probeRegions(now time.Time) []Envelope {
 	if v.onReply == nil || v.self.Region == "" {
 		return nil
 	}
-	measured := map[string]bool{v.self.Region: true, "": true}
+	probed := map[string]int{v.self.Region: regionProbes, "": regionProbes}
 	for _, name := range v.probeTargets {
-		measured[v.entries[name].member.Region] = true
-	}
-	byRegion := make(map[string][]*entry)
-	for _, e := range v.entries {
-		if e.member.State != Dead && !measured[e.member.Region] {
-			byRegion[e.member.Region] = append(byRegion[e.member.Region], e)
-		}
+		probed[v.entries[name].member.Region] = regionProbes
 	}
-	v.regionOffset++
 	var out []Envelope
-	for _, entries := range byRegion {
-		slices.SortFunc(entries, func(a, b *entry) int { return cmp.Compare(a.key, b.key) })
-		out = append(out, v.sendProbe(now, entries[v.regionOffset%len(entries)]))
+	index := sort.SearchStrings(v.ring, ringKey(v.self.Name))
+	for distance := 1; distance < len(v.ring); distance++ {
+		e := v.entries[ringName(v.ring[wrap(index+distance, len(v.ring))])]
+		if region := e.member.Region; e.member.State != Dead && probed[region] < regionProbes {
+			probed[region]++
+			out = append(out, v.sendProbe(now, e))
+		}
 	}
 	return out
 }
--- a/chivemember/view.go
+++ b/chivemember/view.go
@@ -94,7 +94,6 @@
 	pendingUpdates []update
 	flushedAt      time.Time
 	onReply        func(address string, roundTrip time.Duration)
-	regionOffset   int
 }
 
 // An update is a changed member with the peer that reported it, to which it is not sent back.
@@ -112,8 +111,9 @@
 	differsSince time.Time
 	syncedAt     time.Time
 	diedAt       time.Time
-	// probedAt is when the last probe was sent that has no answer yet; zero if there is none. Until ambiguousUntil an
+	// probed means that a probe has been sent, probedAt is when the last probe was sent that has no answer yet; zero if there is none. Until ambiguousUntil an
 	// answer may be that to an earlier probe.
+	probed         bool
 	probedAt       time.Time
 	ambiguousUntil time.Time
 }
--- a/chivemember/view_ring.go
+++ b/chivemember/view_ring.go
@@ -44,10 +44,7 @@
 	v.addExtraTargets(now, index)
 	for _, name := range v.probeTargets {
 		if !previous[name] {
-			e := v.entries[name]
-			e.lastHeard = v.initialLastHeard(now)
-			// The first answers come over a connection that is being established, or are those to contactAbsent.
-			e.ambiguousUntil = now.Add(TickEvery)
+			v.entries[name].lastHeard = v.initialLastHeard(now)
 		}
 	}
 }
