--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -104,6 +104,7 @@
 		})
 	}
 	if !s.options.Distances.CanWait(owner, requestTimeout, p.request.Prompt.Target) {
+		s.far.Add(1)
 		return nil, ErrAlone
 	}
 	request := newPlacementRequest(p.request.Pool, group.String(), p.request.Prompt)
--- a/chivegrant/service.go
+++ b/chivegrant/service.go
@@ -71,6 +71,8 @@
 	Granted int64
 	Refused int64
 	Silent  int64
+	// Far counts requests that were placed locally because their owner is too far for their target.
+	Far int64
 }
 
 // incomingRequest is a placement request with the address of its sender.
@@ -90,6 +92,7 @@
 	granted    atomic.Int64
 	refused    atomic.Int64
 	timedOut   atomic.Int64
+	far        atomic.Int64
 
 	mu sync.Mutex
 	// endpoints holds the endpoints of each pool by the hashes of their ids; enginePools marks the pools of engines.
@@ -290,7 +293,7 @@
 
 // Counts returns the numbers of placement requests by outcome.
 func (s *Service) Counts() Counts {
-	return Counts{Asked: s.asked.Load(), Granted: s.granted.Load(), Refused: s.refused.Load(), Silent: s.timedOut.Load()}
+	return Counts{Asked: s.asked.Load(), Granted: s.granted.Load(), Refused: s.refused.Load(), Silent: s.timedOut.Load(), Far: s.far.Load()}
 }
 
 // Settled reports whether this node knows the fleet: there are other members and the membership has been unchanged for
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -416,6 +416,7 @@
 		{"permits_granted", func() float64 { return float64(n.rates.Counts().Granted) }},
 		{"permits_denied", func() float64 { return float64(n.rates.Counts().Denied) }},
 		{"permits_unanswered", func() float64 { return float64(n.rates.Counts().Unanswered) }},
+		{"owners_too_far", func() float64 { return float64(n.grants.Counts().Far) }},
 		{"owners_silent", func() float64 { return float64(n.grants.Counts().Silent) }},
 		{"requests_quarantined", func() float64 { return float64(n.quarantine.Counts().Quarantined) }},
 		{"parts_quarantined", func() float64 { return float64(n.quarantine.Counts().Parts) }},
