--- a/chivegrant/service.go
+++ b/chivegrant/service.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"chivedrift/chivedirectory"
+	"chivedrift/chivedistance"
 	"chivedrift/chiveevent"
 	"chivedrift/chivekernel"
 	"chivedrift/chivemember"
@@ -24,8 +25,8 @@
 const ServiceName = "grants"
 
 const (
-	// requestTimeout is how long an owner may take to respond: several network round trips, and far less than any
-	// latency target.
+	// requestTimeout is how long an owner in the same region may take to respond: several network round trips, and far
+	// less than any latency target.
 	requestTimeout = 40 * time.Millisecond
 	// ownerBackoff is how long an owner that did not respond is not asked: about the time until it is detected as dead.
 	ownerBackoff  = 2 * time.Second
@@ -57,9 +58,11 @@
 
 // Options are the dependencies of the service.
 type Options struct {
-	Mesh   *chivewire.Mesh
-	Pools  Pools
-	Logger *slog.Logger
+	Mesh  *chivewire.Mesh
+	Pools Pools
+	// Distances are the distances to the peers; nil in a deployment in one region.
+	Distances *chivedistance.Table
+	Logger    *slog.Logger
 }
 
 // Counts are the numbers of placement requests sent by this node since its start, by outcome.
@@ -68,6 +71,8 @@
 	Granted int64
 	Refused int64
 	Silent  int64
+	// Far counts requests that were placed locally because their owner is too far for their target.
+	Far int64
 }
 
 // incomingRequest is a placement request with the address of its sender.
@@ -81,12 +86,13 @@
 	options    Options
 	inbox      *chivering.Ring[incomingRequest]
 	assignment atomic.Pointer[assignment]
-	calls      *chivewire.Calls[PlaceAnswer]
+	calls      *chivedistance.Calls[PlaceAnswer]
 	lastGrant  atomic.Uint64
 	asked      atomic.Int64
 	granted    atomic.Int64
 	refused    atomic.Int64
 	timedOut   atomic.Int64
+	far        atomic.Int64
 
 	mu sync.Mutex
 	// endpoints holds the endpoints of each pool by the hashes of their ids; enginePools marks the pools of engines.
@@ -108,7 +114,7 @@
 // New returns a service without engines and members.
 func New(options Options) *Service {
 	s := &Service{
-		options: options, inbox: chivering.New[incomingRequest](inboxCapacity), enginePools: make(map[string]bool), endpoints: make(map[string]*trieNode[engine]), calls: chivewire.NewCalls[PlaceAnswer](),
+		options: options, inbox: chivering.New[incomingRequest](inboxCapacity), enginePools: make(map[string]bool), endpoints: make(map[string]*trieNode[engine]), calls: chivedistance.NewCalls[PlaceAnswer](options.Distances),
 		backoffUntil: make(map[string]time.Time), adopted: make(map[string]uint64), rebalanceTrigger: make(chan struct{}, 1),
 	}
 	s.assignment.Store(&assignment{})
@@ -287,7 +293,7 @@
 
 // Counts returns the numbers of placement requests by outcome.
 func (s *Service) Counts() Counts {
-	return Counts{Asked: s.asked.Load(), Granted: s.granted.Load(), Refused: s.refused.Load(), Silent: s.timedOut.Load()}
+	return Counts{Asked: s.asked.Load(), Granted: s.granted.Load(), Refused: s.refused.Load(), Silent: s.timedOut.Load(), Far: s.far.Load()}
 }
 
 // Settled reports whether this node knows the fleet: there are other members and the membership has been unchanged for
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -144,6 +144,7 @@
 	store := chiveplatform.NewStore(n.settings.Store, n.settings.Listen.Peers, network)
 	metrics := chivemetric.New()
 	discovery := n.assembleFleet(network, store)
+	n.distances.Instrument(n.logger, metrics.Scope())
 	feeds := n.newFeeds(store, discovery)
 	n.endpointReadAge = feeds.directory.Age
 	singletons := n.assembleSingletons(network, store)
@@ -157,6 +158,7 @@
 		{wireName, n.mesh},
 		{gaugeReporterName, newGaugeReporter(metrics.Scope(), n.mesh, process, n.gauges(store, feeds.table, feeds.directory)...)},
 		{discoveryName, discovery},
+		{chivedistance.ServiceName, n.distances},
 		{chivemember.ServiceName, n.members},
 		{chivetable.ServiceName, n.tables},
 		{chivedirectory.ServiceName, n.directory},
@@ -193,6 +195,7 @@
 	s := n.settings
 	n.mesh = chivewire.NewMesh(s.Listen.Peers, network)
 	n.distances = chivedistance.New(s.Region, s.RegionOf())
+	n.distances.SetConnected(n.mesh.IsConnected)
 	readsForAll := func() bool { return n.gossip.Reads() }
 	discovery := newPeerDiscovery(s.Listen.Peers, s.Region, s.FailureDomain, s.Seeds, store.Nodes(), readsForAll, n.logger)
 	n.members = chivemember.NewService(chivemember.Member{
@@ -204,7 +207,9 @@
 	n.directory = chivedirectory.NewService(chiveplatform.DecodeEndpoint, chivedirectory.DefaultGrace, n.logger)
 	n.versions = chiveversion.New(n.mesh, chiveplatform.DecodeVersion, func() time.Duration { return n.endpointReadAge() })
 	n.directory.OnChange(n.versions.ApplyEndpoints)
+	n.members.OnReply(n.distances.Observe)
 	n.streams = chivestream.New(n.mesh)
+	n.streams.SetDistances(n.distances)
 	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Tables: n.tables, Endpoints: n.directory, Deferred: n.directory.Deferred, Logger: n.logger})
 	n.tables.OnChange(func(*chivetable.Table) { n.gossip.Learnt() })
 	n.directory.OnChange(func(chivedirectory.Diff) { n.gossip.Learnt() })
@@ -279,19 +284,22 @@
 		Ratio: s.Repeats.Ratio, Headroom: s.Repeats.Headroom, Window: time.Duration(s.Repeats.WindowS * float64(time.Second)),
 	})
 	n.sharedRetryBudget = chivebudget.New(n.mesh, n.retryBudget)
+	n.sharedRetryBudget.SetDistances(n.distances)
 	n.memory = newMemoryGuard(s.MemoryMB*megabyte, n.logger)
-	n.quarantine = chivequarantine.New(chivequarantine.Options{Mesh: n.mesh, Logger: n.logger})
+	n.quarantine = chivequarantine.New(chivequarantine.Options{Mesh: n.mesh, Distances: n.distances, Logger: n.logger})
 	pools := chiveforward.NewPools(s.FailureDomain)
 	pools.SetRegions(s.RegionOf())
 	pools.SetVersions(n.versions.Of)
 	n.pools = pools
 	n.relay = chiverelay.New(chiverelay.Options{
 		Self: s.Listen.Callers, Address: s.Listen.Relay, Network: network, Region: s.Region, Regions: s.RegionOf(), Full: n.memory.Full, Logger: n.logger,
-		Accepts: pools.Accepts,
+		Distances: n.distances,
+		Accepts:   pools.Accepts,
 	})
 	n.notices = chivenotice.New(chivenotice.Options{Mesh: n.mesh, State: pools.StateNotice, ConnectedFor: n.relay.ConnectedFor, Logger: n.logger})
 	forwarder := chiveforward.New(chiveforward.Options{
 		Self: s.Listen.Callers, Network: n.relay, PathLost: n.relay.IsLost, Dialect: chiveplatform.Endpoints{}, Places: pools, Repeats: n.sharedRetryBudget, Rules: chiveforward.StoreRules,
+		Distances:  n.distances,
 		Quarantine: n.quarantine, Streams: n.streams, OnNotice: n.forwardNotice, OnStart: n.recordStart, SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
 	})
 	n.forwarder = forwarder
@@ -302,9 +310,10 @@
 		Scope: metrics.Scope(), Logger: n.logger,
 	})
 	n.ready = newReadiness(s.Listen.Ready, chiveplatform.ReadyPath, network, n.NotReady)
-	n.grants = chivegrant.New(chivegrant.Options{Mesh: n.mesh, Pools: pools, Logger: n.logger})
+	n.grants = chivegrant.New(chivegrant.Options{Mesh: n.mesh, Pools: pools, Distances: n.distances, Logger: n.logger})
 	pools.SetAsker(n.grants)
 	n.rates = chiverate.New(n.mesh)
+	n.rates.SetDistances(n.distances)
 	pools.SetRates(n.rates)
 	caches := chivecache.New(chivecache.Options{
 		Caches: chiveplatform.NewCaches(s.Listen.Peers, n.relay), Pools: pools, Owners: n.grants, Logger: n.logger,
@@ -407,6 +416,7 @@
 		{"permits_granted", func() float64 { return float64(n.rates.Counts().Granted) }},
 		{"permits_denied", func() float64 { return float64(n.rates.Counts().Denied) }},
 		{"permits_unanswered", func() float64 { return float64(n.rates.Counts().Unanswered) }},
+		{"owners_too_far", func() float64 { return float64(n.grants.Counts().Far) }},
 		{"owners_silent", func() float64 { return float64(n.grants.Counts().Silent) }},
 		{"requests_quarantined", func() float64 { return float64(n.quarantine.Counts().Quarantined) }},
 		{"parts_quarantined", func() float64 { return float64(n.quarantine.Counts().Parts) }},
