Orders of replicas: a successor continues those of its predecessor

Callers paid for replicas long after a burst, or lost their caches right after one: the next lease holder took the running replicas for the ordered ones and did not know the peak of the load; within a tenure an unanswered order counted as one that was not carried out.

Cause: what was ordered was kept in the holder's memory alone. Now a number that later holders do not know is stored beside the lease before it is ordered (one write for all orders of a pass), its outcome and the peak of the load within a second after. A successor sends orders without an outcome again, all of them if the store came back from an earlier copy. An unanswered order is sent again after the time in which it may be carried out late.

--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -102,4 +102,7 @@
 	ReplicasOrdered    = define(720, slog.LevelInfo, "replicas ordered", "None; requests is the number of requests in progress, running the number of running replicas of this kind.")
 	ReplicasRefused    = define(721, slog.LevelWarn, "replica order not accepted", "None; the order is retried. While a failure domain is marked unavailable, its share of preemptible replicas is ordered in the others.")
 	ReplicasUnreadable = define(722, slog.LevelError, "initial numbers of replicas not decodable", "The running replicas are counted again. Find out what wrote the value: only nodes write this key.")
+	OrdersNotStored    = define(723, slog.LevelWarn, "replica orders not stored", "None; numbers that differ from the last ones are ordered once the store can be written again. Check the lease events (702) if this repeats.")
+	OrdersUnreadable   = define(724, slog.LevelError, "stored replica orders not decodable", "The running replicas are taken for the ordered ones. Find out what wrote the value: only nodes write this key.")
+	OrdersInherited    = define(725, slog.LevelInfo, "replica orders of the previous lease holder taken over", "None; sent_again is the number of orders that may not have been carried out, or may be carried out late.")
 )
--- a/chivescale/plan.go
+++ b/chivescale/plan.go
@@ -55,8 +55,10 @@
 	scaling chivetable.Scaling
 	// initial is the number of replicas before the first order.
 	initial int
-	// startedAt is when planning began; earlier loads are unknown.
+	// startedAt is when planning began.
 	startedAt time.Duration
+	// knowsPeak means that the peak of the loads before startedAt is among peaks.
+	knowsPeak bool
 	// peaks holds the loads within peakRetention that no later load has reached. They decrease, so the first one is the
 	// maximum.
 	peaks []loadSample
@@ -73,6 +75,29 @@
 	return &Planner{scaling: scaling, initial: initial, startedAt: now, onDemand: make(map[string]int), unavailableUntil: make(map[string]time.Duration)}
 }
 
+// resume continues the planning of a previous lease holder, given the peak of its loads and its orders. isNewest means
+// that the holder has not planned anything since. The age of the peak is unknown, so that it is retained in full.
+func (p *Planner) resume(peak float64, orders []storedOrder, isNewest bool) {
+	p.peaks, p.knowsPeak = []loadSample{{p.startedAt, peak}}, isNewest
+	for _, o := range orders {
+		if !o.Preemptible {
+			p.onDemand[o.Domain] = o.Count
+		}
+		if o.Preemptible && o.Outcome == outcomeRefused {
+			p.MarkUnavailable(p.startedAt, o.Domain)
+		}
+	}
+}
+
+// peak returns the maximum recent load, but no less than the load for which the initial replicas suffice.
+func (p *Planner) peak() float64 {
+	minimum := float64(p.initial) * requestsPerReplica
+	if len(p.peaks) == 0 {
+		return minimum
+	}
+	return max(p.peaks[0].requests, minimum)
+}
+
 // MarkUnavailable marks a failure domain as unavailable for preemptible replicas for unavailableBackoff.
 func (p *Planner) MarkUnavailable(now time.Duration, domain string) {
 	p.unavailableUntil[domain] = now + unavailableBackoff
@@ -85,7 +110,7 @@
 	}
 	p.recordLoad(now, requests)
 	if !p.usesPreemptible() {
-		return p.planOnDemand(domains)
+		return p.planOnDemand(now, domains)
 	}
 	return p.planMixed(now, domains)
 }
@@ -106,11 +131,21 @@
 	return max(p.peaks[0].requests/requestsPerReplica, minimum)
 }
 
+// keepsRunning reports whether running replicas are kept, because the previous lease holder may have ordered them for
+// an unknown peak before startedAt.
+func (p *Planner) keepsRunning(now time.Duration) bool {
+	return !p.knowsPeak && now-p.startedAt < peakRetention
+}
+
 // planOnDemand orders on-demand replicas only, in total no fewer than the initial number.
-func (p *Planner) planOnDemand(domains []Domain) (orders []Order) {
+func (p *Planner) planOnDemand(now time.Duration, domains []Domain) (orders []Order) {
 	perDomain := p.requiredReplicas(float64(p.initial)) / float64(len(domains))
 	for _, d := range domains {
-		orders = append(orders, Order{Domain: d.Name, Count: p.clamp(perDomain, p.scaling.Max)})
+		count := p.clamp(perDomain, p.scaling.Max)
+		if p.keepsRunning(now) {
+			count = max(count, min(d.OnDemand, p.scaling.Max))
+		}
+		orders = append(orders, Order{Domain: d.Name, Count: count})
 	}
 	return orders
 }
@@ -136,8 +171,7 @@
 		if requiredPreemptible <= 0 {
 			preemptible = 0
 		}
-		if now-p.startedAt < peakRetention {
-			// The previous lease holder may have ordered the running replicas for a peak before startedAt.
+		if p.keepsRunning(now) {
 			preemptible = max(preemptible, min(d.Preemptible, p.scaling.Max-p.onDemand[d.Name]))
 		}
 		orders = append(orders, Order{Domain: d.Name, Preemptible: true, Count: preemptible})
--- a/chivescale/service.go
+++ b/chivescale/service.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chivedrift/chivedirectory"
@@ -28,14 +29,6 @@
 const (
 	// planInterval is the interval at which the lease holder plans.
 	planInterval = 250 * time.Millisecond
-	// orderTimeout limits one call to the platform; no call is made with less than minRemaining of the tenure left.
-	orderTimeout = time.Second
-	minRemaining = 100 * time.Millisecond
-	// resendInterval is how long after an order it is sent again if it was refused, or if replicas are missing because
-	// of a crash or a lost order.
-	resendInterval = 3 * time.Second
-	// retryInterval is how long after an unanswered or failed call the next one for the same replicas is made.
-	retryInterval = time.Second
 	// stabilizationPeriod is how long the number of replicas must be unchanged before it is recorded as the initial
 	// number.
 	stabilizationPeriod = 2 * time.Second
@@ -83,14 +76,6 @@
 	preemptible bool
 }
 
-// lastOrder is the last order for an orderKey or, before the first one, the number of replicas when planning began.
-type lastOrder struct {
-	count int
-	at    time.Duration
-	// failed means that the platform rejected the order, or that the call failed.
-	failed bool
-}
-
 // observedCount is a number of replicas and the time since which it has been unchanged.
 type observedCount struct {
 	count int
@@ -105,6 +90,8 @@
 	mu        sync.Mutex
 	table     *chivetable.Table
 	endpoints map[string]chivedirectory.Endpoint
+	// published is the record that Dump returns.
+	published orderRecord
 
 	// The fields below are accessed only by the planning goroutine. All but kinds and kindsAt are reset when a tenure
 	// starts. token is the fencing token of the current tenure, or 0.
@@ -115,9 +102,26 @@
 	initial    map[string]int
 	observed   map[string]observedCount
 	lastOrders map[orderKey]lastOrder
+	// stored is the record that later holders see, era that of the store in this tenure, storedAt the time of the last
+	// attempt to write.
+	stored   orderRecord
+	era      int64
+	storedAt time.Duration
 	// kinds holds, by id, whether a replica is preemptible; kindsAt is when it was last requested.
 	kinds   map[string]bool
 	kindsAt time.Duration
+
+	// accepted, refused and unanswered are the values of Counts.
+	accepted   atomic.Int64
+	refused    atomic.Int64
+	unanswered atomic.Int64
+}
+
+// Counts holds the numbers of orders of this node since its start, by outcome.
+type Counts struct {
+	Accepted   int64 `json:"accepted"`
+	Refused    int64 `json:"refused"`
+	Unanswered int64 `json:"unanswered"`
 }
 
 // New returns a service that has not sent any orders.
@@ -158,13 +162,42 @@
 	return nil
 }
 
-// Dump returns the number of known endpoints.
+// Counts returns the numbers of orders of this node since its start, by outcome.
+func (s *Service) Counts() Counts {
+	return Counts{Accepted: s.accepted.Load(), Refused: s.refused.Load(), Unanswered: s.unanswered.Load()}
+}
+
+// orderDump is the last order for some replicas.
+type orderDump struct {
+	Pool        string `json:"pool"`
+	Domain      string `json:"failure_domain"`
+	Preemptible bool   `json:"preemptible"`
+	Count       int    `json:"count"`
+	Outcome     string `json:"outcome"`
+}
+
+// Dump returns the number of known endpoints, the numbers of orders by outcome, and the orders and load peaks of this
+// node's last tenure.
 func (s *Service) Dump() any {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	orders := make([]orderDump, 0, len(s.published.Orders))
+	for _, o := range s.published.Orders {
+		orders = append(orders, orderDump{o.Pool, o.Domain, o.Preemptible, o.Count, o.Outcome.String()})
+	}
 	return struct {
-		Endpoints int `json:"endpoints"`
-	}{len(s.endpoints)}
+		Endpoints int                `json:"endpoints"`
+		Counts    Counts             `json:"counts"`
+		Orders    []orderDump        `json:"orders"`
+		Peaks     map[string]float64 `json:"load_peaks"`
+	}{len(s.endpoints), s.Counts(), orders, s.published.Peaks}
+}
+
+// publish makes a record available to Dump.
+func (s *Service) publish(r orderRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.published = r
 }
 
 // planAll plans every pool that has scaling settings, if this node holds the lease.
@@ -181,20 +214,25 @@
 		return
 	}
 	if s.token != tenure.Token {
-		s.startTenure(ctx, tenure.Token)
+		s.startTenure(ctx, tenure)
 	}
 	s.readKinds(ctx, endpoints)
+	var due []dueOrder
 	for _, pool := range table.Pools() {
 		if pool.Scaling != nil {
-			s.planPool(ctx, &pool, endpoints)
+			due = append(due, s.planPool(ctx, &pool, endpoints)...)
 		}
 	}
+	s.sendAll(ctx, due)
+	s.storeOutcomes(ctx)
+	s.publish(s.currentRecord())
 }
 
-// startTenure resets the planning state and reads the initial numbers of replicas recorded by earlier holders.
-func (s *Service) startTenure(ctx context.Context, token int64) {
-	s.token, s.planners, s.initial = token, make(map[string]*Planner), make(map[string]int)
+// startTenure resets the planning state and reads the initial numbers of replicas and the orders of earlier holders.
+func (s *Service) startTenure(ctx context.Context, tenure chivelease.Tenure) {
+	s.token, s.planners, s.initial = tenure.Token, make(map[string]*Planner), make(map[string]int)
 	s.observed, s.lastOrders = make(map[string]observedCount), make(map[orderKey]lastOrder)
+	s.inherit(ctx, tenure)
 	data := s.opts.Lease.Value(initialKey)
 	if len(data) == 0 {
 		return
@@ -224,16 +262,16 @@
 	}
 }
 
-// planPool plans a pool and sends the orders that are due. It does nothing while the load is unknown.
-func (s *Service) planPool(ctx context.Context, pool *chivetable.Pool, endpoints map[string]chivedirectory.Endpoint) {
+// planPool plans a pool and returns the orders that are due. It returns none while the load is unknown.
+func (s *Service) planPool(ctx context.Context, pool *chivetable.Pool, endpoints map[string]chivedirectory.Endpoint) (due []dueOrder) {
 	domains := s.countReplicas(pool, endpoints)
 	planner, ok := s.plannerFor(ctx, pool, domains)
 	if !ok {
-		return
+		return nil
 	}
 	requests, known := s.opts.Load(pool.Name)
 	if !known {
-		return
+		return nil
 	}
 	running := make(map[orderKey]int)
 	for _, d := range domains {
@@ -242,8 +280,12 @@
 	}
 	for _, o := range planner.Plan(s.opts.SinceBoot(), requests, domains) {
 		o.Pool = pool.Name
-		s.sendIfDue(ctx, planner, o, running[orderKey{o.Pool, o.Domain, o.Preemptible}], requests)
+		d := dueOrder{Order: o, planner: planner, running: running[orderKey{o.Pool, o.Domain, o.Preemptible}], requests: requests}
+		if s.isDue(d) {
+			due = append(due, d)
+		}
 	}
+	return due
 }
 
 // plannerFor returns the planner of a pool; ok is false until the initial number of its replicas is recorded.
@@ -254,7 +296,7 @@
 	if _, ok := s.initial[pool.Name]; !ok && !s.recordInitial(ctx, pool.Name, domains) {
 		return nil, false
 	}
-	s.planners[pool.Name] = NewPlanner(s.opts.SinceBoot(), *pool.Scaling, s.initial[pool.Name])
+	s.planners[pool.Name] = s.newPlanner(pool.Name, NewPlanner(s.opts.SinceBoot(), *pool.Scaling, s.initial[pool.Name]))
 	return s.planners[pool.Name], true
 }
 
@@ -319,50 +361,3 @@
 	_, ok := s.lastOrders[orderKey{pool, domain, false}]
 	return ok
 }
-
-// sendIfDue sends an order that differs from the last one, or that is unchanged but lacks replicas after
-// resendInterval. After a failed order nothing is sent for the rest of the interval.
-func (s *Service) sendIfDue(ctx context.Context, planner *Planner, o Order, running int, requests float64) {
-	now, key := s.opts.SinceBoot(), orderKey{o.Pool, o.Domain, o.Preemptible}
-	last, ok := s.lastOrders[key]
-	if !ok {
-		last = lastOrder{count: running, at: now}
-		s.lastOrders[key] = last
-	}
-	isRecent := now-last.at < resendInterval
-	if last.failed && isRecent || last.count == o.Count && (isRecent || running >= o.Count) {
-		return
-	}
-	tenure, ok := s.opts.Lease.Tenure()
-	if !ok || tenure.Token != s.token || tenure.Remaining < minRemaining {
-		return
-	}
-	callCtx, cancel := context.WithTimeout(ctx, min(orderTimeout, tenure.Remaining))
-	defer cancel()
-	err := s.opts.Platform.OrderReplicas(callCtx, s.token, o)
-	switch {
-	case err == nil:
-		s.lastOrders[key] = lastOrder{count: o.Count, at: now}
-	case errors.Is(err, ErrUnavailable):
-		if o.Preemptible {
-			planner.MarkUnavailable(now, o.Domain)
-		}
-		s.lastOrders[key] = lastOrder{count: o.Count, at: now, failed: true}
-	default:
-		// The platform may be unreachable. The time is set back so that the next attempt follows after retryInterval.
-		s.lastOrders[key] = lastOrder{count: last.count, at: now - resendInterval + retryInterval, failed: true}
-	}
-	s.logOrder(ctx, o, running, requests, err)
-}
-
-func (s *Service) logOrder(ctx context.Context, o Order, running int, requests float64, err error) {
-	attributes := []slog.Attr{
-		slog.String("pool", o.Pool), slog.String("failure_domain", o.Domain), slog.Bool("preemptible", o.Preemptible), slog.Int("count", o.Count),
-		slog.Int("running", running), slog.Float64("requests", requests), slog.Int64("token", s.token),
-	}
-	if err != nil {
-		chiveevent.ReplicasRefused.Log(ctx, s.opts.Logger, append(attributes, slog.String("error", err.Error()))...)
-		return
-	}
-	chiveevent.ReplicasOrdered.Log(ctx, s.opts.Logger, attributes...)
-}
