Usage: differences of two clocks are forgotten after a minute

Starts were not reported once clocks had drifted apart (667 of 2,000 reported after 21.6 s of drift): a collector kept the greatest difference of two clocks for ever, so that later starts were dated too early and dropped as outdated. Now it is the maximum over one to two periods of 30 s on the sender's clock: longer than messages wait for a suspended collector, and at 500 ppm 30 ms of drift at most.

--- a/chiveusage/collector.go
+++ b/chiveusage/collector.go
@@ -19,6 +19,33 @@
 	incarnation int64
 }
 
+// offsetPeriod is how long the differences of two clocks are compared. It is longer than messages wait for a suspended
+// receiver, and short enough that clocks do not drift apart meanwhile.
+const offsetPeriod = 30 * time.Second
+
+// clockOffset estimates how far a sender's clock is ahead of the collector's. A delayed message underestimates it, so the
+// estimate is the maximum over the messages of the last one to two periods on the sender's clock.
+type clockOffset struct {
+	// since is the start of the current period, maximum and previous are the maxima of the current and the previous one.
+	since    time.Duration
+	maximum  time.Duration
+	previous time.Duration
+}
+
+func newClockOffset(sent, offset time.Duration) clockOffset {
+	return clockOffset{since: sent, maximum: offset, previous: offset}
+}
+
+// add adds the difference shown by a message that was sent at a time on the sender's clock.
+func (c *clockOffset) add(sent, offset time.Duration) {
+	if sent-c.since >= offsetPeriod {
+		c.since, c.previous, c.maximum = sent, c.maximum, offset
+	}
+	c.maximum = max(c.maximum, offset)
+}
+
+func (c *clockOffset) estimate() time.Duration { return max(c.previous, c.maximum) }
+
 // numberedStart is a start with its sequence number at its sender; its time is on the sender's clock.
 type numberedStart struct {
 	requestStart
@@ -30,8 +57,8 @@
 	// next is the sequence number of the next expected start.
 	next   uint64
 	starts []numberedStart
-	// clockOffset is the sender's clock minus the collector's. A delayed message underestimates it, so the maximum over
-	// all messages is kept.
+	offset clockOffset
+	// clockOffset is the current estimate of the sender's clock minus the collector's.
 	clockOffset time.Duration
 	// wallAtSenderBoot is the sender's wall-clock time at its boot, derived from its last message.
 	wallAtSenderBoot time.Duration
@@ -73,10 +100,11 @@
 	p, known := c.processes[key]
 	clock := time.Duration(m.ClockMs) * time.Millisecond
 	if !known {
-		p = &processStarts{next: m.Oldest, clockOffset: clock - now}
+		p = &processStarts{next: m.Oldest, offset: newClockOffset(clock, clock-now)}
 		c.processes[key] = p
 	}
-	p.clockOffset = max(p.clockOffset, clock-now)
+	p.offset.add(clock, clock-now)
+	p.clockOffset = p.offset.estimate()
 	p.wallAtSenderBoot = time.Duration(m.WallMs)*time.Millisecond - clock
 	p.lastHeard, p.loads = now, m.Loads
 	p.next = max(p.next, m.Oldest)
