Usage: the cut of a process is kept while its starts are held

Found while mending usage after wall clocks were ahead.

A settlement now renews the cut of each process whose starts are held, so only cuts without starts can become outdated.

--- /dev/null
+++ b/chiveusage/ahead_test.go
@@ -0,0 +1,30 @@
+//go:build !race
+
+package chiveusage_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+const (
+	// farAhead is longer than the cut of a process without new starts is kept.
+	farAhead      = time.Hour
+	aheadDuration = 2 * window
+)
+
+// Guards against starts that are counted twice because wall-clock times jump, and the cuts of processes without new starts
+// are taken for outdated.
+func TestCountedStartsAreNotCountedAgainAfterWallClocksJump(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newClockFleet(t, 1, bootClock{})
+		defer f.stop()
+		end := f.awaitReport()
+		recorded := f.recordRow(end.Add(window / 2))
+		sleepUntil(end.Add(window + afterSettling))
+		f.forgeWall(farAhead, aheadDuration, func() { time.Sleep(time.Second) })
+		time.Sleep(2 * drainTime)
+		f.checkRow(recorded)
+	})
+}
--- a/chiveusage/collector.go
+++ b/chiveusage/collector.go
@@ -205,7 +205,8 @@
 }
 
 // countUntil returns the number of starts by team that follow the given cuts and were made before until, and for each
-// process with such starts the sequence number that follows them. Starts made before from are not counted.
+// process whose starts are retained the sequence number that follows the counted ones. Starts made before from are not
+// counted.
 //
 // A start that arrives after its window was settled follows the cut, so that a later window counts it.
 func (c *collector) countUntil(settled cuts, from, until time.Duration) (counts map[string]int64, next map[processKey]uint64) {
@@ -214,6 +215,9 @@
 	counts, next = make(map[string]int64), make(map[processKey]uint64)
 	for key, p := range c.processes {
 		first := settled[key].next
+		if first > 0 && len(p.starts) > 0 {
+			next[key] = first
+		}
 		for _, s := range p.starts {
 			at := s.at - p.clockOffset
 			if s.sequence < first {
