--- a/chiveusage/collector.go
+++ b/chiveusage/collector.go
@@ -204,6 +204,18 @@
 	return requests, ok
 }
 
+// earliestStart returns the time of the earliest retained start; ok is false if there is none.
+func (c *collector) earliestStart() (at time.Duration, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.processes {
+		if len(p.starts) > 0 && (!ok || p.starts[0].at-p.clockOffset < at) {
+			at, ok = p.starts[0].at-p.clockOffset, true
+		}
+	}
+	return at, ok
+}
+
 // countUntil returns the number of starts by team that follow the given cuts and were made before until, and for each
 // process whose starts are retained the sequence number that follows the counted ones. Starts made before from are not
 // counted.
--- a/chiveusage/ledger.go
+++ b/chiveusage/ledger.go
@@ -59,12 +59,13 @@
 // firstEra is the era of a store that has never been restored from an older copy.
 const firstEra = 1
 
-// ledgerForTenure derives the initial ledger of a tenure from the stored one. If the store may have lost a newer
-// ledger, all windows up to the current one are omitted, because they may already have been reported.
-func ledgerForTenure(data []byte, era, current int64) (l ledger, isLost bool, err error) {
+// ledgerForTenure derives the initial ledger of a tenure from the stored one. If there has never been one, the windows
+// from first on are settled. If the store may have lost a newer ledger, all windows up to the current one are omitted,
+// because they may already have been reported.
+func ledgerForTenure(data []byte, era, first, current int64) (l ledger, isLost bool, err error) {
 	omitted := ledger{Era: era}.withoutStartsUntil(current)
 	if len(data) == 0 && era == firstEra {
-		return ledger{Era: era}.withoutStartsUntil(current - 1), false, nil
+		return ledger{Era: era}.withoutStartsUntil(first - 1), false, nil
 	}
 	if len(data) == 0 {
 		return omitted, true, nil
--- a/chiveusage/reporter.go
+++ b/chiveusage/reporter.go
@@ -94,7 +94,7 @@
 	}
 	clock := windowClock{wallAtBoot: wall, length: r.opts.Window}
 	if r.token != tenure.Token {
-		r.startTenure(ctx, tenure, clock.windowAt(now))
+		r.startTenure(ctx, tenure, clock, now)
 	}
 	if r.awaitsAnswers(now) {
 		return
@@ -103,9 +103,18 @@
 	r.sendReports(ctx, clock)
 }
 
-// startTenure loads the ledger of the previous holder; current is the window that contains the present.
-func (r *reporter) startTenure(ctx context.Context, tenure chivelease.Tenure, current int64) {
-	l, isLost, err := ledgerForTenure(r.opts.Lease.Value(ledgerKey), tenure.Era, current)
+// firstWindow returns the first window to be settled if there is no ledger yet: the one that contains the earliest start.
+func (r *reporter) firstWindow(clock windowClock, now time.Duration) int64 {
+	at, ok := r.collector.earliestStart()
+	if !ok {
+		at = now
+	}
+	return clock.windowAt(min(max(at, now-r.collector.retention), now))
+}
+
+// startTenure loads the ledger of the previous holder.
+func (r *reporter) startTenure(ctx context.Context, tenure chivelease.Tenure, clock windowClock, now time.Duration) {
+	l, isLost, err := ledgerForTenure(r.opts.Lease.Value(ledgerKey), tenure.Era, r.firstWindow(clock, now), clock.windowAt(now))
 	if err != nil {
 		chiveevent.UsageUnreadable.Log(ctx, r.opts.Logger, slog.String("error", err.Error()))
 	}
