Usage: a ledger that is ahead goes back to the present

After most wall clocks had been ahead, nothing was billed for as long as they were ahead: the ledger goes on with the window after its last one, which then lies in the future. Which windows were reported was known to processes alone, so it could not go back safely.

The ledger now holds the ranges of windows that may have been reported (a few bytes after the cuts; earlier releases ignore them, and a ledger of theirs counts as reported up to its last window). When the last window lies in the future, settling goes on with the present one and passes over reported windows. Their starts are dropped only while collectors may hold starts of a lost ledger, since the cuts show all others.

--- a/chiveusage/ahead_test.go
+++ b/chiveusage/ahead_test.go
@@ -28,3 +28,25 @@
 		f.checkRow(recorded)
 	})
 }
+
+// Guards against two different counts for a window, or usage that is lost, after wall-clock times were ahead and all
+// processes that knew which windows were reported have ended.
+func TestSuccessorKnowsWindowsThatWereReportedAhead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newClockFleet(t, 1, bootClock{})
+		defer f.stop()
+		f.awaitReport()
+		f.recordRequests(2 * window)
+		f.forgeWall(farAhead, aheadDuration, func() { f.recordRequests(time.Second) })
+		f.recordRequests(2 * window)
+		f.crash(f.nodes[0])
+		f.start(f.nodes[0])
+		f.setMembers()
+		f.recordRequests(delay)
+		recorded := f.recordRow(time.Now().Truncate(window).Add(2 * window))
+		time.Sleep(farAhead - 2*drainTime)
+		f.recordRequests(4 * drainTime)
+		f.checkRow(recorded)
+		f.checkReportsGoOn()
+	})
+}
--- a/chiveusage/cuts.go
+++ b/chiveusage/cuts.go
@@ -52,7 +52,8 @@
 	Windows      []int64
 }
 
-// cutsTrailer follows the ledger in its stored form. Releases without cuts ignore what follows the ledger.
+// cutsTrailer follows the ledger in its stored form, and the bounds of the reported windows follow the cuts. Releases
+// without cuts ignore what follows the ledger, those without reported windows what follows the cuts.
 type cutsTrailer struct {
 	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by the encoder
 	CountedFrom int64
@@ -100,11 +101,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("usage ledger: encode cuts: %w", err)
 	}
-	return append(data, trailer...), nil
+	reported, err := msgpack.Marshal(l.reported.bounds())
+	if err != nil {
+		return nil, fmt.Errorf("usage ledger: encode reported windows: %w", err)
+	}
+	return slices.Concat(data, trailer, reported), nil
 }
 
 // decodeLedger decodes a stored ledger. In one that was stored by a release without cuts, the starts of the windows after
-// the last settled one are distinguished by their times.
+// the last settled one are distinguished by their times. In one without reported windows, all up to the last settled one
+// may have been reported.
 func decodeLedger(data []byte) (ledger, error) {
 	decoder := msgpack.NewDecoder(bytes.NewReader(data))
 	var l ledger
@@ -115,6 +121,7 @@
 	switch err := decoder.Decode(&trailer); {
 	case errors.Is(err, io.EOF):
 		l.countedFrom = l.Last + 1
+		l.reported.add(0, l.Last)
 		return l, nil
 	case err != nil:
 		return ledger{}, fmt.Errorf("usage ledger: decode cuts: %w", err)
@@ -124,5 +131,14 @@
 		return ledger{}, fmt.Errorf("usage ledger: decode cuts: %w", err)
 	}
 	l.countedFrom, l.cuts = trailer.CountedFrom, c
+	var bounds []int64
+	switch err := decoder.Decode(&bounds); {
+	case errors.Is(err, io.EOF):
+		l.reported.add(0, l.Last)
+	case err != nil:
+		return ledger{}, fmt.Errorf("usage ledger: decode reported windows: %w", err)
+	default:
+		l.reported = windowSetOf(bounds)
+	}
 	return l, nil
 }
--- a/chiveusage/ledger.go
+++ b/chiveusage/ledger.go
@@ -31,6 +31,8 @@
 	Last int64
 	// Reports holds the reports that may have been sent; they are resent unchanged until the platform confirms them.
 	Reports []Report
+	// reported holds the windows that may have been reported. Some may follow Last, if wall-clock times were ahead.
+	reported windowSet
 	// countedFrom is the first window after those that may have been reported with starts that the cuts do not show. Starts
 	// of earlier windows are not counted.
 	countedFrom int64
@@ -40,6 +42,7 @@
 // withSettled returns a copy of the ledger with one more window settled by a report and the cuts after it.
 func (l ledger) withSettled(report Report, after cuts) ledger {
 	l.Last, l.Reports, l.cuts = report.Window, append(slices.Clone(l.Reports), report), after
+	l.reported.add(report.Window, report.Window)
 	return l
 }
 
@@ -50,6 +53,17 @@
 	return l
 }
 
+// withPresent returns a copy of the ledger after wall-clock times have been corrected backward: the windows that follow
+// the present one are to be settled unless they may have been reported. keepsFrom means that collectors may hold starts
+// that the cuts do not show.
+func (l ledger) withPresent(current int64, keepsFrom bool) ledger {
+	l.Last = min(l.Last, current)
+	if !keepsFrom {
+		l.countedFrom = min(l.countedFrom, current+1)
+	}
+	return l
+}
+
 // withoutReport returns a copy of the ledger without the report of a window.
 func (l ledger) withoutReport(window int64) ledger {
 	l.Reports = slices.DeleteFunc(slices.Clone(l.Reports), func(r Report) bool { return r.Window == window })
@@ -64,6 +78,7 @@
 // because they may already have been reported.
 func ledgerForTenure(data []byte, era, first, current int64) (l ledger, isLost bool, err error) {
 	omitted := ledger{Era: era}.withoutStartsUntil(current)
+	omitted.reported.add(0, current)
 	if len(data) == 0 && era == firstEra {
 		return ledger{Era: era}.withoutStartsUntil(first - 1), false, nil
 	}
@@ -75,7 +90,8 @@
 		return omitted, true, err
 	}
 	if l.Era != era {
-		return omitted.withoutStartsUntil(max(current, l.Last)), true, nil
+		omitted.reported.addAll(l.reported)
+		return omitted, true, nil
 	}
 	return l, false, nil
 }
--- a/chiveusage/reporter.go
+++ b/chiveusage/reporter.go
@@ -66,6 +66,9 @@
 	ledger ledger
 	// sentAt holds the time of the last attempt to send a report, by window.
 	sentAt map[int64]time.Duration
+	// keepsFromUntil is until when collectors may hold starts that were reported and that the cuts do not show, because an
+	// earlier ledger was lost; 0 if none was.
+	keepsFromUntil time.Duration
 	// askedAt is when the other nodes were asked which windows are settled, because the ledger was lost; 0 if they need
 	// not answer.
 	askedAt time.Duration
@@ -118,13 +121,16 @@
 	if err != nil {
 		chiveevent.UsageUnreadable.Log(ctx, r.opts.Logger, slog.String("error", err.Error()))
 	}
-	r.ledger, r.token, r.sentAt, r.askedAt = l, tenure.Token, make(map[int64]time.Duration), 0
+	r.ledger, r.token, r.sentAt, r.askedAt, r.keepsFromUntil = l, tenure.Token, make(map[int64]time.Duration), 0, 0
+	if tenure.Era != firstEra {
+		r.keepsFromUntil = now + cutRetention*r.collector.retention
+	}
+	r.settled.addAll(l.reported)
 	if isLost {
-		r.askedAt = r.opts.SinceBoot()
+		r.askedAt = now
 		return
 	}
-	r.settled.addUntil(l.Last, int64(assumedReported/r.opts.Window))
-	r.stateAll(r.settled.broadcast(r.opts.SinceBoot()))
+	r.stateAll(r.settled.broadcast(now))
 }
 
 // awaitsAnswers reports whether nodes that were asked for settled windows have not answered yet.
@@ -143,10 +149,11 @@
 // settleWindows settles ended windows in order: it stores the ledger with their counts, or omits them after their
 // deadline. It stops at the first window that still lacks starts and is not close to its deadline.
 func (r *reporter) settleWindows(ctx context.Context, clock windowClock, now time.Duration) {
+	keepsFrom := now < r.keepsFromUntil
+	r.ledger = r.ledger.withPresent(clock.windowAt(now), keepsFrom)
 	for window := r.ledger.Last + 1; now >= clock.end(window)+settleDelay; window++ {
 		if r.settled.contains(window) {
-			r.countOmitted(ctx, window, "may have been reported")
-			r.ledger = r.ledger.withoutStartsUntil(window)
+			r.skipReported(ctx, window, keepsFrom)
 			continue
 		}
 		deadline := clock.end(window) + r.opts.Delay
@@ -171,6 +178,17 @@
 	}
 }
 
+// skipReported passes over a window that may have been reported. keepsFrom means that its starts may have been reported as
+// well, without a cut that shows it.
+func (r *reporter) skipReported(ctx context.Context, window int64, keepsFrom bool) {
+	if keepsFrom {
+		r.countOmitted(ctx, window, "may have been reported")
+		r.ledger = r.ledger.withoutStartsUntil(window)
+		return
+	}
+	r.ledger.Last = window
+}
+
 // ledgerAfter returns the ledger with one more window settled by the starts that no earlier window contains.
 func (r *reporter) ledgerAfter(clock windowClock, now time.Duration, window int64) ledger {
 	from := max(clock.start(r.ledger.countedFrom), now-r.collector.retention)
--- a/chiveusage/settled.go
+++ b/chiveusage/settled.go
@@ -19,9 +19,6 @@
 	confirmInterval = 500 * time.Millisecond
 	// answerTimeout is how long a holder without the ledger waits for the answers of all nodes in contact.
 	answerTimeout = 2 * time.Second
-	// assumedReported is how far back from the last window of a stored ledger windows are taken as reported: the ledger
-	// does not say which ones before were.
-	assumedReported = 5 * time.Minute
 )
 
 // SettledWindows states which windows may have been reported, as far as the sender knows.
@@ -84,14 +81,11 @@
 	s.known.add(window, window)
 }
 
-// addUntil adds the last window of a stored ledger and a number of windows before it, unless this process already knows
-// the last one and so which of the others may have been reported.
-func (s *settledWindows) addUntil(last, before int64) {
+// addAll adds windows that may have been reported.
+func (s *settledWindows) addAll(windows windowSet) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.known.contains(last) {
-		s.known.add(last-before, last)
-	}
+	s.known.addAll(windows)
 }
 
 func (s *settledWindows) contains(window int64) bool {
