--- /dev/null
+++ b/chivescale/failure_test.go
@@ -0,0 +1,145 @@
+//go:build !race
+
+package chivescale_test
+
+import (
+	"errors"
+	"maps"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+var errStoreAway = errors.New("store away")
+
+// peakRetention is how long replicas are kept after a load peak.
+const peakRetention = 20 * time.Second
+
+// Guards against replicas that are paid for, because the platform carries out an unanswered order after a newer one.
+func TestLateOrderIsWithdrawn(t *testing.T) {
+	for _, late := range []time.Duration{2 * time.Second, 12 * time.Second} {
+		t.Run(late.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := &setLoad{requests: calmLoad}
+				p := newOnDemandPlatform(t, l)
+				p.lease.setToken(1)
+				time.Sleep(5 * time.Second)
+				l.requests = burstLoad
+				time.Sleep(time.Second)
+				l.requests = calmLoad
+				p.orderErr = errNoAnswer
+				time.Sleep(peakRetention - 2*time.Second)
+				p.orderErr = nil
+				time.Sleep(late)
+				time.Sleep(time.Second)
+				if ordered := lastCounts(p.takeOrders()); ordered["a"] != 10 {
+					t.Fatalf("after the burst %v was ordered", ordered)
+				}
+				p.startReplicas("a", false, 10)
+				time.Sleep(settled)
+				if ordered := lastCounts(p.takeOrders()); ordered["a"] != 10 {
+					t.Errorf("after the late order %v was sent, expected 10 in failure domain a in place of 20", ordered)
+				}
+			})
+		})
+	}
+}
+
+// Guards against orders of a holder that was suspended while it lost the lease, and against a successor that does not know
+// that they may be carried out.
+func TestSuspendedHolderSendsNoOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &setLoad{requests: calmLoad}
+		p := newOnDemandPlatform(t, l)
+		p.lease.setToken(1)
+		time.Sleep(5 * time.Second)
+		p.lease.onWrite = func() {
+			p.lease.setToken(0)
+			time.Sleep(5 * time.Second)
+		}
+		l.requests = burstLoad
+		time.Sleep(10 * time.Second)
+		if orders := p.takeOrders(); len(orders) > 0 {
+			t.Errorf("the suspended holder ordered %v", orders)
+		}
+		p.lease.onWrite = nil
+		l.requests = calmLoad
+		p.lease.setToken(2)
+		time.Sleep(settled)
+		if ordered := lastCounts(p.takeOrders()); ordered["a"] != 10 {
+			t.Errorf("the successor ordered %v, expected 10 in failure domain a", ordered)
+		}
+	})
+}
+
+// Guards against orders that later holders do not know, because the store was away.
+func TestNoOtherNumberIsOrderedWithoutTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &setLoad{requests: calmLoad}
+		p := newOnDemandPlatform(t, l)
+		p.lease.setToken(1)
+		time.Sleep(5 * time.Second)
+		l.requests = burstLoad
+		time.Sleep(time.Second)
+		p.takeOrders()
+		p.lease.writeErr = errStoreAway
+		l.requests = 2 * burstLoad
+		time.Sleep(5 * time.Second)
+		if orders := p.takeOrders(); len(orders) > 0 {
+			t.Errorf("ordered %v without the store", orders)
+		}
+		p.lease.writeErr = nil
+		time.Sleep(time.Second)
+		if ordered := lastCounts(p.takeOrders()); ordered["a"] != 40 {
+			t.Errorf("ordered %v once the store was back, expected 40 in failure domain a", ordered)
+		}
+	})
+}
+
+// Guards against replicas that are paid for, because the store was restored from a copy of before they were ordered.
+func TestOrdersLostByTheStoreAreWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &setLoad{requests: calmLoad}
+		p := newOnDemandPlatform(t, l)
+		p.lease.setToken(1)
+		time.Sleep(5 * time.Second)
+		burst := func() {
+			l.requests = burstLoad
+			time.Sleep(time.Second)
+			l.requests = calmLoad
+		}
+		burst()
+		time.Sleep(settled)
+		older := maps.Clone(p.lease.values)
+		burst()
+		if ordered := lastCounts(p.takeOrders()); ordered["a"] != 20 {
+			t.Fatalf("the burst ordered %v", ordered)
+		}
+		p.lease.setToken(0)
+		time.Sleep(time.Second)
+		p.lease.values, p.lease.restores = older, 1
+		p.lease.setToken(2)
+		time.Sleep(settled)
+		if ordered := lastCounts(p.takeOrders()); ordered["a"] != 10 {
+			t.Errorf("the successor ordered %v, expected 10 in failure domain a in place of 20", ordered)
+		}
+	})
+}
+
+// Guards against a store whose rate of writes is used up by orders that change in many failure domains at once.
+func TestOrdersOfOnePassTakeOneWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &setLoad{requests: calmLoad}
+		p := newOnDemandPlatform(t, l)
+		p.lease.setToken(1)
+		time.Sleep(5 * time.Second)
+		writes := 0
+		p.lease.onWrite = func() { writes++ }
+		l.requests = burstLoad
+		time.Sleep(settled)
+		// One holds the orders, one their outcomes.
+		if ordered := lastCounts(p.takeOrders()); len(ordered) != 3 || writes > 2 {
+			t.Errorf("%d writes for orders in %d failure domains, expected 2", writes, len(ordered))
+		}
+	})
+}
--- a/chivescale/service_test.go
+++ b/chivescale/service_test.go
@@ -23,12 +23,17 @@
 	mu     sync.Mutex
 	token  int64
 	values map[string][]byte
+	// restores is the number of times that the store was restored from an older copy.
+	restores int64
+	// writeErr is the result of every write; onWrite, if not nil, runs after a value is written.
+	writeErr error
+	onWrite  func()
 }
 
 func (l *fakeLease) Tenure() (chivelease.Tenure, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return chivelease.Tenure{Token: l.token, Remaining: time.Second, Era: 1}, l.token > 0
+	return chivelease.Tenure{Token: l.token, Remaining: time.Second, Era: 1 + l.restores}, l.token > 0
 }
 
 // setToken starts a tenure with a fencing token; 0 ends the tenure.
@@ -44,7 +49,13 @@
 	if token != l.token {
 		return chivelease.ErrNotHeld
 	}
+	if l.writeErr != nil {
+		return l.writeErr
+	}
 	l.values[key] = value
+	if l.onWrite != nil {
+		l.onWrite()
+	}
 	return nil
 }
 
