--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -90,6 +90,8 @@
 	// lease and usage are nil unless the platform expects usage reports.
 	lease *chivelease.Service
 	usage *chiveusage.Service
+	// scaling is nil unless the platform takes orders of replicas.
+	scaling *chivescale.Service
 }
 
 // operatorListener passes records of the operators' topic to both services that keep a part of them: the routing table
@@ -234,10 +236,10 @@
 	if !duties.Expects(chivesettings.DutyScaling) {
 		return singletons
 	}
-	scaling := chivescale.New(chivescale.Options{Lease: n.lease, Platform: cloud, Load: n.usage.Load, SinceBoot: chiveforward.SinceBoot, Logger: n.logger})
-	n.tables.OnChange(scaling.SetTable)
-	n.directory.OnChange(scaling.ApplyEndpoints)
-	return append(singletons, namedService{chivescale.ServiceName, scaling})
+	n.scaling = chivescale.New(chivescale.Options{Lease: n.lease, Platform: cloud, Load: n.usage.Load, SinceBoot: chiveforward.SinceBoot, Logger: n.logger})
+	n.tables.OnChange(n.scaling.SetTable)
+	n.directory.OnChange(n.scaling.ApplyEndpoints)
+	return append(singletons, namedService{chivescale.ServiceName, n.scaling})
 }
 
 // feeds are the followers of the store's topics.
@@ -425,6 +427,9 @@
 		{"usage_windows_reported", func() float64 { return float64(n.usageCounts().Reported) }},
 		{"usage_windows_omitted", func() float64 { return float64(n.usageCounts().Omitted) }},
 		{"usage_windows_refused", func() float64 { return float64(n.usageCounts().Refused) }},
+		{"replica_orders_accepted", func() float64 { return float64(n.orderCounts().Accepted) }},
+		{"replica_orders_refused", func() float64 { return float64(n.orderCounts().Refused) }},
+		{"replica_orders_unanswered", func() float64 { return float64(n.orderCounts().Unanswered) }},
 		{"wire_links", func() float64 { return float64(n.mesh.Links()) }},
 		{"members", func() float64 { return float64(len(n.members.Members())) }},
 	}
@@ -454,6 +459,13 @@
 	return n.usage.Counts()
 }
 
+func (n *StoreNode) orderCounts() chivescale.Counts {
+	if n.scaling == nil {
+		return chivescale.Counts{}
+	}
+	return n.scaling.Counts()
+}
+
 func noWait(bool) time.Duration { return 0 }
 
 // errNoEndpoints is the readiness error of a node that knows no endpoint.
