Orders of replicas: an unanswered order does not delay the others

Replicas of a burst were ordered up to a second later for each order before them that the platform did not answer, since the orders of a pass were sent one after the other. They are sent at once.

Evidence: TestUnansweredOrderDoesNotDelayOthers failed before (nothing ordered in the other failure domains within 0.5 s).

--- a/chivescale/failure_test.go
+++ b/chivescale/failure_test.go
@@ -126,6 +126,22 @@
 	})
 }
 
+// Guards against replicas that are ordered late because an order for another failure domain is not answered.
+func TestUnansweredOrderDoesNotDelayOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &setLoad{requests: calmLoad}
+		p := newOnDemandPlatform(t, l)
+		p.lease.setToken(1)
+		time.Sleep(5 * time.Second)
+		p.silentDomain = "a"
+		l.requests = burstLoad
+		time.Sleep(500 * time.Millisecond)
+		if ordered := lastCounts(p.takeOrders()); ordered["b"] != 20 || ordered["c"] != 20 {
+			t.Errorf("ordered %v within 0.5 s, expected 20 in failure domains b and c", ordered)
+		}
+	})
+}
+
 // Guards against a store whose rate of writes is used up by orders that change in many failure domains at once.
 func TestOrdersOfOnePassTakeOneWrite(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/chivescale/order.go
+++ b/chivescale/order.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"maps"
+	"sync"
 	"time"
 
 	"chivedrift/chiveevent"
@@ -81,18 +82,22 @@
 
 // isDue reports whether an order is to be sent now.
 func (s *Service) isDue(o dueOrder) bool {
-	now, key := s.opts.SinceBoot(), o.key()
-	last, ok := s.lastOrders[key]
+	return s.lastOrderFor(o).isDue(s.opts.SinceBoot(), o.Count, o.running)
+}
+
+// lastOrderFor returns the last order for the same replicas. Before the first one, the running replicas count as ordered.
+func (s *Service) lastOrderFor(o dueOrder) lastOrder {
+	last, ok := s.lastOrders[o.key()]
 	if !ok {
-		last = lastOrder{count: o.running, outcome: outcomeAccepted, resendAt: now + resendInterval}
+		last = lastOrder{count: o.running, outcome: outcomeAccepted, resendAt: s.opts.SinceBoot() + resendInterval}
 	}
 	if last.isInherited && o.running > last.count {
 		// A holder of an earlier release, which does not store its orders, may have ordered more since.
-		last.outcome = outcomeOpen
+		last.outcome, last.resendAt = outcomeOpen, 0
 	}
 	last.isInherited = false
-	s.lastOrders[key] = last
-	return last.isDue(now, o.Count, o.running)
+	s.lastOrders[o.key()] = last
+	return last
 }
 
 // sendAll sends orders. Numbers that later holders do not know are stored before.
@@ -108,26 +113,36 @@
 	if len(unknown) > 0 && s.store(ctx, s.currentRecord().withOpen(unknown)) {
 		known = append(known, unknown...)
 	}
-	for _, o := range known {
-		s.send(ctx, o)
-	}
+	s.send(ctx, known)
 }
 
-// send makes one attempt to send an order.
-func (s *Service) send(ctx context.Context, o dueOrder) {
+// send makes one attempt to send each order, all at once, so that an unanswered one does not delay the others.
+func (s *Service) send(ctx context.Context, orders []dueOrder) {
+	now, results := s.opts.SinceBoot(), make([]error, len(orders))
 	tenure, ok := s.opts.Lease.Tenure()
 	if !ok || tenure.Token != s.token || tenure.Remaining < minRemaining {
 		return
 	}
-	now, key := s.opts.SinceBoot(), o.key()
-	last := s.lastOrders[key]
+	callCtx, cancel := context.WithTimeout(ctx, min(orderTimeout, tenure.Remaining))
+	defer cancel()
+	var calls sync.WaitGroup
+	for i, o := range orders {
+		calls.Go(func() { results[i] = s.opts.Platform.OrderReplicas(callCtx, s.token, o.Order) })
+	}
+	calls.Wait()
+	for i, o := range orders {
+		s.recordResult(now, o, results[i])
+		s.logOrder(ctx, o, results[i])
+	}
+}
+
+// recordResult records the result of a call that was made at now.
+func (s *Service) recordResult(now time.Duration, o dueOrder, err error) {
+	last := s.lastOrders[o.key()]
 	next := lastOrder{count: o.Count, isSent: true, unansweredAt: last.unansweredAt, resendAt: now + resendInterval}
 	if now-last.unansweredAt >= lateOrderPeriod {
 		next.unansweredAt = 0
 	}
-	callCtx, cancel := context.WithTimeout(ctx, min(orderTimeout, tenure.Remaining))
-	defer cancel()
-	err := s.opts.Platform.OrderReplicas(callCtx, s.token, o.Order)
 	switch {
 	case err == nil:
 		next.outcome = outcomeAccepted
@@ -142,8 +157,7 @@
 		next.outcome, next.unansweredAt, next.resendAt = outcomeOpen, now, now+retryInterval
 		s.unanswered.Add(1)
 	}
-	s.lastOrders[key] = next
-	s.logOrder(ctx, o, err)
+	s.lastOrders[o.key()] = next
 }
 
 func (s *Service) logOrder(ctx context.Context, o dueOrder, err error) {
--- a/chivescale/service_test.go
+++ b/chivescale/service_test.go
@@ -71,9 +71,15 @@
 	orders    []chivescale.Order
 	// orderErr is the result of every order.
 	orderErr error
+	// silentDomain is the failure domain whose orders are not answered.
+	silentDomain string
 }
 
-func (p *fakePlatform) OrderReplicas(_ context.Context, token int64, o chivescale.Order) error {
+func (p *fakePlatform) OrderReplicas(ctx context.Context, token int64, o chivescale.Order) error {
+	if o.Domain == p.silentDomain {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	if tenure, _ := p.lease.Tenure(); token != tenure.Token {
 		p.t.Errorf("order with token %d in the tenure with token %d", token, tenure.Token)
 	}
