--- a/chivescale/failure_test.go
+++ b/chivescale/failure_test.go
@@ -126,6 +126,27 @@
 	})
 }
 
+// Guards against replicas that are paid for, because a lease holder of an earlier release ordered them and stored nothing.
+func TestOrdersThatAreNotStoredAreWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &setLoad{requests: burstLoad}
+		p := newOnDemandPlatform(t, l)
+		p.lease.setToken(1)
+		time.Sleep(5 * time.Second)
+		l.requests = calmLoad
+		time.Sleep(settled)
+		p.lease.setToken(0)
+		time.Sleep(time.Second)
+		p.takeOrders()
+		p.startReplicas("a", false, 10)
+		p.lease.setToken(2)
+		time.Sleep(settled)
+		if ordered := lastCounts(p.takeOrders()); ordered["a"] != 10 {
+			t.Errorf("the successor ordered %v, expected 10 in failure domain a in place of 20", ordered)
+		}
+	})
+}
+
 // Guards against replicas that are ordered late because an order for another failure domain is not answered.
 func TestUnansweredOrderDoesNotDelayOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
