--- a/chiveusage/collector.go
+++ b/chiveusage/collector.go
@@ -19,6 +19,33 @@
 	incarnation int64
 }
 
+// offsetPeriod is how long the differences of two clocks are compared. It is longer than messages wait for a suspended
+// receiver, and short enough that clocks do not drift apart meanwhile.
+const offsetPeriod = 30 * time.Second
+
+// clockOffset estimates how far a sender's clock is ahead of the collector's. A delayed message underestimates it, so the
+// estimate is the maximum over the messages of the last one to two periods on the sender's clock.
+type clockOffset struct {
+	// since is the start of the current period, maximum and previous are the maxima of the current and the previous one.
+	since    time.Duration
+	maximum  time.Duration
+	previous time.Duration
+}
+
+func newClockOffset(sent, offset time.Duration) clockOffset {
+	return clockOffset{since: sent, maximum: offset, previous: offset}
+}
+
+// add adds the difference shown by a message that was sent at a time on the sender's clock.
+func (c *clockOffset) add(sent, offset time.Duration) {
+	if sent-c.since >= offsetPeriod {
+		c.since, c.previous, c.maximum = sent, c.maximum, offset
+	}
+	c.maximum = max(c.maximum, offset)
+}
+
+func (c *clockOffset) estimate() time.Duration { return max(c.previous, c.maximum) }
+
 // numberedStart is a start with its sequence number at its sender; its time is on the sender's clock.
 type numberedStart struct {
 	requestStart
@@ -30,8 +57,8 @@
 	// next is the sequence number of the next expected start.
 	next   uint64
 	starts []numberedStart
-	// clockOffset is the sender's clock minus the collector's. A delayed message underestimates it, so the maximum over
-	// all messages is kept.
+	offset clockOffset
+	// clockOffset is the current estimate of the sender's clock minus the collector's.
 	clockOffset time.Duration
 	// wallAtSenderBoot is the sender's wall-clock time at its boot, derived from its last message.
 	wallAtSenderBoot time.Duration
@@ -73,10 +100,11 @@
 	p, known := c.processes[key]
 	clock := time.Duration(m.ClockMs) * time.Millisecond
 	if !known {
-		p = &processStarts{next: m.Oldest, clockOffset: clock - now}
+		p = &processStarts{next: m.Oldest, offset: newClockOffset(clock, clock-now)}
 		c.processes[key] = p
 	}
-	p.clockOffset = max(p.clockOffset, clock-now)
+	p.offset.add(clock, clock-now)
+	p.clockOffset = p.offset.estimate()
 	p.wallAtSenderBoot = time.Duration(m.WallMs)*time.Millisecond - clock
 	p.lastHeard, p.loads = now, m.Loads
 	p.next = max(p.next, m.Oldest)
@@ -176,8 +204,21 @@
 	return requests, ok
 }
 
+// earliestStart returns the time of the earliest retained start; ok is false if there is none.
+func (c *collector) earliestStart() (at time.Duration, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.processes {
+		if len(p.starts) > 0 && (!ok || p.starts[0].at-p.clockOffset < at) {
+			at, ok = p.starts[0].at-p.clockOffset, true
+		}
+	}
+	return at, ok
+}
+
 // countUntil returns the number of starts by team that follow the given cuts and were made before until, and for each
-// process with such starts the sequence number that follows them. Starts made before from are not counted.
+// process whose starts are retained the sequence number that follows the counted ones. Starts made before from are not
+// counted.
 //
 // A start that arrives after its window was settled follows the cut, so that a later window counts it.
 func (c *collector) countUntil(settled cuts, from, until time.Duration) (counts map[string]int64, next map[processKey]uint64) {
@@ -186,6 +227,9 @@
 	counts, next = make(map[string]int64), make(map[processKey]uint64)
 	for key, p := range c.processes {
 		first := settled[key].next
+		if first > 0 && len(p.starts) > 0 {
+			next[key] = first
+		}
 		for _, s := range p.starts {
 			at := s.at - p.clockOffset
 			if s.sequence < first {
