Placing: the way between regions is part of what an engine costs

The choice of an engine knew no distance: a request went to an idle engine 60 ms away as readily as to one beside it, fetches of cached tokens took the way as nothing, and the time on the way was learnt as time of the engine.

A pool now gets chivedistance.Map. The predicted time to the first event, the cost of a plain endpoint and the time of a fetch include the way from the node that sends the request (Ask.From where another node grants). What is learnt from answers leaves the way out. In a large pool most of the sample comes from the request's own region.

One region: nothing changes (no distance is known).

Tests: distance_test.go. With SetDistances made without effect, the tests of idle engines, grants for peers, fetches, learning and plain requests fail; with the way left in what is learnt, the test of learning fails (188 ms predicted in place of 128).

--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"chivedrift/chivedirectory"
+	"chivedrift/chivedistance"
 	"chivedrift/chivegrant"
 	"chivedrift/chiveplace"
 	"chivedrift/chiverequest"
@@ -35,8 +36,9 @@
 	// reportedLeaving are the incarnations that other nodes have reported as leaving.
 	reportedLeaving map[string]bool
 	// regions is the region of each failure domain.
-	regions chiveresidency.Map
-	table   *chivetable.Table
+	regions   chiveresidency.Map
+	distances chivedistance.Map
+	table     *chivetable.Table
 	// changed has a buffer of one: a receiver collects the changes of all pools.
 	changed chan struct{}
 }
@@ -78,6 +80,16 @@
 // SetRegions sets the region of each failure domain; it must be called before the first request.
 func (p *Pools) SetRegions(regions chiveresidency.Map) { p.regions = regions }
 
+// SetDistances sets how far the regions are.
+func (p *Pools) SetDistances(distances chivedistance.Map) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.distances = distances
+	for _, pool := range p.pools {
+		pool.SetDistances(distances)
+	}
+}
+
 // SetTable applies a routing table.
 func (p *Pools) SetTable(table *chivetable.Table) {
 	p.mu.Lock()
@@ -158,6 +170,7 @@
 		pool = chiveplace.NewPool(p.failureDomain)
 		pool.OnChange(p.signalChange)
 		pool.SetNodes(p.nodes)
+		pool.SetDistances(p.distances)
 		pool.SetEvacuated(p.evacuated)
 		pool.SetReportedLeaving(p.reportedLeaving)
 		p.pools[name] = pool
--- a/chiveplace/candidate.go
+++ b/chiveplace/candidate.go
@@ -37,6 +37,8 @@
 	startedEmpty bool
 	// cacheQueried means that the endpoint was returned by TakeUnasked to be asked for its cache contents.
 	cacheQueried bool
+	// region is the index of the region of the endpoint's failure domain, or 0.
+	region regionIndex
 	// limits is nil for an endpoint that has never stated limits.
 	limits *endpointLimits
 	// goneUntil is until when the endpoint gets no requests, even if all others are excluded too, since another process
--- /dev/null
+++ b/chiveplace/distance.go
@@ -0,0 +1,99 @@
+package chiveplace
+
+import (
+	"slices"
+	"time"
+
+	"chivedrift/chivedistance"
+)
+
+// regionIndex identifies a region in a pool: its position in Pool.regions plus 1, or 0 if the region is not known or the
+// deployment lies in one region. It takes less memory for each endpoint than the region's name.
+type regionIndex uint16
+
+// indexOf returns the index of a region; the caller holds the lock.
+func (p *Pool) indexOf(region string) regionIndex {
+	if region == "" {
+		return 0
+	}
+	at := slices.Index(p.regions, region)
+	if at < 0 {
+		p.regions = append(p.regions, region)
+		at = len(p.regions) - 1
+	}
+	return regionIndex(at + 1)
+}
+
+// SetDistances sets how far the failure domains are from each other. The regions of the domains do not change.
+func (p *Pool) SetDistances(distances chivedistance.Map) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.distances, p.spansRegions, p.farthest = distances, distances.SpansRegions(), 0
+	for _, cand := range p.sorted {
+		p.setRegion(cand)
+	}
+}
+
+// setRegion sets the region of a candidate from its failure domain; the caller holds the lock.
+func (p *Pool) setRegion(cand *candidate) {
+	if !p.spansRegions {
+		return
+	}
+	cand.region = p.indexOf(p.distances.RegionOf(cand.endpoint.FailureDomain))
+	p.farthest = max(p.farthest, p.distances.ToDomain(cand.endpoint.FailureDomain))
+}
+
+// origin returns the failure domain of the node that sends the request.
+func (p *Pool) origin(ask Ask) string {
+	if ask.From == "" {
+		return p.localDomain
+	}
+	return ask.From
+}
+
+// wayTo returns the round trip between the node that sends a request and an endpoint, beyond the one inside a region.
+func (p *Pool) wayTo(ask Ask, cand *candidate) time.Duration {
+	if !p.spansRegions {
+		return 0
+	}
+	return p.distances.Between(p.origin(ask), cand.endpoint.FailureDomain)
+}
+
+// between returns the round trip between two endpoints, beyond the one inside a region.
+func (p *Pool) between(a, b *candidate) time.Duration {
+	if !p.spansRegions || a.region == b.region {
+		return 0
+	}
+	return p.distances.Between(a.endpoint.FailureDomain, b.endpoint.FailureDomain)
+}
+
+// wayFrom returns the round trip between the endpoint at an address and a candidate, beyond the one inside a region.
+func (p *Pool) wayFrom(address string, to *candidate) time.Duration {
+	if !p.spansRegions {
+		return 0
+	}
+	for _, cand := range p.sorted {
+		if cand.endpoint.Address == address {
+			return p.between(cand, to)
+		}
+	}
+	return 0
+}
+
+// candidatesNear returns the candidates in the region that a request comes from; none in a deployment that lies in one
+// region.
+func (p *Pool) candidatesNear(candidates []*candidate, ask Ask) []*candidate {
+	if !p.spansRegions {
+		return nil
+	}
+	region := p.indexOf(p.distances.RegionOf(p.origin(ask)))
+	near := make([]*candidate, 0, len(candidates))
+	for _, cand := range candidates {
+		if cand.region == region {
+			near = append(near, cand)
+		}
+	}
+	return near
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/chiveplace/distance_test.go
@@ -0,0 +1,125 @@
+package chiveplace_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"chivedrift/chivedirectory"
+	"chivedrift/chivedistance"
+	"chivedrift/chiveplace"
+	"chivedrift/chiverequest"
+	"chivedrift/chiveresidency"
+	"chivedrift/chivetable"
+)
+
+const roundTrip = 60 * time.Millisecond
+
+// newSpanningPool returns the pool of a node in failure domain a, with engines in the domains a and b of two regions.
+func newSpanningPool(engines int, capacity chivetable.Engine) *chiveplace.Pool {
+	p := chiveplace.NewPool("a")
+	p.SetEngine(capacity)
+	p.SetDistances(chivedistance.NewMap("ra", chiveresidency.Map{"a": "ra", "b": "rb"}, map[string]time.Duration{"rb": roundTrip}, roundTrip))
+	var endpoints []chivedirectory.Endpoint
+	for i := range engines {
+		for _, domain := range []string{"a", "b"} {
+			id := fmt.Sprint(domain, i)
+			endpoints = append(endpoints, chivedirectory.Endpoint{ID: id, Address: id, Pool: "p", FailureDomain: domain})
+		}
+	}
+	p.SetEndpoints(endpoints)
+	return p
+}
+
+// Guards against requests that cross regions while engines in their own are idle.
+func TestIdleEnginesOfTheOwnRegionAreChosen(t *testing.T) {
+	for _, engines := range []int{3, 50} {
+		p := newSpanningPool(engines, engine)
+		near := 0
+		const requests = 40
+		for i := range requests {
+			place := take(t, p, time.Now(), shortPrompt(100+i))
+			if place.Endpoint().FailureDomain == "a" {
+				near++
+			}
+			place.Done(time.Now(), chiveplace.EndedWell)
+		}
+		if near < requests*9/10 {
+			t.Errorf("%d engines a region: %d of %d requests stay in their region", engines, near, requests)
+		}
+	}
+}
+
+// Guards against an owner that grants engines next to itself, but far from the node that sends the request.
+func TestGrantCountsTheWayOfThePeer(t *testing.T) {
+	p := newSpanningPool(3, engine)
+	granted, err := p.Grant(time.Now(), "peer", 1, chiveplace.Ask{Prompt: promptWithoutPauseLimit(1), From: "b"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if granted.Endpoint[0] != 'b' {
+		t.Errorf("a node in b is granted %s", granted.Endpoint)
+	}
+}
+
+// Guards against fetches of cached tokens that take longer than reading them again, because the engines lie far apart.
+func TestShortPartsAreNotFetchedFromAnotherRegion(t *testing.T) {
+	for _, c := range []struct {
+		shared int64
+		want   int64
+	}{{2000, 0}, {13_000, 13_000}} {
+		p := newSpanningPool(1, engine)
+		now := time.Now()
+		prompt := func(own uint64) *chiverequest.Prompt {
+			return &chiverequest.Prompt{Parts: []chiverequest.Part{{ID: 1, Tokens: c.shared}, {ID: own, Tokens: 100}}, Input: c.shared + 100, Target: 2 * time.Second}
+		}
+		first := take(t, p, now, prompt(100))
+		now = now.Add(2 * time.Second)
+		first.Done(now, chiveplace.EndedWell)
+		reportLongQueue(p, now, first.Endpoint().ID)
+		next := take(t, p, now, prompt(200))
+		if next.Endpoint().ID == first.Endpoint().ID || next.Fetches() != c.want {
+			t.Errorf("%d shared tokens: %s fetches %d, want %d", c.shared, next.Endpoint().ID, next.Fetches(), c.want)
+		}
+	}
+}
+
+// Guards against far engines that are taken for slow ones, because the way there counts as their time to read.
+func TestTheWayIsNotLearntAsTimeOfTheEngine(t *testing.T) {
+	p := newSpanningPool(1, engine)
+	now := time.Now()
+	far := chiveplace.Ask{Prompt: promptWithoutPauseLimit(1), Domains: chiveresidency.DomainsOf([]string{"b"})}
+	var expected []time.Duration
+	for i := range 100 {
+		far.Prompt = promptWithoutPauseLimit(i + 1)
+		place, err := p.Take(now, far)
+		if err != nil {
+			t.Fatal(err)
+		}
+		expected = append(expected, place.Expected())
+		now = now.Add(expected[0])
+		place.Event(now, 0)
+		place.Done(now, chiveplace.EndedWell)
+	}
+	if change := expected[99] - expected[0]; change.Abs() > expected[0]/20 {
+		t.Errorf("predicted %v first, and %v after 100 answers that took just that", expected[0], expected[99])
+	}
+	if near := take(t, p, now, promptWithoutPauseLimit(1000)); near.Expected() > expected[0]-roundTrip*9/10 {
+		t.Errorf("an engine nearby is expected to take %v, the far one %v", near.Expected(), expected[0])
+	}
+}
+
+// Guards against plain requests that cross regions as long as no response time is known, and against those that stay
+// behind a queue.
+func TestPlainRequestsCountTheWay(t *testing.T) {
+	p := newSpanningPool(1, chivetable.Engine{})
+	now := time.Now()
+	var domains string
+	for range 8 {
+		domains += take(t, p, now, nil).Endpoint().FailureDomain
+	}
+	if !strings.HasPrefix(domains, "aa") || !strings.Contains(domains, "b") {
+		t.Errorf("eight requests at once go to %s", domains)
+	}
+}
--- a/chiveplace/engine.go
+++ b/chiveplace/engine.go
@@ -32,6 +32,7 @@
 type engineChoice struct {
 	pool   *Pool
 	prompt *chiverequest.Prompt
+	ask    Ask
 	// targetMs is the TTFT target of the request.
 	targetMs         float64
 	latencySensitive bool
@@ -50,7 +51,7 @@
 func (p *Pool) newEngineChoice(now time.Time, candidates []*candidate, ask Ask) *engineChoice {
 	prompt := ask.Prompt
 	c := &engineChoice{
-		pool: p, prompt: prompt, targetMs: ttftTargetMs(prompt), latencySensitive: p.isLatencySensitive(prompt), home: homeOf(p.homes(candidates, ask), SharedPart(prompt)),
+		pool: p, prompt: prompt, ask: ask, targetMs: ttftTargetMs(prompt), latencySensitive: p.isLatencySensitive(prompt), home: homeOf(p.homes(candidates, ask), SharedPart(prompt)),
 	}
 	var demand groupDemand
 	for _, cand := range p.allowedCandidates(ask) {
@@ -89,16 +90,16 @@
 func (c *engineChoice) splitPrompt(cand *candidate) (prefill, fetch, recompute int64) {
 	missing := cand.cache.missingTokens(c.prompt)
 	fetch = c.holderTokens - (c.prompt.Input - missing)
-	if c.holder == cand || !c.pool.worthFetching(fetch) {
+	if fetch < minFetchTokens || c.holder == cand || !c.pool.worthFetching(fetch, c.pool.between(c.holder, cand)) {
 		fetch = 0
 	}
 	prefill = missing - fetch
 	return prefill, fetch, max(prefill-(c.prompt.Input-c.cachedTokens), 0)
 }
 
-// worthFetching reports whether to fetch tokens from another engine that has them cached.
-func (p *Pool) worthFetching(tokens int64) bool {
-	return tokens >= minFetchTokens && p.ttft.fetchMs(tokens) <= maxFetchTimeShare*p.ttft.prefillMs(float64(tokens))
+// worthFetching reports whether to fetch tokens from another engine that has them cached, at a round trip between the two.
+func (p *Pool) worthFetching(tokens int64, way time.Duration) bool {
+	return tokens >= minFetchTokens && p.ttft.fetchMs(tokens)+milliseconds(way) <= maxFetchTimeShare*p.ttft.prefillMs(float64(tokens))
 }
 
 // ttftTargetMs returns the TTFT target of a request in milliseconds, at least 1.
@@ -109,8 +110,11 @@
 // sampleSize is the number of random engines to compare in a large pool.
 const sampleSize = 12
 
-// sample returns the engines to compare: in a large pool a random sample, the home of the prompt and the engines that
-// have the longest prefix cached.
+// farSampleSize is the number of random engines of all regions to compare with those of the request's own region.
+const farSampleSize = 4
+
+// sample returns the engines to compare: in a large pool a random sample, most of it from the region that the request
+// comes from, the home of the prompt and the engines that have the longest prefix cached.
 //
 // What nodes know about each other is some tenths of a second old. If all of them compared all engines, those that
 // choose within that time would all choose the same best one, whose queue would jump while others are idle.
@@ -124,8 +128,17 @@
 			chosen = append(chosen, cand)
 		}
 	}
-	for range sampleSize {
-		chosen = append(chosen, candidates[c.pool.rng.IntN(len(candidates))])
+	near := c.pool.candidatesNear(candidates, c.ask)
+	if len(near) == 0 || len(near) == len(candidates) {
+		return c.pool.appendRandom(chosen, candidates, sampleSize)
+	}
+	return c.pool.appendRandom(c.pool.appendRandom(chosen, near, sampleSize), candidates, farSampleSize)
+}
+
+// appendRandom appends a number of random candidates.
+func (p *Pool) appendRandom(chosen, candidates []*candidate, count int) []*candidate {
+	for range count {
+		chosen = append(chosen, candidates[p.rng.IntN(len(candidates))])
 	}
 	return chosen
 }
@@ -133,7 +146,10 @@
 // cost is the expected loss on one engine.
 func (c *engineChoice) cost(now time.Time, cand *candidate) float64 {
 	prefill, fetch, recompute := c.splitPrompt(cand)
-	ttftMs := c.pool.ttft.predict(prefillWork{prefillTokens: prefill, fetchTokens: fetch, queuedAhead: cand.queuedAhead(c.prompt.Rank)}) * cand.slowdown()
+	ttftMs := c.pool.ttft.predict(prefillWork{prefillTokens: prefill, fetchTokens: fetch, queuedAhead: cand.queuedAhead(c.prompt.Rank)})*cand.slowdown() + milliseconds(c.pool.wayTo(c.ask, cand))
+	if fetch > 0 {
+		ttftMs += milliseconds(c.pool.between(c.holder, cand))
+	}
 	loss := ramp(ttftMs/c.targetMs, ttftRampStart, ttftRampEnd) + ttftTieBreakLoss*ttftMs/c.targetMs
 	longPrefill := c.pool.longPrefillChance(now, cand)
 	loss += c.pauseLoss(now, cand, longPrefill)
--- a/chiveplace/grant.go
+++ b/chiveplace/grant.go
@@ -118,7 +118,10 @@
 	place := &Place{
 		pool: p, candidate: cand, endpoint: cand.endpoint, domains: ask.Domains, startedAt: now, reason: "granted by its owner", owner: grant.Owner, loss: grant.Loss, candidateCount: grant.Candidates,
 		prefillTokens: grant.Reads, fetchTokens: grant.Fetches, fetchFrom: grant.FetchFrom, queuedAhead: grant.Ahead, rank: prompt.Rank, latencySensitive: p.isLatencySensitive(prompt),
-		promptTokens: prompt.Input,
+		promptTokens: prompt.Input, way: p.wayTo(ask, cand),
+	}
+	if grant.FetchFrom != "" {
+		place.way += p.wayFrom(grant.FetchFrom, cand)
 	}
 	cand.notice.probe(now)
 	p.countOwn(now, place, prompt)
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -54,8 +54,10 @@
 	holderTokens  int64
 	// recomputeTokens is the part of prefillTokens that another engine has cached. expectedTTFT is the predicted time
 	// to the first event.
-	recomputeTokens  int64
-	expectedTTFT     time.Duration
+	recomputeTokens int64
+	expectedTTFT    time.Duration
+	// way is the round trip between regions that is part of the time to the first event.
+	way              time.Duration
 	queuedAhead      int64
 	rank             chivetable.Rank
 	latencySensitive bool
@@ -141,9 +143,14 @@
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
 	fetchTokens := held - (p.promptTokens - p.prefillTokens)
-	if p.prefilled || p.fetchFrom != "" || address == p.endpoint.Address || !p.pool.worthFetching(fetchTokens) || !p.pool.isInDomains(address, p.domains) {
+	if p.prefilled || p.fetchFrom != "" || address == p.endpoint.Address || fetchTokens < minFetchTokens || !p.pool.isInDomains(address, p.domains) {
 		return
 	}
+	way := p.pool.wayFrom(address, p.candidate)
+	if !p.pool.worthFetching(fetchTokens, way) {
+		return
+	}
+	p.way += way
 	p.candidate.removeQueued(p)
 	p.fetchTokens, p.fetchFrom = fetchTokens, address
 	p.prefillTokens -= fetchTokens
@@ -170,8 +177,9 @@
 		p.candidate.recordPause(now, pause)
 		p.maxPause = max(p.maxPause, pause)
 	} else {
-		p.candidate.updateSlowdown(p.pool.ttft.predict(p.prefillWork()), now.Sub(p.startedAt))
-		p.pool.ttft.update(p.prefillWork(), now.Sub(p.startedAt))
+		took := p.withoutWay(now.Sub(p.startedAt))
+		p.candidate.updateSlowdown(p.pool.ttft.predict(p.prefillWork()), took)
+		p.pool.ttft.update(p.prefillWork(), took)
 	}
 	p.markPrefilled()
 	if p.candidate.dirty {
@@ -179,6 +187,9 @@
 	}
 }
 
+// withoutWay returns how long an endpoint took, from the time that this node waited.
+func (p *Place) withoutWay(waited time.Duration) time.Duration { return max(waited-p.way, 0) }
+
 func (p *Place) markPrefilled() {
 	if p.prefilled {
 		return
@@ -217,8 +228,9 @@
 	p.pool.onChange()
 	switch ending {
 	case EndedWell, EndedError:
-		p.candidate.recordResponse(now, ending == EndedError, now.Sub(p.startedAt))
-		p.pool.responseTime += poolResponseTimeWeight * (now.Sub(p.startedAt).Seconds() - p.pool.responseTime)
+		took := p.withoutWay(now.Sub(p.startedAt))
+		p.candidate.recordResponse(now, ending == EndedError, took)
+		p.pool.responseTime += poolResponseTimeWeight * (took.Seconds() - p.pool.responseTime)
 	case EndedBroken:
 		p.candidate.recordFailure(now)
 	case EndedFull:
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chivedrift/chivedirectory"
+	"chivedrift/chivedistance"
 	"chivedrift/chiverequest"
 	"chivedrift/chiveresidency"
 	"chivedrift/chivetable"
@@ -66,6 +67,8 @@
 	// refused, so that other endpoints can be tried first. 0 means no limit.
 	Most      float64
 	MostReads int64
+	// From is the failure domain of the node that sends the request; empty for this node's, or if it is not known.
+	From string
 	// forPeer means that another node sends the request.
 	forPeer bool
 }
@@ -95,6 +98,13 @@
 type Pool struct {
 	mu          sync.Mutex
 	localDomain string
+	// distances are the distances of the failure domains; spansRegions tells whether there is more than one region, and
+	// farthest is the longest round trip to a region with endpoints.
+	distances    chivedistance.Map
+	spansRegions bool
+	farthest     time.Duration
+	// regions are the known regions, in the order of their indexes.
+	regions []string
 	// firstEndpointAt is when the node discovered the first endpoint; zero before.
 	firstEndpointAt time.Time
 	engine          chivetable.Engine
@@ -210,6 +220,7 @@
 			p.attachNotice(cand)
 		}
 		cand.setEndpoint(time.Now(), e)
+		p.setRegion(cand)
 	}
 }
 
@@ -401,7 +412,7 @@
 	if ask.Prompt != nil {
 		place.rank = ask.Prompt.Rank
 		place.queuedAhead = best.queuedAhead(place.rank)
-		place.expectedTTFT = chivetime.Milliseconds(p.ttft.predict(place.prefillWork()) * best.slowdown())
+		place.expectedTTFT = chivetime.Milliseconds(p.ttft.predict(place.prefillWork())*best.slowdown()) + place.way
 		if refused := p.admit(ask.Prompt, p.ttft.queuedMs(place.queuedAhead)*best.slowdown(), place.expectedTTFT); refused != nil {
 			refused.Holder, refused.Held = place.holderAddress, place.holderTokens
 			return nil, refused
@@ -511,8 +522,9 @@
 	start := p.rng.IntN(len(candidates))
 	for i := range candidates {
 		cand := candidates[(start+i)%len(candidates)]
-		place.consider(cand, p.plainServiceCost(now, cand))
+		place.consider(cand, p.plainServiceCost(now, cand, ask))
 	}
+	place.way = p.wayTo(ask, place.candidate)
 	return place
 }
 
@@ -529,15 +541,18 @@
 	if choice.holder != nil {
 		place.holderAddress, place.holderTokens = choice.holder.endpoint.Address, choice.holderTokens
 	}
+	place.way = p.wayTo(ask, place.candidate)
 	if place.fetchTokens > 0 {
 		place.fetchFrom = place.holderAddress
+		place.way += p.between(choice.holder, place.candidate)
 	}
 }
 
 // plainServiceCost returns the expected response time of a replica of a plain service, increased for errors and for a
 // remote failure domain.
-func (p *Pool) plainServiceCost(now time.Time, cand *candidate) float64 {
+func (p *Pool) plainServiceCost(now time.Time, cand *candidate, ask Ask) float64 {
 	cost := float64(cand.load()+1) * cand.expectedResponseTime(now, unusedResponseTimeFactor*p.responseTime) * (1 + errorCostFactor*cand.errorRate)
+	cost += p.wayTo(ask, cand).Seconds()
 	if cand.endpoint.FailureDomain != p.localDomain {
 		cost *= remoteDomainFactor
 	}
--- a/chiveplace/prompt.go
+++ b/chiveplace/prompt.go
@@ -16,3 +16,14 @@
 	}
 	return p.Parts[len(p.Parts)-2].ID
 }
+
+// SharedTokens returns the number of tokens of a prompt up to the end of its shared part; of a prompt with one part, the
+// tokens of that part.
+func SharedTokens(p *chiverequest.Prompt) (tokens int64) {
+	for i, part := range p.Parts {
+		if i == 0 || i < len(p.Parts)-1 {
+			tokens += part.Tokens
+		}
+	}
+	return tokens
+}
