Grants: groups of engines do not cross regions

Owners were dealt over all regions by hash, so two thirds of all questions of a fleet in three regions crossed one, for engines next to the caller as well.

Where the settings name several regions, each pool has a trie for each region, and a group is owned by a node of its region: by nodes anywhere if the region has none, or if its nodes own four times the even share already. A request asks two groups of its own region and then one of another, chosen by its shared part; a shared part that is long has one home over all regions, as before. The loss of the way to ask counts against the last group.

One region: same groups, names and owners (TestGroupsOfOneRegionKeepTheirNames).

Tests: region_test.go. With the split by region switched off, the tests of owners in their region, homes of short parts and of spill fail.

--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -12,6 +12,7 @@
 	"chivedrift/chiveevent"
 	"chivedrift/chiveplace"
 	"chivedrift/chiverequest"
+	"chivedrift/chiveresidency"
 	"chivedrift/chivewire"
 )
 
@@ -28,29 +29,22 @@
 	p := &placement{
 		service: s, assignment: a, pool: pool, request: request, exclude: append(pool.PassedOver(time.Now()), limits.Exclude...), limits: limits,
 	}
-	primary, secondary := a.homeGroups(request.Pool, chiveplace.SharedPart(request.Prompt), limits.Domains)
-	if p.allExcluded(primary) {
-		primary, secondary = secondary, noGroup
-	}
-	if p.allExcluded(primary) {
+	groups := slices.DeleteFunc(a.homeGroups(s.homeOf(request, pool, limits.Domains)), p.allExcluded)
+	switch len(groups) {
+	case 0:
 		return nil, ErrAlone
+	case 1:
+		return p.placeIn(ctx, groups[0], 0, 0)
 	}
-	if p.allExcluded(secondary) {
-		return p.placeIn(ctx, primary, 0, 0)
-	}
-	place, err := p.placeIn(ctx, primary, spillLossMargin, request.Prompt.Input)
-	var refused *chiveplace.RefusedError
-	if !errors.As(err, &refused) {
-		return place, err
-	}
-	place, secondaryErr := p.placeIn(ctx, secondary, refused.Loss, 0)
-	if secondaryErr == nil {
-		place.FetchInstead(refused.Holder, refused.Held)
-	}
-	if secondaryErr == nil || refused.Loss == 0 {
-		return place, secondaryErr
+	return p.placeInFirst(ctx, groups)
+}
+
+// homeOf returns where the requests with the shared part of a request are placed.
+func (s *Service) homeOf(request *chiverequest.Request, pool *chiveplace.Pool, domains chiveresidency.Domains) home {
+	return home{
+		pool: request.Pool, part: chiveplace.SharedPart(request.Prompt), domains: domains,
+		region: s.distances.Load().Region(), fleetWide: pool.HasFleetHome(request.Prompt),
 	}
-	return p.placeIn(ctx, primary, 0, 0)
 }
 
 // Home returns the ids of the engines in the primary group of a request. A node that places the request locally then
@@ -60,8 +54,15 @@
 	if !a.usesOwners {
 		return nil
 	}
-	primary, _ := a.homeGroups(request.Pool, chiveplace.SharedPart(request.Prompt), limits.Domains)
-	return a.engines(primary)
+	pool := s.options.Pools.Pool(request.Pool)
+	if pool == nil {
+		return nil
+	}
+	groups := a.homeGroups(s.homeOf(request, pool, limits.Domains))
+	if len(groups) == 0 {
+		return nil
+	}
+	return a.engines(groups[0])
 }
 
 // placement holds the state of one call of Place.
@@ -75,6 +76,66 @@
 	limits chiveplace.Ask
 }
 
+// placeInFirst places the request in the first of at least two groups whose loss is low or, if there is none, in the one
+// with the lowest loss. The last group is asked only for a place that costs less than those of the groups before.
+func (p *placement) placeInFirst(ctx context.Context, groups []groupID) (*chiveplace.Place, error) {
+	var refused refusals
+	for i, group := range groups {
+		maxLoss, recomputeTokens := spillLossMargin, p.request.Prompt.Input
+		if i == len(groups)-1 {
+			maxLoss, recomputeTokens = max(refused.loss-p.askLoss(group), 0), 0
+			if maxLoss == 0 && refused.cheapest != noGroup {
+				break
+			}
+		}
+		place, err := p.placeIn(ctx, group, maxLoss, recomputeTokens)
+		if err == nil {
+			place.FetchInstead(refused.holder, refused.held)
+			return place, nil
+		}
+		if !refused.add(group, err) && i == 0 {
+			return nil, err
+		}
+	}
+	if refused.cheapest == noGroup {
+		return nil, refused.last
+	}
+	return p.placeIn(ctx, refused.cheapest, 0, 0)
+}
+
+// refusals are the answers of the groups that have not placed a request.
+type refusals struct {
+	last error
+	// cheapest is the group that has room at the lowest loss; noGroup if none has room.
+	cheapest groupID
+	loss     float64
+	// holder is the address of the engine that has the longest prefix of the prompt cached, held the length of that
+	// prefix in tokens.
+	holder string
+	held   int64
+}
+
+// add adds the answer of a group and reports whether it is a refusal.
+func (r *refusals) add(group groupID, err error) (isRefusal bool) {
+	r.last = err
+	var refused *chiveplace.RefusedError
+	if !errors.As(err, &refused) {
+		return false
+	}
+	if refused.Held > r.held {
+		r.holder, r.held = refused.Holder, refused.Held
+	}
+	if refused.Loss > 0 && (r.cheapest == noGroup || refused.Loss < r.loss) {
+		r.cheapest, r.loss = group, refused.Loss
+	}
+	return true
+}
+
+// askLoss is the loss from the time that it takes to ask the owner of a group in another region.
+func (p *placement) askLoss(group groupID) float64 {
+	return float64(p.service.distances.Load().ToRegion(group.region)) / float64(max(p.request.Prompt.Target, time.Millisecond))
+}
+
 // allExcluded reports whether this node excludes every engine of a group. After a short network partition a node
 // excludes all engines. Asking the owner would then get the request refused, whereas local placement still tries one of
 // the engines.
--- a/chivegrant/own.go
+++ b/chivegrant/own.go
@@ -33,7 +33,7 @@
 	}
 	number := s.lastGrant.Add(1)
 	grant, err := pool.Grant(time.Now(), incoming.from, number, chiveplace.Ask{
-		Prompt: incoming.request.prompt(), Exclude: incoming.request.Exclude, Among: engines, Domains: incoming.request.domains(), Most: incoming.request.Most, MostReads: incoming.request.MostReads,
+		Prompt: incoming.request.prompt(), Exclude: incoming.request.Exclude, Among: engines, Domains: incoming.request.domains(), From: s.domainOf(incoming.from), Most: incoming.request.Most, MostReads: incoming.request.MostReads,
 	})
 	var refused *chiveplace.RefusedError
 	if errors.As(err, &refused) {
--- /dev/null
+++ b/chivegrant/region_test.go
@@ -0,0 +1,204 @@
+package chivegrant_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"chivedrift/chivedirectory"
+	"chivedrift/chivedistance"
+	"chivedrift/chivemember"
+	"chivedrift/chiveplace"
+	"chivedrift/chiverequest"
+	"chivedrift/chiveresidency"
+	"chivedrift/chivetable"
+)
+
+var regions = chiveresidency.Map{"a": "ra", "b": "rb", "c": "rc"}
+
+// distancesFrom returns the distances of a node in one of the three regions, which lie 60 ms apart there and back.
+func distancesFrom(domain string) chivedistance.Map {
+	return chivedistance.NewMap(regions[domain], regions, nil, 60*time.Millisecond)
+}
+
+// membersIn returns alive members of a failure domain.
+func membersIn(domain string, count int) []chivemember.Member {
+	members := make([]chivemember.Member, count)
+	for i := range members {
+		address := fmt.Sprintf("10.0.%s.%d:1", domain, i)
+		members[i] = chivemember.Member{Name: address, Address: address, State: chivemember.Alive, Region: regions[domain], FailureDomain: domain}
+	}
+	return members
+}
+
+// newRegionNode returns a node in a failure domain, with as many engines in each of the three domains as given.
+func newRegionNode(tb testing.TB, self, domain string, engines int, members ...[]chivemember.Member) *node {
+	tb.Helper()
+	n := newNodeIn(domain, self)
+	n.setRegions(tb, distancesFrom(domain), engines, slices.Concat(members...))
+	return n
+}
+
+func (n *node) setRegions(tb testing.TB, distances chivedistance.Map, engines int, members []chivemember.Member) {
+	tb.Helper()
+	table, err := chivetable.New(chivetable.Spec{Pools: []chivetable.Pool{{Name: "p", Engine: engine}}})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	var endpoints []chivedirectory.Endpoint
+	for _, domain := range slices.Sorted(maps.Keys(regions)) {
+		for i := range engines {
+			endpoints = append(endpoints, chivedirectory.Endpoint{ID: fmt.Sprint(domain, i), Pool: "p", FailureDomain: domain})
+		}
+	}
+	n.pool.SetDistances(distances)
+	n.pool.SetEngine(engine)
+	n.pool.SetEndpoints(endpoints)
+	n.service.SetDistances(distances)
+	n.service.SetTable(table)
+	n.service.ApplyEndpoints(chivedirectory.Diff{Changed: endpoints})
+	n.service.SetMembers(members)
+	n.service.Divide()
+}
+
+// ownedIn returns the number of engines of a failure domain that each node owns.
+func (n *node) ownedIn(domain string, engines int) map[string]int {
+	owned := make(map[string]int)
+	for i := range engines {
+		owned[n.service.OwnerOf(fmt.Sprint(domain, i))]++
+	}
+	return owned
+}
+
+// Guards against owners that are asked over the way between regions for engines next to the caller.
+func TestEnginesAreOwnedInTheirRegion(t *testing.T) {
+	members := [][]chivemember.Member{membersIn("a", 8), membersIn("b", 6), membersIn("c", 6)}
+	n := newRegionNode(t, "127.0.0.1:1", "a", 50, members...)
+	for i, domain := range []string{"a", "b", "c"} {
+		for owner := range n.ownedIn(domain, 50) {
+			if !slices.ContainsFunc(members[i], func(m chivemember.Member) bool { return m.Address == owner }) {
+				t.Errorf("an engine in %s is owned by %q", domain, owner)
+			}
+		}
+	}
+}
+
+// Guards against engines without an owner in a region whose nodes are all gone.
+func TestRegionWithoutNodesIsOwnedElsewhere(t *testing.T) {
+	n := newRegionNode(t, "127.0.0.1:1", "a", 50, membersIn("a", 8), membersIn("b", 8))
+	owned := n.ownedIn("c", 50)
+	if _, without := owned[""]; without || len(owned) < 4 {
+		t.Errorf("the engines are owned by %v", owned)
+	}
+}
+
+// Guards against a region's last nodes that have to grant all of its engines.
+func TestFewNodesOfARegionDoNotOwnAllOfIt(t *testing.T) {
+	const engines, evenShare = 300, 15
+	n := newRegionNode(t, "127.0.0.1:1", "a", engines, membersIn("a", 1), membersIn("b", 29), membersIn("c", 30))
+	owned := n.ownedIn("a", engines)
+	last := membersIn("a", 1)[0].Address
+	if owned[last] < evenShare || owned[last] > 8*evenShare {
+		t.Errorf("the region's only node owns %d of %d engines, an even share is %d", owned[last], engines, evenShare)
+	}
+	for owner, count := range n.ownedIn("b", engines) {
+		if slices.ContainsFunc(membersIn("c", 30), func(m chivemember.Member) bool { return m.Address == owner }) {
+			t.Errorf("%d engines of a region with 29 nodes are owned in another one", count)
+		}
+	}
+}
+
+// Guards against nodes of one region that name groups otherwise than those of an earlier release, which would not grant
+// them.
+func TestGroupsOfOneRegionKeepTheirNames(t *testing.T) {
+	members := membersIn("a", 20)
+	owners := func(distances chivedistance.Map) string {
+		n := newNode("127.0.0.1:1")
+		n.setRegions(t, distances, 50, members)
+		return fmt.Sprintf("%+v", n.service.Dump())
+	}
+	one := chivedistance.NewMap("ra", chiveresidency.Map{"a": "ra", "b": "ra", "c": "ra"}, nil, 60*time.Millisecond)
+	if before, now := owners(chivedistance.Map{}), owners(one); before != now {
+		t.Errorf("the groups are %s, without regions %s", now, before)
+	}
+}
+
+// sharedRequest returns a request whose prompt shares its first part with others.
+func sharedRequest(part uint64, sharedTokens int64) *chiverequest.Request {
+	return &chiverequest.Request{Pool: "p", Prompt: &chiverequest.Prompt{
+		Parts: []chiverequest.Part{{ID: part, Tokens: sharedTokens}, {ID: part + 1_000_000, Tokens: 1000}}, Input: sharedTokens + 1000,
+		Target: 2 * time.Second, Urgent: time.Second, Pause: time.Second,
+	}}
+}
+
+// homesOf returns, for nodes in two regions, the engines in which each prefers to place requests with a shared part.
+func homesOf(t *testing.T, part uint64, sharedTokens int64) (a, b []string) {
+	t.Helper()
+	members := [][]chivemember.Member{membersIn("a", 8), membersIn("b", 8), membersIn("c", 8)}
+	inA, inB := newRegionNode(t, "127.0.0.1:1", "a", 50, members...), newRegionNode(t, "127.0.0.1:2", "b", 50, members...)
+	request := sharedRequest(part, sharedTokens)
+	return inA.service.Home(request, chiveplace.Ask{}), inB.service.Home(request, chiveplace.Ask{})
+}
+
+// Guards against a long shared part that is read again in each region.
+func TestLongPartHasOneHomeOverAllRegions(t *testing.T) {
+	for part := range uint64(20) {
+		if a, b := homesOf(t, part+1, 13_000); !slices.Equal(a, b) {
+			t.Fatalf("part %d: one region places it on %v, another on %v", part+1, a, b)
+		}
+	}
+}
+
+// Guards against quick requests that cross regions to the home of a short shared part.
+func TestShortPartHasAHomeInEachRegion(t *testing.T) {
+	for part := range uint64(20) {
+		a, b := homesOf(t, part+1, 350)
+		if len(a) == 0 || len(b) == 0 || a[0][0] != 'a' || b[0][0] != 'b' {
+			t.Fatalf("part %d: the nodes in a and b place it on %v and %v", part+1, a, b)
+		}
+	}
+}
+
+// Guards against requests that are refused while engines in another region are idle, and against requests that stay there
+// once their own region has room.
+func TestFullRegionSpillsAndReturns(t *testing.T) {
+	n := newRegionNode(t, "127.0.0.1:1", "a", 20, []chivemember.Member{{Name: "127.0.0.1:1", Address: "127.0.0.1:1", State: chivemember.Alive, Region: "ra", FailureDomain: "a"}}, leaving(20))
+	placed := func() string {
+		place, err := n.service.Place(context.Background(), n.pool, sharedRequest(1, 350), chiveplace.Ask{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		place.Done(time.Now(), chiveplace.EndedWell)
+		return place.Endpoint().FailureDomain
+	}
+	setQueue := func(tokens int64) {
+		var report chiveplace.Report
+		for i := range 20 {
+			report.Loads = append(report.Loads, chiveplace.Load{Endpoint: fmt.Sprint("a", i), Requests: 30, Waiting: []int64{tokens}})
+		}
+		n.pool.Hear(time.Now(), "10.0.0.1:1", &report)
+	}
+	if got := placed(); got != "a" {
+		t.Errorf("with idle engines a request goes to %s", got)
+	}
+	setQueue(60_000)
+	if got := placed(); got == "a" {
+		t.Error("a request stays behind 60,000 tokens")
+	}
+	setQueue(0)
+	if got := placed(); got != "a" {
+		t.Errorf("after the queues a request goes to %s", got)
+	}
+}
+
+// leaving returns members that own nothing but count towards the size of the fleet.
+func leaving(count int) []chivemember.Member {
+	members := membersIn("b", count)
+	for i := range members {
+		members[i].State = chivemember.Leaving
+	}
+	return members
+}
--- a/chivegrant/service.go
+++ b/chivegrant/service.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"chivedrift/chivedirectory"
+	"chivedrift/chivedistance"
 	"chivedrift/chiveevent"
 	"chivedrift/chivekernel"
 	"chivedrift/chivemember"
@@ -81,6 +82,7 @@
 	options    Options
 	inbox      *chivering.Ring[incomingRequest]
 	assignment atomic.Pointer[assignment]
+	distances  atomic.Pointer[regionDistances]
 	calls      *chivewire.Calls[PlaceAnswer]
 	lastGrant  atomic.Uint64
 	asked      atomic.Int64
@@ -89,14 +91,16 @@
 	timedOut   atomic.Int64
 
 	mu sync.Mutex
-	// endpoints holds the endpoints of each pool by the hashes of their ids; enginePools marks the pools of engines.
-	endpoints   map[string]*trieNode[engine]
+	// endpoints holds the endpoints of each partition by the hashes of their ids; enginePools marks the pools of engines.
+	endpoints   map[partition]*trieNode[engine]
 	enginePools map[string]bool
 	// nodes holds the addresses of the alive members by their hashes; nodesChanged is set when they changed since the
 	// last rebalance.
-	nodes            *trieNode[string]
-	nodesChanged     bool
-	memberCount      int
+	nodes        nodeTries
+	nodesChanged bool
+	memberCount  int
+	// domains are the failure domains of the members by address.
+	domains          map[string]string
 	membersChangedAt time.Time
 	startedAt        time.Time
 	backoffUntil     map[string]time.Time
@@ -108,10 +112,11 @@
 // New returns a service without engines and members.
 func New(options Options) *Service {
 	s := &Service{
-		options: options, inbox: chivering.New[incomingRequest](inboxCapacity), enginePools: make(map[string]bool), endpoints: make(map[string]*trieNode[engine]), calls: chivewire.NewCalls[PlaceAnswer](),
+		options: options, inbox: chivering.New[incomingRequest](inboxCapacity), enginePools: make(map[string]bool), endpoints: make(map[partition]*trieNode[engine]), nodes: nodeTries{byRegion: make(map[string]*trieNode[string])}, calls: chivewire.NewCalls[PlaceAnswer](),
 		backoffUntil: make(map[string]time.Time), adopted: make(map[string]uint64), rebalanceTrigger: make(chan struct{}, 1),
 	}
 	s.assignment.Store(&assignment{})
+	s.distances.Store(&regionDistances{})
 	chivewire.Receive(options.Mesh, chivewire.KindPlaceAsk, func(from string, request PlaceAsk) {
 		// A request that does not fit into the inbox is dropped; after its timeout the requesting node places locally.
 		s.inbox.Offer(incomingRequest{from, request})
@@ -149,6 +154,42 @@
 	}{a.usesOwners, owners, s.inbox.Depth()}
 }
 
+// regionDistances are the distances of the regions; spansRegions tells whether there is more than one region.
+type regionDistances struct {
+	chivedistance.Map
+	spansRegions bool
+}
+
+// SetDistances sets how far the regions are. It must be called before the first endpoints and members are set, and may be
+// called again when distances change; the regions of the failure domains do not change.
+func (s *Service) SetDistances(distances chivedistance.Map) {
+	s.distances.Store(&regionDistances{distances, distances.SpansRegions()})
+}
+
+// partitionOf returns the partition of an endpoint.
+func (s *Service) partitionOf(e chivedirectory.Endpoint) partition {
+	distances := s.distances.Load()
+	if !distances.spansRegions {
+		return partition{pool: e.Pool}
+	}
+	return partition{e.Pool, distances.RegionOf(e.FailureDomain)}
+}
+
+// domainOf returns the failure domain of a member; empty if it is not known.
+func (s *Service) domainOf(address string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.domains[address]
+}
+
+// regionOf returns the region by which a node is selected as an owner; empty in a deployment that lies in one region.
+func (s *Service) regionOf(m chivemember.Member) string {
+	if !s.distances.Load().spansRegions {
+		return ""
+	}
+	return m.Region
+}
+
 // SetTable applies a new configuration.
 func (s *Service) SetTable(table *chivetable.Table) {
 	s.mu.Lock()
@@ -166,14 +207,15 @@
 	s.mu.Lock()
 	changed := false
 	for _, e := range diff.Gone {
-		changed = s.removeFromOtherPools(e, "") || changed
+		changed = s.removeFromOthers(e, partition{}) || changed
 	}
 	for _, e := range diff.Changed {
-		changed = s.removeFromOtherPools(e, e.Pool) || changed
+		in := s.partitionOf(e)
+		changed = s.removeFromOthers(e, in) || changed
 		hash := chiveplace.HashID(e.ID)
 		added := engine{id: e.ID, failureDomain: e.FailureDomain}
-		if known, ok := s.endpoints[e.Pool].find(hash); !ok || known != added {
-			s.endpoints[e.Pool] = s.endpoints[e.Pool].insert(hash, added, 0)
+		if known, ok := s.endpoints[in].find(hash); !ok || known != added {
+			s.endpoints[in] = s.endpoints[in].insert(hash, added, 0)
 			changed = true
 		}
 	}
@@ -183,13 +225,13 @@
 	}
 }
 
-// removeFromOtherPools removes an endpoint from all pools except keep and reports whether it was in any of them. The
+// removeFromOthers removes an endpoint from all partitions except keep and reports whether it was in any of them. The
 // caller holds the lock.
-func (s *Service) removeFromOtherPools(e chivedirectory.Endpoint, keep string) (removed bool) {
+func (s *Service) removeFromOthers(e chivedirectory.Endpoint, keep partition) (removed bool) {
 	hash := chiveplace.HashID(e.ID)
-	for pool, root := range s.endpoints {
-		if _, ok := root.find(hash); ok && pool != keep {
-			s.endpoints[pool] = root.remove(hash, 0)
+	for in, root := range s.endpoints {
+		if _, ok := root.find(hash); ok && in != keep {
+			s.endpoints[in] = root.remove(hash, 0)
 			removed = true
 		}
 	}
@@ -201,26 +243,25 @@
 	s.mu.Lock()
 	s.memberCount = len(members)
 	s.membersChangedAt = time.Now()
-	present := make(map[uint64]bool, len(members))
+	s.domains = make(map[string]string, len(members))
 	for _, m := range members {
-		hash := chiveplace.HashID(m.Address)
-		present[hash] = true
-		_, known := s.nodes.find(hash)
-		if alive := m.State == chivemember.Alive; alive != known {
+		s.domains[m.Address] = m.FailureDomain
+		region, alive := s.regionOf(m), m.State == chivemember.Alive
+		if alive && !s.nodes.contains(m.Address, region) {
+			s.nodes.insert(m.Address, region)
+			s.nodesChanged = true
+		} else if !alive && s.nodes.contains(m.Address, "") {
+			s.nodes.remove(m.Address)
 			s.nodesChanged = true
-			if alive {
-				s.nodes = s.nodes.insert(hash, m.Address, 0)
-			} else {
-				s.nodes = s.nodes.remove(hash, 0)
-			}
 		}
 	}
-	for _, it := range s.nodes.all() {
-		if !present[it.hash] {
-			s.nodes, s.nodesChanged = s.nodes.remove(it.hash, 0), true
+	isMember := func(address string) bool { _, known := s.domains[address]; return known }
+	for _, it := range s.nodes.all.all() {
+		if !isMember(it.element) {
+			s.nodes.remove(it.element)
+			s.nodesChanged = true
 		}
 	}
-	isMember := func(address string) bool { return present[chiveplace.HashID(address)] }
 	// Drops the state of nodes that left the fleet, which would otherwise grow without bound as nodes are replaced.
 	maps.DeleteFunc(s.backoffUntil, func(address string, _ time.Time) bool { return !isMember(address) })
 	maps.DeleteFunc(s.adopted, func(address string, _ uint64) bool { return !isMember(address) })
@@ -256,20 +297,15 @@
 // automatically after a short delay.
 func (s *Service) Divide() {
 	s.mu.Lock()
-	pools := make(map[string]*trieNode[engine])
-	for pool, root := range s.endpoints {
-		if s.enginePools[pool] {
-			pools[pool] = root
-		}
-	}
+	tries := newEngineTries(s.endpoints, func(pool string) bool { return s.enginePools[pool] })
 	previous := s.assignment.Load()
 	next := &assignment{}
 	if s.memberCount > maxBroadcastNodes {
 		if !s.nodesChanged {
-			next = previous.withEngines(pools)
+			next = previous.withEngines(tries)
 		}
 		if s.nodesChanged || next == nil {
-			next = newAssignment(pools, s.nodes, s.options.Mesh.Self())
+			next = newAssignment(tries, s.nodes, s.options.Mesh.Self())
 		}
 	}
 	s.nodesChanged = false
--- a/chivegrant/service_test.go
+++ b/chivegrant/service_test.go
@@ -35,8 +35,10 @@
 	service *chivegrant.Service
 }
 
-func newNode(address string) *node {
-	n := &node{mesh: chivewire.NewMesh(address, chivewire.TCP{}), pool: chiveplace.NewPool("a")}
+func newNode(address string) *node { return newNodeIn("a", address) }
+
+func newNodeIn(domain, address string) *node {
+	n := &node{mesh: chivewire.NewMesh(address, chivewire.TCP{}), pool: chiveplace.NewPool(domain)}
 	n.pool.SetEngine(engine)
 	n.service = chivegrant.New(chivegrant.Options{Mesh: n.mesh, Pools: singlePool{n.pool}, Logger: slog.New(slog.DiscardHandler)})
 	return n
