--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -304,6 +304,10 @@
 	n.ready = newReadiness(s.Listen.Ready, chiveplatform.ReadyPath, network, n.NotReady)
 	n.grants = chivegrant.New(chivegrant.Options{Mesh: n.mesh, Pools: pools, Logger: n.logger})
 	pools.SetAsker(n.grants)
+	for _, setDistances := range []func(chivedistance.Map){pools.SetDistances, n.grants.SetDistances} {
+		setDistances(n.distances.Map())
+		n.distances.OnChange(setDistances)
+	}
 	n.rates = chiverate.New(n.mesh)
 	pools.SetRates(n.rates)
 	caches := chivecache.New(chivecache.Options{
