Placing over regions: log event, metrics and state

An operator could not see which requests leave their region, nor why.

Line 506 names the reason (home of the shared part, or no room in the own region), three counters count attempts by region, the state dump shows the round trip to each endpoint. Event 820 names a region whose engines are owned elsewhere for lack of nodes.

Test: TestCrossingsNameTheirReason (new accessor, it had no earlier form).

--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -5,7 +5,7 @@
 )
 
 // The events are numbered by subject: 100 to 199 the lifecycle of the node, 200 configuration, 300 membership, 400
-// scheduling, 500 requests, 600 claims of idempotency keys, 700 orders, leases and usage reports.
+// scheduling, 500 requests, 600 claims of idempotency keys, 700 orders, leases and usage reports, 800 regions.
 var (
 	NodeStarting     = define(100, slog.LevelInfo, "node starting", "None.")
 	NodeReady        = define(101, slog.LevelInfo, "node ready", "None; the load balancer may send traffic.")
@@ -99,7 +99,9 @@
 	UsageRefused     = define(712, slog.LevelWarn, "usage report refused", "None; another node holds the lease. Check the lease events (701, 702) if this repeats.")
 	UsageUnreadable  = define(713, slog.LevelError, "usage ledger not decodable", "Windows that may have been reported are omitted. Find out what wrote it: only nodes write this key.")
 
-	ReplicasOrdered    = define(720, slog.LevelInfo, "replicas ordered", "None; requests is the number of requests in progress, running the number of running replicas of this kind.")
-	ReplicasRefused    = define(721, slog.LevelWarn, "replica order not accepted", "None; the order is retried. While a failure domain is marked unavailable, its share of preemptible replicas is ordered in the others.")
+	ReplicasOrdered      = define(720, slog.LevelInfo, "replicas ordered", "None; requests is the number of requests in progress, running the number of running replicas of this kind.")
+	ReplicasRefused      = define(721, slog.LevelWarn, "replica order not accepted", "None; the order is retried. While a failure domain is marked unavailable, its share of preemptible replicas is ordered in the others.")
+	RegionOwnedElsewhere = define(820, slog.LevelWarn, "engines of a region owned in other regions", "None; the region has no nodes or too few, so that questions for its engines cross regions. Start nodes there. The field elsewhere is the number of its groups owned in other regions; 0 means that all are owned there again.")
+
 	ReplicasUnreadable = define(722, slog.LevelError, "initial numbers of replicas not decodable", "The running replicas are counted again. Find out what wrote the value: only nodes write this key.")
 )
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -39,6 +39,7 @@
 	regions   chiveresidency.Map
 	distances chivedistance.Map
 	table     *chivetable.Table
+	crossings crossingCounters
 	// changed has a buffer of one: a receiver collects the changes of all pools.
 	changed chan struct{}
 }
@@ -407,6 +408,7 @@
 		ask.Domains = p.regions.Domains(residency)
 		place, asked, err := p.chooseWithinLimits(ctx, pool, request, ask)
 		if err == nil {
+			p.crossings.add(place.Crossing())
 			return pooledPlace{place, p.rates, p.versionOf(place.Endpoint().Incarnation().Key())}, nil
 		}
 		if time.Now().After(deadline) {
@@ -457,6 +459,9 @@
 		slog.Int64("tokens_to_read", p.Reads()), slog.Int64("tokens_to_fetch", p.Fetches()), slog.Int64("tokens_again", p.Again()), slog.Int64("tokens_ahead", p.Ahead()),
 		slog.Int64("expected_ms", p.Expected().Milliseconds()),
 	}
+	if crossing := p.Crossing(); crossing != chiveplace.CrossingNone {
+		attributes = append(attributes, slog.String("other_region", crossing.String()))
+	}
 	if owner := p.Owner(); owner != "" {
 		attributes = append(attributes, slog.String("owner", owner))
 	}
--- a/chivegrant/groups.go
+++ b/chivegrant/groups.go
@@ -89,6 +89,8 @@
 	usesOwners bool
 	engineTries
 	owners map[groupID]string
+	// ownedElsewhere is the number of groups of each region that nodes of any region own, for lack of nodes there.
+	ownedElsewhere map[string]int
 	// owned lists the groups that this node owns.
 	owned []groupID
 }
@@ -97,7 +99,7 @@
 func newAssignment(tries engineTries, nodes nodeTries, self string) *assignment {
 	a := &assignment{usesOwners: true, engineTries: tries}
 	ids := a.groupIDs()
-	a.owners = assignOwners(ids, nodes)
+	a.owners, a.ownedElsewhere = assignOwners(ids, nodes)
 	for _, id := range ids {
 		if a.owners[id] == self {
 			a.owned = append(a.owned, id)
@@ -109,7 +111,7 @@
 // withEngines returns the assignment with changed engines and unchanged owners, or nil if owners were not used before
 // or the set of groups differs.
 func (a *assignment) withEngines(tries engineTries) *assignment {
-	next := &assignment{usesOwners: a.usesOwners, engineTries: tries, owners: a.owners, owned: a.owned}
+	next := &assignment{usesOwners: a.usesOwners, engineTries: tries, owners: a.owners, ownedElsewhere: a.ownedElsewhere, owned: a.owned}
 	if !a.usesOwners || !next.matchesOwners() {
 		return nil
 	}
@@ -132,11 +134,11 @@
 
 // assignOwners selects the address of the owner of each group: a node of the group's region, unless the region has no
 // nodes or each of them owns maxRegionShare times its even share already. Other groups go to any nodes, of which none
-// gets more than its even share, rounded up, as long as another one has less.
-func assignOwners(ids []groupID, nodes nodeTries) map[groupID]string {
-	owners := make(map[groupID]string, len(ids))
+// gets more than its even share, rounded up, as long as another one has less; elsewhere counts them by region.
+func assignOwners(ids []groupID, nodes nodeTries) (owners map[groupID]string, elsewhere map[string]int) {
+	owners, elsewhere = make(map[groupID]string, len(ids)), make(map[string]int)
 	if nodes.all.size() == 0 {
-		return owners
+		return owners, elsewhere
 	}
 	ownedCounts := make(map[string]int, nodes.all.size())
 	assign := func(id groupID, among *trieNode[string], maxPerNode int) {
@@ -158,8 +160,11 @@
 	}
 	for _, id := range remaining {
 		assign(id, nodes.all, evenShare)
+		if id.region != "" {
+			elsewhere[id.region]++
+		}
 	}
-	return owners
+	return owners, elsewhere
 }
 
 // countByRegion returns the number of groups in each region.
--- a/chivegrant/service.go
+++ b/chivegrant/service.go
@@ -316,11 +316,23 @@
 		chiveevent.EnginesDivided.Log(context.Background(), s.options.Logger, slog.Bool("asking", next.usesOwners), slog.Int("nodes", memberCount),
 			slog.Int("groups", len(next.owners)), slog.Any("owned_here", next.owned))
 	}
+	s.logRegions(previous, next)
 	if next.usesOwners {
 		s.options.Pools.Release(func(endpoint string) bool { return next.ownerOf(endpoint) == s.options.Mesh.Self() })
 	}
 }
 
+// logRegions logs each region for which the number of groups that are owned in other regions has changed.
+func (s *Service) logRegions(previous, next *assignment) {
+	regions := slices.Concat(slices.Collect(maps.Keys(previous.ownedElsewhere)), slices.Collect(maps.Keys(next.ownedElsewhere)))
+	slices.Sort(regions)
+	for _, region := range slices.Compact(regions) {
+		if elsewhere := next.ownedElsewhere[region]; elsewhere != previous.ownedElsewhere[region] {
+			chiveevent.RegionOwnedElsewhere.Log(context.Background(), s.options.Logger, slog.String("region", region), slog.Int("elsewhere", elsewhere))
+		}
+	}
+}
+
 // Counts returns the numbers of placement requests by outcome.
 func (s *Service) Counts() Counts {
 	return Counts{Asked: s.asked.Load(), Granted: s.granted.Load(), Refused: s.refused.Load(), Silent: s.timedOut.Load()}
--- a/chiveplace/distance.go
+++ b/chiveplace/distance.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chivedrift/chivedistance"
+	"chivedrift/chiverequest"
 )
 
 // regionIndex identifies a region in a pool: its position in Pool.regions plus 1, or 0 if the region is not known or the
@@ -97,3 +98,42 @@
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// Crossing tells why a request is placed in another region than that of the node that sends it.
+type Crossing uint8
+
+const (
+	// CrossingNone is a place in the same region.
+	CrossingNone Crossing = iota
+	// CrossingHome is a place in the region that is the home of the request's shared part.
+	CrossingHome
+	// CrossingSpill is a place elsewhere because the own region has no room or no endpoint that the request may use.
+	CrossingSpill
+)
+
+// String returns the crossing for logs; empty for none.
+func (c Crossing) String() string {
+	switch c {
+	case CrossingHome:
+		return "home of the shared part"
+	case CrossingSpill:
+		return "no room in the own region"
+	case CrossingNone:
+	}
+	return ""
+}
+
+// crossingOf returns why one of this node's requests is placed on a candidate in another region; the caller holds the
+// lock.
+func (p *Pool) crossingOf(cand *candidate, prompt *chiverequest.Prompt) Crossing {
+	switch {
+	case !p.spansRegions || cand.region == p.indexOf(p.distances.RegionOf(p.localDomain)):
+		return CrossingNone
+	case prompt != nil && p.hasFleetHome(prompt):
+		return CrossingHome
+	}
+	return CrossingSpill
+}
+
+// Crossing returns why the request is placed in another region.
+func (p *Place) Crossing() Crossing { return p.crossing }
--- a/chiveplace/distance_test.go
+++ b/chiveplace/distance_test.go
@@ -123,3 +123,27 @@
 		t.Errorf("eight requests at once go to %s", domains)
 	}
 }
+
+// Guards against operators who cannot tell requests that lack room in their region from those that follow their shared part.
+func TestCrossingsNameTheirReason(t *testing.T) {
+	for name, c := range map[string]struct {
+		shared  int64
+		domains []string
+		want    chiveplace.Crossing
+	}{
+		"own region":                  {350, nil, chiveplace.CrossingNone},
+		"no endpoint in own region":   {350, []string{"b"}, chiveplace.CrossingSpill},
+		"home in the other region":    {13_000, []string{"b"}, chiveplace.CrossingHome},
+		"long part, but at home here": {13_000, []string{"a"}, chiveplace.CrossingNone},
+	} {
+		p := newSpanningPool(1, engine)
+		prompt := &chiverequest.Prompt{Parts: []chiverequest.Part{{ID: 1, Tokens: c.shared}, {ID: 2, Tokens: 100}}, Input: c.shared + 100, Target: 2 * time.Second}
+		place, err := p.Take(time.Now(), chiveplace.Ask{Prompt: prompt, Domains: chiveresidency.DomainsOf(c.domains)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if place.Crossing() != c.want {
+			t.Errorf("%s: got %q, want %q", name, place.Crossing(), c.want)
+		}
+	}
+}
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -56,6 +56,7 @@
 	// to the first event.
 	recomputeTokens int64
 	expectedTTFT    time.Duration
+	crossing        Crossing
 	// way is the round trip between regions that is part of the time to the first event.
 	way              time.Duration
 	queuedAhead      int64
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -383,6 +383,7 @@
 func (p *Pool) countOwn(now time.Time, place *Place, prompt *chiverequest.Prompt) {
 	cand := place.candidate
 	p.ensureRecord(now, cand)
+	place.crossing = p.crossingOf(cand, prompt)
 	if prompt != nil {
 		cand.addRequest(now, place)
 		cand.cache.touch(prompt.Parts, now.Add(place.expectedTTFT))
@@ -575,8 +576,9 @@
 type EndpointState struct {
 	Endpoint string `json:"endpoint"`
 	Address  string `json:"address"`
-	// FailureDomain is where the endpoint runs.
+	// FailureDomain is where the endpoint runs, WayMs the round trip to its region; 0 for the own one.
 	FailureDomain string  `json:"failure_domain"`
+	WayMs         int64   `json:"way_ms,omitempty"`
 	Ready         bool    `json:"ready"`
 	Own           int     `json:"own_requests"`
 	Others        int     `json:"other_nodes_requests"`
@@ -603,7 +605,7 @@
 		leavingFor, restFor := cand.notice.durations(now)
 		states = append(states, EndpointState{
 			LeavingForMs: leavingFor.Milliseconds(), RestForMs: restFor.Milliseconds(),
-			Endpoint: cand.incarnation, Address: cand.endpoint.Address, FailureDomain: cand.endpoint.FailureDomain, Ready: cand.endpoint.State == chivedirectory.Ready, Own: cand.ownRequests, Others: cand.otherRequests,
+			Endpoint: cand.incarnation, Address: cand.endpoint.Address, FailureDomain: cand.endpoint.FailureDomain, WayMs: p.wayTo(Ask{}, cand).Milliseconds(), Ready: cand.endpoint.State == chivedirectory.Ready, Own: cand.ownRequests, Others: cand.otherRequests,
 			Waiting: cand.queuedTokens(), Errors: cand.errorRate, TookMs: cand.responseTime * 1000, Down: now.Before(cand.ejectedUntil), LimitPerSecond: cand.currentLimits().PerSecond, LimitRefusals: cand.currentLimits().Refusals,
 		})
 	}
