Grants: an engine more or less moves few homes to other regions

The region of a long part was its hash modulo the number of engines: one engine that joined or left moved two thirds of all homes. It now follows the sizes of the regions as the groups within one do.

Test: TestOneEngineMoreMovesFewHomes, which failed before.

--- a/chivegrant/home.go
+++ b/chivegrant/home.go
@@ -68,7 +68,7 @@
 	}
 	for attempt := range uint64(maxGroupAttempts) {
 		key := chiveplace.Weigh(h.part, attempt)
-		at := selectTrie(tries, total, key)
+		at := selectTrie(tries, regions, total, key)
 		_, prefix := tries[at].selectLeaf(key)
 		group := groupID{partition{h.pool, regions[at]}, prefix}
 		if slices.Contains(groups, group) {
@@ -81,17 +81,18 @@
 	return groups
 }
 
-// selectTrie returns the index of the trie that a key maps to, with a probability proportional to the size.
-func selectTrie(tries []*trieNode[engine], total int, key uint64) int {
-	if len(tries) == 1 {
-		return 0
-	}
-	at, left := 0, int(chiveplace.Weigh(key, 0)%uint64(total))
-	for left >= tries[at].size() {
-		left -= tries[at].size()
-		at++
+// selectTrie returns the index of the region that a key maps to, with a probability proportional to its size, so that one
+// more engine remaps only about the share of keys that it receives.
+func selectTrie(tries []*trieNode[engine], regions []string, total int, key uint64) int {
+	last := len(tries) - 1
+	for at := range last {
+		size := tries[at].size()
+		if fraction(chiveplace.Weigh(key, chiveplace.HashID(regions[at])))*float64(total) < float64(size) {
+			return at
+		}
+		total -= size
 	}
-	return at
+	return last
 }
 
 // allowedTrie returns the engines of a region that a request may use.
--- a/chivegrant/region_test.go
+++ b/chivegrant/region_test.go
@@ -152,6 +152,30 @@
 	}
 }
 
+// Guards against one engine more that moves the homes of most long parts to other regions.
+func TestOneEngineMoreMovesFewHomes(t *testing.T) {
+	n := newRegionNode(t, "127.0.0.1:1", "a", 50, membersIn("a", 8), membersIn("b", 8), membersIn("c", 8))
+	const parts = 300
+	homes := func() (regions string) {
+		for part := range uint64(parts) {
+			regions += n.service.Home(sharedRequest(part+1, 13_000), chiveplace.Ask{})[0][:1]
+		}
+		return regions
+	}
+	before := homes()
+	n.service.ApplyEndpoints(chivedirectory.Diff{Changed: []chivedirectory.Endpoint{{ID: "new", Pool: "p", FailureDomain: "a"}}})
+	n.service.Divide()
+	moved := 0
+	for i, region := range []byte(homes()) {
+		if region != before[i] && region != 'n' {
+			moved++
+		}
+	}
+	if moved > parts/30 {
+		t.Errorf("%d of %d homes moved to another region", moved, parts)
+	}
+}
+
 // Guards against quick requests that cross regions to the home of a short shared part.
 func TestShortPartHasAHomeInEachRegion(t *testing.T) {
 	for part := range uint64(20) {
--- a/chivegrant/tree.go
+++ b/chivegrant/tree.go
@@ -185,15 +185,16 @@
 func (n *trieNode[E]) selectLeaf(key uint64) (leaf *trieNode[E], prefix hashPrefix) {
 	prefix = rootPrefix
 	for !n.isLeaf() {
-		// A float64 represents integers of 53 bits exactly.
-		fraction := float64(chiveplace.Weigh(key, uint64(prefix))>>11) / (1 << 53)
-		high := fraction*float64(n.count) >= float64(n.low.size())
+		high := fraction(chiveplace.Weigh(key, uint64(prefix)))*float64(n.count) >= float64(n.low.size())
 		prefix = prefix.child(high)
 		n = n.child(high)
 	}
 	return n, prefix
 }
 
+// fraction maps a hash to a number from 0 to 1. A float64 represents integers of 53 bits exactly.
+func fraction(hash uint64) float64 { return float64(hash>>11) / (1 << 53) }
+
 // selectElement returns the element that a key maps to: the one with the highest rendezvous hash in the leaf of the
 // key.
 func (n *trieNode[E]) selectElement(key uint64) (element E, ok bool) {
