Placing over regions: bytes between regions cost what an operator sets

The way counted in the choice of an engine, its bytes did not. region_traffic names how many requests answered in time a gigabyte is worth, and the size of prompt tokens and of cached ones; without it nothing changes. The bytes of the prompt and of a fetch count among the engines that one node compares. The platform's settings name no such price, so that the deployed settings leave it out.

Test: TestTrafficBetweenRegionsCostsWhatIsSet; without the term the second case fails.

--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -40,6 +40,7 @@
 	distances chivedistance.Map
 	table     *chivetable.Table
 	crossings crossingCounters
+	traffic   chiveplace.Traffic
 	// changed has a buffer of one: a receiver collects the changes of all pools.
 	changed chan struct{}
 }
@@ -91,6 +92,9 @@
 	}
 }
 
+// SetTraffic sets what bytes between regions cost; it must be called before the first endpoint is known.
+func (p *Pools) SetTraffic(traffic chiveplace.Traffic) { p.traffic = traffic }
+
 // SetTable applies a routing table.
 func (p *Pools) SetTable(table *chivetable.Table) {
 	p.mu.Lock()
@@ -172,6 +176,7 @@
 		pool.OnChange(p.signalChange)
 		pool.SetNodes(p.nodes)
 		pool.SetDistances(p.distances)
+		pool.SetTraffic(p.traffic)
 		pool.SetEvacuated(p.evacuated)
 		pool.SetReportedLeaving(p.reportedLeaving)
 		p.pools[name] = pool
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -28,6 +28,7 @@
 	"chivedrift/chivemember"
 	"chivedrift/chivemetric"
 	"chivedrift/chivenotice"
+	"chivedrift/chiveplace"
 	"chivedrift/chivequarantine"
 	"chivedrift/chiverate"
 	"chivedrift/chiverelay"
@@ -284,6 +285,9 @@
 	pools := chiveforward.NewPools(s.FailureDomain)
 	pools.SetRegions(s.RegionOf())
 	pools.SetVersions(n.versions.Of)
+	pools.SetTraffic(chiveplace.Traffic{
+		RequestsPerGB: s.RegionTraffic.RequestsPerGB, PromptTokenBytes: s.RegionTraffic.PromptTokenBytes, CachedTokenBytes: s.RegionTraffic.CachedTokenBytes,
+	})
 	n.pools = pools
 	n.relay = chiverelay.New(chiverelay.Options{
 		Self: s.Listen.Callers, Address: s.Listen.Relay, Network: network, Region: s.Region, Regions: s.RegionOf(), Full: n.memory.Full, Logger: n.logger,
--- a/chiveplace/distance_test.go
+++ b/chiveplace/distance_test.go
@@ -147,3 +147,19 @@
 		}
 	}
 }
+
+// Guards against requests that leave a busy region although the bytes cost more than the wait.
+func TestTrafficBetweenRegionsCostsWhatIsSet(t *testing.T) {
+	for _, c := range []struct {
+		requestsPerGB float64
+		want          string
+	}{{0, "b"}, {10_000, "a"}} {
+		p := newSpanningPool(1, engine)
+		p.SetTraffic(chiveplace.Traffic{RequestsPerGB: c.requestsPerGB, PromptTokenBytes: 100})
+		now := time.Now()
+		p.Hear(now, "other", &chiveplace.Report{Loads: []chiveplace.Load{{Endpoint: "a0", Requests: 9, Waiting: []int64{40_000}}}})
+		if got := take(t, p, now, promptWithoutPauseLimit(1)).Endpoint().FailureDomain; got != c.want {
+			t.Errorf("at %v requests a gigabyte a prompt of 110 kB is placed in %s, want %s", c.requestsPerGB, got, c.want)
+		}
+	}
+}
--- a/chiveplace/engine.go
+++ b/chiveplace/engine.go
@@ -155,6 +155,7 @@
 	loss += c.pauseLoss(now, cand, longPrefill)
 	loss += c.pool.delayedStreams(cand, prefill, longPrefill)
 	loss += c.recomputeLoss(cand, fetch, recompute)
+	loss += c.trafficLoss(cand, fetch)
 	if c.cachedTokens == 0 && cand != c.home {
 		loss += nonHomeLoss
 	}
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -103,6 +103,7 @@
 	distances    chivedistance.Map
 	spansRegions bool
 	farthest     time.Duration
+	traffic      Traffic
 	// regions are the known regions, in the order of their indexes.
 	regions []string
 	// firstEndpointAt is when the node discovered the first endpoint; zero before.
--- a/chivesettings/store.go
+++ b/chivesettings/store.go
@@ -26,6 +26,8 @@
 	MemoryMB int64       `yaml:"memory_mb" validate:"min=32,max=1048576"`
 	Stop     StoreStop   `yaml:"stop"`
 	Repeats  StoreRepeat `yaml:"repeats"`
+	// RegionTraffic is what bytes between regions cost; they cost nothing without it.
+	RegionTraffic RegionTraffic `yaml:"region_traffic"`
 	// Profile serves profiles of the process to operators; off unless it is asked for.
 	Profile bool `yaml:"profile"`
 	// PlatformDuties configures the work that one node at a time does for the platform; nil if there is none.
@@ -38,6 +40,16 @@
 	Region        string `yaml:"region" validate:"required"`
 }
 
+// RegionTraffic is what bytes between regions cost in the choice of an engine.
+type RegionTraffic struct {
+	// RequestsPerGB is the number of requests answered in time that a gigabyte is worth.
+	RequestsPerGB float64 `yaml:"requests_per_gb" validate:"min=0,max=1000000"`
+	// PromptTokenBytes is the size of a prompt token in a request, CachedTokenBytes that of a cached token that one engine
+	// fetches from another.
+	PromptTokenBytes int64 `yaml:"prompt_token_bytes" validate:"min=0,max=1000"`
+	CachedTokenBytes int64 `yaml:"cached_token_bytes" validate:"min=0,max=10000000"`
+}
+
 // PlatformDuties configures the work that one node at a time does for the platform.
 type PlatformDuties struct {
 	// Address is the IP:port address of the platform's interface.
