Placing: engines of the own region are collected once a choice

A choice in a pool that spans regions collected them twice. A bench for it, and a test of owners when a region joins.

--- a/chivegrant/region_test.go
+++ b/chivegrant/region_test.go
@@ -95,6 +95,25 @@
 	}
 }
 
+// Guards against a region that joins, or comes back from a partition, and whose engines stay owned in other regions, or
+// that takes engines of other regions.
+func TestRegionThatJoinsTakesItsOwnEngines(t *testing.T) {
+	before := [][]chivemember.Member{membersIn("a", 8), membersIn("b", 8)}
+	n := newRegionNode(t, "127.0.0.1:1", "a", 50, before...)
+	ownedInB := n.ownedIn("b", 50)
+	joined := membersIn("c", 8)
+	n.service.SetMembers(slices.Concat(before[0], before[1], joined))
+	n.service.Divide()
+	for owner := range n.ownedIn("c", 50) {
+		if !slices.ContainsFunc(joined, func(m chivemember.Member) bool { return m.Address == owner }) {
+			t.Errorf("an engine of the region that joined is owned by %q", owner)
+		}
+	}
+	if now := n.ownedIn("b", 50); !maps.Equal(ownedInB, now) {
+		t.Errorf("another region's engines were owned by %v, now by %v", ownedInB, now)
+	}
+}
+
 // Guards against a region's last nodes that have to grant all of its engines.
 func TestFewNodesOfARegionDoNotOwnAllOfIt(t *testing.T) {
 	const engines, evenShare = 300, 15
--- a/chiveplace/bench_test.go
+++ b/chiveplace/bench_test.go
@@ -21,3 +21,18 @@
 		place.Done(now, chiveplace.EndedWell)
 	}
 }
+
+// BenchmarkTakeAmongRegions measures one choice among 600 engines in two regions. The limit for a choice is 50
+// microseconds.
+func BenchmarkTakeAmongRegions(b *testing.B) {
+	p := newSpanningPool(300, engine)
+	now := time.Now()
+	prompt := longPrompt(1, 2)
+	for b.Loop() {
+		place, err := p.Take(now, chiveplace.Ask{Prompt: prompt})
+		if err != nil {
+			b.Fatal(err)
+		}
+		place.Done(now, chiveplace.EndedWell)
+	}
+}
--- a/chiveplace/engine.go
+++ b/chiveplace/engine.go
@@ -37,6 +37,8 @@
 	targetMs         float64
 	latencySensitive bool
 	home             *candidate
+	// near are the candidates in the region that the request comes from; nil in a deployment that lies in one region.
+	near []*candidate
 	// cachedTokens is the length of the longest prefix of the prompt that an engine has cached, or will have once it
 	// has prefilled it.
 	cachedTokens int64
@@ -51,8 +53,9 @@
 func (p *Pool) newEngineChoice(now time.Time, candidates []*candidate, ask Ask) *engineChoice {
 	prompt := ask.Prompt
 	c := &engineChoice{
-		pool: p, prompt: prompt, ask: ask, targetMs: ttftTargetMs(prompt), latencySensitive: p.isLatencySensitive(prompt), home: homeOf(p.homes(candidates, ask), SharedPart(prompt)),
+		pool: p, prompt: prompt, ask: ask, targetMs: ttftTargetMs(prompt), latencySensitive: p.isLatencySensitive(prompt), near: p.candidatesNear(candidates, ask),
 	}
+	c.home = homeOf(p.homes(candidates, c.near, ask), SharedPart(prompt))
 	var demand groupDemand
 	for _, cand := range p.allowedCandidates(ask) {
 		c.addCached(now, cand, ask)
@@ -128,11 +131,10 @@
 			chosen = append(chosen, cand)
 		}
 	}
-	near := c.pool.candidatesNear(candidates, c.ask)
-	if len(near) == 0 || len(near) == len(candidates) {
+	if len(c.near) == 0 || len(c.near) == len(candidates) {
 		return c.pool.appendRandom(chosen, candidates, sampleSize)
 	}
-	return c.pool.appendRandom(c.pool.appendRandom(chosen, near, sampleSize), candidates, farSampleSize)
+	return c.pool.appendRandom(c.pool.appendRandom(chosen, c.near, sampleSize), candidates, farSampleSize)
 }
 
 // appendRandom appends a number of random candidates.
--- a/chiveplace/home.go
+++ b/chiveplace/home.go
@@ -35,7 +35,7 @@
 
 // homes returns the candidates from which the home of a shared part is chosen: those that the ask names or, if none of
 // these is a candidate, all, or those of the region that the request comes from if the part has a home in each region.
-func (p *Pool) homes(candidates []*candidate, ask Ask) []*candidate {
+func (p *Pool) homes(candidates, near []*candidate, ask Ask) []*candidate {
 	var homes []*candidate
 	for _, id := range ask.Home {
 		if cand, ok := p.byID[id]; ok && slices.Contains(candidates, cand) {
@@ -45,7 +45,7 @@
 	if len(homes) > 0 {
 		return homes
 	}
-	if near := p.candidatesNear(candidates, ask); len(near) > 0 && !p.hasFleetHome(ask.Prompt) {
+	if len(near) > 0 && !p.hasFleetHome(ask.Prompt) {
 		return near
 	}
 	return candidates
