Grants: event 820 once for a region, not for each division

The line came again with each change of the number of groups owned elsewhere, that is with each engine of a region without nodes. It now comes when the first group is owned elsewhere and when none is any more.

Test: TestRegionOwnedElsewhereIsLoggedOnce, which failed before with two lines.

--- a/chivegrant/region_test.go
+++ b/chivegrant/region_test.go
@@ -1,20 +1,25 @@
 package chivegrant_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"chivedrift/chivedirectory"
 	"chivedrift/chivedistance"
+	"chivedrift/chivegrant"
 	"chivedrift/chivemember"
 	"chivedrift/chiveplace"
 	"chivedrift/chiverequest"
 	"chivedrift/chiveresidency"
 	"chivedrift/chivetable"
+	"chivedrift/chivewire"
 )
 
 var regions = chiveresidency.Map{"a": "ra", "b": "rb", "c": "rc"}
@@ -114,6 +119,23 @@
 	}
 }
 
+// Guards against operators who do not see that a region's engines are owned in other regions.
+func TestRegionOwnedElsewhereIsLoggedOnce(t *testing.T) {
+	var lines bytes.Buffer
+	mesh, pool := chivewire.NewMesh("127.0.0.1:1", chivewire.TCP{}), chiveplace.NewPool("a")
+	n := &node{mesh: mesh, pool: pool, service: chivegrant.New(chivegrant.Options{Mesh: mesh, Pools: singlePool{pool}, Logger: slog.New(slog.NewTextHandler(&lines, nil))})}
+	members := slices.Concat(membersIn("a", 8), membersIn("b", 8))
+	n.setRegions(t, distancesFrom("a"), 50, members)
+	n.setRegions(t, distancesFrom("a"), 60, members)
+	if got := strings.Count(lines.String(), "region=rc elsewhere="); got != 1 {
+		t.Errorf("%d lines name the region without nodes:\n%s", got, lines.String())
+	}
+	n.setRegions(t, distancesFrom("a"), 60, slices.Concat(members, membersIn("c", 8)))
+	if !strings.Contains(lines.String(), "region=rc elsewhere=0") {
+		t.Errorf("no line tells that the region's engines are owned there again:\n%s", lines.String())
+	}
+}
+
 // Guards against a region's last nodes that have to grant all of its engines.
 func TestFewNodesOfARegionDoNotOwnAllOfIt(t *testing.T) {
 	const engines, evenShare = 300, 15
--- a/chivegrant/service.go
+++ b/chivegrant/service.go
@@ -322,12 +322,12 @@
 	}
 }
 
-// logRegions logs each region for which the number of groups that are owned in other regions has changed.
+// logRegions logs each region of which groups are now owned in other regions, or are no longer.
 func (s *Service) logRegions(previous, next *assignment) {
 	regions := slices.Concat(slices.Collect(maps.Keys(previous.ownedElsewhere)), slices.Collect(maps.Keys(next.ownedElsewhere)))
 	slices.Sort(regions)
 	for _, region := range slices.Compact(regions) {
-		if elsewhere := next.ownedElsewhere[region]; elsewhere != previous.ownedElsewhere[region] {
+		if elsewhere := next.ownedElsewhere[region]; (elsewhere > 0) != (previous.ownedElsewhere[region] > 0) {
 			chiveevent.RegionOwnedElsewhere.Log(context.Background(), s.options.Logger, slog.String("region", region), slog.Int("elsewhere", elsewhere))
 		}
 	}
