Grants: tests of ranks and residency over regions

Both hold on the code as it is: less urgent requests of all regions leave room for urgent ones, and a request that may be served in another region only goes there, whatever the home of its shared part. Tests only; they passed at once.

--- a/chivegrant/region_test.go
+++ b/chivegrant/region_test.go
@@ -230,7 +230,7 @@
 // Guards against requests that are refused while engines in another region are idle, and against requests that stay there
 // once their own region has room.
 func TestFullRegionSpillsAndReturns(t *testing.T) {
-	n := newRegionNode(t, "127.0.0.1:1", "a", 20, []chivemember.Member{{Name: "127.0.0.1:1", Address: "127.0.0.1:1", State: chivemember.Alive, Region: "ra", FailureDomain: "a"}}, leaving(20))
+	n := newOnlyOwner(t)
 	placed := func() string {
 		place, err := n.service.Place(context.Background(), n.pool, sharedRequest(1, 350), chiveplace.Ask{})
 		if err != nil {
@@ -267,3 +267,43 @@
 	}
 	return members
 }
+
+// newOnlyOwner returns a node in a that owns the engines of all regions.
+func newOnlyOwner(t *testing.T) *node {
+	t.Helper()
+	self := membersIn("a", 1)
+	return newRegionNode(t, self[0].Address, "a", 20, self, leaving(20))
+}
+
+// Guards against urgent requests that are refused because less urgent ones of another region fill the engines.
+func TestRanksHoldOverRegions(t *testing.T) {
+	n := newOnlyOwner(t)
+	var report chiveplace.Report
+	for domain := range regions {
+		for i := range 20 {
+			report.Loads = append(report.Loads, chiveplace.Load{Endpoint: fmt.Sprint(domain, i), Requests: 10, Waiting: []int64{0, 0, 100_000}})
+		}
+	}
+	n.pool.Hear(time.Now(), "10.0.b.1:1", &report)
+	for rank, want := range map[int]bool{0: true, 2: false} {
+		request := sharedRequest(1, 350)
+		request.Prompt.Rank = chivetable.Rank{Place: rank, Of: 3}
+		if _, err := n.service.Place(context.Background(), n.pool, request, chiveplace.Ask{}); (err == nil) != want {
+			t.Errorf("rank %d behind queues of rank 2 in all regions: %v", rank, err)
+		}
+	}
+}
+
+// Guards against requests that may be served in one region only and are placed in their caller's or in the home of their
+// shared part.
+func TestResidencyBindsBeforeDistance(t *testing.T) {
+	n := newOnlyOwner(t)
+	for _, sharedTokens := range []int64{350, 13_000} {
+		for part := range uint64(10) {
+			place, err := n.service.Place(context.Background(), n.pool, sharedRequest(part+1, sharedTokens), chiveplace.Ask{Domains: chiveresidency.DomainsOf([]string{"b"})})
+			if err != nil || place.Endpoint().FailureDomain != "b" {
+				t.Fatalf("%d shared tokens: placed on %+v: %v", sharedTokens, place, err)
+			}
+		}
+	}
+}
