Placing: latency-sensitive streams gather within their region

The first stream that long prefills would delay costs an engine 0.3, so that later ones join it. Over regions that drew them to the engine with such a stream in another region, 60 ms away, while engines nearby were idle: the way costs a hundredth of that. A stream from another region now counts as a first one.

Test: TestSensitiveStreamsGatherInTheirOwnRegion, which failed before (both streams went to the other region).

--- a/chiveplace/distance_test.go
+++ b/chiveplace/distance_test.go
@@ -163,3 +163,15 @@
 		}
 	}
 }
+
+// Guards against streams that cross regions to an engine with other streams that long prefills would delay, while engines of
+// their own region are idle.
+func TestSensitiveStreamsGatherInTheirOwnRegion(t *testing.T) {
+	p := newSpanningPool(3, engine)
+	now := time.Now()
+	p.Hear(now, "other", &chiveplace.Report{Loads: []chiveplace.Load{{Endpoint: "b0", Requests: 1, Tight: 1}}})
+	first, second := take(t, p, now, shortPrompt(1)), take(t, p, now, shortPrompt(2))
+	if first.Endpoint().FailureDomain != "a" || second.Endpoint().ID != first.Endpoint().ID {
+		t.Errorf("two streams go to %s and %s", first.Endpoint().ID, second.Endpoint().ID)
+	}
+}
--- a/chiveplace/tight.go
+++ b/chiveplace/tight.go
@@ -37,8 +37,8 @@
 	// certainDelayTokens is the length of a prefill that makes latency-sensitive streams beside it late with certainty;
 	// a shorter one delays fewer of their events. Eight chunks take about 0.4 s at 40 tokens a millisecond.
 	certainDelayTokens = 8 * prefillChunkTokens
-	// newSensitiveEngineLoss is the loss for the first latency-sensitive stream on an engine. Long prefills avoid that
-	// engine from then on, so later streams should join it. On virtual time, drafts beside questions attain 0.012 more
+	// newSensitiveEngineLoss is the loss for the first latency-sensitive stream on an engine, and for one from another
+	// region. Long prefills avoid that engine from then on, so later streams of its region should join it. On virtual time, drafts beside questions attain 0.012 more
 	// with 0.3 than with 0.1, and 0.001 more with 0.8.
 	newSensitiveEngineLoss = 0.3
 	// longPrefillDecay is the time constant of the decaying sum of long prefills on an engine.
@@ -101,7 +101,7 @@
 		return loss
 	}
 	loss = max(loss, longPrefill*c.pool.prefillDelayChance(c.prompt.Pause, cand.slowdown()))
-	if cand.sensitiveStreams() == 0 {
+	if cand.sensitiveStreams() == 0 || c.pool.wayTo(c.ask, cand) > 0 {
 		loss += newSensitiveEngineLoss
 	}
 	return loss
