Grants: a region without nodes is no home of long parts

With one home over all regions, a third of the long parts have theirs in a region that is cut off: each of their requests went to engines that cannot be reached, after the region's nodes were known as dead. Such a region now gets no homes as long as others have nodes, and is the last one to spill to. Homes move back with the region's first node.

Test: TestRegionWithoutNodesIsNoHome, which failed before (part 13 of 20).

--- a/chivegrant/groups.go
+++ b/chivegrant/groups.go
@@ -89,6 +89,8 @@
 	usesOwners bool
 	engineTries
 	owners map[groupID]string
+	// nodeCounts is the number of nodes in each region.
+	nodeCounts map[string]int
 	// ownedElsewhere is the number of groups of each region that nodes of any region own, for lack of nodes there.
 	ownedElsewhere map[string]int
 	// owned lists the groups that this node owns.
@@ -97,7 +99,7 @@
 
 // newAssignment assigns the groups of each partition to the nodes; self is the address of this node.
 func newAssignment(tries engineTries, nodes nodeTries, self string) *assignment {
-	a := &assignment{usesOwners: true, engineTries: tries}
+	a := &assignment{usesOwners: true, engineTries: tries, nodeCounts: nodes.countByRegion()}
 	ids := a.groupIDs()
 	a.owners, a.ownedElsewhere = assignOwners(ids, nodes)
 	for _, id := range ids {
@@ -111,7 +113,7 @@
 // withEngines returns the assignment with changed engines and unchanged owners, or nil if owners were not used before
 // or the set of groups differs.
 func (a *assignment) withEngines(tries engineTries) *assignment {
-	next := &assignment{usesOwners: a.usesOwners, engineTries: tries, owners: a.owners, ownedElsewhere: a.ownedElsewhere, owned: a.owned}
+	next := &assignment{usesOwners: a.usesOwners, engineTries: tries, owners: a.owners, nodeCounts: a.nodeCounts, ownedElsewhere: a.ownedElsewhere, owned: a.owned}
 	if !a.usesOwners || !next.matchesOwners() {
 		return nil
 	}
--- a/chivegrant/home.go
+++ b/chivegrant/home.go
@@ -1,6 +1,8 @@
 package chivegrant
 
 import (
+	"cmp"
+	"math"
 	"slices"
 
 	"chivedrift/chiveplace"
@@ -22,35 +24,50 @@
 // the secondary group among all engines or, where groups are divided by region and the part has a home in each, among
 // those of the requesting node's region, followed by a group of another region.
 func (a *assignment) homeGroups(h home) []groupID {
-	regions := a.regions[h.pool]
-	if h.fleetWide || len(regions) <= 1 {
+	regions := a.usableRegions(h)
+	if len(regions) <= 1 {
 		return a.selectGroups(h, regions)
 	}
-	own, others := a.splitRegions(h, regions)
-	groups := a.selectGroups(h, own)
-	if spill := a.selectGroups(h, others); len(spill) > 0 {
-		groups = append(groups, spill[0])
+	if h.fleetWide {
+		return a.selectGroups(h, a.regionsWithNodes(h, regions))
 	}
-	return groups
+	a.orderRegions(h, regions)
+	groups := a.selectGroups(h, regions[:1])
+	return append(groups, a.selectGroups(h, regions[1:2])[0])
+}
+
+// usableRegions returns the regions with engines that a request may use.
+func (a *assignment) usableRegions(h home) []string {
+	return slices.DeleteFunc(slices.Clone(a.regions[h.pool]), func(region string) bool { return a.allowedTrie(h, region).size() == 0 })
+}
+
+// hasNodes reports whether a region is the requesting node's or has other nodes. One without may be cut off.
+func (a *assignment) hasNodes(h home, region string) bool {
+	return region == h.region || a.nodeCounts[region] > 0
 }
 
-// splitRegions returns the requesting node's region and the one to spill to, which depends on the part, so that the
-// requests of one full region do not all go to the same other one. If the own region has no engines, another one takes
-// its place.
-func (a *assignment) splitRegions(h home, regions []string) (own, spill []string) {
-	ordered := slices.Clone(regions)
-	rank := func(region string) uint64 { return chiveplace.Weigh(chiveplace.HashID(region), h.part) }
-	slices.SortFunc(ordered, func(x, y string) int {
+// regionsWithNodes returns those of the regions that have nodes; all if none has.
+func (a *assignment) regionsWithNodes(h home, regions []string) []string {
+	withNodes := slices.DeleteFunc(slices.Clone(regions), func(region string) bool { return !a.hasNodes(h, region) })
+	if len(withNodes) == 0 {
+		return regions
+	}
+	return withNodes
+}
+
+// orderRegions puts the requesting node's region first and those without nodes last. The order of the others depends on the
+// part, so that the requests of one full region do not all go to the same other one.
+func (a *assignment) orderRegions(h home, regions []string) {
+	rank := func(region string) uint64 {
 		switch {
-		case x == y:
+		case region == h.region:
+			return math.MaxUint64
+		case !a.hasNodes(h, region):
 			return 0
-		case x == h.region || y != h.region && rank(x) > rank(y):
-			return -1
 		}
-		return 1
-	})
-	ordered = slices.DeleteFunc(ordered, func(region string) bool { return a.allowedTrie(h, region).size() == 0 })
-	return ordered[:min(1, len(ordered))], ordered[min(1, len(ordered)):min(2, len(ordered))]
+		return chiveplace.Weigh(chiveplace.HashID(region), h.part)
+	}
+	slices.SortFunc(regions, func(x, y string) int { return cmp.Compare(rank(y), rank(x)) })
 }
 
 // selectGroups returns the primary and the secondary group for a part among the engines of some regions, as far as there
--- a/chivegrant/partitions.go
+++ b/chivegrant/partitions.go
@@ -100,6 +100,15 @@
 	byRegion map[string]*trieNode[string]
 }
 
+// countByRegion returns the number of nodes in each region.
+func (t nodeTries) countByRegion() map[string]int {
+	counts := make(map[string]int, len(t.byRegion))
+	for region, nodes := range t.byRegion {
+		counts[region] = nodes.size()
+	}
+	return counts
+}
+
 // insert adds a node or moves it to another region.
 func (t *nodeTries) insert(address, region string) {
 	t.remove(address)
--- a/chivegrant/region_test.go
+++ b/chivegrant/region_test.go
@@ -193,6 +193,20 @@
 	}
 }
 
+// Guards against requests that go to the engines of a region that is cut off, because long parts have their home there.
+func TestRegionWithoutNodesIsNoHome(t *testing.T) {
+	n := newRegionNode(t, "127.0.0.1:1", "a", 50, membersIn("a", 8), membersIn("b", 8))
+	for part := range uint64(20) {
+		request := sharedRequest(part+1, 13_000)
+		if home := n.service.Home(request, chiveplace.Ask{}); home[0][0] == 'c' {
+			t.Fatalf("part %d has its home at %v", part+1, home)
+		}
+		if home := n.service.Home(request, chiveplace.Ask{Domains: chiveresidency.DomainsOf([]string{"c"})}); len(home) == 0 || home[0][0] != 'c' {
+			t.Fatalf("part %d, allowed in c only, has its home at %v", part+1, home)
+		}
+	}
+}
+
 // Guards against one engine more that moves the homes of most long parts to other regions.
 func TestOneEngineMoreMovesFewHomes(t *testing.T) {
 	n := newRegionNode(t, "127.0.0.1:1", "a", 50, membersIn("a", 8), membersIn("b", 8), membersIn("c", 8))
