Grants: a long part whose home is full spills to the caller's region

A part that has one home over all regions has two groups of engines. The third group asked is now one of the caller's region.

Test: TestFullHomeOfALongPartSpillsToTheOwnRegion, which failed before (part 5 of 20 refused).

--- a/chivegrant/home.go
+++ b/chivegrant/home.go
@@ -20,20 +20,31 @@
 	fleetWide bool
 }
 
-// homeGroups returns the groups in which to place a request, in the order in which to ask their owners: the primary and
-// the secondary group among all engines or, where groups are divided by region and the part has a home in each, among
-// those of the requesting node's region, followed by a group of another region.
+// homeGroups returns the groups in which to place a request, in the order in which to ask their owners. Where groups are
+// divided by region, these are the primary and the secondary group among all engines and one of the requesting node's
+// region if the part has one home, and otherwise two groups of that region and one of another.
 func (a *assignment) homeGroups(h home) []groupID {
 	regions := a.usableRegions(h)
 	if len(regions) <= 1 {
 		return a.selectGroups(h, regions)
 	}
 	if h.fleetWide {
-		return a.selectGroups(h, a.regionsWithNodes(h, regions))
+		groups := a.selectGroups(h, a.regionsWithNodes(h, regions))
+		a.orderRegions(h, regions)
+		return appendNew(groups, a.selectGroups(h, regions[:1]))
 	}
 	a.orderRegions(h, regions)
-	groups := a.selectGroups(h, regions[:1])
-	return append(groups, a.selectGroups(h, regions[1:2])[0])
+	return appendNew(a.selectGroups(h, regions[:1]), a.selectGroups(h, regions[1:2]))
+}
+
+// appendNew appends the first of some groups that is not listed yet.
+func appendNew(groups, more []groupID) []groupID {
+	for _, group := range more {
+		if !slices.Contains(groups, group) {
+			return append(groups, group)
+		}
+	}
+	return groups
 }
 
 // usableRegions returns the regions with engines that a request may use.
--- a/chivegrant/region_test.go
+++ b/chivegrant/region_test.go
@@ -18,6 +18,7 @@
 	"chivedrift/chiveplace"
 	"chivedrift/chiverequest"
 	"chivedrift/chiveresidency"
+	"chivedrift/chivestand"
 	"chivedrift/chivetable"
 	"chivedrift/chivewire"
 )
@@ -207,6 +208,29 @@
 	}
 }
 
+// Guards against refusals of a long part that is asked for so often that the groups of its home are full, while engines of
+// the caller's region are idle.
+func TestFullHomeOfALongPartSpillsToTheOwnRegion(t *testing.T) {
+	members := slices.Concat([]chivemember.Member{
+		{Address: chivestand.FreeAddress(), State: chivemember.Alive, Region: "ra", FailureDomain: "a"},
+		{Address: chivestand.FreeAddress(), State: chivemember.Alive, Region: "rb", FailureDomain: "b"},
+	}, leaving(20))
+	var nodes []*node
+	for _, m := range members[:2] {
+		n := startNodeIn(t, m.FailureDomain, m.Address)
+		n.setRegions(t, distancesFrom(m.FailureDomain), 20, members)
+		n.setQueue("b", 60_000)
+		nodes = append(nodes, n)
+	}
+	for part := range uint64(20) {
+		place, err := nodes[0].service.Place(context.Background(), nodes[0].pool, sharedRequest(part+1, 13_000), chiveplace.Ask{})
+		if err != nil {
+			t.Fatalf("part %d: %v", part+1, err)
+		}
+		place.Done(time.Now(), chiveplace.EndedWell)
+	}
+}
+
 // Guards against one engine more that moves the homes of most long parts to other regions.
 func TestOneEngineMoreMovesFewHomes(t *testing.T) {
 	n := newRegionNode(t, "127.0.0.1:1", "a", 50, membersIn("a", 8), membersIn("b", 8), membersIn("c", 8))
@@ -241,6 +265,15 @@
 	}
 }
 
+// setQueue reports the prompt tokens queued on each of 20 engines of a failure domain.
+func (n *node) setQueue(domain string, tokens int64) {
+	var report chiveplace.Report
+	for i := range 20 {
+		report.Loads = append(report.Loads, chiveplace.Load{Endpoint: fmt.Sprint(domain, i), Requests: 30, Waiting: []int64{tokens}})
+	}
+	n.pool.Hear(time.Now(), "10.0."+domain+".1:1", &report)
+}
+
 // Guards against requests that are refused while engines in another region are idle, and against requests that stay there
 // once their own region has room.
 func TestFullRegionSpillsAndReturns(t *testing.T) {
@@ -253,21 +286,14 @@
 		place.Done(time.Now(), chiveplace.EndedWell)
 		return place.Endpoint().FailureDomain
 	}
-	setQueue := func(tokens int64) {
-		var report chiveplace.Report
-		for i := range 20 {
-			report.Loads = append(report.Loads, chiveplace.Load{Endpoint: fmt.Sprint("a", i), Requests: 30, Waiting: []int64{tokens}})
-		}
-		n.pool.Hear(time.Now(), "10.0.0.1:1", &report)
-	}
 	if got := placed(); got != "a" {
 		t.Errorf("with idle engines a request goes to %s", got)
 	}
-	setQueue(60_000)
+	n.setQueue("a", 60_000)
 	if got := placed(); got == "a" {
 		t.Error("a request stays behind 60,000 tokens")
 	}
-	setQueue(0)
+	n.setQueue("a", 0)
 	if got := placed(); got != "a" {
 		t.Errorf("after the queues a request goes to %s", got)
 	}
--- a/chivegrant/service_test.go
+++ b/chivegrant/service_test.go
@@ -46,7 +46,12 @@
 
 func startNode(t *testing.T, address string) *node {
 	t.Helper()
-	n := newNode(address)
+	return startNodeIn(t, "a", address)
+}
+
+func startNodeIn(t *testing.T, domain, address string) *node {
+	t.Helper()
+	n := newNodeIn(domain, address)
 	for _, start := range []func(context.Context) error{n.mesh.Start, n.service.Start} {
 		if err := start(context.Background()); err != nil {
 			t.Fatal(err)
