Grants: a long part leaves its home only where there is no room

A long part went to the caller's region already for a lower loss than at its home. The own region's groups are now asked only when both groups of the home have no room; their refusal counts otherwise.

--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -29,7 +29,21 @@
 	p := &placement{
 		service: s, assignment: a, pool: pool, request: request, exclude: append(pool.PassedOver(time.Now()), limits.Exclude...), limits: limits,
 	}
-	groups := slices.DeleteFunc(a.homeGroups(s.homeOf(request, pool, limits.Domains)), p.allExcluded)
+	h := s.homeOf(request, pool, limits.Domains)
+	place, err := p.placeInAny(ctx, a.homeGroups(h))
+	var refused *chiveplace.RefusedError
+	if !errors.As(err, &refused) {
+		return place, err
+	}
+	if fallback, fallbackErr := p.placeInAny(ctx, a.fallbackGroups(h)); fallbackErr == nil {
+		return fallback, nil
+	}
+	return nil, err
+}
+
+// placeInAny places the request in one of some groups.
+func (p *placement) placeInAny(ctx context.Context, groups []groupID) (*chiveplace.Place, error) {
+	groups = slices.DeleteFunc(groups, p.allExcluded)
 	switch len(groups) {
 	case 0:
 		return nil, ErrAlone
--- a/chivegrant/home.go
+++ b/chivegrant/home.go
@@ -21,30 +21,28 @@
 }
 
 // homeGroups returns the groups in which to place a request, in the order in which to ask their owners. Where groups are
-// divided by region, these are the primary and the secondary group among all engines and one of the requesting node's
-// region if the part has one home, and otherwise two groups of that region and one of another.
+// divided by region, these are the primary and the secondary group among all engines if the part has one home, and otherwise
+// two groups of the requesting node's region and one of another.
 func (a *assignment) homeGroups(h home) []groupID {
 	regions := a.usableRegions(h)
 	if len(regions) <= 1 {
 		return a.selectGroups(h, regions)
 	}
 	if h.fleetWide {
-		groups := a.selectGroups(h, a.regionsWithNodes(h, regions))
-		a.orderRegions(h, regions)
-		return appendNew(groups, a.selectGroups(h, regions[:1]))
+		return a.selectGroups(h, a.regionsWithNodes(h, regions))
 	}
 	a.orderRegions(h, regions)
-	return appendNew(a.selectGroups(h, regions[:1]), a.selectGroups(h, regions[1:2]))
+	groups := a.selectGroups(h, regions[:1])
+	return append(groups, a.selectGroups(h, regions[1:2])[0])
 }
 
-// appendNew appends the first of some groups that is not listed yet.
-func appendNew(groups, more []groupID) []groupID {
-	for _, group := range more {
-		if !slices.Contains(groups, group) {
-			return append(groups, group)
-		}
+// fallbackGroups returns the groups of the requesting node's region for a part that has one home over all regions. They
+// are only asked if there is no room at that home, since their engines would read the part again.
+func (a *assignment) fallbackGroups(h home) []groupID {
+	if !h.fleetWide || len(a.regions[h.pool]) <= 1 {
+		return nil
 	}
-	return groups
+	return a.selectGroups(h, []string{h.region})
 }
 
 // usableRegions returns the regions with engines that a request may use.
