--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"chivedrift/chivedirectory"
+	"chivedrift/chivedistance"
 	"chivedrift/chivegrant"
 	"chivedrift/chiveplace"
 	"chivedrift/chiverequest"
@@ -35,8 +36,11 @@
 	// reportedLeaving are the incarnations that other nodes have reported as leaving.
 	reportedLeaving map[string]bool
 	// regions is the region of each failure domain.
-	regions chiveresidency.Map
-	table   *chivetable.Table
+	regions   chiveresidency.Map
+	distances chivedistance.Map
+	table     *chivetable.Table
+	crossings crossingCounters
+	traffic   chiveplace.Traffic
 	// changed has a buffer of one: a receiver collects the changes of all pools.
 	changed chan struct{}
 }
@@ -78,6 +82,19 @@
 // SetRegions sets the region of each failure domain; it must be called before the first request.
 func (p *Pools) SetRegions(regions chiveresidency.Map) { p.regions = regions }
 
+// SetDistances sets how far the regions are.
+func (p *Pools) SetDistances(distances chivedistance.Map) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.distances = distances
+	for _, pool := range p.pools {
+		pool.SetDistances(distances)
+	}
+}
+
+// SetTraffic sets what bytes between regions cost; it must be called before the first endpoint is known.
+func (p *Pools) SetTraffic(traffic chiveplace.Traffic) { p.traffic = traffic }
+
 // SetTable applies a routing table.
 func (p *Pools) SetTable(table *chivetable.Table) {
 	p.mu.Lock()
@@ -158,6 +175,8 @@
 		pool = chiveplace.NewPool(p.failureDomain)
 		pool.OnChange(p.signalChange)
 		pool.SetNodes(p.nodes)
+		pool.SetDistances(p.distances)
+		pool.SetTraffic(p.traffic)
 		pool.SetEvacuated(p.evacuated)
 		pool.SetReportedLeaving(p.reportedLeaving)
 		p.pools[name] = pool
@@ -394,6 +413,7 @@
 		ask.Domains = p.regions.Domains(residency)
 		place, asked, err := p.chooseWithinLimits(ctx, pool, request, ask)
 		if err == nil {
+			p.crossings.add(place.Crossing())
 			return pooledPlace{place, p.rates, p.versionOf(place.Endpoint().Incarnation().Key())}, nil
 		}
 		if time.Now().After(deadline) {
@@ -444,6 +464,9 @@
 		slog.Int64("tokens_to_read", p.Reads()), slog.Int64("tokens_to_fetch", p.Fetches()), slog.Int64("tokens_again", p.Again()), slog.Int64("tokens_ahead", p.Ahead()),
 		slog.Int64("expected_ms", p.Expected().Milliseconds()),
 	}
+	if crossing := p.Crossing(); crossing != chiveplace.CrossingNone {
+		attributes = append(attributes, slog.String("other_region", crossing.String()))
+	}
 	if owner := p.Owner(); owner != "" {
 		attributes = append(attributes, slog.String("owner", owner))
 	}
--- /dev/null
+++ b/chivegrant/home.go
@@ -0,0 +1,131 @@
+package chivegrant
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"chivedrift/chiveplace"
+	"chivedrift/chiveresidency"
+)
+
+// home describes where the requests with a shared part are placed.
+type home struct {
+	pool string
+	part uint64
+	// domains are the failure domains that the request is limited to.
+	domains chiveresidency.Domains
+	// region is that of the requesting node. fleetWide means that the part has one home over all regions.
+	region    string
+	fleetWide bool
+}
+
+// homeGroups returns the groups in which to place a request, in the order in which to ask their owners. Where groups are
+// divided by region, these are the primary and the secondary group among all engines if the part has one home, and otherwise
+// two groups of the requesting node's region and one of another.
+func (a *assignment) homeGroups(h home) []groupID {
+	regions := a.usableRegions(h)
+	if len(regions) <= 1 {
+		return a.selectGroups(h, regions)
+	}
+	if h.fleetWide {
+		return a.selectGroups(h, a.regionsWithNodes(h, regions))
+	}
+	a.orderRegions(h, regions)
+	groups := a.selectGroups(h, regions[:1])
+	return append(groups, a.selectGroups(h, regions[1:2])[0])
+}
+
+// fallbackGroups returns the groups of the requesting node's region for a part that has one home over all regions. They
+// are only asked if there is no room at that home, since their engines would read the part again.
+func (a *assignment) fallbackGroups(h home) []groupID {
+	if !h.fleetWide || len(a.regions[h.pool]) <= 1 {
+		return nil
+	}
+	return a.selectGroups(h, []string{h.region})
+}
+
+// usableRegions returns the regions with engines that a request may use.
+func (a *assignment) usableRegions(h home) []string {
+	return slices.DeleteFunc(slices.Clone(a.regions[h.pool]), func(region string) bool { return a.allowedTrie(h, region).size() == 0 })
+}
+
+// hasNodes reports whether a region is the requesting node's or has other nodes. One without may be cut off.
+func (a *assignment) hasNodes(h home, region string) bool {
+	return region == h.region || a.nodeCounts[region] > 0
+}
+
+// regionsWithNodes returns those of the regions that have nodes; all if none has.
+func (a *assignment) regionsWithNodes(h home, regions []string) []string {
+	withNodes := slices.DeleteFunc(slices.Clone(regions), func(region string) bool { return !a.hasNodes(h, region) })
+	if len(withNodes) == 0 {
+		return regions
+	}
+	return withNodes
+}
+
+// orderRegions puts the requesting node's region first and those without nodes last. The order of the others depends on the
+// part, so that the requests of one full region do not all go to the same other one.
+func (a *assignment) orderRegions(h home, regions []string) {
+	rank := func(region string) uint64 {
+		switch {
+		case region == h.region:
+			return math.MaxUint64
+		case !a.hasNodes(h, region):
+			return 0
+		}
+		return chiveplace.Weigh(chiveplace.HashID(region), h.part)
+	}
+	slices.SortFunc(regions, func(x, y string) int { return cmp.Compare(rank(y), rank(x)) })
+}
+
+// selectGroups returns the primary and the secondary group for a part among the engines of some regions, as far as there
+// are any. A group is selected with a probability proportional to its size.
+func (a *assignment) selectGroups(h home, regions []string) (groups []groupID) {
+	tries := make([]*trieNode[engine], 0, len(regions))
+	total := 0
+	for _, region := range regions {
+		trie := a.allowedTrie(h, region)
+		tries = append(tries, trie)
+		total += trie.size()
+	}
+	if total == 0 {
+		return nil
+	}
+	for attempt := range uint64(maxGroupAttempts) {
+		key := chiveplace.Weigh(h.part, attempt)
+		at := selectTrie(tries, regions, total, key)
+		_, prefix := tries[at].selectLeaf(key)
+		group := groupID{partition{h.pool, regions[at]}, prefix}
+		if slices.Contains(groups, group) {
+			continue
+		}
+		if groups = append(groups, group); len(groups) == maxSelectedGroups {
+			break
+		}
+	}
+	return groups
+}
+
+// selectTrie returns the index of the region that a key maps to, with a probability proportional to its size, so that one
+// more engine remaps only about the share of keys that it receives.
+func selectTrie(tries []*trieNode[engine], regions []string, total int, key uint64) int {
+	last := len(tries) - 1
+	for at := range last {
+		size := tries[at].size()
+		if fraction(chiveplace.Weigh(key, chiveplace.HashID(regions[at])))*float64(total) < float64(size) {
+			return at
+		}
+		total -= size
+	}
+	return last
+}
+
+// allowedTrie returns the engines of a region that a request may use.
+func (a *assignment) allowedTrie(h home, region string) *trieNode[engine] {
+	root := a.tries[partition{h.pool, region}]
+	if h.domains.IsLimited() {
+		return filterByDomain(root, h.domains)
+	}
+	return root
+}
--- a/chivegrant/service_test.go
+++ b/chivegrant/service_test.go
@@ -35,8 +35,10 @@
 	service *chivegrant.Service
 }
 
-func newNode(address string) *node {
-	n := &node{mesh: chivewire.NewMesh(address, chivewire.TCP{}), pool: chiveplace.NewPool("a")}
+func newNode(address string) *node { return newNodeIn("a", address) }
+
+func newNodeIn(domain, address string) *node {
+	n := &node{mesh: chivewire.NewMesh(address, chivewire.TCP{}), pool: chiveplace.NewPool(domain)}
 	n.pool.SetEngine(engine)
 	n.service = chivegrant.New(chivegrant.Options{Mesh: n.mesh, Pools: singlePool{n.pool}, Logger: slog.New(slog.DiscardHandler)})
 	return n
@@ -44,7 +46,12 @@
 
 func startNode(t *testing.T, address string) *node {
 	t.Helper()
-	n := newNode(address)
+	return startNodeIn(t, "a", address)
+}
+
+func startNodeIn(t *testing.T, domain, address string) *node {
+	t.Helper()
+	n := newNodeIn(domain, address)
 	for _, start := range []func(context.Context) error{n.mesh.Start, n.service.Start} {
 		if err := start(context.Background()); err != nil {
 			t.Fatal(err)
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -28,6 +28,7 @@
 	"chivedrift/chivemember"
 	"chivedrift/chivemetric"
 	"chivedrift/chivenotice"
+	"chivedrift/chiveplace"
 	"chivedrift/chivequarantine"
 	"chivedrift/chiverate"
 	"chivedrift/chiverelay"
@@ -292,6 +293,9 @@
 	pools := chiveforward.NewPools(s.FailureDomain)
 	pools.SetRegions(s.RegionOf())
 	pools.SetVersions(n.versions.Of)
+	pools.SetTraffic(chiveplace.Traffic{
+		RequestsPerGB: s.RegionTraffic.RequestsPerGB, PromptTokenBytes: s.RegionTraffic.PromptTokenBytes, CachedTokenBytes: s.RegionTraffic.CachedTokenBytes,
+	})
 	n.pools = pools
 	n.relay = chiverelay.New(chiverelay.Options{
 		Self: s.Listen.Callers, Address: s.Listen.Relay, Network: network, Region: s.Region, Regions: s.RegionOf(), Full: n.memory.Full, Logger: n.logger,
@@ -314,6 +318,10 @@
 	n.ready = newReadiness(s.Listen.Ready, chiveplatform.ReadyPath, network, n.NotReady)
 	n.grants = chivegrant.New(chivegrant.Options{Mesh: n.mesh, Pools: pools, Distances: n.distances, Logger: n.logger})
 	pools.SetAsker(n.grants)
+	for _, setDistances := range []func(chivedistance.Map){pools.SetDistances, n.grants.SetDistances} {
+		setDistances(n.distances.Map())
+		n.distances.OnChange(setDistances)
+	}
 	n.rates = chiverate.New(n.mesh)
 	n.rates.SetDistances(n.distances)
 	pools.SetRates(n.rates)
@@ -404,6 +412,9 @@
 		{"places_asked", func() float64 { return float64(n.grants.Counts().Asked) }},
 		{"places_granted", func() float64 { return float64(n.grants.Counts().Granted) }},
 		{"places_refused", func() float64 { return float64(n.grants.Counts().Refused) }},
+		{"places_own_region", func() float64 { return float64(n.pools.CrossingCounts().OwnRegion) }},
+		{"places_other_region", func() float64 { return float64(n.pools.CrossingCounts().OtherRegion) }},
+		{"places_spilled", func() float64 { return float64(n.pools.CrossingCounts().Spilled) }},
 		{"endpoints_limited", func() float64 { return float64(n.pools.LimitedEndpoints()) }},
 		{"endpoints_leaving", func() float64 { return float64(n.pools.NoticeCounts().Leaving) }},
 		{"endpoints_resting", func() float64 { return float64(n.pools.NoticeCounts().Resting) }},
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chivedrift/chivedirectory"
+	"chivedrift/chivedistance"
 	"chivedrift/chiverequest"
 	"chivedrift/chiveresidency"
 	"chivedrift/chivetable"
@@ -66,6 +67,8 @@
 	// refused, so that other endpoints can be tried first. 0 means no limit.
 	Most      float64
 	MostReads int64
+	// From is the failure domain of the node that sends the request; empty for this node's, or if it is not known.
+	From string
 	// forPeer means that another node sends the request.
 	forPeer bool
 }
@@ -95,6 +98,14 @@
 type Pool struct {
 	mu          sync.Mutex
 	localDomain string
+	// distances are the distances of the failure domains; spansRegions tells whether there is more than one region, and
+	// farthest is the longest round trip to a region with endpoints.
+	distances    chivedistance.Map
+	spansRegions bool
+	farthest     time.Duration
+	traffic      Traffic
+	// regions are the known regions, in the order of their indexes.
+	regions []string
 	// firstEndpointAt is when the node discovered the first endpoint; zero before.
 	firstEndpointAt time.Time
 	engine          chivetable.Engine
@@ -210,6 +221,7 @@
 			p.attachNotice(cand)
 		}
 		cand.setEndpoint(time.Now(), e)
+		p.setRegion(cand)
 	}
 }
 
@@ -372,6 +384,7 @@
 func (p *Pool) countOwn(now time.Time, place *Place, prompt *chiverequest.Prompt) {
 	cand := place.candidate
 	p.ensureRecord(now, cand)
+	place.crossing = p.crossingOf(cand, prompt)
 	if prompt != nil {
 		cand.addRequest(now, place)
 		cand.cache.touch(prompt.Parts, now.Add(place.expectedTTFT))
@@ -401,7 +414,7 @@
 	if ask.Prompt != nil {
 		place.rank = ask.Prompt.Rank
 		place.queuedAhead = best.queuedAhead(place.rank)
-		place.expectedTTFT = chivetime.Milliseconds(p.ttft.predict(place.prefillWork()) * best.slowdown())
+		place.expectedTTFT = chivetime.Milliseconds(p.ttft.predict(place.prefillWork())*best.slowdown()) + place.way
 		if refused := p.admit(ask.Prompt, p.ttft.queuedMs(place.queuedAhead)*best.slowdown(), place.expectedTTFT); refused != nil {
 			refused.Holder, refused.Held = place.holderAddress, place.holderTokens
 			return nil, refused
@@ -511,8 +524,9 @@
 	start := p.rng.IntN(len(candidates))
 	for i := range candidates {
 		cand := candidates[(start+i)%len(candidates)]
-		place.consider(cand, p.plainServiceCost(now, cand))
+		place.consider(cand, p.plainServiceCost(now, cand, ask))
 	}
+	place.way = p.wayTo(ask, place.candidate)
 	return place
 }
 
@@ -529,15 +543,18 @@
 	if choice.holder != nil {
 		place.holderAddress, place.holderTokens = choice.holder.endpoint.Address, choice.holderTokens
 	}
+	place.way = p.wayTo(ask, place.candidate)
 	if place.fetchTokens > 0 {
 		place.fetchFrom = place.holderAddress
+		place.way += p.between(choice.holder, place.candidate)
 	}
 }
 
 // plainServiceCost returns the expected response time of a replica of a plain service, increased for errors and for a
 // remote failure domain.
-func (p *Pool) plainServiceCost(now time.Time, cand *candidate) float64 {
+func (p *Pool) plainServiceCost(now time.Time, cand *candidate, ask Ask) float64 {
 	cost := float64(cand.load()+1) * cand.expectedResponseTime(now, unusedResponseTimeFactor*p.responseTime) * (1 + errorCostFactor*cand.errorRate)
+	cost += p.wayTo(ask, cand).Seconds()
 	if cand.endpoint.FailureDomain != p.localDomain {
 		cost *= remoteDomainFactor
 	}
@@ -560,8 +577,9 @@
 type EndpointState struct {
 	Endpoint string `json:"endpoint"`
 	Address  string `json:"address"`
-	// FailureDomain is where the endpoint runs.
+	// FailureDomain is where the endpoint runs, WayMs the round trip to its region; 0 for the own one.
 	FailureDomain string  `json:"failure_domain"`
+	WayMs         int64   `json:"way_ms,omitempty"`
 	Ready         bool    `json:"ready"`
 	Own           int     `json:"own_requests"`
 	Others        int     `json:"other_nodes_requests"`
@@ -588,7 +606,7 @@
 		leavingFor, restFor := cand.notice.durations(now)
 		states = append(states, EndpointState{
 			LeavingForMs: leavingFor.Milliseconds(), RestForMs: restFor.Milliseconds(),
-			Endpoint: cand.incarnation, Address: cand.endpoint.Address, FailureDomain: cand.endpoint.FailureDomain, Ready: cand.endpoint.State == chivedirectory.Ready, Own: cand.ownRequests, Others: cand.otherRequests,
+			Endpoint: cand.incarnation, Address: cand.endpoint.Address, FailureDomain: cand.endpoint.FailureDomain, WayMs: p.wayTo(Ask{}, cand).Milliseconds(), Ready: cand.endpoint.State == chivedirectory.Ready, Own: cand.ownRequests, Others: cand.otherRequests,
 			Waiting: cand.queuedTokens(), Errors: cand.errorRate, TookMs: cand.responseTime * 1000, Down: now.Before(cand.ejectedUntil), LimitPerSecond: cand.currentLimits().PerSecond, LimitRefusals: cand.currentLimits().Refusals,
 		})
 	}
