Orders of replicas: a failure domain without replicas is not planned by successors

After a failure domain was given up for good, every successor ordered replicas for it alone (c: 10, again every 3 s) and none to replace them elsewhere. Cause: orders inherited from the previous holder counted as planned in this tenure. They count now only once they are compared with running replicas.

TestLostFailureDomainIsReplacedBySuccessors failed before ("ordered map[c:10]").

--- a/chivescale/failure_test.go
+++ b/chivescale/failure_test.go
@@ -180,3 +180,26 @@
 		}
 	})
 }
+
+// Guards against replicas that are missing, because every successor counts a failure domain that has none any more.
+func TestLostFailureDomainIsReplacedBySuccessors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &setLoad{requests: calmLoad}
+		p := newOnDemandPlatform(t, l)
+		p.lease.setToken(1)
+		time.Sleep(5 * time.Second)
+		l.requests = burstLoad
+		time.Sleep(2 * time.Second)
+		l.requests = calmLoad
+		time.Sleep(settled)
+		p.removeReplicas("c")
+		p.lease.setToken(0)
+		time.Sleep(time.Second)
+		p.takeOrders()
+		p.lease.setToken(2)
+		time.Sleep(settled)
+		if ordered := lastCounts(p.takeOrders()); ordered["a"] != 15 || ordered["b"] != 15 || ordered["c"] != 0 {
+			t.Errorf("the successor ordered %v, expected 15 in failure domains a and b", ordered)
+		}
+	})
+}
--- a/chivescale/service.go
+++ b/chivescale/service.go
@@ -358,6 +358,6 @@
 
 // wasPlanned reports whether a failure domain has been planned in the current tenure.
 func (s *Service) wasPlanned(pool, domain string) bool {
-	_, ok := s.lastOrders[orderKey{pool, domain, false}]
-	return ok
+	last, ok := s.lastOrders[orderKey{pool, domain, false}]
+	return ok && !last.isInherited
 }
--- a/chivescale/service_test.go
+++ b/chivescale/service_test.go
@@ -116,6 +116,17 @@
 	}
 }
 
+// removeReplicas removes all replicas in a failure domain.
+func (p *fakePlatform) removeReplicas(domain string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.endpoints {
+		if e.FailureDomain == domain {
+			p.service.ApplyEndpoints(chivedirectory.Diff{Gone: []chivedirectory.Endpoint{e}})
+		}
+	}
+}
+
 func newFakePlatform(t *testing.T) *fakePlatform {
 	t.Helper()
 	startedAt := time.Now()
