Orders of replicas: the first holder keeps no surplus on-demand replicas

With 22, 10 and 10 initial replicas the first holder kept 22 in failure domain a for 20 s, because it assumed a predecessor that had ordered them for a peak. A holder that has just recorded the initial number of a pool has no predecessor that ordered. Pools with preemptible replicas are planned as before.

TestFirstHolderBalancesFailureDomainsAtOnce failed before (22 in a).

--- a/chivescale/failure_test.go
+++ b/chivescale/failure_test.go
@@ -203,3 +203,16 @@
 		}
 	})
 }
+
+// Guards against surplus replicas that the first holder keeps, although nobody ordered them for a peak.
+func TestFirstHolderBalancesFailureDomainsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newOnDemandPlatform(t, &setLoad{requests: calmLoad})
+		p.startReplicas("a", false, 12)
+		p.lease.setToken(1)
+		time.Sleep(5 * time.Second)
+		if ordered := lastCounts(p.takeOrders()); ordered["a"] != 14 || ordered["b"] != 14 || ordered["c"] != 14 {
+			t.Errorf("ordered %v within 5 s, expected 14 in each failure domain", ordered)
+		}
+	})
+}
--- a/chivescale/order.go
+++ b/chivescale/order.go
@@ -243,8 +243,10 @@
 	chiveevent.OrdersInherited.Log(ctx, s.opts.Logger, slog.Int64("token", s.token), slog.Int("orders", len(r.Orders)), slog.Int("sent_again", open))
 }
 
-// newPlanner returns the planner of a pool, which continues what the previous holder stored.
-func (s *Service) newPlanner(pool string, p *Planner) *Planner {
+// newPlanner returns the planner of a pool, which continues what the previous holder stored. isFirst means that no holder
+// has ordered replicas of the pool.
+func (s *Service) newPlanner(pool string, p *Planner, isFirst bool) *Planner {
+	p.knowsPeak = isFirst && !p.usesPreemptible()
 	if peak, ok := s.stored.Peaks[pool]; ok {
 		p.resume(peak, s.stored.ordersOf(pool), s.stored.Era == s.era)
 	}
--- a/chivescale/service.go
+++ b/chivescale/service.go
@@ -293,11 +293,13 @@
 	if p := s.planners[pool.Name]; p != nil {
 		return p, true
 	}
-	if _, ok := s.initial[pool.Name]; !ok && !s.recordInitial(ctx, pool.Name, domains) {
+	_, isRecorded := s.initial[pool.Name]
+	if !isRecorded && !s.recordInitial(ctx, pool.Name, domains) {
 		return nil, false
 	}
-	s.planners[pool.Name] = s.newPlanner(pool.Name, NewPlanner(s.opts.SinceBoot(), *pool.Scaling, s.initial[pool.Name]))
-	return s.planners[pool.Name], true
+	planner := NewPlanner(s.opts.SinceBoot(), *pool.Scaling, s.initial[pool.Name])
+	s.planners[pool.Name] = s.newPlanner(pool.Name, planner, !isRecorded)
+	return planner, true
 }
 
 // recordInitial stores the number of a pool's replicas once it has been unchanged for stabilizationPeriod, and reports
