Orders of replicas: orders of a holder that stores none are kept for the retention

After a holder of the release before had ordered replicas for a burst, the next holder of this release withdrew them at once: the stored record had the same era, so that its peak was taken for the newest.

--- a/chivescale/failure_test.go
+++ b/chivescale/failure_test.go
@@ -140,6 +140,12 @@
 		p.takeOrders()
 		p.startReplicas("a", false, 10)
 		p.lease.setToken(2)
+		time.Sleep(peakRetention - time.Second)
+		for _, o := range p.takeOrders() {
+			if o.Domain == "a" && o.Count < 20 {
+				t.Errorf("the successor ordered %v within the retention of a peak", o)
+			}
+		}
 		time.Sleep(settled)
 		if ordered := lastCounts(p.takeOrders()); ordered["a"] != 10 {
 			t.Errorf("the successor ordered %v, expected 10 in failure domain a in place of 20", ordered)
@@ -147,6 +153,32 @@
 	})
 }
 
+// Guards against preemptible replicas that are given up in a burst, because a lease holder of an earlier release ordered
+// them and stored nothing.
+func TestPreemptibleReplicasOfAnEarlierReleaseAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform(t)
+		for _, d := range []string{"a", "b", "c"} {
+			p.startReplicas(d, false, 10)
+		}
+		p.lease.setToken(1)
+		time.Sleep(10 * time.Second)
+		p.lease.setToken(0)
+		time.Sleep(time.Second)
+		p.takeOrders()
+		for _, d := range []string{"a", "b", "c"} {
+			p.startReplicas(d, true, 40)
+		}
+		p.lease.setToken(2)
+		time.Sleep(peakRetention - time.Second)
+		for _, o := range p.takeOrders() {
+			if o.Preemptible && o.Count < 40 {
+				t.Errorf("the successor ordered %v within the retention of a peak", o)
+			}
+		}
+	})
+}
+
 // Guards against replicas that are ordered late because an order for another failure domain is not answered.
 func TestUnansweredOrderDoesNotDelayOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/chivescale/order.go
+++ b/chivescale/order.go
@@ -252,3 +252,14 @@
 	}
 	return p
 }
+
+// hasUnstoredOrders reports whether more replicas of a pool run than the previous holder stored, so that a holder of an
+// earlier release, which does not store its orders, may have ordered them since.
+func (s *Service) hasUnstoredOrders(running map[orderKey]int) bool {
+	for key, count := range running {
+		if last := s.lastOrders[key]; last.isInherited && count > last.count {
+			return true
+		}
+	}
+	return false
+}
--- a/chivescale/service.go
+++ b/chivescale/service.go
@@ -278,6 +278,9 @@
 		running[orderKey{pool.Name, d.Name, false}] = d.OnDemand
 		running[orderKey{pool.Name, d.Name, true}] = d.Preemptible
 	}
+	if s.hasUnstoredOrders(running) {
+		planner.knowsPeak = false
+	}
 	for _, o := range planner.Plan(s.opts.SinceBoot(), requests, domains) {
 		o.Pool = pool.Name
 		d := dueOrder{Order: o, planner: planner, running: running[orderKey{o.Pool, o.Domain, o.Preemptible}], requests: requests}
