Orders of replicas: failing writes do not delay the renewal of the lease

While the store was away, a holder with a new order wrote at every plan, 41 times in 10 s with as many warnings (723). Each write takes the renewal's turn, and after one that the store certainly did not take the next renewal moved 300 ms later, so that writes every 250 ms kept a holder from renewing at all.

After a failed write none is attempted for 1 s, and 723 is logged as often. A failed write of a value does not move the next renewal later; a failed renewal still does.

TestFailedWritesAreRateLimited (41 writes in 10 s) and TestFailingWritesDoNotDelayTheRenewal (lease not held) failed before.

--- a/chivelease/call.go
+++ b/chivelease/call.go
@@ -121,6 +121,19 @@
 	s.refresh(ctx)
 }
 
+// handleFailedWrite handles a failed append of a value, which does not delay the next renewal.
+func (s *Service) handleFailedWrite(ctx context.Context, err error) {
+	s.mu.Lock()
+	dueAt := s.nextCallAt
+	s.mu.Unlock()
+	s.handleFailure(ctx, err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.held {
+		s.nextCallAt = min(s.nextCallAt, dueAt)
+	}
+}
+
 func (s *Service) retryLater() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/chivelease/service.go
+++ b/chivelease/service.go
@@ -199,7 +199,7 @@
 	}
 	at, err := s.append(ctx, key, value)
 	if err != nil {
-		s.handleFailure(ctx, err)
+		s.handleFailedWrite(ctx, err)
 		if s.hasWritten(token, key, value) {
 			return nil
 		}
--- a/chivelease/service_test.go
+++ b/chivelease/service_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"chivedrift/chivelease"
+	"chivedrift/chivelog"
 	"chivedrift/chivestand"
 )
 
@@ -233,6 +234,42 @@
 	})
 }
 
+// refusingTopic refuses to append values under one key.
+type refusingTopic struct {
+	chivelog.ConditionalTopic
+	key string
+}
+
+func (r *refusingTopic) Append(ctx context.Context, end chivelog.Position, key string, value []byte) (chivelog.Position, error) {
+	if key == r.key {
+		return 0, chivelog.ErrNotAppended
+	}
+	return r.ConditionalTopic.Append(ctx, end, key, value)
+}
+
+// Guards against a tenure that is lost because failing writes of values delay its renewal.
+func TestFailingWritesDoNotDelayTheRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		startedAt := time.Now()
+		lease := chivelease.New(chivelease.Options{
+			Topic: &refusingTopic{chivestand.NewTopic(1).For("a"), "k"}, Self: "a", Incarnation: 1, Term: term, Rank: func() (int, bool) { return 0, true },
+			SinceBoot: func() time.Duration { return time.Since(startedAt) }, Logger: slog.New(slog.DiscardHandler),
+		})
+		if err := lease.Start(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		defer lease.Stop(context.Background())
+		time.Sleep(2 * term)
+		tenure, _ := lease.Tenure()
+		for range 80 {
+			if err := lease.Write(context.Background(), tenure.Token, "k", []byte("v")); !errors.Is(err, chivelog.ErrNotAppended) {
+				t.Fatalf("the write ended with %v", err)
+			}
+			time.Sleep(250 * time.Millisecond)
+		}
+	})
+}
+
 // Guards against two nodes that act at once, and tokens that repeat or decrease, under random outages, lost and late
 // calls, restores of the store, crashes and stops.
 func TestAtMostOneNodeActs(t *testing.T) {
--- a/chivescale/failure_test.go
+++ b/chivescale/failure_test.go
@@ -248,3 +248,19 @@
 		}
 	})
 }
+
+// Guards against a store call at every plan while the store is away, which would delay the renewal of the lease.
+func TestFailedWritesAreRateLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &setLoad{requests: calmLoad}
+		p := newOnDemandPlatform(t, l)
+		p.lease.setToken(1)
+		time.Sleep(5 * time.Second)
+		p.lease.writeErr = errStoreAway
+		l.requests = burstLoad
+		time.Sleep(10 * time.Second)
+		if p.lease.failedWrites == 0 || p.lease.failedWrites > 11 {
+			t.Errorf("%d writes in 10 s, expected one a second", p.lease.failedWrites)
+		}
+	})
+}
--- a/chivescale/order.go
+++ b/chivescale/order.go
@@ -24,7 +24,7 @@
 	// lateOrderPeriod is the maximum time after which the platform may carry out an unanswered order, in place of newer
 	// ones.
 	lateOrderPeriod = 15 * time.Second
-	// outcomeInterval is the minimum interval between records that hold no new order.
+	// outcomeInterval is the minimum interval between records that hold no new order, and after a failed write.
 	outcomeInterval = time.Second
 )
 
@@ -199,9 +199,14 @@
 	}
 }
 
-// store writes a record for later holders and reports whether it did.
+// store writes a record for later holders and reports whether it did. For outcomeInterval after a failed write it makes no
+// attempt, since a write delays the renewal of the lease.
 func (s *Service) store(ctx context.Context, r orderRecord) bool {
-	s.storedAt = s.opts.SinceBoot()
+	now := s.opts.SinceBoot()
+	if s.isStoreFailing && now-s.storedAt < outcomeInterval {
+		return false
+	}
+	s.storedAt, s.isStoreFailing = now, true
 	r.Era = s.era
 	data, err := r.encode()
 	if err == nil {
@@ -213,14 +218,14 @@
 		}
 		return false
 	}
-	s.stored = r
+	s.stored, s.isStoreFailing = r, false
 	return true
 }
 
 // inherit continues with the orders that the previous holder stored. Orders with an open outcome, and all orders if the
 // store may have lost newer ones, are sent again with the number then wanted.
 func (s *Service) inherit(ctx context.Context, tenure chivelease.Tenure) {
-	s.era, s.stored, s.storedAt = tenure.Era, orderRecord{Era: tenure.Era}, 0
+	s.era, s.stored, s.storedAt, s.isStoreFailing = tenure.Era, orderRecord{Era: tenure.Era}, 0, false
 	data := s.opts.Lease.Value(ordersKey)
 	if len(data) == 0 {
 		return
--- a/chivescale/service.go
+++ b/chivescale/service.go
@@ -103,10 +103,11 @@
 	observed   map[string]observedCount
 	lastOrders map[orderKey]lastOrder
 	// stored is the record that later holders see, era that of the store in this tenure, storedAt the time of the last
-	// attempt to write.
-	stored   orderRecord
-	era      int64
-	storedAt time.Duration
+	// attempt to write, isStoreFailing that it failed.
+	stored         orderRecord
+	era            int64
+	storedAt       time.Duration
+	isStoreFailing bool
 	// kinds holds, by id, whether a replica is preemptible; kindsAt is when it was last requested.
 	kinds   map[string]bool
 	kindsAt time.Duration
--- a/chivescale/service_test.go
+++ b/chivescale/service_test.go
@@ -25,9 +25,10 @@
 	values map[string][]byte
 	// restores is the number of times that the store was restored from an older copy.
 	restores int64
-	// writeErr is the result of every write; onWrite, if not nil, runs after a value is written.
-	writeErr error
-	onWrite  func()
+	// writeErr is the result of every write, failedWrites their number; onWrite, if not nil, runs after a value is written.
+	writeErr     error
+	failedWrites int
+	onWrite      func()
 }
 
 func (l *fakeLease) Tenure() (chivelease.Tenure, bool) {
@@ -50,6 +51,7 @@
 		return chivelease.ErrNotHeld
 	}
 	if l.writeErr != nil {
+		l.failedWrites++
 		return l.writeErr
 	}
 	l.values[key] = value
