Orders of replicas: the record takes the era of the tenure

After a restore of the store every successor sent all orders again, since the record was compared and kept with its old era until an order changed.

TestRestoreSendsOrdersAgainOnce failed before (3 orders from each of 3 holders).

--- a/chivescale/failure_test.go
+++ b/chivescale/failure_test.go
@@ -264,3 +264,28 @@
 		}
 	})
 }
+
+// Guards against orders that every successor sends again, because the record keeps the era of before a restore.
+func TestRestoreSendsOrdersAgainOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &setLoad{requests: calmLoad}
+		p := newOnDemandPlatform(t, l)
+		p.lease.setToken(1)
+		time.Sleep(5 * time.Second)
+		l.requests = burstLoad
+		time.Sleep(time.Second)
+		l.requests = calmLoad
+		time.Sleep(settled)
+		p.lease.restores = 1
+		for i, expected := range []int{3, 0, 0} {
+			p.lease.setToken(0)
+			time.Sleep(time.Second)
+			p.takeOrders()
+			p.lease.setToken(int64(2 + i))
+			time.Sleep(settled)
+			if orders := p.takeOrders(); len(orders) != expected {
+				t.Errorf("holder %d after the restore sent %v, expected %d orders", 1+i, orders, expected)
+			}
+		}
+	})
+}
--- a/chivescale/order.go
+++ b/chivescale/order.go
@@ -175,7 +175,7 @@
 // currentRecord returns what later holders need to know. Pools that are not planned yet keep what the previous holder
 // stored.
 func (s *Service) currentRecord() orderRecord {
-	r := orderRecord{Era: s.stored.Era, Peaks: maps.Clone(s.stored.Peaks)}
+	r := orderRecord{Era: s.era, Peaks: maps.Clone(s.stored.Peaks)}
 	if r.Peaks == nil {
 		r.Peaks = make(map[string]float64)
 	}
