Orders of replicas: changes of holder do not prolong the retention of a burst

Each successor retained the stored peak for 20 s again, so that changes of holder every 15 s kept the replicas of a burst for ever. The record now holds the remaining retention, of the peak and of running replicas whose peak is unknown, as durations, written when they change by 5 s; a successor subtracts these 5 s, so that a retention also ends when holders change more often.

TestFrequentChangesOfHolderDoNotProlongABurst failed before (20 after six changes).

--- a/chivescale/failure_test.go
+++ b/chivescale/failure_test.go
@@ -289,3 +289,29 @@
 		}
 	})
 }
+
+// Guards against replicas of a burst that are kept as long as lease holders change often.
+func TestFrequentChangesOfHolderDoNotProlongABurst(t *testing.T) {
+	for _, tenure := range []time.Duration{2 * time.Second, 14 * time.Second} {
+		t.Run(tenure.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := &setLoad{requests: calmLoad}
+				p := newOnDemandPlatform(t, l)
+				p.lease.setToken(1)
+				time.Sleep(5 * time.Second)
+				l.requests = burstLoad
+				time.Sleep(time.Second)
+				l.requests = calmLoad
+				for token := int64(2); token < 8; token++ {
+					p.lease.setToken(0)
+					time.Sleep(time.Second)
+					p.lease.setToken(token)
+					time.Sleep(tenure)
+				}
+				if ordered := lastCounts(p.takeOrders()); ordered["a"] != 10 {
+					t.Errorf("after six changes of holder %v was ordered last, expected 10 in failure domain a", ordered)
+				}
+			})
+		})
+	}
+}
--- a/chivescale/order.go
+++ b/chivescale/order.go
@@ -177,10 +177,10 @@
 func (s *Service) currentRecord() orderRecord {
 	r := orderRecord{Era: s.era, Peaks: maps.Clone(s.stored.Peaks)}
 	if r.Peaks == nil {
-		r.Peaks = make(map[string]float64)
+		r.Peaks = make(map[string]storedPeak)
 	}
 	for pool, p := range s.planners {
-		r.Peaks[pool] = p.peak()
+		r.Peaks[pool] = p.stored(s.opts.SinceBoot())
 	}
 	for key, last := range s.lastOrders {
 		if last.isSent {
@@ -251,9 +251,11 @@
 // newPlanner returns the planner of a pool, which continues what the previous holder stored. isFirst means that no holder
 // has ordered replicas of the pool.
 func (s *Service) newPlanner(pool string, p *Planner, isFirst bool) *Planner {
-	p.knowsPeak = isFirst && !p.usesPreemptible()
+	if isFirst && !p.usesPreemptible() {
+		p.keepsRunningUntil = 0
+	}
 	if peak, ok := s.stored.Peaks[pool]; ok {
-		p.resume(peak, s.stored.ordersOf(pool), s.stored.Era == s.era)
+		p.resume(s.opts.SinceBoot(), peak, s.stored.ordersOf(pool), s.stored.Era == s.era)
 	}
 	return p
 }
--- a/chivescale/plan.go
+++ b/chivescale/plan.go
@@ -55,10 +55,9 @@
 	scaling chivetable.Scaling
 	// initial is the number of replicas before the first order.
 	initial int
-	// startedAt is when planning began.
-	startedAt time.Duration
-	// knowsPeak means that the peak of the loads before startedAt is among peaks.
-	knowsPeak bool
+	// keepsRunningUntil is until when running replicas are kept, because a previous lease holder may have ordered them for a
+	// peak that is not among peaks.
+	keepsRunningUntil time.Duration
 	// peaks holds the loads within peakRetention that no later load has reached. They decrease, so the first one is the
 	// maximum.
 	peaks []loadSample
@@ -72,30 +71,35 @@
 // NewPlanner returns a planner that starts at now, for a pool that had the given number of replicas before the first
 // order.
 func NewPlanner(now time.Duration, scaling chivetable.Scaling, initial int) *Planner {
-	return &Planner{scaling: scaling, initial: initial, startedAt: now, onDemand: make(map[string]int), unavailableUntil: make(map[string]time.Duration)}
+	return &Planner{scaling: scaling, initial: initial, keepsRunningUntil: now + peakRetention, onDemand: make(map[string]int), unavailableUntil: make(map[string]time.Duration)}
 }
 
-// resume continues the planning of a previous lease holder, given the peak of its loads and its orders. isNewest means
-// that the holder has not planned anything since. The age of the peak is unknown, so that it is retained in full.
-func (p *Planner) resume(peak float64, orders []storedOrder, isNewest bool) {
-	p.peaks, p.knowsPeak = []loadSample{{p.startedAt, peak}}, isNewest
+// resume continues at now the planning of a previous lease holder, given its load peak and its orders. isNewest means that the
+// holder has not planned anything since.
+func (p *Planner) resume(now time.Duration, peak storedPeak, orders []storedOrder, isNewest bool) {
+	if retention := peak.Retention - retentionStep; retention > 0 {
+		p.peaks = []loadSample{{now + retention - peakRetention, peak.Requests}}
+	}
+	if isNewest {
+		p.keepsRunningUntil = now + max(peak.RunningRetention-retentionStep, 0)
+	}
 	for _, o := range orders {
 		if !o.Preemptible {
 			p.onDemand[o.Domain] = o.Count
 		}
 		if o.Preemptible && o.Outcome == outcomeRefused {
-			p.MarkUnavailable(p.startedAt, o.Domain)
+			p.MarkUnavailable(now, o.Domain)
 		}
 	}
 }
 
-// peak returns the maximum recent load, but no less than the load for which the initial replicas suffice.
-func (p *Planner) peak() float64 {
-	minimum := float64(p.initial) * requestsPerReplica
-	if len(p.peaks) == 0 {
-		return minimum
+// stored returns the peak as the next holder is to see it at now.
+func (p *Planner) stored(now time.Duration) storedPeak {
+	peak := storedPeak{Requests: float64(p.initial) * requestsPerReplica, RunningRetention: max(p.keepsRunningUntil-now, 0)}
+	if len(p.peaks) > 0 && p.peaks[0].requests > peak.Requests {
+		peak.Requests, peak.Retention = p.peaks[0].requests, p.peaks[0].at+peakRetention-now
 	}
-	return max(p.peaks[0].requests, minimum)
+	return peak
 }
 
 // MarkUnavailable marks a failure domain as unavailable for preemptible replicas for unavailableBackoff.
@@ -131,11 +135,11 @@
 	return max(p.peaks[0].requests/requestsPerReplica, minimum)
 }
 
-// keepsRunning reports whether running replicas are kept, because the previous lease holder may have ordered them for
-// an unknown peak before startedAt.
-func (p *Planner) keepsRunning(now time.Duration) bool {
-	return !p.knowsPeak && now-p.startedAt < peakRetention
-}
+// keepRunning keeps running replicas for peakRetention, because the peak for which they were ordered is unknown.
+func (p *Planner) keepRunning(now time.Duration) { p.keepsRunningUntil = now + peakRetention }
+
+// keepsRunning reports whether running replicas are kept.
+func (p *Planner) keepsRunning(now time.Duration) bool { return now < p.keepsRunningUntil }
 
 // planOnDemand orders on-demand replicas only, in total no fewer than the initial number.
 func (p *Planner) planOnDemand(now time.Duration, domains []Domain) (orders []Order) {
--- a/chivescale/record.go
+++ b/chivescale/record.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -15,6 +16,9 @@
 	ordersKey = "orders"
 	// minPeakChange is the minimum relative change of a load peak that is stored.
 	minPeakChange = 0.1
+	// retentionStep is the minimum change of a retention that is stored. A successor subtracts it, so that a retention ends
+	// also when holders change more often than that.
+	retentionStep = 5 * time.Second
 )
 
 // outcome is what is known of the last order for some replicas.
@@ -59,7 +63,22 @@
 	Era    int64
 	Orders []storedOrder
 	// Peaks holds the load peaks within peakRetention, by pool.
-	Peaks map[string]float64
+	Peaks map[string]storedPeak
+}
+
+// storedPeak is a load peak, and for how long the next holder keeps replicas.
+type storedPeak struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the encoder
+	Requests float64
+	// Retention is the remaining retention of the peak, RunningRetention that of running replicas whose peak is unknown.
+	Retention        time.Duration
+	RunningRetention time.Duration
+}
+
+// isSimilar reports whether two peaks differ by less than minPeakChange and retentionStep.
+func (p storedPeak) isSimilar(other storedPeak) bool {
+	isSimilarLoad := math.Abs(p.Requests-other.Requests) < minPeakChange*max(p.Requests, other.Requests) || p.Requests == other.Requests
+	return isSimilarLoad && (p.Retention-other.Retention).Abs() < retentionStep && (p.RunningRetention-other.RunningRetention).Abs() < retentionStep
 }
 
 func decodeOrders(data []byte) (orderRecord, error) {
@@ -78,10 +97,9 @@
 	return data, nil
 }
 
-// equal reports whether two records have the same orders, and peaks that differ by less than minPeakChange.
+// equal reports whether two records have the same orders, and similar peaks.
 func (r orderRecord) equal(other orderRecord) bool {
-	isSimilar := func(a, b float64) bool { return math.Abs(a-b) < minPeakChange*max(a, b) || a == b }
-	return r.Era == other.Era && slices.Equal(r.Orders, other.Orders) && maps.EqualFunc(r.Peaks, other.Peaks, isSimilar)
+	return r.Era == other.Era && slices.Equal(r.Orders, other.Orders) && maps.EqualFunc(r.Peaks, other.Peaks, storedPeak.isSimilar)
 }
 
 // countOf returns the number stored for some replicas; ok is false if none is.
--- a/chivescale/service.go
+++ b/chivescale/service.go
@@ -186,12 +186,16 @@
 	for _, o := range s.published.Orders {
 		orders = append(orders, orderDump{o.Pool, o.Domain, o.Preemptible, o.Count, o.Outcome.String()})
 	}
+	peaks := make(map[string]float64)
+	for pool, p := range s.published.Peaks {
+		peaks[pool] = p.Requests
+	}
 	return struct {
 		Endpoints int                `json:"endpoints"`
 		Counts    Counts             `json:"counts"`
 		Orders    []orderDump        `json:"orders"`
 		Peaks     map[string]float64 `json:"load_peaks"`
-	}{len(s.endpoints), s.Counts(), orders, s.published.Peaks}
+	}{len(s.endpoints), s.Counts(), orders, peaks}
 }
 
 // publish makes a record available to Dump.
@@ -280,7 +284,7 @@
 		running[orderKey{pool.Name, d.Name, true}] = d.Preemptible
 	}
 	if s.hasUnstoredOrders(running) {
-		planner.knowsPeak = false
+		planner.keepRunning(s.opts.SinceBoot())
 	}
 	for _, o := range planner.Plan(s.opts.SinceBoot(), requests, domains) {
 		o.Pool = pool.Name
