Orders of replicas: an order follows within a second of the store's return

With a pause of 1 s after a failed write the next attempt could fall on the last instant of the second within which TestNoOtherNumberIsOrderedWithoutTheStore wants the order: it failed in two of the next runs ("ordered map[]", "map[c:40]"). The older test is unchanged; go test ./chivescale -count=60 passes.

--- a/chivescale/order.go
+++ b/chivescale/order.go
@@ -24,8 +24,10 @@
 	// lateOrderPeriod is the maximum time after which the platform may carry out an unanswered order, in place of newer
 	// ones.
 	lateOrderPeriod = 15 * time.Second
-	// outcomeInterval is the minimum interval between records that hold no new order, and after a failed write.
+	// outcomeInterval is the minimum interval between records that hold no new order.
 	outcomeInterval = time.Second
+	// storeRetryInterval is the minimum interval after a failed write.
+	storeRetryInterval = 750 * time.Millisecond
 )
 
 // lastOrder is the last order for an orderKey or, before the first one, the number of replicas when planning began.
@@ -199,11 +201,11 @@
 	}
 }
 
-// store writes a record for later holders and reports whether it did. For outcomeInterval after a failed write it makes no
+// store writes a record for later holders and reports whether it did. For storeRetryInterval after a failed write it makes no
 // attempt, since a write delays the renewal of the lease.
 func (s *Service) store(ctx context.Context, r orderRecord) bool {
 	now := s.opts.SinceBoot()
-	if s.isStoreFailing && now-s.storedAt < outcomeInterval {
+	if s.isStoreFailing && now-s.storedAt < storeRetryInterval {
 		return false
 	}
 	s.storedAt, s.isStoreFailing = now, true
