Orders of replicas: the record is built once a pass

It was built twice at every plan, also when nothing had changed. No behaviour changes, so that there is no test of its own; the tests of chivescale pass.

--- a/chivescale/order.go
+++ b/chivescale/order.go
@@ -193,9 +193,8 @@
 	return r
 }
 
-// storeOutcomes stores outcomes of orders and load peaks, if they have changed and outcomeInterval has passed.
-func (s *Service) storeOutcomes(ctx context.Context) {
-	r := s.currentRecord()
+// storeOutcomes stores the outcomes of orders and load peaks in a record, if they have changed and outcomeInterval has passed.
+func (s *Service) storeOutcomes(ctx context.Context, r orderRecord) {
 	if len(r.Orders) > 0 && s.opts.SinceBoot()-s.storedAt >= outcomeInterval && !r.equal(s.stored) {
 		s.store(ctx, r)
 	}
--- a/chivescale/service.go
+++ b/chivescale/service.go
@@ -229,8 +229,9 @@
 		}
 	}
 	s.sendAll(ctx, due)
-	s.storeOutcomes(ctx)
-	s.publish(s.currentRecord())
+	record := s.currentRecord()
+	s.storeOutcomes(ctx, record)
+	s.publish(record)
 }
 
 // startTenure resets the planning state and reads the initial numbers of replicas and the orders of earlier holders.
