Orders of replicas: the stored record keeps no former pools and failure domains

It grew with every pool and failure domain that had ever been ordered. Pools without scaling settings, and settled orders of an earlier tenure for failure domains with neither a price nor replicas, are no longer stored. A domain that loses its replicas within a tenure stays planned, and stored, as before.

TestOrdersForFormerFailureDomainsAreDropped failed before.

--- a/chivescale/failure_test.go
+++ b/chivescale/failure_test.go
@@ -3,6 +3,7 @@
 package chivescale_test
 
 import (
+	"bytes"
 	"errors"
 	"maps"
 	"testing"
@@ -315,3 +316,24 @@
 		})
 	}
 }
+
+// Guards against a stored record that grows with every failure domain that was ever in use.
+func TestOrdersForFormerFailureDomainsAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newOnDemandPlatform(t, &setLoad{requests: calmLoad})
+		p.startReplicas("former", false, 9)
+		p.lease.setToken(1)
+		time.Sleep(5 * time.Second)
+		if !bytes.Contains(p.lease.values["orders"], []byte("former")) {
+			t.Fatal("no order for the failure domain was stored")
+		}
+		p.removeReplicas("former")
+		p.lease.setToken(0)
+		time.Sleep(time.Second)
+		p.lease.setToken(2)
+		time.Sleep(settled)
+		if bytes.Contains(p.lease.values["orders"], []byte("former")) {
+			t.Error("an order for a failure domain without price and replicas is stored")
+		}
+	})
+}
--- a/chivescale/order.go
+++ b/chivescale/order.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -174,6 +175,13 @@
 	chiveevent.ReplicasOrdered.Log(ctx, s.opts.Logger, attributes...)
 }
 
+// isObsolete reports whether later holders do not need an order: its pool has no scaling settings any more, or it was settled
+// in an earlier tenure and its failure domain has neither a price nor replicas.
+func (s *Service) isObsolete(key orderKey, last lastOrder) bool {
+	domains, ok := s.domains[key.pool]
+	return !ok || (last.isInherited && last.outcome != outcomeOpen && !slices.Contains(domains, key.domain))
+}
+
 // currentRecord returns what later holders need to know. Pools that are not planned yet keep what the previous holder
 // stored.
 func (s *Service) currentRecord() orderRecord {
@@ -184,8 +192,9 @@
 	for pool, p := range s.planners {
 		r.Peaks[pool] = p.stored(s.opts.SinceBoot())
 	}
+	maps.DeleteFunc(r.Peaks, func(pool string, _ storedPeak) bool { return s.domains[pool] == nil })
 	for key, last := range s.lastOrders {
-		if last.isSent {
+		if last.isSent && !s.isObsolete(key, last) {
 			r.Orders = append(r.Orders, last.stored(key))
 		}
 	}
--- a/chivescale/service.go
+++ b/chivescale/service.go
@@ -102,6 +102,8 @@
 	initial    map[string]int
 	observed   map[string]observedCount
 	lastOrders map[orderKey]lastOrder
+	// domains holds the failure domains with a price or replicas, by pool with scaling settings.
+	domains map[string][]string
 	// stored is the record that later holders see, era that of the store in this tenure, storedAt the time of the last
 	// attempt to write, isStoreFailing that it failed.
 	stored         orderRecord
@@ -222,6 +224,7 @@
 		s.startTenure(ctx, tenure)
 	}
 	s.readKinds(ctx, endpoints)
+	s.domains = make(map[string][]string)
 	var due []dueOrder
 	for _, pool := range table.Pools() {
 		if pool.Scaling != nil {
@@ -357,8 +360,9 @@
 			d.OnDemand++
 		}
 	}
+	s.domains[pool.Name] = slices.Sorted(maps.Keys(byName))
 	var domains []Domain
-	for _, name := range slices.Sorted(maps.Keys(byName)) {
+	for _, name := range s.domains[pool.Name] {
 		// A failure domain with a price but no replicas may not be in use by the pool.
 		if byName[name].Total() > 0 || s.wasPlanned(pool.Name, name) {
 			domains = append(domains, *byName[name])
