Usage: many jumps of wall clocks lose no usage after them

The narrowest gap is merged now, but not the one after the last settled window, nor the one after the last window before the clocks jumped. What is left: a successor during a jump does not know the latter.

TestManyJumpsOfWallClocksLoseNoUsage failed before; go test ./chiveusage passes.

--- a/chiveusage/ahead_test.go
+++ b/chiveusage/ahead_test.go
@@ -50,3 +50,22 @@
 		f.checkReportsGoOn()
 	})
 }
+
+// Guards against usage that is lost after wall-clock times were ahead by more different amounts than a ledger has ranges.
+func TestManyJumpsOfWallClocksLoseNoUsage(t *testing.T) {
+	const jumps = 10
+	synctest.Test(t, func(t *testing.T) {
+		f := newClockFleet(t, 1, bootClock{})
+		defer f.stop()
+		f.awaitReport()
+		for i := range jumps {
+			f.recordRequests(2 * window)
+			f.forgeWall(time.Duration(i+1)*farAhead, aheadDuration, func() { f.recordRequests(time.Second) })
+			f.recordRequests(drainTime)
+		}
+		recorded := f.recordRow(time.Now().Truncate(window).Add(2 * window))
+		time.Sleep(2 * drainTime)
+		f.checkRow(recorded)
+		f.checkReportsGoOn()
+	})
+}
--- a/chiveusage/ledger.go
+++ b/chiveusage/ledger.go
@@ -42,7 +42,7 @@
 // withSettled returns a copy of the ledger with one more window settled by a report and the cuts after it.
 func (l ledger) withSettled(report Report, after cuts) ledger {
 	l.Last, l.Reports, l.cuts = report.Window, append(slices.Clone(l.Reports), report), after
-	l.reported.add(report.Window, report.Window)
+	l.reported.settle(report.Window)
 	return l
 }
 
--- a/chiveusage/settled.go
+++ b/chiveusage/settled.go
@@ -78,7 +78,7 @@
 func (s *settledWindows) add(window int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.known.add(window, window)
+	s.known.settle(window)
 }
 
 // addAll adds windows that may have been reported.
--- a/chiveusage/window_set.go
+++ b/chiveusage/window_set.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -10,14 +11,28 @@
 	first, last int64
 }
 
+func (r windowRange) contains(window int64) bool { return r.first <= window && window <= r.last }
+
 // windowSet is a set of windows as ascending ranges with gaps between them.
 type windowSet struct {
 	ranges []windowRange
+	// current is the last window that was settled, beforeJump the last one before wall-clock times jumped. The windows that
+	// follow these are to be settled next.
+	current, beforeJump int64
 }
 
-// maxWindowRanges limits the size of a set. The gap between the two oldest ranges is then taken as part of the set.
+// maxWindowRanges limits the size of a set. A gap between two ranges is then taken as part of the set.
 const maxWindowRanges = 8
 
+// settle adds a window that is settled now.
+func (s *windowSet) settle(window int64) {
+	if !s.containsRange(windowRange{min(s.current, window-1), max(s.current, window-1)}) {
+		s.beforeJump = s.current
+	}
+	s.current = window
+	s.add(window, window)
+}
+
 // add adds the windows from first to last.
 func (s *windowSet) add(first, last int64) {
 	if first > last {
@@ -34,12 +49,26 @@
 		merged = append(merged, r)
 	}
 	for len(merged) > maxWindowRanges {
-		merged[1].first = merged[0].first
-		merged = merged[1:]
+		i := s.narrowestGap(merged)
+		merged[i].last = merged[i+1].last
+		merged = slices.Delete(merged, i+1, i+2)
 	}
 	s.ranges = merged
 }
 
+// narrowestGap returns the index of the range before the narrowest gap, other than the gaps in which the next windows to be
+// settled lie.
+func (s *windowSet) narrowestGap(ranges []windowRange) int {
+	narrowest, width := 0, int64(math.MaxInt64)
+	for i, r := range ranges[:len(ranges)-1] {
+		isNext := r.contains(s.current) || r.contains(s.beforeJump)
+		if w := ranges[i+1].first - r.last; !isNext && w < width {
+			narrowest, width = i, w
+		}
+	}
+	return narrowest
+}
+
 // addAll adds the windows of another set.
 func (s *windowSet) addAll(other windowSet) {
 	for _, r := range other.ranges {
