Orders of replicas: answered refusals are not sent again later, 16 orders a pass

An order answered with 429 or 503, which promise that it does not run, counted as unanswered: it was sent again 15 s later and stored as one that may be carried out. It has an error of its own now, counts as refused and is sent again after 1 s only. Other statuses (502, 504) promise nothing and count as unanswered as before.

After a restore all orders went out at once. A pass sends 16, those first whose last call is longest ago, so that failing ones do not hold up others.

--- a/chivescale/failure_test.go
+++ b/chivescale/failure_test.go
@@ -5,10 +5,13 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"maps"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"chivedrift/chivescale"
 )
 
 var errStoreAway = errors.New("store away")
@@ -337,3 +340,55 @@
 		}
 	})
 }
+
+// Guards against orders that are sent again after the period of late orders, although the platform answered that it did not
+// execute them.
+func TestOrderThatIsNotExecutedIsSentAgainOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &setLoad{requests: calmLoad}
+		p := newOnDemandPlatform(t, l)
+		p.lease.setToken(1)
+		time.Sleep(5 * time.Second)
+		p.orderErr = fmt.Errorf("%w: 429", chivescale.ErrNotExecuted)
+		l.requests = burstLoad
+		time.Sleep(time.Second)
+		p.orderErr = nil
+		time.Sleep(5 * time.Second)
+		if ordered := lastCounts(p.takeOrders()); ordered["a"] != 20 {
+			t.Fatalf("the burst ordered %v", ordered)
+		}
+		for _, d := range []string{"a", "b", "c"} {
+			p.startReplicas(d, false, 10)
+		}
+		time.Sleep(3 * time.Second)
+		p.takeOrders()
+		time.Sleep(settled)
+		if orders := p.takeOrders(); len(orders) > 0 {
+			t.Errorf("sent %v again", orders)
+		}
+	})
+}
+
+// Guards against a platform that gets the orders for all failure domains at once after a restore of the store.
+func TestOrdersAreSentInPasses(t *testing.T) {
+	const domains, perSecond = 100, 5 * 16
+	synctest.Test(t, func(t *testing.T) {
+		l := &setLoad{requests: calmLoad}
+		p := newOnDemandPlatform(t, l)
+		for i := range domains {
+			p.startReplicas(fmt.Sprintf("d%d", i), false, 1)
+		}
+		p.lease.setToken(1)
+		time.Sleep(5 * time.Second)
+		p.takeOrders()
+		l.requests = 100 * burstLoad
+		time.Sleep(time.Second)
+		if orders := p.takeOrders(); len(orders) > perSecond || len(orders) == 0 {
+			t.Errorf("%d orders within a second, expected %d at most", len(orders), perSecond)
+		}
+		time.Sleep(2 * time.Second)
+		if ordered := lastCounts(p.takeOrders()); len(ordered) < domains+3-perSecond {
+			t.Errorf("%d further failure domains within 2 s", len(ordered))
+		}
+	})
+}
--- a/chivescale/order.go
+++ b/chivescale/order.go
@@ -1,6 +1,7 @@
 package chivescale
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -29,6 +30,8 @@
 	outcomeInterval = time.Second
 	// storeRetryInterval is the minimum interval after a failed write.
 	storeRetryInterval = 750 * time.Millisecond
+	// maxOrdersPerPass limits the number of orders that are sent at once.
+	maxOrdersPerPass = 16
 )
 
 // lastOrder is the last order for an orderKey or, before the first one, the number of replicas when planning began.
@@ -39,6 +42,8 @@
 	isSent      bool
 	isInherited bool
 	outcome     outcome
+	// sentAt is the time of the last call in this tenure, or 0.
+	sentAt time.Duration
 	// resendAt is the earliest time at which an order of the same number is sent. Unless the order was accepted, no other
 	// number is sent before either.
 	resendAt time.Duration
@@ -103,8 +108,15 @@
 	return last
 }
 
-// sendAll sends orders. Numbers that later holders do not know are stored before.
+// limited returns maxOrdersPerPass of the orders, those first whose last call is longest ago.
+func (s *Service) limited(orders []dueOrder) []dueOrder {
+	slices.SortStableFunc(orders, func(a, b dueOrder) int { return cmp.Compare(s.lastOrders[a.key()].sentAt, s.lastOrders[b.key()].sentAt) })
+	return orders[:min(len(orders), maxOrdersPerPass)]
+}
+
+// sendAll sends orders, the rest in the next passes. Numbers that later holders do not know are stored before.
 func (s *Service) sendAll(ctx context.Context, orders []dueOrder) {
+	orders = s.limited(orders)
 	var unknown, known []dueOrder
 	for _, o := range orders {
 		if count, ok := s.stored.countOf(o.key()); ok && count == o.Count {
@@ -142,7 +154,7 @@
 // recordResult records the result of a call that was made at now.
 func (s *Service) recordResult(now time.Duration, o dueOrder, err error) {
 	last := s.lastOrders[o.key()]
-	next := lastOrder{count: o.Count, isSent: true, unansweredAt: last.unansweredAt, resendAt: now + resendInterval}
+	next := lastOrder{count: o.Count, isSent: true, sentAt: now, unansweredAt: last.unansweredAt, resendAt: now + resendInterval}
 	if now-last.unansweredAt >= lateOrderPeriod {
 		next.unansweredAt = 0
 	}
@@ -156,6 +168,9 @@
 		if o.Preemptible {
 			o.planner.MarkUnavailable(now, o.Domain)
 		}
+	case errors.Is(err, ErrNotExecuted):
+		next.outcome, next.resendAt = outcomeOpen, now+retryInterval
+		s.refused.Add(1)
 	default:
 		next.outcome, next.unansweredAt, next.resendAt = outcomeOpen, now, now+retryInterval
 		s.unanswered.Add(1)
--- a/chivescale/service.go
+++ b/chivescale/service.go
@@ -26,6 +26,9 @@
 // higher fencing token.
 var ErrUnavailable = errors.New("platform: replicas unavailable or fencing token outdated")
 
+// ErrNotExecuted means that the platform did not and will not carry out an order, which may be sent again.
+var ErrNotExecuted = errors.New("platform: order not executed")
+
 const (
 	// planInterval is the interval at which the lease holder plans.
 	planInterval = 250 * time.Millisecond
@@ -52,7 +55,8 @@
 
 // Platform accepts orders.
 type Platform interface {
-	// OrderReplicas makes one attempt to send an order; the error wraps ErrUnavailable if the platform rejects it.
+	// OrderReplicas makes one attempt to send an order; the error wraps ErrUnavailable if the platform rejects it,
+	// and ErrNotExecuted if it asks for a later attempt.
 	OrderReplicas(ctx context.Context, token int64, order Order) error
 	// Preemptible returns, by id, whether each registered replica is preemptible.
 	Preemptible(ctx context.Context) (map[string]bool, error)
