--- a/chivescale/order.go
+++ b/chivescale/order.go
@@ -110,7 +110,9 @@
 
 // limited returns maxOrdersPerPass of the orders, those first whose last call is longest ago.
 func (s *Service) limited(orders []dueOrder) []dueOrder {
-	slices.SortStableFunc(orders, func(a, b dueOrder) int { return cmp.Compare(s.lastOrders[a.key()].sentAt, s.lastOrders[b.key()].sentAt) })
+	slices.SortStableFunc(orders, func(a, b dueOrder) int {
+		return cmp.Compare(s.lastOrders[a.key()].sentAt, s.lastOrders[b.key()].sentAt)
+	})
 	return orders[:min(len(orders), maxOrdersPerPass)]
 }
 
--- a/chiveusage/ahead_test.go
+++ b/chiveusage/ahead_test.go
@@ -69,3 +69,25 @@
 		f.checkReportsGoOn()
 	})
 }
+
+// Guards against usage that is lost for as long as wall-clock times were ahead when the store was restored.
+func TestRestoreWhileWallClocksAreAheadLosesNoUsage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newClockFleet(t, 1, make([]bootClock, lostLedgerFleet)...)
+		defer f.stop()
+		wall := newForgedWall(f, 0)
+		defer wall.stop()
+		f.awaitReport()
+		f.recordRequests(2 * beforeRestore)
+		wall.set(farAhead)
+		f.recordRequests(4 * window)
+		f.topic.Restore(90)
+		f.recordRequests(4 * window)
+		wall.set(0)
+		f.recordRequests(12 * window)
+		recorded := f.recordRow(time.Now().Truncate(window).Add(2 * window))
+		time.Sleep(2 * drainTime)
+		f.checkRow(recorded)
+		f.checkReportsGoOn()
+	})
+}
