--- a/chivescale/order.go
+++ b/chivescale/order.go
@@ -1,10 +1,12 @@
 package chivescale
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +28,10 @@
 	lateOrderPeriod = 15 * time.Second
 	// outcomeInterval is the minimum interval between records that hold no new order.
 	outcomeInterval = time.Second
+	// storeRetryInterval is the minimum interval between the end of a failed write and the next one.
+	storeRetryInterval = 750 * time.Millisecond
+	// maxOrdersPerPass limits the number of orders that are sent at once.
+	maxOrdersPerPass = 16
 )
 
 // lastOrder is the last order for an orderKey or, before the first one, the number of replicas when planning began.
@@ -36,6 +42,8 @@
 	isSent      bool
 	isInherited bool
 	outcome     outcome
+	// sentAt is the time of the last call in this tenure, or 0.
+	sentAt time.Duration
 	// resendAt is the earliest time at which an order of the same number is sent. Unless the order was accepted, no other
 	// number is sent before either.
 	resendAt time.Duration
@@ -100,8 +108,17 @@
 	return last
 }
 
-// sendAll sends orders. Numbers that later holders do not know are stored before.
+// limited returns maxOrdersPerPass of the orders, those first whose last call is longest ago.
+func (s *Service) limited(orders []dueOrder) []dueOrder {
+	slices.SortStableFunc(orders, func(a, b dueOrder) int {
+		return cmp.Compare(s.lastOrders[a.key()].sentAt, s.lastOrders[b.key()].sentAt)
+	})
+	return orders[:min(len(orders), maxOrdersPerPass)]
+}
+
+// sendAll sends orders, the rest in the next passes. Numbers that later holders do not know are stored before.
 func (s *Service) sendAll(ctx context.Context, orders []dueOrder) {
+	orders = s.limited(orders)
 	var unknown, known []dueOrder
 	for _, o := range orders {
 		if count, ok := s.stored.countOf(o.key()); ok && count == o.Count {
@@ -139,7 +156,7 @@
 // recordResult records the result of a call that was made at now.
 func (s *Service) recordResult(now time.Duration, o dueOrder, err error) {
 	last := s.lastOrders[o.key()]
-	next := lastOrder{count: o.Count, isSent: true, unansweredAt: last.unansweredAt, resendAt: now + resendInterval}
+	next := lastOrder{count: o.Count, isSent: true, sentAt: now, unansweredAt: last.unansweredAt, resendAt: now + resendInterval}
 	if now-last.unansweredAt >= lateOrderPeriod {
 		next.unansweredAt = 0
 	}
@@ -153,6 +170,9 @@
 		if o.Preemptible {
 			o.planner.MarkUnavailable(now, o.Domain)
 		}
+	case errors.Is(err, ErrNotExecuted):
+		next.outcome, next.resendAt = outcomeOpen, now+retryInterval
+		s.refused.Add(1)
 	default:
 		next.outcome, next.unansweredAt, next.resendAt = outcomeOpen, now, now+retryInterval
 		s.unanswered.Add(1)
@@ -172,18 +192,26 @@
 	chiveevent.ReplicasOrdered.Log(ctx, s.opts.Logger, attributes...)
 }
 
+// isObsolete reports whether later holders do not need an order: its pool has no scaling settings any more, or it was settled
+// in an earlier tenure and its failure domain has neither a price nor replicas.
+func (s *Service) isObsolete(key orderKey, last lastOrder) bool {
+	domains, ok := s.domains[key.pool]
+	return !ok || (last.isInherited && last.outcome != outcomeOpen && !slices.Contains(domains, key.domain))
+}
+
 // currentRecord returns what later holders need to know. Pools that are not planned yet keep what the previous holder
 // stored.
 func (s *Service) currentRecord() orderRecord {
-	r := orderRecord{Era: s.stored.Era, Peaks: maps.Clone(s.stored.Peaks)}
+	r := orderRecord{Era: s.era, Peaks: maps.Clone(s.stored.Peaks)}
 	if r.Peaks == nil {
-		r.Peaks = make(map[string]float64)
+		r.Peaks = make(map[string]storedPeak)
 	}
 	for pool, p := range s.planners {
-		r.Peaks[pool] = p.peak()
+		r.Peaks[pool] = p.stored(s.opts.SinceBoot())
 	}
+	maps.DeleteFunc(r.Peaks, func(pool string, _ storedPeak) bool { return s.domains[pool] == nil })
 	for key, last := range s.lastOrders {
-		if last.isSent {
+		if last.isSent && !s.isObsolete(key, last) {
 			r.Orders = append(r.Orders, last.stored(key))
 		}
 	}
@@ -191,36 +219,41 @@
 	return r
 }
 
-// storeOutcomes stores outcomes of orders and load peaks, if they have changed and outcomeInterval has passed.
-func (s *Service) storeOutcomes(ctx context.Context) {
-	r := s.currentRecord()
+// storeOutcomes stores the outcomes of orders and load peaks in a record, if they have changed and outcomeInterval has passed.
+func (s *Service) storeOutcomes(ctx context.Context, r orderRecord) {
 	if len(r.Orders) > 0 && s.opts.SinceBoot()-s.storedAt >= outcomeInterval && !r.equal(s.stored) {
 		s.store(ctx, r)
 	}
 }
 
-// store writes a record for later holders and reports whether it did.
+// store writes a record for later holders and reports whether it did. For storeRetryInterval after a failed write it makes no
+// attempt, since a write delays the renewal of the lease.
 func (s *Service) store(ctx context.Context, r orderRecord) bool {
-	s.storedAt = s.opts.SinceBoot()
+	now := s.opts.SinceBoot()
+	if s.isStoreFailing && now-s.storedAt < storeRetryInterval {
+		return false
+	}
+	s.storedAt, s.isStoreFailing = now, true
 	r.Era = s.era
 	data, err := r.encode()
 	if err == nil {
 		err = s.opts.Lease.Write(ctx, s.token, ordersKey, data)
 	}
 	if err != nil {
+		s.storedAt = s.opts.SinceBoot()
 		if !errors.Is(err, chivelease.ErrNotHeld) {
 			chiveevent.OrdersNotStored.Log(ctx, s.opts.Logger, slog.Int64("token", s.token), slog.String("error", err.Error()))
 		}
 		return false
 	}
-	s.stored = r
+	s.stored, s.isStoreFailing = r, false
 	return true
 }
 
 // inherit continues with the orders that the previous holder stored. Orders with an open outcome, and all orders if the
 // store may have lost newer ones, are sent again with the number then wanted.
 func (s *Service) inherit(ctx context.Context, tenure chivelease.Tenure) {
-	s.era, s.stored, s.storedAt = tenure.Era, orderRecord{Era: tenure.Era}, 0
+	s.era, s.stored, s.storedAt, s.isStoreFailing = tenure.Era, orderRecord{Era: tenure.Era}, 0, false
 	data := s.opts.Lease.Value(ordersKey)
 	if len(data) == 0 {
 		return
@@ -243,10 +276,25 @@
 	chiveevent.OrdersInherited.Log(ctx, s.opts.Logger, slog.Int64("token", s.token), slog.Int("orders", len(r.Orders)), slog.Int("sent_again", open))
 }
 
-// newPlanner returns the planner of a pool, which continues what the previous holder stored.
-func (s *Service) newPlanner(pool string, p *Planner) *Planner {
+// newPlanner returns the planner of a pool, which continues what the previous holder stored. isFirst means that no holder
+// has ordered replicas of the pool.
+func (s *Service) newPlanner(pool string, p *Planner, isFirst bool) *Planner {
+	if isFirst && !p.usesPreemptible() {
+		p.keepsRunningUntil = 0
+	}
 	if peak, ok := s.stored.Peaks[pool]; ok {
-		p.resume(peak, s.stored.ordersOf(pool), s.stored.Era == s.era)
+		p.resume(s.opts.SinceBoot(), peak, s.stored.ordersOf(pool), s.stored.Era == s.era)
 	}
 	return p
 }
+
+// hasUnstoredOrders reports whether more replicas of a pool run than the previous holder stored, so that a holder of an
+// earlier release, which does not store its orders, may have ordered them since.
+func (s *Service) hasUnstoredOrders(running map[orderKey]int) bool {
+	for key, count := range running {
+		if last := s.lastOrders[key]; last.isInherited && count > last.count {
+			return true
+		}
+	}
+	return false
+}
--- a/chivescale/service.go
+++ b/chivescale/service.go
@@ -26,6 +26,9 @@
 // higher fencing token.
 var ErrUnavailable = errors.New("platform: replicas unavailable or fencing token outdated")
 
+// ErrNotExecuted means that the platform did not and will not carry out an order, which may be sent again.
+var ErrNotExecuted = errors.New("platform: order not executed")
+
 const (
 	// planInterval is the interval at which the lease holder plans.
 	planInterval = 250 * time.Millisecond
@@ -52,7 +55,8 @@
 
 // Platform accepts orders.
 type Platform interface {
-	// OrderReplicas makes one attempt to send an order; the error wraps ErrUnavailable if the platform rejects it.
+	// OrderReplicas makes one attempt to send an order; the error wraps ErrUnavailable if the platform rejects it,
+	// and ErrNotExecuted if it asks for a later attempt.
 	OrderReplicas(ctx context.Context, token int64, order Order) error
 	// Preemptible returns, by id, whether each registered replica is preemptible.
 	Preemptible(ctx context.Context) (map[string]bool, error)
@@ -102,11 +106,14 @@
 	initial    map[string]int
 	observed   map[string]observedCount
 	lastOrders map[orderKey]lastOrder
+	// domains holds the failure domains with a price or replicas, by pool with scaling settings.
+	domains map[string][]string
 	// stored is the record that later holders see, era that of the store in this tenure, storedAt the time of the last
-	// attempt to write.
-	stored   orderRecord
-	era      int64
-	storedAt time.Duration
+	// attempt to write, isStoreFailing that it failed.
+	stored         orderRecord
+	era            int64
+	storedAt       time.Duration
+	isStoreFailing bool
 	// kinds holds, by id, whether a replica is preemptible; kindsAt is when it was last requested.
 	kinds   map[string]bool
 	kindsAt time.Duration
@@ -185,12 +192,16 @@
 	for _, o := range s.published.Orders {
 		orders = append(orders, orderDump{o.Pool, o.Domain, o.Preemptible, o.Count, o.Outcome.String()})
 	}
+	peaks := make(map[string]float64)
+	for pool, p := range s.published.Peaks {
+		peaks[pool] = p.Requests
+	}
 	return struct {
 		Endpoints int                `json:"endpoints"`
 		Counts    Counts             `json:"counts"`
 		Orders    []orderDump        `json:"orders"`
 		Peaks     map[string]float64 `json:"load_peaks"`
-	}{len(s.endpoints), s.Counts(), orders, s.published.Peaks}
+	}{len(s.endpoints), s.Counts(), orders, peaks}
 }
 
 // publish makes a record available to Dump.
@@ -217,6 +228,7 @@
 		s.startTenure(ctx, tenure)
 	}
 	s.readKinds(ctx, endpoints)
+	s.domains = make(map[string][]string)
 	var due []dueOrder
 	for _, pool := range table.Pools() {
 		if pool.Scaling != nil {
@@ -224,8 +236,9 @@
 		}
 	}
 	s.sendAll(ctx, due)
-	s.storeOutcomes(ctx)
-	s.publish(s.currentRecord())
+	record := s.currentRecord()
+	s.storeOutcomes(ctx, record)
+	s.publish(record)
 }
 
 // startTenure resets the planning state and reads the initial numbers of replicas and the orders of earlier holders.
@@ -278,6 +291,9 @@
 		running[orderKey{pool.Name, d.Name, false}] = d.OnDemand
 		running[orderKey{pool.Name, d.Name, true}] = d.Preemptible
 	}
+	if s.hasUnstoredOrders(running) {
+		planner.keepRunning(s.opts.SinceBoot())
+	}
 	for _, o := range planner.Plan(s.opts.SinceBoot(), requests, domains) {
 		o.Pool = pool.Name
 		d := dueOrder{Order: o, planner: planner, running: running[orderKey{o.Pool, o.Domain, o.Preemptible}], requests: requests}
@@ -293,11 +309,13 @@
 	if p := s.planners[pool.Name]; p != nil {
 		return p, true
 	}
-	if _, ok := s.initial[pool.Name]; !ok && !s.recordInitial(ctx, pool.Name, domains) {
+	_, isRecorded := s.initial[pool.Name]
+	if !isRecorded && !s.recordInitial(ctx, pool.Name, domains) {
 		return nil, false
 	}
-	s.planners[pool.Name] = s.newPlanner(pool.Name, NewPlanner(s.opts.SinceBoot(), *pool.Scaling, s.initial[pool.Name]))
-	return s.planners[pool.Name], true
+	planner := NewPlanner(s.opts.SinceBoot(), *pool.Scaling, s.initial[pool.Name])
+	s.planners[pool.Name] = s.newPlanner(pool.Name, planner, !isRecorded)
+	return planner, true
 }
 
 // recordInitial stores the number of a pool's replicas once it has been unchanged for stabilizationPeriod, and reports
@@ -346,8 +364,9 @@
 			d.OnDemand++
 		}
 	}
+	s.domains[pool.Name] = slices.Sorted(maps.Keys(byName))
 	var domains []Domain
-	for _, name := range slices.Sorted(maps.Keys(byName)) {
+	for _, name := range s.domains[pool.Name] {
 		// A failure domain with a price but no replicas may not be in use by the pool.
 		if byName[name].Total() > 0 || s.wasPlanned(pool.Name, name) {
 			domains = append(domains, *byName[name])
@@ -358,6 +377,6 @@
 
 // wasPlanned reports whether a failure domain has been planned in the current tenure.
 func (s *Service) wasPlanned(pool, domain string) bool {
-	_, ok := s.lastOrders[orderKey{pool, domain, false}]
-	return ok
+	last, ok := s.lastOrders[orderKey{pool, domain, false}]
+	return ok && !last.isInherited
 }
--- a/chivescale/service_test.go
+++ b/chivescale/service_test.go
@@ -25,9 +25,11 @@
 	values map[string][]byte
 	// restores is the number of times that the store was restored from an older copy.
 	restores int64
-	// writeErr is the result of every write; onWrite, if not nil, runs after a value is written.
-	writeErr error
-	onWrite  func()
+	// writeErr is the result of every write after writeDuration, failedWrites their number; onWrite, if not nil, runs after a value is written.
+	writeErr      error
+	writeDuration time.Duration
+	failedWrites  int
+	onWrite       func()
 }
 
 func (l *fakeLease) Tenure() (chivelease.Tenure, bool) {
@@ -50,6 +52,8 @@
 		return chivelease.ErrNotHeld
 	}
 	if l.writeErr != nil {
+		l.failedWrites++
+		time.Sleep(l.writeDuration)
 		return l.writeErr
 	}
 	l.values[key] = value
@@ -116,6 +120,17 @@
 	}
 }
 
+// removeReplicas removes all replicas in a failure domain.
+func (p *fakePlatform) removeReplicas(domain string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.endpoints {
+		if e.FailureDomain == domain {
+			p.service.ApplyEndpoints(chivedirectory.Diff{Gone: []chivedirectory.Endpoint{e}})
+		}
+	}
+}
+
 func newFakePlatform(t *testing.T) *fakePlatform {
 	t.Helper()
 	startedAt := time.Now()
