--- a/chivedistance/table.go
+++ b/chivedistance/table.go
@@ -146,6 +146,15 @@
 	}
 }
 
+// Observer returns the function that records how long a peer took to reply; nil in a deployment in one region, where nothing
+// has to be asked for the distance.
+func (t *Table) Observer() func(peer string, roundTrip time.Duration) {
+	if !t.Map().SpansRegions() {
+		return nil
+	}
+	return t.Observe
+}
+
 // add records a round trip and reports whether the one to the peer's region has changed noticeably.
 func (t *Table) add(now time.Time, peer string, roundTrip time.Duration) (changed bool) {
 	t.mu.Lock()
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -207,7 +207,7 @@
 	n.directory = chivedirectory.NewService(chiveplatform.DecodeEndpoint, chivedirectory.DefaultGrace, n.logger)
 	n.versions = chiveversion.New(n.mesh, chiveplatform.DecodeVersion, func() time.Duration { return n.endpointReadAge() })
 	n.directory.OnChange(n.versions.ApplyEndpoints)
-	n.members.OnReply(n.distances.Observe)
+	n.members.OnReply(n.distances.Observer())
 	n.streams = chivestream.New(n.mesh)
 	n.streams.SetDistances(n.distances)
 	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Tables: n.tables, Endpoints: n.directory, Deferred: n.directory.Deferred, Logger: n.logger})
