--- a/chivedistance/counts.go
+++ b/chivedistance/counts.go
@@ -85,9 +85,22 @@
 	if t == nil || !t.Map().SpansRegions() {
 		return
 	}
+	region, period, silent, changed := t.addCall(time.Now(), peer, took, answered)
+	if !changed {
+		return
+	}
+	event := chiveevent.RegionAnswers
+	if silent {
+		event = chiveevent.RegionSilent
+	}
+	event.Log(context.Background(), t.logger, slog.String("region", region), slog.Int64("asked", period.Asked), slog.Int64("timed_out", period.TimedOut))
+}
+
+// addCall counts a request and reports whether the peer's region has turned silent or has answered again.
+func (t *Table) addCall(now time.Time, peer string, took time.Duration, answered bool) (region string, period Counts, silent, changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now, region := time.Now(), t.regionOf[peer]
+	region = t.regionOf[peer]
 	c := t.callsTo(now, region)
 	c.total.add(answered)
 	c.recent.add(answered)
@@ -97,13 +110,8 @@
 	} else {
 		c.timedOut.Inc(1)
 	}
-	if period, changed := c.endPeriod(now); changed {
-		event := chiveevent.RegionAnswers
-		if c.silent {
-			event = chiveevent.RegionSilent
-		}
-		event.Log(context.Background(), t.logger, slog.String("region", region), slog.Int64("asked", period.Asked), slog.Int64("timed_out", period.TimedOut))
-	}
+	period, changed = c.endPeriod(now)
+	return region, period, c.silent, changed
 }
 
 // callBuckets are the upper bounds of the histogram of the times to a reply.
@@ -123,16 +131,32 @@
 	return c
 }
 
-// logChange logs the round trip to a region if it differs from the one that was logged last by more than logDivisor
-// allows; the caller holds the lock.
-func (t *Table) logChange(region string, roundTrip time.Duration) {
+// change is a change of the round trip to a region; the zero value stands for none.
+type change struct {
+	noticeable bool
+	// logged means that the round trip differs from the one that was logged last by more than logDivisor allows.
+	logged            bool
+	region            string
+	roundTrip, before time.Duration
+}
+
+// changeOf returns a noticeable change; the caller holds the lock.
+func (t *Table) changeOf(region string, roundTrip time.Duration) change {
 	last, logged := t.logged[region]
-	if logged && (roundTrip-last).Abs() <= last/logDivisor {
+	c := change{noticeable: true, region: region, roundTrip: roundTrip, before: last}
+	if c.logged = !logged || (roundTrip-last).Abs() > last/logDivisor; c.logged {
+		t.logged[region] = roundTrip
+	}
+	return c
+}
+
+// log logs a change without the lock, so that a slow log does not hold up readers.
+func (t *Table) log(c change) {
+	if !c.logged {
 		return
 	}
-	t.logged[region] = roundTrip
-	chiveevent.DistanceMeasured.Log(context.Background(), t.logger, slog.String("region", region),
-		slog.Float64("round_trip_ms", milliseconds(roundTrip)), slog.Float64("before_ms", milliseconds(last)))
+	chiveevent.DistanceMeasured.Log(context.Background(), t.logger, slog.String("region", c.region),
+		slog.Float64("round_trip_ms", milliseconds(c.roundTrip)), slog.Float64("before_ms", milliseconds(c.before)))
 }
 
 // logDivisor is the divisor of a round trip that gives the change that is not logged.
--- a/chivedistance/table.go
+++ b/chivedistance/table.go
@@ -22,6 +22,8 @@
 	assumedRoundTrip = 160 * time.Millisecond
 	// nearRoundTrip is the longest round trip that counts as none: the waits of a caller include it.
 	nearRoundTrip = 5 * time.Millisecond
+	// leaveNearRoundTrip is the shortest round trip that counts where the one before counted as none.
+	leaveNearRoundTrip = 6 * time.Millisecond
 	// window is how long a round trip counts; the shortest one of the current and of the previous window holds.
 	window = 5 * time.Second
 	// maxRoundTrip is the longest reply that counts as one to a distance, rather than that of an overloaded process.
@@ -125,15 +127,34 @@
 	for _, m := range members {
 		regionOf[m.Address] = m.Region
 	}
+	changes := t.replaceMembers(time.Now(), regionOf)
+	for _, c := range changes {
+		t.log(c)
+	}
+	if len(changes) > 0 {
+		t.notify()
+	}
+}
+
+// replaceMembers drops the estimates for peers that have left and returns which regions' round trips have changed by it.
+func (t *Table) replaceMembers(now time.Time, regionOf map[string]string) (changes []change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.regionOf = regionOf
+	left := make(map[string]bool)
 	for address, e := range t.peers {
 		if region, ok := regionOf[address]; !ok || region != e.region {
 			delete(t.peers, address)
+			left[e.region] = true
+		}
+	}
+	for region := range left {
+		if c := t.update(now, region); c.noticeable {
+			changes = append(changes, c)
 		}
 	}
 	t.publish()
+	return changes
 }
 
 // Observe records how long a peer took to reply.
@@ -141,7 +162,8 @@
 	if t == nil || !t.Map().SpansRegions() || roundTrip > maxRoundTrip {
 		return
 	}
-	if t.add(time.Now(), peer, max(roundTrip, 1)) {
+	if c := t.add(time.Now(), peer, max(roundTrip, 1)); c.noticeable {
+		t.log(c)
 		t.notify()
 	}
 }
@@ -155,13 +177,13 @@
 	return t.Observe
 }
 
-// add records a round trip and reports whether the one to the peer's region has changed noticeably.
-func (t *Table) add(now time.Time, peer string, roundTrip time.Duration) (changed bool) {
+// add records a round trip and returns how the one to the peer's region has changed.
+func (t *Table) add(now time.Time, peer string, roundTrip time.Duration) change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	region, known := t.regionOf[peer]
 	if !known || region == "" || region == t.region {
-		return false
+		return change{}
 	}
 	e, ok := t.peers[peer]
 	if !ok {
@@ -172,36 +194,46 @@
 	last, measured := t.toRegion[region]
 	if measured && !estimateChanged {
 		t.toRegion[region] = measurement{last.roundTrip, now}
-		return false
+		return change{}
 	}
-	median := t.median(now, region)
-	if measured && (median-last.roundTrip).Abs() <= last.roundTrip/tolerance {
-		median, changed = last.roundTrip, false
-	} else {
-		changed = true
-	}
-	t.toRegion[region] = measurement{median, now}
-	if changed {
+	c := t.update(now, region)
+	t.toRegion[region] = measurement{t.toRegion[region].roundTrip, now}
+	if c.noticeable {
 		t.publish()
-		t.logChange(region, median)
 	}
-	return changed
+	return c
+}
+
+// update sets the round trip to a region from those to its peers; the caller holds the lock. Without any the last one
+// stays.
+func (t *Table) update(now time.Time, region string) change {
+	median, ok := t.median(now, region)
+	last, measured := t.toRegion[region]
+	if !ok || measured && (median-last.roundTrip).Abs() <= last.roundTrip/tolerance {
+		return change{}
+	}
+	t.toRegion[region] = measurement{median, last.at}
+	return t.changeOf(region, median)
 }
 
 // median returns the median of the shortest round trips to the peers of a region, 0 if they are near; the caller holds
 // the lock.
-func (t *Table) median(now time.Time, region string) time.Duration {
+func (t *Table) median(now time.Time, region string) (median time.Duration, ok bool) {
 	var measured []time.Duration
 	for _, e := range t.peers {
 		if e.region == region && !e.isOutdated(now) {
 			measured = append(measured, e.shortest())
 		}
 	}
+	if len(measured) == 0 {
+		return 0, false
+	}
 	slices.Sort(measured)
-	if median := measured[(len(measured)-1)/2]; median > nearRoundTrip {
-		return median
+	median = measured[(len(measured)-1)/2]
+	if last, known := t.toRegion[region]; median <= nearRoundTrip || known && last.roundTrip == 0 && median <= leaveNearRoundTrip {
+		return 0, true
 	}
-	return 0
+	return median, true
 }
 
 // Start does nothing: round trips are recorded on the goroutines that get the replies.
@@ -274,7 +306,7 @@
 // else if that takes at most a share of the target. A target of 0 stands for none.
 func (t *Table) CanWait(peer string, near, target time.Duration) bool {
 	roundTrip := t.RoundTrip(peer)
-	return roundTrip == 0 || target == 0 || wait(roundTrip, near) <= target/waitDivisor
+	return roundTrip == 0 || target == 0 || t.Wait(peer, near) <= target/waitDivisor
 }
 
 // Map returns the current estimates by region.
