--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -26,7 +26,7 @@
 		return nil, ErrAlone
 	}
 	p := &placement{
-		service: s, assignment: a, pool: pool, request: request, exclude: append(pool.PassedOver(time.Now()), limits.Exclude...), limits: limits,
+		service: s, assignment: a, pool: pool, request: request, startedAt: time.Now(), exclude: append(pool.PassedOver(time.Now()), limits.Exclude...), limits: limits,
 	}
 	primary, secondary := a.homeGroups(request.Pool, chiveplace.SharedPart(request.Prompt), limits.Domains)
 	if p.allExcluded(primary) {
@@ -70,11 +70,21 @@
 	assignment *assignment
 	pool       *chiveplace.Pool
 	request    *chiverequest.Request
+	startedAt  time.Time
 	exclude    []string
 	// limits holds the failure domains and the software version that the request is limited to.
 	limits chiveplace.Ask
 }
 
+// targetLeft returns what the questions to owners so far have left of the request's target; 0 if it has none.
+func (p *placement) targetLeft() time.Duration {
+	target := p.request.Prompt.Target
+	if target == 0 {
+		return 0
+	}
+	return max(target-time.Since(p.startedAt), 1)
+}
+
 // allExcluded reports whether this node excludes every engine of a group. After a short network partition a node
 // excludes all engines. Asking the owner would then get the request refused, whereas local placement still tries one of
 // the engines.
@@ -103,7 +113,7 @@
 			Prompt: p.request.Prompt, Exclude: p.exclude, Among: p.assignment.engines(group), Domains: p.limits.Domains, Allows: p.limits.Allows, Most: maxLoss, MostReads: recomputeTokens,
 		})
 	}
-	if !s.options.Distances.CanWait(owner, requestTimeout, p.request.Prompt.Target) {
+	if !s.options.Distances.CanWait(owner, requestTimeout, p.targetLeft()) {
 		s.far.Add(1)
 		return nil, ErrAlone
 	}
--- a/chivegrant/distance_test.go
+++ b/chivegrant/distance_test.go
@@ -1,6 +1,7 @@
 package chivegrant_test
 
 import (
+	"context"
 	"errors"
 	"log/slog"
 	"testing"
@@ -12,6 +13,7 @@
 	"chivedrift/chiveplace"
 	"chivedrift/chiveresidency"
 	"chivedrift/chivestand"
+	"chivedrift/chivewire"
 )
 
 // Guards against a request that waits for an owner in another region for most of its target, or for a shorter time than the
@@ -44,3 +46,33 @@
 		}
 	}
 }
+
+// Guards against several questions to far owners that together take most of a request's target.
+func TestFarOwnersTogetherTakeHalfOfTheTarget(t *testing.T) {
+	const roundTrip, target = 100 * time.Millisecond, 400 * time.Millisecond
+	owner := chivewire.NewMesh(chivestand.FreeAddress(), chivewire.TCP{})
+	chivewire.Receive(owner, chivewire.KindPlaceAsk, func(from string, ask chivegrant.PlaceAsk) {
+		time.AfterFunc(roundTrip, func() {
+			_ = owner.Send(from, chivewire.KindPlaceAnswer, chivegrant.PlaceAnswer{Number: ask.Number, Refused: "full", Loss: 1})
+		})
+	})
+	if err := owner.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	defer owner.Stop(context.Background())
+	distances := chivedistance.New("here", chiveresidency.Map{"a": "here", "b": "there"})
+	distances.SetMembers([]chivemember.Member{{Address: owner.Self(), Region: "there"}})
+	distances.Observe(owner.Self(), roundTrip)
+	n := startNode(t, chivestand.FreeAddress())
+	n.service = chivegrant.New(chivegrant.Options{Mesh: n.mesh, Pools: singlePool{n.pool}, Distances: distances, Logger: slog.New(slog.DiscardHandler)})
+	n.setFleet(t, 60, []string{owner.Self()}, 20)
+	request, startedAt := newRequest(1), time.Now()
+	request.Prompt.Target = target
+	_, err := n.service.Place(t.Context(), n.pool, request, chiveplace.Ask{})
+	if took := time.Since(startedAt); !errors.Is(err, chivegrant.ErrAlone) || took > target/2 {
+		t.Errorf("waited %v of %v: %v", took, target, err)
+	}
+	if got := n.service.Counts(); got.Asked != 1 || got.Far == 0 {
+		t.Errorf("counted %+v, want one question", got)
+	}
+}
