Forwarder: crashes in regions without nodes, and waits for health checks that can end

In a region with endpoints and no node the assumed 160 ms stayed for ever: an attempt counted as accepted after 380 ms, so the crash of an engine 100 ms after its request was not reported within 300 ms (the test failed so), and crashes were dated 80 ms early. Only round trips that are measured count there now. A request with a target of 1 s waited 251 ms for a health check that takes 400 ms; one without a target 26 ms, where the way is 400 ms. Now 25 ms and 475 ms. The test failed before with these figures.

--- a/chivedistance/map.go
+++ b/chivedistance/map.go
@@ -35,6 +35,15 @@
 // region and for a domain whose region is not known.
 func (m Map) ToDomain(domain string) time.Duration { return m.ToRegion(m.regions[domain]) }
 
+// MeasuredToDomain is ToDomain, but 0 for a domain in a region that has not been measured.
+func (m Map) MeasuredToDomain(domain string) time.Duration {
+	region := m.regions[domain]
+	if _, measured := m.toRegion[region]; !measured {
+		return 0
+	}
+	return m.ToRegion(region)
+}
+
 // ToRegion returns the round trip from this node to a region, beyond the one inside a region.
 func (m Map) ToRegion(region string) time.Duration {
 	if !m.spans || region == m.region || region == "" {
--- a/chivedistance/table.go
+++ b/chivedistance/table.go
@@ -297,8 +297,15 @@
 	return wait(t.Map().ToDomain(domain)*time.Duration(roundTrips), near)
 }
 
-// FromDomain returns how long bytes take from an endpoint in a failure domain to this node, beyond the time inside a region.
-func (t *Table) FromDomain(domain string) time.Duration { return t.Map().ToDomain(domain) / 2 }
+// LeastForDomain returns how long something that takes a number of round trips to an endpoint in a failure domain takes at
+// least, as far as the region has been measured. near is that time in the same region.
+func (t *Table) LeastForDomain(domain string, near time.Duration, roundTrips int) time.Duration {
+	return wait(t.Map().MeasuredToDomain(domain)*time.Duration(roundTrips), near)
+}
+
+// FromDomain returns how long bytes take from an endpoint in a failure domain to this node, beyond the time inside a
+// region; 0 if the region has not been measured.
+func (t *Table) FromDomain(domain string) time.Duration { return t.Map().MeasuredToDomain(domain) / 2 }
 
 func wait(roundTrip, near time.Duration) time.Duration { return near + roundTrip + roundTrip/tolerance }
 
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -153,7 +153,7 @@
 // wasAccepted reports whether the endpoint is taken to have accepted the request before the attempt broke off.
 func (a *attempt) wasAccepted(brokeAt time.Time) bool {
 	distances := a.state.forwarder.options.Distances
-	return a.streaming.Load() || brokeAt.Sub(a.startedAt) >= distances.WaitForDomain(a.target.FailureDomain, acceptedAfter, checkRoundTrips)
+	return a.streaming.Load() || brokeAt.Sub(a.startedAt) >= distances.LeastForDomain(a.target.FailureDomain, acceptedAfter, checkRoundTrips)
 }
 
 // callOnClose calls onClose when the channel is closed before the context ends. After stop returns, onClose is no
--- a/chiveforward/distance_test.go
+++ b/chiveforward/distance_test.go
@@ -3,9 +3,11 @@
 import (
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"chivedrift/chivedirectory"
 	"chivedrift/chivedistance"
 	"chivedrift/chiveforward"
 	"chivedrift/chivehealth"
@@ -18,13 +20,13 @@
 const farTrip = 200 * time.Millisecond
 
 // farFixture returns a forwarder in another region than an endpoint, which has started before.
-func farFixture(t *testing.T, q *fakeQuarantine, e *endpoint) *fixture {
+func farFixture(t *testing.T, q *fakeQuarantine, e *endpoint, others ...chivedirectory.Endpoint) *fixture {
 	t.Helper()
 	distances := chivedistance.New("here", chiveresidency.Map{"here": "here", "a": "there"})
 	distances.SetMembers([]chivemember.Member{{Address: "peer", Region: "there"}})
 	distances.Observe("peer", farTrip)
 	return newFixtureWithOptions(t, func(o *chiveforward.Options) { o.Quarantine, o.Distances = q, distances },
-		chivetable.Route{Attempts: 3, Repeat: chivetable.RepeatAlways, Target: 2 * time.Second}, e.startedRegistration("e", firstStart))
+		chivetable.Route{Attempts: 3, Repeat: chivetable.RepeatAlways, Target: 2 * time.Second}, append(others, e.startedRegistration("e", firstStart))...)
 }
 
 // Guards against an endpoint that counts as having accepted a request while the request was on its way.
@@ -78,3 +80,64 @@
 		t.Errorf("the crash is dated %v after the request, the connection ended after %v and half of %v earlier there", after, lived, farTrip)
 	}
 }
+
+// unmeasuredFixture returns a forwarder in another region than an endpoint, which has started before, with no node there.
+func unmeasuredFixture(t *testing.T, q *fakeQuarantine, e *endpoint) *fixture {
+	t.Helper()
+	distances := chivedistance.New("here", chiveresidency.Map{"here": "here", "a": "there"})
+	return newFixtureWithOptions(t, func(o *chiveforward.Options) { o.Quarantine, o.Distances = q, distances },
+		chivetable.Route{Attempts: 3, Repeat: chivetable.RepeatAlways, Target: 2 * time.Second}, e.startedRegistration("e", firstStart))
+}
+
+// Guards against crashes that are missed, or dated too early, because no node measures the way to an endpoint.
+func TestCrashInRegionWithoutNodes(t *testing.T) {
+	const lived = 100 * time.Millisecond
+	e := newEndpoint(t, crashOnSecondRequest(lived))
+	e.setHealth(reset)
+	q := &fakeQuarantine{}
+	s := unmeasuredFixture(t, q, e)
+	s.run(s.request(http.MethodGet, ""))
+	sentAt := time.Now()
+	s.run(s.request(http.MethodGet, ""))
+	q.awaitReports(t, 1, 300*time.Millisecond)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if after := q.crashedAt[0].Sub(sentAt); after < lived {
+		t.Errorf("the crash is dated %v after the request, the connection ended after %v", after, lived)
+	}
+}
+
+// Guards against a request that waits for a health check that cannot end within its wait, or that does not wait for one
+// because it has no target.
+func TestWaitForHealthCheckDependsOnTheTarget(t *testing.T) {
+	const near, far = 25 * time.Millisecond, 2*farTrip + 75*time.Millisecond
+	for target, want := range map[time.Duration]time.Duration{0: far, time.Second: near, 2 * time.Second: far} {
+		var brokeAt time.Time
+		var waited atomic.Int64
+		requests := 0
+		respond := func(conn net.Conn, request *http.Request, body string) {
+			if requests++; requests == 2 {
+				brokeAt = time.Now()
+				reset(conn)
+				return
+			}
+			if requests == 3 {
+				waited.Store(int64(time.Since(brokeAt)))
+			}
+			echo(conn, request, body)
+		}
+		e, other := newEndpoint(t, respond), newEndpoint(t, respond)
+		for _, e := range []*endpoint{e, other} {
+			e.setHealth(func(net.Conn) { time.Sleep(time.Second) })
+		}
+		s := farFixture(t, &fakeQuarantine{}, e, other.startedRegistration("other", firstStart))
+		s.run(s.request(http.MethodGet, ""))
+		request := s.request(http.MethodGet, "")
+		route := *request.Route
+		route.Target, request.Route, request.Silence = target, &route, 2*time.Second
+		result, _ := s.run(request)
+		if got := time.Duration(waited.Load()); got < want || got > want+100*time.Millisecond {
+			t.Errorf("target %v: the request waited %v, want %v: %+v", target, got, want, result)
+		}
+	}
+}
--- a/chiveforward/failure.go
+++ b/chiveforward/failure.go
@@ -107,10 +107,19 @@
 	}
 }
 
-// healthCheckWait returns how long the request of a broken attempt waits for the health check.
+// healthCheckWait returns how long the request of a broken attempt waits for the health check: no longer than for one of an
+// endpoint in the same region if the check cannot end within a share of the target. A target of 0 stands for none.
 func (f *Forwarder) healthCheckWait(a *attempt) time.Duration {
-	wait := f.options.Distances.WaitForDomain(a.target.FailureDomain, healthCheckWait, checkRoundTrips)
-	return max(min(wait, a.state.request.Route.Target/checkWaitDivisor), healthCheckWait)
+	distances, domain, target := f.options.Distances, a.target.FailureDomain, a.state.request.Route.Target
+	wait, most := distances.WaitForDomain(domain, healthCheckWait, checkRoundTrips), target/checkWaitDivisor
+	switch {
+	case target == 0 || wait <= most:
+		return wait
+	case most <= checkRoundTrips*distances.Map().ToDomain(domain):
+		return healthCheckWait
+	default:
+		return max(most, healthCheckWait)
+	}
 }
 
 // evaluateBreak reports a crash of the endpoint during a broken attempt if the evidence is strong enough.
