Quarantine: reports from other regions keep their dates

The age counts from when the message was sent, as far as the distance is measured; the same holds for answers and for what refutes a crash. The test failed before ("node 0 takes crashes at one time for several").

--- a/chivedistance/map.go
+++ b/chivedistance/map.go
@@ -37,7 +37,10 @@
 
 // MeasuredToDomain is ToDomain, but 0 for a domain in a region that has not been measured.
 func (m Map) MeasuredToDomain(domain string) time.Duration {
-	region := m.regions[domain]
+	return m.measuredToRegion(m.regions[domain])
+}
+
+func (m Map) measuredToRegion(region string) time.Duration {
 	if _, measured := m.toRegion[region]; !measured {
 		return 0
 	}
--- a/chivedistance/table.go
+++ b/chivedistance/table.go
@@ -307,6 +307,16 @@
 // region; 0 if the region has not been measured.
 func (t *Table) FromDomain(domain string) time.Duration { return t.Map().MeasuredToDomain(domain) / 2 }
 
+// FromPeer returns how long messages of a peer take to this node, beyond the time inside a region; 0 if its region has not
+// been measured.
+func (t *Table) FromPeer(peer string) time.Duration {
+	if t == nil {
+		return 0
+	}
+	p := t.published.Load()
+	return p.distances.measuredToRegion(p.regionOf[peer]) / 2
+}
+
 func wait(roundTrip, near time.Duration) time.Duration { return near + roundTrip + roundTrip/tolerance }
 
 // CanWait reports whether a request with the given target may wait for the reply of a peer: always if the peer is near,
--- a/chivequarantine/gossip.go
+++ b/chivequarantine/gossip.go
@@ -188,11 +188,11 @@
 }
 
 // receiveAlive records which endpoints answered after their reported crashes, and forwards what refutes a known crash.
-func (s *Service) receiveAlive(now time.Time, from string, update AliveUpdate) {
+func (s *Service) receiveAlive(now, sentAt time.Time, from string, update AliveUpdate) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range update.Endpoints {
-		s.addAlive(now, r.Endpoint, ago(now, r.AgeMs), from)
+		s.addAlive(now, r.Endpoint, ago(sentAt, r.AgeMs), from)
 	}
 	s.decide()
 }
--- a/chivequarantine/service.go
+++ b/chivequarantine/service.go
@@ -142,17 +142,19 @@
 }
 
 func (s *Service) handle(now time.Time, m chivewire.Message) {
+	// Ages are as of when the message was sent.
+	sentAt := now.Add(-s.options.Distances.FromPeer(m.From))
 	switch body := m.Body.(type) {
 	case Update:
-		s.receiveReports(now, m.From, body.reports(now))
+		s.receiveReports(now, m.From, body.reports(sentAt))
 	case PartUpdate:
-		s.receiveReports(now, m.From, body.reports(now))
+		s.receiveReports(now, m.From, body.reports(sentAt))
 	case Digest:
 		s.receiveDigest(now, m.From, classRequests, body.Sum)
 	case PartDigest:
 		s.receiveDigest(now, m.From, classParts, body.Sum)
 	case AliveUpdate:
-		s.receiveAlive(now, m.From, body)
+		s.receiveAlive(now, sentAt, m.From, body)
 	case FailureReport:
 		s.receiveFailure(now, m.From, body)
 	case ProbeRequest:
--- a/chivequarantine/service_test.go
+++ b/chivequarantine/service_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"chivedrift/chivedistance"
 	"chivedrift/chivehealth"
 	"chivedrift/chivemember"
 	"chivedrift/chivequarantine"
@@ -51,12 +52,18 @@
 }
 
 func newFleet(t *testing.T, size int) *fleet {
+	t.Helper()
+	return newFleetApart(t, size, func(*node) *chivedistance.Table { return nil })
+}
+
+// newFleetApart returns a fleet whose nodes have distances.
+func newFleetApart(t *testing.T, size int, distancesOf func(n *node) *chivedistance.Table) *fleet {
 	t.Helper()
 	f := &fleet{t: t, network: chivestand.NewNetwork()}
 	for i := range size {
 		n := &node{address: fmt.Sprintf("10.%d.0.%d:1", i%3, i)}
 		n.mesh = chivewire.NewMesh(n.address, f.network)
-		n.Service = chivequarantine.New(chivequarantine.Options{Mesh: n.mesh, Logger: slog.New(slog.DiscardHandler)})
+		n.Service = chivequarantine.New(chivequarantine.Options{Mesh: n.mesh, Distances: distancesOf(n), Logger: slog.New(slog.DiscardHandler)})
 		f.nodes = append(f.nodes, n)
 	}
 	f.setMembers(f.nodes)
