Forwarder: wait for connections through far peers

TestConnectionThroughFarPeerIsAwaited failed before ("unreached", context deadline exceeded). TestFarEndpointBehindACutIsReachedThroughAPeer holds the relay to these round trips; it passed before too, since the limit was the forwarder's. The cost: a far endpoint that does not answer holds its request as much longer.

--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -201,7 +201,8 @@
 // send writes the request on a connection that no other attempt uses at the same time, and returns the response head.
 func (a *attempt) send(ctx context.Context) (*http.Response, error) {
 	forceNew := len(a.state.result.Tries) > 0 || (a.state.forwarder.options.Rules.FreshOnce && a.state.request.Route.Repeat == chivetable.RepeatNever)
-	a.connection = a.state.forwarder.connections.get(a.target.Incarnation, forceNew)
+	timeout := a.state.forwarder.options.Distances.WaitForDomain(a.target.FailureDomain, dialTimeout, dialRoundTrips)
+	a.connection = a.state.forwarder.connections.get(a.target.Incarnation, timeout, forceNew)
 	a.connection.stillWanted = func() bool { return a.place.Accepts(time.Now()) }
 	request, err := a.buildRequest(ctx)
 	if err != nil {
--- a/chiveforward/connection.go
+++ b/chiveforward/connection.go
@@ -23,9 +23,12 @@
 )
 
 const (
-	// dialTimeout limits connecting to an endpoint. One that does not accept within this time is down or unreachable,
-	// and another one should get the request while its target latency can still be met.
+	// dialTimeout limits connecting to an endpoint in the same region. One that does not accept within this time is down or
+	// unreachable, and another one should get the request while its target latency can still be met.
 	dialTimeout = 400 * time.Millisecond
+	// dialRoundTrips is the number of round trips of a connection through a peer in the endpoint's region: one that this
+	// node's own attempt may take before, the connection to the peer, and the request to it.
+	dialRoundTrips = 3
 	// defaultIdleTimeout is how long an idle connection is kept if the endpoint announces no timeout.
 	defaultIdleTimeout = 3 * time.Second
 	// idleTimeoutShare is the share of the endpoint's idle timeout for which a connection is reused. If the endpoint
@@ -48,6 +51,8 @@
 	transport *http.Transport
 	network   chivewire.Network
 	self      string
+	// dialTimeout limits connecting to the endpoint.
+	dialTimeout time.Duration
 
 	dialled    atomic.Bool
 	closed     atomic.Bool
@@ -68,8 +73,8 @@
 	requestBlocked
 )
 
-func newConnection(network chivewire.Network, self string) *connection {
-	c := &connection{network: network, self: self, idleTimeout: defaultIdleTimeout}
+func newConnection(network chivewire.Network, self string, timeout time.Duration) *connection {
+	c := &connection{network: network, self: self, dialTimeout: timeout, idleTimeout: defaultIdleTimeout}
 	c.transport = &http.Transport{
 		DialContext: c.dial, MaxIdleConnsPerHost: 1, DisableCompression: true, WriteBufferSize: connectionBufferSize, ReadBufferSize: connectionBufferSize,
 	}
@@ -80,7 +85,7 @@
 	if c.dialled.Swap(true) {
 		return nil, errSecondDial
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.dialTimeout)
 	defer cancel()
 	conn, err := c.network.Dial(ctx, c.self, address)
 	if err != nil {
@@ -192,8 +197,8 @@
 	return &connectionPool{network: network, self: self, idle: make(map[string][]*connection)}
 }
 
-// get returns the most recently used idle connection to an endpoint, or a new one.
-func (p *connectionPool) get(endpoint string, forceNew bool) *connection {
+// get returns the most recently used idle connection to an endpoint, or a new one, which takes at most the timeout.
+func (p *connectionPool) get(endpoint string, timeout time.Duration, forceNew bool) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -210,7 +215,7 @@
 		c.close()
 	}
 	p.opened++
-	return newConnection(p.network, p.self)
+	return newConnection(p.network, p.self, timeout)
 }
 
 // put keeps a connection after a complete response; the header gives the endpoint's idle timeout.
--- a/chiveforward/distance_test.go
+++ b/chiveforward/distance_test.go
@@ -1,6 +1,7 @@
 package chiveforward_test
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 	"chivedrift/chivemember"
 	"chivedrift/chiveresidency"
 	"chivedrift/chivetable"
+	"chivedrift/chivewire"
 )
 
 // farTrip is the round trip to the endpoints of farFixture.
@@ -21,11 +23,16 @@
 
 // farFixture returns a forwarder in another region than an endpoint, which has started before.
 func farFixture(t *testing.T, q *fakeQuarantine, e *endpoint, others ...chivedirectory.Endpoint) *fixture {
+	t.Helper()
+	return farFixtureOn(t, chivewire.TCP{}, q, e, others...)
+}
+
+func farFixtureOn(t *testing.T, network chivewire.Network, q *fakeQuarantine, e *endpoint, others ...chivedirectory.Endpoint) *fixture {
 	t.Helper()
 	distances := chivedistance.New("here", chiveresidency.Map{"here": "here", "a": "there"})
 	distances.SetMembers([]chivemember.Member{{Address: "peer", Region: "there"}})
 	distances.Observe("peer", farTrip)
-	return newFixtureWithOptions(t, func(o *chiveforward.Options) { o.Quarantine, o.Distances = q, distances },
+	return newFixtureWithOptions(t, func(o *chiveforward.Options) { o.Network, o.Quarantine, o.Distances = network, q, distances },
 		chivetable.Route{Attempts: 3, Repeat: chivetable.RepeatAlways, Target: 2 * time.Second}, append(others, e.startedRegistration("e", firstStart))...)
 }
 
@@ -141,3 +148,29 @@
 		}
 	}
 }
+
+// slowNetwork is a network in which a connection takes some time.
+type slowNetwork struct {
+	chivewire.TCP
+	takes time.Duration
+}
+
+// Dial connects after that time.
+func (n slowNetwork) Dial(ctx context.Context, from, address string) (net.Conn, error) {
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(n.takes):
+		return n.TCP.Dial(ctx, from, address)
+	}
+}
+
+// Guards against a far endpoint that is given up before a connection through a peer can have been established.
+func TestConnectionThroughFarPeerIsAwaited(t *testing.T) {
+	e := newEndpoint(t, echo)
+	network := slowNetwork{takes: 150*time.Millisecond + 3*farTrip*9/8}
+	s := farFixtureOn(t, network, &fakeQuarantine{}, e)
+	if result, _ := s.run(s.request(http.MethodGet, "")); result.Status != http.StatusOK {
+		t.Errorf("got %+v", result)
+	}
+}
--- a/chiverelay/distance_test.go
+++ b/chiverelay/distance_test.go
@@ -34,9 +34,52 @@
 	return n.Network.Dial(ctx, from, address)
 }
 
+const (
+	oneWay      = 80 * time.Millisecond
+	farEndpoint = "10.9.0.1:80"
+	nearRelay   = "10.0.0.1:84"
+)
+
 // Guards against connections through peers to endpoints that are far and not unreachable.
 func TestFarEndpointIsReachedWithoutPeers(t *testing.T) {
-	const oneWay, endpoint = 80 * time.Millisecond, "10.9.0.1:80"
+	withFarEndpoint(t, func(network *countingNetwork, near *chiverelay.Service) {
+		conn, err := near.Dial(context.Background(), nearRelay, farEndpoint)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		conn.Close()
+		if asked := network.count.Load(); asked != 0 || near.IsLost(farEndpoint) {
+			t.Errorf("%d connections to a peer, the path is lost: %v", asked, near.IsLost(farEndpoint))
+		}
+	})
+}
+
+// Guards against an endpoint that a node is cut off from and that a far peer takes too long to connect to.
+func TestFarEndpointBehindACutIsReachedThroughAPeer(t *testing.T) {
+	withFarEndpoint(t, func(network *countingNetwork, near *chiverelay.Service) {
+		network.Block(func(from, to string) bool { return from == nearRelay && to == farEndpoint })
+		startedAt := time.Now()
+		// The own attempt ends with the context.
+		ctx, stop := context.WithTimeout(context.Background(), time.Second)
+		defer stop()
+		conn, err := near.Dial(ctx, nearRelay, farEndpoint)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		conn.Close()
+		// relayDelay, and a round trip each for that, for the connection to the peer and for the request to it.
+		if took, most := time.Since(startedAt), 150*time.Millisecond+3*2*oneWay*9/8; took > most {
+			t.Errorf("connected after %v, want at most %v", took, most)
+		}
+	})
+}
+
+// withFarEndpoint runs a test with two nodes, one of which is in another region than the peer and the endpoint beside it.
+func withFarEndpoint(t *testing.T, test func(network *countingNetwork, near *chiverelay.Service)) {
+	t.Helper()
+	const endpoint = farEndpoint
 	synctest.Test(t, func(t *testing.T) {
 		// Until the ends of the connections have arrived.
 		defer time.Sleep(time.Second)
@@ -55,7 +98,7 @@
 			}
 		}()
 		members := []chivemember.Member{
-			{Address: "10.0.0.1:82", RelayAddress: "10.0.0.1:84", Region: "here", FailureDomain: "here", State: chivemember.Alive},
+			{Address: "10.0.0.1:82", RelayAddress: nearRelay, Region: "here", FailureDomain: "here", State: chivemember.Alive},
 			{Address: "10.0.0.2:82", RelayAddress: "10.0.0.2:84", Region: "there", FailureDomain: "there", State: chivemember.Alive},
 		}
 		network.Delay(func(from, to string) time.Duration {
@@ -82,13 +125,6 @@
 			relays = append(relays, relay)
 		}
 		defer listener.Close()
-		conn, err := relays[0].Dial(t.Context(), members[0].RelayAddress, endpoint)
-		if err != nil {
-			t.Fatal(err)
-		}
-		conn.Close()
-		if asked := network.count.Load(); asked != 0 || relays[0].IsLost(endpoint) {
-			t.Errorf("%d connections to a peer, the path is lost: %v", asked, relays[0].IsLost(endpoint))
-		}
+		test(network, relays[0])
 	})
 }
