Limits: an owner whose distance is not measured costs half of the target at most

Take gets the target of the request; where the region is measured the owner is awaited as before. The calls of Take in older tests get a target of 0, which stands for none.

--- a/chivedistance/calls.go
+++ b/chivedistance/calls.go
@@ -26,8 +26,14 @@
 // Call sends a request to a peer under a new number and waits for its reply: near, and as much longer as the peer is
 // farther than one in this node's region. The error is that of send, chivewire.ErrNoReply, or the context's.
 func (c *Calls[R]) Call(ctx context.Context, peer string, near time.Duration, send func(number uint64) error) (reply R, err error) {
+	return c.CallWithin(ctx, peer, near, 0, send)
+}
+
+// CallWithin is Call for a request with a target, of which it waits for a peer in a region that has not been measured at
+// most a share. A target of 0 stands for none.
+func (c *Calls[R]) CallWithin(ctx context.Context, peer string, near, target time.Duration, send func(number uint64) error) (reply R, err error) {
 	sentAt, connected := time.Now(), c.table.isReached(peer)
-	reply, err = c.calls.Call(ctx, c.table.Wait(peer, near), send)
+	reply, err = c.calls.Call(ctx, c.table.waitWithin(peer, near, target), send)
 	switch {
 	case err == nil:
 		if connected {
--- a/chivedistance/table.go
+++ b/chivedistance/table.go
@@ -285,6 +285,25 @@
 	return wait(roundTrip, near)
 }
 
+// waitWithin is Wait, limited to a share of a target while the peer's region has not been measured.
+func (t *Table) waitWithin(peer string, near, target time.Duration) time.Duration {
+	longest := t.Wait(peer, near)
+	if target == 0 || t.isMeasured(peer) {
+		return longest
+	}
+	return min(longest, max(target/waitDivisor, near))
+}
+
+// isMeasured reports whether the distance to a peer is not an assumed one.
+func (t *Table) isMeasured(peer string) bool {
+	if t.RoundTrip(peer) == 0 {
+		return true
+	}
+	p := t.published.Load()
+	_, measured := p.distances.toRegion[p.regionOf[peer]]
+	return measured
+}
+
 // isReached reports whether a peer is near, or messages to it are sent over an open connection, so that its reply takes one
 // round trip.
 func (t *Table) isReached(peer string) bool {
--- a/chiveforward/limits_test.go
+++ b/chiveforward/limits_test.go
@@ -20,7 +20,7 @@
 	left  bool
 }
 
-func (r *countingRates) Take(context.Context, string, chiverequest.Limits) (granted bool, wait time.Duration) {
+func (r *countingRates) Take(context.Context, string, chiverequest.Limits, time.Duration) (granted bool, wait time.Duration) {
 	r.inUse++
 	if !r.left {
 		r.left = true
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -60,9 +60,9 @@
 
 // Rates issues permits within limits that all nodes share.
 type Rates interface {
-	// Take asks for a permit within the limits of a key. If it is not granted, Take returns how long to wait before asking
+	// Take asks for a permit within the limits of a key, for a request with a latency target. If it is not granted, Take returns how long to wait before asking
 	// again.
-	Take(ctx context.Context, key string, limits chiverequest.Limits) (granted bool, wait time.Duration)
+	Take(ctx context.Context, key string, limits chiverequest.Limits, target time.Duration) (granted bool, wait time.Duration)
 	// Release returns a permit under a limit on refusals after its request has ended. If the request was refused for want
 	// of room, load is how many requests the endpoint had then.
 	Release(key string, refused bool, load int)
@@ -286,7 +286,7 @@
 		if !errors.As(err, &limited) {
 			return place, asked, err
 		}
-		if granted, wait := p.takePermit(ctx, limited); !granted {
+		if granted, wait := p.takePermit(ctx, limited, request.Route.Target); !granted {
 			pool.LimitUsedUp(limited.Endpoint, time.Now().Add(wait))
 			continue
 		}
@@ -305,11 +305,11 @@
 func limitsKey(incarnation string) string { return "endpoint/" + incarnation }
 
 // takePermit asks for a permit for an endpoint with limits; see Rates.Take.
-func (p *Pools) takePermit(ctx context.Context, limited *chiveplace.LimitedError) (granted bool, wait time.Duration) {
+func (p *Pools) takePermit(ctx context.Context, limited *chiveplace.LimitedError, target time.Duration) (granted bool, wait time.Duration) {
 	if p.rates == nil {
 		return true, 0
 	}
-	return p.rates.Take(ctx, limitsKey(limited.Endpoint), limited.Limits)
+	return p.rates.Take(ctx, limitsKey(limited.Endpoint), limited.Limits, target)
 }
 
 // returnPermit returns a permit that is not used. One of a rate is lost, which keeps the fleet within the rate.
--- a/chivequarantine/permit.go
+++ b/chivequarantine/permit.go
@@ -18,7 +18,8 @@
 	suspicionPeriod = 3 * time.Second
 	// permitTTL is how long a permit counts if neither a crash nor an answer follows.
 	permitTTL = time.Second
-	// permitReplyTimeout is how long the node that issues the permits may take to reply in the same region: several network round trips.
+	// permitReplyTimeout is how long the node that issues the permits may take to reply in the same region: several network
+	// round trips.
 	permitReplyTimeout = 30 * time.Millisecond
 	// maxPermits bounds the memory use.
 	maxPermits = 1024
--- a/chiverate/service.go
+++ b/chiverate/service.go
@@ -18,8 +18,8 @@
 const ServiceName = "shared rates"
 
 const (
-	// replyTimeout is how long an owner in the same region may take to reply: several network round trips, and far less than any latency
-	// target.
+	// replyTimeout is how long an owner in the same region may take to reply: several network round trips, and far less
+	// than any latency target.
 	replyTimeout = 50 * time.Millisecond
 	// ownerBackoff is how long no permit is asked for after the owner of a rate did not reply.
 	ownerBackoff = 500 * time.Millisecond
@@ -137,10 +137,10 @@
 	return Counts{Granted: s.granted.Load(), Denied: s.denied.Load(), Unanswered: s.unanswered.Load()}
 }
 
-// Take asks for a permit within the limits of a key. If it is not granted, Take returns how long to wait before
+// Take asks for a permit within the limits of a key, for a request with a target; 0 for none. If it is not granted, Take returns how long to wait before
 // asking again. Without a reply of the owner there is no permit: a share of the rate for each node that is cut off from
 // it would exceed the rate together with the permits that the owner goes on to issue.
-func (s *Service) Take(ctx context.Context, key string, limits chiverequest.Limits) (granted bool, wait time.Duration) {
+func (s *Service) Take(ctx context.Context, key string, limits chiverequest.Limits, target time.Duration) (granted bool, wait time.Duration) {
 	owner, ok := s.ownerOf(key)
 	if !ok {
 		s.unanswered.Add(1)
@@ -149,7 +149,7 @@
 	if owner == s.mesh.Self() {
 		return s.count(s.takeOwned(owner, key, limits))
 	}
-	answer, err := s.calls.Call(ctx, owner, replyTimeout, func(number uint64) error {
+	answer, err := s.calls.CallWithin(ctx, owner, replyTimeout, target, func(number uint64) error {
 		return s.mesh.Send(owner, chivewire.KindRateAsk, Ask{Number: number, Key: key, PerSecond: limits.PerSecond, Refusals: limits.Refusals})
 	})
 	if err != nil {
--- a/chiverate/service_test.go
+++ b/chiverate/service_test.go
@@ -9,9 +9,11 @@
 	"testing/synctest"
 	"time"
 
+	"chivedrift/chivedistance"
 	"chivedrift/chivemember"
 	"chivedrift/chiverate"
 	"chivedrift/chiverequest"
+	"chivedrift/chiveresidency"
 	"chivedrift/chivestand"
 	"chivedrift/chivewire"
 )
@@ -69,7 +71,7 @@
 		go func() {
 			got := 0
 			for end := time.Now().Add(duration); time.Now().Before(end); {
-				permit, wait := s.Take(context.Background(), rateKey, chiverequest.Limits{PerSecond: perSecond})
+				permit, wait := s.Take(context.Background(), rateKey, chiverequest.Limits{PerSecond: perSecond}, 0)
 				if permit {
 					got++
 				}
@@ -129,7 +131,7 @@
 		f.network.Block(func(from, to string) bool { return from != to })
 		start, granted := time.Now(), 0
 		for _, s := range f.services {
-			if permit, _ := s.Take(context.Background(), rateKey, chiverequest.Limits{PerSecond: 1}); permit {
+			if permit, _ := s.Take(context.Background(), rateKey, chiverequest.Limits{PerSecond: 1}, 0); permit {
 				granted++
 			}
 		}
@@ -148,7 +150,7 @@
 	withFleet(t, 5, func(f *fleet) {
 		for end := 4; end >= 1; end-- {
 			f.setMembers(f.services, 0, end)
-			if permit, _ := f.services[0].Take(context.Background(), fmt.Sprint(rateKey, end), chiverequest.Limits{PerSecond: 1}); permit {
+			if permit, _ := f.services[0].Take(context.Background(), fmt.Sprint(rateKey, end), chiverequest.Limits{PerSecond: 1}, 0); permit {
 				t.Errorf("the owner among %d nodes had a permit at once", end)
 			}
 		}
@@ -174,3 +176,25 @@
 		}
 	})
 }
+
+// Guards against a request that waits far longer than its target for an owner whose distance has not been measured.
+func TestOwnerInUnmeasuredRegionCostsHalfOfTheTarget(t *testing.T) {
+	for target, want := range map[time.Duration]time.Duration{0: 410 * time.Millisecond, 120 * time.Millisecond: 60 * time.Millisecond} {
+		withFleet(t, 2, func(f *fleet) {
+			f.network.Block(func(from, to string) bool { return from != to })
+			var longest time.Duration
+			for i, s := range f.services {
+				distances := chivedistance.New("here", chiveresidency.Map{"a": "here", "b": "there"})
+				distances.SetMembers([]chivemember.Member{{Address: f.meshes[1-i].Self(), Region: "there"}})
+				distances.SetConnected(f.meshes[i].IsConnected)
+				s.SetDistances(distances)
+				startedAt := time.Now()
+				s.Take(context.Background(), rateKey, chiverequest.Limits{PerSecond: 1}, target)
+				longest = max(longest, time.Since(startedAt))
+			}
+			if longest != want {
+				t.Errorf("target %v: waited %v for the owner, want %v", target, longest, want)
+			}
+		})
+	}
+}
