Grants: the log of a silent owner names the wait that passed

The wait was computed again for the log: 107 ms for a wait of 175 ms when the connection was established meanwhile. The test failed before with these figures.

--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -163,6 +163,7 @@
 		return PlaceAnswer{}, ErrAlone
 	}
 	s.asked.Add(1)
+	askedAt := time.Now()
 	// A response after the timeout is dropped, and the owner drops its grant after a while, since this node never reports
 	// the request.
 	response, err := s.calls.Call(ctx, owner, requestTimeout, func(number uint64) error {
@@ -171,7 +172,7 @@
 	})
 	switch {
 	case errors.Is(err, chivewire.ErrNoReply):
-		s.recordTimeout(ctx, owner, request.Group)
+		s.recordTimeout(ctx, owner, request.Group, time.Since(askedAt))
 		return PlaceAnswer{}, ErrAlone
 	case err != nil:
 		return PlaceAnswer{}, fmt.Errorf("%w: %w", ErrAlone, err)
@@ -181,7 +182,7 @@
 }
 
 // recordTimeout starts the backoff for an owner that did not respond. Only the first of consecutive timeouts is logged.
-func (s *Service) recordTimeout(ctx context.Context, owner, group string) {
+func (s *Service) recordTimeout(ctx context.Context, owner, group string, waited time.Duration) {
 	s.timedOut.Add(1)
 	s.mu.Lock()
 	_, backedOff := s.backoffUntil[owner]
@@ -189,7 +190,7 @@
 	s.mu.Unlock()
 	if !backedOff {
 		chiveevent.OwnerSilent.Log(ctx, s.options.Logger, slog.String("owner", owner), slog.String("group", group),
-			slog.Int64("waited_ms", s.options.Distances.Wait(owner, requestTimeout).Milliseconds()))
+			slog.Int64("waited_ms", waited.Milliseconds()))
 	}
 }
 
--- a/chivegrant/distance_test.go
+++ b/chivegrant/distance_test.go
@@ -1,9 +1,12 @@
 package chivegrant_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -76,3 +79,27 @@
 		t.Errorf("counted %+v, want one question", got)
 	}
 }
+
+// Guards against a log that names another wait for a silent owner than there was.
+func TestLoggedWaitForSilentOwnerIsTheOneThatPassed(t *testing.T) {
+	const roundTrip = 60 * time.Millisecond
+	var log bytes.Buffer
+	owner := chivestand.FreeAddress()
+	distances := chivedistance.New("here", chiveresidency.Map{"a": "here", "b": "there"})
+	distances.SetMembers([]chivemember.Member{{Address: owner, Region: "there"}})
+	distances.Observe(owner, roundTrip)
+	n := startNode(t, chivestand.FreeAddress())
+	n.service = chivegrant.New(chivegrant.Options{Mesh: n.mesh, Pools: singlePool{n.pool}, Distances: distances, Logger: slog.New(slog.NewTextHandler(&log, nil))})
+	n.setFleet(t, 8, []string{owner}, 20)
+	startedAt := time.Now()
+	// The connection is established while the request waits.
+	distances.SetConnected(func(string) bool { return time.Since(startedAt) > roundTrip })
+	_, _ = n.place(1)
+	var waitedMs int64
+	if _, logged, found := strings.Cut(log.String(), "waited_ms="); found {
+		_, _ = fmt.Sscan(logged, &waitedMs)
+	}
+	if took := time.Since(startedAt).Milliseconds(); waitedMs < took-30 || waitedMs > took {
+		t.Errorf("logged a wait of %d ms, it was %d ms: %s", waitedMs, took, log.String())
+	}
+}
--- a/chivemember/service.go
+++ b/chivemember/service.go
@@ -131,8 +131,8 @@
 	notify(s.Members())
 }
 
-// OnReply sets a function that is called with the time from a probe of a member to its answer; nil for none. It must not block, and
-// must be set before Start.
+// OnReply sets a function that is called with the time from a probe of a member to its answer; nil for none. It
+// must not block, and must be set before Start.
 func (s *Service) OnReply(notify func(address string, roundTrip time.Duration)) {
 	s.view.OnReply(notify)
 }
--- a/chivemember/view.go
+++ b/chivemember/view.go
@@ -111,8 +111,8 @@
 	differsSince time.Time
 	syncedAt     time.Time
 	diedAt       time.Time
-	// probed means that a probe has been sent, probedAt is when the last probe was sent that has no answer yet; zero if there is none. Until ambiguousUntil an
-	// answer may be that to an earlier probe.
+	// probed means that a probe has been sent, probedAt is when the last probe was sent that has no answer yet; zero if there
+	// is none. Until ambiguousUntil an answer may be that to an earlier probe.
 	probed         bool
 	probedAt       time.Time
 	ambiguousUntil time.Time
