Test of a far endpoint behind a cut: the endpoint reads until its caller closes

8 of 100 runs of TestFarEndpointBehindACutIsReachedThroughAPeer ended with two goroutines of chivestand's delay blocked: both ends of the memory connection wrote their last bytes while neither read, and a pipe has no buffer as a socket has.

--- a/chiverelay/distance_test.go
+++ b/chiverelay/distance_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net"
 	"sync/atomic"
@@ -94,7 +95,10 @@
 				if err != nil {
 					return
 				}
-				conn.Close()
+				go func() {
+					_, _ = io.Copy(io.Discard, conn)
+					conn.Close()
+				}()
 			}
 		}()
 		members := []chivemember.Member{
