--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -153,7 +153,7 @@
 // wasAccepted reports whether the endpoint is taken to have accepted the request before the attempt broke off.
 func (a *attempt) wasAccepted(brokeAt time.Time) bool {
 	distances := a.state.forwarder.options.Distances
-	return a.streaming.Load() || brokeAt.Sub(a.startedAt) >= distances.WaitForDomain(a.target.FailureDomain, acceptedAfter, checkRoundTrips)
+	return a.streaming.Load() || brokeAt.Sub(a.startedAt) >= distances.LeastForDomain(a.target.FailureDomain, acceptedAfter, checkRoundTrips)
 }
 
 // callOnClose calls onClose when the channel is closed before the context ends. After stop returns, onClose is no
@@ -201,7 +201,8 @@
 // send writes the request on a connection that no other attempt uses at the same time, and returns the response head.
 func (a *attempt) send(ctx context.Context) (*http.Response, error) {
 	forceNew := len(a.state.result.Tries) > 0 || (a.state.forwarder.options.Rules.FreshOnce && a.state.request.Route.Repeat == chivetable.RepeatNever)
-	a.connection = a.state.forwarder.connections.get(a.target.Incarnation, forceNew)
+	timeout := a.state.forwarder.options.Distances.WaitForDomain(a.target.FailureDomain, dialTimeout, dialRoundTrips)
+	a.connection = a.state.forwarder.connections.get(a.target.Incarnation, timeout, forceNew)
 	a.connection.stillWanted = func() bool { return a.place.Accepts(time.Now()) }
 	request, err := a.buildRequest(ctx)
 	if err != nil {
--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -27,7 +27,7 @@
 		return nil, ErrAlone
 	}
 	p := &placement{
-		service: s, assignment: a, pool: pool, request: request, exclude: append(pool.PassedOver(time.Now()), limits.Exclude...), limits: limits,
+		service: s, assignment: a, pool: pool, request: request, startedAt: time.Now(), exclude: append(pool.PassedOver(time.Now()), limits.Exclude...), limits: limits,
 	}
 	h := s.homeOf(request, pool, limits.Domains)
 	place, err := p.placeInAny(ctx, a.homeGroups(h))
@@ -85,6 +85,7 @@
 	assignment *assignment
 	pool       *chiveplace.Pool
 	request    *chiverequest.Request
+	startedAt  time.Time
 	exclude    []string
 	// limits holds the failure domains and the software version that the request is limited to.
 	limits chiveplace.Ask
@@ -150,6 +151,15 @@
 	return float64(p.service.distances.Load().ToRegion(group.region)) / float64(max(p.request.Prompt.Target, time.Millisecond))
 }
 
+// targetLeft returns what the questions to owners so far have left of the request's target; 0 if it has none.
+func (p *placement) targetLeft() time.Duration {
+	target := p.request.Prompt.Target
+	if target == 0 {
+		return 0
+	}
+	return max(target-time.Since(p.startedAt), 1)
+}
+
 // allExcluded reports whether this node excludes every engine of a group. After a short network partition a node
 // excludes all engines. Asking the owner would then get the request refused, whereas local placement still tries one of
 // the engines.
@@ -178,7 +188,7 @@
 			Prompt: p.request.Prompt, Exclude: p.exclude, Among: p.assignment.engines(group), Domains: p.limits.Domains, Allows: p.limits.Allows, Most: maxLoss, MostReads: recomputeTokens,
 		})
 	}
-	if !s.options.Distances.CanWait(owner, requestTimeout, p.request.Prompt.Target) {
+	if !s.options.Distances.CanWait(owner, requestTimeout, p.targetLeft()) {
 		s.far.Add(1)
 		return nil, ErrAlone
 	}
@@ -228,6 +238,7 @@
 		return PlaceAnswer{}, ErrAlone
 	}
 	s.asked.Add(1)
+	askedAt := time.Now()
 	// A response after the timeout is dropped, and the owner drops its grant after a while, since this node never reports
 	// the request.
 	response, err := s.calls.Call(ctx, owner, requestTimeout, func(number uint64) error {
@@ -236,7 +247,7 @@
 	})
 	switch {
 	case errors.Is(err, chivewire.ErrNoReply):
-		s.recordTimeout(ctx, owner, request.Group)
+		s.recordTimeout(ctx, owner, request.Group, time.Since(askedAt))
 		return PlaceAnswer{}, ErrAlone
 	case err != nil:
 		return PlaceAnswer{}, fmt.Errorf("%w: %w", ErrAlone, err)
@@ -246,7 +257,7 @@
 }
 
 // recordTimeout starts the backoff for an owner that did not respond. Only the first of consecutive timeouts is logged.
-func (s *Service) recordTimeout(ctx context.Context, owner, group string) {
+func (s *Service) recordTimeout(ctx context.Context, owner, group string, waited time.Duration) {
 	s.timedOut.Add(1)
 	s.mu.Lock()
 	_, backedOff := s.backoffUntil[owner]
@@ -254,7 +265,7 @@
 	s.mu.Unlock()
 	if !backedOff {
 		chiveevent.OwnerSilent.Log(ctx, s.options.Logger, slog.String("owner", owner), slog.String("group", group),
-			slog.Int64("waited_ms", s.options.Distances.Wait(owner, requestTimeout).Milliseconds()))
+			slog.Int64("waited_ms", waited.Milliseconds()))
 	}
 }
 
