Permits for requests to cold endpoints

A cold endpoint takes a few requests a second from all nodes together and crashes well above. Each node of a fleet took an even part of that rate, whose first request came at once: 16 nodes sent 16 where 13 are allowed, and nodes without requests kept their part. Owners of engines granted at the whole rate beside the others' parts.

Requests to a cold endpoint now need a permit of the owner of its limits, by the path of stated limits and with the same key: the lower of the stated rate and the rate of a cold endpoint holds. Grants of owners need it too; the owner paces its grants so that most of them get one. A pool that no other node uses paces itself as before.

There is no permit on a node that does not know the fleet yet (it would take itself for the owner), nor on a side of a partition with less than a fifth of the fleet (a bucket holds a permit at any rate: 16 sides issued 16 at the same moment).

--- a/chiveforward/limits_test.go
+++ b/chiveforward/limits_test.go
@@ -29,6 +29,10 @@
 	return true, 0
 }
 
+func (r *countingRates) TakeCold(ctx context.Context, key string, limits chiverequest.Limits) (granted bool, wait time.Duration) {
+	return r.Take(ctx, key, limits)
+}
+
 func (r *countingRates) Release(string, bool, int) { r.inUse-- }
 
 // Guards against permits that count as in use though their requests were not sent, since the endpoint has just left.
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -63,12 +63,14 @@
 	// Take asks for a permit within the limits of a key. If it is not granted, Take returns how long to wait before asking
 	// again.
 	Take(ctx context.Context, key string, limits chiverequest.Limits) (granted bool, wait time.Duration)
+	// TakeCold is Take for an endpoint that is cold.
+	TakeCold(ctx context.Context, key string, limits chiverequest.Limits) (granted bool, wait time.Duration)
 	// Release returns a permit under a limit on refusals after its request has ended. If the request was refused for want
 	// of room, load is how many requests the endpoint had then.
 	Release(key string, refused bool, load int)
 }
 
-// SetRates sets the Rates for endpoints that state limits; it must be called before the first request.
+// SetRates sets the Rates for endpoints that state limits or are cold; it must be called before the first request.
 func (p *Pools) SetRates(rates Rates) { p.rates = rates }
 
 // SetVersions sets the function that returns the software version of an endpoint's incarnation, empty if it is not known;
@@ -158,6 +160,9 @@
 		pool = chiveplace.NewPool(p.failureDomain)
 		pool.OnChange(p.signalChange)
 		pool.SetNodes(p.nodes)
+		if p.rates != nil {
+			pool.RequireWarmUpPermits()
+		}
 		pool.SetEvacuated(p.evacuated)
 		pool.SetReportedLeaving(p.reportedLeaving)
 		p.pools[name] = pool
@@ -309,6 +314,9 @@
 	if p.rates == nil {
 		return true, 0
 	}
+	if limited.Cold {
+		return p.rates.TakeCold(ctx, limitsKey(limited.Endpoint), limited.Limits)
+	}
 	return p.rates.Take(ctx, limitsKey(limited.Endpoint), limited.Limits)
 }
 
@@ -328,6 +336,15 @@
 	return count
 }
 
+// ColdEndpoints returns the number of endpoints that are warming up.
+func (p *Pools) ColdEndpoints() int {
+	count, now := 0, time.Now()
+	for _, pool := range p.allPools() {
+		count += pool.ColdEndpoints(now)
+	}
+	return count
+}
+
 // StateNotice records what an endpoint, identified by its incarnation, has stated about its process on a connection
 // that this node shares with another one. It reports whether that was not known.
 func (p *Pools) StateNotice(now time.Time, incarnation string, notice chiverequest.Notice) (changed bool) {
--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -120,7 +120,7 @@
 		}
 	}
 	s.granted.Add(1)
-	if limited := p.pool.Limited(response.Grant.Endpoint); limited != nil {
+	if limited := p.pool.Limited(time.Now(), response.Grant.Endpoint); limited != nil {
 		return nil, limited
 	}
 	response.Grant.Owner = owner
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -305,6 +305,7 @@
 	n.grants = chivegrant.New(chivegrant.Options{Mesh: n.mesh, Pools: pools, Logger: n.logger})
 	pools.SetAsker(n.grants)
 	n.rates = chiverate.New(n.mesh)
+	n.rates.SetSettled(n.grants.Settled)
 	pools.SetRates(n.rates)
 	caches := chivecache.New(chivecache.Options{
 		Caches: chiveplatform.NewCaches(s.Listen.Peers, n.relay), Pools: pools, Owners: n.grants, Logger: n.logger,
@@ -394,6 +395,7 @@
 		{"places_granted", func() float64 { return float64(n.grants.Counts().Granted) }},
 		{"places_refused", func() float64 { return float64(n.grants.Counts().Refused) }},
 		{"endpoints_limited", func() float64 { return float64(n.pools.LimitedEndpoints()) }},
+		{"endpoints_cold", func() float64 { return float64(n.pools.ColdEndpoints()) }},
 		{"endpoints_leaving", func() float64 { return float64(n.pools.NoticeCounts().Leaving) }},
 		{"endpoints_resting", func() float64 { return float64(n.pools.NoticeCounts().Resting) }},
 		{"streams_recorded", func() float64 { return float64(n.streams.Counts().Records) }},
--- a/chiveplace/grant.go
+++ b/chiveplace/grant.go
@@ -147,7 +147,7 @@
 		}
 	}
 	for incarnation, cand := range p.limited {
-		if now.Before(cand.limits.usedUpUntil) && !now.Before(cand.ejectedUntil) {
+		if p.permitWait(now, cand) > 0 && !now.Before(cand.ejectedUntil) {
 			incarnations = append(incarnations, incarnation)
 		}
 	}
--- a/chiveplace/limit.go
+++ b/chiveplace/limit.go
@@ -32,11 +32,16 @@
 	}
 }
 
+// isStated reports whether there are limits or were some.
+func (l *endpointLimits) isStated() bool { return l != nil && (l.version > 0 || !l.IsZero()) }
+
 // LimitedError means that the chosen endpoint has limits, so that the request needs a permit.
 type LimitedError struct {
 	// Endpoint is the key of the endpoint's incarnation.
 	Endpoint string
 	Limits   chiverequest.Limits
+	// Cold means that the endpoint is warming up.
+	Cold bool
 }
 
 // Error names the endpoint and its limits.
@@ -54,20 +59,29 @@
 
 // limitsAllow reports whether a request may be placed on the candidate as far as its limits are concerned. An ask with a
 // permit is limited to the endpoint of the permit.
-func (c *candidate) limitsAllow(now time.Time, ask Ask) bool {
+func (p *Pool) limitsAllow(now time.Time, cand *candidate, ask Ask) bool {
 	if ask.Permitted != "" {
-		return c.incarnation == ask.Permitted
+		return cand.incarnation == ask.Permitted
+	}
+	return p.permitWait(now, cand) <= 0
+}
+
+// permitWait returns the time until the next permit of an endpoint with limits may be available; 0 or less if it may be
+// available now or none is needed.
+func (p *Pool) permitWait(now time.Time, cand *candidate) time.Duration {
+	if cand.limits == nil || p.effectiveLimits(now, cand).IsZero() {
+		return 0
 	}
-	return c.currentLimits().IsZero() || !now.Before(c.limits.usedUpUntil)
+	return cand.limits.usedUpUntil.Sub(now)
 }
 
 // needsPermit returns an error unless a request may be sent to the candidate without a further permit.
-func (c *candidate) needsPermit(ask Ask) *LimitedError {
-	limits := c.currentLimits()
-	if limits.IsZero() || ask.Permitted == c.incarnation {
+func (p *Pool) needsPermit(now time.Time, cand *candidate, ask Ask) *LimitedError {
+	limits := p.effectiveLimits(now, cand)
+	if limits.IsZero() || ask.Permitted == cand.incarnation {
 		return nil
 	}
-	return &LimitedError{Endpoint: c.incarnation, Limits: limits}
+	return &LimitedError{Endpoint: cand.incarnation, Limits: limits, Cold: p.isWarmingUp(now, cand)}
 }
 
 // ensureLimits gives a candidate limits to record, before the first ones are stated; the caller holds the lock.
@@ -100,11 +114,11 @@
 }
 
 // Limited returns an error if an endpoint has limits; nil otherwise.
-func (p *Pool) Limited(incarnation string) *LimitedError {
+func (p *Pool) Limited(now time.Time, incarnation string) *LimitedError {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if cand, ok := p.limited[incarnation]; ok {
-		return cand.needsPermit(Ask{})
+	if cand, ok := p.lookup(incarnation); ok {
+		return p.needsPermit(now, cand, Ask{})
 	}
 	return nil
 }
@@ -113,8 +127,8 @@
 func (p *Pool) LimitUsedUp(incarnation string, until time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if cand, ok := p.limited[incarnation]; ok {
-		cand.limits.usedUpUntil = until
+	if cand, ok := p.lookup(incarnation); ok {
+		p.ensureLimits(cand).usedUpUntil = until
 	}
 }
 
@@ -135,10 +149,10 @@
 // holds the lock.
 func (p *Pool) limitWait(now time.Time, ask Ask) (wait time.Duration, limited bool) {
 	for _, cand := range p.allowedCandidates(ask) {
-		if cand.currentLimits().IsZero() || slices.Contains(ask.Exclude, cand.incarnation) || !ask.allows(cand) || !cand.isUsable(now) {
+		if p.effectiveLimits(now, cand).IsZero() || slices.Contains(ask.Exclude, cand.incarnation) || !ask.allows(cand) || !cand.isUsable(now) {
 			continue
 		}
-		left := max(cand.limits.usedUpUntil.Sub(now), minRetryAfter)
+		left := max(p.permitWait(now, cand), minRetryAfter)
 		if !limited || left < wait {
 			wait, limited = left, true
 		}
@@ -151,7 +165,7 @@
 func (p *Place) StateLimits(now time.Time, stated chiverequest.Limits) (before chiverequest.Limits, changed bool) {
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
-	if p.candidate.limits == nil && stated.IsZero() {
+	if stated.IsZero() && !p.candidate.limits.isStated() {
 		return before, false
 	}
 	limits := p.pool.ensureLimits(p.candidate)
--- a/chiveplace/notice.go
+++ b/chiveplace/notice.go
@@ -14,6 +14,8 @@
 	leavingSince time.Time
 	// restUntil is the end of the latest rest that the endpoint has asked this node for.
 	restUntil time.Time
+	// warmAt is the latest end of a warm-up that the endpoint has stated in a response; zero if it has stated none.
+	warmAt time.Time
 	// resumed means that the endpoint has answered a request since its latest rest. Until then it gets one request in
 	// restProbeInterval, the last one at probedAt.
 	resumed  bool
@@ -28,6 +30,14 @@
 // isResting reports whether the endpoint wants no requests from this node now.
 func (n *notice) isResting(now time.Time) bool { return n != nil && now.Before(n.restUntil) }
 
+// warmUpLeft returns how much longer the endpoint is cold by its responses; 0 or less if it is not.
+func (n *notice) warmUpLeft(now time.Time) time.Duration {
+	if n == nil {
+		return 0
+	}
+	return n.warmAt.Sub(now)
+}
+
 // durations returns how long ago the endpoint first said that it is leaving and how much longer it wants no requests; 0
 // for neither.
 func (n *notice) durations(now time.Time) (leaving, rest time.Duration) {
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -102,6 +102,8 @@
 	// requests.
 	warmUpRate float64
 	nodeCount  int
+	// warmUpPermits means that requests to cold endpoints need permits also while this node knows no other one.
+	warmUpPermits bool
 	// evacuatedDomains are the failure domains whose endpoints get no requests.
 	evacuatedDomains []string
 	// byID holds the candidate of each endpoint by id.
@@ -109,7 +111,7 @@
 	// recorded holds the candidates with a record of their own by incarnation: a process that restarted under the same
 	// id has none of the cache contents, queue or measured speed of the former one.
 	recorded map[string]*candidate
-	// limited holds the candidates that have stated limits, also if they have ended, by incarnation.
+	// limited holds the candidates whose requests need or needed permits, by incarnation.
 	limited map[string]*candidate
 	brittle poolBrittleness
 	// notices holds what endpoints have stated about their processes, by incarnation.
@@ -358,7 +360,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if limited := place.candidate.needsPermit(ask); limited != nil {
+	if limited := p.needsPermit(now, place.candidate, ask); limited != nil {
 		return nil, limited
 	}
 	p.countOwn(now, place, ask.Prompt)
@@ -415,8 +417,8 @@
 			Reason: "other engines may cost less", RetryAfter: minRetryAfter, Loss: place.loss, Holder: place.holderAddress, Held: place.holderTokens,
 		}
 	}
-	if p.isWarmingUp(now, best) {
-		best.warmUp.lastPlacedAt = now
+	if ask.Permitted == "" && p.isWarmingUp(now, best) {
+		best.ensureWarmUp().lastPlacedAt = now
 	}
 	if !ask.forPeer {
 		best.notice.probe(now)
@@ -464,7 +466,7 @@
 			continue
 		}
 		switch {
-		case !cand.limitsAllow(now, ask):
+		case !p.limitsAllow(now, cand, ask):
 		case p.isWarmingUp(now, cand) && !p.warmUpAllows(now, cand, ask):
 		case cand.isUsable(now) && !cand.notice.isResting(now) && !p.reportedLeaving[cand.incarnation]:
 			usable = append(usable, cand)
@@ -577,6 +579,8 @@
 	// requests from this node; 0 for neither.
 	LeavingForMs int64 `json:"leaving_for_ms,omitempty"`
 	RestForMs    int64 `json:"rest_for_ms,omitempty"`
+	// ColdForMs is how much longer the endpoint warms up; 0 if it does not.
+	ColdForMs int64 `json:"cold_for_ms,omitempty"`
 }
 
 // States returns what is known about each endpoint, in the order of their incarnations.
@@ -587,7 +591,7 @@
 	for _, cand := range p.sorted {
 		leavingFor, restFor := cand.notice.durations(now)
 		states = append(states, EndpointState{
-			LeavingForMs: leavingFor.Milliseconds(), RestForMs: restFor.Milliseconds(),
+			LeavingForMs: leavingFor.Milliseconds(), RestForMs: restFor.Milliseconds(), ColdForMs: p.warmUpLeft(now, cand).Milliseconds(),
 			Endpoint: cand.incarnation, Address: cand.endpoint.Address, FailureDomain: cand.endpoint.FailureDomain, Ready: cand.endpoint.State == chivedirectory.Ready, Own: cand.ownRequests, Others: cand.otherRequests,
 			Waiting: cand.queuedTokens(), Errors: cand.errorRate, TookMs: cand.responseTime * 1000, Down: now.Before(cand.ejectedUntil), LimitPerSecond: cand.currentLimits().PerSecond, LimitRefusals: cand.currentLimits().Refusals,
 		})
--- a/chiveplace/warmup.go
+++ b/chiveplace/warmup.go
@@ -4,52 +4,81 @@
 	"time"
 
 	"chivedrift/chivedirectory"
+	"chivedrift/chiverequest"
 )
 
-// An endpoint that has just started accepts only a few requests a second for a while, and crashes at a rate well above
-// that. So all nodes together stay within that rate.
+// A cold endpoint, one that has just started or has become slow again, accepts only a few requests a second for a while, and
+// crashes at a rate well above that. So each request to it needs a permit of the node that issues those of the endpoint.
 
 // warmUpState is the state of an endpoint that is warming up.
 type warmUpState struct {
-	// endsAt is the end of the warm-up, lastPlacedAt when this node last placed a request on the endpoint during it.
+	// endsAt is the end of the warm-up by the directory entry, lastPlacedAt when this node last chose the endpoint without
+	// a permit during a warm-up.
 	endsAt       time.Time
 	lastPlacedAt time.Time
 }
 
 // setEndpoint applies the current directory entry of the endpoint.
 func (c *candidate) setEndpoint(now time.Time, e chivedirectory.Endpoint) {
-	before := c.warmUp
 	if e.Address != c.endpoint.Address {
 		c.goneUntil = time.Time{}
 	}
-	c.endpoint, c.warmUp = e, nil
+	c.endpoint = e
 	if e.WarmUp > 0 {
 		// The entry was written before this node learns of it, so this end is too late rather than too early.
-		c.warmUp = &warmUpState{endsAt: now.Add(e.WarmUp)}
-		if before != nil {
-			c.warmUp.lastPlacedAt = before.lastPlacedAt
-		}
+		c.ensureWarmUp().endsAt = now.Add(e.WarmUp)
+	} else if c.warmUp != nil {
+		c.warmUp.endsAt = time.Time{}
 	}
 }
 
-// isWarmingUp reports whether the endpoint accepts only a few requests for now.
-func (p *Pool) isWarmingUp(now time.Time, cand *candidate) bool {
-	return p.warmUpRate > 0 && cand.warmUp != nil && now.Before(cand.warmUp.endsAt)
+// ensureWarmUp gives a candidate the state of a warm-up, before the first write to it.
+func (c *candidate) ensureWarmUp() *warmUpState {
+	if c.warmUp == nil {
+		c.warmUp = &warmUpState{}
+	}
+	return c.warmUp
+}
+
+// left returns how much longer the endpoint warms up by its directory entry; 0 or less if it does not.
+func (w *warmUpState) left(now time.Time) time.Duration {
+	if w == nil {
+		return 0
+	}
+	return w.endsAt.Sub(now)
 }
 
-// warmUpAllows reports whether this node may place a request on an endpoint that is warming up.
+// warmUpLeft returns how much longer the endpoint is cold by the latest end that it states; 0 if it is not cold.
+func (p *Pool) warmUpLeft(now time.Time, cand *candidate) time.Duration {
+	if p.warmUpRate <= 0 {
+		return 0
+	}
+	return max(cand.warmUp.left(now), cand.notice.warmUpLeft(now), 0)
+}
+
+// isWarmingUp reports whether the endpoint accepts only a few requests for now.
+func (p *Pool) isWarmingUp(now time.Time, cand *candidate) bool { return p.warmUpLeft(now, cand) > 0 }
+
+// permitsWarmUp reports whether requests to cold endpoints need permits. A pool that no other node uses keeps to the rate by
+// itself.
+func (p *Pool) permitsWarmUp() bool { return p.warmUpPermits || p.nodeCount > 1 }
+
+// warmUpAllows reports whether an ask without a permit may choose an endpoint that is warming up. A choice by this node alone is
+// followed by a permit; one among an owner's engines is paced here, since the node that asked gets the permit.
 func (p *Pool) warmUpAllows(now time.Time, cand *candidate, ask Ask) bool {
-	nodes := float64(max(p.nodeCount, 1))
-	if ask.Among != nil {
-		// The owner of an engine grants all places on it.
-		nodes = 1
+	if ask.Permitted != "" || ask.Among == nil && p.permitsWarmUp() {
+		return true
 	}
-	interval := time.Duration(nodes / p.warmUpRate * float64(time.Second))
-	if interval > cand.endpoint.WarmUp {
-		// This node's share of the rate in so large a fleet is less than one request.
-		return false
+	return now.Sub(cand.ensureWarmUp().lastPlacedAt) >= time.Duration(float64(time.Second)/p.warmUpRate)
+}
+
+// effectiveLimits returns the limits that an endpoint states, with its rate while it is cold.
+func (p *Pool) effectiveLimits(now time.Time, cand *candidate) chiverequest.Limits {
+	limits := cand.currentLimits()
+	if p.permitsWarmUp() && p.isWarmingUp(now, cand) {
+		limits.PerSecond = lowerLimit(limits.PerSecond, p.warmUpRate)
 	}
-	return now.Sub(cand.warmUp.lastPlacedAt) >= interval
+	return limits
 }
 
 // SetWarmUpRate sets how many requests a second an endpoint accepts while it warms up; 0 means no limit.
@@ -59,9 +88,29 @@
 	p.warmUpRate = rate
 }
 
+// RequireWarmUpPermits makes every request to a cold endpoint need a permit, also while this node knows no other one.
+func (p *Pool) RequireWarmUpPermits() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.warmUpPermits = true
+}
+
 // SetNodes sets how many nodes place requests on the pool.
 func (p *Pool) SetNodes(nodes int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.nodeCount = nodes
 }
+
+// ColdEndpoints returns the number of endpoints that are warming up.
+func (p *Pool) ColdEndpoints(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := 0
+	for _, cand := range p.sorted {
+		if p.isWarmingUp(now, cand) {
+			count++
+		}
+	}
+	return count
+}
--- a/chiverate/service_test.go
+++ b/chiverate/service_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -174,3 +175,92 @@
 		}
 	})
 }
+
+// coldPermits has the services ask for permits of a cold endpoint for some time, and returns the largest number in a second.
+func (f *fleet) coldPermits(perSecond float64, duration time.Duration) (most int) {
+	granted := make(chan time.Time, 1000)
+	var asking sync.WaitGroup
+	for _, s := range f.services {
+		asking.Go(func() {
+			for end := time.Now().Add(duration); time.Now().Before(end); {
+				permit, wait := s.TakeCold(context.Background(), rateKey, chiverequest.Limits{PerSecond: perSecond})
+				if permit {
+					granted <- time.Now()
+				}
+				time.Sleep(max(wait, time.Millisecond))
+			}
+		})
+	}
+	asking.Wait()
+	var within []time.Time
+	for len(granted) > 0 {
+		within = append(within, <-granted)
+		for within[len(within)-1].Sub(within[0]) >= time.Second {
+			within = within[1:]
+		}
+		most = max(most, len(within))
+	}
+	return most
+}
+
+const (
+	coldRate = 5.8
+	// coldBound is how many requests in a second an endpoint bears at least.
+	coldBound = 13
+	// minCold is how many permits in a second a fleet gets at least while it asks all the time.
+	minCold = 5
+)
+
+// Guards against a cold endpoint that crashes because each node of a fleet that falls apart has a permit at the same moment.
+func TestIsolatedNodesStayWithinTheRateOfAColdEndpoint(t *testing.T) {
+	for _, nodes := range []int{3, 16, 30} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			withFleet(t, nodes, func(f *fleet) {
+				for i := range f.services {
+					f.setMembers(f.services[i:i+1], i, i+1)
+				}
+				if most := f.coldPermits(coldRate, 20*time.Second); most > coldBound {
+					t.Errorf("%d permits in a second, at most %d expected", most, coldBound)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a cold endpoint that crashes because each of many nodes that start at once takes itself for the whole fleet.
+func TestStartingNodesIssueNoColdPermits(t *testing.T) {
+	const nodes, settleTime = 16, time.Second
+	withFleet(t, nodes, func(f *fleet) {
+		startedAt := time.Now()
+		for i, mesh := range f.meshes {
+			f.services[i] = chiverate.New(mesh)
+			f.services[i].SetSettled(func() bool { return time.Since(startedAt) >= settleTime })
+			f.setMembers(f.services[i:i+1], i, i+1)
+		}
+		time.AfterFunc(settleTime/2, func() { f.setMembers(f.services, 0, nodes) })
+		if most := f.coldPermits(coldRate, 5*time.Second); most > coldBound || most < minCold {
+			t.Errorf("%d permits in a second, between %d and %d expected", most, minCold, coldBound)
+		}
+	})
+}
+
+// Guards against a cold endpoint that crashes because its owner and the next one, after a change of the fleet, both issue
+// permits for the whole rate.
+func TestNewOwnerStaysWithinTheRateOfAColdEndpoint(t *testing.T) {
+	const nodes = 9
+	withFleet(t, nodes, func(f *fleet) {
+		go func() {
+			for end := nodes - 1; end > 2; end-- {
+				time.Sleep(700 * time.Millisecond)
+				for i := range f.services {
+					// The nodes learn of the change one after the other.
+					f.setMembers(f.services[i:i+1], 0, end)
+					time.Sleep(30 * time.Millisecond)
+				}
+			}
+		}()
+		if most := f.coldPermits(coldRate, 8*time.Second); most > coldBound {
+			t.Errorf("%d permits in a second, at most %d expected", most, coldBound)
+		}
+	})
+}
