Endpoints that say that they are cold in their responses

Warmup-Ms in a replica's health responses was read nowhere, so that an endpoint that became cold again while the store was away got its full share and crashed. Each response that states it is read now, of health checks and of requests alike. The end is kept beside the endpoint's other statements, for one incarnation; the latest of the entry's end and the stated ones holds and passes by itself.

No health check is sent for this alone: at a look each second an endpoint gets a second of its full rate first, which is too late for those that get more than the bound, and not needed by the others.

--- a/chivedispatch/dialect.go
+++ b/chivedispatch/dialect.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"chivedrift/chiverequest"
 )
@@ -44,6 +45,9 @@
 // Notice returns none: these engines refuse requests while they are draining.
 func (dialect) Notice(*http.Response) (chiverequest.Notice, error) { return chiverequest.Notice{}, nil }
 
+// WarmUp returns none: these engines take all requests as soon as they are ready.
+func (dialect) WarmUp(http.Header) (time.Duration, error) { return 0, nil }
+
 // HealthCheck returns OPTIONS *, which has no side effects and needs no dedicated path on the endpoint.
 func (dialect) HealthCheck(http.Header, string) (method, target string) {
 	return http.MethodOptions, "*"
--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -69,6 +69,9 @@
 
 	NoticeReceived = define(413, slog.LevelInfo, "endpoint's notice received from a peer", "None; the endpoint said it on a connection that one node has opened for another.")
 
+	WarmUpStated   = define(830, slog.LevelInfo, "endpoint says that it is cold", "None; for left_ms all nodes together send it no more than warmupPerS requests a second. Find out why the endpoint has become slow if it has not just started.")
+	WarmUpReceived = define(831, slog.LevelInfo, "cold endpoint known from a peer", "None; the endpoint said it in a response to that node.")
+
 	RequestRefused  = define(500, slog.LevelWarn, "request refused", "Read the reason; under overload, check the tier and the share of the class.")
 	RequestBroken   = define(501, slog.LevelWarn, "attempt broke", "Check the endpoint if this repeats.")
 	AttemptEnded    = define(503, slog.LevelInfo, "attempt ended", "The field ended shows how the attempt ended; touched shows whether the endpoint may have run it, repeat that an earlier attempt of the request had reached an endpoint.")
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -111,6 +111,7 @@
 	if verdict == chiverequest.VerdictNotRun || verdict == chiverequest.VerdictAnswer {
 		a.recordLimits(ctx, response.Header)
 		a.recordNotice(ctx, response)
+		a.state.forwarder.recordWarmUp(ctx, a.target.ID, a.target.Incarnation, response.Header)
 	}
 	switch verdict {
 	case chiverequest.VerdictNotRun:
--- a/chiveforward/endpoint_test.go
+++ b/chiveforward/endpoint_test.go
@@ -53,6 +53,8 @@
 	return chiverequest.Notice{}, nil
 }
 
+func (headerDialect) WarmUp(http.Header) (time.Duration, error) { return 0, nil }
+
 const healthPath = "/health"
 
 func (headerDialect) HealthCheck(header http.Header, id string) (method, target string) {
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,8 @@
 	// OnNotice is called when an endpoint states something new about its process, with the address of the peer through which the
 	// response came, empty for none; nil is a no-op.
 	OnNotice func(through string, endpoint Target, notice chiverequest.Notice)
+	// OnWarmUp is called when an endpoint states that it takes only a few requests for some time; nil is a no-op.
+	OnWarmUp func(incarnation string, left time.Duration)
 	// OnStart is called once per request, when an endpoint first responds to one of its attempts; nil is a no-op.
 	OnStart func(request *chiverequest.Request)
 	Logger  *slog.Logger
@@ -171,6 +174,9 @@
 	if o.OnNotice == nil {
 		o.OnNotice = func(string, Target, chiverequest.Notice) {}
 	}
+	if o.OnWarmUp == nil {
+		o.OnWarmUp = func(string, time.Duration) {}
+	}
 	if o.PathLost == nil {
 		o.PathLost = func(string) bool { return false }
 	}
@@ -178,9 +184,13 @@
 		start := time.Now()
 		o.SinceBoot = func() time.Duration { return time.Since(start) }
 	}
-	return &Forwarder{
+	f := &Forwarder{
 		options: o, connections: newConnectionPool(o.Network, o.Self), health: chivehealth.NewChecker(o.Self, o.Network, o.Dialect), inFlight: newInFlightAttempts(), registered: newRegisteredAddresses(),
 	}
+	f.health.OnAnswer(func(e chivehealth.Endpoint, header http.Header) {
+		f.recordWarmUp(context.Background(), e.ID, e.Incarnation, header)
+	})
+	return f
 }
 
 // Start begins to close expired idle connections and to detect silent endpoints.
--- a/chiveforward/notice.go
+++ b/chiveforward/notice.go
@@ -13,10 +13,7 @@
 func (a *attempt) recordNotice(ctx context.Context, response *http.Response) {
 	f, now := a.state.forwarder, time.Now()
 	notice, err := f.options.Dialect.Notice(response)
-	if err != nil && f.invalidNotices.add(now) {
-		chiveevent.NoticeUnusable.Log(ctx, f.options.Logger, slog.String("endpoint", a.target.ID), slog.String("error", err.Error()),
-			slog.Int64("count", f.invalidNotices.count.Load()))
-	}
+	f.logUnusable(ctx, a.target.ID, err)
 	leaves, rests := a.place.StateNotice(now, notice)
 	if leaves || rests {
 		f.options.OnNotice(a.connection.through(), a.target, notice)
@@ -30,3 +27,20 @@
 			slog.Int64("rest_ms", notice.Rest.Milliseconds()))
 	}
 }
+
+// recordWarmUp records how long an endpoint stays cold by the header of a response.
+func (f *Forwarder) recordWarmUp(ctx context.Context, id, incarnation string, header http.Header) {
+	left, err := f.options.Dialect.WarmUp(header)
+	f.logUnusable(ctx, id, err)
+	if left > 0 {
+		f.options.OnWarmUp(incarnation, left)
+	}
+}
+
+// logUnusable logs what an endpoint states about its process in values that are not usable, if there are any.
+func (f *Forwarder) logUnusable(ctx context.Context, id string, err error) {
+	if err != nil && f.invalidNotices.add(time.Now()) {
+		chiveevent.NoticeUnusable.Log(ctx, f.options.Logger, slog.String("endpoint", id), slog.String("error", err.Error()),
+			slog.Int64("count", f.invalidNotices.count.Load()))
+	}
+}
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -354,6 +354,15 @@
 	return changed
 }
 
+// StateWarmUp records how much longer an endpoint, identified by its incarnation, is cold by what it has stated to this node or
+// to a peer. It reports whether that was not known.
+func (p *Pools) StateWarmUp(now time.Time, incarnation string, left time.Duration) (changed bool) {
+	for _, pool := range p.allPools() {
+		changed = pool.StateWarmUp(now, incarnation, left) || changed
+	}
+	return changed
+}
+
 // Accepts reports whether the endpoint at an address takes requests of this node.
 func (p *Pools) Accepts(address string) bool {
 	now := time.Now()
--- a/chivehealth/checker.go
+++ b/chivehealth/checker.go
@@ -78,18 +78,23 @@
 
 // Checker sends health checks, at most one at a time to each endpoint. Requests that break together share a check.
 type Checker struct {
-	self    string
-	network chivewire.Network
-	dialect chiverequest.HealthDialect
-	mu      sync.Mutex
-	checks  map[string]*Check
+	self     string
+	network  chivewire.Network
+	dialect  chiverequest.HealthDialect
+	onAnswer func(e Endpoint, header http.Header)
+	mu       sync.Mutex
+	checks   map[string]*Check
 }
 
 // NewChecker returns a checker that connects to endpoints from the address self.
 func NewChecker(self string, network chivewire.Network, dialect chiverequest.HealthDialect) *Checker {
-	return &Checker{self: self, network: network, dialect: dialect, checks: make(map[string]*Check)}
+	return &Checker{self: self, network: network, dialect: dialect, onAnswer: func(Endpoint, http.Header) {}, checks: make(map[string]*Check)}
 }
 
+// OnAnswer sets the function that is called with the header of each response of an endpoint's process, which may have started
+// since; it must be called before the first check.
+func (c *Checker) OnAnswer(handle func(e Endpoint, header http.Header)) { c.onAnswer = handle }
+
 // Start starts a check of an endpoint, or returns the current one if that is running or recent.
 func (c *Checker) Start(e Endpoint) *Check {
 	now := time.Now()
@@ -135,6 +140,9 @@
 		return classifyError(ctx, err)
 	}
 	defer response.Body.Close()
+	if response.StatusCode == http.StatusOK {
+		c.onAnswer(e, response.Header)
+	}
 	switch c.dialect.JudgeHealth(e.ID, e.Incarnation, response) {
 	case chiverequest.HealthOther:
 		return Result{Evidence: EvidenceReplaced}
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -289,10 +289,10 @@
 		Self: s.Listen.Callers, Address: s.Listen.Relay, Network: network, Region: s.Region, Regions: s.RegionOf(), Full: n.memory.Full, Logger: n.logger,
 		Accepts: pools.Accepts,
 	})
-	n.notices = chivenotice.New(chivenotice.Options{Mesh: n.mesh, State: pools.StateNotice, ConnectedFor: n.relay.ConnectedFor, Logger: n.logger})
+	n.notices = chivenotice.New(chivenotice.Options{Mesh: n.mesh, State: pools.StateNotice, StateWarmUp: pools.StateWarmUp, ConnectedFor: n.relay.ConnectedFor, Logger: n.logger})
 	forwarder := chiveforward.New(chiveforward.Options{
 		Self: s.Listen.Callers, Network: n.relay, PathLost: n.relay.IsLost, Dialect: chiveplatform.Endpoints{}, Places: pools, Repeats: n.sharedRetryBudget, Rules: chiveforward.StoreRules,
-		Quarantine: n.quarantine, Streams: n.streams, OnNotice: n.forwardNotice, OnStart: n.recordStart, SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
+		Quarantine: n.quarantine, Streams: n.streams, OnNotice: n.forwardNotice, OnWarmUp: n.recordWarmUp, OnStart: n.recordStart, SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
 	})
 	n.forwarder = forwarder
 	n.quarantine.OnFailure(forwarder.PeerFailure)
@@ -347,6 +347,15 @@
 	n.notices.Forward(through, endpoint.Incarnation, endpoint.Address, notice)
 }
 
+// recordWarmUp records how long an endpoint stays cold by its own response, and forwards it to all nodes.
+func (n *StoreNode) recordWarmUp(incarnation string, left time.Duration) {
+	if !n.pools.StateWarmUp(time.Now(), incarnation, left) {
+		return
+	}
+	chiveevent.WarmUpStated.Log(context.Background(), n.logger, slog.String("endpoint", incarnation), slog.Int64("left_ms", left.Milliseconds()))
+	n.notices.ForwardWarmUp(incarnation, left)
+}
+
 // recordStart records a request for the usage reports when an endpoint first answers it.
 func (n *StoreNode) recordStart(request *chiverequest.Request) {
 	if n.usage != nil && request.Team != "" {
@@ -369,6 +378,7 @@
 		n.evacuation.SetMembers(members)
 		n.rates.SetMembers(members)
 		n.relay.SetMembers(members)
+		n.notices.SetMembers(members)
 		n.grants.SetMembers(members)
 		n.loads.SetMembers(members)
 		n.gossip.SetMembers(members)
--- a/chivenotice/service.go
+++ b/chivenotice/service.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"chivedrift/chiveevent"
+	"chivedrift/chivemember"
 	"chivedrift/chiverequest"
 	"chivedrift/chivewire"
 )
@@ -23,26 +25,47 @@
 	RestMs int64
 }
 
+// WarmUp states to peers how long an endpoint stays cold.
+type WarmUp struct {
+	// Endpoint is the key of the endpoint's incarnation.
+	Endpoint string
+	// LeftMs is in milliseconds.
+	LeftMs int64
+}
+
 // Options are the dependencies of the service.
 type Options struct {
 	Mesh *chivewire.Mesh
 	// State records a notice of an incarnation as one to this node, and reports whether it was not known.
 	State func(now time.Time, incarnation string, notice chiverequest.Notice) bool
+	// StateWarmUp records how long an incarnation stays cold, and reports whether that was not known.
+	StateWarmUp func(now time.Time, incarnation string, left time.Duration) bool
 	// ConnectedFor returns the peers for which this node has connections to an endpoint's address open.
 	ConnectedFor func(address string) []string
 	Logger       *slog.Logger
 }
 
 // Service forwards notices to the peers that they concern.
-type Service struct{ options Options }
+type Service struct {
+	options Options
+	peers   atomic.Pointer[[]string]
+}
 
 // New returns a service that receives notices from peers.
 func New(o Options) *Service {
 	s := &Service{options: o}
+	s.peers.Store(&[]string{})
 	chivewire.Receive(o.Mesh, chivewire.KindEndpointNotice, s.receive)
+	chivewire.Receive(o.Mesh, chivewire.KindEndpointWarmUp, s.receiveWarmUp)
 	return s
 }
 
+// SetMembers sets the members of the fleet.
+func (s *Service) SetMembers(members []chivemember.Member) {
+	peers := chivemember.Partners(s.options.Mesh.Self(), chivemember.AddressesByHash(members))
+	s.peers.Store(&peers)
+}
+
 // Start does nothing: notices are forwarded by the goroutines that read them.
 func (s *Service) Start(context.Context) error { return nil }
 
@@ -62,6 +85,25 @@
 	s.notifyUsers(through, m)
 }
 
+// ForwardWarmUp sends how long an endpoint stays cold to all nodes, each of which may send requests there. If a message is lost,
+// the endpoint states it again in its next response.
+func (s *Service) ForwardWarmUp(incarnation string, left time.Duration) {
+	for _, peer := range *s.peers.Load() {
+		_ = s.options.Mesh.Send(peer, chivewire.KindEndpointWarmUp, WarmUp{Endpoint: incarnation, LeftMs: left.Milliseconds()})
+	}
+}
+
+// receiveWarmUp applies how long an endpoint stays cold by what a peer knows.
+func (s *Service) receiveWarmUp(from string, w WarmUp) {
+	if w.LeftMs <= 0 || w.LeftMs > chiverequest.MaxWarmUp.Milliseconds() {
+		return
+	}
+	if s.options.StateWarmUp(time.Now(), w.Endpoint, time.Duration(w.LeftMs)*time.Millisecond) {
+		chiveevent.WarmUpReceived.Log(context.Background(), s.options.Logger, slog.String("endpoint", w.Endpoint), slog.String("peer", from),
+			slog.Int64("left_ms", w.LeftMs))
+	}
+}
+
 // receive applies a notice that a peer forwards.
 func (s *Service) receive(from string, m Message) {
 	rest := time.Duration(min(max(m.RestMs, 0), chiverequest.MaxRest.Milliseconds())) * time.Millisecond
--- a/chivenotice/service_test.go
+++ b/chivenotice/service_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"chivedrift/chivemember"
 	"chivedrift/chivenotice"
 	"chivedrift/chiverequest"
 	"chivedrift/chivestand"
@@ -23,6 +24,7 @@
 	service *chivenotice.Service
 	mu      sync.Mutex
 	stated  []chiverequest.Notice
+	cold    []time.Duration
 	// users are the peers for which the node has connections open.
 	users []string
 }
@@ -40,6 +42,19 @@
 	return n.stated
 }
 
+func (n *node) stateWarmUp(_ time.Time, _ string, left time.Duration) (changed bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cold = append(n.cold, left)
+	return true
+}
+
+func (n *node) coldFor() []time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cold
+}
+
 func address(i int) string { return fmt.Sprintf("10.0.0.%d:82", i+1) }
 
 // withNodes runs a test with services whose meshes reach each other.
@@ -51,7 +66,7 @@
 		for i := range count {
 			n := &node{mesh: chivewire.NewMesh(address(i), network)}
 			n.service = chivenotice.New(chivenotice.Options{
-				Mesh: n.mesh, State: n.state, ConnectedFor: func(string) []string { return n.users }, Logger: slog.New(slog.DiscardHandler),
+				Mesh: n.mesh, State: n.state, StateWarmUp: n.stateWarmUp, ConnectedFor: func(string) []string { return n.users }, Logger: slog.New(slog.DiscardHandler),
 			})
 			if err := n.mesh.Start(context.Background()); err != nil {
 				t.Fatal(err)
@@ -99,3 +114,27 @@
 		}
 	})
 }
+
+// Guards against nodes that send a cold endpoint too many requests since it stated that it is cold to another one, and against
+// values of a peer that keep most requests from an endpoint for good.
+func TestAllNodesAreNotifiedOfAColdEndpoint(t *testing.T) {
+	withNodes(t, 4, func(nodes []*node) {
+		var members []chivemember.Member
+		for i := range nodes {
+			members = append(members, chivemember.Member{Name: address(i), Address: address(i), State: chivemember.Alive})
+		}
+		nodes[0].service.SetMembers(members)
+		nodes[0].service.ForwardWarmUp("e0", 3*time.Second)
+		for _, ms := range []int64{-1, 0, 1 << 62} {
+			if err := nodes[0].mesh.Send(address(1), chivewire.KindEndpointWarmUp, chivenotice.WarmUp{Endpoint: "e0", LeftMs: ms}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Second)
+		for i, n := range nodes[1:] {
+			if cold := n.coldFor(); len(cold) != 1 || cold[0] != 3*time.Second {
+				t.Errorf("node %d received %v", i+1, cold)
+			}
+		}
+	})
+}
--- a/chiveplace/warmup.go
+++ b/chiveplace/warmup.go
@@ -81,6 +81,26 @@
 	return limits
 }
 
+// warmUpTolerance is the difference up to which two ends that an endpoint states are one: responses take different times.
+const warmUpTolerance = 250 * time.Millisecond
+
+// StateWarmUp records how much longer an endpoint is cold by what it has stated to this node or to a peer; the latest end holds.
+// It reports whether that was not known. Statements of unknown incarnations are ignored.
+func (p *Pool) StateWarmUp(now time.Time, incarnation string, left time.Duration) (changed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cand, listed := p.lookup(incarnation)
+	if !listed {
+		return false
+	}
+	n, warmAt := p.ensureNotice(now, incarnation), now.Add(left)
+	changed = left > max(cand.warmUp.left(now), n.warmUpLeft(now), 0)+warmUpTolerance
+	if warmAt.After(n.warmAt) {
+		n.warmAt = warmAt
+	}
+	return changed
+}
+
 // SetWarmUpRate sets how many requests a second an endpoint accepts while it warms up; 0 means no limit.
 func (p *Pool) SetWarmUpRate(rate float64) {
 	p.mu.Lock()
--- a/chiveplace/warmup_test.go
+++ b/chiveplace/warmup_test.go
@@ -132,3 +132,41 @@
 		}
 	})
 }
+
+// Guards against an endpoint that crashes because what it states in its responses is lost with a change of its directory entry,
+// and against a new process that gets few requests because of what the one before it stated.
+func TestStatedWarmUpHoldsForOneProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := chiveplace.NewPool("z0")
+		pool.SetWarmUpRate(warmUpRate)
+		pool.RequireWarmUpPermits()
+		e := chivedirectory.Endpoint{ID: "e0", Pool: "p", Born: 1, WarmUp: time.Second}
+		list := func() { pool.ApplyEndpoints(chivedirectory.Diff{Changed: []chivedirectory.Endpoint{e}}) }
+		check := func(when string, cold int) {
+			t.Helper()
+			if got := pool.ColdEndpoints(time.Now()); got != cold {
+				t.Errorf("%s: %d cold endpoints, want %d", when, got, cold)
+			}
+		}
+		list()
+		key := e.Incarnation().Key()
+		if pool.StateWarmUp(time.Now(), key, time.Second) || !pool.StateWarmUp(time.Now(), key, 3*time.Second) || pool.StateWarmUp(time.Now(), key, 3*time.Second) {
+			t.Error("only an end that is later than the known ones is new")
+		}
+		e.WarmUp = 0
+		list()
+		pool.ApplyEndpoints(chivedirectory.Diff{Gone: []chivedirectory.Endpoint{e}})
+		list()
+		time.Sleep(2 * time.Second)
+		check("after its entry was back", 1)
+		time.Sleep(2 * time.Second)
+		check("after the end", 0)
+		pool.StateWarmUp(time.Now(), key, 3*time.Second)
+		e.Born = 2
+		list()
+		check("after a restart", 0)
+		if pool.StateWarmUp(time.Now(), key, 3*time.Second) {
+			t.Error("a late statement of the process before was new")
+		}
+	})
+}
--- a/chiverequest/request.go
+++ b/chiverequest/request.go
@@ -99,4 +99,7 @@
 	// Notice returns what a response states about the endpoint's process. The error describes values that are not usable;
 	// the others count all the same.
 	Notice(response *http.Response) (Notice, error)
+	// WarmUp returns how much longer the endpoint takes only a few requests, by the header of a response; 0 for none. The
+	// error describes a value that is not usable.
+	WarmUp(header http.Header) (time.Duration, error)
 }
