Owners grant engines with a stated rate no faster than that rate

An owner granted an engine with a stated limit to every node that asked. The owner now paces its grants by the stated rate as by that of a cold engine.

TestOwnerGrantsAtTheRateThatAnEndpointStates failed before (200 grants in two seconds, about 6.4 expected).

--- a/chiveplace/candidate.go
+++ b/chiveplace/candidate.go
@@ -44,7 +44,7 @@
 	goneUntil time.Time
 	// notice is nil for an endpoint that has stated nothing about its process.
 	notice *notice
-	// warmUp is nil for an endpoint that was never warming up.
+	// warmUp is nil for an endpoint that never warmed up or stated a rate.
 	warmUp *warmUpState
 	// record is the pool's emptyRecord until the first request or report for this endpoint: in a large fleet most nodes
 	// never use most endpoints.
--- a/chiveplace/limit_test.go
+++ b/chiveplace/limit_test.go
@@ -155,3 +155,28 @@
 		}
 	})
 }
+
+// Guards against an owner of engines that counts places as taken for which the nodes that asked got no permit, and that has no
+// place left while the endpoint could take requests.
+func TestOwnerGrantsAtTheRateThatAnEndpointStates(t *testing.T) {
+	const perSecond = 3.2
+	synctest.Test(t, func(t *testing.T) {
+		pool := newWarmUpPool(16, 0, 1)
+		place, err := pool.Take(time.Now(), chiveplace.Ask{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		place.StateLimits(time.Now(), chiverequest.Limits{PerSecond: perSecond})
+		place.Done(time.Now(), chiveplace.EndedWell)
+		granted := 0
+		for i := range 200 {
+			if _, err := pool.Grant(time.Now(), "n", uint64(i+1), chiveplace.Ask{Among: []string{"e0"}}); err == nil {
+				granted++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if float64(granted) < 2*perSecond-1 || float64(granted) > 2*perSecond+1 {
+			t.Errorf("%d places were granted in two seconds, want about %.1f", granted, 2*perSecond)
+		}
+	})
+}
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -417,7 +417,7 @@
 			Reason: "other engines may cost less", RetryAfter: minRetryAfter, Loss: place.loss, Holder: place.holderAddress, Held: place.holderTokens,
 		}
 	}
-	if ask.Permitted == "" && p.isWarmingUp(now, best) {
+	if ask.Permitted == "" && p.hasRate(now, best) {
 		best.ensureWarmUp().lastPlacedAt = now
 	}
 	if !ask.forPeer {
@@ -467,7 +467,7 @@
 		}
 		switch {
 		case !p.limitsAllow(now, cand, ask):
-		case p.isWarmingUp(now, cand) && !p.warmUpAllows(now, cand, ask):
+		case !p.paceAllows(now, cand, ask):
 		case cand.isUsable(now) && !cand.notice.isResting(now) && !p.reportedLeaving[cand.incarnation]:
 			usable = append(usable, cand)
 		default:
--- a/chiveplace/warmup.go
+++ b/chiveplace/warmup.go
@@ -10,10 +10,10 @@
 // A cold endpoint, one that has just started or has become slow again, accepts only a few requests a second for a while, and
 // crashes at a rate well above that. So each request to it needs a permit of the node that issues those of the endpoint.
 
-// warmUpState is the state of an endpoint that is warming up.
+// warmUpState is the state of an endpoint that warms up or states a rate.
 type warmUpState struct {
-	// endsAt is the end of the warm-up by the directory entry, lastPlacedAt when this node last chose the endpoint without
-	// a permit during a warm-up.
+	// endsAt is the end of the warm-up by the directory entry, lastPlacedAt when this node last chose the endpoint by its
+	// rate without a permit.
 	endsAt       time.Time
 	lastPlacedAt time.Time
 }
@@ -63,13 +63,21 @@
 // itself.
 func (p *Pool) permitsWarmUp() bool { return p.warmUpPermits || p.nodeCount > 1 }
 
-// warmUpAllows reports whether an ask without a permit may choose an endpoint that is warming up. A choice by this node alone is
-// followed by a permit; one among an owner's engines is paced here, since the node that asked gets the permit.
-func (p *Pool) warmUpAllows(now time.Time, cand *candidate, ask Ask) bool {
-	if ask.Permitted != "" || ask.Among == nil && p.permitsWarmUp() {
+// paceAllows reports whether an ask without a permit may choose an endpoint by its rate. A choice by this node alone is followed
+// by a permit. A choice among an owner's engines is paced here: the node that asked may get no permit, and its place would count
+// as taken for a while.
+func (p *Pool) paceAllows(now time.Time, cand *candidate, ask Ask) bool {
+	if ask.Permitted != "" {
 		return true
 	}
-	return now.Sub(cand.ensureWarmUp().lastPlacedAt) >= time.Duration(float64(time.Second)/p.warmUpRate)
+	rate := 0.0
+	if ask.Among != nil {
+		rate = cand.currentLimits().PerSecond
+	}
+	if (ask.Among != nil || !p.permitsWarmUp()) && p.isWarmingUp(now, cand) {
+		rate = lowerLimit(rate, p.warmUpRate)
+	}
+	return rate == 0 || cand.warmUp == nil || now.Sub(cand.warmUp.lastPlacedAt) >= time.Duration(float64(time.Second)/rate)
 }
 
 // effectiveLimits returns the limits that an endpoint states, with its rate while it is cold.
@@ -84,6 +92,11 @@
 // warmUpTolerance is the difference up to which two ends that an endpoint states are one: responses take different times.
 const warmUpTolerance = 250 * time.Millisecond
 
+// hasRate reports whether the endpoint takes only some number of requests a second.
+func (p *Pool) hasRate(now time.Time, cand *candidate) bool {
+	return cand.currentLimits().PerSecond > 0 || p.isWarmingUp(now, cand)
+}
+
 // StateWarmUp records how much longer an endpoint is cold by what it has stated to this node or to a peer; the latest end holds.
 // It reports whether that was not known. Statements of unknown incarnations are ignored.
 func (p *Pool) StateWarmUp(now time.Time, incarnation string, left time.Duration) (changed bool) {
