Permits leave out the part that an earlier release takes of a cold endpoint's rate

Beside nodes of the release before, whose even parts need no permit, permits for the whole rate exceeded it. Nodes announce to each other that they use permits (kind 165, to members not known to; fleets of up to 64, in larger ones the part of a node of the release before is none). An ask for a cold endpoint states the rate without the part of those that did not.

--- a/chiverate/service.go
+++ b/chiverate/service.go
@@ -27,11 +27,6 @@
 	// bucketIdleTimeout is how long an unused bucket is kept. A new one starts empty, so this must be longer than the
 	// time between two requests at the lowest rate.
 	bucketIdleTimeout = 10 * time.Minute
-	// minColdShare is the least share of the fleet that a side of a partition must have to issue permits for cold endpoints.
-	// Each side may hold a permit that is issued at once, whatever its share of the rate.
-	minColdShare = 0.2
-	// unsettledWait is how long a node that does not know the fleet yet waits for a permit of a cold endpoint.
-	unsettledWait = 100 * time.Millisecond
 	// maxBuckets is the number of buckets above which unused ones are evicted.
 	maxBuckets = 4096
 )
@@ -80,6 +75,7 @@
 	members atomic.Pointer[[]chivemember.Member]
 	// settled reports whether this node knows the fleet.
 	settled func() bool
+	users   permitUsers
 
 	granted, denied, unanswered atomic.Int64
 
@@ -90,20 +86,19 @@
 
 // New returns a service without buckets, in a fleet of one node.
 func New(mesh *chivewire.Mesh) *Service {
-	s := &Service{mesh: mesh, calls: chivewire.NewCalls[Answer](), settled: func() bool { return true }, buckets: make(map[string]*Bucket), peak: chivemember.NewPeakSize(time.Now())}
+	s := &Service{mesh: mesh, calls: chivewire.NewCalls[Answer](), settled: func() bool { return true }, users: permitUsers{self: mesh.Self(), known: map[string]bool{mesh.Self(): true}}, buckets: make(map[string]*Bucket), peak: chivemember.NewPeakSize(time.Now())}
 	s.members.Store(&[]chivemember.Member{})
 	chivewire.Receive(mesh, chivewire.KindRateAsk, s.respond)
 	chivewire.Receive(mesh, chivewire.KindRateRelease, s.applyRelease)
+	chivewire.Receive(mesh, chivewire.KindPermitUser, s.receiveGreeting)
 	chivewire.Receive(mesh, chivewire.KindRateAnswer, func(_ string, answer Answer) { s.calls.Deliver(answer.Number, answer) })
 	return s
 }
 
-// SetSettled sets the function that reports whether this node knows the fleet; it must be called before the first request.
-func (s *Service) SetSettled(settled func() bool) { s.settled = settled }
-
 // SetMembers applies a membership change.
 func (s *Service) SetMembers(members []chivemember.Member) {
 	s.members.Store(&members)
+	s.greet(members)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.peak.Set(time.Now(), len(members))
@@ -165,25 +160,6 @@
 	return s.count(answer.Granted, time.Duration(answer.WaitUs)*time.Microsecond)
 }
 
-// TakeCold is Take for an endpoint that crashes above its rate since it is cold. There is no permit on a node that does not
-// know the fleet yet, which may take itself for the owner, nor on a small side of a partition.
-func (s *Service) TakeCold(ctx context.Context, key string, limits chiverequest.Limits) (granted bool, wait time.Duration) {
-	if !s.settled() {
-		return s.count(false, unsettledWait)
-	}
-	if alive, peak := s.fleet(); float64(alive) < minColdShare*float64(peak) {
-		return s.count(false, ownerBackoff)
-	}
-	return s.Take(ctx, key, limits)
-}
-
-// fleet returns the number of members and the largest recent one.
-func (s *Service) fleet() (alive, peak int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return max(len(*s.members.Load()), 1), s.peak.Size()
-}
-
 // count counts the outcome of a request for a permit and bounds its wait.
 func (s *Service) count(granted bool, wait time.Duration) (bool, time.Duration) {
 	if granted {
--- a/chiverate/service_test.go
+++ b/chiverate/service_test.go
@@ -176,8 +176,9 @@
 	})
 }
 
-// coldPermits has the services ask for permits of a cold endpoint for some time, and returns the largest number in a second.
-func (f *fleet) coldPermits(perSecond float64, duration time.Duration) (most int) {
+// coldPermits has the services ask for permits of a cold endpoint for some time, and returns the largest number in a second and
+// the number in all.
+func (f *fleet) coldPermits(perSecond float64, duration time.Duration) (most, total int) {
 	granted := make(chan time.Time, 1000)
 	var asking sync.WaitGroup
 	for _, s := range f.services {
@@ -192,6 +193,7 @@
 		})
 	}
 	asking.Wait()
+	total = len(granted)
 	var within []time.Time
 	for len(granted) > 0 {
 		within = append(within, <-granted)
@@ -200,7 +202,7 @@
 		}
 		most = max(most, len(within))
 	}
-	return most
+	return most, total
 }
 
 const (
@@ -219,7 +221,7 @@
 				for i := range f.services {
 					f.setMembers(f.services[i:i+1], i, i+1)
 				}
-				if most := f.coldPermits(coldRate, 20*time.Second); most > coldBound {
+				if most, _ := f.coldPermits(coldRate, 20*time.Second); most > coldBound {
 					t.Errorf("%d permits in a second, at most %d expected", most, coldBound)
 				}
 			})
@@ -238,7 +240,7 @@
 			f.setMembers(f.services[i:i+1], i, i+1)
 		}
 		time.AfterFunc(settleTime/2, func() { f.setMembers(f.services, 0, nodes) })
-		if most := f.coldPermits(coldRate, 5*time.Second); most > coldBound || most < minCold {
+		if most, _ := f.coldPermits(coldRate, 5*time.Second); most > coldBound || most < minCold {
 			t.Errorf("%d permits in a second, between %d and %d expected", most, minCold, coldBound)
 		}
 	})
@@ -259,8 +261,32 @@
 				}
 			}
 		}()
-		if most := f.coldPermits(coldRate, 8*time.Second); most > coldBound {
+		if most, _ := f.coldPermits(coldRate, 8*time.Second); most > coldBound {
 			t.Errorf("%d permits in a second, at most %d expected", most, coldBound)
 		}
 	})
 }
+
+// Guards against a cold endpoint that crashes because nodes of an earlier release take their even parts of its rate beside the
+// permits for the whole of it.
+func TestPermitsLeaveOutThePartOfAnEarlierRelease(t *testing.T) {
+	const nodes, earlier, duration = 8, 3, 20 * time.Second
+	withFleet(t, nodes, func(f *fleet) {
+		// The messages of the services that are replaced have arrived.
+		time.Sleep(time.Second)
+		for i, mesh := range f.meshes {
+			f.services[i] = chiverate.New(mesh)
+			if i < earlier {
+				chivewire.Receive(mesh, chivewire.KindPermitUser, func(string, chiverate.PermitUser) {})
+			}
+		}
+		f.services = f.services[earlier:]
+		f.setMembers(f.services, 0, nodes)
+		time.Sleep(time.Second)
+		_, total := f.coldPermits(coldRate, duration)
+		granted := float64(total)
+		if most := coldRate * duration.Seconds() * (nodes - earlier) / nodes; granted > most+burst || granted < 0.8*most {
+			t.Errorf("%.0f permits in %v, about %.0f expected", granted, duration, most)
+		}
+	})
+}
--- a/chivewire/kind.go
+++ b/chivewire/kind.go
@@ -95,6 +95,7 @@
 	KindEndpointNotice Kind = 152
 
 	KindEndpointWarmUp Kind = 164
+	KindPermitUser     Kind = 165
 
 	KindPlaceAsk    Kind = 104
 	KindPlaceAnswer Kind = 105
@@ -124,7 +125,7 @@
 	KindRateAsk: "rate_ask", KindRateAnswer: "rate_answer", KindRateRelease: "rate_release",
 	KindVersionsAsk: "versions_ask", KindVersions: "versions",
 	KindStreamBegun: "stream_begun", KindStreamAsk: "stream_ask", KindStreamAnswer: "stream_answer",
-	KindEndpointNotice: "endpoint_notice", KindEndpointWarmUp: "endpoint_warm_up",
+	KindEndpointNotice: "endpoint_notice", KindEndpointWarmUp: "endpoint_warm_up", KindPermitUser: "permit_user",
 }
 
 // String returns the name of the kind used in metrics and state dumps.
