Callers return by the room of cold endpoints

Where all endpoints of a pool are cold, a refused caller was told to return after 200 to 300 ms, whatever was refused beside it, and came back in vain with all the others. The time to return is now spread over the first warm-up that ends (5 s at most), by the share of this node's requests that are refused: with few of them it stays 200 ms.

TestCallersReturnByTheRoomOfColdEndpoints: 40 refused and 2 served return after 1 to 2 s in the mean with 3 s of warm-up, 2 refused beside 40 after 200 ms; the function is new, so the test did not run before it.

--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -423,7 +423,7 @@
 			return pooledPlace{place, p.rates, p.versionOf(place.Endpoint().Incarnation().Key())}, nil
 		}
 		if time.Now().After(deadline) {
-			return nil, err
+			return nil, withColdRetry(pool, ask, err)
 		}
 		interval := localPollInterval
 		if asked {
@@ -437,6 +437,21 @@
 	}
 }
 
+// withColdRetry returns the error of a refused request with the time to return if all endpoints are cold.
+func withColdRetry(pool *chiveplace.Pool, ask chiveplace.Ask, err error) error {
+	var refused *chiveplace.RefusedError
+	if !errors.As(err, &refused) {
+		return err
+	}
+	retryAfter, allCold := pool.ColdRetryAfter(time.Now(), ask)
+	if !allCold {
+		return err
+	}
+	spread := *refused
+	spread.RetryAfter = retryAfter
+	return &spread
+}
+
 // pooledPlace implements Place for an endpoint of a pool.
 type pooledPlace struct {
 	*chiveplace.Place
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -104,6 +104,8 @@
 	nodeCount  int
 	// placements counts the requests that this node has placed on the pool.
 	placements rateCounter
+	// coldRefusals counts this node's requests that were refused while all endpoints were cold.
+	coldRefusals rateCounter
 	// warmUpPermits means that requests to cold endpoints need permits also while this node knows no other one.
 	warmUpPermits bool
 	// evacuatedDomains are the failure domains whose endpoints get no requests.
--- a/chiveplace/warmup.go
+++ b/chiveplace/warmup.go
@@ -32,6 +32,31 @@
 	}
 }
 
+// maxColdRetryAfter bounds when a caller returns that was refused because all endpoints are cold.
+const maxColdRetryAfter = 5 * time.Second
+
+// ColdRetryAfter returns when a caller should return that is refused now, if all endpoints that its ask allows are cold; false
+// otherwise. The more are refused, the later they return, up to the end of the first warm-up.
+func (p *Pool) ColdRetryAfter(now time.Time, ask Ask) (retryAfter time.Duration, allCold bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	left := maxColdRetryAfter
+	for _, cand := range p.allowedCandidates(ask) {
+		if !p.isEligible(now, cand, ask) {
+			continue
+		}
+		coldFor := p.warmUpLeft(now, cand)
+		if coldFor == 0 {
+			return 0, false
+		}
+		left, allCold = min(left, coldFor), true
+	}
+	p.coldRefusals.add(now)
+	refused, served := p.coldRefusals.perSecond(now), p.placements.perSecond(now)
+	spread := p.rng.Float64() * refused / (refused + served)
+	return max(time.Duration(spread*float64(left)), minRetryAfter), allCold
+}
+
 // rateCounter counts events by the second.
 type rateCounter struct {
 	since         time.Time
--- a/chiveplace/warmup_test.go
+++ b/chiveplace/warmup_test.go
@@ -195,3 +195,37 @@
 		}
 	})
 }
+
+// Guards against callers that all return at once, and again in vain, while all endpoints are cold, and against a long wait of
+// those few that find no permit.
+func TestCallersReturnByTheRoomOfColdEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct {
+			refused, served int
+			least, most     time.Duration
+		}{{40, 2, time.Second, 2 * time.Second}, {2, 40, 200 * time.Millisecond, 210 * time.Millisecond}} {
+			pool := newWarmUpPool(16, 0, 2)
+			for range c.served {
+				if _, err := pool.Take(time.Now(), chiveplace.Ask{}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			pool.StateWarmUp(time.Now(), "e0", warmUp)
+			if _, allCold := pool.ColdRetryAfter(time.Now(), chiveplace.Ask{}); allCold {
+				t.Error("one of two endpoints is warm")
+			}
+			pool.StateWarmUp(time.Now(), "e1", warmUp)
+			sum := time.Duration(0)
+			for range c.refused {
+				retryAfter, allCold := pool.ColdRetryAfter(time.Now(), chiveplace.Ask{})
+				if !allCold || retryAfter > warmUp {
+					t.Errorf("return after %v, all cold: %v", retryAfter, allCold)
+				}
+				sum += retryAfter
+			}
+			if mean := sum / time.Duration(c.refused); mean < c.least || mean > c.most {
+				t.Errorf("%d refused and %d served: return after %v in the mean, want %v to %v", c.refused, c.served, mean, c.least, c.most)
+			}
+		}
+	})
+}
