Traffic returns in proportion after an evacuation

When the evacuation of a failure domain ended, the next request of every node went to its idle endpoints: 24 nodes, 120 requests a second, six plain endpoints, two of them returning: 19 to 22 requests in 250 ms at each of these, where the others had 7 on average. They now take part in a growing share of each node's choices, up to their share of the endpoints after 1.5 s and up to all after 3 s.

TestTrafficReturnsInProportionAfterAnEvacuation failed before (20 to 22 in 250 ms; 6 nodes passed, 8 to 10); now at most 7 to 11 in 8 plays, and 40 in two seconds afterwards.

--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -110,6 +110,8 @@
 	warmUpPermits bool
 	// evacuatedDomains are the failure domains whose endpoints get no requests.
 	evacuatedDomains []string
+	// returnedAt is when the evacuation of a failure domain ended, for those that ended lately.
+	returnedAt map[string]time.Time
 	// byID holds the candidate of each endpoint by id.
 	byID map[string]*candidate
 	// recorded holds the candidates with a record of their own by incarnation: a process that restarted under the same
@@ -158,7 +160,7 @@
 
 // NewSeededPool returns a pool whose random choices follow from a seed, so that an experiment can be repeated.
 func NewSeededPool(domain string, seed uint64) *Pool {
-	return &Pool{localDomain: domain, onChange: func() {}, byID: make(map[string]*candidate), recorded: make(map[string]*candidate), limited: make(map[string]*candidate), notices: make(map[string]*notice), emptyRecord: newRecord(0), responseTime: defaultResponseTime, ttft: newTTFTPredictor(), rng: rand.New(rand.NewPCG(seed, 0))}
+	return &Pool{localDomain: domain, onChange: func() {}, byID: make(map[string]*candidate), recorded: make(map[string]*candidate), limited: make(map[string]*candidate), notices: make(map[string]*notice), returnedAt: make(map[string]time.Time), emptyRecord: newRecord(0), responseTime: defaultResponseTime, ttft: newTTFTPredictor(), rng: rand.New(rand.NewPCG(seed, 0))}
 }
 
 // OnChange sets the function that is called when there is a change to report to the other nodes, such as the start, the
@@ -180,6 +182,7 @@
 func (p *Pool) SetEvacuated(domains []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.noteReturned(time.Now(), domains)
 	p.evacuatedDomains = domains
 }
 
@@ -462,7 +465,7 @@
 	allowed := p.allowedCandidates(ask)
 	usable = make([]*candidate, 0, len(allowed))
 	slots := slotLimit(p.engine.Slots, ask.Prompt)
-	var ejected []*candidate
+	var ejected, returning []*candidate
 	for _, cand := range allowed {
 		if !p.isEligible(now, cand, ask) {
 			continue
@@ -475,11 +478,16 @@
 		case !p.limitsAllow(now, cand, ask):
 		case !p.paceAllows(now, cand, ask):
 		case cand.isUsable(now) && !cand.notice.isResting(now) && !p.reportedLeaving[cand.incarnation]:
-			usable = append(usable, cand)
+			if p.returnedPart(now, cand) < 1 {
+				returning = append(returning, cand)
+			} else {
+				usable = append(usable, cand)
+			}
 		default:
 			ejected = append(ejected, cand)
 		}
 	}
+	usable = p.admitReturning(now, usable, returning)
 	if len(usable) == 0 {
 		usable = ejected
 	}
