Cold endpoints: new processes are used at once, no permit without a rate service

A process that started while its pool was busy was held back for a second as if it had been in use; only one that was there before is now (the extended TestBusyEndpointRestsWhenItBecomesCold failed before). Pools without a rate service granted every permit of a cold endpoint; they grant none. Refusals are counted as those of a cold pool only where all endpoints are cold. The text of event 830 named a field of the platform.

--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -69,7 +69,7 @@
 
 	NoticeReceived = define(413, slog.LevelInfo, "endpoint's notice received from a peer", "None; the endpoint said it on a connection that one node has opened for another.")
 
-	WarmUpStated   = define(830, slog.LevelInfo, "endpoint says that it is cold", "None; for left_ms all nodes together send it no more than warmupPerS requests a second. Find out why the endpoint has become slow if it has not just started.")
+	WarmUpStated   = define(830, slog.LevelInfo, "endpoint says that it is cold", "None; for left_ms all nodes together keep to the rate that its pool has for cold endpoints. Find out why the endpoint has become slow if it has not just started.")
 	WarmUpReceived = define(831, slog.LevelInfo, "cold endpoint known from a peer", "None; the endpoint said it in a response to that node.")
 
 	RequestRefused  = define(500, slog.LevelWarn, "request refused", "Read the reason; under overload, check the tier and the share of the class.")
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -312,7 +312,7 @@
 // takePermit asks for a permit for an endpoint with limits; see Rates.Take.
 func (p *Pools) takePermit(ctx context.Context, limited *chiveplace.LimitedError) (granted bool, wait time.Duration) {
 	if p.rates == nil {
-		return true, 0
+		return !limited.Cold, localPollInterval
 	}
 	if limited.Cold {
 		return p.rates.TakeCold(ctx, limitsKey(limited.Endpoint), limited.Limits)
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -217,6 +217,8 @@
 			p.add(cand)
 			p.assumeLimits(time.Now(), cand)
 			p.attachNotice(cand)
+			cand.setEndpoint(time.Now(), e)
+			continue
 		}
 		now := time.Now()
 		p.changeWarmUp(now, cand, func() { cand.setEndpoint(now, e) })
--- a/chiveplace/warmup.go
+++ b/chiveplace/warmup.go
@@ -51,10 +51,13 @@
 		}
 		left, allCold = min(left, coldFor), true
 	}
+	if !allCold {
+		return 0, false
+	}
 	p.coldRefusals.add(now)
 	refused, served := p.coldRefusals.perSecond(now), p.placements.perSecond(now)
 	spread := p.rng.Float64() * refused / (refused + served)
-	return max(time.Duration(spread*float64(left)), minRetryAfter), allCold
+	return max(time.Duration(spread*float64(left)), minRetryAfter), true
 }
 
 // rateCounter counts events by the second.
--- a/chiveplace/warmup_test.go
+++ b/chiveplace/warmup_test.go
@@ -193,6 +193,10 @@
 		if _, err := pool.Take(time.Now(), chiveplace.Ask{}); !errors.As(err, &limited) || !limited.Cold {
 			t.Errorf("after a second: %v, want the limit of a cold endpoint", err)
 		}
+		pool.ApplyEndpoints(chivedirectory.Diff{Changed: []chivedirectory.Endpoint{{ID: "e0", Pool: "p", Slots: 32, Born: 2, WarmUp: warmUp}}})
+		if _, err := pool.Take(time.Now(), chiveplace.Ask{}); !errors.As(err, &limited) {
+			t.Errorf("a new process: %v, want the limit of a cold endpoint", err)
+		}
 	})
 }
 
