A permit and a grant may wait for their requests

An owner's grants and the permits of the same endpoint ran out of step: a grant that came a little late, or found that another node had just taken the permit, lost a whole interval.

--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -428,8 +428,8 @@
 			Reason: "other engines may cost less", RetryAfter: minRetryAfter, Loss: place.loss, Holder: place.holderAddress, Held: place.holderTokens,
 		}
 	}
-	if ask.Permitted == "" && p.hasRate(now, best) {
-		best.ensureWarmUp().lastPlacedAt = now
+	if ask.Permitted == "" {
+		p.pace(now, best)
 	}
 	if !ask.forPeer {
 		best.notice.probe(now)
--- a/chiveplace/warmup.go
+++ b/chiveplace/warmup.go
@@ -12,10 +12,10 @@
 
 // warmUpState is the state of an endpoint that warms up or states a rate.
 type warmUpState struct {
-	// endsAt is the end of the warm-up by the directory entry, lastPlacedAt when this node last chose the endpoint by its
-	// rate without a permit.
-	endsAt       time.Time
-	lastPlacedAt time.Time
+	// endsAt is the end of the warm-up by the directory entry, nextAt when this node may next choose the endpoint by its rate
+	// without a permit.
+	endsAt time.Time
+	nextAt time.Time
 }
 
 // coldHold is how long after a busy endpoint has become cold this node sends it no requests: the span in which the endpoint
@@ -140,14 +140,35 @@
 	if ask.Permitted != "" {
 		return true
 	}
-	rate := 0.0
-	if ask.Among != nil {
-		rate = cand.currentLimits().PerSecond
+	if ask.Among == nil && p.permitsWarmUp() {
+		return true
 	}
-	if (ask.Among != nil || !p.permitsWarmUp()) && p.isWarmingUp(now, cand) {
+	return p.paceInterval(now, cand) == 0 || cand.warmUp == nil || !now.Before(cand.warmUp.nextAt)
+}
+
+// paceInterval returns the time between two choices of an endpoint by its rate without a permit; 0 if it has none.
+func (p *Pool) paceInterval(now time.Time, cand *candidate) time.Duration {
+	rate := cand.currentLimits().PerSecond
+	if p.isWarmingUp(now, cand) {
 		rate = lowerLimit(rate, p.warmUpRate)
 	}
-	return rate == 0 || cand.warmUp == nil || now.Sub(cand.warmUp.lastPlacedAt) >= time.Duration(float64(time.Second)/rate)
+	if rate == 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / rate)
+}
+
+// pace records the choice of an endpoint without a permit. One choice may be made up for later, as a permit may.
+func (p *Pool) pace(now time.Time, cand *candidate) {
+	interval := p.paceInterval(now, cand)
+	if interval == 0 {
+		return
+	}
+	state := cand.ensureWarmUp()
+	if saved := now.Add(-interval); state.nextAt.Before(saved) {
+		state.nextAt = saved
+	}
+	state.nextAt = state.nextAt.Add(interval)
 }
 
 // effectiveLimits returns the limits that an endpoint states, with its rate while it is cold.
@@ -162,11 +183,6 @@
 // warmUpTolerance is the difference up to which two ends that an endpoint states are one: responses take different times.
 const warmUpTolerance = 250 * time.Millisecond
 
-// hasRate reports whether the endpoint takes only some number of requests a second.
-func (p *Pool) hasRate(now time.Time, cand *candidate) bool {
-	return cand.currentLimits().PerSecond > 0 || p.isWarmingUp(now, cand)
-}
-
 // StateWarmUp records how much longer an endpoint is cold by what it has stated to this node or to a peer; the latest end holds.
 // It reports whether that was not known. Statements of unknown incarnations are ignored.
 func (p *Pool) StateWarmUp(now time.Time, incarnation string, left time.Duration) (changed bool) {
--- a/chiverate/bucket.go
+++ b/chiverate/bucket.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// burstDuration is the time whose permits a bucket holds at most; it always holds one.
+	// burstDuration is the time whose permits a bucket holds at most, beside one that waits for its request.
 	burstDuration = 200 * time.Millisecond
 	// refusalWindow is the time over which refusals are counted: the second of the limit, and how long the report of a
 	// refusal may take.
@@ -63,7 +63,7 @@
 		b.balance, b.updatedAt = 1, now
 		return 0
 	}
-	b.balance = min(b.balance+rate*now.Sub(b.updatedAt).Seconds(), max(rate*burstDuration.Seconds(), 1))
+	b.balance = min(b.balance+rate*now.Sub(b.updatedAt).Seconds(), 1+rate*burstDuration.Seconds())
 	b.updatedAt = now
 	if b.balance >= 1 {
 		return 0
