--- a/chiveplace/warmup.go
+++ b/chiveplace/warmup.go
@@ -158,17 +158,22 @@
 	return time.Duration(float64(time.Second) / rate)
 }
 
-// pace records the choice of an endpoint without a permit. One choice may be made up for later, as a permit may.
+// pace records the choice of an endpoint without a permit. Where permits follow, one choice may be made up for later, as a
+// permit may.
 func (p *Pool) pace(now time.Time, cand *candidate) {
 	interval := p.paceInterval(now, cand)
 	if interval == 0 {
 		return
 	}
-	state := cand.ensureWarmUp()
-	if saved := now.Add(-interval); state.nextAt.Before(saved) {
-		state.nextAt = saved
+	earliest := now
+	if p.permitsWarmUp() {
+		earliest = now.Add(-interval)
+	}
+	if state := cand.ensureWarmUp(); state.nextAt.Before(earliest) {
+		state.nextAt = earliest.Add(interval)
+	} else {
+		state.nextAt = state.nextAt.Add(interval)
 	}
-	state.nextAt = state.nextAt.Add(interval)
 }
 
 // effectiveLimits returns the limits that an endpoint states, with its rate while it is cold.
