--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -75,6 +75,9 @@
 	RegionAnswers        = define(812, slog.LevelInfo, "peers of a region answer in time again", "None.")
 	RegionOwnedElsewhere = define(820, slog.LevelWarn, "engines of a region owned in other regions", "None; the region has no nodes or too few, so that questions for its engines cross regions. Start nodes there. The field elsewhere is the number of its groups owned in other regions; 0 means that all are owned there again.")
 
+	WarmUpStated   = define(830, slog.LevelInfo, "endpoint says that it is cold", "None; for left_ms all nodes together keep to the rate that its pool has for cold endpoints. Find out why the endpoint has become slow if it has not just started.")
+	WarmUpReceived = define(831, slog.LevelInfo, "cold endpoint known from a peer", "None; the endpoint said it in a response to that node.")
+
 	RequestRefused  = define(500, slog.LevelWarn, "request refused", "Read the reason; under overload, check the tier and the share of the class.")
 	RequestBroken   = define(501, slog.LevelWarn, "attempt broke", "Check the endpoint if this repeats.")
 	AttemptEnded    = define(503, slog.LevelInfo, "attempt ended", "The field ended shows how the attempt ended; touched shows whether the endpoint may have run it, repeat that an earlier attempt of the request had reached an endpoint.")
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -67,12 +67,14 @@
 	// Take asks for a permit within the limits of a key, for a request with a latency target. If it is not granted, Take returns how long to wait before asking
 	// again.
 	Take(ctx context.Context, key string, limits chiverequest.Limits, target time.Duration) (granted bool, wait time.Duration)
+	// TakeCold is Take for an endpoint that is cold.
+	TakeCold(ctx context.Context, key string, limits chiverequest.Limits, target time.Duration) (granted bool, wait time.Duration)
 	// Release returns a permit under a limit on refusals after its request has ended. If the request was refused for want
 	// of room, load is how many requests the endpoint had then.
 	Release(key string, refused bool, load int)
 }
 
-// SetRates sets the Rates for endpoints that state limits; it must be called before the first request.
+// SetRates sets the Rates for endpoints that state limits or are cold; it must be called before the first request.
 func (p *Pools) SetRates(rates Rates) { p.rates = rates }
 
 // SetVersions sets the function that returns the software version of an endpoint's incarnation, empty if it is not known;
@@ -177,6 +179,9 @@
 		pool.SetNodes(p.nodes)
 		pool.SetDistances(p.distances)
 		pool.SetTraffic(p.traffic)
+		if p.rates != nil {
+			pool.RequireWarmUpPermits()
+		}
 		pool.SetEvacuated(p.evacuated)
 		pool.SetReportedLeaving(p.reportedLeaving)
 		p.pools[name] = pool
@@ -326,7 +331,10 @@
 // takePermit asks for a permit for an endpoint with limits; see Rates.Take.
 func (p *Pools) takePermit(ctx context.Context, limited *chiveplace.LimitedError, target time.Duration) (granted bool, wait time.Duration) {
 	if p.rates == nil {
-		return true, 0
+		return !limited.Cold, localPollInterval
+	}
+	if limited.Cold {
+		return p.rates.TakeCold(ctx, limitsKey(limited.Endpoint), limited.Limits, target)
 	}
 	return p.rates.Take(ctx, limitsKey(limited.Endpoint), limited.Limits, target)
 }
@@ -347,6 +355,15 @@
 	return count
 }
 
+// ColdEndpoints returns the number of endpoints that are warming up.
+func (p *Pools) ColdEndpoints() int {
+	count, now := 0, time.Now()
+	for _, pool := range p.allPools() {
+		count += pool.ColdEndpoints(now)
+	}
+	return count
+}
+
 // StateNotice records what an endpoint, identified by its incarnation, has stated about its process on a connection
 // that this node shares with another one. It reports whether that was not known.
 func (p *Pools) StateNotice(now time.Time, incarnation string, notice chiverequest.Notice) (changed bool) {
@@ -356,6 +373,15 @@
 	return changed
 }
 
+// StateWarmUp records how much longer an endpoint, identified by its incarnation, is cold by what it has stated to this node or
+// to a peer. It reports whether that was not known.
+func (p *Pools) StateWarmUp(now time.Time, incarnation string, left time.Duration) (changed bool) {
+	for _, pool := range p.allPools() {
+		changed = pool.StateWarmUp(now, incarnation, left) || changed
+	}
+	return changed
+}
+
 // Accepts reports whether the endpoint at an address takes requests of this node.
 func (p *Pools) Accepts(address string) bool {
 	now := time.Now()
@@ -417,7 +443,7 @@
 			return pooledPlace{place, p.rates, p.versionOf(place.Endpoint().Incarnation().Key())}, nil
 		}
 		if time.Now().After(deadline) {
-			return nil, err
+			return nil, withColdRetry(pool, ask, err)
 		}
 		interval := localPollInterval
 		if asked {
@@ -431,6 +457,21 @@
 	}
 }
 
+// withColdRetry returns the error of a refused request with the time to return if all endpoints are cold.
+func withColdRetry(pool *chiveplace.Pool, ask chiveplace.Ask, err error) error {
+	var refused *chiveplace.RefusedError
+	if !errors.As(err, &refused) {
+		return err
+	}
+	retryAfter, allCold := pool.ColdRetryAfter(time.Now(), ask)
+	if !allCold {
+		return err
+	}
+	spread := *refused
+	spread.RetryAfter = retryAfter
+	return &spread
+}
+
 // pooledPlace implements Place for an endpoint of a pool.
 type pooledPlace struct {
 	*chiveplace.Place
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -302,11 +302,11 @@
 		Distances: n.distances,
 		Accepts:   pools.Accepts,
 	})
-	n.notices = chivenotice.New(chivenotice.Options{Mesh: n.mesh, State: pools.StateNotice, ConnectedFor: n.relay.ConnectedFor, Logger: n.logger})
+	n.notices = chivenotice.New(chivenotice.Options{Mesh: n.mesh, State: pools.StateNotice, StateWarmUp: pools.StateWarmUp, ConnectedFor: n.relay.ConnectedFor, Logger: n.logger})
 	forwarder := chiveforward.New(chiveforward.Options{
 		Self: s.Listen.Callers, Network: n.relay, PathLost: n.relay.IsLost, Dialect: chiveplatform.Endpoints{}, Places: pools, Repeats: n.sharedRetryBudget, Rules: chiveforward.StoreRules,
 		Distances:  n.distances,
-		Quarantine: n.quarantine, Streams: n.streams, OnNotice: n.forwardNotice, OnStart: n.recordStart, SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
+		Quarantine: n.quarantine, Streams: n.streams, OnNotice: n.forwardNotice, OnWarmUp: n.recordWarmUp, OnStart: n.recordStart, SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
 	})
 	n.forwarder = forwarder
 	n.quarantine.OnFailure(forwarder.PeerFailure)
@@ -324,6 +324,7 @@
 	}
 	n.rates = chiverate.New(n.mesh)
 	n.rates.SetDistances(n.distances)
+	n.rates.SetSettled(n.grants.Settled)
 	pools.SetRates(n.rates)
 	caches := chivecache.New(chivecache.Options{
 		Caches: chiveplatform.NewCaches(s.Listen.Peers, n.relay), Pools: pools, Owners: n.grants, Logger: n.logger,
@@ -365,6 +366,15 @@
 	n.notices.Forward(through, endpoint.Incarnation, endpoint.Address, notice)
 }
 
+// recordWarmUp records how long an endpoint stays cold by its own response, and forwards it to all nodes.
+func (n *StoreNode) recordWarmUp(incarnation string, left time.Duration) {
+	if !n.pools.StateWarmUp(time.Now(), incarnation, left) {
+		return
+	}
+	chiveevent.WarmUpStated.Log(context.Background(), n.logger, slog.String("endpoint", incarnation), slog.Int64("left_ms", left.Milliseconds()))
+	n.notices.ForwardWarmUp(incarnation, left)
+}
+
 // recordStart records a request for the usage reports when an endpoint first answers it.
 func (n *StoreNode) recordStart(request *chiverequest.Request) {
 	if n.usage != nil && request.Team != "" {
@@ -387,6 +397,7 @@
 		n.evacuation.SetMembers(members)
 		n.rates.SetMembers(members)
 		n.relay.SetMembers(members)
+		n.notices.SetMembers(members)
 		n.grants.SetMembers(members)
 		n.loads.SetMembers(members)
 		n.gossip.SetMembers(members)
@@ -416,6 +427,7 @@
 		{"places_other_region", func() float64 { return float64(n.pools.CrossingCounts().OtherRegion) }},
 		{"places_spilled", func() float64 { return float64(n.pools.CrossingCounts().Spilled) }},
 		{"endpoints_limited", func() float64 { return float64(n.pools.LimitedEndpoints()) }},
+		{"endpoints_cold", func() float64 { return float64(n.pools.ColdEndpoints()) }},
 		{"endpoints_leaving", func() float64 { return float64(n.pools.NoticeCounts().Leaving) }},
 		{"endpoints_resting", func() float64 { return float64(n.pools.NoticeCounts().Resting) }},
 		{"streams_recorded", func() float64 { return float64(n.streams.Counts().Records) }},
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -113,14 +113,22 @@
 	// requests.
 	warmUpRate float64
 	nodeCount  int
+	// placements counts the requests that this node has placed on the pool.
+	placements rateCounter
+	// coldRefusals counts this node's requests that were refused while all endpoints were cold.
+	coldRefusals rateCounter
+	// warmUpPermits means that requests to cold endpoints need permits also while this node knows no other one.
+	warmUpPermits bool
 	// evacuatedDomains are the failure domains whose endpoints get no requests.
 	evacuatedDomains []string
+	// returnedAt is when the evacuation of a failure domain ended, for those that ended lately.
+	returnedAt map[string]time.Time
 	// byID holds the candidate of each endpoint by id.
 	byID map[string]*candidate
 	// recorded holds the candidates with a record of their own by incarnation: a process that restarted under the same
 	// id has none of the cache contents, queue or measured speed of the former one.
 	recorded map[string]*candidate
-	// limited holds the candidates that have stated limits, also if they have ended, by incarnation.
+	// limited holds the candidates whose requests need or needed permits, by incarnation.
 	limited map[string]*candidate
 	brittle poolBrittleness
 	// notices holds what endpoints have stated about their processes, by incarnation.
@@ -163,7 +171,7 @@
 
 // NewSeededPool returns a pool whose random choices follow from a seed, so that an experiment can be repeated.
 func NewSeededPool(domain string, seed uint64) *Pool {
-	return &Pool{localDomain: domain, onChange: func() {}, byID: make(map[string]*candidate), recorded: make(map[string]*candidate), limited: make(map[string]*candidate), notices: make(map[string]*notice), emptyRecord: newRecord(0), responseTime: defaultResponseTime, ttft: newTTFTPredictor(), rng: rand.New(rand.NewPCG(seed, 0))}
+	return &Pool{localDomain: domain, onChange: func() {}, byID: make(map[string]*candidate), recorded: make(map[string]*candidate), limited: make(map[string]*candidate), notices: make(map[string]*notice), returnedAt: make(map[string]time.Time), emptyRecord: newRecord(0), responseTime: defaultResponseTime, ttft: newTTFTPredictor(), rng: rand.New(rand.NewPCG(seed, 0))}
 }
 
 // OnChange sets the function that is called when there is a change to report to the other nodes, such as the start, the
@@ -185,6 +193,7 @@
 func (p *Pool) SetEvacuated(domains []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.noteReturned(time.Now(), domains)
 	p.evacuatedDomains = domains
 }
 
@@ -219,8 +228,12 @@
 			p.add(cand)
 			p.assumeLimits(time.Now(), cand)
 			p.attachNotice(cand)
+			cand.setEndpoint(time.Now(), e)
+			p.setRegion(cand)
+			continue
 		}
-		cand.setEndpoint(time.Now(), e)
+		now := time.Now()
+		p.changeWarmUp(now, cand, func() { cand.setEndpoint(now, e) })
 		p.setRegion(cand)
 	}
 }
@@ -370,7 +383,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if limited := place.candidate.needsPermit(ask); limited != nil {
+	if limited := p.needsPermit(now, place.candidate, ask); limited != nil {
 		return nil, limited
 	}
 	p.countOwn(now, place, ask.Prompt)
@@ -391,6 +404,7 @@
 	}
 	cand.ownRequests++
 	cand.dirty = true
+	p.placements.add(now)
 	p.onChange()
 }
 
@@ -428,8 +442,8 @@
 			Reason: "other engines may cost less", RetryAfter: minRetryAfter, Loss: place.loss, Holder: place.holderAddress, Held: place.holderTokens,
 		}
 	}
-	if p.isWarmingUp(now, best) {
-		best.warmUp.lastPlacedAt = now
+	if ask.Permitted == "" {
+		p.pace(now, best)
 	}
 	if !ask.forPeer {
 		best.notice.probe(now)
@@ -467,7 +481,7 @@
 	allowed := p.allowedCandidates(ask)
 	usable = make([]*candidate, 0, len(allowed))
 	slots := slotLimit(p.engine.Slots, ask.Prompt)
-	var ejected []*candidate
+	var ejected, returning []*candidate
 	for _, cand := range allowed {
 		if !p.isEligible(now, cand, ask) {
 			continue
@@ -477,14 +491,19 @@
 			continue
 		}
 		switch {
-		case !cand.limitsAllow(now, ask):
-		case p.isWarmingUp(now, cand) && !p.warmUpAllows(now, cand, ask):
+		case !p.limitsAllow(now, cand, ask):
+		case !p.paceAllows(now, cand, ask):
 		case cand.isUsable(now) && !cand.notice.isResting(now) && !p.reportedLeaving[cand.incarnation]:
-			usable = append(usable, cand)
+			if p.returnedPart(now, cand) < 1 {
+				returning = append(returning, cand)
+			} else {
+				usable = append(usable, cand)
+			}
 		default:
 			ejected = append(ejected, cand)
 		}
 	}
+	usable = p.admitReturning(now, usable, returning)
 	if len(usable) == 0 {
 		usable = ejected
 	}
@@ -595,6 +614,8 @@
 	// requests from this node; 0 for neither.
 	LeavingForMs int64 `json:"leaving_for_ms,omitempty"`
 	RestForMs    int64 `json:"rest_for_ms,omitempty"`
+	// ColdForMs is how much longer the endpoint warms up; 0 if it does not.
+	ColdForMs int64 `json:"cold_for_ms,omitempty"`
 }
 
 // States returns what is known about each endpoint, in the order of their incarnations.
@@ -605,7 +626,7 @@
 	for _, cand := range p.sorted {
 		leavingFor, restFor := cand.notice.durations(now)
 		states = append(states, EndpointState{
-			LeavingForMs: leavingFor.Milliseconds(), RestForMs: restFor.Milliseconds(),
+			LeavingForMs: leavingFor.Milliseconds(), RestForMs: restFor.Milliseconds(), ColdForMs: p.warmUpLeft(now, cand).Milliseconds(),
 			Endpoint: cand.incarnation, Address: cand.endpoint.Address, FailureDomain: cand.endpoint.FailureDomain, WayMs: p.wayTo(Ask{}, cand).Milliseconds(), Ready: cand.endpoint.State == chivedirectory.Ready, Own: cand.ownRequests, Others: cand.otherRequests,
 			Waiting: cand.queuedTokens(), Errors: cand.errorRate, TookMs: cand.responseTime * 1000, Down: now.Before(cand.ejectedUntil), LimitPerSecond: cand.currentLimits().PerSecond, LimitRefusals: cand.currentLimits().Refusals,
 		})
--- a/chiveplace/warmup_test.go
+++ b/chiveplace/warmup_test.go
@@ -1,6 +1,7 @@
 package chiveplace_test
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -132,3 +133,103 @@
 		}
 	})
 }
+
+// Guards against an endpoint that crashes because what it states in its responses is lost with a change of its directory entry,
+// and against a new process that gets few requests because of what the one before it stated.
+func TestStatedWarmUpHoldsForOneProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := chiveplace.NewPool("z0")
+		pool.SetWarmUpRate(warmUpRate)
+		pool.RequireWarmUpPermits()
+		e := chivedirectory.Endpoint{ID: "e0", Pool: "p", Born: 1, WarmUp: time.Second}
+		list := func() { pool.ApplyEndpoints(chivedirectory.Diff{Changed: []chivedirectory.Endpoint{e}}) }
+		check := func(when string, cold int) {
+			t.Helper()
+			if got := pool.ColdEndpoints(time.Now()); got != cold {
+				t.Errorf("%s: %d cold endpoints, want %d", when, got, cold)
+			}
+		}
+		list()
+		key := e.Incarnation().Key()
+		if pool.StateWarmUp(time.Now(), key, time.Second) || !pool.StateWarmUp(time.Now(), key, 3*time.Second) || pool.StateWarmUp(time.Now(), key, 3*time.Second) {
+			t.Error("only an end that is later than the known ones is new")
+		}
+		e.WarmUp = 0
+		list()
+		pool.ApplyEndpoints(chivedirectory.Diff{Gone: []chivedirectory.Endpoint{e}})
+		list()
+		time.Sleep(2 * time.Second)
+		check("after its entry was back", 1)
+		time.Sleep(2 * time.Second)
+		check("after the end", 0)
+		pool.StateWarmUp(time.Now(), key, 3*time.Second)
+		e.Born = 2
+		list()
+		check("after a restart", 0)
+		if pool.StateWarmUp(time.Now(), key, 3*time.Second) {
+			t.Error("a late statement of the process before was new")
+		}
+	})
+}
+
+// Guards against an endpoint that crashes because requests with permits follow those that came before the nodes knew that it has
+// become cold.
+func TestBusyEndpointRestsWhenItBecomesCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := newWarmUpPool(16, 0, 1)
+		if _, err := pool.Take(time.Now(), chiveplace.Ask{}); err != nil {
+			t.Fatal(err)
+		}
+		pool.StateWarmUp(time.Now(), "e0", warmUp)
+		for _, wait := range []time.Duration{0, 990 * time.Millisecond} {
+			time.Sleep(wait)
+			var refused *chiveplace.RefusedError
+			if _, err := pool.Take(time.Now(), chiveplace.Ask{}); !errors.As(err, &refused) {
+				t.Errorf("%v later: %v, want a refusal", wait, err)
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+		var limited *chiveplace.LimitedError
+		if _, err := pool.Take(time.Now(), chiveplace.Ask{}); !errors.As(err, &limited) || !limited.Cold {
+			t.Errorf("after a second: %v, want the limit of a cold endpoint", err)
+		}
+		pool.ApplyEndpoints(chivedirectory.Diff{Changed: []chivedirectory.Endpoint{{ID: "e0", Pool: "p", Slots: 32, Born: 2, WarmUp: warmUp}}})
+		if _, err := pool.Take(time.Now(), chiveplace.Ask{}); !errors.As(err, &limited) {
+			t.Errorf("a new process: %v, want the limit of a cold endpoint", err)
+		}
+	})
+}
+
+// Guards against callers that all return at once, and again in vain, while all endpoints are cold, and against a long wait of
+// those few that find no permit.
+func TestCallersReturnByTheRoomOfColdEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct {
+			refused, served int
+			least, most     time.Duration
+		}{{40, 2, time.Second, 2 * time.Second}, {2, 40, 200 * time.Millisecond, 210 * time.Millisecond}} {
+			pool := newWarmUpPool(16, 0, 2)
+			for range c.served {
+				if _, err := pool.Take(time.Now(), chiveplace.Ask{}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			pool.StateWarmUp(time.Now(), "e0", warmUp)
+			if _, allCold := pool.ColdRetryAfter(time.Now(), chiveplace.Ask{}); allCold {
+				t.Error("one of two endpoints is warm")
+			}
+			pool.StateWarmUp(time.Now(), "e1", warmUp)
+			sum := time.Duration(0)
+			for range c.refused {
+				retryAfter, allCold := pool.ColdRetryAfter(time.Now(), chiveplace.Ask{})
+				if !allCold || retryAfter > warmUp {
+					t.Errorf("return after %v, all cold: %v", retryAfter, allCold)
+				}
+				sum += retryAfter
+			}
+			if mean := sum / time.Duration(c.refused); mean < c.least || mean > c.most {
+				t.Errorf("%d refused and %d served: return after %v in the mean, want %v to %v", c.refused, c.served, mean, c.least, c.most)
+			}
+		}
+	})
+}
--- a/chiverate/service.go
+++ b/chiverate/service.go
@@ -74,6 +74,9 @@
 	mesh    *chivewire.Mesh
 	calls   *chivedistance.Calls[Answer]
 	members atomic.Pointer[[]chivemember.Member]
+	// settled reports whether this node knows the fleet.
+	settled func() bool
+	users   permitUsers
 
 	granted, denied, unanswered atomic.Int64
 
@@ -84,10 +87,11 @@
 
 // New returns a service without buckets, in a fleet of one node.
 func New(mesh *chivewire.Mesh) *Service {
-	s := &Service{mesh: mesh, calls: chivedistance.NewCalls[Answer](nil), buckets: make(map[string]*Bucket), peak: chivemember.NewPeakSize(time.Now())}
+	s := &Service{mesh: mesh, calls: chivedistance.NewCalls[Answer](nil), settled: func() bool { return true }, users: permitUsers{self: mesh.Self(), known: map[string]bool{mesh.Self(): true}}, buckets: make(map[string]*Bucket), peak: chivemember.NewPeakSize(time.Now())}
 	s.members.Store(&[]chivemember.Member{})
 	chivewire.Receive(mesh, chivewire.KindRateAsk, s.respond)
 	chivewire.Receive(mesh, chivewire.KindRateRelease, s.applyRelease)
+	chivewire.Receive(mesh, chivewire.KindPermitUser, s.receiveGreeting)
 	chivewire.Receive(mesh, chivewire.KindRateAnswer, func(_ string, answer Answer) { s.calls.Deliver(answer.Number, answer) })
 	return s
 }
@@ -98,6 +102,7 @@
 // SetMembers applies a membership change.
 func (s *Service) SetMembers(members []chivemember.Member) {
 	s.members.Store(&members)
+	s.greet(members)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.peak.Set(time.Now(), len(members))
