Pools: grants, fetches and cache queries respect evacuations; refuse for long if all domains are evacuated

Only the node's own choice of an endpoint looked at the evacuated failure domains. A grant of an owner that had not learnt of the evacuation was adopted; an engine elsewhere was sent to fetch cached tokens from an evacuated one (by the node's own choice, by a grant, from the engine that an overloaded owner names); a node that takes engines over queried the caches of evacuated ones; and a place chosen just before an evacuation was accepted after it.

Each of these now looks at the evacuations in force (chiveplace/evacuate.go). Endpoints in evacuated domains are excluded when an owner is asked, so that a group that is wholly evacuated costs no question.

A domain whose only endpoint is restarting still counts, so that a restart during an evacuation does not keep callers away.

--- a/chiveplace/engine.go
+++ b/chiveplace/engine.go
@@ -64,7 +64,7 @@
 // addCached takes into account what an engine has cached of the prompt.
 func (c *engineChoice) addCached(now time.Time, cand *candidate, ask Ask) {
 	c.cachedTokens = max(c.cachedTokens, c.prompt.Input-cand.cache.missingTokens(c.prompt))
-	if now.Before(cand.ejectedUntil) || slices.Contains(ask.Exclude, cand.incarnation) || !ask.Domains.Contains(cand.endpoint.FailureDomain) {
+	if now.Before(cand.ejectedUntil) || slices.Contains(ask.Exclude, cand.incarnation) || c.pool.isEvacuated(cand) || !ask.Domains.Contains(cand.endpoint.FailureDomain) {
 		return
 	}
 	if tokens := cand.cache.availableTokens(now, c.prompt); tokens > c.holderTokens {
--- a/chiveplace/grant.go
+++ b/chiveplace/grant.go
@@ -5,8 +5,6 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"chivedrift/chiveresidency"
 )
 
 // pendingGrantTimeout is how long a granted place counts without a report of the node that it was granted to. That
@@ -103,16 +101,17 @@
 }
 
 // Adopt turns a grant into a place of this node. It fails if this node does not know the endpoint as ready, or if the
-// ask does not allow it or its failure domain: an owner of an earlier release may grant such a place.
+// ask does not allow it or its failure domain, or that is evacuated: an owner may be of an earlier release or may not have
+// learnt of the evacuation yet.
 func (p *Pool) Adopt(now time.Time, grant Grant, ask Ask) (*Place, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cand, ok := p.lookup(grant.Endpoint)
-	if !ok || !cand.isReady(now) || !cand.notice.allowsRequest(now) || !ask.Domains.Contains(cand.endpoint.FailureDomain) || !ask.allows(cand) {
+	if !ok || !cand.isReady(now) || !cand.notice.allowsRequest(now) || p.isEvacuated(cand) || !ask.Domains.Contains(cand.endpoint.FailureDomain) || !ask.allows(cand) {
 		return nil, false
 	}
 	prompt := ask.Prompt
-	if grant.FetchFrom != "" && !p.isInDomains(grant.FetchFrom, ask.Domains) {
+	if grant.FetchFrom != "" && !p.mayFetchFrom(grant.FetchFrom, ask.Domains) {
 		grant.Reads, grant.Fetches, grant.FetchFrom = grant.Reads+grant.Fetches, 0, ""
 	}
 	place := &Place{
@@ -125,16 +124,6 @@
 	return place, true
 }
 
-// isInDomains reports whether the endpoint at an address is in an allowed failure domain; the caller holds the lock.
-func (p *Pool) isInDomains(address string, domains chiveresidency.Domains) bool {
-	if !domains.IsLimited() {
-		return true
-	}
-	return slices.ContainsFunc(p.sorted, func(cand *candidate) bool {
-		return cand.endpoint.Address == address && domains.Contains(cand.endpoint.FailureDomain)
-	})
-}
-
 // PassedOver returns the incarnation keys of the endpoints that this node has ejected because of failures or refusals,
 // whose limits are used up, or that have said that they are leaving or want no requests now.
 func (p *Pool) PassedOver(now time.Time) []string {
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -93,12 +93,13 @@
 	return cand.endpoint.State == chivedirectory.Leaving || p.pool.notices[cand.incarnation].isLeaving() || (!cand.removedAt.IsZero() && at.Sub(cand.removedAt) >= minPlannedLeave)
 }
 
-// Accepts reports whether the endpoint has not said since it was chosen that it is leaving or wants no requests now.
+// Accepts reports whether the endpoint has not said since it was chosen that it is leaving or wants no requests now, and
+// its failure domain has not been evacuated.
 func (p *Place) Accepts(now time.Time) bool {
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
 	n := p.pool.notices[p.candidate.incarnation]
-	return !n.isLeaving() && !n.isResting(now)
+	return !n.isLeaving() && !n.isResting(now) && !p.pool.isEvacuated(p.candidate)
 }
 
 // Reason returns the criterion by which the endpoint was chosen.
@@ -133,7 +134,7 @@
 // FetchInstead makes the engine fetch cached parts of the prompt from another endpoint instead of prefilling them. The
 // other endpoint, at the given address, has the first held tokens of the prompt cached. Nothing changes after the first
 // event, if the transfer does not pay off, if another fetch is planned already or if that endpoint is outside the
-// allowed failure domains.
+// allowed failure domains or in an evacuated one.
 //
 // A node that grants places knows what its own engines have cached. When they are overloaded and the request goes to an
 // engine elsewhere, that engine would otherwise recompute tokens that one of them can transfer.
@@ -141,7 +142,7 @@
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
 	fetchTokens := held - (p.promptTokens - p.prefillTokens)
-	if p.prefilled || p.fetchFrom != "" || address == p.endpoint.Address || !p.pool.worthFetching(fetchTokens) || !p.pool.isInDomains(address, p.domains) {
+	if p.prefilled || p.fetchFrom != "" || address == p.endpoint.Address || !p.pool.worthFetching(fetchTokens) || !p.pool.mayFetchFrom(address, p.domains) {
 		return
 	}
 	p.candidate.removeQueued(p)
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -80,6 +80,9 @@
 	// Expected is the predicted time to the first event on the best engine, if the request is refused for its predicted
 	// wait; otherwise 0.
 	Expected time.Duration
+	// Evacuated means that operators have evacuated every failure domain in which the pool may serve the request, so that
+	// waiting for a place is of no use.
+	Evacuated bool
 	// Loss is the loss of the best place if it exceeds the limit of the ask, otherwise 0.
 	Loss float64
 	// Holder is the address of the engine that has computed the longest prefix of the prompt, Held the length of that
@@ -102,8 +105,10 @@
 	// requests.
 	warmUpRate float64
 	nodeCount  int
-	// evacuatedDomains are the failure domains whose endpoints get no requests.
+	// evacuatedDomains are the failure domains whose endpoints get no requests, usedDomains those in which the pool has had
+	// endpoints.
 	evacuatedDomains []string
+	usedDomains      []string
 	// byID holds the candidate of each endpoint by id.
 	byID map[string]*candidate
 	// recorded holds the candidates with a record of their own by incarnation: a process that restarted under the same
@@ -170,13 +175,6 @@
 	}
 }
 
-// SetEvacuated sets the failure domains whose endpoints get no requests.
-func (p *Pool) SetEvacuated(domains []string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.evacuatedDomains = domains
-}
-
 // SetEndpoints sets the endpoints of the pool and keeps what is known about those that stay.
 func (p *Pool) SetEndpoints(endpoints []chivedirectory.Endpoint) {
 	p.mu.Lock()
@@ -201,6 +199,7 @@
 			if p.firstEndpointAt.IsZero() {
 				p.firstEndpointAt = time.Now()
 			}
+			p.recordDomain(e.FailureDomain)
 			started := ok || time.Since(p.firstEndpointAt) > discoveryWindow
 			// A former process under this id has ended.
 			p.remove(e.ID)
@@ -302,16 +301,17 @@
 // An endpoint that appears later has just started with an empty cache.
 const discoveryWindow = 3 * time.Second
 
-// NotAllowed returns the incarnation keys of those of the given endpoint ids that an ask does not allow.
+// NotAllowed returns the incarnation keys of those of the given endpoint ids that an ask does not allow or whose failure
+// domains are evacuated.
 func (p *Pool) NotAllowed(ask Ask, ids []string) []string {
-	if ask.Allows == nil {
-		return nil
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if ask.Allows == nil && len(p.evacuatedDomains) == 0 {
+		return nil
+	}
 	var incarnations []string
 	for _, id := range ids {
-		if cand, ok := p.byID[id]; ok && !ask.allows(cand) {
+		if cand, ok := p.byID[id]; ok && (p.isEvacuated(cand) || !ask.allows(cand)) {
 			incarnations = append(incarnations, cand.incarnation)
 		}
 	}
@@ -328,7 +328,7 @@
 		if len(endpoints) == limit {
 			break
 		}
-		if cand.cacheQueried || cand.startedEmpty || !cand.isReady(time.Now()) || cand.notice.isResting(time.Now()) {
+		if cand.cacheQueried || cand.startedEmpty || !cand.isReady(time.Now()) || p.isEvacuated(cand) || cand.notice.isResting(time.Now()) {
 			continue
 		}
 		cand.cacheQueried = true
@@ -427,6 +427,8 @@
 // noEndpoint returns the error of an ask that allows no ready endpoint.
 func (p *Pool) noEndpoint(ask Ask) *RefusedError {
 	switch {
+	case p.allEvacuated(ask):
+		return &RefusedError{Reason: "all failure domains of the pool are evacuated", RetryAfter: retryAfterEvacuated, Evacuated: true}
 	case p.allLeaving(ask):
 		return &RefusedError{Reason: "all endpoints of the pool are leaving", RetryAfter: retryAfterLeaving}
 	case ask.Allows != nil:
@@ -481,7 +483,7 @@
 // isEligible reports whether the endpoint is ready and in a failure domain that is allowed and not evacuated, and the ask
 // allows it.
 func (p *Pool) isEligible(now time.Time, cand *candidate, ask Ask) bool {
-	return cand.isReady(now) && !slices.Contains(p.evacuatedDomains, cand.endpoint.FailureDomain) && ask.Domains.Contains(cand.endpoint.FailureDomain) && ask.allows(cand)
+	return cand.isReady(now) && !p.isEvacuated(cand) && ask.Domains.Contains(cand.endpoint.FailureDomain) && ask.allows(cand)
 }
 
 // allowedCandidates returns the candidates that an ask is limited to. An owner's share of a pool of thousands is looked
