Forwarder: check evacuations and allowed regions at the first byte

A request's endpoint was checked against evacuations and the regions of its route and team when it was chosen.

The place now accepts a request only while its endpoint's failure domain is allowed and not evacuated, asked before the first byte is written. A request that is kept back goes to another endpoint, and the endpoint no longer counts as failed for that: it was passed over for 300 ms and more by all requests. The address to fetch cached tokens from is checked when the request is written. A peer that is asked to connect to an evacuated endpoint declines. A request of a pool whose domains are all evacuated is refused at once instead of after its wait for a place (0.26 s in the test).

Evidence: RequestIsNotSentAfterItsEndpointIsClosedToIt (evacuation, regions), EndpointInEvacuatedDomainIsClosedToPeers and RequestIsRefusedAtOnceWhileAllDomainsAreEvacuated failed with the check taken out, and pass now; go test ./chiveforward ./chiverelay passes.

--- a/chiveforward/connection.go
+++ b/chiveforward/connection.go
@@ -55,6 +55,8 @@
 	mu         sync.Mutex
 	conn       net.Conn
 
+	// withdrawn means that stillWanted has kept a request from being sent.
+	withdrawn atomic.Bool
 	// stillWanted reports, before the first byte of the request is written, whether it may still be sent.
 	stillWanted func() bool
 
@@ -161,8 +163,8 @@
 
 // Write marks the request as sent before it writes, so that a write that fails part-way still counts.
 func (c *writeTrackingConn) Write(data []byte) (int, error) {
-	if c.connection.writeState.Load() == requestUnsent && !c.connection.stillWanted() {
-		c.connection.writeState.CompareAndSwap(requestUnsent, requestBlocked)
+	if c.connection.writeState.Load() == requestUnsent && !c.connection.stillWanted() && c.connection.writeState.CompareAndSwap(requestUnsent, requestBlocked) {
+		c.connection.withdrawn.Store(true)
 	}
 	c.connection.writeState.CompareAndSwap(requestUnsent, requestMayBeSent)
 	if c.connection.writeState.Load() == requestBlocked {
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -340,7 +340,9 @@
 // Accepts reports whether the endpoint at an address takes requests of this node.
 func (p *Pools) Accepts(address string) bool {
 	now := time.Now()
-	return !slices.ContainsFunc(p.allPools(), func(pool *chiveplace.Pool) bool { return pool.IsClosed(now, address) })
+	return !slices.ContainsFunc(p.allPools(), func(pool *chiveplace.Pool) bool {
+		return pool.IsClosed(now, address) || pool.IsEvacuated(address)
+	})
 }
 
 // NoticeCounts returns how many listed endpoints have said that they are leaving, and how many want no requests from this
@@ -394,7 +396,12 @@
 		ask.Domains = p.regions.Domains(residency)
 		place, asked, err := p.chooseWithinLimits(ctx, pool, request, ask)
 		if err == nil {
-			return pooledPlace{place, p.rates, p.versionOf(place.Endpoint().Incarnation().Key())}, nil
+			allowed := func() chiveresidency.Domains { return p.regions.Domains(p.residencyOf(request)) }
+			return pooledPlace{place, p.rates, p.versionOf(place.Endpoint().Incarnation().Key()), allowed}, nil
+		}
+		var refused *chiveplace.RefusedError
+		if errors.As(err, &refused) && refused.Evacuated {
+			return nil, err
 		}
 		if time.Now().After(deadline) {
 			return nil, err
@@ -416,8 +423,19 @@
 	*chiveplace.Place
 	rates   Rates
 	version string
+	// allowed returns the failure domains in which the request may be served now.
+	allowed func() chiveresidency.Domains
 }
 
+// Accepts reports whether the endpoint takes the request at this moment: a change of the configuration or an evacuation
+// since it was chosen counts.
+func (p pooledPlace) Accepts(now time.Time) bool {
+	return p.Place.Accepts(now) && p.IsWithin(p.allowed())
+}
+
+// FetchFrom returns the address from which the endpoint may fetch parts of the prompt at this moment; empty for none.
+func (p pooledPlace) FetchFrom() string { return p.FetchWithin(p.allowed()) }
+
 // Done releases the place, and its permit if the endpoint can refuse only a few requests.
 func (p pooledPlace) Done(now time.Time, ending chiveplace.Ending) time.Duration {
 	ejected := p.Place.Done(now, ending)
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -76,7 +76,7 @@
 	a := &attempt{state: r, place: place, target: place.Target(), startedAt: time.Now()}
 	r.logAttemptSent(ctx, a)
 	outcome := a.execute(ctx)
-	ejectedFor := place.Done(time.Now(), placeEndings[outcome])
+	ejectedFor := place.Done(time.Now(), a.ending(outcome))
 	r.recordAttempt(a, outcome)
 	r.logAttemptEnded(ctx, a, outcome, ejectedFor)
 	r.recordArrival(a)
@@ -119,6 +119,14 @@
 	chiveplace.EndedCaller, chiveplace.EndedCaller, chiveplace.EndedCaller,
 }
 
+// ending returns what an outcome says about the endpoint: nothing if the attempt was withdrawn before its first byte.
+func (a *attempt) ending(outcome attemptOutcome) chiveplace.Ending {
+	if outcome == attemptUnreached && a.connection != nil && a.connection.withdrawn.Load() {
+		return chiveplace.EndedCaller
+	}
+	return placeEndings[outcome]
+}
+
 // giveUpWithoutPlace ends a request for which no endpoint was found.
 func (r *requestState) giveUpWithoutPlace(ctx context.Context, err error) bool {
 	if r.forwardErrorResponse() {
