Members: partners of a small fleet begin at the node's own position

In a fleet of up to 16 nodes, the nodes that learnt of a change together sent it on to the same peer in each turn. The partners now begin at the node's own position, as they do in larger fleets, so that the turns are spread.

Evidence: chiveevacuation NodeCutOffBrieflyLearnsEvacuationInTime (16 phases) fails before ("1 of 16 nodes ... after 3s") and passes now; go test ./chivemember ./chivequarantine ./chivegossip ./chivebudget passes.

--- a/chiveevacuation/service_test.go
+++ b/chiveevacuation/service_test.go
@@ -215,3 +215,20 @@
 		})
 	}
 }
+
+// Guards against a node that was cut off for a moment and learns an evacuation only after a whole round of turns, since
+// its peers come to it in the same turn.
+func TestNodeCutOffBrieflyLearnsEvacuationInTime(t *testing.T) {
+	const size = 16
+	for turn := range size {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, size)
+			isCutOff := func(address string) bool { return address == f.nodes[size-1].address }
+			f.network.Block(func(from, to string) bool { return isCutOff(from) != isCutOff(to) })
+			f.nodes[0].Apply([]chivelog.KeyedRecord{evacuated(5, "a")})
+			time.Sleep(10*time.Second + time.Duration(turn)*500*time.Millisecond)
+			f.network.Block(nil)
+			f.awaitDomains("a")
+		})
+	}
+}
--- a/chivemember/partners.go
+++ b/chivemember/partners.go
@@ -34,6 +34,9 @@
 // ... positions further on in the order by hash. What one node knows then reaches all others in as many steps as the
 // size of the fleet has binary digits, and each node is the partner of as many nodes as it has partners.
 //
+// In both cases the positions are counted from the node's own, so that nodes that go through their partners in step do not
+// all come to the same one.
+//
 // If the peer were drawn from the whole fleet each time, every node would be connected to half of the fleet, as
 // connections are kept for half a minute.
 func Partners(self string, ranked []string) []string {
@@ -42,7 +45,7 @@
 		return nil
 	}
 	if len(ranked) <= AllPartnersUpTo {
-		return slices.Concat(ranked[:index], ranked[index+1:])
+		return slices.Concat(ranked[index+1:], ranked[:index])
 	}
 	var partners []string
 	for distance := 1; distance < len(ranked); distance *= 2 {
