Evacuations outlast a store that comes back from an older copy

The state with the later position counted, over eras of the store too. A store that came back from a copy of before an evacuation began an era whose state does not list it: every node sent requests to the evacuated domain again without an operator's word, and logged no more than an empty list.

Nodes now retain the evacuations of an earlier era until a record about the same failure domain appears in the new one (event 840 says which, and what to do). What is retained or superseded goes between the nodes in a message of its own (kind 172) beside the state, which stays as it is and lists only what the era itself says; by domain, the status with the later position counts, so that a node that was cut off neither loses an evacuation nor restores one that had ended.

The same message carries the record of each evacuation and when a node first read it. The state dump shows both, whether the record is retained, and how many attempts still run there; gauges domains_evacuated, domains_evacuated_retained, attempts_in_evacuated_domains.

--- a/chiveevacuation/service.go
+++ b/chiveevacuation/service.go
@@ -33,7 +33,10 @@
 type Options struct {
 	Mesh   *chivewire.Mesh
 	Decode Decoder
-	Logger *slog.Logger
+	// Running returns the number of this node's requests in flight by the failure domain of their endpoint; nil if that is
+	// not known.
+	Running func() map[string]int
+	Logger  *slog.Logger
 }
 
 // Service maintains the set of evacuated failure domains, from the records in the store and from peers.
@@ -43,8 +46,15 @@
 	goroutines chivekernel.Duties
 	listeners  []func(domains []string)
 
-	mu    sync.Mutex
-	state State
+	mu sync.Mutex
+	// state is as of the latest position in the operators' topic; retained and origins are what it does not say.
+	state    State
+	retained retained
+	origins  origins
+	// evacuated are the failure domains that the listeners have been called with, lost those of them whose records the store
+	// has lost.
+	evacuated []string
+	lost      []string
 	// changedAt is when the set of evacuated domains last changed on this node; zero if it never did.
 	changedAt time.Time
 	peers     []string
@@ -53,8 +63,9 @@
 
 // New returns a service without any evacuations.
 func New(o Options) *Service {
-	s := &Service{options: o, inbox: chivewire.NewInbox(o.Mesh, inboxSize), state: newState()}
+	s := &Service{options: o, inbox: chivewire.NewInbox(o.Mesh, inboxSize), state: newState(), retained: make(retained), origins: make(origins)}
 	chivewire.Queue[State](s.inbox, chivewire.KindEvacuations)
+	chivewire.Queue[Details](s.inbox, chivewire.KindEvacuationDetails)
 	return s
 }
 
@@ -70,19 +81,32 @@
 	s.peers, s.peerIndex = peers, chivemember.TurnAfter(s.peerIndex, s.peers, peers)
 }
 
-// Replace applies a snapshot of the operators' topic: evacuations that are not in the snapshot are revoked.
+// Replace applies a snapshot of the operators' topic: evacuations of its era that are not in the snapshot are revoked.
 func (s *Service) Replace(snapshot chivelog.KeyedBatch) {
-	state := newState().apply(s.decode(snapshot.Records))
+	records := s.decode(snapshot.Records)
+	state := newState().apply(records)
 	state.Position = max(state.Position, snapshot.Next-1)
-	s.adopt(state, "store")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.adoptRecords(records, state)
 }
 
 // Apply applies further records of the operators' topic.
 func (s *Service) Apply(records []chivelog.KeyedRecord) {
+	decoded := s.decode(records)
 	s.mu.Lock()
-	state := s.state.apply(s.decode(records))
-	s.mu.Unlock()
-	s.adopt(state, "store")
+	defer s.mu.Unlock()
+	s.adoptRecords(decoded, s.state.apply(decoded))
+}
+
+// adoptRecords adopts the state after some records from the store; the caller holds the lock.
+func (s *Service) adoptRecords(records []Record, state State) {
+	s.origins.record(time.Now(), records)
+	s.advance(state)
+	for _, r := range records {
+		s.retained.supersede(r)
+	}
+	s.update("store")
 }
 
 func (s *Service) decode(records []chivelog.KeyedRecord) []Record {
@@ -95,24 +119,34 @@
 	return decoded
 }
 
-// adopt replaces the state with one of a later position. If the evacuated domains differ, it calls the listeners and
-// sends the state to the peers.
-func (s *Service) adopt(state State, source string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.state.isOlderThan(state) {
-		return
+// advance replaces the state with one of a later position; the caller holds the lock.
+func (s *Service) advance(state State) {
+	if s.state.isOlderThan(state) {
+		s.retained.advance(s.state, state)
+		s.state = state
 	}
-	changed := !slices.Equal(s.state.Domains, state.Domains)
-	s.state = state
-	if !changed {
+}
+
+// update calls the listeners and sends the state to the peers if the evacuated domains have changed; the caller holds the
+// lock.
+func (s *Service) update(source string) {
+	lost := s.retained.domains(s.state)
+	if len(lost) > 0 && !slices.Equal(lost, s.lost) {
+		chiveevent.EvacuationsRetained.Log(context.Background(), s.options.Logger, slog.Any("failure_domains", lost), slog.String("source", source),
+			slog.Int64("era", s.state.Position.Era()))
+	}
+	s.lost = lost
+	evacuated := slices.Sorted(slices.Values(slices.Concat(s.state.Domains, lost)))
+	if slices.Equal(s.evacuated, evacuated) {
 		return
 	}
+	s.evacuated = evacuated
+	s.origins.prune(evacuated)
 	s.changedAt = time.Now()
-	chiveevent.DomainsEvacuated.Log(context.Background(), s.options.Logger, slog.Any("failure_domains", state.Domains), slog.String("source", source),
-		slog.Int64("offset", state.Position.Offset()))
+	chiveevent.DomainsEvacuated.Log(context.Background(), s.options.Logger, slog.Any("failure_domains", evacuated), slog.String("source", source),
+		slog.Int64("offset", s.state.Position.Offset()))
 	for _, handle := range s.listeners {
-		handle(state.Domains)
+		handle(evacuated)
 	}
 	for _, p := range s.peers {
 		s.send(p)
@@ -141,8 +175,11 @@
 		case now := <-tick.C:
 			s.resend(now)
 		case m := <-s.inbox.Ready():
-			if state, ok := m.Body.(State); ok {
-				s.receive(m.From, state)
+			switch body := m.Body.(type) {
+			case State:
+				s.receive(m.From, body)
+			case Details:
+				s.receiveDetails(m.From, body)
 			}
 		}
 	}
@@ -152,7 +189,7 @@
 func (s *Service) resend(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	isIdle := len(s.state.Domains) == 0 && (s.changedAt.IsZero() || now.Sub(s.changedAt) >= resendDuration)
+	isIdle := len(s.evacuated) == 0 && (s.changedAt.IsZero() || now.Sub(s.changedAt) >= resendDuration)
 	if isIdle || len(s.peers) == 0 {
 		return
 	}
@@ -162,9 +199,10 @@
 
 // receive adopts a peer's state if that is newer; if it is older and differs, it replies with this node's state.
 func (s *Service) receive(from string, state State) {
-	s.adopt(state, from)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.advance(state)
+	s.update(from)
 	if state.isOlderThan(s.state) && !slices.Equal(state.Domains, s.state.Domains) {
 		s.send(from)
 	}
@@ -172,15 +210,8 @@
 
 // send passes the state to the mesh; resend makes up for a lost message. The caller must hold s.mu.
 func (s *Service) send(to string) {
+	if details := s.details(); !details.isEmpty() {
+		_ = s.options.Mesh.Send(to, chivewire.KindEvacuationDetails, details)
+	}
 	_ = s.options.Mesh.Send(to, chivewire.KindEvacuations, s.state)
 }
-
-// Dump returns the state for the state dump.
-func (s *Service) Dump() any {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return struct {
-		Domains []string `json:"evacuated"`
-		Offset  int64    `json:"offset"`
-	}{s.state.Domains, s.state.Position.Offset()}
-}
--- a/chiveevacuation/state.go
+++ b/chiveevacuation/state.go
@@ -30,6 +30,11 @@
 // isOlderThan reports whether the other state is as of a later position.
 func (s State) isOlderThan(other State) bool { return s.Position < other.Position }
 
+// includes reports whether the state includes all records up to a position of its era.
+func (s State) includes(position chivelog.Position) bool {
+	return position.Era() == s.Position.Era() && position <= s.Position
+}
+
 // apply returns the state after the given records, and ignores those that the state already includes.
 func (s State) apply(records []Record) State {
 	evacuated := make(map[string]bool)
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -217,6 +217,9 @@
 // InProgress returns the number of requests in progress, by pool.
 func (f *Forwarder) InProgress() map[string]int64 { return f.inProgress.counts() }
 
+// InFlightByDomain returns the number of attempts in flight by the failure domain of their endpoint.
+func (f *Forwarder) InFlightByDomain() map[string]int { return f.inFlight.countByDomain() }
+
 // Repeated returns the number of attempts that may have reached an endpoint after an earlier one of their request had.
 func (f *Forwarder) Repeated() int64 { return f.repeated.Load() }
 
--- a/chiveforward/inflight.go
+++ b/chiveforward/inflight.go
@@ -219,3 +219,14 @@
 		e.watchedSince = now
 	}
 }
+
+// countByDomain returns the number of attempts in flight by the failure domain of their endpoint.
+func (f *inFlightAttempts) countByDomain() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	counts := make(map[string]int)
+	for _, e := range f.endpoints {
+		counts[e.target.FailureDomain] += len(e.attempts)
+	}
+	return counts
+}
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -200,7 +200,7 @@
 		Incarnation: time.Now().UnixMilli(),
 	}, n.mesh, discovery, n.logger)
 	n.tables = chivetable.NewService(n.decodeTable, chiveplatform.IsConfiguration, n.logger)
-	n.evacuation = chiveevacuation.New(chiveevacuation.Options{Mesh: n.mesh, Decode: chiveplatform.DecodeEvacuation, Logger: n.logger})
+	n.evacuation = chiveevacuation.New(chiveevacuation.Options{Mesh: n.mesh, Decode: chiveplatform.DecodeEvacuation, Running: n.inFlightByDomain, Logger: n.logger})
 	n.directory = chivedirectory.NewService(chiveplatform.DecodeEndpoint, chivedirectory.DefaultGrace, n.logger)
 	n.versions = chiveversion.New(n.mesh, chiveplatform.DecodeVersion, func() time.Duration { return n.endpointReadAge() })
 	n.directory.OnChange(n.versions.ApplyEndpoints)
@@ -393,6 +393,9 @@
 		{"places_asked", func() float64 { return float64(n.grants.Counts().Asked) }},
 		{"places_granted", func() float64 { return float64(n.grants.Counts().Granted) }},
 		{"places_refused", func() float64 { return float64(n.grants.Counts().Refused) }},
+		{"domains_evacuated", func() float64 { return float64(n.evacuation.Counts().Evacuated) }},
+		{"domains_evacuated_retained", func() float64 { return float64(n.evacuation.Counts().Retained) }},
+		{"attempts_in_evacuated_domains", func() float64 { return float64(n.evacuation.Counts().Running) }},
 		{"endpoints_limited", func() float64 { return float64(n.pools.LimitedEndpoints()) }},
 		{"endpoints_leaving", func() float64 { return float64(n.pools.NoticeCounts().Leaving) }},
 		{"endpoints_resting", func() float64 { return float64(n.pools.NoticeCounts().Resting) }},
@@ -470,6 +473,9 @@
 	return nil
 }
 
+// inFlightByDomain returns the number of attempts in flight by the failure domain of their endpoint.
+func (n *StoreNode) inFlightByDomain() map[string]int { return n.forwarder.InFlightByDomain() }
+
 // WatchMemory makes the node refuse new requests while the number of bytes returned by used is close to the settings'
 // limit, and bounds the garbage in the process's heap. It must be called before Start, and only if the process runs a
 // single node.
