A node that starts takes no requests before it knows the evacuations

A starting node got the configuration and the endpoints from its peers at once, and the evacuations only in a peer's next turn. One whose store did not answer was ready meanwhile and served: 4 ms after its start, at an endpoint in an evacuated domain, in the test.

It now asks its peers every 50 ms (kind 173) and is not ready, and places no request, before the store or a peer has answered. Nodes of the release before do not answer; after 1 s, in which their turn comes to a new member twice, the node serves (event 841 if nothing has come). Peers that do not know the evacuations themselves do not answer either.

Evidence: platform StartingNodeSendsNothingToEvacuatedDomain (real nodes, four starts with the store shut) failed before with "served 4.011124ms after the start" and passes now; chiveevacuation StartingNodeKnowsEvacuationsOfItsPeersFirst (within 100 ms) and StartingNodeWaitsLimitedTimeForEvacuations.

--- a/chiveevacuation/dump.go
+++ b/chiveevacuation/dump.go
@@ -69,6 +69,7 @@
 		Evacuated []string `json:"evacuated"`
 		Offset    int64    `json:"offset"`
 		Era       int64    `json:"era"`
+		Known     bool     `json:"known"`
 		Domains   []Domain `json:"domains"`
-	}{s.evacuated, s.state.Position.Offset(), s.state.Position.Era(), domains}
+	}{s.evacuated, s.state.Position.Offset(), s.state.Position.Era(), s.startup.known, domains}
 }
--- a/chiveevacuation/service.go
+++ b/chiveevacuation/service.go
@@ -55,6 +55,7 @@
 	// has lost.
 	evacuated []string
 	lost      []string
+	startup   startup
 	// changedAt is when the set of evacuated domains last changed on this node; zero if it never did.
 	changedAt time.Time
 	peers     []string
@@ -66,6 +67,7 @@
 	s := &Service{options: o, inbox: chivewire.NewInbox(o.Mesh, inboxSize), state: newState(), retained: make(retained), origins: make(origins)}
 	chivewire.Queue[State](s.inbox, chivewire.KindEvacuations)
 	chivewire.Queue[Details](s.inbox, chivewire.KindEvacuationDetails)
+	chivewire.Queue[Ask](s.inbox, chivewire.KindEvacuationsAsk)
 	return s
 }
 
@@ -88,6 +90,7 @@
 	state.Position = max(state.Position, snapshot.Next-1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.startup.known = true
 	s.adoptRecords(records, state)
 }
 
@@ -155,6 +158,9 @@
 
 // Start starts the exchange of states.
 func (s *Service) Start(ctx context.Context) error {
+	s.mu.Lock()
+	s.startup.startedAt = time.Now()
+	s.mu.Unlock()
 	s.goroutines.Begin(ctx, s.run)
 	return nil
 }
@@ -166,20 +172,27 @@
 }
 
 func (s *Service) run(ctx context.Context) {
-	tick := time.NewTicker(resendInterval)
+	tick, askTick := time.NewTicker(resendInterval), time.NewTicker(askInterval)
 	defer tick.Stop()
+	defer askTick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
 			s.resend(now)
+		case now := <-askTick.C:
+			if s.askNext(now) {
+				askTick.Stop()
+			}
 		case m := <-s.inbox.Ready():
 			switch body := m.Body.(type) {
 			case State:
 				s.receive(m.From, body)
 			case Details:
 				s.receiveDetails(m.From, body)
+			case Ask:
+				s.answer(m.From)
 			}
 		}
 	}
@@ -201,6 +214,7 @@
 func (s *Service) receive(from string, state State) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.startup.known = true
 	s.advance(state)
 	s.update(from)
 	if state.isOlderThan(s.state) && !slices.Equal(state.Domains, s.state.Domains) {
--- /dev/null
+++ b/chiveevacuation/startup.go
@@ -0,0 +1,67 @@
+package chiveevacuation
+
+import (
+	"context"
+	"time"
+
+	"chivedrift/chiveevent"
+	"chivedrift/chivelog"
+	"chivedrift/chivewire"
+)
+
+const (
+	// askInterval is how often a starting node asks the next of its peers.
+	askInterval = 50 * time.Millisecond
+	// startupTimeout is how long a node waits for the evacuations at its start. Nodes of earlier releases do not answer, but
+	// send their state to a new member in their next turn.
+	startupTimeout = 2 * resendInterval
+)
+
+// Ask is a starting node's question for the state of a peer.
+type Ask struct {
+	// Position is that of the asking node's own state.
+	Position chivelog.Position
+}
+
+// startup is what a starting node knows of the evacuations.
+type startup struct {
+	startedAt time.Time
+	// known means that the store or a peer has answered, timedOut that neither did in time.
+	known    bool
+	timedOut bool
+}
+
+// Known reports whether the node knows the evacuations: from the store or from a peer. After a while without an answer of
+// either it does not wait for one any longer.
+func (s *Service) Known() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.startup.known || s.startup.timedOut
+}
+
+// askNext asks the next peer for its state, and reports whether there is no need to go on asking.
+func (s *Service) askNext(now time.Time) (done bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.startup.known:
+		return true
+	case now.Sub(s.startup.startedAt) >= startupTimeout:
+		s.startup.timedOut = true
+		chiveevent.EvacuationsUnknown.Log(context.Background(), s.options.Logger)
+		return true
+	case len(s.peers) > 0:
+		s.peerIndex++
+		_ = s.options.Mesh.Send(s.peers[s.peerIndex%len(s.peers)], chivewire.KindEvacuationsAsk, Ask{Position: s.state.Position})
+	}
+	return false
+}
+
+// answer sends the state to a node that has asked for it, unless this node does not know it either.
+func (s *Service) answer(to string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.startup.known {
+		s.send(to)
+	}
+}
--- /dev/null
+++ b/chiveevacuation/startup_test.go
@@ -0,0 +1,48 @@
+//go:build !race
+
+package chiveevacuation_test
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Guards against a starting node that takes requests before it knows the evacuations, while the store does not answer it.
+func TestStartingNodeKnowsEvacuationsOfItsPeersFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 16)
+		starting := f.nodes[15]
+		f.setMembers(f.nodes[:15])
+		f.nodes[0].Replace(snapshotOf(1, 6, evacuated(5, "a")))
+		time.Sleep(200 * time.Millisecond)
+		if starting.Known() {
+			t.Fatal("the node knows the evacuations before it has asked anybody")
+		}
+		f.setMembers(f.nodes)
+		began := time.Now()
+		for !starting.Known() {
+			time.Sleep(time.Millisecond)
+		}
+		if took := time.Since(began); took > 100*time.Millisecond || !slices.Equal(starting.domains, []string{"a"}) {
+			t.Errorf("known after %v: %v", took, starting.domains)
+		}
+	})
+}
+
+// Guards against a node that never serves since its peers do not answer it: they are of the release before, or do not
+// know the evacuations either.
+func TestStartingNodeWaitsLimitedTimeForEvacuations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		time.Sleep(900 * time.Millisecond)
+		if f.nodes[0].Known() {
+			t.Error("known although nobody has answered")
+		}
+		time.Sleep(200 * time.Millisecond)
+		if !f.nodes[0].Known() {
+			t.Error("still waiting")
+		}
+	})
+}
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -30,8 +30,10 @@
 	mu            sync.Mutex
 	pools         map[string]*chiveplace.Pool
 	nodes         int
-	// evacuated are the failure domains whose endpoints get no requests.
-	evacuated []string
+	// evacuated are the failure domains whose endpoints get no requests. While evacuationsKnown returns false, no endpoint
+	// does.
+	evacuated        []string
+	evacuationsKnown func() bool
 	// reportedLeaving are the incarnations that other nodes have reported as leaving.
 	reportedLeaving map[string]bool
 	// regions is the region of each failure domain.
@@ -43,7 +45,7 @@
 
 // NewPools returns an empty Pools for a node in a failure domain.
 func NewPools(failureDomain string) *Pools {
-	return &Pools{failureDomain: failureDomain, pools: make(map[string]*chiveplace.Pool), changed: make(chan struct{}, 1), versionOf: func(string) string { return "" }}
+	return &Pools{failureDomain: failureDomain, pools: make(map[string]*chiveplace.Pool), changed: make(chan struct{}, 1), versionOf: func(string) string { return "" }, evacuationsKnown: func() bool { return true }}
 }
 
 // Asker selects endpoints for prompts with the help of other nodes.
@@ -99,6 +101,10 @@
 	}
 }
 
+// SetEvacuationsKnown sets the function that reports whether this node knows the evacuations yet; it must be called before
+// the first request.
+func (p *Pools) SetEvacuationsKnown(known func() bool) { p.evacuationsKnown = known }
+
 // SetNodes sets the number of nodes.
 func (p *Pools) SetNodes(nodes int) {
 	p.mu.Lock()
@@ -255,6 +261,8 @@
 	localPollInterval = 10 * time.Millisecond
 	// remotePollInterval is the same for requests that ask other nodes.
 	remotePollInterval = 50 * time.Millisecond
+	// startingRetryAfter is when to retry a request at a node that has just started.
+	startingRetryAfter = 300 * time.Millisecond
 	// noRegionRetryAfter is when to retry a request that no region may serve until the configuration changes.
 	noRegionRetryAfter = 10 * time.Second
 )
@@ -301,6 +309,16 @@
 	}
 }
 
+// chooseOnceReady selects an endpoint as chooseWithinLimits does, but none before the evacuations are known.
+func (p *Pools) chooseOnceReady(
+	ctx context.Context, pool *chiveplace.Pool, request *chiverequest.Request, ask chiveplace.Ask,
+) (place *chiveplace.Place, asked bool, err error) {
+	if !p.evacuationsKnown() {
+		return nil, false, &chiveplace.RefusedError{Reason: "the node does not know yet which failure domains are evacuated", RetryAfter: startingRetryAfter}
+	}
+	return p.chooseWithinLimits(ctx, pool, request, ask)
+}
+
 // limitsKey is the key of an endpoint's limits.
 func limitsKey(incarnation string) string { return "endpoint/" + incarnation }
 
@@ -394,7 +412,7 @@
 			return nil, &chiveplace.RefusedError{Reason: "the regions of the route and of the team have none in common", RetryAfter: noRegionRetryAfter}
 		}
 		ask.Domains = p.regions.Domains(residency)
-		place, asked, err := p.chooseWithinLimits(ctx, pool, request, ask)
+		place, asked, err := p.chooseOnceReady(ctx, pool, request, ask)
 		if err == nil {
 			allowed := func() chiveresidency.Domains { return p.regions.Domains(p.residencyOf(request)) }
 			return pooledPlace{place, p.rates, p.versionOf(place.Endpoint().Incarnation().Key()), allowed}, nil
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -314,6 +314,7 @@
 	n.tables.OnChange(func(*chivetable.Table) { n.startup.recordTable() })
 	n.directory.OnChange(func(chivedirectory.Diff) { n.startup.recordEndpoints() })
 	n.evacuation.OnChange(pools.SetEvacuated)
+	pools.SetEvacuationsKnown(n.evacuation.Known)
 	n.tables.OnChange(pools.SetTable)
 	n.tables.OnChange(n.grants.SetTable)
 	n.tables.OnChange(caches.SetTable)
@@ -462,6 +463,9 @@
 // errNoEndpoints is the readiness error of a node that knows no endpoint.
 var errNoEndpoints = fmt.Errorf("no endpoint known yet")
 
+// errNoEvacuations is the readiness error of a node that does not know yet which failure domains are evacuated.
+var errNoEvacuations = fmt.Errorf("evacuations not known yet")
+
 // NotReady returns why the node must not get new connections yet, or nil.
 func (n *StoreNode) NotReady() error {
 	if n.tables.Version() < 0 {
@@ -470,6 +474,9 @@
 	if !n.directory.Knew() {
 		return errNoEndpoints
 	}
+	if !n.evacuation.Known() {
+		return errNoEvacuations
+	}
 	return nil
 }
 
--- a/chivewire/kind.go
+++ b/chivewire/kind.go
@@ -95,6 +95,7 @@
 	KindEndpointNotice Kind = 152
 
 	KindEvacuationDetails Kind = 172
+	KindEvacuationsAsk    Kind = 173
 
 	KindPlaceAsk    Kind = 104
 	KindPlaceAnswer Kind = 105
@@ -124,7 +125,7 @@
 	KindRateAsk: "rate_ask", KindRateAnswer: "rate_answer", KindRateRelease: "rate_release",
 	KindVersionsAsk: "versions_ask", KindVersions: "versions",
 	KindStreamBegun: "stream_begun", KindStreamAsk: "stream_ask", KindStreamAnswer: "stream_answer",
-	KindEndpointNotice: "endpoint_notice", KindEvacuationDetails: "evacuation_details",
+	KindEndpointNotice: "endpoint_notice", KindEvacuationDetails: "evacuation_details", KindEvacuationsAsk: "evacuations_ask",
 }
 
 // String returns the name of the kind used in metrics and state dumps.
