--- a/chiveforward/homes_test.go
+++ b/chiveforward/homes_test.go
@@ -122,6 +122,7 @@
 }
 
 func newHomeFleet(t *testing.T, seed uint64) *homeFleet {
+	t.Helper()
 	f := &homeFleet{
 		t: t, random: rand.New(rand.NewPCG(seed, 2)), network: &watchedNetwork{Network: chivestand.NewNetwork()},
 		requests: make(map[string]*chiverequest.Request), nodeOf: make(map[string]*homeNode),
