Own configuration: evacuated failure domains

A configuration may now list failure domains under "evacuated": their endpoints get no further requests, by the schedulers, by gateways that grant from their own share, and for plain services; a list with a domain of no endpoint is rejected. What runs there goes on.

A grant is checked against the configuration in force when it arrives and again before the first byte, for the region too, which was checked only when the grant arrived. A gateway whose scheduler has another configuration for a moment asks again after 20 ms with that endpoint excluded; without the pause and with a scheduler that never learns of it, the loop had no end (seen in a test).

--- a/chiveconfig/check.go
+++ b/chiveconfig/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"chivedrift/chiveyaml"
 )
@@ -23,6 +24,7 @@
 	c.checkKeys()
 	c.checkPools()
 	c.checkRegions()
+	c.checkEvacuated()
 	return c.problems
 }
 
@@ -94,6 +96,18 @@
 	}
 }
 
+// checkEvacuated reports evacuated failure domains in which no endpoint is.
+func (c *checker) checkEvacuated() {
+	for i, domain := range c.config.Evacuated {
+		isKnown := slices.ContainsFunc(c.config.Pools, func(p Pool) bool {
+			return slices.ContainsFunc(p.Endpoints, func(e Endpoint) bool { return e.FailureDomain == domain })
+		})
+		if !isKnown {
+			c.addf(fmt.Sprintf("evacuated[%d]", i), "unknown failure domain %q; expected the failure domain of an endpoint", domain)
+		}
+	}
+}
+
 func (c *checker) checkPools() {
 	addresses := make(map[string]string)
 	for i := range c.config.Pools {
--- a/chiveconfig/config.go
+++ b/chiveconfig/config.go
@@ -1,6 +1,7 @@
 package chiveconfig
 
 import (
+	"slices"
 	"time"
 
 	"chivedrift/chiveresidency"
@@ -14,6 +15,8 @@
 	Pools   []Pool  `yaml:"pools" validate:"required,min=1,dive"`
 	Routing Routing `yaml:"routing"`
 	Limits  Limits  `yaml:"limits"`
+	// Evacuated lists the failure domains whose endpoints get no further requests.
+	Evacuated []string `yaml:"evacuated"`
 }
 
 // Tier is a service level; tiers are listed from the most to the least urgent.
@@ -143,6 +146,11 @@
 	return policy
 }
 
+// IsEvacuated reports whether the endpoints of a failure domain get no further requests.
+func (c *Config) IsEvacuated(failureDomain string) bool {
+	return slices.Contains(c.Evacuated, failureDomain)
+}
+
 // Pool finds a pool by name.
 func (c *Config) Pool(name string) (*Pool, bool) {
 	return find(c.Pools, func(e *Pool) bool { return e.Name == name })
--- a/chivedispatch/dispatcher.go
+++ b/chivedispatch/dispatcher.go
@@ -180,8 +180,9 @@
 // Leaving always returns false: while draining, these engines refuse new requests and finish the running ones.
 func (p *slotPlacement) Leaving(time.Time) bool { return false }
 
-// Accepts always returns true: while draining, these engines refuse new requests.
-func (p *slotPlacement) Accepts(time.Time) bool { return true }
+// Accepts reports whether the configuration in force still allows the request there. While draining, these engines refuse
+// new requests themselves.
+func (p *slotPlacement) Accepts(time.Time) bool { return p.slot.Accepts() }
 
 // Eject does nothing: the scheduler rates its engines by the results of their slots.
 func (p *slotPlacement) Eject(time.Time) {}
--- a/chivedispatch/service.go
+++ b/chivedispatch/service.go
@@ -113,21 +113,32 @@
 	return s.forwarder.PeerFailure(failure)
 }
 
+// policy returns where the configuration in force allows a request: the regions, and which failure domains are evacuated.
+func (s *Services) policy(request *chiverequest.Request) (residency chiveresidency.Policy, isEvacuated func(domain string) bool) {
+	s.mu.Lock()
+	config := s.config
+	s.mu.Unlock()
+	if config == nil {
+		return residency, func(string) bool { return false }
+	}
+	if run, ok := request.Source.(*serviceRun); ok {
+		residency = config.Residency(run.class().Name, request.Team)
+	}
+	return residency, config.IsEvacuated
+}
+
 // Take reserves capacity on a replica in an allowed region.
 func (s *Services) Take(_ context.Context, request *chiverequest.Request, exclude []string) (chiveforward.Place, error) {
 	s.mu.Lock()
 	pool := s.pools[request.Pool]
-	var residency chiveresidency.Policy
-	if run, ok := request.Source.(*serviceRun); ok && s.config != nil {
-		residency = s.config.Residency(run.class().Name, request.Team)
-	}
 	s.mu.Unlock()
+	residency, isEvacuated := s.policy(request)
 	if residency.AllowsNone() {
 		return nil, &chiveplace.RefusedError{Reason: "no region is allowed for the class and the team", RetryAfter: configRetryAfter}
 	}
 	if pool != nil {
-		if endpoint, reserved := pool.Take(time.Now(), s.region, residency, exclude); reserved {
-			return &replicaPlacement{services: s, pool: pool, endpoint: endpoint, startedAt: time.Now(), deadline: request.Deadline}, nil
+		if endpoint, reserved := pool.Take(time.Now(), s.region, residency, isEvacuated, exclude); reserved {
+			return &replicaPlacement{services: s, request: request, pool: pool, endpoint: endpoint, startedAt: time.Now(), deadline: request.Deadline}, nil
 		}
 	}
 	return nil, &chiveplace.RefusedError{Reason: "no replica is up with room", RetryAfter: time.Second}
@@ -136,6 +147,7 @@
 // replicaPlacement implements chiveforward.Place with a replica.
 type replicaPlacement struct {
 	services  *Services
+	request   *chiverequest.Request
 	pool      *chiveroute.Local
 	endpoint  chiveconfig.Endpoint
 	startedAt time.Time
@@ -161,8 +173,12 @@
 // Leaving always returns false: while draining, replicas refuse new requests and finish the running ones.
 func (p *replicaPlacement) Leaving(time.Time) bool { return false }
 
-// Accepts always returns true: while draining, replicas refuse new requests.
-func (p *replicaPlacement) Accepts(time.Time) bool { return true }
+// Accepts reports whether the configuration in force still allows the request there. While draining, replicas refuse new
+// requests themselves.
+func (p *replicaPlacement) Accepts(time.Time) bool {
+	residency, isEvacuated := p.services.policy(p.request)
+	return residency.Allows(p.endpoint.Region) && !isEvacuated(p.endpoint.FailureDomain)
+}
 
 // Eject does nothing: the pool rates its replicas by the results of their requests.
 func (p *replicaPlacement) Eject(time.Time) {}
--- a/chiveroute/local.go
+++ b/chiveroute/local.go
@@ -63,12 +63,16 @@
 	}
 }
 
-// Take reserves a place on a replica in an allowed region. Replicas of the given region are preferred. It reports false
+// Take reserves a place on a replica in an allowed region and in a failure domain that is not evacuated. Replicas of the given region are preferred. It reports false
 // if no replica is available below its limit.
-func (l *Local) Take(now time.Time, region string, residency chiveresidency.Policy, exclude []string) (chiveconfig.Endpoint, bool) {
+func (l *Local) Take(
+	now time.Time, region string, residency chiveresidency.Policy, isEvacuated func(domain string) bool, exclude []string,
+) (chiveconfig.Endpoint, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	usable := l.usable(now, region, residency, exclude)
+	usable := l.usable(now, region, func(e chiveconfig.Endpoint) bool {
+		return residency.Allows(e.Region) && !isEvacuated(e.FailureDomain) && !slices.Contains(exclude, e.Name)
+	})
 	if len(usable) == 0 {
 		return chiveconfig.Endpoint{}, false
 	}
@@ -81,11 +85,11 @@
 	return best.endpoint, true
 }
 
-func (l *Local) usable(now time.Time, region string, residency chiveresidency.Policy, exclude []string) []*replica {
+func (l *Local) usable(now time.Time, region string, allowed func(e chiveconfig.Endpoint) bool) []*replica {
 	var sameRegion, otherRegions []*replica
 	for _, name := range slices.Sorted(maps.Keys(l.replicas)) {
 		r := l.replicas[name]
-		if slices.Contains(exclude, name) || now.Before(r.quarantinedUntil) || now.Before(r.drainingUntil) || float64(r.inFlight) >= r.limit || !residency.Allows(r.endpoint.Region) {
+		if !allowed(r.endpoint) || now.Before(r.quarantinedUntil) || now.Before(r.drainingUntil) || float64(r.inFlight) >= r.limit {
 			continue
 		}
 		if r.endpoint.Region == region {
--- a/chiveschedule/client.go
+++ b/chiveschedule/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,9 +24,12 @@
 const ClientName = "slots"
 
 const (
-	maintenanceInterval   = 100 * time.Millisecond
-	suspicionPeriod       = 3 * time.Second
-	resendDelay           = time.Second
+	maintenanceInterval = 100 * time.Millisecond
+	suspicionPeriod     = 3 * time.Second
+	resendDelay         = time.Second
+	// resubmitDelay is how long a request waits before it asks again after a grant that its configuration does not allow: the
+	// scheduler has another configuration for a moment.
+	resubmitDelay         = 20 * time.Millisecond
 	triesBeforeLocalGrant = 2
 )
 
@@ -187,11 +191,15 @@
 		}
 		if answer.grant != nil {
 			slot := c.registerSlot(p, answer)
-			if c.residency(req).Allows(p.shard.Region()) {
+			if slot.Accepts() {
 				return slot, nil
 			}
-			// A configuration change disallowed the region while the request waited.
+			// A configuration change disallowed the region or evacuated the failure domain while the request waited.
 			slot.Done(Ending{Result: ResultReturned})
+			req.Request.Exclude = append(slices.Clone(req.Request.Exclude), answer.grant.Endpoint)
+			if err := pause(ctx, resubmitDelay); err != nil {
+				return nil, err
+			}
 			continue
 		}
 		if answer.refusal.Reason != ReasonNoneUp && answer.refusal.Reason != ReasonFull {
@@ -204,6 +212,16 @@
 	}
 }
 
+// pause waits for a time; the error wraps the cause of the context's end.
+func pause(ctx context.Context, duration time.Duration) error {
+	select {
+	case <-time.After(duration):
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("slot: %w", context.Cause(ctx))
+	}
+}
+
 func refusalError(r *SlotRefusal) *RefusedError {
 	return &RefusedError{Reason: r.Reason, RetryAfter: time.Duration(r.RetryAfterMs) * time.Millisecond}
 }
@@ -217,6 +235,12 @@
 	return config.Residency(req.Request.Class, req.Request.Team)
 }
 
+// allows reports whether the current configuration allows requests of a class and a team at an endpoint.
+func (c *Client) allows(class, team string, endpoint chiveconfig.Endpoint) bool {
+	config := c.table.Load().config
+	return config == nil || config.Residency(class, team).Allows(endpoint.Region) && !config.IsEvacuated(endpoint.FailureDomain)
+}
+
 // pickShard picks a shard in this region, or else one in another region that is allowed for the request.
 func (c *Client) pickShard(req Ask, excluded map[string]bool) (chiveroute.Shard, bool) {
 	var sameRegion, otherRegions []chiveroute.Shard
--- a/chiveschedule/client_maintenance.go
+++ b/chiveschedule/client_maintenance.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
+	"chivedrift/chiveconfig"
 	"chivedrift/chiveevent"
 	"chivedrift/chivekernel"
 	"chivedrift/chivewire"
@@ -62,7 +64,12 @@
 // shard's sequences divided by the number of members, at least one, so that all gateways together do not overbook the
 // endpoints.
 func (c *Client) grantLocally(key attemptKey, p *pendingRequest) bool {
-	endpoints := p.shard.Endpoints()
+	endpoints := slices.DeleteFunc(slices.Clone(p.shard.Endpoints()), func(e chiveconfig.Endpoint) bool {
+		return !c.allows(p.request.Class, p.request.Team, e)
+	})
+	if len(endpoints) == 0 {
+		return false
+	}
 	limit := int64(0)
 	for i := range endpoints {
 		limit += max(endpoints[i].Sequences, 1)
--- a/chiveschedule/endpoint.go
+++ b/chiveschedule/endpoint.go
@@ -51,7 +51,7 @@
 // available reports whether the endpoint may get a request. After a quarantine it gets one repeatable request at a time
 // as a probe, until one succeeds.
 func (e *endpoint) available(now time.Time, repeatable bool) bool {
-	if now.Before(e.quarantinedUntil) || now.Before(e.drainingUntil) {
+	if e.config.Evacuated || now.Before(e.quarantinedUntil) || now.Before(e.drainingUntil) {
 		return false
 	}
 	if e.consecutiveFailures > 0 {
--- a/chiveschedule/plan.go
+++ b/chiveschedule/plan.go
@@ -32,6 +32,8 @@
 	FailureDomain string
 	Sequences     int64
 	Tokens        int64
+	// Evacuated means that the endpoint gets no further requests.
+	Evacuated bool
 }
 
 const (
@@ -62,7 +64,7 @@
 		if sequences == 0 {
 			sequences = defaultSequences
 		}
-		p.endpoints = append(p.endpoints, EndpointPlan{Name: e.Name, FailureDomain: e.FailureDomain, Sequences: sequences, Tokens: e.CapacityTokens})
+		p.endpoints = append(p.endpoints, EndpointPlan{Name: e.Name, FailureDomain: e.FailureDomain, Sequences: sequences, Tokens: e.CapacityTokens, Evacuated: config.IsEvacuated(e.FailureDomain)})
 	}
 	return p
 }
--- a/chiveschedule/slot.go
+++ b/chiveschedule/slot.go
@@ -53,6 +53,9 @@
 	return s
 }
 
+// Accepts reports whether the configuration in force still allows the request at the endpoint.
+func (s *Slot) Accepts() bool { return s.client.allows(s.class, s.team, s.endpoint) }
+
 // Endpoint returns the endpoint to call; its address is empty when it has been removed from the configuration.
 func (s *Slot) Endpoint() chiveconfig.Endpoint { return s.endpoint }
 
