Command line: show evacuations, ask for one, take it back

On a platform with a log an evacuation is a configuration (config publish).

Evidence: cases evacuations, evacuations-no-node, evacuations-no-service, evacuate-no-domain; platform EvacuationIsAskedForThroughTheStore (a store that refuses, one that accepts, the end). The case config-check-evacuated has a folder that is otherwise right.

--- a/chivecommand/verb.go
+++ b/chivecommand/verb.go
@@ -47,6 +47,8 @@
 		configShowVerb,
 		stateVerb,
 		accountVerb,
+		evacuationsVerb,
+		evacuateVerb,
 		explainVerb,
 		reportVerb,
 		quickstartVerb,
