A starting node waits for the evacuations from when it knows all else

The second for which a starting node waits for the evacuations began at its start. While a slow store kept the configuration from a whole fleet for longer, the time was over when it came, so that nodes that get it from a peer served without the evacuations and had stopped asking. It now begins when the node is first asked whether it is ready with all else.

Evidence: StartingNodeWaitsLimitedTimeForEvacuations, stricter by a minute before (fails on the commit before: known at once).

--- a/chiveevacuation/service.go
+++ b/chiveevacuation/service.go
@@ -158,9 +158,6 @@
 
 // Start starts the exchange of states.
 func (s *Service) Start(ctx context.Context) error {
-	s.mu.Lock()
-	s.startup.startedAt = time.Now()
-	s.mu.Unlock()
 	s.goroutines.Begin(ctx, s.run)
 	return nil
 }
@@ -181,8 +178,8 @@
 			return
 		case now := <-tick.C:
 			s.resend(now)
-		case now := <-askTick.C:
-			if s.askNext(now) {
+		case <-askTick.C:
+			if s.askNext() {
 				askTick.Stop()
 			}
 		case m := <-s.inbox.Ready():
--- a/chiveevacuation/startup.go
+++ b/chiveevacuation/startup.go
@@ -12,7 +12,7 @@
 const (
 	// askInterval is how often a starting node asks the next of its peers.
 	askInterval = 50 * time.Millisecond
-	// startupTimeout is how long a node waits for the evacuations at its start. Nodes of earlier releases do not answer, but
+	// startupTimeout is how long a node that knows all else waits for the evacuations at its start. Nodes of earlier releases do not answer, but
 	// send their state to a new member in their next turn.
 	startupTimeout = 2 * resendInterval
 )
@@ -25,7 +25,8 @@
 
 // startup is what a starting node knows of the evacuations.
 type startup struct {
-	startedAt time.Time
+	// neededAt is when the node was first asked whether it knows them, since it knows all else that it serves by.
+	neededAt time.Time
 	// known means that the store or a peer has answered, timedOut that neither did in time.
 	known    bool
 	timedOut bool
@@ -36,19 +37,22 @@
 func (s *Service) Known() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.startup.neededAt.IsZero() {
+		s.startup.neededAt = time.Now()
+	}
+	if !s.startup.known && !s.startup.timedOut && time.Since(s.startup.neededAt) >= startupTimeout {
+		s.startup.timedOut = true
+		chiveevent.EvacuationsUnknown.Log(context.Background(), s.options.Logger)
+	}
 	return s.startup.known || s.startup.timedOut
 }
 
 // askNext asks the next peer for its state, and reports whether there is no need to go on asking.
-func (s *Service) askNext(now time.Time) (done bool) {
+func (s *Service) askNext() (done bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case s.startup.known:
-		return true
-	case now.Sub(s.startup.startedAt) >= startupTimeout:
-		s.startup.timedOut = true
-		chiveevent.EvacuationsUnknown.Log(context.Background(), s.options.Logger)
+	case s.startup.known || s.startup.timedOut:
 		return true
 	case len(s.peers) > 0:
 		s.peerIndex++
--- a/chiveevacuation/startup_test.go
+++ b/chiveevacuation/startup_test.go
@@ -36,6 +36,11 @@
 func TestStartingNodeWaitsLimitedTimeForEvacuations(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
+		// The time before the node could serve otherwise does not count: a slow store may be the reason.
+		time.Sleep(time.Minute)
+		if f.nodes[0].Known() {
+			t.Error("known at once")
+		}
 		time.Sleep(900 * time.Millisecond)
 		if f.nodes[0].Known() {
 			t.Error("known although nobody has answered")
