--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -31,8 +31,10 @@
 	mu            sync.Mutex
 	pools         map[string]*chiveplace.Pool
 	nodes         int
-	// evacuated are the failure domains whose endpoints get no requests.
-	evacuated []string
+	// evacuated are the failure domains whose endpoints get no requests. While evacuationsKnown returns false, no endpoint
+	// does.
+	evacuated        []string
+	evacuationsKnown func() bool
 	// reportedLeaving are the incarnations that other nodes have reported as leaving.
 	reportedLeaving map[string]bool
 	// regions is the region of each failure domain.
@@ -47,7 +49,7 @@
 
 // NewPools returns an empty Pools for a node in a failure domain.
 func NewPools(failureDomain string) *Pools {
-	return &Pools{failureDomain: failureDomain, pools: make(map[string]*chiveplace.Pool), changed: make(chan struct{}, 1), versionOf: func(string) string { return "" }}
+	return &Pools{failureDomain: failureDomain, pools: make(map[string]*chiveplace.Pool), changed: make(chan struct{}, 1), versionOf: func(string) string { return "" }, evacuationsKnown: func() bool { return true }}
 }
 
 // Asker selects endpoints for prompts with the help of other nodes.
@@ -118,6 +120,10 @@
 	}
 }
 
+// SetEvacuationsKnown sets the function that reports whether this node knows the evacuations yet; it must be called before
+// the first request.
+func (p *Pools) SetEvacuationsKnown(known func() bool) { p.evacuationsKnown = known }
+
 // SetNodes sets the number of nodes.
 func (p *Pools) SetNodes(nodes int) {
 	p.mu.Lock()
@@ -279,6 +285,8 @@
 	localPollInterval = 10 * time.Millisecond
 	// remotePollInterval is the same for requests that ask other nodes.
 	remotePollInterval = 50 * time.Millisecond
+	// startingRetryAfter is when to retry a request at a node that has just started.
+	startingRetryAfter = 300 * time.Millisecond
 	// noRegionRetryAfter is when to retry a request that no region may serve until the configuration changes.
 	noRegionRetryAfter = 10 * time.Second
 )
@@ -325,6 +333,16 @@
 	}
 }
 
+// chooseOnceReady selects an endpoint as chooseWithinLimits does, but none before the evacuations are known.
+func (p *Pools) chooseOnceReady(
+	ctx context.Context, pool *chiveplace.Pool, request *chiverequest.Request, ask chiveplace.Ask,
+) (place *chiveplace.Place, asked bool, err error) {
+	if !p.evacuationsKnown() {
+		return nil, false, &chiveplace.RefusedError{Reason: "the node does not know yet which failure domains are evacuated", RetryAfter: startingRetryAfter}
+	}
+	return p.chooseWithinLimits(ctx, pool, request, ask)
+}
+
 // limitsKey is the key of an endpoint's limits.
 func limitsKey(incarnation string) string { return "endpoint/" + incarnation }
 
@@ -385,7 +403,9 @@
 // Accepts reports whether the endpoint at an address takes requests of this node.
 func (p *Pools) Accepts(address string) bool {
 	now := time.Now()
-	return !slices.ContainsFunc(p.allPools(), func(pool *chiveplace.Pool) bool { return pool.IsClosed(now, address) })
+	return !slices.ContainsFunc(p.allPools(), func(pool *chiveplace.Pool) bool {
+		return pool.IsClosed(now, address) || pool.IsEvacuated(address)
+	})
 }
 
 // NoticeCounts returns how many listed endpoints have said that they are leaving, and how many want no requests from this
@@ -437,10 +457,15 @@
 			return nil, &chiveplace.RefusedError{Reason: "the regions of the route and of the team have none in common", RetryAfter: noRegionRetryAfter}
 		}
 		ask.Domains = p.regions.Domains(residency)
-		place, asked, err := p.chooseWithinLimits(ctx, pool, request, ask)
+		place, asked, err := p.chooseOnceReady(ctx, pool, request, ask)
 		if err == nil {
 			p.crossings.add(place.Crossing())
-			return pooledPlace{place, p.rates, p.versionOf(place.Endpoint().Incarnation().Key())}, nil
+			allowed := func() chiveresidency.Domains { return p.regions.Domains(p.residencyOf(request)) }
+			return pooledPlace{place, p.rates, p.versionOf(place.Endpoint().Incarnation().Key()), allowed}, nil
+		}
+		var refused *chiveplace.RefusedError
+		if errors.As(err, &refused) && refused.Evacuated {
+			return nil, err
 		}
 		if time.Now().After(deadline) {
 			return nil, withColdRetry(pool, ask, err)
@@ -477,8 +502,19 @@
 	*chiveplace.Place
 	rates   Rates
 	version string
+	// allowed returns the failure domains in which the request may be served now.
+	allowed func() chiveresidency.Domains
 }
 
+// Accepts reports whether the endpoint takes the request at this moment: a change of the configuration or an evacuation
+// since it was chosen counts.
+func (p pooledPlace) Accepts(now time.Time) bool {
+	return p.Place.Accepts(now) && p.IsWithin(p.allowed())
+}
+
+// FetchFrom returns the address from which the endpoint may fetch parts of the prompt at this moment; empty for none.
+func (p pooledPlace) FetchFrom() string { return p.FetchWithin(p.allowed()) }
+
 // Done releases the place, and its permit if the endpoint can refuse only a few requests.
 func (p pooledPlace) Done(now time.Time, ending chiveplace.Ending) time.Duration {
 	ejected := p.Place.Done(now, ending)
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -206,7 +206,7 @@
 		Incarnation: time.Now().UnixMilli(),
 	}, n.mesh, discovery, n.logger)
 	n.tables = chivetable.NewService(n.decodeTable, chiveplatform.IsConfiguration, n.logger)
-	n.evacuation = chiveevacuation.New(chiveevacuation.Options{Mesh: n.mesh, Decode: chiveplatform.DecodeEvacuation, Logger: n.logger})
+	n.evacuation = chiveevacuation.New(chiveevacuation.Options{Mesh: n.mesh, Decode: chiveplatform.DecodeEvacuation, Running: n.inFlightByDomain, Logger: n.logger})
 	n.directory = chivedirectory.NewService(chiveplatform.DecodeEndpoint, chivedirectory.DefaultGrace, n.logger)
 	n.versions = chiveversion.New(n.mesh, chiveplatform.DecodeVersion, func() time.Duration { return n.endpointReadAge() })
 	n.directory.OnChange(n.versions.ApplyEndpoints)
@@ -334,6 +334,7 @@
 	n.tables.OnChange(func(*chivetable.Table) { n.startup.recordTable() })
 	n.directory.OnChange(func(chivedirectory.Diff) { n.startup.recordEndpoints() })
 	n.evacuation.OnChange(pools.SetEvacuated)
+	pools.SetEvacuationsKnown(n.evacuation.Known)
 	n.tables.OnChange(pools.SetTable)
 	n.tables.OnChange(n.grants.SetTable)
 	n.tables.OnChange(caches.SetTable)
@@ -426,6 +427,9 @@
 		{"places_own_region", func() float64 { return float64(n.pools.CrossingCounts().OwnRegion) }},
 		{"places_other_region", func() float64 { return float64(n.pools.CrossingCounts().OtherRegion) }},
 		{"places_spilled", func() float64 { return float64(n.pools.CrossingCounts().Spilled) }},
+		{"domains_evacuated", func() float64 { return float64(n.evacuation.Counts().Evacuated) }},
+		{"domains_evacuated_retained", func() float64 { return float64(n.evacuation.Counts().Retained) }},
+		{"attempts_in_evacuated_domains", func() float64 { return float64(n.evacuation.Counts().Running) }},
 		{"endpoints_limited", func() float64 { return float64(n.pools.LimitedEndpoints()) }},
 		{"endpoints_cold", func() float64 { return float64(n.pools.ColdEndpoints()) }},
 		{"endpoints_leaving", func() float64 { return float64(n.pools.NoticeCounts().Leaving) }},
@@ -504,6 +508,9 @@
 // errNoEndpoints is the readiness error of a node that knows no endpoint.
 var errNoEndpoints = fmt.Errorf("no endpoint known yet")
 
+// errNoEvacuations is the readiness error of a node that does not know yet which failure domains are evacuated.
+var errNoEvacuations = fmt.Errorf("evacuations not known yet")
+
 // NotReady returns why the node must not get new connections yet, or nil.
 func (n *StoreNode) NotReady() error {
 	if n.tables.Version() < 0 {
@@ -512,9 +519,15 @@
 	if !n.directory.Knew() {
 		return errNoEndpoints
 	}
+	if !n.evacuation.Known() {
+		return errNoEvacuations
+	}
 	return nil
 }
 
+// inFlightByDomain returns the number of attempts in flight by the failure domain of their endpoint.
+func (n *StoreNode) inFlightByDomain() map[string]int { return n.forwarder.InFlightByDomain() }
+
 // WatchMemory makes the node refuse new requests while the number of bytes returned by used is close to the settings'
 // limit, and bounds the garbage in the process's heap. It must be called before Start, and only if the process runs a
 // single node.
--- a/chivewire/kind.go
+++ b/chivewire/kind.go
@@ -97,6 +97,9 @@
 	KindEndpointWarmUp Kind = 164
 	KindPermitUser     Kind = 165
 
+	KindEvacuationDetails Kind = 172
+	KindEvacuationsAsk    Kind = 173
+
 	KindPlaceAsk    Kind = 104
 	KindPlaceAnswer Kind = 105
 )
@@ -126,6 +129,7 @@
 	KindVersionsAsk: "versions_ask", KindVersions: "versions",
 	KindStreamBegun: "stream_begun", KindStreamAsk: "stream_ask", KindStreamAnswer: "stream_answer",
 	KindEndpointNotice: "endpoint_notice", KindEndpointWarmUp: "endpoint_warm_up", KindPermitUser: "permit_user",
+	KindEvacuationDetails: "evacuation_details", KindEvacuationsAsk: "evacuations_ask",
 }
 
 // String returns the name of the kind used in metrics and state dumps.
