Placing: a stream is not refused by a far home that holds its part

What callers saw: a latency-sensitive request whose part has its home in another region was refused there and asked up to three owners in a row. Cause: the loss for an engine without such streams was charged to every far engine, and equals the margin at which a group refuses. It now holds only in a choice between engines near and far, which it is for.

--- a/chiveplace/distance_test.go
+++ b/chiveplace/distance_test.go
@@ -175,3 +175,23 @@
 		t.Errorf("two streams go to %s and %s", first.Endpoint().ID, second.Endpoint().ID)
 	}
 }
+
+// Guards against streams that a far home refuses although its engine holds their part and other streams run there.
+func TestSensitiveStreamIsPlacedAtItsFarHome(t *testing.T) {
+	p := newSpanningPool(3, engine)
+	now := time.Now()
+	stream := func(own uint64) *chiverequest.Prompt {
+		return &chiverequest.Prompt{Parts: []chiverequest.Part{{ID: 1, Tokens: 13_000}, {ID: own, Tokens: 300}}, Input: 13_300, Target: 2 * time.Second, Pause: 250 * time.Millisecond}
+	}
+	home := chiveplace.Ask{Prompt: stream(2), Among: []string{"b0", "b1", "b2"}}
+	first, err := p.Take(now, home)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first.Event(now.Add(300*time.Millisecond), 0)
+	const spillLossMargin = 0.3
+	home.Prompt, home.Most, home.MostReads = stream(3), spillLossMargin, 13_300
+	if _, err := p.Take(now.Add(20*time.Second), home); err != nil {
+		t.Errorf("the home refuses: %v", err)
+	}
+}
--- a/chiveplace/tight.go
+++ b/chiveplace/tight.go
@@ -101,7 +101,7 @@
 		return loss
 	}
 	loss = max(loss, longPrefill*c.pool.prefillDelayChance(c.prompt.Pause, cand.slowdown()))
-	if cand.sensitiveStreams() == 0 || c.pool.wayTo(c.ask, cand) > 0 {
+	if cand.sensitiveStreams() == 0 || (len(c.near) > 0 && c.pool.wayTo(c.ask, cand) > 0) {
 		loss += newSensitiveEngineLoss
 	}
 	return loss
