Placing: nothing is learnt from a way that is assumed or longer than the wait

What callers saw: where the way to a region is not known yet, the assumed one (160 ms) was taken off the wait; an engine 60 ms away appeared to need no time at all, which went into the prediction of every engine and drew requests there. Answers teach times only where the way is known and shorter than the wait; errors count as before. New accessor chivedistance.Map.IsKnown. The test failed before: 228.5 ms expected first, 171 ms after 200 answers within 100 ms.

--- a/chivedistance/map.go
+++ b/chivedistance/map.go
@@ -46,6 +46,17 @@
 	return m.assumed
 }
 
+// IsKnown reports whether the round trip to a failure domain follows from messages rather than from an assumption. It is also
+// known for this node's own region and for a domain whose region is not known.
+func (m Map) IsKnown(domain string) bool {
+	region := m.regions[domain]
+	if !m.spans || region == m.region || region == "" {
+		return true
+	}
+	_, ok := m.toRegion[region]
+	return ok
+}
+
 // Between returns an estimate of the round trip between two failure domains. Between two regions other than this node's
 // it is the longer of the round trips to them, since no message shows the way between them.
 func (m Map) Between(a, b string) time.Duration {
--- a/chiveplace/candidate.go
+++ b/chiveplace/candidate.go
@@ -192,14 +192,18 @@
 	c.ejectedUntil = now.Add(fullEjection)
 }
 
-// recordResponse records an answer: its duration, and whether it was an error of the endpoint.
-func (c *candidate) recordResponse(now time.Time, isError bool, took time.Duration) {
+// recordResponse records an answer, and whether it was an error of the endpoint.
+func (c *candidate) recordResponse(isError bool) {
 	c.consecutiveFailures = 0
 	sample := 0.0
 	if isError {
 		sample = 1
 	}
 	c.errorRate += errorRateWeight * (sample - c.errorRate)
+}
+
+// recordResponseTime records the duration of an answer.
+func (c *candidate) recordResponseTime(now time.Time, took time.Duration) {
 	if c.responseTime == 0 {
 		c.responseTime = took.Seconds()
 	} else {
--- a/chiveplace/distance_test.go
+++ b/chiveplace/distance_test.go
@@ -195,3 +195,32 @@
 		t.Errorf("the home refuses: %v", err)
 	}
 }
+
+// Guards against engines that appear to need no time, and requests that crowd there, because the way to their region is
+// assumed to be longer than it is.
+func TestNothingIsLearntFromAnAssumedWay(t *testing.T) {
+	for _, took := range []time.Duration{100 * time.Millisecond, 400 * time.Millisecond} {
+		p := newSpanningPool(1, engine)
+		p.SetDistances(chivedistance.NewMap("ra", chiveresidency.Map{"a": "ra", "b": "rb"}, nil, 160*time.Millisecond))
+		now := time.Now()
+		var expected []time.Duration
+		for i := range 200 {
+			place, err := p.Take(now, chiveplace.Ask{Prompt: promptWithoutPauseLimit(i + 1), Domains: chiveresidency.DomainsOf([]string{"b"})})
+			if err != nil {
+				t.Fatal(err)
+			}
+			expected = append(expected, place.Expected())
+			now = now.Add(took)
+			place.Event(now, 0)
+			place.Done(now, chiveplace.EndedWell)
+		}
+		if last := expected[len(expected)-1]; last != expected[0] {
+			t.Errorf("expected %v first, %v after 200 answers within %v", expected[0], last, took)
+		}
+		for _, state := range p.States(now) {
+			if state.TookMs != 0 {
+				t.Errorf("%s: a response time of %v ms is learnt", state.Endpoint, state.TookMs)
+			}
+		}
+	}
+}
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -178,9 +178,7 @@
 		p.candidate.recordPause(now, pause)
 		p.maxPause = max(p.maxPause, pause)
 	} else {
-		took := p.withoutWay(now.Sub(p.startedAt))
-		p.candidate.updateSlowdown(p.pool.ttft.predict(p.prefillWork()), took)
-		p.pool.ttft.update(p.prefillWork(), took)
+		p.learnTTFT(now.Sub(p.startedAt))
 	}
 	p.markPrefilled()
 	if p.candidate.dirty {
@@ -188,8 +186,34 @@
 	}
 }
 
-// withoutWay returns how long an endpoint took, from the time that this node waited.
-func (p *Place) withoutWay(waited time.Duration) time.Duration { return max(waited-p.way, 0) }
+// withoutWay returns how long an endpoint took, from the time that this node waited. It fails if the way is assumed, or
+// takes all of the time: the endpoint would appear to need none.
+func (p *Place) withoutWay(waited time.Duration) (took time.Duration, ok bool) {
+	if p.way == 0 {
+		return waited, true
+	}
+	return waited - p.way, waited > p.way && p.pool.distances.IsKnown(p.endpoint.FailureDomain)
+}
+
+// learnTTFT updates the predictions with the time that this node waited for the first event.
+func (p *Place) learnTTFT(waited time.Duration) {
+	took, ok := p.withoutWay(waited)
+	if !ok {
+		return
+	}
+	p.candidate.updateSlowdown(p.pool.ttft.predict(p.prefillWork()), took)
+	p.pool.ttft.update(p.prefillWork(), took)
+}
+
+// learnResponseTime updates the averages with the time that this node waited for a response.
+func (p *Place) learnResponseTime(now time.Time) {
+	took, ok := p.withoutWay(now.Sub(p.startedAt))
+	if !ok {
+		return
+	}
+	p.candidate.recordResponseTime(now, took)
+	p.pool.responseTime += poolResponseTimeWeight * (took.Seconds() - p.pool.responseTime)
+}
 
 func (p *Place) markPrefilled() {
 	if p.prefilled {
@@ -229,9 +253,8 @@
 	p.pool.onChange()
 	switch ending {
 	case EndedWell, EndedError:
-		took := p.withoutWay(now.Sub(p.startedAt))
-		p.candidate.recordResponse(now, ending == EndedError, took)
-		p.pool.responseTime += poolResponseTimeWeight * (took.Seconds() - p.pool.responseTime)
+		p.candidate.recordResponse(ending == EndedError)
+		p.learnResponseTime(now)
 	case EndedBroken:
 		p.candidate.recordFailure(now)
 	case EndedFull:
