Placing: a region that is silent or gone moves no homes of long parts

What callers saw: when one region lost its nodes, its way fell back to the assumed 160 ms, and every long part of the fleet got a home in each region at once and was read again. Cause: one farthest way over all regions, assumed ones included, which never fell when a region's engines went. Now the known ways count, those of regions with engines now; where none is known, the assumed one.

--- a/chiveplace/distance.go
+++ b/chiveplace/distance.go
@@ -29,10 +29,42 @@
 func (p *Pool) SetDistances(distances chivedistance.Map) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.distances, p.spansRegions, p.farthest = distances, distances.SpansRegions(), 0
+	p.distances, p.spansRegions = distances, distances.SpansRegions()
 	for _, cand := range p.sorted {
 		p.setRegion(cand)
 	}
+	p.updateFarthest()
+}
+
+// updateFarthest sets the longest known round trip to a region with endpoints; if none is known, the assumed one. A region
+// whose nodes do not answer thus has no influence on the homes of shared parts. The caller holds the lock.
+func (p *Pool) updateFarthest() {
+	p.farthest = 0
+	if !p.spansRegions {
+		return
+	}
+	var assumed time.Duration
+	isKnown := false
+	seen := make([]bool, len(p.regions)+1)
+	for _, cand := range p.sorted {
+		if seen[cand.region] {
+			continue
+		}
+		seen[cand.region] = true
+		domain := cand.endpoint.FailureDomain
+		region := p.distances.RegionOf(domain)
+		switch way := p.distances.ToDomain(domain); {
+		case region == "" || region == p.distances.Region():
+		case p.distances.IsKnown(domain):
+			isKnown = true
+			p.farthest = max(p.farthest, way)
+		default:
+			assumed = max(assumed, way)
+		}
+	}
+	if !isKnown {
+		p.farthest = assumed
+	}
 }
 
 // setRegion sets the region of a candidate from its failure domain; the caller holds the lock.
@@ -41,7 +73,6 @@
 		return
 	}
 	cand.region = p.indexOf(p.distances.RegionOf(cand.endpoint.FailureDomain))
-	p.farthest = max(p.farthest, p.distances.ToDomain(cand.endpoint.FailureDomain))
 }
 
 // origin returns the failure domain of the node that sends the request.
--- a/chiveplace/distance_test.go
+++ b/chiveplace/distance_test.go
@@ -224,3 +224,36 @@
 		}
 	}
 }
+
+// Guards against all long parts that are read again in each region at once, because one region loses its nodes or engines.
+func TestRegionThatIsSilentOrGoneMovesNoHomes(t *testing.T) {
+	domains := chiveresidency.Map{"a": "ra", "b": "rb", "c": "rc"}
+	near, far := map[string]time.Duration{"rb": roundTrip}, map[string]time.Duration{"rb": roundTrip, "rc": 160 * time.Millisecond}
+	prompt := &chiverequest.Prompt{Parts: []chiverequest.Part{{ID: 1, Tokens: 13_000}, {ID: 2, Tokens: 300}}, Input: 13_300, Target: 2 * time.Second}
+	endpointsIn := func(domains ...string) (endpoints []chivedirectory.Endpoint) {
+		for _, domain := range domains {
+			endpoints = append(endpoints, chivedirectory.Endpoint{ID: domain, Address: domain, Pool: "p", FailureDomain: domain})
+		}
+		return endpoints
+	}
+	p := chiveplace.NewPool("a")
+	p.SetEngine(engine)
+	for _, c := range []struct {
+		name      string
+		known     map[string]time.Duration
+		endpoints []chivedirectory.Endpoint
+		want      bool
+	}{
+		{"no way known", nil, endpointsIn("a", "b", "c"), false},
+		{"both near", near, endpointsIn("a", "b"), true},
+		{"c silent", near, endpointsIn("a", "b", "c"), true},
+		{"c 160 ms away", far, endpointsIn("a", "b", "c"), false},
+		{"engines in c gone", far, endpointsIn("a", "b"), true},
+	} {
+		p.SetDistances(chivedistance.NewMap("ra", domains, c.known, 160*time.Millisecond))
+		p.SetEndpoints(c.endpoints)
+		if got := p.HasFleetHome(prompt); got != c.want {
+			t.Errorf("%s: a long part has one home: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -99,7 +99,7 @@
 	mu          sync.Mutex
 	localDomain string
 	// distances are the distances of the failure domains; spansRegions tells whether there is more than one region, and
-	// farthest is the longest round trip to a region with endpoints.
+	// farthest is the longest known round trip to a region with endpoints.
 	distances    chivedistance.Map
 	spansRegions bool
 	farthest     time.Duration
@@ -223,6 +223,7 @@
 		cand.setEndpoint(time.Now(), e)
 		p.setRegion(cand)
 	}
+	p.updateFarthest()
 }
 
 // add adds a candidate; the caller holds the lock.
