Placing: engines of a failure domain without a region are near

What callers saw: with a failure domain missing in a node's settings, its engines were never the home of a long part and the last to spill to, though half of the engines might lie there. Cause: the unnamed region counted as one without nodes. It now counts as near, as it does in the choice of an engine. The test failed before: 0 of 200 homes in the unknown region, with one of 2 and one of 4 engines there.

--- a/chivegrant/home.go
+++ b/chivegrant/home.go
@@ -22,7 +22,7 @@
 
 // homeGroups returns the groups in which to place a request, in the order in which to ask their owners. Where groups are
 // divided by region, these are the primary and the secondary group among all engines if the part has one home, and otherwise
-// two groups of the requesting node's region and one of another.
+// two groups near the requesting node and one of another region.
 func (a *assignment) homeGroups(h home) []groupID {
 	regions := a.usableRegions(h)
 	if len(regions) <= 1 {
@@ -32,17 +32,33 @@
 		return a.selectGroups(h, a.regionsWithNodes(h, regions))
 	}
 	a.orderRegions(h, regions)
-	groups := a.selectGroups(h, regions[:1])
-	return append(groups, a.selectGroups(h, regions[1:2])[0])
+	near := max(countNear(h, regions), 1)
+	groups := a.selectGroups(h, regions[:near])
+	if near == len(regions) {
+		return groups
+	}
+	return append(groups, a.selectGroups(h, regions[near:near+1])[0])
+}
+
+// isNear reports whether a region counts as the requesting node's: its own, and the unnamed one of failure domains whose
+// region is not known.
+func (h home) isNear(region string) bool { return region == h.region || region == "" }
+
+// countNear returns the number of near regions, which come first.
+func countNear(h home, regions []string) int {
+	if at := slices.IndexFunc(regions, func(region string) bool { return !h.isNear(region) }); at >= 0 {
+		return at
+	}
+	return len(regions)
 }
 
-// fallbackGroups returns the groups of the requesting node's region for a part that has one home over all regions. They
+// fallbackGroups returns the groups near the requesting node for a part that has one home over all regions. They
 // are only asked if there is no room at that home, since their engines would read the part again.
 func (a *assignment) fallbackGroups(h home) []groupID {
 	if !h.fleetWide || len(a.regions[h.pool]) <= 1 {
 		return nil
 	}
-	return a.selectGroups(h, []string{h.region})
+	return a.selectGroups(h, slices.DeleteFunc(a.usableRegions(h), func(region string) bool { return !h.isNear(region) }))
 }
 
 // usableRegions returns the regions with engines that a request may use.
@@ -50,9 +66,9 @@
 	return slices.DeleteFunc(slices.Clone(a.regions[h.pool]), func(region string) bool { return a.allowedTrie(h, region).size() == 0 })
 }
 
-// hasNodes reports whether a region is the requesting node's or has other nodes. One without may be cut off.
+// hasNodes reports whether a region is near the requesting node or has other nodes. One without may be cut off.
 func (a *assignment) hasNodes(h home, region string) bool {
-	return region == h.region || a.nodeCounts[region] > 0
+	return h.isNear(region) || a.nodeCounts[region] > 0
 }
 
 // regionsWithNodes returns those of the regions that have nodes; all if none has.
@@ -64,19 +80,19 @@
 	return withNodes
 }
 
-// orderRegions puts the requesting node's region first and those without nodes last. The order of the others depends on the
+// orderRegions puts the near regions first and those without nodes last. The order of the others depends on the
 // part, so that the requests of one full region do not all go to the same other one.
 func (a *assignment) orderRegions(h home, regions []string) {
 	rank := func(region string) uint64 {
 		switch {
-		case region == h.region:
+		case h.isNear(region):
 			return math.MaxUint64
 		case !a.hasNodes(h, region):
 			return 0
 		}
 		return chiveplace.Weigh(chiveplace.HashID(region), h.part)
 	}
-	slices.SortFunc(regions, func(x, y string) int { return cmp.Compare(rank(y), rank(x)) })
+	slices.SortStableFunc(regions, func(x, y string) int { return cmp.Compare(rank(y), rank(x)) })
 }
 
 // selectGroups returns the primary and the secondary group for a part among the engines of some regions, as far as there
--- a/chivegrant/region_test.go
+++ b/chivegrant/region_test.go
@@ -347,3 +347,25 @@
 		}
 	}
 }
+
+// Guards against engines that are passed over because the settings of this node do not name the region of their failure
+// domain.
+func TestEnginesOfAnUnknownRegionAreNear(t *testing.T) {
+	const engines, parts = 50, 200
+	n := newRegionNode(t, "127.0.0.1:1", "a", engines, membersIn("a", 8), membersIn("b", 8), membersIn("c", 8))
+	var unnamed []chivedirectory.Endpoint
+	for i := range engines {
+		unnamed = append(unnamed, chivedirectory.Endpoint{ID: fmt.Sprint("x", i), Pool: "p", FailureDomain: "x"})
+	}
+	n.service.ApplyEndpoints(chivedirectory.Diff{Changed: unnamed})
+	n.service.Divide()
+	for sharedTokens, share := range map[int64]int{350: 2, 13_000: 4} {
+		homes := make(map[byte]int)
+		for part := range uint64(parts) {
+			homes[n.service.Home(sharedRequest(part+1, sharedTokens), chiveplace.Ask{})[0][0]]++
+		}
+		if homes['x'] < parts/share/2 {
+			t.Errorf("%d shared tokens: of %d homes %d lie in the unknown region with one of %d engines: %v", sharedTokens, parts, homes['x'], share, homes)
+		}
+	}
+}
