Grants: no lock of the pool where there is nothing to find out

Each place of a first group took the pool's lock for a fetch from nowhere, and each request in one region took it to learn that its part has a home there. Found by review; behaviour is unchanged, so that no test failed before.

--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -55,9 +55,10 @@
 
 // homeOf returns where the requests with the shared part of a request are placed.
 func (s *Service) homeOf(request *chiverequest.Request, pool *chiveplace.Pool, domains chiveresidency.Domains) home {
+	distances := s.distances.Load()
 	return home{
 		pool: request.Pool, part: chiveplace.SharedPart(request.Prompt), domains: domains,
-		region: s.distances.Load().Region(), fleetWide: pool.HasFleetHome(request.Prompt),
+		region: distances.Region(), fleetWide: distances.spansRegions && pool.HasFleetHome(request.Prompt),
 	}
 }
 
@@ -104,7 +105,9 @@
 		}
 		place, err := p.placeIn(ctx, group, maxLoss, recomputeTokens)
 		if err == nil {
-			place.FetchInstead(refused.holder, refused.held)
+			if refused.held > 0 {
+				place.FetchInstead(refused.holder, refused.held)
+			}
 			return place, nil
 		}
 		if !refused.add(group, err) && i == 0 {
