Grants: a full home in other regions is asked once

What callers saw: a request whose home is full asked two far groups and the cheaper one again before its own region: up to three round trips between regions. Where both groups lie in other regions only the first is asked.

--- a/chivegrant/home.go
+++ b/chivegrant/home.go
@@ -21,7 +21,7 @@
 }
 
 // homeGroups returns the groups in which to place a request, in the order in which to ask their owners. Where groups are
-// divided by region, these are the primary and the secondary group among all engines if the part has one home, and otherwise
+// divided by region, these are the primary and, if one of them is near, the secondary group among all engines if the part has one home, and otherwise
 // two groups near the requesting node and one of another region.
 func (a *assignment) homeGroups(h home) []groupID {
 	regions := a.usableRegions(h)
@@ -29,7 +29,7 @@
 		return a.selectGroups(h, regions)
 	}
 	if h.fleetWide {
-		return a.selectGroups(h, a.regionsWithNodes(h, regions))
+		return h.withoutSecondFar(a.selectGroups(h, a.regionsWithNodes(h, regions)))
 	}
 	a.orderRegions(h, regions)
 	near := max(countNear(h, regions), 1)
@@ -44,6 +44,15 @@
 // region is not known.
 func (h home) isNear(region string) bool { return region == h.region || region == "" }
 
+// withoutSecondFar returns the groups without the secondary one if both lie in other regions: a request that its home has no
+// room for then goes to the fallback groups after one question over the way.
+func (h home) withoutSecondFar(groups []groupID) []groupID {
+	if slices.ContainsFunc(groups, func(group groupID) bool { return h.isNear(group.region) }) {
+		return groups
+	}
+	return groups[:min(len(groups), 1)]
+}
+
 // countNear returns the number of near regions, which come first.
 func countNear(h home, regions []string) int {
 	if at := slices.IndexFunc(regions, func(region string) bool { return !h.isNear(region) }); at >= 0 {
--- a/chivegrant/region_test.go
+++ b/chivegrant/region_test.go
@@ -211,6 +211,35 @@
 // Guards against refusals of a long part that is asked for so often that the groups of its home are full, while engines of
 // the caller's region are idle.
 func TestFullHomeOfALongPartSpillsToTheOwnRegion(t *testing.T) {
+	n := startBesideFullRegion(t)
+	for part := range uint64(20) {
+		place, err := n.service.Place(context.Background(), n.pool, sharedRequest(part+1, 13_000), chiveplace.Ask{})
+		if err != nil {
+			t.Fatalf("part %d: %v", part+1, err)
+		}
+		place.Done(time.Now(), chiveplace.EndedWell)
+	}
+}
+
+// Guards against several questions in a row over the way between regions before a request is placed.
+func TestFullFarHomeIsAskedOnce(t *testing.T) {
+	n := startBesideFullRegion(t)
+	for part := range uint64(20) {
+		before := n.service.Counts().Asked
+		place, err := n.service.Place(context.Background(), n.pool, sharedRequest(part+1, 13_000), chiveplace.Ask{})
+		if err != nil {
+			t.Fatalf("part %d: %v", part+1, err)
+		}
+		place.Done(time.Now(), chiveplace.EndedWell)
+		if asked := n.service.Counts().Asked - before; asked > 1 {
+			t.Errorf("part %d: %d questions to another region", part+1, asked)
+		}
+	}
+}
+
+// startBesideFullRegion starts an owner in each of two regions, of which the second has no room, and returns the first.
+func startBesideFullRegion(t *testing.T) *node {
+	t.Helper()
 	members := slices.Concat([]chivemember.Member{
 		{Address: chivestand.FreeAddress(), State: chivemember.Alive, Region: "ra", FailureDomain: "a"},
 		{Address: chivestand.FreeAddress(), State: chivemember.Alive, Region: "rb", FailureDomain: "b"},
@@ -222,13 +251,7 @@
 		n.setQueue("b", 60_000)
 		nodes = append(nodes, n)
 	}
-	for part := range uint64(20) {
-		place, err := nodes[0].service.Place(context.Background(), nodes[0].pool, sharedRequest(part+1, 13_000), chiveplace.Ask{})
-		if err != nil {
-			t.Fatalf("part %d: %v", part+1, err)
-		}
-		place.Done(time.Now(), chiveplace.EndedWell)
-	}
+	return nodes[0]
 }
 
 // Guards against one engine more that moves the homes of most long parts to other regions.
