Placing: after two tries in a region other regions come first

What callers saw: all engines of a region crashed; the first requests at each node tried one after another of them until their tries were used up: 503 endpoint_broken, while other regions were idle. Engines of a region fail together, so that a request tried at two of them goes elsewhere first, with owners and without. Deployments in one region choose as before.

--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -30,7 +30,7 @@
 		service: s, assignment: a, pool: pool, request: request, exclude: append(pool.PassedOver(time.Now()), limits.Exclude...), limits: limits,
 	}
 	h := s.homeOf(request, pool, limits.Domains)
-	place, err := p.placeInAny(ctx, a.homeGroups(h))
+	place, err := p.placeInAny(ctx, p.untriedFirst(a.homeGroups(h)))
 	var refused *chiveplace.RefusedError
 	if !errors.As(err, &refused) {
 		return place, err
@@ -53,6 +53,19 @@
 	return p.placeInFirst(ctx, groups)
 }
 
+// untriedFirst returns the groups in regions where the request was not tried so often yet; all if there are none.
+func (p *placement) untriedFirst(groups []groupID) []groupID {
+	tried := p.pool.RegionsTried(p.limits.Exclude)
+	if len(tried) == 0 {
+		return groups
+	}
+	untried := slices.DeleteFunc(slices.Clone(groups), func(group groupID) bool { return slices.Contains(tried, group.region) })
+	if len(untried) == 0 {
+		return groups
+	}
+	return untried
+}
+
 // homeOf returns where the requests with the shared part of a request are placed.
 func (s *Service) homeOf(request *chiverequest.Request, pool *chiveplace.Pool, domains chiveresidency.Domains) home {
 	distances := s.distances.Load()
--- a/chiveplace/distance.go
+++ b/chiveplace/distance.go
@@ -128,6 +128,49 @@
 	return near
 }
 
+// maxTriesInRegion is how many endpoints of a region a request is tried at before other regions come first.
+const maxTriesInRegion = 2
+
+// RegionsTried returns the regions in which a request was tried at so many endpoints that others come first.
+func (p *Pool) RegionsTried(exclude []string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.regionsTried(exclude)
+}
+
+func (p *Pool) regionsTried(exclude []string) (regions []string) {
+	if !p.spansRegions || len(exclude) < maxTriesInRegion {
+		return nil
+	}
+	tries := make(map[string]int)
+	for _, incarnation := range exclude {
+		cand, ok := p.lookup(incarnation)
+		if !ok {
+			continue
+		}
+		region := p.distances.RegionOf(cand.endpoint.FailureDomain)
+		if tries[region]++; tries[region] == maxTriesInRegion {
+			regions = append(regions, region)
+		}
+	}
+	return regions
+}
+
+// untriedFirst returns the candidates in regions where a request was not tried so often yet; all if there are none.
+func (p *Pool) untriedFirst(candidates []*candidate, exclude []string) []*candidate {
+	tried := p.regionsTried(exclude)
+	if len(tried) == 0 {
+		return candidates
+	}
+	isTried := func(cand *candidate) bool {
+		return slices.Contains(tried, p.distances.RegionOf(cand.endpoint.FailureDomain))
+	}
+	if untried := slices.DeleteFunc(slices.Clone(candidates), isTried); len(untried) > 0 {
+		return untried
+	}
+	return candidates
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // Crossing tells why a request is placed in another region than that of the node that sends it.
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -410,7 +410,7 @@
 		}
 		return nil, &RefusedError{Reason: "no endpoint of the pool has a free place", RetryAfter: retryAfterFull}
 	}
-	place := p.placeOnCheapest(now, usable, ask)
+	place := p.placeOnCheapest(now, p.untriedFirst(usable, ask.Exclude), ask)
 	best := place.candidate
 	if ask.Prompt != nil {
 		place.rank = ask.Prompt.Rank
