Placing: engines that failed get requests of their region again

What callers saw: a region whose engines had crashed and come back was served over the way between regions for good. Cause: one failure raises an engine's error rate to 0.08, a loss of 0.16, which only answers of that engine lower, while 60 ms of way cost some thousandths. Over several regions the error rate now fades by 0.05 a second without answers; in one region it stays as it was.

--- a/chiveplace/candidate.go
+++ b/chiveplace/candidate.go
@@ -18,6 +18,8 @@
 	fullEjection = 100 * time.Millisecond
 	// errorRateWeight is the weight of the newest answer in the moving average of the error rate.
 	errorRateWeight = 0.08
+	// errorRateFade is by how much a second the error rate of an endpoint falls that gets no requests.
+	errorRateFade = 0.05
 	// responseTimeWeight is the weight of the newest answer in the moving average of the response time.
 	responseTimeWeight = 0.2
 	// responseTimeHalfLife is the age at which a response time counts half, so that an endpoint that was slow is tried
@@ -81,6 +83,7 @@
 	consecutiveFailures int
 	ejectedUntil        time.Time
 	errorRate           float64
+	errorRateAt         time.Time
 	responseTime        float64
 	responseTimeAt      time.Time
 	cache               *cacheModel
@@ -180,6 +183,7 @@
 	c.ejectedUntil = now.Add(min(baseEjection<<min(c.consecutiveFailures, 10), maxEjection))
 	c.consecutiveFailures++
 	c.errorRate += errorRateWeight * (1 - c.errorRate)
+	c.errorRateAt = now
 }
 
 // recordGone records that another process responded at the endpoint's address.
@@ -193,13 +197,20 @@
 }
 
 // recordResponse records an answer, and whether it was an error of the endpoint.
-func (c *candidate) recordResponse(isError bool) {
+func (c *candidate) recordResponse(now time.Time, isError bool) {
 	c.consecutiveFailures = 0
 	sample := 0.0
 	if isError {
 		sample = 1
 	}
 	c.errorRate += errorRateWeight * (sample - c.errorRate)
+	c.errorRateAt = now
+}
+
+// fadedErrorRate returns the error rate, which fades while no answer comes. An endpoint that failed would otherwise get no
+// requests as long as others without errors have room, however far those are.
+func (c *candidate) fadedErrorRate(now time.Time) float64 {
+	return max(c.errorRate-errorRateFade*now.Sub(c.errorRateAt).Seconds(), 0)
 }
 
 // recordResponseTime records the duration of an answer.
--- a/chiveplace/distance.go
+++ b/chiveplace/distance.go
@@ -171,6 +171,14 @@
 	return candidates
 }
 
+// errorRate returns the error rate of a candidate; over several regions it fades with time.
+func (p *Pool) errorRate(now time.Time, cand *candidate) float64 {
+	if !p.spansRegions {
+		return cand.errorRate
+	}
+	return cand.fadedErrorRate(now)
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // Crossing tells why a request is placed in another region than that of the node that sends it.
--- a/chiveplace/engine.go
+++ b/chiveplace/engine.go
@@ -161,7 +161,7 @@
 	if c.cachedTokens == 0 && cand != c.home {
 		loss += nonHomeLoss
 	}
-	return loss + errorRateLoss*cand.errorRate
+	return loss + errorRateLoss*c.pool.errorRate(now, cand)
 }
 
 // recomputeLoss is the expected loss of later requests from the time that an engine spends on tokens that another
--- a/chiveplace/place.go
+++ b/chiveplace/place.go
@@ -251,9 +251,10 @@
 	}
 	p.candidate.dirty = true
 	p.pool.onChange()
+	p.candidate.errorRate = p.pool.errorRate(now, p.candidate)
 	switch ending {
 	case EndedWell, EndedError:
-		p.candidate.recordResponse(ending == EndedError)
+		p.candidate.recordResponse(now, ending == EndedError)
 		p.learnResponseTime(now)
 	case EndedBroken:
 		p.candidate.recordFailure(now)
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -554,7 +554,7 @@
 // plainServiceCost returns the expected response time of a replica of a plain service, increased for errors and for a
 // remote failure domain.
 func (p *Pool) plainServiceCost(now time.Time, cand *candidate, ask Ask) float64 {
-	cost := float64(cand.load()+1) * cand.expectedResponseTime(now, unusedResponseTimeFactor*p.responseTime) * (1 + errorCostFactor*cand.errorRate)
+	cost := float64(cand.load()+1) * cand.expectedResponseTime(now, unusedResponseTimeFactor*p.responseTime) * (1 + errorCostFactor*p.errorRate(now, cand))
 	cost += p.wayTo(ask, cand).Seconds()
 	if cand.endpoint.FailureDomain != p.localDomain {
 		cost *= remoteDomainFactor
