Grants: a long part leaves a home that is full or crashed

What callers saw: a request that may be served in other regions only was refused as soon as the groups of its home were full, while another allowed region was idle; and one whose home region had crashed was tried at its engines until its tries were used up. Fallback groups are now those of the other allowed regions where none is near, and come before a home in a region where the request was tried twice. Both tests failed before: refused at part 1; parts 1 and 2 placed in b.

--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -30,7 +30,7 @@
 		service: s, assignment: a, pool: pool, request: request, exclude: append(pool.PassedOver(time.Now()), limits.Exclude...), limits: limits,
 	}
 	h := s.homeOf(request, pool, limits.Domains)
-	place, err := p.placeInAny(ctx, p.untriedFirst(a.homeGroups(h)))
+	place, err := p.placeInAny(ctx, p.untriedFirst(h))
 	var refused *chiveplace.RefusedError
 	if !errors.As(err, &refused) {
 		return place, err
@@ -53,17 +53,21 @@
 	return p.placeInFirst(ctx, groups)
 }
 
-// untriedFirst returns the groups in regions where the request was not tried so often yet; all if there are none.
-func (p *placement) untriedFirst(groups []groupID) []groupID {
+// untriedFirst returns the home groups in regions where the request was not tried so often yet or, if there are none, such
+// fallback groups; all home groups if there are none either.
+func (p *placement) untriedFirst(h home) []groupID {
+	groups := p.assignment.homeGroups(h)
 	tried := p.pool.RegionsTried(p.limits.Exclude)
 	if len(tried) == 0 {
 		return groups
 	}
-	untried := slices.DeleteFunc(slices.Clone(groups), func(group groupID) bool { return slices.Contains(tried, group.region) })
-	if len(untried) == 0 {
-		return groups
+	isTried := func(group groupID) bool { return slices.Contains(tried, group.region) }
+	for _, some := range [][]groupID{groups, p.assignment.fallbackGroups(h)} {
+		if untried := slices.DeleteFunc(slices.Clone(some), isTried); len(untried) > 0 {
+			return untried
+		}
 	}
-	return untried
+	return groups
 }
 
 // homeOf returns where the requests with the shared part of a request are placed.
--- a/chivegrant/home.go
+++ b/chivegrant/home.go
@@ -21,8 +21,8 @@
 }
 
 // homeGroups returns the groups in which to place a request, in the order in which to ask their owners. Where groups are
-// divided by region, these are the primary and, if one of them is near, the secondary group among all engines if the part has one home, and otherwise
-// two groups near the requesting node and one of another region.
+// divided by region, these are two groups near the requesting node and one of another region, or, if the part has one home,
+// the primary and the secondary group among all engines. The secondary one is left out if fallbackGroups replace it.
 func (a *assignment) homeGroups(h home) []groupID {
 	regions := a.usableRegions(h)
 	if len(regions) <= 1 {
@@ -61,13 +61,19 @@
 	return len(regions)
 }
 
-// fallbackGroups returns the groups near the requesting node for a part that has one home over all regions. They
-// are only asked if there is no room at that home, since their engines would read the part again.
+// fallbackGroups returns the groups near the requesting node for a part that has one home over all regions or, if the request
+// may use none of these, groups of other regions than its home's. They are only asked if there is no room at that home, since
+// their engines would read the part again.
 func (a *assignment) fallbackGroups(h home) []groupID {
 	if !h.fleetWide || len(a.regions[h.pool]) <= 1 {
 		return nil
 	}
-	return a.selectGroups(h, slices.DeleteFunc(a.usableRegions(h), func(region string) bool { return !h.isNear(region) }))
+	regions := a.usableRegions(h)
+	if near := slices.DeleteFunc(slices.Clone(regions), func(region string) bool { return !h.isNear(region) }); len(near) > 0 {
+		return a.selectGroups(h, near)
+	}
+	groups := a.homeGroups(h)
+	return a.selectGroups(h, slices.DeleteFunc(regions, func(region string) bool { return len(groups) > 0 && region == groups[0].region }))
 }
 
 // usableRegions returns the regions with engines that a request may use.
--- a/chivegrant/region_test.go
+++ b/chivegrant/region_test.go
@@ -392,3 +392,36 @@
 		}
 	}
 }
+
+// Guards against refusals of a long part that may be served in other regions only, one of which has room.
+func TestFullHomeSpillsToAnotherRegionThatIsAllowed(t *testing.T) {
+	n := newOnlyOwner(t)
+	n.setQueue("b", 60_000)
+	for part := range uint64(20) {
+		place, err := n.service.Place(context.Background(), n.pool, sharedRequest(part+1, 13_000), chiveplace.Ask{Domains: chiveresidency.DomainsOf([]string{"b", "c"})})
+		if err != nil {
+			t.Fatalf("part %d: %v", part+1, err)
+		}
+		place.Done(time.Now(), chiveplace.EndedWell)
+	}
+}
+
+// Guards against a request that is tried at one engine after another of a region whose engines have crashed, because its
+// part has its home there.
+func TestLongPartLeavesARegionThatCrashed(t *testing.T) {
+	n := newOnlyOwner(t)
+	var exclude []string
+	for _, id := range []string{"b0", "b1"} {
+		exclude = append(exclude, chivedirectory.Endpoint{ID: id}.Incarnation().Key())
+	}
+	for part := range uint64(20) {
+		place, err := n.service.Place(context.Background(), n.pool, sharedRequest(part+1, 13_000), chiveplace.Ask{Exclude: exclude, Domains: chiveresidency.DomainsOf([]string{"b", "c"})})
+		if err != nil {
+			t.Fatalf("part %d: %v", part+1, err)
+		}
+		if domain := place.Endpoint().FailureDomain; domain == "b" {
+			t.Errorf("part %d is placed in %s after two tries there", part+1, domain)
+		}
+		place.Done(time.Now(), chiveplace.EndedWell)
+	}
+}
