--- a/chivegrant/home.go
+++ b/chivegrant/home.go
@@ -20,6 +20,12 @@
 	fleetWide bool
 }
 
+// regionEngines are the engines of a region that a request may use.
+type regionEngines struct {
+	region string
+	trie   *trieNode[engine]
+}
+
 // homeGroups returns the groups in which to place a request, in the order in which to ask their owners. Where groups are
 // divided by region, these are two groups near the requesting node and one of another region, or, if the part has one home,
 // the primary and the secondary group among all engines. The secondary one is left out if fallbackGroups replace it.
@@ -54,8 +60,8 @@
 }
 
 // countNear returns the number of near regions, which come first.
-func countNear(h home, regions []string) int {
-	if at := slices.IndexFunc(regions, func(region string) bool { return !h.isNear(region) }); at >= 0 {
+func countNear(h home, regions []regionEngines) int {
+	if at := slices.IndexFunc(regions, func(r regionEngines) bool { return !h.isNear(r.region) }); at >= 0 {
 		return at
 	}
 	return len(regions)
@@ -69,16 +75,22 @@
 		return nil
 	}
 	regions := a.usableRegions(h)
-	if near := slices.DeleteFunc(slices.Clone(regions), func(region string) bool { return !h.isNear(region) }); len(near) > 0 {
+	if near := slices.DeleteFunc(slices.Clone(regions), func(r regionEngines) bool { return !h.isNear(r.region) }); len(near) > 0 {
 		return a.selectGroups(h, near)
 	}
 	groups := a.homeGroups(h)
-	return a.selectGroups(h, slices.DeleteFunc(regions, func(region string) bool { return len(groups) > 0 && region == groups[0].region }))
+	return a.selectGroups(h, slices.DeleteFunc(regions, func(r regionEngines) bool { return len(groups) > 0 && r.region == groups[0].region }))
 }
 
 // usableRegions returns the regions with engines that a request may use.
-func (a *assignment) usableRegions(h home) []string {
-	return slices.DeleteFunc(slices.Clone(a.regions[h.pool]), func(region string) bool { return a.allowedTrie(h, region).size() == 0 })
+func (a *assignment) usableRegions(h home) []regionEngines {
+	usable := make([]regionEngines, 0, len(a.regions[h.pool]))
+	for _, region := range a.regions[h.pool] {
+		if trie := a.allowedTrie(h, region); trie.size() > 0 {
+			usable = append(usable, regionEngines{region, trie})
+		}
+	}
+	return usable
 }
 
 // hasNodes reports whether a region is near the requesting node or has other nodes. One without may be cut off.
@@ -87,8 +99,8 @@
 }
 
 // regionsWithNodes returns those of the regions that have nodes; all if none has.
-func (a *assignment) regionsWithNodes(h home, regions []string) []string {
-	withNodes := slices.DeleteFunc(slices.Clone(regions), func(region string) bool { return !a.hasNodes(h, region) })
+func (a *assignment) regionsWithNodes(h home, regions []regionEngines) []regionEngines {
+	withNodes := slices.DeleteFunc(slices.Clone(regions), func(r regionEngines) bool { return !a.hasNodes(h, r.region) })
 	if len(withNodes) == 0 {
 		return regions
 	}
@@ -97,7 +109,7 @@
 
 // orderRegions puts the near regions first and those without nodes last. The order of the others depends on the
 // part, so that the requests of one full region do not all go to the same other one.
-func (a *assignment) orderRegions(h home, regions []string) {
+func (a *assignment) orderRegions(h home, regions []regionEngines) {
 	rank := func(region string) uint64 {
 		switch {
 		case h.isNear(region):
@@ -107,27 +119,24 @@
 		}
 		return chiveplace.Weigh(chiveplace.HashID(region), h.part)
 	}
-	slices.SortStableFunc(regions, func(x, y string) int { return cmp.Compare(rank(y), rank(x)) })
+	slices.SortStableFunc(regions, func(x, y regionEngines) int { return cmp.Compare(rank(y.region), rank(x.region)) })
 }
 
 // selectGroups returns the primary and the secondary group for a part among the engines of some regions, as far as there
 // are any. A group is selected with a probability proportional to its size.
-func (a *assignment) selectGroups(h home, regions []string) (groups []groupID) {
-	tries := make([]*trieNode[engine], 0, len(regions))
+func (a *assignment) selectGroups(h home, regions []regionEngines) (groups []groupID) {
 	total := 0
-	for _, region := range regions {
-		trie := a.allowedTrie(h, region)
-		tries = append(tries, trie)
-		total += trie.size()
+	for _, r := range regions {
+		total += r.trie.size()
 	}
 	if total == 0 {
 		return nil
 	}
 	for attempt := range uint64(maxGroupAttempts) {
 		key := chiveplace.Weigh(h.part, attempt)
-		at := selectTrie(tries, regions, total, key)
-		_, prefix := tries[at].selectLeaf(key)
-		group := groupID{partition{h.pool, regions[at]}, prefix}
+		selected := selectRegion(regions, total, key)
+		_, prefix := selected.trie.selectLeaf(key)
+		group := groupID{partition{h.pool, selected.region}, prefix}
 		if slices.Contains(groups, group) {
 			continue
 		}
@@ -138,18 +147,18 @@
 	return groups
 }
 
-// selectTrie returns the index of the region that a key maps to, with a probability proportional to its size, so that one
-// more engine remaps only about the share of keys that it receives.
-func selectTrie(tries []*trieNode[engine], regions []string, total int, key uint64) int {
-	last := len(tries) - 1
-	for at := range last {
-		size := tries[at].size()
-		if fraction(chiveplace.Weigh(key, chiveplace.HashID(regions[at])))*float64(total) < float64(size) {
-			return at
+// selectRegion returns the region that a key maps to, with a probability proportional to its size, so that one more engine
+// remaps only about the share of keys that it receives.
+func selectRegion(regions []regionEngines, total int, key uint64) regionEngines {
+	last := len(regions) - 1
+	for _, r := range regions[:last] {
+		size := r.trie.size()
+		if fraction(chiveplace.Weigh(key, chiveplace.HashID(r.region)))*float64(total) < float64(size) {
+			return r
 		}
 		total -= size
 	}
-	return last
+	return regions[last]
 }
 
 // allowedTrie returns the engines of a region that a request may use.
--- a/chivegrant/region_test.go
+++ b/chivegrant/region_test.go
@@ -425,3 +425,15 @@
 		place.Done(time.Now(), chiveplace.EndedWell)
 	}
 }
+
+// Guards against engines that are filtered by failure domain twice for each request.
+func TestHomeOfALimitedRequestIsFoundInOnePass(t *testing.T) {
+	const maxAllocations = 80
+	n := newNode("127.0.0.1:1")
+	n.setRegions(t, chivedistance.Map{}, 50, membersIn("a", 20))
+	limits := chiveplace.Ask{Domains: chiveresidency.DomainsOf([]string{"b"})}
+	request := sharedRequest(1, 350)
+	if got := testing.AllocsPerRun(100, func() { n.service.Home(request, limits) }); got > maxAllocations {
+		t.Errorf("%v allocations, want at most %d", got, maxAllocations)
+	}
+}
