--- a/chivegrant/ask.go
+++ b/chivegrant/ask.go
@@ -30,7 +30,7 @@
 		service: s, assignment: a, pool: pool, request: request, startedAt: time.Now(), exclude: append(pool.PassedOver(time.Now()), limits.Exclude...), limits: limits,
 	}
 	h := s.homeOf(request, pool, limits.Domains)
-	place, err := p.placeInAny(ctx, a.homeGroups(h))
+	place, err := p.placeInAny(ctx, p.untriedFirst(h))
 	var refused *chiveplace.RefusedError
 	if !errors.As(err, &refused) {
 		return place, err
@@ -53,11 +53,29 @@
 	return p.placeInFirst(ctx, groups)
 }
 
+// untriedFirst returns the home groups in regions where the request was not tried so often yet or, if there are none, such
+// fallback groups; all home groups if there are none either.
+func (p *placement) untriedFirst(h home) []groupID {
+	groups := p.assignment.homeGroups(h)
+	tried := p.pool.RegionsTried(p.limits.Exclude)
+	if len(tried) == 0 {
+		return groups
+	}
+	isTried := func(group groupID) bool { return slices.Contains(tried, group.region) }
+	for _, some := range [][]groupID{groups, p.assignment.fallbackGroups(h)} {
+		if untried := slices.DeleteFunc(slices.Clone(some), isTried); len(untried) > 0 {
+			return untried
+		}
+	}
+	return groups
+}
+
 // homeOf returns where the requests with the shared part of a request are placed.
 func (s *Service) homeOf(request *chiverequest.Request, pool *chiveplace.Pool, domains chiveresidency.Domains) home {
+	distances := s.distances.Load()
 	return home{
 		pool: request.Pool, part: chiveplace.SharedPart(request.Prompt), domains: domains,
-		region: s.distances.Load().Region(), fleetWide: pool.HasFleetHome(request.Prompt),
+		region: distances.Region(), fleetWide: distances.spansRegions && pool.HasFleetHome(request.Prompt),
 	}
 }
 
@@ -105,7 +123,9 @@
 		}
 		place, err := p.placeIn(ctx, group, maxLoss, recomputeTokens)
 		if err == nil {
-			place.FetchInstead(refused.holder, refused.held)
+			if refused.held > 0 {
+				place.FetchInstead(refused.holder, refused.held)
+			}
 			return place, nil
 		}
 		if !refused.add(group, err) && i == 0 {
--- a/chivegrant/region_test.go
+++ b/chivegrant/region_test.go
@@ -143,7 +143,7 @@
 	n := newRegionNode(t, "127.0.0.1:1", "a", engines, membersIn("a", 1), membersIn("b", 29), membersIn("c", 30))
 	owned := n.ownedIn("a", engines)
 	last := membersIn("a", 1)[0].Address
-	if owned[last] < evenShare || owned[last] > 8*evenShare {
+	if owned[last] < evenShare || owned[last] > 4*evenShare {
 		t.Errorf("the region's only node owns %d of %d engines, an even share is %d", owned[last], engines, evenShare)
 	}
 	for owner, count := range n.ownedIn("b", engines) {
@@ -211,6 +211,35 @@
 // Guards against refusals of a long part that is asked for so often that the groups of its home are full, while engines of
 // the caller's region are idle.
 func TestFullHomeOfALongPartSpillsToTheOwnRegion(t *testing.T) {
+	n := startBesideFullRegion(t)
+	for part := range uint64(20) {
+		place, err := n.service.Place(context.Background(), n.pool, sharedRequest(part+1, 13_000), chiveplace.Ask{})
+		if err != nil {
+			t.Fatalf("part %d: %v", part+1, err)
+		}
+		place.Done(time.Now(), chiveplace.EndedWell)
+	}
+}
+
+// Guards against several questions in a row over the way between regions before a request is placed.
+func TestFullFarHomeIsAskedOnce(t *testing.T) {
+	n := startBesideFullRegion(t)
+	for part := range uint64(20) {
+		before := n.service.Counts().Asked
+		place, err := n.service.Place(context.Background(), n.pool, sharedRequest(part+1, 13_000), chiveplace.Ask{})
+		if err != nil {
+			t.Fatalf("part %d: %v", part+1, err)
+		}
+		place.Done(time.Now(), chiveplace.EndedWell)
+		if asked := n.service.Counts().Asked - before; asked > 1 {
+			t.Errorf("part %d: %d questions to another region", part+1, asked)
+		}
+	}
+}
+
+// startBesideFullRegion starts an owner in each of two regions, of which the second has no room, and returns the first.
+func startBesideFullRegion(t *testing.T) *node {
+	t.Helper()
 	members := slices.Concat([]chivemember.Member{
 		{Address: chivestand.FreeAddress(), State: chivemember.Alive, Region: "ra", FailureDomain: "a"},
 		{Address: chivestand.FreeAddress(), State: chivemember.Alive, Region: "rb", FailureDomain: "b"},
@@ -222,13 +251,7 @@
 		n.setQueue("b", 60_000)
 		nodes = append(nodes, n)
 	}
-	for part := range uint64(20) {
-		place, err := nodes[0].service.Place(context.Background(), nodes[0].pool, sharedRequest(part+1, 13_000), chiveplace.Ask{})
-		if err != nil {
-			t.Fatalf("part %d: %v", part+1, err)
-		}
-		place.Done(time.Now(), chiveplace.EndedWell)
-	}
+	return nodes[0]
 }
 
 // Guards against one engine more that moves the homes of most long parts to other regions.
@@ -347,3 +370,70 @@
 		}
 	}
 }
+
+// Guards against engines that are passed over because the settings of this node do not name the region of their failure
+// domain.
+func TestEnginesOfAnUnknownRegionAreNear(t *testing.T) {
+	const engines, parts = 50, 200
+	n := newRegionNode(t, "127.0.0.1:1", "a", engines, membersIn("a", 8), membersIn("b", 8), membersIn("c", 8))
+	var unnamed []chivedirectory.Endpoint
+	for i := range engines {
+		unnamed = append(unnamed, chivedirectory.Endpoint{ID: fmt.Sprint("x", i), Pool: "p", FailureDomain: "x"})
+	}
+	n.service.ApplyEndpoints(chivedirectory.Diff{Changed: unnamed})
+	n.service.Divide()
+	for sharedTokens, share := range map[int64]int{350: 2, 13_000: 4} {
+		homes := make(map[byte]int)
+		for part := range uint64(parts) {
+			homes[n.service.Home(sharedRequest(part+1, sharedTokens), chiveplace.Ask{})[0][0]]++
+		}
+		if homes['x'] < parts/share/2 {
+			t.Errorf("%d shared tokens: of %d homes %d lie in the unknown region with one of %d engines: %v", sharedTokens, parts, homes['x'], share, homes)
+		}
+	}
+}
+
+// Guards against refusals of a long part that may be served in other regions only, one of which has room.
+func TestFullHomeSpillsToAnotherRegionThatIsAllowed(t *testing.T) {
+	n := newOnlyOwner(t)
+	n.setQueue("b", 60_000)
+	for part := range uint64(20) {
+		place, err := n.service.Place(context.Background(), n.pool, sharedRequest(part+1, 13_000), chiveplace.Ask{Domains: chiveresidency.DomainsOf([]string{"b", "c"})})
+		if err != nil {
+			t.Fatalf("part %d: %v", part+1, err)
+		}
+		place.Done(time.Now(), chiveplace.EndedWell)
+	}
+}
+
+// Guards against a request that is tried at one engine after another of a region whose engines have crashed, because its
+// part has its home there.
+func TestLongPartLeavesARegionThatCrashed(t *testing.T) {
+	n := newOnlyOwner(t)
+	var exclude []string
+	for _, id := range []string{"b0", "b1"} {
+		exclude = append(exclude, chivedirectory.Endpoint{ID: id}.Incarnation().Key())
+	}
+	for part := range uint64(20) {
+		place, err := n.service.Place(context.Background(), n.pool, sharedRequest(part+1, 13_000), chiveplace.Ask{Exclude: exclude, Domains: chiveresidency.DomainsOf([]string{"b", "c"})})
+		if err != nil {
+			t.Fatalf("part %d: %v", part+1, err)
+		}
+		if domain := place.Endpoint().FailureDomain; domain == "b" {
+			t.Errorf("part %d is placed in %s after two tries there", part+1, domain)
+		}
+		place.Done(time.Now(), chiveplace.EndedWell)
+	}
+}
+
+// Guards against engines that are filtered by failure domain twice for each request.
+func TestHomeOfALimitedRequestIsFoundInOnePass(t *testing.T) {
+	const maxAllocations = 80
+	n := newNode("127.0.0.1:1")
+	n.setRegions(t, chivedistance.Map{}, 50, membersIn("a", 20))
+	limits := chiveplace.Ask{Domains: chiveresidency.DomainsOf([]string{"b"})}
+	request := sharedRequest(1, 350)
+	if got := testing.AllocsPerRun(100, func() { n.service.Home(request, limits) }); got > maxAllocations {
+		t.Errorf("%v allocations, want at most %d", got, maxAllocations)
+	}
+}
--- a/chiveplace/distance.go
+++ b/chiveplace/distance.go
@@ -29,10 +29,42 @@
 func (p *Pool) SetDistances(distances chivedistance.Map) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.distances, p.spansRegions, p.farthest = distances, distances.SpansRegions(), 0
+	p.distances, p.spansRegions = distances, distances.SpansRegions()
 	for _, cand := range p.sorted {
 		p.setRegion(cand)
 	}
+	p.updateFarthest()
+}
+
+// updateFarthest sets the longest known round trip to a region with endpoints; if none is known, the assumed one. A region
+// whose nodes do not answer thus has no influence on the homes of shared parts. The caller holds the lock.
+func (p *Pool) updateFarthest() {
+	p.farthest = 0
+	if !p.spansRegions {
+		return
+	}
+	var assumed time.Duration
+	isKnown := false
+	seen := make([]bool, len(p.regions)+1)
+	for _, cand := range p.sorted {
+		if seen[cand.region] {
+			continue
+		}
+		seen[cand.region] = true
+		domain := cand.endpoint.FailureDomain
+		region := p.distances.RegionOf(domain)
+		switch way := p.distances.ToDomain(domain); {
+		case region == "" || region == p.distances.Region():
+		case p.distances.IsKnown(domain):
+			isKnown = true
+			p.farthest = max(p.farthest, way)
+		default:
+			assumed = max(assumed, way)
+		}
+	}
+	if !isKnown {
+		p.farthest = assumed
+	}
 }
 
 // setRegion sets the region of a candidate from its failure domain; the caller holds the lock.
@@ -41,7 +73,6 @@
 		return
 	}
 	cand.region = p.indexOf(p.distances.RegionOf(cand.endpoint.FailureDomain))
-	p.farthest = max(p.farthest, p.distances.ToDomain(cand.endpoint.FailureDomain))
 }
 
 // origin returns the failure domain of the node that sends the request.
@@ -97,6 +128,57 @@
 	return near
 }
 
+// maxTriesInRegion is how many endpoints of a region a request is tried at before other regions come first.
+const maxTriesInRegion = 2
+
+// RegionsTried returns the regions in which a request was tried at so many endpoints that others come first.
+func (p *Pool) RegionsTried(exclude []string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.regionsTried(exclude)
+}
+
+func (p *Pool) regionsTried(exclude []string) (regions []string) {
+	if !p.spansRegions || len(exclude) < maxTriesInRegion {
+		return nil
+	}
+	tries := make(map[string]int)
+	for _, incarnation := range exclude {
+		cand, ok := p.lookup(incarnation)
+		if !ok {
+			continue
+		}
+		region := p.distances.RegionOf(cand.endpoint.FailureDomain)
+		if tries[region]++; tries[region] == maxTriesInRegion {
+			regions = append(regions, region)
+		}
+	}
+	return regions
+}
+
+// untriedFirst returns the candidates in regions where a request was not tried so often yet; all if there are none.
+func (p *Pool) untriedFirst(candidates []*candidate, exclude []string) []*candidate {
+	tried := p.regionsTried(exclude)
+	if len(tried) == 0 {
+		return candidates
+	}
+	isTried := func(cand *candidate) bool {
+		return slices.Contains(tried, p.distances.RegionOf(cand.endpoint.FailureDomain))
+	}
+	if untried := slices.DeleteFunc(slices.Clone(candidates), isTried); len(untried) > 0 {
+		return untried
+	}
+	return candidates
+}
+
+// errorRate returns the error rate of a candidate; over several regions it fades with time.
+func (p *Pool) errorRate(now time.Time, cand *candidate) float64 {
+	if !p.spansRegions {
+		return cand.errorRate
+	}
+	return cand.fadedErrorRate(now)
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // Crossing tells why a request is placed in another region than that of the node that sends it.
--- a/chiveplace/distance_test.go
+++ b/chiveplace/distance_test.go
@@ -175,3 +175,85 @@
 		t.Errorf("two streams go to %s and %s", first.Endpoint().ID, second.Endpoint().ID)
 	}
 }
+
+// Guards against streams that a far home refuses although its engine holds their part and other streams run there.
+func TestSensitiveStreamIsPlacedAtItsFarHome(t *testing.T) {
+	p := newSpanningPool(3, engine)
+	now := time.Now()
+	stream := func(own uint64) *chiverequest.Prompt {
+		return &chiverequest.Prompt{Parts: []chiverequest.Part{{ID: 1, Tokens: 13_000}, {ID: own, Tokens: 300}}, Input: 13_300, Target: 2 * time.Second, Pause: 250 * time.Millisecond}
+	}
+	home := chiveplace.Ask{Prompt: stream(2), Among: []string{"b0", "b1", "b2"}}
+	first, err := p.Take(now, home)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first.Event(now.Add(300*time.Millisecond), 0)
+	const spillLossMargin = 0.3
+	home.Prompt, home.Most, home.MostReads = stream(3), spillLossMargin, 13_300
+	if _, err := p.Take(now.Add(20*time.Second), home); err != nil {
+		t.Errorf("the home refuses: %v", err)
+	}
+}
+
+// Guards against engines that appear to need no time, and requests that crowd there, because the way to their region is
+// assumed to be longer than it is.
+func TestNothingIsLearntFromAnAssumedWay(t *testing.T) {
+	for _, took := range []time.Duration{100 * time.Millisecond, 400 * time.Millisecond} {
+		p := newSpanningPool(1, engine)
+		p.SetDistances(chivedistance.NewMap("ra", chiveresidency.Map{"a": "ra", "b": "rb"}, nil, 160*time.Millisecond))
+		now := time.Now()
+		var expected []time.Duration
+		for i := range 200 {
+			place, err := p.Take(now, chiveplace.Ask{Prompt: promptWithoutPauseLimit(i + 1), Domains: chiveresidency.DomainsOf([]string{"b"})})
+			if err != nil {
+				t.Fatal(err)
+			}
+			expected = append(expected, place.Expected())
+			now = now.Add(took)
+			place.Event(now, 0)
+			place.Done(now, chiveplace.EndedWell)
+		}
+		if last := expected[len(expected)-1]; last != expected[0] {
+			t.Errorf("expected %v first, %v after 200 answers within %v", expected[0], last, took)
+		}
+		for _, state := range p.States(now) {
+			if state.TookMs != 0 {
+				t.Errorf("%s: a response time of %v ms is learnt", state.Endpoint, state.TookMs)
+			}
+		}
+	}
+}
+
+// Guards against all long parts that are read again in each region at once, because one region loses its nodes or engines.
+func TestRegionThatIsSilentOrGoneMovesNoHomes(t *testing.T) {
+	domains := chiveresidency.Map{"a": "ra", "b": "rb", "c": "rc"}
+	near, far := map[string]time.Duration{"rb": roundTrip}, map[string]time.Duration{"rb": roundTrip, "rc": 160 * time.Millisecond}
+	prompt := &chiverequest.Prompt{Parts: []chiverequest.Part{{ID: 1, Tokens: 13_000}, {ID: 2, Tokens: 300}}, Input: 13_300, Target: 2 * time.Second}
+	endpointsIn := func(domains ...string) (endpoints []chivedirectory.Endpoint) {
+		for _, domain := range domains {
+			endpoints = append(endpoints, chivedirectory.Endpoint{ID: domain, Address: domain, Pool: "p", FailureDomain: domain})
+		}
+		return endpoints
+	}
+	p := chiveplace.NewPool("a")
+	p.SetEngine(engine)
+	for _, c := range []struct {
+		name      string
+		known     map[string]time.Duration
+		endpoints []chivedirectory.Endpoint
+		want      bool
+	}{
+		{"no way known", nil, endpointsIn("a", "b", "c"), false},
+		{"both near", near, endpointsIn("a", "b"), true},
+		{"c silent", near, endpointsIn("a", "b", "c"), true},
+		{"c 160 ms away", far, endpointsIn("a", "b", "c"), false},
+		{"engines in c gone", far, endpointsIn("a", "b"), true},
+	} {
+		p.SetDistances(chivedistance.NewMap("ra", domains, c.known, 160*time.Millisecond))
+		p.SetEndpoints(c.endpoints)
+		if got := p.HasFleetHome(prompt); got != c.want {
+			t.Errorf("%s: a long part has one home: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -102,7 +102,7 @@
 	mu          sync.Mutex
 	localDomain string
 	// distances are the distances of the failure domains; spansRegions tells whether there is more than one region, and
-	// farthest is the longest round trip to a region with endpoints.
+	// farthest is the longest known round trip to a region with endpoints.
 	distances    chivedistance.Map
 	spansRegions bool
 	farthest     time.Duration
@@ -234,6 +234,7 @@
 		p.changeWarmUp(now, cand, func() { cand.setEndpoint(now, e) })
 		p.setRegion(cand)
 	}
+	p.updateFarthest()
 }
 
 // add adds a candidate; the caller holds the lock.
@@ -422,7 +423,7 @@
 		}
 		return nil, &RefusedError{Reason: "no endpoint of the pool has a free place", RetryAfter: retryAfterFull}
 	}
-	place := p.placeOnCheapest(now, usable, ask)
+	place := p.placeOnCheapest(now, p.untriedFirst(usable, ask.Exclude), ask)
 	best := place.candidate
 	if ask.Prompt != nil {
 		place.rank = ask.Prompt.Rank
@@ -573,7 +574,7 @@
 // plainServiceCost returns the expected response time of a replica of a plain service, increased for errors and for a
 // remote failure domain.
 func (p *Pool) plainServiceCost(now time.Time, cand *candidate, ask Ask) float64 {
-	cost := float64(cand.load()+1) * cand.expectedResponseTime(now, unusedResponseTimeFactor*p.responseTime) * (1 + errorCostFactor*cand.errorRate)
+	cost := float64(cand.load()+1) * cand.expectedResponseTime(now, unusedResponseTimeFactor*p.responseTime) * (1 + errorCostFactor*p.errorRate(now, cand))
 	cost += p.wayTo(ask, cand).Seconds()
 	if cand.endpoint.FailureDomain != p.localDomain {
 		cost *= remoteDomainFactor
