Fetches: a planned fetch is checked again at the first byte

A request that waited for a connection after it had been written down could be sent with the address of an engine whose failure domain had been evacuated, or taken out of the allowed regions, since. Accepts looked at the endpoint only. It looks at the planned fetch now too, and a fetch that is dropped when the request is written counts as tokens to prefill, as in Adopt.

TestNothingIsFetchedFromEvacuatedDomains failed with 'reads 3700 tokens, want 16700'.

--- a/chiveforward/homes_test.go
+++ b/chiveforward/homes_test.go
@@ -102,9 +102,7 @@
 }
 
 func (d fetchDialect) Prepare(header http.Header, send chiverequest.Send) ([]byte, error) {
-	if send.FetchFrom != "" {
-		d.onFetch(send.Request, send.FetchFrom)
-	}
+	d.onFetch(send.Request, send.FetchFrom)
 	return d.headerDialect.Prepare(header, send)
 }
 
@@ -115,9 +113,11 @@
 	network *watchedNetwork
 	nodes   []*homeNode
 	// mu guards what follows: requests in progress by their ID, with the node of each, and counts.
-	mu                                   sync.Mutex
-	requests                             map[string]*chiverequest.Request
-	nodeOf                               map[string]*homeNode
+	mu       sync.Mutex
+	requests map[string]*chiverequest.Request
+	nodeOf   map[string]*homeNode
+	// fetchOf are the addresses that the requests prepared last fetch from.
+	fetchOf                              map[string]string
 	sent, relayed, fetched, ran, refused int
 }
 
@@ -125,7 +125,7 @@
 	t.Helper()
 	f := &homeFleet{
 		t: t, random: rand.New(rand.NewPCG(seed, 2)), network: &watchedNetwork{Network: chivestand.NewNetwork()},
-		requests: make(map[string]*chiverequest.Request), nodeOf: make(map[string]*homeNode),
+		requests: make(map[string]*chiverequest.Request), nodeOf: make(map[string]*homeNode), fetchOf: make(map[string]string),
 	}
 	f.network.onBody = f.recordBody
 	var endpoints []chivedirectory.Endpoint
@@ -250,11 +250,20 @@
 	if request := f.requests[id]; !f.nodeOf[id].mayServe(request, domainOf(to), isEndpoint) {
 		f.t.Errorf("request %s of route %s, team %s, accepted for %s: body sent to %s in %s", id, request.Route.Name, request.Team, request.Residency, to, domainOf(to))
 	}
+	if from := f.fetchOf[id]; from != "" && !f.nodeOf[id].mayServe(f.requests[id], domainOf(from), true) {
+		f.t.Errorf("request %s, accepted for %s, is sent with a fetch from %s in %s", id, f.requests[id].Residency, from, domainOf(from))
+	}
+	// A peer that connects for this node passes the same body on later.
+	delete(f.fetchOf, id)
 }
 
 func (f *homeFleet) recordFetch(request *chiverequest.Request, from string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.fetchOf[request.ID] = from
+	if from == "" {
+		return
+	}
 	if f.fetched++; !f.nodeOf[request.ID].mayServe(request, domainOf(from), true) {
 		f.t.Errorf("request %s, accepted for %s, is fetched from %s in %s", request.ID, request.Residency, from, domainOf(from))
 	}
--- a/chiveforward/pools.go
+++ b/chiveforward/pools.go
@@ -507,9 +507,10 @@
 }
 
 // Accepts reports whether the endpoint takes the request at this moment: a change of the configuration or an evacuation
-// since it was chosen counts.
+// since it was chosen counts, also where it would fetch parts of the prompt from.
 func (p pooledPlace) Accepts(now time.Time) bool {
-	return p.Place.Accepts(now) && p.IsWithin(p.allowed())
+	allowed := p.allowed()
+	return p.Place.Accepts(now) && p.IsWithin(allowed) && p.MayFetchWithin(allowed)
 }
 
 // FetchFrom returns the address from which the endpoint may fetch parts of the prompt at this moment; empty for none.
--- a/chiveplace/evacuate.go
+++ b/chiveplace/evacuate.go
@@ -72,13 +72,35 @@
 	return domains.Contains(p.endpoint.FailureDomain)
 }
 
-// FetchWithin returns the same address as FetchFrom, but only while the endpoint there is in one of the given failure
-// domains and that is not evacuated.
+// FetchWithin returns the same address as FetchFrom, but only if the endpoint there is in one of the given failure domains
+// and that is not evacuated. Otherwise the engine prefills the tokens that it was to fetch.
 func (p *Place) FetchWithin(domains chiveresidency.Domains) string {
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
-	if p.fetchFrom == "" || !p.pool.mayFetchFrom(p.fetchFrom, domains) {
-		return ""
+	if !p.mayFetchWithin(domains) && !p.prefilled && !p.done {
+		p.cancelFetch()
 	}
 	return p.fetchFrom
 }
+
+// MayFetchWithin reports whether the planned fetch, if there is one, is from an endpoint in one of the given failure
+// domains that is not evacuated.
+func (p *Place) MayFetchWithin(domains chiveresidency.Domains) bool {
+	p.pool.mu.Lock()
+	defer p.pool.mu.Unlock()
+	return p.mayFetchWithin(domains)
+}
+
+// mayFetchWithin is MayFetchWithin; the caller holds the lock.
+func (p *Place) mayFetchWithin(domains chiveresidency.Domains) bool {
+	return p.fetchFrom == "" || p.pool.mayFetchFrom(p.fetchFrom, domains)
+}
+
+// cancelFetch makes the engine prefill what it was to fetch; the caller holds the lock.
+func (p *Place) cancelFetch() {
+	p.candidate.removeQueued(p)
+	p.way = max(p.way-p.pool.wayFrom(p.fetchFrom, p.candidate), 0)
+	p.prefillTokens += p.fetchTokens
+	p.fetchTokens, p.fetchFrom = 0, ""
+	p.candidate.addQueued(p)
+}
--- a/chiveplace/evacuate_test.go
+++ b/chiveplace/evacuate_test.go
@@ -84,7 +84,11 @@
 				t.Errorf("fetches from %q without an evacuation", place.FetchFrom())
 			}
 			p.SetEvacuated([]string{"z0"})
-			return place.FetchWithin(chiveresidency.Domains{})
+			from := place.FetchWithin(chiveresidency.Domains{})
+			if place.Reads() != 16_700 {
+				t.Errorf("reads %d tokens after the evacuation, want 16700", place.Reads())
+			}
+			return from
 		},
 	} {
 		p := newPoolInDomains("z0")
