Evacuation: a node that starts after a restore waits for what its peers retain

A store that came back from an older copy may have lost evacuations, which only nodes that ran before retain. A peer that is still in the earlier era answers with its own state: the receiver retains its evacuations, as the peer itself is about to. Event 841 says whether the store was read.

The test failed before with 'known after 0s: []' and, without the part about the peer's era, with 'known after 1ms: []'.

--- a/chiveevacuation/service.go
+++ b/chiveevacuation/service.go
@@ -90,7 +90,7 @@
 	state.Position = max(state.Position, snapshot.Next-1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.startup.known = true
+	s.startup.recordSnapshot(snapshot.Next)
 	s.adoptRecords(records, state)
 }
 
@@ -207,12 +207,16 @@
 	s.send(s.peers[s.peerIndex%len(s.peers)])
 }
 
-// receive adopts a peer's state if that is newer; if it is older and differs, it replies with this node's state.
+// receive adopts a peer's state if that is newer; if it is older and differs, it replies with this node's state. The
+// evacuations of a peer that is still in an earlier era of the store are retained as if this node had been there.
 func (s *Service) receive(from string, state State) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.startup.known = true
 	s.advance(state)
+	if state.Position.Era() < s.state.Position.Era() {
+		s.retained.advance(state, s.state)
+	}
 	s.update(from)
 	if state.isOlderThan(s.state) && !slices.Equal(state.Domains, s.state.Domains) {
 		s.send(from)
--- a/chiveevacuation/startup.go
+++ b/chiveevacuation/startup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"chivedrift/chiveevent"
@@ -27,12 +28,22 @@
 type startup struct {
 	// neededAt is when the node was first asked whether it knows them, since it knows all else that it serves by.
 	neededAt time.Time
-	// known means that the store or a peer has answered, timedOut that neither did in time.
+	// known means that the store or a peer has answered, timedOut that neither did in time. A store in a later era than its
+	// first may have lost evacuations that only peers retain; wasRead means that such a one has answered.
 	known    bool
 	timedOut bool
+	wasRead  bool
 }
 
-// Known reports whether the node knows the evacuations: from the store or from a peer. After a while without an answer of
+// recordSnapshot records that the store has answered with a snapshot up to a position.
+func (s *startup) recordSnapshot(next chivelog.Position) {
+	if next.Era() == chivelog.NewPosition(0, 0).Era() {
+		s.known = true
+	}
+	s.wasRead = true
+}
+
+// Known reports whether the node knows the evacuations: from a store that has lost none, or from a peer. After a while without an answer of
 // either it does not wait for one any longer.
 func (s *Service) Known() bool {
 	s.mu.Lock()
@@ -41,8 +52,8 @@
 		s.startup.neededAt = time.Now()
 	}
 	if !s.startup.known && !s.startup.timedOut && time.Since(s.startup.neededAt) >= startupTimeout {
-		s.startup.timedOut = true
-		chiveevent.EvacuationsUnknown.Log(context.Background(), s.options.Logger)
+		s.startup.timedOut, s.startup.known = true, s.startup.wasRead
+		chiveevent.EvacuationsUnknown.Log(context.Background(), s.options.Logger, slog.Bool("store_read", s.startup.wasRead))
 	}
 	return s.startup.known || s.startup.timedOut
 }
--- a/chiveevacuation/startup_test.go
+++ b/chiveevacuation/startup_test.go
@@ -51,3 +51,26 @@
 		}
 	})
 }
+
+// Guards against a node that starts after the store came back from an older copy and takes requests before it knows the
+// evacuations that its peers retain.
+func TestStartingNodeKnowsRetainedEvacuationsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 16)
+		starting := f.nodes[15]
+		f.setMembers(f.nodes[:15])
+		f.nodes[0].Replace(snapshotOf(1, 6, evacuated(5, "a")))
+		time.Sleep(200 * time.Millisecond)
+		f.nodes[1].Replace(snapshotOf(2, 3))
+		time.Sleep(200 * time.Millisecond)
+		f.setMembers(f.nodes)
+		starting.Replace(snapshotOf(2, 3))
+		began := time.Now()
+		for !starting.Known() {
+			time.Sleep(time.Millisecond)
+		}
+		if took := time.Since(began); took > 100*time.Millisecond || !slices.Equal(starting.domains, []string{"a"}) {
+			t.Errorf("known after %v: %v", took, starting.domains)
+		}
+	})
+}
--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -109,7 +109,7 @@
 	UsageUnreadable  = define(713, slog.LevelError, "usage ledger not decodable", "Windows that may have been reported are omitted. Find out what wrote it: only nodes write this key.")
 
 	EvacuationsRetained = define(840, slog.LevelError, "evacuations retained", "The store came back from a copy without the records of these evacuations. The failure domains stay evacuated. Write the record of each again; remove it afterwards to end the evacuation.")
-	EvacuationsUnknown  = define(841, slog.LevelWarn, "evacuations not known at the start", "The node serves without them: neither the store nor a peer answered in time. Check the connections to both.")
+	EvacuationsUnknown  = define(841, slog.LevelWarn, "evacuations not known at the start", "The node serves without those that it could not read: no peer answered in time, nor the store unless store_read is true. Check the connections to both. With store_read, none is missing if all nodes have started since the store came back from a copy.")
 
 	ReplicasOrdered    = define(720, slog.LevelInfo, "replicas ordered", "None; requests is the number of requests in progress, running the number of running replicas of this kind.")
 	ReplicasRefused    = define(721, slog.LevelWarn, "replica order not accepted", "None; the order is retried. While a failure domain is marked unavailable, its share of preemptible replicas is ordered in the others.")
