Evacuation: a removal in the store's copy doesn't end a later evacuation

A store that came back from a copy of the time between a removal and the next evacuation of the same domain lists the removal.

--- a/chiveevacuation/restore_test.go
+++ b/chiveevacuation/restore_test.go
@@ -116,3 +116,15 @@
 		f.awaitDomains("a")
 	})
 }
+
+// Guards against a removal from before an evacuation that ends it since the store's copy is of the time between the two.
+func TestRemovalInCopyDoesNotEndLaterEvacuation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		f.nodes[0].Replace(snapshotOf(1, 10, evacuated(9, "a")))
+		f.awaitDomains("a")
+		f.nodes[0].Replace(snapshotOf(2, 7, inEra(2, removed(5, "a"))))
+		time.Sleep(propagationLimit)
+		f.awaitDomains("a")
+	})
+}
--- a/chiveevacuation/retained.go
+++ b/chiveevacuation/retained.go
@@ -52,6 +52,14 @@
 	}
 }
 
+// withoutOldRemovals returns the records of a snapshot without removals that may be older than a retained evacuation.
+func (r retained) withoutOldRemovals(records []Record) []Record {
+	return slices.DeleteFunc(records, func(record Record) bool {
+		present, ok := r[record.Domain]
+		return ok && present.Retained && !record.Evacuated && record.Position.MayPrecede(present.Position)
+	})
+}
+
 // domains returns the failure domains that stay evacuated although a state does not list them, in alphabetical order.
 func (r retained) domains(state State) []string {
 	var domains []string
--- a/chiveevacuation/service.go
+++ b/chiveevacuation/service.go
@@ -91,7 +91,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.startup.recordSnapshot(snapshot.Next)
-	s.adoptRecords(records, state)
+	s.advance(state)
+	s.adoptRecords(s.retained.withoutOldRemovals(records), state)
 }
 
 // Apply applies further records of the operators' topic.
