Evacuation: one that ended before a restore stays ended at nodes that started since

A node that was cut off while an evacuation ended, and came back after the store's return from a copy, retained it again and gave it to nodes that had started after the end and so had no status of it: the domain was evacuated until an operator wrote and removed the record. Nodes keep the last state of each earlier era now; a retained evacuation below its position that it does not list is superseded, and the node that brought it gets that as its reply.

--- a/chiveevacuation/details.go
+++ b/chiveevacuation/details.go
@@ -19,6 +19,7 @@
 func (s *Service) receiveDetails(from string, details Details) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.supersedeEnded(details.Statuses)
 	isOutdated := false
 	for _, status := range details.Statuses {
 		if present, ok := s.retained[status.Domain]; ok && present.overrides(status) {
--- a/chiveevacuation/restore_test.go
+++ b/chiveevacuation/restore_test.go
@@ -128,3 +128,24 @@
 		f.awaitDomains("a")
 	})
 }
+
+// Guards against an evacuation that ended long ago and that a node which was cut off meanwhile brings back, to nodes that
+// have started since its end, after the store came back from an older copy.
+func TestEvacuationEndedBeforeStartOfOthersStaysEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4)
+		old := f.nodes[3]
+		f.network.Block(func(from, to string) bool { return (from == old.address) != (to == old.address) })
+		old.Apply([]chivelog.KeyedRecord{evacuated(5, "a")})
+		for _, n := range f.nodes[:3] {
+			n.Replace(snapshotOf(1, 21))
+		}
+		time.Sleep(time.Second)
+		for _, n := range f.nodes[:3] {
+			n.Replace(snapshotOf(2, 10))
+		}
+		f.network.Block(nil)
+		time.Sleep(20 * time.Second)
+		f.awaitDomains()
+	})
+}
--- a/chiveevacuation/retained.go
+++ b/chiveevacuation/retained.go
@@ -80,3 +80,22 @@
 	}
 	return statuses
 }
+
+// ends holds the last known state of each earlier era of the store.
+type ends map[int64]State
+
+// record records the state that is followed by one of a later era.
+func (e ends) record(state State) {
+	if present, ok := e[state.Position.Era()]; !ok || present.isOlderThan(state) {
+		e[state.Position.Era()] = state
+	}
+}
+
+// superseding returns the status after an evacuation that had ended in its own era, if that is known.
+func (e ends) superseding(status Status) (superseding Status, ok bool) {
+	end, ok := e[status.Position.Era()]
+	if !ok || !status.Retained || status.Position >= end.Position || slices.Contains(end.Domains, status.Domain) {
+		return Status{}, false
+	}
+	return Status{Domain: status.Domain, Position: end.Position}, true
+}
--- a/chiveevacuation/service.go
+++ b/chiveevacuation/service.go
@@ -51,6 +51,7 @@
 	state    State
 	retained retained
 	origins  origins
+	ends     ends
 	// evacuated are the failure domains that the listeners have been called with, lost those of them whose records the store
 	// has lost.
 	evacuated []string
@@ -64,7 +65,7 @@
 
 // New returns a service without any evacuations.
 func New(o Options) *Service {
-	s := &Service{options: o, inbox: chivewire.NewInbox(o.Mesh, inboxSize), state: newState(), retained: make(retained), origins: make(origins)}
+	s := &Service{options: o, inbox: chivewire.NewInbox(o.Mesh, inboxSize), state: newState(), retained: make(retained), origins: make(origins), ends: make(ends)}
 	chivewire.Queue[State](s.inbox, chivewire.KindEvacuations)
 	chivewire.Queue[Details](s.inbox, chivewire.KindEvacuationDetails)
 	chivewire.Queue[Ask](s.inbox, chivewire.KindEvacuationsAsk)
@@ -127,10 +128,22 @@
 func (s *Service) advance(state State) {
 	if s.state.isOlderThan(state) {
 		s.retained.advance(s.state, state)
+		if s.state.Position.Era() < state.Position.Era() {
+			s.ends.record(s.state)
+		}
 		s.state = state
 	}
 }
 
+// supersedeEnded supersedes the retained evacuations that had ended in their own era; the caller holds the lock.
+func (s *Service) supersedeEnded(statuses []Status) {
+	for _, status := range statuses {
+		if superseding, ok := s.ends.superseding(status); ok {
+			s.retained.set(superseding)
+		}
+	}
+}
+
 // update calls the listeners and sends the state to the peers if the evacuated domains have changed; the caller holds the
 // lock.
 func (s *Service) update(source string) {
@@ -217,6 +230,7 @@
 	s.advance(state)
 	if state.Position.Era() < s.state.Position.Era() {
 		s.retained.advance(state, s.state)
+		s.supersedeEnded(s.retained.statuses())
 	}
 	s.update(from)
 	if state.isOlderThan(s.state) && !slices.Equal(state.Domains, s.state.Domains) {
