Evacuation: requests ask whether evacuations are known without the service's mutex

Each choice of an endpoint asked under the mutex that changes and messages take, also after the answer can't change any more.

The test failed before: 'waits for the change'.

--- a/chiveevacuation/startup.go
+++ b/chiveevacuation/startup.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"chivedrift/chiveevent"
@@ -33,6 +34,8 @@
 	known    bool
 	timedOut bool
 	wasRead  bool
+	// settled is known or timedOut as Known has last reported it; it may be read without the lock.
+	settled atomic.Bool
 }
 
 // recordSnapshot records that the store has answered with a snapshot up to a position.
@@ -46,6 +49,9 @@
 // Known reports whether the node knows the evacuations: from a store that has lost none, or from a peer. After a while without an answer of
 // either it does not wait for one any longer.
 func (s *Service) Known() bool {
+	if s.startup.settled.Load() {
+		return true
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.startup.neededAt.IsZero() {
@@ -55,7 +61,8 @@
 		s.startup.timedOut, s.startup.known = true, s.startup.wasRead
 		chiveevent.EvacuationsUnknown.Log(context.Background(), s.options.Logger, slog.Bool("store_read", s.startup.wasRead))
 	}
-	return s.startup.known || s.startup.timedOut
+	s.startup.settled.Store(s.startup.known || s.startup.timedOut)
+	return s.startup.settled.Load()
 }
 
 // askNext asks the next peer for its state, and reports whether there is no need to go on asking.
--- a/chiveevacuation/startup_test.go
+++ b/chiveevacuation/startup_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"chivedrift/chivelog"
 )
 
 // Guards against a starting node that takes requests before it knows the evacuations, while the store does not answer it.
@@ -74,3 +76,24 @@
 		}
 	})
 }
+
+// Guards against requests that wait while the node applies a change: each of them asks whether the evacuations are known.
+func TestKnownDoesNotWaitForChange(t *testing.T) {
+	f := newFleet(t, 1)
+	n := f.nodes[0]
+	n.Replace(snapshotOf(1, 2))
+	n.Known()
+	n.OnChange(func([]string) {
+		answered := make(chan bool, 1)
+		go func() { answered <- n.Known() }()
+		select {
+		case known := <-answered:
+			if !known {
+				t.Error("not known")
+			}
+		case <-time.After(time.Second):
+			t.Error("waits for the change")
+		}
+	})
+	n.Apply([]chivelog.KeyedRecord{evacuated(5, "a")})
+}
