Evacuation: a scrape counts requests in flight only while something is evacuated

Three gauges walked all endpoints with requests in flight at each scrape, in all deployments.

The test failed before: 1 call with nothing evacuated.

--- a/chiveevacuation/dump.go
+++ b/chiveevacuation/dump.go
@@ -43,10 +43,7 @@
 
 // Domains returns the evacuated failure domains in alphabetical order.
 func (s *Service) Domains() []Domain {
-	running := map[string]int{}
-	if s.options.Running != nil {
-		running = s.options.Running()
-	}
+	running := s.running()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	domains := make([]Domain, 0, len(s.evacuated))
@@ -60,6 +57,18 @@
 	return domains
 }
 
+// running returns the number of this node's requests in flight by failure domain; empty if no domain is evacuated, since to
+// count them takes a walk through all endpoints.
+func (s *Service) running() map[string]int {
+	s.mu.Lock()
+	isIdle := len(s.evacuated) == 0
+	s.mu.Unlock()
+	if isIdle || s.options.Running == nil {
+		return nil
+	}
+	return s.options.Running()
+}
+
 // Dump returns the state for the state dump.
 func (s *Service) Dump() any {
 	domains := s.Domains()
--- a/chiveevacuation/service_test.go
+++ b/chiveevacuation/service_test.go
@@ -232,3 +232,19 @@
 		})
 	}
 }
+
+// Guards against a walk through all requests in flight at each scrape although nothing is evacuated.
+func TestRunningIsCountedOnlyDuringEvacuation(t *testing.T) {
+	calls := 0
+	running := func() map[string]int { calls++; return map[string]int{"a": 2, "b": 3} }
+	s := chiveevacuation.New(chiveevacuation.Options{
+		Mesh: chivewire.NewMesh("10.0.0.1:1", chivestand.NewNetwork()), Decode: decode, Running: running, Logger: slog.New(slog.DiscardHandler),
+	})
+	if counts := s.Counts(); calls > 0 || counts != (chiveevacuation.Counts{}) {
+		t.Errorf("%d calls: %+v", calls, counts)
+	}
+	s.Apply([]chivelog.KeyedRecord{evacuated(5, "a")})
+	if counts := s.Counts(); counts != (chiveevacuation.Counts{Evacuated: 1, Running: 2}) {
+		t.Errorf("got %+v", counts)
+	}
+}
