--- a/chiveevacuation/restore_test.go
+++ b/chiveevacuation/restore_test.go
@@ -116,3 +116,36 @@
 		f.awaitDomains("a")
 	})
 }
+
+// Guards against a removal from before an evacuation that ends it since the store's copy is of the time between the two.
+func TestRemovalInCopyDoesNotEndLaterEvacuation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		f.nodes[0].Replace(snapshotOf(1, 10, evacuated(9, "a")))
+		f.awaitDomains("a")
+		f.nodes[0].Replace(snapshotOf(2, 7, inEra(2, removed(5, "a"))))
+		time.Sleep(propagationLimit)
+		f.awaitDomains("a")
+	})
+}
+
+// Guards against an evacuation that ended long ago and that a node which was cut off meanwhile brings back, to nodes that
+// have started since its end, after the store came back from an older copy.
+func TestEvacuationEndedBeforeStartOfOthersStaysEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4)
+		old := f.nodes[3]
+		f.network.Block(func(from, to string) bool { return (from == old.address) != (to == old.address) })
+		old.Apply([]chivelog.KeyedRecord{evacuated(5, "a")})
+		for _, n := range f.nodes[:3] {
+			n.Replace(snapshotOf(1, 21))
+		}
+		time.Sleep(time.Second)
+		for _, n := range f.nodes[:3] {
+			n.Replace(snapshotOf(2, 10))
+		}
+		f.network.Block(nil)
+		time.Sleep(20 * time.Second)
+		f.awaitDomains()
+	})
+}
