Permits: a node that restarts learns again who uses permits

A node that restarted before the others missed it got no reply to its greeting, since they knew it already. It took all others for nodes of an earlier release and asked for an eighth of the rate: 14 permits in 20 s in a fleet of 8, about 116 expected (the new test before the change). Each greeting that is no reply is now replied to.

--- a/chiverate/cold.go
+++ b/chiverate/cold.go
@@ -36,13 +36,11 @@
 	known map[string]bool
 }
 
-// add records a member and reports whether it was not known.
-func (u *permitUsers) add(member string) (added bool) {
+// add records a member.
+func (u *permitUsers) add(member string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	added = !u.known[member]
 	u.known[member] = true
-	return added
 }
 
 // retain drops those that are no members, and returns the members that are not known as users.
@@ -90,9 +88,10 @@
 	}
 }
 
-// receiveGreeting records that a peer uses permits.
+// receiveGreeting records that a peer uses permits. A peer that is known may have restarted, and is replied to as well.
 func (s *Service) receiveGreeting(from string, greeting PermitUser) {
-	if s.users.add(from) && !greeting.Reply {
+	s.users.add(from)
+	if !greeting.Reply {
 		_ = s.mesh.Send(from, chivewire.KindPermitUser, PermitUser{Reply: true})
 	}
 }
--- a/chiverate/service_test.go
+++ b/chiverate/service_test.go
@@ -314,3 +314,18 @@
 		}
 	})
 }
+
+// Guards against a node that restarts before the others miss it, takes all of them for nodes of an earlier release, and gets next
+// to no permits.
+func TestRestartedNodeLearnsAgainWhoUsesPermits(t *testing.T) {
+	const nodes, duration = 8, 20 * time.Second
+	withFleet(t, nodes, func(f *fleet) {
+		time.Sleep(time.Second)
+		f.services = []*chiverate.Service{chiverate.New(f.meshes[nodes-1])}
+		f.setMembers(f.services, 0, nodes)
+		time.Sleep(time.Second)
+		if _, total := f.coldPermits(coldRate, duration); float64(total) < 0.8*coldRate*duration.Seconds() {
+			t.Errorf("%d permits in %v, about %.0f expected", total, duration, coldRate*duration.Seconds())
+		}
+	})
+}
