Cold endpoints: an end that moves on in small steps is forwarded

Each later end raised what the next one is compared with, so an endpoint that stated 3 s with each response, 200 ms apart, was announced once; after 10 s the other nodes took it for warm.

--- a/chiveplace/notice.go
+++ b/chiveplace/notice.go
@@ -16,6 +16,8 @@
 	restUntil time.Time
 	// warmAt is the latest end of a warm-up that the endpoint has stated in a response; zero if it has stated none.
 	warmAt time.Time
+	// announcedAt is the latest of these ends that was reported as not known.
+	announcedAt time.Time
 	// resumed means that the endpoint has answered a request since its latest rest. Until then it gets one request in
 	// restProbeInterval, the last one at probedAt.
 	resumed  bool
--- a/chiveplace/warmup.go
+++ b/chiveplace/warmup.go
@@ -198,7 +198,10 @@
 		return false
 	}
 	n, warmAt := p.ensureNotice(now, incarnation), now.Add(left)
-	changed = left > max(cand.warmUp.left(now), n.warmUpLeft(now), 0)+warmUpTolerance
+	// Ends that each rise by less than the tolerance add up.
+	if changed = left > max(cand.warmUp.left(now), n.announcedAt.Sub(now), 0)+warmUpTolerance; changed {
+		n.announcedAt = warmAt
+	}
 	if warmAt.After(n.warmAt) {
 		p.changeWarmUp(now, cand, func() { n.warmAt = warmAt })
 	}
--- a/chiveplace/warmup_test.go
+++ b/chiveplace/warmup_test.go
@@ -233,3 +233,22 @@
 		}
 	})
 }
+
+// Guards against an endpoint whose end of the warm-up moves on in small steps, so that only the node that reads its responses knows
+// that it is cold.
+func TestSmallStepsOfAWarmUpAreAnnounced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader, other := newWarmUpPool(3, 0, 1), newWarmUpPool(3, 0, 1)
+		announced := 0
+		for range 50 {
+			if reader.StateWarmUp(time.Now(), "e0", warmUp) {
+				other.StateWarmUp(time.Now(), "e0", warmUp)
+				announced++
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		if other.ColdEndpoints(time.Now()) != 1 || announced > 26 {
+			t.Errorf("%d announced; %d cold endpoints are known elsewhere, want 1", announced, other.ColdEndpoints(time.Now()))
+		}
+	})
+}
