Placing: owners grant engines that state a limit with the burst of a bucket

Owners paced engines with a stated limit with one grant saved, also in pools without warmupPerS: of five asks that came at once to an engine that states 100 a second, two were granted, so deployments that have no cold endpoints lost grants. The new test failed before (3 of 5 asks refused, with and without the rate).

--- a/chiveplace/warmup.go
+++ b/chiveplace/warmup.go
@@ -146,8 +146,12 @@
 	return p.paceInterval(now, cand) == 0 || cand.warmUp == nil || !now.Before(cand.warmUp.nextAt)
 }
 
-// paceInterval returns the time between two choices of an endpoint by its rate without a permit; 0 if it has none.
+// paceInterval returns the time between two choices of an endpoint by its rate without a permit; 0 if it has none. Pools whose
+// endpoints are never cold have no pace.
 func (p *Pool) paceInterval(now time.Time, cand *candidate) time.Duration {
+	if p.warmUpRate <= 0 {
+		return 0
+	}
 	rate := cand.currentLimits().PerSecond
 	if p.isWarmingUp(now, cand) {
 		rate = lowerLimit(rate, p.warmUpRate)
@@ -158,8 +162,10 @@
 	return time.Duration(float64(time.Second) / rate)
 }
 
-// pace records the choice of an endpoint without a permit. Where permits follow, one choice may be made up for later, as a
-// permit may.
+// paceBurst is the time whose choices may be made up for later, at least one, as a bucket keeps permits for later.
+const paceBurst = 200 * time.Millisecond
+
+// pace records the choice of an endpoint without a permit. Where permits follow, those of paceBurst may be made up for later.
 func (p *Pool) pace(now time.Time, cand *candidate) {
 	interval := p.paceInterval(now, cand)
 	if interval == 0 {
@@ -167,7 +173,7 @@
 	}
 	earliest := now
 	if p.permitsWarmUp() {
-		earliest = now.Add(-interval)
+		earliest = now.Add(-max(interval, paceBurst))
 	}
 	if state := cand.ensureWarmUp(); state.nextAt.Before(earliest) {
 		state.nextAt = earliest.Add(interval)
--- a/chiveplace/warmup_test.go
+++ b/chiveplace/warmup_test.go
@@ -9,6 +9,7 @@
 
 	"chivedrift/chivedirectory"
 	"chivedrift/chiveplace"
+	"chivedrift/chiverequest"
 )
 
 const (
@@ -252,3 +253,23 @@
 		}
 	})
 }
+
+// Guards against an owner of engines that refuses asks that come at once to a warm engine which states a limit.
+func TestOwnerGrantsWarmEnginesWithoutAPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, rate := range []float64{0, warmUpRate} {
+			pool := newWarmUpPool(24, 0, 1)
+			pool.SetWarmUpRate(rate)
+			place, err := pool.Take(time.Now(), chiveplace.Ask{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			place.StateLimits(time.Now(), chiverequest.Limits{PerSecond: 100})
+			for i := range 5 {
+				if _, err := pool.Grant(time.Now(), "n", uint64(i+1), chiveplace.Ask{Among: []string{"e0"}}); err != nil {
+					t.Errorf("warm-up rate %g, ask %d: %v", rate, i, err)
+				}
+			}
+		}
+	})
+}
