Cold endpoints: a pool without warmupPerS forwards and logs nothing

The end is kept, in case the rate is set later, but not reported as new. The new test failed before.

--- a/chiveplace/warmup.go
+++ b/chiveplace/warmup.go
@@ -195,7 +195,7 @@
 const warmUpTolerance = 250 * time.Millisecond
 
 // StateWarmUp records how much longer an endpoint is cold by what it has stated to this node or to a peer; the latest end holds.
-// It reports whether that was not known. Statements of unknown incarnations are ignored.
+// It reports whether that was not known and concerns the pool. Statements of unknown incarnations are ignored.
 func (p *Pool) StateWarmUp(now time.Time, incarnation string, left time.Duration) (changed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -205,7 +205,7 @@
 	}
 	n, warmAt := p.ensureNotice(now, incarnation), now.Add(left)
 	// Ends that each rise by less than the tolerance add up.
-	if changed = left > max(cand.warmUp.left(now), n.announcedAt.Sub(now), 0)+warmUpTolerance; changed {
+	if changed = p.warmUpRate > 0 && left > max(cand.warmUp.left(now), n.announcedAt.Sub(now), 0)+warmUpTolerance; changed {
 		n.announcedAt = warmAt
 	}
 	if warmAt.After(n.warmAt) {
--- a/chiveplace/warmup_test.go
+++ b/chiveplace/warmup_test.go
@@ -273,3 +273,22 @@
 		}
 	})
 }
+
+// Guards against a pool whose endpoints are never cold that announces and logs what they state, and against an end that is lost
+// since the rate becomes known later.
+func TestPoolWithoutAWarmUpRateAnnouncesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := newWarmUpPool(6, 0, 1)
+		pool.SetWarmUpRate(0)
+		if pool.StateWarmUp(time.Now(), "e0", warmUp) {
+			t.Error("announced without a rate")
+		}
+		pool.SetWarmUpRate(warmUpRate)
+		if pool.ColdEndpoints(time.Now()) != 1 {
+			t.Error("the end is lost")
+		}
+		if !pool.StateWarmUp(time.Now(), "e0", warmUp) {
+			t.Error("not announced with a rate")
+		}
+	})
+}
