Placing: own choices of a cold engine leave its grants to others

The owner of a cold engine counted each choice of its own against the pace, also without permit: when its requests found no permit and came again, other nodes got 1 grant in 2 s instead of about 11. Only asks that the pace limits now count against it; own choices need permits.

--- a/chiveplace/pool.go
+++ b/chiveplace/pool.go
@@ -442,9 +442,7 @@
 			Reason: "other engines may cost less", RetryAfter: minRetryAfter, Loss: place.loss, Holder: place.holderAddress, Held: place.holderTokens,
 		}
 	}
-	if ask.Permitted == "" {
-		p.pace(now, best)
-	}
+	p.pace(now, best, ask)
 	if !ask.forPeer {
 		best.notice.probe(now)
 	}
--- a/chiveplace/warmup.go
+++ b/chiveplace/warmup.go
@@ -133,17 +133,16 @@
 // itself.
 func (p *Pool) permitsWarmUp() bool { return p.warmUpPermits || p.nodeCount > 1 }
 
-// paceAllows reports whether an ask without a permit may choose an endpoint by its rate. A choice by this node alone is followed
-// by a permit. A choice among an owner's engines is paced here: the node that asked may get no permit, and its place would count
-// as taken for a while.
+// isPaced reports whether an ask keeps to the rate of an endpoint without a permit. A choice by this node alone is followed by a
+// permit. A choice among an owner's engines is paced here: the node that asked may get no permit, and its place would count as
+// taken for a while.
+func (p *Pool) isPaced(ask Ask) bool {
+	return ask.Permitted == "" && (ask.Among != nil || !p.permitsWarmUp())
+}
+
+// paceAllows reports whether an ask may choose an endpoint by its rate.
 func (p *Pool) paceAllows(now time.Time, cand *candidate, ask Ask) bool {
-	if ask.Permitted != "" {
-		return true
-	}
-	if ask.Among == nil && p.permitsWarmUp() {
-		return true
-	}
-	return p.paceInterval(now, cand) == 0 || cand.warmUp == nil || !now.Before(cand.warmUp.nextAt)
+	return !p.isPaced(ask) || p.paceInterval(now, cand) == 0 || cand.warmUp == nil || !now.Before(cand.warmUp.nextAt)
 }
 
 // paceInterval returns the time between two choices of an endpoint by its rate without a permit; 0 if it has none. Pools whose
@@ -165,10 +164,10 @@
 // paceBurst is the time whose choices may be made up for later, at least one, as a bucket keeps permits for later.
 const paceBurst = 200 * time.Millisecond
 
-// pace records the choice of an endpoint without a permit. Where permits follow, those of paceBurst may be made up for later.
-func (p *Pool) pace(now time.Time, cand *candidate) {
+// pace records the choice of an endpoint for an ask. Where permits follow, those of paceBurst may be made up for later.
+func (p *Pool) pace(now time.Time, cand *candidate, ask Ask) {
 	interval := p.paceInterval(now, cand)
-	if interval == 0 {
+	if interval == 0 || !p.isPaced(ask) {
 		return
 	}
 	earliest := now
--- a/chiveplace/warmup_test.go
+++ b/chiveplace/warmup_test.go
@@ -292,3 +292,24 @@
 		}
 	})
 }
+
+// Guards against an owner of an engine whose own choices, for which it gets no permit, leave no grants to the other nodes.
+func TestOwnChoicesLeaveTheGrantsToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := newWarmUpPool(16, 1, 0)
+		granted := 0
+		for i := range 200 {
+			var limited *chiveplace.LimitedError
+			if _, err := pool.Take(time.Now(), chiveplace.Ask{}); !errors.As(err, &limited) {
+				t.Fatalf("got %v, want the limit of a cold endpoint", err)
+			}
+			if _, err := pool.Grant(time.Now(), "n", uint64(i+1), chiveplace.Ask{Among: []string{"e0"}}); err == nil {
+				granted++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if float64(granted) < 2*warmUpRate-1 || float64(granted) > 3*warmUpRate {
+			t.Errorf("%d places were granted in two seconds, want about %.1f", granted, 2*warmUpRate)
+		}
+	})
+}
