Cold endpoints: too long a warm-up counts as ten minutes and is logged

An entry or a header that stated more than ten minutes counted as none, the entry without a line in the log: the endpoint got its full share of requests while cold. Both count as ten minutes now; the header is logged as 412 as before, the entry once as 832.

--- a/chivedirectory/log.go
+++ b/chivedirectory/log.go
@@ -5,6 +5,7 @@
 	"log/slog"
 
 	"chivedrift/chiveevent"
+	"chivedrift/chiverequest"
 )
 
 // maxEndpointLines is how many endpoints that change together get a log line each. A node that joins a large fleet
@@ -13,6 +14,7 @@
 
 // logTransitions logs a line for each changed endpoint, or a single summary if there are many.
 func (s *Service) logTransitions(transitions []transition, source string) {
+	s.logLongWarmUps(transitions)
 	if len(transitions) > maxEndpointLines {
 		s.logSummary(transitions, source)
 		return
@@ -26,6 +28,20 @@
 	}
 }
 
+// logLongWarmUps logs how many of the changed endpoints state a warm-up that is cut off, and one of them.
+func (s *Service) logLongWarmUps(transitions []transition) {
+	count, endpoint := 0, ""
+	for _, t := range transitions {
+		if t.after != nil && t.after.WarmUp >= chiverequest.MaxWarmUp && (t.before == nil || t.before.WarmUp < chiverequest.MaxWarmUp) {
+			count, endpoint = count+1, t.after.ID
+		}
+	}
+	if count > 0 {
+		chiveevent.WarmUpTooLong.Log(context.Background(), s.logger, slog.String("endpoint", endpoint), slog.Int("count", count),
+			slog.Int64("used_ms", chiverequest.MaxWarmUp.Milliseconds()))
+	}
+}
+
 // logSummary logs how many of the changed endpoints are ready, leaving or removed.
 func (s *Service) logSummary(transitions []transition, source string) {
 	var ready, leaving, removed int
--- a/chivedirectory/log_limit_test.go
+++ b/chivedirectory/log_limit_test.go
@@ -57,3 +57,19 @@
 		t.Error("no line for a single endpoint")
 	}
 }
+
+// Guards against a wrong entry that keeps most requests from an endpoint without a line in the log, and against a line for each
+// time that it is written.
+func TestTooLongWarmUpIsLoggedOnce(t *testing.T) {
+	var log bytes.Buffer
+	decode := func(id string, _ []byte) (chivedirectory.Endpoint, error) {
+		return chivedirectory.Endpoint{ID: id, Pool: "pool", Address: "10.0.0.1:80", WarmUp: 10 * time.Minute}, nil
+	}
+	s := chivedirectory.NewService(decode, grace, slog.New(slog.NewTextHandler(&log, nil)))
+	for offset := range int64(3) {
+		s.Apply([]chivelog.KeyedRecord{record(offset+1, "e0", "written again")})
+	}
+	if lines := strings.Count(log.String(), "event=832"); lines != 1 {
+		t.Errorf("%d lines, want 1:\n%s", lines, log.String())
+	}
+}
--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -66,7 +66,7 @@
 
 	LeavingStated  = define(410, slog.LevelInfo, "endpoint says that it is leaving", "None; the node sends its process no further requests. Look at the endpoint if it stays for long: only its next process gets requests again.")
 	RestAsked      = define(411, slog.LevelWarn, "endpoint asks for rest", "None; the node sends it no requests for rest_ms. Find out why the endpoint refuses requests if this repeats.")
-	NoticeUnusable = define(412, slog.LevelWarn, "endpoint's notice not usable", "Correct the value in the endpoint's responses; the response counts as one without it.")
+	NoticeUnusable = define(412, slog.LevelWarn, "endpoint's notice not usable", "Correct the value in the endpoint's responses; the response counts as one without it, or as one with the longest warm-up if it states a longer one.")
 
 	NoticeReceived = define(413, slog.LevelInfo, "endpoint's notice received from a peer", "None; the endpoint said it on a connection that one node has opened for another.")
 
@@ -77,6 +77,7 @@
 
 	WarmUpStated   = define(830, slog.LevelInfo, "endpoint says that it is cold", "None; for left_ms all nodes together keep to the rate that its pool has for cold endpoints. Find out why the endpoint has become slow if it has not just started.")
 	WarmUpReceived = define(831, slog.LevelInfo, "cold endpoint known from a peer", "None; the endpoint said it in a response to that node.")
+	WarmUpTooLong  = define(832, slog.LevelWarn, "endpoint's entry states too long a warm-up", "Correct the value in the endpoint's entry; the endpoint counts as cold for used_ms, unless its entry changes. count is the number of such endpoints that changed at once.")
 
 	RequestRefused  = define(500, slog.LevelWarn, "request refused", "Read the reason; under overload, check the tier and the share of the class.")
 	RequestBroken   = define(501, slog.LevelWarn, "attempt broke", "Check the endpoint if this repeats.")
