Cold endpoints: the rest of a busy endpoint outlasts replies to earlier asks

The second in which an endpoint that became cold while busy gets no requests was kept where the time of the next permit is: the reply to an ask of before, a few milliseconds later, ended it. It has a field of its own now. The new test failed before (a permit was asked for after 990 ms).

--- a/chiveplace/limit.go
+++ b/chiveplace/limit.go
@@ -69,10 +69,14 @@
 // permitWait returns the time until the next permit of an endpoint with limits may be available; 0 or less if it may be
 // available now or none is needed.
 func (p *Pool) permitWait(now time.Time, cand *candidate) time.Duration {
-	if cand.limits == nil || p.effectiveLimits(now, cand).IsZero() {
+	if p.effectiveLimits(now, cand).IsZero() {
 		return 0
 	}
-	return cand.limits.usedUpUntil.Sub(now)
+	wait := cand.warmUp.heldFor(now)
+	if cand.limits != nil {
+		wait = max(wait, cand.limits.usedUpUntil.Sub(now))
+	}
+	return wait
 }
 
 // needsPermit returns an error unless a request may be sent to the candidate without a further permit.
--- a/chiveplace/warmup.go
+++ b/chiveplace/warmup.go
@@ -13,9 +13,10 @@
 // warmUpState is the state of an endpoint that warms up or states a rate.
 type warmUpState struct {
 	// endsAt is the end of the warm-up by the directory entry, nextAt when this node may next choose the endpoint by its rate
-	// without a permit.
-	endsAt time.Time
-	nextAt time.Time
+	// without a permit, heldUntil until when it sends the endpoint none since it became cold while busy.
+	endsAt    time.Time
+	nextAt    time.Time
+	heldUntil time.Time
 }
 
 // coldHold is how long after a busy endpoint has become cold this node sends it no requests: the span in which the endpoint
@@ -28,7 +29,7 @@
 	wasCold := p.isWarmingUp(now, cand)
 	change()
 	if !wasCold && p.isWarmingUp(now, cand) && p.placements.perSecond(now)*float64(max(p.nodeCount, 1)) > p.warmUpRate*float64(len(p.sorted)) {
-		p.ensureLimits(cand).usedUpUntil = now.Add(coldHold)
+		cand.ensureWarmUp().heldUntil = now.Add(coldHold)
 	}
 }
 
@@ -118,6 +119,14 @@
 	return w.endsAt.Sub(now)
 }
 
+// heldFor returns how much longer the endpoint gets no requests since it became cold while busy; 0 or less if it does.
+func (w *warmUpState) heldFor(now time.Time) time.Duration {
+	if w == nil {
+		return 0
+	}
+	return w.heldUntil.Sub(now)
+}
+
 // warmUpLeft returns how much longer the endpoint is cold by the latest end that it states; 0 if it is not cold.
 func (p *Pool) warmUpLeft(now time.Time, cand *candidate) time.Duration {
 	if p.warmUpRate <= 0 {
--- a/chiveplace/warmup_test.go
+++ b/chiveplace/warmup_test.go
@@ -313,3 +313,20 @@
 		}
 	})
 }
+
+// Guards against an endpoint that gets requests in the second after it became cold, when the reply to an ask of before names an earlier time for the next permit.
+func TestRestOfABusyEndpointOutlastsRepliesToEarlierAsks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := newWarmUpPool(16, 0, 1)
+		if _, err := pool.Take(time.Now(), chiveplace.Ask{}); err != nil {
+			t.Fatal(err)
+		}
+		pool.StateWarmUp(time.Now(), "e0", warmUp)
+		pool.LimitUsedUp("e0", time.Now().Add(5*time.Millisecond))
+		time.Sleep(990 * time.Millisecond)
+		var refused *chiveplace.RefusedError
+		if _, err := pool.Take(time.Now(), chiveplace.Ask{}); !errors.As(err, &refused) {
+			t.Errorf("got %v, want a refusal", err)
+		}
+	})
+}
