--- a/chiveplace/warmup.go
+++ b/chiveplace/warmup.go
@@ -13,9 +13,10 @@
 // warmUpState is the state of an endpoint that warms up or states a rate.
 type warmUpState struct {
 	// endsAt is the end of the warm-up by the directory entry, nextAt when this node may next choose the endpoint by its rate
-	// without a permit.
-	endsAt time.Time
-	nextAt time.Time
+	// without a permit, heldUntil until when it sends the endpoint none since it became cold while busy.
+	endsAt    time.Time
+	nextAt    time.Time
+	heldUntil time.Time
 }
 
 // coldHold is how long after a busy endpoint has become cold this node sends it no requests: the span in which the endpoint
@@ -28,7 +29,7 @@
 	wasCold := p.isWarmingUp(now, cand)
 	change()
 	if !wasCold && p.isWarmingUp(now, cand) && p.placements.perSecond(now)*float64(max(p.nodeCount, 1)) > p.warmUpRate*float64(len(p.sorted)) {
-		p.ensureLimits(cand).usedUpUntil = now.Add(coldHold)
+		cand.ensureWarmUp().heldUntil = now.Add(coldHold)
 	}
 }
 
@@ -118,6 +119,14 @@
 	return w.endsAt.Sub(now)
 }
 
+// heldFor returns how much longer the endpoint gets no requests since it became cold while busy; 0 or less if it does.
+func (w *warmUpState) heldFor(now time.Time) time.Duration {
+	if w == nil {
+		return 0
+	}
+	return w.heldUntil.Sub(now)
+}
+
 // warmUpLeft returns how much longer the endpoint is cold by the latest end that it states; 0 if it is not cold.
 func (p *Pool) warmUpLeft(now time.Time, cand *candidate) time.Duration {
 	if p.warmUpRate <= 0 {
@@ -133,21 +142,24 @@
 // itself.
 func (p *Pool) permitsWarmUp() bool { return p.warmUpPermits || p.nodeCount > 1 }
 
-// paceAllows reports whether an ask without a permit may choose an endpoint by its rate. A choice by this node alone is followed
-// by a permit. A choice among an owner's engines is paced here: the node that asked may get no permit, and its place would count
-// as taken for a while.
+// isPaced reports whether an ask keeps to the rate of an endpoint without a permit. A choice by this node alone is followed by a
+// permit. A choice among an owner's engines is paced here: the node that asked may get no permit, and its place would count as
+// taken for a while.
+func (p *Pool) isPaced(ask Ask) bool {
+	return ask.Permitted == "" && (ask.Among != nil || !p.permitsWarmUp())
+}
+
+// paceAllows reports whether an ask may choose an endpoint by its rate.
 func (p *Pool) paceAllows(now time.Time, cand *candidate, ask Ask) bool {
-	if ask.Permitted != "" {
-		return true
-	}
-	if ask.Among == nil && p.permitsWarmUp() {
-		return true
-	}
-	return p.paceInterval(now, cand) == 0 || cand.warmUp == nil || !now.Before(cand.warmUp.nextAt)
+	return !p.isPaced(ask) || p.paceInterval(now, cand) == 0 || cand.warmUp == nil || !now.Before(cand.warmUp.nextAt)
 }
 
-// paceInterval returns the time between two choices of an endpoint by its rate without a permit; 0 if it has none.
+// paceInterval returns the time between two choices of an endpoint by its rate without a permit; 0 if it has none. Pools whose
+// endpoints are never cold have no pace.
 func (p *Pool) paceInterval(now time.Time, cand *candidate) time.Duration {
+	if p.warmUpRate <= 0 {
+		return 0
+	}
 	rate := cand.currentLimits().PerSecond
 	if p.isWarmingUp(now, cand) {
 		rate = lowerLimit(rate, p.warmUpRate)
@@ -158,16 +170,18 @@
 	return time.Duration(float64(time.Second) / rate)
 }
 
-// pace records the choice of an endpoint without a permit. Where permits follow, one choice may be made up for later, as a
-// permit may.
-func (p *Pool) pace(now time.Time, cand *candidate) {
+// paceBurst is the time whose choices may be made up for later, at least one, as a bucket keeps permits for later.
+const paceBurst = 200 * time.Millisecond
+
+// pace records the choice of an endpoint for an ask. Where permits follow, those of paceBurst may be made up for later.
+func (p *Pool) pace(now time.Time, cand *candidate, ask Ask) {
 	interval := p.paceInterval(now, cand)
-	if interval == 0 {
+	if interval == 0 || !p.isPaced(ask) {
 		return
 	}
 	earliest := now
 	if p.permitsWarmUp() {
-		earliest = now.Add(-interval)
+		earliest = now.Add(-max(interval, paceBurst))
 	}
 	if state := cand.ensureWarmUp(); state.nextAt.Before(earliest) {
 		state.nextAt = earliest.Add(interval)
@@ -189,7 +203,7 @@
 const warmUpTolerance = 250 * time.Millisecond
 
 // StateWarmUp records how much longer an endpoint is cold by what it has stated to this node or to a peer; the latest end holds.
-// It reports whether that was not known. Statements of unknown incarnations are ignored.
+// It reports whether that was not known and concerns the pool. Statements of unknown incarnations are ignored.
 func (p *Pool) StateWarmUp(now time.Time, incarnation string, left time.Duration) (changed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -198,7 +212,10 @@
 		return false
 	}
 	n, warmAt := p.ensureNotice(now, incarnation), now.Add(left)
-	changed = left > max(cand.warmUp.left(now), n.warmUpLeft(now), 0)+warmUpTolerance
+	// Ends that each rise by less than the tolerance add up.
+	if changed = p.warmUpRate > 0 && left > max(cand.warmUp.left(now), n.announcedAt.Sub(now), 0)+warmUpTolerance; changed {
+		n.announcedAt = warmAt
+	}
 	if warmAt.After(n.warmAt) {
 		p.changeWarmUp(now, cand, func() { n.warmAt = warmAt })
 	}
--- a/chiveplace/warmup_test.go
+++ b/chiveplace/warmup_test.go
@@ -9,6 +9,7 @@
 
 	"chivedrift/chivedirectory"
 	"chivedrift/chiveplace"
+	"chivedrift/chiverequest"
 )
 
 const (
@@ -233,3 +234,99 @@
 		}
 	})
 }
+
+// Guards against an endpoint whose end of the warm-up moves on in small steps, so that only the node that reads its responses knows
+// that it is cold.
+func TestSmallStepsOfAWarmUpAreAnnounced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader, other := newWarmUpPool(3, 0, 1), newWarmUpPool(3, 0, 1)
+		announced := 0
+		for range 50 {
+			if reader.StateWarmUp(time.Now(), "e0", warmUp) {
+				other.StateWarmUp(time.Now(), "e0", warmUp)
+				announced++
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		if other.ColdEndpoints(time.Now()) != 1 || announced > 26 {
+			t.Errorf("%d announced; %d cold endpoints are known elsewhere, want 1", announced, other.ColdEndpoints(time.Now()))
+		}
+	})
+}
+
+// Guards against an owner of engines that refuses asks that come at once to a warm engine which states a limit.
+func TestOwnerGrantsWarmEnginesWithoutAPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, rate := range []float64{0, warmUpRate} {
+			pool := newWarmUpPool(24, 0, 1)
+			pool.SetWarmUpRate(rate)
+			place, err := pool.Take(time.Now(), chiveplace.Ask{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			place.StateLimits(time.Now(), chiverequest.Limits{PerSecond: 100})
+			for i := range 5 {
+				if _, err := pool.Grant(time.Now(), "n", uint64(i+1), chiveplace.Ask{Among: []string{"e0"}}); err != nil {
+					t.Errorf("warm-up rate %g, ask %d: %v", rate, i, err)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a pool whose endpoints are never cold that announces and logs what they state, and against an end that is lost
+// since the rate becomes known later.
+func TestPoolWithoutAWarmUpRateAnnouncesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := newWarmUpPool(6, 0, 1)
+		pool.SetWarmUpRate(0)
+		if pool.StateWarmUp(time.Now(), "e0", warmUp) {
+			t.Error("announced without a rate")
+		}
+		pool.SetWarmUpRate(warmUpRate)
+		if pool.ColdEndpoints(time.Now()) != 1 {
+			t.Error("the end is lost")
+		}
+		if !pool.StateWarmUp(time.Now(), "e0", warmUp) {
+			t.Error("not announced with a rate")
+		}
+	})
+}
+
+// Guards against an owner of an engine whose own choices, for which it gets no permit, leave no grants to the other nodes.
+func TestOwnChoicesLeaveTheGrantsToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := newWarmUpPool(16, 1, 0)
+		granted := 0
+		for i := range 200 {
+			var limited *chiveplace.LimitedError
+			if _, err := pool.Take(time.Now(), chiveplace.Ask{}); !errors.As(err, &limited) {
+				t.Fatalf("got %v, want the limit of a cold endpoint", err)
+			}
+			if _, err := pool.Grant(time.Now(), "n", uint64(i+1), chiveplace.Ask{Among: []string{"e0"}}); err == nil {
+				granted++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if float64(granted) < 2*warmUpRate-1 || float64(granted) > 3*warmUpRate {
+			t.Errorf("%d places were granted in two seconds, want about %.1f", granted, 2*warmUpRate)
+		}
+	})
+}
+
+// Guards against an endpoint that gets requests in the second after it became cold, when the reply to an ask of before names an earlier time for the next permit.
+func TestRestOfABusyEndpointOutlastsRepliesToEarlierAsks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := newWarmUpPool(16, 0, 1)
+		if _, err := pool.Take(time.Now(), chiveplace.Ask{}); err != nil {
+			t.Fatal(err)
+		}
+		pool.StateWarmUp(time.Now(), "e0", warmUp)
+		pool.LimitUsedUp("e0", time.Now().Add(5*time.Millisecond))
+		time.Sleep(990 * time.Millisecond)
+		var refused *chiveplace.RefusedError
+		if _, err := pool.Take(time.Now(), chiveplace.Ask{}); !errors.As(err, &refused) {
+			t.Errorf("got %v, want a refusal", err)
+		}
+	})
+}
