--- a/chiveforward/distance_test.go
+++ b/chiveforward/distance_test.go
@@ -119,17 +119,17 @@
 func TestWaitForHealthCheckDependsOnTheTarget(t *testing.T) {
 	const near, far = 25 * time.Millisecond, 2*farTrip + 75*time.Millisecond
 	for target, want := range map[time.Duration]time.Duration{0: far, time.Second: near, 2 * time.Second: far} {
-		var brokeAt time.Time
-		var waited atomic.Int64
-		requests := 0
+		var brokeAt atomic.Pointer[time.Time]
+		var requests, waited atomic.Int64
 		respond := func(conn net.Conn, request *http.Request, body string) {
-			if requests++; requests == 2 {
-				brokeAt = time.Now()
+			switch requests.Add(1) {
+			case 2:
+				now := time.Now()
+				brokeAt.Store(&now)
 				reset(conn)
 				return
-			}
-			if requests == 3 {
-				waited.Store(int64(time.Since(brokeAt)))
+			case 3:
+				waited.Store(int64(time.Since(*brokeAt.Load())))
 			}
 			echo(conn, request, body)
 		}
