Retry budget: a node shows the retries that its window no longer covers

Event 507 and the gauge repeats_overdrawn (by pool) tell the retries charged in the current window beyond the ratio of the requests in the same window and the node's part of the headroom.

--- a/chiveforward/budget.go
+++ b/chiveforward/budget.go
@@ -111,8 +111,8 @@
 // Denied returns the number of retries that were denied since the start.
 func (b *Budget) Denied() int64 { return b.denied.Load() }
 
-// Explain returns log attributes with the retries that a pool has made and is allowed, and the fleet size that divides
-// the headroom.
+// Explain returns log attributes with the retries that a pool has made and is allowed, the fleet size that divides the
+// headroom, and the retries that the current window no longer covers.
 func (b *Budget) Explain(now time.Time, request *chiverequest.Request) []slog.Attr {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -121,9 +121,27 @@
 	return []slog.Attr{
 		slog.Int("repeats", w.sum(w.retries, retryBuckets)), slog.Int("requests", requests),
 		slog.Float64("allowed", roundForLog(b.limits.Ratio*float64(requests)+b.headroom(now))), slog.Int("nodes", b.sharers()),
+		slog.Float64("overdrawn", roundForLog(b.overdrawn(now, w))),
 	}
 }
 
+// Overdrawn returns by pool how many of the retries that were charged in the current window its limit no longer covers,
+// since the requests that allowed them have left the window.
+func (b *Budget) Overdrawn(now time.Time) map[string]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	overdrawn := make(map[string]float64, len(b.pools))
+	for pool := range b.pools {
+		overdrawn[pool] = b.overdrawn(now, b.windowAt(now, pool))
+	}
+	return overdrawn
+}
+
+func (b *Budget) overdrawn(now time.Time, w *window) float64 {
+	allowed := b.limits.Ratio*float64(w.sum(w.requests, requestBuckets)) + b.headroom(now)
+	return max(float64(w.sum(w.retries, retryBuckets))-allowed, 0)
+}
+
 // headroom returns this node's share of the headroom.
 func (b *Budget) headroom(now time.Time) float64 {
 	if now.Sub(b.startedAt) < b.limits.Window {
--- a/chiveforward/budget_test.go
+++ b/chiveforward/budget_test.go
@@ -144,3 +144,21 @@
 		}
 	}
 }
+
+func TestRetriesThatLostTheirRequestsAreOverdrawn(t *testing.T) {
+	start := time.Now()
+	b := chiveforward.NewBudget(start, chiveforward.BudgetLimits{Ratio: 0.5, Window: 10 * time.Second})
+	for range 20 {
+		b.Request(start, poolRequest)
+	}
+	later := start.Add(9 * time.Second)
+	for b.Spend(later, poolRequest) {
+	}
+	if overdrawn := b.Overdrawn(later)[poolRequest.Pool]; overdrawn > 0 {
+		t.Errorf("%v retries are overdrawn while the window holds their requests", overdrawn)
+	}
+	spent := float64(b.Spent())
+	if overdrawn := b.Overdrawn(later.Add(3 * time.Second))[poolRequest.Pool]; spent == 0 || overdrawn != spent {
+		t.Errorf("%v of %v retries are overdrawn after their requests have left the window", overdrawn, spent)
+	}
+}
--- a/chivenode/gauge_reporter.go
+++ b/chivenode/gauge_reporter.go
@@ -22,7 +22,9 @@
 	mesh    *chivewire.Mesh
 	process *process
 	gauges  []gauge
-	tasks   chivekernel.Duties
+	// poolGauges are additional metrics with a value for each pool.
+	poolGauges []poolGauge
+	tasks      chivekernel.Duties
 }
 
 // gauge is an additional metric that is read at each report.
@@ -31,10 +33,19 @@
 	read func() float64
 }
 
+// poolGauge is an additional metric that is read at each report, with a value for each pool.
+type poolGauge struct {
+	name string
+	read func() map[string]float64
+}
+
 func newGaugeReporter(scope tally.Scope, mesh *chivewire.Mesh, process *process, gauges ...gauge) *gaugeReporter {
 	return &gaugeReporter{scope: scope, mesh: mesh, process: process, gauges: gauges}
 }
 
+// SetPoolGauges sets the metrics with a value for each pool; it must be called before Start.
+func (r *gaugeReporter) SetPoolGauges(gauges ...poolGauge) { r.poolGauges = gauges }
+
 // Start reports once and then at a fixed interval.
 func (r *gaugeReporter) Start(ctx context.Context) error {
 	r.tasks.Begin(ctx, r.run)
@@ -77,6 +88,11 @@
 	for _, g := range r.gauges {
 		r.scope.Gauge(g.name).Update(g.read())
 	}
+	for _, g := range r.poolGauges {
+		for pool, value := range g.read() {
+			r.scope.Tagged(map[string]string{"pool": pool}).Gauge(g.name).Update(value)
+		}
+	}
 }
 
 func (r *gaugeReporter) reportTraffic(direction string, traffic map[string]chivewire.Traffic) {
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -154,12 +154,14 @@
 	serving := n.assembleServing(network, metrics)
 	n.retryBudget.SetListedPeers(discovery.listedPeers)
 	process := newProcess()
+	gauges := newGaugeReporter(metrics.Scope(), n.mesh, process, n.gauges(store, feeds.table, feeds.directory)...)
+	gauges.SetPoolGauges(poolGauge{"repeats_overdrawn", func() map[string]float64 { return n.retryBudget.Overdrawn(time.Now()) }})
 	return n.register(slices.Concat([]namedService{
 		{processName, process},
 		{memoryName, n.memory},
 		{metricsName, metrics},
 		{wireName, n.mesh},
-		{gaugeReporterName, newGaugeReporter(metrics.Scope(), n.mesh, process, n.gauges(store, feeds.table, feeds.directory)...)},
+		{gaugeReporterName, gauges},
 		{discoveryName, discovery},
 		{chivedistance.ServiceName, n.distances},
 		{chivemember.ServiceName, n.members},
