Retry budget: a node's limit adds up over the fleet while callers move

Cause: each node checked the window that ends with the retry. A node that had spent what its callers' requests earned was over its limit in the windows that end later, once the callers had left, while the same callers earned retries at other nodes. Each node's limit held at each moment; the sum over the nodes did not.

Fix: a limit that is linear in the node's requests and holds in every window adds up, whatever moves. A request now earns half of the ratio in its own window and half in the next, and a retry is charged only if every window that contains it can bear it without any further request. The fleet's limit takes the larger of these two windows, so their mean is below it. The sums are rigorous for any position of a window in the buckets, and cover the half second between charge and arrival.

A crash of half of the engines after ten calm seconds: all requests in flight are retried at 3 to 300 nodes, as before.

--- a/chivebudget/moving_load_test.go
+++ b/chivebudget/moving_load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -212,3 +213,37 @@
 		}
 	})
 }
+
+// Guards against callers whose requests are broken off by a crash of half of the engines and are not retried, although the
+// ten seconds before were calm.
+func TestRequestsAtCrashedEnginesAreRetriedAfterACalmWindow(t *testing.T) {
+	const (
+		requestDuration = 1.5
+		minRetried      = 0.98
+	)
+	for _, nodes := range []int{3, 9, 60, 300} {
+		for _, firstShare := range []float64{1 / float64(nodes), 0.6} {
+			t.Run(fmt.Sprintf("%d nodes, %.2f of the load at the first", nodes, firstShare), func(t *testing.T) {
+				f := newLoadedFleet(nodes)
+				f.lends = true
+				for i := range f.shares {
+					f.shares[i] = (1 - firstShare) / float64(nodes-1)
+				}
+				f.shares[0] = firstShare
+				f.play(f.limits.Window, false)
+				broken, retried := 0, 0
+				for i, share := range f.shares {
+					for range int(math.Round(share * loadPerNode * float64(nodes) * requestDuration / 2)) {
+						broken++
+						if f.spend(i) {
+							retried++
+						}
+					}
+				}
+				if float64(retried) < minRetried*float64(broken) {
+					t.Errorf("%d of %d requests are retried, want %.2f", retried, broken, minRetried)
+				}
+			})
+		}
+	}
+}
--- a/chiveforward/budget.go
+++ b/chiveforward/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,9 +14,14 @@
 // Budget limits retries to a ratio of a pool's requests plus this node's share of a fixed headroom, over a sliding
 // window.
 //
-// The limit applies to the whole fleet, but no node knows how many retries the others currently make. So each node uses
-// only what is safe without coordination: the ratio of its own requests, and the headroom divided by the largest recent
-// fleet size. The sum stays within the limit even if nodes are partitioned and each considers the others dead. A
+// The limit applies to the whole fleet, but no node knows how many retries the others currently make. So each node keeps
+// to a limit that adds up over the nodes: in every window, its retries stay below the ratio of the mean of its own
+// requests in that window and in the one before, plus the headroom divided by the largest recent fleet size. It is not
+// enough that this holds for the window that ends with a retry. If the callers then move to other nodes, they earn
+// retries there, and this node's retries lack requests in the windows that end later. So a retry is charged only if
+// every window that contains it can bear it even if no further request arrives.
+//
+// The sum stays within the limit even if callers move, nodes are partitioned and each considers the others dead. A
 // process that has just started does not know how many retries its predecessor made, so it has no headroom until a full
 // window has passed. While it has met no other node it may be partitioned from a fleet of unknown size.
 type Budget struct {
@@ -30,8 +36,8 @@
 	denied      atomic.Int64
 }
 
-// BudgetLimits is the limit for the whole fleet: in any Window, retries stay below Ratio times the requests plus
-// Headroom.
+// BudgetLimits is the limit for the whole fleet: in any Window, retries stay below Headroom plus Ratio times the requests
+// in that window or in the one before, whichever has more.
 type BudgetLimits struct {
 	Ratio    float64
 	Headroom float64
@@ -39,25 +45,30 @@
 }
 
 const (
-	// requestBuckets is the number of buckets in a window.
-	requestBuckets = 20
-	// retryBuckets covers more than the window. The edges of the window fall inside buckets, and a retry must not be
-	// dropped before a full window has passed.
-	retryBuckets = requestBuckets + 2
-	bucketCount  = retryBuckets
-	// headroomShare leaves part of the headroom unused, to allow for nodes that are not known yet and for the
-	// granularity of the buckets.
+	// windowBuckets is the number of buckets in a window.
+	windowBuckets = 40
+	// arrivalBuckets covers the time from the charge of a retry to its arrival.
+	arrivalBuckets = 2
+	// bucketCount covers two windows of requests.
+	bucketCount = 2 * windowBuckets
+	// earningWindows is the number of windows in which a request earns retries: its own and the next.
+	earningWindows = 2
+	// headroomShare leaves part of the headroom unused, to allow for nodes that are not known yet.
 	headroomShare = 0.8
 	// unknownFleetSize is the least size that is assumed for a fleet of which this node has met no other node.
 	unknownFleetSize = 8
 )
 
 type window struct {
-	requests [bucketCount]int
-	retries  [bucketCount]int
-	bucket   int64
+	requests buckets
+	retries  buckets
+	// bucket is the number of the current bucket.
+	bucket int64
 }
 
+// buckets holds counts by the number of their bucket, modulo bucketCount.
+type buckets [bucketCount]int
+
 // NewBudget returns the budget of a process that starts now and has met no other node.
 func NewBudget(now time.Time, limits BudgetLimits) *Budget {
 	return &Budget{limits: limits, startedAt: now, fleetSize: chivemember.NewPeakSize(now), pools: make(map[string]*window)}
@@ -96,8 +107,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.windowAt(now, pool)
-	allowed := b.limits.Ratio*float64(w.sum(w.requests, requestBuckets)) + b.headroom(now)
-	if float64(w.sum(w.retries, retryBuckets)+1) > allowed {
+	if b.available(now, w) < 1 {
 		return false
 	}
 	b.spent.Add(1)
@@ -111,16 +121,18 @@
 // Denied returns the number of retries that were denied since the start.
 func (b *Budget) Denied() int64 { return b.denied.Load() }
 
-// Explain returns log attributes with the retries that a pool has made and is allowed, the fleet size that divides the
-// headroom, and the retries that the current window no longer covers.
+// Explain returns log attributes with the retries that a pool has made in the current window and is allowed, its requests
+// in this window and in the one before, the fleet size that divides the headroom, and the retries that the current
+// window no longer covers.
 func (b *Budget) Explain(now time.Time, request *chiverequest.Request) []slog.Attr {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.windowAt(now, request.Pool)
-	requests := w.sum(w.requests, requestBuckets)
+	retries := w.newestRetries()
 	return []slog.Attr{
-		slog.Int("repeats", w.sum(w.retries, retryBuckets)), slog.Int("requests", requests),
-		slog.Float64("allowed", roundForLog(b.limits.Ratio*float64(requests)+b.headroom(now))), slog.Int("nodes", b.sharers()),
+		slog.Int("repeats", retries), slog.Int("requests", w.newestRequests()),
+		slog.Int("requests_before", w.requests.sum(w.bucket-2*windowBuckets+1, w.bucket-windowBuckets)),
+		slog.Float64("allowed", roundForLog(float64(retries)+b.available(now, w))), slog.Int("nodes", b.sharers()),
 		slog.Float64("overdrawn", roundForLog(b.overdrawn(now, w))),
 	}
 }
@@ -138,8 +150,24 @@
 }
 
 func (b *Budget) overdrawn(now time.Time, w *window) float64 {
-	allowed := b.limits.Ratio*float64(w.sum(w.requests, requestBuckets)) + b.headroom(now)
-	return max(float64(w.sum(w.retries, retryBuckets))-allowed, 0)
+	allowed := b.limits.Ratio*float64(w.newestRequests()) + b.headroom(now)
+	return max(float64(w.newestRetries())-allowed, 0)
+}
+
+// available returns how many retries may be charged now, so that every window in which they may arrive can bear them. It
+// goes back through the buckets in which these windows may begin. The requests in a window and in the one before it are
+// those up to a window before its beginning, since no later ones than now are known.
+func (b *Budget) available(now time.Time, w *window) float64 {
+	perRequest, headroom := b.limits.Ratio/earningWindows, b.headroom(now)
+	newest, oldest := w.bucket+arrivalBuckets, w.bucket-windowBuckets
+	requests := w.requests.sum(newest-windowBuckets+2, w.bucket)
+	retries, available := 0, math.Inf(1)
+	for begin := newest; begin >= oldest; begin-- {
+		requests += w.requests.at(begin - windowBuckets + 1)
+		retries += w.retries.at(begin - arrivalBuckets)
+		available = min(available, perRequest*float64(requests)+headroom-float64(retries))
+	}
+	return available
 }
 
 // headroom returns this node's share of the headroom.
@@ -167,7 +195,7 @@
 
 // windowAt returns a pool's window, advanced to the current time.
 func (b *Budget) windowAt(now time.Time, pool string) *window {
-	bucket := int64(now.Sub(b.startedAt) / (b.limits.Window / requestBuckets))
+	bucket := int64(now.Sub(b.startedAt) / (b.limits.Window / windowBuckets))
 	w, ok := b.pools[pool]
 	if !ok {
 		w = &window{bucket: bucket}
@@ -182,11 +210,27 @@
 	return w
 }
 
-// sum adds up the newest buckets.
-func (w *window) sum(counts [bucketCount]int, buckets int64) int {
+// newestRequests returns the requests in the window that ends now.
+func (w *window) newestRequests() int { return w.requests.sum(w.bucket-windowBuckets+1, w.bucket) }
+
+// newestRetries returns the retries that may arrive in the window that ends now.
+func (w *window) newestRetries() int {
+	return w.retries.sum(w.bucket-windowBuckets-arrivalBuckets, w.bucket)
+}
+
+// at returns the count of a bucket; it is zero before the first.
+func (c *buckets) at(bucket int64) int {
+	if bucket < 0 {
+		return 0
+	}
+	return c[bucket%bucketCount]
+}
+
+// sum adds up the buckets from the first to the last.
+func (c *buckets) sum(first, last int64) int {
 	total := 0
-	for age := int64(0); age < buckets && age <= w.bucket; age++ {
-		total += counts[(w.bucket-age)%bucketCount]
+	for bucket := first; bucket <= last; bucket++ {
+		total += c.at(bucket)
 	}
 	return total
 }
