Permits: an owner that returns has none saved up

Cause: the bucket of a node that no longer owns a limit goes on filling while the new owner issues the same permits. Fix: a node that becomes the owner of a key again empties its bucket, as a new one starts empty.

--- a/chiverate/bucket.go
+++ b/chiverate/bucket.go
@@ -38,6 +38,9 @@
 	return &Bucket{updatedAt: now, room: newRoom()}
 }
 
+// Empty removes the permits that have been saved up, which another owner may have issued.
+func (b *Bucket) Empty(now time.Time) { b.balance, b.updatedAt = 0, now }
+
 // Take takes a permit of a node within the given limits. If there is none, it returns how long the next one takes. A
 // permit under a limit on refusals counts as in use until Release.
 func (b *Bucket) Take(now time.Time, node string, limits chiverequest.Limits) (granted bool, wait time.Duration) {
--- /dev/null
+++ b/chiverate/returning_owner_test.go
@@ -0,0 +1,50 @@
+//go:build !race
+
+package chiverate_test
+
+import (
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"chivedrift/chivemember"
+	"chivedrift/chiveroute"
+)
+
+// Guards against an owner that saves up permits while another node owns the rate, and issues them when it owns it again.
+func TestOwnerThatReturnsHasNoPermitsSavedUp(t *testing.T) {
+	const (
+		nodes     = 8
+		perSecond = 20
+		changes   = 20
+		interval  = 500 * time.Millisecond
+	)
+	withFleet(t, nodes, func(f *fleet) {
+		members := make([]chivemember.Member, 0, nodes)
+		for _, mesh := range f.meshes {
+			members = append(members, chivemember.Member{Name: mesh.Self(), Address: mesh.Self(), State: chivemember.Alive})
+		}
+		owner := chiveroute.Ranked("rate/"+rateKey, "", members)[0].Address
+		without := slices.DeleteFunc(slices.Clone(members), func(m chivemember.Member) bool { return m.Address == owner })
+		var changed sync.WaitGroup
+		changed.Go(func() {
+			for i := range changes {
+				time.Sleep(interval)
+				now := members
+				if i%2 == 0 {
+					now = without
+				}
+				for _, s := range f.services {
+					s.SetMembers(now)
+				}
+			}
+		})
+		duration := changes * interval
+		granted := float64(f.take(f.services, perSecond, duration))
+		changed.Wait()
+		if most := perSecond*duration.Seconds() + burst; granted > most {
+			t.Errorf("%.0f permits in %v while the owner leaves and returns, want at most %.0f", granted, duration, most)
+		}
+	})
+}
--- a/chiverate/service.go
+++ b/chiverate/service.go
@@ -101,11 +101,17 @@
 
 // SetMembers applies a membership change.
 func (s *Service) SetMembers(members []chivemember.Member) {
-	s.members.Store(&members)
+	before := *s.members.Swap(&members)
 	s.greet(members)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.peak.Set(time.Now(), len(members))
+	now := time.Now()
+	s.peak.Set(now, len(members))
+	for key, b := range s.buckets {
+		if s.owns(key, members) && !s.owns(key, before) {
+			b.Empty(now)
+		}
+	}
 	addresses := make(map[string]bool, len(members))
 	for _, m := range members {
 		addresses[m.Address] = true
@@ -174,8 +180,16 @@
 	return false, max(wait, minWait)
 }
 
-func (s *Service) ownerOf(key string) (string, bool) {
-	ranked := chiveroute.Ranked("rate/"+key, "", *s.members.Load())
+func (s *Service) ownerOf(key string) (string, bool) { return ownerAmong(key, *s.members.Load()) }
+
+// owns reports whether this node is the owner of a key among some members.
+func (s *Service) owns(key string, members []chivemember.Member) bool {
+	owner, ok := ownerAmong(key, members)
+	return ok && owner == s.mesh.Self()
+}
+
+func ownerAmong(key string, members []chivemember.Member) (string, bool) {
+	ranked := chiveroute.Ranked("rate/"+key, "", members)
 	if len(ranked) == 0 {
 		return "", false
 	}
