Quotas: the sides of a partition share a team's limit

Fix, as for the limits of endpoints: an owner gives the share of the limit that its side is of the largest fleet of the last minutes, and a node whose owner does not answer an even part of that. The cost: after nodes end, a team is held to that share for two to four minutes.

--- a/chivequota/service.go
+++ b/chivequota/service.go
@@ -44,12 +44,14 @@
 	buckets      map[string]*Bucket
 	localBuckets map[string]*Bucket
 	limits       map[string]int64
+	peak         chivemember.PeakSize
 }
 
 // NewService returns a service without buckets.
 func NewService(mesh *chivewire.Mesh) *Service {
 	s := &Service{
 		mesh: mesh, calls: chivewire.NewCalls[Grant](), buckets: make(map[string]*Bucket), localBuckets: make(map[string]*Bucket), limits: make(map[string]int64),
+		peak: chivemember.NewPeakSize(time.Now()),
 	}
 	s.members.Store(&[]chivemember.Member{})
 	chivewire.Receive(mesh, chivewire.KindQuotaRequest, s.handleRequest)
@@ -58,7 +60,12 @@
 }
 
 // SetMembers applies a membership change.
-func (s *Service) SetMembers(members []chivemember.Member) { s.members.Store(&members) }
+func (s *Service) SetMembers(members []chivemember.Member) {
+	s.members.Store(&members)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.peak.Set(time.Now(), len(members))
+}
 
 // Start does nothing: requests are sent on the goroutines of the callers.
 func (s *Service) Start(context.Context) error { return nil }
@@ -78,7 +85,7 @@
 }
 
 // Take draws tokens from the team's bucket at its owner. If the owner does not reply in time, this node's even share of
-// the limit decides.
+// the limit decides, so that a team is not refused until another node owns it.
 func (s *Service) Take(ctx context.Context, team string, limit, tokens int64) (ok bool, retryAfter time.Duration) {
 	s.mu.Lock()
 	s.limits[team] = limit
@@ -90,8 +97,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	share := max(limit/int64(max(len(*s.members.Load()), 1)), 1)
-	return bucketOf(s.localBuckets, team, share, now).Take(now, tokens)
+	return bucketOf(s.localBuckets, team, s.share(limit, 1), now).Take(now, tokens)
+}
+
+// share returns the share of a limit of some nodes of the largest recent fleet. The caller holds the lock.
+func (s *Service) share(limit int64, nodes int) int64 {
+	return max(limit*int64(nodes)/int64(s.peak.Size()), 1)
 }
 
 // Return puts back the tokens that a request did not use, or draws the tokens that it used beyond its estimate.
@@ -128,10 +139,12 @@
 	return grant, err == nil
 }
 
+// handleRequest draws tokens from a bucket of this node. In a partition each side has an owner: each gives the share of
+// the limit that corresponds to its share of the fleet.
 func (s *Service) handleRequest(from string, r Request) {
 	now := time.Now()
 	s.mu.Lock()
-	b := bucketOf(s.buckets, r.Team, r.Limit, now)
+	b := bucketOf(s.buckets, r.Team, s.share(r.Limit, max(len(*s.members.Load()), 1)), now)
 	if r.ID == 0 {
 		b.Return(now, r.Tokens)
 		s.mu.Unlock()
