Quotas: an owner that changes gives a team no second burst

Cause: a new bucket holds the tokens of a second that the previous owner may have given, and the bucket of a node that owns the team no more goes on filling. Fix: a node that becomes the owner of a team again empties its bucket, and a new bucket holds what was earned since the fleet changed.

--- a/chivequota/bucket.go
+++ b/chivequota/bucket.go
@@ -13,14 +13,27 @@
 }
 
 const (
-	burstDuration = 2 * time.Second
+	// initialDuration is the time whose tokens a new bucket holds.
+	initialDuration = time.Second
+	burstDuration   = 2 * time.Second
+	// leastBalance lets the first request pass, into debt.
+	leastBalance  = 1
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = time.Minute
 )
 
-// NewBucket returns a bucket that holds the tokens of one second; limit is in tokens per second.
-func NewBucket(limit int64, now time.Time) *Bucket {
-	return &Bucket{limit: float64(limit), balance: float64(limit), updatedAt: now}
+// NewBucket returns a bucket that holds the tokens of one second, or of the time since another bucket may have given them
+// if that is shorter; limit is in tokens per second.
+func NewBucket(limit int64, now, since time.Time) *Bucket {
+	b := &Bucket{limit: float64(limit), updatedAt: now}
+	b.balance = max(b.limit*min(now.Sub(since), initialDuration).Seconds(), leastBalance)
+	return b
+}
+
+// Empty removes the tokens that have been saved up, which another bucket may have given.
+func (b *Bucket) Empty(now time.Time) {
+	b.refill(now)
+	b.balance = min(b.balance, leastBalance)
 }
 
 // SetLimit changes the limit.
--- a/chivequota/service.go
+++ b/chivequota/service.go
@@ -45,6 +45,8 @@
 	localBuckets map[string]*Bucket
 	limits       map[string]int64
 	peak         chivemember.PeakSize
+	// changedAt is when the members changed, and with them the owners of some teams; zero before the first change.
+	changedAt time.Time
 }
 
 // NewService returns a service without buckets.
@@ -61,10 +63,19 @@
 
 // SetMembers applies a membership change.
 func (s *Service) SetMembers(members []chivemember.Member) {
-	s.members.Store(&members)
+	before := *s.members.Swap(&members)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.peak.Set(time.Now(), len(members))
+	now := time.Now()
+	s.peak.Set(now, len(members))
+	if len(before) > 0 {
+		s.changedAt = now
+	}
+	for team, b := range s.buckets {
+		if s.owns(team, members) && !s.owns(team, before) {
+			b.Empty(now)
+		}
+	}
 }
 
 // Start does nothing: requests are sent on the goroutines of the callers.
@@ -97,7 +108,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	return bucketOf(s.localBuckets, team, s.share(limit, 1), now).Take(now, tokens)
+	return s.bucketOf(s.localBuckets, team, s.share(limit, 1), now).Take(now, tokens)
 }
 
 // share returns the share of a limit of some nodes of the largest recent fleet. The caller holds the lock.
@@ -119,8 +130,16 @@
 	}
 }
 
-func (s *Service) ownerOf(team string) (string, bool) {
-	ranked := chiveroute.Ranked("quota/"+team, "", *s.members.Load())
+func (s *Service) ownerOf(team string) (string, bool) { return ownerAmong(team, *s.members.Load()) }
+
+// owns reports whether this node is the owner of a team among some members.
+func (s *Service) owns(team string, members []chivemember.Member) bool {
+	owner, ok := ownerAmong(team, members)
+	return ok && owner == s.mesh.Self()
+}
+
+func ownerAmong(team string, members []chivemember.Member) (string, bool) {
+	ranked := chiveroute.Ranked("quota/"+team, "", members)
 	if len(ranked) == 0 {
 		return "", false
 	}
@@ -144,7 +163,7 @@
 func (s *Service) handleRequest(from string, r Request) {
 	now := time.Now()
 	s.mu.Lock()
-	b := bucketOf(s.buckets, r.Team, s.share(r.Limit, max(len(*s.members.Load()), 1)), now)
+	b := s.bucketOf(s.buckets, r.Team, s.share(r.Limit, max(len(*s.members.Load()), 1)), now)
 	if r.ID == 0 {
 		b.Return(now, r.Tokens)
 		s.mu.Unlock()
@@ -158,13 +177,13 @@
 
 // bucketOf returns the bucket of a team, creating it if needed. Idle buckets are evicted when there are maxBuckets. The
 // caller holds the lock.
-func bucketOf(buckets map[string]*Bucket, team string, limit int64, now time.Time) *Bucket {
+func (s *Service) bucketOf(buckets map[string]*Bucket, team string, limit int64, now time.Time) *Bucket {
 	b, ok := buckets[team]
 	if !ok {
 		if len(buckets) >= maxBuckets {
 			evictIdle(buckets, now)
 		}
-		b = NewBucket(limit, now)
+		b = NewBucket(limit, now, s.changedAt)
 		buckets[team] = b
 	}
 	if b.limit != float64(limit) {
--- a/chivequota/service_test.go
+++ b/chivequota/service_test.go
@@ -6,12 +6,14 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"chivedrift/chivemember"
 	"chivedrift/chivequota"
+	"chivedrift/chiveroute"
 	"chivedrift/chivestand"
 	"chivedrift/chivewire"
 )
@@ -131,6 +133,35 @@
 	})
 }
 
+// Guards against owners of a team that each give it a burst whenever they become the owner.
+func TestOwnersThatChangeGiveATeamNoBurstEach(t *testing.T) {
+	const (
+		changes  = 20
+		interval = 500 * time.Millisecond
+	)
+	withFleet(t, 8, func(f *fleet) {
+		owner := chiveroute.Ranked("quota/"+team, "", f.members)[0].Address
+		without := slices.DeleteFunc(slices.Clone(f.members), func(m chivemember.Member) bool { return m.Address == owner })
+		var changed sync.WaitGroup
+		changed.Go(func() {
+			for i := range changes {
+				time.Sleep(interval)
+				if i%2 == 0 {
+					f.setMembers(f.services, without)
+				} else {
+					f.setMembers(f.services, f.members)
+				}
+			}
+		})
+		duration := changes * interval
+		used := f.use(f.services, duration)
+		changed.Wait()
+		if most := int(duration.Seconds())*limit + burst + changes*requestTokens; used > most {
+			t.Errorf("%d tokens in %v while the owner leaves and returns, want at most %d", used, duration, most)
+		}
+	})
+}
+
 // Guards against a team that is refused while its owner does not answer.
 func TestTeamIsServedWithoutItsOwner(t *testing.T) {
 	withFleet(t, 4, func(f *fleet) {
