Retry budget: a suspended machine's window goes on

What callers could see: a machine that resumes from a suspension spends what requests before it earned, while their callers have earned at other nodes: the fleet's sum passes the limit.

Cause: the runtime's clock stops during a suspension, and the buckets of the window with it. Fix: the time of the suspension counts as age, as it does for the deadlines of requests.

--- a/chiveforward/budget.go
+++ b/chiveforward/budget.go
@@ -31,9 +31,11 @@
 	fleetSize chivemember.PeakSize
 	// listedPeers returns how many other nodes may exist, whether this node has met them or not; nil if that is not known.
 	listedPeers func() int
-	pools       map[string]*window
-	spent       atomic.Int64
-	denied      atomic.Int64
+	// suspension measures the time for which the machine was suspended; nil if that is not known.
+	suspension *suspensionTimer
+	pools      map[string]*window
+	spent      atomic.Int64
+	denied     atomic.Int64
 }
 
 // BudgetLimits is the limit for the whole fleet: in any Window, retries stay below Headroom plus Ratio times the requests
@@ -78,6 +80,13 @@
 // must be called before the first request.
 func (b *Budget) SetListedPeers(listedPeers func() int) { b.listedPeers = listedPeers }
 
+// SetSinceBoot sets a clock that keeps running while the machine is suspended; it must be called before the first request.
+// The window is one of the fleet, so it does not wait for a suspended node.
+func (b *Budget) SetSinceBoot(sinceBoot func() time.Duration) {
+	suspension := newSuspensionTimer(sinceBoot)
+	b.suspension = &suspension
+}
+
 // SetNodes sets how many nodes are known to share the headroom.
 func (b *Budget) SetNodes(now time.Time, nodes int) {
 	b.mu.Lock()
@@ -195,7 +204,11 @@
 
 // windowAt returns a pool's window, advanced to the current time.
 func (b *Budget) windowAt(now time.Time, pool string) *window {
-	bucket := int64(now.Sub(b.startedAt) / (b.limits.Window / windowBuckets))
+	age := now.Sub(b.startedAt)
+	if b.suspension != nil {
+		age += b.suspension.suspended()
+	}
+	bucket := int64(age / (b.limits.Window / windowBuckets))
 	w, ok := b.pools[pool]
 	if !ok {
 		w = &window{bucket: bucket}
--- a/chiveforward/budget_test.go
+++ b/chiveforward/budget_test.go
@@ -162,3 +162,22 @@
 		t.Errorf("%v of %v retries are overdrawn after their requests have left the window", overdrawn, spent)
 	}
 }
+
+// Guards against a machine that resumes from a suspension and spends what requests long before it earned, while their
+// callers earn retries at other nodes.
+func TestSuspendedNodeKeepsNoRetriesOfEarlierRequests(t *testing.T) {
+	start := time.Now()
+	suspended := time.Duration(0)
+	b := chiveforward.NewBudget(start, chiveforward.BudgetLimits{Ratio: 0.5, Window: 10 * time.Second})
+	b.SetSinceBoot(func() time.Duration { return time.Since(start) + suspended })
+	for range 20 {
+		b.Request(start, poolRequest)
+	}
+	if !b.Spend(start.Add(time.Second), poolRequest) {
+		t.Error("no retry before the suspension")
+	}
+	suspended = 30 * time.Second
+	if b.Spend(start.Add(2*time.Second), poolRequest) {
+		t.Error("a retry after a suspension of three windows, without a request since")
+	}
+}
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -288,6 +288,7 @@
 	n.retryBudget = chiveforward.NewBudget(time.Now(), chiveforward.BudgetLimits{
 		Ratio: s.Repeats.Ratio, Headroom: s.Repeats.Headroom, Window: time.Duration(s.Repeats.WindowS * float64(time.Second)),
 	})
+	n.retryBudget.SetSinceBoot(chiveforward.SinceBoot)
 	n.sharedRetryBudget = chivebudget.New(n.mesh, n.retryBudget)
 	n.sharedRetryBudget.SetDistances(n.distances)
 	n.memory = newMemoryGuard(s.MemoryMB*megabyte, n.logger)
