--- a/chiveforward/budget.go
+++ b/chiveforward/budget.go
@@ -47,12 +47,6 @@
 }
 
 const (
-	// windowBuckets is the number of buckets in a window.
-	windowBuckets = 40
-	// arrivalBuckets covers the time from the charge of a retry to its arrival.
-	arrivalBuckets = 2
-	// bucketCount covers two windows of requests.
-	bucketCount = 2 * windowBuckets
 	// earningWindows is the number of windows in which a request earns retries: its own and the next.
 	earningWindows = 2
 	// headroomShare leaves part of the headroom unused, to allow for nodes that are not known yet.
@@ -61,16 +55,6 @@
 	unknownFleetSize = 8
 )
 
-type window struct {
-	requests buckets
-	retries  buckets
-	// bucket is the number of the current bucket.
-	bucket int64
-}
-
-// buckets holds counts by the number of their bucket, modulo bucketCount.
-type buckets [bucketCount]int
-
 // NewBudget returns the budget of a process that starts now and has met no other node.
 func NewBudget(now time.Time, limits BudgetLimits) *Budget {
 	return &Budget{limits: limits, startedAt: now, fleetSize: chivemember.NewPeakSize(now), pools: make(map[string]*window)}
@@ -131,8 +115,7 @@
 func (b *Budget) Denied() int64 { return b.denied.Load() }
 
 // Explain returns log attributes with the retries that a pool has made in the current window and is allowed, its requests
-// in this window and in the one before, the fleet size that divides the headroom, and the retries that the current
-// window no longer covers.
+// in this window and in the one before, the fleet size that divides the headroom, and the retries that are overdrawn.
 func (b *Budget) Explain(now time.Time, request *chiverequest.Request) []slog.Attr {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -140,14 +123,14 @@
 	retries := w.newestRetries()
 	return []slog.Attr{
 		slog.Int("repeats", retries), slog.Int("requests", w.newestRequests()),
-		slog.Int("requests_before", w.requests.sum(w.bucket-2*windowBuckets+1, w.bucket-windowBuckets)),
+		slog.Int("requests_before", w.requestsBefore()),
 		slog.Float64("allowed", roundForLog(float64(retries)+b.available(now, w))), slog.Int("nodes", b.sharers()),
 		slog.Float64("overdrawn", roundForLog(b.overdrawn(now, w))),
 	}
 }
 
-// Overdrawn returns by pool how many of the retries that were charged in the current window its limit no longer covers,
-// since the requests that allowed them have left the window.
+// Overdrawn returns by pool how many of the retries that were charged in the current window exceed the ratio of the
+// requests in the same window and this node's share of the headroom.
 func (b *Budget) Overdrawn(now time.Time) map[string]float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -214,36 +197,6 @@
 		w = &window{bucket: bucket}
 		b.pools[pool] = w
 	}
-	for cleared := 0; w.bucket < bucket && cleared < bucketCount; cleared++ {
-		w.bucket++
-		w.requests[w.bucket%bucketCount] = 0
-		w.retries[w.bucket%bucketCount] = 0
-	}
-	w.bucket = max(w.bucket, bucket)
+	w.advance(bucket)
 	return w
 }
-
-// newestRequests returns the requests in the window that ends now.
-func (w *window) newestRequests() int { return w.requests.sum(w.bucket-windowBuckets+1, w.bucket) }
-
-// newestRetries returns the retries that may arrive in the window that ends now.
-func (w *window) newestRetries() int {
-	return w.retries.sum(w.bucket-windowBuckets-arrivalBuckets, w.bucket)
-}
-
-// at returns the count of a bucket; it is zero before the first.
-func (c *buckets) at(bucket int64) int {
-	if bucket < 0 {
-		return 0
-	}
-	return c[bucket%bucketCount]
-}
-
-// sum adds up the buckets from the first to the last.
-func (c *buckets) sum(first, last int64) int {
-	total := 0
-	for bucket := first; bucket <= last; bucket++ {
-		total += c.at(bucket)
-	}
-	return total
-}
