--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -85,7 +85,7 @@
 	RequestEnded    = define(504, slog.LevelInfo, "request ended", "Read outcome and code; the attempts with the same request ID give the details.")
 	RequestAccepted = define(505, slog.LevelInfo, "request accepted", "None; the line shows the route, the team and the version on which the decision was based, and in resumes the attempt that began the stream which the caller takes up.")
 	AttemptSent     = define(506, slog.LevelInfo, "attempt sent", "None; the line shows why the endpoint was chosen, and in version that of the endpoint's software. If no line reports the end of the attempt, the process itself ended.")
-	RepeatDenied    = define(507, slog.LevelWarn, "repeat denied by the budget", "Find out why requests fail; the budget keeps retries from adding to the failures.")
+	RepeatDenied    = define(507, slog.LevelWarn, "repeat denied by the budget", "Find out why requests fail; the budget keeps retries from adding to the failures. The field overdrawn tells how many of the charged retries the requests of the current window no longer cover.")
 	RequestFailed   = define(508, slog.LevelWarn, "request not completed", "Read the attempts with the same request ID; chivedrift explain --log lists them in order.")
 	EndpointCrashed = define(509, slog.LevelWarn, "endpoint failed under a request", "Compare the fields content and parts: a request, or a part of prompts, that is present in each failure may be what crashes the engines. The field evidence shows how the failure was detected. Read the engine's own log.")
 	QuarantineBegan = define(510, slog.LevelError, "request quarantined", "The request crashes engines. Inform its team; read the engines' logs. Its callers get 503 with Retry-After until one of the occasional probes is answered.")
