--- a/chivebudget/borrow_test.go
+++ b/chivebudget/borrow_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"testing/synctest"
 
-	"chivedrift/chivemember"
 	"chivedrift/chivestand"
 	"chivedrift/chivewire"
 )
@@ -39,22 +38,3 @@
 		}
 	})
 }
-
-// Guards against retries that are lost because a peer lends them in a response that arrives too late.
-func TestPeersInOtherRegionsAreNotAsked(t *testing.T) {
-	withNodes(t, 2, 2, func(nodes []*node) {
-		members := []chivemember.Member{
-			{Name: nodes[0].mesh.Self(), Address: nodes[0].mesh.Self(), Region: "r1", State: chivemember.Alive},
-			{Name: nodes[1].mesh.Self(), Address: nodes[1].mesh.Self(), Region: "r2", State: chivemember.Alive},
-		}
-		for _, n := range nodes {
-			n.service.SetMembers(members)
-		}
-		if spent := nodes[0].spend(); spent != 1 {
-			t.Errorf("the first node got %d retries, want only its own", spent)
-		}
-		if spent := nodes[1].spend(); spent != 1 {
-			t.Errorf("the node in the other region got %d retries, want its own", spent)
-		}
-	})
-}
--- a/chivebudget/service_test.go
+++ b/chivebudget/service_test.go
@@ -81,6 +81,23 @@
 	}
 }
 
+// Guards against retries that are lost because a peer lends them in a response that arrives too late.
+func TestPeersInOtherRegionsAreNotAsked(t *testing.T) {
+	node1, node2 := startNode(t, 2), startNode(t, 2)
+	members := []chivemember.Member{
+		{Name: node1.mesh.Self(), Address: node1.mesh.Self(), Region: "r1", State: chivemember.Alive},
+		{Name: node2.mesh.Self(), Address: node2.mesh.Self(), Region: "r2", State: chivemember.Alive},
+	}
+	node1.service.SetMembers(members)
+	node2.service.SetMembers(members)
+	if spent := node1.spend(); spent != 1 {
+		t.Errorf("the first node got %d retries, want only its own", spent)
+	}
+	if spent := node2.spend(); spent != 1 {
+		t.Errorf("the node in the other region got %d retries, want its own", spent)
+	}
+}
+
 // Guards against requests that are delayed by a peer that accepts connections but does not respond.
 func TestUnresponsivePeerDoesNotDelayRequests(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
