--- a/chivequota/service.go
+++ b/chivequota/service.go
@@ -15,6 +15,8 @@
 const ServiceName = "quota"
 
 const (
+	// ownerKey precedes the team whose owner is looked up among the members.
+	ownerKey          = "quota/"
 	replyTimeout      = 250 * time.Millisecond
 	maxBuckets        = 4096
 	bucketIdleTimeout = time.Minute
@@ -72,7 +74,7 @@
 		s.changedAt = now
 	}
 	for team, b := range s.buckets {
-		if s.owns(team, members) && !s.owns(team, before) {
+		if chiveroute.BecomesOwner(s.mesh.Self(), ownerKey+team, before, members) {
 			b.Empty(now)
 		}
 	}
@@ -130,20 +132,8 @@
 	}
 }
 
-func (s *Service) ownerOf(team string) (string, bool) { return ownerAmong(team, *s.members.Load()) }
-
-// owns reports whether this node is the owner of a team among some members.
-func (s *Service) owns(team string, members []chivemember.Member) bool {
-	owner, ok := ownerAmong(team, members)
-	return ok && owner == s.mesh.Self()
-}
-
-func ownerAmong(team string, members []chivemember.Member) (string, bool) {
-	ranked := chiveroute.Ranked("quota/"+team, "", members)
-	if len(ranked) == 0 {
-		return "", false
-	}
-	return ranked[0].Address, true
+func (s *Service) ownerOf(team string) (string, bool) {
+	return chiveroute.Owner(ownerKey+team, *s.members.Load())
 }
 
 func (s *Service) request(ctx context.Context, r Request) (Grant, bool) {
--- a/chiverate/service.go
+++ b/chiverate/service.go
@@ -18,6 +18,8 @@
 const ServiceName = "shared rates"
 
 const (
+	// ownerKey precedes the key whose owner is looked up among the members.
+	ownerKey = "rate/"
 	// replyTimeout is how long an owner in the same region may take to reply: several network round trips, and far less
 	// than any latency target.
 	replyTimeout = 50 * time.Millisecond
@@ -108,7 +110,7 @@
 	now := time.Now()
 	s.peak.Set(now, len(members))
 	for key, b := range s.buckets {
-		if s.owns(key, members) && !s.owns(key, before) {
+		if chiveroute.BecomesOwner(s.mesh.Self(), ownerKey+key, before, members) {
 			b.Empty(now)
 		}
 	}
@@ -180,20 +182,8 @@
 	return false, max(wait, minWait)
 }
 
-func (s *Service) ownerOf(key string) (string, bool) { return ownerAmong(key, *s.members.Load()) }
-
-// owns reports whether this node is the owner of a key among some members.
-func (s *Service) owns(key string, members []chivemember.Member) bool {
-	owner, ok := ownerAmong(key, members)
-	return ok && owner == s.mesh.Self()
-}
-
-func ownerAmong(key string, members []chivemember.Member) (string, bool) {
-	ranked := chiveroute.Ranked("rate/"+key, "", members)
-	if len(ranked) == 0 {
-		return "", false
-	}
-	return ranked[0].Address, true
+func (s *Service) ownerOf(key string) (string, bool) {
+	return chiveroute.Owner(ownerKey+key, *s.members.Load())
 }
 
 // respond handles a peer's request for a permit.
--- a/chiveroute/shard.go
+++ b/chiveroute/shard.go
@@ -108,3 +108,22 @@
 	})
 	return ranked
 }
+
+// Owner returns the address of the first of the ranked members, and false if no member is alive.
+func Owner(key string, members []chivemember.Member) (address string, ok bool) {
+	ranked := Ranked(key, "", members)
+	if len(ranked) == 0 {
+		return "", false
+	}
+	return ranked[0].Address, true
+}
+
+// BecomesOwner reports whether a change of the members makes the node with an address the owner of a key.
+func BecomesOwner(address, key string, before, after []chivemember.Member) bool {
+	owner, ok := Owner(key, after)
+	if !ok || owner != address {
+		return false
+	}
+	owner, ok = Owner(key, before)
+	return !ok || owner != address
+}
