Permits: a former owner issues none beside its successor

Cause: a node issued permits to whoever asked it, whether it owned the limit by its own view or not. Fix: a node that knows another owner grants nothing.

--- a/chivequota/service_test.go
+++ b/chivequota/service_test.go
@@ -140,7 +140,7 @@
 		interval = 500 * time.Millisecond
 	)
 	withFleet(t, 8, func(f *fleet) {
-		owner := chiveroute.Ranked("quota/"+team, "", f.members)[0].Address
+		owner, _ := chiveroute.Owner("quota/"+team, f.members)
 		without := slices.DeleteFunc(slices.Clone(f.members), func(m chivemember.Member) bool { return m.Address == owner })
 		var changed sync.WaitGroup
 		changed.Go(func() {
--- a/chiverate/returning_owner_test.go
+++ b/chiverate/returning_owner_test.go
@@ -25,7 +25,7 @@
 		for _, mesh := range f.meshes {
 			members = append(members, chivemember.Member{Name: mesh.Self(), Address: mesh.Self(), State: chivemember.Alive})
 		}
-		owner := chiveroute.Ranked("rate/"+rateKey, "", members)[0].Address
+		owner, _ := chiveroute.Owner("rate/"+rateKey, members)
 		without := slices.DeleteFunc(slices.Clone(members), func(m chivemember.Member) bool { return m.Address == owner })
 		var changed sync.WaitGroup
 		changed.Go(func() {
@@ -48,3 +48,39 @@
 		}
 	})
 }
+
+// Guards against a former owner that goes on issuing permits to nodes that do not know its successor yet.
+func TestFormerOwnerIssuesNoPermitsBesideItsSuccessor(t *testing.T) {
+	const (
+		nodes     = 8
+		perSecond = 20
+		duration  = 8 * time.Second
+		unaware   = 3 * time.Second
+	)
+	withFleet(t, nodes, func(f *fleet) {
+		members := make([]chivemember.Member, 0, nodes)
+		for _, mesh := range f.meshes {
+			members = append(members, chivemember.Member{Name: mesh.Self(), Address: mesh.Self(), State: chivemember.Alive})
+		}
+		owner, _ := chiveroute.Owner("rate/"+rateKey, members)
+		without := slices.DeleteFunc(slices.Clone(members), func(m chivemember.Member) bool { return m.Address == owner })
+		var changed sync.WaitGroup
+		changed.Go(func() {
+			time.Sleep(duration / 4)
+			for i, s := range f.services {
+				if i >= nodes/2 || f.meshes[i].Self() == owner {
+					s.SetMembers(without)
+				}
+			}
+			time.Sleep(unaware)
+			for _, s := range f.services {
+				s.SetMembers(without)
+			}
+		})
+		granted := float64(f.take(f.services, perSecond, duration))
+		changed.Wait()
+		if most := perSecond*duration.Seconds() + burst; granted > most {
+			t.Errorf("%.0f permits in %v while half of the nodes ask the former owner, want at most %.0f", granted, duration, most)
+		}
+	})
+}
--- a/chiverate/service.go
+++ b/chiverate/service.go
@@ -25,6 +25,8 @@
 	replyTimeout = 50 * time.Millisecond
 	// ownerBackoff is how long no permit is asked for after the owner of a rate did not reply.
 	ownerBackoff = 500 * time.Millisecond
+	// handoverWait is how long a node waits after it asked a node that knows another owner of the rate.
+	handoverWait = 100 * time.Millisecond
 	// minWait bounds how often a node asks for a permit of one rate.
 	minWait = 5 * time.Millisecond
 	// bucketIdleTimeout is how long an unused bucket is kept. A new one starts empty, so this must be longer than the
@@ -191,7 +193,11 @@
 	if math.IsNaN(ask.PerSecond) || ask.PerSecond < 0 || ask.Refusals < 0 {
 		return
 	}
-	granted, wait := s.takeOwned(from, ask.Key, ask.limits())
+	granted, wait := false, handoverWait
+	// If this node knows another owner, that one issues the permits, and the sender does not know it yet.
+	if owner, ok := s.ownerOf(ask.Key); !ok || owner == s.mesh.Self() {
+		granted, wait = s.takeOwned(from, ask.Key, ask.limits())
+	}
 	// If the answer is lost, so is the permit, which keeps the fleet within the rate.
 	_ = s.mesh.Send(from, chivewire.KindRateAnswer, Answer{Number: ask.Number, Granted: granted, WaitUs: wait.Microseconds()})
 }
