Quarantine: attempts that ended without evidence are reported once a crash of their endpoint is known

Why it works: a process that has crashed crashed for all that were on it. Attempts that end without evidence are kept for three seconds; as soon as any attempt of the node has evidence, or a peer reports the crash, those that had begun before it and broke off within 0.1 s of it are reported too, and cancelled ones if the endpoint has sent nothing since. The deadly request is then on every engine that crashed, and the decision, which is unchanged, takes it. No message changed: a peer's crash report already names the process and the time.

The tests of ended_test.go failed before but for RequestAfterTheCrashIsNotReported, which guards the other side.

--- a/chivedispatch/dispatcher.go
+++ b/chivedispatch/dispatcher.go
@@ -96,6 +96,9 @@
 	return d.forwarder.PeerFailure(failure)
 }
 
+// PeerCrash handles a crash under a request of another node, for the attempts of this node that ended at the same endpoint.
+func (d *Dispatcher) PeerCrash(failure chivehealth.Failure) { d.forwarder.PeerCrash(failure) }
+
 // Run runs a model request to its outcome and also returns what was delivered to the caller.
 func (d *Dispatcher) Run(ctx context.Context, request *Work, sink Sink) (Result, *Answer) {
 	run := &modelRun{dispatcher: d, request: request, sink: sink, response: &Answer{}}
--- a/chivedispatch/service.go
+++ b/chivedispatch/service.go
@@ -113,6 +113,9 @@
 	return s.forwarder.PeerFailure(failure)
 }
 
+// PeerCrash handles a crash under a request of another node, for the attempts of this node that ended at the same endpoint.
+func (s *Services) PeerCrash(failure chivehealth.Failure) { s.forwarder.PeerCrash(failure) }
+
 // policy returns where the configuration in force allows a request: the regions, and which failure domains are evacuated.
 func (s *Services) policy(request *chiverequest.Request) (residency chiveresidency.Policy, isEvacuated func(domain string) bool) {
 	s.mu.Lock()
--- a/chiveforward/failure.go
+++ b/chiveforward/failure.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -29,11 +28,6 @@
 	// having accepted the request. An endpoint with too many connections resets a new one sooner than that, while the requests
 	// on its other connections continue.
 	acceptedAfter = 20 * time.Millisecond
-	// inconclusiveRetention is how long a broken attempt without conclusive evidence is kept. The successor of a
-	// crashed endpoint registers within this time.
-	inconclusiveRetention = 3 * time.Second
-	// maxInconclusive limits the number of these attempts; the oldest are dropped first.
-	maxInconclusive = 256
 	// recheckDelay is the delay before a second health check of an endpoint that reset an attempt immediately. An
 	// endpoint that was only overloaded accepts connections again by then.
 	recheckDelay = time.Second
@@ -42,50 +36,6 @@
 // errReplaced is the cause of an attempt that was cancelled because another process replaced the endpoint's.
 var errReplaced = errors.New("endpoint process was replaced by another process")
 
-// brokenAttempt is an attempt that broke off without conclusive evidence of a crash so far.
-type brokenAttempt struct {
-	attempt *attempt
-	brokeAt time.Time
-}
-
-// brokenAttempts holds attempts that broke off without conclusive evidence, the oldest first.
-type brokenAttempts struct {
-	mu       sync.Mutex
-	attempts []brokenAttempt
-}
-
-func (b *brokenAttempts) add(broken brokenAttempt) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if len(b.attempts) >= maxInconclusive {
-		b.attempts = slices.Delete(b.attempts, 0, 1)
-	}
-	b.attempts = append(b.attempts, broken)
-}
-
-// take removes and returns the recent attempts at the endpoints that match.
-func (b *brokenAttempts) take(now time.Time, matches func(Target) bool) []brokenAttempt {
-	b.sweep(now)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var taken []brokenAttempt
-	b.attempts = slices.DeleteFunc(b.attempts, func(broken brokenAttempt) bool {
-		if matches(broken.attempt.target) {
-			taken = append(taken, broken)
-			return true
-		}
-		return false
-	})
-	return taken
-}
-
-// sweep drops expired attempts, each of which keeps a request and its body in memory.
-func (b *brokenAttempts) sweep(now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.attempts = slices.DeleteFunc(b.attempts, func(broken brokenAttempt) bool { return now.Sub(broken.brokeAt) >= inconclusiveRetention })
-}
-
 // investigateBreak checks whether the endpoint of a broken attempt crashed, and reports it if so. It returns after
 // f.healthCheckWait at the latest; a check that takes longer continues in the background.
 func (f *Forwarder) investigateBreak(ctx context.Context, a *attempt) {
@@ -132,10 +82,11 @@
 	case !a.endpointWasAlive && !a.wasAccepted(brokeAt):
 		// The endpoint may have failed before the attempt began. With EvidenceRefused this cannot be: an endpoint that
 		// had already been refusing connections would not have received the attempt.
+		f.keepEnded(endedAttempt{a, brokeAt, endedAtUnprovedEndpoint})
 	case evidence == chivehealth.EvidenceReplaced, evidence != chivehealth.EvidenceNone && a.wasAccepted(brokeAt):
 		f.reportBreak(a, evidence, brokeAt)
 	default:
-		f.inconclusive.add(brokenAttempt{a, brokeAt})
+		f.keepEnded(endedAttempt{a, brokeAt, endedInconclusively})
 		if evidence != chivehealth.EvidenceNone {
 			time.AfterFunc(recheckDelay, func() { f.recheck(a, brokeAt) })
 		}
@@ -152,8 +103,8 @@
 	if _, lastActivity := f.inFlight.attemptsAt(a.target.Incarnation); lastActivity.After(brokeAt) {
 		return
 	}
-	for _, broken := range f.inconclusive.take(time.Now(), isSameProcess) {
-		f.reportBreak(broken.attempt, result.Evidence, broken.brokeAt)
+	for _, e := range f.ended.takeInconclusive(time.Now(), isSameProcess) {
+		f.reportBreak(e.attempt, result.Evidence, e.endedAt)
 	}
 }
 
@@ -161,7 +112,9 @@
 // the end of the connection took: nodes at different distances then report the same time, by which crashes that have one
 // cause are recognized.
 func (f *Forwarder) reportBreak(a *attempt, evidence chivehealth.Evidence, brokeAt time.Time) {
-	f.reportCrash(a, evidence, brokeAt.Add(-f.options.Distances.FromDomain(a.target.FailureDomain)))
+	at := brokeAt.Add(-f.options.Distances.FromDomain(a.target.FailureDomain))
+	f.reportCrash(a, evidence, at)
+	f.reportEnded(a.target.failure(evidence, at))
 }
 
 // reportCrash reports that an endpoint failed during an attempt, unless its end was planned.
@@ -247,7 +200,7 @@
 			a.cancel(errReplaced)
 		}
 	}
-	for _, broken := range f.inconclusive.take(time.Now(), replaced) {
-		f.reportBreak(broken.attempt, chivehealth.EvidenceReplaced, broken.brokeAt)
+	for _, e := range f.ended.takeInconclusive(time.Now(), replaced) {
+		f.reportBreak(e.attempt, chivehealth.EvidenceReplaced, e.endedAt)
 	}
 }
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -151,12 +151,12 @@
 
 // Forwarder sends requests to endpoints and returns their responses.
 type Forwarder struct {
-	options      Options
-	connections  *connectionPool
-	health       *chivehealth.Checker
-	inFlight     *inFlightAttempts
-	registered   *registeredAddresses
-	inconclusive brokenAttempts
+	options     Options
+	connections *connectionPool
+	health      *chivehealth.Checker
+	inFlight    *inFlightAttempts
+	registered  *registeredAddresses
+	ended       endedAttempts
 	// invalidLimits are the limits of endpoints that are not usable.
 	invalidLimits unusableStatements
 	// invalidNotices are what endpoints state about their processes in values that are not usable.
@@ -224,7 +224,7 @@
 		f.connections.sweep(now)
 		f.health.Sweep(now)
 		f.inFlight.sweep(now)
-		f.inconclusive.sweep(now)
+		f.ended.sweep(now)
 	})
 }
 
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -84,6 +84,9 @@
 	if outcome == attemptBroken {
 		r.forwarder.investigateBreak(ctx, a)
 	}
+	if outcome == attemptQuarantined {
+		r.forwarder.keepEnded(endedAttempt{a, time.Now(), endedByQuarantine})
+	}
 	return r.handleOutcome(ctx, a, outcome)
 }
 
--- a/chiveforward/silence.go
+++ b/chiveforward/silence.go
@@ -100,7 +100,8 @@
 	return time.Time{}
 }
 
-// reportFailure reports the failure of an endpoint for the attempts in flight there.
+// reportFailure reports the failure of an endpoint for the attempts in flight there, and for those that ended before it was
+// detected.
 func (f *Forwarder) reportFailure(failure chivehealth.Failure) {
 	attempts, _ := f.inFlight.attemptsAt(failure.Endpoint)
 	for _, a := range attempts {
@@ -108,4 +109,5 @@
 			f.reportCrash(a, failure.Evidence, failure.At)
 		}
 	}
+	f.reportEnded(failure)
 }
--- a/chivehealth/evidence.go
+++ b/chivehealth/evidence.go
@@ -20,9 +20,11 @@
 	EvidenceUnreachable
 	// EvidenceStalled means that all running streams stopped, while health checks are answered.
 	EvidenceStalled
+	// EvidenceReported means that another node reported that the process crashed.
+	EvidenceReported
 )
 
-var evidenceNames = [...]string{"none", "refused", "reset", "gateway", "replaced", "unreachable", "stalled"}
+var evidenceNames = [...]string{"none", "refused", "reset", "gateway", "replaced", "unreachable", "stalled", "reported"}
 
 // String returns the name used in logs.
 func (e Evidence) String() string {
--- a/chivenode/node.go
+++ b/chivenode/node.go
@@ -90,6 +90,10 @@
 		}
 		return alive
 	})
+	quarantine.OnCrash(func(failure chivehealth.Failure) {
+		dispatcher.PeerCrash(failure)
+		services.PeerCrash(failure)
+	})
 	n.gate = chivegate.New(chivegate.Options{
 		Node: s.Name, Address: s.Listen.Callers, Network: network, Models: dispatcher, Services: services, Claims: claimClient, Quota: quota,
 		InForce: n.follower.InForce, Scope: metrics.Scope(), Logger: n.logger,
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -313,6 +313,7 @@
 	})
 	n.forwarder = forwarder
 	n.quarantine.OnFailure(forwarder.PeerFailure)
+	n.quarantine.OnCrash(forwarder.PeerCrash)
 	n.entry = chiveentry.New(chiveentry.Options{
 		Address: s.Listen.Callers, Network: network, Dialect: chiveplatform.Callers{}, Forwarder: forwarder, Full: n.memory.Full,
 		Streams: n.streams, Versions: n.versions,
--- a/chivequarantine/failures.go
+++ b/chivequarantine/failures.go
@@ -39,6 +39,9 @@
 // endpoint alive after the failure, or the zero time. It must not block, and must be set before Start.
 func (s *Service) OnFailure(handle func(chivehealth.Failure) (alive time.Time)) { s.onFailure = handle }
 
+// OnCrash sets the callback for crashes that other nodes report. It must not block, and must be set before Start.
+func (s *Service) OnCrash(handle func(chivehealth.Failure)) { s.onCrash = handle }
+
 // Failed broadcasts a failure that this node detected and that other nodes may not notice by themselves. Each node then
 // reports its own requests on that endpoint.
 func (s *Service) Failed(now time.Time, failure chivehealth.Failure) {
--- a/chivequarantine/gossip.go
+++ b/chivequarantine/gossip.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chivedrift/chiveevent"
+	"chivedrift/chivehealth"
 	"chivedrift/chivemember"
 	"chivedrift/chiverequest"
 	"chivedrift/chiveroute"
@@ -138,8 +139,15 @@
 	}
 }
 
-// receiveReports applies a peer's reports, and forwards those that are new.
+// receiveReports applies a peer's reports, and passes on which endpoints crashed.
 func (s *Service) receiveReports(now time.Time, from string, received reports) {
+	for _, c := range s.applyReports(now, from, received) {
+		s.onCrash(chivehealth.Failure{Endpoint: c.Endpoint, FailureDomain: c.FailureDomain, Evidence: chivehealth.EvidenceReported, At: c.At})
+	}
+}
+
+// applyReports applies a peer's reports, forwards those that are new, and returns the new crashes.
+func (s *Service) applyReports(now time.Time, from string, received reports) (newCrashes []Crash) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	added := make(map[chiverequest.Fingerprint][]Crash)
@@ -154,6 +162,7 @@
 		}
 		if s.registry.AddCrash(now, c) {
 			added[c.Content] = append(added[c.Content], c)
+			newCrashes = append(newCrashes, c)
 		}
 	}
 	for content, crashes := range added {
@@ -174,6 +183,7 @@
 	if received.full {
 		s.sendMissing(now, from, received)
 	}
+	return newCrashes
 }
 
 // sendRefutations tells a peer which of the endpoints that it reported as crashed are alive. The caller must hold s.mu.
--- a/chivequarantine/service.go
+++ b/chivequarantine/service.go
@@ -52,6 +52,7 @@
 	partAnswers *recentAnswers
 	refused     atomic.Int64
 	onFailure   func(chivehealth.Failure) time.Time
+	onCrash     func(chivehealth.Failure)
 
 	mu       sync.Mutex
 	registry *Register
@@ -84,7 +85,7 @@
 func New(o Options) *Service {
 	s := &Service{
 		options: o, lastNumber: time.Now().UnixNano(), inbox: chivewire.NewInbox(o.Mesh, inboxSize), answers: newRecentAnswers(maxRecentAnswers), partAnswers: newRecentAnswers(maxRecentPartAnswers), pending: newOutgoing(), wake: make(chan struct{}, 1), registry: NewRegister(o.Mesh.Self()),
-		onFailure: func(chivehealth.Failure) time.Time { return time.Time{} }, failures: make(recentFailures),
+		onFailure: func(chivehealth.Failure) time.Time { return time.Time{} }, onCrash: func(chivehealth.Failure) {}, failures: make(recentFailures),
 		receivedGrants: make(map[chiverequest.Fingerprint]time.Time), issuedGrants: make(map[chiverequest.Fingerprint]time.Time),
 		watches: make(map[chiverequest.Fingerprint]map[*watch]struct{}),
 		permits: make(map[chiverequest.Fingerprint]permit), permitCalls: chivedistance.NewCalls[PermitAnswer](o.Distances),
--- a/chivequarantine/service_test.go
+++ b/chivequarantine/service_test.go
@@ -170,6 +170,26 @@
 	})
 }
 
+// Guards against nodes that keep to themselves what they had on an endpoint for which another node has evidence of a crash.
+func TestCrashesOfPeersArePassedOnOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		crashes := make([]int, len(f.nodes))
+		for i, n := range f.nodes {
+			n.OnCrash(func(failure chivehealth.Failure) {
+				if failure.Endpoint == "e" && failure.FailureDomain == "z" && failure.Evidence == chivehealth.EvidenceReported && time.Since(failure.At) < time.Second {
+					crashes[i]++
+				}
+			})
+		}
+		f.nodes[0].reportCrash("deadly", "e", "z")
+		time.Sleep(5 * time.Second)
+		if crashes[0] != 0 || crashes[1] != 1 || crashes[2] != 1 {
+			t.Errorf("passed on %v times at the nodes, the first of which reported the crash", crashes)
+		}
+	})
+}
+
 func TestQuarantineReachesNodeThatJoinsLater(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 30)
