Quarantine: crashes of which only other attempts have evidence implicate no parts of prompts

Cause: reports of attempts that ended without evidence named the parts of their prompts too. Sound parts that many prompts share are then on as many crashed endpoints as a deadly one, and parts with as many crashes are held together only, which may stop neither.

--- a/chiveforward/ended.go
+++ b/chiveforward/ended.go
@@ -155,7 +155,7 @@
 }
 
 func (f *Forwarder) reportEndedAttempt(e endedAttempt, crash knownCrash) {
-	f.reportCrash(e.attempt, crash.evidence, crash.at.Add(-f.options.Distances.FromDomain(e.attempt.target.FailureDomain)))
+	f.reportCrash(e.attempt, chivehealth.EvidenceReported, crash.at.Add(-f.options.Distances.FromDomain(e.attempt.target.FailureDomain)))
 }
 
 // PeerCrash handles a crash under a request of another node, which implicates the attempts of this node that ended at the same
--- a/chivehealth/evidence.go
+++ b/chivehealth/evidence.go
@@ -20,7 +20,7 @@
 	EvidenceUnreachable
 	// EvidenceStalled means that all running streams stopped, while health checks are answered.
 	EvidenceStalled
-	// EvidenceReported means that another node reported that the process crashed.
+	// EvidenceReported means that another attempt or node had evidence of the failure.
 	EvidenceReported
 )
 
--- a/chivequarantine/admission.go
+++ b/chivequarantine/admission.go
@@ -67,7 +67,8 @@
 }
 
 // Crashed records and shares that an endpoint failed while it had a request of this node. If the endpoint had begun to
-// answer it, the parts of its prompt are not suspect: one that crashes engines does so before.
+// answer it, the parts of its prompt are not suspect: one that crashes engines does so before. Nor are they if only another
+// attempt has evidence of the failure: sound parts would soon be on as many crashed endpoints as the one that crashes them.
 func (s *Service) Crashed(now time.Time, request *chiverequest.Request, failure chivehealth.Failure, begun bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -76,7 +77,7 @@
 		Route: request.Route.Name, Team: request.Team, At: failure.At,
 	}
 	s.addOwnCrash(now, c, failure)
-	if !begun {
+	if !begun && failure.Evidence != chivehealth.EvidenceReported {
 		c.Silent = failure.Evidence == chivehealth.EvidenceUnreachable || failure.Evidence == chivehealth.EvidenceStalled
 		for _, p := range request.Shared {
 			if at, ok := s.partAnswers.lastAnswer(p.Key); ok && now.Sub(at) < exonerationPeriod {
--- a/chivequarantine/service_test.go
+++ b/chivequarantine/service_test.go
@@ -190,6 +190,25 @@
 	})
 }
 
+// Guards against sound parts of prompts that are quarantined for crashes of which only other attempts have evidence.
+func TestCrashWithoutEvidenceOfItsOwnImplicatesNoParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		for i := range 3 {
+			request := requestOf(fmt.Sprintf("content-%d", i))
+			request.Shared = promptOf("part")
+			failure := chivehealth.Failure{Endpoint: fmt.Sprintf("e%d", i), Unique: true, FailureDomain: fmt.Sprintf("z%d", i), Evidence: chivehealth.EvidenceReported, At: time.Now()}
+			f.nodes[i%2].Crashed(time.Now(), request, failure, false)
+			time.Sleep(time.Second)
+		}
+		sharing := requestOf("sound")
+		sharing.Shared = promptOf("part")
+		if f.nodes[0].Quarantined(time.Now(), sharing).Quarantined {
+			t.Error("a request is quarantined for a part of its prompt")
+		}
+	})
+}
+
 func TestQuarantineReachesNodeThatJoinsLater(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 30)
