--- a/chiverate/returning_owner_test.go
+++ b/chiverate/returning_owner_test.go
@@ -12,6 +12,16 @@
 	"chivedrift/chiveroute"
 )
 
+// owned returns the members of the fleet, the owner of the rate, and the members without it.
+func (f *fleet) owned() (members []chivemember.Member, owner string, without []chivemember.Member) {
+	for _, mesh := range f.meshes {
+		members = append(members, chivemember.Member{Name: mesh.Self(), Address: mesh.Self(), State: chivemember.Alive})
+	}
+	owner, _ = chiveroute.Owner("rate/"+rateKey, members)
+	without = slices.DeleteFunc(slices.Clone(members), func(m chivemember.Member) bool { return m.Address == owner })
+	return members, owner, without
+}
+
 // Guards against an owner that saves up permits while another node owns the rate, and issues them when it owns it again.
 func TestOwnerThatReturnsHasNoPermitsSavedUp(t *testing.T) {
 	const (
@@ -21,12 +31,7 @@
 		interval  = 500 * time.Millisecond
 	)
 	withFleet(t, nodes, func(f *fleet) {
-		members := make([]chivemember.Member, 0, nodes)
-		for _, mesh := range f.meshes {
-			members = append(members, chivemember.Member{Name: mesh.Self(), Address: mesh.Self(), State: chivemember.Alive})
-		}
-		owner, _ := chiveroute.Owner("rate/"+rateKey, members)
-		without := slices.DeleteFunc(slices.Clone(members), func(m chivemember.Member) bool { return m.Address == owner })
+		members, _, without := f.owned()
 		var changed sync.WaitGroup
 		changed.Go(func() {
 			for i := range changes {
@@ -58,12 +63,7 @@
 		unaware   = 3 * time.Second
 	)
 	withFleet(t, nodes, func(f *fleet) {
-		members := make([]chivemember.Member, 0, nodes)
-		for _, mesh := range f.meshes {
-			members = append(members, chivemember.Member{Name: mesh.Self(), Address: mesh.Self(), State: chivemember.Alive})
-		}
-		owner, _ := chiveroute.Owner("rate/"+rateKey, members)
-		without := slices.DeleteFunc(slices.Clone(members), func(m chivemember.Member) bool { return m.Address == owner })
+		_, owner, without := f.owned()
 		var changed sync.WaitGroup
 		changed.Go(func() {
 			time.Sleep(duration / 4)
--- a/chiveroute/owner_test.go
+++ b/chiveroute/owner_test.go
@@ -8,7 +8,7 @@
 	"chivedrift/chiveroute"
 )
 
-// Guards against owners that are not told that a key is theirs, or are told again for each other change of the fleet.
+// Guards against an owner that misses that it now owns a key, or takes each other change of the fleet for that.
 func TestOneNodeBecomesOwnerOfAKey(t *testing.T) {
 	var members []chivemember.Member
 	for i := range 5 {
