--- a/chiveforward/ended.go
+++ b/chiveforward/ended.go
@@ -53,7 +53,7 @@
 
 // knownCrash is a crash of an endpoint.
 type knownCrash struct {
-	// at is when this node sees what the endpoint sent last.
+	// at is when the crash shows at this node: later than at the endpoint by the time that bytes take.
 	at       time.Time
 	evidence chivehealth.Evidence
 }
