Review: a slow replica is enough for a mixed long answer

Cause: the silence timeout of idempotent requests isn't stopped when the answer begins, and the next attempt of a long answer writes its body behind the first one's part. Change: case 2 with a slow replica in place of one that breaks off its answers.

--- a/review/_stand/cut_event.go
+++ b/review/_stand/cut_event.go
@@ -29,6 +29,7 @@
 const (
 	streamEvents  = 12
 	eventInterval = 10 * time.Millisecond
+	breakShare    = 0.05
 )
 
 func eventText(number int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", number, number) }
--- a/review/_stand/long_answer.go
+++ b/review/_stand/long_answer.go
@@ -3,23 +3,20 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	chiveplatformstand "chivedrift/platform/stand"
 )
 
-// longAnswer: replicas answer idempotent requests with 2 MB in chunks. For 5.5 seconds three of five are faulty: they
-// break off five in a hundred of their answers.
+// longAnswer: replicas answer idempotent requests with 2 MB in chunks, evenly over 100 ms. For 6.5 seconds one of seven
+// works five times as long.
 var longAnswer = testCase{
 	nodes: 3,
 	prepare: func(s *stand) {
-		s.publish(chiveplatformstand.Route{Name: "card", Host: host, Prefix: "/card/", Kind: platform.Idempotent, Backend: "match-api", TimeoutMs: 4000, TargetMs: 1500, Attempts: 2})
-		for i := range 5 {
+		s.publish(chiveplatformstand.Route{Name: "card", Host: host, Prefix: "/card/", Kind: platform.Idempotent, Backend: "match-api", TimeoutMs: 2000, TargetMs: 150, Attempts: 2})
+		for i := range 7 {
 			s.addReplica(&replica{id: fmt.Sprintf("i-%d", i+1), backend: "match-api", zone: zones[i%len(zones)], slots: 6, queueLength: 24})
 		}
 	},
@@ -28,8 +25,9 @@
 
 const (
 	longAnswerBytes = 2 << 20
-	chunkBytes      = 16 << 10
-	breakShare      = 0.05
+	longAnswerWork  = 100 * time.Millisecond
+	longAnswerParts = 50
+	slowFactor      = 5
 )
 
 // longBody is the body that a replica answers to an attempt; no two are alike.
@@ -39,69 +37,48 @@
 }
 
 func playLongAnswer(_ context.Context, s *stand, trouble bool) []string {
-	var mu sync.Mutex
-	random := rand.New(rand.NewPCG(79, 2))
-	faultFrom, faultTo := time.Now().Add(11*time.Second), time.Now().Add(16500*time.Millisecond)
-	answers, broken := 0, 0
-	// breakAt returns after how many bytes a replica breaks off its next answer; 0 for not at all.
-	breakAt := func(r *replica) int {
-		mu.Lock()
-		defer mu.Unlock()
-		if now := time.Now(); !trouble || r.id > "i-3" || now.Before(faultFrom) || now.After(faultTo) {
-			return 0
-		}
-		answers++
-		if random.Float64() >= breakShare {
-			return 0
-		}
-		broken++
-		return 1 + random.IntN(longAnswerBytes-chunkBytes)
-	}
+	slowFrom, slowTo := time.Now().Add(11*time.Second), time.Now().Add(17500*time.Millisecond)
 	for _, r := range s.replicas {
 		r.answer = func(r *replica, c *channel, request *http.Request) bool {
-			return sendLong(s, r, c, request.Header.Get(platform.Attempt), breakAt(r))
+			work := longAnswerWork
+			if now := time.Now(); trouble && r.id == "i-1" && now.After(slowFrom) && now.Before(slowTo) {
+				work *= slowFactor
+			}
+			return sendLong(s, r, c, request.Header.Get(platform.Attempt), work)
 		}
 	}
 	var clients []*client
-	for i := range 6 {
+	for i := range 9 {
 		clients = append(clients, s.newClient(i%len(s.nodes)))
 	}
-	end := faultTo.Add(time.Second)
+	end := slowTo.Add(time.Second)
 	together(clients, func(_ int, c *client) {
 		for time.Now().Before(end) {
-			c.send("/card/1", "", 4*time.Second)
+			c.send("/card/1", "", 2*time.Second)
 			pause := 250 * time.Millisecond
-			if time.Now().After(faultFrom) {
+			if time.Now().After(slowFrom) {
 				pause = 30 * time.Millisecond
 			}
 			time.Sleep(pause)
 		}
 	})
-	s.record.log("answers of faulty replicas %d, broken off %d", answers, broken)
 	return judgeWhole(s, clients)
 }
 
-// sendLong sends an answer in chunks, or breaks it off by a reset of the channel.
-func sendLong(s *stand, r *replica, c *channel, id string, breakAt int) bool {
+// sendLong sends an answer in equal chunks over the time of its work.
+func sendLong(s *stand, r *replica, c *channel, id string, work time.Duration) bool {
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nKeep-Alive: timeout=10\r\n%s: %s\r\n%s: %s\r\n\r\n", platform.Attempt, id, platform.Seal, r.seal(id))
 	if !c.send(head) {
 		return false
 	}
-	body := longBody(r.id, id)
-	for from := 0; from < len(body); from += chunkBytes {
-		if breakAt > 0 && from >= breakAt {
-			s.record.log("replica %s breaks off its answer to %s after %d bytes", r.id, id, from)
-			// The bytes on the way still arrive; the end of the answer never does.
-			time.Sleep(20 * time.Millisecond)
-			if tcp, ok := c.Conn.(*net.TCPConn); ok {
-				_ = tcp.SetLinger(0)
-			}
-			return false
-		}
-		part := body[from:min(from+chunkBytes, len(body))]
-		if !c.send(fmt.Sprintf("%x\r\n%s\r\n", len(part), part)) {
+	body, start := longBody(r.id, id), time.Now()
+	for part := range longAnswerParts {
+		text := body[len(body)*part/longAnswerParts : len(body)*(part+1)/longAnswerParts]
+		if !c.send(fmt.Sprintf("%x\r\n%s\r\n", len(text), text)) {
+			s.record.log("replica %s: the channel of %s was closed %d ms after it began, in part %d of %d", r.id, id, time.Since(start).Milliseconds(), part+1, longAnswerParts)
 			return false
 		}
+		time.Sleep(time.Until(start.Add(work * time.Duration(part+1) / longAnswerParts)))
 	}
 	return c.send("0\r\n\r\n")
 }
