Review: a replica's own 503 reaches callers as a promise

Cause: an answer with status 503 that doesn't say that the request has not run is passed on unchanged, also for requests that may not run twice.

--- a/review/_stand/late_refusal.go
+++ b/review/_stand/late_refusal.go
@@ -74,7 +74,7 @@
 		}
 	}
 	var clients []*client
-	for i := range 40 {
+	for i := range 52 {
 		clients = append(clients, s.newClient(i%len(s.nodes)))
 	}
 	end := time.Now().Add(17 * time.Second)
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -48,6 +48,7 @@
 	"long-answer":  longAnswer,
 	"cut-event":    cutEvent,
 	"double-slash": doubleSlash,
+	"own-503":      own503,
 }
 
 func main() {
