--- a/review/_stand/late_refusal.go
+++ b/review/_stand/late_refusal.go
@@ -74,7 +74,7 @@
 		}
 	}
 	var clients []*client
-	for i := range 52 {
+	for i := range 46 {
 		clients = append(clients, s.newClient(i%len(s.nodes)))
 	}
 	end := time.Now().Add(17 * time.Second)
@@ -87,7 +87,7 @@
 		together(clients, func(_ int, c *client) { c.send("/confirm/"+fmt.Sprint(round), "confirm", time.Second) })
 		pause := 300 * time.Millisecond
 		if now.After(faultFrom) && now.Before(faultTo) {
-			pause = 100 * time.Millisecond
+			pause = 70 * time.Millisecond
 		}
 		time.Sleep(time.Until(now.Add(pause)))
 	}
