Review: case 2 with less load and two slow replicas

Cause: on a slow machine the earlier form could have passed its own limit without the disruption. Change: 13 replicas, two of them slow, 12 clients, 80 ms of work.

--- a/review/_stand/long_answer.go
+++ b/review/_stand/long_answer.go
@@ -10,13 +10,13 @@
 	chiveplatformstand "chivedrift/platform/stand"
 )
 
-// longAnswer: replicas answer idempotent requests with 2 MB in chunks, evenly over 100 ms. For 6.5 seconds one of seven
-// works five times as long.
+// longAnswer: replicas answer idempotent requests with 2 MB in chunks, evenly over 80 ms. For 6.5 seconds two of thirteen
+// work five times as long.
 var longAnswer = testCase{
 	nodes: 3,
 	prepare: func(s *stand) {
 		s.publish(chiveplatformstand.Route{Name: "card", Host: host, Prefix: "/card/", Kind: platform.Idempotent, Backend: "match-api", TimeoutMs: 2000, TargetMs: 150, Attempts: 2})
-		for i := range 7 {
+		for i := range 13 {
 			s.addReplica(&replica{id: fmt.Sprintf("i-%d", i+1), backend: "match-api", zone: zones[i%len(zones)], slots: 6, queueLength: 24})
 		}
 	},
@@ -25,7 +25,7 @@
 
 const (
 	longAnswerBytes = 2 << 20
-	longAnswerWork  = 100 * time.Millisecond
+	longAnswerWork  = 80 * time.Millisecond
 	longAnswerParts = 50
 	slowFactor      = 5
 )
@@ -41,14 +41,14 @@
 	for _, r := range s.replicas {
 		r.answer = func(r *replica, c *channel, request *http.Request) bool {
 			work := longAnswerWork
-			if now := time.Now(); trouble && r.id == "i-1" && now.After(slowFrom) && now.Before(slowTo) {
+			if now := time.Now(); trouble && (r.id == "i-1" || r.id == "i-2") && now.After(slowFrom) && now.Before(slowTo) {
 				work *= slowFactor
 			}
 			return sendLong(s, r, c, request.Header.Get(platform.Attempt), work)
 		}
 	}
 	var clients []*client
-	for i := range 9 {
+	for i := range 12 {
 		clients = append(clients, s.newClient(i%len(s.nodes)))
 	}
 	end := slowTo.Add(time.Second)
@@ -57,7 +57,7 @@
 			c.send("/card/1", "", 2*time.Second)
 			pause := 250 * time.Millisecond
 			if time.Now().After(slowFrom) {
-				pause = 30 * time.Millisecond
+				pause = 100 * time.Millisecond
 			}
 			time.Sleep(pause)
 		}
