Responses: nothing is read of a response before it is known to answer the request

Cause: Judge looked at status 421 and at the field of a refusal before it compared the ID. A late copy of an earlier refusal on a kept connection cleared the proof that the present request might have run. Evidence: the attempt is logged as refused within the millisecond in which the stand-in sends the copy, with touched=false, while the endpoint runs the request. net/http sends nothing again, and the endpoint sends no refusal of its own.

The same cause: the own interface's refusals have no ID at all, and repeatable requests used kept connections there; one that had run was reported as not run, and the endpoint as leaving.

Fix: dialects say what a response states of its request; limits, notices, warm-up and verdicts are read from a Matched response, which Match alone makes. A response that need not name its request (refusals) counts only as the first one of its connection, where it cannot be a late copy: that keeps callers of replaced endpoints served elsewhere. Connections are kept only if their endpoint names requests, which replaces FreshOnce.

--- a/chivedispatch/dispatcher.go
+++ b/chivedispatch/dispatcher.go
@@ -71,7 +71,7 @@
 func (d *Dispatcher) newForwarder(placer chiveforward.Places, maxRefusals int) *chiveforward.Forwarder {
 	return chiveforward.New(chiveforward.Options{
 		Self: d.self, Network: d.network, Dialect: dialect{}, Places: placer, Repeats: d.budget,
-		Rules: chiveforward.Rules{Refusals: maxRefusals, FreshOnce: true}, Quarantine: d.quarantine, Logger: d.logger,
+		Rules: chiveforward.Rules{Refusals: maxRefusals}, Quarantine: d.quarantine, Logger: d.logger,
 	})
 }
 
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -62,9 +62,11 @@
 	endpointWasAlive bool
 	// endpointReplaced means that the attempt was cancelled because another process replaced the endpoint's.
 	endpointReplaced bool
-	status           int
-	err              error
-	buffered         *bufferedResponse
+	// status is the status of the endpoint's response, named whether that names the request; zero before it.
+	status   int
+	named    bool
+	err      error
+	buffered *bufferedResponse
 }
 
 // bufferedResponse is a response that was read completely.
@@ -106,12 +108,17 @@
 		return a.classifyError(ctx, parent, err)
 	}
 	defer response.Body.Close()
-	a.status = response.StatusCode
-	verdict := a.state.forwarder.options.Dialect.Judge(a.state.request, response)
+	dialect := a.state.forwarder.options.Dialect
+	matched, ok := chiverequest.Match(dialect.Identify(a.state.request, response), response, !a.connection.reused)
+	if !ok {
+		return a.classifyError(ctx, parent, errMismatchedResponse)
+	}
+	a.status, a.named = matched.Status(), matched.Named()
+	verdict := dialect.Judge(matched)
 	if verdict == chiverequest.VerdictNotRun || verdict == chiverequest.VerdictAnswer {
-		a.recordLimits(ctx, response.Header)
-		a.recordNotice(ctx, response)
-		a.state.forwarder.recordWarmUp(ctx, a.target.ID, a.target.Incarnation, response.Header)
+		a.recordLimits(ctx, matched)
+		a.recordNotice(ctx, matched)
+		a.state.forwarder.recordWarmUp(ctx, a.target.ID, a.target.Incarnation, matched)
 	}
 	switch verdict {
 	case chiverequest.VerdictNotRun:
@@ -121,8 +128,6 @@
 	case chiverequest.VerdictElsewhere:
 		a.connection.close()
 		return attemptMisdirected
-	case chiverequest.VerdictForeign:
-		return a.classifyError(ctx, parent, errMismatchedResponse)
 	case chiverequest.VerdictAnswer:
 		a.recordResponse()
 	}
@@ -201,7 +206,8 @@
 
 // send writes the request on a connection that no other attempt uses at the same time, and returns the response head.
 func (a *attempt) send(ctx context.Context) (*http.Response, error) {
-	forceNew := len(a.state.result.Tries) > 0 || (a.state.forwarder.options.Rules.FreshOnce && a.state.request.Route.Repeat == chivetable.RepeatNever)
+	// The response to a request without an ID can only be matched if it is the first one of its connection.
+	forceNew := len(a.state.result.Tries) > 0 || a.state.request.ID == ""
 	timeout := a.state.forwarder.options.Distances.WaitForDomain(a.target.FailureDomain, dialTimeout, dialRoundTrips)
 	a.connection = a.state.forwarder.connections.get(a.target.Incarnation, timeout, forceNew)
 	a.connection.stillWanted = func() bool { return a.place.Accepts(time.Now()) }
@@ -284,9 +290,10 @@
 	a.returnConnection(response)
 }
 
-// returnConnection returns the connection to the pool, unless the endpoint is about to close it.
+// returnConnection returns the connection to the pool, unless the endpoint is about to close it or the next response could
+// not be matched to its request.
 func (a *attempt) returnConnection(response *http.Response) {
-	if response.Close {
+	if response.Close || !a.named {
 		a.connection.close()
 		return
 	}
--- a/chiveforward/connection.go
+++ b/chiveforward/connection.go
@@ -65,6 +65,8 @@
 	// stillWanted reports, before the first byte of the request is written, whether it may still be sent.
 	stillWanted func() bool
 
+	// reused means that the connection carried other requests before the present one.
+	reused      bool
 	idleSince   time.Time
 	idleTimeout time.Duration
 }
@@ -211,6 +213,7 @@
 		p.idle[endpoint] = idle
 		if c.isReusable(now) {
 			p.reused++
+			c.reused = true
 			c.resetWriteState()
 			return c
 		}
--- a/chiveforward/endpoint_test.go
+++ b/chiveforward/endpoint_test.go
@@ -33,27 +33,35 @@
 	return send.Request.Body, nil
 }
 
-func (headerDialect) Judge(request *chiverequest.Request, response *http.Response) chiverequest.Verdict {
+func (headerDialect) Identify(request *chiverequest.Request, response *http.Response) chiverequest.Identity {
+	switch id := response.Header.Get("Id"); {
+	case id == request.ID:
+		return chiverequest.IdentitySame
+	case id == "" && (response.StatusCode == http.StatusMisdirectedRequest || response.Header.Get("Not-Run") != ""):
+		return chiverequest.IdentityUnstated
+	}
+	return chiverequest.IdentityOther
+}
+
+func (headerDialect) Judge(response chiverequest.Matched) chiverequest.Verdict {
 	switch {
-	case response.StatusCode == http.StatusMisdirectedRequest:
+	case response.Status() == http.StatusMisdirectedRequest:
 		return chiverequest.VerdictElsewhere
-	case response.Header.Get("Not-Run") != "":
+	case response.Header().Get("Not-Run") != "":
 		return chiverequest.VerdictNotRun
-	case response.Header.Get("Id") != request.ID:
-		return chiverequest.VerdictForeign
 	}
 	return chiverequest.VerdictAnswer
 }
 
-func (headerDialect) Limits(http.Header) (chiverequest.Limits, error) {
+func (headerDialect) Limits(chiverequest.Matched) (chiverequest.Limits, error) {
 	return chiverequest.Limits{}, nil
 }
 
-func (headerDialect) Notice(*http.Response) (chiverequest.Notice, error) {
+func (headerDialect) Notice(chiverequest.Matched) (chiverequest.Notice, error) {
 	return chiverequest.Notice{}, nil
 }
 
-func (headerDialect) WarmUp(http.Header) (time.Duration, error) { return 0, nil }
+func (headerDialect) WarmUp(chiverequest.Matched) (time.Duration, error) { return 0, nil }
 
 const healthPath = "/health"
 
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -59,10 +58,6 @@
 	// RetryErrors means that a repeatable request is retried on another endpoint after an endpoint returned an error of
 	// its own.
 	RetryErrors bool
-	// FreshOnce means that a request that must not run twice is sent on a new connection. It is for endpoints whose
-	// responses do not identify their request: a late response on a reused connection could be mistaken for the
-	// response to this one.
-	FreshOnce bool
 }
 
 // StoreRules are the rules for endpoints that register in the platform's store.
@@ -191,8 +186,8 @@
 	f := &Forwarder{
 		options: o, connections: newConnectionPool(o.Network, o.Self), health: chivehealth.NewChecker(o.Self, o.Network, o.Dialect), inFlight: newInFlightAttempts(), registered: newRegisteredAddresses(),
 	}
-	f.health.OnAnswer(func(e chivehealth.Endpoint, header http.Header) {
-		f.recordWarmUp(context.Background(), e.ID, e.Incarnation, header)
+	f.health.OnAnswer(func(e chivehealth.Endpoint, response chiverequest.Matched) {
+		f.recordWarmUp(context.Background(), e.ID, e.Incarnation, response)
 	})
 	return f
 }
--- a/chiveforward/limits.go
+++ b/chiveforward/limits.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"log/slog"
-	"net/http"
 	"sync/atomic"
 	"time"
 
 	"chivedrift/chiveevent"
+	"chivedrift/chiverequest"
 )
 
 // unusableInterval is the minimum time between two log lines about statements of endpoints that are not usable.
@@ -30,9 +30,9 @@
 }
 
 // recordLimits records the limits that a response of the endpoint states. A value that is no limit changes nothing.
-func (a *attempt) recordLimits(ctx context.Context, header http.Header) {
+func (a *attempt) recordLimits(ctx context.Context, response chiverequest.Matched) {
 	f, now := a.state.forwarder, time.Now()
-	limits, err := f.options.Dialect.Limits(header)
+	limits, err := f.options.Dialect.Limits(response)
 	if err != nil {
 		if f.invalidLimits.add(now) {
 			chiveevent.LimitUnusable.Log(ctx, f.options.Logger, slog.String("endpoint", a.target.ID), slog.String("error", err.Error()),
--- a/chiveforward/notice.go
+++ b/chiveforward/notice.go
@@ -3,14 +3,14 @@
 import (
 	"context"
 	"log/slog"
-	"net/http"
 	"time"
 
 	"chivedrift/chiveevent"
+	"chivedrift/chiverequest"
 )
 
 // recordNotice records what a response states about the endpoint's process.
-func (a *attempt) recordNotice(ctx context.Context, response *http.Response) {
+func (a *attempt) recordNotice(ctx context.Context, response chiverequest.Matched) {
 	f, now := a.state.forwarder, time.Now()
 	notice, err := f.options.Dialect.Notice(response)
 	f.logUnusable(ctx, a.target.ID, err)
@@ -20,7 +20,7 @@
 	}
 	if leaves {
 		chiveevent.LeavingStated.Log(ctx, f.options.Logger, slog.String("endpoint", a.target.ID), slog.String("pool", a.state.request.Pool),
-			slog.Int("status", response.StatusCode))
+			slog.Int("status", response.Status()))
 	}
 	if rests {
 		chiveevent.RestAsked.Log(ctx, f.options.Logger, slog.String("endpoint", a.target.ID), slog.String("pool", a.state.request.Pool),
@@ -28,9 +28,9 @@
 	}
 }
 
-// recordWarmUp records how long an endpoint stays cold by the header of a response.
-func (f *Forwarder) recordWarmUp(ctx context.Context, id, incarnation string, header http.Header) {
-	left, err := f.options.Dialect.WarmUp(header)
+// recordWarmUp records how long an endpoint stays cold by its response.
+func (f *Forwarder) recordWarmUp(ctx context.Context, id, incarnation string, response chiverequest.Matched) {
+	left, err := f.options.Dialect.WarmUp(response)
 	f.logUnusable(ctx, id, err)
 	if left > 0 {
 		f.options.OnWarmUp(incarnation, left)
--- a/chivehealth/checker.go
+++ b/chivehealth/checker.go
@@ -84,19 +84,21 @@
 	self     string
 	network  chivewire.Network
 	dialect  chiverequest.HealthDialect
-	onAnswer func(e Endpoint, header http.Header)
+	onAnswer func(e Endpoint, response chiverequest.Matched)
 	mu       sync.Mutex
 	checks   map[string]*Check
 }
 
 // NewChecker returns a checker that connects to endpoints from the address self.
 func NewChecker(self string, network chivewire.Network, dialect chiverequest.HealthDialect) *Checker {
-	return &Checker{self: self, network: network, dialect: dialect, onAnswer: func(Endpoint, http.Header) {}, checks: make(map[string]*Check)}
+	return &Checker{self: self, network: network, dialect: dialect, onAnswer: func(Endpoint, chiverequest.Matched) {}, checks: make(map[string]*Check)}
 }
 
-// OnAnswer sets the function that is called with the header of each response of an endpoint's process, which may have started
-// since; it must be called before the first check.
-func (c *Checker) OnAnswer(handle func(e Endpoint, header http.Header)) { c.onAnswer = handle }
+// OnAnswer sets the function that is called with each response of an endpoint's process, which may have started since; it
+// must be called before the first check.
+func (c *Checker) OnAnswer(handle func(e Endpoint, response chiverequest.Matched)) {
+	c.onAnswer = handle
+}
 
 // Start starts a check of an endpoint, or returns the current one if that is running or recent.
 func (c *Checker) Start(e Endpoint) *Check {
@@ -144,7 +146,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode == http.StatusOK {
-		c.onAnswer(e, response.Header)
+		c.onAnswer(e, chiverequest.MatchSole(response))
 	}
 	switch c.dialect.JudgeHealth(e.ID, e.Incarnation, response) {
 	case chiverequest.HealthOther:
--- /dev/null
+++ b/chiverequest/matched.go
@@ -0,0 +1,43 @@
+package chiverequest
+
+import "net/http"
+
+// Identity is what a response states about the request that it answers.
+type Identity uint8
+
+const (
+	// IdentityOther is a response to another request, or bytes that answer none.
+	IdentityOther Identity = iota
+	// IdentitySame is a response that names the request.
+	IdentitySame
+	// IdentityUnstated is a response that names no request, of a kind that endpoints need not name one in.
+	IdentityUnstated
+)
+
+// Matched is the response to a known request. Only Match and MatchSole return one, so that nothing that an endpoint states
+// can be read from a response to another request.
+type Matched struct {
+	response *http.Response
+	named    bool
+}
+
+// Match returns a response if it answers the request for which the identity was found, else false. first means that its
+// connection carried no other request before: only then can a response that names no request be no late copy.
+func Match(identity Identity, response *http.Response, first bool) (Matched, bool) {
+	if identity == IdentitySame || (identity == IdentityUnstated && first) {
+		return Matched{response: response, named: identity == IdentitySame}, true
+	}
+	return Matched{}, false
+}
+
+// MatchSole returns the response to the only request of a connection.
+func MatchSole(response *http.Response) Matched { return Matched{response: response} }
+
+// Status returns the status code of the response.
+func (m Matched) Status() int { return m.response.StatusCode }
+
+// Header returns the header of the response.
+func (m Matched) Header() http.Header { return m.response.Header }
+
+// Named reports whether the response names its request. Otherwise the next response on its connection cannot be matched.
+func (m Matched) Named() bool { return m.named }
--- a/chiverequest/request.go
+++ b/chiverequest/request.go
@@ -73,7 +73,7 @@
 	FetchFrom string
 }
 
-// Verdict classifies a response by its status and header.
+// Verdict classifies the response to a request by its status and header.
 type Verdict uint8
 
 const (
@@ -83,8 +83,6 @@
 	VerdictNotRun
 	// VerdictElsewhere is a response from another endpoint that now has the address; the request did not run.
 	VerdictElsewhere
-	// VerdictForeign is the response to another request.
-	VerdictForeign
 )
 
 // EndpointDialect implements the protocol of a kind of endpoints.
@@ -92,14 +90,16 @@
 	HealthDialect
 	// Prepare sets the header fields that the endpoint needs for an attempt, and returns the attempt's body.
 	Prepare(header http.Header, attempt Send) (body []byte, err error)
+	// Identify returns what a response states about the request that it answers.
+	Identify(request *Request, response *http.Response) Identity
 	// Judge classifies the response to a request by its status and header.
-	Judge(request *Request, response *http.Response) Verdict
+	Judge(response Matched) Verdict
 	// Limits returns the limits that a response states. The error describes a value that is no limit.
-	Limits(header http.Header) (Limits, error)
+	Limits(response Matched) (Limits, error)
 	// Notice returns what a response states about the endpoint's process. The error describes values that are not usable;
 	// the others count all the same.
-	Notice(response *http.Response) (Notice, error)
-	// WarmUp returns how much longer the endpoint takes only a few requests, by the header of a response; 0 for none. The
-	// error describes a value that is not usable.
-	WarmUp(header http.Header) (time.Duration, error)
+	Notice(response Matched) (Notice, error)
+	// WarmUp returns how much longer the endpoint takes only a few requests, as a response states; 0 for none. The error
+	// describes a value that is not usable.
+	WarmUp(response Matched) (time.Duration, error)
 }
