Connections: late responses are discarded, and the request gets its own one

A late response that names another request broke the attempt: callers whose requests may not be repeated got 502 although their own response came next on that connection, and others cost a second run from the retry budget.

Change: while a request waits for its response on a kept connection, responses that name another request are discarded before net/http sees them, up to 1 MiB. One that names no request still breaks the attempt at once.

OwnResponseIsFoundBehindLateOnes cuts five forms of late responses and the own one at 200 places each.

--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -81,7 +81,7 @@
 
 	RequestRefused  = define(500, slog.LevelWarn, "request refused", "Read the reason; under overload, check the tier and the share of the class.")
 	RequestBroken   = define(501, slog.LevelWarn, "attempt broke", "Check the endpoint if this repeats.")
-	AttemptEnded    = define(503, slog.LevelInfo, "attempt ended", "The field ended shows how the attempt ended; touched shows whether the endpoint may have run it, repeat that an earlier attempt of the request had reached an endpoint.")
+	AttemptEnded    = define(503, slog.LevelInfo, "attempt ended", "The field ended shows how the attempt ended; touched shows whether the endpoint may have run it, repeat that an earlier attempt of the request had reached an endpoint, late_responses how many responses to earlier requests came before its own.")
 	RequestEnded    = define(504, slog.LevelInfo, "request ended", "Read outcome and code; the attempts with the same request ID give the details.")
 	RequestAccepted = define(505, slog.LevelInfo, "request accepted", "None; the line shows the route, the team and the version on which the decision was based, and in resumes the attempt that began the stream which the caller takes up.")
 	AttemptSent     = define(506, slog.LevelInfo, "attempt sent", "None; the line shows why the endpoint was chosen, and in version that of the endpoint's software. If no line reports the end of the attempt, the process itself ended.")
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -215,6 +215,7 @@
 	if err != nil {
 		return nil, err
 	}
+	a.connection.expect(a.state.forwarder.options.Dialect, a.state.request)
 	response, err := a.connection.transport.RoundTrip(request)
 	a.mayHaveArrived = a.connection.mayHaveSent()
 	a.mayHaveRun = a.mayHaveArrived
--- a/chiveforward/connection.go
+++ b/chiveforward/connection.go
@@ -66,7 +66,10 @@
 	stillWanted func() bool
 
 	// reused means that the connection carried other requests before the present one.
-	reused      bool
+	reused bool
+	// isLate recognizes late responses while a request waits for its own; nil otherwise. late counts them.
+	isLate      atomic.Pointer[isLateFunc]
+	late        atomic.Int64
 	idleSince   time.Time
 	idleTimeout time.Duration
 }
@@ -103,7 +106,7 @@
 		return nil, errClosed
 	}
 	c.conn = conn
-	return &writeTrackingConn{Conn: conn, connection: c}, nil
+	return &trackedConn{Conn: conn, connection: c}, nil
 }
 
 // resetWriteState prepares the connection to detect the first byte of the next request.
@@ -163,13 +166,16 @@
 	return !ok || !stale.Stale()
 }
 
-type writeTrackingConn struct {
+// trackedConn tells its connection what was written, and hides late responses from net/http.
+type trackedConn struct {
 	net.Conn
 	connection *connection
+	// held are received bytes that were not read yet.
+	held []byte
 }
 
 // Write marks the request as sent before it writes, so that a write that fails part-way still counts.
-func (c *writeTrackingConn) Write(data []byte) (int, error) {
+func (c *trackedConn) Write(data []byte) (int, error) {
 	if c.connection.writeState.Load() == requestUnsent && !c.connection.stillWanted() && c.connection.writeState.CompareAndSwap(requestUnsent, requestBlocked) {
 		c.connection.withdrawn.Store(true)
 	}
@@ -181,7 +187,7 @@
 }
 
 // Close marks the connection as closed, so that it is not reused.
-func (c *writeTrackingConn) Close() error {
+func (c *trackedConn) Close() error {
 	c.connection.closed.Store(true)
 	return c.Conn.Close() //nolint:wrapcheck // the error is not used
 }
--- a/chiveforward/endpoint_test.go
+++ b/chiveforward/endpoint_test.go
@@ -37,10 +37,12 @@
 	switch id := response.Header.Get("Id"); {
 	case id == request.ID:
 		return chiverequest.IdentitySame
-	case id == "" && (response.StatusCode == http.StatusMisdirectedRequest || response.Header.Get("Not-Run") != ""):
+	case id != "":
+		return chiverequest.IdentityOther
+	case response.StatusCode == http.StatusMisdirectedRequest, response.Header.Get("Not-Run") != "":
 		return chiverequest.IdentityUnstated
 	}
-	return chiverequest.IdentityOther
+	return chiverequest.IdentityMissing
 }
 
 func (headerDialect) Judge(response chiverequest.Matched) chiverequest.Verdict {
--- /dev/null
+++ b/chiveforward/late_response.go
@@ -0,0 +1,138 @@
+package chiveforward
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+
+	"chivedrift/chiverequest"
+)
+
+// maxLateBytes limits the responses to earlier requests that are discarded while one request waits for its own.
+const maxLateBytes = 1 << 20
+
+var errLateTooLong = fmt.Errorf("responses to other requests are longer than %d bytes", maxLateBytes)
+
+// isLateFunc reports whether a response names another request than the one in flight.
+type isLateFunc func(response *http.Response) bool
+
+// expect makes the connection discard the late copies of responses to earlier requests until the response to this one
+// arrives.
+func (c *connection) expect(dialect chiverequest.EndpointDialect, request *chiverequest.Request) {
+	c.late.Store(0)
+	if !c.reused {
+		return
+	}
+	isLate := isLateFunc(func(response *http.Response) bool {
+		return dialect.Identify(request, response) == chiverequest.IdentityOther
+	})
+	c.isLate.Store(&isLate)
+}
+
+// lateResponses returns how many late responses came before the attempt's own.
+func (a *attempt) lateResponses() int64 {
+	if a.connection == nil {
+		return 0
+	}
+	return a.connection.late.Load()
+}
+
+// Read receives bytes from the endpoint, without late responses.
+func (c *trackedConn) Read(data []byte) (int, error) {
+	if len(c.held) > 0 {
+		n := copy(data, c.held)
+		c.held = c.held[n:]
+		return n, nil
+	}
+	n, err := c.Conn.Read(data)
+	isLate := c.connection.isLate.Load()
+	if n == 0 || isLate == nil {
+		return n, err //nolint:wrapcheck // net/http wraps it
+	}
+	defer c.connection.isLate.Store(nil)
+	if isOwnHead(data[:n], *isLate) {
+		return n, err //nolint:wrapcheck // net/http wraps it
+	}
+	if c.held, err = c.discardLate(data[:n], *isLate); err != nil {
+		return 0, err
+	}
+	n = copy(data, c.held)
+	c.held = c.held[n:]
+	return n, nil
+}
+
+// headReaders holds the readers of heads that arrive in one piece, as nearly all do.
+var headReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, connectionBufferSize) }}
+
+// isOwnHead reports whether the received bytes begin with the whole head of a response that is not late.
+func isOwnHead(received []byte, isLate isLateFunc) bool {
+	reader, ok := headReaders.Get().(*bufio.Reader)
+	if !ok {
+		return false
+	}
+	defer headReaders.Put(reader)
+	reader.Reset(bytes.NewReader(received))
+	response, err := http.ReadResponse(reader, nil)
+	return err == nil && !isLate(response)
+}
+
+// discardLate returns what was received from the first response on that is not late; first is the start of it.
+func (c *trackedConn) discardLate(first []byte, isLate isLateFunc) ([]byte, error) {
+	limited := &io.LimitedReader{R: io.MultiReader(bytes.NewReader(first), c.Conn), N: maxLateBytes}
+	recorder := &recorder{source: limited}
+	reader := bufio.NewReaderSize(recorder, connectionBufferSize)
+	for {
+		// What is not a response is passed on too, for net/http to reject.
+		response, err := http.ReadResponse(reader, nil)
+		if limited.N <= 0 {
+			return nil, errLateTooLong
+		}
+		if err != nil || !isLate(response) {
+			return recorder.bytes, nil
+		}
+		c.connection.late.Add(1)
+		recorder.stop()
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return nil, fmt.Errorf("late response: %w", err)
+		}
+		if limited.N <= 0 {
+			return nil, errLateTooLong
+		}
+		if err := recorder.restart(reader); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// recorder is a reader that keeps what was read from its source.
+type recorder struct {
+	source  io.Reader
+	bytes   []byte
+	stopped bool
+}
+
+// Read reads from the source.
+func (r *recorder) Read(data []byte) (int, error) {
+	n, err := r.source.Read(data)
+	if !r.stopped {
+		r.bytes = append(r.bytes, data[:n]...)
+	}
+	return n, err //nolint:wrapcheck // passed on as it is
+}
+
+// stop forgets what was read and keeps nothing more.
+func (r *recorder) stop() { r.bytes, r.stopped = r.bytes[:0], true }
+
+// restart keeps what is read from now on, after what the reader on top has read ahead.
+func (r *recorder) restart(ahead *bufio.Reader) error {
+	unread, err := ahead.Peek(ahead.Buffered())
+	if err != nil && !errors.Is(err, io.EOF) {
+		return fmt.Errorf("late response: %w", err)
+	}
+	r.bytes, r.stopped = append(r.bytes[:0], unread...), false
+	return nil
+}
--- /dev/null
+++ b/chiveforward/late_response_test.go
@@ -0,0 +1,76 @@
+package chiveforward_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"chivedrift/chiveforward"
+	"chivedrift/chivetable"
+)
+
+// Guards against a request that fails, or gets another one's answer, because late responses came before its own in pieces of
+// any size.
+func TestOwnResponseIsFoundBehindLateOnes(t *testing.T) {
+	const (
+		withLength = "HTTP/1.1 200 OK\r\nId: 41\r\nContent-Length: 5\r\n\r\nlater"
+		refusal    = "HTTP/1.1 503 Full\r\nId: 41\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+		chunked    = "HTTP/1.1 200 OK\r\nId: 41\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nlat\r\n2\r\ner\r\n0\r\n\r\n"
+		empty      = "HTTP/1.1 204 None\r\nId: 41\r\n\r\n"
+		own        = "HTTP/1.1 200 OK\r\nId: 42\r\nContent-Length: 3\r\n\r\nown"
+	)
+	for name, late := range map[string]string{
+		"length": withLength, "refusal": refusal, "chunks": chunked, "empty": empty, "several": withLength + refusal + chunked + empty + withLength,
+		"long": strings.Replace(withLength, "5\r\n\r\nlater", "9000\r\n\r\n"+strings.Repeat("l", 9000), 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			responses := late + own
+			cut := 0
+			e := newEndpoint(t, func(conn net.Conn, request *http.Request, body string) {
+				if request.Header.Get("Id") == "41" {
+					echo(conn, request, body)
+					return
+				}
+				write(conn, responses[:cut])
+				time.Sleep(200 * time.Microsecond)
+				write(conn, responses[cut:])
+			})
+			s := newFixture(t, chivetable.Route{Attempts: 1}, e.registration("one"))
+			for cut = 1; cut < len(responses); cut += 1 + len(responses)/200 {
+				first := s.request(http.MethodPost, "first")
+				first.ID = "41"
+				s.run(first)
+				result, c := s.run(s.request(http.MethodPost, "second"))
+				if result.Outcome != chiveforward.Completed || string(c.body) != "own" || c.header.Get("Id") != "42" {
+					t.Fatalf("cut at %d: got %+v, forwarded %d %q", cut, result, c.status, c.body)
+				}
+			}
+			if e.connections() != 1 {
+				t.Errorf("%d connections, want 1", e.connections())
+			}
+		})
+	}
+}
+
+// Guards against waiting for a response behind one that names no request, which may be the only one.
+func TestResponseWithoutIDOnReusedConnectionBreaksTheAttempt(t *testing.T) {
+	e := newEndpoint(t, func(conn net.Conn, request *http.Request, body string) {
+		if request.Header.Get("Id") == "41" {
+			echo(conn, request, body)
+			return
+		}
+		write(conn, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	})
+	s := newFixture(t, chivetable.Route{Attempts: 1}, e.registration("one"))
+	first := s.request(http.MethodPost, "first")
+	first.ID = "41"
+	s.run(first)
+	start := time.Now()
+	result, _ := s.run(s.request(http.MethodPost, "second"))
+	if took := time.Since(start); result.Outcome != chiveforward.Unknown || result.Status != http.StatusBadGateway || took > time.Second {
+		t.Errorf("got %s after %v", fmt.Sprintf("%+v", result), took)
+	}
+}
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -369,6 +369,9 @@
 	if r.isRepeat(a) {
 		attributes = append(attributes, slog.Bool("repeat", true))
 	}
+	if late := a.lateResponses(); late > 0 {
+		attributes = append(attributes, slog.Int64("late_responses", late))
+	}
 	if ejectedFor > 0 {
 		attributes = append(attributes, slog.Int64("endpoint_passed_over_ms", ejectedFor.Milliseconds()))
 	}
--- a/chiverequest/matched.go
+++ b/chiverequest/matched.go
@@ -6,8 +6,10 @@
 type Identity uint8
 
 const (
-	// IdentityOther is a response to another request, or bytes that answer none.
-	IdentityOther Identity = iota
+	// IdentityMissing is a response that names no request although it has to.
+	IdentityMissing Identity = iota
+	// IdentityOther is a response that names another request.
+	IdentityOther
 	// IdentitySame is a response that names the request.
 	IdentitySame
 	// IdentityUnstated is a response that names no request, of a kind that endpoints need not name one in.
