Streams: the end of the encoding is not the end of a stream whose last event is cut

Cause: finishStream passed the unfinished event on and called the attempt complete whenever the response had a length or chunks. Evidence: the attempt is logged as complete after 4 of 12 events, without an error, and the request ends after one attempt. Events are written only when whole, and no resumption was refused.

Fix: a stream is complete if both its encoding and its last event have ended. A cut one is resumed or breaks off visibly, and its unfinished event is not passed on. Comments after the last event belong to no event. The length of a stream is not passed on, since resumption may change it; streams are recognized by their type in any spelling and by any status of success.

--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -134,7 +134,7 @@
 	if !isEventStream(response.Header) {
 		a.state.reportStart()
 	}
-	if isEventStream(response.Header) && response.StatusCode == http.StatusOK {
+	if isEventStream(response.Header) && isSuccess(response.StatusCode) {
 		return a.forwardStream(ctx, parent, response)
 	}
 	return a.forwardBuffered(ctx, parent, response)
@@ -387,8 +387,8 @@
 	return attemptCancelled
 }
 
-// finishStream determines whether a stream was complete when it ended. If the response has neither a length nor chunked
-// encoding, a connection that closes inside an event is the only sign that the stream was truncated.
+// finishStream determines whether a stream was complete when it ended: both its encoding and its last event must be. An
+// endpoint that stops inside an event may still end the encoding.
 func (a *attempt) finishStream(ctx, parent context.Context, response *http.Response, stream chiverequest.Stream, partial []byte, err error) attemptOutcome {
 	if stream.Whole() {
 		a.connection.close()
@@ -398,7 +398,7 @@
 		return a.classifyError(ctx, parent, err)
 	}
 	if len(partial) > 0 {
-		if !hasExplicitLength(response) {
+		if endsInsideEvent(partial) || !hasExplicitLength(response) {
 			return a.classifyError(ctx, parent, errTruncatedEvent)
 		}
 		a.state.startResponse(response.StatusCode, response.Header)
@@ -416,5 +416,10 @@
 }
 
 func isEventStream(header http.Header) bool {
-	return strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
+	mediaType, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
+}
+
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
--- a/chiveforward/event.go
+++ b/chiveforward/event.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 )
 
 // maxEventBytes limits one event of a stream; engines send a few tokens per event.
@@ -70,6 +71,23 @@
 	}
 }
 
+var lineBreaks = strings.NewReplacer("\r\n", "\n", "\r", "\n")
+
+// endsInsideEvent reports whether the rest of a stream has fields of an event that no empty line ends. Lines may also end
+// with carriage returns, and comments are not part of an event.
+func endsInsideEvent(rest []byte) bool {
+	text := lineBreaks.Replace(string(rest))
+	if end := strings.LastIndex(text, "\n\n"); end >= 0 {
+		text = text[end:]
+	}
+	for line := range strings.SplitSeq(text, "\n") {
+		if line != "" && !strings.HasPrefix(line, ":") {
+			return true
+		}
+	}
+	return false
+}
+
 // hasBuffered reports whether bytes of a further event have already arrived.
 func (r *eventReader) hasBuffered() bool { return r.reader.Buffered() > 0 }
 
--- a/chiveforward/stream.go
+++ b/chiveforward/stream.go
@@ -47,7 +47,7 @@
 	if !isAfter(id, s.resumedAfter) {
 		return false, nil
 	}
-	r.startResponse(s.response.StatusCode, s.response.Header)
+	r.startResponse(s.response.StatusCode, withoutLength(s.response.Header))
 	if err := r.sink.Write(data, !more); err != nil {
 		return false, err
 	}
@@ -58,5 +58,16 @@
 	return false, nil
 }
 
+// withoutLength returns a header without the length of the body: another endpoint may go on with the stream, and its events
+// need not have the same number of bytes.
+func withoutLength(header http.Header) http.Header {
+	if header.Get("Content-Length") == "" {
+		return header
+	}
+	header = header.Clone()
+	header.Del("Content-Length")
+	return header
+}
+
 // Whole returns false, because a stream of this kind has no event that marks its end.
 func (s *idStream) Whole() bool { return false }
