Responses without a final status break their attempt

Cause: only statuses that net/http reads as informational were kept from being answers.

ResponseWithoutFinalStatusBreaksTheAttempt failed before for 020, 000 and 101 (completed, status forwarded).

--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -32,6 +32,7 @@
 
 var (
 	errMismatchedResponse = errors.New("response belongs to another request")
+	errNoFinalStatus      = errors.New("response has no final status")
 	errTruncatedEvent     = errors.New("stream ended inside an event")
 	errPreempted          = errors.New("attempt preempted by a more urgent request")
 )
@@ -108,6 +109,9 @@
 		return a.classifyError(ctx, parent, err)
 	}
 	defer response.Body.Close()
+	if response.StatusCode < http.StatusOK {
+		return a.classifyError(ctx, parent, errNoFinalStatus)
+	}
 	dialect := a.state.forwarder.options.Dialect
 	matched, ok := chiverequest.Match(dialect.Identify(a.state.request, response), response, !a.connection.reused)
 	if !ok {
--- a/chiveforward/run_test.go
+++ b/chiveforward/run_test.go
@@ -55,6 +55,19 @@
 	}
 }
 
+// Guards against a response without a final status, which would crash the handler of the caller's request and keep its place.
+func TestResponseWithoutFinalStatusBreaksTheAttempt(t *testing.T) {
+	for _, status := range []string{"020 OK", "000 None", "101 Switching Protocols"} {
+		e := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) {
+			write(conn, "HTTP/1.1 "+status+"\r\nId: 42\r\nContent-Length: 2\r\n\r\nhi")
+		})
+		s := newFixture(t, chivetable.Route{Attempts: 1}, e.registration("one"))
+		if result, c := s.run(s.request(http.MethodPost, "body")); result.Outcome != chiveforward.Unknown || c.status != 0 {
+			t.Errorf("%s: got %+v, forwarded %d", status, result, c.status)
+		}
+	}
+}
+
 // Guards against resending a request that must not run twice after an endpoint may have started it.
 func TestNonRepeatableRequestIsNotRetried(t *testing.T) {
 	for name, fail := range map[string]func(net.Conn, *http.Request, string){
