Bytes without end from an endpoint: bounds in bytes and time for all that is read of one

What callers saw: beside an event that never ends (short lines, no empty one) a node held 421 to 867 MB of its 284 and refused others for want of memory (818 of 1,023 served); heads, refusals, late responses and events that came slowly without end kept their attempts until the deadline; twenty heads at a time took 91 to 147 MB.

Causes: the limit of an event was checked only inside lines longer than the reader's buffer; nothing limited the time in which a head, an event or the rest of a refusal arrives; heads had the 10 MB of net/http; health reports had no limit; nothing counted what all attempts hold; a refusal's body was read up to 1 MiB before the request was tried elsewhere, and its connection returned to the pool unread.

The connection closes at each bound. Bodies that are passed on may be of any length.

The stand-in of a silent endpoint in that test now holds its connection: the runtime closed it at a collection, which the new case brings about.

--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -17,14 +17,17 @@
 )
 
 const (
-	// maxBufferedBytes is the largest response body that is buffered until it is complete; larger ones are forwarded as
-	// they arrive.
+	// maxBufferedBytes is the largest response body that is buffered until it is complete, if the other attempts leave the
+	// memory; larger ones are forwarded as they arrive.
 	maxBufferedBytes = 1 << 20
 	// silenceTimeoutShare is the share of the remaining time after which an idempotent request without a response is
 	// retried on another endpoint.
 	silenceTimeoutShare = 0.4
 	// silenceTimeoutTargets limits that timeout, as a multiple of the route's target latency.
 	silenceTimeoutTargets = 2
+	// maxDrainedBytes and drainTimeout limit the rest of a response that is read only to keep its connection.
+	maxDrainedBytes = 64 << 10
+	drainTimeout    = 100 * time.Millisecond
 )
 
 // ErrSilent is the error of an attempt whose endpoint sent nothing within the silence timeout.
@@ -220,7 +223,9 @@
 		return nil, err
 	}
 	a.connection.expect(a.state.forwarder.options.Dialect, a.state.request)
+	a.connection.arrival.await()
 	response, err := a.connection.transport.RoundTrip(request)
+	a.connection.arrival.end()
 	a.mayHaveArrived = a.connection.mayHaveSent()
 	a.mayHaveRun = a.mayHaveArrived
 	if err != nil {
@@ -286,9 +291,11 @@
 	return attemptBroken
 }
 
-// drain reads the rest of a short response, so that the connection can be reused.
+// drain reads the rest of a response that is short and already on its way, so that the connection can be reused.
 func (a *attempt) drain(response *http.Response) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes)); err != nil {
+	timer := time.AfterFunc(drainTimeout, a.connection.close)
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainedBytes+1))
+	if !timer.Stop() || err != nil || n > maxDrainedBytes {
 		a.connection.close()
 		return
 	}
@@ -308,12 +315,14 @@
 // forwardBuffered forwards a response that is not a stream once it is complete. Until then, a response that breaks off
 // can still be requested from another endpoint.
 func (a *attempt) forwardBuffered(ctx, parent context.Context, response *http.Response) attemptOutcome {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	held := reservation{total: &a.state.forwarder.held}
+	defer held.release()
+	body, complete, err := readHeld(response.Body, &held)
 	if err != nil {
 		return a.classifyError(ctx, parent, err)
 	}
-	if len(body) > maxBufferedBytes {
-		return a.forwardLarge(ctx, parent, response, body)
+	if !complete {
+		return a.forwardLarge(ctx, parent, response, body, &held)
 	}
 	a.returnConnection(response)
 	a.buffered = &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
@@ -324,11 +333,12 @@
 	return attemptCompleted
 }
 
-func (a *attempt) forwardLarge(ctx, parent context.Context, response *http.Response, head []byte) attemptOutcome {
+func (a *attempt) forwardLarge(ctx, parent context.Context, response *http.Response, head []byte, held *reservation) attemptOutcome {
 	a.state.startResponse(response.StatusCode, response.Header)
 	if err := a.state.sink.Write(head, false); err != nil {
 		return a.sinkFailed(err)
 	}
+	held.release()
 	buffer := make([]byte, connectionBufferSize)
 	for {
 		n, err := response.Body.Read(buffer)
@@ -355,7 +365,8 @@
 	if stream == nil {
 		stream = &idStream{state: a.state, response: response, resumedAfter: a.state.lastEventID}
 	}
-	events := newEventReader(response.Body)
+	events := newEventReader(response.Body, &a.connection.arrival, &a.state.forwarder.held)
+	defer events.close()
 	for {
 		// Only the time spent waiting for the endpoint counts. A caller that reads slowly blocks this loop and must not
 		// make the engine look slow.
--- a/chiveforward/connection.go
+++ b/chiveforward/connection.go
@@ -67,6 +67,8 @@
 
 	// reused means that the connection carried other requests before the present one.
 	reused bool
+	// arrival is how long the present head or event has been arriving.
+	arrival arrival
 	// isLate recognizes late responses while a request waits for its own; nil otherwise. late counts them.
 	isLate      atomic.Pointer[isLateFunc]
 	late        atomic.Int64
@@ -84,6 +86,7 @@
 	c := &connection{network: network, self: self, dialTimeout: timeout, idleTimeout: defaultIdleTimeout}
 	c.transport = &http.Transport{
 		DialContext: c.dial, MaxIdleConnsPerHost: 1, DisableCompression: true, WriteBufferSize: connectionBufferSize, ReadBufferSize: connectionBufferSize,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return c
 }
@@ -166,7 +169,7 @@
 	return !ok || !stale.Stale()
 }
 
-// trackedConn tells its connection what was written, and hides late responses from net/http.
+// trackedConn tells its connection what was written and received, and hides late responses from net/http.
 type trackedConn struct {
 	net.Conn
 	connection *connection
@@ -186,6 +189,18 @@
 	return c.Conn.Write(data) //nolint:wrapcheck // net/http wraps it
 }
 
+// receive receives bytes from the endpoint, unless a head or an event has been arriving for too long.
+func (c *trackedConn) receive(data []byte) (int, error) {
+	if c.connection.arrival.isTooLong() {
+		return 0, errArrivesTooLong
+	}
+	n, err := c.Conn.Read(data)
+	if n > 0 {
+		c.connection.arrival.receive(time.Now())
+	}
+	return n, err //nolint:wrapcheck // net/http wraps it
+}
+
 // Close marks the connection as closed, so that it is not reused.
 func (c *trackedConn) Close() error {
 	c.connection.closed.Store(true)
--- a/chiveforward/event.go
+++ b/chiveforward/event.go
@@ -8,6 +8,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // maxEventBytes limits one event of a stream; engines send a few tokens per event.
@@ -26,18 +27,37 @@
 
 // eventReader splits a stream into events. An empty line ends an event.
 type eventReader struct {
-	reader *bufio.Reader
-	buffer []byte
+	reader  *bufio.Reader
+	arrival *arrival
+	held    reservation
+	buffer  []byte
 }
 
-func newEventReader(body io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(body, connectionBufferSize)}
+func newEventReader(body io.Reader, arrival *arrival, held *heldBytes) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(body, connectionBufferSize), arrival: arrival, held: reservation{total: held}}
+}
+
+// close returns the memory that the reader has reserved.
+func (r *eventReader) close() { r.held.release() }
+
+// reset prepares for the next event. The memory of a large one is not kept for the smaller ones that follow.
+func (r *eventReader) reset() {
+	r.buffer = r.buffer[:0]
+	if cap(r.buffer) > freeHeldBytes {
+		r.buffer = nil
+	}
+	r.held.release()
 }
 
 // next returns the next complete event, whose bytes are valid until the next call. On an error, partial holds the bytes
 // of an incomplete event.
 func (r *eventReader) next() (e event, partial []byte, err error) {
-	r.buffer = r.buffer[:0]
+	r.reset()
+	if _, err := r.reader.Peek(1); err != nil {
+		return event{}, nil, err //nolint:wrapcheck // callers compare it with io.EOF
+	}
+	r.arrival.begin(time.Now())
+	defer r.arrival.end()
 	for {
 		lineStart := len(r.buffer)
 		if err := r.readLine(); err != nil {
@@ -58,6 +78,12 @@
 func (r *eventReader) readLine() error {
 	for {
 		fragment, err := r.reader.ReadSlice('\n')
+		if len(r.buffer)+len(fragment) > maxEventBytes {
+			return errEventTooLong
+		}
+		if !r.held.reserve(len(r.buffer) + len(fragment)) {
+			return errHeldBytes
+		}
 		r.buffer = append(r.buffer, fragment...)
 		if err == nil {
 			return nil
@@ -65,9 +91,6 @@
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return err //nolint:wrapcheck // callers compare it with io.EOF
 		}
-		if len(r.buffer) > maxEventBytes {
-			return errEventTooLong
-		}
 	}
 }
 
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -152,6 +152,7 @@
 	inFlight    *inFlightAttempts
 	registered  *registeredAddresses
 	ended       endedAttempts
+	held        heldBytes
 	// invalidLimits are the limits of endpoints that are not usable.
 	invalidLimits unusableStatements
 	// invalidNotices are what endpoints state about their processes in values that are not usable.
--- a/chiveforward/late_response.go
+++ b/chiveforward/late_response.go
@@ -8,14 +8,18 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"chivedrift/chiverequest"
 )
 
-// maxLateBytes limits the responses to earlier requests that are discarded while one request waits for its own.
+// maxLateBytes limits the body of a response to an earlier request that is discarded while one waits for its own.
 const maxLateBytes = 1 << 20
 
-var errLateTooLong = fmt.Errorf("responses to other requests are longer than %d bytes", maxLateBytes)
+var (
+	errLateTooLong = fmt.Errorf("response to another request is longer than %d bytes", maxLateBytes)
+	errHeadTooLong = fmt.Errorf("response head is longer than %d bytes", maxHeadBytes)
+)
 
 // isLateFunc reports whether a response names another request than the one in flight.
 type isLateFunc func(response *http.Response) bool
@@ -48,14 +52,14 @@
 		c.held = c.held[n:]
 		return n, nil
 	}
-	n, err := c.Conn.Read(data)
+	n, err := c.receive(data)
 	isLate := c.connection.isLate.Load()
 	if n == 0 || isLate == nil {
-		return n, err //nolint:wrapcheck // net/http wraps it
+		return n, err
 	}
 	defer c.connection.isLate.Store(nil)
 	if isOwnHead(data[:n], *isLate) {
-		return n, err //nolint:wrapcheck // net/http wraps it
+		return n, err
 	}
 	if c.held, err = c.discardLate(data[:n], *isLate); err != nil {
 		return 0, err
@@ -76,26 +80,28 @@
 	}
 	defer headReaders.Put(reader)
 	reader.Reset(bytes.NewReader(received))
-	response, err := http.ReadResponse(reader, nil)
+	response, err := http.ReadResponse(reader, nil) //nolint:bodyclose // the body is read by net/http
 	return err == nil && !isLate(response)
 }
 
 // discardLate returns what was received from the first response on that is not late; first is the start of it.
 func (c *trackedConn) discardLate(first []byte, isLate isLateFunc) ([]byte, error) {
-	limited := &io.LimitedReader{R: io.MultiReader(bytes.NewReader(first), c.Conn), N: maxLateBytes}
+	limited := &io.LimitedReader{R: io.MultiReader(bytes.NewReader(first), receiver{c})}
 	recorder := &recorder{source: limited}
 	reader := bufio.NewReaderSize(recorder, connectionBufferSize)
 	for {
 		// What is not a response is passed on too, for net/http to reject.
-		response, err := http.ReadResponse(reader, nil)
+		limited.N = maxHeadBytes
+		response, err := http.ReadResponse(reader, nil) //nolint:bodyclose // the body stays on the connection
 		if limited.N <= 0 {
-			return nil, errLateTooLong
+			return nil, errHeadTooLong
 		}
-		if err != nil || !isLate(response) {
+		if isResponse := err == nil; !isResponse || !isLate(response) {
 			return recorder.bytes, nil
 		}
 		c.connection.late.Add(1)
 		recorder.stop()
+		limited.N = maxLateBytes
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, fmt.Errorf("late response: %w", err)
 		}
@@ -105,9 +111,16 @@
 		if err := recorder.restart(reader); err != nil {
 			return nil, err
 		}
+		c.connection.arrival.begin(time.Now())
 	}
 }
 
+// receiver reads from a connection, late responses included.
+type receiver struct{ conn *trackedConn }
+
+// Read receives bytes from the endpoint.
+func (r receiver) Read(data []byte) (int, error) { return r.conn.receive(data) }
+
 // recorder is a reader that keeps what was read from its source.
 type recorder struct {
 	source  io.Reader
--- a/chivehealth/checker.go
+++ b/chivehealth/checker.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -26,8 +27,13 @@
 	// aliveTTL is how long any other result is reused. It is short since an endpoint may crash right after it answered,
 	// and long enough for the requests of one crash, which break in quick succession.
 	aliveTTL = 50 * time.Millisecond
+	// maxResponseBytes limits the response to a health check, with its head.
+	maxResponseBytes = 64 << 10
 )
 
+// errResponseTooLong says that something answers, and nothing about the process that was to be checked.
+var errResponseTooLong = fmt.Errorf("response to a health check is longer than %d bytes", maxResponseBytes)
+
 // Endpoint is the target of a health check.
 type Endpoint struct {
 	ID string
@@ -167,7 +173,23 @@
 	if err := request.Write(conn); err != nil {
 		return nil, err //nolint:wrapcheck // classified by classifyError
 	}
-	return http.ReadResponse(bufio.NewReader(conn), request) //nolint:wrapcheck // classified by classifyError
+	return http.ReadResponse(bufio.NewReader(&limitedReader{source: conn, left: maxResponseBytes}), request) //nolint:wrapcheck // classified by classifyError
+}
+
+// limitedReader fails after a number of bytes, unlike io.LimitedReader, whose end looks like that of the connection.
+type limitedReader struct {
+	source io.Reader
+	left   int
+}
+
+// Read reads from the source.
+func (r *limitedReader) Read(data []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errResponseTooLong
+	}
+	n, err := r.source.Read(data[:min(len(data), r.left)])
+	r.left -= n
+	return n, err //nolint:wrapcheck // classified by classifyError
 }
 
 // classifyError classifies the error of a check. Errors that are not listed here, such as a lack of file descriptors on
--- a/chivehealth/checker_test.go
+++ b/chivehealth/checker_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -68,6 +69,12 @@
 	conn.Close()
 }
 
+// keepOpen sends nothing for longer than a check takes. The runtime closes connections that nothing refers to.
+func keepOpen(conn *net.TCPConn) {
+	time.Sleep(2 * chivehealth.CheckTimeout)
+	conn.Close()
+}
+
 // unresponsiveNetwork never answers connection attempts.
 type unresponsiveNetwork struct{ chivewire.TCP }
 
@@ -92,7 +99,8 @@
 		"bad gateway":          {respond(head + "502 Bad Gateway\r\nContent-Length: 0\r\n\r\n"), chivehealth.Result{Evidence: chivehealth.EvidenceGateway}},
 		"no upstream":          {respond(head + "503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"), chivehealth.Result{Evidence: chivehealth.EvidenceGateway}},
 		"another process":      {respond(head + "421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"), chivehealth.Result{Evidence: chivehealth.EvidenceReplaced}},
-		"silent":               {func(*net.TCPConn) {}, chivehealth.Result{TimedOut: true}},
+		"head without end":     {respond(head + "200 OK\r\n" + strings.Repeat("A: b\r\n", 100_000)), chivehealth.Result{}},
+		"silent":               {keepOpen, chivehealth.Result{TimedOut: true}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/chiveorder/sender.go
+++ b/chiveorder/sender.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -13,6 +14,12 @@
 	"chivedrift/chivewire"
 )
 
+const (
+	// maxHeadBytes limits the head of an endpoint's response, maxStateBytes the list of the orders that it has carried out.
+	maxHeadBytes  = 64 << 10
+	maxStateBytes = 16 << 20
+)
+
 // ErrLeaseOver means that an order was not sent because too little time was left on its lease.
 var ErrLeaseOver = errors.New("order not sent: remaining lease time too short")
 
@@ -38,7 +45,7 @@
 	defer cancel()
 	dial := chivewire.Dialer(network, self)
 	transport := &http.Transport{
-		DisableKeepAlives: true,
+		DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes,
 		DialContext: func(ctx context.Context, kind, address string) (net.Conn, error) {
 			conn, err := dial(ctx, kind, address)
 			if err != nil {
@@ -93,7 +100,7 @@
 func readCompletedOrders(ctx context.Context, network chivewire.Network, self, address string) ([]Order, error) {
 	ctx, cancel := context.WithTimeout(ctx, OrderTimeout)
 	defer cancel()
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: chivewire.Dialer(network, self)}
+	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes, DialContext: chivewire.Dialer(network, self)}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/orders", nil)
 	if err != nil {
 		return nil, fmt.Errorf("endpoint state: %w", err)
@@ -104,7 +111,7 @@
 	}
 	defer response.Body.Close()
 	var state endpointState
-	if err := json.NewDecoder(response.Body).Decode(&state); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxStateBytes)).Decode(&state); err != nil {
 		return nil, fmt.Errorf("endpoint state: %w", err)
 	}
 	return state.Done, nil
