Silence timeout: an answer that arrives is not silent, and one that was begun is not continued with another

Causes: the silence timer ran on while the answer arrived and cancelled it; after a part of a long answer was passed on, a broken attempt was followed by another, whose body was written behind it.

Fix: data restarts the timer, which stops once nobody else can go on with what was passed on; after that only streams that may be resumed go on elsewhere.

--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -42,11 +42,13 @@
 
 // attempt is one attempt of a request on one endpoint.
 type attempt struct {
-	state        *requestState
-	place        Place
-	target       Target
-	connection   *connection
-	startedAt    time.Time
+	state      *requestState
+	place      Place
+	target     Target
+	connection *connection
+	startedAt  time.Time
+	// silence is how long the endpoint may send nothing, silenceTimer its timer; zero and nil for no limit.
+	silence      time.Duration
 	silenceTimer *time.Timer
 	// mayHaveRun means that a byte of the request may have been sent and that the endpoint did not confirm that it was
 	// not run.
@@ -95,6 +97,7 @@
 	a.lastActivity = a.state.forwarder.inFlight.add(a)
 	defer a.state.forwarder.inFlight.remove(a)
 	if timeout, limited := a.silenceTimeout(parent); limited {
+		a.silence = timeout
 		a.silenceTimer = time.AfterFunc(timeout, func() { cancel(ErrSilent) })
 		defer a.silenceTimer.Stop()
 	}
@@ -137,6 +140,7 @@
 		return attemptMisdirected
 	case chiverequest.VerdictAnswer:
 		a.recordResponse()
+		a.recordActivity()
 	}
 	if !isEventStream(response.Header) {
 		a.state.reportStart()
@@ -203,11 +207,16 @@
 	return min(time.Duration(silenceTimeoutShare*float64(time.Until(deadline))), silenceTimeoutTargets*route.Target), true
 }
 
-// recordActivity records that the endpoint sent data, and restarts a silence timeout that the operator set.
+// recordActivity records that the endpoint sent data, and restarts the silence timeout. Once part of a response was passed on
+// that another endpoint cannot go on with, only a timeout set by the operator cancels it.
 func (a *attempt) recordActivity() {
 	a.lastActivity.record(time.Now())
-	if timeout := a.state.request.Silence; timeout > 0 {
-		a.silenceTimer.Reset(timeout)
+	switch {
+	case a.silenceTimer == nil:
+	case a.state.request.Silence == 0 && !a.state.mayGoOn():
+		a.silenceTimer.Stop()
+	default:
+		a.silenceTimer.Reset(a.silence)
 	}
 }
 
@@ -317,7 +326,7 @@
 func (a *attempt) forwardBuffered(ctx, parent context.Context, response *http.Response) attemptOutcome {
 	held := reservation{total: &a.state.forwarder.held}
 	defer held.release()
-	body, complete, err := readHeld(response.Body, &held)
+	body, complete, err := readHeld(response.Body, &held, a.recordActivity)
 	if err != nil {
 		return a.classifyError(ctx, parent, err)
 	}
@@ -339,6 +348,7 @@
 		return a.sinkFailed(err)
 	}
 	held.release()
+	a.recordActivity()
 	buffer := make([]byte, connectionBufferSize)
 	for {
 		n, err := response.Body.Read(buffer)
--- a/chiveforward/held_bytes.go
+++ b/chiveforward/held_bytes.go
@@ -48,14 +48,17 @@
 }
 
 // readHeld reads a body of up to maxBufferedBytes, or the first part of it: complete is false if it is longer or its memory
-// cannot be reserved.
-func readHeld(body io.Reader, held *reservation) (data []byte, complete bool, err error) {
+// cannot be reserved. onData is called after each piece.
+func readHeld(body io.Reader, held *reservation, onData func()) (data []byte, complete bool, err error) {
 	for len(data) <= maxBufferedBytes && held.reserve(len(data)+connectionBufferSize) {
 		if cap(data)-len(data) < connectionBufferSize {
 			data = append(make([]byte, 0, 2*cap(data)+connectionBufferSize), data...)
 		}
 		n, err := body.Read(data[len(data):min(cap(data), len(data)+connectionBufferSize)])
 		data = data[:len(data)+n]
+		if n > 0 {
+			onData()
+		}
 		if errors.Is(err, io.EOF) {
 			return data, true, nil
 		}
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -39,6 +39,8 @@
 	exclude        []string
 	// events counts the events of all attempts.
 	events int
+	// isStream means that the part of the response that was passed on consists of events.
+	isStream bool
 	// originRecordedAt is when the stream's origin was last recorded; zero before the first event.
 	originRecordedAt time.Time
 	// startReported means that an endpoint has responded to an attempt and OnStart was called.
@@ -192,7 +194,7 @@
 func (r *requestState) afterPreemption(ctx context.Context, a *attempt) bool {
 	r.mayHaveRun = r.mayHaveRun || a.mayHaveRun
 	r.exclude = r.exclude[:len(r.exclude)-1]
-	if !a.mayHaveRun || r.request.Route.Repeat != chivetable.RepeatNever {
+	if !a.mayHaveRun || r.mayGoOn() {
 		return false
 	}
 	r.giveUp(ctx, CodeBroken, "the attempt was given up and may not be repeated", 0)
@@ -210,12 +212,25 @@
 	if r.giveUpIfQuarantined(ctx) {
 		return true
 	}
-	if !r.probe && r.request.Route.Repeat != chivetable.RepeatNever && r.attemptsUsed < r.request.Route.Attempts && ctx.Err() == nil {
+	if !r.probe && r.mayGoOn() && r.attemptsUsed < r.request.Route.Attempts && ctx.Err() == nil {
 		return false
 	}
 	return r.giveUpAfter(ctx, outcome)
 }
 
+// mayGoOn reports whether another endpoint may run the request although one may have begun to: after a part of the response was
+// passed on, only a stream that may be resumed goes on.
+func (r *requestState) mayGoOn() bool {
+	switch r.request.Route.Repeat {
+	case chivetable.RepeatResume:
+		return !r.result.Started || r.isStream
+	case chivetable.RepeatAlways:
+		return !r.result.Started
+	case chivetable.RepeatNever:
+	}
+	return false
+}
+
 // giveUpAfter ends a request that is not tried again after an attempt with the given outcome.
 func (r *requestState) giveUpAfter(ctx context.Context, outcome attemptOutcome) bool {
 	switch {
--- a/chiveforward/stream.go
+++ b/chiveforward/stream.go
@@ -48,6 +48,7 @@
 		return false, nil
 	}
 	r.startResponse(s.response.StatusCode, withoutLength(s.response.Header))
+	r.isStream = true
 	if err := r.sink.Write(data, !more); err != nil {
 		return false, err
 	}
