Targets that begin with two slashes reach endpoints unchanged

Cause: net/http writes the scheme before an opaque URL that begins with two slashes.

Fix: such a target is sent as a raw path; one that net/http would encode in another way is refused with 400 and the reason.

--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -203,6 +203,9 @@
 	if err := setResidency(request, team); err != nil {
 		return request, err
 	}
+	if err := chiveforward.CheckTarget(target); err != nil {
+		return request, newRefusal(http.StatusBadRequest, "invalid_target", err.Error())
+	}
 	if err := CheckHeader(r.Header, table.Limits().HeaderBytes); err != nil {
 		return request, err
 	}
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -264,9 +263,9 @@
 	}
 	// Without GetBody, net/http cannot resend the body by itself when it considers the request repeatable.
 	request.GetBody = nil
-	// The request target is sent byte for byte as it was received: decoding and re-encoding it could change what the
-	// endpoint sees.
-	request.URL = &url.URL{Scheme: "http", Host: a.target.Address, Opaque: r.Target}
+	if request.URL, err = requestURL(a.target.Address, r.Target); err != nil {
+		return nil, err
+	}
 	request.Host = r.Host
 	request.Header = header
 	if _, present := header["User-Agent"]; !present {
--- a/chiveforward/run_test.go
+++ b/chiveforward/run_test.go
@@ -30,6 +30,29 @@
 	}
 }
 
+// Guards against a path that loses its first part, or is encoded in another way, because of how it begins.
+func TestTargetIsForwardedByteForByte(t *testing.T) {
+	e := newEndpoint(t, echo)
+	s := newFixture(t, chivetable.Route{Attempts: 1}, e.registration("one"))
+	for i, target := range []string{
+		"/", "/a", "//a", "//a/b?c=d", "//", "///", "//?", "//a?", "//a?b?c", "//a%2Fb%20c", "//a:80/b@c", "//[::1]/a", "/a//b", "//a;b=c,d!$&'()*+", "/a|b\"", "//a/%7e~?%zz",
+	} {
+		if err := chiveforward.CheckTarget(target); err != nil {
+			t.Errorf("%s: %v", target, err)
+		}
+		request := s.request(http.MethodPost, "body")
+		request.Target = target
+		if result, _ := s.run(request); result.Outcome != chiveforward.Completed || e.request(i).RequestURI != target {
+			t.Errorf("%s: got %+v, the endpoint received %q", target, result, e.request(i).RequestURI)
+		}
+	}
+	for _, target := range []string{"//a|b", "//a%zz"} {
+		if chiveforward.CheckTarget(target) == nil {
+			t.Errorf("%s would not be sent as it is", target)
+		}
+	}
+}
+
 func TestConnectionIsReused(t *testing.T) {
 	e := newEndpoint(t, echo)
 	s := newFixture(t, chivetable.Route{Attempts: 1}, e.registration("one"))
