Endpoints' own 408, 429 and 503 are no promise for requests that may not be repeated

Cause: a response without the statement that the request was not run was passed on with a status that states it.

Fix: a verdict of its own; requests that may not be repeated end with 502 without a receipt, others as before.

--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -114,6 +114,11 @@
 		return a.classifyError(ctx, parent, err)
 	}
 	defer response.Body.Close()
+	return a.handleResponse(ctx, parent, response)
+}
+
+// handleResponse handles a response, of which nothing is read before it is known to answer the request.
+func (a *attempt) handleResponse(ctx, parent context.Context, response *http.Response) attemptOutcome {
 	if response.StatusCode < http.StatusOK {
 		return a.classifyError(ctx, parent, errNoFinalStatus)
 	}
@@ -124,7 +129,7 @@
 	}
 	a.status, a.named = matched.Status(), matched.Named()
 	verdict := dialect.Judge(matched)
-	if verdict == chiverequest.VerdictNotRun || verdict == chiverequest.VerdictAnswer {
+	if verdict != chiverequest.VerdictElsewhere {
 		a.recordLimits(ctx, matched)
 		a.recordNotice(ctx, matched)
 		a.state.forwarder.recordWarmUp(ctx, a.target.ID, a.target.Incarnation, matched)
@@ -137,10 +142,15 @@
 	case chiverequest.VerdictElsewhere:
 		a.connection.close()
 		return attemptMisdirected
-	case chiverequest.VerdictAnswer:
+	case chiverequest.VerdictAnswer, chiverequest.VerdictUnproved:
 		a.recordResponse()
 		a.recordActivity()
 	}
+	if verdict == chiverequest.VerdictUnproved && a.state.request.Route.Repeat == chivetable.RepeatNever {
+		// Its caller would try the request again, which may have run.
+		a.drain(response)
+		return attemptEndpointError
+	}
 	if !isEventStream(response.Header) {
 		a.state.reportStart()
 	}
--- a/chiverequest/request.go
+++ b/chiverequest/request.go
@@ -83,6 +83,9 @@
 	VerdictNotRun
 	// VerdictElsewhere is a response from another endpoint that now has the address; the request did not run.
 	VerdictElsewhere
+	// VerdictUnproved is the endpoint's response with a status that promises callers that the request did not run, which the
+	// endpoint does not state.
+	VerdictUnproved
 )
 
 // EndpointDialect implements the protocol of a kind of endpoints.
