--- a/chiveforward/held_bytes.go
+++ b/chiveforward/held_bytes.go
@@ -16,12 +16,12 @@
 // errHeldBytes ends an attempt whose event needs more memory than the others leave.
 var errHeldBytes = errors.New("events in progress take too much memory")
 
-// heldBytes counts what attempts hold of responses before they pass it on.
+// heldBytes counts what attempts have reserved beyond freeHeldBytes.
 type heldBytes struct {
 	used atomic.Int64
 }
 
-// reservation is what one attempt has reserved; the zero value has no limit but its own.
+// reservation is what one attempt has reserved of the total.
 type reservation struct {
 	total *heldBytes
 	bytes int64
