Attempt's log line: connection, which request the response named, what proves it not run

Users saw requests answered as not run that had run. Event 503 said refused_by_endpoint and touched=false, for a true refusal, a late one of another request and one that names no request alike, so that the record could not tell its hypotheses apart.

Event 503 now has connection (new, kept), through (the peer's address), response_names (request, other, none; absent without a response head) and not_run_by (refusal, misdirected, not_connected, not_written, withdrawn), also where the attempt ended since its response was another's. touched is false for an attempt that another endpoint answered (421), which already counted as not run.

Lines of event 503 are INFO and so are dropped before warnings when the output stalls; the warning of a request that was not completed (508) now lists its last eight attempts in short with the same fields.

--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -352,20 +352,29 @@
 	chiveevent.RequestAccepted.Log(ctx, e.options.Logger, attributes...)
 }
 
+// maxLoggedTries limits the attempts that the line of a request which was not completed lists.
+const maxLoggedTries = 8
+
 // logEnded logs the outcome of a request. Requests that were not completed are logged as warnings, which are the last
 // lines to be dropped when the log output stalls.
 func (e *Entry) logEnded(ctx context.Context, request *chiverequest.Request, result chiveforward.Result) {
-	event := chiveevent.RequestEnded
-	if result.Outcome != chiveforward.Completed {
-		event = chiveevent.RequestFailed
-	}
-	event.Log(ctx, e.options.Logger, chiveevent.Request(request.ID), slog.String("route", request.Route.Name),
+	attributes := []slog.Attr{
+		chiveevent.Request(request.ID), slog.String("route", request.Route.Name),
 		slog.String("outcome", string(result.Outcome)), slog.String("code", result.Code), slog.String("message", result.Message),
 		slog.Int("status", result.Status), slog.Int64("retry_after_ms", result.RetryAfter.Milliseconds()),
 		slog.Int("attempts", len(result.Tries)), slog.String("endpoint", result.Last()), slog.Int("events", result.Events),
 		slog.Int64("first_ms", result.First.Milliseconds()), slog.Int64("pause_ms", result.Pause.Milliseconds()),
 		slog.Int64("expected_ms", result.Expected.Milliseconds()), slog.Int64("took_ms", time.Since(request.Arrival).Milliseconds()),
-		slog.Int64("left_ms", time.Until(request.Deadline).Milliseconds()))
+		slog.Int64("left_ms", time.Until(request.Deadline).Milliseconds()),
+	}
+	if result.Outcome == chiveforward.Completed {
+		chiveevent.RequestEnded.Log(ctx, e.options.Logger, attributes...)
+		return
+	}
+	if len(result.Tries) > 0 {
+		attributes = append(attributes, slog.String("tries", result.TriesInShort(maxLoggedTries)))
+	}
+	chiveevent.RequestFailed.Log(ctx, e.options.Logger, attributes...)
 }
 
 // writeFailure writes an error response; while the entry is draining, it asks the caller to close the connection.
--- /dev/null
+++ b/chiveforward/attempt_log.go
@@ -0,0 +1,87 @@
+package chiveforward
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"chivedrift/chiveevent"
+	"chivedrift/chiverequest"
+)
+
+// Proofs that an attempt has not run its request.
+const (
+	// notRunByRefusal is a response which states that the endpoint did not run the request.
+	notRunByRefusal = "refusal"
+	// notRunByOtherEndpoint is a response of another endpoint, which now has the address.
+	notRunByOtherEndpoint = "misdirected"
+	// notRunByWithdrawal means that the endpoint stopped to take the request before its first byte was written.
+	notRunByWithdrawal = "withdrawn"
+	notRunByNoConn     = "not_connected"
+	notRunByNoWrite    = "not_written"
+)
+
+// namesOfIdentities tell in log lines which request a response named.
+var namesOfIdentities = map[chiverequest.Identity]string{
+	chiverequest.IdentitySame: "request", chiverequest.IdentityOther: "other", chiverequest.IdentityMissing: "none", chiverequest.IdentityUnstated: "none",
+}
+
+// notRunBy returns the proof that the attempt has not run the request; empty if it may have.
+func (a *attempt) notRunBy(outcome attemptOutcome) string {
+	switch {
+	case outcome == attemptRefused:
+		return notRunByRefusal
+	case outcome == attemptMisdirected:
+		return notRunByOtherEndpoint
+	case a.mayHaveRun:
+		return ""
+	case a.connection.withdrawn.Load():
+		return notRunByWithdrawal
+	case !a.connection.isOpened():
+		return notRunByNoConn
+	}
+	return notRunByNoWrite
+}
+
+// recordAttempt adds the attempt to the request's result.
+func (r *requestState) recordAttempt(a *attempt, outcome attemptOutcome) {
+	notRunBy := a.notRunBy(outcome)
+	r.result.Tries = append(r.result.Tries, Try{
+		Endpoint: a.target.ID, Ended: attemptOutcomeNames[outcome], Touched: a.mayHaveRun && notRunBy == "", Status: a.status, Err: a.err,
+		NotRunBy: notRunBy, Kept: a.connection.reused, Through: a.connection.through(), ResponseNames: a.responseNames,
+	})
+}
+
+// logAttemptSent logs an attempt before it is sent, with the reasons for the selection of its endpoint.
+func (r *requestState) logAttemptSent(ctx context.Context, a *attempt) {
+	attributes := []slog.Attr{
+		chiveevent.Request(r.request.ID), slog.Int("attempt", len(r.result.Tries)+1), slog.String("pool", r.request.Pool),
+		slog.String("endpoint", a.target.ID), slog.String("address", a.target.Address), slog.String("version", a.target.Version),
+		slog.Int64("left_ms", r.remainingTime().Milliseconds()), slog.String("after_event", r.lastEventID),
+	}
+	chiveevent.AttemptSent.Log(ctx, r.forwarder.options.Logger, append(attributes, a.place.Why()...)...)
+}
+
+// logAttemptEnded logs the outcome of the attempt that was recorded last.
+func (r *requestState) logAttemptEnded(ctx context.Context, a *attempt, ejectedFor time.Duration) {
+	try := r.result.Tries[len(r.result.Tries)-1]
+	attributes := []slog.Attr{
+		chiveevent.Request(r.request.ID), slog.Int("attempt", len(r.result.Tries)), slog.String("endpoint", try.Endpoint),
+		slog.String("ended", try.Ended), slog.Bool("touched", try.Touched), slog.Int("status", try.Status),
+		slog.Int("events", r.result.Events), slog.Int64("took_ms", time.Since(a.startedAt).Milliseconds()),
+	}
+	attributes = append(attributes, try.evidence()...)
+	if r.isRepeat(a) {
+		attributes = append(attributes, slog.Bool("repeat", true))
+	}
+	if late := a.lateResponses(); late > 0 {
+		attributes = append(attributes, slog.Int64("late_responses", late))
+	}
+	if ejectedFor > 0 {
+		attributes = append(attributes, slog.Int64("endpoint_passed_over_ms", ejectedFor.Milliseconds()))
+	}
+	if try.Err != nil {
+		attributes = append(attributes, slog.String("error", try.Err.Error()))
+	}
+	chiveevent.AttemptEnded.Log(ctx, r.forwarder.options.Logger, attributes...)
+}
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -68,10 +68,12 @@
 	// endpointReplaced means that the attempt was cancelled because another process replaced the endpoint's.
 	endpointReplaced bool
 	// status is the status of the endpoint's response, named whether that names the request; zero before it.
-	status   int
-	named    bool
-	err      error
-	buffered *bufferedResponse
+	status int
+	named  bool
+	// responseNames is which request the endpoint's response named; empty without a response.
+	responseNames string
+	err           error
+	buffered      *bufferedResponse
 }
 
 // bufferedResponse is a response that was read completely.
@@ -119,11 +121,13 @@
 
 // handleResponse handles a response, of which nothing is read before it is known to answer the request.
 func (a *attempt) handleResponse(ctx, parent context.Context, response *http.Response) attemptOutcome {
+	dialect := a.state.forwarder.options.Dialect
+	identity := dialect.Identify(a.state.request, response)
+	a.responseNames = namesOfIdentities[identity]
 	if response.StatusCode < http.StatusOK {
 		return a.classifyError(ctx, parent, errNoFinalStatus)
 	}
-	dialect := a.state.forwarder.options.Dialect
-	matched, ok := chiverequest.Match(dialect.Identify(a.state.request, response), response, !a.connection.reused)
+	matched, ok := chiverequest.Match(identity, response, !a.connection.reused)
 	if !ok {
 		return a.classifyError(ctx, parent, errMismatchedResponse)
 	}
--- a/chiveforward/connection.go
+++ b/chiveforward/connection.go
@@ -157,6 +157,13 @@
 	return ""
 }
 
+// isOpened reports whether the connection was established.
+func (c *connection) isOpened() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conn != nil
+}
+
 // isReusable reports whether the connection may carry another request.
 func (c *connection) isReusable(now time.Time) bool {
 	if c.closed.Load() || now.Sub(c.idleSince) >= c.idleTimeout {
--- a/chiveforward/request.go
+++ b/chiveforward/request.go
@@ -1,7 +1,9 @@
 package chiveforward
 
 import (
+	"log/slog"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -47,6 +49,38 @@
 	// Status is the status of the endpoint's response; zero if there was none.
 	Status int
 	Err    error
+	// NotRunBy is the proof that the endpoint did not run the request; empty if it may have.
+	NotRunBy string
+	// Kept means that the connection had carried other requests before.
+	Kept bool
+	// Through is the address of the peer that the connection went through; empty for none.
+	Through string
+	// ResponseNames is which request the response named: "request", "other" or "none"; empty if there was no response.
+	ResponseNames string
+}
+
+// evidence returns log attributes on which the verdict on the attempt rests.
+func (t Try) evidence() []slog.Attr {
+	connection := "new"
+	if t.Kept {
+		connection = "kept"
+	}
+	attributes := []slog.Attr{slog.String("connection", connection)}
+	for _, a := range []slog.Attr{slog.String("through", t.Through), slog.String("response_names", t.ResponseNames), slog.String("not_run_by", t.NotRunBy)} {
+		if a.Value.String() != "" {
+			attributes = append(attributes, a)
+		}
+	}
+	return attributes
+}
+
+// String returns the attempt in short: its endpoint, how it ended, and the evidence for that.
+func (t Try) String() string {
+	text := t.Endpoint + " " + t.Ended
+	for _, a := range t.evidence() {
+		text += " " + a.String()
+	}
+	return text
 }
 
 // Result is the final state of a request.
@@ -72,6 +106,16 @@
 	Pause time.Duration
 }
 
+// TriesInShort returns the last attempts, at most the given number, in short.
+func (r *Result) TriesInShort(atMost int) string {
+	tries := r.Tries[max(0, len(r.Tries)-atMost):]
+	texts := make([]string, len(tries))
+	for i, t := range tries {
+		texts[i] = t.String()
+	}
+	return strings.Join(texts, "; ")
+}
+
 // Last returns the endpoint of the last attempt; empty if there was none.
 func (r *Result) Last() string {
 	if len(r.Tries) == 0 {
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -80,7 +80,7 @@
 	outcome := a.execute(ctx)
 	ejectedFor := place.Done(time.Now(), a.ending(outcome))
 	r.recordAttempt(a, outcome)
-	r.logAttemptEnded(ctx, a, outcome, ejectedFor)
+	r.logAttemptEnded(ctx, a, ejectedFor)
 	r.recordArrival(a)
 	r.lastOutcome = outcome
 	if outcome == attemptBroken {
@@ -347,10 +347,6 @@
 	return false
 }
 
-func (r *requestState) recordAttempt(a *attempt, outcome attemptOutcome) {
-	r.result.Tries = append(r.result.Tries, Try{Endpoint: a.target.ID, Ended: attemptOutcomeNames[outcome], Touched: a.mayHaveRun, Status: a.status, Err: a.err})
-}
-
 // isRepeat reports whether an attempt may have reached an endpoint after an earlier one of the request had.
 func (r *requestState) isRepeat(a *attempt) bool { return r.mayHaveArrived && a.mayHaveArrived }
 
@@ -363,35 +359,3 @@
 		r.mayHaveArrived, r.chargedAt = true, time.Time{}
 	}
 }
-
-// logAttemptSent logs an attempt before it is sent, with the reasons for the selection of its endpoint.
-func (r *requestState) logAttemptSent(ctx context.Context, a *attempt) {
-	attributes := []slog.Attr{
-		chiveevent.Request(r.request.ID), slog.Int("attempt", len(r.result.Tries)+1), slog.String("pool", r.request.Pool),
-		slog.String("endpoint", a.target.ID), slog.String("address", a.target.Address), slog.String("version", a.target.Version),
-		slog.Int64("left_ms", r.remainingTime().Milliseconds()), slog.String("after_event", r.lastEventID),
-	}
-	chiveevent.AttemptSent.Log(ctx, r.forwarder.options.Logger, append(attributes, a.place.Why()...)...)
-}
-
-// logAttemptEnded logs the outcome of an attempt.
-func (r *requestState) logAttemptEnded(ctx context.Context, a *attempt, outcome attemptOutcome, ejectedFor time.Duration) {
-	attributes := []slog.Attr{
-		chiveevent.Request(r.request.ID), slog.Int("attempt", len(r.result.Tries)), slog.String("endpoint", a.target.ID),
-		slog.String("ended", attemptOutcomeNames[outcome]), slog.Bool("touched", a.mayHaveRun), slog.Int("status", a.status),
-		slog.Int("events", r.result.Events), slog.Int64("took_ms", time.Since(a.startedAt).Milliseconds()),
-	}
-	if r.isRepeat(a) {
-		attributes = append(attributes, slog.Bool("repeat", true))
-	}
-	if late := a.lateResponses(); late > 0 {
-		attributes = append(attributes, slog.Int64("late_responses", late))
-	}
-	if ejectedFor > 0 {
-		attributes = append(attributes, slog.Int64("endpoint_passed_over_ms", ejectedFor.Milliseconds()))
-	}
-	if a.err != nil {
-		attributes = append(attributes, slog.String("error", a.err.Error()))
-	}
-	chiveevent.AttemptEnded.Log(ctx, r.forwarder.options.Logger, attributes...)
-}
