Metrics of responses that answer nothing: late, of other requests, unnamed, and cut streams

What an endpoint sent besides the answers to its requests showed only in single log lines, of which the users' record kept few. The new gauges responses_late, responses_other, responses_unnamed and streams_cut, without labels, count them since the start of the process.

--- a/chiveforward/attempt_log.go
+++ b/chiveforward/attempt_log.go
@@ -43,8 +43,9 @@
 	return notRunByNoWrite
 }
 
-// recordAttempt adds the attempt to the request's result.
+// recordAttempt adds the attempt to the request's result and counts its responses.
 func (r *requestState) recordAttempt(a *attempt, outcome attemptOutcome) {
+	r.forwarder.responses.record(a)
 	notRunBy := a.notRunBy(outcome)
 	r.result.Tries = append(r.result.Tries, Try{
 		Endpoint: a.target.ID, Ended: attemptOutcomeNames[outcome], Touched: a.mayHaveRun && notRunBy == "", Status: a.status, Err: a.err,
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -160,6 +160,7 @@
 	inProgress     inProgressRequests
 	// repeated counts the attempts that may have reached an endpoint after an earlier one of their request had.
 	repeated   atomic.Int64
+	responses  responseCounters
 	background chivekernel.Duties
 }
 
