Own interface: errors of resumed attempts count against the attempts of a route

A streamed response of a plain service that had broken off was tried at one endpoint after the other, without regard to the limit of attempts, as long as endpoints answered with errors of their own and the retry budget lasted.

Cause: where errors are not retried, an endpoint's error ends the request by being forwarded. After a part of a response was passed on it is not forwarded, which was taken for "to be retried".

An error that cannot be forwarded now falls under the same limits as any other failed attempt.

--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -205,8 +205,8 @@
 func (r *requestState) retryOrGiveUp(ctx context.Context, a *attempt, outcome attemptOutcome) bool {
 	if outcome == attemptEndpointError {
 		r.errorResponse = a.buffered
-		if !r.forwarder.options.Rules.RetryErrors {
-			return r.forwardErrorResponse()
+		if !r.forwarder.options.Rules.RetryErrors && r.forwardErrorResponse() {
+			return true
 		}
 	}
 	if r.giveUpIfQuarantined(ctx) {
