Only a stream goes on with a stream

Cause: once a part of a stream was passed on, the response to the attempt that should have gone on with it was handled like a first one. A response that is no stream (200 with a plain body, 204, an endpoint's own 4xx) was written behind the part, under the status and receipt of the first endpoint, and counted as complete. It has nothing to do with late copies of responses or with cut events: the response is the endpoint's own, whole, and to this request.

Such a response now ends the attempt as an endpoint's error: the stream goes on at another endpoint if attempts are left, else the caller's response breaks off. A response with a content encoding is not taken for the rest either. The same holds for model requests of the own interface, whose response ended with its end marker after such a body.

Evidence, on the code before: - TestOnlyAStreamGoesOnWithAStream and TestEncodedStreamDoesNotGoOnWithAPlainOne (statuses, content types, lengths): 96 cases failed, those of a status of 500 and above passed. - TestCallersSeeThatAStreamHasNoRest (through a node, and through a peer): all 12 cases of 200, 204, 400, 404, 408 and 429 failed, all 4 of 500 and 503 passed. - TestBodyDoesNotGoOnWithAModelsResponse: 4 of 4 cases failed; 500 was reported as failed, the others as completed.

All pass now.

--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -37,6 +37,7 @@
 	errNoFinalStatus      = errors.New("response has no final status")
 	errTruncatedEvent     = errors.New("stream ended inside an event")
 	errPreempted          = errors.New("attempt preempted by a more urgent request")
+	errNotTheRest         = errors.New("response is no stream that goes on with the one that was passed on")
 )
 
 // attempt is one attempt of a request on one endpoint.
@@ -155,10 +156,15 @@
 		a.drain(response)
 		return attemptEndpointError
 	}
+	if a.state.hasPassedOnPart() && !canBeRest(response) {
+		a.err = errNotTheRest
+		a.drain(response)
+		return attemptEndpointError
+	}
 	if !isEventStream(response.Header) {
 		a.state.reportStart()
 	}
-	if isEventStream(response.Header) && isSuccess(response.StatusCode) {
+	if isStream(response) {
 		return a.forwardStream(ctx, parent, response)
 	}
 	return a.forwardBuffered(ctx, parent, response)
@@ -458,6 +464,16 @@
 	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 }
 
+// isStream reports whether a response consists of events.
+func isStream(response *http.Response) bool {
+	return isEventStream(response.Header) && isSuccess(response.StatusCode) && response.StatusCode != http.StatusNoContent
+}
+
+// canBeRest reports whether a response may go on with a stream of which a part was passed on.
+func canBeRest(response *http.Response) bool {
+	return isStream(response) && response.Header.Get("Content-Encoding") == ""
+}
+
 func isSuccess(status int) bool {
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -231,6 +231,11 @@
 	return false
 }
 
+// hasPassedOnPart reports whether events or bytes of a response were passed on, so that only the rest of it may follow.
+func (r *requestState) hasPassedOnPart() bool {
+	return r.result.Started || r.request.Stream != nil && r.events > 0
+}
+
 // giveUpAfter ends a request that is not tried again after an attempt with the given outcome.
 func (r *requestState) giveUpAfter(ctx context.Context, outcome attemptOutcome) bool {
 	switch {
