Bytes that come while no request is in flight never reach net/http

Bytes that came between the choice of the connection and the first byte of the request were taken for its response.

The write state of a connection says whether a byte of a request was written since the last response; it is now reset when the connection is returned, not when it is taken. Bytes that come in the unsent state block it by the compare-and-swap that also proves a request unsent, so that either the request's first byte went before or none goes at all. A request that was just assigned to the connection goes on a new one, once, since none of its bytes was written.

--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -70,6 +70,8 @@
 
 	NoticeReceived = define(413, slog.LevelInfo, "endpoint's notice received from a peer", "None; the endpoint said it on a connection that one node has opened for another.")
 
+	UnsolicitedBytes = define(414, slog.LevelWarn, "endpoint sent unsolicited bytes", "Find out why the endpoint, or a proxy before it, sends responses that nobody waits for. The node has closed as many connections to it as the field connections says, without a loss for requests, and logs the endpoint again after five seconds at the earliest. An empty endpoint stands for all that are too many to be named.")
+
 	DistanceMeasured     = define(810, slog.LevelInfo, "distance to a region measured", "None; round_trip_ms is the round trip to its nodes, by which this node waits for them. If it changes often, check the network between the regions.")
 	RegionSilent         = define(811, slog.LevelWarn, "peers of a region do not answer in time", "Look at the nodes of the region if other nodes log this too, else at the network between this node and the region. Requests go on without their answers.")
 	RegionAnswers        = define(812, slog.LevelInfo, "peers of a region answer in time again", "None.")
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -239,12 +239,22 @@
 	}
 }
 
-// send writes the request on a connection that no other attempt uses at the same time, and returns the response head.
+// send sends the request and returns the response head. A kept connection may end just before the request is written on it;
+// then the request goes on a new one.
 func (a *attempt) send(ctx context.Context) (*http.Response, error) {
 	// The response to a request without an ID can only be matched if it is the first one of its connection.
 	forceNew := len(a.state.result.Tries) > 0 || a.state.request.ID == ""
+	response, err := a.sendOnce(ctx, forceNew)
+	if err != nil && a.connection.reused && !a.mayHaveArrived && !a.connection.withdrawn.Load() && ctx.Err() == nil {
+		return a.sendOnce(ctx, true)
+	}
+	return response, err
+}
+
+// sendOnce writes the request on a connection that no other attempt uses at the same time, and returns the response head.
+func (a *attempt) sendOnce(ctx context.Context, forceNew bool) (*http.Response, error) {
 	timeout := a.state.forwarder.options.Distances.WaitForDomain(a.target.FailureDomain, dialTimeout, dialRoundTrips)
-	a.connection = a.state.forwarder.connections.get(a.target.Incarnation, timeout, forceNew)
+	a.connection = a.state.forwarder.connections.get(a.target, timeout, forceNew)
 	a.connection.stillWanted = func() bool { return a.place.Accepts(time.Now()) }
 	request, err := a.buildRequest(ctx)
 	if err != nil {
--- a/chiveforward/connection.go
+++ b/chiveforward/connection.go
@@ -48,9 +48,12 @@
 // retries. If the connection fails before the first byte was written, the write state proves that the request was not
 // sent.
 type connection struct {
-	transport *http.Transport
-	network   chivewire.Network
-	self      string
+	transport  *http.Transport
+	network    chivewire.Network
+	self       string
+	endpointID string
+	// unsolicited counts the connections on which the endpoint sent bytes while no request was in flight.
+	unsolicited *unsolicitedBytes
 	// dialTimeout limits connecting to the endpoint.
 	dialTimeout time.Duration
 
@@ -82,8 +85,8 @@
 	requestBlocked
 )
 
-func newConnection(network chivewire.Network, self string, timeout time.Duration) *connection {
-	c := &connection{network: network, self: self, dialTimeout: timeout, idleTimeout: defaultIdleTimeout}
+func (p *connectionPool) newConnection(endpointID string, timeout time.Duration) *connection {
+	c := &connection{network: p.network, self: p.self, endpointID: endpointID, unsolicited: &p.unsolicited, dialTimeout: timeout, idleTimeout: defaultIdleTimeout}
 	c.transport = &http.Transport{
 		DialContext: c.dial, MaxIdleConnsPerHost: 1, DisableCompression: true, WriteBufferSize: connectionBufferSize, ReadBufferSize: connectionBufferSize,
 		MaxResponseHeaderBytes: maxHeadBytes,
@@ -112,8 +115,10 @@
 	return &trackedConn{Conn: conn, connection: c}, nil
 }
 
-// resetWriteState prepares the connection to detect the first byte of the next request.
-func (c *connection) resetWriteState() { c.writeState.Store(requestUnsent) }
+// resetWriteState prepares the connection to detect the first byte of the next request. A connection that was blocked stays so.
+func (c *connection) resetWriteState() {
+	c.writeState.CompareAndSwap(requestMayBeSent, requestUnsent)
+}
 
 // mayHaveSent reports whether a byte of the request may have been sent. If none was, it blocks all later writes: after
 // a cancellation net/http may return while its writer is still about to write.
@@ -196,13 +201,16 @@
 	return c.Conn.Write(data) //nolint:wrapcheck // net/http wraps it
 }
 
-// receive receives bytes from the endpoint, unless a head or an event has been arriving for too long.
+// receive receives bytes from the endpoint, unless no request is in flight or a head or an event has been arriving for too long.
 func (c *trackedConn) receive(data []byte) (int, error) {
 	if c.connection.arrival.isTooLong() {
 		return 0, errArrivesTooLong
 	}
 	n, err := c.Conn.Read(data)
 	if n > 0 {
+		if c.connection.rejectsReceived() {
+			return 0, errUnsolicited
+		}
 		c.connection.arrival.receive(time.Now())
 	}
 	return n, err //nolint:wrapcheck // net/http wraps it
@@ -223,6 +231,8 @@
 	idle    map[string][]*connection
 	opened  int64
 	reused  int64
+
+	unsolicited unsolicitedBytes
 }
 
 func newConnectionPool(network chivewire.Network, self string) *connectionPool {
@@ -230,10 +240,10 @@
 }
 
 // get returns the most recently used idle connection to an endpoint, or a new one, which takes at most the timeout.
-func (p *connectionPool) get(endpoint string, timeout time.Duration, forceNew bool) *connection {
+func (p *connectionPool) get(target Target, timeout time.Duration, forceNew bool) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now, endpoint := time.Now(), target.Incarnation
 	idle := p.idle[endpoint]
 	for len(idle) > 0 && !forceNew {
 		c := idle[len(idle)-1]
@@ -248,13 +258,15 @@
 		c.close()
 	}
 	p.opened++
-	return newConnection(p.network, p.self, timeout)
+	return p.newConnection(target.ID, timeout)
 }
 
 // put keeps a connection after a complete response; the header gives the endpoint's idle timeout.
 func (p *connectionPool) put(endpoint string, c *connection, header http.Header) {
 	c.idleTimeout = idleTimeoutOf(header)
 	c.idleSince = time.Now()
+	// From now on, whatever the endpoint sends answers no request.
+	c.resetWriteState()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c.closed.Load() || len(p.idle[endpoint]) >= maxIdlePerEndpoint {
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -219,6 +219,7 @@
 func (f *Forwarder) sweep(ctx context.Context) {
 	chivekernel.Every(ctx, sweepInterval, func(now time.Time) {
 		f.connections.sweep(now)
+		f.logUnsolicited(ctx, now)
 		f.health.Sweep(now)
 		f.inFlight.sweep(now)
 		f.ended.sweep(now)
--- a/chiveforward/late_response.go
+++ b/chiveforward/late_response.go
@@ -48,6 +48,9 @@
 // Read receives bytes from the endpoint, without late responses.
 func (c *trackedConn) Read(data []byte) (int, error) {
 	if len(c.held) > 0 {
+		if c.connection.rejectsReceived() {
+			return 0, errUnsolicited
+		}
 		n := copy(data, c.held)
 		c.held = c.held[n:]
 		return n, nil
--- a/chiveforward/response_counts.go
+++ b/chiveforward/response_counts.go
@@ -15,6 +15,8 @@
 	Other int64
 	// Unnamed responses named no request, although the one in flight had an ID.
 	Unnamed int64
+	// Unsolicited counts connections that were closed because the endpoint sent bytes while no request was in flight.
+	Unsolicited int64
 	// CutStreams ended inside an event.
 	CutStreams int64
 }
@@ -27,7 +29,7 @@
 // ResponseCounts returns the counts of responses that did not answer the request in flight.
 func (f *Forwarder) ResponseCounts() ResponseCounts {
 	c := &f.responses
-	return ResponseCounts{Late: c.late.Load(), Other: c.other.Load(), Unnamed: c.unnamed.Load(), CutStreams: c.cutStreams.Load()}
+	return ResponseCounts{Late: c.late.Load(), Other: c.other.Load(), Unnamed: c.unnamed.Load(), Unsolicited: f.connections.unsolicited.connections.Load(), CutStreams: c.cutStreams.Load()}
 }
 
 // record counts what came in an attempt that has ended.
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -428,6 +428,7 @@
 		{"responses_late", func() float64 { return float64(n.forwarder.ResponseCounts().Late) }},
 		{"responses_other", func() float64 { return float64(n.forwarder.ResponseCounts().Other) }},
 		{"responses_unnamed", func() float64 { return float64(n.forwarder.ResponseCounts().Unnamed) }},
+		{"responses_unsolicited", func() float64 { return float64(n.forwarder.ResponseCounts().Unsolicited) }},
 		{"streams_cut", func() float64 { return float64(n.forwarder.ResponseCounts().CutStreams) }},
 		{"places_asked", func() float64 { return float64(n.grants.Counts().Asked) }},
 		{"places_granted", func() float64 { return float64(n.grants.Counts().Granted) }},
