A head that holds a second status line is no response

What callers saw: a request that must run once was answered 503 although it had run, or got an endpoint's error as a success. A faulty endpoint sends the start of a response to an earlier request, and its own response directly behind it.

Cause: a head that is cut off in its status line or in the value of a field joins with the next one to a valid head. It has the status and fields of the first response ("421 Misd", "Not-Executed: 1HTTP/1.1 200 OK") and the ID of the second, which names the request: so it counted as that request's own refusal, 421 or success. Only the ID was compared.

Evidence: TestJoinedHeadsAreNoResponse cuts a 421, a refusal and an answer at every byte of their heads.

Match now rejects a response that has a status line behind other text in its own status line or in a field, before anything is read from it. A value of a sound response that holds "HTTP/1.1 200" would break its attempt too.

--- a/chiverequest/matched.go
+++ b/chiverequest/matched.go
@@ -1,6 +1,10 @@
 package chiverequest
 
-import "net/http"
+import (
+	"net/http"
+	"regexp"
+	"strings"
+)
 
 // Identity is what a response states about the request that it answers.
 type Identity uint8
@@ -23,15 +27,37 @@
 	named    bool
 }
 
-// Match returns a response if it answers the request for which the identity was found, else false. first means that its
+// Match returns a response if it is one and answers the request for which the identity was found, else false. first means that its
 // connection carried no other request before: only then can a response that names no request be no late copy.
 func Match(identity Identity, response *http.Response, first bool) (Matched, bool) {
+	if isJoined(response) {
+		return Matched{}, false
+	}
 	if identity == IdentitySame || (identity == IdentityUnstated && first) {
 		return Matched{response: response, named: identity == IdentitySame}, true
 	}
 	return Matched{}, false
 }
 
+// statusLine matches a status line behind other text.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-9][0-9][0-9]\b`)
+
+// isJoined reports whether a head consists of the start of one response, cut off in its status line or in a field, and of
+// another one: it may have the status of the first and name the request of the second.
+func isJoined(response *http.Response) bool {
+	if statusLine.MatchString(response.Status) {
+		return true
+	}
+	for _, values := range response.Header {
+		for _, value := range values {
+			if strings.Contains(value, "HTTP/1.") && statusLine.MatchString(value) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // MatchSole returns the response to the only request of a connection.
 func MatchSole(response *http.Response) Matched { return Matched{response: response} }
 
