Lines that libraries write to the standard logger go through the bounded log

net/http wrote its own lines, with bytes of responses, to standard error. They are event 111 now: in the entry and node commands the standard logger's output is a writer that keeps the text up to the first quotation mark, since libraries quote what they received, at most 200 bytes, one line at once and one at the end of each five seconds with the count; panics apart, with 4 KB of their stack. An unsolicited response that comes in one piece with the end of the response before is in net/http's buffer already, and shows here.

--- a/chivecommand/entry.go
+++ b/chivecommand/entry.go
@@ -30,6 +30,7 @@
 	output := chiveevent.NewOutput(os.Stdout)
 	defer output.Close(lastLines)
 	logger := output.Logger()
+	chiveevent.TakeOverStandardLog(logger)
 	stopWatching := watchSettings(ctx, file, settings, logger)
 	defer stopWatching()
 	node, err := chivenode.NewStoreNode(settings, chivewire.TCP{}, logger)
--- a/chivecommand/node.go
+++ b/chivecommand/node.go
@@ -7,6 +7,7 @@
 	"os"
 	"runtime/debug"
 
+	"chivedrift/chiveevent"
 	"chivedrift/chivenode"
 	"chivedrift/chivesettings"
 	"chivedrift/chivewire"
@@ -44,6 +45,7 @@
 	}
 	debug.SetGCPercent(collectAtPercent)
 	logger := slog.New(slog.NewJSONHandler(os.Stderr, nil))
+	chiveevent.TakeOverStandardLog(logger)
 	node, err := chivenode.New(settings, chivewire.TCP{}, logger)
 	if err != nil {
 		return err
--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -18,6 +18,7 @@
 	FleetKnown       = define(108, slog.LevelInfo, "fleet known", "None; from now on the node shares duties with the other nodes that it knows.")
 	MemoryFull       = define(109, slog.LevelError, "memory nearly used up", "New requests are refused until event 110. Check the number of requests in flight and the size of their bodies; give the VM more memory.")
 	MemoryFree       = define(110, slog.LevelInfo, "memory free again", "None.")
+	LibraryLine      = define(111, slog.LevelWarn, "line of a library", "Read the text; the part after a quotation mark is left out, since it may be the content of a message. lines counts the lines since the last of this event, which comes once in five seconds at most, and once more for panics. An unsolicited response on an idle channel that came together with the end of the response before shows here; event 414 has the others.")
 	NodeFailed       = define(104, slog.LevelError, "node failed", "Read the error: the address is in use or a setting is wrong.")
 
 	ConfigInForce     = define(200, slog.LevelInfo, "configuration in force", "Compare the hash with that of the configuration that you published.")
