Recognize a late response behind an interim one

Cause: the first head on a kept connection decides whether late responses come. An interim one names no request, so it was taken for the start of the own response; net/http skips it, and the late response behind it was rejected with the attempt.

The final response now decides for the interim ones before it, which are discarded or passed on with it.

TestOwnResponseIsFoundBehindLateOnes with interim responses failed at the first cut before.

--- a/chiveforward/late_response.go
+++ b/chiveforward/late_response.go
@@ -84,7 +84,22 @@
 	defer headReaders.Put(reader)
 	reader.Reset(bytes.NewReader(received))
 	response, err := http.ReadResponse(reader, nil) //nolint:bodyclose // the body is read by net/http
-	return err == nil && !isLate(response)
+	return err == nil && !isInterim(response) && !isLate(response)
+}
+
+// isInterim reports whether a final response to the same request follows.
+func isInterim(response *http.Response) bool {
+	return response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols
+}
+
+// readFinal reads the head of a final response and the interim ones before it, which need not name their request.
+func readFinal(reader *bufio.Reader) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil || !isInterim(response) {
+			return response, err //nolint:wrapcheck // only compared with nil
+		}
+	}
 }
 
 // discardLate returns what was received from the first response on that is not late; first is the start of it.
@@ -95,7 +110,7 @@
 	for {
 		// What is not a response is passed on too, for net/http to reject.
 		limited.N = maxHeadBytes
-		response, err := http.ReadResponse(reader, nil) //nolint:bodyclose // the body stays on the connection
+		response, err := readFinal(reader) //nolint:bodyclose // the body stays on the connection
 		if limited.N <= 0 {
 			return nil, errHeadTooLong
 		}
--- a/chiveforward/late_response_test.go
+++ b/chiveforward/late_response_test.go
@@ -20,10 +20,12 @@
 		refusal    = "HTTP/1.1 503 Full\r\nId: 41\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
 		chunked    = "HTTP/1.1 200 OK\r\nId: 41\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nlat\r\n2\r\ner\r\n0\r\n\r\n"
 		empty      = "HTTP/1.1 204 None\r\nId: 41\r\n\r\n"
+		interim    = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 		own        = "HTTP/1.1 200 OK\r\nId: 42\r\nContent-Length: 3\r\n\r\nown"
 	)
 	for name, late := range map[string]string{
 		"length": withLength, "refusal": refusal, "chunks": chunked, "empty": empty, "several": withLength + refusal + chunked + empty + withLength,
+		"interim": interim + withLength, "interim before each": interim + refusal + interim + interim + chunked + interim,
 		"long": strings.Replace(withLength, "5\r\n\r\nlater", "9000\r\n\r\n"+strings.Repeat("l", 9000), 1),
 	} {
 		t.Run(name, func(t *testing.T) {
