Streams without numbers do not go on at another endpoint

A stream whose events have no IDs, or IDs that are no numbers, and that may be resumed went on behind its part with the whole of another run, since nothing tells the next endpoint where to go on.

A stream goes on only from an event with a number. Otherwise the caller's response breaks off. Comments and the time to reconnect are no events; if nothing else was passed on, the stream begins anew as before.

--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -400,9 +400,9 @@
 // forwardStream forwards complete events only. Of an event that was cut off the caller sees nothing, so a stream that
 // is resumed on another endpoint neither repeats nor loses one.
 func (a *attempt) forwardStream(ctx, parent context.Context, response *http.Response) attemptOutcome {
-	stream := a.state.request.Stream
+	stream, resumedAfter := a.state.request.Stream, a.state.lastEventID
 	if stream == nil {
-		stream = &idStream{state: a.state, response: response, resumedAfter: a.state.lastEventID}
+		stream = &idStream{state: a.state, response: response, resumedAfter: resumedAfter}
 	}
 	events := newEventReader(response.Body, &a.connection.arrival, &a.state.forwarder.held)
 	defer events.close()
@@ -423,6 +423,9 @@
 		a.place.Event(now, now.Sub(waitStart))
 		a.state.recordEvent(now.Sub(waitStart))
 		a.state.recordOrigin(now, a.target)
+		if isAfter(e.id, resumedAfter) {
+			a.state.recordPosition(e)
+		}
 		done, err := stream.Event(e.data, e.id, events.hasBuffered())
 		if err != nil {
 			return a.sinkFailed(err)
--- a/chiveforward/event.go
+++ b/chiveforward/event.go
@@ -17,12 +17,30 @@
 // errEventTooLong ends a stream with an event that exceeds maxEventBytes.
 var errEventTooLong = fmt.Errorf("stream event is longer than %d bytes", maxEventBytes)
 
-var idField = []byte("id:")
+const (
+	idField = "id"
+	// retryField tells callers when to connect again, and is no part of an event.
+	retryField = "retry"
+)
 
 // event is one complete event of a stream, with its unmodified bytes and its ID.
 type event struct {
 	data []byte
 	id   string
+	// hasFields means that there is more to the event than comments.
+	hasFields bool
+}
+
+// addLine adds a line of the event, without its line break.
+func (e *event) addLine(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	if len(name) == 0 || string(name) == retryField {
+		return
+	}
+	e.hasFields = true
+	if string(name) == idField {
+		e.id = string(bytes.TrimSpace(value))
+	}
 }
 
 // eventReader splits a stream into events. An empty line ends an event.
@@ -68,9 +86,7 @@
 			e.data = r.buffer
 			return e, nil, nil
 		}
-		if value, ok := bytes.CutPrefix(line, idField); ok {
-			e.id = string(bytes.TrimSpace(value))
-		}
+		e.addLine(line)
 	}
 }
 
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -41,6 +41,8 @@
 	events int
 	// isStream means that the part of the response that was passed on consists of events.
 	isStream bool
+	// lacksPosition means that the last of these has no number, so that no other attempt can go on behind it.
+	lacksPosition bool
 	// originRecordedAt is when the stream's origin was last recorded; zero before the first event.
 	originRecordedAt time.Time
 	// startReported means that an endpoint has responded to an attempt and OnStart was called.
@@ -219,11 +221,11 @@
 }
 
 // mayGoOn reports whether another endpoint may run the request although one may have begun to: after a part of the response was
-// passed on, only a stream that may be resumed goes on.
+// passed on, only a stream that may be resumed goes on, from an event with a number.
 func (r *requestState) mayGoOn() bool {
 	switch r.request.Route.Repeat {
 	case chivetable.RepeatResume:
-		return !r.result.Started || r.isStream
+		return !r.result.Started || r.isStream && !r.lacksPosition
 	case chivetable.RepeatAlways:
 		return !r.result.Started
 	case chivetable.RepeatNever:
--- /dev/null
+++ b/chiveforward/sequence_test.go
@@ -0,0 +1,83 @@
+package chiveforward_test
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"chivedrift/chiveforward"
+)
+
+// Guards against a stream that begins again behind its first part, since that has no position from which it could go on.
+func TestStreamWithoutPositionIsNotResumed(t *testing.T) {
+	for name, began := range map[string]string{
+		"no IDs":                         "data: a\n\ndata: b\n\n",
+		"no ID behind one":               "id: 1\ndata: a\n\ndata: b\n\n",
+		"IDs that are no numbers":        "id: x-1\ndata: a\n\nid: x-2\ndata: b\n\n",
+		"an ID that is no number":        "id: 1\ndata: a\n\nid: 2a\ndata: b\n\n",
+		"an ID that is too long":         "id: 99999999999999999999\ndata: a\n\n",
+		"an empty ID":                    "id: 1\ndata: a\n\nid\ndata: b\n\n",
+		"lines that end with CR":         "id: 1\rdata: a\n\n",
+		"an event without data or an ID": "id: 1\ndata: a\n\nevent: b\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &resumption{t: t, began: began, answer: func(conn net.Conn, _ *http.Request) { framings["chunks"](conn, streamHeader, began+lastEvent) }}
+			if result, c, sent := r.run(3); result.Outcome != chiveforward.Unknown || string(c.body) != began || sent != 1 {
+				t.Errorf("got %+v, %q after %d requests", result, c.body, sent)
+			}
+		})
+	}
+}
+
+// Guards against sound streams that break off, or lose an event, because of their IDs and lines.
+func TestSoundStreamsGoOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		began, rest, want string
+		// after is where the stream is to go on; "2" if it is empty.
+		after string
+	}{
+		"next event":                     {rest: lastEvent},
+		"several tokens in an event":     {rest: "id: 7\ndata: cdefg\n\n"},
+		"last event once more":           {rest: "id: 2\ndata: b\n\n" + lastEvent, want: lastEvent},
+		"from the beginning":             {rest: firstEvents + lastEvent, want: lastEvent},
+		"leading zeros":                  {rest: "id: 003\ndata: c\n\n"},
+		"no space":                       {rest: "id:3\ndata:c\n\n"},
+		"nothing left":                   {rest: ""},
+		"comments":                       {rest: ": hello\n\n" + lastEvent + ": bye\n\n"},
+		"comments only":                  {rest: ": bye\n\n"},
+		"time to reconnect":              {rest: "retry: 100\n\n" + lastEvent},
+		"version of the weights":         {rest: "weight-versions: 3\n" + lastEvent},
+		"name of the event":              {rest: "event: token\n" + lastEvent},
+		"field without a value":          {rest: "id: 3\ndata\n\n"},
+		"CRLF":                           {rest: "id: 3\r\ndata: c\r\n\r\n"},
+		"several lines of data":          {rest: "id: 3\ndata: c\ndata: d e {f}: /g\n\n"},
+		"further event without an ID":    {rest: lastEvent + "data: [DONE]\n\n"},
+		"comment behind the first part":  {began: firstEvents + ": on\n\n", rest: lastEvent},
+		"comment before the first event": {began: ": hello\n\n", rest: firstEvents, after: "-"},
+		"event without an ID before one": {began: "data: hello\n\n" + firstEvents, rest: lastEvent},
+	} {
+		for framing, send := range framings {
+			if name == "further event without an ID" && framing == "connection" {
+				continue
+			}
+			t.Run(name+", "+framing, func(t *testing.T) {
+				r := &resumption{t: t, began: c.began, answer: func(conn net.Conn, _ *http.Request) { send(conn, streamHeader, c.rest) }}
+				began, want, after := c.began, c.want, strings.TrimPrefix(c.after, "-")
+				if began == "" {
+					began = firstEvents
+				}
+				if want == "" {
+					want = c.rest
+				}
+				if c.after == "" {
+					after = "2"
+				}
+				result, sink, sent := r.run(2)
+				if result.Outcome != chiveforward.Completed || string(sink.body) != began+want || sent != 2 || r.after != after {
+					t.Errorf("got %+v, %q after %d requests, the second one behind %q", result, sink.body, sent, r.after)
+				}
+			})
+		}
+	}
+}
--- a/chiveforward/stream.go
+++ b/chiveforward/stream.go
@@ -31,6 +31,18 @@
 	}
 }
 
+// recordPosition records where another attempt would have to go on once an event has been passed on.
+func (r *requestState) recordPosition(e event) {
+	if r.request.Stream != nil || !e.hasFields {
+		return
+	}
+	isNumbered := positionOf(e.id).known
+	if isNumbered {
+		r.lastEventID = e.id
+	}
+	r.lacksPosition = !isNumbered
+}
+
 // idStream forwards a stream whose events have increasing IDs. Each event is passed on once and in order, across all
 // attempts.
 type idStream struct {
@@ -53,9 +65,6 @@
 		return false, err
 	}
 	r.result.Events++
-	if id != "" {
-		r.lastEventID = id
-	}
 	return false, nil
 }
 
