Log line of an ended attempt quotes a bounded part of what the endpoint sent

net/http's errors quote malformed responses whole: a head of 50,000 bytes made a line of 50,336 bytes of event 503, of which the output queues up to 1,024. The error is cut at 300 bytes. The test failed before.

--- a/chiveforward/attempt_log.go
+++ b/chiveforward/attempt_log.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"time"
 
 	"chivedrift/chiveevent"
 	"chivedrift/chiverequest"
 )
 
+// maxErrorBytes bounds the error in a log line, since errors of net/http quote what the endpoint has sent.
+const maxErrorBytes = 300
+
 // Proofs that an attempt has not run its request.
 const (
 	// notRunByRefusal is a response which states that the endpoint did not run the request.
@@ -82,7 +86,8 @@
 		attributes = append(attributes, slog.Int64("endpoint_passed_over_ms", ejectedFor.Milliseconds()))
 	}
 	if try.Err != nil {
-		attributes = append(attributes, slog.String("error", try.Err.Error()))
+		text := try.Err.Error()
+		attributes = append(attributes, slog.String("error", strings.ToValidUTF8(text[:min(len(text), maxErrorBytes)], "")))
 	}
 	chiveevent.AttemptEnded.Log(ctx, r.forwarder.options.Logger, attributes...)
 }
--- a/chiveforward/attempt_log_test.go
+++ b/chiveforward/attempt_log_test.go
@@ -136,3 +136,21 @@
 	t.Fatalf("no line of event 503 in %s", logged)
 	return ""
 }
+
+// Guards against log lines as long as what an endpoint sends, since errors quote it.
+func TestErrorOfAttemptIsBounded(t *testing.T) {
+	var logged bytes.Buffer
+	e := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) {
+		write(conn, strings.Repeat("x", 50_000)+"\r\n\r\n")
+	})
+	s := newFixtureWithOptions(t, func(o *chiveforward.Options) { o.Logger = slog.New(slog.NewJSONHandler(&logged, nil)) }, chivetable.Route{Attempts: 1}, e.registration("one"))
+	s.run(s.request(http.MethodPost, ""))
+	for _, line := range strings.Split(logged.String(), "\n") {
+		if len(line) > 1000 {
+			t.Errorf("line of %d bytes: %s", len(line), line[:400])
+		}
+	}
+	if !strings.Contains(logged.String(), `"error":"`) {
+		t.Errorf("no error in %s", logged.String())
+	}
+}
