Do not wait behind a late response that has no end of its own

What callers saw: requests waited up to their deadline and got 504.

Cause: the body of a late response is discarded. Without a length it ends with the connection, so that the request's own response was discarded with it.

Such an attempt now breaks at once: the own response cannot be told from the body, in which anything may stand, a head with any ID too. A request that may not be repeated gets 502, others another endpoint.

TestResponseBehindLateOneWithoutEndBreaksTheAttempt failed before with 504 after 3 s, the request's deadline.

--- a/chiveforward/late_response.go
+++ b/chiveforward/late_response.go
@@ -19,6 +19,7 @@
 var (
 	errLateTooLong = fmt.Errorf("response to another request is longer than %d bytes", maxLateBytes)
 	errHeadTooLong = fmt.Errorf("response head is longer than %d bytes", maxHeadBytes)
+	errLateEndless = errors.New("response to another request ends only with the connection")
 )
 
 // isLateFunc reports whether a response names another request than the one in flight.
@@ -118,6 +119,9 @@
 			return recorder.bytes, nil
 		}
 		c.connection.late.Add(1)
+		if !hasExplicitLength(response) {
+			return nil, errLateEndless
+		}
 		recorder.stop()
 		limited.N = maxLateBytes
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
--- a/chiveforward/late_response_test.go
+++ b/chiveforward/late_response_test.go
@@ -57,6 +57,34 @@
 	}
 }
 
+// Guards against waiting up to the deadline for a response that cannot be told from a late one before it.
+func TestResponseBehindLateOneWithoutEndBreaksTheAttempt(t *testing.T) {
+	const own = "HTTP/1.1 200 OK\r\nId: 42\r\nContent-Length: 3\r\n\r\nown"
+	for name, late := range map[string]string{
+		"body up to the end of the connection": "HTTP/1.1 200 OK\r\nId: 41\r\n\r\nlater",
+		"behind an interim response":           "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nId: 41\r\n\r\nlater",
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEndpoint(t, func(conn net.Conn, request *http.Request, body string) {
+				if request.Header.Get("Id") == "41" {
+					echo(conn, request, body)
+					return
+				}
+				write(conn, late+own)
+			})
+			s := newFixture(t, chivetable.Route{Attempts: 1}, e.registration("one"))
+			first := s.request(http.MethodPost, "first")
+			first.ID = "41"
+			s.run(first)
+			start := time.Now()
+			result, _ := s.run(s.request(http.MethodPost, "second"))
+			if took := time.Since(start); result.Outcome != chiveforward.Unknown || result.Status != http.StatusBadGateway || took > time.Second {
+				t.Errorf("got %+v after %v", result, took)
+			}
+		})
+	}
+}
+
 // Guards against waiting for a response behind one that names no request, which may be the only one.
 func TestResponseWithoutIDOnReusedConnectionBreaksTheAttempt(t *testing.T) {
 	e := newEndpoint(t, func(conn net.Conn, request *http.Request, body string) {
