Do not discard a response as late whose head is joined with one

What callers saw: a request waited up to its deadline and got 504, where the start of a late response and its own one came as one head on a kept connection. Such a head names the earlier request (its ID may be cut off in the middle), so that it was discarded with the own response in it.

Such a head now breaks the attempt at once, as on a new connection: 502 where the request may not be repeated, another endpoint for others.

Evidence: two cases of TestResponseBehindLateOneWithoutEndBreaksTheAttempt failed before with 504 after 3 s, the request's deadline.

--- a/chiveforward/late_response.go
+++ b/chiveforward/late_response.go
@@ -33,7 +33,7 @@
 		return
 	}
 	isLate := isLateFunc(func(response *http.Response) bool {
-		return dialect.Identify(request, response) == chiverequest.IdentityOther
+		return dialect.Identify(request, response) == chiverequest.IdentityOther && !chiverequest.IsJoined(response)
 	})
 	c.isLate.Store(&isLate)
 }
--- a/chiveforward/late_response_test.go
+++ b/chiveforward/late_response_test.go
@@ -63,6 +63,8 @@
 	for name, late := range map[string]string{
 		"body up to the end of the connection": "HTTP/1.1 200 OK\r\nId: 41\r\n\r\nlater",
 		"behind an interim response":           "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nId: 41\r\n\r\nlater",
+		"head that is cut off":                 "HTTP/1.1 200 OK\r\nId: 41",
+		"head that is cut off behind its ID":   "HTTP/1.1 200 OK\r\nId: 41\r\nServer: e",
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := newEndpoint(t, func(conn net.Conn, request *http.Request, body string) {
--- a/chiverequest/matched.go
+++ b/chiverequest/matched.go
@@ -30,7 +30,7 @@
 // Match returns a response if it is one and answers the request for which the identity was found, else false. first means that its
 // connection carried no other request before: only then can a response that names no request be no late copy.
 func Match(identity Identity, response *http.Response, first bool) (Matched, bool) {
-	if isJoined(response) {
+	if IsJoined(response) {
 		return Matched{}, false
 	}
 	if identity == IdentitySame || (identity == IdentityUnstated && first) {
@@ -42,9 +42,9 @@
 // statusLine matches a status line behind other text.
 var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-9][0-9][0-9]\b`)
 
-// isJoined reports whether a head consists of the start of one response, cut off in its status line or in a field, and of
+// IsJoined reports whether a head consists of the start of one response, cut off in its status line or in a field, and of
 // another one: it may have the status of the first and name the request of the second.
-func isJoined(response *http.Response) bool {
+func IsJoined(response *http.Response) bool {
 	if statusLine.MatchString(response.Status) {
 		return true
 	}
