Events that do not follow are not joined with a stream

Cause: of an attempt that goes on with a stream, events were dropped up to the number that was passed on last, and whatever else came was passed on: events without a number, events that repeat a part of the last one in other pieces, and any order behind the first new one.

The events of an attempt are now checked against each other and against what was passed on: numbers increase, and an attempt that sends earlier events once more must send the last one among them before a new one counts. What does not follow breaks the attempt, before it is passed on; the stream goes on elsewhere if attempts are left. Of a first attempt numbers are checked on routes that are declared as streams. A gap cannot be told from an event of several tokens, and is passed on as before. Events whose lines end with carriage returns alone are not joined either.

--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -400,9 +400,10 @@
 // forwardStream forwards complete events only. Of an event that was cut off the caller sees nothing, so a stream that
 // is resumed on another endpoint neither repeats nor loses one.
 func (a *attempt) forwardStream(ctx, parent context.Context, response *http.Response) attemptOutcome {
-	stream, resumedAfter := a.state.request.Stream, a.state.lastEventID
+	stream, sequence := a.state.request.Stream, &eventSequence{hasJoined: true}
 	if stream == nil {
-		stream = &idStream{state: a.state, response: response, resumedAfter: resumedAfter}
+		stream = &idStream{state: a.state, response: response}
+		sequence = newEventSequence(a.state.lastEventID, a.state.request.Route.Stream)
 	}
 	events := newEventReader(response.Body, &a.connection.arrival, &a.state.forwarder.held)
 	defer events.close()
@@ -412,20 +413,18 @@
 		waitStart := time.Now()
 		e, partial, err := events.next()
 		if err != nil {
-			return a.finishStream(ctx, parent, response, stream, partial, err)
+			return a.finishStream(ctx, parent, response, stream, sequence, partial, err)
 		}
 		a.recordActivity()
-		if a.streaming.Swap(true) && !a.begun.Swap(true) {
-			a.state.forwarder.options.Quarantine.Begun(time.Now(), a.state.request)
+		isNew, err := sequence.next(e)
+		if err != nil {
+			return a.classifyError(ctx, parent, err)
 		}
-		a.state.reportStart()
-		now := time.Now()
-		a.place.Event(now, now.Sub(waitStart))
-		a.state.recordEvent(now.Sub(waitStart))
-		a.state.recordOrigin(now, a.target)
-		if isAfter(e.id, resumedAfter) {
-			a.state.recordPosition(e)
+		a.recordEvent(waitStart)
+		if !isNew {
+			continue
 		}
+		a.state.recordPosition(e)
 		done, err := stream.Event(e.data, e.id, events.hasBuffered())
 		if err != nil {
 			return a.sinkFailed(err)
@@ -437,6 +436,18 @@
 	}
 }
 
+// recordEvent records an event for which the attempt has waited.
+func (a *attempt) recordEvent(waitStart time.Time) {
+	now := time.Now()
+	if a.streaming.Swap(true) && !a.begun.Swap(true) {
+		a.state.forwarder.options.Quarantine.Begun(now, a.state.request)
+	}
+	a.state.reportStart()
+	a.place.Event(now, now.Sub(waitStart))
+	a.state.recordEvent(now.Sub(waitStart))
+	a.state.recordOrigin(now, a.target)
+}
+
 // sinkFailed ends an attempt whose response could not be passed to the caller.
 func (a *attempt) sinkFailed(err error) attemptOutcome {
 	a.err = err
@@ -446,7 +457,7 @@
 
 // finishStream determines whether a stream was complete when it ended: both its encoding and its last event must be. An
 // endpoint that stops inside an event may still end the encoding.
-func (a *attempt) finishStream(ctx, parent context.Context, response *http.Response, stream chiverequest.Stream, partial []byte, err error) attemptOutcome {
+func (a *attempt) finishStream(ctx, parent context.Context, response *http.Response, stream chiverequest.Stream, sequence *eventSequence, partial []byte, err error) attemptOutcome {
 	if stream.Whole() {
 		a.connection.close()
 		return attemptCompleted
@@ -455,7 +466,7 @@
 		return a.classifyError(ctx, parent, err)
 	}
 	if len(partial) > 0 {
-		if endsInsideEvent(partial) || !hasExplicitLength(response) {
+		if endsInsideEvent(partial) || !hasExplicitLength(response) || sequence.isResumed() && hasFields(partial) {
 			return a.classifyError(ctx, parent, errTruncatedEvent)
 		}
 		a.state.startResponse(response.StatusCode, response.Header)
--- a/chiveforward/event.go
+++ b/chiveforward/event.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"strconv"
 	"strings"
 	"time"
 )
@@ -113,13 +112,18 @@
 var lineBreaks = strings.NewReplacer("\r\n", "\n", "\r", "\n")
 
 // endsInsideEvent reports whether the rest of a stream has fields of an event that no empty line ends. Lines may also end
-// with carriage returns, and comments are not part of an event.
+// with carriage returns.
 func endsInsideEvent(rest []byte) bool {
 	text := lineBreaks.Replace(string(rest))
 	if end := strings.LastIndex(text, "\n\n"); end >= 0 {
 		text = text[end:]
 	}
-	for line := range strings.SplitSeq(text, "\n") {
+	return hasFields([]byte(text))
+}
+
+// hasFields reports whether some lines of a stream are fields of events. Comments are not.
+func hasFields(rest []byte) bool {
+	for line := range strings.SplitSeq(lineBreaks.Replace(string(rest)), "\n") {
 		if line != "" && !strings.HasPrefix(line, ":") {
 			return true
 		}
@@ -129,17 +133,3 @@
 
 // hasBuffered reports whether bytes of a further event have already arrived.
 func (r *eventReader) hasBuffered() bool { return r.reader.Buffered() > 0 }
-
-// isAfter reports whether an event follows the last one that was delivered. IDs that are not numbers are only checked
-// for being different.
-func isAfter(id, last string) bool {
-	if id == "" || last == "" {
-		return true
-	}
-	newer, err := strconv.ParseInt(id, 10, 64)
-	if err != nil {
-		return id != last
-	}
-	older, err := strconv.ParseInt(last, 10, 64)
-	return err != nil || newer > older
-}
--- a/chiveforward/sequence.go
+++ b/chiveforward/sequence.go
@@ -1,6 +1,15 @@
 package chiveforward
 
-import "strconv"
+import (
+	"errors"
+	"strconv"
+)
+
+var (
+	errNoPosition    = errors.New("event of a resumed stream has no number")
+	errEventsOverlap = errors.New("events of a resumed stream do not end where those passed on before do")
+	errEventOrder    = errors.New("number of an event is not above the one before")
+)
 
 // position is the number of an event in its stream, if its ID is one.
 type position struct {
@@ -12,3 +21,48 @@
 	number, err := strconv.ParseInt(id, 10, 64)
 	return position{number: number, known: err == nil}
 }
+
+// eventSequence checks that the events of an attempt follow each other, and those that were passed on before.
+type eventSequence struct {
+	// isOrdered means that the events have increasing numbers.
+	isOrdered bool
+	// after is the last event that was passed on before the attempt, last the one before the next event of the attempt.
+	after, last position
+	// hasJoined means that events of the attempt are known to follow after.
+	hasJoined bool
+}
+
+// newEventSequence returns a sequence that goes on behind the event with an ID, or begins if that is empty.
+func newEventSequence(after string, isOrdered bool) *eventSequence {
+	s := &eventSequence{after: positionOf(after)}
+	s.isOrdered, s.hasJoined = isOrdered || s.after.known, !s.after.known
+	return s
+}
+
+// isResumed reports whether the sequence goes on behind an event.
+func (s *eventSequence) isResumed() bool { return s.after.known }
+
+// next checks the next event, and reports whether it is to be passed on; otherwise it was before.
+func (s *eventSequence) next(e event) (isNew bool, err error) {
+	if !e.hasFields {
+		return true, nil
+	}
+	before, number := s.last, positionOf(e.id)
+	if number.known {
+		s.last = number
+	}
+	switch {
+	case s.isOrdered && before.known && number.known && number.number <= before.number:
+		return false, errEventOrder
+	case s.hasJoined:
+		return true, nil
+	case !number.known:
+		return false, errNoPosition
+	case number.number <= s.after.number:
+		return false, nil
+	case before.known && before.number != s.after.number:
+		return false, errEventsOverlap
+	}
+	s.hasJoined = true
+	return true, nil
+}
--- a/chiveforward/sequence_test.go
+++ b/chiveforward/sequence_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"chivedrift/chiveforward"
+	"chivedrift/chivetable"
 )
 
 // Guards against a stream that begins again behind its first part, since that has no position from which it could go on.
@@ -30,6 +31,54 @@
 	}
 }
 
+// Guards against events that are joined with those of another attempt although they need not follow them.
+func TestEventsThatDoNotFollowAreNotJoined(t *testing.T) {
+	for name, rest := range map[string]string{
+		"without an ID":                   "data: c\n\n" + lastEvent,
+		"only one, without an ID":         "data: c\n\n",
+		"an ID that is no number":         "id: 3a\ndata: c\n\n",
+		"overlapping events":              "id: 1\ndata: a\n\nid: 3\ndata: bc\n\n",
+		"a replay that goes back":         "id: 2\ndata: b\n\nid: 1\ndata: a\n\n" + lastEvent,
+		"a replay with an event twice":    "id: 2\ndata: b\n\nid: 2\ndata: b\n\n" + lastEvent,
+		"a replay with one without an ID": "id: 1\ndata: a\n\ndata: b\n\n" + lastEvent,
+		"lines that end with CR":          "id: 1\rdata: a\r\rid: 2\rdata: b\r\rid: 3\rdata: c\r\r",
+		"only CR":                         "id: 3\rdata: c\r\r",
+		"text":                            "no stream\n\n" + lastEvent,
+		"JSON":                            "{\"error\": 1}\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			checkNotJoined(t, "", func(conn net.Conn, _ *http.Request) { framings["length"](conn, streamHeader, rest) })
+		})
+	}
+}
+
+// Guards against an event that comes twice, or before an earlier one, in a stream whose events have increasing IDs.
+func TestEventsThatGoBackBreakTheAttempt(t *testing.T) {
+	for name, back := range map[string]string{
+		"again": "id: 2\ndata: b\n\n", "back": "id: 1\ndata: a\n\n", "again with leading zeros": "id: 002\ndata: b\n\n",
+	} {
+		for framing, send := range framings {
+			t.Run(name+", "+framing, func(t *testing.T) {
+				answer := func(conn net.Conn, request *http.Request, _ string) {
+					if request.Header.Get("After") == "2" {
+						send(conn, streamHeader, lastEvent)
+						return
+					}
+					send(conn, streamHeader, firstEvents+back+lastEvent)
+				}
+				e := newEndpoint(t, answer)
+				for attempts, want := range map[int]string{1: firstEvents, 2: firstEvents + lastEvent} {
+					s := newFixture(t, chivetable.Route{Attempts: attempts, Stream: true, Repeat: chivetable.RepeatResume}, e.registration("one"), e.registration("two"))
+					result, c := s.run(s.request(http.MethodPost, "body"))
+					if (result.Outcome == chiveforward.Completed) != (attempts == 2) || string(c.body) != want {
+						t.Errorf("%d attempts: got %+v, %q", attempts, result, c.body)
+					}
+				}
+			})
+		}
+	}
+}
+
 // Guards against sound streams that break off, or lose an event, because of their IDs and lines.
 func TestSoundStreamsGoOn(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/chiveforward/stream.go
+++ b/chiveforward/stream.go
@@ -43,22 +43,15 @@
 	r.lacksPosition = !isNumbered
 }
 
-// idStream forwards a stream whose events have increasing IDs. Each event is passed on once and in order, across all
-// attempts.
+// idStream forwards the events of a stream to the caller.
 type idStream struct {
 	state    *requestState
 	response *http.Response
-	// resumedAfter is the ID of the last event that had been passed on when the attempt began.
-	resumedAfter string
 }
 
-// Event passes an event on unless an earlier attempt already did. Events of the current attempt are never dropped,
-// whatever their IDs: the response would look complete but differ from the one that the endpoint sent.
-func (s *idStream) Event(data []byte, id string, more bool) (done bool, err error) {
+// Event passes an event on.
+func (s *idStream) Event(data []byte, _ string, more bool) (done bool, err error) {
 	r := s.state
-	if !isAfter(id, s.resumedAfter) {
-		return false, nil
-	}
 	r.startResponse(s.response.StatusCode, withoutLength(s.response.Header))
 	r.isStream = true
 	if err := r.sink.Write(data, !more); err != nil {
