Only a connection closed by unsolicited bytes is replaced within its attempt

A request whose kept connection ended in another way before its first byte goes to another endpoint, as before: an endpoint that crashes closes its connections too, and must not get the request that crashed it again.

--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -239,13 +239,13 @@
 	}
 }
 
-// send sends the request and returns the response head. A kept connection may end just before the request is written on it;
-// then the request goes on a new one.
+// send sends the request and returns the response head. If unsolicited bytes have closed a kept connection before the request was
+// written on it, the request goes on a new one.
 func (a *attempt) send(ctx context.Context) (*http.Response, error) {
 	// The response to a request without an ID can only be matched if it is the first one of its connection.
 	forceNew := len(a.state.result.Tries) > 0 || a.state.request.ID == ""
 	response, err := a.sendOnce(ctx, forceNew)
-	if err != nil && a.connection.reused && !a.mayHaveArrived && !a.connection.withdrawn.Load() && ctx.Err() == nil {
+	if err != nil && a.connection.reused && a.connection.rejected.Load() && !a.mayHaveArrived && ctx.Err() == nil {
 		return a.sendOnce(ctx, true)
 	}
 	return response, err
--- a/chiveforward/connection.go
+++ b/chiveforward/connection.go
@@ -54,6 +54,8 @@
 	endpointID string
 	// unsolicited counts the connections on which the endpoint sent bytes while no request was in flight.
 	unsolicited *unsolicitedBytes
+	// rejected means that such bytes have closed this connection.
+	rejected atomic.Bool
 	// dialTimeout limits connecting to the endpoint.
 	dialTimeout time.Duration
 
--- a/chiveforward/unsolicited.go
+++ b/chiveforward/unsolicited.go
@@ -83,7 +83,8 @@
 	if !c.writeState.CompareAndSwap(requestUnsent, requestBlocked) && c.writeState.Load() == requestMayBeSent {
 		return false
 	}
-	if !c.closed.Swap(true) {
+	c.closed.Store(true)
+	if !c.rejected.Swap(true) {
 		c.unsolicited.add(c.endpointID)
 	}
 	return true
--- a/chiveforward/unsolicited_test.go
+++ b/chiveforward/unsolicited_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -52,16 +53,18 @@
 	captureStandardLog(t, chiveevent.NewLibraryLog(logger))
 	e := newEndpoint(t, func(conn net.Conn, request *http.Request, body string) {
 		echo(conn, request, body)
-		time.Sleep(5 * time.Millisecond)
+		time.Sleep(20 * time.Millisecond)
 		echo(conn, request, secret)
 	})
 	s := newFixtureWithOptions(t, func(o *chiveforward.Options) { o.Logger = logger }, chivetable.Route{Attempts: 1}, e.registration("one"))
 	const requests = 40
-	for range requests {
-		if result, _ := s.run(s.request(http.MethodPost, "body")); result.Outcome != chiveforward.Completed {
-			t.Fatalf("got %+v", result)
+	for i := range requests {
+		request := s.request(http.MethodPost, "body")
+		request.ID = strconv.Itoa(i)
+		if result, c := s.run(request); result.Outcome != chiveforward.Completed || string(c.body) != "body" {
+			t.Fatalf("got %+v, %q", result, c.body)
 		}
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(30 * time.Millisecond)
 	}
 	if n := s.forwarder.ResponseCounts().Unsolicited; n < requests*3/4 {
 		t.Errorf("%d connections with unsolicited bytes, want about %d", n, requests)
