Bytes behind a stream without a length are not part of it

Endpoints may send bytes behind a complete response; behind a stream that has neither a length nor chunks nothing but its events tells them from it.

In such a stream, on routes that are declared as streams, what has no number behind an event that has one, or a line that is no field, now breaks the attempt before it is passed on. It goes on elsewhere if attempts are left: an endpoint that has nothing left ends it.

Plain bodies of that kind have nothing that tells.

--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -403,7 +403,7 @@
 	stream, sequence := a.state.request.Stream, &eventSequence{hasJoined: true}
 	if stream == nil {
 		stream = &idStream{state: a.state, response: response}
-		sequence = newEventSequence(a.state.lastEventID, a.state.request.Route.Stream)
+		sequence = newEventSequence(a.state.lastEventID, a.state.request.Route.Stream, !hasExplicitLength(response))
 	}
 	events := newEventReader(response.Body, &a.connection.arrival, &a.state.forwarder.held)
 	defer events.close()
--- a/chiveforward/event.go
+++ b/chiveforward/event.go
@@ -28,6 +28,8 @@
 	id   string
 	// hasFields means that there is more to the event than comments.
 	hasFields bool
+	// isMalformed means that a line is no field of an event.
+	isMalformed bool
 }
 
 // addLine adds a line of the event, without its line break.
@@ -37,11 +39,22 @@
 		return
 	}
 	e.hasFields = true
+	e.isMalformed = e.isMalformed || !isFieldName(name)
 	if string(name) == idField {
 		e.id = string(bytes.TrimSpace(value))
 	}
 }
 
+// isFieldName reports whether a name consists of letters, digits and hyphens, as the names of fields do.
+func isFieldName(name []byte) bool {
+	for _, c := range name {
+		if c != '-' && (c < '0' || c > '9') && (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') {
+			return false
+		}
+	}
+	return true
+}
+
 // eventReader splits a stream into events. An empty line ends an event.
 type eventReader struct {
 	reader  *bufio.Reader
--- a/chiveforward/sequence.go
+++ b/chiveforward/sequence.go
@@ -9,6 +9,7 @@
 	errNoPosition    = errors.New("event of a resumed stream has no number")
 	errEventsOverlap = errors.New("events of a resumed stream do not end where those passed on before do")
 	errEventOrder    = errors.New("number of an event is not above the one before")
+	errForeignBytes  = errors.New("bytes behind the events of a stream are no event of it")
 )
 
 // position is the number of an event in its stream, if its ID is one.
@@ -26,6 +27,8 @@
 type eventSequence struct {
 	// isOrdered means that the events have increasing numbers.
 	isOrdered bool
+	// endsWithConnection means that bytes behind the stream cannot be told from it by its encoding.
+	endsWithConnection bool
 	// after is the last event that was passed on before the attempt, last the one before the next event of the attempt.
 	after, last position
 	// hasJoined means that events of the attempt are known to follow after.
@@ -33,8 +36,8 @@
 }
 
 // newEventSequence returns a sequence that goes on behind the event with an ID, or begins if that is empty.
-func newEventSequence(after string, isOrdered bool) *eventSequence {
-	s := &eventSequence{after: positionOf(after)}
+func newEventSequence(after string, isOrdered, endsWithConnection bool) *eventSequence {
+	s := &eventSequence{after: positionOf(after), endsWithConnection: endsWithConnection}
 	s.isOrdered, s.hasJoined = isOrdered || s.after.known, !s.after.known
 	return s
 }
@@ -51,9 +54,12 @@
 	if number.known {
 		s.last = number
 	}
+	if s.isOrdered {
+		if err := s.checkOrder(e, before, number); err != nil {
+			return false, err
+		}
+	}
 	switch {
-	case s.isOrdered && before.known && number.known && number.number <= before.number:
-		return false, errEventOrder
 	case s.hasJoined:
 		return true, nil
 	case !number.known:
@@ -66,3 +72,14 @@
 	s.hasJoined = true
 	return true, nil
 }
+
+// checkOrder checks that an event with a number may follow the last one that had a number in the same attempt.
+func (s *eventSequence) checkOrder(e event, before, number position) error {
+	switch {
+	case s.endsWithConnection && (e.isMalformed || before.known && !number.known):
+		return errForeignBytes
+	case before.known && number.known && number.number <= before.number:
+		return errEventOrder
+	}
+	return nil
+}
--- a/chiveforward/sequence_test.go
+++ b/chiveforward/sequence_test.go
@@ -79,6 +79,31 @@
 	}
 }
 
+// Guards against bytes behind a stream that ends with its connection, which the caller gets as a part of it.
+func TestBytesBehindAStreamAreNotPartOfIt(t *testing.T) {
+	const foreign = "Id: 41\r\nContent-Type: text/event-stream\r\n"
+	for name, behind := range map[string]string{
+		"stream":           "HTTP/1.1 200 OK\r\n" + foreign + "\r\nid: 8\ndata: x\n\nid: 9\ndata: y\n\n",
+		"chunked stream":   "HTTP/1.1 200 OK\r\n" + foreign + "Transfer-Encoding: chunked\r\n\r\n10\r\nid: 8\ndata: x\n\n\r\n0\r\n\r\n",
+		"refusal":          "HTTP/1.1 503 Full\r\nId: 41\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"earlier stream":   "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+		"bytes":            "\x00\x01\x02\r\n\r\n",
+		"words":            "late\r\n\r\n",
+		"event without ID": "data: x\n\n",
+		"without an end":   "late",
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) {
+				framings["connection"](conn, streamHeader, firstEvents+behind)
+			})
+			s := newFixture(t, chivetable.Route{Attempts: 1, Stream: true}, e.registration("one"))
+			if result, c := s.run(s.request(http.MethodPost, "body")); result.Outcome != chiveforward.Unknown || string(c.body) != firstEvents {
+				t.Errorf("got %+v, %q", result, c.body)
+			}
+		})
+	}
+}
+
 // Guards against sound streams that break off, or lose an event, because of their IDs and lines.
 func TestSoundStreamsGoOn(t *testing.T) {
 	for name, c := range map[string]struct {
