A second refusal from an address proves nothing of the same request

What callers saw: a request that must run once ran at two endpoints.

Cause: the ID tells requests apart, not attempts of one. Endpoints that refused are excluded by the incarnation, which is another one where the address has a new process.

A refusal or 421 from an address that refused the same request before now counts as no proof: the attempt is broken, 502 where the request may not be repeated, another endpoint for others. Truly refused twice at one address is what callers lose.

TestCopyOfARefusalOfTheSameRequestProvesNothing failed before in both cases (a request that ran was reported as not run), passes now.

--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -37,6 +37,7 @@
 	errNoFinalStatus      = errors.New("response has no final status")
 	errTruncatedEvent     = errors.New("stream ended inside an event")
 	errPreempted          = errors.New("attempt preempted by a more urgent request")
+	errRefusedBefore      = errors.New("refusal may be a copy of that of an earlier attempt at the same address")
 	errNotTheRest         = errors.New("response is no stream that goes on with the one that was passed on")
 )
 
@@ -134,6 +135,9 @@
 	}
 	a.status, a.named = matched.Status(), matched.Named()
 	verdict := dialect.Judge(matched)
+	if isRefusal := verdict == chiverequest.VerdictNotRun || verdict == chiverequest.VerdictElsewhere; isRefusal && a.state.wasRefusedAt(a.target.Address) {
+		return a.classifyError(ctx, parent, errRefusedBefore)
+	}
 	if verdict != chiverequest.VerdictElsewhere {
 		a.recordLimits(ctx, matched)
 		a.recordNotice(ctx, matched)
--- a/chiveforward/late_response_test.go
+++ b/chiveforward/late_response_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -106,3 +107,28 @@
 		t.Errorf("got %s after %v", fmt.Sprintf("%+v", result), took)
 	}
 }
+
+// Guards against a request that runs twice, or counts as not run, since a copy of its own refusal came again with its next attempt,
+// which went to another process at the same address.
+func TestCopyOfARefusalOfTheSameRequestProvesNothing(t *testing.T) {
+	for name, refusal := range map[string]string{
+		"refusal":     "HTTP/1.1 503 Full\r\nId: 42\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"misdirected": "HTTP/1.1 421 Gone\r\nId: 42\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var attempts, runs atomic.Int64
+			e := newEndpoint(t, func(conn net.Conn, request *http.Request, body string) {
+				write(conn, refusal)
+				if attempts.Add(1) > 1 {
+					runs.Add(1)
+					echo(conn, request, body)
+				}
+			})
+			s := newFixture(t, chivetable.Route{Attempts: 3}, e.registration("before"), e.registration("after"), e.registration("later"))
+			result, _ := s.run(s.request(http.MethodPost, "body"))
+			if runs.Load() > 1 || result.Outcome == chiveforward.NotRun && runs.Load() > 0 {
+				t.Errorf("got %+v after %d runs", result, runs.Load())
+			}
+		})
+	}
+}
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"slices"
 	"time"
 
 	"chivedrift/chiveevent"
@@ -37,6 +38,9 @@
 	attemptsUsed   int
 	attemptsNotRun int
 	exclude        []string
+	// refusedAt holds the addresses from which refusals of attempts came. Another one from there may be a copy: it names the
+	// same request.
+	refusedAt []string
 	// events counts the events of all attempts.
 	events int
 	// isStream means that the part of the response that was passed on consists of events.
@@ -157,6 +161,9 @@
 // retried on another endpoint.
 func (r *requestState) handleOutcome(ctx context.Context, a *attempt, outcome attemptOutcome) bool {
 	r.exclude = append(r.exclude, a.target.Incarnation)
+	if outcome == attemptRefused || outcome == attemptMisdirected {
+		r.refusedAt = append(r.refusedAt, a.target.Address)
+	}
 	switch outcome {
 	case attemptCompleted:
 		r.forwarder.options.Quarantine.Answered(time.Now(), r.request)
@@ -192,6 +199,11 @@
 	return true
 }
 
+// wasRefusedAt reports whether an earlier attempt was refused by an endpoint at an address.
+func (r *requestState) wasRefusedAt(address string) bool {
+	return slices.Contains(r.refusedAt, address)
+}
+
 // afterPreemption retries the request, or resumes its stream, unless it may have run and must not run twice.
 func (r *requestState) afterPreemption(ctx context.Context, a *attempt) bool {
 	r.mayHaveRun = r.mayHaveRun || a.mayHaveRun
