--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -135,7 +135,7 @@
 	}
 	a.status, a.named = matched.Status(), matched.Named()
 	verdict := dialect.Judge(matched)
-	if isRefusal := verdict == chiverequest.VerdictNotRun || verdict == chiverequest.VerdictElsewhere; isRefusal && a.state.wasRefusedAt(a.target.Address) {
+	if verdict.IsRefusal() && a.state.wasRefusedAt(a.target.Address) {
 		return a.classifyError(ctx, parent, errRefusedBefore)
 	}
 	if verdict != chiverequest.VerdictElsewhere {
@@ -152,9 +152,14 @@
 		a.connection.close()
 		return attemptMisdirected
 	case chiverequest.VerdictAnswer, chiverequest.VerdictUnproved:
-		a.recordResponse()
-		a.recordActivity()
 	}
+	return a.forwardAnswer(ctx, parent, response, verdict)
+}
+
+// forwardAnswer passes on the response of an endpoint that has run the request.
+func (a *attempt) forwardAnswer(ctx, parent context.Context, response *http.Response, verdict chiverequest.Verdict) attemptOutcome {
+	a.recordResponse()
+	a.recordActivity()
 	if verdict == chiverequest.VerdictUnproved && a.state.request.Route.Repeat == chivetable.RepeatNever {
 		// Its caller would try the request again, which may have run.
 		a.drain(response)
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -88,6 +88,7 @@
 	r.recordAttempt(a, outcome)
 	r.logAttemptEnded(ctx, a, ejectedFor)
 	r.recordArrival(a)
+	r.recordRefusal(a, outcome)
 	r.lastOutcome = outcome
 	if outcome == attemptBroken {
 		r.forwarder.investigateBreak(ctx, a)
@@ -161,9 +162,6 @@
 // retried on another endpoint.
 func (r *requestState) handleOutcome(ctx context.Context, a *attempt, outcome attemptOutcome) bool {
 	r.exclude = append(r.exclude, a.target.Incarnation)
-	if outcome == attemptRefused || outcome == attemptMisdirected {
-		r.refusedAt = append(r.refusedAt, a.target.Address)
-	}
 	switch outcome {
 	case attemptCompleted:
 		r.forwarder.options.Quarantine.Answered(time.Now(), r.request)
@@ -199,6 +197,13 @@
 	return true
 }
 
+// recordRefusal records the address from which a refusal of an attempt came.
+func (r *requestState) recordRefusal(a *attempt, outcome attemptOutcome) {
+	if outcome == attemptRefused || outcome == attemptMisdirected {
+		r.refusedAt = append(r.refusedAt, a.target.Address)
+	}
+}
+
 // wasRefusedAt reports whether an earlier attempt was refused by an endpoint at an address.
 func (r *requestState) wasRefusedAt(address string) bool {
 	return slices.Contains(r.refusedAt, address)
--- a/chiverequest/request.go
+++ b/chiverequest/request.go
@@ -88,6 +88,9 @@
 	VerdictUnproved
 )
 
+// IsRefusal reports whether the endpoint at the address has stated that the request was not run there.
+func (v Verdict) IsRefusal() bool { return v == VerdictNotRun || v == VerdictElsewhere }
+
 // EndpointDialect implements the protocol of a kind of endpoints.
 type EndpointDialect interface {
 	HealthDialect
