--- a/chiveforward/attempt_log.go
+++ b/chiveforward/attempt_log.go
@@ -19,7 +19,7 @@
 	notRunByRefusal = "refusal"
 	// notRunByOtherEndpoint is a response of another endpoint, which now has the address.
 	notRunByOtherEndpoint = "misdirected"
-	// notRunByWithdrawal means that the endpoint stopped to take the request before its first byte was written.
+	// notRunByWithdrawal means that the endpoint stopped taking requests before the first byte was written.
 	notRunByWithdrawal = "withdrawn"
 	notRunByNoConn     = "not_connected"
 	notRunByNoWrite    = "not_written"
