An event that goes on as the head of a response is none

Callers got the start of an event joined with the head of another response, and the events of its body, as a complete stream: ORDER and MIXED, on routes that are declared as streams, where the stream has neither a length nor chunks.

Cause: a stream that ends inside the data of an event, with another response directly behind it, reads as one event with a number: the status line becomes the end of its data, and the names of the head's fields look like names of an event's fields. The check of bytes behind such a stream saw only heads that begin a line.

An event now counts as malformed if a line ends with a status line and a field follows that is not one that all events may have. Data may hold a status line.

--- a/chiveforward/event.go
+++ b/chiveforward/event.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"regexp"
 	"strings"
 	"time"
 )
@@ -28,8 +29,22 @@
 	id   string
 	// hasFields means that there is more to the event than comments.
 	hasFields bool
-	// isMalformed means that a line is no field of an event.
+	// isMalformed means that a line is no field of an event, or that the event goes on as the head of a response.
 	isMalformed bool
+	// hasStatusLine means that a line ends with the status line of a response.
+	hasStatusLine bool
+}
+
+// statusLine matches the status line of a response behind other text.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-9][0-9][0-9]\b`)
+
+// isEventField reports whether the name of a field is one that all events may have.
+func isEventField(name []byte) bool {
+	switch string(name) {
+	case idField, retryField, "data", "event":
+		return true
+	}
+	return false
 }
 
 // addLine adds a line of the event, without its line break.
@@ -39,7 +54,9 @@
 		return
 	}
 	e.hasFields = true
-	e.isMalformed = e.isMalformed || !isFieldName(name)
+	// Data may hold a status line, but fields of a head follow only where another response was joined with the event.
+	e.isMalformed = e.isMalformed || !isFieldName(name) || e.hasStatusLine && !isEventField(name)
+	e.hasStatusLine = e.hasStatusLine || bytes.Contains(value, []byte("HTTP/1.")) && statusLine.Match(value)
 	if string(name) == idField {
 		e.id = string(bytes.TrimSpace(value))
 	}
