--- a/chiveforward/event.go
+++ b/chiveforward/event.go
@@ -6,9 +6,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"regexp"
 	"strings"
 	"time"
+
+	"chivedrift/chiverequest"
 )
 
 // maxEventBytes limits one event of a stream; engines send a few tokens per event.
@@ -35,8 +36,8 @@
 	hasStatusLine bool
 }
 
-// statusLine matches the status line of a response behind other text.
-var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-9][0-9][0-9]\b`)
+// protocolName begins a status line; most lines are found not to hold one without a copy.
+var protocolName = []byte("HTTP/1.")
 
 // isEventField reports whether the name of a field is one that all events may have.
 func isEventField(name []byte) bool {
@@ -56,7 +57,7 @@
 	e.hasFields = true
 	// Data may hold a status line, but fields of a head follow only where another response was joined with the event.
 	e.isMalformed = e.isMalformed || !isFieldName(name) || e.hasStatusLine && !isEventField(name)
-	e.hasStatusLine = e.hasStatusLine || bytes.Contains(value, []byte("HTTP/1.")) && statusLine.Match(value)
+	e.hasStatusLine = e.hasStatusLine || bytes.Contains(value, protocolName) && chiverequest.HasStatusLine(string(value))
 	if string(name) == idField {
 		e.id = string(bytes.TrimSpace(value))
 	}
--- a/chiverequest/matched.go
+++ b/chiverequest/matched.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"regexp"
+	"slices"
 	"strings"
 )
 
@@ -42,17 +43,20 @@
 // statusLine matches a status line behind other text.
 var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-9][0-9][0-9]\b`)
 
+// HasStatusLine reports whether a text holds the status line of a response.
+func HasStatusLine(text string) bool {
+	return strings.Contains(text, "HTTP/1.") && statusLine.MatchString(text)
+}
+
 // IsJoined reports whether a head consists of the start of one response, cut off in its status line or in a field, and of
 // another one: it may have the status of the first and name the request of the second.
 func IsJoined(response *http.Response) bool {
-	if statusLine.MatchString(response.Status) {
+	if HasStatusLine(response.Status) {
 		return true
 	}
 	for _, values := range response.Header {
-		for _, value := range values {
-			if strings.Contains(value, "HTTP/1.") && statusLine.MatchString(value) {
-				return true
-			}
+		if slices.ContainsFunc(values, HasStatusLine) {
+			return true
 		}
 	}
 	return false
