The request's own response is not discarded as the body of a late one

Requests waited up to their deadline and got 504, where a late response before their own was cut off in its body, or was one to HEAD, whose length counts no bytes that follow. The own response was discarded as the rest of that body.

A status line in a discarded body now breaks the attempt at once, as behind a late response without an end: 502 where the request may not be repeated, another endpoint for others. A sound late body that holds such a line breaks the attempt too.

--- /dev/null
+++ b/chiveforward/late_body_test.go
@@ -0,0 +1,44 @@
+package chiveforward_test
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"chivedrift/chiveforward"
+	"chivedrift/chivetable"
+)
+
+// Guards against waiting up to the deadline for a response that is taken for the body of a late one, which was cut off or answers HEAD.
+func TestOwnResponseIsNoBodyOfALateOne(t *testing.T) {
+	const own = "HTTP/1.1 200 OK\r\nId: 42\r\nContent-Length: 3\r\n\r\nown"
+	for name, late := range map[string]string{
+		"to HEAD": "HTTP/1.1 200 OK\r\nId: 41\r\nContent-Length: 5000\r\n\r\n",
+		"cut off": "HTTP/1.1 200 OK\r\nId: 41\r\nContent-Length: 500\r\n\r\nlat",
+	} {
+		t.Run(name, func(t *testing.T) {
+			cut := 0
+			e := newEndpoint(t, func(conn net.Conn, request *http.Request, body string) {
+				if request.Header.Get("Id") == "41" {
+					echo(conn, request, body)
+					return
+				}
+				write(conn, late+own[:cut])
+				time.Sleep(time.Millisecond)
+				write(conn, own[cut:])
+			})
+			s := newFixture(t, chivetable.Route{Attempts: 1}, e.registration("one"))
+			for ; cut < len("HTTP/1.1 200 OK"); cut++ {
+				first := s.request(http.MethodPost, "first")
+				first.ID = "41"
+				s.run(first)
+				start := time.Now()
+				result, _ := s.run(s.request(http.MethodPost, "second"))
+				if took := time.Since(start); result.Outcome != chiveforward.Unknown || result.Status != http.StatusBadGateway || took > time.Second {
+					t.Fatalf("cut at %d: got %+v after %v", cut, result, took)
+				}
+			}
+		})
+	}
+}
--- a/chiveforward/late_response.go
+++ b/chiveforward/late_response.go
@@ -20,6 +20,7 @@
 	errLateTooLong = fmt.Errorf("response to another request is longer than %d bytes", maxLateBytes)
 	errHeadTooLong = fmt.Errorf("response head is longer than %d bytes", maxHeadBytes)
 	errLateEndless = errors.New("response to another request ends only with the connection")
+	errLateJoined  = errors.New("body of a response to another request holds the start of a response")
 )
 
 // isLateFunc reports whether a response names another request than the one in flight.
@@ -124,7 +125,7 @@
 		}
 		recorder.stop()
 		limited.N = maxLateBytes
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if _, err := io.Copy(&lateBody{}, response.Body); err != nil {
 			return nil, fmt.Errorf("late response: %w", err)
 		}
 		if limited.N <= 0 {
@@ -137,6 +138,27 @@
 	}
 }
 
+// statusLineBytes is the length of a status line up to its code.
+const statusLineBytes = len("HTTP/1.1 200")
+
+// lateBody discards the body of a late response, up to a status line: a body that was cut off, or that never came since its request
+// was a HEAD, would take the next response's place.
+type lateBody struct{ last []byte }
+
+// Write discards bytes of the body.
+func (b *lateBody) Write(data []byte) (int, error) {
+	b.last = append(b.last, data[:min(len(data), statusLineBytes)]...)
+	if chiverequest.HasStatusLine(string(b.last)) || chiverequest.HasStatusLine(string(data)) {
+		return 0, errLateJoined
+	}
+	end := b.last
+	if len(data) >= statusLineBytes {
+		end = data
+	}
+	b.last = append(b.last[:0], end[max(0, len(end)-statusLineBytes):]...)
+	return len(data), nil
+}
+
 // receiver reads from a connection, late responses included.
 type receiver struct{ conn *trackedConn }
 
