Test of charged retries: two endpoints that refuse have two addresses

TestRetryThatWaitsForAPlaceIsChargedWhenItIsSent registered one listener as two endpoints. Each endpoint has a listener of its own now; what the test checks is unchanged.

--- a/chiveforward/budget_test.go
+++ b/chiveforward/budget_test.go
@@ -131,11 +131,12 @@
 
 // Guards against retries that are charged in one window and arrive in a later one, after a long wait for a place.
 func TestRetryThatWaitsForAPlaceIsChargedWhenItIsSent(t *testing.T) {
-	refuses := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) {
+	refuse := func(conn net.Conn, _ *http.Request, _ string) {
 		write(conn, "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
-	})
+	}
+	a, b := newEndpoint(t, refuse), newEndpoint(t, refuse)
 	for wait, charges := range map[time.Duration]int64{0: 1, time.Second: 2} {
-		s := newFixtureWithOptions(t, func(o *chiveforward.Options) { o.Places = slowPlaces{o.Places, wait}; o.Rules.Refusals = 2 }, chivetable.Route{}, refuses.registration("a"), refuses.registration("b"))
+		s := newFixtureWithOptions(t, func(o *chiveforward.Options) { o.Places = slowPlaces{o.Places, wait}; o.Rules.Refusals = 2 }, chivetable.Route{}, a.registration("a"), b.registration("b"))
 		if result, _ := s.run(s.request(http.MethodGet, "")); result.Outcome != chiveforward.NotRun || len(result.Tries) != 2 {
 			t.Fatalf("outcome %v after %d attempts, want not-run after 2", result.Outcome, len(result.Tries))
 		}
