--- a/chiveforward/event.go
+++ b/chiveforward/event.go
@@ -32,11 +32,11 @@
 	hasFields bool
 	// isMalformed means that a line is no field of an event, or that the event goes on as the head of a response.
 	isMalformed bool
-	// hasStatusLine means that a line ends with the status line of a response.
+	// hasStatusLine means that the value of a field holds the status line of a response.
 	hasStatusLine bool
 }
 
-// protocolName begins a status line; most lines are found not to hold one without a copy.
+// protocolName begins a status line. Fields without it are not converted to text.
 var protocolName = []byte("HTTP/1.")
 
 // isEventField reports whether the name of a field is one that all events may have.
