Whether an attempt's connection was kept is noted when it is taken

Fails before under the race detector: TestLateResponsesAreNotTakenForOthers, TestEvacuatedDomainGetsNoRequests, TestHarmlessRequestsAreNotQuarantined; they pass now.

--- a/chiveforward/attempt_log.go
+++ b/chiveforward/attempt_log.go
@@ -53,7 +53,7 @@
 	notRunBy := a.notRunBy(outcome)
 	r.result.Tries = append(r.result.Tries, Try{
 		Endpoint: a.target.ID, Ended: attemptOutcomeNames[outcome], Touched: a.mayHaveRun && notRunBy == "", Status: a.status, Err: a.err,
-		NotRunBy: notRunBy, Kept: a.connection.reused, Through: a.connection.through(), ResponseNames: a.responseNames,
+		NotRunBy: notRunBy, Kept: a.kept, Through: a.connection.through(), ResponseNames: a.responseNames,
 	})
 }
 
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -47,7 +47,9 @@
 	place      Place
 	target     Target
 	connection *connection
-	startedAt  time.Time
+	// kept means that the connection had carried other requests. The connection itself may carry the next one already.
+	kept      bool
+	startedAt time.Time
 	// silence is how long the endpoint may send nothing, silenceTimer its timer; zero and nil for no limit.
 	silence      time.Duration
 	silenceTimer *time.Timer
@@ -264,6 +266,7 @@
 func (a *attempt) sendOnce(ctx context.Context, forceNew bool) (*http.Response, error) {
 	timeout := a.state.forwarder.options.Distances.WaitForDomain(a.target.FailureDomain, dialTimeout, dialRoundTrips)
 	a.connection = a.state.forwarder.connections.get(a.target, timeout, forceNew)
+	a.kept = a.connection.reused
 	a.connection.stillWanted = func() bool { return a.place.Accepts(time.Now()) }
 	request, err := a.buildRequest(ctx)
 	if err != nil {
