--- a/chiveentry/ended_log_test.go
+++ b/chiveentry/ended_log_test.go
@@ -21,7 +21,7 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// Guards against a false promise that a request was not run of which only lines tell the cause that are dropped first.
+// Guards against warnings about failed requests that do not say why each attempt counts as run or not run.
 func TestWarningListsLastAttempts(t *testing.T) {
 	tries := make([]chiveforward.Try, 0, 10)
 	for range 9 {
--- a/chiveforward/attempt_log.go
+++ b/chiveforward/attempt_log.go
@@ -25,7 +25,7 @@
 	notRunByNoWrite    = "not_written"
 )
 
-// namesOfIdentities tell in log lines which request a response named.
+// namesOfIdentities maps identities to values of the log field response_names.
 var namesOfIdentities = map[chiverequest.Identity]string{
 	chiverequest.IdentitySame: "request", chiverequest.IdentityOther: "other", chiverequest.IdentityMissing: "none", chiverequest.IdentityUnstated: "none",
 }
--- a/chiveforward/attempt_log_test.go
+++ b/chiveforward/attempt_log_test.go
@@ -48,7 +48,7 @@
 	return peerConn{conn}, err
 }
 
-// Guards against an attempt of which the log does not tell why it counts as run or as not run.
+// Guards against log lines that do not say why an attempt counts as run or not run.
 func TestLogShowsEvidenceOfAttempt(t *testing.T) {
 	const empty = "Content-Length: 0\r\n\r\n"
 	for name, c := range map[string]struct {
--- a/chiveforward/event.go
+++ b/chiveforward/event.go
@@ -20,7 +20,7 @@
 
 const (
 	idField = "id"
-	// retryField tells callers when to connect again, and is no part of an event.
+	// retryField sets the caller's reconnection time and is not part of an event.
 	retryField = "retry"
 )
 
--- a/chiveforward/joined_event_test.go
+++ b/chiveforward/joined_event_test.go
@@ -32,7 +32,7 @@
 	}
 }
 
-// Guards against a sound stream without a length that breaks off, since its data tells of responses.
+// Guards against breaking a sound stream whose data contains a status line.
 func TestDataMayHoldAStatusLine(t *testing.T) {
 	const events = firstEvents + "weight-versions: 3\nevent: token\nid: 3\ndata: {\"text\": \"HTTP/1.1 200 OK\\r\\nId: 41\"}\n\nid: 4\ndata: HTTP/1.1 503 Full\ndata: Id: 41\n\n" +
 		"weight-versions: 3\nid: 5\ndata: d\n\n"
--- a/chiveforward/late_body_test.go
+++ b/chiveforward/late_body_test.go
@@ -11,7 +11,7 @@
 	"chivedrift/chivetable"
 )
 
-// Guards against waiting up to the deadline for a response that is taken for the body of a late one, which was cut off or answers HEAD.
+// Guards against requests that wait until their deadline because their response is read as the body of a late one.
 func TestOwnResponseIsNoBodyOfALateOne(t *testing.T) {
 	const own = "HTTP/1.1 200 OK\r\nId: 42\r\nContent-Length: 3\r\n\r\nown"
 	for name, late := range map[string]string{
--- a/chiveforward/late_response_test.go
+++ b/chiveforward/late_response_test.go
@@ -58,7 +58,7 @@
 	}
 }
 
-// Guards against waiting up to the deadline for a response that cannot be told from a late one before it.
+// Guards against requests that wait until their deadline behind a late response whose end cannot be determined.
 func TestResponseBehindLateOneWithoutEndBreaksTheAttempt(t *testing.T) {
 	const own = "HTTP/1.1 200 OK\r\nId: 42\r\nContent-Length: 3\r\n\r\nown"
 	for name, late := range map[string]string{
--- a/chiveforward/sequence.go
+++ b/chiveforward/sequence.go
@@ -27,7 +27,7 @@
 type eventSequence struct {
 	// isOrdered means that the events have increasing numbers.
 	isOrdered bool
-	// endsWithConnection means that bytes behind the stream cannot be told from it by its encoding.
+	// endsWithConnection means that the stream has neither a length nor chunks, so that it ends when the connection closes.
 	endsWithConnection bool
 	// after is the last event that was passed on before the attempt, last the one before the next event of the attempt.
 	after, last position
