A node whose log nobody reads serves and stops

Callers of `chivedrift node` got no response, and a planned stop did not end, once the pipe behind its standard error was full: each log line was written under the handler's lock by the goroutine of the request or of the stop. `chivedrift entry` has long written its log through an Output, which queues a bounded number of lines and drops and counts the others.

--- a/chivecommand/node.go
+++ b/chivecommand/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"log/slog"
 	"os"
 	"runtime/debug"
 
@@ -44,7 +43,9 @@
 		return err
 	}
 	debug.SetGCPercent(collectAtPercent)
-	logger := slog.New(slog.NewJSONHandler(os.Stderr, nil))
+	output := chiveevent.NewOutput(os.Stderr)
+	defer output.Close(lastLines)
+	logger := output.Logger()
 	chiveevent.TakeOverStandardLog(logger)
 	node, err := chivenode.New(settings, chivewire.TCP{}, logger)
 	if err != nil {
--- a/cmd/chivedrift/process_test.go
+++ b/cmd/chivedrift/process_test.go
@@ -119,14 +119,17 @@
 func (s *system) startNode(n *nodeProcess) {
 	s.t.Helper()
 	file := filepath.Join(s.folder, n.name+".yaml")
-	settings := fmt.Sprintf("name: %s\nsite: here\nregion: r\nfailure_domain: a\nlisten: {callers: %q, admin: %q, peers: %q}\nplatform: {log: %q, vm_list: %q, log_retention_s: 86400}\n",
-		n.name, n.callers, n.admin, n.peers, s.log, s.log)
-	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+	if err := os.WriteFile(file, []byte(s.nodeSettings(n)), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
 	n.process = s.run("chivedrift", "node", "--settings", file)
 }
 
+func (s *system) nodeSettings(n *nodeProcess) string {
+	return fmt.Sprintf("name: %s\nsite: here\nregion: r\nfailure_domain: a\nlisten: {callers: %q, admin: %q, peers: %q}\nplatform: {log: %q, vm_list: %q, log_retention_s: 86400}\n",
+		n.name, n.callers, n.admin, n.peers, s.log, s.log)
+}
+
 func (s *system) listVMs() {
 	s.t.Helper()
 	entries := make([]string, 0, len(s.nodes))
