SIGHUP ends no node, whenever it comes

SIGHUP says that the settings file has changed. Callers lost every request in flight if it came at a bad time, since the default action ended the process: to `chivedrift node` at any time, which did not handle it; to `entry` until its settings had been read and its log was open, and after the stop, while the last log lines were written (up to 200 ms).

Both commands now receive it from the first line of the program, keep one that comes while the settings are read and answer it with event 106 once they run, and ignore it after the stop: signal.Stop, as it was used, restores the default action.

--- a/chivecommand/entry.go
+++ b/chivecommand/entry.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"log/slog"
 	"os"
-	"os/signal"
-	"reflect"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"chivedrift/chiveevent"
@@ -22,6 +18,7 @@
 var entryVerb = settingsVerb("entry", "Run one node on a platform with a metadata store, until a signal.", runEntry)
 
 func runEntry(ctx context.Context, file string) error {
+	watcher := newSettingsWatcher(file, chivesettings.LoadStoreNode)
 	settings, err := chivesettings.LoadStoreNode(file)
 	if err != nil {
 		return err
@@ -31,7 +28,7 @@
 	defer output.Close(lastLines)
 	logger := output.Logger()
 	chiveevent.TakeOverStandardLog(logger)
-	stopWatching := watchSettings(ctx, file, settings, logger)
+	stopWatching := watcher.start(ctx, settings, logger)
 	defer stopWatching()
 	node, err := chivenode.NewStoreNode(settings, chivewire.TCP{}, logger)
 	if err != nil {
@@ -44,35 +41,3 @@
 	<-ctx.Done()
 	return node.Stop(context.WithoutCancel(ctx))
 }
-
-// watchSettings answers the signal that the settings file has changed: the node says what it finds and serves on, since
-// addresses in use cannot change under the callers' connections.
-func watchSettings(ctx context.Context, file string, inForce chivesettings.StoreNode, logger *slog.Logger) (stop func()) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	done := make(chan struct{})
-	go func() {
-		for {
-			select {
-			case <-signals:
-				lookAgain(ctx, file, inForce, logger)
-			case <-done:
-				return
-			}
-		}
-	}()
-	return func() {
-		signal.Stop(signals)
-		close(done)
-	}
-}
-
-func lookAgain(ctx context.Context, file string, inForce chivesettings.StoreNode, logger *slog.Logger) {
-	found, err := chivesettings.LoadStoreNode(file)
-	if err != nil {
-		chiveevent.SettingsReloaded.Log(ctx, logger, slog.String("file", file), slog.String("error", err.Error()), slog.Bool("kept", true))
-		return
-	}
-	changed := !reflect.DeepEqual(found, inForce)
-	chiveevent.SettingsReloaded.Log(ctx, logger, slog.String("file", file), slog.Bool("changed", changed), slog.Bool("kept", true))
-}
--- a/chivecommand/node.go
+++ b/chivecommand/node.go
@@ -23,7 +23,7 @@
 // settingsVerb is a verb that runs a process from its settings file.
 func settingsVerb(name, usage string, run func(ctx context.Context, file string) error) verb {
 	return verb{
-		name: name, usage: usage,
+		name: name, usage: usage, serves: true,
 		flags: func(s *flaggy.Subcommand) action {
 			var settings string
 			s.String(&settings, "s", "settings", "The node's settings file.")
@@ -38,6 +38,7 @@
 }
 
 func runNode(ctx context.Context, file string) error {
+	watcher := newSettingsWatcher(file, chivesettings.Load)
 	settings, err := chivesettings.Load(file)
 	if err != nil {
 		return err
@@ -47,6 +48,8 @@
 	defer output.Close(lastLines)
 	logger := output.Logger()
 	chiveevent.TakeOverStandardLog(logger)
+	stopWatching := watcher.start(ctx, settings, logger)
+	defer stopWatching()
 	node, err := chivenode.New(settings, chivewire.TCP{}, logger)
 	if err != nil {
 		return err
--- a/chivecommand/verb.go
+++ b/chivecommand/verb.go
@@ -31,6 +31,8 @@
 	name  string
 	usage string
 	flags func(s *flaggy.Subcommand) action
+	// serves is set for commands that serve callers until they are asked to stop.
+	serves bool
 }
 
 // action runs a verb once its flags were read.
@@ -73,18 +75,25 @@
 
 // Main runs the program and returns its exit code.
 func Main(args []string, out, errors io.Writer) int {
+	// Received before the command is known, since a node that is starting may get one at any time. signal.Ignore could not
+	// be undone for the other commands.
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	chosen, act := parse(args)
-	if act == nil {
+	chosen, ok := parse(args)
+	if !ok {
 		fmt.Fprintf(errors, "%s: expected a command; see %s --help\n", program, program)
 		return exitBadInput
 	}
-	err := act(ctx, out)
+	if !chosen.serves {
+		signal.Stop(hangUps)
+	}
+	err := chosen.act(ctx, out)
 	if err == nil {
 		return exitOK
 	}
-	fmt.Fprintf(errors, "%s %s: %v\n", program, chosen, err)
+	fmt.Fprintf(errors, "%s %s: %v\n", program, chosen.name, err)
 	return exitCode(err)
 }
 
@@ -100,19 +109,22 @@
 	return exitFailure
 }
 
-// parse reads the command line and returns the chosen verb's name and action.
-func parse(args []string) (name string, act action) {
+// command is a verb with its full name, its flags as a parser reads them and what it does with them.
+type command struct {
+	name   string
+	serves bool
+	flags  *flaggy.Subcommand
+	act    action
+}
+
+// parse reads the command line and returns the command that it names.
+func parse(args []string) (chosen command, ok bool) {
 	parser := flaggy.NewParser(program)
 	parser.Description = "A router for language-model traffic with service levels and priorities."
 	parser.Version = version
 	parser.ShowHelpOnUnexpected = true
 	attached := make(map[string]*flaggy.Subcommand)
-	type built struct {
-		name string
-		sub  *flaggy.Subcommand
-		act  action
-	}
-	var all []built
+	var all []command
 	for _, v := range verbs() {
 		sub := flaggy.NewSubcommand(v.name)
 		sub.Description = v.usage
@@ -124,17 +136,17 @@
 			groupOf(parser, attached, v.group).AttachSubcommand(sub, 1)
 			full = v.group + " " + v.name
 		}
-		all = append(all, built{full, sub, act})
+		all = append(all, command{name: full, serves: v.serves, flags: sub, act: act})
 	}
 	if err := parser.ParseArgs(args); err != nil {
-		return "", nil
+		return command{}, false
 	}
-	for _, b := range all {
-		if b.sub.Used {
-			return b.name, b.act
+	for _, c := range all {
+		if c.flags.Used {
+			return c, true
 		}
 	}
-	return "", nil
+	return command{}, false
 }
 
 func groupOf(parser *flaggy.Parser, attached map[string]*flaggy.Subcommand, name string) *flaggy.Subcommand {
--- a/cmd/chivedrift/signal_test.go
+++ b/cmd/chivedrift/signal_test.go
@@ -19,11 +19,14 @@
 )
 
 const (
-	stopBound    = 15 * time.Second
-	pollInterval = 5 * time.Millisecond
-	requestTime  = 800 * time.Millisecond
-	// fillTime is longer than it takes to fill a pipe.
-	fillTime = 300 * time.Millisecond
+	stopBound     = 15 * time.Second
+	pollInterval  = 5 * time.Millisecond
+	stoppedEvent  = `"event":103,`
+	reloadedEvent = `"event":106,`
+	requestTime   = 800 * time.Millisecond
+	// signalTime is longer than the system takes to deliver a signal, fillTime than to fill a pipe.
+	signalTime = 100 * time.Millisecond
+	fillTime   = 300 * time.Millisecond
 )
 
 // servingCommand is one of the commands that serve callers, with settings for it.
@@ -153,6 +156,17 @@
 	return ended
 }
 
+// logFile returns a file for the log of a process.
+func logFile(tb testing.TB) *os.File {
+	tb.Helper()
+	file, err := os.Create(filepath.Join(tb.TempDir(), "log"))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { _ = file.Close() })
+	return file
+}
+
 // fullPipe returns both ends of a pipe that takes no more bytes until some are read.
 func fullPipe(tb testing.TB) (reader, writer *os.File) {
 	tb.Helper()
@@ -170,6 +184,16 @@
 	return reader, writer
 }
 
+// readLog returns what a process has logged to a file so far.
+func readLog(tb testing.TB, file *os.File) string {
+	tb.Helper()
+	text, err := os.ReadFile(file.Name())
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return string(text)
+}
+
 // send sends a signal to a process, which may have ended.
 func send(process *exec.Cmd, signal syscall.Signal) { _ = process.Process.Signal(signal) }
 
@@ -198,3 +222,123 @@
 		})
 	}
 }
+
+// Guards against nodes that a changed settings file ends, and all their requests, since they have just been started.
+func TestHangUpWhileANodeReadsItsSettings(t *testing.T) {
+	for _, c := range servingCommands(t) {
+		t.Run(c.name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "settings")
+			if err := syscall.Mkfifo(file, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			log := logFile(t)
+			process := c.start(t, file, log)
+			ended := wait(process)
+			// Opening returns once the process opens the file too.
+			settings, err := os.OpenFile(file, os.O_WRONLY, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			send(process, syscall.SIGHUP)
+			time.Sleep(signalTime)
+			if _, err := settings.WriteString(c.settings); err != nil {
+				t.Error(err)
+			}
+			_ = settings.Close()
+			if err := c.awaitReady(ended); err != nil {
+				t.Fatalf("%v; log %s", err, readLog(t, log))
+			}
+			send(process, syscall.SIGTERM)
+			if err := <-ended; err != nil {
+				t.Errorf("ended with %v; log %s", err, readLog(t, log))
+			}
+		})
+	}
+}
+
+// Guards against nodes that a hang-up or a second request to stop ends while they wait for requests.
+func TestSignalsWhileANodeStopsCutNoRequest(t *testing.T) {
+	for _, c := range servingCommands(t) {
+		t.Run(c.name, func(t *testing.T) {
+			log := logFile(t)
+			process := c.start(t, c.writeSettings(t), log)
+			ended := wait(process)
+			if err := c.awaitReady(ended); err != nil {
+				t.Fatalf("%v; log %s", err, readLog(t, log))
+			}
+			responses := make(chan error, 1)
+			go func() { responses <- c.longRequest() }()
+			time.Sleep(requestTime / 4)
+			send(process, syscall.SIGTERM)
+			for range 10 {
+				time.Sleep(pollInterval)
+				for _, signal := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT} {
+					send(process, signal)
+				}
+			}
+			if err := <-responses; err != nil {
+				t.Error(err)
+			}
+			if err := <-ended; err != nil {
+				t.Errorf("ended with %v", err)
+			}
+			if text := readLog(t, log); !strings.Contains(text, stoppedEvent) || !strings.Contains(text, reloadedEvent) {
+				t.Errorf("events of the stop or of the changed settings are missing: %s", text)
+			}
+		})
+	}
+}
+
+// Guards against last log lines that are lost since a hang-up ends the process while it writes them.
+func TestHangUpWhileTheLastLinesAreWritten(t *testing.T) {
+	for _, c := range servingCommands(t) {
+		t.Run(c.name, func(t *testing.T) {
+			_, writer := fullPipe(t)
+			process := c.start(t, c.writeSettings(t), writer)
+			ended := wait(process)
+			if err := c.awaitReady(ended); err != nil {
+				t.Fatal(err)
+			}
+			send(process, syscall.SIGTERM)
+			limit := time.After(stopBound)
+			for {
+				send(process, syscall.SIGHUP)
+				select {
+				case err := <-ended:
+					if err != nil {
+						t.Errorf("ended with %v", err)
+					}
+					return
+				case <-limit:
+					t.Fatal("the process does not end")
+				case <-time.After(pollInterval):
+				}
+			}
+		})
+	}
+}
+
+// Guards against commands that run on after their terminal has closed, since nodes ignore that signal.
+func TestHangUpEndsCommandsThatAreNoNodes(t *testing.T) {
+	process := exec.Command(filepath.Join(bin, "chivedrift"), "quickstart")
+	out, err := process.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := process.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = process.Process.Kill() })
+	if _, err := out.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	send(process, syscall.SIGHUP)
+	select {
+	case err := <-wait(process):
+		if err == nil || err.Error() != "signal: hangup" {
+			t.Errorf("ended with %v", err)
+		}
+	case <-time.After(stopBound):
+		t.Error("the process does not end")
+	}
+}
