A node survives the end of the process that reads its log

Callers lost all requests of a node whose log collector ended or was started again: a Go program that writes to a closed pipe on standard output or error gets SIGPIPE and ends. Nodes ignore SIGPIPE now; such lines are lost. Other commands keep the default, so that `chivedrift state | head` ends.

The test closes the reading end after the start. On the code before, both commands "ended: signal: broken pipe" before they were ready.

--- a/chivecommand/verb.go
+++ b/chivecommand/verb.go
@@ -86,7 +86,10 @@
 		fmt.Fprintf(errors, "%s: expected a command; see %s --help\n", program, program)
 		return exitBadInput
 	}
-	if !chosen.serves {
+	if chosen.serves {
+		// A write to a log whose reader has ended must not end the process.
+		signal.Ignore(syscall.SIGPIPE)
+	} else {
 		signal.Stop(hangUps)
 	}
 	err := chosen.act(ctx, out)
--- a/cmd/chivedrift/signal_test.go
+++ b/cmd/chivedrift/signal_test.go
@@ -342,3 +342,32 @@
 		t.Error("the process does not end")
 	}
 }
+
+// Guards against nodes that end, and cut all requests, since the process that reads their log has ended.
+func TestReaderOfTheLogEnds(t *testing.T) {
+	for _, c := range servingCommands(t) {
+		t.Run(c.name, func(t *testing.T) {
+			reader, writer, err := os.Pipe()
+			if err != nil {
+				t.Fatal(err)
+			}
+			process := c.start(t, c.writeSettings(t), writer)
+			ended := wait(process)
+			_, _ = writer.Close(), reader.Close()
+			if err := c.awaitReady(ended); err != nil {
+				t.Fatal(err)
+			}
+			responses := make(chan error, 1)
+			go func() { responses <- c.longRequest() }()
+			time.Sleep(requestTime / 4)
+			send(process, syscall.SIGHUP)
+			if err := <-responses; err != nil {
+				t.Error(err)
+			}
+			send(process, syscall.SIGTERM)
+			if err := <-ended; err != nil {
+				t.Errorf("ended with %v", err)
+			}
+		})
+	}
+}
