Tracker of callers' connections moved to chivecaller

A pure move: the own interface needs the same states for its connections. The limits of connection times are passed as durations, so that the package does not depend on the routing table. Its tests go through the entry and stay there.

--- /dev/null
+++ b/chivecaller/doc.go
@@ -0,0 +1,3 @@
+// Package chivecaller tracks the connections of callers to a node's HTTP server, so that a connection is closed only while
+// no request is being served on it.
+package chivecaller
--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"chivedrift/chivecaller"
 	"chivedrift/chiveevent"
 	"chivedrift/chiveforward"
 	"chivedrift/chivekernel"
@@ -72,7 +73,7 @@
 	server   *chivewire.HTTPServer
 	table    atomic.Pointer[chivetable.Table]
 	metrics  *metrics
-	conns    *callerConns
+	conns    *chivecaller.Conns
 	draining atomic.Bool
 	inFlight atomic.Int64
 	accepted atomic.Int64
@@ -81,11 +82,11 @@
 
 // New returns an entry that does not listen yet.
 func New(options Options) *Entry {
-	e := &Entry{options: options, metrics: newMetrics(options.Scope), conns: newCallerConns()}
+	e := &Entry{options: options, metrics: newMetrics(options.Scope), conns: chivecaller.NewConns()}
 	e.server = chivewire.NewHTTPServer(&http.Server{
 		Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog:    slog.NewLogLogger(options.Logger.Handler(), slog.LevelDebug),
-		ConnContext: e.conns.connContext, ConnState: e.conns.connState,
+		ConnContext: e.conns.ConnContext, ConnState: e.conns.ConnState,
 	})
 	return e
 }
@@ -109,7 +110,7 @@
 func (e *Entry) enforceConnTimeouts(ctx context.Context) {
 	chivekernel.Every(ctx, connCheckInterval, func(now time.Time) {
 		if table := e.table.Load(); table != nil {
-			e.conns.closeTimedOut(now, table.Limits())
+			e.conns.CloseTimedOut(now, table.Limits().HeaderTime, table.Limits().IdleTime)
 		}
 	})
 }
@@ -123,7 +124,7 @@
 	e.server.StopListening()
 	// Idle connections are closed too: no response asks their callers to close them, and a request that arrived on one
 	// near the end of the wait would be aborted.
-	e.conns.closeIdle()
+	e.conns.CloseIdle()
 	for e.inFlight.Load() > 0 && ctx.Err() == nil {
 		select {
 		case <-time.After(stopPollInterval):
@@ -154,7 +155,7 @@
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
-	if conn := connOfRequest(r); conn != nil && !conn.startServing() {
+	if conn := chivecaller.Of(r); conn != nil && !conn.StartServing() {
 		// The connection was closed while this request was being read: it is not forwarded, and the caller sees the
 		// connection close.
 		panic(http.ErrAbortHandler)
