Log: requests that a stop cuts, with the times that explain why

What operators saw: nothing. Of a request whose connection the end of a stop closed, no line said when its last byte was read, when it was sent to an endpoint, or whether its response was written out; events 504 and 508 come when the handler ends, which is before net/http has written a short response.

Now the tracker of connections knows when a response has been written out: when net/http reports the connection idle, or closes it after the handler returned and no write failed. A response that ends otherwise during a stop is event 517 (WARN) with the time at which its request was read and sent, counted from the signal, and the time left when it was read. Events 500, 504 and 508 of requests that end during a stop have these times too, event 103 the number of requests cut. The stop waits up to 150 ms for the handlers that it cut, so that their lines are written before the process ends.

--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -38,6 +38,9 @@
 	maxHeaderBytes = 1 << 20
 	// stopPollInterval is the interval at which Stop checks whether all requests have ended.
 	stopPollInterval = 20 * time.Millisecond
+	// lastLinesWait limits the wait for the log lines of the requests that were cut; the process ends soon after.
+	lastLinesWait         = 150 * time.Millisecond
+	lastLinesPollInterval = 5 * time.Millisecond
 	// retryAfterNoConfig is short because another node has a configuration.
 	retryAfterNoConfig = 200 * time.Millisecond
 	// retryAfterNoMemory is long enough for some requests to end and free their memory.
@@ -58,6 +61,8 @@
 	Network   chivewire.Network
 	Dialect   chiverequest.CallerDialect
 	Forwarder Forwarder
+	// Shutdown is the planned stop of the node, which the forwarder also knows; nil means one of the entry's own.
+	Shutdown *chiveforward.Shutdown
 	// Streams looks up where streams began, Versions the software versions of a pool; nil if endpoints have no versions.
 	Streams  Streams
 	Versions Versions
@@ -77,11 +82,15 @@
 	draining atomic.Bool
 	inFlight atomic.Int64
 	accepted atomic.Int64
+	cut      atomic.Int64
 	duties   chivekernel.Duties
 }
 
 // New returns an entry that does not listen yet.
 func New(options Options) *Entry {
+	if options.Shutdown == nil {
+		options.Shutdown = chiveforward.NewShutdown()
+	}
 	e := &Entry{options: options, metrics: newMetrics(options.Scope), conns: chivecaller.NewConns()}
 	e.server = chivewire.NewHTTPServer(&http.Server{
 		Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -99,7 +108,7 @@
 
 // Start starts listening.
 func (e *Entry) Start(ctx context.Context) error {
-	if err := e.server.Start(e.options.Network, e.options.Address); err != nil {
+	if err := e.server.Start(e.conns.On(e.options.Network), e.options.Address); err != nil {
 		return fmt.Errorf("entry: %w", err)
 	}
 	e.duties.Begin(ctx, e.enforceConnTimeouts)
@@ -115,12 +124,17 @@
 	})
 }
 
-// Leave starts draining: from now on, responses ask callers to close the connection.
-func (e *Entry) Leave() { e.draining.Store(true) }
+// Leave starts draining: from now on, responses ask callers to close the connection. At the given time, Stop cuts what has
+// not ended; zero means never.
+func (e *Entry) Leave(cut time.Time) {
+	e.options.Shutdown.Begin(time.Now(), cut)
+	e.draining.Store(true)
+}
 
 // Stop accepts no new connections and waits for the requests in flight until the context ends, then aborts the rest.
 func (e *Entry) Stop(ctx context.Context) error {
-	e.Leave()
+	cut, _ := ctx.Deadline()
+	e.Leave(cut)
 	e.server.StopListening()
 	// Idle connections are closed too: no response asks their callers to close them, and a request that arrived on one
 	// near the end of the wait would be aborted.
@@ -131,6 +145,8 @@
 		case <-ctx.Done():
 		}
 	}
+	e.conns.Cut()
+	e.awaitLastLines()
 	err := e.server.Close()
 	e.duties.End()
 	if err != nil {
@@ -139,6 +155,16 @@
 	return nil
 }
 
+// awaitLastLines waits until the handlers of the requests that were cut have ended, each with the log lines of its request.
+func (e *Entry) awaitLastLines() {
+	for end := time.Now().Add(lastLinesWait); e.inFlight.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(lastLinesPollInterval)
+	}
+}
+
+// Cut returns the number of requests whose connection the shutdown closed before the response was written out.
+func (e *Entry) Cut() int64 { return e.cut.Load() }
+
 // InFlight returns the number of requests being served.
 func (e *Entry) InFlight() int64 { return e.inFlight.Load() }
 
@@ -155,13 +181,24 @@
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
-	if conn := chivecaller.Of(r); conn != nil && !conn.StartServing() {
+	conn := chivecaller.Of(r)
+	if conn != nil && !conn.StartServing() {
 		// The connection was closed while this request was being read: it is not forwarded, and the caller sees the
 		// connection close.
 		panic(http.ErrAbortHandler)
 	}
 	e.accepted.Add(1)
+	e.answer(w, r, conn)
+	if conn != nil {
+		conn.Answered()
+	}
+}
+
+// answer reads a request and writes the response, or panics with http.ErrAbortHandler after a part of it.
+func (e *Entry) answer(w http.ResponseWriter, r *http.Request, conn *chivecaller.Conn) {
 	metadata, err := e.options.Dialect.Read(r.Header)
+	x := e.newExchange(conn, metadata.ID)
+	defer x.handlerEnded()
 	if err != nil {
 		e.refuse(w, r, metadata, nil, newRefusal(http.StatusBadRequest, "invalid_header", err.Error()))
 		return
@@ -171,7 +208,7 @@
 		e.refuse(w, r, metadata, request, err)
 		return
 	}
-	e.forward(w, r, request)
+	e.forward(w, r, request, x)
 }
 
 // admit checks a request against the current routing table and reads its body. On failure the returned request, which
@@ -213,6 +250,7 @@
 	if request.Body, err = ReadBody(w, r, table.Limits().BodyBytes); err != nil {
 		return request, err
 	}
+	request.Received = time.Now()
 	request.Deadline = now.Add(requestTimeout(route, metadata))
 	request.LastEvent, request.Resumes = metadata.LastEvent, metadata.Resumes
 	setPool(request, team)
@@ -307,24 +345,28 @@
 	if !errors.As(err, &f) {
 		f = newRefusal(http.StatusBadRequest, "invalid_request", err.Error())
 	}
-	route, version := "", int64(0)
+	route, version, received := "", int64(0), time.Time{}
 	if request != nil {
-		version = request.TableVersion
+		version, received = request.TableVersion, request.Received
 		if request.Route != nil {
 			route = request.Route.Name
 		}
 	}
-	chiveevent.RequestRefused.Log(r.Context(), e.options.Logger, chiveevent.Request(metadata.ID), slog.String("route", route),
-		slog.Int64("table_version", version), slog.Int("status", f.Status), slog.String("code", f.Code), slog.String("reason", f.Message))
+	attributes := append([]slog.Attr{
+		chiveevent.Request(metadata.ID), slog.String("route", route),
+		slog.Int64("table_version", version), slog.Int("status", f.Status), slog.String("code", f.Code), slog.String("reason", f.Message),
+	}, e.stopTimes(received, time.Time{})...)
+	chiveevent.RequestRefused.Log(r.Context(), e.options.Logger, attributes...)
 	e.metrics.countRefusal(route, f.Code)
 	e.writeFailure(w, f, metadata.ID)
 }
 
 // forward runs an admitted request; if no endpoint has answered it, forward writes the error response.
-func (e *Entry) forward(w http.ResponseWriter, r *http.Request, request *chiverequest.Request) {
+func (e *Entry) forward(w http.ResponseWriter, r *http.Request, request *chiverequest.Request, x *exchange) {
 	e.logAccepted(r.Context(), request)
 	sink := &responseSink{w: w, controller: http.NewResponseController(w), draining: e.draining.Load}
 	result := e.options.Forwarder.Run(r.Context(), request, sink)
+	x.setResult(request, result)
 	e.metrics.recordResult(request, result)
 	e.logEnded(r.Context(), request, result)
 	switch {
@@ -368,6 +410,7 @@
 		slog.Int64("expected_ms", result.Expected.Milliseconds()), slog.Int64("took_ms", time.Since(request.Arrival).Milliseconds()),
 		slog.Int64("left_ms", time.Until(request.Deadline).Milliseconds()),
 	}
+	attributes = append(attributes, e.stopTimes(request.Received, result.Sent)...)
 	if result.Outcome == chiveforward.Completed {
 		chiveevent.RequestEnded.Log(ctx, e.options.Logger, attributes...)
 		return
--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -11,7 +11,7 @@
 	NodeStarting     = define(100, slog.LevelInfo, "node starting", "None.")
 	NodeReady        = define(101, slog.LevelInfo, "node ready", "None; the load balancer may send traffic.")
 	NodeStopping     = define(102, slog.LevelInfo, "node stopping", "None; the node completes the requests in flight.")
-	NodeStopped      = define(103, slog.LevelInfo, "node stopped", "None.")
+	NodeStopped      = define(103, slog.LevelInfo, "node stopped", "None if cut, the number of requests whose connection the stop closed before their response was written out, is 0; event 517 names them.")
 	LinesDropped     = define(105, slog.LevelWarn, "log lines dropped", "The process that reads the log is too slow: the lines are lost, but no request was delayed.")
 	SettingsReloaded = define(106, slog.LevelInfo, "settings looked at again", "Check whether the settings changed; a node applies new settings at its next start.")
 	AdminFailed      = define(107, slog.LevelError, "operators' address not served", "The node serves callers without the operators' address: free the address, then restart the node.")
@@ -97,6 +97,7 @@
 	CrashRefuted    = define(513, slog.LevelWarn, "crash report refuted", "None; the endpoint answered after it was reported as crashed. Check the network path between the nodes and the endpoint.")
 	EndpointFailed  = define(515, slog.LevelWarn, "silent endpoint failed", "Nothing broke, but the endpoint no longer answers; the field evidence shows what was tried. Read the engine's own log.")
 	StreamTakenUp   = define(516, slog.LevelInfo, "stream taken up", "None; origin shows how the node knows the software version that began the stream: record from this node or an owner, sole since all endpoints have that version, moved since the route has moved to another pool, unnamed since the caller names no attempt.")
+	ResponseCut     = define(517, slog.LevelWarn, "connection closed before the response was written out", "The node was stopping. ending shows who closed the connection: cut by the stop, or broken off before that by its caller or since the response was aborted. read_after_stop_ms is when the last byte of the request was read, counted from the signal to stop, stop_left_ms the time that the node had left then, sent_after_stop_ms when the last attempt was sent to an endpoint, and since_stop_ms when this line was written; begun shows whether a part of the response had been passed on. Lines 500, 504 and 508 of requests that ended during a stop have these times too.")
 	FailureReceived = define(514, slog.LevelWarn, "endpoint's failure received", "Another node detected the failure. Read the engine's own log.")
 	RequestUnknown  = define(502, slog.LevelWarn, "outcome unknown", "The caller was informed; compare with the endpoint's own records.")
 
--- a/chiveforward/request.go
+++ b/chiveforward/request.go
@@ -96,6 +96,8 @@
 	Status  int
 	// Tries are the attempts that were made, in order.
 	Tries []Try
+	// Sent is when the last attempt was sent; zero if there was none.
+	Sent time.Time
 	// First is the time from the arrival of the request to the start of the response.
 	First  time.Duration
 	Events int
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -82,6 +82,7 @@
 		return r.giveUpAfter(ctx, r.lastOutcome)
 	}
 	a := &attempt{state: r, place: place, target: place.Target(), startedAt: time.Now()}
+	r.result.Sent = a.startedAt
 	r.logAttemptSent(ctx, a)
 	outcome := a.execute(ctx)
 	ejectedFor := place.Done(time.Now(), a.ending(outcome))
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -565,19 +565,20 @@
 	started := time.Now()
 	chiveevent.NodeStopping.Log(ctx, n.logger, slog.Int64("in_flight", n.entry.InFlight()))
 	n.ready.Leave()
-	n.entry.Leave()
+	cut := started.Add(n.settings.Stop.Grace() - stopMargin)
+	n.entry.Leave(cut)
 	n.members.Leave(ctx)
 	if n.lease != nil {
 		n.lease.Release(ctx)
 	}
 	releaseWait := min(n.settings.Stop.BalancerRelease(), n.settings.Stop.Grace()/2)
 	time.Sleep(releaseWait)
-	stopCtx, cancel := context.WithDeadline(ctx, started.Add(n.settings.Stop.Grace()-stopMargin))
+	stopCtx, cancel := context.WithDeadline(ctx, cut)
 	defer cancel()
 	err := n.entry.Stop(stopCtx)
 	n.relay.Drain(stopCtx)
 	chiveevent.NodeStopped.Log(ctx, n.logger, slog.String("node", n.settings.Name), slog.Int64("in_flight", n.entry.InFlight()),
-		slog.Int64("took_ms", time.Since(started).Milliseconds()))
+		slog.Int64("cut", n.entry.Cut()), slog.Int64("took_ms", time.Since(started).Milliseconds()))
 	return err
 }
 
--- a/chiverequest/request.go
+++ b/chiverequest/request.go
@@ -34,8 +34,10 @@
 	// Origin is where the stream began, once it has; nil allows endpoints of any software version.
 	Origin *Origin
 	// Resumes is the ID of the caller's attempt that brought the first event of that stream; empty if it names none.
-	Resumes  string
-	Arrival  time.Time
+	Resumes string
+	Arrival time.Time
+	// Received is when the last byte of the request was read.
+	Received time.Time
 	Deadline time.Time
 	// TableVersion is the version of the routing table that Route comes from.
 	TableVersion int64
