Own interface: a planned stop closes no connection whose request runs

What callers saw: a request sent on a kept connection in the moment of a planned stop of `chivedrift node` ran, and its connection was closed without a response, so that they could not know whether it had run.

Cause: Stop turned keep-alives off, and net/http then closes the connections that it takes for idle. Those are all whose next request's header it has not read to the end, so that the request runs after its connection was closed.

Fix: the gateway's connections are tracked by chivecaller, as those of the entry: closing and serving are transitions of one state, of which one succeeds. Responses during a stop say Connection: close (also those of services, whose own header no longer replaces it), and Stop waits until every connection has ended, which is after its response has been written, instead of for handlers.

--- a/chivegate/gateway.go
+++ b/chivegate/gateway.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"chivedrift/chivecaller"
 	"chivedrift/chiveclaim"
 	"chivedrift/chiveconfig"
 	"chivedrift/chivedispatch"
@@ -85,6 +86,8 @@
 type Gate struct {
 	options      Options
 	server       *chivewire.HTTPServer
+	conns        *chivecaller.Conns
+	draining     atomic.Bool
 	explanations *explanations
 	metrics      *requestMetrics
 	keys         atomic.Pointer[teamKeys]
@@ -95,7 +98,7 @@
 
 // New returns a gateway that does not listen yet.
 func New(options Options) *Gate {
-	g := &Gate{options: options, explanations: newExplanations(), metrics: newRequestMetrics(options.Scope)}
+	g := &Gate{options: options, conns: chivecaller.NewConns(), explanations: newExplanations(), metrics: newRequestMetrics(options.Scope)}
 	g.startID = strconv.FormatInt(time.Now().UnixMilli(), requestIDBase) + strconv.FormatInt(rand.Int64N(1<<20), requestIDBase)
 	g.keys.Store(&teamKeys{})
 	mux := http.NewServeMux()
@@ -105,8 +108,9 @@
 	mux.HandleFunc(pathServices, g.serveService)
 	mux.HandleFunc("/", g.serveNotFound)
 	g.server = chivewire.NewHTTPServer(&http.Server{
-		Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(options.Logger.Handler(), slog.LevelError),
+		Handler: g.track(mux), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog:    slog.NewLogLogger(options.Logger.Handler(), slog.LevelError),
+		ConnContext: g.conns.ConnContext, ConnState: g.conns.ConnState,
 	})
 	return g
 }
@@ -121,25 +125,44 @@
 
 // Start starts listening.
 func (g *Gate) Start(context.Context) error {
-	if err := g.server.Start(g.options.Network, g.options.Address); err != nil {
+	if err := g.server.Start(g.conns.On(g.options.Network), g.options.Address); err != nil {
 		return fmt.Errorf("gate: %w", err)
 	}
 	return nil
 }
 
-// Stop accepts no new connections and waits for all requests in flight, however long they take.
+// Stop accepts no new connections and waits until the response to each request in flight has been written, however long
+// the request takes. A connection without a request is closed, a new one once its request has been answered or the time for
+// a header has passed.
 func (g *Gate) Stop(context.Context) error {
+	g.draining.Store(true)
 	g.server.StopListening()
-	g.server.DisableKeepAlives()
-	for g.inFlight.Load() > 0 {
+	g.conns.CloseIdle()
+	for g.conns.Count() > 0 {
 		time.Sleep(stopPollInterval)
 	}
-	if err := g.server.Shutdown(); err != nil {
+	if err := g.server.Close(); err != nil {
 		return fmt.Errorf("gate: %w", err)
 	}
 	return nil
 }
 
+// track marks the connection of each request as serving, so that Stop does not close it.
+func (g *Gate) track(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn := chivecaller.Of(r)
+		if conn != nil && !conn.StartServing() {
+			// The connection was closed while this request was being read: it does not run, and the caller sees the
+			// connection close.
+			panic(http.ErrAbortHandler)
+		}
+		if g.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // InFlight returns the number of requests being served.
 func (g *Gate) InFlight() int64 { return g.inFlight.Load() }
 
--- a/chivegate/gateway_test.go
+++ b/chivegate/gateway_test.go
@@ -56,6 +56,23 @@
 func (unlimitedQuota) Return(string, int64) {}
 
 func newGateway(tb testing.TB) (*chivegate.Gate, *fakeModels, *strings.Builder) {
+	tb.Helper()
+	models, logs := &fakeModels{}, &strings.Builder{}
+	options := testOptions(tb)
+	options.Models, options.Logger = models, slog.New(slog.NewTextHandler(logs, nil))
+	return newGatewayWith(tb, options), models, logs
+}
+
+// newGatewayWith returns a gateway with the team keys of the configuration in force.
+func newGatewayWith(tb testing.TB, options chivegate.Options) *chivegate.Gate {
+	tb.Helper()
+	gateway := chivegate.New(options)
+	gateway.SetConfig(options.InForce().Config())
+	return gateway
+}
+
+// testOptions returns options with a configuration in force, and with fakes of the other services.
+func testOptions(tb testing.TB) chivegate.Options {
 	tb.Helper()
 	digest := sha256.Sum256([]byte(key))
 	base := fmt.Sprintf(`tiers: [{name: urgent}]
@@ -71,13 +88,10 @@
 		tb.Fatal(err)
 	}
 	activeConfig := chivefollow.NewInForce(1, "hash", config)
-	models, logs := &fakeModels{}, &strings.Builder{}
-	gateway := chivegate.New(chivegate.Options{
-		Node: "n", Models: models, Services: fakeServices{}, Claims: fakeClaims{}, Quota: unlimitedQuota{},
-		InForce: func() *chivefollow.InForce { return activeConfig }, Scope: tally.NoopScope, Logger: slog.New(slog.NewTextHandler(logs, nil)),
-	})
-	gateway.SetConfig(config)
-	return gateway, models, logs
+	return chivegate.Options{
+		Node: "n", Models: &fakeModels{}, Services: fakeServices{}, Claims: fakeClaims{}, Quota: unlimitedQuota{},
+		InForce: func() *chivefollow.InForce { return activeConfig }, Scope: tally.NoopScope, Logger: slog.New(slog.DiscardHandler),
+	}
 }
 
 // errorResponse is the body of a refusal.
--- a/chivegate/service.go
+++ b/chivegate/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 
 	"chivedrift/chiveconfig"
@@ -84,10 +85,9 @@
 		return
 	}
 	header := w.Header()
-	for name, values := range response.Header {
-		header[name] = values
-	}
-	removeRouterHeaders(header)
+	forwarded := response.Header.Clone()
+	removeRouterHeaders(forwarded)
+	maps.Copy(header, forwarded)
 	header.Set(HeaderRequestID, a.id)
 	header.Set(HeaderOutcome, string(result.Outcome))
 	w.WriteHeader(response.Status)
