Own interface: responses of a leaving node close their connections

What callers saw: a node that had got SIGTERM went on to keep their connections while it waited for the load balancer (the setting balancer_release_ms), and closed them without notice after it; a request sent in that moment found a closed connection.

Now responses say Connection: close from the signal on, as those of the entry do, so that callers open their next connection at another node.

Evidence: TestResponsesCloseTheirConnectionsWhileTheGatewayLeaves failed on the code before for a served request, a refused one and an unknown path.

--- a/chivegate/gateway.go
+++ b/chivegate/gateway.go
@@ -131,11 +131,14 @@
 	return nil
 }
 
+// Leave starts draining: from now on, responses ask callers to close the connection.
+func (g *Gate) Leave() { g.draining.Store(true) }
+
 // Stop accepts no new connections and waits until the response to each request in flight has been written, however long
 // the request takes. A connection without a request is closed, a new one once its request has been answered or the time for
 // a header has passed.
 func (g *Gate) Stop(context.Context) error {
-	g.draining.Store(true)
+	g.Leave()
 	g.server.StopListening()
 	g.conns.CloseIdle()
 	for g.conns.Count() > 0 {
--- a/chivegate/stop_test.go
+++ b/chivegate/stop_test.go
@@ -187,6 +187,7 @@
 	time.Sleep(settleTime)
 	running.send("/services/s/wait")
 	<-services.begun
+	gateway.Leave()
 	stopped := stop(t, gateway)
 	unused.send("/services/s/wait/late")
 	<-services.begun
@@ -209,3 +210,17 @@
 		}
 	}
 }
+
+// Guards against callers that come back to a node which is about to stop, since no response has said so.
+func TestResponsesCloseTheirConnectionsWhileTheGatewayLeaves(t *testing.T) {
+	gateway, address := startGateway(t, chivewire.TCP{}, newWaitingServices())
+	gateway.Leave()
+	for _, path := range []string{"/services/s/x", "/services/none/x", "/unknown"} {
+		caller := dial(t, address)
+		caller.send(path)
+		if response, _, err := caller.receive(); err != nil || !response.Close {
+			t.Errorf("%s: %v, %v, want a response that closes the connection", path, response, err)
+		}
+	}
+	awaitStop(t, stop(t, gateway))
+}
--- a/chivenode/node.go
+++ b/chivenode/node.go
@@ -231,6 +231,7 @@
 func (n *Node) Stop(ctx context.Context) error {
 	chiveevent.NodeStopping.Log(ctx, n.logger, slog.Int64("in_flight", n.gate.InFlight()))
 	n.admin.Leave()
+	n.gate.Leave()
 	n.members.Leave(ctx)
 	time.Sleep(time.Duration(n.settings.Stop.BalancerReleaseMs) * time.Millisecond)
 	err := n.kernel.Stop(ctx)
