Own interface: a refused request whose body never ends blocks no stop

What operators saw: a planned stop of `chivedrift node` did not end, if a caller had begun a request which is refused before its body is read (unknown path, unknown key, full node) and sent no end of the body. That caller got no response either.

Cause: net/http reads the rest of a body before it sends the response of a handler that did not read it, without a time limit. Only bodies that the gateway reads itself had one (30 s).

Fix: the connection's read deadline is set 5 s after the header; reading the body sets a deadline of its own and resets it at the end, as before.

Evidence: TestStopEndsBesideABodyThatNeverEnds (two paths, with a length and in chunks) on the code before: "the gateway does not stop" after 15 s, no response, in all four cases.

--- a/chivegate/gateway.go
+++ b/chivegate/gateway.go
@@ -35,6 +35,8 @@
 	stopPollInterval  = 20 * time.Millisecond
 	requestIDBase     = 36
 	retryAfterSeconds = 1
+	// unreadBodyTimeout is the time that a caller has to send the body of a request that is refused without reading it.
+	unreadBodyTimeout = 5 * time.Second
 )
 
 // Models runs model requests.
@@ -150,7 +152,8 @@
 	return nil
 }
 
-// track marks the connection of each request as serving, so that Stop does not close it.
+// track marks the connection of each request as serving, so that Stop does not close it, and bounds the time for which
+// net/http reads a body that no handler reads.
 func (g *Gate) track(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn := chivecaller.Of(r)
@@ -159,6 +162,8 @@
 			// connection close.
 			panic(http.ErrAbortHandler)
 		}
+		// Some writers do not support deadlines; nothing reads the body of their requests.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
 		if g.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
--- a/chivegate/stop_test.go
+++ b/chivegate/stop_test.go
@@ -211,6 +211,28 @@
 	}
 }
 
+// Guards against a planned stop that waits without end for the body of a request which was refused at once.
+func TestStopEndsBesideABodyThatNeverEnds(t *testing.T) {
+	for _, head := range []string{
+		"POST /unknown HTTP/1.1\r\nHost: node\r\n",
+		"POST /services/s/x HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer not-a-key\r\n",
+	} {
+		for _, body := range []string{"Content-Length: 100\r\n\r\npart", "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"} {
+			t.Run(strings.Fields(head)[1]+" "+strings.Fields(body)[0], func(t *testing.T) {
+				t.Parallel()
+				gateway, address := startGateway(t, chivewire.TCP{}, newWaitingServices())
+				caller := dial(t, address)
+				_, _ = io.WriteString(caller, head+body)
+				time.Sleep(settleTime)
+				awaitStop(t, stop(t, gateway))
+				if response, _, err := caller.receive(); err != nil || response.StatusCode < http.StatusBadRequest || !response.Close {
+					t.Errorf("got %v, %v, want a refusal that closes the connection", response, err)
+				}
+			})
+		}
+	}
+}
+
 // Guards against callers that come back to a node which is about to stop, since no response has said so.
 func TestResponsesCloseTheirConnectionsWhileTheGatewayLeaves(t *testing.T) {
 	gateway, address := startGateway(t, chivewire.TCP{}, newWaitingServices())
