Relay: a planned stop waits until peers' responses are written

What callers saw: a response that a cut-off node got through a peer ended without its last bytes if that peer ended a planned stop in that moment; for a response that ends with its connection, the end is those bytes.

Cause: Drain waited for handlers. net/http writes the last chunk of the response, by which the other node knows that the endpoint has closed the connection, after the handler has returned; the process ended before.

Fix: Drain waits until the peers' connections have ended.

Evidence: TestLeavingPeerWritesTheEndOfAResponse (writes of 100 ms) on the code before: "relay: connection through a peer broke: unexpected EOF".

--- a/chiverelay/service.go
+++ b/chiverelay/service.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"chivedrift/chivecaller"
 	"chivedrift/chivedirectory"
 	"chivedrift/chivedistance"
 	"chivedrift/chiveevent"
@@ -44,7 +45,7 @@
 	// probeTimeout bounds such an attempt within a region, and probesPerInterval their number while none succeeds.
 	probeTimeout      = 300 * time.Millisecond
 	probesPerInterval = 2
-	// drainPollInterval is how often Drain checks whether all tunnels have ended.
+	// drainPollInterval is how often Drain checks whether the connections of all peers have ended.
 	drainPollInterval = 20 * time.Millisecond
 	headerTimeout     = time.Second
 )
@@ -77,6 +78,7 @@
 type Service struct {
 	options   Options
 	server    *chivewire.HTTPServer
+	conns     *chivecaller.Conns
 	transport *http.Transport
 	paths     *endpointPaths
 	tunnels   atomic.Int64
@@ -98,7 +100,7 @@
 
 // New returns a service without peers and endpoints.
 func New(o Options) *Service {
-	s := &Service{options: o, paths: newEndpointPaths(), backoffUntil: make(map[backoffKey]time.Time), provenAt: make(map[string]time.Time), users: make(map[string]map[string]int)}
+	s := &Service{options: o, conns: chivecaller.NewConns(), paths: newEndpointPaths(), backoffUntil: make(map[backoffKey]time.Time), provenAt: make(map[string]time.Time), users: make(map[string]map[string]int)}
 	s.transport = &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return o.Network.Dial(ctx, o.Address, address)
@@ -107,6 +109,7 @@
 	}
 	s.server = chivewire.NewHTTPServer(&http.Server{
 		Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(o.Logger.Handler(), slog.LevelDebug),
+		ConnState: s.conns.ConnState,
 	})
 	return s
 }
@@ -119,7 +122,7 @@
 // Start begins to listen for peers and to look for paths that work again.
 func (s *Service) Start(ctx context.Context) error {
 	if s.options.Address != "" {
-		if err := s.server.Start(s.options.Network, s.options.Address); err != nil {
+		if err := s.server.Start(s.conns.On(s.options.Network), s.options.Address); err != nil {
 			return fmt.Errorf("relay: %w", err)
 		}
 	}
@@ -127,9 +130,10 @@
 	return nil
 }
 
-// Drain waits until the connections of all peers have ended, until the context ends.
+// Drain waits until the connections of all peers have ended, until the context ends. Those peers close the ones that they
+// do not use once they know that this node is leaving.
 func (s *Service) Drain(ctx context.Context) {
-	for s.tunnels.Load() > 0 && ctx.Err() == nil {
+	for s.conns.Count() > 0 && ctx.Err() == nil {
 		select {
 		case <-time.After(drainPollInterval):
 		case <-ctx.Done():
--- a/chiverelay/service_test.go
+++ b/chiverelay/service_test.go
@@ -116,13 +116,19 @@
 }
 
 func startNode(t *testing.T, e *endpoint, cut bool) *node {
+	t.Helper()
+	return startNodeOn(t, e, cut, func(network chivewire.Network) chivewire.Network { return network })
+}
+
+// startNodeOn starts a node on a network around the one that may be cut.
+func startNodeOn(t *testing.T, e *endpoint, cut bool, around func(chivewire.Network) chivewire.Network) *node {
 	t.Helper()
 	n := &node{network: &cutNetwork{endpoint: e.address}, asked: &atomic.Int64{}}
 	n.network.accepted = n.asked
 	n.network.cut.Store(cut)
 	address := chivestand.FreeAddress()
 	n.relay = chiverelay.New(chiverelay.Options{
-		Self: address, Address: address, Network: n.network, Region: "r", Regions: chiveresidency.Map{"z": "r", "other": "r2"}, Logger: slog.New(slog.DiscardHandler),
+		Self: address, Address: address, Network: around(n.network), Region: "r", Regions: chiveresidency.Map{"z": "r", "other": "r2"}, Logger: slog.New(slog.DiscardHandler),
 	})
 	n.member = chivemember.Member{Name: address, Address: address, RelayAddress: address, Region: "r", FailureDomain: "z", State: chivemember.Alive}
 	n.relay.ApplyEndpoints(chivedirectory.Diff{Changed: []chivedirectory.Endpoint{{ID: "e", Pool: "p", Address: e.address, FailureDomain: "z"}}})
--- /dev/null
+++ b/chiverelay/stop_test.go
@@ -0,0 +1,59 @@
+package chiverelay_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"chivedrift/chivemember"
+	"chivedrift/chivewire"
+)
+
+const writeTime = 100 * time.Millisecond
+
+// slowNetwork is a network on which each write to an accepted connection takes writeTime.
+type slowNetwork struct{ chivewire.Network }
+
+func (n slowNetwork) Listen(address string) (net.Listener, error) {
+	listener, err := n.Network.Listen(address)
+	return slowListener{listener}, err
+}
+
+type slowListener struct{ net.Listener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return slowConn{conn}, err
+}
+
+type slowConn struct{ net.Conn }
+
+func (c slowConn) Write(data []byte) (int, error) {
+	time.Sleep(writeTime)
+	return c.Conn.Write(data)
+}
+
+// Guards against a response through a peer that ends without its last bytes, since the peer's planned stop ended before
+// they were written.
+func TestLeavingPeerWritesTheEndOfAResponse(t *testing.T) {
+	e := startEndpoint(t)
+	cutOff := startNode(t, e, true)
+	peer := startNodeOn(t, e, false, func(network chivewire.Network) chivewire.Network { return slowNetwork{network} })
+	for _, n := range []*node{cutOff, peer} {
+		n.relay.SetMembers([]chivemember.Member{cutOff.member, peer.member})
+	}
+	conn, far := cutOff.mustDial(t, e)
+	if _, err := io.WriteString(far, "response"); err != nil {
+		t.Fatal(err)
+	}
+	far.Close()
+	peer.relay.Drain(context.Background())
+	if err := peer.relay.Stop(context.Background()); err != nil {
+		t.Error(err)
+	}
+	if got, err := io.ReadAll(conn); string(got) != "response" || err != nil {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
