Relay: a leaving node opens no connections for peers

What callers saw: a cut-off node that did not know yet that a peer was leaving opened a connection through it, used it for further requests, and lost those in flight when that peer's process ended.

Now a node refuses connections for peers from SIGTERM on (503, as one that is full). The asking node takes that as not connected: it sends no request, asks the next peer at once and does not ask this one for 2 s. Connections that are open are kept until the end of the stop; once a node knows that a peer is leaving, it sends no new request through it and closes what is unused, as before.

--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -567,6 +567,7 @@
 	n.ready.Leave()
 	cut := started.Add(n.settings.Stop.Grace() - stopMargin)
 	n.entry.Leave(cut)
+	n.relay.Leave()
 	n.members.Leave(ctx)
 	if n.lease != nil {
 		n.lease.Release(ctx)
--- a/chiverelay/server.go
+++ b/chiverelay/server.go
@@ -37,6 +37,10 @@
 		w.WriteHeader(http.StatusBadGateway)
 		return
 	}
+	if s.leaving.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if s.tunnels.Add(1) > maxTunnels || s.options.Full != nil && s.options.Full() {
 		s.tunnels.Add(-1)
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/chiverelay/service.go
+++ b/chiverelay/service.go
@@ -79,6 +79,7 @@
 	options   Options
 	server    *chivewire.HTTPServer
 	conns     *chivecaller.Conns
+	leaving   atomic.Bool
 	transport *http.Transport
 	paths     *endpointPaths
 	tunnels   atomic.Int64
@@ -130,9 +131,13 @@
 	return nil
 }
 
+// Leave makes this node refuse to open connections for peers, which then ask others. Those that are open are kept.
+func (s *Service) Leave() { s.leaving.Store(true) }
+
 // Drain waits until the connections of all peers have ended, until the context ends. Those peers close the ones that they
 // do not use once they know that this node is leaving.
 func (s *Service) Drain(ctx context.Context) {
+	s.Leave()
 	for s.conns.Count() > 0 && ctx.Err() == nil {
 		select {
 		case <-time.After(drainPollInterval):
--- a/chiverelay/stop_test.go
+++ b/chiverelay/stop_test.go
@@ -57,3 +57,35 @@
 		t.Errorf("got %q, %v", got, err)
 	}
 }
+
+// Guards against connections through a peer that is about to end, which would cut the requests on them. A node that does
+// not know yet that the peer is leaving takes the way through another one.
+func TestLeavingPeerOpensNoConnections(t *testing.T) {
+	e := startEndpoint(t)
+	nodes := startNodes(t, e, 1, 2)
+	cutOff, leaving := nodes[0], nodes[1]
+	conn, far := cutOff.mustDial(t, e)
+	leaving.relay.Leave()
+	if _, err := cutOff.dial(t, e.address); err == nil {
+		t.Error("the leaving peer opened a connection")
+	}
+	if _, err := io.WriteString(far, "response"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(conn, make([]byte, len("response"))); err != nil {
+		t.Errorf("the connection that was open: %v", err)
+	}
+	const dials = 8
+	other, staying := startNode(t, e, true), startNode(t, e, false)
+	for _, n := range []*node{other, leaving, staying} {
+		n.relay.SetMembers([]chivemember.Member{other.member, leaving.member, staying.member})
+	}
+	for range dials {
+		if _, err := other.dial(t, e.address); err != nil {
+			t.Errorf("beside a leaving peer: %v", err)
+		}
+	}
+	if opened := staying.relay.Counts().Opened; opened != dials {
+		t.Errorf("the peer that stays opened %d connections, want %d", opened, dials)
+	}
+}
