Relay: peers that refuse say nothing about the endpoint

What callers saw: if all peers that a cut-off node asked were leaving (or full), it asked no other one about that endpoint for a second and answered its requests with a refusal, though peers that could connect were there.

Cause: an endpoint counted as unreachable for 1 s whenever no peer connected, also if all of them had responded 503 without an attempt.

Now it does not if all have responded so; each of those peers is not asked for 2 s as before, so that the next attempt asks others.

Evidence: TestPeersThatRefuseSayNothingAboutTheEndpoint on the code before: "beside a peer that stays: connection refused".

--- a/chiverelay/dial.go
+++ b/chiverelay/dial.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"time"
 )
 
@@ -124,7 +125,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	results := make(chan dialResult, len(peers))
-	pending, next := 0, 0
+	pending, next, refused := 0, 0, 0
 	start := func() {
 		peer := peers[next]
 		next++
@@ -146,13 +147,16 @@
 				return result.conn, nil
 			}
 			err = result.err
+			if hasRefused(err) {
+				refused++
+			}
 		case <-stagger.C:
 		}
 		switch {
 		case next < len(peers) && ctx.Err() == nil:
 			start()
 		case pending == 0:
-			if !errors.Is(ctx.Err(), context.Canceled) {
+			if refused < next && !errors.Is(ctx.Err(), context.Canceled) {
 				s.recordUnreachable(address)
 			}
 			cancel()
@@ -161,6 +165,12 @@
 	}
 }
 
+// hasRefused reports whether a peer responded that it opens no connections now, which says nothing about the endpoint.
+func hasRefused(err error) bool {
+	var refused *peerError
+	return errors.As(err, &refused) && refused.status == http.StatusServiceUnavailable
+}
+
 // closeOthers ends the attempts that are still pending and closes their connections.
 func closeOthers(cancel context.CancelFunc, results <-chan dialResult, pending int) {
 	cancel()
--- a/chiverelay/stop_test.go
+++ b/chiverelay/stop_test.go
@@ -89,3 +89,24 @@
 		t.Errorf("the peer that stays opened %d connections, want %d", opened, dials)
 	}
 }
+
+// Guards against an endpoint that counts as unreachable since all peers that were asked are leaving.
+func TestPeersThatRefuseSayNothingAboutTheEndpoint(t *testing.T) {
+	e := startEndpoint(t)
+	nodes := startNodes(t, e, 1, 2)
+	cutOff, leaving := nodes[0], nodes[1]
+	if _, err := cutOff.dial(t, e.address); err != nil {
+		t.Fatal(err)
+	}
+	leaving.relay.Leave()
+	if _, err := cutOff.dial(t, e.address); err == nil {
+		t.Error("the leaving peer opened a connection")
+	}
+	staying := startNode(t, e, false)
+	for _, n := range []*node{cutOff, staying} {
+		n.relay.SetMembers([]chivemember.Member{cutOff.member, leaving.member, staying.member})
+	}
+	if _, err := cutOff.dial(t, e.address); err != nil {
+		t.Errorf("beside a peer that stays: %v", err)
+	}
+}
