Test: a planned stop fails no requests of other nodes

Three of four nodes stop one after another while the fourth gets 100 keyed requests and 100 streams a second. The stopping nodes hold the claims of keys and schedule the pool.

--- a/chivenode/stop_test.go
+++ b/chivenode/stop_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -93,3 +94,48 @@
 	}
 	return nil
 }
+
+// Guards against requests of other nodes that fail since a node stops which holds the claims of their keys, or schedules
+// their pool.
+func TestPlannedStopFailsNoRequestsOfOtherNodes(t *testing.T) {
+	const nodes, stops = 4, 3
+	withCluster(t, clusterSpec{nodes: nodes, engines: 2, sequences: 16}, func(c *cluster) {
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		replies := make(chan reply, 4096)
+		go func() {
+			defer close(ended)
+			var sent sync.WaitGroup
+			for i := 0; ctx.Err() == nil; i++ {
+				sent.Go(func() {
+					replies <- c.do(context.Background(), call{node: nodes - 1, path: "/services/svc/book", class: "confirm", key: fmt.Sprint("other-", i)})
+				})
+				sent.Go(func() { replies <- c.stream(nodes-1, "nudge", fmt.Sprintf("o%d tokens=3", i)) })
+				time.Sleep(10 * time.Millisecond)
+			}
+			sent.Wait()
+		}()
+		for i := range stops {
+			time.Sleep(time.Second)
+			if err := c.nodes[i].Stop(context.Background()); err != nil {
+				t.Error(err)
+			}
+			c.nodes[i] = nil
+		}
+		time.Sleep(time.Second)
+		cancel()
+		<-ended
+		close(replies)
+		count, failed := 0, 0
+		for r := range replies {
+			count++
+			if r.outcome != "completed" {
+				failed++
+				t.Logf("%+v", r)
+			}
+		}
+		if failed > 0 || count < 500 {
+			t.Errorf("%d of %d requests failed", failed, count)
+		}
+	})
+}
