--- a/cmd/chivedrift/signal_test.go
+++ b/cmd/chivedrift/signal_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -371,3 +372,40 @@
 		})
 	}
 }
+
+// Guards against nodes that cannot be stopped since the platform accepts connections and answers nothing.
+func TestStopWhileThePlatformHangs(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	peers, grace := chivestand.FreeAddress(), 4
+	hung := listener.Addr().String()
+	entry := chiveplatformstand.NodeSettings{
+		Name: "n", FailureDomain: "a", Callers: chivestand.FreeAddress(), Ready: chivestand.FreeAddress(), Peers: peers, Store: hung, Seeds: []string{peers}, MemoryMB: 128, GraceS: grace,
+	}.Text()
+	node := (&system{log: hung}).nodeSettings(&nodeProcess{name: "n", callers: chivestand.FreeAddress(), admin: chivestand.FreeAddress(), peers: chivestand.FreeAddress()})
+	for _, c := range []*servingCommand{
+		{name: "entry", settings: entry, logsTo: func(process *exec.Cmd, to *os.File) { process.Stdout = to }},
+		{name: "node", settings: node, logsTo: func(process *exec.Cmd, to *os.File) { process.Stderr = to }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			log := logFile(t)
+			process := c.start(t, c.writeSettings(t), log)
+			ended := wait(process)
+			time.Sleep(requestTime)
+			started := time.Now()
+			send(process, syscall.SIGTERM)
+			select {
+			case err := <-ended:
+				if err != nil || !strings.Contains(readLog(t, log), stoppedEvent) {
+					t.Errorf("ended with %v; log %s", err, readLog(t, log))
+				}
+				t.Logf("ended after %v", time.Since(started))
+			case <-time.After(time.Duration(grace) * time.Second):
+				t.Error("the process does not end")
+			}
+		})
+	}
+}
