--- a/cmd/chivedrift/signal_test.go
+++ b/cmd/chivedrift/signal_test.go
@@ -64,7 +64,7 @@
 		settings: chiveplatformstand.NodeSettings{
 			Name: "n", FailureDomain: "a", Callers: callers, Ready: ready, Peers: peers, Store: store.Address(), Seeds: []string{peers}, MemoryMB: 128, GraceS: 4,
 		}.Text(),
-		path: "/o/1", host: "h.example", header: http.Header{"Attempt-Id": {"a1"}, "Deadline-Ms": {"8000"}, "Api-Key": {processKey}},
+		path: "/o/1", host: "h.example", header: chiveplatformstand.CallerHeader("a1", processKey, 10*requestTime),
 		logsTo: func(process *exec.Cmd, to *os.File) { process.Stdout = to },
 	}
 }
