Stop: no work begins that the node could not complete before it ends

What callers saw: a request whose last byte came late in the grace period was sent to an endpoint as always, and its connection was closed without a response when the node cut everything, at any time up to the duration of such requests before the end (streams of seconds, slow bodies, Expect, unused connections).

Cause: until the cut, a stopping node decided as at any other time. Nothing related the time left to how long a request lasts.

Now the forwarder knows the cut from the signal on. Requests that wait for an endpoint or for the rest of their body are refused at the moment from which on they could not end. If an earlier attempt may have run, or an endpoint has not answered shortly before the cut, the answer is 502 with outcome unknown; only responses that have begun are cut. A stream that goes on at another endpoint counts what it has already run for. Event 103 counts the refused and the unanswered requests.

--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -41,6 +41,8 @@
 	// lastLinesWait limits the wait for the log lines of the requests that were cut; the process ends soon after.
 	lastLinesWait         = 150 * time.Millisecond
 	lastLinesPollInterval = 5 * time.Millisecond
+	// unreadBodyTimeout is the time for which a stopping node reads the body of a request that it has answered.
+	unreadBodyTimeout = 200 * time.Millisecond
 	// retryAfterNoConfig is short because another node has a configuration.
 	retryAfterNoConfig = 200 * time.Millisecond
 	// retryAfterNoMemory is long enough for some requests to end and free their memory.
@@ -82,7 +84,7 @@
 	draining atomic.Bool
 	inFlight atomic.Int64
 	accepted atomic.Int64
-	cut      atomic.Int64
+	stops    stopCounters
 	duties   chivekernel.Duties
 }
 
@@ -162,9 +164,6 @@
 	}
 }
 
-// Cut returns the number of requests whose connection the shutdown closed before the response was written out.
-func (e *Entry) Cut() int64 { return e.cut.Load() }
-
 // InFlight returns the number of requests being served.
 func (e *Entry) InFlight() int64 { return e.inFlight.Load() }
 
@@ -247,13 +246,13 @@
 	if err := CheckHeader(r.Header, table.Limits().HeaderBytes); err != nil {
 		return request, err
 	}
-	if request.Body, err = ReadBody(w, r, table.Limits().BodyBytes); err != nil {
+	request.Deadline = now.Add(requestTimeout(route, metadata))
+	request.LastEvent, request.Resumes, request.Prompt = metadata.LastEvent, metadata.Resumes, metadata.Prompt
+	setPool(request, team)
+	if request.Body, err = e.readBody(w, r, request, table.Limits().BodyBytes); err != nil {
 		return request, err
 	}
 	request.Received = time.Now()
-	request.Deadline = now.Add(requestTimeout(route, metadata))
-	request.LastEvent, request.Resumes = metadata.LastEvent, metadata.Resumes
-	setPool(request, team)
 	if err := e.setOrigin(r.Context(), request); err != nil {
 		return request, err
 	}
@@ -287,7 +286,7 @@
 
 // setPrompt sets the prompt that the caller described and the latency targets of the route.
 func setPrompt(request *chiverequest.Request, table *chivetable.Table, metadata chiverequest.Asked) {
-	request.Prompt, request.Shared = metadata.Prompt, chiverequest.SharedParts(metadata.Prompt)
+	request.Shared = chiverequest.SharedParts(metadata.Prompt)
 	if request.Prompt == nil {
 		return
 	}
@@ -358,6 +357,7 @@
 	}, e.stopTimes(received, time.Time{})...)
 	chiveevent.RequestRefused.Log(r.Context(), e.options.Logger, attributes...)
 	e.metrics.countRefusal(route, f.Code)
+	e.stops.count(f.Code, f.Outcome)
 	e.writeFailure(w, f, metadata.ID)
 }
 
@@ -367,6 +367,7 @@
 	sink := &responseSink{w: w, controller: http.NewResponseController(w), draining: e.draining.Load}
 	result := e.options.Forwarder.Run(r.Context(), request, sink)
 	x.setResult(request, result)
+	e.stops.count(result.Code, result.Outcome)
 	e.metrics.recordResult(request, result)
 	e.logEnded(r.Context(), request, result)
 	switch {
@@ -425,6 +426,8 @@
 func (e *Entry) writeFailure(w http.ResponseWriter, f *FailureError, id string) {
 	if e.draining.Load() {
 		w.Header().Set("Connection", "close")
+		// net/http reads the rest of the body, which may not come, before it closes the connection.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
 	}
 	f.write(w, e.options.Dialect, id)
 }
--- a/chiveentry/exchange.go
+++ b/chiveentry/exchange.go
@@ -71,7 +71,7 @@
 		return
 	}
 	if x.ending == chivecaller.Cut {
-		x.entry.cut.Add(1)
+		x.entry.stops.cut.Add(1)
 	}
 	attributes := append([]slog.Attr{
 		chiveevent.Request(x.id), slog.String("route", x.route), slog.String("ending", x.ending.String()), slog.String("outcome", string(x.result.Outcome)),
--- a/chiveentry/stop_log_test.go
+++ b/chiveentry/stop_log_test.go
@@ -88,7 +88,7 @@
 	}
 	defer conn.Close()
 	time.Sleep(100 * time.Millisecond)
-	io.WriteString(conn, "GET /stream HTTP/1.1\r\nHost: a.example\r\nId: 7\r\n\r\n")
+	io.WriteString(conn, "GET /stream HTTP/1.1\r\nHost: a.example\r\nId: 7\r\nWait: 50ms\r\n\r\n")
 	time.Sleep(50 * time.Millisecond)
 	ctx, cancel := context.WithDeadline(t.Context(), cut)
 	defer cancel()
@@ -96,8 +96,8 @@
 		t.Fatal(err)
 	}
 	lines := logged.lines(t, chiveevent.ResponseCut)
-	if len(lines) != 1 || e.Cut() != 1 {
-		t.Fatalf("%d lines of event %d and a count of %d, want 1", len(lines), chiveevent.ResponseCut.Number(), e.Cut())
+	if len(lines) != 1 || e.StopCounts().Cut != 1 {
+		t.Fatalf("%d lines of event %d and a count of %d, want 1", len(lines), chiveevent.ResponseCut.Number(), e.StopCounts().Cut)
 	}
 	line := lines[0]
 	if line["request"] != "7" || line["ending"] != "cut" || line["begun"] != true || line["level"] != "WARN" {
@@ -126,7 +126,7 @@
 	if err := e.Stop(ctx); err != nil {
 		t.Fatal(err)
 	}
-	if lines := logged.lines(t, chiveevent.ResponseCut); len(lines) > 0 || e.Cut() != 0 {
+	if lines := logged.lines(t, chiveevent.ResponseCut); len(lines) > 0 || e.StopCounts().Cut != 0 {
 		t.Errorf("got %v", lines)
 	}
 }
--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -11,7 +11,7 @@
 	NodeStarting     = define(100, slog.LevelInfo, "node starting", "None.")
 	NodeReady        = define(101, slog.LevelInfo, "node ready", "None; the load balancer may send traffic.")
 	NodeStopping     = define(102, slog.LevelInfo, "node stopping", "None; the node completes the requests in flight.")
-	NodeStopped      = define(103, slog.LevelInfo, "node stopped", "None if cut, the number of requests whose connection the stop closed before their response was written out, is 0; event 517 names them.")
+	NodeStopped      = define(103, slog.LevelInfo, "node stopped", "None if cut, the number of requests whose connection the stop closed before their response was written out, is 0; event 517 names them. refused counts requests that would not have ended in time and were not run, unanswered those that an endpoint did not answer in time; both have the code node_stopping in events 500 and 508.")
 	LinesDropped     = define(105, slog.LevelWarn, "log lines dropped", "The process that reads the log is too slow: the lines are lost, but no request was delayed.")
 	SettingsReloaded = define(106, slog.LevelInfo, "settings looked at again", "Check whether the settings changed; a node applies new settings at its next start.")
 	AdminFailed      = define(107, slog.LevelError, "operators' address not served", "The node serves callers without the operators' address: free the address, then restart the node.")
--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -26,6 +26,8 @@
 	Places  Places
 	Repeats Repeats
 	Rules   Rules
+	// Shutdown is the planned stop of the node; nil means one that never begins.
+	Shutdown *Shutdown
 	// Quarantine blocks requests that crash endpoints; nil disables quarantining.
 	Quarantine Quarantine
 	// Streams records where streams began; nil if endpoints have no software versions.
@@ -169,6 +171,9 @@
 	if o.Quarantine == nil {
 		o.Quarantine = noQuarantine{}
 	}
+	if o.Shutdown == nil {
+		o.Shutdown = NewShutdown()
+	}
 	if o.OnStart == nil {
 		o.OnStart = func(*chiverequest.Request) {}
 	}
@@ -245,10 +250,13 @@
 	f.options.Repeats.Request(time.Now(), request)
 	defer f.inProgress.begin(request.Pool)()
 	r := &requestState{forwarder: f, request: request, sink: sink, lastEventID: request.LastEvent, suspension: newSuspensionTimer(f.options.SinceBoot)}
+	ctx, stop := r.untilLastAnswers(ctx)
+	defer stop()
 	if r.refuseIfQuarantined(ctx) {
 		return r.result
 	}
 	for !r.runAttempt(ctx) {
 	}
+	r.recordDuration(ctx)
 	return r.result
 }
--- a/chiveforward/request.go
+++ b/chiveforward/request.go
@@ -37,6 +37,8 @@
 	CodeBroken      = "endpoint_broken"
 	CodeRefused     = "endpoint_refused"
 	CodeQuarantined = "endpoints_ended"
+	// CodeStopping means that the node is stopping and would cut the request before it could end.
+	CodeStopping = "node_stopping"
 )
 
 // Try is one attempt of a request.
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"chivedrift/chiveevent"
@@ -49,6 +50,10 @@
 	lacksPosition bool
 	// originRecordedAt is when the stream's origin was last recorded; zero before the first event.
 	originRecordedAt time.Time
+	// begun means that a part of the response was passed on; other goroutines may read it.
+	begun atomic.Bool
+	// ranFor is how long the attempts have run.
+	ranFor time.Duration
 	// startReported means that an endpoint has responded to an attempt and OnStart was called.
 	startReported bool
 	// probe means that the request is a quarantine probe: although engines crashed while running it, it gets one
@@ -60,14 +65,20 @@
 
 // runAttempt makes one attempt and reports whether the request has ended.
 func (r *requestState) runAttempt(ctx context.Context) bool {
+	if !r.mayBegin() {
+		return r.giveUpStopping(ctx)
+	}
 	if !r.chargeRepeat(ctx) {
 		return r.giveUpAfter(ctx, r.lastOutcome)
 	}
-	r.awaitPermit(ctx)
-	place, err := r.forwarder.options.Places.Take(ctx, r.request, r.exclude)
+	place, err := r.takePlace(ctx)
 	if err != nil {
 		return r.giveUpWithoutPlace(ctx, err)
 	}
+	if !r.mayBegin() {
+		place.Done(time.Now(), chiveplace.EndedCaller)
+		return r.giveUpStopping(ctx)
+	}
 	if r.remainingTime() <= 0 {
 		place.Done(time.Now(), chiveplace.EndedCaller)
 		r.giveUp(ctx, CodeDeadline, "the request's time ran out while the machine was suspended", 0)
@@ -85,6 +96,7 @@
 	r.result.Sent = a.startedAt
 	r.logAttemptSent(ctx, a)
 	outcome := a.execute(ctx)
+	r.ranFor += time.Since(a.startedAt)
 	ejectedFor := place.Done(time.Now(), a.ending(outcome))
 	r.recordAttempt(a, outcome)
 	r.logAttemptEnded(ctx, a, ejectedFor)
@@ -142,6 +154,9 @@
 
 // giveUpWithoutPlace ends a request for which no endpoint was found.
 func (r *requestState) giveUpWithoutPlace(ctx context.Context, err error) bool {
+	if errors.Is(err, errStopping) {
+		return r.giveUpStopping(ctx)
+	}
 	if r.forwardErrorResponse() {
 		return true
 	}
@@ -295,11 +310,15 @@
 // that no byte was sent or that the endpoint did not run the request.
 func (r *requestState) giveUp(ctx context.Context, code, message string, retryAfter time.Duration) {
 	r.result.Code, r.result.Message = code, message
-	callerGone := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline)
+	cause := context.Cause(ctx)
+	if errors.Is(cause, errStopping) {
+		r.result.Code, r.result.Message, retryAfter = CodeStopping, stoppingMessage, RetryAfterStopping
+	}
+	callerGone := cause != nil && !errors.Is(cause, errDeadline) && !errors.Is(cause, errStopping)
 	switch {
 	case !r.mayHaveRun:
 		r.result.Outcome, r.result.Status, r.result.RetryAfter = NotRun, http.StatusServiceUnavailable, retryAfter
-	case ctx.Err() != nil:
+	case errors.Is(cause, errDeadline), callerGone:
 		r.result.Outcome, r.result.Status = Unknown, http.StatusGatewayTimeout
 	default:
 		r.result.Outcome, r.result.Status = Unknown, http.StatusBadGateway
@@ -331,6 +350,7 @@
 		return
 	}
 	r.result.Started = true
+	r.begun.Store(true)
 	r.result.Status = status
 	r.result.First = time.Since(r.request.Arrival)
 	r.sink.Start(status, header)
--- a/chiveforward/shutdown.go
+++ b/chiveforward/shutdown.go
@@ -3,24 +3,43 @@
 import (
 	"sync"
 	"time"
+
+	"chivedrift/chiverequest"
+)
+
+const (
+	// answerTime is reserved before the cut for the answers to requests that have got none; a shorter stop reserves
+	// a share of its time.
+	answerTime        = 200 * time.Millisecond
+	answerTimeDivisor = 8
 )
 
-// Shutdown is the planned stop of a node: when it began, and when the node cuts what has not ended.
+// Shutdown is the planned stop of a node: when it began, and when the node cuts what has not ended. It decides until when an
+// attempt may begin, so that it ends before the cut.
 type Shutdown struct {
-	mu    sync.Mutex
-	began time.Time
-	cut   time.Time
+	mu        sync.Mutex
+	began     time.Time
+	cut       time.Time
+	durations durations
+	watches   map[*shutdownWatch]struct{}
 }
 
 // NewShutdown returns a shutdown that has not begun.
-func NewShutdown() *Shutdown { return &Shutdown{} }
+func NewShutdown() *Shutdown { return &Shutdown{watches: make(map[*shutdownWatch]struct{})} }
 
 // Begin begins the shutdown, unless it has begun. A zero cut means that the node waits for all requests.
 func (s *Shutdown) Begin(now, cut time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.began.IsZero() {
-		s.began, s.cut = now, cut
+	if !s.began.IsZero() {
+		return
+	}
+	s.began, s.cut = now, cut
+	if cut.IsZero() {
+		return
+	}
+	for w := range s.watches {
+		w.schedule()
 	}
 }
 
@@ -30,3 +49,93 @@
 	defer s.mu.Unlock()
 	return s.began, s.cut
 }
+
+// MayBegin reports whether an attempt of a request may begin now: it ends before the cut, by its deadline or by how long such
+// requests have lasted. ranFor is how long it has run, if a part of its response has been passed on.
+func (s *Shutdown) MayBegin(now time.Time, request *chiverequest.Request, ranFor time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cut.IsZero() || !now.After(s.latestBegin(request).Add(ranFor))
+}
+
+// OnTooLate calls tooLate once the first attempt of a request could no longer begin. After stop returns, tooLate is no longer
+// running and will not be called.
+func (s *Shutdown) OnTooLate(request *chiverequest.Request, tooLate func()) (stop func()) {
+	return s.watch(func() time.Time { return s.latestBegin(request) }, tooLate)
+}
+
+// onLastAnswers calls answer when requests that have got no response are to be answered before the cut; stop is as in OnTooLate.
+func (s *Shutdown) onLastAnswers(answer func()) (stop func()) {
+	return s.watch(s.answerBy, answer)
+}
+
+// record records how long a request ran.
+func (s *Shutdown) record(request *chiverequest.Request, ranFor time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.durations.add(request, ranFor)
+}
+
+// answerBy returns when requests without a response are answered. The caller holds the lock.
+func (s *Shutdown) answerBy() time.Time {
+	return s.cut.Add(-min(answerTime, s.cut.Sub(s.began)/answerTimeDivisor))
+}
+
+// latestBegin returns until when the first attempt of a request may begin. The caller holds the lock.
+func (s *Shutdown) latestBegin(request *chiverequest.Request) time.Time {
+	end := s.answerBy()
+	if !request.Deadline.After(end) {
+		return end
+	}
+	expected, known := s.durations.expected(request)
+	if !known {
+		return s.began
+	}
+	return end.Add(-expected)
+}
+
+// shutdownWatch is a call that becomes due during a shutdown.
+type shutdownWatch struct {
+	due   func() time.Time
+	mu    sync.Mutex
+	call  func()
+	timer *time.Timer
+}
+
+// watch makes a call at the time that due returns once the shutdown has begun with a cut. due is called with the lock held.
+func (s *Shutdown) watch(due func() time.Time, call func()) (stop func()) {
+	w := &shutdownWatch{due: due, call: call}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watches[w] = struct{}{}
+	if !s.cut.IsZero() {
+		w.schedule()
+	}
+	return func() {
+		s.mu.Lock()
+		delete(s.watches, w)
+		s.mu.Unlock()
+		w.stop()
+	}
+}
+
+// schedule starts the timer of the call. The caller holds the shutdown's lock.
+func (w *shutdownWatch) schedule() {
+	w.timer = time.AfterFunc(time.Until(w.due()), func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.call != nil {
+			w.call()
+		}
+	})
+}
+
+// stop prevents the call, or waits for its end.
+func (w *shutdownWatch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.call = nil
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -291,6 +291,7 @@
 	n.retryBudget.SetSinceBoot(chiveforward.SinceBoot)
 	n.sharedRetryBudget = chivebudget.New(n.mesh, n.retryBudget)
 	n.sharedRetryBudget.SetDistances(n.distances)
+	shutdown := chiveforward.NewShutdown()
 	n.memory = newMemoryGuard(s.MemoryMB*megabyte, n.logger)
 	n.quarantine = chivequarantine.New(chivequarantine.Options{Mesh: n.mesh, Distances: n.distances, Logger: n.logger})
 	pools := chiveforward.NewPools(s.FailureDomain)
@@ -308,14 +309,14 @@
 	n.notices = chivenotice.New(chivenotice.Options{Mesh: n.mesh, State: pools.StateNotice, StateWarmUp: pools.StateWarmUp, ConnectedFor: n.relay.ConnectedFor, Logger: n.logger})
 	forwarder := chiveforward.New(chiveforward.Options{
 		Self: s.Listen.Callers, Network: n.relay, PathLost: n.relay.IsLost, Dialect: chiveplatform.Endpoints{}, Places: pools, Repeats: n.sharedRetryBudget, Rules: chiveforward.StoreRules,
-		Distances:  n.distances,
+		Distances: n.distances, Shutdown: shutdown,
 		Quarantine: n.quarantine, Streams: n.streams, OnNotice: n.forwardNotice, OnWarmUp: n.recordWarmUp, OnStart: n.recordStart, SinceBoot: chiveforward.SinceBoot, Logger: n.logger,
 	})
 	n.forwarder = forwarder
 	n.quarantine.OnFailure(forwarder.PeerFailure)
 	n.quarantine.OnCrash(forwarder.PeerCrash)
 	n.entry = chiveentry.New(chiveentry.Options{
-		Address: s.Listen.Callers, Network: network, Dialect: chiveplatform.Callers{}, Forwarder: forwarder, Full: n.memory.Full,
+		Address: s.Listen.Callers, Network: network, Dialect: chiveplatform.Callers{}, Forwarder: forwarder, Shutdown: shutdown, Full: n.memory.Full,
 		Streams: n.streams, Versions: n.versions,
 		Scope: metrics.Scope(), Logger: n.logger,
 	})
@@ -577,8 +578,9 @@
 	defer cancel()
 	err := n.entry.Stop(stopCtx)
 	n.relay.Drain(stopCtx)
+	counts := n.entry.StopCounts()
 	chiveevent.NodeStopped.Log(ctx, n.logger, slog.String("node", n.settings.Name), slog.Int64("in_flight", n.entry.InFlight()),
-		slog.Int64("cut", n.entry.Cut()), slog.Int64("took_ms", time.Since(started).Milliseconds()))
+		slog.Int64("refused", counts.Refused), slog.Int64("unanswered", counts.Unanswered), slog.Int64("cut", counts.Cut), slog.Int64("took_ms", time.Since(started).Milliseconds()))
 	return err
 }
 
