Stop: a response is complete when it has been written out and its connection closed in order

What callers saw: requests that endpoints had run ended without a response, or with a part of one, when the last handler had returned before net/http had written its response: short ones as a whole, of long ones the end. Of a request with further bytes behind it, the close reset the connection, which destroyed what the caller had not read yet. A request that came together with the one before, whose response did not ask to close, got none.

Cause: Stop counted handlers, and closed everything once their number was 0. A close with unread bytes is a reset.

Now Stop waits until each connection has been closed: after the last response, the connection is closed for writing, what the caller still sends is read for up to half a second, then it is closed. Of a connection that is to be closed when idle, this is decided when the server asks for more bytes, when it holds no whole request any more. Bytes that are read after a connection was closed do not reach the server, so that no request from it can be forwarded. New connections are kept for 200 ms during the stop for their first request, and none is closed under a request by http.Server.Close any more: unused ones are closed by their state, in time for the last answers at the latest. The rest is cut at the end.

--- /dev/null
+++ b/chivecaller/close.go
@@ -0,0 +1,122 @@
+package chivecaller
+
+import (
+	"time"
+)
+
+const (
+	// lingerTimeout limits the wait for the caller to close its end after the last response.
+	lingerTimeout = 500 * time.Millisecond
+	// quietWait is how long nothing must have come of a further request before the connection is closed. Closing one with
+	// unread bytes resets it, which destroys what the caller has not read yet of the last response.
+	quietWait = 100 * time.Millisecond
+	// discardBufferSize is the size of the buffer for bytes that are not used.
+	discardBufferSize = 4 << 10
+)
+
+// Close closes the connection. If a response was written last, the caller gets it as a whole and the end of the connection, and
+// has some time to close its own end.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	ending := Broken
+	if c.answered && !c.writeFailed {
+		ending = Written
+	}
+	lingers := c.state != connClosed && c.wrote && !c.writeFailed
+	c.state = connClosed
+	c.mu.Unlock()
+	c.end(ending)
+	if lingers {
+		c.finish()
+	}
+	return c.Conn.Close() //nolint:wrapcheck // as in Read
+}
+
+// CloseWrite ends what is sent to the caller, if the network supports it.
+func (c *Conn) CloseWrite() error {
+	closer, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errNoCloseWrite
+	}
+	return closer.CloseWrite()
+}
+
+// finish ends what is sent to the caller and reads what it still sends until it has closed its end, for some time: the rest of a
+// request that was answered early, or another request, which is not served.
+func (c *Conn) finish() {
+	c.mu.Lock()
+	requestRead := c.requestRead
+	c.mu.Unlock()
+	if c.CloseWrite() != nil {
+		return
+	}
+	limit := time.Now().Add(lingerTimeout)
+	end, buffer := limit, make([]byte, discardBufferSize)
+	for {
+		if c.SetReadDeadline(end) != nil {
+			return
+		}
+		if _, err := c.Conn.Read(buffer); err != nil {
+			return
+		}
+		if end = time.Now().Add(quietWait); !requestRead || end.After(limit) {
+			end = limit
+		}
+	}
+}
+
+// cut closes the connection whatever is being served on it.
+func (c *Conn) cut() {
+	c.mu.Lock()
+	c.state = connClosed
+	c.mu.Unlock()
+	c.end(Cut)
+	// The connection is given up, so an error from closing it does not matter.
+	_ = c.Conn.Close()
+}
+
+// closeIdle closes the connection if it waits for its next request. A new connection is left open, since its first request is
+// about to arrive.
+func (c *Conn) closeIdle(now time.Time) {
+	c.closeIf(now, func() bool { return c.state == connIdle })
+}
+
+// closeUnused closes the connection if nothing of a request has been read from it.
+func (c *Conn) closeUnused(now time.Time) {
+	c.closeIf(now, func() bool { return c.state == connNew || c.state == connIdle })
+}
+
+// closeTimedOut closes the connection if it is not serving a request and has been waiting for too long.
+func (c *Conn) closeTimedOut(now time.Time, headerTime, idleTime time.Duration) {
+	c.closeIf(now, func() bool {
+		limit := idleTime
+		if c.state == connReading {
+			limit = headerTime
+		}
+		return c.state != connServing && limit > 0 && now.Sub(c.waitingSince) > limit
+	})
+}
+
+// closeIf closes the connection if it is open and matches, which is called with the lock held. If a response was written just
+// before, only its end is sent: the reader of the connection closes it once the caller has closed its end.
+func (c *Conn) closeIf(now time.Time, matches func() bool) {
+	c.mu.Lock()
+	closes := c.state != connClosed && matches()
+	lingers := c.hasServed && now.Sub(c.waitingSince) < lingerTimeout
+	if closes {
+		c.state = connClosed
+	}
+	c.mu.Unlock()
+	if !closes || lingers && c.CloseWrite() == nil && c.SetReadDeadline(now.Add(lingerTimeout)) == nil {
+		return
+	}
+	// The connection is no longer used, so an error from closing it does not matter.
+	_ = c.Conn.Close()
+}
+
+// isUnused reports whether nothing of a request has been read from the connection for some time.
+func (c *Conn) isUnused(now time.Time, wait time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return (c.state == connNew || c.state == connIdle) && now.Sub(c.waitingSince) >= wait
+}
--- a/chivecaller/conn.go
+++ b/chivecaller/conn.go
@@ -1,6 +1,7 @@
 package chivecaller
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -11,19 +12,24 @@
 //
 // A graceful shutdown closes idle connections. net/http considers a connection idle until it has read a complete
 // header, so its own Shutdown can close a connection on which a request is being read: the request would be forwarded
-// and its caller would get no response. Here closing a connection and serving a request on it are atomic transitions of
+// and its caller would get no response. Here closing a connection and reading a request from it are transitions of
 // the same state, of which only one succeeds.
 type Conn struct {
 	net.Conn
+	conns *Conns
 	mu    sync.Mutex
 	state connState
-	// waitingSince is the time since which the connection has been waiting for a request or, if readingHeader is set,
-	// for the rest of a header.
-	waitingSince  time.Time
-	readingHeader bool
+	// waitingSince is the time since which the connection has been waiting for a request or, while one is being read,
+	// for the rest of its header.
+	waitingSince time.Time
+	// hasServed means that a response has been written out.
+	hasServed bool
+	// requestRead means that the current request has been read as a whole, so that further bytes belong to another one.
+	requestRead bool
 	// answered means that the handler of the current request has returned, which may be before its response was written.
 	answered bool
-	// writeFailed means that a write to the connection has failed.
+	// wrote means that something was written since the last request ended, writeFailed that a write has failed.
+	wrote       bool
 	writeFailed bool
 	// onEnd is called when the response to the current request has ended; nil if there is none.
 	onEnd func(Ending)
@@ -32,9 +38,15 @@
 type connState uint8
 
 const (
+	// connNew is a connection of which nothing has been read.
 	connNew connState = iota
-	connIdle
+	// connReading is a connection of which a part of a request has been read.
+	connReading
 	connServing
+	// connAnswered is a connection whose response has been written out. A part of the next request may have been read.
+	connAnswered
+	// connIdle is a connection that waits for its next request.
+	connIdle
 	connClosed
 )
 
@@ -70,13 +82,20 @@
 func (c *Conn) StartServing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state != connIdle && c.state != connNew {
+	if c.state == connClosed {
 		return false
 	}
-	c.state, c.answered = connServing, false
+	c.state, c.requestRead, c.answered = connServing, false, false
 	return true
 }
 
+// RequestRead states that the current request has been read as a whole.
+func (c *Conn) RequestRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requestRead = true
+}
+
 // OnResponseEnd sets a function that is called once, when the response to the current request has ended.
 func (c *Conn) OnResponseEnd(onEnd func(Ending)) {
 	c.mu.Lock()
@@ -91,94 +110,77 @@
 	c.answered = true
 }
 
-// Write writes to the connection.
-func (c *Conn) Write(data []byte) (int, error) {
-	n, err := c.Conn.Write(data)
-	if err != nil {
-		c.mu.Lock()
-		c.writeFailed = true
-		c.mu.Unlock()
+// Read reads from the connection. Once the connection has been closed, nothing that arrives is passed on.
+func (c *Conn) Read(data []byte) (int, error) {
+	if !c.awaitBytes() {
+		c.finish()
+		return 0, io.EOF
+	}
+	n, err := c.Conn.Read(data)
+	if n > 0 && !c.beginReading() {
+		c.finish()
+		return 0, io.EOF
 	}
 	return n, err //nolint:wrapcheck // a connection returns the errors of the one below
 }
 
-// Close closes the connection.
-func (c *Conn) Close() error {
+// awaitBytes states that the server needs more bytes of the connection: if it has answered a request, it holds no whole request
+// any more. It returns false if the connection is to be closed now, or has been.
+func (c *Conn) awaitBytes() bool {
+	closesWhenIdle := c.conns.closesWhenIdle()
 	c.mu.Lock()
-	ending := Broken
-	if c.answered && !c.writeFailed {
-		ending = Written
+	defer c.mu.Unlock()
+	if c.state != connAnswered {
+		return c.state != connClosed
 	}
-	c.state = connClosed
-	c.mu.Unlock()
-	c.end(ending)
-	return c.Conn.Close() //nolint:wrapcheck // as in Write
+	// A response that started before the shutdown carried no "Connection: close". If its connection stayed open, the
+	// caller could send another request too late for it to be completed.
+	if closesWhenIdle {
+		c.state = connClosed
+		return false
+	}
+	c.state = connIdle
+	return true
 }
 
-// cut closes the connection whatever is being served on it.
-func (c *Conn) cut() {
+// beginReading states that bytes have been read. It returns false if the connection has been closed, so that they do not count.
+func (c *Conn) beginReading() bool {
 	c.mu.Lock()
-	c.state = connClosed
-	c.mu.Unlock()
-	c.end(Cut)
-	// The connection is given up, so an error from closing it does not matter.
-	_ = c.Conn.Close()
+	defer c.mu.Unlock()
+	if c.state == connNew || c.state == connIdle {
+		c.state, c.waitingSince, c.requestRead = connReading, time.Now(), false
+	}
+	return c.state != connClosed
 }
 
-// end reports how the response to the current request ended.
-func (c *Conn) end(ending Ending) {
+// Write writes to the connection.
+func (c *Conn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
 	c.mu.Lock()
-	onEnd := c.onEnd
-	c.onEnd = nil
-	c.mu.Unlock()
-	if onEnd != nil {
-		onEnd(ending)
-	}
+	defer c.mu.Unlock()
+	c.wrote = true
+	c.writeFailed = c.writeFailed || err != nil
+	return n, err //nolint:wrapcheck // as in Read
 }
 
-// becomeIdle ends the request whose response was written out.
-func (c *Conn) becomeIdle() {
+// becomeAnswered ends the request whose response was written out.
+func (c *Conn) becomeAnswered() {
 	c.mu.Lock()
-	c.waitingSince, c.readingHeader = time.Now(), false
+	c.waitingSince, c.hasServed, c.wrote = time.Now(), true, false
 	if c.state == connServing {
-		c.state = connIdle
+		c.state = connAnswered
 	}
 	c.mu.Unlock()
 	c.end(Written)
 }
 
-// beginHeader states that the header of a request is being read.
-func (c *Conn) beginHeader() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.waitingSince, c.readingHeader = time.Now(), true
-}
-
-// closeIdle closes the connection if it has served a request and is not serving one now. A new connection is left open,
-// since its first request is about to arrive.
-func (c *Conn) closeIdle() { c.closeIf(func() bool { return c.state == connIdle }) }
-
-// closeTimedOut closes the connection if it is not serving a request and has been waiting for too long.
-func (c *Conn) closeTimedOut(now time.Time, headerTime, idleTime time.Duration) {
-	c.closeIf(func() bool {
-		limit := idleTime
-		if c.readingHeader {
-			limit = headerTime
-		}
-		return c.state != connServing && limit > 0 && now.Sub(c.waitingSince) > limit
-	})
-}
-
-// closeIf closes the connection if it is open and matches, which is called with the lock held.
-func (c *Conn) closeIf(matches func() bool) {
+// end reports how the response to the current request ended.
+func (c *Conn) end(ending Ending) {
 	c.mu.Lock()
-	closes := c.state != connClosed && matches()
-	if closes {
-		c.state = connClosed
-	}
+	onEnd := c.onEnd
+	c.onEnd = nil
 	c.mu.Unlock()
-	if closes {
-		// The connection is no longer used, so an error from closing it does not matter.
-		_ = c.Conn.Close()
+	if onEnd != nil {
+		onEnd(ending)
 	}
 }
--- a/chivecaller/conns.go
+++ b/chivecaller/conns.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,8 +19,15 @@
 	open map[*Conn]struct{}
 	// closeWhenIdle is set once each connection is to be closed as soon as it is idle.
 	closeWhenIdle bool
+	// closed is set once new connections are to be closed at once.
+	closed bool
 }
 
+// firstRequestWait is the time for which a new connection is kept during a shutdown for its first request.
+const firstRequestWait = 200 * time.Millisecond
+
+var errNoCloseWrite = errors.New("connection cannot be closed in one direction")
+
 // NewConns returns a tracker without connections.
 func NewConns() *Conns { return &Conns{open: make(map[*Conn]struct{})} }
 
@@ -50,15 +59,19 @@
 	if err != nil {
 		return nil, err //nolint:wrapcheck // as in Listen
 	}
-	tracked := &Conn{Conn: conn, waitingSince: time.Now()}
-	l.conns.add(tracked)
+	tracked := &Conn{Conn: conn, conns: l.conns, waitingSince: time.Now()}
+	if !l.conns.add(tracked) {
+		tracked.cut()
+	}
 	return tracked, nil
 }
 
-func (c *Conns) add(conn *Conn) {
+// add tracks a connection; it returns false if the connection is to be closed at once.
+func (c *Conns) add(conn *Conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open[conn] = struct{}{}
+	return !c.closed
 }
 
 // ConnContext is the ConnContext hook of http.Server: it makes the connection known to the handlers of its requests.
@@ -73,20 +86,13 @@
 		return
 	}
 	switch state {
-	case http.StateActive:
-		tracked.beginHeader()
 	case http.StateIdle:
-		tracked.becomeIdle()
-		// A response that started before the shutdown carried no "Connection: close". If its connection stayed open,
-		// the caller could send another request too late for it to be completed.
-		if c.closesWhenIdle() {
-			tracked.closeIdle()
-		}
+		tracked.becomeAnswered()
 	case http.StateClosed, http.StateHijacked:
 		c.mu.Lock()
 		delete(c.open, tracked)
 		c.mu.Unlock()
-	case http.StateNew:
+	case http.StateNew, http.StateActive:
 	}
 }
 
@@ -112,9 +118,32 @@
 	c.mu.Lock()
 	c.closeWhenIdle = true
 	c.mu.Unlock()
+	now := time.Now()
+	for _, conn := range c.all() {
+		conn.closeIdle(now)
+	}
+}
+
+// CloseUnused closes the connections from which nothing of a request has been read, whose requests are never accepted then.
+func (c *Conns) CloseUnused() {
+	now := time.Now()
 	for _, conn := range c.all() {
-		conn.closeIdle()
+		conn.closeUnused(now)
+	}
+}
+
+// CloseRest closes the unused connections once all connections are unused, new ones for a short time at least, and returns the
+// number of connections that are still open. Once it has returned 0, connections that are accepted later are closed.
+func (c *Conns) CloseRest() int {
+	now := time.Now()
+	conns := c.all()
+	if !slices.ContainsFunc(conns, func(conn *Conn) bool { return !conn.isUnused(now, firstRequestWait) }) {
+		c.CloseUnused()
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = len(c.open) == 0
+	return len(c.open)
 }
 
 // Cut closes all connections, whatever is being served on them.
--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -36,7 +36,7 @@
 	connCheckInterval = 500 * time.Millisecond
 	// maxHeaderBytes limits a header before the configured limit is checked.
 	maxHeaderBytes = 1 << 20
-	// stopPollInterval is the interval at which Stop checks whether all requests have ended.
+	// stopPollInterval is the interval at which Stop checks whether all connections have ended.
 	stopPollInterval = 20 * time.Millisecond
 	// lastLinesWait limits the wait for the log lines of the requests that were cut; the process ends soon after.
 	lastLinesWait         = 150 * time.Millisecond
@@ -133,15 +133,18 @@
 	e.draining.Store(true)
 }
 
-// Stop accepts no new connections and waits for the requests in flight until the context ends, then aborts the rest.
+// Stop accepts no new connections and waits, until the context ends, until the response to each request has been written out and
+// its connection closed in order; then it aborts the rest.
 func (e *Entry) Stop(ctx context.Context) error {
 	cut, _ := ctx.Deadline()
 	e.Leave(cut)
 	e.server.StopListening()
 	// Idle connections are closed too: no response asks their callers to close them, and a request that arrived on one
-	// near the end of the wait would be aborted.
+	// near the end of the wait would be refused.
 	e.conns.CloseIdle()
-	for e.inFlight.Load() > 0 && ctx.Err() == nil {
+	stopWatch := e.options.Shutdown.OnLastAnswers(e.conns.CloseUnused)
+	defer stopWatch()
+	for (e.conns.CloseRest() > 0 || e.inFlight.Load() > 0) && ctx.Err() == nil {
 		select {
 		case <-time.After(stopPollInterval):
 		case <-ctx.Done():
@@ -253,6 +256,9 @@
 		return request, err
 	}
 	request.Received = time.Now()
+	if conn := chivecaller.Of(r); conn != nil {
+		conn.RequestRead()
+	}
 	if err := e.setOrigin(r.Context(), request); err != nil {
 		return request, err
 	}
--- a/chiveentry/late_request_test.go
+++ b/chiveentry/late_request_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"chivedrift/chiveentry"
 	"chivedrift/chivewire"
 )
 
@@ -54,7 +55,7 @@
 				if err := <-stopped; err != nil {
 					t.Error(err)
 				}
-				if counts := e.StopCounts(); counts.Refused != 1 || counts.Unanswered != 0 {
+				if counts := e.StopCounts(); counts != (chiveentry.StopCounts{Refused: 1}) {
 					t.Errorf("counted %+v", counts)
 				}
 				forwarder.mu.Lock()
--- a/chiveforward/shutdown.go
+++ b/chiveforward/shutdown.go
@@ -64,8 +64,8 @@
 	return s.watch(func() time.Time { return s.latestBegin(request) }, tooLate)
 }
 
-// onLastAnswers calls answer when requests that have got no response are to be answered before the cut; stop is as in OnTooLate.
-func (s *Shutdown) onLastAnswers(answer func()) (stop func()) {
+// OnLastAnswers calls answer when requests that have got no response are to be answered before the cut; stop is as in OnTooLate.
+func (s *Shutdown) OnLastAnswers(answer func()) (stop func()) {
 	return s.watch(s.answerBy, answer)
 }
 
--- a/chiveforward/stopping.go
+++ b/chiveforward/stopping.go
@@ -42,7 +42,7 @@
 // response has begun by then.
 func (r *requestState) untilLastAnswers(parent context.Context) (ctx context.Context, stop func()) {
 	ctx, cancel := context.WithCancelCause(parent)
-	stopWatch := r.forwarder.options.Shutdown.onLastAnswers(func() {
+	stopWatch := r.forwarder.options.Shutdown.OnLastAnswers(func() {
 		if !r.begun.Load() {
 			cancel(errStopping)
 		}
