--- /dev/null
+++ b/chivecaller/conn.go
@@ -0,0 +1,186 @@
+package chivecaller
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Conn is a caller's connection with its state.
+//
+// A graceful shutdown closes idle connections. net/http considers a connection idle until it has read a complete
+// header, so its own Shutdown can close a connection on which a request is being read: the request would be forwarded
+// and its caller would get no response. Here closing a connection and reading a request from it are transitions of
+// the same state, of which only one succeeds.
+type Conn struct {
+	net.Conn
+	conns *Conns
+	mu    sync.Mutex
+	state connState
+	// waitingSince is the time since which the connection has been waiting for a request or, while one is being read,
+	// for the rest of its header.
+	waitingSince time.Time
+	// hasServed means that a response has been written out.
+	hasServed bool
+	// requestRead means that the current request has been read as a whole, so that further bytes belong to another one.
+	requestRead bool
+	// answered means that the handler of the current request has returned, which may be before its response was written.
+	answered bool
+	// wrote means that something was written since the last request ended, writeFailed that a write has failed.
+	wrote       bool
+	writeFailed bool
+	// onEnd is called when the response to the current request has ended; nil if there is none.
+	onEnd func(Ending)
+}
+
+type connState uint8
+
+const (
+	// connNew is a connection of which nothing has been read.
+	connNew connState = iota
+	// connReading is a connection of which a part of a request has been read.
+	connReading
+	connServing
+	// connAnswered is a connection whose response has been written out. A part of the next request may have been read.
+	connAnswered
+	// connIdle is a connection that waits for its next request.
+	connIdle
+	connClosed
+)
+
+// Ending is how the response to a request ended.
+type Ending uint8
+
+const (
+	// Written means that the response was written out as a whole.
+	Written Ending = iota
+	// Broken means that the connection ended before: the response was aborted, or the caller has left.
+	Broken
+	// Cut means that the shutdown closed the connection before.
+	Cut
+)
+
+var endingNames = [...]string{"written", "broken", "cut"}
+
+// String returns the name of the ending as it is logged.
+func (e Ending) String() string { return endingNames[e] }
+
+type connContextKey struct{}
+
+// Of returns the connection of a request, or nil if it did not arrive through a tracked server.
+func Of(r *http.Request) *Conn {
+	conn, ok := r.Context().Value(connContextKey{}).(*Conn)
+	if !ok {
+		return nil
+	}
+	return conn
+}
+
+// StartServing marks the connection as serving a request; it returns false if the connection has been closed.
+func (c *Conn) StartServing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == connClosed {
+		return false
+	}
+	c.state, c.requestRead, c.answered = connServing, false, false
+	return true
+}
+
+// RequestRead states that the current request has been read as a whole.
+func (c *Conn) RequestRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requestRead = true
+}
+
+// OnResponseEnd sets a function that is called once, when the response to the current request has ended.
+func (c *Conn) OnResponseEnd(onEnd func(Ending)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.onEnd = onEnd
+}
+
+// Answered states that the handler of the current request returns without aborting the response.
+func (c *Conn) Answered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered = true
+}
+
+// Read reads from the connection. Once the connection has been closed, nothing that arrives is passed on.
+func (c *Conn) Read(data []byte) (int, error) {
+	if !c.awaitBytes() {
+		c.finish()
+		return 0, io.EOF
+	}
+	n, err := c.Conn.Read(data)
+	if n > 0 && !c.beginReading() {
+		c.finish()
+		return 0, io.EOF
+	}
+	return n, err //nolint:wrapcheck // a connection returns the errors of the one below
+}
+
+// awaitBytes states that the server needs more bytes of the connection: if it has answered a request, it holds no whole request
+// any more. It returns false if the connection is to be closed now, or has been.
+func (c *Conn) awaitBytes() bool {
+	closesWhenIdle := c.conns.closesWhenIdle()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != connAnswered {
+		return c.state != connClosed
+	}
+	// A response that started before the shutdown carried no "Connection: close". If its connection stayed open, the
+	// caller could send another request too late for it to be completed.
+	if closesWhenIdle {
+		c.state = connClosed
+		return false
+	}
+	c.state = connIdle
+	return true
+}
+
+// beginReading states that bytes have been read. It returns false if the connection has been closed, so that they do not count.
+func (c *Conn) beginReading() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == connNew || c.state == connIdle {
+		c.state, c.waitingSince, c.requestRead = connReading, time.Now(), false
+	}
+	return c.state != connClosed
+}
+
+// Write writes to the connection.
+func (c *Conn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wrote = true
+	c.writeFailed = c.writeFailed || err != nil
+	return n, err //nolint:wrapcheck // as in Read
+}
+
+// becomeAnswered ends the request whose response was written out.
+func (c *Conn) becomeAnswered() {
+	c.mu.Lock()
+	c.waitingSince, c.hasServed, c.wrote = time.Now(), true, false
+	if c.state == connServing {
+		c.state = connAnswered
+	}
+	c.mu.Unlock()
+	c.end(Written)
+}
+
+// end reports how the response to the current request ended.
+func (c *Conn) end(ending Ending) {
+	c.mu.Lock()
+	onEnd := c.onEnd
+	c.onEnd = nil
+	c.mu.Unlock()
+	if onEnd != nil {
+		onEnd(ending)
+	}
+}
--- /dev/null
+++ b/chivecaller/conns.go
@@ -0,0 +1,163 @@
+package chivecaller
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"chivedrift/chivewire"
+)
+
+// Conns tracks the open connections of callers to an http.Server that listens on the network which On returns. Its methods
+// ConnContext and ConnState are hooks of that server.
+type Conns struct {
+	mu   sync.Mutex
+	open map[*Conn]struct{}
+	// closeWhenIdle is set once each connection is to be closed as soon as it is idle.
+	closeWhenIdle bool
+	// closed is set once new connections are to be closed at once.
+	closed bool
+}
+
+// firstRequestWait is the time for which a new connection is kept during a shutdown for its first request.
+const firstRequestWait = 200 * time.Millisecond
+
+var errNoCloseWrite = errors.New("connection cannot be closed in one direction")
+
+// NewConns returns a tracker without connections.
+func NewConns() *Conns { return &Conns{open: make(map[*Conn]struct{})} }
+
+// On returns a network on which the connections that a server accepts are tracked.
+func (c *Conns) On(network chivewire.Network) chivewire.Network { return trackedNetwork{network, c} }
+
+type trackedNetwork struct {
+	chivewire.Network
+	conns *Conns
+}
+
+// Listen listens at an address and tracks the connections that are accepted.
+func (n trackedNetwork) Listen(address string) (net.Listener, error) {
+	listener, err := n.Network.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	return trackedListener{listener, n.conns}, nil
+}
+
+type trackedListener struct {
+	net.Listener
+	conns *Conns
+}
+
+// Accept waits for the next connection.
+func (l trackedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err //nolint:wrapcheck // as in Listen
+	}
+	tracked := &Conn{Conn: conn, conns: l.conns, waitingSince: time.Now()}
+	if !l.conns.add(tracked) {
+		tracked.cut()
+	}
+	return tracked, nil
+}
+
+// add tracks a connection; it returns false if the connection is to be closed at once.
+func (c *Conns) add(conn *Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open[conn] = struct{}{}
+	return !c.closed
+}
+
+// ConnContext is the ConnContext hook of http.Server: it makes the connection known to the handlers of its requests.
+func (c *Conns) ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connContextKey{}, conn)
+}
+
+// ConnState is the ConnState hook of http.Server, which reports StateIdle only after a response has been written out.
+func (c *Conns) ConnState(conn net.Conn, state http.ConnState) {
+	tracked, ok := conn.(*Conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		tracked.becomeAnswered()
+	case http.StateClosed, http.StateHijacked:
+		c.mu.Lock()
+		delete(c.open, tracked)
+		c.mu.Unlock()
+	case http.StateNew, http.StateActive:
+	}
+}
+
+func (c *Conns) closesWhenIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closeWhenIdle
+}
+
+// all returns the open connections.
+func (c *Conns) all() []*Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conns := make([]*Conn, 0, len(c.open))
+	for conn := range c.open {
+		conns = append(conns, conn)
+	}
+	return conns
+}
+
+// CloseIdle closes the idle connections, and from now on every other one as soon as it becomes idle.
+func (c *Conns) CloseIdle() {
+	c.mu.Lock()
+	c.closeWhenIdle = true
+	c.mu.Unlock()
+	now := time.Now()
+	for _, conn := range c.all() {
+		conn.closeIdle(now)
+	}
+}
+
+// CloseUnused closes the connections from which nothing of a request has been read, whose requests are never accepted then.
+func (c *Conns) CloseUnused() {
+	now := time.Now()
+	for _, conn := range c.all() {
+		conn.closeUnused(now)
+	}
+}
+
+// CloseRest closes the unused connections once all connections are unused, new ones for a short time at least, and returns the
+// number of connections that are still open. Once it has returned 0, connections that are accepted later are closed.
+func (c *Conns) CloseRest() int {
+	now := time.Now()
+	conns := c.all()
+	if !slices.ContainsFunc(conns, func(conn *Conn) bool { return !conn.isUnused(now, firstRequestWait) }) {
+		c.CloseUnused()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = len(c.open) == 0
+	return len(c.open)
+}
+
+// Cut closes all connections, whatever is being served on them.
+func (c *Conns) Cut() {
+	for _, conn := range c.all() {
+		conn.cut()
+	}
+}
+
+// CloseTimedOut closes the connections that have been waiting for a request for longer than idleTime, or for the rest of a
+// header for longer than headerTime; zero means no limit. A connection whose request has been read in the meantime is not
+// closed.
+func (c *Conns) CloseTimedOut(now time.Time, headerTime, idleTime time.Duration) {
+	for _, conn := range c.all() {
+		conn.closeTimedOut(now, headerTime, idleTime)
+	}
+}
--- a/chivecommand/node.go
+++ b/chivecommand/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"log/slog"
 	"os"
 	"runtime/debug"
 
@@ -24,7 +23,7 @@
 // settingsVerb is a verb that runs a process from its settings file.
 func settingsVerb(name, usage string, run func(ctx context.Context, file string) error) verb {
 	return verb{
-		name: name, usage: usage,
+		name: name, usage: usage, serves: true,
 		flags: func(s *flaggy.Subcommand) action {
 			var settings string
 			s.String(&settings, "s", "settings", "The node's settings file.")
@@ -39,13 +38,18 @@
 }
 
 func runNode(ctx context.Context, file string) error {
+	watcher := newSettingsWatcher(file, chivesettings.Load)
 	settings, err := chivesettings.Load(file)
 	if err != nil {
 		return err
 	}
 	debug.SetGCPercent(collectAtPercent)
-	logger := slog.New(slog.NewJSONHandler(os.Stderr, nil))
+	output := chiveevent.NewOutput(os.Stderr)
+	defer output.Close(lastLines)
+	logger := output.Logger()
 	chiveevent.TakeOverStandardLog(logger)
+	stopWatching := watcher.start(ctx, settings, logger)
+	defer stopWatching()
 	node, err := chivenode.New(settings, chivewire.TCP{}, logger)
 	if err != nil {
 		return err
--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"chivedrift/chivecaller"
 	"chivedrift/chiveevent"
 	"chivedrift/chiveforward"
 	"chivedrift/chivekernel"
@@ -35,8 +36,13 @@
 	connCheckInterval = 500 * time.Millisecond
 	// maxHeaderBytes limits a header before the configured limit is checked.
 	maxHeaderBytes = 1 << 20
-	// stopPollInterval is the interval at which Stop checks whether all requests have ended.
+	// stopPollInterval is the interval at which Stop checks whether all connections have ended.
 	stopPollInterval = 20 * time.Millisecond
+	// lastLinesWait limits the wait for the log lines of the requests that were cut; the process ends soon after.
+	lastLinesWait         = 150 * time.Millisecond
+	lastLinesPollInterval = 5 * time.Millisecond
+	// unreadBodyTimeout is the time for which a stopping node reads the body of a request that it has answered.
+	unreadBodyTimeout = 200 * time.Millisecond
 	// retryAfterNoConfig is short because another node has a configuration.
 	retryAfterNoConfig = 200 * time.Millisecond
 	// retryAfterNoMemory is long enough for some requests to end and free their memory.
@@ -57,6 +63,8 @@
 	Network   chivewire.Network
 	Dialect   chiverequest.CallerDialect
 	Forwarder Forwarder
+	// Shutdown is the planned stop of the node, which the forwarder also knows; nil means one of the entry's own.
+	Shutdown *chiveforward.Shutdown
 	// Streams looks up where streams began, Versions the software versions of a pool; nil if endpoints have no versions.
 	Streams  Streams
 	Versions Versions
@@ -72,20 +80,24 @@
 	server   *chivewire.HTTPServer
 	table    atomic.Pointer[chivetable.Table]
 	metrics  *metrics
-	conns    *callerConns
+	conns    *chivecaller.Conns
 	draining atomic.Bool
 	inFlight atomic.Int64
 	accepted atomic.Int64
+	stops    stopCounters
 	duties   chivekernel.Duties
 }
 
 // New returns an entry that does not listen yet.
 func New(options Options) *Entry {
-	e := &Entry{options: options, metrics: newMetrics(options.Scope), conns: newCallerConns()}
+	if options.Shutdown == nil {
+		options.Shutdown = chiveforward.NewShutdown()
+	}
+	e := &Entry{options: options, metrics: newMetrics(options.Scope), conns: chivecaller.NewConns()}
 	e.server = chivewire.NewHTTPServer(&http.Server{
 		Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog:    slog.NewLogLogger(options.Logger.Handler(), slog.LevelDebug),
-		ConnContext: e.conns.connContext, ConnState: e.conns.connState,
+		ConnContext: e.conns.ConnContext, ConnState: e.conns.ConnState,
 	})
 	return e
 }
@@ -98,7 +110,7 @@
 
 // Start starts listening.
 func (e *Entry) Start(ctx context.Context) error {
-	if err := e.server.Start(e.options.Network, e.options.Address); err != nil {
+	if err := e.server.Start(e.conns.On(e.options.Network), e.options.Address); err != nil {
 		return fmt.Errorf("entry: %w", err)
 	}
 	e.duties.Begin(ctx, e.enforceConnTimeouts)
@@ -109,27 +121,37 @@
 func (e *Entry) enforceConnTimeouts(ctx context.Context) {
 	chivekernel.Every(ctx, connCheckInterval, func(now time.Time) {
 		if table := e.table.Load(); table != nil {
-			e.conns.closeTimedOut(now, table.Limits())
+			e.conns.CloseTimedOut(now, table.Limits().HeaderTime, table.Limits().IdleTime)
 		}
 	})
 }
 
-// Leave starts draining: from now on, responses ask callers to close the connection.
-func (e *Entry) Leave() { e.draining.Store(true) }
+// Leave starts draining: from now on, responses ask callers to close the connection. At the given time, Stop cuts what has
+// not ended; zero means never.
+func (e *Entry) Leave(cut time.Time) {
+	e.options.Shutdown.Begin(time.Now(), cut)
+	e.draining.Store(true)
+}
 
-// Stop accepts no new connections and waits for the requests in flight until the context ends, then aborts the rest.
+// Stop accepts no new connections and waits, until the context ends, until the response to each request has been written out and
+// its connection closed in order; then it aborts the rest.
 func (e *Entry) Stop(ctx context.Context) error {
-	e.Leave()
+	cut, _ := ctx.Deadline()
+	e.Leave(cut)
 	e.server.StopListening()
 	// Idle connections are closed too: no response asks their callers to close them, and a request that arrived on one
-	// near the end of the wait would be aborted.
-	e.conns.closeIdle()
-	for e.inFlight.Load() > 0 && ctx.Err() == nil {
+	// near the end of the wait would be refused.
+	e.conns.CloseIdle()
+	stopWatch := e.options.Shutdown.OnLastAnswers(e.conns.CloseUnused)
+	defer stopWatch()
+	for (e.conns.CloseRest() > 0 || e.inFlight.Load() > 0) && ctx.Err() == nil {
 		select {
 		case <-time.After(stopPollInterval):
 		case <-ctx.Done():
 		}
 	}
+	e.conns.Cut()
+	e.awaitLastLines()
 	err := e.server.Close()
 	e.duties.End()
 	if err != nil {
@@ -138,6 +160,13 @@
 	return nil
 }
 
+// awaitLastLines waits until the handlers of the requests that were cut have ended, each with the log lines of its request.
+func (e *Entry) awaitLastLines() {
+	for end := time.Now().Add(lastLinesWait); e.inFlight.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(lastLinesPollInterval)
+	}
+}
+
 // InFlight returns the number of requests being served.
 func (e *Entry) InFlight() int64 { return e.inFlight.Load() }
 
@@ -154,13 +183,24 @@
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
-	if conn := connOfRequest(r); conn != nil && !conn.startServing() {
+	conn := chivecaller.Of(r)
+	if conn != nil && !conn.StartServing() {
 		// The connection was closed while this request was being read: it is not forwarded, and the caller sees the
 		// connection close.
 		panic(http.ErrAbortHandler)
 	}
 	e.accepted.Add(1)
+	e.answer(w, r, conn)
+	if conn != nil {
+		conn.Answered()
+	}
+}
+
+// answer reads a request and writes the response, or panics with http.ErrAbortHandler after a part of it.
+func (e *Entry) answer(w http.ResponseWriter, r *http.Request, conn *chivecaller.Conn) {
 	metadata, err := e.options.Dialect.Read(r.Header)
+	x := e.newExchange(conn, metadata.ID)
+	defer x.handlerEnded()
 	if err != nil {
 		e.refuse(w, r, metadata, nil, newRefusal(http.StatusBadRequest, "invalid_header", err.Error()))
 		return
@@ -170,7 +210,7 @@
 		e.refuse(w, r, metadata, request, err)
 		return
 	}
-	e.forward(w, r, request)
+	e.forward(w, r, request, x)
 }
 
 // admit checks a request against the current routing table and reads its body. On failure the returned request, which
@@ -209,12 +249,16 @@
 	if err := CheckHeader(r.Header, table.Limits().HeaderBytes); err != nil {
 		return request, err
 	}
-	if request.Body, err = ReadBody(w, r, table.Limits().BodyBytes); err != nil {
-		return request, err
-	}
 	request.Deadline = now.Add(requestTimeout(route, metadata))
-	request.LastEvent, request.Resumes = metadata.LastEvent, metadata.Resumes
+	request.LastEvent, request.Resumes, request.Prompt = metadata.LastEvent, metadata.Resumes, metadata.Prompt
 	setPool(request, team)
+	if request.Body, err = e.readBody(w, r, request, table.Limits().BodyBytes); err != nil {
+		return request, err
+	}
+	request.Received = time.Now()
+	if conn := chivecaller.Of(r); conn != nil {
+		conn.RequestRead()
+	}
 	if err := e.setOrigin(r.Context(), request); err != nil {
 		return request, err
 	}
@@ -248,7 +292,7 @@
 
 // setPrompt sets the prompt that the caller described and the latency targets of the route.
 func setPrompt(request *chiverequest.Request, table *chivetable.Table, metadata chiverequest.Asked) {
-	request.Prompt, request.Shared = metadata.Prompt, chiverequest.SharedParts(metadata.Prompt)
+	request.Shared = chiverequest.SharedParts(metadata.Prompt)
 	if request.Prompt == nil {
 		return
 	}
@@ -306,24 +350,30 @@
 	if !errors.As(err, &f) {
 		f = newRefusal(http.StatusBadRequest, "invalid_request", err.Error())
 	}
-	route, version := "", int64(0)
+	route, version, received := "", int64(0), time.Time{}
 	if request != nil {
-		version = request.TableVersion
+		version, received = request.TableVersion, request.Received
 		if request.Route != nil {
 			route = request.Route.Name
 		}
 	}
-	chiveevent.RequestRefused.Log(r.Context(), e.options.Logger, chiveevent.Request(metadata.ID), slog.String("route", route),
-		slog.Int64("table_version", version), slog.Int("status", f.Status), slog.String("code", f.Code), slog.String("reason", f.Message))
+	attributes := append([]slog.Attr{
+		chiveevent.Request(metadata.ID), slog.String("route", route),
+		slog.Int64("table_version", version), slog.Int("status", f.Status), slog.String("code", f.Code), slog.String("reason", f.Message),
+	}, e.stopTimes(received, time.Time{})...)
+	chiveevent.RequestRefused.Log(r.Context(), e.options.Logger, attributes...)
 	e.metrics.countRefusal(route, f.Code)
+	e.stops.count(f.Code, f.Outcome)
 	e.writeFailure(w, f, metadata.ID)
 }
 
 // forward runs an admitted request; if no endpoint has answered it, forward writes the error response.
-func (e *Entry) forward(w http.ResponseWriter, r *http.Request, request *chiverequest.Request) {
+func (e *Entry) forward(w http.ResponseWriter, r *http.Request, request *chiverequest.Request, x *exchange) {
 	e.logAccepted(r.Context(), request)
 	sink := &responseSink{w: w, controller: http.NewResponseController(w), draining: e.draining.Load}
 	result := e.options.Forwarder.Run(r.Context(), request, sink)
+	x.setResult(request, result)
+	e.stops.count(result.Code, result.Outcome)
 	e.metrics.recordResult(request, result)
 	e.logEnded(r.Context(), request, result)
 	switch {
@@ -367,6 +417,7 @@
 		slog.Int64("expected_ms", result.Expected.Milliseconds()), slog.Int64("took_ms", time.Since(request.Arrival).Milliseconds()),
 		slog.Int64("left_ms", time.Until(request.Deadline).Milliseconds()),
 	}
+	attributes = append(attributes, e.stopTimes(request.Received, result.Sent)...)
 	if result.Outcome == chiveforward.Completed {
 		chiveevent.RequestEnded.Log(ctx, e.options.Logger, attributes...)
 		return
@@ -381,6 +432,8 @@
 func (e *Entry) writeFailure(w http.ResponseWriter, f *FailureError, id string) {
 	if e.draining.Load() {
 		w.Header().Set("Connection", "close")
+		// net/http reads the rest of the body, which may not come, before it closes the connection.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
 	}
 	f.write(w, e.options.Dialect, id)
 }
--- a/chiveforward/request.go
+++ b/chiveforward/request.go
@@ -37,6 +37,8 @@
 	CodeBroken      = "endpoint_broken"
 	CodeRefused     = "endpoint_refused"
 	CodeQuarantined = "endpoints_ended"
+	// CodeStopping means that the node is stopping and would cut the request before it could end.
+	CodeStopping = "node_stopping"
 )
 
 // Try is one attempt of a request.
@@ -96,6 +98,8 @@
 	Status  int
 	// Tries are the attempts that were made, in order.
 	Tries []Try
+	// Sent is when the last attempt was sent; zero if there was none.
+	Sent time.Time
 	// First is the time from the arrival of the request to the start of the response.
 	First  time.Duration
 	Events int
