A take-up without a named attempt goes on only at the pool's certain version

What callers saw: after all nodes had ended and started again around a release, a request with Last-Event-Id and without Resumes was answered by an endpoint of another software version than the one that had begun the stream.

Cause: such a request went on unless several versions were known at the moment. A node that has just started knows only what is registered now: a version that left while no node ran, or before, was not known, and what is not known counted as not there.

Fix: it goes on under the condition that holds for a named attempt without a record (Sole): all endpoints have one version, this node has known the pool for 30 s, reads the store and has not lost half of the fleet. It is limited to that version. Otherwise 503 with Retry-After, not run. The refusal's reason tells several known versions from a pool that is not certain yet.

--- a/chiveentry/resume.go
+++ b/chiveentry/resume.go
@@ -31,10 +31,9 @@
 
 // How a node knows the software version of a stream, as it is logged.
 const (
-	originRecord  = "record"
-	originSole    = "sole"
-	originMoved   = "moved"
-	originUnnamed = "unnamed"
+	originRecord = "record"
+	originSole   = "sole"
+	originMoved  = "moved"
 )
 
 // setOrigin finds out at which software version the stream began that a caller takes up, and limits the request to it. It
@@ -45,7 +44,11 @@
 	}
 	known, ok := e.findOrigin(ctx, request)
 	if !ok {
-		f := newRefusal(http.StatusServiceUnavailable, "stream_origin_unknown", "the software version that began the stream is not known here; begin it again if this persists")
+		reason := "the software version that began the stream is not known here, and this node cannot be certain yet that its pool had no other"
+		if e.options.Versions.Several(request.Pool) {
+			reason = "the software version that began the stream is not known here, and its pool has several"
+		}
+		f := newRefusal(http.StatusServiceUnavailable, "stream_origin_unknown", reason+"; begin it again if this persists")
 		f.RetryAfter = retryAfterUnknownOrigin
 		return f
 	}
@@ -62,7 +65,7 @@
 // the pool to the one that began it. It returns how that is known, and false if it is not.
 func (e *Entry) findOrigin(ctx context.Context, request *chiverequest.Request) (known string, ok bool) {
 	if request.Resumes == "" {
-		return originUnnamed, !e.options.Versions.Several(request.Pool)
+		return e.limitToSole(request)
 	}
 	lookup := e.options.Streams.Find(ctx, request.Team, request.Resumes)
 	if origin := originFor(request, lookup.Origins); origin != nil {
@@ -72,8 +75,17 @@
 	if len(lookup.Origins) > 0 {
 		return originMoved, true
 	}
+	if !lookup.Answered {
+		return "", false
+	}
+	return e.limitToSole(request)
+}
+
+// limitToSole limits a request to the version that all endpoints of its pool have, and returns false if there are several or
+// this node may not know one.
+func (e *Entry) limitToSole(request *chiverequest.Request) (known string, ok bool) {
 	version, ok := e.options.Versions.Sole(request.Pool)
-	if !ok || !lookup.Answered {
+	if !ok {
 		return "", false
 	}
 	request.Origin = &chiverequest.Origin{Pool: request.Pool, Version: version}
--- a/chiveevent/catalogue.go
+++ b/chiveevent/catalogue.go
@@ -96,7 +96,7 @@
 	QuarantineProbe = define(512, slog.LevelWarn, "quarantined request probed", "None; whether the engine crashes or answers decides if the request stays quarantined.")
 	CrashRefuted    = define(513, slog.LevelWarn, "crash report refuted", "None; the endpoint answered after it was reported as crashed. Check the network path between the nodes and the endpoint.")
 	EndpointFailed  = define(515, slog.LevelWarn, "silent endpoint failed", "Nothing broke, but the endpoint no longer answers; the field evidence shows what was tried. Read the engine's own log.")
-	StreamTakenUp   = define(516, slog.LevelInfo, "stream taken up", "None; origin shows how the node knows the software version that began the stream: record from this node or an owner, sole since all endpoints have that version, moved since the route has moved to another pool, unnamed since the caller names no attempt.")
+	StreamTakenUp   = define(516, slog.LevelInfo, "stream taken up", "None; origin shows how the node knows the software version that began the stream: record from this node or an owner, sole since all endpoints have that version, moved since the route has moved to another pool.")
 	FailureReceived = define(514, slog.LevelWarn, "endpoint's failure received", "Another node detected the failure. Read the engine's own log.")
 	RequestUnknown  = define(502, slog.LevelWarn, "outcome unknown", "The caller was informed; compare with the endpoint's own records.")
 
