Where streams began lasts in the store after all nodes have ended

Cause: records of beginnings were in the memory of the nodes only, and without a record a pool's version counts as certain only once a node has known the pool for 30 s.

Fix: each beginning also goes to one of a few nodes (kind stream_store, one node in 40 by hash), which append what they got in 200 ms to a topic of our own as one record. Nothing waits for it. At their start the nodes that read the store for others read the last records once; a lookup asks two of them beside the owners, and waits 300 ms at most for what its own node is about to read. A store that is down, slow or restored costs records, and so take-ups.

--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -215,6 +215,9 @@
 	n.members.OnReply(n.distances.Observer())
 	n.streams = chivestream.New(n.mesh)
 	n.streams.SetDistances(n.distances)
+	n.streams.SetJournal(chivestream.JournalOptions{
+		Log: store.Streams(), Reads: func() bool { return n.gossip.ReadsEarly() }, Readers: chivegossip.Readers, Logger: n.logger,
+	})
 	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Tables: n.tables, Endpoints: n.directory, Deferred: n.directory.Deferred, Logger: n.logger})
 	n.tables.OnChange(func(*chivetable.Table) { n.gossip.Learnt() })
 	n.directory.OnChange(func(chivedirectory.Diff) { n.gossip.Learnt() })
@@ -447,6 +450,8 @@
 		{"streams_found", func() float64 { return float64(n.streams.Counts().Found) }},
 		{"streams_unknown", func() float64 { return float64(n.streams.Counts().Unknown) }},
 		{"streams_unanswered", func() float64 { return float64(n.streams.Counts().Unanswered) }},
+		{"streams_stored", func() float64 { return float64(n.streams.Counts().Stored) }},
+		{"streams_read_back", func() float64 { return float64(n.streams.Counts().ReadBack) }},
 		{"lost_paths", func() float64 { return float64(n.relay.Counts().LostPaths) }},
 		{"tunnels", func() float64 { return float64(n.relay.Counts().Tunnels) }},
 		{"tunnels_opened", func() float64 { return float64(n.relay.Counts().Opened) }},
--- a/chivewire/kind.go
+++ b/chivewire/kind.go
@@ -91,6 +91,7 @@
 	KindStreamBegun  Kind = 148
 	KindStreamAsk    Kind = 149
 	KindStreamAnswer Kind = 150
+	KindStreamStore  Kind = 151
 
 	KindEndpointNotice Kind = 152
 
@@ -127,7 +128,7 @@
 	KindPlaceAsk: "place_ask", KindPlaceAnswer: "place_answer",
 	KindRateAsk: "rate_ask", KindRateAnswer: "rate_answer", KindRateRelease: "rate_release",
 	KindVersionsAsk: "versions_ask", KindVersions: "versions",
-	KindStreamBegun: "stream_begun", KindStreamAsk: "stream_ask", KindStreamAnswer: "stream_answer",
+	KindStreamBegun: "stream_begun", KindStreamAsk: "stream_ask", KindStreamAnswer: "stream_answer", KindStreamStore: "stream_store",
 	KindEndpointNotice: "endpoint_notice", KindEndpointWarmUp: "endpoint_warm_up", KindPermitUser: "permit_user",
 	KindEvacuationDetails: "evacuation_details", KindEvacuationsAsk: "evacuations_ask",
 }
