Nodes that do not read the store ask for the version of a pool

What callers saw: in a fleet of more than eight nodes, take-ups without a record were refused for good at all nodes that leave reading the store to others, although the pool had one version; and at a node that had just started for 30 s, although its peers knew. Since a take-up that names no attempt needs that certainty as well, it met all of those.

Cause: Sole holds only at a node that reads the store itself and has known the pool for 30 s; nobody was asked.

Fix: a node that is not certain, and knows no two versions, asks two of the nodes that read the store (kinds sole_ask and sole_answer; releases without them do not reply, and the take-up is refused as before). A peer's certainty is what its own callers get. It is not taken if this node knows another version of the pool.

--- a/chiveentry/resume.go
+++ b/chiveentry/resume.go
@@ -23,8 +23,8 @@
 
 // Versions looks up the software versions of the endpoints of a pool.
 type Versions interface {
-	// Sole returns the version of all endpoints of a pool; ok is false if there are several or this node may not know one.
-	Sole(pool string) (version string, ok bool)
+	// FindSole returns the version of all endpoints of a pool; ok is false if there are several or one may not be known.
+	FindSole(ctx context.Context, pool string) (version string, ok bool)
 	// Several reports whether the endpoints of a pool are known to have several versions.
 	Several(pool string) bool
 }
@@ -44,7 +44,7 @@
 	}
 	known, ok := e.findOrigin(ctx, request)
 	if !ok {
-		reason := "the software version that began the stream is not known here, and this node cannot be certain yet that its pool had no other"
+		reason := "the software version that began the stream is not known here, and it is not certain that its pool had no other"
 		if e.options.Versions.Several(request.Pool) {
 			reason = "the software version that began the stream is not known here, and its pool has several"
 		}
@@ -65,7 +65,7 @@
 // the pool to the one that began it. It returns how that is known, and false if it is not.
 func (e *Entry) findOrigin(ctx context.Context, request *chiverequest.Request) (known string, ok bool) {
 	if request.Resumes == "" {
-		return e.limitToSole(request)
+		return e.limitToSole(ctx, request)
 	}
 	lookup := e.options.Streams.Find(ctx, request.Team, request.Resumes)
 	if origin := originFor(request, lookup.Origins); origin != nil {
@@ -78,13 +78,13 @@
 	if !lookup.Answered {
 		return "", false
 	}
-	return e.limitToSole(request)
+	return e.limitToSole(ctx, request)
 }
 
 // limitToSole limits a request to the version that all endpoints of its pool have, and returns false if there are several or
-// this node may not know one.
-func (e *Entry) limitToSole(request *chiverequest.Request) (known string, ok bool) {
-	version, ok := e.options.Versions.Sole(request.Pool)
+// one may not be known.
+func (e *Entry) limitToSole(ctx context.Context, request *chiverequest.Request) (known string, ok bool) {
+	version, ok := e.options.Versions.FindSole(ctx, request.Pool)
 	if !ok {
 		return "", false
 	}
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -211,6 +211,7 @@
 	n.evacuation = chiveevacuation.New(chiveevacuation.Options{Mesh: n.mesh, Decode: chiveplatform.DecodeEvacuation, Running: n.inFlightByDomain, Logger: n.logger})
 	n.directory = chivedirectory.NewService(chiveplatform.DecodeEndpoint, chivedirectory.DefaultGrace, n.logger)
 	n.versions = chiveversion.New(n.mesh, chiveplatform.DecodeVersion, func() time.Duration { return n.endpointReadAge() })
+	n.versions.SetDistances(n.distances)
 	n.directory.OnChange(n.versions.ApplyEndpoints)
 	n.members.OnReply(n.distances.Observer())
 	n.streams = chivestream.New(n.mesh)
--- a/chiveversion/service.go
+++ b/chiveversion/service.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chivedrift/chivedirectory"
+	"chivedrift/chivedistance"
 	"chivedrift/chivekernel"
 	"chivedrift/chivelog"
 	"chivedrift/chivemember"
@@ -50,22 +51,30 @@
 	readAge func() time.Duration
 	mu      sync.Mutex
 	peers   []string
-	size    int
-	peak    chivemember.PeakSize
-	duties  chivekernel.Duties
+	// byHash holds the addresses of the members in the order by hash.
+	byHash []string
+	calls  *chivedistance.Calls[SoleAnswer]
+	size   int
+	peak   chivemember.PeakSize
+	duties chivekernel.Duties
 }
 
 // New returns a service that knows no version; readAge returns how long ago the store answered this node, negative for
 // never.
 func New(mesh *chivewire.Mesh, decode Decoder, readAge func() time.Duration) *Service {
 	s := &Service{
-		registry: NewRegistry(), decode: decode, mesh: mesh, askNow: make(chan struct{}, 1), readAge: readAge, size: 1, peak: chivemember.NewPeakSize(time.Now()),
+		registry: NewRegistry(), decode: decode, mesh: mesh, askNow: make(chan struct{}, 1), readAge: readAge, size: 1, calls: chivedistance.NewCalls[SoleAnswer](nil), peak: chivemember.NewPeakSize(time.Now()),
 	}
 	chivewire.Receive(mesh, chivewire.KindVersionsAsk, s.answer)
 	chivewire.Receive(mesh, chivewire.KindVersions, s.learn)
+	chivewire.Receive(mesh, chivewire.KindSoleAsk, s.respondSole)
+	chivewire.Receive(mesh, chivewire.KindSoleAnswer, func(_ string, a SoleAnswer) { s.calls.Deliver(a.Number, a) })
 	return s
 }
 
+// SetDistances sets the distances to the peers; it must be called before the first request.
+func (s *Service) SetDistances(distances *chivedistance.Table) { s.calls.SetTable(distances) }
+
 // Of returns the software version of an incarnation; empty if it is not known.
 func (s *Service) Of(incarnation string) string { return s.registry.Of(incarnation) }
 
@@ -103,7 +112,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.peers, s.size = peers, len(members)
+	s.peers, s.size, s.byHash = peers, len(members), chivemember.AddressesByHash(members)
 	s.peak.Set(time.Now(), len(members))
 }
 
--- a/chiveversion/sole.go
+++ b/chiveversion/sole.go
@@ -43,6 +43,16 @@
 	return len(versions) > 1
 }
 
+// HasNoOther reports whether endpoints of a pool have no known version but the given one, including those that left lately.
+func (r *Registry) HasNoOther(now time.Time, pool, version string) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	versions := r.recent(now, pool)
+	delete(versions, "")
+	delete(versions, version)
+	return len(versions) == 0
+}
+
 // recent returns the versions of a pool's endpoints, including those that left lately; the caller holds the lock.
 func (r *Registry) recent(now time.Time, pool string) map[string]bool {
 	versions := make(map[string]bool)
--- a/chivewire/kind.go
+++ b/chivewire/kind.go
@@ -87,6 +87,8 @@
 
 	KindVersionsAsk Kind = 144
 	KindVersions    Kind = 145
+	KindSoleAsk     Kind = 146
+	KindSoleAnswer  Kind = 147
 
 	KindStreamBegun  Kind = 148
 	KindStreamAsk    Kind = 149
@@ -127,7 +129,7 @@
 	KindRepeatAsk: "repeat_ask", KindRepeatAnswer: "repeat_answer",
 	KindPlaceAsk: "place_ask", KindPlaceAnswer: "place_answer",
 	KindRateAsk: "rate_ask", KindRateAnswer: "rate_answer", KindRateRelease: "rate_release",
-	KindVersionsAsk: "versions_ask", KindVersions: "versions",
+	KindVersionsAsk: "versions_ask", KindVersions: "versions", KindSoleAsk: "sole_ask", KindSoleAnswer: "sole_answer",
 	KindStreamBegun: "stream_begun", KindStreamAsk: "stream_ask", KindStreamAnswer: "stream_answer", KindStreamStore: "stream_store",
 	KindEndpointNotice: "endpoint_notice", KindEndpointWarmUp: "endpoint_warm_up", KindPermitUser: "permit_user",
 	KindEvacuationDetails: "evacuation_details", KindEvacuationsAsk: "evacuations_ask",
