--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -211,10 +211,14 @@
 	n.evacuation = chiveevacuation.New(chiveevacuation.Options{Mesh: n.mesh, Decode: chiveplatform.DecodeEvacuation, Running: n.inFlightByDomain, Logger: n.logger})
 	n.directory = chivedirectory.NewService(chiveplatform.DecodeEndpoint, chivedirectory.DefaultGrace, n.logger)
 	n.versions = chiveversion.New(n.mesh, chiveplatform.DecodeVersion, func() time.Duration { return n.endpointReadAge() })
+	n.versions.SetDistances(n.distances)
 	n.directory.OnChange(n.versions.ApplyEndpoints)
 	n.members.OnReply(n.distances.Observer())
 	n.streams = chivestream.New(n.mesh)
 	n.streams.SetDistances(n.distances)
+	n.streams.SetJournal(chivestream.JournalOptions{
+		Log: store.Streams(), Reads: func() bool { return n.gossip.ReadsEarly() }, Readers: chivegossip.Readers, Logger: n.logger,
+	})
 	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Tables: n.tables, Endpoints: n.directory, Deferred: n.directory.Deferred, Logger: n.logger})
 	n.tables.OnChange(func(*chivetable.Table) { n.gossip.Learnt() })
 	n.directory.OnChange(func(chivedirectory.Diff) { n.gossip.Learnt() })
@@ -448,6 +452,8 @@
 		{"streams_found", func() float64 { return float64(n.streams.Counts().Found) }},
 		{"streams_unknown", func() float64 { return float64(n.streams.Counts().Unknown) }},
 		{"streams_unanswered", func() float64 { return float64(n.streams.Counts().Unanswered) }},
+		{"streams_stored", func() float64 { return float64(n.streams.Counts().Stored) }},
+		{"streams_read_back", func() float64 { return float64(n.streams.Counts().ReadBack) }},
 		{"lost_paths", func() float64 { return float64(n.relay.Counts().LostPaths) }},
 		{"tunnels", func() float64 { return float64(n.relay.Counts().Tunnels) }},
 		{"tunnels_opened", func() float64 { return float64(n.relay.Counts().Opened) }},
--- a/chivewire/kind.go
+++ b/chivewire/kind.go
@@ -87,10 +87,13 @@
 
 	KindVersionsAsk Kind = 144
 	KindVersions    Kind = 145
+	KindSoleAsk     Kind = 146
+	KindSoleAnswer  Kind = 147
 
 	KindStreamBegun  Kind = 148
 	KindStreamAsk    Kind = 149
 	KindStreamAnswer Kind = 150
+	KindStreamStore  Kind = 151
 
 	KindEndpointNotice Kind = 152
 
@@ -126,8 +129,8 @@
 	KindRepeatAsk: "repeat_ask", KindRepeatAnswer: "repeat_answer",
 	KindPlaceAsk: "place_ask", KindPlaceAnswer: "place_answer",
 	KindRateAsk: "rate_ask", KindRateAnswer: "rate_answer", KindRateRelease: "rate_release",
-	KindVersionsAsk: "versions_ask", KindVersions: "versions",
-	KindStreamBegun: "stream_begun", KindStreamAsk: "stream_ask", KindStreamAnswer: "stream_answer",
+	KindVersionsAsk: "versions_ask", KindVersions: "versions", KindSoleAsk: "sole_ask", KindSoleAnswer: "sole_answer",
+	KindStreamBegun: "stream_begun", KindStreamAsk: "stream_ask", KindStreamAnswer: "stream_answer", KindStreamStore: "stream_store",
 	KindEndpointNotice: "endpoint_notice", KindEndpointWarmUp: "endpoint_warm_up", KindPermitUser: "permit_user",
 	KindEvacuationDetails: "evacuation_details", KindEvacuationsAsk: "evacuations_ask",
 }
