Records and messages are checked for lengths and nesting before they are decoded

What callers saw: none in a log that we have. A record of ten bytes in one of the store's topics, or such a message at the port for peers, ends each node that reads it: "runtime: out of memory: cannot allocate-byte block".

Cause: the msgpack decoder allocates as many elements as a list states, before it has read one of them (its own limit on that is not in force for lists of structs), and skips values that it does not know by calling itself for each level.

Why it works: CheckBounds walks the encoded value once, without recursion and without allocation, and rejects a list, map, string or extension that states more than the data hold, and more than 64 levels. All decoders of what others have written use it: messages of peers, records of leases, orders, usage, claims and the configuration's history. A record of initial replica counts that holds "nil" no longer leaves a nil map that is written to later.

--- a/chiveclaim/entry.go
+++ b/chiveclaim/entry.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strconv"
 
+	"chivedrift/chivewire"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -58,8 +60,8 @@
 }
 
 func decodeBatch(data []byte) ([]Entry, error) {
-	var b batch
-	if err := msgpack.Unmarshal(data, &b); err != nil {
+	b, err := chivewire.Decode[batch](data)
+	if err != nil {
 		return nil, fmt.Errorf("claims: decode: %w", err)
 	}
 	return b.Entries, nil
--- a/chiveconfig/fuzz_test.go
+++ b/chiveconfig/fuzz_test.go
@@ -1,6 +1,9 @@
 package chiveconfig_test
 
 import (
+	"bytes"
+	"compress/gzip"
+	"slices"
 	"testing"
 
 	"chivedrift/chiveconfig"
@@ -22,6 +25,20 @@
 	})
 }
 
+// packed returns bytes in the form in which records are stored.
+func packed(f *testing.F, data []byte) []byte {
+	f.Helper()
+	var buffer bytes.Buffer
+	compressor := gzip.NewWriter(&buffer)
+	if _, err := compressor.Write(data); err != nil {
+		f.Fatal(err)
+	}
+	if err := compressor.Close(); err != nil {
+		f.Fatal(err)
+	}
+	return buffer.Bytes()
+}
+
 // FuzzDecodeRecord feeds arbitrary bytes to the record decoder.
 func FuzzDecodeRecord(f *testing.F) {
 	good, err := chiveconfig.Record{ID: "x", Kind: chiveconfig.KindPublish}.Encode()
@@ -30,6 +47,8 @@
 	}
 	f.Add(good)
 	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff})
+	f.Add(packed(f, []byte{0xdf, 0xff, 0xff, 0xff, 0xff}))
+	f.Add(packed(f, slices.Repeat([]byte{0x91}, 30_000)))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		r, err := chiveconfig.DecodeRecord(data)
 		if err == nil && r.Kind != chiveconfig.KindPublish && r.Kind != chiveconfig.KindCheckpoint {
--- a/chiveconfig/history.go
+++ b/chiveconfig/history.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 
+	"chivedrift/chivewire"
+
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -63,6 +65,9 @@
 		return Record{}, fmt.Errorf("configuration: record not decodable: %w", err)
 	}
 	var r Record
+	if _, err := chivewire.CheckBounds(plain); err != nil {
+		return Record{}, fmt.Errorf("configuration: record not decodable: %w", err)
+	}
 	if err := msgpack.Unmarshal(plain, &r); err != nil {
 		return Record{}, fmt.Errorf("configuration: record not decodable: %w", err)
 	}
--- a/chivelease/record.go
+++ b/chivelease/record.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chivedrift/chivelog"
+	"chivedrift/chivewire"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -37,8 +38,8 @@
 
 // DecodeRecord decodes a stored lease record.
 func DecodeRecord(data []byte) (Record, error) {
-	var r Record
-	if err := msgpack.Unmarshal(data, &r); err != nil {
+	r, err := chivewire.Decode[Record](data)
+	if err != nil {
 		return Record{}, fmt.Errorf("lease: decode: %w", err)
 	}
 	return r, nil
--- a/chiveorder/lease.go
+++ b/chiveorder/lease.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"chivedrift/chivewire"
+
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -63,8 +65,8 @@
 // lease, the lease is the sender's own, or its term has expired; a release takes effect if the lease is the sender's
 // own. A record that cannot be decoded has no effect.
 func (l *Leases) Apply(offset int64, at time.Time, data []byte) {
-	var r Record
-	if err := msgpack.Unmarshal(data, &r); err != nil {
+	r, err := chivewire.Decode[Record](data)
+	if err != nil {
 		return
 	}
 	current, held := l.byGroup[r.Group]
--- a/chivescale/record.go
+++ b/chivescale/record.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"chivedrift/chivewire"
+
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -82,8 +84,8 @@
 }
 
 func decodeOrders(data []byte) (orderRecord, error) {
-	var r orderRecord
-	if err := msgpack.Unmarshal(data, &r); err != nil {
+	r, err := chivewire.Decode[orderRecord](data)
+	if err != nil {
 		return orderRecord{}, fmt.Errorf("replica orders: decode: %w", err)
 	}
 	return r, nil
--- a/chivescale/service.go
+++ b/chivescale/service.go
@@ -15,6 +15,7 @@
 	"chivedrift/chivekernel"
 	"chivedrift/chivelease"
 	"chivedrift/chivetable"
+	"chivedrift/chivewire"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -250,10 +251,12 @@
 	if len(data) == 0 {
 		return
 	}
-	if err := msgpack.Unmarshal(data, &s.initial); err != nil {
+	initial, err := chivewire.Decode[map[string]int](data)
+	if err != nil {
 		chiveevent.ReplicasUnreadable.Log(ctx, s.opts.Logger, slog.String("error", err.Error()))
-		s.initial = make(map[string]int)
+		return
 	}
+	maps.Copy(s.initial, initial)
 }
 
 // readKinds reads which replicas are preemptible if the kind of any endpoint is unknown.
--- a/chiveusage/cuts.go
+++ b/chiveusage/cuts.go
@@ -112,6 +112,13 @@
 // the last settled one are distinguished by their times. In one without reported windows, all up to the last settled one
 // may have been reported.
 func decodeLedger(data []byte) (ledger, error) {
+	for rest := data; len(rest) > 0; {
+		after, err := chivewire.CheckBounds(rest)
+		if err != nil {
+			return ledger{}, fmt.Errorf("usage ledger: decode: %w", err)
+		}
+		rest = after
+	}
 	decoder := msgpack.NewDecoder(bytes.NewReader(data))
 	var l ledger
 	if err := decoder.Decode(&l); err != nil {
--- a/chivewire/frame.go
+++ b/chivewire/frame.go
@@ -41,9 +41,12 @@
 	return frame, nil
 }
 
-// Decode decodes a message body into T.
+// Decode decodes a message body, or a record that was encoded in the same way, into T. Data after it are ignored.
 func Decode[T any](body []byte) (T, error) {
 	var message T
+	if _, err := CheckBounds(body); err != nil {
+		return message, err
+	}
 	if err := msgpack.Unmarshal(body, &message); err != nil {
 		return message, fmt.Errorf("wire: decode: %w", err)
 	}
