An unusable record no longer removes the endpoint whose key it has

What callers saw: requests refused or sent elsewhere, streams broken off and prompt caches forgotten at each record of another writer under the id of a live endpoint, until its next heartbeat. The platform's pages say of such a record that it names no endpoint and that the others hold.

Cause: the directory took a record that it can't decode for a removal, by the rule that it has replaced the earlier one.

Why it works: the known entry is kept as a missing one, as around an outage of the store. A live endpoint writes its record again with the next heartbeat, which ends that; the entry of one that has ended is removed by the store, at once for this node too. If neither comes in 4 s (three heartbeats and a margin), as under a writer that keeps the key's entry alive, the endpoint is removed after all. Peers receive the entry as missing, with the time left, in the message that they know; the new field is not sent.

--- a/chivedirectory/directory.go
+++ b/chivedirectory/directory.go
@@ -159,6 +159,15 @@
 	d.expiryPending = true
 	d.observeEra(now, change.Position)
 	d.newest = max(d.newest, change.Position)
+	if change.Unusable {
+		d.doubt(now, change)
+		return false
+	}
+	return d.applyUsable(now, change)
+}
+
+// applyUsable processes a change other than an unusable record.
+func (d *Directory) applyUsable(now time.Time, change Change) bool {
 	id := change.Endpoint.ID
 	d.markDirty(id)
 	if d.repeatsDeferral(change) {
--- a/chivedirectory/endpoint.go
+++ b/chivedirectory/endpoint.go
@@ -55,4 +55,6 @@
 	Endpoint Endpoint
 	// Read means that this node has read the change from the store itself; it is not sent to peers.
 	Read bool
+	// Unusable means that the record states no endpoint; Endpoint then has only its ID. Peers receive what it changes.
+	Unusable bool `msgpack:"-"`
 }
--- a/chivedirectory/service.go
+++ b/chivedirectory/service.go
@@ -190,8 +190,7 @@
 	return s.directory.Newest()
 }
 
-// decodeRecords converts records to changes. An unusable record counts as a removal: it has replaced the earlier record
-// of the endpoint, which is therefore no longer valid, and may come from another writer.
+// decodeRecords converts records to changes.
 func (s *Service) decodeRecords(records []chivelog.KeyedRecord) []Change {
 	changes := make([]Change, 0, len(records))
 	for _, r := range records {
@@ -200,7 +199,8 @@
 			continue
 		}
 		if r.Key != "" {
-			changes = append(changes, Change{Position: r.Position, Gone: true, Read: true, Endpoint: Endpoint{ID: r.Key}})
+			isRemoval := len(r.Value) == 0
+			changes = append(changes, Change{Position: r.Position, Gone: isRemoval, Unusable: !isRemoval, Read: true, Endpoint: Endpoint{ID: r.Key}})
 		}
 	}
 	return changes
