Unusable records of one key are logged once, with a part of the reason

What callers saw: nothing; operators get a line for each heartbeat, so that other lines are dropped, and a line of 300 KB for a record of 60 KB.

Cause: a usable record in between, as the endpoint writes with its next heartbeat, started the count of a key anew, and so did a reason that quotes another value. The reason, which may quote the whole record, was logged in full and remembered for each of up to 4,096 keys.

Why it works: a key keeps its count for ten minutes after its last unusable record, whatever comes in between; the line has at most 400 bytes of the reason, which is no longer remembered. If keys fill the table, those whose newest record is usable make room.

--- a/chivedirectory/rejections.go
+++ b/chivedirectory/rejections.go
@@ -15,6 +15,11 @@
 	// logAgainFactor is the factor by which the count of unusable records of one key must grow before it is logged
 	// again.
 	logAgainFactor = 10
+	// rejectionRetention is how long after its last unusable record a key is remembered. Until then, usable records in
+	// between don't start its count anew: an endpoint and another writer may write the same key in turn.
+	rejectionRetention = 10 * time.Minute
+	// maxReasonBytes is how much of a reason is logged. It may quote the record.
+	maxReasonBytes = 400
 )
 
 // rejectionStats describes unusable records in state dumps.
@@ -36,31 +41,29 @@
 	windowStart time.Time
 }
 
-// rejection describes a key whose record is unusable: the reason, the number of such records in a row, and the count at
-// which the next one is logged.
+// rejection describes a key that has had unusable records: their number, the count at which the next one is logged, when
+// the last one came, and whether the newest record of the key is one.
 type rejection struct {
-	reason     string
 	count      int64
 	nextLogged int64
+	lastAt     time.Time
+	isCurrent  bool
 }
 
 func newRejections() rejections { return rejections{byKey: make(map[string]*rejection)} }
 
-// record counts an unusable record. It returns how many of the key there have been in a row, and whether to log this
-// one.
-func (r *rejections) record(now time.Time, key, reason string) (count int64, shouldLog bool) {
+// record counts an unusable record. It returns how many of the key there have been, and whether to log this one.
+func (r *rejections) record(now time.Time, key string) (count int64, shouldLog bool) {
 	r.records++
 	known, ok := r.byKey[key]
-	if !ok {
+	if !ok || now.Sub(known.lastAt) >= rejectionRetention {
 		known = &rejection{nextLogged: 1}
-		if len(r.byKey) < maxRejectedKeys {
+		if r.hasRoom(now) {
 			r.byKey[key] = known
 		}
 	}
 	known.count++
-	if known.reason != reason {
-		known.reason, known.nextLogged = reason, known.count
-	}
+	known.lastAt, known.isCurrent = now, true
 	if known.count < known.nextLogged || !r.takeLine(now) {
 		r.unlogged++
 		return known.count, false
@@ -69,6 +72,19 @@
 	return known.count, true
 }
 
+// hasRoom reports whether another key can be remembered, after dropping keys without need if there are too many.
+func (r *rejections) hasRoom(now time.Time) bool {
+	if len(r.byKey) < maxRejectedKeys {
+		return true
+	}
+	for key, known := range r.byKey {
+		if !known.isCurrent && now.Sub(known.lastAt) >= rejectionWindow {
+			delete(r.byKey, key)
+		}
+	}
+	return len(r.byKey) < maxRejectedKeys
+}
+
 // takeLine uses one log line of the current window, if one is left.
 func (r *rejections) takeLine(now time.Time) bool {
 	if now.Sub(r.windowStart) >= rejectionWindow {
@@ -81,9 +97,27 @@
 	return true
 }
 
-// forget removes a key whose record is usable again or has been removed.
-func (r *rejections) forget(key string) { delete(r.byKey, key) }
+// resolve records that the newest record of a key is usable, or that it has been removed.
+func (r *rejections) resolve(key string) {
+	if known, ok := r.byKey[key]; ok {
+		known.isCurrent = false
+	}
+}
 
 func (r *rejections) stats() rejectionStats {
-	return rejectionStats{Keys: len(r.byKey), Records: r.records, Unlogged: r.unlogged}
+	stats := rejectionStats{Records: r.records, Unlogged: r.unlogged}
+	for _, known := range r.byKey {
+		if known.isCurrent {
+			stats.Keys++
+		}
+	}
+	return stats
+}
+
+// cutReason returns the beginning of a reason that is too long for the log.
+func cutReason(reason string) string {
+	if len(reason) <= maxReasonBytes {
+		return reason
+	}
+	return reason[:maxReasonBytes] + "..."
 }
--- a/chivedirectory/service.go
+++ b/chivedirectory/service.go
@@ -225,17 +225,17 @@
 func (s *Service) clearRejection(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rejections.forget(key)
+	s.rejections.resolve(key)
 }
 
 // recordRejection counts an unusable record and logs it, unless too many have been logged.
 func (s *Service) recordRejection(r chivelog.KeyedRecord, err error) {
 	reason := "the record has no key"
 	if err != nil {
-		reason = err.Error()
+		reason = cutReason(err.Error())
 	}
 	s.mu.Lock()
-	count, shouldLog := s.rejections.record(time.Now(), r.Key, reason)
+	count, shouldLog := s.rejections.record(time.Now(), r.Key)
 	s.mu.Unlock()
 	if shouldLog {
 		chiveevent.EndpointRejected.Log(context.Background(), s.logger, slog.String("key", r.Key), slog.Int64("offset", r.Position.Offset()),
