--- a/chivedirectory/incarnation.go
+++ b/chivedirectory/incarnation.go
@@ -14,8 +14,8 @@
 	Born int64
 }
 
-// keySeparator separates the id and the start time in an incarnation's key; ids in the store do not contain it.
-const keySeparator = "@"
+// KeySeparator separates the id and the start time in an incarnation's key; ids of endpoints do not contain it.
+const KeySeparator = "@"
 
 // Key returns a string that is unique among all incarnations of all endpoints, for use in maps and in messages between
 // nodes. It is the id alone if the start time is unknown.
@@ -23,12 +23,12 @@
 	if i.Born == 0 {
 		return i.ID
 	}
-	return i.ID + keySeparator + strconv.FormatInt(i.Born, 10)
+	return i.ID + KeySeparator + strconv.FormatInt(i.Born, 10)
 }
 
 // IDOf returns the id of the endpoint from the key of one of its incarnations.
 func IDOf(key string) string {
-	id, _, _ := strings.Cut(key, keySeparator)
+	id, _, _ := strings.Cut(key, KeySeparator)
 	return id
 }
 
