An odd row of a cache listing no longer hides the other rows

What callers saw: prompts that an engine has cached are computed again, since one row that can't be read made the node ignore the whole listing.

--- a/chivecache/service.go
+++ b/chivecache/service.go
@@ -29,7 +29,7 @@
 
 // Caches queries the caches of endpoints.
 type Caches interface {
-	// Held returns the prompt parts that an endpoint has cached.
+	// Held returns the prompt parts that an endpoint has cached. With an error about some parts it returns the others.
 	Held(ctx context.Context, endpoint chivedirectory.Endpoint) ([]chiverequest.Part, error)
 }
 
@@ -154,6 +154,8 @@
 	if err != nil {
 		s.failed.Add(1)
 		chiveevent.CacheUnknown.Log(ctx, s.options.Logger, slog.String("endpoint", e.ID), slog.String("error", err.Error()))
+	}
+	if err != nil && len(parts) == 0 {
 		return
 	}
 	pool := s.options.Pools.Pool(e.Pool)
