A node uses an endpoint that it first hears of as kept, and keeps it as long as its peers

What callers saw: 503 from a node that has just started, "no endpoint known yet", for over 10 s, although its peers send requests to all endpoints; and a node that hears peers only dropped endpoints that all others use.

Cause: two gaps in how a node takes over an entry that a peer keeps, after an outage of the store or after an unusable record. An entry that is new to the node was recorded, but its listeners were not called, and the next record of the endpoint, which is equal, did not call them either. And the time for which it is kept was that of the first report, though the peer had seen the endpoint's own record since.

Evidence: TestStartedNodeUsesEndpointThatItsPeersKeep ("0 endpoints are in use at the started node, want 1") and TestPeerKeepsEndpointThatIsConfirmedBetweenUpdates fail without the change.

Why it works: such an entry counts as a change, and a report at a later position brings the time that the peer still keeps it. A node's own unusable records don't extend the time, so an endpoint that has ended is dropped as before.

--- a/chivedirectory/directory.go
+++ b/chivedirectory/directory.go
@@ -194,8 +194,7 @@
 		return d.remove(now, id, change.Position)
 	}
 	if change.Missing {
-		d.markMissing(now, change)
-		return false
+		return d.markMissing(now, change)
 	}
 	delete(d.tombstones, id)
 	d.supersede(id, change.Position)
@@ -272,18 +271,26 @@
 	return true
 }
 
-// markMissing processes a peer's report that an entry lapsed around an outage, which this node may not have seen.
-func (d *Directory) markMissing(now time.Time, change Change) {
+// markMissing processes a peer's report that an entry lapsed around an outage, which this node may not have seen, and
+// reports whether the entry is new to this node.
+func (d *Directory) markMissing(now time.Time, change Change) (isNew bool) {
 	known, ok := d.entries[change.Endpoint.ID]
 	if !ok {
 		known = &entry{endpoint: copyEndpoint(change.Endpoint)}
 		d.entries[change.Endpoint.ID] = known
 	}
+	isLater := change.Position > known.position
 	known.position = max(known.position, change.Position)
 	d.supersede(change.Endpoint.ID, change.Position)
-	if known.missingSince.IsZero() {
-		known.missingSince, known.keepUntil = now, now.Add(change.Keep)
+	keepUntil := now.Add(change.Keep)
+	switch {
+	case known.missingSince.IsZero():
+		known.missingSince, known.keepUntil = now, keepUntil
+	case isLater && !known.keepUntil.IsZero() && keepUntil.After(known.keepUntil):
+		// The peer has seen the entry present in between, and this node has not been sent that.
+		known.keepUntil = keepUntil
 	}
+	return !ok
 }
 
 func (d *Directory) drop(now time.Time, id string) {
--- a/chivedirectory/unusable.go
+++ b/chivedirectory/unusable.go
@@ -14,5 +14,10 @@
 	if !ok || known.position >= change.Position {
 		return
 	}
+	if !known.missingSince.IsZero() {
+		known.position = change.Position
+		d.supersede(change.Endpoint.ID, change.Position)
+		return
+	}
 	d.markMissing(now, Change{Position: change.Position, Missing: true, Keep: unusableKeep, Endpoint: *known.endpoint})
 }
--- a/chivedirectory/unusable_test.go
+++ b/chivedirectory/unusable_test.go
@@ -96,6 +96,48 @@
 	})
 }
 
+// Guards against a peer that drops an endpoint, because each update that it is sent shows the endpoint with an unusable record,
+// although its own records came in between.
+func TestPeerKeepsEndpointThatIsConfirmedBetweenUpdates(t *testing.T) {
+	runService(t, &bytes.Buffer{}, func(reader *chivedirectory.Service) {
+		peer := chivedirectory.NewService(decodeText, grace, slog.New(slog.DiscardHandler))
+		if err := peer.Start(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		reader.Replace(chivelog.KeyedBatch{Next: 1, Records: []chivelog.KeyedRecord{record(0, "a", "p 10.0.0.1:1"), record(0, "b", "p 10.0.0.2:1")}})
+		for i := range int64(10) {
+			reader.Apply([]chivelog.KeyedRecord{record(3*i+1, "a", "p 10.0.0.1:1"), record(3*i+2, "a", "?"), record(3*i+3, "b", "?")})
+			peer.Learn(reader.Update(peer.Newest()), "peer")
+			time.Sleep(heartbeat)
+		}
+		if got, want := endpointIDs(peer), "a"; got != want || endpointIDs(reader) != want {
+			t.Errorf("reader %q, peer %q, want %q", endpointIDs(reader), got, want)
+		}
+		if err := peer.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// Guards against a started node that doesn't use an endpoint that its peers keep, also after the endpoint's next record.
+func TestStartedNodeUsesEndpointThatItsPeersKeep(t *testing.T) {
+	runService(t, &bytes.Buffer{}, func(reader *chivedirectory.Service) {
+		started, used := chivedirectory.NewService(decodeText, grace, slog.New(slog.DiscardHandler)), 0
+		started.OnChange(func(d chivedirectory.Diff) { used += len(d.Changed) - len(d.Gone) })
+		reader.Replace(chivelog.KeyedBatch{Next: 2, Records: []chivelog.KeyedRecord{record(1, "a", "p 10.0.0.1:1")}})
+		reader.Apply([]chivelog.KeyedRecord{record(2, "a", "?")})
+		started.Learn(reader.Update(-1), "peer")
+		if used != 1 {
+			t.Errorf("%d endpoints are in use at the started node, want 1", used)
+		}
+		reader.Apply([]chivelog.KeyedRecord{record(3, "a", "p 10.0.0.1:1")})
+		started.Learn(reader.Update(started.Newest()), "peer")
+		if used != 1 || endpointIDs(started) != "a" {
+			t.Errorf("after the next record: %d in use, %q known", used, endpointIDs(started))
+		}
+	})
+}
+
 // Guards against an unusable record that removes an endpoint around an outage of the store, or keeps one that has left.
 func TestUnusableRecordsDuringOutage(t *testing.T) {
 	runService(t, &bytes.Buffer{}, func(s *chivedirectory.Service) {
