Keys in the topic of the nodes that name no process are logged once and not dialled

What callers saw: nothing; a key such as 10.0.0.1:0, or an address with a zone or without a host, counted as a node and was dialled again and again, and a key that is no address was logged each time that the topic was read.

Cause: only the form IP:port was checked, and each read logged what it rejected.

Evidence: TestOddNodeAddressIsLoggedOnce; without the change 4 lines for each of three keys in two minutes, and none for the three that were dialled.

Why it works: the check is that of the endpoints' addresses, and up to 100 keys are remembered as logged.

--- a/chivenode/roster.go
+++ b/chivenode/roster.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -11,6 +10,7 @@
 	"chivedrift/chiveevent"
 	"chivedrift/chivekernel"
 	"chivedrift/chivelog"
+	"chivedrift/chivewire"
 )
 
 // discoveryName is the service name of the peer discovery.
@@ -24,6 +24,8 @@
 	announceMaxBackoff = 2 * time.Second
 	// announceCheckInterval is how often a node checks whether it has to announce its address.
 	announceCheckInterval = 200 * time.Millisecond
+	// maxUnreadableKeys is how many keys that are no addresses are logged.
+	maxUnreadableKeys = 100
 )
 
 // peerDiscovery returns the addresses of nodes that may exist: the seeds from the settings and the addresses that
@@ -45,6 +47,8 @@
 	mu             sync.Mutex
 	seeds          []string
 	published      map[string]string
+	// unreadable holds the keys that are no addresses and have been logged.
+	unreadable map[string]bool
 	// announced reports whether the node's address is in the store, as far as this node knows.
 	announced bool
 	tasks     chivekernel.Duties
@@ -52,7 +56,7 @@
 
 func newPeerDiscovery(self, region, failureDomain string, seeds []string, topic chivelog.KeyedTopic, announceNeeded func() bool, logger *slog.Logger) *peerDiscovery {
 	return &peerDiscovery{
-		self: self, region: region, failureDomain: failureDomain, seeds: seeds, topic: topic, announceNeeded: announceNeeded, logger: logger, published: make(map[string]string),
+		self: self, region: region, failureDomain: failureDomain, seeds: seeds, topic: topic, announceNeeded: announceNeeded, logger: logger, published: make(map[string]string), unreadable: make(map[string]bool),
 	}
 }
 
@@ -148,14 +152,23 @@
 			continue
 		}
 		// A key that is not an address would be dialled forever.
-		if _, err := netip.ParseAddrPort(record.Key); err != nil {
-			chiveevent.NodeUnreadable.Log(context.Background(), d.logger, slog.String("key", record.Key), slog.String("error", err.Error()))
+		if err := chivewire.CheckAddress(record.Key); err != nil {
+			d.logUnreadable(record.Key, err)
 			continue
 		}
 		d.published[record.Key] = string(record.Value)
 	}
 }
 
+// logUnreadable logs a key that is not an address, once; the caller holds the lock. The topic is read again and again.
+func (d *peerDiscovery) logUnreadable(key string, err error) {
+	if d.unreadable[key] || len(d.unreadable) == maxUnreadableKeys {
+		return
+	}
+	d.unreadable[key] = true
+	chiveevent.NodeUnreadable.Log(context.Background(), d.logger, slog.String("key", key), slog.String("error", err.Error()))
+}
+
 // Lost logs that the store does not answer.
 func (d *peerDiscovery) Lost(err error) {
 	chiveevent.StoreLost.Log(context.Background(), d.logger, slog.String("for", "nodes"), slog.String("error", err.Error()))
