--- a/chiveforward/connection.go
+++ b/chiveforward/connection.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"chivedrift/chivetime"
 	"chivedrift/chivewire"
 )
 
@@ -287,7 +288,7 @@
 		}
 		seconds, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
 		if err == nil && seconds > 0 {
-			return time.Duration(seconds * idleTimeoutShare * float64(time.Second))
+			return chivetime.Seconds(seconds * idleTimeoutShare)
 		}
 	}
 	return defaultIdleTimeout
