--- a/chivedirectory/service.go
+++ b/chivedirectory/service.go
@@ -190,8 +190,7 @@
 	return s.directory.Newest()
 }
 
-// decodeRecords converts records to changes. An unusable record counts as a removal: it has replaced the earlier record
-// of the endpoint, which is therefore no longer valid, and may come from another writer.
+// decodeRecords converts records to changes.
 func (s *Service) decodeRecords(records []chivelog.KeyedRecord) []Change {
 	changes := make([]Change, 0, len(records))
 	for _, r := range records {
@@ -200,7 +199,8 @@
 			continue
 		}
 		if r.Key != "" {
-			changes = append(changes, Change{Position: r.Position, Gone: true, Read: true, Endpoint: Endpoint{ID: r.Key}})
+			isRemoval := len(r.Value) == 0
+			changes = append(changes, Change{Position: r.Position, Gone: isRemoval, Unusable: !isRemoval, Read: true, Endpoint: Endpoint{ID: r.Key}})
 		}
 	}
 	return changes
@@ -225,17 +225,17 @@
 func (s *Service) clearRejection(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rejections.forget(key)
+	s.rejections.resolve(key)
 }
 
 // recordRejection counts an unusable record and logs it, unless too many have been logged.
 func (s *Service) recordRejection(r chivelog.KeyedRecord, err error) {
 	reason := "the record has no key"
 	if err != nil {
-		reason = err.Error()
+		reason = cutReason(err.Error())
 	}
 	s.mu.Lock()
-	count, shouldLog := s.rejections.record(time.Now(), r.Key, reason)
+	count, shouldLog := s.rejections.record(time.Now(), r.Key)
 	s.mu.Unlock()
 	if shouldLog {
 		chiveevent.EndpointRejected.Log(context.Background(), s.logger, slog.String("key", r.Key), slog.Int64("offset", r.Position.Offset()),
