Own interface and relay close their connections in order

Both use what the entry's stop has got since: connections end after the last response has been written and the caller has closed its end, unused ones are closed once all others have ended, and bytes that arrive after a connection was closed do not reach the server.

--- a/chivegate/gateway.go
+++ b/chivegate/gateway.go
@@ -137,13 +137,12 @@
 func (g *Gate) Leave() { g.draining.Store(true) }
 
 // Stop accepts no new connections and waits until the response to each request in flight has been written, however long
-// the request takes. A connection without a request is closed, a new one once its request has been answered or the time for
-// a header has passed.
+// the request takes, and its connection closed. Connections without a request are closed, new ones once all others have ended.
 func (g *Gate) Stop(context.Context) error {
 	g.Leave()
 	g.server.StopListening()
 	g.conns.CloseIdle()
-	for g.conns.Count() > 0 {
+	for g.conns.CloseRest() > 0 {
 		time.Sleep(stopPollInterval)
 	}
 	if err := g.server.Close(); err != nil {
@@ -255,6 +254,9 @@
 	if a.body, err = chiveentry.ReadBody(w, r, a.config.Limits.BodyBytes); err != nil {
 		return err
 	}
+	if conn := chivecaller.Of(r); conn != nil {
+		conn.RequestRead()
+	}
 	// The host is left out, since a caller may retry the same request at the address of another node.
 	a.fingerprint = chiverequest.NewFingerprint(a.team, r.Method, "", r.URL.RequestURI(), a.body)
 	return nil
--- a/chiverelay/service.go
+++ b/chiverelay/service.go
@@ -138,7 +138,7 @@
 // do not use once they know that this node is leaving.
 func (s *Service) Drain(ctx context.Context) {
 	s.Leave()
-	for s.conns.Count() > 0 && ctx.Err() == nil {
+	for s.conns.CloseRest() > 0 && ctx.Err() == nil {
 		select {
 		case <-time.After(drainPollInterval):
 		case <-ctx.Done():
