--- a/chivegate/stop_test.go
+++ b/chivegate/stop_test.go
@@ -27,10 +27,11 @@
 type waitingServices struct {
 	begun   chan string
 	release chan struct{}
+	body    string
 }
 
 func newWaitingServices() *waitingServices {
-	return &waitingServices{begun: make(chan string, 16), release: make(chan struct{})}
+	return &waitingServices{begun: make(chan string, 16), release: make(chan struct{}), body: "whole"}
 }
 
 func (s *waitingServices) Run(_ context.Context, request *chivedispatch.ServiceWork) (chivedispatch.Result, *chivedispatch.ServiceAnswer) {
@@ -38,7 +39,7 @@
 	if strings.HasPrefix(request.Path, "/wait") {
 		<-s.release
 	}
-	return chivedispatch.Result{Outcome: chivedispatch.Completed}, &chivedispatch.ServiceAnswer{Status: http.StatusOK, Header: http.Header{"Connection": {"keep-alive"}}, Body: []byte("whole")}
+	return chivedispatch.Result{Outcome: chivedispatch.Completed}, &chivedispatch.ServiceAnswer{Status: http.StatusOK, Header: http.Header{"Connection": {"keep-alive"}}, Body: []byte(s.body)}
 }
 
 // startGateway starts a gateway on a network and returns its address.
@@ -246,3 +247,27 @@
 	}
 	awaitStop(t, stop(t, gateway))
 }
+
+// Guards against a planned stop that resets a connection with unread bytes, which destroys what the caller has not read yet.
+func TestStopDeliversResponsesWithUnreadBytesBehindTheRequest(t *testing.T) {
+	services := newWaitingServices()
+	services.body = strings.Repeat("x", 1<<19)
+	gateway, address := startGateway(t, chivewire.TCP{}, services)
+	caller := dial(t, address)
+	caller.send("/services/s/wait")
+	<-services.begun
+	caller.send("/services/s/behind")
+	time.Sleep(settleTime)
+	stopped := stop(t, gateway)
+	close(services.release)
+	time.Sleep(settleTime)
+	if _, body, err := caller.receive(); err != nil || body != services.body {
+		t.Errorf("got %d of %d bytes, %v", len(body), len(services.body), err)
+	}
+	awaitStop(t, stopped)
+	if len(services.begun) > 0 {
+		if _, body, err := caller.receive(); err != nil || body != services.body {
+			t.Errorf("the request behind it ran, and its caller got %d bytes, %v", len(body), err)
+		}
+	}
+}
