Stop: calls to the store and to other nodes use up no time of the callers' requests

What callers saw: a stop in which the store did not answer waited for the release of the lease before it waited for the load balancer, and the node that left for its own membership service without a bound; that time was missing at the end of the grace period. Connections of peers were waited for only after the callers' requests.

Now the announcements run beside the load balancer's wait, for a second at most, and the wait for the peers' connections runs beside that for the callers'.

--- a/chiveentry/late_request_test.go
+++ b/chiveentry/late_request_test.go
@@ -24,6 +24,7 @@
 	} {
 		for _, before := range []bool{true, false} {
 			t.Run(name+map[bool]string{true: " before the stop", false: " during the stop"}[before], func(t *testing.T) {
+				t.Parallel()
 				forwarder := &fakeForwarder{}
 				e, address, _ := startLoggingEntry(t, chivewire.TCP{}, forwarder)
 				conn, err := net.Dial("tcp", address)
@@ -104,6 +105,7 @@
 		"HTTP/1.0": {"POST /body HTTP/1.0\r\nHost: a.example\r\nId: 3\r\nWait: 400ms\r\nContent-Length: 5\r\n\r\n12", "345"},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			forwarder := &fakeForwarder{}
 			e, address, _ := startLoggingEntry(t, chivewire.TCP{}, forwarder)
 			conn, err := net.Dial("tcp", address)
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"chivedrift/chiveadmin"
@@ -53,6 +54,8 @@
 	discoveryReadInterval = 20 * time.Second
 	// stopMargin is the part of the grace time that is reserved for the last log lines and the exit of the process.
 	stopMargin = 400 * time.Millisecond
+	// announceStopTimeout limits the calls to other nodes and to the store at a stop.
+	announceStopTimeout = time.Second
 	// memoryLimitShare is the share of the process's memory at which the garbage collector starts to work harder.
 	memoryLimitShare = 0.6
 	megabyte         = 1 << 20
@@ -564,26 +567,38 @@
 // ready, serves on until the load balancer has stopped sending traffic, and then waits for requests in flight.
 func (n *StoreNode) Stop(ctx context.Context) error {
 	started := time.Now()
+	cut := started.Add(n.settings.Stop.Grace() - stopMargin)
 	chiveevent.NodeStopping.Log(ctx, n.logger, slog.Int64("in_flight", n.entry.InFlight()))
 	n.ready.Leave()
-	cut := started.Add(n.settings.Stop.Grace() - stopMargin)
 	n.entry.Leave(cut)
-	n.members.Leave(ctx)
-	if n.lease != nil {
-		n.lease.Release(ctx)
-	}
-	releaseWait := min(n.settings.Stop.BalancerRelease(), n.settings.Stop.Grace()/2)
-	time.Sleep(releaseWait)
 	stopCtx, cancel := context.WithDeadline(ctx, cut)
 	defer cancel()
+	// What other nodes and the store do about the stop must not use up the time for the callers' requests.
+	var others sync.WaitGroup
+	others.Go(func() { n.announceStop(stopCtx) })
+	time.Sleep(min(n.settings.Stop.BalancerRelease(), n.settings.Stop.Grace()/2))
+	others.Go(func() { n.relay.Drain(stopCtx) })
 	err := n.entry.Stop(stopCtx)
-	n.relay.Drain(stopCtx)
+	others.Wait()
 	counts := n.entry.StopCounts()
 	chiveevent.NodeStopped.Log(ctx, n.logger, slog.String("node", n.settings.Name), slog.Int64("in_flight", n.entry.InFlight()),
-		slog.Int64("refused", counts.Refused), slog.Int64("unanswered", counts.Unanswered), slog.Int64("cut", counts.Cut), slog.Int64("took_ms", time.Since(started).Milliseconds()))
+		slog.Int64("refused", counts.Refused), slog.Int64("unanswered", counts.Unanswered), slog.Int64("cut", counts.Cut),
+		slog.Int64("took_ms", time.Since(started).Milliseconds()))
 	return err
 }
 
+// announceStop makes the other nodes do without this one.
+func (n *StoreNode) announceStop(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, announceStopTimeout)
+	defer cancel()
+	var announced sync.WaitGroup
+	announced.Go(func() { n.members.Leave(ctx) })
+	if n.lease != nil {
+		announced.Go(func() { n.lease.Release(ctx) })
+	}
+	announced.Wait()
+}
+
 // MemoryLimit returns the soft memory limit for the Go runtime, in bytes.
 func MemoryLimit(settings chivesettings.StoreNode) int64 {
 	return int64(float64(settings.MemoryMB*megabyte) * memoryLimitShare)
