A pool's version is certain only if all nodes that read the store state it

What callers saw: two nodes were cut off from the fleet and the store, and half of the endpoints were replaced by ones of another version. Take-ups that named no attempt went on at the cut-off nodes at a version that had not begun them.

Cause: a node counts its view as current for 8 s after the last answer of the store, and as one of a minority only once its peers are declared dead. A named attempt is refused meanwhile, since the owners of its record are silent; an unnamed one asked nobody.

Fix: for a take-up without a record, all nodes that read the store for others have to know the same version only, the node itself if it is one of them, and one of them has to be certain (30 s). A silent one may know of another. The others are asked at once, eight questions at most, 60 ms. A reader that has just started need not be certain, so that the start of one node does not take the certainty from all.

--- a/chiveversion/find_sole.go
+++ b/chiveversion/find_sole.go
@@ -2,18 +2,14 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"chivedrift/chivewire"
 )
 
 const (
-	// readers is the number of nodes, the first ones by hash, that are asked for the version of a pool: those that read the
-	// store for all.
+	// readers is the number of nodes, the first ones by hash, that read the store for all.
 	readers = 8
-	// askedReaders is how many of them are asked at once.
-	askedReaders = 2
 	// soleReplyTimeout is how long a node in the same region may take to reply: several network round trips.
 	soleReplyTimeout = 60 * time.Millisecond
 )
@@ -25,64 +21,85 @@
 	Pool   string
 }
 
-// SoleAnswer is the reply to a SoleAsk; Version is empty if there are several or the sender may not know one.
+// SoleAnswer is the reply to a SoleAsk.
 type SoleAnswer struct {
-	Number  uint64
+	Number uint64
+	// Version is the only one that the sender knows; empty if it knows several, does not know that of each endpoint, or is out
+	// of touch.
 	Version string
+	// Certain means that the sender has known the pool for so long that there was no other one.
+	Certain bool
 }
 
-// FindSole returns what Sole does, or else what nodes that read the store know: this node may not read it, or have started
-// a moment ago.
+// FindSole returns the version of all endpoints of a pool, including those that left lately. All nodes that read the store
+// for others have to state it, and one of them has to be certain: a node that has lost the others, or the store, a moment
+// ago may not know of a version that they know.
 func (s *Service) FindSole(ctx context.Context, pool string) (version string, ok bool) {
-	if version, ok = s.Sole(pool); ok || s.Several(pool) {
-		return version, ok
+	if s.Several(pool) || s.isMinority() {
+		return "", false
+	}
+	peers, isReader := s.otherReaders()
+	answers := make(chan SoleAnswer, len(peers)+1)
+	if isReader {
+		answers <- s.stateSole(pool)
 	}
-	asked := s.readers()
-	rand.Shuffle(len(asked), func(i, j int) { asked[i], asked[j] = asked[j], asked[i] })
-	asked = asked[:min(askedReaders, len(asked))]
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	versions := make(chan string, len(asked))
-	for _, peer := range asked {
-		go func() { versions <- s.askSole(ctx, peer, pool) }()
+	for _, peer := range peers {
+		go func() { answers <- s.askSole(ctx, peer, pool) }()
 	}
-	for range asked {
-		if version = <-versions; version != "" {
-			return version, s.registry.HasNoOther(time.Now(), pool, version)
+	count := len(peers)
+	if isReader {
+		count++
+	}
+	for i := range count {
+		answer := <-answers
+		if answer.Version == "" || i > 0 && answer.Version != version {
+			return "", false
 		}
+		version, ok = answer.Version, ok || answer.Certain
 	}
-	return "", false
+	return version, ok && s.registry.HasNoOther(time.Now(), pool, version)
 }
 
-// askSole returns the version of all endpoints of a pool by a peer's knowledge; empty if the peer does not know it or reply.
-func (s *Service) askSole(ctx context.Context, peer, pool string) string {
+// stateSole returns what this node states about a pool.
+func (s *Service) stateSole(pool string) (answer SoleAnswer) {
+	if s.isCurrent() {
+		answer.Version, answer.Certain = s.registry.Only(time.Now(), pool)
+	}
+	return answer
+}
+
+// askSole returns what a peer states about a pool; nothing if it does not reply.
+func (s *Service) askSole(ctx context.Context, peer, pool string) SoleAnswer {
 	answer, err := s.calls.Call(ctx, peer, soleReplyTimeout, func(number uint64) error {
 		return s.mesh.Send(peer, chivewire.KindSoleAsk, SoleAsk{Number: number, Pool: pool})
 	})
 	if err != nil {
-		// A peer that does not reply counts as one that does not know.
-		return ""
+		// A peer that does not reply may know of another version.
+		return SoleAnswer{}
 	}
-	return answer.Version
+	return answer
 }
 
 func (s *Service) respondSole(from string, ask SoleAsk) {
-	answer := SoleAnswer{Number: ask.Number}
-	if version, ok := s.Sole(ask.Pool); ok {
-		answer.Version = version
-	}
+	answer := s.stateSole(ask.Pool)
+	answer.Number = ask.Number
 	// The caller tries again if the reply is lost.
 	_ = s.mesh.Send(from, chivewire.KindSoleAnswer, answer)
 }
 
-// readers returns the other nodes that read the store for all.
-func (s *Service) readers() (addresses []string) {
+// otherReaders returns the other nodes that read the store for all, and whether this node is one of those that do. A node
+// that knows no members yet counts as one.
+func (s *Service) otherReaders() (addresses []string, isReader bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, address := range s.byHash[:min(len(s.byHash), readers)] {
-		if address != s.mesh.Self() {
-			addresses = append(addresses, address)
+		if address == s.mesh.Self() {
+			isReader = true
+			continue
 		}
+		addresses = append(addresses, address)
 	}
-	return addresses
+	return addresses, isReader || len(addresses) == 0
 }
--- a/chiveversion/service.go
+++ b/chiveversion/service.go
@@ -119,12 +119,18 @@
 // Sole returns the version of all endpoints of a pool, including those that left lately; ok is false if there are
 // several, or if this node may not know of one: it reads no store, has started a moment ago or is cut off.
 func (s *Service) Sole(pool string) (version string, ok bool) {
-	if age := s.readAge(); age < 0 || age > maxReadAge || s.isMinority() {
+	if !s.isCurrent() {
 		return "", false
 	}
 	return s.registry.Sole(time.Now(), pool)
 }
 
+// isCurrent reports whether this node reads the store itself and is in touch with it and most of the fleet.
+func (s *Service) isCurrent() bool {
+	age := s.readAge()
+	return age >= 0 && age <= maxReadAge && !s.isMinority()
+}
+
 // Several reports whether endpoints of a pool are known to have several versions, including those that left lately.
 func (s *Service) Several(pool string) bool { return s.registry.Several(time.Now(), pool) }
 
--- a/chiveversion/sole.go
+++ b/chiveversion/sole.go
@@ -21,17 +21,24 @@
 // Sole returns the version of all endpoints of a pool, including those that left lately; ok is false if there are
 // several, if one is not known, or if the pool has not been known for long enough.
 func (r *Registry) Sole(now time.Time, pool string) (version string, ok bool) {
+	version, certain := r.Only(now, pool)
+	return version, certain
+}
+
+// Only returns the version of all endpoints of a pool, including those that are known to have left lately; empty if there
+// are several, or one is not known. It is certain if the pool has been known for long enough.
+func (r *Registry) Only(now time.Time, pool string) (version string, certain bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	known, ok := r.pools[pool]
-	if !ok || now.Sub(known.knownSince) < soleMemory {
+	versions := r.recent(now, pool)
+	if len(versions) != 1 {
 		return "", false
 	}
-	versions := r.recent(now, pool)
 	for version = range versions {
-		return version, len(versions) == 1 && version != ""
+		break
 	}
-	return "", false
+	known, ok := r.pools[pool]
+	return version, version != "" && ok && now.Sub(known.knownSince) >= soleMemory
 }
 
 // Several reports whether endpoints of a pool have several known versions, including those that left lately.
