Stored beginnings: one write an interval, also for streams that begin during a write

Each is a call of the store that is paid for.

Cause: a writer went on until nothing was pending, so that a stream which began at the moment of a write had one of its own.

Now it goes on at once only if the batch was full; what came meanwhile wakes the next round.

--- a/chivestream/journal_write.go
+++ b/chivestream/journal_write.go
@@ -32,7 +32,7 @@
 	}
 }
 
-// writePending writes until nothing is pending or the context ends.
+// writePending writes what is pending; what is added meanwhile wakes the next round.
 func (j *journal) writePending(ctx context.Context) {
 	isFailing := false
 	for ctx.Err() == nil {
@@ -47,6 +47,10 @@
 			isFailing = true
 			j.giveBack(batch)
 			sleep(ctx, writeRetryDelay/2+rand.N(writeRetryDelay))
+			continue
+		}
+		if len(batch) < maxBatch {
+			return
 		}
 	}
 }
