After it stood still a node takes the version of a pool for certain only once the store has confirmed it

What callers saw: a stream that they take up at a node right after it resumes (SIGSTOP and SIGCONT, or a suspended machine) goes on at the software version that the node knew before, although endpoints of another one have joined meanwhile and may have begun the stream.

Cause: Sole trusts what the node knows if the store has answered within 8 s. That says nothing of the time in between: the runtime's clock does not count a suspension, the wall clock that the age was read on may be set back, and after a shorter stop of the process the age is small by any clock. An answer that waited in the connection arrives as a new one.

Why it works: a goroutine and each request check on the boot clock that the node has run; a gap of 0.75 s is a stall. After one the version counts as uncertain, and such a take-up is refused with 503 and Retry-After, until the store has answered a request for the endpoints that was sent after the stall. That request does not wait for a record, so it is answered at once.

--- a/chivefeed/follower.go
+++ b/chivefeed/follower.go
@@ -52,6 +52,8 @@
 	// Answered is called with each answer of the log, before what the answer brings goes to the listener; nil means that nobody
 	// wants to know.
 	Answered func()
+	// SinceBoot reads a clock that keeps running while the machine is suspended, for ConfirmedAge; nil means the runtime's clock.
+	SinceBoot func() time.Duration
 	// Held tells that other nodes read the topic for this one; nil means never.
 	Held func() bool
 	// HeldAtStart tells that being held also spares the first snapshot and the reads that look for the return of the log; for a topic that
@@ -80,16 +82,26 @@
 	// needsSnapshot means that what other nodes have brought is not enough to read on from.
 	needsSnapshot bool
 	// fresh means that the last answer has brought something.
-	fresh  bool
-	next   atomic.Int64
-	heard  atomic.Int64
-	lost   atomic.Bool
-	reads  atomic.Int64
-	duties chivekernel.Duties
+	fresh bool
+	next  atomic.Int64
+	heard atomic.Int64
+	// confirmed is when the last request that the log has answered was sent, by SinceBoot; -1 before the first.
+	confirmed atomic.Int64
+	lost      atomic.Bool
+	reads     atomic.Int64
+	duties    chivekernel.Duties
 }
 
 // New returns a follower that has read nothing yet.
-func New(o Options) *Follower { return &Follower{o: o} }
+func New(o Options) *Follower {
+	if o.SinceBoot == nil {
+		began := time.Now()
+		o.SinceBoot = func() time.Duration { return time.Since(began) }
+	}
+	f := &Follower{o: o}
+	f.confirmed.Store(-1)
+	return f
+}
 
 // Start begins to follow.
 func (f *Follower) Start(ctx context.Context) error {
@@ -112,6 +124,16 @@
 	return time.Since(time.UnixMilli(heard))
 }
 
+// ConfirmedAge returns how long ago the last request that the log has answered was sent, by SinceBoot; negative means never. What
+// was written before that has been read, though the answer may have been under way for long.
+func (f *Follower) ConfirmedAge() time.Duration {
+	confirmed := f.confirmed.Load()
+	if confirmed < 0 {
+		return -1
+	}
+	return f.o.SinceBoot() - time.Duration(confirmed)
+}
+
 // Dump returns how far the follower is.
 func (f *Follower) Dump() any {
 	next := chivelog.Position(f.next.Load())
@@ -227,8 +249,9 @@
 // step takes a snapshot, or the records after the last one.
 func (f *Follower) step(ctx context.Context) error {
 	f.reads.Add(1)
+	sentAt := f.o.SinceBoot()
 	if !f.rooted {
-		return f.snapshot(ctx)
+		return f.snapshot(ctx, sentAt)
 	}
 	wait := f.o.Wait(f.fresh)
 	if f.lost.Load() {
@@ -247,10 +270,11 @@
 	}
 	f.fresh = len(batch.Records) > 0
 	f.next.Store(int64(batch.Next))
+	f.confirmed.Store(int64(sentAt))
 	return nil
 }
 
-func (f *Follower) snapshot(ctx context.Context) error {
+func (f *Follower) snapshot(ctx context.Context, sentAt time.Duration) error {
 	limited, cancel := patient(ctx, snapshotSilence, snapshotSilence)
 	defer cancel()
 	if f.o.Known != nil && !f.needsSnapshot {
@@ -265,6 +289,7 @@
 	f.o.Listener.Replace(batch)
 	f.next.Store(int64(batch.Next))
 	f.fresh = true
+	f.confirmed.Store(int64(sentAt))
 	return nil
 }
 
--- a/chivefeed/follower_test.go
+++ b/chivefeed/follower_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -210,3 +211,39 @@
 		}
 	})
 }
+
+// Guards against what a follower knows being taken for newer than the request whose answer brought it.
+func TestConfirmedAgeIsThatOfTheAnsweredRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		topic, began, suspended := &fakeTopic{}, time.Now(), atomic.Int64{}
+		f := chivefeed.New(chivefeed.Options{
+			Topic: topic, Wait: func(bool) time.Duration { return 5 * time.Second }, Listener: &heard{},
+			SinceBoot: func() time.Duration { return time.Since(began) + time.Duration(suspended.Load()) },
+		})
+		if got := f.ConfirmedAge(); got >= 0 {
+			t.Errorf("before the first answer: %v", got)
+		}
+		if err := f.Start(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if got := f.ConfirmedAge(); got != time.Second {
+			t.Errorf("a second after the snapshot: %v", got)
+		}
+		suspended.Add(int64(time.Minute))
+		if got := f.ConfirmedAge(); got != time.Minute+time.Second {
+			t.Errorf("after a suspension: %v", got)
+		}
+		time.Sleep(4500 * time.Millisecond)
+		if got := f.ConfirmedAge(); got < time.Minute {
+			t.Errorf("after the answer to a request from before the suspension: %v", got)
+		}
+		time.Sleep(5 * time.Second)
+		if got := f.ConfirmedAge(); got < 5*time.Second || got > 6*time.Second {
+			t.Errorf("after the answer to a later request, that waited for 5 s: %v", got)
+		}
+		if err := f.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -150,6 +150,7 @@
 	n.distances.Instrument(n.logger, metrics.Scope())
 	feeds := n.newFeeds(store, discovery)
 	n.endpointReadAge = feeds.directory.Age
+	n.versions.DetectStalls(chiveforward.SinceBoot, feeds.directory.ConfirmedAge)
 	singletons := n.assembleSingletons(network, store)
 	serving := n.assembleServing(network, metrics)
 	n.retryBudget.SetListedPeers(discovery.listedPeers)
@@ -264,7 +265,7 @@
 			Settle: chivegossip.SettleFor, ReadsEarly: n.gossip.ReadsEarly,
 		}),
 		directory: chivefeed.New(chivefeed.Options{
-			Topic: store.Endpoints(), Wait: n.gossip.ReadWait, Pace: n.gossip.ReadPace, Listener: endpointListener{n.directory, n.versions}, Answered: n.directory.Answered, Held: n.gossip.Held,
+			Topic: store.Endpoints(), Wait: n.endpointReadWait, SinceBoot: chiveforward.SinceBoot, Pace: n.gossip.ReadPace, Listener: endpointListener{n.directory, n.versions}, Answered: n.directory.Answered, Held: n.gossip.Held,
 			Settle: chivegossip.SettleFor, ReadsEarly: n.gossip.ReadsEarly, HoldFirst: n.newFirstReadPolicy(discovery).defers, Known: n.directory.Newest,
 		}),
 		discovery: chivefeed.New(chivefeed.Options{
@@ -274,6 +275,15 @@
 	}
 }
 
+// endpointReadWait returns how long a read of the endpoints waits for a record. After the node stood still, an answer at once
+// confirms what it knows.
+func (n *StoreNode) endpointReadWait(gotRecord bool) time.Duration {
+	if !n.versions.IsConfirmed() {
+		return 0
+	}
+	return n.gossip.ReadWait(gotRecord)
+}
+
 // serving holds the services that forward requests to endpoints.
 type serving struct {
 	pools     *chiveforward.Pools
--- a/chiveversion/service.go
+++ b/chiveversion/service.go
@@ -42,6 +42,8 @@
 
 // Service keeps a Registry up to date with the store's records and the answers of peers.
 type Service struct {
+	stalls stalls
+
 	registry *Registry
 	decode   Decoder
 	mesh     *chivewire.Mesh
@@ -108,9 +110,9 @@
 }
 
 // Sole returns the version of all endpoints of a pool, including those that left lately; ok is false if there are
-// several, or if this node may not know of one: it reads no store, has started a moment ago or is cut off.
+// several, or if this node may not know of one: it reads no store, has started a moment ago, is cut off or stood still.
 func (s *Service) Sole(pool string) (version string, ok bool) {
-	if age := s.readAge(); age < 0 || age > maxReadAge || s.isMinority() {
+	if age := s.readAge(); age < 0 || age > maxReadAge || s.isMinority() || !s.stalls.isConfirmed() {
 		return "", false
 	}
 	return s.registry.Sole(time.Now(), pool)
@@ -128,7 +130,7 @@
 
 // Start begins to ask peers for versions that are not known.
 func (s *Service) Start(ctx context.Context) error {
-	s.duties.Begin(ctx, s.askPeers, s.expire)
+	s.duties.Begin(ctx, s.askPeers, s.expire, s.stalls.watch)
 	return nil
 }
 
