--- a/chiveversion/service.go
+++ b/chiveversion/service.go
@@ -43,6 +43,8 @@
 
 // Service keeps a Registry up to date with the store's records and the answers of peers.
 type Service struct {
+	stalls stalls
+
 	registry *Registry
 	decode   Decoder
 	mesh     *chivewire.Mesh
@@ -117,7 +119,7 @@
 }
 
 // Sole returns the version of all endpoints of a pool, including those that left lately; ok is false if there are
-// several, or if this node may not know of one: it reads no store, has started a moment ago or is cut off.
+// several, or if this node may not know of one: it reads no store, has started a moment ago, is cut off or stood still.
 func (s *Service) Sole(pool string) (version string, ok bool) {
 	if !s.isCurrent() {
 		return "", false
@@ -125,10 +127,11 @@
 	return s.registry.Sole(time.Now(), pool)
 }
 
-// isCurrent reports whether this node reads the store itself and is in touch with it and most of the fleet.
+// isCurrent reports whether this node reads the store itself, is in touch with it and most of the fleet, and has not stood still
+// since the store confirmed its view.
 func (s *Service) isCurrent() bool {
 	age := s.readAge()
-	return age >= 0 && age <= maxReadAge && !s.isMinority()
+	return age >= 0 && age <= maxReadAge && !s.isMinority() && s.stalls.isConfirmed()
 }
 
 // Several reports whether endpoints of a pool are known to have several versions, including those that left lately.
@@ -143,7 +146,7 @@
 
 // Start begins to ask peers for versions that are not known.
 func (s *Service) Start(ctx context.Context) error {
-	s.duties.Begin(ctx, s.askPeers, s.expire)
+	s.duties.Begin(ctx, s.askPeers, s.expire, s.stalls.watch)
 	return nil
 }
 
