Stop: a request that came while another was served is answered

What callers saw: on a connection whose response had begun before the signal, a request that was sent behind, up to seconds before that response ended, got the end of the connection instead of an answer.

Cause: once the response was written, the connection was to be closed, and the tracker did not know that a part of the next request had come: net/http had read its first byte in the background.

Now the tracker notes that byte and leaves the connection open for the request, whose response asks to close it.

Evidence: TestStopServesPipelinedRequests/behind failed on the code before (end of file).

--- a/chivecaller/conn.go
+++ b/chivecaller/conn.go
@@ -26,6 +26,8 @@
 	hasServed bool
 	// requestRead means that the current request has been read as a whole, so that further bytes belong to another one.
 	requestRead bool
+	// isFollowed means that the first byte of another request arrived while the current one was served.
+	isFollowed bool
 	// answered means that the handler of the current request has returned, which may be before its response was written.
 	answered bool
 	// wrote means that something was written since the last request ended, writeFailed that a write has failed.
@@ -85,7 +87,7 @@
 	if c.state == connClosed {
 		return false
 	}
-	c.state, c.requestRead, c.answered = connServing, false, false
+	c.state, c.requestRead, c.isFollowed, c.answered = connServing, false, false, false
 	return true
 }
 
@@ -117,7 +119,7 @@
 		return 0, io.EOF
 	}
 	n, err := c.Conn.Read(data)
-	if n > 0 && !c.beginReading() {
+	if n > 0 && !c.beginReading(len(data)) {
 		c.finish()
 		return 0, io.EOF
 	}
@@ -133,22 +135,31 @@
 	if c.state != connAnswered {
 		return c.state != connClosed
 	}
-	// A response that started before the shutdown carried no "Connection: close". If its connection stayed open, the
-	// caller could send another request too late for it to be completed.
-	if closesWhenIdle {
+	switch {
+	case c.isFollowed:
+		c.state, c.waitingSince = connReading, time.Now()
+	case closesWhenIdle:
+		// A response that started before the shutdown carried no "Connection: close". If its connection stayed open, the
+		// caller could send another request too late for it to be completed.
 		c.state = connClosed
-		return false
+	default:
+		c.state = connIdle
 	}
-	c.state = connIdle
-	return true
+	return c.state != connClosed
 }
 
-// beginReading states that bytes have been read. It returns false if the connection has been closed, so that they do not count.
-func (c *Conn) beginReading() bool {
+// backgroundReadSize is the size of the reads by which net/http notices the end of a connection while a request is served.
+const backgroundReadSize = 1
+
+// beginReading states that bytes have been read into a buffer of the given size. It returns false if the connection has been closed, so that they do not count.
+func (c *Conn) beginReading(size int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == connNew || c.state == connIdle {
+	switch {
+	case c.state == connNew, c.state == connIdle:
 		c.state, c.waitingSince, c.requestRead = connReading, time.Now(), false
+	case c.state == connServing && size == backgroundReadSize:
+		c.isFollowed = true
 	}
 	return c.state != connClosed
 }
--- a/chiveentry/stop_response_test.go
+++ b/chiveentry/stop_response_test.go
@@ -277,8 +277,15 @@
 	}
 }
 
-// Guards against a stop that drops a request which came together with the one before, on a response that did not ask to close.
+// Guards against a stop that drops a request which came together with the one before, or while that was served, on a response that
+// did not ask to close.
 func TestStopServesPipelinedRequests(t *testing.T) {
+	t.Run("together", func(t *testing.T) { checkPipelined(t, 0) })
+	t.Run("behind", func(t *testing.T) { checkPipelined(t, 50*time.Millisecond) })
+}
+
+func checkPipelined(t *testing.T, between time.Duration) {
+	t.Helper()
 	var forwarded atomic.Int64
 	release := make(chan struct{})
 	forwarder := &fakeForwarder{run: func(_ context.Context, _ *chiverequest.Request, sink chiveforward.Sink) chiveforward.Result {
@@ -296,7 +303,9 @@
 	}
 	defer conn.Close()
 	one := "POST /x HTTP/1.1\r\nHost: a.example\r\nId: 1\r\nWait: 500ms\r\nContent-Length: 2\r\n\r\nhi"
-	io.WriteString(conn, one+one)
+	io.WriteString(conn, one)
+	time.Sleep(between)
+	io.WriteString(conn, one)
 	for forwarded.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
