Stop: a request that comes once its connection's handler has returned is not waited for

Cause: net/http reads in the background until it has written the response, so that the first byte of a later request counted as sent behind the current one.

--- a/chivecaller/conn.go
+++ b/chivecaller/conn.go
@@ -26,7 +26,7 @@
 	hasServed bool
 	// requestRead means that the current request has been read as a whole, so that further bytes belong to another one.
 	requestRead bool
-	// isFollowed means that the first byte of another request arrived while the current one was served.
+	// isFollowed means that the first byte of another request arrived before the handler of the current one returned.
 	isFollowed bool
 	// answered means that the handler of the current request has returned, which may be before its response was written.
 	answered bool
@@ -158,7 +158,7 @@
 	switch {
 	case c.state == connNew, c.state == connIdle:
 		c.state, c.waitingSince, c.requestRead = connReading, time.Now(), false
-	case c.state == connServing && size == backgroundReadSize:
+	case c.state == connServing && size == backgroundReadSize && !c.answered:
 		c.isFollowed = true
 	}
 	return c.state != connClosed
