--- a/chiveversion/find_sole.go
+++ b/chiveversion/find_sole.go
@@ -4,15 +4,12 @@
 	"context"
 	"time"
 
+	"chivedrift/chivegossip"
 	"chivedrift/chivewire"
 )
 
-const (
-	// readers is the number of nodes, the first ones by hash, that read the store for all.
-	readers = 8
-	// soleReplyTimeout is how long a node in the same region may take to reply: several network round trips.
-	soleReplyTimeout = 60 * time.Millisecond
-)
+// soleReplyTimeout is how long a node in the same region may take to reply: several network round trips.
+const soleReplyTimeout = 60 * time.Millisecond
 
 // SoleAsk asks a peer for the version of all endpoints of a pool.
 type SoleAsk struct {
@@ -94,7 +91,7 @@
 func (s *Service) otherReaders() (addresses []string, isReader bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, address := range s.byHash[:min(len(s.byHash), readers)] {
+	for _, address := range s.byHash[:min(len(s.byHash), chivegossip.Readers)] {
 		if address == s.mesh.Self() {
 			isReader = true
 			continue
--- a/chiveversion/find_sole_test.go
+++ b/chiveversion/find_sole_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"chivedrift/chivedirectory"
+	"chivedrift/chivegossip"
 	"chivedrift/chivelog"
 	"chivedrift/chivemember"
 	"chivedrift/chivestand"
@@ -90,7 +91,7 @@
 func TestNodesAskReadersForTheSoleVersion(t *testing.T) {
 	withSoleFleet(t, 20, func(f *soleFleet) {
 		time.Sleep(time.Minute)
-		for _, r := range chivemember.AddressesByHash(f.members)[8:] {
+		for _, r := range chivemember.AddressesByHash(f.members)[chivegossip.Readers:] {
 			for i, m := range f.members {
 				if m.Address == r {
 					f.readAges[i] = -1
