A node that has ended does not make a pool's version uncertain

Fix: more than half of these nodes have to state the version, one of them has to be certain, and none may know of another one: a statement now also says so where its sender is out of touch. A node that lost its peers or the store does not reach most of them.

--- a/chiveversion/find_sole.go
+++ b/chiveversion/find_sole.go
@@ -26,18 +26,22 @@
 	Version string
 	// Certain means that the sender has known the pool for so long that there was no other one.
 	Certain bool
+	// Several means that the sender knows several, whether or not it is in touch.
+	Several bool
 }
 
-// FindSole returns the version of all endpoints of a pool, including those that left lately. All nodes that read the store
-// for others have to state it, and one of them has to be certain: a node that has lost the others, or the store, a moment
-// ago may not know of a version that they know.
+// FindSole returns the version of all endpoints of a pool, including those that left lately. Most nodes that read the store
+// for others have to state it, one of them has to be certain, and none may know another one: a node that has lost the
+// others, or the store, a moment ago may not know of a version that they know.
 func (s *Service) FindSole(ctx context.Context, pool string) (version string, ok bool) {
 	if s.Several(pool) || s.isMinority() {
 		return "", false
 	}
 	peers, isReader := s.otherReaders()
 	answers := make(chan SoleAnswer, len(peers)+1)
+	asked := len(peers)
 	if isReader {
+		asked++
 		answers <- s.stateSole(pool)
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -45,22 +49,23 @@
 	for _, peer := range peers {
 		go func() { answers <- s.askSole(ctx, peer, pool) }()
 	}
-	count := len(peers)
-	if isReader {
-		count++
-	}
-	for i := range count {
+	stated, isCertain := 0, false
+	for range asked {
 		answer := <-answers
-		if answer.Version == "" || i > 0 && answer.Version != version {
+		switch {
+		case answer.Several || answer.Version != "" && stated > 0 && answer.Version != version:
 			return "", false
+		case answer.Version != "":
+			version, isCertain = answer.Version, isCertain || answer.Certain
+			stated++
 		}
-		version, ok = answer.Version, ok || answer.Certain
 	}
-	return version, ok && s.registry.HasNoOther(time.Now(), pool, version)
+	return version, 2*stated > asked && isCertain && s.registry.HasNoOther(time.Now(), pool, version)
 }
 
 // stateSole returns what this node states about a pool.
 func (s *Service) stateSole(pool string) (answer SoleAnswer) {
+	answer.Several = s.Several(pool)
 	if s.isCurrent() {
 		answer.Version, answer.Certain = s.registry.Only(time.Now(), pool)
 	}
@@ -73,7 +78,7 @@
 		return s.mesh.Send(peer, chivewire.KindSoleAsk, SoleAsk{Number: number, Pool: pool})
 	})
 	if err != nil {
-		// A peer that does not reply may know of another version.
+		// A peer that does not reply states nothing.
 		return SoleAnswer{}
 	}
 	return answer
