Stop: the expected duration of a request has bounds

What callers would see: of a route that has served only requests which state no size, a stopping node refused all that state one, from the signal on; a request of an absurd size got past the check, and was begun without time.

Cause: a request that states no size counted as one of a token, in proportion to which larger ones last, and the proportion overflowed.

Now only stated sizes are put in proportion, up to an hour; without any, the requests without a size count as they are. TestStoppingNodeExpectsNoAbsurdDurations failed before in both ways.

--- a/chiveforward/durations.go
+++ b/chiveforward/durations.go
@@ -12,6 +12,8 @@
 const (
 	// keptDurations is the number of durations that are kept of each kind of request.
 	keptDurations = 64
+	// maxExpected limits how long a request is expected to last.
+	maxExpected = time.Hour
 	// maxDurationKinds limits the number of kinds; routes come and go with the configuration.
 	maxDurationKinds = 4096
 	// usualShare is the share of the requests that end within the time that one is expected to last, if it can be answered as a
@@ -111,17 +113,25 @@
 }
 
 // expectedOf returns how long requests of a kind last. Without recent ones, those of the next larger size count, or of the next
-// smaller size in proportion.
+// smaller size in proportion, or those that state no size.
 func (d *durations) expectedOf(kind durationKind) (expected time.Duration, known bool) {
 	for size := kind.sizeBits; size <= bits.UintSize; size++ {
 		if recent, known := d.kinds[durationKind{kind.route, kind.pool, size}]; known {
 			return recent.expected(), true
 		}
 	}
-	for size := kind.sizeBits - 1; size >= 0; size-- {
+	for size := kind.sizeBits - 1; size > 0; size-- {
 		if recent, known := d.kinds[durationKind{kind.route, kind.pool, size}]; known {
-			return recent.expected() << (kind.sizeBits - size), true
+			return inProportion(recent.expected(), kind.sizeBits-size), true
 		}
 	}
+	if recent, known := d.kinds[durationKind{kind.route, kind.pool, 0}]; known {
+		return recent.expected(), true
+	}
 	return 0, false
 }
+
+// inProportion returns how long a request lasts that is larger by some bits than one of a known duration.
+func inProportion(known time.Duration, bits int) time.Duration {
+	return time.Duration(min(math.Ldexp(float64(known), bits), float64(maxExpected)))
+}
--- a/chiveforward/stopping_test.go
+++ b/chiveforward/stopping_test.go
@@ -237,3 +237,29 @@
 		}
 	}
 }
+
+// Guards against the duration of a request that is estimated from much smaller ones, or from ones of no stated size, without bound.
+func TestStoppingNodeExpectsNoAbsurdDurations(t *testing.T) {
+	s, shutdown, _ := newStoppingFixture(t, chivetable.Route{Attempts: 1, Target: 4 * time.Second})
+	sized := func(tokens int64) *chiverequest.Request {
+		request := s.lastingRequest(5 * time.Millisecond)
+		request.Prompt = &chiverequest.Prompt{MostOutput: tokens}
+		return request
+	}
+	if result, _ := s.run(s.lastingRequest(5 * time.Millisecond)); result.Outcome != chiveforward.Completed {
+		t.Fatalf("got %+v", result)
+	}
+	now := time.Now()
+	shutdown.Begin(now, now.Add(2*time.Second))
+	if !shutdown.MayBegin(now, sized(1000), 0) {
+		t.Error("refused by the duration of requests that state no size")
+	}
+	if result, _ := s.run(sized(16)); result.Outcome != chiveforward.Completed {
+		t.Fatalf("got %+v", result)
+	}
+	for _, tokens := range []int64{1 << 30, 1 << 38, 1 << 62} {
+		if shutdown.MayBegin(now, sized(tokens), 0) {
+			t.Errorf("a request of %d tokens may begin 2 s before the cut", tokens)
+		}
+	}
+}
