Stop: streams are begun only with twice the time of the longest

Cause: a response that has begun cannot be answered otherwise, and the reserve of a quarter is for the usual spread. A refusal costs the caller a try at another node, a cut its stream.

Now streams are expected to last up to twice as long as the longest recent one of their kind; what is answered as a whole keeps its reserve. More streams are refused that would have ended in time.

--- a/chiveforward/durations.go
+++ b/chiveforward/durations.go
@@ -19,8 +19,10 @@
 	// usualShare is the share of the requests that end within the time that one is expected to last, if it can be answered as a
 	// whole although it has not ended.
 	usualShare = 0.95
-	// durationReserve is the share by which a request is expected to last longer than recent ones of its kind.
+	// durationReserve is the share by which a request is expected to last longer than recent ones of its kind, streamReserve
+	// that of requests whose response is cut if it has begun and not ended.
 	durationReserve = 0.25
+	streamReserve   = 1.0
 )
 
 // durationKind is a kind of requests that last about as long: those of a route, or of a pool if the route is empty, whose
@@ -59,8 +61,8 @@
 	r.added++
 }
 
-// expected returns within which time a request ends: of those that are cut if they have not ended, since they stream, all recent
-// ones; of the others the usual ones.
+// expected returns within which time a request ends, with a reserve: of those that are cut if they have not ended, since they
+// stream, all recent ones; of the others the usual ones.
 func (r *recentDurations) expected() time.Duration {
 	kept := r.requests[:min(r.added, keptDurations)]
 	longest, plain := time.Duration(0), make([]time.Duration, 0, len(kept))
@@ -71,11 +73,16 @@
 			plain = append(plain, ran.duration)
 		}
 	}
+	longest = withReserve(longest, streamReserve)
 	if len(plain) == 0 {
 		return longest
 	}
 	slices.Sort(plain)
-	return max(longest, plain[int(math.Ceil(usualShare*float64(len(plain))))-1])
+	return max(longest, withReserve(plain[int(math.Ceil(usualShare*float64(len(plain))))-1], durationReserve))
+}
+
+func withReserve(duration time.Duration, share float64) time.Duration {
+	return duration + time.Duration(share*float64(duration))
 }
 
 // durations predicts how long requests last from those that have ended. It is not safe for concurrent use.
@@ -109,7 +116,7 @@
 	if !known && request.Pool != "" {
 		expected, known = d.expectedOf(durationKind{pool: request.Pool, sizeBits: kind.sizeBits})
 	}
-	return expected + time.Duration(durationReserve*float64(expected)), known
+	return expected, known
 }
 
 // expectedOf returns how long requests of a kind last. Without recent ones, those of the next larger size count, or of the next
