A node that starts waits for records of endpoints as before; only one that stood still reads without waiting

Cause: a node that has just started has no answer of the store yet, which counted as having stood still, so its reads did not wait for records and the next one came an interval later.

Now only a gap between two checks counts as a stall.

--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -285,7 +285,7 @@
 // endpointReadWait returns how long a read of the endpoints waits for a record. After the node stood still, an answer at once
 // confirms what it knows.
 func (n *StoreNode) endpointReadWait(gotRecord bool) time.Duration {
-	if !n.versions.IsConfirmed() {
+	if n.versions.AwaitsConfirmation() {
 		return 0
 	}
 	return n.gossip.ReadWait(gotRecord)
--- a/chiveversion/stall.go
+++ b/chiveversion/stall.go
@@ -45,13 +45,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.sinceBoot()
-	if now-s.checkedAt > maxStall {
+	if s.checkedAt > 0 && now-s.checkedAt > maxStall {
 		s.resumedAt = now
 	}
 	s.checkedAt = now
 	return now - s.resumedAt
 }
 
+// hasResumed reports whether the node has stood still since its start.
+func (s *stalls) hasResumed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.resumedAt > 0
+}
+
 // watch checks for stalls, so that none is missed between two requests.
 func (s *stalls) watch(ctx context.Context) {
 	if s.sinceBoot == nil {
@@ -67,5 +74,5 @@
 	s.stalls.sinceBoot, s.stalls.confirmedAge = sinceBoot, confirmedAge
 }
 
-// IsConfirmed reports whether the store has answered this node since it last stood still.
-func (s *Service) IsConfirmed() bool { return s.stalls.isConfirmed() }
+// AwaitsConfirmation reports whether this node stood still, and the store has not answered a request that was sent since.
+func (s *Service) AwaitsConfirmation() bool { return s.stalls.hasResumed() && !s.stalls.isConfirmed() }
