Beginnings of streams are stored only while their pool has several versions

Cause: one writer for each 40 nodes appended a batch each 200 ms, also while a pool had one version.

Now only streams of pools that have, or had lately, several versions are stored, as the users proposed.

--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -221,7 +221,7 @@
 	n.streams = chivestream.New(n.mesh)
 	n.streams.SetDistances(n.distances)
 	n.streams.SetJournal(chivestream.JournalOptions{
-		Log: store.Streams(), Reads: func() bool { return n.gossip.ReadsEarly() }, Readers: chivegossip.Readers, Logger: n.logger,
+		Log: store.Streams(), Reads: func() bool { return n.gossip.ReadsEarly() }, Stores: n.versions.Several, Readers: chivegossip.Readers, Logger: n.logger,
 	})
 	n.gossip = chivegossip.New(chivegossip.Options{Mesh: n.mesh, Tables: n.tables, Endpoints: n.directory, Deferred: n.directory.Deferred, Logger: n.logger})
 	n.tables.OnChange(func(*chivetable.Table) { n.gossip.Learnt() })
--- a/chivestream/journal.go
+++ b/chivestream/journal.go
@@ -32,6 +32,8 @@
 	Log Log
 	// Reads reports whether this node reads the store for others, or knows no others. It is called after the start.
 	Reads func() bool
+	// Stores reports whether the beginnings of streams of a pool are stored; nil means always.
+	Stores func(pool string) bool
 	// Readers is the number of nodes that do, the first ones by hash.
 	Readers int
 	Logger  *slog.Logger
--- a/chivestream/service.go
+++ b/chivestream/service.go
@@ -143,7 +143,7 @@
 			_ = s.mesh.Send(owner, chivewire.KindStreamBegun, Begun{Key: key, Origin: origin})
 		}
 	}
-	if s.journal == nil {
+	if s.journal == nil || s.journal.options.Stores != nil && !s.journal.options.Stores(origin.Pool) {
 		return
 	}
 	begun := Begun{Key: key, Origin: origin}
