--- a/chivewire/bounds.go
+++ b/chivewire/bounds.go
@@ -30,7 +30,7 @@
 	codeMap16       = 0xde
 )
 
-// shape tells what follows a code: a length of some bytes, and then as many bytes and items as fixed and the length state.
+// shape describes what follows a code: a length of some bytes, then bytes and items, in numbers that are fixed or given by the length.
 type shape struct {
 	lengthBytes int
 	fixedBytes  int
