A caller's limit lasts until its stated millisecond is over

What callers saw: a stream was ended up to a millisecond before its caller's own limit. A caller that waits 5,229.98 ms states 5229; the node ended its stream 5,229.0 ms after the caller's first byte.

Cause: a number of milliseconds was read as exact, although it may have been cut off to a whole number, and what was left was cut off once more when it was passed to an endpoint, which stops at exactly the value that it gets.

- chivedispatch/request.go states the deadline to the owners of slots in whole milliseconds since the epoch, now rounded up.
- Through a peer (chiverelay) the endpoint's header goes unchanged.
Waits at the store (platform/store.go, chivelog) stay cut off: these bound how long the other side may take.
Times in log lines and dumps stay cut off.

--- a/chivedispatch/request.go
+++ b/chivedispatch/request.go
@@ -7,6 +7,7 @@
 	"chivedrift/chiveconfig"
 	"chivedrift/chiverequest"
 	"chivedrift/chiveschedule"
+	"chivedrift/chivetime"
 )
 
 // Work is a model request that the gateway has accepted.
@@ -59,7 +60,7 @@
 func (r *Work) slotRequest(attempt int, doneTokens int64, exclude []string) chiveschedule.SlotRequest {
 	return chiveschedule.SlotRequest{
 		ID: r.ID, Attempt: attempt, Class: r.Class.Name, Team: r.Team, Prefix: r.Prefix, PromptTokens: r.PromptTokens,
-		MaxTokens: r.MaxTokens, DoneTokens: doneTokens, ArrivalMs: r.Arrival.UnixMilli(), DeadlineMs: r.Deadline.UnixMilli(),
+		MaxTokens: r.MaxTokens, DoneTokens: doneTokens, ArrivalMs: r.Arrival.UnixMilli(), DeadlineMs: chivetime.CeilUnixMilli(r.Deadline),
 		Exclude: exclude, Repeatable: r.Repeatable,
 	}
 }
--- a/chivegate/request.go
+++ b/chivegate/request.go
@@ -12,6 +12,7 @@
 	"unicode/utf8"
 
 	"chivedrift/chiveconfig"
+	"chivedrift/chivetime"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -157,7 +158,7 @@
 	if err != nil || ms < 1 || ms > maxTimeout.Milliseconds() {
 		return 0, newInvalidRequest("invalid_timeout", fmt.Sprintf("header %s: expected milliseconds from 1 to %d, found %q", HeaderTimeout, maxTimeout.Milliseconds(), text))
 	}
-	return time.Duration(ms) * time.Millisecond, nil
+	return chivetime.StatedWait(float64(ms)), nil
 }
 
 // parseIdempotencyKey validates the Idempotency-Key header.
