Callers and peers are not told to return before the time that is meant

What callers saw: a refusal with Retry-After 1.234 s where 1.2341 s were meant, and 0.000 for waits below half a millisecond; whoever returned when a team's owner had told it to was refused again, and told to wait for 100 ms more. Peers sent requests to a cold or resting endpoint up to a millisecond early.

Cause: the time was cut off or rounded to the nearest millisecond where it was sent. A time at which somebody may return is rounded up: in Retry-After of the entry, and in the messages of quotas, schedulers, warm-ups and rests. The own interface's Retry-After, in whole seconds, was rounded up before.

--- a/chiveentry/failure.go
+++ b/chiveentry/failure.go
@@ -9,6 +9,7 @@
 
 	"chivedrift/chiveforward"
 	"chivedrift/chiverequest"
+	"chivedrift/chivetime"
 )
 
 // FailureError is an error response of the router itself, as opposed to one from an endpoint.
@@ -39,6 +40,13 @@
 	RequestID string               `json:"request_id"`
 }
 
+// formatSeconds formats a duration in seconds to the millisecond, rounded up so that no caller retries too early.
+func formatSeconds(d time.Duration) string {
+	return strconv.FormatFloat(float64(chivetime.CeilMilliseconds(d))/millisecondsPerSecond, 'f', 3, 64)
+}
+
+const millisecondsPerSecond = 1000
+
 // write writes the error response. Retry-After is in seconds with a fraction, since most waits are shorter than a
 // second.
 func (f *FailureError) write(w http.ResponseWriter, dialect chiverequest.CallerDialect, id string) {
@@ -46,7 +54,7 @@
 	header.Set("Content-Type", "application/json")
 	dialect.Mark(header, id)
 	if f.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 3, 64))
+		header.Set("Retry-After", formatSeconds(f.RetryAfter))
 	}
 	body, err := json.Marshal(failureBody{failureFields{f.Code, f.Message, f.Outcome, id}})
 	if err != nil {
--- a/chivenotice/service.go
+++ b/chivenotice/service.go
@@ -10,6 +10,7 @@
 	"chivedrift/chiveevent"
 	"chivedrift/chivemember"
 	"chivedrift/chiverequest"
+	"chivedrift/chivetime"
 	"chivedrift/chivewire"
 )
 
@@ -81,7 +82,7 @@
 // Forward sends a notice from a response to the nodes that share connections to the endpoint. The response came through a
 // peer unless through is empty.
 func (s *Service) Forward(through, incarnation, address string, notice chiverequest.Notice) {
-	m := Message{Endpoint: incarnation, Address: address, Leaving: notice.Leaving, RestMs: notice.Rest.Milliseconds()}
+	m := Message{Endpoint: incarnation, Address: address, Leaving: notice.Leaving, RestMs: chivetime.CeilMilliseconds(notice.Rest)}
 	if through != "" {
 		s.send(through, m)
 	}
@@ -92,7 +93,7 @@
 // the endpoint states it again in its next response.
 func (s *Service) ForwardWarmUp(incarnation string, left time.Duration) {
 	for _, peer := range *s.peers.Load() {
-		_ = s.options.Mesh.Send(peer, chivewire.KindEndpointWarmUp, WarmUp{Endpoint: incarnation, LeftMs: left.Milliseconds()})
+		_ = s.options.Mesh.Send(peer, chivewire.KindEndpointWarmUp, WarmUp{Endpoint: incarnation, LeftMs: chivetime.CeilMilliseconds(left)})
 	}
 }
 
--- a/chivenotice/service_test.go
+++ b/chivenotice/service_test.go
@@ -158,3 +158,21 @@
 	}
 	return all
 }
+
+// Guards against an endpoint that peers send requests to before it has warmed up or rested, since fractions were cut off on the way.
+func TestPeersKeepFractionsOfAMillisecond(t *testing.T) {
+	const told, most = 3*time.Second + 400*time.Microsecond, time.Millisecond
+	withNodes(t, 2, func(nodes []*node) {
+		nodes[0].service.SetMembers(members(nodes))
+		nodes[0].service.ForwardWarmUp("e0", told)
+		nodes[0].service.Forward(address(1), "e0", "10.9.9.9:80", chiverequest.Notice{Rest: told})
+		time.Sleep(time.Second)
+		cold, rested := nodes[1].coldFor(), nodes[1].received()
+		if len(cold) != 1 || cold[0] < told || cold[0] > told+most {
+			t.Errorf("cold for %v, want %v", cold, told)
+		}
+		if len(rested) != 1 || rested[0].Rest < told || rested[0].Rest > told+most {
+			t.Errorf("notices %+v, want a rest of %v", rested, told)
+		}
+	})
+}
--- a/chivequota/service.go
+++ b/chivequota/service.go
@@ -8,6 +8,7 @@
 
 	"chivedrift/chivemember"
 	"chivedrift/chiveroute"
+	"chivedrift/chivetime"
 	"chivedrift/chivewire"
 )
 
@@ -162,7 +163,7 @@
 	ok, retryAfter := b.Take(now, r.Tokens)
 	s.mu.Unlock()
 	// If the reply is lost, the requesting node falls back on its own share of the limit.
-	_ = s.mesh.Send(from, chivewire.KindQuotaGrant, Grant{ID: r.ID, OK: ok, AfterMs: retryAfter.Milliseconds()})
+	_ = s.mesh.Send(from, chivewire.KindQuotaGrant, Grant{ID: r.ID, OK: ok, AfterMs: chivetime.CeilMilliseconds(retryAfter)})
 }
 
 // bucketOf returns the bucket of a team, creating it if needed. Idle buckets are evicted when there are maxBuckets. The
--- a/chivequota/service_test.go
+++ b/chivequota/service_test.go
@@ -162,6 +162,26 @@
 	})
 }
 
+// Guards against callers who return when they were told to and are refused again, since a fraction of a millisecond was cut off.
+func TestCallersMayReturnWhenToldTo(t *testing.T) {
+	const oddLimit, largeRequest = 997, 331
+	withFleet(t, 4, func(f *fleet) {
+		for _, s := range f.services {
+			for refused := 0; refused < 5; {
+				ok, retryAfter := s.Take(context.Background(), team, oddLimit, largeRequest)
+				if ok {
+					continue
+				}
+				refused++
+				time.Sleep(retryAfter)
+				if ok, again := s.Take(context.Background(), team, oddLimit, largeRequest); !ok {
+					t.Errorf("told to return after %v, then after %v more", retryAfter, again)
+				}
+			}
+		}
+	})
+}
+
 // Guards against a team that is refused while its owner does not answer.
 func TestTeamIsServedWithoutItsOwner(t *testing.T) {
 	withFleet(t, 4, func(f *fleet) {
--- a/chiveschedule/shed.go
+++ b/chiveschedule/shed.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"chivedrift/chivetime"
 )
 
 // A request that cannot be served in time is refused immediately, with a retry time: queuing it would only keep its
@@ -113,6 +115,6 @@
 	s.counts.Refused++
 	retryAfter = min(max(retryAfter, minRetryAfter), maxRetryAfter)
 	return Decision{Gateway: w.gateway, Refusal: &SlotRefusal{
-		Shard: s.id, ID: w.request.ID, Attempt: w.request.Attempt, Reason: reason, RetryAfterMs: retryAfter.Milliseconds(), LoadPercent: s.LoadPercent(),
+		Shard: s.id, ID: w.request.ID, Attempt: w.request.Attempt, Reason: reason, RetryAfterMs: chivetime.CeilMilliseconds(retryAfter), LoadPercent: s.LoadPercent(),
 	}}
 }
