Stopping nodes serve most of the streams for which they have time

Callers saw streams refused by stopping nodes that had the time for them: 503, not run.

Cause: how long a request lasts was taken as twice the longest of 64 recent ones of its route and size class. One slow stream in 64 had all later ones refused, and a class of its own with few requests knew nothing of the pool's pace.

Now chiveduration forecasts a time that a request exceeds with a stated chance: a regression of the logarithm of durations on that of the stated size (the caller's estimate, or else its maximum), with the quantile of the recent differences from it, or, where there are too few for that, the largest, and no less than with Student's distribution. The pool's durations by events made bound it for the stated maximum. The chances are constants of the stop: 0.02 for streams, 0.2 for those that may be resumed, 0.05 for requests that get an error before the cut, and 0.002 for streams that come later than 3 s after the signal. They hold per request; only the last ones to begin are at risk, so that fewer are cut. A stream may now end up to 50 ms before the cut, where 200 ms were kept for answers that it does not need.

--- a/chiveforward/shutdown.go
+++ b/chiveforward/shutdown.go
@@ -4,7 +4,9 @@
 	"sync"
 	"time"
 
+	"chivedrift/chiveduration"
 	"chivedrift/chiverequest"
+	"chivedrift/chivetable"
 )
 
 const (
@@ -12,6 +14,18 @@
 	// a share of its time.
 	answerTime        = 200 * time.Millisecond
 	answerTimeDivisor = 8
+	// lastWriteTime is reserved before the cut for the end of a stream to be written out.
+	lastWriteTime = 50 * time.Millisecond
+	// earlyTime is the part of a stop in which callers and load balancers do not know of it yet.
+	earlyTime = 3 * time.Second
+	// plainChance is the chance with which a request that is begun may last longer than the stop: it gets an error before the
+	// cut.
+	plainChance = 0.05
+	// streamChance is that of a stream: one that is cut costs its caller the run, one that is refused a fiftieth of that, the time
+	// of another attempt. A resumable one that is cut costs the caller several attempts, since another node goes on with it.
+	streamChance, resumableChance = 0.02, 0.2
+	// lateStreamChance is that of all streams after earlyTime, when their callers can reach other nodes without a refusal.
+	lateStreamChance = 0.002
 )
 
 // Shutdown is the planned stop of a node: when it began, and when the node cuts what has not ended. It decides until when an
@@ -20,7 +34,7 @@
 	mu        sync.Mutex
 	began     time.Time
 	cut       time.Time
-	durations durations
+	durations chiveduration.Forecast
 	watches   map[*shutdownWatch]struct{}
 }
 
@@ -50,8 +64,8 @@
 	return s.began, s.cut
 }
 
-// MayBegin reports whether an attempt of a request may begin now: it ends before the cut, by its deadline or by how long such
-// requests have lasted. ranFor is how long it has run, if a part of its response has been passed on.
+// MayBegin reports whether an attempt of a request may begin now: it ends before the cut, by its deadline or, but for a small chance,
+// by how long such requests have lasted. ranFor is how long it has run, if a part of its response has been passed on.
 func (s *Shutdown) MayBegin(now time.Time, request *chiverequest.Request, ranFor time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -69,11 +83,11 @@
 	return s.watch(s.answerBy, answer)
 }
 
-// record records how long a request ran.
-func (s *Shutdown) record(request *chiverequest.Request, ran ranRequest) {
+// Record records how long a request ran.
+func (s *Shutdown) Record(request *chiverequest.Request, ran chiveduration.Ran) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.durations.add(request, ran)
+	s.durations.Add(request, ran)
 }
 
 // answerBy returns when requests without a response are answered. The caller holds the lock.
@@ -87,11 +101,31 @@
 	if !request.Deadline.After(end) {
 		return end
 	}
-	expected, known := s.durations.expected(request)
+	if s.durations.Streams(request) {
+		return s.latestStreamBegin(request)
+	}
+	bound, known := s.durations.Bound(request, plainChance)
 	if !known {
 		return s.began
 	}
-	return end.Add(-expected)
+	return end.Add(-bound)
+}
+
+// latestStreamBegin returns until when a stream of which others are known may begin. The caller holds the lock.
+func (s *Shutdown) latestStreamBegin(request *chiverequest.Request) time.Time {
+	chance := streamChance
+	if request.Route.Repeat == chivetable.RepeatResume {
+		chance = resumableChance
+	}
+	end, early := s.cut.Add(-lastWriteTime), s.began.Add(earlyTime)
+	if bound, _ := s.durations.Bound(request, lateStreamChance); end.Add(-bound).After(early) {
+		return end.Add(-bound)
+	}
+	bound, _ := s.durations.Bound(request, chance)
+	if latest := end.Add(-bound); latest.Before(early) {
+		return latest
+	}
+	return early
 }
 
 // shutdownWatch is a call that becomes due during a shutdown.
--- a/chiveforward/stopping.go
+++ b/chiveforward/stopping.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"chivedrift/chiveduration"
 )
 
 // RetryAfterStopping is short because another node can serve the request at once.
@@ -66,6 +68,6 @@
 func (r *requestState) recordDuration(ctx context.Context) {
 	isWhole := r.result.Outcome == Completed && r.request.LastEvent == ""
 	if isWhole || r.ranFor > 0 && errors.Is(context.Cause(ctx), errDeadline) {
-		r.forwarder.options.Shutdown.record(r.request, ranRequest{r.ranFor, r.result.Started && !r.wasBuffered})
+		r.forwarder.options.Shutdown.Record(r.request, chiveduration.Ran{Took: r.ranFor, Events: r.result.Events, Streamed: r.result.Started && !r.wasBuffered})
 	}
 }
