Forecasts after a few requests keep to their chance

After four streams at paces from 0.3 to 3.0 of their usual time, a stopping node cut 45 of 108 streams that it had begun: the assumed deviation counted as four samples, and weighed down that of the few known ones. It now counts as two, so that the deviation that is seen counts sooner and Student's distribution has a longer tail.

--- a/chiveduration/fit.go
+++ b/chiveduration/fit.go
@@ -9,7 +9,7 @@
 
 const (
 	// assumedSamples is the number of samples that the assumed deviation counts for.
-	assumedSamples = 4.0
+	assumedSamples = 2.0
 	// slopeWeight is the weight of the assumption that durations are in proportion to sizes, as a sum of squared deviations.
 	slopeWeight = 4.0
 )
@@ -90,7 +90,7 @@
 }
 
 // studentQuantile returns the value that a variable of Student's distribution exceeds with a chance, by an expansion about the normal
-// distribution, for at least four degrees of freedom.
+// distribution, for at least two degrees of freedom.
 func studentQuantile(chance, freedom float64) float64 {
 	z := math.Sqrt2 * math.Erfinv(1-2*chance)
 	z3, z5, z7 := z*z*z, z*z*z*z*z, z*z*z*z*z*z*z
--- a/chiveduration/forecast.go
+++ b/chiveduration/forecast.go
@@ -13,7 +13,7 @@
 	maxKinds = 4096
 	// hintedDeviation, statedDeviation and madeDeviation are the standard deviations of the logarithm of durations that are assumed
 	// until enough requests have ended: of requests of the same estimated size, of others, and of those with as many events.
-	hintedDeviation, statedDeviation, madeDeviation = 0.3, 0.2, 0.15
+	hintedDeviation, statedDeviation, madeDeviation = 0.3, 0.15, 0.15
 )
 
 // Ran is a request that has ended.
