Log how an endpoint's response states where its body ends

Nothing in the logs told whether a response of an endpoint had a length, chunks or neither, so that a body that was cut and one that was whole left the same lines. Event 503, and the attempts that event 508 lists, now have framing: length, chunks, no_body (by the status, or a HEAD) or close, where nothing but the end of the connection ends the body. net/http removes Connection: close from a head that it has read, so the field doesn't tell whether the end was announced.

chiverequest.FramingOf is the one place that reads the framing of a response; it logs only so far.

--- a/chiveforward/attempt_log.go
+++ b/chiveforward/attempt_log.go
@@ -47,13 +47,21 @@
 	return notRunByNoWrite
 }
 
+// framingName returns how the endpoint's response states where its body ends, as it is logged; empty without a response.
+func (a *attempt) framingName() string {
+	if a.responseNames == "" {
+		return ""
+	}
+	return a.framing.String()
+}
+
 // recordAttempt adds the attempt to the request's result and counts its responses.
 func (r *requestState) recordAttempt(a *attempt, outcome attemptOutcome) {
 	r.forwarder.responses.record(a)
 	notRunBy := a.notRunBy(outcome)
 	r.result.Tries = append(r.result.Tries, Try{
 		Endpoint: a.target.ID, Ended: attemptOutcomeNames[outcome], Touched: a.mayHaveRun && notRunBy == "", Status: a.status, Err: a.err,
-		NotRunBy: notRunBy, Kept: a.kept, Through: a.connection.through(), ResponseNames: a.responseNames,
+		NotRunBy: notRunBy, Kept: a.kept, Through: a.connection.through(), ResponseNames: a.responseNames, Framing: a.framingName(),
 	})
 }
 
--- a/chiveforward/attempt_log_test.go
+++ b/chiveforward/attempt_log_test.go
@@ -54,17 +54,20 @@
 	for name, c := range map[string]struct {
 		response string
 		kept     bool
+		closes   bool
 		change   func(o *chiveforward.Options)
 		want     string
 	}{
-		"refusal":            {response: "HTTP/1.1 503 Full\r\nId: 42\r\nNot-Run: 1\r\n" + empty, want: "ended=refused_by_endpoint touched=false status=503 connection=new response_names=request not_run_by=refusal"},
-		"refusal, kept":      {response: "HTTP/1.1 503 Full\r\nId: 42\r\nNot-Run: 1\r\n" + empty, kept: true, want: "ended=refused_by_endpoint touched=false status=503 connection=kept response_names=request not_run_by=refusal"},
-		"other endpoint":     {response: "HTTP/1.1 421 Gone\r\nId: 42\r\n" + empty, want: "ended=other_endpoint touched=false status=421 connection=new response_names=request not_run_by=misdirected"},
-		"another's response": {response: "HTTP/1.1 503 Full\r\nId: 41\r\nNot-Run: 1\r\n" + empty, want: "ended=broken touched=true status=0 connection=new response_names=other"},
-		"unnamed response":   {response: "HTTP/1.1 200 OK\r\n" + empty, kept: true, want: "ended=broken touched=true status=0 connection=kept response_names=none"},
-		"late, then own":     {response: "HTTP/1.1 503 Full\r\nId: 41\r\nNot-Run: 1\r\n" + empty + "HTTP/1.1 200 OK\r\nId: 42\r\n" + empty, kept: true, want: "ended=complete touched=true status=200 connection=kept response_names=request late_responses=1"},
+		"refusal":            {response: "HTTP/1.1 503 Full\r\nId: 42\r\nNot-Run: 1\r\n" + empty, want: "ended=refused_by_endpoint touched=false status=503 connection=new response_names=request framing=length not_run_by=refusal"},
+		"refusal, kept":      {response: "HTTP/1.1 503 Full\r\nId: 42\r\nNot-Run: 1\r\n" + empty, kept: true, want: "ended=refused_by_endpoint touched=false status=503 connection=kept response_names=request framing=length not_run_by=refusal"},
+		"other endpoint":     {response: "HTTP/1.1 421 Gone\r\nId: 42\r\n" + empty, want: "ended=other_endpoint touched=false status=421 connection=new response_names=request framing=length not_run_by=misdirected"},
+		"another's response": {response: "HTTP/1.1 503 Full\r\nId: 41\r\nNot-Run: 1\r\n" + empty, want: "ended=broken touched=true status=0 connection=new response_names=other framing=length"},
+		"unnamed response":   {response: "HTTP/1.1 200 OK\r\n" + empty, kept: true, want: "ended=broken touched=true status=0 connection=kept response_names=none framing=length"},
+		"late, then own":     {response: "HTTP/1.1 503 Full\r\nId: 41\r\nNot-Run: 1\r\n" + empty + "HTTP/1.1 200 OK\r\nId: 42\r\n" + empty, kept: true, want: "ended=complete touched=true status=200 connection=kept response_names=request framing=length late_responses=1"},
+		"until closed":       {response: "HTTP/1.1 200 OK\r\nId: 42\r\nConnection: close\r\n\r\n", closes: true, want: "ended=complete touched=true status=200 connection=new response_names=request framing=close"},
+		"until closed, 1.0":  {response: "HTTP/1.0 200 OK\r\nId: 42\r\n\r\n", closes: true, want: "ended=complete touched=true status=200 connection=new response_names=request framing=close"},
 		"no response":        {response: "", kept: true, want: "ended=broken touched=true status=0 connection=kept"},
-		"through a peer":     {response: "HTTP/1.1 200 OK\r\nId: 42\r\n" + empty, change: func(o *chiveforward.Options) { o.Network = peerNetwork{} }, want: "ended=complete touched=true status=200 connection=new through=peer:1 response_names=request"},
+		"through a peer":     {response: "HTTP/1.1 200 OK\r\nId: 42\r\n" + empty, change: func(o *chiveforward.Options) { o.Network = peerNetwork{} }, want: "ended=complete touched=true status=200 connection=new through=peer:1 response_names=request framing=length"},
 		"withdrawn":          {change: askBefore(func() bool { return false }), want: "ended=unreached touched=false status=0 connection=new not_run_by=withdrawn"},
 		"not connected":      {change: func(o *chiveforward.Options) { o.Network = deafNetwork{} }, want: "ended=unreached touched=false status=0 connection=new not_run_by=not_connected"},
 	} {
@@ -76,7 +79,7 @@
 					return
 				}
 				write(conn, c.response)
-				if c.response == "" {
+				if c.response == "" || c.closes {
 					conn.Close()
 				}
 			})
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -76,8 +76,10 @@
 	named  bool
 	// responseNames is which request the endpoint's response named; empty without a response.
 	responseNames string
-	err           error
-	buffered      *bufferedResponse
+	// framing is how the endpoint's response states where its body ends; it has no meaning while responseNames is empty.
+	framing  chiverequest.Framing
+	err      error
+	buffered *bufferedResponse
 }
 
 // bufferedResponse is a response that was read completely.
@@ -128,7 +130,7 @@
 func (a *attempt) handleResponse(ctx, parent context.Context, response *http.Response) attemptOutcome {
 	dialect := a.state.forwarder.options.Dialect
 	identity := dialect.Identify(a.state.request, response)
-	a.responseNames = namesOfIdentities[identity]
+	a.responseNames, a.framing = namesOfIdentities[identity], chiverequest.FramingOf(response)
 	if response.StatusCode < http.StatusOK {
 		return a.classifyError(ctx, parent, errNoFinalStatus)
 	}
--- a/chiveforward/request.go
+++ b/chiveforward/request.go
@@ -59,6 +59,8 @@
 	Through string
 	// ResponseNames is which request the response named: "request", "other" or "none"; empty if there was no response.
 	ResponseNames string
+	// Framing is how the response states where its body ends, as it is logged; empty if there was no response.
+	Framing string
 }
 
 // evidence returns log attributes on which the verdict on the attempt rests.
@@ -68,7 +70,7 @@
 		connection = "kept"
 	}
 	attributes := []slog.Attr{slog.String("connection", connection)}
-	for _, a := range []slog.Attr{slog.String("through", t.Through), slog.String("response_names", t.ResponseNames), slog.String("not_run_by", t.NotRunBy)} {
+	for _, a := range []slog.Attr{slog.String("through", t.Through), slog.String("response_names", t.ResponseNames), slog.String("framing", t.Framing), slog.String("not_run_by", t.NotRunBy)} {
 		if a.Value.String() != "" {
 			attributes = append(attributes, a)
 		}
