Broken-off responses to HTTP/1.0 callers are reset

A caller of HTTP/1.0 gets no chunks, so that a response without a length ends with its connection.

While such a response is being written, the connection has a linger time of zero, so that whatever closes it, the end of the process included, resets it; it is lifted when the response is complete.

--- a/chivecaller/close.go
+++ b/chivecaller/close.go
@@ -22,7 +22,7 @@
 	if c.answered && !c.writeFailed {
 		ending = Written
 	}
-	lingers := c.state != connClosed && c.wrote && !c.writeFailed
+	lingers := c.state != connClosed && c.wrote && !c.writeFailed && !c.resets
 	c.state = connClosed
 	c.mu.Unlock()
 	c.end(ending)
@@ -45,9 +45,9 @@
 // request that was answered early, or another request, which is not served.
 func (c *Conn) finish() {
 	c.mu.Lock()
-	requestRead := c.requestRead
+	requestRead, resets := c.requestRead, c.resets
 	c.mu.Unlock()
-	if c.CloseWrite() != nil {
+	if resets || c.CloseWrite() != nil {
 		return
 	}
 	limit := time.Now().Add(lingerTimeout)
@@ -65,6 +65,22 @@
 	}
 }
 
+// ResetOnClose sets whether closing the connection resets it, also where the process ends, so that its end is not taken for that
+// of a response that ends with the connection. A network without resets only closes it at once.
+func (c *Conn) ResetOnClose(resets bool) {
+	c.mu.Lock()
+	c.resets = resets
+	c.mu.Unlock()
+	seconds := -1
+	if resets {
+		seconds = 0
+	}
+	if conn, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		// It fails only on a connection that has been closed.
+		_ = conn.SetLinger(seconds)
+	}
+}
+
 // cut closes the connection whatever is being served on it.
 func (c *Conn) cut() {
 	c.mu.Lock()
--- a/chivecaller/conn.go
+++ b/chivecaller/conn.go
@@ -33,6 +33,8 @@
 	// wrote means that something was written since the last request ended, writeFailed that a write has failed.
 	wrote       bool
 	writeFailed bool
+	// resets means that closing the connection resets it.
+	resets bool
 	// onEnd is called when the response to the current request has ended; nil if there is none.
 	onEnd func(Ending)
 }
--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -370,7 +370,7 @@
 // forward runs an admitted request; if no endpoint has answered it, forward writes the error response.
 func (e *Entry) forward(w http.ResponseWriter, r *http.Request, request *chiverequest.Request, x *exchange) {
 	e.logAccepted(r.Context(), request)
-	sink := &responseSink{w: w, controller: http.NewResponseController(w), draining: e.draining.Load}
+	sink := &responseSink{w: w, controller: http.NewResponseController(w), conn: chivecaller.Of(r), isHTTP10: !r.ProtoAtLeast(1, 1), draining: e.draining.Load}
 	result := e.options.Forwarder.Run(r.Context(), request, sink)
 	x.setResult(request, result)
 	e.stops.count(result.Code, result.Outcome)
@@ -378,6 +378,7 @@
 	e.logEnded(r.Context(), request, result)
 	switch {
 	case result.Outcome == chiveforward.Completed, result.Outcome == chiveforward.Failed:
+		sink.finish()
 		return
 	case result.Started, result.Code == chiveforward.CodeCallerGone:
 		// The response is incomplete: the connection is aborted so that the caller does not take it for complete.
@@ -442,7 +443,12 @@
 type responseSink struct {
 	w          http.ResponseWriter
 	controller *http.ResponseController
-	draining   func() bool
+	// conn is the caller's connection; nil if it is not tracked.
+	conn     *chivecaller.Conn
+	isHTTP10 bool
+	draining func() bool
+	// resets means that the connection is reset unless the response is finished.
+	resets bool
 }
 
 // Start writes the status and the header.
@@ -455,9 +461,27 @@
 	if s.draining() {
 		responseHeader.Set("Connection", "close")
 	}
+	if s.isHTTP10 && responseHeader.Get("Content-Length") == "" {
+		s.setResets(true)
+	}
 	s.w.WriteHeader(status)
 }
 
+// setResets sets whether the end of the connection is a reset, which no caller takes for the end of the response.
+func (s *responseSink) setResets(resets bool) {
+	s.resets = resets
+	if s.conn != nil {
+		s.conn.ResetOnClose(resets)
+	}
+}
+
+// finish states that the response has been passed on as a whole.
+func (s *responseSink) finish() {
+	if s.resets {
+		s.setResets(false)
+	}
+}
+
 // Write writes a chunk of the body, and flushes it if flush is set.
 func (s *responseSink) Write(data []byte, flush bool) error {
 	if _, err := s.w.Write(data); err != nil {
