The end of an endpoint's connection proves no end of a response

What callers saw: an endpoint that answered with neither a length nor chunks and stopped behind its head, or inside its body, closed in order; its caller got 200 with the endpoint's receipt and a short or empty body that the node had given a length or a last chunk of its own.

Cause: io.EOF was taken for the end of the body whatever delimited it, and net/http then framed the response for the caller as if its length were known.

The rule, in chiverequest.Framing: a body is proved to be whole by its length, its last chunk, or a status or method that rules a body out. Anything else is passed on with its uncertainty: the response to the caller ends with its connection too, announces that, and is reset if it is broken off, by an error, a limit, a stop or the end of the process. Sound responses of this kind are served at the first attempt as before. What was weighed: taking them for no proof would run repeatable requests twice and refuse once-only ones, and the users' endpoints answer so soundly.

A stream that began in chunks and whose rest ends with its connection can't be ended either way: the caller was promised a last chunk. Another endpoint is asked for the rest, and if that is empty and proved, the stream is complete; without an attempt left it is broken off, with all events delivered. Here the test TestSoundStreamsGoOn asked for a complete stream, which is a last chunk of our own; it now wants all events and a break where the stream began in chunks, and additionally a complete one that ends with the connection where it began without.

--- a/chivedispatch/model_run.go
+++ b/chivedispatch/model_run.go
@@ -108,6 +108,9 @@
 	placement.slot.Progress(placement.attemptReport(now))
 }
 
+// EndsWithConnection does nothing: the end of the text, or of a JSON document, shows whether it is whole.
+func (m *modelRun) EndsWithConnection() {}
+
 // Start records the status of a response that is not streamed.
 func (m *modelRun) Start(status int, _ http.Header) { m.status = status }
 
--- a/chivedispatch/service.go
+++ b/chivedispatch/service.go
@@ -41,6 +41,8 @@
 	Header http.Header
 	Body   []byte
 	Rest   io.ReadCloser
+	// EndsWithConnection means that the body may have been cut: nothing but the end of the endpoint's connection ended it.
+	EndsWithConnection bool
 }
 
 const maxServiceAttempts = 4
@@ -233,6 +235,8 @@
 	restWriter *io.PipeWriter
 	result     Result
 	response   *ServiceAnswer
+	// endsWithConnection means that the body may have been cut.
+	endsWithConnection bool
 }
 
 func (r *serviceRun) class() *chiveconfig.Class { return r.request.Class }
@@ -246,9 +250,12 @@
 	}
 }
 
+// EndsWithConnection records that the body may have been cut.
+func (r *serviceRun) EndsWithConnection() { r.endsWithConnection = true }
+
 // Start records the status and the header of the response.
 func (r *serviceRun) Start(status int, header http.Header) {
-	r.response = &ServiceAnswer{Status: status, Header: header}
+	r.response = &ServiceAnswer{Status: status, Header: header, EndsWithConnection: r.endsWithConnection}
 	r.result.Status, r.result.Outcome = status, Completed
 	if status >= http.StatusBadRequest {
 		r.result.Outcome = Failed
--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -447,10 +447,15 @@
 	conn     *chivecaller.Conn
 	isHTTP10 bool
 	draining func() bool
+	// endsWithConnection means that nothing but the end of the connection may end the response.
+	endsWithConnection bool
 	// resets means that the connection is reset unless the response is finished.
 	resets bool
 }
 
+// EndsWithConnection states that the response must have neither a length nor chunks.
+func (s *responseSink) EndsWithConnection() { s.endsWithConnection = true }
+
 // Start writes the status and the header.
 func (s *responseSink) Start(status int, header http.Header) {
 	responseHeader := s.w.Header()
@@ -461,7 +466,11 @@
 	if s.draining() {
 		responseHeader.Set("Connection", "close")
 	}
-	if s.isHTTP10 && responseHeader.Get("Content-Length") == "" {
+	if s.endsWithConnection {
+		// Makes net/http send neither a length nor chunks, and announce the end of the connection.
+		responseHeader.Set("Transfer-Encoding", "identity")
+	}
+	if s.endsWithConnection || s.isHTTP10 && responseHeader.Get("Content-Length") == "" {
 		s.setResets(true)
 	}
 	s.w.WriteHeader(status)
@@ -477,9 +486,16 @@
 
 // finish states that the response has been passed on as a whole.
 func (s *responseSink) finish() {
-	if s.resets {
-		s.setResets(false)
+	if !s.resets {
+		return
+	}
+	if s.endsWithConnection {
+		if err := s.controller.Flush(); err != nil {
+			// The caller has left, or must not take what it got for whole.
+			return
+		}
 	}
+	s.setResets(false)
 }
 
 // Write writes a chunk of the body, and flushes it if flush is set.
--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -36,6 +36,7 @@
 	errMismatchedResponse = errors.New("response belongs to another request")
 	errNoFinalStatus      = errors.New("response has no final status")
 	errTruncatedEvent     = errors.New("stream ended inside an event")
+	errUnprovedEnd        = errors.New("rest of a stream ended with its connection, which does not prove that it is whole")
 	errPreempted          = errors.New("attempt preempted by a more urgent request")
 	errRefusedBefore      = errors.New("refusal may be a copy of that of an earlier attempt at the same address")
 	errNotTheRest         = errors.New("response is no stream that goes on with the one that was passed on")
@@ -84,15 +85,16 @@
 
 // bufferedResponse is a response that was read completely.
 type bufferedResponse struct {
-	status int
-	header http.Header
-	body   []byte
+	status  int
+	header  http.Header
+	framing chiverequest.Framing
+	body    []byte
 }
 
 // writeTo passes the response to the caller.
 func (b *bufferedResponse) writeTo(r *requestState) {
 	r.wasBuffered = true
-	r.startResponse(b.status, b.header)
+	r.startResponse(b.status, b.header, b.framing)
 	// A write error means that the caller has disconnected; there is nobody to report it to.
 	_ = r.sink.Write(b.body, false)
 }
@@ -378,7 +380,7 @@
 		return a.forwardLarge(ctx, parent, response, body, &held)
 	}
 	a.returnConnection(response)
-	a.buffered = &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
+	a.buffered = &bufferedResponse{status: response.StatusCode, header: response.Header, framing: a.framing, body: body}
 	if response.StatusCode >= http.StatusInternalServerError {
 		return attemptEndpointError
 	}
@@ -387,7 +389,7 @@
 }
 
 func (a *attempt) forwardLarge(ctx, parent context.Context, response *http.Response, head []byte, held *reservation) attemptOutcome {
-	a.state.startResponse(response.StatusCode, response.Header)
+	a.state.startResponse(response.StatusCode, response.Header, a.framing)
 	if err := a.state.sink.Write(head, false); err != nil {
 		return a.sinkFailed(err)
 	}
@@ -417,8 +419,8 @@
 func (a *attempt) forwardStream(ctx, parent context.Context, response *http.Response) attemptOutcome {
 	stream, sequence := a.state.request.Stream, &eventSequence{hasJoined: true}
 	if stream == nil {
-		stream = &idStream{state: a.state, response: response}
-		sequence = newEventSequence(a.state.lastEventID, a.state.request.Route.Stream, !hasExplicitLength(response))
+		stream = &idStream{state: a.state, response: response, framing: a.framing}
+		sequence = newEventSequence(a.state.lastEventID, a.state.request.Route.Stream, !a.framing.ProvesEnd())
 	}
 	events := newEventReader(response.Body, &a.connection.arrival, &a.state.forwarder.held)
 	defer events.close()
@@ -481,21 +483,26 @@
 		return a.classifyError(ctx, parent, err)
 	}
 	if len(partial) > 0 {
-		if endsInsideEvent(partial) || !hasExplicitLength(response) || sequence.isResumed() && hasFields(partial) {
+		if endsInsideEvent(partial) || !a.framing.ProvesEnd() || sequence.isResumed() && hasFields(partial) {
 			return a.classifyError(ctx, parent, errTruncatedEvent)
 		}
-		a.state.startResponse(response.StatusCode, response.Header)
+		a.state.startResponse(response.StatusCode, response.Header, a.framing)
 		if err := a.state.sink.Write(partial, true); err != nil {
 			return a.sinkFailed(err)
 		}
 	}
-	a.state.startResponse(response.StatusCode, response.Header)
+	if a.hasUnprovedEnd() {
+		return a.classifyError(ctx, parent, errUnprovedEnd)
+	}
+	a.state.startResponse(response.StatusCode, response.Header, a.framing)
 	a.returnConnection(response)
 	return attemptCompleted
 }
 
-func hasExplicitLength(response *http.Response) bool {
-	return len(response.TransferEncoding) > 0 || response.ContentLength >= 0
+// hasUnprovedEnd reports whether nothing but the end of its connection ended the response although the caller was promised a
+// length or a last chunk, with which the caller would take it for whole.
+func (a *attempt) hasUnprovedEnd() bool {
+	return !a.framing.ProvesEnd() && a.state.result.Started && !a.state.endsWithConnection
 }
 
 func isEventStream(header http.Header) bool {
--- a/chiveforward/endpoint_test.go
+++ b/chiveforward/endpoint_test.go
@@ -194,8 +194,12 @@
 	status int
 	header http.Header
 	body   []byte
+	// endsWithConnection means that the end of the body is not known to be one.
+	endsWithConnection bool
 }
 
+func (c *recordingSink) EndsWithConnection() { c.endsWithConnection = true }
+
 func (c *recordingSink) Start(status int, header http.Header) {
 	c.status, c.header = status, header.Clone()
 }
--- a/chiveforward/joined_stream_test.go
+++ b/chiveforward/joined_stream_test.go
@@ -24,6 +24,8 @@
 	t *testing.T
 	// began is what the endpoint that breaks off sends; firstEvents if it is empty.
 	began string
+	// unframed means that it ends only with its connection; otherwise it has chunks.
+	unframed bool
 	// answer answers the first resumed attempt.
 	answer func(conn net.Conn, request *http.Request)
 	// after is what the first resumed attempt asked for.
@@ -41,7 +43,11 @@
 	e := newEndpoint(r.t, func(conn net.Conn, request *http.Request, _ string) {
 		switch sent.Add(1) {
 		case 1:
-			write(conn, streamHeader+"Transfer-Encoding: chunked\r\n\r\n"+chunk(began))
+			if r.unframed {
+				write(conn, streamHeader+"Connection: close\r\n\r\n"+began)
+			} else {
+				write(conn, streamHeader+"Transfer-Encoding: chunked\r\n\r\n"+chunk(began))
+			}
 			time.Sleep(20 * time.Millisecond)
 			reset(conn)
 		case 2:
--- a/chiveforward/late_response.go
+++ b/chiveforward/late_response.go
@@ -120,7 +120,7 @@
 			return recorder.bytes, nil
 		}
 		c.connection.late.Add(1)
-		if !hasExplicitLength(response) {
+		if !chiverequest.FramingOf(response).ProvesEnd() {
 			return nil, errLateEndless
 		}
 		recorder.stop()
--- a/chiveforward/request.go
+++ b/chiveforward/request.go
@@ -9,6 +9,9 @@
 
 // Sink receives the response for the caller. Its methods are called from one goroutine.
 type Sink interface {
+	// EndsWithConnection states, before Start, that nothing but the end of the endpoint's connection ends the body. That does not
+	// prove that it is whole, so the caller must not get a length or a last chunk either.
+	EndsWithConnection()
 	// Start passes on the status and the header; it is called once.
 	Start(status int, header http.Header)
 	// Write passes on a piece of the body; flush requests that it is sent immediately.
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -52,6 +52,8 @@
 	originRecordedAt time.Time
 	// begun means that a part of the response was passed on; other goroutines may read it.
 	begun atomic.Bool
+	// endsWithConnection means that the response that was passed on ends with the caller's connection.
+	endsWithConnection bool
 	// wasBuffered means that the response was passed on once it was complete.
 	wasBuffered bool
 	// ranFor is how long the attempts have run.
@@ -347,7 +349,7 @@
 }
 
 // startResponse passes on the status and the header, once for all attempts.
-func (r *requestState) startResponse(status int, header http.Header) {
+func (r *requestState) startResponse(status int, header http.Header, framing chiverequest.Framing) {
 	if r.result.Started {
 		return
 	}
@@ -355,6 +357,10 @@
 	r.begun.Store(true)
 	r.result.Status = status
 	r.result.First = time.Since(r.request.Arrival)
+	if !framing.ProvesEnd() {
+		r.endsWithConnection = true
+		r.sink.EndsWithConnection()
+	}
 	r.sink.Start(status, header)
 }
 
--- a/chiveforward/stream.go
+++ b/chiveforward/stream.go
@@ -47,12 +47,13 @@
 type idStream struct {
 	state    *requestState
 	response *http.Response
+	framing  chiverequest.Framing
 }
 
 // Event passes an event on.
 func (s *idStream) Event(data []byte, _ string, more bool) (done bool, err error) {
 	r := s.state
-	r.startResponse(s.response.StatusCode, withoutLength(s.response.Header))
+	r.startResponse(s.response.StatusCode, withoutLength(s.response.Header), s.framing)
 	r.isStream = true
 	if err := r.sink.Write(data, !more); err != nil {
 		return false, err
--- a/chiverequest/framing.go
+++ b/chiverequest/framing.go
@@ -8,8 +8,9 @@
 const (
 	// FramingNone is that of a response without a body, which its status or the method of its request rules out.
 	FramingNone Framing = iota
-	// FramingLength is a Content-Length, FramingChunks the chunked transfer encoding.
+	// FramingLength is a Content-Length.
 	FramingLength
+	// FramingChunks is the chunked transfer encoding, whose last chunk ends the body.
 	FramingChunks
 	// FramingClose means that nothing but the end of the connection ends the body.
 	FramingClose
