The own interface passes the uncertainty of a service's response on

A plain service's response that only its connection ends reached callers of the own interface with a length or a last chunk of the node's own, and was kept as the whole answer for later requests with the same key. The caller's response now ends with its connection too, as in the entry, a broken one is reset, and the body is not kept. Without the change the new test fails: 'Content-Length: 4 ... part' for a body of that form, and a body that breaks off ends in order: '"", then <nil>; want a reset'. The header Chivedrift-Outcome still says completed: that the endpoint has ended its response.

--- a/chivegate/service.go
+++ b/chivegate/service.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 
+	"chivedrift/chivecaller"
 	"chivedrift/chiveconfig"
 	"chivedrift/chivedispatch"
 	"chivedrift/chiveentry"
@@ -46,14 +47,15 @@
 	contentType := ""
 	if response != nil {
 		contentType = response.Header.Get("Content-Type")
-		if response.Rest == nil {
+		if response.Rest == nil && !response.EndsWithConnection {
 			result.Body = response.Body
 		} else {
+			// Not kept for requests with the same key.
 			contentType = ""
 		}
 	}
 	g.recordEnd(explanation, request.Class, claim, result, contentType)
-	g.writeResponse(w, a, result, response)
+	g.writeResponse(w, r, a, result, response)
 }
 
 func (g *Gate) newServiceRequest(a *admittedRequest, r *http.Request) (*chivedispatch.ServiceWork, error) {
@@ -79,7 +81,7 @@
 	}, nil
 }
 
-func (g *Gate) writeResponse(w http.ResponseWriter, a *admittedRequest, result chivedispatch.Result, response *chivedispatch.ServiceAnswer) {
+func (g *Gate) writeResponse(w http.ResponseWriter, r *http.Request, a *admittedRequest, result chivedispatch.Result, response *chivedispatch.ServiceAnswer) {
 	if response == nil {
 		failureFromResult(result).write(w, a.id)
 		return
@@ -90,10 +92,15 @@
 	maps.Copy(header, forwarded)
 	header.Set(HeaderRequestID, a.id)
 	header.Set(HeaderOutcome, string(result.Outcome))
+	finish := func() {}
+	if response.EndsWithConnection {
+		finish = endWithConnection(w, r)
+	}
 	w.WriteHeader(response.Status)
 	// An error means that the caller has disconnected.
 	_, _ = w.Write(response.Body)
 	if response.Rest == nil {
+		finish()
 		return
 	}
 	defer response.Rest.Close()
@@ -102,4 +109,21 @@
 		// that the caller does not take the response for complete.
 		panic(http.ErrAbortHandler)
 	}
+	finish()
+}
+
+// endWithConnection makes the response end with the connection, without a length or chunks. Until the returned function is called
+// for a whole response, the end of the connection is a reset.
+func endWithConnection(w http.ResponseWriter, r *http.Request) (finish func()) {
+	w.Header().Set("Transfer-Encoding", "identity")
+	conn := chivecaller.Of(r)
+	if conn == nil {
+		return func() {}
+	}
+	conn.ResetOnClose(true)
+	return func() {
+		if err := http.NewResponseController(w).Flush(); err == nil {
+			conn.ResetOnClose(false)
+		}
+	}
 }
