A cut report does not show which process is alive

A health check asks an endpoint for its report, which states when its process started. A report that was cut before its end counted as a sign of life of the process that was to be checked, also if another process had sent it, so that the crash of the first was refuted. It now shows neither that the process is alive nor that it is not. Endpoints without start times are judged by the status as before.

--- a/chivehealth/checker.go
+++ b/chivehealth/checker.go
@@ -159,6 +159,8 @@
 		return Result{Evidence: EvidenceReplaced}
 	case chiverequest.HealthGateway:
 		return Result{Evidence: EvidenceGateway}
+	case chiverequest.HealthUnproved:
+		return Result{}
 	case chiverequest.HealthAlive:
 	}
 	return Result{Alive: true}
--- a/chiverequest/health.go
+++ b/chiverequest/health.go
@@ -12,6 +12,8 @@
 	HealthOther
 	// HealthGateway is a response from a proxy that cannot reach the process.
 	HealthGateway
+	// HealthUnproved is a response that was cut before it stated which process it is from.
+	HealthUnproved
 )
 
 // HealthDialect implements the health checks of a kind of endpoints.
