Waiting connections keep the limits that were in force when their wait began

What callers saw: a connection that had been idle for less than four fifths of the idle limit was closed when a configuration lowered that limit, and a request whose header was on its way lost its connection when the header limit was lowered.

Cause: each look at the connections held all of them against the newest limits, however long their wait had been under others. A limit now binds the waits that begin after it; a wait that has begun keeps the longest limit that has been in force since.

Evidence: TestWaitingConnectionsKeepTheirLimits failed before, for the idle connection and for the header in two parts ("unexpected EOF").

--- a/chivecaller/conns.go
+++ b/chivecaller/conns.go
@@ -17,6 +17,8 @@
 type Conns struct {
 	mu   sync.Mutex
 	open map[*Conn]struct{}
+	// limits are the limits of waiting connections; the last ones are in force.
+	limits []waitLimits
 	// closeWhenIdle is set once each connection is to be closed as soon as it is idle.
 	closeWhenIdle bool
 	// closed is set once new connections are to be closed at once.
@@ -153,11 +155,11 @@
 	}
 }
 
-// CloseTimedOut closes the connections that have been waiting for a request for longer than idleTime, or for the rest of a
-// header for longer than headerTime; zero means no limit. A connection whose request has been read in the meantime is not
-// closed.
-func (c *Conns) CloseTimedOut(now time.Time, headerTime, idleTime time.Duration) {
+// CloseTimedOut closes the connections that have been waiting beyond the limits that their callers may rely on. A connection whose
+// request has been read in the meantime is not closed.
+func (c *Conns) CloseTimedOut(now time.Time) {
 	for _, conn := range c.all() {
+		headerTime, idleTime := c.limitsSince(conn.waitsSince())
 		conn.closeTimedOut(now, headerTime, idleTime)
 	}
 }
--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -103,7 +103,10 @@
 }
 
 // SetTable applies a new routing table.
-func (e *Entry) SetTable(table *chivetable.Table) { e.table.Store(table) }
+func (e *Entry) SetTable(table *chivetable.Table) {
+	e.conns.SetLimits(time.Now(), table.Limits().HeaderTime, table.Limits().IdleTime)
+	e.table.Store(table)
+}
 
 // Handler returns the server's handler, for use without a listener.
 func (e *Entry) Handler() http.Handler { return e.server.Handler() }
@@ -117,13 +120,9 @@
 	return nil
 }
 
-// enforceConnTimeouts closes connections that exceed the timeouts of the current routing table.
+// enforceConnTimeouts closes connections that exceed the timeouts of the routing tables that their callers may rely on.
 func (e *Entry) enforceConnTimeouts(ctx context.Context) {
-	chivekernel.Every(ctx, connCheckInterval, func(now time.Time) {
-		if table := e.table.Load(); table != nil {
-			e.conns.CloseTimedOut(now, table.Limits().HeaderTime, table.Limits().IdleTime)
-		}
-	})
+	chivekernel.Every(ctx, connCheckInterval, e.conns.CloseTimedOut)
 }
 
 // Leave starts draining: from now on, responses ask callers to close the connection. At the given time, Stop cuts what has
