--- a/chivecaller/conns.go
+++ b/chivecaller/conns.go
@@ -17,12 +17,12 @@
 type Conns struct {
 	mu   sync.Mutex
 	open map[*Conn]struct{}
+	// limits are the limits of waiting connections; the last ones are in force.
+	limits []waitLimits
 	// closeWhenIdle is set once each connection is to be closed as soon as it is idle.
 	closeWhenIdle bool
 	// closed is set once new connections are to be closed at once.
 	closed bool
-	// limits are the limits of waiting connections, in force last.
-	limits []waitLimits
 }
 
 // firstRequestWait is the time for which a new connection is kept during a shutdown for its first request.
