--- a/chiveduration/fit.go
+++ b/chiveduration/fit.go
@@ -28,7 +28,7 @@
 // fit returns the regression of the samples whose size is known. assumed is the assumed deviation from the line.
 func (s *samples) fit(size func(sample) float64, assumed float64) fit {
 	f := fit{least: math.Inf(1)}
-	for _, made := range s.all() {
+	for _, made := range s.kept {
 		if x := size(made); x >= 0 {
 			f.count++
 			f.meanSize += x
@@ -42,7 +42,7 @@
 	f.meanSize /= f.count
 	f.meanTook /= f.count
 	mixed := 0.0
-	for _, made := range s.all() {
+	for _, made := range s.kept {
 		if x := size(made); x >= 0 {
 			f.squaredSizes += (x - f.meanSize) * (x - f.meanSize)
 			mixed += (x - f.meanSize) * (made.logTook - f.meanTook)
@@ -50,7 +50,7 @@
 	}
 	f.slope = max(0, (mixed+slopeWeight)/(f.squaredSizes+slopeWeight))
 	squares := assumedSamples * assumed * assumed
-	for _, made := range s.all() {
+	for _, made := range s.kept {
 		if x := size(made); x >= 0 {
 			rest := made.logTook - f.line(x)
 			f.rests = append(f.rests, rest)
--- a/chiveduration/samples.go
+++ b/chiveduration/samples.go
@@ -37,20 +37,23 @@
 
 // samples holds the last requests of a kind.
 type samples struct {
-	kept  [keptSamples]sample
-	added int
+	kept []sample
+	// next is the index of the oldest one once there are keptSamples.
+	next int
 }
 
 func (s *samples) add(made sample) {
-	s.kept[s.added%keptSamples] = made
-	s.added++
+	if len(s.kept) < keptSamples {
+		s.kept = append(s.kept, made)
+		return
+	}
+	s.kept[s.next] = made
+	s.next = (s.next + 1) % keptSamples
 }
 
-func (s *samples) all() []sample { return s.kept[:min(s.added, keptSamples)] }
-
 // isStreamed reports whether the response to any of the requests was passed on before its end.
 func (s *samples) isStreamed() bool {
-	for _, made := range s.all() {
+	for _, made := range s.kept {
 		if made.streamed {
 			return true
 		}
