Log connections that are closed under another request

A request that came behind a running response, and whose connection the node then closed, left no line in any log: its handler never began. Event 522 names the request before it, why the connection was closed (broken off, announced, cut, timed out, unused) and whether bytes of the one behind had been read or were left. 519 and 520 are in use.

read is only known here of the byte by which net/http notices the end of a connection, not of what its buffer holds.

The line of the own interface has no test.

--- a/chivecaller/close.go
+++ b/chivecaller/close.go
@@ -18,14 +18,18 @@
 // has some time to close its own end.
 func (c *Conn) Close() error {
 	c.mu.Lock()
-	ending := Broken
+	ending, closing := Broken, BrokenOff
 	if c.answered && !c.writeFailed {
-		ending = Written
+		ending, closing = Written, Announced
 	}
+	wasServing, isFollowed := c.state == connServing, c.isFollowed
 	lingers := c.state != connClosed && c.wrote && !c.writeFailed
 	c.state = connClosed
 	c.mu.Unlock()
 	c.end(ending)
+	if wasServing {
+		c.reportUnserved(closing, isFollowed)
+	}
 	if lingers {
 		c.finish()
 	}
@@ -68,9 +72,13 @@
 // cut closes the connection whatever is being served on it.
 func (c *Conn) cut() {
 	c.mu.Lock()
+	wasServing, isFollowed := c.state == connServing, c.isFollowed
 	c.state = connClosed
 	c.mu.Unlock()
 	c.end(Cut)
+	if wasServing {
+		c.reportUnserved(CutByStop, isFollowed)
+	}
 	// The connection is given up, so an error from closing it does not matter.
 	_ = c.Conn.Close()
 }
@@ -78,17 +86,17 @@
 // closeIdle closes the connection if it waits for its next request. A new connection is left open, since its first request is
 // about to arrive.
 func (c *Conn) closeIdle(now time.Time) {
-	c.closeIf(now, func() bool { return c.state == connIdle })
+	c.closeIf(now, Unused, func() bool { return c.state == connIdle })
 }
 
 // closeUnused closes the connection if nothing of a request has been read from it.
 func (c *Conn) closeUnused(now time.Time) {
-	c.closeIf(now, func() bool { return c.state == connNew || c.state == connIdle })
+	c.closeIf(now, Unused, func() bool { return c.state == connNew || c.state == connIdle })
 }
 
 // closeTimedOut closes the connection if it is not serving a request and has been waiting for too long.
 func (c *Conn) closeTimedOut(now time.Time, headerTime, idleTime time.Duration) {
-	c.closeIf(now, func() bool {
+	c.closeIf(now, TimedOut, func() bool {
 		limit := idleTime
 		if c.state == connReading {
 			limit = headerTime
@@ -99,14 +107,18 @@
 
 // closeIf closes the connection if it is open and matches, which is called with the lock held. If a response was written just
 // before, only its end is sent: the reader of the connection closes it once the caller has closed its end.
-func (c *Conn) closeIf(now time.Time, matches func() bool) {
+func (c *Conn) closeIf(now time.Time, closing Closing, matches func() bool) {
 	c.mu.Lock()
 	closes := c.state != connClosed && matches()
+	wasReading := c.state == connReading && c.hasServed
 	lingers := c.hasServed && now.Sub(c.waitingSince) < lingerTimeout
 	if closes {
 		c.state = connClosed
 	}
 	c.mu.Unlock()
+	if closes {
+		c.reportUnserved(closing, wasReading)
+	}
 	if !closes || lingers && c.CloseWrite() == nil && c.SetReadDeadline(now.Add(lingerTimeout)) == nil {
 		return
 	}
--- a/chivecaller/conn.go
+++ b/chivecaller/conn.go
@@ -17,8 +17,12 @@
 type Conn struct {
 	net.Conn
 	conns *Conns
-	mu    sync.Mutex
-	state connState
+	// socket is nil if the connection has none.
+	socket *socket
+	mu     sync.Mutex
+	state  connState
+	// id is that of the request being served, or of the last one.
+	id string
 	// waitingSince is the time since which the connection has been waiting for a request or, while one is being read,
 	// for the rest of its header.
 	waitingSince time.Time
@@ -129,11 +133,21 @@
 // awaitBytes states that the server needs more bytes of the connection: if it has answered a request, it holds no whole request
 // any more. It returns false if the connection is to be closed now, or has been.
 func (c *Conn) awaitBytes() bool {
+	if c.becomeWaiting() {
+		c.reportUnserved(Unused, false)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state != connClosed
+}
+
+// becomeWaiting ends the state in which a response has been written out; it returns true if it closes the connection.
+func (c *Conn) becomeWaiting() bool {
 	closesWhenIdle := c.conns.closesWhenIdle()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state != connAnswered {
-		return c.state != connClosed
+		return false
 	}
 	switch {
 	case c.isFollowed:
@@ -145,7 +159,7 @@
 	default:
 		c.state = connIdle
 	}
-	return c.state != connClosed
+	return c.state == connClosed
 }
 
 // backgroundReadSize is the size of the reads by which net/http notices the end of a connection while a request is served.
--- a/chivecaller/conns.go
+++ b/chivecaller/conns.go
@@ -21,6 +21,8 @@
 	closeWhenIdle bool
 	// closed is set once new connections are to be closed at once.
 	closed bool
+	// onUnserved is told of connections that the node closes with bytes of another request; nil if nobody is.
+	onUnserved func(Unserved)
 }
 
 // firstRequestWait is the time for which a new connection is kept during a shutdown for its first request.
@@ -59,7 +61,7 @@
 	if err != nil {
 		return nil, err //nolint:wrapcheck // as in Listen
 	}
-	tracked := &Conn{Conn: conn, conns: l.conns, waitingSince: time.Now()}
+	tracked := &Conn{Conn: conn, conns: l.conns, socket: newSocket(conn), waitingSince: time.Now()}
 	if !l.conns.add(tracked) {
 		tracked.cut()
 	}
--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -94,6 +94,7 @@
 		options.Shutdown = chiveforward.NewShutdown()
 	}
 	e := &Entry{options: options, metrics: newMetrics(options.Scope), conns: chivecaller.NewConns()}
+	e.conns.OnUnserved(e.logUnserved)
 	e.server = chivewire.NewHTTPServer(&http.Server{
 		Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog:    slog.NewLogLogger(options.Logger.Handler(), slog.LevelDebug),
--- a/chiveentry/exchange.go
+++ b/chiveentry/exchange.go
@@ -31,11 +31,17 @@
 func (e *Entry) newExchange(conn *chivecaller.Conn, id string) *exchange {
 	x := &exchange{entry: e, id: id}
 	if conn != nil {
+		conn.SetID(id)
 		conn.OnResponseEnd(x.connectionEnded)
 	}
 	return x
 }
 
+// logUnserved logs that a connection was closed with bytes of another request behind the last one.
+func (e *Entry) logUnserved(u chivecaller.Unserved) {
+	chiveevent.RequestUnserved.Log(context.Background(), e.options.Logger, append([]slog.Attr{chiveevent.Request(u.ID)}, u.Attributes()...)...)
+}
+
 // setResult sets what is known of the request once the forwarder has returned.
 func (x *exchange) setResult(request *chiverequest.Request, result chiveforward.Result) {
 	x.mu.Lock()
--- a/chivegate/gateway.go
+++ b/chivegate/gateway.go
@@ -103,6 +103,7 @@
 	g := &Gate{options: options, conns: chivecaller.NewConns(), explanations: newExplanations(), metrics: newRequestMetrics(options.Scope)}
 	g.startID = strconv.FormatInt(time.Now().UnixMilli(), requestIDBase) + strconv.FormatInt(rand.Int64N(1<<20), requestIDBase)
 	g.keys.Store(&teamKeys{})
+	g.conns.OnUnserved(g.logUnserved)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+pathChat, g.serveModel)
 	mux.HandleFunc("POST "+pathCompletions, g.serveModel)
@@ -209,10 +210,18 @@
 	idempotencyKey string
 }
 
+// logUnserved logs that a connection was closed with bytes of another request behind the last one.
+func (g *Gate) logUnserved(u chivecaller.Unserved) {
+	chiveevent.RequestUnserved.Log(context.Background(), g.options.Logger, append([]slog.Attr{chiveevent.Request(u.ID)}, u.Attributes()...)...)
+}
+
 // begin counts and admits a request. It returns false if it has refused the request and written the response; otherwise
 // the returned function must be called when the request has ended.
 func (g *Gate) begin(w http.ResponseWriter, r *http.Request) (*admittedRequest, func(), bool) {
 	a := &admittedRequest{id: g.newRequestID(), arrival: time.Now(), activeConfig: g.options.InForce()}
+	if conn := chivecaller.Of(r); conn != nil {
+		conn.SetID(a.id)
+	}
 	count := g.inFlight.Add(1)
 	done := func() { g.inFlight.Add(-1) }
 	if err := g.admit(a, count, w, r); err != nil {
