Read no byte of a further request before the response before it is complete

Callers that sent a request behind a stream got no answer to it when the stream was broken off, e.g. at its time limit: the second request had been read seconds before, and left no line. The same behind a response that ends the connection.

Cause: net/http reads ahead, up to its 4 KB buffer and by the one-byte read that notices the end of a connection. What it holds is dropped with the connection.

A caller's connection now looks at what has come (MSG_PEEK) before it takes a part: up to the end of the head, then what net/http says the body is (a length, or chunks, which are followed up to their end). net/http alone decides what a request is; if it reads on behind what is known of one, the connection reads as before from then on. The one-byte read waits for the caller's end and takes nothing; a reset is noticed also with bytes waiting. A connection that ends with unread bytes waits until the caller's kernel has acknowledged the last response, up to 10 s, and then half a second for the caller to close its end; it no longer reads the further request. Idle connections on which a request waits aren't closed by a stop or a timeout, since it is about to be read. In networks in memory nothing changes, nor in the relay, whose callers are nodes that send one request at a time.

HTTP/1.1 allows a server to leave pipelined requests unanswered: RFC 9112, 9.3.2, clients should retry unanswered requests if the connection closes before their responses; 9.6, a server that sent "close" must not process further requests, the client should not assume that additional ones were processed, and the server closes in stages until it is reasonably certain that its last response was acknowledged.

It is one more system call for a head, and one for a body that came together with its head.

--- a/chivecaller/close.go
+++ b/chivecaller/close.go
@@ -1,6 +1,8 @@
 package chivecaller
 
 import (
+	"errors"
+	"os"
 	"time"
 )
 
@@ -10,6 +12,10 @@
 	// quietWait is how long nothing must have come of a further request before the connection is closed. Closing one with
 	// unread bytes resets it, which destroys what the caller has not read yet of the last response.
 	quietWait = 100 * time.Millisecond
+	// deliveryTimeout limits the wait for the caller to get the last response if closing the connection would reset it.
+	deliveryTimeout = 10 * time.Second
+	// deliveryPollInterval is the interval at which it is checked whether the caller has got it.
+	deliveryPollInterval = 20 * time.Millisecond
 	// discardBufferSize is the size of the buffer for bytes that are not used.
 	discardBufferSize = 4 << 10
 )
@@ -22,13 +28,13 @@
 	if c.answered && !c.writeFailed {
 		ending, closing = Written, Announced
 	}
-	wasServing, isFollowed := c.state == connServing, c.isFollowed
-	lingers := c.state != connClosed && c.wrote && !c.writeFailed
+	wasServing, hasReadOn := c.state == connServing, c.hasReadOn
+	lingers := c.state != connClosed && !c.writeFailed && (c.wrote || c.socket.hasBytes())
 	c.state = connClosed
 	c.mu.Unlock()
 	c.end(ending)
 	if wasServing {
-		c.reportUnserved(closing, isFollowed)
+		c.reportUnserved(closing, hasReadOn)
 	}
 	if lingers {
 		c.finish()
@@ -45,8 +51,8 @@
 	return closer.CloseWrite()
 }
 
-// finish ends what is sent to the caller and reads what it still sends until it has closed its end, for some time: the rest of a
-// request that was answered early, or another request, which is not served.
+// finish ends what is sent to the caller and waits until it has closed its end, for some time. It reads the rest of a request that
+// was answered early and, where bytes can only be read as they come, another request, which is not served.
 func (c *Conn) finish() {
 	c.mu.Lock()
 	requestRead := c.requestRead
@@ -54,6 +60,10 @@
 	if c.CloseWrite() != nil {
 		return
 	}
+	if c.socket != nil {
+		c.awaitDelivery()
+		return
+	}
 	limit := time.Now().Add(lingerTimeout)
 	end, buffer := limit, make([]byte, discardBufferSize)
 	for {
@@ -69,15 +79,48 @@
 	}
 }
 
+// awaitDelivery waits until the caller has got all that was sent and has closed its end. Bytes of another request are left unread, and
+// closing the connection then resets it, so that the caller knows that they were.
+func (c *Conn) awaitDelivery() {
+	// The server may still be reading if another goroutine closes the connection.
+	rest := newSocket(c.Conn, c.takeRest)
+	buffer, began := make([]byte, discardBufferSize), time.Now()
+	var delivered time.Time
+	for now := began; now.Sub(began) < deliveryTimeout; now = time.Now() {
+		if c.SetReadDeadline(now.Add(deliveryPollInterval)) != nil {
+			return
+		}
+		if _, err := rest.read(buffer); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
+		switch rest.state() {
+		case tcpFinWait1, tcpLastAck, tcpClosing:
+			if now.Sub(began) > lingerTimeout && !rest.hasBytes() {
+				// The kernel sends the rest.
+				return
+			}
+		case tcpFinWait2:
+			if delivered.IsZero() {
+				delivered = now
+			}
+			if now.Sub(delivered) > lingerTimeout {
+				return
+			}
+		default:
+			return
+		}
+	}
+}
+
 // cut closes the connection whatever is being served on it.
 func (c *Conn) cut() {
 	c.mu.Lock()
-	wasServing, isFollowed := c.state == connServing, c.isFollowed
+	wasServing, hasReadOn := c.state == connServing, c.hasReadOn
 	c.state = connClosed
 	c.mu.Unlock()
 	c.end(Cut)
 	if wasServing {
-		c.reportUnserved(CutByStop, isFollowed)
+		c.reportUnserved(CutByStop, hasReadOn)
 	}
 	// The connection is given up, so an error from closing it does not matter.
 	_ = c.Conn.Close()
@@ -101,15 +144,17 @@
 		if c.state == connReading {
 			limit = headerTime
 		}
-		return c.state != connServing && limit > 0 && now.Sub(c.waitingSince) > limit
+		// A request whose head has been read is about to be served.
+		return c.state != connServing && c.framer.phase != frameHeadEnded && limit > 0 && now.Sub(c.waitingSince) > limit
 	})
 }
 
 // closeIf closes the connection if it is open and matches, which is called with the lock held. If a response was written just
-// before, only its end is sent: the reader of the connection closes it once the caller has closed its end.
+// before, only its end is sent: the reader of the connection closes it once the caller has closed its end. A connection on which a
+// request waits that is about to be read is left open.
 func (c *Conn) closeIf(now time.Time, closing Closing, matches func() bool) {
 	c.mu.Lock()
-	closes := c.state != connClosed && matches()
+	closes := c.state != connClosed && matches() && (c.state == connReading || !c.socket.hasBytes())
 	wasReading := c.state == connReading && c.hasServed
 	lingers := c.hasServed && now.Sub(c.waitingSince) < lingerTimeout
 	if closes {
--- a/chivecaller/conn.go
+++ b/chivecaller/conn.go
@@ -17,10 +17,12 @@
 type Conn struct {
 	net.Conn
 	conns *Conns
-	// socket is nil if the connection has none.
+	// socket is nil if bytes can only be read as they come.
 	socket *socket
 	mu     sync.Mutex
 	state  connState
+	// framer has gone on by the bytes that were read through the socket.
+	framer framer
 	// id is that of the request being served, or of the last one.
 	id string
 	// waitingSince is the time since which the connection has been waiting for a request or, while one is being read,
@@ -30,8 +32,10 @@
 	hasServed bool
 	// requestRead means that the current request has been read as a whole, so that further bytes belong to another one.
 	requestRead bool
-	// isFollowed means that the first byte of another request arrived before the handler of the current one returned.
+	// isFollowed means that the first byte of another request arrived before the handler of the current one returned, and
+	// hasReadOn that it was read.
 	isFollowed bool
+	hasReadOn  bool
 	// answered means that the handler of the current request has returned, which may be before its response was written.
 	answered bool
 	// wrote means that something was written since the last request ended, writeFailed that a write has failed.
@@ -85,13 +89,14 @@
 }
 
 // StartServing marks the connection as serving a request; it returns false if the connection has been closed.
-func (c *Conn) StartServing() bool {
+func (c *Conn) StartServing(r *http.Request) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state == connClosed {
 		return false
 	}
-	c.state, c.requestRead, c.isFollowed, c.answered = connServing, false, false, false
+	c.framer.begin(r)
+	c.state, c.requestRead, c.isFollowed, c.hasReadOn, c.answered = connServing, false, false, false, false
 	return true
 }
 
@@ -111,9 +116,10 @@
 
 // Answered states that the handler of the current request returns without aborting the response.
 func (c *Conn) Answered() {
+	isFollowed := c.conns.closesWhenIdle() && c.IsFollowed()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answered = true
+	c.answered, c.isFollowed = true, c.isFollowed || isFollowed
 }
 
 // Read reads from the connection. Once the connection has been closed, nothing that arrives is passed on.
@@ -122,6 +128,9 @@
 		c.finish()
 		return 0, io.EOF
 	}
+	if !c.readsAhead(len(data)) {
+		return c.readCurrent(data)
+	}
 	n, err := c.Conn.Read(data)
 	if n > 0 && !c.beginReading(len(data)) {
 		c.finish()
@@ -149,6 +158,7 @@
 	if c.state != connAnswered {
 		return false
 	}
+	c.framer.next()
 	switch {
 	case c.isFollowed:
 		c.state, c.waitingSince = connReading, time.Now()
@@ -173,7 +183,7 @@
 	case c.state == connNew, c.state == connIdle:
 		c.state, c.waitingSince, c.requestRead = connReading, time.Now(), false
 	case c.state == connServing && size == backgroundReadSize && !c.answered:
-		c.isFollowed = true
+		c.isFollowed, c.hasReadOn = true, true
 	}
 	return c.state != connClosed
 }
--- a/chivecaller/conns.go
+++ b/chivecaller/conns.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return nil, err //nolint:wrapcheck // as in Listen
 	}
-	tracked := &Conn{Conn: conn, conns: l.conns, socket: newSocket(conn), waitingSince: time.Now()}
+	tracked := &Conn{Conn: conn, conns: l.conns, waitingSince: time.Now()}
 	if !l.conns.add(tracked) {
 		tracked.cut()
 	}
@@ -76,8 +76,12 @@
 	return !c.closed
 }
 
-// ConnContext is the ConnContext hook of http.Server: it makes the connection known to the handlers of its requests.
+// ConnContext is the ConnContext hook of http.Server: it makes the connection known to the handlers of its requests, which call
+// StartServing. From such a connection, no byte of another request is read before the response to the one before is complete.
 func (c *Conns) ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	if tracked, ok := conn.(*Conn); ok {
+		tracked.socket = newSocket(tracked.Conn, tracked.takeCurrent)
+	}
 	return context.WithValue(ctx, connContextKey{}, conn)
 }
 
--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -185,7 +185,7 @@
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
 	conn := chivecaller.Of(r)
-	if conn != nil && !conn.StartServing() {
+	if conn != nil && !conn.StartServing(r) {
 		// The connection was closed while this request was being read: it is not forwarded, and the caller sees the
 		// connection close.
 		panic(http.ErrAbortHandler)
--- a/chiveentry/unserved_test.go
+++ b/chiveentry/unserved_test.go
@@ -79,7 +79,7 @@
 			conn.SetReadDeadline(time.Now().Add(time.Second))
 			io.Copy(io.Discard, conn)
 			lines := logged.lines(t, chiveevent.RequestUnserved)
-			if len(lines) != 1 || lines[0]["request"] != "7" || lines[0]["closing"] != closing || lines[0]["waiting"] != true {
+			if len(lines) != 1 || lines[0]["request"] != "7" || lines[0]["closing"] != closing || lines[0]["waiting"] != true || lines[0]["read"] != false {
 				t.Errorf("got %v", lines)
 			}
 		})
--- a/chivegate/gateway.go
+++ b/chivegate/gateway.go
@@ -157,7 +157,7 @@
 func (g *Gate) track(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn := chivecaller.Of(r)
-		if conn != nil && !conn.StartServing() {
+		if conn != nil && !conn.StartServing(r) {
 			// The connection was closed while this request was being read: it does not run, and the caller sees the
 			// connection close.
 			panic(http.ErrAbortHandler)
@@ -168,6 +168,9 @@
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
+		if conn != nil {
+			conn.Answered()
+		}
 	})
 }
 
