Announce the end of a connection only if nothing stands behind

A response that begins during a stop now announces the end only if no bytes wait behind its request (the rest of its body left out, by length or chunks). What waits is served or refused (503, not run) after it, and the last response announces the end. What comes after the announcement stays unread.

The own interface announces the end in each response as before: its stop has no cut, so that a caller which keeps sending ahead could hold it. What stands behind stays unread, which a test now checks; with reading as before it fails ("0 bytes are unread; want 39").

TestStopAnnouncesTheEndInTheLastResponseOfSeveral fails in all six cases if each response announces the end: "response 0: 200 OK, announces the end: true; response 1: unexpected EOF".

--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -365,13 +365,13 @@
 	chiveevent.RequestRefused.Log(r.Context(), e.options.Logger, attributes...)
 	e.metrics.countRefusal(route, f.Code)
 	e.stops.count(f.Code, f.Outcome)
-	e.writeFailure(w, f, metadata.ID)
+	e.writeFailure(w, r, f, metadata.ID)
 }
 
 // forward runs an admitted request; if no endpoint has answered it, forward writes the error response.
 func (e *Entry) forward(w http.ResponseWriter, r *http.Request, request *chiverequest.Request, x *exchange) {
 	e.logAccepted(r.Context(), request)
-	sink := &responseSink{w: w, controller: http.NewResponseController(w), draining: e.draining.Load}
+	sink := &responseSink{w: w, controller: http.NewResponseController(w), draining: func() bool { return e.announcesEnd(r) }}
 	result := e.options.Forwarder.Run(r.Context(), request, sink)
 	x.setResult(request, result)
 	e.stops.count(result.Code, result.Outcome)
@@ -385,7 +385,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	f := &FailureError{Status: result.Status, Code: result.Code, Message: result.Message, Outcome: result.Outcome, RetryAfter: result.RetryAfter}
-	e.writeFailure(w, f, request.ID)
+	e.writeFailure(w, r, f, request.ID)
 }
 
 func (e *Entry) logAccepted(ctx context.Context, request *chiverequest.Request) {
@@ -429,9 +429,19 @@
 	chiveevent.RequestFailed.Log(ctx, e.options.Logger, attributes...)
 }
 
+// announcesEnd reports whether a response that begins now asks the caller to close the connection: the entry is draining, and no other
+// request is waiting behind this one, which is answered too.
+func (e *Entry) announcesEnd(r *http.Request) bool {
+	if !e.draining.Load() {
+		return false
+	}
+	conn := chivecaller.Of(r)
+	return conn == nil || !conn.IsFollowed()
+}
+
 // writeFailure writes an error response; while the entry is draining, it asks the caller to close the connection.
-func (e *Entry) writeFailure(w http.ResponseWriter, f *FailureError, id string) {
-	if e.draining.Load() {
+func (e *Entry) writeFailure(w http.ResponseWriter, r *http.Request, f *FailureError, id string) {
+	if e.announcesEnd(r) {
 		w.Header().Set("Connection", "close")
 		// net/http reads the rest of the body, which may not come, before it closes the connection.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
--- a/chiveentry/unserved_test.go
+++ b/chiveentry/unserved_test.go
@@ -1,10 +1,12 @@
 package chiveentry_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -96,3 +98,55 @@
 		t.Errorf("got %v", lines)
 	}
 }
+
+// Guards against a request that a stopping node does not answer since the response before it announces the end of the connection.
+func TestStopAnnouncesTheEndInTheLastResponseOfSeveral(t *testing.T) {
+	const (
+		tooLate = "POST /late HTTP/1.1\r\nHost: a.example\r\nId: 9\r\nWait: 9s\r\nContent-Length: 2\r\n\r\nhi"
+		soon    = "POST /next HTTP/1.1\r\nHost: a.example\r\nId: 8\r\nWait: 50ms\r\nContent-Length: 2\r\n\r\nhi"
+		chunked = "POST /next HTTP/1.1\r\nHost: a.example\r\nId: 8\r\nWait: 50ms\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"
+		large   = "POST /late HTTP/1.1\r\nHost: a.example\r\nId: 9\r\nWait: 50ms\r\nContent-Length: 3000\r\n\r\n"
+	)
+	for name, c := range map[string]struct {
+		requests []string
+		statuses []int
+	}{
+		"served":              {[]string{soon, soon, soon}, []int{200, 200, 200}},
+		"in chunks":           {[]string{chunked, chunked, soon}, []int{200, 200, 200}},
+		"refused between":     {[]string{soon, tooLate, soon}, []int{200, 503, 200}},
+		"refused last":        {[]string{soon, tooLate, tooLate}, []int{200, 503, 503}},
+		"refused first":       {[]string{tooLate, soon}, []int{503, 200}},
+		"refused at its size": {[]string{soon, large + strings.Repeat("x", 3000)}, []int{200, 413}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e, address, _ := startLoggingEntry(t, chivewire.TCP{}, &fakeForwarder{})
+			cut := time.Now().Add(2 * time.Second)
+			e.Leave(cut)
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			io.WriteString(conn, strings.Join(c.requests, ""))
+			conn.SetReadDeadline(cut)
+			reader := bufio.NewReader(conn)
+			for i, status := range c.statuses {
+				response, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					t.Fatalf("response %d: %v", i, err)
+				}
+				io.Copy(io.Discard, response.Body)
+				if isLast := i == len(c.statuses)-1; response.StatusCode != status || response.Close != isLast {
+					t.Errorf("response %d: %s, announces the end: %v", i, response.Status, response.Close)
+				}
+			}
+			conn.Close()
+			ctx, cancel := context.WithDeadline(t.Context(), cut)
+			defer cancel()
+			if err := e.Stop(ctx); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/chivegate/stop_test.go
+++ b/chivegate/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -271,3 +272,29 @@
 		}
 	}
 }
+
+// Guards against a request that is read behind a response which announces the end of the connection, and not answered.
+func TestRequestsBehindAnAnnouncedEndStayUnread(t *testing.T) {
+	services := newWaitingServices()
+	gateway, address := startGateway(t, chivewire.TCP{}, services)
+	gateway.Leave()
+	caller := dial(t, address)
+	caller.send("/services/s/wait")
+	<-services.begun
+	const behind = "GET /v1/models HTTP/1.1\r\nHost: node\r\n\r\n"
+	_, _ = io.WriteString(caller, behind)
+	time.Sleep(settleTime)
+	stopped := stop(t, gateway)
+	close(services.release)
+	if response, body, err := caller.receive(); err != nil || body != "whole" || !response.Close {
+		t.Errorf("got %q, %v, want a whole response that closes the connection", body, err)
+	}
+	if _, err := caller.reader.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("the connection is still open: %v", err)
+	}
+	if unread, err := chivestand.UnreadBytes(caller); err != nil || unread != len(behind) {
+		t.Errorf("%d bytes are unread, %v; want %d", unread, err, len(behind))
+	}
+	caller.Close()
+	awaitStop(t, stopped)
+}
