--- a/chivecaller/close.go
+++ b/chivecaller/close.go
@@ -1,6 +1,8 @@
 package chivecaller
 
 import (
+	"errors"
+	"os"
 	"time"
 )
 
@@ -10,6 +12,10 @@
 	// quietWait is how long nothing must have come of a further request before the connection is closed. Closing one with
 	// unread bytes resets it, which destroys what the caller has not read yet of the last response.
 	quietWait = 100 * time.Millisecond
+	// deliveryTimeout limits the wait for the caller to get the last response if closing the connection would reset it.
+	deliveryTimeout = 10 * time.Second
+	// deliveryPollInterval is the interval at which it is checked whether the caller has got it.
+	deliveryPollInterval = 20 * time.Millisecond
 	// discardBufferSize is the size of the buffer for bytes that are not used.
 	discardBufferSize = 4 << 10
 )
@@ -18,14 +24,18 @@
 // has some time to close its own end.
 func (c *Conn) Close() error {
 	c.mu.Lock()
-	ending := Broken
+	ending, closing := Broken, BrokenOff
 	if c.answered && !c.writeFailed {
-		ending = Written
+		ending, closing = Written, Announced
 	}
-	lingers := c.state != connClosed && c.wrote && !c.writeFailed && !c.resets
+	wasServing, hasReadOn := c.state == connServing, c.hasReadOn
+	lingers := c.state != connClosed && !c.writeFailed && !c.resets && (c.wrote || c.socket.hasBytes())
 	c.state = connClosed
 	c.mu.Unlock()
 	c.end(ending)
+	if wasServing {
+		c.reportUnserved(closing, hasReadOn)
+	}
 	if lingers {
 		c.finish()
 	}
@@ -41,8 +51,8 @@
 	return closer.CloseWrite()
 }
 
-// finish ends what is sent to the caller and reads what it still sends until it has closed its end, for some time: the rest of a
-// request that was answered early, or another request, which is not served.
+// finish ends what is sent to the caller and waits until it has closed its end, for some time. It reads the rest of a request that
+// was answered early and, where bytes can only be read as they come, another request, which is not served.
 func (c *Conn) finish() {
 	c.mu.Lock()
 	requestRead, resets := c.requestRead, c.resets
@@ -50,6 +60,10 @@
 	if resets || c.CloseWrite() != nil {
 		return
 	}
+	if c.socket != nil {
+		c.awaitDelivery()
+		return
+	}
 	limit := time.Now().Add(lingerTimeout)
 	end, buffer := limit, make([]byte, discardBufferSize)
 	for {
@@ -81,12 +95,49 @@
 	}
 }
 
+// awaitDelivery waits until the caller has got all that was sent and has closed its end. Bytes of another request are left unread, and
+// closing the connection then resets it, so that the caller knows that they were.
+func (c *Conn) awaitDelivery() {
+	// The server may still be reading if another goroutine closes the connection.
+	rest := newSocket(c.Conn, c.takeRest)
+	buffer, began := make([]byte, discardBufferSize), time.Now()
+	var delivered time.Time
+	for now := began; now.Sub(began) < deliveryTimeout; now = time.Now() {
+		if c.SetReadDeadline(now.Add(deliveryPollInterval)) != nil {
+			return
+		}
+		if _, err := rest.read(buffer); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
+		switch rest.state() {
+		case tcpFinWait1, tcpLastAck, tcpClosing:
+			if now.Sub(began) > lingerTimeout && !rest.hasBytes() {
+				// The kernel sends the rest.
+				return
+			}
+		case tcpFinWait2:
+			if delivered.IsZero() {
+				delivered = now
+			}
+			if now.Sub(delivered) > lingerTimeout {
+				return
+			}
+		default:
+			return
+		}
+	}
+}
+
 // cut closes the connection whatever is being served on it.
 func (c *Conn) cut() {
 	c.mu.Lock()
+	wasServing, hasReadOn := c.state == connServing, c.hasReadOn
 	c.state = connClosed
 	c.mu.Unlock()
 	c.end(Cut)
+	if wasServing {
+		c.reportUnserved(CutByStop, hasReadOn)
+	}
 	// The connection is given up, so an error from closing it does not matter.
 	_ = c.Conn.Close()
 }
@@ -94,35 +145,41 @@
 // closeIdle closes the connection if it waits for its next request. A new connection is left open, since its first request is
 // about to arrive.
 func (c *Conn) closeIdle(now time.Time) {
-	c.closeIf(now, func() bool { return c.state == connIdle })
+	c.closeIf(now, Unused, func() bool { return c.state == connIdle })
 }
 
 // closeUnused closes the connection if nothing of a request has been read from it.
 func (c *Conn) closeUnused(now time.Time) {
-	c.closeIf(now, func() bool { return c.state == connNew || c.state == connIdle })
+	c.closeIf(now, Unused, func() bool { return c.state == connNew || c.state == connIdle })
 }
 
 // closeTimedOut closes the connection if it is not serving a request and has been waiting for too long.
 func (c *Conn) closeTimedOut(now time.Time, headerTime, idleTime time.Duration) {
-	c.closeIf(now, func() bool {
+	c.closeIf(now, TimedOut, func() bool {
 		limit := idleTime
 		if c.state == connReading {
 			limit = headerTime
 		}
-		return c.state != connServing && limit > 0 && now.Sub(c.waitingSince) > limit
+		// A request whose head has been read is about to be served.
+		return c.state != connServing && c.framer.phase != frameHeadEnded && limit > 0 && now.Sub(c.waitingSince) > limit
 	})
 }
 
 // closeIf closes the connection if it is open and matches, which is called with the lock held. If a response was written just
-// before, only its end is sent: the reader of the connection closes it once the caller has closed its end.
-func (c *Conn) closeIf(now time.Time, matches func() bool) {
+// before, only its end is sent: the reader of the connection closes it once the caller has closed its end. A connection on which a
+// request waits that is about to be read is left open.
+func (c *Conn) closeIf(now time.Time, closing Closing, matches func() bool) {
 	c.mu.Lock()
-	closes := c.state != connClosed && matches()
+	closes := c.state != connClosed && matches() && (c.state == connReading || !c.socket.hasBytes())
+	wasReading := c.state == connReading && c.hasServed
 	lingers := c.hasServed && now.Sub(c.waitingSince) < lingerTimeout
 	if closes {
 		c.state = connClosed
 	}
 	c.mu.Unlock()
+	if closes {
+		c.reportUnserved(closing, wasReading)
+	}
 	if !closes || lingers && c.CloseWrite() == nil && c.SetReadDeadline(now.Add(lingerTimeout)) == nil {
 		return
 	}
--- a/chivecaller/conns.go
+++ b/chivecaller/conns.go
@@ -23,6 +23,8 @@
 	closeWhenIdle bool
 	// closed is set once new connections are to be closed at once.
 	closed bool
+	// onUnserved is told of connections that the node closes with bytes of another request; nil if nobody is.
+	onUnserved func(Unserved)
 }
 
 // firstRequestWait is the time for which a new connection is kept during a shutdown for its first request.
@@ -76,8 +78,12 @@
 	return !c.closed
 }
 
-// ConnContext is the ConnContext hook of http.Server: it makes the connection known to the handlers of its requests.
+// ConnContext is the ConnContext hook of http.Server: it makes the connection known to the handlers of its requests, which call
+// StartServing. From such a connection, no byte of another request is read before the response to the one before is complete.
 func (c *Conns) ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	if tracked, ok := conn.(*Conn); ok {
+		tracked.socket = newSocket(tracked.Conn, tracked.takeCurrent)
+	}
 	return context.WithValue(ctx, connContextKey{}, conn)
 }
 
