Test that late readers get a response whose connection was reset

A connection that is closed with another request unread is reset half a second after its caller's kernel has acknowledged the response. The test of slow readers reads faster now, so that its look at the unread bytes doesn't come after that half second.

--- a/chivecaller/behind_test.go
+++ b/chivecaller/behind_test.go
@@ -289,7 +289,7 @@
 	}
 	time.Sleep(700 * time.Millisecond)
 	count := 0
-	for buffer := make([]byte, 256<<10); err == nil; time.Sleep(20 * time.Millisecond) {
+	for buffer := make([]byte, 256<<10); err == nil; time.Sleep(time.Millisecond) {
 		var n int
 		n, err = response.Body.Read(buffer)
 		count += n
@@ -300,6 +300,24 @@
 	checkUnread(t, conn, len(next))
 }
 
+// Guards against a response that is lost to a caller which takes it only after the connection was reset, since another request is unread.
+func TestLateReadersGetResponsesWithAnotherRequestUnread(t *testing.T) {
+	s := startServer(t)
+	s.answer = strings.Repeat("x", 32<<10)
+	conn := dial(t, s.address)
+	io.WriteString(conn, "GET /hold HTTP/1.1\r\nHost: a\r\nLast: 1\r\n\r\n"+next)
+	receive(t, s.held)
+	s.release <- true
+	for closed := time.Now().Add(readTimeout); time.Now().Before(closed); time.Sleep(settleTime) {
+		if unread, err := chivestand.UnreadBytes(conn); err != nil || unread < 0 {
+			break
+		}
+	}
+	if got := readBody(t, bufio.NewReader(conn)); got != s.answer {
+		t.Errorf("got %d of %d bytes", len(got), len(s.answer))
+	}
+}
+
 // Guards against a server that no longer notices that the caller of a running request has left.
 func TestLeavingCallersAreNoticed(t *testing.T) {
 	for name, behind := range map[string]string{"nothing behind": "", "another request behind": next} {
