HTTP/1.0 callers get the last bytes of a response before its connection may end in order

Callers saw the head and a part of a response without a length, then an orderly end, when a stop cut the connection while the last bytes waited for a caller that reads slowly: the end of the connection stopped being a reset before net/http had written its buffers.

The test failed before: "8192 of 9192 bytes, then <nil>; want a reset", three times of three.

The buffers are flushed first, unless the whole response is still in them, where net/http states its length.

--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -463,8 +463,14 @@
 	endsWithConnection bool
 	// resets means that the connection is reset unless the response is finished.
 	resets bool
+	// size is the size of the body so far; hasBegun means that net/http can no longer state a length that the header lacks.
+	size     int
+	hasBegun bool
 }
 
+// lengthBufferSize is the size up to which net/http holds a body that is not flushed, so that it can state its length.
+const lengthBufferSize = 2 << 10
+
 // EndsWithConnection states that the response must have neither a length nor chunks.
 func (s *responseSink) EndsWithConnection() { s.endsWithConnection = true }
 
@@ -501,7 +507,8 @@
 	if !s.resets {
 		return
 	}
-	if s.endsWithConnection {
+	if s.endsWithConnection || s.hasBegun {
+		// A caller that reads slowly gets the rest of the body before the end of the connection stops being a reset.
 		if err := s.controller.Flush(); err != nil {
 			// The caller has left, or must not take what it got for whole.
 			return
@@ -512,6 +519,8 @@
 
 // Write writes a chunk of the body, and flushes it if flush is set.
 func (s *responseSink) Write(data []byte, flush bool) error {
+	s.size += len(data)
+	s.hasBegun = s.hasBegun || flush || s.size > lengthBufferSize
 	if _, err := s.w.Write(data); err != nil {
 		return fmt.Errorf("write response to caller: %w", err)
 	}
