Bytes behind a request that are no request do not hold a stop

Callers that send a line end behind a body, or a part of a next head, were not asked to close the connection while the node stops: IsFollowed took each byte for a request. The connection then waited for the rest of a header, and the stop with it, until the header timeout or the end of the grace period.

A response that begins now does not announce the end only if the whole head of another request waits. A part of one is not read. One whose response began before the stop, without an announced end, keeps its connection as before.

--- a/chivecaller/conn.go
+++ b/chivecaller/conn.go
@@ -118,7 +118,7 @@
 
 // Answered states that the handler of the current request returns without aborting the response.
 func (c *Conn) Answered() {
-	isFollowed := c.conns.closesWhenIdle() && c.IsFollowed()
+	isFollowed := c.conns.closesWhenIdle() && len(c.behind()) > 0
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.answered, c.isFollowed = true, c.isFollowed || isFollowed
--- a/chivecaller/current.go
+++ b/chivecaller/current.go
@@ -74,15 +74,25 @@
 	return c.framer.advance(waiting)
 }
 
-// IsFollowed reports whether the current request has come as a whole and bytes of another one wait behind it.
+// IsFollowed reports whether the current request has come as a whole, and behind it the head of another one.
 func (c *Conn) IsFollowed() bool {
+	next := framer{}
+	next.advance(c.behind())
+	return next.isBehind()
+}
+
+// behind returns the bytes that wait behind the current request if it has come as a whole, as far as they are looked at.
+func (c *Conn) behind() []byte {
 	if c.socket == nil {
-		return false
+		return nil
 	}
 	waiting := make([]byte, followedPeekSize)
 	waiting = waiting[:c.socket.waiting(waiting)]
 	c.mu.Lock()
 	rest := c.framer
 	c.mu.Unlock()
-	return rest.phase != frameHeadEnded && rest.advance(waiting) < len(waiting)
+	if rest.phase == frameHeadEnded {
+		return nil
+	}
+	return waiting[rest.advance(waiting):]
 }
