Log callers' connections that the node closes

A connection that the node closed although it was open for further requests left no line: an idle timeout, a stop and a response that was broken off could not be told apart, nor whether a caller's next request crossed the close. Event 523 has why, in the words of event 522, and how many requests the connection had carried. It is one INFO line for a connection, none for those whose end was announced or whose caller has left.

Not covered: connections that net/http closes by its own limits (an unused one after 2 minutes, 10 s for a header), and those of the own interface.

--- a/chivecaller/conn.go
+++ b/chivecaller/conn.go
@@ -45,6 +45,9 @@
 	resets bool
 	// onEnd is called when the response to the current request has ended; nil if there is none.
 	onEnd func(Ending)
+	// requests is the number of requests that the connection has carried, readErr the error of the last read.
+	requests int
+	readErr  error
 }
 
 type connState uint8
@@ -99,6 +102,7 @@
 	}
 	c.framer.begin(r)
 	c.state, c.requestRead, c.isFollowed, c.hasReadOn, c.answered = connServing, false, false, false, false
+	c.requests++
 	return true
 }
 
@@ -131,13 +135,16 @@
 		return 0, io.EOF
 	}
 	if !c.readsAhead(len(data)) {
-		return c.readCurrent(data)
+		n, err := c.readCurrent(data)
+		c.readEnded(err)
+		return n, err
 	}
 	n, err := c.Conn.Read(data)
 	if n > 0 && !c.beginReading(len(data)) {
 		c.finish()
 		return 0, io.EOF
 	}
+	c.readEnded(err)
 	return n, err //nolint:wrapcheck // a connection returns the errors of the one below
 }
 
--- a/chivecaller/conns.go
+++ b/chivecaller/conns.go
@@ -25,6 +25,8 @@
 	closed bool
 	// onUnserved is told of connections that the node closes with bytes of another request; nil if nobody is.
 	onUnserved func(Unserved)
+	// onClosed is told of connections that the node closes although they were open for further requests; nil if nobody is.
+	onClosed func(Closed)
 }
 
 // firstRequestWait is the time for which a new connection is kept during a shutdown for its first request.
--- a/chivecaller/unserved.go
+++ b/chivecaller/unserved.go
@@ -51,9 +51,10 @@
 	c.id = id
 }
 
-// reportUnserved reports that the node closes the connection, if bytes of another request have come. read means that some of them
-// have been read.
+// reportUnserved reports that the node closes the connection, and whether bytes of another request have come. read means that some of
+// them have been read.
 func (c *Conn) reportUnserved(closing Closing, read bool) {
+	c.reportClosed(closing)
 	waiting := c.socket.hasBytes()
 	if c.conns.onUnserved == nil || !read && !waiting {
 		return
--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -95,6 +95,7 @@
 	}
 	e := &Entry{options: options, metrics: newMetrics(options.Scope), conns: chivecaller.NewConns()}
 	e.conns.OnUnserved(e.logUnserved)
+	e.conns.OnClosed(e.logClosed)
 	e.server = chivewire.NewHTTPServer(&http.Server{
 		Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog:    slog.NewLogLogger(options.Logger.Handler(), slog.LevelDebug),
--- a/chiveentry/exchange.go
+++ b/chiveentry/exchange.go
@@ -42,6 +42,11 @@
 	chiveevent.RequestUnserved.Log(context.Background(), e.options.Logger, append([]slog.Attr{chiveevent.Request(u.ID)}, u.Attributes()...)...)
 }
 
+// logClosed logs that the node closes a connection that was open for further requests.
+func (e *Entry) logClosed(closed chivecaller.Closed) {
+	chiveevent.ConnClosed.Log(context.Background(), e.options.Logger, slog.String("closing", closed.Closing().String()), slog.Int("requests", closed.Requests()))
+}
+
 // setResult sets what is known of the request once the forwarder has returned.
 func (x *exchange) setResult(request *chiverequest.Request, result chiveforward.Result) {
 	x.mu.Lock()
