Late streams keep a reserve for endpoints that slow down

Cause: the forecast is made from requests that have ended, so an endpoint that slows down now is in none of them. Streams that come within 3 s of the signal take that chance; later ones had nothing but the forecast with a chance of 0.002.

A late stream now begins only if half as much time again is left.

--- a/chiveforward/shutdown.go
+++ b/chiveforward/shutdown.go
@@ -26,6 +26,9 @@
 	streamChance, resumableChance = 0.02, 0.2
 	// lateStreamChance is that of all streams after earlyTime, when their callers can reach other nodes without a refusal.
 	lateStreamChance = 0.002
+	// lateReserve is by how much a late stream may take longer than the forecast: the streams that it is made from have ended before an
+	// endpoint slowed down.
+	lateReserve = 1.5
 )
 
 // Shutdown is the planned stop of a node: when it began, and when the node cuts what has not ended. It decides until when an
@@ -118,10 +121,11 @@
 		chance = resumableChance
 	}
 	end, early := s.cut.Add(-lastWriteTime), s.began.Add(earlyTime)
-	if bound, _ := s.durations.Bound(request, lateStreamChance); end.Add(-bound).After(early) {
-		return end.Add(-bound)
+	bound, _ := s.durations.Bound(request, lateStreamChance)
+	if latest := end.Add(-time.Duration(lateReserve * float64(bound))); latest.After(early) {
+		return latest
 	}
-	bound, _ := s.durations.Bound(request, chance)
+	bound, _ = s.durations.Bound(request, chance)
 	if latest := end.Add(-bound); latest.Before(early) {
 		return latest
 	}
