Stops: the early part of a stop leaves a margin for the signal's way

A stream that begins within 3 s of the moment at which the node saw the signal may have been sent later than 3 s after the signal was sent, on a machine that is busy: it was begun with the larger chance of being cut, which only streams sent earlier may have. The early part now ends after 2.5 s. TestStoppingNodeServesMostStreamsWithEnoughTime holds as it is.

--- a/chiveforward/shutdown.go
+++ b/chiveforward/shutdown.go
@@ -17,7 +17,7 @@
 	// lastWriteTime is reserved before the cut for the end of a stream to be written out.
 	lastWriteTime = 50 * time.Millisecond
 	// earlyTime is the part of a stop in which callers and load balancers do not know of it yet.
-	earlyTime = 3 * time.Second
+	earlyTime = 2500 * time.Millisecond
 	// plainChance is the chance with which a request that is begun may last longer than the stop: it gets an error before the
 	// cut.
 	plainChance = 0.05
