Streams of a slow route are not forecast by faster routes of its pool

Callers of a route whose events come more slowly than those of other routes of its pool lost streams in a stop: the bound by the events of the pool was far below what each stream of the route takes, so that they were begun and cut.

The bound by the pool's events is now no shorter than the longest recent request of the route itself.

--- a/chiveduration/forecast.go
+++ b/chiveduration/forecast.go
@@ -71,7 +71,8 @@
 	bound = own.statedBound(request.Prompt, chance)
 	if pool, known := f.kinds[kind{pool: request.Pool}]; known && request.Prompt != nil {
 		if limit, known := pool.madeBound(request.Prompt, chance); known {
-			bound = min(bound, limit)
+			// The events of others may come faster than those of its route.
+			bound = min(bound, max(limit, own.longest()))
 		}
 	}
 	return bound, true
--- a/chiveduration/samples.go
+++ b/chiveduration/samples.go
@@ -61,6 +61,15 @@
 	return false
 }
 
+// longest returns the longest time that a request took.
+func (s *samples) longest() time.Duration {
+	longest := math.Inf(-1)
+	for _, made := range s.kept {
+		longest = max(longest, made.logTook)
+	}
+	return time.Duration(min(math.Exp(longest)*float64(time.Second), float64(maxBound)))
+}
+
 // statedBound returns the time that a request exceeds with a chance, by those that stated a size as it does, or else by all.
 func (s *samples) statedBound(prompt *chiverequest.Prompt, chance float64) time.Duration {
 	wanted := newSample(prompt, Ran{})
