A caller's connection gets its socket under its lock

A stop that begins while a connection is accepted read the field that the server was just setting. By reading (the review); no play showed it.

--- a/chivecaller/conns.go
+++ b/chivecaller/conns.go
@@ -84,7 +84,9 @@
 // StartServing. From such a connection, no byte of another request is read before the response to the one before is complete.
 func (c *Conns) ConnContext(ctx context.Context, conn net.Conn) context.Context {
 	if tracked, ok := conn.(*Conn); ok {
+		tracked.mu.Lock()
 		tracked.socket = newSocket(tracked.Conn, tracked.takeCurrent)
+		tracked.mu.Unlock()
 	}
 	return context.WithValue(ctx, connContextKey{}, conn)
 }
--- a/chivecaller/unserved.go
+++ b/chivecaller/unserved.go
@@ -55,12 +55,12 @@
 // them have been read.
 func (c *Conn) reportUnserved(closing Closing, read bool) {
 	c.reportClosed(closing)
-	waiting := c.socket.hasBytes()
+	c.mu.Lock()
+	id, socket := c.id, c.socket
+	c.mu.Unlock()
+	waiting := socket.hasBytes()
 	if c.conns.onUnserved == nil || !read && !waiting {
 		return
 	}
-	c.mu.Lock()
-	id := c.id
-	c.mu.Unlock()
 	c.conns.onUnserved(Unserved{ID: id, Closing: closing, Read: read, Waiting: waiting})
 }
