--- a/chivecaller/close.go
+++ b/chivecaller/close.go
@@ -14,8 +14,10 @@
 	quietWait = 100 * time.Millisecond
 	// deliveryTimeout limits the wait for the caller to get the last response if closing the connection would reset it.
 	deliveryTimeout = 10 * time.Second
-	// deliveryPollInterval is the interval at which it is checked whether the caller has got it.
+	// deliveryPollInterval is the least interval at which it is checked whether the caller has got it; deliveryPollShare is the share of
+	// the wait so far by which it grows.
 	deliveryPollInterval = 20 * time.Millisecond
+	deliveryPollShare    = 0.1
 	// discardBufferSize is the size of the buffer for bytes that are not used.
 	discardBufferSize = 4 << 10
 )
@@ -103,7 +105,7 @@
 	buffer, began := make([]byte, discardBufferSize), time.Now()
 	var delivered time.Time
 	for now := began; now.Sub(began) < deliveryTimeout; now = time.Now() {
-		if c.SetReadDeadline(now.Add(deliveryPollInterval)) != nil {
+		if c.SetReadDeadline(now.Add(deliveryInterval(now.Sub(began)))) != nil {
 			return
 		}
 		if _, err := rest.read(buffer); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -128,6 +130,11 @@
 	}
 }
 
+// deliveryInterval returns the time until the next check of a wait that has lasted for a time.
+func deliveryInterval(waited time.Duration) time.Duration {
+	return max(deliveryPollInterval, time.Duration(deliveryPollShare*float64(waited)))
+}
+
 // cut closes the connection whatever is being served on it.
 func (c *Conn) cut() {
 	c.mu.Lock()
