--- a/chivecaller/close.go
+++ b/chivecaller/close.go
@@ -36,7 +36,7 @@
 	c.mu.Unlock()
 	c.end(ending)
 	if wasServing {
-		c.reportUnserved(closing, hasReadOn)
+		c.reportClosing(closing, hasReadOn)
 	}
 	if lingers {
 		c.finish()
@@ -143,7 +143,7 @@
 	c.mu.Unlock()
 	c.end(Cut)
 	if wasServing {
-		c.reportUnserved(CutByStop, hasReadOn)
+		c.reportClosing(CutByStop, hasReadOn)
 	}
 	// The connection is given up, so an error from closing it does not matter.
 	_ = c.Conn.Close()
@@ -185,7 +185,7 @@
 	}
 	c.mu.Unlock()
 	if closes {
-		c.reportUnserved(closing, wasReading)
+		c.reportClosing(closing, wasReading)
 	}
 	if !closes || lingers && c.CloseWrite() == nil && c.SetReadDeadline(now.Add(lingerTimeout)) == nil {
 		return
--- a/chivecaller/conn.go
+++ b/chivecaller/conn.go
@@ -152,7 +152,7 @@
 // any more. It returns false if the connection is to be closed now, or has been.
 func (c *Conn) awaitBytes() bool {
 	if c.becomeWaiting() {
-		c.reportUnserved(Unused, false)
+		c.reportClosing(Unused, false)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/chivecaller/unserved.go
+++ b/chivecaller/unserved.go
@@ -51,9 +51,9 @@
 	c.id = id
 }
 
-// reportUnserved reports that the node closes the connection, and whether bytes of another request have come. read means that some of
+// reportClosing reports that the node closes the connection, and whether bytes of another request have come. read means that some of
 // them have been read.
-func (c *Conn) reportUnserved(closing Closing, read bool) {
+func (c *Conn) reportClosing(closing Closing, read bool) {
 	c.reportClosed(closing)
 	c.mu.Lock()
 	id, socket := c.id, c.socket
