--- a/chivecaller/conns.go
+++ b/chivecaller/conns.go
@@ -17,10 +17,14 @@
 type Conns struct {
 	mu   sync.Mutex
 	open map[*Conn]struct{}
+	// limits are the limits of waiting connections; the last ones are in force.
+	limits []waitLimits
 	// closeWhenIdle is set once each connection is to be closed as soon as it is idle.
 	closeWhenIdle bool
 	// closed is set once new connections are to be closed at once.
 	closed bool
+	// onUnserved is told of connections that the node closes with bytes of another request; nil if nobody is.
+	onUnserved func(Unserved)
 }
 
 // firstRequestWait is the time for which a new connection is kept during a shutdown for its first request.
@@ -74,8 +78,12 @@
 	return !c.closed
 }
 
-// ConnContext is the ConnContext hook of http.Server: it makes the connection known to the handlers of its requests.
+// ConnContext is the ConnContext hook of http.Server: it makes the connection known to the handlers of its requests, which call
+// StartServing. From such a connection, no byte of another request is read before the response to the one before is complete.
 func (c *Conns) ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	if tracked, ok := conn.(*Conn); ok {
+		tracked.socket = newSocket(tracked.Conn, tracked.takeCurrent)
+	}
 	return context.WithValue(ctx, connContextKey{}, conn)
 }
 
@@ -153,11 +161,11 @@
 	}
 }
 
-// CloseTimedOut closes the connections that have been waiting for a request for longer than idleTime, or for the rest of a
-// header for longer than headerTime; zero means no limit. A connection whose request has been read in the meantime is not
-// closed.
-func (c *Conns) CloseTimedOut(now time.Time, headerTime, idleTime time.Duration) {
+// CloseTimedOut closes the connections that have been waiting beyond the limits that their callers may rely on. A connection whose
+// request has been read in the meantime is not closed.
+func (c *Conns) CloseTimedOut(now time.Time) {
 	for _, conn := range c.all() {
+		headerTime, idleTime := c.limitsSince(conn.waitsSince())
 		conn.closeTimedOut(now, headerTime, idleTime)
 	}
 }
--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -94,6 +94,7 @@
 		options.Shutdown = chiveforward.NewShutdown()
 	}
 	e := &Entry{options: options, metrics: newMetrics(options.Scope), conns: chivecaller.NewConns()}
+	e.conns.OnUnserved(e.logUnserved)
 	e.server = chivewire.NewHTTPServer(&http.Server{
 		Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog:    slog.NewLogLogger(options.Logger.Handler(), slog.LevelDebug),
@@ -103,7 +104,10 @@
 }
 
 // SetTable applies a new routing table.
-func (e *Entry) SetTable(table *chivetable.Table) { e.table.Store(table) }
+func (e *Entry) SetTable(table *chivetable.Table) {
+	e.conns.SetLimits(time.Now(), table.Limits().HeaderTime, table.Limits().IdleTime)
+	e.table.Store(table)
+}
 
 // Handler returns the server's handler, for use without a listener.
 func (e *Entry) Handler() http.Handler { return e.server.Handler() }
@@ -117,13 +121,9 @@
 	return nil
 }
 
-// enforceConnTimeouts closes connections that exceed the timeouts of the current routing table.
+// enforceConnTimeouts closes connections that exceed the timeouts of the routing tables that their callers may rely on.
 func (e *Entry) enforceConnTimeouts(ctx context.Context) {
-	chivekernel.Every(ctx, connCheckInterval, func(now time.Time) {
-		if table := e.table.Load(); table != nil {
-			e.conns.CloseTimedOut(now, table.Limits().HeaderTime, table.Limits().IdleTime)
-		}
-	})
+	chivekernel.Every(ctx, connCheckInterval, e.conns.CloseTimedOut)
 }
 
 // Leave starts draining: from now on, responses ask callers to close the connection. At the given time, Stop cuts what has
@@ -184,7 +184,7 @@
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
 	conn := chivecaller.Of(r)
-	if conn != nil && !conn.StartServing() {
+	if conn != nil && !conn.StartServing(r) {
 		// The connection was closed while this request was being read: it is not forwarded, and the caller sees the
 		// connection close.
 		panic(http.ErrAbortHandler)
@@ -364,13 +364,15 @@
 	chiveevent.RequestRefused.Log(r.Context(), e.options.Logger, attributes...)
 	e.metrics.countRefusal(route, f.Code)
 	e.stops.count(f.Code, f.Outcome)
-	e.writeFailure(w, f, metadata.ID)
+	e.writeFailure(w, r, f, metadata.ID)
 }
 
 // forward runs an admitted request; if no endpoint has answered it, forward writes the error response.
 func (e *Entry) forward(w http.ResponseWriter, r *http.Request, request *chiverequest.Request, x *exchange) {
 	e.logAccepted(r.Context(), request)
-	sink := &responseSink{w: w, controller: http.NewResponseController(w), draining: e.draining.Load}
+	sink := &responseSink{
+		w: w, controller: http.NewResponseController(w), conn: chivecaller.Of(r), isHTTP10: !r.ProtoAtLeast(1, 1), draining: func() bool { return e.announcesEnd(r) },
+	}
 	result := e.options.Forwarder.Run(r.Context(), request, sink)
 	x.setResult(request, result)
 	e.stops.count(result.Code, result.Outcome)
@@ -378,13 +380,14 @@
 	e.logEnded(r.Context(), request, result)
 	switch {
 	case result.Outcome == chiveforward.Completed, result.Outcome == chiveforward.Failed:
+		sink.finish()
 		return
 	case result.Started, result.Code == chiveforward.CodeCallerGone:
 		// The response is incomplete: the connection is aborted so that the caller does not take it for complete.
 		panic(http.ErrAbortHandler)
 	}
 	f := &FailureError{Status: result.Status, Code: result.Code, Message: result.Message, Outcome: result.Outcome, RetryAfter: result.RetryAfter}
-	e.writeFailure(w, f, request.ID)
+	e.writeFailure(w, r, f, request.ID)
 }
 
 func (e *Entry) logAccepted(ctx context.Context, request *chiverequest.Request) {
@@ -428,9 +431,19 @@
 	chiveevent.RequestFailed.Log(ctx, e.options.Logger, attributes...)
 }
 
+// announcesEnd reports whether a response that begins now asks the caller to close the connection: the entry is draining, and no other
+// request is waiting behind this one, which is answered too.
+func (e *Entry) announcesEnd(r *http.Request) bool {
+	if !e.draining.Load() {
+		return false
+	}
+	conn := chivecaller.Of(r)
+	return conn == nil || !conn.IsFollowed()
+}
+
 // writeFailure writes an error response; while the entry is draining, it asks the caller to close the connection.
-func (e *Entry) writeFailure(w http.ResponseWriter, f *FailureError, id string) {
-	if e.draining.Load() {
+func (e *Entry) writeFailure(w http.ResponseWriter, r *http.Request, f *FailureError, id string) {
+	if e.announcesEnd(r) {
 		w.Header().Set("Connection", "close")
 		// net/http reads the rest of the body, which may not come, before it closes the connection.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
@@ -442,9 +455,19 @@
 type responseSink struct {
 	w          http.ResponseWriter
 	controller *http.ResponseController
-	draining   func() bool
+	// conn is the caller's connection; nil if it is not tracked.
+	conn     *chivecaller.Conn
+	isHTTP10 bool
+	draining func() bool
+	// endsWithConnection means that nothing but the end of the connection may end the response.
+	endsWithConnection bool
+	// resets means that the connection is reset unless the response is finished.
+	resets bool
 }
 
+// EndsWithConnection states that the response must have neither a length nor chunks.
+func (s *responseSink) EndsWithConnection() { s.endsWithConnection = true }
+
 // Start writes the status and the header.
 func (s *responseSink) Start(status int, header http.Header) {
 	responseHeader := s.w.Header()
@@ -455,9 +478,38 @@
 	if s.draining() {
 		responseHeader.Set("Connection", "close")
 	}
+	if s.endsWithConnection {
+		// Makes net/http send neither a length nor chunks, and announce the end of the connection.
+		responseHeader.Set("Transfer-Encoding", "identity")
+	}
+	if s.endsWithConnection || s.isHTTP10 && responseHeader.Get("Content-Length") == "" {
+		s.setResets(true)
+	}
 	s.w.WriteHeader(status)
 }
 
+// setResets sets whether the end of the connection is a reset, which no caller takes for the end of the response.
+func (s *responseSink) setResets(resets bool) {
+	s.resets = resets
+	if s.conn != nil {
+		s.conn.ResetOnClose(resets)
+	}
+}
+
+// finish states that the response has been passed on as a whole.
+func (s *responseSink) finish() {
+	if !s.resets {
+		return
+	}
+	if s.endsWithConnection {
+		if err := s.controller.Flush(); err != nil {
+			// The caller has left, or must not take what it got for whole.
+			return
+		}
+	}
+	s.setResets(false)
+}
+
 // Write writes a chunk of the body, and flushes it if flush is set.
 func (s *responseSink) Write(data []byte, flush bool) error {
 	if _, err := s.w.Write(data); err != nil {
--- a/chiveforward/request.go
+++ b/chiveforward/request.go
@@ -9,6 +9,9 @@
 
 // Sink receives the response for the caller. Its methods are called from one goroutine.
 type Sink interface {
+	// EndsWithConnection states, before Start, that nothing but the end of the endpoint's connection ends the body. That does not
+	// prove that it is whole, so the caller must not get a length or a last chunk either.
+	EndsWithConnection()
 	// Start passes on the status and the header; it is called once.
 	Start(status int, header http.Header)
 	// Write passes on a piece of the body; flush requests that it is sent immediately.
@@ -59,6 +62,8 @@
 	Through string
 	// ResponseNames is which request the response named: "request", "other" or "none"; empty if there was no response.
 	ResponseNames string
+	// Framing is how the response states where its body ends, as it is logged; empty if there was no response.
+	Framing string
 }
 
 // evidence returns log attributes on which the verdict on the attempt rests.
@@ -68,7 +73,7 @@
 		connection = "kept"
 	}
 	attributes := []slog.Attr{slog.String("connection", connection)}
-	for _, a := range []slog.Attr{slog.String("through", t.Through), slog.String("response_names", t.ResponseNames), slog.String("not_run_by", t.NotRunBy)} {
+	for _, a := range []slog.Attr{slog.String("through", t.Through), slog.String("response_names", t.ResponseNames), slog.String("framing", t.Framing), slog.String("not_run_by", t.NotRunBy)} {
 		if a.Value.String() != "" {
 			attributes = append(attributes, a)
 		}
