--- a/chivecaller/conns.go
+++ b/chivecaller/conns.go
@@ -25,6 +25,8 @@
 	closed bool
 	// onUnserved is told of connections that the node closes with bytes of another request; nil if nobody is.
 	onUnserved func(Unserved)
+	// onClosed is told of connections that the node closes although they were open for further requests; nil if nobody is.
+	onClosed func(Closed)
 }
 
 // firstRequestWait is the time for which a new connection is kept during a shutdown for its first request.
@@ -82,7 +84,9 @@
 // StartServing. From such a connection, no byte of another request is read before the response to the one before is complete.
 func (c *Conns) ConnContext(ctx context.Context, conn net.Conn) context.Context {
 	if tracked, ok := conn.(*Conn); ok {
+		tracked.mu.Lock()
 		tracked.socket = newSocket(tracked.Conn, tracked.takeCurrent)
+		tracked.mu.Unlock()
 	}
 	return context.WithValue(ctx, connContextKey{}, conn)
 }
--- a/chivecaller/unserved.go
+++ b/chivecaller/unserved.go
@@ -51,15 +51,16 @@
 	c.id = id
 }
 
-// reportUnserved reports that the node closes the connection, if bytes of another request have come. read means that some of them
-// have been read.
+// reportUnserved reports that the node closes the connection, and whether bytes of another request have come. read means that some of
+// them have been read.
 func (c *Conn) reportUnserved(closing Closing, read bool) {
-	waiting := c.socket.hasBytes()
+	c.reportClosed(closing)
+	c.mu.Lock()
+	id, socket := c.id, c.socket
+	c.mu.Unlock()
+	waiting := socket.hasBytes()
 	if c.conns.onUnserved == nil || !read && !waiting {
 		return
 	}
-	c.mu.Lock()
-	id := c.id
-	c.mu.Unlock()
 	c.conns.onUnserved(Unserved{ID: id, Closing: closing, Read: read, Waiting: waiting})
 }
