Test of a crash that a peer reports: plays an attempt again that lasts 20 ms and more

The test took an attempt to be shorter than 20 ms, from which on it counts as accepted by its endpoint and is reported with the node's own evidence. On a busy machine it isn't; both cases depend on it. The check itself is as before: a play whose attempt, by the test's clock, is shorter must have no report before the peer's, and one with the peer's evidence after it; a longer one says nothing and is played again, 50 times at most.

--- a/chiveforward/ended_test.go
+++ b/chiveforward/ended_test.go
@@ -68,31 +68,50 @@
 
 // Guards against missing the request that crashed an endpoint at once, if only another node has evidence of the crash.
 func TestRequestThatCrashesAtOnceIsReportedIfAPeerReportsTheCrash(t *testing.T) {
+	const tries = 50
 	for name, peerFirst := range map[string]bool{"peer's report first": true, "attempt first": false} {
 		t.Run(name, func(t *testing.T) {
-			var e *endpoint
-			var s *fixture
-			e = newEndpoint(t, waitOrCrash(&e, func() {
-				if peerFirst {
-					s.forwarder.PeerCrash(reportedCrash(e, time.Now()))
-				}
-			}))
-			q := &fakeQuarantine{}
-			s = newCrashFixture(t, q, e)
-			s.runAt("/crash")
-			if !peerFirst {
-				if n := q.reportCount(); n > 0 {
-					t.Fatalf("%d crash reports before the peer's", n)
+			for range tries {
+				if isReportedByPeer(t, peerFirst) {
+					return
 				}
-				s.forwarder.PeerCrash(reportedCrash(e, time.Now()))
-			}
-			if got := q.awaitReports(t, 1, time.Second); got[0] != chivehealth.EvidenceReported {
-				t.Errorf("evidence %v", got)
 			}
+			t.Fatalf("none of %d attempts was short enough", tries)
 		})
 	}
 }
 
+// isReportedByPeer checks that a request which crashes its endpoint at once is reported with a peer's evidence only; it returns false if
+// the attempt lasted so long that it counts as accepted by its endpoint.
+func isReportedByPeer(t *testing.T, peerFirst bool) bool {
+	t.Helper()
+	const accepted = 20 * time.Millisecond
+	var e *endpoint
+	var s *fixture
+	e = newEndpoint(t, waitOrCrash(&e, func() {
+		if peerFirst {
+			s.forwarder.PeerCrash(reportedCrash(e, time.Now()))
+		}
+	}))
+	q := &fakeQuarantine{}
+	s = newCrashFixture(t, q, e)
+	began := time.Now()
+	s.runAt("/crash")
+	if time.Since(began) >= accepted {
+		return false
+	}
+	if !peerFirst {
+		if n := q.reportCount(); n > 0 {
+			t.Fatalf("%d crash reports before the peer's", n)
+		}
+		s.forwarder.PeerCrash(reportedCrash(e, time.Now()))
+	}
+	if got := q.awaitReports(t, 1, time.Second); got[0] != chivehealth.EvidenceReported {
+		t.Errorf("evidence %v", got)
+	}
+	return true
+}
+
 // Guards against implicating a request that was sent to an endpoint after its crash.
 func TestRequestAfterTheCrashIsNotReported(t *testing.T) {
 	var e *endpoint
