Event 524: connections that nobody had accepted when a node stops listening

A stop closes the listener, and the kernel resets what waits there to be accepted, whole requests among it. Since nobody accepted these connections, no line named them. The new event has their number, by the kernel's account, and when they were reset; the own interface logs it too.

--- a/chivecaller/conns.go
+++ b/chivecaller/conns.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"chivedrift/chivewire"
@@ -32,7 +33,10 @@
 // firstRequestWait is the time for which a new connection is kept during a shutdown for its first request.
 const firstRequestWait = 200 * time.Millisecond
 
-var errNoCloseWrite = errors.New("connection cannot be closed in one direction")
+var (
+	errNoCloseWrite = errors.New("connection cannot be closed in one direction")
+	errNoSocket     = errors.New("listener has no socket")
+)
 
 // NewConns returns a tracker without connections.
 func NewConns() *Conns { return &Conns{open: make(map[*Conn]struct{})} }
@@ -59,6 +63,15 @@
 	conns *Conns
 }
 
+// SyscallConn returns access to the listener's socket, which only TCP has.
+func (l trackedListener) SyscallConn() (syscall.RawConn, error) {
+	holder, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil, errNoSocket
+	}
+	return holder.SyscallConn() //nolint:wrapcheck // as in Listen
+}
+
 // Accept waits for the next connection.
 func (l trackedListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
--- a/chiveentry/exchange.go
+++ b/chiveentry/exchange.go
@@ -47,6 +47,12 @@
 	chiveevent.ConnClosed.Log(context.Background(), e.options.Logger, slog.String("closing", closed.Closing().String()), slog.Int("requests", closed.Requests()))
 }
 
+// logStoppedListening logs that the node accepts no more connections.
+func (e *Entry) logStoppedListening(unaccepted int) {
+	attributes := append([]slog.Attr{slog.Int("unaccepted", unaccepted)}, e.stopTimes(time.Time{}, time.Time{})...)
+	chiveevent.StoppedListening.Log(context.Background(), e.options.Logger, attributes...)
+}
+
 // setResult sets what is known of the request once the forwarder has returned.
 func (x *exchange) setResult(request *chiverequest.Request, result chiveforward.Result) {
 	x.mu.Lock()
--- a/chivegate/gateway.go
+++ b/chivegate/gateway.go
@@ -139,9 +139,9 @@
 
 // Stop accepts no new connections and waits until the response to each request in flight has been written, however long
 // the request takes, and its connection closed. Connections without a request are closed, new ones once all others have ended.
-func (g *Gate) Stop(context.Context) error {
+func (g *Gate) Stop(ctx context.Context) error {
 	g.Leave()
-	g.server.StopListening()
+	chiveevent.StoppedListening.Log(ctx, g.options.Logger, slog.Int("unaccepted", g.server.StopListening()))
 	g.conns.CloseIdle()
 	for g.conns.CloseRest() > 0 {
 		time.Sleep(stopPollInterval)
--- a/chivewire/http.go
+++ b/chivewire/http.go
@@ -37,10 +37,13 @@
 	return nil
 }
 
-// StopListening stops accepting connections and keeps the open ones.
-func (s *HTTPServer) StopListening() {
+// StopListening stops accepting connections and keeps the open ones. It returns the number of those that had not been accepted, which the
+// kernel resets.
+func (s *HTTPServer) StopListening() (reset int) {
+	reset = unaccepted(s.listener)
 	// The only possible error is that the listener is already closed.
 	_ = s.listener.Close()
+	return reset
 }
 
 // DisableKeepAlives closes each connection after its current request.
