--- /dev/null
+++ b/chiveforward/late_begin_test.go
@@ -0,0 +1,112 @@
+package chiveforward_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"chivedrift/chiveduration"
+	"chivedrift/chiveforward"
+	"chivedrift/chiverequest"
+	"chivedrift/chivetable"
+)
+
+const (
+	// lateGrace is how long the stops of these tests last until the cut, lateAfter how long after the signal a request comes that no
+	// rule excuses.
+	lateGrace, lateAfter = 7600 * time.Millisecond, 3300 * time.Millisecond
+	// usualTime is how long the streams that are known have lasted.
+	usualTime = 400 * time.Millisecond
+)
+
+// beginLate begins a shutdown lateAfter before now.
+func beginLate(s *chiveforward.Shutdown, now time.Time, left time.Duration) {
+	s.Begin(now.Add(-lateAfter), now.Add(left))
+}
+
+// Guards against a stream that is begun late in a stop by how long others have lasted, and cut since it lasts longer than all of them.
+func TestStoppingNodeBeginsNoLateStreamThatMayOutlastTheStop(t *testing.T) {
+	for _, repeat := range []chivetable.Repetition{chivetable.RepeatNever, chivetable.RepeatResume} {
+		for _, known := range []int{4, 128} {
+			t.Run(fmt.Sprintf("%v, %d known", repeat, known), func(t *testing.T) {
+				route, shutdown, now := &chivetable.Route{Name: "r", Repeat: repeat}, chiveforward.NewShutdown(), time.Now()
+				request := &chiverequest.Request{Route: route, Pool: "p", Deadline: now.Add(time.Minute)}
+				for range known {
+					shutdown.Record(request, chiveduration.Ran{Took: usualTime, Events: 8, Streamed: true})
+				}
+				beginLate(shutdown, now, lateGrace-lateAfter)
+				if shutdown.MayBegin(now, request, 0) {
+					t.Errorf("a stream may begin %v after the signal although its limit is behind the cut", lateAfter)
+				}
+				request.Deadline = now.Add(lateGrace - lateAfter - time.Second)
+				if !shutdown.MayBegin(now, request, 0) {
+					t.Error("a stream whose limit is before the cut may not begin")
+				}
+			})
+		}
+	}
+}
+
+// partedResponses are plain responses of which a part is passed on before the rest comes, each by its head and the number of its bytes.
+var partedResponses = map[string]struct {
+	head string
+	size int
+}{
+	"over the buffer's size": {"HTTP/1.1 200 OK\r\nId: 42\r\nContent-Length: 3000000\r\n\r\n", 2_000_000},
+	"without framing":        {"HTTP/1.1 200 OK\r\nId: 42\r\n\r\n", 2_000_000},
+	"a stream":               {"HTTP/1.1 200 OK\r\nId: 42\r\nContent-Type: text/event-stream\r\nContent-Length: 3000000\r\n\r\n", 0},
+}
+
+// Guards against a response that is cut without an end since a part of it was passed on: the request came late in a stop, and others of
+// its route were answered whole and at once.
+func TestStoppingNodeAnswersLateRequestsWhoseResponseComesInParts(t *testing.T) {
+	for name, parted := range partedResponses {
+		for _, ends := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, ends in time: %v", name, ends), func(t *testing.T) {
+				const left, rest = 1200 * time.Millisecond, "data: the rest\n\n"
+				part := strings.Repeat("x", parted.size)
+				if parted.size == 0 {
+					part = "id: 1\ndata: a part\n\n"
+				}
+				head := strings.Replace(parted.head, "3000000", fmt.Sprint(len(part)+len(rest)), 1)
+				e := newEndpoint(t, func(conn net.Conn, request *http.Request, body string) {
+					if request.Header.Get("Parts") == "" {
+						echo(conn, request, body)
+						return
+					}
+					write(conn, head+part)
+					time.Sleep(left / 4)
+					if !ends {
+						time.Sleep(2 * left)
+					}
+					write(conn, rest)
+					conn.Close()
+				})
+				shutdown := chiveforward.NewShutdown()
+				s := newFixtureWithOptions(t, func(o *chiveforward.Options) { o.Shutdown = shutdown }, chivetable.Route{Attempts: 1, Target: 4 * time.Second}, e.registration("one"))
+				for range 8 {
+					if result, _ := s.run(s.lastingRequest(0)); result.Outcome != chiveforward.Completed {
+						t.Fatalf("before the stop: %+v", result)
+					}
+				}
+				cut := time.Now().Add(left)
+				beginLate(shutdown, time.Now(), left)
+				request := s.lastingRequest(0)
+				request.Header.Set("Parts", "1")
+				result, sink := s.run(request)
+				if !time.Now().Before(cut) {
+					t.Errorf("answered %v after the cut", time.Since(cut))
+				}
+				if ends && (result.Outcome != chiveforward.Completed || string(sink.body) != part+rest) {
+					t.Errorf("got %+v, %d bytes", result, len(sink.body))
+				}
+				if !ends && (result.Started || result.Status != http.StatusBadGateway || result.Code != chiveforward.CodeStopping || sink.status != 0) {
+					t.Errorf("got %+v, %d bytes", result, len(sink.body))
+				}
+			})
+		}
+	}
+}
--- a/chivewire/http_test.go
+++ b/chivewire/http_test.go
@@ -1,6 +1,7 @@
 package chivewire_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -50,6 +51,66 @@
 	}
 }
 
+// gatedNetwork returns listeners that accept nothing before the gate opens, as a process that is not scheduled.
+type gatedNetwork struct {
+	chivewire.TCP
+	gate <-chan struct{}
+}
+
+func (n gatedNetwork) Listen(address string) (net.Listener, error) {
+	listener, err := n.TCP.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	return gatedListener{listener.(*net.TCPListener), n.gate}, nil
+}
+
+type gatedListener struct {
+	*net.TCPListener
+	gate <-chan struct{}
+}
+
+func (l gatedListener) Accept() (net.Conn, error) {
+	<-l.gate
+	return l.TCPListener.Accept()
+}
+
+// Guards against requests that are reset unread: they arrived before the server stopped listening, which had not accepted them yet.
+func TestServerAnswersWhatArrivedBeforeItStopsListening(t *testing.T) {
+	const callers, stall = 40, 150 * time.Millisecond
+	server := chivewire.NewHTTPServer(&http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "done")
+	})})
+	gate, address := make(chan struct{}), chivestand.FreeAddress()
+	if err := server.Start(gatedNetwork{gate: gate}, address); err != nil {
+		t.Fatalf("start: %v", err)
+	}
+	var conns []net.Conn
+	for range callers {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, conn)
+	}
+	time.AfterFunc(stall, func() { close(gate) })
+	server.StopListening()
+	for i, conn := range conns {
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatalf("caller %d of %d: %v", i, callers, err)
+		}
+		response.Body.Close()
+	}
+	if err := server.Shutdown(); err != nil {
+		t.Errorf("shutdown: %v", err)
+	}
+}
+
 func TestHTTPServerAnswersOpenRequestsAfterItStopsListening(t *testing.T) {
 	entered, release := make(chan struct{}), make(chan struct{})
 	server := chivewire.NewHTTPServer(&http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
