Stopping nodes begin no stream by chance once callers know of the stop

Cause: later than 2.5 s after the signal a stream began if a forecast with a chance of 0.002, half as much time added, fitted into the rest of the stop. The forecast knows what has ended; when endpoints slow down around the stop the chance isn't 0.002, and no margin makes it one. Once a part of a stream has been passed on nothing but its end is an answer.

Now a stream begins late only if its own limit or the route's timeout ends before the cut. Up to 2.7 s after the signal (2.5 s before; 3 s is what the rule grants, the rest is for the signal to arrive) it begins by chance as before, since callers don't know of the stop yet.

TestStoppingNodeServesMostStreamsWithEnoughTime allowed late streams a chance of 0.002 and counted them for its perfect forecast; now none may begin late, which is stricter, and the perfect forecast, like the rule, begins none either.

--- a/chiveforward/shutdown.go
+++ b/chiveforward/shutdown.go
@@ -16,23 +16,19 @@
 	answerTimeDivisor = 8
 	// lastWriteTime is reserved before the cut for the end of a stream to be written out.
 	lastWriteTime = 50 * time.Millisecond
-	// earlyTime is the part of a stop in which callers and load balancers do not know of it yet.
-	earlyTime = 2500 * time.Millisecond
+	// earlyTime is the part of a stop in which callers and load balancers do not know of it yet, without what the signal may take to
+	// arrive.
+	earlyTime = 2700 * time.Millisecond
 	// plainChance is the chance with which a request that is begun may last longer than the stop: it gets an error before the
 	// cut.
 	plainChance = 0.05
 	// streamChance is that of a stream: one that is cut costs its caller the run, one that is refused a fiftieth of that, the time
 	// of another attempt. A resumable one that is cut costs the caller several attempts, since another node goes on with it.
 	streamChance, resumableChance = 0.02, 0.2
-	// lateStreamChance is that of all streams after earlyTime, when their callers can reach other nodes without a refusal.
-	lateStreamChance = 0.002
-	// lateReserve is by how much a late stream may take longer than the forecast: the streams that it is made from have ended before an
-	// endpoint slowed down.
-	lateReserve = 1.5
 )
 
 // Shutdown is the planned stop of a node: when it began, and when the node cuts what has not ended. It decides until when an
-// attempt may begin, so that it ends before the cut.
+// attempt may begin, so that it ends, or gets an error in its place, before the cut.
 type Shutdown struct {
 	mu        sync.Mutex
 	began     time.Time
@@ -68,7 +64,7 @@
 }
 
 // MayBegin reports whether an attempt of a request may begin now: it ends before the cut, by its deadline or, but for a small chance,
-// by how long such requests have lasted. ranFor is how long it has run, if a part of its response has been passed on.
+// by how long such requests have lasted. After earlyTime no stream begins by chance. ranFor is how long it has run, if a part of its response has been passed on.
 func (s *Shutdown) MayBegin(now time.Time, request *chiverequest.Request, ranFor time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -114,19 +110,16 @@
 	return end.Add(-bound)
 }
 
-// latestStreamBegin returns until when a stream of which others are known may begin. The caller holds the lock.
+// latestStreamBegin returns until when a stream of which others are known may begin. Once a part of it has been passed on, no error can
+// take its place, so that it begins by chance only in earlyTime. The caller holds the lock.
 func (s *Shutdown) latestStreamBegin(request *chiverequest.Request) time.Time {
 	chance := streamChance
 	if request.Route.Repeat == chivetable.RepeatResume {
 		chance = resumableChance
 	}
-	end, early := s.cut.Add(-lastWriteTime), s.began.Add(earlyTime)
-	bound, _ := s.durations.Bound(request, lateStreamChance)
-	if latest := end.Add(-time.Duration(lateReserve * float64(bound))); latest.After(early) {
-		return latest
-	}
-	bound, _ = s.durations.Bound(request, chance)
-	if latest := end.Add(-bound); latest.Before(early) {
+	bound, _ := s.durations.Bound(request, chance)
+	latest, early := s.cut.Add(-lastWriteTime-bound), s.began.Add(earlyTime)
+	if latest.Before(early) {
 		return latest
 	}
 	return early
--- a/chiveforward/stop_share_test.go
+++ b/chiveforward/stop_share_test.go
@@ -82,23 +82,20 @@
 }
 
 // stopShares are numbers of streams that came to stopping nodes: all, those that had enough time, those of them that were served,
-// those that were begun, and cut, and cut although they came late. perfect are those that a perfect forecast would have served at the
+// those that were begun, and begun although they came late, and cut. perfect are those that a perfect forecast would have served at the
 // same chances.
-type stopShares struct{ came, enough, served, begun, cut, cutLate, perfect int }
+type stopShares struct{ came, enough, served, begun, begunLate, cut, perfect int }
 
 const (
-	// maxCut, maxCutResumable and maxCutLate are the chances with which a stopping node may cut a stream, one that may be resumed, and
-	// one that comes later than earlyTime, even if it takes lateReserve times as long as others.
-	maxCut, maxCutResumable, maxCutLate = 0.02, 0.2, 0.002
-	earlyTime, lateReserve              = 3 * time.Second, 1.5
+	// maxCut and maxCutResumable are the chances with which a stopping node may cut a stream, and one that may be resumed; one that comes
+	// later than earlyTime may not be cut.
+	maxCut, maxCutResumable = 0.02, 0.2
+	earlyTime               = 3 * time.Second
 )
 
-// chanceOf returns the chance with which a stream that comes at a time after the signal may be cut.
-func chanceOf(route *chivetable.Route, after time.Duration) float64 {
-	switch {
-	case after > earlyTime:
-		return maxCutLate
-	case route.Repeat == chivetable.RepeatResume:
+// chanceOf returns the chance with which a stream may be cut that comes early enough.
+func chanceOf(route *chivetable.Route) float64 {
+	if route.Repeat == chivetable.RepeatResume {
 		return maxCutResumable
 	}
 	return maxCut
@@ -126,10 +123,7 @@
 			if hasEnough {
 				shares.enough++
 				left := grace - exitTime - writeTime - after
-				if after > earlyTime {
-					left = time.Duration(float64(left) / lateReserve)
-				}
-				if all.exceeds(made.hint, left) <= chanceOf(route, after) {
+				if after <= earlyTime && all.exceeds(made.hint, left) <= chanceOf(route) {
 					shares.perfect++
 				}
 			}
@@ -137,12 +131,12 @@
 				continue
 			}
 			shares.begun++
+			if after > earlyTime {
+				shares.begunLate++
+			}
 			switch {
 			case after+made.took > grace-exitTime:
 				shares.cut++
-				if after > earlyTime {
-					shares.cutLate++
-				}
 			case hasEnough:
 				shares.served++
 			}
@@ -175,13 +169,13 @@
 			for _, route := range []*chivetable.Route{once, resumable} {
 				got := c.drawing.playStops(rand.New(rand.NewPCG(1, 2)), route, known)
 				begun := max(1, float64(got.begun))
-				t.Logf("%s %s, %d known: %d of %d with enough time served, %d begun, %.4f cut, %.4f cut late, %d with a perfect forecast", route.Name, c.name, known, got.served, got.enough, got.begun, float64(got.cut)/begun, float64(got.cutLate)/begun, got.perfect)
+				t.Logf("%s %s, %d known: %d of %d with enough time served, %d begun, %d late, %.4f cut, %d with a perfect forecast", route.Name, c.name, known, got.served, got.enough, got.begun, got.begunLate, float64(got.cut)/begun, got.perfect)
 				from := begun
 				if known < fewKnown {
 					from = float64(got.came)
 				}
-				if float64(got.cut) > chanceOf(route, 0)*from || float64(got.cutLate) > maxCutLate*from {
-					t.Errorf("%s %s, %d known: of %d begun streams %d were cut, %d that came late", route.Name, c.name, known, got.begun, got.cut, got.cutLate)
+				if float64(got.cut) > chanceOf(route)*from || got.begunLate > 0 {
+					t.Errorf("%s %s, %d known: of %d begun streams %d were cut, %d came late", route.Name, c.name, known, got.begun, got.cut, got.begunLate)
 				}
 				if known >= manyKnown && c.drawing.spread > 0 && float64(got.served) < minOfPerfect*float64(got.perfect) {
 					t.Errorf("%s %s: %d served, %d with a perfect forecast", route.Name, c.name, got.served, got.perfect)
