Stopping nodes hold the response to a late request until it is whole

Now, once callers know of the stop and the request's limit is behind the cut, its response is held until it is complete, within the memory that all attempts may hold, and an error takes its place if it isn't before the last answers. What a request that comes late gets is then certain: its own limit, a whole response, or an error.

--- a/chiveforward/forwarder.go
+++ b/chiveforward/forwarder.go
@@ -257,6 +257,7 @@
 	}
 	for !r.runAttempt(ctx) {
 	}
+	r.passOnWhole()
 	r.recordDuration(ctx)
 	return r.result
 }
--- a/chiveforward/late_begin_test.go
+++ b/chiveforward/late_begin_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -110,3 +111,42 @@
 		}
 	}
 }
+
+// Guards against a stopping node whose memory a late response fills, and against one that passes on a part of it.
+func TestStoppingNodeHoldsLateResponsesWithinItsMemory(t *testing.T) {
+	// most is what is held and what stands in the buffers of the connection.
+	const left, size, most = 1500 * time.Millisecond, 64 << 20, 36 << 20
+	var sent atomic.Int64
+	e := newEndpoint(t, func(conn net.Conn, request *http.Request, body string) {
+		if request.Header.Get("Parts") == "" {
+			echo(conn, request, body)
+			return
+		}
+		write(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 42\r\nContent-Length: %d\r\n\r\n", size))
+		part := make([]byte, 64<<10)
+		for sent.Load() < size {
+			n, err := conn.Write(part)
+			if err != nil {
+				return
+			}
+			sent.Add(int64(n))
+		}
+	})
+	shutdown := chiveforward.NewShutdown()
+	s := newFixtureWithOptions(t, func(o *chiveforward.Options) { o.Shutdown = shutdown }, chivetable.Route{Attempts: 1, Target: 4 * time.Second}, e.registration("one"))
+	for range 8 {
+		if result, _ := s.run(s.lastingRequest(0)); result.Outcome != chiveforward.Completed {
+			t.Fatalf("before the stop: %+v", result)
+		}
+	}
+	beginLate(shutdown, time.Now(), left)
+	request := s.lastingRequest(0)
+	request.Header.Set("Parts", "1")
+	if result, sink := s.run(request); result.Started || result.Status != http.StatusBadGateway || sink.status != 0 || sent.Load() > most {
+		t.Errorf("got %+v after %d bytes", result, sent.Load())
+	}
+	request = s.lastingRequest(0)
+	if result, _ := s.run(request); result.Outcome != chiveforward.Completed {
+		t.Errorf("the next request: %+v", result)
+	}
+}
--- a/chiveforward/run.go
+++ b/chiveforward/run.go
@@ -52,6 +52,8 @@
 	originRecordedAt time.Time
 	// begun means that a part of the response was passed on; other goroutines may read it.
 	begun atomic.Bool
+	// whole holds the response until it is complete; nil if it is passed on as it comes.
+	whole *wholeResponse
 	// endsWithConnection means that the response that was passed on ends with the caller's connection.
 	endsWithConnection bool
 	// wasBuffered means that the response was passed on once it was complete.
@@ -354,7 +356,7 @@
 		return
 	}
 	r.result.Started = true
-	r.begun.Store(true)
+	r.begun.Store(r.whole == nil)
 	r.result.Status = status
 	r.result.First = time.Since(r.request.Arrival)
 	if !framing.ProvesEnd() {
--- a/chiveforward/shutdown.go
+++ b/chiveforward/shutdown.go
@@ -71,6 +71,14 @@
 	return s.cut.IsZero() || !now.After(s.latestBegin(request).Add(ranFor))
 }
 
+// mayCut reports whether the cut may end the response to a request that begins now: callers know of the shutdown, and the request's
+// deadline is behind the cut.
+func (s *Shutdown) mayCut(now time.Time, request *chiverequest.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.cut.IsZero() && now.After(s.began.Add(earlyTime)) && request.Deadline.After(s.answerBy())
+}
+
 // OnTooLate calls tooLate once the first attempt of a request could no longer begin. After stop returns, tooLate is no longer
 // running and will not be called.
 func (s *Shutdown) OnTooLate(request *chiverequest.Request, tooLate func()) (stop func()) {
--- a/chiveforward/stopping.go
+++ b/chiveforward/stopping.go
@@ -41,9 +41,10 @@
 }
 
 // untilLastAnswers returns a context that is cancelled before the node cuts the request, early enough for an answer, unless the
-// response has begun by then.
+// response has begun by then. The response to a late request begins once it is complete.
 func (r *requestState) untilLastAnswers(parent context.Context) (ctx context.Context, stop func()) {
 	ctx, cancel := context.WithCancelCause(parent)
+	r.holdIfLate(time.Now(), func() { cancel(errStopping) })
 	stopWatch := r.forwarder.options.Shutdown.OnLastAnswers(func() {
 		if !r.begun.Load() {
 			cancel(errStopping)
