--- a/chivewire/http.go
+++ b/chivewire/http.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -16,8 +15,9 @@
 	server   *http.Server
 	listener net.Listener
 	// stopped means that the listener was made to end.
-	stopped  atomic.Bool
-	serving  sync.WaitGroup
+	stopped atomic.Bool
+	// served is closed when the server no longer accepts connections; nil before Start.
+	served   chan struct{}
 	serveErr error
 }
 
@@ -35,8 +35,7 @@
 	if err != nil {
 		return fmt.Errorf("listen at %s: %w", address, err)
 	}
-	s.listener = listener
-	s.serving.Add(1)
+	s.listener, s.served = listener, make(chan struct{})
 	go s.serve()
 	return nil
 }
@@ -49,8 +48,8 @@
 )
 
 // StopListening stops accepting connections and keeps the open ones. The kernel resets what waits to be accepted when a listener ends, with
-// the requests that have arrived on it, so that it ends when none waits, or with the context. StopListening returns the number of those that
-// had not been accepted.
+// the requests that have arrived on it, so that it ends when none waits, or with the context. Once StopListening has returned, the server knows of
+// all that it has accepted; reset is the number of those that it had not.
 func (s *HTTPServer) StopListening(ctx context.Context) (reset int) {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
@@ -64,6 +63,10 @@
 	}
 	// The only possible error is that the listener is already closed.
 	_ = s.listener.Close()
+	select {
+	case <-s.served:
+	case <-ctx.Done():
+	}
 	return reset
 }
 
@@ -83,7 +86,9 @@
 
 // finish waits for the serving goroutine and returns the error of the close or, if there is none, that of serving.
 func (s *HTTPServer) finish(err error) error {
-	s.serving.Wait()
+	if s.served != nil {
+		<-s.served
+	}
 	if err != nil && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("close: %w", err)
 	}
@@ -91,7 +96,7 @@
 }
 
 func (s *HTTPServer) serve() {
-	defer s.serving.Done()
+	defer close(s.served)
 	err := s.server.Serve(s.listener)
 	if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) && !s.stopped.Load() {
 		s.serveErr = fmt.Errorf("serve: %w", err)
