Limits spare connections on which the rest of a request has arrived

Found while looking for acts on a timer before a look at what has arrived: a connection with a part of a header was closed at the header's limit although the rest stood unread with the kernel, as in a process that wasn't scheduled. Connections that wait for a first or another request were spared already; now all are, until the next look half a second later.

TestTimeoutsSpareConnectionsWithUnreadBytes failed before in one of two cases (read: EOF).

--- a/chivecaller/close.go
+++ b/chivecaller/close.go
@@ -177,7 +177,7 @@
 // request waits that is about to be read is left open.
 func (c *Conn) closeIf(now time.Time, closing Closing, matches func() bool) {
 	c.mu.Lock()
-	closes := c.state != connClosed && matches() && (c.state == connReading || !c.socket.hasBytes())
+	closes := c.state != connClosed && matches() && !c.socket.hasBytes()
 	wasReading := c.state == connReading && c.hasServed
 	lingers := c.hasServed && now.Sub(c.waitingSince) < lingerTimeout
 	if closes {
