--- a/chivenode/node.go
+++ b/chivenode/node.go
@@ -248,7 +248,7 @@
 func newLogService(s chivesettings.Settings, network chivewire.Network) *logService {
 	transport := &http.Transport{
 		DialContext:         chivewire.Dialer(network, s.Listen.Peers),
-		MaxIdleConnsPerHost: logMaxIdleConns, IdleConnTimeout: logIdleTimeout,
+		MaxIdleConnsPerHost: logMaxIdleConns, IdleConnTimeout: logIdleTimeout, MaxResponseHeaderBytes: chivewire.MaxHeadBytes,
 	}
 	return &logService{Client: chivelog.NewClient(s.Platform.Log, s.Platform.VMList, transport), transport: transport}
 }
--- a/chiverelay/service.go
+++ b/chiverelay/service.go
@@ -106,7 +106,7 @@
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return o.Network.Dial(ctx, o.Address, address)
 		},
-		DisableCompression: true, DisableKeepAlives: true,
+		DisableCompression: true, DisableKeepAlives: true, MaxResponseHeaderBytes: chivewire.MaxHeadBytes,
 	}
 	s.server = chivewire.NewHTTPServer(&http.Server{
 		Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(o.Logger.Handler(), slog.LevelDebug),
--- a/chivewire/http.go
+++ b/chivewire/http.go
@@ -10,6 +10,9 @@
 	"time"
 )
 
+// MaxHeadBytes limits the head of a response of a peer, of the store or of the platform's log, in bytes.
+const MaxHeadBytes = 64 << 10
+
 // HTTPServer serves HTTP at one address of a network.
 type HTTPServer struct {
 	server   *http.Server
