--- a/chivecaller/stalled_test.go
+++ b/chivecaller/stalled_test.go
@@ -4,7 +4,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -44,7 +43,7 @@
 				sendText(t, caller, sent)
 				got = readSome(t, conn)
 			}
-			sendText(t, caller, strings.TrimPrefix(first+rest, sent))
+			sendText(t, caller, (first + rest)[len(sent):])
 			time.Sleep(settleTime)
 			conns.CloseTimedOut(now.Add(time.Minute))
 			got += readSome(t, conn)
--- a/chiveforward/late_begin_test.go
+++ b/chiveforward/late_begin_test.go
@@ -51,6 +51,31 @@
 	}
 }
 
+// partsField is the header of requests whose response comes in parts.
+const partsField = "Parts"
+
+// newPartsFixture returns a fixture whose endpoint has answered some requests whole and at once, and answers those with partsField by a
+// function.
+func newPartsFixture(t *testing.T, answer func(conn net.Conn)) (*fixture, *chiveforward.Shutdown) {
+	t.Helper()
+	const known = 8
+	e := newEndpoint(t, func(conn net.Conn, request *http.Request, body string) {
+		if request.Header.Get(partsField) == "" {
+			echo(conn, request, body)
+			return
+		}
+		answer(conn)
+	})
+	shutdown := chiveforward.NewShutdown()
+	s := newFixtureWithOptions(t, func(o *chiveforward.Options) { o.Shutdown = shutdown }, chivetable.Route{Attempts: 1, Target: 4 * time.Second}, e.registration("one"))
+	for range known {
+		if result, _ := s.run(s.lastingRequest(0)); result.Outcome != chiveforward.Completed {
+			t.Fatalf("before the stop: %+v", result)
+		}
+	}
+	return s, shutdown
+}
+
 // partedResponses are plain responses of which a part is passed on before the rest comes, each by its head and the number of its bytes.
 var partedResponses = map[string]struct {
 	head string
@@ -73,30 +98,20 @@
 					part = "id: 1\ndata: a part\n\n"
 				}
 				head := strings.Replace(parted.head, "3000000", fmt.Sprint(len(part)+len(rest)), 1)
-				e := newEndpoint(t, func(conn net.Conn, request *http.Request, body string) {
-					if request.Header.Get("Parts") == "" {
-						echo(conn, request, body)
-						return
-					}
+				pause := left / 4
+				if !ends {
+					pause = 2 * left
+				}
+				s, shutdown := newPartsFixture(t, func(conn net.Conn) {
 					write(conn, head+part)
-					time.Sleep(left / 4)
-					if !ends {
-						time.Sleep(2 * left)
-					}
+					time.Sleep(pause)
 					write(conn, rest)
 					conn.Close()
 				})
-				shutdown := chiveforward.NewShutdown()
-				s := newFixtureWithOptions(t, func(o *chiveforward.Options) { o.Shutdown = shutdown }, chivetable.Route{Attempts: 1, Target: 4 * time.Second}, e.registration("one"))
-				for range 8 {
-					if result, _ := s.run(s.lastingRequest(0)); result.Outcome != chiveforward.Completed {
-						t.Fatalf("before the stop: %+v", result)
-					}
-				}
 				cut := time.Now().Add(left)
 				beginLate(shutdown, time.Now(), left)
 				request := s.lastingRequest(0)
-				request.Header.Set("Parts", "1")
+				request.Header.Set(partsField, "1")
 				result, sink := s.run(request)
 				if !time.Now().Before(cut) {
 					t.Errorf("answered %v after the cut", time.Since(cut))
@@ -117,11 +132,7 @@
 	// most is what is held and what stands in the buffers of the connection.
 	const left, size, most = 1500 * time.Millisecond, 64 << 20, 36 << 20
 	var sent atomic.Int64
-	e := newEndpoint(t, func(conn net.Conn, request *http.Request, body string) {
-		if request.Header.Get("Parts") == "" {
-			echo(conn, request, body)
-			return
-		}
+	s, shutdown := newPartsFixture(t, func(conn net.Conn) {
 		write(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 42\r\nContent-Length: %d\r\n\r\n", size))
 		part := make([]byte, 64<<10)
 		for sent.Load() < size {
@@ -132,16 +143,9 @@
 			sent.Add(int64(n))
 		}
 	})
-	shutdown := chiveforward.NewShutdown()
-	s := newFixtureWithOptions(t, func(o *chiveforward.Options) { o.Shutdown = shutdown }, chivetable.Route{Attempts: 1, Target: 4 * time.Second}, e.registration("one"))
-	for range 8 {
-		if result, _ := s.run(s.lastingRequest(0)); result.Outcome != chiveforward.Completed {
-			t.Fatalf("before the stop: %+v", result)
-		}
-	}
 	beginLate(shutdown, time.Now(), left)
 	request := s.lastingRequest(0)
-	request.Header.Set("Parts", "1")
+	request.Header.Set(partsField, "1")
 	if result, sink := s.run(request); result.Started || result.Status != http.StatusBadGateway || sink.status != 0 || sent.Load() > most {
 		t.Errorf("got %+v after %d bytes", result, sent.Load())
 	}
