Stops pass on what has arrived before they cut, after a process was not scheduled

The node's process wasn't scheduled for 1.1 s (pauses of 1,139 to 1,169 ms in four of the lines, endpoints done 0.8 to 1.1 s before the cut) until 45 ms behind its cut.

The cut is a timer, and was acted on before what had arrived from endpoints meanwhile was passed on.

A stop now notices, between two of its checks of 20 ms, that the process wasn't scheduled, and then waits up to 100 ms longer for responses to be written out; the same if it could only begin behind its time.

What a slow reader still lacks at that moment it loses, as before.

--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -38,6 +38,9 @@
 	maxHeaderBytes = 1 << 20
 	// stopPollInterval is the interval at which Stop checks whether all connections have ended.
 	stopPollInterval = 20 * time.Millisecond
+	// stallTime is the time between two of these checks that shows that the process was not scheduled meanwhile, stallWait how long what
+	// arrived in that time has to be passed on.
+	stallTime, stallWait = 60 * time.Millisecond, 100 * time.Millisecond
 	// unreadWait limits the wait for the refusals of requests that had arrived unread when the time for all was over.
 	unreadWait = 50 * time.Millisecond
 	// lastLinesWait limits the wait for the log lines of the requests that were cut; the process ends soon after.
@@ -147,12 +150,7 @@
 	e.conns.CloseIdle()
 	stopWatch := e.options.Shutdown.OnLastAnswers(e.conns.CloseUnused)
 	defer stopWatch()
-	for (e.conns.CloseRest() > 0 || e.inFlight.Load() > 0) && ctx.Err() == nil {
-		select {
-		case <-time.After(stopPollInterval):
-		case <-ctx.Done():
-		}
-	}
+	e.awaitResponses(ctx)
 	e.conns.AnswerUnread(unreadWait)
 	e.conns.Cut()
 	e.awaitLastLines()
@@ -164,6 +162,33 @@
 	return nil
 }
 
+// awaitResponses waits until the response to each request has been written out and its connection closed in order, until the context ends. If
+// the process was not scheduled just before that, what has arrived meanwhile gets some time to be passed on.
+func (e *Entry) awaitResponses(ctx context.Context) {
+	last, stalled := time.Now(), time.Time{}
+	if _, hasCut := ctx.Deadline(); hasCut {
+		// The process may not have been scheduled when the stop was to begin.
+		stalled = last
+	}
+	for e.conns.CloseRest() > 0 || e.inFlight.Load() > 0 {
+		now := time.Now()
+		if now.Sub(last) > stallTime {
+			stalled = now
+		}
+		if last = now; ctx.Err() == nil {
+			select {
+			case <-time.After(stopPollInterval):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		if now.Sub(stalled) > stallWait {
+			return
+		}
+		time.Sleep(stopPollInterval)
+	}
+}
+
 // awaitLastLines waits until the handlers of the requests that were cut have ended, each with the log lines of its request.
 func (e *Entry) awaitLastLines() {
 	for end := time.Now().Add(lastLinesWait); e.inFlight.Load() > 0 && time.Now().Before(end); {
