Stops answer late when the process was not scheduled, after what has arrived

Callers of a stopping node got 502 (node_stopping, unknown) although their response had come: the process wasn't scheduled when the last answers were due, and acted on that timer before it read what endpoints had sent meanwhile.

A watch of the shutdown that is called late by more than 40 ms waits another 50 ms, so that what has arrived comes first.

--- a/chiveforward/shutdown.go
+++ b/chiveforward/shutdown.go
@@ -16,6 +16,9 @@
 	answerTimeDivisor = 8
 	// lastWriteTime is reserved before the cut for the end of a stream to be written out.
 	lastWriteTime = 50 * time.Millisecond
+	// stallTime is by how much a call must be late to show that the process was not scheduled when it was due, stallWait how long what
+	// arrived in that time has to be passed on.
+	stallTime, stallWait = 40 * time.Millisecond, 50 * time.Millisecond
 	// earlyTime is the part of a stop in which callers and load balancers do not know of it yet, without what the signal may take to
 	// arrive.
 	earlyTime = 2700 * time.Millisecond
@@ -160,10 +163,20 @@
 
 // schedule starts the timer of the call. The caller holds the shutdown's lock.
 func (w *shutdownWatch) schedule() {
-	w.timer = time.AfterFunc(time.Until(w.due()), func() {
+	due := w.due()
+	isAhead := time.Now().Before(due)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(time.Until(due), func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if w.call != nil {
+		switch {
+		case w.call == nil:
+		case isAhead && time.Since(due) > stallTime:
+			// The process was not scheduled: what has arrived meanwhile comes first.
+			isAhead = false
+			w.timer.Reset(stallWait)
+		default:
 			w.call()
 		}
 	})
