--- a/chiveforward/shutdown.go
+++ b/chiveforward/shutdown.go
@@ -67,7 +67,8 @@
 }
 
 // MayBegin reports whether an attempt of a request may begin now: it ends before the cut, by its deadline or, but for a small chance,
-// by how long such requests have lasted. After earlyTime no stream begins by chance. ranFor is how long it has run, if a part of its response has been passed on.
+// by how long such requests have lasted. After earlyTime no stream begins by chance. ranFor is how long it has run, if a part of its
+// response has been passed on.
 func (s *Shutdown) MayBegin(now time.Time, request *chiverequest.Request, ranFor time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/chivewire/http.go
+++ b/chivewire/http.go
@@ -51,8 +51,8 @@
 )
 
 // StopListening stops accepting connections and keeps the open ones. The kernel resets what waits to be accepted when a listener ends, with
-// the requests that have arrived on it, so that it ends when none waits, or with the context. Once StopListening has returned, the server knows of
-// all that it has accepted; reset is the number of those that it had not.
+// the requests that have arrived on it, so that it ends when none waits, or with the context. Once StopListening has returned, the server
+// knows of all that it has accepted; reset is the number of those that it had not.
 func (s *HTTPServer) StopListening(ctx context.Context) (reset int) {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
