--- a/chiveforward/shutdown.go
+++ b/chiveforward/shutdown.go
@@ -55,7 +55,7 @@
 		return
 	}
 	for w := range s.watches {
-		w.schedule()
+		s.schedule(w)
 	}
 }
 
@@ -152,7 +152,7 @@
 	defer s.mu.Unlock()
 	s.watches[w] = struct{}{}
 	if !s.cut.IsZero() {
-		w.schedule()
+		s.schedule(w)
 	}
 	return func() {
 		s.mu.Lock()
@@ -162,10 +162,11 @@
 	}
 }
 
-// schedule starts the timer of the call. The caller holds the shutdown's lock.
-func (w *shutdownWatch) schedule() {
+// schedule starts the timer of a call. The caller holds the lock.
+func (s *Shutdown) schedule(w *shutdownWatch) {
 	due := w.due()
-	isAhead := time.Now().Before(due)
+	// A short stop reserves no time for what arrived while the process was not scheduled.
+	mayWait := time.Now().Before(due) && s.cut.Sub(due) >= answerTime
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(time.Until(due), func() {
@@ -173,9 +174,8 @@
 		defer w.mu.Unlock()
 		switch {
 		case w.call == nil:
-		case isAhead && time.Since(due) > stallTime:
-			// The process was not scheduled: what has arrived meanwhile comes first.
-			isAhead = false
+		case mayWait && time.Since(due) > stallTime:
+			mayWait = false
 			w.timer.Reset(stallWait)
 		default:
 			w.call()
