Stops end connections of refused requests in order before the cut

Callers saw: nothing less than their whole refusal; the node counted a request that it had refused as cut, and reset the connection behind the refusal, which costs a caller that reads slowly the refusal itself.

Cause: a stopping node answers a request whose body has not come, and net/http reads the rest of the body for 200 ms before it closes the connection. A refusal in the last 200 ms of a stop is still being read behind when the cut comes.

Why it works: the rest of the body is read for at most half of the time that is left before the cut, so that the connection ends before.

--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -46,8 +46,10 @@
 	// lastLinesWait limits the wait for the log lines of the requests that were cut; the process ends soon after.
 	lastLinesWait         = 150 * time.Millisecond
 	lastLinesPollInterval = 5 * time.Millisecond
-	// unreadBodyTimeout is the time for which a stopping node reads the body of a request that it has answered.
+	// unreadBodyTimeout is the time for which a stopping node reads the body of a request that it has answered; it is at most a share of
+	// the time that is left before the cut.
 	unreadBodyTimeout = 200 * time.Millisecond
+	unreadBodyDivisor = 2
 	// retryAfterNoConfig is short because another node has a configuration.
 	retryAfterNoConfig = 200 * time.Millisecond
 	// retryAfterNoMemory is long enough for some requests to end and free their memory.
@@ -475,7 +477,7 @@
 	if e.announcesEnd(r) {
 		w.Header().Set("Connection", "close")
 		// net/http reads the rest of the body, which may not come, before it closes the connection.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(e.unreadBodyTime()))
 	}
 	f.write(w, e.options.Dialect, id)
 }
--- a/chiveentry/stopping.go
+++ b/chiveentry/stopping.go
@@ -66,3 +66,13 @@
 	f.RetryAfter = chiveforward.RetryAfterStopping
 	return f
 }
+
+// unreadBodyTime returns for how long a stopping node reads the body of a request that it has answered, so that the connection ends in
+// order before the cut.
+func (e *Entry) unreadBodyTime() time.Duration {
+	_, cut := e.options.Shutdown.Times()
+	if cut.IsZero() {
+		return unreadBodyTimeout
+	}
+	return max(0, min(unreadBodyTimeout, time.Until(cut)/unreadBodyDivisor))
+}
