After a stall, last answers leave before the cut

Callers saw: an answer up to 35 ms behind the cut, and at an entry, which waits for 100 ms more then, a cut where that wait is over too.

Cause: a call of a stop that is over 40 ms late waits 50 ms more for what arrived meanwhile, however late it is. A process that stands still for 0.15 to 0.2 s around the last answers, which are due 0.2 s before the cut, then writes them behind the cut.

Why it works: the wait ends 100 ms before the cut at the latest. A call that is due only behind the cut still waits the whole time: the answers are late then anyway, and responses that have come are worth more.

--- a/chiveforward/shutdown.go
+++ b/chiveforward/shutdown.go
@@ -19,6 +19,8 @@
 	// stallTime is by how much a call must be late to show that the process was not scheduled when it was due, stallWait how long what
 	// arrived in that time has to be passed on.
 	stallTime, stallWait = 40 * time.Millisecond, 50 * time.Millisecond
+	// answerTimeShares is the divisor of the time before the cut that the wait after a stall leaves to the last answers.
+	answerTimeShares = 2
 	// earlyTime is the part of a stop in which callers and load balancers do not know of it yet, without what the signal may take to
 	// arrive.
 	earlyTime = 2700 * time.Millisecond
@@ -164,9 +166,9 @@
 
 // schedule starts the timer of a call. The caller holds the lock.
 func (s *Shutdown) schedule(w *shutdownWatch) {
-	due := w.due()
+	due, cut := w.due(), s.cut
 	// A short stop reserves no time for what arrived while the process was not scheduled.
-	mayWait := time.Now().Before(due) && s.cut.Sub(due) >= answerTime
+	mayWait := time.Now().Before(due) && cut.Sub(due) >= answerTime
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(time.Until(due), func() {
@@ -176,13 +178,22 @@
 		case w.call == nil:
 		case mayWait && time.Since(due) > stallTime:
 			mayWait = false
-			w.timer.Reset(stallWait)
+			w.timer.Reset(waitAfterStall(time.Now(), cut))
 		default:
 			w.call()
 		}
 	})
 }
 
+// waitAfterStall returns how long a call that is late waits for what arrived while the process was not scheduled. Before the cut it leaves
+// time for the answers to be written; behind it, they are late anyway.
+func waitAfterStall(now, cut time.Time) time.Duration {
+	if now.After(cut) {
+		return stallWait
+	}
+	return max(0, min(stallWait, cut.Add(-answerTime/answerTimeShares).Sub(now)))
+}
+
 // stop prevents the call, or waits for its end.
 func (w *shutdownWatch) stop() {
 	w.mu.Lock()
