After a stall, attempts at sound endpoints go on

Callers saw: a stream that runs once cut in the middle, or 502 in place of a response that had arrived, where the operator limits how long an endpoint may be silent (classes of the own interface); where requests may be repeated, a second attempt. The node had not been scheduled for longer than the limit.

The time of silence ran out while the process stood still, and its call ended the attempt before the bytes that had come were read.

Why it works: a call that is over 40 ms late waits 50 ms once for what arrived meanwhile; what comes restarts the limit, as any bytes do. An endpoint that is silent is given up 50 ms later, and only after a stall.

--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -51,9 +51,8 @@
 	// kept means that the connection had carried other requests. The connection itself may carry the next one already.
 	kept      bool
 	startedAt time.Time
-	// silence is how long the endpoint may send nothing, silenceTimer its timer; zero and nil for no limit.
-	silence      time.Duration
-	silenceTimer *time.Timer
+	// silence limits how long the endpoint may send nothing; nil for no limit.
+	silence *silenceTimer
 	// mayHaveRun means that a byte of the request may have been sent and that the endpoint did not confirm that it was
 	// not run.
 	mayHaveRun bool
@@ -107,9 +106,8 @@
 	a.lastActivity = a.state.forwarder.inFlight.add(a)
 	defer a.state.forwarder.inFlight.remove(a)
 	if timeout, limited := a.silenceTimeout(parent); limited {
-		a.silence = timeout
-		a.silenceTimer = time.AfterFunc(timeout, func() { cancel(ErrSilent) })
-		defer a.silenceTimer.Stop()
+		a.silence = newSilenceTimer(timeout, func() { cancel(ErrSilent) })
+		defer a.silence.stop()
 	}
 	if preempted := a.place.Preempted(); preempted != nil {
 		stop := callOnClose(ctx, preempted, func() { cancel(errPreempted) })
@@ -247,11 +245,11 @@
 func (a *attempt) recordActivity() {
 	a.lastActivity.record(time.Now())
 	switch {
-	case a.silenceTimer == nil:
+	case a.silence == nil:
 	case a.state.request.Silence == 0 && !a.state.mayGoOn():
-		a.silenceTimer.Stop()
+		a.silence.stop()
 	default:
-		a.silenceTimer.Reset(a.silence)
+		a.silence.restart()
 	}
 }
 
--- a/chiveforward/shutdown.go
+++ b/chiveforward/shutdown.go
@@ -16,9 +16,6 @@
 	answerTimeDivisor = 8
 	// lastWriteTime is reserved before the cut for the end of a stream to be written out.
 	lastWriteTime = 50 * time.Millisecond
-	// stallTime is by how much a call must be late to show that the process was not scheduled when it was due, stallWait how long what
-	// arrived in that time has to be passed on.
-	stallTime, stallWait = 40 * time.Millisecond, 50 * time.Millisecond
 	// answerTimeShares is the divisor of the time before the cut that the wait after a stall leaves to the last answers.
 	answerTimeShares = 2
 	// earlyTime is the part of a stop in which callers and load balancers do not know of it yet, without what the signal may take to
