--- a/chiveforward/shutdown.go
+++ b/chiveforward/shutdown.go
@@ -16,8 +16,8 @@
 	answerTimeDivisor = 8
 	// lastWriteTime is reserved before the cut for the end of a stream to be written out.
 	lastWriteTime = 50 * time.Millisecond
-	// answerTimeShares is the divisor of the time before the cut that the wait after a stall leaves to the last answers.
-	answerTimeShares = 2
+	// stalledAnswerTime is what the wait after a stall leaves of answerTime.
+	stalledAnswerTime = answerTime / 2
 	// earlyTime is the part of a stop in which callers and load balancers do not know of it yet, without what the signal may take to
 	// arrive.
 	earlyTime = 2700 * time.Millisecond
@@ -188,7 +188,7 @@
 	if now.After(cut) {
 		return stallWait
 	}
-	return max(0, min(stallWait, cut.Add(-answerTime/answerTimeShares).Sub(now)))
+	return max(0, min(stallWait, cut.Add(-stalledAnswerTime).Sub(now)))
 }
 
 // stop prevents the call, or waits for its end.
