Heads of requests are bounded by the configured limit, and share the memory for bodies

200 callers with heads of 1 MB that they did not end took a node of 134 MB to 345 MB on the entry and 333 on the own interface.

Cause: the configured limit is looked at once a head has been read; until then the HTTP library's limit of 1 MiB holds.

Now the connection of a caller counts the bytes of a head as they come. Beyond the limit and 16 KiB for the request line it answers 431 and discards the rest, so that the answer is not lost to a reset. What a head has beyond 4 KB is reserved in the pool of the bodies until its response is written, and a head that stalls gives way as a body does, with 503 and Retry-After. A connection on which the end of a request is not known is closed after the response, since nothing would bound the head of the next one. Servers that are not for callers allow heads of 64 KiB.

--- a/chiveadmin/admin.go
+++ b/chiveadmin/admin.go
@@ -60,7 +60,7 @@
 		mux.HandleFunc("GET "+PathProfile, pprof.Index)
 		mux.HandleFunc("GET "+PathProfile+"profile", pprof.Profile)
 	}
-	a.server = chivewire.NewHTTPServer(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout})
+	a.server = chivewire.NewHTTPServer(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: chivewire.MaxHeadBytes})
 	return a
 }
 
--- a/chivecaller/conn.go
+++ b/chivecaller/conn.go
@@ -23,6 +23,8 @@
 	state  connState
 	// framer has gone on by the bytes that were read through the socket.
 	framer framer
+	// head is what is known of the size of the current request's head.
+	head head
 	// id is that of the request being served, or of the last one.
 	id string
 	// waitingSince is the time since which the connection has been waiting for a request or, while one is being read,
@@ -100,6 +102,9 @@
 	if c.state == connClosed {
 		return false
 	}
+	if !c.head.complete() {
+		return false
+	}
 	c.framer.begin(r)
 	c.state, c.requestRead, c.isFollowed, c.hasReadOn, c.answered = connServing, false, false, false, false
 	c.requests++
@@ -169,6 +174,9 @@
 	}
 	c.framer.next()
 	switch {
+	case c.socket != nil && c.framer.phase == frameUnknown:
+		// Where the next request begins is not known, so that nothing bounds its head.
+		c.state = connClosed
 	case c.isFollowed:
 		c.state, c.waitingSince = connReading, time.Now()
 	case closesWhenIdle:
@@ -215,6 +223,7 @@
 		c.state = connAnswered
 	}
 	c.mu.Unlock()
+	c.releaseHead()
 	c.end(Written)
 }
 
--- a/chivecaller/conns.go
+++ b/chivecaller/conns.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -23,8 +24,11 @@
 	// closeWhenIdle is set once each connection is to be closed as soon as it is idle.
 	closeWhenIdle bool
 	// closed is set once new connections are to be closed at once.
-	closed bool
-	bounds Bounds
+	closed   bool
+	bounds   Bounds
+	counters boundCounters
+	// headLimit is the size of the largest head of a request in bytes; zero means no limit.
+	headLimit atomic.Int64
 	// onUnserved is told of connections that the node closes with bytes of another request; nil if nobody is.
 	onUnserved func(Unserved)
 	// onClosed is told of connections that the node closes although they were open for further requests; nil if nobody is.
@@ -118,6 +122,7 @@
 		c.mu.Lock()
 		delete(c.open, tracked)
 		c.mu.Unlock()
+		tracked.releaseHead()
 	case http.StateNew, http.StateActive:
 	}
 }
--- a/chivecaller/current.go
+++ b/chivecaller/current.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"os"
 	"time"
 )
 
@@ -33,6 +34,9 @@
 		return c.readBody(data[:min(int64(len(data)), left)])
 	}
 	n, err := c.socket.read(data)
+	if err != nil && c.refuseHead() {
+		return 0, os.ErrDeadlineExceeded
+	}
 	if errors.Is(err, errGivenUp) {
 		c.finish()
 		return 0, io.EOF
@@ -57,10 +61,14 @@
 	if c.state == connClosed {
 		return takeNone
 	}
+	isHead := c.framer.phase == frameHead
 	n := c.framer.advance(waiting)
 	if n > 0 && (c.state == connNew || c.state == connIdle) {
 		c.state, c.waitingSince, c.requestRead = connReading, time.Now(), false
 	}
+	if isHead && !c.readHead(n) {
+		return takeNone
+	}
 	return n
 }
 
--- /dev/null
+++ b/chivecaller/head.go
@@ -0,0 +1,117 @@
+package chivecaller
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"chivedrift/chivememory"
+)
+
+const (
+	// requestLineBytes is the room for the request line, and for what a head has besides its fields.
+	requestLineBytes = 16 << 10
+	// freeHeadBytes is the size up to which the memory of a head is a part of its connection's.
+	freeHeadBytes = 4 << 10
+	// headCopies is how often a head is held while it is parsed.
+	headCopies = 2
+	// refusalTimeout limits the time for writing the refusal of a head.
+	refusalTimeout = time.Second
+)
+
+// head is how much of the head of a request has been read.
+type head struct {
+	bytes int64
+	// memory is nil until the head is larger than freeHeadBytes.
+	memory *chivememory.Reservation
+	// refusal is the status of a head that is not read to its end; zero if there is none.
+	refusal int
+}
+
+// complete states that the head has been read; it returns false if it has given way to another request.
+func (h *head) complete() bool { return h.refusal == 0 && (h.memory == nil || h.memory.Complete()) }
+
+// SetHeadLimit sets the size of the largest header of a request in bytes, without the request line; zero means no limit.
+func (c *Conns) SetHeadLimit(headerBytes int64) { c.headLimit.Store(headerBytes) }
+
+// readHead counts bytes of a head that are being read. It returns false if the head is refused: it is too large, or there is no memory for
+// it. The caller holds the lock.
+func (c *Conn) readHead(n int) bool {
+	c.head.bytes += int64(n)
+	limit := c.conns.headLimit.Load()
+	switch {
+	case limit > 0 && c.head.bytes > limit+requestLineBytes:
+		c.head.refusal = http.StatusRequestHeaderFieldsTooLarge
+	case c.head.bytes > freeHeadBytes && !c.reserveHead(int64(n)):
+		c.head.refusal = http.StatusServiceUnavailable
+	default:
+		return true
+	}
+	return false
+}
+
+// reserveHead reserves memory for further bytes of a head.
+func (c *Conn) reserveHead(n int64) bool {
+	if c.conns.bounds.Memory == nil {
+		return true
+	}
+	if c.head.memory == nil {
+		c.head.memory = c.conns.bounds.Memory.Begin(c.endHead)
+	}
+	return c.head.memory.Add(headCopies * n)
+}
+
+// endHead makes the reader of a head refuse it.
+func (c *Conn) endHead() {
+	c.mu.Lock()
+	isReading := c.state == connReading
+	if isReading {
+		c.head.refusal = http.StatusServiceUnavailable
+	}
+	c.mu.Unlock()
+	if isReading {
+		// It fails only on a connection that has been closed.
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// releaseHead returns the memory of the current request's head.
+func (c *Conn) releaseHead() {
+	c.mu.Lock()
+	memory := c.head.memory
+	c.head = head{}
+	c.mu.Unlock()
+	if memory != nil {
+		memory.Release()
+	}
+}
+
+// refuseHead answers a request whose head is not read to its end, and closes the connection; it returns false if the head is not refused.
+func (c *Conn) refuseHead() bool {
+	c.mu.Lock()
+	status := c.head.refusal
+	if status == 0 || c.state == connServing || c.state == connClosed {
+		c.mu.Unlock()
+		return false
+	}
+	// What follows is the rest of the head, which is discarded.
+	c.state, c.framer = connClosed, framer{phase: frameUnknown}
+	c.mu.Unlock()
+	c.conns.counters.heads.Add(1)
+	if c.SetWriteDeadline(time.Now().Add(refusalTimeout)) == nil {
+		// An error means that the caller has left.
+		_, _ = c.Conn.Write(headRefusal(status))
+	}
+	c.finish()
+	return true
+}
+
+// headRefusal returns the response to a request whose head was not read to its end, and which has not run.
+func headRefusal(status int) []byte {
+	text := fmt.Sprintf("%d %s", status, http.StatusText(status))
+	retry := ""
+	if status == http.StatusServiceUnavailable {
+		retry = "Retry-After: 1\r\n"
+	}
+	return fmt.Appendf(nil, "HTTP/1.1 %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n%sConnection: close\r\n\r\n%s", text, len(text), retry, text)
+}
--- a/chiveentry/body_test.go
+++ b/chiveentry/body_test.go
@@ -22,7 +22,8 @@
 )
 
 const (
-	bodyLimit = 256 << 10
+	bodyLimit   = 256 << 10
+	headerLimit = 4 << 10
 	// bodyMemory is enough for two bodies of the largest size.
 	bodyMemory = 4 * bodyLimit
 	bodyWait   = 5 * time.Second
@@ -33,7 +34,7 @@
 	t.Helper()
 	table, err := chivetable.New(chivetable.Spec{
 		Routes: []chivetable.Route{{Name: "all", Host: "a.example", Prefix: "/", Shares: []chivetable.Share{{Pool: "p", Weight: 1}}, Anonymous: true, Attempts: 1}},
-		Pools:  []chivetable.Pool{{Name: "p"}}, Limits: chivetable.Limits{BodyBytes: bodyLimit},
+		Pools:  []chivetable.Pool{{Name: "p"}}, Limits: chivetable.Limits{BodyBytes: bodyLimit, HeaderBytes: headerLimit},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -148,6 +149,8 @@
 		"cut":            bodyHead(fmt.Sprintf("Content-Length: %d\r\n", bodyLimit)) + body[1:],
 		"cut in a chunk": bodyHead("Transfer-Encoding: chunked\r\n") + "30000\r\n" + body[:0x2000],
 		"too large":      bodyHead("Transfer-Encoding: chunked\r\n") + "50000\r\n" + body + body,
+		"long head":      bodyHead("X-Long: " + strings.Repeat("h", 3<<10) + "\r\n"),
+		"cut head":       "POST /" + strings.Repeat("p", 12<<10),
 	} {
 		conn := dialEntry(t, address)
 		io.WriteString(conn, text)
@@ -163,3 +166,13 @@
 		t.Error("nothing was reserved")
 	}
 }
+
+// Guards against heads that are read far beyond the limit, and against a refusal that its caller loses.
+func TestHeadFarOverTheLimitIsRefused(t *testing.T) {
+	forwarder, _, address := startBounded(t)
+	conn := dialEntry(t, address)
+	go io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: a.example\r\nX-Long: "+strings.Repeat("h", 1<<20))
+	if response := readAnswer(t, conn); response.StatusCode != http.StatusRequestHeaderFieldsTooLarge || len(forwarder.requests) != 0 {
+		t.Errorf("%s", response.Status)
+	}
+}
--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -121,6 +121,7 @@
 
 // SetTable applies a new routing table.
 func (e *Entry) SetTable(table *chivetable.Table) {
+	e.conns.SetHeadLimit(table.Limits().HeaderBytes)
 	e.conns.SetLimits(time.Now(), table.Limits().HeaderTime, table.Limits().IdleTime)
 	e.table.Store(table)
 }
--- a/chivegate/gateway.go
+++ b/chivegate/gateway.go
@@ -128,8 +128,9 @@
 	return g
 }
 
-// SetConfig applies the team keys of a new configuration.
+// SetConfig applies the team keys and the limit of heads of a new configuration.
 func (g *Gate) SetConfig(config *chiveconfig.Config) {
+	g.conns.SetHeadLimit(config.Limits.HeaderBytes)
 	g.keys.Store(newTeamKeys(config))
 }
 
--- a/chivenode/readiness.go
+++ b/chivenode/readiness.go
@@ -28,7 +28,7 @@
 	r := &readiness{address: address, network: network, ready: ready}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+path, r.serve)
-	r.server = chivewire.NewHTTPServer(&http.Server{Handler: mux, ReadHeaderTimeout: readinessHeaderTimeout})
+	r.server = chivewire.NewHTTPServer(&http.Server{Handler: mux, ReadHeaderTimeout: readinessHeaderTimeout, MaxHeaderBytes: chivewire.MaxHeadBytes})
 	return r
 }
 
--- a/chivewire/http.go
+++ b/chivewire/http.go
@@ -10,7 +10,8 @@
 	"time"
 )
 
-// MaxHeadBytes limits the head of a response of a peer, of the store or of the platform's log, in bytes.
+// MaxHeadBytes limits the head of a response of a peer, of the store or of the platform's log, and of a request to a server that is not for
+// callers, in bytes.
 const MaxHeadBytes = 64 << 10
 
 // HTTPServer serves HTTP at one address of a network.
