Connections of callers are bounded by memory and descriptors

700 connections without a byte took all 600 descriptors of a node, on either interface: none were left for endpoints, peers and the store, and new connections waited in the listener's queue. 800 connections with a request each hold what their buffers and goroutines take, and as many connections to endpoints.

Cause: nothing bounded the number of callers' connections.

Now there are at most 0.3 of the memory divided by 256 KB, and at most half of the descriptors beyond the 200 that are for files. At the bound a connection makes room on which nothing is lost: one that has brought no byte for 20 ms, whose head has stalled for a second, whose body has stalled for a second (503), or which waits for its next request, in this order, and only if no bytes wait on it. Without one, the newcomer is closed unread, so that its caller may go to another node, also with a request that must not run twice. Connections opened for peers take at most an eighth of the descriptors. max_descriptors in the settings states how many there are; the system's limit holds without it.

--- a/chivecaller/close.go
+++ b/chivecaller/close.go
@@ -174,10 +174,10 @@
 
 // closeIf closes the connection if it is open and matches, which is called with the lock held. If a response was written just
 // before, only its end is sent: the reader of the connection closes it once the caller has closed its end. A connection on which a
-// request waits that is about to be read is left open.
-func (c *Conn) closeIf(now time.Time, closing Closing, matches func() bool) {
+// request waits that is about to be read is left open. It returns whether the connection is closed.
+func (c *Conn) closeIf(now time.Time, closing Closing, matches func() bool) (closes bool) {
 	c.mu.Lock()
-	closes := c.state != connClosed && matches() && !c.socket.hasBytes()
+	closes = c.state != connClosed && matches() && !c.socket.hasBytes()
 	wasReading := c.state == connReading && c.hasServed
 	lingers := c.hasServed && now.Sub(c.waitingSince) < lingerTimeout
 	if closes {
@@ -188,10 +188,11 @@
 		c.reportClosing(closing, wasReading)
 	}
 	if !closes || lingers && c.CloseWrite() == nil && c.SetReadDeadline(now.Add(lingerTimeout)) == nil {
-		return
+		return closes
 	}
 	// The connection is no longer used, so an error from closing it does not matter.
 	_ = c.Conn.Close()
+	return true
 }
 
 // hasUnread reports whether bytes of a request wait on the connection, and none is being served.
--- a/chivecaller/conns.go
+++ b/chivecaller/conns.go
@@ -77,9 +77,12 @@
 	return holder.SyscallConn() //nolint:wrapcheck // as in Listen
 }
 
-// Accept waits for the next connection.
+// Accept waits for the next connection that there is room for.
 func (l trackedListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
+	for err == nil && !l.conns.admit(conn) {
+		conn, err = l.Listener.Accept()
+	}
 	if err != nil {
 		return nil, err //nolint:wrapcheck // as in Listen
 	}
--- a/chivecaller/unserved.go
+++ b/chivecaller/unserved.go
@@ -18,9 +18,11 @@
 	TimedOut
 	// Unused means that the shutdown closed the connection between two requests.
 	Unused
+	// MadeRoom means that another connection was accepted in its place.
+	MadeRoom
 )
 
-var closingNames = [...]string{"broken_off", "announced", "cut", "timed_out", "unused"}
+var closingNames = [...]string{"broken_off", "announced", "cut", "timed_out", "unused", "made_room"}
 
 // String returns the name of the reason as it is logged.
 func (c Closing) String() string { return closingNames[c] }
--- a/chiveentry/body_test.go
+++ b/chiveentry/body_test.go
@@ -30,7 +30,7 @@
 )
 
 // startBounded starts an entry with bounds and returns its forwarder, pool and address.
-func startBounded(t *testing.T) (*fakeForwarder, *chivememory.Pool, string) {
+func startBounded(t *testing.T, connections int) (*fakeForwarder, *chivememory.Pool, string) {
 	t.Helper()
 	table, err := chivetable.New(chivetable.Spec{
 		Routes: []chivetable.Route{{Name: "all", Host: "a.example", Prefix: "/", Shares: []chivetable.Share{{Pool: "p", Weight: 1}}, Anonymous: true, Attempts: 1}},
@@ -42,7 +42,7 @@
 	forwarder, pool, address := &fakeForwarder{}, chivememory.NewPool(bodyMemory), chivestand.FreeAddress()
 	e := chiveentry.New(chiveentry.Options{
 		Address: address, Network: chivewire.TCP{}, Dialect: testDialect{}, Forwarder: forwarder, Scope: tally.NoopScope, Logger: slog.New(slog.DiscardHandler),
-		Bounds: chivecaller.Bounds{Memory: pool},
+		Bounds: chivecaller.Bounds{Connections: connections, Memory: pool},
 	})
 	e.SetTable(table)
 	if err := e.Start(t.Context()); err != nil {
@@ -82,7 +82,7 @@
 // Guards against a node that reads a body which its head announces as too large, or asks for it.
 func TestAnnouncedBodyOverTheLimitIsRefusedUnread(t *testing.T) {
 	for _, expect := range []string{"", "Expect: 100-continue\r\n"} {
-		forwarder, pool, address := startBounded(t)
+		forwarder, pool, address := startBounded(t, 0)
 		conn := dialEntry(t, address)
 		io.WriteString(conn, bodyHead(fmt.Sprintf("Content-Length: %d\r\n%s", bodyLimit+1, expect)))
 		if response := readAnswer(t, conn); response.StatusCode != http.StatusRequestEntityTooLarge || !response.Close {
@@ -96,7 +96,7 @@
 
 // Guards against a refusal that a caller loses which is still sending its body.
 func TestRefusalReachesACallerThatStillSends(t *testing.T) {
-	_, _, address := startBounded(t)
+	_, _, address := startBounded(t, 0)
 	for name, fields := range map[string]string{"announced": "Content-Length: 8000000\r\n", "in chunks": "Transfer-Encoding: chunked\r\n"} {
 		conn := dialEntry(t, address)
 		go func() {
@@ -116,7 +116,7 @@
 
 // Guards against bodies that stay in memory although they stopped short of their end, and against one that is refused for their sake.
 func TestStalledBodiesGiveWayToOthers(t *testing.T) {
-	forwarder, pool, address := startBounded(t)
+	forwarder, pool, address := startBounded(t, 0)
 	var stalled []net.Conn
 	body := strings.Repeat("a", bodyLimit)
 	for range 3 {
@@ -142,7 +142,7 @@
 
 // Guards against memory that a request keeps after it was answered, refused or cut.
 func TestRequestsReturnTheirMemory(t *testing.T) {
-	_, pool, address := startBounded(t)
+	_, pool, address := startBounded(t, 0)
 	body := strings.Repeat("a", bodyLimit)
 	for name, text := range map[string]string{
 		"whole":          bodyHead(fmt.Sprintf("Content-Length: %d\r\n", bodyLimit)) + body,
@@ -169,10 +169,41 @@
 
 // Guards against heads that are read far beyond the limit, and against a refusal that its caller loses.
 func TestHeadFarOverTheLimitIsRefused(t *testing.T) {
-	forwarder, _, address := startBounded(t)
+	forwarder, _, address := startBounded(t, 0)
 	conn := dialEntry(t, address)
 	go io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: a.example\r\nX-Long: "+strings.Repeat("h", 1<<20))
 	if response := readAnswer(t, conn); response.StatusCode != http.StatusRequestHeaderFieldsTooLarge || len(forwarder.requests) != 0 {
 		t.Errorf("%s", response.Status)
 	}
 }
+
+// Guards against connections that keep others from being accepted: those that bring no request go first, used ones last.
+func TestConnectionsWithoutARequestMakeRoom(t *testing.T) {
+	const connections = 20
+	_, _, address := startBounded(t, connections)
+	kept := dialEntry(t, address)
+	reader := bufio.NewReader(kept)
+	request := bodyHead("Content-Length: 0\r\n")
+	useKept := func() {
+		io.WriteString(kept, request)
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("on the used connection: %v", err)
+		}
+		response.Body.Close()
+	}
+	useKept()
+	for range 3 {
+		for range connections {
+			dialEntry(t, address)
+		}
+		time.Sleep(300 * time.Millisecond)
+		conn := dialEntry(t, address)
+		io.WriteString(conn, request)
+		if response := readAnswer(t, conn); response.StatusCode != http.StatusOK {
+			t.Errorf("on a new connection: %s", response.Status)
+		}
+		conn.Close()
+		useKept()
+	}
+}
--- a/chivenode/node.go
+++ b/chivenode/node.go
@@ -80,7 +80,7 @@
 		Log: log, Mesh: n.mesh, Members: n.members, Logger: n.logger,
 	})
 	memoryBytes := processMemory(s.MemoryMB)
-	bounds := callerBounds(memoryBytes)
+	bounds := callerBounds(memoryBytes, processDescriptors(s.MaxDescriptors))
 	n.memory = newMemoryGuard(memoryBytes, bounds.Memory, n.logger)
 	schedulerClient := chiveschedule.NewClient(s.Region, n.mesh, n.logger)
 	claimClient := chiveclaim.NewClient(identity, n.mesh)
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -309,7 +309,8 @@
 	n.sharedRetryBudget = chivebudget.New(n.mesh, n.retryBudget)
 	n.sharedRetryBudget.SetDistances(n.distances)
 	shutdown := chiveforward.NewShutdown()
-	bounds := callerBounds(s.MemoryMB * megabyte)
+	descriptors := processDescriptors(s.MaxDescriptors)
+	bounds := callerBounds(s.MemoryMB*megabyte, descriptors)
 	n.memory = newMemoryGuard(s.MemoryMB*megabyte, bounds.Memory, n.logger)
 	n.quarantine = chivequarantine.New(chivequarantine.Options{Mesh: n.mesh, Distances: n.distances, Logger: n.logger})
 	pools := chiveforward.NewPools(s.FailureDomain)
@@ -321,8 +322,9 @@
 	n.pools = pools
 	n.relay = chiverelay.New(chiverelay.Options{
 		Self: s.Listen.Callers, Address: s.Listen.Relay, Network: network, Region: s.Region, Regions: s.RegionOf(), Full: n.memory.Full, Logger: n.logger,
-		Distances: n.distances,
-		Accepts:   pools.Accepts,
+		Distances:  n.distances,
+		Accepts:    pools.Accepts,
+		MaxTunnels: maxTunnels(descriptors),
 	})
 	n.notices = chivenotice.New(chivenotice.Options{Mesh: n.mesh, State: pools.StateNotice, StateWarmUp: pools.StateWarmUp, ConnectedFor: n.relay.ConnectedFor, Logger: n.logger})
 	forwarder := chiveforward.New(chiveforward.Options{
--- a/chiverelay/server.go
+++ b/chiverelay/server.go
@@ -1,6 +1,7 @@
 package chiverelay
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -12,9 +13,9 @@
 const (
 	// connectTimeout bounds this node's attempt to connect for a peer within a region.
 	connectTimeout = 250 * time.Millisecond
-	// maxTunnels is the number of connections that a node opens for its peers at the same time. Each takes two
-	// descriptors and about 40 KB.
-	maxTunnels = 256
+	// defaultMaxTunnels is the number of connections that a node opens for its peers at the same time, unless its options state another.
+	// Each takes two descriptors and about 40 KB.
+	defaultMaxTunnels = 256
 	// tunnelBuffer is the size of the buffer for each direction of a tunnel.
 	tunnelBuffer = 8 << 10
 )
@@ -41,7 +42,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if s.tunnels.Add(1) > maxTunnels || s.options.Full != nil && s.options.Full() {
+	if s.tunnels.Add(1) > int64(cmp.Or(s.options.MaxTunnels, defaultMaxTunnels)) || s.options.Full != nil && s.options.Full() {
 		s.tunnels.Add(-1)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/chiverelay/service.go
+++ b/chiverelay/service.go
@@ -57,6 +57,8 @@
 	Self    string
 	Address string
 	Network chivewire.Network
+	// MaxTunnels is the number of connections that this node opens for peers at the same time; zero stands for a default.
+	MaxTunnels int
 	// Region is this node's region, Regions the region of each failure domain.
 	Region  string
 	Regions chiveresidency.Map
--- a/chivesettings/settings.go
+++ b/chivesettings/settings.go
@@ -18,6 +18,8 @@
 	Stop          Stop     `yaml:"stop"`
 	// MemoryMB is what the process may use, in megabytes. Without it, that is the runtime's limit or the machine's memory.
 	MemoryMB int64 `yaml:"memory_mb" validate:"omitempty,min=32,max=1048576"`
+	// MaxDescriptors is the number of descriptors that the process may have. Without it, that is the system's limit.
+	MaxDescriptors int64 `yaml:"max_descriptors" validate:"omitempty,min=256,max=1048576"`
 }
 
 // Listen holds the three addresses a node serves on.
--- a/chivesettings/store.go
+++ b/chivesettings/store.go
@@ -23,9 +23,11 @@
 	// Seeds are peer addresses of nodes that may exist; they may be stale.
 	Seeds []string `yaml:"seeds" validate:"dive,ipport"`
 	// MemoryMB is what the process may use, in megabytes.
-	MemoryMB int64       `yaml:"memory_mb" validate:"min=32,max=1048576"`
-	Stop     StoreStop   `yaml:"stop"`
-	Repeats  StoreRepeat `yaml:"repeats"`
+	MemoryMB int64 `yaml:"memory_mb" validate:"min=32,max=1048576"`
+	// MaxDescriptors is the number of descriptors that the process may have. Without it, that is the system's limit.
+	MaxDescriptors int64       `yaml:"max_descriptors" validate:"omitempty,min=256,max=1048576"`
+	Stop           StoreStop   `yaml:"stop"`
+	Repeats        StoreRepeat `yaml:"repeats"`
 	// RegionTraffic is what bytes between regions cost; they cost nothing without it.
 	RegionTraffic RegionTraffic `yaml:"region_traffic"`
 	// Profile serves profiles of the process to operators; off unless it is asked for.
