Receive buffers are bounded by the number of connections

Bytes that the kernel has received and the process has not read are the machine's memory too: 64 MB sent by each of 800 callers left 640 MB unread at a node of the entry and 1,155 at one of the own interface.

Cause: the kernel lets the buffer of a connection grow to megabytes while a process reads fast, and what comes when it stops reading (a refused body, bytes behind a request, a response whose caller does not read) stays there.

Now connections of callers and to endpoints have buffers of 64 to 256 KB, the smaller the more connections are open.

--- a/chivecaller/bounds.go
+++ b/chivecaller/bounds.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chivedrift/chivememory"
+	"chivedrift/chivewire"
 )
 
 const (
@@ -21,6 +22,8 @@
 	Connections int
 	// Memory holds the heads of requests; nil means no limit.
 	Memory *chivememory.Pool
+	// Receive is the memory for bytes that have been received and not read; nil leaves it to the kernel.
+	Receive *chivewire.ReceiveBuffers
 }
 
 // BoundCounts are totals of what the bounds made the node do.
--- a/chivecaller/conns.go
+++ b/chivecaller/conns.go
@@ -60,6 +60,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if n.conns.bounds.Receive != nil {
+		n.conns.bounds.Receive.BoundListener(listener)
+	}
 	return trackedListener{listener, n.conns}, nil
 }
 
@@ -86,6 +89,9 @@
 	if err != nil {
 		return nil, err //nolint:wrapcheck // as in Listen
 	}
+	if receive := l.conns.bounds.Receive; receive != nil {
+		receive.Bound(conn, l.conns.Open()+1)
+	}
 	tracked := &Conn{Conn: conn, conns: l.conns, waitingSince: time.Now()}
 	if !l.conns.add(tracked) {
 		tracked.cut()
--- a/chiveentry/body_test.go
+++ b/chiveentry/body_test.go
@@ -42,7 +42,7 @@
 	forwarder, pool, address := &fakeForwarder{}, chivememory.NewPool(bodyMemory), chivestand.FreeAddress()
 	e := chiveentry.New(chiveentry.Options{
 		Address: address, Network: chivewire.TCP{}, Dialect: testDialect{}, Forwarder: forwarder, Scope: tally.NoopScope, Logger: slog.New(slog.DiscardHandler),
-		Bounds: chivecaller.Bounds{Connections: connections, Memory: pool},
+		Bounds: chivecaller.Bounds{Connections: connections, Memory: pool, Receive: chivewire.NewReceiveBuffers(1 << 20)},
 	})
 	e.SetTable(table)
 	if err := e.Start(t.Context()); err != nil {
--- a/chivenode/caller_bounds.go
+++ b/chivenode/caller_bounds.go
@@ -6,6 +6,7 @@
 
 	"chivedrift/chivecaller"
 	"chivedrift/chivememory"
+	"chivedrift/chivewire"
 
 	"golang.org/x/sys/unix"
 )
@@ -17,6 +18,8 @@
 	requestMemoryShare    = 0.2
 	connectionMemoryShare = 0.3
 	connectionBytes       = 256 << 10
+	// receiveDivisor is the part of the process's memory that sets the size of receive buffers, of callers and of endpoints each.
+	receiveDivisor = 64
 	// fileDescriptors are kept for files, and of the rest callers get callerDescriptorShare: endpoints, peers, the store and operators
 	// need the others.
 	fileDescriptors       = 200
@@ -65,6 +68,7 @@
 	return chivecaller.Bounds{
 		Connections: int(max(minCallerConnections, min(byMemory, byDescriptors))),
 		Memory:      chivememory.NewPool(int64(requestMemoryShare * float64(memoryBytes))),
+		Receive:     chivewire.NewReceiveBuffers(memoryBytes / receiveDivisor),
 	}
 }
 
--- a/chivenode/node.go
+++ b/chivenode/node.go
@@ -86,7 +86,7 @@
 	claimClient := chiveclaim.NewClient(identity, n.mesh)
 	quota := chivequota.NewService(n.mesh)
 	quarantine := chivequarantine.New(chivequarantine.Options{Mesh: n.mesh, Logger: n.logger})
-	dispatcher := chivedispatch.New(s.Listen.Callers, network, schedulerClient, n.members, quarantine, n.logger)
+	dispatcher := chivedispatch.New(s.Listen.Callers, chivewire.Bounded(network, bounds.Receive), schedulerClient, n.members, quarantine, n.logger)
 	services := chivedispatch.NewServices(dispatcher, s.Region)
 	quarantine.OnFailure(func(failure chivehealth.Failure) (alive time.Time) {
 		if alive = dispatcher.PeerFailure(failure); alive.IsZero() {
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -321,7 +321,7 @@
 	})
 	n.pools = pools
 	n.relay = chiverelay.New(chiverelay.Options{
-		Self: s.Listen.Callers, Address: s.Listen.Relay, Network: network, Region: s.Region, Regions: s.RegionOf(), Full: n.memory.Full, Logger: n.logger,
+		Self: s.Listen.Callers, Address: s.Listen.Relay, Network: chivewire.Bounded(network, bounds.Receive), Region: s.Region, Regions: s.RegionOf(), Full: n.memory.Full, Logger: n.logger,
 		Distances:  n.distances,
 		Accepts:    pools.Accepts,
 		MaxTunnels: maxTunnels(descriptors),
