Callers that read or send nothing do not hold a connection or a stop for ever

A caller that read nothing of a response held its connection for as long as it liked; a stop of a node of the own interface waited for it without end. On the entry a refused request whose body did not come was never answered, and held its connection too.

Cause: writes had no time limit, and the HTTP library reads the rest of a body before it sends a refusal. TCP's user timeout does not end a connection whose peer acknowledges probes and keeps its window closed.

Now a caller may read nothing for 30 s for each 64 KB of a response. While connections are at their bound, the one whose response has been unread for the longest time, 5 s at least, makes room if no other can. A refused request's body is read for 2 s. A stop refuses requests whose bodies have stalled for a second.

TestRefusedRequestWithoutItsBodyIsAnswered waited without end before.

--- a/chivecaller/bounds.go
+++ b/chivecaller/bounds.go
@@ -14,6 +14,8 @@
 	closingSlack = 32
 	// firstBytesWait is how long a new connection is kept for the first bytes of a request while others are to be accepted.
 	firstBytesWait = 20 * time.Millisecond
+	// unreadWait is how long a caller may read nothing of a response while others are to be accepted.
+	unreadWait = 5 * time.Second
 )
 
 // Bounds limit what the connections of callers take of a process and of its machine. The zero value limits nothing.
@@ -66,8 +68,8 @@
 	return false
 }
 
-// makeRoom closes the connection that has waited the longest: for its first request, for the rest of a head or of a body that has stalled, or for
-// its next request, the first of these that there is. It returns false if there is none.
+// makeRoom closes the connection that has waited the longest: for its first request, for the rest of a head or of a body that has stalled, for
+// its next request, or for its caller to read a response, the first of these that there is. It returns false if there is none.
 func (c *Conns) makeRoom(now time.Time) bool {
 	conns := c.all()
 	var w waits
@@ -80,7 +82,7 @@
 	if w.inUse < c.bounds.Connections {
 		return true
 	}
-	if w.first.close(now) || w.head.close(now) || c.endStalledBody() || w.next.close(now) {
+	if w.first.close(now) || w.head.close(now) || c.endStalledBody() || w.next.close(now) || w.unread.cut() {
 		c.counters.madeRoom.Add(1)
 		return true
 	}
@@ -94,14 +96,14 @@
 
 // waits are the connections that have waited the longest for something.
 type waits struct {
-	// first waits for its first request, head for the rest of a head, next for its next request.
-	first, head, next longestWait
+	// first waits for its first request, head for the rest of a head, next for its next request, unread for its caller to read.
+	first, head, next, unread longestWait
 	// inUse is the number of connections that are not being closed.
 	inUse int
 }
 
 func (w *waits) add(conn *Conn, now time.Time) {
-	state, since := conn.waiting()
+	state, since, writingSince := conn.waiting()
 	if state != connClosed {
 		w.inUse++
 	}
@@ -113,6 +115,8 @@
 		w.head.add(conn, wait)
 	case state == connIdle && wait >= lingerTimeout:
 		w.next.add(conn, wait)
+	case state == connServing && !writingSince.IsZero() && now.Sub(writingSince) >= unreadWait:
+		w.unread.add(conn, now.Sub(writingSince))
 	}
 }
 
@@ -131,11 +135,27 @@
 // close closes the connection, unless there is none or a request has come on it.
 func (l *longestWait) close(now time.Time) bool { return l.conn != nil && l.conn.closeForRoom(now) }
 
-// waiting returns the state of the connection, and the time since which it waits for a request.
-func (c *Conn) waiting() (state connState, since time.Time) {
+// cut closes the connection, unless there is none.
+func (l *longestWait) cut() bool {
+	if l.conn == nil {
+		return false
+	}
+	l.conn.closeUnread()
+	return true
+}
+
+// waiting returns the state of the connection, and the times since which it waits for a request and for a part of a response to be written.
+func (c *Conn) waiting() (state connState, since, writingSince time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state, c.waitingSince
+	return c.state, c.waitingSince, c.writingSince
+}
+
+// closeUnread closes the connection, whose caller does not read the response.
+func (c *Conn) closeUnread() {
+	c.reportClosed(MadeRoom)
+	// The write that is under way fails, and with it the request.
+	_ = c.Conn.Close()
 }
 
 // closeForRoom closes the connection if it waits for a request, or for the rest of its head.
--- a/chivecaller/conn.go
+++ b/chivecaller/conn.go
@@ -43,6 +43,8 @@
 	// wrote means that something was written since the last request ended, writeFailed that a write has failed.
 	wrote       bool
 	writeFailed bool
+	// writingSince is the time since which a part of a response waits to be written; zero if none does.
+	writingSince time.Time
 	// resets means that closing the connection resets it.
 	resets bool
 	// onEnd is called when the response to the current request has ended; nil if there is none.
@@ -205,14 +207,36 @@
 	return c.state != connClosed
 }
 
-// Write writes to the connection.
+const (
+	// writeTimeout is how long a caller may read nothing of a response.
+	writeTimeout = 30 * time.Second
+	// writePieceSize is the part of a response that has to be written in that time, in bytes.
+	writePieceSize = 64 << 10
+)
+
+// Write writes to the connection. It fails if the caller does not read for writeTimeout.
 func (c *Conn) Write(data []byte) (int, error) {
-	n, err := c.Conn.Write(data)
+	written, err := 0, error(nil)
+	for first := true; err == nil && (first || written < len(data)); first = false {
+		now := time.Now()
+		c.beginWriting(now)
+		// It fails only on a connection that has been closed, as the write does.
+		_ = c.SetWriteDeadline(now.Add(writeTimeout))
+		var n int
+		n, err = c.Conn.Write(data[written:min(len(data), written+writePieceSize)])
+		written += n
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.wrote = true
+	c.wrote, c.writingSince = true, time.Time{}
 	c.writeFailed = c.writeFailed || err != nil
-	return n, err //nolint:wrapcheck // as in Read
+	return written, err //nolint:wrapcheck // as in Read
+}
+
+func (c *Conn) beginWriting(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writingSince = now
 }
 
 // becomeAnswered ends the request whose response was written out.
--- a/chiveentry/body_test.go
+++ b/chiveentry/body_test.go
@@ -207,3 +207,13 @@
 		useKept()
 	}
 }
+
+// Guards against refused requests whose bodies never come, and which keep their connections for ever.
+func TestRefusedRequestWithoutItsBodyIsAnswered(t *testing.T) {
+	_, _, address := startBounded(t, 0)
+	conn := dialEntry(t, address)
+	io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: b.example\r\nContent-Length: 100\r\n\r\na")
+	if response := readAnswer(t, conn); response.StatusCode != http.StatusNotFound {
+		t.Errorf("%s", response.Status)
+	}
+}
--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -51,6 +52,8 @@
 	// the time that is left before the cut.
 	unreadBodyTimeout = 200 * time.Millisecond
 	unreadBodyDivisor = 2
+	// refusedBodyTimeout is the time for which the rest of a refused request's body is read, so that its connection can be kept.
+	refusedBodyTimeout = 2 * time.Second
 	// retryAfterNoConfig is short because another node has a configuration.
 	retryAfterNoConfig = 200 * time.Millisecond
 	// retryAfterNoMemory is long enough for some requests to end and free their memory.
@@ -183,6 +186,8 @@
 	}
 	for e.conns.CloseRest() > 0 || e.inFlight.Load() > 0 {
 		now := time.Now()
+		// Requests whose bodies do not come would keep the node until the cut.
+		e.memory.EndStalled(math.MaxInt)
 		if now.Sub(last) > stallTime {
 			stalled = now
 		}
@@ -483,11 +488,13 @@
 
 // writeFailure writes an error response; while the entry is draining, it asks the caller to close the connection.
 func (e *Entry) writeFailure(w http.ResponseWriter, r *http.Request, f *FailureError, id string) {
+	wait := refusedBodyTimeout
 	if e.announcesEnd(r) {
 		w.Header().Set("Connection", "close")
-		// net/http reads the rest of the body, which may not come, before it closes the connection.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(e.unreadBodyTime()))
+		wait = e.unreadBodyTime()
 	}
+	// net/http reads the rest of the body, which may not come, before it sends the response or closes the connection.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(wait))
 	f.write(w, e.options.Dialect, id)
 }
 
--- a/chivegate/gateway.go
+++ b/chivegate/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -155,6 +156,8 @@
 	chiveevent.StoppedListening.Log(ctx, g.options.Logger, slog.Int("unaccepted", g.server.StopListening(ctx)))
 	g.conns.CloseIdle()
 	for g.conns.CloseRest() > 0 {
+		// Requests whose bodies do not come would keep the node for as long as a body may take.
+		g.memory.EndStalled(math.MaxInt)
 		time.Sleep(stopPollInterval)
 	}
 	if err := g.server.Close(); err != nil {
