The bounds on callers are reported

Operators could not see which bound refused or ended a request, how much callers hold, and of how many.

Event 112 tells at most every 10 s what the bounds did since the last such line, event 113 that the configuration allows bodies that a node has no memory for. The service callers in the state dump and the metrics caller_* have what is held, the limits and the totals.

--- a/chiveentry/body.go
+++ b/chiveentry/body.go
@@ -1,12 +1,16 @@
 package chiveentry
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
+	"math"
 	"net/http"
 	"time"
 
+	"chivedrift/chiveevent"
 	"chivedrift/chivememory"
 )
 
@@ -124,3 +128,10 @@
 	memory.Return(int64(cap(body)))
 	return grown, nil
 }
+
+// CheckBodyLimit logs that there is no memory for bodies of a configured limit in bytes, zero meaning no limit.
+func CheckBodyLimit(ctx context.Context, logger *slog.Logger, limit int64, pool *chivememory.Pool) {
+	if largest := pool.Largest(); limit == 0 && largest < math.MaxInt64 || limit > largest {
+		chiveevent.BodiesTooLarge.Log(ctx, logger, slog.Int64("limit_bytes", limit), slog.Int64("largest_bytes", largest))
+	}
+}
--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -124,6 +124,9 @@
 
 // SetTable applies a new routing table.
 func (e *Entry) SetTable(table *chivetable.Table) {
+	if before := e.table.Load(); before == nil || before.Limits().BodyBytes != table.Limits().BodyBytes {
+		CheckBodyLimit(context.Background(), e.options.Logger, table.Limits().BodyBytes, e.memory)
+	}
 	e.conns.SetHeadLimit(table.Limits().HeaderBytes)
 	e.conns.SetLimits(time.Now(), table.Limits().HeaderTime, table.Limits().IdleTime)
 	e.table.Store(table)
@@ -212,6 +215,11 @@
 	}
 }
 
+// Connections returns the number of open connections of callers, and what their bounds made the node do.
+func (e *Entry) Connections() (open int, counts chivecaller.BoundCounts) {
+	return e.conns.Open(), e.conns.BoundCounts()
+}
+
 // InFlight returns the number of requests being served.
 func (e *Entry) InFlight() int64 { return e.inFlight.Load() }
 
--- a/chivegate/gateway.go
+++ b/chivegate/gateway.go
@@ -131,6 +131,7 @@
 
 // SetConfig applies the team keys and the limit of heads of a new configuration.
 func (g *Gate) SetConfig(config *chiveconfig.Config) {
+	chiveentry.CheckBodyLimit(context.Background(), g.options.Logger, config.Limits.BodyBytes, g.memory)
 	g.conns.SetHeadLimit(config.Limits.HeaderBytes)
 	g.keys.Store(newTeamKeys(config))
 }
@@ -188,6 +189,11 @@
 	})
 }
 
+// Connections returns the number of open connections of callers, and what their bounds made the node do.
+func (g *Gate) Connections() (open int, counts chivecaller.BoundCounts) {
+	return g.conns.Open(), g.conns.BoundCounts()
+}
+
 // InFlight returns the number of requests being served.
 func (g *Gate) InFlight() int64 { return g.inFlight.Load() }
 
--- a/chivememory/pool.go
+++ b/chivememory/pool.go
@@ -10,6 +10,8 @@
 	// smallBytes is the size up to which a request may use the whole pool; what is larger leaves smallShare of it free.
 	smallBytes = 16 << 10
 	smallShare = 0.25
+	// growingShare is the part of the pool that a buffer may have which is copied from one of half its size.
+	growingShare = (1 - smallShare) / 1.5
 )
 
 // StallTime is how long a request must have brought nothing before it gives way to another one.
@@ -46,6 +48,14 @@
 	return &Pool{limit: limit, arriving: make(map[*Reservation]struct{})}
 }
 
+// Largest returns the size of the largest request that the pool has room for while its buffer grows.
+func (p *Pool) Largest() int64 {
+	if p.limit == math.MaxInt64 {
+		return p.limit
+	}
+	return int64(growingShare * float64(p.limit))
+}
+
 // Counts returns the state of the pool.
 func (p *Pool) Counts() Counts {
 	p.mu.Lock()
--- a/chivenode/node.go
+++ b/chivenode/node.go
@@ -105,14 +105,15 @@
 	n.admin = chiveadmin.New(chiveadmin.Options{
 		Address: s.Listen.Admin, Network: network, Metrics: metrics.Handler(), State: n.kernel.Dump, Ready: n.ready, Explain: n.gate.Explain,
 	})
-	process := newProcess()
+	process, callers := newProcess(), newCallerReport(bounds, n.gate, n.logger)
 	err := n.register([]namedService{
 		{processName, process},
 		{memoryName, n.memory},
+		{callersName, callers},
 		{metricsName, metrics},
 		{logName, log},
 		{wireName, n.mesh},
-		{gaugeReporterName, newGaugeReporter(metrics.Scope(), n.mesh, process)},
+		{gaugeReporterName, newGaugeReporter(metrics.Scope(), n.mesh, process, callers.gauges()...)},
 		{chivemember.ServiceName, n.members},
 		{chivefollow.ServiceName, n.follower},
 		{chiveschedule.OwnerName, chiveschedule.NewOwner(n.mesh, n.logger)},
--- a/chivenode/store_node.go
+++ b/chivenode/store_node.go
@@ -87,6 +87,7 @@
 	notices           *chivenotice.Service
 	startup           *startupTracker
 	memory            *memoryGuard
+	callers           *callerReport
 	quarantine        *chivequarantine.Service
 	pools             *chiveforward.Pools
 	forwarder         *chiveforward.Forwarder
@@ -158,11 +159,12 @@
 	serving := n.assembleServing(network, metrics)
 	n.retryBudget.SetListedPeers(discovery.listedPeers)
 	process := newProcess()
-	gauges := newGaugeReporter(metrics.Scope(), n.mesh, process, n.gauges(store, feeds.table, feeds.directory)...)
+	gauges := newGaugeReporter(metrics.Scope(), n.mesh, process, slices.Concat(n.gauges(store, feeds.table, feeds.directory), n.callers.gauges())...)
 	gauges.SetPoolGauges(poolGauge{"repeats_overdrawn", func() map[string]float64 { return n.retryBudget.Overdrawn(time.Now()) }})
 	return n.register(slices.Concat([]namedService{
 		{processName, process},
 		{memoryName, n.memory},
+		{callersName, n.callers},
 		{metricsName, metrics},
 		{wireName, n.mesh},
 		{gaugeReporterName, gauges},
@@ -340,6 +342,7 @@
 		Streams: n.streams, Versions: n.versions,
 		Scope: metrics.Scope(), Logger: n.logger,
 	})
+	n.callers = newCallerReport(bounds, n.entry, n.logger)
 	n.ready = newReadiness(s.Listen.Ready, chiveplatform.ReadyPath, network, n.NotReady)
 	n.grants = chivegrant.New(chivegrant.Options{Mesh: n.mesh, Pools: pools, Distances: n.distances, Logger: n.logger})
 	pools.SetAsker(n.grants)
