--- a/chiveentry/body_test.go
+++ b/chiveentry/body_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -13,7 +14,9 @@
 
 	"chivedrift/chivecaller"
 	"chivedrift/chiveentry"
+	"chivedrift/chiveforward"
 	"chivedrift/chivememory"
+	"chivedrift/chiverequest"
 	"chivedrift/chivestand"
 	"chivedrift/chivetable"
 	"chivedrift/chivewire"
@@ -217,3 +220,58 @@
 		t.Errorf("%s", response.Status)
 	}
 }
+
+// Guards against heads that stay in memory although their rest does not come, and against a refusal of them that is no promise.
+func TestStalledHeadsGiveWayToOthers(t *testing.T) {
+	const heads = 30
+	forwarder, pool, address := startBounded(t, 0)
+	var stalled []net.Conn
+	for range heads {
+		conn := dialEntry(t, address)
+		io.WriteString(conn, "POST /"+strings.Repeat("p", 12<<10))
+		stalled = append(stalled, conn)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	conn := dialEntry(t, address)
+	io.WriteString(conn, bodyHead(fmt.Sprintf("Content-Length: %d\r\n", bodyLimit))+strings.Repeat("a", bodyLimit))
+	if response := readAnswer(t, conn); response.StatusCode != http.StatusOK || len(forwarder.requests) != 1 {
+		t.Errorf("the whole body: %s", response.Status)
+	}
+	if counts := pool.Counts(); counts.GaveWay == 0 || counts.GaveWay == heads {
+		t.Errorf("%+v", counts)
+	}
+	response := readAnswer(t, stalled[0])
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+		t.Errorf("the stalled head: %s, Retry-After %q", response.Status, response.Header.Get("Retry-After"))
+	}
+}
+
+// Guards against callers that keep others from being accepted since they read nothing of their responses.
+func TestUnreadResponsesMakeRoom(t *testing.T) {
+	const connections = 4
+	forwarder, _, address := startBounded(t, connections)
+	forwarder.run = func(_ context.Context, request *chiverequest.Request, sink chiveforward.Sink) chiveforward.Result {
+		sink.Start(http.StatusOK, http.Header{})
+		if request.Target == "/large" {
+			if err := sink.Write(make([]byte, 32<<20), true); err != nil {
+				return chiveforward.Result{Outcome: chiveforward.Unknown, Started: true}
+			}
+		}
+		return chiveforward.Result{Outcome: chiveforward.Completed, Started: true, Status: http.StatusOK}
+	}
+	for range connections {
+		io.WriteString(dialEntry(t, address), "POST /large HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n\r\n")
+	}
+	for start := time.Now(); ; time.Sleep(100 * time.Millisecond) {
+		conn := dialEntry(t, address)
+		io.WriteString(conn, bodyHead("Content-Length: 0\r\n"))
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err == nil {
+			response.Body.Close()
+			return
+		}
+		if time.Since(start) > 10*time.Second {
+			t.Fatal(err)
+		}
+	}
+}
