Requests that arrive too slowly give way once the memory is used up and none has stalled

A crowd that sends a byte of each body now and then would never stall, and keep the memory that large requests may use for the 30 s that a body may take, while sound large bodies are refused.

When there is no room and no request has brought nothing for a second, the one that has been arriving for the longest time, ten seconds at least, is refused, be it the one that asks. In calm a body still has its 30 s.

--- a/chivememory/pool.go
+++ b/chivememory/pool.go
@@ -14,8 +14,12 @@
 	growingShare = (1 - smallShare) / 1.5
 )
 
-// StallTime is how long a request must have brought nothing before it gives way to another one.
-const StallTime = time.Second
+const (
+	// StallTime is how long a request must have brought nothing before it gives way to another one.
+	StallTime = time.Second
+	// slowTime is how long a request must have been arriving before it gives way although it brings something now and then.
+	slowTime = 10 * time.Second
+)
 
 // Pool is the memory for the heads and bodies of callers' requests, in bytes.
 type Pool struct {
@@ -68,20 +72,21 @@
 // Begin returns the reservation of a request that begins to arrive. end is called in a goroutine of its own, at most once, if the request
 // has to give way to another one, and makes its reader fail.
 func (p *Pool) Begin(end func()) *Reservation {
-	r := &Reservation{pool: p, progressed: time.Now(), end: end}
+	now := time.Now()
+	r := &Reservation{pool: p, began: now, progressed: now, end: end}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.arriving[r] = struct{}{}
 	return r
 }
 
-// EndStalled ends up to most requests that have brought nothing for StallTime, those that have stalled the longest first, and returns their
-// number.
+// EndStalled ends up to most requests that have stalled, those that have for the longest time first, then those that arrive too slowly, and
+// returns their number.
 func (p *Pool) EndStalled(most int) (count int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for now := time.Now(); count < most; count++ {
-		victim := p.mostStalled(now)
+		victim := p.victim(now)
 		if victim == nil {
 			break
 		}
@@ -104,8 +109,8 @@
 		limit -= int64(smallShare * float64(limit))
 	}
 	for p.used > limit-more {
-		victim := p.mostStalled(now)
-		if victim == nil {
+		victim := p.victim(now)
+		if victim == nil || victim == r {
 			p.counts.Refused++
 			return false
 		}
@@ -117,14 +122,25 @@
 	return true
 }
 
-// mostStalled returns the arriving request that has brought nothing for the longest time; nil if none has stalled.
-func (p *Pool) mostStalled(now time.Time) (victim *Reservation) {
+// victim returns the arriving request that has brought nothing for the longest time or, if none has stalled, the one that has been arriving
+// for the longest time; nil if none is slow either.
+func (p *Pool) victim(now time.Time) *Reservation {
+	var stalled, slow *Reservation
 	for r := range p.arriving {
-		if r.bytes > 0 && now.Sub(r.progressed) >= StallTime && (victim == nil || r.progressed.Before(victim.progressed)) {
-			victim = r
+		if r.bytes == 0 {
+			continue
 		}
+		if now.Sub(r.progressed) >= StallTime && (stalled == nil || r.progressed.Before(stalled.progressed)) {
+			stalled = r
+		}
+		if now.Sub(r.began) >= slowTime && (slow == nil || r.began.Before(slow.began)) {
+			slow = r
+		}
+	}
+	if stalled != nil {
+		return stalled
 	}
-	return victim
+	return slow
 }
 
 // giveWay ends a request. Its memory counts as free at once, since its reader drops it as soon as it runs.
--- a/chivememory/pool_test.go
+++ b/chivememory/pool_test.go
@@ -66,6 +66,33 @@
 	})
 }
 
+// Guards against requests that keep the memory since they bring a byte now and then.
+func TestSlowRequestGivesWayIfNoneHasStalled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool, firstEnded, secondEnded, newEnded := chivememory.NewPool(poolSize), 0, 0, 0
+		first := begin(pool, &firstEnded)
+		mustAdd(t, first, 35*kilobyte, true)
+		time.Sleep(time.Second)
+		second := begin(pool, &secondEnded)
+		mustAdd(t, second, 35*kilobyte, true)
+		trickle := func(times int) {
+			for range times {
+				time.Sleep(900 * time.Millisecond)
+				first.Progress()
+				second.Progress()
+			}
+		}
+		trickle(9)
+		mustAdd(t, begin(pool, &newEnded), 30*kilobyte, false)
+		trickle(1)
+		mustAdd(t, begin(pool, &newEnded), 30*kilobyte, true)
+		synctest.Wait()
+		if firstEnded != 1 || secondEnded != 0 || newEnded != 0 {
+			t.Errorf("first ended %d times, second %d, new ones %d", firstEnded, secondEnded, newEnded)
+		}
+	})
+}
+
 // Guards against a request that is ended although it was read as a whole, while its endpoint takes long.
 func TestCompleteRequestDoesNotGiveWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/chivememory/reservation.go
+++ b/chivememory/reservation.go
@@ -8,6 +8,7 @@
 	end  func()
 	// The pool's lock protects what follows.
 	bytes      int64
+	began      time.Time
 	progressed time.Time
 	gaveWay    bool
 }
