--- a/chivecaller/conn.go
+++ b/chivecaller/conn.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -215,28 +216,29 @@
 )
 
 // Write writes to the connection. It fails if the caller does not read for writeTimeout.
-func (c *Conn) Write(data []byte) (int, error) {
-	written, err := 0, error(nil)
-	for first := true; err == nil && (first || written < len(data)); first = false {
-		now := time.Now()
-		c.beginWriting(now)
-		// It fails only on a connection that has been closed, as the write does.
-		_ = c.SetWriteDeadline(now.Add(writeTimeout))
+func (c *Conn) Write(data []byte) (written int, err error) {
+	for piece := range slices.Chunk(data, writePieceSize) {
 		var n int
-		n, err = c.Conn.Write(data[written:min(len(data), written+writePieceSize)])
-		written += n
+		n, err = c.writePiece(piece)
+		if written += n; err != nil {
+			break
+		}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.wrote, c.writingSince = true, time.Time{}
 	c.writeFailed = c.writeFailed || err != nil
-	return written, err //nolint:wrapcheck // as in Read
+	return written, err
 }
 
-func (c *Conn) beginWriting(now time.Time) {
+func (c *Conn) writePiece(piece []byte) (int, error) {
+	now := time.Now()
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.writingSince = now
+	c.mu.Unlock()
+	// It fails only on a connection that has been closed, as the write does.
+	_ = c.SetWriteDeadline(now.Add(writeTimeout))
+	return c.Conn.Write(piece) //nolint:wrapcheck // as in Read
 }
 
 // becomeAnswered ends the request whose response was written out.
