Stops end only requests that have stalled

A stop of a node of the own interface waits for requests however long they take, and a slow sender behaves.

EndStalled ends those that have brought nothing for a second, EndOne the one that has to give way first, slow ones included, for a connection that is to be accepted. TestSlowRequestGivesWayIfNoneHasStalled checks both.

--- a/chivecaller/bounds.go
+++ b/chivecaller/bounds.go
@@ -22,7 +22,7 @@
 type Bounds struct {
 	// Connections is the number of connections.
 	Connections int
-	// Memory holds the heads of requests; nil means no limit.
+	// Memory is where the heads and bodies of requests are reserved; nil means no limit.
 	Memory *chivememory.Pool
 	// Receive is the memory for bytes that have been received and not read; nil leaves it to the kernel.
 	Receive *chivewire.ReceiveBuffers
@@ -82,16 +82,16 @@
 	if w.inUse < c.bounds.Connections {
 		return true
 	}
-	if w.first.close(now) || w.head.close(now) || c.endStalledBody() || w.next.close(now) || w.unread.cut() {
+	if w.first.close(now) || w.head.close(now) || c.endSlowRequest() || w.next.close(now) || w.unread.cut() {
 		c.counters.madeRoom.Add(1)
 		return true
 	}
 	return false
 }
 
-// endStalledBody refuses a request whose body has stalled; it returns false if there is none.
-func (c *Conns) endStalledBody() bool {
-	return c.bounds.Memory != nil && c.bounds.Memory.EndStalled(1) > 0
+// endSlowRequest refuses a request that has stalled or arrives too slowly; it returns false if there is none.
+func (c *Conns) endSlowRequest() bool {
+	return c.bounds.Memory != nil && c.bounds.Memory.EndOne()
 }
 
 // waits are the connections that have waited the longest for something.
--- a/chiveentry/entry.go
+++ b/chiveentry/entry.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -190,7 +189,7 @@
 	for e.conns.CloseRest() > 0 || e.inFlight.Load() > 0 {
 		now := time.Now()
 		// Requests whose bodies do not come would keep the node until the cut.
-		e.memory.EndStalled(math.MaxInt)
+		e.memory.EndStalled()
 		if now.Sub(last) > stallTime {
 			stalled = now
 		}
--- a/chivegate/gateway.go
+++ b/chivegate/gateway.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -158,7 +157,7 @@
 	g.conns.CloseIdle()
 	for g.conns.CloseRest() > 0 {
 		// Requests whose bodies do not come would keep the node for as long as a body may take.
-		g.memory.EndStalled(math.MaxInt)
+		g.memory.EndStalled()
 		time.Sleep(stopPollInterval)
 	}
 	if err := g.server.Close(); err != nil {
--- a/chivememory/pool.go
+++ b/chivememory/pool.go
@@ -80,19 +80,29 @@
 	return r
 }
 
-// EndStalled ends up to most requests that have stalled, those that have for the longest time first, then those that arrive too slowly, and
-// returns their number.
-func (p *Pool) EndStalled(most int) (count int) {
+// EndStalled ends the requests that have brought nothing for StallTime, and returns their number.
+func (p *Pool) EndStalled() (count int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for now := time.Now(); count < most; count++ {
-		victim := p.victim(now)
+	for now := time.Now(); ; count++ {
+		victim := p.mostStalled(now)
 		if victim == nil {
-			break
+			return count
 		}
 		p.giveWay(victim)
 	}
-	return count
+}
+
+// EndOne ends the request that has to give way first; it returns false if none has.
+func (p *Pool) EndOne() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	victim := p.victim(time.Now())
+	if victim == nil {
+		return false
+	}
+	p.giveWay(victim)
+	return true
 }
 
 // reserve adds bytes to a reservation if there is room or others give way.
@@ -122,25 +132,32 @@
 	return true
 }
 
-// victim returns the arriving request that has brought nothing for the longest time or, if none has stalled, the one that has been arriving
-// for the longest time; nil if none is slow either.
+// victim returns the arriving request that has stalled or, if none has, is the slowest; nil if none is slow either.
 func (p *Pool) victim(now time.Time) *Reservation {
-	var stalled, slow *Reservation
+	if stalled := p.mostStalled(now); stalled != nil {
+		return stalled
+	}
+	return p.slowest(now)
+}
+
+// mostStalled returns the arriving request that has brought nothing for the longest time; nil if none has stalled.
+func (p *Pool) mostStalled(now time.Time) (victim *Reservation) {
 	for r := range p.arriving {
-		if r.bytes == 0 {
-			continue
-		}
-		if now.Sub(r.progressed) >= StallTime && (stalled == nil || r.progressed.Before(stalled.progressed)) {
-			stalled = r
-		}
-		if now.Sub(r.began) >= slowTime && (slow == nil || r.began.Before(slow.began)) {
-			slow = r
+		if r.bytes > 0 && now.Sub(r.progressed) >= StallTime && (victim == nil || r.progressed.Before(victim.progressed)) {
+			victim = r
 		}
 	}
-	if stalled != nil {
-		return stalled
+	return victim
+}
+
+// slowest returns the request that has been arriving for the longest time; nil if none has for slowTime.
+func (p *Pool) slowest(now time.Time) (victim *Reservation) {
+	for r := range p.arriving {
+		if r.bytes > 0 && now.Sub(r.began) >= slowTime && (victim == nil || r.began.Before(victim.began)) {
+			victim = r
+		}
 	}
-	return slow
+	return victim
 }
 
 // giveWay ends a request. Its memory counts as free at once, since its reader drops it as soon as it runs.
--- a/chivememory/pool_test.go
+++ b/chivememory/pool_test.go
@@ -84,7 +84,13 @@
 		}
 		trickle(9)
 		mustAdd(t, begin(pool, &newEnded), 30*kilobyte, false)
+		if pool.EndOne() {
+			t.Error("a request was ended that is not slow")
+		}
 		trickle(1)
+		if pool.EndStalled() > 0 {
+			t.Error("a request was ended that has not stalled")
+		}
 		mustAdd(t, begin(pool, &newEnded), 30*kilobyte, true)
 		synctest.Wait()
 		if firstEnded != 1 || secondEnded != 0 || newEnded != 0 {
@@ -104,7 +110,7 @@
 		}
 		time.Sleep(stall)
 		mustAdd(t, begin(pool, &ended), 20*kilobyte, false)
-		if count := pool.EndStalled(10); count != 0 || ended != 0 {
+		if count := pool.EndStalled(); count != 0 || ended != 0 {
 			t.Errorf("%d requests ended", count)
 		}
 		complete.Release()
@@ -131,7 +137,7 @@
 		stalled := begin(pool, &ended)
 		mustAdd(t, stalled, 30*kilobyte, true)
 		time.Sleep(stall)
-		if pool.EndStalled(10) != 1 {
+		if pool.EndStalled() != 1 {
 			t.Error("the stalled request was not ended")
 		}
 		stalled.Release()
--- a/chivenode/memory.go
+++ b/chivenode/memory.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math"
 	"runtime/metrics"
 	"sync/atomic"
 	"time"
@@ -100,6 +99,6 @@
 	}
 	if g.Full() {
 		// Requests that bring nothing would keep the memory, and others be refused for their sake.
-		g.requests.EndStalled(math.MaxInt)
+		g.requests.EndStalled()
 	}
 }
