--- a/chivememory/reservation.go
+++ b/chivememory/reservation.go
@@ -41,13 +41,6 @@
 	return !r.gaveWay
 }
 
-// GaveWay reports whether the request was ended to make room for another one.
-func (r *Reservation) GaveWay() bool {
-	r.pool.mu.Lock()
-	defer r.pool.mu.Unlock()
-	return r.gaveWay
-}
-
 // Release returns all that is reserved. It may be called more than once.
 func (r *Reservation) Release() {
 	r.pool.mu.Lock()
