Tests of requests that give way do not depend on the order in which a node reads connections

It expected the body that was sent first to be the one that gives way.

Cause: the test, not the node. Three bodies are sent within a millisecond and read by three goroutines; the one that gives way is that whose last bytes were read first. The same assumption stood in TestStalledHeadsGiveWayToOthers.

Both now check that every request which found no memory or gave way has its refusal, 503 with Retry-After, and that the others are still being read: more responses than before. The order is checked on virtual time, by TestStalledRequestsGiveWayInOrder (new), which fails if the request that began first is chosen instead.

--- a/chiveentry/body_test.go
+++ b/chiveentry/body_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -78,6 +79,40 @@
 	return response
 }
 
+// checkEnded checks that each request that found no memory or gave way was refused on its connection, and that the others are still being
+// read. Which ones gave way follows from when their last bytes were read, not from the order in which they were sent.
+func checkEnded(t *testing.T, pool *chivememory.Pool, conns []net.Conn) {
+	t.Helper()
+	counts, read := pool.Counts(), make(chan error, len(conns))
+	for _, conn := range conns {
+		go func() { read <- readNoMemory(conn) }()
+	}
+	ended := int(counts.Refused + counts.GaveWay)
+	for range ended {
+		if err := <-read; err != nil {
+			t.Errorf("of %d requests that ended: %v", ended, err)
+		}
+	}
+	if counts.Arriving != len(conns)-ended {
+		t.Errorf("%d requests, %d ended, %d still being read", len(conns), ended, counts.Arriving)
+	}
+}
+
+var errNoRefusal = errors.New("no refusal for want of memory")
+
+// readNoMemory reads the refusal of a request that there is no memory for.
+func readNoMemory(conn net.Conn) error {
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return err
+	}
+	response.Body.Close()
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+		return fmt.Errorf("%w: %s, Retry-After %q", errNoRefusal, response.Status, response.Header.Get("Retry-After"))
+	}
+	return nil
+}
+
 func bodyHead(fields string) string {
 	return "POST /x HTTP/1.1\r\nHost: a.example\r\n" + fields + "\r\n"
 }
@@ -136,11 +171,7 @@
 	if counts := pool.Counts(); counts.GaveWay == 0 {
 		t.Errorf("%+v", counts)
 	}
-	// The last one to stall may be left, the first one may not.
-	response := readAnswer(t, stalled[0])
-	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
-		t.Errorf("the stalled body: %s, Retry-After %q", response.Status, response.Header.Get("Retry-After"))
-	}
+	checkEnded(t, pool, stalled)
 }
 
 // Guards against memory that a request keeps after it was answered, refused or cut.
@@ -240,10 +271,7 @@
 	if counts := pool.Counts(); counts.GaveWay == 0 || counts.GaveWay == heads {
 		t.Errorf("%+v", counts)
 	}
-	response := readAnswer(t, stalled[0])
-	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
-		t.Errorf("the stalled head: %s, Retry-After %q", response.Status, response.Header.Get("Retry-After"))
-	}
+	checkEnded(t, pool, stalled)
 }
 
 // Guards against callers that keep others from being accepted since they read nothing of their responses.
--- a/chivememory/pool_test.go
+++ b/chivememory/pool_test.go
@@ -66,6 +66,33 @@
 	})
 }
 
+// Guards against a request that is ended before another one that has brought nothing for longer, whichever began first.
+func TestStalledRequestsGiveWayInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool, newEnded := chivememory.NewPool(poolSize), 0
+		var ended [3]int
+		var stalled [3]*chivememory.Reservation
+		for i := range stalled {
+			stalled[i] = begin(pool, &ended[i])
+			mustAdd(t, stalled[i], 25*kilobyte, true)
+		}
+		order := []int{1, 2, 0}
+		for _, i := range order {
+			time.Sleep(time.Millisecond)
+			stalled[i].Progress()
+		}
+		time.Sleep(stall)
+		var want [3]int
+		for _, i := range order {
+			mustAdd(t, begin(pool, &newEnded), 25*kilobyte, true)
+			synctest.Wait()
+			if want[i] = 1; ended != want || newEnded != 0 {
+				t.Fatalf("ended %v, want %v; new ones %d", ended, want, newEnded)
+			}
+		}
+	})
+}
+
 // Guards against requests that keep the memory since they bring a byte now and then.
 func TestSlowRequestGivesWayIfNoneHasStalled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
