The parts of prompts that a node knows of are bounded

Callers who name hundreds of prompt parts in a request, each said to have no tokens, took a node of 134 MB to 179 MB: the kernel ends such a process. After they had left, an ordinary request got 503 no_memory seven times.

Cause: the node models which parts an engine has cached, and forgets the least recently used ones by their tokens, which callers state. Parts without tokens were never forgotten, a head of 16 KB has room for thousands, and each request's parts go to all other nodes.

The prompts of today's deployments have at most a few parts, and an engine of theirs has room for some hundreds.

--- a/chiveplace/cache.go
+++ b/chiveplace/cache.go
@@ -11,6 +11,10 @@
 // rest.
 const cacheShare = 0.7
 
+// maxCachedParts is the number of prompt parts that are known of an engine. Callers state the sizes of parts, so that the engine's memory
+// does not bound their number.
+const maxCachedParts = 1024
+
 // cacheModel is this node's model of the prompt parts that an engine has cached, with least recently used eviction.
 type cacheModel struct {
 	capacity int64
@@ -81,7 +85,7 @@
 func (c *cacheModel) merge(parts []chiverequest.Part) (tokens int64) {
 	for _, part := range parts {
 		tokens += part.Tokens
-		if _, held := c.parts[part.ID]; held || c.used+part.Tokens > c.capacity {
+		if _, held := c.parts[part.ID]; held || c.used+part.Tokens > c.capacity || c.lru.Len() >= maxCachedParts {
 			continue
 		}
 		c.parts[part.ID] = c.lru.PushBack(cachedPart{Part: part})
@@ -103,7 +107,7 @@
 		c.parts[part.ID] = c.lru.PushFront(cachedPart{part, availableAt})
 		c.used += part.Tokens
 	}
-	for c.used > c.capacity && c.lru.Len() > 0 {
+	for (c.used > c.capacity || c.lru.Len() > maxCachedParts) && c.lru.Len() > 0 {
 		last := c.lru.Back()
 		part, ok := c.lru.Remove(last).(cachedPart)
 		if !ok {
