Model requests of the own interface have at most 1,024 fields

100 callers with chat requests of the largest legal size, made of fields of few bytes each, took a node of 134 MB to 130 MB, and a request of the largest size was refused after they had left.

Cause: a body reserves itself, its parsed form and its encoded one at their length, but a field of eight bytes is an entry of a map with a name and a value of their own, some hundred bytes.

Now the fields of the object are counted before it is parsed, and beyond 1,024 the request is refused as too_many_fields, 400. No field that the interface or an engine knows comes near it; values may hold as many fields as they like, since they are not parsed.

--- a/chivegate/gateway_test.go
+++ b/chivegate/gateway_test.go
@@ -73,16 +73,22 @@
 
 // testOptions returns options with a configuration in force, and with fakes of the other services.
 func testOptions(tb testing.TB) chivegate.Options {
+	tb.Helper()
+	return testOptionsWith(tb, 2000)
+}
+
+// testOptionsWith returns the same with another limit of bodies.
+func testOptionsWith(tb testing.TB, bodyBytes int) chivegate.Options {
 	tb.Helper()
 	digest := sha256.Sum256([]byte(key))
 	base := fmt.Sprintf(`tiers: [{name: urgent}]
 classes: [{name: chat, tier: urgent, first_token_ms: 100, deadline_ms: 1000, stall_ms: 100, expected_tokens: 5, idempotent: true}]
 teams: [{name: t, key_sha256: [%s], weight: 1}]
-limits: {body_bytes: 2000, header_bytes: 1000}
+limits: {body_bytes: %d, header_bytes: 1000}
 pools:
   - {name: m, kind: model, default_class: chat, endpoints: [{name: e, address: "127.0.0.1:1", region: r, failure_domain: a, capacity_tokens: 100}]}
   - {name: s, kind: service, default_class: chat, endpoints: [{name: s, address: "127.0.0.1:2", region: r, failure_domain: a}]}
-`, hex.EncodeToString(digest[:]))
+`, hex.EncodeToString(digest[:]), bodyBytes)
 	config, err := chiveconfig.Bundle{Base: base, Overlays: []chiveconfig.Overlay{{Site: "x", Text: "{}"}}}.Effective("x")
 	if err != nil {
 		tb.Fatal(err)
@@ -177,6 +183,28 @@
 	checkRefusal(t, sendReader(gateway, chat, failingBody{}, nil), 400, "incomplete_body", "ended early")
 }
 
+// Guards against requests that take many times their size once they are parsed, and against texts and values whose content counts as fields.
+func TestModelRequestOfManyFieldsIsRefused(t *testing.T) {
+	const path, most = "/v1/chat/completions", 1024
+	gateway := newGatewayWith(t, testOptionsWith(t, 1<<20))
+	colons := strings.Repeat(`\":`, most)
+	for _, c := range []struct{ fields, status int }{{most, http.StatusOK}, {most + 1, http.StatusBadRequest}} {
+		var body strings.Builder
+		fmt.Fprintf(&body, `{"model":"m","messages":[{"role":"user","content":"%s"},{"%s":{"a":1}}]`, colons, colons)
+		for i := range c.fields - 2 {
+			fmt.Fprintf(&body, `,"f%d":0`, i)
+		}
+		body.WriteString("}")
+		response := send(gateway, path, body.String(), nil)
+		if response.Code != c.status {
+			t.Errorf("%d fields: %d %s", c.fields, response.Code, response.Body)
+		}
+		if c.status != http.StatusOK {
+			checkRefusal(t, response, c.status, "too_many_fields", "1025")
+		}
+	}
+}
+
 func checkRefusal(t *testing.T, r *httptest.ResponseRecorder, status int, code, message string) {
 	t.Helper()
 	var response errorResponse
--- a/chivegate/request.go
+++ b/chivegate/request.go
@@ -28,6 +28,8 @@
 	maxTimeout        = 24 * time.Hour
 	maxKeyBytes       = 256
 	maxOutputTokens   = 1 << 20
+	// maxBodyFields is the number of fields of a model request, each of which takes many times its size once it is parsed.
+	maxBodyFields = 1024
 )
 
 // modelBody holds what the gateway reads from the body of a model request; the other fields are forwarded unchanged.
@@ -46,6 +48,9 @@
 	if !utf8.Valid(body) {
 		return nil, newInvalidRequest("invalid_utf8", "the body is not valid UTF-8")
 	}
+	if n := countFields(body); n > maxBodyFields {
+		return nil, newInvalidRequest("too_many_fields", fmt.Sprintf("the body has %d fields, more than %d", n, maxBodyFields))
+	}
 	b := &modelBody{}
 	if err := json.Unmarshal(body, &b.fields); err != nil {
 		return nil, newInvalidRequest("invalid_json", describeJSONError(body, err))
@@ -67,6 +72,30 @@
 	return b, nil
 }
 
+// countFields returns the number of fields of a JSON object, without those of values in it. Of a text that is no JSON object it may return
+// any number up to the number of its colons.
+func countFields(body []byte) (count int) {
+	depth, inText, isEscaped := 0, false, false
+	for _, b := range body {
+		switch {
+		case isEscaped:
+			isEscaped = false
+		case inText:
+			isEscaped = b == '\\'
+			inText = b != '"'
+		case b == '"':
+			inText = true
+		case b == '{', b == '[':
+			depth++
+		case b == '}', b == ']':
+			depth--
+		case b == ':' && depth == 1:
+			count++
+		}
+	}
+	return count
+}
+
 func (b *modelBody) readFields(input string) error {
 	if err := b.readField("model", &b.model); err != nil {
 		return err
