Connections at their bound make room within a fraction of a second

Cause: a connection gave way once its head or its body had stalled for a second, or its response had been unread for five; one on which a running request is followed by megabytes never did, and one whose caller has its refusal and sends on was kept for half a second. As many connections as there are members of a crowd come in that time.

Now, and only while others are to be accepted: a head gives way 50 ms after its first byte, with 503 and Retry-After where it was closed without a word before; a body that has brought nothing for 250 ms; a response that has been unread for two seconds; a connection with 64 KB and more behind a running request; a refused caller that has got its response 50 ms ago. Always the one that has waited the longest first. A node that is not at its bound waits as before.

--- a/chivecaller/bounds.go
+++ b/chivecaller/bounds.go
@@ -12,10 +12,18 @@
 const (
 	// closingSlack is the number of connections that may be in the course of being closed beyond the bound.
 	closingSlack = 32
-	// firstBytesWait is how long a new connection is kept for the first bytes of a request while others are to be accepted.
+	// firstBytesWait is how long a new connection is kept for the first bytes of a request while others are to be accepted, headWait how long
+	// a head may take from its first byte, and bodyWait how long a body may bring nothing.
 	firstBytesWait = 20 * time.Millisecond
+	headWait       = 50 * time.Millisecond
+	bodyWait       = 250 * time.Millisecond
 	// unreadWait is how long a caller may read nothing of a response while others are to be accepted.
-	unreadWait = 5 * time.Second
+	unreadWait = 2 * time.Second
+	// deliveredWait is how long a caller that has got all it was sent may take to close its end while others are to be accepted.
+	deliveredWait = 50 * time.Millisecond
+	// behindBytes is how much may wait behind a request while others are to be accepted; it is looked at once in behindInterval.
+	behindBytes    = 64 << 10
+	behindInterval = 10 * time.Millisecond
 )
 
 // Bounds limit what the connections of callers take of a process and of its machine. The zero value limits nothing.
@@ -68,21 +76,22 @@
 	return false
 }
 
-// makeRoom closes the connection that has waited the longest: for its first request, for the rest of a head or of a body that has stalled, for
-// its next request, or for its caller to read a response, the first of these that there is. It returns false if there is none.
+// makeRoom ends the connection that has waited the longest: for its first request, for the rest of a head or of a body, for its next request, or
+// for its caller to read a response, the first of these that there is; without one, those on which many bytes wait behind a request. It returns
+// false if there is none.
 func (c *Conns) makeRoom(now time.Time) bool {
 	conns := c.all()
 	var w waits
 	for _, conn := range conns {
 		w.add(conn, now)
 	}
-	if len(conns) >= c.bounds.Connections+closingSlack {
+	if len(conns) >= c.bounds.Connections+closingSlack && !w.closing.cut() {
 		return false
 	}
 	if w.inUse < c.bounds.Connections {
 		return true
 	}
-	if w.first.close(now) || w.head.close(now) || c.endSlowRequest() || w.next.close(now) || w.unread.cut() {
+	if w.first.close(now) || w.head.refuse() || c.endSlowRequest() || w.next.close(now) || w.unread.cut() || c.cutFollowed(now, conns) {
 		c.counters.madeRoom.Add(1)
 		return true
 	}
@@ -91,32 +100,51 @@
 
 // endSlowRequest refuses a request that has stalled or arrives too slowly; it returns false if there is none.
 func (c *Conns) endSlowRequest() bool {
-	return c.bounds.Memory != nil && c.bounds.Memory.EndOne()
+	return c.bounds.Memory != nil && c.bounds.Memory.EndOne(bodyWait)
+}
+
+// cutFollowed closes the connections on which many bytes wait behind a request, if they were not looked at just before; it returns false if
+// there is none.
+func (c *Conns) cutFollowed(now time.Time, conns []*Conn) (found bool) {
+	if now.Sub(c.followedAt) < behindInterval {
+		return false
+	}
+	c.followedAt = now
+	for _, conn := range conns {
+		if conn.hasManyBehind() {
+			conn.closeUnread()
+			found = true
+		}
+	}
+	return found
 }
 
 // waits are the connections that have waited the longest for something.
 type waits struct {
-	// first waits for its first request, head for the rest of a head, next for its next request, unread for its caller to read.
-	first, head, next, unread longestWait
+	// first waits for its first request, head for the rest of a head, next for its next request, unread for its caller to read, and closing
+	// for its caller to close its end.
+	first, head, next, unread, closing longestWait
 	// inUse is the number of connections that are not being closed.
 	inUse int
 }
 
 func (w *waits) add(conn *Conn, now time.Time) {
-	state, since, writingSince := conn.waiting()
-	if state != connClosed {
+	c := conn.waiting()
+	if c.state != connClosed {
 		w.inUse++
 	}
-	wait := now.Sub(since)
+	wait := now.Sub(c.since)
 	switch {
-	case state == connNew && wait >= firstBytesWait:
+	case c.state == connNew && wait >= firstBytesWait:
 		w.first.add(conn, wait)
-	case state == connReading && wait >= chivememory.StallTime:
+	case c.state == connReading && wait >= headWait:
 		w.head.add(conn, wait)
-	case state == connIdle && wait >= lingerTimeout:
+	case c.state == connIdle && wait >= lingerTimeout:
 		w.next.add(conn, wait)
-	case state == connServing && !writingSince.IsZero() && now.Sub(writingSince) >= unreadWait:
-		w.unread.add(conn, now.Sub(writingSince))
+	case c.state == connServing && !c.writingSince.IsZero() && now.Sub(c.writingSince) >= unreadWait:
+		w.unread.add(conn, now.Sub(c.writingSince))
+	case c.state == connClosed && !c.deliveredSince.IsZero() && now.Sub(c.deliveredSince) >= deliveredWait:
+		w.closing.add(conn, now.Sub(c.deliveredSince))
 	}
 }
 
@@ -144,23 +172,37 @@
 	return true
 }
 
-// waiting returns the state of the connection, and the times since which it waits for a request and for a part of a response to be written.
-func (c *Conn) waiting() (state connState, since, writingSince time.Time) {
+// refuse refuses the head that is being read on the connection, unless there is none or it has come.
+func (l *longestWait) refuse() bool { return l.conn != nil && l.conn.endStalledHead() }
+
+// waiting is what a connection waits for, and since when.
+type waiting struct {
+	state connState
+	// since is for a request or its head, writingSince for a part of a response to be written, deliveredSince for the caller to close its end.
+	since, writingSince, deliveredSince time.Time
+}
+
+func (c *Conn) waiting() waiting {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return waiting{c.state, c.waitingSince, c.writingSince, c.deliveredSince}
+}
+
+// hasManyBehind reports whether more bytes wait behind the request that is being served than a request of the own caller would bring at once.
+func (c *Conn) hasManyBehind() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state, c.waitingSince, c.writingSince
+	return c.state == connServing && c.framer.isBehind() && c.socket.unread() >= behindBytes
 }
 
-// closeUnread closes the connection, whose caller does not read the response.
+// closeUnread closes the connection, whose caller does not read the response, or sends on.
 func (c *Conn) closeUnread() {
 	c.reportClosed(MadeRoom)
 	// The write that is under way fails, and with it the request.
 	_ = c.Conn.Close()
 }
 
-// closeForRoom closes the connection if it waits for a request, or for the rest of its head.
+// closeForRoom closes the connection if it waits for a request.
 func (c *Conn) closeForRoom(now time.Time) bool {
-	return c.closeIf(now, MadeRoom, func() bool {
-		return (c.state == connNew || c.state == connReading || c.state == connIdle) && c.framer.phase != frameHeadEnded
-	})
+	return c.closeIf(now, MadeRoom, func() bool { return c.state == connNew || c.state == connIdle })
 }
--- a/chivecaller/close.go
+++ b/chivecaller/close.go
@@ -120,6 +120,7 @@
 		case tcpFinWait2:
 			if delivered.IsZero() {
 				delivered = now
+				c.setDelivered(now)
 			}
 			if now.Sub(delivered) > lingerTimeout {
 				return
@@ -130,6 +131,13 @@
 	}
 }
 
+// setDelivered states that the caller has got all that was sent.
+func (c *Conn) setDelivered(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deliveredSince = now
+}
+
 // deliveryInterval returns the time until the next check of a wait that has lasted for a time.
 func deliveryInterval(waited time.Duration) time.Duration {
 	return max(deliveryPollInterval, time.Duration(deliveryPollShare*float64(waited)))
--- a/chivecaller/conn.go
+++ b/chivecaller/conn.go
@@ -46,6 +46,8 @@
 	writeFailed bool
 	// writingSince is the time since which a part of a response waits to be written; zero if none does.
 	writingSince time.Time
+	// deliveredSince is the time since which the caller has got all that was sent and its end of the connection, zero before.
+	deliveredSince time.Time
 	// resets means that closing the connection resets it.
 	resets bool
 	// onEnd is called when the response to the current request has ended; nil if there is none.
--- a/chivecaller/conns.go
+++ b/chivecaller/conns.go
@@ -27,6 +27,8 @@
 	closed   bool
 	bounds   Bounds
 	counters boundCounters
+	// followedAt is when it was last looked at which connections have bytes behind their requests; only the goroutine that accepts uses it.
+	followedAt time.Time
 	// headLimit is the size of the largest head of a request in bytes; zero means no limit.
 	headLimit atomic.Int64
 	// onUnserved is told of connections that the node closes with bytes of another request; nil if nobody is.
--- a/chivecaller/head.go
+++ b/chivecaller/head.go
@@ -67,17 +67,26 @@
 }
 
 // endHead makes the reader of a head refuse it.
-func (c *Conn) endHead() {
+func (c *Conn) endHead() { c.endHeadIf(func() bool { return true }) }
+
+// endStalledHead makes the reader of a head refuse it, unless the head has come or its next bytes have; it returns whether it is refused.
+func (c *Conn) endStalledHead() bool {
+	return c.endHeadIf(func() bool { return c.framer.phase != frameHeadEnded && c.head.refusal == 0 && !c.socket.hasBytes() })
+}
+
+// endHeadIf makes the reader of a head refuse it if it matches, which is called with the lock held.
+func (c *Conn) endHeadIf(matches func() bool) (ends bool) {
 	c.mu.Lock()
-	isReading := c.state == connReading
-	if isReading {
+	ends = c.state == connReading && matches()
+	if ends {
 		c.head.refusal = http.StatusServiceUnavailable
 	}
 	c.mu.Unlock()
-	if isReading {
+	if ends {
 		// It fails only on a connection that has been closed.
 		_ = c.SetReadDeadline(time.Unix(1, 0))
 	}
+	return ends
 }
 
 // releaseHead returns the memory of the current request's head.
--- a/chivecaller/socket.go
+++ b/chivecaller/socket.go
@@ -6,6 +6,8 @@
 	"net"
 	"os"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // socket reads from a TCP connection only what belongs to the current request: it looks at what has come before it takes a part. One
@@ -124,6 +126,20 @@
 	return s.waiting(probe[:]) > 0
 }
 
+// unread returns the number of bytes that wait.
+func (s *socket) unread() (n int) {
+	if s == nil {
+		return 0
+	}
+	// An error means that the connection has been closed.
+	_ = s.raw.Control(func(fd uintptr) {
+		if waiting, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil {
+			n = waiting
+		}
+	})
+	return n
+}
+
 // tcpState is a state of the TCP protocol as the kernel numbers it.
 type tcpState int
 
--- a/chivememory/pool.go
+++ b/chivememory/pool.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// StallTime is how long a request must have brought nothing before it gives way to another one.
+	// StallTime is how long a request must have brought nothing before it gives way to one that needs its memory.
 	StallTime = time.Second
 	// slowTime is how long a request must have been arriving before it gives way although it brings something now and then.
 	slowTime = 10 * time.Second
@@ -85,7 +85,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for now := time.Now(); ; count++ {
-		victim := p.mostStalled(now)
+		victim := p.mostStalled(now, StallTime)
 		if victim == nil {
 			return count
 		}
@@ -93,11 +93,11 @@
 	}
 }
 
-// EndOne ends the request that has to give way first; it returns false if none has.
-func (p *Pool) EndOne() bool {
+// EndOne ends the request that has to give way first, of those that have brought nothing for a time or are slow; it returns false if none has.
+func (p *Pool) EndOne(stall time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	victim := p.victim(time.Now())
+	victim := p.victim(time.Now(), stall)
 	if victim == nil {
 		return false
 	}
@@ -119,7 +119,7 @@
 		limit -= int64(smallShare * float64(limit))
 	}
 	for p.used > limit-more {
-		victim := p.victim(now)
+		victim := p.victim(now, StallTime)
 		if victim == nil || victim == r {
 			p.counts.Refused++
 			return false
@@ -132,18 +132,19 @@
 	return true
 }
 
-// victim returns the arriving request that has stalled or, if none has, is the slowest; nil if none is slow either.
-func (p *Pool) victim(now time.Time) *Reservation {
-	if stalled := p.mostStalled(now); stalled != nil {
+// victim returns the arriving request that has brought nothing for the longest time or, if none has for a time, is the slowest; nil if none is
+// slow either.
+func (p *Pool) victim(now time.Time, stall time.Duration) *Reservation {
+	if stalled := p.mostStalled(now, stall); stalled != nil {
 		return stalled
 	}
 	return p.slowest(now)
 }
 
-// mostStalled returns the arriving request that has brought nothing for the longest time; nil if none has stalled.
-func (p *Pool) mostStalled(now time.Time) (victim *Reservation) {
+// mostStalled returns the arriving request that has brought nothing for the longest time; nil if none has for a time.
+func (p *Pool) mostStalled(now time.Time, stall time.Duration) (victim *Reservation) {
 	for r := range p.arriving {
-		if r.bytes > 0 && now.Sub(r.progressed) >= StallTime && (victim == nil || r.progressed.Before(victim.progressed)) {
+		if r.bytes > 0 && now.Sub(r.progressed) >= stall && (victim == nil || r.progressed.Before(victim.progressed)) {
 			victim = r
 		}
 	}
--- a/chivememory/pool_test.go
+++ b/chivememory/pool_test.go
@@ -111,7 +111,7 @@
 		}
 		trickle(9)
 		mustAdd(t, begin(pool, &newEnded), 30*kilobyte, false)
-		if pool.EndOne() {
+		if pool.EndOne(chivememory.StallTime) {
 			t.Error("a request was ended that is not slow")
 		}
 		trickle(1)
