Connections that have not been accepted have the smallest receive buffers

A node of 134 MB that did not run for two seconds held 123 to 133 MB beside 800 callers who sent bodies, 51 to 57 of them bytes that the kernel had received: a little more, and the machine ends the process when it wakes.

Cause: a connection got its buffer, the smaller the more are open, when it was accepted. Until then it had that of the listener, which was the largest one, and any number may wait there.

Now the listener's is the smallest, 64 KB; a connection that is accepted while few are open still gets 256 KB.

--- a/chivewire/receive.go
+++ b/chivewire/receive.go
@@ -34,10 +34,10 @@
 	}
 }
 
-// BoundListener sets the size of the buffers of connections until they have been accepted.
+// BoundListener sets the size of the buffers of connections until they have been accepted, which is the least one since any number may wait.
 func (b *ReceiveBuffers) BoundListener(listener net.Listener) {
 	control(listener, func(fd int) {
 		// A system without the option keeps its own sizes.
-		_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, b.Size(1))
+		_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, minReceiveBytes)
 	})
 }
