Log lines that wait, and refusals, are bounded in size

200 callers with requests whose token count is 12 KB of bytes that are no number took a node of 134 MB, whose log nobody read, to 139 MB. On the own interface a model's name of some megabytes came back in the refusal, several times as long.

Cause: a refusal quoted what it refused as a whole, each byte as up to five, in the response and in its line; and at most 1,024 lines wait to be written, however long they are.

Now a refusal quotes the first 40 bytes, as that of a field of a chat request did already (chiverequest.Shorten), and each queue holds 1 MB of lines; what is beyond is dropped and counted, as before.

--- a/chiveevent/output.go
+++ b/chiveevent/output.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// queueLines is the capacity of each queue of lines: at a few hundred bytes per line, well under a megabyte.
+	// queueLines is the capacity of each queue of lines, queueBytes the size of all lines in it: what callers send may make lines long.
 	queueLines = 1024
+	queueBytes = 1 << 20
 	// dropReportInterval is how often dropped lines are reported.
 	dropReportInterval = time.Second
 )
@@ -25,8 +26,8 @@
 // Warnings and errors have their own queue, so that the lines that explain a failure are the last to be dropped.
 type Output struct {
 	out     io.Writer
-	urgent  *chivering.Ring[[]byte]
-	normal  *chivering.Ring[[]byte]
+	urgent  *lineQueue
+	normal  *lineQueue
 	dropped atomic.Int64
 	done    sync.WaitGroup
 	cancel  context.CancelFunc
@@ -35,7 +36,7 @@
 // NewOutput returns an output and starts its goroutine.
 func NewOutput(out io.Writer) *Output {
 	ctx, cancel := context.WithCancel(context.Background())
-	o := &Output{out: out, urgent: chivering.New[[]byte](queueLines), normal: chivering.New[[]byte](queueLines), cancel: cancel}
+	o := &Output{out: out, urgent: newLineQueue(), normal: newLineQueue(), cancel: cancel}
 	o.done.Add(1)
 	go o.run(ctx)
 	return o
@@ -72,16 +73,16 @@
 	reported := int64(0)
 	for {
 		select {
-		case line := <-o.urgent.Ready():
-			o.write(line)
+		case line := <-o.urgent.lines.Ready():
+			o.write(o.urgent.taken(line))
 			continue
 		default:
 		}
 		select {
-		case line := <-o.urgent.Ready():
-			o.write(line)
-		case line := <-o.normal.Ready():
-			o.write(line)
+		case line := <-o.urgent.lines.Ready():
+			o.write(o.urgent.taken(line))
+		case line := <-o.normal.lines.Ready():
+			o.write(o.normal.taken(line))
 		case <-ticker.C:
 			reported = o.reportDropped(reported)
 		case <-ctx.Done():
@@ -94,10 +95,10 @@
 func (o *Output) flush() {
 	for {
 		select {
-		case line := <-o.urgent.Ready():
-			o.write(line)
-		case line := <-o.normal.Ready():
-			o.write(line)
+		case line := <-o.urgent.lines.Ready():
+			o.write(o.urgent.taken(line))
+		case line := <-o.normal.lines.Ready():
+			o.write(o.normal.taken(line))
 		default:
 			return
 		}
@@ -118,14 +119,38 @@
 // write writes a line; a write error is ignored, since there is no other place to report it.
 func (o *Output) write(line []byte) { _, _ = o.out.Write(line) }
 
+// lineQueue holds lines that wait to be written.
+type lineQueue struct {
+	lines *chivering.Ring[[]byte]
+	bytes atomic.Int64
+}
+
+func newLineQueue() *lineQueue { return &lineQueue{lines: chivering.New[[]byte](queueLines)} }
+
+// offer queues a line; it returns false if there is no room.
+func (q *lineQueue) offer(line []byte) bool {
+	size := int64(len(line))
+	if q.bytes.Add(size) <= queueBytes && q.lines.Offer(line) {
+		return true
+	}
+	q.bytes.Add(-size)
+	return false
+}
+
+// taken returns a line that was taken out of the queue.
+func (q *lineQueue) taken(line []byte) []byte {
+	q.bytes.Add(-int64(len(line)))
+	return line
+}
+
 type queueWriter struct {
 	output *Output
-	queue  *chivering.Ring[[]byte]
+	queue  *lineQueue
 }
 
 // Write queues a copy of the line, since the handler reuses its buffer.
 func (w queueWriter) Write(line []byte) (int, error) {
-	if !w.queue.Offer(append([]byte(nil), line...)) {
+	if !w.queue.offer(append([]byte(nil), line...)) {
 		w.output.dropped.Add(1)
 	}
 	return len(line), nil
--- a/chiveevent/output_test.go
+++ b/chiveevent/output_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"log/slog"
 	"strings"
 	"sync"
 	"testing"
@@ -56,6 +57,32 @@
 	}
 }
 
+// Guards against a process whose memory long lines fill that nobody reads.
+func TestStalledOutputHoldsABoundedNumberOfBytes(t *testing.T) {
+	const lines, lineBytes, heldBytes = 1000, 64 << 10, 1 << 20
+	out := &blockedWriter{release: make(chan struct{})}
+	output := chiveevent.NewOutput(out)
+	logger := output.Logger()
+	reason := slog.String("reason", strings.Repeat("a", lineBytes))
+	for range lines {
+		chiveevent.RequestRefused.Log(context.Background(), logger, reason)
+	}
+	before := output.Dropped()
+	held := (lines - before) * lineBytes
+	if held > heldBytes+lineBytes {
+		t.Errorf("%d bytes are held", held)
+	}
+	close(out.release)
+	for start := time.Now(); int64(len(out.text())) < held && time.Since(start) < 10*time.Second; {
+		time.Sleep(10 * time.Millisecond)
+	}
+	chiveevent.RequestRefused.Log(context.Background(), logger, reason)
+	if output.Dropped() != before {
+		t.Error("a line was dropped although all others had been written")
+	}
+	output.Close(time.Second)
+}
+
 func BenchmarkLogLine(b *testing.B) {
 	output := chiveevent.NewOutput(&bytes.Buffer{})
 	defer output.Close(time.Second)
--- a/chiveforward/request_url.go
+++ b/chiveforward/request_url.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/url"
 	"strings"
+
+	"chivedrift/chiverequest"
 )
 
 // requestURL returns a URL for which net/http sends a target byte for byte as it was received: decoding and encoding it could
@@ -20,7 +22,7 @@
 	}
 	u := &url.URL{Scheme: "http", Host: address, Path: path, RawPath: rawPath, RawQuery: query, ForceQuery: hasQuery}
 	if sent := u.RequestURI(); sent != target {
-		return nil, fmt.Errorf("request target: %q would be sent as %q", target, sent)
+		return nil, fmt.Errorf("request target: %q would be sent as %q", chiverequest.Shorten(target), chiverequest.Shorten(sent))
 	}
 	return u, nil
 }
--- a/chivegate/gateway.go
+++ b/chivegate/gateway.go
@@ -315,7 +315,7 @@
 	if !ok || pool.Kind != kind {
 		return nil, &failure{
 			status: http.StatusNotFound, errorType: errorTypeInvalid, code: code,
-			message: fmt.Sprintf("no %s %q; see GET %s", kind, name, pathModels), outcome: chivedispatch.NotRun,
+			message: fmt.Sprintf("no %s %q; see GET %s", kind, chiverequest.Shorten(name), pathModels), outcome: chivedispatch.NotRun,
 		}
 	}
 	return pool, nil
@@ -339,7 +339,7 @@
 func (g *Gate) serveNotFound(w http.ResponseWriter, r *http.Request) {
 	a := &admittedRequest{id: g.newRequestID()}
 	g.refuse(w, r, a, &failure{
-		status: http.StatusNotFound, errorType: errorTypeInvalid, code: "unknown_path", message: fmt.Sprintf("no %s %s here", r.Method, r.URL.Path),
+		status: http.StatusNotFound, errorType: errorTypeInvalid, code: "unknown_path", message: fmt.Sprintf("no %s %s here", chiverequest.Shorten(r.Method), chiverequest.Shorten(r.URL.Path)),
 		outcome: chivedispatch.NotRun,
 	})
 }
--- a/chivegate/gateway_test.go
+++ b/chivegate/gateway_test.go
@@ -153,6 +153,8 @@
 		{"max_tokens too large", chat, `{"model":"m","messages":[1],"max_tokens":99999999}`, nil, 400, "invalid_field", "max_tokens"},
 		{"field reserved for the router", chat, `{"model":"m","messages":[1],"priority":0}`, nil, 400, "invalid_field", "set by the router"},
 		{"unknown model", chat, `{"model":"x","messages":[1]}`, nil, 404, "model_not_found", `"x"`},
+		{"unknown model with a long name", chat, `{"model":"` + strings.Repeat("x", 1000) + `","messages":[1]}`, nil, 404, "model_not_found", `"` + strings.Repeat("x", 40) + `..."`},
+		{"unknown path, long", "/" + strings.Repeat("x", 1000), good, nil, 404, "unknown_path", strings.Repeat("x", 39) + "... here"},
 		{"service as model", chat, `{"model":"s","messages":[1]}`, nil, 404, "model_not_found", `"s"`},
 		{"unknown service", "/services/none/x", "", nil, 404, "service_not_found", `"none"`},
 		{"unknown path", "/v2/chat", good, nil, 404, "unknown_path", "/v2/chat"},
--- a/chivegate/request.go
+++ b/chivegate/request.go
@@ -12,6 +12,7 @@
 	"unicode/utf8"
 
 	"chivedrift/chiveconfig"
+	"chivedrift/chiverequest"
 	"chivedrift/chivetime"
 
 	"github.com/cespare/xxhash/v2"
@@ -131,7 +132,7 @@
 		return nil
 	}
 	if err := json.Unmarshal(raw, value); err != nil {
-		return newInvalidRequest("invalid_field", fmt.Sprintf("field %q: expected %s, found %s", name, typeDescription(value), truncate(raw)))
+		return newInvalidRequest("invalid_field", fmt.Sprintf("field %q: expected %s, found %s", name, typeDescription(value), chiverequest.Shorten(raw)))
 	}
 	return nil
 }
@@ -146,15 +147,6 @@
 	return "a whole number"
 }
 
-const maxQuotedBytes = 40
-
-func truncate(raw []byte) string {
-	if len(raw) > maxQuotedBytes {
-		return string(raw[:maxQuotedBytes]) + "..."
-	}
-	return string(raw)
-}
-
 // canAssemble reports whether a response that is not streamed to the caller can be assembled from a stream of the
 // engine, which can be resumed. Requests for anything but a single plain text are sent to the engine as not streamed
 // and cannot be resumed.
@@ -185,7 +177,7 @@
 	}
 	ms, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || ms < 1 || ms > maxTimeout.Milliseconds() {
-		return 0, newInvalidRequest("invalid_timeout", fmt.Sprintf("header %s: expected milliseconds from 1 to %d, found %q", HeaderTimeout, maxTimeout.Milliseconds(), text))
+		return 0, newInvalidRequest("invalid_timeout", fmt.Sprintf("header %s: expected milliseconds from 1 to %d, found %q", HeaderTimeout, maxTimeout.Milliseconds(), chiverequest.Shorten(text)))
 	}
 	return chivetime.StatedWait(float64(ms)), nil
 }
@@ -210,7 +202,7 @@
 	}
 	class, ok := config.Class(name)
 	if !ok {
-		return nil, newInvalidRequest("unknown_class", fmt.Sprintf("header %s: no class %q; the classes are %s", HeaderClass, name, classNames(config)))
+		return nil, newInvalidRequest("unknown_class", fmt.Sprintf("header %s: no class %q; the classes are %s", HeaderClass, chiverequest.Shorten(name), classNames(config)))
 	}
 	return class, nil
 }
