A caller that has its refusal is not reported as closed, nor counted twice

Now it is closed without a line, and chosen once. The times of a waiting connection have names of their own.

--- a/chivecaller/bounds.go
+++ b/chivecaller/bounds.go
@@ -86,7 +86,7 @@
 	for _, conn := range conns {
 		w.add(conn, now)
 	}
-	if len(conns) >= c.bounds.Connections+closingSlack && !w.closing.cut() {
+	if len(conns) >= c.bounds.Connections+closingSlack && !w.closing.discard() {
 		return false
 	}
 	if w.inUse < c.bounds.Connections {
@@ -130,22 +130,22 @@
 }
 
 func (w *waits) add(conn *Conn, now time.Time) {
-	c := conn.waiting()
-	if c.state != connClosed {
+	since := conn.waiting()
+	if since.state != connClosed {
 		w.inUse++
 	}
-	wait := now.Sub(c.since)
+	wait := now.Sub(since.request)
 	switch {
-	case c.state == connNew && wait >= firstBytesWait:
+	case since.state == connNew && wait >= firstBytesWait:
 		w.first.add(conn, wait)
-	case c.state == connReading && wait >= headWait:
+	case since.state == connReading && wait >= headWait:
 		w.head.add(conn, wait)
-	case c.state == connIdle && wait >= idleWait:
+	case since.state == connIdle && wait >= idleWait:
 		w.next.add(conn, wait)
-	case c.state == connServing && !c.writingSince.IsZero() && now.Sub(c.writingSince) >= unreadWait:
-		w.unread.add(conn, now.Sub(c.writingSince))
-	case c.state == connClosed && !c.deliveredSince.IsZero() && now.Sub(c.deliveredSince) >= deliveredWait:
-		w.closing.add(conn, now.Sub(c.deliveredSince))
+	case since.state == connServing && !since.writing.IsZero() && now.Sub(since.writing) >= unreadWait:
+		w.unread.add(conn, now.Sub(since.writing))
+	case since.state == connClosed && !since.delivered.IsZero() && now.Sub(since.delivered) >= deliveredWait:
+		w.closing.add(conn, now.Sub(since.delivered))
 	}
 }
 
@@ -173,14 +173,26 @@
 	return true
 }
 
+// discard closes the connection, whose caller has got all that was sent, unless there is none.
+func (l *longestWait) discard() bool {
+	if l.conn == nil {
+		return false
+	}
+	l.conn.setDelivered(time.Time{})
+	// Its caller was told of the end before.
+	_ = l.conn.Conn.Close()
+	return true
+}
+
 // refuse refuses the head that is being read on the connection, unless there is none or it has come.
 func (l *longestWait) refuse() bool { return l.conn != nil && l.conn.endStalledHead() }
 
-// waiting is what a connection waits for, and since when.
+// waiting is the state of a connection, and since when it waits.
 type waiting struct {
 	state connState
-	// since is for a request or its head, writingSince for a part of a response to be written, deliveredSince for the caller to close its end.
-	since, writingSince, deliveredSince time.Time
+	// request is for a request or the rest of its head, writing for a part of a response to be written, delivered for the caller to close its
+	// end; the last two are zero if it does not.
+	request, writing, delivered time.Time
 }
 
 func (c *Conn) waiting() waiting {
@@ -189,7 +201,7 @@
 	return waiting{c.state, c.waitingSince, c.writingSince, c.deliveredSince}
 }
 
-// hasManyBehind reports whether more bytes wait behind the request that is being served than a request of the own caller would bring at once.
+// hasManyBehind reports whether more bytes wait behind the request that is being served than a caller sends that waits for its response.
 func (c *Conn) hasManyBehind() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/chivecaller/close.go
+++ b/chivecaller/close.go
@@ -131,7 +131,7 @@
 	}
 }
 
-// setDelivered states that the caller has got all that was sent.
+// setDelivered sets the time at which the caller had got all that was sent.
 func (c *Conn) setDelivered(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
