--- a/chivecaller/bounds.go
+++ b/chivecaller/bounds.go
@@ -179,7 +179,7 @@
 		return false
 	}
 	l.conn.setDelivered(time.Time{})
-	// Its caller was told of the end before.
+	// The response has announced the end to its caller.
 	_ = l.conn.Conn.Close()
 	return true
 }
