--- a/review/_two/joined.go
+++ b/review/_two/joined.go
@@ -16,7 +16,7 @@
 	joinedFor   = 12 * time.Second
 	joinedEvery = 25 * time.Millisecond
 	// spoiltPart is one in how many answers of the faulty replica have bytes behind them.
-	spoiltPart    = 34
+	spoiltPart    = 20
 	lastOfAnswers = 8
 )
 
