--- a/review/_two/main.go
+++ b/review/_two/main.go
@@ -20,6 +20,7 @@
 		"versions": playVersions,
 		"era":      playEra,
 		"joined":   playJoined,
+		"rejoin":   playRejoin,
 	}
 	if len(os.Args) != argsPerCase || plays[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "two: expected a case and its folder")
--- a/review/_two/versions.go
+++ b/review/_two/versions.go
@@ -43,6 +43,10 @@
 	id      string
 	replica *stand.ByteReplica
 
+	// events and interval are those of its streams.
+	events   int
+	interval time.Duration
+
 	mu       sync.Mutex
 	version  string
 	conns    map[net.Conn]struct{}
@@ -87,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{w: w, id: id, version: oldVersion, conns: make(map[net.Conn]struct{})}
+	e := &engine{w: w, id: id, events: streamEvents, interval: eventInterval, version: oldVersion, conns: make(map[net.Conn]struct{})}
 	e.listener = trackedListener{listener, e}
 	e.replica = stand.NewByteReplica(w.store, e.listener, id, engineService, e.answer)
 	return e, nil
@@ -134,11 +138,11 @@
 	if !c.Send(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n%s: %s\r\n%s: seal-%s-%s\r\n\r\n", names["attempt"], attempt, names["seal"], e.id, attempt)) {
 		return false
 	}
-	for i := after + 1; i <= streamEvents; i++ {
+	for i := after + 1; i <= e.events; i++ {
 		if !c.Send(stand.ByteChunk(fmt.Sprintf("id: %d\ndata: piece %d by %s\n\n", i, i, version))) {
 			return false
 		}
-		time.Sleep(eventInterval)
+		time.Sleep(e.interval)
 	}
 	return c.Send("0\r\n\r\n")
 }
