--- a/review/_two/versions.go
+++ b/review/_two/versions.go
@@ -20,7 +20,7 @@
 	upgradedCount = 2
 	streamEvents  = 30
 	eventInterval = 100 * time.Millisecond
-	streamsPerS   = 18
+	streamsPerS   = 20
 	clientWait    = 8 * time.Second
 	quietFor      = 10 * time.Second
 	storeDownFor  = 6 * time.Second
@@ -28,6 +28,9 @@
 	crashAfter    = 200 * time.Millisecond
 	afterwards    = 5 * time.Second
 	mostMixed     = 2
+	// busyFor is how long clients send all streams, sparePart the part of them that they send from then on.
+	busyFor   = quietFor + storeDownFor - 800*time.Millisecond
+	sparePart = 5
 	// sessions is the number of shared parts of prompts.
 	sessions       = 24
 	oldVersion     = "v1"
@@ -233,13 +236,16 @@
 		mu                    sync.Mutex
 		sent, complete, mixed int
 	)
-	ticker := time.NewTicker(time.Second / streamsPerS)
+	ticker, began, ticks := time.NewTicker(time.Second/streamsPerS), time.Now(), 0
 	defer ticker.Stop()
 	for isOver := false; !isOver; {
 		select {
 		case <-done:
 			isOver = true
 		case <-ticker.C:
+			if ticks++; time.Since(began) > busyFor && ticks%sparePart != 0 {
+				continue
+			}
 			sent++
 			node, attempt, session := w.nodes[sent%len(w.nodes)].callers, fmt.Sprintf("a%06d", sent), fmt.Sprintf("5e%02x", sent%sessions)
 			clients.Go(func() {
