--- a/review/_two/era.go
+++ b/review/_two/era.go
@@ -1,9 +1,13 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/httputil"
+	"net/url"
 	"os"
 	"strconv"
 	"strings"
@@ -70,6 +74,26 @@
 	return nil
 }
 
+// recordCalls serves the platform's interface for duties at another address and records each call.
+func (w *world) recordCalls(cloud *stand.Cloud) (address string, err error) {
+	listener, err := listen()
+	if err != nil {
+		return "", err
+	}
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: cloud.Address()})
+	server := &http.Server{ReadHeaderTimeout: startBound, Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		w.note("platform gets %s from %s under token %s: %s", r.URL.Path, r.Header.Get(w.names["holder"]), r.Header.Get(w.names["token"]), body)
+		proxy.ServeHTTP(rw, r)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
 // sendPlain sends a plain request and returns the status of the answer; 0 if there was none.
 func (w *world) sendPlain(node, path, attempt string) int {
 	ctx, cancel := context.WithTimeout(context.Background(), deskWait)
@@ -103,7 +127,12 @@
 	}
 	cloud := stand.NewCloud()
 	defer cloud.Close()
-	w.moreSettings = fmt.Sprintf(duties, cloud.Address())
+	calls, err := w.recordCalls(cloud)
+	if err != nil {
+		w.say("%v", err)
+		return caseNotRun
+	}
+	w.moreSettings = fmt.Sprintf(duties, calls)
 	var replicas []*stand.Replica
 	for i := range deskReplicas {
 		replicas = append(replicas, stand.NewReplica(w.store, fmt.Sprintf("i-d%d", i+1), deskService, "z0"))
@@ -137,7 +166,10 @@
 				return
 			case <-time.After(requestEvery):
 				sent.Add(1)
-				if w.sendPlain(w.nodes[i%len(w.nodes)].callers, deskRoute+"x", fmt.Sprintf("b%06d", i)) == http.StatusOK {
+				node, attempt := w.nodes[i%len(w.nodes)], fmt.Sprintf("b%06d", i)
+				status := w.sendPlain(node.callers, deskRoute+"x", attempt)
+				w.note("client sent %s to %s and got status %d", attempt, node.name, status)
+				if status == http.StatusOK {
 					served.Add(1)
 				}
 			}
@@ -166,6 +198,9 @@
 		w.note("VIOLATION %s", v)
 	}
 	w.note("windows reported: %v", cloud.Usage())
+	for i, r := range replicas {
+		w.note("replica i-d%d ran %d requests", i+1, len(r.Ran()))
+	}
 	w.say("%d requests sent, %d served, %d windows reported, %d violations: %v", sent.Load(), served.Load(), len(cloud.Usage()), len(cloud.Violations()), cloud.Violations())
 	switch {
 	case len(cloud.Violations()) > 0:
