--- a/review/_two/joined.go
+++ b/review/_two/joined.go
@@ -13,10 +13,14 @@
 )
 
 const (
-	joinedFor   = 12 * time.Second
-	joinedEvery = 25 * time.Millisecond
-	// spoiltPart is one in how many answers of the faulty replica have bytes behind them.
-	spoiltPart    = 20
+	joinedFor   = 24 * time.Second
+	joinedEvery = 16 * time.Millisecond
+	// Replicas are faulty for spoilFor in each spoilEvery.
+	spoilFor, spoilEvery = 5 * time.Second, 8 * time.Second
+	// faultyCount of joinedCount replicas are faulty; spoiltPart is one in how many of their answers have bytes behind them.
+	joinedCount   = 5
+	faultyCount   = 3
+	spoiltPart    = 34
 	lastOfAnswers = 8
 )
 
@@ -27,21 +31,20 @@
 	bodies map[string]string
 	// last are the answers that were sent last, with a length.
 	last []string
-	// faulty is the id of the replica that spoils answers, runs the number of requests that it has run.
-	faulty string
-	runs   int
+	// runs is the number of requests that each faulty replica has run, by its id.
+	runs map[string]int
 }
 
-// answer sends an answer that has no length and ends with its channel. Behind one in spoiltPart the faulty replica sends the answer to an
+// answer sends an answer that has no length and ends with its channel. Behind one in spoiltPart a faulty replica sends the answer to an
 // earlier request again.
 func (j *joinedWorld) answer(_ *stand.ByteReplica, c *stand.ByteConn, request *http.Request) (keep bool) {
 	attempt, id := request.Header.Get(j.names["attempt"]), request.Header.Get(j.names["expect"])
 	body := fmt.Sprintf("record of %s: %s\n", attempt, strings.Repeat("x", 600))
 	j.mu.Lock()
 	isSpoilt := false
-	if id == j.faulty {
-		j.runs++
-		isSpoilt = j.trouble && j.runs%spoiltPart == 0 && len(j.last) > 0
+	if runs, isFaulty := j.runs[id]; isFaulty {
+		j.runs[id]++
+		isSpoilt = j.trouble && time.Since(j.began)%spoilEvery < spoilFor && (runs+1)%spoiltPart == 0 && len(j.last) > 0
 	}
 	j.bodies[attempt] = body
 	extra := ""
@@ -78,19 +81,23 @@
 	return response.StatusCode, string(data), err
 }
 
-// playJoined has replicas send answers without a length, and one of three an earlier answer again behind some of them.
+// playJoined has replicas send answers without a length, and three of five an earlier answer again behind some of them.
 func playJoined(w *world) int {
-	j := &joinedWorld{world: w, bodies: make(map[string]string), faulty: "i-d1"}
+	j := &joinedWorld{world: w, bodies: make(map[string]string), runs: make(map[string]int)}
 	w.store.Publish(1, []stand.Route{
 		{Name: "status", Host: host, Prefix: deskRoute, Kind: w.names["kindunsafe"], Backend: deskService, TimeoutMs: 1000, TargetMs: 150},
 	}, map[string][]string{clientTeam: {clientKey}})
-	for i := range deskReplicas {
+	for i := range joinedCount {
 		listener, err := listen()
 		if err != nil {
 			w.say("%v", err)
 			return caseNotRun
 		}
-		stand.NewByteReplica(w.store, listener, fmt.Sprintf("i-d%d", i+1), deskService, j.answer)
+		id := fmt.Sprintf("i-d%d", i+1)
+		if i < faultyCount {
+			j.runs[id] = 0
+		}
+		stand.NewByteReplica(w.store, listener, id, deskService, j.answer)
 	}
 	w.addNodes(2)
 	if err := w.startAll(); err != nil {
