Refuse heads of responses whose field names are no tokens, and folded lines

Callers saw: an endpoint's response whose head held a blank in the name of a field came as a 200. With "Transfer-Encoding : chunked" the body was the raw chunks, with "Content-Length : 4" whatever came until the connection ended, with "Id : 42" or a receipt's field written like that the field was missing; a line that begins with a blank was added to the value of the field before.

Cause: net/textproto accepts a blank in a field's name and leaves the name as it is, so that all that asks for the field by name, net/http's own framing included, does not see it. A folded line is joined before anyone sees the header.

Fix: chivewire.HeadCheck reads the bytes of a head as they come from the connection, of interim responses too, and refuses names that are no tokens (RFC 9110, 5.6.2) and folded lines (RFC 9112, 5.2). The read of the connection fails, so that net/http returns no response: the connection is closed, nothing that the head states is used, and the attempt counts as broken off, as with all other heads that are refused. Late copies on kept connections are checked too, before their framing is used to find the next response.

--- a/chiveforward/connection.go
+++ b/chiveforward/connection.go
@@ -75,6 +75,8 @@
 	reused bool
 	// arrival is how long the present head or event has been arriving.
 	arrival arrival
+	// awaitsHead means that a request was assigned and the head of its response has not ended.
+	awaitsHead atomic.Bool
 	// isLate recognizes late responses while a request waits for its own; nil otherwise. late counts them.
 	isLate      atomic.Pointer[isLateFunc]
 	late        atomic.Int64
@@ -190,6 +192,8 @@
 	connection *connection
 	// held are received bytes that were not read yet.
 	held []byte
+	// head checks the head of the present response.
+	head chivewire.HeadCheck
 }
 
 // Write marks the request as sent before it writes, so that a write that fails part-way still counts.
--- a/chiveforward/late_response.go
+++ b/chiveforward/late_response.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"chivedrift/chiverequest"
+	"chivedrift/chivewire"
 )
 
 // maxLateBytes limits the body of a response to an earlier request that is discarded while one waits for its own.
@@ -30,6 +31,7 @@
 // arrives.
 func (c *connection) expect(dialect chiverequest.EndpointDialect, request *chiverequest.Request) {
 	c.late.Store(0)
+	c.awaitsHead.Store(true)
 	if !c.reused {
 		return
 	}
@@ -47,8 +49,24 @@
 	return a.connection.late.Load()
 }
 
-// Read receives bytes from the endpoint, without late responses.
+// Read receives bytes from the endpoint, without late responses. A malformed head is an error.
 func (c *trackedConn) Read(data []byte) (int, error) {
+	n, err := c.readOwn(data)
+	if n == 0 || !c.connection.awaitsHead.Load() {
+		return n, err
+	}
+	ended, headErr := c.head.Check(data[:n])
+	if headErr != nil {
+		return 0, headErr
+	}
+	if ended {
+		c.connection.awaitsHead.Store(false)
+	}
+	return n, err
+}
+
+// readOwn receives bytes from the endpoint, without late responses.
+func (c *trackedConn) readOwn(data []byte) (int, error) {
 	if len(c.held) > 0 {
 		if c.connection.rejectsReceived() {
 			return 0, errUnsolicited
@@ -120,6 +138,9 @@
 			return recorder.bytes, nil
 		}
 		c.connection.late.Add(1)
+		if err := checkHead(recorder.bytes[:len(recorder.bytes)-reader.Buffered()]); err != nil {
+			return nil, fmt.Errorf("late response: %w", err)
+		}
 		if !chiverequest.FramingOf(response).ProvesEnd() {
 			return nil, errLateEndless
 		}
@@ -138,6 +159,13 @@
 	}
 }
 
+// checkHead checks the head of a response and of the interim ones before it.
+func checkHead(head []byte) error {
+	var check chivewire.HeadCheck
+	_, err := check.Check(head)
+	return err
+}
+
 // statusLineBytes is the length of a status line up to its code.
 const statusLineBytes = len("HTTP/1.1 200")
 
