Write the preamble of a connection through a peer before the request

Callers saw: on a busy node, a request that goes through a peer could reach its endpoint without its first byte and with a line feed inside: "equest\n" in place of "request". The endpoint then answers 400 or closes the connection, and what it makes of such a head is up to it.

Cause: the preamble was written to the tunnel's pipe by a goroutine of its own. If that ran only after the peer's response had come and the connection was in use, the request's first bytes went before it, and the peer took the first one for the preamble.

Fix: the preamble is the first part of the body's reader, so that nothing can go before it.

The tests of resets during uploads through a peer found it: the endpoint got 7 other bytes.

--- a/chiverelay/tunnel.go
+++ b/chiverelay/tunnel.go
@@ -1,6 +1,7 @@
 package chiverelay
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -47,15 +48,12 @@
 		// After the peer has closed the connection, RoundTrip returns only once the request's body has ended.
 		_ = writer.CloseWithError(net.ErrClosed)
 	})
-	request, err := http.NewRequestWithContext(tunnelCtx, http.MethodPost, "http://"+peer.RelayAddress+tunnelPath+address, reader)
+	body := tunnelBody{io.MultiReader(bytes.NewReader([]byte{preamble}), reader), reader}
+	request, err := http.NewRequestWithContext(tunnelCtx, http.MethodPost, "http://"+peer.RelayAddress+tunnelPath+address, body)
 	if err != nil {
 		cancel()
 		return nil, fmt.Errorf("relay: %w", err)
 	}
-	go func() {
-		// If the write fails, the request has ended, and its error says why.
-		_, _ = writer.Write([]byte{preamble})
-	}()
 	response, err := s.transport.RoundTrip(request)
 	if err == nil && response.StatusCode != http.StatusOK {
 		err = &peerError{peer.Address, response.StatusCode}
@@ -77,6 +75,12 @@
 	return &tunnel{service: s, peer: peer.Address, address: address, body: response.Body, writer: writer, cancel: cancel}, nil
 }
 
+// tunnelBody is the body of the request for a tunnel: the preamble, and what is written to the tunnel.
+type tunnelBody struct {
+	io.Reader
+	io.Closer
+}
+
 // tunnel is a connection to an endpoint through a peer.
 type tunnel struct {
 	service *Service
