Tell a connection's end in order from a reset that a write in progress has taken

Callers saw: an endpoint answers a long upload early with a 200 without a length, sends a part of its body and resets the connection while the upload is still being written. The caller got the part as a whole response; through a peer as well.

Cause: the kernel returns the error of a reset once. A write that is in progress takes it, and the read that follows returns 0 bytes, which is io.EOF: the end of a body without a length. A peer passed this end on as one in order.

Fix: the connections that chivewire.TCP opens keep the error that a write got. If a read finds the end and the kernel has closed the socket (TCP_INFO), it waits for the write in progress, which returns at once on such a socket, and returns its error instead. After an end in order the socket stays half open, so that a whole response that comes early is passed on without waiting for the rest of the upload; if the endpoint then resets because it reads nothing more, writes get EPIPE, which does not count. All readers of responses have their connections from there, peers too.

Evidence: the tests' endpoint has segments of 1,400 bytes and a receive buffer of 32 KB, and uploads have 8 MB. Early responses that end in order are passed on as before, straight and through a peer, also if the endpoint reads the upload slowly or not at all (TestEndDuringAnUploadIsAnEndOfResponse, TestEndDuringAnUploadIsAnEndOfTheResponse).

--- a/chiverelay/service_test.go
+++ b/chiverelay/service_test.go
@@ -75,6 +75,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return startEndpointAt(t, listener)
+}
+
+// startEndpointAt starts an endpoint that accepts connections at a listener.
+func startEndpointAt(t *testing.T, listener net.Listener) *endpoint {
+	t.Helper()
 	t.Cleanup(func() { listener.Close() })
 	e := &endpoint{address: listener.Addr().String(), conns: make(chan net.Conn, 64)}
 	go func() {
--- a/chivewire/network.go
+++ b/chivewire/network.go
@@ -56,7 +56,11 @@
 // Dial connects to an IP:port address over TCP.
 func (TCP) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	dialer := net.Dialer{KeepAliveConfig: keepAliveConfig(), Control: setUserTimeout}
-	return dialer.DialContext(ctx, "tcp", address) //nolint:wrapcheck // net's errors name the address
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err //nolint:wrapcheck // net's errors name the address
+	}
+	return newTCPConn(conn)
 }
 
 // Dialer returns a dial function for net/http transports that times out after one second.
