Refuse responses whose status is not one of 100 to 599

Callers saw: an endpoint's status 600 or 999, as that of a response, on all kinds of routes.

Cause: net/http takes any three digits for a status. Below 200 the forwarder refused them already; above 599 nothing did.

Fix: HeadCheck reads the status and refuses what is none by RFC 9110, section 15. As with other broken heads, the connection is closed, nothing that the head states is used, and the attempt counts as broken off: requests that may run only once get 502, others go to another endpoint.

Evidence: before, 8 of 20 cases of TestStatusThatIsNoneIsNoResponse failed, all with 600 and 999; 000, 007 and 099 were refused. A late copy with status 000 does not hide the response behind it: it fails the request, before this commit too (TestStatusThatIsNoneOfALateResponse; 2 of 9 cases failed before, with 600). Fuzzing for 15 s found nothing.

--- a/chiveforward/broken_head_test.go
+++ b/chiveforward/broken_head_test.go
@@ -75,9 +75,9 @@
 	}
 }
 
-// Guards against a status that is none, such as 000, and that callers get as a response's.
+// Guards against a status that is none, such as 000 and 600, and that callers get as a response's.
 func TestStatusThatIsNoneIsNoResponse(t *testing.T) {
-	for _, status := range []string{"000", "007", "099"} {
+	for _, status := range []string{"000", "007", "099", "600", "999"} {
 		for kind, route := range routeKinds {
 			t.Run(status+", "+kind, func(t *testing.T) {
 				for _, framing := range []string{sized, "Transfer-Encoding: chunked\r\n", ""} {
@@ -125,25 +125,38 @@
 	}
 }
 
+// checkLate checks that a request fails at once whose response comes behind a broken one to an earlier request.
+func checkLate(t *testing.T, late string) {
+	t.Helper()
+	e := newEndpoint(t, func(conn net.Conn, request *http.Request, body string) {
+		if request.Header.Get("Id") != "41" {
+			write(conn, late)
+		}
+		echo(conn, request, body)
+	})
+	s := newFixture(t, chivetable.Route{Attempts: 1}, e.registration("one"))
+	first := s.request(http.MethodPost, "first")
+	first.ID = "41"
+	s.run(first)
+	start := time.Now()
+	result, c := s.run(s.request(http.MethodPost, "second"))
+	if took := time.Since(start); result.Outcome != chiveforward.Unknown || c.status != 0 || took > time.Second {
+		t.Errorf("%+v, body %q after %v", result, c.body, took)
+	}
+}
+
 // Guards against a late copy with a broken head, behind which a caller gets bytes that are no response to its request.
 func TestBrokenHeadOfALateResponse(t *testing.T) {
 	for name, broken := range blankedFields {
-		t.Run(name, func(t *testing.T) {
-			e := newEndpoint(t, func(conn net.Conn, request *http.Request, body string) {
-				if request.Header.Get("Id") != "41" {
-					write(conn, "HTTP/1.1 200 OK\r\nId: 41\r\n"+broken.fields+"\r\n"+broken.body)
-				}
-				echo(conn, request, body)
-			})
-			s := newFixture(t, chivetable.Route{Attempts: 1}, e.registration("one"))
-			first := s.request(http.MethodPost, "first")
-			first.ID = "41"
-			s.run(first)
-			start := time.Now()
-			result, c := s.run(s.request(http.MethodPost, "second"))
-			if took := time.Since(start); result.Outcome != chiveforward.Unknown || c.status != 0 || took > time.Second {
-				t.Errorf("%+v, body %q after %v", result, c.body, took)
-			}
-		})
+		t.Run(name, func(t *testing.T) { checkLate(t, "HTTP/1.1 200 OK\r\nId: 41\r\n"+broken.fields+"\r\n"+broken.body) })
+	}
+}
+
+// Guards against a late copy whose status is none and that is taken for an interim response, or hides the response behind it.
+func TestStatusThatIsNoneOfALateResponse(t *testing.T) {
+	for _, status := range []string{"000", "099", "600"} {
+		for name, rest := range map[string]string{"without a body": "\r\n", "with a body": sized + "\r\nbody", "in chunks": "Transfer-Encoding: chunked\r\n\r\n" + chunkedBody} {
+			t.Run(status+", "+name, func(t *testing.T) { checkLate(t, "HTTP/1.1 "+status+" Any\r\nId: 41\r\n"+rest) })
+		}
 	}
 }
--- a/chivewire/head.go
+++ b/chivewire/head.go
@@ -13,6 +13,7 @@
 var (
 	errFieldName = fmt.Errorf("%w: name of a field is no token", ErrHead)
 	errFolded    = fmt.Errorf("%w: line begins with a blank", ErrHead)
+	errStatus    = fmt.Errorf("%w: status is not one of %d to %d", ErrHead, http.StatusContinue, maxStatus)
 )
 
 // headPart is the part of a head to which its next byte belongs.
@@ -21,19 +22,25 @@
 const (
 	partVersion headPart = iota
 	partStatus
-	partReason
 	partLineStart
 	partName
-	partValue
-	// partEnd is the line feed of the empty line.
-	partEnd
+	// partRest is the rest of a line, which is not checked.
+	partRest
+	// partLastFeed is the line feed behind the carriage return of the empty line.
+	partLastFeed
+	// partBody is no part of the head.
+	partBody
 )
 
-// statusDigits is the number of digits of a status.
-const statusDigits = 3
+const (
+	// statusDigits is the number of digits of a status, and maxStatus the highest one.
+	statusDigits = 3
+	maxStatus    = 599
+)
 
-// HeadCheck checks heads of responses as they arrive. It refuses field names that are no tokens, and folded lines: net/http ignores a
-// field with a blank in its name, also one that says where the body ends, and joins a folded line to the value before.
+// HeadCheck checks heads of responses as they arrive. It refuses statuses that are none, field names that are no tokens, and folded lines:
+// net/http takes any three digits for a status, ignores a field with a blank in its name, also one that says where the body ends, and
+// joins a folded line to the value before.
 type HeadCheck struct {
 	part headPart
 	// digits is the number of those of the status that were read.
@@ -44,43 +51,46 @@
 // Check checks further bytes of a response, and of the interim responses before it. It reports whether its head has ended; the bytes
 // behind it are not checked, and the next ones are those of another response. The error wraps ErrHead.
 func (h *HeadCheck) Check(data []byte) (ended bool, err error) {
-	for i := 0; i < len(data); i++ {
-		b := data[i]
-		switch h.part {
-		case partVersion:
-			h.checkVersion(b)
-		case partStatus:
-			h.checkStatus(b)
-		case partReason, partValue:
-			end := bytes.IndexByte(data[i:], '\n')
-			if end < 0 {
+	for len(data) > 0 {
+		if h.part == partRest {
+			_, rest, found := bytes.Cut(data, []byte{'\n'})
+			if !found {
 				return false, nil
 			}
-			i += end
-			h.part = partLineStart
-		case partLineStart:
-			if err := h.checkLineStart(b); err != nil {
-				return false, err
-			}
-			if b == '\n' && h.end() {
-				return true, nil
-			}
-		case partName:
-			if err := h.checkName(b); err != nil {
-				return false, err
-			}
-		case partEnd:
-			if b != '\n' {
-				return false, errFieldName
-			}
-			if h.end() {
-				return true, nil
-			}
+			h.part, data = partLineStart, rest
+			continue
+		}
+		if err := h.checkByte(data[0]); err != nil {
+			return false, err
+		}
+		data = data[1:]
+		if h.part == partBody && h.end() {
+			return true, nil
 		}
 	}
 	return false, nil
 }
 
+func (h *HeadCheck) checkByte(b byte) error {
+	switch h.part {
+	case partVersion:
+		h.checkVersion(b)
+	case partStatus:
+		return h.checkStatus(b)
+	case partLineStart:
+		return h.checkLineStart(b)
+	case partName:
+		return h.checkName(b)
+	case partLastFeed:
+		if b != '\n' {
+			return errFieldName
+		}
+		h.part = partBody
+	case partRest, partBody:
+	}
+	return nil
+}
+
 func (h *HeadCheck) checkVersion(b byte) {
 	switch b {
 	case ' ':
@@ -91,24 +101,32 @@
 }
 
 // checkStatus reads the status, which net/http reads behind any number of blanks.
-func (h *HeadCheck) checkStatus(b byte) {
+func (h *HeadCheck) checkStatus(b byte) error {
 	switch {
 	case b >= '0' && b <= '9' && h.digits < statusDigits:
 		h.digits++
 		h.status = h.status*10 + int(b-'0')
+		return nil
 	case b == ' ' && h.digits == 0:
+		return nil
+	case h.digits < statusDigits, h.status < http.StatusContinue, h.status > maxStatus:
+		return errStatus
 	case b == '\n':
 		h.part = partLineStart
+	case b == ' ', b == '\r':
+		h.part = partRest
 	default:
-		h.part = partReason
+		return errStatus
 	}
+	return nil
 }
 
 func (h *HeadCheck) checkLineStart(b byte) error {
 	switch b {
 	case '\n':
+		h.part = partBody
 	case '\r':
-		h.part = partEnd
+		h.part = partLastFeed
 	case ' ', '\t':
 		return errFolded
 	case ':':
@@ -123,7 +141,7 @@
 func (h *HeadCheck) checkName(b byte) error {
 	switch {
 	case b == ':':
-		h.part = partValue
+		h.part = partRest
 	case !isTokenByte[b]:
 		return errFieldName
 	}
--- a/chivewire/head_test.go
+++ b/chivewire/head_test.go
@@ -60,6 +60,18 @@
 	}
 }
 
+// Guards against a status that is none and is accepted.
+func TestHeadCheckRefusesStatusesThatAreNone(t *testing.T) {
+	for _, status := range []string{"000", "007", "099", "600", "999", "+20", "-20", "20", "2 0", "2000", "0x1", "", " "} {
+		for _, before := range []string{"", "HTTP/1.1 103 Early Hints\r\n\r\n"} {
+			text := before + "HTTP/1.1 " + status + " Any\r\nA: b\r\n\r\n"
+			if _, ended, err := checkInPieces(text, 1); ended || !errors.Is(err, chivewire.ErrHead) {
+				t.Errorf("%q: ended %v, error %v", text, ended, err)
+			}
+		}
+	}
+}
+
 // Guards against heads that end elsewhere than those that net/http reads.
 func FuzzHeadCheck(f *testing.F) {
 	for _, text := range []string{soundHead + "body", "HTTP/1.1 103 Early Hints\nLink: a\n\nHTTP/1.1 200 OK\r\nA: b\r\n\r\n", "HTTP/1.1  200 OK\r\nA: b\r\rC: d\r\n\r\n"} {
