Refuse heads of responses of another version of HTTP

Callers saw: a head that begins with "HTTP/2.0 200 OK" or "HTTP/0.9 200 OK" came as a 200, read as one of HTTP/1.1.

Fix: HeadCheck refuses what does not begin with "HTTP/1.". Minor versions stay compatible, as RFC 9110, section 2.5 has it, so that "HTTP/1.9" is read as before.

--- a/chiveforward/broken_head_test.go
+++ b/chiveforward/broken_head_test.go
@@ -92,6 +92,17 @@
 	}
 }
 
+// Guards against a head of another version of HTTP that callers get as a response.
+func TestHeadOfAnotherVersionIsNoResponse(t *testing.T) {
+	for _, version := range []string{"HTTP/2.0", "HTTP/0.9", "HTTP/3.0"} {
+		for kind, route := range routeKinds {
+			t.Run(version+", "+kind, func(t *testing.T) {
+				checkUnused(t, route, strings.Replace(plainHead, "HTTP/1.1", version, 1)+sized+"\r\nbody", 0)
+			})
+		}
+	}
+}
+
 // Guards against a head whose field has a control byte in its name, and that callers get as a response.
 func TestControlByteInTheNameOfAFieldIsNoResponse(t *testing.T) {
 	for _, field := range []string{"X-\x01Trace: 1", "X-\x00Trace: 1", "X-\x7fTrace: 1", "X-\x0bTrace: 1", "X-\rTrace: 1", "X-Trace\t: 1", ": 1", "X-\xe4Trace: 1"} {
--- a/chivewire/head.go
+++ b/chivewire/head.go
@@ -11,6 +11,7 @@
 var ErrHead = errors.New("head of a response is malformed")
 
 var (
+	errVersion   = fmt.Errorf("%w: it does not begin with %s", ErrHead, versionPrefix)
 	errFieldName = fmt.Errorf("%w: name of a field is no token", ErrHead)
 	errFolded    = fmt.Errorf("%w: line begins with a blank", ErrHead)
 	errStatus    = fmt.Errorf("%w: status is not one of %d to %d", ErrHead, http.StatusContinue, maxStatus)
@@ -21,6 +22,8 @@
 
 const (
 	partVersion headPart = iota
+	// partMinor is the rest of the version.
+	partMinor
 	partStatus
 	partLineStart
 	partName
@@ -33,16 +36,20 @@
 )
 
 const (
+	// versionPrefix is the version up to its minor number, of which any is compatible.
+	versionPrefix = "HTTP/1."
 	// statusDigits is the number of digits of a status, and maxStatus the highest one.
 	statusDigits = 3
 	maxStatus    = 599
 )
 
-// HeadCheck checks heads of responses as they arrive. It refuses statuses that are none, field names that are no tokens, and folded lines:
-// net/http takes any three digits for a status, ignores a field with a blank in its name, also one that says where the body ends, and
-// joins a folded line to the value before.
+// HeadCheck checks heads of responses as they arrive. It refuses other versions than 1, statuses that are none, field names that are no
+// tokens, and folded lines: net/http reads a head of any version as one of version 1, takes any three digits for a status, ignores a field
+// with a blank in its name, also one that says where the body ends, and joins a folded line to the value before.
 type HeadCheck struct {
 	part headPart
+	// prefix is the number of bytes of versionPrefix that were read.
+	prefix int
 	// digits is the number of those of the status that were read.
 	digits int
 	status int
@@ -74,7 +81,9 @@
 func (h *HeadCheck) checkByte(b byte) error {
 	switch h.part {
 	case partVersion:
-		h.checkVersion(b)
+		return h.checkVersion(b)
+	case partMinor:
+		h.checkMinor(b)
 	case partStatus:
 		return h.checkStatus(b)
 	case partLineStart:
@@ -91,12 +100,19 @@
 	return nil
 }
 
-func (h *HeadCheck) checkVersion(b byte) {
-	switch b {
-	case ' ':
+func (h *HeadCheck) checkVersion(b byte) error {
+	if b != versionPrefix[h.prefix] {
+		return errVersion
+	}
+	if h.prefix++; h.prefix == len(versionPrefix) {
+		h.part = partMinor
+	}
+	return nil
+}
+
+func (h *HeadCheck) checkMinor(b byte) {
+	if b == ' ' {
 		h.part = partStatus
-	case '\n':
-		h.part = partLineStart
 	}
 }
 
--- a/chivewire/head_test.go
+++ b/chivewire/head_test.go
@@ -31,6 +31,7 @@
 		"HTTP/1.1 200 OK\r\n\r\n",
 		"HTTP/1.0 404\r\nA:b\r\n\r\n",
 		"HTTP/1.1 200 \r\nA: b : c\r\nB:\r\nC: \t d \t\r\n\r\n",
+		"HTTP/1.9 200 OK\r\nA: b\r\n\r\n",
 		"HTTP/1.1 599 Any\nX_y.z!#$%&'*+-^`|~: 1\n\n",
 		"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a b\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
@@ -60,6 +61,15 @@
 	}
 }
 
+// Guards against heads of another version of HTTP that are read as ones of version 1.
+func TestHeadCheckRefusesOtherVersions(t *testing.T) {
+	for _, version := range []string{"HTTP/2.0", "HTTP/0.9", "HTTP/3.0", "http/1.1", "HTTP/11", "HTTP /1.1", " HTTP/1.1", "ICY", ""} {
+		if _, ended, err := checkInPieces(version+" 200 OK\r\nA: b\r\n\r\n", 1); ended || !errors.Is(err, chivewire.ErrHead) {
+			t.Errorf("%q: ended %v, error %v", version, ended, err)
+		}
+	}
+}
+
 // Guards against a status that is none and is accepted.
 func TestHeadCheckRefusesStatusesThatAreNone(t *testing.T) {
 	for _, status := range []string{"000", "007", "099", "600", "999", "+20", "-20", "20", "2 0", "2000", "0x1", "", " "} {
