Health checks take no response with a broken head for a sign of life

What was wrong: a health check that is answered with status 000 or 600, or with a blank in the name of a field, said that the process is alive, and what the head of a 200 states of the process was used.

Cause: the check reads its response with http.ReadResponse, not through the forwarder's connections, and any status but 200 counts as alive.

Fix: chivewire.HeadReader checks the heads of what comes from a connection; health checks and the forwarder both read through it. A broken head is an error that is no evidence of a crash either, like other bytes that are no response.

--- a/chiveforward/connection.go
+++ b/chiveforward/connection.go
@@ -75,8 +75,8 @@
 	reused bool
 	// arrival is how long the present head or event has been arriving.
 	arrival arrival
-	// awaitsHead means that a request was assigned and the head of its response has not ended.
-	awaitsHead atomic.Bool
+	// head checks the heads of responses; nil until the connection is established.
+	head *chivewire.HeadReader
 	// isLate recognizes late responses while a request waits for its own; nil otherwise. late counts them.
 	isLate      atomic.Pointer[isLateFunc]
 	late        atomic.Int64
@@ -117,7 +117,9 @@
 		return nil, errClosed
 	}
 	c.conn = conn
-	return &trackedConn{Conn: conn, connection: c}, nil
+	tracked := &trackedConn{Conn: conn, connection: c}
+	c.head = chivewire.NewHeadReader(ownReader{tracked})
+	return tracked, nil
 }
 
 // resetWriteState prepares the connection to detect the first byte of the next request. A connection that was blocked stays so.
@@ -192,8 +194,6 @@
 	connection *connection
 	// held are received bytes that were not read yet.
 	held []byte
-	// head checks the head of the present response.
-	head chivewire.HeadCheck
 }
 
 // Write marks the request as sent before it writes, so that a write that fails part-way still counts.
--- a/chiveforward/late_response.go
+++ b/chiveforward/late_response.go
@@ -31,10 +31,10 @@
 // arrives.
 func (c *connection) expect(dialect chiverequest.EndpointDialect, request *chiverequest.Request) {
 	c.late.Store(0)
-	c.awaitsHead.Store(true)
 	if !c.reused {
 		return
 	}
+	c.head.Expect()
 	isLate := isLateFunc(func(response *http.Response) bool {
 		return dialect.Identify(request, response) == chiverequest.IdentityOther && !chiverequest.IsJoined(response)
 	})
@@ -51,20 +51,15 @@
 
 // Read receives bytes from the endpoint, without late responses. A malformed head is an error.
 func (c *trackedConn) Read(data []byte) (int, error) {
-	n, err := c.readOwn(data)
-	if n == 0 || !c.connection.awaitsHead.Load() {
-		return n, err
-	}
-	ended, headErr := c.head.Check(data[:n])
-	if headErr != nil {
-		return 0, headErr
-	}
-	if ended {
-		c.connection.awaitsHead.Store(false)
-	}
-	return n, err
+	return c.connection.head.Read(data)
 }
 
+// ownReader reads from a connection, without late responses.
+type ownReader struct{ conn *trackedConn }
+
+// Read receives bytes from the endpoint.
+func (r ownReader) Read(data []byte) (int, error) { return r.conn.readOwn(data) }
+
 // readOwn receives bytes from the endpoint, without late responses.
 func (c *trackedConn) readOwn(data []byte) (int, error) {
 	if len(c.held) > 0 {
--- a/chivehealth/checker.go
+++ b/chivehealth/checker.go
@@ -175,7 +175,8 @@
 	if err := request.Write(conn); err != nil {
 		return nil, err //nolint:wrapcheck // classified by classifyError
 	}
-	return http.ReadResponse(bufio.NewReader(&limitedReader{source: conn, left: maxResponseBytes}), request) //nolint:wrapcheck // classified by classifyError
+	reader := chivewire.NewHeadReader(&limitedReader{source: conn, left: maxResponseBytes})
+	return http.ReadResponse(bufio.NewReader(reader), request) //nolint:wrapcheck // classified by classifyError
 }
 
 // limitedReader fails after a number of bytes, unlike io.LimitedReader, whose end looks like that of the connection.
