Check the heads of responses of the platform, the log, peers, orders and cache listings

What was wrong: a store, a log, a platform's interface, a peer or an endpoint that lists its cache or takes an order, each with a blank in the name of a field or a folded line in its response, was taken at its word: a record counted as appended, a usage report as accepted, an order as carried out or as refused by an older fencing token, a peer as connected.

Cause: the same as of responses to callers; these calls go through http.Transports of their own, which the forwarder's check does not see.

Fix: chivewire.CheckHeads puts the check below a transport. Errors stay what they were for these calls: an append whose answer is broken is unknown. The commands' client of the log gets connections and a limit of heads as the nodes' one has.

--- a/chivelog/client.go
+++ b/chivelog/client.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"chivedrift/chivewire"
 )
 
 // ErrNotAppended means that the log certainly did not take the record.
@@ -52,7 +54,10 @@
 // NewClient returns a client for the log and VM list at IP:port addresses, through the given transport or a default one.
 func NewClient(log, list string, transport http.RoundTripper) *Client {
 	if transport == nil {
-		transport = &http.Transport{IdleConnTimeout: idleConnection, MaxIdleConnsPerHost: 4}
+		transport = chivewire.CheckHeads(&http.Transport{
+			DialContext: chivewire.Dialer(chivewire.TCP{}, ""), IdleConnTimeout: idleConnection, MaxIdleConnsPerHost: 4,
+			MaxResponseHeaderBytes: chivewire.MaxHeadBytes,
+		})
 	}
 	return &Client{base: "http://" + log, list: "http://" + list, http: &http.Client{Transport: transport}}
 }
--- a/chivenode/node.go
+++ b/chivenode/node.go
@@ -263,7 +263,7 @@
 		DialContext:         chivewire.Dialer(network, s.Listen.Peers),
 		MaxIdleConnsPerHost: logMaxIdleConns, IdleConnTimeout: logIdleTimeout, MaxResponseHeaderBytes: chivewire.MaxHeadBytes,
 	}
-	return &logService{Client: chivelog.NewClient(s.Platform.Log, s.Platform.VMList, transport), transport: transport}
+	return &logService{Client: chivelog.NewClient(s.Platform.Log, s.Platform.VMList, chivewire.CheckHeads(transport)), transport: transport}
 }
 
 const (
--- a/chiveorder/sender.go
+++ b/chiveorder/sender.go
@@ -63,7 +63,7 @@
 		return fmt.Errorf("order: %w", err)
 	}
 	request.GetBody = nil
-	response, err := transport.RoundTrip(request)
+	response, err := chivewire.CheckHeads(transport).RoundTrip(request)
 	if err != nil {
 		return fmt.Errorf("order: %w", err)
 	}
@@ -105,7 +105,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("endpoint state: %w", err)
 	}
-	response, err := transport.RoundTrip(request)
+	response, err := chivewire.CheckHeads(transport).RoundTrip(request)
 	if err != nil {
 		return nil, fmt.Errorf("endpoint state: %w", err)
 	}
--- a/chiverelay/service.go
+++ b/chiverelay/service.go
@@ -82,7 +82,7 @@
 	server    *chivewire.HTTPServer
 	conns     *chivecaller.Conns
 	leaving   atomic.Bool
-	transport *http.Transport
+	transport http.RoundTripper
 	paths     *endpointPaths
 	tunnels   atomic.Int64
 	opened    atomic.Int64
@@ -104,12 +104,12 @@
 // New returns a service without peers and endpoints.
 func New(o Options) *Service {
 	s := &Service{options: o, conns: chivecaller.NewConns(), paths: newEndpointPaths(), backoffUntil: make(map[backoffKey]time.Time), provenAt: make(map[string]time.Time), users: make(map[string]map[string]int)}
-	s.transport = &http.Transport{
+	s.transport = chivewire.CheckHeads(&http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return o.Network.Dial(ctx, o.Address, address)
 		},
 		DisableCompression: true, DisableKeepAlives: true, MaxResponseHeaderBytes: chivewire.MaxHeadBytes,
-	}
+	})
 	s.server = chivewire.NewHTTPServer(&http.Server{
 		Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(o.Logger.Handler(), slog.LevelDebug),
 		ConnState: s.conns.ConnState,
