A success of a platform's endpoint without a receipt counts as broken off

Callers saw: an endpoint's 200 without a receipt, or with an empty one, as a response.

Cause: the receipt was passed on like any other field; nothing asked for it.

Fix: the platform's dialect judges a 2xx without a receipt as VerdictInvalid, and the forwarder treats that like a response that cannot be matched: nothing that it states is used, the connection is closed, the attempt counts as broken off. Requests that may run only once get 502, others go to another endpoint; a stream of which a part was passed on goes on elsewhere.

--- a/chiveforward/call.go
+++ b/chiveforward/call.go
@@ -39,6 +39,7 @@
 	errUnprovedEnd        = errors.New("rest of a stream ended with its connection, which does not prove that it is whole")
 	errPreempted          = errors.New("attempt preempted by a more urgent request")
 	errRefusedBefore      = errors.New("refusal may be a copy of that of an earlier attempt at the same address")
+	errInvalidResponse    = errors.New("response lacks what shows callers that it is the endpoint's")
 	errNotTheRest         = errors.New("response is no stream that goes on with the one that was passed on")
 )
 
@@ -143,6 +144,9 @@
 	if verdict.IsRefusal() && a.state.wasRefusedAt(a.target.Address) {
 		return a.classifyError(ctx, parent, errRefusedBefore)
 	}
+	if verdict == chiverequest.VerdictInvalid {
+		return a.classifyError(ctx, parent, errInvalidResponse)
+	}
 	if verdict != chiverequest.VerdictElsewhere {
 		a.recordLimits(ctx, matched)
 		a.recordNotice(ctx, matched)
@@ -156,7 +160,7 @@
 	case chiverequest.VerdictElsewhere:
 		a.connection.close()
 		return attemptMisdirected
-	case chiverequest.VerdictAnswer, chiverequest.VerdictUnproved:
+	case chiverequest.VerdictAnswer, chiverequest.VerdictUnproved, chiverequest.VerdictInvalid:
 	}
 	return a.forwardAnswer(ctx, parent, response, verdict)
 }
@@ -510,14 +514,10 @@
 
 // isStream reports whether a response consists of events.
 func isStream(response *http.Response) bool {
-	return isEventStream(response.Header) && isSuccess(response.StatusCode) && response.StatusCode != http.StatusNoContent
+	return isEventStream(response.Header) && chiverequest.IsSuccess(response.StatusCode) && response.StatusCode != http.StatusNoContent
 }
 
 // canBeRest reports whether a response may go on with a stream of which a part was passed on.
 func canBeRest(response *http.Response) bool {
 	return isStream(response) && response.Header.Get("Content-Encoding") == ""
 }
-
-func isSuccess(status int) bool {
-	return status >= http.StatusOK && status < http.StatusMultipleChoices
-}
--- a/chiverequest/matched.go
+++ b/chiverequest/matched.go
@@ -62,6 +62,11 @@
 	return false
 }
 
+// IsSuccess reports whether a status is that of a success (2xx).
+func IsSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 // MatchSole returns the response to the only request of a connection.
 func MatchSole(response *http.Response) Matched { return Matched{response: response} }
 
--- a/chiverequest/request.go
+++ b/chiverequest/request.go
@@ -97,6 +97,8 @@
 	// VerdictUnproved is the endpoint's response with a status that promises callers that the request did not run, which the
 	// endpoint does not state.
 	VerdictUnproved
+	// VerdictInvalid is a response of the endpoint that is none to callers, since it lacks what shows them that it is the endpoint's.
+	VerdictInvalid
 )
 
 // IsRefusal reports whether the endpoint at the address has stated that the request was not run there.
