--- a/chiveforward/head_in_pieces_test.go
+++ b/chiveforward/head_in_pieces_test.go
@@ -11,7 +11,7 @@
 
 // Guards against a broken line that arrives by itself, right behind the status line, is dropped, and whose head callers get as a response.
 func TestBrokenHeadInPiecesIsNoResponse(t *testing.T) {
-	for name, line := range map[string]string{"blank in a name": "X-Trace : 1\r\n", "second status line": "HTTP/1.1 429 Too Many Requests\r\n", "folded line": " x\r\n"} {
+	for name, line := range map[string]string{"blank in a name": "X-Trace : 1\r\n", "second status line": "HTTP/1.1 429 Too Many Requests\r\n", "folded line": " x\r\n", "control byte": "X-\x01Trace: 1\r\n"} {
 		t.Run(name, func(t *testing.T) {
 			e := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) {
 				for _, piece := range []string{"HTTP/1.1 200 OK\r\n", line, "Id: 42\r\n" + sized + "\r\nbody"} {
